--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# Two commands do everything on a machine that has the packages of .ci/run:
+#   make demo   the whole path, hosts and stand-ins as real processes
+#   make check  format, lint, build with sanitizers, every test
+
+JOBS ?= 8
+C_FILES = $(wildcard src/*/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] examples/*.[ch])
+CPP_FILES = $(wildcard tests/*.cpp)
+
+.PHONY: all demo check check-thread test bench soak format check-format lint install clean doc
+
+all:
+	@cmake -S . -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build build -j $(JOBS) -- --no-print-directory
+
+demo: all
+	tools/demo.sh build
+
+check: check-format lint test check-thread
+
+# Every test under the address and undefined behaviour sanitizers.
+test:
+	tools/check.sh build-asan address,undefined ''
+
+# The tests with threads once more under the thread sanitizer.
+check-thread:
+	tools/check.sh build-tsan thread '$(THREAD_TESTS)'
+
+bench: all
+	tools/bench.sh build
+
+soak: all
+	tools/soak.sh build
+
+format:
+	clang-format -i $(C_FILES) $(CPP_FILES)
+
+check-format:
+	clang-format --dry-run --Werror $(C_FILES) $(CPP_FILES)
+
+lint: all
+	tools/lint.sh build
+
+doc:
+	doxygen docs/Doxyfile
+
+install: all
+	cmake --install build
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/src/base/event_log.c
@@ -0,0 +1,144 @@
+#include "base/event_log.h"
+
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdio.h>
+
+#include <glib.h>
+
+#define EVENT_TEXT_SIZE 512 /* Bytes of an event's particulars. */
+
+static const struct event_entry event_entries[] = {
+    {EVENT_HOST_STARTED, EVENT_LEVEL_INFO, "host started"},
+    {EVENT_HOST_STOPPING, EVENT_LEVEL_INFO, "host stopping"},
+    {EVENT_HOST_STOPPED, EVENT_LEVEL_INFO, "host stopped"},
+    {EVENT_SETTINGS_REFUSED, EVENT_LEVEL_ERROR, "settings refused"},
+    {EVENT_LISTEN_FAILED, EVENT_LEVEL_ERROR, "cannot listen"},
+    {EVENT_CONFIGURATION_APPLIED, EVENT_LEVEL_INFO, "configuration applied"},
+    {EVENT_CONFIGURATION_LEASE_LOST, EVENT_LEVEL_WARNING,
+	"configuration lease lost, no new work"},
+    {EVENT_CONFIGURATION_LEASE_REGAINED, EVENT_LEVEL_INFO,
+	"configuration lease regained"},
+    {EVENT_OVERRIDE_SET, EVENT_LEVEL_WARNING, "operator's override set"},
+
+    {EVENT_PEER_CONNECTED, EVENT_LEVEL_INFO, "peer connected"},
+    {EVENT_PEER_DISCONNECTED, EVENT_LEVEL_INFO, "peer disconnected"},
+    {EVENT_PEER_REFUSED, EVENT_LEVEL_WARNING, "peer refused"},
+    {EVENT_PEER_QUEUE_DROPPED, EVENT_LEVEL_WARNING, "peer queue dropped"},
+
+    {EVENT_LEADER_ELECTED, EVENT_LEVEL_INFO, "leader elected"},
+    {EVENT_LEADER_LOST, EVENT_LEVEL_WARNING, "leader lost"},
+    {EVENT_SNAPSHOT_WRITTEN, EVENT_LEVEL_INFO, "snapshot written"},
+    {EVENT_SNAPSHOT_INSTALLED, EVENT_LEVEL_INFO, "snapshot installed"},
+    {EVENT_JOURNAL_REPAIRED, EVENT_LEVEL_WARNING, "journal repaired"},
+    {EVENT_JOURNAL_FAILED, EVENT_LEVEL_ERROR, "journal failed"},
+    {EVENT_VOTER_CHANGED, EVENT_LEVEL_INFO, "voters changed"},
+
+    {EVENT_HOST_JOINED, EVENT_LEVEL_INFO, "host joined"},
+    {EVENT_HOST_SUSPECTED, EVENT_LEVEL_WARNING, "host suspected"},
+    {EVENT_HOST_DEAD, EVENT_LEVEL_WARNING, "host dead"},
+    {EVENT_UPSTREAM_ANNOUNCED, EVENT_LEVEL_INFO, "upstream announced"},
+    {EVENT_UPSTREAM_LEAVING, EVENT_LEVEL_INFO, "upstream leaving"},
+    {EVENT_UPSTREAM_EXPIRED, EVENT_LEVEL_WARNING, "upstream expired"},
+
+    {EVENT_UPSTREAM_COLD, EVENT_LEVEL_WARNING, "upstream turned cold"},
+    {EVENT_GRANTS_WAITED_OUT, EVENT_LEVEL_INFO, "old grants waited out"},
+    {EVENT_KV_ORPHAN_RELEASED, EVENT_LEVEL_WARNING, "KV orphan released"},
+    {EVENT_ORDER_GIVEN, EVENT_LEVEL_INFO, "order given"},
+    {EVENT_ORDER_DONE, EVENT_LEVEL_INFO, "order done"},
+    {EVENT_REQUEST_QUARANTINED, EVENT_LEVEL_WARNING, "request quarantined"},
+
+    {EVENT_REQUEST_REFUSED, EVENT_LEVEL_INFO, "request refused"},
+    {EVENT_REQUEST_RETRIED, EVENT_LEVEL_INFO, "request retried"},
+    {EVENT_REQUEST_FAILED, EVENT_LEVEL_WARNING, "request failed"},
+    {EVENT_UPSTREAM_STALLED, EVENT_LEVEL_WARNING, "upstream stalled"},
+
+    {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
+    {EVENT_STANDIN_CRASHED, EVENT_LEVEL_WARNING, "stand-in crashed"},
+    {EVENT_STANDIN_OVERLOADED, EVENT_LEVEL_WARNING, "stand-in overloaded"},
+};
+
+/* Process-wide by nature: GLib's writer is, and a line needs its host. */
+static _Atomic uint32_t event_host_id;
+static _Atomic int event_least_level = EVENT_LEVEL_INFO;
+
+static const struct event_entry *find_entry(enum event_number number);
+static GLogLevelFlags convert_level(enum event_level level);
+
+void
+event_log_setup(uint32_t host_id, enum event_level least)
+{
+	atomic_store(&event_host_id, host_id);
+	atomic_store(&event_least_level, (int)least);
+}
+
+void
+event_log_write(enum event_number number, const char *format, ...)
+{
+	const struct event_entry *entry;
+	char particulars[EVENT_TEXT_SIZE];
+	va_list arguments;
+
+	entry = find_entry(number);
+	if (entry == NULL)
+		return;
+	if ((int)entry->level > atomic_load(&event_least_level))
+		return;
+	va_start(arguments, format);
+	vsnprintf(particulars, sizeof(particulars), format, arguments);
+	va_end(arguments);
+	g_log("chicorytack", convert_level(entry->level),
+	    "E%d host=%u level=%s %s%s%s", (int)number,
+	    atomic_load(&event_host_id), event_level_name(entry->level),
+	    entry->text, particulars[0] == '\0' ? "" : ": ", particulars);
+}
+
+const struct event_entry *
+event_log_entry(size_t index)
+{
+	if (index >= G_N_ELEMENTS(event_entries))
+		return NULL;
+	return &event_entries[index];
+}
+
+const char *
+event_level_name(enum event_level level)
+{
+	switch (level) {
+	case EVENT_LEVEL_ERROR:
+		return "error";
+	case EVENT_LEVEL_WARNING:
+		return "warning";
+	case EVENT_LEVEL_INFO:
+		return "info";
+	case EVENT_LEVEL_DEBUG:
+		return "debug";
+	}
+	return "unknown";
+}
+
+static const struct event_entry *
+find_entry(enum event_number number)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(event_entries); i++) {
+		if (event_entries[i].number == number)
+			return &event_entries[i];
+	}
+	return NULL;
+}
+
+static GLogLevelFlags
+convert_level(enum event_level level)
+{
+	/* G_LOG_LEVEL_ERROR would abort the process, so errors are critical. */
+	switch (level) {
+	case EVENT_LEVEL_ERROR:
+		return G_LOG_LEVEL_CRITICAL;
+	case EVENT_LEVEL_WARNING:
+		return G_LOG_LEVEL_WARNING;
+	default:
+		return G_LOG_LEVEL_MESSAGE;
+	}
+}
--- /dev/null
+++ b/src/transport/timer.c
@@ -0,0 +1,251 @@
+#include "transport/timer.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAP_FIRST 16 /* Entries that the first growth makes. */
+
+/* What the table holds for a subscription. */
+struct timer_entry {
+	int64_t period_ms; /* 0 for a timer that runs once. */
+	struct timer_callback callback;
+};
+
+static enum error_code subscribe(struct timer_service *service,
+    int64_t delay_ms, int64_t period_ms, struct timer_callback callback,
+    struct handle *timer);
+static enum error_code push_heap(
+    struct timer_service *service, int64_t due_ms, struct handle timer);
+static void pop_heap(struct timer_service *service);
+static void drop_stale(struct timer_service *service);
+static void compact_heap(struct timer_service *service);
+static void sift_up(struct timer_service *service, uint32_t at);
+static void sift_down(struct timer_service *service, uint32_t at);
+static bool is_earlier(
+    const struct timer_due *left, const struct timer_due *right);
+static void run_first(struct timer_service *service);
+
+void
+timer_init(struct timer_service *service, uint32_t capacity, int64_t now_ms)
+{
+	memset(service, 0, sizeof(*service));
+	handle_table_init(
+	    &service->timers, sizeof(struct timer_entry), capacity);
+	service->now_ms = now_ms;
+}
+
+void
+timer_finish(struct timer_service *service)
+{
+	handle_table_finish(&service->timers);
+	free(service->heap);
+	memset(service, 0, sizeof(*service));
+}
+
+enum error_code
+timer_subscribe_once(struct timer_service *service, int64_t delay_ms,
+    struct timer_callback callback, struct handle *timer)
+{
+	return subscribe(service, delay_ms, 0, callback, timer);
+}
+
+enum error_code
+timer_subscribe_every(struct timer_service *service, int64_t period_ms,
+    struct timer_callback callback, struct handle *timer)
+{
+	if (period_ms < 1)
+		return ERROR_INVALID_ARGUMENT;
+	return subscribe(service, period_ms, period_ms, callback, timer);
+}
+
+void
+timer_cancel(struct timer_service *service, struct handle *timer)
+{
+	handle_table_remove(&service->timers, *timer);
+	memset(timer, 0, sizeof(*timer));
+	drop_stale(service);
+}
+
+int64_t
+timer_now(const struct timer_service *service)
+{
+	return service->now_ms;
+}
+
+int64_t
+timer_next(const struct timer_service *service)
+{
+	if (service->heap_count == 0)
+		return TIMER_NEVER;
+	return service->heap[0].due_ms;
+}
+
+void
+timer_advance(struct timer_service *service, int64_t now_ms)
+{
+	while (service->heap_count > 0 && timer_next(service) <= now_ms)
+		run_first(service);
+	if (now_ms > service->now_ms)
+		service->now_ms = now_ms;
+}
+
+static enum error_code
+subscribe(struct timer_service *service, int64_t delay_ms, int64_t period_ms,
+    struct timer_callback callback, struct handle *timer)
+{
+	struct timer_entry *entry;
+	struct handle handle;
+	enum error_code error;
+
+	if (callback.run == NULL)
+		return ERROR_INVALID_ARGUMENT;
+	error = handle_table_add(&service->timers, &handle);
+	if (error != ERROR_NONE)
+		return error;
+	entry = handle_table_get(&service->timers, handle);
+	entry->period_ms = period_ms;
+	entry->callback = callback;
+	if (delay_ms < 0)
+		delay_ms = 0;
+	error = push_heap(service, service->now_ms + delay_ms, handle);
+	if (error != ERROR_NONE) {
+		handle_table_remove(&service->timers, handle);
+		return error;
+	}
+	if (timer != NULL)
+		*timer = handle;
+	return ERROR_NONE;
+}
+
+static enum error_code
+push_heap(struct timer_service *service, int64_t due_ms, struct handle timer)
+{
+	struct timer_due *heap;
+	uint32_t capacity;
+
+	if (service->heap_count == service->heap_capacity) {
+		capacity = service->heap_capacity * 2 + HEAP_FIRST;
+		heap = realloc(service->heap, capacity * sizeof(*heap));
+		if (heap == NULL)
+			return ERROR_NO_MEMORY;
+		service->heap = heap;
+		service->heap_capacity = capacity;
+	}
+	service->heap[service->heap_count].due_ms = due_ms;
+	service->heap[service->heap_count].order = service->next_order++;
+	service->heap[service->heap_count].timer = timer;
+	service->heap_count++;
+	sift_up(service, service->heap_count - 1);
+	return ERROR_NONE;
+}
+
+static void
+pop_heap(struct timer_service *service)
+{
+	service->heap[0] = service->heap[--service->heap_count];
+	sift_down(service, 0);
+}
+
+/* A stale entry on top would wake the owner for nothing. */
+static void
+drop_stale(struct timer_service *service)
+{
+	while (service->heap_count > 0 && handle_table_get(&service->timers,
+					      service->heap[0].timer) == NULL)
+		pop_heap(service);
+	if (service->heap_count > 2 * service->timers.count + HEAP_FIRST)
+		compact_heap(service);
+}
+
+static void
+compact_heap(struct timer_service *service)
+{
+	uint32_t from, kept;
+
+	kept = 0;
+	for (from = 0; from < service->heap_count; from++) {
+		if (handle_table_get(
+			&service->timers, service->heap[from].timer) != NULL)
+			service->heap[kept++] = service->heap[from];
+	}
+	service->heap_count = kept;
+	for (from = kept / 2; from > 0; from--)
+		sift_down(service, from - 1);
+}
+
+static void
+sift_up(struct timer_service *service, uint32_t at)
+{
+	struct timer_due moved;
+	uint32_t parent;
+
+	moved = service->heap[at];
+	while (at > 0) {
+		parent = (at - 1) / 2;
+		if (!is_earlier(&moved, &service->heap[parent]))
+			break;
+		service->heap[at] = service->heap[parent];
+		at = parent;
+	}
+	service->heap[at] = moved;
+}
+
+static void
+sift_down(struct timer_service *service, uint32_t at)
+{
+	struct timer_due moved;
+	uint32_t child;
+
+	if (at >= service->heap_count)
+		return;
+	moved = service->heap[at];
+	for (;;) {
+		child = at * 2 + 1;
+		if (child >= service->heap_count)
+			break;
+		if (child + 1 < service->heap_count &&
+		    is_earlier(
+			&service->heap[child + 1], &service->heap[child]))
+			child++;
+		if (!is_earlier(&service->heap[child], &moved))
+			break;
+		service->heap[at] = service->heap[child];
+		at = child;
+	}
+	service->heap[at] = moved;
+}
+
+static bool
+is_earlier(const struct timer_due *left, const struct timer_due *right)
+{
+	if (left->due_ms != right->due_ms)
+		return left->due_ms < right->due_ms;
+	return left->order < right->order;
+}
+
+static void
+run_first(struct timer_service *service)
+{
+	struct timer_callback callback;
+	struct timer_entry *entry;
+	struct timer_due due;
+
+	due = service->heap[0];
+	pop_heap(service);
+	entry = handle_table_get(&service->timers, due.timer);
+	if (entry == NULL)
+		return;
+	callback = entry->callback;
+	if (due.due_ms > service->now_ms)
+		service->now_ms = due.due_ms;
+	if (entry->period_ms > 0) {
+		/* The heap has room: an entry has just been taken off. */
+		(void)push_heap(
+		    service, service->now_ms + entry->period_ms, due.timer);
+	} else {
+		handle_table_remove(&service->timers, due.timer);
+	}
+	callback.run(callback.context);
+	drop_stale(service);
+}
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Runs clang-tidy and cppcheck over the project's C files: lint.sh BUILD_DIR
+set -euo pipefail
+build=$1
+# Files whose text, settings and headers have not changed are not linted again.
+stamps=$build/lint
+mkdir -p "$stamps"
+headers=$(cat .clang-tidy $(git ls-files -co --exclude-standard "*.h") | sha256sum | cut -c1-16)
+lint_one() {
+	local file=$1 stamp
+	stamp=$2/$(cat "$file" | sha256sum | cut -c1-24)-$3
+	[ -e "$stamp" ] && return 0
+	if ! out=$(clang-tidy --quiet -p "$4" "$file" 2>/dev/null); then
+		echo "$out"
+		return 1
+	fi
+	touch "$stamp"
+}
+export -f lint_one
+shopt -s nullglob
+printf "%s\n" src/*/*.c standin/*.c bench/*.c tests/*.c examples/*.c |
+    xargs -P "${JOBS:-8}" -I{} bash -c 'lint_one {} '"$stamps $headers $build"
+cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr -j "${JOBS:-8}" \
+    --enable=warning,portability --suppress=missingIncludeSystem -I src src \
+    standin bench
+echo "lint: clean"
