Selectors and compiled intent: what operators want, asked by name

Ruled out: keeping the last good form of a broken entry, since a host that restarts would not have it and hosts would then differ; letting policies join (union), since removing or breaking one would then let more in. A broken takeout takes out everything, a broken policy confines every account it may concern to nothing; both are listed as problems.

--- a/src/state/selector.h
+++ b/src/state/selector.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "base/error_code.h"
+#include "config.h"
 
 #define SELECTOR_SIZE_MAX   1024 /**< Bytes of a selector with its end mark. */
 #define SELECTOR_TERMS_MAX  32	 /**< Terms of one selector. */
--- /dev/null
+++ b/tests/test_intent.c
@@ -0,0 +1,200 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "fake_config_source.h"
+#include "state/intent.h"
+
+#define ENTRIES(table)                                                         \
+	{                                                                      \
+		table, sizeof(table) / sizeof(table[0])                        \
+	}
+
+static const struct upstream_record regina = {.name = "r1",
+    .data_centre = "regina",
+    .kind = UPSTREAM_KIND_MODEL,
+    .model_count = 2,
+    .models = {"small", "large"},
+    .label_count = 2,
+    .labels = {{"zone", "rift"}, {"tier", "gold"}}};
+
+struct upstream_case {
+	const char *what;
+	struct config_entry entries[3];
+	bool is_taken_out;
+	bool may_use;
+	unsigned int problems;
+};
+
+static const struct upstream_case upstream_cases[] = {
+    {"nothing said", {{"setting/x", "1", 1}}, false, true, 0},
+    {"own label", {{"takeout/t", "tier=gold", 1}}, true, true, 0},
+    {"second model", {{"takeout/t", "model=large", 1}}, true, true, 0},
+    {"not that model", {{"takeout/t", "model!=large", 1}}, false, true, 0},
+    {"data centre's label beats the upstream's own",
+	{{"data_centre/regina/label/zone", "prairie", 1},
+	    {"takeout/t", "zone=prairie", 2}},
+	true, true, 0},
+    {"upstream's label beats the data centre's",
+	{{"data_centre/regina/label/zone", "prairie", 1},
+	    {"takeout/t", "zone=prairie", 2},
+	    {"upstream/r1/label/zone", "other", 3}},
+	false, true, 0},
+    {"a label cannot hide the data centre",
+	{{"takeout/t", "data_centre=regina", 2},
+	    {"upstream/r1/label/data_centre", "other", 3}},
+	true, true, 0},
+    {"broken takeout keeps out", {{"takeout/t", "zone in rift", 1}}, true, true,
+	1},
+    {"policy lets in", {{"policy/p", "name=spa -> tier=gold", 1}}, false, true,
+	0},
+    {"policy keeps out", {{"policy/p", "name=spa -> tier!=gold", 1}}, false,
+	false, 0},
+    {"policy of others", {{"policy/p", "name=kilima -> !tier", 1}}, false, true,
+	0},
+    {"all policies hold",
+	{{"policy/p", "name=spa -> tier=gold", 1},
+	    {"policy/q", "size=big -> zone=prairie", 1}},
+	false, false, 0},
+    {"broken upstream side", {{"policy/p", "name=spa -> tier=", 1}}, false,
+	false, 1},
+    {"broken account side", {{"policy/p", "=x -> tier=gold", 1}}, false, true,
+	1},
+    {"broken account side concerns all", {{"policy/p", "=x -> !tier", 1}},
+	false, false, 1},
+    {"no arrow", {{"policy/p", "name=kilima", 1}}, false, false, 1},
+};
+
+static void
+test_upstreams(void **state)
+{
+	const struct upstream_case *item;
+	struct config_entry entries[5] = {
+	    {"client_account/spa/label/size", "big", 1}};
+	struct fake_config_source table = {entries, 0};
+	struct config_source source = fake_config_source(&table);
+	struct intent intent;
+	const struct intent_account *account;
+	uint64_t words[INTENT_POLICIES_MAX / 64];
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < sizeof(upstream_cases) / sizeof(upstream_cases[0]);
+	     i++) {
+		item = &upstream_cases[i];
+		table.count = 1;
+		for (j = 0; j < 3 && item->entries[j].key != NULL; j++)
+			entries[table.count++] = item->entries[j];
+		assert_int_equal(intent_compile(&intent, &source), ERROR_NONE);
+		account = intent_account_by_name(&intent, "spa");
+		assert_non_null(account);
+		if (intent_is_taken_out(&intent, &regina, NULL) !=
+			item->is_taken_out ||
+		    intent_may_use(&intent, account, &regina) !=
+			item->may_use ||
+		    intent.problems->len != item->problems)
+			fail_msg("%s", item->what);
+		intent_fill_policies(&intent, &regina, words);
+		assert_int_equal(intent_policies_admit(&intent, account, words),
+		    item->may_use);
+		intent_finish(&intent);
+	}
+}
+
+static void
+test_tokens(void **state)
+{
+	char spa[TOKEN_HASH_SIZE], shared[TOKEN_HASH_SIZE];
+	struct config_entry entries[] = {
+	    {"client_account/a/token", shared, 1},
+	    {"client_account/b/token", shared, 2},
+	    {"client_account/c/token", shared, 3},
+	    {"client_account/spa/requests_max", "12", 4},
+	    {"client_account/spa/token", spa, 5},
+	    {"client_account/spa/weight", "7", 6},
+	    {"client_account/w/requests_max", "many", 7},
+	    {"client_account/w/weight", "0", 8},
+	};
+	struct fake_config_source table = ENTRIES(entries);
+	struct config_source source = fake_config_source(&table);
+	struct intent intent;
+	const struct intent_account *account;
+
+	(void)state;
+	intent_hash_token("secret", spa);
+	intent_hash_token("shared", shared);
+	assert_int_equal(intent_compile(&intent, &source), ERROR_NONE);
+	account = intent_account_by_token(&intent, "secret");
+	assert_non_null(account);
+	assert_string_equal(account->name, "spa");
+	assert_int_equal(account->weight, 7);
+	assert_int_equal(account->requests_max, 12);
+	assert_ptr_equal(account, intent_account_at(&intent, account->index));
+	assert_null(intent_account_by_token(&intent, "other"));
+	assert_null(intent_account_by_token(&intent, spa));
+	assert_null(intent_account_by_token(&intent, "shared"));
+	account = intent_account_by_name(&intent, "w");
+	assert_int_equal(account->weight, INTENT_WEIGHT_DEFAULT);
+	assert_int_equal(account->requests_max, 1);
+	assert_int_equal(intent.problems->len, 4);
+	assert_int_equal(intent.revision, 8);
+	intent_finish(&intent);
+}
+
+struct check_case {
+	const char *key;
+	const char *value;
+	enum error_code error;
+	uint32_t position;
+};
+
+static const struct check_case check_cases[] = {
+    {"takeout/x", "zone=a", ERROR_NONE, 0},
+    {"takeout/x", "zone=", ERROR_MALFORMED, 5},
+    {"takeout/x/y", "zone=a", ERROR_UNKNOWN_KEY, 0},
+    {"takeout/", "zone=a", ERROR_UNKNOWN_KEY, 0},
+    {"policy/x", "a=b -> c", ERROR_NONE, 0},
+    {"policy/x", "a=b -> c=", ERROR_MALFORMED, 9},
+    {"policy/x", "a=b", ERROR_MALFORMED, 3},
+    {"upstream/u/label/zone", "a", ERROR_NONE, 0},
+    {"upstream/u/label/zone", "", ERROR_BAD_VALUE, 0},
+    {"upstream/u/label/data_centre", "a", ERROR_UNKNOWN_KEY, 0},
+    {"upstream/u/weight", "1", ERROR_UNKNOWN_KEY, 0},
+    {"client_account/u/weight", "1000", ERROR_NONE, 0},
+    {"client_account/u/weight", "1001", ERROR_BAD_VALUE, 0},
+    {"client_account/u/token", "plain", ERROR_BAD_VALUE, 0},
+    {"client_account/u/colour", "1", ERROR_UNKNOWN_KEY, 0},
+    {"hosts/live", "1", ERROR_UNKNOWN_KEY, 0},
+};
+
+static void
+test_check_entry(void **state)
+{
+	struct selector_fault fault;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(check_cases) / sizeof(check_cases[0]); i++) {
+		if (intent_check_entry(check_cases[i].key, check_cases[i].value,
+			&fault) != check_cases[i].error ||
+		    fault.position != check_cases[i].position)
+			fail_msg("%s = %s", check_cases[i].key,
+			    check_cases[i].value);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_upstreams),
+	    cmocka_unit_test(test_tokens),
+	    cmocka_unit_test(test_check_entry),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
