--- a/tests/test_intent.c
+++ b/tests/test_intent.c
@@ -9,11 +9,6 @@
 #include "fake_config_source.h"
 #include "state/intent.h"
 
-#define ENTRIES(table)                                                         \
-	{                                                                      \
-		table, sizeof(table) / sizeof(table[0])                        \
-	}
-
 static const struct upstream_record regina = {.name = "r1",
     .data_centre = "regina",
     .kind = UPSTREAM_KIND_MODEL,
@@ -119,7 +114,8 @@
 	    {"client_account/w/requests_max", "many", 7},
 	    {"client_account/w/weight", "0", 8},
 	};
-	struct fake_config_source table = ENTRIES(entries);
+	struct fake_config_source table = {
+	    entries, sizeof(entries) / sizeof(entries[0])};
 	struct config_source source = fake_config_source(&table);
 	struct intent intent;
 	const struct intent_account *account;
