--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -47,16 +47,26 @@
 	_Atomic uint64_t own_prefill_tokens; /**< Of these, this host's. */
 };
 
-/** An upstream; its record never changes. */
+/** An upstream; its record never changes. What changes often comes first. */
 struct fleet_upstream {
-	struct upstream_record record; /**< As announced. */
-	struct capacity_slot *slot;    /**< Outlives every view and work. */
-	struct fleet_load load;	       /**< Changes in place. */
-	_Atomic bool is_warm;	       /**< May get its warm load. */
+	struct capacity_slot *slot; /**< For the coordination thread. */
+	struct fleet_load load;	    /**< Changes in place. */
 	_Atomic uint64_t long_prefill_tokens; /**< Own long prompts there. */
 	_Atomic int64_t suspect_until_ms;     /**< Failed lately: avoid it. */
-	uint64_t
-	    *policies; /**< Policies that let it in, of the view's intent. */
+	_Atomic bool is_warm;		      /**< May get its warm load. */
+	_Atomic uint32_t references;	      /**< Views and works. */
+	struct upstream_record record;	      /**< As announced. */
+};
+
+/** An upstream as one view sees it. */
+struct fleet_entry {
+	uint64_t id;			 /**< Of the upstream. */
+	struct fleet_upstream *upstream; /**< Shared by views. */
+	struct capacity_slot *slot;	 /**< NULL outside the subset. */
+	const uint64_t *policies;	 /**< Policies that let it in. */
+	enum fleet_distance distance;	 /**< From this host. */
+	bool is_taken_out;		 /**< By a takeout. */
+	bool is_usable;			 /**< In the subset of a group. */
 };
 
 /** Upstreams that are alike to the router. Indices are into the view. */
@@ -66,7 +76,7 @@
 	enum upstream_kind kind;	 /**< What they serve. */
 	enum fleet_distance distance;	 /**< From this host. */
 	const uint64_t *policies;	 /**< Policies that let them in. */
-	uint32_t total;			 /**< Upstreams, the rest included. */
+	uint32_t total;			 /**< Upstreams, unused ones too. */
 	uint32_t count;			 /**< Upstreams of the subset. */
 	uint32_t *subset;     /**< Subset, by the host's rendezvous rank. */
 	uint32_t *long_ranks; /**< Of each: rank for long prompts, by all. */
@@ -76,23 +86,37 @@
 struct fleet_view {
 	uint64_t version;	     /**< Grows with each view. */
 	const struct intent *intent; /**< Operators' intent, never NULL. */
-	uint32_t upstream_count;     /**< Upstreams, taken out ones too. */
-	struct fleet_upstream **upstreams; /**< By id. */
-	bool *taken_out;		   /**< Of each. */
-	uint32_t group_count;		   /**< Groups. */
-	struct fleet_group *groups;	   /**< By model, then distance. */
+	uint32_t entry_count;	     /**< Upstreams, taken out ones too. */
+	struct fleet_entry *entries; /**< By upstream id. */
+	uint32_t group_count;	     /**< Groups. */
+	struct fleet_group *groups;  /**< By kind, model, distance. */
+	uint64_t *policies;	     /**< Memory of the bit sets. */
 };
 
 /** Settings. */
 struct fleet_settings {
 	uint32_t host_id;		 /**< Of this host. */
 	char data_centre[NAME_SIZE_MAX]; /**< Of this host. */
-	uint32_t subset_size;		 /**< 0 for the default. */
+	uint32_t subset_size; /**< Of a group in the own data centre, 0 for the
+				 default; half of it in the region, a quarter
+				 elsewhere. */
+};
+
+/** Where the slots come from; called by fleet_publish(). */
+struct fleet_ops {
+	/** An upstream came into the subset. NULL if there is no room. The
+	 * slot must outlive the views and works that hold it. */
+	struct capacity_slot *(*open_slot)(
+	    void *context, uint64_t upstream_id, uint64_t incarnation);
+	/** An upstream left the subset; nothing new is taken of its slot. */
+	void (*drop_slot)(void *context, uint64_t upstream_id);
+	void *context; /**< Passed back. */
 };
 
 /** The owner of the views. */
 struct fleet {
-	struct fleet_settings settings; /**< As given. */
+	struct fleet_settings settings; /**< Filled. */
+	struct fleet_ops ops;		/**< Where slots come from. */
 	GHashTable *upstreams;		/**< Id to struct fleet_upstream. */
 	struct intent *intent;		/**< Reference counted. */
 	bool is_changed;		/**< The next publish builds a view. */
@@ -104,6 +128,7 @@
 /** Work of one request on one upstream. Zero is no work. */
 struct fleet_work {
 	struct fleet_upstream *upstream; /**< Held until the end. */
+	struct capacity_slot *slot;	 /**< What it takes from. */
 	struct capacity_amount amount;	 /**< Still taken. */
 	uint64_t long_tokens;		 /**< Counted as a long prompt. */
 };
@@ -111,15 +136,15 @@
 /* Coordination thread */
 
 /** Prepares a fleet and publishes an empty view. */
-enum error_code fleet_init(
-    struct fleet *fleet, const struct fleet_settings *settings);
+enum error_code fleet_init(struct fleet *fleet,
+    const struct fleet_settings *settings, const struct fleet_ops *ops);
 /** Frees all after a grace period; no reader may be left. */
 void fleet_finish(struct fleet *fleet);
 /** Adds or replaces an upstream. Errors: ERROR_TABLE_FULL, ERROR_STALE for an
- * older incarnation or sequence. */
-enum error_code fleet_put_upstream(struct fleet *fleet,
-    const struct upstream_record *record, struct capacity_slot *slot);
-/** Drops an upstream; its slot must outlive the works that hold it. */
+ * older incarnation or sequence, or the same. */
+enum error_code fleet_put_upstream(
+    struct fleet *fleet, const struct upstream_record *record);
+/** Drops an upstream. */
 void fleet_remove_upstream(struct fleet *fleet, uint64_t id);
 /** Takes in a load report, at once. Errors: ERROR_NOT_FOUND, ERROR_STALE. */
 enum error_code fleet_set_load(
@@ -140,17 +165,20 @@
 /** Enters a read section and gives the latest view. */
 const struct fleet_view *fleet_lock(const struct fleet *fleet);
 /** Leaves the read section; the view may then go away. */
-void fleet_unlock(void);
+void fleet_unlock(const struct fleet_view *view);
 /** True while the configuration lease lasts. */
 bool fleet_may_start(const struct fleet *fleet, int64_t now_ms);
-/** The upstream of an id, NULL for none. */
-struct fleet_upstream *fleet_view_find(
+/** The entry of an upstream, NULL for none. */
+const struct fleet_entry *fleet_view_find(
     const struct fleet_view *view, uint64_t id);
+/** First group of a model, group_count for none; the rest follow it. */
+uint32_t fleet_view_first_group(
+    const struct fleet_view *view, enum upstream_kind kind, const char *model);
 
-/** Takes capacity and holds the upstream; in a read section. @p long_tokens
+/** Takes capacity and holds the upstream, in a read section. @p long_tokens
  * is 0 for a short prompt. Errors: ERROR_NO_CAPACITY, ERROR_LEASE_EXPIRED. */
 enum error_code fleet_work_begin(struct fleet_work *work,
-    struct fleet_upstream *upstream, const struct capacity_amount *amount,
+    const struct fleet_entry *entry, const struct capacity_amount *amount,
     uint64_t long_tokens, int64_t now_ms);
 /** Gives back the prefill part, at the first token. */
 void fleet_work_note_first_token(struct fleet_work *work);
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -53,7 +53,7 @@
 
 /** An upstream and what is predicted of it. */
 struct router_candidate {
-	struct fleet_upstream *upstream; /**< Valid in the read section. */
+	const struct fleet_entry *entry; /**< Valid in the read section. */
 	double first_token_ms;		 /**< Predicted, from now. */
 	double end_ms;			 /**< Predicted, from now. */
 	double cost_ms;			 /**< What the ranking is by. */
@@ -65,7 +65,10 @@
 /** The choice: candidates, the best first. */
 struct router_choice {
 	struct router_candidate candidates[ROUTER_CANDIDATES_MAX];
-	uint32_t count;	   /**< Candidates in use. */
+	uint32_t count;		       /**< Candidates in use. */
+	const struct fleet_entry *wanted; /**< The best one that has no room, if it
+					  beats the others; else NULL. */
+	struct capacity_amount wanted_amount; /**< What it lacks room for. */
 	double soonest_ms; /**< Least predicted wait of a full upstream; for
 			      Retry-After when none has room. */
 };
@@ -73,7 +76,8 @@
 /** Fills zero settings with the defaults. */
 void router_settings_fill(struct router_settings *settings);
 /** Ranks upstreams; in a read section. Errors: ERROR_NO_UPSTREAM if none fits
- * model, labels and policies, ERROR_NO_CAPACITY if those that fit are full. */
+ * model, labels and policies, ERROR_TOO_LARGE if none has memory enough (the
+ * prompt needs a group), ERROR_NO_CAPACITY if those that fit have no room. */
 enum error_code router_choose(const struct router_settings *settings,
     const struct fleet_view *view, const struct router_query *query,
     struct router_choice *choice);
