Router and prefix index: a pure choice over the fleet view

Cause: each request needs an upstream by predicted time to first token, at a cost that does not grow with the fleet. Ruled out: scoring the whole fleet; trusting reports as they come (they lag, and hold this host's own work); dropping prefixes at a gap of event numbers. Change: at most 32 upstreams are scored, half of them in the nearest group; own work is the truth, a report is corrected by own work since and fades; long prompts keep to a share of each group, ranked alike on all hosts, that follows the share of their tokens, and step back one engine priority; short ones do not wait for long ones beyond a chunk. Prefix trust halves at a gap.

--- a/src/coordination/fleet_view.c
+++ b/src/coordination/fleet_view.c
@@ -34,7 +34,6 @@
 /** A view with what frees it; the view comes first. */
 struct fleet_view_memory {
 	struct fleet_view view;
-	struct rcu_head head;
 	struct fleet_intent *intent;
 };
 
@@ -65,7 +64,7 @@
 static void set_slots(struct fleet *fleet, struct fleet_view *view);
 static void replace_upstream(
     struct fleet_upstream *upstream, struct fleet_upstream *old);
-static void free_view(struct rcu_head *head);
+static void retire_view(struct fleet_view *view);
 static void free_draft(void *draft);
 static void drop_upstream(void *upstream);
 static void drop_intent(struct fleet_intent *intent);
@@ -103,14 +102,9 @@
 void
 fleet_finish(struct fleet *fleet)
 {
-	struct fleet_view_memory *old;
-
 	if (fleet->upstreams == NULL)
 		return;
-	old = (struct fleet_view_memory *)atomic_exchange(&fleet->view, NULL);
-	if (old != NULL)
-		call_rcu(&old->head, free_view);
-	rcu_barrier();
+	retire_view(atomic_exchange(&fleet->view, NULL));
 	g_hash_table_destroy(fleet->upstreams);
 	if (fleet->intent != NULL)
 		drop_intent((struct fleet_intent *)fleet->intent);
@@ -229,7 +223,7 @@
 enum error_code
 fleet_publish(struct fleet *fleet)
 {
-	struct fleet_view_memory *memory, *old;
+	struct fleet_view_memory *memory;
 	enum error_code error;
 
 	if (!fleet->is_changed)
@@ -238,10 +232,7 @@
 	if (error != ERROR_NONE)
 		return error;
 	fleet->is_changed = false;
-	old = (struct fleet_view_memory *)atomic_exchange(
-	    &fleet->view, &memory->view);
-	if (old != NULL)
-		call_rcu(&old->head, free_view);
+	retire_view(atomic_exchange(&fleet->view, &memory->view));
 	return ERROR_NONE;
 }
 
@@ -594,15 +585,17 @@
 	atomic_store(&upstream->is_warm, old->is_warm);
 }
 
+/* Read sections last microseconds, so waiting for them is cheaper than a
+ * thread that waits. */
 static void
-free_view(struct rcu_head *head)
+retire_view(struct fleet_view *view)
 {
-	struct fleet_view_memory *memory;
-	struct fleet_view *view;
+	struct fleet_view_memory *memory = (struct fleet_view_memory *)view;
 	uint32_t i;
 
-	memory = caa_container_of(head, struct fleet_view_memory, head);
-	view = &memory->view;
+	if (view == NULL)
+		return;
+	synchronize_rcu();
 	NOTE_GRACE_OVER(view);
 	for (i = 0; i < view->entry_count; i++)
 		drop_upstream(view->entries[i].upstream);
--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -156,8 +156,8 @@
     struct fleet *fleet, const struct config_source *source);
 /** Until when this host may give new work, at once. */
 void fleet_set_new_work_until(struct fleet *fleet, int64_t until_ms);
-/** Builds and publishes a view if anything changed; the old one is freed
- * after a grace period. Errors: ERROR_NO_MEMORY, and the old view stays. */
+/** Builds and publishes a view if anything changed; waits for
+ * readers of the old one, so not to be called in a read section. Errors: ERROR_NO_MEMORY, and the old view stays. */
 enum error_code fleet_publish(struct fleet *fleet);
 
 /* Request threads */
--- /dev/null
+++ b/src/coordination/router.c
@@ -0,0 +1,488 @@
+/**
+ * @file router.c
+ * Scoring and ranking of upstreams.
+ */
+#include "coordination/router.h"
+
+#include <math.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#define LONG_PROMPT_TOKENS   32768
+#define SCORED_MAX	     32
+#define CHUNK_TOKENS	     2048
+#define REGION_MS	     1.0
+#define FAR_MS		     60.0
+#define COLD_FACTOR	     3.0
+#define BATCH_SLOWDOWN	     0.02
+#define LONG_HEADROOM	     1.2
+#define END_WEIGHT	     0.05
+#define LOAD_HALF_LIFE_MS    3000
+#define PREFILL_TOKENS_PER_S 10000 /* Of an upstream that does not say. */
+#define DECODE_US_PER_TOKEN  30000 /* Of an upstream that does not say. */
+#define MIX_HALF_LIFE_MS     20000 /* After which a prompt counts half. */
+#define MIX_STEP_MS	     500   /* Between two decays. */
+#define US_PER_MS	     1000.0
+#define MS_PER_S	     1000.0
+
+/** One choice being made. */
+struct scoring {
+	const struct router_settings *settings;
+	const struct fleet_view *view;
+	const struct router_query *query;
+	struct router_choice *choice;
+	struct prefix_hit hits[PREFIX_HITS_MAX];
+	uint32_t hit_count;
+	bool is_long;	     /* The prompt is long. */
+	bool takes_suspects; /* Upstreams that failed lately too. */
+	bool takes_all;	     /* Long prompts go anywhere. */
+	bool is_known;	     /* Some upstream fits by policy. */
+	bool is_fitting;     /* Some upstream has memory enough. */
+	double wanted_cost;  /* Of the best one without room. */
+};
+
+static void score_groups(struct scoring *scoring);
+static void score_group(
+    struct scoring *scoring, const struct fleet_group *group, uint32_t quota);
+static void score_hits(struct scoring *scoring);
+static void score_entry(
+    struct scoring *scoring, const struct fleet_entry *entry);
+static bool fits_group(
+    const struct scoring *scoring, const struct fleet_group *group);
+static bool is_excluded(
+    const struct scoring *scoring, const struct fleet_entry *entry);
+static uint32_t count_long(
+    const struct scoring *scoring, const struct fleet_group *group);
+static void predict(const struct scoring *scoring,
+    const struct fleet_entry *entry, struct router_candidate *candidate);
+static double estimate_queue(const struct scoring *scoring,
+    const struct fleet_entry *entry, double *requests);
+static double find_cached(
+    const struct scoring *scoring, const struct fleet_entry *entry);
+static double find_distance_ms(
+    const struct router_settings *settings, enum fleet_distance distance);
+static bool has_room(const struct capacity_slot *slot,
+    const struct capacity_amount *amount, int64_t now_ms);
+static void add_candidate(
+    struct router_choice *choice, const struct router_candidate *candidate);
+
+void
+router_settings_fill(struct router_settings *settings)
+{
+	if (settings->long_prompt_tokens == 0)
+		settings->long_prompt_tokens = LONG_PROMPT_TOKENS;
+	if (settings->scored_max == 0)
+		settings->scored_max = SCORED_MAX;
+	if (settings->chunk_tokens == 0)
+		settings->chunk_tokens = CHUNK_TOKENS;
+	if (settings->region_ms == 0)
+		settings->region_ms = REGION_MS;
+	if (settings->far_ms == 0)
+		settings->far_ms = FAR_MS;
+	if (settings->cold_factor == 0)
+		settings->cold_factor = COLD_FACTOR;
+	if (settings->batch_slowdown == 0)
+		settings->batch_slowdown = BATCH_SLOWDOWN;
+	if (settings->long_headroom == 0)
+		settings->long_headroom = LONG_HEADROOM;
+	if (settings->end_weight == 0)
+		settings->end_weight = END_WEIGHT;
+	if (settings->load_half_life_ms == 0)
+		settings->load_half_life_ms = LOAD_HALF_LIFE_MS;
+}
+
+enum error_code
+router_choose(const struct router_settings *settings,
+    const struct fleet_view *view, const struct router_query *query,
+    struct router_choice *choice)
+{
+	struct scoring scoring = {0};
+
+	choice->count = 0;
+	choice->wanted = NULL;
+	choice->soonest_ms = HUGE_VAL;
+	scoring.settings = settings;
+	scoring.view = view;
+	scoring.query = query;
+	scoring.choice = choice;
+	scoring.wanted_cost = HUGE_VAL;
+	scoring.is_long =
+	    query->facts->prompt_tokens >= settings->long_prompt_tokens;
+	if (query->prefixes != NULL)
+		scoring.hit_count = prefix_index_find(
+		    query->prefixes, query->facts, query->now_ms, scoring.hits);
+	score_groups(&scoring);
+	/* Rather a suspect, or a short prompts' upstream, than none. */
+	if (!scoring.is_fitting) {
+		scoring.takes_all = true;
+		scoring.takes_suspects = true;
+		score_groups(&scoring);
+	}
+	if (choice->count > 0 &&
+	    choice->candidates[0].cost_ms <= scoring.wanted_cost)
+		choice->wanted = NULL;
+	if (choice->count > 0)
+		return ERROR_NONE;
+	if (scoring.is_fitting)
+		return ERROR_NO_CAPACITY;
+	return scoring.is_known ? ERROR_TOO_LARGE : ERROR_NO_UPSTREAM;
+}
+
+enum request_priority
+router_engine_priority(
+    const struct router_settings *settings, const struct request_facts *facts)
+{
+	if (facts->prompt_tokens < settings->long_prompt_tokens ||
+	    facts->priority == REQUEST_PRIORITY_LOW)
+		return facts->priority;
+	return (enum request_priority)(facts->priority - 1);
+}
+
+void
+router_mix_note(struct router_mix *mix, const struct router_settings *settings,
+    uint64_t prompt_tokens, int64_t now_ms)
+{
+	int64_t decayed_ms;
+	double factor;
+
+	atomic_fetch_add(&mix->all_tokens, prompt_tokens);
+	if (prompt_tokens >= settings->long_prompt_tokens)
+		atomic_fetch_add(&mix->long_tokens, prompt_tokens);
+	decayed_ms = atomic_load(&mix->decayed_ms);
+	if (now_ms - decayed_ms < MIX_STEP_MS)
+		return;
+	if (!atomic_compare_exchange_strong(
+		&mix->decayed_ms, &decayed_ms, now_ms))
+		return;
+	/* What others add in between may be lost; the share is a hint. */
+	factor = exp2(-(double)(now_ms - decayed_ms) / MIX_HALF_LIFE_MS);
+	atomic_store(&mix->all_tokens,
+	    (uint64_t)((double)atomic_load(&mix->all_tokens) * factor));
+	atomic_store(&mix->long_tokens,
+	    (uint64_t)((double)atomic_load(&mix->long_tokens) * factor));
+}
+
+double
+router_mix_share(const struct router_mix *mix)
+{
+	uint64_t all_tokens, long_tokens;
+
+	all_tokens = atomic_load(&mix->all_tokens);
+	long_tokens = atomic_load(&mix->long_tokens);
+	if (all_tokens == 0)
+		return 0;
+	if (long_tokens >= all_tokens)
+		return 1;
+	return (double)long_tokens / (double)all_tokens;
+}
+
+/* Half of what may be scored goes to the nearest group, the rest is shared by
+ * the others, so that a loaded data centre is left in time. */
+static void
+score_groups(struct scoring *scoring)
+{
+	const struct request_facts *facts = scoring->query->facts;
+	const struct fleet_view *view = scoring->view;
+	const struct fleet_group *group;
+	uint32_t first, index, groups, members, quota;
+
+	first = fleet_view_first_group(view,
+	    facts->is_service_call ? UPSTREAM_KIND_SERVICE
+				   : UPSTREAM_KIND_MODEL,
+	    facts->model);
+	groups = 0;
+	members = 0;
+	for (index = first; index < view->group_count; index++) {
+		group = &view->groups[index];
+		if (group->kind != view->groups[first].kind ||
+		    strcmp(group->model, facts->model) != 0)
+			break;
+		if (!fits_group(scoring, group))
+			continue;
+		groups++;
+		members += group->count;
+	}
+	score_hits(scoring);
+	quota = scoring->settings->scored_max;
+	if (members > quota && groups > 1)
+		quota /= 2;
+	for (; first < index; first++) {
+		group = &view->groups[first];
+		if (!fits_group(scoring, group))
+			continue;
+		score_group(scoring, group, quota);
+		if (members > scoring->settings->scored_max && groups > 1)
+			quota =
+			    scoring->settings->scored_max / (2 * (groups - 1)) +
+			    1;
+	}
+}
+
+static void
+score_group(
+    struct scoring *scoring, const struct fleet_group *group, uint32_t quota)
+{
+	uint32_t i, at, longs, scored;
+	uint64_t start;
+
+	if (group->count == 0)
+		return;
+	longs = count_long(scoring, group);
+	start = XXH64(&scoring->query->facts->id,
+	    sizeof(scoring->query->facts->id), group->total);
+	at = (uint32_t)(start % group->count);
+	scored = 0;
+	for (i = 0; i < group->count && scored < quota; i++) {
+		if (!scoring->is_long || scoring->takes_all ||
+		    group->long_ranks[at] < longs) {
+			score_entry(scoring,
+			    &scoring->view->entries[group->subset[at]]);
+			scored++;
+		}
+		at = at + 1 == group->count ? 0 : at + 1;
+	}
+}
+
+/* Upstreams that have most of the prompt are worth a look wherever they are,
+ * also beyond the share for long prompts. */
+static void
+score_hits(struct scoring *scoring)
+{
+	const struct request_facts *facts = scoring->query->facts;
+	const struct fleet_entry *entry;
+	uint32_t i;
+
+	for (i = 0; i < scoring->hit_count; i++) {
+		if ((double)scoring->hits[i].tokens * scoring->hits[i].trust <
+		    (double)facts->prompt_tokens / 2)
+			continue;
+		entry = fleet_view_find(
+		    scoring->view, scoring->hits[i].upstream_id);
+		if (entry == NULL || !entry->is_usable ||
+		    !upstream_serves(&entry->upstream->record, facts->model) ||
+		    !intent_policies_admit(scoring->view->intent,
+			scoring->query->account, entry->policies))
+			continue;
+		score_entry(scoring, entry);
+	}
+}
+
+static void
+score_entry(struct scoring *scoring, const struct fleet_entry *entry)
+{
+	struct fleet_upstream *upstream = entry->upstream;
+	struct router_candidate candidate;
+	uint64_t kv_limit;
+
+	if (entry->slot == NULL || is_excluded(scoring, entry))
+		return;
+	if (!scoring->takes_suspects &&
+	    scoring->query->now_ms < atomic_load(&upstream->suspect_until_ms))
+		return;
+	scoring->is_known = true;
+	predict(scoring, entry, &candidate);
+	kv_limit = upstream->record.limits.kv_tokens;
+	if (kv_limit != 0 && candidate.amount.kv_tokens > kv_limit)
+		return;
+	scoring->is_fitting = true;
+	if (has_room(entry->slot, &candidate.amount, scoring->query->now_ms)) {
+		add_candidate(scoring->choice, &candidate);
+		return;
+	}
+	if (candidate.first_token_ms < scoring->choice->soonest_ms)
+		scoring->choice->soonest_ms = candidate.first_token_ms;
+	if (candidate.cost_ms < scoring->wanted_cost) {
+		scoring->wanted_cost = candidate.cost_ms;
+		scoring->choice->wanted = entry;
+		scoring->choice->wanted_amount = candidate.amount;
+	}
+}
+
+static bool
+fits_group(const struct scoring *scoring, const struct fleet_group *group)
+{
+	return intent_policies_admit(
+	    scoring->view->intent, scoring->query->account, group->policies);
+}
+
+static bool
+is_excluded(const struct scoring *scoring, const struct fleet_entry *entry)
+{
+	uint32_t i;
+
+	for (i = 0; i < scoring->query->excluded_count; i++) {
+		if (scoring->query->excluded[i] == entry->id)
+			return true;
+	}
+	return false;
+}
+
+static uint32_t
+count_long(const struct scoring *scoring, const struct fleet_group *group)
+{
+	double share;
+
+	share = scoring->query->long_share * scoring->settings->long_headroom;
+	if (share >= 1)
+		return group->count;
+	return (uint32_t)ceil(share * (double)group->count);
+}
+
+static void
+predict(const struct scoring *scoring, const struct fleet_entry *entry,
+    struct router_candidate *candidate)
+{
+	const struct router_settings *settings = scoring->settings;
+	const struct request_facts *facts = scoring->query->facts;
+	const struct upstream_limits *limits = &entry->upstream->record.limits;
+	double speed, decode_ms, queue, requests, cached, prefill;
+
+	speed = limits->prefill_tokens_per_s;
+	if (speed == 0)
+		speed = PREFILL_TOKENS_PER_S;
+	decode_ms = limits->decode_us_per_token;
+	if (decode_ms == 0)
+		decode_ms = DECODE_US_PER_TOKEN;
+	decode_ms /= US_PER_MS;
+	if (!atomic_load(&entry->upstream->is_warm)) {
+		speed /= settings->cold_factor;
+		decode_ms *= settings->cold_factor;
+	}
+	queue = estimate_queue(scoring, entry, &requests);
+	cached = find_cached(scoring, entry);
+	prefill = (double)facts->prompt_tokens - cached;
+	decode_ms *= 1 + settings->batch_slowdown * requests;
+	candidate->entry = entry;
+	candidate->ahead_tokens = (uint64_t)queue;
+	candidate->cached_tokens = (uint64_t)cached;
+	candidate->first_token_ms = (queue + prefill) * MS_PER_S / speed +
+				    decode_ms +
+				    find_distance_ms(settings, entry->distance);
+	candidate->end_ms = candidate->first_token_ms +
+			    decode_ms * (double)facts->answer_tokens_max;
+	candidate->cost_ms =
+	    candidate->first_token_ms +
+	    settings->end_weight * decode_ms * (double)facts->answer_tokens_max;
+	candidate->long_tokens = scoring->is_long ? (uint64_t)prefill : 0;
+	candidate->amount.requests = 1;
+	candidate->amount.prefill_tokens = (uint64_t)prefill;
+	/* The largest prompt may run alone. */
+	if (limits->warm_prefill_tokens != 0 &&
+	    candidate->amount.prefill_tokens > limits->warm_prefill_tokens)
+		candidate->amount.prefill_tokens = limits->warm_prefill_tokens;
+	candidate->amount.kv_tokens =
+	    facts->prompt_tokens + facts->answer_tokens_max;
+}
+
+/* Prompt tokens ahead of this request. This host's own work is known; the last
+ * report is corrected by what this host did since, and fades with its age. A
+ * short prompt passes long ones by its priority but for a chunk. */
+static double
+estimate_queue(const struct scoring *scoring, const struct fleet_entry *entry,
+    double *requests)
+{
+	struct fleet_upstream *upstream = entry->upstream;
+	struct fleet_load *load = &upstream->load;
+	struct capacity_amount own = capacity_slot_used(entry->slot);
+	double tokens, reported, weight, long_tokens;
+	int64_t taken_ms;
+
+	tokens = (double)own.prefill_tokens;
+	*requests = own.requests;
+	taken_ms = atomic_load(&load->taken_ms);
+	if (taken_ms != 0) {
+		weight = exp2(-(double)(scoring->query->now_ms - taken_ms) /
+			      (double)scoring->settings->load_half_life_ms);
+		reported = (double)atomic_load(&load->prefill_tokens) -
+			   (double)atomic_load(&load->own_prefill_tokens);
+		tokens += weight * reported;
+		reported = (double)atomic_load(&load->requests) -
+			   (double)atomic_load(&load->own_requests);
+		*requests += weight * reported;
+	}
+	if (*requests < 0)
+		*requests = 0;
+	if (tokens < 0)
+		tokens = 0;
+	if (scoring->is_long)
+		return tokens;
+	long_tokens = (double)atomic_load(&upstream->long_prefill_tokens);
+	if (long_tokens <= scoring->settings->chunk_tokens)
+		return tokens;
+	tokens -= long_tokens;
+	if (tokens < 0)
+		tokens = 0;
+	return tokens + scoring->settings->chunk_tokens;
+}
+
+static double
+find_cached(const struct scoring *scoring, const struct fleet_entry *entry)
+{
+	const struct prefix_hit *hit;
+	double cached, most;
+	uint32_t i;
+
+	for (i = 0; i < scoring->hit_count; i++) {
+		hit = &scoring->hits[i];
+		if (hit->upstream_id != entry->id)
+			continue;
+		cached = (double)hit->tokens * hit->trust;
+		most = (double)scoring->query->facts->prompt_tokens;
+		return cached < most ? cached : most;
+	}
+	return 0;
+}
+
+static double
+find_distance_ms(
+    const struct router_settings *settings, enum fleet_distance distance)
+{
+	switch (distance) {
+	case FLEET_SAME_DATA_CENTRE:
+		return 0;
+	case FLEET_SAME_REGION:
+		return settings->region_ms;
+	case FLEET_OTHER_REGION:
+		break;
+	}
+	return settings->far_ms;
+}
+
+static bool
+has_room(const struct capacity_slot *slot, const struct capacity_amount *amount,
+    int64_t now_ms)
+{
+	struct capacity_amount used = capacity_slot_used(slot);
+
+	return now_ms < atomic_load(&slot->expires_ms) &&
+	       used.requests + amount->requests <=
+		   atomic_load(&slot->granted_requests) &&
+	       used.prefill_tokens + amount->prefill_tokens <=
+		   atomic_load(&slot->granted_prefill_tokens) &&
+	       used.kv_tokens + amount->kv_tokens <=
+		   atomic_load(&slot->granted_kv_tokens);
+}
+
+static void
+add_candidate(
+    struct router_choice *choice, const struct router_candidate *candidate)
+{
+	uint32_t at, i;
+
+	for (i = 0; i < choice->count; i++) {
+		if (choice->candidates[i].entry == candidate->entry)
+			return;
+	}
+	at = choice->count;
+	while (
+	    at > 0 && candidate->cost_ms < choice->candidates[at - 1].cost_ms)
+		at--;
+	if (at == ROUTER_CANDIDATES_MAX)
+		return;
+	if (choice->count < ROUTER_CANDIDATES_MAX)
+		choice->count++;
+	for (i = choice->count - 1; i > at; i--)
+		choice->candidates[i] = choice->candidates[i - 1];
+	choice->candidates[at] = *candidate;
+}
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -19,18 +19,20 @@
 #include "coordination/prefix_index.h"
 #include "state/request.h"
 
-#define ROUTER_CANDIDATES_MAX 8	 /**< Upstreams that a choice ranks. */
-#define ROUTER_EXCLUDED_MAX   16 /**< Upstreams that a query excludes. */
+#define ROUTER_CANDIDATES_MAX 8 /**< Upstreams that a choice ranks. */
 
 /** Settings; zero means the default. */
 struct router_settings {
 	uint64_t long_prompt_tokens; /**< From here on a prompt is long. */
 	uint32_t scored_max;	     /**< Upstreams scored at most. */
+	uint32_t chunk_tokens;	     /**< Prefill that an engine interleaves. */
 	double region_ms;	     /**< Cost of the next data centre. */
 	double far_ms;		     /**< Cost of another region. */
 	double cold_factor;	     /**< Slowness of a cold upstream. */
-	double long_headroom;	     /**< Spare share kept for long prompts. */
-	int64_t load_half_life_ms;   /**< After which a report counts half. */
+	double batch_slowdown; /**< Of decode, for each request beside it. */
+	double long_headroom;  /**< Factor on the share for long prompts. */
+	double end_weight;     /**< Of the decode time in the cost. */
+	int64_t load_half_life_ms; /**< After which a report counts half. */
 };
 
 /** How much of this host's traffic is long prompts; any thread. */
@@ -57,6 +59,7 @@
 	double first_token_ms;		 /**< Predicted, from now. */
 	double end_ms;			 /**< Predicted, from now. */
 	double cost_ms;			 /**< What the ranking is by. */
+	uint64_t ahead_tokens;		 /**< Prompt tokens ahead of it. */
 	uint64_t cached_tokens;		 /**< Prefix that it should have. */
 	struct capacity_amount amount;	 /**< What to take of its slot. */
 	uint64_t long_tokens; /**< For fleet_work_begin(), 0 if short. */
@@ -65,8 +68,9 @@
 /** The choice: candidates, the best first. */
 struct router_choice {
 	struct router_candidate candidates[ROUTER_CANDIDATES_MAX];
-	uint32_t count;		       /**< Candidates in use. */
-	const struct fleet_entry *wanted; /**< The best one that has no room, if it
+	uint32_t count; /**< Candidates in use. */
+	const struct fleet_entry
+	    *wanted; /**< The best one that has no room, if it
 					  beats the others; else NULL. */
 	struct capacity_amount wanted_amount; /**< What it lacks room for. */
 	double soonest_ms; /**< Least predicted wait of a full upstream; for
--- /dev/null
+++ b/tests/test_router.c
@@ -0,0 +1,426 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "coordination/router.h"
+#include "fake_config_source.h"
+#include "fake_slots.h"
+
+#define NOW_MS 10000
+
+/** A fleet of a1, a2 in the host's data centre and b1 in the next. */
+struct scene {
+	struct fleet fleet;
+	struct fake_slots slots;
+	struct router_settings settings;
+	struct prefix_index prefixes;
+	struct request_facts facts;
+	struct router_query query;
+	struct router_choice choice;
+};
+
+static const struct fleet_settings fleet_settings = {
+    .host_id = 1, .data_centre = "a"};
+static const char *const names[] = {"a1", "a2", "b1"};
+
+static void
+start_scene(
+    struct scene *scene, const struct config_entry *entries, size_t entry_count)
+{
+	struct fake_config_source table = {entries, entry_count};
+	struct config_source source = fake_config_source(&table);
+	struct upstream_record record;
+	struct fleet_ops ops;
+	size_t i;
+
+	memset(scene, 0, sizeof(*scene));
+	scene->slots.grant = (struct capacity_amount){50, 500000, 600000};
+	ops = fake_slots_ops(&scene->slots);
+	assert_int_equal(
+	    fleet_init(&scene->fleet, &fleet_settings, &ops), ERROR_NONE);
+	for (i = 0; i < 3; i++) {
+		record = fake_record(names[i], i < 2 ? "a" : "b", 1);
+		fleet_put_upstream(&scene->fleet, &record);
+		fleet_set_warm(&scene->fleet, record.id, true);
+	}
+	assert_int_equal(fleet_set_intent(&scene->fleet, &source), ERROR_NONE);
+	assert_int_equal(fleet_publish(&scene->fleet), ERROR_NONE);
+	assert_int_equal(
+	    prefix_index_init(&scene->prefixes, 1024, 60000), ERROR_NONE);
+	router_settings_fill(&scene->settings);
+	scene->facts = (struct request_facts){.id = 7,
+	    .model = "m",
+	    .priority = REQUEST_PRIORITY_NORMAL,
+	    .prompt_tokens = 2000,
+	    .answer_tokens_max = 100};
+	scene->query = (struct router_query){.facts = &scene->facts,
+	    .account = intent_account_by_name(scene->fleet.intent, "spa"),
+	    .prefixes = &scene->prefixes,
+	    .long_share = 1,
+	    .now_ms = NOW_MS};
+}
+
+static enum error_code
+choose(struct scene *scene)
+{
+	const struct fleet_view *view;
+	enum error_code error;
+
+	view = fleet_lock(&scene->fleet);
+	error = router_choose(
+	    &scene->settings, view, &scene->query, &scene->choice);
+	fleet_unlock(view);
+	return error;
+}
+
+static const char *
+best(const struct scene *scene)
+{
+	return scene->choice.candidates[0].entry->upstream->record.name;
+}
+
+static void
+finish_scene(struct scene *scene)
+{
+	prefix_index_finish(&scene->prefixes);
+	fleet_finish(&scene->fleet);
+}
+
+/* What one upstream has; the others are idle. */
+struct cost_case {
+	const char *what;
+	uint64_t used_prefill[3]; /* Own work on each. */
+	uint64_t reported[3];	  /* Queued prefill by report. */
+	int64_t age_ms;		  /* Of the reports. */
+	bool is_cold[3];	  /* Turned cold. */
+	const char *prefix_on;	  /* Has the prompt's first half. */
+	const char *best;	  /* Expected. */
+};
+
+static const struct cost_case cost_cases[] = {
+    {"own work counts", {9000, 0, 0}, {0}, 0, {0}, NULL, "a2"},
+    {"same data centre first", {9000, 0, 0}, {0}, 0, {0}, NULL, "a2"},
+    {"a loaded data centre is left", {9000, 9000, 0}, {0}, 0, {0}, NULL, "b1"},
+    {"a report counts", {0, 0, 0}, {9000, 10, 0}, 0, {0}, NULL, "a2"},
+    {"an old report fades", {0, 3000, 9000}, {30000, 0, 0}, 30000, {0}, NULL,
+	"a1"},
+    {"cold costs", {0, 500, 9000}, {0}, 0, {true, false, false}, NULL, "a2"},
+    {"prefix draws", {0, 500, 9000}, {0}, 0, {0}, "a2", "a2"},
+    {"prefix does not draw past load", {0, 5000, 9000}, {0}, 0, {0}, "a2",
+	"a1"},
+};
+
+static void
+test_cost(void **state)
+{
+	const struct cost_case *item;
+	struct upstream_load load = {.incarnation = 1, .sequence = 1};
+	struct capacity_amount amount = {0};
+	struct scene scene;
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < sizeof(cost_cases) / sizeof(cost_cases[0]); i++) {
+		item = &cost_cases[i];
+		start_scene(&scene, NULL, 0);
+		scene.query.account = &(struct intent_account){0};
+		for (j = 0; j < 3; j++) {
+			load.id = upstream_id(names[j]);
+			load.queued_prefill_tokens = item->reported[j];
+			load.age_ms = item->age_ms;
+			if (item->reported[j] != 0)
+				fleet_set_load(&scene.fleet, &load, NOW_MS);
+			amount.prefill_tokens = item->used_prefill[j];
+			capacity_slot_take(
+			    fake_slots_find(&scene.slots, load.id), &amount,
+			    NOW_MS);
+			if (item->is_cold[j])
+				fleet_set_warm(&scene.fleet, load.id, false);
+		}
+		scene.facts.prefix_count = 1;
+		scene.facts.prefix_hashes[0] = 77;
+		scene.facts.prefix_tokens[0] = 1000;
+		if (item->prefix_on != NULL)
+			prefix_index_note(&scene.prefixes, &scene.facts,
+			    upstream_id(item->prefix_on), NOW_MS);
+		assert_int_equal(choose(&scene), ERROR_NONE);
+		if (strcmp(best(&scene), item->best) != 0)
+			fail_msg("%s: %s", item->what, best(&scene));
+		finish_scene(&scene);
+	}
+}
+
+/* Own work that the report saw is not counted twice. */
+static void
+test_report_is_corrected_by_own_work(void **state)
+{
+	struct capacity_amount amount = {1, 8000, 8000};
+	struct upstream_load load = {.id = upstream_id("a1"),
+	    .incarnation = 1,
+	    .sequence = 1,
+	    .queued_prefill_tokens = 8000};
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	start_scene(&scene, NULL, 0);
+	scene.query.account = &(struct intent_account){0};
+	capacity_slot_take(
+	    fake_slots_find(&scene.slots, load.id), &amount, NOW_MS);
+	fleet_set_load(&scene.fleet, &load, NOW_MS);
+	assert_int_equal(choose(&scene), ERROR_NONE);
+	for (i = 0; i < scene.choice.count; i++) {
+		if (scene.choice.candidates[i].entry->id == load.id)
+			assert_int_equal(
+			    scene.choice.candidates[i].ahead_tokens, 8000);
+	}
+	finish_scene(&scene);
+}
+
+struct error_case {
+	const char *what;
+	struct config_entry entries[3];
+	const char *model;
+	uint64_t prompt_tokens;
+	uint64_t used_prefill; /* On each. */
+	uint32_t excluded;     /* How many of the names. */
+	enum error_code error;
+	const char *best; /* NULL for any. */
+};
+
+static const struct error_case error_cases[] = {
+    {"plain", {{0}}, "m", 1000, 0, 0, ERROR_NONE, NULL},
+    {"other model", {{0}}, "n", 1000, 0, 0, ERROR_NO_UPSTREAM, NULL},
+    {"too large", {{0}}, "m", 700000, 0, 0, ERROR_TOO_LARGE, NULL},
+    {"no room", {{0}}, "m", 1000, 500000, 0, ERROR_NO_CAPACITY, NULL},
+    {"largest runs alone", {{0}}, "m", 500000, 0, 0, ERROR_NONE, NULL},
+    {"tried ones are left out", {{0}}, "m", 1000, 0, 2, ERROR_NONE, "b1"},
+    {"all tried", {{0}}, "m", 1000, 0, 3, ERROR_NO_UPSTREAM, NULL},
+    {"taken out", {{"takeout/t", "data_centre=a", 1}}, "m", 1000, 0, 0,
+	ERROR_NONE, "b1"},
+    {"all taken out", {{"takeout/t", "*", 1}}, "m", 1000, 0, 0,
+	ERROR_NO_UPSTREAM, NULL},
+    {"policy", {{"policy/p", "name=spa -> name=b1", 1}}, "m", 1000, 0, 0,
+	ERROR_NONE, "b1"},
+    {"policy against all", {{"policy/p", "* -> name=b2", 1}}, "m", 1000, 0, 0,
+	ERROR_NO_UPSTREAM, NULL},
+};
+
+static void
+test_errors(void **state)
+{
+	const struct error_case *item;
+	struct config_entry entries[4] = {
+	    {"client_account/spa/weight", "1", 1}};
+	struct capacity_amount amount = {0};
+	uint64_t excluded[3];
+	struct scene scene;
+	size_t i, j, count;
+
+	(void)state;
+	for (j = 0; j < 3; j++)
+		excluded[j] = upstream_id(names[j]);
+	for (i = 0; i < sizeof(error_cases) / sizeof(error_cases[0]); i++) {
+		item = &error_cases[i];
+		count = 1;
+		for (j = 0; j < 3 && item->entries[j].key != NULL; j++)
+			entries[count++] = item->entries[j];
+		start_scene(&scene, entries, count);
+		amount.prefill_tokens = item->used_prefill;
+		for (j = 0; j < scene.slots.count; j++)
+			capacity_slot_take(
+			    &scene.slots.slots[j], &amount, NOW_MS);
+		snprintf(scene.facts.model, NAME_SIZE_MAX, "%s", item->model);
+		scene.facts.prompt_tokens = item->prompt_tokens;
+		scene.query.excluded = excluded;
+		scene.query.excluded_count = item->excluded;
+		if (choose(&scene) != item->error)
+			fail_msg("%s", item->what);
+		if (item->best != NULL && strcmp(best(&scene), item->best) != 0)
+			fail_msg("%s: %s", item->what, best(&scene));
+		if (item->error == ERROR_NO_CAPACITY) {
+			assert_non_null(scene.choice.wanted);
+			assert_true(scene.choice.soonest_ms > 0);
+		}
+		finish_scene(&scene);
+	}
+}
+
+static void
+test_suspect_only_when_nothing_else(void **state)
+{
+	const struct fleet_view *view;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	start_scene(&scene, NULL, 0);
+	scene.query.account = &(struct intent_account){0};
+	view = fleet_lock(&scene.fleet);
+	for (i = 0; i < 2; i++)
+		fleet_upstream_suspect(
+		    fleet_view_find(view, upstream_id(names[i]))->upstream,
+		    NOW_MS + 1);
+	assert_int_equal(choose(&scene), ERROR_NONE);
+	assert_string_equal(best(&scene), "b1");
+	assert_int_equal(scene.choice.count, 1);
+	fleet_upstream_suspect(
+	    fleet_view_find(view, upstream_id("b1"))->upstream, NOW_MS + 1);
+	assert_int_equal(choose(&scene), ERROR_NONE);
+	assert_int_equal(scene.choice.count, 3);
+	scene.query.now_ms++;
+	assert_int_equal(choose(&scene), ERROR_NONE);
+	assert_int_equal(scene.choice.count, 3);
+	fleet_unlock(view);
+	finish_scene(&scene);
+}
+
+/* Long prompts keep to their share, short ones pass them by priority. */
+static void
+test_long_prompts_are_confined(void **state)
+{
+	struct router_mix mix = {0};
+	struct fleet_work work;
+	const struct fleet_view *view;
+	struct scene scene;
+
+	(void)state;
+	start_scene(&scene, NULL, 0);
+	scene.query.account = &(struct intent_account){0};
+	router_mix_note(&mix, &scene.settings, 90000, 0);
+	router_mix_note(&mix, &scene.settings, 10000, 0);
+	assert_true(router_mix_share(&mix) > 0.89);
+	assert_true(router_mix_share(&mix) < 0.91);
+	router_mix_note(&mix, &scene.settings, 10000, 1000000);
+	router_mix_note(&mix, &scene.settings, 10000, 1000000);
+	assert_true(router_mix_share(&mix) < 0.01);
+	scene.facts.prompt_tokens = 200000;
+	scene.query.long_share = 0.1;
+	assert_int_equal(choose(&scene), ERROR_NONE);
+	assert_int_equal(scene.choice.count, 2);
+	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
+	    REQUEST_PRIORITY_LOW);
+	view = fleet_lock(&scene.fleet);
+	assert_int_equal(
+	    fleet_work_begin(&work, scene.choice.candidates[0].entry,
+		&scene.choice.candidates[0].amount,
+		scene.choice.candidates[0].long_tokens, NOW_MS),
+	    ERROR_NONE);
+	scene.facts.prompt_tokens = 2000;
+	assert_int_equal(choose(&scene), ERROR_NONE);
+	assert_int_equal(scene.choice.count, 3);
+	assert_true(scene.choice.candidates[2].first_token_ms < 400);
+	fleet_unlock(view);
+	fleet_work_end(&work);
+	finish_scene(&scene);
+}
+
+/* One cache event after another, and what is then believed of a prefix that
+ * was noted before them. */
+struct event_case {
+	const char *what;
+	struct cache_event events[3];
+	double trust;
+};
+
+static const struct event_case event_cases[] = {
+    {"nothing", {{0}}, 1},
+    {"in order", {{1, 1, 4, CACHE_EVENT_STORED, 5}, {1, 1, 5, 1, 6}}, 1},
+    {"a gap ages", {{1, 1, 4, CACHE_EVENT_STORED, 5}, {1, 1, 9, 1, 6}}, 0.5},
+    {"two gaps age twice", {{1, 1, 4, 1, 5}, {1, 1, 9, 1, 6}, {1, 1, 11, 1, 6}},
+	0.25},
+    {"a late one is dropped",
+	{{1, 1, 4, 1, 5}, {1, 1, 3, CACHE_EVENT_EVICTED, 9}}, 1},
+    {"evicted", {{1, 1, 4, CACHE_EVENT_EVICTED, 9}}, 0},
+    {"cleared", {{1, 1, 4, CACHE_EVENT_CLEARED, 0}}, 0},
+    {"another upstream's", {{2, 1, 4, CACHE_EVENT_CLEARED, 0}}, 1},
+    {"restarted", {{1, 1, 4, 1, 5}, {1, 2, 1, CACHE_EVENT_STORED, 5}}, 0},
+};
+
+static void
+test_cache_events(void **state)
+{
+	const struct event_case *item;
+	struct request_facts facts = {.prefix_count = 2,
+	    .prefix_hashes = {8, 9},
+	    .prefix_tokens = {100, 200}};
+	struct prefix_hit hits[PREFIX_HITS_MAX];
+	struct prefix_index index;
+	uint32_t count;
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < sizeof(event_cases) / sizeof(event_cases[0]); i++) {
+		item = &event_cases[i];
+		prefix_index_init(&index, 64, 1000);
+		facts.prefix_count = 2;
+		prefix_index_note(&index, &facts, 1, 0);
+		for (j = 0; j < 3 && item->events[j].upstream_id != 0; j++)
+			prefix_index_apply(&index, &item->events[j], 0);
+		count = prefix_index_find(&index, &facts, 0, hits);
+		/* The shorter prefix may be left; the longer one is asked. */
+		if (count == 1 && hits[0].tokens == 200 &&
+		    hits[0].trust == item->trust)
+			count = 0;
+		else if (item->trust == 0 &&
+			 (count == 0 || hits[0].tokens == 100))
+			count = 0;
+		else
+			count = 1;
+		if (count != 0)
+			fail_msg("%s", item->what);
+		prefix_index_finish(&index);
+	}
+}
+
+static void
+test_prefixes_are_bounded_and_age(void **state)
+{
+	struct request_facts facts = {
+	    .prefix_count = 1, .prefix_tokens = {100}};
+	struct prefix_hit hits[PREFIX_HITS_MAX];
+	struct prefix_index index;
+	uint32_t i, found;
+
+	(void)state;
+	prefix_index_init(&index, 64, 1000);
+	for (i = 0; i < 10000; i++) {
+		facts.prefix_hashes[0] = i + 1;
+		prefix_index_note(&index, &facts, 5, i);
+	}
+	found = 0;
+	for (i = 0; i < 10000; i++) {
+		facts.prefix_hashes[0] = i + 1;
+		found += prefix_index_find(&index, &facts, 10000, hits);
+	}
+	assert_true(found > 48 && found <= 64);
+	facts.prefix_hashes[0] = 10000;
+	assert_int_equal(prefix_index_find(&index, &facts, 10999, hits), 1);
+	assert_true(hits[0].trust > 0.49 && hits[0].trust < 0.51);
+	assert_int_equal(prefix_index_find(&index, &facts, 99999, hits), 0);
+	prefix_index_note(&index, &facts, 5, 99999);
+	prefix_index_forget(&index, 5);
+	assert_int_equal(prefix_index_find(&index, &facts, 99999, hits), 0);
+	prefix_index_finish(&index);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_cost),
+	    cmocka_unit_test(test_report_is_corrected_by_own_work),
+	    cmocka_unit_test(test_errors),
+	    cmocka_unit_test(test_suspect_only_when_nothing_else),
+	    cmocka_unit_test(test_long_prompts_are_confined),
+	    cmocka_unit_test(test_cache_events),
+	    cmocka_unit_test(test_prefixes_are_bounded_and_age),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
