--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -121,7 +121,7 @@
 	struct intent *intent;		/**< Reference counted. */
 	bool is_changed;		/**< The next publish builds a view. */
 	uint64_t version;		/**< Of the last view. */
-	struct fleet_view *view;	/**< Read under RCU. */
+	_Atomic(struct fleet_view *) view; /**< Read under RCU. */
 	_Atomic int64_t new_work_until_ms; /**< Configuration lease. */
 };
 
