Router: short prompts step up one engine priority

Cause: prompts of 4k to 32k tokens hold an engine for up to 1.6 s at the same priority as a guest's short question. Change: below 8192 tokens a prompt steps up one, from 32768 on back one; LOW stays LOW. A short prompt's wait counts only what it does not pass. Seen red without the step.

--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -9,6 +9,7 @@
 
 #include <xxhash.h>
 
+#define SHORT_PROMPT_TOKENS  8192
 #define LONG_PROMPT_TOKENS   32768
 #define SCORED_MAX	     32
 #define CHUNK_TOKENS	     2048
@@ -35,6 +36,7 @@
 	struct prefix_hit hits[PREFIX_HITS_MAX];
 	uint32_t hit_count;
 	bool is_long;	     /* The prompt is long. */
+	bool is_short;	     /* The prompt is short. */
 	bool takes_suspects; /* Upstreams that failed lately too. */
 	bool takes_all;	     /* Long prompts go anywhere. */
 	bool is_known;	     /* Some upstream fits by policy. */
@@ -70,6 +72,8 @@
 void
 router_settings_fill(struct router_settings *settings)
 {
+	if (settings->short_prompt_tokens == 0)
+		settings->short_prompt_tokens = SHORT_PROMPT_TOKENS;
 	if (settings->long_prompt_tokens == 0)
 		settings->long_prompt_tokens = LONG_PROMPT_TOKENS;
 	if (settings->scored_max == 0)
@@ -109,6 +113,8 @@
 	scoring.wanted_cost = HUGE_VAL;
 	scoring.is_long =
 	    query->facts->prompt_tokens >= settings->long_prompt_tokens;
+	scoring.is_short =
+	    query->facts->prompt_tokens < settings->short_prompt_tokens;
 	if (query->prefixes != NULL)
 		scoring.hit_count = prefix_index_find(
 		    query->prefixes, query->facts, query->now_ms, scoring.hits);
@@ -133,10 +139,13 @@
 router_engine_priority(
     const struct router_settings *settings, const struct request_facts *facts)
 {
-	if (facts->prompt_tokens < settings->long_prompt_tokens ||
-	    facts->priority == REQUEST_PRIORITY_LOW)
-		return facts->priority;
-	return (enum request_priority)(facts->priority - 1);
+	if (facts->priority == REQUEST_PRIORITY_LOW)
+		return REQUEST_PRIORITY_LOW;
+	if (facts->prompt_tokens >= settings->long_prompt_tokens)
+		return (enum request_priority)(facts->priority - 1);
+	if (facts->prompt_tokens < settings->short_prompt_tokens)
+		return REQUEST_PRIORITY_HIGH;
+	return facts->priority;
 }
 
 void
@@ -364,7 +373,7 @@
 	candidate->cost_ms =
 	    candidate->first_token_ms +
 	    settings->end_weight * decode_ms * (double)facts->answer_tokens_max;
-	candidate->long_tokens = scoring->is_long ? (uint64_t)prefill : 0;
+	candidate->long_tokens = scoring->is_short ? 0 : (uint64_t)prefill;
 	candidate->amount.requests = 1;
 	candidate->amount.prefill_tokens = (uint64_t)prefill;
 	/* The largest prompt may run alone. */
@@ -405,7 +414,7 @@
 		*requests = 0;
 	if (tokens < 0)
 		tokens = 0;
-	if (scoring->is_long)
+	if (!scoring->is_short)
 		return tokens;
 	long_tokens = (double)atomic_load(&upstream->long_prefill_tokens);
 	if (long_tokens <= scoring->settings->chunk_tokens)
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -305,6 +305,16 @@
 	assert_int_equal(scene.choice.count, 2);
 	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
 	    REQUEST_PRIORITY_LOW);
+	scene.facts.prompt_tokens = 10000;
+	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
+	    REQUEST_PRIORITY_NORMAL);
+	scene.facts.prompt_tokens = 2000;
+	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
+	    REQUEST_PRIORITY_HIGH);
+	scene.facts.priority = REQUEST_PRIORITY_LOW;
+	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
+	    REQUEST_PRIORITY_LOW);
+	scene.facts.priority = REQUEST_PRIORITY_NORMAL;
 	view = fleet_lock(&scene.fleet);
 	assert_int_equal(
 	    fleet_work_begin(&work, scene.choice.candidates[0].entry,
