Router: short prompts do not follow load reports

Cause: a report is older than the short work that it shows, and what stands for long is passed by priority; six hosts sent their short prompts to the same seemingly idle upstreams.

--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -405,7 +405,11 @@
 			      (double)scoring->settings->load_half_life_ms);
 		reported = (double)atomic_load(&load->prefill_tokens) -
 			   (double)atomic_load(&load->own_prefill_tokens);
-		tokens += weight * reported;
+		/* Short work is over before a report of it arrives, and the rest
+		 * is passed; following reports would draw all hosts' short
+		 * prompts to the same upstreams. */
+		if (!scoring->is_short)
+			tokens += weight * reported;
 		reported = (double)atomic_load(&load->requests) -
 			   (double)atomic_load(&load->own_requests);
 		*requests += weight * reported;
