Router: memory in use counts as waiting

Change: what a request needs past the memory limit counts as prompt tokens ahead, from own use and reports. Seen red with the term left out.

--- a/src/coordination/fleet_view.c
+++ b/src/coordination/fleet_view.c
@@ -176,6 +176,7 @@
 	atomic_store(&upstream->load.kv_tokens, load->kv_tokens_used);
 	atomic_store(&upstream->load.own_requests, own.requests);
 	atomic_store(&upstream->load.own_prefill_tokens, own.prefill_tokens);
+	atomic_store(&upstream->load.own_kv_tokens, own.kv_tokens);
 	/* Zero stands for no report, so a report of time 0 is moved by one. */
 	atomic_store(&upstream->load.taken_ms,
 	    now_ms - load->age_ms == 0 ? -1 : now_ms - load->age_ms);
@@ -581,6 +582,7 @@
 	atomic_store(&upstream->load.own_requests, old->load.own_requests);
 	atomic_store(
 	    &upstream->load.own_prefill_tokens, old->load.own_prefill_tokens);
+	atomic_store(&upstream->load.own_kv_tokens, old->load.own_kv_tokens);
 	atomic_store(&upstream->suspect_until_ms, old->suspect_until_ms);
 	atomic_store(&upstream->is_warm, old->is_warm);
 }
--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -45,6 +45,7 @@
 	_Atomic uint64_t kv_tokens;	     /**< KV memory in use. */
 	_Atomic uint32_t own_requests;	     /**< Of these, this host's. */
 	_Atomic uint64_t own_prefill_tokens; /**< Of these, this host's. */
+	_Atomic uint64_t own_kv_tokens;	     /**< Of these, this host's. */
 };
 
 /** An upstream; its record never changes. What changes often comes first. */
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -19,7 +19,7 @@
 #define BATCH_SLOWDOWN	     0.02
 #define LONG_HEADROOM	     1.2
 #define END_WEIGHT	     0.05
-#define LOAD_HALF_LIFE_MS    3000
+#define LOAD_HALF_LIFE_MS 3000
 #define PREFILL_TOKENS_PER_S 10000 /* Of an upstream that does not say. */
 #define DECODE_US_PER_TOKEN  30000 /* Of an upstream that does not say. */
 #define MIX_HALF_LIFE_MS     20000 /* After which a prompt counts half. */
@@ -27,6 +27,13 @@
 #define US_PER_MS	     1000.0
 #define MS_PER_S	     1000.0
 
+/** What is on an upstream, as far as this host can tell. */
+struct occupancy {
+	double ahead_tokens; /* Prompt tokens ahead of this request. */
+	double requests;
+	double kv_tokens;
+};
+
 /** One choice being made. */
 struct scoring {
 	const struct router_settings *settings;
@@ -58,8 +65,12 @@
     const struct scoring *scoring, const struct fleet_group *group);
 static void predict(const struct scoring *scoring,
     const struct fleet_entry *entry, struct router_candidate *candidate);
-static double estimate_queue(const struct scoring *scoring,
-    const struct fleet_entry *entry, double *requests);
+static struct occupancy estimate(
+    const struct scoring *scoring, const struct fleet_entry *entry);
+static double correct(
+    double own, double reported, double own_then, double weight);
+static void pass_long_prompts(const struct scoring *scoring,
+    const struct fleet_entry *entry, struct occupancy *occupancy);
 static double find_cached(
     const struct scoring *scoring, const struct fleet_entry *entry);
 static double find_distance_ms(
@@ -345,7 +356,8 @@
 	const struct router_settings *settings = scoring->settings;
 	const struct request_facts *facts = scoring->query->facts;
 	const struct upstream_limits *limits = &entry->upstream->record.limits;
-	double speed, decode_ms, queue, requests, cached, prefill;
+	struct occupancy occupancy = estimate(scoring, entry);
+	double speed, decode_ms, queue, cached, prefill, excess;
 
 	speed = limits->prefill_tokens_per_s;
 	if (speed == 0)
@@ -358,10 +370,17 @@
 		speed /= settings->cold_factor;
 		decode_ms *= settings->cold_factor;
 	}
-	queue = estimate_queue(scoring, entry, &requests);
+	queue = occupancy.ahead_tokens;
 	cached = find_cached(scoring, entry);
 	prefill = (double)facts->prompt_tokens - cached;
-	decode_ms *= 1 + settings->batch_slowdown * requests;
+	decode_ms *= 1 + settings->batch_slowdown * occupancy.requests;
+	candidate->amount.kv_tokens =
+	    facts->prompt_tokens + facts->answer_tokens_max;
+	/* Memory is freed as work ends, at best as fast as prompts are read. */
+	excess = occupancy.kv_tokens + (double)candidate->amount.kv_tokens -
+		 (double)limits->kv_tokens;
+	if (limits->kv_tokens != 0 && excess > 0)
+		queue += excess;
 	candidate->entry = entry;
 	candidate->ahead_tokens = (uint64_t)queue;
 	candidate->cached_tokens = (uint64_t)cached;
@@ -380,53 +399,67 @@
 	if (limits->warm_prefill_tokens != 0 &&
 	    candidate->amount.prefill_tokens > limits->warm_prefill_tokens)
 		candidate->amount.prefill_tokens = limits->warm_prefill_tokens;
-	candidate->amount.kv_tokens =
-	    facts->prompt_tokens + facts->answer_tokens_max;
 }
 
-/* Prompt tokens ahead of this request. This host's own work is known; the last
- * report is corrected by what this host did since, and fades with its age. A
- * short prompt passes long ones by its priority but for a chunk. */
-static double
-estimate_queue(const struct scoring *scoring, const struct fleet_entry *entry,
-    double *requests)
+/* This host's own work is known; the last report is corrected by what this
+ * host did since, and fades with its age. */
+static struct occupancy
+estimate(const struct scoring *scoring, const struct fleet_entry *entry)
 {
-	struct fleet_upstream *upstream = entry->upstream;
-	struct fleet_load *load = &upstream->load;
+	struct fleet_load *load = &entry->upstream->load;
 	struct capacity_amount own = capacity_slot_used(entry->slot);
-	double tokens, reported, weight, long_tokens;
+	struct occupancy occupancy;
+	double weight;
 	int64_t taken_ms;
 
-	tokens = (double)own.prefill_tokens;
-	*requests = own.requests;
 	taken_ms = atomic_load(&load->taken_ms);
-	if (taken_ms != 0) {
+	weight = 0;
+	if (taken_ms != 0)
 		weight = exp2(-(double)(scoring->query->now_ms - taken_ms) /
 			      (double)scoring->settings->load_half_life_ms);
-		reported = (double)atomic_load(&load->prefill_tokens) -
-			   (double)atomic_load(&load->own_prefill_tokens);
-		/* Short work is over before a report of it arrives, and the rest
-		 * is passed; following reports would draw all hosts' short
-		 * prompts to the same upstreams. */
-		if (!scoring->is_short)
-			tokens += weight * reported;
-		reported = (double)atomic_load(&load->requests) -
-			   (double)atomic_load(&load->own_requests);
-		*requests += weight * reported;
-	}
-	if (*requests < 0)
-		*requests = 0;
-	if (tokens < 0)
-		tokens = 0;
-	if (!scoring->is_short)
-		return tokens;
-	long_tokens = (double)atomic_load(&upstream->long_prefill_tokens);
-	if (long_tokens <= scoring->settings->chunk_tokens)
-		return tokens;
-	tokens -= long_tokens;
-	if (tokens < 0)
-		tokens = 0;
-	return tokens + scoring->settings->chunk_tokens;
+	occupancy.requests = correct(own.requests, atomic_load(&load->requests),
+	    atomic_load(&load->own_requests), weight);
+	occupancy.kv_tokens = correct((double)own.kv_tokens,
+	    (double)atomic_load(&load->kv_tokens),
+	    (double)atomic_load(&load->own_kv_tokens), weight);
+	/* Short work is over before a report of it arrives, and the rest is
+	 * passed; following reports would draw all hosts' short prompts to
+	 * the same upstreams. */
+	if (scoring->is_short)
+		weight = 0;
+	occupancy.ahead_tokens = correct((double)own.prefill_tokens,
+	    (double)atomic_load(&load->prefill_tokens),
+	    (double)atomic_load(&load->own_prefill_tokens), weight);
+	if (scoring->is_short)
+		pass_long_prompts(scoring, entry, &occupancy);
+	return occupancy;
+}
+
+static double
+correct(double own, double reported, double own_then, double weight)
+{
+	double corrected;
+
+	corrected = own + weight * (reported - own_then);
+	return corrected > 0 ? corrected : 0;
+}
+
+/* A short prompt passes long ones by its priority but for a chunk. */
+static void
+pass_long_prompts(const struct scoring *scoring,
+    const struct fleet_entry *entry, struct occupancy *occupancy)
+{
+	double chunk = scoring->settings->chunk_tokens;
+	double long_tokens;
+
+	long_tokens =
+	    (double)atomic_load(&entry->upstream->long_prefill_tokens);
+	if (long_tokens <= chunk)
+		return;
+	occupancy->ahead_tokens -= long_tokens;
+	if (occupancy->ahead_tokens < 0)
+		occupancy->ahead_tokens = 0;
+	occupancy->ahead_tokens += chunk;
 }
 
 static double
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -161,6 +161,30 @@
 	}
 }
 
+/* A short prompt waits for memory, not for others' prompts. */
+static void
+test_full_memory_is_avoided(void **state)
+{
+	struct upstream_load load = {.incarnation = 1,
+	    .sequence = 1,
+	    .queued_prefill_tokens = 50000,
+	    .kv_tokens_used = 599000};
+	struct scene scene;
+
+	(void)state;
+	start_scene(&scene, NULL, 0);
+	scene.query.account = &(struct intent_account){0};
+	load.id = upstream_id("a1");
+	fleet_set_load(&scene.fleet, &load, NOW_MS);
+	load.id = upstream_id("a2");
+	load.kv_tokens_used = 500000;
+	fleet_set_load(&scene.fleet, &load, NOW_MS);
+	assert_int_equal(choose(&scene), ERROR_NONE);
+	assert_string_equal(best(&scene), "a2");
+	assert_true(scene.choice.candidates[0].ahead_tokens == 0);
+	finish_scene(&scene);
+}
+
 /* Own work that the report saw is not counted twice. */
 static void
 test_report_is_corrected_by_own_work(void **state)
@@ -425,6 +449,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_cost),
+	    cmocka_unit_test(test_full_memory_is_avoided),
 	    cmocka_unit_test(test_report_is_corrected_by_own_work),
 	    cmocka_unit_test(test_errors),
 	    cmocka_unit_test(test_suspect_only_when_nothing_else),
