--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -165,24 +165,25 @@
 static void
 test_full_memory_is_avoided(void **state)
 {
-	struct upstream_load load = {.incarnation = 1,
-	    .sequence = 1,
-	    .queued_prefill_tokens = 50000,
-	    .kv_tokens_used = 599000};
+	struct upstream_load load = {
+	    .incarnation = 1, .sequence = 1, .queued_prefill_tokens = 50000};
 	struct scene scene;
+	uint32_t full, i;
 
 	(void)state;
-	start_scene(&scene, NULL, 0);
-	scene.query.account = &(struct intent_account){0};
-	load.id = upstream_id("a1");
-	fleet_set_load(&scene.fleet, &load, NOW_MS);
-	load.id = upstream_id("a2");
-	load.kv_tokens_used = 500000;
-	fleet_set_load(&scene.fleet, &load, NOW_MS);
-	assert_int_equal(choose(&scene), ERROR_NONE);
-	assert_string_equal(best(&scene), "a2");
-	assert_true(scene.choice.candidates[0].ahead_tokens == 0);
-	finish_scene(&scene);
+	for (full = 0; full < 2; full++) {
+		start_scene(&scene, NULL, 0);
+		scene.query.account = &(struct intent_account){0};
+		for (i = 0; i < 2; i++) {
+			load.id = upstream_id(names[i]);
+			load.kv_tokens_used = i == full ? 599000 : 500000;
+			fleet_set_load(&scene.fleet, &load, NOW_MS);
+		}
+		assert_int_equal(choose(&scene), ERROR_NONE);
+		assert_string_equal(best(&scene), names[1 - full]);
+		assert_int_equal(scene.choice.candidates[0].ahead_tokens, 0);
+		finish_scene(&scene);
+	}
 }
 
 /* Own work that the report saw is not counted twice. */
