Router: only prompts over 100,000 tokens step back in priority

Cause: prompts of 32k to 100k tokens shared the lowest engine priority with the longest, and some never began before their deadline behind one of these. Change: own setting for the step back, 100,000 tokens; confinement stays at 32,768. Seen red with the old threshold.

--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -11,6 +11,7 @@
 
 #define SHORT_PROMPT_TOKENS  8192
 #define LONG_PROMPT_TOKENS   32768
+#define STEP_BACK_TOKENS     100000
 #define SCORED_MAX	     32
 #define CHUNK_TOKENS	     2048
 #define REGION_MS	     1.0
@@ -19,7 +20,7 @@
 #define BATCH_SLOWDOWN	     0.02
 #define LONG_HEADROOM	     1.2
 #define END_WEIGHT	     0.05
-#define LOAD_HALF_LIFE_MS 3000
+#define LOAD_HALF_LIFE_MS    3000
 #define PREFILL_TOKENS_PER_S 10000 /* Of an upstream that does not say. */
 #define DECODE_US_PER_TOKEN  30000 /* Of an upstream that does not say. */
 #define MIX_HALF_LIFE_MS     20000 /* After which a prompt counts half. */
@@ -87,6 +88,8 @@
 		settings->short_prompt_tokens = SHORT_PROMPT_TOKENS;
 	if (settings->long_prompt_tokens == 0)
 		settings->long_prompt_tokens = LONG_PROMPT_TOKENS;
+	if (settings->step_back_tokens == 0)
+		settings->step_back_tokens = STEP_BACK_TOKENS;
 	if (settings->scored_max == 0)
 		settings->scored_max = SCORED_MAX;
 	if (settings->chunk_tokens == 0)
@@ -152,7 +155,7 @@
 {
 	if (facts->priority == REQUEST_PRIORITY_LOW)
 		return REQUEST_PRIORITY_LOW;
-	if (facts->prompt_tokens >= settings->long_prompt_tokens)
+	if (facts->prompt_tokens >= settings->step_back_tokens)
 		return (enum request_priority)(facts->priority - 1);
 	if (facts->prompt_tokens < settings->short_prompt_tokens)
 		return REQUEST_PRIORITY_HIGH;
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -25,7 +25,9 @@
 struct router_settings {
 	uint64_t short_prompt_tokens; /**< Below it a prompt is short. */
 	uint64_t long_prompt_tokens;  /**< From here on a prompt is long. */
-	uint32_t scored_max;	      /**< Upstreams scored at most. */
+	uint64_t
+	    step_back_tokens;  /**< From here on it steps back in priority. */
+	uint32_t scored_max;   /**< Upstreams scored at most. */
 	uint32_t chunk_tokens; /**< Prefill that an engine interleaves. */
 	double region_ms;      /**< Cost of the next data centre. */
 	double far_ms;	       /**< Cost of another region. */
@@ -86,8 +88,8 @@
 enum error_code router_choose(const struct router_settings *settings,
     const struct fleet_view *view, const struct router_query *query,
     struct router_choice *choice);
-/** Priority to tell the engine: of those that are not LOW, long prompts step
- * back one and short ones step up one. */
+/** Priority to tell the engine: of those that are not LOW, the longest prompts
+ * step back one and short ones step up one. */
 enum request_priority router_engine_priority(
     const struct router_settings *settings, const struct request_facts *facts);
 
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -337,7 +337,7 @@
 	assert_int_equal(scene.choice.count, 2);
 	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
 	    REQUEST_PRIORITY_LOW);
-	scene.facts.prompt_tokens = 10000;
+	scene.facts.prompt_tokens = 90000;
 	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
 	    REQUEST_PRIORITY_NORMAL);
 	scene.facts.prompt_tokens = 2000;
