--- a/src/base/error_code.c
+++ b/src/base/error_code.c
@@ -32,6 +32,8 @@
 	"The sender could not be verified."},
     [ERROR_FORBIDDEN] = {"forbidden", "The role does not allow it."},
     [ERROR_CONNECTION] = {"connection", "The link is down."},
+    [ERROR_WRONG_CLUSTER] = {"wrong_cluster",
+	"The peer is of another cluster."},
     [ERROR_UNKNOWN_KEY] = {"unknown_key",
 	"A settings key that does not exist."},
     [ERROR_MISSING_KEY] = {"missing_key", "A required settings key is absent."},
--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -32,6 +32,7 @@
 	ERROR_UNAUTHENTICATED,	   /**< The sender could not be verified. */
 	ERROR_FORBIDDEN,	   /**< The role does not allow it. */
 	ERROR_CONNECTION,	   /**< The link is down. */
+	ERROR_WRONG_CLUSTER,	   /**< The peer is of another cluster. */
 
 	/* Settings */
 	ERROR_UNKNOWN_KEY, /**< A settings key that does not exist. */
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -7,7 +7,8 @@
  * Then the body and a MAC of 16 bytes over header and body under the key of
  * the session and direction. Sequence numbers start at 0 and have no gaps, so
  * a replayed, dropped or reordered frame is refused. Frames of the handshake
- * have channel 0 and no MAC of their own: their bodies prove the key.
+ * have channel 0; the first of each side has no MAC, the acceptor's proves the
+ * key in its body, and the dialer's second one by its MAC.
  */
 #ifndef FRAME_H
 #define FRAME_H
@@ -30,6 +31,8 @@
 
 /** Bytes that a frame adds to its body. */
 #define FRAME_OVERHEAD (FRAME_HEADER_SIZE + FRAME_MAC_SIZE)
+/** Most bytes of a body. */
+#define FRAME_BODY_SIZE_MAX (FRAME_SIZE_MAX - FRAME_OVERHEAD)
 
 /** A frame that was read; the body points into the decoder. */
 struct frame {
@@ -57,8 +60,7 @@
 struct frame_session {
 	unsigned char dialer_key[FRAME_KEY_SIZE];   /**< Dialer sends with. */
 	unsigned char acceptor_key[FRAME_KEY_SIZE]; /**< Acceptor sends with. */
-	unsigned char dialer_proof[FRAME_PROOF_SIZE];	/**< Dialer's proof. */
-	unsigned char acceptor_proof[FRAME_PROOF_SIZE]; /**< Acceptor's. */
+	unsigned char acceptor_proof[FRAME_PROOF_SIZE]; /**< Knows the key. */
 };
 
 /* Writing */
@@ -89,7 +91,7 @@
 
 /* Keys of a session */
 
-/** Derives keys and proofs from the shared key and the bytes of both hellos;
+/** Derives keys and proof from the shared key and what both hellos said;
  * needs sodium_init(). */
 void frame_session_derive(struct frame_session *session,
     const unsigned char shared_key[FRAME_KEY_SIZE], const void *transcript,
--- /dev/null
+++ b/src/protocol/handshake_message.c
@@ -0,0 +1,142 @@
+#include "protocol/handshake_message.h"
+
+#include <string.h>
+
+/* Fields on the wire. */
+enum handshake_field {
+	FIELD_VERSION = 0,
+	FIELD_TYPE = 1,
+	FIELD_CLUSTER_ID = 2,
+	FIELD_KEY_ID = 3,
+	FIELD_HOST_ID = 4,
+	FIELD_INCARNATION = 5,
+	FIELD_NONCE = 6,
+	FIELD_PROOF = 7,
+	FIELD_ERROR = 8,
+	FIELD_COUNT
+};
+
+static enum error_code read_bytes(const struct message_reader *reader,
+    uint32_t key, unsigned char *value, size_t size);
+static enum error_code read_fields(
+    const struct message_reader *reader, struct handshake_message *message);
+static void put_part(unsigned char **at, const void *data, size_t size);
+
+void
+handshake_message_write(
+    struct message_writer *writer, const struct handshake_message *message)
+{
+	message_open(writer, FIELD_COUNT);
+	message_put_uint(writer, FIELD_VERSION, HANDSHAKE_VERSION);
+	message_put_uint(writer, FIELD_TYPE, message->type);
+	message_put_text(writer, FIELD_CLUSTER_ID, message->cluster_id);
+	message_put_uint(writer, FIELD_KEY_ID, message->key_id);
+	message_put_uint(writer, FIELD_HOST_ID, message->host_id);
+	message_put_uint(writer, FIELD_INCARNATION, message->incarnation);
+	message_put_bytes(
+	    writer, FIELD_NONCE, message->nonce, sizeof(message->nonce));
+	message_put_bytes(
+	    writer, FIELD_PROOF, message->proof, sizeof(message->proof));
+	message_put_uint(writer, FIELD_ERROR, message->error);
+}
+
+enum error_code
+handshake_message_read(
+    const void *body, size_t size, struct handshake_message *message)
+{
+	struct message_reader reader;
+	enum error_code error;
+
+	memset(message, 0, sizeof(*message));
+	error = message_reader_init(&reader, body, size);
+	if (error != ERROR_NONE)
+		return error;
+	error = read_fields(&reader, message);
+	message_reader_finish(&reader);
+	return error;
+}
+
+void
+handshake_derive(struct frame_session *session,
+    const unsigned char shared_key[FRAME_KEY_SIZE],
+    const struct handshake_message *hello,
+    const struct handshake_message *welcome)
+{
+	unsigned char transcript[2 * sizeof(*hello)];
+	unsigned char *at;
+
+	at = transcript;
+	put_part(&at, hello->cluster_id, sizeof(hello->cluster_id));
+	put_part(&at, &hello->key_id, sizeof(hello->key_id));
+	put_part(&at, &hello->host_id, sizeof(hello->host_id));
+	put_part(&at, &hello->incarnation, sizeof(hello->incarnation));
+	put_part(&at, hello->nonce, sizeof(hello->nonce));
+	put_part(&at, &welcome->host_id, sizeof(welcome->host_id));
+	put_part(&at, &welcome->incarnation, sizeof(welcome->incarnation));
+	put_part(&at, welcome->nonce, sizeof(welcome->nonce));
+	frame_session_derive(
+	    session, shared_key, transcript, (size_t)(at - transcript));
+}
+
+static enum error_code
+read_fields(
+    const struct message_reader *reader, struct handshake_message *message)
+{
+	uint64_t version, type, code;
+	enum error_code error;
+
+	error = message_get_uint(reader, FIELD_VERSION, &version);
+	if (error != ERROR_NONE)
+		return error;
+	if (version != HANDSHAKE_VERSION)
+		return ERROR_UNSUPPORTED_VERSION;
+	error = message_get_uint(reader, FIELD_TYPE, &type);
+	if (error != ERROR_NONE)
+		return error;
+	if (type < HANDSHAKE_TYPE_HELLO || type > HANDSHAKE_TYPE_REFUSAL)
+		return ERROR_NOT_SUPPORTED;
+	message->type = (enum handshake_type)type;
+	if ((error = message_get_text(reader, FIELD_CLUSTER_ID,
+		 message->cluster_id, sizeof(message->cluster_id))) !=
+		ERROR_NONE ||
+	    (error = message_get_uint32(
+		 reader, FIELD_KEY_ID, &message->key_id)) != ERROR_NONE ||
+	    (error = message_get_uint32(
+		 reader, FIELD_HOST_ID, &message->host_id)) != ERROR_NONE ||
+	    (error = message_get_uint(reader, FIELD_INCARNATION,
+		 &message->incarnation)) != ERROR_NONE ||
+	    (error = read_bytes(reader, FIELD_NONCE, message->nonce,
+		 sizeof(message->nonce))) != ERROR_NONE ||
+	    (error = read_bytes(reader, FIELD_PROOF, message->proof,
+		 sizeof(message->proof))) != ERROR_NONE ||
+	    (error = message_get_uint(reader, FIELD_ERROR, &code)) !=
+		ERROR_NONE)
+		return error;
+	message->error =
+	    code < ERROR_CODE_COUNT ? (enum error_code)code : ERROR_INTERNAL;
+	return ERROR_NONE;
+}
+
+static enum error_code
+read_bytes(const struct message_reader *reader, uint32_t key,
+    unsigned char *value, size_t size)
+{
+	enum error_code error;
+	const void *bytes;
+	size_t found;
+
+	error = message_get_bytes(reader, key, &bytes, &found);
+	if (error != ERROR_NONE)
+		return error;
+	if (found != size)
+		return ERROR_MALFORMED;
+	memcpy(value, bytes, size);
+	return ERROR_NONE;
+}
+
+static void
+put_part(unsigned char **at, const void *data, size_t size)
+{
+	memcpy(*at, data, size);
+	*at += size;
+}
--- /dev/null
+++ b/src/transport/peer_link.c
@@ -0,0 +1,1026 @@
+#include "transport/peer_link.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "base/event_log.h"
+#include "protocol/handshake_message.h"
+#include "transport/peer_queue.h"
+
+#define QUEUE_BYTES_DEFAULT  (1024u * 1024) /* Bytes queued for a peer. */
+#define BACKOFF_MIN_DEFAULT  100	    /* Milliseconds. */
+#define BACKOFF_MAX_DEFAULT  5000	    /* Milliseconds. */
+#define HANDSHAKE_MS_DEFAULT 3000	    /* Milliseconds. */
+#define USER_TIMEOUT_MS	     6000  /* Unacknowledged data ends a link. */
+#define KEEPALIVE_IDLE_S     10	   /* Seconds of silence before a probe. */
+#define KEEPALIVE_STEP_S     2	   /* Seconds between probes. */
+#define KEEPALIVE_PROBES     3	   /* Probes without answer. */
+#define LISTEN_BACKLOG	     128   /* Connections that wait to be taken. */
+#define EVENTS_MAX	     64	   /* Events taken by one call. */
+#define READ_SIZE	     65536 /* Bytes of one read. */
+#define READS_MAX	     4	   /* Reads of a link by one call. */
+#define OUT_BYTES_WANTED     65536 /* Frames are gathered up to this. */
+
+/* Where a link stands. */
+enum link_state {
+	LINK_CONNECTING,    /* Dialled, not connected. */
+	LINK_AWAIT_WELCOME, /* Dialled, hello sent. */
+	LINK_AWAIT_HELLO,   /* Accepted. */
+	LINK_AWAIT_READY,   /* Accepted, welcome sent. */
+	LINK_ESTABLISHED,   /* Both keys are proved. */
+	LINK_CLOSED,	    /* Waits to be freed. */
+};
+
+/* A connection. */
+struct link {
+	struct peer_links *links;
+	struct handle handle;
+	enum link_state state;
+	int fd;
+	bool is_dialled;
+	bool wants_write; /* Waits for room in the socket. */
+	uint32_t peer_id; /* 0 while it is not known. */
+	uint64_t incarnation;
+	struct handshake_message hello;
+	struct frame_decoder decoder;
+	unsigned char send_key[FRAME_KEY_SIZE];
+	bool has_send_key;
+	uint64_t send_sequence;
+	GByteArray *out; /* Frames not yet taken by the kernel. */
+	size_t out_at;	 /* Bytes of them that were taken. */
+	struct handle timer;
+};
+
+/* A host. */
+struct peer {
+	uint32_t id;
+	char ip[PEER_IP_SIZE_MAX]; /* Empty while it is not known. */
+	uint16_t port;
+	struct link *link; /* Established, NULL for none. */
+	struct link *dial; /* Being dialled, NULL for none. */
+	struct peer_queue queue;
+	uint64_t dropped[PEER_CHANNEL_COUNT]; /* Moved to the counters. */
+	int64_t backoff_ms;
+	int64_t next_dial_ms;
+};
+
+/* Address as the socket calls want it. */
+struct address {
+	struct sockaddr_storage storage;
+	socklen_t size;
+};
+
+static void apply_defaults(struct peer_link_settings *settings);
+static enum error_code parse_address(
+    const char *ip, uint16_t port, struct address *address);
+static enum error_code open_listener(struct peer_links *links);
+static void free_peer(gpointer pointer);
+static struct peer *find_peer(const struct peer_links *links, uint32_t host_id);
+static struct peer *add_peer(struct peer_links *links, uint32_t host_id);
+static void collect_drops(struct peer_links *links, struct peer *peer);
+static struct link *open_link(
+    struct peer_links *links, int fd, enum link_state state);
+static void close_link(struct link *link);
+static void free_closed(struct peer_links *links);
+static void refuse_link(struct link *link, enum error_code error);
+static void expire_handshake(void *context);
+static enum error_code dial_address(struct peer_links *links,
+    const struct address *address, struct link **link);
+static void dial_peer(struct peer_links *links, struct peer *peer);
+static void delay_dial(struct peer_links *links, struct peer *peer);
+static void accept_links(struct peer_links *links);
+static void watch_link(struct link *link, bool wants_write);
+static void handle_link(struct link *link, uint32_t events);
+static void read_link(struct link *link);
+static void handle_frames(struct link *link);
+static void handle_frame(struct link *link, const struct frame *frame);
+static void handle_handshake(struct link *link, const struct frame *frame);
+static void handle_hello(
+    struct link *link, const struct handshake_message *hello);
+static void handle_welcome(
+    struct link *link, const struct handshake_message *welcome);
+static const unsigned char *find_key(
+    const struct peer_links *links, uint32_t key_id);
+static void start_message(
+    const struct link *link, struct handshake_message *message);
+static void send_handshake(
+    struct link *link, const struct handshake_message *message);
+static void establish_link(struct link *link);
+static void watch_silence(int fd);
+static bool is_preferred(const struct link *link, const struct link *other);
+static void append_frame(
+    struct link *link, uint8_t channel, const void *body, size_t size);
+static void fill_out(struct link *link, struct peer *peer);
+static void flush_link(struct link *link);
+static void port_send(void *context, uint32_t host_id,
+    enum peer_channel channel, const void *body, size_t size);
+
+enum error_code
+peer_links_init(struct peer_links *links,
+    const struct peer_link_settings *settings, struct timer_service *timers,
+    uint64_t seed, struct peer_link_ops ops)
+{
+	struct epoll_event event = {.events = EPOLLIN};
+	enum error_code error;
+
+	memset(links, 0, sizeof(*links));
+	links->listen_fd = -1;
+	links->epoll_fd = -1;
+	if (settings->host_id == 0 || settings->key_count == 0 ||
+	    settings->key_count > PEER_KEYS_MAX || ops.receive == NULL)
+		return ERROR_INVALID_ARGUMENT;
+	links->settings = *settings;
+	apply_defaults(&links->settings);
+	links->timers = timers;
+	links->ops = ops;
+	random_init(&links->random, seed);
+	error = open_listener(links);
+	if (error != ERROR_NONE)
+		goto fail;
+	links->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	error = ERROR_IO;
+	/* The zero handle stands for the listening socket. */
+	if (links->epoll_fd < 0 || epoll_ctl(links->epoll_fd, EPOLL_CTL_ADD,
+				       links->listen_fd, &event) != 0)
+		goto fail;
+	handle_table_init(&links->links, sizeof(struct link *),
+	    2 * links->settings.hosts_max + PEER_ACCEPTED_MAX);
+	links->peers = g_hash_table_new_full(NULL, NULL, NULL, free_peer);
+	g_queue_init(&links->closed);
+	return ERROR_NONE;
+fail:
+	if (links->epoll_fd >= 0)
+		close(links->epoll_fd);
+	if (links->listen_fd >= 0)
+		close(links->listen_fd);
+	sodium_memzero(links, sizeof(*links));
+	return error;
+}
+
+void
+peer_links_finish(struct peer_links *links)
+{
+	struct handle handle = {0};
+
+	if (links->peers == NULL)
+		return;
+	links->ops.disconnected = NULL;
+	while (handle_table_next(&links->links, &handle))
+		close_link(
+		    *(struct link **)handle_table_get(&links->links, handle));
+	free_closed(links);
+	g_hash_table_destroy(links->peers);
+	handle_table_finish(&links->links);
+	close(links->epoll_fd);
+	close(links->listen_fd);
+	sodium_memzero(links, sizeof(*links));
+}
+
+enum error_code
+peer_links_add_host(
+    struct peer_links *links, uint32_t host_id, const char *ip, uint16_t port)
+{
+	struct address address;
+	struct peer *peer;
+
+	if (host_id == 0 || host_id == links->settings.host_id ||
+	    strlen(ip) >= PEER_IP_SIZE_MAX ||
+	    parse_address(ip, port, &address) != ERROR_NONE)
+		return ERROR_INVALID_ARGUMENT;
+	peer = find_peer(links, host_id);
+	if (peer == NULL)
+		peer = add_peer(links, host_id);
+	if (peer == NULL)
+		return ERROR_TABLE_FULL;
+	if (strcmp(peer->ip, ip) != 0 || peer->port != port)
+		peer->next_dial_ms = INT64_MIN;
+	snprintf(peer->ip, sizeof(peer->ip), "%s", ip);
+	peer->port = port;
+	return ERROR_NONE;
+}
+
+enum error_code
+peer_links_remove_host(struct peer_links *links, uint32_t host_id)
+{
+	struct peer *peer;
+
+	peer = find_peer(links, host_id);
+	if (peer == NULL)
+		return ERROR_NOT_FOUND;
+	if (peer->dial != NULL)
+		close_link(peer->dial);
+	if (peer->link != NULL)
+		close_link(peer->link);
+	peer_queue_clear(&peer->queue);
+	collect_drops(links, peer);
+	g_hash_table_remove(links->peers, GUINT_TO_POINTER(host_id));
+	return ERROR_NONE;
+}
+
+enum error_code
+peer_links_dial_seed(struct peer_links *links, const char *ip, uint16_t port)
+{
+	struct address address;
+	struct link *link;
+
+	if (parse_address(ip, port, &address) != ERROR_NONE)
+		return ERROR_INVALID_ARGUMENT;
+	if (links->unnamed >= PEER_ACCEPTED_MAX)
+		return ERROR_TABLE_FULL;
+	return dial_address(links, &address, &link);
+}
+
+void
+peer_links_send(struct peer_links *links, uint32_t host_id,
+    enum peer_channel channel, const void *body, size_t size)
+{
+	enum error_code error;
+	struct peer *peer;
+
+	if (channel < PEER_CHANNEL_MEMBERSHIP || channel >= PEER_CHANNEL_COUNT)
+		return;
+	peer = find_peer(links, host_id);
+	if (peer == NULL || size > FRAME_BODY_SIZE_MAX) {
+		links->counters.channels[channel].dropped++;
+		return;
+	}
+	if (peer->link == NULL && peer->dial == NULL)
+		dial_peer(links, peer);
+	if (peer->link == NULL && peer->dial == NULL) {
+		links->counters.channels[channel].dropped++;
+		return;
+	}
+	error = peer_queue_push(&peer->queue, channel, body, size);
+	if (error == ERROR_CONNECTION) {
+		links->counters.overflows++;
+		event_log_write(
+		    EVENT_PEER_QUEUE_DROPPED, "peer=%u, link closed", host_id);
+		peer_queue_clear(&peer->queue);
+		if (peer->dial != NULL)
+			close_link(peer->dial);
+		if (peer->link != NULL)
+			close_link(peer->link);
+	}
+	collect_drops(links, peer);
+	if (peer->link != NULL && !peer->link->wants_write)
+		flush_link(peer->link);
+}
+
+struct peer_port
+peer_links_port(struct peer_links *links)
+{
+	return (struct peer_port){port_send, links};
+}
+
+int
+peer_links_fd(const struct peer_links *links)
+{
+	return links->epoll_fd;
+}
+
+void
+peer_links_handle(struct peer_links *links)
+{
+	struct epoll_event events[EVENTS_MAX];
+	struct handle handle;
+	struct link **link;
+	int count, i;
+
+	free_closed(links);
+	count = epoll_wait(links->epoll_fd, events, EVENTS_MAX, 0);
+	for (i = 0; i < count; i++) {
+		handle.index = (uint32_t)events[i].data.u64;
+		handle.generation = (uint32_t)(events[i].data.u64 >> 32);
+		if (handle.generation == 0) {
+			accept_links(links);
+			continue;
+		}
+		link = handle_table_get(&links->links, handle);
+		if (link != NULL)
+			handle_link(*link, events[i].events);
+	}
+	free_closed(links);
+}
+
+uint16_t
+peer_links_port_number(const struct peer_links *links)
+{
+	return links->port;
+}
+
+bool
+peer_links_is_connected(const struct peer_links *links, uint32_t host_id)
+{
+	const struct peer *peer;
+
+	peer = find_peer(links, host_id);
+	return peer != NULL && peer->link != NULL;
+}
+
+static void
+apply_defaults(struct peer_link_settings *settings)
+{
+	if (settings->hosts_max == 0)
+		settings->hosts_max = HOSTS_MAX;
+	if (settings->queue_bytes_max == 0)
+		settings->queue_bytes_max = QUEUE_BYTES_DEFAULT;
+	if (settings->backoff_min_ms == 0)
+		settings->backoff_min_ms = BACKOFF_MIN_DEFAULT;
+	if (settings->backoff_max_ms == 0)
+		settings->backoff_max_ms = BACKOFF_MAX_DEFAULT;
+	if (settings->handshake_ms == 0)
+		settings->handshake_ms = HANDSHAKE_MS_DEFAULT;
+}
+
+static enum error_code
+parse_address(const char *ip, uint16_t port, struct address *address)
+{
+	const struct addrinfo hints = {.ai_socktype = SOCK_STREAM,
+	    .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV};
+	struct addrinfo *found;
+	char service[8];
+
+	snprintf(service, sizeof(service), "%u", port);
+	if (getaddrinfo(ip, service, &hints, &found) != 0)
+		return ERROR_INVALID_ARGUMENT;
+	memcpy(&address->storage, found->ai_addr, found->ai_addrlen);
+	address->size = found->ai_addrlen;
+	freeaddrinfo(found);
+	return ERROR_NONE;
+}
+
+static enum error_code
+open_listener(struct peer_links *links)
+{
+	struct address address;
+	char service[8];
+	int on;
+
+	if (parse_address(links->settings.listen_ip,
+		links->settings.listen_port, &address) != ERROR_NONE)
+		return ERROR_INVALID_ARGUMENT;
+	links->listen_fd = socket(address.storage.ss_family,
+	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (links->listen_fd < 0)
+		return ERROR_IO;
+	on = 1;
+	setsockopt(links->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(links->listen_fd, (struct sockaddr *)&address.storage,
+		address.size) != 0 ||
+	    listen(links->listen_fd, LISTEN_BACKLOG) != 0)
+		return ERROR_IO;
+	address.size = sizeof(address.storage);
+	if (getsockname(links->listen_fd, (struct sockaddr *)&address.storage,
+		&address.size) != 0 ||
+	    getnameinfo((struct sockaddr *)&address.storage, address.size, NULL,
+		0, service, sizeof(service), NI_NUMERICSERV) != 0)
+		return ERROR_IO;
+	links->port = (uint16_t)strtoul(service, NULL, 10);
+	return ERROR_NONE;
+}
+
+static void
+free_peer(gpointer pointer)
+{
+	struct peer *peer = pointer;
+
+	peer_queue_clear(&peer->queue);
+	free(peer);
+}
+
+static struct peer *
+find_peer(const struct peer_links *links, uint32_t host_id)
+{
+	return g_hash_table_lookup(links->peers, GUINT_TO_POINTER(host_id));
+}
+
+static struct peer *
+add_peer(struct peer_links *links, uint32_t host_id)
+{
+	struct peer *peer;
+
+	if (g_hash_table_size(links->peers) >= links->settings.hosts_max)
+		return NULL;
+	peer = calloc(1, sizeof(*peer));
+	if (peer == NULL)
+		return NULL;
+	peer->id = host_id;
+	peer->next_dial_ms = INT64_MIN;
+	peer_queue_init(
+	    &peer->queue, links->settings.queue_bytes_max, peer->dropped);
+	g_hash_table_insert(links->peers, GUINT_TO_POINTER(host_id), peer);
+	return peer;
+}
+
+static void
+collect_drops(struct peer_links *links, struct peer *peer)
+{
+	int i;
+
+	for (i = 0; i < PEER_CHANNEL_COUNT; i++) {
+		links->counters.channels[i].dropped += peer->dropped[i];
+		peer->dropped[i] = 0;
+	}
+}
+
+/* Takes the descriptor over, also when it fails. */
+static struct link *
+open_link(struct peer_links *links, int fd, enum link_state state)
+{
+	struct epoll_event event = {.events = EPOLLIN};
+	struct link *link;
+	int on;
+
+	link = calloc(1, sizeof(*link));
+	if (link == NULL)
+		goto fail_fd;
+	link->links = links;
+	link->fd = fd;
+	link->state = state;
+	link->is_dialled = state == LINK_CONNECTING;
+	if (handle_table_add(&links->links, &link->handle) != ERROR_NONE)
+		goto fail_link;
+	*(struct link **)handle_table_get(&links->links, link->handle) = link;
+	on = 1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	link->wants_write = link->is_dialled;
+	if (link->wants_write)
+		event.events |= EPOLLOUT;
+	event.data.u64 =
+	    (uint64_t)link->handle.generation << 32 | link->handle.index;
+	if (epoll_ctl(links->epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0 ||
+	    timer_subscribe_once(links->timers, links->settings.handshake_ms,
+		(struct timer_callback){expire_handshake, link},
+		&link->timer) != ERROR_NONE)
+		goto fail_handle;
+	link->out = g_byte_array_new();
+	links->unnamed++;
+	return link;
+fail_handle:
+	handle_table_remove(&links->links, link->handle);
+fail_link:
+	free(link);
+fail_fd:
+	close(fd);
+	return NULL;
+}
+
+/* Its memory stays until the call that is running ends. */
+static void
+close_link(struct link *link)
+{
+	struct peer_links *links = link->links;
+	struct peer *peer;
+	bool was_current;
+
+	if (link->state == LINK_CLOSED)
+		return;
+	if (link->state != LINK_ESTABLISHED)
+		links->unnamed--;
+	link->state = LINK_CLOSED;
+	timer_cancel(links->timers, &link->timer);
+	handle_table_remove(&links->links, link->handle);
+	close(link->fd);
+	g_queue_push_tail(&links->closed, link);
+	peer = find_peer(links, link->peer_id);
+	if (peer == NULL)
+		return;
+	was_current = peer->link == link;
+	if (was_current)
+		peer->link = NULL;
+	if (peer->dial == link)
+		peer->dial = NULL;
+	if (peer->link == NULL && peer->dial == NULL) {
+		peer_queue_clear(&peer->queue);
+		collect_drops(links, peer);
+		delay_dial(links, peer);
+	}
+	if (!was_current)
+		return;
+	event_log_write(EVENT_PEER_DISCONNECTED, "peer=%u", link->peer_id);
+	if (links->ops.disconnected != NULL)
+		links->ops.disconnected(links->ops.context, link->peer_id);
+}
+
+static void
+free_closed(struct peer_links *links)
+{
+	struct link *link;
+
+	while ((link = g_queue_pop_head(&links->closed)) != NULL) {
+		frame_decoder_finish(&link->decoder);
+		g_byte_array_unref(link->out);
+		sodium_memzero(link, sizeof(*link));
+		free(link);
+	}
+}
+
+static void
+refuse_link(struct link *link, enum error_code error)
+{
+	struct peer_links *links = link->links;
+
+	if (link->state == LINK_CLOSED)
+		return;
+	links->counters.refused++;
+	event_log_write(EVENT_PEER_REFUSED, "peer=%u error=%s", link->peer_id,
+	    error_name(error));
+	close_link(link);
+	if (links->ops.refused != NULL)
+		links->ops.refused(links->ops.context, link->peer_id, error);
+}
+
+static void
+expire_handshake(void *context)
+{
+	struct link *link = context;
+
+	/* A host that cannot be reached has not been refused anything. */
+	if (link->state == LINK_CONNECTING)
+		close_link(link);
+	else
+		refuse_link(link, ERROR_TIMEOUT);
+}
+
+static enum error_code
+dial_address(
+    struct peer_links *links, const struct address *address, struct link **link)
+{
+	int fd;
+
+	fd = socket(address->storage.ss_family,
+	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return ERROR_IO;
+	links->counters.dials++;
+	if (connect(fd, (const struct sockaddr *)&address->storage,
+		address->size) != 0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return ERROR_CONNECTION;
+	}
+	*link = open_link(links, fd, LINK_CONNECTING);
+	return *link == NULL ? ERROR_TABLE_FULL : ERROR_NONE;
+}
+
+static void
+dial_peer(struct peer_links *links, struct peer *peer)
+{
+	struct address address;
+	struct link *link;
+
+	if (peer->ip[0] == '\0' ||
+	    timer_now(links->timers) < peer->next_dial_ms)
+		return;
+	if (parse_address(peer->ip, peer->port, &address) != ERROR_NONE ||
+	    dial_address(links, &address, &link) != ERROR_NONE) {
+		delay_dial(links, peer);
+		return;
+	}
+	link->peer_id = peer->id;
+	peer->dial = link;
+}
+
+static void
+delay_dial(struct peer_links *links, struct peer *peer)
+{
+	peer->backoff_ms *= 2;
+	if (peer->backoff_ms < links->settings.backoff_min_ms)
+		peer->backoff_ms = links->settings.backoff_min_ms;
+	if (peer->backoff_ms > links->settings.backoff_max_ms)
+		peer->backoff_ms = links->settings.backoff_max_ms;
+	peer->next_dial_ms =
+	    timer_now(links->timers) + peer->backoff_ms / 2 +
+	    random_below(&links->random, (uint32_t)(peer->backoff_ms / 2 + 1));
+}
+
+static void
+accept_links(struct peer_links *links)
+{
+	int fd, i;
+
+	for (i = 0; i < EVENTS_MAX; i++) {
+		fd = accept(links->listen_fd, NULL, NULL);
+		if (fd < 0)
+			return;
+		if (links->unnamed >= PEER_ACCEPTED_MAX ||
+		    fcntl(fd, F_SETFL, O_NONBLOCK) != 0 ||
+		    fcntl(fd, F_SETFD, FD_CLOEXEC) != 0) {
+			links->counters.refused++;
+			close(fd);
+			continue;
+		}
+		links->counters.accepted++;
+		(void)open_link(links, fd, LINK_AWAIT_HELLO);
+	}
+}
+
+static void
+watch_link(struct link *link, bool wants_write)
+{
+	struct epoll_event event = {.events = EPOLLIN};
+
+	if (link->wants_write == wants_write)
+		return;
+	link->wants_write = wants_write;
+	if (wants_write)
+		event.events |= EPOLLOUT;
+	event.data.u64 =
+	    (uint64_t)link->handle.generation << 32 | link->handle.index;
+	epoll_ctl(link->links->epoll_fd, EPOLL_CTL_MOD, link->fd, &event);
+}
+
+static void
+handle_link(struct link *link, uint32_t events)
+{
+	struct handshake_message hello;
+	socklen_t size;
+	int failure;
+
+	if (link->state == LINK_CONNECTING) {
+		size = sizeof(failure);
+		if (getsockopt(
+			link->fd, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 ||
+		    failure != 0) {
+			close_link(link);
+			return;
+		}
+		start_message(link, &hello);
+		hello.type = HANDSHAKE_TYPE_HELLO;
+		hello.key_id = link->links->settings.keys[0].id;
+		link->hello = hello;
+		link->state = LINK_AWAIT_WELCOME;
+		send_handshake(link, &hello);
+		return;
+	}
+	if ((events & EPOLLOUT) != 0)
+		flush_link(link);
+	if (link->state != LINK_CLOSED &&
+	    (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+		read_link(link);
+}
+
+static void
+read_link(struct link *link)
+{
+	unsigned char buffer[READ_SIZE];
+	enum error_code error;
+	ssize_t size;
+	int i;
+
+	for (i = 0; i < READS_MAX && link->state != LINK_CLOSED; i++) {
+		size = recv(link->fd, buffer, sizeof(buffer), 0);
+		if (size < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (size <= 0) {
+			close_link(link);
+			return;
+		}
+		error =
+		    frame_decoder_feed(&link->decoder, buffer, (size_t)size);
+		if (error != ERROR_NONE) {
+			refuse_link(link, error);
+			return;
+		}
+		handle_frames(link);
+		if ((size_t)size < sizeof(buffer))
+			return;
+	}
+}
+
+static void
+handle_frames(struct link *link)
+{
+	enum error_code error;
+	struct frame frame;
+
+	while (link->state != LINK_CLOSED) {
+		error = frame_decoder_next(&link->decoder, &frame);
+		if (error == ERROR_NOT_FOUND)
+			return;
+		if (error != ERROR_NONE) {
+			refuse_link(link, error);
+			return;
+		}
+		handle_frame(link, &frame);
+	}
+}
+
+static void
+handle_frame(struct link *link, const struct frame *frame)
+{
+	struct peer_channel_counters *counters;
+	struct peer_links *links = link->links;
+
+	if (!link->decoder.has_key) {
+		handle_handshake(link, frame);
+		return;
+	}
+	if (frame->sender != link->peer_id ||
+	    frame->incarnation != link->incarnation) {
+		refuse_link(link, ERROR_UNAUTHENTICATED);
+		return;
+	}
+	if (link->state == LINK_AWAIT_READY) {
+		establish_link(link);
+		return;
+	}
+	if (frame->channel == FRAME_CHANNEL_CONTROL)
+		return;
+	counters = &links->counters.channels[frame->channel];
+	counters->frames_in++;
+	counters->bytes_in += frame_size(frame->size);
+	links->ops.receive(links->ops.context, link->peer_id,
+	    (enum peer_channel)frame->channel, frame->body, frame->size);
+}
+
+static void
+handle_handshake(struct link *link, const struct frame *frame)
+{
+	struct handshake_message message;
+	enum error_code error;
+
+	error = handshake_message_read(frame->body, frame->size, &message);
+	if (error != ERROR_NONE) {
+		refuse_link(link, error);
+		return;
+	}
+	if (link->state == LINK_AWAIT_HELLO &&
+	    message.type == HANDSHAKE_TYPE_HELLO)
+		handle_hello(link, &message);
+	else if (link->state == LINK_AWAIT_WELCOME &&
+		 message.type == HANDSHAKE_TYPE_WELCOME)
+		handle_welcome(link, &message);
+	else if (link->state == LINK_AWAIT_WELCOME &&
+		 message.type == HANDSHAKE_TYPE_REFUSAL)
+		refuse_link(link, message.error);
+	else
+		refuse_link(link, ERROR_MALFORMED);
+}
+
+static void
+handle_hello(struct link *link, const struct handshake_message *hello)
+{
+	const struct peer_link_settings *settings = &link->links->settings;
+	struct handshake_message answer;
+	struct frame_session session;
+	const unsigned char *key;
+
+	start_message(link, &answer);
+	answer.type = HANDSHAKE_TYPE_WELCOME;
+	key = find_key(link->links, hello->key_id);
+	if (strcmp(hello->cluster_id, settings->cluster_id) != 0)
+		answer.error = ERROR_WRONG_CLUSTER;
+	else if (key == NULL)
+		answer.error = ERROR_UNAUTHENTICATED;
+	else if (hello->host_id == 0 || hello->host_id == settings->host_id)
+		answer.error = ERROR_INVALID_ARGUMENT;
+	if (answer.error != ERROR_NONE) {
+		answer.type = HANDSHAKE_TYPE_REFUSAL;
+		send_handshake(link, &answer);
+		refuse_link(link, answer.error);
+		return;
+	}
+	link->peer_id = hello->host_id;
+	link->incarnation = hello->incarnation;
+	answer.key_id = hello->key_id;
+	handshake_derive(&session, key, hello, &answer);
+	memcpy(answer.proof, session.acceptor_proof, sizeof(answer.proof));
+	link->state = LINK_AWAIT_READY;
+	send_handshake(link, &answer);
+	memcpy(link->send_key, session.acceptor_key, FRAME_KEY_SIZE);
+	link->has_send_key = true;
+	frame_decoder_set_key(&link->decoder, session.dialer_key);
+	sodium_memzero(&session, sizeof(session));
+}
+
+static void
+handle_welcome(struct link *link, const struct handshake_message *welcome)
+{
+	struct frame_session session;
+	enum error_code error;
+
+	error = ERROR_NONE;
+	handshake_derive(
+	    &session, link->links->settings.keys[0].key, &link->hello, welcome);
+	if (sodium_memcmp(welcome->proof, session.acceptor_proof,
+		sizeof(welcome->proof)) != 0)
+		error = ERROR_UNAUTHENTICATED;
+	/* The address may belong to another host by now, or to this one. */
+	else if (welcome->host_id == link->links->settings.host_id ||
+		 (link->peer_id != 0 && link->peer_id != welcome->host_id))
+		error = ERROR_INVALID_ARGUMENT;
+	if (error == ERROR_NONE) {
+		link->peer_id = welcome->host_id;
+		link->incarnation = welcome->incarnation;
+		memcpy(link->send_key, session.dialer_key, FRAME_KEY_SIZE);
+		link->has_send_key = true;
+		frame_decoder_set_key(&link->decoder, session.acceptor_key);
+	}
+	sodium_memzero(&session, sizeof(session));
+	if (error != ERROR_NONE) {
+		refuse_link(link, error);
+		return;
+	}
+	append_frame(link, FRAME_CHANNEL_CONTROL, NULL, 0);
+	establish_link(link);
+}
+
+static const unsigned char *
+find_key(const struct peer_links *links, uint32_t key_id)
+{
+	uint32_t i;
+
+	for (i = 0; i < links->settings.key_count; i++) {
+		if (links->settings.keys[i].id == key_id)
+			return links->settings.keys[i].key;
+	}
+	return NULL;
+}
+
+static void
+start_message(const struct link *link, struct handshake_message *message)
+{
+	const struct peer_link_settings *settings = &link->links->settings;
+
+	memset(message, 0, sizeof(*message));
+	snprintf(message->cluster_id, sizeof(message->cluster_id), "%s",
+	    settings->cluster_id);
+	message->host_id = settings->host_id;
+	message->incarnation = settings->incarnation;
+	randombytes_buf(message->nonce, sizeof(message->nonce));
+}
+
+static void
+send_handshake(struct link *link, const struct handshake_message *message)
+{
+	struct message_writer writer;
+
+	message_writer_init(&writer);
+	handshake_message_write(&writer, message);
+	append_frame(link, FRAME_CHANNEL_CONTROL, message_data(&writer),
+	    message_size(&writer));
+	message_writer_finish(&writer);
+	flush_link(link);
+}
+
+static void
+establish_link(struct link *link)
+{
+	struct peer_links *links = link->links;
+	struct link *older;
+	struct peer *peer;
+
+	peer = find_peer(links, link->peer_id);
+	if (peer == NULL)
+		peer = add_peer(links, link->peer_id);
+	if (peer == NULL) {
+		refuse_link(link, ERROR_TABLE_FULL);
+		return;
+	}
+	links->unnamed--;
+	link->state = LINK_ESTABLISHED;
+	timer_cancel(links->timers, &link->timer);
+	watch_silence(link->fd);
+	if (peer->dial == link)
+		peer->dial = NULL;
+	peer->backoff_ms = 0;
+	older = peer->link;
+	if (older != NULL && !is_preferred(link, older)) {
+		flush_link(link);
+		close_link(link);
+		return;
+	}
+	peer->link = link;
+	if (older != NULL)
+		close_link(older);
+	else
+		event_log_write(EVENT_PEER_CONNECTED, "peer=%u", peer->id);
+	flush_link(link);
+	if (older == NULL && link->state != LINK_CLOSED &&
+	    links->ops.connected != NULL)
+		links->ops.connected(
+		    links->ops.context, link->peer_id, link->incarnation);
+}
+
+/* A silent cut ends the link, whether something is sent or not. */
+static void
+watch_silence(int fd)
+{
+	static const struct {
+		int level, name, value;
+	} options[] = {
+	    {SOL_SOCKET, SO_KEEPALIVE, 1},
+	    {IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S},
+	    {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_STEP_S},
+	    {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES},
+	    {IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(options); i++)
+		setsockopt(fd, options[i].level, options[i].name,
+		    &options[i].value, sizeof(options[i].value));
+}
+
+/* Both ends judge alike, so one of two links stays. */
+static bool
+is_preferred(const struct link *link, const struct link *other)
+{
+	uint32_t dialer, other_dialer, own;
+
+	if (link->incarnation != other->incarnation)
+		return link->incarnation > other->incarnation;
+	own = link->links->settings.host_id;
+	dialer = link->is_dialled ? own : link->peer_id;
+	other_dialer = other->is_dialled ? own : other->peer_id;
+	return dialer <= other_dialer;
+}
+
+static void
+append_frame(struct link *link, uint8_t channel, const void *body, size_t size)
+{
+	const struct peer_link_settings *settings = &link->links->settings;
+	struct frame frame = {.channel = channel,
+	    .sender = settings->host_id,
+	    .incarnation = settings->incarnation,
+	    .sequence = link->send_sequence++,
+	    .body = body,
+	    .size = size};
+	guint at;
+
+	at = link->out->len;
+	g_byte_array_set_size(link->out, at + (guint)frame_size(size));
+	frame_write(link->out->data + at, &frame,
+	    link->has_send_key ? link->send_key : NULL);
+}
+
+static void
+fill_out(struct link *link, struct peer *peer)
+{
+	struct peer_channel_counters *counters;
+	struct peer_queue_item *item;
+
+	while (link->out->len < OUT_BYTES_WANTED) {
+		item = peer_queue_pop(&peer->queue);
+		if (item == NULL)
+			return;
+		append_frame(
+		    link, (uint8_t)item->channel, item->body, item->size);
+		counters = &link->links->counters.channels[item->channel];
+		counters->frames_out++;
+		counters->bytes_out += frame_size(item->size);
+		free(item);
+	}
+}
+
+static void
+flush_link(struct link *link)
+{
+	struct peer *peer;
+	ssize_t size;
+
+	peer = find_peer(link->links, link->peer_id);
+	for (;;) {
+		if (peer != NULL && peer->link == link)
+			fill_out(link, peer);
+		if (link->out_at == link->out->len)
+			break;
+		size = send(link->fd, link->out->data + link->out_at,
+		    link->out->len - link->out_at, MSG_NOSIGNAL);
+		if (size < 0 && errno == EINTR)
+			continue;
+		if (size < 0 && errno == EAGAIN) {
+			watch_link(link, true);
+			return;
+		}
+		if (size < 0) {
+			close_link(link);
+			return;
+		}
+		link->out_at += (size_t)size;
+		if (link->out_at < link->out->len)
+			continue;
+		g_byte_array_set_size(link->out, 0);
+		link->out_at = 0;
+	}
+	watch_link(link, false);
+}
+
+static void
+port_send(void *context, uint32_t host_id, enum peer_channel channel,
+    const void *body, size_t size)
+{
+	peer_links_send(context, host_id, channel, body, size);
+}
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -64,12 +64,16 @@
 	    void *context, uint32_t host_id, uint64_t incarnation);
 	/** Its link is down; may be NULL. */
 	void (*disconnected)(void *context, uint32_t host_id);
+	/** A connection was refused, or a host refused ours; may be NULL.
+	 * Errors: ERROR_UNAUTHENTICATED, ERROR_WRONG_CLUSTER, ERROR_STALE
+	 * (replay), ERROR_TIMEOUT, those of frame_decoder_next(). */
+	void (*refused)(void *context, uint32_t host_id, enum error_code error);
 	void *context; /**< Passed back. */
 };
 
 /** Counters of a channel. */
 struct peer_channel_counters {
-	uint64_t frames_out; /**< Frames handed to the kernel whole. */
+	uint64_t frames_out; /**< Frames put on a link. */
 	uint64_t bytes_out;  /**< Their bytes with header and MAC. */
 	uint64_t frames_in;  /**< Frames passed on. */
 	uint64_t bytes_in;   /**< Their bytes with header and MAC. */
@@ -99,7 +103,7 @@
 	int listen_fd;	   /**< Listening socket. */
 	int epoll_fd;	   /**< What the owner waits on. */
 	uint16_t port;	   /**< Port that it listens at. */
-	uint32_t depth;	   /**< Calls of ours that are running. */
+	GQueue closed;	   /**< Links to free after the call. */
 };
 
 /* Setting up */
--- /dev/null
+++ b/tests/test_peer_link.c
@@ -0,0 +1,376 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <sodium.h>
+
+#include "transport/peer_link.h"
+#include "transport/peer_queue.h"
+
+#define PORT_FIRST 21100
+#define PORT_LAST  21199
+#define PASSES_MAX 4000 /* Of the loop, a millisecond of its clock each. */
+
+/* A host on loopback and what it saw. */
+struct node {
+	struct timer_service timers;
+	struct peer_links links;
+	uint32_t id;
+	unsigned int received, connects, disconnects;
+	uint32_t last_number;
+	unsigned int out_of_order;
+	enum error_code refusal;
+};
+
+static void
+note_receive(void *context, uint32_t from_host, enum peer_channel channel,
+    const void *body, size_t size)
+{
+	struct node *node = context;
+	uint32_t number;
+
+	(void)from_host;
+	(void)channel;
+	assert_true(size >= sizeof(number));
+	memcpy(&number, body, sizeof(number));
+	if (number <= node->last_number)
+		node->out_of_order++;
+	node->last_number = number;
+	node->received++;
+}
+
+static void
+note_connected(void *context, uint32_t host_id, uint64_t incarnation)
+{
+	(void)host_id;
+	(void)incarnation;
+	((struct node *)context)->connects++;
+}
+
+static void
+note_disconnected(void *context, uint32_t host_id)
+{
+	(void)host_id;
+	((struct node *)context)->disconnects++;
+}
+
+static void
+note_refused(void *context, uint32_t host_id, enum error_code error)
+{
+	(void)host_id;
+	((struct node *)context)->refusal = error;
+}
+
+static void
+start_settings(struct peer_link_settings *settings, uint32_t id)
+{
+	memset(settings, 0, sizeof(*settings));
+	settings->host_id = id;
+	settings->incarnation = 1000 + id;
+	snprintf(settings->cluster_id, NAME_SIZE_MAX, "test");
+	snprintf(settings->listen_ip, PEER_IP_SIZE_MAX, "127.0.0.1");
+	settings->key_count = 1;
+	settings->keys[0].id = 1;
+	memset(settings->keys[0].key, 7, FRAME_KEY_SIZE);
+}
+
+static void
+start_node(struct node *node, struct peer_link_settings *settings)
+{
+	enum error_code error;
+	uint16_t port;
+
+	memset(node, 0, sizeof(*node));
+	node->id = settings->host_id;
+	timer_init(&node->timers, 64, 0);
+	error = ERROR_IO;
+	for (port = PORT_FIRST; port <= PORT_LAST && error != ERROR_NONE;
+	     port++) {
+		settings->listen_port = port;
+		error = peer_links_init(&node->links, settings, &node->timers,
+		    node->id,
+		    (struct peer_link_ops){note_receive, note_connected,
+			note_disconnected, note_refused, node});
+	}
+	assert_int_equal(error, ERROR_NONE);
+}
+
+static void
+stop_node(struct node *node)
+{
+	peer_links_finish(&node->links);
+	timer_finish(&node->timers);
+}
+
+static void
+introduce(struct node *node, const struct node *other)
+{
+	assert_int_equal(
+	    peer_links_add_host(&node->links, other->id, "127.0.0.1",
+		peer_links_port_number(&other->links)),
+	    ERROR_NONE);
+}
+
+static void
+send_number(struct node *node, uint32_t to, uint32_t number)
+{
+	peer_links_send(
+	    &node->links, to, PEER_CHANNEL_CONSENSUS, &number, sizeof(number));
+}
+
+/* Runs both until @p done reaches @p wanted. */
+static bool
+run_until(struct node *left, struct node *right, const unsigned int *done,
+    unsigned int wanted)
+{
+	int pass;
+
+	for (pass = 0; pass < PASSES_MAX && *done < wanted; pass++) {
+		timer_advance(&left->timers, timer_now(&left->timers) + 1);
+		timer_advance(&right->timers, timer_now(&right->timers) + 1);
+		peer_links_handle(&left->links);
+		peer_links_handle(&right->links);
+		if (pass % 16 == 15)
+			usleep(1000);
+	}
+	return *done >= wanted;
+}
+
+static void
+test_messages_pass_in_order_also_when_both_dial(void **state)
+{
+	struct peer_link_settings settings;
+	struct node left, right;
+	uint32_t number;
+
+	(void)state;
+	start_settings(&settings, 1);
+	start_node(&left, &settings);
+	start_settings(&settings, 2);
+	start_node(&right, &settings);
+	introduce(&left, &right);
+	introduce(&right, &left);
+	send_number(&left, 2, 1);
+	send_number(&right, 1, 1);
+	assert_true(run_until(&left, &right, &left.connects, 1));
+	assert_true(run_until(&left, &right, &right.connects, 1));
+	left.received = right.received = 0;
+	for (number = 2; number < 500; number++) {
+		send_number(&left, 2, number);
+		send_number(&right, 1, number);
+		run_until(&left, &right, &left.received, number - 1);
+	}
+	assert_true(run_until(&left, &right, &right.received, 400));
+	assert_int_equal(left.out_of_order + right.out_of_order, 0);
+	/* The two dials were settled on one link without a disconnect. */
+	assert_int_equal(left.disconnects + right.disconnects, 0);
+	assert_int_equal(left.links.links.count, 1);
+	assert_int_equal(right.links.links.count, 1);
+	stop_node(&left);
+	stop_node(&right);
+}
+
+static void
+test_a_restarted_host_is_dialled_again(void **state)
+{
+	struct peer_link_settings settings, right_settings;
+	struct node left, right;
+
+	(void)state;
+	start_settings(&settings, 1);
+	start_node(&left, &settings);
+	start_settings(&right_settings, 2);
+	start_node(&right, &right_settings);
+	introduce(&left, &right);
+	send_number(&left, 2, 1);
+	assert_true(run_until(&left, &right, &right.received, 1));
+	stop_node(&right);
+	right_settings.incarnation++;
+	start_node(&right, &right_settings);
+	introduce(&left, &right);
+	assert_true(run_until(&left, &right, &left.disconnects, 1));
+	/* Dropped at once while the link waits for its next dial. */
+	send_number(&left, 2, 2);
+	while (right.received == 0 && timer_now(&left.timers) < 20000) {
+		send_number(&left, 2, 3);
+		run_until(&left, &right, &right.received, 1);
+	}
+	assert_int_equal(right.last_number, 3);
+	assert_true(
+	    left.links.counters.channels[PEER_CHANNEL_CONSENSUS].dropped >= 1);
+	stop_node(&left);
+	stop_node(&right);
+}
+
+/* What the dialer and the acceptor must make of each other. */
+static void
+test_keys_and_cluster_are_checked(void **state)
+{
+	static const struct {
+		const char *right_cluster;
+		uint32_t left_keys[2], right_keys[2];
+		enum error_code refusal;
+		unsigned char right_fill;
+	} cases[] = {
+	    {"test", {1, 0}, {1, 0}, ERROR_NONE, 7},
+	    {"test", {1, 0}, {2, 1}, ERROR_NONE, 7},
+	    {"test", {2, 1}, {1, 2}, ERROR_NONE, 7},
+	    {"test", {1, 0}, {2, 0}, ERROR_UNAUTHENTICATED, 7},
+	    {"test", {1, 0}, {1, 0}, ERROR_UNAUTHENTICATED, 8},
+	    {"other", {1, 0}, {1, 0}, ERROR_WRONG_CLUSTER, 7},
+	};
+	struct peer_link_settings settings;
+	struct node left, right;
+	size_t i;
+	int k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start_settings(&settings, 1);
+		settings.key_count = cases[i].left_keys[1] != 0 ? 2 : 1;
+		for (k = 0; k < 2; k++) {
+			settings.keys[k].id = cases[i].left_keys[k];
+			memset(settings.keys[k].key, 7, FRAME_KEY_SIZE);
+		}
+		start_node(&left, &settings);
+		start_settings(&settings, 2);
+		settings.key_count = cases[i].right_keys[1] != 0 ? 2 : 1;
+		for (k = 0; k < 2; k++) {
+			settings.keys[k].id = cases[i].right_keys[k];
+			memset(settings.keys[k].key, cases[i].right_fill,
+			    FRAME_KEY_SIZE);
+		}
+		snprintf(settings.cluster_id, NAME_SIZE_MAX, "%s",
+		    cases[i].right_cluster);
+		start_node(&right, &settings);
+		introduce(&left, &right);
+		send_number(&left, 2, 1);
+		if (cases[i].refusal == ERROR_NONE)
+			assert_true(
+			    run_until(&left, &right, &right.received, 1));
+		else
+			assert_true(run_until(&left, &right, &left.refusal, 1));
+		assert_int_equal(left.refusal, cases[i].refusal);
+		if (cases[i].refusal != ERROR_NONE)
+			assert_int_equal(right.received, 0);
+		stop_node(&left);
+		stop_node(&right);
+	}
+}
+
+/* Bytes of somebody who has no key. */
+static void
+test_strangers_are_refused(void **state)
+{
+	static const struct {
+		unsigned char bytes[40];
+		size_t size;
+		enum error_code refusal;
+	} cases[] = {
+	    {"GET / HTTP/1.1\r\nHost: some.where.example", 40,
+		ERROR_UNSUPPORTED_VERSION},
+	    {{0xff, 0xff, 0xff, 0xff, 1}, 40, ERROR_TOO_LARGE},
+	    {{0, 0, 1, 1, 1}, 40, ERROR_TOO_LARGE},
+	    {{0, 0, 0, 0, 9}, 40, ERROR_UNSUPPORTED_VERSION},
+	    {{0, 0, 0, 0, 1, 2}, 40, ERROR_UNAUTHENTICATED},
+	    {{0, 0, 0, 0, 1, 0, 1}, 40, ERROR_MALFORMED},
+	    {{0}, 3, ERROR_TIMEOUT},
+	};
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct peer_link_settings settings;
+	struct node node, other;
+	size_t i;
+	int fd;
+
+	(void)state;
+	start_settings(&settings, 2);
+	start_node(&other, &settings);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start_settings(&settings, 1);
+		start_node(&node, &settings);
+		address.sin_port = htons(peer_links_port_number(&node.links));
+		inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		assert_int_equal(
+		    connect(fd, (struct sockaddr *)&address, sizeof(address)),
+		    0);
+		assert_int_equal(
+		    send(fd, cases[i].bytes, cases[i].size, MSG_NOSIGNAL),
+		    cases[i].size);
+		assert_true(run_until(&node, &other, &node.refusal, 1));
+		assert_int_equal(node.refusal, cases[i].refusal);
+		assert_int_equal(node.received + node.connects, 0);
+		assert_int_equal(node.links.links.count, 0);
+		close(fd);
+		stop_node(&node);
+	}
+	stop_node(&other);
+}
+
+/* A full queue drops by class and age; consensus never from its middle. */
+static void
+test_a_full_queue_drops_by_class(void **state)
+{
+	static const enum peer_channel pushed[] = {PEER_CHANNEL_CONSENSUS,
+	    PEER_CHANNEL_FEED, PEER_CHANNEL_MEMBERSHIP, PEER_CHANNEL_LOAD,
+	    PEER_CHANNEL_LOAD};
+	static const struct {
+		enum peer_channel channel;
+		enum error_code result;
+		enum peer_channel dropped;
+	} steps[] = {
+	    {PEER_CHANNEL_LOAD, ERROR_NONE, PEER_CHANNEL_LOAD},
+	    {PEER_CHANNEL_MEMBERSHIP, ERROR_NONE, PEER_CHANNEL_LOAD},
+	    {PEER_CHANNEL_CONSENSUS, ERROR_NONE, PEER_CHANNEL_LOAD},
+	    {PEER_CHANNEL_LOAD, ERROR_TABLE_FULL, PEER_CHANNEL_LOAD},
+	    {PEER_CHANNEL_CONSENSUS, ERROR_NONE, PEER_CHANNEL_MEMBERSHIP},
+	    {PEER_CHANNEL_CONSENSUS, ERROR_NONE, PEER_CHANNEL_MEMBERSHIP},
+	    {PEER_CHANNEL_CONSENSUS, ERROR_NONE, PEER_CHANNEL_FEED},
+	    {PEER_CHANNEL_GRANT, ERROR_TABLE_FULL, PEER_CHANNEL_GRANT},
+	    {PEER_CHANNEL_CONSENSUS, ERROR_CONNECTION, PEER_CHANNEL_CONSENSUS},
+	};
+	uint64_t dropped[PEER_CHANNEL_COUNT] = {0}, before;
+	struct peer_queue queue;
+	unsigned char body[10] = {0};
+	size_t i;
+
+	(void)state;
+	peer_queue_init(&queue, 50, dropped);
+	for (i = 0; i < 5; i++)
+		assert_int_equal(
+		    peer_queue_push(&queue, pushed[i], body, sizeof(body)),
+		    ERROR_NONE);
+	for (i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		before = dropped[steps[i].dropped];
+		assert_int_equal(peer_queue_push(&queue, steps[i].channel, body,
+				     sizeof(body)),
+		    steps[i].result);
+		assert_int_equal(dropped[steps[i].dropped], before + 1);
+		assert_true(queue.bytes <= queue.bytes_max);
+	}
+	peer_queue_clear(&queue);
+	assert_int_equal(queue.bytes, 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_messages_pass_in_order_also_when_both_dial),
+	    cmocka_unit_test(test_a_restarted_host_is_dialled_again),
+	    cmocka_unit_test(test_keys_and_cluster_are_checked),
+	    cmocka_unit_test(test_strangers_are_refused),
+	    cmocka_unit_test(test_a_full_queue_drops_by_class),
+	};
+
+	if (sodium_init() < 0)
+		return 1;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
