--- a/src/state/disk.h
+++ b/src/state/disk.h
@@ -33,7 +33,7 @@
 	    void *context, const char *name, const void *data, size_t size);
 	/** Makes a file's bytes last. */
 	enum error_code (*sync)(void *context, const char *name);
-	/** Cuts a file to @p size bytes. */
+	/** Cuts a file to @p size bytes; makes it when there is none. */
 	enum error_code (*truncate)(
 	    void *context, const char *name, size_t size);
 	/** Renames, replacing @p to. */
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -10,6 +10,7 @@
 #ifndef JOURNAL_H
 #define JOURNAL_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -42,6 +43,7 @@
 	size_t segment_size;   /**< When to begin another file. */
 	uint64_t base_index;   /**< Entry before the first that is held. */
 	uint64_t base_term;    /**< Its term. */
+	size_t base_offset;    /**< End of the base entry in its file. */
 	uint64_t synced_index; /**< Last entry that lasts. */
 	GArray *entries;       /**< struct journal_entry, by index. */
 	GArray *offsets;       /**< size_t: end of each in its file. */
--- /dev/null
+++ b/tests/fake_disk.c
@@ -0,0 +1,337 @@
+#include "fake_disk.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A file; names point to it. */
+struct fake_file {
+	GByteArray *now;
+	GByteArray *synced;
+	guint references;
+};
+
+/* A name given (file set), moved (both names set) or removed. */
+struct folder_change {
+	char from[NAME_SIZE_MAX];
+	char to[NAME_SIZE_MAX];
+	struct fake_file *file;
+};
+
+static void unref_file(gpointer pointer);
+static struct fake_file *find_or_make(struct fake_disk *disk, const char *name);
+static void note_change(struct fake_disk *disk, const char *from,
+    const char *to, struct fake_file *file);
+static void apply_change(GHashTable *names, const struct folder_change *change);
+static void tear_file(struct fake_disk *disk, struct fake_file *file);
+static void free_change(gpointer pointer);
+static size_t count_bytes(const struct fake_disk *disk);
+
+static enum error_code
+read_file(void *context, const char *name, unsigned char **data, size_t *size)
+{
+	struct fake_disk *disk = context;
+	struct fake_file *file = g_hash_table_lookup(disk->names, name);
+
+	if (file == NULL)
+		return ERROR_NOT_FOUND;
+	*data = malloc(file->now->len + 1);
+	if (*data == NULL)
+		return ERROR_NO_MEMORY;
+	if (file->now->len > 0)
+		memcpy(*data, file->now->data, file->now->len);
+	*size = file->now->len;
+	return ERROR_NONE;
+}
+
+static enum error_code
+append_file(void *context, const char *name, const void *data, size_t size)
+{
+	struct fake_disk *disk = context;
+	struct fake_file *file = find_or_make(disk, name);
+	size_t used, fits;
+
+	fits = size;
+	used = count_bytes(disk);
+	if (disk->capacity > 0 && used + size > disk->capacity)
+		fits = disk->capacity > used ? disk->capacity - used : 0;
+	g_byte_array_append(file->now, data, (guint)fits);
+	disk->written_bytes += fits;
+	return fits < size ? ERROR_DISK_FULL : ERROR_NONE;
+}
+
+static enum error_code
+sync_file(void *context, const char *name)
+{
+	struct fake_disk *disk = context;
+	struct fake_file *file = find_or_make(disk, name);
+
+	disk->syncs++;
+	if (disk->fails_sync)
+		return ERROR_IO;
+	if (disk->skips_sync)
+		return ERROR_NONE;
+	g_byte_array_set_size(file->synced, 0);
+	g_byte_array_append(file->synced, file->now->data, file->now->len);
+	return ERROR_NONE;
+}
+
+static enum error_code
+truncate_file(void *context, const char *name, size_t size)
+{
+	struct fake_file *file = find_or_make(context, name);
+
+	if (size < file->now->len)
+		g_byte_array_set_size(file->now, (guint)size);
+	return ERROR_NONE;
+}
+
+static enum error_code
+write_file(void *context, const char *name, const void *data, size_t size)
+{
+	enum error_code error;
+
+	truncate_file(context, name, 0);
+	error = append_file(context, name, data, size);
+	return error != ERROR_NONE ? error : sync_file(context, name);
+}
+
+static enum error_code
+rename_file(void *context, const char *from, const char *to)
+{
+	if (g_hash_table_lookup(((struct fake_disk *)context)->names, from) ==
+	    NULL)
+		return ERROR_NOT_FOUND;
+	note_change(context, from, to, NULL);
+	return ERROR_NONE;
+}
+
+static enum error_code
+remove_file(void *context, const char *name)
+{
+	if (g_hash_table_lookup(((struct fake_disk *)context)->names, name) ==
+	    NULL)
+		return ERROR_NOT_FOUND;
+	note_change(context, name, "", NULL);
+	return ERROR_NONE;
+}
+
+static enum error_code
+list_folder(void *context, struct disk_visitor visitor)
+{
+	struct fake_disk *disk = context;
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, disk->names);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		visitor.visit(visitor.context, name);
+	return ERROR_NONE;
+}
+
+static enum error_code
+sync_folder(void *context)
+{
+	struct fake_disk *disk = context;
+	struct folder_change *change;
+
+	if (disk->fails_sync)
+		return ERROR_IO;
+	if (disk->skips_sync)
+		return ERROR_NONE;
+	while ((change = g_queue_pop_head(disk->folder_changes)) != NULL) {
+		apply_change(disk->synced_names, change);
+		free_change(change);
+	}
+	return ERROR_NONE;
+}
+
+static const struct disk_ops fake_ops = {read_file, append_file, write_file,
+    sync_file, truncate_file, rename_file, remove_file, list_folder,
+    sync_folder};
+
+void
+fake_disk_init(struct fake_disk *disk, uint64_t seed)
+{
+	memset(disk, 0, sizeof(*disk));
+	random_init(&disk->random, seed);
+	disk->names =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_file);
+	disk->synced_names =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_file);
+	disk->folder_changes = g_queue_new();
+}
+
+void
+fake_disk_finish(struct fake_disk *disk)
+{
+	g_hash_table_unref(disk->names);
+	g_hash_table_unref(disk->synced_names);
+	g_queue_free_full(disk->folder_changes, free_change);
+	memset(disk, 0, sizeof(*disk));
+}
+
+struct disk
+fake_disk_disk(struct fake_disk *disk)
+{
+	return (struct disk){&fake_ops, disk};
+}
+
+void
+fake_disk_crash(struct fake_disk *disk)
+{
+	struct folder_change *change;
+	GHashTableIter iter;
+	gpointer name, file;
+	uint32_t kept;
+
+	kept = random_below(
+	    &disk->random, g_queue_get_length(disk->folder_changes) + 1);
+	while ((change = g_queue_pop_head(disk->folder_changes)) != NULL) {
+		if (kept > 0) {
+			apply_change(disk->synced_names, change);
+			kept--;
+		}
+		free_change(change);
+	}
+	g_hash_table_remove_all(disk->names);
+	g_hash_table_iter_init(&iter, disk->synced_names);
+	while (g_hash_table_iter_next(&iter, &name, &file)) {
+		tear_file(disk, file);
+		((struct fake_file *)file)->references++;
+		g_hash_table_insert(disk->names, g_strdup(name), file);
+	}
+}
+
+void
+fake_disk_lose(struct fake_disk *disk)
+{
+	g_queue_clear_full(disk->folder_changes, free_change);
+	g_hash_table_remove_all(disk->names);
+	g_hash_table_remove_all(disk->synced_names);
+}
+
+size_t
+fake_disk_size(const struct fake_disk *disk, const char *name)
+{
+	struct fake_file *file = g_hash_table_lookup(disk->names, name);
+
+	return file == NULL ? 0 : file->now->len;
+}
+
+void
+fake_disk_flip(struct fake_disk *disk, const char *name, size_t offset)
+{
+	struct fake_file *file = g_hash_table_lookup(disk->names, name);
+
+	if (file == NULL || offset >= file->now->len)
+		return;
+	file->now->data[offset] ^= 4;
+	if (offset < file->synced->len)
+		file->synced->data[offset] ^= 4;
+}
+
+static void
+unref_file(gpointer pointer)
+{
+	struct fake_file *file = pointer;
+
+	if (file == NULL || --file->references > 0)
+		return;
+	g_byte_array_unref(file->now);
+	g_byte_array_unref(file->synced);
+	g_free(file);
+}
+
+static struct fake_file *
+find_or_make(struct fake_disk *disk, const char *name)
+{
+	struct fake_file *file = g_hash_table_lookup(disk->names, name);
+
+	if (file != NULL)
+		return file;
+	file = g_new0(struct fake_file, 1);
+	file->now = g_byte_array_new();
+	file->synced = g_byte_array_new();
+	note_change(disk, "", name, file);
+	return file;
+}
+
+static void
+note_change(struct fake_disk *disk, const char *from, const char *to,
+    struct fake_file *file)
+{
+	struct folder_change *change = g_new0(struct folder_change, 1);
+
+	g_strlcpy(change->from, from, sizeof(change->from));
+	g_strlcpy(change->to, to, sizeof(change->to));
+	change->file = file;
+	if (file != NULL)
+		file->references++;
+	apply_change(disk->names, change);
+	g_queue_push_tail(disk->folder_changes, change);
+}
+
+static void
+apply_change(GHashTable *names, const struct folder_change *change)
+{
+	struct fake_file *file;
+
+	file = change->file;
+	if (file == NULL)
+		file = g_hash_table_lookup(names, change->from);
+	if (file != NULL)
+		file->references++;
+	if (change->from[0] != '\0')
+		g_hash_table_remove(names, change->from);
+	if (file != NULL && change->to[0] != '\0')
+		g_hash_table_insert(names, g_strdup(change->to), file);
+	else
+		unref_file(file);
+}
+
+/* Keeps a part of what was appended since the sync, its end maybe garbled. */
+static void
+tear_file(struct fake_disk *disk, struct fake_file *file)
+{
+	guint synced, extra, kept;
+
+	synced = file->synced->len;
+	if (file->now->len <= synced ||
+	    (synced > 0 &&
+		memcmp(file->now->data, file->synced->data, synced) != 0)) {
+		g_byte_array_set_size(file->now, 0);
+		g_byte_array_append(file->now, file->synced->data, synced);
+		return;
+	}
+	extra = file->now->len - synced;
+	kept = random_below(&disk->random, extra + 1);
+	g_byte_array_set_size(file->now, synced + kept);
+	if (kept > 0 && random_below(&disk->random, 2) == 0)
+		file->now->data[synced + random_below(&disk->random, kept)] ^=
+		    0x55;
+	g_byte_array_set_size(file->synced, 0);
+	g_byte_array_append(file->synced, file->now->data, file->now->len);
+}
+
+static void
+free_change(gpointer pointer)
+{
+	struct folder_change *change = pointer;
+
+	unref_file(change->file);
+	g_free(change);
+}
+
+static size_t
+count_bytes(const struct fake_disk *disk)
+{
+	struct fake_file *file;
+	GHashTableIter iter;
+	size_t bytes;
+
+	bytes = 0;
+	g_hash_table_iter_init(&iter, disk->names);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&file))
+		bytes += file->now->len;
+	return bytes;
+}
