--- a/src/base/error_code.c
+++ b/src/base/error_code.c
@@ -1,6 +1,7 @@
 #include "base/error_code.h"
 
 #include <stddef.h>
+#include <string.h>
 
 struct error_entry {
 	const char *name;
@@ -77,6 +78,18 @@
 	return error_entries[code].name;
 }
 
+enum error_code
+error_find(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ERROR_CODE_COUNT; i++) {
+		if (strcmp(error_entries[i].name, name) == 0)
+			return (enum error_code)i;
+	}
+	return ERROR_INTERNAL;
+}
+
 const char *
 error_text(enum error_code code)
 {
--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -74,6 +74,8 @@
 
 /** Stable snake_case name of a code, as the interfaces print it. */
 const char *error_name(enum error_code code);
+/** The code of a name, ERROR_INTERNAL for a name that is none. */
+enum error_code error_find(const char *name);
 /** One sentence about a code for people. */
 const char *error_text(enum error_code code);
 
--- a/src/coordination/prefix_index.h
+++ b/src/coordination/prefix_index.h
@@ -16,17 +16,11 @@
 #include <stdint.h>
 
 #include "base/error_code.h"
+#include "protocol/announcement.h"
 #include "state/request.h"
 
 #define PREFIX_HITS_MAX 16 /**< Upstreams that one lookup gives. */
 
-/** What happened in an upstream's cache. */
-enum cache_event_kind {
-	CACHE_EVENT_STORED = 1,	 /**< A prefix came in. */
-	CACHE_EVENT_EVICTED = 2, /**< A prefix was dropped. */
-	CACHE_EVENT_CLEARED = 3, /**< Everything was dropped. */
-};
-
 /** A cache event as an upstream sends it. */
 struct cache_event {
 	uint64_t upstream_id;	    /**< Whose cache. */
--- a/src/protocol/announcement.h
+++ b/src/protocol/announcement.h
@@ -26,7 +26,7 @@
 };
 
 /** One event. */
-struct cache_event {
+struct cache_batch_item {
 	uint64_t number;	    /**< Consecutive; a gap means lost ones. */
 	enum cache_event_kind kind; /**< What happened. */
 	uint64_t prefix_hash;	    /**< As in struct request_facts. */
@@ -38,7 +38,7 @@
 	uint64_t id;	      /**< upstream_id() of its name. */
 	uint64_t incarnation; /**< Numbers start at 1 in each. */
 	uint32_t count;	      /**< Events below. */
-	struct cache_event items[CACHE_EVENTS_MAX]; /**< In order sent. */
+	struct cache_batch_item items[CACHE_EVENTS_MAX]; /**< In order sent. */
 };
 
 /** A renewal; says that the upstream lives, and how loaded it is. */
--- /dev/null
+++ b/src/service/cli_client.c
@@ -0,0 +1,196 @@
+#include "service/cli.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <ulfius.h>
+
+#define MS_PER_S	     1000
+#define CLIENT_SLACK_S	     2 /* Added to the host's own wait. */
+#define HTTP_STATUS_OK_LEAST 200
+#define HTTP_STATUS_OK_MOST  299
+
+static enum error_code call_host(const struct cli *cli, const char *host,
+    const char *method, const char *path, const json_t *body, json_t **reply);
+static bool is_reachable(const struct cli *cli, const char *host);
+static enum error_code read_reply(
+    const struct _u_response *response, json_t **reply);
+static bool is_worth_another_host(enum error_code code);
+static json_t *make_batch(const struct cli *cli, json_t *changes);
+static int print_change(const struct cli *cli, const json_t *reply);
+
+enum error_code
+cli_call(const struct cli *cli, const char *method, const char *path,
+    const json_t *body, json_t **reply)
+{
+	enum error_code error, worst;
+	uint32_t i;
+
+	worst = ERROR_NONE;
+	error = ERROR_CONNECTION;
+	*reply = NULL;
+	for (i = 0; i < cli->host_count; i++) {
+		json_decref(*reply);
+		*reply = NULL;
+		error =
+		    call_host(cli, cli->hosts[i], method, path, body, reply);
+		if (!is_worth_another_host(error))
+			return error;
+		/* Once it may have been done, "not done" would be untrue. */
+		if (error == ERROR_OUTCOME_UNKNOWN || error == ERROR_TIMEOUT)
+			worst = ERROR_OUTCOME_UNKNOWN;
+	}
+	return worst == ERROR_NONE ? error : worst;
+}
+
+int
+cli_change(struct cli *cli, json_t *changes)
+{
+	enum error_code error;
+	json_t *batch, *reply;
+	int status;
+
+	batch = make_batch(cli, changes);
+	if (batch == NULL)
+		return cli_fail(cli, ERROR_NO_MEMORY, NULL);
+	error = cli_call(cli, "POST", "/operator/v1/config", batch, &reply);
+	if (error == ERROR_NONE)
+		status = print_change(cli, reply);
+	else
+		status = cli_fail(cli, error,
+		    json_string_value(json_object_get(
+			json_object_get(reply, "error"), "message")));
+	json_decref(batch);
+	json_decref(reply);
+	return status;
+}
+
+/* Asked first, so that a host that is not there is told from a lost answer. */
+static bool
+is_reachable(const struct cli *cli, const char *host)
+{
+	enum error_code error;
+	json_t *reply;
+
+	reply = NULL;
+	error = call_host(cli, host, "GET", "/healthz", NULL, &reply);
+	json_decref(reply);
+	return error != ERROR_CONNECTION;
+}
+
+static enum error_code
+call_host(const struct cli *cli, const char *host, const char *method,
+    const char *path, const json_t *body, json_t **reply)
+{
+	struct _u_request request;
+	struct _u_response response;
+	char authorization[512], url[512];
+	enum error_code error;
+	int result;
+
+	snprintf(url, sizeof(url), "%s%s", host, path);
+	snprintf(authorization, sizeof(authorization), "Bearer %s",
+	    cli->token == NULL ? "" : cli->token);
+	if (ulfius_init_request(&request) != U_OK)
+		return ERROR_NO_MEMORY;
+	if (ulfius_init_response(&response) != U_OK) {
+		ulfius_clean_request(&request);
+		return ERROR_NO_MEMORY;
+	}
+	ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, method,
+	    U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
+	    (unsigned long)(cli->timeout_ms / MS_PER_S + CLIENT_SLACK_S),
+	    U_OPT_HEADER_PARAMETER, "Authorization", authorization, U_OPT_NONE);
+	if (body != NULL)
+		ulfius_set_json_body_request(&request, (json_t *)body);
+	result = ulfius_send_http_request(&request, &response);
+	if (result == U_OK)
+		error = read_reply(&response, reply);
+	else if (result == U_ERROR_LIBCURL && body != NULL)
+		error = ERROR_OUTCOME_UNKNOWN;
+	else
+		error = ERROR_CONNECTION;
+	ulfius_clean_request(&request);
+	ulfius_clean_response(&response);
+	return error;
+}
+
+static enum error_code
+read_reply(const struct _u_response *response, json_t **reply)
+{
+	const char *type;
+
+	*reply =
+	    ulfius_get_json_body_response((struct _u_response *)response, NULL);
+	if (response->status >= HTTP_STATUS_OK_LEAST &&
+	    response->status <= HTTP_STATUS_OK_MOST)
+		return *reply == NULL ? ERROR_MALFORMED : ERROR_NONE;
+	type = json_string_value(
+	    json_object_get(json_object_get(*reply, "error"), "type"));
+	if (type == NULL)
+		return ERROR_MALFORMED;
+	return error_find(type);
+}
+
+static bool
+is_worth_another_host(enum error_code code)
+{
+	switch (code) {
+	case ERROR_CONNECTION:
+	case ERROR_NO_QUORUM:
+	case ERROR_NOT_LEADER:
+	case ERROR_SHUTTING_DOWN:
+	case ERROR_OUTCOME_UNKNOWN:
+	case ERROR_TIMEOUT:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static json_t *
+make_batch(const struct cli *cli, json_t *changes)
+{
+	json_t *batch;
+
+	batch = json_pack("{s:s,s:o,s:s,s:I,s:b}", "operation_id",
+	    cli->operation_id, "changes", changes, "wait",
+	    cli->wait == CLI_WAIT_IN_FORCE ? "in_force" : "accepted",
+	    "timeout_ms", (json_int_t)cli->timeout_ms, "dry_run",
+	    cli->is_dry_run);
+	if (batch != NULL && cli->expect_revision != CLI_REVISION_ANY)
+		json_object_set_new(batch, "expected_revision",
+		    json_integer(cli->expect_revision));
+	return batch;
+}
+
+static int
+print_change(const struct cli *cli, const json_t *reply)
+{
+	const char *state;
+	json_t *upstream;
+	size_t i;
+
+	if (cli->is_json) {
+		json_dumpf(reply, stdout, JSON_COMPACT);
+		fputc('\n', stdout);
+	}
+	state = json_string_value(json_object_get(reply, "state"));
+	if (state == NULL)
+		state = "unknown";
+	if (!cli->is_json && cli->is_dry_run) {
+		puts("would take these upstreams:");
+		json_array_foreach(json_object_get(reply, "upstreams"), i,
+		    upstream) printf("  %s\n", json_string_value(upstream));
+	} else if (!cli->is_json) {
+		printf("%s at revision %" JSON_INTEGER_FORMAT
+		       " (operation %s)\n",
+		    state,
+		    json_integer_value(json_object_get(reply, "revision")),
+		    cli->operation_id);
+	}
+	if (cli->wait == CLI_WAIT_IN_FORCE && strcmp(state, "accepted") == 0)
+		return CLI_EXIT_NOT_IN_FORCE;
+	return CLI_EXIT_OK;
+}
--- /dev/null
+++ b/src/service/cli_verbs.c
@@ -0,0 +1,581 @@
+#include "service/cli.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/event_log.h"
+#include "service/serve.h"
+#include "service/settings.h"
+#include "state/config_entry.h"
+#include "state/intent.h"
+
+#define PATH_SIZE      512 /* Bytes of a request's path. */
+#define WATCH_PERIOD_S 1   /* Between two looks of config watch. */
+
+static int run_serve(struct cli *cli);
+static int run_check_config(struct cli *cli);
+static int run_status(struct cli *cli);
+static int run_upstreams(struct cli *cli);
+static int run_label(struct cli *cli);
+static int run_takeout(struct cli *cli);
+static int run_bring_back(struct cli *cli);
+static int run_config(struct cli *cli);
+static int run_account(struct cli *cli);
+static int run_order(struct cli *cli);
+static int run_hosts(struct cli *cli);
+static int run_quarantine(struct cli *cli);
+static int run_override(struct cli *cli);
+static int run_events(struct cli *cli);
+static int run_completion(struct cli *cli);
+static int run_version(struct cli *cli);
+
+static int show(
+    struct cli *cli, const char *path, void (*print)(const json_t *reply));
+static int send_body(struct cli *cli, const char *path, json_t *body);
+static int watch_config(struct cli *cli);
+static void print_status(const json_t *reply);
+static void print_bands(const json_t *bands);
+static void print_upstreams(const json_t *reply);
+static void print_config(const json_t *reply);
+static void print_hosts(const json_t *reply);
+static void print_quarantine(const json_t *reply);
+static void print_orders(const json_t *reply);
+static void print_plain(const json_t *reply);
+static const char *text_of(const json_t *object, const char *key);
+static json_int_t number_of(const json_t *object, const char *key);
+static int usage(const char *words);
+static json_t *one_change(const char *key, const char *value);
+static void write_line(void *context, const char *line);
+
+static const struct cli_verb verbs[] = {
+    {"serve", "--config FILE", 0, 0, "run a host until SIGTERM",
+	"chicorytack serve --config /etc/chicorytack/host.json", run_serve},
+    {"check-config", "--config FILE | --describe", 0, 0,
+	"check settings, or list every key",
+	"chicorytack check-config --config host.json", run_check_config},
+    {"status", "", 0, 0, "what an operator wants to know under stress",
+	"chicorytack status --host http://10.0.0.1:8080", run_status},
+    {"upstreams", "[SELECTOR]", 0, 1, "list upstreams, by selector",
+	"chicorytack upstreams data_centre=regina", run_upstreams},
+    {"label", "KIND NAME KEY=VALUE|KEY-", 3, 3,
+	"set or remove a label of an upstream, data_centre, client_account",
+	"chicorytack label upstream engine-3 tier=gold", run_label},
+    {"takeout", "NAME SELECTOR", 2, 2,
+	"take the upstreams of a selector out of service",
+	"chicorytack takeout regina-down data_centre=regina", run_takeout},
+    {"bring-back", "NAME", 1, 1, "end a takeout",
+	"chicorytack bring-back regina-down", run_bring_back},
+    {"config", "get|list|put|delete|watch [KEY] [VALUE]", 1, 3,
+	"read and change the replicated configuration",
+	"chicorytack config put client_account/spa-desk/weight 5", run_config},
+    {"account", "add|remove NAME [TOKEN]", 2, 3,
+	"let a client account in, by the hash of its token",
+	"chicorytack account add spa-desk s3cret", run_account},
+    {"order", "give UPSTREAM KIND ARGUMENT | list", 1, 4,
+	"order an engine: load-model, load-adapter, set-version, set-role",
+	"chicorytack order give engine-3 load-model small-7b", run_order},
+    {"hosts", "list|add-voter|remove-voter|replace-voter [ID] [NEW-ID]", 1, 3,
+	"list hosts, change voters", "chicorytack hosts replace-voter 3 9",
+	run_hosts},
+    {"quarantine", "list|release [FINGERPRINT]", 1, 2,
+	"requests kept away because they crash upstreams",
+	"chicorytack quarantine list", run_quarantine},
+    {"override", "serve-unconfirmed SECONDS | clear", 1, 2,
+	"let one host serve without a confirmed configuration",
+	"chicorytack override serve-unconfirmed 600", run_override},
+    {"events", "", 0, 0, "the catalogue of numbered log events",
+	"chicorytack events", run_events},
+    {"completion", "bash", 1, 1, "print the shell's completion",
+	"chicorytack completion bash > chicorytack.bash", run_completion},
+    {"version", "", 0, 0, "print the version", "chicorytack version",
+	run_version},
+    {NULL, NULL, 0, 0, NULL, NULL, NULL},
+};
+
+const struct cli_verb *
+cli_verbs(void)
+{
+	return verbs;
+}
+
+static int
+run_serve(struct cli *cli)
+{
+	struct settings_problem problem;
+	struct settings settings;
+
+	if (cli->config_path == NULL)
+		return usage("serve --config FILE");
+	if (settings_load(&settings, cli->config_path, &problem) !=
+	    ERROR_NONE) {
+		event_log_write(EVENT_SETTINGS_REFUSED,
+		    "%s: key %s value %s: expected %s", cli->config_path,
+		    problem.key, problem.value, problem.expected);
+		return CLI_EXIT_REFUSED;
+	}
+	return cli_exit_code(serve_run(&settings));
+}
+
+static int
+run_check_config(struct cli *cli)
+{
+	struct settings_problem problem;
+	struct settings settings;
+	json_t *line;
+
+	if (cli->describe) {
+		settings_describe(write_line, NULL);
+		return CLI_EXIT_OK;
+	}
+	if (cli->config_path == NULL)
+		return usage("check-config --config FILE | --describe");
+	if (settings_load(&settings, cli->config_path, &problem) ==
+	    ERROR_NONE) {
+		puts(cli->is_json ? "{\"ok\":true}" : "settings are good");
+		return CLI_EXIT_OK;
+	}
+	if (cli->is_json) {
+		line = json_pack("{s:b,s:s,s:s,s:s,s:s,s:s}", "ok", 0, "file",
+		    cli->config_path, "type", error_name(problem.code), "key",
+		    problem.key, "value", problem.value, "expected",
+		    problem.expected);
+		json_dumpf(line, stdout, JSON_COMPACT);
+		fputc('\n', stdout);
+		json_decref(line);
+	} else {
+		fprintf(stderr, "%s: %s: key '%s' value '%s': expected %s\n",
+		    cli->config_path, error_name(problem.code), problem.key,
+		    problem.value, problem.expected);
+	}
+	return CLI_EXIT_REFUSED;
+}
+
+static int
+run_status(struct cli *cli)
+{
+	return show(cli, "/operator/v1/status", print_status);
+}
+
+static int
+run_upstreams(struct cli *cli)
+{
+	char path[PATH_SIZE];
+
+	snprintf(path, sizeof(path), "/operator/v1/upstreams?selector=%s",
+	    cli->argument_count == 1 ? cli->arguments[0] : "");
+	return show(cli, path, print_upstreams);
+}
+
+static int
+run_label(struct cli *cli)
+{
+	char key[CONFIG_KEY_SIZE_MAX], *word, *equals;
+	size_t length;
+
+	word = cli->arguments[2];
+	equals = strchr(word, '=');
+	length = strlen(word);
+	if (equals == NULL && (length < 2 || word[length - 1] != '-'))
+		return usage("label KIND NAME KEY=VALUE|KEY-");
+	if (equals != NULL)
+		*equals = '\0';
+	else
+		word[length - 1] = '\0';
+	snprintf(key, sizeof(key), "%s/%s/label/%s", cli->arguments[0],
+	    cli->arguments[1], word);
+	return cli_change(
+	    cli, one_change(key, equals == NULL ? NULL : equals + 1));
+}
+
+static int
+run_takeout(struct cli *cli)
+{
+	char key[CONFIG_KEY_SIZE_MAX];
+
+	snprintf(key, sizeof(key), "takeout/%s", cli->arguments[0]);
+	return cli_change(cli, one_change(key, cli->arguments[1]));
+}
+
+static int
+run_bring_back(struct cli *cli)
+{
+	char key[CONFIG_KEY_SIZE_MAX];
+
+	snprintf(key, sizeof(key), "takeout/%s", cli->arguments[0]);
+	return cli_change(cli, one_change(key, NULL));
+}
+
+static int
+run_config(struct cli *cli)
+{
+	char path[PATH_SIZE];
+	const char *what, *key;
+
+	what = cli->arguments[0];
+	key = cli->argument_count > 1 ? cli->arguments[1] : "";
+	if (strcmp(what, "put") == 0 && cli->argument_count == 3)
+		return cli_change(cli, one_change(key, cli->arguments[2]));
+	if (strcmp(what, "delete") == 0 && cli->argument_count == 2)
+		return cli_change(cli, one_change(key, NULL));
+	if (strcmp(what, "watch") == 0)
+		return watch_config(cli);
+	snprintf(path, sizeof(path), "/operator/v1/config?%s=%s",
+	    strcmp(what, "get") == 0 ? "key" : "prefix", key);
+	if (strcmp(what, "list") == 0 ||
+	    (strcmp(what, "get") == 0 && cli->argument_count == 2))
+		return show(cli, path, print_config);
+	return usage("config get|list|put|delete|watch [KEY] [VALUE]");
+}
+
+static int
+run_account(struct cli *cli)
+{
+	char key[CONFIG_KEY_SIZE_MAX], hash[TOKEN_HASH_SIZE];
+
+	snprintf(
+	    key, sizeof(key), "client_account/%s/token", cli->arguments[1]);
+	if (strcmp(cli->arguments[0], "remove") == 0)
+		return cli_change(cli, one_change(key, NULL));
+	if (strcmp(cli->arguments[0], "add") != 0 || cli->argument_count != 3)
+		return usage("account add|remove NAME [TOKEN]");
+	/* The configuration holds the hash only, so reading it lets nobody in. */
+	intent_hash_token(cli->arguments[2], hash);
+	return cli_change(cli, one_change(key, hash));
+}
+
+static int
+run_order(struct cli *cli)
+{
+	if (strcmp(cli->arguments[0], "list") == 0)
+		return show(cli, "/operator/v1/orders", print_orders);
+	if (strcmp(cli->arguments[0], "give") != 0 || cli->argument_count != 4)
+		return usage("order give UPSTREAM KIND ARGUMENT | list");
+	return send_body(cli, "/operator/v1/orders",
+	    json_pack("{s:s,s:s,s:s,s:s}", "operation_id", cli->operation_id,
+		"upstream", cli->arguments[1], "kind", cli->arguments[2],
+		"argument", cli->arguments[3]));
+}
+
+static int
+run_hosts(struct cli *cli)
+{
+	const char *what;
+
+	what = cli->arguments[0];
+	if (strcmp(what, "list") == 0)
+		return show(cli, "/operator/v1/hosts", print_hosts);
+	if (strcmp(what, "add-voter") == 0 && cli->argument_count == 2)
+		return send_body(cli, "/operator/v1/voters",
+		    json_pack("{s:i}", "add", atoi(cli->arguments[1])));
+	if (strcmp(what, "remove-voter") == 0 && cli->argument_count == 2)
+		return send_body(cli, "/operator/v1/voters",
+		    json_pack("{s:i}", "remove", atoi(cli->arguments[1])));
+	if (strcmp(what, "replace-voter") == 0 && cli->argument_count == 3)
+		return send_body(cli, "/operator/v1/voters",
+		    json_pack("{s:i,s:i}", "remove", atoi(cli->arguments[1]),
+			"add", atoi(cli->arguments[2])));
+	return usage("hosts list|add-voter|remove-voter|replace-voter "
+		     "[ID] [NEW-ID]");
+}
+
+static int
+run_quarantine(struct cli *cli)
+{
+	if (strcmp(cli->arguments[0], "list") == 0)
+		return show(cli, "/operator/v1/quarantine", print_quarantine);
+	if (strcmp(cli->arguments[0], "release") != 0 ||
+	    cli->argument_count != 2)
+		return usage("quarantine list|release [FINGERPRINT]");
+	return send_body(cli, "/operator/v1/quarantine",
+	    json_pack("{s:s}", "release", cli->arguments[1]));
+}
+
+static int
+run_override(struct cli *cli)
+{
+	int seconds;
+
+	if (strcmp(cli->arguments[0], "clear") == 0)
+		seconds = 0;
+	else if (strcmp(cli->arguments[0], "serve-unconfirmed") == 0 &&
+		 cli->argument_count == 2 && atoi(cli->arguments[1]) > 0)
+		seconds = atoi(cli->arguments[1]);
+	else
+		return usage("override serve-unconfirmed SECONDS | clear");
+	return send_body(cli, "/operator/v1/override",
+	    json_pack("{s:i}", "serve_unconfirmed_s", seconds));
+}
+
+static int
+run_events(struct cli *cli)
+{
+	const struct event_entry *entry;
+	size_t i;
+
+	(void)cli;
+	for (i = 0; (entry = event_log_entry(i)) != NULL; i++)
+		printf("| E%d | %s | %s |\n", (int)entry->number,
+		    event_level_name(entry->level), entry->text);
+	return CLI_EXIT_OK;
+}
+
+static int
+run_completion(struct cli *cli)
+{
+	const struct cli_verb *verb;
+
+	if (strcmp(cli->arguments[0], "bash") != 0)
+		return usage("completion bash");
+	printf("complete -W '");
+	for (verb = verbs; verb->name != NULL; verb++)
+		printf("%s ", verb->name);
+	puts("--host --token --config --json --operation-id "
+	     "--expect-revision --wait --timeout-ms --dry-run --help' "
+	     "chicorytack");
+	return CLI_EXIT_OK;
+}
+
+static int
+run_version(struct cli *cli)
+{
+	(void)cli;
+	puts("chicorytack " CHICORY_VERSION);
+	return CLI_EXIT_OK;
+}
+
+static int
+show(struct cli *cli, const char *path, void (*print)(const json_t *reply))
+{
+	enum error_code error;
+	json_t *reply;
+	int status;
+
+	error = cli_call(cli, "GET", path, NULL, &reply);
+	if (error != ERROR_NONE) {
+		status = cli_fail(cli, error,
+		    text_of(json_object_get(reply, "error"), "message"));
+	} else {
+		status = CLI_EXIT_OK;
+		if (cli->is_json) {
+			json_dumpf(reply, stdout, JSON_COMPACT);
+			fputc('\n', stdout);
+		} else {
+			print(reply);
+		}
+	}
+	json_decref(reply);
+	return status;
+}
+
+static int
+send_body(struct cli *cli, const char *path, json_t *body)
+{
+	enum error_code error;
+	json_t *reply;
+	int status;
+
+	error = cli_call(cli, "POST", path, body, &reply);
+	if (error != ERROR_NONE) {
+		status = cli_fail(cli, error,
+		    text_of(json_object_get(reply, "error"), "message"));
+	} else {
+		status = CLI_EXIT_OK;
+		print_plain(reply);
+	}
+	json_decref(body);
+	json_decref(reply);
+	return status;
+}
+
+static int
+watch_config(struct cli *cli)
+{
+	enum error_code error;
+	json_int_t revision;
+	json_t *reply;
+
+	revision = -1;
+	for (;;) {
+		error = cli_call(
+		    cli, "GET", "/operator/v1/config?prefix=", NULL, &reply);
+		if (error != ERROR_NONE) {
+			json_decref(reply);
+			return cli_fail(cli, error, NULL);
+		}
+		if (number_of(reply, "revision") != revision) {
+			revision = number_of(reply, "revision");
+			print_config(reply);
+			fflush(stdout);
+		}
+		json_decref(reply);
+		sleep(WATCH_PERIOD_S);
+	}
+}
+
+static void
+print_status(const json_t *reply)
+{
+	const json_t *voters, *upstreams, *item;
+	const char *key;
+	size_t i;
+
+	printf("host        %s (%" JSON_INTEGER_FORMAT ") in %s: %s\n",
+	    text_of(reply, "host_name"), number_of(reply, "host_id"),
+	    text_of(reply, "data_centre"), text_of(reply, "state"));
+	printf("leader      %" JSON_INTEGER_FORMAT
+	       " in term %" JSON_INTEGER_FORMAT ", voters",
+	    number_of(reply, "leader"), number_of(reply, "term"));
+	voters = json_object_get(reply, "voters");
+	json_array_foreach(voters, i, item)
+	    printf(" %" JSON_INTEGER_FORMAT, json_integer_value(item));
+	printf("\nrevision    %" JSON_INTEGER_FORMAT
+	       " here, %" JSON_INTEGER_FORMAT
+	       " in force everywhere, lease %" JSON_INTEGER_FORMAT " ms\n",
+	    number_of(reply, "revision"), number_of(reply, "revision_in_force"),
+	    number_of(reply, "lease_remaining_ms"));
+	printf("takeouts   ");
+	json_array_foreach(json_object_get(reply, "takeouts"), i, item)
+	    printf(" %s(%s)", text_of(item, "name"), text_of(item, "selector"));
+	printf("\nupstreams  ");
+	upstreams = json_object_get(reply, "upstreams");
+	json_object_foreach((json_t *)upstreams, key, item)
+	    printf(" %s=%" JSON_INTEGER_FORMAT, key, json_integer_value(item));
+	printf("\nrequests    %" JSON_INTEGER_FORMAT
+	       " running, %" JSON_INTEGER_FORMAT " waiting\n",
+	    number_of(reply, "requests_running"),
+	    number_of(reply, "requests_waiting"));
+	print_bands(json_object_get(reply, "first_token_ms"));
+	printf("quarantine  %" JSON_INTEGER_FORMAT " requests\n",
+	    number_of(reply, "quarantined"));
+}
+
+static void
+print_bands(const json_t *bands)
+{
+	const json_t *band;
+	size_t i;
+
+	json_array_foreach(bands, i, band)
+	    printf("first token %-6s %8" JSON_INTEGER_FORMAT
+		   " requests, mean %" JSON_INTEGER_FORMAT " ms\n",
+		text_of(band, "band"), number_of(band, "count"),
+		number_of(band, "mean_ms"));
+}
+
+static void
+print_upstreams(const json_t *reply)
+{
+	const json_t *item;
+	size_t i;
+
+	printf("%-20s %-12s %-9s %-9s %-8s %s\n", "NAME", "DATA CENTRE",
+	    "STATE", "WARMTH", "GRANTED", "URL");
+	json_array_foreach(json_object_get(reply, "upstreams"), i, item)
+	    printf("%-20s %-12s %-9s %-9s %-8" JSON_INTEGER_FORMAT " %s\n",
+		text_of(item, "name"), text_of(item, "data_centre"),
+		text_of(item, "state"), text_of(item, "warmth"),
+		number_of(item, "granted"), text_of(item, "url"));
+}
+
+static void
+print_config(const json_t *reply)
+{
+	const json_t *item;
+	size_t i;
+
+	printf("revision %" JSON_INTEGER_FORMAT "\n",
+	    number_of(reply, "revision"));
+	json_array_foreach(json_object_get(reply, "entries"), i, item)
+	    printf("%s = %s (revision %" JSON_INTEGER_FORMAT ")\n",
+		text_of(item, "key"), text_of(item, "value"),
+		number_of(item, "revision"));
+}
+
+static void
+print_hosts(const json_t *reply)
+{
+	const json_t *item;
+	size_t i;
+
+	printf("%-6s %-12s %-9s %-7s %s\n", "ID", "DATA CENTRE", "STATE",
+	    "VOTER", "ADDRESS");
+	json_array_foreach(json_object_get(reply, "hosts"), i, item)
+	    printf("%-6" JSON_INTEGER_FORMAT " %-12s %-9s %-7s %s\n",
+		number_of(item, "id"), text_of(item, "data_centre"),
+		text_of(item, "state"),
+		json_is_true(json_object_get(item, "voter")) ? "yes" : "no",
+		text_of(item, "address"));
+}
+
+static void
+print_quarantine(const json_t *reply)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(reply, "quarantined"), i, item)
+	    printf("%s until %" JSON_INTEGER_FORMAT "\n",
+		text_of(item, "fingerprint"), number_of(item, "until_ms"));
+}
+
+static void
+print_orders(const json_t *reply)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(reply, "orders"), i, item)
+	    printf("%" JSON_INTEGER_FORMAT " %s %s %s: %s\n",
+		number_of(item, "fencing"), text_of(item, "upstream"),
+		text_of(item, "kind"), text_of(item, "argument"),
+		text_of(item, "state"));
+}
+
+static void
+print_plain(const json_t *reply)
+{
+	json_dumpf(reply, stdout, JSON_COMPACT);
+	fputc('\n', stdout);
+}
+
+static const char *
+text_of(const json_t *object, const char *key)
+{
+	const char *text;
+
+	text = json_string_value(json_object_get(object, key));
+	return text == NULL ? "-" : text;
+}
+
+static json_int_t
+number_of(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+static int
+usage(const char *words)
+{
+	fprintf(stderr, "chicorytack: usage: chicorytack %s\n", words);
+	return CLI_EXIT_USAGE;
+}
+
+static json_t *
+one_change(const char *key, const char *value)
+{
+	json_t *changes;
+
+	changes = json_object();
+	json_object_set_new(
+	    changes, key, value == NULL ? json_null() : json_string(value));
+	return changes;
+}
+
+static void
+write_line(void *context, const char *line)
+{
+	(void)context;
+	puts(line);
+}
--- /dev/null
+++ b/src/service/host.c
@@ -0,0 +1,449 @@
+#include "service/host.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <sodium.h>
+#include <xxhash.h>
+
+#include "base/event_log.h"
+#include "base/monotonic_clock.h"
+
+#define TIMERS_MAX	      65536  /* Timers of the coordination thread. */
+#define MAILBOX_MAX	      16384  /* Calls that may wait. */
+#define TURN_MS		      50     /* Longest sleep of the loop. */
+#define PREFIX_ENTRIES	      262144 /* Prefixes remembered. */
+#define PREFIX_HALF_LIFE_MS   300000 /* After which trust halves. */
+#define SPANS_MAX	      8192   /* Spans that wait to be written. */
+#define REQUEST_ID_HOST_SHIFT 48     /* The host's part of a request id. */
+#define HAND_OVER_MS	      1500   /* Longest wait for a hand-over. */
+#define HAND_OVER_STEP_MS     20     /* Between looks at it. */
+#define US_PER_MS	      1000
+
+static enum error_code init_parts(struct host *host);
+static enum error_code init_links(struct host *host);
+static enum error_code init_membership(struct host *host);
+static enum error_code init_line(struct host *host);
+static void *run_loop(void *argument);
+static void run_turn(struct host *host);
+static void receive_frame(void *context, uint32_t from_host,
+    enum peer_channel channel, const void *body, size_t size);
+static void note_connected(
+    void *context, uint32_t host_id, uint64_t incarnation);
+static void note_disconnected(void *context, uint32_t host_id);
+static void dial_seed(void *context, const char *ip, uint16_t port);
+static void add_host(
+    void *context, uint32_t host_id, const char *ip, uint16_t port);
+static void note_joined(void *context, const struct host_record *record);
+static void note_suspected(void *context, const struct host_record *record);
+static void note_dead(void *context, const struct host_record *record);
+static void note_declared_dead(void *context, uint64_t incarnation);
+static enum error_code receive_other(
+    void *context, uint32_t from_host, const void *body, size_t size);
+static void run_drain(void *coordinator, struct mailbox_call *call);
+static void run_hand_over(void *coordinator, struct mailbox_call *call);
+static void check_hand_over(void *context);
+static bool is_handed_over(struct host *host);
+
+static const struct mailbox_ops drain_ops = {.run = run_drain};
+static const struct mailbox_ops hand_over_ops = {.run = run_hand_over};
+
+/* A hand-over that is being waited for. */
+struct hand_over {
+	struct host *host;
+	struct mailbox_call *call;
+	struct handle timer;
+};
+
+enum error_code
+host_init(struct host *host, const struct settings *settings)
+{
+	enum error_code error;
+
+	memset(host, 0, sizeof(*host));
+	host->settings = *settings;
+	host->incarnation = (uint64_t)clock_wall_us();
+	random_init(&host->random, randombytes_random() | host->incarnation);
+	/* The same on all hosts, so that a request is known on each. */
+	host->fingerprint_key =
+	    XXH64(settings->cluster, strlen(settings->cluster), 1);
+	atomic_store(&host->next_request_id,
+	    ((uint64_t)settings->host_id << REQUEST_ID_HOST_SHIFT) |
+		(host->incarnation & ((1ull << REQUEST_ID_HOST_SHIFT) - 1)));
+	error = mailbox_init(&host->mailbox, MAILBOX_MAX);
+	if (error != ERROR_NONE)
+		return error;
+	timer_init(&host->timers, TIMERS_MAX, host_now_ms());
+	error = init_parts(host);
+	if (error != ERROR_NONE)
+		return error;
+	if (pthread_create(&host->thread, NULL, run_loop, host) != 0)
+		return ERROR_NO_MEMORY;
+	return ERROR_NONE;
+}
+
+void
+host_drain(struct host *host)
+{
+	struct mailbox_call *call;
+
+	atomic_store(&host->is_draining, true);
+	wait_line_close(&host->line);
+	call = mailbox_call_new(&drain_ops, 0);
+	mailbox_await(&host->mailbox, call, HAND_OVER_MS);
+	mailbox_call_drop(call);
+}
+
+void
+host_finish(struct host *host)
+{
+	struct mailbox_call *call;
+
+	call = mailbox_call_new(&hand_over_ops, 0);
+	mailbox_await(&host->mailbox, call, HAND_OVER_MS * 2);
+	mailbox_call_drop(call);
+	atomic_store(&host->is_stopping, true);
+	pthread_join(host->thread, NULL);
+	mailbox_close(&host->mailbox);
+	upstream_http_finish(&host->upstreams_http);
+	host_agreement_finish(host);
+	wait_line_finish(&host->line);
+	host_fleet_finish(host);
+	membership_finish(&host->membership);
+	peer_links_finish(&host->links);
+	timer_finish(&host->timers);
+	prefix_index_finish(&host->prefixes);
+	span_log_finish(&host->spans);
+	request_metrics_finish(&host->metrics);
+	mailbox_finish(&host->mailbox);
+}
+
+int64_t
+host_now_ms(void)
+{
+	return clock_monotonic_ms();
+}
+
+uint64_t
+host_new_request_id(struct host *host)
+{
+	return atomic_fetch_add(&host->next_request_id, 1);
+}
+
+bool
+host_may_start(struct host *host)
+{
+	return fleet_may_start(&host->fleet, host_now_ms());
+}
+
+static enum error_code
+init_parts(struct host *host)
+{
+	enum error_code error;
+
+	retry_settings_fill(&host->retry);
+	retry_budget_init(&host->retry_budget, &host->retry);
+	error = request_metrics_init(&host->metrics);
+	if (error == ERROR_NONE)
+		error = span_log_init(&host->spans, host->settings.trace_file,
+		    host->settings.host_id, SPANS_MAX);
+	if (error == ERROR_NONE)
+		error = prefix_index_init(
+		    &host->prefixes, PREFIX_ENTRIES, PREFIX_HALF_LIFE_MS);
+	if (error == ERROR_NONE)
+		error = upstream_http_init(
+		    &host->upstreams_http, &(struct upstream_http_settings){0});
+	if (error == ERROR_NONE)
+		error = init_links(host);
+	if (error == ERROR_NONE)
+		error = init_membership(host);
+	if (error == ERROR_NONE)
+		error = host_fleet_init(host);
+	if (error == ERROR_NONE)
+		error = init_line(host);
+	if (error == ERROR_NONE)
+		error = host_agreement_init(host);
+	return error;
+}
+
+static enum error_code
+init_links(struct host *host)
+{
+	struct peer_link_settings links = {0};
+	const struct settings *settings = &host->settings;
+	struct peer_link_ops ops = {
+	    .receive = receive_frame,
+	    .connected = note_connected,
+	    .disconnected = note_disconnected,
+	    .context = host,
+	};
+	uint32_t i;
+
+	links.host_id = settings->host_id;
+	links.incarnation = host->incarnation;
+	snprintf(links.cluster_id, sizeof(links.cluster_id), "%s",
+	    settings->cluster);
+	snprintf(links.listen_ip, sizeof(links.listen_ip), "%s",
+	    settings->peer_address);
+	links.listen_port = (uint16_t)settings->peer_port;
+	links.key_count = settings->peer_key_count;
+	for (i = 0; i < settings->peer_key_count; i++) {
+		links.keys[i].id = settings->peer_keys[i].id;
+		memcpy(links.keys[i].key, settings->peer_keys[i].bytes,
+		    sizeof(links.keys[i].key));
+	}
+	return peer_links_init(&host->links, &links, &host->timers,
+	    random_word(&host->random), ops);
+}
+
+static enum error_code
+init_membership(struct host *host)
+{
+	const struct settings *settings = &host->settings;
+	struct membership_settings membership = {0};
+	struct host_record *self = &membership.self;
+	struct membership_ops ops = {
+	    .dial_seed = dial_seed,
+	    .add_host = add_host,
+	    .joined = note_joined,
+	    .suspected = note_suspected,
+	    .dead = note_dead,
+	    .was_declared_dead = note_declared_dead,
+	    .receive_other = receive_other,
+	    .context = host,
+	};
+	uint32_t i;
+
+	self->id = settings->host_id;
+	self->incarnation = host->incarnation;
+	self->port = (uint16_t)settings->peer_port;
+	self->http_port = (uint16_t)settings->http_port;
+	snprintf(self->ip, sizeof(self->ip), "%s", settings->peer_address);
+	snprintf(
+	    self->http_ip, sizeof(self->http_ip), "%s", settings->http_address);
+	snprintf(self->data_centre, sizeof(self->data_centre), "%s",
+	    settings->data_centre);
+	for (i = 0; i < settings->seed_count; i++) {
+		snprintf(membership.seeds[i].ip, sizeof(membership.seeds[i].ip),
+		    "%s", settings->seeds[i].address);
+		membership.seeds[i].port = (uint16_t)settings->seeds[i].port;
+		/* Voters must find each other before gossip names them. */
+		if (settings->seeds[i].id != settings->host_id)
+			peer_links_add_host(&host->links, settings->seeds[i].id,
+			    settings->seeds[i].address,
+			    (uint16_t)settings->seeds[i].port);
+	}
+	membership.seed_count = settings->seed_count;
+	return membership_init(&host->membership, &membership, &host->timers,
+	    random_word(&host->random), peer_links_port(&host->links), ops);
+}
+
+static enum error_code
+init_line(struct host *host)
+{
+	struct wait_line_parts parts = {
+	    .fleet = &host->fleet,
+	    .prefixes = &host->prefixes,
+	    .mix = &host->mix,
+	    .now_ms = host_now_ms,
+	};
+
+	router_settings_fill(&parts.router);
+	parts.queue.items_max = host->settings.queue_requests_max;
+	parts.queue.account_items_max = host->settings.queue_requests_max;
+	return wait_line_init(&host->line, &parts);
+}
+
+static void *
+run_loop(void *argument)
+{
+	struct host *host = argument;
+
+	while (!atomic_load(&host->is_stopping))
+		run_turn(host);
+	return NULL;
+}
+
+static void
+run_turn(struct host *host)
+{
+	struct pollfd fds[2] = {{.events = POLLIN}, {.events = POLLIN}};
+	int64_t wait_ms;
+
+	timer_advance(&host->timers, host_now_ms());
+	wait_ms = timer_next(&host->timers) - host_now_ms();
+	if (wait_ms > TURN_MS)
+		wait_ms = TURN_MS;
+	if (wait_ms < 0)
+		wait_ms = 0;
+	fds[0].fd = peer_links_fd(&host->links);
+	fds[1].fd = mailbox_fd(&host->mailbox);
+	if (poll(fds, 2, (int)wait_ms) < 0 && errno != EINTR)
+		event_log_write(EVENT_LISTEN_FAILED, "poll: %d", errno);
+	timer_advance(&host->timers, host_now_ms());
+	peer_links_handle(&host->links);
+	membership_step(&host->membership);
+	mailbox_run(&host->mailbox, host);
+	host_agreement_step(host);
+	host_fleet_step(host);
+}
+
+static void
+receive_frame(void *context, uint32_t from_host, enum peer_channel channel,
+    const void *body, size_t size)
+{
+	struct host *host = context;
+
+	switch (channel) {
+	case PEER_CHANNEL_MEMBERSHIP:
+		membership_receive(&host->membership, from_host, body, size);
+		break;
+	case PEER_CHANNEL_CONSENSUS:
+		if (host->has_disk)
+			consensus_receive(
+			    &host->consensus, from_host, body, size);
+		break;
+	case PEER_CHANNEL_FEED:
+		config_feed_receive(&host->feed, from_host, body, size);
+		break;
+	case PEER_CHANNEL_COMMAND:
+		command_client_receive(&host->commands, from_host, body, size);
+		break;
+	case PEER_CHANNEL_GRANT:
+		host_fleet_receive_grant(host, from_host, body, size);
+		break;
+	case PEER_CHANNEL_LOAD:
+		upstream_directory_receive(
+		    &host->directory, from_host, body, size);
+		break;
+	case PEER_CHANNEL_COUNT:
+		break;
+	}
+}
+
+static void
+note_connected(void *context, uint32_t host_id, uint64_t incarnation)
+{
+	struct host *host = context;
+
+	event_log_write(EVENT_PEER_CONNECTED, "host %u", host_id);
+	(void)incarnation;
+	membership_connected(&host->membership, host_id);
+}
+
+static void
+note_disconnected(void *context, uint32_t host_id)
+{
+	(void)context;
+	event_log_write(EVENT_PEER_DISCONNECTED, "host %u", host_id);
+}
+
+static void
+dial_seed(void *context, const char *ip, uint16_t port)
+{
+	struct host *host = context;
+
+	peer_links_dial_seed(&host->links, ip, port);
+}
+
+static void
+add_host(void *context, uint32_t host_id, const char *ip, uint16_t port)
+{
+	struct host *host = context;
+
+	peer_links_add_host(&host->links, host_id, ip, port);
+}
+
+static void
+note_joined(void *context, const struct host_record *record)
+{
+	struct host *host = context;
+
+	event_log_write(EVENT_HOST_JOINED, "host %u in %s", record->id,
+	    record->data_centre);
+	upstream_directory_sync_with(&host->directory, record->id);
+}
+
+static void
+note_suspected(void *context, const struct host_record *record)
+{
+	(void)context;
+	event_log_write(EVENT_HOST_SUSPECTED, "host %u", record->id);
+}
+
+static void
+note_dead(void *context, const struct host_record *record)
+{
+	(void)context;
+	event_log_write(EVENT_HOST_DEAD, "host %u", record->id);
+}
+
+static void
+note_declared_dead(void *context, uint64_t incarnation)
+{
+	struct host *host = context;
+
+	upstream_directory_set_incarnation(&host->directory, incarnation);
+}
+
+static enum error_code
+receive_other(void *context, uint32_t from_host, const void *body, size_t size)
+{
+	struct host *host = context;
+
+	return upstream_directory_receive(
+	    &host->directory, from_host, body, size);
+}
+
+static void
+run_drain(void *coordinator, struct mailbox_call *call)
+{
+	struct host *host = coordinator;
+
+	membership_set_flags(&host->membership,
+	    membership_self(&host->membership)->flags | HOST_FLAG_DRAINING);
+	mailbox_complete(&host->mailbox, call, ERROR_NONE);
+}
+
+/* Leadership goes first, so that the rest is decided by who stays. */
+static void
+run_hand_over(void *coordinator, struct mailbox_call *call)
+{
+	struct host *host = coordinator;
+	struct hand_over *hand_over;
+
+	grant_owner_close(&host->grant_owner);
+	if (host->has_disk && consensus_is_leader(&host->consensus))
+		consensus_transfer(&host->consensus);
+	membership_leave(&host->membership);
+	hand_over = g_new0(struct hand_over, 1);
+	hand_over->host = host;
+	hand_over->call = mailbox_call_keep(call);
+	timer_subscribe_every(&host->timers, HAND_OVER_STEP_MS,
+	    (struct timer_callback){check_hand_over, hand_over},
+	    &hand_over->timer);
+}
+
+static void
+check_hand_over(void *context)
+{
+	struct hand_over *hand_over = context;
+	struct host *host = hand_over->host;
+
+	if (!is_handed_over(host))
+		return;
+	timer_cancel(&host->timers, &hand_over->timer);
+	mailbox_complete(&host->mailbox, hand_over->call, ERROR_NONE);
+	mailbox_call_drop(hand_over->call);
+	g_free(hand_over);
+}
+
+static bool
+is_handed_over(struct host *host)
+{
+	if (host->has_disk && consensus_is_leader(&host->consensus))
+		return false;
+	return host_now_ms() >= grant_owner_grants_end(&host->grant_owner);
+}
--- /dev/null
+++ b/src/service/host_agreement.c
@@ -0,0 +1,648 @@
+#include "service/host.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base/event_log.h"
+#include "base/monotonic_clock.h"
+#include "protocol/public_entry_message.h"
+
+#define PLAN_PERIOD_MS	 250  /* Between looks at the live hosts. */
+#define PLAN_TIMEOUT_MS	 3000 /* Longest wait for a plan's commit. */
+#define VOTERS_PERIOD_MS 500  /* Between looks at who votes. */
+#define LIVE_SLACK_MS	 500  /* Added to the lease before a host is out. */
+#define ELECTION_SPREAD	 2    /* Longest election timeout over the least. */
+#define US_PER_MS	 1000
+
+struct entries_request {
+	GByteArray *bytes;
+	size_t max;
+	uint64_t last;
+	uint64_t published;
+	bool is_full;
+};
+
+static enum error_code open_consensus(struct host *host);
+static void apply_entry(void *context, const struct consensus_entry *entry,
+    const void **result, size_t *result_size);
+static GByteArray *save_state(void *context);
+static enum error_code load_state(void *context, const void *data, size_t size);
+static void note_role(
+    void *context, enum consensus_role role, uint32_t leader_id);
+static int64_t wall_ms(void *context);
+
+static bool source_is_leader(void *context);
+static uint64_t source_term(void *context);
+static uint32_t source_leader_id(void *context);
+static uint32_t source_voters(void *context, uint32_t *host_ids, uint32_t max);
+static int64_t source_confirmed_ms(void *context);
+static uint64_t source_applied_index(void *context);
+static enum error_code source_read_entries(void *context, uint64_t from,
+    size_t max, GByteArray *bytes, uint64_t *last);
+static void append_entry(void *context, const struct public_entry *entry);
+static enum error_code source_read_snapshot(
+    void *context, GByteArray *bytes, uint64_t *index);
+static enum error_code sink_apply_entries(void *context, uint64_t from,
+    uint64_t last, const void *bytes, size_t size);
+static enum error_code sink_install_snapshot(
+    void *context, uint64_t index, const void *bytes, size_t size);
+
+static int64_t feed_clock_now(void *context);
+static uint32_t feed_list_hosts(
+    void *context, uint32_t *host_ids, uint32_t max);
+static void feed_lease_lost(void *context);
+static void feed_lease_regained(void *context);
+static void feed_in_force(void *context, uint64_t index);
+
+static enum error_code start_feed(struct host *host);
+static void publish_state(struct host *host);
+static void complete_pending(struct host *host, uint64_t in_force);
+static void plan_live_hosts(void *context);
+static void submit_plan(struct host *host, const struct live_host_set *wanted);
+static void note_plan_done(void *context, const struct command_result *result);
+static enum live_host_sight see_host(void *context, uint32_t host_id);
+static void refresh_voters(void *context);
+static uint32_t list_flagged_voters(
+    struct host *host, uint32_t *host_ids, uint32_t max);
+
+struct voter_list {
+	uint32_t *host_ids;
+	uint32_t max;
+	uint32_t count;
+};
+
+static void add_flagged_voter(void *visitor, const struct host_record *record);
+
+enum error_code
+host_agreement_init(struct host *host)
+{
+	struct command_client_settings client = {0};
+	enum error_code error;
+
+	replicated_state_init(&host->voter_state, NULL);
+	replicated_state_init(&host->learner_state, NULL);
+	host->apply_result = g_byte_array_new();
+	host->pending = g_array_new(FALSE, TRUE, sizeof(struct host_pending));
+	live_hosts_init(&host->live_hosts,
+	    host->settings.configuration_lease_ms + LIVE_SLACK_MS);
+	host->has_disk = host->settings.data_dir[0] != '\0';
+	if (host->has_disk) {
+		error = open_consensus(host);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	client.host_id = host->settings.host_id;
+	client.seed = random_word(&host->random);
+	command_client_init(&host->commands, &client, &host->timers,
+	    peer_links_port(&host->links),
+	    host->has_disk ? &host->consensus : NULL);
+	command_client_set_voters(
+	    &host->commands, host->settings.voters, host->settings.voter_count);
+	error = start_feed(host);
+	if (error != ERROR_NONE)
+		return error;
+	host->is_agreement_ready = true;
+	timer_subscribe_every(&host->timers, PLAN_PERIOD_MS,
+	    (struct timer_callback){plan_live_hosts, host}, NULL);
+	timer_subscribe_every(&host->timers, VOTERS_PERIOD_MS,
+	    (struct timer_callback){refresh_voters, host}, NULL);
+	return ERROR_NONE;
+}
+
+void
+host_agreement_finish(struct host *host)
+{
+	host->is_agreement_ready = false;
+	config_feed_finish(&host->feed);
+	command_client_finish(&host->commands);
+	if (host->has_disk) {
+		consensus_finish(&host->consensus);
+		disk_folder_close(&host->folder);
+	}
+	complete_pending(host, UINT64_MAX);
+	g_array_free(host->pending, TRUE);
+	g_byte_array_unref(host->apply_result);
+	replicated_state_finish(&host->voter_state);
+	replicated_state_finish(&host->learner_state);
+}
+
+struct replicated_state *
+host_state(struct host *host)
+{
+	if (host->has_disk && consensus_is_voter(&host->consensus))
+		return &host->voter_state;
+	return &host->learner_state;
+}
+
+void
+host_agreement_step(struct host *host)
+{
+	int64_t now_ms;
+
+	if (host_state(host)->sequence > host->published_sequence) {
+		publish_state(host);
+		config_feed_applied(&host->feed);
+	}
+	complete_pending(host, config_feed_in_force_index(&host->feed));
+	now_ms = host_now_ms();
+	host_fleet_set_lease(host, now_ms + host_lease_remaining(host, now_ms));
+}
+
+int64_t
+host_lease_remaining(struct host *host, int64_t now_ms)
+{
+	int64_t remaining, override_ms;
+
+	remaining = config_feed_lease_remaining(&host->feed, now_ms);
+	if (host->settings.unconfirmed_policy == UNCONFIRMED_SERVE)
+		override_ms = host->settings.configuration_lease_ms;
+	else
+		override_ms = atomic_load(&host->override_until_ms) - now_ms;
+	return override_ms > remaining ? override_ms : remaining;
+}
+
+void
+host_await_in_force(struct host *host, struct host_pending pending)
+{
+	g_array_append_val(host->pending, pending);
+}
+
+static enum error_code
+open_consensus(struct host *host)
+{
+	const struct settings *settings = &host->settings;
+	struct consensus_settings consensus = {0};
+	struct consensus_ops ops = {
+	    .apply = apply_entry,
+	    .save = save_state,
+	    .load = load_state,
+	    .role_changed = note_role,
+	    .wall_ms = wall_ms,
+	    .context = host,
+	};
+	enum error_code error;
+	struct disk disk;
+
+	error = disk_folder_open(&host->folder, settings->data_dir);
+	if (error != ERROR_NONE)
+		return error;
+	disk = disk_folder_disk(&host->folder);
+	consensus.host_id = settings->host_id;
+	consensus.cluster_id =
+	    XXH64(settings->cluster, strlen(settings->cluster), 0);
+	consensus.fresh_incarnation = random_word(&host->random);
+	consensus.initial_count = settings->voter_count;
+	memcpy(consensus.initial_voters, settings->voters,
+	    sizeof(consensus.initial_voters));
+	consensus.election_min_ms = settings->election_timeout_ms;
+	consensus.election_max_ms =
+	    (int64_t)settings->election_timeout_ms * ELECTION_SPREAD;
+	consensus.seed = random_word(&host->random);
+	error = consensus_init(&host->consensus, &consensus, &disk,
+	    &host->timers, peer_links_port(&host->links), &ops);
+	if (error != ERROR_NONE) {
+		event_log_write(EVENT_JOURNAL_FAILED, "%s: %s",
+		    settings->data_dir, error_name(error));
+		disk_folder_close(&host->folder);
+	}
+	return error;
+}
+
+static void
+apply_entry(void *context, const struct consensus_entry *entry,
+    const void **result, size_t *result_size)
+{
+	struct replicated_entry replicated = {.index = entry->index,
+	    .time_ms = entry->time_ms,
+	    .data = entry->data,
+	    .size = entry->size};
+	struct command_result outcome;
+	struct message_writer writer;
+	struct host *host = context;
+
+	replicated_state_apply(&host->voter_state, &replicated, &outcome);
+	message_writer_init(&writer);
+	command_result_encode(&outcome, &writer);
+	g_byte_array_set_size(host->apply_result, 0);
+	g_byte_array_append(host->apply_result, message_data(&writer),
+	    (guint)message_size(&writer));
+	message_writer_finish(&writer);
+	*result = host->apply_result->data;
+	*result_size = host->apply_result->len;
+}
+
+static GByteArray *
+save_state(void *context)
+{
+	struct host *host = context;
+
+	return replicated_state_save(&host->voter_state, false);
+}
+
+static enum error_code
+load_state(void *context, const void *data, size_t size)
+{
+	struct host *host = context;
+
+	return replicated_state_load(&host->voter_state, data, size);
+}
+
+static void
+note_role(void *context, enum consensus_role role, uint32_t leader_id)
+{
+	struct host *host = context;
+
+	if (role == CONSENSUS_ROLE_LEADER) {
+		event_log_write(EVENT_LEADER_ELECTED, "term %" PRIu64,
+		    host->consensus.identity.term);
+		live_hosts_init(&host->live_hosts, host->live_hosts.wait_ms);
+	} else if (leader_id == 0) {
+		event_log_write(EVENT_LEADER_LOST, "%s", "");
+	}
+	if (host->is_agreement_ready)
+		config_feed_leader_changed(&host->feed);
+}
+
+static int64_t
+wall_ms(void *context)
+{
+	(void)context;
+	return clock_wall_us() / US_PER_MS;
+}
+
+static bool
+source_is_leader(void *context)
+{
+	struct host *host = context;
+
+	return host->has_disk && consensus_is_leader(&host->consensus);
+}
+
+static uint64_t
+source_term(void *context)
+{
+	struct host *host = context;
+
+	return host->has_disk ? host->consensus.identity.term : 0;
+}
+
+static uint32_t
+source_leader_id(void *context)
+{
+	struct host *host = context;
+
+	return host->has_disk ? consensus_leader(&host->consensus) : 0;
+}
+
+static uint32_t
+source_voters(void *context, uint32_t *host_ids, uint32_t max)
+{
+	const struct voter_set *voters;
+	struct host *host = context;
+	uint32_t i, count;
+
+	if (!host->has_disk || !consensus_is_voter(&host->consensus))
+		return list_flagged_voters(host, host_ids, max);
+	voters = consensus_voters(&host->consensus);
+	count = voters->count < max ? voters->count : max;
+	for (i = 0; i < count; i++)
+		host_ids[i] = voters->voters[i].host_id;
+	return count;
+}
+
+static int64_t
+source_confirmed_ms(void *context)
+{
+	struct host *host = context;
+	uint64_t commit_index;
+	int64_t at_ms;
+
+	if (!host->has_disk || consensus_confirmed_at(&host->consensus, &at_ms,
+				   &commit_index) != ERROR_NONE)
+		return INT64_MIN;
+	return at_ms;
+}
+
+/* What the fleet's view shows, so that "applied" is true for requests. */
+static uint64_t
+source_applied_index(void *context)
+{
+	struct host *host = context;
+
+	return host->published_sequence;
+}
+
+static enum error_code
+source_read_entries(
+    void *context, uint64_t from, size_t max, GByteArray *bytes, uint64_t *last)
+{
+	struct entries_request request = {.bytes = bytes, .max = max};
+	struct host *host = context;
+	enum error_code error;
+
+	if (from == 0)
+		return ERROR_NOT_FOUND;
+	request.last = from - 1;
+	request.published = host->published_sequence;
+	error = replicated_state_each_public(
+	    host_state(host), from - 1, append_entry, &request);
+	*last = request.last;
+	return error;
+}
+
+static void
+append_entry(void *context, const struct public_entry *entry)
+{
+	struct entries_request *request = context;
+
+	if (request->is_full || entry->sequence > request->published)
+		return;
+	if (request->bytes->len > 0 &&
+	    request->bytes->len + public_entry_size(entry) > request->max) {
+		request->is_full = true;
+		return;
+	}
+	public_entry_write(request->bytes, entry);
+	request->last = entry->sequence;
+}
+
+static enum error_code
+source_read_snapshot(void *context, GByteArray *bytes, uint64_t *index)
+{
+	struct host *host = context;
+	GByteArray *saved;
+
+	saved = replicated_state_save(host_state(host), true);
+	if (saved == NULL)
+		return ERROR_NO_MEMORY;
+	g_byte_array_append(bytes, saved->data, saved->len);
+	g_byte_array_unref(saved);
+	*index = host_state(host)->sequence;
+	return ERROR_NONE;
+}
+
+static enum error_code
+sink_apply_entries(
+    void *context, uint64_t from, uint64_t last, const void *bytes, size_t size)
+{
+	struct host *host = context;
+	enum error_code error;
+
+	(void)from;
+	(void)last;
+	if (host_state(host) != &host->learner_state)
+		return ERROR_NONE;
+	error = public_entries_apply(&host->learner_state, bytes, size);
+	publish_state(host);
+	return error;
+}
+
+static enum error_code
+sink_install_snapshot(
+    void *context, uint64_t index, const void *bytes, size_t size)
+{
+	struct host *host = context;
+	enum error_code error;
+
+	(void)index;
+	if (host_state(host) != &host->learner_state)
+		return ERROR_NONE;
+	error = replicated_state_load(&host->learner_state, bytes, size);
+	if (error == ERROR_NONE) {
+		event_log_write(EVENT_SNAPSHOT_INSTALLED, "sequence %" PRIu64,
+		    host->learner_state.sequence);
+		publish_state(host);
+	}
+	return error;
+}
+
+static int64_t
+feed_clock_now(void *context)
+{
+	(void)context;
+	return host_now_ms();
+}
+
+static uint32_t
+feed_list_hosts(void *context, uint32_t *host_ids, uint32_t max)
+{
+	struct host *host = context;
+
+	return membership_list_live(&host->membership, host_ids, max);
+}
+
+static void
+feed_lease_lost(void *context)
+{
+	(void)context;
+	event_log_write(EVENT_CONFIGURATION_LEASE_LOST, "%s", "");
+}
+
+static void
+feed_lease_regained(void *context)
+{
+	(void)context;
+	event_log_write(EVENT_CONFIGURATION_LEASE_REGAINED, "%s", "");
+}
+
+static void
+feed_in_force(void *context, uint64_t index)
+{
+	complete_pending(context, index);
+}
+
+static enum error_code
+start_feed(struct host *host)
+{
+	struct config_feed_settings settings = {0};
+	struct config_feed_source source = {
+	    .is_leader = source_is_leader,
+	    .term = source_term,
+	    .leader_id = source_leader_id,
+	    .voters = source_voters,
+	    .confirmed_ms = source_confirmed_ms,
+	    .applied_index = source_applied_index,
+	    .read_entries = source_read_entries,
+	    .read_snapshot = source_read_snapshot,
+	    .context = host,
+	};
+	struct config_feed_sink sink = {
+	    .apply_entries = sink_apply_entries,
+	    .install_snapshot = sink_install_snapshot,
+	    .context = host,
+	};
+	struct config_feed_ops ops = {
+	    .clock_now = feed_clock_now,
+	    .list_hosts = feed_list_hosts,
+	    .lease_lost = feed_lease_lost,
+	    .lease_regained = feed_lease_regained,
+	    .in_force = feed_in_force,
+	    .context = host,
+	};
+
+	settings.host_id = host->settings.host_id;
+	settings.incarnation = host->incarnation;
+	settings.lease_ms = host->settings.configuration_lease_ms;
+	settings.renewal_ms = settings.lease_ms / 4;
+	return config_feed_init(&host->feed, &settings, &host->timers,
+	    random_word(&host->random), peer_links_port(&host->links), source,
+	    sink, ops);
+}
+
+/* A state that is behind what requests saw already is not shown. */
+static void
+publish_state(struct host *host)
+{
+	struct replicated_state *state;
+
+	state = host_state(host);
+	if (state->sequence <= host->published_sequence)
+		return;
+	host_fleet_intent_changed(host);
+	host->published_sequence = state->sequence;
+	event_log_write(EVENT_CONFIGURATION_APPLIED,
+	    "revision %" PRIu64 " sequence %" PRIu64, state->revision,
+	    state->sequence);
+}
+
+static void
+complete_pending(struct host *host, uint64_t in_force)
+{
+	struct host_pending *pending;
+	bool is_in_force, is_late;
+	guint i;
+
+	for (i = 0; i < host->pending->len;) {
+		pending = &g_array_index(host->pending, struct host_pending, i);
+		is_in_force =
+		    in_force >= pending->sequence && in_force != UINT64_MAX;
+		is_late = in_force == UINT64_MAX ||
+			  host_now_ms() >= pending->until_ms;
+		if (!is_in_force && !is_late) {
+			i++;
+			continue;
+		}
+		*pending->is_in_force = is_in_force;
+		mailbox_complete(&host->mailbox, pending->call, ERROR_NONE);
+		mailbox_call_drop(pending->call);
+		g_array_remove_index_fast(host->pending, i);
+	}
+}
+
+static void
+plan_live_hosts(void *context)
+{
+	struct live_host_set seen, committed, *wanted;
+	struct host *host = context;
+	const GArray *live;
+	guint i;
+
+	if (!source_is_leader(host) || host->is_planning)
+		return;
+	memset(&committed, 0, sizeof(committed));
+	live = host_state(host)->live_hosts;
+	for (i = 0; i < live->len && i < HOSTS_MAX; i++)
+		committed.ids[committed.count++] =
+		    g_array_index(live, struct live_host, i).host_id;
+	seen.count =
+	    membership_list_live(&host->membership, seen.ids, HOSTS_MAX - 1);
+	seen.ids[seen.count++] = host->settings.host_id;
+	wanted = g_new(struct live_host_set, 1);
+	if (live_hosts_plan(&host->live_hosts,
+		(struct live_hosts_source){see_host, host}, &seen, &committed,
+		host_now_ms(), wanted))
+		submit_plan(host, wanted);
+	g_free(wanted);
+}
+
+static void
+submit_plan(struct host *host, const struct live_host_set *wanted)
+{
+	struct command command = {.type = COMMAND_HOSTS_LIVE};
+	struct live_host *hosts;
+	uint32_t i;
+
+	hosts = g_new0(struct live_host, wanted->count);
+	for (i = 0; i < wanted->count; i++)
+		hosts[i].host_id = wanted->ids[i];
+	snprintf(command.operation_id, sizeof(command.operation_id),
+	    "hosts-%u-%" PRIx64 "-%" PRIu64, host->settings.host_id,
+	    host->incarnation, ++host->plan_number);
+	command.body.hosts.expected_epoch = host_state(host)->epoch;
+	command.body.hosts.count = wanted->count;
+	command.body.hosts.hosts = hosts;
+	if (command_client_submit(&host->commands, &command, PLAN_TIMEOUT_MS,
+		(struct command_callback){note_plan_done, host}) == ERROR_NONE)
+		host->is_planning = true;
+	g_free(hosts);
+}
+
+static void
+note_plan_done(void *context, const struct command_result *result)
+{
+	struct host *host = context;
+
+	(void)result;
+	host->is_planning = false;
+}
+
+static enum live_host_sight
+see_host(void *context, uint32_t host_id)
+{
+	const struct host_record *record;
+	struct host *host = context;
+
+	record = membership_find(&host->membership, host_id);
+	if (record == NULL || record->state == HOST_STATE_DEAD)
+		return LIVE_HOST_DEAD;
+	if (record->state == HOST_STATE_LEFT)
+		return LIVE_HOST_LEFT;
+	return LIVE_HOST_SEEN;
+}
+
+static void
+refresh_voters(void *context)
+{
+	uint32_t voters[VOTERS_MAX], count, flags;
+	struct host *host = context;
+
+	count = source_voters(host, voters, VOTERS_MAX);
+	if (count > 0)
+		command_client_set_voters(&host->commands, voters, count);
+	flags = membership_self(&host->membership)->flags & ~HOST_FLAG_VOTER;
+	if (host->has_disk && consensus_is_voter(&host->consensus))
+		flags |= HOST_FLAG_VOTER;
+	if (flags != membership_self(&host->membership)->flags)
+		membership_set_flags(&host->membership, flags);
+}
+
+/* Until gossip names a voter, those of the settings are tried. */
+static uint32_t
+list_flagged_voters(struct host *host, uint32_t *host_ids, uint32_t max)
+{
+	struct voter_list list = {.host_ids = host_ids, .max = max};
+	uint32_t i;
+
+	membership_each(&host->membership, add_flagged_voter, &list);
+	if (list.count > 0)
+		return list.count;
+	for (i = 0; i < host->settings.voter_count && i < max; i++)
+		host_ids[i] = host->settings.voters[i];
+	return i;
+}
+
+static void
+add_flagged_voter(void *visitor, const struct host_record *record)
+{
+	struct voter_list *list = visitor;
+
+	if ((record->flags & HOST_FLAG_VOTER) == 0 || list->count == list->max)
+		return;
+	if (record->state == HOST_STATE_DEAD ||
+	    record->state == HOST_STATE_LEFT)
+		return;
+	list->host_ids[list->count++] = record->id;
+}
--- /dev/null
+++ b/src/service/host_calls.c
@@ -0,0 +1,480 @@
+#include "service/host_calls.h"
+
+#include <string.h>
+
+#define CALL_TIMEOUT_MS 2000 /* Longest wait for a short call. */
+#define SUBMIT_SLACK_MS 200  /* Added to a command's own time. */
+
+struct fingerprint_body {
+	uint64_t fingerprint;
+	enum quarantine_verdict verdict;
+};
+
+struct crash_body {
+	struct wait_route route;
+	uint64_t fingerprint;
+};
+
+struct answer_body {
+	uint64_t upstream_id;
+	uint64_t incarnation;
+	enum warmup_verdict verdict;
+};
+
+struct submit_body {
+	struct command command;
+	int64_t timeout_ms;
+	int64_t until_ms;
+	bool wants_in_force;
+	bool is_in_force;
+	struct command_result result;
+	struct host *host;
+	struct mailbox_call *call;
+};
+
+struct voter_body {
+	bool is_add;
+	struct voter voter;
+	struct host *host;
+	struct mailbox_call *call;
+};
+
+struct query_body {
+	enum error_code (*query)(
+	    struct host *host, json_t *argument, json_t *reply);
+	json_t *argument;
+	json_t *reply;
+};
+
+static void run_check(void *coordinator, struct mailbox_call *call);
+static void run_crash(void *coordinator, struct mailbox_call *call);
+static void run_done(void *coordinator, struct mailbox_call *call);
+static void run_answer(void *coordinator, struct mailbox_call *call);
+static void run_submit(void *coordinator, struct mailbox_call *call);
+static void note_result(void *context, const struct command_result *result);
+static void run_announce(void *coordinator, struct mailbox_call *call);
+static void run_renew(void *coordinator, struct mailbox_call *call);
+static void run_leave(void *coordinator, struct mailbox_call *call);
+static void run_voters(void *coordinator, struct mailbox_call *call);
+static void note_voters(void *context, enum error_code error, uint64_t index,
+    const void *result, size_t result_size);
+static void run_query(void *coordinator, struct mailbox_call *call);
+static void clear_query(void *body);
+static void clear_submit(void *body);
+static enum error_code await_copy(struct host *host,
+    const struct mailbox_ops *ops, const void *argument, size_t size);
+static enum error_code submit(struct host *host, const struct command *command,
+    int64_t timeout_ms, bool *is_in_force, struct command_result *result);
+static enum error_code copy_command(
+    struct command *copy, const struct command *command);
+
+static const struct mailbox_ops check_ops = {.run = run_check};
+static const struct mailbox_ops crash_ops = {.run = run_crash};
+static const struct mailbox_ops done_ops = {.run = run_done};
+static const struct mailbox_ops answer_ops = {.run = run_answer};
+static const struct mailbox_ops submit_ops = {run_submit, clear_submit};
+static const struct mailbox_ops announce_ops = {.run = run_announce};
+static const struct mailbox_ops renew_ops = {.run = run_renew};
+static const struct mailbox_ops leave_ops = {.run = run_leave};
+static const struct mailbox_ops voters_ops = {.run = run_voters};
+static const struct mailbox_ops query_ops = {run_query, clear_query};
+
+enum quarantine_verdict
+host_check_quarantine(struct host *host, uint64_t fingerprint)
+{
+	enum quarantine_verdict verdict;
+	struct fingerprint_body *body;
+	struct mailbox_call *call;
+
+	if (atomic_load(&host->suspects) == 0)
+		return QUARANTINE_RUN;
+	call = mailbox_call_new(&check_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->fingerprint = fingerprint;
+	/* Without an answer it is treated as a suspect, not as innocent. */
+	verdict = QUARANTINE_RUN_ALONE;
+	if (mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS) == ERROR_NONE)
+		verdict = body->verdict;
+	mailbox_call_drop(call);
+	return verdict;
+}
+
+void
+host_note_crash(
+    struct host *host, const struct wait_route *route, uint64_t fingerprint)
+{
+	struct mailbox_call *call;
+	struct crash_body *body;
+
+	atomic_fetch_add(&host->suspects, 1);
+	call = mailbox_call_new(&crash_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->route = *route;
+	body->fingerprint = fingerprint;
+	mailbox_post(&host->mailbox, call);
+}
+
+void
+host_note_done(struct host *host, uint64_t fingerprint)
+{
+	struct fingerprint_body *body;
+	struct mailbox_call *call;
+
+	if (atomic_load(&host->suspects) == 0)
+		return;
+	call = mailbox_call_new(&done_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->fingerprint = fingerprint;
+	mailbox_post(&host->mailbox, call);
+}
+
+void
+host_note_answer(struct host *host, const struct wait_route *route,
+    enum warmup_verdict verdict)
+{
+	struct mailbox_call *call;
+	struct answer_body *body;
+
+	call = mailbox_call_new(&answer_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->upstream_id = route->upstream_id;
+	body->incarnation = route->incarnation;
+	body->verdict = verdict;
+	mailbox_post(&host->mailbox, call);
+}
+
+enum error_code
+host_submit(struct host *host, const struct command *command,
+    int64_t timeout_ms, struct command_result *result)
+{
+	return submit(host, command, timeout_ms, NULL, result);
+}
+
+enum error_code
+host_submit_in_force(struct host *host, const struct command *command,
+    int64_t timeout_ms, struct command_result *result, bool *is_in_force)
+{
+	*is_in_force = false;
+	return submit(host, command, timeout_ms, is_in_force, result);
+}
+
+void
+host_post(struct host *host, const struct command *command, int64_t timeout_ms)
+{
+	struct mailbox_call *call;
+	struct submit_body *body;
+
+	call = mailbox_call_new(&submit_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->timeout_ms = timeout_ms;
+	if (copy_command(&body->command, command) == ERROR_NONE)
+		mailbox_post(&host->mailbox, call);
+	else
+		mailbox_call_drop(call);
+}
+
+enum error_code
+host_announce(struct host *host, const struct upstream_record *record)
+{
+	return await_copy(host, &announce_ops, record, sizeof(*record));
+}
+
+enum error_code
+host_renew(struct host *host, const struct upstream_renewal *renewal)
+{
+	return await_copy(host, &renew_ops, renewal, sizeof(*renewal));
+}
+
+enum error_code
+host_leave(struct host *host, const struct upstream_leave *leave)
+{
+	return await_copy(host, &leave_ops, leave, sizeof(*leave));
+}
+
+enum error_code
+host_change_voters(
+    struct host *host, bool is_add, struct voter voter, int64_t timeout_ms)
+{
+	struct mailbox_call *call;
+	struct voter_body *body;
+	enum error_code error;
+
+	call = mailbox_call_new(&voters_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->is_add = is_add;
+	body->voter = voter;
+	error = mailbox_await(&host->mailbox, call, timeout_ms);
+	mailbox_call_drop(call);
+	return error;
+}
+
+enum error_code
+host_query(struct host *host,
+    enum error_code (*query)(
+	struct host *host, json_t *argument, json_t *reply),
+    json_t *argument, json_t *reply)
+{
+	struct mailbox_call *call;
+	struct query_body *body;
+	enum error_code error;
+
+	call = mailbox_call_new(&query_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->query = query;
+	body->argument = json_incref(argument);
+	body->reply = json_object();
+	error = mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS);
+	/* After a time-out the coordination thread may still be writing. */
+	if (error != ERROR_TIMEOUT)
+		json_object_update(reply, body->reply);
+	mailbox_call_drop(call);
+	return error;
+}
+
+static void
+run_check(void *coordinator, struct mailbox_call *call)
+{
+	struct fingerprint_body *body = mailbox_call_body(call);
+	struct host *host = coordinator;
+
+	body->verdict = quarantine_check(&host->quarantine, body->fingerprint);
+	mailbox_complete(&host->mailbox, call, ERROR_NONE);
+}
+
+static void
+run_crash(void *coordinator, struct mailbox_call *call)
+{
+	struct crash_body *body = mailbox_call_body(call);
+	struct quarantine_crash crash = {0};
+	struct host *host = coordinator;
+
+	crash.upstream_id = body->route.upstream_id;
+	crash.incarnation = body->route.incarnation;
+	crash.data_centre = body->route.data_centre;
+	crash.fingerprints = &body->fingerprint;
+	crash.count = 1;
+	quarantine_note_crash(&host->quarantine, &crash);
+}
+
+static void
+run_done(void *coordinator, struct mailbox_call *call)
+{
+	struct fingerprint_body *body = mailbox_call_body(call);
+	struct host *host = coordinator;
+
+	quarantine_note_done(&host->quarantine, body->fingerprint);
+}
+
+static void
+run_answer(void *coordinator, struct mailbox_call *call)
+{
+	struct answer_body *body = mailbox_call_body(call);
+	struct host *host = coordinator;
+
+	grant_holder_note_answer(&host->grant_holder, body->upstream_id,
+	    body->incarnation, body->verdict);
+	if (body->verdict == WARMUP_COLD)
+		fleet_set_warm(&host->fleet, body->upstream_id, false);
+}
+
+static void
+run_submit(void *coordinator, struct mailbox_call *call)
+{
+	struct submit_body *body = mailbox_call_body(call);
+	struct host *host = coordinator;
+	enum error_code error;
+
+	body->host = host;
+	body->call = mailbox_call_keep(call);
+	error = command_client_submit(&host->commands, &body->command,
+	    body->timeout_ms, (struct command_callback){note_result, body});
+	if (error == ERROR_NONE)
+		return;
+	mailbox_complete(&host->mailbox, call, error);
+	mailbox_call_drop(call);
+}
+
+static void
+note_result(void *context, const struct command_result *result)
+{
+	struct submit_body *body = context;
+	struct host_pending pending = {0};
+
+	body->result = *result;
+	if (body->wants_in_force && result->error == ERROR_NONE) {
+		pending.call = body->call;
+		pending.sequence = result->sequence;
+		pending.is_in_force = &body->is_in_force;
+		pending.until_ms = body->until_ms;
+		host_await_in_force(body->host, pending);
+		return;
+	}
+	mailbox_complete(&body->host->mailbox, body->call, ERROR_NONE);
+	mailbox_call_drop(body->call);
+}
+
+static void
+run_announce(void *coordinator, struct mailbox_call *call)
+{
+	struct host *host = coordinator;
+
+	mailbox_complete(&host->mailbox, call,
+	    upstream_directory_announce(
+		&host->directory, mailbox_call_body(call)));
+}
+
+static void
+run_renew(void *coordinator, struct mailbox_call *call)
+{
+	struct upstream_renewal *renewal = mailbox_call_body(call);
+	struct host *host = coordinator;
+	enum error_code error;
+
+	error = upstream_directory_renew(
+	    &host->directory, upstream_id(renewal->name), renewal->incarnation);
+	/* A late load report is no reason to refuse the renewal. */
+	if (error == ERROR_NONE && renewal->has_load)
+		upstream_directory_report(&host->directory, &renewal->load);
+	mailbox_complete(&host->mailbox, call, error);
+}
+
+static void
+run_leave(void *coordinator, struct mailbox_call *call)
+{
+	struct upstream_leave *leave = mailbox_call_body(call);
+	struct host *host = coordinator;
+	uint64_t id;
+
+	id = upstream_id(leave->name);
+	mailbox_complete(&host->mailbox, call,
+	    leave->gone ? upstream_directory_remove(
+			      &host->directory, id, leave->incarnation)
+			: upstream_directory_leave(
+			      &host->directory, id, leave->incarnation));
+}
+
+static void
+run_voters(void *coordinator, struct mailbox_call *call)
+{
+	struct voter_body *body = mailbox_call_body(call);
+	struct consensus_callback callback = {note_voters, body};
+	struct host *host = coordinator;
+	enum error_code error;
+
+	body->host = host;
+	body->call = mailbox_call_keep(call);
+	if (!host->has_disk)
+		error = ERROR_NOT_LEADER;
+	else if (body->is_add)
+		error = consensus_add_voter(
+		    &host->consensus, body->voter, callback);
+	else
+		error = consensus_remove_voter(
+		    &host->consensus, body->voter.host_id, callback);
+	if (error == ERROR_NONE)
+		return;
+	mailbox_complete(&host->mailbox, call, error);
+	mailbox_call_drop(call);
+}
+
+static void
+note_voters(void *context, enum error_code error, uint64_t index,
+    const void *result, size_t result_size)
+{
+	struct voter_body *body = context;
+
+	(void)index;
+	(void)result;
+	(void)result_size;
+	mailbox_complete(&body->host->mailbox, body->call, error);
+	mailbox_call_drop(body->call);
+}
+
+static void
+run_query(void *coordinator, struct mailbox_call *call)
+{
+	struct query_body *body = mailbox_call_body(call);
+	struct host *host = coordinator;
+
+	mailbox_complete(&host->mailbox, call,
+	    body->query(host, body->argument, body->reply));
+}
+
+static void
+clear_query(void *body)
+{
+	struct query_body *query = body;
+
+	json_decref(query->argument);
+	json_decref(query->reply);
+}
+
+static void
+clear_submit(void *body)
+{
+	struct submit_body *submitted = body;
+
+	command_finish(&submitted->command);
+}
+
+static enum error_code
+await_copy(struct host *host, const struct mailbox_ops *ops,
+    const void *argument, size_t size)
+{
+	struct mailbox_call *call;
+	enum error_code error;
+
+	call = mailbox_call_new(ops, size);
+	memcpy(mailbox_call_body(call), argument, size);
+	error = mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS);
+	mailbox_call_drop(call);
+	return error;
+}
+
+static enum error_code
+submit(struct host *host, const struct command *command, int64_t timeout_ms,
+    bool *is_in_force, struct command_result *result)
+{
+	struct mailbox_call *call;
+	struct submit_body *body;
+	enum error_code error;
+
+	memset(result, 0, sizeof(*result));
+	call = mailbox_call_new(&submit_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	error = copy_command(&body->command, command);
+	if (error != ERROR_NONE) {
+		mailbox_call_drop(call);
+		return error;
+	}
+	body->timeout_ms = timeout_ms;
+	body->until_ms = host_now_ms() + timeout_ms;
+	body->wants_in_force = is_in_force != NULL;
+	error =
+	    mailbox_await(&host->mailbox, call, timeout_ms + SUBMIT_SLACK_MS);
+	if (error == ERROR_NONE) {
+		*result = body->result;
+		if (is_in_force != NULL)
+			*is_in_force = body->is_in_force;
+	} else if (error == ERROR_TIMEOUT) {
+		error = ERROR_OUTCOME_UNKNOWN;
+	}
+	mailbox_call_drop(call);
+	return error;
+}
+
+/* Through its bytes, which gives the copy memory of its own. */
+static enum error_code
+copy_command(struct command *copy, const struct command *command)
+{
+	struct message_writer writer;
+	enum error_code error;
+
+	message_writer_init(&writer);
+	error = command_encode(command, &writer);
+	if (error == ERROR_NONE)
+		error = command_decode(
+		    copy, message_data(&writer), message_size(&writer));
+	message_writer_finish(&writer);
+	return error;
+}
--- /dev/null
+++ b/src/service/host_fleet.c
@@ -0,0 +1,545 @@
+#include "service/host.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "base/monotonic_clock.h"
+#include "protocol/grant_message.h"
+
+#define DEMAND_PERIOD_MS      10   /* Between looks at who waits. */
+#define DEMAND_REQUESTS_MAX   256  /* Waiting requests looked at. */
+#define DEMAND_UPSTREAMS      2	   /* Upstreams asked for each of them. */
+#define DEMAND_ROTATION_MS    100  /* Then others are asked. */
+#define SUBSCRIBE_PERIOD_MS   5000 /* Between load subscriptions. */
+#define QUARANTINE_TIMEOUT_MS 5000 /* Longest wait for its commit. */
+#define US_PER_MS	      1000
+#define UPSTREAM_RENEWALS     2 /* Renewals that fit into an expiry. */
+
+/* Demand for one upstream, as it is summed up. */
+struct demand {
+	struct capacity_amount waiting;
+	struct capacity_amount largest;
+	bool is_current;
+};
+
+struct demand_round {
+	struct host *host;
+	const struct fleet_view *view;
+	uint64_t rotation;
+};
+
+static bool directory_is_live(
+    void *context, uint32_t host_id, uint64_t incarnation);
+static uint32_t directory_list_hosts(
+    void *context, uint32_t *host_ids, uint32_t max);
+static uint32_t directory_owner(void *context, uint64_t upstream_id);
+static void note_announced(void *context, const struct upstream_record *record);
+static void note_changed(void *context, const struct upstream_record *record);
+static void note_leaving(void *context, const struct upstream_record *record);
+static void note_gone(void *context, const struct upstream_record *record);
+static void note_load(void *context, const struct upstream_load *load);
+static void note_granted(
+    void *context, uint64_t upstream_id, struct capacity_slot *slot);
+static void commit_quarantine(
+    void *context, const struct quarantine_entry *entries, uint32_t count);
+static void note_quarantine_committed(
+    void *context, const struct command_result *result);
+static void apply_quarantine(
+    void *context, uint64_t fingerprint, int64_t until_ms);
+
+static enum error_code start_directory(struct host *host);
+static enum error_code start_grants(struct host *host);
+static enum error_code start_fleet(struct host *host);
+static void put_upstream(
+    struct host *host, const struct upstream_record *record);
+static void tell_owner(void *visitor, const struct upstream_record *record);
+static void update_owners(struct host *host);
+static void look_at_demand(void *context);
+static void add_demand(void *context, const struct request_facts *facts);
+static void add_upstream_demand(
+    struct host *host, uint64_t upstream_id, const struct request_facts *facts);
+static uint32_t count_fitting(const struct fleet_view *view,
+    const struct request_facts *facts, const struct intent_account *account);
+static const struct fleet_upstream *nth_fitting(const struct fleet_view *view,
+    const struct request_facts *facts, const struct intent_account *account,
+    uint32_t wanted);
+static bool group_fits(const struct fleet_view *view,
+    const struct fleet_group *group, const struct request_facts *facts,
+    const struct intent_account *account);
+static void subscribe_loads(void *context);
+static void raise_amount(uint64_t *most, uint64_t amount);
+
+enum error_code
+host_fleet_init(struct host *host)
+{
+	struct quarantine_settings settings;
+	struct quarantine_ops ops = {
+	    .commit = commit_quarantine, .context = host};
+	enum error_code error;
+
+	host->wanted =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	owner_map_init(&host->owners);
+	error = start_fleet(host);
+	if (error != ERROR_NONE)
+		return error;
+	error = start_grants(host);
+	if (error != ERROR_NONE)
+		return error;
+	settings = quarantine_default_settings();
+	error =
+	    quarantine_init(&host->quarantine, &settings, &ops, &host->timers);
+	if (error != ERROR_NONE)
+		return error;
+	error = start_directory(host);
+	if (error != ERROR_NONE)
+		return error;
+	timer_subscribe_every(&host->timers, DEMAND_PERIOD_MS,
+	    (struct timer_callback){look_at_demand, host}, NULL);
+	timer_subscribe_every(&host->timers, SUBSCRIBE_PERIOD_MS,
+	    (struct timer_callback){subscribe_loads, host}, NULL);
+	return ERROR_NONE;
+}
+
+void
+host_fleet_finish(struct host *host)
+{
+	upstream_directory_finish(&host->directory);
+	quarantine_finish(&host->quarantine);
+	grant_owner_finish(&host->grant_owner);
+	fleet_finish(&host->fleet);
+	grant_holder_finish(&host->grant_holder);
+	g_hash_table_destroy(host->wanted);
+}
+
+void
+host_fleet_intent_changed(struct host *host)
+{
+	struct config_source source;
+	enum error_code error;
+
+	source = replicated_state_config(host_state(host));
+	error = fleet_set_intent(&host->fleet, &source);
+	if (error != ERROR_NONE)
+		event_log_write(EVENT_CONFIGURATION_APPLIED, "refused: %s",
+		    error_name(error));
+	update_owners(host);
+	upstream_directory_each(&host->directory, tell_owner, host);
+	replicated_state_each_quarantine(
+	    host_state(host), apply_quarantine, host);
+	host_fleet_step(host);
+}
+
+void
+host_fleet_set_lease(struct host *host, int64_t until_ms)
+{
+	fleet_set_new_work_until(&host->fleet, until_ms);
+	grant_owner_set_lease(&host->grant_owner, until_ms);
+}
+
+void
+host_fleet_receive_grant(
+    struct host *host, uint32_t from_host, const void *body, size_t size)
+{
+	struct grant_reader reader;
+
+	if (grant_reader_init(&reader, body, size) != ERROR_NONE)
+		return;
+	switch (reader.head.type) {
+	case GRANT_MESSAGE_GRANT:
+	case GRANT_MESSAGE_QUERY:
+		grant_holder_receive(&host->grant_holder, from_host, &reader);
+		break;
+	default:
+		grant_owner_receive(&host->grant_owner, from_host, &reader);
+		break;
+	}
+	grant_reader_finish(&reader);
+}
+
+void
+host_fleet_step(struct host *host)
+{
+	enum error_code error;
+
+	error = fleet_publish(&host->fleet);
+	if (error != ERROR_NONE)
+		event_log_write(EVENT_CONFIGURATION_APPLIED,
+		    "view not published: %s", error_name(error));
+}
+
+static bool
+directory_is_live(void *context, uint32_t host_id, uint64_t incarnation)
+{
+	struct host *host = context;
+
+	return membership_is_live(&host->membership, host_id, incarnation);
+}
+
+static uint32_t
+directory_list_hosts(void *context, uint32_t *host_ids, uint32_t max)
+{
+	struct host *host = context;
+
+	return membership_list_live(&host->membership, host_ids, max);
+}
+
+static uint32_t
+directory_owner(void *context, uint64_t upstream_id)
+{
+	struct host *host = context;
+
+	return owner_map_owner(&host->owners, upstream_id);
+}
+
+static void
+note_announced(void *context, const struct upstream_record *record)
+{
+	event_log_write(EVENT_UPSTREAM_ANNOUNCED,
+	    "%s in %s incarnation %" PRIu64, record->name, record->data_centre,
+	    record->incarnation);
+	put_upstream(context, record);
+}
+
+static void
+note_changed(void *context, const struct upstream_record *record)
+{
+	put_upstream(context, record);
+}
+
+static void
+note_leaving(void *context, const struct upstream_record *record)
+{
+	event_log_write(EVENT_UPSTREAM_LEAVING, "%s", record->name);
+	put_upstream(context, record);
+}
+
+static void
+note_gone(void *context, const struct upstream_record *record)
+{
+	struct host *host = context;
+
+	event_log_write(EVENT_UPSTREAM_EXPIRED, "%s", record->name);
+	fleet_remove_upstream(&host->fleet, record->id);
+	grant_holder_drop(&host->grant_holder, record->id);
+	grant_owner_remove_upstream(&host->grant_owner, record->id);
+	prefix_index_forget(&host->prefixes, record->id);
+}
+
+static void
+note_load(void *context, const struct upstream_load *load)
+{
+	struct host *host = context;
+
+	fleet_set_load(&host->fleet, load, host_now_ms());
+	grant_owner_note_load(&host->grant_owner, load);
+}
+
+static void
+note_granted(void *context, uint64_t upstream_id, struct capacity_slot *slot)
+{
+	struct host *host = context;
+
+	(void)upstream_id;
+	(void)slot;
+	wait_line_poke(&host->line);
+}
+
+static void
+commit_quarantine(
+    void *context, const struct quarantine_entry *entries, uint32_t count)
+{
+	struct command command = {.type = COMMAND_QUARANTINE};
+	struct host *host = context;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (entries[i].verdict != QUARANTINE_REFUSE)
+			continue;
+		command.body.quarantine.fingerprint = entries[i].fingerprint;
+		command.body.quarantine.until_ms =
+		    clock_wall_us() / US_PER_MS + entries[i].remaining_ms;
+		command_client_submit(&host->commands, &command,
+		    QUARANTINE_TIMEOUT_MS,
+		    (struct command_callback){note_quarantine_committed, host});
+	}
+}
+
+static void
+note_quarantine_committed(void *context, const struct command_result *result)
+{
+	(void)context;
+	(void)result;
+}
+
+static void
+apply_quarantine(void *context, uint64_t fingerprint, int64_t until_ms)
+{
+	struct quarantine_entry entry = {
+	    .fingerprint = fingerprint, .verdict = QUARANTINE_REFUSE};
+	struct host *host = context;
+
+	entry.remaining_ms = until_ms - clock_wall_us() / US_PER_MS;
+	if (entry.remaining_ms <= 0)
+		return;
+	quarantine_apply(&host->quarantine, &entry);
+	atomic_fetch_add(&host->suspects, 1);
+}
+
+static enum error_code
+start_directory(struct host *host)
+{
+	struct upstream_directory_settings settings = {0};
+	struct upstream_directory_ops ops = {
+	    .is_live = directory_is_live,
+	    .list_hosts = directory_list_hosts,
+	    .capacity_owner = directory_owner,
+	    .announced = note_announced,
+	    .changed = note_changed,
+	    .leaving = note_leaving,
+	    .gone = note_gone,
+	    .load = note_load,
+	    .context = host,
+	};
+
+	settings.host_id = host->settings.host_id;
+	settings.incarnation = host->incarnation;
+	settings.renewal_ms =
+	    host->settings.upstream_expiry_ms / UPSTREAM_RENEWALS;
+	settings.expire_ms = host->settings.upstream_expiry_ms;
+	return upstream_directory_init(&host->directory, &settings,
+	    &host->timers, random_word(&host->random),
+	    peer_links_port(&host->links), ops);
+}
+
+static enum error_code
+start_grants(struct host *host)
+{
+	struct grant_owner_settings owner;
+	struct grant_holder_settings holder;
+	struct grant_holder_ops ops = {
+	    .granted = note_granted, .context = host};
+	enum error_code error;
+
+	owner = grant_owner_default_settings(host->settings.host_id);
+	owner.grant_ms = host->settings.grant_lease_ms;
+	owner.config_lease_ms = host->settings.configuration_lease_ms;
+	error = grant_owner_init(&host->grant_owner, &owner, &host->timers,
+	    peer_links_port(&host->links), &host->owners);
+	if (error != ERROR_NONE)
+		return error;
+	holder = grant_holder_default_settings(
+	    host->settings.host_id, host->incarnation);
+	return grant_holder_init(&host->grant_holder, &holder, &ops,
+	    &host->timers, peer_links_port(&host->links), &host->owners);
+}
+
+static enum error_code
+start_fleet(struct host *host)
+{
+	struct fleet_settings settings = {.host_id = host->settings.host_id};
+
+	snprintf(settings.data_centre, sizeof(settings.data_centre), "%s",
+	    host->settings.data_centre);
+	return fleet_init(&host->fleet, &settings);
+}
+
+static void
+put_upstream(struct host *host, const struct upstream_record *record)
+{
+	struct capacity_slot *slot;
+	enum error_code error;
+
+	error = grant_holder_open(
+	    &host->grant_holder, record->id, record->incarnation, &slot);
+	if (error == ERROR_NONE)
+		error = fleet_put_upstream(&host->fleet, record, slot);
+	if (error != ERROR_NONE && error != ERROR_STALE)
+		event_log_write(EVENT_UPSTREAM_ANNOUNCED, "%s: %s",
+		    record->name, error_name(error));
+	tell_owner(host, record);
+}
+
+static void
+tell_owner(void *visitor, const struct upstream_record *record)
+{
+	struct host *host = visitor;
+	const char *takeout;
+
+	grant_owner_set_upstream(&host->grant_owner, record,
+	    intent_is_taken_out(host->fleet.intent, record, &takeout));
+}
+
+static void
+update_owners(struct host *host)
+{
+	uint32_t hosts[HOSTS_MAX], count;
+	enum owner_map_change change;
+	const GArray *live;
+	guint i;
+
+	live = host_state(host)->live_hosts;
+	count = 0;
+	for (i = 0; i < live->len && count < HOSTS_MAX; i++)
+		hosts[count++] =
+		    g_array_index(live, struct live_host, i).host_id;
+	if (count == 0 ||
+	    owner_map_set(&host->owners, host_state(host)->epoch, hosts, count,
+		&change) != ERROR_NONE ||
+	    change == OWNER_MAP_UNCHANGED)
+		return;
+	/* A host that died may still hold a lease somewhere: wait it out. */
+	if (change == OWNER_MAP_REMOVED)
+		change = OWNER_MAP_JOINED;
+	grant_owner_map_changed(&host->grant_owner, change);
+	grant_holder_map_changed(&host->grant_holder);
+	wait_line_set_hosts(&host->line, count);
+}
+
+static void
+look_at_demand(void *context)
+{
+	struct demand_round round = {.host = context};
+	const struct capacity_amount nothing = {0};
+	struct host *host = context;
+	GHashTableIter iterator;
+	gpointer key, value;
+	struct demand *demand;
+
+	g_hash_table_iter_init(&iterator, host->wanted);
+	while (g_hash_table_iter_next(&iterator, &key, &value))
+		memset(value, 0, sizeof(struct demand));
+	round.rotation = (uint64_t)(host_now_ms() / DEMAND_ROTATION_MS);
+	round.view = fleet_lock(&host->fleet);
+	wait_line_visit(&host->line, DEMAND_REQUESTS_MAX, add_demand, &round);
+	fleet_unlock();
+	g_hash_table_iter_init(&iterator, host->wanted);
+	while (g_hash_table_iter_next(&iterator, &key, &value)) {
+		demand = value;
+		grant_holder_want(&host->grant_holder, *(uint64_t *)key,
+		    demand->is_current ? &demand->waiting : &nothing,
+		    demand->is_current ? &demand->largest : &nothing);
+		if (!demand->is_current)
+			g_hash_table_iter_remove(&iterator);
+	}
+}
+
+/* Asks a few upstreams for each request, others as time goes by. */
+static void
+add_demand(void *context, const struct request_facts *facts)
+{
+	const struct intent_account *account;
+	const struct fleet_upstream *upstream;
+	struct demand_round *round = context;
+	uint32_t fitting, i, at;
+
+	account =
+	    intent_account_by_name(round->view->intent, facts->client_account);
+	if (account == NULL)
+		return;
+	fitting = count_fitting(round->view, facts, account);
+	if (fitting == 0)
+		return;
+	at = (uint32_t)((facts->id + round->rotation) % fitting);
+	for (i = 0; i < DEMAND_UPSTREAMS && i < fitting; i++) {
+		upstream = nth_fitting(round->view, facts, account,
+		    (at + i * (fitting / DEMAND_UPSTREAMS + 1)) % fitting);
+		if (upstream != NULL)
+			add_upstream_demand(
+			    round->host, upstream->record.id, facts);
+	}
+}
+
+static void
+add_upstream_demand(
+    struct host *host, uint64_t upstream_id, const struct request_facts *facts)
+{
+	struct demand *demand;
+	uint64_t kv_tokens, *key;
+
+	demand = g_hash_table_lookup(host->wanted, &upstream_id);
+	if (demand == NULL) {
+		key = g_new(uint64_t, 1);
+		*key = upstream_id;
+		demand = g_new0(struct demand, 1);
+		g_hash_table_insert(host->wanted, key, demand);
+	}
+	kv_tokens = facts->prompt_tokens + facts->answer_tokens_max;
+	demand->is_current = true;
+	demand->waiting.requests++;
+	demand->waiting.prefill_tokens += facts->prompt_tokens;
+	demand->waiting.kv_tokens += kv_tokens;
+	demand->largest.requests = 1;
+	raise_amount(&demand->largest.prefill_tokens, facts->prompt_tokens);
+	raise_amount(&demand->largest.kv_tokens, kv_tokens);
+}
+
+static uint32_t
+count_fitting(const struct fleet_view *view, const struct request_facts *facts,
+    const struct intent_account *account)
+{
+	uint32_t i, count;
+
+	count = 0;
+	for (i = 0; i < view->group_count; i++) {
+		if (group_fits(view, &view->groups[i], facts, account))
+			count += view->groups[i].count;
+	}
+	return count;
+}
+
+static const struct fleet_upstream *
+nth_fitting(const struct fleet_view *view, const struct request_facts *facts,
+    const struct intent_account *account, uint32_t wanted)
+{
+	const struct fleet_group *group;
+	uint32_t i;
+
+	for (i = 0; i < view->group_count; i++) {
+		group = &view->groups[i];
+		if (!group_fits(view, group, facts, account))
+			continue;
+		if (wanted < group->count)
+			return view->upstreams[group->subset[wanted]];
+		wanted -= group->count;
+	}
+	return NULL;
+}
+
+static bool
+group_fits(const struct fleet_view *view, const struct fleet_group *group,
+    const struct request_facts *facts, const struct intent_account *account)
+{
+	if (strcmp(group->model, facts->model) != 0)
+		return false;
+	if ((group->kind == UPSTREAM_KIND_SERVICE) != facts->is_service_call)
+		return false;
+	return intent_policies_admit(view->intent, account, group->policies);
+}
+
+static void
+subscribe_loads(void *context)
+{
+	const struct fleet_view *view;
+	const struct fleet_group *group;
+	struct host *host = context;
+	uint32_t i, j;
+
+	view = fleet_lock(&host->fleet);
+	for (i = 0; i < view->group_count; i++) {
+		group = &view->groups[i];
+		for (j = 0; j < group->count; j++)
+			upstream_directory_subscribe_load(&host->directory,
+			    view->upstreams[group->subset[j]]->record.id);
+	}
+	fleet_unlock();
+}
+
+static void
+raise_amount(uint64_t *most, uint64_t amount)
+{
+	if (amount > *most)
+		*most = amount;
+}
--- /dev/null
+++ b/src/service/operator_api.c
@@ -0,0 +1,463 @@
+#include "service/api.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "base/event_log.h"
+#include "service/host_calls.h"
+#include "service/operator_views.h"
+
+#define BEARER		   "Bearer "
+#define TIMEOUT_DEFAULT_MS 10000 /* Longest wait for a change. */
+#define TIMEOUT_MAX_MS	   60000 /* Longest that may be asked for. */
+#define MS_PER_S	   1000
+#define MESSAGE_SIZE	   256 /* Bytes of an error's message. */
+#define SELECTOR_ALL	   "*"
+
+/* A change of the configuration, as it was sent. */
+struct change_order {
+	struct command command;
+	struct config_change changes[CONFIG_CHANGES_MAX];
+	int64_t timeout_ms;
+	bool wants_in_force;
+	bool is_dry_run;
+};
+
+static bool check_operator(struct host *host, struct http_exchange *exchange,
+    enum operator_role least);
+static void reply_query(struct host *host, struct http_exchange *exchange,
+    enum error_code (*query)(
+	struct host *host, json_t *argument, json_t *reply),
+    json_t *argument);
+static json_t *read_body(struct http_exchange *exchange);
+static bool read_change(struct http_exchange *exchange, const json_t *body,
+    struct change_order *order);
+static bool read_changes(struct http_exchange *exchange, const json_t *changes,
+    struct change_order *order);
+static bool check_change(
+    struct http_exchange *exchange, const struct config_change *change);
+static void submit_change(struct host *host, struct http_exchange *exchange,
+    struct change_order *order);
+static void show_change(struct host *host, struct http_exchange *exchange,
+    const struct change_order *order);
+static void list_taken(struct host *host, const char *text, json_t *names);
+
+void
+api_status(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+
+	if (check_operator(host, exchange, OPERATOR_ROLE_READER))
+		reply_query(host, exchange, view_status, NULL);
+}
+
+void
+api_upstreams(void *context, struct http_exchange *exchange)
+{
+	const char *selector;
+	struct host *host = context;
+
+	if (!check_operator(host, exchange, OPERATOR_ROLE_READER))
+		return;
+	selector = http_parameter(exchange, "selector");
+	if (selector == NULL || selector[0] == '\0')
+		selector = SELECTOR_ALL;
+	reply_query(host, exchange, view_upstreams, json_string(selector));
+}
+
+void
+api_config_get(void *context, struct http_exchange *exchange)
+{
+	const char *key, *prefix;
+	struct host *host = context;
+
+	if (!check_operator(host, exchange, OPERATOR_ROLE_READER))
+		return;
+	key = http_parameter(exchange, "key");
+	prefix = http_parameter(exchange, "prefix");
+	if (key != NULL)
+		reply_query(
+		    host, exchange, view_config_entry, json_string(key));
+	else
+		reply_query(host, exchange, view_config,
+		    json_string(prefix == NULL ? "" : prefix));
+}
+
+void
+api_config_change(void *context, struct http_exchange *exchange)
+{
+	struct change_order *order;
+	struct host *host = context;
+	json_t *body;
+
+	if (!check_operator(host, exchange, OPERATOR_ROLE_OPERATOR))
+		return;
+	body = read_body(exchange);
+	if (body == NULL)
+		return;
+	order = g_new0(struct change_order, 1);
+	if (read_change(exchange, body, order)) {
+		if (order->is_dry_run)
+			show_change(host, exchange, order);
+		else
+			submit_change(host, exchange, order);
+	}
+	g_free(order);
+	json_decref(body);
+}
+
+void
+api_hosts(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+
+	if (check_operator(host, exchange, OPERATOR_ROLE_READER))
+		reply_query(host, exchange, view_hosts, NULL);
+}
+
+void
+api_voters(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+	enum error_code error;
+	struct voter voter;
+	json_t *body, *add;
+
+	if (!check_operator(host, exchange, OPERATOR_ROLE_ADMIN))
+		return;
+	body = read_body(exchange);
+	if (body == NULL)
+		return;
+	add = json_object_get(body, "add");
+	voter.host_id = (uint32_t)json_integer_value(
+	    add != NULL ? add : json_object_get(body, "remove"));
+	voter.incarnation = strtoull(
+	    json_string_value(json_object_get(body, "incarnation")) == NULL
+		? "0"
+		: json_string_value(json_object_get(body, "incarnation")),
+	    NULL, 16);
+	json_decref(body);
+	error = host_change_voters(host, add != NULL, voter, TIMEOUT_MAX_MS);
+	if (error == ERROR_NONE)
+		http_reply_json(exchange, 200, json_pack("{s:b}", "ok", 1));
+	else
+		api_refuse(exchange, error, NULL);
+}
+
+void
+api_quarantine(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+
+	if (check_operator(host, exchange, OPERATOR_ROLE_READER))
+		reply_query(host, exchange, view_quarantine, NULL);
+}
+
+void
+api_quarantine_release(void *context, struct http_exchange *exchange)
+{
+	struct command command = {.type = COMMAND_QUARANTINE};
+	struct command_result result;
+	struct host *host = context;
+	enum error_code error;
+	const char *text;
+	json_t *body;
+
+	if (!check_operator(host, exchange, OPERATOR_ROLE_OPERATOR))
+		return;
+	body = read_body(exchange);
+	if (body == NULL)
+		return;
+	text = json_string_value(json_object_get(body, "release"));
+	command.body.quarantine.fingerprint =
+	    text == NULL ? 0 : strtoull(text, NULL, 16);
+	json_decref(body);
+	if (command.body.quarantine.fingerprint == 0) {
+		api_refuse(exchange, ERROR_BAD_VALUE,
+		    "release: a fingerprint of 16 hexadecimal digits");
+		return;
+	}
+	error = host_submit(host, &command, TIMEOUT_DEFAULT_MS, &result);
+	if (error == ERROR_NONE)
+		error = result.error;
+	if (error == ERROR_NONE)
+		http_reply_json(exchange, 200, json_pack("{s:b}", "ok", 1));
+	else
+		api_refuse(exchange, error, NULL);
+}
+
+void
+api_orders(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+
+	if (check_operator(host, exchange, OPERATOR_ROLE_READER))
+		reply_query(host, exchange, view_orders, NULL);
+}
+
+void
+api_override(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+	json_int_t seconds;
+	json_t *body;
+
+	if (!check_operator(host, exchange, OPERATOR_ROLE_ADMIN))
+		return;
+	body = read_body(exchange);
+	if (body == NULL)
+		return;
+	seconds =
+	    json_integer_value(json_object_get(body, "serve_unconfirmed_s"));
+	json_decref(body);
+	atomic_store(&host->override_until_ms,
+	    seconds > 0 ? host_now_ms() + seconds * MS_PER_S : 0);
+	event_log_write(EVENT_OVERRIDE_SET,
+	    "serve unconfirmed for %" JSON_INTEGER_FORMAT " s", seconds);
+	http_reply_json(exchange, 200,
+	    json_pack("{s:b,s:I}", "ok", 1, "serve_unconfirmed_s", seconds));
+}
+
+static bool
+check_operator(
+    struct host *host, struct http_exchange *exchange, enum operator_role least)
+{
+	const struct settings_operator *operator;
+	const char *header, *token;
+	uint32_t i;
+
+	header = http_header(exchange, "Authorization");
+	token = header != NULL && strncmp(header, BEARER, strlen(BEARER)) == 0
+		    ? header + strlen(BEARER)
+		    : "";
+	for (i = 0; i < host->settings.operator_count; i++) {
+		operator= & host->settings.operators[i];
+		if (strlen(token) != strlen(operator->token) ||
+		    sodium_memcmp(token, operator->token, strlen(token)) != 0)
+			continue;
+		if (operator->role >= least)
+			return true;
+		api_refuse(exchange, ERROR_FORBIDDEN,
+		    "the operator's role does not allow it");
+		return false;
+	}
+	api_refuse(
+	    exchange, ERROR_UNAUTHENTICATED, "no operator has this token");
+	return false;
+}
+
+static void
+reply_query(struct host *host, struct http_exchange *exchange,
+    enum error_code (*query)(
+	struct host *host, json_t *argument, json_t *reply),
+    json_t *argument)
+{
+	enum error_code error;
+	json_t *reply;
+
+	reply = json_object();
+	error = host_query(host, query, argument, reply);
+	json_decref(argument);
+	if (error == ERROR_NONE) {
+		http_reply_json(exchange, 200, reply);
+		return;
+	}
+	json_decref(reply);
+	api_refuse(exchange, error, NULL);
+}
+
+static json_t *
+read_body(struct http_exchange *exchange)
+{
+	const char *text;
+	json_t *body;
+	size_t size;
+
+	text = http_body(exchange, &size);
+	body = json_loadb(
+	    text == NULL ? "" : text, size, JSON_REJECT_DUPLICATES, NULL);
+	if (json_is_object(body))
+		return body;
+	json_decref(body);
+	api_refuse(exchange, ERROR_MALFORMED, "the body must be an object");
+	return NULL;
+}
+
+static bool
+read_change(struct http_exchange *exchange, const json_t *body,
+    struct change_order *order)
+{
+	const char *operation_id, *wait;
+	const json_t *revision;
+
+	operation_id = json_string_value(json_object_get(body, "operation_id"));
+	if (operation_id == NULL || operation_id[0] == '\0' ||
+	    strlen(operation_id) >= OPERATION_ID_SIZE_MAX) {
+		api_refuse(exchange, ERROR_BAD_VALUE,
+		    "operation_id: a text of 1 to 63 bytes");
+		return false;
+	}
+	order->command.type = COMMAND_CONFIG;
+	snprintf(order->command.operation_id,
+	    sizeof(order->command.operation_id), "%s", operation_id);
+	order->command.body.config.changes = order->changes;
+	revision = json_object_get(body, "expected_revision");
+	order->command.body.config.expected_revision =
+	    json_is_integer(revision) ? (uint64_t)json_integer_value(revision)
+				      : REVISION_ANY;
+	wait = json_string_value(json_object_get(body, "wait"));
+	order->wants_in_force = wait == NULL || strcmp(wait, "accepted") != 0;
+	order->is_dry_run = json_is_true(json_object_get(body, "dry_run"));
+	order->timeout_ms =
+	    json_integer_value(json_object_get(body, "timeout_ms"));
+	if (order->timeout_ms <= 0)
+		order->timeout_ms = TIMEOUT_DEFAULT_MS;
+	if (order->timeout_ms > TIMEOUT_MAX_MS)
+		order->timeout_ms = TIMEOUT_MAX_MS;
+	return read_changes(exchange, json_object_get(body, "changes"), order);
+}
+
+static bool
+read_changes(struct http_exchange *exchange, const json_t *changes,
+    struct change_order *order)
+{
+	struct config_change *change;
+	json_t *value;
+	const char *key;
+	uint32_t count;
+
+	if (!json_is_object(changes) || json_object_size(changes) == 0 ||
+	    json_object_size(changes) > CONFIG_CHANGES_MAX) {
+		api_refuse(exchange, ERROR_BAD_VALUE,
+		    "changes: an object of 1 to 64 keys");
+		return false;
+	}
+	count = 0;
+	json_object_foreach((json_t *)changes, key, value)
+	{
+		change = &order->changes[count++];
+		if (strlen(key) >= sizeof(change->key) ||
+		    json_string_length(value) >= sizeof(change->value) ||
+		    (!json_is_string(value) && !json_is_null(value))) {
+			api_refuse(exchange, ERROR_BAD_VALUE,
+			    "changes: a text or null for each key");
+			return false;
+		}
+		snprintf(change->key, sizeof(change->key), "%s", key);
+		change->is_delete = json_is_null(value);
+		if (!change->is_delete)
+			snprintf(change->value, sizeof(change->value), "%s",
+			    json_string_value(value));
+		if (!check_change(exchange, change))
+			return false;
+	}
+	order->command.body.config.change_count = count;
+	return true;
+}
+
+static bool
+check_change(struct http_exchange *exchange, const struct config_change *change)
+{
+	struct selector_fault fault = {0};
+	char message[MESSAGE_SIZE];
+	enum error_code error;
+
+	/* A key that can't be put may still be deleted. */
+	if (change->is_delete)
+		return true;
+	error = intent_check_entry(change->key, change->value, &fault);
+	if (error == ERROR_NONE)
+		return true;
+	if (fault.problem != SELECTOR_PROBLEM_NONE)
+		snprintf(message, sizeof(message),
+		    "%.64s: at byte %u of the selector: %s", change->key,
+		    fault.position, selector_problem_name(fault.problem));
+	else
+		snprintf(message, sizeof(message), "%.64s: %s", change->key,
+		    error_text(error));
+	api_refuse(exchange, error, message);
+	return false;
+}
+
+static void
+submit_change(struct host *host, struct http_exchange *exchange,
+    struct change_order *order)
+{
+	struct command_result result;
+	char message[MESSAGE_SIZE];
+	enum error_code error;
+	bool is_in_force;
+
+	is_in_force = false;
+	if (order->wants_in_force)
+		error = host_submit_in_force(host, &order->command,
+		    order->timeout_ms, &result, &is_in_force);
+	else
+		error = host_submit(
+		    host, &order->command, order->timeout_ms, &result);
+	if (error == ERROR_NONE)
+		error = result.error;
+	if (error == ERROR_REVISION_CONFLICT) {
+		snprintf(message, sizeof(message),
+		    "the configuration is at revision %" PRIu64
+		    "; read it and decide anew",
+		    result.revision);
+		api_refuse(exchange, error, message);
+	} else if (error != ERROR_NONE) {
+		api_refuse(exchange, error, NULL);
+	} else {
+		http_reply_json(exchange, 200,
+		    json_pack("{s:s,s:I,s:s}", "operation_id",
+			order->command.operation_id, "revision",
+			(json_int_t)result.revision, "state",
+			is_in_force ? "in_force" : "accepted"));
+	}
+}
+
+/* What the selectors among the changes take, as this host sees it. */
+static void
+show_change(struct host *host, struct http_exchange *exchange,
+    const struct change_order *order)
+{
+	const struct config_change *change;
+	json_t *names;
+	uint32_t i;
+
+	names = json_array();
+	for (i = 0; i < order->command.body.config.change_count; i++) {
+		change = &order->changes[i];
+		if (!change->is_delete &&
+		    strncmp(change->key, "takeout/", strlen("takeout/")) == 0)
+			list_taken(host, change->value, names);
+	}
+	http_reply_json(exchange, 200,
+	    json_pack("{s:s,s:s,s:o}", "operation_id",
+		order->command.operation_id, "state", "dry_run", "upstreams",
+		names));
+}
+
+static void
+list_taken(struct host *host, const char *text, json_t *names)
+{
+	const struct upstream_record *record;
+	const struct fleet_view *view;
+	struct selector *selector;
+	uint32_t i;
+
+	selector = g_new(struct selector, 1);
+	if (selector_parse(selector, text, NULL) == ERROR_NONE) {
+		view = fleet_lock(&host->fleet);
+		for (i = 0; i < view->upstream_count; i++) {
+			record = &view->upstreams[i]->record;
+			if (intent_select(view->intent, selector, record))
+				json_array_append_new(
+				    names, json_string(record->name));
+		}
+		fleet_unlock();
+	}
+	g_free(selector);
+}
--- /dev/null
+++ b/src/service/request_api.c
@@ -0,0 +1,317 @@
+#include "service/api.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/monotonic_clock.h"
+#include "service/request_run.h"
+
+#define EARLY_MS	  1000 /* Wait for an error before a stream begins. */
+#define LOOK_MS		  500  /* Between looks whether the caller has gone. */
+#define US_PER_S	  1000000
+#define CONTENT_TYPE_JSON "application/json"
+
+/* A streamed answer. */
+struct answer_stream {
+	struct request_run run;
+	struct completions_answer answer;
+	enum completions_kind kind;
+	char model[NAME_SIZE_MAX];
+	bool is_first;
+	bool is_ended;
+};
+
+static void answer_completions(struct host *host,
+    struct http_exchange *exchange, enum completions_kind kind);
+static bool read_caller(struct host *host, struct http_exchange *exchange,
+    struct request_order *order);
+static bool find_account(struct host *host, struct request_order *order);
+static void begin_facts(struct host *host, struct request_order *order);
+static void answer_whole(struct host *host, struct http_exchange *exchange,
+    const struct request_order *order, struct completions_answer *answer);
+static void answer_stream(struct host *host, struct http_exchange *exchange,
+    const struct request_order *order, const struct completions_answer *answer);
+static void gather(
+    struct request_run *run, struct http_exchange *exchange, GString *text);
+static enum http_stream_state stream_next(
+    void *context, GString *out, int64_t deadline_ms);
+static void stream_closed(void *context, bool whole);
+static const char *rest_of_path(
+    const struct http_exchange *exchange, const char *service);
+
+void
+api_completions(void *context, struct http_exchange *exchange)
+{
+	answer_completions(context, exchange, COMPLETIONS_KIND_TEXT);
+}
+
+void
+api_chat_completions(void *context, struct http_exchange *exchange)
+{
+	answer_completions(context, exchange, COMPLETIONS_KIND_CHAT);
+}
+
+void
+api_service_call(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+	struct request_order order = {0};
+	struct request_run *run;
+	const char *service, *type;
+	GString *text;
+	size_t size;
+	char *body;
+
+	if (!read_caller(host, exchange, &order))
+		return;
+	service = http_parameter(exchange, "service");
+	if (service == NULL || strlen(service) >= NAME_SIZE_MAX) {
+		api_refuse(exchange, ERROR_NOT_FOUND, "no such service");
+		return;
+	}
+	body = http_take_body(exchange, &size);
+	order.body = shared_text_copy(body == NULL ? "" : body, size);
+	free(body);
+	begin_facts(host, &order);
+	service_facts(service, order.body, &order.headers,
+	    host->fingerprint_key, host_now_ms(), &order.facts);
+	snprintf(order.path, sizeof(order.path), "%s",
+	    rest_of_path(exchange, service));
+	type = http_header(exchange, "Content-Type");
+	snprintf(order.content_type, sizeof(order.content_type), "%s",
+	    type == NULL ? "application/octet-stream" : type);
+	run = g_new(struct request_run, 1);
+	request_run_init(run, host, &order);
+	text = g_string_new(NULL);
+	gather(run, exchange, text);
+	if (run->end.code == ERROR_NONE)
+		http_reply(exchange, run->status, run->answer_type, text->str,
+		    text->len);
+	else
+		http_reply_error(exchange, &run->end);
+	g_string_free(text, TRUE);
+	request_run_finish(run);
+	g_free(run);
+}
+
+void
+api_refuse(
+    struct http_exchange *exchange, enum error_code code, const char *message)
+{
+	struct caller_error error = {.code = code,
+	    .outcome = REQUEST_OUTCOME_NOT_RUN,
+	    .message = message};
+
+	http_reply_error(exchange, &error);
+}
+
+static void
+answer_completions(struct host *host, struct http_exchange *exchange,
+    enum completions_kind kind)
+{
+	struct completions_request request = {0};
+	struct completions_answer answer = {0};
+	struct request_order order = {0};
+	struct field_error problem = {0};
+	enum error_code error;
+	size_t size;
+	char *body;
+
+	if (!read_caller(host, exchange, &order))
+		return;
+	body = http_take_body(exchange, &size);
+	error = completions_parse(
+	    kind, body == NULL ? "" : body, size, &request, &problem);
+	free(body);
+	if (error != ERROR_NONE) {
+		http_reply_field_error(exchange, &problem);
+		return;
+	}
+	begin_facts(host, &order);
+	completions_facts(&request, &order.headers, host->fingerprint_key,
+	    host_now_ms(), &order.facts);
+	order.body = shared_text_hold(request.prompt);
+	answer.kind = kind;
+	answer.request_id = order.facts.id;
+	answer.created_s = clock_wall_us() / US_PER_S;
+	answer.model = request.model;
+	answer.prompt_tokens = order.facts.prompt_tokens;
+	if (request.stream)
+		answer_stream(host, exchange, &order, &answer);
+	else
+		answer_whole(host, exchange, &order, &answer);
+	completions_request_finish(&request);
+}
+
+static bool
+read_caller(struct host *host, struct http_exchange *exchange,
+    struct request_order *order)
+{
+	struct field_error problem = {0};
+
+	if (caller_headers_parse(http_header_source(exchange),
+		host->settings.default_deadline_ms, &order->headers,
+		&problem) != ERROR_NONE) {
+		http_reply_field_error(exchange, &problem);
+		return false;
+	}
+	if (order->headers.deadline_ms > host->settings.deadline_max_ms) {
+		api_refuse(exchange, ERROR_BAD_VALUE,
+		    "X-Request-Deadline-Ms is above timing.deadline_max_ms");
+		return false;
+	}
+	if (!find_account(host, order)) {
+		api_refuse(exchange, ERROR_UNAUTHENTICATED,
+		    "no client account has this token");
+		return false;
+	}
+	if (atomic_load(&host->running) >= host->settings.streams_max) {
+		api_refuse(exchange, ERROR_TABLE_FULL,
+		    "this host runs limits.streams_max requests");
+		return false;
+	}
+	return true;
+}
+
+static bool
+find_account(struct host *host, struct request_order *order)
+{
+	const struct intent_account *account;
+	const struct fleet_view *view;
+
+	view = fleet_lock(&host->fleet);
+	account = intent_account_by_token(view->intent, order->headers.token);
+	if (account != NULL) {
+		order->facts.account_index = account->index;
+		snprintf(order->facts.client_account,
+		    sizeof(order->facts.client_account), "%s", account->name);
+	}
+	fleet_unlock();
+	return account != NULL;
+}
+
+static void
+begin_facts(struct host *host, struct request_order *order)
+{
+	order->facts.id = host_new_request_id(host);
+}
+
+static void
+answer_whole(struct host *host, struct http_exchange *exchange,
+    const struct request_order *order, struct completions_answer *answer)
+{
+	struct request_run *run;
+	GString *text, *out;
+
+	run = g_new(struct request_run, 1);
+	request_run_init(run, host, order);
+	text = g_string_new(NULL);
+	gather(run, exchange, text);
+	if (run->end.code == ERROR_NONE) {
+		answer->answer_tokens = run->answer_tokens;
+		answer->stopped_by_length = run->stopped_by_length;
+		out = g_string_new(NULL);
+		completions_write_answer(out, answer, text->str, text->len);
+		http_reply(
+		    exchange, 200, CONTENT_TYPE_JSON, out->str, out->len);
+		g_string_free(out, TRUE);
+	} else {
+		http_reply_error(exchange, &run->end);
+	}
+	g_string_free(text, TRUE);
+	request_run_finish(run);
+	g_free(run);
+}
+
+/* Errors before the first text get an HTTP status of their own. */
+static void
+answer_stream(struct host *host, struct http_exchange *exchange,
+    const struct request_order *order, const struct completions_answer *answer)
+{
+	struct http_stream stream = {stream_next, stream_closed, NULL};
+	struct answer_stream *state;
+
+	state = g_new0(struct answer_stream, 1);
+	state->answer = *answer;
+	snprintf(state->model, sizeof(state->model), "%s", answer->model);
+	state->answer.model = state->model;
+	state->is_first = true;
+	request_run_init(&state->run, host, order);
+	request_run_step(&state->run, host_now_ms() + EARLY_MS);
+	if (state->run.state == REQUEST_STATE_ENDED &&
+	    state->run.end.code != ERROR_NONE && state->run.text->len == 0) {
+		http_reply_error(exchange, &state->run.end);
+		request_run_finish(&state->run);
+		g_free(state);
+		return;
+	}
+	stream.context = state;
+	http_reply_stream(exchange, &stream);
+}
+
+/* Runs to the end, or until the caller has gone. */
+static void
+gather(struct request_run *run, struct http_exchange *exchange, GString *text)
+{
+	while (run->state != REQUEST_STATE_ENDED) {
+		request_run_step(run, host_now_ms() + LOOK_MS);
+		g_string_append_len(
+		    text, run->text->str, (gssize)run->text->len);
+		g_string_set_size(run->text, 0);
+		if (run->state != REQUEST_STATE_ENDED &&
+		    http_caller_gone(exchange))
+			request_run_cancel(run);
+	}
+	g_string_append_len(text, run->text->str, (gssize)run->text->len);
+}
+
+static enum http_stream_state
+stream_next(void *context, GString *out, int64_t deadline_ms)
+{
+	struct answer_stream *state = context;
+	struct request_run *run = &state->run;
+
+	if (run->text->len == 0)
+		request_run_step(run, deadline_ms);
+	if (run->text->len > 0) {
+		completions_write_piece(out, &state->answer, run->text->str,
+		    run->text->len, state->is_first);
+		state->is_first = false;
+		g_string_set_size(run->text, 0);
+	}
+	if (run->state != REQUEST_STATE_ENDED)
+		return HTTP_STREAM_MORE;
+	if (run->end.code == ERROR_NONE) {
+		state->answer.answer_tokens = run->answer_tokens;
+		state->answer.stopped_by_length = run->stopped_by_length;
+		completions_write_end(out, &state->answer);
+	} else {
+		caller_error_write_event(out, &run->end);
+	}
+	return HTTP_STREAM_END;
+}
+
+static void
+stream_closed(void *context, bool whole)
+{
+	struct answer_stream *state = context;
+
+	if (!whole)
+		request_run_cancel(&state->run);
+	request_run_finish(&state->run);
+	g_free(state);
+}
+
+/* What follows "/v1/services/<service>/". */
+static const char *
+rest_of_path(const struct http_exchange *exchange, const char *service)
+{
+	const char *at;
+
+	at = strstr(http_path(exchange), service);
+	if (at == NULL)
+		return "";
+	at += strlen(service);
+	return at[0] == '/' ? at + 1 : at;
+}
--- /dev/null
+++ b/src/service/request_run.c
@@ -0,0 +1,633 @@
+#include "service/request_run.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "base/monotonic_clock.h"
+#include "service/host_calls.h"
+
+#define PIECES_MAX	  256 /* Pieces that wait between the threads. */
+#define WINDOW_BYTES_MAX  (4u * 1024 * 1024) /* Out of order, at a time. */
+#define CLAIM_TIMEOUT_MS  3000		     /* Longest wait for a claim. */
+#define CLAIM_FINISH_MS	  60000 /* Longest try to note how it ended. */
+#define SUSPECT_MS	  2000	/* An upstream that failed is avoided. */
+#define RETRY_AFTER_MS	  1000	/* When the cause may be over soon. */
+#define TOKEN_INTERVAL_MS 200.0 /* Expected between two pieces. */
+#define US_PER_MS	  1000
+
+static void step_wait(struct request_run *run, int64_t until_ms);
+static void step_pause(struct request_run *run, int64_t until_ms);
+static void step_pieces(struct request_run *run, int64_t until_ms);
+static void dispatch(struct request_run *run);
+static bool claim_key(struct request_run *run);
+static void end_by_claim(
+    struct request_run *run, const struct command_result *result);
+static void fill_claim(const struct request_run *run, struct command *command);
+static bool is_route_open(struct request_run *run);
+static void fill_call(
+    const struct request_run *run, struct upstream_call *call);
+static enum error_code send_call(struct request_run *run);
+static void take_piece(struct request_run *run, struct piece *piece);
+static void take_text(struct request_run *run, const struct piece *piece);
+static void note_first_token(struct request_run *run);
+static void take_end(struct request_run *run, const struct piece *piece);
+static void take_failure(struct request_run *run, const struct piece *piece);
+static void fail_attempt(struct request_run *run, enum attempt_failure failure,
+    enum error_code cause, int64_t retry_after_ms);
+static void drop_attempt(struct request_run *run, bool tell_upstream);
+static void avoid_upstream(
+    struct request_run *run, enum attempt_failure failure);
+static void end_run(struct request_run *run, enum error_code code,
+    enum request_outcome outcome, int64_t retry_after_ms);
+static void finish_claim(struct request_run *run);
+static enum error_code deliver_text(
+    void *context, uint64_t sequence, const void *bytes, size_t size);
+static void set_stall(struct request_run *run, double expected_ms);
+static struct upstream_target route_target(const struct request_run *run);
+
+void
+request_run_init(struct request_run *run, struct host *host,
+    const struct request_order *order)
+{
+	struct stream_assembler_ops ops = {deliver_text, run};
+	enum quarantine_verdict verdict;
+	enum error_code error;
+
+	memset(run, 0, sizeof(*run));
+	run->host = host;
+	run->order = *order;
+	run->text = g_string_new(NULL);
+	stream_assembler_init(&run->assembler, &ops, WINDOW_BYTES_MAX);
+	span_start(&run->span, "request",
+	    order->headers.has_trace ? &order->headers.trace : NULL);
+	span_set(&run->span, "client_account", order->facts.client_account);
+	wait_ticket_init(&run->ticket, &run->order.facts);
+	atomic_fetch_add(&host->running, 1);
+	verdict = host_check_quarantine(host, order->facts.fingerprint);
+	if (verdict == QUARANTINE_REFUSE) {
+		end_run(run, ERROR_QUARANTINED, REQUEST_OUTCOME_NOT_RUN, 0);
+		return;
+	}
+	run->ticket.must_be_alone = verdict == QUARANTINE_RUN_ALONE;
+	if (!host_may_start(host)) {
+		end_run(run, ERROR_LEASE_EXPIRED, REQUEST_OUTCOME_NOT_RUN,
+		    RETRY_AFTER_MS);
+		return;
+	}
+	error = wait_line_enter(&host->line, &run->ticket);
+	if (error != ERROR_NONE) {
+		end_run(run, error, REQUEST_OUTCOME_NOT_RUN,
+		    run->ticket.retry_after_ms);
+		return;
+	}
+	retry_budget_note_admitted(&host->retry_budget, &host->retry);
+	router_mix_note(&host->mix, &host->line.parts.router,
+	    order->facts.prompt_tokens, host_now_ms());
+}
+
+void
+request_run_step(struct request_run *run, int64_t until_ms)
+{
+	do {
+		switch (run->state) {
+		case REQUEST_STATE_WAITING:
+			step_wait(run, until_ms);
+			break;
+		case REQUEST_STATE_PAUSED:
+			step_pause(run, until_ms);
+			break;
+		case REQUEST_STATE_RUNNING:
+			step_pieces(run, until_ms);
+			break;
+		case REQUEST_STATE_ENDED:
+			return;
+		}
+	} while (run->text->len == 0 && host_now_ms() < until_ms);
+}
+
+void
+request_run_cancel(struct request_run *run)
+{
+	if (run->state == REQUEST_STATE_ENDED)
+		return;
+	drop_attempt(run, true);
+	end_run(run, ERROR_CANCELLED,
+	    run->ran_before ? REQUEST_OUTCOME_UNKNOWN : REQUEST_OUTCOME_NOT_RUN,
+	    0);
+}
+
+void
+request_run_finish(struct request_run *run)
+{
+	request_run_cancel(run);
+	wait_ticket_finish(&run->ticket);
+	stream_assembler_finish(&run->assembler);
+	g_string_free(run->text, TRUE);
+	shared_text_release(run->order.body);
+	atomic_fetch_sub(&run->host->running, 1);
+}
+
+static void
+step_wait(struct request_run *run, int64_t until_ms)
+{
+	enum error_code error;
+
+	error = wait_line_await(&run->host->line, &run->ticket, until_ms);
+	if (error == ERROR_NONE)
+		dispatch(run);
+	else if (error != ERROR_TIMEOUT)
+		end_run(run, error,
+		    run->ran_before ? REQUEST_OUTCOME_FAILED
+				    : REQUEST_OUTCOME_NOT_RUN,
+		    run->ticket.retry_after_ms);
+}
+
+static void
+step_pause(struct request_run *run, int64_t until_ms)
+{
+	enum error_code error;
+	int64_t wait_ms;
+
+	wait_ms = run->resume_at_ms - host_now_ms();
+	if (wait_ms > until_ms - host_now_ms())
+		wait_ms = until_ms - host_now_ms();
+	if (wait_ms > 0)
+		g_usleep((gulong)wait_ms * US_PER_MS);
+	if (host_now_ms() < run->resume_at_ms)
+		return;
+	error = wait_line_again(&run->host->line, &run->ticket);
+	if (error == ERROR_NONE)
+		run->state = REQUEST_STATE_WAITING;
+	else
+		end_run(run, error,
+		    run->ran_before ? REQUEST_OUTCOME_FAILED
+				    : REQUEST_OUTCOME_NOT_RUN,
+		    run->ticket.retry_after_ms);
+}
+
+static void
+step_pieces(struct request_run *run, int64_t until_ms)
+{
+	int64_t wake_ms, now_ms;
+	struct piece piece;
+
+	wake_ms = until_ms;
+	if (wake_ms > run->stall_at_ms)
+		wake_ms = run->stall_at_ms;
+	if (wake_ms > run->order.facts.deadline_ms)
+		wake_ms = run->order.facts.deadline_ms;
+	if (piece_queue_pop(run->queue, wake_ms, &piece) == ERROR_NONE) {
+		take_piece(run, &piece);
+		piece_finish(&piece);
+		return;
+	}
+	now_ms = host_now_ms();
+	if (now_ms >= run->order.facts.deadline_ms)
+		fail_attempt(run, ATTEMPT_DEADLINE, ERROR_TIMEOUT, 0);
+	else if (now_ms >= run->stall_at_ms)
+		fail_attempt(run, ATTEMPT_STALLED, ERROR_STALLED, 0);
+}
+
+static void
+dispatch(struct request_run *run)
+{
+	enum error_code error;
+
+	if (run->order.headers.idempotency_key[0] != '\0' && !run->has_claim &&
+	    !claim_key(run))
+		return;
+	/* The claim took time, in which a takeout may have come in force. */
+	if (!is_route_open(run)) {
+		run->resume_at_ms = host_now_ms();
+		run->state = REQUEST_STATE_PAUSED;
+		return;
+	}
+	run->from_attempt = run->attempt;
+	run->attempt++;
+	run->stage = ATTEMPT_NOT_SENT;
+	run->state = REQUEST_STATE_RUNNING;
+	run->dispatched_ms = host_now_ms();
+	if (stream_assembler_position(&run->assembler) > 0)
+		stream_assembler_resume(&run->assembler, run->attempt);
+	else
+		stream_assembler_start(&run->assembler, run->attempt);
+	span_start(&run->attempt_span, "attempt", &run->span.context);
+	span_set(
+	    &run->attempt_span, "upstream", run->ticket.route.upstream_name);
+	span_set(
+	    &run->attempt_span, "data_centre", run->ticket.route.data_centre);
+	set_stall(run, run->ticket.route.first_token_ms);
+	run->queue = piece_queue_create(PIECES_MAX);
+	error = run->queue == NULL ? ERROR_NO_MEMORY : send_call(run);
+	if (error != ERROR_NONE) {
+		fail_attempt(run, ATTEMPT_NO_CAPACITY, error, RETRY_AFTER_MS);
+		return;
+	}
+	run->stage = ATTEMPT_SENT;
+}
+
+/* True if the key is this request's; else the run has ended. */
+static bool
+claim_key(struct request_run *run)
+{
+	struct command command = {.type = COMMAND_CLAIM_BEGIN};
+	struct command_result result;
+	enum error_code error;
+	int64_t left_ms;
+
+	fill_claim(run, &command);
+	left_ms = run->order.facts.deadline_ms - host_now_ms();
+	if (left_ms > CLAIM_TIMEOUT_MS)
+		left_ms = CLAIM_TIMEOUT_MS;
+	error = host_submit(run->host, &command, left_ms, &result);
+	if (error == ERROR_NONE && result.error == ERROR_NONE) {
+		run->has_claim = true;
+		return true;
+	}
+	if (error == ERROR_NONE) {
+		end_by_claim(run, &result);
+		return false;
+	}
+	/* It has not been dispatched, so whatever became of the claim it did
+	 * not run, and this claim will never lead to a run. */
+	run->has_claim = error == ERROR_OUTCOME_UNKNOWN;
+	end_run(run, error == ERROR_OUTCOME_UNKNOWN ? ERROR_NO_QUORUM : error,
+	    REQUEST_OUTCOME_NOT_RUN, RETRY_AFTER_MS);
+	return false;
+}
+
+static void
+end_by_claim(struct request_run *run, const struct command_result *result)
+{
+	enum request_outcome outcome;
+	enum error_code error;
+
+	error = result->error;
+	outcome = REQUEST_OUTCOME_NOT_RUN;
+	if (result->claim_state == CLAIM_STATE_RUNNING)
+		outcome = REQUEST_OUTCOME_UNKNOWN;
+	else if (result->claim_state == CLAIM_STATE_ENDED)
+		outcome = result->claim_outcome;
+	/* A transport error of the result's own: what it says may be done. */
+	if (error == ERROR_OUTCOME_UNKNOWN || error == ERROR_TIMEOUT) {
+		run->has_claim = true;
+		error = ERROR_NO_QUORUM;
+	}
+	end_run(run, error, outcome,
+	    outcome == REQUEST_OUTCOME_UNKNOWN || error == ERROR_NO_QUORUM
+		? RETRY_AFTER_MS
+		: 0);
+}
+
+static void
+fill_claim(const struct request_run *run, struct command *command)
+{
+	struct command_claim *claim = &command->body.claim;
+
+	snprintf(claim->client_account, sizeof(claim->client_account), "%s",
+	    run->order.facts.client_account);
+	snprintf(claim->idempotency_key, sizeof(claim->idempotency_key), "%s",
+	    run->order.headers.idempotency_key);
+	claim->fingerprint = run->order.facts.fingerprint;
+	claim->host_id = run->host->settings.host_id;
+	claim->host_incarnation = run->host->incarnation;
+	claim->request_id = run->order.facts.id;
+}
+
+static bool
+is_route_open(struct request_run *run)
+{
+	const struct fleet_upstream *upstream;
+	const struct fleet_view *view;
+	const char *takeout;
+	bool is_open;
+
+	if (!host_may_start(run->host))
+		return false;
+	view = fleet_lock(&run->host->fleet);
+	upstream = fleet_view_find(view, run->ticket.route.upstream_id);
+	is_open =
+	    upstream != NULL &&
+	    upstream->record.incarnation == run->ticket.route.incarnation &&
+	    upstream->record.state == UPSTREAM_STATE_ACTIVE &&
+	    !intent_is_taken_out(view->intent, &upstream->record, &takeout);
+	fleet_unlock();
+	return is_open;
+}
+
+static void
+fill_call(const struct request_run *run, struct upstream_call *call)
+{
+	const struct request_facts *facts = &run->order.facts;
+
+	call->target = route_target(run);
+	call->request_id = facts->id;
+	call->attempt = run->attempt;
+	snprintf(call->model, sizeof(call->model), "%s", facts->model);
+	call->priority =
+	    router_engine_priority(&run->host->line.parts.router, facts);
+	call->answer_tokens_max = facts->answer_tokens_max;
+	call->deadline_ms = facts->deadline_ms;
+	call->is_idempotent = facts->is_idempotent;
+	call->trace = run->attempt_span.context;
+	call->body = run->order.body;
+	call->body_size = run->order.body == NULL ? 0 : run->order.body->size;
+	snprintf(call->content_type, sizeof(call->content_type), "%s",
+	    run->order.content_type);
+	call->from_attempt = run->from_attempt;
+	call->position = stream_assembler_position(&run->assembler);
+	snprintf(call->path, sizeof(call->path), "%s", run->order.path);
+	snprintf(call->idempotency_key, sizeof(call->idempotency_key), "%s",
+	    run->order.headers.idempotency_key);
+}
+
+static enum error_code
+send_call(struct request_run *run)
+{
+	struct upstream_call call = {0};
+	void *context;
+
+	fill_call(run, &call);
+	context = &run->host->upstreams_http;
+	if (run->order.facts.is_service_call)
+		return upstream_http_adapter.call(context, &call, run->queue);
+	if (call.position > 0)
+		return upstream_http_adapter.resume(context, &call, run->queue);
+	return upstream_http_adapter.generate(context, &call, run->queue);
+}
+
+static void
+take_piece(struct request_run *run, struct piece *piece)
+{
+	switch (piece->kind) {
+	case PIECE_KIND_HEAD:
+		run->status = piece->status;
+		snprintf(run->answer_type, sizeof(run->answer_type), "%s",
+		    piece->content_type);
+		run->stage = ATTEMPT_STREAMING;
+		set_stall(run, TOKEN_INTERVAL_MS);
+		break;
+	case PIECE_KIND_TEXT:
+		take_text(run, piece);
+		break;
+	case PIECE_KIND_END:
+		take_end(run, piece);
+		break;
+	case PIECE_KIND_FAILED:
+		take_failure(run, piece);
+		break;
+	}
+}
+
+static void
+take_text(struct request_run *run, const struct piece *piece)
+{
+	struct stream_piece part = {.attempt = piece->attempt,
+	    .sequence = piece->sequence,
+	    .bytes = piece->text,
+	    .size = piece->text_size};
+	enum error_code error;
+
+	/* Another request's text must never reach this caller. */
+	if (piece->request_id != run->order.facts.id)
+		return;
+	if (run->stage != ATTEMPT_STREAMING)
+		note_first_token(run);
+	run->stage = ATTEMPT_STREAMING;
+	run->last_piece_ms = host_now_ms();
+	run->answer_tokens += piece->tokens;
+	set_stall(run, TOKEN_INTERVAL_MS);
+	error = stream_assembler_add(&run->assembler, &part);
+	if (error != ERROR_NONE)
+		fail_attempt(run, ATTEMPT_ERROR, error, 0);
+}
+
+static void
+note_first_token(struct request_run *run)
+{
+	struct warmup_answer answer = {0};
+	const struct fleet_upstream *upstream;
+	const struct fleet_view *view;
+	struct warmup_settings settings;
+	struct host *host = run->host;
+	int64_t now_ms;
+
+	now_ms = host_now_ms();
+	wait_line_note_first_token(&host->line, &run->ticket);
+	prefix_index_note(&host->prefixes, &run->order.facts,
+	    run->ticket.route.upstream_id, now_ms);
+	if (run->first_token_ms == 0) {
+		run->first_token_ms = now_ms;
+		request_metrics_first_token(&host->metrics,
+		    run->ticket.route.data_centre,
+		    run->order.facts.prompt_tokens,
+		    now_ms - run->order.facts.admitted_ms);
+	}
+	answer.prompt_tokens = run->order.facts.prompt_tokens;
+	answer.first_token_ms = now_ms - run->dispatched_ms;
+	settings = warmup_default_settings();
+	view = fleet_lock(&host->fleet);
+	upstream = fleet_view_find(view, run->ticket.route.upstream_id);
+	if (upstream != NULL) {
+		answer.ahead_tokens =
+		    atomic_load(&upstream->load.prefill_tokens);
+		host_note_answer(host, &run->ticket.route,
+		    warmup_judge(&upstream->record.limits, &settings, &answer));
+	}
+	fleet_unlock();
+}
+
+static void
+take_end(struct request_run *run, const struct piece *piece)
+{
+	enum error_code error;
+
+	if (piece->request_id != run->order.facts.id)
+		return;
+	run->stopped_by_length = piece->stopped_by_length;
+	error = stream_assembler_end(
+	    &run->assembler, piece->attempt, piece->piece_count);
+	if (error == ERROR_NONE)
+		error = stream_assembler_close(&run->assembler);
+	if (error != ERROR_NONE) {
+		fail_attempt(run, ATTEMPT_ERROR, error, 0);
+		return;
+	}
+	run->ran_before = true;
+	drop_attempt(run, false);
+	host_note_done(run->host, run->order.facts.fingerprint);
+	end_run(run, ERROR_NONE, REQUEST_OUTCOME_DONE, 0);
+}
+
+static void
+take_failure(struct request_run *run, const struct piece *piece)
+{
+	struct host *host = run->host;
+
+	if (piece->outcome == REQUEST_OUTCOME_NOT_RUN) {
+		run->stage = ATTEMPT_NOT_SENT;
+		if (piece->error == ERROR_NO_CAPACITY)
+			host_note_answer(host, &run->ticket.route, WARMUP_COLD);
+		fail_attempt(run,
+		    piece->error == ERROR_CONNECTION ? ATTEMPT_CONNECTION
+						     : ATTEMPT_REFUSED,
+		    piece->error, piece->retry_after_ms);
+		return;
+	}
+	/* Only a connection that broke may mean that the upstream died. */
+	if (piece->error == ERROR_CONNECTION ||
+	    piece->error == ERROR_INCOMPLETE ||
+	    piece->error == ERROR_OUTCOME_UNKNOWN)
+		host_note_crash(
+		    host, &run->ticket.route, run->order.facts.fingerprint);
+	fail_attempt(run,
+	    piece->error == ERROR_UPSTREAM_FAILED ? ATTEMPT_ERROR
+						  : ATTEMPT_CONNECTION,
+	    piece->error, piece->retry_after_ms);
+}
+
+static void
+fail_attempt(struct request_run *run, enum attempt_failure failure,
+    enum error_code cause, int64_t retry_after_ms)
+{
+	struct attempt_report report = {0};
+	struct retry_verdict verdict;
+	struct host *host = run->host;
+
+	report.attempt = run->attempt;
+	report.stage = run->stage;
+	report.failure = failure;
+	report.delivered = stream_assembler_position(&run->assembler);
+	report.ran_before = run->ran_before;
+	report.can_resume = !run->order.facts.is_service_call;
+	report.expected_ms = run->ticket.route.end_ms;
+	verdict = retry_decide(&host->retry, &host->retry_budget,
+	    &run->order.facts, &report, g_random_double(), host_now_ms());
+	if (run->stage != ATTEMPT_NOT_SENT)
+		run->ran_before = true;
+	avoid_upstream(run, failure);
+	span_end(&host->spans, &run->attempt_span, error_name(cause));
+	memset(&run->attempt_span, 0, sizeof(run->attempt_span));
+	drop_attempt(run, failure != ATTEMPT_REFUSED);
+	if (verdict.action == RETRY_GIVE_UP) {
+		event_log_write(EVENT_REQUEST_FAILED, "%s after attempt %u",
+		    error_name(cause), run->attempt);
+		end_run(run, cause, verdict.outcome,
+		    retry_after_ms > 0 ? retry_after_ms
+		    : verdict.outcome == REQUEST_OUTCOME_NOT_RUN
+			? RETRY_AFTER_MS
+			: 0);
+		return;
+	}
+	request_metrics_retried(&host->metrics, cause);
+	event_log_write(EVENT_REQUEST_RETRIED, "%s after attempt %u",
+	    error_name(cause), run->attempt);
+	run->resume_at_ms = host_now_ms() + verdict.pause_ms;
+	run->state = REQUEST_STATE_PAUSED;
+}
+
+static void
+drop_attempt(struct request_run *run, bool tell_upstream)
+{
+	struct upstream_target target;
+
+	if (run->queue == NULL)
+		return;
+	piece_queue_close(run->queue);
+	piece_queue_release(run->queue);
+	run->queue = NULL;
+	if (tell_upstream && run->stage != ATTEMPT_NOT_SENT) {
+		target = route_target(run);
+		upstream_http_adapter.cancel(
+		    &run->host->upstreams_http, &target, run->order.facts.id);
+	}
+}
+
+static void
+avoid_upstream(struct request_run *run, enum attempt_failure failure)
+{
+	struct wait_ticket *ticket = &run->ticket;
+	struct fleet_upstream *upstream;
+	const struct fleet_view *view;
+
+	if (ticket->excluded_count < WAIT_EXCLUDED_MAX)
+		ticket->excluded[ticket->excluded_count++] =
+		    ticket->route.upstream_id;
+	if (failure != ATTEMPT_STALLED && failure != ATTEMPT_CONNECTION)
+		return;
+	view = fleet_lock(&run->host->fleet);
+	upstream = fleet_view_find(view, ticket->route.upstream_id);
+	if (upstream != NULL)
+		fleet_upstream_suspect(upstream, host_now_ms() + SUSPECT_MS);
+	fleet_unlock();
+}
+
+static void
+end_run(struct request_run *run, enum error_code code,
+    enum request_outcome outcome, int64_t retry_after_ms)
+{
+	struct host *host = run->host;
+	const struct request_facts *facts = &run->order.facts;
+
+	run->state = REQUEST_STATE_ENDED;
+	run->end.code = code;
+	run->end.outcome = outcome;
+	run->end.retry_after_ms = retry_after_ms;
+	wait_line_leave(&host->line, &run->ticket);
+	if (run->attempt_span.name[0] != '\0')
+		span_end(&host->spans, &run->attempt_span, error_name(code));
+	if (code != ERROR_NONE && outcome == REQUEST_OUTCOME_NOT_RUN) {
+		request_metrics_refused(&host->metrics, code);
+		event_log_write(EVENT_REQUEST_REFUSED, "%s", error_name(code));
+	}
+	request_metrics_end(&host->metrics, facts->client_account,
+	    run->ticket.route.data_centre, facts->prompt_tokens,
+	    code == ERROR_NONE ? "done" : error_name(code),
+	    host_now_ms() - facts->admitted_ms);
+	span_set_number(
+	    &run->span, "prompt_tokens", (int64_t)facts->prompt_tokens);
+	span_set_number(&run->span, "attempts", run->attempt);
+	span_end(&host->spans, &run->span,
+	    code == ERROR_NONE ? "done" : error_name(code));
+	if (run->has_claim)
+		finish_claim(run);
+}
+
+static void
+finish_claim(struct request_run *run)
+{
+	struct command command = {.type = COMMAND_CLAIM_FINISH};
+
+	fill_claim(run, &command);
+	command.body.claim.outcome = run->end.outcome;
+	host_post(run->host, &command, CLAIM_FINISH_MS);
+	run->has_claim = false;
+}
+
+static enum error_code
+deliver_text(void *context, uint64_t sequence, const void *bytes, size_t size)
+{
+	struct request_run *run = context;
+
+	(void)sequence;
+	g_string_append_len(run->text, bytes, (gssize)size);
+	return ERROR_NONE;
+}
+
+static void
+set_stall(struct request_run *run, double expected_ms)
+{
+	run->stall_at_ms = retry_stall_at(&run->host->retry, expected_ms,
+	    host_now_ms(), run->order.facts.deadline_ms);
+}
+
+static struct upstream_target
+route_target(const struct request_run *run)
+{
+	struct upstream_target target = {0};
+
+	snprintf(target.url, sizeof(target.url), "%s", run->ticket.route.url);
+	target.incarnation = run->ticket.route.incarnation;
+	return target;
+}
--- /dev/null
+++ b/src/service/wait_line.c
@@ -0,0 +1,389 @@
+#include "service/wait_line.h"
+
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/monotonic_clock.h"
+
+static struct admission_prediction predict(struct wait_line *line,
+    struct wait_ticket *ticket, const struct intent_account *account,
+    enum error_code *error);
+static enum error_code choose(struct wait_line *line,
+    const struct fleet_view *view, const struct wait_ticket *ticket,
+    struct router_choice *choice);
+static bool start_item(void *context, const struct fair_queue_item *item);
+static bool take_candidate(struct wait_line *line, struct wait_ticket *ticket,
+    const struct router_candidate *candidate);
+static void fill_route(
+    struct wait_route *route, const struct router_candidate *candidate);
+static void run_queue(struct wait_line *line);
+static enum error_code push_ticket(
+    struct wait_line *line, struct wait_ticket *ticket, uint32_t weight);
+static void leave_queue(struct wait_line *line, struct wait_ticket *ticket);
+
+enum error_code
+wait_line_init(struct wait_line *line, const struct wait_line_parts *parts)
+{
+	enum error_code error;
+
+	memset(line, 0, sizeof(*line));
+	line->parts = *parts;
+	error = admission_init(&line->admission, &parts->admission);
+	if (error != ERROR_NONE)
+		return error;
+	error = fair_queue_init(&line->queue, &parts->queue);
+	if (error != ERROR_NONE) {
+		admission_finish(&line->admission);
+		return error;
+	}
+	pthread_mutex_init(&line->mutex, NULL);
+	return ERROR_NONE;
+}
+
+void
+wait_line_finish(struct wait_line *line)
+{
+	fair_queue_finish(&line->queue);
+	admission_finish(&line->admission);
+	pthread_mutex_destroy(&line->mutex);
+}
+
+void
+wait_line_close(struct wait_line *line)
+{
+	pthread_mutex_lock(&line->mutex);
+	admission_close(&line->admission);
+	pthread_mutex_unlock(&line->mutex);
+}
+
+void
+wait_line_set_hosts(struct wait_line *line, uint32_t hosts)
+{
+	pthread_mutex_lock(&line->mutex);
+	admission_set_hosts(&line->admission, hosts);
+	pthread_mutex_unlock(&line->mutex);
+}
+
+void
+wait_ticket_init(struct wait_ticket *ticket, const struct request_facts *facts)
+{
+	pthread_condattr_t attributes;
+
+	memset(ticket, 0, sizeof(*ticket));
+	ticket->facts = facts;
+	pthread_condattr_init(&attributes);
+	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	pthread_cond_init(&ticket->changed, &attributes);
+	pthread_condattr_destroy(&attributes);
+}
+
+void
+wait_ticket_finish(struct wait_ticket *ticket)
+{
+	pthread_cond_destroy(&ticket->changed);
+}
+
+enum error_code
+wait_line_enter(struct wait_line *line, struct wait_ticket *ticket)
+{
+	struct admission_prediction prediction;
+	struct admission_verdict verdict;
+	const struct intent_account *account;
+	const struct fleet_view *view;
+	enum error_code error;
+	uint32_t weight;
+
+	pthread_mutex_lock(&line->mutex);
+	view = fleet_lock(line->parts.fleet);
+	account =
+	    intent_account_by_name(view->intent, ticket->facts->client_account);
+	error = account == NULL ? ERROR_UNAUTHENTICATED : ERROR_NONE;
+	if (error != ERROR_NONE)
+		goto unlock;
+	ticket->account_id = account->id;
+	weight = account->weight;
+	prediction = predict(line, ticket, account, &error);
+	if (error == ERROR_NO_UPSTREAM) {
+		ticket->retry_after_ms = admission_retry_after(
+		    &line->admission, prediction.queue_ms);
+		goto unlock;
+	}
+	verdict = admission_decide(&line->admission, account, ticket->facts,
+	    &prediction, line->parts.now_ms());
+	ticket->retry_after_ms = verdict.retry_after_ms;
+	ticket->latest_start_ms = verdict.latest_start_ms;
+	error = verdict.error;
+	ticket->is_admitted = error == ERROR_NONE;
+unlock:
+	fleet_unlock();
+	if (error == ERROR_NONE)
+		error = push_ticket(line, ticket, weight);
+	ticket->error = error;
+	pthread_mutex_unlock(&line->mutex);
+	return error;
+}
+
+enum error_code
+wait_line_await(
+    struct wait_line *line, struct wait_ticket *ticket, int64_t until_ms)
+{
+	struct timespec until;
+	enum error_code error;
+
+	if (until_ms > ticket->latest_start_ms)
+		until_ms = ticket->latest_start_ms;
+	until = clock_timespec(until_ms);
+	pthread_mutex_lock(&line->mutex);
+	while (!ticket->has_started) {
+		if (pthread_cond_timedwait(
+			&ticket->changed, &line->mutex, &until) != 0)
+			break;
+	}
+	error = ERROR_NONE;
+	if (!ticket->has_started &&
+	    line->parts.now_ms() >= ticket->latest_start_ms) {
+		leave_queue(line, ticket);
+		error = ERROR_DEADLINE_UNREACHABLE;
+		ticket->retry_after_ms = admission_retry_after(
+		    &line->admission, admission_queue_ms(&line->admission,
+					  line->queue.waiting_cost));
+	} else if (!ticket->has_started) {
+		error = ERROR_TIMEOUT;
+	}
+	ticket->error = error;
+	pthread_mutex_unlock(&line->mutex);
+	return error;
+}
+
+enum error_code
+wait_line_again(struct wait_line *line, struct wait_ticket *ticket)
+{
+	const struct intent_account *account;
+	const struct fleet_view *view;
+	enum error_code error;
+	uint32_t weight;
+
+	pthread_mutex_lock(&line->mutex);
+	fleet_work_end(&ticket->route.work);
+	ticket->has_started = false;
+	view = fleet_lock(line->parts.fleet);
+	account =
+	    intent_account_by_name(view->intent, ticket->facts->client_account);
+	weight = account == NULL ? INTENT_WEIGHT_DEFAULT : account->weight;
+	fleet_unlock();
+	error = push_ticket(line, ticket, weight);
+	pthread_mutex_unlock(&line->mutex);
+	return error;
+}
+
+void
+wait_line_leave(struct wait_line *line, struct wait_ticket *ticket)
+{
+	pthread_mutex_lock(&line->mutex);
+	leave_queue(line, ticket);
+	if (ticket->has_started)
+		fleet_work_end(&ticket->route.work);
+	ticket->has_started = false;
+	if (ticket->is_admitted)
+		admission_end(&line->admission, ticket->account_id);
+	ticket->is_admitted = false;
+	run_queue(line);
+	pthread_mutex_unlock(&line->mutex);
+}
+
+void
+wait_line_note_first_token(struct wait_line *line, struct wait_ticket *ticket)
+{
+	pthread_mutex_lock(&line->mutex);
+	fleet_work_note_first_token(&ticket->route.work);
+	run_queue(line);
+	pthread_mutex_unlock(&line->mutex);
+}
+
+void
+wait_line_poke(struct wait_line *line)
+{
+	pthread_mutex_lock(&line->mutex);
+	run_queue(line);
+	pthread_mutex_unlock(&line->mutex);
+}
+
+void
+wait_line_visit(struct wait_line *line, uint32_t max,
+    void (*visit)(void *context, const struct request_facts *facts),
+    void *context)
+{
+	const struct wait_ticket *ticket;
+	GList *link;
+
+	pthread_mutex_lock(&line->mutex);
+	for (link = line->tickets.head; link != NULL && max > 0; max--) {
+		ticket = link->data;
+		visit(context, ticket->facts);
+		link = link->next;
+	}
+	pthread_mutex_unlock(&line->mutex);
+}
+
+static struct admission_prediction
+predict(struct wait_line *line, struct wait_ticket *ticket,
+    const struct intent_account *account, enum error_code *error)
+{
+	struct admission_prediction prediction = {0};
+	struct router_choice choice;
+	const struct fleet_view *view;
+	uint64_t cost_ahead;
+
+	view = fleet_lock(line->parts.fleet);
+	*error = choose(line, view, ticket, &choice);
+	fleet_unlock();
+	cost_ahead =
+	    fair_queue_cost_ahead(&line->queue, account->id, account->weight);
+	prediction.queue_ms = admission_queue_ms(&line->admission, cost_ahead);
+	if (choice.count > 0) {
+		prediction.first_token_ms = choice.candidates[0].first_token_ms;
+		prediction.end_ms = choice.candidates[0].end_ms;
+	} else if (choice.soonest_ms > prediction.queue_ms) {
+		prediction.queue_ms = choice.soonest_ms;
+	}
+	return prediction;
+}
+
+static enum error_code
+choose(struct wait_line *line, const struct fleet_view *view,
+    const struct wait_ticket *ticket, struct router_choice *choice)
+{
+	struct router_query query = {0};
+
+	memset(choice, 0, sizeof(*choice));
+	query.facts = ticket->facts;
+	query.account =
+	    intent_account_by_name(view->intent, ticket->facts->client_account);
+	if (query.account == NULL)
+		return ERROR_UNAUTHENTICATED;
+	query.prefixes = line->parts.prefixes;
+	query.excluded = ticket->excluded;
+	query.excluded_count = ticket->excluded_count;
+	query.long_share = router_mix_share(line->parts.mix);
+	query.now_ms = line->parts.now_ms();
+	return router_choose(&line->parts.router, view, &query, choice);
+}
+
+static bool
+start_item(void *context, const struct fair_queue_item *item)
+{
+	struct wait_ticket *ticket = item->context;
+	struct wait_line *line = context;
+	struct router_choice choice;
+	const struct fleet_view *view;
+	bool has_started;
+	uint32_t i;
+
+	if (!fleet_may_start(line->parts.fleet, line->parts.now_ms()))
+		return false;
+	has_started = false;
+	view = fleet_lock(line->parts.fleet);
+	if (choose(line, view, ticket, &choice) != ERROR_NONE)
+		choice.count = 0;
+	for (i = 0; !has_started && i < choice.count; i++)
+		has_started =
+		    take_candidate(line, ticket, &choice.candidates[i]);
+	fleet_unlock();
+	return has_started;
+}
+
+static bool
+take_candidate(struct wait_line *line, struct wait_ticket *ticket,
+    const struct router_candidate *candidate)
+{
+	struct capacity_slot *slot;
+
+	slot = candidate->upstream->slot;
+	/* A suspect must have nobody beside it, which a single slot can show. */
+	if (ticket->must_be_alone && capacity_slot_used(slot).requests > 0)
+		return false;
+	if (fleet_work_begin(&ticket->route.work, candidate->upstream,
+		&candidate->amount, candidate->long_tokens,
+		line->parts.now_ms()) != ERROR_NONE)
+		return false;
+	fill_route(&ticket->route, candidate);
+	return true;
+}
+
+static void
+fill_route(struct wait_route *route, const struct router_candidate *candidate)
+{
+	const struct upstream_record *record;
+
+	record = &candidate->upstream->record;
+	snprintf(route->url, sizeof(route->url), "%s", record->url);
+	snprintf(route->upstream_name, sizeof(route->upstream_name), "%s",
+	    record->name);
+	snprintf(route->data_centre, sizeof(route->data_centre), "%s",
+	    record->data_centre);
+	route->upstream_id = record->id;
+	route->incarnation = record->incarnation;
+	route->first_token_ms = candidate->first_token_ms;
+	route->end_ms = candidate->end_ms;
+}
+
+/* The mutex is held. */
+static void
+run_queue(struct wait_line *line)
+{
+	struct fair_queue_item item;
+	struct wait_ticket *ticket;
+
+	while (fair_queue_pop(&line->queue, start_item, line, &item)) {
+		ticket = item.context;
+		ticket->is_queued = false;
+		g_queue_unlink(&line->tickets, &ticket->link);
+		ticket->has_started = true;
+		admission_note_start(
+		    &line->admission, item.cost, line->parts.now_ms());
+		pthread_cond_signal(&ticket->changed);
+	}
+	atomic_store(&line->waiting, fair_queue_count(&line->queue));
+}
+
+/* The mutex is held. */
+static enum error_code
+push_ticket(struct wait_line *line, struct wait_ticket *ticket, uint32_t weight)
+{
+	struct fair_queue_item item = {0};
+	enum error_code error;
+
+	item.request_id = ticket->facts->id;
+	item.account_id = ticket->account_id;
+	item.weight = weight;
+	item.priority = ticket->facts->priority;
+	item.cost = fair_queue_cost(
+	    ticket->facts->prompt_tokens, ticket->facts->answer_tokens_max);
+	item.latest_start_ms = ticket->latest_start_ms;
+	item.context = ticket;
+	error = fair_queue_push(&line->queue, &item, line->parts.now_ms());
+	if (error != ERROR_NONE) {
+		ticket->retry_after_ms = admission_retry_after(
+		    &line->admission, admission_queue_ms(&line->admission,
+					  line->queue.waiting_cost));
+		return error;
+	}
+	ticket->is_queued = true;
+	ticket->link.data = ticket;
+	g_queue_push_tail_link(&line->tickets, &ticket->link);
+	run_queue(line);
+	return ERROR_NONE;
+}
+
+/* The mutex is held. */
+static void
+leave_queue(struct wait_line *line, struct wait_ticket *ticket)
+{
+	if (ticket->is_queued) {
+		fair_queue_remove(&line->queue, ticket->facts->id);
+		g_queue_unlink(&line->tickets, &ticket->link);
+	}
+	ticket->is_queued = false;
+	atomic_store(&line->waiting, fair_queue_count(&line->queue));
+}
