Edges: HTTP server, upstream adapter, completions, announcements, SSE

Cause: the end-to-end path needs its edges before their tests are whole. Change: ulfius server with drain and caller-gone check, libcurl adapter with a thread for each attempt, piece queue, parsers and writers. Not run yet: only compiled; tests follow.

--- a/src/protocol/completions.h
+++ b/src/protocol/completions.h
@@ -28,8 +28,6 @@
 #define ANSWER_TOKENS_MAX	 1048576  /**< Most that may be asked. */
 #define CHAT_MESSAGES_MAX	 4096	  /**< Messages of a chat. */
 #define DEADLINE_MS_MAX		 86400000 /**< A day. */
-#define PROMPT_BYTES_PER_TOKEN	 4	  /**< For the estimate. */
-#define PREFIX_BYTES_FIRST	 1024	  /**< Shortest prefix hashed. */
 
 /** Which of the two interfaces. */
 enum completions_kind {
@@ -52,7 +50,8 @@
 	uint32_t deadline_ms;				/**< From arrival on. */
 	enum request_priority priority;			/**< Wanted. */
 	char idempotency_key[IDEMPOTENCY_KEY_SIZE_MAX]; /**< "" for none. */
-	bool has_trace;					/**< trace was sent. */
+	bool is_idempotent; /**< Plain calls: X-Idempotent was "true". */
+	bool has_trace;	    /**< trace was sent. */
 	struct trace_context trace; /**< Sent, or a new one. */
 };
 
@@ -98,7 +97,8 @@
 void completions_facts(const struct completions_request *request,
     const struct caller_headers *headers, uint64_t fingerprint_key,
     int64_t now_ms, struct request_facts *facts);
-/** The same for a plain call to @p service. */
+/** The same for a plain call to @p service; it may be repeated only if its
+ * caller said so. Completions may be unless they carry a key. */
 void service_facts(const char *service, struct shared_text *body,
     const struct caller_headers *headers, uint64_t fingerprint_key,
     int64_t now_ms, struct request_facts *facts);
--- /dev/null
+++ b/src/protocol/field_error.c
@@ -0,0 +1,146 @@
+#include "protocol/field_error.h"
+
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEX_DIGITS 16 /* Digits of a 64-bit number. */
+
+static void print_value(const json_t *value, char *text, size_t size);
+static bool has_control_byte(const char *text);
+
+enum error_code
+field_error_set(struct field_error *error, enum error_code code,
+    const char *field, const json_t *value, const char *expected)
+{
+	error->code = code;
+	snprintf(error->field, sizeof(error->field), "%s", field);
+	snprintf(error->expected, sizeof(error->expected), "%s", expected);
+	print_value(value, error->value, sizeof(error->value));
+	return code;
+}
+
+void
+field_error_text(const struct field_error *error, char *text, size_t size)
+{
+	if (error->value[0] == '\0')
+		snprintf(text, size, "%s: expected %s", error->field,
+		    error->expected);
+	else
+		snprintf(text, size, "%s: %s: expected %s", error->field,
+		    error->value, error->expected);
+}
+
+enum error_code
+field_text(const json_t *object, const char *field, char *value,
+    size_t value_size, struct field_error *error)
+{
+	const json_t *item;
+	char expected[FIELD_TEXT_SIZE];
+	size_t length;
+
+	snprintf(expected, sizeof(expected),
+	    "a string of 1 to %zu bytes without control characters",
+	    value_size - 1);
+	item = json_object_get(object, field);
+	if (item == NULL)
+		return field_error_set(
+		    error, ERROR_MISSING_FIELD, field, NULL, expected);
+	if (!json_is_string(item))
+		return field_error_set(
+		    error, ERROR_WRONG_TYPE, field, item, expected);
+	length = json_string_length(item);
+	if (length == 0 || length >= value_size ||
+	    has_control_byte(json_string_value(item)))
+		return field_error_set(
+		    error, ERROR_BAD_VALUE, field, item, expected);
+	memcpy(value, json_string_value(item), length + 1);
+	return ERROR_NONE;
+}
+
+enum error_code
+field_uint(const json_t *object, const char *field, uint64_t least,
+    uint64_t most, uint64_t *value, struct field_error *error)
+{
+	const json_t *item;
+	char expected[FIELD_TEXT_SIZE];
+	json_int_t number;
+
+	snprintf(expected, sizeof(expected),
+	    "a whole number from %" PRIu64 " to %" PRIu64, least, most);
+	item = json_object_get(object, field);
+	if (item == NULL)
+		return field_error_set(
+		    error, ERROR_MISSING_FIELD, field, NULL, expected);
+	if (!json_is_integer(item))
+		return field_error_set(
+		    error, ERROR_WRONG_TYPE, field, item, expected);
+	number = json_integer_value(item);
+	if (number < 0 || (uint64_t)number < least || (uint64_t)number > most)
+		return field_error_set(
+		    error, ERROR_BAD_VALUE, field, item, expected);
+	*value = (uint64_t)number;
+	return ERROR_NONE;
+}
+
+enum error_code
+field_hex(const json_t *object, const char *field, uint64_t *value,
+    struct field_error *error)
+{
+	static const char expected[] = "16 hexadecimal digits";
+	const json_t *item;
+	const char *text;
+	char *end;
+
+	item = json_object_get(object, field);
+	if (item == NULL)
+		return field_error_set(
+		    error, ERROR_MISSING_FIELD, field, NULL, expected);
+	if (!json_is_string(item))
+		return field_error_set(
+		    error, ERROR_WRONG_TYPE, field, item, expected);
+	text = json_string_value(item);
+	if (strspn(text, "0123456789abcdefABCDEF") != HEX_DIGITS)
+		return field_error_set(
+		    error, ERROR_BAD_VALUE, field, item, expected);
+	*value = strtoull(text, &end, 16);
+	if (*end != '\0')
+		return field_error_set(
+		    error, ERROR_BAD_VALUE, field, item, expected);
+	return ERROR_NONE;
+}
+
+static void
+print_value(const json_t *value, char *text, size_t size)
+{
+	text[0] = '\0';
+	if (json_is_string(value))
+		snprintf(text, size, "\"%.*s\"", (int)size - 4,
+		    json_string_value(value));
+	else if (json_is_integer(value))
+		snprintf(text, size, "%" JSON_INTEGER_FORMAT,
+		    json_integer_value(value));
+	else if (json_is_real(value))
+		snprintf(text, size, "%g", json_real_value(value));
+	else if (json_is_boolean(value))
+		snprintf(text, size, "%s",
+		    json_boolean_value(value) ? "true" : "false");
+	else if (json_is_null(value))
+		snprintf(text, size, "null");
+	else if (json_is_array(value))
+		snprintf(text, size, "an array of %zu", json_array_size(value));
+	else if (json_is_object(value))
+		snprintf(text, size, "an object");
+}
+
+static bool
+has_control_byte(const char *text)
+{
+	for (; *text != '\0'; text++) {
+		if ((unsigned char)*text < 0x20 || *text == 0x7f)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/protocol/prefix_hash.c
@@ -0,0 +1,64 @@
+#include "protocol/prefix_hash.h"
+
+#include <string.h>
+
+/* The state of a hash may stand on the stack only with this. */
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
+
+uint64_t
+prompt_tokens_estimate(uint64_t bytes)
+{
+	return (bytes + PROMPT_BYTES_PER_TOKEN - 1) / PROMPT_BYTES_PER_TOKEN;
+}
+
+uint32_t
+prefix_hash_compute(const struct shared_text *text,
+    uint64_t hashes[PREFIX_HASHES_MAX], uint64_t tokens[PREFIX_HASHES_MAX])
+{
+	struct text_cursor cursor;
+	XXH64_state_t state;
+	const char *data;
+	uint64_t length;
+	uint64_t done;
+	uint32_t count;
+	size_t size;
+
+	XXH64_reset(&state, 0);
+	text_cursor_init(&cursor, text, 0, text == NULL ? 0 : text->size);
+	length = PREFIX_BYTES_FIRST;
+	done = 0;
+	count = 0;
+	while (count < PREFIX_HASHES_MAX) {
+		size = text_cursor_next(&cursor, length - done, &data);
+		if (size == 0)
+			break;
+		XXH64_update(&state, data, size);
+		done += size;
+		if (done < length)
+			continue;
+		hashes[count] = XXH64_digest(&state);
+		tokens[count] = prompt_tokens_estimate(length);
+		count++;
+		length *= 2;
+	}
+	return count;
+}
+
+uint64_t
+prompt_fingerprint(
+    const char *client_account, const struct shared_text *text, uint64_t key)
+{
+	struct text_cursor cursor;
+	XXH64_state_t state;
+	const char *data;
+	size_t size;
+
+	XXH64_reset(&state, key);
+	/* The end mark keeps account and text apart. */
+	XXH64_update(&state, client_account, strlen(client_account) + 1);
+	text_cursor_init(&cursor, text, 0, text == NULL ? 0 : text->size);
+	while ((size = text_cursor_next(&cursor, SIZE_MAX, &data)) > 0)
+		XXH64_update(&state, data, size);
+	return XXH64_digest(&state);
+}
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -31,7 +31,7 @@
 /** Answers requests of one method and path. */
 struct http_route {
 	const char *method; /**< "GET", "POST", ... */
-	const char *path;   /**< ulfius format: "/v1/services/:service/<*>" */
+	const char *path;   /**< ulfius format: "/v1/services/:service/ *" */
 	void (*handle)(void *context, struct http_exchange *exchange);
 };
 
--- a/src/transport/piece_queue.h
+++ b/src/transport/piece_queue.h
@@ -69,7 +69,8 @@
 /* The caller's side */
 
 /** Pops a piece, waits until @p deadline_ms on the monotonic clock.
- * Errors: ERROR_TIMEOUT. The text is the caller's to free(). */
+ * Errors: ERROR_TIMEOUT; ERROR_CANCELLED once closed and empty. The text is
+ * freed with piece_finish(). */
 enum error_code piece_queue_pop(
     struct piece_queue *queue, int64_t deadline_ms, struct piece *piece);
 /** Abandons the attempt without waiting for it. */
--- /dev/null
+++ b/src/transport/upstream_control.c
@@ -0,0 +1,303 @@
+#include "transport/upstream_control.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "base/monotonic_clock.h"
+#include "protocol/field_error.h"
+#include "transport/upstream_reply.h"
+
+#define CONNECT_TIMEOUT_MS 1000L		 /* To connect. */
+#define REPLY_SIZE_MAX	   (256u * 1024)	 /* Bytes of an answer. */
+#define PATH_SIZE	   64			 /* Bytes of a path. */
+#define TOKENS_MAX	   ((uint64_t)INT64_MAX) /* Of anything. */
+#define AGE_MS_MAX	   ((uint64_t)INT64_MAX) /* Of a reservation. */
+#define HEX_SIZE	   17 /* A 64-bit number with its end mark. */
+
+static enum error_code exchange_json(const struct upstream_target *target,
+    const char *path, json_t *body, int64_t deadline_ms, json_t **reply);
+static enum error_code perform(CURL *curl, const char *url, const char *text,
+    int64_t left_ms, GString *answer);
+static enum error_code judge_reply(
+    CURL *curl, CURLcode result, const GString *answer);
+static size_t append_reply(
+    char *bytes, size_t size, size_t count, void *context);
+static json_t *reservation_body(
+    const struct upstream_target *target, uint64_t reservation);
+static enum error_code read_held(
+    const json_t *reply, struct held_kv_list *held);
+
+enum error_code
+upstream_control_kv_reserve(void *context, const struct upstream_target *target,
+    uint64_t reservation, uint64_t tokens, int64_t deadline_ms)
+{
+	json_t *body;
+
+	(void)context;
+	body = reservation_body(target, reservation);
+	json_object_set_new(body, "tokens", json_integer((json_int_t)tokens));
+	return exchange_json(
+	    target, "/engine/v1/kv/reserve", body, deadline_ms, NULL);
+}
+
+enum error_code
+upstream_control_kv_export(void *context, const struct upstream_target *target,
+    uint64_t reservation, int64_t deadline_ms, struct kv_export *result)
+{
+	struct field_error particulars;
+	enum error_code error;
+	json_t *reply;
+
+	(void)context;
+	reply = NULL;
+	memset(result, 0, sizeof(*result));
+	result->reservation = reservation;
+	g_strlcpy(result->url, target->url, sizeof(result->url));
+	error = exchange_json(target, "/engine/v1/kv/export",
+	    reservation_body(target, reservation), deadline_ms, &reply);
+	if (error != ERROR_NONE)
+		return error;
+	error = field_uint(
+	    reply, "tokens", 0, TOKENS_MAX, &result->tokens, &particulars);
+	if (error == ERROR_NONE)
+		error = field_hex(reply, "content_digest",
+		    &result->content_digest, &particulars);
+	json_decref(reply);
+	return error == ERROR_NONE ? ERROR_NONE : ERROR_MALFORMED;
+}
+
+enum error_code
+upstream_control_kv_import(void *context, const struct upstream_target *target,
+    uint64_t reservation, const struct kv_export *source, int64_t deadline_ms)
+{
+	char number[HEX_SIZE];
+	json_t *body;
+
+	(void)context;
+	body = reservation_body(target, reservation);
+	snprintf(number, sizeof(number), "%016" PRIx64, source->reservation);
+	json_object_set_new(body, "source_reservation", json_string(number));
+	json_object_set_new(body, "source_url", json_string(source->url));
+	json_object_set_new(
+	    body, "tokens", json_integer((json_int_t)source->tokens));
+	snprintf(number, sizeof(number), "%016" PRIx64, source->content_digest);
+	json_object_set_new(body, "content_digest", json_string(number));
+	return exchange_json(
+	    target, "/engine/v1/kv/import", body, deadline_ms, NULL);
+}
+
+enum error_code
+upstream_control_kv_release(void *context, const struct upstream_target *target,
+    uint64_t reservation, int64_t deadline_ms)
+{
+	enum error_code error;
+
+	(void)context;
+	error = exchange_json(target, "/engine/v1/kv/release",
+	    reservation_body(target, reservation), deadline_ms, NULL);
+	return error == ERROR_NOT_FOUND ? ERROR_NONE : error;
+}
+
+enum error_code
+upstream_control_kv_held(void *context, const struct upstream_target *target,
+    int64_t deadline_ms, struct held_kv_list *held)
+{
+	enum error_code error;
+	json_t *reply;
+
+	(void)context;
+	reply = NULL;
+	held->count = 0;
+	held->truncated = false;
+	error = exchange_json(
+	    target, "/engine/v1/kv/held", NULL, deadline_ms, &reply);
+	if (error != ERROR_NONE)
+		return error;
+	error = read_held(reply, held);
+	json_decref(reply);
+	return error == ERROR_NONE ? ERROR_NONE : ERROR_MALFORMED;
+}
+
+enum error_code
+upstream_control_order(void *context, const struct upstream_target *target,
+    const struct upstream_order *order, int64_t deadline_ms,
+    enum upstream_order_state *state)
+{
+	const char *verb;
+	const char *text;
+	enum error_code error;
+	json_t *body;
+	json_t *reply;
+
+	(void)context;
+	reply = NULL;
+	verb = upstream_order_verb_name(order->verb);
+	if (verb == NULL)
+		return ERROR_INVALID_ARGUMENT;
+	body = json_pack("{s:s, s:s, s:s, s:s, s:I, s:I}", "order", order->id,
+	    "verb", verb, "subject", order->subject, "value", order->value,
+	    "fencing", (json_int_t)order->fencing, "incarnation",
+	    (json_int_t)target->incarnation);
+	error = exchange_json(
+	    target, "/engine/v1/order", body, deadline_ms, &reply);
+	if (error != ERROR_NONE)
+		return error;
+	text = json_string_value(json_object_get(reply, "state"));
+	if (text != NULL && strcmp(text, "running") == 0)
+		*state = UPSTREAM_ORDER_RUNNING;
+	else if (text != NULL && strcmp(text, "done") == 0)
+		*state = UPSTREAM_ORDER_DONE;
+	else if (text != NULL && strcmp(text, "failed") == 0)
+		*state = UPSTREAM_ORDER_FAILED;
+	else
+		error = ERROR_MALFORMED;
+	json_decref(reply);
+	return error;
+}
+
+/* Posts the body, whose reference it takes over, or gets if there is none. */
+static enum error_code
+exchange_json(const struct upstream_target *target, const char *path,
+    json_t *body, int64_t deadline_ms, json_t **reply)
+{
+	char url[URL_SIZE_MAX + PATH_SIZE];
+	char *text;
+	CURL *curl;
+	GString *answer;
+	enum error_code error;
+	int64_t left_ms;
+
+	text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	curl = curl_easy_init();
+	answer = g_string_new(NULL);
+	left_ms = deadline_ms - clock_monotonic_ms();
+	error = ERROR_TIMEOUT;
+	if (curl == NULL)
+		error = ERROR_NO_MEMORY;
+	if (curl == NULL || left_ms <= 0)
+		goto done;
+	snprintf(url, sizeof(url), "%s%s", target->url, path);
+	error = perform(curl, url, text, left_ms, answer);
+	if (error != ERROR_NONE || reply == NULL)
+		goto done;
+	*reply = json_loadb(answer->str, answer->len, 0, NULL);
+	if (!json_is_object(*reply)) {
+		json_decref(*reply);
+		*reply = NULL;
+		error = ERROR_MALFORMED;
+	}
+
+done:
+	g_string_free(answer, TRUE);
+	curl_easy_cleanup(curl);
+	free(text);
+	return error;
+}
+
+static enum error_code
+perform(CURL *curl, const char *url, const char *text, int64_t left_ms,
+    GString *answer)
+{
+	struct curl_slist *headers;
+	CURLcode result;
+
+	headers = curl_slist_append(NULL, "Content-Type: application/json");
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	if (text != NULL)
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_reply);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
+	result = curl_easy_perform(curl);
+	curl_slist_free_all(headers);
+	return judge_reply(curl, result, answer);
+}
+
+static enum error_code
+judge_reply(CURL *curl, CURLcode result, const GString *answer)
+{
+	struct piece piece;
+	long sent;
+	long status;
+
+	sent = 0;
+	status = 0;
+	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	if (result != CURLE_OK)
+		return sent == 0 ? ERROR_CONNECTION : ERROR_OUTCOME_UNKNOWN;
+	if (status == 200)
+		return ERROR_NONE;
+	memset(&piece, 0, sizeof(piece));
+	piece.error = ERROR_OUTCOME_UNKNOWN;
+	upstream_reply_parse_error(answer->str, answer->len, &piece);
+	return piece.error;
+}
+
+static size_t
+append_reply(char *bytes, size_t size, size_t count, void *context)
+{
+	GString *answer = context;
+
+	if (answer->len + size * count > REPLY_SIZE_MAX)
+		return 0;
+	g_string_append_len(answer, bytes, (gssize)(size * count));
+	return size * count;
+}
+
+static json_t *
+reservation_body(const struct upstream_target *target, uint64_t reservation)
+{
+	char number[HEX_SIZE];
+
+	snprintf(number, sizeof(number), "%016" PRIx64, reservation);
+	return json_pack("{s:s, s:I}", "reservation", number, "incarnation",
+	    (json_int_t)target->incarnation);
+}
+
+static enum error_code
+read_held(const json_t *reply, struct held_kv_list *held)
+{
+	struct field_error particulars;
+	struct held_kv *item;
+	const json_t *list;
+	const json_t *entry;
+	enum error_code error;
+	uint64_t age;
+	size_t i;
+
+	error = field_uint(reply, "incarnation", 1, INT64_MAX,
+	    &held->incarnation, &particulars);
+	list = json_object_get(reply, "held");
+	if (error != ERROR_NONE || !json_is_array(list))
+		return ERROR_MALFORMED;
+	for (i = 0; i < json_array_size(list); i++) {
+		if (i == HELD_KV_MAX) {
+			held->truncated = true;
+			break;
+		}
+		entry = json_array_get(list, i);
+		item = &held->items[i];
+		if (field_hex(entry, "reservation", &item->reservation,
+			&particulars) != ERROR_NONE ||
+		    field_uint(entry, "tokens", 0, TOKENS_MAX, &item->tokens,
+			&particulars) != ERROR_NONE ||
+		    field_uint(entry, "age_ms", 0, AGE_MS_MAX, &age,
+			&particulars) != ERROR_NONE)
+			return ERROR_MALFORMED;
+		item->age_ms = (int64_t)age;
+		held->count++;
+	}
+	return ERROR_NONE;
+}
--- a/src/transport/upstream_http.h
+++ b/src/transport/upstream_http.h
@@ -22,14 +22,16 @@
 	uint64_t service_body_max;   /**< Bytes of a plain answer [64 MiB]. */
 };
 
+struct attempt;
+
 /** The adapter's state. */
 struct upstream_http {
 	struct upstream_http_settings settings; /**< Defaults filled in. */
-	pthread_mutex_t lock;			/**< Guards running. */
+	pthread_mutex_t lock;			/**< Guards what follows. */
 	pthread_cond_t ended;			/**< Signalled at each end. */
 	uint32_t running;			/**< Threads alive. */
+	struct attempt *attempts;		/**< Their attempts. */
 	atomic_bool stopping;			/**< No new attempts. */
-	atomic_bool aborting;			/**< Cut all transfers. */
 };
 
 /** The functions; their context is a struct upstream_http. */
