--- a/src/coordination/grant_holder.h
+++ b/src/coordination/grant_holder.h
@@ -25,17 +25,17 @@
 
 struct grant_reader;
 
-#define GRANT_ASKS_REMEMBERED 64 /**< Asks whose time of sending is kept. */
-
 /** Settings; see grant_holder_default_settings(). */
 struct grant_holder_settings {
-	uint32_t host_id;  /**< This host. */
-	uint64_t instance; /**< Of this process; grows with each start. */
-	int64_t renew_ms;  /**< Between asks for what is in use. */
-	int64_t retry_ms;  /**< Between asks while demand is unmet. */
-	int64_t batch_ms;  /**< Wait for more rows before asking. */
-	int64_t idle_ms;   /**< Idle time after which it is returned. */
-	int64_t retire_ms; /**< Keeps a dropped slot's memory. */
+	uint32_t host_id;      /**< This host. */
+	uint64_t instance;     /**< Of this process; grows with each start. */
+	int64_t renew_ms;      /**< Between asks for what is in use. */
+	int64_t retry_ms;      /**< Between asks while demand is unmet. */
+	int64_t batch_ms;      /**< Wait for more rows before asking. */
+	int64_t idle_ms;       /**< Idle time after which it is returned. */
+	int64_t gone_drain_ms; /**< Until engines have ended what an earlier
+				    process of this host left running. */
+	int64_t retire_ms;     /**< Keeps a dropped slot's memory. */
 	uint32_t headroom_percent; /**< Asked for beyond use. */
 	uint32_t upstreams_max;	   /**< Slots at a time. */
 };
@@ -65,8 +65,8 @@
 	const struct owner_map *map;	       /**< Kept by the caller. */
 	GHashTable *entries;		       /**< By upstream id. */
 	GQueue *retired;		       /**< Slots kept for a while. */
-	uint64_t next_sequence;		       /**< Of the next ask. */
-	int64_t ask_ms[GRANT_ASKS_REMEMBERED]; /**< Sent, by sequence. */
+	int64_t start_ms;		       /**< Sequences count from it. */
+	uint64_t last_sequence;		       /**< Of the last ask. */
 	struct handle tick;		       /**< Renews and returns. */
 	struct handle flush;		       /**< Sends what is due. */
 	struct grant_holder_counters counters; /**< For metrics. */
--- a/src/coordination/grant_owner.h
+++ b/src/coordination/grant_owner.h
@@ -68,13 +68,14 @@
 	struct peer_port port;		      /**< To holders. */
 	const struct owner_map *map;	      /**< Kept by the caller. */
 	GHashTable *upstreams;		      /**< By id. */
-	GHashTable *pending_peers;	      /**< Hosts that owe an answer. */
-	GHashTable *departed;		      /**< Hosts gone, until drained. */
-	int64_t lease_until_ms;		      /**< Configuration lease. */
-	int64_t settled_ms;		      /**< No older grants after it. */
-	uint64_t last_epoch;		      /**< Epoch seen last. */
-	bool is_closing;		      /**< Grants nothing more. */
-	struct handle tick;		      /**< Timer. */
+	GHashTable *answered;	/**< Last query answered, by host. */
+	int64_t lease_until_ms; /**< Configuration lease. */
+	int64_t settled_ms;	/**< No older grants after it. */
+	int64_t departed_ms;	/**< Work of departed hosts has ended. */
+	uint64_t query;		/**< Number of the last query. */
+	uint64_t number;	/**< Number of the last offer. */
+	bool is_closing;	/**< Grants nothing more. */
+	struct handle tick;	/**< Timer. */
 	struct grant_owner_counters counters; /**< For metrics. */
 };
 
@@ -91,7 +92,8 @@
 
 /* What it must be told, on the coordination thread */
 
-/** The configuration lease now runs until @p until_ms; 0 when it is lost. */
+/** The configuration lease now runs until @p until_ms; 0 when it is lost. A
+ * lease confirmed after an epoch was committed comes after that epoch. */
 void grant_owner_set_lease(struct grant_owner *owner, int64_t until_ms);
 /** The map was set to another epoch. */
 void grant_owner_map_changed(
@@ -103,9 +105,6 @@
 /** An upstream is gone. */
 void grant_owner_remove_upstream(
     struct grant_owner *owner, uint64_t upstream_id);
-/** A load report; bounds what unknown requests may still be running. */
-void grant_owner_note_load(
-    struct grant_owner *owner, const struct upstream_load *load);
 /** A message of type ASK, USE, LEDGER or LEDGER_TAKEN. */
 enum error_code grant_owner_receive(struct grant_owner *owner,
     uint32_t from_host, const struct grant_reader *reader);
--- a/src/coordination/warmup.h
+++ b/src/coordination/warmup.h
@@ -76,6 +76,13 @@
 enum warmup_verdict warmup_judge(const struct upstream_limits *limits,
     const struct warmup_settings *settings, const struct warmup_answer *answer);
 
+/* Telling another host */
+
+/** The bound as 0 (cold) to 1000 (warm), rounded down. */
+uint32_t warmup_warmth(const struct warmup *warmup);
+/** Sets the bound from what another host knew. */
+void warmup_restore(struct warmup *warmup, uint32_t warmth);
+
 /* Limits */
 
 /** The cold limits as an amount; what does not apply is unbounded. */
--- a/src/protocol/grant_message.h
+++ b/src/protocol/grant_message.h
@@ -16,7 +16,7 @@
 #include "protocol/codec.h"
 #include "state/capacity_slot.h"
 
-#define GRANT_ROWS_MAX 1024 /**< Rows of one message. */
+#define GRANT_ROWS_MAX 8192 /**< Rows of one message. */
 
 /** What a message is. */
 enum grant_message_type {
@@ -32,11 +32,10 @@
 struct grant_head {
 	enum grant_message_type type; /**< What it is. */
 	uint64_t epoch;		      /**< QUERY, USE, LEDGER(_TAKEN). */
-	uint64_t instance;	      /**< ASK, USE: process of the holder. */
-	uint64_t sequence;	      /**< ASK, USE: grows; GRANT: echoed. */
-	bool wants_answer;	      /**< ASK: a grant is expected. */
-	bool is_last;		      /**< USE: no more rows follow. */
-	uint32_t row_count;	      /**< Rows that follow. */
+	uint64_t instance;  /**< Process of the holder; GRANT: echoed. */
+	uint64_t sequence;  /**< ASK: when sent; QUERY: its number; echoed. */
+	bool wants_answer;  /**< ASK: a grant is expected. */
+	uint32_t row_count; /**< Rows that follow. */
 };
 
 /** A row of an ASK or USE. */
@@ -49,8 +48,9 @@
 	struct capacity_amount used;	/**< Running now. */
 	struct capacity_amount wanted;	/**< Running and waiting. */
 	struct capacity_amount largest; /**< Largest single wait, or zero. */
-	uint32_t in_time;		/**< Answers in time since last. */
-	bool is_cold;			/**< Evidence of cold since last. */
+	uint32_t warmth;  /**< Warm-up bound as last told, 0 to 1000. */
+	uint32_t in_time; /**< Answers in time since last. */
+	bool is_cold;	  /**< Evidence of cold since last. */
 };
 
 /** A row of a GRANT. */
@@ -60,6 +60,7 @@
 	uint64_t term;		       /**< Epoch at which it took over. */
 	uint64_t number;	       /**< Grows with each new amount. */
 	struct capacity_amount amount; /**< May be taken. */
+	uint32_t warmth;	       /**< Warm-up bound, 0 to 1000. */
 	uint32_t duration_ms;	       /**< From when the ask was sent. */
 };
 
@@ -68,8 +69,10 @@
 	uint64_t upstream_id;	       /**< Which upstream. */
 	uint64_t incarnation;	       /**< Of it. */
 	uint32_t host_id;	       /**< Holder, or 0. */
-	struct capacity_amount amount; /**< Counted; host 0: warm-up bound. */
+	struct capacity_amount amount; /**< Counted. */
 	uint64_t remaining_ms; /**< Until it ends; host 0: rows that follow. */
+	uint32_t warmth;       /**< Host 0: warm-up bound. */
+	bool is_draining;      /**< Runs on after its grant, starts nothing. */
 };
 
 /* Writing: a head, then row_count rows */
