--- a/src/protocol/announcement.c
+++ b/src/protocol/announcement.c
@@ -39,7 +39,7 @@
 static enum error_code read_load(const json_t *load,
     struct upstream_renewal *renewal, struct field_error *error);
 static enum error_code read_cache_event(
-    const json_t *item, struct cache_event *event, struct field_error *error);
+    const json_t *item, struct cache_batch_item *event, struct field_error *error);
 static const char *cache_event_name(enum cache_event_kind kind);
 
 enum error_code
@@ -239,7 +239,7 @@
 json_t *
 cache_events_write(const char *name, const struct cache_event_batch *batch)
 {
-	const struct cache_event *event;
+	const struct cache_batch_item *event;
 	char hash[17];
 	json_t *events;
 	uint32_t i;
@@ -510,7 +510,7 @@
 
 static enum error_code
 read_cache_event(
-    const json_t *item, struct cache_event *event, struct field_error *error)
+    const json_t *item, struct cache_batch_item *event, struct field_error *error)
 {
 	char kind[NAME_SIZE_MAX];
 	enum error_code code;
--- a/src/service/cli_client.c
+++ b/src/service/cli_client.c
@@ -33,6 +33,9 @@
 	for (i = 0; i < cli->host_count; i++) {
 		json_decref(*reply);
 		*reply = NULL;
+		/* A host that is not there is told from a lost answer. */
+		if (body != NULL && !is_reachable(cli, cli->hosts[i]))
+			continue;
 		error =
 		    call_host(cli, cli->hosts[i], method, path, body, reply);
 		if (!is_worth_another_host(error))
@@ -66,7 +69,6 @@
 	return status;
 }
 
-/* Asked first, so that a host that is not there is told from a lost answer. */
 static bool
 is_reachable(const struct cli *cli, const char *host)
 {
--- a/src/service/cli_verbs.c
+++ b/src/service/cli_verbs.c
@@ -11,8 +11,9 @@
 #include "state/config_entry.h"
 #include "state/intent.h"
 
-#define PATH_SIZE      512 /* Bytes of a request's path. */
-#define WATCH_PERIOD_S 1   /* Between two looks of config watch. */
+#define PATH_SIZE	 512 /* Bytes of a request's path. */
+#define WATCH_PERIOD_S	 1   /* Between two looks of config watch. */
+#define INCARNATION_SIZE 32  /* Bytes of a voter incarnation as text. */
 
 static int run_serve(struct cli *cli);
 static int run_check_config(struct cli *cli);
@@ -34,6 +35,11 @@
 static int show(
     struct cli *cli, const char *path, void (*print)(const json_t *reply));
 static int send_body(struct cli *cli, const char *path, json_t *body);
+static int add_voter(struct cli *cli, int host_id);
+static int remove_voter(struct cli *cli, int host_id);
+static int change_voters(struct cli *cli, json_t *body);
+static int find_host(
+    struct cli *cli, json_int_t host_id, char *url, size_t url_size);
 static int watch_config(struct cli *cli);
 static void print_status(const json_t *reply);
 static void print_bands(const json_t *bands);
@@ -262,20 +268,21 @@
 run_hosts(struct cli *cli)
 {
 	const char *what;
+	int status;
 
 	what = cli->arguments[0];
 	if (strcmp(what, "list") == 0)
 		return show(cli, "/operator/v1/hosts", print_hosts);
 	if (strcmp(what, "add-voter") == 0 && cli->argument_count == 2)
-		return send_body(cli, "/operator/v1/voters",
-		    json_pack("{s:i}", "add", atoi(cli->arguments[1])));
+		return add_voter(cli, atoi(cli->arguments[1]));
 	if (strcmp(what, "remove-voter") == 0 && cli->argument_count == 2)
-		return send_body(cli, "/operator/v1/voters",
-		    json_pack("{s:i}", "remove", atoi(cli->arguments[1])));
-	if (strcmp(what, "replace-voter") == 0 && cli->argument_count == 3)
-		return send_body(cli, "/operator/v1/voters",
-		    json_pack("{s:i,s:i}", "remove", atoi(cli->arguments[1]),
-			"add", atoi(cli->arguments[2])));
+		return remove_voter(cli, atoi(cli->arguments[1]));
+	if (strcmp(what, "replace-voter") == 0 && cli->argument_count == 3) {
+		status = add_voter(cli, atoi(cli->arguments[2]));
+		if (status != CLI_EXIT_OK)
+			return status;
+		return remove_voter(cli, atoi(cli->arguments[1]));
+	}
 	return usage("hosts list|add-voter|remove-voter|replace-voter "
 		     "[ID] [NEW-ID]");
 }
@@ -389,6 +396,91 @@
 	return status;
 }
 
+/* Names the new voter by its data folder, so that it can't be mistaken. */
+static int
+add_voter(struct cli *cli, int host_id)
+{
+	char url[URL_SIZE_MAX], incarnation[INCARNATION_SIZE];
+	struct cli one = *cli;
+	enum error_code error;
+	json_t *reply;
+	int status;
+
+	status = find_host(cli, host_id, url, sizeof(url));
+	if (status != CLI_EXIT_OK)
+		return status;
+	one.hosts[0] = url;
+	one.host_count = 1;
+	error = cli_call(&one, "GET", "/operator/v1/status", NULL, &reply);
+	snprintf(incarnation, sizeof(incarnation), "%s",
+	    text_of(reply, "voter_incarnation"));
+	json_decref(reply);
+	if (error != ERROR_NONE)
+		return cli_fail(cli, error, "the new voter does not answer");
+	if (strcmp(incarnation, "0") == 0)
+		return cli_fail(
+		    cli, ERROR_BAD_VALUE, "the host has no data_dir");
+	return change_voters(cli,
+	    json_pack("{s:i,s:s}", "add", host_id, "incarnation", incarnation));
+}
+
+static int
+remove_voter(struct cli *cli, int host_id)
+{
+	return change_voters(cli, json_pack("{s:i}", "remove", host_id));
+}
+
+/* Only the leader can do it, so it is looked for first. */
+static int
+change_voters(struct cli *cli, json_t *body)
+{
+	struct cli one = *cli;
+	char url[URL_SIZE_MAX];
+	enum error_code error;
+	json_int_t leader;
+	json_t *reply;
+	int status;
+
+	error = cli_call(cli, "GET", "/operator/v1/hosts", NULL, &reply);
+	leader = number_of(reply, "leader");
+	json_decref(reply);
+	if (error != ERROR_NONE || leader == 0) {
+		json_decref(body);
+		return cli_fail(
+		    cli, error == ERROR_NONE ? ERROR_NO_QUORUM : error, NULL);
+	}
+	status = find_host(cli, leader, url, sizeof(url));
+	if (status != CLI_EXIT_OK) {
+		json_decref(body);
+		return status;
+	}
+	one.hosts[0] = url;
+	one.host_count = 1;
+	return send_body(&one, "/operator/v1/voters", body);
+}
+
+static int
+find_host(struct cli *cli, json_int_t host_id, char *url, size_t url_size)
+{
+	enum error_code error;
+	json_t *reply, *item;
+	size_t i;
+
+	error = cli_call(cli, "GET", "/operator/v1/hosts", NULL, &reply);
+	url[0] = '\0';
+	json_array_foreach(json_object_get(reply, "hosts"), i, item)
+	{
+		if (number_of(item, "id") == host_id)
+			snprintf(url, url_size, "%s", text_of(item, "address"));
+	}
+	json_decref(reply);
+	if (error != ERROR_NONE)
+		return cli_fail(cli, error, NULL);
+	if (url[0] == '\0')
+		return cli_fail(cli, ERROR_NOT_FOUND, "no host has this id");
+	return CLI_EXIT_OK;
+}
+
 static int
 watch_config(struct cli *cli)
 {
@@ -431,9 +523,11 @@
 	json_array_foreach(voters, i, item)
 	    printf(" %" JSON_INTEGER_FORMAT, json_integer_value(item));
 	printf("\nrevision    %" JSON_INTEGER_FORMAT
-	       " here, %" JSON_INTEGER_FORMAT
-	       " in force everywhere, lease %" JSON_INTEGER_FORMAT " ms\n",
-	    number_of(reply, "revision"), number_of(reply, "revision_in_force"),
+	       " here; sequence %" JSON_INTEGER_FORMAT
+	       " here, %" JSON_INTEGER_FORMAT " in force everywhere\n",
+	    number_of(reply, "revision"), number_of(reply, "sequence"),
+	    number_of(reply, "sequence_in_force"));
+	printf("lease       %" JSON_INTEGER_FORMAT " ms left\n",
 	    number_of(reply, "lease_remaining_ms"));
 	printf("takeouts   ");
 	json_array_foreach(json_object_get(reply, "takeouts"), i, item)
--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -234,7 +234,6 @@
 	struct host *host = context;
 
 	fleet_set_load(&host->fleet, load, host_now_ms());
-	grant_owner_note_load(&host->grant_owner, load);
 }
 
 static void
