--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -427,6 +427,8 @@
 	add_header(attempt, "Expect", "");
 	traceparent_format(&call->trace, text);
 	add_header(attempt, "traceparent", text);
+	if (call->idempotency_key[0] != '\0')
+		add_header(attempt, "Idempotency-Key", call->idempotency_key);
 	if (attempt->kind != ATTEMPT_CALL) {
 		add_header(
 		    attempt, "Content-Type", "text/plain; charset=utf-8");
@@ -435,8 +437,6 @@
 	add_header(attempt, "Content-Type",
 	    call->content_type[0] == '\0' ? "application/octet-stream"
 					  : call->content_type);
-	if (call->idempotency_key[0] != '\0')
-		add_header(attempt, "Idempotency-Key", call->idempotency_key);
 	snprintf(text, sizeof(text), "%016" PRIx64, call->request_id);
 	add_header(attempt, "X-Request-Id", text);
 	snprintf(text, sizeof(text), "%u", call->attempt);
