--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,8 @@
 
 clean:
 	rm -rf build build-asan build-tsan
+
+# The catalogue of log events, which a test holds equal to the code.
+.PHONY: events
+events: all
+	(cat docs/events-head.md; build/chicorytack events) > docs/EVENTS.md
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -324,7 +324,7 @@
 
 uint32_t
 engine_take_cache_events(struct engine *engine, int64_t before_ms,
-    struct cache_event *events, uint32_t max)
+    struct cache_batch_item *events, uint32_t max)
 {
 	uint32_t count;
 
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -143,7 +143,7 @@
 void engine_load(struct engine *engine, struct upstream_load *load);
 /** Cache events made before @p before_ms. */
 uint32_t engine_take_cache_events(struct engine *engine, int64_t before_ms,
-    struct cache_event *events, uint32_t max);
+    struct cache_batch_item *events, uint32_t max);
 /** Answer of GET /standin/v1/counters. */
 json_t *engine_counters_json(struct engine *engine);
 
--- a/standin/prefix_cache.c
+++ b/standin/prefix_cache.c
@@ -14,7 +14,7 @@
 
 /* An event that waits to be published. */
 struct waiting_event {
-	struct cache_event event;
+	struct cache_batch_item event;
 	int64_t made_ms;
 };
 
@@ -103,7 +103,7 @@
 
 uint32_t
 prefix_cache_take_events(struct prefix_cache *cache, int64_t before_ms,
-    struct cache_event *events, uint32_t max)
+    struct cache_batch_item *events, uint32_t max)
 {
 	struct waiting_event *waiting;
 	uint32_t count;
--- a/standin/prefix_cache.h
+++ b/standin/prefix_cache.h
@@ -35,6 +35,6 @@
 void prefix_cache_clear(struct prefix_cache *cache, int64_t now_ms);
 /** Takes events that are at least as old as @p before_ms. */
 uint32_t prefix_cache_take_events(struct prefix_cache *cache, int64_t before_ms,
-    struct cache_event *events, uint32_t max);
+    struct cache_batch_item *events, uint32_t max);
 
 #endif
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# The whole path in separate processes: three hosts, six stand-ins, a short
+# and a long prompt, a takeout and a planned stop. demo.sh BUILD_DIR
+set -euo pipefail
+build=$1
+work=$(mktemp -d)
+base_port=${DEMO_PORT:-20000}
+. tools/cluster.sh
+trap stop_all EXIT
+say() { printf '\n== %s\n' "$*"; }
+
+say "Starting three hosts in three data centres, files in $work"
+centres=([1]=regina [2]=saskatoon [3]=winnipeg)
+for id in 1 2 3; do
+	write_settings "$id" "${centres[$id]}" 1,2,3
+	start_host "$id"
+done
+for id in 1 2 3; do wait_until 20 is_ready "$id"; done
+
+say "Operators let a client account in, on host 2"
+operator 2 account add spa-desk s3cret
+
+say "Six stand-in engines, each announces itself to one host only"
+number=0
+for id in 1 2 3; do
+	for copy in a b; do
+		number=$((number + 1))
+		start_standin "$number" "${centres[$id]}-$copy" "${centres[$id]}" "$id" \
+		    --model small-7b --kv-tokens 60000
+	done
+done
+for id in 1 2 3; do wait_until 20 has_upstreams "$id" 6; done
+operator 3 upstreams
+
+say "A short prompt through host 1, as a stream"
+curl -sN --max-time 30 "$(host_url 1)/v1/completions" -H 'Authorization: Bearer s3cret' \
+    -d '{"model":"small-7b","prompt":"A massage on Tuesday?","max_tokens":4,"stream":true}'
+
+say "A long prompt through host 2, of about 30,000 tokens"
+python3 - <<'PY' >"$work/long.json"
+import json
+print(json.dumps({"model": "small-7b", "prompt": "well log " * 13000, "max_tokens": 8}))
+PY
+curl -s --max-time 60 "$(host_url 2)/v1/completions" -H 'Authorization: Bearer s3cret' \
+    -d "@$work/long.json"
+echo
+
+say "Regina is taken out by an order on host 3, and in force on every host"
+operator 3 takeout regina-down data_centre=regina
+operator 1 status
+ask 1 s3cret small-7b "Who answers now?"
+echo
+operator 2 bring-back regina-down
+
+say "Host 1 stops as planned while a stream runs: nothing is cut"
+curl -sN --max-time 60 "$(host_url 1)/v1/completions" -H 'Authorization: Bearer s3cret' \
+    -d '{"model":"small-7b","prompt":"stay","max_tokens":200,"stream":true}' >"$work/stream.txt" &
+stream=$!
+sleep 0.5
+stop host-1
+wait "$stream"
+grep -q '\[DONE\]' "$work/stream.txt" && echo "the stream ended whole"
+ask 2 s3cret small-7b "Still there?"
+echo
+say "Done; all processes are being stopped"
