--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -52,6 +52,9 @@
 static enum error_code start_directory(struct host *host);
 static enum error_code start_grants(struct host *host);
 static enum error_code start_fleet(struct host *host);
+static struct capacity_slot *open_slot(
+    void *context, uint64_t upstream_id, uint64_t incarnation);
+static void drop_slot(void *context, uint64_t upstream_id);
 static void put_upstream(
     struct host *host, const struct upstream_record *record);
 static void tell_owner(void *visitor, const struct upstream_record *record);
@@ -62,7 +65,7 @@
     struct host *host, uint64_t upstream_id, const struct request_facts *facts);
 static uint32_t count_fitting(const struct fleet_view *view,
     const struct request_facts *facts, const struct intent_account *account);
-static const struct fleet_upstream *nth_fitting(const struct fleet_view *view,
+static const struct fleet_entry *nth_fitting(const struct fleet_view *view,
     const struct request_facts *facts, const struct intent_account *account,
     uint32_t wanted);
 static bool group_fits(const struct fleet_view *view,
@@ -223,7 +226,6 @@
 
 	event_log_write(EVENT_UPSTREAM_EXPIRED, "%s", record->name);
 	fleet_remove_upstream(&host->fleet, record->id);
-	grant_holder_drop(&host->grant_holder, record->id);
 	grant_owner_remove_upstream(&host->grant_owner, record->id);
 	prefix_index_forget(&host->prefixes, record->id);
 }
@@ -339,22 +341,43 @@
 start_fleet(struct host *host)
 {
 	struct fleet_settings settings = {.host_id = host->settings.host_id};
+	struct fleet_ops ops = {
+	    .open_slot = open_slot,
+	    .drop_slot = drop_slot,
+	    .context = host,
+	};
 
 	snprintf(settings.data_centre, sizeof(settings.data_centre), "%s",
 	    host->settings.data_centre);
-	return fleet_init(&host->fleet, &settings);
+	return fleet_init(&host->fleet, &settings, &ops);
+}
+
+static struct capacity_slot *
+open_slot(void *context, uint64_t upstream_id, uint64_t incarnation)
+{
+	struct capacity_slot *slot;
+	struct host *host = context;
+
+	if (grant_holder_open(&host->grant_holder, upstream_id, incarnation,
+		&slot) != ERROR_NONE)
+		return NULL;
+	return slot;
+}
+
+static void
+drop_slot(void *context, uint64_t upstream_id)
+{
+	struct host *host = context;
+
+	grant_holder_drop(&host->grant_holder, upstream_id);
 }
 
 static void
 put_upstream(struct host *host, const struct upstream_record *record)
 {
-	struct capacity_slot *slot;
 	enum error_code error;
 
-	error = grant_holder_open(
-	    &host->grant_holder, record->id, record->incarnation, &slot);
-	if (error == ERROR_NONE)
-		error = fleet_put_upstream(&host->fleet, record, slot);
+	error = fleet_put_upstream(&host->fleet, record);
 	if (error != ERROR_NONE && error != ERROR_STALE)
 		event_log_write(EVENT_UPSTREAM_ANNOUNCED, "%s: %s",
 		    record->name, error_name(error));
@@ -413,7 +436,7 @@
 	round.rotation = (uint64_t)(host_now_ms() / DEMAND_ROTATION_MS);
 	round.view = fleet_lock(&host->fleet);
 	wait_line_visit(&host->line, DEMAND_REQUESTS_MAX, add_demand, &round);
-	fleet_unlock();
+	fleet_unlock(round.view);
 	g_hash_table_iter_init(&iterator, host->wanted);
 	while (g_hash_table_iter_next(&iterator, &key, &value)) {
 		demand = value;
@@ -430,7 +453,7 @@
 add_demand(void *context, const struct request_facts *facts)
 {
 	const struct intent_account *account;
-	const struct fleet_upstream *upstream;
+	const struct fleet_entry *entry;
 	struct demand_round *round = context;
 	uint32_t fitting, i, at;
 
@@ -443,11 +466,10 @@
 		return;
 	at = (uint32_t)((facts->id + round->rotation) % fitting);
 	for (i = 0; i < DEMAND_UPSTREAMS && i < fitting; i++) {
-		upstream = nth_fitting(round->view, facts, account,
+		entry = nth_fitting(round->view, facts, account,
 		    (at + i * (fitting / DEMAND_UPSTREAMS + 1)) % fitting);
-		if (upstream != NULL)
-			add_upstream_demand(
-			    round->host, upstream->record.id, facts);
+		if (entry != NULL)
+			add_upstream_demand(round->host, entry->id, facts);
 	}
 }
 
@@ -489,7 +511,7 @@
 	return count;
 }
 
-static const struct fleet_upstream *
+static const struct fleet_entry *
 nth_fitting(const struct fleet_view *view, const struct request_facts *facts,
     const struct intent_account *account, uint32_t wanted)
 {
@@ -501,7 +523,7 @@
 		if (!group_fits(view, group, facts, account))
 			continue;
 		if (wanted < group->count)
-			return view->upstreams[group->subset[wanted]];
+			return &view->entries[group->subset[wanted]];
 		wanted -= group->count;
 	}
 	return NULL;
@@ -531,9 +553,9 @@
 		group = &view->groups[i];
 		for (j = 0; j < group->count; j++)
 			upstream_directory_subscribe_load(&host->directory,
-			    view->upstreams[group->subset[j]]->record.id);
+			    view->entries[group->subset[j]].id);
 	}
-	fleet_unlock();
+	fleet_unlock(view);
 }
 
 static void
--- a/src/service/operator_api.c
+++ b/src/service/operator_api.c
@@ -451,13 +451,13 @@
 	selector = g_new(struct selector, 1);
 	if (selector_parse(selector, text, NULL) == ERROR_NONE) {
 		view = fleet_lock(&host->fleet);
-		for (i = 0; i < view->upstream_count; i++) {
-			record = &view->upstreams[i]->record;
+		for (i = 0; i < view->entry_count; i++) {
+			record = &view->entries[i].upstream->record;
 			if (intent_select(view->intent, selector, record))
 				json_array_append_new(
 				    names, json_string(record->name));
 		}
-		fleet_unlock();
+		fleet_unlock(view);
 	}
 	g_free(selector);
 }
--- a/src/service/operator_views.c
+++ b/src/service/operator_views.c
@@ -292,15 +292,16 @@
 static bool
 is_suspect(struct host *host, uint64_t id)
 {
-	const struct fleet_upstream *upstream;
+	const struct fleet_entry *entry;
 	const struct fleet_view *view;
 	bool suspect;
 
 	view = fleet_lock(&host->fleet);
-	upstream = fleet_view_find(view, id);
-	suspect = upstream != NULL &&
-		  atomic_load(&upstream->suspect_until_ms) > host_now_ms();
-	fleet_unlock();
+	entry = fleet_view_find(view, id);
+	suspect =
+	    entry != NULL &&
+	    atomic_load(&entry->upstream->suspect_until_ms) > host_now_ms();
+	fleet_unlock(view);
 	return suspect;
 }
 
--- a/src/service/request_api.c
+++ b/src/service/request_api.c
@@ -187,7 +187,7 @@
 		snprintf(order->facts.client_account,
 		    sizeof(order->facts.client_account), "%s", account->name);
 	}
-	fleet_unlock();
+	fleet_unlock(view);
 	return account != NULL;
 }
 
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -298,21 +298,20 @@
 static bool
 is_route_open(struct request_run *run)
 {
-	const struct fleet_upstream *upstream;
+	const struct fleet_entry *entry;
 	const struct fleet_view *view;
-	const char *takeout;
 	bool is_open;
 
 	if (!host_may_start(run->host))
 		return false;
 	view = fleet_lock(&run->host->fleet);
-	upstream = fleet_view_find(view, run->ticket.route.upstream_id);
-	is_open =
-	    upstream != NULL &&
-	    upstream->record.incarnation == run->ticket.route.incarnation &&
-	    upstream->record.state == UPSTREAM_STATE_ACTIVE &&
-	    !intent_is_taken_out(view->intent, &upstream->record, &takeout);
-	fleet_unlock();
+	entry = fleet_view_find(view, run->ticket.route.upstream_id);
+	is_open = entry != NULL &&
+		  entry->upstream->record.incarnation ==
+		      run->ticket.route.incarnation &&
+		  entry->upstream->record.state == UPSTREAM_STATE_ACTIVE &&
+		  !entry->is_taken_out;
+	fleet_unlock(view);
 	return is_open;
 }
 
@@ -407,7 +406,7 @@
 note_first_token(struct request_run *run)
 {
 	struct warmup_answer answer = {0};
-	const struct fleet_upstream *upstream;
+	const struct fleet_entry *entry;
 	const struct fleet_view *view;
 	struct warmup_settings settings;
 	struct host *host = run->host;
@@ -428,14 +427,15 @@
 	answer.first_token_ms = now_ms - run->dispatched_ms;
 	settings = warmup_default_settings();
 	view = fleet_lock(&host->fleet);
-	upstream = fleet_view_find(view, run->ticket.route.upstream_id);
-	if (upstream != NULL) {
+	entry = fleet_view_find(view, run->ticket.route.upstream_id);
+	if (entry != NULL) {
 		answer.ahead_tokens =
-		    atomic_load(&upstream->load.prefill_tokens);
+		    atomic_load(&entry->upstream->load.prefill_tokens);
 		host_note_answer(host, &run->ticket.route,
-		    warmup_judge(&upstream->record.limits, &settings, &answer));
+		    warmup_judge(
+			&entry->upstream->record.limits, &settings, &answer));
 	}
-	fleet_unlock();
+	fleet_unlock(view);
 }
 
 static void
@@ -548,7 +548,7 @@
 avoid_upstream(struct request_run *run, enum attempt_failure failure)
 {
 	struct wait_ticket *ticket = &run->ticket;
-	struct fleet_upstream *upstream;
+	const struct fleet_entry *entry;
 	const struct fleet_view *view;
 
 	if (ticket->excluded_count < WAIT_EXCLUDED_MAX)
@@ -557,10 +557,11 @@
 	if (failure != ATTEMPT_STALLED && failure != ATTEMPT_CONNECTION)
 		return;
 	view = fleet_lock(&run->host->fleet);
-	upstream = fleet_view_find(view, ticket->route.upstream_id);
-	if (upstream != NULL)
-		fleet_upstream_suspect(upstream, host_now_ms() + SUSPECT_MS);
-	fleet_unlock();
+	entry = fleet_view_find(view, ticket->route.upstream_id);
+	if (entry != NULL)
+		fleet_upstream_suspect(
+		    entry->upstream, host_now_ms() + SUSPECT_MS);
+	fleet_unlock(view);
 }
 
 static void
--- a/src/service/wait_line.c
+++ b/src/service/wait_line.c
@@ -116,7 +116,7 @@
 	error = verdict.error;
 	ticket->is_admitted = error == ERROR_NONE;
 unlock:
-	fleet_unlock();
+	fleet_unlock(view);
 	if (error == ERROR_NONE)
 		error = push_ticket(line, ticket, weight);
 	ticket->error = error;
@@ -171,7 +171,7 @@
 	account =
 	    intent_account_by_name(view->intent, ticket->facts->client_account);
 	weight = account == NULL ? INTENT_WEIGHT_DEFAULT : account->weight;
-	fleet_unlock();
+	fleet_unlock(view);
 	error = push_ticket(line, ticket, weight);
 	pthread_mutex_unlock(&line->mutex);
 	return error;
@@ -237,7 +237,7 @@
 
 	view = fleet_lock(line->parts.fleet);
 	*error = choose(line, view, ticket, &choice);
-	fleet_unlock();
+	fleet_unlock(view);
 	cost_ahead =
 	    fair_queue_cost_ahead(&line->queue, account->id, account->weight);
 	prediction.queue_ms = admission_queue_ms(&line->admission, cost_ahead);
@@ -289,7 +289,7 @@
 	for (i = 0; !has_started && i < choice.count; i++)
 		has_started =
 		    take_candidate(line, ticket, &choice.candidates[i]);
-	fleet_unlock();
+	fleet_unlock(view);
 	return has_started;
 }
 
@@ -299,11 +299,11 @@
 {
 	struct capacity_slot *slot;
 
-	slot = candidate->upstream->slot;
+	slot = candidate->entry->slot;
 	/* A suspect must have nobody beside it, which a single slot can show. */
 	if (ticket->must_be_alone && capacity_slot_used(slot).requests > 0)
 		return false;
-	if (fleet_work_begin(&ticket->route.work, candidate->upstream,
+	if (fleet_work_begin(&ticket->route.work, candidate->entry,
 		&candidate->amount, candidate->long_tokens,
 		line->parts.now_ms()) != ERROR_NONE)
 		return false;
@@ -316,7 +316,7 @@
 {
 	const struct upstream_record *record;
 
-	record = &candidate->upstream->record;
+	record = &candidate->entry->upstream->record;
 	snprintf(route->url, sizeof(route->url), "%s", record->url);
 	snprintf(route->upstream_name, sizeof(route->upstream_name), "%s",
 	    record->name);
