--- a/src/coordination/grant_holder.c
+++ b/src/coordination/grant_holder.c
@@ -27,14 +27,16 @@
 	struct capacity_amount peak;	/* Of use and wait, sinking. */
 	uint32_t in_time;		/* Answers since the last ask. */
 	bool is_cold;			/* Not yet known to the owner. */
+	struct capacity_amount told;	/* Use that was told last. */
 	uint64_t asked;			/* Sequence of the last ask. */
 	uint64_t answered;		/* Sequence last answered. */
 	int64_t asked_ms;		/* When the last ask was sent. */
 	int64_t active_ms;		/* Last use or wait. */
-	bool has_news;	/* Cold, or returned: told until answered. */
-	uint64_t news;	/* First ask that told it, 0 for none. */
-	bool must_ask;	/* Ask with the next flush. */
-	bool must_tell; /* Tell, without wanting an answer. */
+	bool has_news;	 /* Cold, or returned: told until answered. */
+	uint64_t news;	 /* First ask that told it, 0 for none. */
+	int64_t news_ms; /* Since when it is told. */
+	bool must_ask;	 /* Ask with the next flush. */
+	bool must_tell;	 /* Tell, without wanting an answer. */
 };
 
 /* A slot that is no longer handed out. */
@@ -203,6 +205,16 @@
 	return entry == NULL || entry->is_dropped ? NULL : entry->slot;
 }
 
+uint64_t
+grant_holder_incarnation(
+    const struct grant_holder *holder, uint64_t upstream_id)
+{
+	struct held_upstream *entry;
+
+	entry = find_entry(holder, upstream_id);
+	return entry == NULL || entry->is_dropped ? 0 : entry->incarnation;
+}
+
 void
 grant_holder_want(struct grant_holder *holder, uint64_t upstream_id,
     const struct capacity_amount *waiting,
@@ -420,6 +432,7 @@
 {
 	entry->has_news = true;
 	entry->news = 0;
+	entry->news_ms = timer_now(holder->timers);
 	entry->must_ask = true;
 	schedule_flush(holder);
 }
@@ -441,6 +454,10 @@
 		entry->active_ms = now_ms;
 	if (now_ms >= entry->expires_ms && !capacity_is_zero(&entry->ceiling))
 		set_ceiling(entry, &none, entry->expires_ms);
+	/* What ran beyond the ceiling is missed elsewhere once it has ended. */
+	if (!capacity_fits(&entry->told, &used) &&
+	    !capacity_fits(&entry->told, &entry->ceiling))
+		entry->must_tell = true;
 	is_idle = now_ms - entry->active_ms >= settings->idle_ms;
 	is_held = !capacity_is_zero(&entry->ceiling);
 	if (is_idle && is_held) {
@@ -617,6 +634,7 @@
 	row->number = entry->number;
 	row->ceiling = entry->ceiling;
 	row->used = capacity_slot_used(entry->slot);
+	entry->told = row->used;
 	row->largest = entry->largest;
 	row->warmth = entry->warmth;
 	row->in_time = entry->in_time;
--- a/src/coordination/grant_holder.h
+++ b/src/coordination/grant_holder.h
@@ -97,6 +97,10 @@
 /** Slot of an open upstream, or NULL. */
 struct capacity_slot *grant_holder_slot(
     const struct grant_holder *holder, uint64_t upstream_id);
+/** Incarnation that the slot of an open upstream is for, or 0; a request
+ * carries it, so that a restarted upstream can refuse it. */
+uint64_t grant_holder_incarnation(
+    const struct grant_holder *holder, uint64_t upstream_id);
 
 /* Demand and evidence, on the coordination thread */
 
--- a/src/coordination/grant_owner.c
+++ b/src/coordination/grant_owner.c
@@ -394,8 +394,8 @@
 	for (i = 0; i < grant_ledger_count(&upstream->ledger); i++) {
 		holder = grant_ledger_at(&upstream->ledger, i);
 		if (owner_map_has(owner->map, holder->host_id))
-			continue;
-		if (holder->gone_ms == 0)
+			holder->gone_ms = 0;
+		else if (holder->gone_ms == 0)
 			holder->gone_ms =
 			    now_ms + owner->settings.gone_drain_ms;
 	}
--- /dev/null
+++ b/tests/test_capacity_grants.c
@@ -0,0 +1,197 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "fake_fleet.h"
+
+#define SCHEDULES 150	/* Without CHICORY_SOAK_SCHEDULES. */
+#define FAULTS	  14	/* Of one schedule. */
+#define WARM_MS	  6000	/* Until grants flow after a start. */
+#define MENDED_MS 20000 /* Lease, drains and some asks: liveness. */
+
+static unsigned int
+count_schedules(void)
+{
+	const char *text = getenv("CHICORY_SOAK_SCHEDULES");
+
+	return text == NULL ? SCHEDULES : (unsigned int)atoi(text);
+}
+
+static uint32_t
+pick_host(struct fleet *fleet)
+{
+	return 1 + random_below(&fleet->random, fleet->host_count);
+}
+
+static void
+worsen_links(struct fleet *fleet)
+{
+	struct fake_link link = {.delay_min_ms = 0};
+
+	link.delay_max_ms = 1 + random_below(&fleet->random, 400);
+	link.loss = 0.3 * random_unit(&fleet->random);
+	link.duplicate = 0.3 * random_unit(&fleet->random);
+	fake_net_set_links(&fleet->net, &link);
+}
+
+static void
+restart_upstream(struct fleet *fleet)
+{
+	uint32_t upstream, i;
+
+	upstream = random_below(&fleet->random, fleet->upstream_count);
+	fleet_restart_upstream(fleet, upstream);
+	/* The others hear of it later. */
+	for (i = 1; i <= fleet->host_count; i++) {
+		if (random_below(&fleet->random, 2) == 0)
+			fleet_announce(fleet, upstream, i);
+	}
+}
+
+static void
+announce_some(struct fleet *fleet)
+{
+	uint32_t upstream, i;
+
+	for (upstream = 0; upstream < fleet->upstream_count; upstream++) {
+		for (i = 1; i <= fleet->host_count; i++) {
+			if (random_below(&fleet->random, 2) == 0)
+				fleet_announce(fleet, upstream, i);
+		}
+	}
+}
+
+static void
+inject_fault(struct fleet *fleet)
+{
+	uint32_t id = pick_host(fleet), other = pick_host(fleet);
+
+	switch (random_below(&fleet->random, 10)) {
+	case 0:
+		fleet_kill(fleet, id);
+		break;
+	case 1:
+		fleet_restart(fleet, id);
+		break;
+	case 2:
+		fake_net_freeze(&fleet->net, id);
+		break;
+	case 3:
+		fake_net_thaw(&fleet->net, id);
+		break;
+	case 4:
+		fake_net_cut_host(&fleet->net, id,
+		    random_below(&fleet->random, 2) == 0, true);
+		break;
+	case 5:
+		if (id != other)
+			fake_net_cut_pair(&fleet->net, id, other, true);
+		break;
+	case 6:
+		fleet->hosts[id - 1].is_cut = !fleet->hosts[id - 1].is_cut;
+		break;
+	case 7:
+		worsen_links(fleet);
+		break;
+	case 8:
+		restart_upstream(fleet);
+		break;
+	default:
+		announce_some(fleet);
+		break;
+	}
+}
+
+static void
+run_schedule(uint64_t seed, bool is_warming, int64_t *longest_ms)
+{
+	struct fleet fleet;
+	unsigned int i;
+
+	fleet_init(&fleet, 8 + seed % 5, 3, seed);
+	fleet.is_warming = is_warming;
+	fleet.skip = seed % 3 == 0 ? 0.5 : 0;
+	fleet.load_percent = 1 + random_below(&fleet.random, 10);
+	fleet.run_most_ms = 200 + random_below(&fleet.random, 3000);
+	fleet_run(&fleet, WARM_MS);
+	for (i = 0; i < FAULTS; i++) {
+		inject_fault(&fleet);
+		/* A second one often comes right after. */
+		fleet_run(
+		    &fleet, random_below(&fleet.random, 2) == 0
+				? FLEET_STEP_MS
+				: 100 + random_below(&fleet.random, 4000));
+	}
+	fleet_mend(&fleet);
+	fleet.run_most_ms = 300;
+	fleet_run(&fleet, MENDED_MS);
+	if (fleet.violations != 0)
+		fail_msg("seed %llu: %llu steps over a limit",
+		    (unsigned long long)seed,
+		    (unsigned long long)fleet.violations);
+	/* From here on every wait ends soon: no share was lost for good. */
+	fleet.longest_wait_ms = 0;
+	fleet_run(&fleet, MENDED_MS);
+	if (fleet.longest_wait_ms > *longest_ms)
+		*longest_ms = fleet.longest_wait_ms;
+	for (i = 0; i < fleet.host_count; i++) {
+		uint32_t upstream;
+
+		for (upstream = 0; upstream < fleet.upstream_count;
+		     upstream++) {
+			int64_t since_ms =
+			    fleet.hosts[i].waits_since_ms[upstream];
+
+			if (since_ms != 0 &&
+			    fake_net_now(&fleet.net) - since_ms > MENDED_MS)
+				fail_msg("seed %llu: host %u starves",
+				    (unsigned long long)seed, i + 1);
+		}
+	}
+	fleet_finish(&fleet);
+}
+
+static void
+run_schedules(bool is_warming)
+{
+	int64_t longest_ms;
+	unsigned int i;
+
+	longest_ms = 0;
+	for (i = 0; i < count_schedules(); i++)
+		run_schedule(1000 + i, is_warming, &longest_ms);
+	print_message("%u schedules, longest wait after mending %lld ms\n", i,
+	    (long long)longest_ms);
+}
+
+/* Without evidence of warmth, all hosts together stay within cold limits. */
+static void
+test_cold_limit_holds(void **state)
+{
+	(void)state;
+	run_schedules(false);
+}
+
+/* With evidence, they stay within warm limits. */
+static void
+test_warm_limit_holds(void **state)
+{
+	(void)state;
+	run_schedules(true);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_cold_limit_holds),
+	    cmocka_unit_test(test_warm_limit_holds),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
