Membership: SWIM over a gossiped map of host records

Cause: hosts must find each other from seeds and agree on who lives, at a traffic that does not grow with the number of hosts. Ruled out: raising the incarnation to refute, since what rests on a process (an upstream's home) would have to be said again after each false alarm; a clock in the module, since a frozen host is seen by periods without a reading of its links (membership_step). Change: gossip (last writer wins, pushes to a few hosts, digests for the rest), membership with pings, indirect pings, suspicion, death, refutation, planned leave; peer links' two dials tried under 60 interleavings.

--- /dev/null
+++ b/src/coordination/gossip.c
@@ -0,0 +1,617 @@
+#include "coordination/gossip.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "config.h"
+
+#define ROUND_DEFAULT_MS   200	 /* Between pushes. */
+#define DIGEST_DEFAULT_MS  10000 /* Between digests. */
+#define FAN_OUT_DEFAULT	   4	 /* Hosts of a push. */
+#define PUSH_BYTES_DEFAULT 1200	 /* Items of a push. */
+#define SENDS_EXTRA	   3	 /* Sends of a change beyond log2 of hosts. */
+#define SUMMARY_ITEMS_MAX  128	 /* Items of a summary, by whole buckets. */
+#define SYNC_ROUNDS	   5	 /* Rounds to wait for items after a digest. */
+#define ITEM_OVERHEAD	   40	 /* Bytes of an item but for its body. */
+
+/* An item; its body is kept as it is sent. */
+struct gossip_item {
+	uint64_t key;
+	struct gossip_version version;
+	uint32_t sends; /* Times that it was pushed. */
+	GList *news;	/* Its place among the news, NULL for none. */
+	size_t size;
+	unsigned char body[];
+};
+
+static void run_round(void *context);
+static void run_digest(void *context);
+static void push_news(struct gossip *gossip);
+static uint32_t next_target(struct gossip *gossip);
+static uint32_t count_sends(const struct gossip *gossip);
+static void send_message(struct gossip *gossip, uint32_t host_id,
+    const struct message_writer *writer);
+static void send_digest(struct gossip *gossip, uint32_t host_id);
+static void send_items(
+    struct gossip *gossip, uint32_t host_id, const GPtrArray *items);
+static void send_summary(struct gossip *gossip, uint32_t host_id,
+    const unsigned char buckets[GOSSIP_BUCKETS / 8], bool is_answer);
+static enum error_code receive_items(struct gossip *gossip, uint32_t from_host,
+    const struct message_reader *reader);
+static enum error_code receive_digest(struct gossip *gossip, uint32_t from_host,
+    const struct message_reader *reader);
+static enum error_code receive_summary(struct gossip *gossip,
+    uint32_t from_host, const struct message_reader *reader);
+static GHashTable *find_newer(const struct gossip *gossip,
+    const unsigned char buckets[GOSSIP_BUCKETS / 8],
+    const struct message_array *elements, bool *wants);
+static void send_pieces(
+    struct gossip *gossip, uint32_t host_id, GHashTable *set);
+static enum error_code check_elements(const struct message_array *elements);
+static struct gossip_item *find_item(const struct gossip *gossip, uint64_t key);
+static enum error_code store_item(struct gossip *gossip, uint64_t key,
+    const struct gossip_version *version, const void *body, size_t size);
+static void forget_item(struct gossip *gossip, struct gossip_item *item);
+static uint32_t bucket_of(uint64_t key);
+static uint32_t hash_item(const struct gossip_item *item);
+static bool has_bucket(
+    const unsigned char buckets[GOSSIP_BUCKETS / 8], uint32_t bucket);
+
+enum error_code
+gossip_init(struct gossip *gossip, const struct gossip_settings *settings,
+    struct timer_service *timers, uint64_t seed, struct peer_port port,
+    struct gossip_ops ops)
+{
+	enum error_code error;
+
+	memset(gossip, 0, sizeof(*gossip));
+	if (settings->items_max == 0 || ops.apply == NULL ||
+	    ops.list_hosts == NULL)
+		return ERROR_INVALID_ARGUMENT;
+	gossip->settings = *settings;
+	if (gossip->settings.round_ms == 0)
+		gossip->settings.round_ms = ROUND_DEFAULT_MS;
+	if (gossip->settings.digest_ms == 0)
+		gossip->settings.digest_ms = DIGEST_DEFAULT_MS;
+	if (gossip->settings.fan_out == 0)
+		gossip->settings.fan_out = FAN_OUT_DEFAULT;
+	if (gossip->settings.push_bytes_max == 0)
+		gossip->settings.push_bytes_max = PUSH_BYTES_DEFAULT;
+	gossip->ops = ops;
+	gossip->timers = timers;
+	gossip->port = port;
+	random_init(&gossip->random, seed);
+	gossip->targets = calloc(HOSTS_MAX, sizeof(*gossip->targets));
+	if (gossip->targets == NULL)
+		return ERROR_NO_MEMORY;
+	gossip->items =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+	g_queue_init(&gossip->news);
+	error = timer_subscribe_every(timers, gossip->settings.round_ms,
+	    (struct timer_callback){run_round, gossip}, &gossip->round_timer);
+	if (error == ERROR_NONE)
+		error =
+		    timer_subscribe_every(timers, gossip->settings.digest_ms,
+			(struct timer_callback){run_digest, gossip},
+			&gossip->digest_timer);
+	if (error != ERROR_NONE)
+		gossip_finish(gossip);
+	return error;
+}
+
+void
+gossip_finish(struct gossip *gossip)
+{
+	if (gossip->items == NULL)
+		return;
+	timer_cancel(gossip->timers, &gossip->round_timer);
+	timer_cancel(gossip->timers, &gossip->digest_timer);
+	g_queue_clear(&gossip->news);
+	g_hash_table_destroy(gossip->items);
+	free(gossip->targets);
+	memset(gossip, 0, sizeof(*gossip));
+}
+
+enum error_code
+gossip_put(struct gossip *gossip, uint64_t key,
+    const struct gossip_version *version, const void *body, size_t size)
+{
+	const struct gossip_item *item;
+
+	item = find_item(gossip, key);
+	if (item != NULL &&
+	    gossip_version_compare(&item->version, version) >= 0)
+		return ERROR_STALE;
+	return store_item(gossip, key, version, body, size);
+}
+
+void
+gossip_drop(struct gossip *gossip, uint64_t key)
+{
+	struct gossip_item *item;
+
+	item = find_item(gossip, key);
+	if (item != NULL)
+		forget_item(gossip, item);
+}
+
+const struct gossip_version *
+gossip_version_of(const struct gossip *gossip, uint64_t key)
+{
+	const struct gossip_item *item;
+
+	item = find_item(gossip, key);
+	return item == NULL ? NULL : &item->version;
+}
+
+enum error_code
+gossip_receive(
+    struct gossip *gossip, uint32_t from_host, const void *body, size_t size)
+{
+	struct message_reader reader;
+	enum error_code error;
+	uint32_t type;
+
+	error = message_reader_init(&reader, body, size);
+	if (error != ERROR_NONE)
+		return error;
+	error = gossip_message_type(&reader, &type);
+	if (error != ERROR_NONE)
+		goto out;
+	switch (type - gossip->settings.first_type) {
+	case GOSSIP_KIND_ITEMS:
+		error = receive_items(gossip, from_host, &reader);
+		break;
+	case GOSSIP_KIND_DIGEST:
+		error = receive_digest(gossip, from_host, &reader);
+		break;
+	case GOSSIP_KIND_SUMMARY:
+		error = receive_summary(gossip, from_host, &reader);
+		break;
+	default:
+		error = ERROR_NOT_SUPPORTED;
+		break;
+	}
+out:
+	message_reader_finish(&reader);
+	return error;
+}
+
+void
+gossip_sync_with(struct gossip *gossip, uint32_t host_id)
+{
+	gossip->sync_host = host_id;
+	gossip->sync_rounds = SYNC_ROUNDS;
+	gossip->sync_progressed = false;
+	send_digest(gossip, host_id);
+}
+
+static void
+run_round(void *context)
+{
+	struct gossip *gossip = context;
+
+	push_news(gossip);
+	if (gossip->sync_host == 0)
+		return;
+	if (gossip->sync_progressed)
+		gossip_sync_with(gossip, gossip->sync_host);
+	else if (--gossip->sync_rounds == 0)
+		gossip->sync_host = 0;
+}
+
+static void
+run_digest(void *context)
+{
+	struct gossip *gossip = context;
+	uint32_t host_id;
+
+	host_id = next_target(gossip);
+	if (host_id != 0)
+		gossip_sync_with(gossip, host_id);
+}
+
+/* Fresh news stand first; what was pushed goes to the end of the queue. */
+static void
+push_news(struct gossip *gossip)
+{
+	struct gossip_item *item;
+	uint32_t sent, limit, host_id;
+	size_t bytes;
+	GPtrArray *items;
+	guint i;
+
+	if (gossip->news.length == 0)
+		return;
+	items = g_ptr_array_new();
+	bytes = 0;
+	while (gossip->news.head != NULL) {
+		item = gossip->news.head->data;
+		bytes += item->size + ITEM_OVERHEAD;
+		if (items->len > 0 && bytes > gossip->settings.push_bytes_max)
+			break;
+		g_queue_delete_link(&gossip->news, item->news);
+		item->news = NULL;
+		g_ptr_array_add(items, item);
+	}
+	for (sent = 0; sent < gossip->settings.fan_out; sent++) {
+		/* Fewer hosts than the fan-out get it once a round. */
+		if (sent > 0 && sent >= gossip->target_count)
+			break;
+		host_id = next_target(gossip);
+		if (host_id == 0)
+			break;
+		send_items(gossip, host_id, items);
+	}
+	limit = count_sends(gossip);
+	for (i = 0; i < items->len; i++) {
+		item = g_ptr_array_index(items, i);
+		item->sends += sent;
+		if (item->sends >= limit)
+			continue;
+		g_queue_push_tail(&gossip->news, item);
+		item->news = gossip->news.tail;
+	}
+	g_ptr_array_unref(items);
+}
+
+/* Every host comes once before one comes again. */
+static uint32_t
+next_target(struct gossip *gossip)
+{
+	uint32_t i, k, swap;
+
+	if (gossip->target_next >= gossip->target_count) {
+		gossip->target_count = gossip->ops.list_hosts(
+		    gossip->ops.context, gossip->targets, HOSTS_MAX);
+		gossip->target_next = 0;
+		for (i = gossip->target_count; i > 1; i--) {
+			k = random_below(&gossip->random, i);
+			swap = gossip->targets[i - 1];
+			gossip->targets[i - 1] = gossip->targets[k];
+			gossip->targets[k] = swap;
+		}
+	}
+	if (gossip->target_count == 0)
+		return 0;
+	return gossip->targets[gossip->target_next++];
+}
+
+static uint32_t
+count_sends(const struct gossip *gossip)
+{
+	uint32_t sends, hosts;
+
+	sends = SENDS_EXTRA;
+	for (hosts = gossip->target_count; hosts > 0; hosts /= 2)
+		sends++;
+	return sends;
+}
+
+static void
+send_message(struct gossip *gossip, uint32_t host_id,
+    const struct message_writer *writer)
+{
+	gossip->port.send(gossip->port.context, host_id,
+	    PEER_CHANNEL_MEMBERSHIP, message_data(writer),
+	    message_size(writer));
+}
+
+static void
+send_digest(struct gossip *gossip, uint32_t host_id)
+{
+	struct message_writer writer;
+
+	message_writer_init(&writer);
+	gossip_digest_write(
+	    &writer, gossip->settings.first_type, gossip->bucket_hashes);
+	send_message(gossip, host_id, &writer);
+	message_writer_finish(&writer);
+}
+
+static void
+send_items(struct gossip *gossip, uint32_t host_id, const GPtrArray *items)
+{
+	const struct gossip_item *item;
+	struct message_writer writer;
+	guint i;
+
+	message_writer_init(&writer);
+	gossip_items_open(&writer, gossip->settings.first_type, items->len);
+	for (i = 0; i < items->len; i++) {
+		item = g_ptr_array_index(items, i);
+		gossip_items_add(
+		    &writer, item->key, &item->version, item->body, item->size);
+	}
+	send_message(gossip, host_id, &writer);
+	message_writer_finish(&writer);
+}
+
+static void
+send_summary(struct gossip *gossip, uint32_t host_id,
+    const unsigned char buckets[GOSSIP_BUCKETS / 8], bool is_answer)
+{
+	const struct gossip_item *item;
+	struct message_writer writer;
+	GHashTableIter iterator;
+	GPtrArray *items;
+	gpointer value;
+	guint i;
+
+	items = g_ptr_array_new();
+	g_hash_table_iter_init(&iterator, gossip->items);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		item = value;
+		if (has_bucket(buckets, bucket_of(item->key)))
+			g_ptr_array_add(items, value);
+	}
+	message_writer_init(&writer);
+	gossip_summary_open(&writer, gossip->settings.first_type, buckets,
+	    is_answer, items->len);
+	for (i = 0; i < items->len; i++) {
+		item = g_ptr_array_index(items, i);
+		gossip_summary_add(&writer, item->key, &item->version);
+	}
+	send_message(gossip, host_id, &writer);
+	message_writer_finish(&writer);
+	g_ptr_array_unref(items);
+}
+
+static enum error_code
+receive_items(struct gossip *gossip, uint32_t from_host,
+    const struct message_reader *reader)
+{
+	struct message_array elements;
+	struct gossip_version version;
+	const struct gossip_item *item;
+	enum error_code error;
+	const void *body;
+	uint64_t key;
+	uint32_t i;
+	size_t size;
+
+	error = gossip_elements(reader, &elements);
+	if (error == ERROR_NONE)
+		error = check_elements(&elements);
+	if (error != ERROR_NONE)
+		return error;
+	for (i = 0; i < elements.count; i++) {
+		(void)gossip_element_read(
+		    &elements, i, &key, &version, &body, &size);
+		item = find_item(gossip, key);
+		if (item != NULL &&
+		    gossip_version_compare(&item->version, &version) >= 0)
+			continue;
+		if (item == NULL && g_hash_table_size(gossip->items) >=
+					gossip->settings.items_max)
+			continue;
+		if (gossip->ops.apply(gossip->ops.context, key, &version, body,
+			size) != ERROR_NONE)
+			continue;
+		/* The owner may have put a higher version meanwhile. */
+		if (gossip_put(gossip, key, &version, body, size) ==
+			ERROR_NONE &&
+		    from_host == gossip->sync_host)
+			gossip->sync_progressed = true;
+	}
+	return ERROR_NONE;
+}
+
+static enum error_code
+receive_digest(struct gossip *gossip, uint32_t from_host,
+    const struct message_reader *reader)
+{
+	uint32_t hashes[GOSSIP_BUCKETS], counts[GOSSIP_BUCKETS] = {0};
+	unsigned char buckets[GOSSIP_BUCKETS / 8] = {0};
+	const struct gossip_item *item;
+	uint32_t first, bucket, i, items;
+	enum error_code error;
+	GHashTableIter iterator;
+	gpointer value;
+	bool differs;
+
+	error = gossip_digest_read(reader, hashes);
+	if (error != ERROR_NONE)
+		return error;
+	g_hash_table_iter_init(&iterator, gossip->items);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		item = value;
+		counts[bucket_of(item->key)]++;
+	}
+	first = random_below(&gossip->random, GOSSIP_BUCKETS);
+	differs = false;
+	items = 0;
+	for (i = 0; i < GOSSIP_BUCKETS && items < SUMMARY_ITEMS_MAX; i++) {
+		bucket = (first + i) % GOSSIP_BUCKETS;
+		if (hashes[bucket] == gossip->bucket_hashes[bucket])
+			continue;
+		buckets[bucket / 8] |= (unsigned char)(1u << bucket % 8);
+		items += counts[bucket];
+		differs = true;
+	}
+	if (differs)
+		send_summary(gossip, from_host, buckets, false);
+	return ERROR_NONE;
+}
+
+/* Sends what is newer here; asks for what is newer there by a summary. */
+static enum error_code
+receive_summary(struct gossip *gossip, uint32_t from_host,
+    const struct message_reader *reader)
+{
+	unsigned char buckets[GOSSIP_BUCKETS / 8];
+	struct message_array elements;
+	enum error_code error;
+	bool is_answer, wants;
+	GHashTable *newer;
+
+	error = gossip_summary_read(reader, buckets, &is_answer);
+	if (error == ERROR_NONE)
+		error = gossip_elements(reader, &elements);
+	if (error == ERROR_NONE)
+		error = check_elements(&elements);
+	if (error != ERROR_NONE)
+		return error;
+	newer = find_newer(gossip, buckets, &elements, &wants);
+	send_pieces(gossip, from_host, newer);
+	g_hash_table_destroy(newer);
+	if (wants && !is_answer)
+		send_summary(gossip, from_host, buckets, true);
+	return ERROR_NONE;
+}
+
+/* Items of the buckets that the summary lacks or has older. */
+static GHashTable *
+find_newer(const struct gossip *gossip,
+    const unsigned char buckets[GOSSIP_BUCKETS / 8],
+    const struct message_array *elements, bool *wants)
+{
+	const struct gossip_item *item;
+	struct gossip_version version;
+	GHashTableIter iterator;
+	GHashTable *newer;
+	const void *body;
+	gpointer value;
+	uint64_t key;
+	uint32_t i;
+	size_t size;
+	int order;
+
+	newer = g_hash_table_new(NULL, NULL);
+	g_hash_table_iter_init(&iterator, gossip->items);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		item = value;
+		if (has_bucket(buckets, bucket_of(item->key)))
+			g_hash_table_add(newer, value);
+	}
+	*wants = false;
+	for (i = 0; i < elements->count; i++) {
+		(void)gossip_element_read(
+		    elements, i, &key, &version, &body, &size);
+		item = find_item(gossip, key);
+		order = item == NULL
+			    ? -1
+			    : gossip_version_compare(&item->version, &version);
+		if (order < 0)
+			*wants = true;
+		if (item != NULL && order <= 0)
+			g_hash_table_remove(newer, item);
+	}
+	return newer;
+}
+
+/* Sends a set of items in messages of bounded size. */
+static void
+send_pieces(struct gossip *gossip, uint32_t host_id, GHashTable *set)
+{
+	const struct gossip_item *item;
+	GHashTableIter iterator;
+	gpointer value;
+	GPtrArray *items;
+	size_t bytes;
+
+	items = g_ptr_array_new();
+	bytes = 0;
+	g_hash_table_iter_init(&iterator, set);
+	while (g_hash_table_iter_next(&iterator, &value, NULL)) {
+		item = value;
+		bytes += item->size + ITEM_OVERHEAD;
+		g_ptr_array_add(items, value);
+		if (bytes < gossip->settings.push_bytes_max)
+			continue;
+		send_items(gossip, host_id, items);
+		g_ptr_array_set_size(items, 0);
+		bytes = 0;
+	}
+	if (items->len > 0)
+		send_items(gossip, host_id, items);
+	g_ptr_array_unref(items);
+}
+
+/* A message is taken whole or not at all. */
+static enum error_code
+check_elements(const struct message_array *elements)
+{
+	struct gossip_version version;
+	enum error_code error;
+	const void *body;
+	uint64_t key;
+	uint32_t i;
+	size_t size;
+
+	for (i = 0; i < elements->count; i++) {
+		error = gossip_element_read(
+		    elements, i, &key, &version, &body, &size);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	return ERROR_NONE;
+}
+
+static struct gossip_item *
+find_item(const struct gossip *gossip, uint64_t key)
+{
+	return g_hash_table_lookup(gossip->items, &key);
+}
+
+static enum error_code
+store_item(struct gossip *gossip, uint64_t key,
+    const struct gossip_version *version, const void *body, size_t size)
+{
+	struct gossip_item *item, *older;
+
+	if (size > GOSSIP_ITEM_SIZE_MAX)
+		return ERROR_TOO_LARGE;
+	older = find_item(gossip, key);
+	if (older == NULL &&
+	    g_hash_table_size(gossip->items) >= gossip->settings.items_max)
+		return ERROR_TABLE_FULL;
+	item = malloc(sizeof(*item) + size);
+	if (item == NULL)
+		return ERROR_NO_MEMORY;
+	if (older != NULL)
+		forget_item(gossip, older);
+	item->key = key;
+	item->version = *version;
+	item->sends = 0;
+	item->size = size;
+	if (size > 0)
+		memcpy(item->body, body, size);
+	g_queue_push_head(&gossip->news, item);
+	item->news = gossip->news.head;
+	gossip->bucket_hashes[bucket_of(key)] ^= hash_item(item);
+	g_hash_table_insert(gossip->items, &item->key, item);
+	return ERROR_NONE;
+}
+
+static void
+forget_item(struct gossip *gossip, struct gossip_item *item)
+{
+	if (item->news != NULL)
+		g_queue_delete_link(&gossip->news, item->news);
+	gossip->bucket_hashes[bucket_of(item->key)] ^= hash_item(item);
+	g_hash_table_remove(gossip->items, &item->key);
+}
+
+static uint32_t
+bucket_of(uint64_t key)
+{
+	return (uint32_t)(XXH64(&key, sizeof(key), 0) % GOSSIP_BUCKETS);
+}
+
+static uint32_t
+hash_item(const struct gossip_item *item)
+{
+	const uint64_t words[] = {item->key, item->version.major,
+	    item->version.minor, item->version.rank};
+
+	return XXH32(words, sizeof(words), 0);
+}
+
+static bool
+has_bucket(const unsigned char buckets[GOSSIP_BUCKETS / 8], uint32_t bucket)
+{
+	return (buckets[bucket / 8] & 1u << bucket % 8) != 0;
+}
--- a/src/coordination/gossip.h
+++ b/src/coordination/gossip.h
@@ -56,8 +56,11 @@
 	uint32_t *targets;			/**< Hosts in shuffled order. */
 	uint32_t target_count;			/**< In use. */
 	uint32_t target_next;			/**< Next one to push to. */
-	struct handle round_timer;		/**< Pushes. */
-	struct handle digest_timer;		/**< Digests. */
+	uint32_t sync_host;	    /**< Digests are exchanged with it. */
+	uint32_t sync_rounds;	    /**< Rounds left to go on with that. */
+	bool sync_progressed;	    /**< It has just sent something new. */
+	struct handle round_timer;  /**< Pushes. */
+	struct handle digest_timer; /**< Digests. */
 };
 
 /* Setting up */
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -7,7 +7,10 @@
  * the suspicion time is dead. News spreads by gossip (gossip.h). A host that
  * was frozen treats the time that it missed as if it had not passed: the
  * owner calls membership_step() after each reading of its links, and periods
- * without a step between them are not counted against others.
+ * without a step between them are not counted against others. A host that hears
+ * of nobody at all, of two others or more, takes itself for cut off and
+ * declares nobody dead. A refutation does not change the incarnation: it names
+ * the process.
  */
 #ifndef MEMBERSHIP_H
 #define MEMBERSHIP_H
@@ -64,8 +67,8 @@
 	void (*dead)(void *context, const struct host_record *host);
 	/** It left as planned. */
 	void (*left)(void *context, const struct host_record *host);
-	/** Others had declared this host dead; it is alive again under the
-	 * incarnation given. */
+	/** Others had declared this host dead; it has refuted that, under the
+	 * incarnation given (raised if another process had used it). */
 	void (*was_declared_dead)(void *context, uint64_t incarnation);
 	/** A message of a type above MEMBERSHIP_TYPE_MAX. */
 	enum error_code (*receive_other)(
@@ -89,6 +92,8 @@
 	uint32_t probe_host;	    /**< Pinged in this period, 0 for none. */
 	uint64_t probe_number;	    /**< Grows with each period. */
 	bool probe_answered;	    /**< It answered. */
+	int64_t heard_ms;	    /**< Last message of any host. */
+	uint64_t dead_refutation;   /**< Deaths of older ones were told. */
 	uint64_t steps;		    /**< Counted by membership_step(). */
 	uint64_t period_steps;	    /**< Value at the last period. */
 	int64_t seeds_dialled_ms;   /**< Last time. */
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -65,8 +65,9 @@
 /** The choice: candidates, the best first. */
 struct router_choice {
 	struct router_candidate candidates[ROUTER_CANDIDATES_MAX];
-	uint32_t count;		       /**< Candidates in use. */
-	const struct fleet_entry *wanted; /**< The best one that has no room, if it
+	uint32_t count; /**< Candidates in use. */
+	const struct fleet_entry
+	    *wanted; /**< The best one that has no room, if it
 					  beats the others; else NULL. */
 	struct capacity_amount wanted_amount; /**< What it lacks room for. */
 	double soonest_ms; /**< Least predicted wait of a full upstream; for
--- a/src/protocol/announcement.c
+++ b/src/protocol/announcement.c
@@ -38,8 +38,8 @@
     struct upstream_record *record, struct field_error *error);
 static enum error_code read_load(const json_t *load,
     struct upstream_renewal *renewal, struct field_error *error);
-static enum error_code read_cache_event(
-    const json_t *item, struct cache_batch_item *event, struct field_error *error);
+static enum error_code read_cache_event(const json_t *item,
+    struct cache_batch_item *event, struct field_error *error);
 static const char *cache_event_name(enum cache_event_kind kind);
 
 enum error_code
@@ -509,8 +509,8 @@
 }
 
 static enum error_code
-read_cache_event(
-    const json_t *item, struct cache_batch_item *event, struct field_error *error)
+read_cache_event(const json_t *item, struct cache_batch_item *event,
+    struct field_error *error)
 {
 	char kind[NAME_SIZE_MAX];
 	enum error_code code;
--- /dev/null
+++ b/src/protocol/gossip_message.c
@@ -0,0 +1,211 @@
+#include "protocol/gossip_message.h"
+
+#include <string.h>
+
+#define HASH_SIZE 4 /* Bytes of a bucket's hash. */
+
+/* Fields of a message. */
+enum gossip_field {
+	FIELD_VERSION = 0,
+	FIELD_TYPE = 1,
+	FIELD_ELEMENTS = 2,
+	FIELD_HASHES = 3,
+	FIELD_BUCKETS = 4,
+	FIELD_IS_ANSWER = 5,
+};
+
+/* Fields of an element. */
+enum element_field {
+	ELEMENT_KEY = 0,
+	ELEMENT_MAJOR = 1,
+	ELEMENT_MINOR = 2,
+	ELEMENT_RANK = 3,
+	ELEMENT_BODY = 4,
+};
+
+static void put_head(
+    struct message_writer *writer, uint32_t fields, uint32_t type);
+static int compare_numbers(uint64_t left, uint64_t right);
+
+int
+gossip_version_compare(
+    const struct gossip_version *left, const struct gossip_version *right)
+{
+	int order;
+
+	order = compare_numbers(left->major, right->major);
+	if (order == 0)
+		order = compare_numbers(left->minor, right->minor);
+	if (order == 0)
+		order = compare_numbers(left->rank, right->rank);
+	return order;
+}
+
+void
+gossip_items_open(
+    struct message_writer *writer, uint32_t first_type, uint32_t item_count)
+{
+	put_head(writer, 3, first_type + GOSSIP_KIND_ITEMS);
+	message_put_array(writer, FIELD_ELEMENTS, item_count);
+}
+
+void
+gossip_items_add(struct message_writer *writer, uint64_t key,
+    const struct gossip_version *version, const void *body, size_t size)
+{
+	message_open(writer, 5);
+	message_put_uint(writer, ELEMENT_KEY, key);
+	message_put_uint(writer, ELEMENT_MAJOR, version->major);
+	message_put_uint(writer, ELEMENT_MINOR, version->minor);
+	message_put_uint(writer, ELEMENT_RANK, version->rank);
+	message_put_bytes(writer, ELEMENT_BODY, body, size);
+}
+
+void
+gossip_digest_write(struct message_writer *writer, uint32_t first_type,
+    const uint32_t hashes[GOSSIP_BUCKETS])
+{
+	unsigned char bytes[GOSSIP_BUCKETS * HASH_SIZE];
+	int i, k;
+
+	for (i = 0; i < GOSSIP_BUCKETS; i++) {
+		for (k = 0; k < HASH_SIZE; k++)
+			bytes[i * HASH_SIZE + k] =
+			    (unsigned char)(hashes[i] >> (8 * k));
+	}
+	put_head(writer, 3, first_type + GOSSIP_KIND_DIGEST);
+	message_put_bytes(writer, FIELD_HASHES, bytes, sizeof(bytes));
+}
+
+void
+gossip_summary_open(struct message_writer *writer, uint32_t first_type,
+    const unsigned char buckets[GOSSIP_BUCKETS / 8], bool is_answer,
+    uint32_t item_count)
+{
+	put_head(writer, 5, first_type + GOSSIP_KIND_SUMMARY);
+	message_put_bytes(writer, FIELD_BUCKETS, buckets, GOSSIP_BUCKETS / 8);
+	message_put_uint(writer, FIELD_IS_ANSWER, is_answer);
+	message_put_array(writer, FIELD_ELEMENTS, item_count);
+}
+
+void
+gossip_summary_add(struct message_writer *writer, uint64_t key,
+    const struct gossip_version *version)
+{
+	message_open(writer, 4);
+	message_put_uint(writer, ELEMENT_KEY, key);
+	message_put_uint(writer, ELEMENT_MAJOR, version->major);
+	message_put_uint(writer, ELEMENT_MINOR, version->minor);
+	message_put_uint(writer, ELEMENT_RANK, version->rank);
+}
+
+enum error_code
+gossip_message_type(const struct message_reader *reader, uint32_t *type)
+{
+	enum error_code error;
+	uint64_t version;
+
+	error = message_get_uint(reader, FIELD_VERSION, &version);
+	if (error != ERROR_NONE)
+		return error;
+	if (version != GOSSIP_MESSAGE_VERSION)
+		return ERROR_UNSUPPORTED_VERSION;
+	return message_get_uint32(reader, FIELD_TYPE, type);
+}
+
+enum error_code
+gossip_elements(
+    const struct message_reader *reader, struct message_array *elements)
+{
+	return message_get_array(reader, FIELD_ELEMENTS, elements);
+}
+
+enum error_code
+gossip_element_read(const struct message_array *elements, uint32_t index,
+    uint64_t *key, struct gossip_version *version, const void **body,
+    size_t *size)
+{
+	struct message_reader element;
+	enum error_code error;
+
+	error = message_array_open(elements, index, &element);
+	if (error != ERROR_NONE)
+		return error;
+	if ((error = message_get_uint(&element, ELEMENT_KEY, key)) !=
+		ERROR_NONE ||
+	    (error = message_get_uint(
+		 &element, ELEMENT_MAJOR, &version->major)) != ERROR_NONE ||
+	    (error = message_get_uint(
+		 &element, ELEMENT_MINOR, &version->minor)) != ERROR_NONE ||
+	    (error = message_get_uint(
+		 &element, ELEMENT_RANK, &version->rank)) != ERROR_NONE)
+		return error;
+	error = message_get_bytes(&element, ELEMENT_BODY, body, size);
+	if (error == ERROR_MISSING_FIELD) {
+		*body = NULL;
+		*size = 0;
+		return ERROR_NONE;
+	}
+	if (error == ERROR_NONE && *size > GOSSIP_ITEM_SIZE_MAX)
+		return ERROR_TOO_LARGE;
+	return error;
+}
+
+enum error_code
+gossip_digest_read(
+    const struct message_reader *reader, uint32_t hashes[GOSSIP_BUCKETS])
+{
+	const unsigned char *bytes;
+	enum error_code error;
+	const void *found;
+	size_t size;
+	int i, k;
+
+	error = message_get_bytes(reader, FIELD_HASHES, &found, &size);
+	if (error != ERROR_NONE)
+		return error;
+	if (size != (size_t)GOSSIP_BUCKETS * HASH_SIZE)
+		return ERROR_MALFORMED;
+	bytes = found;
+	for (i = 0; i < GOSSIP_BUCKETS; i++) {
+		hashes[i] = 0;
+		for (k = 0; k < HASH_SIZE; k++)
+			hashes[i] |= (uint32_t)bytes[i * HASH_SIZE + k]
+				     << (8 * k);
+	}
+	return ERROR_NONE;
+}
+
+enum error_code
+gossip_summary_read(const struct message_reader *reader,
+    unsigned char buckets[GOSSIP_BUCKETS / 8], bool *is_answer)
+{
+	enum error_code error;
+	const void *found;
+	uint64_t number;
+	size_t size;
+
+	error = message_get_bytes(reader, FIELD_BUCKETS, &found, &size);
+	if (error != ERROR_NONE)
+		return error;
+	if (size != GOSSIP_BUCKETS / 8)
+		return ERROR_MALFORMED;
+	memcpy(buckets, found, size);
+	error = message_get_uint(reader, FIELD_IS_ANSWER, &number);
+	*is_answer = number != 0;
+	return error;
+}
+
+static void
+put_head(struct message_writer *writer, uint32_t fields, uint32_t type)
+{
+	message_open(writer, fields);
+	message_put_uint(writer, FIELD_VERSION, GOSSIP_MESSAGE_VERSION);
+	message_put_uint(writer, FIELD_TYPE, type);
+}
+
+static int
+compare_numbers(uint64_t left, uint64_t right)
+{
+	return (left > right) - (left < right);
+}
--- a/src/protocol/gossip_message.h
+++ b/src/protocol/gossip_message.h
@@ -5,6 +5,7 @@
 #ifndef GOSSIP_MESSAGE_H
 #define GOSSIP_MESSAGE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -24,7 +25,7 @@
 
 /** Kinds; on the wire the first type of the map is added. */
 enum gossip_kind {
-	GOSSIP_KIND_ITEMS = 0,	 /**< Items, and keys that are wanted. */
+	GOSSIP_KIND_ITEMS = 0,	 /**< Items. */
 	GOSSIP_KIND_DIGEST = 1,	 /**< Hashes of all buckets. */
 	GOSSIP_KIND_SUMMARY = 2, /**< Versions of some buckets. */
 	GOSSIP_KIND_COUNT
@@ -45,9 +46,11 @@
 /** Writes a digest. */
 void gossip_digest_write(struct message_writer *writer, uint32_t first_type,
     const uint32_t hashes[GOSSIP_BUCKETS]);
-/** Opens a summary of the buckets set in @p buckets (a bit each). */
+/** Opens a summary of the buckets set in @p buckets (a bit each). The answer
+ * to a summary is the last one of an exchange: it gets items only. */
 void gossip_summary_open(struct message_writer *writer, uint32_t first_type,
-    const unsigned char buckets[GOSSIP_BUCKETS / 8], uint32_t item_count);
+    const unsigned char buckets[GOSSIP_BUCKETS / 8], bool is_answer,
+    uint32_t item_count);
 /** Adds a key and its version. */
 void gossip_summary_add(struct message_writer *writer, uint64_t key,
     const struct gossip_version *version);
@@ -67,8 +70,8 @@
 /** Reads the hashes of a digest. */
 enum error_code gossip_digest_read(
     const struct message_reader *reader, uint32_t hashes[GOSSIP_BUCKETS]);
-/** Reads which buckets a summary is about. */
-enum error_code gossip_summary_buckets(const struct message_reader *reader,
-    unsigned char buckets[GOSSIP_BUCKETS / 8]);
+/** Reads which buckets a summary is about and whether it is an answer. */
+enum error_code gossip_summary_read(const struct message_reader *reader,
+    unsigned char buckets[GOSSIP_BUCKETS / 8], bool *is_answer);
 
 #endif
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -177,6 +177,45 @@
 	stop_node(&right);
 }
 
+/* Whatever the order in which both sides see their two dials. */
+static void
+test_two_dials_are_settled_alike(void **state)
+{
+	struct peer_link_settings settings;
+	struct node left, right;
+	struct random_source random;
+	int round, pass;
+
+	(void)state;
+	random_init(&random, 11);
+	for (round = 0; round < 60; round++) {
+		start_settings(&settings, 1);
+		start_node(&left, &settings);
+		start_settings(&settings, 2);
+		start_node(&right, &settings);
+		introduce(&left, &right);
+		introduce(&right, &left);
+		send_number(&left, 2, 1);
+		send_number(&right, 1, 1);
+		for (pass = 0; pass < 60; pass++)
+			peer_links_handle(random_below(&random, 2) == 0
+					      ? &left.links
+					      : &right.links);
+		run_until(&left, &right, &left.received, 1);
+		run_until(&left, &right, &right.received, 1);
+		send_number(&left, 2, 2);
+		send_number(&right, 1, 2);
+		while (left.last_number < 2 || right.last_number < 2) {
+			assert_int_equal(
+			    left.disconnects + right.disconnects, 0);
+			peer_links_handle(&left.links);
+			peer_links_handle(&right.links);
+		}
+		stop_node(&left);
+		stop_node(&right);
+	}
+}
+
 static void
 test_a_restarted_host_is_dialled_again(void **state)
 {
@@ -364,6 +403,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_messages_pass_in_order_also_when_both_dial),
+	    cmocka_unit_test(test_two_dials_are_settled_alike),
 	    cmocka_unit_test(test_a_restarted_host_is_dialled_again),
 	    cmocka_unit_test(test_keys_and_cluster_are_checked),
 	    cmocka_unit_test(test_strangers_are_refused),
