--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -107,7 +107,7 @@
 	    (struct fake_receiver){receive, node});
 	assert_int_equal(membership_init(&node->membership, &settings,
 			     fake_net_timers(node->net, node->id),
-			     node->id * 100 + node->incarnation,
+			     (uint64_t)node->id * 100 + node->incarnation,
 			     fake_net_port(node->net, node->id), ops),
 	    ERROR_NONE);
 	node->runs = true;
