Agreement: replicated state, command client, tests of the consensus

Cause: operators' intent, claims, orders and live hosts must be the same on all voters; commands come from any host and are resent. Role changes are logged by the host, not by the module.

--- a/src/coordination/command_client.h
+++ b/src/coordination/command_client.h
@@ -49,10 +49,11 @@
 	struct consensus *consensus; /**< This host's, NULL on a learner. */
 	struct random_source random;
 	struct handle_table commands; /**< Under way. */
-	struct handle_table served;   /**< Forwarded here, at consensus. */
-	uint64_t session; /**< Tells answers to an earlier run apart. */
+	GHashTable *proposals; /**< Set of those at this host's consensus. */
+	uint64_t session;      /**< Tells answers to an earlier run apart. */
 	uint32_t voter_count;
 	uint32_t voters[VOTERS_MAX]; /**< Whom to try. */
+	uint32_t next_voter;	     /**< Whom to try next without a hint. */
 	uint32_t leader_id;	     /**< Last hint, 0 for none. */
 };
 
@@ -63,8 +64,8 @@
     const struct command_client_settings *settings,
     struct timer_service *timers, struct peer_port port,
     struct consensus *consensus);
-/** Stops; waiting callbacks end with ERROR_SHUTTING_DOWN or
- * ERROR_OUTCOME_UNKNOWN. */
+/** Stops; waiting callbacks end as at their deadline. Goes before
+ * consensus_finish(). */
 void command_client_finish(struct command_client *client);
 /** Says which hosts vote, from settings or from the feed. */
 void command_client_set_voters(
--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -333,19 +333,10 @@
 consensus_set_role(
     struct consensus *consensus, enum consensus_role role, uint32_t leader_id)
 {
-	bool was_leader;
-
 	if (consensus->role == role && consensus->leader_id == leader_id)
 		return;
-	was_leader = consensus->role == CONSENSUS_ROLE_LEADER;
 	consensus->role = role;
 	consensus->leader_id = leader_id;
-	if (role == CONSENSUS_ROLE_LEADER)
-		event_log_write(EVENT_LEADER_ELECTED, "term %llu",
-		    (unsigned long long)consensus->identity.term);
-	else if (was_leader)
-		event_log_write(EVENT_LEADER_LOST, "term %llu",
-		    (unsigned long long)consensus->identity.term);
 	if (consensus->ops.role_changed != NULL)
 		consensus->ops.role_changed(
 		    consensus->ops.context, role, leader_id);
--- /dev/null
+++ b/src/state/replicated_save.c
@@ -0,0 +1,397 @@
+#include <string.h>
+
+#include "protocol/codec.h"
+#include "state/replicated_parts.h"
+
+#define SAVE_VERSION	1
+#define PART_HEAD_SIZE	sizeof(uint32_t) /* Length before each part. */
+#define SAVE_FIELDS_MAX 16
+
+/* A saved state is a row of messages, each with its length before it. */
+enum save_part {
+	SAVE_PART_HEAD = 1,
+	SAVE_PART_CONFIG = 2,
+	SAVE_PART_OPERATION = 3,
+	SAVE_PART_CLAIM = 4,
+	SAVE_PART_QUARANTINE = 5,
+	SAVE_PART_ORDER = 6,
+	SAVE_PART_HOST = 7,
+	SAVE_PART_END = 8, /* Its first number counts the parts before. */
+};
+
+/* Fields of a part; numbers follow from FIELD_NUMBERS on. */
+enum save_field {
+	FIELD_VERSION = 0,
+	FIELD_PART = 1,
+	FIELD_TEXT = 2,
+	FIELD_VALUE = 3,
+	FIELD_NUMBERS = 4,
+};
+
+/* A part taken apart, for all kinds. */
+struct save_record {
+	enum save_part part;
+	const char *text; /* NULL for none. */
+	const void *value;
+	size_t value_size; /* 0 for none. */
+	uint32_t count;
+	uint64_t numbers[SAVE_FIELDS_MAX];
+};
+
+/* What saving writes to. */
+struct save_writer {
+	GByteArray *bytes;
+	uint64_t parts;
+};
+
+static void put_part(
+    struct save_writer *writer, const struct save_record *record);
+static gboolean save_config(gpointer key, gpointer value, gpointer context);
+static void save_operations(
+    struct save_writer *writer, const struct replicated_state *state);
+static void save_claims(
+    struct save_writer *writer, const struct replicated_state *state);
+static void save_quarantine(
+    void *context, uint64_t fingerprint, int64_t until_ms);
+static void save_order(void *context, const struct order_record *order);
+static enum error_code load_parts(
+    struct replicated_state *state, const unsigned char *data, size_t size);
+static enum error_code load_part(struct replicated_state *state,
+    const unsigned char *data, size_t size, uint64_t *parts, bool *is_end);
+static enum error_code store_part(struct replicated_state *state,
+    const struct save_record *record, const char *text);
+static enum error_code store_operation(struct replicated_state *state,
+    const struct save_record *record, const char *text);
+static enum error_code store_order(struct replicated_state *state,
+    const struct save_record *record, const char *text);
+
+GByteArray *
+replicated_state_save(const struct replicated_state *state, bool is_public)
+{
+	struct save_writer writer = {g_byte_array_new(), 0};
+	struct save_record head = {.part = SAVE_PART_HEAD, .count = 6};
+	struct save_record end = {.part = SAVE_PART_END, .count = 1};
+	struct save_record item = {.part = SAVE_PART_HOST, .count = 2};
+	const struct live_host *host;
+	guint i;
+
+	head.numbers[0] = state->applied_index;
+	head.numbers[1] = (uint64_t)state->time_ms;
+	head.numbers[2] = state->sequence;
+	head.numbers[3] = state->revision;
+	head.numbers[4] = state->content_hash;
+	head.numbers[5] = state->epoch;
+	put_part(&writer, &head);
+	g_tree_foreach(state->config, save_config, &writer);
+	replicated_state_each_quarantine(state, save_quarantine, &writer);
+	replicated_state_each_order(state, save_order, &writer);
+	for (i = 0; i < state->live_hosts->len; i++) {
+		host = &g_array_index(state->live_hosts, struct live_host, i);
+		item.numbers[0] = host->host_id;
+		item.numbers[1] = host->incarnation;
+		put_part(&writer, &item);
+	}
+	if (!is_public) {
+		save_operations(&writer, state);
+		save_claims(&writer, state);
+	}
+	end.numbers[0] = writer.parts;
+	put_part(&writer, &end);
+	return writer.bytes;
+}
+
+enum error_code
+replicated_state_load(
+    struct replicated_state *state, const void *data, size_t size)
+{
+	struct replicated_state fresh;
+	enum error_code error;
+
+	replicated_state_init(&fresh, &state->settings);
+	error = load_parts(&fresh, data, size);
+	if (error != ERROR_NONE) {
+		replicated_state_finish(&fresh);
+		return error;
+	}
+	replicated_state_finish(state);
+	*state = fresh;
+	return ERROR_NONE;
+}
+
+static void
+put_part(struct save_writer *writer, const struct save_record *record)
+{
+	struct message_writer message;
+	uint32_t length, i;
+
+	message_writer_init(&message);
+	message_open(&message, 2 + record->count + (record->text != NULL) +
+				   (record->value_size > 0));
+	message_put_uint(&message, FIELD_VERSION, SAVE_VERSION);
+	message_put_uint(&message, FIELD_PART, record->part);
+	if (record->text != NULL)
+		message_put_text(&message, FIELD_TEXT, record->text);
+	if (record->value_size > 0)
+		message_put_bytes(
+		    &message, FIELD_VALUE, record->value, record->value_size);
+	for (i = 0; i < record->count; i++)
+		message_put_uint(
+		    &message, FIELD_NUMBERS + i, record->numbers[i]);
+	length = GUINT32_TO_LE((uint32_t)message_size(&message));
+	g_byte_array_append(
+	    writer->bytes, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(writer->bytes, message_data(&message),
+	    (guint)message_size(&message));
+	message_writer_finish(&message);
+	writer->parts++;
+}
+
+static gboolean
+save_config(gpointer key, gpointer value, gpointer context)
+{
+	const struct config_value *stored = value;
+	struct save_record record = {.part = SAVE_PART_CONFIG, .count = 1};
+
+	record.text = key;
+	record.value = stored->value;
+	record.value_size = strlen(stored->value) + 1;
+	record.numbers[0] = stored->revision;
+	put_part(context, &record);
+	return FALSE;
+}
+
+static void
+save_operations(
+    struct save_writer *writer, const struct replicated_state *state)
+{
+	struct save_record record = {.part = SAVE_PART_OPERATION, .count = 1};
+	const struct operation_record *operation;
+	struct message_writer result;
+	const GList *link;
+
+	for (link = state->operation_order->head; link != NULL;
+	     link = link->next) {
+		operation = link->data;
+		message_writer_init(&result);
+		command_result_encode(&operation->result, &result);
+		record.text = operation->operation_id;
+		record.value = message_data(&result);
+		record.value_size = message_size(&result);
+		record.numbers[0] = (uint64_t)operation->time_ms;
+		put_part(writer, &record);
+		message_writer_finish(&result);
+	}
+}
+
+static void
+save_claims(struct save_writer *writer, const struct replicated_state *state)
+{
+	struct save_record record = {.part = SAVE_PART_CLAIM, .count = 7};
+	const struct claim_record *claim;
+	GSequenceIter *iter;
+
+	for (iter = g_sequence_get_begin_iter(state->claim_order);
+	     !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
+		claim = g_sequence_get(iter);
+		record.text = claim->key;
+		record.numbers[0] = claim->fingerprint;
+		record.numbers[1] = claim->host_id;
+		record.numbers[2] = claim->host_incarnation;
+		record.numbers[3] = claim->request_id;
+		record.numbers[4] = claim->state;
+		record.numbers[5] = claim->outcome;
+		record.numbers[6] = (uint64_t)claim->expires_ms;
+		put_part(writer, &record);
+	}
+}
+
+static void
+save_quarantine(void *context, uint64_t fingerprint, int64_t until_ms)
+{
+	struct save_record record = {.part = SAVE_PART_QUARANTINE, .count = 2};
+
+	record.numbers[0] = fingerprint;
+	record.numbers[1] = (uint64_t)until_ms;
+	put_part(context, &record);
+}
+
+static void
+save_order(void *context, const struct order_record *order)
+{
+	struct save_record record = {.part = SAVE_PART_ORDER, .count = 6};
+
+	record.text = order->argument;
+	record.numbers[0] = order->upstream_id;
+	record.numbers[1] = order->fencing;
+	record.numbers[2] = order->kind;
+	record.numbers[3] = order->host_id;
+	record.numbers[4] = order->outcome;
+	record.numbers[5] = (uint64_t)order->begun_ms;
+	put_part(context, &record);
+}
+
+static enum error_code
+load_parts(
+    struct replicated_state *state, const unsigned char *data, size_t size)
+{
+	enum error_code error;
+	uint64_t parts;
+	uint32_t length;
+	bool is_end;
+	size_t at;
+
+	parts = 0;
+	is_end = false;
+	for (at = 0; at < size; at += length) {
+		if (is_end || size - at < PART_HEAD_SIZE)
+			return ERROR_MALFORMED;
+		memcpy(&length, data + at, sizeof(length));
+		length = GUINT32_FROM_LE(length);
+		at += PART_HEAD_SIZE;
+		if (length > size - at)
+			return ERROR_MALFORMED;
+		error = load_part(state, data + at, length, &parts, &is_end);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	return is_end ? ERROR_NONE : ERROR_MALFORMED;
+}
+
+static enum error_code
+load_part(struct replicated_state *state, const unsigned char *data,
+    size_t size, uint64_t *parts, bool *is_end)
+{
+	char text[CONFIG_VALUE_SIZE_MAX];
+	struct save_record record = {0};
+	struct message_reader reader;
+	enum error_code error;
+	uint64_t version, part;
+
+	error = message_reader_init(&reader, data, size);
+	if (error != ERROR_NONE)
+		return error;
+	error = message_get_uint(&reader, FIELD_VERSION, &version);
+	if (error == ERROR_NONE && version != SAVE_VERSION)
+		error = ERROR_UNSUPPORTED_VERSION;
+	if (error == ERROR_NONE)
+		error = message_get_uint(&reader, FIELD_PART, &part);
+	if (error != ERROR_NONE)
+		goto out;
+	record.part = (enum save_part)part;
+	if (message_get_text(&reader, FIELD_TEXT, text, sizeof(text)) !=
+	    ERROR_NONE)
+		text[0] = '\0';
+	(void)message_get_bytes(
+	    &reader, FIELD_VALUE, &record.value, &record.value_size);
+	while (record.count < SAVE_FIELDS_MAX &&
+	       message_get_uint(&reader, FIELD_NUMBERS + record.count,
+		   &record.numbers[record.count]) == ERROR_NONE)
+		record.count++;
+	if (record.part == SAVE_PART_END) {
+		*is_end = true;
+		if (record.numbers[0] != *parts)
+			error = ERROR_MALFORMED;
+		goto out;
+	}
+	(*parts)++;
+	error = store_part(state, &record, text);
+out:
+	message_reader_finish(&reader);
+	return error;
+}
+
+static enum error_code
+store_part(struct replicated_state *state, const struct save_record *record,
+    const char *text)
+{
+	const uint64_t *numbers = record->numbers;
+	struct claim_record claim = {0};
+	struct live_host host = {0};
+
+	switch (record->part) {
+	case SAVE_PART_HEAD:
+		state->applied_index = numbers[0];
+		state->time_ms = (int64_t)numbers[1];
+		state->sequence = numbers[2];
+		state->revision = numbers[3];
+		state->content_hash = numbers[4];
+		state->epoch = numbers[5];
+		return ERROR_NONE;
+	case SAVE_PART_CONFIG:
+		if (text[0] == '\0' || record->value_size == 0 ||
+		    ((const char *)record->value)[record->value_size - 1] !=
+			'\0')
+			return ERROR_MALFORMED;
+		replicated_put_config(state, text, record->value, numbers[0]);
+		return ERROR_NONE;
+	case SAVE_PART_OPERATION:
+		return store_operation(state, record, text);
+	case SAVE_PART_CLAIM:
+		if (text[0] == '\0' ||
+		    g_hash_table_contains(state->claims, text))
+			return ERROR_MALFORMED;
+		claim.key = g_strdup(text);
+		claim.fingerprint = numbers[0];
+		claim.host_id = (uint32_t)numbers[1];
+		claim.host_incarnation = numbers[2];
+		claim.request_id = numbers[3];
+		claim.state = (enum claim_state)numbers[4];
+		claim.outcome = (enum request_outcome)numbers[5];
+		claim.expires_ms = (int64_t)numbers[6];
+		replicated_add_claim(state, &claim);
+		return ERROR_NONE;
+	case SAVE_PART_QUARANTINE:
+		replicated_put_quarantine(
+		    state, numbers[0], (int64_t)numbers[1]);
+		return ERROR_NONE;
+	case SAVE_PART_ORDER:
+		return store_order(state, record, text);
+	case SAVE_PART_HOST:
+		host.host_id = (uint32_t)numbers[0];
+		host.incarnation = numbers[1];
+		g_array_append_val(state->live_hosts, host);
+		return ERROR_NONE;
+	default:
+		/* A newer version may save more. */
+		return ERROR_NONE;
+	}
+}
+
+static enum error_code
+store_operation(struct replicated_state *state,
+    const struct save_record *record, const char *text)
+{
+	struct operation_record operation = {0};
+	enum error_code error;
+
+	if (text[0] == '\0' || strlen(text) >= sizeof(operation.operation_id) ||
+	    g_hash_table_contains(state->operations, text))
+		return ERROR_MALFORMED;
+	error = command_result_decode(
+	    &operation.result, record->value, record->value_size);
+	if (error != ERROR_NONE)
+		return error;
+	strcpy(operation.operation_id, text);
+	operation.time_ms = (int64_t)record->numbers[0];
+	replicated_put_operation(state, &operation);
+	return ERROR_NONE;
+}
+
+static enum error_code
+store_order(struct replicated_state *state, const struct save_record *record,
+    const char *text)
+{
+	struct order_record order = {0};
+
+	if (strlen(text) >= sizeof(order.argument))
+		return ERROR_MALFORMED;
+	strcpy(order.argument, text);
+	order.upstream_id = record->numbers[0];
+	order.fencing = record->numbers[1];
+	order.kind = (uint32_t)record->numbers[2];
+	order.host_id = (uint32_t)record->numbers[3];
+	order.outcome = (uint32_t)record->numbers[4];
+	order.begun_ms = (int64_t)record->numbers[5];
+	replicated_put_order(state, &order);
+	return ERROR_NONE;
+}
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -96,7 +96,8 @@
 void replicated_state_apply(struct replicated_state *state,
     const struct replicated_entry *entry, struct command_result *result);
 /** Learners: applies the next public command. Errors: ERROR_STALE for an
- * older one, ERROR_NOT_FOUND when some before it are missing. */
+ * older one; ERROR_NOT_FOUND when some before it are missing, and
+ * ERROR_INTERNAL when it does not fit: load a snapshot. */
 enum error_code replicated_state_apply_public(struct replicated_state *state,
     uint64_t sequence, const struct replicated_entry *entry);
 
--- a/tests/fake_net.c
+++ b/tests/fake_net.c
@@ -6,7 +6,7 @@
 #include <glib.h>
 
 #define MESSAGES_MAX (1u << 20) /* Deliveries under way at a time. */
-#define TIMERS_MAX   4096	/* Timers of one host. */
+#define TIMERS_MAX   16384	/* Timers of one host. */
 
 struct fake_message {
 	struct fake_message *next; /* In the net or held by a host. */
--- /dev/null
+++ b/tests/test_consensus.c
@@ -0,0 +1,348 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/event_log.h"
+#include "voter_group.h"
+
+#define ANSWER_MS 10000 /* Long enough for any command. */
+
+static const struct fake_link good_link = {
+    .delay_min_ms = 1, .delay_max_ms = 3};
+
+/* What a callback was told. */
+struct answer {
+	unsigned int count;
+	struct command_result result;
+	enum error_code error;
+};
+
+static void
+note_result(void *context, const struct command_result *result)
+{
+	struct answer *answer = context;
+
+	answer->count++;
+	answer->result = *result;
+}
+
+static void
+note_change(void *context, enum error_code error, uint64_t index,
+    const void *result, size_t result_size)
+{
+	struct answer *answer = context;
+
+	(void)index;
+	(void)result;
+	(void)result_size;
+	answer->count++;
+	answer->error = error;
+}
+
+/* Puts a key through a host and waits for the answer. */
+static struct command_result
+put(struct voter_group *group, uint32_t id, const char *operation_id,
+    uint64_t expected, int64_t timeout_ms)
+{
+	struct config_change change = {.value = "1"};
+	struct command command = {.type = COMMAND_CONFIG};
+	struct answer answer = {0};
+
+	snprintf(change.key, sizeof(change.key), "setting/%s", operation_id);
+	snprintf(command.operation_id, sizeof(command.operation_id), "%s",
+	    operation_id);
+	command.body.config.expected_revision = expected;
+	command.body.config.change_count = 1;
+	command.body.config.changes = &change;
+	assert_int_equal(
+	    command_client_submit(&group->hosts[id - 1].client, &command,
+		timeout_ms, (struct command_callback){note_result, &answer}),
+	    ERROR_NONE);
+	while (answer.count == 0)
+		fake_net_run(&group->net, 5);
+	assert_int_equal(answer.count, 1);
+	return answer.result;
+}
+
+static void
+put_many(struct voter_group *group, const char *prefix, unsigned int count)
+{
+	char operation_id[OPERATION_ID_SIZE_MAX];
+	unsigned int i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(operation_id, sizeof(operation_id), "%s%u", prefix, i);
+		assert_int_equal(put(group, GROUP_LEARNER, operation_id,
+				     REVISION_ANY, ANSWER_MS)
+				     .error,
+		    ERROR_NONE);
+	}
+}
+
+static void
+setup(struct voter_group *group, uint64_t seed)
+{
+	voter_group_init(group, seed, &good_link);
+	assert_true(voter_group_wait_leader(group, 6000));
+}
+
+/* Any host takes orders; a resend gets the first answer, a racer a conflict. */
+static void
+test_orders_through_any_host(void **state)
+{
+	struct command_result first, again;
+	struct voter_group group;
+	uint32_t id;
+
+	(void)state;
+	setup(&group, 1);
+	first = put(&group, 1, "a", 0, ANSWER_MS);
+	assert_int_equal(first.error, ERROR_NONE);
+	assert_int_equal(first.revision, 1);
+	assert_int_equal(
+	    put(&group, 2, "b", 0, ANSWER_MS).error, ERROR_REVISION_CONFLICT);
+	for (id = 1; id <= GROUP_HOSTS; id++) {
+		again = put(&group, id, "a", 0, ANSWER_MS);
+		assert_memory_equal(&again, &first, sizeof(first));
+	}
+	assert_int_equal(put(&group, 5, "c", 1, ANSWER_MS).revision, 2);
+	fake_net_run(&group.net, 1000);
+	assert_true(voter_group_agrees(&group));
+	voter_group_finish(&group);
+}
+
+/* A leader that is cut off keeps nothing it cannot keep, and says so. */
+static void
+test_cut_off_leader_gives_no_answers(void **state)
+{
+	struct voter_group group;
+	struct group_host *old;
+	struct answer answer = {0};
+	uint64_t commit_index;
+	int64_t at_ms;
+
+	(void)state;
+	setup(&group, 2);
+	put_many(&group, "a", 3);
+	old = voter_group_leader(&group);
+	fake_net_cut_host(&group.net, old->id, true, true);
+	assert_int_equal(put(&group, old->id, "lost", REVISION_ANY, 4000).error,
+	    ERROR_OUTCOME_UNKNOWN);
+	assert_int_equal(
+	    consensus_confirmed_at(&old->consensus, &at_ms, &commit_index),
+	    ERROR_NOT_LEADER);
+	assert_int_equal(consensus_propose(&old->consensus, "x", 1,
+			     (struct consensus_callback){note_change, &answer}),
+	    ERROR_NOT_LEADER);
+	assert_int_equal(
+	    put(&group, old->id, "never", REVISION_ANY, 3000).error,
+	    ERROR_OUTCOME_UNKNOWN);
+	put_many(&group, "b", 3);
+	fake_net_heal(&group.net);
+	fake_net_run(&group.net, 3000);
+	assert_true(voter_group_agrees(&group));
+	assert_int_equal(voter_group_leader(&group)->state.revision, 6);
+	voter_group_finish(&group);
+}
+
+/* A host that was away must not topple the leader when it returns. */
+static void
+test_returning_host_topples_nobody(void **state)
+{
+	struct voter_group group;
+	struct group_host *leader;
+	uint32_t away;
+	uint64_t term;
+
+	(void)state;
+	setup(&group, 3);
+	leader = voter_group_leader(&group);
+	term = leader->consensus.identity.term;
+	away = leader->id % GROUP_VOTERS + 1;
+	fake_net_cut_host(&group.net, away, true, true);
+	fake_net_run(&group.net, 30000);
+	fake_net_heal(&group.net);
+	fake_net_run(&group.net, 5000);
+	/* Deaf only: it hears nobody but all hear it. */
+	fake_net_cut_host(&group.net, away, false, true);
+	fake_net_run(&group.net, 30000);
+	assert_ptr_equal(voter_group_leader(&group), leader);
+	assert_int_equal(leader->consensus.identity.term, term);
+	voter_group_finish(&group);
+}
+
+static void
+test_restart_after_many_changes_and_catch_up_by_snapshot(void **state)
+{
+	struct voter_group group;
+	uint32_t away, id;
+
+	(void)state;
+	setup(&group, 4);
+	away = voter_group_leader(&group)->id % GROUP_VOTERS + 1;
+	voter_group_stop(&group, away);
+	put_many(&group, "a", 400);
+	assert_true(voter_group_leader(&group)->consensus.snapshot.index > 100);
+	voter_group_start(&group, away);
+	fake_net_run(&group.net, 5000);
+	assert_true(voter_group_agrees(&group));
+	for (id = 1; id <= GROUP_VOTERS; id++) {
+		voter_group_stop(&group, id);
+		fake_disk_crash(&group.hosts[id - 1].disk);
+	}
+	for (id = 1; id <= GROUP_VOTERS; id++)
+		voter_group_start(&group, id);
+	assert_true(voter_group_wait_leader(&group, 8000));
+	fake_net_run(&group.net, 2000);
+	assert_true(voter_group_agrees(&group));
+	assert_int_equal(voter_group_leader(&group)->state.revision, 400);
+	voter_group_finish(&group);
+}
+
+/* A host with a lost disk does not vote; it comes back as a new voter, and a
+ * second host may fail right after. */
+static void
+test_lost_disk_is_replaced_then_another(void **state)
+{
+	struct answer answer = {0};
+	struct voter_group group;
+	struct group_host *leader;
+	uint32_t lost, other;
+
+	(void)state;
+	setup(&group, 5);
+	put_many(&group, "a", 5);
+	leader = voter_group_leader(&group);
+	lost = leader->id % GROUP_VOTERS + 1;
+	other = lost % GROUP_VOTERS + 1;
+	voter_group_stop(&group, lost);
+	fake_disk_lose(&group.hosts[lost - 1].disk);
+	voter_group_start(&group, lost);
+	/* The lost one must not make a quorum with the leader alone. */
+	voter_group_stop(&group, other);
+	assert_int_equal(put(&group, leader->id, "x", REVISION_ANY, 5000).error,
+	    ERROR_OUTCOME_UNKNOWN);
+	assert_null(voter_group_leader(&group));
+	voter_group_start(&group, other);
+	assert_true(voter_group_wait_leader(&group, 6000));
+	leader = voter_group_leader(&group);
+	assert_int_equal(consensus_add_voter(&leader->consensus,
+			     voter_group_name(&group, lost),
+			     (struct consensus_callback){note_change, &answer}),
+	    ERROR_NONE);
+	assert_int_equal(consensus_remove_voter(&leader->consensus, other,
+			     (struct consensus_callback){note_change, &answer}),
+	    ERROR_CHANGE_PENDING);
+	fake_net_run(&group.net, 3000);
+	assert_int_equal(answer.count, 1);
+	assert_int_equal(answer.error, ERROR_NONE);
+	voter_group_stop(&group, other);
+	fake_disk_lose(&group.hosts[other - 1].disk);
+	put_many(&group, "b", 5);
+	voter_group_finish(&group);
+}
+
+static void
+test_damaged_journal_never_votes_again(void **state)
+{
+	struct voter_group group;
+	struct voter before, after;
+	char name[] = "journal-00000000000000000002";
+
+	(void)state;
+	setup(&group, 6);
+	put_many(&group, "a", 5);
+	before = voter_group_name(&group, 2);
+	voter_group_stop(&group, 2);
+	fake_disk_flip(&group.hosts[1].disk, name, 20);
+	assert_true(voter_group_start(&group, 2));
+	after = voter_group_name(&group, 2);
+	assert_true(before.incarnation != after.incarnation);
+	assert_false(consensus_is_voter(&group.hosts[1].consensus));
+	voter_group_finish(&group);
+}
+
+/* A planned stop hands over without an election timeout. */
+static void
+test_transfer_is_quick(void **state)
+{
+	struct voter_group group;
+	struct group_host *leader;
+
+	(void)state;
+	setup(&group, 7);
+	leader = voter_group_leader(&group);
+	assert_int_equal(consensus_transfer(&leader->consensus), ERROR_NONE);
+	fake_net_run(&group.net, 200);
+	assert_non_null(voter_group_leader(&group));
+	assert_ptr_not_equal(voter_group_leader(&group), leader);
+	voter_group_finish(&group);
+}
+
+/* Full disk: the voter says nothing until there is room again. */
+static void
+test_full_disk_heals(void **state)
+{
+	struct voter_group group;
+	struct group_host *leader;
+
+	(void)state;
+	setup(&group, 8);
+	put_many(&group, "a", 3);
+	leader = voter_group_leader(&group);
+	leader->disk.capacity = 1;
+	put_many(&group, "b", 3);
+	assert_true(leader->consensus.is_failed);
+	leader->disk.capacity = 0;
+	fake_net_run(&group.net, 5000);
+	assert_false(leader->consensus.is_failed);
+	assert_true(voter_group_agrees(&group));
+	voter_group_finish(&group);
+}
+
+/* A leader's clock that steps must not make claims expire early. */
+static void
+test_stepped_clock_moves_no_time(void **state)
+{
+	struct voter_group group;
+	struct group_host *leader;
+	int64_t before_ms;
+
+	(void)state;
+	setup(&group, 9);
+	put_many(&group, "a", 3);
+	leader = voter_group_leader(&group);
+	before_ms = leader->state.time_ms;
+	leader->wall_offset_ms = CLAIM_WINDOW_MS * 2;
+	put_many(&group, "b", 3);
+	assert_true(leader->state.time_ms - before_ms < 120000);
+	leader->wall_offset_ms = -CLAIM_WINDOW_MS * 2;
+	put_many(&group, "c", 3);
+	assert_true(leader->state.time_ms >= before_ms);
+	voter_group_finish(&group);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_orders_through_any_host),
+	    cmocka_unit_test(test_cut_off_leader_gives_no_answers),
+	    cmocka_unit_test(test_returning_host_topples_nobody),
+	    cmocka_unit_test(
+		test_restart_after_many_changes_and_catch_up_by_snapshot),
+	    cmocka_unit_test(test_lost_disk_is_replaced_then_another),
+	    cmocka_unit_test(test_damaged_journal_never_votes_again),
+	    cmocka_unit_test(test_transfer_is_quick),
+	    cmocka_unit_test(test_full_disk_heals),
+	    cmocka_unit_test(test_stepped_clock_moves_no_time),
+	};
+
+	event_log_setup(0, EVENT_LEVEL_ERROR);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/voter_group.c
@@ -0,0 +1,283 @@
+#include "voter_group.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <xxhash.h>
+
+#define CLUSTER_ID   77
+#define EPOCH_MS     1700000000000
+#define CLOCKS_AHEAD 1000000u /* Most that a clock starts at, ms. */
+
+static void note_same(GHashTable *table, uint64_t key, uint64_t value);
+
+static void
+receive(void *context, uint32_t from_host, enum peer_channel channel,
+    const void *body, size_t size)
+{
+	struct group_host *host = context;
+
+	if (channel == PEER_CHANNEL_COMMAND)
+		command_client_receive(&host->client, from_host, body, size);
+	else if (host->id != GROUP_LEARNER)
+		consensus_receive(&host->consensus, from_host, body, size);
+}
+
+static void
+apply(void *context, const struct consensus_entry *entry, const void **result,
+    size_t *result_size)
+{
+	struct replicated_entry applied = {
+	    entry->index, entry->time_ms, entry->data, entry->size};
+	struct group_host *host = context;
+	struct command_result outcome;
+	struct message_writer writer;
+
+	replicated_state_apply(&host->state, &applied, &outcome);
+	note_same(host->group->entries, entry->index,
+	    XXH64(entry->data, entry->size, (uint64_t)entry->time_ms));
+	note_same(host->group->revisions, host->state.revision,
+	    host->state.content_hash);
+	message_writer_init(&writer);
+	command_result_encode(&outcome, &writer);
+	g_byte_array_set_size(host->result, 0);
+	g_byte_array_append(
+	    host->result, message_data(&writer), (guint)message_size(&writer));
+	message_writer_finish(&writer);
+	*result = host->result->data;
+	*result_size = host->result->len;
+}
+
+static GByteArray *
+save(void *context)
+{
+	return replicated_state_save(
+	    &((struct group_host *)context)->state, false);
+}
+
+static enum error_code
+load(void *context, const void *data, size_t size)
+{
+	return replicated_state_load(
+	    &((struct group_host *)context)->state, data, size);
+}
+
+static void
+note_role(void *context, enum consensus_role role, uint32_t leader_id)
+{
+	struct group_host *host = context;
+	uint64_t term = host->consensus.identity.term;
+
+	(void)leader_id;
+	if (role != CONSENSUS_ROLE_LEADER)
+		return;
+	assert_true(term < G_N_ELEMENTS(host->group->led_ms));
+	/* One leader a term. */
+	assert_int_equal(host->group->led_ms[term], 0);
+	host->group->led_ms[term] = fake_net_now(&host->group->net) + 1;
+	host->group->last_led = MAX(host->group->last_led, term);
+}
+
+static int64_t
+read_wall(void *context)
+{
+	struct group_host *host = context;
+
+	return EPOCH_MS + fake_net_now(&host->group->net) +
+	       host->wall_offset_ms;
+}
+
+void
+voter_group_init(
+    struct voter_group *group, uint64_t seed, const struct fake_link *link)
+{
+	uint32_t id;
+
+	memset(group, 0, sizeof(*group));
+	group->compact_entries = 40;
+	group->next_seed = seed * 1000;
+	random_init(&group->random, seed);
+	group->entries = g_hash_table_new(NULL, NULL);
+	group->revisions = g_hash_table_new(NULL, NULL);
+	fake_net_init(&group->net, GROUP_HOSTS, seed, link);
+	for (id = 1; id <= GROUP_HOSTS; id++) {
+		group->hosts[id - 1].group = group;
+		group->hosts[id - 1].id = id;
+		fake_disk_init(&group->hosts[id - 1].disk, seed * 10 + id);
+		voter_group_start(group, id);
+	}
+}
+
+void
+voter_group_finish(struct voter_group *group)
+{
+	uint32_t id;
+
+	for (id = 1; id <= GROUP_HOSTS; id++) {
+		voter_group_stop(group, id);
+		fake_disk_finish(&group->hosts[id - 1].disk);
+	}
+	fake_net_finish(&group->net);
+	g_hash_table_unref(group->entries);
+	g_hash_table_unref(group->revisions);
+}
+
+bool
+voter_group_start(struct voter_group *group, uint32_t id)
+{
+	struct group_host *host = &group->hosts[id - 1];
+	struct command_client_settings client = {.host_id = id};
+	struct consensus_settings settings = {.host_id = id,
+	    .cluster_id = CLUSTER_ID,
+	    .initial_count = GROUP_VOTERS,
+	    .initial_voters = {1, 2, 3},
+	    .compact_entries = group->compact_entries};
+	const struct consensus_ops ops = {
+	    apply, save, load, note_role, read_wall, host};
+	struct disk disk = fake_disk_disk(&host->disk);
+	struct timer_service *timers = fake_net_timers(&group->net, id);
+	struct peer_port port = fake_net_port(&group->net, id);
+	enum error_code error;
+	bool is_cleared;
+
+	is_cleared = false;
+	fake_net_start(&group->net, id,
+	    random_below(&group->random, CLOCKS_AHEAD),
+	    (struct fake_receiver){receive, host});
+	replicated_state_init(&host->state, NULL);
+	host->result = g_byte_array_new();
+	client.seed = group->next_seed++;
+	settings.seed = group->next_seed++;
+	settings.fresh_incarnation = settings.seed + 1;
+	error = ERROR_NONE;
+	if (id != GROUP_LEARNER)
+		error = consensus_init(
+		    &host->consensus, &settings, &disk, timers, port, &ops);
+	if (error == ERROR_CORRUPT || error == ERROR_IDENTITY_LOST) {
+		is_cleared = true;
+		assert_int_equal(consensus_clear_folder(&disk), ERROR_NONE);
+		error = consensus_init(
+		    &host->consensus, &settings, &disk, timers, port, &ops);
+	}
+	assert_int_equal(error, ERROR_NONE);
+	command_client_init(&host->client, &client, timers, port,
+	    id == GROUP_LEARNER ? NULL : &host->consensus);
+	command_client_set_voters(
+	    &host->client, (const uint32_t[]){1, 2, 3, 4}, GROUP_HOSTS - 1);
+	host->is_up = true;
+	return is_cleared;
+}
+
+void
+voter_group_stop(struct voter_group *group, uint32_t id)
+{
+	struct group_host *host = &group->hosts[id - 1];
+
+	if (!host->is_up)
+		return;
+	host->is_up = false;
+	fake_net_kill(&group->net, id);
+	command_client_finish(&host->client);
+	if (id != GROUP_LEARNER)
+		consensus_finish(&host->consensus);
+	replicated_state_finish(&host->state);
+	g_byte_array_unref(host->result);
+}
+
+struct group_host *
+voter_group_leader(struct voter_group *group)
+{
+	struct group_host *leader, *host;
+	uint32_t i;
+
+	leader = NULL;
+	for (i = 0; i < GROUP_HOSTS - 1; i++) {
+		host = &group->hosts[i];
+		if (host->is_up && consensus_is_leader(&host->consensus) &&
+		    (leader == NULL || host->consensus.identity.term >
+					   leader->consensus.identity.term))
+			leader = host;
+	}
+	return leader;
+}
+
+bool
+voter_group_wait_leader(struct voter_group *group, int64_t limit_ms)
+{
+	int64_t end_ms = fake_net_now(&group->net) + limit_ms;
+
+	while (voter_group_leader(group) == NULL) {
+		if (fake_net_now(&group->net) >= end_ms)
+			return false;
+		fake_net_run(&group->net, 10);
+	}
+	return true;
+}
+
+bool
+voter_group_agrees(struct voter_group *group)
+{
+	struct group_host *leader = voter_group_leader(group), *host;
+	uint32_t i;
+
+	if (leader == NULL)
+		return false;
+	for (i = 0; i < GROUP_HOSTS - 1; i++) {
+		host = &group->hosts[i];
+		if (voter_set_find(&leader->consensus.voters, host->id) == NULL)
+			continue;
+		if (!host->is_up ||
+		    !voter_set_has(&leader->consensus.voters,
+			consensus_self(&host->consensus)) ||
+		    host->consensus.applied_index !=
+			journal_last_index(&leader->consensus.journal) ||
+		    host->state.revision != leader->state.revision ||
+		    host->state.content_hash != leader->state.content_hash)
+			return false;
+	}
+	return true;
+}
+
+void
+voter_group_check_leases(struct voter_group *group)
+{
+	struct group_host *host;
+	uint64_t commit_index, term;
+	int64_t at_ms;
+	uint32_t i;
+
+	for (i = 0; i < GROUP_HOSTS - 1; i++) {
+		host = &group->hosts[i];
+		if (!host->is_up || consensus_confirmed_at(&host->consensus,
+					&at_ms, &commit_index) != ERROR_NONE)
+			continue;
+		at_ms -= fake_net_host(&group->net, host->id)->clock_offset_ms;
+		for (term = host->consensus.identity.term + 1;
+		     term <= group->last_led; term++)
+			assert_true(group->led_ms[term] == 0 ||
+				    group->led_ms[term] > at_ms);
+	}
+}
+
+struct voter
+voter_group_name(struct voter_group *group, uint32_t id)
+{
+	return consensus_self(&group->hosts[id - 1].consensus);
+}
+
+static void
+note_same(GHashTable *table, uint64_t key, uint64_t value)
+{
+	gpointer seen;
+
+	if (!g_hash_table_lookup_extended(
+		table, GSIZE_TO_POINTER(key), NULL, &seen)) {
+		g_hash_table_insert(
+		    table, GSIZE_TO_POINTER(key), GSIZE_TO_POINTER(value));
+		return;
+	}
+	assert_true(GPOINTER_TO_SIZE(seen) == value);
+}
