--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -32,6 +32,7 @@
 	ERROR_UNAUTHENTICATED,	   /**< The sender could not be verified. */
 	ERROR_FORBIDDEN,	   /**< The role does not allow it. */
 	ERROR_CONNECTION,	   /**< The link is down. */
+	ERROR_WRONG_CLUSTER,	   /**< The peer is of another cluster. */
 
 	/* Settings */
 	ERROR_UNKNOWN_KEY, /**< A settings key that does not exist. */
@@ -74,6 +75,8 @@
 
 /** Stable snake_case name of a code, as the interfaces print it. */
 const char *error_name(enum error_code code);
+/** The code of a name, ERROR_INTERNAL for a name that is none. */
+enum error_code error_find(const char *name);
 /** One sentence about a code for people. */
 const char *error_text(enum error_code code);
 
