--- a/tests/fake_fleet.c
+++ b/tests/fake_fleet.c
@@ -24,7 +24,7 @@
 static void check_limits(struct fleet *fleet);
 
 void
-fleet_init(
+fake_fleet_init(
     struct fleet *fleet, uint32_t hosts, uint32_t upstreams, uint64_t seed)
 {
 	const struct fake_link link = {.delay_min_ms = 1, .delay_max_ms = 3};
@@ -68,7 +68,7 @@
 }
 
 void
-fleet_finish(struct fleet *fleet)
+fake_fleet_finish(struct fleet *fleet)
 {
 	uint32_t i;
 
@@ -80,7 +80,7 @@
 }
 
 void
-fleet_run(struct fleet *fleet, int64_t duration_ms)
+fake_fleet_run(struct fleet *fleet, int64_t duration_ms)
 {
 	int64_t end_ms;
 
@@ -95,7 +95,7 @@
 }
 
 void
-fleet_kill(struct fleet *fleet, uint32_t id)
+fake_fleet_kill(struct fleet *fleet, uint32_t id)
 {
 	struct fleet_host *host = &fleet->hosts[id - 1];
 	struct fleet_run *run;
@@ -114,17 +114,17 @@
 }
 
 void
-fleet_restart(struct fleet *fleet, uint32_t id)
+fake_fleet_restart(struct fleet *fleet, uint32_t id)
 {
 	struct fleet_host *host = &fleet->hosts[id - 1];
 
-	fleet_kill(fleet, id);
+	fake_fleet_kill(fleet, id);
 	host->restarted_ms = fake_net_now(&fleet->net);
 	start_host(fleet, host);
 }
 
 void
-fleet_restart_upstream(struct fleet *fleet, uint32_t upstream)
+fake_fleet_restart_upstream(struct fleet *fleet, uint32_t upstream)
 {
 	struct fleet_upstream *restarted = &fleet->upstreams[upstream];
 	struct fleet_run *run;
@@ -140,7 +140,7 @@
 }
 
 void
-fleet_announce(struct fleet *fleet, uint32_t upstream, uint32_t id)
+fake_fleet_announce(struct fleet *fleet, uint32_t upstream, uint32_t id)
 {
 	const struct fleet_upstream *told = &fleet->upstreams[upstream];
 	struct fleet_host *host = &fleet->hosts[id - 1];
@@ -154,7 +154,7 @@
 }
 
 void
-fleet_mend(struct fleet *fleet)
+fake_fleet_mend(struct fleet *fleet)
 {
 	const struct fake_link link = {.delay_min_ms = 1, .delay_max_ms = 3};
 	uint32_t i, upstream;
@@ -164,12 +164,12 @@
 		fleet->hosts[i - 1].is_cut = false;
 		fake_net_thaw(&fleet->net, i);
 		if (!fake_net_host(&fleet->net, i)->is_up)
-			fleet_restart(fleet, i);
+			fake_fleet_restart(fleet, i);
 	}
 	for (upstream = 0; upstream < fleet->upstream_count; upstream++) {
 		fleet->upstreams[upstream].is_taken_out = false;
 		for (i = 1; i <= fleet->host_count; i++)
-			fleet_announce(fleet, upstream, i);
+			fake_fleet_announce(fleet, upstream, i);
 	}
 }
 
@@ -199,7 +199,7 @@
 		     fake_net_timers(&fleet->net, host->id),
 		     fake_net_port(&fleet->net, host->id)) == ERROR_NONE);
 	for (i = 0; i < fleet->upstream_count; i++)
-		fleet_announce(fleet, i, host->id);
+		fake_fleet_announce(fleet, i, host->id);
 }
 
 static void
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -81,21 +81,21 @@
 #define FLEET_DRAIN_MS	    8000 /**< Longest request and more. */
 
 /** Starts all hosts; upstreams are announced everywhere. */
-void fleet_init(
+void fake_fleet_init(
     struct fleet *fleet, uint32_t hosts, uint32_t upstreams, uint64_t seed);
 /** Gives back memory. */
-void fleet_finish(struct fleet *fleet);
+void fake_fleet_finish(struct fleet *fleet);
 /** Runs load, leader and links for a time, and checks the limits. */
-void fleet_run(struct fleet *fleet, int64_t duration_ms);
+void fake_fleet_run(struct fleet *fleet, int64_t duration_ms);
 /** Kills a host's process. */
-void fleet_kill(struct fleet *fleet, uint32_t id);
+void fake_fleet_kill(struct fleet *fleet, uint32_t id);
 /** Starts a host's process again. */
-void fleet_restart(struct fleet *fleet, uint32_t id);
+void fake_fleet_restart(struct fleet *fleet, uint32_t id);
 /** Restarts an upstream: cold, and all that ran on it is lost. */
-void fleet_restart_upstream(struct fleet *fleet, uint32_t upstream);
+void fake_fleet_restart_upstream(struct fleet *fleet, uint32_t upstream);
 /** Announces an upstream's state to one host. */
-void fleet_announce(struct fleet *fleet, uint32_t upstream, uint32_t id);
+void fake_fleet_announce(struct fleet *fleet, uint32_t upstream, uint32_t id);
 /** Starts and thaws every host, heals links, tells all what is. */
-void fleet_mend(struct fleet *fleet);
+void fake_fleet_mend(struct fleet *fleet);
 
 #endif
--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -45,11 +45,11 @@
 	uint32_t upstream, i;
 
 	upstream = random_below(&fleet->random, fleet->upstream_count);
-	fleet_restart_upstream(fleet, upstream);
+	fake_fleet_restart_upstream(fleet, upstream);
 	/* The others hear of it later. */
 	for (i = 1; i <= fleet->host_count; i++) {
 		if (random_below(&fleet->random, 2) == 0)
-			fleet_announce(fleet, upstream, i);
+			fake_fleet_announce(fleet, upstream, i);
 	}
 }
 
@@ -61,7 +61,7 @@
 	for (upstream = 0; upstream < fleet->upstream_count; upstream++) {
 		for (i = 1; i <= fleet->host_count; i++) {
 			if (random_below(&fleet->random, 2) == 0)
-				fleet_announce(fleet, upstream, i);
+				fake_fleet_announce(fleet, upstream, i);
 		}
 	}
 }
@@ -73,10 +73,10 @@
 
 	switch (random_below(&fleet->random, 10)) {
 	case 0:
-		fleet_kill(fleet, id);
+		fake_fleet_kill(fleet, id);
 		break;
 	case 1:
-		fleet_restart(fleet, id);
+		fake_fleet_restart(fleet, id);
 		break;
 	case 2:
 		fake_net_freeze(&fleet->net, id);
@@ -113,30 +113,30 @@
 	struct fleet fleet;
 	unsigned int i;
 
-	fleet_init(&fleet, 8 + seed % 5, 3, seed);
+	fake_fleet_init(&fleet, 8 + seed % 5, 3, seed);
 	fleet.is_warming = is_warming;
 	fleet.skip = seed % 3 == 0 ? 0.5 : 0;
 	fleet.load_percent = 1 + random_below(&fleet.random, 10);
 	fleet.run_most_ms = 200 + random_below(&fleet.random, 3000);
-	fleet_run(&fleet, WARM_MS);
+	fake_fleet_run(&fleet, WARM_MS);
 	for (i = 0; i < FAULTS; i++) {
 		inject_fault(&fleet);
 		/* A second one often comes right after. */
-		fleet_run(
+		fake_fleet_run(
 		    &fleet, random_below(&fleet.random, 2) == 0
 				? FLEET_STEP_MS
 				: 100 + random_below(&fleet.random, 4000));
 	}
-	fleet_mend(&fleet);
+	fake_fleet_mend(&fleet);
 	fleet.run_most_ms = 300;
-	fleet_run(&fleet, MENDED_MS);
+	fake_fleet_run(&fleet, MENDED_MS);
 	if (fleet.violations != 0)
 		fail_msg("seed %llu: %llu steps over a limit",
 		    (unsigned long long)seed,
 		    (unsigned long long)fleet.violations);
 	/* From here on every wait ends soon: no share was lost for good. */
 	fleet.longest_wait_ms = 0;
-	fleet_run(&fleet, MENDED_MS);
+	fake_fleet_run(&fleet, MENDED_MS);
 	if (fleet.longest_wait_ms > *longest_ms)
 		*longest_ms = fleet.longest_wait_ms;
 	for (i = 0; i < fleet.host_count; i++) {
@@ -153,7 +153,7 @@
 				    (unsigned long long)seed, i + 1);
 		}
 	}
-	fleet_finish(&fleet);
+	fake_fleet_finish(&fleet);
 }
 
 static void
