Upstream adapter and HTTP server: contract tests with faults in tables

Cause: the adapter decides whether "not run" may be said, so each way in which an upstream can end has to have its type. Ruled out: a ulfius server as the faulty upstream, since it can neither cut a connection nor send garbage; a raw socket sends canned bytes instead.

--- a/src/protocol/announcement.c
+++ b/src/protocol/announcement.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <glib.h>
+
 #define REQUESTS_MAX	65536u	      /* Requests at a time. */
 #define TOKENS_MAX	1000000000ull /* Tokens of anything. */
 #define SPEED_MAX	100000000u    /* Prefill tokens a second. */
@@ -36,10 +38,10 @@
     const char *key, const json_t *value, struct field_error *error);
 static enum error_code read_limits(const json_t *root,
     struct upstream_record *record, struct field_error *error);
-static enum error_code read_load(const json_t *load,
+static enum error_code read_load(const json_t *object,
     struct upstream_renewal *renewal, struct field_error *error);
-static enum error_code read_cache_event(
-    const json_t *item, struct cache_batch_item *event, struct field_error *error);
+static enum error_code read_cache_event(const json_t *item,
+    struct cache_batch_item *event, struct field_error *error);
 static const char *cache_event_name(enum cache_event_kind kind);
 
 enum error_code
@@ -419,8 +421,8 @@
 		return field_error_set(error, ERROR_BAD_VALUE, path, value,
 		    "a key without '/' and a string, both under 64 bytes");
 	label = &record->labels[record->label_count++];
-	strcpy(label->key, key);
-	strcpy(label->value, json_string_value(value));
+	g_strlcpy(label->key, key, sizeof(label->key));
+	g_strlcpy(label->value, json_string_value(value), sizeof(label->value));
 	return ERROR_NONE;
 }
 
@@ -509,8 +511,8 @@
 }
 
 static enum error_code
-read_cache_event(
-    const json_t *item, struct cache_batch_item *event, struct field_error *error)
+read_cache_event(const json_t *item, struct cache_batch_item *event,
+    struct field_error *error)
 {
 	char kind[NAME_SIZE_MAX];
 	enum error_code code;
--- a/src/protocol/completions.c
+++ b/src/protocol/completions.c
@@ -623,7 +623,8 @@
 	return json_pack("{s:I, s:I, s:I}", "prompt_tokens",
 	    (json_int_t)answer->prompt_tokens, "completion_tokens",
 	    (json_int_t)answer->answer_tokens, "total_tokens",
-	    (json_int_t)(answer->prompt_tokens + answer->answer_tokens));
+	    (json_int_t)answer->prompt_tokens +
+		(json_int_t)answer->answer_tokens);
 }
 
 static const char *
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -16,11 +16,11 @@
 #include "protocol/sse.h"
 
 #define ADDRESS_DEFAULT	    "127.0.0.1"
-#define CONNECTIONS_DEFAULT 4096	/* Connections at a time. */
-#define IDLE_DEFAULT_S	    120		/* Seconds of silence. */
-#define STREAM_BLOCK_SIZE   (32 * 1024) /* Bytes asked of a stream at a time. */
-#define DRAIN_PERIOD_US	    5000	/* Between looks at what still runs. */
-#define LISTEN_BACKLOG	    1024	/* Connections the kernel keeps. */
+#define CONNECTIONS_DEFAULT 4096   /* Connections at a time. */
+#define IDLE_DEFAULT_S	    120	   /* Seconds of silence. */
+#define STREAM_BLOCK_SIZE   32768u /* Bytes asked of a stream at a time. */
+#define DRAIN_PERIOD_US	    5000   /* Between looks at what still runs. */
+#define LISTEN_BACKLOG	    1024   /* Connections the kernel keeps. */
 
 struct http_exchange {
 	struct http_server *server;
@@ -309,7 +309,8 @@
 fill_defaults(struct http_server_settings *settings)
 {
 	if (settings->address[0] == '\0')
-		strcpy(settings->address, ADDRESS_DEFAULT);
+		memcpy(settings->address, ADDRESS_DEFAULT,
+		    sizeof(ADDRESS_DEFAULT));
 	if (settings->body_size_max == 0)
 		settings->body_size_max = BODY_SIZE_MAX;
 	if (settings->connections_max == 0)
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -14,7 +14,7 @@
 #include "transport/upstream_reply.h"
 
 #define CONNECT_TIMEOUT_MS 1000L		 /* To connect. */
-#define REPLY_SIZE_MAX	   (256u * 1024)	 /* Bytes of an answer. */
+#define REPLY_SIZE_MAX	   ((size_t)256 * 1024)	 /* Bytes of an answer. */
 #define PATH_SIZE	   64			 /* Bytes of a path. */
 #define TOKENS_MAX	   ((uint64_t)INT64_MAX) /* Of anything. */
 #define AGE_MS_MAX	   ((uint64_t)INT64_MAX) /* Of a reservation. */
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -130,7 +130,7 @@
 }
 
 void
-upstream_http_finish(struct upstream_http *http)
+upstream_http_stop(struct upstream_http *http)
 {
 	struct attempt *attempt;
 
@@ -144,6 +144,12 @@
 	while (http->running > 0)
 		pthread_cond_wait(&http->ended, &http->lock);
 	pthread_mutex_unlock(&http->lock);
+}
+
+void
+upstream_http_finish(struct upstream_http *http)
+{
+	upstream_http_stop(http);
 	pthread_cond_destroy(&http->ended);
 	pthread_mutex_destroy(&http->lock);
 }
@@ -636,6 +642,10 @@
 	}
 	if (attempt->refused_not_run || (status != 0 && status != 200)) {
 		piece->error = ERROR_UPSTREAM_FAILED;
+		if (attempt->refused_not_run && result == CURLE_OK) {
+			piece->error = ERROR_UPSTREAM_REFUSED;
+			piece->outcome = REQUEST_OUTCOME_NOT_RUN;
+		}
 		if (result == CURLE_OK)
 			upstream_reply_parse_error(attempt->error_body->str,
 			    attempt->error_body->len, piece);
--- a/src/transport/upstream_http.h
+++ b/src/transport/upstream_http.h
@@ -43,6 +43,8 @@
 /** Attempts under way. */
 uint32_t upstream_http_running(struct upstream_http *http);
 /** Refuses new attempts, cuts the running ones, waits for their threads. */
+void upstream_http_stop(struct upstream_http *http);
+/** Stops and gives back; no thread may use the adapter any more. */
 void upstream_http_finish(struct upstream_http *http);
 
 #endif
--- a/standin/settings.c
+++ b/standin/settings.c
@@ -195,7 +195,7 @@
 			    entry->name, entry->size - 1);
 			return false;
 		}
-		strcpy(place, value);
+		memcpy(place, value, strlen(value) + 1);
 		return true;
 	case OPTION_NUMBER:
 		if (!read_number(entry, value, &number))
@@ -249,14 +249,16 @@
 		if (settings->host_count == STANDIN_HOSTS_MAX ||
 		    strlen(value) >= URL_SIZE_MAX)
 			return false;
-		strcpy(settings->hosts[settings->host_count++], value);
+		g_strlcpy(settings->hosts[settings->host_count++], value,
+		    URL_SIZE_MAX);
 		return true;
 	}
 	if (strcmp(name, "model") == 0) {
 		if (record->model_count == MODELS_MAX ||
 		    strlen(value) >= NAME_SIZE_MAX || *value == '\0')
 			return false;
-		strcpy(record->models[record->model_count++], value);
+		g_strlcpy(record->models[record->model_count++], value,
+		    NAME_SIZE_MAX);
 		return true;
 	}
 	return read_label(record, value);
@@ -277,7 +279,7 @@
 		return false;
 	label = &record->labels[record->label_count++];
 	memcpy(label->key, value, (size_t)(equals - value));
-	strcpy(label->value, equals + 1);
+	g_strlcpy(label->value, equals + 1, sizeof(label->value));
 	return true;
 }
 
--- /dev/null
+++ b/tests/fake_upstream.c
@@ -0,0 +1,179 @@
+#include "fake_upstream.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define POLL_MS	    5	  /* Between looks at the flag to stop. */
+#define BUFFER_SIZE 65536 /* Bytes read at a time. */
+
+static void *run(void *context);
+static void serve(struct fake_upstream *upstream, int link);
+static bool read_head(
+    struct fake_upstream *upstream, int link, size_t *body_read);
+static void read_body(struct fake_upstream *upstream, int link, size_t done);
+static void count_body(
+    struct fake_upstream *upstream, const char *bytes, size_t size);
+static void end_link(struct fake_upstream *upstream, int link);
+
+void
+fake_upstream_init(struct fake_upstream *upstream, uint16_t port,
+    const char *reply, enum fake_upstream_end end)
+{
+	struct sockaddr_in address;
+	int yes = 1;
+	int result;
+
+	memset(upstream, 0, sizeof(*upstream));
+	upstream->port = port;
+	upstream->reply = reply;
+	upstream->end = end;
+	memset(&address, 0, sizeof(address));
+	address.sin_family = AF_INET;
+	address.sin_port = htons(port);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	upstream->listener = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(
+	    upstream->listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+	result = bind(
+	    upstream->listener, (struct sockaddr *)&address, sizeof(address));
+	assert(result == 0);
+	result = listen(upstream->listener, 16);
+	assert(result == 0);
+	result = pthread_create(&upstream->thread, NULL, run, upstream);
+	assert(result == 0);
+	(void)result;
+}
+
+void
+fake_upstream_finish(struct fake_upstream *upstream)
+{
+	upstream->stopping = true;
+	pthread_join(upstream->thread, NULL);
+	close(upstream->listener);
+}
+
+static void *
+run(void *context)
+{
+	struct fake_upstream *upstream = context;
+	struct pollfd waiting;
+	int link;
+
+	waiting.fd = upstream->listener;
+	waiting.events = POLLIN;
+	while (!upstream->stopping) {
+		if (poll(&waiting, 1, POLL_MS) <= 0)
+			continue;
+		link = accept(upstream->listener, NULL, NULL);
+		upstream->connections++;
+		if (upstream->end != FAKE_UPSTREAM_DEAF)
+			serve(upstream, link);
+		end_link(upstream, link);
+	}
+	return NULL;
+}
+
+static void
+serve(struct fake_upstream *upstream, int link)
+{
+	size_t body_read;
+	size_t size;
+
+	upstream->body_size = 0;
+	upstream->body_sum = 0;
+	if (!read_head(upstream, link, &body_read))
+		return;
+	read_body(upstream, link, body_read);
+	size = strlen(upstream->reply);
+	if (write(link, upstream->reply, size) != (ssize_t)size)
+		return;
+	if (upstream->end != FAKE_UPSTREAM_STALLS)
+		return;
+	while (!upstream->stopping) {
+		char byte;
+
+		if (recv(link, &byte, 1, MSG_DONTWAIT) == 0) {
+			upstream->cut_by_caller++;
+			return;
+		}
+		usleep(POLL_MS * 1000);
+	}
+}
+
+static bool
+read_head(struct fake_upstream *upstream, int link, size_t *body_read)
+{
+	size_t done;
+	ssize_t size;
+	char *end;
+
+	done = 0;
+	do {
+		size = read(link, upstream->head + done,
+		    sizeof(upstream->head) - 1 - done);
+		if (size <= 0)
+			return false;
+		done += (size_t)size;
+		upstream->head[done] = '\0';
+		end = strstr(upstream->head, "\r\n\r\n");
+	} while (end == NULL);
+	end += 4;
+	*body_read = done - (size_t)(end - upstream->head);
+	count_body(upstream, end, *body_read);
+	*end = '\0';
+	return true;
+}
+
+static void
+read_body(struct fake_upstream *upstream, int link, size_t done)
+{
+	char *buffer;
+	const char *length;
+	size_t wanted;
+	ssize_t size;
+
+	length = strstr(upstream->head, "Content-Length: ");
+	wanted = length == NULL
+		     ? 0
+		     : strtoul(length + strlen("Content-Length: "), NULL, 10);
+	buffer = malloc(BUFFER_SIZE);
+	while (done < wanted) {
+		size = read(link, buffer, BUFFER_SIZE);
+		if (size <= 0)
+			break;
+		count_body(upstream, buffer, (size_t)size);
+		done += (size_t)size;
+	}
+	free(buffer);
+}
+
+static void
+count_body(struct fake_upstream *upstream, const char *bytes, size_t size)
+{
+	uint64_t sum;
+	size_t i;
+
+	sum = 0;
+	for (i = 0; i < size; i++)
+		sum += (unsigned char)bytes[i];
+	upstream->body_size += size;
+	upstream->body_sum += sum;
+}
+
+static void
+end_link(struct fake_upstream *upstream, int link)
+{
+	struct linger at_once = {1, 0};
+
+	if (upstream->end == FAKE_UPSTREAM_RESETS ||
+	    upstream->end == FAKE_UPSTREAM_DEAF)
+		setsockopt(
+		    link, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	close(link);
+}
