Upstream directory: announcements known at every host, loads at few

Cause: an upstream announces itself to any host and must be known, leaving too, at all within 2 s, without messages that grow with hosts x upstreams. Ruled out: gossiping renewals (4,700 upstreams x a renewal each 10 s would be over 6 KB/s at each host alone), so the home's process vouches; passing on what is over to hosts that have forgotten it, since hosts that forget at different times would keep it for ever; an expiry decided by a host that is cut off being spread, since it would end others' upstreams. Change: directory and its messages; gossip versions have a fourth number, because a home that restarted and took over again could give another record the same version (seen: schedule 1, two hosts listed it gone for good). Hosts ask for what differs also when a host they hold for dead pings them (seen: a healed partition without seeds did not agree within 25 s). Run: test_membership 1,000 schedules, test_upstream_directory 1,000 schedules, no failure; 40 and 25 of them in the default run.

--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -605,7 +605,7 @@
 hash_item(const struct gossip_item *item)
 {
 	const uint64_t words[] = {item->key, item->version.major,
-	    item->version.minor, item->version.rank};
+	    item->version.minor, item->version.rank, item->version.tie};
 
 	return XXH32(words, sizeof(words), 0);
 }
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -522,7 +522,7 @@
 	    message->known_refutation, message->known_state);
 	switch (message->type) {
 	case MEMBERSHIP_TYPE_PING:
-		if (find_member(membership, from_host) == NULL)
+		if (!membership_is_live(membership, from_host, 0))
 			gossip_sync_with(&membership->gossip, from_host);
 		if (message->subject != membership->self.id ||
 		    membership->is_leaving)
@@ -600,7 +600,7 @@
 put_record(struct membership *membership, const struct host_record *record)
 {
 	const struct gossip_version version = {
-	    record->incarnation, record->refutation, record->state};
+	    record->incarnation, record->refutation, record->state, 0};
 	struct message_writer writer;
 	enum error_code error;
 
@@ -625,13 +625,17 @@
 		return error;
 	if (record.id != key || record.incarnation != version->major ||
 	    record.refutation != version->minor ||
-	    (uint64_t)record.state != version->rank)
+	    (uint64_t)record.state != version->rank || version->tie != 0)
 		return ERROR_MALFORMED;
 	if (record.id == membership->self.id) {
 		learn_of_self(membership, record.incarnation, record.refutation,
 		    record.state);
 		return ERROR_STALE;
 	}
+	/* The dead are not taken up again by those who have forgotten them. */
+	if (!is_live_state(record.state) &&
+	    find_member(membership, record.id) == NULL)
+		return ERROR_STALE;
 	take_record(membership, &record);
 	return ERROR_NONE;
 }
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -4,11 +4,12 @@
  *
  * An upstream announces itself to any host, which becomes its home: the home
  * vouches for it as long as the upstream renews there and the home's process
- * lives, so renewals cost no gossip. Records spread by gossip. An entry whose
- * home is dead expires after expire_ms unless another home took it over.
- * A renewal at another host is passed to the home; the second one in a row,
- * or one while the home is dead, moves the home there. Load reports go to the
- * capacity owner and to subscribers only.
+ * lives, so renewals cost no gossip. Records spread by gossip. While its home
+ * is dead an entry is kept for expire_ms, then it is gone until the home lives
+ * again or another one takes it over. A renewal at another host is passed to
+ * the home; a second one within renewal_ms, or one while the home is dead,
+ * moves the home there. Leaving is final for an incarnation. Load reports go
+ * to the capacity owner and to subscribers only.
  */
 #ifndef UPSTREAM_DIRECTORY_H
 #define UPSTREAM_DIRECTORY_H
@@ -69,6 +70,10 @@
 	struct peer_port port;			     /**< To other hosts. */
 	struct gossip gossip;			     /**< Spreads records. */
 	GHashTable *entries; /**< Id to struct upstream_entry, see source. */
+	GHashTable *unknown_homes; /**< Homes whose entries were refused. */
+	bool has_synced;	   /**< Something came from another host. */
+	uint64_t steps;		   /**< Counted by upstream_directory_step(). */
+	uint64_t sweep_steps;	   /**< Value at the last sweep. */
 	struct handle sweep_timer; /**< Expiry. */
 };
 
@@ -112,9 +117,12 @@
 /** This host's own incarnation was raised (was_declared_dead). */
 void upstream_directory_set_incarnation(
     struct upstream_directory *directory, uint64_t incarnation);
-/** Exchanges digests with a host that has just joined. */
+/** A host joined (membership): asks it for what is still missing here. */
 void upstream_directory_sync_with(
     struct upstream_directory *directory, uint32_t host_id);
+/** The links and the HTTP requests were read; call it once in each pass of
+ * the owner's loop: time without it (a frozen host) expires nothing. */
+void upstream_directory_step(struct upstream_directory *directory);
 /** Wants load reports of an upstream; repeat within subscription_ms. */
 void upstream_directory_subscribe_load(
     struct upstream_directory *directory, uint64_t id);
--- a/src/protocol/gossip_message.c
+++ b/src/protocol/gossip_message.c
@@ -21,6 +21,7 @@
 	ELEMENT_MINOR = 2,
 	ELEMENT_RANK = 3,
 	ELEMENT_BODY = 4,
+	ELEMENT_TIE = 5,
 };
 
 static void put_head(
@@ -38,6 +39,8 @@
 		order = compare_numbers(left->minor, right->minor);
 	if (order == 0)
 		order = compare_numbers(left->rank, right->rank);
+	if (order == 0)
+		order = compare_numbers(left->tie, right->tie);
 	return order;
 }
 
@@ -53,11 +56,12 @@
 gossip_items_add(struct message_writer *writer, uint64_t key,
     const struct gossip_version *version, const void *body, size_t size)
 {
-	message_open(writer, 5);
+	message_open(writer, 6);
 	message_put_uint(writer, ELEMENT_KEY, key);
 	message_put_uint(writer, ELEMENT_MAJOR, version->major);
 	message_put_uint(writer, ELEMENT_MINOR, version->minor);
 	message_put_uint(writer, ELEMENT_RANK, version->rank);
+	message_put_uint(writer, ELEMENT_TIE, version->tie);
 	message_put_bytes(writer, ELEMENT_BODY, body, size);
 }
 
@@ -92,11 +96,12 @@
 gossip_summary_add(struct message_writer *writer, uint64_t key,
     const struct gossip_version *version)
 {
-	message_open(writer, 4);
+	message_open(writer, 5);
 	message_put_uint(writer, ELEMENT_KEY, key);
 	message_put_uint(writer, ELEMENT_MAJOR, version->major);
 	message_put_uint(writer, ELEMENT_MINOR, version->minor);
 	message_put_uint(writer, ELEMENT_RANK, version->rank);
+	message_put_uint(writer, ELEMENT_TIE, version->tie);
 }
 
 enum error_code
@@ -138,7 +143,9 @@
 	    (error = message_get_uint(
 		 &element, ELEMENT_MINOR, &version->minor)) != ERROR_NONE ||
 	    (error = message_get_uint(
-		 &element, ELEMENT_RANK, &version->rank)) != ERROR_NONE)
+		 &element, ELEMENT_RANK, &version->rank)) != ERROR_NONE ||
+	    (error = message_get_uint(&element, ELEMENT_TIE, &version->tie)) !=
+		ERROR_NONE)
 		return error;
 	error = message_get_bytes(&element, ELEMENT_BODY, body, size);
 	if (error == ERROR_MISSING_FIELD) {
--- a/src/protocol/gossip_message.h
+++ b/src/protocol/gossip_message.h
@@ -21,6 +21,7 @@
 	uint64_t major; /**< Such as an incarnation. */
 	uint64_t minor; /**< Such as a sequence number. */
 	uint64_t rank;	/**< Such as an order of states. */
+	uint64_t tie;	/**< Tells apart what is equal so far. */
 };
 
 /** Kinds; on the wire the first type of the map is added. */
--- a/src/protocol/upstream_message.h
+++ b/src/protocol/upstream_message.h
@@ -5,6 +5,7 @@
 #ifndef UPSTREAM_MESSAGE_H
 #define UPSTREAM_MESSAGE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -28,6 +29,7 @@
 	uint32_t home;		       /**< Host that vouches. */
 	uint64_t home_incarnation;     /**< Its process. */
 	uint32_t epoch;		       /**< Grows with each new home. */
+	bool is_expired;	       /**< Not renewed at its home in time. */
 };
 
 /** Writes an entry as the body of a gossip item. */
--- /dev/null
+++ b/tests/test_upstream_directory.c
@@ -0,0 +1,441 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "host_group.h"
+
+#define SPREAD_MS 2000	/* A change is known at all hosts after this. */
+#define EXPIRE_MS 33000 /* Death found, home missed, sweep, spread. */
+#define AGREE_MS  40000 /* After the last fault all lists are right. */
+#define UPSTREAMS 12
+#define SCHEDULES 25
+#define EVENTS	  30
+
+/* An upstream as it sees itself. */
+struct upstream {
+	struct upstream_record record;
+	bool runs, left;
+	uint32_t home; /* Host that it renews at. */
+};
+
+static void
+init_upstream(struct upstream *upstream, uint32_t number)
+{
+	memset(upstream, 0, sizeof(*upstream));
+	snprintf(upstream->record.name, NAME_SIZE_MAX, "engine-%u", number);
+	snprintf(upstream->record.url, URL_SIZE_MAX, "http://10.1.0.1:8000");
+	upstream->record.id = upstream_id(upstream->record.name);
+	upstream->record.incarnation = 1;
+	upstream->record.sequence = 1;
+	upstream->record.kind = UPSTREAM_KIND_MODEL;
+	upstream->record.model_count = 1;
+	upstream->record.label_count = 1;
+	snprintf(upstream->record.models[0], NAME_SIZE_MAX, "model");
+	snprintf(upstream->record.labels[0].key, NAME_SIZE_MAX, "zone");
+	snprintf(upstream->record.labels[0].value, NAME_SIZE_MAX, "prairie");
+}
+
+static struct upstream_directory *
+directory_of(struct host_group *group, uint32_t id)
+{
+	return &group->hosts[id - 1].directory;
+}
+
+/* True if every host that is awake lists it in that state. */
+static bool
+all_list(struct host_group *group, uint64_t id, enum upstream_state state)
+{
+	const struct upstream_record *record;
+	uint32_t host;
+
+	for (host = 1; host <= GROUP_HOSTS; host++) {
+		if (!host_group_is_awake(group, host))
+			continue;
+		record = upstream_directory_find(directory_of(group, host), id);
+		if ((record == NULL ? UPSTREAM_STATE_GONE : record->state) !=
+		    state)
+			return false;
+	}
+	return true;
+}
+
+/* Renews where it is at home, and announces elsewhere if that fails. */
+static void
+tend_upstream(struct host_group *group, struct upstream *upstream)
+{
+	const struct upstream_record *record = &upstream->record;
+	struct upstream_directory *directory;
+	uint32_t tries;
+
+	if (!upstream->runs)
+		return;
+	for (tries = 0; tries < GROUP_HOSTS; tries++) {
+		if (host_group_is_awake(group, upstream->home))
+			break;
+		upstream->home = upstream->home % GROUP_HOSTS + 1;
+	}
+	if (tries == GROUP_HOSTS)
+		return;
+	directory = directory_of(group, upstream->home);
+	if (upstream_directory_renew(
+		directory, record->id, record->incarnation) != ERROR_NONE)
+		(void)upstream_directory_announce(directory, record);
+	/* What was said to a host that died is said again. */
+	if (upstream->left)
+		(void)upstream_directory_leave(
+		    directory, record->id, record->incarnation);
+}
+
+static void
+run_with(struct host_group *group, struct upstream *upstreams, uint32_t count,
+    int64_t duration_ms)
+{
+	uint32_t i;
+
+	for (; duration_ms > 0; duration_ms -= 1000) {
+		host_group_run(group, duration_ms < 1000 ? duration_ms : 1000);
+		for (i = 0; i < count; i++)
+			tend_upstream(group, &upstreams[i]);
+	}
+}
+
+static void
+test_news_and_leaving_are_known_within_two_seconds(void **state)
+{
+	struct upstream upstream;
+	struct host_group group;
+	uint32_t number;
+
+	(void)state;
+	host_group_start(&group, 1, &group_good_link);
+	host_group_run(&group, 3000);
+	for (number = 1; number <= 60; number++) {
+		init_upstream(&upstream, number);
+		upstream.home = 1 + number % GROUP_HOSTS;
+		upstream.runs = true;
+		tend_upstream(&group, &upstream);
+		host_group_run(&group, SPREAD_MS);
+		assert_true(all_list(
+		    &group, upstream.record.id, UPSTREAM_STATE_ACTIVE));
+		assert_int_equal(upstream_directory_leave(
+				     directory_of(&group, 1 + number % 5),
+				     upstream.record.id, 1),
+		    ERROR_NONE);
+		host_group_run(&group, SPREAD_MS);
+		assert_true(all_list(
+		    &group, upstream.record.id, UPSTREAM_STATE_LEAVING));
+		assert_int_equal(upstream_directory_remove(
+				     directory_of(&group, 1 + number % 4),
+				     upstream.record.id, 1),
+		    ERROR_NONE);
+		host_group_run(&group, SPREAD_MS);
+		assert_true(
+		    all_list(&group, upstream.record.id, UPSTREAM_STATE_GONE));
+	}
+	host_group_stop(&group);
+}
+
+/* What each kind of late or new news does to what is known. */
+static void
+test_only_newer_news_change_anything(void **state)
+{
+	static const struct {
+		uint64_t incarnation, sequence;
+		enum upstream_state before, said;
+		enum error_code result;
+		enum upstream_state after;
+	} cases[] = {
+	    {4, 9, UPSTREAM_STATE_ACTIVE, UPSTREAM_STATE_ACTIVE, ERROR_STALE,
+		UPSTREAM_STATE_ACTIVE},
+	    {5, 4, UPSTREAM_STATE_ACTIVE, UPSTREAM_STATE_ACTIVE, ERROR_STALE,
+		UPSTREAM_STATE_ACTIVE},
+	    {5, 5, UPSTREAM_STATE_ACTIVE, UPSTREAM_STATE_ACTIVE, ERROR_NONE,
+		UPSTREAM_STATE_ACTIVE},
+	    {5, 6, UPSTREAM_STATE_ACTIVE, UPSTREAM_STATE_LEAVING, ERROR_NONE,
+		UPSTREAM_STATE_LEAVING},
+	    {5, 9, UPSTREAM_STATE_LEAVING, UPSTREAM_STATE_ACTIVE, ERROR_NONE,
+		UPSTREAM_STATE_LEAVING},
+	    {6, 1, UPSTREAM_STATE_LEAVING, UPSTREAM_STATE_ACTIVE, ERROR_NONE,
+		UPSTREAM_STATE_ACTIVE},
+	    {5, 9, UPSTREAM_STATE_GONE, UPSTREAM_STATE_ACTIVE, ERROR_STALE,
+		UPSTREAM_STATE_GONE},
+	    {6, 1, UPSTREAM_STATE_GONE, UPSTREAM_STATE_ACTIVE, ERROR_NONE,
+		UPSTREAM_STATE_ACTIVE},
+	};
+	struct upstream_record record;
+	struct upstream upstream;
+	struct host_group group;
+	uint32_t host;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 2 * sizeof(cases) / sizeof(cases[0]); i++) {
+		host = i % 2 == 0 ? 1 : 6;
+		host_group_start(&group, 1 + i, &group_good_link);
+		host_group_run(&group, 3000);
+		init_upstream(&upstream, 1);
+		record = upstream.record;
+		record.incarnation = 5;
+		record.sequence = 5;
+		assert_int_equal(upstream_directory_announce(
+				     directory_of(&group, 1), &record),
+		    ERROR_NONE);
+		if (cases[i / 2].before >= UPSTREAM_STATE_LEAVING)
+			upstream_directory_leave(
+			    directory_of(&group, 1), record.id, 5);
+		if (cases[i / 2].before == UPSTREAM_STATE_GONE)
+			upstream_directory_remove(
+			    directory_of(&group, 1), record.id, 5);
+		host_group_run(&group, SPREAD_MS);
+		record.incarnation = cases[i / 2].incarnation;
+		record.sequence = cases[i / 2].sequence;
+		record.state = cases[i / 2].said;
+		assert_int_equal(upstream_directory_announce(
+				     directory_of(&group, host), &record),
+		    cases[i / 2].result);
+		host_group_run(&group, SPREAD_MS);
+		assert_true(all_list(&group, record.id, cases[i / 2].after));
+		host_group_stop(&group);
+	}
+}
+
+static void
+test_one_that_vanished_expires_everywhere(void **state)
+{
+	struct upstream upstream;
+	struct host_group group;
+	int home_dies;
+
+	(void)state;
+	for (home_dies = 0; home_dies < 2; home_dies++) {
+		host_group_start(&group, 7, &group_good_link);
+		host_group_run(&group, 3000);
+		init_upstream(&upstream, 1);
+		upstream.runs = true;
+		upstream.home = 3;
+		run_with(&group, &upstream, 1, 30000);
+		assert_true(all_list(
+		    &group, upstream.record.id, UPSTREAM_STATE_ACTIVE));
+		if (home_dies)
+			host_group_kill_host(&group, 3);
+		host_group_run(&group, EXPIRE_MS);
+		assert_true(
+		    all_list(&group, upstream.record.id, UPSTREAM_STATE_GONE));
+		host_group_stop(&group);
+	}
+}
+
+/* Neither the home's death nor its freezing ends one that goes on. */
+static void
+test_a_home_that_fails_ends_nobody(void **state)
+{
+	struct upstream upstreams[2];
+	struct host_group group;
+	uint32_t i, second;
+
+	(void)state;
+	host_group_start(&group, 8, &group_good_link);
+	host_group_run(&group, 3000);
+	for (i = 0; i < 2; i++) {
+		init_upstream(&upstreams[i], i);
+		upstreams[i].runs = true;
+		upstreams[i].home = 3 + i;
+	}
+	run_with(&group, upstreams, 2, 5000);
+	host_group_kill_host(&group, 3);
+	fake_net_freeze(&group.net, 4);
+	for (second = 0; second < 120; second++) {
+		if (second == 60)
+			fake_net_thaw(&group.net, 4);
+		run_with(&group, upstreams, 2, 1000);
+		for (i = 0; i < 2; i++) {
+			/* Once awake the host needs a moment to hear of it. */
+			if (second < 60 || second > 70)
+				assert_true(
+				    all_list(&group, upstreams[i].record.id,
+					UPSTREAM_STATE_ACTIVE));
+		}
+	}
+	for (i = 0; i < GROUP_HOSTS; i++) {
+		if (i != 2)
+			assert_int_equal(group.hosts[i].gone, 0);
+	}
+	host_group_stop(&group);
+}
+
+/* A host that was alone takes no other's upstreams away when it is back. */
+static void
+test_a_host_cut_off_for_long_ends_nobody(void **state)
+{
+	struct upstream upstreams[UPSTREAMS];
+	struct host_group group;
+	uint32_t i;
+
+	(void)state;
+	host_group_start(&group, 9, &group_good_link);
+	host_group_run(&group, 3000);
+	for (i = 0; i < UPSTREAMS; i++) {
+		init_upstream(&upstreams[i], i);
+		upstreams[i].runs = true;
+		upstreams[i].home = 1 + i % 5;
+	}
+	run_with(&group, upstreams, UPSTREAMS, 5000);
+	fake_net_cut_host(&group.net, 6, true, true);
+	run_with(&group, upstreams, UPSTREAMS, 300000);
+	fake_net_heal(&group.net);
+	run_with(&group, upstreams, UPSTREAMS, AGREE_MS);
+	for (i = 0; i < UPSTREAMS; i++)
+		assert_true(all_list(
+		    &group, upstreams[i].record.id, UPSTREAM_STATE_ACTIVE));
+	for (i = 0; i < 5; i++)
+		assert_int_equal(group.hosts[i].gone, 0);
+	host_group_stop(&group);
+}
+
+static void
+test_load_reaches_owner_and_subscribers_only(void **state)
+{
+	struct upstream_load load = {.incarnation = 1}, found;
+	struct upstream upstream;
+	struct host_group group;
+	uint32_t i;
+
+	(void)state;
+	host_group_start(&group, 10, &group_good_link);
+	host_group_run(&group, 3000);
+	init_upstream(&upstream, 1);
+	upstream.runs = true;
+	upstream.home = 3;
+	tend_upstream(&group, &upstream);
+	host_group_run(&group, SPREAD_MS);
+	upstream_directory_subscribe_load(
+	    directory_of(&group, 5), upstream.record.id);
+	host_group_run(&group, 100);
+	load.id = upstream.record.id;
+	for (load.sequence = 1; load.sequence <= 20; load.sequence++) {
+		load.running_requests = (uint32_t)load.sequence;
+		/* Half of the reports come to a host that is not its home. */
+		assert_int_equal(
+		    upstream_directory_report(
+			directory_of(&group, load.sequence % 2 == 0 ? 3 : 4),
+			&load),
+		    ERROR_NONE);
+		host_group_run(&group, 100);
+	}
+	for (i = 0; i < GROUP_HOSTS; i++)
+		assert_int_equal(group.hosts[i].loads, i == 0 || i == 5 ? 0
+						       : i == 3		? 10
+									: 20);
+	assert_true(upstream_directory_load(
+	    directory_of(&group, 2), upstream.record.id, &found));
+	assert_int_equal(found.running_requests, 20);
+	assert_true(found.age_ms > 0 && found.age_ms <= 200);
+	host_group_stop(&group);
+}
+
+static void
+change_upstream(struct host_group *group, struct upstream *upstream,
+    struct random_source *random)
+{
+	switch (random_below(random, 4)) {
+	case 0: /* It dies, or starts again. */
+		upstream->runs = !upstream->runs;
+		upstream->left = false;
+		if (upstream->runs)
+			upstream->record.incarnation++;
+		break;
+	case 1: /* It renews elsewhere. */
+		upstream->home = 1 + random_below(random, GROUP_HOSTS);
+		break;
+	case 2: /* It changes. */
+		upstream->record.sequence++;
+		if (upstream->runs &&
+		    host_group_is_awake(group, upstream->home))
+			(void)upstream_directory_announce(
+			    directory_of(group, upstream->home),
+			    &upstream->record);
+		break;
+	default:
+		if (!upstream->runs)
+			break;
+		upstream->left = true;
+		if (host_group_is_awake(group, upstream->home))
+			(void)upstream_directory_leave(
+			    directory_of(group, upstream->home),
+			    upstream->record.id, upstream->record.incarnation);
+		break;
+	}
+}
+
+static enum upstream_state
+expected_state(const struct upstream *upstream)
+{
+	if (!upstream->runs)
+		return UPSTREAM_STATE_GONE;
+	return upstream->left ? UPSTREAM_STATE_LEAVING : UPSTREAM_STATE_ACTIVE;
+}
+
+/* Whatever happened, a while after the last fault all lists are right. */
+static void
+test_lists_agree_after_any_faults(void **state)
+{
+	const char *soak = getenv("CHICORY_SOAK_SCHEDULES");
+	unsigned int schedules, schedule, event;
+	struct upstream upstreams[UPSTREAMS];
+	struct random_source random;
+	struct host_group group;
+	uint32_t i;
+
+	(void)state;
+	schedules =
+	    soak == NULL ? SCHEDULES : (unsigned int)strtoul(soak, NULL, 10);
+	for (schedule = 1; schedule <= schedules; schedule++) {
+		random_init(&random, schedule);
+		host_group_start(&group, schedule, &group_bad_link);
+		for (i = 0; i < UPSTREAMS; i++) {
+			init_upstream(&upstreams[i], i);
+			upstreams[i].runs = true;
+			upstreams[i].home = 1 + i % GROUP_HOSTS;
+		}
+		for (event = 0; event < EVENTS; event++) {
+			run_with(&group, upstreams, UPSTREAMS,
+			    random_below(&random, 10000));
+			if (random_below(&random, 2) == 0)
+				host_group_make_fault(&group, &random);
+			i = random_below(&random, UPSTREAMS);
+			change_upstream(&group, &upstreams[i], &random);
+		}
+		host_group_mend(&group);
+		run_with(&group, upstreams, UPSTREAMS, AGREE_MS);
+		for (i = 0; i < UPSTREAMS; i++) {
+			if (!all_list(&group, upstreams[i].record.id,
+				expected_state(&upstreams[i])))
+				fail_msg(
+				    "schedule %u upstream %u", schedule, i);
+		}
+		host_group_stop(&group);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		test_news_and_leaving_are_known_within_two_seconds),
+	    cmocka_unit_test(test_only_newer_news_change_anything),
+	    cmocka_unit_test(test_one_that_vanished_expires_everywhere),
+	    cmocka_unit_test(test_a_home_that_fails_ends_nobody),
+	    cmocka_unit_test(test_a_host_cut_off_for_long_ends_nobody),
+	    cmocka_unit_test(test_load_reaches_owner_and_subscribers_only),
+	    cmocka_unit_test(test_lists_agree_after_any_faults),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
