--- a/src/coordination/command_client.h
+++ b/src/coordination/command_client.h
@@ -30,7 +30,7 @@
 	uint32_t host_id;  /**< This host. */
 	int64_t resend_ms; /**< Silence before a resend, default 500. */
 	int64_t retry_ms;  /**< Wait after "not the leader", default 50. */
-	uint64_t seed;	   /**< For request numbers and the first guess. */
+	uint64_t seed;	   /**< Another one at each start of a host. */
 };
 
 /** Called once. The result's error is the state's answer; else it is
--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -418,6 +418,8 @@
 static enum error_code
 open_storage(struct consensus *consensus)
 {
+	const struct journal_entry *entry;
+	struct consensus_record record;
 	enum error_code error;
 	bool has_snapshot;
 
@@ -446,6 +448,10 @@
 	consensus->commit_index = consensus->snapshot.index;
 	consensus->applied_index = consensus->snapshot.index;
 	consensus->stamp_ms = consensus->snapshot.time_ms;
+	entry = journal_get(
+	    &consensus->journal, journal_last_index(&consensus->journal));
+	if (entry != NULL && consensus_read_record(entry, &record))
+		consensus->stamp_ms = MAX(consensus->stamp_ms, record.time_ms);
 	consensus_reload_voters(consensus);
 	return ERROR_NONE;
 }
--- a/src/coordination/consensus.h
+++ b/src/coordination/consensus.h
@@ -8,6 +8,10 @@
  * before they are acknowledged. Proposals and entries that arrive in one turn
  * share one sync: consensus_persist(), run by a timer of no delay.
  *
+ * Time stamps follow one reference, handed from leader to leader, so a wall
+ * clock that steps moves them by a minute at most; when no voter remembers one
+ * (all were restarted), the least wall clock of a quorum begins it anew.
+ *
  * A fresh cluster forms itself: the least initial voter asks all the others,
  * and only if every one of them has an empty data folder it hands out the
  * first voter set. A host whose disk was lost is fresh again, but is no voter
@@ -169,6 +173,7 @@
 	int64_t election_due_ms;       /**< When to ask for votes. */
 	bool is_pre_vote;	       /**< The candidate asks for pre-votes. */
 	uint32_t votes;		       /**< Bits of voters that granted. */
+	int64_t vote_time_ms;	       /**< Least time that any of them told. */
 	GArray *acks;		       /**< struct consensus_ack, to send. */
 	GByteArray *incoming;	       /**< Snapshot being received. */
 	struct snapshot incoming_head; /**< Its head. */
--- a/src/coordination/consensus_election.c
+++ b/src/coordination/consensus_election.c
@@ -13,6 +13,8 @@
     const struct consensus_message *message);
 static void receive_vote_reply(struct consensus *consensus, struct voter from,
     const struct consensus_message *message);
+static void take_time(
+    struct consensus *consensus, const struct consensus_message *message);
 static bool is_up_to_date(
     const struct consensus *consensus, const struct consensus_message *message);
 static bool has_leader(const struct consensus *consensus);
@@ -97,6 +99,7 @@
 	consensus_reset_election(consensus);
 	consensus->is_pre_vote = is_pre;
 	consensus->votes = 0;
+	consensus->vote_time_ms = consensus_time_ms(consensus);
 	request.term = term;
 	request.is_pre = is_pre;
 	request.is_transfer = is_transfer;
@@ -143,6 +146,8 @@
 	reply.is_granted = grant_vote(consensus, from, message);
 	if (consensus->is_failed)
 		return;
+	reply.time_ms = consensus_time_ms(consensus);
+	reply.has_reference = consensus->reference_at_ms != 0;
 	reply.term = consensus->identity.term;
 	if (message->is_pre && reply.is_granted)
 		reply.term = message->term;
@@ -199,9 +204,22 @@
 	    consensus->is_pre_vote != message->is_pre ||
 	    message->term != (message->is_pre ? term + 1 : term))
 		return;
+	take_time(consensus, message);
 	count_vote(consensus, from);
 }
 
+/* A host that was just restarted learns the cluster's time from the others. */
+static void
+take_time(struct consensus *consensus, const struct consensus_message *message)
+{
+	if (message->has_reference && consensus->reference_at_ms == 0) {
+		consensus->reference_ms = message->time_ms;
+		consensus->reference_at_ms = consensus_now(consensus);
+	}
+	consensus->vote_time_ms =
+	    MIN(consensus->vote_time_ms, message->time_ms);
+}
+
 static bool
 is_up_to_date(
     const struct consensus *consensus, const struct consensus_message *message)
--- a/src/coordination/consensus_follower.c
+++ b/src/coordination/consensus_follower.c
@@ -173,8 +173,10 @@
 	    &consensus->journal, entry->term, entry->data, entry->size);
 	if (error != ERROR_NONE)
 		return error;
-	if (consensus_read_record(entry, &record) &&
-	    record.kind == CONSENSUS_ENTRY_VOTERS)
+	if (!consensus_read_record(entry, &record))
+		return ERROR_NONE;
+	consensus->stamp_ms = MAX(consensus->stamp_ms, record.time_ms);
+	if (record.kind == CONSENSUS_ENTRY_VOTERS)
 		consensus_reload_voters(consensus);
 	return ERROR_NONE;
 }
--- a/src/coordination/consensus_leader.c
+++ b/src/coordination/consensus_leader.c
@@ -123,7 +123,8 @@
 	consensus_set_role(
 	    consensus, CONSENSUS_ROLE_LEADER, consensus->identity.self.host_id);
 	if (consensus->reference_at_ms == 0) {
-		consensus->reference_ms = consensus_time_ms(consensus);
+		consensus->reference_ms =
+		    MAX(consensus->vote_time_ms, consensus->stamp_ms);
 		consensus->reference_at_ms = consensus_now(consensus);
 	}
 	consensus_update_peers(consensus);
--- a/src/protocol/consensus_message.c
+++ b/src/protocol/consensus_message.c
@@ -33,9 +33,10 @@
 	PART_COUNT = 2
 };
 
-#define FLAG_GRANTED  1u
-#define FLAG_PRE      2u
-#define FLAG_TRANSFER 4u
+#define FLAG_GRANTED   1u
+#define FLAG_PRE       2u
+#define FLAG_TRANSFER  4u
+#define FLAG_REFERENCE 8u
 
 /* A number of the message and its field. */
 struct number_field {
@@ -80,7 +81,8 @@
 
 	flags = (message->is_granted ? FLAG_GRANTED : 0) |
 		(message->is_pre ? FLAG_PRE : 0) |
-		(message->is_transfer ? FLAG_TRANSFER : 0);
+		(message->is_transfer ? FLAG_TRANSFER : 0) |
+		(message->has_reference ? FLAG_REFERENCE : 0);
 	fields = 3 + (message->data_size > 0 ? 1 : 0) +
 		 (message->voters.count > 0 ? 1 : 0) +
 		 (message->entry_count > 0 ? 1 : 0);
@@ -280,6 +282,7 @@
 	message->is_granted = (value & FLAG_GRANTED) != 0;
 	message->is_pre = (value & FLAG_PRE) != 0;
 	message->is_transfer = (value & FLAG_TRANSFER) != 0;
+	message->has_reference = (value & FLAG_REFERENCE) != 0;
 	if (error == ERROR_NONE)
 		error = ignore_missing(message_get_bytes(&message->reader,
 		    FIELD_DATA, &message->data, &message->data_size));
--- a/src/protocol/consensus_message.h
+++ b/src/protocol/consensus_message.h
@@ -36,17 +36,18 @@
 	uint64_t term;		 /**< The sender's, or the one asked for. */
 	bool is_granted;	 /**< Vote granted, append matched, fresh. */
 	bool is_pre;		 /**< A pre-vote. */
-	bool is_transfer;	 /**< The leader asked for this election. */
-	uint64_t index;	   /**< Of the last entry, the one before the entries,
+	bool has_reference; /**< Vote reply: the time comes from a leader. */
+	bool is_transfer;   /**< The leader asked for this election. */
+	uint64_t index;	    /**< Of the last entry, the one before the entries,
 			      the one matched, or the snapshot's. */
-	uint64_t log_term; /**< Of the entry at index. */
-	uint64_t commit;   /**< Leader's commit index. */
-	int64_t sent_ms;   /**< Leader's clock, echoed in replies. */
-	int64_t time_ms;   /**< Leader's stamp, or the snapshot's. */
-	uint64_t offset;   /**< In a snapshot. */
-	uint64_t total;	   /**< Bytes of the snapshot. */
-	const void *data;  /**< Piece of the snapshot. */
-	size_t data_size;  /**< Bytes of it. */
+	uint64_t log_term;  /**< Of the entry at index. */
+	uint64_t commit;    /**< Leader's commit index. */
+	int64_t sent_ms;    /**< Leader's clock, echoed in replies. */
+	int64_t time_ms; /**< Leader's stamp, the snapshot's, or the voter's. */
+	uint64_t offset; /**< In a snapshot. */
+	uint64_t total;	 /**< Bytes of the snapshot. */
+	const void *data;		     /**< Piece of the snapshot. */
+	size_t data_size;		     /**< Bytes of it. */
 	struct voter_set voters;	     /**< Of the snapshot. */
 	const struct journal_entry *entries; /**< To encode. */
 	uint32_t entry_count;		     /**< Entries. */
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -78,6 +78,10 @@
 	RESULT_FIELD_COUNT,
 };
 
+static void put_text(
+    struct message_writer *writer, uint32_t key, const char *text);
+static enum error_code get_text(const struct message_reader *reader,
+    uint32_t key, char *text, size_t text_size);
 static void put_head(struct message_writer *writer,
     const struct command *command, uint32_t fields);
 static void put_config(
@@ -162,7 +166,7 @@
 	if (error == ERROR_NONE)
 		error = message_get_uint(&reader, FIELD_TYPE, &type);
 	if (error == ERROR_NONE)
-		error = message_get_text(&reader, FIELD_OPERATION,
+		error = get_text(&reader, FIELD_OPERATION,
 		    command->operation_id, sizeof(command->operation_id));
 	if (error == ERROR_NONE) {
 		command->type = (enum command_type)type;
@@ -242,6 +246,34 @@
 	return ERROR_NONE;
 }
 
+/* Texts go as bytes, which may be empty. */
+static void
+put_text(struct message_writer *writer, uint32_t key, const char *text)
+{
+	message_put_bytes(writer, key, text, strlen(text));
+}
+
+static enum error_code
+get_text(const struct message_reader *reader, uint32_t key, char *text,
+    size_t text_size)
+{
+	enum error_code error;
+	const void *bytes;
+	size_t size;
+
+	error = message_get_bytes(reader, key, &bytes, &size);
+	if (error != ERROR_NONE)
+		return error;
+	if (size >= text_size)
+		return ERROR_TOO_LARGE;
+	if (size > 0 && memchr(bytes, '\0', size) != NULL)
+		return ERROR_MALFORMED;
+	if (size > 0)
+		memcpy(text, bytes, size);
+	text[size] = '\0';
+	return ERROR_NONE;
+}
+
 static void
 put_head(struct message_writer *writer, const struct command *command,
     uint32_t fields)
@@ -249,7 +281,7 @@
 	message_open(writer, fields);
 	message_put_uint(writer, FIELD_VERSION, COMMAND_VERSION);
 	message_put_uint(writer, FIELD_TYPE, command->type);
-	message_put_text(writer, FIELD_OPERATION, command->operation_id);
+	put_text(writer, FIELD_OPERATION, command->operation_id);
 }
 
 static void
@@ -264,18 +296,17 @@
 	for (i = 0; i < config->change_count; i++) {
 		change = &config->changes[i];
 		message_open(writer, change->is_delete ? 1 : 2);
-		message_put_text(writer, CHANGE_FIELD_KEY, change->key);
+		put_text(writer, CHANGE_FIELD_KEY, change->key);
 		if (!change->is_delete)
-			message_put_text(
-			    writer, CHANGE_FIELD_VALUE, change->value);
+			put_text(writer, CHANGE_FIELD_VALUE, change->value);
 	}
 }
 
 static void
 put_claim(struct message_writer *writer, const struct command_claim *claim)
 {
-	message_put_text(writer, CLAIM_FIELD_ACCOUNT, claim->client_account);
-	message_put_text(writer, CLAIM_FIELD_KEY, claim->idempotency_key);
+	put_text(writer, CLAIM_FIELD_ACCOUNT, claim->client_account);
+	put_text(writer, CLAIM_FIELD_KEY, claim->idempotency_key);
 	message_put_uint(writer, CLAIM_FIELD_FINGERPRINT, claim->fingerprint);
 	message_put_uint(writer, CLAIM_FIELD_HOST, claim->host_id);
 	message_put_uint(
@@ -290,7 +321,7 @@
 {
 	message_put_uint(writer, ORDER_FIELD_UPSTREAM, order->upstream_id);
 	message_put_uint(writer, ORDER_FIELD_KIND, order->kind);
-	message_put_text(writer, ORDER_FIELD_ARGUMENT, order->argument);
+	put_text(writer, ORDER_FIELD_ARGUMENT, order->argument);
 	message_put_uint(writer, ORDER_FIELD_HOST, order->host_id);
 	message_put_uint(writer, ORDER_FIELD_SUPERSEDES, order->supersedes);
 	message_put_uint(writer, ORDER_FIELD_FENCING, order->fencing);
@@ -368,13 +399,13 @@
 
 	error = message_array_open(array, index, &element);
 	if (error == ERROR_NONE)
-		error = message_get_text(&element, CHANGE_FIELD_KEY,
-		    change->key, sizeof(change->key));
+		error = get_text(&element, CHANGE_FIELD_KEY, change->key,
+		    sizeof(change->key));
 	if (error != ERROR_NONE)
 		return error;
 	if (change->key[0] == '\0')
 		return ERROR_INVALID_ARGUMENT;
-	error = message_get_text(
+	error = get_text(
 	    &element, CHANGE_FIELD_VALUE, change->value, sizeof(change->value));
 	change->is_delete = error == ERROR_MISSING_FIELD;
 	return change->is_delete ? ERROR_NONE : error;
@@ -386,10 +417,10 @@
 	enum error_code error;
 	uint32_t outcome;
 
-	error = message_get_text(reader, CLAIM_FIELD_ACCOUNT,
-	    claim->client_account, sizeof(claim->client_account));
+	error = get_text(reader, CLAIM_FIELD_ACCOUNT, claim->client_account,
+	    sizeof(claim->client_account));
 	if (error == ERROR_NONE)
-		error = message_get_text(reader, CLAIM_FIELD_KEY,
+		error = get_text(reader, CLAIM_FIELD_KEY,
 		    claim->idempotency_key, sizeof(claim->idempotency_key));
 	if (error == ERROR_NONE)
 		error = message_get_uint(
@@ -442,8 +473,8 @@
 		error =
 		    message_get_uint32(reader, ORDER_FIELD_KIND, &order->kind);
 	if (error == ERROR_NONE)
-		error = message_get_text(reader, ORDER_FIELD_ARGUMENT,
-		    order->argument, sizeof(order->argument));
+		error = get_text(reader, ORDER_FIELD_ARGUMENT, order->argument,
+		    sizeof(order->argument));
 	if (error == ERROR_NONE)
 		error = message_get_uint32(
 		    reader, ORDER_FIELD_HOST, &order->host_id);
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -220,7 +220,7 @@
 {
 	struct save_record record = {.part = SAVE_PART_ORDER, .count = 6};
 
-	record.text = order->argument;
+	record.text = order->argument[0] == '\0' ? NULL : order->argument;
 	record.numbers[0] = order->upstream_id;
 	record.numbers[1] = order->fencing;
 	record.numbers[2] = order->kind;
--- a/tests/voter_group.c
+++ b/tests/voter_group.c
@@ -36,6 +36,8 @@
 	struct command_result outcome;
 	struct message_writer writer;
 
+	/* The cluster's time never goes back. */
+	assert_true(entry->time_ms >= host->state.time_ms);
 	replicated_state_apply(&host->state, &applied, &outcome);
 	note_same(host->group->entries, entry->index,
 	    XXH64(entry->data, entry->size, (uint64_t)entry->time_ms));
