--- a/src/coordination/grant_holder.c
+++ b/src/coordination/grant_holder.c
@@ -71,6 +71,8 @@
     struct grant_holder *holder, struct held_upstream *entry, int64_t now_ms);
 static bool is_unmet(const struct held_upstream *entry);
 static bool is_short(const struct held_upstream *entry);
+static bool is_near_end(const struct grant_holder *holder,
+    const struct held_upstream *entry, const struct capacity_amount *used);
 static void schedule_flush(struct grant_holder *holder);
 static void flush_asks(struct grant_holder *holder, bool wants_answer);
 static GHashTable *collect_batches(
@@ -101,6 +103,7 @@
 	    .idle_ms = 2000,
 	    .gone_drain_ms = 5000,
 	    .retire_ms = 60000,
+	    .near_percent = 60,
 	    .headroom_percent = 25,
 	    .upstreams_max = 1024,
 	};
@@ -221,15 +224,22 @@
     const struct capacity_amount *largest)
 {
 	struct held_upstream *entry;
-	bool has_grown;
+	bool has_grown, was_served;
 
 	entry = find_entry(holder, upstream_id);
 	if (entry == NULL || entry->is_dropped)
 		return;
 	has_grown = !capacity_fits(waiting, &entry->waiting) ||
 		    !capacity_fits(largest, &entry->largest);
+	was_served =
+	    capacity_is_zero(largest) && !capacity_is_zero(&entry->largest);
 	entry->waiting = *waiting;
 	entry->largest = *largest;
+	/* Others may queue for what is kept for it. */
+	if (was_served) {
+		entry->must_tell = true;
+		schedule_flush(holder);
+	}
 	if (!capacity_is_zero(waiting))
 		entry->active_ms = timer_now(holder->timers);
 	if (has_grown && is_short(entry)) {
@@ -248,12 +258,12 @@
 	entry = find_entry(holder, upstream_id);
 	if (entry == NULL || entry->incarnation != incarnation)
 		return;
-	if (verdict == WARMUP_IN_TIME)
+	used = capacity_slot_used(entry->slot);
+	if (verdict == WARMUP_IN_TIME && is_near_end(holder, entry, &used))
 		entry->in_time++;
 	if (verdict != WARMUP_COLD)
 		return;
 	/* Nothing more starts here until the owner has cut the bound. */
-	used = capacity_slot_used(entry->slot);
 	used = capacity_min(&used, &entry->ceiling);
 	set_ceiling(entry, &used, entry->expires_ms);
 	entry->in_time = 0;
@@ -504,6 +514,19 @@
 	return !capacity_fits(&needed, &entry->ceiling);
 }
 
+/* True if little of the grant is left. */
+static bool
+is_near_end(const struct grant_holder *holder,
+    const struct held_upstream *entry, const struct capacity_amount *used)
+{
+	uint32_t percent = holder->settings.near_percent;
+
+	return (uint64_t)used->requests * PERCENT >=
+		   (uint64_t)entry->ceiling.requests * percent ||
+	       used->prefill_tokens * PERCENT >=
+		   entry->ceiling.prefill_tokens * percent;
+}
+
 static void
 schedule_flush(struct grant_holder *holder)
 {
--- a/src/coordination/grant_holder.h
+++ b/src/coordination/grant_holder.h
@@ -36,6 +36,7 @@
 	int64_t gone_drain_ms; /**< Until engines have ended what an earlier
 				    process of this host left running. */
 	int64_t retire_ms;     /**< Keeps a dropped slot's memory. */
+	uint32_t near_percent; /**< Use of a grant that is near its end. */
 	uint32_t headroom_percent; /**< Asked for beyond use. */
 	uint32_t upstreams_max;	   /**< Slots at a time. */
 };
--- a/src/coordination/grant_ledger.c
+++ b/src/coordination/grant_ledger.c
@@ -91,8 +91,8 @@
 
 bool
 grant_ledger_note_ask(struct ledger_holder *holder,
-    const struct grant_head *head, const struct grant_ask *ask, uint64_t term,
-    int64_t now_ms, int64_t gone_drain_ms)
+    const struct grant_head *head, const struct grant_ask *ask, int64_t now_ms,
+    int64_t gone_drain_ms)
 {
 	if (head->instance < holder->instance)
 		return false;
@@ -106,13 +106,18 @@
 	holder->wanted = capacity_max(&ask->wanted, &ask->used);
 	holder->largest = ask->largest;
 	holder->gone_ms = 0;
-	holder->is_acked = ask->term == term && ask->number == holder->number;
+	holder->is_acked =
+	    ask->term == holder->term && ask->number == holder->number;
 	if (holder->is_acked) {
 		/* It may have lowered its slot by itself. */
 		holder->offered = ask->ceiling;
 		holder->counted = capacity_max(&ask->ceiling, &ask->used);
 		if (holder->draining_ends_on_ack)
 			holder->draining_until_ms = now_ms;
+		/* Its turn is over: what waits next queues behind others. */
+		if (holder->is_served)
+			holder->unmet_ms = 0;
+		holder->is_served = false;
 	} else {
 		holder->counted = capacity_max(&holder->counted, &ask->used);
 	}
@@ -160,9 +165,9 @@
 
 void
 grant_ledger_divide(struct grant_ledger *ledger,
-    const struct capacity_amount *bound, int64_t reachable_ms, int64_t now_ms)
+    const struct capacity_amount *bound, int64_t reachable_ms)
 {
-	struct capacity_amount rest, counted;
+	struct capacity_amount rest, counted, needed;
 	struct ledger_holder *holder;
 	GArray *shares;
 	unsigned int at;
@@ -179,7 +184,11 @@
 	}
 	for (i = 0; i < shares->len; i++) {
 		holder = g_array_index(shares, struct share, i).holder;
-		note_unmet(holder, now_ms);
+		needed = capacity_add(&holder->used, &holder->largest);
+		/* Its room is kept until it says that it has got it. */
+		if (holder->unmet_ms != 0 &&
+		    capacity_fits(&needed, &holder->offered))
+			holder->is_served = true;
 	}
 	g_array_free(shares, TRUE);
 }
@@ -237,7 +246,7 @@
 
 	needed = capacity_add(&holder->used, &holder->largest);
 	if (capacity_is_zero(&holder->largest) ||
-	    capacity_fits(&needed, &holder->offered)) {
+	    (holder->is_acked && capacity_fits(&needed, &holder->offered))) {
 		holder->unmet_ms = 0;
 		return;
 	}
@@ -372,6 +381,9 @@
 {
 	uint64_t wanted, target;
 
+	/* Tokens are of no use without a request to spend them on. */
+	if (at > 0 && share->target.requests == 0)
+		return 0;
 	wanted = capacity_get(&share->holder->wanted, at);
 	target = capacity_get(&share->target, at);
 	return wanted > target ? wanted - target : 0;
--- a/src/coordination/grant_ledger.h
+++ b/src/coordination/grant_ledger.h
@@ -22,9 +22,12 @@
 	uint64_t instance;		/**< Its process. */
 	uint64_t sequence;		/**< Its last ask. */
 	int64_t asked_ms;		/**< When that came. */
+	uint64_t term;			/**< Epoch of the last offer. */
 	uint64_t number;		/**< Of the last offer. */
 	uint64_t told_incarnation;	/**< Incarnation of the last offer. */
 	bool is_acked;			/**< The last offer was acknowledged. */
+	bool is_served;			/**< It got room for its largest, and
+					  has not said so yet. */
 	bool is_changed;		/**< An offer must be sent. */
 	struct capacity_amount offered; /**< By the last offer. */
 	struct capacity_amount counted; /**< It may be running so much. */
@@ -73,8 +76,8 @@
 /** Takes what a holder says of itself; false for an ask that is not newer.
  * @p gone_drain_ms bounds what an earlier process of it left running. */
 bool grant_ledger_note_ask(struct ledger_holder *holder,
-    const struct grant_head *head, const struct grant_ask *ask, uint64_t term,
-    int64_t now_ms, int64_t gone_drain_ms);
+    const struct grant_head *head, const struct grant_ask *ask, int64_t now_ms,
+    int64_t gone_drain_ms);
 /** The upstream has a new incarnation: the old one's work is over, but its
  * grants are counted until they end or the holder knows better. */
 void grant_ledger_restart(struct grant_ledger *ledger);
@@ -85,7 +88,7 @@
  * lines whose offer changed. Lines that last asked before @p reachable_ms get
  * nothing more. */
 void grant_ledger_divide(struct grant_ledger *ledger,
-    const struct capacity_amount *bound, int64_t reachable_ms, int64_t now_ms);
+    const struct capacity_amount *bound, int64_t reachable_ms);
 
 /* Sums */
 
--- a/src/coordination/grant_owner.c
+++ b/src/coordination/grant_owner.c
@@ -90,8 +90,7 @@
     uint32_t from_host, const struct grant_reader *reader);
 static void send_taken(struct owner_step *step, uint32_t to_host,
     const struct owned_upstream *upstream);
-static void raise_number(struct owner_step *step,
-    const struct owned_upstream *upstream, const struct grant_ask *ask);
+static void raise_number(struct owner_step *step, const struct grant_ask *ask);
 
 struct grant_owner_settings
 grant_owner_default_settings(uint32_t host_id)
@@ -621,8 +620,8 @@
 		return;
 	if (upstream->is_active)
 		bound = upstream->warmup.bound;
-	grant_ledger_divide(&upstream->ledger, &bound,
-	    step->now_ms - owner->settings.grant_ms, step->now_ms);
+	grant_ledger_divide(
+	    &upstream->ledger, &bound, step->now_ms - owner->settings.grant_ms);
 	for (i = 0; i < grant_ledger_count(&upstream->ledger); i++) {
 		holder = grant_ledger_at(&upstream->ledger, i);
 		if (holder->is_changed)
@@ -641,6 +640,7 @@
 	int64_t duration_ms, until_ms;
 
 	if (holder->is_changed) {
+		holder->term = owner->map->epoch;
 		holder->number = ++owner->number;
 		holder->is_changed = false;
 		holder->is_acked = false;
@@ -663,7 +663,7 @@
 	out.sequence = holder->sequence;
 	out.offer.upstream_id = upstream->id;
 	out.offer.incarnation = upstream->warmup.incarnation;
-	out.offer.term = upstream->term;
+	out.offer.term = holder->term;
 	out.offer.number = holder->number;
 	out.offer.amount = holder->offered;
 	out.offer.warmth = warmup_warmth(&upstream->warmup);
@@ -719,13 +719,15 @@
 		ask->in_time = 0;
 		ask->is_cold = false;
 	}
-	raise_number(step, upstream, ask);
+	raise_number(step, ask);
 	holder = grant_ledger_open(&upstream->ledger, from_host);
 	/* A holder whose line was dropped may know greater numbers. */
-	if (holder->number == 0)
+	if (holder->number == 0) {
+		holder->term = step->owner->map->epoch;
 		holder->number = ++step->owner->number;
-	if (!grant_ledger_note_ask(holder, head, ask, upstream->term,
-		step->now_ms, step->owner->settings.gone_drain_ms))
+	}
+	if (!grant_ledger_note_ask(holder, head, ask, step->now_ms,
+		step->owner->settings.gone_drain_ms))
 		return false;
 	take_evidence(step, upstream, ask);
 	return true;
@@ -748,7 +750,8 @@
 		}
 		return;
 	}
-	used = grant_ledger_used(&upstream->ledger);
+	/* Holders count answers only while near their own part of it. */
+	used = grant_ledger_counted(&upstream->ledger);
 	warmup_note_in_time(&upstream->warmup, &owner->settings.warmup,
 	    ask->in_time, &used, step->now_ms);
 }
@@ -805,7 +808,7 @@
 	if (upstream->phase != PHASE_ASKING ||
 	    row->incarnation != upstream->warmup.incarnation)
 		return;
-	raise_number(step, upstream, row);
+	raise_number(step, row);
 	holder = grant_ledger_open(&upstream->ledger, from_host);
 	holder->counted = capacity_max(&holder->counted, &row->used);
 	holder->asked_ms = step->now_ms;
@@ -948,9 +951,9 @@
 
 /* After a restart within an epoch, numbers go on where holders saw them. */
 static void
-raise_number(struct owner_step *step, const struct owned_upstream *upstream,
-    const struct grant_ask *ask)
+raise_number(struct owner_step *step, const struct grant_ask *ask)
 {
-	if (ask->term == upstream->term && ask->number > step->owner->number)
+	if (ask->term == step->owner->map->epoch &&
+	    ask->number > step->owner->number)
 		step->owner->number = ask->number;
 }
--- a/src/protocol/grant_message.h
+++ b/src/protocol/grant_message.h
@@ -55,10 +55,10 @@
 
 /** A row of a GRANT. */
 struct grant_offer {
-	uint64_t upstream_id;	       /**< Which upstream. */
-	uint64_t incarnation;	       /**< Of it, as the owner knows it. */
-	uint64_t term;		       /**< Epoch at which it took over. */
-	uint64_t number;	       /**< Grows with each new amount. */
+	uint64_t upstream_id; /**< Which upstream. */
+	uint64_t incarnation; /**< Of it, as the owner knows it. */
+	uint64_t term;	      /**< Epoch of the owner when it offered. */
+	uint64_t number;      /**< Grows with each new amount. */
 	struct capacity_amount amount; /**< May be taken. */
 	uint32_t warmth;	       /**< Warm-up bound, 0 to 1000. */
 	uint32_t duration_ms;	       /**< From when the ask was sent. */
--- a/tests/fake_fleet.c
+++ b/tests/fake_fleet.c
@@ -325,13 +325,13 @@
 			continue;
 		/* The host sees the end only while it is awake. */
 		if (run->slot != NULL) {
-			capacity_slot_give(run->slot, &run->amount);
 			if (fleet->is_warming)
 				grant_holder_note_answer(
 				    &fleet->hosts[run->host - 1]
 					 .exchange.holder,
 				    upstream->record.id, run->incarnation,
 				    WARMUP_IN_TIME);
+			capacity_slot_give(run->slot, &run->amount);
 		}
 		g_array_remove_index_fast(fleet->runs, i - 1);
 	}
--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -117,7 +117,7 @@
 	fleet.is_warming = is_warming;
 	fleet.skip = seed % 3 == 0 ? 0.5 : 0;
 	fleet.load_percent = 1 + random_below(&fleet.random, 10);
-	fleet.run_most_ms = 200 + random_below(&fleet.random, 3000);
+	fleet.run_most_ms = 200 + random_below(&fleet.random, 6000);
 	fleet_run(&fleet, WARM_MS);
 	for (i = 0; i < FAULTS; i++) {
 		inject_fault(&fleet);
