KV leases: releases repeated, orphans found by asking their holder

Cause: an engine must lose no memory when its holder dies, a release or an answer is lost, or a release overtakes its reservation. Ruled out: holders sending their lists all the time (bytes grow with leases) and a grace time alone (a late list could condemn a live reservation).

--- a/src/coordination/capacity_exchange.c
+++ b/src/coordination/capacity_exchange.c
@@ -65,6 +65,21 @@
 	return ERROR_NONE;
 }
 
+struct peer_port
+capacity_exchange_port(struct capacity_exchange *exchange)
+{
+	struct peer_port port = {send_message, exchange};
+
+	return port;
+}
+
+void
+capacity_exchange_attach_kv(
+    struct capacity_exchange *exchange, struct kv_lease_table *kv)
+{
+	exchange->kv = kv;
+}
+
 enum error_code
 capacity_exchange_receive(struct capacity_exchange *exchange,
     uint32_t from_host, const void *body, size_t size)
@@ -79,6 +94,11 @@
 	    reader.head.type == GRANT_MESSAGE_QUERY)
 		error =
 		    grant_holder_receive(&exchange->holder, from_host, &reader);
+	else if (reader.head.type == GRANT_MESSAGE_KV_QUERY ||
+		 reader.head.type == GRANT_MESSAGE_KV_ANSWER)
+		error = exchange->kv == NULL ? ERROR_NOT_SUPPORTED
+					     : kv_lease_receive(exchange->kv,
+						   from_host, &reader);
 	else
 		error =
 		    grant_owner_receive(&exchange->owner, from_host, &reader);
--- a/src/coordination/capacity_exchange.h
+++ b/src/coordination/capacity_exchange.h
@@ -9,6 +9,7 @@
 
 #include "coordination/grant_holder.h"
 #include "coordination/grant_owner.h"
+#include "coordination/kv_lease.h"
 #include "coordination/owner_map.h"
 
 /** Both parts and the map. */
@@ -16,6 +17,7 @@
 	struct owner_map map;	      /**< Committed set of live hosts. */
 	struct grant_owner owner;     /**< Grants. */
 	struct grant_holder holder;   /**< Holds; use it directly. */
+	struct kv_lease_table *kv;    /**< Attached one, or NULL. */
 	struct peer_port network;     /**< To other hosts. */
 	struct timer_service *timers; /**< Time. */
 	GQueue *local;		      /**< Messages to this host. */
@@ -36,6 +38,11 @@
  * of owner_map_set(). */
 enum error_code capacity_exchange_set_hosts(struct capacity_exchange *exchange,
     uint64_t epoch, const uint32_t *hosts, uint32_t count);
+/** Port that kv_lease_init() takes: this host's own messages loop back. */
+struct peer_port capacity_exchange_port(struct capacity_exchange *exchange);
+/** Hands KV messages to a table from now on; NULL ends that. */
+void capacity_exchange_attach_kv(
+    struct capacity_exchange *exchange, struct kv_lease_table *kv);
 /** A message on PEER_CHANNEL_GRANT. */
 enum error_code capacity_exchange_receive(struct capacity_exchange *exchange,
     uint32_t from_host, const void *body, size_t size);
--- a/src/protocol/grant_message.c
+++ b/src/protocol/grant_message.c
@@ -23,6 +23,7 @@
 	WIDTH_GRANT = 9,
 	WIDTH_LEDGER = 9,
 	WIDTH_ID = 1,
+	WIDTH_KV = 4,
 };
 
 /* A row being read. */
@@ -109,6 +110,16 @@
 	message_add_uint(writer, upstream_id);
 }
 
+void
+grant_message_add_kv(
+    struct message_writer *writer, const struct grant_kv_row *row)
+{
+	message_add_uint(writer, row->upstream_id);
+	message_add_uint(writer, row->incarnation);
+	message_add_uint(writer, row->reservation_id);
+	message_add_uint(writer, row->is_live);
+}
+
 enum error_code
 grant_reader_init(struct grant_reader *reader, const void *body, size_t size)
 {
@@ -196,6 +207,23 @@
 	return cursor.error;
 }
 
+enum error_code
+grant_reader_kv(
+    const struct grant_reader *reader, uint32_t index, struct grant_kv_row *row)
+{
+	struct row_cursor cursor;
+	enum error_code error;
+
+	error = open_row(reader, index, &cursor);
+	if (error != ERROR_NONE)
+		return error;
+	row->upstream_id = next_number(&cursor);
+	row->incarnation = next_number(&cursor);
+	row->reservation_id = next_number(&cursor);
+	row->is_live = next_number(&cursor) != 0;
+	return cursor.error;
+}
+
 enum error_code
 grant_reader_id(
     const struct grant_reader *reader, uint32_t index, uint64_t *upstream_id)
@@ -224,6 +252,9 @@
 	case GRANT_MESSAGE_QUERY:
 	case GRANT_MESSAGE_LEDGER_TAKEN:
 		return WIDTH_ID;
+	case GRANT_MESSAGE_KV_QUERY:
+	case GRANT_MESSAGE_KV_ANSWER:
+		return WIDTH_KV;
 	}
 	return 0;
 }
@@ -251,7 +282,7 @@
 	error = message_get_uint(&reader->message, FIELD_TYPE, &type);
 	if (error != ERROR_NONE)
 		return error;
-	if (type < GRANT_MESSAGE_ASK || type > GRANT_MESSAGE_LEDGER_TAKEN)
+	if (type < GRANT_MESSAGE_ASK || type > GRANT_MESSAGE_KV_ANSWER)
 		return ERROR_MALFORMED;
 	head->type = (enum grant_message_type)type;
 	error = message_get_uint(&reader->message, FIELD_EPOCH, &head->epoch);
--- a/src/protocol/grant_message.h
+++ b/src/protocol/grant_message.h
@@ -26,6 +26,8 @@
 	GRANT_MESSAGE_USE = 4,		/**< Holder: all that I run of yours. */
 	GRANT_MESSAGE_LEDGER = 5,	/**< Old owner to new owner. */
 	GRANT_MESSAGE_LEDGER_TAKEN = 6, /**< New owner: no need to repeat. */
+	GRANT_MESSAGE_KV_QUERY = 7,	/**< Owner: are these still yours? */
+	GRANT_MESSAGE_KV_ANSWER = 8,	/**< Holder: they are, or are not. */
 };
 
 /** Fields before the rows; a type leaves out what it has no use for. */
@@ -75,6 +77,14 @@
 	bool is_draining;      /**< Runs on after its grant, starts nothing. */
 };
 
+/** A row of a KV_QUERY or KV_ANSWER. */
+struct grant_kv_row {
+	uint64_t upstream_id;	 /**< Which upstream. */
+	uint64_t incarnation;	 /**< Of it. */
+	uint64_t reservation_id; /**< What it holds. */
+	bool is_live;		 /**< ANSWER: the holder knows it. */
+};
+
 /* Writing: a head, then row_count rows */
 
 /** Starts a message. */
@@ -92,6 +102,10 @@
 /** Adds an upstream id to a LEDGER_TAKEN. */
 void grant_message_add_id(struct message_writer *writer, uint64_t upstream_id);
 
+/** Adds a row of a KV_QUERY or KV_ANSWER. */
+void grant_message_add_kv(
+    struct message_writer *writer, const struct grant_kv_row *row);
+
 /* Reading */
 
 /** A message being read; finish it with grant_reader_finish(). */
@@ -117,6 +131,9 @@
 /** Reads a row of a LEDGER. */
 enum error_code grant_reader_ledger(const struct grant_reader *reader,
     uint32_t index, struct grant_ledger_row *row);
+/** Reads a row of a KV_QUERY or KV_ANSWER. */
+enum error_code grant_reader_kv(const struct grant_reader *reader,
+    uint32_t index, struct grant_kv_row *row);
 /** Reads an id of a LEDGER_TAKEN. */
 enum error_code grant_reader_id(
     const struct grant_reader *reader, uint32_t index, uint64_t *upstream_id);
