--- a/standin/engine.c
+++ b/standin/engine.c
@@ -53,6 +53,7 @@
 static uint32_t count_active(const struct engine *engine);
 static uint64_t sum_prefill(const struct engine *engine);
 static bool is_cold(const struct engine *engine, int64_t now_ms);
+static uint64_t held_tokens(const struct engine *engine);
 static void *run_engine(void *context);
 static void step(struct engine *engine);
 static void start_jobs(struct engine *engine);
@@ -236,7 +237,7 @@
 
 	pthread_mutex_lock(&engine->lock);
 	all = engine->settings->record.limits.kv_tokens;
-	used = engine->kv.tokens + engine->kv_tokens_used;
+	used = held_tokens(engine);
 	error = kv_table_reserve(&engine->kv, id, tokens,
 	    used > all ? 0 : all - used, clock_monotonic_ms());
 	pthread_mutex_unlock(&engine->lock);
@@ -293,8 +294,7 @@
 	answer = json_pack("{s:I, s:I, s:I, s:o}", "incarnation",
 	    (json_int_t)engine->settings->record.incarnation, "kv_tokens",
 	    (json_int_t)engine->settings->record.limits.kv_tokens,
-	    "kv_tokens_used",
-	    (json_int_t)(engine->kv.tokens + engine->kv_tokens_used), "held",
+	    "kv_tokens_used", (json_int_t)held_tokens(engine), "held",
 	    kv_table_list(&engine->kv, clock_monotonic_ms()));
 	pthread_mutex_unlock(&engine->lock);
 	return answer;
@@ -318,7 +318,7 @@
 			load->running_requests++;
 		}
 	}
-	load->kv_tokens_used = engine->kv.tokens + engine->kv_tokens_used;
+	load->kv_tokens_used = held_tokens(engine);
 	pthread_mutex_unlock(&engine->lock);
 }
 
@@ -359,8 +359,8 @@
 	    (json_int_t)counters->cold_peak_prefill_tokens, "cached_tokens",
 	    (json_int_t)counters->cached_tokens, "active",
 	    (json_int_t)count_active(engine), "kv_tokens_held",
-	    (json_int_t)(engine->kv.tokens + engine->kv_tokens_used),
-	    "reservations", (json_int_t)g_hash_table_size(engine->kv.entries),
+	    (json_int_t)held_tokens(engine), "reservations",
+	    (json_int_t)g_hash_table_size(engine->kv.entries),
 	    "last_run_age_ms",
 	    (json_int_t)(counters->runs == 0 ? -1
 					     : now_ms - counters->last_run_ms),
@@ -582,6 +582,13 @@
 	return now_ms < engine->cold_until_ms;
 }
 
+/* KV memory of running jobs and of reservations. */
+static uint64_t
+held_tokens(const struct engine *engine)
+{
+	return engine->kv.tokens + engine->kv_tokens_used;
+}
+
 static void *
 run_engine(void *context)
 {
@@ -654,8 +661,7 @@
 			best = job;
 	}
 	if (best == NULL ||
-	    engine->kv.tokens + engine->kv_tokens_used + best->kv_tokens >
-		limits->kv_tokens)
+	    held_tokens(engine) + best->kv_tokens > limits->kv_tokens)
 		return false;
 	if (best->crashes) {
 		event_log_write(EVENT_STANDIN_CRASHED, "name=%s marked request",
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -1,7 +1,6 @@
 #include "fake_upstream.h"
 
 #include <arpa/inet.h>
-#include <assert.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <stdlib.h>
@@ -27,7 +26,6 @@
 {
 	struct sockaddr_in address;
 	int yes = 1;
-	int result;
 
 	memset(upstream, 0, sizeof(*upstream));
 	upstream->port = port;
@@ -40,14 +38,11 @@
 	upstream->listener = socket(AF_INET, SOCK_STREAM, 0);
 	setsockopt(
 	    upstream->listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-	result = bind(
-	    upstream->listener, (struct sockaddr *)&address, sizeof(address));
-	assert(result == 0);
-	result = listen(upstream->listener, 16);
-	assert(result == 0);
-	result = pthread_create(&upstream->thread, NULL, run, upstream);
-	assert(result == 0);
-	(void)result;
+	if (bind(upstream->listener, (struct sockaddr *)&address,
+		sizeof(address)) != 0 ||
+	    listen(upstream->listener, 16) != 0 ||
+	    pthread_create(&upstream->thread, NULL, run, upstream) != 0)
+		abort();
 }
 
 void
--- a/tests/test_upstream_http.c
+++ b/tests/test_upstream_http.c
@@ -384,32 +384,30 @@
 {
 	static const struct {
 		const char *reply;
-		enum fake_upstream_end end;
 		const char *joined;
 		enum piece_kind kind;
 		enum error_code error;
 		enum request_outcome outcome;
 	} cases[] = {
-	    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-		FAKE_UPSTREAM_CLOSES, "ok", PIECE_KIND_END, ERROR_NONE, 0},
-	    {"HTTP/1.1 404 No\r\nContent-Length: 4\r\n\r\nnone",
-		FAKE_UPSTREAM_CLOSES, "none", PIECE_KIND_END, ERROR_NONE, 0},
-	    {"HTTP/1.1 204 No\r\n\r\n", FAKE_UPSTREAM_CLOSES, "",
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok",
+		PIECE_KIND_END, ERROR_NONE, 0},
+	    {"HTTP/1.1 404 No\r\nContent-Length: 4\r\n\r\nnone", "none",
 		PIECE_KIND_END, ERROR_NONE, 0},
-	    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
-		FAKE_UPSTREAM_CLOSES, "ok", PIECE_KIND_FAILED,
-		ERROR_UPSTREAM_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	    {"HTTP/1.1 204 No\r\n\r\n", "", PIECE_KIND_END, ERROR_NONE, 0},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "ok",
+		PIECE_KIND_FAILED, ERROR_UPSTREAM_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
 	    {"HTTP/1.1 429 Busy\r\nX-Request-Outcome: not_run\r\n"
 	     "Content-Length: 0\r\n\r\n",
-		FAKE_UPSTREAM_CLOSES, "", PIECE_KIND_FAILED,
-		ERROR_UPSTREAM_REFUSED, REQUEST_OUTCOME_NOT_RUN},
+		"", PIECE_KIND_FAILED, ERROR_UPSTREAM_REFUSED,
+		REQUEST_OUTCOME_NOT_RUN},
 	    {"HTTP/1.1 200 OK\r\nContent-Length: 70\r\n\r\n"
 	     "0123456789012345678901234567890123456789"
 	     "012345678901234567890123456789",
-		FAKE_UPSTREAM_CLOSES, "", PIECE_KIND_FAILED, ERROR_TOO_LARGE,
+		"", PIECE_KIND_FAILED, ERROR_TOO_LARGE,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"", "", PIECE_KIND_FAILED, ERROR_UPSTREAM_FAILED,
 		REQUEST_OUTCOME_UNKNOWN},
-	    {"", FAKE_UPSTREAM_RESETS, "", PIECE_KIND_FAILED,
-		ERROR_UPSTREAM_FAILED, REQUEST_OUTCOME_UNKNOWN},
 	};
 	struct setting setting;
 	struct result result;
@@ -417,7 +415,7 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		begin(&setting, cases[i].reply, cases[i].end);
+		begin(&setting, cases[i].reply, FAKE_UPSTREAM_CLOSES);
 		strcpy(setting.call.idempotency_key, "deposit-7");
 		upstream_http_adapter.call(
 		    &setting.http, &setting.call, setting.queue);
