--- a/src/base/error_code.c
+++ b/src/base/error_code.c
@@ -1,6 +1,7 @@
 #include "base/error_code.h"
 
 #include <stddef.h>
+#include <string.h>
 
 struct error_entry {
 	const char *name;
@@ -32,6 +33,8 @@
 	"The sender could not be verified."},
     [ERROR_FORBIDDEN] = {"forbidden", "The role does not allow it."},
     [ERROR_CONNECTION] = {"connection", "The link is down."},
+    [ERROR_WRONG_CLUSTER] = {"wrong_cluster",
+	"The peer is of another cluster."},
     [ERROR_UNKNOWN_KEY] = {"unknown_key",
 	"A settings key that does not exist."},
     [ERROR_MISSING_KEY] = {"missing_key", "A required settings key is absent."},
@@ -77,6 +80,18 @@
 	return error_entries[code].name;
 }
 
+enum error_code
+error_find(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ERROR_CODE_COUNT; i++) {
+		if (strcmp(error_entries[i].name, name) == 0)
+			return (enum error_code)i;
+	}
+	return ERROR_INTERNAL;
+}
+
 const char *
 error_text(enum error_code code)
 {
