--- a/src/coordination/kv_lease.c
+++ b/src/coordination/kv_lease.c
@@ -180,6 +180,8 @@
 	    age_ms < table->settings.reserve_ms)
 		return;
 	g_hash_table_remove(table->leases, &reservation_id);
+	if (table->ops.ended != NULL)
+		table->ops.ended(table->ops.context, reservation_id);
 }
 
 void
@@ -189,15 +191,25 @@
 	struct kv_suspect *suspect;
 	struct kv_lease *lease;
 	GHashTableIter iter;
+	GArray *ended;
 	gpointer value;
+	guint i;
 
+	ended = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_hash_table_iter_init(&iter, table->leases);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		lease = value;
-		if (lease->upstream_id == upstream_id &&
-		    lease->incarnation < incarnation)
-			g_hash_table_iter_remove(&iter);
+		if (lease->upstream_id != upstream_id ||
+		    lease->incarnation >= incarnation)
+			continue;
+		g_array_append_val(ended, lease->id);
+		g_hash_table_iter_remove(&iter);
 	}
+	/* Only now: the callee may begin other leases. */
+	for (i = 0; i < ended->len && table->ops.ended != NULL; i++)
+		table->ops.ended(
+		    table->ops.context, g_array_index(ended, uint64_t, i));
+	g_array_free(ended, TRUE);
 	g_hash_table_iter_init(&iter, table->suspects);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		suspect = value;
--- a/src/coordination/kv_lease.h
+++ b/src/coordination/kv_lease.h
@@ -50,6 +50,8 @@
 	 * kv_lease_note_released(). */
 	void (*release)(void *context, uint64_t upstream_id,
 	    uint64_t incarnation, uint64_t reservation_id);
+	/** A lease has ended: the upstream holds nothing for it; or NULL. */
+	void (*ended)(void *context, uint64_t reservation_id);
 	void *context; /**< Passed back. */
 };
 
--- a/tests/test_kv_lease.c
+++ b/tests/test_kv_lease.c
@@ -108,7 +108,7 @@
 start_host(struct host *host)
 {
 	struct fake_receiver receiver = {receive, host};
-	struct kv_lease_ops ops = {release, host};
+	struct kv_lease_ops ops = {release, NULL, host};
 	struct kv_lease_settings settings;
 
 	host->process++;
