Orders to engines: committed, fenced, resumed, rate-limited

Cause: orders must not be given by two hosts at once, also to engines that ignore fencing numbers, must survive the death of who gives them, and must not overrun the weight store. Ruled out: giving first and committing after (lost at a crash); resuming with the old number (an old resend would pass for the new one). Found by the schedules: a begin that was given up on may commit later (the runner now reads the open orders again every 5 s), and a resend under way may act after the next order on an engine without fencing (the outcome waits for it).

--- /dev/null
+++ b/src/coordination/order_runner.c
@@ -0,0 +1,358 @@
+#include "coordination/order_runner.h"
+
+#include <string.h>
+
+#include "base/event_log.h"
+
+#define TICK_MS	  50   /* Resends and tries. */
+#define REVIEW_MS 5000 /* Between looks at the open orders. */
+
+/* How far an order has come. */
+enum order_state {
+	ORDER_WAITING = 1, /* An earlier leader's order may still act. */
+	ORDER_BEGINNING,   /* To be committed. */
+	ORDER_BEGUN,	   /* Committed, to be given. */
+	ORDER_GIVEN,	   /* The engine has not answered. */
+	ORDER_FINISHING,   /* The outcome is to be committed. */
+};
+
+/* An order under way. */
+struct running_order {
+	struct engine_order order;
+	enum order_state state;
+	enum error_code outcome;
+	uint32_t attempts;
+	int64_t next_ms; /* When its state is to be acted on. */
+};
+
+static void run_tick(void *context);
+static bool is_leading(const struct order_runner *runner);
+static void review_orders(struct order_runner *runner, int64_t now_ms);
+static void resume_order(void *visitor, const struct engine_order *order);
+static struct running_order *add_order(
+    struct order_runner *runner, const struct engine_order *order);
+static struct running_order *find_order(
+    struct order_runner *runner, uint64_t upstream_id);
+static void refill_tokens(struct order_runner *runner, int64_t now_ms);
+static void step_order(
+    struct order_runner *runner, struct running_order *running, int64_t now_ms);
+static void give_order(
+    struct order_runner *runner, struct running_order *running, int64_t now_ms);
+static void finish_order(struct order_runner *runner,
+    struct running_order *running, enum error_code outcome);
+
+struct order_runner_settings
+order_runner_default_settings(void)
+{
+	struct order_runner_settings settings = {
+	    .lease_ms = 5000,
+	    .order_ms = 120000,
+	    .commit_retry_ms = 500,
+	    .attempts_max = 3,
+	    .loads_burst = 4,
+	    .load_interval_ms = 5000,
+	    .capacity = 8192,
+	};
+
+	return settings;
+}
+
+enum error_code
+order_runner_init(struct order_runner *runner,
+    const struct order_runner_settings *settings,
+    const struct order_runner_ops *ops, struct timer_service *timers)
+{
+	struct timer_callback tick = {run_tick, runner};
+	enum error_code error;
+
+	memset(runner, 0, sizeof(*runner));
+	if (settings->load_interval_ms < 1 || settings->attempts_max == 0)
+		return ERROR_INVALID_ARGUMENT;
+	error = timer_subscribe_every(timers, TICK_MS, tick, &runner->tick);
+	if (error != ERROR_NONE)
+		return error;
+	runner->settings = *settings;
+	runner->ops = *ops;
+	runner->timers = timers;
+	runner->orders =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return ERROR_NONE;
+}
+
+void
+order_runner_finish(struct order_runner *runner)
+{
+	if (runner->orders == NULL)
+		return;
+	timer_cancel(runner->timers, &runner->tick);
+	g_hash_table_destroy(runner->orders);
+	memset(runner, 0, sizeof(*runner));
+}
+
+void
+order_runner_lead(struct order_runner *runner, int64_t until_ms)
+{
+	bool was_leading;
+
+	was_leading = is_leading(runner);
+	runner->lease_until_ms = until_ms;
+	if (was_leading || !is_leading(runner))
+		return;
+	g_hash_table_remove_all(runner->orders);
+	runner->leading_ms = timer_now(runner->timers);
+	/* The leader before may use the rate while its lease lasts. */
+	runner->tokens = 0;
+	runner->token_ms = runner->leading_ms + runner->settings.lease_ms +
+			   runner->settings.load_interval_ms;
+	review_orders(runner, runner->leading_ms);
+}
+
+void
+order_runner_follow(struct order_runner *runner)
+{
+	runner->lease_until_ms = 0;
+	g_hash_table_remove_all(runner->orders);
+}
+
+enum error_code
+order_runner_submit(
+    struct order_runner *runner, const struct engine_order *order)
+{
+	struct running_order *running;
+
+	if (!is_leading(runner))
+		return ERROR_NOT_LEADER;
+	running = find_order(runner, order->upstream_id);
+	if (running != NULL) {
+		if (running->order.kind == order->kind &&
+		    strcmp(running->order.argument, order->argument) == 0)
+			return ERROR_ALREADY_EXISTS;
+		return ERROR_CHANGE_PENDING;
+	}
+	running = add_order(runner, order);
+	if (running == NULL)
+		return ERROR_TABLE_FULL;
+	running->state = ORDER_BEGINNING;
+	step_order(runner, running, timer_now(runner->timers));
+	return ERROR_NONE;
+}
+
+void
+order_runner_note_begun(struct order_runner *runner, uint64_t upstream_id,
+    uint64_t fencing, enum error_code error)
+{
+	struct running_order *running;
+
+	running = find_order(runner, upstream_id);
+	if (running == NULL || running->state != ORDER_BEGINNING)
+		return;
+	/* Tried again at its time, under a new number if this one counted. */
+	if (error != ERROR_NONE || fencing <= running->order.fencing)
+		return;
+	running->order.fencing = fencing;
+	running->state = ORDER_BEGUN;
+	running->next_ms = 0;
+	step_order(runner, running, timer_now(runner->timers));
+}
+
+void
+order_runner_note_answer(struct order_runner *runner, uint64_t upstream_id,
+    uint64_t fencing, enum error_code error)
+{
+	struct running_order *running;
+
+	running = find_order(runner, upstream_id);
+	if (running == NULL || running->state != ORDER_GIVEN ||
+	    running->order.fencing != fencing)
+		return;
+	if (error == ERROR_TIMEOUT || error == ERROR_CONNECTION)
+		return;
+	finish_order(runner, running, error);
+}
+
+void
+order_runner_note_finished(struct order_runner *runner, uint64_t upstream_id,
+    uint64_t fencing, enum error_code error)
+{
+	struct running_order *running;
+
+	running = find_order(runner, upstream_id);
+	if (running == NULL || running->state != ORDER_FINISHING ||
+	    running->order.fencing != fencing)
+		return;
+	/* A begin that was given up on came after it; the review finds it. */
+	if (error == ERROR_STALE)
+		g_hash_table_remove(runner->orders, &upstream_id);
+	if (error != ERROR_NONE)
+		return;
+	event_log_write(EVENT_ORDER_DONE,
+	    "upstream=%016" G_GINT64_MODIFIER "x number=%" G_GINT64_MODIFIER
+	    "u outcome=%s",
+	    (guint64)upstream_id, (guint64)fencing,
+	    error_name(running->outcome));
+	g_hash_table_remove(runner->orders, &upstream_id);
+}
+
+uint32_t
+order_runner_count(const struct order_runner *runner)
+{
+	return g_hash_table_size(runner->orders);
+}
+
+static void
+run_tick(void *context)
+{
+	struct order_runner *runner = context;
+	int64_t now_ms;
+	GList *ids, *at;
+	struct running_order *running;
+
+	if (!is_leading(runner))
+		return;
+	now_ms = timer_now(runner->timers);
+	refill_tokens(runner, now_ms);
+	if (now_ms >= runner->review_ms)
+		review_orders(runner, now_ms);
+	/* A step may end an order and so change the table. */
+	ids = g_hash_table_get_keys(runner->orders);
+	for (at = ids; at != NULL; at = at->next)
+		at->data = g_memdup2(at->data, sizeof(uint64_t));
+	for (at = ids; at != NULL; at = at->next) {
+		running = find_order(runner, *(const uint64_t *)at->data);
+		if (running != NULL && now_ms >= running->next_ms)
+			step_order(runner, running, now_ms);
+	}
+	g_list_free_full(ids, g_free);
+}
+
+static bool
+is_leading(const struct order_runner *runner)
+{
+	return timer_now(runner->timers) < runner->lease_until_ms;
+}
+
+/* A begin that this host gave up on may have been committed since. */
+static void
+review_orders(struct order_runner *runner, int64_t now_ms)
+{
+	runner->review_ms = now_ms + REVIEW_MS;
+	runner->ops.each_open(runner->ops.context, resume_order, runner);
+}
+
+static void
+resume_order(void *visitor, const struct engine_order *order)
+{
+	struct order_runner *runner = visitor;
+	struct running_order *running;
+
+	if (find_order(runner, order->upstream_id) != NULL)
+		return;
+	running = add_order(runner, order);
+	if (running == NULL)
+		return;
+	running->state = ORDER_WAITING;
+	running->next_ms = timer_now(runner->timers);
+	if (!runner->ops.honours_fencing(
+		runner->ops.context, order->upstream_id))
+		running->next_ms +=
+		    runner->settings.lease_ms + runner->settings.order_ms;
+}
+
+static struct running_order *
+add_order(struct order_runner *runner, const struct engine_order *order)
+{
+	struct running_order *running;
+
+	if (g_hash_table_size(runner->orders) >= runner->settings.capacity)
+		return NULL;
+	running = g_new0(struct running_order, 1);
+	running->order = *order;
+	running->order.attempt = ++runner->attempts;
+	g_hash_table_insert(
+	    runner->orders, &running->order.upstream_id, running);
+	return running;
+}
+
+static struct running_order *
+find_order(struct order_runner *runner, uint64_t upstream_id)
+{
+	return g_hash_table_lookup(runner->orders, &upstream_id);
+}
+
+static void
+refill_tokens(struct order_runner *runner, int64_t now_ms)
+{
+	while (now_ms >= runner->token_ms) {
+		if (runner->tokens < runner->settings.loads_burst)
+			runner->tokens++;
+		runner->token_ms += runner->settings.load_interval_ms;
+	}
+}
+
+static void
+step_order(
+    struct order_runner *runner, struct running_order *running, int64_t now_ms)
+{
+	switch (running->state) {
+	case ORDER_WAITING:
+		running->state = ORDER_BEGINNING;
+		/* FALLTHROUGH */
+	case ORDER_BEGINNING:
+		running->next_ms = now_ms + runner->settings.commit_retry_ms;
+		runner->ops.commit_begin(runner->ops.context, &running->order);
+		break;
+	case ORDER_BEGUN:
+	case ORDER_GIVEN:
+		give_order(runner, running, now_ms);
+		break;
+	case ORDER_FINISHING:
+		running->next_ms = now_ms + runner->settings.commit_retry_ms;
+		runner->ops.commit_finish(
+		    runner->ops.context, &running->order, running->outcome);
+		break;
+	}
+}
+
+static void
+give_order(
+    struct order_runner *runner, struct running_order *running, int64_t now_ms)
+{
+	if (!is_leading(runner))
+		return;
+	if (running->attempts >= runner->settings.attempts_max) {
+		finish_order(runner, running, ERROR_TIMEOUT);
+		return;
+	}
+	if (running->order.loads_weights) {
+		if (runner->tokens == 0)
+			return;
+		runner->tokens--;
+	}
+	running->attempts++;
+	running->state = ORDER_GIVEN;
+	running->next_ms = now_ms + runner->settings.order_ms;
+	event_log_write(EVENT_ORDER_GIVEN,
+	    "upstream=%016" G_GINT64_MODIFIER "x number=%" G_GINT64_MODIFIER
+	    "u",
+	    (guint64)running->order.upstream_id,
+	    (guint64)running->order.fencing);
+	runner->ops.give(runner->ops.context, &running->order);
+}
+
+static void
+finish_order(struct order_runner *runner, struct running_order *running,
+    enum error_code outcome)
+{
+	int64_t now_ms;
+
+	now_ms = timer_now(runner->timers);
+	running->outcome = outcome;
+	running->state = ORDER_FINISHING;
+	/* A resend under way must not act after the next order: next_ms is
+	 * when the last one has acted, or never will. */
+	if (running->attempts > 1 && now_ms < running->next_ms &&
+	    !runner->ops.honours_fencing(
+		runner->ops.context, running->order.upstream_id))
+		return;
+	step_order(runner, running, now_ms);
+}
