--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -185,10 +185,46 @@
 	run_schedules(true);
 }
 
+/* Hosts join in pairs, others learn of it in one step, and load is so low
+ * that much is granted and little is used. */
+static void
+test_joins_and_skipped_epochs(void **state)
+{
+	unsigned int count = count_schedules(), seed, round;
+	struct fleet fleet;
+	uint32_t first, second;
+
+	(void)state;
+	for (seed = 0; seed < count; seed++) {
+		fleet_init(&fleet, 8, 3, 5000 + seed);
+		fleet.skip = 1;
+		fleet.run_most_ms = 1500;
+		for (round = 0; round < 6; round++) {
+			fleet.load_percent = 4;
+			fleet_run(&fleet, WARM_MS / 2);
+			first = pick_host(&fleet);
+			second = pick_host(&fleet);
+			fleet_kill(&fleet, first);
+			fleet_kill(&fleet, second);
+			fleet_run(&fleet, 2 * FLEET_LEASE_MS);
+			fleet_restart(&fleet, first);
+			fleet_restart(&fleet, second);
+			fleet_run(&fleet, 100);
+			fleet.load_percent = 60;
+			fleet_run(&fleet, FLEET_LEASE_MS);
+		}
+		if (fleet.violations != 0)
+			fail_msg("seed %u: %llu steps over a limit", seed,
+			    (unsigned long long)fleet.violations);
+		fleet_finish(&fleet);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_joins_and_skipped_epochs),
 	    cmocka_unit_test(test_cold_limit_holds),
 	    cmocka_unit_test(test_warm_limit_holds),
 	};
