--- a/src/coordination/grant_holder.c
+++ b/src/coordination/grant_holder.c
@@ -71,6 +71,7 @@
     struct grant_holder *holder, struct held_upstream *entry, int64_t now_ms);
 static bool is_unmet(const struct held_upstream *entry);
 static bool is_short(const struct held_upstream *entry);
+static bool is_overtaken(const struct held_upstream *entry);
 static bool is_near_end(const struct grant_holder *holder,
     const struct held_upstream *entry, const struct capacity_amount *used);
 static void schedule_flush(struct grant_holder *holder);
@@ -97,10 +98,10 @@
 	struct grant_holder_settings settings = {
 	    .host_id = host_id,
 	    .instance = instance,
-	    .renew_ms = 1000,
+	    .renew_ms = 2000,
 	    .retry_ms = 100,
 	    .batch_ms = 2,
-	    .idle_ms = 2000,
+	    .idle_ms = 3000,
 	    .gone_drain_ms = 5000,
 	    .retire_ms = 60000,
 	    .near_percent = 60,
@@ -485,7 +486,8 @@
 		return true;
 	wait_ms = settings->renew_ms;
 	if (entry->has_news ||
-	    (is_short(entry) && entry->answered < entry->asked))
+	    (is_short(entry) &&
+		(entry->answered < entry->asked || is_overtaken(entry))))
 		wait_ms = settings->retry_ms;
 	if (now_ms - entry->asked_ms >= wait_ms)
 		entry->must_ask = true;
@@ -514,6 +516,17 @@
 	return !capacity_fits(&needed, &entry->ceiling);
 }
 
+/* True if what was granted for the longest wait was taken by others here: the
+ * owner thinks that it has been served. */
+static bool
+is_overtaken(const struct held_upstream *entry)
+{
+	struct capacity_amount known;
+
+	known = capacity_add(&entry->told, &entry->largest);
+	return capacity_fits(&known, &entry->ceiling);
+}
+
 /* True if little of the grant is left. */
 static bool
 is_near_end(const struct grant_holder *holder,
@@ -647,8 +660,8 @@
     struct grant_ask *row)
 {
 	struct capacity_amount needed;
+	uint64_t peak, wanted, percent;
 	unsigned int at;
-	uint64_t peak;
 
 	memset(row, 0, sizeof(*row));
 	row->upstream_id = entry->id;
@@ -662,18 +675,28 @@
 	row->warmth = entry->warmth;
 	row->in_time = entry->in_time;
 	row->is_cold = entry->is_cold;
+	row->needed_percent = PERCENT;
 	if (entry->is_dropped) {
 		row->wanted = row->used;
 		return;
 	}
+	row->needed_percent = 0;
 	needed = capacity_add(&row->used, &entry->waiting);
 	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
 		peak = capacity_get(&entry->peak, at) / PERCENT * PEAK_PERCENT;
 		if (peak < capacity_get(&needed, at))
 			peak = capacity_get(&needed, at);
 		capacity_set(&entry->peak, at, peak);
-		capacity_set(&row->wanted, at,
-		    peak + peak * holder->settings.headroom_percent / PERCENT);
+		wanted =
+		    peak + peak * holder->settings.headroom_percent / PERCENT;
+		capacity_set(&row->wanted, at, wanted);
+		percent =
+		    wanted == 0
+			? 0
+			: (capacity_get(&needed, at) * PERCENT + wanted - 1) /
+			      wanted;
+		if (row->needed_percent < percent)
+			row->needed_percent = (uint32_t)percent;
 	}
 }
 
--- a/src/coordination/grant_ledger.c
+++ b/src/coordination/grant_ledger.c
@@ -4,10 +4,13 @@
 
 #include "coordination/capacity_math.h"
 
+#define PERCENT 100
+
 /* A line's part in a division. */
 struct share {
 	struct ledger_holder *holder;
 	struct capacity_amount target; /* What it should get. */
+	struct capacity_amount goal;   /* What it may get at most now. */
 };
 
 static struct capacity_amount line_counted(const struct ledger_holder *holder);
@@ -20,8 +23,11 @@
     int64_t reachable_ms, struct capacity_amount *rest);
 static gint compare_unmet(gconstpointer left, gconstpointer right);
 static gint compare_wish(gconstpointer left, gconstpointer right, gpointer at);
-static void reserve_largest(GArray *shares, struct capacity_amount *rest);
-static void fill_fairly(GArray *shares, unsigned int at, uint64_t rest);
+static void fill_all(GArray *shares, const struct capacity_amount *rest);
+static void favour_largest(GArray *shares, const struct capacity_amount *rest);
+static uint64_t fill_fairly(GArray *shares, unsigned int at, uint64_t rest);
+static struct capacity_amount part_of(
+    const struct capacity_amount *amount, uint32_t percent);
 static uint64_t wish(const struct share *share, unsigned int at);
 static void apply_dimension(
     GArray *shares, unsigned int at, uint64_t bound, uint64_t counted);
@@ -104,6 +110,8 @@
 	holder->asked_ms = now_ms;
 	holder->used = ask->used;
 	holder->wanted = capacity_max(&ask->wanted, &ask->used);
+	holder->needed = part_of(&holder->wanted, ask->needed_percent);
+	holder->needed = capacity_max(&holder->needed, &ask->used);
 	holder->largest = ask->largest;
 	holder->gone_ms = 0;
 	holder->is_acked =
@@ -175,13 +183,13 @@
 
 	rest = *bound;
 	shares = collect_shares(ledger, reachable_ms, &rest);
-	reserve_largest(shares, &rest);
+	g_array_sort(shares, compare_unmet);
+	fill_all(shares, &rest);
+	favour_largest(shares, &rest);
 	counted = grant_ledger_counted(ledger);
-	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
-		fill_fairly(shares, at, capacity_get(&rest, at));
+	for (at = 0; at < CAPACITY_DIMENSIONS; at++)
 		apply_dimension(shares, at, capacity_get(bound, at),
 		    capacity_get(&counted, at));
-	}
 	for (i = 0; i < shares->len; i++) {
 		holder = g_array_index(shares, struct share, i).holder;
 		needed = capacity_add(&holder->used, &holder->largest);
@@ -314,26 +322,62 @@
 	return first->holder->host_id < second->holder->host_id ? -1 : 1;
 }
 
-/* Those who wait longest get room for their largest request first. */
+/* First what runs and waits, then spare room, on top of what targets hold
+ * already. */
 static void
-reserve_largest(GArray *shares, struct capacity_amount *rest)
+fill_all(GArray *shares, const struct capacity_amount *rest)
 {
-	struct capacity_amount needed;
+	struct capacity_amount left;
 	struct share *share;
+	unsigned int at;
 	uint32_t i;
 
-	g_array_sort(shares, compare_unmet);
 	for (i = 0; i < shares->len; i++) {
+		share = &g_array_index(shares, struct share, i);
+		share->goal = share->holder->needed;
+	}
+	for (at = 0; at < CAPACITY_DIMENSIONS; at++)
+		capacity_set(
+		    &left, at, fill_fairly(shares, at, capacity_get(rest, at)));
+	for (i = 0; i < shares->len; i++) {
+		share = &g_array_index(shares, struct share, i);
+		share->goal = share->holder->wanted;
+	}
+	for (at = 0; at < CAPACITY_DIMENSIONS; at++)
+		(void)fill_fairly(shares, at, capacity_get(&left, at));
+}
+
+/* A request that fits its host's fair part runs once an earlier one there has
+ * ended. One that does not would starve: if the longest waiting one is such, it
+ * gets its room first, and the others share the rest. */
+static void
+favour_largest(GArray *shares, const struct capacity_amount *rest)
+{
+	struct capacity_amount needed, left;
+	struct share *share, *favoured;
+	uint32_t i;
+
+	favoured = NULL;
+	for (i = 0; i < shares->len && favoured == NULL; i++) {
 		share = &g_array_index(shares, struct share, i);
 		if (share->holder->unmet_ms == 0)
-			break;
+			return;
 		needed =
 		    capacity_add(&share->holder->used, &share->holder->largest);
-		if (!capacity_fits(&needed, rest))
-			continue;
-		share->target = needed;
-		*rest = capacity_subtract(rest, &needed);
+		/* What can never fit here must not hold up the others. */
+		if (capacity_fits(&needed, rest))
+			favoured = share;
+	}
+	if (favoured == NULL ||
+	    capacity_fits(&favoured->holder->largest, &favoured->target))
+		return;
+	for (i = 0; i < shares->len; i++) {
+		share = &g_array_index(shares, struct share, i);
+		memset(&share->target, 0, sizeof(share->target));
 	}
+	favoured->target = needed;
+	left = capacity_subtract(rest, &needed);
+	fill_all(shares, &left);
 }
 
 static gint
@@ -350,8 +394,8 @@
 	return *first < *second ? 1 : -1;
 }
 
-/* Max-min fairness: small wishes whole, the others alike. */
-static void
+/* Max-min fairness: small wishes whole, the others alike. Gives what is left. */
+static uint64_t
 fill_fairly(GArray *shares, unsigned int at, uint64_t rest)
 {
 	struct share *share;
@@ -373,20 +417,21 @@
 		rest -= part;
 	}
 	g_ptr_array_free(order, TRUE);
+	return rest;
 }
 
 /* What a line wishes beyond what it has got already. */
 static uint64_t
 wish(const struct share *share, unsigned int at)
 {
-	uint64_t wanted, target;
+	uint64_t goal, target;
 
 	/* Tokens are of no use without a request to spend them on. */
 	if (at > 0 && share->target.requests == 0)
 		return 0;
-	wanted = capacity_get(&share->holder->wanted, at);
+	goal = capacity_get(&share->goal, at);
 	target = capacity_get(&share->target, at);
-	return wanted > target ? wanted - target : 0;
+	return goal > target ? goal - target : 0;
 }
 
 /* Lowers only where somebody else is short, and raises from what is free. */
@@ -436,3 +481,22 @@
 	capacity_set(&holder->counted, at, value);
 	return value - counted;
 }
+
+static struct capacity_amount
+part_of(const struct capacity_amount *amount, uint32_t percent)
+{
+	struct capacity_amount part;
+	unsigned int at;
+	uint64_t whole;
+
+	if (percent >= PERCENT)
+		return *amount;
+	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
+		whole = capacity_get(amount, at);
+		/* The percentage was rounded up; without overflow. */
+		capacity_set(&part, at,
+		    whole / PERCENT * percent +
+			whole % PERCENT * percent / PERCENT);
+	}
+	return part;
+}
--- a/src/coordination/grant_ledger.h
+++ b/src/coordination/grant_ledger.h
@@ -32,7 +32,8 @@
 	struct capacity_amount offered; /**< By the last offer. */
 	struct capacity_amount counted; /**< It may be running so much. */
 	struct capacity_amount used;	/**< It said that it runs so much. */
-	struct capacity_amount wanted;	/**< It wishes to run so much. */
+	struct capacity_amount needed;	/**< It runs and waits for so much. */
+	struct capacity_amount wanted;	/**< The same with some spare. */
 	struct capacity_amount largest; /**< Its largest single wait. */
 	struct capacity_amount draining; /**< Of an earlier process, or of an
 					      earlier incarnation. */
--- a/src/coordination/grant_owner.c
+++ b/src/coordination/grant_owner.c
@@ -97,7 +97,7 @@
 {
 	struct grant_owner_settings settings = {
 	    .host_id = host_id,
-	    .grant_ms = 3000,
+	    .grant_ms = 5000,
 	    .config_lease_ms = 5000,
 	    .drain_ms = 600000,
 	    .gone_drain_ms = 5000,
--- a/src/protocol/grant_message.c
+++ b/src/protocol/grant_message.c
@@ -19,7 +19,7 @@
 
 /* Numbers in a row, by type of message. */
 enum {
-	WIDTH_ASK = 19,
+	WIDTH_ASK = 20,
 	WIDTH_GRANT = 9,
 	WIDTH_LEDGER = 9,
 	WIDTH_ID = 1,
@@ -73,6 +73,7 @@
 	add_amount(writer, &row->used);
 	add_amount(writer, &row->wanted);
 	add_amount(writer, &row->largest);
+	message_add_uint(writer, row->needed_percent);
 	message_add_uint(writer, row->warmth);
 	message_add_uint(writer, row->in_time);
 	message_add_uint(writer, row->is_cold);
@@ -161,6 +162,7 @@
 	row->used = next_amount(&cursor);
 	row->wanted = next_amount(&cursor);
 	row->largest = next_amount(&cursor);
+	row->needed_percent = next_number32(&cursor);
 	row->warmth = next_number32(&cursor);
 	row->in_time = next_number32(&cursor);
 	row->is_cold = next_number(&cursor) != 0;
--- a/src/protocol/grant_message.h
+++ b/src/protocol/grant_message.h
@@ -48,11 +48,12 @@
 	uint64_t number;		/**< Of the last grant applied. */
 	struct capacity_amount ceiling; /**< The slot's present grant. */
 	struct capacity_amount used;	/**< Running now. */
-	struct capacity_amount wanted;	/**< Running and waiting. */
+	struct capacity_amount wanted;	/**< Running, waiting and some spare. */
 	struct capacity_amount largest; /**< Largest single wait, or zero. */
-	uint32_t warmth;  /**< Warm-up bound as last told, 0 to 1000. */
-	uint32_t in_time; /**< Answers in time since last. */
-	bool is_cold;	  /**< Evidence of cold since last. */
+	uint32_t needed_percent; /**< Of what is wanted: runs or waits. */
+	uint32_t warmth;	 /**< Warm-up bound as last told, 0 to 1000. */
+	uint32_t in_time;	 /**< Answers in time since last. */
+	bool is_cold;		 /**< Evidence of cold since last. */
 };
 
 /** A row of a GRANT. */
--- a/tests/fake_fleet.c
+++ b/tests/fake_fleet.c
@@ -5,7 +5,7 @@
 
 #include "coordination/capacity_math.h"
 
-#define LEADER_PERIOD_MS 200 /* Between tries to renew a lease. */
+#define LEADER_PERIOD_MS 100 /* Between tries to renew a lease. */
 #define CLOCK_START_MS	 1000000
 
 static void start_host(struct fleet *fleet, struct fleet_host *host);
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -77,7 +77,7 @@
 #define FLEET_STEP_MS	    10	 /**< Load and checks. */
 #define FLEET_LEASE_MS	    2000 /**< Configuration lease. */
 #define FLEET_GRANT_MS	    1500 /**< Grant. */
-#define FLEET_GONE_DRAIN_MS 400 /**< Engines cancel for lost hosts. */
+#define FLEET_GONE_DRAIN_MS 700	 /**< Engines cancel for lost hosts. */
 #define FLEET_DRAIN_MS	    8000 /**< Longest request and more. */
 
 /** Starts all hosts; upstreams are announced everywhere. */
--- /dev/null
+++ b/tests/test_grant_ledger.c
@@ -0,0 +1,162 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/random_source.h"
+#include "coordination/capacity_math.h"
+#include "coordination/grant_ledger.h"
+#include "coordination/owner_map.h"
+
+#define HOLDERS	 6
+#define RUNS	 3000
+#define STEPS	 60
+#define KEYS	 2000
+#define MESSAGES 20000
+
+/* Offers never lift the counted sum over the bound, whatever is asked. */
+static void
+test_division_stays_within_bound(void **state)
+{
+	struct capacity_amount bound, before, after;
+	struct random_source random;
+	struct grant_ledger ledger;
+	struct ledger_holder *holder;
+	struct grant_head head = {0};
+	struct grant_ask ask;
+	uint64_t number = 1;
+	unsigned int run, step, i;
+
+	(void)state;
+	random_init(&random, 3);
+	for (run = 0; run < RUNS; run++) {
+		grant_ledger_init(&ledger);
+		for (step = 1; step <= STEPS; step++) {
+			memset(&ask, 0, sizeof(ask));
+			holder = grant_ledger_open(
+			    &ledger, 1 + random_below(&random, HOLDERS));
+			head.instance = 1 + random_below(&random, 2);
+			head.sequence = random_below(&random, 2 * STEPS);
+			ask.term = holder->term;
+			ask.number = holder->number -
+				     (random_below(&random, 3) == 0 ? 1 : 0);
+			ask.ceiling = holder->offered;
+			ask.used =
+			    capacity_min(&holder->counted, &holder->offered);
+			ask.wanted.requests = random_below(&random, 30);
+			ask.wanted.prefill_tokens = random_below(&random, 9000);
+			ask.wanted.kv_tokens = random_below(&random, 9000);
+			ask.largest = ask.wanted;
+			ask.needed_percent = random_below(&random, 150);
+			(void)grant_ledger_note_ask(
+			    holder, &head, &ask, step, 20);
+			bound.requests = random_below(&random, 40);
+			bound.prefill_tokens = random_below(&random, 20000);
+			bound.kv_tokens = random_below(&random, 20000);
+			before = grant_ledger_counted(&ledger);
+			grant_ledger_divide(&ledger, &bound, 0);
+			after = grant_ledger_counted(&ledger);
+			bound = capacity_max(&bound, &before);
+			assert_true(capacity_fits(&after, &bound));
+			for (i = 0; i < grant_ledger_count(&ledger); i++) {
+				holder = grant_ledger_at(&ledger, i);
+				if (holder->is_changed)
+					holder->number = ++number;
+				holder->is_changed = false;
+				assert_true(capacity_fits(
+				    &holder->offered, &holder->counted));
+			}
+		}
+		grant_ledger_finish(&ledger);
+	}
+}
+
+static void
+test_map_moves_only_what_it_must(void **state)
+{
+	static const uint32_t all[] = {9, 2, 5, 7, 1}, fewer[] = {1, 9, 2, 7};
+	struct owner_map before, after;
+	enum owner_map_change change;
+	uint64_t key;
+	uint32_t old;
+
+	(void)state;
+	owner_map_init(&before);
+	assert_int_equal(
+	    owner_map_set(&before, 4, all, 5, &change), ERROR_NONE);
+	assert_int_equal(change, OWNER_MAP_SKIPPED);
+	after = before;
+	assert_int_equal(
+	    owner_map_set(&after, 5, fewer, 4, &change), ERROR_NONE);
+	assert_int_equal(change, OWNER_MAP_REMOVED);
+	for (key = 0; key < KEYS; key++) {
+		old = owner_map_owner(&before, key);
+		if (old != 5)
+			assert_int_equal(owner_map_owner(&after, key), old);
+		else
+			assert_true(owner_map_owner(&after, key) != 5);
+	}
+	assert_int_equal(owner_map_set(&after, 5, all, 5, &change), ERROR_NONE);
+	assert_int_equal(change, OWNER_MAP_UNCHANGED);
+	assert_int_equal(owner_map_set(&after, 6, all, 5, &change), ERROR_NONE);
+	assert_int_equal(change, OWNER_MAP_JOINED);
+	assert_int_equal(
+	    owner_map_set(&after, 8, fewer, 4, &change), ERROR_NONE);
+	assert_int_equal(change, OWNER_MAP_SKIPPED);
+	assert_int_equal(
+	    owner_map_set(&after, 7, all, 5, &change), ERROR_STALE);
+}
+
+/* Cut and spoilt messages are refused or read, and never read past. */
+static void
+test_spoilt_messages(void **state)
+{
+	struct grant_head head = {.type = GRANT_MESSAGE_ASK, .row_count = 3};
+	struct random_source random;
+	struct message_writer writer;
+	struct grant_reader reader;
+	struct grant_ask ask = {.upstream_id = UINT64_MAX, .number = 7};
+	unsigned char bytes[512];
+	unsigned int i, row;
+	size_t size;
+
+	(void)state;
+	random_init(&random, 9);
+	message_writer_init(&writer);
+	grant_message_open(&writer, &head);
+	for (i = 0; i < head.row_count; i++)
+		grant_message_add_ask(&writer, &ask);
+	assert_true(message_size(&writer) <= sizeof(bytes));
+	for (i = 0; i < MESSAGES; i++) {
+		size = message_size(&writer);
+		memcpy(bytes, message_data(&writer), size);
+		if (random_below(&random, 2) == 0)
+			size = random_below(&random, (uint32_t)size);
+		else
+			bytes[random_below(&random, (uint32_t)size)] =
+			    (unsigned char)random_below(&random, 256);
+		if (grant_reader_init(&reader, bytes, size) != ERROR_NONE)
+			continue;
+		for (row = 0; row < reader.head.row_count; row++)
+			(void)grant_reader_ask(&reader, row, &ask);
+		assert_int_equal(
+		    grant_reader_ask(&reader, row, &ask), ERROR_NOT_FOUND);
+		grant_reader_finish(&reader);
+	}
+	message_writer_finish(&writer);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_division_stays_within_bound),
+	    cmocka_unit_test(test_map_moves_only_what_it_must),
+	    cmocka_unit_test(test_spoilt_messages),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
