--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -30,10 +30,10 @@
 /** How a family is declared; the texts must outlive the registry. */
 struct metric_settings {
 	enum metric_kind kind; /**< What it measures. */
+	uint32_t series_max;   /**< Most series, beside "other". */
 	const char *name;      /**< Such as "chicorytack_requests_total". */
 	const char *help;      /**< One sentence, with the unit. */
 	const char *labels[METRIC_LABELS_MAX]; /**< Names; NULL ends. */
-	uint32_t series_max;   /**< Most series, beside "other". */
 	const double *buckets; /**< Histograms: rising upper bounds. */
 	uint32_t bucket_count; /**< Up to METRIC_BUCKETS_MAX. */
 };
--- /dev/null
+++ b/tests/prop_sse.cpp
@@ -0,0 +1,129 @@
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include "protocol/sse.h"
+}
+
+using events = std::vector<std::pair<std::string, std::string>>;
+
+static const size_t event_size_max = 4096;
+
+static enum error_code
+collect(void *context, const struct sse_event *event)
+{
+	static_cast<events *>(context)->emplace_back(
+	    event->name, std::string(event->data, event->data_size));
+	return ERROR_NONE;
+}
+
+/* Reads a text in portions; each cut is a place modulo what is left. */
+static std::pair<enum error_code, events>
+read_in_portions(const std::string &text, const std::vector<unsigned> &cuts)
+{
+	struct sse_reader reader;
+	events found;
+	enum error_code error = ERROR_NONE;
+	size_t place = 0;
+	size_t next = 0;
+
+	sse_reader_init(&reader, event_size_max, {collect, &found});
+	while (place < text.size() && error == ERROR_NONE) {
+		size_t size = text.size() - place;
+
+		if (next < cuts.size())
+			size = 1 + cuts[next++] % size;
+		error = sse_reader_feed(&reader, text.data() + place, size);
+		place += size;
+	}
+	sse_reader_finish(&reader);
+	return {error, found};
+}
+
+/* Bytes that matter to the format come often. */
+static rc::Gen<std::string>
+wire_text()
+{
+	return rc::gen::map(
+	    rc::gen::container<std::vector<std::string>>(
+		rc::gen::element<std::string>("data: a", "data:b", "data",
+		    "event: end", "event:", ": note", "id: 7", "\n", "\r",
+		    "\r\n", "\n\n", "\xef\xbb\xbf", "x", " ", ":")),
+	    [](const std::vector<std::string> &parts) {
+		    std::string text;
+
+		    for (const auto &part : parts)
+			    text += part;
+		    return text;
+	    });
+}
+
+static rc::Gen<std::string>
+line_of_data()
+{
+	return rc::gen::container<std::string>(
+	    rc::gen::element('a', ' ', ':', '{', '"', '\n', '\xc3'));
+}
+
+int
+main()
+{
+	bool held = true;
+
+	held &= rc::check("any split gives the same events", [] {
+		const auto text = *wire_text();
+		const auto cuts = *rc::gen::arbitrary<std::vector<unsigned>>();
+
+		RC_ASSERT(
+		    read_in_portions(text, cuts) == read_in_portions(text, {}));
+		RC_ASSERT(read_in_portions(
+			      text, std::vector<unsigned>(text.size(), 0)) ==
+			  read_in_portions(text, {}));
+	});
+	held &= rc::check("what is written is read again", [] {
+		const auto sent = *rc::gen::container<events>(rc::gen::pair(
+		    rc::gen::element<std::string>("message", "end", "error"),
+		    line_of_data()));
+		const auto cuts = *rc::gen::arbitrary<std::vector<unsigned>>();
+		GString *out = g_string_new(NULL);
+
+		for (const auto &event : sent) {
+			sse_write_comment(out, "waiting");
+			sse_write_event(out,
+			    event.first == "message" ? NULL
+						     : event.first.c_str(),
+			    event.second.data(), event.second.size());
+		}
+		const auto found =
+		    read_in_portions(std::string(out->str, out->len), cuts);
+		g_string_free(out, TRUE);
+		RC_ASSERT(found.first == ERROR_NONE);
+		RC_ASSERT(found.second == sent);
+	});
+	held &= rc::check("no event grows past its bound", [] {
+		const auto lines = *rc::gen::inRange<size_t>(1, 40);
+		const auto width = *rc::gen::inRange<size_t>(1, 400);
+		std::string text;
+
+		for (size_t i = 0; i < lines; i++)
+			text += "data: " + std::string(width, 'a') + "\n";
+		text += "\n";
+		const auto found = read_in_portions(text, {});
+		const auto joined = lines * (width + 1) - 1;
+		if (joined + 1 > event_size_max)
+			RC_ASSERT(found.first == ERROR_TOO_LARGE);
+		else
+			RC_ASSERT(found.second.at(0).second.size() == joined);
+	});
+	held &= rc::check("garbage is survived", [] {
+		const auto bytes = *rc::gen::arbitrary<std::string>();
+		const auto cuts = *rc::gen::arbitrary<std::vector<unsigned>>();
+
+		RC_ASSERT(read_in_portions(bytes, cuts) ==
+			  read_in_portions(bytes, {}));
+	});
+	return held ? 0 : 1;
+}
