The whole path runs: callers, hosts, stand-ins as separate processes

Cause: parts were done side by side; this ties them and runs them. Found by running: an owner's messages to its own host went nowhere (peer links know no link to oneself), so the exchange's local queue is used; a prompt over an engine's cold prefill limit waits until something else has warmed it. A host taken off the live set is waited out as if it were alive, since other hosts may still hand it leases. Seen: make demo up to the long prompt; three hosts elect, lease, route and stream; a used idempotency key is refused with its outcome.

--- a/src/coordination/capacity_exchange.c
+++ b/src/coordination/capacity_exchange.c
@@ -60,6 +60,10 @@
 	error = owner_map_set(&exchange->map, epoch, hosts, count, &change);
 	if (error != ERROR_NONE || change == OWNER_MAP_UNCHANGED)
 		return error;
+	/* A host that was declared dead may still be handed leases, by others
+	 * that see it; so its grants are waited out like a live one's. */
+	if (change == OWNER_MAP_REMOVED)
+		change = OWNER_MAP_JOINED;
 	grant_owner_map_changed(&exchange->owner, change);
 	grant_holder_map_changed(&exchange->holder);
 	return ERROR_NONE;
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -312,7 +312,8 @@
 		command_client_receive(&host->commands, from_host, body, size);
 		break;
 	case PEER_CHANNEL_GRANT:
-		host_fleet_receive_grant(host, from_host, body, size);
+		capacity_exchange_receive(
+		    &host->capacity, from_host, body, size);
 		break;
 	case PEER_CHANNEL_LOAD:
 		upstream_directory_receive(
@@ -414,7 +415,7 @@
 	struct host *host = coordinator;
 	struct hand_over *hand_over;
 
-	grant_owner_close(&host->grant_owner);
+	grant_owner_close(&host->capacity.owner);
 	if (host->has_disk && consensus_is_leader(&host->consensus))
 		consensus_transfer(&host->consensus);
 	membership_leave(&host->membership);
@@ -445,5 +446,5 @@
 {
 	if (host->has_disk && consensus_is_leader(&host->consensus))
 		return false;
-	return host_now_ms() >= grant_owner_grants_end(&host->grant_owner);
+	return host_now_ms() >= grant_owner_grants_end(&host->capacity.owner);
 }
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -20,15 +20,13 @@
 
 #include "base/error_code.h"
 #include "base/random_source.h"
+#include "coordination/capacity_exchange.h"
 #include "coordination/command_client.h"
 #include "coordination/config_feed.h"
 #include "coordination/consensus.h"
 #include "coordination/fleet_view.h"
-#include "coordination/grant_holder.h"
-#include "coordination/grant_owner.h"
 #include "coordination/live_hosts.h"
 #include "coordination/membership.h"
-#include "coordination/owner_map.h"
 #include "coordination/prefix_index.h"
 #include "coordination/quarantine.h"
 #include "coordination/retry.h"
@@ -84,9 +82,7 @@
 	_Atomic int64_t override_until_ms; /**< Serves unconfirmed till then. */
 
 	struct upstream_directory directory; /**< Upstreams by gossip. */
-	struct owner_map owners;	     /**< Who owns which capacity. */
-	struct grant_owner grant_owner;	     /**< What this host owns. */
-	struct grant_holder grant_holder;    /**< What it may use. */
+	struct capacity_exchange capacity;   /**< Grants, both sides. */
 	GHashTable *wanted;		     /**< Upstreams with demand. */
 	struct quarantine quarantine;	     /**< Requests that crash. */
 	_Atomic uint32_t suspects;	     /**< Known to the quarantine. */
@@ -148,9 +144,6 @@
 void host_fleet_intent_changed(struct host *host);
 /** The configuration lease now runs until @p until_ms. */
 void host_fleet_set_lease(struct host *host, int64_t until_ms);
-/** Takes a message of PEER_CHANNEL_GRANT. */
-void host_fleet_receive_grant(
-    struct host *host, uint32_t from_host, const void *body, size_t size);
 /** Publishes a view if anything changed. */
 void host_fleet_step(struct host *host);
 
--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -6,7 +6,6 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
-#include "protocol/grant_message.h"
 
 #define DEMAND_PERIOD_MS      10   /* Between looks at who waits. */
 #define DEMAND_REQUESTS_MAX   256  /* Waiting requests looked at. */
@@ -84,7 +83,6 @@
 
 	host->wanted =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	owner_map_init(&host->owners);
 	error = start_fleet(host);
 	if (error != ERROR_NONE)
 		return error;
@@ -111,9 +109,8 @@
 {
 	upstream_directory_finish(&host->directory);
 	quarantine_finish(&host->quarantine);
-	grant_owner_finish(&host->grant_owner);
 	fleet_finish(&host->fleet);
-	grant_holder_finish(&host->grant_holder);
+	capacity_exchange_finish(&host->capacity);
 	g_hash_table_destroy(host->wanted);
 }
 
@@ -139,27 +136,7 @@
 host_fleet_set_lease(struct host *host, int64_t until_ms)
 {
 	fleet_set_new_work_until(&host->fleet, until_ms);
-	grant_owner_set_lease(&host->grant_owner, until_ms);
-}
-
-void
-host_fleet_receive_grant(
-    struct host *host, uint32_t from_host, const void *body, size_t size)
-{
-	struct grant_reader reader;
-
-	if (grant_reader_init(&reader, body, size) != ERROR_NONE)
-		return;
-	switch (reader.head.type) {
-	case GRANT_MESSAGE_GRANT:
-	case GRANT_MESSAGE_QUERY:
-		grant_holder_receive(&host->grant_holder, from_host, &reader);
-		break;
-	default:
-		grant_owner_receive(&host->grant_owner, from_host, &reader);
-		break;
-	}
-	grant_reader_finish(&reader);
+	grant_owner_set_lease(&host->capacity.owner, until_ms);
 }
 
 void
@@ -194,7 +171,7 @@
 {
 	struct host *host = context;
 
-	return owner_map_owner(&host->owners, upstream_id);
+	return owner_map_owner(&host->capacity.map, upstream_id);
 }
 
 static void
@@ -226,7 +203,7 @@
 
 	event_log_write(EVENT_UPSTREAM_EXPIRED, "%s", record->name);
 	fleet_remove_upstream(&host->fleet, record->id);
-	grant_owner_remove_upstream(&host->grant_owner, record->id);
+	grant_owner_remove_upstream(&host->capacity.owner, record->id);
 	prefix_index_forget(&host->prefixes, record->id);
 }
 
@@ -322,19 +299,14 @@
 	struct grant_holder_settings holder;
 	struct grant_holder_ops ops = {
 	    .granted = note_granted, .context = host};
-	enum error_code error;
 
 	owner = grant_owner_default_settings(host->settings.host_id);
 	owner.grant_ms = host->settings.grant_lease_ms;
 	owner.config_lease_ms = host->settings.configuration_lease_ms;
-	error = grant_owner_init(&host->grant_owner, &owner, &host->timers,
-	    peer_links_port(&host->links), &host->owners);
-	if (error != ERROR_NONE)
-		return error;
 	holder = grant_holder_default_settings(
 	    host->settings.host_id, host->incarnation);
-	return grant_holder_init(&host->grant_holder, &holder, &ops,
-	    &host->timers, peer_links_port(&host->links), &host->owners);
+	return capacity_exchange_init(&host->capacity, &owner, &holder, &ops,
+	    &host->timers, peer_links_port(&host->links));
 }
 
 static enum error_code
@@ -358,7 +330,7 @@
 	struct capacity_slot *slot;
 	struct host *host = context;
 
-	if (grant_holder_open(&host->grant_holder, upstream_id, incarnation,
+	if (grant_holder_open(&host->capacity.holder, upstream_id, incarnation,
 		&slot) != ERROR_NONE)
 		return NULL;
 	return slot;
@@ -369,7 +341,7 @@
 {
 	struct host *host = context;
 
-	grant_holder_drop(&host->grant_holder, upstream_id);
+	grant_holder_drop(&host->capacity.holder, upstream_id);
 }
 
 static void
@@ -390,7 +362,7 @@
 	struct host *host = visitor;
 	const char *takeout;
 
-	grant_owner_set_upstream(&host->grant_owner, record,
+	grant_owner_set_upstream(&host->capacity.owner, record,
 	    intent_is_taken_out(host->fleet.intent, record, &takeout));
 }
 
@@ -398,7 +370,6 @@
 update_owners(struct host *host)
 {
 	uint32_t hosts[HOSTS_MAX], count;
-	enum owner_map_change change;
 	const GArray *live;
 	guint i;
 
@@ -408,15 +379,9 @@
 		hosts[count++] =
 		    g_array_index(live, struct live_host, i).host_id;
 	if (count == 0 ||
-	    owner_map_set(&host->owners, host_state(host)->epoch, hosts, count,
-		&change) != ERROR_NONE ||
-	    change == OWNER_MAP_UNCHANGED)
+	    capacity_exchange_set_hosts(&host->capacity,
+		host_state(host)->epoch, hosts, count) != ERROR_NONE)
 		return;
-	/* A host that died may still hold a lease somewhere: wait it out. */
-	if (change == OWNER_MAP_REMOVED)
-		change = OWNER_MAP_JOINED;
-	grant_owner_map_changed(&host->grant_owner, change);
-	grant_holder_map_changed(&host->grant_holder);
 	wait_line_set_hosts(&host->line, count);
 }
 
@@ -440,7 +405,7 @@
 	g_hash_table_iter_init(&iterator, host->wanted);
 	while (g_hash_table_iter_next(&iterator, &key, &value)) {
 		demand = value;
-		grant_holder_want(&host->grant_holder, *(uint64_t *)key,
+		grant_holder_want(&host->capacity.holder, *(uint64_t *)key,
 		    demand->is_current ? &demand->waiting : &nothing,
 		    demand->is_current ? &demand->largest : &nothing);
 		if (!demand->is_current)
--- /dev/null
+++ b/src/service/main.c
@@ -0,0 +1,7 @@
+#include "service/cli.h"
+
+int
+main(int argc, char **argv)
+{
+	return cli_run(argc, argv);
+}
--- a/src/service/operator_views.c
+++ b/src/service/operator_views.c
@@ -279,7 +279,7 @@
 
 	cold = warmup_cold_limit(&record->limits);
 	warm = warmup_warm_limit(&record->limits);
-	if (grant_owner_view(&host->grant_owner, record->id, &view) !=
+	if (grant_owner_view(&host->capacity.owner, record->id, &view) !=
 		ERROR_NONE ||
 	    !view.is_owned)
 		return "elsewhere";
@@ -316,7 +316,7 @@
 	intent = list->host->fleet.intent;
 	if (!intent_select(intent, list->selector, record))
 		return;
-	slot = grant_holder_slot(&list->host->grant_holder, record->id);
+	slot = grant_holder_slot(&list->host->capacity.holder, record->id);
 	json_array_append_new(list->items,
 	    json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:I,s:s,s:I}", "name",
 		record->name, "data_centre", record->data_centre, "state",
@@ -329,7 +329,8 @@
 			     : (json_int_t)atomic_load(&slot->used_requests),
 		"taken_out", intent_is_taken_out(intent, record, &takeout),
 		"owner",
-		(json_int_t)owner_map_owner(&list->host->owners, record->id),
+		(json_int_t)owner_map_owner(
+		    &list->host->capacity.map, record->id),
 		"url", record->url, "incarnation",
 		(json_int_t)record->incarnation));
 }
--- a/src/service/wait_line.h
+++ b/src/service/wait_line.h
@@ -23,7 +23,7 @@
 #include "coordination/router.h"
 #include "state/request.h"
 
-#define WAIT_EXCLUDED_MAX ROUTER_EXCLUDED_MAX /**< Upstreams tried already. */
+#define WAIT_EXCLUDED_MAX 16 /**< Upstreams tried already. */
 
 /** Where a request was sent to. */
 struct wait_route {
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -87,7 +87,7 @@
 ask() {
 	local host=$1 token=$2 model=$3 prompt=$4
 	shift 4
-	curl -s --max-time 60 "$(host_url "$host")/v1/completions" -H "Authorization: Bearer $token" \
+	curl -s --max-time "${ask_seconds:-30}" "$(host_url "$host")/v1/completions" -H "Authorization: Bearer $token" \
 	    -H 'Content-Type: application/json' "$@" \
 	    -d "{\"model\":\"$model\",\"prompt\":\"$prompt\",\"max_tokens\":8}"
 }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -26,7 +26,7 @@
 	for copy in a b; do
 		number=$((number + 1))
 		start_standin "$number" "${centres[$id]}-$copy" "${centres[$id]}" "$id" \
-		    --model small-7b --kv-tokens 60000
+		    --model small-7b --kv-tokens 60000 --cold-prefill-tokens 40000
 	done
 done
 for id in 1 2 3; do wait_until 20 has_upstreams "$id" 6; done
