--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -197,27 +197,27 @@
 
 	(void)state;
 	for (seed = 0; seed < count; seed++) {
-		fleet_init(&fleet, 8, 3, 5000 + seed);
+		fake_fleet_init(&fleet, 8, 3, 5000 + seed);
 		fleet.skip = 1;
 		fleet.run_most_ms = 1500;
 		for (round = 0; round < 6; round++) {
 			fleet.load_percent = 4;
-			fleet_run(&fleet, WARM_MS / 2);
+			fake_fleet_run(&fleet, WARM_MS / 2);
 			first = pick_host(&fleet);
 			second = pick_host(&fleet);
-			fleet_kill(&fleet, first);
+			fake_fleet_kill(&fleet, first);
 			fake_net_freeze(&fleet.net, second);
-			fleet_run(&fleet, 2 * FLEET_LEASE_MS);
-			fleet_restart(&fleet, first);
+			fake_fleet_run(&fleet, 2 * FLEET_LEASE_MS);
+			fake_fleet_restart(&fleet, first);
 			fake_net_thaw(&fleet.net, second);
-			fleet_run(&fleet, 100);
+			fake_fleet_run(&fleet, 100);
 			fleet.load_percent = 60;
-			fleet_run(&fleet, FLEET_LEASE_MS);
+			fake_fleet_run(&fleet, FLEET_LEASE_MS);
 		}
 		if (fleet.violations != 0)
 			fail_msg("seed %u: %llu steps over a limit", seed,
 			    (unsigned long long)fleet.violations);
-		fleet_finish(&fleet);
+		fake_fleet_finish(&fleet);
 	}
 }
 
