--- a/src/coordination/grant_holder.c
+++ b/src/coordination/grant_holder.c
@@ -27,14 +27,16 @@
 	struct capacity_amount peak;	/* Of use and wait, sinking. */
 	uint32_t in_time;		/* Answers since the last ask. */
 	bool is_cold;			/* Not yet known to the owner. */
+	struct capacity_amount told;	/* Use that was told last. */
 	uint64_t asked;			/* Sequence of the last ask. */
 	uint64_t answered;		/* Sequence last answered. */
 	int64_t asked_ms;		/* When the last ask was sent. */
 	int64_t active_ms;		/* Last use or wait. */
-	bool has_news;	/* Cold, or returned: told until answered. */
-	uint64_t news;	/* First ask that told it, 0 for none. */
-	bool must_ask;	/* Ask with the next flush. */
-	bool must_tell; /* Tell, without wanting an answer. */
+	bool has_news;	 /* Cold, or returned: told until answered. */
+	uint64_t news;	 /* First ask that told it, 0 for none. */
+	int64_t news_ms; /* Since when it is told. */
+	bool must_ask;	 /* Ask with the next flush. */
+	bool must_tell;	 /* Tell, without wanting an answer. */
 };
 
 /* A slot that is no longer handed out. */
@@ -69,6 +71,9 @@
     struct grant_holder *holder, struct held_upstream *entry, int64_t now_ms);
 static bool is_unmet(const struct held_upstream *entry);
 static bool is_short(const struct held_upstream *entry);
+static bool is_overtaken(const struct held_upstream *entry);
+static bool is_near_end(const struct grant_holder *holder,
+    const struct held_upstream *entry, const struct capacity_amount *used);
 static void schedule_flush(struct grant_holder *holder);
 static void flush_asks(struct grant_holder *holder, bool wants_answer);
 static GHashTable *collect_batches(
@@ -93,12 +98,13 @@
 	struct grant_holder_settings settings = {
 	    .host_id = host_id,
 	    .instance = instance,
-	    .renew_ms = 1000,
+	    .renew_ms = 2000,
 	    .retry_ms = 100,
 	    .batch_ms = 2,
-	    .idle_ms = 2000,
+	    .idle_ms = 3000,
 	    .gone_drain_ms = 5000,
 	    .retire_ms = 60000,
+	    .near_percent = 60,
 	    .headroom_percent = 25,
 	    .upstreams_max = 1024,
 	};
@@ -203,21 +209,38 @@
 	return entry == NULL || entry->is_dropped ? NULL : entry->slot;
 }
 
+uint64_t
+grant_holder_incarnation(
+    const struct grant_holder *holder, uint64_t upstream_id)
+{
+	struct held_upstream *entry;
+
+	entry = find_entry(holder, upstream_id);
+	return entry == NULL || entry->is_dropped ? 0 : entry->incarnation;
+}
+
 void
 grant_holder_want(struct grant_holder *holder, uint64_t upstream_id,
     const struct capacity_amount *waiting,
     const struct capacity_amount *largest)
 {
 	struct held_upstream *entry;
-	bool has_grown;
+	bool has_grown, was_served;
 
 	entry = find_entry(holder, upstream_id);
 	if (entry == NULL || entry->is_dropped)
 		return;
 	has_grown = !capacity_fits(waiting, &entry->waiting) ||
 		    !capacity_fits(largest, &entry->largest);
+	was_served =
+	    capacity_is_zero(largest) && !capacity_is_zero(&entry->largest);
 	entry->waiting = *waiting;
 	entry->largest = *largest;
+	/* Others may queue for what is kept for it. */
+	if (was_served) {
+		entry->must_tell = true;
+		schedule_flush(holder);
+	}
 	if (!capacity_is_zero(waiting))
 		entry->active_ms = timer_now(holder->timers);
 	if (has_grown && is_short(entry)) {
@@ -236,12 +259,12 @@
 	entry = find_entry(holder, upstream_id);
 	if (entry == NULL || entry->incarnation != incarnation)
 		return;
-	if (verdict == WARMUP_IN_TIME)
+	used = capacity_slot_used(entry->slot);
+	if (verdict == WARMUP_IN_TIME && is_near_end(holder, entry, &used))
 		entry->in_time++;
 	if (verdict != WARMUP_COLD)
 		return;
 	/* Nothing more starts here until the owner has cut the bound. */
-	used = capacity_slot_used(entry->slot);
 	used = capacity_min(&used, &entry->ceiling);
 	set_ceiling(entry, &used, entry->expires_ms);
 	entry->in_time = 0;
@@ -420,6 +443,7 @@
 {
 	entry->has_news = true;
 	entry->news = 0;
+	entry->news_ms = timer_now(holder->timers);
 	entry->must_ask = true;
 	schedule_flush(holder);
 }
@@ -441,6 +465,10 @@
 		entry->active_ms = now_ms;
 	if (now_ms >= entry->expires_ms && !capacity_is_zero(&entry->ceiling))
 		set_ceiling(entry, &none, entry->expires_ms);
+	/* What ran beyond the ceiling is missed elsewhere once it has ended. */
+	if (!capacity_fits(&entry->told, &used) &&
+	    !capacity_fits(&entry->told, &entry->ceiling))
+		entry->must_tell = true;
 	is_idle = now_ms - entry->active_ms >= settings->idle_ms;
 	is_held = !capacity_is_zero(&entry->ceiling);
 	if (is_idle && is_held) {
@@ -458,7 +486,8 @@
 		return true;
 	wait_ms = settings->renew_ms;
 	if (entry->has_news ||
-	    (is_short(entry) && entry->answered < entry->asked))
+	    (is_short(entry) &&
+		(entry->answered < entry->asked || is_overtaken(entry))))
 		wait_ms = settings->retry_ms;
 	if (now_ms - entry->asked_ms >= wait_ms)
 		entry->must_ask = true;
@@ -487,6 +516,30 @@
 	return !capacity_fits(&needed, &entry->ceiling);
 }
 
+/* True if what was granted for the longest wait was taken by others here: the
+ * owner thinks that it has been served. */
+static bool
+is_overtaken(const struct held_upstream *entry)
+{
+	struct capacity_amount known;
+
+	known = capacity_add(&entry->told, &entry->largest);
+	return capacity_fits(&known, &entry->ceiling);
+}
+
+/* True if little of the grant is left. */
+static bool
+is_near_end(const struct grant_holder *holder,
+    const struct held_upstream *entry, const struct capacity_amount *used)
+{
+	uint32_t percent = holder->settings.near_percent;
+
+	return (uint64_t)used->requests * PERCENT >=
+		   (uint64_t)entry->ceiling.requests * percent ||
+	       used->prefill_tokens * PERCENT >=
+		   entry->ceiling.prefill_tokens * percent;
+}
+
 static void
 schedule_flush(struct grant_holder *holder)
 {
@@ -607,8 +660,8 @@
     struct grant_ask *row)
 {
 	struct capacity_amount needed;
+	uint64_t peak, wanted, percent;
 	unsigned int at;
-	uint64_t peak;
 
 	memset(row, 0, sizeof(*row));
 	row->upstream_id = entry->id;
@@ -617,22 +670,33 @@
 	row->number = entry->number;
 	row->ceiling = entry->ceiling;
 	row->used = capacity_slot_used(entry->slot);
+	entry->told = row->used;
 	row->largest = entry->largest;
 	row->warmth = entry->warmth;
 	row->in_time = entry->in_time;
 	row->is_cold = entry->is_cold;
+	row->needed_percent = PERCENT;
 	if (entry->is_dropped) {
 		row->wanted = row->used;
 		return;
 	}
+	row->needed_percent = 0;
 	needed = capacity_add(&row->used, &entry->waiting);
 	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
 		peak = capacity_get(&entry->peak, at) / PERCENT * PEAK_PERCENT;
 		if (peak < capacity_get(&needed, at))
 			peak = capacity_get(&needed, at);
 		capacity_set(&entry->peak, at, peak);
-		capacity_set(&row->wanted, at,
-		    peak + peak * holder->settings.headroom_percent / PERCENT);
+		wanted =
+		    peak + peak * holder->settings.headroom_percent / PERCENT;
+		capacity_set(&row->wanted, at, wanted);
+		percent =
+		    wanted == 0
+			? 0
+			: (capacity_get(&needed, at) * PERCENT + wanted - 1) /
+			      wanted;
+		if (row->needed_percent < percent)
+			row->needed_percent = (uint32_t)percent;
 	}
 }
 
--- a/src/coordination/grant_holder.h
+++ b/src/coordination/grant_holder.h
@@ -36,6 +36,7 @@
 	int64_t gone_drain_ms; /**< Until engines have ended what an earlier
 				    process of this host left running. */
 	int64_t retire_ms;     /**< Keeps a dropped slot's memory. */
+	uint32_t near_percent; /**< Use of a grant that is near its end. */
 	uint32_t headroom_percent; /**< Asked for beyond use. */
 	uint32_t upstreams_max;	   /**< Slots at a time. */
 };
@@ -97,6 +98,10 @@
 /** Slot of an open upstream, or NULL. */
 struct capacity_slot *grant_holder_slot(
     const struct grant_holder *holder, uint64_t upstream_id);
+/** Incarnation that the slot of an open upstream is for, or 0; a request
+ * carries it, so that a restarted upstream can refuse it. */
+uint64_t grant_holder_incarnation(
+    const struct grant_holder *holder, uint64_t upstream_id);
 
 /* Demand and evidence, on the coordination thread */
 
--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -6,7 +6,6 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
-#include "protocol/grant_message.h"
 
 #define DEMAND_PERIOD_MS      10   /* Between looks at who waits. */
 #define DEMAND_REQUESTS_MAX   256  /* Waiting requests looked at. */
@@ -52,6 +51,9 @@
 static enum error_code start_directory(struct host *host);
 static enum error_code start_grants(struct host *host);
 static enum error_code start_fleet(struct host *host);
+static struct capacity_slot *open_slot(
+    void *context, uint64_t upstream_id, uint64_t incarnation);
+static void drop_slot(void *context, uint64_t upstream_id);
 static void put_upstream(
     struct host *host, const struct upstream_record *record);
 static void tell_owner(void *visitor, const struct upstream_record *record);
@@ -62,7 +64,7 @@
     struct host *host, uint64_t upstream_id, const struct request_facts *facts);
 static uint32_t count_fitting(const struct fleet_view *view,
     const struct request_facts *facts, const struct intent_account *account);
-static const struct fleet_upstream *nth_fitting(const struct fleet_view *view,
+static const struct fleet_entry *nth_fitting(const struct fleet_view *view,
     const struct request_facts *facts, const struct intent_account *account,
     uint32_t wanted);
 static bool group_fits(const struct fleet_view *view,
@@ -81,7 +83,6 @@
 
 	host->wanted =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	owner_map_init(&host->owners);
 	error = start_fleet(host);
 	if (error != ERROR_NONE)
 		return error;
@@ -108,9 +109,8 @@
 {
 	upstream_directory_finish(&host->directory);
 	quarantine_finish(&host->quarantine);
-	grant_owner_finish(&host->grant_owner);
 	fleet_finish(&host->fleet);
-	grant_holder_finish(&host->grant_holder);
+	capacity_exchange_finish(&host->capacity);
 	g_hash_table_destroy(host->wanted);
 }
 
@@ -136,27 +136,7 @@
 host_fleet_set_lease(struct host *host, int64_t until_ms)
 {
 	fleet_set_new_work_until(&host->fleet, until_ms);
-	grant_owner_set_lease(&host->grant_owner, until_ms);
-}
-
-void
-host_fleet_receive_grant(
-    struct host *host, uint32_t from_host, const void *body, size_t size)
-{
-	struct grant_reader reader;
-
-	if (grant_reader_init(&reader, body, size) != ERROR_NONE)
-		return;
-	switch (reader.head.type) {
-	case GRANT_MESSAGE_GRANT:
-	case GRANT_MESSAGE_QUERY:
-		grant_holder_receive(&host->grant_holder, from_host, &reader);
-		break;
-	default:
-		grant_owner_receive(&host->grant_owner, from_host, &reader);
-		break;
-	}
-	grant_reader_finish(&reader);
+	grant_owner_set_lease(&host->capacity.owner, until_ms);
 }
 
 void
@@ -191,7 +171,7 @@
 {
 	struct host *host = context;
 
-	return owner_map_owner(&host->owners, upstream_id);
+	return owner_map_owner(&host->capacity.map, upstream_id);
 }
 
 static void
@@ -223,8 +203,7 @@
 
 	event_log_write(EVENT_UPSTREAM_EXPIRED, "%s", record->name);
 	fleet_remove_upstream(&host->fleet, record->id);
-	grant_holder_drop(&host->grant_holder, record->id);
-	grant_owner_remove_upstream(&host->grant_owner, record->id);
+	grant_owner_remove_upstream(&host->capacity.owner, record->id);
 	prefix_index_forget(&host->prefixes, record->id);
 }
 
@@ -320,41 +299,57 @@
 	struct grant_holder_settings holder;
 	struct grant_holder_ops ops = {
 	    .granted = note_granted, .context = host};
-	enum error_code error;
 
 	owner = grant_owner_default_settings(host->settings.host_id);
 	owner.grant_ms = host->settings.grant_lease_ms;
 	owner.config_lease_ms = host->settings.configuration_lease_ms;
-	error = grant_owner_init(&host->grant_owner, &owner, &host->timers,
-	    peer_links_port(&host->links), &host->owners);
-	if (error != ERROR_NONE)
-		return error;
 	holder = grant_holder_default_settings(
 	    host->settings.host_id, host->incarnation);
-	return grant_holder_init(&host->grant_holder, &holder, &ops,
-	    &host->timers, peer_links_port(&host->links), &host->owners);
+	return capacity_exchange_init(&host->capacity, &owner, &holder, &ops,
+	    &host->timers, peer_links_port(&host->links));
 }
 
 static enum error_code
 start_fleet(struct host *host)
 {
 	struct fleet_settings settings = {.host_id = host->settings.host_id};
+	struct fleet_ops ops = {
+	    .open_slot = open_slot,
+	    .drop_slot = drop_slot,
+	    .context = host,
+	};
 
 	snprintf(settings.data_centre, sizeof(settings.data_centre), "%s",
 	    host->settings.data_centre);
-	return fleet_init(&host->fleet, &settings);
+	return fleet_init(&host->fleet, &settings, &ops);
+}
+
+static struct capacity_slot *
+open_slot(void *context, uint64_t upstream_id, uint64_t incarnation)
+{
+	struct capacity_slot *slot;
+	struct host *host = context;
+
+	if (grant_holder_open(&host->capacity.holder, upstream_id, incarnation,
+		&slot) != ERROR_NONE)
+		return NULL;
+	return slot;
+}
+
+static void
+drop_slot(void *context, uint64_t upstream_id)
+{
+	struct host *host = context;
+
+	grant_holder_drop(&host->capacity.holder, upstream_id);
 }
 
 static void
 put_upstream(struct host *host, const struct upstream_record *record)
 {
-	struct capacity_slot *slot;
 	enum error_code error;
 
-	error = grant_holder_open(
-	    &host->grant_holder, record->id, record->incarnation, &slot);
-	if (error == ERROR_NONE)
-		error = fleet_put_upstream(&host->fleet, record, slot);
+	error = fleet_put_upstream(&host->fleet, record);
 	if (error != ERROR_NONE && error != ERROR_STALE)
 		event_log_write(EVENT_UPSTREAM_ANNOUNCED, "%s: %s",
 		    record->name, error_name(error));
@@ -367,7 +362,7 @@
 	struct host *host = visitor;
 	const char *takeout;
 
-	grant_owner_set_upstream(&host->grant_owner, record,
+	grant_owner_set_upstream(&host->capacity.owner, record,
 	    intent_is_taken_out(host->fleet.intent, record, &takeout));
 }
 
@@ -375,7 +370,6 @@
 update_owners(struct host *host)
 {
 	uint32_t hosts[HOSTS_MAX], count;
-	enum owner_map_change change;
 	const GArray *live;
 	guint i;
 
@@ -385,15 +379,9 @@
 		hosts[count++] =
 		    g_array_index(live, struct live_host, i).host_id;
 	if (count == 0 ||
-	    owner_map_set(&host->owners, host_state(host)->epoch, hosts, count,
-		&change) != ERROR_NONE ||
-	    change == OWNER_MAP_UNCHANGED)
+	    capacity_exchange_set_hosts(&host->capacity,
+		host_state(host)->epoch, hosts, count) != ERROR_NONE)
 		return;
-	/* A host that died may still hold a lease somewhere: wait it out. */
-	if (change == OWNER_MAP_REMOVED)
-		change = OWNER_MAP_JOINED;
-	grant_owner_map_changed(&host->grant_owner, change);
-	grant_holder_map_changed(&host->grant_holder);
 	wait_line_set_hosts(&host->line, count);
 }
 
@@ -413,11 +401,11 @@
 	round.rotation = (uint64_t)(host_now_ms() / DEMAND_ROTATION_MS);
 	round.view = fleet_lock(&host->fleet);
 	wait_line_visit(&host->line, DEMAND_REQUESTS_MAX, add_demand, &round);
-	fleet_unlock();
+	fleet_unlock(round.view);
 	g_hash_table_iter_init(&iterator, host->wanted);
 	while (g_hash_table_iter_next(&iterator, &key, &value)) {
 		demand = value;
-		grant_holder_want(&host->grant_holder, *(uint64_t *)key,
+		grant_holder_want(&host->capacity.holder, *(uint64_t *)key,
 		    demand->is_current ? &demand->waiting : &nothing,
 		    demand->is_current ? &demand->largest : &nothing);
 		if (!demand->is_current)
@@ -430,7 +418,7 @@
 add_demand(void *context, const struct request_facts *facts)
 {
 	const struct intent_account *account;
-	const struct fleet_upstream *upstream;
+	const struct fleet_entry *entry;
 	struct demand_round *round = context;
 	uint32_t fitting, i, at;
 
@@ -443,11 +431,10 @@
 		return;
 	at = (uint32_t)((facts->id + round->rotation) % fitting);
 	for (i = 0; i < DEMAND_UPSTREAMS && i < fitting; i++) {
-		upstream = nth_fitting(round->view, facts, account,
+		entry = nth_fitting(round->view, facts, account,
 		    (at + i * (fitting / DEMAND_UPSTREAMS + 1)) % fitting);
-		if (upstream != NULL)
-			add_upstream_demand(
-			    round->host, upstream->record.id, facts);
+		if (entry != NULL)
+			add_upstream_demand(round->host, entry->id, facts);
 	}
 }
 
@@ -489,7 +476,7 @@
 	return count;
 }
 
-static const struct fleet_upstream *
+static const struct fleet_entry *
 nth_fitting(const struct fleet_view *view, const struct request_facts *facts,
     const struct intent_account *account, uint32_t wanted)
 {
@@ -501,7 +488,7 @@
 		if (!group_fits(view, group, facts, account))
 			continue;
 		if (wanted < group->count)
-			return view->upstreams[group->subset[wanted]];
+			return &view->entries[group->subset[wanted]];
 		wanted -= group->count;
 	}
 	return NULL;
@@ -531,9 +518,9 @@
 		group = &view->groups[i];
 		for (j = 0; j < group->count; j++)
 			upstream_directory_subscribe_load(&host->directory,
-			    view->upstreams[group->subset[j]]->record.id);
+			    view->entries[group->subset[j]].id);
 	}
-	fleet_unlock();
+	fleet_unlock(view);
 }
 
 static void
