Prompts larger than one engine run over a group; KV leases and orphans

Cause: the longest prompts are over twice an engine's memory, and no engine may lose memory for good. Change: a group run looks like an attempt at one upstream: reserve all or nothing on the coordination thread, prefill segment by segment, hand the KV cache on, answer from the last, release in one place.

--- /dev/null
+++ b/src/service/group_run.c
@@ -0,0 +1,206 @@
+#include "service/group_run.h"
+
+#include <string.h>
+
+#include "protocol/prefix_hash.h"
+#include "service/host_groups.h"
+
+#define SEGMENT_PIECES_MAX 256	/* Pieces that wait of one segment. */
+#define RESERVE_PART	   2	/* Reserving takes at most half of the time. */
+#define LOOK_MS		   200	/* Between looks whether it was given up. */
+#define RETRY_AFTER_MS	   5000 /* When memory may be free again. */
+
+struct group_run {
+	struct host *host;
+	struct request_facts facts;
+	struct upstream_call call;
+	struct piece_queue *queue;
+	struct host_group group;
+};
+
+static gpointer run_thread(gpointer data);
+static enum error_code run_segments(struct group_run *run, bool *was_sent);
+static enum error_code run_segment(struct group_run *run, uint32_t index);
+static void set_range(
+    const struct group_run *run, uint32_t index, struct upstream_call *call);
+static enum error_code forward_pieces(
+    struct group_run *run, struct piece_queue *source, bool is_last);
+static void push_failure(
+    struct group_run *run, enum error_code error, bool was_sent);
+
+enum error_code
+group_run_start(struct host *host, const struct request_facts *facts,
+    const struct upstream_call *call, struct piece_queue *queue)
+{
+	struct group_run *run;
+	GThread *thread;
+
+	run = g_new0(struct group_run, 1);
+	run->host = host;
+	run->facts = *facts;
+	run->call = *call;
+	run->call.body = shared_text_hold(call->body);
+	run->queue = piece_queue_hold(queue);
+	atomic_fetch_add(&host->group_runs, 1);
+	thread = g_thread_try_new("group", run_thread, run, NULL);
+	if (thread == NULL) {
+		atomic_fetch_sub(&host->group_runs, 1);
+		shared_text_release(run->call.body);
+		piece_queue_release(run->queue);
+		g_free(run);
+		return ERROR_NO_MEMORY;
+	}
+	g_thread_unref(thread);
+	return ERROR_NONE;
+}
+
+static gpointer
+run_thread(gpointer data)
+{
+	struct group_run *run = data;
+	struct host *host = run->host;
+	enum error_code error;
+	int64_t now_ms;
+	bool was_sent;
+
+	was_sent = false;
+	now_ms = host_now_ms();
+	error = host_group_start(host, &run->facts,
+	    now_ms + (run->facts.deadline_ms - now_ms) / RESERVE_PART,
+	    &run->group);
+	if (error == ERROR_NONE) {
+		error = run_segments(run, &was_sent);
+		host_group_end(host, &run->group);
+	}
+	if (error != ERROR_NONE)
+		push_failure(run, error, was_sent);
+	shared_text_release(run->call.body);
+	piece_queue_release(run->queue);
+	g_free(run);
+	atomic_fetch_sub(&host->group_runs, 1);
+	return NULL;
+}
+
+static enum error_code
+run_segments(struct group_run *run, bool *was_sent)
+{
+	const struct upstream_adapter *adapter = &upstream_http_adapter;
+	void *context = &run->host->upstreams_http;
+	struct kv_export handed = {0};
+	struct host_group *group = &run->group;
+	enum error_code error;
+	uint32_t i;
+
+	for (i = 0; i < group->plan.count; i++) {
+		if (i > 0) {
+			error = adapter->kv_import(context, &group->targets[i],
+			    group->reservations[i], &handed,
+			    run->facts.deadline_ms);
+			if (error != ERROR_NONE)
+				return error;
+		}
+		*was_sent = true;
+		error = run_segment(run, i);
+		if (error != ERROR_NONE)
+			return error;
+		if (i + 1 == group->plan.count)
+			break;
+		error = adapter->kv_export(context, &group->targets[i],
+		    group->reservations[i], run->facts.deadline_ms, &handed);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	return ERROR_NONE;
+}
+
+static enum error_code
+run_segment(struct group_run *run, uint32_t index)
+{
+	struct upstream_call call = run->call;
+	struct piece_queue *pieces;
+	enum error_code error;
+	bool is_last;
+
+	is_last = index + 1 == run->group.plan.count;
+	call.target = run->group.targets[index];
+	call.reservation = run->group.reservations[index];
+	if (!is_last)
+		call.answer_tokens_max = 0;
+	set_range(run, index, &call);
+	pieces = piece_queue_create(SEGMENT_PIECES_MAX);
+	if (pieces == NULL)
+		return ERROR_NO_MEMORY;
+	error = upstream_http_adapter.generate(
+	    &run->host->upstreams_http, &call, pieces);
+	if (error == ERROR_NONE)
+		error = forward_pieces(run, pieces, is_last);
+	if (error != ERROR_NONE)
+		upstream_http_adapter.cancel(
+		    &run->host->upstreams_http, &call.target, call.request_id);
+	piece_queue_close(pieces);
+	piece_queue_release(pieces);
+	return error;
+}
+
+static void
+set_range(
+    const struct group_run *run, uint32_t index, struct upstream_call *call)
+{
+	const struct group_segment *segment;
+	size_t end;
+
+	segment = &run->group.plan.segments[index];
+	call->body_offset = segment->first_token * PROMPT_BYTES_PER_TOKEN;
+	end = (segment->first_token + segment->prompt_tokens) *
+	      PROMPT_BYTES_PER_TOKEN;
+	if (end > run->call.body_size || index + 1 == run->group.plan.count)
+		end = run->call.body_size;
+	call->body_size = end - call->body_offset;
+}
+
+/* The last segment's pieces are the answer; of the others only the end. */
+static enum error_code
+forward_pieces(struct group_run *run, struct piece_queue *source, bool is_last)
+{
+	enum error_code error;
+	struct piece piece;
+
+	for (;;) {
+		if (piece_queue_closed(run->queue))
+			return ERROR_CANCELLED;
+		if (host_now_ms() >= run->facts.deadline_ms)
+			return ERROR_TIMEOUT;
+		if (piece_queue_pop(source, host_now_ms() + LOOK_MS, &piece) !=
+		    ERROR_NONE)
+			continue;
+		if (piece.kind == PIECE_KIND_FAILED) {
+			error = piece.error;
+			piece_finish(&piece);
+			return error;
+		}
+		if (is_last) {
+			error = piece_queue_push(run->queue, &piece);
+			if (error != ERROR_NONE)
+				return error;
+		}
+		if (piece.kind == PIECE_KIND_END)
+			return ERROR_NONE;
+		if (!is_last)
+			piece_finish(&piece);
+	}
+}
+
+static void
+push_failure(struct group_run *run, enum error_code error, bool was_sent)
+{
+	struct piece piece = {.kind = PIECE_KIND_FAILED};
+
+	piece.request_id = run->call.request_id;
+	piece.attempt = run->call.attempt;
+	piece.error = error;
+	piece.outcome =
+	    was_sent ? REQUEST_OUTCOME_FAILED : REQUEST_OUTCOME_NOT_RUN;
+	piece.retry_after_ms = RETRY_AFTER_MS;
+	/* A queue that was closed has nobody left to tell. */
+	(void)piece_queue_push(run->queue, &piece);
+}
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -20,6 +20,8 @@
 #define REQUEST_ID_HOST_SHIFT 48     /* The host's part of a request id. */
 #define HAND_OVER_MS	      1500   /* Longest wait for a hand-over. */
 #define HAND_OVER_STEP_MS     20     /* Between looks at it. */
+#define CONTROL_THREADS	      16     /* Calls to upstreams that wait. */
+#define GROUP_LOOK_US	      10000  /* Between looks at group threads. */
 #define US_PER_MS	      1000
 
 static enum error_code init_parts(struct host *host);
@@ -101,15 +103,19 @@
 {
 	struct mailbox_call *call;
 
+	while (atomic_load(&host->group_runs) > 0)
+		g_usleep(GROUP_LOOK_US);
 	call = mailbox_call_new(&hand_over_ops, 0);
 	mailbox_await(&host->mailbox, call, HAND_OVER_MS * 2);
 	mailbox_call_drop(call);
 	atomic_store(&host->is_stopping, true);
 	pthread_join(host->thread, NULL);
+	control_worker_finish(&host->control);
 	mailbox_close(&host->mailbox);
 	upstream_http_finish(&host->upstreams_http);
 	host_agreement_finish(host);
 	wait_line_finish(&host->line);
+	host_groups_finish(host);
 	host_fleet_finish(host);
 	membership_finish(&host->membership);
 	peer_links_finish(&host->links);
@@ -161,6 +167,11 @@
 		error = init_membership(host);
 	if (error == ERROR_NONE)
 		error = host_fleet_init(host);
+	if (error == ERROR_NONE)
+		error =
+		    control_worker_init(&host->control, CONTROL_THREADS, host);
+	if (error == ERROR_NONE)
+		error = host_groups_init(host);
 	if (error == ERROR_NONE)
 		error = init_line(host);
 	if (error == ERROR_NONE)
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -32,6 +32,8 @@
 #include "coordination/retry.h"
 #include "coordination/router.h"
 #include "coordination/upstream_directory.h"
+#include "service/control_worker.h"
+#include "service/host_groups.h"
 #include "service/mailbox.h"
 #include "service/request_metrics.h"
 #include "service/settings.h"
@@ -84,9 +86,12 @@
 	struct upstream_directory directory; /**< Upstreams by gossip. */
 	struct capacity_exchange capacity;   /**< Grants, both sides. */
 	GHashTable *wanted;		     /**< Upstreams with demand. */
-	struct quarantine quarantine;	     /**< Requests that crash. */
-	_Atomic uint32_t suspects;	     /**< Known to the quarantine. */
-	struct fleet fleet;		     /**< What request threads see. */
+	struct host_groups groups;     /**< Prompts over several upstreams. */
+	struct control_worker control; /**< Calls that wait for upstreams. */
+	_Atomic uint32_t group_runs;   /**< Threads of group_run.c. */
+	struct quarantine quarantine;  /**< Requests that crash. */
+	_Atomic uint32_t suspects;     /**< Known to the quarantine. */
+	struct fleet fleet;	       /**< What request threads see. */
 
 	struct prefix_index prefixes;	     /**< Prefix affinity. */
 	struct router_mix mix;		     /**< Share of long prompts. */
--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -62,6 +62,8 @@
 static void add_demand(void *context, const struct request_facts *facts);
 static void add_upstream_demand(
     struct host *host, uint64_t upstream_id, const struct request_facts *facts);
+static void add_amount(struct host *host, uint64_t upstream_id,
+    const struct capacity_amount *amount);
 static uint32_t count_fitting(const struct fleet_view *view,
     const struct request_facts *facts, const struct intent_account *account);
 static const struct fleet_entry *nth_fitting(const struct fleet_view *view,
@@ -203,6 +205,7 @@
 
 	event_log_write(EVENT_UPSTREAM_EXPIRED, "%s", record->name);
 	fleet_remove_upstream(&host->fleet, record->id);
+	host_groups_note_incarnation(host, record->id, record->incarnation + 1);
 	grant_owner_remove_upstream(&host->capacity.owner, record->id);
 	prefix_index_forget(&host->prefixes, record->id);
 }
@@ -222,6 +225,7 @@
 
 	(void)upstream_id;
 	(void)slot;
+	host_groups_note_granted(host);
 	wait_line_poke(&host->line);
 }
 
@@ -349,6 +353,7 @@
 {
 	enum error_code error;
 
+	host_groups_note_incarnation(host, record->id, record->incarnation);
 	error = fleet_put_upstream(&host->fleet, record);
 	if (error != ERROR_NONE && error != ERROR_STALE)
 		event_log_write(EVENT_UPSTREAM_ANNOUNCED, "%s: %s",
@@ -402,6 +407,7 @@
 	round.view = fleet_lock(&host->fleet);
 	wait_line_visit(&host->line, DEMAND_REQUESTS_MAX, add_demand, &round);
 	fleet_unlock(round.view);
+	host_groups_each_wanted(host, add_amount);
 	g_hash_table_iter_init(&iterator, host->wanted);
 	while (g_hash_table_iter_next(&iterator, &key, &value)) {
 		demand = value;
@@ -441,25 +447,33 @@
 static void
 add_upstream_demand(
     struct host *host, uint64_t upstream_id, const struct request_facts *facts)
+{
+	struct capacity_amount amount = {.requests = 1};
+
+	amount.prefill_tokens = facts->prompt_tokens;
+	amount.kv_tokens = facts->prompt_tokens + facts->answer_tokens_max;
+	add_amount(host, upstream_id, &amount);
+}
+
+static void
+add_amount(struct host *host, uint64_t upstream_id,
+    const struct capacity_amount *amount)
 {
 	struct demand *demand;
-	uint64_t kv_tokens, *key;
 
 	demand = g_hash_table_lookup(host->wanted, &upstream_id);
 	if (demand == NULL) {
-		key = g_new(uint64_t, 1);
-		*key = upstream_id;
 		demand = g_new0(struct demand, 1);
-		g_hash_table_insert(host->wanted, key, demand);
+		g_hash_table_insert(host->wanted,
+		    g_memdup2(&upstream_id, sizeof(upstream_id)), demand);
 	}
-	kv_tokens = facts->prompt_tokens + facts->answer_tokens_max;
 	demand->is_current = true;
-	demand->waiting.requests++;
-	demand->waiting.prefill_tokens += facts->prompt_tokens;
-	demand->waiting.kv_tokens += kv_tokens;
+	demand->waiting.requests += amount->requests;
+	demand->waiting.prefill_tokens += amount->prefill_tokens;
+	demand->waiting.kv_tokens += amount->kv_tokens;
 	demand->largest.requests = 1;
-	raise_amount(&demand->largest.prefill_tokens, facts->prompt_tokens);
-	raise_amount(&demand->largest.kv_tokens, kv_tokens);
+	raise_amount(&demand->largest.prefill_tokens, amount->prefill_tokens);
+	raise_amount(&demand->largest.kv_tokens, amount->kv_tokens);
 }
 
 static uint32_t
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -5,6 +5,7 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
+#include "service/group_run.h"
 #include "service/host_calls.h"
 
 #define PIECES_MAX	  256 /* Pieces that wait between the threads. */
@@ -20,6 +21,7 @@
 static void step_pause(struct request_run *run, int64_t until_ms);
 static void step_pieces(struct request_run *run, int64_t until_ms);
 static void dispatch(struct request_run *run);
+static void dispatch_group(struct request_run *run);
 static bool claim_key(struct request_run *run);
 static void end_by_claim(
     struct request_run *run, const struct command_result *result);
@@ -84,6 +86,8 @@
 	retry_budget_note_admitted(&host->retry_budget, &host->retry);
 	router_mix_note(&host->mix, &host->line.parts.router,
 	    order->facts.prompt_tokens, host_now_ms());
+	if (run->ticket.needs_group)
+		dispatch_group(run);
 }
 
 void
@@ -227,6 +231,33 @@
 	run->stage = ATTEMPT_SENT;
 }
 
+/* Several engines at once: not retried, since it holds much memory. */
+static void
+dispatch_group(struct request_run *run)
+{
+	struct upstream_call call = {0};
+	enum error_code error;
+
+	if (run->order.headers.idempotency_key[0] != '\0' && !claim_key(run))
+		return;
+	run->attempt = 1;
+	run->stage = ATTEMPT_SENT;
+	run->state = REQUEST_STATE_RUNNING;
+	run->dispatched_ms = host_now_ms();
+	run->stall_at_ms = run->order.facts.deadline_ms;
+	stream_assembler_start(&run->assembler, run->attempt);
+	span_start(&run->attempt_span, "group", &run->span.context);
+	fill_call(run, &call);
+	run->queue = piece_queue_create(PIECES_MAX);
+	error = run->queue == NULL ? ERROR_NO_MEMORY
+				   : group_run_start(run->host,
+					 &run->order.facts, &call, run->queue);
+	if (error == ERROR_NONE)
+		return;
+	drop_attempt(run, false);
+	end_run(run, error, REQUEST_OUTCOME_NOT_RUN, RETRY_AFTER_MS);
+}
+
 /* True if the key is this request's; else the run has ended. */
 static bool
 claim_key(struct request_run *run)
@@ -413,6 +444,13 @@
 	int64_t now_ms;
 
 	now_ms = host_now_ms();
+	if (run->ticket.needs_group) {
+		run->first_token_ms = now_ms;
+		request_metrics_first_token(&host->metrics, "group",
+		    run->order.facts.prompt_tokens,
+		    now_ms - run->order.facts.admitted_ms);
+		return;
+	}
 	wait_line_note_first_token(&host->line, &run->ticket);
 	prefix_index_note(&host->prefixes, &run->order.facts,
 	    run->ticket.route.upstream_id, now_ms);
@@ -425,12 +463,11 @@
 	}
 	answer.prompt_tokens = run->order.facts.prompt_tokens;
 	answer.first_token_ms = now_ms - run->dispatched_ms;
+	answer.ahead_tokens = run->ticket.route.ahead_tokens;
 	settings = warmup_default_settings();
 	view = fleet_lock(&host->fleet);
 	entry = fleet_view_find(view, run->ticket.route.upstream_id);
 	if (entry != NULL) {
-		answer.ahead_tokens =
-		    atomic_load(&entry->upstream->load.prefill_tokens);
 		host_note_answer(host, &run->ticket.route,
 		    warmup_judge(
 			&entry->upstream->record.limits, &settings, &answer));
@@ -465,6 +502,12 @@
 {
 	struct host *host = run->host;
 
+	if (run->ticket.needs_group) {
+		drop_attempt(run, false);
+		end_run(
+		    run, piece->error, piece->outcome, piece->retry_after_ms);
+		return;
+	}
 	if (piece->outcome == REQUEST_OUTCOME_NOT_RUN) {
 		run->stage = ATTEMPT_NOT_SENT;
 		if (piece->error == ERROR_NO_CAPACITY)
@@ -495,6 +538,11 @@
 	struct retry_verdict verdict;
 	struct host *host = run->host;
 
+	if (run->ticket.needs_group) {
+		drop_attempt(run, false);
+		end_run(run, cause, REQUEST_OUTCOME_FAILED, retry_after_ms);
+		return;
+	}
 	report.attempt = run->attempt;
 	report.stage = run->stage;
 	report.failure = failure;
@@ -537,7 +585,9 @@
 	piece_queue_close(run->queue);
 	piece_queue_release(run->queue);
 	run->queue = NULL;
-	if (tell_upstream && run->stage != ATTEMPT_NOT_SENT) {
+	/* A group tells its own upstreams. */
+	if (tell_upstream && run->stage != ATTEMPT_NOT_SENT &&
+	    !run->ticket.needs_group) {
 		target = route_target(run);
 		upstream_http_adapter.cancel(
 		    &run->host->upstreams_http, &target, run->order.facts.id);
--- a/src/service/wait_line.c
+++ b/src/service/wait_line.c
@@ -94,6 +94,7 @@
 	enum error_code error;
 	uint32_t weight;
 
+	weight = INTENT_WEIGHT_DEFAULT;
 	pthread_mutex_lock(&line->mutex);
 	view = fleet_lock(line->parts.fleet);
 	account =
@@ -109,6 +110,7 @@
 		    &line->admission, prediction.queue_ms);
 		goto unlock;
 	}
+	ticket->needs_group = error == ERROR_TOO_LARGE;
 	verdict = admission_decide(&line->admission, account, ticket->facts,
 	    &prediction, line->parts.now_ms());
 	ticket->retry_after_ms = verdict.retry_after_ms;
@@ -117,7 +119,7 @@
 	ticket->is_admitted = error == ERROR_NONE;
 unlock:
 	fleet_unlock(view);
-	if (error == ERROR_NONE)
+	if (error == ERROR_NONE && !ticket->needs_group)
 		error = push_ticket(line, ticket, weight);
 	ticket->error = error;
 	pthread_mutex_unlock(&line->mutex);
@@ -238,6 +240,9 @@
 	view = fleet_lock(line->parts.fleet);
 	*error = choose(line, view, ticket, &choice);
 	fleet_unlock(view);
+	/* A group's time is not predicted: its deadline alone bounds it. */
+	if (*error == ERROR_TOO_LARGE)
+		return prediction;
 	cost_ahead =
 	    fair_queue_cost_ahead(&line->queue, account->id, account->weight);
 	prediction.queue_ms = admission_queue_ms(&line->admission, cost_ahead);
@@ -326,6 +331,7 @@
 	route->incarnation = record->incarnation;
 	route->first_token_ms = candidate->first_token_ms;
 	route->end_ms = candidate->end_ms;
+	route->ahead_tokens = candidate->ahead_tokens;
 }
 
 /* The mutex is held. */
@@ -340,8 +346,8 @@
 		ticket->is_queued = false;
 		g_queue_unlink(&line->tickets, &ticket->link);
 		ticket->has_started = true;
-		admission_note_start(
-		    &line->admission, item.cost, line->parts.now_ms());
+		admission_note_start(&line->admission, item.cost,
+		    ticket->has_waited, line->parts.now_ms());
 		pthread_cond_signal(&ticket->changed);
 	}
 	atomic_store(&line->waiting, fair_queue_count(&line->queue));
@@ -373,6 +379,7 @@
 	ticket->link.data = ticket;
 	g_queue_push_tail_link(&line->tickets, &ticket->link);
 	run_queue(line);
+	ticket->has_waited = ticket->is_queued;
 	return ERROR_NONE;
 }
 
--- a/src/service/wait_line.h
+++ b/src/service/wait_line.h
@@ -35,6 +35,7 @@
 	char data_centre[NAME_SIZE_MAX];   /**< For spans and metrics. */
 	double first_token_ms;		   /**< Predicted, from now. */
 	double end_ms;			   /**< Predicted, from now. */
+	uint64_t ahead_tokens; /**< Prompt tokens ahead of it there. */
 };
 
 /** One waiting request; its owner's memory until wait_line_leave(). */
@@ -43,8 +44,10 @@
 	uint64_t account_id;		      /**< Of its client account. */
 	uint64_t excluded[WAIT_EXCLUDED_MAX]; /**< Upstreams tried already. */
 	uint32_t excluded_count;	      /**< How many. */
+	bool needs_group; /**< Larger than one upstream; does not wait here. */
 	bool must_be_alone;	 /**< Suspected of crashing upstreams. */
 	bool is_admitted;	 /**< Counted in flight by admission. */
+	bool has_waited;	 /**< Did not start at once. */
 	bool is_queued;		 /**< Waits in the queue. */
 	GList link;		 /**< Of the line's tickets. */
 	bool has_started;	 /**< The route is set. */
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The whole path in separate processes: three hosts, six stand-ins, a short
+# The whole path in separate processes: three hosts, nine stand-ins, a short
 # and a long prompt, a takeout and a planned stop. demo.sh BUILD_DIR
 set -euo pipefail
 build=$1
@@ -20,16 +20,16 @@
 say "Operators let a client account in, on host 2"
 operator 2 account add spa-desk s3cret
 
-say "Six stand-in engines, each announces itself to one host only"
+say "Nine stand-in engines, each announces itself to one host only"
 number=0
 for id in 1 2 3; do
-	for copy in a b; do
+	for copy in a b c; do
 		number=$((number + 1))
 		start_standin "$number" "${centres[$id]}-$copy" "${centres[$id]}" "$id" \
-		    --model small-7b --kv-tokens 60000 --cold-prefill-tokens 40000
+		    --model small-7b --kv-tokens 45000 --cold-prefill-tokens 60000
 	done
 done
-for id in 1 2 3; do wait_until 20 has_upstreams "$id" 6; done
+for id in 1 2 3; do wait_until 20 has_upstreams "$id" 9; done
 operator 3 upstreams
 
 say "A short prompt through host 1, as a stream"
@@ -45,6 +45,15 @@
     -d "@$work/long.json"
 echo
 
+say "A dossier of 100,000 tokens, more than any engine's memory, through host 3"
+python3 - <<'PY' >"$work/dossier.json"
+import json
+print(json.dumps({"model": "small-7b", "prompt": "dossier " * 50000, "max_tokens": 8}))
+PY
+curl -s --max-time 60 "$(host_url 3)/v1/completions" -H 'Authorization: Bearer s3cret' \
+    -d "@$work/dossier.json"
+echo
+
 say "Regina is taken out by an order on host 3, and in force on every host"
 operator 3 takeout regina-down data_centre=regina
 operator 1 status
