--- a/src/protocol/grant_message.h
+++ b/src/protocol/grant_message.h
@@ -16,7 +16,7 @@
 #include "protocol/codec.h"
 #include "state/capacity_slot.h"
 
-#define GRANT_ROWS_MAX 1024 /**< Rows of one message. */
+#define GRANT_ROWS_MAX 8192 /**< Rows of one message. */
 
 /** What a message is. */
 enum grant_message_type {
@@ -26,17 +26,18 @@
 	GRANT_MESSAGE_USE = 4,		/**< Holder: all that I run of yours. */
 	GRANT_MESSAGE_LEDGER = 5,	/**< Old owner to new owner. */
 	GRANT_MESSAGE_LEDGER_TAKEN = 6, /**< New owner: no need to repeat. */
+	GRANT_MESSAGE_KV_QUERY = 7,	/**< Owner: are these still yours? */
+	GRANT_MESSAGE_KV_ANSWER = 8,	/**< Holder: they are, or are not. */
 };
 
 /** Fields before the rows; a type leaves out what it has no use for. */
 struct grant_head {
 	enum grant_message_type type; /**< What it is. */
 	uint64_t epoch;		      /**< QUERY, USE, LEDGER(_TAKEN). */
-	uint64_t instance;	      /**< ASK, USE: process of the holder. */
-	uint64_t sequence;	      /**< ASK, USE: grows; GRANT: echoed. */
-	bool wants_answer;	      /**< ASK: a grant is expected. */
-	bool is_last;		      /**< USE: no more rows follow. */
-	uint32_t row_count;	      /**< Rows that follow. */
+	uint64_t instance;  /**< Process of the holder; GRANT: echoed. */
+	uint64_t sequence;  /**< ASK: when sent; QUERY: its number; echoed. */
+	bool wants_answer;  /**< ASK: a grant is expected. */
+	uint32_t row_count; /**< Rows that follow. */
 };
 
 /** A row of an ASK or USE. */
@@ -47,19 +48,22 @@
 	uint64_t number;		/**< Of the last grant applied. */
 	struct capacity_amount ceiling; /**< The slot's present grant. */
 	struct capacity_amount used;	/**< Running now. */
-	struct capacity_amount wanted;	/**< Running and waiting. */
+	struct capacity_amount wanted;	/**< Running, waiting and some spare. */
 	struct capacity_amount largest; /**< Largest single wait, or zero. */
-	uint32_t in_time;		/**< Answers in time since last. */
-	bool is_cold;			/**< Evidence of cold since last. */
+	uint32_t needed_percent; /**< Of what is wanted: runs or waits. */
+	uint32_t warmth;	 /**< Warm-up bound as last told, 0 to 1000. */
+	uint32_t in_time;	 /**< Answers in time since last. */
+	bool is_cold;		 /**< Evidence of cold since last. */
 };
 
 /** A row of a GRANT. */
 struct grant_offer {
-	uint64_t upstream_id;	       /**< Which upstream. */
-	uint64_t incarnation;	       /**< Of it, as the owner knows it. */
-	uint64_t term;		       /**< Epoch at which it took over. */
-	uint64_t number;	       /**< Grows with each new amount. */
+	uint64_t upstream_id; /**< Which upstream. */
+	uint64_t incarnation; /**< Of it, as the owner knows it. */
+	uint64_t term;	      /**< Epoch of the owner when it offered. */
+	uint64_t number;      /**< Grows with each new amount. */
 	struct capacity_amount amount; /**< May be taken. */
+	uint32_t warmth;	       /**< Warm-up bound, 0 to 1000. */
 	uint32_t duration_ms;	       /**< From when the ask was sent. */
 };
 
@@ -68,8 +72,18 @@
 	uint64_t upstream_id;	       /**< Which upstream. */
 	uint64_t incarnation;	       /**< Of it. */
 	uint32_t host_id;	       /**< Holder, or 0. */
-	struct capacity_amount amount; /**< Counted; host 0: warm-up bound. */
+	struct capacity_amount amount; /**< Counted. */
 	uint64_t remaining_ms; /**< Until it ends; host 0: rows that follow. */
+	uint32_t warmth;       /**< Host 0: warm-up bound. */
+	bool is_draining;      /**< Runs on after its grant, starts nothing. */
+};
+
+/** A row of a KV_QUERY or KV_ANSWER. */
+struct grant_kv_row {
+	uint64_t upstream_id;	 /**< Which upstream. */
+	uint64_t incarnation;	 /**< Of it. */
+	uint64_t reservation_id; /**< What it holds. */
+	bool is_live;		 /**< ANSWER: the holder knows it. */
 };
 
 /* Writing: a head, then row_count rows */
@@ -89,6 +103,10 @@
 /** Adds an upstream id to a LEDGER_TAKEN. */
 void grant_message_add_id(struct message_writer *writer, uint64_t upstream_id);
 
+/** Adds a row of a KV_QUERY or KV_ANSWER. */
+void grant_message_add_kv(
+    struct message_writer *writer, const struct grant_kv_row *row);
+
 /* Reading */
 
 /** A message being read; finish it with grant_reader_finish(). */
@@ -114,6 +132,9 @@
 /** Reads a row of a LEDGER. */
 enum error_code grant_reader_ledger(const struct grant_reader *reader,
     uint32_t index, struct grant_ledger_row *row);
+/** Reads a row of a KV_QUERY or KV_ANSWER. */
+enum error_code grant_reader_kv(const struct grant_reader *reader,
+    uint32_t index, struct grant_kv_row *row);
 /** Reads an id of a LEDGER_TAKEN. */
 enum error_code grant_reader_id(
     const struct grant_reader *reader, uint32_t index, uint64_t *upstream_id);
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -10,6 +10,7 @@
 #ifndef JOURNAL_H
 #define JOURNAL_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -42,7 +43,9 @@
 	size_t segment_size;   /**< When to begin another file. */
 	uint64_t base_index;   /**< Entry before the first that is held. */
 	uint64_t base_term;    /**< Its term. */
+	size_t base_offset;    /**< End of the base entry in its file. */
 	uint64_t synced_index; /**< Last entry that lasts. */
+	size_t held_bytes;     /**< Bytes of the entries in memory. */
 	GArray *entries;       /**< struct journal_entry, by index. */
 	GArray *offsets;       /**< size_t: end of each in its file. */
 	GArray *segments;      /**< struct journal_segment, by index. */
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,178 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "host_group.h"
+
+#define AGREE_MS  25000 /* After the last fault all views are right. */
+#define SCHEDULES 40
+#define FAULTS	  12
+
+static void
+test_hosts_find_each_other_leave_and_die(void **state)
+{
+	struct host_group group;
+
+	(void)state;
+	host_group_start(&group, 1, &group_good_link);
+	host_group_run(&group, 3000);
+	assert_true(host_group_agrees(&group));
+	membership_leave(&group.hosts[5].membership);
+	host_group_run(&group, 1000);
+	host_group_kill_host(&group, 6);
+	assert_true(host_group_agrees(&group));
+	host_group_kill_host(&group, 5);
+	host_group_run(&group, 10000);
+	assert_true(host_group_agrees(&group));
+	/* The one that left was never taken for dead. */
+	assert_int_equal(group.hosts[0].deaths, 1);
+	host_group_start_host(&group, 5);
+	host_group_run(&group, 3000);
+	assert_true(host_group_agrees(&group));
+	assert_int_equal(
+	    membership_find(&group.hosts[0].membership, 5)->incarnation,
+	    group.hosts[4].incarnation);
+	host_group_stop(&group);
+}
+
+/* Two who may not talk to each other do not end each other's life. */
+static void
+test_a_cut_between_two_hosts_is_seen_through(void **state)
+{
+	struct host_group group;
+	uint32_t i;
+
+	(void)state;
+	host_group_start(&group, 2, &group_good_link);
+	host_group_run(&group, 3000);
+	fake_net_cut_pair(&group.net, 3, 4, true);
+	fake_net_link(&group.net, 5, 6)->is_cut = true;
+	host_group_run(&group, 60000);
+	for (i = 0; i < GROUP_HOSTS; i++)
+		assert_int_equal(
+		    group.hosts[i].deaths + group.hosts[i].suspicions, 0);
+	host_group_stop(&group);
+}
+
+/* A host frozen for minutes is dead for others and harms none of them. */
+static void
+test_a_frozen_host_wakes_and_does_no_harm(void **state)
+{
+	struct host_group group;
+	uint32_t i;
+
+	(void)state;
+	host_group_start(&group, 3, &group_good_link);
+	host_group_run(&group, 3000);
+	fake_net_freeze(&group.net, 3);
+	host_group_run(&group, 180000);
+	assert_int_equal(membership_find(&group.hosts[0].membership, 3)->state,
+	    HOST_STATE_DEAD);
+	fake_net_thaw(&group.net, 3);
+	host_group_run(&group, 10000);
+	assert_true(host_group_agrees(&group));
+	assert_int_equal(group.hosts[2].deaths, 0);
+	for (i = 0; i < GROUP_HOSTS; i++)
+		assert_int_equal(group.hosts[i].declared_dead, i == 2 ? 1 : 0);
+	host_group_stop(&group);
+}
+
+/* Of two hosts the one that was frozen must not declare the other dead. */
+static void
+test_one_of_two_wakes_and_does_no_harm(void **state)
+{
+	struct host_group group;
+	uint64_t seed;
+	uint32_t id;
+
+	(void)state;
+	/* The seed decides whether late timers or late messages come first. */
+	for (seed = 1; seed <= 8; seed++) {
+		host_group_start(&group, seed, &group_good_link);
+		host_group_run(&group, 3000);
+		for (id = 3; id <= GROUP_HOSTS; id++) {
+			membership_leave(&group.hosts[id - 1].membership);
+			host_group_run(&group, 1000);
+			host_group_kill_host(&group, id);
+		}
+		fake_net_freeze(&group.net, 2);
+		host_group_run(&group, 180000);
+		fake_net_thaw(&group.net, 2);
+		host_group_run(&group, 10000);
+		assert_true(host_group_agrees(&group));
+		assert_int_equal(group.hosts[1].deaths, 0);
+		assert_int_equal(group.hosts[0].deaths, 1);
+		host_group_stop(&group);
+	}
+}
+
+/* Both sides of a partition hold the other for dead; the seeds are gone. */
+static void
+test_a_partition_without_seeds_heals(void **state)
+{
+	struct host_group group;
+
+	(void)state;
+	host_group_start(&group, 5, &group_good_link);
+	host_group_run(&group, 3000);
+	host_group_kill_host(&group, 1);
+	host_group_kill_host(&group, 2);
+	host_group_run(&group, 15000);
+	fake_net_cut_pair(&group.net, 3, 5, true);
+	fake_net_cut_pair(&group.net, 3, 6, true);
+	fake_net_cut_pair(&group.net, 4, 5, true);
+	fake_net_cut_pair(&group.net, 4, 6, true);
+	host_group_run(&group, 60000);
+	assert_int_equal(membership_find(&group.hosts[2].membership, 5)->state,
+	    HOST_STATE_DEAD);
+	fake_net_heal(&group.net);
+	host_group_run(&group, AGREE_MS);
+	assert_true(host_group_agrees(&group));
+	host_group_stop(&group);
+}
+
+/* Whatever happened, a while after the last fault all views are right. */
+static void
+test_views_agree_after_any_faults(void **state)
+{
+	const char *soak = getenv("CHICORY_SOAK_SCHEDULES");
+	unsigned int schedules, schedule, fault;
+	struct random_source random;
+	struct host_group group;
+
+	(void)state;
+	schedules =
+	    soak == NULL ? SCHEDULES : (unsigned int)strtoul(soak, NULL, 10);
+	for (schedule = 1; schedule <= schedules; schedule++) {
+		random_init(&random, schedule);
+		host_group_start(&group, schedule, &group_bad_link);
+		for (fault = 0; fault < FAULTS; fault++) {
+			host_group_run(&group, random_below(&random, 20000));
+			host_group_make_fault(&group, &random);
+		}
+		host_group_mend(&group);
+		host_group_run(&group, AGREE_MS);
+		if (!host_group_agrees(&group))
+			fail_msg("schedule %u", schedule);
+		host_group_stop(&group);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_hosts_find_each_other_leave_and_die),
+	    cmocka_unit_test(test_a_cut_between_two_hosts_is_seen_through),
+	    cmocka_unit_test(test_a_frozen_host_wakes_and_does_no_harm),
+	    cmocka_unit_test(test_one_of_two_wakes_and_does_no_harm),
+	    cmocka_unit_test(test_a_partition_without_seeds_heals),
+	    cmocka_unit_test(test_views_agree_after_any_faults),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
