Bench: a scene with more load than the fleet can do

Cause: admission and fairness show only past the fleet's capacity. Change: 130 % load, one account brings half of the requests.

--- a/bench/bench_traffic.c
+++ b/bench/bench_traffic.c
@@ -19,6 +19,7 @@
 #define SEEDS_DEFAULT  5
 #define SEEDS_MAX      50
 #define FULL_LOAD      0.8  /* Of engine time, with long prompts. */
+#define OVER_LOAD      1.3  /* More than the fleet can do. */
 #define LEAVE_LOAD     0.55 /* While a data centre leaves. */
 #define CHOICES	       20000
 #define CHOICE_CENTRES 7
@@ -38,6 +39,7 @@
 
 static void bench_load(enum traffic_policy policy, uint32_t seeds);
 static void bench_leave(enum traffic_policy policy, uint32_t seeds);
+static void bench_overload(enum traffic_policy policy, uint32_t seeds);
 static double bench_choice(uint32_t upstreams);
 static void note(struct figure *figure, double value);
 static void print_figure(
@@ -66,6 +68,7 @@
 	for (i = 0; i < TRAFFIC_POLICY_COUNT; i++) {
 		bench_load((enum traffic_policy)i, seeds);
 		bench_leave((enum traffic_policy)i, seeds);
+		bench_overload((enum traffic_policy)i, seeds);
 	}
 	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		costs[i] = bench_choice(sizes[i]);
@@ -148,6 +151,34 @@
 	print_figure("centre_leaves_retries", policy, &retries);
 }
 
+/* One account brings half of the requests. */
+static void
+bench_overload(enum traffic_policy policy, uint32_t seeds)
+{
+	struct traffic_settings settings = {policy, 0, OVER_LOAD, false, false};
+	struct traffic_result result;
+	struct figure in_time = {0}, refused = {0}, served = {0}, small = {0};
+	struct figure lost = {0}, short_p95 = {0};
+
+	for (settings.seed = 1; settings.seed <= seeds; settings.seed++) {
+		traffic_run(&settings, &result);
+		note(&in_time, (double)result.in_time / result.admitted);
+		note(&refused, (double)result.refused / result.offered);
+		note(&served, (double)result.in_time / result.offered);
+		note(&small,
+		    (double)result.small_in_time / result.small_offered);
+		note(&lost, result.lost);
+		note(&short_p95, result.first_token_ms[0][1]);
+	}
+	print_figure("overload_in_time_share", policy, &in_time);
+	print_figure("overload_refused_share", policy, &refused);
+	print_figure("overload_served_share", policy, &served);
+	print_figure("overload_small_accounts_served_share", policy, &small);
+	print_figure("overload_lost", policy, &lost);
+	print_figure(
+	    "overload_first_token_ms_under_4k_p95", policy, &short_p95);
+}
+
 /* All upstreams serve one model, the worst case for a choice. */
 static double
 bench_choice(uint32_t upstreams)
--- a/bench/traffic_model.c
+++ b/bench/traffic_model.c
@@ -895,8 +895,12 @@
 		values[i] = g_array_new(FALSE, FALSE, sizeof(double));
 	for (i = 0; i < traffic->requests->len; i++) {
 		request = g_ptr_array_index(traffic->requests, i);
+		if (request->facts.account_index != 0)
+			result->small_offered++;
 		if (!request->is_admitted)
 			continue;
+		if (request->facts.account_index != 0 && request->is_in_time)
+			result->small_in_time++;
 		result->admitted++;
 		if (!request->is_over)
 			result->lost++;
--- a/bench/traffic_model.h
+++ b/bench/traffic_model.h
@@ -35,15 +35,17 @@
 struct traffic_result {
 	double first_token_ms[TRAFFIC_BANDS][3]; /**< p50, p95, p99. */
 	uint32_t offered;			 /**< Requests that came. */
-	uint32_t refused;     /**< Of them, refused at once as not run. */
-	uint32_t admitted;    /**< The others. */
-	uint32_t in_time;     /**< Of them, whole before the deadline. */
-	uint32_t failed;      /**< Of them, told that they failed. */
-	uint32_t lost;	      /**< Of them, never told anything. */
-	uint32_t retries;     /**< Further attempts. */
-	uint32_t falls;	      /**< Cold engines that fell over. */
-	uint32_t late_starts; /**< Begun in a data centre after it left. */
-	double cached_share;  /**< Prompt tokens found in a cache. */
+	uint32_t refused;	/**< Of them, refused at once as not run. */
+	uint32_t admitted;	/**< The others. */
+	uint32_t in_time;	/**< Of them, whole before the deadline. */
+	uint32_t failed;	/**< Of them, told that they failed. */
+	uint32_t lost;		/**< Of them, never told anything. */
+	uint32_t retries;	/**< Further attempts. */
+	uint32_t falls;		/**< Cold engines that fell over. */
+	uint32_t late_starts;	/**< Begun in a data centre after it left. */
+	uint32_t small_offered; /**< Requests of the small accounts. */
+	uint32_t small_in_time; /**< Of them, whole before the deadline. */
+	double cached_share;	/**< Prompt tokens found in a cache. */
 };
 
 /** Runs one scene. */
