--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -7,7 +7,7 @@
 #include <math.h>
 #include <string.h>
 
-#define MARGIN		   1.1
+#define MARGIN		   1.7
 #define RETRY_AFTER_MIN_MS 250
 #define RETRY_AFTER_MAX_MS 30000
 #define RATE_WINDOW_MS	   1000 /* Over which starts are counted. */
