Peer links: replaced hosts' ids make room

Change: when full, the host without a link that was used least lately is forgotten. The directory bounds what it remembers of upstreams that are over. Seen red: with the eviction off, adding the fourth of three hosts gives table_full (test_old_hosts_make_room_for_new_ones).

--- a/src/coordination/upstream_directory.c
+++ b/src/coordination/upstream_directory.c
@@ -642,7 +642,9 @@
     const struct upstream_entry_body *body)
 {
 	if (body->is_expired || body->record.state == UPSTREAM_STATE_GONE) {
-		(void)take_entry(directory, body);
+		if (g_hash_table_size(directory->entries) <
+		    2 * directory->settings.upstreams_max)
+			(void)take_entry(directory, body);
 		return ERROR_STALE;
 	}
 	if (is_vouched(directory, body))
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -73,6 +73,7 @@
 	uint64_t dropped[PEER_CHANNEL_COUNT]; /* Moved to the counters. */
 	int64_t backoff_ms;
 	int64_t next_dial_ms;
+	int64_t used_ms; /* Last sent to, added or connected. */
 };
 
 /* Address as the socket calls want it. */
@@ -88,6 +89,7 @@
 static void free_peer(gpointer pointer);
 static struct peer *find_peer(const struct peer_links *links, uint32_t host_id);
 static struct peer *add_peer(struct peer_links *links, uint32_t host_id);
+static bool evict_peer(struct peer_links *links);
 static void collect_drops(struct peer_links *links, struct peer *peer);
 static struct link *open_link(
     struct peer_links *links, int fd, enum link_state state);
@@ -255,6 +257,7 @@
 		links->counters.channels[channel].dropped++;
 		return;
 	}
+	peer->used_ms = timer_now(links->timers);
 	if (peer->link == NULL && peer->dial == NULL)
 		dial_peer(links, peer);
 	if (peer->link == NULL && peer->dial == NULL) {
@@ -410,12 +413,14 @@
 {
 	struct peer *peer;
 
-	if (g_hash_table_size(links->peers) >= links->settings.hosts_max)
+	if (g_hash_table_size(links->peers) >= links->settings.hosts_max &&
+	    !evict_peer(links))
 		return NULL;
 	peer = calloc(1, sizeof(*peer));
 	if (peer == NULL)
 		return NULL;
 	peer->id = host_id;
+	peer->used_ms = timer_now(links->timers);
 	peer->next_dial_ms = INT64_MIN;
 	peer_queue_init(
 	    &peer->queue, links->settings.queue_bytes_max, peer->dropped);
@@ -423,6 +428,26 @@
 	return peer;
 }
 
+/* Replaced hosts have new ids: the idlest one without a link makes room. */
+static bool
+evict_peer(struct peer_links *links)
+{
+	struct peer *peer, *idlest;
+	GHashTableIter iterator;
+	gpointer value;
+
+	idlest = NULL;
+	g_hash_table_iter_init(&iterator, links->peers);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		peer = value;
+		if (peer->link == NULL && peer->dial == NULL &&
+		    (idlest == NULL || peer->used_ms < idlest->used_ms))
+			idlest = peer;
+	}
+	return idlest != NULL &&
+	       g_hash_table_remove(links->peers, GUINT_TO_POINTER(idlest->id));
+}
+
 static void
 collect_drops(struct peer_links *links, struct peer *peer)
 {
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -118,7 +118,8 @@
 
 /* Hosts */
 
-/** Adds a host or changes its address. Errors: ERROR_TABLE_FULL,
+/** Adds a host or changes its address; when full, the host without a link
+ * that was used least lately is forgotten. Errors: ERROR_TABLE_FULL,
  * ERROR_INVALID_ARGUMENT. */
 enum error_code peer_links_add_host(
     struct peer_links *links, uint32_t host_id, const char *ip, uint16_t port);
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -353,6 +353,35 @@
 	stop_node(&other);
 }
 
+/* Hosts come and go under new ids; those that are linked stay. */
+static void
+test_old_hosts_make_room_for_new_ones(void **state)
+{
+	struct peer_link_settings settings;
+	struct node left, right;
+	uint32_t id;
+
+	(void)state;
+	start_settings(&settings, 1);
+	settings.hosts_max = 3;
+	start_node(&left, &settings);
+	start_settings(&settings, 2);
+	start_node(&right, &settings);
+	introduce(&left, &right);
+	send_number(&left, 2, 1);
+	assert_true(run_until(&left, &right, &right.received, 1));
+	for (id = 3; id < 40; id++)
+		assert_int_equal(
+		    peer_links_add_host(&left.links, id, "127.0.0.1", 9),
+		    ERROR_NONE);
+	assert_int_equal(g_hash_table_size(left.links.peers), 3);
+	send_number(&left, 2, 2);
+	assert_true(run_until(&left, &right, &right.received, 2));
+	assert_int_equal(left.disconnects, 0);
+	stop_node(&left);
+	stop_node(&right);
+}
+
 /* A full queue drops by class and age; consensus never from its middle. */
 static void
 test_a_full_queue_drops_by_class(void **state)
@@ -407,6 +436,7 @@
 	    cmocka_unit_test(test_a_restarted_host_is_dialled_again),
 	    cmocka_unit_test(test_keys_and_cluster_are_checked),
 	    cmocka_unit_test(test_strangers_are_refused),
+	    cmocka_unit_test(test_old_hosts_make_room_for_new_ones),
 	    cmocka_unit_test(test_a_full_queue_drops_by_class),
 	};
 
