--- a/src/coordination/fair_queue.c
+++ b/src/coordination/fair_queue.c
@@ -1,46 +1,46 @@
+/**
+ * @file fair_queue.c
+ * Self-clocked fair queueing over accounts.
+ */
 #include "coordination/fair_queue.h"
 
 #include <string.h>
 
-#define ANSWER_TOKEN_COST 20 /* Prefill tokens that one answer token costs. */
+#define DECODE_TOKEN_COST 8 /* Prefill tokens that one answer token costs. */
 
-/* An account with waiting items. */
+/** An account that has items waiting, or had lately. */
 struct fair_account {
 	uint64_t id;
 	uint32_t weight;
-	uint32_t count;
-	uint64_t cost;	       /* Of all its items. */
-	double virtual_finish; /* Of its last item that started. */
-	GQueue levels[FAIR_QUEUE_PRIORITIES];
+	uint32_t count;	       /* Items waiting. */
+	uint64_t waiting_cost; /* Of them. */
+	double finish; /* Virtual finish time of its last start, or the clock
+			  when it became busy. */
+	GQueue items[FAIR_QUEUE_PRIORITIES]; /* struct fair_place */
 };
 
-/* Where an item waits. */
+/** Where an item stands. */
 struct fair_place {
 	struct fair_queue_item item;
 	struct fair_account *account;
-	GList *link;	       /* In the account's level. */
-	GSequenceIter *expiry; /* In the order of latest starts. */
+	GSequenceIter *expiry;
 };
 
-static struct fair_account *find_account(
-    struct fair_queue *queue, const struct fair_queue_item *item);
-static void remove_place(struct fair_queue *queue, struct fair_place *place);
-static struct fair_place *head_of(const struct fair_account *account);
-static double finish_of(
-    const struct fair_queue *queue, const struct fair_account *account);
-static GPtrArray *sort_accounts(struct fair_queue *queue);
-static gint compare_accounts(
-    gconstpointer left, gconstpointer right, gpointer context);
+static struct fair_account *provide_account(
+    struct fair_queue *queue, uint64_t account_id);
+static struct fair_account *find_next(
+    const struct fair_queue *queue, double after, uint64_t after_id);
+static struct fair_place *find_head(const struct fair_account *account);
+static double find_finish(const struct fair_account *account);
+static void take_out(struct fair_queue *queue, struct fair_place *place);
+static void free_account(void *account);
 static gint compare_expiries(
-    gconstpointer left, gconstpointer right, gpointer context);
-static void free_account(gpointer memory);
+    gconstpointer left, gconstpointer right, gpointer unused);
 
 enum error_code
 fair_queue_init(
     struct fair_queue *queue, const struct fair_queue_settings *settings)
 {
-	if (settings->items_max == 0 || settings->account_items_max == 0)
-		return ERROR_INVALID_ARGUMENT;
 	memset(queue, 0, sizeof(*queue));
 	queue->settings = *settings;
 	queue->accounts = g_hash_table_new_full(
@@ -54,18 +54,18 @@
 void
 fair_queue_finish(struct fair_queue *queue)
 {
-	if (queue->items == NULL)
+	if (queue->accounts == NULL)
 		return;
-	g_hash_table_destroy(queue->items);
 	g_hash_table_destroy(queue->accounts);
 	g_sequence_free(queue->expiries);
+	g_hash_table_destroy(queue->items);
 	memset(queue, 0, sizeof(*queue));
 }
 
 uint64_t
 fair_queue_cost(uint64_t prefill_tokens, uint32_t answer_tokens)
 {
-	return prefill_tokens + (uint64_t)answer_tokens * ANSWER_TOKEN_COST + 1;
+	return prefill_tokens + (uint64_t)answer_tokens * DECODE_TOKEN_COST + 1;
 }
 
 enum error_code
@@ -74,28 +74,34 @@
 {
 	struct fair_account *account;
 	struct fair_place *place;
-	GQueue *level;
 
-	if (item->latest_start_ms <= now_ms)
+	if (item->weight == 0 ||
+	    (unsigned int)item->priority >= FAIR_QUEUE_PRIORITIES)
+		return ERROR_INVALID_ARGUMENT;
+	if (now_ms >= item->latest_start_ms)
 		return ERROR_DEADLINE_UNREACHABLE;
 	if (g_hash_table_contains(queue->items, &item->request_id))
 		return ERROR_ALREADY_EXISTS;
 	if (fair_queue_count(queue) >= queue->settings.items_max)
 		return ERROR_TABLE_FULL;
-	account = find_account(queue, item);
-	if (account->count >= queue->settings.account_items_max)
+	account = g_hash_table_lookup(queue->accounts, &item->account_id);
+	if (account != NULL &&
+	    account->count >= queue->settings.account_items_max)
 		return ERROR_OVER_LIMIT;
+	account = provide_account(queue, item->account_id);
+	/* Time spent idle gives no credit. */
+	if (account->count == 0 && account->finish < queue->virtual_time)
+		account->finish = queue->virtual_time;
+	account->weight = item->weight;
+	account->count++;
+	account->waiting_cost += item->cost;
+	queue->waiting_cost += item->cost;
 	place = g_new0(struct fair_place, 1);
 	place->item = *item;
 	place->account = account;
-	level = &account->levels[item->priority % FAIR_QUEUE_PRIORITIES];
-	g_queue_push_tail(level, place);
-	place->link = g_queue_peek_tail_link(level);
 	place->expiry = g_sequence_insert_sorted(
 	    queue->expiries, place, compare_expiries, NULL);
-	account->count++;
-	account->cost += item->cost;
-	queue->waiting_cost += item->cost;
+	g_queue_push_tail(&account->items[item->priority], place);
 	g_hash_table_insert(queue->items, &place->item.request_id, place);
 	return ERROR_NONE;
 }
@@ -105,29 +111,27 @@
     struct fair_queue_item *item)
 {
 	struct fair_account *account;
-	struct fair_place *place;
-	GPtrArray *accounts;
-	bool has_started;
-	guint i;
-
-	accounts = sort_accounts(queue);
-	has_started = false;
-	for (i = 0; !has_started && i < accounts->len; i++) {
-		account = g_ptr_array_index(accounts, i);
-		place = head_of(account);
-		if (start != NULL && !start(context, &place->item))
+	struct fair_place *head;
+	double finish;
+
+	account = find_next(queue, -1, 0);
+	while (account != NULL) {
+		head = find_head(account);
+		finish = find_finish(account);
+		if (start != NULL && !start(context, &head->item)) {
+			account = find_next(queue, finish, account->id);
 			continue;
-		*item = place->item;
-		account->virtual_finish = finish_of(queue, account);
-		if (account->virtual_finish > queue->virtual_time)
-			queue->virtual_time =
-			    account->virtual_finish -
-			    (double)item->cost / account->weight;
-		remove_place(queue, place);
-		has_started = true;
+		}
+		/* The clock is the start of what is served; it never goes back,
+		 * though an earlier one may have waited for room. */
+		if (account->finish > queue->virtual_time)
+			queue->virtual_time = account->finish;
+		account->finish = finish;
+		*item = head->item;
+		take_out(queue, head);
+		return true;
 	}
-	g_ptr_array_free(accounts, TRUE);
-	return has_started;
+	return false;
 }
 
 bool
@@ -138,7 +142,7 @@
 	place = g_hash_table_lookup(queue->items, &request_id);
 	if (place == NULL)
 		return false;
-	remove_place(queue, place);
+	take_out(queue, place);
 	return true;
 }
 
@@ -152,7 +156,7 @@
 		return false;
 	place = g_sequence_get(g_sequence_get_begin_iter(queue->expiries));
 	*item = place->item;
-	remove_place(queue, place);
+	take_out(queue, place);
 	return true;
 }
 
@@ -161,37 +165,38 @@
 {
 	const struct fair_place *place;
 
-	if (g_sequence_is_empty(queue->expiries))
+	if (fair_queue_count(queue) == 0)
 		return INT64_MAX;
 	place = g_sequence_get(g_sequence_get_begin_iter(queue->expiries));
 	return place->item.latest_start_ms;
 }
 
+/* While this account's own items are served, each other account is served at
+ * most in proportion to the weights, and at most all that it has. */
 uint64_t
 fair_queue_cost_ahead(
     const struct fair_queue *queue, uint64_t account_id, uint32_t weight)
 {
-	const struct fair_account *own, *account;
+	const struct fair_account *own, *other;
 	GHashTableIter iterator;
-	uint64_t own_cost, ahead;
 	gpointer value;
-	double share;
+	double cost, share, own_cost;
 
 	own = g_hash_table_lookup(queue->accounts, &account_id);
-	own_cost = own == NULL ? 0 : own->cost;
-	ahead = own_cost;
-	/* While its own cost is served, others get their weights' worth. */
+	own_cost = own == NULL ? 0 : (double)own->waiting_cost;
+	cost = own_cost;
 	g_hash_table_iter_init(&iterator, queue->accounts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		account = value;
-		if (account == own)
+		other = value;
+		if (other == own || other->count == 0)
 			continue;
-		share = (double)(own_cost + 1) * account->weight /
-			(weight > 0 ? weight : 1);
-		ahead += share < (double)account->cost ? (uint64_t)share
-						       : account->cost;
+		share = own_cost * other->weight / weight +
+			(double)find_head(other)->item.cost;
+		if (share > (double)other->waiting_cost)
+			share = (double)other->waiting_cost;
+		cost += share;
 	}
-	return ahead;
+	return (uint64_t)cost;
 }
 
 uint32_t
@@ -201,119 +206,108 @@
 }
 
 static struct fair_account *
-find_account(struct fair_queue *queue, const struct fair_queue_item *item)
+provide_account(struct fair_queue *queue, uint64_t account_id)
 {
 	struct fair_account *account;
-
-	account = g_hash_table_lookup(queue->accounts, &item->account_id);
-	if (account == NULL) {
-		account = g_new0(struct fair_account, 1);
-		account->id = item->account_id;
-		account->virtual_finish = queue->virtual_time;
-		g_hash_table_insert(queue->accounts, &account->id, account);
-	}
-	account->weight = item->weight > 0 ? item->weight : 1;
+	uint32_t i;
+
+	account = g_hash_table_lookup(queue->accounts, &account_id);
+	if (account != NULL)
+		return account;
+	account = g_new0(struct fair_account, 1);
+	account->id = account_id;
+	for (i = 0; i < FAIR_QUEUE_PRIORITIES; i++)
+		g_queue_init(&account->items[i]);
+	g_hash_table_insert(queue->accounts, &account->id, account);
 	return account;
 }
 
-static void
-remove_place(struct fair_queue *queue, struct fair_place *place)
+/* The account with the least virtual finish time after (after, after_id). */
+static struct fair_account *
+find_next(const struct fair_queue *queue, double after, uint64_t after_id)
 {
-	struct fair_account *account = place->account;
-	GQueue *level;
+	struct fair_account *account, *best;
+	GHashTableIter iterator;
+	gpointer value;
+	double finish, best_finish;
 
-	level = &account->levels[place->item.priority % FAIR_QUEUE_PRIORITIES];
-	g_queue_delete_link(level, place->link);
-	g_sequence_remove(place->expiry);
-	account->count--;
-	account->cost -= place->item.cost;
-	queue->waiting_cost -= place->item.cost;
-	g_hash_table_remove(queue->items, &place->item.request_id);
-	/* What it has used counts on while others are behind it. */
-	if (account->count == 0 &&
-	    account->virtual_finish <= queue->virtual_time)
-		g_hash_table_remove(queue->accounts, &account->id);
+	best = NULL;
+	best_finish = 0;
+	g_hash_table_iter_init(&iterator, queue->accounts);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		account = value;
+		if (account->count == 0)
+			continue;
+		finish = find_finish(account);
+		if (finish < after ||
+		    (finish == after && account->id <= after_id))
+			continue;
+		if (best == NULL || finish < best_finish ||
+		    (finish == best_finish && account->id < best->id)) {
+			best = account;
+			best_finish = finish;
+		}
+	}
+	return best;
 }
 
 static struct fair_place *
-head_of(const struct fair_account *account)
+find_head(const struct fair_account *account)
 {
-	int level;
+	uint32_t i;
 
-	for (level = FAIR_QUEUE_PRIORITIES - 1; level >= 0; level--) {
-		if (account->levels[level].head != NULL)
-			return account->levels[level].head->data;
+	for (i = FAIR_QUEUE_PRIORITIES; i > 0; i--) {
+		if (account->items[i - 1].head != NULL)
+			return account->items[i - 1].head->data;
 	}
 	return NULL;
 }
 
 static double
-finish_of(const struct fair_queue *queue, const struct fair_account *account)
+find_finish(const struct fair_account *account)
 {
-	double start;
-
-	start = account->virtual_finish;
-	if (start < queue->virtual_time)
-		start = queue->virtual_time;
-	return start + (double)head_of(account)->item.cost / account->weight;
+	return account->finish +
+	       (double)find_head(account)->item.cost / account->weight;
 }
 
-static GPtrArray *
-sort_accounts(struct fair_queue *queue)
+static void
+take_out(struct fair_queue *queue, struct fair_place *place)
 {
-	struct fair_account *account;
-	GHashTableIter iterator;
-	GPtrArray *accounts;
-	gpointer value;
+	struct fair_account *account = place->account;
 
-	accounts = g_ptr_array_new();
-	g_hash_table_iter_init(&iterator, queue->accounts);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		account = value;
-		if (account->count > 0)
-			g_ptr_array_add(accounts, account);
-		else if (account->virtual_finish <= queue->virtual_time ||
-			 g_hash_table_size(queue->items) == 0)
-			g_hash_table_iter_remove(&iterator);
-	}
-	g_ptr_array_sort_with_data(accounts, compare_accounts, queue);
-	return accounts;
+	g_queue_remove(&account->items[place->item.priority], place);
+	account->count--;
+	account->waiting_cost -= place->item.cost;
+	queue->waiting_cost -= place->item.cost;
+	g_sequence_remove(place->expiry);
+	g_hash_table_remove(queue->items, &place->item.request_id);
+	if (fair_queue_count(queue) == 0) {
+		g_hash_table_remove_all(queue->accounts);
+		queue->virtual_time = 0;
+	} else if (account->count == 0 &&
+		   account->finish <= queue->virtual_time)
+		g_hash_table_remove(queue->accounts, &account->id);
 }
 
-static gint
-compare_accounts(gconstpointer left, gconstpointer right, gpointer context)
+static void
+free_account(void *account)
 {
-	const struct fair_account *first, *second;
-	double first_finish, second_finish;
-
-	first = *(const struct fair_account *const *)left;
-	second = *(const struct fair_account *const *)right;
-	first_finish = finish_of(context, first);
-	second_finish = finish_of(context, second);
-	if (first_finish != second_finish)
-		return first_finish < second_finish ? -1 : 1;
-	return first->id < second->id ? -1 : first->id > second->id;
+	struct fair_account *item = account;
+	uint32_t i;
+
+	for (i = 0; i < FAIR_QUEUE_PRIORITIES; i++)
+		g_queue_clear(&item->items[i]);
+	g_free(item);
 }
 
 static gint
-compare_expiries(gconstpointer left, gconstpointer right, gpointer context)
+compare_expiries(gconstpointer left, gconstpointer right, gpointer unused)
 {
 	const struct fair_place *first = left, *second = right;
 
-	(void)context;
+	(void)unused;
 	if (first->item.latest_start_ms == second->item.latest_start_ms)
 		return 0;
 	return first->item.latest_start_ms < second->item.latest_start_ms ? -1
 									  : 1;
 }
-
-static void
-free_account(gpointer memory)
-{
-	struct fair_account *account = memory;
-	int level;
-
-	for (level = 0; level < FAIR_QUEUE_PRIORITIES; level++)
-		g_queue_clear(&account->levels[level]);
-	g_free(account);
-}
--- a/src/coordination/stream_assembler.c
+++ b/src/coordination/stream_assembler.c
@@ -1,14 +1,22 @@
+/**
+ * @file stream_assembler.c
+ * Ordering of pieces in a bounded window.
+ */
 #include "coordination/stream_assembler.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+static enum error_code begin_attempt(
+    struct stream_assembler *assembler, uint32_t attempt);
 static enum error_code keep_piece(
     struct stream_assembler *assembler, const struct stream_piece *piece);
 static enum error_code deliver_piece(
     struct stream_assembler *assembler, const void *bytes, size_t size);
 static enum error_code deliver_waiting(struct stream_assembler *assembler);
-static void drop_waiting(struct stream_assembler *assembler);
+static void drop_waiting(
+    struct stream_assembler *assembler, struct stream_waiting *waiting);
+static void drop_window(struct stream_assembler *assembler);
 
 void
 stream_assembler_init(struct stream_assembler *assembler,
@@ -22,26 +30,23 @@
 void
 stream_assembler_finish(struct stream_assembler *assembler)
 {
-	drop_waiting(assembler);
+	drop_window(assembler);
+	memset(assembler, 0, sizeof(*assembler));
 }
 
 enum error_code
 stream_assembler_start(struct stream_assembler *assembler, uint32_t attempt)
 {
-	if (assembler->position > 0)
+	/* Another run may say other words than those delivered. */
+	if (assembler->position != 0)
 		return ERROR_INVALID_ARGUMENT;
-	return stream_assembler_resume(assembler, attempt);
+	return begin_attempt(assembler, attempt);
 }
 
 enum error_code
 stream_assembler_resume(struct stream_assembler *assembler, uint32_t attempt)
 {
-	if (attempt <= assembler->attempt)
-		return ERROR_STALE;
-	drop_waiting(assembler);
-	assembler->attempt = attempt;
-	assembler->has_end = false;
-	return ERROR_NONE;
+	return begin_attempt(assembler, attempt);
 }
 
 uint64_t
@@ -58,11 +63,13 @@
 
 	if (piece->attempt != assembler->attempt)
 		return ERROR_NONE;
-	if (piece->sequence < assembler->position)
-		return ERROR_NONE;
 	if (assembler->has_end && piece->sequence >= assembler->end_count)
 		return ERROR_MALFORMED;
-	if (piece->sequence > assembler->position)
+	if (piece->sequence < assembler->position)
+		return ERROR_NONE;
+	if (piece->sequence - assembler->position >= ASSEMBLER_WINDOW_MAX)
+		return ERROR_TOO_LARGE;
+	if (piece->sequence != assembler->position)
 		return keep_piece(assembler, piece);
 	error = deliver_piece(assembler, piece->bytes, piece->size);
 	if (error != ERROR_NONE)
@@ -74,7 +81,7 @@
 stream_assembler_end(
     struct stream_assembler *assembler, uint32_t attempt, uint64_t count)
 {
-	uint32_t i;
+	uint64_t sequence;
 
 	if (attempt != assembler->attempt)
 		return ERROR_NONE;
@@ -83,12 +90,10 @@
 						     : ERROR_MALFORMED;
 	if (count < assembler->position)
 		return ERROR_MALFORMED;
-	for (i = 0; i < ASSEMBLER_WINDOW_MAX; i++) {
-		if (assembler->position + i >= count &&
-		    assembler
-			->window[(assembler->position + i) %
-				 ASSEMBLER_WINDOW_MAX]
-			.is_used)
+	for (sequence = count;
+	     sequence < assembler->position + ASSEMBLER_WINDOW_MAX;
+	     sequence++) {
+		if (assembler->window[sequence % ASSEMBLER_WINDOW_MAX].is_used)
 			return ERROR_MALFORMED;
 	}
 	assembler->has_end = true;
@@ -110,13 +115,24 @@
 						       : ERROR_INCOMPLETE;
 }
 
+static enum error_code
+begin_attempt(struct stream_assembler *assembler, uint32_t attempt)
+{
+	if (attempt <= assembler->attempt)
+		return ERROR_STALE;
+	/* What waits, and the end, belong to the attempt that died. */
+	drop_window(assembler);
+	assembler->attempt = attempt;
+	assembler->has_end = false;
+	assembler->end_count = 0;
+	return ERROR_NONE;
+}
+
 static enum error_code
 keep_piece(struct stream_assembler *assembler, const struct stream_piece *piece)
 {
 	struct stream_waiting *waiting;
 
-	if (piece->sequence - assembler->position >= ASSEMBLER_WINDOW_MAX)
-		return ERROR_TOO_LARGE;
 	waiting = &assembler->window[piece->sequence % ASSEMBLER_WINDOW_MAX];
 	if (waiting->is_used)
 		return ERROR_NONE;
@@ -129,8 +145,8 @@
 			return ERROR_NO_MEMORY;
 		memcpy(waiting->bytes, piece->bytes, piece->size);
 	}
-	waiting->size = piece->size;
 	waiting->is_used = true;
+	waiting->size = piece->size;
 	assembler->waiting_bytes += piece->size;
 	return ERROR_NONE;
 }
@@ -143,8 +159,10 @@
 
 	error = assembler->ops.deliver(
 	    assembler->ops.context, assembler->position, bytes, size);
-	if (error == ERROR_NONE)
-		assembler->position++;
+	/* Part of it may have left, so it is not delivered again. */
+	assembler->position++;
+	if (error != ERROR_NONE)
+		assembler->has_failed = true;
 	return error;
 }
 
@@ -154,28 +172,35 @@
 	struct stream_waiting *waiting;
 	enum error_code error;
 
-	for (;;) {
-		waiting =
-		    &assembler
-			 ->window[assembler->position % ASSEMBLER_WINDOW_MAX];
-		if (!waiting->is_used)
-			return ERROR_NONE;
+	waiting =
+	    &assembler->window[assembler->position % ASSEMBLER_WINDOW_MAX];
+	while (waiting->is_used) {
 		error = deliver_piece(assembler, waiting->bytes, waiting->size);
+		drop_waiting(assembler, waiting);
 		if (error != ERROR_NONE)
 			return error;
-		assembler->waiting_bytes -= waiting->size;
-		free(waiting->bytes);
-		memset(waiting, 0, sizeof(*waiting));
+		waiting =
+		    &assembler
+			 ->window[assembler->position % ASSEMBLER_WINDOW_MAX];
 	}
+	return ERROR_NONE;
+}
+
+static void
+drop_waiting(struct stream_assembler *assembler, struct stream_waiting *waiting)
+{
+	assembler->waiting_bytes -= waiting->size;
+	free(waiting->bytes);
+	memset(waiting, 0, sizeof(*waiting));
 }
 
 static void
-drop_waiting(struct stream_assembler *assembler)
+drop_window(struct stream_assembler *assembler)
 {
 	uint32_t i;
 
-	for (i = 0; i < ASSEMBLER_WINDOW_MAX; i++)
-		free(assembler->window[i].bytes);
-	memset(assembler->window, 0, sizeof(assembler->window));
-	assembler->waiting_bytes = 0;
+	for (i = 0; i < ASSEMBLER_WINDOW_MAX; i++) {
+		if (assembler->window[i].is_used)
+			drop_waiting(assembler, &assembler->window[i]);
+	}
 }
