Gossip: pushes are cut short by duplicates in a burst only

Change: duplicates count only while more than 16 news wait. Bench: time until a restarted upstream is known at all hosts.

--- a/bench/bench_hosts.c
+++ b/bench/bench_hosts.c
@@ -33,6 +33,7 @@
 #define DAY_MS		 86400000
 #define ORDERS		 200   /* Orders timed with all hosts well. */
 #define CUT_ORDERS	 20    /* Orders timed just after a cut. */
+#define RESTARTS	 100   /* Of upstreams, timed until all know. */
 #define IN_FORCE_MAX_MS	 30000 /* An order's time is given up then. */
 #define ENTRY_SIZE	 150   /* Bytes of a configuration entry. */
 #define FEW_HOSTS	 100   /* Up to these: 3 voters, short lease. */
@@ -657,6 +658,52 @@
 	fflush(stdout);
 }
 
+/* True if every host lists the upstream under that incarnation. */
+static bool
+is_known(struct bench *bench, uint64_t id, uint64_t incarnation)
+{
+	const struct upstream_record *record;
+	uint32_t i;
+
+	for (i = 0; i < bench->host_count; i++) {
+		record =
+		    upstream_directory_find(&bench->nodes[i].directory, id);
+		if (record == NULL || record->incarnation != incarnation)
+			return false;
+	}
+	return true;
+}
+
+/* Time until a restarted upstream is known at all hosts. */
+static void
+measure_spread(struct bench *bench)
+{
+	int64_t times[RESTARTS], begin_ms;
+	uint32_t i, number;
+
+	for (i = 0; i < RESTARTS; i++) {
+		run(bench, 300 + random_below(&bench->random, 700));
+		number = random_below(&bench->random, bench->upstream_count);
+		begin_ms = timer_now(&bench->timers);
+		restart_upstream(bench, number);
+		while (!is_known(
+			   bench, id_of(number), bench->incarnations[number]) &&
+		       timer_now(&bench->timers) - begin_ms < IN_FORCE_MAX_MS)
+			step(bench);
+		times[i] = timer_now(&bench->timers) - begin_ms;
+	}
+	qsort(times, RESTARTS, sizeof(times[0]), compare_times);
+	printf("{\"bench\":\"hosts\",\"what\":\"upstream_known_ms\","
+	       "\"seed\":%d,\"hosts\":%u,\"upstreams\":%u,"
+	       "\"restarts\":%d,\"p50\":%lld,\"p99\":%lld,"
+	       "\"max\":%lld}\n",
+	    SEED, bench->host_count, bench->upstream_count, RESTARTS,
+	    (long long)times[RESTARTS / 2],
+	    (long long)times[RESTARTS * 99 / 100],
+	    (long long)times[RESTARTS - 1]);
+	fflush(stdout);
+}
+
 static struct result
 measure_size(uint32_t hosts, uint32_t upstreams, bool force)
 {
@@ -680,6 +727,7 @@
 	    result.cpu_us);
 	fflush(stdout);
 	if (force) {
+		measure_spread(&bench);
 		measure_force(&bench, false);
 		measure_force(&bench, true);
 	}
--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -408,12 +408,13 @@
 	return ERROR_NONE;
 }
 
-/* What comes again is known widely: it needs fewer pushes from here. */
+/* In a burst what comes again needs fewer pushes from here; else all are
+ * made, so that hardly a host is left to the digests. */
 static void
 note_duplicate(struct gossip *gossip, struct gossip_item *item,
     const struct gossip_version *version)
 {
-	if (item->news == NULL ||
+	if (item->news == NULL || gossip->news.length <= BURST_ITEMS ||
 	    gossip_version_compare(&item->version, version) != 0 ||
 	    ++item->sends < count_sends(gossip))
 		return;
