--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -521,6 +521,9 @@
 		return;
 	consensus->is_failed = false;
 	consensus->failure = ERROR_NONE;
+	/* What was committed but could not be stored is not known here. */
+	consensus->commit_index = MIN(
+	    consensus->commit_index, journal_last_index(&consensus->journal));
 	consensus_reload_voters(consensus);
 	consensus_reset_election(consensus);
 }
--- a/src/coordination/consensus_follower.c
+++ b/src/coordination/consensus_follower.c
@@ -213,8 +213,12 @@
 	reply.sent_ms = message->sent_ms;
 	reply.offset = message->total;
 	reply.is_granted = true;
-	if (message->index <= consensus->commit_index)
+	if (message->index <= consensus->commit_index) {
+		/* An answer means that it lasts here: wait for the sync. */
+		if (message->index > consensus->journal.synced_index)
+			return ERROR_NONE;
 		goto reply;
+	}
 	if (head->index != message->index || head->term != message->log_term ||
 	    head->state_size != message->total || message->offset == 0) {
 		head->index = message->index;
@@ -270,12 +274,16 @@
 	consensus->snapshot = snapshot;
 	if (journal_term(&consensus->journal, snapshot.index, &term) ==
 		ERROR_NONE &&
-	    term == snapshot.term)
+	    term == snapshot.term &&
+	    snapshot.index <= consensus->journal.synced_index) {
 		error =
 		    journal_drop_prefix(&consensus->journal, snapshot.index);
-	else
+	} else {
+		/* Entries that do not last go, and so do answers for them. */
+		g_array_set_size(consensus->acks, 0);
 		error = journal_reset(
 		    &consensus->journal, snapshot.index, snapshot.term);
+	}
 	if (error != ERROR_NONE) {
 		consensus_fail(consensus, error);
 		return error;
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -413,6 +413,43 @@
 	voter_group_finish(&group);
 }
 
+/* A follower that knew more to be committed than it could store must not
+ * say that it has it. */
+static void
+test_full_disk_then_snapshot(void **state)
+{
+	struct voter_group group;
+	struct group_host *leader, *full;
+	uint32_t id;
+
+	(void)state;
+	setup(&group, 11);
+	leader = voter_group_leader(&group);
+	full = &group.hosts[leader->id % GROUP_VOTERS];
+	put_many(&group, "a", 30);
+	fake_net_cut_host(&group.net, full->id, true, true);
+	while (leader->consensus.snapshot.index == 1)
+		put_many(&group,
+		    leader->consensus.applied_index % 2 == 0 ? "even" : "odd",
+		    1);
+	put_many(&group, "b", 2);
+	full->disk.capacity = 1;
+	fake_net_heal(&group.net);
+	while (!full->consensus.is_failed)
+		fake_net_run(&group.net, 10);
+	/* After a restart the leader has no entries before its snapshot. */
+	for (id = 1; id <= GROUP_VOTERS; id++) {
+		if (id == full->id)
+			continue;
+		voter_group_stop(&group, id);
+		voter_group_start(&group, id);
+	}
+	full->disk.capacity = 0;
+	fake_net_run(&group.net, 10000);
+	assert_true(voter_group_agrees(&group));
+	voter_group_finish(&group);
+}
+
 /* A leader's clock that steps must not make claims expire early. */
 static void
 test_stepped_clock_moves_no_time(void **state)
@@ -450,6 +487,7 @@
 	    cmocka_unit_test(test_damaged_journal_never_votes_again),
 	    cmocka_unit_test(test_transfer_is_quick),
 	    cmocka_unit_test(test_full_disk_heals),
+	    cmocka_unit_test(test_full_disk_then_snapshot),
 	    cmocka_unit_test(test_stepped_clock_moves_no_time),
 	};
 
