Agreement: bad messages, saved operations and gaps of the feed tested

Cause: two checks of the replicated state stayed green with their mechanism off (operations not saved; a gap of the feed not seen), and no test sent bad messages.

--- a/src/coordination/consensus_follower.c
+++ b/src/coordination/consensus_follower.c
@@ -28,6 +28,11 @@
 {
 	struct consensus_message reply = {.type = CONSENSUS_APPEND_REPLY};
 
+	if (message->type == CONSENSUS_SNAPSHOT &&
+	    (message->total > SNAPSHOT_SIZE_MAX || message->voters.count == 0 ||
+		message->offset > message->total ||
+		message->data_size > message->total - message->offset))
+		return ERROR_MALFORMED;
 	if (message->term < consensus->identity.term) {
 		reply.term = consensus->identity.term;
 		consensus_send(consensus, from, &reply);
@@ -206,8 +211,6 @@
 	enum error_code error;
 
 	error = ERROR_NONE;
-	if (message->total > SNAPSHOT_SIZE_MAX || message->voters.count == 0)
-		return ERROR_TOO_LARGE;
 	reply.term = consensus->identity.term;
 	reply.index = message->index;
 	reply.sent_ms = message->sent_ms;
@@ -228,8 +231,7 @@
 		head->state_size = message->total;
 		g_byte_array_set_size(consensus->incoming, 0);
 	}
-	if (message->offset == consensus->incoming->len &&
-	    message->data_size <= message->total - message->offset)
+	if (message->offset == consensus->incoming->len)
 		g_byte_array_append(consensus->incoming, message->data,
 		    (guint)message->data_size);
 	reply.offset = consensus->incoming->len;
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "protocol/consensus_message.h"
 #include "voter_group.h"
 
 #define ANSWER_MS 10000 /* Long enough for any command. */
@@ -472,6 +473,60 @@
 	voter_group_finish(&group);
 }
 
+/* Bytes that are no message, or one with some bytes changed, do no harm; a
+ * refused one changes nothing. */
+static void
+test_bad_messages_change_nothing(void **state)
+{
+	struct consensus_message message = {.type = CONSENSUS_APPEND,
+	    .cluster_id = 77,
+	    .term = 1,
+	    .index = 1,
+	    .log_term = 1};
+	struct journal_entry entry = {1, 1, 5, (unsigned char *)"entry"};
+	struct random_source random;
+	struct message_writer writer;
+	struct voter_group group;
+	struct consensus *consensus;
+	unsigned char *bytes;
+	enum error_code error;
+	uint64_t last, term;
+	unsigned int i;
+	size_t size;
+
+	(void)state;
+	random_init(&random, 1);
+	setup(&group, 12);
+	consensus = &group.hosts[0].consensus;
+	message.entries = &entry;
+	message.entry_count = 1;
+	message.voters = consensus->voters;
+	message_writer_init(&writer);
+	consensus_message_encode(&message, &writer);
+	bytes = g_malloc(message_size(&writer));
+	for (i = 0; i < 20000; i++) {
+		size = 1 + random_below(&random, message_size(&writer));
+		memcpy(bytes, message_data(&writer), message_size(&writer));
+		if (i % 2 == 0)
+			size = message_size(&writer);
+		bytes[random_below(&random, size)] =
+		    (unsigned char)random_below(&random, 256);
+		last = journal_last_index(&consensus->journal);
+		term = consensus->identity.term;
+		error = consensus_receive(consensus, 2, bytes, size);
+		command_client_receive(&group.hosts[0].client, 2, bytes, size);
+		/* Some are whole messages of another, later leader. */
+		if (error == ERROR_NONE || error == ERROR_STALE ||
+		    error == ERROR_INTERNAL)
+			continue;
+		assert_int_equal(last, journal_last_index(&consensus->journal));
+		assert_int_equal(term, consensus->identity.term);
+	}
+	g_free(bytes);
+	message_writer_finish(&writer);
+	voter_group_finish(&group);
+}
+
 int
 main(void)
 {
@@ -489,6 +544,7 @@
 	    cmocka_unit_test(test_full_disk_heals),
 	    cmocka_unit_test(test_full_disk_then_snapshot),
 	    cmocka_unit_test(test_stepped_clock_moves_no_time),
+	    cmocka_unit_test(test_bad_messages_change_nothing),
 	};
 
 	voter_group_silence_log();
--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -279,11 +279,18 @@
 	assert_int_equal(again->len, saved->len);
 	assert_memory_equal(again->data, saved->data, saved->len);
 	/* The operations came along: a resend gets the first answer. */
-	assert_int_equal(put(&learner, "3", "setting/c", "1", 0).error,
-	    ERROR_REVISION_CONFLICT);
 	assert_int_equal(
-	    replicated_state_each_public(&learner, 2, feed_one, &voter),
+	    put(&learner, "4", "setting/c", "2", REVISION_ANY).index, 4);
+	assert_int_equal(learner.revision, 4);
+	/* A reader that lacks more than is kept needs a snapshot. */
+	put(&learner, "6", "setting/d", "1", REVISION_ANY);
+	assert_int_equal(
+	    replicated_state_each_public(&learner, 4, feed_one, &voter),
 	    ERROR_NOT_FOUND);
+	assert_int_equal(
+	    replicated_state_each_public(&learner, 5, feed_one, &voter),
+	    ERROR_NONE);
+	assert_int_equal(voter.content_hash, learner.content_hash);
 	g_byte_array_unref(saved);
 	g_byte_array_unref(again);
 	replicated_state_finish(&voter);
