--- a/src/service/host.h
+++ b/src/service/host.h
@@ -20,20 +20,20 @@
 
 #include "base/error_code.h"
 #include "base/random_source.h"
+#include "coordination/capacity_exchange.h"
 #include "coordination/command_client.h"
 #include "coordination/config_feed.h"
 #include "coordination/consensus.h"
 #include "coordination/fleet_view.h"
-#include "coordination/grant_holder.h"
-#include "coordination/grant_owner.h"
 #include "coordination/live_hosts.h"
 #include "coordination/membership.h"
-#include "coordination/owner_map.h"
 #include "coordination/prefix_index.h"
 #include "coordination/quarantine.h"
 #include "coordination/retry.h"
 #include "coordination/router.h"
 #include "coordination/upstream_directory.h"
+#include "service/control_worker.h"
+#include "service/host_groups.h"
 #include "service/mailbox.h"
 #include "service/request_metrics.h"
 #include "service/settings.h"
@@ -84,13 +84,14 @@
 	_Atomic int64_t override_until_ms; /**< Serves unconfirmed till then. */
 
 	struct upstream_directory directory; /**< Upstreams by gossip. */
-	struct owner_map owners;	     /**< Who owns which capacity. */
-	struct grant_owner grant_owner;	     /**< What this host owns. */
-	struct grant_holder grant_holder;    /**< What it may use. */
+	struct capacity_exchange capacity;   /**< Grants, both sides. */
 	GHashTable *wanted;		     /**< Upstreams with demand. */
-	struct quarantine quarantine;	     /**< Requests that crash. */
-	_Atomic uint32_t suspects;	     /**< Known to the quarantine. */
-	struct fleet fleet;		     /**< What request threads see. */
+	struct host_groups groups;     /**< Prompts over several upstreams. */
+	struct control_worker control; /**< Calls that wait for upstreams. */
+	_Atomic uint32_t group_runs;   /**< Threads of group_run.c. */
+	struct quarantine quarantine;  /**< Requests that crash. */
+	_Atomic uint32_t suspects;     /**< Known to the quarantine. */
+	struct fleet fleet;	       /**< What request threads see. */
 
 	struct prefix_index prefixes;	     /**< Prefix affinity. */
 	struct router_mix mix;		     /**< Share of long prompts. */
@@ -148,9 +149,6 @@
 void host_fleet_intent_changed(struct host *host);
 /** The configuration lease now runs until @p until_ms. */
 void host_fleet_set_lease(struct host *host, int64_t until_ms);
-/** Takes a message of PEER_CHANNEL_GRANT. */
-void host_fleet_receive_grant(
-    struct host *host, uint32_t from_host, const void *body, size_t size);
 /** Publishes a view if anything changed. */
 void host_fleet_step(struct host *host);
 
