--- a/src/coordination/consensus_follower.c
+++ b/src/coordination/consensus_follower.c
@@ -28,6 +28,11 @@
 {
 	struct consensus_message reply = {.type = CONSENSUS_APPEND_REPLY};
 
+	if (message->type == CONSENSUS_SNAPSHOT &&
+	    (message->total > SNAPSHOT_SIZE_MAX || message->voters.count == 0 ||
+		message->offset > message->total ||
+		message->data_size > message->total - message->offset))
+		return ERROR_MALFORMED;
 	if (message->term < consensus->identity.term) {
 		reply.term = consensus->identity.term;
 		consensus_send(consensus, from, &reply);
@@ -206,15 +211,17 @@
 	enum error_code error;
 
 	error = ERROR_NONE;
-	if (message->total > SNAPSHOT_SIZE_MAX || message->voters.count == 0)
-		return ERROR_TOO_LARGE;
 	reply.term = consensus->identity.term;
 	reply.index = message->index;
 	reply.sent_ms = message->sent_ms;
 	reply.offset = message->total;
 	reply.is_granted = true;
-	if (message->index <= consensus->commit_index)
+	if (message->index <= consensus->commit_index) {
+		/* An answer means that it lasts here: wait for the sync. */
+		if (message->index > consensus->journal.synced_index)
+			return ERROR_NONE;
 		goto reply;
+	}
 	if (head->index != message->index || head->term != message->log_term ||
 	    head->state_size != message->total || message->offset == 0) {
 		head->index = message->index;
@@ -224,8 +231,7 @@
 		head->state_size = message->total;
 		g_byte_array_set_size(consensus->incoming, 0);
 	}
-	if (message->offset == consensus->incoming->len &&
-	    message->data_size <= message->total - message->offset)
+	if (message->offset == consensus->incoming->len)
 		g_byte_array_append(consensus->incoming, message->data,
 		    (guint)message->data_size);
 	reply.offset = consensus->incoming->len;
@@ -270,12 +276,16 @@
 	consensus->snapshot = snapshot;
 	if (journal_term(&consensus->journal, snapshot.index, &term) ==
 		ERROR_NONE &&
-	    term == snapshot.term)
+	    term == snapshot.term &&
+	    snapshot.index <= consensus->journal.synced_index) {
 		error =
 		    journal_drop_prefix(&consensus->journal, snapshot.index);
-	else
+	} else {
+		/* Entries that do not last go, and so do answers for them. */
+		g_array_set_size(consensus->acks, 0);
 		error = journal_reset(
 		    &consensus->journal, snapshot.index, snapshot.term);
+	}
 	if (error != ERROR_NONE) {
 		consensus_fail(consensus, error);
 		return error;
