--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -303,13 +303,16 @@
 {
 	int64_t end_ms;
 	double due;
-	uint32_t i;
+	uint32_t arrivals, i;
 
 	end_ms = timer_now(&bench->timers) + duration_ms;
 	due = 0;
 	while (timer_now(&bench->timers) < end_ms) {
 		timer_advance(&bench->timers, timer_now(&bench->timers) + 1);
-		for (due += bench->arrivals_per_ms; due >= 1; due -= 1)
+		due += bench->arrivals_per_ms;
+		arrivals = (uint32_t)due;
+		due -= arrivals;
+		for (i = 0; i < arrivals; i++)
 			arrive(bench);
 		if (timer_now(&bench->timers) % 10 != 0)
 			continue;
--- a/src/coordination/group_reservation.h
+++ b/src/coordination/group_reservation.h
@@ -115,10 +115,10 @@
     const struct group_plan *plan, int64_t deadline_ms, struct handle *group);
 /** Ends a group, whatever it does: its prompt is done, failed or cancelled.
  * A stale handle is no error. */
-void group_release(struct group_table *table, struct handle group);
+void group_release(struct group_table *table, struct handle handle);
 /** Reservation id of a segment, 0 before it is reserved. */
 uint64_t group_reservation_id(
-    const struct group_table *table, struct handle group, uint32_t segment);
+    const struct group_table *table, struct handle handle, uint32_t segment);
 /** True if a group waits for an upstream: nothing else may start there from
  * this host, or a stream of small requests would starve it. */
 bool group_is_waiting(const struct group_table *table, uint64_t upstream_id);
--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -9,10 +9,11 @@
 
 #include "fake_fleet.h"
 
-#define SCHEDULES 150	/* Without CHICORY_SOAK_SCHEDULES. */
-#define FAULTS	  14	/* Of one schedule. */
-#define WARM_MS	  6000	/* Until grants flow after a start. */
-#define MENDED_MS 20000 /* Lease, drains and some asks: liveness. */
+#define SCHEDULES  150	 /* Without CHICORY_SOAK_SCHEDULES. */
+#define FAULTS	   14	 /* Of one schedule. */
+#define WARM_MS	   6000	 /* Until grants flow after a start. */
+#define REMOVAL_MS 4000	 /* A lease, and until it is known. */
+#define MENDED_MS  20000 /* Lease, drains and some asks: liveness. */
 
 static unsigned int
 count_schedules(void)
@@ -207,7 +208,7 @@
 			second = pick_host(&fleet);
 			fake_fleet_kill(&fleet, first);
 			fake_net_freeze(&fleet.net, second);
-			fake_fleet_run(&fleet, 2 * FLEET_LEASE_MS);
+			fake_fleet_run(&fleet, REMOVAL_MS);
 			fake_fleet_restart(&fleet, first);
 			fake_net_thaw(&fleet.net, second);
 			fake_fleet_run(&fleet, 100);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -9,7 +9,7 @@
 
 #define GUILTY	  UINT64_C(7)
 #define COMMITS	  4096
-#define HOUR_MS	  3600000
+#define HOUR_MS	  INT64_C(3600000)
 #define SETTLE_MS 5000 /* Longer than an event. */
 
 struct fixture {
@@ -129,13 +129,13 @@
 
 	(void)state;
 	for (i = 0; i < 6; i++) {
-		crash(i, "regina", 100 * i, i == 0 ? 4 : 3);
+		crash(i, "regina", UINT64_C(100) * i, i == 0 ? 4 : 3);
 		wait_ms(100);
 	}
 	/* On each of the six, the guilty one can be no chance victim. */
 	expect(GUILTY, QUARANTINE_RUN_ALONE);
 	for (i = 0; i < 6; i++)
-		expect(100 * i + 1, QUARANTINE_RUN);
+		expect(UINT64_C(100) * i + 1, QUARANTINE_RUN);
 	wait_ms(SETTLE_MS);
 	assert_int_equal(fixture.commit_count, 1);
 	assert_int_equal(fixture.commits[0].fingerprint, GUILTY);
@@ -202,7 +202,7 @@
 
 	(void)state;
 	for (i = 0; i < 20; i++) {
-		crash(i, "regina", 1000 * i, 50);
+		crash(i, "regina", UINT64_C(1000) * i, 50);
 		wait_ms(SETTLE_MS);
 	}
 	assert_true(g_hash_table_size(fixture.quarantine.suspects) <= 100);
