--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 
+#include "base/event_log.h"
 #include "base/random_source.h"
 #include "coordination/capacity_exchange.h"
 
@@ -523,6 +524,7 @@
 	};
 	size_t i, count;
 
+	event_log_setup(0, EVENT_LEVEL_WARNING);
 	count = sizeof(scenarios) / sizeof(scenarios[0]);
 	if (argc > 1)
 		count = MIN(count, (size_t)strtoul(argv[1], NULL, 10));
--- a/src/coordination/grant_owner.c
+++ b/src/coordination/grant_owner.c
@@ -441,10 +441,12 @@
 	struct owned_upstream *upstream;
 	bool is_asking, is_new;
 	uint64_t answered;
+	uint32_t started;
 	guint i;
 
 	is_asking = false;
 	is_new = false;
+	started = 0;
 	answered = least_answered(owner);
 	for (i = 0; i < owner->owned->len; i++) {
 		upstream = g_ptr_array_index(owner->owned, i);
@@ -460,11 +462,17 @@
 			continue;
 		if ((answered >= upstream->query &&
 			step->now_ms >= upstream->departed_ms) ||
-		    step->now_ms >= upstream->phase_until_ms)
+		    step->now_ms >= upstream->phase_until_ms) {
 			start_granting(step, upstream);
-		else
+			started++;
+		} else {
 			is_asking = true;
+		}
 	}
+	if (started > 0)
+		event_log_write(EVENT_GRANTS_WAITED_OUT,
+		    "upstreams=%u epoch=%" G_GINT64_MODIFIER "u", started,
+		    (guint64)owner->map->epoch);
 	if (is_new)
 		owner->query++;
 	if (is_new || (is_asking && step->now_ms >= owner->query_ms))
--- a/src/coordination/group_reservation.h
+++ b/src/coordination/group_reservation.h
@@ -53,7 +53,7 @@
 	int64_t retry_ms;  /**< Between tries to take or reserve. */
 };
 
-/** To slots and upstreams. */
+/** To slots and upstreams; answers come later, never from within a call. */
 struct group_ops {
 	/** Takes from this host's slot of an upstream, or fails at once. */
 	enum error_code (*take)(void *context, uint64_t upstream_id,
--- a/src/coordination/kv_lease.h
+++ b/src/coordination/kv_lease.h
@@ -44,7 +44,7 @@
 				    reached the upstream or never will. */
 };
 
-/** To upstreams. */
+/** To upstreams; answers come later, never from within a call. */
 struct kv_lease_ops {
 	/** Asks an upstream to release; the answer, if any, goes to
 	 * kv_lease_note_released(). */
--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -7,11 +7,13 @@
 
 #include <cmocka.h>
 
+#include "base/event_log.h"
 #include "fake_fleet.h"
 
 #define SCHEDULES  6	 /* Without CHICORY_SOAK_SCHEDULES. */
 #define FAULTS	   14	 /* Of one schedule. */
 #define WARM_MS	   6000	 /* Until grants flow after a start. */
+#define TOLD_MS	   100	 /* A revocation and its way. */
 #define REMOVAL_MS 4000	 /* A lease, and until it is known. */
 #define MENDED_MS  12000 /* Lease, drains and some asks: liveness. */
 
@@ -222,14 +224,104 @@
 	}
 }
 
+static uint32_t
+find_owner(struct fleet *fleet)
+{
+	struct grant_owner_view view;
+	uint32_t i;
+
+	for (i = 0; i < fleet->host_count; i++) {
+		if (grant_owner_view(&fleet->hosts[i].exchange.owner,
+			fleet->upstreams[0].record.id, &view) == ERROR_NONE &&
+		    view.is_granting)
+			return i + 1;
+	}
+	return OWNER_NONE;
+}
+
+static void
+start_warm_fleet(struct fleet *fleet)
+{
+	fake_fleet_init(fleet, 8, 1, 77);
+	fleet->is_warming = true;
+	fleet->load_percent = 60;
+	fleet->run_most_ms = 300;
+	fake_fleet_run(fleet, 4 * WARM_MS);
+	fleet->run_most_ms = 1500;
+	fake_fleet_run(fleet, WARM_MS);
+	fleet->is_warming = false;
+	assert_true(fleet->upstreams[0].running.requests >
+		    fleet->upstreams[0].record.limits.cold_requests);
+}
+
+/* One host's evidence of cold stops all hosts: nothing starts above the cold
+ * limit once the word is round. */
+static void
+test_evidence_of_cold_stops_all(void **state)
+{
+	const struct upstream_limits *limits;
+	struct fleet fleet;
+	uint64_t served;
+	unsigned int i;
+	uint32_t running;
+
+	(void)state;
+	start_warm_fleet(&fleet);
+	limits = &fleet.upstreams[0].record.limits;
+	grant_holder_note_answer(&fleet.hosts[2].exchange.holder,
+	    fleet.upstreams[0].record.id, 1, WARMUP_COLD);
+	fake_fleet_run(&fleet, TOLD_MS);
+	for (i = 0; i < MENDED_MS / FLEET_STEP_MS; i++) {
+		running = fleet.upstreams[0].running.requests;
+		served = fleet.served;
+		fake_fleet_run(&fleet, FLEET_STEP_MS);
+		if (running > limits->cold_requests)
+			assert_true(fleet.served == served);
+		else
+			assert_true(fleet.upstreams[0].running.requests <=
+				    limits->cold_requests);
+	}
+	assert_true(running <= limits->cold_requests);
+	fake_fleet_finish(&fleet);
+}
+
+/* A takeout that only the owner knows of stops all hosts at once, and those
+ * that the owner can't reach when their grants run out. */
+static void
+test_takeout_stops_all(void **state)
+{
+	struct fleet fleet;
+	uint32_t owner, cut;
+	uint64_t served;
+
+	(void)state;
+	for (cut = 0; cut < 2; cut++) {
+		start_warm_fleet(&fleet);
+		owner = find_owner(&fleet);
+		if (cut == 1)
+			fake_net_cut_host(&fleet.net, owner, true, false);
+		fleet.upstreams[0].is_taken_out = true;
+		fake_fleet_announce(&fleet, 0, owner);
+		fake_fleet_run(
+		    &fleet, cut == 1 ? FLEET_GRANT_MS + TOLD_MS : TOLD_MS);
+		served = fleet.served;
+		fake_fleet_run(&fleet, FLEET_LEASE_MS / 2);
+		assert_true(fleet.served == served);
+		fake_fleet_finish(&fleet);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_evidence_of_cold_stops_all),
+	    cmocka_unit_test(test_takeout_stops_all),
 	    cmocka_unit_test(test_joins_and_skipped_epochs),
 	    cmocka_unit_test(test_cold_limit_holds),
 	    cmocka_unit_test(test_warm_limit_holds),
 	};
 
+	event_log_setup(0, EVENT_LEVEL_WARNING);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
