--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -10,7 +10,7 @@
 #include "base/event_log.h"
 #include "fake_fleet.h"
 
-#define SCHEDULES  6	 /* Without CHICORY_SOAK_SCHEDULES. */
+#define SCHEDULES  4	 /* Without CHICORY_SOAK_SCHEDULES. */
 #define FAULTS	   14	 /* Of one schedule. */
 #define WARM_MS	   6000	 /* Until grants flow after a start. */
 #define TOLD_MS	   100	 /* A revocation and its way. */
