--- /dev/null
+++ b/src/coordination/grant_takeover.c
@@ -0,0 +1,470 @@
+#include "coordination/grant_owner_parts.h"
+
+#include <string.h>
+
+#include "base/event_log.h"
+#include "coordination/capacity_math.h"
+#include "protocol/grant_message.h"
+
+static void mark_gone(
+    struct grant_owner *owner, struct owned_upstream *upstream, int64_t now_ms);
+static uint64_t least_answered(const struct grant_owner *owner);
+static void start_granting(
+    struct owner_step *step, struct owned_upstream *upstream);
+static void send_queries(struct owner_step *step);
+static void add_ledger_rows(struct message_writer *writer,
+    const struct owned_upstream *upstream, int64_t now_ms);
+static uint32_t count_ledger_rows(const struct owned_upstream *upstream);
+static void take_use(struct owner_step *step, struct owned_upstream *upstream,
+    uint32_t from_host, const struct grant_ask *row);
+static enum error_code import_ledger(struct owner_step *step,
+    struct owned_upstream *upstream, const struct grant_reader *reader);
+static void import_line(struct owner_step *step,
+    struct owned_upstream *upstream, const struct grant_ledger_row *row);
+static void send_taken(struct owner_step *step, uint32_t to_host,
+    const struct owned_upstream *upstream);
+
+void
+takeover_change_owner(struct owner_step *step, struct owned_upstream *upstream,
+    enum owner_map_change change)
+{
+	struct grant_owner *owner = step->owner;
+	uint32_t next;
+	bool was_mine;
+
+	next = owner_map_owner(owner->map, upstream->id);
+	was_mine = upstream->phase == PHASE_WAITING ||
+		   upstream->phase == PHASE_ASKING ||
+		   upstream->phase == PHASE_GRANTING;
+	if (next == owner->settings.host_id) {
+		if (!was_mine || change == OWNER_MAP_SKIPPED) {
+			takeover_start(step, upstream);
+			return;
+		}
+		upstream->departed_ms = owner->departed_ms;
+		mark_gone(owner, upstream, step->now_ms);
+		return;
+	}
+	/* After skipped epochs another host may have granted in between. */
+	if (upstream->phase == PHASE_GRANTING && next != OWNER_NONE &&
+	    change != OWNER_MAP_SKIPPED) {
+		upstream->phase = PHASE_HANDING;
+		upstream->next_owner = next;
+		upstream->term = owner->map->epoch;
+		upstream->phase_until_ms =
+		    step->now_ms + owner->settings.config_lease_ms;
+		takeover_send_ledger(step, upstream);
+		return;
+	}
+	upstream->phase = PHASE_NOT_OWNED;
+	grant_ledger_clear(&upstream->ledger);
+}
+
+void
+takeover_start(struct owner_step *step, struct owned_upstream *upstream)
+{
+	struct grant_owner *owner = step->owner;
+
+	owner->counters.takeovers++;
+	grant_ledger_clear(&upstream->ledger);
+	warmup_cut(&upstream->warmup, step->now_ms);
+	upstream->phase = PHASE_WAITING;
+	if (!upstream->is_listed)
+		g_ptr_array_add(owner->owned, upstream);
+	upstream->is_listed = true;
+	upstream->term = owner->map->epoch;
+	upstream->phase_until_ms = owner->settled_ms;
+	upstream->departed_ms = owner->departed_ms;
+	upstream->warmth = 0;
+	upstream->warmth_term = 0;
+	upstream->warmth_number = 0;
+	upstream->is_cold = false;
+}
+
+void
+takeover_step(struct owner_step *step)
+{
+	struct grant_owner *owner = step->owner;
+	struct owned_upstream *upstream;
+	bool is_asking, is_new;
+	uint64_t answered;
+	uint32_t started;
+	guint i;
+
+	is_asking = false;
+	is_new = false;
+	started = 0;
+	answered = least_answered(owner);
+	for (i = 0; i < owner->owned->len; i++) {
+		upstream = g_ptr_array_index(owner->owned, i);
+		if (upstream->phase == PHASE_WAITING &&
+		    step->now_ms >= upstream->phase_until_ms) {
+			upstream->phase = PHASE_ASKING;
+			upstream->phase_until_ms =
+			    step->now_ms + owner->settings.drain_ms;
+			upstream->query = owner->query + 1;
+			is_new = true;
+		}
+		if (upstream->phase != PHASE_ASKING)
+			continue;
+		if ((answered >= upstream->query &&
+			step->now_ms >= upstream->departed_ms) ||
+		    step->now_ms >= upstream->phase_until_ms) {
+			start_granting(step, upstream);
+			started++;
+		} else {
+			is_asking = true;
+		}
+	}
+	if (started > 0)
+		event_log_write(EVENT_GRANTS_WAITED_OUT,
+		    "upstreams=%u epoch=%" G_GINT64_MODIFIER "u", started,
+		    (guint64)owner->map->epoch);
+	if (is_new)
+		owner->query++;
+	if (is_new || (is_asking && step->now_ms >= owner->query_ms))
+		send_queries(step);
+}
+
+void
+takeover_send_ledger(struct owner_step *step, struct owned_upstream *upstream)
+{
+	struct grant_owner *owner = step->owner;
+	struct grant_head head = {0};
+	struct message_writer writer;
+
+	grant_ledger_expire(
+	    &upstream->ledger, step->now_ms, owner->settings.drain_ms);
+	head.type = GRANT_MESSAGE_LEDGER;
+	head.epoch = upstream->term;
+	head.row_count = 1 + count_ledger_rows(upstream);
+	message_writer_init(&writer);
+	grant_message_open(&writer, &head);
+	add_ledger_rows(&writer, upstream, step->now_ms);
+	owner->port.send(owner->port.context, upstream->next_owner,
+	    PEER_CHANNEL_GRANT, message_data(&writer), message_size(&writer));
+	message_writer_finish(&writer);
+}
+
+enum error_code
+takeover_receive_use(struct owner_step *step, uint32_t from_host,
+    const struct grant_reader *reader)
+{
+	struct grant_owner *owner = step->owner;
+	struct owned_upstream *upstream;
+	enum error_code error;
+	struct grant_ask row;
+	uint64_t *answered;
+	bool is_ahead;
+	uint32_t i;
+
+	if (reader->head.epoch != owner->map->epoch)
+		return ERROR_STALE;
+	is_ahead = false;
+	for (i = 0; i < reader->head.row_count; i++) {
+		error = grant_reader_ask(reader, i, &row);
+		if (error != ERROR_NONE)
+			return error;
+		upstream = grant_owner_find(owner, row.upstream_id);
+		if (upstream == NULL ||
+		    row.incarnation > upstream->warmup.incarnation) {
+			is_ahead = true;
+			continue;
+		}
+		take_use(step, upstream, from_host, &row);
+	}
+	/* It knows more than this host: it is asked again later. */
+	if (is_ahead)
+		return ERROR_NONE;
+	answered =
+	    g_hash_table_lookup(owner->answered, GUINT_TO_POINTER(from_host));
+	if (answered == NULL) {
+		answered = g_new0(uint64_t, 1);
+		g_hash_table_insert(
+		    owner->answered, GUINT_TO_POINTER(from_host), answered);
+	}
+	if (reader->head.sequence > *answered)
+		*answered = reader->head.sequence;
+	takeover_step(step);
+	return ERROR_NONE;
+}
+
+enum error_code
+takeover_receive_ledger(struct owner_step *step, uint32_t from_host,
+    const struct grant_reader *reader)
+{
+	struct owned_upstream *upstream;
+	struct grant_ledger_row row;
+	enum error_code error;
+
+	error = grant_reader_ledger(reader, 0, &row);
+	if (error != ERROR_NONE)
+		return error;
+	upstream = grant_owner_find(step->owner, row.upstream_id);
+	if (upstream == NULL || upstream->term != reader->head.epoch ||
+	    row.incarnation > upstream->warmup.incarnation)
+		return ERROR_STALE;
+	if (upstream->phase == PHASE_WAITING ||
+	    upstream->phase == PHASE_ASKING) {
+		error = import_ledger(step, upstream, reader);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	if (upstream->phase == PHASE_GRANTING)
+		send_taken(step, from_host, upstream);
+	return ERROR_NONE;
+}
+
+enum error_code
+takeover_receive_taken(struct owner_step *step, uint32_t from_host,
+    const struct grant_reader *reader)
+{
+	struct owned_upstream *upstream;
+	enum error_code error;
+	uint64_t id;
+
+	error = grant_reader_id(reader, 0, &id);
+	if (error != ERROR_NONE)
+		return error;
+	upstream = grant_owner_find(step->owner, id);
+	if (upstream == NULL || upstream->phase != PHASE_HANDING ||
+	    upstream->next_owner != from_host ||
+	    upstream->term != reader->head.epoch)
+		return ERROR_STALE;
+	upstream->phase = PHASE_NOT_OWNED;
+	grant_ledger_clear(&upstream->ledger);
+	return ERROR_NONE;
+}
+
+void
+takeover_raise_number(struct owner_step *step, const struct grant_ask *ask)
+{
+	if (ask->term == step->owner->map->epoch &&
+	    ask->number > step->owner->number)
+		step->owner->number = ask->number;
+}
+
+static void
+mark_gone(
+    struct grant_owner *owner, struct owned_upstream *upstream, int64_t now_ms)
+{
+	struct ledger_holder *holder;
+	uint32_t i;
+
+	for (i = 0; i < grant_ledger_count(&upstream->ledger); i++) {
+		holder = grant_ledger_at(&upstream->ledger, i);
+		if (owner_map_has(owner->map, holder->host_id))
+			holder->gone_ms = 0;
+		else if (holder->gone_ms == 0)
+			holder->gone_ms =
+			    now_ms + owner->settings.gone_drain_ms;
+	}
+}
+
+/* The last query that all live hosts have answered. */
+static uint64_t
+least_answered(const struct grant_owner *owner)
+{
+	const uint64_t *answered;
+	uint64_t least;
+	uint32_t i;
+
+	least = owner->query;
+	for (i = 0; i < owner->map->host_count; i++) {
+		answered = g_hash_table_lookup(
+		    owner->answered, GUINT_TO_POINTER(owner->map->hosts[i]));
+		if (answered == NULL)
+			return 0;
+		if (*answered < least)
+			least = *answered;
+	}
+	return least;
+}
+
+static void
+start_granting(struct owner_step *step, struct owned_upstream *upstream)
+{
+	upstream->phase = PHASE_GRANTING;
+	step->owner->counters.waited_out++;
+	if (!upstream->is_cold)
+		warmup_restore(&upstream->warmup, upstream->warmth);
+	grant_owner_divide(step, upstream);
+}
+
+static void
+send_queries(struct owner_step *step)
+{
+	struct grant_owner *owner = step->owner;
+	struct grant_head head = {0};
+	struct message_writer writer;
+	const uint64_t *answered;
+	uint32_t i;
+
+	head.type = GRANT_MESSAGE_QUERY;
+	head.epoch = owner->map->epoch;
+	head.sequence = owner->query;
+	owner->query_ms = step->now_ms + owner->settings.query_ms;
+	message_writer_init(&writer);
+	grant_message_open(&writer, &head);
+	for (i = 0; i < owner->map->host_count; i++) {
+		answered = g_hash_table_lookup(
+		    owner->answered, GUINT_TO_POINTER(owner->map->hosts[i]));
+		if (answered != NULL && *answered >= owner->query)
+			continue;
+		owner->port.send(owner->port.context, owner->map->hosts[i],
+		    PEER_CHANNEL_GRANT, message_data(&writer),
+		    message_size(&writer));
+	}
+	message_writer_finish(&writer);
+}
+
+static void
+add_ledger_rows(struct message_writer *writer,
+    const struct owned_upstream *upstream, int64_t now_ms)
+{
+	struct grant_ledger_row row = {0};
+	const struct ledger_holder *holder;
+	uint32_t i;
+
+	row.upstream_id = upstream->id;
+	row.incarnation = upstream->warmup.incarnation;
+	row.remaining_ms = count_ledger_rows(upstream);
+	row.warmth = warmup_warmth(&upstream->warmup);
+	grant_message_add_ledger(writer, &row);
+	for (i = 0; i < grant_ledger_count(&upstream->ledger); i++) {
+		holder = grant_ledger_at(&upstream->ledger, i);
+		row.host_id = holder->host_id;
+		row.amount = holder->counted;
+		row.is_draining = false;
+		row.remaining_ms = holder->expires_ms > now_ms
+				       ? (uint64_t)(holder->expires_ms - now_ms)
+				       : 0;
+		grant_message_add_ledger(writer, &row);
+		if (capacity_is_zero(&holder->draining))
+			continue;
+		row.amount = holder->draining;
+		row.is_draining = true;
+		row.remaining_ms =
+		    holder->draining_until_ms > now_ms
+			? (uint64_t)(holder->draining_until_ms - now_ms)
+			: 0;
+		grant_message_add_ledger(writer, &row);
+	}
+}
+
+static uint32_t
+count_ledger_rows(const struct owned_upstream *upstream)
+{
+	uint32_t rows, i;
+
+	rows = grant_ledger_count(&upstream->ledger);
+	for (i = 0; i < grant_ledger_count(&upstream->ledger); i++) {
+		if (!capacity_is_zero(
+			&grant_ledger_at(&upstream->ledger, i)->draining))
+			rows++;
+	}
+	return rows;
+}
+
+static void
+take_use(struct owner_step *step, struct owned_upstream *upstream,
+    uint32_t from_host, const struct grant_ask *row)
+{
+	struct ledger_holder *holder;
+
+	if (upstream->phase != PHASE_ASKING ||
+	    row->incarnation != upstream->warmup.incarnation)
+		return;
+	takeover_raise_number(step, row);
+	holder = grant_ledger_open(&upstream->ledger, from_host);
+	holder->counted = capacity_max(&holder->counted, &row->used);
+	holder->asked_ms = step->now_ms;
+	if (holder->expires_ms < step->now_ms)
+		holder->expires_ms = step->now_ms;
+	upstream->is_cold = upstream->is_cold || row->is_cold;
+	if (row->term < upstream->warmth_term ||
+	    (row->term == upstream->warmth_term &&
+		row->number < upstream->warmth_number))
+		return;
+	upstream->warmth_term = row->term;
+	upstream->warmth_number = row->number;
+	upstream->warmth = row->warmth;
+}
+
+static enum error_code
+import_ledger(struct owner_step *step, struct owned_upstream *upstream,
+    const struct grant_reader *reader)
+{
+	struct grant_ledger_row first, row;
+	enum error_code error;
+	uint32_t i;
+
+	error = grant_reader_ledger(reader, 0, &first);
+	if (error != ERROR_NONE)
+		return error;
+	if (first.host_id != 0 ||
+	    first.remaining_ms + 1 != reader->head.row_count)
+		return ERROR_MALFORMED;
+	/* A bad row must change nothing. */
+	for (i = 1; i < reader->head.row_count; i++) {
+		error = grant_reader_ledger(reader, i, &row);
+		if (error != ERROR_NONE)
+			return error;
+		if (row.host_id == 0 || row.upstream_id != first.upstream_id ||
+		    row.remaining_ms > UINT32_MAX)
+			return ERROR_MALFORMED;
+	}
+	for (i = 1; i < reader->head.row_count; i++) {
+		(void)grant_reader_ledger(reader, i, &row);
+		import_line(step, upstream, &row);
+	}
+	step->owner->counters.ledgers++;
+	upstream->phase = PHASE_GRANTING;
+	if (first.incarnation == upstream->warmup.incarnation)
+		warmup_restore(&upstream->warmup, first.warmth);
+	else
+		grant_ledger_restart(&upstream->ledger);
+	mark_gone(step->owner, upstream, step->now_ms);
+	grant_owner_divide(step, upstream);
+	return ERROR_NONE;
+}
+
+static void
+import_line(struct owner_step *step, struct owned_upstream *upstream,
+    const struct grant_ledger_row *row)
+{
+	struct ledger_holder *holder;
+	int64_t until_ms;
+
+	until_ms = step->now_ms + (int64_t)row->remaining_ms;
+	holder = grant_ledger_open(&upstream->ledger, row->host_id);
+	if (row->is_draining) {
+		holder->draining = row->amount;
+		holder->draining_until_ms = until_ms;
+		return;
+	}
+	holder->counted = capacity_max(&holder->counted, &row->amount);
+	if (holder->expires_ms < until_ms)
+		holder->expires_ms = until_ms;
+	if (holder->asked_ms == 0)
+		holder->asked_ms = step->now_ms;
+}
+
+static void
+send_taken(struct owner_step *step, uint32_t to_host,
+    const struct owned_upstream *upstream)
+{
+	struct grant_owner *owner = step->owner;
+	struct grant_head head = {0};
+	struct message_writer writer;
+
+	head.type = GRANT_MESSAGE_LEDGER_TAKEN;
+	head.epoch = upstream->term;
+	head.row_count = 1;
+	message_writer_init(&writer);
+	grant_message_open(&writer, &head);
+	grant_message_add_id(&writer, upstream->id);
+	owner->port.send(owner->port.context, to_host, PEER_CHANNEL_GRANT,
+	    message_data(&writer), message_size(&writer));
+	message_writer_finish(&writer);
+}
