--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -13,6 +13,7 @@
 #define SCHEDULES  4	 /* Without CHICORY_SOAK_SCHEDULES. */
 #define FAULTS	   14	 /* Of one schedule. */
 #define WARM_MS	   6000	 /* Until grants flow after a start. */
+#define WARM_UP_MS 24000 /* Enough answers for the warm limit. */
 #define TOLD_MS	   100	 /* A revocation and its way. */
 #define REMOVAL_MS 4000	 /* A lease, and until it is known. */
 #define MENDED_MS  12000 /* Lease, drains and some asks: liveness. */
@@ -246,7 +247,7 @@
 	fleet->is_warming = true;
 	fleet->load_percent = 60;
 	fleet->run_most_ms = 300;
-	fake_fleet_run(fleet, 4 * WARM_MS);
+	fake_fleet_run(fleet, WARM_UP_MS);
 	fleet->run_most_ms = 1500;
 	fake_fleet_run(fleet, WARM_MS);
 	fleet->is_warming = false;
