--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -1,18 +1,22 @@
+/**
+ * @file admission.c
+ * Admission by predicted times and account limits.
+ */
 #include "coordination/admission.h"
 
+#include <math.h>
 #include <string.h>
 
-#define MARGIN_DEFAULT		1.2   /* On predicted times. */
-#define RETRY_AFTER_MIN_DEFAULT 500   /* Least Retry-After, ms. */
-#define RETRY_AFTER_MAX_DEFAULT 60000 /* Largest Retry-After, ms. */
-#define WINDOW_MS		1000  /* Over which the rate is taken. */
-#define WINDOW_WEIGHT		0.3   /* Of the last window. */
-#define COST_PER_MS_FIRST	100.0 /* Until one was measured. */
+#define MARGIN		   1.1
+#define RETRY_AFTER_MIN_MS 250
+#define RETRY_AFTER_MAX_MS 30000
+#define RATE_WINDOW_MS	   1000 /* Over which starts are counted. */
+#define RATE_SMOOTHING	   0.3	/* Weight of the newest window. */
+#define RATE_UNKNOWN	   20.0 /* Cost a millisecond before any start. */
 
-static enum error_code check_account(
-    const struct admission *admission, const struct intent_account *account);
-static uint32_t count_of(const struct admission *admission, uint64_t id);
-static void set_count(struct admission *admission, uint64_t id, uint32_t count);
+static uint32_t *provide_account(
+    struct admission *admission, uint64_t account_id);
+static uint32_t share_limit(const struct admission *admission, uint32_t limit);
 
 enum error_code
 admission_init(
@@ -21,17 +25,15 @@
 	memset(admission, 0, sizeof(*admission));
 	admission->settings = *settings;
 	if (admission->settings.margin == 0)
-		admission->settings.margin = MARGIN_DEFAULT;
+		admission->settings.margin = MARGIN;
 	if (admission->settings.retry_after_min_ms == 0)
-		admission->settings.retry_after_min_ms =
-		    RETRY_AFTER_MIN_DEFAULT;
+		admission->settings.retry_after_min_ms = RETRY_AFTER_MIN_MS;
 	if (admission->settings.retry_after_max_ms == 0)
-		admission->settings.retry_after_max_ms =
-		    RETRY_AFTER_MAX_DEFAULT;
+		admission->settings.retry_after_max_ms = RETRY_AFTER_MAX_MS;
 	admission->accounts =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	admission->hosts = 1;
-	admission->cost_per_ms = COST_PER_MS_FIRST;
+	admission->cost_per_ms = RATE_UNKNOWN;
 	admission->is_open = true;
 	return ERROR_NONE;
 }
@@ -39,6 +41,8 @@
 void
 admission_finish(struct admission *admission)
 {
+	if (admission->accounts == NULL)
+		return;
 	g_hash_table_destroy(admission->accounts);
 	memset(admission, 0, sizeof(*admission));
 }
@@ -52,7 +56,7 @@
 void
 admission_set_hosts(struct admission *admission, uint32_t hosts)
 {
-	admission->hosts = hosts > 0 ? hosts : 1;
+	admission->hosts = hosts == 0 ? 1 : hosts;
 }
 
 struct admission_verdict
@@ -61,113 +65,111 @@
     const struct admission_prediction *prediction, int64_t now_ms)
 {
 	struct admission_verdict verdict = {0};
-	double margin, left_ms, needed_ms;
+	uint32_t *in_flight;
+	double end_ms, left_ms, run_ms;
 
-	margin = admission->settings.margin;
-	left_ms = (double)(facts->deadline_ms - now_ms);
-	needed_ms = prediction->end_ms * margin;
-	verdict.latest_start_ms = facts->deadline_ms - (int64_t)needed_ms;
 	if (!admission->is_open) {
 		verdict.error = ERROR_SHUTTING_DOWN;
 		verdict.retry_after_ms = admission->settings.retry_after_min_ms;
 		return verdict;
 	}
-	verdict.error = check_account(admission, account);
-	if (verdict.error == ERROR_NONE &&
-	    prediction->queue_ms * margin + needed_ms > left_ms)
-		verdict.error = ERROR_DEADLINE_UNREACHABLE;
-	if (verdict.error != ERROR_NONE) {
+	in_flight = provide_account(admission, account->id);
+	if (account->requests_max != 0 &&
+	    *in_flight >= share_limit(admission, account->requests_max)) {
+		verdict.error = ERROR_OVER_LIMIT;
 		verdict.retry_after_ms =
-		    admission_retry_after(admission, prediction->queue_ms);
+		    admission_retry_after(admission, prediction->end_ms);
+		return verdict;
+	}
+	left_ms = (double)(facts->deadline_ms - now_ms);
+	run_ms = prediction->end_ms * admission->settings.margin;
+	end_ms = prediction->queue_ms * admission->settings.margin + run_ms;
+	if (end_ms > left_ms) {
+		verdict.error = ERROR_DEADLINE_UNREACHABLE;
+		/* Too large even for an idle fleet: no use to come back. */
+		if (run_ms <= left_ms || prediction->queue_ms > 0)
+			verdict.retry_after_ms =
+			    admission_retry_after(admission, end_ms - left_ms);
 		return verdict;
 	}
-	set_count(admission, account->id, count_of(admission, account->id) + 1);
+	(*in_flight)++;
+	verdict.latest_start_ms = facts->deadline_ms - (int64_t)ceil(run_ms);
 	return verdict;
 }
 
 void
 admission_end(struct admission *admission, uint64_t account_id)
 {
-	uint32_t count;
+	uint32_t *in_flight;
 
-	count = count_of(admission, account_id);
-	if (count > 0)
-		set_count(admission, account_id, count - 1);
+	in_flight = g_hash_table_lookup(admission->accounts, &account_id);
+	if (in_flight == NULL || *in_flight == 0)
+		return;
+	(*in_flight)--;
+	if (*in_flight == 0)
+		g_hash_table_remove(admission->accounts, &account_id);
 }
 
 uint32_t
 admission_retry_after(const struct admission *admission, double wait_ms)
 {
-	const struct admission_settings *settings = &admission->settings;
-
-	if (wait_ms <= settings->retry_after_min_ms)
-		return settings->retry_after_min_ms;
-	if (wait_ms >= settings->retry_after_max_ms)
-		return settings->retry_after_max_ms;
-	return (uint32_t)wait_ms;
+	if (!(wait_ms > admission->settings.retry_after_min_ms))
+		return admission->settings.retry_after_min_ms;
+	if (wait_ms > admission->settings.retry_after_max_ms)
+		return admission->settings.retry_after_max_ms;
+	return (uint32_t)ceil(wait_ms);
 }
 
 void
-admission_note_start(struct admission *admission, uint64_t cost, int64_t now_ms)
+admission_note_start(
+    struct admission *admission, uint64_t cost, bool has_waited, int64_t now_ms)
 {
 	double rate;
-	int64_t elapsed_ms;
-
-	elapsed_ms = now_ms - admission->window_start_ms;
-	if (admission->window_start_ms != 0 && elapsed_ms >= WINDOW_MS) {
-		rate = admission->window_cost / (double)elapsed_ms;
-		admission->cost_per_ms +=
-		    (rate - admission->cost_per_ms) * WINDOW_WEIGHT;
+	int64_t length_ms;
+
+	length_ms = now_ms - admission->window_start_ms;
+	if (length_ms >= RATE_WINDOW_MS) {
+		rate = admission->window_cost / (double)length_ms;
+		/* A window without waiting says only what was asked for. */
+		if (rate > admission->cost_per_ms || admission->window_waited)
+			admission->cost_per_ms +=
+			    RATE_SMOOTHING * (rate - admission->cost_per_ms);
+		if (admission->cost_per_ms < 1)
+			admission->cost_per_ms = 1;
 		admission->window_cost = 0;
+		admission->window_waited = false;
 		admission->window_start_ms = now_ms;
 	}
-	if (admission->window_start_ms == 0)
-		admission->window_start_ms = now_ms;
 	admission->window_cost += (double)cost;
+	admission->window_waited = admission->window_waited || has_waited;
 }
 
 double
 admission_queue_ms(const struct admission *admission, uint64_t cost_ahead)
 {
-	if (cost_ahead == 0)
-		return 0;
-	if (admission->cost_per_ms < 1.0)
-		return (double)cost_ahead;
 	return (double)cost_ahead / admission->cost_per_ms;
 }
 
-/* Each host lets its part of the account's requests in, and at least one. */
-static enum error_code
-check_account(
-    const struct admission *admission, const struct intent_account *account)
+static uint32_t *
+provide_account(struct admission *admission, uint64_t account_id)
 {
-	uint32_t part;
-
-	if (account->requests_max == 0)
-		return ERROR_NONE;
-	part = account->requests_max / admission->hosts;
-	if (part == 0)
-		part = 1;
-	return count_of(admission, account->id) < part ? ERROR_NONE
-						       : ERROR_OVER_LIMIT;
+	uint32_t *in_flight;
+
+	in_flight = g_hash_table_lookup(admission->accounts, &account_id);
+	if (in_flight != NULL)
+		return in_flight;
+	in_flight = g_new0(uint32_t, 1);
+	g_hash_table_insert(admission->accounts,
+	    g_memdup2(&account_id, sizeof(account_id)), in_flight);
+	return in_flight;
 }
 
+/* Every host gives at least one, so that a small limit shuts nobody out. */
 static uint32_t
-count_of(const struct admission *admission, uint64_t id)
-{
-	return GPOINTER_TO_UINT(g_hash_table_lookup(admission->accounts, &id));
-}
-
-static void
-set_count(struct admission *admission, uint64_t id, uint32_t count)
+share_limit(const struct admission *admission, uint32_t limit)
 {
-	uint64_t *key;
+	uint32_t share;
 
-	if (count == 0) {
-		g_hash_table_remove(admission->accounts, &id);
-		return;
-	}
-	key = g_new(uint64_t, 1);
-	*key = id;
-	g_hash_table_replace(admission->accounts, key, GUINT_TO_POINTER(count));
+	share = limit / admission->hosts;
+	return share == 0 ? 1 : share;
 }
--- a/src/coordination/consensus_leader.c
+++ b/src/coordination/consensus_leader.c
@@ -139,7 +139,6 @@
 	uint32_t i;
 
 	if (!hears_quorum(consensus)) {
-		consensus_reset_election(consensus);
 		consensus_step_down(consensus, 0);
 		return;
 	}
@@ -508,7 +507,7 @@
 find_quorum_value(const struct consensus *consensus,
     uint64_t (*read)(const struct consensus_peer *peer), uint64_t own)
 {
-	uint64_t values[CONSENSUS_PEERS_MAX + 1], value;
+	uint64_t values[CONSENSUS_PEERS_MAX + 1] = {0}, value;
 	const struct consensus_peer *peer;
 	uint32_t count, i, at;
 
