--- a/src/transport/upstream_adapter.h
+++ b/src/transport/upstream_adapter.h
@@ -6,8 +6,8 @@
  * and return at once; everything that comes back, failures too, is pushed to
  * the queue, whose last piece is END or FAILED. An attempt is given up with
  * piece_queue_close(). The other functions wait for the answer until their
- * deadline: never call them on the coordination thread, post them with
- * control_worker.h. Every function may be called by any thread.
+ * deadline: never call them on the coordination thread, post them to a
+ * worker thread. Every function may be called by any thread.
  */
 #ifndef UPSTREAM_ADAPTER_H
 #define UPSTREAM_ADAPTER_H
