--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -9,7 +9,9 @@
 
 #include <xxhash.h>
 
+#define SHORT_PROMPT_TOKENS  8192
 #define LONG_PROMPT_TOKENS   32768
+#define STEP_BACK_TOKENS     100000
 #define SCORED_MAX	     32
 #define CHUNK_TOKENS	     2048
 #define REGION_MS	     1.0
@@ -26,6 +28,13 @@
 #define US_PER_MS	     1000.0
 #define MS_PER_S	     1000.0
 
+/** What is on an upstream, as far as this host can tell. */
+struct occupancy {
+	double ahead_tokens; /* Prompt tokens ahead of this request. */
+	double requests;
+	double kv_tokens;
+};
+
 /** One choice being made. */
 struct scoring {
 	const struct router_settings *settings;
@@ -35,6 +44,7 @@
 	struct prefix_hit hits[PREFIX_HITS_MAX];
 	uint32_t hit_count;
 	bool is_long;	     /* The prompt is long. */
+	bool is_short;	     /* The prompt is short. */
 	bool takes_suspects; /* Upstreams that failed lately too. */
 	bool takes_all;	     /* Long prompts go anywhere. */
 	bool is_known;	     /* Some upstream fits by policy. */
@@ -56,8 +66,12 @@
     const struct scoring *scoring, const struct fleet_group *group);
 static void predict(const struct scoring *scoring,
     const struct fleet_entry *entry, struct router_candidate *candidate);
-static double estimate_queue(const struct scoring *scoring,
-    const struct fleet_entry *entry, double *requests);
+static struct occupancy estimate(
+    const struct scoring *scoring, const struct fleet_entry *entry);
+static double correct(
+    double own, double reported, double own_then, double weight);
+static void pass_long_prompts(const struct scoring *scoring,
+    const struct fleet_entry *entry, struct occupancy *occupancy);
 static double find_cached(
     const struct scoring *scoring, const struct fleet_entry *entry);
 static double find_distance_ms(
@@ -70,8 +84,12 @@
 void
 router_settings_fill(struct router_settings *settings)
 {
+	if (settings->short_prompt_tokens == 0)
+		settings->short_prompt_tokens = SHORT_PROMPT_TOKENS;
 	if (settings->long_prompt_tokens == 0)
 		settings->long_prompt_tokens = LONG_PROMPT_TOKENS;
+	if (settings->step_back_tokens == 0)
+		settings->step_back_tokens = STEP_BACK_TOKENS;
 	if (settings->scored_max == 0)
 		settings->scored_max = SCORED_MAX;
 	if (settings->chunk_tokens == 0)
@@ -109,6 +127,8 @@
 	scoring.wanted_cost = HUGE_VAL;
 	scoring.is_long =
 	    query->facts->prompt_tokens >= settings->long_prompt_tokens;
+	scoring.is_short =
+	    query->facts->prompt_tokens < settings->short_prompt_tokens;
 	if (query->prefixes != NULL)
 		scoring.hit_count = prefix_index_find(
 		    query->prefixes, query->facts, query->now_ms, scoring.hits);
@@ -133,10 +153,13 @@
 router_engine_priority(
     const struct router_settings *settings, const struct request_facts *facts)
 {
-	if (facts->prompt_tokens < settings->long_prompt_tokens ||
-	    facts->priority == REQUEST_PRIORITY_LOW)
-		return facts->priority;
-	return (enum request_priority)(facts->priority - 1);
+	if (facts->priority == REQUEST_PRIORITY_LOW)
+		return REQUEST_PRIORITY_LOW;
+	if (facts->prompt_tokens >= settings->step_back_tokens)
+		return (enum request_priority)(facts->priority - 1);
+	if (facts->prompt_tokens < settings->short_prompt_tokens)
+		return REQUEST_PRIORITY_HIGH;
+	return facts->priority;
 }
 
 void
@@ -336,7 +359,8 @@
 	const struct router_settings *settings = scoring->settings;
 	const struct request_facts *facts = scoring->query->facts;
 	const struct upstream_limits *limits = &entry->upstream->record.limits;
-	double speed, decode_ms, queue, requests, cached, prefill;
+	struct occupancy occupancy = estimate(scoring, entry);
+	double speed, decode_ms, queue, cached, prefill, excess;
 
 	speed = limits->prefill_tokens_per_s;
 	if (speed == 0)
@@ -349,10 +373,17 @@
 		speed /= settings->cold_factor;
 		decode_ms *= settings->cold_factor;
 	}
-	queue = estimate_queue(scoring, entry, &requests);
+	queue = occupancy.ahead_tokens;
 	cached = find_cached(scoring, entry);
 	prefill = (double)facts->prompt_tokens - cached;
-	decode_ms *= 1 + settings->batch_slowdown * requests;
+	decode_ms *= 1 + settings->batch_slowdown * occupancy.requests;
+	candidate->amount.kv_tokens =
+	    facts->prompt_tokens + facts->answer_tokens_max;
+	/* Memory is freed as work ends, at best as fast as prompts are read. */
+	excess = occupancy.kv_tokens + (double)candidate->amount.kv_tokens -
+		 (double)limits->kv_tokens;
+	if (limits->kv_tokens != 0 && excess > 0)
+		queue += excess;
 	candidate->entry = entry;
 	candidate->ahead_tokens = (uint64_t)queue;
 	candidate->cached_tokens = (uint64_t)cached;
@@ -364,56 +395,74 @@
 	candidate->cost_ms =
 	    candidate->first_token_ms +
 	    settings->end_weight * decode_ms * (double)facts->answer_tokens_max;
-	candidate->long_tokens = scoring->is_long ? (uint64_t)prefill : 0;
+	candidate->long_tokens = scoring->is_short ? 0 : (uint64_t)prefill;
 	candidate->amount.requests = 1;
 	candidate->amount.prefill_tokens = (uint64_t)prefill;
 	/* The largest prompt may run alone. */
 	if (limits->warm_prefill_tokens != 0 &&
 	    candidate->amount.prefill_tokens > limits->warm_prefill_tokens)
 		candidate->amount.prefill_tokens = limits->warm_prefill_tokens;
-	candidate->amount.kv_tokens =
-	    facts->prompt_tokens + facts->answer_tokens_max;
 }
 
-/* Prompt tokens ahead of this request. This host's own work is known; the last
- * report is corrected by what this host did since, and fades with its age. A
- * short prompt passes long ones by its priority but for a chunk. */
-static double
-estimate_queue(const struct scoring *scoring, const struct fleet_entry *entry,
-    double *requests)
+/* This host's own work is known; the last report is corrected by what this
+ * host did since, and fades with its age. */
+static struct occupancy
+estimate(const struct scoring *scoring, const struct fleet_entry *entry)
 {
-	struct fleet_upstream *upstream = entry->upstream;
-	struct fleet_load *load = &upstream->load;
+	struct fleet_load *load = &entry->upstream->load;
 	struct capacity_amount own = capacity_slot_used(entry->slot);
-	double tokens, reported, weight, long_tokens;
+	struct occupancy occupancy;
+	double weight;
 	int64_t taken_ms;
 
-	tokens = (double)own.prefill_tokens;
-	*requests = own.requests;
 	taken_ms = atomic_load(&load->taken_ms);
-	if (taken_ms != 0) {
+	weight = 0;
+	if (taken_ms != 0)
 		weight = exp2(-(double)(scoring->query->now_ms - taken_ms) /
 			      (double)scoring->settings->load_half_life_ms);
-		reported = (double)atomic_load(&load->prefill_tokens) -
-			   (double)atomic_load(&load->own_prefill_tokens);
-		tokens += weight * reported;
-		reported = (double)atomic_load(&load->requests) -
-			   (double)atomic_load(&load->own_requests);
-		*requests += weight * reported;
-	}
-	if (*requests < 0)
-		*requests = 0;
-	if (tokens < 0)
-		tokens = 0;
-	if (scoring->is_long)
-		return tokens;
-	long_tokens = (double)atomic_load(&upstream->long_prefill_tokens);
-	if (long_tokens <= scoring->settings->chunk_tokens)
-		return tokens;
-	tokens -= long_tokens;
-	if (tokens < 0)
-		tokens = 0;
-	return tokens + scoring->settings->chunk_tokens;
+	occupancy.requests = correct(own.requests, atomic_load(&load->requests),
+	    atomic_load(&load->own_requests), weight);
+	occupancy.kv_tokens = correct((double)own.kv_tokens,
+	    (double)atomic_load(&load->kv_tokens),
+	    (double)atomic_load(&load->own_kv_tokens), weight);
+	/* Short work is over before a report of it arrives, and the rest is
+	 * passed; following reports would draw all hosts' short prompts to
+	 * the same upstreams. */
+	if (scoring->is_short)
+		weight = 0;
+	occupancy.ahead_tokens = correct((double)own.prefill_tokens,
+	    (double)atomic_load(&load->prefill_tokens),
+	    (double)atomic_load(&load->own_prefill_tokens), weight);
+	if (scoring->is_short)
+		pass_long_prompts(scoring, entry, &occupancy);
+	return occupancy;
+}
+
+static double
+correct(double own, double reported, double own_then, double weight)
+{
+	double corrected;
+
+	corrected = own + weight * (reported - own_then);
+	return corrected > 0 ? corrected : 0;
+}
+
+/* A short prompt passes long ones by its priority but for a chunk. */
+static void
+pass_long_prompts(const struct scoring *scoring,
+    const struct fleet_entry *entry, struct occupancy *occupancy)
+{
+	double chunk = scoring->settings->chunk_tokens;
+	double long_tokens;
+
+	long_tokens =
+	    (double)atomic_load(&entry->upstream->long_prefill_tokens);
+	if (long_tokens <= chunk)
+		return;
+	occupancy->ahead_tokens -= long_tokens;
+	if (occupancy->ahead_tokens < 0)
+		occupancy->ahead_tokens = 0;
+	occupancy->ahead_tokens += chunk;
 }
 
 static double
