--- a/src/service/host.c
+++ b/src/service/host.c
@@ -18,10 +18,10 @@
 #define PREFIX_HALF_LIFE_MS   300000 /* After which trust halves. */
 #define SPANS_MAX	      8192   /* Spans that wait to be written. */
 #define REQUEST_ID_HOST_SHIFT 48     /* The host's part of a request id. */
-#define HAND_OVER_MS	      1500   /* Longest wait for a hand-over. */
-#define HAND_OVER_STEP_MS     20     /* Between looks at it. */
-#define CONTROL_THREADS	      16     /* Calls to upstreams that wait. */
-#define GROUP_LOOK_US	      10000  /* Between looks at group threads. */
+#define HAND_OVER_MS	      INT64_C(1500) /* Longest wait for a hand-over. */
+#define HAND_OVER_STEP_MS     20	    /* Between looks at it. */
+#define CONTROL_THREADS	      16	    /* Calls to upstreams that wait. */
+#define GROUP_LOOK_US	      10000 /* Between looks at group threads. */
 #define US_PER_MS	      1000
 
 static enum error_code init_parts(struct host *host);
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -61,25 +61,20 @@
 	struct timer_service timers; /**< Of the coordination thread. */
 	struct mailbox mailbox;	     /**< Calls from request threads. */
 	pthread_t thread;	     /**< The coordination thread. */
-	_Atomic bool is_stopping;    /**< Ends the loop. */
-	_Atomic bool is_draining;    /**< Takes no new requests. */
 
 	struct peer_links links;      /**< To the other hosts. */
 	struct membership membership; /**< Who they are. */
 
-	bool has_disk;		    /**< consensus and folder are set. */
-	struct disk_folder folder;  /**< Data folder. */
-	struct consensus consensus; /**< Of a host with a disk. */
+	struct disk_folder folder;	       /**< Data folder. */
+	struct consensus consensus;	       /**< Of a host with a disk. */
 	struct replicated_state voter_state;   /**< Fed by consensus. */
 	struct replicated_state learner_state; /**< Fed by the feed. */
 	GByteArray *apply_result;	       /**< Bytes of the last result. */
 	struct command_client commands; /**< Brings commands to the leader. */
 	struct config_feed feed;	/**< Configuration and lease. */
 	uint64_t published_sequence;	/**< What the fleet's intent shows. */
-	bool is_agreement_ready;	/**< The feed may be called. */
 	GArray *pending;		/**< struct host_pending. */
 	struct live_hosts live_hosts;	/**< Leader's plan. */
-	bool is_planning;		/**< A plan is being committed. */
 	uint64_t plan_number;		/**< Names plans apart. */
 	_Atomic int64_t override_until_ms; /**< Serves unconfirmed till then. */
 
@@ -88,9 +83,6 @@
 	GHashTable *wanted;		     /**< Upstreams with demand. */
 	struct host_groups groups;     /**< Prompts over several upstreams. */
 	struct control_worker control; /**< Calls that wait for upstreams. */
-	_Atomic uint32_t group_runs;   /**< Threads of group_run.c. */
-	struct quarantine quarantine;  /**< Requests that crash. */
-	_Atomic uint32_t suspects;     /**< Known to the quarantine. */
 	struct fleet fleet;	       /**< What request threads see. */
 
 	struct prefix_index prefixes;	     /**< Prefix affinity. */
@@ -103,7 +95,17 @@
 	struct request_metrics metrics;	     /**< Counters. */
 	uint64_t fingerprint_key;	  /**< Keys fingerprints, fleet-wide. */
 	_Atomic uint64_t next_request_id; /**< Counts up from a base. */
-	_Atomic uint32_t running;	  /**< Requests under way. */
+
+	/* Counts and flags */
+	_Atomic uint32_t suspects;    /**< Known to the quarantine. */
+	_Atomic uint32_t group_runs;  /**< Threads of group_run.c. */
+	struct quarantine quarantine; /**< Requests that crash. */
+	_Atomic uint32_t running;     /**< Requests under way. */
+	_Atomic bool is_stopping;     /**< Ends the loop. */
+	_Atomic bool is_draining;     /**< Takes no new requests. */
+	bool has_disk;		      /**< consensus and folder are set. */
+	bool is_agreement_ready;      /**< The feed may be called. */
+	bool is_planning;	      /**< A plan is being committed. */
 };
 
 /* Life cycle (host.c) */
--- a/src/service/operator_views.c
+++ b/src/service/operator_views.c
@@ -197,7 +197,6 @@
 	json_t *ids;
 
 	ids = json_array();
-	leader = 0;
 	if (host->has_disk) {
 		leader = consensus_leader(&host->consensus);
 		voters = consensus_voters(&host->consensus);
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -8,13 +8,14 @@
 #include "service/group_run.h"
 #include "service/host_calls.h"
 
-#define PIECES_MAX	  256 /* Pieces that wait between the threads. */
-#define WINDOW_BYTES_MAX  (4u * 1024 * 1024) /* Out of order, at a time. */
-#define CLAIM_TIMEOUT_MS  3000		     /* Longest wait for a claim. */
-#define CLAIM_FINISH_MS	  60000 /* Longest try to note how it ended. */
-#define SUSPECT_MS	  2000	/* An upstream that failed is avoided. */
-#define RETRY_AFTER_MS	  1000	/* When the cause may be over soon. */
-#define TOKEN_INTERVAL_MS 200.0 /* Expected between two pieces. */
+#define PIECES_MAX 256 /* Pieces that wait between the threads. */
+#define WINDOW_BYTES_MAX                                                       \
+	((size_t)4 * 1024 * 1024) /* Out of order, at a time. */
+#define CLAIM_TIMEOUT_MS  3000	  /* Longest wait for a claim. */
+#define CLAIM_FINISH_MS	  60000	  /* Longest try to note how it ended. */
+#define SUSPECT_MS	  2000	  /* An upstream that failed is avoided. */
+#define RETRY_AFTER_MS	  1000	  /* When the cause may be over soon. */
+#define TOKEN_INTERVAL_MS 200.0	  /* Expected between two pieces. */
 #define US_PER_MS	  1000
 
 static void step_wait(struct request_run *run, int64_t until_ms);
--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -12,7 +12,7 @@
 #include "service/api.h"
 #include "service/host.h"
 
-#define DRAIN_NOTICE_MS 1500 /* The balancer sees readiness go in this time. */
+#define DRAIN_NOTICE_US 1500000ul /* The balancer sees it in this time. */
 
 static const struct http_route routes[] = {
     {"POST", "/v1/completions", api_completions},
@@ -128,7 +128,7 @@
 	event_log_write(EVENT_HOST_STOPPING, "%u requests running",
 	    atomic_load(&host->running));
 	host_drain(host);
-	g_usleep(DRAIN_NOTICE_MS * 1000);
+	g_usleep(DRAIN_NOTICE_US);
 	if (http_server_drain(server,
 		host_now_ms() + host->settings.stop_grace_ms) != ERROR_NONE)
 		event_log_write(EVENT_HOST_STOPPING, "streams cut: %u",
