Orders to engines: committed, fenced, given by the leader under its lease

Cause: an order must survive the leader that gave it and never be given by two. Change: the runner is tied to the replicated state by ORDER_BEGIN and ORDER_FINISH and to engines by the control worker, which looks at the lease right before the bytes leave.

--- a/src/service/api.h
+++ b/src/service/api.h
@@ -55,6 +55,8 @@
 void api_quarantine_release(void *context, struct http_exchange *exchange);
 /** GET /operator/v1/orders. */
 void api_orders(void *context, struct http_exchange *exchange);
+/** POST /operator/v1/orders. */
+void api_order_give(void *context, struct http_exchange *exchange);
 /** POST /operator/v1/override. */
 void api_override(void *context, struct http_exchange *exchange);
 
--- a/src/service/cli_verbs.c
+++ b/src/service/cli_verbs.c
@@ -37,7 +37,7 @@
 static int send_body(struct cli *cli, const char *path, json_t *body);
 static int add_voter(struct cli *cli, int host_id);
 static int remove_voter(struct cli *cli, int host_id);
-static int change_voters(struct cli *cli, json_t *body);
+static int call_leader(struct cli *cli, const char *path, json_t *body);
 static int find_host(
     struct cli *cli, json_int_t host_id, char *url, size_t url_size);
 static int watch_config(struct cli *cli);
@@ -258,7 +258,7 @@
 		return show(cli, "/operator/v1/orders", print_orders);
 	if (strcmp(cli->arguments[0], "give") != 0 || cli->argument_count != 4)
 		return usage("order give UPSTREAM KIND ARGUMENT | list");
-	return send_body(cli, "/operator/v1/orders",
+	return call_leader(cli, "/operator/v1/orders",
 	    json_pack("{s:s,s:s,s:s,s:s}", "operation_id", cli->operation_id,
 		"upstream", cli->arguments[1], "kind", cli->arguments[2],
 		"argument", cli->arguments[3]));
@@ -420,19 +420,20 @@
 	if (strcmp(incarnation, "0") == 0)
 		return cli_fail(
 		    cli, ERROR_BAD_VALUE, "the host has no data_dir");
-	return change_voters(cli,
+	return call_leader(cli, "/operator/v1/voters",
 	    json_pack("{s:i,s:s}", "add", host_id, "incarnation", incarnation));
 }
 
 static int
 remove_voter(struct cli *cli, int host_id)
 {
-	return change_voters(cli, json_pack("{s:i}", "remove", host_id));
+	return call_leader(
+	    cli, "/operator/v1/voters", json_pack("{s:i}", "remove", host_id));
 }
 
 /* Only the leader can do it, so it is looked for first. */
 static int
-change_voters(struct cli *cli, json_t *body)
+call_leader(struct cli *cli, const char *path, json_t *body)
 {
 	struct cli one = *cli;
 	char url[URL_SIZE_MAX];
@@ -456,7 +457,7 @@
 	}
 	one.hosts[0] = url;
 	one.host_count = 1;
-	return send_body(&one, "/operator/v1/voters", body);
+	return send_body(&one, path, body);
 }
 
 static int
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -115,6 +115,7 @@
 	upstream_http_finish(&host->upstreams_http);
 	host_agreement_finish(host);
 	wait_line_finish(&host->line);
+	host_orders_finish(host);
 	host_groups_finish(host);
 	host_fleet_finish(host);
 	membership_finish(&host->membership);
@@ -172,6 +173,8 @@
 		    control_worker_init(&host->control, CONTROL_THREADS, host);
 	if (error == ERROR_NONE)
 		error = host_groups_init(host);
+	if (error == ERROR_NONE)
+		error = host_orders_init(host);
 	if (error == ERROR_NONE)
 		error = init_line(host);
 	if (error == ERROR_NONE)
@@ -298,6 +301,7 @@
 	membership_step(&host->membership);
 	mailbox_run(&host->mailbox, host);
 	host_agreement_step(host);
+	host_orders_step(host);
 	host_fleet_step(host);
 }
 
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -34,6 +34,7 @@
 #include "coordination/upstream_directory.h"
 #include "service/control_worker.h"
 #include "service/host_groups.h"
+#include "service/host_orders.h"
 #include "service/mailbox.h"
 #include "service/request_metrics.h"
 #include "service/settings.h"
@@ -82,6 +83,8 @@
 	struct capacity_exchange capacity;   /**< Grants, both sides. */
 	GHashTable *wanted;		     /**< Upstreams with demand. */
 	struct host_groups groups;     /**< Prompts over several upstreams. */
+	struct order_runner orders;    /**< Orders to engines, while leading. */
+	_Atomic int64_t lead_until_ms; /**< Orders may be given till then. */
 	struct control_worker control; /**< Calls that wait for upstreams. */
 	struct fleet fleet;	       /**< What request threads see. */
 
--- /dev/null
+++ b/src/service/host_orders.c
@@ -0,0 +1,382 @@
+#include "service/host_orders.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "service/host.h"
+
+#define COMMIT_TIMEOUT_MS   3000   /* Longest wait for a commit. */
+#define ORDER_TIMEOUT_MS    30000  /* Longest watch over one sending. */
+#define EXCHANGE_TIMEOUT_MS 5000   /* Longest exchange with the engine. */
+#define WATCH_US	    200000 /* Between looks how far it is. */
+#define SUBMIT_TIMEOUT_MS   2000   /* Longest wait for the runner. */
+
+/* An order on its way to an engine. */
+struct order_job {
+	struct upstream_target target;
+	struct upstream_order order;
+	uint64_t upstream_id;
+	uint64_t fencing;
+};
+
+struct order_answer {
+	uint64_t upstream_id;
+	uint64_t fencing;
+	enum error_code error;
+};
+
+struct submit_body {
+	struct engine_order order;
+};
+
+/* A commit that is being waited for. */
+struct order_commit {
+	struct host *host;
+	uint64_t upstream_id;
+	uint64_t fencing;
+};
+
+static const char *const kind_names[] = {
+    [UPSTREAM_ORDER_LOAD_MODEL] = "load-model",
+    [UPSTREAM_ORDER_UNLOAD_MODEL] = "unload-model",
+    [UPSTREAM_ORDER_LOAD_ADAPTER] = "load-adapter",
+    [UPSTREAM_ORDER_SET_VERSION] = "set-version",
+    [UPSTREAM_ORDER_SET_ROLE] = "set-role",
+};
+
+#define KIND_COUNT (sizeof(kind_names) / sizeof(kind_names[0]))
+
+static void commit_begin(void *context, const struct engine_order *order);
+static void commit_finish(
+    void *context, const struct engine_order *order, enum error_code outcome);
+static void give_order(void *context, const struct engine_order *order);
+static bool honours_fencing(void *context, uint64_t upstream_id);
+static void each_open(void *context,
+    void (*visit)(void *visitor, const struct engine_order *order),
+    void *visitor);
+static void fill_command(struct host *host, const struct engine_order *order,
+    enum command_type type, struct command *command);
+static void note_begun(void *context, const struct command_result *result);
+static void note_finished(void *context, const struct command_result *result);
+static void run_give(void *owner, void *arguments);
+static bool may_give(struct host *host);
+static void take_answer(void *coordinator, struct mailbox_call *call);
+static void run_submit(void *coordinator, struct mailbox_call *call);
+static void split_argument(const char *argument, struct upstream_order *order);
+
+struct open_visit {
+	void (*visit)(void *visitor, const struct engine_order *order);
+	void *visitor;
+};
+
+static void visit_open(void *context, const struct order_record *record);
+
+static const struct mailbox_ops answer_ops = {.run = take_answer};
+static const struct mailbox_ops submit_ops = {.run = run_submit};
+
+const char *
+host_order_kind_name(uint32_t kind)
+{
+	if (kind >= KIND_COUNT || kind_names[kind] == NULL)
+		return "unknown";
+	return kind_names[kind];
+}
+
+uint32_t
+host_order_kind(const char *name)
+{
+	uint32_t kind;
+
+	for (kind = 1; kind < KIND_COUNT; kind++) {
+		if (strcmp(kind_names[kind], name) == 0)
+			return kind;
+	}
+	return 0;
+}
+
+enum error_code
+host_orders_init(struct host *host)
+{
+	struct order_runner_settings settings;
+	struct order_runner_ops ops = {
+	    .commit_begin = commit_begin,
+	    .commit_finish = commit_finish,
+	    .give = give_order,
+	    .honours_fencing = honours_fencing,
+	    .each_open = each_open,
+	    .context = host,
+	};
+
+	settings = order_runner_default_settings();
+	settings.lease_ms = host->settings.configuration_lease_ms;
+	settings.order_ms = ORDER_TIMEOUT_MS;
+	return order_runner_init(&host->orders, &settings, &ops, &host->timers);
+}
+
+void
+host_orders_finish(struct host *host)
+{
+	order_runner_finish(&host->orders);
+}
+
+void
+host_orders_step(struct host *host)
+{
+	int64_t now_ms, confirmed_ms;
+	uint64_t commit_index;
+
+	now_ms = host_now_ms();
+	if (host->has_disk && consensus_is_leader(&host->consensus) &&
+	    consensus_confirmed_at(
+		&host->consensus, &confirmed_ms, &commit_index) == ERROR_NONE &&
+	    confirmed_ms + host->settings.configuration_lease_ms > now_ms) {
+		atomic_store(&host->lead_until_ms,
+		    confirmed_ms + host->settings.configuration_lease_ms);
+		order_runner_lead(&host->orders,
+		    confirmed_ms + host->settings.configuration_lease_ms);
+	} else {
+		atomic_store(&host->lead_until_ms, 0);
+		order_runner_follow(&host->orders);
+	}
+}
+
+enum error_code
+host_order_submit(struct host *host, const char *upstream, uint32_t kind,
+    const char *argument)
+{
+	struct mailbox_call *call;
+	struct submit_body *body;
+	enum error_code error;
+
+	if (strlen(argument) >= ORDER_TEXT_SIZE_MAX)
+		return ERROR_TOO_LARGE;
+	call = mailbox_call_new(&submit_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	body->order.upstream_id = upstream_id(upstream);
+	body->order.kind = kind;
+	body->order.loads_weights = kind == UPSTREAM_ORDER_LOAD_MODEL ||
+				    kind == UPSTREAM_ORDER_LOAD_ADAPTER;
+	snprintf(
+	    body->order.argument, sizeof(body->order.argument), "%s", argument);
+	error = mailbox_await(&host->mailbox, call, SUBMIT_TIMEOUT_MS);
+	mailbox_call_drop(call);
+	return error;
+}
+
+static void
+commit_begin(void *context, const struct engine_order *order)
+{
+	struct order_commit *commit;
+	struct host *host = context;
+	struct command command;
+
+	fill_command(host, order, COMMAND_ORDER_BEGIN, &command);
+	command.body.order.supersedes = order->fencing;
+	commit = g_new(struct order_commit, 1);
+	commit->host = host;
+	commit->upstream_id = order->upstream_id;
+	commit->fencing = order->fencing;
+	if (command_client_submit(&host->commands, &command, COMMIT_TIMEOUT_MS,
+		(struct command_callback){note_begun, commit}) != ERROR_NONE)
+		g_free(commit);
+}
+
+static void
+commit_finish(
+    void *context, const struct engine_order *order, enum error_code outcome)
+{
+	struct order_commit *commit;
+	struct host *host = context;
+	struct command command;
+
+	fill_command(host, order, COMMAND_ORDER_FINISH, &command);
+	command.body.order.fencing = order->fencing;
+	/* The state takes 0 for "not finished". */
+	command.body.order.outcome = (uint32_t)outcome + 1;
+	commit = g_new(struct order_commit, 1);
+	commit->host = host;
+	commit->upstream_id = order->upstream_id;
+	commit->fencing = order->fencing;
+	if (command_client_submit(&host->commands, &command, COMMIT_TIMEOUT_MS,
+		(struct command_callback){note_finished, commit}) != ERROR_NONE)
+		g_free(commit);
+}
+
+static void
+give_order(void *context, const struct engine_order *order)
+{
+	const struct upstream_record *record;
+	struct order_job job = {0};
+	struct host *host = context;
+
+	record = upstream_directory_find(&host->directory, order->upstream_id);
+	if (record == NULL)
+		return;
+	snprintf(job.target.url, sizeof(job.target.url), "%s", record->url);
+	job.target.incarnation = record->incarnation;
+	job.upstream_id = order->upstream_id;
+	job.fencing = order->fencing;
+	snprintf(job.order.id, sizeof(job.order.id), "%" PRIx64 "-%" PRIu64,
+	    order->upstream_id, order->fencing);
+	job.order.verb = (enum upstream_order_verb)order->kind;
+	job.order.fencing = order->fencing;
+	split_argument(order->argument, &job.order);
+	control_worker_post(&host->control, run_give, &job, sizeof(job));
+}
+
+static bool
+honours_fencing(void *context, uint64_t upstream_id)
+{
+	const struct upstream_record *record;
+	struct host *host = context;
+
+	record = upstream_directory_find(&host->directory, upstream_id);
+	return record != NULL && record->honours_fencing;
+}
+
+static void
+each_open(void *context,
+    void (*visit)(void *visitor, const struct engine_order *order),
+    void *visitor)
+{
+	struct open_visit open = {visit, visitor};
+	struct host *host = context;
+
+	replicated_state_each_order(host_state(host), visit_open, &open);
+}
+
+static void
+visit_open(void *context, const struct order_record *record)
+{
+	struct engine_order order = {0};
+	struct open_visit *open = context;
+
+	if (record->outcome != 0)
+		return;
+	order.upstream_id = record->upstream_id;
+	order.fencing = record->fencing;
+	order.kind = record->kind;
+	order.loads_weights = record->kind == UPSTREAM_ORDER_LOAD_MODEL ||
+			      record->kind == UPSTREAM_ORDER_LOAD_ADAPTER;
+	snprintf(
+	    order.argument, sizeof(order.argument), "%s", record->argument);
+	open->visit(open->visitor, &order);
+}
+
+static void
+fill_command(struct host *host, const struct engine_order *order,
+    enum command_type type, struct command *command)
+{
+	memset(command, 0, sizeof(*command));
+	command->type = type;
+	snprintf(command->operation_id, sizeof(command->operation_id),
+	    "o%d-%" PRIx64 "-%" PRIx64 "-%" PRIu64, (int)type,
+	    host->incarnation, order->upstream_id, order->attempt);
+	command->body.order.upstream_id = order->upstream_id;
+	command->body.order.kind = order->kind;
+	command->body.order.host_id = host->settings.host_id;
+	snprintf(command->body.order.argument,
+	    sizeof(command->body.order.argument), "%s", order->argument);
+}
+
+static void
+note_begun(void *context, const struct command_result *result)
+{
+	struct order_commit *commit = context;
+
+	order_runner_note_begun(&commit->host->orders, commit->upstream_id,
+	    result->fencing, result->error);
+	g_free(commit);
+}
+
+static void
+note_finished(void *context, const struct command_result *result)
+{
+	struct order_commit *commit = context;
+
+	order_runner_note_finished(&commit->host->orders, commit->upstream_id,
+	    commit->fencing, result->error);
+	g_free(commit);
+}
+
+static void
+run_give(void *owner, void *arguments)
+{
+	enum upstream_order_state state;
+	struct order_job *job = arguments;
+	struct mailbox_call *call;
+	struct order_answer *answer;
+	struct host *host = owner;
+	enum error_code error;
+	int64_t until_ms;
+
+	until_ms = host_now_ms() + ORDER_TIMEOUT_MS;
+	do {
+		/* Checked right before the bytes leave. */
+		if (!may_give(host))
+			return;
+		error = upstream_http_adapter.order(&host->upstreams_http,
+		    &job->target, &job->order,
+		    host_now_ms() + EXCHANGE_TIMEOUT_MS, &state);
+		if (error != ERROR_NONE || state != UPSTREAM_ORDER_RUNNING)
+			break;
+		g_usleep(WATCH_US);
+	} while (host_now_ms() < until_ms);
+	if (error == ERROR_NONE && state == UPSTREAM_ORDER_RUNNING)
+		error = ERROR_TIMEOUT;
+	else if (error == ERROR_NONE && state == UPSTREAM_ORDER_FAILED)
+		error = ERROR_UPSTREAM_FAILED;
+	call = mailbox_call_new(&answer_ops, sizeof(*answer));
+	answer = mailbox_call_body(call);
+	answer->upstream_id = job->upstream_id;
+	answer->fencing = job->fencing;
+	answer->error = error;
+	mailbox_post(&host->mailbox, call);
+}
+
+static bool
+may_give(struct host *host)
+{
+	return host_now_ms() < atomic_load(&host->lead_until_ms);
+}
+
+static void
+take_answer(void *coordinator, struct mailbox_call *call)
+{
+	struct order_answer *answer = mailbox_call_body(call);
+	struct host *host = coordinator;
+
+	order_runner_note_answer(
+	    &host->orders, answer->upstream_id, answer->fencing, answer->error);
+}
+
+static void
+run_submit(void *coordinator, struct mailbox_call *call)
+{
+	struct submit_body *body = mailbox_call_body(call);
+	struct host *host = coordinator;
+	enum error_code error;
+
+	if (upstream_directory_find(
+		&host->directory, body->order.upstream_id) == NULL)
+		error = ERROR_NOT_FOUND;
+	else
+		error = order_runner_submit(&host->orders, &body->order);
+	mailbox_complete(&host->mailbox, call, error);
+}
+
+/* "subject@value", where the value may be left out. */
+static void
+split_argument(const char *argument, struct upstream_order *order)
+{
+	const char *at;
+	size_t length;
+
+	at = strchr(argument, '@');
+	length = at == NULL ? strlen(argument) : (size_t)(at - argument);
+	snprintf(order->subject, sizeof(order->subject), "%.*s", (int)length,
+	    argument);
+	snprintf(
+	    order->value, sizeof(order->value), "%s", at == NULL ? "" : at + 1);
+}
--- a/src/service/operator_api.c
+++ b/src/service/operator_api.c
@@ -199,6 +199,40 @@
 		reply_query(host, exchange, view_orders, NULL);
 }
 
+void
+api_order_give(void *context, struct http_exchange *exchange)
+{
+	const char *upstream, *kind, *argument;
+	struct host *host = context;
+	enum error_code error;
+	json_t *body;
+
+	if (!check_operator(host, exchange, OPERATOR_ROLE_OPERATOR))
+		return;
+	body = read_body(exchange);
+	if (body == NULL)
+		return;
+	upstream = json_string_value(json_object_get(body, "upstream"));
+	kind = json_string_value(json_object_get(body, "kind"));
+	argument = json_string_value(json_object_get(body, "argument"));
+	if (upstream == NULL || argument == NULL || kind == NULL ||
+	    host_order_kind(kind) == 0)
+		api_refuse(exchange, ERROR_BAD_VALUE,
+		    "upstream, argument, and kind: load-model, unload-model, "
+		    "load-adapter, set-version or set-role");
+	else {
+		error = host_order_submit(
+		    host, upstream, host_order_kind(kind), argument);
+		/* The same order under way already is what was asked for. */
+		if (error == ERROR_NONE || error == ERROR_ALREADY_EXISTS)
+			http_reply_json(exchange, 202,
+			    json_pack("{s:s}", "state", "running"));
+		else
+			api_refuse(exchange, error, NULL);
+	}
+	json_decref(body);
+}
+
 void
 api_override(void *context, struct http_exchange *exchange)
 {
--- a/src/service/operator_views.c
+++ b/src/service/operator_views.c
@@ -28,6 +28,11 @@
 	json_t *items;
 };
 
+struct order_list {
+	struct host *host;
+	json_t *items;
+};
+
 struct quarantine_count {
 	int64_t now_ms;
 	json_int_t count;
@@ -180,12 +185,12 @@
 enum error_code
 view_orders(struct host *host, json_t *argument, json_t *reply)
 {
-	json_t *items;
+	struct order_list list = {.host = host};
 
 	(void)argument;
-	items = json_array();
-	replicated_state_each_order(host_state(host), add_order, items);
-	json_object_set_new(reply, "orders", items);
+	list.items = json_array();
+	replicated_state_each_order(host_state(host), add_order, &list);
+	json_object_set_new(reply, "orders", list.items);
 	return ERROR_NONE;
 }
 
@@ -411,14 +416,23 @@
 static void
 add_order(void *context, const struct order_record *order)
 {
-	char upstream[ID_TEXT_SIZE];
+	const struct upstream_record *record;
+	struct order_list *list = context;
+	char id[ID_TEXT_SIZE];
 
-	snprintf(upstream, sizeof(upstream), "%016" PRIx64, order->upstream_id);
-	json_array_append_new(
-	    context, json_pack("{s:s,s:I,s:I,s:s,s:I}", "upstream", upstream,
-			 "fencing", (json_int_t)order->fencing, "kind",
-			 (json_int_t)order->kind, "argument", order->argument,
-			 "outcome", (json_int_t)order->outcome));
+	snprintf(id, sizeof(id), "%016" PRIx64, order->upstream_id);
+	record =
+	    upstream_directory_find(&list->host->directory, order->upstream_id);
+	json_array_append_new(list->items,
+	    json_pack("{s:s,s:I,s:s,s:s,s:s}", "upstream",
+		record == NULL ? id : record->name, "fencing",
+		(json_int_t)order->fencing, "kind",
+		host_order_kind_name(order->kind), "argument", order->argument,
+		"state",
+		order->outcome == 0 ? "running"
+		: order->outcome == 1
+		    ? "done"
+		    : error_name((enum error_code)(order->outcome - 1))));
 }
 
 static const char *
