--- a/bench/bench_agreement.c
+++ b/bench/bench_agreement.c
@@ -30,6 +30,7 @@
 #define FAILOVERS	200
 #define FAILOVER_GOAL	3000 /* Milliseconds, the target. */
 #define COMMAND_WAIT_MS 30000
+#define IDLE_MS		60000
 
 /* A voter. */
 struct bench_host {
@@ -41,6 +42,7 @@
 	struct replicated_state state;
 	struct command_client client;
 	GByteArray *result;
+	uint64_t sent_bytes;
 };
 
 /* The voters and the links between them. */
@@ -53,7 +55,7 @@
 	uint32_t compact_entries;
 	struct timer_service timers;
 	struct random_source random;
-	struct bench_host hosts[VOTERS];
+	struct bench_host hosts[VOTERS_MAX];
 	uint64_t messages;
 	uint64_t message_bytes;
 	uint64_t next_request;
@@ -128,6 +130,7 @@
 	memcpy(message->body, body, size);
 	bench->messages++;
 	bench->message_bytes += size;
+	host->sent_bytes += size;
 	if (timer_subscribe_once(&bench->timers, bench->delay_ms,
 		(struct timer_callback){deliver, message}, NULL) != ERROR_NONE)
 		free(message);
@@ -190,7 +193,7 @@
 	struct consensus_settings settings = {.host_id = id,
 	    .cluster_id = 1,
 	    .initial_count = bench->voters,
-	    .initial_voters = {1, 2, 3},
+	    .initial_voters = {1, 2, 3, 4, 5, 6, 7},
 	    .compact_entries = bench->compact_entries,
 	    .seed = bench->seed};
 	struct command_client_settings client = {.host_id = id};
@@ -537,6 +540,77 @@
 	finish_bench(&bench);
 }
 
+/* What voters send while nothing is ordered, in virtual time. */
+static void
+measure_idle(const char *folder, uint32_t voters)
+{
+	struct bench_host *leader, *follower;
+	struct bench bench;
+	int64_t end_ms;
+	uint32_t id;
+
+	init_bench(&bench, folder, 1);
+	bench.delay_ms = 1;
+	bench.voters = voters;
+	for (id = 1; id <= voters; id++)
+		start_host(&bench, id);
+	leader = wait_leader(&bench);
+	follower = &bench.hosts[leader->id % voters];
+	end_ms = timer_now(&bench.timers) + 1000;
+	timer_advance(&bench.timers, end_ms);
+	leader->sent_bytes = 0;
+	follower->sent_bytes = 0;
+	timer_advance(&bench.timers, end_ms + IDLE_MS);
+	printf("{\"bench\":\"agreement\",\"what\":\"idle\",\"voters\":%u,"
+	       "\"virtual\":true,\"leader_bytes_per_s\":%.0f,"
+	       "\"follower_bytes_per_s\":%.0f}\n",
+	    voters, (double)leader->sent_bytes * 1000 / IDLE_MS,
+	    (double)follower->sent_bytes * 1000 / IDLE_MS);
+	fflush(stdout);
+	finish_bench(&bench);
+}
+
+/* Saving and loading a state with many claims; the voter waits meanwhile. */
+static void
+measure_snapshot(uint32_t claims)
+{
+	struct command command = {.type = COMMAND_CLAIM_BEGIN};
+	struct command_claim *claim = &command.body.claim;
+	struct replicated_entry entry = {.time_ms = EPOCH_MS};
+	struct replicated_state state;
+	struct command_result result;
+	struct message_writer writer;
+	double began_us, save_ms, load_ms;
+	GByteArray *saved;
+
+	replicated_state_init(&state, NULL);
+	for (entry.index = 1; entry.index <= claims; entry.index++) {
+		snprintf(claim->client_account, sizeof(claim->client_account),
+		    "account-%" PRIu64, entry.index % 20);
+		snprintf(claim->idempotency_key, sizeof(claim->idempotency_key),
+		    "deposit-%016" PRIx64, entry.index * 0x9e3779b97f4a7c15u);
+		claim->request_id = entry.index;
+		message_writer_init(&writer);
+		command_encode(&command, &writer);
+		entry.data = message_data(&writer);
+		entry.size = message_size(&writer);
+		replicated_state_apply(&state, &entry, &result);
+		message_writer_finish(&writer);
+	}
+	began_us = read_us();
+	saved = replicated_state_save(&state, false);
+	save_ms = (read_us() - began_us) / 1000;
+	began_us = read_us();
+	replicated_state_load(&state, saved->data, saved->len);
+	load_ms = (read_us() - began_us) / 1000;
+	printf("{\"bench\":\"agreement\",\"what\":\"snapshot\",\"claims\":%u,"
+	       "\"bytes\":%u,\"save_ms\":%.1f,\"load_ms\":%.1f}\n",
+	    claims, saved->len, save_ms, load_ms);
+	fflush(stdout);
+	g_byte_array_unref(saved);
+	replicated_state_finish(&state);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -549,5 +623,10 @@
 	measure_failover(folder);
 	measure_restart(folder, 60000);
 	measure_restart(folder, 0);
+	measure_idle(folder, 3);
+	measure_idle(folder, 5);
+	measure_idle(folder, 7);
+	measure_snapshot(10000);
+	measure_snapshot(CLAIMS_MAX);
 	return 0;
 }
