--- a/bench/bench_agreement.c
+++ b/bench/bench_agreement.c
@@ -331,7 +331,7 @@
 		 ? read_us() - claim->began_us
 		 : (double)timer_now(&bench->timers) * 1000 - claim->began_us;
 	g_array_append_val(bench->latencies_us, us);
-	free(claim);
+	g_free(claim);
 	submit_claims(bench);
 }
 
@@ -341,9 +341,7 @@
 {
 	struct bench_claim *claim;
 
-	claim = calloc(1, sizeof(*claim));
-	if (claim == NULL)
-		exit(1);
+	claim = g_new0(struct bench_claim, 1);
 	claim->bench = bench;
 	claim->began_us = bench->is_real
 			      ? read_us()
