Slots change only when opened; renewals follow the grant's duration

Cause: (1) a restart heard from the owner replaced the slot under the caller, so that a group's give could go to the new slot and wrap its counts. Change: an offer for a newer incarnation only ends the old slot's grant; a renewal comes at the latest after 40% of the grant. Test: test_restart_heard_from_owner.

--- a/src/coordination/grant_holder.c
+++ b/src/coordination/grant_holder.c
@@ -9,6 +9,7 @@
 #define PERCENT		100
 #define TICKS_PER_RETRY 2
 #define SEQUENCE_SHIFT	10 /* Asks of one millisecond, as a power. */
+#define RENEW_PERCENT	40 /* Of a grant's duration, at the latest. */
 #define PEAK_PERCENT	75 /* Of the peak that stays each renewal. */
 
 /* An upstream of the subset. */
@@ -21,6 +22,7 @@
 	uint64_t number;		/* Of the last grant applied. */
 	struct capacity_amount ceiling; /* What the slot grants. */
 	int64_t expires_ms;		/* When it ends. */
+	int64_t duration_ms;		/* Of the last grant. */
 	uint32_t warmth;		/* As the owner told it. */
 	struct capacity_amount waiting; /* Beyond what runs. */
 	struct capacity_amount largest; /* Largest single wait. */
@@ -484,7 +486,11 @@
 	}
 	if (is_idle && !entry->has_news)
 		return true;
+	/* Well before the grant ends, however short the owner makes it. */
 	wait_ms = settings->renew_ms;
+	if (entry->duration_ms > 0 &&
+	    wait_ms > entry->duration_ms * RENEW_PERCENT / PERCENT)
+		wait_ms = entry->duration_ms * RENEW_PERCENT / PERCENT;
 	if (entry->has_news ||
 	    (is_short(entry) &&
 		(entry->answered < entry->asked || is_overtaken(entry))))
@@ -738,8 +744,12 @@
 		holder->counters.stale_grants++;
 		return;
 	}
-	if (row->incarnation > entry->incarnation)
-		(void)renew_slot(holder, entry, row->incarnation);
+	/* It has restarted: nothing more starts here until the caller opens
+	 * the new incarnation, which gives it a slot of its own. */
+	if (row->incarnation > entry->incarnation) {
+		set_ceiling(entry, &none, entry->expires_ms);
+		return;
+	}
 	if (head->sequence > entry->answered)
 		entry->answered = head->sequence;
 	if (entry->news != 0 && head->sequence >= entry->news) {
@@ -747,6 +757,7 @@
 		entry->news = 0;
 		entry->is_cold = false;
 	}
+	entry->duration_ms = row->duration_ms;
 	is_same = row->term == entry->term && row->number == entry->number;
 	/* Another owner does not know of the old one's time. */
 	if (row->term == entry->term && until_ms < entry->expires_ms)
--- a/src/coordination/grant_holder.h
+++ b/src/coordination/grant_holder.h
@@ -88,7 +88,8 @@
 
 /* The subset, on the coordination thread */
 
-/** Opens an upstream of the subset; a newer incarnation gets a new slot. The
+/** Opens an upstream of the subset; a newer incarnation gets a new slot (only
+ * this call changes an upstream's slot). The
  * slot stays in memory until retire_ms after it was dropped, and longer while
  * something is taken. Errors: ERROR_TABLE_FULL, ERROR_STALE. */
 enum error_code grant_holder_open(struct grant_holder *holder,
--- a/src/coordination/group_reservation.h
+++ b/src/coordination/group_reservation.h
@@ -58,7 +58,8 @@
 	/** Takes from this host's slot of an upstream, or fails at once. */
 	enum error_code (*take)(void *context, uint64_t upstream_id,
 	    const struct capacity_amount *amount);
-	/** Gives back to the slot. */
+	/** Gives back to the slot that it was taken from; an incarnation is told
+	 * to this part before the slot is opened anew. */
 	void (*give)(void *context, uint64_t upstream_id,
 	    const struct capacity_amount *amount);
 	/** Tells what the oldest group waits for; zero for no more. */
--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -312,12 +312,46 @@
 	}
 }
 
+/* A host that hears of a restart from the owner first stops at once, but keeps
+ * its slot until it is opened anew: what was taken there is given back there. */
+static void
+test_restart_heard_from_owner(void **state)
+{
+	const struct capacity_amount one = {1, 1, 1};
+	struct capacity_slot *before;
+	struct fleet_host *other;
+	struct fleet fleet;
+	uint32_t owner;
+
+	(void)state;
+	start_warm_fleet(&fleet);
+	owner = find_owner(&fleet);
+	other = &fleet.hosts[owner % fleet.host_count];
+	before = grant_holder_slot(
+	    &other->exchange.holder, fleet.upstreams[0].record.id);
+	fake_fleet_restart_upstream(&fleet, 0);
+	fake_fleet_announce(&fleet, 0, owner);
+	fake_fleet_run(&fleet, TOLD_MS);
+	assert_ptr_equal(grant_holder_slot(&other->exchange.holder,
+			     fleet.upstreams[0].record.id),
+	    before);
+	assert_int_equal(capacity_slot_take(before, &one,
+			     timer_now(fake_net_timers(&fleet.net, other->id))),
+	    ERROR_NO_CAPACITY);
+	fake_fleet_announce(&fleet, 0, other->id);
+	assert_ptr_not_equal(grant_holder_slot(&other->exchange.holder,
+				 fleet.upstreams[0].record.id),
+	    before);
+	fake_fleet_finish(&fleet);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_evidence_of_cold_stops_all),
 	    cmocka_unit_test(test_takeout_stops_all),
+	    cmocka_unit_test(test_restart_heard_from_owner),
 	    cmocka_unit_test(test_joins_and_skipped_epochs),
 	    cmocka_unit_test(test_cold_limit_holds),
 	    cmocka_unit_test(test_warm_limit_holds),
