--- /dev/null
+++ b/tests/real_claims.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# A call that may not be repeated runs at most once: resent through every host,
+# with its host killed while it runs, and with a voter down. The plain service
+# itself writes down its runs. real_claims.sh BUILD_DIR
+set -euo pipefail
+cd "$CHICORY_SOURCE_DIR"
+build=$1
+work=$(mktemp -d)
+base_port=24200
+. tools/cluster.sh
+trap stop_all EXIT
+fail() { echo "FAILED: $*"; tail -n 8 "$work"/host-*.log; exit 1; }
+# runs KEY: how often the service ran it.
+runs() { grep -c -- "$1" "$work/runs" 2>/dev/null || true; }
+# deposit HOST KEY: a call under a key.
+deposit() {
+	curl -s --max-time 20 "$(host_url "$1")/v1/services/ledger/deposit" -H 'Authorization: Bearer s3cret' \
+	    -H "Idempotency-Key: $2" -H 'X-Request-Deadline-Ms: 15000' -d "amount 5 for $2"
+	echo
+}
+
+centres=([1]=dodoma-a [2]=arusha-b [3]=mbeya-c)
+for id in 1 2 3; do
+	write_settings "$id" "${centres[$id]}" 1,2,3
+	start_host "$id"
+done
+for id in 1 2 3; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+operator 1 account add kilima-joto s3cret >/dev/null || fail account
+start_standin 1 ledger-1 dodoma-a 1,2,3 --service --model ledger --service-ms 1500 --run-log "$work/runs"
+for id in 1 2 3; do wait_until 30 has_upstreams "$id" 1 || fail upstreams; done
+
+deposit 1 key-one >"$work/one"
+[ "$(runs key-one)" = 1 ] || fail "key-one ran $(runs key-one) times: $(cat "$work/one")"
+for id in 1 2 3; do
+	deposit "$id" key-one >"$work/again"
+	grep -q duplicate_request "$work/again" || fail "a resend through host $id got $(cat "$work/again")"
+done
+[ "$(runs key-one)" = 1 ] || fail "key-one ran $(runs key-one) times after resends"
+
+# The host dies while the call runs; the resends must not run it again, and
+# must not say that it did not run.
+deposit 2 key-two >"$work/two" 2>&1 & sender=$!
+wait_until 20 grep -q key-two "$work/runs" || fail "key-two did not begin"
+kill -KILL "${pids[host-2]}"
+wait "$sender" || true
+for _ in 1 2 3; do
+	for id in 1 3; do
+		deposit "$id" key-two >"$work/again"
+		grep -q '"outcome":"not_run"' "$work/again" && fail "host $id says that key-two did not run: $(cat "$work/again")"
+	done
+done
+[ "$(runs key-two)" = 1 ] || fail "key-two ran $(runs key-two) times"
+
+# Five resends race through two hosts while a voter is down.
+senders=()
+for n in 1 2 3 4 5; do
+	deposit $((n % 2 * 2 + 1)) key-three >"$work/race-$n" 2>&1 & senders+=($!)
+done
+for pid in "${senders[@]}"; do wait "$pid" || true; done
+[ "$(runs key-three)" = 1 ] || fail "key-three ran $(runs key-three) times: $(cat "$work"/race-*)"
+echo "each key ran once: through three hosts, after its host's death, and in a race"
