--- a/src/coordination/group_reservation.h
+++ b/src/coordination/group_reservation.h
@@ -53,12 +53,13 @@
 	int64_t retry_ms;  /**< Between tries to take or reserve. */
 };
 
-/** To slots and upstreams. */
+/** To slots and upstreams; answers come later, never from within a call. */
 struct group_ops {
 	/** Takes from this host's slot of an upstream, or fails at once. */
 	enum error_code (*take)(void *context, uint64_t upstream_id,
 	    const struct capacity_amount *amount);
-	/** Gives back to the slot. */
+	/** Gives back to the slot that it was taken from; an incarnation is told
+	 * to this part before the slot is opened anew. */
 	void (*give)(void *context, uint64_t upstream_id,
 	    const struct capacity_amount *amount);
 	/** Tells what the oldest group waits for; zero for no more. */
@@ -115,10 +116,10 @@
     const struct group_plan *plan, int64_t deadline_ms, struct handle *group);
 /** Ends a group, whatever it does: its prompt is done, failed or cancelled.
  * A stale handle is no error. */
-void group_release(struct group_table *table, struct handle group);
+void group_release(struct group_table *table, struct handle handle);
 /** Reservation id of a segment, 0 before it is reserved. */
 uint64_t group_reservation_id(
-    const struct group_table *table, struct handle group, uint32_t segment);
+    const struct group_table *table, struct handle handle, uint32_t segment);
 /** True if a group waits for an upstream: nothing else may start there from
  * this host, or a stream of small requests would starve it. */
 bool group_is_waiting(const struct group_table *table, uint64_t upstream_id);
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -18,10 +18,10 @@
 #define PREFIX_HALF_LIFE_MS   300000 /* After which trust halves. */
 #define SPANS_MAX	      8192   /* Spans that wait to be written. */
 #define REQUEST_ID_HOST_SHIFT 48     /* The host's part of a request id. */
-#define HAND_OVER_MS	      1500   /* Longest wait for a hand-over. */
-#define HAND_OVER_STEP_MS     20     /* Between looks at it. */
-#define CONTROL_THREADS	      16     /* Calls to upstreams that wait. */
-#define GROUP_LOOK_US	      10000  /* Between looks at group threads. */
+#define HAND_OVER_MS	      INT64_C(1500) /* Longest wait for a hand-over. */
+#define HAND_OVER_STEP_MS     20	    /* Between looks at it. */
+#define CONTROL_THREADS	      16	    /* Calls to upstreams that wait. */
+#define GROUP_LOOK_US	      10000 /* Between looks at group threads. */
 #define US_PER_MS	      1000
 
 static enum error_code init_parts(struct host *host);
@@ -115,6 +115,7 @@
 	upstream_http_finish(&host->upstreams_http);
 	host_agreement_finish(host);
 	wait_line_finish(&host->line);
+	host_orders_finish(host);
 	host_groups_finish(host);
 	host_fleet_finish(host);
 	membership_finish(&host->membership);
@@ -172,6 +173,8 @@
 		    control_worker_init(&host->control, CONTROL_THREADS, host);
 	if (error == ERROR_NONE)
 		error = host_groups_init(host);
+	if (error == ERROR_NONE)
+		error = host_orders_init(host);
 	if (error == ERROR_NONE)
 		error = init_line(host);
 	if (error == ERROR_NONE)
@@ -298,6 +301,7 @@
 	membership_step(&host->membership);
 	mailbox_run(&host->mailbox, host);
 	host_agreement_step(host);
+	host_orders_step(host);
 	host_fleet_step(host);
 }
 
