Ledgers and answers name the holder's process

Change: rows of a LEDGER carry the process, lines made from a USE or LEDGER know it, and a newer process leaves the older one's work counted for gone_drain_ms.

--- a/src/coordination/grant_ledger.c
+++ b/src/coordination/grant_ledger.c
@@ -14,8 +14,6 @@
 };
 
 static struct capacity_amount line_counted(const struct ledger_holder *holder);
-static void note_new_process(struct ledger_holder *holder, uint64_t instance,
-    int64_t now_ms, int64_t gone_drain_ms);
 static void note_unmet(struct ledger_holder *holder, int64_t now_ms);
 static bool is_over(
     const struct ledger_holder *holder, int64_t now_ms, int64_t drain_ms);
@@ -95,6 +93,23 @@
 	return holder;
 }
 
+void
+grant_ledger_note_process(struct ledger_holder *holder, uint64_t instance,
+    int64_t now_ms, int64_t gone_drain_ms)
+{
+	if (instance <= holder->instance)
+		return;
+	if (holder->instance != 0) {
+		holder->draining = line_counted(holder);
+		holder->draining_until_ms = now_ms + gone_drain_ms;
+		holder->draining_ends_on_ack = false;
+		memset(&holder->counted, 0, sizeof(holder->counted));
+		memset(&holder->offered, 0, sizeof(holder->offered));
+	}
+	holder->instance = instance;
+	holder->sequence = 0;
+}
+
 bool
 grant_ledger_note_ask(struct ledger_holder *holder,
     const struct grant_head *head, const struct grant_ask *ask, int64_t now_ms,
@@ -102,8 +117,8 @@
 {
 	if (head->instance < holder->instance)
 		return false;
-	if (head->instance > holder->instance)
-		note_new_process(holder, head->instance, now_ms, gone_drain_ms);
+	grant_ledger_note_process(
+	    holder, head->instance, now_ms, gone_drain_ms);
 	if (head->sequence <= holder->sequence)
 		return false;
 	holder->sequence = head->sequence;
@@ -231,21 +246,6 @@
 	return capacity_add(&holder->counted, &holder->draining);
 }
 
-static void
-note_new_process(struct ledger_holder *holder, uint64_t instance,
-    int64_t now_ms, int64_t gone_drain_ms)
-{
-	if (holder->instance != 0) {
-		holder->draining = line_counted(holder);
-		holder->draining_until_ms = now_ms + gone_drain_ms;
-		holder->draining_ends_on_ack = false;
-		memset(&holder->counted, 0, sizeof(holder->counted));
-		memset(&holder->offered, 0, sizeof(holder->offered));
-	}
-	holder->instance = instance;
-	holder->sequence = 0;
-}
-
 /* Since when the largest waiting request does not fit what was offered. */
 static void
 note_unmet(struct ledger_holder *holder, int64_t now_ms)
--- a/src/coordination/grant_ledger.h
+++ b/src/coordination/grant_ledger.h
@@ -74,6 +74,10 @@
 
 /* Changes */
 
+/** Notes which process of a holder speaks: what an earlier one left running is
+ * counted for @p gone_drain_ms more. */
+void grant_ledger_note_process(struct ledger_holder *holder, uint64_t instance,
+    int64_t now_ms, int64_t gone_drain_ms);
 /** Takes what a holder says of itself; false for an ask that is not newer.
  * @p gone_drain_ms bounds what an earlier process of it left running. */
 bool grant_ledger_note_ask(struct ledger_holder *holder,
--- a/src/coordination/grant_takeover.c
+++ b/src/coordination/grant_takeover.c
@@ -16,7 +16,7 @@
     const struct owned_upstream *upstream, int64_t now_ms);
 static uint32_t count_ledger_rows(const struct owned_upstream *upstream);
 static void take_use(struct owner_step *step, struct owned_upstream *upstream,
-    uint32_t from_host, const struct grant_ask *row);
+    uint32_t from_host, uint64_t instance, const struct grant_ask *row);
 static enum error_code import_ledger(struct owner_step *step,
     struct owned_upstream *upstream, const struct grant_reader *reader);
 static void import_line(struct owner_step *step,
@@ -171,7 +171,8 @@
 			is_ahead = true;
 			continue;
 		}
-		take_use(step, upstream, from_host, &row);
+		take_use(
+		    step, upstream, from_host, reader->head.instance, &row);
 	}
 	/* It knows more than this host: it is asked again later. */
 	if (is_ahead)
@@ -334,6 +335,7 @@
 	for (i = 0; i < grant_ledger_count(&upstream->ledger); i++) {
 		holder = grant_ledger_at(&upstream->ledger, i);
 		row.host_id = holder->host_id;
+		row.instance = holder->instance;
 		row.amount = holder->counted;
 		row.is_draining = false;
 		row.remaining_ms = holder->expires_ms > now_ms
@@ -368,7 +370,7 @@
 
 static void
 take_use(struct owner_step *step, struct owned_upstream *upstream,
-    uint32_t from_host, const struct grant_ask *row)
+    uint32_t from_host, uint64_t instance, const struct grant_ask *row)
 {
 	struct ledger_holder *holder;
 
@@ -377,6 +379,15 @@
 		return;
 	takeover_raise_number(step, row);
 	holder = grant_ledger_open(&upstream->ledger, from_host);
+	grant_ledger_note_process(holder, instance, step->now_ms,
+	    step->owner->settings.gone_drain_ms);
+	if (instance < holder->instance) {
+		/* A later process of it spoke first. */
+		holder->draining = capacity_max(&holder->draining, &row->used);
+		holder->draining_until_ms =
+		    step->now_ms + step->owner->settings.gone_drain_ms;
+		return;
+	}
 	holder->counted = capacity_max(&holder->counted, &row->used);
 	holder->asked_ms = step->now_ms;
 	if (holder->expires_ms < step->now_ms)
@@ -434,13 +445,21 @@
     const struct grant_ledger_row *row)
 {
 	struct ledger_holder *holder;
-	int64_t until_ms;
+	int64_t until_ms, gone_ms;
 
 	until_ms = step->now_ms + (int64_t)row->remaining_ms;
+	gone_ms = step->now_ms + step->owner->settings.gone_drain_ms;
 	holder = grant_ledger_open(&upstream->ledger, row->host_id);
-	if (row->is_draining) {
-		holder->draining = row->amount;
-		holder->draining_until_ms = until_ms;
+	grant_ledger_note_process(holder, row->instance, step->now_ms,
+	    step->owner->settings.gone_drain_ms);
+	if (row->is_draining || row->instance < holder->instance) {
+		/* Of an earlier process, or of an earlier incarnation. */
+		holder->draining =
+		    capacity_add(&holder->draining, &row->amount);
+		if (holder->draining_until_ms < until_ms)
+			holder->draining_until_ms = until_ms;
+		if (!row->is_draining && holder->draining_until_ms < gone_ms)
+			holder->draining_until_ms = gone_ms;
 		return;
 	}
 	holder->counted = capacity_max(&holder->counted, &row->amount);
--- a/src/protocol/grant_message.c
+++ b/src/protocol/grant_message.c
@@ -21,7 +21,7 @@
 enum {
 	WIDTH_ASK = 20,
 	WIDTH_GRANT = 9,
-	WIDTH_LEDGER = 9,
+	WIDTH_LEDGER = 10,
 	WIDTH_ID = 1,
 	WIDTH_KV = 4,
 };
@@ -99,6 +99,7 @@
 	message_add_uint(writer, row->upstream_id);
 	message_add_uint(writer, row->incarnation);
 	message_add_uint(writer, row->host_id);
+	message_add_uint(writer, row->instance);
 	add_amount(writer, &row->amount);
 	message_add_uint(writer, row->remaining_ms);
 	message_add_uint(writer, row->warmth);
@@ -202,6 +203,7 @@
 	row->upstream_id = next_number(&cursor);
 	row->incarnation = next_number(&cursor);
 	row->host_id = next_number32(&cursor);
+	row->instance = next_number(&cursor);
 	row->amount = next_amount(&cursor);
 	row->remaining_ms = next_number(&cursor);
 	row->warmth = next_number32(&cursor);
--- a/src/protocol/grant_message.h
+++ b/src/protocol/grant_message.h
@@ -72,6 +72,7 @@
 	uint64_t upstream_id;	       /**< Which upstream. */
 	uint64_t incarnation;	       /**< Of it. */
 	uint32_t host_id;	       /**< Holder, or 0. */
+	uint64_t instance;	       /**< Its process, 0 if not known. */
 	struct capacity_amount amount; /**< Counted. */
 	uint64_t remaining_ms; /**< Until it ends; host 0: rows that follow. */
 	uint32_t warmth;       /**< Host 0: warm-up bound. */
