--- a/tests/test_capacity_grants.c
+++ b/tests/test_capacity_grants.c
@@ -173,6 +173,22 @@
 	    (long long)longest_ms);
 }
 
+/* Schedules that once failed. */
+static void
+test_known_schedules(void **state)
+{
+	static const struct {
+		uint64_t seed;
+		bool is_warming;
+	} cases[] = {{1000, false}, {1035, true}, {1070, false}, {1118, true}};
+	int64_t longest_ms = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		run_schedule(cases[i].seed, cases[i].is_warming, &longest_ms);
+}
+
 /* Without evidence of warmth, all hosts together stay within cold limits. */
 static void
 test_cold_limit_holds(void **state)
@@ -353,6 +369,7 @@
 	    cmocka_unit_test(test_takeout_stops_all),
 	    cmocka_unit_test(test_restart_heard_from_owner),
 	    cmocka_unit_test(test_joins_and_skipped_epochs),
+	    cmocka_unit_test(test_known_schedules),
 	    cmocka_unit_test(test_cold_limit_holds),
 	    cmocka_unit_test(test_warm_limit_holds),
 	};
