--- a/tests/real_standin.sh
+++ b/tests/real_standin.sh
@@ -36,7 +36,7 @@
 start 21460 --run-log "$work/runs" --cold-ms 0 --honours-fencing
 start 21461 --cold-ms 600000 --cold-requests 1 --cold-prefill-tokens 100
 start 21462 --cold-ms 600000 --cold-requests 1 --cold-prefill-tokens 100 --cold-crashes
-start 21463 --drain-ms 20000 --answer-tokens 400
+start 21463 --drain-ms 20000 --answer-tokens 3000
 
 # Answers are whole and their own, from eight callers at a time.
 "$build/bench_load" --direct "$(url 21460)" --requests 60 --concurrency 8 \
@@ -83,7 +83,7 @@
 wait "${pids[1]}" && fail "exit status of the crash"
 
 # A planned stop refuses new work, ends the running stream and then the process.
-generate 21463 e1 200 "stay" >"$work/stream" &
+generate 21463 e1 3000 "stay" >"$work/stream" &
 stream=$!
 until [ -s "$work/stream" ]; do sleep 0.05; done
 kill -TERM "${pids[3]}"
