Adapter: a broken link is ERROR_CONNECTION, not ERROR_UPSTREAM_FAILED

Cause: who judges crashes has to tell a link that broke (the upstream may have died) from an upstream that lives and says that it failed; both came as upstream_failed, while an orderly close without an end mark, which a living upstream sends, was taken for a crash. Change: a cut after dispatch is ERROR_CONNECTION with outcome failed or unknown, garbage for HTTP is ERROR_MALFORMED; ERROR_UPSTREAM_FAILED stays for what the upstream says itself. The tests' tables say so, as strictly as before: only the expected codes of those cases changed. Ran: test_upstream_http under ASan+UBSan and TSan, passed.

--- a/src/transport/piece_queue.h
+++ b/src/transport/piece_queue.h
@@ -23,7 +23,11 @@
 	PIECE_KIND_HEAD = 1,   /**< Plain calls: status and content type. */
 	PIECE_KIND_TEXT = 2,   /**< A stretch of the answer. */
 	PIECE_KIND_END = 3,    /**< The end mark. Last of the attempt. */
-	PIECE_KIND_FAILED = 4, /**< It ended otherwise. Last of the attempt. */
+	PIECE_KIND_FAILED = 4, /**< It ended otherwise. Last of the attempt.
+				* ERROR_CONNECTION: the link broke, the
+				* upstream may have died; ERROR_INCOMPLETE:
+				* it closed in order without an end mark;
+				* ERROR_UPSTREAM_FAILED: it said so. */
 };
 
 /** One piece. */
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -655,6 +655,9 @@
 		piece->error = ERROR_TIMEOUT;
 	else if (result == CURLE_OK)
 		piece->error = ERROR_INCOMPLETE;
+	else if (result == CURLE_WEIRD_SERVER_REPLY ||
+		 result == CURLE_UNSUPPORTED_PROTOCOL)
+		piece->error = ERROR_MALFORMED;
 	else
-		piece->error = ERROR_UPSTREAM_FAILED;
+		piece->error = ERROR_CONNECTION;
 }
--- a/tests/test_upstream_http.c
+++ b/tests/test_upstream_http.c
@@ -132,11 +132,11 @@
     {"nobody listens", NULL, FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
 	ERROR_CONNECTION, REQUEST_OUTCOME_NOT_RUN},
     {"cut before a reply", "", FAKE_UPSTREAM_RESETS, 0, PIECE_KIND_FAILED,
-	ERROR_UPSTREAM_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	ERROR_CONNECTION, REQUEST_OUTCOME_UNKNOWN},
     {"closed before a reply", "", FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
-	ERROR_UPSTREAM_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	ERROR_CONNECTION, REQUEST_OUTCOME_UNKNOWN},
     {"cut in the middle", STREAM PIECE("0", "a"), FAKE_UPSTREAM_RESETS, 1,
-	PIECE_KIND_FAILED, ERROR_UPSTREAM_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	PIECE_KIND_FAILED, ERROR_CONNECTION, REQUEST_OUTCOME_UNKNOWN},
     {"no end mark", STREAM PIECE("0", "a") PIECE("1", "b"),
 	FAKE_UPSTREAM_CLOSES, 2, PIECE_KIND_FAILED, ERROR_INCOMPLETE,
 	REQUEST_OUTCOME_UNKNOWN},
@@ -150,7 +150,7 @@
 	FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED, ERROR_WRONG_TYPE,
 	REQUEST_OUTCOME_UNKNOWN},
     {"garbage for HTTP", "\x01\x02\x03\r\n\r\n", FAKE_UPSTREAM_CLOSES, 0,
-	PIECE_KIND_FAILED, ERROR_UPSTREAM_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	PIECE_KIND_FAILED, ERROR_MALFORMED, REQUEST_OUTCOME_UNKNOWN},
     {"refused before running", REFUSAL("429 Busy", "no_capacity", "not_run"),
 	FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED, ERROR_NO_CAPACITY,
 	REQUEST_OUTCOME_NOT_RUN},
@@ -219,8 +219,7 @@
 	collect(&setting, &result);
 	finish(&setting);
 	not_run = result.last.outcome == REQUEST_OUTCOME_NOT_RUN;
-	assert_int_equal(result.last.error,
-	    not_run ? ERROR_CONNECTION : ERROR_UPSTREAM_FAILED);
+	assert_int_equal(result.last.error, ERROR_CONNECTION);
 	assert_true(not_run || result.last.outcome == REQUEST_OUTCOME_UNKNOWN);
 }
 
@@ -396,8 +395,7 @@
 		PIECE_KIND_END, ERROR_NONE, 0},
 	    {"HTTP/1.1 204 No\r\n\r\n", "", PIECE_KIND_END, ERROR_NONE, 0},
 	    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "ok",
-		PIECE_KIND_FAILED, ERROR_UPSTREAM_FAILED,
-		REQUEST_OUTCOME_UNKNOWN},
+		PIECE_KIND_FAILED, ERROR_CONNECTION, REQUEST_OUTCOME_UNKNOWN},
 	    {"HTTP/1.1 429 Busy\r\nX-Request-Outcome: not_run\r\n"
 	     "Content-Length: 0\r\n\r\n",
 		"", PIECE_KIND_FAILED, ERROR_UPSTREAM_REFUSED,
@@ -407,7 +405,7 @@
 	     "012345678901234567890123456789",
 		"", PIECE_KIND_FAILED, ERROR_TOO_LARGE,
 		REQUEST_OUTCOME_UNKNOWN},
-	    {"", "", PIECE_KIND_FAILED, ERROR_UPSTREAM_FAILED,
+	    {"", "", PIECE_KIND_FAILED, ERROR_CONNECTION,
 		REQUEST_OUTCOME_UNKNOWN},
 	};
 	struct setting setting;
