--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -59,7 +59,7 @@
 static void tell_owner(void *visitor, const struct upstream_record *record);
 static void update_owners(struct host *host);
 static void look_at_demand(void *context);
-static void add_demand(void *context, const struct request_facts *facts);
+static void add_demand(void *context, const struct wait_ticket *ticket);
 static void add_upstream_demand(
     struct host *host, uint64_t upstream_id, const struct request_facts *facts);
 static void add_amount(struct host *host, uint64_t upstream_id,
@@ -419,10 +419,12 @@
 	}
 }
 
-/* Asks a few upstreams for each request, others as time goes by. */
+/* Asks for what the router wanted; for requests that it has not looked at yet,
+ * a few upstreams, others as time goes by. */
 static void
-add_demand(void *context, const struct request_facts *facts)
+add_demand(void *context, const struct wait_ticket *ticket)
 {
+	const struct request_facts *facts = ticket->facts;
 	const struct intent_account *account;
 	const struct fleet_entry *entry;
 	struct demand_round *round = context;
@@ -432,6 +434,10 @@
 	    intent_account_by_name(round->view->intent, facts->client_account);
 	if (account == NULL)
 		return;
+	if (ticket->wanted_id != 0) {
+		add_amount(round->host, ticket->wanted_id, &ticket->wanted);
+		return;
+	}
 	fitting = count_fitting(round->view, facts, account);
 	if (fitting == 0)
 		return;
--- a/src/service/wait_line.c
+++ b/src/service/wait_line.c
@@ -13,6 +13,8 @@
     const struct fleet_view *view, const struct wait_ticket *ticket,
     struct router_choice *choice);
 static bool start_item(void *context, const struct fair_queue_item *item);
+static void note_wanted(
+    struct wait_ticket *ticket, const struct router_choice *choice);
 static bool take_candidate(struct wait_line *line, struct wait_ticket *ticket,
     const struct router_candidate *candidate);
 static void fill_route(
@@ -213,7 +215,7 @@
 
 void
 wait_line_visit(struct wait_line *line, uint32_t max,
-    void (*visit)(void *context, const struct request_facts *facts),
+    void (*visit)(void *context, const struct wait_ticket *ticket),
     void *context)
 {
 	const struct wait_ticket *ticket;
@@ -222,7 +224,7 @@
 	pthread_mutex_lock(&line->mutex);
 	for (link = line->tickets.head; link != NULL && max > 0; max--) {
 		ticket = link->data;
-		visit(context, ticket->facts);
+		visit(context, ticket);
 		link = link->next;
 	}
 	pthread_mutex_unlock(&line->mutex);
@@ -294,10 +296,19 @@
 	for (i = 0; !has_started && i < choice.count; i++)
 		has_started =
 		    take_candidate(line, ticket, &choice.candidates[i]);
+	note_wanted(ticket, &choice);
 	fleet_unlock(view);
 	return has_started;
 }
 
+/* What the owner of the best upstream should be asked for. */
+static void
+note_wanted(struct wait_ticket *ticket, const struct router_choice *choice)
+{
+	ticket->wanted_id = choice->wanted == NULL ? 0 : choice->wanted->id;
+	ticket->wanted = choice->wanted_amount;
+}
+
 static bool
 take_candidate(struct wait_line *line, struct wait_ticket *ticket,
     const struct router_candidate *candidate)
--- a/src/service/wait_line.h
+++ b/src/service/wait_line.h
@@ -54,8 +54,10 @@
 	enum error_code error;	 /**< Why it was refused. */
 	uint32_t retry_after_ms; /**< When to come back, if refused. */
 	int64_t latest_start_ms; /**< From then on it can't make it. */
-	struct wait_route route; /**< Where it goes. */
-	pthread_cond_t changed;	 /**< Signalled when it starts. */
+	uint64_t wanted_id; /**< Best upstream, if it had no room; else 0. */
+	struct capacity_amount wanted; /**< What it lacked room for. */
+	struct wait_route route;       /**< Where it goes. */
+	pthread_cond_t changed;	       /**< Signalled when it starts. */
 };
 
 /** What the line needs; all outlive it. */
@@ -121,7 +123,7 @@
 void wait_line_poke(struct wait_line *line);
 /** Shows at most @p max of the requests that wait, the oldest first. */
 void wait_line_visit(struct wait_line *line, uint32_t max,
-    void (*visit)(void *context, const struct request_facts *facts),
+    void (*visit)(void *context, const struct wait_ticket *ticket),
     void *context);
 
 #endif
