--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -7,16 +7,16 @@
 
 #include "config.h"
 
-#define ROUND_DEFAULT_MS   200	 /* Between pushes. */
-#define DIGEST_DEFAULT_MS  10000 /* Between digests. */
-#define FAN_OUT_DEFAULT	   4	 /* Hosts of a push. */
-#define PUSH_BYTES_DEFAULT 1200	 /* Items of a push. */
-#define BURST_ITEMS	   16	 /* More news than that are a burst: */
-#define BURST_FACTOR	   8	 /* pushes may be so much larger then. */
-#define SENDS_EXTRA	   3	 /* Sends of a change beyond log2 of hosts. */
-#define SUMMARY_ITEMS_MAX  128	 /* Items of a summary, by whole buckets. */
-#define SYNC_ROUNDS	   5	 /* Rounds to wait for items after a digest. */
-#define ITEM_OVERHEAD	   40	 /* Bytes of an item but for its body. */
+#define ROUND_DEFAULT_MS   200	/* Between pushes. */
+#define DIGEST_DEFAULT_MS  5000 /* Between digests. */
+#define FAN_OUT_DEFAULT	   4	/* Hosts of a push. */
+#define PUSH_BYTES_DEFAULT 1200 /* Items of a push. */
+#define BURST_ITEMS	   16	/* More news than that are a burst: */
+#define BURST_FACTOR	   8	/* pushes may be so much larger then. */
+#define SENDS_EXTRA	   3	/* Sends of a change beyond log2 of hosts. */
+#define SUMMARY_ITEMS_MAX  128	/* Items of a summary, by whole buckets. */
+#define SYNC_ROUNDS	   5	/* Rounds to wait for items after a digest. */
+#define ITEM_OVERHEAD	   40	/* Bytes of an item but for its body. */
 
 /* An item; its body is kept as it is sent. */
 struct gossip_item {
@@ -502,12 +502,14 @@
 	size_t size;
 	int order;
 
-	newer = g_hash_table_new(NULL, NULL);
+	/* Hashed by key, since addresses would order runs of a seed unlike. */
+	newer = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_hash_table_iter_init(&iterator, gossip->items);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		item = value;
 		if (has_bucket(buckets, bucket_of(item->key)))
-			g_hash_table_add(newer, value);
+			g_hash_table_insert(
+			    newer, &((struct gossip_item *)value)->key, value);
 	}
 	*wants = false;
 	for (i = 0; i < elements->count; i++) {
@@ -520,7 +522,7 @@
 		if (order < 0)
 			*wants = true;
 		if (item != NULL && order <= 0)
-			g_hash_table_remove(newer, item);
+			g_hash_table_remove(newer, &item->key);
 	}
 	return newer;
 }
@@ -538,7 +540,7 @@
 	items = g_ptr_array_new();
 	bytes = 0;
 	g_hash_table_iter_init(&iterator, set);
-	while (g_hash_table_iter_next(&iterator, &value, NULL)) {
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		item = value;
 		bytes += item->size + ITEM_OVERHEAD;
 		g_ptr_array_add(items, value);
--- a/src/coordination/gossip.h
+++ b/src/coordination/gossip.h
@@ -27,7 +27,7 @@
 	uint32_t first_type;	 /**< First of three message types. */
 	uint32_t items_max;	 /**< Items held. No default. */
 	int64_t round_ms;	 /**< Between pushes; default 200. */
-	int64_t digest_ms;	 /**< Between digests; default 10,000. */
+	int64_t digest_ms;	 /**< Between digests; default 5,000. */
 	uint32_t fan_out;	 /**< Hosts a round; default 4. */
 	uint32_t push_bytes_max; /**< Items of one push; default 1,200. */
 };
