--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -12,7 +12,7 @@
 #include "service/api.h"
 #include "service/host.h"
 
-#define DRAIN_NOTICE_MS 1500 /* The balancer sees readiness go in this time. */
+#define DRAIN_NOTICE_US 1500000ul /* The balancer sees it in this time. */
 
 static const struct http_route routes[] = {
     {"POST", "/v1/completions", api_completions},
@@ -31,6 +31,7 @@
     {"GET", "/operator/v1/quarantine", api_quarantine},
     {"POST", "/operator/v1/quarantine", api_quarantine_release},
     {"GET", "/operator/v1/orders", api_orders},
+    {"POST", "/operator/v1/orders", api_order_give},
     {"POST", "/operator/v1/override", api_override},
     {"GET", "/healthz", api_healthz},
     {"GET", "/readyz", api_readyz},
@@ -128,7 +129,7 @@
 	event_log_write(EVENT_HOST_STOPPING, "%u requests running",
 	    atomic_load(&host->running));
 	host_drain(host);
-	g_usleep(DRAIN_NOTICE_MS * 1000);
+	g_usleep(DRAIN_NOTICE_US);
 	if (http_server_drain(server,
 		host_now_ms() + host->settings.stop_grace_ms) != ERROR_NONE)
 		event_log_write(EVENT_HOST_STOPPING, "streams cut: %u",
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "protocol/consensus_message.h"
 #include "voter_group.h"
 
 #define ANSWER_MS 10000 /* Long enough for any command. */
@@ -413,6 +414,43 @@
 	voter_group_finish(&group);
 }
 
+/* A follower that knew more to be committed than it could store must not
+ * say that it has it. */
+static void
+test_full_disk_then_snapshot(void **state)
+{
+	struct voter_group group;
+	struct group_host *leader, *full;
+	uint32_t id;
+
+	(void)state;
+	setup(&group, 11);
+	leader = voter_group_leader(&group);
+	full = &group.hosts[leader->id % GROUP_VOTERS];
+	put_many(&group, "a", 30);
+	fake_net_cut_host(&group.net, full->id, true, true);
+	while (leader->consensus.snapshot.index == 1)
+		put_many(&group,
+		    leader->consensus.applied_index % 2 == 0 ? "even" : "odd",
+		    1);
+	put_many(&group, "b", 2);
+	full->disk.capacity = 1;
+	fake_net_heal(&group.net);
+	while (!full->consensus.is_failed)
+		fake_net_run(&group.net, 10);
+	/* After a restart the leader has no entries before its snapshot. */
+	for (id = 1; id <= GROUP_VOTERS; id++) {
+		if (id == full->id)
+			continue;
+		voter_group_stop(&group, id);
+		voter_group_start(&group, id);
+	}
+	full->disk.capacity = 0;
+	fake_net_run(&group.net, 10000);
+	assert_true(voter_group_agrees(&group));
+	voter_group_finish(&group);
+}
+
 /* A leader's clock that steps must not make claims expire early. */
 static void
 test_stepped_clock_moves_no_time(void **state)
@@ -435,6 +473,60 @@
 	voter_group_finish(&group);
 }
 
+/* Bytes that are no message, or one with some bytes changed, do no harm; a
+ * refused one changes nothing. */
+static void
+test_bad_messages_change_nothing(void **state)
+{
+	struct consensus_message message = {.type = CONSENSUS_APPEND,
+	    .cluster_id = 77,
+	    .term = 1,
+	    .index = 1,
+	    .log_term = 1};
+	struct journal_entry entry = {1, 1, 5, (unsigned char *)"entry"};
+	struct random_source random;
+	struct message_writer writer;
+	struct voter_group group;
+	struct consensus *consensus;
+	unsigned char *bytes;
+	enum error_code error;
+	uint64_t last, term;
+	unsigned int i;
+	size_t size;
+
+	(void)state;
+	random_init(&random, 1);
+	setup(&group, 12);
+	consensus = &group.hosts[0].consensus;
+	message.entries = &entry;
+	message.entry_count = 1;
+	message.voters = consensus->voters;
+	message_writer_init(&writer);
+	consensus_message_encode(&message, &writer);
+	bytes = g_malloc(message_size(&writer));
+	for (i = 0; i < 20000; i++) {
+		size = 1 + random_below(&random, message_size(&writer));
+		memcpy(bytes, message_data(&writer), message_size(&writer));
+		if (i % 2 == 0)
+			size = message_size(&writer);
+		bytes[random_below(&random, size)] =
+		    (unsigned char)random_below(&random, 256);
+		last = journal_last_index(&consensus->journal);
+		term = consensus->identity.term;
+		error = consensus_receive(consensus, 2, bytes, size);
+		command_client_receive(&group.hosts[0].client, 2, bytes, size);
+		/* Some are whole messages of another, later leader. */
+		if (error == ERROR_NONE || error == ERROR_STALE ||
+		    error == ERROR_INTERNAL)
+			continue;
+		assert_int_equal(last, journal_last_index(&consensus->journal));
+		assert_int_equal(term, consensus->identity.term);
+	}
+	g_free(bytes);
+	message_writer_finish(&writer);
+	voter_group_finish(&group);
+}
+
 int
 main(void)
 {
@@ -450,7 +542,9 @@
 	    cmocka_unit_test(test_damaged_journal_never_votes_again),
 	    cmocka_unit_test(test_transfer_is_quick),
 	    cmocka_unit_test(test_full_disk_heals),
+	    cmocka_unit_test(test_full_disk_then_snapshot),
 	    cmocka_unit_test(test_stepped_clock_moves_no_time),
+	    cmocka_unit_test(test_bad_messages_change_nothing),
 	};
 
 	voter_group_silence_log();
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -94,6 +94,7 @@
 /* What one upstream has; the others are idle. */
 struct cost_case {
 	const char *what;
+	uint64_t prompt_tokens;
 	uint64_t used_prefill[3]; /* Own work on each. */
 	uint64_t reported[3];	  /* Queued prefill by report. */
 	int64_t age_ms;		  /* Of the reports. */
@@ -103,15 +104,19 @@
 };
 
 static const struct cost_case cost_cases[] = {
-    {"own work counts", {9000, 0, 0}, {0}, 0, {0}, NULL, "a2"},
-    {"same data centre first", {9000, 0, 0}, {0}, 0, {0}, NULL, "a2"},
-    {"a loaded data centre is left", {9000, 9000, 0}, {0}, 0, {0}, NULL, "b1"},
-    {"a report counts", {0, 0, 0}, {9000, 10, 0}, 0, {0}, NULL, "a2"},
-    {"an old report fades", {0, 3000, 9000}, {30000, 0, 0}, 30000, {0}, NULL,
-	"a1"},
-    {"cold costs", {0, 500, 9000}, {0}, 0, {true, false, false}, NULL, "a2"},
-    {"prefix draws", {0, 500, 9000}, {0}, 0, {0}, "a2", "a2"},
-    {"prefix does not draw past load", {0, 5000, 9000}, {0}, 0, {0}, "a2",
+    {"own work counts", 2000, {9000, 0, 0}, {0}, 0, {0}, NULL, "a2"},
+    {"same data centre first", 2000, {9000, 0, 0}, {0}, 0, {0}, NULL, "a2"},
+    {"a loaded data centre is left", 2000, {9000, 9000, 0}, {0}, 0, {0}, NULL,
+	"b1"},
+    {"a report counts", 10000, {0, 0, 0}, {9000, 10, 0}, 0, {0}, NULL, "a2"},
+    {"a short prompt passes others' work", 2000, {0, 100, 9000}, {9000, 0, 0},
+	0, {0}, NULL, "a1"},
+    {"an old report fades", 10000, {0, 3000, 9000}, {30000, 0, 0}, 30000, {0},
+	NULL, "a1"},
+    {"cold costs", 2000, {0, 500, 9000}, {0}, 0, {true, false, false}, NULL,
+	"a2"},
+    {"prefix draws", 2000, {0, 500, 9000}, {0}, 0, {0}, "a2", "a2"},
+    {"prefix does not draw past load", 2000, {0, 5000, 9000}, {0}, 0, {0}, "a2",
 	"a1"},
 };
 
@@ -129,6 +134,7 @@
 		item = &cost_cases[i];
 		start_scene(&scene, NULL, 0);
 		scene.query.account = &(struct intent_account){0};
+		scene.facts.prompt_tokens = item->prompt_tokens;
 		for (j = 0; j < 3; j++) {
 			load.id = upstream_id(names[j]);
 			load.queued_prefill_tokens = item->reported[j];
@@ -155,6 +161,31 @@
 	}
 }
 
+/* A short prompt waits for memory, not for others' prompts. */
+static void
+test_full_memory_is_avoided(void **state)
+{
+	struct upstream_load load = {
+	    .incarnation = 1, .sequence = 1, .queued_prefill_tokens = 50000};
+	struct scene scene;
+	uint32_t full, i;
+
+	(void)state;
+	for (full = 0; full < 2; full++) {
+		start_scene(&scene, NULL, 0);
+		scene.query.account = &(struct intent_account){0};
+		for (i = 0; i < 2; i++) {
+			load.id = upstream_id(names[i]);
+			load.kv_tokens_used = i == full ? 599000 : 500000;
+			fleet_set_load(&scene.fleet, &load, NOW_MS);
+		}
+		assert_int_equal(choose(&scene), ERROR_NONE);
+		assert_string_equal(best(&scene), names[1 - full]);
+		assert_int_equal(scene.choice.candidates[0].ahead_tokens, 0);
+		finish_scene(&scene);
+	}
+}
+
 /* Own work that the report saw is not counted twice. */
 static void
 test_report_is_corrected_by_own_work(void **state)
@@ -170,6 +201,7 @@
 	(void)state;
 	start_scene(&scene, NULL, 0);
 	scene.query.account = &(struct intent_account){0};
+	scene.facts.prompt_tokens = 10000;
 	capacity_slot_take(
 	    fake_slots_find(&scene.slots, load.id), &amount, NOW_MS);
 	fleet_set_load(&scene.fleet, &load, NOW_MS);
@@ -305,6 +337,16 @@
 	assert_int_equal(scene.choice.count, 2);
 	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
 	    REQUEST_PRIORITY_LOW);
+	scene.facts.prompt_tokens = 90000;
+	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
+	    REQUEST_PRIORITY_NORMAL);
+	scene.facts.prompt_tokens = 2000;
+	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
+	    REQUEST_PRIORITY_HIGH);
+	scene.facts.priority = REQUEST_PRIORITY_LOW;
+	assert_int_equal(router_engine_priority(&scene.settings, &scene.facts),
+	    REQUEST_PRIORITY_LOW);
+	scene.facts.priority = REQUEST_PRIORITY_NORMAL;
 	view = fleet_lock(&scene.fleet);
 	assert_int_equal(
 	    fleet_work_begin(&work, scene.choice.candidates[0].entry,
@@ -408,6 +450,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_cost),
+	    cmocka_unit_test(test_full_memory_is_avoided),
 	    cmocka_unit_test(test_report_is_corrected_by_own_work),
 	    cmocka_unit_test(test_errors),
 	    cmocka_unit_test(test_suspect_only_when_nothing_else),
