Broken streams are resumed where they are, or begun anew

Cause (found by edges with a stand-in that breaks each seventh run): a resume was chosen by position but routed elsewhere, where the stream is unknown, so each broken stream failed; with one upstream only, the retry never started, since that upstream was excluded; usage counted dropped duplicates. Ruled out: to re-run a stream from the start elsewhere and skip what the caller has; an engine that samples would give another text. Change: a stream is resumed on the upstream that has it; without a stream the caller has nothing yet, so the request starts anew elsewhere. Where all fitting upstreams were tried, the exclusions end. Usage is the end mark's. Only a link that broke counts as a crash.

--- a/src/service/request_api.c
+++ b/src/service/request_api.c
@@ -32,8 +32,7 @@
     const struct request_order *order, struct completions_answer *answer);
 static void answer_stream(struct host *host, struct http_exchange *exchange,
     const struct request_order *order, const struct completions_answer *answer);
-static void gather(
-    struct request_run *run, struct http_exchange *exchange, GString *text);
+static void gather(struct request_run *run, struct http_exchange *exchange);
 static enum http_stream_state stream_next(
     void *context, GString *out, int64_t deadline_ms);
 static void stream_closed(void *context, bool whole);
@@ -59,7 +58,6 @@
 	struct request_order order = {0};
 	struct request_run *run;
 	const char *service, *type;
-	GString *text;
 	size_t size;
 	char *body;
 
@@ -83,14 +81,12 @@
 	    type == NULL ? "application/octet-stream" : type);
 	run = g_new(struct request_run, 1);
 	request_run_init(run, host, &order);
-	text = g_string_new(NULL);
-	gather(run, exchange, text);
+	gather(run, exchange);
 	if (run->end.code == ERROR_NONE)
-		http_reply(exchange, run->status, run->answer_type, text->str,
-		    text->len);
+		http_reply(exchange, run->status, run->answer_type,
+		    run->text->str, run->text->len);
 	else
 		http_reply_error(exchange, &run->end);
-	g_string_free(text, TRUE);
 	request_run_finish(run);
 	g_free(run);
 }
@@ -202,24 +198,23 @@
     const struct request_order *order, struct completions_answer *answer)
 {
 	struct request_run *run;
-	GString *text, *out;
+	GString *out;
 
 	run = g_new(struct request_run, 1);
 	request_run_init(run, host, order);
-	text = g_string_new(NULL);
-	gather(run, exchange, text);
+	gather(run, exchange);
 	if (run->end.code == ERROR_NONE) {
 		answer->answer_tokens = run->answer_tokens;
 		answer->stopped_by_length = run->stopped_by_length;
 		out = g_string_new(NULL);
-		completions_write_answer(out, answer, text->str, text->len);
+		completions_write_answer(
+		    out, answer, run->text->str, run->text->len);
 		http_reply(
 		    exchange, 200, CONTENT_TYPE_JSON, out->str, out->len);
 		g_string_free(out, TRUE);
 	} else {
 		http_reply_error(exchange, &run->end);
 	}
-	g_string_free(text, TRUE);
 	request_run_finish(run);
 	g_free(run);
 }
@@ -230,14 +225,16 @@
     const struct request_order *order, const struct completions_answer *answer)
 {
 	struct http_stream stream = {stream_next, stream_closed, NULL};
+	struct request_order streamed = *order;
 	struct answer_stream *state;
 
+	streamed.is_stream = true;
 	state = g_new0(struct answer_stream, 1);
 	state->answer = *answer;
 	snprintf(state->model, sizeof(state->model), "%s", answer->model);
 	state->answer.model = state->model;
 	state->is_first = true;
-	request_run_init(&state->run, host, order);
+	request_run_init(&state->run, host, &streamed);
 	request_run_step(&state->run, host_now_ms() + EARLY_MS);
 	if (state->run.state == REQUEST_STATE_ENDED &&
 	    state->run.end.code != ERROR_NONE && state->run.text->len == 0) {
@@ -252,18 +249,14 @@
 
 /* Runs to the end, or until the caller has gone. */
 static void
-gather(struct request_run *run, struct http_exchange *exchange, GString *text)
+gather(struct request_run *run, struct http_exchange *exchange)
 {
 	while (run->state != REQUEST_STATE_ENDED) {
 		request_run_step(run, host_now_ms() + LOOK_MS);
-		g_string_append_len(
-		    text, run->text->str, (gssize)run->text->len);
-		g_string_set_size(run->text, 0);
 		if (run->state != REQUEST_STATE_ENDED &&
 		    http_caller_gone(exchange))
 			request_run_cancel(run);
 	}
-	g_string_append_len(text, run->text->str, (gssize)run->text->len);
 }
 
 static enum http_stream_state
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -38,6 +38,7 @@
 static void take_failure(struct request_run *run, const struct piece *piece);
 static void fail_attempt(struct request_run *run, enum attempt_failure failure,
     enum error_code cause, int64_t retry_after_ms);
+static void start_anew(struct request_run *run);
 static void drop_attempt(struct request_run *run, bool tell_upstream);
 static void avoid_upstream(
     struct request_run *run, enum attempt_failure failure);
@@ -108,7 +109,8 @@
 		case REQUEST_STATE_ENDED:
 			return;
 		}
-	} while (run->text->len == 0 && host_now_ms() < until_ms);
+	} while ((run->text->len == 0 || !run->order.is_stream) &&
+		 host_now_ms() < until_ms);
 }
 
 void
@@ -161,6 +163,11 @@
 		g_usleep((gulong)wait_ms * US_PER_MS);
 	if (host_now_ms() < run->resume_at_ms)
 		return;
+	if (run->stays) {
+		run->stays = false;
+		dispatch(run);
+		return;
+	}
 	error = wait_line_again(&run->host->line, &run->ticket);
 	if (error == ERROR_NONE)
 		run->state = REQUEST_STATE_WAITING;
@@ -427,7 +434,6 @@
 		note_first_token(run);
 	run->stage = ATTEMPT_STREAMING;
 	run->last_piece_ms = host_now_ms();
-	run->answer_tokens += piece->tokens;
 	set_stall(run, TOKEN_INTERVAL_MS);
 	error = stream_assembler_add(&run->assembler, &part);
 	if (error != ERROR_NONE)
@@ -484,6 +490,7 @@
 	if (piece->request_id != run->order.facts.id)
 		return;
 	run->stopped_by_length = piece->stopped_by_length;
+	run->answer_tokens = piece->tokens;
 	error = stream_assembler_end(
 	    &run->assembler, piece->attempt, piece->piece_count);
 	if (error == ERROR_NONE)
@@ -519,10 +526,8 @@
 		    piece->error, piece->retry_after_ms);
 		return;
 	}
-	/* Only a connection that broke may mean that the upstream died. */
-	if (piece->error == ERROR_CONNECTION ||
-	    piece->error == ERROR_INCOMPLETE ||
-	    piece->error == ERROR_OUTCOME_UNKNOWN)
+	/* Only a link that broke may mean that the upstream died. */
+	if (piece->error == ERROR_CONNECTION)
 		host_note_crash(
 		    host, &run->ticket.route, run->order.facts.fingerprint);
 	fail_attempt(run,
@@ -547,7 +552,10 @@
 	report.attempt = run->attempt;
 	report.stage = run->stage;
 	report.failure = failure;
-	report.delivered = stream_assembler_position(&run->assembler);
+	/* Without a stream the caller has nothing yet, so it can start anew. */
+	report.delivered = run->order.is_stream
+			       ? stream_assembler_position(&run->assembler)
+			       : 0;
 	report.ran_before = run->ran_before;
 	report.can_resume = !run->order.facts.is_service_call;
 	report.expected_ms = run->ticket.route.end_ms;
@@ -555,10 +563,18 @@
 	    &run->order.facts, &report, g_random_double(), host_now_ms());
 	if (run->stage != ATTEMPT_NOT_SENT)
 		run->ran_before = true;
-	avoid_upstream(run, failure);
+	/* Only the upstream that has the stream can resume it. */
+	run->stays =
+	    verdict.action == RETRY_RESUME && failure != ATTEMPT_REFUSED;
+	if (verdict.action == RETRY_RESUME && !run->stays) {
+		verdict.action = RETRY_GIVE_UP;
+		cause = ERROR_UPSTREAM_FAILED;
+	}
+	if (!run->stays)
+		avoid_upstream(run, failure);
 	span_end(&host->spans, &run->attempt_span, error_name(cause));
 	memset(&run->attempt_span, 0, sizeof(run->attempt_span));
-	drop_attempt(run, failure != ATTEMPT_REFUSED);
+	drop_attempt(run, failure != ATTEMPT_REFUSED && !run->stays);
 	if (verdict.action == RETRY_GIVE_UP) {
 		event_log_write(EVENT_REQUEST_FAILED, "%s after attempt %u",
 		    error_name(cause), run->attempt);
@@ -572,10 +588,23 @@
 	request_metrics_retried(&host->metrics, cause);
 	event_log_write(EVENT_REQUEST_RETRIED, "%s after attempt %u",
 	    error_name(cause), run->attempt);
+	if (verdict.action == RETRY_RERUN)
+		start_anew(run);
 	run->resume_at_ms = host_now_ms() + verdict.pause_ms;
 	run->state = REQUEST_STATE_PAUSED;
 }
 
+static void
+start_anew(struct request_run *run)
+{
+	struct stream_assembler_ops ops = {deliver_text, run};
+
+	g_string_set_size(run->text, 0);
+	stream_assembler_finish(&run->assembler);
+	stream_assembler_init(&run->assembler, &ops, WINDOW_BYTES_MAX);
+	run->answer_tokens = 0;
+}
+
 static void
 drop_attempt(struct request_run *run, bool tell_upstream)
 {
--- a/src/service/request_run.h
+++ b/src/service/request_run.h
@@ -38,6 +38,7 @@
 struct request_order {
 	struct request_facts facts;	  /**< For the decisions. */
 	struct caller_headers headers;	  /**< Deadline, key, trace. */
+	bool is_stream;			  /**< Text goes out as it comes. */
 	struct shared_text *body;	  /**< Prompt or body; a reference. */
 	char path[SERVICE_PATH_SIZE_MAX]; /**< Plain calls. */
 	char content_type[NAME_SIZE_MAX]; /**< Plain calls. */
@@ -54,17 +55,18 @@
 	uint32_t attempt;		   /**< Number of the attempt. */
 	uint32_t from_attempt;		   /**< Attempt that is carried on. */
 	enum attempt_stage stage;	   /**< How far the attempt came. */
-	bool ran_before;	/**< An earlier attempt may have run. */
-	bool has_claim;		/**< Its key is claimed. */
-	int64_t dispatched_ms;	/**< When the attempt was sent. */
-	int64_t stall_at_ms;	/**< Silence until then is a stall. */
-	int64_t resume_at_ms;	/**< End of the pause. */
-	int64_t first_token_ms; /**< When text came first, or 0. */
-	int64_t last_piece_ms;	/**< When text came last. */
-	GString *text;		/**< Ready for the caller. */
-	uint64_t answer_tokens; /**< Generated so far. */
-	bool stopped_by_length; /**< The token bound was hit. */
-	uint32_t status;	/**< Plain calls: HTTP status. */
+	bool stays;	 /**< The next attempt resumes on the same upstream. */
+	bool ran_before; /**< An earlier attempt may have run. */
+	bool has_claim;	 /**< Its key is claimed. */
+	int64_t dispatched_ms;		 /**< When the attempt was sent. */
+	int64_t stall_at_ms;		 /**< Silence until then is a stall. */
+	int64_t resume_at_ms;		 /**< End of the pause. */
+	int64_t first_token_ms;		 /**< When text came first, or 0. */
+	int64_t last_piece_ms;		 /**< When text came last. */
+	GString *text;			 /**< Ready for the caller. */
+	uint64_t answer_tokens;		 /**< Generated so far. */
+	bool stopped_by_length;		 /**< The token bound was hit. */
+	uint32_t status;		 /**< Plain calls: HTTP status. */
 	char answer_type[NAME_SIZE_MAX]; /**< Plain calls: type. */
 	struct caller_error end;	 /**< code ERROR_NONE: it is done. */
 	struct span span;		 /**< Of the whole request. */
@@ -76,7 +78,8 @@
 /** Admits the request or ends it at once; takes over the order's body. */
 void request_run_init(struct request_run *run, struct host *host,
     const struct request_order *order);
-/** Goes on until there is text, the run has ended, or @p until_ms. */
+/** Goes on until there is text for a stream, the run has ended, or
+ * @p until_ms. Without a stream all text gathers until the end. */
 void request_run_step(struct request_run *run, int64_t until_ms);
 /** Ends it since the caller went away. */
 void request_run_cancel(struct request_run *run);
--- a/src/service/wait_line.c
+++ b/src/service/wait_line.c
@@ -293,6 +293,9 @@
 	view = fleet_lock(line->parts.fleet);
 	if (choose(line, view, ticket, &choice) != ERROR_NONE)
 		choice.count = 0;
+	/* Where all that fit were tried, any of them is better than none. */
+	if (choice.count == 0 && choice.wanted == NULL)
+		ticket->excluded_count = 0;
 	for (i = 0; !has_started && i < choice.count; i++)
 		has_started =
 		    take_candidate(line, ticket, &choice.candidates[i]);
