Suspicions are committed; a crash is weighed with all that was on board

Cause (capacity's report): only whole quarantines were committed, so a caller that resends through another host found nothing known there, and each request on a crashed upstream weighed as its certain cause. Also: a take of capacity could pass after a lower grant was acknowledged (grant read, then swap), and a group gave back to whichever slot the upstream had by then. Change: the command carries suspicion, crashes and weight; this host's requests on one upstream are gathered for 200 ms and weighed together with the others by its last report; a request that saw a crash is weighed before it runs again, alone, and nobody joins it from this host; takes look at the grant again after the swap. Not proved: that no other host's request joins a suspect.

--- a/src/service/cli_verbs.c
+++ b/src/service/cli_verbs.c
@@ -611,8 +611,10 @@
 	size_t i;
 
 	json_array_foreach(json_object_get(reply, "quarantined"), i, item)
-	    printf("%s until %" JSON_INTEGER_FORMAT "\n",
-		text_of(item, "fingerprint"), number_of(item, "until_ms"));
+	    printf("%s %s after %" JSON_INTEGER_FORMAT
+		   " crashes, until %" JSON_INTEGER_FORMAT "\n",
+		text_of(item, "fingerprint"), text_of(item, "state"),
+		number_of(item, "crashes"), number_of(item, "until_ms"));
 }
 
 static void
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -82,8 +82,9 @@
 	struct upstream_directory directory; /**< Upstreams by gossip. */
 	struct capacity_exchange capacity;   /**< Grants, both sides. */
 	GHashTable *wanted;		     /**< Upstreams with demand. */
-	struct host_groups groups;     /**< Prompts over several upstreams. */
-	struct order_runner orders;    /**< Orders to engines, while leading. */
+	GHashTable *crashes;	    /**< Upstreams that broke off just now. */
+	struct host_groups groups;  /**< Prompts over several upstreams. */
+	struct order_runner orders; /**< Orders to engines, while leading. */
 	_Atomic int64_t lead_until_ms; /**< Orders may be given till then. */
 	struct control_worker control; /**< Calls that wait for upstreams. */
 	struct fleet fleet;	       /**< What request threads see. */
@@ -154,6 +155,10 @@
 void host_fleet_intent_changed(struct host *host);
 /** The configuration lease now runs until @p until_ms. */
 void host_fleet_set_lease(struct host *host, int64_t until_ms);
+/** One of this host's requests was on board of an upstream that broke off;
+ * those of one upstream are gathered and weighed together. */
+void host_fleet_note_crash(struct host *host, uint64_t upstream_id,
+    uint64_t incarnation, const char *data_centre, uint64_t fingerprint);
 /** Publishes a view if anything changed. */
 void host_fleet_step(struct host *host);
 
--- a/src/service/host_calls.c
+++ b/src/service/host_calls.c
@@ -245,15 +245,11 @@
 run_crash(void *coordinator, struct mailbox_call *call)
 {
 	struct crash_body *body = mailbox_call_body(call);
-	struct quarantine_crash crash = {0};
 	struct host *host = coordinator;
 
-	crash.upstream_id = body->route.upstream_id;
-	crash.incarnation = body->route.incarnation;
-	crash.data_centre = body->route.data_centre;
-	crash.fingerprints = &body->fingerprint;
-	crash.count = 1;
-	quarantine_note_crash(&host->quarantine, &crash);
+	host_fleet_note_crash(host, body->route.upstream_id,
+	    body->route.incarnation, body->route.data_centre,
+	    body->fingerprint);
 }
 
 static void
--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
 
+#define CRASH_GATHER_MS	      200  /* Until all its requests were heard of. */
 #define DEMAND_PERIOD_MS      10   /* Between looks at who waits. */
 #define DEMAND_REQUESTS_MAX   256  /* Waiting requests looked at. */
 #define DEMAND_UPSTREAMS      2	   /* Upstreams asked for each of them. */
@@ -23,6 +24,15 @@
 	bool is_current;
 };
 
+/* An upstream that broke off, and what this host had on board. */
+struct gathered_crash {
+	struct host *host;
+	uint64_t upstream_id;
+	uint64_t incarnation;
+	char data_centre[NAME_SIZE_MAX];
+	GArray *fingerprints;
+};
+
 struct demand_round {
 	struct host *host;
 	const struct fleet_view *view;
@@ -46,8 +56,12 @@
 static void note_quarantine_committed(
     void *context, const struct command_result *result);
 static void apply_quarantine(
-    void *context, uint64_t fingerprint, int64_t until_ms);
+    void *context, const struct quarantine_record *record);
 
+static void weigh_crash(void *context);
+static void free_crash(gpointer memory);
+static uint32_t count_beside(
+    struct host *host, const struct gathered_crash *gathered);
 static enum error_code start_directory(struct host *host);
 static enum error_code start_grants(struct host *host);
 static enum error_code start_fleet(struct host *host);
@@ -85,6 +99,8 @@
 
 	host->wanted =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	host->crashes = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_crash);
 	error = start_fleet(host);
 	if (error != ERROR_NONE)
 		return error;
@@ -114,6 +130,7 @@
 	fleet_finish(&host->fleet);
 	capacity_exchange_finish(&host->capacity);
 	g_hash_table_destroy(host->wanted);
+	g_hash_table_destroy(host->crashes);
 }
 
 void
@@ -141,6 +158,30 @@
 	grant_owner_set_lease(&host->capacity.owner, until_ms);
 }
 
+void
+host_fleet_note_crash(struct host *host, uint64_t upstream_id,
+    uint64_t incarnation, const char *data_centre, uint64_t fingerprint)
+{
+	struct gathered_crash *gathered;
+
+	gathered = g_hash_table_lookup(host->crashes, &upstream_id);
+	if (gathered == NULL) {
+		gathered = g_new0(struct gathered_crash, 1);
+		gathered->host = host;
+		gathered->upstream_id = upstream_id;
+		gathered->incarnation = incarnation;
+		snprintf(gathered->data_centre, sizeof(gathered->data_centre),
+		    "%s", data_centre);
+		gathered->fingerprints =
+		    g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		g_hash_table_insert(
+		    host->crashes, &gathered->upstream_id, gathered);
+		timer_subscribe_once(&host->timers, CRASH_GATHER_MS,
+		    (struct timer_callback){weigh_crash, gathered}, NULL);
+	}
+	g_array_append_val(gathered->fingerprints, fingerprint);
+}
+
 void
 host_fleet_step(struct host *host)
 {
@@ -234,15 +275,19 @@
     void *context, const struct quarantine_entry *entries, uint32_t count)
 {
 	struct command command = {.type = COMMAND_QUARANTINE};
+	struct command_quarantine *body = &command.body.quarantine;
 	struct host *host = context;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		if (entries[i].verdict != QUARANTINE_REFUSE)
-			continue;
-		command.body.quarantine.fingerprint = entries[i].fingerprint;
-		command.body.quarantine.until_ms =
-		    clock_wall_us() / US_PER_MS + entries[i].remaining_ms;
+		body->fingerprint = entries[i].fingerprint;
+		body->is_suspicion = entries[i].verdict == QUARANTINE_RUN_ALONE;
+		body->crashes = entries[i].crashes;
+		body->weight_permille = entries[i].weight_permille;
+		body->until_ms =
+		    entries[i].verdict == QUARANTINE_RUN
+			? 0
+			: clock_wall_us() / US_PER_MS + entries[i].remaining_ms;
 		command_client_submit(&host->commands, &command,
 		    QUARANTINE_TIMEOUT_MS,
 		    (struct command_callback){note_quarantine_committed, host});
@@ -257,19 +302,70 @@
 }
 
 static void
-apply_quarantine(void *context, uint64_t fingerprint, int64_t until_ms)
+apply_quarantine(void *context, const struct quarantine_record *record)
 {
 	struct quarantine_entry entry = {
-	    .fingerprint = fingerprint, .verdict = QUARANTINE_REFUSE};
+	    .fingerprint = record->fingerprint,
+	    .crashes = record->crashes,
+	    .weight_permille = record->weight_permille,
+	};
 	struct host *host = context;
 
-	entry.remaining_ms = until_ms - clock_wall_us() / US_PER_MS;
+	entry.verdict =
+	    record->is_suspicion ? QUARANTINE_RUN_ALONE : QUARANTINE_REFUSE;
+	entry.remaining_ms = record->until_ms - clock_wall_us() / US_PER_MS;
 	if (entry.remaining_ms <= 0)
 		return;
 	quarantine_apply(&host->quarantine, &entry);
 	atomic_fetch_add(&host->suspects, 1);
 }
 
+static void
+weigh_crash(void *context)
+{
+	struct gathered_crash *gathered = context;
+	struct quarantine_crash crash = {0};
+	struct host *host = gathered->host;
+
+	crash.upstream_id = gathered->upstream_id;
+	crash.incarnation = gathered->incarnation;
+	crash.data_centre = gathered->data_centre;
+	crash.fingerprints = (const uint64_t *)gathered->fingerprints->data;
+	crash.count = gathered->fingerprints->len;
+	crash.beside = count_beside(host, gathered);
+	quarantine_note_crash(&host->quarantine, &crash);
+	g_hash_table_remove(host->crashes, &gathered->upstream_id);
+}
+
+/* Other hosts' requests, by the last load report. */
+static uint32_t
+count_beside(struct host *host, const struct gathered_crash *gathered)
+{
+	const struct fleet_entry *entry;
+	const struct fleet_view *view;
+	uint32_t requests, own;
+
+	requests = 0;
+	own = 0;
+	view = fleet_lock(&host->fleet);
+	entry = fleet_view_find(view, gathered->upstream_id);
+	if (entry != NULL) {
+		requests = atomic_load(&entry->upstream->load.requests);
+		own = atomic_load(&entry->upstream->load.own_requests);
+	}
+	fleet_unlock(view);
+	return requests > own ? requests - own : 0;
+}
+
+static void
+free_crash(gpointer memory)
+{
+	struct gathered_crash *gathered = memory;
+
+	g_array_free(gathered->fingerprints, TRUE);
+	g_free(gathered);
+}
+
 static enum error_code
 start_directory(struct host *host)
 {
--- a/src/service/host_groups.c
+++ b/src/service/host_groups.c
@@ -22,6 +22,13 @@
 	enum error_code error;
 };
 
+/* Capacity that a group holds. */
+struct taken_capacity {
+	uint64_t upstream_id;
+	struct capacity_slot *slot;
+	struct capacity_amount amount;
+};
+
 struct held_body {
 	uint64_t upstream_id;
 	struct held_kv_list held;
@@ -126,6 +133,7 @@
 	kv_lease_finish(&groups->leases);
 	g_hash_table_destroy(groups->waiting);
 	g_hash_table_destroy(groups->wanted);
+	g_array_free(groups->taken, TRUE);
 }
 
 void
@@ -190,7 +198,9 @@
 take_capacity(
     void *context, uint64_t upstream_id, const struct capacity_amount *amount)
 {
+	struct taken_capacity taken = {0};
 	struct capacity_slot *slot;
+	enum error_code error;
 	struct host *host = context;
 
 	if (!host_may_start(host))
@@ -198,19 +208,35 @@
 	slot = grant_holder_slot(&host->capacity.holder, upstream_id);
 	if (slot == NULL)
 		return ERROR_NO_UPSTREAM;
-	return capacity_slot_take(slot, amount, host_now_ms());
+	error = capacity_slot_take(slot, amount, host_now_ms());
+	if (error != ERROR_NONE)
+		return error;
+	taken.upstream_id = upstream_id;
+	taken.slot = slot;
+	taken.amount = *amount;
+	g_array_append_val(host->groups.taken, taken);
+	return ERROR_NONE;
 }
 
+/* To the slot that it was taken from: the upstream may have another by now. */
 static void
 give_capacity(
     void *context, uint64_t upstream_id, const struct capacity_amount *amount)
 {
-	struct capacity_slot *slot;
+	const struct taken_capacity *taken;
 	struct host *host = context;
+	guint i;
 
-	slot = grant_holder_slot(&host->capacity.holder, upstream_id);
-	if (slot != NULL)
-		capacity_slot_give(slot, amount);
+	for (i = 0; i < host->groups.taken->len; i++) {
+		taken = &g_array_index(
+		    host->groups.taken, struct taken_capacity, i);
+		if (taken->upstream_id != upstream_id ||
+		    memcmp(&taken->amount, amount, sizeof(*amount)) != 0)
+			continue;
+		capacity_slot_give(taken->slot, amount);
+		g_array_remove_index_fast(host->groups.taken, i);
+		return;
+	}
 }
 
 static void
--- a/src/service/host_groups.h
+++ b/src/service/host_groups.h
@@ -23,6 +23,7 @@
 	struct kv_lease_table leases; /**< What this host holds. */
 	struct group_table groups;    /**< Groups under way. */
 	GHashTable *waiting;	      /**< Group to the call that waits. */
+	GArray *taken;	    /**< Capacity that groups hold, by slot. */
 	GHashTable *wanted; /**< Upstream id to struct capacity_amount. */
 };
 
--- a/src/service/operator_views.c
+++ b/src/service/operator_views.c
@@ -51,9 +51,9 @@
 static void add_host(void *visitor, const struct host_record *record);
 static const char *host_state_name(enum host_state state);
 static void count_quarantined(
-    void *context, uint64_t fingerprint, int64_t until_ms);
+    void *context, const struct quarantine_record *record);
 static void add_quarantined(
-    void *context, uint64_t fingerprint, int64_t until_ms);
+    void *context, const struct quarantine_record *record);
 static void add_order(void *context, const struct order_record *order);
 static const char *state_name(struct host *host);
 
@@ -393,24 +393,25 @@
 }
 
 static void
-count_quarantined(void *context, uint64_t fingerprint, int64_t until_ms)
+count_quarantined(void *context, const struct quarantine_record *record)
 {
 	struct quarantine_count *counted = context;
 
-	(void)fingerprint;
-	if (until_ms > counted->now_ms)
+	if (!record->is_suspicion && record->until_ms > counted->now_ms)
 		counted->count++;
 }
 
 static void
-add_quarantined(void *context, uint64_t fingerprint, int64_t until_ms)
+add_quarantined(void *context, const struct quarantine_record *record)
 {
 	char text[ID_TEXT_SIZE];
 
-	snprintf(text, sizeof(text), "%016" PRIx64, fingerprint);
+	snprintf(text, sizeof(text), "%016" PRIx64, record->fingerprint);
 	json_array_append_new(
-	    context, json_pack("{s:s,s:I}", "fingerprint", text, "until_ms",
-			 (json_int_t)until_ms));
+	    context, json_pack("{s:s,s:I,s:s,s:I}", "fingerprint", text,
+			 "until_ms", (json_int_t)record->until_ms, "state",
+			 record->is_suspicion ? "runs alone" : "refused",
+			 "crashes", (json_int_t)record->crashes));
 }
 
 static void
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -14,12 +14,14 @@
 #define CLAIM_TIMEOUT_MS  3000	  /* Longest wait for a claim. */
 #define CLAIM_FINISH_MS	  60000	  /* Longest try to note how it ended. */
 #define SUSPECT_MS	  2000	  /* An upstream that failed is avoided. */
+#define WEIGHED_MS	  400	  /* A crash has been weighed after it. */
 #define RETRY_AFTER_MS	  1000	  /* When the cause may be over soon. */
 #define TOKEN_INTERVAL_MS 200.0	  /* Expected between two pieces. */
 #define US_PER_MS	  1000
 
 static void step_wait(struct request_run *run, int64_t until_ms);
 static void step_pause(struct request_run *run, int64_t until_ms);
+static bool check_suspicion(struct request_run *run);
 static void step_pieces(struct request_run *run, int64_t until_ms);
 static void dispatch(struct request_run *run);
 static void dispatch_group(struct request_run *run);
@@ -168,6 +170,8 @@
 		dispatch(run);
 		return;
 	}
+	if (run->saw_crash && !check_suspicion(run))
+		return;
 	error = wait_line_again(&run->host->line, &run->ticket);
 	if (error == ERROR_NONE)
 		run->state = REQUEST_STATE_WAITING;
@@ -178,6 +182,22 @@
 		    run->ticket.retry_after_ms);
 }
 
+/* True if it may run again, perhaps alone; else the run has ended. */
+static bool
+check_suspicion(struct request_run *run)
+{
+	enum quarantine_verdict verdict;
+
+	verdict =
+	    host_check_quarantine(run->host, run->order.facts.fingerprint);
+	run->saw_crash = false;
+	run->ticket.must_be_alone = verdict == QUARANTINE_RUN_ALONE;
+	if (verdict != QUARANTINE_REFUSE)
+		return true;
+	end_run(run, ERROR_QUARANTINED, REQUEST_OUTCOME_FAILED, 0);
+	return false;
+}
+
 static void
 step_pieces(struct request_run *run, int64_t until_ms)
 {
@@ -527,7 +547,8 @@
 		return;
 	}
 	/* Only a link that broke may mean that the upstream died. */
-	if (piece->error == ERROR_CONNECTION)
+	run->saw_crash = piece->error == ERROR_CONNECTION;
+	if (run->saw_crash)
 		host_note_crash(
 		    host, &run->ticket.route, run->order.facts.fingerprint);
 	fail_attempt(run,
@@ -590,6 +611,9 @@
 	    error_name(cause), run->attempt);
 	if (verdict.action == RETRY_RERUN)
 		start_anew(run);
+	/* Whether it crashes upstreams is weighed before it runs again. */
+	if (run->saw_crash && !run->stays && verdict.pause_ms < WEIGHED_MS)
+		verdict.pause_ms = WEIGHED_MS;
 	run->resume_at_ms = host_now_ms() + verdict.pause_ms;
 	run->state = REQUEST_STATE_PAUSED;
 }
--- a/src/service/request_run.h
+++ b/src/service/request_run.h
@@ -55,6 +55,7 @@
 	uint32_t attempt;		   /**< Number of the attempt. */
 	uint32_t from_attempt;		   /**< Attempt that is carried on. */
 	enum attempt_stage stage;	   /**< How far the attempt came. */
+	bool saw_crash;	 /**< An upstream broke off under it. */
 	bool stays;	 /**< The next attempt resumes on the same upstream. */
 	bool ran_before; /**< An earlier attempt may have run. */
 	bool has_claim;	 /**< Its key is claimed. */
--- a/src/service/wait_line.c
+++ b/src/service/wait_line.c
@@ -15,6 +15,7 @@
 static bool start_item(void *context, const struct fair_queue_item *item);
 static void note_wanted(
     struct wait_ticket *ticket, const struct router_choice *choice);
+static void end_work(struct wait_ticket *ticket);
 static bool take_candidate(struct wait_line *line, struct wait_ticket *ticket,
     const struct router_candidate *candidate);
 static void fill_route(
@@ -169,8 +170,7 @@
 	uint32_t weight;
 
 	pthread_mutex_lock(&line->mutex);
-	fleet_work_end(&ticket->route.work);
-	ticket->has_started = false;
+	end_work(ticket);
 	view = fleet_lock(line->parts.fleet);
 	account =
 	    intent_account_by_name(view->intent, ticket->facts->client_account);
@@ -186,9 +186,7 @@
 {
 	pthread_mutex_lock(&line->mutex);
 	leave_queue(line, ticket);
-	if (ticket->has_started)
-		fleet_work_end(&ticket->route.work);
-	ticket->has_started = false;
+	end_work(ticket);
 	if (ticket->is_admitted)
 		admission_end(&line->admission, ticket->account_id);
 	ticket->is_admitted = false;
@@ -327,9 +325,24 @@
 		line->parts.now_ms()) != ERROR_NONE)
 		return false;
 	fill_route(&ticket->route, candidate);
+	/* Nor may others join a suspect while it runs. */
+	if (ticket->must_be_alone)
+		fleet_upstream_suspect(
+		    candidate->entry->upstream, ticket->facts->deadline_ms);
 	return true;
 }
 
+/* Gives back what a started request holds. The mutex is held. */
+static void
+end_work(struct wait_ticket *ticket)
+{
+	if (ticket->has_started && ticket->must_be_alone)
+		fleet_upstream_suspect(ticket->route.work.upstream, 0);
+	if (ticket->has_started)
+		fleet_work_end(&ticket->route.work);
+	ticket->has_started = false;
+}
+
 static void
 fill_route(struct wait_route *route, const struct router_candidate *candidate)
 {
--- a/src/state/capacity_slot.c
+++ b/src/state/capacity_slot.c
@@ -2,6 +2,7 @@
 
 #include <stdbool.h>
 
+static bool is_within(const struct capacity_slot *slot);
 static bool take_requests(struct capacity_slot *slot, uint32_t amount);
 static bool take_tokens(
     _Atomic uint64_t *used, _Atomic uint64_t *granted, uint64_t amount);
@@ -49,7 +50,10 @@
 	if (!take_tokens(&slot->used_kv_tokens, &slot->granted_kv_tokens,
 		amount->kv_tokens))
 		goto give_prefill;
-	return ERROR_NONE;
+	/* A grant that was lowered meanwhile must count at once. */
+	if (is_within(slot) && now_ms < atomic_load(&slot->expires_ms))
+		return ERROR_NONE;
+	atomic_fetch_sub(&slot->used_kv_tokens, amount->kv_tokens);
 
 give_prefill:
 	atomic_fetch_sub(&slot->used_prefill_tokens, amount->prefill_tokens);
@@ -69,6 +73,17 @@
 	atomic_fetch_sub(&slot->used_kv_tokens, amount->kv_tokens);
 }
 
+static bool
+is_within(const struct capacity_slot *slot)
+{
+	return atomic_load(&slot->used_requests) <=
+		   atomic_load(&slot->granted_requests) &&
+	       atomic_load(&slot->used_prefill_tokens) <=
+		   atomic_load(&slot->granted_prefill_tokens) &&
+	       atomic_load(&slot->used_kv_tokens) <=
+		   atomic_load(&slot->granted_kv_tokens);
+}
+
 static bool
 take_requests(struct capacity_slot *slot, uint32_t amount)
 {
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -39,6 +39,9 @@
 enum quarantine_field {
 	QUARANTINE_FIELD_FINGERPRINT = FIELD_BODY,
 	QUARANTINE_FIELD_UNTIL,
+	QUARANTINE_FIELD_SUSPICION,
+	QUARANTINE_FIELD_CRASHES,
+	QUARANTINE_FIELD_WEIGHT,
 	QUARANTINE_FIELD_COUNT,
 };
 
@@ -133,6 +136,12 @@
 		    quarantine->fingerprint);
 		message_put_int(
 		    writer, QUARANTINE_FIELD_UNTIL, quarantine->until_ms);
+		message_put_uint(writer, QUARANTINE_FIELD_SUSPICION,
+		    quarantine->is_suspicion);
+		message_put_uint(
+		    writer, QUARANTINE_FIELD_CRASHES, quarantine->crashes);
+		message_put_uint(writer, QUARANTINE_FIELD_WEIGHT,
+		    quarantine->weight_permille);
 		return ERROR_NONE;
 	case COMMAND_ORDER_BEGIN:
 	case COMMAND_ORDER_FINISH:
@@ -453,13 +462,24 @@
     const struct message_reader *reader, struct command_quarantine *quarantine)
 {
 	enum error_code error;
+	uint64_t is_suspicion;
 
 	error = message_get_uint(
 	    reader, QUARANTINE_FIELD_FINGERPRINT, &quarantine->fingerprint);
-	if (error != ERROR_NONE)
-		return error;
-	return message_get_int(
-	    reader, QUARANTINE_FIELD_UNTIL, &quarantine->until_ms);
+	if (error == ERROR_NONE)
+		error = message_get_int(
+		    reader, QUARANTINE_FIELD_UNTIL, &quarantine->until_ms);
+	if (error == ERROR_NONE)
+		error = message_get_uint(
+		    reader, QUARANTINE_FIELD_SUSPICION, &is_suspicion);
+	if (error == ERROR_NONE)
+		error = message_get_uint32(
+		    reader, QUARANTINE_FIELD_CRASHES, &quarantine->crashes);
+	if (error == ERROR_NONE)
+		error = message_get_uint32(reader, QUARANTINE_FIELD_WEIGHT,
+		    &quarantine->weight_permille);
+	quarantine->is_suspicion = error == ERROR_NONE && is_suspicion != 0;
+	return error;
 }
 
 static enum error_code
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -64,8 +64,11 @@
 
 /** Body of COMMAND_QUARANTINE. */
 struct command_quarantine {
-	uint64_t fingerprint; /**< Of the request that crashes upstreams. */
-	int64_t until_ms;     /**< Since epoch; 0 lifts the quarantine. */
+	uint64_t fingerprint;	  /**< Of the request that crashes upstreams. */
+	int64_t until_ms;	  /**< Since epoch; 0 lifts the quarantine. */
+	bool is_suspicion;	  /**< It may still run, but alone. */
+	uint32_t crashes;	  /**< Events that weigh on it. */
+	uint32_t weight_permille; /**< Their weight, 1000 is certain. */
 };
 
 /** Body of COMMAND_ORDER_BEGIN and COMMAND_ORDER_FINISH. */
--- a/src/state/replicated_parts.h
+++ b/src/state/replicated_parts.h
@@ -34,12 +34,6 @@
 	GSequenceIter *place;	      /**< In the order of expiry. */
 };
 
-/** A fingerprint in quarantine. */
-struct quarantine_record {
-	uint64_t fingerprint; /**< Which. */
-	int64_t until_ms;     /**< Since epoch. */
-};
-
 /* replicated_state.c */
 
 /** Sets an entry of the configuration. */
@@ -53,7 +47,7 @@
     struct replicated_state *state, const struct order_record *record);
 /** Sets a quarantine. */
 void replicated_put_quarantine(
-    struct replicated_state *state, uint64_t fingerprint, int64_t until_ms);
+    struct replicated_state *state, const struct quarantine_record *record);
 
 /* replicated_claims.c */
 
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -52,7 +52,7 @@
 static void save_claims(
     struct save_writer *writer, const struct replicated_state *state);
 static void save_quarantine(
-    void *context, uint64_t fingerprint, int64_t until_ms);
+    void *context, const struct quarantine_record *quarantine);
 static void save_order(void *context, const struct order_record *order);
 static enum error_code load_parts(
     struct replicated_state *state, const unsigned char *data, size_t size);
@@ -206,12 +206,15 @@
 }
 
 static void
-save_quarantine(void *context, uint64_t fingerprint, int64_t until_ms)
+save_quarantine(void *context, const struct quarantine_record *quarantine)
 {
-	struct save_record record = {.part = SAVE_PART_QUARANTINE, .count = 2};
+	struct save_record record = {.part = SAVE_PART_QUARANTINE, .count = 5};
 
-	record.numbers[0] = fingerprint;
-	record.numbers[1] = (uint64_t)until_ms;
+	record.numbers[0] = quarantine->fingerprint;
+	record.numbers[1] = (uint64_t)quarantine->until_ms;
+	record.numbers[2] = quarantine->is_suspicion;
+	record.numbers[3] = quarantine->crashes;
+	record.numbers[4] = quarantine->weight_permille;
 	put_part(context, &record);
 }
 
@@ -305,6 +308,7 @@
     const char *text)
 {
 	const uint64_t *numbers = record->numbers;
+	struct quarantine_record quarantine = {0};
 	struct claim_record claim = {0};
 	struct live_host host = {0};
 
@@ -341,8 +345,12 @@
 		replicated_add_claim(state, &claim);
 		return ERROR_NONE;
 	case SAVE_PART_QUARANTINE:
-		replicated_put_quarantine(
-		    state, numbers[0], (int64_t)numbers[1]);
+		quarantine.fingerprint = numbers[0];
+		quarantine.until_ms = (int64_t)numbers[1];
+		quarantine.is_suspicion = numbers[2] != 0;
+		quarantine.crashes = (uint32_t)numbers[3];
+		quarantine.weight_permille = (uint32_t)numbers[4];
+		replicated_put_quarantine(state, &quarantine);
 		return ERROR_NONE;
 	case SAVE_PART_ORDER:
 		return store_order(state, record, text);
--- a/src/state/replicated_state.c
+++ b/src/state/replicated_state.c
@@ -173,12 +173,13 @@
 	const struct quarantine_record *record;
 
 	record = g_hash_table_lookup(state->quarantine, &fingerprint);
-	return record != NULL && record->until_ms > now_ms;
+	return record != NULL && !record->is_suspicion &&
+	       record->until_ms > now_ms;
 }
 
 void
 replicated_state_each_quarantine(const struct replicated_state *state,
-    void (*visit)(void *context, uint64_t fingerprint, int64_t until_ms),
+    void (*visit)(void *context, const struct quarantine_record *record),
     void *context)
 {
 	struct quarantine_record *record;
@@ -186,7 +187,7 @@
 
 	g_hash_table_iter_init(&iter, state->quarantine);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&record))
-		visit(context, record->fingerprint, record->until_ms);
+		visit(context, record);
 }
 
 const struct order_record *
@@ -286,13 +287,11 @@
 
 void
 replicated_put_quarantine(
-    struct replicated_state *state, uint64_t fingerprint, int64_t until_ms)
+    struct replicated_state *state, const struct quarantine_record *record)
 {
 	struct quarantine_record *stored;
 
-	stored = g_new(struct quarantine_record, 1);
-	stored->fingerprint = fingerprint;
-	stored->until_ms = until_ms;
+	stored = g_memdup2(record, sizeof(*record));
 	g_hash_table_replace(state->quarantine, &stored->fingerprint, stored);
 }
 
@@ -382,6 +381,13 @@
     const struct command_quarantine *quarantine, struct command_result *result)
 {
 	uint64_t fingerprint = quarantine->fingerprint;
+	struct quarantine_record record = {
+	    .fingerprint = fingerprint,
+	    .until_ms = quarantine->until_ms,
+	    .is_suspicion = quarantine->is_suspicion,
+	    .crashes = quarantine->crashes,
+	    .weight_permille = quarantine->weight_permille,
+	};
 
 	expire_quarantine(state);
 	if (quarantine->until_ms <= 0) {
@@ -393,7 +399,7 @@
 		result->error = ERROR_TABLE_FULL;
 		return;
 	}
-	replicated_put_quarantine(state, fingerprint, quarantine->until_ms);
+	replicated_put_quarantine(state, &record);
 }
 
 static void
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -62,6 +62,15 @@
 	char argument[ORDER_ARGUMENT_SIZE_MAX]; /**< Such as a model. */
 };
 
+/** A request that is quarantined, or suspected. */
+struct quarantine_record {
+	uint64_t fingerprint;	  /**< Which. */
+	int64_t until_ms;	  /**< Since epoch. */
+	bool is_suspicion;	  /**< It may still run, but alone. */
+	uint32_t crashes;	  /**< Events that weigh on it. */
+	uint32_t weight_permille; /**< Their weight, 1000 is certain. */
+};
+
 /** The state. */
 struct replicated_state {
 	struct replicated_state_settings settings; /**< Bounds. */
@@ -122,9 +131,9 @@
 /** True if the fingerprint is quarantined at @p now_ms since epoch. */
 bool replicated_state_is_quarantined(
     const struct replicated_state *state, uint64_t fingerprint, int64_t now_ms);
-/** Visits each quarantined fingerprint. */
+/** Visits each quarantined or suspected fingerprint. */
 void replicated_state_each_quarantine(const struct replicated_state *state,
-    void (*visit)(void *context, uint64_t fingerprint, int64_t until_ms),
+    void (*visit)(void *context, const struct quarantine_record *record),
     void *context);
 /** The last order given to an upstream, NULL for none. */
 const struct order_record *replicated_state_order(
