--- a/bench/bench_hosts.c
+++ b/bench/bench_hosts.c
@@ -630,7 +630,7 @@
 static void
 measure_force(struct bench *bench, bool cuts)
 {
-	int64_t times[ORDERS];
+	int64_t times[ORDERS] = {0};
 	uint32_t i, count, victim;
 
 	count = cuts ? CUT_ORDERS : ORDERS;
