--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -20,6 +20,8 @@
     {EVENT_CONFIGURATION_LEASE_REGAINED, EVENT_LEVEL_INFO,
 	"configuration lease regained"},
     {EVENT_OVERRIDE_SET, EVENT_LEVEL_WARNING, "operator's override set"},
+    {EVENT_CONFIGURATION_UNUSABLE, EVENT_LEVEL_WARNING,
+	"configuration entry unusable, it keeps out"},
 
     {EVENT_PEER_CONNECTED, EVENT_LEVEL_INFO, "peer connected"},
     {EVENT_PEER_DISCONNECTED, EVENT_LEVEL_INFO, "peer disconnected"},
--- a/src/service/host_fleet.c
+++ b/src/service/host_fleet.c
@@ -62,6 +62,7 @@
 static void free_crash(gpointer memory);
 static uint32_t count_beside(
     struct host *host, const struct gathered_crash *gathered);
+static void log_problems(struct host *host);
 static enum error_code start_directory(struct host *host);
 static enum error_code start_grants(struct host *host);
 static enum error_code start_fleet(struct host *host);
@@ -144,6 +145,7 @@
 	if (error != ERROR_NONE)
 		event_log_write(EVENT_CONFIGURATION_APPLIED, "refused: %s",
 		    error_name(error));
+	log_problems(host);
 	update_owners(host);
 	upstream_directory_each(&host->directory, tell_owner, host);
 	replicated_state_each_quarantine(
@@ -366,6 +368,21 @@
 	g_free(gathered);
 }
 
+/* Entries that can't be read confine more than was meant; say which. */
+static void
+log_problems(struct host *host)
+{
+	const struct intent_problem *problem;
+	guint i;
+
+	for (i = 0; i < host->fleet.intent->problems->len; i++) {
+		problem = &g_array_index(
+		    host->fleet.intent->problems, struct intent_problem, i);
+		event_log_write(EVENT_CONFIGURATION_UNUSABLE, "%s: %s",
+		    problem->key, error_name(problem->error));
+	}
+}
+
 static enum error_code
 start_directory(struct host *host)
 {
