--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -27,3 +27,4 @@
 json.dump({"rows": rows}, open(sys.argv[2], "w"), indent=1)
 print(f"{len(rows)} rows in {sys.argv[2]}", file=sys.stderr)
 PY
+[ -n "${BENCH_ONLY:-}" ] || python3 tools/capacity_table.py "$out" docs/CAPACITY.md
