--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,9 @@
 C_FILES = $(wildcard src/*/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] examples/*.[ch])
 CPP_FILES = $(wildcard tests/*.cpp)
 
+# Tests whose code has threads; the others have nothing for that sanitizer.
+THREAD_TESTS = test_(mailbox|http_server|upstream_http|metrics|span_log|fleet_view|router)|real_(stop|faulty_upstreams|group)
+
 .PHONY: all demo check check-thread test bench soak format check-format lint install clean doc
 
 all:
