--- a/src/service/host_groups.c
+++ b/src/service/host_groups.c
@@ -106,8 +106,7 @@
 
 	groups->waiting =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	groups->taken =
-	    g_array_new(FALSE, TRUE, sizeof(struct taken_capacity));
+	groups->taken = g_array_new(FALSE, TRUE, sizeof(struct taken_capacity));
 	groups->wanted =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	leases = kv_lease_default_settings(
