--- a/src/service/host.h
+++ b/src/service/host.h
@@ -6,7 +6,9 @@
  * request threads reach them through the mailbox, read the fleet's views, and
  * take capacity by atomics. The files host_*.c each hold one side of the
  * wiring: host.c the life cycle and the loop, host_agreement.c replicated
- * state, feed and leases, host_fleet.c upstreams, grants and the fleet.
+ * state, feed and leases, host_fleet.c upstreams, grants and the fleet,
+ * host_demand.c what is asked of capacity owners, host_suspects.c crashes,
+ * host_groups.c and host_orders.c what their names say.
  */
 #ifndef HOST_H
 #define HOST_H
@@ -155,11 +157,27 @@
 void host_fleet_intent_changed(struct host *host);
 /** The configuration lease now runs until @p until_ms. */
 void host_fleet_set_lease(struct host *host, int64_t until_ms);
+/** Publishes a view if anything changed. */
+void host_fleet_step(struct host *host);
+
+/* Demand (host_demand.c), on the coordination thread */
+
+/** Starts to ask owners for what waiting requests want. */
+void host_demand_init(struct host *host);
+/** Ends it. */
+void host_demand_finish(struct host *host);
+
+/* Requests that crash upstreams (host_suspects.c), on the coordination thread */
+
+/** Starts with nobody suspected. */
+enum error_code host_suspects_init(struct host *host);
+/** Ends it. */
+void host_suspects_finish(struct host *host);
+/** Takes over what was committed. */
+void host_suspects_apply(struct host *host);
 /** One of this host's requests was on board of an upstream that broke off;
  * those of one upstream are gathered and weighed together. */
-void host_fleet_note_crash(struct host *host, uint64_t upstream_id,
+void host_suspects_note_crash(struct host *host, uint64_t upstream_id,
     uint64_t incarnation, const char *data_centre, uint64_t fingerprint);
-/** Publishes a view if anything changed. */
-void host_fleet_step(struct host *host);
 
 #endif
--- a/src/service/host_calls.c
+++ b/src/service/host_calls.c
@@ -247,7 +247,7 @@
 	struct crash_body *body = mailbox_call_body(call);
 	struct host *host = coordinator;
 
-	host_fleet_note_crash(host, body->route.upstream_id,
+	host_suspects_note_crash(host, body->route.upstream_id,
 	    body->route.incarnation, body->route.data_centre,
 	    body->fingerprint);
 }
