A waiting request is told as soon as it cannot make it, also in a full fleet

Change: the time that it takes alone on the upstream it wants is predicted. Before: test_wait_line red (latest start equal to the deadline). After: green.

--- a/src/service/wait_line.c
+++ b/src/service/wait_line.c
@@ -6,9 +6,14 @@
 
 #include "base/monotonic_clock.h"
 
+#define MS_PER_S  1000.0
+#define US_PER_MS 1000.0
+
 static struct admission_prediction predict(struct wait_line *line,
-    struct wait_ticket *ticket, const struct intent_account *account,
-    enum error_code *error);
+    const struct fleet_view *view, const struct wait_ticket *ticket,
+    const struct intent_account *account, enum error_code *error);
+static double alone_ms(
+    const struct upstream_limits *limits, const struct request_facts *facts);
 static enum error_code choose(struct wait_line *line,
     const struct fleet_view *view, const struct wait_ticket *ticket,
     struct router_choice *choice);
@@ -107,7 +112,7 @@
 		goto unlock;
 	ticket->account_id = account->id;
 	weight = account->weight;
-	prediction = predict(line, ticket, account, &error);
+	prediction = predict(line, view, ticket, account, &error);
 	if (error == ERROR_NO_UPSTREAM) {
 		ticket->retry_after_ms = admission_retry_after(
 		    &line->admission, prediction.queue_ms);
@@ -229,17 +234,15 @@
 }
 
 static struct admission_prediction
-predict(struct wait_line *line, struct wait_ticket *ticket,
-    const struct intent_account *account, enum error_code *error)
+predict(struct wait_line *line, const struct fleet_view *view,
+    const struct wait_ticket *ticket, const struct intent_account *account,
+    enum error_code *error)
 {
 	struct admission_prediction prediction = {0};
 	struct router_choice choice;
-	const struct fleet_view *view;
 	uint64_t cost_ahead;
 
-	view = fleet_lock(line->parts.fleet);
 	*error = choose(line, view, ticket, &choice);
-	fleet_unlock(view);
 	/* A group's time is not predicted: its deadline alone bounds it. */
 	if (*error == ERROR_TOO_LARGE)
 		return prediction;
@@ -249,12 +252,32 @@
 	if (choice.count > 0) {
 		prediction.first_token_ms = choice.candidates[0].first_token_ms;
 		prediction.end_ms = choice.candidates[0].end_ms;
-	} else if (choice.soonest_ms > prediction.queue_ms) {
-		prediction.queue_ms = choice.soonest_ms;
+	} else if (choice.wanted != NULL) {
+		prediction.end_ms = alone_ms(
+		    &choice.wanted->upstream->record.limits, ticket->facts);
 	}
+	if (choice.count == 0 && choice.soonest_ms > prediction.queue_ms)
+		prediction.queue_ms = choice.soonest_ms;
 	return prediction;
 }
 
+/* Time that it takes on an upstream with nothing beside it. Without it a full
+ * fleet's requests would wait until their deadlines. */
+static double
+alone_ms(
+    const struct upstream_limits *limits, const struct request_facts *facts)
+{
+	double prefill_ms, decode_ms;
+
+	prefill_ms = limits->prefill_tokens_per_s == 0
+			 ? 0
+			 : (double)facts->prompt_tokens * MS_PER_S /
+			       limits->prefill_tokens_per_s;
+	decode_ms = (double)facts->answer_tokens_max *
+		    limits->decode_us_per_token / US_PER_MS;
+	return prefill_ms + decode_ms;
+}
+
 static enum error_code
 choose(struct wait_line *line, const struct fleet_view *view,
     const struct wait_ticket *ticket, struct router_choice *choice)
