--- a/src/service/wait_line.h
+++ b/src/service/wait_line.h
@@ -44,12 +44,12 @@
 	uint64_t account_id;		      /**< Of its client account. */
 	uint64_t excluded[WAIT_EXCLUDED_MAX]; /**< Upstreams tried already. */
 	uint32_t excluded_count;	      /**< How many. */
+	GList link;			      /**< Of the line's tickets. */
 	bool needs_group; /**< Larger than one upstream; does not wait here. */
 	bool must_be_alone;	 /**< Suspected of crashing upstreams. */
 	bool is_admitted;	 /**< Counted in flight by admission. */
 	bool has_waited;	 /**< Did not start at once. */
 	bool is_queued;		 /**< Waits in the queue. */
-	GList link;		 /**< Of the line's tickets. */
 	bool has_started;	 /**< The route is set. */
 	enum error_code error;	 /**< Why it was refused. */
 	uint32_t retry_after_ms; /**< When to come back, if refused. */
--- a/src/state/request.h
+++ b/src/state/request.h
@@ -29,19 +29,19 @@
 
 /** The facts. */
 struct request_facts {
-	uint64_t id;		/**< Unique among hosts. */
-	uint32_t account_index; /**< Client account, by the intent. */
+	uint64_t id;			    /**< Unique among hosts. */
 	char client_account[NAME_SIZE_MAX]; /**< Its name. */
 	char model[NAME_SIZE_MAX];	    /**< Model, or service name. */
-	bool is_service_call;		    /**< For a plain service. */
-	bool is_idempotent;		    /**< May run more than once. */
-	enum request_priority priority;	    /**< How urgent. */
-	uint64_t prompt_tokens;		    /**< Estimated from the body. */
-	uint32_t answer_tokens_max;	    /**< Most tokens to generate. */
-	int64_t admitted_ms;		    /**< When it came, monotonic. */
-	int64_t deadline_ms;		    /**< When it must have ended. */
-	uint64_t fingerprint;		    /**< Account and keyed body hash. */
-	uint32_t prefix_count;		    /**< Hashes in use below. */
+	uint32_t account_index;		/**< Client account, by the intent. */
+	enum request_priority priority; /**< How urgent. */
+	uint32_t answer_tokens_max;	/**< Most tokens to generate. */
+	uint32_t prefix_count;		/**< Hashes in use below. */
+	bool is_service_call;		/**< For a plain service. */
+	bool is_idempotent;		/**< May run more than once. */
+	uint64_t prompt_tokens;		/**< Estimated from the body. */
+	int64_t admitted_ms;		/**< When it came, monotonic. */
+	int64_t deadline_ms;		/**< When it must have ended. */
+	uint64_t fingerprint;		/**< Account and keyed body hash. */
 	uint64_t
 	    prefix_hashes[PREFIX_HASHES_MAX]; /**< Of ever longer prefixes. */
 	uint64_t prefix_tokens[PREFIX_HASHES_MAX]; /**< Tokens each covers. */
