--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -58,7 +58,6 @@
 static void feed_lease_regained(void *context);
 static void feed_in_force(void *context, uint64_t index);
 
-static bool is_initial_voter(const struct host *host);
 static enum error_code start_feed(struct host *host);
 static void publish_state(struct host *host);
 static void complete_pending(struct host *host, uint64_t in_force);
@@ -459,18 +458,6 @@
 	complete_pending(context, index);
 }
 
-static bool
-is_initial_voter(const struct host *host)
-{
-	uint32_t i;
-
-	for (i = 0; i < host->settings.voter_count; i++) {
-		if (host->settings.voters[i] == host->settings.host_id)
-			return true;
-	}
-	return false;
-}
-
 static enum error_code
 start_feed(struct host *host)
 {
@@ -486,6 +473,7 @@
 	    .read_snapshot = source_read_snapshot,
 	    .context = host,
 	};
+	/* Voters too: one that comes back without its disk is a learner. */
 	struct config_feed_sink sink = {
 	    .apply_entries = sink_apply_entries,
 	    .install_snapshot = sink_install_snapshot,
@@ -504,9 +492,6 @@
 	settings.incarnation = host->incarnation;
 	settings.lease_ms = host->settings.configuration_lease_ms;
 	settings.renewal_ms = settings.lease_ms / RENEWALS_PER_LEASE;
-	/* A voter is fed by consensus; one that joins later gets both. */
-	if (host->has_disk && is_initial_voter(host))
-		memset(&sink, 0, sizeof(sink));
 	return config_feed_init(&host->feed, &settings, &host->timers,
 	    random_word(&host->random), peer_links_port(&host->links), source,
 	    sink, ops);
