--- a/src/service/control_worker.c
+++ b/src/service/control_worker.c
@@ -1,26 +1,38 @@
 #include "service/control_worker.h"
 
-#include <stdatomic.h>
-#include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 
-struct job {
-	/* Orders the arguments for tools that can't see into the pool. */
-	_Atomic bool is_posted;
+#include <glib.h>
+
+struct control_job {
+	struct control_job *next;
 	void (*run)(void *owner, void *arguments);
 	max_align_t arguments[];
 };
 
-static void run_job(gpointer data, gpointer context);
+static void *run_jobs(void *argument);
+static struct control_job *take_job(struct control_worker *worker);
 
 enum error_code
 control_worker_init(
-    struct control_worker *worker, unsigned int threads, void *owner)
+    struct control_worker *worker, uint32_t threads, void *owner)
 {
+	memset(worker, 0, sizeof(*worker));
+	if (threads == 0 || threads > CONTROL_THREADS_MAX)
+		return ERROR_INVALID_ARGUMENT;
 	worker->owner = owner;
-	worker->pool =
-	    g_thread_pool_new(run_job, worker, (gint)threads, FALSE, NULL);
-	return worker->pool == NULL ? ERROR_NO_MEMORY : ERROR_NONE;
+	pthread_mutex_init(&worker->mutex, NULL);
+	pthread_cond_init(&worker->changed, NULL);
+	while (worker->thread_count < threads) {
+		if (pthread_create(&worker->threads[worker->thread_count], NULL,
+			run_jobs, worker) != 0) {
+			control_worker_finish(worker);
+			return ERROR_NO_MEMORY;
+		}
+		worker->thread_count++;
+	}
+	return ERROR_NONE;
 }
 
 void
@@ -28,30 +40,67 @@
     void (*run)(void *owner, void *arguments), const void *arguments,
     size_t size)
 {
-	struct job *job;
+	struct control_job *job;
 
 	job = g_malloc(sizeof(*job) + size);
+	job->next = NULL;
 	job->run = run;
 	memcpy(job->arguments, arguments, size);
-	atomic_store(&job->is_posted, true);
-	g_thread_pool_push(worker->pool, job, NULL);
+	pthread_mutex_lock(&worker->mutex);
+	if (worker->last == NULL)
+		worker->first = job;
+	else
+		worker->last->next = job;
+	worker->last = job;
+	pthread_cond_signal(&worker->changed);
+	pthread_mutex_unlock(&worker->mutex);
 }
 
 void
 control_worker_finish(struct control_worker *worker)
 {
-	if (worker->pool != NULL)
-		g_thread_pool_free(worker->pool, FALSE, TRUE);
-	worker->pool = NULL;
+	uint32_t i;
+
+	if (worker->owner == NULL)
+		return;
+	pthread_mutex_lock(&worker->mutex);
+	worker->is_stopping = true;
+	pthread_cond_broadcast(&worker->changed);
+	pthread_mutex_unlock(&worker->mutex);
+	for (i = 0; i < worker->thread_count; i++)
+		pthread_join(worker->threads[i], NULL);
+	pthread_cond_destroy(&worker->changed);
+	pthread_mutex_destroy(&worker->mutex);
+	memset(worker, 0, sizeof(*worker));
 }
 
-static void
-run_job(gpointer data, gpointer context)
+static void *
+run_jobs(void *argument)
 {
-	struct control_worker *worker = context;
-	struct job *job = data;
+	struct control_worker *worker = argument;
+	struct control_job *job;
 
-	if (atomic_load(&job->is_posted))
+	while ((job = take_job(worker)) != NULL) {
 		job->run(worker->owner, job->arguments);
-	g_free(job);
+		g_free(job);
+	}
+	return NULL;
+}
+
+/* Waits for a job; NULL when it is stopping and none waits. */
+static struct control_job *
+take_job(struct control_worker *worker)
+{
+	struct control_job *job;
+
+	pthread_mutex_lock(&worker->mutex);
+	while (worker->first == NULL && !worker->is_stopping)
+		pthread_cond_wait(&worker->changed, &worker->mutex);
+	job = worker->first;
+	if (job != NULL)
+		worker->first = job->next;
+	if (worker->first == NULL)
+		worker->last = NULL;
+	pthread_mutex_unlock(&worker->mutex);
+	return job;
 }
