--- a/src/state/config_entry.h
+++ b/src/state/config_entry.h
@@ -2,16 +2,16 @@
  * @file config_entry.h
  * One entry of the replicated configuration, and who can list them.
  *
- * Keys (a part in <> is a name without '/'):
- *   data_centre/<name>/label/<key>      value of a label
- *   upstream/<name>/label/<key>         value of a label; beats its own
- *   client_account/<name>/label/<key>   value of a label
- *   client_account/<name>/weight        share in the fair queue, 1 to 1000
- *   client_account/<name>/requests_max  requests at a time, 0 for no bound
- *   client_account/<name>/token         hash of the account's token
- *   takeout/<name>                      selector of upstreams taken out
- *   policy/<name>                       "account-selector -> upstream-selector"
- *   setting/<name>                      fleet-wide setting
+ * Keys (a part in capitals is a name without '/'):
+ *   data_centre/NAME/label/KEY      value of a label
+ *   upstream/NAME/label/KEY         value of a label; beats its own
+ *   client_account/NAME/label/KEY   value of a label
+ *   client_account/NAME/weight        share in the fair queue, 1 to 1000
+ *   client_account/NAME/requests_max  requests at a time, 0 for no bound
+ *   client_account/NAME/token         hash of the account's token
+ *   takeout/NAME                      selector of upstreams taken out
+ *   policy/NAME                       "account-selector -> upstream-selector"
+ *   setting/NAME                      fleet-wide setting
  */
 #ifndef CONFIG_ENTRY_H
 #define CONFIG_ENTRY_H
