--- a/src/protocol/sse.h
+++ b/src/protocol/sse.h
@@ -35,7 +35,7 @@
 	GString *data;		  /**< Data of the event being read. */
 	char name[SSE_NAME_SIZE]; /**< Name of the event being read. */
 	bool has_data;		  /**< A data line was there. */
-	bool after_cr;		  /**< A line feed next belongs to the carriage return. */
+	bool after_cr;		  /**< A line feed next ends no line. */
 	bool after_start;      /**< The byte order mark can't come any more. */
 	enum error_code error; /**< First error; sticks. */
 };
