--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -25,4 +25,5 @@
     --enable=warning,portability --suppress=missingIncludeSystem -I src \
     --library=tools/jansson.cfg src \
     standin bench
+doxygen docs/Doxyfile >/dev/null
 echo "lint: clean"
