--- a/tools/capacity_table.py
+++ b/tools/capacity_table.py
@@ -44,6 +44,11 @@
     out.append(f"| order to in force, {r['hosts']} real processes, with the command's start | p50 {r['p50']} ms, most {r['max']} ms of {r['orders']} |")
 for r in pick(bench="real", what="next_accepted_after_leader_death_ms"):
     out.append(f"| leader killed to next accepted order, real processes | {r['ms']} ms |")
+for r in rows:
+    if r.get("figure") == "routing_decision_ns":
+        out.append(f"| one routing decision at {r['upstreams']} upstreams | {r['median']:g} ns |")
+    if r.get("figure") == "routing_decision_slope":
+        out.append(f"| its slope from {r['from']} to {r['to']} upstreams | {r['median']:g} ns an upstream |")
 for r in pick(bench="real", what="idle"):
     out.append(f"| idle host of {r['hosts']}, {r['upstreams']} upstreams, real | {r['cpu_percent_of_core']} % of a core, {r['rss_kb']} KB resident |")
 out += ["", "Requests (queue model in virtual time, 20 upstreams, 3 data centres, median of the seeds [least to greatest]):", "",
