A call whose caller hung up after dispatch is unknown, not not_run

Cause: found on re-reading the change: cancelling looked only at earlier attempts, so a first attempt under way ended as not_run, its claim was freed, and a resend of the key could run it twice. Change: the present attempt's stage counts as well. real_claims now hangs up during a call and sends it again.

--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -119,12 +119,14 @@
 void
 request_run_cancel(struct request_run *run)
 {
+	bool has_run;
+
 	if (run->state == REQUEST_STATE_ENDED)
 		return;
+	has_run = run->ran_before || run->stage != ATTEMPT_NOT_SENT;
 	drop_attempt(run, true);
 	end_run(run, ERROR_CANCELLED,
-	    run->ran_before ? REQUEST_OUTCOME_UNKNOWN : REQUEST_OUTCOME_NOT_RUN,
-	    0);
+	    has_run ? REQUEST_OUTCOME_UNKNOWN : REQUEST_OUTCOME_NOT_RUN, 0);
 }
 
 void
--- a/tests/real_claims.sh
+++ b/tests/real_claims.sh
@@ -37,6 +37,16 @@
 done
 [ "$(runs key-one)" = 1 ] || fail "key-one ran $(runs key-one) times after resends"
 
+# The caller hangs up while its call runs and sends it again: still one run.
+curl -s --max-time 1 "$(host_url 1)/v1/services/ledger/deposit" -H 'Authorization: Bearer s3cret' \
+    -H 'Idempotency-Key: key-gone' -H 'X-Request-Deadline-Ms: 15000' -d "amount 5" >/dev/null 2>&1 || true
+sleep 2
+for id in 1 2 3; do
+	deposit "$id" key-gone >"$work/again"
+	grep -q '"outcome":"not_run"' "$work/again" && fail "key-gone ran, and host $id says not_run"
+done
+[ "$(runs key-gone)" = 1 ] || fail "key-gone ran $(runs key-gone) times: $(cat "$work/again")"
+
 # The host dies while the call runs; the resends must not run it again, and
 # must not say that it did not run.
 deposit 2 key-two >"$work/two" 2>&1 & sender=$!
