--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -28,6 +28,12 @@
     {EVENT_OVERRIDE_SET, EVENT_LEVEL_WARNING, "operator's override set"},
     {EVENT_CONFIGURATION_UNUSABLE, EVENT_LEVEL_WARNING,
 	"configuration entry unusable, it keeps out"},
+    {EVENT_DOCUMENT_PUT, EVENT_LEVEL_INFO, "document put"},
+    {EVENT_DOCUMENT_REFUSED, EVENT_LEVEL_WARNING, "document refused"},
+    {EVENT_TAKEOUT_SET, EVENT_LEVEL_INFO, "takeout set"},
+    {EVENT_SETTINGS_RELOADED, EVENT_LEVEL_INFO, "settings reloaded"},
+    {EVENT_ROUTES_IN_FORCE, EVENT_LEVEL_INFO, "routes in force"},
+    {EVENT_READINESS_CHANGED, EVENT_LEVEL_INFO, "readiness changed"},
 
     {EVENT_PEER_CONNECTED, EVENT_LEVEL_INFO, "peer connected"},
     {EVENT_PEER_DISCONNECTED, EVENT_LEVEL_INFO, "peer disconnected"},
@@ -60,6 +66,9 @@
     {EVENT_REQUEST_RETRIED, EVENT_LEVEL_INFO, "request retried"},
     {EVENT_REQUEST_FAILED, EVENT_LEVEL_WARNING, "request failed"},
     {EVENT_UPSTREAM_STALLED, EVENT_LEVEL_WARNING, "upstream stalled"},
+    {EVENT_REQUEST_ENDED, EVENT_LEVEL_INFO, "request ended"},
+    {EVENT_UPSTREAM_EJECTED, EVENT_LEVEL_WARNING, "upstream ejected"},
+    {EVENT_LINES_LEFT_OUT, EVENT_LEVEL_INFO, "log lines left out"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
     {EVENT_STANDIN_CRASHED, EVENT_LEVEL_WARNING, "stand-in crashed"},
--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -10,6 +10,8 @@
 #define ELECTION_MIN_DEFAULT_MS 1000
 #define ELECTION_MAX_DEFAULT_MS 2000
 #define COMPACT_DEFAULT		4096 /* Entries. */
+#define COMPACT_BYTES ((size_t)8 * 1024 * 1024) /* Of entries held. */
+#define TAIL_BYTES    ((size_t)1024 * 1024) /* Kept behind a snapshot. */
 #define TICKS_PER_HEARTBEAT	2
 #define TIME_SLACK_MS		60000 /* A wall clock may lead the cluster's. */
 #define HOST_SEED_STEP		0x9e3779b97f4a7c15u /* Apart for any seeds. */
@@ -34,6 +36,7 @@
 static void answer_proposals(struct consensus *consensus, uint64_t index,
     const void *result, size_t result_size);
 static void compact(struct consensus *consensus);
+static uint64_t find_tail(const struct consensus *consensus);
 static uint64_t find_voters(const struct consensus *consensus,
     uint64_t last_index, struct voter_set *voters);
 static void note_name(void *context, const char *name);
@@ -603,7 +606,9 @@
 
 	entries = consensus->applied_index - consensus->snapshot.index;
 	/* Large states are saved less often than small ones. */
-	if (entries < consensus->settings.compact_entries ||
+	if ((entries < consensus->settings.compact_entries &&
+		(consensus->journal.held_bytes < COMPACT_BYTES ||
+		    entries == 0)) ||
 	    (consensus->journal.held_bytes < consensus->snapshot.state_size &&
 		entries < JOURNAL_ENTRIES_MAX / 2) ||
 	    journal_term(&consensus->journal, consensus->applied_index,
@@ -627,9 +632,8 @@
 		consensus->snapshot = snapshot;
 		event_log_write(EVENT_SNAPSHOT_WRITTEN, "entry %llu",
 		    (unsigned long long)snapshot.index);
-		/* Some entries stay for followers that are a little behind. */
-		error = journal_drop_prefix(&consensus->journal,
-		    snapshot.index - consensus->settings.compact_entries / 4);
+		error = journal_drop_prefix(
+		    &consensus->journal, find_tail(consensus));
 	} else {
 		snapshot_finish(&snapshot);
 	}
@@ -637,6 +641,28 @@
 		consensus_fail(consensus, error);
 }
 
+/* Some entries stay for followers that are a little behind. */
+static uint64_t
+find_tail(const struct consensus *consensus)
+{
+	const struct journal_entry *entry;
+	uint64_t index;
+	size_t bytes;
+
+	bytes = 0;
+	for (index = consensus->snapshot.index; index > 0; index--) {
+		entry = journal_get(&consensus->journal, index);
+		if (entry == NULL ||
+		    consensus->snapshot.index - index >=
+			consensus->settings.compact_entries / 4)
+			break;
+		bytes += entry->size;
+		if (bytes > TAIL_BYTES)
+			break;
+	}
+	return index;
+}
+
 /* The voter set that holds at an entry, and the entry that set it. */
 static uint64_t
 find_voters(const struct consensus *consensus, uint64_t last_index,
--- a/src/coordination/consensus_leader.c
+++ b/src/coordination/consensus_leader.c
@@ -27,7 +27,8 @@
 static void receive_snapshot_reply(struct consensus *consensus,
     struct consensus_peer *peer, const struct consensus_message *message);
 static uint64_t find_quorum_value(const struct consensus *consensus,
-    uint64_t (*read)(const struct consensus_peer *peer), uint64_t own);
+    uint64_t (*read)(const struct consensus_peer *peer), uint64_t own,
+    uint32_t copies);
 static uint64_t read_match(const struct consensus_peer *peer);
 static uint64_t read_confirmed(const struct consensus_peer *peer);
 static enum error_code begin_change(struct consensus *consensus,
@@ -107,7 +108,7 @@
 	if (!consensus_is_leader(consensus))
 		return ERROR_NOT_LEADER;
 	*at_ms = (int64_t)find_quorum_value(
-	    consensus, read_confirmed, (uint64_t)consensus_now(consensus));
+	    consensus, read_confirmed, (uint64_t)consensus_now(consensus), 0);
 	*commit_index = consensus->commit_index;
 	return ERROR_NONE;
 }
@@ -168,7 +169,8 @@
 	uint64_t index, term;
 
 	index = find_quorum_value(
-	    consensus, read_match, consensus->journal.synced_index);
+	    consensus, read_match, consensus->journal.synced_index,
+	    consensus->settings.copies_min);
 	/* An entry of an older term commits only behind one of this term. */
 	if (index <= consensus->commit_index ||
 	    journal_term(&consensus->journal, index, &term) != ERROR_NONE ||
@@ -505,7 +507,8 @@
 /* The largest value that a quorum of the voters reaches. */
 static uint64_t
 find_quorum_value(const struct consensus *consensus,
-    uint64_t (*read)(const struct consensus_peer *peer), uint64_t own)
+    uint64_t (*read)(const struct consensus_peer *peer), uint64_t own,
+    uint32_t copies)
 {
 	uint64_t values[CONSENSUS_PEERS_MAX + 1] = {0}, value;
 	const struct consensus_peer *peer;
@@ -525,6 +528,7 @@
 		count++;
 	}
 	i = voter_set_quorum(&consensus->voters);
+	i = MAX(i, MIN(copies, consensus->voters.count));
 	return i <= count ? values[i - 1] : 0;
 }
 
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -173,6 +173,15 @@
 	put_self(membership);
 }
 
+void
+membership_set_voter(struct membership *membership, uint64_t voter_incarnation)
+{
+	if (membership->self.voter_incarnation == voter_incarnation)
+		return;
+	membership->self.voter_incarnation = voter_incarnation;
+	put_self(membership);
+}
+
 const struct host_record *
 membership_self(const struct membership *membership)
 {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -125,6 +125,9 @@
 void membership_step(struct membership *membership);
 /** Sets own role flags (HOST_FLAG_*) and spreads them. */
 void membership_set_flags(struct membership *membership, uint32_t flags);
+/** Sets the incarnation of the own data folder and spreads it. */
+void membership_set_voter(
+    struct membership *membership, uint64_t voter_incarnation);
 
 /* Looking up; records are valid until the next call of the module */
 
--- a/src/protocol/membership_message.c
+++ b/src/protocol/membership_message.c
@@ -27,6 +27,7 @@
 	HOST_REFUTATION = 7,
 	HOST_STATE = 8,
 	HOST_FLAGS = 9,
+	HOST_VOTER_INCARNATION = 10,
 	HOST_FIELD_COUNT
 };
 
@@ -102,6 +103,8 @@
 	message_put_uint(writer, HOST_REFUTATION, host->refutation);
 	message_put_uint(writer, HOST_STATE, host->state);
 	message_put_uint(writer, HOST_FLAGS, host->flags);
+	message_put_uint(
+	    writer, HOST_VOTER_INCARNATION, host->voter_incarnation);
 }
 
 enum error_code
@@ -183,6 +186,10 @@
 	    (error = message_get_uint32(reader, HOST_FLAGS, &host->flags)) !=
 		ERROR_NONE)
 		return error;
+	/* Hosts of earlier releases do not send it. */
+	if (message_get_uint(reader, HOST_VOTER_INCARNATION,
+		&host->voter_incarnation) != ERROR_NONE)
+		host->voter_incarnation = 0;
 	if (host->id == 0)
 		return ERROR_MALFORMED;
 	return read_state(reader, HOST_STATE, &host->state);
--- a/src/protocol/membership_message.h
+++ b/src/protocol/membership_message.h
@@ -16,6 +16,7 @@
 
 #define HOST_FLAG_VOTER	   1u /**< Votes in the replicated log. */
 #define HOST_FLAG_DRAINING 2u /**< Is being stopped: no new work. */
+#define HOST_FLAG_ENTRY	   4u /**< Takes callers' requests. */
 
 /** State of a host, in the order in which they override each other. */
 enum host_state {
@@ -37,6 +38,8 @@
 	uint64_t refutation;   /**< Grows with each change and refutation. */
 	enum host_state state; /**< See above. */
 	uint32_t flags;	       /**< HOST_FLAG_*. */
+	uint64_t voter_incarnation; /**< Of its data folder, 0 without a disk;
+					 another one after its loss. */
 };
 
 /** Types of messages; gossip of hosts has 8 to 10. */
--- a/src/service/cli_verbs.c
+++ b/src/service/cli_verbs.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "base/event_log.h"
+#include "platform_serve.h"
 #include "service/serve.h"
 #include "service/settings.h"
 #include "state/config_entry.h"
@@ -16,6 +17,7 @@
 #define INCARNATION_SIZE 32  /* Bytes of a voter incarnation as text. */
 
 static int run_serve(struct cli *cli);
+static int run_platform(struct cli *cli);
 static int run_check_config(struct cli *cli);
 static int run_status(struct cli *cli);
 static int run_upstreams(struct cli *cli);
@@ -56,6 +58,12 @@
 static void write_line(void *context, const char *line);
 
 static const struct cli_verb verbs[] = {
+    {"serve-platform", "", 0, 0,
+	"run a host on the users' platform until SIGTERM, by the settings "
+	"file that CHICORYTACK_SETTINGS names",
+	"CHICORYTACK_SETTINGS=/etc/chicorytack/node.conf chicorytack "
+	"serve-platform",
+	run_platform},
     {"serve", "--config FILE", 0, 0, "run a host until SIGTERM",
 	"chicorytack serve --config /etc/chicorytack/host.json", run_serve},
     {"check-config", "--config FILE | --describe", 0, 0,
@@ -106,6 +114,13 @@
 	return verbs;
 }
 
+static int
+run_platform(struct cli *cli)
+{
+	(void)cli;
+	return cli_exit_code(platform_serve());
+}
+
 static int
 run_serve(struct cli *cli)
 {
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
+#include "service/host_voters.h"
 
 #define TIMERS_MAX	      65536  /* Timers of the coordination thread. */
 #define MAILBOX_MAX	      16384  /* Calls that may wait. */
@@ -60,12 +61,15 @@
 };
 
 enum error_code
-host_init(struct host *host, const struct settings *settings)
+host_init(struct host *host, const struct settings *settings,
+    const struct document_watch *watch)
 {
 	enum error_code error;
 
 	memset(host, 0, sizeof(*host));
 	host->settings = *settings;
+	if (watch != NULL)
+		host->watch = *watch;
 	host->incarnation = (uint64_t)clock_wall_us();
 	random_init(&host->random, randombytes_random() | host->incarnation);
 	/* The same on all hosts, so that a request is known on each. */
@@ -179,6 +183,8 @@
 		error = init_line(host);
 	if (error == ERROR_NONE)
 		error = host_agreement_init(host);
+	if (error == ERROR_NONE)
+		host_voters_init(host);
 	return error;
 }
 
@@ -233,6 +239,7 @@
 	self->id = settings->host_id;
 	self->incarnation = host->incarnation;
 	self->port = (uint16_t)settings->peer_port;
+	self->flags = settings->is_entry ? HOST_FLAG_ENTRY : 0;
 	self->http_port = (uint16_t)settings->http_port;
 	snprintf(self->ip, sizeof(self->ip), "%s", settings->peer_address);
 	snprintf(
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -48,6 +48,14 @@
 #include "transport/timer.h"
 #include "transport/upstream_http.h"
 
+/** Called on the coordination thread when a document or the configuration
+ * has changed; may be empty. */
+struct document_watch {
+	const char *name; /**< Which document. */
+	void (*changed)(void *context, const struct document *document);
+	void *context; /**< Passed back. */
+};
+
 /** A command whose caller waits until it is in force. */
 struct host_pending {
 	struct mailbox_call *call; /**< Kept call to complete. */
@@ -79,6 +87,7 @@
 	GArray *pending;		/**< struct host_pending. */
 	struct live_hosts live_hosts;	/**< Leader's plan. */
 	uint64_t plan_number;		/**< Names plans apart. */
+	struct document_watch watch;	/**< Who reads a document, if any. */
 	_Atomic int64_t override_until_ms; /**< Serves unconfirmed till then. */
 
 	struct upstream_directory directory; /**< Upstreams by gossip. */
@@ -106,19 +115,23 @@
 	_Atomic uint32_t suspects;    /**< Known to the quarantine. */
 	_Atomic uint32_t group_runs;  /**< Threads of group_run.c. */
 	struct quarantine quarantine; /**< Requests that crash. */
-	_Atomic uint32_t running;     /**< Requests under way. */
+	_Atomic uint32_t running;	/**< Requests under way. */
+	_Atomic uint32_t entry_hosts;	/**< Live ones that take requests. */
 	_Atomic bool is_stopping;     /**< Ends the loop. */
 	_Atomic bool is_draining;     /**< Takes no new requests. */
 	bool has_disk;		      /**< consensus and folder are set. */
 	bool is_agreement_ready;      /**< The feed may be called. */
 	bool is_planning;	      /**< A plan is being committed. */
+	uint32_t voter_gone_id;	      /**< Voter that seems gone, 0 for none. */
+	int64_t voter_gone_ms;	      /**< Since when it does. */
 };
 
 /* Life cycle (host.c) */
 
-/** Prepares all parts and starts the coordination thread. Errors: of the
- * parts; nothing is left behind then. */
-enum error_code host_init(struct host *host, const struct settings *settings);
+/** Prepares all parts and starts the coordination thread; @p watch may be
+ * NULL. Errors: of the parts; nothing is left behind then. */
+enum error_code host_init(struct host *host, const struct settings *settings,
+    const struct document_watch *watch);
 /** Planned stop, first half: no new requests; others are told. */
 void host_drain(struct host *host);
 /** Planned stop, second half, once no request runs: hands over leadership
--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -60,6 +60,7 @@
 
 static enum error_code start_feed(struct host *host);
 static void publish_state(struct host *host);
+static void tell_watch(struct host *host);
 static void complete_pending(struct host *host, uint64_t in_force);
 static void plan_live_hosts(void *context);
 static void submit_plan(struct host *host, const struct live_host_set *wanted);
@@ -201,6 +202,7 @@
 	consensus.election_min_ms = settings->election_timeout_ms;
 	consensus.election_max_ms =
 	    (int64_t)settings->election_timeout_ms * ELECTION_SPREAD;
+	consensus.copies_min = settings->copies_min;
 	consensus.seed = random_word(&host->random);
 	error = consensus_init(&host->consensus, &consensus, &disk,
 	    &host->timers, peer_links_port(&host->links), &ops);
@@ -507,12 +509,23 @@
 	if (state->sequence <= host->published_sequence)
 		return;
 	host_fleet_intent_changed(host);
+	tell_watch(host);
 	host->published_sequence = state->sequence;
 	event_log_write(EVENT_CONFIGURATION_APPLIED,
 	    "revision %" PRIu64 " sequence %" PRIu64, state->revision,
 	    state->sequence);
 }
 
+static void
+tell_watch(struct host *host)
+{
+	const struct document_watch *watch = &host->watch;
+
+	if (watch->changed != NULL)
+		watch->changed(watch->context,
+		    replicated_state_document(host_state(host), watch->name));
+}
+
 static void
 complete_pending(struct host *host, uint64_t in_force)
 {
--- /dev/null
+++ b/src/service/host_documents.c
@@ -0,0 +1,313 @@
+#include "service/host_documents.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <zlib.h>
+
+#include "service/host_calls.h"
+
+#define CALL_TIMEOUT_MS	  2000	/* Longest wait for a short call. */
+#define LOOK_PERIOD_US	  10000 /* Between looks at the own state. */
+#define SIZE_BYTES	  8	/* Unpacked size, before the packed bytes. */
+#define OPERATION_FORMAT  "entry-%u-%016" PRIx64
+
+/* A read of a document on the coordination thread. */
+struct read_body {
+	char name[NAME_SIZE_MAX];
+	uint64_t sequence; /* That the state must have reached. */
+	uint64_t version;
+	GBytes *packed;
+	bool is_behind;
+};
+
+struct gone_body {
+	char name[NAME_SIZE_MAX];
+	uint64_t incarnation;
+};
+
+static void run_read(void *coordinator, struct mailbox_call *call);
+static void clear_read(void *body);
+static void run_heartbeat(void *coordinator, struct mailbox_call *call);
+static void run_gone(void *coordinator, struct mailbox_call *call);
+static bool is_same(const struct upstream_record *known,
+    const struct upstream_record *record);
+static enum error_code read_once(struct host *host, const char *name,
+    uint64_t sequence, struct read_body *found);
+static enum error_code first_error(
+    enum error_code error, const struct command_result *result);
+
+static const struct mailbox_ops read_ops = {run_read, clear_read};
+static const struct mailbox_ops heartbeat_ops = {.run = run_heartbeat};
+static const struct mailbox_ops gone_ops = {.run = run_gone};
+
+enum error_code
+host_put_document(struct host *host, const char *name, uint64_t version,
+    const void *text, size_t size, int64_t timeout_ms)
+{
+	struct command command = {.type = COMMAND_DOCUMENT};
+	struct command_document *document = &command.body.document;
+	struct command_result result;
+	enum error_code error;
+	GBytes *packed;
+
+	packed = document_pack(text, size);
+	if (packed == NULL)
+		return ERROR_NO_MEMORY;
+	g_strlcpy(document->name, name, sizeof(document->name));
+	document->version = version;
+	document->data = g_bytes_get_data(packed, &document->size);
+	error = document->size > CONSENSUS_COMMAND_SIZE_MAX / 2
+		    ? ERROR_TOO_LARGE
+		    : host_submit(host, &command, timeout_ms, &result);
+	g_bytes_unref(packed);
+	return first_error(error, &result);
+}
+
+enum error_code
+host_read_document(struct host *host, const char *name, int64_t timeout_ms,
+    uint64_t *version, GBytes **text)
+{
+	struct command command = {.type = COMMAND_BARRIER};
+	struct command_result result;
+	struct read_body found = {0};
+	enum error_code error;
+	int64_t until_ms;
+
+	until_ms = host_now_ms() + timeout_ms;
+	error = first_error(
+	    host_submit(host, &command, timeout_ms, &result), &result);
+	if (error != ERROR_NONE)
+		return error;
+	for (;;) {
+		error = read_once(host, name, result.sequence, &found);
+		if (error != ERROR_NONE || !found.is_behind)
+			break;
+		if (host_now_ms() >= until_ms)
+			return ERROR_TIMEOUT;
+		g_usleep(LOOK_PERIOD_US);
+	}
+	if (error != ERROR_NONE)
+		return error;
+	if (found.packed == NULL)
+		return ERROR_NOT_FOUND;
+	*version = found.version;
+	*text = document_unpack(g_bytes_get_data(found.packed, NULL),
+	    g_bytes_get_size(found.packed));
+	g_bytes_unref(found.packed);
+	return *text == NULL ? ERROR_CORRUPT : ERROR_NONE;
+}
+
+enum error_code
+host_set_entry(struct host *host, const char *key, const char *value,
+    int64_t timeout_ms)
+{
+	struct command command = {.type = COMMAND_CONFIG};
+	struct config_change change = {.is_delete = value == NULL};
+	struct command_result result;
+
+	g_strlcpy(change.key, key, sizeof(change.key));
+	if (value != NULL)
+		g_strlcpy(change.value, value, sizeof(change.value));
+	snprintf(command.operation_id, sizeof(command.operation_id),
+	    OPERATION_FORMAT, host->settings.host_id,
+	    host_new_request_id(host));
+	command.body.config.expected_revision = REVISION_ANY;
+	command.body.config.change_count = 1;
+	command.body.config.changes = &change;
+	return first_error(
+	    host_submit(host, &command, timeout_ms, &result), &result);
+}
+
+enum error_code
+host_heartbeat(struct host *host, const struct upstream_record *record)
+{
+	struct mailbox_call *call;
+	enum error_code error;
+
+	call = mailbox_call_new(&heartbeat_ops, sizeof(*record));
+	memcpy(mailbox_call_body(call), record, sizeof(*record));
+	error = mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS);
+	mailbox_call_drop(call);
+	return error;
+}
+
+enum error_code
+host_remove_upstream(
+    struct host *host, const char *name, uint64_t incarnation)
+{
+	struct mailbox_call *call;
+	struct gone_body *body;
+	enum error_code error;
+
+	call = mailbox_call_new(&gone_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	g_strlcpy(body->name, name, sizeof(body->name));
+	body->incarnation = incarnation;
+	error = mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS);
+	mailbox_call_drop(call);
+	return error;
+}
+
+GBytes *
+document_pack(const void *text, size_t size)
+{
+	guint64 stored_size = GUINT64_TO_LE((guint64)size);
+	unsigned char *packed;
+	uLongf packed_size;
+
+	packed_size = compressBound((uLong)size);
+	packed = g_malloc(packed_size + SIZE_BYTES);
+	memcpy(packed, &stored_size, SIZE_BYTES);
+	if (compress2(packed + SIZE_BYTES, &packed_size, text, (uLong)size,
+		Z_BEST_SPEED) != Z_OK) {
+		g_free(packed);
+		return NULL;
+	}
+	return g_bytes_new_take(packed, packed_size + SIZE_BYTES);
+}
+
+GBytes *
+document_unpack(const void *packed, size_t size)
+{
+	guint64 stored_size;
+	uLongf text_size;
+	char *text;
+
+	if (size < SIZE_BYTES)
+		return NULL;
+	memcpy(&stored_size, packed, SIZE_BYTES);
+	text_size = (uLongf)GUINT64_FROM_LE(stored_size);
+	if (text_size > DOCUMENT_SIZE_MAX)
+		return NULL;
+	text = g_malloc(text_size + 1);
+	if (uncompress((Bytef *)text, &text_size,
+		(const Bytef *)packed + SIZE_BYTES,
+		(uLong)(size - SIZE_BYTES)) != Z_OK) {
+		g_free(text);
+		return NULL;
+	}
+	text[text_size] = '\0';
+	return g_bytes_new_take(text, text_size);
+}
+
+static enum error_code
+read_once(struct host *host, const char *name, uint64_t sequence,
+    struct read_body *found)
+{
+	struct mailbox_call *call;
+	struct read_body *body;
+	enum error_code error;
+
+	call = mailbox_call_new(&read_ops, sizeof(*body));
+	body = mailbox_call_body(call);
+	g_strlcpy(body->name, name, sizeof(body->name));
+	body->sequence = sequence;
+	error = mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS);
+	if (error == ERROR_NONE) {
+		*found = *body;
+		body->packed = NULL;
+	}
+	mailbox_call_drop(call);
+	return error;
+}
+
+static void
+run_read(void *coordinator, struct mailbox_call *call)
+{
+	struct read_body *body = mailbox_call_body(call);
+	const struct document *document;
+	struct host *host = coordinator;
+
+	body->is_behind = host_state(host)->sequence < body->sequence;
+	if (!body->is_behind) {
+		document =
+		    replicated_state_document(host_state(host), body->name);
+		if (document != NULL) {
+			body->version = document->version;
+			body->packed = g_bytes_ref(document->bytes);
+		}
+	}
+	mailbox_complete(&host->mailbox, call, ERROR_NONE);
+}
+
+static void
+clear_read(void *body)
+{
+	struct read_body *read = body;
+
+	if (read->packed != NULL)
+		g_bytes_unref(read->packed);
+}
+
+static void
+run_heartbeat(void *coordinator, struct mailbox_call *call)
+{
+	const struct upstream_record *record = mailbox_call_body(call);
+	const struct upstream_record *known;
+	struct host *host = coordinator;
+	enum error_code error;
+
+	known = upstream_directory_find(&host->directory, record->id);
+	if (known != NULL && is_same(known, record))
+		error = upstream_directory_renew(
+		    &host->directory, record->id, record->incarnation);
+	else
+		error = upstream_directory_announce(&host->directory, record);
+	/* A late one tells nothing new, but it was taken. */
+	if (error == ERROR_STALE)
+		error = ERROR_NONE;
+	mailbox_complete(&host->mailbox, call, error);
+}
+
+static void
+run_gone(void *coordinator, struct mailbox_call *call)
+{
+	struct gone_body *body = mailbox_call_body(call);
+	const struct upstream_record *known;
+	struct host *host = coordinator;
+	enum error_code error;
+
+	known =
+	    upstream_directory_find(&host->directory, upstream_id(body->name));
+	if (known == NULL) {
+		mailbox_complete(&host->mailbox, call, ERROR_NOT_FOUND);
+		return;
+	}
+	error = ERROR_NONE;
+	if (body->incarnation == 0 || body->incarnation >= known->incarnation)
+		error = upstream_directory_remove(
+		    &host->directory, known->id, known->incarnation);
+	mailbox_complete(&host->mailbox, call,
+	    error == ERROR_STALE ? ERROR_NONE : error);
+}
+
+/* True if the record says nothing that is not known. */
+static bool
+is_same(
+    const struct upstream_record *known, const struct upstream_record *record)
+{
+	uint32_t i;
+
+	if (known->incarnation != record->incarnation ||
+	    known->state != record->state ||
+	    known->label_count != record->label_count ||
+	    known->limits.warm_requests != record->limits.warm_requests ||
+	    strcmp(known->url, record->url) != 0 ||
+	    strcmp(known->data_centre, record->data_centre) != 0)
+		return false;
+	for (i = 0; i < record->label_count; i++) {
+		if (strcmp(known->labels[i].key, record->labels[i].key) != 0 ||
+		    strcmp(known->labels[i].value, record->labels[i].value) !=
+			0)
+			return false;
+	}
+	return true;
+}
+
+static enum error_code
+first_error(enum error_code error, const struct command_result *result)
+{
+	return error != ERROR_NONE ? error : result->error;
+}
--- /dev/null
+++ b/src/service/relay.c
@@ -0,0 +1,391 @@
+#include "service/relay.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "service/relay_parts.h"
+
+#define TIMERS_MAX	 65536 /* Timers of the loop. */
+#define BACKLOG		 1024  /* Connections the kernel keeps. */
+#define SLACK_SHARE	 0.8   /* Of the slack; hosts come and go. */
+#define RECORDS_MAX	 4096  /* Upstreams looked at. */
+#define LINGER_ROUNDS_MS 2600  /* The balancer has noticed by then. */
+#define SERVICE_LABEL	 "service"
+#define STATUS_OK	 200
+#define STATUS_UNAVAILABLE 503
+#define STATUS_NOT_FOUND 404
+
+static enum error_code start_loop(struct relay *relay);
+static enum error_code listen_at(struct relay *relay, uv_tcp_t *listener,
+    const struct relay_address *address, uv_connection_cb accept);
+static void accept_caller(uv_stream_t *listener, int status);
+static void accept_monitor(uv_stream_t *listener, int status);
+static void *run_loop(void *argument);
+static void note_wake(uv_async_t *wake);
+static void note_prepare(uv_prepare_t *prepare);
+static void note_tick(uv_timer_t *tick);
+static void close_idle_callers(void *context);
+static void each_caller(
+    struct relay *relay, void (*visit)(struct relay_caller *caller));
+static void close_all(struct relay *relay);
+static void close_handle(uv_handle_t *handle, void *context);
+static void take_table(struct relay *relay);
+static void take_view(struct relay *relay);
+static bool fill_record(
+    const struct fleet_entry *entry, struct placement_record *record);
+static void tell_ready(struct relay *relay);
+
+enum error_code
+relay_init(struct relay *relay, const struct relay_settings *settings,
+    struct host *host, uint64_t seed)
+{
+	memset(relay, 0, sizeof(*relay));
+	relay->settings = *settings;
+	relay->host = host;
+	timer_init(&relay->timers, TIMERS_MAX, host_now_ms());
+	random_init(&relay->random, seed);
+	placement_init(&relay->placement, &settings->placement, seed + 1);
+	relay->callers = g_hash_table_new(NULL, NULL);
+	relay->budgets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (uv_loop_init(&relay->loop) != 0)
+		return ERROR_NO_MEMORY;
+	relay->loop.data = relay;
+	uv_async_init(&relay->loop, &relay->wake, note_wake);
+	return ERROR_NONE;
+}
+
+enum error_code
+relay_start(struct relay *relay)
+{
+	enum error_code error;
+
+	error = start_loop(relay);
+	if (error != ERROR_NONE)
+		return error;
+	if (pthread_create(&relay->thread, NULL, run_loop, relay) != 0)
+		return ERROR_NO_MEMORY;
+	return ERROR_NONE;
+}
+
+void
+relay_drain(struct relay *relay)
+{
+	atomic_store(&relay->is_draining, true);
+	uv_async_send(&relay->wake);
+}
+
+bool
+relay_is_idle(const struct relay *relay)
+{
+	return atomic_load(&relay->is_idle);
+}
+
+void
+relay_finish(struct relay *relay)
+{
+	atomic_store(&relay->is_stopping, true);
+	uv_async_send(&relay->wake);
+	pthread_join(relay->thread, NULL);
+	route_table_unref(atomic_exchange(&relay->next_table, NULL));
+	route_table_unref(relay->table);
+	upstream_pool_finish(&relay->pool);
+	placement_finish(&relay->placement);
+	g_hash_table_unref(relay->callers);
+	g_hash_table_unref(relay->budgets);
+	timer_finish(&relay->timers);
+	uv_loop_close(&relay->loop);
+}
+
+void
+relay_set_table(struct relay *relay, struct route_table *table)
+{
+	route_table_unref(atomic_exchange(&relay->next_table, table));
+	uv_async_send(&relay->wake);
+}
+
+void
+relay_refresh(struct relay *relay)
+{
+	take_table(relay);
+	take_view(relay);
+	relay->placement.host_count =
+	    MAX(atomic_load(&relay->host->entry_hosts), 1);
+}
+
+double
+relay_retry_slack(const struct relay *relay)
+{
+	return relay->settings.retry_slack * SLACK_SHARE /
+	       relay->placement.host_count;
+}
+
+struct retry_window *
+relay_budget(struct relay *relay, const struct route_service *service)
+{
+	struct retry_window *window;
+
+	window = g_hash_table_lookup(relay->budgets, service->name);
+	if (window != NULL)
+		return window;
+	window = g_new0(struct retry_window, 1);
+	retry_window_init(window, relay->settings.retry_ratio,
+	    relay->settings.retry_window_ms);
+	g_hash_table_insert(relay->budgets, g_strdup(service->name), window);
+	return window;
+}
+
+void
+relay_monitor_answer(struct relay_caller *caller)
+{
+	struct relay *relay = caller->relay;
+	const char *path = caller->reader.head.target->str;
+	bool is_ready;
+
+	if (strcmp(path, relay->settings.dialect.ready_path) != 0) {
+		relay_answer_own(
+		    caller, STATUS_NOT_FOUND, "no such path", 0);
+		relay_caller_done(caller);
+		return;
+	}
+	tell_ready(relay);
+	is_ready = atomic_load(&relay->is_ready);
+	relay_answer_own(caller, is_ready ? STATUS_OK : STATUS_UNAVAILABLE,
+	    is_ready ? "" : "not ready", 0);
+	relay_caller_done(caller);
+}
+
+void
+relay_note_closed(struct relay *relay)
+{
+	if (relay->has_closed && g_hash_table_size(relay->callers) == 0 &&
+	    g_hash_table_size(relay->pool.all) == 0)
+		uv_stop(&relay->loop);
+}
+
+static enum error_code
+start_loop(struct relay *relay)
+{
+	enum error_code error;
+
+	upstream_pool_init(&relay->pool, &relay->loop, &relay->timers);
+	uv_prepare_init(&relay->loop, &relay->prepare);
+	uv_prepare_start(&relay->prepare, note_prepare);
+	uv_timer_init(&relay->loop, &relay->tick);
+	error = listen_at(relay, &relay->entry_listener,
+	    &relay->settings.entry, accept_caller);
+	if (error == ERROR_NONE)
+		error = listen_at(relay, &relay->ready_listener,
+		    &relay->settings.readiness, accept_monitor);
+	return error;
+}
+
+static enum error_code
+listen_at(struct relay *relay, uv_tcp_t *listener,
+    const struct relay_address *address, uv_connection_cb accept)
+{
+	struct sockaddr_in place;
+
+	uv_tcp_init(&relay->loop, listener);
+	if (uv_ip4_addr(address->ip, address->port, &place) != 0 ||
+	    uv_tcp_bind(listener, (const struct sockaddr *)&place, 0) != 0 ||
+	    uv_listen((uv_stream_t *)listener, BACKLOG, accept) != 0) {
+		event_log_write(EVENT_LISTEN_FAILED, "%s:%u", address->ip,
+		    address->port);
+		return ERROR_IO;
+	}
+	return ERROR_NONE;
+}
+
+static void
+accept_caller(uv_stream_t *listener, int status)
+{
+	if (status == 0)
+		relay_caller_accept(listener->loop->data, listener, false);
+}
+
+static void
+accept_monitor(uv_stream_t *listener, int status)
+{
+	if (status == 0)
+		relay_caller_accept(listener->loop->data, listener, true);
+}
+
+static void *
+run_loop(void *argument)
+{
+	struct relay *relay = argument;
+
+	uv_run(&relay->loop, UV_RUN_DEFAULT);
+	uv_walk(&relay->loop, close_handle, NULL);
+	uv_run(&relay->loop, UV_RUN_DEFAULT);
+	return NULL;
+}
+
+static void
+note_wake(uv_async_t *wake)
+{
+	struct relay *relay = wake->loop->data;
+
+	timer_advance(&relay->timers, host_now_ms());
+	if (atomic_load(&relay->is_stopping)) {
+		close_all(relay);
+		return;
+	}
+	relay_refresh(relay);
+	if (atomic_load(&relay->is_draining)) {
+		tell_ready(relay);
+		/* Until then new connections may still come here. */
+		if (timer_subscribe_once(&relay->timers, LINGER_ROUNDS_MS,
+			(struct timer_callback){close_idle_callers, relay},
+			NULL) != ERROR_NONE)
+			close_idle_callers(relay);
+	}
+}
+
+/* Before the loop waits: how long it may. */
+static void
+note_prepare(uv_prepare_t *prepare)
+{
+	struct relay *relay = prepare->loop->data;
+	int64_t now_ms, next_ms, wait_ms;
+
+	now_ms = host_now_ms();
+	timer_advance(&relay->timers, now_ms);
+	next_ms = timer_next(&relay->timers);
+	if (next_ms == TIMER_NEVER) {
+		uv_timer_stop(&relay->tick);
+		return;
+	}
+	uv_update_time(&relay->loop);
+	wait_ms = MAX(next_ms - now_ms, 0);
+	uv_timer_start(&relay->tick, note_tick, (uint64_t)wait_ms, 0);
+}
+
+static void
+note_tick(uv_timer_t *tick)
+{
+	struct relay *relay = tick->loop->data;
+
+	timer_advance(&relay->timers, host_now_ms());
+}
+
+/* Repeats until nothing runs; then the process may end. */
+static void
+close_idle_callers(void *context)
+{
+	struct relay *relay = context;
+
+	each_caller(relay, relay_caller_close_idle);
+	if (relay->running == 0 && g_hash_table_size(relay->callers) == 0)
+		atomic_store(&relay->is_idle, true);
+	(void)timer_subscribe_once(&relay->timers, 50,
+	    (struct timer_callback){close_idle_callers, relay}, NULL);
+}
+
+static void
+each_caller(struct relay *relay, void (*visit)(struct relay_caller *caller))
+{
+	GList *callers, *link;
+
+	callers = g_hash_table_get_keys(relay->callers);
+	for (link = callers; link != NULL; link = link->next)
+		visit(link->data);
+	g_list_free(callers);
+}
+
+static void
+close_all(struct relay *relay)
+{
+	if (relay->has_closed)
+		return;
+	relay->has_closed = true;
+	each_caller(relay, relay_caller_break);
+	upstream_pool_close(&relay->pool);
+	uv_stop(&relay->loop);
+}
+
+static void
+close_handle(uv_handle_t *handle, void *context)
+{
+	(void)context;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+/* A host's own view never goes back. */
+static void
+take_table(struct relay *relay)
+{
+	struct route_table *table;
+
+	table = atomic_exchange(&relay->next_table, NULL);
+	if (table == NULL)
+		return;
+	if (relay->table != NULL && table->version <= relay->table->version) {
+		route_table_unref(table);
+		return;
+	}
+	route_table_unref(relay->table);
+	relay->table = table;
+	event_log_write(EVENT_ROUTES_IN_FORCE,
+	    "version %llu, %u routes, %u services",
+	    (unsigned long long)table->version, table->routes->len,
+	    table->services->len);
+}
+
+static void
+take_view(struct relay *relay)
+{
+	struct placement_record *records;
+	const struct fleet_view *view;
+	uint32_t count, i;
+
+	view = fleet_lock(&relay->host->fleet);
+	if (view->version == relay->view_version) {
+		fleet_unlock(view);
+		return;
+	}
+	relay->view_version = view->version;
+	records = g_new0(struct placement_record, view->entry_count + 1);
+	count = 0;
+	for (i = 0; i < view->entry_count && count < RECORDS_MAX; i++) {
+		if (fill_record(&view->entries[i], &records[count]))
+			count++;
+	}
+	placement_update(&relay->placement, records, count);
+	fleet_unlock(view);
+	g_free(records);
+}
+
+static bool
+fill_record(const struct fleet_entry *entry, struct placement_record *record)
+{
+	const struct upstream_record *upstream = &entry->upstream->record;
+
+	record->service = upstream_label(upstream, SERVICE_LABEL);
+	record->place = upstream_place(upstream->url);
+	if (record->service == NULL || record->place == 0)
+		return false;
+	record->id = upstream->id;
+	record->incarnation = upstream->incarnation;
+	record->name = upstream->name;
+	record->data_centre = upstream->data_centre;
+	record->slots = upstream->limits.warm_requests;
+	record->is_usable =
+	    upstream->state == UPSTREAM_STATE_ACTIVE && !entry->is_taken_out;
+	return true;
+}
+
+static void
+tell_ready(struct relay *relay)
+{
+	bool is_ready;
+
+	relay_refresh(relay);
+	is_ready = relay->table != NULL && !atomic_load(&relay->is_draining);
+	if (atomic_exchange(&relay->is_ready, is_ready) != is_ready)
+		event_log_write(EVENT_READINESS_CHANGED, "%s",
+		    is_ready ? "ready" : "not ready");
+}
--- /dev/null
+++ b/src/service/relay_answer.c
@@ -0,0 +1,245 @@
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "service/relay_parts.h"
+
+#define MS_PER_S	  1000.0
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_CHANGED 304
+#define PIECE_HEAD_SIZE	  24 /* Bytes of a chunk's size line. */
+
+static void add_status(GString *out, uint32_t status);
+static void add_fields(GString *out, const struct http_head *head);
+static void add_connection(GString *out, const struct relay_caller *caller);
+static bool is_own_field(
+    const struct relay_dialect *dialect, const char *name);
+static void add_helpers(GString *out, const struct relay_dialect *dialect,
+    const struct placement_choice *choice);
+static const char *reason_of(uint32_t status);
+
+void
+relay_answer_own(struct relay_caller *caller, uint32_t status,
+    const char *reason, int64_t retry_after_ms)
+{
+	GString *out, *body;
+
+	body = g_string_new(NULL);
+	g_string_append_printf(body, "{\"error\":\"%s\"}", reason);
+	out = g_string_new(NULL);
+	add_status(out, status);
+	if (caller->exchange != NULL &&
+	    caller->exchange->attempt_id[0] != '\0')
+		g_string_append_printf(out, "%s: %s\r\n",
+		    caller->relay->settings.dialect.attempt_id,
+		    caller->exchange->attempt_id);
+	if (retry_after_ms > 0)
+		g_string_append_printf(out, "Retry-After: %.2f\r\n",
+		    (double)retry_after_ms / MS_PER_S);
+	g_string_append_printf(out,
+	    "Content-Type: application/json\r\n"
+	    "Content-Length: %zu\r\n",
+	    (size_t)body->len);
+	add_connection(out, caller);
+	g_string_append_len(out, body->str, (gssize)body->len);
+	tcp_link_write(&caller->link, out->str, out->len);
+	g_string_free(out, TRUE);
+	g_string_free(body, TRUE);
+}
+
+void
+relay_answer_whole(struct relay_caller *caller, const struct http_head *head,
+    const GByteArray *body, bool is_head_method)
+{
+	const char *length;
+	GString *out;
+
+	out = g_string_new(NULL);
+	add_status(out, head->status);
+	add_fields(out, head);
+	length = http_head_get(head, "Content-Length");
+	if (is_head_method && length != NULL)
+		g_string_append_printf(out, "Content-Length: %s\r\n", length);
+	else if (head->status != STATUS_NO_CONTENT &&
+		 head->status != STATUS_NOT_CHANGED)
+		g_string_append_printf(
+		    out, "Content-Length: %u\r\n", body->len);
+	add_connection(out, caller);
+	if (!is_head_method)
+		g_string_append_len(
+		    out, (const char *)body->data, (gssize)body->len);
+	tcp_link_write(&caller->link, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+void
+relay_answer_begin(struct relay_caller *caller, const struct http_head *head)
+{
+	GString *out;
+
+	out = g_string_new(NULL);
+	add_status(out, head->status);
+	add_fields(out, head);
+	g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	add_connection(out, caller);
+	tcp_link_write(&caller->link, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+void
+relay_answer_piece(struct relay_caller *caller, const void *data, size_t size)
+{
+	GString *out;
+
+	if (size == 0)
+		return;
+	out = g_string_sized_new(size + PIECE_HEAD_SIZE);
+	g_string_append_printf(out, "%zx\r\n", size);
+	g_string_append_len(out, data, (gssize)size);
+	g_string_append(out, "\r\n");
+	tcp_link_write(&caller->link, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+void
+relay_answer_end(struct relay_caller *caller)
+{
+	static const char end[] = "0\r\n\r\n";
+
+	tcp_link_write(&caller->link, end, sizeof(end) - 1);
+}
+
+GBytes *
+relay_request_bytes(const struct relay_exchange *exchange,
+    const struct placement_choice *choice, int64_t now_ms)
+{
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	const struct http_head *head = &exchange->head;
+	const char *name;
+	GString *out;
+	gsize size;
+	guint i;
+
+	out = g_string_new(NULL);
+	g_string_append_printf(
+	    out, "%s %s HTTP/1.1\r\n", head->method, head->target->str);
+	for (i = 0; i < head->fields->len; i++) {
+		name = http_head_name(head, i);
+		if (is_own_field(dialect, name) ||
+		    (http_head_is_hop(head, name) &&
+			g_ascii_strcasecmp(name, dialect->attempt_id) != 0))
+			continue;
+		g_string_append_printf(
+		    out, "%s: %s\r\n", name, http_head_value(head, i));
+	}
+	if (exchange->events.last_id[0] != '\0')
+		g_string_append_printf(out, "%s: %s\r\n",
+		    dialect->resume_after, exchange->events.last_id);
+	g_string_append_printf(out, "%s: %" PRId64 "\r\n", dialect->deadline,
+	    MAX(exchange->deadline_ms - now_ms, 1));
+	g_string_append_printf(
+	    out, "%s: %s\r\n", dialect->target, choice->upstream->name);
+	if (exchange->account != NULL)
+		g_string_append_printf(out, "%s: %s\r\n", dialect->account,
+		    exchange->account->name);
+	add_helpers(out, dialect, choice);
+	if (exchange->body->len > 0 || head->has_length || head->is_chunked)
+		g_string_append_printf(
+		    out, "Content-Length: %u\r\n", exchange->body->len);
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, (const char *)exchange->body->data,
+	    (gssize)exchange->body->len);
+	size = out->len;
+	return g_bytes_new_take(g_string_free(out, FALSE), size);
+}
+
+static void
+add_status(GString *out, uint32_t status)
+{
+	g_string_append_printf(
+	    out, "HTTP/1.1 %u %s\r\n", status, reason_of(status));
+}
+
+static void
+add_fields(GString *out, const struct http_head *head)
+{
+	const char *name;
+	guint i;
+
+	for (i = 0; i < head->fields->len; i++) {
+		name = http_head_name(head, i);
+		if (http_head_is_hop(head, name) ||
+		    g_ascii_strcasecmp(name, "Content-Length") == 0)
+			continue;
+		g_string_append_printf(
+		    out, "%s: %s\r\n", name, http_head_value(head, i));
+	}
+}
+
+/* A host that is stopping says so in each answer that begins. */
+static void
+add_connection(GString *out, const struct relay_caller *caller)
+{
+	g_string_append(
+	    out, caller->closes ? "Connection: close\r\n\r\n" : "\r\n");
+}
+
+/* What only this host may say to an upstream, whatever the caller sent. */
+static bool
+is_own_field(const struct relay_dialect *dialect, const char *name)
+{
+	const char *const own[] = {
+	    dialect->deadline,
+	    dialect->account_key,
+	    dialect->account,
+	    dialect->target,
+	    dialect->helpers,
+	    dialect->priority,
+	    dialect->resume_after,
+	    "Content-Length",
+	    "Expect",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(own); i++) {
+		if (g_ascii_strcasecmp(name, own[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+add_helpers(GString *out, const struct relay_dialect *dialect,
+    const struct placement_choice *choice)
+{
+	struct in_addr address;
+	char text[INET_ADDRSTRLEN];
+	uint32_t i;
+
+	if (choice->helper_count == 0)
+		return;
+	g_string_append_printf(out, "%s: ", dialect->helpers);
+	for (i = 0; i < choice->helper_count; i++) {
+		address.s_addr = htonl((uint32_t)(choice->helpers[i] >> 16));
+		inet_ntop(AF_INET, &address, text, sizeof(text));
+		g_string_append_printf(out, "%s%s:%u", i == 0 ? "" : ",", text,
+		    (unsigned int)(choice->helpers[i] & UINT16_MAX));
+	}
+	g_string_append(out, "\r\n");
+}
+
+static const char *
+reason_of(uint32_t status)
+{
+	switch (status) {
+#define REASON(number, name, text)                                             \
+	case number:                                                           \
+		return #text;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	default:
+		return "Unknown";
+	}
+}
--- /dev/null
+++ b/src/service/relay_events.c
@@ -0,0 +1,134 @@
+#include "service/relay_events.h"
+
+#include <string.h>
+
+#define ID_FIELD "id:"
+
+static size_t find_end(const guint8 *data, size_t size);
+static bool take_event(
+    struct relay_events *events, const char *data, size_t size);
+static bool read_id(
+    const char *data, size_t size, char id[EVENT_ID_SIZE]);
+
+uint32_t
+relay_events_take(struct relay_events *events, const char *data, size_t size,
+    GByteArray *out)
+{
+	GByteArray *pending;
+	size_t at, end;
+	uint32_t count;
+
+	if (events->pending == NULL)
+		events->pending = g_byte_array_new();
+	pending = events->pending;
+	g_byte_array_append(pending, (const guint8 *)data, (guint)size);
+	count = 0;
+	at = 0;
+	while ((end = find_end(pending->data + at, pending->len - at)) > 0) {
+		if (take_event(
+			events, (const char *)pending->data + at, end)) {
+			g_byte_array_append(
+			    out, pending->data + at, (guint)end);
+			count++;
+		}
+		at += end;
+	}
+	if (at > 0)
+		g_byte_array_remove_range(pending, 0, (guint)at);
+	events->count += count;
+	return count;
+}
+
+bool
+relay_events_is_partial(const struct relay_events *events)
+{
+	return events->pending != NULL && events->pending->len > 0;
+}
+
+void
+relay_events_drop_partial(struct relay_events *events)
+{
+	if (events->pending != NULL)
+		g_byte_array_set_size(events->pending, 0);
+}
+
+void
+relay_events_set_last(struct relay_events *events, const char *id)
+{
+	char *end;
+
+	g_strlcpy(events->last_id, id, sizeof(events->last_id));
+	events->last_number = g_ascii_strtoull(id, &end, 10);
+	events->has_number = id[0] != '\0' && *end == '\0';
+}
+
+void
+relay_events_finish(struct relay_events *events)
+{
+	if (events->pending != NULL)
+		g_byte_array_unref(events->pending);
+	memset(events, 0, sizeof(*events));
+}
+
+/* An empty line ends an event; lines end with LF or CR LF. */
+static size_t
+find_end(const guint8 *data, size_t size)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < size; i++) {
+		if (data[i] != '\n')
+			continue;
+		if (data[i + 1] == '\n')
+			return i + 2;
+		if (i + 2 < size && data[i + 1] == '\r' && data[i + 2] == '\n')
+			return i + 3;
+	}
+	return 0;
+}
+
+/* False for an event that the caller has already. */
+static bool
+take_event(struct relay_events *events, const char *data, size_t size)
+{
+	char id[EVENT_ID_SIZE];
+	uint64_t number;
+	char *end;
+
+	if (!read_id(data, size, id))
+		return true;
+	number = g_ascii_strtoull(id, &end, 10);
+	if (events->has_number && *end == '\0' &&
+	    number <= events->last_number)
+		return false;
+	relay_events_set_last(events, id);
+	return true;
+}
+
+static bool
+read_id(const char *data, size_t size, char id[EVENT_ID_SIZE])
+{
+	const char *line, *next, *end = data + size;
+	size_t length;
+
+	for (line = data; line < end; line = next + 1) {
+		next = memchr(line, '\n', (size_t)(end - line));
+		if (next == NULL)
+			return false;
+		if ((size_t)(next - line) < strlen(ID_FIELD) ||
+		    memcmp(line, ID_FIELD, strlen(ID_FIELD)) != 0)
+			continue;
+		line += strlen(ID_FIELD);
+		while (line < next && *line == ' ')
+			line++;
+		length = (size_t)(next - line);
+		if (length > 0 && line[length - 1] == '\r')
+			length--;
+		if (length >= EVENT_ID_SIZE)
+			return false;
+		memcpy(id, line, length);
+		id[length] = '\0';
+		return length > 0;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/service/relay_exchange.c
@@ -0,0 +1,661 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "service/relay_parts.h"
+
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_NOT_FOUND    404
+#define STATUS_BAD_GATEWAY  502
+#define STATUS_UNAVAILABLE  503
+#define STATUS_LATE	    504
+
+#define WAIT_STEP_MS	  15 /* Between tries to place a request. */
+#define WAIT_GOAL_PART	  8  /* Longest wait, as part of the goal. */
+#define RETRY_AFTER_MS	  400  /* Said when nothing better is known. */
+#define ANSWER_BYTES_MAX  (32u * 1024 * 1024) /* Of a whole answer. */
+#define STALL_MIN_MS	  1200 /* Shortest silence that is a stall. */
+#define STALL_FACTOR	  4    /* Of what was expected. */
+#define STALL_PLAIN_GOALS 3    /* Silence of a plain upstream, in goals. */
+#define FRESH_IDLE_MS	  700  /* Kept connections for unrepeatable calls. */
+#define ANY_IDLE_MS	  INT64_MAX
+
+/* How a request ended, for the log and the counters. */
+enum exchange_end {
+	END_ANSWERED,
+	END_REFUSED,
+	END_DENIED,
+	END_FAILED,
+	END_BROKEN,
+	END_LEFT,
+};
+
+static const char *const end_names[] = {
+    "answered", "refused", "denied", "failed", "broken", "left"};
+
+static bool resolve(struct relay_exchange *exchange);
+static void deny(
+    struct relay_exchange *exchange, uint32_t status, const char *reason);
+static void read_request(struct relay_exchange *exchange);
+static void place(struct relay_exchange *exchange);
+static void wait_for_place(
+    struct relay_exchange *exchange, enum error_code error);
+static void run_wait(void *context);
+static void send_to(
+    struct relay_exchange *exchange, struct placement_choice *choice);
+static void set_stall_timer(struct relay_exchange *exchange, int64_t delay_ms);
+static int64_t first_stall_ms(
+    const struct relay_exchange *exchange);
+static void run_deadline(void *context);
+static void run_stall(void *context);
+static void note_sent(void *context);
+static void note_head(void *context, struct http_head *head);
+static void note_body(void *context, const char *data, size_t size);
+static void note_done(void *context);
+static void note_failed(void *context, enum error_code error);
+static void leave_upstream(struct relay_exchange *exchange);
+static void attempt_failed(
+    struct relay_exchange *exchange, enum error_code error, bool is_fault);
+static void go_on(struct relay_exchange *exchange, enum error_code error);
+static void pass_events(
+    struct relay_exchange *exchange, const char *data, size_t size);
+static void begin_events(
+    struct relay_exchange *exchange, struct http_head *head);
+static void finish(struct relay_exchange *exchange, enum exchange_end end,
+    enum error_code error);
+static void free_exchange(struct relay_exchange *exchange);
+static bool is_head_method(const struct relay_exchange *exchange);
+static int64_t time_left(const struct relay_exchange *exchange);
+
+void
+relay_exchange_begin(struct relay_caller *caller)
+{
+	struct relay *relay = caller->relay;
+	struct relay_exchange *exchange;
+
+	exchange = g_new0(struct relay_exchange, 1);
+	exchange->relay = relay;
+	exchange->caller = caller;
+	exchange->body = g_byte_array_new();
+	exchange->arrived_ms = caller->begun_ms;
+	caller->exchange = exchange;
+	relay->running++;
+	atomic_fetch_add(&relay->counters.requests, 1);
+	http_head_move(&exchange->head, &caller->reader.head);
+	if (caller->body->len > 0) {
+		g_byte_array_unref(exchange->body);
+		exchange->body = caller->body;
+		caller->body = g_byte_array_new();
+	}
+	exchange->weight_draw = (uint32_t)random_word(&relay->random);
+	read_request(exchange);
+	if (!resolve(exchange))
+		return;
+	exchange->deadline_ms =
+	    MIN(exchange->deadline_ms,
+		exchange->arrived_ms + exchange->route->timeout_ms);
+	exchange->wait_until_ms =
+	    host_now_ms() + exchange->route->goal_ms / WAIT_GOAL_PART;
+	retry_window_note_request(
+	    relay_budget(relay, exchange->service), host_now_ms());
+	/* Without a timer the caller's own time limit ends it. */
+	(void)timer_subscribe_once(&relay->timers, time_left(exchange),
+	    (struct timer_callback){run_deadline, exchange},
+	    &exchange->deadline_timer);
+	place(exchange);
+}
+
+void
+relay_exchange_cancel(struct relay_exchange *exchange)
+{
+	exchange->caller = NULL;
+	finish(exchange, END_LEFT, ERROR_CANCELLED);
+}
+
+/* Finds route, account and service by the newest table; answers if the
+ * request is not allowed, and returns false then. */
+static bool
+resolve(struct relay_exchange *exchange)
+{
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	struct relay *relay = exchange->relay;
+	const char *host, *key;
+
+	relay_refresh(relay);
+	if (relay->table == NULL) {
+		relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
+		    "no configuration yet", RETRY_AFTER_MS);
+		finish(exchange, END_REFUSED, ERROR_LEASE_EXPIRED);
+		return false;
+	}
+	if (exchange->table != relay->table) {
+		route_table_unref(exchange->table);
+		exchange->table = route_table_ref(relay->table);
+	}
+	host = http_head_get(&exchange->head, "Host");
+	exchange->route = route_table_find(
+	    exchange->table, host, exchange->head.target->str);
+	if (exchange->route == NULL) {
+		deny(exchange, STATUS_NOT_FOUND, "no such route");
+		return false;
+	}
+	key = http_head_get(&exchange->head, dialect->account_key);
+	exchange->account =
+	    key == NULL ? NULL : route_table_account(exchange->table, key);
+	if (exchange->account == NULL && !exchange->route->is_public &&
+	    exchange->table->accounts_by_key != NULL) {
+		deny(exchange, STATUS_UNAUTHORIZED, "unknown key");
+		return false;
+	}
+	exchange->service =
+	    route_pick(exchange->route, exchange->weight_draw);
+	exchange->wants.service = exchange->service;
+	return true;
+}
+
+static void
+deny(struct relay_exchange *exchange, uint32_t status, const char *reason)
+{
+	if (exchange->is_answering) {
+		relay_caller_break(exchange->caller);
+		exchange->caller = NULL;
+		finish(exchange, END_BROKEN, ERROR_FORBIDDEN);
+		return;
+	}
+	/* Some attempt may have run under the older table. */
+	if (exchange->may_have_run)
+		status = STATUS_BAD_GATEWAY;
+	relay_answer_own(exchange->caller, status, reason, 0);
+	finish(exchange, END_DENIED, ERROR_FORBIDDEN);
+}
+
+static void
+read_request(struct relay_exchange *exchange)
+{
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	const char *text;
+	gint64 deadline_ms;
+
+	text = http_head_get(&exchange->head, dialect->attempt_id);
+	if (text != NULL)
+		g_strlcpy(exchange->attempt_id, text,
+		    sizeof(exchange->attempt_id));
+	exchange->deadline_ms = INT64_MAX;
+	text = http_head_get(&exchange->head, dialect->deadline);
+	if (text != NULL) {
+		deadline_ms = g_ascii_strtoll(text, NULL, 10);
+		if (deadline_ms > 0)
+			exchange->deadline_ms =
+			    exchange->arrived_ms + deadline_ms;
+	}
+	text = http_head_get(&exchange->head, dialect->token_counts);
+	if (text != NULL)
+		exchange->wants.prompt_tokens = g_ascii_strtod(text, NULL);
+	text = http_head_get(&exchange->head, dialect->resume_after);
+	if (text != NULL)
+		relay_events_set_last(&exchange->events, text);
+}
+
+/* Sends the request to the best upstream, or waits a little for one. */
+static void
+place(struct relay_exchange *exchange)
+{
+	struct placement_choice choice;
+	enum error_code error;
+
+	error = placement_pick(&exchange->relay->placement, &exchange->wants,
+	    host_now_ms(), &choice);
+	if (error == ERROR_NONE)
+		send_to(exchange, &choice);
+	else
+		wait_for_place(exchange, error);
+}
+
+static void
+wait_for_place(struct relay_exchange *exchange, enum error_code error)
+{
+	int64_t now_ms;
+
+	now_ms = host_now_ms();
+	if (now_ms < exchange->wait_until_ms &&
+	    timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
+		(struct timer_callback){run_wait, exchange},
+		&exchange->wait_timer) == ERROR_NONE)
+		return;
+	if (exchange->is_answering) {
+		relay_caller_break(exchange->caller);
+		exchange->caller = NULL;
+		finish(exchange, END_BROKEN, error);
+		return;
+	}
+	if (exchange->has_answer) {
+		relay_answer_whole(exchange->caller, &exchange->answer,
+		    exchange->answer_body, is_head_method(exchange));
+		finish(exchange, END_ANSWERED, ERROR_NONE);
+		return;
+	}
+	if (exchange->may_have_run) {
+		relay_answer_own(exchange->caller, STATUS_BAD_GATEWAY,
+		    "the upstream failed", 0);
+		finish(exchange, END_FAILED, error);
+		return;
+	}
+	relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
+	    "no upstream can take it now",
+	    placement_retry_after(
+		&exchange->relay->placement, exchange->service, now_ms));
+	finish(exchange, END_REFUSED, error);
+}
+
+static void
+run_wait(void *context)
+{
+	struct relay_exchange *exchange = context;
+
+	if (resolve(exchange))
+		place(exchange);
+}
+
+static void
+send_to(struct relay_exchange *exchange, struct placement_choice *choice)
+{
+	struct upstream_call_ops ops = {
+	    .sent = note_sent,
+	    .head = note_head,
+	    .body = note_body,
+	    .done = note_done,
+	    .failed = note_failed,
+	    .context = exchange,
+	};
+	struct relay *relay = exchange->relay;
+	int64_t now_ms, idle_max_ms;
+	bool may_repeat;
+	GBytes *bytes;
+
+	now_ms = host_now_ms();
+	exchange->upstream_id = choice->upstream->id;
+	g_strlcpy(exchange->upstream_name, choice->upstream->name,
+	    sizeof(exchange->upstream_name));
+	exchange->expected_ms = choice->wait_ms + choice->read_ms;
+	exchange->is_sent = false;
+	exchange->was_good = false;
+	exchange->verdict = 0;
+	placement_begin(&relay->placement, choice, now_ms);
+	exchange->is_placed = true;
+	if (exchange->wants.tried_count < PLACEMENT_TRIED_MAX)
+		exchange->wants.tried[exchange->wants.tried_count++] =
+		    choice->upstream->id;
+	may_repeat = attempt_may_repeat(
+	    exchange->route->kind, exchange->route->is_resumable);
+	idle_max_ms = may_repeat ? ANY_IDLE_MS : FRESH_IDLE_MS;
+	bytes = relay_request_bytes(exchange, choice, now_ms);
+	exchange->call = upstream_pool_call(&relay->pool,
+	    choice->upstream->place, bytes, is_head_method(exchange),
+	    idle_max_ms, &ops);
+	g_bytes_unref(bytes);
+	if (exchange->call == NULL)
+		note_failed(exchange, ERROR_CONNECTION);
+	else if (may_repeat)
+		set_stall_timer(exchange, first_stall_ms(exchange));
+}
+
+static void
+set_stall_timer(struct relay_exchange *exchange, int64_t delay_ms)
+{
+	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
+	/* Without a timer the deadline still ends a silent attempt. */
+	(void)timer_subscribe_once(&exchange->relay->timers, delay_ms,
+	    (struct timer_callback){run_stall, exchange},
+	    &exchange->stall_timer);
+}
+
+/* Silence before the first byte that an upstream at work would not keep. */
+static int64_t
+first_stall_ms(const struct relay_exchange *exchange)
+{
+	const struct route *route = exchange->route;
+
+	if (route->kind != ROUTE_KIND_STREAM)
+		return route->goal_ms * STALL_PLAIN_GOALS;
+	return STALL_MIN_MS + (int64_t)(exchange->expected_ms * STALL_FACTOR);
+}
+
+static void
+run_deadline(void *context)
+{
+	struct relay_exchange *exchange = context;
+
+	if (exchange->is_answering) {
+		relay_caller_break(exchange->caller);
+		exchange->caller = NULL;
+		finish(exchange, END_BROKEN, ERROR_TIMEOUT);
+		return;
+	}
+	if (exchange->may_have_run || exchange->is_sent) {
+		relay_answer_own(exchange->caller, STATUS_LATE,
+		    "the time limit has passed", 0);
+		finish(exchange, END_FAILED, ERROR_TIMEOUT);
+		return;
+	}
+	relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
+	    "no upstream could be reached in time", RETRY_AFTER_MS);
+	finish(exchange, END_REFUSED, ERROR_TIMEOUT);
+}
+
+/* Without a place to go to, a slow upstream is better than none. */
+static void
+run_stall(void *context)
+{
+	struct relay_exchange *exchange = context;
+
+	if (exchange->sent >= exchange->route->attempts_max)
+		return;
+	event_log_write(EVENT_UPSTREAM_STALLED, "%s request %s sent %u",
+	    exchange->upstream_name, exchange->attempt_id, exchange->sent);
+	if (exchange->call != NULL)
+		upstream_call_cancel(exchange->call);
+	exchange->call = NULL;
+	attempt_failed(exchange, ERROR_STALLED, true);
+}
+
+static void
+note_sent(void *context)
+{
+	struct relay_exchange *exchange = context;
+	struct relay *relay = exchange->relay;
+
+	exchange->is_sent = true;
+	if (exchange->sent > 0) {
+		retry_window_note_retry(
+		    relay_budget(relay, exchange->service), host_now_ms());
+		atomic_fetch_add(&relay->counters.retries, 1);
+	}
+	exchange->sent++;
+}
+
+static void
+note_head(void *context, struct http_head *head)
+{
+	struct relay_exchange *exchange = context;
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	struct answer_facts facts = {.status = head->status};
+	const char *text;
+
+	text = http_head_get(head, dialect->attempt_id);
+	facts.is_own_attempt = text == NULL
+				   ? exchange->attempt_id[0] == '\0'
+				   : strcmp(text, exchange->attempt_id) == 0;
+	facts.has_receipt = http_head_get(head, dialect->receipt) != NULL;
+	facts.is_encoded = http_head_get(head, "Content-Encoding") != NULL;
+	facts.is_refusal = http_head_get(head, dialect->refusal) != NULL;
+	text = http_head_get(head, "Content-Type");
+	facts.is_event_stream =
+	    exchange->route->kind == ROUTE_KIND_STREAM && text != NULL &&
+	    g_ascii_strncasecmp(text, "text/event-stream",
+		strlen("text/event-stream")) == 0;
+	exchange->verdict = answer_judge(&facts);
+	if (exchange->verdict == ANSWER_FOREIGN) {
+		upstream_call_cancel(exchange->call);
+		exchange->call = NULL;
+		attempt_failed(exchange, ERROR_MALFORMED, true);
+		return;
+	}
+	if (exchange->verdict == ANSWER_EVENTS) {
+		begin_events(exchange, head);
+		return;
+	}
+	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
+	http_head_move(&exchange->answer, head);
+	if (exchange->answer_body == NULL)
+		exchange->answer_body = g_byte_array_new();
+	g_byte_array_set_size(exchange->answer_body, 0);
+}
+
+static void
+note_body(void *context, const char *data, size_t size)
+{
+	struct relay_exchange *exchange = context;
+
+	if (exchange->verdict == ANSWER_EVENTS) {
+		pass_events(exchange, data, size);
+		return;
+	}
+	if (exchange->answer_body->len + size > ANSWER_BYTES_MAX) {
+		upstream_call_cancel(exchange->call);
+		exchange->call = NULL;
+		attempt_failed(exchange, ERROR_TOO_LARGE, true);
+		return;
+	}
+	g_byte_array_append(
+	    exchange->answer_body, (const guint8 *)data, (guint)size);
+}
+
+static void
+note_done(void *context)
+{
+	struct relay_exchange *exchange = context;
+
+	exchange->call = NULL;
+	if (exchange->verdict == ANSWER_EVENTS) {
+		if (relay_events_is_partial(&exchange->events)) {
+			attempt_failed(exchange, ERROR_INCOMPLETE, true);
+			return;
+		}
+		leave_upstream(exchange);
+		relay_answer_end(exchange->caller);
+		finish(exchange, END_ANSWERED, ERROR_NONE);
+		return;
+	}
+	if (exchange->verdict == ANSWER_NOT_RUN) {
+		exchange->is_sent = false;
+		attempt_failed(exchange, ERROR_UPSTREAM_REFUSED,
+		    exchange->answer.status == 421);
+		return;
+	}
+	if (exchange->is_answering) {
+		/* A stream that goes on elsewhere was answered otherwise. */
+		attempt_failed(exchange, ERROR_UPSTREAM_FAILED, true);
+		return;
+	}
+	exchange->has_answer = true;
+	if (answer_is_failure(exchange->answer.status)) {
+		attempt_failed(exchange, ERROR_UPSTREAM_FAILED, true);
+		return;
+	}
+	placement_note_good(
+	    &exchange->relay->placement, exchange->upstream_id);
+	leave_upstream(exchange);
+	relay_answer_whole(exchange->caller, &exchange->answer,
+	    exchange->answer_body, is_head_method(exchange));
+	finish(exchange, END_ANSWERED, ERROR_NONE);
+}
+
+static void
+note_failed(void *context, enum error_code error)
+{
+	struct relay_exchange *exchange = context;
+
+	exchange->call = NULL;
+	attempt_failed(exchange, error, true);
+}
+
+static void
+leave_upstream(struct relay_exchange *exchange)
+{
+	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
+	if (exchange->is_placed)
+		placement_end(
+		    &exchange->relay->placement, exchange->upstream_id);
+	exchange->is_placed = false;
+}
+
+static void
+attempt_failed(
+    struct relay_exchange *exchange, enum error_code error, bool is_fault)
+{
+	leave_upstream(exchange);
+	if (is_fault)
+		placement_note_failure(&exchange->relay->placement,
+		    exchange->upstream_id, host_now_ms());
+	if (exchange->is_sent)
+		exchange->may_have_run = true;
+	else if (error == ERROR_CONNECTION || error == ERROR_TIMEOUT)
+		exchange->unsent++;
+	exchange->is_sent = false;
+	relay_events_drop_partial(&exchange->events);
+	event_log_write(EVENT_REQUEST_RETRIED,
+	    "%s at %s: %s after %lld ms, sent %u, events %llu",
+	    exchange->attempt_id, exchange->upstream_name, error_name(error),
+	    (long long)(host_now_ms() - exchange->arrived_ms), exchange->sent,
+	    (unsigned long long)exchange->events.count);
+	go_on(exchange, error);
+}
+
+static void
+go_on(struct relay_exchange *exchange, enum error_code error)
+{
+	struct relay *relay = exchange->relay;
+	struct attempt_state state = {
+	    .kind = exchange->route->kind,
+	    .is_resumable = exchange->route->is_resumable,
+	    .may_have_run = exchange->may_have_run,
+	    .has_answer_begun = exchange->is_answering,
+	    .is_last_whole = exchange->has_answer,
+	    .sent = exchange->sent,
+	    .sent_max = exchange->route->attempts_max,
+	    .unsent = exchange->unsent,
+	    .left_ms = time_left(exchange),
+	};
+
+	state.has_budget = retry_window_allows(
+	    relay_budget(relay, exchange->service), relay_retry_slack(relay),
+	    host_now_ms());
+	switch (attempt_next(&state)) {
+	case ATTEMPT_AGAIN:
+		if (exchange->is_answering)
+			atomic_fetch_add(&relay->counters.resumes, 1);
+		if (resolve(exchange))
+			place(exchange);
+		return;
+	case ATTEMPT_DELIVER:
+		relay_answer_whole(exchange->caller, &exchange->answer,
+		    exchange->answer_body, is_head_method(exchange));
+		finish(exchange, END_ANSWERED, ERROR_NONE);
+		return;
+	case ATTEMPT_REFUSE:
+		relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
+		    "it did not run; come again", RETRY_AFTER_MS);
+		finish(exchange, END_REFUSED, error);
+		return;
+	case ATTEMPT_FAIL:
+		relay_answer_own(exchange->caller, STATUS_BAD_GATEWAY,
+		    "the upstream failed", 0);
+		finish(exchange, END_FAILED, error);
+		return;
+	case ATTEMPT_BREAK:
+		relay_caller_break(exchange->caller);
+		exchange->caller = NULL;
+		finish(exchange, END_BROKEN, error);
+		return;
+	}
+}
+
+static void
+begin_events(struct relay_exchange *exchange, struct http_head *head)
+{
+	set_stall_timer(exchange, first_stall_ms(exchange));
+	if (exchange->is_answering)
+		return;
+	relay_answer_begin(exchange->caller, head);
+	exchange->is_answering = true;
+}
+
+static void
+pass_events(struct relay_exchange *exchange, const char *data, size_t size)
+{
+	GByteArray *out;
+	int64_t pause_ms;
+
+	out = g_byte_array_new();
+	if (relay_events_take(&exchange->events, data, size, out) > 0) {
+		relay_answer_piece(exchange->caller, out->data, out->len);
+		if (!exchange->was_good)
+			placement_note_good(&exchange->relay->placement,
+			    exchange->upstream_id);
+		exchange->was_good = true;
+		pause_ms = exchange->route->gap_goal_ms * STALL_FACTOR;
+		if (exchange->route->is_resumable)
+			set_stall_timer(exchange, MAX(pause_ms, STALL_MIN_MS));
+	}
+	g_byte_array_unref(out);
+}
+
+static void
+finish(struct relay_exchange *exchange, enum exchange_end end,
+    enum error_code error)
+{
+	struct relay_counters *counters = &exchange->relay->counters;
+	_Atomic uint64_t *const by_end[] = {
+	    &counters->answered,
+	    &counters->refused,
+	    &counters->denied,
+	    &counters->failed,
+	    &counters->broken,
+	    &counters->left,
+	};
+	struct relay_caller *caller = exchange->caller;
+
+	atomic_fetch_add(by_end[end], 1);
+	if (exchange->call != NULL)
+		upstream_call_cancel(exchange->call);
+	leave_upstream(exchange);
+	event_log_write(EVENT_REQUEST_ENDED,
+	    "%s %s: %s %s at %s in %lld ms, sent %u, events %llu, routes "
+	    "%llu",
+	    exchange->attempt_id,
+	    exchange->route == NULL ? "-" : exchange->route->name,
+	    end_names[end], error_name(error), exchange->upstream_name,
+	    (long long)(host_now_ms() - exchange->arrived_ms), exchange->sent,
+	    (unsigned long long)exchange->events.count,
+	    exchange->table == NULL
+		? 0ULL
+		: (unsigned long long)exchange->table->version);
+	free_exchange(exchange);
+	if (caller != NULL)
+		relay_caller_done(caller);
+}
+
+static void
+free_exchange(struct relay_exchange *exchange)
+{
+	struct timer_service *timers = &exchange->relay->timers;
+
+	timer_cancel(timers, &exchange->deadline_timer);
+	timer_cancel(timers, &exchange->stall_timer);
+	timer_cancel(timers, &exchange->wait_timer);
+	exchange->relay->running--;
+	http_head_finish(&exchange->head);
+	http_head_finish(&exchange->answer);
+	g_byte_array_unref(exchange->body);
+	if (exchange->answer_body != NULL)
+		g_byte_array_unref(exchange->answer_body);
+	relay_events_finish(&exchange->events);
+	route_table_unref(exchange->table);
+	g_free(exchange);
+}
+
+static bool
+is_head_method(const struct relay_exchange *exchange)
+{
+	return strcmp(exchange->head.method, "HEAD") == 0;
+}
+
+static int64_t
+time_left(const struct relay_exchange *exchange)
+{
+	return exchange->deadline_ms - host_now_ms();
+}
--- /dev/null
+++ b/src/service/relay_parts.h
@@ -0,0 +1,136 @@
+/**
+ * @file relay_parts.h
+ * What the source files of the relay share; nobody else includes it.
+ */
+#ifndef RELAY_PARTS_H
+#define RELAY_PARTS_H
+
+#include "coordination/relay_rules.h"
+#include "protocol/http_reader.h"
+#include "service/relay.h"
+#include "service/relay_events.h"
+#include "transport/tcp_link.h"
+
+#define ATTEMPT_ID_SIZE 128 /**< Bytes of an attempt's id as text. */
+
+/** Where a caller's connection stands. */
+enum caller_state {
+	CALLER_READING = 0,   /**< Between requests, or reading one. */
+	CALLER_ANSWERING = 1, /**< A request is under way. */
+	CALLER_LINGERING = 2, /**< All is said; waits for its end. */
+	CALLER_CLOSED = 3,    /**< Closing. */
+};
+
+struct relay_exchange;
+
+/** A caller's connection. */
+struct relay_caller {
+	struct relay *relay;	    /**< Whose it is. */
+	struct tcp_link link;	    /**< Its bytes. */
+	struct http_reader reader;  /**< Its requests. */
+	enum caller_state state;    /**< See above. */
+	bool is_monitor;	    /**< Came through the other listener. */
+	bool closes;		    /**< After the answer. */
+	uint32_t refusal;	    /**< Status for a bad request, or 0. */
+	int64_t begun_ms;	    /**< First byte of the request. */
+	GByteArray *body;	    /**< Of the request. */
+	GByteArray *ahead;	    /**< Came while it was answered. */
+	struct relay_exchange *exchange; /**< While answering. */
+	struct handle timer;		 /**< Idle, head or linger. */
+};
+
+/** One request, from its last byte to the end of its answer. */
+struct relay_exchange {
+	struct relay *relay;		 /**< Whose it is. */
+	struct relay_caller *caller;	 /**< Who asked. */
+	struct http_head head;		 /**< As it was sent. */
+	GByteArray *body;		 /**< Likewise. */
+	struct route_table *table;	 /**< Reference; newest seen. */
+	const struct route *route;	 /**< Of that table. */
+	const struct route_account *account; /**< Of that table, or NULL. */
+	const struct route_service *service; /**< Of that table. */
+	char attempt_id[ATTEMPT_ID_SIZE]; /**< "" for none. */
+	int64_t arrived_ms;		  /**< First byte. */
+	int64_t deadline_ms;		  /**< An answer must be out. */
+	double prompt_tokens;		  /**< 0 for a plain request. */
+	uint32_t weight_draw;		  /**< Picks among targets. */
+
+	struct upstream_call *call; /**< Attempt under way, or NULL. */
+	uint64_t upstream_id;	    /**< Where it goes. */
+	char upstream_name[NAME_SIZE_MAX]; /**< For logs. */
+	struct placement_request wants;	   /**< With those tried. */
+	uint32_t sent;			   /**< Attempts that were sent. */
+	uint32_t unsent;		   /**< That found no connection. */
+	bool is_sent;		 /**< The one under way was sent. */
+	bool may_have_run;	 /**< Some attempt may have run. */
+	bool is_placed;		 /**< Counted at the upstream. */
+	bool was_good;		 /**< The upstream showed progress. */
+	double expected_ms;	 /**< Predicted time to the first byte. */
+
+	enum answer_verdict verdict; /**< Of the answer under way, or 0. */
+	struct http_head answer;     /**< Its head, while it is kept. */
+	GByteArray *answer_body;     /**< Likewise. */
+	bool has_answer;	     /**< answer is whole. */
+	bool is_answering;	     /**< The caller has a part of it. */
+	struct relay_events events;  /**< Of a stream. */
+
+	struct handle deadline_timer; /**< Time limit. */
+	struct handle stall_timer;    /**< Silence of the upstream. */
+	struct handle wait_timer;     /**< Until the next try to place it. */
+	int64_t wait_until_ms;	      /**< Longest wait for a place. */
+};
+
+/* relay_caller.c */
+
+/** Accepts a caller. */
+void relay_caller_accept(
+    struct relay *relay, uv_stream_t *listener, bool is_monitor);
+/** The answer is out: goes on with the next request, or ends. */
+void relay_caller_done(struct relay_caller *caller);
+/** Breaks the connection so that the answer looks incomplete. */
+void relay_caller_break(struct relay_caller *caller);
+/** Closes a connection on which nothing runs, for a planned stop. */
+void relay_caller_close_idle(struct relay_caller *caller);
+
+/* relay_exchange.c */
+
+/** Starts on a request that was read whole. */
+void relay_exchange_begin(struct relay_caller *caller);
+/** The caller has left. */
+void relay_exchange_cancel(struct relay_exchange *exchange);
+
+/* relay_answer.c */
+
+/** Writes an own answer with a JSON body. */
+void relay_answer_own(struct relay_caller *caller, uint32_t status,
+    const char *reason, int64_t retry_after_ms);
+/** Writes an upstream's answer whole. */
+void relay_answer_whole(struct relay_caller *caller,
+    const struct http_head *head, const GByteArray *body, bool is_head_method);
+/** Writes the head of a stream; its pieces follow. */
+void relay_answer_begin(
+    struct relay_caller *caller, const struct http_head *head);
+/** Writes a piece of a stream. */
+void relay_answer_piece(
+    struct relay_caller *caller, const void *data, size_t size);
+/** Writes the end of a stream. */
+void relay_answer_end(struct relay_caller *caller);
+/** The bytes of a request as an upstream gets it. */
+GBytes *relay_request_bytes(const struct relay_exchange *exchange,
+    const struct placement_choice *choice, int64_t now_ms);
+
+/* relay.c */
+
+/** Takes over a newer table and a newer view of the fleet, if any. */
+void relay_refresh(struct relay *relay);
+/** This host's share of the slack in retries. */
+double relay_retry_slack(const struct relay *relay);
+/** The retry budget of a service. */
+struct retry_window *relay_budget(
+    struct relay *relay, const struct route_service *service);
+/** Answers the load balancer and monitoring. */
+void relay_monitor_answer(struct relay_caller *caller);
+/** A caller's connection is closed. */
+void relay_note_closed(struct relay *relay);
+
+#endif
--- a/src/service/settings.h
+++ b/src/service/settings.h
@@ -89,6 +89,11 @@
 	char unconfirmed_policy_name[NAME_SIZE_MAX]; /**< stop or serve. */
 	enum unconfirmed_policy unconfirmed_policy;  /**< The same, parsed. */
 
+	/* Set by code, not by the file: for hosts that find each other. */
+	bool is_entry;		/**< Takes callers' requests. */
+	uint32_t voters_wanted; /**< Voters kept by the leader, 0: by hand. */
+	uint32_t copies_min;	/**< Voters that hold what is acknowledged. */
+
 	uint32_t voter_count;	     /**< Initial voters below. */
 	uint32_t voters[VOTERS_MAX]; /**< Host ids. */
 	uint32_t seed_count;	     /**< Seeds below. */
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -66,6 +66,14 @@
 	HOST_FIELD_INCARNATION = 1,
 };
 
+/* Fields of a document. */
+enum document_field {
+	DOCUMENT_FIELD_NAME = FIELD_BODY,
+	DOCUMENT_FIELD_VERSION,
+	DOCUMENT_FIELD_DATA,
+	DOCUMENT_FIELD_COUNT,
+};
+
 /* Fields of a result. */
 enum result_field {
 	RESULT_FIELD_VERSION = 0,
@@ -95,6 +103,8 @@
     struct message_writer *writer, const struct command_order *order);
 static void put_hosts(
     struct message_writer *writer, const struct command_hosts *hosts);
+static void put_document(
+    struct message_writer *writer, const struct command_document *document);
 static enum error_code get_body(
     const struct message_reader *reader, struct command *command);
 static enum error_code get_config(
@@ -109,6 +119,8 @@
     const struct message_reader *reader, struct command_order *order);
 static enum error_code get_hosts(
     const struct message_reader *reader, struct command_hosts *hosts);
+static enum error_code get_document(
+    const struct message_reader *reader, struct command_document *document);
 
 enum error_code
 command_encode(const struct command *command, struct message_writer *writer)
@@ -154,6 +166,13 @@
 		put_head(writer, command, HOSTS_FIELD_COUNT);
 		put_hosts(writer, &command->body.hosts);
 		return ERROR_NONE;
+	case COMMAND_DOCUMENT:
+		put_head(writer, command, DOCUMENT_FIELD_COUNT);
+		put_document(writer, &command->body.document);
+		return ERROR_NONE;
+	case COMMAND_BARRIER:
+		put_head(writer, command, FIELD_BODY);
+		return ERROR_NONE;
 	}
 	return ERROR_INVALID_ARGUMENT;
 }
@@ -194,13 +213,16 @@
 		free(command->body.config.changes);
 	if (command->type == COMMAND_HOSTS_LIVE)
 		free(command->body.hosts.hosts);
+	if (command->type == COMMAND_DOCUMENT)
+		free(command->body.document.owned);
 	memset(command, 0, sizeof(*command));
 }
 
 bool
 command_is_public(enum command_type type)
 {
-	return type != COMMAND_CLAIM_BEGIN && type != COMMAND_CLAIM_FINISH;
+	return type != COMMAND_CLAIM_BEGIN && type != COMMAND_CLAIM_FINISH &&
+	       type != COMMAND_BARRIER;
 }
 
 void
@@ -353,6 +375,41 @@
 	}
 }
 
+static void
+put_document(
+    struct message_writer *writer, const struct command_document *document)
+{
+	put_text(writer, DOCUMENT_FIELD_NAME, document->name);
+	message_put_uint(writer, DOCUMENT_FIELD_VERSION, document->version);
+	message_put_bytes(
+	    writer, DOCUMENT_FIELD_DATA, document->data, document->size);
+}
+
+static enum error_code
+get_document(
+    const struct message_reader *reader, struct command_document *document)
+{
+	enum error_code error;
+	const void *data;
+
+	error = get_text(reader, DOCUMENT_FIELD_NAME, document->name,
+	    sizeof(document->name));
+	if (error == ERROR_NONE)
+		error = message_get_uint(
+		    reader, DOCUMENT_FIELD_VERSION, &document->version);
+	if (error == ERROR_NONE)
+		error = message_get_bytes(
+		    reader, DOCUMENT_FIELD_DATA, &data, &document->size);
+	if (error != ERROR_NONE)
+		return error;
+	document->owned = malloc(document->size + 1);
+	if (document->owned == NULL)
+		return ERROR_NO_MEMORY;
+	memcpy(document->owned, data, document->size);
+	document->data = document->owned;
+	return ERROR_NONE;
+}
+
 static enum error_code
 get_body(const struct message_reader *reader, struct command *command)
 {
@@ -369,6 +426,10 @@
 		return get_order(reader, &command->body.order);
 	case COMMAND_HOSTS_LIVE:
 		return get_hosts(reader, &command->body.hosts);
+	case COMMAND_DOCUMENT:
+		return get_document(reader, &command->body.document);
+	case COMMAND_BARRIER:
+		return ERROR_NONE;
 	}
 	return ERROR_NOT_SUPPORTED;
 }
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -34,6 +34,8 @@
 	COMMAND_ORDER_BEGIN = 5,  /**< Begins an order to an upstream. */
 	COMMAND_ORDER_FINISH = 6, /**< Says how an order ended. */
 	COMMAND_HOSTS_LIVE = 7,	  /**< Sets which hosts may own capacity. */
+	COMMAND_DOCUMENT = 8,	  /**< Puts a document if its version is newer. */
+	COMMAND_BARRIER = 9,	  /**< Changes nothing; orders a read. */
 };
 
 /** One change of the configuration. */
@@ -96,6 +98,16 @@
 	struct live_host *hosts; /**< Owned after command_decode(). */
 };
 
+/** Body of COMMAND_DOCUMENT. */
+struct command_document {
+	char name[NAME_SIZE_MAX]; /**< Which document. */
+	uint64_t version;	  /**< The highest one stays. */
+	const void *data;	  /**< Bytes; borrowed until command_decode()
+				     copies them. */
+	size_t size;		  /**< How many. */
+	void *owned;		  /**< The copy, freed by command_finish(). */
+};
+
 /** A command. */
 struct command {
 	enum command_type type;			  /**< Which body. */
@@ -106,6 +118,7 @@
 		struct command_quarantine quarantine; /**< The quarantine. */
 		struct command_order order;	      /**< COMMAND_ORDER_*. */
 		struct command_hosts hosts; /**< COMMAND_HOSTS_LIVE. */
+		struct command_document document; /**< COMMAND_DOCUMENT. */
 	} body;				    /**< By type. */
 };
 
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -19,7 +19,7 @@
 #include "base/error_code.h"
 #include "state/disk.h"
 
-#define JOURNAL_ENTRY_SIZE_MAX ((size_t)1024 * 1024) /**< Bytes of one. */
+#define JOURNAL_ENTRY_SIZE_MAX ((size_t)3 * 1024 * 1024) /**< Bytes of one. */
 #define JOURNAL_ENTRIES_MAX    (64u * 1024) /**< Entries held at a time. */
 #define JOURNAL_SEGMENT_SIZE   ((size_t)4 * 1024 * 1024) /**< Bytes of a file. */
 
--- a/src/state/replicated_parts.h
+++ b/src/state/replicated_parts.h
@@ -45,6 +45,10 @@
 /** Sets the last order of an upstream. */
 void replicated_put_order(
     struct replicated_state *state, const struct order_record *record);
+/** Sets a document. Errors: ERROR_TABLE_FULL. An older or equal version
+ * changes nothing and is no error. */
+enum error_code replicated_put_document(struct replicated_state *state,
+    const char *name, uint64_t version, const void *data, size_t size);
 /** Sets a quarantine. */
 void replicated_put_quarantine(
     struct replicated_state *state, const struct quarantine_record *record);
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -16,6 +16,7 @@
 	SAVE_PART_QUARANTINE = 5,
 	SAVE_PART_ORDER = 6,
 	SAVE_PART_HOST = 7,
+	SAVE_PART_DOCUMENT = 9,
 	SAVE_PART_END = 8, /* Its first number counts the parts before. */
 };
 
@@ -54,6 +55,8 @@
 static void save_quarantine(
     void *context, const struct quarantine_record *quarantine);
 static void save_order(void *context, const struct order_record *order);
+static void save_documents(
+    struct save_writer *writer, const struct replicated_state *state);
 static enum error_code load_parts(
     struct replicated_state *state, const unsigned char *data, size_t size);
 static enum error_code load_part(struct replicated_state *state,
@@ -91,6 +94,7 @@
 		item.numbers[1] = host->incarnation;
 		put_part(&writer, &item);
 	}
+	save_documents(&writer, state);
 	if (!is_public) {
 		save_operations(&writer, state);
 		save_claims(&writer, state);
@@ -233,6 +237,24 @@
 	put_part(context, &record);
 }
 
+static void
+save_documents(
+    struct save_writer *writer, const struct replicated_state *state)
+{
+	struct save_record record = {.part = SAVE_PART_DOCUMENT, .count = 1};
+	const struct document *document;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, state->documents);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&document)) {
+		record.text = document->name;
+		record.value =
+		    g_bytes_get_data(document->bytes, &record.value_size);
+		record.numbers[0] = document->version;
+		put_part(writer, &record);
+	}
+}
+
 static enum error_code
 load_parts(
     struct replicated_state *state, const unsigned char *data, size_t size)
@@ -328,6 +350,11 @@
 			return ERROR_MALFORMED;
 		replicated_put_config(state, text, record->value, numbers[0]);
 		return ERROR_NONE;
+	case SAVE_PART_DOCUMENT:
+		if (text[0] == '\0' || strlen(text) >= NAME_SIZE_MAX)
+			return ERROR_MALFORMED;
+		return replicated_put_document(state, text, numbers[0],
+		    record->value, record->value_size);
 	case SAVE_PART_OPERATION:
 		return store_operation(state, record, text);
 	case SAVE_PART_CLAIM:
--- a/src/state/replicated_state.c
+++ b/src/state/replicated_state.c
@@ -36,6 +36,7 @@
 static gint compare_hosts(gconstpointer left, gconstpointer right);
 static void free_value(gpointer value);
 static void free_public(gpointer entry);
+static void free_document(gpointer document);
 
 void
 replicated_state_init(struct replicated_state *state,
@@ -56,6 +57,8 @@
 	state->orders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	state->live_hosts = g_array_new(FALSE, TRUE, sizeof(struct live_host));
+	state->documents =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_document);
 	state->public_entries = g_queue_new();
 }
 
@@ -72,6 +75,7 @@
 	g_hash_table_unref(state->quarantine);
 	g_hash_table_unref(state->orders);
 	g_array_unref(state->live_hosts);
+	g_hash_table_unref(state->documents);
 	g_queue_free_full(state->public_entries, free_public);
 	memset(state, 0, sizeof(*state));
 }
@@ -285,6 +289,33 @@
 	g_hash_table_replace(state->orders, &stored->upstream_id, stored);
 }
 
+const struct document *
+replicated_state_document(
+    const struct replicated_state *state, const char *name)
+{
+	return g_hash_table_lookup(state->documents, name);
+}
+
+enum error_code
+replicated_put_document(struct replicated_state *state, const char *name,
+    uint64_t version, const void *data, size_t size)
+{
+	struct document *document;
+
+	document = g_hash_table_lookup(state->documents, name);
+	if (document != NULL && version <= document->version)
+		return ERROR_NONE;
+	if (document == NULL &&
+	    g_hash_table_size(state->documents) >= DOCUMENTS_MAX)
+		return ERROR_TABLE_FULL;
+	document = g_new0(struct document, 1);
+	g_strlcpy(document->name, name, sizeof(document->name));
+	document->version = version;
+	document->bytes = g_bytes_new(data, size);
+	g_hash_table_replace(state->documents, document->name, document);
+	return ERROR_NONE;
+}
+
 void
 replicated_put_quarantine(
     struct replicated_state *state, const struct quarantine_record *record)
@@ -330,6 +361,13 @@
 	case COMMAND_HOSTS_LIVE:
 		set_hosts(state, &command->body.hosts, result);
 		return;
+	case COMMAND_DOCUMENT:
+		result->error = replicated_put_document(state,
+		    command->body.document.name, command->body.document.version,
+		    command->body.document.data, command->body.document.size);
+		return;
+	case COMMAND_BARRIER:
+		return;
 	}
 	result->error = ERROR_NOT_SUPPORTED;
 }
@@ -488,8 +526,15 @@
 	published->time_ms = entry->time_ms;
 	published->command = g_bytes_new(entry->data, entry->size);
 	g_queue_push_tail(state->public_entries, published);
-	if (g_queue_get_length(state->public_entries) > PUBLIC_ENTRIES_MAX)
-		free_public(g_queue_pop_head(state->public_entries));
+	state->public_bytes += entry->size;
+	/* A host that needs more than is kept gets a snapshot. */
+	while (g_queue_get_length(state->public_entries) > PUBLIC_ENTRIES_MAX ||
+	       (state->public_bytes > PUBLIC_BYTES_MAX &&
+		   g_queue_get_length(state->public_entries) > 1)) {
+		published = g_queue_pop_head(state->public_entries);
+		state->public_bytes -= g_bytes_get_size(published->command);
+		free_public(published);
+	}
 }
 
 static void
@@ -566,6 +611,13 @@
 	g_free(value);
 }
 
+static void
+free_document(gpointer document)
+{
+	g_bytes_unref(((struct document *)document)->bytes);
+	g_free(document);
+}
+
 static void
 free_public(gpointer entry)
 {
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -28,6 +28,8 @@
 #define CONFIG_ENTRIES_MAX  100000u /**< Entries of the configuration. */
 #define QUARANTINE_MAX	    4096u   /**< Fingerprints quarantined. */
 #define PUBLIC_ENTRIES_MAX  4096u   /**< Public commands kept for feeds. */
+#define PUBLIC_BYTES_MAX    ((size_t)8 * 1024 * 1024) /**< Their bytes. */
+#define DOCUMENTS_MAX	    64u /**< Documents held. */
 
 /** Bounds; zero means the default above. */
 struct replicated_state_settings {
@@ -71,6 +73,13 @@
 	uint32_t weight_permille; /**< Their weight, 1000 is certain. */
 };
 
+/** A document: bytes that are replaced whole, by a newer version only. */
+struct document {
+	char name[NAME_SIZE_MAX]; /**< Which one. */
+	uint64_t version;	  /**< As its writer numbers it. */
+	GBytes *bytes;		  /**< Contents. */
+};
+
 /** The state. */
 struct replicated_state {
 	struct replicated_state_settings settings; /**< Bounds. */
@@ -88,7 +97,9 @@
 	GHashTable *quarantine;	 /**< Fingerprint to end. */
 	GHashTable *orders;	 /**< Upstream id to struct order_record. */
 	GArray *live_hosts;	 /**< struct live_host, by host id. */
+	GHashTable *documents;	 /**< Name to struct document. */
 	GQueue *public_entries;	 /**< struct public_entry, oldest first. */
+	size_t public_bytes;	 /**< Bytes of their commands. */
 };
 
 /* Setting up */
@@ -142,6 +153,9 @@
 void replicated_state_each_order(const struct replicated_state *state,
     void (*visit)(void *context, const struct order_record *order),
     void *context);
+/** A document, NULL for none; valid until the state changes. */
+const struct document *replicated_state_document(
+    const struct replicated_state *state, const char *name);
 /** Finds a live host, NULL if it may not own capacity. */
 const struct live_host *replicated_state_live_host(
     const struct replicated_state *state, uint32_t host_id);
--- /dev/null
+++ b/src/state/route_table.c
@@ -0,0 +1,215 @@
+#include "state/route_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAD_BYTES_DEFAULT   16384u
+#define BODY_BYTES_DEFAULT   ((uint64_t)4 * 1024 * 1024)
+#define HEAD_TIMEOUT_DEFAULT 3000  /* Milliseconds. */
+#define IDLE_TIMEOUT_DEFAULT 15000 /* Milliseconds. */
+
+static void free_service(gpointer item);
+static void free_route(gpointer item);
+static void free_account(gpointer item);
+static char *make_place(
+    const char *host, size_t host_size, const char *path, size_t path_size);
+
+struct route_table *
+route_table_new(uint64_t version)
+{
+	struct route_table *table;
+
+	table = g_new0(struct route_table, 1);
+	table->version = version;
+	table->limits.head_bytes_max = HEAD_BYTES_DEFAULT;
+	table->limits.body_bytes_max = BODY_BYTES_DEFAULT;
+	table->limits.head_timeout_ms = HEAD_TIMEOUT_DEFAULT;
+	table->limits.idle_timeout_ms = IDLE_TIMEOUT_DEFAULT;
+	table->services = g_ptr_array_new_with_free_func(free_service);
+	table->routes = g_ptr_array_new_with_free_func(free_route);
+	table->accounts = g_ptr_array_new_with_free_func(free_account);
+	table->services_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	table->routes_by_place =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	atomic_init(&table->references, 1);
+	return table;
+}
+
+struct route_table *
+route_table_ref(struct route_table *table)
+{
+	atomic_fetch_add(&table->references, 1);
+	return table;
+}
+
+void
+route_table_unref(struct route_table *table)
+{
+	if (table == NULL || atomic_fetch_sub(&table->references, 1) != 1)
+		return;
+	g_hash_table_unref(table->services_by_name);
+	g_hash_table_unref(table->routes_by_place);
+	if (table->accounts_by_key != NULL)
+		g_hash_table_unref(table->accounts_by_key);
+	g_ptr_array_unref(table->routes);
+	g_ptr_array_unref(table->services);
+	g_ptr_array_unref(table->accounts);
+	g_free(table);
+}
+
+enum error_code
+route_table_add_service(
+    struct route_table *table, struct route_service *service)
+{
+	g_ptr_array_add(table->services, service);
+	if (!g_hash_table_insert(
+		table->services_by_name, service->name, service))
+		return ERROR_ALREADY_EXISTS;
+	return ERROR_NONE;
+}
+
+enum error_code
+route_table_add_route(struct route_table *table, struct route *route)
+{
+	size_t size;
+	uint32_t i;
+
+	g_ptr_array_add(table->routes, route);
+	size = strlen(route->prefix);
+	if (size == 0 || route->prefix[0] != '/' ||
+	    route->prefix[size - 1] != '/' || route->timeout_ms <= 0)
+		return ERROR_BAD_VALUE;
+	route->weight_sum = 0;
+	for (i = 0; i < route->target_count; i++)
+		route->weight_sum += route->targets[i].weight;
+	if (route->weight_sum == 0)
+		return ERROR_BAD_VALUE;
+	if (!g_hash_table_insert(table->routes_by_place,
+		make_place(
+		    route->host, strlen(route->host), route->prefix, size),
+		route))
+		return ERROR_ALREADY_EXISTS;
+	return ERROR_NONE;
+}
+
+void
+route_table_add_account(
+    struct route_table *table, struct route_account *account)
+{
+	g_ptr_array_add(table->accounts, account);
+	if (table->accounts_by_key == NULL)
+		table->accounts_by_key = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
+}
+
+enum error_code
+route_table_add_key(struct route_table *table,
+    const struct route_account *account, const char *key)
+{
+	if (g_hash_table_contains(table->accounts_by_key, key))
+		return ERROR_ALREADY_EXISTS;
+	g_hash_table_insert(
+	    table->accounts_by_key, g_strdup(key), (gpointer)account);
+	return ERROR_NONE;
+}
+
+const struct route_service *
+route_table_service(const struct route_table *table, const char *name)
+{
+	return g_hash_table_lookup(table->services_by_name, name);
+}
+
+const struct route *
+route_table_find(
+    const struct route_table *table, const char *host, const char *target)
+{
+	const struct route *route;
+	size_t host_size, path_size;
+	char *place;
+
+	host_size = strcspn(host, ":");
+	path_size = strcspn(target, "?#");
+	place = make_place(host, host_size, target, path_size);
+	/* Prefixes end with a slash: cut the path there, the longest first. */
+	route = NULL;
+	while (path_size > 0 && route == NULL) {
+		if (target[path_size - 1] == '/') {
+			place[host_size + 1 + path_size] = '\0';
+			route =
+			    g_hash_table_lookup(table->routes_by_place, place);
+		}
+		path_size--;
+	}
+	g_free(place);
+	return route;
+}
+
+const struct route_account *
+route_table_account(const struct route_table *table, const char *key)
+{
+	if (table->accounts_by_key == NULL)
+		return NULL;
+	return g_hash_table_lookup(table->accounts_by_key, key);
+}
+
+const struct route_service *
+route_pick(const struct route *route, uint32_t draw)
+{
+	uint32_t at, i;
+
+	at = draw % route->weight_sum;
+	for (i = 0; i < route->target_count; i++) {
+		if (at < route->targets[i].weight)
+			return route->targets[i].service;
+		at -= route->targets[i].weight;
+	}
+	return NULL;
+}
+
+static void
+free_service(gpointer item)
+{
+	struct route_service *service = item;
+
+	g_free(service->name);
+	g_free(service->health_path);
+	g_free(service);
+}
+
+static void
+free_route(gpointer item)
+{
+	struct route *route = item;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_free(route->targets);
+	g_free(route);
+}
+
+static void
+free_account(gpointer item)
+{
+	struct route_account *account = item;
+
+	g_free(account->name);
+	g_free(account);
+}
+
+/* Host names are alike in any case of letters; paths are not. */
+static char *
+make_place(
+    const char *host, size_t host_size, const char *path, size_t path_size)
+{
+	char *place;
+	size_t i;
+
+	place = g_malloc(host_size + path_size + 2);
+	for (i = 0; i < host_size; i++)
+		place[i] = g_ascii_tolower(host[i]);
+	place[host_size] = ' ';
+	memcpy(place + host_size + 1, path, path_size);
+	place[host_size + 1 + path_size] = '\0';
+	return place;
+}
--- /dev/null
+++ b/src/transport/tcp_link.c
@@ -0,0 +1,220 @@
+#include "transport/tcp_link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <glib.h>
+
+#define READ_SIZE	  65536 /* Bytes of one read. */
+#define USER_TIMEOUT_MS	  2500	/* Unacknowledged bytes end the link. */
+#define KEEPALIVE_IDLE_S  1	/* Silence before a probe. */
+#define KEEPALIVE_STEP_S  1	/* Between probes. */
+#define KEEPALIVE_PROBES  2	/* Unanswered ones end the link. */
+
+/* A write that could not go at once. */
+struct pending_write {
+	uv_write_t request;
+	char data[];
+};
+
+/* Every link of a thread reads into it; the bytes are used at once. */
+static _Thread_local char read_buffer[READ_SIZE];
+
+static void fill(struct tcp_link *link, const struct tcp_link_ops *ops);
+static void start(struct tcp_link *link);
+static void note_connected(uv_connect_t *request, int status);
+static void give_buffer(uv_handle_t *handle, size_t wanted, uv_buf_t *buffer);
+static void note_read(
+    uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
+static void note_written(uv_write_t *request, int status);
+static void note_shutdown(uv_shutdown_t *request, int status);
+static void note_closed(uv_handle_t *handle);
+
+enum error_code
+tcp_link_accept(struct tcp_link *link, uv_stream_t *listener,
+    const struct tcp_link_ops *ops)
+{
+	fill(link, ops);
+	uv_tcp_init(listener->loop, &link->tcp);
+	link->tcp.data = link;
+	if (uv_accept(listener, (uv_stream_t *)&link->tcp) != 0) {
+		tcp_link_close(link);
+		return ERROR_CONNECTION;
+	}
+	start(link);
+	return ERROR_NONE;
+}
+
+enum error_code
+tcp_link_connect(struct tcp_link *link, uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct tcp_link_ops *ops)
+{
+	fill(link, ops);
+	uv_tcp_init(loop, &link->tcp);
+	link->tcp.data = link;
+	link->connect.data = link;
+	link->is_connecting = true;
+	if (uv_tcp_connect(&link->connect, &link->tcp,
+		(const struct sockaddr *)address, note_connected) != 0) {
+		link->is_connecting = false;
+		tcp_link_close(link);
+		return ERROR_CONNECTION;
+	}
+	return ERROR_NONE;
+}
+
+void
+tcp_link_write(struct tcp_link *link, const void *data, size_t size)
+{
+	struct pending_write *pending;
+	uv_buf_t buffer;
+	int written;
+
+	if (link->is_closing || size == 0)
+		return;
+	buffer = uv_buf_init((char *)data, (unsigned int)size);
+	written = uv_try_write((uv_stream_t *)&link->tcp, &buffer, 1);
+	if (written < 0)
+		written = 0;
+	if ((size_t)written == size)
+		return;
+	size -= (size_t)written;
+	pending = g_malloc(sizeof(*pending) + size);
+	memcpy(pending->data, (const char *)data + written, size);
+	buffer = uv_buf_init(pending->data, (unsigned int)size);
+	/* A failure shows as the end of the link, when it is read. */
+	if (uv_write(&pending->request, (uv_stream_t *)&link->tcp, &buffer, 1,
+		note_written) != 0)
+		g_free(pending);
+}
+
+size_t
+tcp_link_queued(const struct tcp_link *link)
+{
+	return link->tcp.write_queue_size;
+}
+
+void
+tcp_link_end(struct tcp_link *link)
+{
+	if (link->is_closing)
+		return;
+	if (uv_shutdown(&link->shutdown, (uv_stream_t *)&link->tcp,
+		note_shutdown) != 0)
+		tcp_link_close(link);
+}
+
+void
+tcp_link_close(struct tcp_link *link)
+{
+	if (link->is_closing)
+		return;
+	link->is_closing = true;
+	uv_close((uv_handle_t *)&link->tcp, note_closed);
+}
+
+void
+tcp_link_reset(struct tcp_link *link)
+{
+	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+	uv_os_fd_t fd;
+
+	if (link->is_closing)
+		return;
+	if (uv_fileno((uv_handle_t *)&link->tcp, &fd) == 0)
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	tcp_link_close(link);
+}
+
+static void
+fill(struct tcp_link *link, const struct tcp_link_ops *ops)
+{
+	memset(link, 0, sizeof(*link));
+	link->ops = *ops;
+}
+
+/* A peer that is gone without a word ends the link; where an option can't be
+ * set, time limits of the owner still hold. */
+static void
+start(struct tcp_link *link)
+{
+	int timeout_ms = USER_TIMEOUT_MS, step_s = KEEPALIVE_STEP_S;
+	int probes = KEEPALIVE_PROBES;
+	uv_os_fd_t fd;
+
+	(void)uv_tcp_nodelay(&link->tcp, 1);
+	(void)uv_tcp_keepalive(&link->tcp, 1, KEEPALIVE_IDLE_S);
+	if (uv_fileno((uv_handle_t *)&link->tcp, &fd) == 0) {
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &step_s,
+		    sizeof(step_s));
+		(void)setsockopt(
+		    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		    sizeof(timeout_ms));
+	}
+	(void)uv_read_start((uv_stream_t *)&link->tcp, give_buffer, note_read);
+}
+
+static void
+note_connected(uv_connect_t *request, int status)
+{
+	struct tcp_link *link = request->data;
+
+	link->is_connecting = false;
+	if (link->is_closing)
+		return;
+	if (status == 0)
+		start(link);
+	link->ops.opened(
+	    link->ops.context, status == 0 ? ERROR_NONE : ERROR_CONNECTION);
+}
+
+static void
+give_buffer(uv_handle_t *handle, size_t wanted, uv_buf_t *buffer)
+{
+	(void)handle;
+	(void)wanted;
+	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void
+note_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+	struct tcp_link *link = stream->data;
+
+	if (link->is_closing || size == 0)
+		return;
+	if (size > 0) {
+		link->ops.received(
+		    link->ops.context, buffer->base, (size_t)size);
+		return;
+	}
+	(void)uv_read_stop(stream);
+	link->ops.ended(link->ops.context, size == UV_EOF);
+}
+
+static void
+note_written(uv_write_t *request, int status)
+{
+	(void)status;
+	g_free(request);
+}
+
+static void
+note_shutdown(uv_shutdown_t *request, int status)
+{
+	(void)request;
+	(void)status;
+}
+
+static void
+note_closed(uv_handle_t *handle)
+{
+	struct tcp_link *link = handle->data;
+
+	link->ops.closed(link->ops.context);
+}
