--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 #   make check  format, lint, build with sanitizers, every test
 
 JOBS ?= 8
-C_FILES = $(wildcard src/*/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] examples/*.[ch])
+C_FILES = $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] examples/*.[ch])
 CPP_FILES = $(wildcard tests/*.cpp)
 
 # Tests whose code has threads; the others have nothing for that sanitizer.
--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -9,9 +9,9 @@
 #define HEARTBEAT_DEFAULT_MS	200
 #define ELECTION_MIN_DEFAULT_MS 1000
 #define ELECTION_MAX_DEFAULT_MS 2000
-#define COMPACT_DEFAULT		4096 /* Entries. */
-#define COMPACT_BYTES ((size_t)8 * 1024 * 1024) /* Of entries held. */
-#define TAIL_BYTES    ((size_t)1024 * 1024) /* Kept behind a snapshot. */
+#define COMPACT_DEFAULT		4096			  /* Entries. */
+#define COMPACT_BYTES		((size_t)8 * 1024 * 1024) /* Of entries held. */
+#define TAIL_BYTES		((size_t)1024 * 1024) /* Kept behind a snapshot. */
 #define TICKS_PER_HEARTBEAT	2
 #define TIME_SLACK_MS		60000 /* A wall clock may lead the cluster's. */
 #define HOST_SEED_STEP		0x9e3779b97f4a7c15u /* Apart for any seeds. */
--- a/src/coordination/consensus.h
+++ b/src/coordination/consensus.h
@@ -36,9 +36,10 @@
 #include "state/voter_file.h"
 #include "transport/timer.h"
 
-#define CONSENSUS_PEERS_MAX	   (VOTERS_MAX + 1) /**< Voters, one joining. */
-#define CONSENSUS_PROPOSALS_MAX	   8192u /**< Proposals waiting at a time. */
-#define CONSENSUS_COMMAND_SIZE_MAX ((size_t)2 * 1024 * 1024) /**< Bytes of one. */
+#define CONSENSUS_PEERS_MAX	(VOTERS_MAX + 1) /**< Voters, one joining. */
+#define CONSENSUS_PROPOSALS_MAX 8192u /**< Proposals waiting at a time. */
+#define CONSENSUS_COMMAND_SIZE_MAX                                             \
+	((size_t)2 * 1024 * 1024) /**< Bytes of one. */
 
 /** What a voter is doing. */
 enum consensus_role {
@@ -58,7 +59,7 @@
 	int64_t election_min_ms;  /**< Least election timeout, default 1000. */
 	int64_t election_max_ms;  /**< Most, default 2000. */
 	uint32_t compact_entries; /**< Snapshot after so many, default 4096. */
-	uint32_t copies_min; /**< Voters that must hold an entry before it
+	uint32_t copies_min;	  /**< Voters that must hold an entry before it
 				  commits, if there are so many; default 1,
 				  a quorum is needed in any case. */
 	uint64_t seed;		  /**< For election timeouts. */
--- a/src/coordination/consensus_leader.c
+++ b/src/coordination/consensus_leader.c
@@ -168,9 +168,8 @@
 {
 	uint64_t index, term;
 
-	index = find_quorum_value(
-	    consensus, read_match, consensus->journal.synced_index,
-	    consensus->settings.copies_min);
+	index = find_quorum_value(consensus, read_match,
+	    consensus->journal.synced_index, consensus->settings.copies_min);
 	/* An entry of an older term commits only behind one of this term. */
 	if (index <= consensus->commit_index ||
 	    journal_term(&consensus->journal, index, &term) != ERROR_NONE ||
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -2,17 +2,17 @@
 
 #include <string.h>
 
-#define RATE_WINDOW_MS	  1000	/* The bound on sends is for a second. */
-#define RATE_MARGIN	  0.9	/* Of the bound: arrivals bunch on the way. */
-#define EJECT_AFTER	  2	/* Failures in a row. */
-#define EJECT_BASE_MS	  1000	/* First pause; doubles. */
-#define EJECT_MAX_MS	  8000	/* Longest pause. */
-#define EJECTED_SHARE_MAX 0.5	/* Of a service's upstreams. */
-#define FAILURE_WEIGHT	  0.2	/* Of the latest outcome in the average. */
-#define FAILURE_COST_MS	  400.0 /* Of an upstream that fails all. */
-#define RUNNING_COST_MS	  1.5	/* A request beside slows the others. */
-#define FULL_COST_MS	  80.0	/* A request beyond the slots waits. */
-#define FAR_COST_MS	  0.6	/* Another data centre. */
+#define RATE_WINDOW_MS	  1000	  /* The bound on sends is for a second. */
+#define RATE_MARGIN	  0.9	  /* Of the bound: arrivals bunch on the way. */
+#define EJECT_AFTER	  2	  /* Failures in a row. */
+#define EJECT_BASE_MS	  1000	  /* First pause; doubles. */
+#define EJECT_MAX_MS	  8000	  /* Longest pause. */
+#define EJECTED_SHARE_MAX 0.5	  /* Of a service's upstreams. */
+#define FAILURE_WEIGHT	  0.2	  /* Of the latest outcome in the average. */
+#define FAILURE_COST_MS	  400.0	  /* Of an upstream that fails all. */
+#define RUNNING_COST_MS	  1.5	  /* A request beside slows the others. */
+#define FULL_COST_MS	  80.0	  /* A request beyond the slots waits. */
+#define FAR_COST_MS	  0.6	  /* Another data centre. */
 #define TOKENS_PER_HELPER 10000.0 /* A part should be worth its hop. */
 #define HELPED_MIN_TOKENS 20000.0 /* Shorter prompts are read alone. */
 #define MS_PER_S	  1000.0
@@ -25,8 +25,7 @@
 };
 
 static void fill(struct placement *placement,
-    struct placement_upstream *upstream,
-    const struct placement_record *record);
+    struct placement_upstream *upstream, const struct placement_record *record);
 static void drop_replaced(struct placement *placement);
 static gint compare_candidates(gconstpointer left, gconstpointer right);
 static GArray *gather(struct placement *placement,
@@ -135,8 +134,7 @@
 	upstream->read_until_ms =
 	    MAX(upstream->read_until_ms, now) + choice->read_ms;
 	upstream->sent_ms[upstream->sent_next] = now_ms;
-	upstream->sent_next =
-	    (upstream->sent_next + 1) % PLACEMENT_RATE_SLOTS;
+	upstream->sent_next = (upstream->sent_next + 1) % PLACEMENT_RATE_SLOTS;
 	if (choice->helper_count == 0)
 		return;
 	g_hash_table_iter_init(&iter, placement->upstreams);
@@ -173,8 +171,7 @@
 }
 
 void
-placement_note_failure(
-    struct placement *placement, uint64_t id, int64_t now_ms)
+placement_note_failure(struct placement *placement, uint64_t id, int64_t now_ms)
 {
 	struct placement_upstream *upstream;
 	int64_t pause_ms;
@@ -244,8 +241,8 @@
 	g_strlcpy(upstream->name, record->name, sizeof(upstream->name));
 	g_strlcpy(
 	    upstream->service, record->service, sizeof(upstream->service));
-	upstream->is_near = strcmp(record->data_centre,
-				placement->settings.data_centre) == 0;
+	upstream->is_near =
+	    strcmp(record->data_centre, placement->settings.data_centre) == 0;
 }
 
 /* Of two upstreams at one address the one that started last is there. */
@@ -303,8 +300,7 @@
 			continue;
 		(*usable_count)++;
 		if (is_tried(request, upstream->id) ||
-		    is_over_rate(
-			placement, upstream, request->service, now_ms))
+		    is_over_rate(placement, upstream, request->service, now_ms))
 			continue;
 		candidate.upstream = upstream;
 		/* A random part keeps equal ones from all being the first. */
@@ -348,9 +344,9 @@
 
 	if (service->cold_requests_per_s <= 0)
 		return false;
-	total = service->cold_requests_per_s *
-		    placement->settings.cold_overshoot +
-		placement->settings.cold_slack;
+	total =
+	    service->cold_requests_per_s * placement->settings.cold_overshoot +
+	    placement->settings.cold_slack;
 	bound = (uint32_t)(total * RATE_MARGIN / placement->host_count);
 	bound = CLAMP(bound, 1, PLACEMENT_RATE_SLOTS);
 	count = 0;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -35,36 +35,36 @@
 
 /** An upstream as it is told to placement. */
 struct placement_record {
-	uint64_t id;			 /**< Of its name. */
-	uint64_t incarnation;		 /**< Grows with each start. */
-	uint64_t place;			 /**< upstream_place(). */
-	const char *name;		 /**< Its name. */
-	const char *service;		 /**< What it serves. */
-	const char *data_centre;	 /**< Where it stands. */
-	uint32_t slots;			 /**< Requests at a time. */
-	bool is_usable; /**< Neither leaving nor taken out. */
+	uint64_t id;		 /**< Of its name. */
+	uint64_t incarnation;	 /**< Grows with each start. */
+	uint64_t place;		 /**< upstream_place(). */
+	const char *name;	 /**< Its name. */
+	const char *service;	 /**< What it serves. */
+	const char *data_centre; /**< Where it stands. */
+	uint32_t slots;		 /**< Requests at a time. */
+	bool is_usable;		 /**< Neither leaving nor taken out. */
 };
 
 /** An upstream as it is kept. */
 struct placement_upstream {
-	uint64_t id;			 /**< See above. */
-	uint64_t incarnation;		 /**< See above. */
-	uint64_t place;			 /**< See above. */
-	char name[NAME_SIZE_MAX];	 /**< See above. */
-	char service[NAME_SIZE_MAX];	 /**< See above. */
-	uint32_t slots;			 /**< See above. */
-	bool is_usable;			 /**< See above. */
-	bool is_near;			 /**< In this host's data centre. */
-	bool is_seen;			 /**< In the last update. */
-	uint32_t running;		 /**< Own requests there. */
-	double read_until_ms;		 /**< When own prompts are read. */
-	uint32_t other_running;		 /**< Requests of other hosts. */
-	double other_read_until_ms;	 /**< When theirs are read. */
-	uint32_t failures;		 /**< In a row. */
-	double failure_share;		 /**< Of late requests, 0 to 1. */
-	int64_t ejected_until_ms;	 /**< Left alone until then. */
+	uint64_t id;		     /**< See above. */
+	uint64_t incarnation;	     /**< See above. */
+	uint64_t place;		     /**< See above. */
+	char name[NAME_SIZE_MAX];    /**< See above. */
+	char service[NAME_SIZE_MAX]; /**< See above. */
+	uint32_t slots;		     /**< See above. */
+	bool is_usable;		     /**< See above. */
+	bool is_near;		     /**< In this host's data centre. */
+	bool is_seen;		     /**< In the last update. */
+	uint32_t running;	     /**< Own requests there. */
+	double read_until_ms;	     /**< When own prompts are read. */
+	uint32_t other_running;	     /**< Requests of other hosts. */
+	double other_read_until_ms;  /**< When theirs are read. */
+	uint32_t failures;	     /**< In a row. */
+	double failure_share;	     /**< Of late requests, 0 to 1. */
+	int64_t ejected_until_ms;    /**< Left alone until then. */
 	int64_t sent_ms[PLACEMENT_RATE_SLOTS]; /**< Times of late sends. */
-	uint32_t sent_next;		 /**< Place in the ring. */
+	uint32_t sent_next;		       /**< Place in the ring. */
 };
 
 /** What a request needs. */
@@ -78,8 +78,8 @@
 /** Where it goes. */
 struct placement_choice {
 	struct placement_upstream *upstream; /**< Until the next update. */
-	double read_ms;	     /**< Own share of reading the prompt. */
-	double wait_ms;	     /**< Work that waits there before it. */
+	double read_ms;	       /**< Own share of reading the prompt. */
+	double wait_ms;	       /**< Work that waits there before it. */
 	uint32_t helper_count; /**< In use below. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Places of helpers. */
 };
@@ -88,8 +88,8 @@
 struct placement {
 	struct placement_settings settings; /**< As given. */
 	struct random_source random;	    /**< Breaks ties. */
-	GHashTable *upstreams;	/**< Id to struct placement_upstream. */
-	uint32_t host_count;	/**< Entry hosts that share the fleet. */
+	GHashTable *upstreams; /**< Id to struct placement_upstream. */
+	uint32_t host_count;   /**< Entry hosts that share the fleet. */
 };
 
 /* Setting up */
--- a/src/coordination/relay_rules.c
+++ b/src/coordination/relay_rules.c
@@ -1,11 +1,11 @@
 #include "coordination/relay_rules.h"
 
-#define STATUS_SUCCESS	     200
-#define STATUS_NOT_SUCCESS   300
-#define STATUS_SERVER_ERROR  500
-#define STATUS_MISDIRECTED   421
-#define UNSENT_MAX	     4	/* Upstreams that can't be reached. */
-#define LEFT_MIN_MS	     20 /* Less is not worth an attempt. */
+#define STATUS_SUCCESS	    200
+#define STATUS_NOT_SUCCESS  300
+#define STATUS_SERVER_ERROR 500
+#define STATUS_MISDIRECTED  421
+#define UNSENT_MAX	    4  /* Upstreams that can't be reached. */
+#define LEFT_MIN_MS	    20 /* Less is not worth an attempt. */
 
 enum answer_verdict
 answer_judge(const struct answer_facts *facts)
--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -40,17 +40,17 @@
 
 /** Where a request stands after an attempt failed. */
 struct attempt_state {
-	enum route_kind kind;	   /**< Of its route. */
-	bool is_resumable;	   /**< Of its route. */
-	bool may_have_run;	   /**< Some attempt may have run. */
-	bool has_answer_begun;	   /**< The caller has part of an answer. */
-	bool is_last_whole;	   /**< The last attempt's answer is whole and
+	enum route_kind kind;  /**< Of its route. */
+	bool is_resumable;     /**< Of its route. */
+	bool may_have_run;     /**< Some attempt may have run. */
+	bool has_answer_begun; /**< The caller has part of an answer. */
+	bool is_last_whole;    /**< The last attempt's answer is whole and
 					can be passed on. */
-	uint32_t sent;		   /**< Attempts that were sent. */
-	uint32_t sent_max;	   /**< Allowed by the route. */
-	uint32_t unsent;	   /**< Attempts without a connection. */
-	bool has_budget;	   /**< Retries are not used up. */
-	int64_t left_ms;	   /**< Until the time limit. */
+	uint32_t sent;	       /**< Attempts that were sent. */
+	uint32_t sent_max;     /**< Allowed by the route. */
+	uint32_t unsent;       /**< Attempts without a connection. */
+	bool has_budget;       /**< Retries are not used up. */
+	int64_t left_ms;       /**< Until the time limit. */
 };
 
 /** What to do. */
--- a/src/coordination/retry_window.h
+++ b/src/coordination/retry_window.h
@@ -17,9 +17,9 @@
 
 /** The budget of one service. Zero is a budget that allows nothing. */
 struct retry_window {
-	int64_t slot_ms;	 /**< Length of a slot. */
-	int64_t slot;		 /**< Number of the current one. */
-	double ratio;		 /**< Of the requests. */
+	int64_t slot_ms; /**< Length of a slot. */
+	int64_t slot;	 /**< Number of the current one. */
+	double ratio;	 /**< Of the requests. */
 	uint32_t requests[RETRY_WINDOW_SLOTS]; /**< First sends, by slot. */
 	uint32_t retries[RETRY_WINDOW_SLOTS];  /**< Further sends, by slot. */
 };
--- a/src/coordination/voter_plan.c
+++ b/src/coordination/voter_plan.c
@@ -75,6 +75,6 @@
 static struct voter_step
 add(const struct voter_candidate *candidate)
 {
-	return (struct voter_step){VOTER_STEP_ADD, candidate->host_id,
-	    candidate->voter_incarnation};
+	return (struct voter_step){
+	    VOTER_STEP_ADD, candidate->host_id, candidate->voter_incarnation};
 }
--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -56,8 +56,8 @@
 void
 http_reader_next(struct http_reader *reader)
 {
-	http_parser_init(&reader->parser,
-	    reader->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
+	http_parser_init(
+	    &reader->parser, reader->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
 	reader->parser.data = reader;
 	http_head_finish(&reader->head);
 	make_head(&reader->head);
@@ -69,13 +69,13 @@
 }
 
 enum error_code
-http_reader_feed(struct http_reader *reader, const char *data, size_t size,
-    size_t *used)
+http_reader_feed(
+    struct http_reader *reader, const char *data, size_t size, size_t *used)
 {
 	bool had_head = reader->has_head;
 
-	*used = http_parser_execute(
-	    &reader->parser, &parser_settings, data, size);
+	*used =
+	    http_parser_execute(&reader->parser, &parser_settings, data, size);
 	if (!had_head)
 		reader->head_bytes += *used;
 	if (!reader->has_head && reader->head_bytes_max > 0 &&
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -25,15 +25,15 @@
 
 /** What stands before a body. Zero is an empty head. */
 struct http_head {
-	const char *method;	/**< Of a request; static text. */
-	uint32_t status;	/**< Of an answer. */
-	bool keeps_connection;	/**< The sender keeps the connection open. */
-	bool has_length;	/**< Content-Length was sent. */
-	bool is_chunked;	/**< The body comes in chunks. */
-	bool expects_continue;	/**< Waits for a 100 before the body. */
-	GString *target;	/**< Path and query of a request. */
-	GString *text;		/**< Names and values, each with an end mark. */
-	GArray *fields;		/**< struct http_field, in order. */
+	const char *method;    /**< Of a request; static text. */
+	uint32_t status;       /**< Of an answer. */
+	bool keeps_connection; /**< The sender keeps the connection open. */
+	bool has_length;       /**< Content-Length was sent. */
+	bool is_chunked;       /**< The body comes in chunks. */
+	bool expects_continue; /**< Waits for a 100 before the body. */
+	GString *target;       /**< Path and query of a request. */
+	GString *text;	       /**< Names and values, each with an end mark. */
+	GArray *fields;	       /**< struct http_field, in order. */
 };
 
 /** Calls of the reader. */
@@ -72,8 +72,8 @@
 void http_reader_next(struct http_reader *reader);
 /** Reads up to the end of a message; @p used says how many bytes it took.
  * Errors: ERROR_MALFORMED, ERROR_TOO_LARGE for the head. */
-enum error_code http_reader_feed(struct http_reader *reader, const char *data,
-    size_t size, size_t *used);
+enum error_code http_reader_feed(
+    struct http_reader *reader, const char *data, size_t size, size_t *used);
 /** The peer has ended: the end of an answer without a length. Errors:
  * ERROR_INCOMPLETE in the middle of a message. */
 enum error_code http_reader_close(struct http_reader *reader);
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -115,8 +115,8 @@
 	_Atomic uint32_t suspects;    /**< Known to the quarantine. */
 	_Atomic uint32_t group_runs;  /**< Threads of group_run.c. */
 	struct quarantine quarantine; /**< Requests that crash. */
-	_Atomic uint32_t running;	/**< Requests under way. */
-	_Atomic uint32_t entry_hosts;	/**< Live ones that take requests. */
+	_Atomic uint32_t running;     /**< Requests under way. */
+	_Atomic uint32_t entry_hosts; /**< Live ones that take requests. */
 	_Atomic bool is_stopping;     /**< Ends the loop. */
 	_Atomic bool is_draining;     /**< Takes no new requests. */
 	bool has_disk;		      /**< consensus and folder are set. */
--- a/src/service/host_documents.c
+++ b/src/service/host_documents.c
@@ -8,10 +8,10 @@
 
 #include "service/host_calls.h"
 
-#define CALL_TIMEOUT_MS	  2000	/* Longest wait for a short call. */
-#define LOOK_PERIOD_US	  10000 /* Between looks at the own state. */
-#define SIZE_BYTES	  8	/* Unpacked size, before the packed bytes. */
-#define OPERATION_FORMAT  "entry-%u-%016" PRIx64
+#define CALL_TIMEOUT_MS	 2000  /* Longest wait for a short call. */
+#define LOOK_PERIOD_US	 10000 /* Between looks at the own state. */
+#define SIZE_BYTES	 8     /* Unpacked size, before the packed bytes. */
+#define OPERATION_FORMAT "entry-%u-%016" PRIx64
 
 /* A read of a document on the coordination thread. */
 struct read_body {
@@ -31,8 +31,8 @@
 static void clear_read(void *body);
 static void run_heartbeat(void *coordinator, struct mailbox_call *call);
 static void run_gone(void *coordinator, struct mailbox_call *call);
-static bool is_same(const struct upstream_record *known,
-    const struct upstream_record *record);
+static bool is_same(
+    const struct upstream_record *known, const struct upstream_record *record);
 static enum error_code read_once(struct host *host, const char *name,
     uint64_t sequence, struct read_body *found);
 static enum error_code first_error(
@@ -100,8 +100,8 @@
 }
 
 enum error_code
-host_set_entry(struct host *host, const char *key, const char *value,
-    int64_t timeout_ms)
+host_set_entry(
+    struct host *host, const char *key, const char *value, int64_t timeout_ms)
 {
 	struct command command = {.type = COMMAND_CONFIG};
 	struct config_change change = {.is_delete = value == NULL};
@@ -134,8 +134,7 @@
 }
 
 enum error_code
-host_remove_upstream(
-    struct host *host, const char *name, uint64_t incarnation)
+host_remove_upstream(struct host *host, const char *name, uint64_t incarnation)
 {
 	struct mailbox_call *call;
 	struct gone_body *body;
@@ -279,8 +278,8 @@
 	if (body->incarnation == 0 || body->incarnation >= known->incarnation)
 		error = upstream_directory_remove(
 		    &host->directory, known->id, known->incarnation);
-	mailbox_complete(&host->mailbox, call,
-	    error == ERROR_STALE ? ERROR_NONE : error);
+	mailbox_complete(
+	    &host->mailbox, call, error == ERROR_STALE ? ERROR_NONE : error);
 }
 
 /* True if the record says nothing that is not known. */
--- a/src/service/host_documents.h
+++ b/src/service/host_documents.h
@@ -28,8 +28,8 @@
     int64_t timeout_ms, uint64_t *version, GBytes **text);
 /** Sets one entry of the configuration, or deletes it if @p value is NULL;
  * the same once more is no error. Errors: those of host_submit(). */
-enum error_code host_set_entry(struct host *host, const char *key,
-    const char *value, int64_t timeout_ms);
+enum error_code host_set_entry(
+    struct host *host, const char *key, const char *value, int64_t timeout_ms);
 /** Takes what an upstream says of itself: announces it if anything changed,
  * else renews it. What is older than is known changes nothing and is no
  * error. Errors: of upstream_directory_announce(). */
--- a/src/service/host_voters.c
+++ b/src/service/host_voters.c
@@ -5,9 +5,9 @@
 #include "base/event_log.h"
 #include "coordination/voter_plan.h"
 
-#define LOOK_PERIOD_MS	300  /* Between looks at the voters. */
-#define CANDIDATES_MAX	64u  /* Hosts with a disk that are looked at. */
-#define DEAD_WAIT_MS	2000 /* A voter seen dead for less may be back. */
+#define LOOK_PERIOD_MS 300  /* Between looks at the voters. */
+#define CANDIDATES_MAX 64u  /* Hosts with a disk that are looked at. */
+#define DEAD_WAIT_MS   2000 /* A voter seen dead for less may be back. */
 
 /* Candidates as they are gathered. */
 struct candidate_list {
@@ -45,8 +45,8 @@
 	atomic_store(&host->entry_hosts, entries);
 	if (!host->has_disk)
 		return;
-	membership_set_voter(&host->membership,
-	    consensus_self(&host->consensus).incarnation);
+	membership_set_voter(
+	    &host->membership, consensus_self(&host->consensus).incarnation);
 	if (host->settings.voters_wanted == 0 ||
 	    !consensus_is_leader(&host->consensus))
 		return;
@@ -108,8 +108,7 @@
 	    .host_id = step->host_id, .incarnation = step->voter_incarnation};
 
 	if (step->kind == VOTER_STEP_ADD)
-		error =
-		    consensus_add_voter(&host->consensus, voter, callback);
+		error = consensus_add_voter(&host->consensus, voter, callback);
 	else
 		error = consensus_remove_voter(
 		    &host->consensus, step->host_id, callback);
@@ -129,6 +128,6 @@
 	(void)result_size;
 	/* The next look tries again by what it then sees. */
 	if (error != ERROR_NONE)
-		event_log_write(EVENT_VOTER_CHANGED, "given up: %s",
-		    error_name(error));
+		event_log_write(
+		    EVENT_VOTER_CHANGED, "given up: %s", error_name(error));
 }
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -6,15 +6,15 @@
 #include "base/event_log.h"
 #include "service/relay_parts.h"
 
-#define TIMERS_MAX	 65536 /* Timers of the loop. */
-#define BACKLOG		 1024  /* Connections the kernel keeps. */
-#define SLACK_SHARE	 0.8   /* Of the slack; hosts come and go. */
-#define RECORDS_MAX	 4096  /* Upstreams looked at. */
-#define LINGER_ROUNDS_MS 2600  /* The balancer has noticed by then. */
-#define SERVICE_LABEL	 "service"
-#define STATUS_OK	 200
+#define TIMERS_MAX	   65536 /* Timers of the loop. */
+#define BACKLOG		   1024	 /* Connections the kernel keeps. */
+#define SLACK_SHARE	   0.8	 /* Of the slack; hosts come and go. */
+#define RECORDS_MAX	   4096	 /* Upstreams looked at. */
+#define LINGER_ROUNDS_MS   2600	 /* The balancer has noticed by then. */
+#define SERVICE_LABEL	   "service"
+#define STATUS_OK	   200
 #define STATUS_UNAVAILABLE 503
-#define STATUS_NOT_FOUND 404
+#define STATUS_NOT_FOUND   404
 
 static enum error_code start_loop(struct relay *relay);
 static enum error_code listen_at(struct relay *relay, uv_tcp_t *listener,
@@ -144,8 +144,7 @@
 	bool is_ready;
 
 	if (strcmp(path, relay->settings.dialect.ready_path) != 0) {
-		relay_answer_own(
-		    caller, STATUS_NOT_FOUND, "no such path", 0);
+		relay_answer_own(caller, STATUS_NOT_FOUND, "no such path", 0);
 		relay_caller_done(caller);
 		return;
 	}
@@ -173,8 +172,8 @@
 	uv_prepare_init(&relay->loop, &relay->prepare);
 	uv_prepare_start(&relay->prepare, note_prepare);
 	uv_timer_init(&relay->loop, &relay->tick);
-	error = listen_at(relay, &relay->entry_listener,
-	    &relay->settings.entry, accept_caller);
+	error = listen_at(relay, &relay->entry_listener, &relay->settings.entry,
+	    accept_caller);
 	if (error == ERROR_NONE)
 		error = listen_at(relay, &relay->ready_listener,
 		    &relay->settings.readiness, accept_monitor);
@@ -191,8 +190,8 @@
 	if (uv_ip4_addr(address->ip, address->port, &place) != 0 ||
 	    uv_tcp_bind(listener, (const struct sockaddr *)&place, 0) != 0 ||
 	    uv_listen((uv_stream_t *)listener, BACKLOG, accept) != 0) {
-		event_log_write(EVENT_LISTEN_FAILED, "%s:%u", address->ip,
-		    address->port);
+		event_log_write(
+		    EVENT_LISTEN_FAILED, "%s:%u", address->ip, address->port);
 		return ERROR_IO;
 	}
 	return ERROR_NONE;
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -94,17 +94,17 @@
 	struct placement placement;	/**< Where requests go. */
 	struct random_source random;	/**< Weighted picks. */
 	GHashTable *callers;		/**< Set of struct relay_caller. */
-	GHashTable *budgets; /**< Service to struct retry_window. */
+	GHashTable *budgets;		/**< Service to struct retry_window. */
 	struct route_table *table;	/**< In force on this host. */
 	uint64_t view_version;		/**< Of the fleet's view taken. */
 	uint32_t running;		/**< Requests under way. */
 	struct relay_counters counters; /**< See there. */
 	_Atomic(struct route_table *) next_table; /**< To be taken over. */
-	_Atomic bool is_draining;	/**< Ends as planned. */
-	_Atomic bool is_stopping;	/**< Closes everything. */
-	_Atomic bool is_idle;		/**< Draining, and nothing runs. */
-	_Atomic bool is_ready;		/**< As told to the balancer. */
-	bool has_closed;		/**< Listeners and callers are closed. */
+	_Atomic bool is_draining;		  /**< Ends as planned. */
+	_Atomic bool is_stopping;		  /**< Closes everything. */
+	_Atomic bool is_idle;  /**< Draining, and nothing runs. */
+	_Atomic bool is_ready; /**< As told to the balancer. */
+	bool has_closed;       /**< Listeners and callers are closed. */
 };
 
 /* Life */
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -5,16 +5,15 @@
 
 #include "service/relay_parts.h"
 
-#define MS_PER_S	  1000.0
-#define STATUS_NO_CONTENT 204
+#define MS_PER_S	   1000.0
+#define STATUS_NO_CONTENT  204
 #define STATUS_NOT_CHANGED 304
-#define PIECE_HEAD_SIZE	  24 /* Bytes of a chunk's size line. */
+#define PIECE_HEAD_SIZE	   24 /* Bytes of a chunk's size line. */
 
 static void add_status(GString *out, uint32_t status);
 static void add_fields(GString *out, const struct http_head *head);
 static void add_connection(GString *out, const struct relay_caller *caller);
-static bool is_own_field(
-    const struct relay_dialect *dialect, const char *name);
+static bool is_own_field(const struct relay_dialect *dialect, const char *name);
 static void add_helpers(GString *out, const struct relay_dialect *dialect,
     const struct placement_choice *choice);
 static const char *reason_of(uint32_t status);
@@ -29,8 +28,7 @@
 	g_string_append_printf(body, "{\"error\":\"%s\"}", reason);
 	out = g_string_new(NULL);
 	add_status(out, status);
-	if (caller->exchange != NULL &&
-	    caller->exchange->attempt_id[0] != '\0')
+	if (caller->exchange != NULL && caller->exchange->attempt_id[0] != '\0')
 		g_string_append_printf(out, "%s: %s\r\n",
 		    caller->relay->settings.dialect.attempt_id,
 		    caller->exchange->attempt_id);
@@ -135,8 +133,8 @@
 		    out, "%s: %s\r\n", name, http_head_value(head, i));
 	}
 	if (exchange->events.last_id[0] != '\0')
-		g_string_append_printf(out, "%s: %s\r\n",
-		    dialect->resume_after, exchange->events.last_id);
+		g_string_append_printf(out, "%s: %s\r\n", dialect->resume_after,
+		    exchange->events.last_id);
 	g_string_append_printf(out, "%s: %" PRId64 "\r\n", dialect->deadline,
 	    MAX(exchange->deadline_ms - now_ms, 1));
 	g_string_append_printf(
--- a/src/service/relay_caller.c
+++ b/src/service/relay_caller.c
@@ -5,7 +5,7 @@
 
 #define AHEAD_BYTES_MAX	  262144 /* Requests sent before their turn. */
 #define QUEUED_BYTES_MAX  (8u * 1024 * 1024) /* A caller that never reads. */
-#define LINGER_MS	  1000	 /* A caller's time to read our last words. */
+#define LINGER_MS	  1000 /* A caller's time to read our last words. */
 #define STATUS_BAD	  400
 #define STATUS_TIMEOUT	  408
 #define STATUS_LARGE_BODY 413
@@ -38,8 +38,7 @@
 };
 
 void
-relay_caller_accept(
-    struct relay *relay, uv_stream_t *listener, bool is_monitor)
+relay_caller_accept(struct relay *relay, uv_stream_t *listener, bool is_monitor)
 {
 	struct http_reader_ops reader_ops = {
 	    .head = note_head, .body = note_body, .end = note_end};
@@ -60,14 +59,13 @@
 	http_reader_init(&caller->reader, true, &reader_ops);
 	caller->reader.head_bytes_max = limits_of(caller)->head_bytes_max;
 	g_hash_table_add(relay->callers, caller);
-	if (tcp_link_accept(&caller->link, listener, &link_ops) !=
-	    ERROR_NONE) {
+	if (tcp_link_accept(&caller->link, listener, &link_ops) != ERROR_NONE) {
 		caller->state = CALLER_CLOSED;
 		return;
 	}
 	set_timer(caller, limits_of(caller)->idle_timeout_ms);
-	if (!is_monitor && g_hash_table_size(relay->callers) >
-			       relay->settings.connections_max)
+	if (!is_monitor &&
+	    g_hash_table_size(relay->callers) > relay->settings.connections_max)
 		close_caller(caller);
 }
 
@@ -171,8 +169,8 @@
 		 caller->reader.parser.content_length > limits->body_bytes_max)
 		caller->refusal = STATUS_LARGE_BODY;
 	else if (head->expects_continue)
-		tcp_link_write(&caller->link, continue_line,
-		    sizeof(continue_line) - 1);
+		tcp_link_write(
+		    &caller->link, continue_line, sizeof(continue_line) - 1);
 	return false;
 }
 
@@ -219,8 +217,8 @@
 	if (!caller->reader.has_ended)
 		return;
 	if (size > used)
-		g_byte_array_append(caller->ahead,
-		    (const guint8 *)data + used, (guint)(size - used));
+		g_byte_array_append(caller->ahead, (const guint8 *)data + used,
+		    (guint)(size - used));
 	begin_answer(caller);
 }
 
--- a/src/service/relay_events.c
+++ b/src/service/relay_events.c
@@ -7,12 +7,11 @@
 static size_t find_end(const guint8 *data, size_t size);
 static bool take_event(
     struct relay_events *events, const char *data, size_t size);
-static bool read_id(
-    const char *data, size_t size, char id[EVENT_ID_SIZE]);
+static bool read_id(const char *data, size_t size, char id[EVENT_ID_SIZE]);
 
 uint32_t
-relay_events_take(struct relay_events *events, const char *data, size_t size,
-    GByteArray *out)
+relay_events_take(
+    struct relay_events *events, const char *data, size_t size, GByteArray *out)
 {
 	GByteArray *pending;
 	size_t at, end;
@@ -25,8 +24,7 @@
 	count = 0;
 	at = 0;
 	while ((end = find_end(pending->data + at, pending->len - at)) > 0) {
-		if (take_event(
-			events, (const char *)pending->data + at, end)) {
+		if (take_event(events, (const char *)pending->data + at, end)) {
 			g_byte_array_append(
 			    out, pending->data + at, (guint)end);
 			count++;
@@ -98,8 +96,7 @@
 	if (!read_id(data, size, id))
 		return true;
 	number = g_ascii_strtoull(id, &end, 10);
-	if (events->has_number && *end == '\0' &&
-	    number <= events->last_number)
+	if (events->has_number && *end == '\0' && number <= events->last_number)
 		return false;
 	relay_events_set_last(events, id);
 	return true;
--- a/src/service/relay_events.h
+++ b/src/service/relay_events.h
@@ -19,11 +19,11 @@
 
 /** The state. Zero is a stream before its first byte. */
 struct relay_events {
-	GByteArray *pending;		/**< Bytes of an event not whole. */
-	char last_id[EVENT_ID_SIZE];	/**< Of the last whole event, or "". */
-	bool has_number;		/**< last_id is a number... */
-	uint64_t last_number;		/**< ...this one. */
-	uint64_t count;			/**< Whole events passed on. */
+	GByteArray *pending;	     /**< Bytes of an event not whole. */
+	char last_id[EVENT_ID_SIZE]; /**< Of the last whole event, or "". */
+	bool has_number;	     /**< last_id is a number... */
+	uint64_t last_number;	     /**< ...this one. */
+	uint64_t count;		     /**< Whole events passed on. */
 };
 
 /** Takes bytes and appends the events that are whole to @p out. Returns how
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -7,13 +7,14 @@
 
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND    404
+#define STATUS_MISDIRECTED  421
 #define STATUS_BAD_GATEWAY  502
 #define STATUS_UNAVAILABLE  503
 #define STATUS_LATE	    504
 
-#define WAIT_STEP_MS	  15 /* Between tries to place a request. */
-#define WAIT_GOAL_PART	  8  /* Longest wait, as part of the goal. */
-#define RETRY_AFTER_MS	  400  /* Said when nothing better is known. */
+#define WAIT_STEP_MS	  15  /* Between tries to place a request. */
+#define WAIT_GOAL_PART	  8   /* Longest wait, as part of the goal. */
+#define RETRY_AFTER_MS	  400 /* Said when nothing better is known. */
 #define ANSWER_BYTES_MAX  (32u * 1024 * 1024) /* Of a whole answer. */
 #define STALL_MIN_MS	  1200 /* Shortest silence that is a stall. */
 #define STALL_FACTOR	  4    /* Of what was expected. */
@@ -45,8 +46,7 @@
 static void send_to(
     struct relay_exchange *exchange, struct placement_choice *choice);
 static void set_stall_timer(struct relay_exchange *exchange, int64_t delay_ms);
-static int64_t first_stall_ms(
-    const struct relay_exchange *exchange);
+static int64_t first_stall_ms(const struct relay_exchange *exchange);
 static void run_deadline(void *context);
 static void run_stall(void *context);
 static void note_sent(void *context);
@@ -54,6 +54,7 @@
 static void note_body(void *context, const char *data, size_t size);
 static void note_done(void *context);
 static void note_failed(void *context, enum error_code error);
+static void keep_answer(struct relay_exchange *exchange);
 static void leave_upstream(struct relay_exchange *exchange);
 static void attempt_failed(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
@@ -78,6 +79,8 @@
 	exchange->relay = relay;
 	exchange->caller = caller;
 	exchange->body = g_byte_array_new();
+	exchange->coming_body = g_byte_array_new();
+	exchange->answer_body = g_byte_array_new();
 	exchange->arrived_ms = caller->begun_ms;
 	caller->exchange = exchange;
 	relay->running++;
@@ -92,9 +95,8 @@
 	read_request(exchange);
 	if (!resolve(exchange))
 		return;
-	exchange->deadline_ms =
-	    MIN(exchange->deadline_ms,
-		exchange->arrived_ms + exchange->route->timeout_ms);
+	exchange->deadline_ms = MIN(exchange->deadline_ms,
+	    exchange->arrived_ms + exchange->route->timeout_ms);
 	exchange->wait_until_ms =
 	    host_now_ms() + exchange->route->goal_ms / WAIT_GOAL_PART;
 	retry_window_note_request(
@@ -135,8 +137,8 @@
 		exchange->table = route_table_ref(relay->table);
 	}
 	host = http_head_get(&exchange->head, "Host");
-	exchange->route = route_table_find(
-	    exchange->table, host, exchange->head.target->str);
+	exchange->route =
+	    route_table_find(exchange->table, host, exchange->head.target->str);
 	if (exchange->route == NULL) {
 		deny(exchange, STATUS_NOT_FOUND, "no such route");
 		return false;
@@ -149,8 +151,7 @@
 		deny(exchange, STATUS_UNAUTHORIZED, "unknown key");
 		return false;
 	}
-	exchange->service =
-	    route_pick(exchange->route, exchange->weight_draw);
+	exchange->service = route_pick(exchange->route, exchange->weight_draw);
 	exchange->wants.service = exchange->service;
 	return true;
 }
@@ -181,8 +182,8 @@
 
 	text = http_head_get(&exchange->head, dialect->attempt_id);
 	if (text != NULL)
-		g_strlcpy(exchange->attempt_id, text,
-		    sizeof(exchange->attempt_id));
+		g_strlcpy(
+		    exchange->attempt_id, text, sizeof(exchange->attempt_id));
 	exchange->deadline_ms = INT64_MAX;
 	text = http_head_get(&exchange->head, dialect->deadline);
 	if (text != NULL) {
@@ -292,9 +293,9 @@
 	    exchange->route->kind, exchange->route->is_resumable);
 	idle_max_ms = may_repeat ? ANY_IDLE_MS : FRESH_IDLE_MS;
 	bytes = relay_request_bytes(exchange, choice, now_ms);
-	exchange->call = upstream_pool_call(&relay->pool,
-	    choice->upstream->place, bytes, is_head_method(exchange),
-	    idle_max_ms, &ops);
+	exchange->call =
+	    upstream_pool_call(&relay->pool, choice->upstream->place, bytes,
+		is_head_method(exchange), idle_max_ms, &ops);
 	g_bytes_unref(bytes);
 	if (exchange->call == NULL)
 		note_failed(exchange, ERROR_CONNECTION);
@@ -393,10 +394,10 @@
 	facts.is_encoded = http_head_get(head, "Content-Encoding") != NULL;
 	facts.is_refusal = http_head_get(head, dialect->refusal) != NULL;
 	text = http_head_get(head, "Content-Type");
-	facts.is_event_stream =
-	    exchange->route->kind == ROUTE_KIND_STREAM && text != NULL &&
-	    g_ascii_strncasecmp(text, "text/event-stream",
-		strlen("text/event-stream")) == 0;
+	facts.is_event_stream = exchange->route->kind == ROUTE_KIND_STREAM &&
+				text != NULL &&
+				g_ascii_strncasecmp(text, "text/event-stream",
+				    strlen("text/event-stream")) == 0;
 	exchange->verdict = answer_judge(&facts);
 	if (exchange->verdict == ANSWER_FOREIGN) {
 		upstream_call_cancel(exchange->call);
@@ -409,10 +410,8 @@
 		return;
 	}
 	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
-	http_head_move(&exchange->answer, head);
-	if (exchange->answer_body == NULL)
-		exchange->answer_body = g_byte_array_new();
-	g_byte_array_set_size(exchange->answer_body, 0);
+	http_head_move(&exchange->coming, head);
+	g_byte_array_set_size(exchange->coming_body, 0);
 }
 
 static void
@@ -424,14 +423,14 @@
 		pass_events(exchange, data, size);
 		return;
 	}
-	if (exchange->answer_body->len + size > ANSWER_BYTES_MAX) {
+	if (exchange->coming_body->len + size > ANSWER_BYTES_MAX) {
 		upstream_call_cancel(exchange->call);
 		exchange->call = NULL;
 		attempt_failed(exchange, ERROR_TOO_LARGE, true);
 		return;
 	}
 	g_byte_array_append(
-	    exchange->answer_body, (const guint8 *)data, (guint)size);
+	    exchange->coming_body, (const guint8 *)data, (guint)size);
 }
 
 static void
@@ -453,7 +452,7 @@
 	if (exchange->verdict == ANSWER_NOT_RUN) {
 		exchange->is_sent = false;
 		attempt_failed(exchange, ERROR_UPSTREAM_REFUSED,
-		    exchange->answer.status == 421);
+		    exchange->coming.status == STATUS_MISDIRECTED);
 		return;
 	}
 	if (exchange->is_answering) {
@@ -461,13 +460,12 @@
 		attempt_failed(exchange, ERROR_UPSTREAM_FAILED, true);
 		return;
 	}
-	exchange->has_answer = true;
+	keep_answer(exchange);
 	if (answer_is_failure(exchange->answer.status)) {
 		attempt_failed(exchange, ERROR_UPSTREAM_FAILED, true);
 		return;
 	}
-	placement_note_good(
-	    &exchange->relay->placement, exchange->upstream_id);
+	placement_note_good(&exchange->relay->placement, exchange->upstream_id);
 	leave_upstream(exchange);
 	relay_answer_whole(exchange->caller, &exchange->answer,
 	    exchange->answer_body, is_head_method(exchange));
@@ -483,6 +481,18 @@
 	attempt_failed(exchange, error, true);
 }
 
+/* The last whole answer stays: a further attempt may bring none. */
+static void
+keep_answer(struct relay_exchange *exchange)
+{
+	GByteArray *body = exchange->answer_body;
+
+	http_head_move(&exchange->answer, &exchange->coming);
+	exchange->answer_body = exchange->coming_body;
+	exchange->coming_body = body;
+	exchange->has_answer = true;
+}
+
 static void
 leave_upstream(struct relay_exchange *exchange)
 {
@@ -531,9 +541,9 @@
 	    .left_ms = time_left(exchange),
 	};
 
-	state.has_budget = retry_window_allows(
-	    relay_budget(relay, exchange->service), relay_retry_slack(relay),
-	    host_now_ms());
+	state.has_budget =
+	    retry_window_allows(relay_budget(relay, exchange->service),
+		relay_retry_slack(relay), host_now_ms());
 	switch (attempt_next(&state)) {
 	case ATTEMPT_AGAIN:
 		if (exchange->is_answering)
@@ -584,8 +594,8 @@
 	if (relay_events_take(&exchange->events, data, size, out) > 0) {
 		relay_answer_piece(exchange->caller, out->data, out->len);
 		if (!exchange->was_good)
-			placement_note_good(&exchange->relay->placement,
-			    exchange->upstream_id);
+			placement_note_good(
+			    &exchange->relay->placement, exchange->upstream_id);
 		exchange->was_good = true;
 		pause_ms = exchange->route->gap_goal_ms * STALL_FACTOR;
 		if (exchange->route->is_resumable)
@@ -639,10 +649,11 @@
 	timer_cancel(timers, &exchange->wait_timer);
 	exchange->relay->running--;
 	http_head_finish(&exchange->head);
+	http_head_finish(&exchange->coming);
 	http_head_finish(&exchange->answer);
 	g_byte_array_unref(exchange->body);
-	if (exchange->answer_body != NULL)
-		g_byte_array_unref(exchange->answer_body);
+	g_byte_array_unref(exchange->coming_body);
+	g_byte_array_unref(exchange->answer_body);
 	relay_events_finish(&exchange->events);
 	route_table_unref(exchange->table);
 	g_free(exchange);
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -25,52 +25,54 @@
 
 /** A caller's connection. */
 struct relay_caller {
-	struct relay *relay;	    /**< Whose it is. */
-	struct tcp_link link;	    /**< Its bytes. */
-	struct http_reader reader;  /**< Its requests. */
-	enum caller_state state;    /**< See above. */
-	bool is_monitor;	    /**< Came through the other listener. */
-	bool closes;		    /**< After the answer. */
-	uint32_t refusal;	    /**< Status for a bad request, or 0. */
-	int64_t begun_ms;	    /**< First byte of the request. */
-	GByteArray *body;	    /**< Of the request. */
-	GByteArray *ahead;	    /**< Came while it was answered. */
+	struct relay *relay;	   /**< Whose it is. */
+	struct tcp_link link;	   /**< Its bytes. */
+	struct http_reader reader; /**< Its requests. */
+	enum caller_state state;   /**< See above. */
+	bool is_monitor;	   /**< Came through the other listener. */
+	bool closes;		   /**< After the answer. */
+	uint32_t refusal;	   /**< Status for a bad request, or 0. */
+	int64_t begun_ms;	   /**< First byte of the request. */
+	GByteArray *body;	   /**< Of the request. */
+	GByteArray *ahead;	   /**< Came while it was answered. */
 	struct relay_exchange *exchange; /**< While answering. */
 	struct handle timer;		 /**< Idle, head or linger. */
 };
 
 /** One request, from its last byte to the end of its answer. */
 struct relay_exchange {
-	struct relay *relay;		 /**< Whose it is. */
-	struct relay_caller *caller;	 /**< Who asked. */
-	struct http_head head;		 /**< As it was sent. */
-	GByteArray *body;		 /**< Likewise. */
-	struct route_table *table;	 /**< Reference; newest seen. */
-	const struct route *route;	 /**< Of that table. */
+	struct relay *relay;		     /**< Whose it is. */
+	struct relay_caller *caller;	     /**< Who asked. */
+	struct http_head head;		     /**< As it was sent. */
+	GByteArray *body;		     /**< Likewise. */
+	struct route_table *table;	     /**< Reference; newest seen. */
+	const struct route *route;	     /**< Of that table. */
 	const struct route_account *account; /**< Of that table, or NULL. */
 	const struct route_service *service; /**< Of that table. */
-	char attempt_id[ATTEMPT_ID_SIZE]; /**< "" for none. */
-	int64_t arrived_ms;		  /**< First byte. */
-	int64_t deadline_ms;		  /**< An answer must be out. */
-	double prompt_tokens;		  /**< 0 for a plain request. */
-	uint32_t weight_draw;		  /**< Picks among targets. */
-
-	struct upstream_call *call; /**< Attempt under way, or NULL. */
-	uint64_t upstream_id;	    /**< Where it goes. */
+	char attempt_id[ATTEMPT_ID_SIZE];    /**< "" for none. */
+	int64_t arrived_ms;		     /**< First byte. */
+	int64_t deadline_ms;		     /**< An answer must be out. */
+	double prompt_tokens;		     /**< 0 for a plain request. */
+	uint32_t weight_draw;		     /**< Picks among targets. */
+
+	struct upstream_call *call;	   /**< Attempt under way, or NULL. */
+	uint64_t upstream_id;		   /**< Where it goes. */
 	char upstream_name[NAME_SIZE_MAX]; /**< For logs. */
 	struct placement_request wants;	   /**< With those tried. */
 	uint32_t sent;			   /**< Attempts that were sent. */
 	uint32_t unsent;		   /**< That found no connection. */
-	bool is_sent;		 /**< The one under way was sent. */
-	bool may_have_run;	 /**< Some attempt may have run. */
-	bool is_placed;		 /**< Counted at the upstream. */
-	bool was_good;		 /**< The upstream showed progress. */
-	double expected_ms;	 /**< Predicted time to the first byte. */
+	bool is_sent;			   /**< The one under way was sent. */
+	bool may_have_run;		   /**< Some attempt may have run. */
+	bool is_placed;			   /**< Counted at the upstream. */
+	bool was_good;			   /**< The upstream showed progress. */
+	double expected_ms; /**< Predicted time to the first byte. */
 
 	enum answer_verdict verdict; /**< Of the answer under way, or 0. */
-	struct http_head answer;     /**< Its head, while it is kept. */
-	GByteArray *answer_body;     /**< Likewise. */
-	bool has_answer;	     /**< answer is whole. */
+	struct http_head coming;     /**< Head of an answer not whole yet. */
+	GByteArray *coming_body;     /**< Its body so far. */
+	struct http_head answer;     /**< Head of the last whole one. */
+	GByteArray *answer_body;     /**< Its body. */
+	bool has_answer;	     /**< answer counts. */
 	bool is_answering;	     /**< The caller has a part of it. */
 	struct relay_events events;  /**< Of a stream. */
 
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -34,8 +34,8 @@
 	COMMAND_ORDER_BEGIN = 5,  /**< Begins an order to an upstream. */
 	COMMAND_ORDER_FINISH = 6, /**< Says how an order ended. */
 	COMMAND_HOSTS_LIVE = 7,	  /**< Sets which hosts may own capacity. */
-	COMMAND_DOCUMENT = 8,	  /**< Puts a document if its version is newer. */
-	COMMAND_BARRIER = 9,	  /**< Changes nothing; orders a read. */
+	COMMAND_DOCUMENT = 8, /**< Puts a document if its version is newer. */
+	COMMAND_BARRIER = 9,  /**< Changes nothing; orders a read. */
 };
 
 /** One change of the configuration. */
@@ -117,9 +117,9 @@
 		struct command_claim claim;	      /**< COMMAND_CLAIM_*. */
 		struct command_quarantine quarantine; /**< The quarantine. */
 		struct command_order order;	      /**< COMMAND_ORDER_*. */
-		struct command_hosts hosts; /**< COMMAND_HOSTS_LIVE. */
+		struct command_hosts hosts;	  /**< COMMAND_HOSTS_LIVE. */
 		struct command_document document; /**< COMMAND_DOCUMENT. */
-	} body;				    /**< By type. */
+	} body;					  /**< By type. */
 };
 
 /** Where a claim stands. */
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -238,8 +238,7 @@
 }
 
 static void
-save_documents(
-    struct save_writer *writer, const struct replicated_state *state)
+save_documents(struct save_writer *writer, const struct replicated_state *state)
 {
 	struct save_record record = {.part = SAVE_PART_DOCUMENT, .count = 1};
 	const struct document *document;
@@ -353,8 +352,8 @@
 	case SAVE_PART_DOCUMENT:
 		if (text[0] == '\0' || strlen(text) >= NAME_SIZE_MAX)
 			return ERROR_MALFORMED;
-		return replicated_put_document(state, text, numbers[0],
-		    record->value, record->value_size);
+		return replicated_put_document(
+		    state, text, numbers[0], record->value, record->value_size);
 	case SAVE_PART_OPERATION:
 		return store_operation(state, record, text);
 	case SAVE_PART_CLAIM:
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -29,7 +29,7 @@
 #define QUARANTINE_MAX	    4096u   /**< Fingerprints quarantined. */
 #define PUBLIC_ENTRIES_MAX  4096u   /**< Public commands kept for feeds. */
 #define PUBLIC_BYTES_MAX    ((size_t)8 * 1024 * 1024) /**< Their bytes. */
-#define DOCUMENTS_MAX	    64u /**< Documents held. */
+#define DOCUMENTS_MAX	    64u			      /**< Documents held. */
 
 /** Bounds; zero means the default above. */
 struct replicated_state_settings {
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -27,25 +27,25 @@
 
 /** How fast an engine of a service works, as operators publish it. */
 struct engine_speed {
-	uint32_t slots;		    /**< Requests in a batch. */
-	uint64_t kv_tokens;	    /**< KV memory, in tokens. */
-	uint32_t stride;	    /**< Steps of a pass that has writers. */
-	uint32_t chunk;		    /**< Prompt tokens read in a step. */
-	double step_ms;		    /**< Milliseconds of a step. */
-	double request_ms;	    /**< Added for each writer. */
-	double context_ms;	    /**< Added per 1,000 tokens of context. */
-	double read_tokens_per_s;   /**< Prompt tokens read in a second. */
-	double pairs_ms;	    /**< Added per million token pairs. */
-	double hop_ms;		    /**< A step over several engines. */
+	uint32_t slots;		  /**< Requests in a batch. */
+	uint64_t kv_tokens;	  /**< KV memory, in tokens. */
+	uint32_t stride;	  /**< Steps of a pass that has writers. */
+	uint32_t chunk;		  /**< Prompt tokens read in a step. */
+	double step_ms;		  /**< Milliseconds of a step. */
+	double request_ms;	  /**< Added for each writer. */
+	double context_ms;	  /**< Added per 1,000 tokens of context. */
+	double read_tokens_per_s; /**< Prompt tokens read in a second. */
+	double pairs_ms;	  /**< Added per million token pairs. */
+	double hop_ms;		  /**< A step over several engines. */
 };
 
 /** A service: upstreams that can stand in for each other. */
 struct route_service {
-	char *name;		   /**< As upstreams announce it. */
-	char *health_path;	   /**< Path of its health check. */
-	uint32_t connections_max;  /**< An upstream accepts, of all hosts. */
+	char *name;		    /**< As upstreams announce it. */
+	char *health_path;	    /**< Path of its health check. */
+	uint32_t connections_max;   /**< An upstream accepts, of all hosts. */
 	double cold_requests_per_s; /**< A cold upstream bears; 0: no bound. */
-	bool has_engine;	   /**< engine counts. */
+	bool has_engine;	    /**< engine counts. */
 	struct engine_speed engine; /**< Of a model service. */
 };
 
@@ -90,16 +90,16 @@
 
 /** The table. */
 struct route_table {
-	uint64_t version;	     /**< Of the document. */
-	struct route_limits limits;  /**< For callers. */
-	GPtrArray *services;	     /**< struct route_service. */
-	GPtrArray *routes;	     /**< struct route. */
-	GPtrArray *accounts;	     /**< struct route_account. */
+	uint64_t version;	      /**< Of the document. */
+	struct route_limits limits;   /**< For callers. */
+	GPtrArray *services;	      /**< struct route_service. */
+	GPtrArray *routes;	      /**< struct route. */
+	GPtrArray *accounts;	      /**< struct route_account. */
 	GHashTable *services_by_name; /**< Name to service. */
-	GHashTable *routes_by_place; /**< Host and prefix to route. */
-	GHashTable *accounts_by_key; /**< Key to account; NULL if the
+	GHashTable *routes_by_place;  /**< Host and prefix to route. */
+	GHashTable *accounts_by_key;  /**< Key to account; NULL if the
 					  document names no accounts. */
-	_Atomic uint32_t references; /**< Freed at 0. */
+	_Atomic uint32_t references;  /**< Freed at 0. */
 };
 
 /* Building; what is added belongs to the table, also after an error */
--- a/src/transport/tcp_link.c
+++ b/src/transport/tcp_link.c
@@ -8,11 +8,11 @@
 
 #include <glib.h>
 
-#define READ_SIZE	  65536 /* Bytes of one read. */
-#define USER_TIMEOUT_MS	  2500	/* Unacknowledged bytes end the link. */
-#define KEEPALIVE_IDLE_S  1	/* Silence before a probe. */
-#define KEEPALIVE_STEP_S  1	/* Between probes. */
-#define KEEPALIVE_PROBES  2	/* Unanswered ones end the link. */
+#define READ_SIZE	 65536 /* Bytes of one read. */
+#define USER_TIMEOUT_MS	 2500  /* Unacknowledged bytes end the link. */
+#define KEEPALIVE_IDLE_S 1     /* Silence before a probe. */
+#define KEEPALIVE_STEP_S 1     /* Between probes. */
+#define KEEPALIVE_PROBES 2     /* Unanswered ones end the link. */
 
 /* A write that could not go at once. */
 struct pending_write {
@@ -29,6 +29,7 @@
 static void give_buffer(uv_handle_t *handle, size_t wanted, uv_buf_t *buffer);
 static void note_read(
     uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
+static bool was_reset(struct tcp_link *link);
 static void note_written(uv_write_t *request, int status);
 static void note_shutdown(uv_shutdown_t *request, int status);
 static void note_closed(uv_handle_t *handle);
@@ -102,8 +103,8 @@
 {
 	if (link->is_closing)
 		return;
-	if (uv_shutdown(&link->shutdown, (uv_stream_t *)&link->tcp,
-		note_shutdown) != 0)
+	if (uv_shutdown(
+		&link->shutdown, (uv_stream_t *)&link->tcp, note_shutdown) != 0)
 		tcp_link_close(link);
 }
 
@@ -149,8 +150,8 @@
 	(void)uv_tcp_nodelay(&link->tcp, 1);
 	(void)uv_tcp_keepalive(&link->tcp, 1, KEEPALIVE_IDLE_S);
 	if (uv_fileno((uv_handle_t *)&link->tcp, &fd) == 0) {
-		(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &step_s,
-		    sizeof(step_s));
+		(void)setsockopt(
+		    fd, IPPROTO_TCP, TCP_KEEPINTVL, &step_s, sizeof(step_s));
 		(void)setsockopt(
 		    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
@@ -194,7 +195,19 @@
 		return;
 	}
 	(void)uv_read_stop(stream);
-	link->ops.ended(link->ops.context, size == UV_EOF);
+	link->ops.ended(link->ops.context, size == UV_EOF && !was_reset(link));
+}
+
+/* After a short read libuv takes any hang-up for an end; only the socket
+ * itself knows whether the peer ended or reset the connection. */
+static bool
+was_reset(struct tcp_link *link)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return uv_fileno((uv_handle_t *)&link->tcp, &fd) == 0 &&
+	       recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
 static void
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -33,9 +33,9 @@
 	uint64_t place;
 	GBytes *request;
 	bool is_head_method;
-	bool is_interim;   /* Reads a 1xx answer. */
-	bool may_be_kept;  /* So far nothing speaks against it. */
-	int64_t keep_ms;   /* How long it may stay idle. */
+	bool is_interim;  /* Reads a 1xx answer. */
+	bool may_be_kept; /* So far nothing speaks against it. */
+	int64_t keep_ms;  /* How long it may stay idle. */
 	int64_t idle_since_ms;
 	struct handle timer; /* Connecting or idle. */
 };
@@ -61,8 +61,8 @@
 static void free_queue(gpointer queue);
 
 void
-upstream_pool_init(struct upstream_pool *pool, uv_loop_t *loop,
-    struct timer_service *timers)
+upstream_pool_init(
+    struct upstream_pool *pool, uv_loop_t *loop, struct timer_service *timers)
 {
 	memset(pool, 0, sizeof(*pool));
 	pool->loop = loop;
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -22,7 +22,6 @@
 
 struct upstream_call;
 
-
 /** Calls of a call to its owner; after done() or failed() it is over. */
 struct upstream_call_ops {
 	/** The request is on its way: from now on it may run. */
@@ -41,18 +40,18 @@
 
 /** The pool; belongs to one thread. */
 struct upstream_pool {
-	uv_loop_t *loop;	       /**< Of that thread. */
+	uv_loop_t *loop;	      /**< Of that thread. */
 	struct timer_service *timers; /**< Of that thread. */
-	GHashTable *idle;	       /**< Place to GQueue of connections. */
-	GHashTable *all;	       /**< Set of every connection. */
-	uint64_t opened;	       /**< Connections opened so far. */
+	GHashTable *idle;	      /**< Place to GQueue of connections. */
+	GHashTable *all;	      /**< Set of every connection. */
+	uint64_t opened;	      /**< Connections opened so far. */
 };
 
 /* Life */
 
 /** Prepares a pool. */
-void upstream_pool_init(struct upstream_pool *pool, uv_loop_t *loop,
-    struct timer_service *timers);
+void upstream_pool_init(
+    struct upstream_pool *pool, uv_loop_t *loop, struct timer_service *timers);
 /** Closes every connection; calls under way end without a word. The loop
  * must run on until they are closed. */
 void upstream_pool_close(struct upstream_pool *pool);
