--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -68,6 +68,8 @@
     {EVENT_UPSTREAM_STALLED, EVENT_LEVEL_WARNING, "upstream stalled"},
     {EVENT_REQUEST_ENDED, EVENT_LEVEL_INFO, "request ended"},
     {EVENT_UPSTREAM_EJECTED, EVENT_LEVEL_WARNING, "upstream ejected"},
+    {EVENT_REQUEST_PLACED, EVENT_LEVEL_INFO, "request placed"},
+    {EVENT_REQUEST_STARTED, EVENT_LEVEL_INFO, "first event of an answer"},
     {EVENT_LINES_LEFT_OUT, EVENT_LEVEL_INFO, "log lines left out"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -3,11 +3,13 @@
  * Picks the upstream of each request, by the work that waits there.
  *
  * Pure decisions: no I/O, no clock of its own. Work is known from this host's
- * own requests, and from what other entry hosts say of theirs. An upstream
- * that fails is left alone for a while, but never so many of a service that
- * a mistake could empty it. How many requests a second one host may send to
- * one upstream is bounded by the host's share of what a cold upstream bears,
- * since each may turn cold at any moment without a word.
+ * own requests, and from reports of the other entry hosts. Engines are split
+ * between short and long prompts (placement_split.h); a long prompt is read
+ * in parts by several of them. An upstream that fails is left alone for a
+ * while, but never so many of a service that a mistake could empty it. How
+ * many requests a second one host may send to one upstream is bounded by the
+ * host's share of what a cold upstream bears, since each may turn cold at any
+ * moment without a word.
  */
 #ifndef PLACEMENT_H
 #define PLACEMENT_H
@@ -20,6 +22,8 @@
 #include "base/error_code.h"
 #include "base/random_source.h"
 #include "config.h"
+#include "coordination/placement_split.h"
+#include "protocol/work_message.h"
 #include "state/route_table.h"
 
 #define PLACEMENT_TRIED_MAX   8	 /**< Upstreams that a request remembers. */
@@ -45,32 +49,47 @@
 	bool is_usable;		 /**< Neither leaving nor taken out. */
 };
 
+/** Work at an upstream. */
+struct placement_load {
+	double read_until_ms; /**< When the prompts there are read. */
+	uint32_t running;     /**< Requests. */
+	uint32_t heavy;	      /**< Of these, with long prompts. */
+	uint32_t helping;     /**< Prompts of others that it helps to read. */
+	uint32_t leading;     /**< Long prompts of its own, not read yet. */
+	uint64_t kv_tokens;   /**< Memory that they take. */
+};
+
 /** An upstream as it is kept. */
 struct placement_upstream {
-	uint64_t id;		     /**< See above. */
-	uint64_t incarnation;	     /**< See above. */
-	uint64_t place;		     /**< See above. */
-	char name[NAME_SIZE_MAX];    /**< See above. */
-	char service[NAME_SIZE_MAX]; /**< See above. */
-	uint32_t slots;		     /**< See above. */
-	bool is_usable;		     /**< See above. */
-	bool is_near;		     /**< In this host's data centre. */
-	bool is_seen;		     /**< In the last update. */
-	uint32_t running;	     /**< Own requests there. */
-	double read_until_ms;	     /**< When own prompts are read. */
-	uint32_t other_running;	     /**< Requests of other hosts. */
-	double other_read_until_ms;  /**< When theirs are read. */
-	uint32_t failures;	     /**< In a row. */
-	double failure_share;	     /**< Of late requests, 0 to 1. */
-	int64_t ejected_until_ms;    /**< Left alone until then. */
+	uint64_t id;		      /**< See above. */
+	uint64_t incarnation;	      /**< See above. */
+	uint64_t place;		      /**< See above. */
+	uint64_t rank;		      /**< Order in which short prompts take
+					   upstreams, the same on all hosts. */
+	char name[NAME_SIZE_MAX];     /**< See above. */
+	char service[NAME_SIZE_MAX];  /**< See above. */
+	uint32_t slots;		      /**< See above. */
+	bool is_usable;		      /**< See above. */
+	bool is_near;		      /**< In this host's data centre. */
+	bool is_seen;		      /**< In the last update. */
+	struct placement_load own;    /**< Of this host. */
+	struct placement_load others; /**< Of the other hosts. */
+	uint32_t failures;	      /**< In a row. */
+	double failure_share;	      /**< Of late requests, 0 to 1. */
+	int64_t ejected_until_ms;     /**< Left alone until then. */
 	int64_t sent_ms[PLACEMENT_RATE_SLOTS]; /**< Times of late sends. */
 	uint32_t sent_next;		       /**< Place in the ring. */
+	int64_t progress_ms;	/**< Last byte of any answer. */
+	int64_t newest_good_ms; /**< Send time of the newest request that
+				     showed progress. */
 };
 
 /** What a request needs. */
 struct placement_request {
+	const struct route *route;	     /**< Its route. */
 	const struct route_service *service; /**< Which service. */
 	double prompt_tokens;		     /**< 0 for a plain request. */
+	double answer_tokens;		     /**< At most. */
 	uint32_t tried_count;		     /**< In use below. */
 	uint64_t tried[PLACEMENT_TRIED_MAX]; /**< Ids not to use again. */
 };
@@ -78,10 +97,44 @@
 /** Where it goes. */
 struct placement_choice {
 	struct placement_upstream *upstream; /**< Until the next update. */
-	double read_ms;	       /**< Own share of reading the prompt. */
+	bool is_heavy;	       /**< It has a long prompt. */
+	double read_ms;	       /**< Each one's part of reading the prompt. */
+	double whole_read_ms;  /**< All parts. */
 	double wait_ms;	       /**< Work that waits there before it. */
+	uint32_t light_count;  /**< Upstreams for short prompts... */
+	uint32_t usable_count; /**< ...of so many. */
+	struct split_demand demand; /**< That led to it. */
+	uint64_t kv_tokens;    /**< Memory that it takes. */
 	uint32_t helper_count; /**< In use below. */
-	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Places of helpers. */
+	uint64_t helpers[PLACEMENT_HELPERS_MAX];    /**< Ids of helpers. */
+	uint64_t helper_places[PLACEMENT_HELPERS_MAX]; /**< Where they are. */
+};
+
+/** What was counted for a request; zero is nothing. */
+struct placement_work {
+	uint64_t upstream_id; /**< Where, 0 for nothing. */
+	uint64_t kv_tokens;   /**< Memory. */
+	bool is_heavy;	      /**< It has a long prompt. */
+	bool is_unread;	      /**< ...and that is not read yet. */
+	uint64_t service;     /**< Hash of its service. */
+	uint32_t helper_count; /**< Still reading, below. */
+	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
+};
+
+/** A request that hears nothing from its upstream. */
+struct silence {
+	int64_t sent_ms;     /**< When it was sent. */
+	int64_t since_ms;    /**< Last byte, or when it was sent. */
+	double expected_ms;  /**< Predicted time to its first byte. */
+	int64_t patience_ms; /**< Silence that its caller bears. */
+	bool is_reachable;   /**< A connection was made in this silence. */
+};
+
+/** What silence means. */
+enum silence_verdict {
+	SILENCE_WAIT = 1,  /**< It may well be at work. */
+	SILENCE_PROBE = 2, /**< See whether it can be reached at all. */
+	SILENCE_LEAVE = 3, /**< Go elsewhere. */
 };
 
 /** The state. */
@@ -89,7 +142,12 @@
 	struct placement_settings settings; /**< As given. */
 	struct random_source random;	    /**< Breaks ties. */
 	GHashTable *upstreams; /**< Id to struct placement_upstream. */
+	GHashTable *peers;     /**< Host id to its last report, see source. */
+	GHashTable *services;  /**< Hash to struct service_load, see source. */
+	GHashTable *profiles;  /**< Route to its mean prompt, see source. */
 	uint32_t host_count;   /**< Entry hosts that share the fleet. */
+	uint64_t report_number; /**< Of the last own report. */
+	bool is_stale;		/**< The others' loads are to be summed up. */
 };
 
 /* Setting up */
@@ -110,20 +168,40 @@
 enum error_code placement_pick(struct placement *placement,
     const struct placement_request *request, int64_t now_ms,
     struct placement_choice *choice);
-/** A request goes to what was picked. */
+/** A request goes to what was picked; @p work keeps what is counted. */
 void placement_begin(struct placement *placement,
-    const struct placement_choice *choice, int64_t now_ms);
-/** It is over there; @p id may be forgotten by now. */
-void placement_end(struct placement *placement, uint64_t id);
+    const struct placement_request *request,
+    const struct placement_choice *choice, int64_t now_ms,
+    struct placement_work *work);
+/** Its prompt is read: helpers are free. */
+void placement_note_read(
+    struct placement *placement, struct placement_work *work);
+/** It is over there; nothing counted is no error. */
+void placement_end(struct placement *placement, struct placement_work *work);
 /** It went well: an answer, or the first event. */
 void placement_note_good(struct placement *placement, uint64_t id);
 /** It failed there through the upstream's fault. */
 void placement_note_failure(
     struct placement *placement, uint64_t id, int64_t now_ms);
+/** Bytes came for a request that was sent at @p sent_ms. */
+void placement_note_progress(
+    struct placement *placement, uint64_t id, int64_t sent_ms, int64_t now_ms);
+/** Judges an upstream that says nothing to a request. */
+enum silence_verdict placement_judge_silence(struct placement *placement,
+    uint64_t id, const struct silence *silence, int64_t now_ms);
 /** Milliseconds until an upstream of the service may be used again. */
 int64_t placement_retry_after(struct placement *placement,
     const struct route_service *service, int64_t now_ms);
 
+/* Reports between hosts */
+
+/** Writes this host's work. */
+void placement_report_write(struct placement *placement, uint64_t incarnation,
+    int64_t now_ms, struct message_writer *writer);
+/** Takes another host's. Errors: those of work_report_read(), ERROR_STALE. */
+enum error_code placement_report_take(struct placement *placement,
+    uint32_t host_id, const void *body, size_t size, int64_t now_ms);
+
 /* Estimates */
 
 /** Milliseconds that one engine takes to read a prompt alone. */
--- /dev/null
+++ b/src/coordination/placement_parts.h
@@ -0,0 +1,39 @@
+/**
+ * @file placement_parts.h
+ * What the source files of placement share; nobody else includes it.
+ */
+#ifndef PLACEMENT_PARTS_H
+#define PLACEMENT_PARTS_H
+
+#include "coordination/placement.h"
+
+/** Another host's last report. */
+struct peer_work {
+	struct work_report report; /**< As it came. */
+	int64_t taken_ms;	   /**< When it came. */
+};
+
+/** What this host asks of a service. */
+struct service_load {
+	uint64_t hash;		      /**< Of its name. */
+	uint32_t light_running;	      /**< Requests with short prompts. */
+	struct split_rate heavy_rate; /**< Work that long prompts bring. */
+};
+
+/** Mean prompt of a route. */
+struct prompt_profile {
+	double mean_tokens; /**< Fading average. */
+};
+
+/** Hash of a service's name, as reports carry it. */
+uint64_t placement_service_hash(const char *name);
+/** The load of a service, made when it is new. */
+struct service_load *placement_service(
+    struct placement *placement, uint64_t hash);
+/** Sums the other hosts' work up, if a report came since. */
+void placement_sum_others(struct placement *placement, int64_t now_ms);
+/** What all hosts ask of a service. */
+struct split_demand placement_demand(
+    struct placement *placement, uint64_t service, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/coordination/placement_pick.c
@@ -0,0 +1,446 @@
+#include <math.h>
+#include <string.h>
+
+#include "coordination/placement_parts.h"
+
+#define RATE_WINDOW_MS	    1000  /* The bound on sends is for a second. */
+#define RATE_MARGIN	    0.9	  /* Of the bound: arrivals bunch up. */
+#define EJECTED_SHARE_MAX   0.5	  /* Of a service's upstreams. */
+#define FAILURE_COST_MS	    400.0 /* Of an upstream that fails all. */
+#define RUNNING_COST_MS	    3.0	  /* A request beside slows the others. */
+#define FULL_COST_MS	    90.0  /* A request beyond the slots waits. */
+#define MEMORY_COST_MS	    4000.0 /* One without memory waits long. */
+#define FAR_COST_MS	    0.6	   /* Another data centre. */
+#define WRONG_SIDE_COST_MS  350.0 /* Short beside long, or long beside short. */
+#define TOKENS_PER_PART	    2500.0 /* A part should be worth its hop. */
+#define HELPING_SPARED	    2u /* News of other hosts comes late. */
+#define FULL_GOAL_PART	    0.85 /* Of the goal: work that may wait. */
+#define LEAST_GOAL_PART	    0.25 /* The same for the largest prompts. */
+#define WORK_NORMAL_MS	    1000.0 /* Larger work waits for less backlog. */
+#define WORK_POWER	    0.4
+#define IDLE_BACKLOG_MS	    60.0 /* So little backlog is none. */
+#define HEAVY_GAP_PART	    0.4	 /* Longer to read than so much of the pause. */
+#define PROFILE_WEIGHT	    0.05 /* Of the latest prompt in the average. */
+#define MS_PER_S	    1000.0
+#define PER_MILLION	    1e6
+
+/* A candidate and what it would cost. */
+struct candidate {
+	struct placement_upstream *upstream;
+	double cost_ms;
+	bool is_light; /* On the side of short prompts. */
+};
+
+/* What the candidates of one request are gathered by. */
+struct gathering {
+	struct placement *placement;
+	const struct placement_request *request;
+	int64_t now_ms;
+	bool is_heavy;
+	uint64_t kv_tokens;
+	uint64_t light_rank_max; /* Ranks up to it take short prompts. */
+	uint32_t usable_count;
+	uint32_t light_count;
+	struct split_demand demand;
+};
+
+static bool is_heavy_request(
+    struct placement *placement, const struct placement_request *request);
+static uint64_t find_light_rank(struct gathering *gathering);
+static gint compare_ranks(gconstpointer left, gconstpointer right);
+static gint compare_candidates(gconstpointer left, gconstpointer right);
+static GArray *gather(struct gathering *gathering);
+static bool serves(const struct placement_upstream *upstream,
+    const struct placement_request *request);
+static bool is_tried(const struct placement_request *request, uint64_t id);
+static bool is_over_rate(const struct placement *placement,
+    const struct placement_upstream *upstream,
+    const struct route_service *service, int64_t now_ms);
+static double cost_of(const struct gathering *gathering,
+    const struct placement_upstream *upstream, bool is_light);
+static double backlog_of(
+    const struct placement_upstream *upstream, int64_t now_ms);
+static bool is_admitted(
+    const struct gathering *gathering, const GArray *candidates);
+static void choose_helpers(const struct gathering *gathering,
+    const GArray *candidates, struct placement_choice *choice);
+static uint32_t list_helpers(const struct gathering *gathering,
+    const GArray *candidates, const struct placement_upstream *reader,
+    const struct placement_upstream **helpers);
+static bool is_helping_enough(const struct placement_upstream *upstream);
+
+enum error_code
+placement_pick(struct placement *placement,
+    const struct placement_request *request, int64_t now_ms,
+    struct placement_choice *choice)
+{
+	struct gathering gathering = {
+	    .placement = placement,
+	    .request = request,
+	    .now_ms = now_ms,
+	    .light_rank_max = UINT64_MAX,
+	};
+	const struct candidate *best;
+	GArray *candidates;
+
+	memset(choice, 0, sizeof(*choice));
+	placement_sum_others(placement, now_ms);
+	if (request->service->has_engine && request->prompt_tokens > 0) {
+		gathering.is_heavy = is_heavy_request(placement, request);
+		gathering.kv_tokens =
+		    (uint64_t)(request->prompt_tokens + request->answer_tokens);
+		gathering.light_rank_max = find_light_rank(&gathering);
+	}
+	candidates = gather(&gathering);
+	if (candidates->len == 0) {
+		g_array_unref(candidates);
+		return gathering.usable_count == 0 ? ERROR_NO_UPSTREAM
+						   : ERROR_NO_CAPACITY;
+	}
+	if (gathering.is_heavy && !is_admitted(&gathering, candidates)) {
+		g_array_unref(candidates);
+		return ERROR_NO_CAPACITY;
+	}
+	best = &g_array_index(candidates, struct candidate, 0);
+	choice->upstream = best->upstream;
+	choice->is_heavy = gathering.is_heavy;
+	choice->kv_tokens = gathering.kv_tokens;
+	choice->wait_ms = backlog_of(best->upstream, now_ms);
+	choice->light_count = gathering.light_count;
+	choice->usable_count = gathering.usable_count;
+	choice->demand = gathering.demand;
+	if (gathering.kv_tokens > 0) {
+		choice->whole_read_ms = engine_read_ms(
+		    &request->service->engine, request->prompt_tokens);
+		if (gathering.is_heavy)
+			choose_helpers(&gathering, candidates, choice);
+		choice->read_ms =
+		    choice->whole_read_ms / (choice->helper_count + 1);
+	}
+	g_array_unref(candidates);
+	return ERROR_NONE;
+}
+
+double
+engine_read_ms(const struct engine_speed *engine, double tokens)
+{
+	double pairs_m;
+
+	if (engine->read_tokens_per_s <= 0)
+		return 0;
+	pairs_m = tokens * tokens / 2 / PER_MILLION;
+	return tokens / engine->read_tokens_per_s * MS_PER_S +
+	       pairs_m * engine->pairs_ms;
+}
+
+/* By what the route's prompts are like, so that all of them stay together
+ * and the pauses that their callers bear are alike. */
+static bool
+is_heavy_request(
+    struct placement *placement, const struct placement_request *request)
+{
+	const struct route *route = request->route;
+	struct prompt_profile *profile;
+	double pause_ms;
+
+	profile = g_hash_table_lookup(placement->profiles, route->name);
+	if (profile == NULL) {
+		profile = g_new0(struct prompt_profile, 1);
+		profile->mean_tokens = request->prompt_tokens;
+		g_hash_table_insert(
+		    placement->profiles, g_strdup(route->name), profile);
+	}
+	profile->mean_tokens +=
+	    PROFILE_WEIGHT * (request->prompt_tokens - profile->mean_tokens);
+	pause_ms = route->gap_goal_ms > 0 ? (double)route->gap_goal_ms
+					  : (double)route->goal_ms;
+	return engine_read_ms(&request->service->engine,
+		   profile->mean_tokens) > HEAVY_GAP_PART * pause_ms;
+}
+
+/* The upstreams of the lowest ranks take short prompts. */
+static uint64_t
+find_light_rank(struct gathering *gathering)
+{
+	const struct placement_upstream *upstream;
+	uint64_t rank_max;
+	GHashTableIter iter;
+	uint32_t light;
+	GArray *ranks;
+
+	ranks = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_hash_table_iter_init(&iter, gathering->placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (serves(upstream, gathering->request) &&
+		    upstream->ejected_until_ms <= gathering->now_ms)
+			g_array_append_val(ranks, upstream->rank);
+	}
+	gathering->demand = placement_demand(gathering->placement,
+	    placement_service_hash(gathering->request->service->name),
+	    gathering->now_ms);
+	if (gathering->is_heavy)
+		split_demand_add(&gathering->demand,
+		    engine_read_ms(&gathering->request->service->engine,
+			gathering->request->prompt_tokens));
+	light = split_light_count(ranks->len, &gathering->demand);
+	gathering->light_count = light;
+	g_array_sort(ranks, compare_ranks);
+	rank_max = light >= ranks->len || light == 0
+		       ? UINT64_MAX
+		       : g_array_index(ranks, uint64_t, light - 1);
+	g_array_unref(ranks);
+	return rank_max;
+}
+
+static gint
+compare_ranks(gconstpointer left, gconstpointer right)
+{
+	uint64_t first = *(const uint64_t *)left;
+	uint64_t second = *(const uint64_t *)right;
+
+	return first == second ? 0 : first < second ? -1 : 1;
+}
+
+static gint
+compare_candidates(gconstpointer left, gconstpointer right)
+{
+	const struct candidate *first = left, *second = right;
+
+	if (first->cost_ms == second->cost_ms)
+		return 0;
+	return first->cost_ms < second->cost_ms ? -1 : 1;
+}
+
+/* Those that may take the request, the cheapest first. */
+static GArray *
+gather(struct gathering *gathering)
+{
+	struct placement *placement = gathering->placement;
+	struct placement_upstream *upstream;
+	struct candidate candidate;
+	GArray *good, *ejected;
+	GHashTableIter iter;
+
+	good = g_array_new(FALSE, FALSE, sizeof(candidate));
+	ejected = g_array_new(FALSE, FALSE, sizeof(candidate));
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (!serves(upstream, gathering->request))
+			continue;
+		gathering->usable_count++;
+		if (is_tried(gathering->request, upstream->id) ||
+		    is_over_rate(placement, upstream,
+			gathering->request->service, gathering->now_ms))
+			continue;
+		candidate.upstream = upstream;
+		candidate.is_light =
+		    upstream->rank <= gathering->light_rank_max;
+		/* A random part keeps equal ones from all being the first. */
+		candidate.cost_ms =
+		    cost_of(gathering, upstream, candidate.is_light) +
+		    random_below(&placement->random, 1000) / MS_PER_S;
+		if (upstream->ejected_until_ms > gathering->now_ms)
+			g_array_append_val(ejected, candidate);
+		else
+			g_array_append_val(good, candidate);
+	}
+	if (ejected->len > 0 && (good->len == 0 ||
+				    ejected->len > EJECTED_SHARE_MAX *
+						       gathering->usable_count))
+		g_array_append_vals(good, ejected->data, ejected->len);
+	g_array_unref(ejected);
+	g_array_sort(good, compare_candidates);
+	return good;
+}
+
+static bool
+serves(const struct placement_upstream *upstream,
+    const struct placement_request *request)
+{
+	return upstream->is_usable &&
+	       strcmp(upstream->service, request->service->name) == 0;
+}
+
+static bool
+is_tried(const struct placement_request *request, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->tried_count; i++) {
+		if (request->tried[i] == id)
+			return true;
+	}
+	return false;
+}
+
+/* This host's share of what a cold upstream bears from all hosts. */
+static bool
+is_over_rate(const struct placement *placement,
+    const struct placement_upstream *upstream,
+    const struct route_service *service, int64_t now_ms)
+{
+	uint32_t bound, count, i;
+	double total;
+
+	if (service->cold_requests_per_s <= 0)
+		return false;
+	total = service->cold_requests_per_s *
+		    placement->settings.cold_overshoot +
+		placement->settings.cold_slack;
+	bound = (uint32_t)(total * RATE_MARGIN / placement->host_count);
+	bound = CLAMP(bound, 1, PLACEMENT_RATE_SLOTS);
+	count = 0;
+	for (i = 0; i < PLACEMENT_RATE_SLOTS; i++) {
+		if (upstream->sent_ms[i] != 0 &&
+		    now_ms - upstream->sent_ms[i] < RATE_WINDOW_MS)
+			count++;
+	}
+	return count >= bound;
+}
+
+static double
+cost_of(const struct gathering *gathering,
+    const struct placement_upstream *upstream, bool is_light)
+{
+	const struct engine_speed *engine =
+	    &gathering->request->service->engine;
+	double cost_ms;
+	uint32_t running;
+
+	running = upstream->own.running + upstream->others.running;
+	cost_ms = backlog_of(upstream, gathering->now_ms) +
+		  running * RUNNING_COST_MS +
+		  upstream->failure_share * FAILURE_COST_MS;
+	if (running >= upstream->slots)
+		cost_ms += (running - upstream->slots + 1) * FULL_COST_MS;
+	if (!upstream->is_near)
+		cost_ms += FAR_COST_MS;
+	if (gathering->kv_tokens == 0)
+		return cost_ms;
+	if (is_light == gathering->is_heavy)
+		cost_ms += WRONG_SIDE_COST_MS;
+	if (upstream->own.kv_tokens + upstream->others.kv_tokens +
+		gathering->kv_tokens >
+	    engine->kv_tokens)
+		cost_ms += MEMORY_COST_MS;
+	return cost_ms;
+}
+
+static double
+backlog_of(const struct placement_upstream *upstream, int64_t now_ms)
+{
+	double now = (double)now_ms;
+
+	return MAX(upstream->own.read_until_ms - now, 0) +
+	       MAX(upstream->others.read_until_ms - now, 0);
+}
+
+/* Load answered: long prompts that bring more work than there are engines
+ * for. Those that bring least for their work, the largest, wait until the
+ * others are read; a queue that makes all of them late serves nobody. */
+static bool
+is_admitted(const struct gathering *gathering, const GArray *candidates)
+{
+	const struct placement_request *request = gathering->request;
+	const struct candidate *candidate;
+	double backlog_ms, work_ms, part;
+	uint32_t engines;
+	guint i;
+
+	backlog_ms = 0;
+	engines = 0;
+	for (i = 0; i < candidates->len; i++) {
+		candidate = &g_array_index(candidates, struct candidate, i);
+		if (candidate->is_light)
+			continue;
+		backlog_ms +=
+		    backlog_of(candidate->upstream, gathering->now_ms);
+		engines++;
+	}
+	if (engines == 0)
+		return true;
+	backlog_ms /= engines;
+	work_ms = engine_read_ms(
+	    &request->service->engine, request->prompt_tokens);
+	part =
+	    FULL_GOAL_PART * pow(WORK_NORMAL_MS / MAX(work_ms, 1), WORK_POWER);
+	part = CLAMP(part, LEAST_GOAL_PART, FULL_GOAL_PART);
+	return backlog_ms < IDLE_BACKLOG_MS ||
+	       backlog_ms + work_ms / engines <
+		   part * (double)request->route->goal_ms;
+}
+
+/* A long prompt is read in even parts and is read when the last part is:
+ * helpers are taken, those with least to do first, as long as each brings the
+ * end nearer than its own queue moves it away. */
+static void
+choose_helpers(const struct gathering *gathering, const GArray *candidates,
+    struct placement_choice *choice)
+{
+	const struct placement_upstream *helpers[PLACEMENT_HELPERS_MAX];
+	double wait_ms, best_ms, end_ms;
+	uint32_t count, most, i;
+
+	most = (uint32_t)(gathering->request->prompt_tokens / TOKENS_PER_PART);
+	most = MIN(most, PLACEMENT_HELPERS_MAX);
+	count = list_helpers(gathering, candidates, choice->upstream, helpers);
+	best_ms = choice->wait_ms + choice->whole_read_ms;
+	for (i = 0; i < count && i < most; i++) {
+		wait_ms = MAX(choice->wait_ms,
+		    backlog_of(helpers[i], gathering->now_ms));
+		end_ms = wait_ms + choice->whole_read_ms / (i + 2);
+		if (end_ms >= best_ms)
+			continue;
+		best_ms = end_ms;
+		choice->helper_count = i + 1;
+	}
+	for (i = 0; i < choice->helper_count; i++) {
+		choice->helpers[i] = helpers[i]->id;
+		choice->helper_places[i] = helpers[i]->place;
+	}
+}
+
+/* Those of the long prompts' side, the least busy first. */
+static uint32_t
+list_helpers(const struct gathering *gathering, const GArray *candidates,
+    const struct placement_upstream *reader,
+    const struct placement_upstream **helpers)
+{
+	const struct candidate *candidate;
+	double backlog_ms;
+	uint32_t count, at;
+	guint i;
+
+	count = 0;
+	for (i = 0; i < candidates->len; i++) {
+		candidate = &g_array_index(candidates, struct candidate, i);
+		if (candidate->is_light || candidate->upstream == reader ||
+		    candidate->upstream->own.leading +
+			    candidate->upstream->others.leading >
+			0 ||
+		    is_helping_enough(candidate->upstream))
+			continue;
+		backlog_ms =
+		    backlog_of(candidate->upstream, gathering->now_ms);
+		for (at = count; at > 0; at--) {
+			if (backlog_of(helpers[at - 1], gathering->now_ms) <=
+			    backlog_ms)
+				break;
+			if (at < PLACEMENT_HELPERS_MAX)
+				helpers[at] = helpers[at - 1];
+		}
+		if (at < PLACEMENT_HELPERS_MAX)
+			helpers[at] = candidate->upstream;
+		count = MIN(count + 1, PLACEMENT_HELPERS_MAX);
+	}
+	return count;
+}
+
+/* An engine helps as many others as it has slots, and refuses the next. */
+static bool
+is_helping_enough(const struct placement_upstream *upstream)
+{
+	return upstream->own.helping + upstream->others.helping +
+		   HELPING_SPARED >=
+	       upstream->slots;
+}
--- /dev/null
+++ b/src/coordination/placement_report.c
@@ -0,0 +1,179 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/placement_parts.h"
+
+#define REPORT_LIFE_MS	  3000	/* An older report says nothing more. */
+#define LIGHT_PER_ENGINE  8.0	/* Writers that an engine bears well. */
+#define THOUSANDTHS	  1000.0
+
+static void add_report(struct placement *placement,
+    const struct peer_work *peer, int64_t now_ms);
+static double own_light(const struct service_load *service);
+static double own_heavy(const struct service_load *service, int64_t now_ms);
+
+void
+placement_report_write(struct placement *placement, uint64_t incarnation,
+    int64_t now_ms, struct message_writer *writer)
+{
+	struct work_report report = {.incarnation = incarnation};
+	const struct placement_upstream *upstream;
+	const struct service_load *service;
+	struct work_item *item;
+	GHashTableIter iter;
+
+	report.number = ++placement->report_number;
+	report.items = g_new0(
+	    struct work_item, g_hash_table_size(placement->upstreams) + 1);
+	report.demands = g_new0(
+	    struct work_demand, g_hash_table_size(placement->services) + 1);
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (upstream->own.running == 0 &&
+		    upstream->own.read_until_ms <= (double)now_ms)
+			continue;
+		item = &report.items[report.item_count++];
+		item->upstream_id = upstream->id;
+		item->running = upstream->own.running;
+		item->heavy = upstream->own.heavy;
+		item->helping = upstream->own.helping;
+		item->leading = upstream->own.leading;
+		item->kv_tokens = upstream->own.kv_tokens;
+		item->read_ms = (uint32_t)MAX(
+		    upstream->own.read_until_ms - (double)now_ms, 0);
+	}
+	g_hash_table_iter_init(&iter, placement->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
+		report.demands[report.demand_count].service = service->hash;
+		report.demands[report.demand_count].light =
+		    (uint32_t)(own_light(service) * THOUSANDTHS);
+		report.demands[report.demand_count++].heavy =
+		    (uint32_t)(own_heavy(service, now_ms) * THOUSANDTHS);
+	}
+	work_report_write(writer, &report);
+	g_free(report.items);
+	g_free(report.demands);
+}
+
+enum error_code
+placement_report_take(struct placement *placement, uint32_t host_id,
+    const void *body, size_t size, int64_t now_ms)
+{
+	struct work_report report;
+	struct peer_work *peer;
+	enum error_code error;
+
+	error = work_report_read(body, size, &report);
+	if (error != ERROR_NONE)
+		return error;
+	peer =
+	    g_hash_table_lookup(placement->peers, GUINT_TO_POINTER(host_id));
+	if (peer != NULL && peer->report.incarnation == report.incarnation &&
+	    peer->report.number >= report.number) {
+		work_report_finish(&report);
+		return ERROR_STALE;
+	}
+	peer = g_new0(struct peer_work, 1);
+	peer->report = report;
+	peer->taken_ms = now_ms;
+	g_hash_table_replace(
+	    placement->peers, GUINT_TO_POINTER(host_id), peer);
+	placement->is_stale = true;
+	return ERROR_NONE;
+}
+
+void
+placement_sum_others(struct placement *placement, int64_t now_ms)
+{
+	struct placement_upstream *upstream;
+	const struct peer_work *peer;
+	GHashTableIter iter;
+
+	if (!placement->is_stale)
+		return;
+	placement->is_stale = false;
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream))
+		memset(&upstream->others, 0, sizeof(upstream->others));
+	g_hash_table_iter_init(&iter, placement->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (now_ms - peer->taken_ms < REPORT_LIFE_MS)
+			add_report(placement, peer, now_ms);
+		else
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+struct split_demand
+placement_demand(struct placement *placement, uint64_t service, int64_t now_ms)
+{
+	const struct service_load *own;
+	struct split_demand demand;
+	const struct peer_work *peer;
+	GHashTableIter iter;
+	uint32_t i;
+
+	own = placement_service(placement, service);
+	demand.light = own_light(own);
+	demand.heavy = own_heavy(own, now_ms);
+	g_hash_table_iter_init(&iter, placement->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (now_ms - peer->taken_ms >= REPORT_LIFE_MS)
+			continue;
+		for (i = 0; i < peer->report.demand_count; i++) {
+			if (peer->report.demands[i].service != service)
+				continue;
+			demand.light +=
+			    peer->report.demands[i].light / THOUSANDTHS;
+			demand.heavy +=
+			    peer->report.demands[i].heavy / THOUSANDTHS;
+		}
+	}
+	return demand;
+}
+
+static void
+add_report(struct placement *placement, const struct peer_work *peer,
+    int64_t now_ms)
+{
+	struct placement_upstream *upstream;
+	struct placement_load *others;
+	const struct work_item *item;
+	double left_ms;
+	uint32_t i;
+
+	for (i = 0; i < peer->report.item_count; i++) {
+		item = &peer->report.items[i];
+		upstream = g_hash_table_lookup(
+		    placement->upstreams, &item->upstream_id);
+		if (upstream == NULL)
+			continue;
+		others = &upstream->others;
+		others->running += item->running;
+		others->heavy += item->heavy;
+		others->helping += item->helping;
+		others->leading += item->leading;
+		others->kv_tokens += item->kv_tokens;
+		/* Each host's work is read beside the others', so it adds. */
+		left_ms = item->read_ms - (double)(now_ms - peer->taken_ms);
+		if (left_ms > 0)
+			others->read_until_ms =
+			    MAX(others->read_until_ms, (double)now_ms) +
+			    left_ms;
+	}
+}
+
+static double
+own_light(const struct service_load *service)
+{
+	return service->light_running / LIGHT_PER_ENGINE;
+}
+
+static double
+own_heavy(const struct service_load *service, int64_t now_ms)
+{
+	struct split_demand demand = {0};
+
+	split_demand_add_rate(&demand, &service->heavy_rate, now_ms);
+	return demand.heavy;
+}
--- a/src/protocol/peer_port.h
+++ b/src/protocol/peer_port.h
@@ -20,6 +20,7 @@
 	PEER_CHANNEL_COMMAND = 4,    /**< Commands forwarded to the leader. */
 	PEER_CHANNEL_GRANT = 5,	     /**< Capacity owners and entry hosts. */
 	PEER_CHANNEL_LOAD = 6,	     /**< Load reports, cache events. */
+	PEER_CHANNEL_WORK = 7,	     /**< Between entry hosts: their work. */
 	PEER_CHANNEL_COUNT
 };
 
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -62,7 +62,7 @@
 
 enum error_code
 host_init(struct host *host, const struct settings *settings,
-    const struct document_watch *watch)
+    const struct document_watch *watch, const struct work_watch *work)
 {
 	enum error_code error;
 
@@ -70,6 +70,8 @@
 	host->settings = *settings;
 	if (watch != NULL)
 		host->watch = *watch;
+	if (work != NULL)
+		host->work = *work;
 	host->incarnation = (uint64_t)clock_wall_us();
 	random_init(&host->random, randombytes_random() | host->incarnation);
 	/* The same on all hosts, so that a request is known on each. */
@@ -342,6 +344,11 @@
 		upstream_directory_receive(
 		    &host->directory, from_host, body, size);
 		break;
+	case PEER_CHANNEL_WORK:
+		if (host->work.received != NULL)
+			host->work.received(
+			    host->work.context, from_host, body, size);
+		break;
 	case PEER_CHANNEL_COUNT:
 		break;
 	}
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -56,6 +56,14 @@
 	void *context; /**< Passed back. */
 };
 
+/** Called on the coordination thread when another entry host reports its
+ * work; may be empty. */
+struct work_watch {
+	void (*received)(
+	    void *context, uint32_t from_host, const void *body, size_t size);
+	void *context; /**< Passed back. */
+};
+
 /** A command whose caller waits until it is in force. */
 struct host_pending {
 	struct mailbox_call *call; /**< Kept call to complete. */
@@ -88,6 +96,7 @@
 	struct live_hosts live_hosts;	/**< Leader's plan. */
 	uint64_t plan_number;		/**< Names plans apart. */
 	struct document_watch watch;	/**< Who reads a document, if any. */
+	struct work_watch work;		/**< Who reads reports, if any. */
 	_Atomic int64_t override_until_ms; /**< Serves unconfirmed till then. */
 
 	struct upstream_directory directory; /**< Upstreams by gossip. */
@@ -128,10 +137,10 @@
 
 /* Life cycle (host.c) */
 
-/** Prepares all parts and starts the coordination thread; @p watch may be
+/** Prepares all parts and starts the coordination thread; the watches may be
  * NULL. Errors: of the parts; nothing is left behind then. */
 enum error_code host_init(struct host *host, const struct settings *settings,
-    const struct document_watch *watch);
+    const struct document_watch *watch, const struct work_watch *work);
 /** Planned stop, first half: no new requests; others are told. */
 void host_drain(struct host *host);
 /** Planned stop, second half, once no request runs: hands over leadership
--- a/src/service/host_documents.c
+++ b/src/service/host_documents.c
@@ -22,6 +22,12 @@
 	bool is_behind;
 };
 
+/* A report on its way out. */
+struct spread_body {
+	struct host *host;
+	GBytes *report;
+};
+
 struct gone_body {
 	char name[NAME_SIZE_MAX];
 	uint64_t incarnation;
@@ -31,6 +37,9 @@
 static void clear_read(void *body);
 static void run_heartbeat(void *coordinator, struct mailbox_call *call);
 static void run_gone(void *coordinator, struct mailbox_call *call);
+static void run_spread(void *coordinator, struct mailbox_call *call);
+static void clear_spread(void *body);
+static void send_work(void *visitor, const struct host_record *record);
 static bool is_same(
     const struct upstream_record *known, const struct upstream_record *record);
 static enum error_code read_once(struct host *host, const char *name,
@@ -41,6 +50,7 @@
 static const struct mailbox_ops read_ops = {run_read, clear_read};
 static const struct mailbox_ops heartbeat_ops = {.run = run_heartbeat};
 static const struct mailbox_ops gone_ops = {.run = run_gone};
+static const struct mailbox_ops spread_ops = {run_spread, clear_spread};
 
 enum error_code
 host_put_document(struct host *host, const char *name, uint64_t version,
@@ -149,6 +159,20 @@
 	return error;
 }
 
+void
+host_spread_work(struct host *host, const void *body, size_t size)
+{
+	struct mailbox_call *call;
+	struct spread_body *spread;
+
+	call = mailbox_call_new(&spread_ops, sizeof(*spread));
+	spread = mailbox_call_body(call);
+	spread->host = host;
+	spread->report = g_bytes_new(body, size);
+	/* The next report says it again. */
+	(void)mailbox_post(&host->mailbox, call);
+}
+
 GBytes *
 document_pack(const void *text, size_t size)
 {
@@ -282,6 +306,37 @@
 	    &host->mailbox, call, error == ERROR_STALE ? ERROR_NONE : error);
 }
 
+static void
+run_spread(void *coordinator, struct mailbox_call *call)
+{
+	struct spread_body *body = mailbox_call_body(call);
+	struct host *host = coordinator;
+
+	membership_each(&host->membership, send_work, body);
+	mailbox_complete(&host->mailbox, call, ERROR_NONE);
+}
+
+static void
+clear_spread(void *body)
+{
+	g_bytes_unref(((struct spread_body *)body)->report);
+}
+
+static void
+send_work(void *visitor, const struct host_record *record)
+{
+	struct spread_body *body = visitor;
+
+	if ((record->flags & HOST_FLAG_ENTRY) == 0 ||
+	    record->id == body->host->settings.host_id ||
+	    record->state == HOST_STATE_DEAD ||
+	    record->state == HOST_STATE_LEFT)
+		return;
+	peer_links_send(&body->host->links, record->id, PEER_CHANNEL_WORK,
+	    g_bytes_get_data(body->report, NULL),
+	    g_bytes_get_size(body->report));
+}
+
 /* True if the record says nothing that is not known. */
 static bool
 is_same(
--- a/src/service/host_documents.h
+++ b/src/service/host_documents.h
@@ -40,6 +40,9 @@
 enum error_code host_remove_upstream(
     struct host *host, const char *name, uint64_t incarnation);
 
+/** Sends a report of work to the other entry hosts; nobody waits. */
+void host_spread_work(struct host *host, const void *body, size_t size);
+
 /* Contents */
 
 /** Packs a text; the caller unrefs it. */
--- a/src/service/host_groups.c
+++ b/src/service/host_groups.c
@@ -117,7 +117,8 @@
 	if (error != ERROR_NONE)
 		return error;
 	capacity_exchange_attach_kv(&host->capacity, &groups->leases);
-	timer_subscribe_every(&host->timers, HELD_PERIOD_MS,
+	if (!host->settings.has_foreign_upstreams)
+		timer_subscribe_every(&host->timers, HELD_PERIOD_MS,
 	    (struct timer_callback){look_at_held, host}, NULL);
 	settings = group_default_settings();
 	return group_table_init(
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/event_log.h"
+#include "service/host_documents.h"
 #include "service/relay_parts.h"
 
 #define TIMERS_MAX	   65536 /* Timers of the loop. */
@@ -11,12 +12,23 @@
 #define SLACK_SHARE	   0.8	 /* Of the slack; hosts come and go. */
 #define RECORDS_MAX	   4096	 /* Upstreams looked at. */
 #define LINGER_ROUNDS_MS   2600	 /* The balancer has noticed by then. */
+#define REPORT_PERIOD_MS 10 /* Least time between reports of work. */
 #define SERVICE_LABEL	   "service"
 #define STATUS_OK	   200
 #define STATUS_UNAVAILABLE 503
 #define STATUS_NOT_FOUND   404
 
+/* A report of another host, on its way between threads. */
+struct letter {
+	uint32_t from_host;
+	size_t size;
+	char body[];
+};
+
 static enum error_code start_loop(struct relay *relay);
+static void send_report(void *context);
+static void read_inbox(struct relay *relay);
+static void free_letter(gpointer letter);
 static enum error_code listen_at(struct relay *relay, uv_tcp_t *listener,
     const struct relay_address *address, uv_connection_cb accept);
 static void accept_caller(uv_stream_t *listener, int status);
@@ -47,6 +59,8 @@
 	random_init(&relay->random, seed);
 	placement_init(&relay->placement, &settings->placement, seed + 1);
 	relay->callers = g_hash_table_new(NULL, NULL);
+	pthread_mutex_init(&relay->inbox_mutex, NULL);
+	relay->inbox = g_ptr_array_new_with_free_func(free_letter);
 	relay->budgets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (uv_loop_init(&relay->loop) != 0)
@@ -90,6 +104,8 @@
 	pthread_join(relay->thread, NULL);
 	route_table_unref(atomic_exchange(&relay->next_table, NULL));
 	route_table_unref(relay->table);
+	g_ptr_array_unref(relay->inbox);
+	pthread_mutex_destroy(&relay->inbox_mutex);
 	upstream_pool_finish(&relay->pool);
 	placement_finish(&relay->placement);
 	g_hash_table_unref(relay->callers);
@@ -105,9 +121,35 @@
 	uv_async_send(&relay->wake);
 }
 
+void
+relay_take_report(
+    struct relay *relay, uint32_t from_host, const void *body, size_t size)
+{
+	struct letter *letter;
+
+	letter = g_malloc(sizeof(*letter) + size);
+	letter->from_host = from_host;
+	letter->size = size;
+	memcpy(letter->body, body, size);
+	pthread_mutex_lock(&relay->inbox_mutex);
+	g_ptr_array_add(relay->inbox, letter);
+	pthread_mutex_unlock(&relay->inbox_mutex);
+}
+
+void
+relay_note_work(struct relay *relay)
+{
+	if (!handle_equal(relay->report_timer, (struct handle){0}))
+		return;
+	/* Without a timer the next change tells it. */
+	(void)timer_subscribe_once(&relay->timers, REPORT_PERIOD_MS,
+	    (struct timer_callback){send_report, relay}, &relay->report_timer);
+}
+
 void
 relay_refresh(struct relay *relay)
 {
+	read_inbox(relay);
 	take_table(relay);
 	take_view(relay);
 	relay->placement.host_count =
@@ -358,6 +400,56 @@
 	g_free(records);
 }
 
+static void
+send_report(void *context)
+{
+	struct message_writer writer;
+	struct relay *relay = context;
+
+	memset(&relay->report_timer, 0, sizeof(relay->report_timer));
+	message_writer_init(&writer);
+	placement_report_write(&relay->placement, relay->host->incarnation,
+	    host_now_ms(), &writer);
+	host_spread_work(
+	    relay->host, message_data(&writer), message_size(&writer));
+	message_writer_finish(&writer);
+}
+
+static void
+read_inbox(struct relay *relay)
+{
+	const struct letter *letter;
+	enum error_code error;
+	GPtrArray *letters;
+	guint i;
+
+	pthread_mutex_lock(&relay->inbox_mutex);
+	letters = relay->inbox;
+	if (letters->len == 0) {
+		pthread_mutex_unlock(&relay->inbox_mutex);
+		return;
+	}
+	relay->inbox = g_ptr_array_new_with_free_func(free_letter);
+	pthread_mutex_unlock(&relay->inbox_mutex);
+	for (i = 0; i < letters->len; i++) {
+		letter = g_ptr_array_index(letters, i);
+		error = placement_report_take(&relay->placement,
+		    letter->from_host, letter->body, letter->size,
+		    host_now_ms());
+		if (error != ERROR_NONE && error != ERROR_STALE)
+			event_log_write(EVENT_PEER_REFUSED,
+			    "report of host %u: %s", letter->from_host,
+			    error_name(error));
+	}
+	g_ptr_array_unref(letters);
+}
+
+static void
+free_letter(gpointer letter)
+{
+	g_free(letter);
+}
+
 static bool
 fill_record(const struct fleet_entry *entry, struct placement_record *record)
 {
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -98,6 +98,9 @@
 	struct route_table *table;	/**< In force on this host. */
 	uint64_t view_version;		/**< Of the fleet's view taken. */
 	uint32_t running;		/**< Requests under way. */
+	struct handle report_timer;	/**< Until the next report of work. */
+	pthread_mutex_t inbox_mutex;	/**< Guards the inbox. */
+	GPtrArray *inbox;		/**< Reports of other hosts. */
 	struct relay_counters counters; /**< See there. */
 	_Atomic(struct route_table *) next_table; /**< To be taken over. */
 	_Atomic bool is_draining;		  /**< Ends as planned. */
@@ -127,5 +130,8 @@
 /** Puts a new table in force; takes over the reference. An older version
  * than the one held is dropped. */
 void relay_set_table(struct relay *relay, struct route_table *table);
+/** Takes another entry host's report of its work. */
+void relay_take_report(
+    struct relay *relay, uint32_t from_host, const void *body, size_t size);
 
 #endif
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -13,12 +13,14 @@
 #define STATUS_LATE	    504
 
 #define WAIT_STEP_MS	  15  /* Between tries to place a request. */
-#define WAIT_GOAL_PART	  8   /* Longest wait, as part of the goal. */
+#define WAIT_GOAL_PART	  4  /* Longest wait, as part of the goal. */
 #define RETRY_AFTER_MS	  400 /* Said when nothing better is known. */
 #define ANSWER_BYTES_MAX  (32u * 1024 * 1024) /* Of a whole answer. */
-#define STALL_MIN_MS	  1200 /* Shortest silence that is a stall. */
-#define STALL_FACTOR	  4    /* Of what was expected. */
-#define STALL_PLAIN_GOALS 3    /* Silence of a plain upstream, in goals. */
+#define SILENCE_LOOK_MS	  150  /* Between looks at a silent upstream. */
+#define PLAIN_GOALS	  3    /* Silence of a plain upstream, in goals. */
+#define PATIENCE_MIN_MS	  2000 /* Callers bear at least this silence... */
+#define PATIENCE_GOALS	  4    /* ...or the longest of so many goals... */
+#define PATIENCE_GAPS	  8    /* ...and so many pauses. */
 #define FRESH_IDLE_MS	  700  /* Kept connections for unrepeatable calls. */
 #define ANY_IDLE_MS	  INT64_MAX
 
@@ -39,21 +41,26 @@
 static void deny(
     struct relay_exchange *exchange, uint32_t status, const char *reason);
 static void read_request(struct relay_exchange *exchange);
+static void read_tokens(struct placement_request *wants, const char *text);
 static void place(struct relay_exchange *exchange);
 static void wait_for_place(
     struct relay_exchange *exchange, enum error_code error);
 static void run_wait(void *context);
 static void send_to(
     struct relay_exchange *exchange, struct placement_choice *choice);
-static void set_stall_timer(struct relay_exchange *exchange, int64_t delay_ms);
-static int64_t first_stall_ms(const struct relay_exchange *exchange);
+static void watch_silence(struct relay_exchange *exchange);
+static void run_silence(void *context);
+static int64_t patience_of(const struct route *route);
+static void note_probed(void *context, enum error_code error);
+static void leave_silent(struct relay_exchange *exchange);
 static void run_deadline(void *context);
-static void run_stall(void *context);
+static void note_heard(struct relay_exchange *exchange);
 static void note_sent(void *context);
 static void note_head(void *context, struct http_head *head);
 static void note_body(void *context, const char *data, size_t size);
 static void note_done(void *context);
 static void note_failed(void *context, enum error_code error);
+static void note_refusal(struct relay_exchange *exchange);
 static void keep_answer(struct relay_exchange *exchange);
 static void leave_upstream(struct relay_exchange *exchange);
 static void attempt_failed(
@@ -152,6 +159,7 @@
 		return false;
 	}
 	exchange->service = route_pick(exchange->route, exchange->weight_draw);
+	exchange->wants.route = exchange->route;
 	exchange->wants.service = exchange->service;
 	return true;
 }
@@ -194,12 +202,23 @@
 	}
 	text = http_head_get(&exchange->head, dialect->token_counts);
 	if (text != NULL)
-		exchange->wants.prompt_tokens = g_ascii_strtod(text, NULL);
+		read_tokens(&exchange->wants, text);
 	text = http_head_get(&exchange->head, dialect->resume_after);
 	if (text != NULL)
 		relay_events_set_last(&exchange->events, text);
 }
 
+/* "prompt,answer" */
+static void
+read_tokens(struct placement_request *wants, const char *text)
+{
+	char *mark;
+
+	wants->prompt_tokens = MAX(g_ascii_strtod(text, &mark), 0);
+	if (*mark == ',')
+		wants->answer_tokens = MAX(g_ascii_strtod(mark + 1, NULL), 0);
+}
+
 /* Sends the request to the best upstream, or waits a little for one. */
 static void
 place(struct relay_exchange *exchange)
@@ -281,17 +300,27 @@
 	g_strlcpy(exchange->upstream_name, choice->upstream->name,
 	    sizeof(exchange->upstream_name));
 	exchange->expected_ms = choice->wait_ms + choice->read_ms;
+	exchange->place = choice->upstream->place;
 	exchange->is_sent = false;
 	exchange->was_good = false;
 	exchange->verdict = 0;
-	placement_begin(&relay->placement, choice, now_ms);
-	exchange->is_placed = true;
+	placement_begin(&relay->placement, &exchange->wants, choice, now_ms,
+	    &exchange->work);
+	relay_note_work(relay);
 	if (exchange->wants.tried_count < PLACEMENT_TRIED_MAX)
 		exchange->wants.tried[exchange->wants.tried_count++] =
 		    choice->upstream->id;
 	may_repeat = attempt_may_repeat(
 	    exchange->route->kind, exchange->route->is_resumable);
 	idle_max_ms = may_repeat ? ANY_IDLE_MS : FRESH_IDLE_MS;
+	event_log_write(EVENT_REQUEST_PLACED,
+	    "%s at %s: prompt %.0f, wait %.0f, read %.0f, helpers %u, running "
+	    "%u+%u, light %u of %u by %.2f to %.2f",
+	    exchange->attempt_id, exchange->upstream_name,
+	    exchange->wants.prompt_tokens, choice->wait_ms, choice->read_ms,
+	    choice->helper_count, choice->upstream->own.running,
+	    choice->upstream->others.running, choice->light_count,
+	    choice->usable_count, choice->demand.light, choice->demand.heavy);
 	bytes = relay_request_bytes(exchange, choice, now_ms);
 	exchange->call =
 	    upstream_pool_call(&relay->pool, choice->upstream->place, bytes,
@@ -299,29 +328,108 @@
 	g_bytes_unref(bytes);
 	if (exchange->call == NULL)
 		note_failed(exchange, ERROR_CONNECTION);
-	else if (may_repeat)
-		set_stall_timer(exchange, first_stall_ms(exchange));
+	else
+		watch_silence(exchange);
 }
 
+/* Only a request that may go elsewhere is watched. */
 static void
-set_stall_timer(struct relay_exchange *exchange, int64_t delay_ms)
+watch_silence(struct relay_exchange *exchange)
 {
 	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
+	if (!attempt_may_repeat(
+		exchange->route->kind, exchange->route->is_resumable) ||
+	    exchange->sent >= exchange->route->attempts_max)
+		return;
 	/* Without a timer the deadline still ends a silent attempt. */
-	(void)timer_subscribe_once(&exchange->relay->timers, delay_ms,
-	    (struct timer_callback){run_stall, exchange},
+	(void)timer_subscribe_once(&exchange->relay->timers, SILENCE_LOOK_MS,
+	    (struct timer_callback){run_silence, exchange},
 	    &exchange->stall_timer);
 }
 
-/* Silence before the first byte that an upstream at work would not keep. */
+static void
+run_silence(void *context)
+{
+	struct relay_exchange *exchange = context;
+	struct relay *relay = exchange->relay;
+	struct silence silence = {
+	    .sent_ms = exchange->sent_ms,
+	    .since_ms = exchange->heard_ms,
+	    .expected_ms = exchange->expected_ms,
+	    .patience_ms = patience_of(exchange->route),
+	    .is_reachable = exchange->is_reachable,
+	};
+	enum silence_verdict verdict;
+	int64_t now_ms;
+
+	now_ms = host_now_ms();
+	verdict = SILENCE_WAIT;
+	if (!exchange->is_sent) {
+		/* Still connecting; that has a time limit of its own. */
+	} else if (exchange->route->kind != ROUTE_KIND_STREAM) {
+		if (now_ms - exchange->heard_ms >
+		    exchange->route->goal_ms * PLAIN_GOALS)
+			verdict = SILENCE_LEAVE;
+	} else {
+		verdict = placement_judge_silence(&relay->placement,
+		    exchange->upstream_id, &silence, now_ms);
+	}
+	if (verdict == SILENCE_LEAVE) {
+		leave_silent(exchange);
+		return;
+	}
+	watch_silence(exchange);
+	if (verdict != SILENCE_PROBE || exchange->probe != NULL)
+		return;
+	exchange->probe = upstream_pool_probe(
+	    &relay->pool, exchange->place, note_probed, exchange);
+	if (exchange->probe == NULL)
+		leave_silent(exchange);
+}
+
+/* How long callers wait for the next event before they leave. */
 static int64_t
-first_stall_ms(const struct relay_exchange *exchange)
+patience_of(const struct route *route)
+{
+	int64_t patience_ms;
+
+	patience_ms = MAX(
+	    route->goal_ms * PATIENCE_GOALS, route->gap_goal_ms * PATIENCE_GAPS);
+	return MAX(patience_ms, PATIENCE_MIN_MS);
+}
+
+static void
+note_probed(void *context, enum error_code error)
+{
+	struct relay_exchange *exchange = context;
+
+	exchange->probe = NULL;
+	exchange->is_reachable = error == ERROR_NONE;
+	if (error != ERROR_NONE)
+		leave_silent(exchange);
+}
+
+static void
+leave_silent(struct relay_exchange *exchange)
 {
-	const struct route *route = exchange->route;
+	event_log_write(EVENT_UPSTREAM_STALLED,
+	    "%s request %s silent for %lld ms, expected %.0f, reachable %d",
+	    exchange->upstream_name, exchange->attempt_id,
+	    (long long)(host_now_ms() - exchange->heard_ms),
+	    exchange->expected_ms, exchange->is_reachable);
+	if (exchange->call != NULL)
+		upstream_call_cancel(exchange->call);
+	exchange->call = NULL;
+	attempt_failed(exchange, ERROR_STALLED, true);
+}
 
-	if (route->kind != ROUTE_KIND_STREAM)
-		return route->goal_ms * STALL_PLAIN_GOALS;
-	return STALL_MIN_MS + (int64_t)(exchange->expected_ms * STALL_FACTOR);
+static void
+note_heard(struct relay_exchange *exchange)
+{
+	exchange->heard_ms = host_now_ms();
+	exchange->is_reachable = false;
+	placement_note_progress(&exchange->relay->placement,
+	    exchange->upstream_id, exchange->sent_ms, exchange->heard_ms);
 }
 
 static void
@@ -346,22 +454,6 @@
 	finish(exchange, END_REFUSED, ERROR_TIMEOUT);
 }
 
-/* Without a place to go to, a slow upstream is better than none. */
-static void
-run_stall(void *context)
-{
-	struct relay_exchange *exchange = context;
-
-	if (exchange->sent >= exchange->route->attempts_max)
-		return;
-	event_log_write(EVENT_UPSTREAM_STALLED, "%s request %s sent %u",
-	    exchange->upstream_name, exchange->attempt_id, exchange->sent);
-	if (exchange->call != NULL)
-		upstream_call_cancel(exchange->call);
-	exchange->call = NULL;
-	attempt_failed(exchange, ERROR_STALLED, true);
-}
-
 static void
 note_sent(void *context)
 {
@@ -369,6 +461,9 @@
 	struct relay *relay = exchange->relay;
 
 	exchange->is_sent = true;
+	exchange->sent_ms = host_now_ms();
+	exchange->heard_ms = exchange->sent_ms;
+	exchange->is_reachable = false;
 	if (exchange->sent > 0) {
 		retry_window_note_retry(
 		    relay_budget(relay, exchange->service), host_now_ms());
@@ -450,9 +545,7 @@
 		return;
 	}
 	if (exchange->verdict == ANSWER_NOT_RUN) {
-		exchange->is_sent = false;
-		attempt_failed(exchange, ERROR_UPSTREAM_REFUSED,
-		    exchange->coming.status == STATUS_MISDIRECTED);
+		note_refusal(exchange);
 		return;
 	}
 	if (exchange->is_answering) {
@@ -481,6 +574,24 @@
 	attempt_failed(exchange, error, true);
 }
 
+/* It did not run; the upstream may say that a helper was at fault. */
+static void
+note_refusal(struct relay_exchange *exchange)
+{
+	const char *fault;
+
+	fault = http_head_get(
+	    &exchange->coming, exchange->relay->settings.dialect.fault_at);
+	event_log_write(EVENT_REQUEST_REFUSED,
+	    "%s by %s: status %u, at fault %s, prompt %.0f tokens",
+	    exchange->attempt_id, exchange->upstream_name,
+	    exchange->coming.status, fault == NULL ? "-" : fault,
+	    exchange->wants.prompt_tokens);
+	exchange->is_sent = false;
+	attempt_failed(exchange, ERROR_UPSTREAM_REFUSED,
+	    exchange->coming.status == STATUS_MISDIRECTED);
+}
+
 /* The last whole answer stays: a further attempt may bring none. */
 static void
 keep_answer(struct relay_exchange *exchange)
@@ -497,10 +608,12 @@
 leave_upstream(struct relay_exchange *exchange)
 {
 	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
-	if (exchange->is_placed)
-		placement_end(
-		    &exchange->relay->placement, exchange->upstream_id);
-	exchange->is_placed = false;
+	if (exchange->probe != NULL)
+		upstream_call_cancel(exchange->probe);
+	exchange->probe = NULL;
+	if (exchange->work.upstream_id != 0)
+		relay_note_work(exchange->relay);
+	placement_end(&exchange->relay->placement, &exchange->work);
 }
 
 static void
@@ -577,7 +690,6 @@
 static void
 begin_events(struct relay_exchange *exchange, struct http_head *head)
 {
-	set_stall_timer(exchange, first_stall_ms(exchange));
 	if (exchange->is_answering)
 		return;
 	relay_answer_begin(exchange->caller, head);
@@ -588,7 +700,6 @@
 pass_events(struct relay_exchange *exchange, const char *data, size_t size)
 {
 	GByteArray *out;
-	int64_t pause_ms;
 
 	out = g_byte_array_new();
 	if (relay_events_take(&exchange->events, data, size, out) > 0) {
@@ -596,10 +707,16 @@
 		if (!exchange->was_good)
 			placement_note_good(
 			    &exchange->relay->placement, exchange->upstream_id);
+		placement_note_read(
+		    &exchange->relay->placement, &exchange->work);
+		if (!exchange->was_good)
+			event_log_write(EVENT_REQUEST_STARTED,
+			    "%s at %s after %lld ms, expected %.0f",
+			    exchange->attempt_id, exchange->upstream_name,
+			    (long long)(host_now_ms() - exchange->sent_ms),
+			    exchange->expected_ms);
 		exchange->was_good = true;
-		pause_ms = exchange->route->gap_goal_ms * STALL_FACTOR;
-		if (exchange->route->is_resumable)
-			set_stall_timer(exchange, MAX(pause_ms, STALL_MIN_MS));
+		note_heard(exchange);
 	}
 	g_byte_array_unref(out);
 }
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -63,7 +63,7 @@
 	uint32_t unsent;		   /**< That found no connection. */
 	bool is_sent;			   /**< The one under way was sent. */
 	bool may_have_run;		   /**< Some attempt may have run. */
-	bool is_placed;			   /**< Counted at the upstream. */
+	struct placement_work work; /**< Counted at the upstream. */
 	bool was_good;			   /**< The upstream showed progress. */
 	double expected_ms; /**< Predicted time to the first byte. */
 
@@ -77,7 +77,12 @@
 	struct relay_events events;  /**< Of a stream. */
 
 	struct handle deadline_timer; /**< Time limit. */
-	struct handle stall_timer;    /**< Silence of the upstream. */
+	struct handle stall_timer;    /**< Looks at the upstream's silence. */
+	struct upstream_call *probe;  /**< Sees whether it can be reached. */
+	uint64_t place;		      /**< Where the upstream listens. */
+	int64_t sent_ms;	      /**< When the attempt was sent. */
+	int64_t heard_ms;	      /**< Its last byte, or sent_ms. */
+	bool is_reachable;	      /**< A probe got through since. */
 	struct handle wait_timer;     /**< Until the next try to place it. */
 	int64_t wait_until_ms;	      /**< Longest wait for a place. */
 };
@@ -125,6 +130,8 @@
 
 /** Takes over a newer table and a newer view of the fleet, if any. */
 void relay_refresh(struct relay *relay);
+/** The work at upstreams changed: other hosts are told soon. */
+void relay_note_work(struct relay *relay);
 /** This host's share of the slack in retries. */
 double relay_retry_slack(const struct relay *relay);
 /** The retry budget of a service. */
--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -63,7 +63,7 @@
 		error = ERROR_NO_MEMORY;
 		goto free_memory;
 	}
-	error = host_init(host, settings, NULL);
+	error = host_init(host, settings, NULL, NULL);
 	if (error != ERROR_NONE) {
 		event_log_write(EVENT_LISTEN_FAILED, "%s", error_name(error));
 		goto free_memory;
--- a/src/service/settings.h
+++ b/src/service/settings.h
@@ -91,6 +91,8 @@
 
 	/* Set by code, not by the file: for hosts that find each other. */
 	bool is_entry;		/**< Takes callers' requests. */
+	bool has_foreign_upstreams; /**< They don't speak our own control
+					 interface: never ask what they hold. */
 	uint32_t voters_wanted; /**< Voters kept by the leader, 0: by hand. */
 	uint32_t copies_min;	/**< Voters that hold what is acknowledged. */
 
--- a/src/transport/peer_queue.c
+++ b/src/transport/peer_queue.c
@@ -77,6 +77,7 @@
 {
 	switch (channel) {
 	case PEER_CHANNEL_LOAD:
+	case PEER_CHANNEL_WORK:
 		return DROP_LOAD;
 	case PEER_CHANNEL_MEMBERSHIP:
 		return DROP_GOSSIP;
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -32,6 +32,8 @@
 	enum call_state state;
 	uint64_t place;
 	GBytes *request;
+	void (*probed)(void *context, enum error_code error);
+	void *probe_context;
 	bool is_head_method;
 	bool is_interim;  /* Reads a 1xx answer. */
 	bool may_be_kept; /* So far nothing speaks against it. */
@@ -48,6 +50,7 @@
 static void close_call(struct upstream_call *call);
 static void fail(struct upstream_call *call, enum error_code error);
 static void keep(struct upstream_call *call);
+static void end_probe(struct upstream_call *call, enum error_code error);
 static void run_connect_timeout(void *context);
 static void run_idle_timeout(void *context);
 static void note_opened(void *context, enum error_code error);
@@ -135,6 +138,20 @@
 	return call;
 }
 
+struct upstream_call *
+upstream_pool_probe(struct upstream_pool *pool, uint64_t place,
+    void (*done)(void *context, enum error_code error), void *context)
+{
+	struct upstream_call *call;
+
+	call = open_call(pool, place);
+	if (call == NULL)
+		return NULL;
+	call->probed = done;
+	call->probe_context = context;
+	return call;
+}
+
 void
 upstream_call_cancel(struct upstream_call *call)
 {
@@ -245,7 +262,9 @@
 	enum call_state state = call->state;
 
 	close_call(call);
-	if (state == CALL_CONNECTING || state == CALL_BUSY)
+	if (call->probed != NULL)
+		end_probe(call, error);
+	else if (state == CALL_CONNECTING || state == CALL_BUSY)
 		ops.failed(ops.context, error);
 }
 
@@ -277,6 +296,15 @@
 	g_queue_push_head(queue, call);
 }
 
+static void
+end_probe(struct upstream_call *call, enum error_code error)
+{
+	void (*probed)(void *context, enum error_code error) = call->probed;
+
+	call->probed = NULL;
+	probed(call->probe_context, error);
+}
+
 static void
 run_connect_timeout(void *context)
 {
@@ -299,6 +327,13 @@
 		fail(call, error);
 		return;
 	}
+	if (call->probed != NULL) {
+		call->may_be_kept = true;
+		call->keep_ms = IDLE_DEFAULT_MS;
+		keep(call);
+		end_probe(call, ERROR_NONE);
+		return;
+	}
 	call->state = CALL_BUSY;
 	send_request(call);
 }
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -70,6 +70,11 @@
     const struct upstream_call_ops *ops);
 /** Gives a call up: its connection is closed, no more calls come. */
 void upstream_call_cancel(struct upstream_call *call);
+/** Tries to connect, without a request; @p done gets ERROR_NONE, or why not.
+ * The connection is kept for later calls. NULL if it can't even be tried. */
+struct upstream_call *upstream_pool_probe(struct upstream_pool *pool,
+    uint64_t place, void (*done)(void *context, enum error_code error),
+    void *context);
 /** Closes idle connections to a place that serves no more. */
 void upstream_pool_forget(struct upstream_pool *pool, uint64_t place);
 
