Long prompts take turns among all hosts

Ruled out: memory, reads stopped by writers (trials with one engine for all). Change: a long prompt waits at its host until those before it are almost read; hosts report the best that waits; least work first, age makes up.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -40,6 +40,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	placement->profiles =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	placement->waiters = g_ptr_array_new();
 }
 
 void
@@ -51,6 +52,7 @@
 	g_hash_table_unref(placement->peers);
 	g_hash_table_unref(placement->services);
 	g_hash_table_unref(placement->profiles);
+	g_ptr_array_unref(placement->waiters);
 	memset(placement, 0, sizeof(*placement));
 }
 
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -90,10 +90,21 @@
 	const struct route_service *service; /**< Which service. */
 	double prompt_tokens;		     /**< 0 for a plain request. */
 	double answer_tokens;		     /**< At most. */
+	int64_t arrived_ms;		     /**< When the request came. */
+	int64_t deadline_ms;		     /**< When its answer must end. */
 	uint32_t tried_count;		     /**< In use below. */
 	uint64_t tried[PLACEMENT_TRIED_MAX]; /**< Ids not to use again. */
 };
 
+/** A long prompt that waits for its turn. Zero waits for nothing. */
+struct placement_waiter {
+	uint64_t service;   /**< Hash of its service; 0 while not waiting. */
+	double work_ms;	    /**< Of one engine, to read it. */
+	int64_t since_ms;   /**< When its caller's request came. */
+	int64_t goal_ms;    /**< Answer wanted by, from then on. */
+	int64_t useless_ms; /**< Time at which to begin is of no use. */
+};
+
 /** Where it goes. */
 struct placement_choice {
 	struct placement_upstream *upstream; /**< Until the next update. */
@@ -145,6 +156,7 @@
 	GHashTable *peers;     /**< Host id to its last report, see source. */
 	GHashTable *services;  /**< Hash to struct service_load, see source. */
 	GHashTable *profiles;  /**< Route to its mean prompt, see source. */
+	GPtrArray *waiters;    /**< struct placement_waiter of this host. */
 	uint32_t host_count;   /**< Entry hosts that share the fleet. */
 	uint64_t report_number; /**< Of the last own report. */
 	bool is_stale;		/**< The others' loads are to be summed up. */
@@ -164,10 +176,19 @@
 /* Placing */
 
 /** Picks an upstream and its helpers. Errors: ERROR_NO_UPSTREAM if none is
- * usable, ERROR_NO_CAPACITY if all must be left alone just now. */
+ * usable, ERROR_NO_CAPACITY if all must be left alone just now,
+ * ERROR_CHANGE_PENDING if it is not the turn of a long prompt: @p waiter then
+ * waits, and it is asked again soon, ERROR_DEADLINE_UNREACHABLE if its turn
+ * comes too late to be of use. */
 enum error_code placement_pick(struct placement *placement,
     const struct placement_request *request, int64_t now_ms,
-    struct placement_choice *choice);
+    struct placement_waiter *waiter, struct placement_choice *choice);
+/** Waits no more; one that does not wait is no error. */
+void placement_wait_end(
+    struct placement *placement, struct placement_waiter *waiter);
+/** Milliseconds until the long prompts that wait now are read. */
+int64_t placement_wait_estimate(struct placement *placement,
+    const struct route_service *service, int64_t now_ms);
 /** A request goes to what was picked; @p work keeps what is counted. */
 void placement_begin(struct placement *placement,
     const struct placement_request *request,
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -30,6 +30,15 @@
 /** The load of a service, made when it is new. */
 struct service_load *placement_service(
     struct placement *placement, uint64_t hash);
+/** Rank of a long prompt among those that wait: the lowest goes first. */
+uint64_t placement_wait_key(
+    const struct placement_waiter *waiter, int64_t now_ms);
+/** The lowest key of all hosts but for @p except's; UINT64_MAX for none. */
+uint64_t placement_best_key(struct placement *placement, uint64_t service,
+    const struct placement_waiter *except, int64_t now_ms);
+/** Work of all long prompts that wait, in milliseconds of one engine. */
+double placement_waiting_ms(
+    struct placement *placement, uint64_t service, int64_t now_ms);
 /** Sums the other hosts' work up, if a report came since. */
 void placement_sum_others(struct placement *placement, int64_t now_ms);
 /** What all hosts ask of a service. */
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -1,4 +1,3 @@
-#include <math.h>
 #include <string.h>
 
 #include "coordination/placement_parts.h"
@@ -11,14 +10,14 @@
 #define FULL_COST_MS	    90.0  /* A request beyond the slots waits. */
 #define MEMORY_COST_MS	    4000.0 /* One without memory waits long. */
 #define FAR_COST_MS	    0.6	   /* Another data centre. */
-#define WRONG_SIDE_COST_MS  350.0 /* Short beside long, or long beside short. */
+#define SHORT_ASTRAY_COST_MS 350.0  /* A short prompt beside long ones. */
+#define LONG_ASTRAY_COST_MS 1500.0 /* A long prompt beside short ones. */
 #define TOKENS_PER_PART	    2500.0 /* A part should be worth its hop. */
 #define HELPING_SPARED	    2u /* News of other hosts comes late. */
 #define FULL_GOAL_PART	    0.85 /* Of the goal: work that may wait. */
-#define LEAST_GOAL_PART	    0.25 /* The same for the largest prompts. */
-#define WORK_NORMAL_MS	    1000.0 /* Larger work waits for less backlog. */
-#define WORK_POWER	    0.4
-#define IDLE_BACKLOG_MS	    60.0 /* So little backlog is none. */
+#define SMALL_WORK_MS	    800.0 /* Less is never in the way. */
+#define NEXT_BACKLOG_MS	    80.0 /* Unread work when the next is due. */
+#define UNREAD_MAX	    1u
 #define HEAVY_GAP_PART	    0.4	 /* Longer to read than so much of the pause. */
 #define PROFILE_WEIGHT	    0.05 /* Of the latest prompt in the average. */
 #define MS_PER_S	    1000.0
@@ -37,6 +36,7 @@
 	const struct placement_request *request;
 	int64_t now_ms;
 	bool is_heavy;
+	bool is_too_large;
 	uint64_t kv_tokens;
 	uint64_t light_rank_max; /* Ranks up to it take short prompts. */
 	uint32_t usable_count;
@@ -44,6 +44,13 @@
 	struct split_demand demand;
 };
 
+/* The engines that take long prompts, together. */
+struct long_side {
+	double backlog_ms; /* Mean of unread work. */
+	uint32_t unread;   /* Long prompts that are being read. */
+	uint32_t engines;
+};
+
 static bool is_heavy_request(
     struct placement *placement, const struct placement_request *request);
 static uint64_t find_light_rank(struct gathering *gathering);
@@ -60,7 +67,12 @@
     const struct placement_upstream *upstream, bool is_light);
 static double backlog_of(
     const struct placement_upstream *upstream, int64_t now_ms);
-static bool is_admitted(
+static enum error_code take_turn(const struct gathering *gathering,
+    const GArray *candidates, struct placement_waiter *waiter);
+static void begin_wait(const struct gathering *gathering,
+    const struct long_side *side, double work_ms,
+    struct placement_waiter *waiter);
+static struct long_side look_at_long_side(
     const struct gathering *gathering, const GArray *candidates);
 static void choose_helpers(const struct gathering *gathering,
     const GArray *candidates, struct placement_choice *choice);
@@ -72,7 +84,7 @@
 enum error_code
 placement_pick(struct placement *placement,
     const struct placement_request *request, int64_t now_ms,
-    struct placement_choice *choice)
+    struct placement_waiter *waiter, struct placement_choice *choice)
 {
 	struct gathering gathering = {
 	    .placement = placement,
@@ -81,6 +93,7 @@
 	    .light_rank_max = UINT64_MAX,
 	};
 	const struct candidate *best;
+	enum error_code error;
 	GArray *candidates;
 
 	memset(choice, 0, sizeof(*choice));
@@ -89,6 +102,9 @@
 		gathering.is_heavy = is_heavy_request(placement, request);
 		gathering.kv_tokens =
 		    (uint64_t)(request->prompt_tokens + request->answer_tokens);
+		/* No engine has the memory: it is refused, not read. */
+		gathering.is_too_large =
+		    gathering.kv_tokens > request->service->engine.kv_tokens;
 		gathering.light_rank_max = find_light_rank(&gathering);
 	}
 	candidates = gather(&gathering);
@@ -97,9 +113,12 @@
 		return gathering.usable_count == 0 ? ERROR_NO_UPSTREAM
 						   : ERROR_NO_CAPACITY;
 	}
-	if (gathering.is_heavy && !is_admitted(&gathering, candidates)) {
-		g_array_unref(candidates);
-		return ERROR_NO_CAPACITY;
+	if (gathering.is_heavy && !gathering.is_too_large) {
+		error = take_turn(&gathering, candidates, waiter);
+		if (error != ERROR_NONE) {
+			g_array_unref(candidates);
+			return error;
+		}
 	}
 	best = &g_array_index(candidates, struct candidate, 0);
 	choice->upstream = best->upstream;
@@ -109,7 +128,7 @@
 	choice->light_count = gathering.light_count;
 	choice->usable_count = gathering.usable_count;
 	choice->demand = gathering.demand;
-	if (gathering.kv_tokens > 0) {
+	if (gathering.kv_tokens > 0 && !gathering.is_too_large) {
 		choice->whole_read_ms = engine_read_ms(
 		    &request->service->engine, request->prompt_tokens);
 		if (gathering.is_heavy)
@@ -121,6 +140,29 @@
 	return ERROR_NONE;
 }
 
+int64_t
+placement_wait_estimate(struct placement *placement,
+    const struct route_service *service, int64_t now_ms)
+{
+	const struct placement_upstream *upstream;
+	uint32_t engines;
+	GHashTableIter iter;
+	double work_ms;
+
+	work_ms = placement_waiting_ms(
+	    placement, placement_service_hash(service->name), now_ms);
+	engines = 0;
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (!upstream->is_usable ||
+		    strcmp(upstream->service, service->name) != 0)
+			continue;
+		work_ms += backlog_of(upstream, now_ms);
+		engines++;
+	}
+	return engines == 0 ? 0 : (int64_t)(work_ms / engines);
+}
+
 double
 engine_read_ms(const struct engine_speed *engine, double tokens)
 {
@@ -178,7 +220,7 @@
 	gathering->demand = placement_demand(gathering->placement,
 	    placement_service_hash(gathering->request->service->name),
 	    gathering->now_ms);
-	if (gathering->is_heavy)
+	if (gathering->is_heavy && !gathering->is_too_large)
 		split_demand_add(&gathering->demand,
 		    engine_read_ms(&gathering->request->service->engine,
 			gathering->request->prompt_tokens));
@@ -317,8 +359,10 @@
 		cost_ms += FAR_COST_MS;
 	if (gathering->kv_tokens == 0)
 		return cost_ms;
-	if (is_light == gathering->is_heavy)
-		cost_ms += WRONG_SIDE_COST_MS;
+	if (is_light && gathering->is_heavy)
+		cost_ms += LONG_ASTRAY_COST_MS;
+	if (!is_light && !gathering->is_heavy)
+		cost_ms += SHORT_ASTRAY_COST_MS;
 	if (upstream->own.kv_tokens + upstream->others.kv_tokens +
 		gathering->kv_tokens >
 	    engine->kv_tokens)
@@ -336,38 +380,79 @@
 }
 
 /* Load answered: long prompts that bring more work than there are engines
- * for. Those that bring least for their work, the largest, wait until the
- * others are read; a queue that makes all of them late serves nobody. */
-static bool
-is_admitted(const struct gathering *gathering, const GArray *candidates)
+ * for. An engine reads the part that came last first, so parts of several
+ * prompts at once make all of them late: a long prompt waits here until those
+ * before it are almost read. Among those that wait the least work goes first,
+ * as it brings most for its work; waiting makes up for size. */
+static enum error_code
+take_turn(const struct gathering *gathering, const GArray *candidates,
+    struct placement_waiter *waiter)
 {
+	struct placement *placement = gathering->placement;
 	const struct placement_request *request = gathering->request;
+	struct long_side side;
+	double work_ms;
+
+	side = look_at_long_side(gathering, candidates);
+	if (side.engines == 0)
+		return ERROR_NONE;
+	work_ms = engine_read_ms(
+	    &request->service->engine, request->prompt_tokens);
+	if (work_ms < SMALL_WORK_MS &&
+	    side.backlog_ms <
+		FULL_GOAL_PART * (double)request->route->goal_ms)
+		return ERROR_NONE;
+	if (waiter->service == 0)
+		begin_wait(gathering, &side, work_ms, waiter);
+	if (gathering->now_ms >= waiter->useless_ms)
+		return ERROR_DEADLINE_UNREACHABLE;
+	if (side.backlog_ms > NEXT_BACKLOG_MS ||
+	    side.unread > UNREAD_MAX ||
+	    placement_best_key(placement, waiter->service, waiter,
+		gathering->now_ms) <
+		placement_wait_key(waiter, gathering->now_ms))
+		return ERROR_CHANGE_PENDING;
+	return ERROR_NONE;
+}
+
+static void
+begin_wait(const struct gathering *gathering, const struct long_side *side,
+    double work_ms, struct placement_waiter *waiter)
+{
+	const struct placement_request *request = gathering->request;
+
+	waiter->service = placement_service_hash(request->service->name);
+	waiter->work_ms = work_ms;
+	waiter->since_ms = request->arrived_ms;
+	waiter->goal_ms =
+	    request->route->goal_ms - (int64_t)(work_ms / side->engines);
+	/* What is left then is too short to read it and to answer. */
+	waiter->useless_ms = request->deadline_ms -
+			     (int64_t)(work_ms / side->engines) -
+			     request->route->goal_ms;
+	g_ptr_array_add(gathering->placement->waiters, waiter);
+}
+
+static struct long_side
+look_at_long_side(const struct gathering *gathering, const GArray *candidates)
+{
 	const struct candidate *candidate;
-	double backlog_ms, work_ms, part;
-	uint32_t engines;
+	const struct placement_upstream *upstream;
+	struct long_side side = {0};
 	guint i;
 
-	backlog_ms = 0;
-	engines = 0;
 	for (i = 0; i < candidates->len; i++) {
 		candidate = &g_array_index(candidates, struct candidate, i);
+		upstream = candidate->upstream;
 		if (candidate->is_light)
 			continue;
-		backlog_ms +=
-		    backlog_of(candidate->upstream, gathering->now_ms);
-		engines++;
+		side.backlog_ms += backlog_of(upstream, gathering->now_ms);
+		side.unread += upstream->own.leading + upstream->others.leading;
+		side.engines++;
 	}
-	if (engines == 0)
-		return true;
-	backlog_ms /= engines;
-	work_ms = engine_read_ms(
-	    &request->service->engine, request->prompt_tokens);
-	part =
-	    FULL_GOAL_PART * pow(WORK_NORMAL_MS / MAX(work_ms, 1), WORK_POWER);
-	part = CLAMP(part, LEAST_GOAL_PART, FULL_GOAL_PART);
-	return backlog_ms < IDLE_BACKLOG_MS ||
-	       backlog_ms + work_ms / engines <
-		   part * (double)request->route->goal_ms;
+	if (side.engines > 0)
+		side.backlog_ms /= side.engines;
+	return side;
 }
 
 /* A long prompt is read in even parts and is read when the last part is:
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -9,6 +9,8 @@
 
 static void add_report(struct placement *placement,
     const struct peer_work *peer, int64_t now_ms);
+static void fill_waiting(const struct placement *placement,
+    struct work_demand *demand, int64_t now_ms);
 static double own_light(const struct service_load *service);
 static double own_heavy(const struct service_load *service, int64_t now_ms);
 
@@ -47,8 +49,10 @@
 		report.demands[report.demand_count].service = service->hash;
 		report.demands[report.demand_count].light =
 		    (uint32_t)(own_light(service) * THOUSANDTHS);
-		report.demands[report.demand_count++].heavy =
+		report.demands[report.demand_count].heavy =
 		    (uint32_t)(own_heavy(service, now_ms) * THOUSANDTHS);
+		fill_waiting(placement, &report.demands[report.demand_count++],
+		    now_ms);
 	}
 	work_report_write(writer, &report);
 	g_free(report.items);
@@ -163,6 +167,24 @@
 	}
 }
 
+static void
+fill_waiting(const struct placement *placement, struct work_demand *demand,
+    int64_t now_ms)
+{
+	const struct placement_waiter *waiter;
+	guint i;
+
+	demand->best_key = UINT64_MAX;
+	for (i = 0; i < placement->waiters->len; i++) {
+		waiter = g_ptr_array_index(placement->waiters, i);
+		if (waiter->service != demand->service)
+			continue;
+		demand->best_key = MIN(
+		    demand->best_key, placement_wait_key(waiter, now_ms));
+		demand->waiting_ms += (uint64_t)waiter->work_ms;
+	}
+}
+
 static double
 own_light(const struct service_load *service)
 {
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -18,7 +18,7 @@
 
 /* Both lists are flat rows of numbers, in the order of the structs. */
 #define ITEM_NUMBERS   7
-#define DEMAND_NUMBERS 3
+#define DEMAND_NUMBERS 5
 
 static enum error_code read_row(const struct message_array *array,
     uint32_t from, uint32_t count, uint64_t *numbers);
@@ -54,6 +54,8 @@
 		message_add_uint(writer, report->demands[i].service);
 		message_add_uint(writer, report->demands[i].light);
 		message_add_uint(writer, report->demands[i].heavy);
+		message_add_uint(writer, report->demands[i].best_key);
+		message_add_uint(writer, report->demands[i].waiting_ms);
 	}
 }
 
@@ -167,6 +169,8 @@
 		demand->service = numbers[0];
 		demand->light = (uint32_t)numbers[1];
 		demand->heavy = (uint32_t)numbers[2];
+		demand->best_key = numbers[3];
+		demand->waiting_ms = numbers[4];
 	}
 	return ERROR_NONE;
 }
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -13,7 +13,7 @@
 #define STATUS_LATE	    504
 
 #define WAIT_STEP_MS	  15  /* Between tries to place a request. */
-#define WAIT_GOAL_PART	  4  /* Longest wait, as part of the goal. */
+#define WAIT_GOAL_PART	  8  /* Longest wait, as part of the goal. */
 #define RETRY_AFTER_MS	  400 /* Said when nothing better is known. */
 #define ANSWER_BYTES_MAX  (32u * 1024 * 1024) /* Of a whole answer. */
 #define SILENCE_LOOK_MS	  150  /* Between looks at a silent upstream. */
@@ -43,8 +43,11 @@
 static void read_request(struct relay_exchange *exchange);
 static void read_tokens(struct placement_request *wants, const char *text);
 static void place(struct relay_exchange *exchange);
+static void wait_for_turn(struct relay_exchange *exchange);
 static void wait_for_place(
     struct relay_exchange *exchange, enum error_code error);
+static int64_t retry_after_ms(
+    struct relay_exchange *exchange, enum error_code error);
 static void run_wait(void *context);
 static void send_to(
     struct relay_exchange *exchange, struct placement_choice *choice);
@@ -226,14 +229,33 @@
 	struct placement_choice choice;
 	enum error_code error;
 
+	exchange->wants.arrived_ms = exchange->arrived_ms;
+	exchange->wants.deadline_ms = exchange->deadline_ms;
 	error = placement_pick(&exchange->relay->placement, &exchange->wants,
-	    host_now_ms(), &choice);
+	    host_now_ms(), &exchange->waiter, &choice);
+	if (exchange->waiter.service != 0)
+		relay_note_work(exchange->relay);
+	if (error == ERROR_CHANGE_PENDING) {
+		wait_for_turn(exchange);
+		return;
+	}
+	placement_wait_end(&exchange->relay->placement, &exchange->waiter);
 	if (error == ERROR_NONE)
 		send_to(exchange, &choice);
 	else
 		wait_for_place(exchange, error);
 }
 
+/* Long prompts take turns; each one's turn comes or is given up by then. */
+static void
+wait_for_turn(struct relay_exchange *exchange)
+{
+	if (timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
+		(struct timer_callback){run_wait, exchange},
+		&exchange->wait_timer) != ERROR_NONE)
+		wait_for_place(exchange, ERROR_TABLE_FULL);
+}
+
 static void
 wait_for_place(struct relay_exchange *exchange, enum error_code error)
 {
@@ -241,6 +263,7 @@
 
 	now_ms = host_now_ms();
 	if (now_ms < exchange->wait_until_ms &&
+	    error != ERROR_DEADLINE_UNREACHABLE &&
 	    timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
 		(struct timer_callback){run_wait, exchange},
 		&exchange->wait_timer) == ERROR_NONE)
@@ -265,11 +288,29 @@
 	}
 	relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
 	    "no upstream can take it now",
-	    placement_retry_after(
-		&exchange->relay->placement, exchange->service, now_ms));
+	    retry_after_ms(exchange, error));
 	finish(exchange, END_REFUSED, error);
 }
 
+/* When there will be room: callers that are refused together must not come
+ * back together. */
+static int64_t
+retry_after_ms(struct relay_exchange *exchange, enum error_code error)
+{
+	struct relay *relay = exchange->relay;
+	int64_t after_ms;
+
+	if (error == ERROR_DEADLINE_UNREACHABLE)
+		after_ms = placement_wait_estimate(
+		    &relay->placement, exchange->service, host_now_ms());
+	else
+		after_ms = placement_retry_after(
+		    &relay->placement, exchange->service, host_now_ms());
+	after_ms = MAX(after_ms, RETRY_AFTER_MS);
+	return after_ms + (int64_t)random_below(&relay->random,
+			      (uint32_t)after_ms / 2 + 1);
+}
+
 static void
 run_wait(void *context)
 {
@@ -611,8 +652,9 @@
 	if (exchange->probe != NULL)
 		upstream_call_cancel(exchange->probe);
 	exchange->probe = NULL;
-	if (exchange->work.upstream_id != 0)
+	if (exchange->work.upstream_id != 0 || exchange->waiter.service != 0)
 		relay_note_work(exchange->relay);
+	placement_wait_end(&exchange->relay->placement, &exchange->waiter);
 	placement_end(&exchange->relay->placement, &exchange->work);
 }
 
@@ -709,12 +751,14 @@
 			    &exchange->relay->placement, exchange->upstream_id);
 		placement_note_read(
 		    &exchange->relay->placement, &exchange->work);
-		if (!exchange->was_good)
+		if (!exchange->was_good) {
+			relay_note_work(exchange->relay);
 			event_log_write(EVENT_REQUEST_STARTED,
 			    "%s at %s after %lld ms, expected %.0f",
 			    exchange->attempt_id, exchange->upstream_name,
 			    (long long)(host_now_ms() - exchange->sent_ms),
 			    exchange->expected_ms);
+		}
 		exchange->was_good = true;
 		note_heard(exchange);
 	}
