Large prompts wait for enough engines; the middle engine's backlog decides; come back when a start is over

Change: work that waits counts as demand, a large prompt waits while few engines are on its side, the median backlog decides whose turn it is; hosts that start say 1.5 s and more.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -99,12 +99,12 @@
 
 	work->upstream_id = upstream->id;
 	work->kv_tokens = choice->kv_tokens;
-	work->is_heavy = choice->is_heavy;
+	work->is_heavy = choice->is_heavy && !choice->is_light_led;
 	work->service = placement_service_hash(request->service->name);
 	upstream->own.running++;
 	upstream->own.kv_tokens += choice->kv_tokens;
-	work->is_unread = choice->is_heavy;
-	if (choice->is_heavy) {
+	work->is_unread = work->is_heavy;
+	if (work->is_heavy) {
 		upstream->own.heavy++;
 		upstream->own.leading++;
 	}
@@ -125,7 +125,7 @@
 	if (choice->is_heavy)
 		split_rate_add(
 		    &service->heavy_rate, choice->whole_read_ms, now_ms);
-	else
+	if (!work->is_heavy)
 		service->light_running++;
 }
 
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -109,6 +109,7 @@
 struct placement_choice {
 	struct placement_upstream *upstream; /**< Until the next update. */
 	bool is_heavy;	       /**< It has a long prompt. */
+	bool is_light_led;     /**< ...but writes beside short ones. */
 	double read_ms;	       /**< Each one's part of reading the prompt. */
 	double whole_read_ms;  /**< All parts. */
 	double wait_ms;	       /**< Work that waits there before it. */
@@ -125,7 +126,7 @@
 struct placement_work {
 	uint64_t upstream_id; /**< Where, 0 for nothing. */
 	uint64_t kv_tokens;   /**< Memory. */
-	bool is_heavy;	      /**< It has a long prompt. */
+	bool is_heavy;	      /**< Counted as one with a long prompt. */
 	bool is_unread;	      /**< ...and that is not read yet. */
 	uint64_t service;     /**< Hash of its service. */
 	uint32_t helper_count; /**< Still reading, below. */
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -17,7 +17,10 @@
 #define FULL_GOAL_PART	    0.85 /* Of the goal: work that may wait. */
 #define SMALL_WORK_MS	    800.0 /* Less is never in the way. */
 #define NEXT_BACKLOG_MS	    80.0 /* Unread work when the next is due. */
-#define UNREAD_MAX	    1u
+#define UNREAD_MAX	    1u	 /* Long prompts being read then. */
+#define ENGINES_ENOUGH	    6u	 /* For any long prompt. */
+#define PART_LONG_MS	    500.0 /* A part that fewer engines may read. */
+#define LIGHT_PART_MS	    60.0 /* A part that short prompts bear. */
 #define HEAVY_GAP_PART	    0.4	 /* Longer to read than so much of the pause. */
 #define PROFILE_WEIGHT	    0.05 /* Of the latest prompt in the average. */
 #define MS_PER_S	    1000.0
@@ -37,6 +40,8 @@
 	int64_t now_ms;
 	bool is_heavy;
 	bool is_too_large;
+	bool is_waiting;
+	bool is_light_led;
 	uint64_t kv_tokens;
 	uint64_t light_rank_max; /* Ranks up to it take short prompts. */
 	uint32_t usable_count;
@@ -46,7 +51,7 @@
 
 /* The engines that take long prompts, together. */
 struct long_side {
-	double backlog_ms; /* Mean of unread work. */
+	double backlog_ms; /* Unread work at the middle one of them. */
 	uint32_t unread;   /* Long prompts that are being read. */
 	uint32_t engines;
 };
@@ -54,8 +59,10 @@
 static bool is_heavy_request(
     struct placement *placement, const struct placement_request *request);
 static uint64_t find_light_rank(struct gathering *gathering);
+static bool is_light_led(const struct gathering *gathering);
 static gint compare_ranks(gconstpointer left, gconstpointer right);
 static gint compare_candidates(gconstpointer left, gconstpointer right);
+static gint compare_numbers(gconstpointer left, gconstpointer right);
 static GArray *gather(struct gathering *gathering);
 static bool serves(const struct placement_upstream *upstream,
     const struct placement_request *request);
@@ -69,6 +76,8 @@
     const struct placement_upstream *upstream, int64_t now_ms);
 static enum error_code take_turn(const struct gathering *gathering,
     const GArray *candidates, struct placement_waiter *waiter);
+static bool is_worth_waiting(const struct gathering *gathering,
+    const struct long_side *side, const struct placement_waiter *waiter);
 static void begin_wait(const struct gathering *gathering,
     const struct long_side *side, double work_ms,
     struct placement_waiter *waiter);
@@ -91,6 +100,7 @@
 	    .request = request,
 	    .now_ms = now_ms,
 	    .light_rank_max = UINT64_MAX,
+	    .is_waiting = waiter->service != 0,
 	};
 	const struct candidate *best;
 	enum error_code error;
@@ -106,6 +116,7 @@
 		gathering.is_too_large =
 		    gathering.kv_tokens > request->service->engine.kv_tokens;
 		gathering.light_rank_max = find_light_rank(&gathering);
+		gathering.is_light_led = is_light_led(&gathering);
 	}
 	candidates = gather(&gathering);
 	if (candidates->len == 0) {
@@ -123,6 +134,7 @@
 	best = &g_array_index(candidates, struct candidate, 0);
 	choice->upstream = best->upstream;
 	choice->is_heavy = gathering.is_heavy;
+	choice->is_light_led = gathering.is_light_led && best->is_light;
 	choice->kv_tokens = gathering.kv_tokens;
 	choice->wait_ms = backlog_of(best->upstream, now_ms);
 	choice->light_count = gathering.light_count;
@@ -220,12 +232,18 @@
 	gathering->demand = placement_demand(gathering->placement,
 	    placement_service_hash(gathering->request->service->name),
 	    gathering->now_ms);
-	if (gathering->is_heavy && !gathering->is_too_large)
+	split_demand_add(&gathering->demand,
+	    placement_waiting_ms(gathering->placement,
+		placement_service_hash(gathering->request->service->name),
+		gathering->now_ms));
+	if (gathering->is_heavy && !gathering->is_too_large &&
+	    !gathering->is_waiting)
 		split_demand_add(&gathering->demand,
 		    engine_read_ms(&gathering->request->service->engine,
 			gathering->request->prompt_tokens));
 	light = split_light_count(ranks->len, &gathering->demand);
 	gathering->light_count = light;
+	gathering->usable_count = ranks->len;
 	g_array_sort(ranks, compare_ranks);
 	rank_max = light >= ranks->len || light == 0
 		       ? UINT64_MAX
@@ -234,6 +252,26 @@
 	return rank_max;
 }
 
+/* Read in many parts, a prompt of middle size may be answered among the
+ * short ones, where passes are short and its events come evenly. */
+static bool
+is_light_led(const struct gathering *gathering)
+{
+	const struct placement_request *request = gathering->request;
+	uint32_t parts;
+	double read_ms;
+
+	if (!gathering->is_heavy || gathering->is_too_large ||
+	    gathering->usable_count <= gathering->light_count)
+		return false;
+	parts = MIN(gathering->usable_count - gathering->light_count,
+		    PLACEMENT_HELPERS_MAX) +
+		1;
+	read_ms = engine_read_ms(
+	    &request->service->engine, request->prompt_tokens);
+	return read_ms / parts < LIGHT_PART_MS;
+}
+
 static gint
 compare_ranks(gconstpointer left, gconstpointer right)
 {
@@ -253,6 +291,14 @@
 	return first->cost_ms < second->cost_ms ? -1 : 1;
 }
 
+static gint
+compare_numbers(gconstpointer left, gconstpointer right)
+{
+	double first = *(const double *)left, second = *(const double *)right;
+
+	return first == second ? 0 : first < second ? -1 : 1;
+}
+
 /* Those that may take the request, the cheapest first. */
 static GArray *
 gather(struct gathering *gathering)
@@ -263,6 +309,7 @@
 	GArray *good, *ejected;
 	GHashTableIter iter;
 
+	gathering->usable_count = 0;
 	good = g_array_new(FALSE, FALSE, sizeof(candidate));
 	ejected = g_array_new(FALSE, FALSE, sizeof(candidate));
 	g_hash_table_iter_init(&iter, placement->upstreams);
@@ -346,6 +393,7 @@
 {
 	const struct engine_speed *engine =
 	    &gathering->request->service->engine;
+	bool belongs_light;
 	double cost_ms;
 	uint32_t running;
 
@@ -359,9 +407,10 @@
 		cost_ms += FAR_COST_MS;
 	if (gathering->kv_tokens == 0)
 		return cost_ms;
-	if (is_light && gathering->is_heavy)
+	belongs_light = !gathering->is_heavy || gathering->is_light_led;
+	if (is_light && !belongs_light)
 		cost_ms += LONG_ASTRAY_COST_MS;
-	if (!is_light && !gathering->is_heavy)
+	if (!is_light && belongs_light)
 		cost_ms += SHORT_ASTRAY_COST_MS;
 	if (upstream->own.kv_tokens + upstream->others.kv_tokens +
 		gathering->kv_tokens >
@@ -406,8 +455,8 @@
 		begin_wait(gathering, &side, work_ms, waiter);
 	if (gathering->now_ms >= waiter->useless_ms)
 		return ERROR_DEADLINE_UNREACHABLE;
-	if (side.backlog_ms > NEXT_BACKLOG_MS ||
-	    side.unread > UNREAD_MAX ||
+	if (side.backlog_ms > NEXT_BACKLOG_MS || side.unread > UNREAD_MAX ||
+	    is_worth_waiting(gathering, &side, waiter) ||
 	    placement_best_key(placement, waiter->service, waiter,
 		gathering->now_ms) <
 		placement_wait_key(waiter, gathering->now_ms))
@@ -415,6 +464,17 @@
 	return ERROR_NONE;
 }
 
+/* A large prompt read by few engines is late and keeps them for long; soon
+ * there are more of them. */
+static bool
+is_worth_waiting(const struct gathering *gathering,
+    const struct long_side *side, const struct placement_waiter *waiter)
+{
+	return side->engines < ENGINES_ENOUGH &&
+	       waiter->work_ms / side->engines > PART_LONG_MS &&
+	       gathering->now_ms - waiter->since_ms < waiter->goal_ms;
+}
+
 static void
 begin_wait(const struct gathering *gathering, const struct long_side *side,
     double work_ms, struct placement_waiter *waiter)
@@ -439,19 +499,27 @@
 	const struct candidate *candidate;
 	const struct placement_upstream *upstream;
 	struct long_side side = {0};
+	double backlog_ms;
+	GArray *backlogs;
 	guint i;
 
+	backlogs = g_array_new(FALSE, FALSE, sizeof(double));
 	for (i = 0; i < candidates->len; i++) {
 		candidate = &g_array_index(candidates, struct candidate, i);
 		upstream = candidate->upstream;
 		if (candidate->is_light)
 			continue;
-		side.backlog_ms += backlog_of(upstream, gathering->now_ms);
+		backlog_ms = backlog_of(upstream, gathering->now_ms);
+		g_array_append_val(backlogs, backlog_ms);
 		side.unread += upstream->own.leading + upstream->others.leading;
-		side.engines++;
 	}
+	side.engines = backlogs->len;
+	/* The median: one engine that is kept for long stops nobody. */
+	g_array_sort(backlogs, compare_numbers);
 	if (side.engines > 0)
-		side.backlog_ms /= side.engines;
+		side.backlog_ms =
+		    g_array_index(backlogs, double, side.engines / 2);
+	g_array_unref(backlogs);
 	return side;
 }
 
--- a/src/coordination/placement_split.c
+++ b/src/coordination/placement_split.c
@@ -5,6 +5,7 @@
 #define RATE_FADE_MS  4000.0 /* Work fades to a third in this time. */
 #define HEAVY_USE	0.6  /* Of an engine, by reading long prompts. */
 #define HEAVY_PART    0.12   /* Of the engines, while long prompts come. */
+#define LIGHT_LEAST   0.6  /* Of their demand; answers come slower. */
 #define HEAVY_NOTICED 0.02   /* Less demand than this is none. */
 
 uint32_t
@@ -17,9 +18,10 @@
 	heavy_least = (uint32_t)ceil(total * HEAVY_PART);
 	light = (uint32_t)lround(
 	    total * demand->light / (demand->light + demand->heavy));
-	/* Short prompts bring more for the work that they take. */
-	if (light < demand->light)
-		light = (uint32_t)ceil(demand->light);
+	/* Short prompts bring more for the work that they take, so they get
+	 * at least what they can do with. */
+	if (light < demand->light * LIGHT_LEAST)
+		light = (uint32_t)ceil(demand->light * LIGHT_LEAST);
 	if (light > total - heavy_least)
 		light = total - heavy_least;
 	if (light == 0)
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -13,8 +13,9 @@
 #define STATUS_LATE	    504
 
 #define WAIT_STEP_MS	  15  /* Between tries to place a request. */
-#define WAIT_GOAL_PART	  8  /* Longest wait, as part of the goal. */
-#define RETRY_AFTER_MS	  400 /* Said when nothing better is known. */
+#define WAIT_GOAL_PART	  2  /* Longest wait, as part of the goal. */
+#define RETRY_AFTER_MS	  400  /* Said when nothing better is known. */
+#define START_AFTER_MS	  1500 /* A host that starts, or upstreams that do. */
 #define ANSWER_BYTES_MAX  (32u * 1024 * 1024) /* Of a whole answer. */
 #define SILENCE_LOOK_MS	  150  /* Between looks at a silent upstream. */
 #define PLAIN_GOALS	  3    /* Silence of a plain upstream, in goals. */
@@ -138,7 +139,8 @@
 	relay_refresh(relay);
 	if (relay->table == NULL) {
 		relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
-		    "no configuration yet", RETRY_AFTER_MS);
+		    "no configuration yet",
+		    retry_after_ms(exchange, ERROR_LEASE_EXPIRED));
 		finish(exchange, END_REFUSED, ERROR_LEASE_EXPIRED);
 		return false;
 	}
@@ -300,7 +302,9 @@
 	struct relay *relay = exchange->relay;
 	int64_t after_ms;
 
-	if (error == ERROR_DEADLINE_UNREACHABLE)
+	if (error == ERROR_LEASE_EXPIRED || error == ERROR_NO_UPSTREAM)
+		after_ms = START_AFTER_MS;
+	else if (error == ERROR_DEADLINE_UNREACHABLE)
 		after_ms = placement_wait_estimate(
 		    &relay->placement, exchange->service, host_now_ms());
 	else
