A waiting request waits by its own clock only

Cause: wait_line_await() slept on the machine's monotonic clock until a time of the injected one. Ruled out: a longer limit for the test. Other decision modules were searched for clocks of their own: none. Change: what waits is injected beside the clock; tests pass time on theirs. Test: test_waits_by_its_own_clock hangs on the version before (killed after 10 s), passes now.

--- a/src/base/monotonic_clock.c
+++ b/src/base/monotonic_clock.c
@@ -32,6 +32,17 @@
 	return time;
 }
 
+void
+clock_wait_until(
+    pthread_cond_t *condition, pthread_mutex_t *mutex, int64_t monotonic_ms)
+{
+	struct timespec until;
+
+	until = clock_timespec(monotonic_ms);
+	/* The caller looks at its clock again, whatever ended the wait. */
+	(void)pthread_cond_timedwait(condition, mutex, &until);
+}
+
 static int64_t
 read_us(clockid_t clock)
 {
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -271,6 +271,7 @@
 	    .prefixes = &host->prefixes,
 	    .mix = &host->mix,
 	    .now_ms = host_now_ms,
+	    .wait_until = clock_wait_until,
 	};
 
 	router_settings_fill(&parts.router);
--- a/src/service/wait_line.c
+++ b/src/service/wait_line.c
@@ -138,18 +138,14 @@
 wait_line_await(
     struct wait_line *line, struct wait_ticket *ticket, int64_t until_ms)
 {
-	struct timespec until;
 	enum error_code error;
 
 	if (until_ms > ticket->latest_start_ms)
 		until_ms = ticket->latest_start_ms;
-	until = clock_timespec(until_ms);
 	pthread_mutex_lock(&line->mutex);
-	while (!ticket->has_started) {
-		if (pthread_cond_timedwait(
-			&ticket->changed, &line->mutex, &until) != 0)
-			break;
-	}
+	while (!ticket->has_started && line->parts.now_ms() < until_ms)
+		line->parts.wait_until(
+		    &ticket->changed, &line->mutex, until_ms);
 	error = ERROR_NONE;
 	if (!ticket->has_started &&
 	    line->parts.now_ms() >= ticket->latest_start_ms) {
--- a/src/service/wait_line.h
+++ b/src/service/wait_line.h
@@ -69,6 +69,9 @@
 	struct admission_settings admission; /**< Zero for defaults. */
 	struct fair_queue_settings queue;    /**< Bounds. */
 	int64_t (*now_ms)(void);	     /**< Monotonic clock. */
+	/** Waits for a condition, at most until that clock shows a time. */
+	void (*wait_until)(pthread_cond_t *condition, pthread_mutex_t *mutex,
+	    int64_t until_ms);
 };
 
 /** The line. */
--- a/tests/test_wait_line.c
+++ b/tests/test_wait_line.c
@@ -12,10 +12,14 @@
 #include "service/wait_line.h"
 
 #define START_MS 1000000
+#define FAR_AHEAD_MS (INT64_C(1) << 50) /* Of any machine's own clock. */
 
 /* The line's clock; a test moves it, since the line takes no context. */
 static _Atomic int64_t clock_ms;
 
+/* What it shows when a test begins. */
+static int64_t start_ms = START_MS;
+
 /* Everything that a line needs. */
 struct scene {
 	struct fake_config_source table;
@@ -41,16 +45,27 @@
 	return atomic_load(&clock_ms);
 }
 
+/* Nobody signals in these tests: time passes on the fake clock only. */
+static void
+sleep_on_clock(
+    pthread_cond_t *condition, pthread_mutex_t *mutex, int64_t until_ms)
+{
+	(void)condition;
+	(void)mutex;
+	atomic_store(&clock_ms, until_ms);
+}
+
 static void
 open_scene(struct scene *scene, uint32_t granted_requests)
 {
-	struct wait_line_parts parts = {.now_ms = read_clock};
+	struct wait_line_parts parts = {
+	    .now_ms = read_clock, .wait_until = sleep_on_clock};
 	struct config_source source;
 	struct upstream_record record;
 	struct fleet_ops ops;
 
 	memset(scene, 0, sizeof(*scene));
-	atomic_store(&clock_ms, START_MS);
+	atomic_store(&clock_ms, start_ms);
 	scene->table.entries = accounts;
 	scene->table.count = 3;
 	scene->slots.grant.requests = granted_requests;
@@ -93,8 +108,8 @@
 	facts->is_idempotent = true;
 	facts->prompt_tokens = 100;
 	facts->answer_tokens_max = 10;
-	facts->admitted_ms = START_MS;
-	facts->deadline_ms = START_MS + 60000;
+	facts->admitted_ms = start_ms;
+	facts->deadline_ms = start_ms + 60000;
 }
 
 static enum error_code
@@ -141,6 +156,30 @@
 	close_scene(&scene);
 }
 
+/* A clock that is far ahead of the machine's: waiting goes by it alone. */
+static void
+test_waits_by_its_own_clock(void **state)
+{
+	struct request_facts facts[2];
+	struct wait_ticket tickets[2];
+	struct scene scene;
+
+	(void)state;
+	start_ms = FAR_AHEAD_MS;
+	open_scene(&scene, 1);
+	enter(&scene, &tickets[0], &facts[0], 1, "big");
+	assert_int_equal(
+	    enter(&scene, &tickets[1], &facts[1], 2, "big"), ERROR_NONE);
+	assert_int_equal(wait_line_await(&scene.line, &tickets[1], INT64_MAX),
+	    ERROR_DEADLINE_UNREACHABLE);
+	assert_true(
+	    atomic_load(&clock_ms) >= tickets[1].latest_start_ms);
+	leave(&scene, &tickets[1]);
+	leave(&scene, &tickets[0]);
+	close_scene(&scene);
+	start_ms = START_MS;
+}
+
 /* What can't make it any more is told at once, long before its deadline. */
 static void
 test_refused_as_soon_as_it_cannot_make_it(void **state)
@@ -244,6 +283,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_next_starts_when_room_comes_back),
+	    cmocka_unit_test(test_waits_by_its_own_clock),
 	    cmocka_unit_test(test_refused_as_soon_as_it_cannot_make_it),
 	    cmocka_unit_test(test_refusals_are_typed_and_take_nothing),
 	    cmocka_unit_test(test_nothing_starts_without_a_lease),
