--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -188,8 +188,7 @@
 }
 
 void
-placement_note_failure(
-    struct placement *placement, uint64_t id, int64_t now_ms)
+placement_note_failure(struct placement *placement, uint64_t id, int64_t now_ms)
 {
 	struct placement_upstream *upstream;
 	int64_t pause_ms;
@@ -308,8 +307,8 @@
 	g_strlcpy(upstream->name, record->name, sizeof(upstream->name));
 	g_strlcpy(
 	    upstream->service, record->service, sizeof(upstream->service));
-	upstream->is_near = strcmp(record->data_centre,
-				placement->settings.data_centre) == 0;
+	upstream->is_near =
+	    strcmp(record->data_centre, placement->settings.data_centre) == 0;
 }
 
 /* Of two upstreams at one address the one that started last is there. */
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -79,7 +79,7 @@
 	int64_t ejected_until_ms;     /**< Left alone until then. */
 	int64_t sent_ms[PLACEMENT_RATE_SLOTS]; /**< Times of late sends. */
 	uint32_t sent_next;		       /**< Place in the ring. */
-	int64_t progress_ms;	/**< Last byte of any answer. */
+	int64_t progress_ms;		       /**< Last byte of any answer. */
 	int64_t newest_good_ms; /**< Send time of the newest request that
 				     showed progress. */
 };
@@ -108,27 +108,27 @@
 /** Where it goes. */
 struct placement_choice {
 	struct placement_upstream *upstream; /**< Until the next update. */
-	bool is_heavy;	       /**< It has a long prompt. */
+	bool is_heavy;			     /**< It has a long prompt. */
 	bool is_light_led;     /**< ...but writes beside short ones. */
 	double read_ms;	       /**< Each one's part of reading the prompt. */
 	double whole_read_ms;  /**< All parts. */
 	double wait_ms;	       /**< Work that waits there before it. */
 	uint32_t light_count;  /**< Upstreams for short prompts... */
 	uint32_t usable_count; /**< ...of so many. */
-	struct split_demand demand; /**< That led to it. */
-	uint64_t kv_tokens;    /**< Memory that it takes. */
-	uint32_t helper_count; /**< In use below. */
-	uint64_t helpers[PLACEMENT_HELPERS_MAX];    /**< Ids of helpers. */
+	struct split_demand demand;		 /**< That led to it. */
+	uint64_t kv_tokens;			 /**< Memory that it takes. */
+	uint32_t helper_count;			 /**< In use below. */
+	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
 	uint64_t helper_places[PLACEMENT_HELPERS_MAX]; /**< Where they are. */
 };
 
 /** What was counted for a request; zero is nothing. */
 struct placement_work {
-	uint64_t upstream_id; /**< Where, 0 for nothing. */
-	uint64_t kv_tokens;   /**< Memory. */
-	bool is_heavy;	      /**< Counted as one with a long prompt. */
-	bool is_unread;	      /**< ...and that is not read yet. */
-	uint64_t service;     /**< Hash of its service. */
+	uint64_t upstream_id;  /**< Where, 0 for nothing. */
+	uint64_t kv_tokens;    /**< Memory. */
+	bool is_heavy;	       /**< Counted as one with a long prompt. */
+	bool is_unread;	       /**< ...and that is not read yet. */
+	uint64_t service;      /**< Hash of its service. */
 	uint32_t helper_count; /**< Still reading, below. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
 };
@@ -153,12 +153,12 @@
 struct placement {
 	struct placement_settings settings; /**< As given. */
 	struct random_source random;	    /**< Breaks ties. */
-	GHashTable *upstreams; /**< Id to struct placement_upstream. */
-	GHashTable *peers;     /**< Host id to its last report, see source. */
-	GHashTable *services;  /**< Hash to struct service_load, see source. */
-	GHashTable *profiles;  /**< Route to its mean prompt, see source. */
-	GPtrArray *waiters;    /**< struct placement_waiter of this host. */
-	uint32_t host_count;   /**< Entry hosts that share the fleet. */
+	GHashTable *upstreams;	/**< Id to struct placement_upstream. */
+	GHashTable *peers;	/**< Host id to its last report, see source. */
+	GHashTable *services;	/**< Hash to struct service_load, see source. */
+	GHashTable *profiles;	/**< Route to its mean prompt, see source. */
+	GPtrArray *waiters;	/**< struct placement_waiter of this host. */
+	uint32_t host_count;	/**< Entry hosts that share the fleet. */
 	uint64_t report_number; /**< Of the last own report. */
 	bool is_stale;		/**< The others' loads are to be summed up. */
 };
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -2,29 +2,29 @@
 
 #include "coordination/placement_parts.h"
 
-#define RATE_WINDOW_MS	    1000  /* The bound on sends is for a second. */
-#define RATE_MARGIN	    0.9	  /* Of the bound: arrivals bunch up. */
-#define EJECTED_SHARE_MAX   0.5	  /* Of a service's upstreams. */
-#define FAILURE_COST_MS	    400.0 /* Of an upstream that fails all. */
-#define RUNNING_COST_MS	    3.0	  /* A request beside slows the others. */
-#define FULL_COST_MS	    90.0  /* A request beyond the slots waits. */
-#define MEMORY_COST_MS	    4000.0 /* One without memory waits long. */
-#define FAR_COST_MS	    0.6	   /* Another data centre. */
+#define RATE_WINDOW_MS	     1000   /* The bound on sends is for a second. */
+#define RATE_MARGIN	     0.9    /* Of the bound: arrivals bunch up. */
+#define EJECTED_SHARE_MAX    0.5    /* Of a service's upstreams. */
+#define FAILURE_COST_MS	     400.0  /* Of an upstream that fails all. */
+#define RUNNING_COST_MS	     3.0    /* A request beside slows the others. */
+#define FULL_COST_MS	     90.0   /* A request beyond the slots waits. */
+#define MEMORY_COST_MS	     4000.0 /* One without memory waits long. */
+#define FAR_COST_MS	     0.6    /* Another data centre. */
 #define SHORT_ASTRAY_COST_MS 350.0  /* A short prompt beside long ones. */
-#define LONG_ASTRAY_COST_MS 1500.0 /* A long prompt beside short ones. */
-#define TOKENS_PER_PART	    2500.0 /* A part should be worth its hop. */
-#define HELPING_SPARED	    2u /* News of other hosts comes late. */
-#define FULL_GOAL_PART	    0.85 /* Of the goal: work that may wait. */
-#define SMALL_WORK_MS	    800.0 /* Less is never in the way. */
-#define NEXT_BACKLOG_MS	    80.0 /* Unread work when the next is due. */
-#define UNREAD_MAX	    1u	 /* Long prompts being read then. */
-#define ENGINES_ENOUGH	    6u	 /* For any long prompt. */
-#define PART_LONG_MS	    500.0 /* A part that fewer engines may read. */
-#define LIGHT_PART_MS	    60.0 /* A part that short prompts bear. */
-#define HEAVY_GAP_PART	    0.4	 /* Longer to read than so much of the pause. */
-#define PROFILE_WEIGHT	    0.05 /* Of the latest prompt in the average. */
-#define MS_PER_S	    1000.0
-#define PER_MILLION	    1e6
+#define LONG_ASTRAY_COST_MS  1500.0 /* A long prompt beside short ones. */
+#define TOKENS_PER_PART	     2500.0 /* A part should be worth its hop. */
+#define HELPING_SPARED	     2u	    /* News of other hosts comes late. */
+#define FULL_GOAL_PART	     0.85   /* Of the goal: work that may wait. */
+#define SMALL_WORK_MS	     800.0  /* Less is never in the way. */
+#define NEXT_BACKLOG_MS	     80.0   /* Unread work when the next is due. */
+#define UNREAD_MAX	     1u	    /* Long prompts being read then. */
+#define ENGINES_ENOUGH	     6u	    /* For any long prompt. */
+#define PART_LONG_MS	     500.0  /* A part that fewer engines may read. */
+#define LIGHT_PART_MS	     60.0   /* A part that short prompts bear. */
+#define HEAVY_GAP_PART	     0.4 /* Longer to read than so much of the pause. */
+#define PROFILE_WEIGHT	     0.05 /* Of the latest prompt in the average. */
+#define MS_PER_S	     1000.0
+#define PER_MILLION	     1e6
 
 /* A candidate and what it would cost. */
 struct candidate {
@@ -208,8 +208,8 @@
 	    PROFILE_WEIGHT * (request->prompt_tokens - profile->mean_tokens);
 	pause_ms = route->gap_goal_ms > 0 ? (double)route->gap_goal_ms
 					  : (double)route->goal_ms;
-	return engine_read_ms(&request->service->engine,
-		   profile->mean_tokens) > HEAVY_GAP_PART * pause_ms;
+	return engine_read_ms(&request->service->engine, profile->mean_tokens) >
+	       HEAVY_GAP_PART * pause_ms;
 }
 
 /* The upstreams of the lowest ranks take short prompts. */
@@ -267,8 +267,8 @@
 	parts = MIN(gathering->usable_count - gathering->light_count,
 		    PLACEMENT_HELPERS_MAX) +
 		1;
-	read_ms = engine_read_ms(
-	    &request->service->engine, request->prompt_tokens);
+	read_ms =
+	    engine_read_ms(&request->service->engine, request->prompt_tokens);
 	return read_ms / parts < LIGHT_PART_MS;
 }
 
@@ -333,9 +333,9 @@
 		else
 			g_array_append_val(good, candidate);
 	}
-	if (ejected->len > 0 && (good->len == 0 ||
-				    ejected->len > EJECTED_SHARE_MAX *
-						       gathering->usable_count))
+	if (ejected->len > 0 &&
+	    (good->len == 0 ||
+		ejected->len > EJECTED_SHARE_MAX * gathering->usable_count))
 		g_array_append_vals(good, ejected->data, ejected->len);
 	g_array_unref(ejected);
 	g_array_sort(good, compare_candidates);
@@ -373,9 +373,9 @@
 
 	if (service->cold_requests_per_s <= 0)
 		return false;
-	total = service->cold_requests_per_s *
-		    placement->settings.cold_overshoot +
-		placement->settings.cold_slack;
+	total =
+	    service->cold_requests_per_s * placement->settings.cold_overshoot +
+	    placement->settings.cold_slack;
 	bound = (uint32_t)(total * RATE_MARGIN / placement->host_count);
 	bound = CLAMP(bound, 1, PLACEMENT_RATE_SLOTS);
 	count = 0;
@@ -445,11 +445,10 @@
 	side = look_at_long_side(gathering, candidates);
 	if (side.engines == 0)
 		return ERROR_NONE;
-	work_ms = engine_read_ms(
-	    &request->service->engine, request->prompt_tokens);
+	work_ms =
+	    engine_read_ms(&request->service->engine, request->prompt_tokens);
 	if (work_ms < SMALL_WORK_MS &&
-	    side.backlog_ms <
-		FULL_GOAL_PART * (double)request->route->goal_ms)
+	    side.backlog_ms < FULL_GOAL_PART * (double)request->route->goal_ms)
 		return ERROR_NONE;
 	if (waiter->service == 0)
 		begin_wait(gathering, &side, work_ms, waiter);
@@ -457,8 +456,8 @@
 		return ERROR_DEADLINE_UNREACHABLE;
 	if (side.backlog_ms > NEXT_BACKLOG_MS || side.unread > UNREAD_MAX ||
 	    is_worth_waiting(gathering, &side, waiter) ||
-	    placement_best_key(placement, waiter->service, waiter,
-		gathering->now_ms) <
+	    placement_best_key(
+		placement, waiter->service, waiter, gathering->now_ms) <
 		placement_wait_key(waiter, gathering->now_ms))
 		return ERROR_CHANGE_PENDING;
 	return ERROR_NONE;
@@ -539,8 +538,8 @@
 	count = list_helpers(gathering, candidates, choice->upstream, helpers);
 	best_ms = choice->wait_ms + choice->whole_read_ms;
 	for (i = 0; i < count && i < most; i++) {
-		wait_ms = MAX(choice->wait_ms,
-		    backlog_of(helpers[i], gathering->now_ms));
+		wait_ms = MAX(
+		    choice->wait_ms, backlog_of(helpers[i], gathering->now_ms));
 		end_ms = wait_ms + choice->whole_read_ms / (i + 2);
 		if (end_ms >= best_ms)
 			continue;
@@ -573,8 +572,7 @@
 			0 ||
 		    is_helping_enough(candidate->upstream))
 			continue;
-		backlog_ms =
-		    backlog_of(candidate->upstream, gathering->now_ms);
+		backlog_ms = backlog_of(candidate->upstream, gathering->now_ms);
 		for (at = count; at > 0; at--) {
 			if (backlog_of(helpers[at - 1], gathering->now_ms) <=
 			    backlog_ms)
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -3,12 +3,12 @@
 
 #include "coordination/placement_parts.h"
 
-#define REPORT_LIFE_MS	  3000	/* An older report says nothing more. */
-#define LIGHT_PER_ENGINE  8.0	/* Writers that an engine bears well. */
-#define THOUSANDTHS	  1000.0
+#define REPORT_LIFE_MS	 3000 /* An older report says nothing more. */
+#define LIGHT_PER_ENGINE 8.0  /* Writers that an engine bears well. */
+#define THOUSANDTHS	 1000.0
 
-static void add_report(struct placement *placement,
-    const struct peer_work *peer, int64_t now_ms);
+static void add_report(
+    struct placement *placement, const struct peer_work *peer, int64_t now_ms);
 static void fill_waiting(const struct placement *placement,
     struct work_demand *demand, int64_t now_ms);
 static double own_light(const struct service_load *service);
@@ -51,8 +51,8 @@
 		    (uint32_t)(own_light(service) * THOUSANDTHS);
 		report.demands[report.demand_count].heavy =
 		    (uint32_t)(own_heavy(service, now_ms) * THOUSANDTHS);
-		fill_waiting(placement, &report.demands[report.demand_count++],
-		    now_ms);
+		fill_waiting(
+		    placement, &report.demands[report.demand_count++], now_ms);
 	}
 	work_report_write(writer, &report);
 	g_free(report.items);
@@ -70,8 +70,7 @@
 	error = work_report_read(body, size, &report);
 	if (error != ERROR_NONE)
 		return error;
-	peer =
-	    g_hash_table_lookup(placement->peers, GUINT_TO_POINTER(host_id));
+	peer = g_hash_table_lookup(placement->peers, GUINT_TO_POINTER(host_id));
 	if (peer != NULL && peer->report.incarnation == report.incarnation &&
 	    peer->report.number >= report.number) {
 		work_report_finish(&report);
@@ -80,8 +79,7 @@
 	peer = g_new0(struct peer_work, 1);
 	peer->report = report;
 	peer->taken_ms = now_ms;
-	g_hash_table_replace(
-	    placement->peers, GUINT_TO_POINTER(host_id), peer);
+	g_hash_table_replace(placement->peers, GUINT_TO_POINTER(host_id), peer);
 	placement->is_stale = true;
 	return ERROR_NONE;
 }
@@ -137,8 +135,8 @@
 }
 
 static void
-add_report(struct placement *placement, const struct peer_work *peer,
-    int64_t now_ms)
+add_report(
+    struct placement *placement, const struct peer_work *peer, int64_t now_ms)
 {
 	struct placement_upstream *upstream;
 	struct placement_load *others;
@@ -179,8 +177,8 @@
 		waiter = g_ptr_array_index(placement->waiters, i);
 		if (waiter->service != demand->service)
 			continue;
-		demand->best_key = MIN(
-		    demand->best_key, placement_wait_key(waiter, now_ms));
+		demand->best_key =
+		    MIN(demand->best_key, placement_wait_key(waiter, now_ms));
 		demand->waiting_ms += (uint64_t)waiter->work_ms;
 	}
 }
--- a/src/coordination/placement_split.c
+++ b/src/coordination/placement_split.c
@@ -3,9 +3,9 @@
 #include <math.h>
 
 #define RATE_FADE_MS  4000.0 /* Work fades to a third in this time. */
-#define HEAVY_USE	0.6  /* Of an engine, by reading long prompts. */
+#define HEAVY_USE     0.6    /* Of an engine, by reading long prompts. */
 #define HEAVY_PART    0.12   /* Of the engines, while long prompts come. */
-#define LIGHT_LEAST   0.6  /* Of their demand; answers come slower. */
+#define LIGHT_LEAST   0.6    /* Of their demand; answers come slower. */
 #define HEAVY_NOTICED 0.02   /* Less demand than this is none. */
 
 uint32_t
@@ -36,8 +36,8 @@
 }
 
 void
-split_demand_add_rate(struct split_demand *demand,
-    const struct split_rate *rate, int64_t now_ms)
+split_demand_add_rate(
+    struct split_demand *demand, const struct split_rate *rate, int64_t now_ms)
 {
 	demand->heavy += split_rate_at(rate, now_ms) / HEAVY_USE;
 }
--- a/src/coordination/placement_split.h
+++ b/src/coordination/placement_split.h
@@ -30,8 +30,8 @@
 /** Adds a long prompt that is about to be read to a demand. */
 void split_demand_add(struct split_demand *demand, double read_ms);
 /** Adds the present rate of work to a demand. */
-void split_demand_add_rate(struct split_demand *demand,
-    const struct split_rate *rate, int64_t now_ms);
+void split_demand_add_rate(
+    struct split_demand *demand, const struct split_rate *rate, int64_t now_ms);
 /** Adds work of @p read_ms milliseconds of one engine. */
 void split_rate_add(struct split_rate *rate, double read_ms, int64_t now_ms);
 /** Engines kept busy at the present rate. */
--- a/src/coordination/placement_wait.c
+++ b/src/coordination/placement_wait.c
@@ -42,8 +42,8 @@
 			continue;
 		for (i = 0; i < peer->report.demand_count; i++) {
 			if (peer->report.demands[i].service == service)
-				best = MIN(
-				    best, peer->report.demands[i].best_key);
+				best =
+				    MIN(best, peer->report.demands[i].best_key);
 		}
 	}
 	return best;
@@ -71,16 +71,15 @@
 			continue;
 		for (i = 0; i < peer->report.demand_count; i++) {
 			if (peer->report.demands[i].service == service)
-				total += (double)peer->report.demands[i]
-					     .waiting_ms;
+				total +=
+				    (double)peer->report.demands[i].waiting_ms;
 		}
 	}
 	return total;
 }
 
 void
-placement_wait_end(
-    struct placement *placement, struct placement_waiter *waiter)
+placement_wait_end(struct placement *placement, struct placement_waiter *waiter)
 {
 	if (waiter->service == 0)
 		return;
--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -24,6 +24,7 @@
 static int end_head(http_parser *parser);
 static int add_body(http_parser *parser, const char *data, size_t size);
 static int end_message(http_parser *parser);
+static void trim_values(struct http_head *head);
 static void make_head(struct http_head *head);
 static bool has_token(const char *list, const char *token);
 
@@ -244,10 +245,11 @@
 	struct http_head *head = &reader->head;
 
 	g_string_append_c(head->text, '\0');
+	trim_values(head);
 	reader->has_head = true;
 	if (reader->head_bytes_max > 0 &&
 	    head->target->len + head->text->len +
-		    head->fields->len * LINE_OVERHEAD >
+		    (size_t)head->fields->len * LINE_OVERHEAD >
 		reader->head_bytes_max)
 		return -1;
 	head->status = parser->status_code;
@@ -281,6 +283,24 @@
 	return 0;
 }
 
+/* White space behind a value is not part of it. */
+static void
+trim_values(struct http_head *head)
+{
+	char *value;
+	size_t size;
+	guint i;
+
+	for (i = 0; i < head->fields->len; i++) {
+		value = head->text->str +
+			g_array_index(head->fields, struct http_field, i).value;
+		size = strlen(value);
+		while (size > 0 &&
+		       (value[size - 1] == ' ' || value[size - 1] == '\t'))
+			value[--size] = '\0';
+	}
+}
+
 static void
 make_head(struct http_head *head)
 {
--- a/src/protocol/work_message.h
+++ b/src/protocol/work_message.h
@@ -26,10 +26,10 @@
 
 /** What a host asks of one service, in thousandths of an upstream. */
 struct work_demand {
-	uint64_t service; /**< Hash of the service's name. */
-	uint32_t light;	  /**< For requests with short prompts. */
-	uint32_t heavy;	  /**< For those with long ones. */
-	uint64_t best_key; /**< Of the long prompts that wait, UINT64_MAX for
+	uint64_t service;    /**< Hash of the service's name. */
+	uint32_t light;	     /**< For requests with short prompts. */
+	uint32_t heavy;	     /**< For those with long ones. */
+	uint64_t best_key;   /**< Of the long prompts that wait, UINT64_MAX for
 				none: the lowest goes first. */
 	uint64_t waiting_ms; /**< Work of those that wait. */
 };
--- a/src/service/host_groups.c
+++ b/src/service/host_groups.c
@@ -119,7 +119,7 @@
 	capacity_exchange_attach_kv(&host->capacity, &groups->leases);
 	if (!host->settings.has_foreign_upstreams)
 		timer_subscribe_every(&host->timers, HELD_PERIOD_MS,
-	    (struct timer_callback){look_at_held, host}, NULL);
+		    (struct timer_callback){look_at_held, host}, NULL);
 	settings = group_default_settings();
 	return group_table_init(
 	    &groups->groups, &settings, &ops, &host->timers, &groups->leases);
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -12,7 +12,7 @@
 #define SLACK_SHARE	   0.8	 /* Of the slack; hosts come and go. */
 #define RECORDS_MAX	   4096	 /* Upstreams looked at. */
 #define LINGER_ROUNDS_MS   2600	 /* The balancer has noticed by then. */
-#define REPORT_PERIOD_MS 10 /* Least time between reports of work. */
+#define REPORT_PERIOD_MS   10	 /* Least time between reports of work. */
 #define SERVICE_LABEL	   "service"
 #define STATUS_OK	   200
 #define STATUS_UNAVAILABLE 503
@@ -433,9 +433,9 @@
 	pthread_mutex_unlock(&relay->inbox_mutex);
 	for (i = 0; i < letters->len; i++) {
 		letter = g_ptr_array_index(letters, i);
-		error = placement_report_take(&relay->placement,
-		    letter->from_host, letter->body, letter->size,
-		    host_now_ms());
+		error =
+		    placement_report_take(&relay->placement, letter->from_host,
+			letter->body, letter->size, host_now_ms());
 		if (error != ERROR_NONE && error != ERROR_STALE)
 			event_log_write(EVENT_PEER_REFUSED,
 			    "report of host %u: %s", letter->from_host,
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -220,7 +220,8 @@
 		return;
 	g_string_append_printf(out, "%s: ", dialect->helpers);
 	for (i = 0; i < choice->helper_count; i++) {
-		address.s_addr = htonl((uint32_t)(choice->helper_places[i] >> 16));
+		address.s_addr =
+		    htonl((uint32_t)(choice->helper_places[i] >> 16));
 		inet_ntop(AF_INET, &address, text, sizeof(text));
 		g_string_append_printf(out, "%s%s:%u", i == 0 ? "" : ",", text,
 		    (unsigned int)(choice->helper_places[i] & UINT16_MAX));
--- a/src/service/relay_caller.c
+++ b/src/service/relay_caller.c
@@ -3,9 +3,10 @@
 
 #include "service/relay_parts.h"
 
-#define AHEAD_BYTES_MAX	  262144 /* Requests sent before their turn. */
-#define QUEUED_BYTES_MAX  (8u * 1024 * 1024) /* A caller that never reads. */
-#define LINGER_MS	  1000 /* A caller's time to read our last words. */
+#define AHEAD_BYTES_MAX 262144 /* Requests sent before their turn. */
+#define QUEUED_BYTES_MAX                                                       \
+	((size_t)8 * 1024 * 1024) /* A caller that never reads. */
+#define LINGER_MS	  1000	  /* A caller's time to read our last words. */
 #define STATUS_BAD	  400
 #define STATUS_TIMEOUT	  408
 #define STATUS_LARGE_BODY 413
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -12,18 +12,18 @@
 #define STATUS_UNAVAILABLE  503
 #define STATUS_LATE	    504
 
-#define WAIT_STEP_MS	  15  /* Between tries to place a request. */
-#define WAIT_GOAL_PART	  2  /* Longest wait, as part of the goal. */
-#define RETRY_AFTER_MS	  400  /* Said when nothing better is known. */
-#define START_AFTER_MS	  1500 /* A host that starts, or upstreams that do. */
-#define ANSWER_BYTES_MAX  (32u * 1024 * 1024) /* Of a whole answer. */
-#define SILENCE_LOOK_MS	  150  /* Between looks at a silent upstream. */
-#define PLAIN_GOALS	  3    /* Silence of a plain upstream, in goals. */
-#define PATIENCE_MIN_MS	  2000 /* Callers bear at least this silence... */
-#define PATIENCE_GOALS	  4    /* ...or the longest of so many goals... */
-#define PATIENCE_GAPS	  8    /* ...and so many pauses. */
-#define FRESH_IDLE_MS	  700  /* Kept connections for unrepeatable calls. */
-#define ANY_IDLE_MS	  INT64_MAX
+#define WAIT_STEP_MS	 15   /* Between tries to place a request. */
+#define WAIT_GOAL_PART	 2    /* Longest wait, as part of the goal. */
+#define RETRY_AFTER_MS	 400  /* Said when nothing better is known. */
+#define START_AFTER_MS	 1500 /* A host that starts, or upstreams that do. */
+#define ANSWER_BYTES_MAX ((size_t)32 * 1024 * 1024) /* Of a whole answer. */
+#define SILENCE_LOOK_MS	 150  /* Between looks at a silent upstream. */
+#define PLAIN_GOALS	 3    /* Silence of a plain upstream, in goals. */
+#define PATIENCE_MIN_MS	 2000 /* Callers bear at least this silence... */
+#define PATIENCE_GOALS	 4    /* ...or the longest of so many goals... */
+#define PATIENCE_GAPS	 8    /* ...and so many pauses. */
+#define FRESH_IDLE_MS	 700  /* Kept connections for unrepeatable calls. */
+#define ANY_IDLE_MS	 INT64_MAX
 
 /* How a request ended, for the log and the counters. */
 enum exchange_end {
@@ -289,8 +289,7 @@
 		return;
 	}
 	relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
-	    "no upstream can take it now",
-	    retry_after_ms(exchange, error));
+	    "no upstream can take it now", retry_after_ms(exchange, error));
 	finish(exchange, END_REFUSED, error);
 }
 
@@ -311,8 +310,8 @@
 		after_ms = placement_retry_after(
 		    &relay->placement, exchange->service, host_now_ms());
 	after_ms = MAX(after_ms, RETRY_AFTER_MS);
-	return after_ms + (int64_t)random_below(&relay->random,
-			      (uint32_t)after_ms / 2 + 1);
+	return after_ms + (int64_t)random_below(
+			      &relay->random, (uint32_t)after_ms / 2 + 1);
 }
 
 static void
@@ -416,8 +415,8 @@
 		    exchange->route->goal_ms * PLAIN_GOALS)
 			verdict = SILENCE_LEAVE;
 	} else {
-		verdict = placement_judge_silence(&relay->placement,
-		    exchange->upstream_id, &silence, now_ms);
+		verdict = placement_judge_silence(
+		    &relay->placement, exchange->upstream_id, &silence, now_ms);
 	}
 	if (verdict == SILENCE_LEAVE) {
 		leave_silent(exchange);
@@ -438,8 +437,8 @@
 {
 	int64_t patience_ms;
 
-	patience_ms = MAX(
-	    route->goal_ms * PATIENCE_GOALS, route->gap_goal_ms * PATIENCE_GAPS);
+	patience_ms = MAX(route->goal_ms * PATIENCE_GOALS,
+	    route->gap_goal_ms * PATIENCE_GAPS);
 	return MAX(patience_ms, PATIENCE_MIN_MS);
 }
 
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -63,8 +63,8 @@
 	uint32_t unsent;		   /**< That found no connection. */
 	bool is_sent;			   /**< The one under way was sent. */
 	bool may_have_run;		   /**< Some attempt may have run. */
-	struct placement_work work; /**< Counted at the upstream. */
-	struct placement_waiter waiter; /**< While it waits for its turn. */
+	struct placement_work work;	   /**< Counted at the upstream. */
+	struct placement_waiter waiter;	   /**< While it waits for its turn. */
 	bool was_good;			   /**< The upstream showed progress. */
 	double expected_ms; /**< Predicted time to the first byte. */
 
--- a/src/service/settings.h
+++ b/src/service/settings.h
@@ -90,7 +90,7 @@
 	enum unconfirmed_policy unconfirmed_policy;  /**< The same, parsed. */
 
 	/* Set by code, not by the file: for hosts that find each other. */
-	bool is_entry;		/**< Takes callers' requests. */
+	bool is_entry;		    /**< Takes callers' requests. */
 	bool has_foreign_upstreams; /**< They don't speak our own control
 					 interface: never ask what they hold. */
 	uint32_t voters_wanted; /**< Voters kept by the leader, 0: by hand. */
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -65,6 +65,8 @@
     const struct save_record *record, const char *text);
 static enum error_code store_operation(struct replicated_state *state,
     const struct save_record *record, const char *text);
+static enum error_code store_claim(struct replicated_state *state,
+    const struct save_record *record, const char *text);
 static enum error_code store_order(struct replicated_state *state,
     const struct save_record *record, const char *text);
 
@@ -330,7 +332,6 @@
 {
 	const uint64_t *numbers = record->numbers;
 	struct quarantine_record quarantine = {0};
-	struct claim_record claim = {0};
 	struct live_host host = {0};
 
 	switch (record->part) {
@@ -357,19 +358,7 @@
 	case SAVE_PART_OPERATION:
 		return store_operation(state, record, text);
 	case SAVE_PART_CLAIM:
-		if (text[0] == '\0' ||
-		    g_hash_table_contains(state->claims, text))
-			return ERROR_MALFORMED;
-		claim.key = g_strdup(text);
-		claim.fingerprint = numbers[0];
-		claim.host_id = (uint32_t)numbers[1];
-		claim.host_incarnation = numbers[2];
-		claim.request_id = numbers[3];
-		claim.state = (enum claim_state)numbers[4];
-		claim.outcome = (enum request_outcome)numbers[5];
-		claim.expires_ms = (int64_t)numbers[6];
-		replicated_add_claim(state, &claim);
-		return ERROR_NONE;
+		return store_claim(state, record, text);
 	case SAVE_PART_QUARANTINE:
 		quarantine.fingerprint = numbers[0];
 		quarantine.until_ms = (int64_t)numbers[1];
@@ -429,3 +418,24 @@
 	replicated_put_order(state, &order);
 	return ERROR_NONE;
 }
+
+static enum error_code
+store_claim(struct replicated_state *state, const struct save_record *record,
+    const char *text)
+{
+	const uint64_t *numbers = record->numbers;
+	struct claim_record claim = {0};
+
+	if (text[0] == '\0' || g_hash_table_contains(state->claims, text))
+		return ERROR_MALFORMED;
+	claim.key = g_strdup(text);
+	claim.fingerprint = numbers[0];
+	claim.host_id = (uint32_t)numbers[1];
+	claim.host_incarnation = numbers[2];
+	claim.request_id = numbers[3];
+	claim.state = (enum claim_state)numbers[4];
+	claim.outcome = (enum request_outcome)numbers[5];
+	claim.expires_ms = (int64_t)numbers[6];
+	replicated_add_claim(state, &claim);
+	return ERROR_NONE;
+}
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,444 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "coordination/placement.h"
+#include "state/upstream.h"
+
+#define ENGINES	 18
+#define START_MS 1000000
+#define PLACE(i) ((uint64_t)(0x0a000001 + (i)) << 16 | 8000)
+
+/* One host and the engines that it places on. */
+struct scene {
+	struct placement placement;
+	struct route_service service;
+	struct route chat;
+	struct route review;
+	struct placement_record records[ENGINES];
+	char names[ENGINES][16];
+};
+
+static void
+open_scene(struct scene *scene, uint64_t seed)
+{
+	static const struct placement_settings settings = {
+	    .data_centre = "a", .cold_overshoot = 1.5, .cold_slack = 5};
+	uint32_t i;
+
+	memset(scene, 0, sizeof(*scene));
+	scene->service.name = (char *)"models";
+	scene->service.has_engine = true;
+	scene->service.cold_requests_per_s = 36;
+	scene->service.engine.slots = 16;
+	scene->service.engine.kv_tokens = 405000;
+	scene->service.engine.read_tokens_per_s = 154000;
+	scene->service.engine.pairs_ms = 0.162;
+	scene->chat = (struct route){.name = (char *)"chat",
+	    .kind = ROUTE_KIND_STREAM,
+	    .goal_ms = 300,
+	    .gap_goal_ms = 250};
+	scene->review = (struct route){.name = (char *)"review",
+	    .kind = ROUTE_KIND_STREAM,
+	    .goal_ms = 3000,
+	    .gap_goal_ms = 1000};
+	placement_init(&scene->placement, &settings, seed);
+	for (i = 0; i < ENGINES; i++) {
+		snprintf(scene->names[i], sizeof(scene->names[i]), "e%u", i);
+		scene->records[i].id = upstream_id(scene->names[i]);
+		scene->records[i].incarnation = 1;
+		scene->records[i].place = PLACE(i);
+		scene->records[i].name = scene->names[i];
+		scene->records[i].service = "models";
+		scene->records[i].data_centre = "a";
+		scene->records[i].slots = 16;
+		scene->records[i].is_usable = true;
+	}
+	placement_update(&scene->placement, scene->records, ENGINES);
+}
+
+static void
+close_scene(struct scene *scene)
+{
+	placement_finish(&scene->placement);
+}
+
+static struct placement_request
+make_request(struct scene *scene, const struct route *route, double tokens,
+    int64_t now_ms)
+{
+	return (struct placement_request){
+	    .route = route,
+	    .service = &scene->service,
+	    .prompt_tokens = tokens,
+	    .answer_tokens = 600,
+	    .arrived_ms = now_ms,
+	    .deadline_ms = now_ms + 15000,
+	};
+}
+
+/* Reading alone: 182,000 tokens take 1.2 s, their pairs 2.7 s. */
+static void
+test_reading_time(void **state)
+{
+	struct scene scene;
+
+	(void)state;
+	open_scene(&scene, 1);
+	assert_in_range(
+	    (int)engine_read_ms(&scene.service.engine, 182000), 3800, 3950);
+	assert_in_range(
+	    (int)engine_read_ms(&scene.service.engine, 5000), 33, 36);
+	close_scene(&scene);
+}
+
+/* A long prompt on idle engines is read in as many parts as there may be. */
+static void
+test_long_prompt_is_read_in_parts(void **state)
+{
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene(&scene, 2);
+	request = make_request(&scene, &scene.review, 182000, START_MS);
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NONE);
+	assert_true(choice.is_heavy);
+	assert_int_equal(choice.helper_count, PLACEMENT_HELPERS_MAX);
+	assert_true(choice.read_ms < 250);
+	for (i = 0; i < choice.helper_count; i++)
+		assert_true(choice.helpers[i] != choice.upstream->id);
+	close_scene(&scene);
+}
+
+/* Load replayed: several long prompts within a quarter of a second. An engine
+ * reads the part that came last first, so the next waits its turn. */
+static void
+test_long_prompts_take_turns(void **state)
+{
+	struct placement_waiter first = {0}, second = {0}, third = {0};
+	struct placement_request request;
+	struct placement_work work = {0};
+	struct placement_choice choice;
+	struct scene scene;
+
+	(void)state;
+	open_scene(&scene, 3);
+	request = make_request(&scene, &scene.review, 182000, START_MS);
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &first, &choice),
+	    ERROR_NONE);
+	placement_wait_end(&scene.placement, &first);
+	placement_begin(&scene.placement, &request, &choice, START_MS, &work);
+	request = make_request(&scene, &scene.review, 260000, START_MS + 10);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 10, &second, &choice),
+	    ERROR_CHANGE_PENDING);
+	request = make_request(&scene, &scene.review, 120000, START_MS + 20);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 20, &third, &choice),
+	    ERROR_CHANGE_PENDING);
+	/* The first is read: the smaller one goes next, though it came last. */
+	placement_note_read(&scene.placement, &work);
+	request = make_request(&scene, &scene.review, 260000, START_MS + 10);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 300, &second, &choice),
+	    ERROR_CHANGE_PENDING);
+	request = make_request(&scene, &scene.review, 120000, START_MS + 20);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 300, &third, &choice),
+	    ERROR_NONE);
+	placement_wait_end(&scene.placement, &third);
+	placement_wait_end(&scene.placement, &second);
+	close_scene(&scene);
+}
+
+/* What can't be answered in its time any more is refused at once. */
+static void
+test_hopeless_turn_is_refused(void **state)
+{
+	struct placement_waiter waiter = {0}, other = {0};
+	struct placement_request request;
+	struct placement_work work = {0};
+	struct placement_choice choice;
+	struct scene scene;
+
+	(void)state;
+	open_scene(&scene, 4);
+	request = make_request(&scene, &scene.review, 300000, START_MS);
+	placement_pick(&scene.placement, &request, START_MS, &other, &choice);
+	placement_wait_end(&scene.placement, &other);
+	placement_begin(&scene.placement, &request, &choice, START_MS, &work);
+	request = make_request(&scene, &scene.review, 300000, START_MS);
+	request.deadline_ms = START_MS + 2000;
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 10, &waiter, &choice),
+	    ERROR_DEADLINE_UNREACHABLE);
+	placement_wait_end(&scene.placement, &waiter);
+	close_scene(&scene);
+}
+
+/* Load replayed: 36 short and 2 long prompts a second for 10 s. Short ones
+ * and the parts of long ones stay on different engines. */
+static void
+test_short_and_long_stay_apart(void **state)
+{
+	struct placement_work works[64] = {0};
+	struct placement_waiter waiter;
+	struct placement_request request;
+	struct placement_choice choice;
+	uint32_t at, i, astray, shorts;
+	struct scene scene;
+	int64_t now_ms;
+
+	(void)state;
+	open_scene(&scene, 5);
+	astray = 0;
+	shorts = 0;
+	for (at = 0; at < 360; at++) {
+		now_ms = START_MS + at * 28;
+		i = at % 64;
+		placement_note_read(&scene.placement, &works[i]);
+		placement_end(&scene.placement, &works[i]);
+		memset(&waiter, 0, sizeof(waiter));
+		request =
+		    at % 18 == 17
+			? make_request(&scene, &scene.review, 150000, now_ms)
+			: make_request(&scene, &scene.chat, 5000, now_ms);
+		if (placement_pick(&scene.placement, &request, now_ms, &waiter,
+			&choice) != ERROR_NONE) {
+			placement_wait_end(&scene.placement, &waiter);
+			continue;
+		}
+		placement_wait_end(&scene.placement, &waiter);
+		if (!choice.is_heavy && at > 100) {
+			shorts++;
+			if (choice.upstream->own.helping > 0)
+				astray++;
+		}
+		placement_begin(
+		    &scene.placement, &request, &choice, now_ms, &works[i]);
+	}
+	assert_true(shorts > 200);
+	assert_true(astray * 20 < shorts);
+	close_scene(&scene);
+}
+
+/* In no second does a host send one upstream more than its share of what a
+ * cold one bears. */
+static void
+test_cold_bound_holds_in_every_second(void **state)
+{
+	int64_t sent[2000];
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct placement_work work;
+	uint32_t count, from, i;
+	struct scene scene;
+	int64_t now_ms;
+
+	(void)state;
+	open_scene(&scene, 6);
+	scene.placement.host_count = 8;
+	placement_update(&scene.placement, scene.records, 1);
+	count = 0;
+	for (now_ms = START_MS; now_ms < START_MS + 5000; now_ms += 5) {
+		request = make_request(&scene, &scene.chat, 100, now_ms);
+		if (placement_pick(&scene.placement, &request, now_ms, &waiter,
+			&choice) != ERROR_NONE)
+			continue;
+		memset(&work, 0, sizeof(work));
+		placement_begin(
+		    &scene.placement, &request, &choice, now_ms, &work);
+		placement_end(&scene.placement, &work);
+		sent[count++] = now_ms;
+	}
+	assert_true(count > 20);
+	for (i = 0; i < count; i++) {
+		for (from = i; from > 0 && sent[i] - sent[from - 1] < 1000;
+		     from--)
+			continue;
+		/* (36 * 1.5 + 5) / 8 */
+		assert_true(i - from + 1 <= 7);
+	}
+	close_scene(&scene);
+}
+
+/* Two failures in a row put an upstream aside, but never most of them. */
+static void
+test_ejection_is_bounded(void **state)
+{
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene(&scene, 7);
+	placement_update(&scene.placement, scene.records, 4);
+	request = make_request(&scene, &scene.chat, 5000, START_MS);
+	for (i = 0; i < 2; i++) {
+		placement_note_failure(
+		    &scene.placement, scene.records[0].id, START_MS);
+		placement_note_failure(
+		    &scene.placement, scene.records[0].id, START_MS);
+	}
+	for (i = 0; i < 50; i++) {
+		assert_int_equal(placement_pick(&scene.placement, &request,
+				     START_MS + 10, &waiter, &choice),
+		    ERROR_NONE);
+		assert_true(choice.upstream->id != scene.records[0].id);
+	}
+	for (i = 1; i < 4; i++) {
+		placement_note_failure(
+		    &scene.placement, scene.records[i].id, START_MS);
+		placement_note_failure(
+		    &scene.placement, scene.records[i].id, START_MS);
+	}
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 10, &waiter, &choice),
+	    ERROR_NONE);
+	close_scene(&scene);
+}
+
+/* Addresses are used again: who started last is there. */
+static void
+test_newest_at_an_address_counts(void **state)
+{
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct scene scene;
+
+	(void)state;
+	open_scene(&scene, 8);
+	scene.records[1].place = scene.records[0].place;
+	scene.records[1].incarnation = 9;
+	placement_update(&scene.placement, scene.records, 2);
+	request = make_request(&scene, &scene.chat, 5000, START_MS);
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NONE);
+	assert_true(choice.upstream->id == scene.records[1].id);
+	request.tried[request.tried_count++] = scene.records[1].id;
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NO_CAPACITY);
+	close_scene(&scene);
+}
+
+/* Two hosts: what one reports is what the other sees, and counts once. */
+static void
+test_reports_add_up(void **state)
+{
+	struct placement_upstream *upstream;
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct placement_work work = {0};
+	struct message_writer writer;
+	struct scene here, there;
+
+	(void)state;
+	open_scene(&here, 9);
+	open_scene(&there, 10);
+	request = make_request(&there, &there.chat, 20000, START_MS);
+	placement_pick(&there.placement, &request, START_MS, &waiter, &choice);
+	placement_begin(&there.placement, &request, &choice, START_MS, &work);
+	message_writer_init(&writer);
+	placement_report_write(&there.placement, 77, START_MS, &writer);
+	assert_int_equal(
+	    placement_report_take(&here.placement, 2, message_data(&writer),
+		message_size(&writer), START_MS + 1),
+	    ERROR_NONE);
+	assert_int_equal(
+	    placement_report_take(&here.placement, 2, message_data(&writer),
+		message_size(&writer), START_MS + 1),
+	    ERROR_STALE);
+	assert_int_equal(
+	    placement_report_take(&here.placement, 2, "x", 1, START_MS + 1),
+	    ERROR_MALFORMED);
+	message_writer_finish(&writer);
+	request = make_request(&here, &here.chat, 20000, START_MS);
+	placement_pick(
+	    &here.placement, &request, START_MS + 2, &waiter, &choice);
+	upstream =
+	    g_hash_table_lookup(here.placement.upstreams, &work.upstream_id);
+	assert_int_equal(upstream->others.running, 1);
+	assert_true(choice.upstream != upstream);
+	close_scene(&here);
+	close_scene(&there);
+}
+
+/* Silence is judged by what else the upstream does. */
+static void
+test_silence(void **state)
+{
+	struct silence silence = {.sent_ms = START_MS,
+	    .since_ms = START_MS,
+	    .expected_ms = 40,
+	    .patience_ms = 2000};
+	struct scene scene;
+	uint64_t id;
+
+	(void)state;
+	open_scene(&scene, 11);
+	id = scene.records[0].id;
+	assert_int_equal(placement_judge_silence(
+			     &scene.placement, id, &silence, START_MS + 300),
+	    SILENCE_WAIT);
+	assert_int_equal(placement_judge_silence(
+			     &scene.placement, id, &silence, START_MS + 900),
+	    SILENCE_PROBE);
+	silence.is_reachable = true;
+	assert_int_equal(placement_judge_silence(
+			     &scene.placement, id, &silence, START_MS + 1000),
+	    SILENCE_WAIT);
+	assert_int_equal(placement_judge_silence(
+			     &scene.placement, id, &silence, START_MS + 1700),
+	    SILENCE_LEAVE);
+	/* It answers others that came earlier: it is only slow. */
+	placement_note_progress(
+	    &scene.placement, id, START_MS - 100, START_MS + 1600);
+	assert_int_equal(placement_judge_silence(
+			     &scene.placement, id, &silence, START_MS + 1700),
+	    SILENCE_WAIT);
+	/* It answers one that came much later: this one hangs. */
+	placement_note_progress(
+	    &scene.placement, id, START_MS + 900, START_MS + 1650);
+	assert_int_equal(placement_judge_silence(
+			     &scene.placement, id, &silence, START_MS + 1700),
+	    SILENCE_LEAVE);
+	close_scene(&scene);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_reading_time),
+	    cmocka_unit_test(test_long_prompt_is_read_in_parts),
+	    cmocka_unit_test(test_long_prompts_take_turns),
+	    cmocka_unit_test(test_hopeless_turn_is_refused),
+	    cmocka_unit_test(test_short_and_long_stay_apart),
+	    cmocka_unit_test(test_cold_bound_holds_in_every_second),
+	    cmocka_unit_test(test_ejection_is_bounded),
+	    cmocka_unit_test(test_newest_at_an_address_counts),
+	    cmocka_unit_test(test_reports_add_up),
+	    cmocka_unit_test(test_silence),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_relay_rules.c
@@ -0,0 +1,165 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "coordination/relay_rules.h"
+#include "coordination/retry_window.h"
+
+/* What each head of an answer means. */
+static const struct {
+	struct answer_facts facts;
+	enum answer_verdict verdict;
+} heads[] = {
+    /* status, own, receipt, encoded, refusal, events */
+    {{200, true, true, false, false, false}, ANSWER_WHOLE},
+    {{200, true, true, false, false, true}, ANSWER_EVENTS},
+    {{200, true, false, false, false, false}, ANSWER_FOREIGN},
+    {{200, false, true, false, false, false}, ANSWER_FOREIGN},
+    {{200, true, true, true, false, false}, ANSWER_FOREIGN},
+    {{500, true, true, false, false, false}, ANSWER_WHOLE},
+    {{500, false, true, false, false, false}, ANSWER_FOREIGN},
+    {{503, true, false, false, true, false}, ANSWER_NOT_RUN},
+    {{503, false, false, false, true, false}, ANSWER_NOT_RUN},
+    {{503, true, true, false, false, false}, ANSWER_WHOLE},
+    {{421, false, false, false, false, false}, ANSWER_NOT_RUN},
+    {{429, true, true, false, false, false}, ANSWER_WHOLE},
+};
+
+/* Where a request stands, and what is done. */
+static const struct {
+	const char *name;
+	struct attempt_state state;
+	enum attempt_step step;
+} steps[] = {
+    /* kind, resumable, may have run, answer begun, last whole, sent, most,
+     * unsent, budget, left */
+    {"a call that can't be repeated may have run",
+	{ROUTE_KIND_AT_MOST_ONCE, false, true, false, false, 1, 2, 0, true,
+	    1000},
+	ATTEMPT_FAIL},
+    {"it was refused before it ran",
+	{ROUTE_KIND_AT_MOST_ONCE, false, false, false, false, 1, 2, 0, true,
+	    1000},
+	ATTEMPT_AGAIN},
+    {"it was refused and the route allows one attempt",
+	{ROUTE_KIND_AT_MOST_ONCE, false, false, false, false, 1, 1, 0, true,
+	    1000},
+	ATTEMPT_REFUSE},
+    {"its own failure is passed on",
+	{ROUTE_KIND_AT_MOST_ONCE, false, true, false, true, 1, 2, 0, true,
+	    1000},
+	ATTEMPT_DELIVER},
+    {"an idempotent one goes elsewhere",
+	{ROUTE_KIND_IDEMPOTENT, false, true, false, false, 1, 2, 0, true, 1000},
+	ATTEMPT_AGAIN},
+    {"but not without budget",
+	{ROUTE_KIND_IDEMPOTENT, false, true, false, false, 1, 2, 0, false,
+	    1000},
+	ATTEMPT_FAIL},
+    {"nor at the end of its time",
+	{ROUTE_KIND_IDEMPOTENT, false, true, false, false, 1, 2, 0, true, 5},
+	ATTEMPT_FAIL},
+    {"a stream that has begun goes on elsewhere",
+	{ROUTE_KIND_STREAM, true, true, true, false, 1, 2, 0, true, 1000},
+	ATTEMPT_AGAIN},
+    {"it breaks when attempts are used up",
+	{ROUTE_KIND_STREAM, true, true, true, false, 2, 2, 0, true, 1000},
+	ATTEMPT_BREAK},
+    {"one that can't go on breaks",
+	{ROUTE_KIND_STREAM, false, true, true, false, 1, 2, 0, true, 1000},
+	ATTEMPT_BREAK},
+    {"a first send needs no budget",
+	{ROUTE_KIND_AT_MOST_ONCE, false, false, false, false, 0, 1, 1, false,
+	    1000},
+	ATTEMPT_AGAIN},
+    {"unreachable upstreams end it",
+	{ROUTE_KIND_AT_MOST_ONCE, false, false, false, false, 0, 1, 4, true,
+	    1000},
+	ATTEMPT_REFUSE},
+};
+
+static void
+test_heads(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(heads) / sizeof(heads[0]); i++)
+		assert_int_equal(
+		    answer_judge(&heads[i].facts), heads[i].verdict);
+}
+
+static void
+test_steps(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		if (attempt_next(&steps[i].state) != steps[i].step)
+			fail_msg("%s", steps[i].name);
+	}
+}
+
+/* Whatever state: what may have run is never called "not run". */
+static void
+test_never_refuses_what_may_have_run(void **state)
+{
+	struct attempt_state at = {.may_have_run = true, .left_ms = 1000};
+	uint32_t bits;
+
+	(void)state;
+	for (bits = 0; bits < 512; bits++) {
+		at.kind = (enum route_kind)(1 + bits % 3);
+		at.is_resumable = (bits & 4) != 0;
+		at.has_answer_begun = (bits & 8) != 0;
+		at.is_last_whole = (bits & 16) != 0;
+		at.sent = 1 + ((bits & 32) != 0);
+		at.sent_max = 2;
+		at.has_budget = (bits & 64) != 0;
+		at.unsent = (bits & 128) != 0 ? 4 : 0;
+		assert_int_not_equal(attempt_next(&at), ATTEMPT_REFUSE);
+		if (!attempt_may_repeat(at.kind, at.is_resumable))
+			assert_int_not_equal(attempt_next(&at), ATTEMPT_AGAIN);
+	}
+}
+
+/* 10 s, a fifth of the requests and a slack of 3. */
+static void
+test_budget_slides(void **state)
+{
+	struct retry_window window;
+	int64_t now_ms;
+	int i;
+
+	(void)state;
+	now_ms = 1000000;
+	retry_window_init(&window, 0.2, 10000);
+	for (i = 0; i < 10; i++)
+		retry_window_note_request(&window, now_ms);
+	for (i = 0; i < 5; i++) {
+		assert_true(retry_window_allows(&window, 3, now_ms));
+		retry_window_note_retry(&window, now_ms);
+	}
+	assert_false(retry_window_allows(&window, 3, now_ms));
+	assert_false(retry_window_allows(&window, 3, now_ms + 9900));
+	assert_true(retry_window_allows(&window, 3, now_ms + 11000));
+	/* A long pause forgets everything. */
+	assert_true(retry_window_allows(&window, 1, now_ms + 10000000));
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_heads),
+	    cmocka_unit_test(test_steps),
+	    cmocka_unit_test(test_never_refuses_what_may_have_run),
+	    cmocka_unit_test(test_budget_slides),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -314,6 +314,79 @@
 	replicated_state_finish(&other);
 }
 
+static struct command_result
+put_document(struct replicated_state *state, uint64_t version, const char *text)
+{
+	struct command command = {.type = COMMAND_DOCUMENT};
+
+	snprintf(command.body.document.name, sizeof(command.body.document.name),
+	    "routes");
+	command.body.document.version = version;
+	command.body.document.data = text;
+	command.body.document.size = strlen(text);
+	return apply(state, &command, START_MS);
+}
+
+/* The highest version stays, whatever the order, and outlives a snapshot. */
+static void
+test_newest_document_stays(void **state)
+{
+	struct command barrier = {.type = COMMAND_BARRIER};
+	const struct document *document;
+	struct replicated_state first, second;
+	struct command_result result;
+	GByteArray *saved;
+	uint64_t sequence;
+
+	(void)state;
+	replicated_state_init(&first, NULL);
+	assert_int_equal(put_document(&first, 5, "five").error, ERROR_NONE);
+	assert_int_equal(put_document(&first, 4, "four").error, ERROR_NONE);
+	assert_int_equal(put_document(&first, 5, "other").error, ERROR_NONE);
+	document = replicated_state_document(&first, "routes");
+	assert_int_equal(document->version, 5);
+	assert_int_equal(g_bytes_get_size(document->bytes), 4);
+	assert_null(replicated_state_document(&first, "none"));
+	/* A barrier orders a read; learners are not told of it. */
+	sequence = first.sequence;
+	result = apply(&first, &barrier, START_MS);
+	assert_int_equal(result.error, ERROR_NONE);
+	assert_int_equal(result.sequence, sequence);
+	assert_int_equal(first.sequence, sequence);
+	saved = replicated_state_save(&first, true);
+	replicated_state_init(&second, NULL);
+	assert_int_equal(
+	    replicated_state_load(&second, saved->data, saved->len),
+	    ERROR_NONE);
+	document = replicated_state_document(&second, "routes");
+	assert_int_equal(document->version, 5);
+	assert_memory_equal(g_bytes_get_data(document->bytes, NULL), "five", 4);
+	g_byte_array_unref(saved);
+	replicated_state_finish(&first);
+	replicated_state_finish(&second);
+}
+
+/* Hundreds of large documents: what is kept for feeds stays bounded. */
+static void
+test_kept_entries_are_bounded_by_bytes(void **state)
+{
+	struct replicated_state first;
+	char *text;
+	uint64_t i;
+
+	(void)state;
+	replicated_state_init(&first, NULL);
+	text = g_strnfill(100000, 'x');
+	for (i = 1; i <= 300; i++)
+		put_document(&first, i, text);
+	assert_true(first.public_bytes <= PUBLIC_BYTES_MAX);
+	assert_true(g_queue_get_length(first.public_entries) < 100);
+	assert_int_equal(
+	    replicated_state_document(&first, "routes")->version, 300);
+	g_free(text);
+	replicated_state_finish(&first);
+}
+
 int
 main(void)
 {
@@ -323,6 +396,8 @@
 	    cmocka_unit_test(test_orders_are_fenced),
 	    cmocka_unit_test(test_learners_follow_the_feed),
 	    cmocka_unit_test(test_snapshots),
+	    cmocka_unit_test(test_newest_document_stays),
+	    cmocka_unit_test(test_kept_entries_are_bounded_by_bytes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_wait_line.c
+++ b/tests/test_wait_line.c
@@ -11,7 +11,7 @@
 #include "fake_slots.h"
 #include "service/wait_line.h"
 
-#define START_MS 1000000
+#define START_MS     1000000
 #define FAR_AHEAD_MS (INT64_C(1) << 50) /* Of any machine's own clock. */
 
 /* The line's clock; a test moves it, since the line takes no context. */
@@ -172,8 +172,7 @@
 	    enter(&scene, &tickets[1], &facts[1], 2, "big"), ERROR_NONE);
 	assert_int_equal(wait_line_await(&scene.line, &tickets[1], INT64_MAX),
 	    ERROR_DEADLINE_UNREACHABLE);
-	assert_true(
-	    atomic_load(&clock_ms) >= tickets[1].latest_start_ms);
+	assert_true(atomic_load(&clock_ms) >= tickets[1].latest_start_ms);
 	leave(&scene, &tickets[1]);
 	leave(&scene, &tickets[0]);
 	close_scene(&scene);
