--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -18,7 +18,7 @@
 #define OWN	  "Attempt-Id: {ID}\r\nResponse-Seal: seal\r\n"
 #define WHOLE(status, body, length)                                            \
 	"HTTP/1.1 " status "\r\n" OWN "Content-Length: " length "\r\n\r"       \
-								"\n" body
+	"\n" body
 #define NOT_RUN                                                                \
 	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 #define EVENTS                                                                 \
