--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -206,6 +206,22 @@
 	upstream->ejected_until_ms = now_ms + MIN(pause_ms, EJECT_MAX_MS);
 }
 
+void
+placement_note_fault(
+    struct placement *placement, uint64_t place, int64_t now_ms)
+{
+	struct placement_upstream *upstream;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (upstream->place != place || !upstream->is_usable)
+			continue;
+		upstream->failures = MAX(upstream->failures, EJECT_AFTER - 1);
+		placement_note_failure(placement, upstream->id, now_ms);
+	}
+}
+
 void
 placement_note_progress(
     struct placement *placement, uint64_t id, int64_t sent_ms, int64_t now_ms)
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -57,6 +57,7 @@
 	uint32_t helping;     /**< Prompts of others that it helps to read. */
 	uint32_t leading;     /**< Long prompts of its own, not read yet. */
 	uint64_t kv_tokens;   /**< Memory that they take. */
+	int64_t away_until_ms; /**< Other hosts leave it alone until then. */
 };
 
 /** An upstream as it is kept. */
@@ -92,6 +93,7 @@
 	double answer_tokens;		     /**< At most. */
 	int64_t arrived_ms;		     /**< When the request came. */
 	int64_t deadline_ms;		     /**< When its answer must end. */
+	bool is_begun; /**< Its caller has part of the answer: no turns. */
 	uint32_t tried_count;		     /**< In use below. */
 	uint64_t tried[PLACEMENT_TRIED_MAX]; /**< Ids not to use again. */
 };
@@ -205,6 +207,10 @@
 /** It failed there through the upstream's fault. */
 void placement_note_failure(
     struct placement *placement, uint64_t id, int64_t now_ms);
+/** An answer named the upstream at a place as the one at fault: it is left
+ * alone at once. */
+void placement_note_fault(
+    struct placement *placement, uint64_t place, int64_t now_ms);
 /** Bytes came for a request that was sent at @p sent_ms. */
 void placement_note_progress(
     struct placement *placement, uint64_t id, int64_t sent_ms, int64_t now_ms);
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -10,6 +10,7 @@
 #define FULL_COST_MS	     90.0   /* A request beyond the slots waits. */
 #define MEMORY_COST_MS	     4000.0 /* One without memory waits long. */
 #define FAR_COST_MS	     0.6    /* Another data centre. */
+#define AWAY_COST_MS	    200.0 /* Another host leaves it alone. */
 #define SHORT_ASTRAY_COST_MS 350.0  /* A short prompt beside long ones. */
 #define LONG_ASTRAY_COST_MS  1500.0 /* A long prompt beside short ones. */
 #define TOKENS_PER_PART	     2500.0 /* A part should be worth its hop. */
@@ -88,6 +89,8 @@
 static uint32_t list_helpers(const struct gathering *gathering,
     const GArray *candidates, const struct placement_upstream *reader,
     const struct placement_upstream **helpers);
+static bool is_away(const struct gathering *gathering,
+    const struct placement_upstream *upstream);
 static bool is_helping_enough(const struct placement_upstream *upstream);
 
 enum error_code
@@ -405,6 +408,8 @@
 		cost_ms += (running - upstream->slots + 1) * FULL_COST_MS;
 	if (!upstream->is_near)
 		cost_ms += FAR_COST_MS;
+	if (upstream->others.away_until_ms > gathering->now_ms)
+		cost_ms += AWAY_COST_MS;
 	if (gathering->kv_tokens == 0)
 		return cost_ms;
 	belongs_light = !gathering->is_heavy || gathering->is_light_led;
@@ -443,7 +448,7 @@
 	double work_ms;
 
 	side = look_at_long_side(gathering, candidates);
-	if (side.engines == 0)
+	if (side.engines == 0 || request->is_begun)
 		return ERROR_NONE;
 	work_ms =
 	    engine_read_ms(&request->service->engine, request->prompt_tokens);
@@ -570,6 +575,7 @@
 		    candidate->upstream->own.leading +
 			    candidate->upstream->others.leading >
 			0 ||
+		    is_away(gathering, candidate->upstream) ||
 		    is_helping_enough(candidate->upstream))
 			continue;
 		backlog_ms = backlog_of(candidate->upstream, gathering->now_ms);
@@ -587,6 +593,16 @@
 	return count;
 }
 
+/* One helper that is gone fails the whole prompt, so what any host found is
+ * enough to do without it. */
+static bool
+is_away(const struct gathering *gathering,
+    const struct placement_upstream *upstream)
+{
+	return upstream->ejected_until_ms > gathering->now_ms ||
+	       upstream->others.away_until_ms > gathering->now_ms;
+}
+
 /* An engine helps as many others as it has slots, and refuses the next. */
 static bool
 is_helping_enough(const struct placement_upstream *upstream)
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -32,7 +32,8 @@
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
 		if (upstream->own.running == 0 &&
-		    upstream->own.read_until_ms <= (double)now_ms)
+		    upstream->own.read_until_ms <= (double)now_ms &&
+		    upstream->ejected_until_ms <= now_ms)
 			continue;
 		item = &report.items[report.item_count++];
 		item->upstream_id = upstream->id;
@@ -41,6 +42,8 @@
 		item->helping = upstream->own.helping;
 		item->leading = upstream->own.leading;
 		item->kv_tokens = upstream->own.kv_tokens;
+		item->away_ms = (uint32_t)MAX(
+		    upstream->ejected_until_ms - now_ms, 0);
 		item->read_ms = (uint32_t)MAX(
 		    upstream->own.read_until_ms - (double)now_ms, 0);
 	}
@@ -156,6 +159,8 @@
 		others->helping += item->helping;
 		others->leading += item->leading;
 		others->kv_tokens += item->kv_tokens;
+		others->away_until_ms = MAX(others->away_until_ms,
+		    peer->taken_ms + (int64_t)item->away_ms);
 		/* Each host's work is read beside the others', so it adds. */
 		left_ms = item->read_ms - (double)(now_ms - peer->taken_ms);
 		if (left_ms > 0)
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -17,7 +17,7 @@
 };
 
 /* Both lists are flat rows of numbers, in the order of the structs. */
-#define ITEM_NUMBERS   7
+#define ITEM_NUMBERS   8
 #define DEMAND_NUMBERS 5
 
 static enum error_code read_row(const struct message_array *array,
@@ -47,6 +47,7 @@
 		message_add_uint(writer, report->items[i].kv_tokens);
 		message_add_uint(writer, report->items[i].helping);
 		message_add_uint(writer, report->items[i].leading);
+		message_add_uint(writer, report->items[i].away_ms);
 	}
 	message_put_array(
 	    writer, FIELD_DEMANDS, report->demand_count * DEMAND_NUMBERS);
@@ -142,6 +143,7 @@
 		item->kv_tokens = numbers[4];
 		item->helping = (uint32_t)numbers[5];
 		item->leading = (uint32_t)numbers[6];
+		item->away_ms = (uint32_t)numbers[7];
 	}
 	return ERROR_NONE;
 }
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -15,6 +15,8 @@
 #define WAIT_STEP_MS	 15   /* Between tries to place a request. */
 #define WAIT_GOAL_PART	 2    /* Longest wait, as part of the goal. */
 #define RETRY_AFTER_MS	 400  /* Said when nothing better is known. */
+#define EXCUSED_MAX	  3    /* Tries that failed by a helper's fault. */
+#define START_HOLD_MS	  1000 /* Held at most by a host that starts. */
 #define START_AFTER_MS	 1500 /* A host that starts, or upstreams that do. */
 #define ANSWER_BYTES_MAX ((size_t)32 * 1024 * 1024) /* Of a whole answer. */
 #define SILENCE_LOOK_MS	 150  /* Between looks at a silent upstream. */
@@ -38,6 +40,9 @@
 static const char *const end_names[] = {
     "answered", "refused", "denied", "failed", "broken", "left"};
 
+static void start(struct relay_exchange *exchange);
+static void run_start(void *context);
+static bool hold_for_start(struct relay_exchange *exchange);
 static bool resolve(struct relay_exchange *exchange);
 static void deny(
     struct relay_exchange *exchange, uint32_t status, const char *reason);
@@ -65,6 +70,7 @@
 static void note_done(void *context);
 static void note_failed(void *context, enum error_code error);
 static void note_refusal(struct relay_exchange *exchange);
+static void excuse_upstream(struct relay_exchange *exchange, uint64_t fault);
 static void keep_answer(struct relay_exchange *exchange);
 static void leave_upstream(struct relay_exchange *exchange);
 static void attempt_failed(
@@ -104,12 +110,30 @@
 	}
 	exchange->weight_draw = (uint32_t)random_word(&relay->random);
 	read_request(exchange);
+	start(exchange);
+}
+
+void
+relay_exchange_cancel(struct relay_exchange *exchange)
+{
+	exchange->caller = NULL;
+	finish(exchange, END_LEFT, ERROR_CANCELLED);
+}
+
+static void
+start(struct relay_exchange *exchange)
+{
+	struct relay *relay = exchange->relay;
+
 	if (!resolve(exchange))
 		return;
 	exchange->deadline_ms = MIN(exchange->deadline_ms,
 	    exchange->arrived_ms + exchange->route->timeout_ms);
 	exchange->wait_until_ms =
 	    host_now_ms() + exchange->route->goal_ms / WAIT_GOAL_PART;
+	if (exchange->relay->placement.upstreams != NULL &&
+	    g_hash_table_size(exchange->relay->placement.upstreams) == 0)
+		exchange->wait_until_ms = host_now_ms() + START_HOLD_MS;
 	retry_window_note_request(
 	    relay_budget(relay, exchange->service), host_now_ms());
 	/* Without a timer the caller's own time limit ends it. */
@@ -119,13 +143,6 @@
 	place(exchange);
 }
 
-void
-relay_exchange_cancel(struct relay_exchange *exchange)
-{
-	exchange->caller = NULL;
-	finish(exchange, END_LEFT, ERROR_CANCELLED);
-}
-
 /* Finds route, account and service by the newest table; answers if the
  * request is not allowed, and returns false then. */
 static bool
@@ -137,6 +154,8 @@
 	const char *host, *key;
 
 	relay_refresh(relay);
+	if (relay->table == NULL && hold_for_start(exchange))
+		return false;
 	if (relay->table == NULL) {
 		relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
 		    "no configuration yet",
@@ -169,6 +188,22 @@
 	return true;
 }
 
+/* A host that starts knows its routes within a second, mostly. */
+static bool
+hold_for_start(struct relay_exchange *exchange)
+{
+	return host_now_ms() - exchange->arrived_ms < START_HOLD_MS &&
+	       timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
+		   (struct timer_callback){run_start, exchange},
+		   &exchange->wait_timer) == ERROR_NONE;
+}
+
+static void
+run_start(void *context)
+{
+	start(context);
+}
+
 static void
 deny(struct relay_exchange *exchange, uint32_t status, const char *reason)
 {
@@ -233,6 +268,7 @@
 
 	exchange->wants.arrived_ms = exchange->arrived_ms;
 	exchange->wants.deadline_ms = exchange->deadline_ms;
+	exchange->wants.is_begun = exchange->is_answering;
 	error = placement_pick(&exchange->relay->placement, &exchange->wants,
 	    host_now_ms(), &exchange->waiter, &choice);
 	if (exchange->waiter.service != 0)
@@ -508,7 +544,7 @@
 	exchange->sent_ms = host_now_ms();
 	exchange->heard_ms = exchange->sent_ms;
 	exchange->is_reachable = false;
-	if (exchange->sent > 0) {
+	if (exchange->sent > 0 || exchange->excused > 0) {
 		retry_window_note_retry(
 		    relay_budget(relay, exchange->service), host_now_ms());
 		atomic_fetch_add(&relay->counters.retries, 1);
@@ -632,10 +668,29 @@
 	    exchange->coming.status, fault == NULL ? "-" : fault,
 	    exchange->wants.prompt_tokens);
 	exchange->is_sent = false;
+	if (fault != NULL && upstream_place(fault) != 0 &&
+	    upstream_place(fault) != exchange->place)
+		excuse_upstream(exchange, upstream_place(fault));
 	attempt_failed(exchange, ERROR_UPSTREAM_REFUSED,
 	    exchange->coming.status == STATUS_MISDIRECTED);
 }
 
+/* A helper was at fault, not the upstream: it may be asked again without the
+ * helper, which is the same upstream as far as the route's bound goes. */
+static void
+excuse_upstream(struct relay_exchange *exchange, uint64_t fault)
+{
+	placement_note_fault(
+	    &exchange->relay->placement, fault, host_now_ms());
+	relay_note_work(exchange->relay);
+	if (exchange->excused >= EXCUSED_MAX || exchange->sent == 0 ||
+	    exchange->wants.tried_count == 0)
+		return;
+	exchange->excused++;
+	exchange->sent--;
+	exchange->wants.tried_count--;
+}
+
 /* The last whole answer stays: a further attempt may bring none. */
 static void
 keep_answer(struct relay_exchange *exchange)
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -61,6 +61,7 @@
 	struct placement_request wants;	   /**< With those tried. */
 	uint32_t sent;			   /**< Attempts that were sent. */
 	uint32_t unsent;		   /**< That found no connection. */
+	uint32_t excused; /**< That failed by a helper's fault. */
 	bool is_sent;			   /**< The one under way was sent. */
 	bool may_have_run;		   /**< Some attempt may have run. */
 	struct placement_work work;	   /**< Counted at the upstream. */
