--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -12,6 +12,8 @@
 #define EJECT_STEPS    3    /* Doublings. */
 #define FAILURE_WEIGHT 0.2  /* Of the latest outcome in the average. */
 #define AFTER_LEAST_MS 200  /* Shortest time to come back. */
+#define READ_SLACK     1.5  /* Of the predicted time to read a part. */
+#define PASSES_MS      200.0 /* An engine's passes before and after. */
 #define SILENCE_MIN_MS 700  /* Shorter silence tells nothing. */
 #define BUSY_MS	       600  /* An upstream heard in this time is at work. */
 #define PASSED_BY_MS   400  /* A later request that got on shows neglect. */
@@ -107,6 +109,9 @@
 	if (work->is_heavy) {
 		upstream->own.heavy++;
 		upstream->own.leading++;
+		upstream->own.due_ms =
+		    now_ms + (int64_t)(choice->wait_ms +
+				 choice->read_ms * READ_SLACK + PASSES_MS);
 	}
 	count_read(&upstream->own, choice->read_ms, (double)now_ms);
 	upstream->sent_ms[upstream->sent_next] = now_ms;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -58,6 +58,7 @@
 	uint32_t leading;     /**< Long prompts of its own, not read yet. */
 	uint64_t kv_tokens;   /**< Memory that they take. */
 	int64_t away_until_ms; /**< Other hosts leave it alone until then. */
+	int64_t due_ms;	       /**< What it leads should be read by then. */
 };
 
 /** An upstream as it is kept. */
@@ -180,6 +181,7 @@
 
 /** Picks an upstream and its helpers. Errors: ERROR_NO_UPSTREAM if none is
  * usable, ERROR_NO_CAPACITY if all must be left alone just now,
+ * ERROR_OVER_LIMIT if all places for short prompts are taken,
  * ERROR_CHANGE_PENDING if it is not the turn of a long prompt: @p waiter then
  * waits, and it is asked again soon, ERROR_DEADLINE_UNREACHABLE if its turn
  * comes too late to be of use. */
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -42,6 +42,8 @@
 		item->helping = upstream->own.helping;
 		item->leading = upstream->own.leading;
 		item->kv_tokens = upstream->own.kv_tokens;
+		item->due_ms =
+		    (uint32_t)MAX(upstream->own.due_ms - now_ms, 0);
 		item->away_ms = (uint32_t)MAX(
 		    upstream->ejected_until_ms - now_ms, 0);
 		item->read_ms = (uint32_t)MAX(
@@ -158,6 +160,9 @@
 		others->heavy += item->heavy;
 		others->helping += item->helping;
 		others->leading += item->leading;
+		if (item->leading > 0)
+			others->due_ms = MAX(others->due_ms,
+			    peer->taken_ms + (int64_t)item->due_ms);
 		others->kv_tokens += item->kv_tokens;
 		others->away_until_ms = MAX(others->away_until_ms,
 		    peer->taken_ms + (int64_t)item->away_ms);
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -17,7 +17,7 @@
 };
 
 /* Both lists are flat rows of numbers, in the order of the structs. */
-#define ITEM_NUMBERS   8
+#define ITEM_NUMBERS   9
 #define DEMAND_NUMBERS 5
 
 static enum error_code read_row(const struct message_array *array,
@@ -48,6 +48,7 @@
 		message_add_uint(writer, report->items[i].helping);
 		message_add_uint(writer, report->items[i].leading);
 		message_add_uint(writer, report->items[i].away_ms);
+		message_add_uint(writer, report->items[i].due_ms);
 	}
 	message_put_array(
 	    writer, FIELD_DEMANDS, report->demand_count * DEMAND_NUMBERS);
@@ -144,6 +145,7 @@
 		item->helping = (uint32_t)numbers[5];
 		item->leading = (uint32_t)numbers[6];
 		item->away_ms = (uint32_t)numbers[7];
+		item->due_ms = (uint32_t)numbers[8];
 	}
 	return ERROR_NONE;
 }
--- a/src/protocol/work_message.h
+++ b/src/protocol/work_message.h
@@ -23,6 +23,7 @@
 	uint32_t leading;     /**< Long prompts of its own, not read yet. */
 	uint64_t kv_tokens;   /**< Memory that they take, in tokens. */
 	uint32_t away_ms;     /**< The host leaves it alone for so long. */
+	uint32_t due_ms;      /**< Until what it leads should be read. */
 };
 
 /** What a host asks of one service, in thousandths of an upstream. */
