--- a/src/coordination/config_feed.c
+++ b/src/coordination/config_feed.c
@@ -12,7 +12,8 @@
 #define CHILDREN_PER_FAN_OUT 2		 /* Children taken over wanted. */
 #define PARENT_PATIENCE	     3		 /* Renewals without a lease. */
 #define JITTER_DIVISOR	     8		 /* Of the renewal period. */
-#define SNAPSHOT_PAUSE_MS    2000	 /* After a bad snapshot. */
+#define LEASELESS_DIVISOR    4	  /* Of the renewal, while there is no lease. */
+#define SNAPSHOT_PAUSE_MS    2000 /* After a bad snapshot. */
 
 static void ask_parent(void *context);
 static void send_ask(struct config_feed *feed);
@@ -241,10 +242,12 @@
 	int64_t delay_ms;
 
 	timer_cancel(feed->timers, &feed->renewal_timer);
-	delay_ms =
-	    feed->settings.renewal_ms -
-	    random_below(&feed->random,
-		(uint32_t)(feed->settings.renewal_ms / JITTER_DIVISOR) + 1);
+	delay_ms = feed->settings.renewal_ms;
+	/* Without a lease no work is done, so it is asked for more often. */
+	if (!feed->had_lease)
+		delay_ms = delay_ms / LEASELESS_DIVISOR + 1;
+	delay_ms -= random_below(
+	    &feed->random, (uint32_t)(delay_ms / JITTER_DIVISOR) + 1);
 	timer_subscribe_once(feed->timers, delay_ms,
 	    (struct timer_callback){ask_parent, feed}, &feed->renewal_timer);
 }
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -6,20 +6,20 @@
 
 #include "coordination/placement_parts.h"
 
-#define EJECT_AFTER    2    /* Failures in a row. */
-#define EJECT_BASE_MS  1000 /* First pause; doubles. */
-#define EJECT_MAX_MS   8000 /* Longest pause. */
-#define EJECT_STEPS    3    /* Doublings. */
-#define FAILURE_WEIGHT 0.2  /* Of the latest outcome in the average. */
-#define AFTER_LEAST_MS 200  /* Shortest time to come back. */
-#define READ_SLACK     1.5  /* Of the predicted time to read a part. */
+#define EJECT_AFTER    2     /* Failures in a row. */
+#define EJECT_BASE_MS  1000  /* First pause; doubles. */
+#define EJECT_MAX_MS   8000  /* Longest pause. */
+#define EJECT_STEPS    3     /* Doublings. */
+#define FAILURE_WEIGHT 0.2   /* Of the latest outcome in the average. */
+#define AFTER_LEAST_MS 200   /* Shortest time to come back. */
+#define READ_SLACK     1.5   /* Of the predicted time to read a part. */
 #define PASSES_MS      200.0 /* An engine's passes before and after. */
-#define SILENCE_MIN_MS 700  /* Shorter silence tells nothing. */
-#define BUSY_MS	       600  /* An upstream heard in this time is at work. */
-#define PASSED_BY_MS   400  /* A later request that got on shows neglect. */
-#define NEGLECT_MIN_MS 1000 /* Silence of a request that was passed by. */
-#define EXPECTED_PARTS 3    /* Predictions are off by no more than that. */
-#define PATIENCE_PART  0.8  /* Of the caller's, for an upstream that is up. */
+#define SILENCE_MIN_MS 700   /* Shorter silence tells nothing. */
+#define BUSY_MS	       600   /* An upstream heard in this time is at work. */
+#define PASSED_BY_MS   400   /* A later request that got on shows neglect. */
+#define NEGLECT_MIN_MS 1000  /* Silence of a request that was passed by. */
+#define EXPECTED_PARTS 3     /* Predictions are off by no more than that. */
+#define PATIENCE_PART  0.8   /* Of the caller's, for an upstream that is up. */
 
 static void fill(struct placement *placement,
     struct placement_upstream *upstream, const struct placement_record *record);
@@ -110,8 +110,9 @@
 		upstream->own.heavy++;
 		upstream->own.leading++;
 		upstream->own.due_ms =
-		    now_ms + (int64_t)(choice->wait_ms +
-				 choice->read_ms * READ_SLACK + PASSES_MS);
+		    now_ms +
+		    (int64_t)(choice->wait_ms + choice->read_ms * READ_SLACK +
+			      PASSES_MS);
 	}
 	count_read(&upstream->own, choice->read_ms, (double)now_ms);
 	upstream->sent_ms[upstream->sent_next] = now_ms;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -51,12 +51,12 @@
 
 /** Work at an upstream. */
 struct placement_load {
-	double read_until_ms; /**< When the prompts there are read. */
-	uint32_t running;     /**< Requests. */
-	uint32_t heavy;	      /**< Of these, with long prompts. */
-	uint32_t helping;     /**< Prompts of others that it helps to read. */
-	uint32_t leading;     /**< Long prompts of its own, not read yet. */
-	uint64_t kv_tokens;   /**< Memory that they take. */
+	double read_until_ms;  /**< When the prompts there are read. */
+	uint32_t running;      /**< Requests. */
+	uint32_t heavy;	       /**< Of these, with long prompts. */
+	uint32_t helping;      /**< Prompts of others that it helps to read. */
+	uint32_t leading;      /**< Long prompts of its own, not read yet. */
+	uint64_t kv_tokens;    /**< Memory that they take. */
 	int64_t away_until_ms; /**< Other hosts leave it alone until then. */
 	int64_t due_ms;	       /**< What it leads should be read by then. */
 };
@@ -70,20 +70,20 @@
 					   upstreams, the same on all hosts. */
 	char name[NAME_SIZE_MAX];     /**< See above. */
 	char service[NAME_SIZE_MAX];  /**< See above. */
-	uint32_t slots;		      /**< See above. */
-	bool is_usable;		      /**< See above. */
-	bool is_near;		      /**< In this host's data centre. */
-	bool is_seen;		      /**< In the last update. */
 	struct placement_load own;    /**< Of this host. */
 	struct placement_load others; /**< Of the other hosts. */
-	uint32_t failures;	      /**< In a row. */
 	double failure_share;	      /**< Of late requests, 0 to 1. */
 	int64_t ejected_until_ms;     /**< Left alone until then. */
 	int64_t sent_ms[PLACEMENT_RATE_SLOTS]; /**< Times of late sends. */
-	uint32_t sent_next;		       /**< Place in the ring. */
 	int64_t progress_ms;		       /**< Last byte of any answer. */
 	int64_t newest_good_ms; /**< Send time of the newest request that
 				     showed progress. */
+	uint32_t slots;		/**< See above. */
+	uint32_t failures;	/**< In a row. */
+	uint32_t sent_next;	/**< Place in the ring. */
+	bool is_usable;		/**< See above. */
+	bool is_near;		/**< In this host's data centre. */
+	bool is_seen;		/**< In the last update. */
 };
 
 /** What a request needs. */
@@ -94,9 +94,9 @@
 	double answer_tokens;		     /**< At most. */
 	int64_t arrived_ms;		     /**< When the request came. */
 	int64_t deadline_ms;		     /**< When its answer must end. */
-	bool is_begun; /**< Its caller has part of the answer: no turns. */
-	uint32_t tried_count;		     /**< In use below. */
 	uint64_t tried[PLACEMENT_TRIED_MAX]; /**< Ids not to use again. */
+	uint32_t tried_count;		     /**< In use below. */
+	bool is_begun; /**< Its caller has part of the answer: no turns. */
 };
 
 /** A long prompt that waits for its turn. Zero waits for nothing. */
@@ -111,29 +111,29 @@
 /** Where it goes. */
 struct placement_choice {
 	struct placement_upstream *upstream; /**< Until the next update. */
-	bool is_heavy;			     /**< It has a long prompt. */
-	bool is_light_led;     /**< ...but writes beside short ones. */
-	double read_ms;	       /**< Each one's part of reading the prompt. */
-	double whole_read_ms;  /**< All parts. */
-	double wait_ms;	       /**< Work that waits there before it. */
-	uint32_t light_count;  /**< Upstreams for short prompts... */
-	uint32_t usable_count; /**< ...of so many. */
+	double read_ms;	      /**< Each one's part of reading the prompt. */
+	double whole_read_ms; /**< All parts. */
+	double wait_ms;	      /**< Work that waits there before it. */
 	struct split_demand demand;		 /**< That led to it. */
 	uint64_t kv_tokens;			 /**< Memory that it takes. */
-	uint32_t helper_count;			 /**< In use below. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
 	uint64_t helper_places[PLACEMENT_HELPERS_MAX]; /**< Where they are. */
+	uint32_t light_count;  /**< Upstreams for short prompts... */
+	uint32_t usable_count; /**< ...of so many. */
+	uint32_t helper_count; /**< In use below. */
+	bool is_heavy;	       /**< It has a long prompt. */
+	bool is_light_led;     /**< ...but writes beside short ones. */
 };
 
 /** What was counted for a request; zero is nothing. */
 struct placement_work {
-	uint64_t upstream_id;  /**< Where, 0 for nothing. */
-	uint64_t kv_tokens;    /**< Memory. */
-	bool is_heavy;	       /**< Counted as one with a long prompt. */
-	bool is_unread;	       /**< ...and that is not read yet. */
-	uint64_t service;      /**< Hash of its service. */
-	uint32_t helper_count; /**< Still reading, below. */
+	uint64_t upstream_id;			 /**< Where, 0 for nothing. */
+	uint64_t kv_tokens;			 /**< Memory. */
+	uint64_t service;			 /**< Hash of its service. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
+	uint32_t helper_count;			 /**< Still reading, below. */
+	bool is_heavy;	/**< Counted as one with a long prompt. */
+	bool is_unread; /**< ...and that is not read yet. */
 };
 
 /** A request that hears nothing from its upstream. */
@@ -181,7 +181,6 @@
 
 /** Picks an upstream and its helpers. Errors: ERROR_NO_UPSTREAM if none is
  * usable, ERROR_NO_CAPACITY if all must be left alone just now,
- * ERROR_OVER_LIMIT if all places for short prompts are taken,
  * ERROR_CHANGE_PENDING if it is not the turn of a long prompt: @p waiter then
  * waits, and it is asked again soon, ERROR_DEADLINE_UNREACHABLE if its turn
  * comes too late to be of use. */
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -10,15 +10,14 @@
 #define FULL_COST_MS	     90.0   /* A request beyond the slots waits. */
 #define MEMORY_COST_MS	     4000.0 /* One without memory waits long. */
 #define FAR_COST_MS	     0.6    /* Another data centre. */
-#define AWAY_COST_MS	    200.0 /* Another host leaves it alone. */
+#define AWAY_COST_MS	     200.0  /* Another host leaves it alone. */
 #define SHORT_ASTRAY_COST_MS 350.0  /* A short prompt beside long ones. */
 #define LONG_ASTRAY_COST_MS  1500.0 /* A long prompt beside short ones. */
 #define TOKENS_PER_PART	     2500.0 /* A part should be worth its hop. */
-#define SHORT_WRITER_COST_MS 25.0 /* Each makes a helper less wanted. */
 #define HELPING_SPARED	     2u	    /* News of other hosts comes late. */
 #define FULL_GOAL_PART	     0.85   /* Of the goal: work that may wait. */
 #define SMALL_WORK_MS	     800.0  /* Less is never in the way. */
-#define NEXT_BACKLOG_MS	    80.0   /* Unread work when the next is due. */
+#define NEXT_BACKLOG_MS	     80.0   /* Unread work when the next is due. */
 #define UNREAD_MAX	     1u	    /* Long prompts being read then. */
 #define ENGINES_ENOUGH	     6u	    /* For any long prompt. */
 #define PART_LONG_MS	     500.0  /* A part that fewer engines may read. */
@@ -60,7 +59,6 @@
 
 static bool is_heavy_request(
     struct placement *placement, const struct placement_request *request);
-static bool is_full(const struct placement_upstream *upstream);
 static uint64_t find_light_rank(struct gathering *gathering);
 static bool is_light_led(const struct gathering *gathering);
 static gint compare_ranks(gconstpointer left, gconstpointer right);
@@ -86,15 +84,12 @@
     struct placement_waiter *waiter);
 static struct long_side look_at_long_side(
     const struct gathering *gathering, const GArray *candidates);
-static uint32_t count_unread(
-    const struct placement_load *load, int64_t now_ms);
+static uint32_t count_unread(const struct placement_load *load, int64_t now_ms);
 static void choose_helpers(const struct gathering *gathering,
     const GArray *candidates, struct placement_choice *choice);
 static uint32_t list_helpers(const struct gathering *gathering,
     const GArray *candidates, const struct placement_upstream *reader,
     const struct placement_upstream **helpers);
-static double burden_of(
-    const struct placement_upstream *upstream, int64_t now_ms);
 static bool is_away(const struct gathering *gathering,
     const struct placement_upstream *upstream);
 static bool is_helping_enough(const struct placement_upstream *upstream);
@@ -141,11 +136,6 @@
 		}
 	}
 	best = &g_array_index(candidates, struct candidate, 0);
-	if (gathering.kv_tokens > 0 && !gathering.is_heavy &&
-	    !request->is_begun && is_full(best->upstream)) {
-		g_array_unref(candidates);
-		return ERROR_OVER_LIMIT;
-	}
 	choice->upstream = best->upstream;
 	choice->is_heavy = gathering.is_heavy;
 	choice->is_light_led = gathering.is_light_led && best->is_light;
@@ -226,16 +216,6 @@
 	       HEAVY_GAP_PART * pause_ms;
 }
 
-/* Load answered: more short prompts than engines have places. One that waits
- * for a place is late, and makes those behind it late; so the best engine
- * being full means that it should come again. */
-static bool
-is_full(const struct placement_upstream *upstream)
-{
-	return upstream->own.running + upstream->others.running >=
-	       upstream->slots;
-}
-
 /* The upstreams of the lowest ranks take short prompts. */
 static uint64_t
 find_light_rank(struct gathering *gathering)
@@ -536,9 +516,9 @@
 			continue;
 		backlog_ms = backlog_of(upstream, gathering->now_ms);
 		g_array_append_val(backlogs, backlog_ms);
-		side.unread += count_unread(&upstream->own, gathering->now_ms) +
-			       count_unread(
-				   &upstream->others, gathering->now_ms);
+		side.unread +=
+		    count_unread(&upstream->own, gathering->now_ms) +
+		    count_unread(&upstream->others, gathering->now_ms);
 	}
 	side.engines = backlogs->len;
 	/* The median: one engine that is kept for long stops nobody. */
@@ -567,7 +547,7 @@
 choose_helpers(const struct gathering *gathering, const GArray *candidates,
     struct placement_choice *choice)
 {
-	const struct placement_upstream *helpers[PLACEMENT_HELPERS_MAX];
+	const struct placement_upstream *helpers[PLACEMENT_HELPERS_MAX] = {0};
 	double wait_ms, best_ms, end_ms;
 	uint32_t count, most, i;
 
@@ -584,7 +564,7 @@
 		best_ms = end_ms;
 		choice->helper_count = i + 1;
 	}
-	for (i = 0; i < choice->helper_count; i++) {
+	for (i = 0; i < choice->helper_count && helpers[i] != NULL; i++) {
 		choice->helpers[i] = helpers[i]->id;
 		choice->helper_places[i] = helpers[i]->place;
 	}
@@ -597,7 +577,7 @@
     const struct placement_upstream **helpers)
 {
 	const struct candidate *candidate;
-	double burden_ms;
+	double backlog_ms;
 	uint32_t count, at;
 	guint i;
 
@@ -611,10 +591,10 @@
 		    is_away(gathering, candidate->upstream) ||
 		    is_helping_enough(candidate->upstream))
 			continue;
-		burden_ms = burden_of(candidate->upstream, gathering->now_ms);
+		backlog_ms = backlog_of(candidate->upstream, gathering->now_ms);
 		for (at = count; at > 0; at--) {
-			if (burden_of(helpers[at - 1], gathering->now_ms) <=
-			    burden_ms)
+			if (backlog_of(helpers[at - 1], gathering->now_ms) <=
+			    backlog_ms)
 				break;
 			if (at < PLACEMENT_HELPERS_MAX)
 				helpers[at] = helpers[at - 1];
@@ -626,19 +606,6 @@
 	return count;
 }
 
-/* What a part does there: it waits for what is unread, and short answers
- * that are still being written there wait for it. */
-static double
-burden_of(const struct placement_upstream *upstream, int64_t now_ms)
-{
-	uint32_t running, heavy;
-
-	running = upstream->own.running + upstream->others.running;
-	heavy = upstream->own.heavy + upstream->others.heavy;
-	return backlog_of(upstream, now_ms) +
-	       (running - MIN(heavy, running)) * SHORT_WRITER_COST_MS;
-}
-
 /* One helper that is gone fails the whole prompt, so what any host found is
  * enough to do without it. */
 static bool
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -42,10 +42,9 @@
 		item->helping = upstream->own.helping;
 		item->leading = upstream->own.leading;
 		item->kv_tokens = upstream->own.kv_tokens;
-		item->due_ms =
-		    (uint32_t)MAX(upstream->own.due_ms - now_ms, 0);
-		item->away_ms = (uint32_t)MAX(
-		    upstream->ejected_until_ms - now_ms, 0);
+		item->due_ms = (uint32_t)MAX(upstream->own.due_ms - now_ms, 0);
+		item->away_ms =
+		    (uint32_t)MAX(upstream->ejected_until_ms - now_ms, 0);
 		item->read_ms = (uint32_t)MAX(
 		    upstream->own.read_until_ms - (double)now_ms, 0);
 	}
--- a/src/coordination/placement_split.c
+++ b/src/coordination/placement_split.c
@@ -2,12 +2,12 @@
 
 #include <math.h>
 
-#define RATE_FADE_MS  4000.0 /* Work fades to a third in this time. */
-#define HEAVY_USE     0.6    /* Of an engine, by reading long prompts. */
-#define HEAVY_PART    0.12   /* Of the engines, while long prompts come. */
-#define HEAVY_PART_PRESSED 0.05 /* While short ones need all of them. */
-#define LIGHT_LEAST   0.8    /* Of their demand; answers come slower. */
-#define HEAVY_NOTICED 0.02   /* Less demand than this is none. */
+#define RATE_FADE_MS	   4000.0 /* Work fades to a third in this time. */
+#define HEAVY_USE	   0.6	  /* Of an engine, by reading long prompts. */
+#define HEAVY_PART	   0.12	  /* Of the engines, while long prompts come. */
+#define HEAVY_PART_PRESSED 0.05	  /* While short ones need all of them. */
+#define LIGHT_LEAST	   0.6	  /* Of their demand; answers come slower. */
+#define HEAVY_NOTICED	   0.02	  /* Less demand than this is none. */
 
 uint32_t
 split_light_count(uint32_t total, const struct split_demand *demand)
@@ -21,8 +21,8 @@
 	heavy_least = (uint32_t)ceil(total * part);
 	/* More than all engines can't be had, whatever waits. */
 	heavy = fmin(demand->heavy, total);
-	light = (uint32_t)lround(
-	    total * demand->light / (demand->light + heavy));
+	light =
+	    (uint32_t)lround(total * demand->light / (demand->light + heavy));
 	/* Short prompts bring more for the work that they take, so they get
 	 * at least what they can do with. */
 	if (light < demand->light * LIGHT_LEAST)
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -24,6 +24,7 @@
 #define CONTROL_THREADS	      16	    /* Calls to upstreams that wait. */
 #define GROUP_LOOK_US	      10000 /* Between looks at group threads. */
 #define US_PER_MS	      1000
+#define PEER_QUEUE_BYTES      (2 * FRAME_SIZE_MAX) /* Of one peer. */
 
 static enum error_code init_parts(struct host *host);
 static enum error_code init_links(struct host *host);
@@ -210,6 +211,9 @@
 	snprintf(links.listen_ip, sizeof(links.listen_ip), "%s",
 	    settings->peer_address);
 	links.listen_port = (uint16_t)settings->peer_port;
+	links.handshake_ms = settings->peer_handshake_ms;
+	links.backoff_max_ms = settings->peer_backoff_max_ms;
+	links.queue_bytes_max = PEER_QUEUE_BYTES;
 	links.key_count = settings->peer_key_count;
 	for (i = 0; i < settings->peer_key_count; i++) {
 		links.keys[i].id = settings->peer_keys[i].id;
@@ -259,6 +263,7 @@
 			    (uint16_t)settings->seeds[i].port);
 	}
 	membership.seed_count = settings->seed_count;
+	membership.seed_ms = settings->seed_dial_ms;
 	return membership_init(&host->membership, &membership, &host->timers,
 	    random_word(&host->random), peer_links_port(&host->links), ops);
 }
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -15,9 +15,8 @@
 #define WAIT_STEP_MS	 15   /* Between tries to place a request. */
 #define WAIT_GOAL_PART	 2    /* Longest wait, as part of the goal. */
 #define RETRY_AFTER_MS	 400  /* Said when nothing better is known. */
-#define EXCUSED_MAX	  3    /* Tries that failed by a helper's fault. */
-#define START_HOLD_MS	  1000 /* Held at most by a host that starts. */
-#define FULL_AFTER_MS	  2000 /* All places are taken: a burst lasts. */
+#define EXCUSED_MAX	 3    /* Tries that failed by a helper's fault. */
+#define START_HOLD_MS	 1000 /* Held at most by a host that starts. */
 #define START_AFTER_MS	 1500 /* A host that starts, or upstreams that do. */
 #define ANSWER_BYTES_MAX ((size_t)32 * 1024 * 1024) /* Of a whole answer. */
 #define SILENCE_LOOK_MS	 150  /* Between looks at a silent upstream. */
@@ -340,8 +339,6 @@
 
 	if (error == ERROR_LEASE_EXPIRED || error == ERROR_NO_UPSTREAM)
 		after_ms = START_AFTER_MS;
-	else if (error == ERROR_OVER_LIMIT)
-		after_ms = FULL_AFTER_MS;
 	else if (error == ERROR_DEADLINE_UNREACHABLE)
 		after_ms = placement_wait_estimate(
 		    &relay->placement, exchange->service, host_now_ms());
@@ -683,8 +680,7 @@
 static void
 excuse_upstream(struct relay_exchange *exchange, uint64_t fault)
 {
-	placement_note_fault(
-	    &exchange->relay->placement, fault, host_now_ms());
+	placement_note_fault(&exchange->relay->placement, fault, host_now_ms());
 	relay_note_work(exchange->relay);
 	if (exchange->excused >= EXCUSED_MAX || exchange->sent == 0 ||
 	    exchange->wants.tried_count == 0)
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -52,41 +52,37 @@
 	char attempt_id[ATTEMPT_ID_SIZE];    /**< "" for none. */
 	int64_t arrived_ms;		     /**< First byte. */
 	int64_t deadline_ms;		     /**< An answer must be out. */
-	double prompt_tokens;		     /**< 0 for a plain request. */
-	uint32_t weight_draw;		     /**< Picks among targets. */
-
-	struct upstream_call *call;	   /**< Attempt under way, or NULL. */
-	uint64_t upstream_id;		   /**< Where it goes. */
-	char upstream_name[NAME_SIZE_MAX]; /**< For logs. */
-	struct placement_request wants;	   /**< With those tried. */
-	uint32_t sent;			   /**< Attempts that were sent. */
-	uint32_t unsent;		   /**< That found no connection. */
-	uint32_t excused; /**< That failed by a helper's fault. */
-	bool is_sent;			   /**< The one under way was sent. */
-	bool may_have_run;		   /**< Some attempt may have run. */
-	struct placement_work work;	   /**< Counted at the upstream. */
-	struct placement_waiter waiter;	   /**< While it waits for its turn. */
-	bool was_good;			   /**< The upstream showed progress. */
-	double expected_ms; /**< Predicted time to the first byte. */
-
-	enum answer_verdict verdict; /**< Of the answer under way, or 0. */
-	struct http_head coming;     /**< Head of an answer not whole yet. */
-	GByteArray *coming_body;     /**< Its body so far. */
-	struct http_head answer;     /**< Head of the last whole one. */
-	GByteArray *answer_body;     /**< Its body. */
-	bool has_answer;	     /**< answer counts. */
-	bool is_answering;	     /**< The caller has a part of it. */
-	struct relay_events events;  /**< Of a stream. */
-
+	struct upstream_call *call;	     /**< Attempt under way, or NULL. */
+	uint64_t upstream_id;		     /**< Where it goes. */
+	char upstream_name[NAME_SIZE_MAX];   /**< For logs. */
+	struct placement_request wants;	     /**< With those tried. */
+	struct placement_work work;	     /**< Counted at the upstream. */
+	struct placement_waiter waiter; /**< While it waits for its turn. */
+	double expected_ms;	      /**< Predicted time to the first byte. */
+	struct http_head coming;      /**< Head of an answer not whole yet. */
+	GByteArray *coming_body;      /**< Its body so far. */
+	struct http_head answer;      /**< Head of the last whole one. */
+	GByteArray *answer_body;      /**< Its body. */
+	struct relay_events events;   /**< Of a stream. */
 	struct handle deadline_timer; /**< Time limit. */
 	struct handle stall_timer;    /**< Looks at the upstream's silence. */
 	struct upstream_call *probe;  /**< Sees whether it can be reached. */
 	uint64_t place;		      /**< Where the upstream listens. */
 	int64_t sent_ms;	      /**< When the attempt was sent. */
 	int64_t heard_ms;	      /**< Its last byte, or sent_ms. */
-	bool is_reachable;	      /**< A probe got through since. */
 	struct handle wait_timer;     /**< Until the next try to place it. */
 	int64_t wait_until_ms;	      /**< Longest wait for a place. */
+	uint32_t weight_draw;	      /**< Picks among targets. */
+	uint32_t sent;		      /**< Attempts that were sent. */
+	uint32_t unsent;	      /**< That found no connection. */
+	uint32_t excused;	      /**< That failed by a helper's fault. */
+	enum answer_verdict verdict;  /**< Of the answer under way, or 0. */
+	bool is_sent;		      /**< The one under way was sent. */
+	bool may_have_run;	      /**< Some attempt may have run. */
+	bool was_good;		      /**< The upstream showed progress. */
+	bool has_answer;	      /**< answer counts. */
+	bool is_answering;	      /**< The caller has a part of it. */
+	bool is_reachable;	      /**< A probe got through since. */
 };
 
 /* relay_caller.c */
--- a/src/service/settings.h
+++ b/src/service/settings.h
@@ -94,7 +94,10 @@
 	bool has_foreign_upstreams; /**< They don't speak our own control
 					 interface: never ask what they hold. */
 	uint32_t voters_wanted; /**< Voters kept by the leader, 0: by hand. */
-	uint32_t copies_min;	/**< Voters that hold what is acknowledged. */
+	uint32_t peer_handshake_ms;   /**< Of a peer link, 0: its default. */
+	uint32_t peer_backoff_max_ms; /**< Between dials, 0: its default. */
+	uint32_t seed_dial_ms;	      /**< Between seeds, 0: its default. */
+	uint32_t copies_min; /**< Voters that hold what is acknowledged. */
 
 	uint32_t voter_count;	     /**< Initial voters below. */
 	uint32_t voters[VOTERS_MAX]; /**< Host ids. */
