What was not read leaves no backlog

Ruled out: the reads themselves (the refusals came after 2 ms). Test: test_refused_attempts_leave_no_backlog fails before.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -25,6 +25,9 @@
     struct placement_upstream *upstream, const struct placement_record *record);
 static void drop_replaced(struct placement *placement);
 static void count_read(struct placement_load *load, double read_ms, double now);
+static void uncount_read(
+    struct placement *placement, const struct placement_work *work);
+static void shorten(struct placement *placement, uint64_t id, double read_ms);
 static void free_peer(gpointer item);
 
 void
@@ -103,6 +106,8 @@
 	work->kv_tokens = choice->kv_tokens;
 	work->is_heavy = choice->is_heavy && !choice->is_light_led;
 	work->service = placement_service_hash(request->service->name);
+	work->read_ms = choice->read_ms;
+	work->whole_read_ms = choice->is_heavy ? choice->whole_read_ms : 0;
 	upstream->own.running++;
 	upstream->own.kv_tokens += choice->kv_tokens;
 	work->is_unread = work->is_heavy;
@@ -141,6 +146,8 @@
 	struct placement_upstream *upstream;
 	uint32_t i;
 
+	work->read_ms = 0;
+	work->whole_read_ms = 0;
 	for (i = 0; i < work->helper_count; i++) {
 		upstream = g_hash_table_lookup(
 		    placement->upstreams, &work->helpers[i]);
@@ -164,6 +171,7 @@
 
 	if (work->upstream_id == 0)
 		return;
+	uncount_read(placement, work);
 	placement_note_read(placement, work);
 	service = placement_service(placement, work->service);
 	if (!work->is_heavy && service->light_running > 0)
@@ -364,6 +372,32 @@
 	load->read_until_ms = MAX(load->read_until_ms, now) + read_ms;
 }
 
+/* It ended before it was read: nobody goes on reading it. */
+static void
+uncount_read(struct placement *placement, const struct placement_work *work)
+{
+	struct service_load *service;
+	uint32_t i;
+
+	if (work->read_ms <= 0)
+		return;
+	shorten(placement, work->upstream_id, work->read_ms);
+	for (i = 0; i < work->helper_count; i++)
+		shorten(placement, work->helpers[i], work->read_ms);
+	service = placement_service(placement, work->service);
+	split_rate_remove(&service->heavy_rate, work->whole_read_ms);
+}
+
+static void
+shorten(struct placement *placement, uint64_t id, double read_ms)
+{
+	struct placement_upstream *upstream;
+
+	upstream = g_hash_table_lookup(placement->upstreams, &id);
+	if (upstream != NULL)
+		upstream->own.read_until_ms -= read_ms;
+}
+
 static void
 free_peer(gpointer item)
 {
--- a/src/coordination/placement_split.c
+++ b/src/coordination/placement_split.c
@@ -54,6 +54,12 @@
 	rate->time_ms = now_ms;
 }
 
+void
+split_rate_remove(struct split_rate *rate, double read_ms)
+{
+	rate->engines = fmax(rate->engines - read_ms / RATE_FADE_MS, 0);
+}
+
 double
 split_rate_at(const struct split_rate *rate, int64_t now_ms)
 {
--- a/src/coordination/placement_split.h
+++ b/src/coordination/placement_split.h
@@ -34,6 +34,8 @@
     struct split_demand *demand, const struct split_rate *rate, int64_t now_ms);
 /** Adds work of @p read_ms milliseconds of one engine. */
 void split_rate_add(struct split_rate *rate, double read_ms, int64_t now_ms);
+/** Takes back work that was added and not done. */
+void split_rate_remove(struct split_rate *rate, double read_ms);
 /** Engines kept busy at the present rate. */
 double split_rate_at(const struct split_rate *rate, int64_t now_ms);
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -339,6 +339,39 @@
 	close_scene(&scene);
 }
 
+/* Load replayed: replicas crash and every attempt on a long prompt is refused
+ * at once. What was not read leaves no backlog behind. */
+static void
+test_refused_attempts_leave_no_backlog(void **state)
+{
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct placement_work work;
+	struct split_demand demand;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene(&scene, 12);
+	for (i = 0; i < 40; i++) {
+		request =
+		    make_request(&scene, &scene.review, 180000, START_MS + i);
+		memset(&work, 0, sizeof(work));
+		assert_int_equal(placement_pick(&scene.placement, &request,
+				     START_MS + i, &waiter, &choice),
+		    ERROR_NONE);
+		placement_wait_end(&scene.placement, &waiter);
+		placement_begin(&scene.placement, &request, &choice,
+		    START_MS + i, &work);
+		placement_end(&scene.placement, &work);
+	}
+	assert_true(choice.wait_ms < 1);
+	demand = choice.demand;
+	assert_true(demand.heavy < 3);
+	close_scene(&scene);
+}
+
 /* Two hosts: what one reports is what the other sees, and counts once. */
 static void
 test_reports_add_up(void **state)
@@ -436,6 +469,7 @@
 	    cmocka_unit_test(test_cold_bound_holds_in_every_second),
 	    cmocka_unit_test(test_ejection_is_bounded),
 	    cmocka_unit_test(test_newest_at_an_address_counts),
+	    cmocka_unit_test(test_refused_attempts_leave_no_backlog),
 	    cmocka_unit_test(test_reports_add_up),
 	    cmocka_unit_test(test_silence),
 	};
