--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -4,13 +4,20 @@
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
 #include <glib.h>
+#include <jansson.h>
+#include <unistd.h>
 
-#define EVENT_TEXT_SIZE 512 /* Bytes of an event's particulars. */
-#define EVENT_TIME_SIZE 32  /* Bytes of a time as text. */
+#include "base/log_writer.h"
+
+#define EVENT_TEXT_SIZE 512  /* Bytes of an event's particulars. */
+#define EVENT_TIME_SIZE 32   /* Bytes of a time as text. */
+#define REAL_DIGITS	6    /* Of numbers with a fraction. */
+#define RING_LINES	4096 /* Lines that wait to be written. */
 #define US_PER_S	1000000
 #define US_PER_MS	1000
 
@@ -68,9 +75,10 @@
     {EVENT_UPSTREAM_STALLED, EVENT_LEVEL_WARNING, "upstream stalled"},
     {EVENT_REQUEST_ENDED, EVENT_LEVEL_INFO, "request ended"},
     {EVENT_UPSTREAM_EJECTED, EVENT_LEVEL_WARNING, "upstream ejected"},
+    {EVENT_LINES_LEFT_OUT, EVENT_LEVEL_INFO, "log lines left out"},
     {EVENT_REQUEST_PLACED, EVENT_LEVEL_INFO, "request placed"},
     {EVENT_REQUEST_STARTED, EVENT_LEVEL_INFO, "first event of an answer"},
-    {EVENT_LINES_LEFT_OUT, EVENT_LEVEL_INFO, "log lines left out"},
+    {EVENT_REQUEST_ENDED_BADLY, EVENT_LEVEL_WARNING, "request ended badly"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
     {EVENT_STANDIN_CRASHED, EVENT_LEVEL_WARNING, "stand-in crashed"},
@@ -81,8 +89,14 @@
 static _Atomic uint32_t event_host_id;
 static _Atomic bool event_has_writer;
 static _Atomic int event_least_level = EVENT_LEVEL_INFO;
+static _Atomic bool event_is_json;
+static struct log_writer event_writer;
 
 static const struct event_entry *find_entry(enum event_number number);
+static void put_object(const struct event_entry *entry, json_t *fields);
+static char *report_left_out(
+    const struct log_left_out *left_out, uint32_t count);
+static void format_time(char text[EVENT_TIME_SIZE]);
 static GLogLevelFlags convert_level(enum event_level level);
 static GLogWriterOutput write_line(GLogLevelFlags level,
     const GLogField *fields, gsize count, gpointer context);
@@ -96,6 +110,47 @@
 	atomic_store(&event_least_level, (int)least);
 }
 
+void
+event_log_start(uint32_t rate)
+{
+	if (!atomic_load(&event_is_json) &&
+	    log_writer_init(&event_writer, STDOUT_FILENO, RING_LINES, rate,
+		report_left_out))
+		atomic_store(&event_is_json, true);
+}
+
+void
+event_log_finish(void)
+{
+	if (atomic_exchange(&event_is_json, false))
+		log_writer_finish(&event_writer);
+}
+
+void
+event_log_fields(enum event_number number, const char *format, ...)
+{
+	const struct event_entry *entry;
+	va_list arguments;
+	json_t *fields;
+	char *text;
+
+	entry = find_entry(number);
+	if (entry == NULL ||
+	    (int)entry->level > atomic_load(&event_least_level))
+		return;
+	va_start(arguments, format);
+	fields = json_vpack_ex(NULL, 0, format, arguments);
+	va_end(arguments);
+	if (atomic_load(&event_is_json)) {
+		put_object(entry, fields);
+		return;
+	}
+	text = fields == NULL ? NULL : json_dumps(fields, JSON_COMPACT);
+	event_log_write(number, "%s", text == NULL ? "" : text);
+	free(text);
+	json_decref(fields);
+}
+
 void
 event_log_write(enum event_number number, const char *format, ...)
 {
@@ -111,6 +166,11 @@
 	va_start(arguments, format);
 	vsnprintf(particulars, sizeof(particulars), format, arguments);
 	va_end(arguments);
+	if (atomic_load(&event_is_json)) {
+		put_object(entry, json_pack("{s:s%}", "text", particulars,
+				      strlen(particulars)));
+		return;
+	}
 	g_log("chicorytack", convert_level(entry->level),
 	    "E%d host=%u level=%s %s%s%s", (int)number,
 	    atomic_load(&event_host_id), event_level_name(entry->level),
@@ -161,9 +221,6 @@
 {
 	char when[EVENT_TIME_SIZE];
 	const char *message;
-	struct tm parts;
-	int64_t now_us;
-	time_t seconds;
 	gsize i;
 
 	(void)level;
@@ -173,13 +230,86 @@
 		if (strcmp(fields[i].key, "MESSAGE") == 0)
 			message = fields[i].value;
 	}
+	format_time(when);
+	fprintf(stderr, "%s %s\n", when, message);
+	return G_LOG_WRITER_HANDLED;
+}
+
+/* Takes the fields over. */
+static void
+put_object(const struct event_entry *entry, json_t *fields)
+{
+	char when[EVENT_TIME_SIZE], *text;
+	json_t *line;
+	size_t size;
+
+	format_time(when);
+	line = json_pack("{s:s,s:i,s:s,s:s,s:I}", "time", when, "event",
+	    (int)entry->number, "name", entry->text, "level",
+	    event_level_name(entry->level), "host",
+	    (json_int_t)atomic_load(&event_host_id));
+	/* Fields that can't be packed are a fault of ours; say so. */
+	if (fields == NULL)
+		json_object_set_new(
+		    line, "text", json_string("fields can't be written"));
+	else
+		json_object_update(line, fields);
+	json_decref(fields);
+	text =
+	    json_dumps(line, JSON_COMPACT | JSON_REAL_PRECISION(REAL_DIGITS));
+	json_decref(line);
+	if (text == NULL)
+		return;
+	size = strlen(text);
+	text = realloc(text, size + 2);
+	if (text == NULL)
+		return;
+	text[size] = '\n';
+	text[size + 1] = '\0';
+	log_writer_put(&event_writer, (int)entry->number,
+	    entry->level <= EVENT_LEVEL_WARNING, text);
+}
+
+static char *
+report_left_out(const struct log_left_out *left_out, uint32_t count)
+{
+	char when[EVENT_TIME_SIZE];
+	const struct event_entry *entry;
+	GString *text;
+	uint32_t i;
+	char *copy;
+
+	entry = find_entry(EVENT_LINES_LEFT_OUT);
+	format_time(when);
+	text = g_string_new(NULL);
+	g_string_append_printf(text,
+	    "{\"time\":\"%s\",\"event\":%d,\"name\":\"%s\",\"level\":\"%s\","
+	    "\"host\":%u,\"lines\":{",
+	    when, (int)entry->number, entry->text,
+	    event_level_name(entry->level), atomic_load(&event_host_id));
+	for (i = 0; i < count; i++)
+		g_string_append_printf(text, "%s\"%d\":%llu", i == 0 ? "" : ",",
+		    left_out[i].event, (unsigned long long)left_out[i].count);
+	g_string_append(text, "}}\n");
+	copy = strdup(text->str);
+	g_string_free(text, TRUE);
+	return copy;
+}
+
+static void
+format_time(char text[EVENT_TIME_SIZE])
+{
+	struct tm parts;
+	int64_t now_us;
+	time_t seconds;
+	size_t size;
+
 	now_us = g_get_real_time();
 	seconds = (time_t)(now_us / US_PER_S);
 	gmtime_r(&seconds, &parts);
-	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &parts);
-	fprintf(stderr, "%s.%03dZ %s\n", when,
-	    (int)(now_us % US_PER_S / US_PER_MS), message);
-	return G_LOG_WRITER_HANDLED;
+	size = strftime(text, EVENT_TIME_SIZE, "%Y-%m-%dT%H:%M:%S", &parts);
+	snprintf(text + size, EVENT_TIME_SIZE - size, ".%03dZ",
+	    (int)(now_us % US_PER_S / US_PER_MS));
 }
 
 static GLogLevelFlags
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -1,9 +1,12 @@
 /**
  * @file event_log.h
- * Numbered log events over GLib's structured logging.
+ * Numbered log events: JSON lines of a process that serves, else plain text.
  *
  * Each event has a number, a level and a text in event_log.c; docs/EVENTS.md
- * is its catalogue, and a test holds the two equal.
+ * is its catalogue, and a test holds the two equal. After event_log_start()
+ * each event is one JSON object on standard output, written by a thread of
+ * its own (log_writer.h); before it, and in tools, it is a line of text on
+ * standard error through GLib.
  */
 #ifndef EVENT_LOG_H
 #define EVENT_LOG_H
@@ -72,6 +75,7 @@
 	EVENT_LINES_LEFT_OUT = 6007,
 	EVENT_REQUEST_PLACED = 6008,
 	EVENT_REQUEST_STARTED = 6009,
+	EVENT_REQUEST_ENDED_BADLY = 6010,
 
 	/* 7000: the stand-in engine */
 	EVENT_STANDIN_STARTED = 7001,
@@ -98,6 +102,14 @@
 
 /** Sets the host id that each line carries and the least level printed. */
 void event_log_setup(uint32_t host_id, enum event_level least);
+/** Starts JSON lines on standard output, at most @p rate of successes a
+ * second. */
+void event_log_start(uint32_t rate);
+/** Writes what is left; lines are text again. */
+void event_log_finish(void);
+/** Writes an event with named fields: @p format and what follows are those of
+ * jansson's json_pack() for an object, such as "{s:s,s:I}". */
+void event_log_fields(enum event_number number, const char *format, ...);
 /** Writes an event; @p format adds its particulars and may be "". */
 void event_log_write(enum event_number number, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -127,11 +127,11 @@
 
 /** What was counted for a request; zero is nothing. */
 struct placement_work {
-	uint64_t upstream_id;			 /**< Where, 0 for nothing. */
-	uint64_t kv_tokens;			 /**< Memory. */
-	uint64_t service;      /**< Hash of its service. */
-	double read_ms;	       /**< Counted at each one that reads it. */
-	double whole_read_ms;  /**< All parts of a long prompt. */
+	uint64_t upstream_id; /**< Where, 0 for nothing. */
+	uint64_t kv_tokens;   /**< Memory. */
+	uint64_t service;     /**< Hash of its service. */
+	double read_ms;	      /**< Counted at each one that reads it. */
+	double whole_read_ms; /**< All parts of a long prompt. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
 	uint32_t helper_count;			 /**< Still reading, below. */
 	bool is_heavy;	/**< Counted as one with a long prompt. */
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -57,6 +57,7 @@
 	relay->host = host;
 	timer_init(&relay->timers, TIMERS_MAX, host_now_ms());
 	random_init(&relay->random, seed);
+	relay_metrics_init(relay);
 	placement_init(&relay->placement, &settings->placement, seed + 1);
 	relay->callers = g_hash_table_new(NULL, NULL);
 	pthread_mutex_init(&relay->inbox_mutex, NULL);
@@ -111,6 +112,7 @@
 	g_hash_table_unref(relay->callers);
 	g_hash_table_unref(relay->budgets);
 	timer_finish(&relay->timers);
+	relay_metrics_finish(relay);
 	uv_loop_close(&relay->loop);
 }
 
@@ -183,8 +185,17 @@
 {
 	struct relay *relay = caller->relay;
 	const char *path = caller->reader.head.target->str;
+	GString *text;
 	bool is_ready;
 
+	if (strcmp(path, relay->settings.dialect.metrics_path) == 0) {
+		text = g_string_new(NULL);
+		relay_metrics_write(relay, text);
+		relay_answer_text(caller, STATUS_OK, text);
+		g_string_free(text, TRUE);
+		relay_caller_done(caller);
+		return;
+	}
 	if (strcmp(path, relay->settings.dialect.ready_path) != 0) {
 		relay_answer_own(caller, STATUS_NOT_FOUND, "no such path", 0);
 		relay_caller_done(caller);
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -21,6 +21,7 @@
 #include <uv.h>
 
 #include "base/error_code.h"
+#include "base/metrics.h"
 #include "base/random_source.h"
 #include "coordination/placement.h"
 #include "coordination/retry_window.h"
@@ -76,6 +77,9 @@
 	_Atomic uint64_t left;	   /**< Callers that left before the end. */
 	_Atomic uint64_t retries;  /**< Attempts after the first. */
 	_Atomic uint64_t resumes;  /**< Streams that went on elsewhere. */
+	struct metric_series *first_event_ms; /**< Time to the first event. */
+	struct metric_series *whole_ms;	      /**< Time to a whole answer. */
+	struct metric_series *turn_ms; /**< Wait for a long prompt's turn. */
 };
 
 /** The relay. */
@@ -102,6 +106,7 @@
 	pthread_mutex_t inbox_mutex;	/**< Guards the inbox. */
 	GPtrArray *inbox;		/**< Reports of other hosts. */
 	struct relay_counters counters; /**< See there. */
+	struct metrics_registry registry;	  /**< Of the histograms. */
 	_Atomic(struct route_table *) next_table; /**< To be taken over. */
 	_Atomic bool is_draining;		  /**< Ends as planned. */
 	_Atomic bool is_stopping;		  /**< Closes everything. */
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -46,6 +46,24 @@
 	g_string_free(body, TRUE);
 }
 
+void
+relay_answer_text(
+    struct relay_caller *caller, uint32_t status, const GString *text)
+{
+	GString *out;
+
+	out = g_string_new(NULL);
+	add_status(out, status);
+	g_string_append_printf(out,
+	    "Content-Type: text/plain; version=0.0.4\r\n"
+	    "Content-Length: %zu\r\n",
+	    (size_t)text->len);
+	add_connection(out, caller);
+	g_string_append_len(out, text->str, (gssize)text->len);
+	tcp_link_write(&caller->link, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
 void
 relay_answer_whole(struct relay_caller *caller, const struct http_head *head,
     const GByteArray *body, bool is_head_method)
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "base/event_log.h"
 #include "service/relay_parts.h"
 
@@ -64,6 +66,7 @@
 static void leave_silent(struct relay_exchange *exchange);
 static void run_deadline(void *context);
 static void note_heard(struct relay_exchange *exchange);
+static void note_first_event(struct relay_exchange *exchange);
 static void note_sent(void *context);
 static void note_head(void *context, struct http_head *head);
 static void note_body(void *context, const char *data, size_t size);
@@ -82,6 +85,10 @@
     struct relay_exchange *exchange, struct http_head *head);
 static void finish(struct relay_exchange *exchange, enum exchange_end end,
     enum error_code error);
+static void log_end(const struct relay_exchange *exchange,
+    enum exchange_end end, enum error_code error);
+static void log_placed(const struct relay_exchange *exchange,
+    const struct placement_choice *choice);
 static void free_exchange(struct relay_exchange *exchange);
 static bool is_head_method(const struct relay_exchange *exchange);
 static int64_t time_left(const struct relay_exchange *exchange);
@@ -277,6 +284,9 @@
 		wait_for_turn(exchange);
 		return;
 	}
+	if (exchange->waiter.service != 0)
+		metrics_observe(exchange->relay->counters.turn_ms,
+		    (double)(host_now_ms() - exchange->arrived_ms));
 	placement_wait_end(&exchange->relay->placement, &exchange->waiter);
 	if (error == ERROR_NONE)
 		send_to(exchange, &choice);
@@ -393,14 +403,7 @@
 	may_repeat = attempt_may_repeat(
 	    exchange->route->kind, exchange->route->is_resumable);
 	idle_max_ms = may_repeat ? ANY_IDLE_MS : FRESH_IDLE_MS;
-	event_log_write(EVENT_REQUEST_PLACED,
-	    "%s at %s: prompt %.0f, wait %.0f, read %.0f, helpers %u, running "
-	    "%u+%u, light %u of %u by %.2f to %.2f",
-	    exchange->attempt_id, exchange->upstream_name,
-	    exchange->wants.prompt_tokens, choice->wait_ms, choice->read_ms,
-	    choice->helper_count, choice->upstream->own.running,
-	    choice->upstream->others.running, choice->light_count,
-	    choice->usable_count, choice->demand.light, choice->demand.heavy);
+	log_placed(exchange, choice);
 	bytes = relay_request_bytes(exchange, choice, now_ms);
 	exchange->call =
 	    upstream_pool_call(&relay->pool, choice->upstream->place, bytes,
@@ -492,17 +495,27 @@
 static void
 leave_silent(struct relay_exchange *exchange)
 {
-	event_log_write(EVENT_UPSTREAM_STALLED,
-	    "%s request %s silent for %lld ms, expected %.0f, reachable %d",
-	    exchange->upstream_name, exchange->attempt_id,
-	    (long long)(host_now_ms() - exchange->heard_ms),
-	    exchange->expected_ms, exchange->is_reachable);
+	event_log_fields(EVENT_UPSTREAM_STALLED, "{s:s,s:s,s:I,s:f,s:b}",
+	    "request", exchange->attempt_id, "upstream",
+	    exchange->upstream_name, "silent_ms",
+	    (json_int_t)(host_now_ms() - exchange->heard_ms), "expected_ms",
+	    exchange->expected_ms, "reachable", exchange->is_reachable);
 	if (exchange->call != NULL)
 		upstream_call_cancel(exchange->call);
 	exchange->call = NULL;
 	attempt_failed(exchange, ERROR_STALLED, true);
 }
 
+/* A stream that went on elsewhere had its first event long ago. */
+static void
+note_first_event(struct relay_exchange *exchange)
+{
+	if (exchange->wants.is_begun)
+		return;
+	metrics_observe(exchange->relay->counters.first_event_ms,
+	    (double)(host_now_ms() - exchange->arrived_ms));
+}
+
 static void
 note_heard(struct relay_exchange *exchange)
 {
@@ -662,10 +675,10 @@
 
 	fault = http_head_get(
 	    &exchange->coming, exchange->relay->settings.dialect.fault_at);
-	event_log_write(EVENT_REQUEST_REFUSED,
-	    "%s by %s: status %u, at fault %s, prompt %.0f tokens",
-	    exchange->attempt_id, exchange->upstream_name,
-	    exchange->coming.status, fault == NULL ? "-" : fault,
+	event_log_fields(EVENT_REQUEST_REFUSED, "{s:s,s:s,s:i,s:s,s:f}",
+	    "request", exchange->attempt_id, "upstream",
+	    exchange->upstream_name, "status", (int)exchange->coming.status,
+	    "at_fault", fault == NULL ? "" : fault, "prompt_tokens",
 	    exchange->wants.prompt_tokens);
 	exchange->is_sent = false;
 	if (fault != NULL && upstream_place(fault) != 0 &&
@@ -729,11 +742,14 @@
 		exchange->unsent++;
 	exchange->is_sent = false;
 	relay_events_drop_partial(&exchange->events);
-	event_log_write(EVENT_REQUEST_RETRIED,
-	    "%s at %s: %s after %lld ms, sent %u, events %llu",
-	    exchange->attempt_id, exchange->upstream_name, error_name(error),
-	    (long long)(host_now_ms() - exchange->arrived_ms), exchange->sent,
-	    (unsigned long long)exchange->events.count);
+	event_log_fields(EVENT_REQUEST_RETRIED,
+	    "{s:s,s:s,s:s,s:I,s:i,s:i,s:b,s:I}", "request",
+	    exchange->attempt_id, "upstream", exchange->upstream_name, "why",
+	    error_name(error), "age_ms",
+	    (json_int_t)(host_now_ms() - exchange->arrived_ms), "sent",
+	    (int)exchange->sent, "unsent", (int)exchange->unsent,
+	    "may_have_run", exchange->may_have_run, "events",
+	    (json_int_t)exchange->events.count);
 	go_on(exchange, error);
 }
 
@@ -810,11 +826,13 @@
 		    &exchange->relay->placement, &exchange->work);
 		if (!exchange->was_good) {
 			relay_note_work(exchange->relay);
-			event_log_write(EVENT_REQUEST_STARTED,
-			    "%s at %s after %lld ms, expected %.0f",
-			    exchange->attempt_id, exchange->upstream_name,
-			    (long long)(host_now_ms() - exchange->sent_ms),
-			    exchange->expected_ms);
+			note_first_event(exchange);
+			event_log_fields(EVENT_REQUEST_STARTED,
+			    "{s:s,s:s,s:I,s:f}", "request",
+			    exchange->attempt_id, "upstream",
+			    exchange->upstream_name, "ms",
+			    (json_int_t)(host_now_ms() - exchange->sent_ms),
+			    "expected_ms", exchange->expected_ms);
 		}
 		exchange->was_good = true;
 		note_heard(exchange);
@@ -838,25 +856,57 @@
 	struct relay_caller *caller = exchange->caller;
 
 	atomic_fetch_add(by_end[end], 1);
+	if (end == END_ANSWERED)
+		metrics_observe(counters->whole_ms,
+		    (double)(host_now_ms() - exchange->arrived_ms));
 	if (exchange->call != NULL)
 		upstream_call_cancel(exchange->call);
 	leave_upstream(exchange);
-	event_log_write(EVENT_REQUEST_ENDED,
-	    "%s %s: %s %s at %s in %lld ms, sent %u, events %llu, routes "
-	    "%llu",
-	    exchange->attempt_id,
-	    exchange->route == NULL ? "-" : exchange->route->name,
-	    end_names[end], error_name(error), exchange->upstream_name,
-	    (long long)(host_now_ms() - exchange->arrived_ms), exchange->sent,
-	    (unsigned long long)exchange->events.count,
-	    exchange->table == NULL
-		? 0ULL
-		: (unsigned long long)exchange->table->version);
+	log_end(exchange, end, error);
 	free_exchange(exchange);
 	if (caller != NULL)
 		relay_caller_done(caller);
 }
 
+/* The line from which everything about a request is found. */
+static void
+log_end(const struct relay_exchange *exchange, enum exchange_end end,
+    enum error_code error)
+{
+	event_log_fields(end == END_ANSWERED ? EVENT_REQUEST_ENDED
+					     : EVENT_REQUEST_ENDED_BADLY,
+	    "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:I,s:I}", "request",
+	    exchange->attempt_id, "route",
+	    exchange->route == NULL ? "" : exchange->route->name, "outcome",
+	    end_names[end], "why", error_name(error), "upstream",
+	    exchange->upstream_name, "ms",
+	    (json_int_t)(host_now_ms() - exchange->arrived_ms), "left_ms",
+	    (json_int_t)(exchange->route == NULL ? 0 : time_left(exchange)),
+	    "sent", (int)exchange->sent, "status",
+	    (json_int_t)(exchange->has_answer ? exchange->answer.status : 0),
+	    "events", (json_int_t)exchange->events.count, "routes_version",
+	    (json_int_t)(exchange->table == NULL ? 0
+						 : exchange->table->version));
+}
+
+/* What decided where a request goes. */
+static void
+log_placed(const struct relay_exchange *exchange,
+    const struct placement_choice *choice)
+{
+	event_log_fields(EVENT_REQUEST_PLACED,
+	    "{s:s,s:s,s:f,s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:f,s:f}", "request",
+	    exchange->attempt_id, "upstream", exchange->upstream_name,
+	    "prompt_tokens", exchange->wants.prompt_tokens, "wait_ms",
+	    choice->wait_ms, "read_ms", choice->read_ms, "helpers",
+	    (int)choice->helper_count, "running",
+	    (int)choice->upstream->own.running, "running_of_others",
+	    (int)choice->upstream->others.running, "light_engines",
+	    (int)choice->light_count, "engines", (int)choice->usable_count,
+	    "light_demand", choice->demand.light, "heavy_demand",
+	    choice->demand.heavy);
+}
+
 static void
 free_exchange(struct relay_exchange *exchange)
 {
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -97,6 +97,15 @@
 /** Closes a connection on which nothing runs, for a planned stop. */
 void relay_caller_close_idle(struct relay_caller *caller);
 
+/* relay_metrics.c */
+
+/** Adds the histograms. */
+void relay_metrics_init(struct relay *relay);
+/** Gives back memory. */
+void relay_metrics_finish(struct relay *relay);
+/** Appends all counters and histograms in the text exposition format. */
+void relay_metrics_write(struct relay *relay, GString *out);
+
 /* relay_exchange.c */
 
 /** Starts on a request that was read whole. */
@@ -109,6 +118,9 @@
 /** Writes an own answer with a JSON body. */
 void relay_answer_own(struct relay_caller *caller, uint32_t status,
     const char *reason, int64_t retry_after_ms);
+/** Writes an own answer of plain text. */
+void relay_answer_text(
+    struct relay_caller *caller, uint32_t status, const GString *text);
 /** Writes an upstream's answer whole. */
 void relay_answer_whole(struct relay_caller *caller,
     const struct http_head *head, const GByteArray *body, bool is_head_method);
--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -12,6 +12,7 @@
 #include "service/api.h"
 #include "service/host.h"
 
+#define LOG_LINES_PER_S 400	  /* Of successes; failures always. */
 #define DRAIN_NOTICE_US 1500000ul /* The balancer sees it in this time. */
 
 static const struct http_route routes[] = {
@@ -56,6 +57,7 @@
 	/* Blocked before any thread starts, so that only sigwait() sees them. */
 	block_signals(&signals);
 	event_log_setup(settings->host_id, read_level(settings->log_level));
+	event_log_start(LOG_LINES_PER_S);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	host = calloc(1, sizeof(*host));
 	server = calloc(1, sizeof(*server));
@@ -84,6 +86,7 @@
 	free(server);
 	free(host);
 	curl_global_cleanup();
+	event_log_finish();
 	return error;
 }
 
--- a/tests/relay_scene.c
+++ b/tests/relay_scene.c
@@ -356,10 +356,14 @@
 }
 
 char *
-relay_scene_ask_ready(struct relay_scene *scene)
+relay_scene_ask_monitor(struct relay_scene *scene, const char *path)
 {
-	return ask(
-	    scene->ready_port, "GET /v1/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+	char *request, *answer;
+
+	request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: b\r\n\r\n", path);
+	answer = ask(scene->ready_port, request);
+	g_free(request);
+	return answer;
 }
 
 uint32_t
--- a/tests/relay_scene.h
+++ b/tests/relay_scene.h
@@ -52,8 +52,8 @@
 /** Sends bytes and reads until the relay ends, or a whole answer with a
  * length came, or nothing comes for 3 s. Free with g_free(). */
 char *relay_scene_ask(struct relay_scene *scene, const char *request);
-/** The same of the balancer's port. */
-char *relay_scene_ask_ready(struct relay_scene *scene);
+/** Asks for a path at the balancer's port. */
+char *relay_scene_ask_monitor(struct relay_scene *scene, const char *path);
 /** Connects as a caller. */
 int relay_scene_connect(struct relay_scene *scene);
 /** Requests that came to upstreams so far. */
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -362,8 +362,8 @@
 				     START_MS + i, &waiter, &choice),
 		    ERROR_NONE);
 		placement_wait_end(&scene.placement, &waiter);
-		placement_begin(&scene.placement, &request, &choice,
-		    START_MS + i, &work);
+		placement_begin(
+		    &scene.placement, &request, &choice, START_MS + i, &work);
 		placement_end(&scene.placement, &work);
 	}
 	assert_true(choice.wait_ms < 1);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -193,13 +193,13 @@
 	(void)state;
 	relay_scene_init(&scene);
 	relay_scene_answer(&scene, WHOLE("200 OK", "body!", "5"));
-	answer = relay_scene_ask_ready(&scene);
+	answer = relay_scene_ask_monitor(&scene, "/v1/ready");
 	assert_non_null(strstr(answer, "HTTP/1.1 200"));
 	g_free(answer);
 	relay_drain(&scene.relay);
 	for (i = 0; i < 300 && atomic_load(&scene.relay.is_ready); i++)
 		usleep(10000);
-	answer = relay_scene_ask_ready(&scene);
+	answer = relay_scene_ask_monitor(&scene, "/v1/ready");
 	assert_non_null(strstr(answer, "HTTP/1.1 503"));
 	g_free(answer);
 	answer = relay_scene_ask(&scene, ASK("/idem/"));
@@ -209,6 +209,26 @@
 	relay_scene_finish(&scene);
 }
 
+/* Counters and histograms are where the balancer asks. */
+static void
+test_metrics(void **state)
+{
+	struct relay_scene scene;
+	char *answer;
+
+	(void)state;
+	relay_scene_init(&scene);
+	relay_scene_answer(&scene, EVENTS EVENT1 EVENT2 END);
+	answer = relay_scene_ask(&scene, ASK("/stream/"));
+	g_free(answer);
+	answer = relay_scene_ask_monitor(&scene, "/metrics");
+	assert_non_null(strstr(answer, "chicorytack_relay_answered_total 1\n"));
+	assert_non_null(
+	    strstr(answer, "chicorytack_relay_first_event_ms_count 1\n"));
+	g_free(answer);
+	relay_scene_finish(&scene);
+}
+
 int
 main(void)
 {
@@ -216,6 +236,7 @@
 	    cmocka_unit_test(test_exchanges),
 	    cmocka_unit_test(test_caller_leaves),
 	    cmocka_unit_test(test_planned_stop),
+	    cmocka_unit_test(test_metrics),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
