--- a/src/service/cli_verbs.c
+++ b/src/service/cli_verbs.c
@@ -7,6 +7,7 @@
 
 #include "base/event_log.h"
 #include "platform_serve.h"
+#include "service/cli_explain.h"
 #include "service/serve.h"
 #include "service/settings.h"
 #include "state/config_entry.h"
@@ -18,6 +19,7 @@
 
 static int run_serve(struct cli *cli);
 static int run_platform(struct cli *cli);
+static int run_explain(struct cli *cli);
 static int run_check_config(struct cli *cli);
 static int run_status(struct cli *cli);
 static int run_upstreams(struct cli *cli);
@@ -58,6 +60,11 @@
 static void write_line(void *context, const char *line);
 
 static const struct cli_verb verbs[] = {
+    {"explain", "REQUEST-ID FILE...", 2, 64,
+	"tell what became of a request, from hosts' logs (- for standard "
+	"input)",
+	"chicorytack explain 9c41d07be2a35f68 front-1.log front-2.log",
+	run_explain},
     {"serve-platform", "", 0, 0,
 	"run a host on the users' platform until SIGTERM, by the settings "
 	"file that CHICORYTACK_SETTINGS names",
@@ -114,6 +121,20 @@
 	return verbs;
 }
 
+static int
+run_explain(struct cli *cli)
+{
+	enum error_code error;
+
+	error = explain_request(cli->arguments[0],
+	    (const char *const *)cli->arguments + 1,
+	    (uint32_t)cli->argument_count - 1, stdout);
+	if (error != ERROR_NONE)
+		fprintf(stderr, "chicorytack: %s: %s\n", cli->arguments[0],
+		    error_text(error));
+	return cli_exit_code(error);
+}
+
 static int
 run_platform(struct cli *cli)
 {
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -286,7 +286,8 @@
 		return;
 	}
 	relay_refresh(relay);
-	if (atomic_load(&relay->is_draining)) {
+	if (atomic_load(&relay->is_draining) && relay->stop_begun_ms == 0) {
+		relay->stop_begun_ms = host_now_ms();
 		tell_ready(relay);
 		/* Until then new connections may still come here. */
 		if (timer_subscribe_once(&relay->timers, LINGER_ROUNDS_MS,
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -62,6 +62,8 @@
 	double retry_ratio;		/**< Retries per request, fleet-wide. */
 	uint32_t retry_slack;		/**< Retries besides, fleet-wide. */
 	int64_t retry_window_ms;	/**< Window of both. */
+	int64_t stop_accept_ms; /**< A planned stop refuses requests that come
+				     later than that after its begin. */
 	struct placement_settings placement; /**< See there. */
 	struct relay_dialect dialect;	     /**< Names on the wire. */
 };
@@ -112,6 +114,7 @@
 	_Atomic bool is_stopping;		  /**< Closes everything. */
 	_Atomic bool is_idle;  /**< Draining, and nothing runs. */
 	_Atomic bool is_ready; /**< As told to the balancer. */
+	int64_t stop_begun_ms; /**< Of a planned stop, 0 for none. */
 	bool has_closed;       /**< Listeners and callers are closed. */
 };
 
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -14,20 +14,21 @@
 #define STATUS_UNAVAILABLE  503
 #define STATUS_LATE	    504
 
-#define WAIT_STEP_MS	 15   /* Between tries to place a request. */
-#define WAIT_GOAL_PART	 2    /* Longest wait, as part of the goal. */
-#define RETRY_AFTER_MS	 400  /* Said when nothing better is known. */
-#define EXCUSED_MAX	 3    /* Tries that failed by a helper's fault. */
-#define START_HOLD_MS	 1000 /* Held at most by a host that starts. */
-#define START_AFTER_MS	 1500 /* A host that starts, or upstreams that do. */
-#define ANSWER_BYTES_MAX ((size_t)32 * 1024 * 1024) /* Of a whole answer. */
-#define SILENCE_LOOK_MS	 150  /* Between looks at a silent upstream. */
-#define PLAIN_GOALS	 3    /* Silence of a plain upstream, in goals. */
-#define PATIENCE_MIN_MS	 2000 /* Callers bear at least this silence... */
-#define PATIENCE_GOALS	 4    /* ...or the longest of so many goals... */
-#define PATIENCE_GAPS	 8    /* ...and so many pauses. */
-#define FRESH_IDLE_MS	 700  /* Kept connections for unrepeatable calls. */
-#define ANY_IDLE_MS	 INT64_MAX
+#define WAIT_STEP_MS	  15   /* Between tries to place a request. */
+#define WAIT_GOAL_PART	  2    /* Longest wait, as part of the goal. */
+#define RETRY_AFTER_MS	  400  /* Said when nothing better is known. */
+#define EXCUSED_MAX	  3    /* Tries that failed by a helper's fault. */
+#define START_HOLD_MS	  1000 /* Held at most by a host that starts. */
+#define STOPPING_AFTER_MS 100  /* Another host takes it at once. */
+#define START_AFTER_MS	  1500 /* A host that starts, or upstreams that do. */
+#define ANSWER_BYTES_MAX  ((size_t)32 * 1024 * 1024) /* Of a whole answer. */
+#define SILENCE_LOOK_MS	  150  /* Between looks at a silent upstream. */
+#define PLAIN_GOALS	  3    /* Silence of a plain upstream, in goals. */
+#define PATIENCE_MIN_MS	  2000 /* Callers bear at least this silence... */
+#define PATIENCE_GOALS	  4    /* ...or the longest of so many goals... */
+#define PATIENCE_GAPS	  8    /* ...and so many pauses. */
+#define FRESH_IDLE_MS	  700  /* Kept connections for unrepeatable calls. */
+#define ANY_IDLE_MS	  INT64_MAX
 
 /* How a request ended, for the log and the counters. */
 enum exchange_end {
@@ -43,6 +44,7 @@
     "answered", "refused", "denied", "failed", "broken", "left"};
 
 static void start(struct relay_exchange *exchange);
+static bool is_too_late(const struct relay_exchange *exchange);
 static void run_start(void *context);
 static bool hold_for_start(struct relay_exchange *exchange);
 static bool resolve(struct relay_exchange *exchange);
@@ -132,6 +134,12 @@
 {
 	struct relay *relay = exchange->relay;
 
+	if (is_too_late(exchange)) {
+		relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
+		    "this host is stopping", STOPPING_AFTER_MS);
+		finish(exchange, END_REFUSED, ERROR_SHUTTING_DOWN);
+		return;
+	}
 	if (!resolve(exchange))
 		return;
 	exchange->deadline_ms = MIN(exchange->deadline_ms,
@@ -195,6 +203,18 @@
 	return true;
 }
 
+/* The balancer still sends callers here while too few hosts are ready; what
+ * begins now could not end before the process does. */
+static bool
+is_too_late(const struct relay_exchange *exchange)
+{
+	const struct relay *relay = exchange->relay;
+
+	return relay->stop_begun_ms != 0 &&
+	       exchange->arrived_ms >
+		   relay->stop_begun_ms + relay->settings.stop_accept_ms;
+}
+
 /* A host that starts knows its routes within a second, mostly. */
 static bool
 hold_for_start(struct relay_exchange *exchange)
--- a/tests/relay_scene.c
+++ b/tests/relay_scene.c
@@ -237,6 +237,7 @@
 	settings.retry_ratio = 1;
 	settings.retry_slack = 10;
 	settings.retry_window_ms = 10000;
+	settings.stop_accept_ms = 60000;
 	settings.dialect = (struct relay_dialect){
 	    .attempt_id = "Attempt-Id",
 	    .deadline = "Deadline-Ms",
--- /dev/null
+++ b/tests/test_log_writer.c
@@ -0,0 +1,92 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/log_writer.h"
+
+#define CAPACITY 64
+
+static char *
+report(const struct log_left_out *left_out, uint32_t count)
+{
+	char *text;
+
+	text = malloc(64);
+	snprintf(text, 64, "left out %u kinds, %llu of %d\n", count,
+	    (unsigned long long)left_out[0].count, left_out[0].event);
+	return text;
+}
+
+/* Reads a pipe to its end. */
+static char *
+drain(int fd)
+{
+	char *text = calloc(1, 1 << 20);
+	ssize_t size;
+	size_t at = 0;
+
+	while ((size = read(fd, text + at, (1 << 20) - at - 1)) > 0)
+		at += (size_t)size;
+	return text;
+}
+
+/* A reader that does not read blocks nobody; failures find room before
+ * successes, and what was left out is counted. */
+static void
+test_blocked_reader(void **state)
+{
+	struct log_writer writer;
+	char line[2048], *text;
+	int fds[2], i;
+
+	(void)state;
+	assert_int_equal(pipe(fds), 0);
+	memset(line, 'x', sizeof(line));
+	line[sizeof(line) - 2] = '\n';
+	line[sizeof(line) - 1] = '\0';
+	assert_true(
+	    log_writer_init(&writer, fds[1], CAPACITY, 1000000, report));
+	/* More than the pipe and the ring hold. */
+	for (i = 0; i < 500; i++)
+		log_writer_put(&writer, 7, false, strdup(line));
+	log_writer_put(&writer, 8, true, strdup("failure\n"));
+	pthread_mutex_lock(&writer.mutex);
+	assert_true(writer.count <= CAPACITY / 2 + 2);
+	pthread_mutex_unlock(&writer.mutex);
+	close(fds[1]);
+	close(fds[0]);
+	signal(SIGPIPE, SIG_IGN);
+	log_writer_finish(&writer);
+	/* The same with a reader: all that was taken is written. */
+	assert_int_equal(pipe(fds), 0);
+	assert_true(log_writer_init(&writer, fds[1], CAPACITY, 10, report));
+	for (i = 0; i < 50; i++)
+		log_writer_put(&writer, 7, false, strdup("success\n"));
+	log_writer_put(&writer, 8, true, strdup("failure\n"));
+	log_writer_finish(&writer);
+	close(fds[1]);
+	text = drain(fds[0]);
+	close(fds[0]);
+	assert_non_null(strstr(text, "success\n"));
+	assert_non_null(strstr(text, "failure\n"));
+	assert_non_null(strstr(text, "left out 1 kinds"));
+	free(text);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_blocked_reader),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -206,6 +206,13 @@
 	assert_non_null(strstr(answer, "Connection: close"));
 	assert_non_null(strstr(answer, "body!"));
 	g_free(answer);
+	/* One that comes long after the stop began is refused, not cut. */
+	scene.relay.stop_begun_ms -= scene.relay.settings.stop_accept_ms + 1;
+	answer = relay_scene_ask(&scene, ASK("/idem/"));
+	assert_non_null(strstr(answer, "HTTP/1.1 503"));
+	assert_non_null(strstr(answer, "Retry-After: "));
+	assert_int_equal(relay_scene_count(&scene), 1);
+	g_free(answer);
 	relay_scene_finish(&scene);
 }
 
