--- a/src/service/cli_explain.c
+++ b/src/service/cli_explain.c
@@ -9,7 +9,8 @@
 
 #include "base/event_log.h"
 
-#define TIME_START 11 /* Of the clock within a time as logged. */
+#define REAL_DIGITS 6  /* Of numbers with a fraction. */
+#define TIME_START  11 /* Of the clock within a time as logged. */
 
 static void read_lines(GPtrArray *lines, FILE *file, const char *request_id);
 static gint compare_times(gconstpointer left, gconstpointer right);
@@ -155,7 +156,8 @@
 	{
 		if (is_head_field(name))
 			continue;
-		text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+		text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT |
+					     JSON_REAL_PRECISION(REAL_DIGITS));
 		fprintf(out, " %s=%s", name, text == NULL ? "?" : text);
 		free(text);
 	}
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -89,6 +89,7 @@
     enum error_code error);
 static void log_end(const struct relay_exchange *exchange,
     enum exchange_end end, enum error_code error);
+static void log_waits(struct relay_exchange *exchange);
 static void log_placed(const struct relay_exchange *exchange,
     const struct placement_choice *choice);
 static void free_exchange(struct relay_exchange *exchange);
@@ -292,15 +293,19 @@
 {
 	struct placement_choice choice;
 	enum error_code error;
+	bool was_waiting;
 
 	exchange->wants.arrived_ms = exchange->arrived_ms;
 	exchange->wants.deadline_ms = exchange->deadline_ms;
 	exchange->wants.is_begun = exchange->is_answering;
+	was_waiting = exchange->waiter.service != 0;
 	error = placement_pick(&exchange->relay->placement, &exchange->wants,
 	    host_now_ms(), &exchange->waiter, &choice);
 	if (exchange->waiter.service != 0)
 		relay_note_work(exchange->relay);
 	if (error == ERROR_CHANGE_PENDING) {
+		if (!was_waiting)
+			log_waits(exchange);
 		wait_for_turn(exchange);
 		return;
 	}
@@ -909,6 +914,19 @@
 						 : exchange->table->version));
 }
 
+static void
+log_waits(struct relay_exchange *exchange)
+{
+	event_log_fields(EVENT_REQUEST_WAITS, "{s:s,s:f,s:f,s:I,s:I}",
+	    "request", exchange->attempt_id, "prompt_tokens",
+	    exchange->wants.prompt_tokens, "work_ms", exchange->waiter.work_ms,
+	    "all_wait_ms",
+	    (json_int_t)placement_wait_estimate(
+		&exchange->relay->placement, exchange->service, host_now_ms()),
+	    "useless_in_ms",
+	    (json_int_t)(exchange->waiter.useless_ms - host_now_ms()));
+}
+
 /* What decided where a request goes. */
 static void
 log_placed(const struct relay_exchange *exchange,
--- a/tests/real_voters.sh
+++ b/tests/real_voters.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Operators replace a voter whose disk is lost, as docs/OPERATING.md says, and a
+# Operators replace a voter whose disk is lost, as docs/OPERATIONS.md says, and a
 # second one fails right after; no accepted change is lost. real_voters.sh BUILD_DIR
 set -euo pipefail
 cd "$CHICORY_SOURCE_DIR"
