--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -14,6 +14,7 @@
 #define SHORT_ASTRAY_COST_MS 350.0  /* A short prompt beside long ones. */
 #define LONG_ASTRAY_COST_MS  1500.0 /* A long prompt beside short ones. */
 #define TOKENS_PER_PART	     2500.0 /* A part should be worth its hop. */
+#define SHORT_WRITERS_MAX    6u	    /* More would all pause for a part. */
 #define HELPING_SPARED	     2u	    /* News of other hosts comes late. */
 #define FULL_GOAL_PART	     0.85   /* Of the goal: work that may wait. */
 #define SMALL_WORK_MS	     800.0  /* Less is never in the way. */
@@ -90,6 +91,7 @@
 static uint32_t list_helpers(const struct gathering *gathering,
     const GArray *candidates, const struct placement_upstream *reader,
     const struct placement_upstream **helpers);
+static uint32_t count_short(const struct placement_upstream *upstream);
 static bool is_away(const struct gathering *gathering,
     const struct placement_upstream *upstream);
 static bool is_helping_enough(const struct placement_upstream *upstream);
@@ -589,6 +591,7 @@
 			    candidate->upstream->others.leading >
 			0 ||
 		    is_away(gathering, candidate->upstream) ||
+		    count_short(candidate->upstream) > SHORT_WRITERS_MAX ||
 		    is_helping_enough(candidate->upstream))
 			continue;
 		backlog_ms = backlog_of(candidate->upstream, gathering->now_ms);
@@ -606,6 +609,17 @@
 	return count;
 }
 
+/* Requests with short prompts that are still answered there. */
+static uint32_t
+count_short(const struct placement_upstream *upstream)
+{
+	uint32_t running, heavy;
+
+	running = upstream->own.running + upstream->others.running;
+	heavy = upstream->own.heavy + upstream->others.heavy;
+	return running - MIN(heavy, running);
+}
+
 /* One helper that is gone fails the whole prompt, so what any host found is
  * enough to do without it. */
 static bool
