A kept answer is delivered when the time limit passes; the relay's exchange in four files

Cause: run_deadline() told the caller 504 although an earlier attempt's whole answer was kept; all other ways out deliver it. Found by reading. Change: it is delivered there too; test_relay has the case (seen failing before). Attempts, silence and trace lines have files of their own, nothing else in them changed.

--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -11,7 +11,10 @@
 #include "service/relay_events.h"
 #include "transport/tcp_link.h"
 
-#define ATTEMPT_ID_SIZE 128 /**< Bytes of an attempt's id as text. */
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_UNAVAILABLE 503
+#define RETRY_AFTER_MS	   400 /**< Said when nothing better is known. */
+#define ATTEMPT_ID_SIZE	   128 /**< Bytes of an attempt's id as text. */
 
 /** Where a caller's connection stands. */
 enum caller_state {
@@ -21,6 +24,16 @@
 	CALLER_CLOSED = 3,    /**< Closing. */
 };
 
+/** How a request ended, for the log and the counters. */
+enum exchange_end {
+	END_ANSWERED = 0, /**< The caller has the whole answer. */
+	END_REFUSED = 1,  /**< Did not run; may come again. */
+	END_DENIED = 2,	  /**< Not allowed by the configuration. */
+	END_FAILED = 3,	  /**< May have run; the caller is told so. */
+	END_BROKEN = 4,	  /**< The answer had begun and has no end. */
+	END_LEFT = 5,	  /**< The caller left first. */
+};
+
 struct relay_exchange;
 
 /** A caller's connection. */
@@ -113,6 +126,48 @@
 /** The caller has left. */
 void relay_exchange_cancel(struct relay_exchange *exchange);
 
+/** Finds route, account and service by the newest table; answers if the
+ * request is not allowed, and returns false then. */
+bool relay_exchange_resolve(struct relay_exchange *exchange);
+/** Sends it to the best upstream, or waits a little for one. */
+void relay_exchange_place(struct relay_exchange *exchange);
+/** Counts and logs the end, and frees the exchange. */
+void relay_exchange_finish(struct relay_exchange *exchange,
+    enum exchange_end end, enum error_code error);
+/** Whether the answer has no body. */
+bool relay_exchange_is_head(const struct relay_exchange *exchange);
+/** Milliseconds until an answer must be out. */
+int64_t relay_exchange_left_ms(const struct relay_exchange *exchange);
+
+/* relay_attempt.c */
+
+/** Sends the request to an upstream. */
+void relay_attempt_begin(
+    struct relay_exchange *exchange, struct placement_choice *choice);
+/** Nothing more is expected of the upstream. */
+void relay_attempt_leave(struct relay_exchange *exchange);
+/** Logs it and decides what comes next; is_fault: counts against the
+ * upstream. */
+void relay_attempt_failed(
+    struct relay_exchange *exchange, enum error_code error, bool is_fault);
+
+/* relay_silence.c */
+
+/** Looks at the upstream's silence from time to time, if the request may go
+ * elsewhere. */
+void relay_silence_watch(struct relay_exchange *exchange);
+
+/* relay_trace.c */
+
+/** The line from which everything about a request is found. */
+void relay_trace_end(const struct relay_exchange *exchange,
+    enum exchange_end end, enum error_code error);
+/** A long prompt waits for its turn. */
+void relay_trace_waits(const struct relay_exchange *exchange);
+/** What decided where a request goes. */
+void relay_trace_placed(const struct relay_exchange *exchange,
+    const struct placement_choice *choice);
+
 /* relay_answer.c */
 
 /** Writes an own answer with a JSON body. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -83,6 +83,9 @@
     {"idempotent: the failure, when nothing better comes", ASK("/idem/"),
 	WHOLE("500 Oops", "oops!", "5"), "<reset>", "oops!", NULL, 2, NULL,
 	NULL},
+    {"idempotent: the failure, when the next one is silent", ASK("/idem/"),
+	WHOLE("500 Oops", "oops!", "5"), "<hang>", "oops!", "504", 2, NULL,
+	NULL},
     {"no receipt", ASK("/once/"),
 	"HTTP/1.1 200 OK\r\nAttempt-Id: {ID}\r\nContent-Length: 5\r\n\r\n"
 	"body!",
