--- a/src/service/host.c
+++ b/src/service/host.c
@@ -36,7 +36,6 @@
     enum peer_channel channel, const void *body, size_t size);
 static void note_connected(
     void *context, uint32_t host_id, uint64_t incarnation);
-static void note_disconnected(void *context, uint32_t host_id);
 static void dial_seed(void *context, const char *ip, uint16_t port);
 static void add_host(
     void *context, uint32_t host_id, const char *ip, uint16_t port);
@@ -199,7 +198,6 @@
 	struct peer_link_ops ops = {
 	    .receive = receive_frame,
 	    .connected = note_connected,
-	    .disconnected = note_disconnected,
 	    .context = host,
 	};
 	uint32_t i;
@@ -365,18 +363,10 @@
 {
 	struct host *host = context;
 
-	event_log_write(EVENT_PEER_CONNECTED, "host %u", host_id);
 	(void)incarnation;
 	membership_connected(&host->membership, host_id);
 }
 
-static void
-note_disconnected(void *context, uint32_t host_id)
-{
-	(void)context;
-	event_log_write(EVENT_PEER_DISCONNECTED, "host %u", host_id);
-}
-
 static void
 dial_seed(void *context, const char *ip, uint16_t port)
 {
