--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -97,6 +97,7 @@
 	uint64_t tried[PLACEMENT_TRIED_MAX]; /**< Ids not to use again. */
 	uint32_t tried_count;		     /**< In use below. */
 	bool is_begun; /**< Its caller has part of the answer: no turns. */
+	bool is_alone; /**< Helpers failed it before: to be read by one. */
 };
 
 /** A long prompt that waits for its turn. Zero waits for nothing. */
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -149,7 +149,7 @@
 	if (gathering.kv_tokens > 0 && !gathering.is_too_large) {
 		choice->whole_read_ms = engine_read_ms(
 		    &request->service->engine, request->prompt_tokens);
-		if (gathering.is_heavy)
+		if (gathering.is_heavy && !request->is_alone)
 			choose_helpers(&gathering, candidates, choice);
 		choice->read_ms =
 		    choice->whole_read_ms / (choice->helper_count + 1);
--- a/src/coordination/relay_rules.c
+++ b/src/coordination/relay_rules.c
@@ -5,6 +5,7 @@
 #define STATUS_SERVER_ERROR 500
 #define STATUS_MISDIRECTED  421
 #define UNSENT_MAX	    4  /* Upstreams that can't be reached. */
+#define EXCUSED_MAX	    3  /* Refusals by a helper's fault. */
 #define LEFT_MIN_MS	    20 /* Less is not worth an attempt. */
 
 enum answer_verdict
@@ -55,3 +56,13 @@
 		return ATTEMPT_DELIVER;
 	return state->may_have_run ? ATTEMPT_FAIL : ATTEMPT_REFUSE;
 }
+
+/* Helpers that fail together are found one by one, each costs a try: the last
+ * try depends on none. */
+enum fault_step
+helper_fault_next(uint32_t excused)
+{
+	if (excused >= EXCUSED_MAX)
+		return FAULT_COUNTS;
+	return excused + 1 == EXCUSED_MAX ? FAULT_EXCUSED_ALONE : FAULT_EXCUSED;
+}
--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -62,9 +62,18 @@
 	ATTEMPT_BREAK = 5,   /**< Break the answer that has begun. */
 };
 
+/** What an upstream's refusal for a helper's fault means. */
+enum fault_step {
+	FAULT_COUNTS = 0,	 /**< An attempt like any other. */
+	FAULT_EXCUSED = 1,	 /**< The same upstream, other helpers. */
+	FAULT_EXCUSED_ALONE = 2, /**< The same upstream, no helpers. */
+};
+
 /** Decides. */
 enum attempt_step attempt_next(const struct attempt_state *state);
 /** True if the request may be sent again after it may have run. */
 bool attempt_may_repeat(enum route_kind kind, bool is_resumable);
+/** Decides; excused: refusals of this request that were excused before. */
+enum fault_step helper_fault_next(uint32_t excused);
 
 #endif
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -6,7 +6,6 @@
 #include "service/relay_parts.h"
 
 #define STATUS_MISDIRECTED 421
-#define EXCUSED_MAX	   3 /* Tries that failed by a helper's fault. */
 #define ANSWER_BYTES_MAX   ((size_t)32 * 1024 * 1024) /* Of a whole answer. */
 #define FRESH_IDLE_MS	   700 /* Kept connections for unrepeatable calls. */
 #define ANY_IDLE_MS	   INT64_MAX
@@ -258,11 +257,15 @@
 static void
 excuse_upstream(struct relay_exchange *exchange, uint64_t fault)
 {
+	enum fault_step step;
+
 	placement_note_fault(&exchange->relay->placement, fault, host_now_ms());
 	relay_note_work(exchange->relay);
-	if (exchange->excused >= EXCUSED_MAX || exchange->sent == 0 ||
+	step = helper_fault_next(exchange->excused);
+	if (step == FAULT_COUNTS || exchange->sent == 0 ||
 	    exchange->wants.tried_count == 0)
 		return;
+	exchange->wants.is_alone = step == FAULT_EXCUSED_ALONE;
 	exchange->excused++;
 	exchange->sent--;
 	exchange->wants.tried_count--;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -118,6 +118,11 @@
 	assert_true(choice.read_ms < 250);
 	for (i = 0; i < choice.helper_count; i++)
 		assert_true(choice.helpers[i] != choice.upstream->id);
+	request.is_alone = true;
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NONE);
+	assert_int_equal(choice.helper_count, 0);
 	close_scene(&scene);
 }
 
--- a/tests/test_relay_rules.c
+++ b/tests/test_relay_rules.c
@@ -127,6 +127,27 @@
 	}
 }
 
+/* Load replayed (incident inc-5f95, second 19): four helpers of one rack are
+ * gone within 10 ms, and each refusal names one of them. */
+static void
+test_helpers_gone_together(void **state)
+{
+	uint32_t helpers_gone, excused;
+	enum fault_step step;
+
+	(void)state;
+	step = FAULT_EXCUSED;
+	helpers_gone = 4;
+	for (excused = 0; helpers_gone > 0; excused++) {
+		step = helper_fault_next(excused);
+		if (step != FAULT_EXCUSED)
+			break;
+		helpers_gone--;
+	}
+	assert_int_equal(step, FAULT_EXCUSED_ALONE);
+	assert_int_equal(helper_fault_next(excused + 1), FAULT_COUNTS);
+}
+
 /* 10 s, a fifth of the requests and a slack of 3. */
 static void
 test_budget_slides(void **state)
@@ -158,6 +179,7 @@
 	    cmocka_unit_test(test_heads),
 	    cmocka_unit_test(test_steps),
 	    cmocka_unit_test(test_never_refuses_what_may_have_run),
+	    cmocka_unit_test(test_helpers_gone_together),
 	    cmocka_unit_test(test_budget_slides),
 	};
 
