The relay's memory outlives the host's thread at a stop

The leave message was never sent, so peers found the host gone only by their own timeouts. Ruled out: the log writer; the JSON fields. Change: relay_stop() ends the thread, relay_finish() frees after host_finish(). relay_scene brings a report and a table in between; before the change all tests of test_relay died of the same message.

--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -98,11 +98,16 @@
 }
 
 void
-relay_finish(struct relay *relay)
+relay_stop(struct relay *relay)
 {
 	atomic_store(&relay->is_stopping, true);
 	uv_async_send(&relay->wake);
 	pthread_join(relay->thread, NULL);
+}
+
+void
+relay_finish(struct relay *relay)
+{
 	route_table_unref(atomic_exchange(&relay->next_table, NULL));
 	route_table_unref(relay->table);
 	g_ptr_array_unref(relay->inbox);
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -130,7 +130,9 @@
 void relay_drain(struct relay *relay);
 /** True once nothing runs any more after relay_drain(). */
 bool relay_is_idle(const struct relay *relay);
-/** Closes everything and ends the thread. */
+/** Closes everything and ends the thread; the host may still bring news. */
+void relay_stop(struct relay *relay);
+/** Gives back memory, after relay_stop() and the end of the host. */
 void relay_finish(struct relay *relay);
 
 /* Any thread */
