explain names the cause of every refusal

Cause: a request that came to a stopping host was explained as without an end. Change: the cause is named; refusals of other kinds have a general one. test_explain's new case failed before.

--- a/src/service/cli_explain.c
+++ b/src/service/cli_explain.c
@@ -45,6 +45,9 @@
 	"names the one at fault)."},
     {"refused", "timeout", "No upstream could be reached in its time."},
     {"refused", "connection", "No upstream could be reached."},
+    {"refused", "shutting_down",
+	"The host was stopping (E1002) and it came too late to end there."},
+    {"refused", NULL, "It did not run; why each try ended stands in E6002."},
     {"denied", NULL,
 	"No route or no account for it in the configuration of "
 	"routes_version."},
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -20,7 +20,12 @@
     "02.000", "6010", "\"r1\",\"outcome\":\"refused\",\"why\":\"no_upstream\"")
     LINE("01.000", "6008", "\"r1\",\"upstream\":\"u9\"")
 	LINE("01.500", "6005", "\"r2\",\"outcome\":\"answered\"")
-	    LINE("01.600", "6008", "\"r3\",\"upstream\":\"r1\"");
+	    LINE("01.600", "6008", "\"r3\",\"upstream\":\"r1\"")
+		LINE("01.700", "6010",
+		    "\"r4\",\"outcome\":\"refused\",\"why\":"
+		    "\"shutting_down\"") LINE("01.800", "6010",
+		    "\"r5\",\"outcome\":\"refused\",\"why\":"
+		    "\"table_full\"");
 
 /* Explains from a file and gives what was written; free with free(). */
 static char *
@@ -72,6 +77,21 @@
 	free(text);
 }
 
+/* Every refusal has a cause, known or not. */
+static void
+test_refusals(void **state)
+{
+	char *text;
+
+	(void)state;
+	text = explain("r4", ERROR_NONE);
+	assert_non_null(strstr(text, "=> The host was stopping"));
+	free(text);
+	text = explain("r5", ERROR_NONE);
+	assert_non_null(strstr(text, "=> It did not run"));
+	free(text);
+}
+
 static void
 test_unknown_request(void **state)
 {
@@ -88,6 +108,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_lines_in_order_of_time),
 	    cmocka_unit_test(test_end_is_not_known),
+	    cmocka_unit_test(test_refusals),
 	    cmocka_unit_test(test_unknown_request),
 	};
 
