--- a/src/service/cli_explain.c
+++ b/src/service/cli_explain.c
@@ -48,9 +48,12 @@
     {"refused", "shutting_down",
 	"The host was stopping (E1002) and it came too late to end there."},
     {"refused", NULL, "It did not run; why each try ended stands in E6002."},
+    {"denied", "not_found",
+	"No route for its host and path in the configuration of "
+	"routes_version (E1015 says since when it is in force here)."},
     {"denied", NULL,
-	"No route or no account for it in the configuration of "
-	"routes_version."},
+	"No account for its key in the configuration of routes_version "
+	"(E1015 says since when it is in force here)."},
     {"failed", "timeout",
 	"It was sent and no whole answer came in its time: see how long the "
 	"upstream took to begin (E6009), or that it never did."},
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -16,8 +16,8 @@
 static bool is_too_late(const struct relay_exchange *exchange);
 static bool hold_for_start(struct relay_exchange *exchange);
 static void run_start(void *context);
-static void deny(
-    struct relay_exchange *exchange, uint32_t status, const char *reason);
+static void deny(struct relay_exchange *exchange, uint32_t status,
+    const char *reason, enum error_code error);
 static void read_request(struct relay_exchange *exchange);
 static void read_tokens(struct placement_request *wants, const char *text);
 static void wait_for_turn(struct relay_exchange *exchange);
@@ -92,7 +92,8 @@
 	exchange->route =
 	    route_table_find(exchange->table, host, exchange->head.target->str);
 	if (exchange->route == NULL) {
-		deny(exchange, STATUS_NOT_FOUND, "no such route");
+		deny(exchange, STATUS_NOT_FOUND, "no such route",
+		    ERROR_NOT_FOUND);
 		return false;
 	}
 	key = http_head_get(&exchange->head, dialect->account_key);
@@ -100,7 +101,8 @@
 	    key == NULL ? NULL : route_table_account(exchange->table, key);
 	if (exchange->account == NULL && !exchange->route->is_public &&
 	    exchange->table->accounts_by_key != NULL) {
-		deny(exchange, STATUS_UNAUTHORIZED, "unknown key");
+		deny(exchange, STATUS_UNAUTHORIZED, "unknown key",
+		    ERROR_UNAUTHENTICATED);
 		return false;
 	}
 	exchange->service = route_pick(exchange->route, exchange->weight_draw);
@@ -241,19 +243,20 @@
 }
 
 static void
-deny(struct relay_exchange *exchange, uint32_t status, const char *reason)
+deny(struct relay_exchange *exchange, uint32_t status, const char *reason,
+    enum error_code error)
 {
 	if (exchange->is_answering) {
 		relay_caller_break(exchange->caller);
 		exchange->caller = NULL;
-		relay_exchange_finish(exchange, END_BROKEN, ERROR_FORBIDDEN);
+		relay_exchange_finish(exchange, END_BROKEN, error);
 		return;
 	}
 	/* Some attempt may have run under the older table. */
 	if (exchange->may_have_run)
 		status = STATUS_BAD_GATEWAY;
 	relay_answer_own(exchange->caller, status, reason, 0);
-	relay_exchange_finish(exchange, END_DENIED, ERROR_FORBIDDEN);
+	relay_exchange_finish(exchange, END_DENIED, error);
 }
 
 static void
