A late long prompt that others keep back too long is told at once

Ruled out: giving up by the order of arrival (turns are by work). Change: is_hopeless(): late, and the work before it takes longer than it can wait. Test: test_late_behind_many_is_refused, red before.

--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -80,6 +80,8 @@
     const GArray *candidates, struct placement_waiter *waiter);
 static bool is_worth_waiting(const struct gathering *gathering,
     const struct long_side *side, const struct placement_waiter *waiter);
+static bool is_hopeless(const struct gathering *gathering,
+    const struct long_side *side, const struct placement_waiter *waiter);
 static void begin_wait(const struct gathering *gathering,
     const struct long_side *side, double work_ms,
     struct placement_waiter *waiter);
@@ -460,7 +462,8 @@
 		return ERROR_NONE;
 	if (waiter->service == 0)
 		begin_wait(gathering, &side, work_ms, waiter);
-	if (gathering->now_ms >= waiter->useless_ms)
+	if (gathering->now_ms >= waiter->useless_ms ||
+	    is_hopeless(gathering, &side, waiter))
 		return ERROR_DEADLINE_UNREACHABLE;
 	if (side.backlog_ms > NEXT_BACKLOG_MS || side.unread > UNREAD_MAX ||
 	    is_worth_waiting(gathering, &side, waiter) ||
@@ -471,6 +474,23 @@
 	return ERROR_NONE;
 }
 
+/* One that is late goes after all that are not, and after the smaller ones
+ * that are: if these take longer than it can wait, its caller is told now. */
+static bool
+is_hopeless(const struct gathering *gathering, const struct long_side *side,
+    const struct placement_waiter *waiter)
+{
+	double before_ms;
+
+	if (gathering->now_ms - waiter->since_ms < waiter->goal_ms)
+		return false;
+	before_ms = placement_waiting_ms(gathering->placement, waiter->service,
+			gathering->now_ms) -
+		    waiter->work_ms;
+	return gathering->now_ms + (int64_t)(before_ms / side->engines) >
+	       waiter->useless_ms;
+}
+
 /* A large prompt read by few engines is late and keeps them for long; soon
  * there are more of them. */
 static bool
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -11,6 +11,7 @@
 #include "state/upstream.h"
 
 #define ENGINES	 18
+#define OTHERS	 30
 #define START_MS 1000000
 #define PLACE(i) ((uint64_t)(0x0a000001 + (i)) << 16 | 8000)
 
@@ -193,6 +194,46 @@
 	close_scene(&scene);
 }
 
+/* Load replayed (incident inc-5f95, seconds 10 to 20): the largest prompt waits
+ * behind ever more others. Its caller isn't held until it is too late. */
+static void
+test_late_behind_many_is_refused(void **state)
+{
+	struct placement_waiter waiter = {0}, others[OTHERS] = {0};
+	struct placement_request request, other;
+	struct placement_work work = {0};
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene(&scene, 4);
+	request = make_request(&scene, &scene.review, 300000, START_MS);
+	placement_pick(&scene.placement, &request, START_MS, &waiter, &choice);
+	placement_wait_end(&scene.placement, &waiter);
+	placement_begin(&scene.placement, &request, &choice, START_MS, &work);
+	request = make_request(&scene, &scene.review, 402000, START_MS + 10);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 10, &waiter, &choice),
+	    ERROR_CHANGE_PENDING);
+	for (i = 0; i < OTHERS; i++) {
+		other =
+		    make_request(&scene, &scene.review, 260000, START_MS + 20);
+		placement_pick(&scene.placement, &other, START_MS + 20,
+		    &others[i], &choice);
+	}
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 30, &waiter, &choice),
+	    ERROR_CHANGE_PENDING);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 3500, &waiter, &choice),
+	    ERROR_DEADLINE_UNREACHABLE);
+	for (i = 0; i < OTHERS; i++)
+		placement_wait_end(&scene.placement, &others[i]);
+	placement_wait_end(&scene.placement, &waiter);
+	close_scene(&scene);
+}
+
 /* Load replayed: 36 short and 2 long prompts a second for 10 s. Short ones
  * and the parts of long ones stay on different engines. */
 static void
@@ -470,6 +511,7 @@
 	    cmocka_unit_test(test_long_prompt_is_read_in_parts),
 	    cmocka_unit_test(test_long_prompts_take_turns),
 	    cmocka_unit_test(test_hopeless_turn_is_refused),
+	    cmocka_unit_test(test_late_behind_many_is_refused),
 	    cmocka_unit_test(test_short_and_long_stay_apart),
 	    cmocka_unit_test(test_cold_bound_holds_in_every_second),
 	    cmocka_unit_test(test_ejection_is_bounded),
