--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,11 @@
 #   make check  format, lint, build with sanitizers, every test
 
 JOBS ?= 8
-C_FILES = $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] examples/*.[ch])
+C_FILES = $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] tests/stub/*.[ch] examples/*.[ch])
 CPP_FILES = $(wildcard tests/*.cpp)
 
 # Tests whose code has threads; the others have nothing for that sanitizer.
-THREAD_TESTS = test_(mailbox|http_server|upstream_http|metrics|span_log|fleet_view|router)|real_(stop|faulty_upstreams|group)
+THREAD_TESTS = test_(mailbox|http_server|upstream_http|metrics|span_log|fleet_view|router|relay|tcp_link|log_writer)|real_(stop|faulty_upstreams|group|platform)
 
 .PHONY: all demo check check-thread test bench soak format check-format lint install clean doc
 
--- /dev/null
+++ b/tests/real_platform.sh
@@ -0,0 +1,130 @@
+#!/usr/bin/env bash
+# The platform's processes as they are deployed: three control hosts and two
+# entry hosts. An order lives through the loss of a control host, a planned stop
+# under load cuts off nothing and ends cleanly, every log line is a JSON object.
+# real_platform.sh BUILD_DIR
+set -euo pipefail
+cd "$CHICORY_SOURCE_DIR"
+build=$1
+work=$(mktemp -d)
+base_port=23700
+. tools/cluster.sh
+trap stop_all EXIT
+fail() { echo "FAILED: $*"; tail -n 5 "$work"/*.log; exit 1; }
+
+control_port=$((base_port + 1))
+entry_port=$((base_port + 2))
+ready_port=$((base_port + 3))
+upstream_port=$((base_port + 4))
+zones=([1]=regina [2]=saskatoon [3]=winnipeg [4]=regina [5]=saskatoon)
+ip_of() { echo "127.0.7.$1"; }
+control_url() { echo "http://$(ip_of "$1"):$control_port"; }
+entry_url() { echo "http://$(ip_of "$1"):$entry_port"; }
+
+# write_platform_settings ID ROLE LINES
+write_platform_settings() {
+	cat >"$work/node-$1.conf" <<-CONF
+	nodeName=$2-$1
+	role=$2
+	ip=$(ip_of "$1")
+	zone=${zones[$1]}
+	region=prairie
+	internalPorts=$((base_port + 10))
+	seeds=$(ip_of 1):$control_port,$(ip_of 2):$control_port,$(ip_of 3):$control_port
+	heartbeatMs=1000
+	faultTolerance.machines=1
+	bounds.graceS=8
+	$3
+	CONF
+}
+
+start_platform() {
+	CHICORYTACK_SETTINGS="$work/node-$1.conf" "$build/chicorytack" serve-platform >>"$work/node-$1.log" 2>&1 &
+	pids[node-$1]=$!
+}
+
+for id in 1 2 3; do
+	mkdir "$work/data-$id"
+	write_platform_settings "$id" control "listen.control=$(ip_of "$id"):$control_port
+dataDir=$work/data-$id
+bootstrap=true"
+	start_platform "$id"
+done
+for id in 4 5; do
+	write_platform_settings "$id" entry "listen.front=$(ip_of "$id"):$entry_port
+listen.readinessAddr=$(ip_of "$id"):$ready_port"
+	start_platform "$id"
+done
+for n in 1 2; do
+	"$build/platform-upstream" "$(ip_of "$((10 + n))")" "$upstream_port" >>"$work/upstream-$n.log" 2>&1 &
+	pids[upstream-$n]=$!
+done
+
+cat >"$work/config.json" <<-JSON
+{"version": 7, "routes": [{"name": "r", "host": "h.example", "pathPrefix": "/", "kind": "non_idempotent",
+  "timeoutMs": 5000, "sloMs": 300, "maxAttempts": 2, "public": false, "service": "s"}],
+ "services": [{"name": "s", "maxConns": 64, "coldStartS": 0.0, "coldPerS": 0.0}],
+ "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+ "tenants": [{"name": "spa-desk", "apiKeys": ["k1"], "priority": 1}]}
+JSON
+put_config() { curl -sf --max-time 4 "$(control_url 1)/v1/Config.Put" -H 'Content-Type: application/json' -d "@$work/config.json" >/dev/null; }
+get_config() { curl -sf --max-time 4 "$(control_url "$1")/v1/Config.Get" | grep -q '"version": *7'; }
+is_entry_ready() { curl -sf --max-time 2 "http://$(ip_of "$1"):$ready_port/v1/ready" >/dev/null; }
+# call ENTRY PATH ID
+call() { curl -s --max-time 8 "$(entry_url "$1")$2" -H 'Host: h.example' -H 'X-Api-Key: k1' -H "Attempt-Id: $3" -d work; }
+is_served() { call "$1" /quick "try-$1" | grep -q '^done$'; }
+beat() {
+	local n sequence=0
+	while :; do
+		sequence=$((sequence + 1))
+		for n in 1 2; do
+			curl -s --max-time 1 "$(control_url 2)/v1/Replicas.Heartbeat/u-$n" -d "{\"service\":\"s\",\"address\":\"$(ip_of "$((10 + n))"):$upstream_port\",\"zone\":\"regina\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":$sequence}" >/dev/null || true
+		done
+		sleep 0.3
+	done
+}
+
+wait_until 30 put_config || fail "the first configuration was not taken"
+beat &
+pids[beat]=$!
+for id in 4 5; do
+	wait_until 30 is_entry_ready "$id" || fail "entry host $id is not ready"
+	wait_until 30 is_served "$id" || fail "entry host $id does not serve"
+done
+[ "$(call 4 /quick a1)" = done ] || fail "a plain call"
+curl -s --max-time 4 "$(entry_url 4)/quick" -H 'Host: h.example' -H 'X-Api-Key: no' -o /dev/null -w '%{http_code}' | grep -q 401 || fail "an unknown key"
+curl -s "http://$(ip_of 4):$ready_port/metrics" | grep -q '^chicorytack_' || fail "no metrics"
+
+# A planned stop while the other entry host reports work all the time.
+load() { local n; for n in $(seq 200); do call 5 /quick "load-$n" >>"$work/load" || true; done; }
+load &
+pids[load]=$!
+for n in 1 2 3; do call 4 /slow "slow-$n" >"$work/slow-$n" & slow[$n]=$!; done
+sleep 0.5
+kill -TERM "${pids[node-4]}"
+for n in 1 2 3; do
+	wait "${slow[$n]}" || true
+	[ "$(cat "$work/slow-$n")" = done ] || fail "a running request was cut: $(cat "$work/slow-$n")"
+done
+wait "${pids[node-4]}" || fail "the stopped entry host ended with $?"
+unset 'pids[node-4]'
+grep -q '"event":1003' "$work/node-4.log" || fail "the entry host says no end"
+wait "${pids[load]}" || true
+unset 'pids[load]'
+[ "$(grep -o done "$work/load" | wc -l)" = 200 ] || fail "calls beside the stop were lost"
+
+# The order stays when a control host is lost.
+kill -KILL "${pids[node-1]}"
+wait "${pids[node-1]}" 2>/dev/null || true
+unset 'pids[node-1]'
+wait_until 30 get_config 2 || fail "host 2 does not know the configuration"
+wait_until 30 get_config 3 || fail "host 3 does not know the configuration"
+is_served 5 || fail "no service without one control host"
+for id in 5 3 2; do
+	kill -TERM "${pids[node-$id]}"
+	wait "${pids[node-$id]}" || fail "host $id ended with $?"
+	unset "pids[node-$id]"
+done
+! grep -hv '^{"time":' "$work"/node-*.log || fail "a line that is no JSON object"
+"$build/chicorytack" explain slow-1 "$work"/node-*.log | grep -q "passed on" || fail "slow-1 is not explained"
+echo "stop under load, loss of a control host, clean ends"
