A prompt over one engine's memory runs on several engines

One that is not renewed runs out after 3.5 s, so that a dead host leaves nothing behind. Such a prompt goes only when nothing else waits (is_idle_enough).

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -80,6 +80,7 @@
     {EVENT_REQUEST_STARTED, EVENT_LEVEL_INFO, "first event of an answer"},
     {EVENT_REQUEST_ENDED_BADLY, EVENT_LEVEL_WARNING, "request ended badly"},
     {EVENT_REQUEST_WAITS, EVENT_LEVEL_INFO, "long prompt waits its turn"},
+    {EVENT_MEMORY_NOT_RESERVED, EVENT_LEVEL_INFO, "memory not reserved"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
     {EVENT_STANDIN_CRASHED, EVENT_LEVEL_WARNING, "stand-in crashed"},
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -21,6 +21,10 @@
 #define EXPECTED_PARTS 3     /* Predictions are off by no more than that. */
 #define PATIENCE_PART  0.8   /* Of the caller's, for an upstream that is up. */
 
+static void count_held(struct placement *placement,
+    const struct placement_choice *choice, struct placement_work *work);
+static void uncount_held(
+    struct placement *placement, const struct placement_work *work);
 static void fill(struct placement *placement,
     struct placement_upstream *upstream, const struct placement_record *record);
 static void drop_replaced(struct placement *placement);
@@ -132,14 +136,50 @@
 	}
 	work->helper_count = choice->helper_count;
 	memcpy(work->helpers, choice->helpers, sizeof(work->helpers));
+	count_held(placement, choice, work);
 	service = placement_service(placement, work->service);
-	if (choice->is_heavy)
+	/* What runs only when nothing else waits is no demand. */
+	if (choice->is_heavy && choice->holder_count == 0)
 		split_rate_add(
 		    &service->heavy_rate, choice->whole_read_ms, now_ms);
 	if (!work->is_heavy)
 		service->light_running++;
 }
 
+/* Memory at other upstreams, for a prompt that is too large for one. */
+static void
+count_held(struct placement *placement, const struct placement_choice *choice,
+    struct placement_work *work)
+{
+	struct placement_upstream *upstream;
+	uint32_t i;
+
+	work->holder_count = choice->holder_count;
+	for (i = 0; i < choice->holder_count; i++) {
+		work->holders[i] = choice->helpers[i];
+		work->held_tokens[i] = choice->held_tokens[i];
+		upstream = g_hash_table_lookup(
+		    placement->upstreams, &work->holders[i]);
+		if (upstream != NULL)
+			upstream->own.kv_tokens += work->held_tokens[i];
+	}
+}
+
+static void
+uncount_held(struct placement *placement, const struct placement_work *work)
+{
+	struct placement_upstream *upstream;
+	uint32_t i;
+
+	for (i = 0; i < work->holder_count; i++) {
+		upstream = g_hash_table_lookup(
+		    placement->upstreams, &work->holders[i]);
+		if (upstream != NULL)
+			upstream->own.kv_tokens -=
+			    MIN(upstream->own.kv_tokens, work->held_tokens[i]);
+	}
+}
+
 void
 placement_note_read(struct placement *placement, struct placement_work *work)
 {
@@ -172,6 +212,7 @@
 	if (work->upstream_id == 0)
 		return;
 	uncount_read(placement, work);
+	uncount_held(placement, work);
 	placement_note_read(placement, work);
 	service = placement_service(placement, work->service);
 	if (!work->is_heavy && service->light_running > 0)
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -28,6 +28,7 @@
 
 #define PLACEMENT_TRIED_MAX   8	 /**< Upstreams that a request remembers. */
 #define PLACEMENT_HELPERS_MAX 16 /**< Upstreams that help to read. */
+#define PLACEMENT_HOLDERS_MAX 4	 /**< Of these, that also keep memory for it. */
 #define PLACEMENT_RATE_SLOTS  16 /**< Times remembered of an upstream. */
 
 /** Settings. */
@@ -119,6 +120,9 @@
 	uint64_t kv_tokens;			 /**< Memory that it takes. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
 	uint64_t helper_places[PLACEMENT_HELPERS_MAX]; /**< Where they are. */
+	uint64_t held_tokens[PLACEMENT_HOLDERS_MAX]; /**< Memory to be reserved
+					at the first so many helpers. */
+	uint32_t holder_count;			     /**< In use above. */
 	uint32_t light_count;  /**< Upstreams for short prompts... */
 	uint32_t usable_count; /**< ...of so many. */
 	uint32_t helper_count; /**< In use below. */
@@ -135,6 +139,9 @@
 	double whole_read_ms; /**< All parts of a long prompt. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
 	uint32_t helper_count;			 /**< Still reading, below. */
+	uint64_t holders[PLACEMENT_HOLDERS_MAX]; /**< Ids of holders. */
+	uint64_t held_tokens[PLACEMENT_HOLDERS_MAX]; /**< Memory there. */
+	uint32_t holder_count;			     /**< In use above. */
 	bool is_heavy;	/**< Counted as one with a long prompt. */
 	bool is_unread; /**< ...and that is not read yet. */
 };
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -9,8 +9,10 @@
 #define RUNNING_COST_MS	     3.0    /* A request beside slows the others. */
 #define FULL_COST_MS	     90.0   /* A request beyond the slots waits. */
 #define MEMORY_COST_MS	     4000.0 /* One without memory waits long. */
-#define FAR_COST_MS	     0.6    /* Another data centre. */
-#define AWAY_COST_MS	     200.0  /* Another host leaves it alone. */
+#define ROOM_PART	     0.85 /* Of an engine's memory that is given away. */
+#define HELD_TOKENS_MIN	     UINT64_C(20000) /* Less is not worth an order. */
+#define FAR_COST_MS	     0.6	     /* Another data centre. */
+#define AWAY_COST_MS	     200.0	     /* Another host leaves it alone. */
 #define SHORT_ASTRAY_COST_MS 350.0  /* A short prompt beside long ones. */
 #define LONG_ASTRAY_COST_MS  1500.0 /* A long prompt beside short ones. */
 #define TOKENS_PER_PART	     2500.0 /* A part should be worth its hop. */
@@ -93,6 +95,14 @@
 static uint32_t list_helpers(const struct gathering *gathering,
     const GArray *candidates, const struct placement_upstream *reader,
     const struct placement_upstream **helpers);
+static bool choose_holders(
+    const struct gathering *gathering, struct placement_choice *choice);
+static uint64_t room_at(const struct gathering *gathering,
+    const struct placement_upstream *upstream);
+static void swap_helpers(
+    struct placement_choice *choice, uint32_t first, uint32_t second);
+static bool is_idle_enough(
+    const struct gathering *gathering, const GArray *candidates);
 static uint32_t count_short(const struct placement_upstream *upstream);
 static bool is_away(const struct gathering *gathering,
     const struct placement_upstream *upstream);
@@ -120,7 +130,7 @@
 		gathering.is_heavy = is_heavy_request(placement, request);
 		gathering.kv_tokens =
 		    (uint64_t)(request->prompt_tokens + request->answer_tokens);
-		/* No engine has the memory: it is refused, not read. */
+		/* No engine has the memory: others keep a part of it. */
 		gathering.is_too_large =
 		    gathering.kv_tokens > request->service->engine.kv_tokens;
 		gathering.light_rank_max = find_light_rank(&gathering);
@@ -132,6 +142,10 @@
 		return gathering.usable_count == 0 ? ERROR_NO_UPSTREAM
 						   : ERROR_NO_CAPACITY;
 	}
+	if (gathering.is_too_large && !is_idle_enough(&gathering, candidates)) {
+		g_array_unref(candidates);
+		return ERROR_NO_CAPACITY;
+	}
 	if (gathering.is_heavy && !gathering.is_too_large) {
 		error = take_turn(&gathering, candidates, waiter);
 		if (error != ERROR_NONE) {
@@ -148,11 +162,17 @@
 	choice->light_count = gathering.light_count;
 	choice->usable_count = gathering.usable_count;
 	choice->demand = gathering.demand;
-	if (gathering.kv_tokens > 0 && !gathering.is_too_large) {
+	if (gathering.kv_tokens > 0) {
 		choice->whole_read_ms = engine_read_ms(
 		    &request->service->engine, request->prompt_tokens);
-		if (gathering.is_heavy && !request->is_alone)
+		if (gathering.is_heavy &&
+		    (!request->is_alone || gathering.is_too_large))
 			choose_helpers(&gathering, candidates, choice);
+		if (gathering.is_too_large &&
+		    !choose_holders(&gathering, choice)) {
+			g_array_unref(candidates);
+			return ERROR_NO_CAPACITY;
+		}
 		choice->read_ms =
 		    choice->whole_read_ms / (choice->helper_count + 1);
 	}
@@ -244,8 +264,7 @@
 	    placement_waiting_ms(gathering->placement,
 		placement_service_hash(gathering->request->service->name),
 		gathering->now_ms));
-	if (gathering->is_heavy && !gathering->is_too_large &&
-	    !gathering->is_waiting)
+	if (gathering->is_heavy && !gathering->is_waiting)
 		split_demand_add(&gathering->demand,
 		    engine_read_ms(&gathering->request->service->engine,
 			gathering->request->prompt_tokens));
@@ -404,6 +423,7 @@
 	bool belongs_light;
 	double cost_ms;
 	uint32_t running;
+	uint64_t used;
 
 	running = upstream->own.running + upstream->others.running;
 	cost_ms = backlog_of(upstream, gathering->now_ms) +
@@ -422,9 +442,11 @@
 		cost_ms += LONG_ASTRAY_COST_MS;
 	if (!is_light && belongs_light)
 		cost_ms += SHORT_ASTRAY_COST_MS;
-	if (upstream->own.kv_tokens + upstream->others.kv_tokens +
-		gathering->kv_tokens >
-	    engine->kv_tokens)
+	used = upstream->own.kv_tokens + upstream->others.kv_tokens;
+	if (gathering->is_too_large)
+		cost_ms +=
+		    MEMORY_COST_MS * (double)used / (double)engine->kv_tokens;
+	else if (used + gathering->kv_tokens > engine->kv_tokens)
 		cost_ms += MEMORY_COST_MS;
 	return cost_ms;
 }
@@ -592,6 +614,78 @@
 	}
 }
 
+/* Load answered: prompts over one engine's memory. Helpers with room keep what
+ * the leading engine has no room for; they come first among the helpers, as
+ * what is reserved is filled in turn. */
+static bool
+choose_holders(
+    const struct gathering *gathering, struct placement_choice *choice)
+{
+	uint64_t left, room;
+	uint32_t i;
+
+	room = room_at(gathering, choice->upstream);
+	left = choice->kv_tokens - MIN(choice->kv_tokens, room);
+	for (i = 0; i < choice->helper_count && left > 0 &&
+		    choice->holder_count < PLACEMENT_HOLDERS_MAX;
+	     i++) {
+		room = room_at(gathering,
+		    g_hash_table_lookup(
+			gathering->placement->upstreams, &choice->helpers[i]));
+		if (room < HELD_TOKENS_MIN)
+			continue;
+		swap_helpers(choice, i, choice->holder_count);
+		room = MIN(room, MAX(left, HELD_TOKENS_MIN));
+		choice->held_tokens[choice->holder_count++] = room;
+		choice->kv_tokens -= MIN(choice->kv_tokens, room);
+		left -= MIN(left, room);
+	}
+	return left == 0;
+}
+
+/* Tokens that may be kept there beside what is known to be. */
+static uint64_t
+room_at(const struct gathering *gathering,
+    const struct placement_upstream *upstream)
+{
+	uint64_t whole, used;
+
+	whole =
+	    (uint64_t)((double)gathering->request->service->engine.kv_tokens *
+		       ROOM_PART);
+	used = upstream->own.kv_tokens + upstream->others.kv_tokens;
+	return whole - MIN(whole, used);
+}
+
+static void
+swap_helpers(struct placement_choice *choice, uint32_t first, uint32_t second)
+{
+	uint64_t id, place;
+
+	id = choice->helpers[first];
+	place = choice->helper_places[first];
+	choice->helpers[first] = choice->helpers[second];
+	choice->helper_places[first] = choice->helper_places[second];
+	choice->helpers[second] = id;
+	choice->helper_places[second] = place;
+}
+
+/* Load answered: a prompt of half a million tokens takes as much reading as ten
+ * of the largest that one engine can hold, and all of these would be late: it
+ * goes when nothing else waits. */
+static bool
+is_idle_enough(const struct gathering *gathering, const GArray *candidates)
+{
+	struct long_side side;
+
+	side = look_at_long_side(gathering, candidates);
+	return side.engines > 0 && side.backlog_ms <= NEXT_BACKLOG_MS &&
+	       side.unread == 0 &&
+	       placement_waiting_ms(gathering->placement,
+		   placement_service_hash(gathering->request->service->name),
+		   gathering->now_ms) <= 0;
+}
+
 /* Those of the long prompts' side, the least busy first. */
 static uint32_t
 list_helpers(const struct gathering *gathering, const GArray *candidates,
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -60,6 +60,7 @@
 	relay_metrics_init(relay);
 	placement_init(&relay->placement, &settings->placement, seed + 1);
 	relay->callers = g_hash_table_new(NULL, NULL);
+	relay->releases = g_hash_table_new(NULL, NULL);
 	pthread_mutex_init(&relay->inbox_mutex, NULL);
 	relay->inbox = g_ptr_array_new_with_free_func(free_letter);
 	relay->budgets =
@@ -115,6 +116,7 @@
 	upstream_pool_finish(&relay->pool);
 	placement_finish(&relay->placement);
 	g_hash_table_unref(relay->callers);
+	g_hash_table_unref(relay->releases);
 	g_hash_table_unref(relay->budgets);
 	timer_finish(&relay->timers);
 	relay_metrics_finish(relay);
@@ -360,6 +362,7 @@
 		return;
 	relay->has_closed = true;
 	each_caller(relay, relay_caller_break);
+	relay_holds_forget(relay);
 	upstream_pool_close(&relay->pool);
 	uv_stop(&relay->loop);
 }
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -44,6 +44,11 @@
 	const char *priority;	  /**< Rank at an engine, 0 is first. */
 	const char *resume_after; /**< Id of the last event received. */
 	const char *fault_at;	  /**< In answers: which engine is at fault. */
+	const char *order_path;	  /**< Of an engine, for orders. */
+	/** Body of an order to reserve memory; free with g_free(). */
+	char *(*reserve_text)(const char *id, uint64_t tokens, int64_t hold_ms);
+	/** Body of an order to release it; free with g_free(). */
+	char *(*release_text)(const char *id);
 	const char *ready_path;	  /**< Asked by the load balancer. */
 	const char *metrics_path; /**< Asked by monitoring. */
 };
@@ -100,6 +105,7 @@
 	struct placement placement;	/**< Where requests go. */
 	struct random_source random;	/**< Weighted picks. */
 	GHashTable *callers;		/**< Set of struct relay_caller. */
+	GHashTable *releases;		/**< Set of memory to be released. */
 	GHashTable *budgets;		/**< Service to struct retry_window. */
 	struct route_table *table;	/**< In force on this host. */
 	uint64_t view_version;		/**< Of the fleet's view taken. */
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -14,7 +14,7 @@
 static void add_fields(GString *out, const struct http_head *head);
 static void add_connection(GString *out, const struct relay_caller *caller);
 static bool is_own_field(const struct relay_dialect *dialect, const char *name);
-static void add_helpers(GString *out, const struct relay_dialect *dialect,
+static void add_helpers(GString *out, const struct relay_exchange *exchange,
     const struct placement_choice *choice);
 static const char *reason_of(uint32_t status);
 
@@ -156,11 +156,11 @@
 	g_string_append_printf(out, "%s: %" PRId64 "\r\n", dialect->deadline,
 	    MAX(exchange->deadline_ms - now_ms, 1));
 	g_string_append_printf(
-	    out, "%s: %s\r\n", dialect->target, choice->upstream->name);
+	    out, "%s: %s\r\n", dialect->target, exchange->upstream_name);
 	if (exchange->account != NULL)
 		g_string_append_printf(out, "%s: %s\r\n", dialect->account,
 		    exchange->account->name);
-	add_helpers(out, dialect, choice);
+	add_helpers(out, exchange, choice);
 	if (exchange->body->len > 0 || head->has_length || head->is_chunked)
 		g_string_append_printf(
 		    out, "Content-Length: %u\r\n", exchange->body->len);
@@ -227,22 +227,27 @@
 }
 
 static void
-add_helpers(GString *out, const struct relay_dialect *dialect,
+add_helpers(GString *out, const struct relay_exchange *exchange,
     const struct placement_choice *choice)
 {
+	const char *hold_id;
 	struct in_addr address;
 	char text[INET_ADDRSTRLEN];
 	uint32_t i;
 
 	if (choice->helper_count == 0)
 		return;
-	g_string_append_printf(out, "%s: ", dialect->helpers);
+	g_string_append_printf(
+	    out, "%s: ", exchange->relay->settings.dialect.helpers);
 	for (i = 0; i < choice->helper_count; i++) {
 		address.s_addr =
 		    htonl((uint32_t)(choice->helper_places[i] >> 16));
 		inet_ntop(AF_INET, &address, text, sizeof(text));
 		g_string_append_printf(out, "%s%s:%u", i == 0 ? "" : ",", text,
 		    (unsigned int)(choice->helper_places[i] & UINT16_MAX));
+		hold_id = relay_holds_id(&exchange->holds, i);
+		if (hold_id != NULL)
+			g_string_append_printf(out, "/%s", hold_id);
 	}
 	g_string_append(out, "\r\n");
 }
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -10,6 +10,9 @@
 #define FRESH_IDLE_MS	   700 /* Kept connections for unrepeatable calls. */
 #define ANY_IDLE_MS	   INT64_MAX
 
+static void note_reserved(void *context, enum error_code error);
+static void send_request(
+    struct relay_exchange *exchange, const struct placement_choice *choice);
 static void note_sent(void *context);
 static void note_head(void *context, struct http_head *head);
 static void note_body(void *context, const char *data, size_t size);
@@ -30,18 +33,8 @@
 relay_attempt_begin(
     struct relay_exchange *exchange, struct placement_choice *choice)
 {
-	struct upstream_call_ops ops = {
-	    .sent = note_sent,
-	    .head = note_head,
-	    .body = note_body,
-	    .done = note_done,
-	    .failed = note_failed,
-	    .context = exchange,
-	};
 	struct relay *relay = exchange->relay;
-	int64_t now_ms, idle_max_ms;
-	bool may_repeat;
-	GBytes *bytes;
+	int64_t now_ms;
 
 	now_ms = host_now_ms();
 	exchange->upstream_id = choice->upstream->id;
@@ -58,13 +51,50 @@
 	if (exchange->wants.tried_count < PLACEMENT_TRIED_MAX)
 		exchange->wants.tried[exchange->wants.tried_count++] =
 		    choice->upstream->id;
+	relay_trace_placed(exchange, choice);
+	if (choice->holder_count == 0) {
+		send_request(exchange, choice);
+		return;
+	}
+	exchange->choice = *choice;
+	relay_holds_begin(
+	    &exchange->holds, relay, choice, note_reserved, exchange);
+}
+
+static void
+note_reserved(void *context, enum error_code error)
+{
+	struct relay_exchange *exchange = context;
+
+	if (error != ERROR_NONE) {
+		relay_attempt_failed(exchange, error, false);
+		return;
+	}
+	send_request(exchange, &exchange->choice);
+}
+
+static void
+send_request(
+    struct relay_exchange *exchange, const struct placement_choice *choice)
+{
+	struct upstream_call_ops ops = {
+	    .sent = note_sent,
+	    .head = note_head,
+	    .body = note_body,
+	    .done = note_done,
+	    .failed = note_failed,
+	    .context = exchange,
+	};
+	int64_t idle_max_ms;
+	bool may_repeat;
+	GBytes *bytes;
+
 	may_repeat = attempt_may_repeat(
 	    exchange->route->kind, exchange->route->is_resumable);
 	idle_max_ms = may_repeat ? ANY_IDLE_MS : FRESH_IDLE_MS;
-	relay_trace_placed(exchange, choice);
-	bytes = relay_request_bytes(exchange, choice, now_ms);
+	bytes = relay_request_bytes(exchange, choice, host_now_ms());
 	exchange->call =
-	    upstream_pool_call(&relay->pool, choice->upstream->place, bytes,
+	    upstream_pool_call(&exchange->relay->pool, exchange->place, bytes,
 		relay_exchange_is_head(exchange), idle_max_ms, &ops);
 	g_bytes_unref(bytes);
 	if (exchange->call == NULL)
@@ -84,6 +114,7 @@
 		relay_note_work(exchange->relay);
 	placement_wait_end(&exchange->relay->placement, &exchange->waiter);
 	placement_end(&exchange->relay->placement, &exchange->work);
+	relay_holds_end(&exchange->holds, exchange->relay);
 }
 
 void
@@ -96,7 +127,8 @@
 		    exchange->upstream_id, host_now_ms());
 	if (exchange->is_sent)
 		exchange->may_have_run = true;
-	else if (error == ERROR_CONNECTION || error == ERROR_TIMEOUT)
+	else if (error == ERROR_CONNECTION || error == ERROR_TIMEOUT ||
+		 error == ERROR_NO_CAPACITY)
 		exchange->unsent++;
 	exchange->is_sent = false;
 	relay_events_drop_partial(&exchange->events);
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -9,6 +9,7 @@
 #include "protocol/http_reader.h"
 #include "service/relay.h"
 #include "service/relay_events.h"
+#include "service/relay_hold.h"
 #include "transport/tcp_link.h"
 
 #define STATUS_BAD_GATEWAY 502
@@ -71,31 +72,34 @@
 	struct placement_request wants;	     /**< With those tried. */
 	struct placement_work work;	     /**< Counted at the upstream. */
 	struct placement_waiter waiter; /**< While it waits for its turn. */
-	double expected_ms;	      /**< Predicted time to the first byte. */
-	struct http_head coming;      /**< Head of an answer not whole yet. */
-	GByteArray *coming_body;      /**< Its body so far. */
-	struct http_head answer;      /**< Head of the last whole one. */
-	GByteArray *answer_body;      /**< Its body. */
-	struct relay_events events;   /**< Of a stream. */
-	struct handle deadline_timer; /**< Time limit. */
-	struct handle stall_timer;    /**< Looks at the upstream's silence. */
-	struct upstream_call *probe;  /**< Sees whether it can be reached. */
-	uint64_t place;		      /**< Where the upstream listens. */
-	int64_t sent_ms;	      /**< When the attempt was sent. */
-	int64_t heard_ms;	      /**< Its last byte, or sent_ms. */
-	struct handle wait_timer;     /**< Until the next try to place it. */
-	int64_t wait_until_ms;	      /**< Longest wait for a place. */
-	uint32_t weight_draw;	      /**< Picks among targets. */
-	uint32_t sent;		      /**< Attempts that were sent. */
-	uint32_t unsent;	      /**< That found no connection. */
-	uint32_t excused;	      /**< That failed by a helper's fault. */
-	enum answer_verdict verdict;  /**< Of the answer under way, or 0. */
-	bool is_sent;		      /**< The one under way was sent. */
-	bool may_have_run;	      /**< Some attempt may have run. */
-	bool was_good;		      /**< The upstream showed progress. */
-	bool has_answer;	      /**< answer counts. */
-	bool is_answering;	      /**< The caller has a part of it. */
-	bool is_reachable;	      /**< A probe got through since. */
+	double expected_ms;	    /**< Predicted time to the first byte. */
+	struct http_head coming;    /**< Head of an answer not whole yet. */
+	GByteArray *coming_body;    /**< Its body so far. */
+	struct http_head answer;    /**< Head of the last whole one. */
+	GByteArray *answer_body;    /**< Its body. */
+	struct relay_events events; /**< Of a stream. */
+	struct relay_holds holds;   /**< Memory at its helpers. */
+	struct placement_choice choice; /**< Meanwhile; its upstream may be
+					     gone. */
+	struct handle deadline_timer;	/**< Time limit. */
+	struct handle stall_timer;	/**< Looks at the upstream's silence. */
+	struct upstream_call *probe;	/**< Sees whether it can be reached. */
+	uint64_t place;			/**< Where the upstream listens. */
+	int64_t sent_ms;		/**< When the attempt was sent. */
+	int64_t heard_ms;		/**< Its last byte, or sent_ms. */
+	struct handle wait_timer;	/**< Until the next try to place it. */
+	int64_t wait_until_ms;		/**< Longest wait for a place. */
+	uint32_t weight_draw;		/**< Picks among targets. */
+	uint32_t sent;			/**< Attempts that were sent. */
+	uint32_t unsent;		/**< That found no connection. */
+	uint32_t excused;		/**< That failed by a helper's fault. */
+	enum answer_verdict verdict;	/**< Of the answer under way, or 0. */
+	bool is_sent;			/**< The one under way was sent. */
+	bool may_have_run;		/**< Some attempt may have run. */
+	bool was_good;			/**< The upstream showed progress. */
+	bool has_answer;		/**< answer counts. */
+	bool is_answering;		/**< The caller has a part of it. */
+	bool is_reachable;		/**< A probe got through since. */
 };
 
 /* relay_caller.c */
--- a/tests/relay_scene.c
+++ b/tests/relay_scene.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "platform_orders.h"
 #include "platform_routes.h"
 #include "service/mailbox.h"
 #include "state/upstream.h"
@@ -27,7 +28,9 @@
     "{\"name\":\"stream\",\"host\":\"h\",\"pathPrefix\":\"/stream/\","
     "\"kind\":\"streaming\",\"timeoutMs\":1500,\"sloMs\":300,\"service\":"
     "\"s\",\"maxAttempts\":2,\"resumable\":true,\"targetGapMs\":250}],"
-    "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\"}],"
+    "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\","
+    "\"engine\":{\"slots\":16,\"kvCapacityTokens\":100000,\"read_per_s\":"
+    "1000000,\"pairs_per_m\":0.02}}],"
     "\"tenants\":[{\"name\":\"spa\",\"apiKeys\":[\"key1\"]}],"
     "\"limits\":{\"maxBodyBytes\":1000,\"maxHeaderBytes\":2000}}";
 
@@ -251,6 +254,9 @@
 	    .priority = "Request-Priority",
 	    .resume_after = "Last-Event-Id",
 	    .fault_at = "At-Server",
+	    .order_path = "/v1/order",
+	    .reserve_text = platform_reserve_text,
+	    .release_text = platform_release_text,
 	    .ready_path = "/v1/ready",
 	    .metrics_path = "/metrics",
 	};
--- a/tests/relay_scene.h
+++ b/tests/relay_scene.h
@@ -13,7 +13,7 @@
 
 #include "service/relay.h"
 
-#define SCENE_UPSTREAMS 2
+#define SCENE_UPSTREAMS 4
 
 /** What upstreams say, in the order in which requests come to any of them;
  * the last one stays. "<reset>" at its end resets the connection, "<close>"
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -127,6 +127,50 @@
 	close_scene(&scene);
 }
 
+/* Load replayed: a prompt over one engine's memory (grown spa-desk, quiet-1).
+ * The first helpers keep what the leading engine has no room for. */
+static void
+test_memory_of_several(void **state)
+{
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_work work = {0};
+	struct placement_choice choice;
+	struct placement_upstream *holder;
+	uint64_t held;
+	uint32_t i;
+	struct scene scene;
+
+	(void)state;
+	open_scene(&scene, 2);
+	request = make_request(&scene, &scene.review, 630000, START_MS);
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NONE);
+	assert_in_range(choice.holder_count, 1, PLACEMENT_HOLDERS_MAX);
+	held = 0;
+	for (i = 0; i < choice.holder_count; i++)
+		held += choice.held_tokens[i];
+	assert_true(choice.kv_tokens < 405000);
+	assert_true(held + choice.kv_tokens >= 630600);
+	placement_begin(&scene.placement, &request, &choice, START_MS, &work);
+	holder =
+	    g_hash_table_lookup(scene.placement.upstreams, &work.holders[0]);
+	assert_int_equal(holder->own.kv_tokens, choice.held_tokens[0]);
+	placement_end(&scene.placement, &work);
+	assert_int_equal(holder->own.kv_tokens, 0);
+	/* Without room for it, it is not begun. */
+	for (i = 0; i < ENGINES; i++) {
+		holder = g_hash_table_lookup(
+		    scene.placement.upstreams, &scene.records[i].id);
+		holder->own.kv_tokens = 340000;
+	}
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NO_CAPACITY);
+	close_scene(&scene);
+}
+
 /* Load replayed: several long prompts within a quarter of a second. An engine
  * reads the part that came last first, so the next waits its turn. */
 static void
@@ -509,6 +553,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_reading_time),
 	    cmocka_unit_test(test_long_prompt_is_read_in_parts),
+	    cmocka_unit_test(test_memory_of_several),
 	    cmocka_unit_test(test_long_prompts_take_turns),
 	    cmocka_unit_test(test_hopeless_turn_is_refused),
 	    cmocka_unit_test(test_late_behind_many_is_refused),
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -160,6 +160,67 @@
 		run_case(i);
 }
 
+/* A prompt over one engine's memory: reserved, used, released. */
+static void
+test_reserved_memory(void **state)
+{
+	struct relay_scene *scene;
+	char *answer, *order, *request, *id;
+	uint32_t i;
+
+	(void)state;
+	scene = g_new0(struct relay_scene, 1);
+	relay_scene_init(scene);
+	relay_scene_answer(scene, WHOLE("200 OK", "{}", "2"));
+	relay_scene_answer(scene, EVENTS EVENT1 EVENT2 END);
+	relay_scene_answer(scene, WHOLE("200 OK", "{}", "2"));
+	answer = relay_scene_ask(scene,
+	    HEAD("POST", "/stream/") "Token-Counts: 140000,100\r\n"
+				     "Content-Length: 5\r\n\r\nhello");
+	assert_non_null(strstr(answer, "id: 2\ndata: b\n\n\r\n0\r\n\r\n"));
+	g_free(answer);
+	for (i = 0; i < 300 && relay_scene_count(scene) < 3; i++)
+		usleep(10000);
+	order = relay_scene_request(scene, 0);
+	assert_non_null(strstr(order, "POST /v1/order"));
+	id = strstr(order, "\"id\":\"");
+	assert_non_null(id);
+	id = g_strndup(id + 6, 16);
+	g_free(order);
+	request = relay_scene_request(scene, 1);
+	assert_non_null(strstr(request, "Helpers: 127.0.0.1:"));
+	assert_non_null(strstr(request, id));
+	g_free(request);
+	order = relay_scene_request(scene, 2);
+	assert_non_null(strstr(order, "\"op\":\"release\""));
+	assert_non_null(strstr(order, id));
+	g_free(order);
+	g_free(id);
+	relay_scene_finish(scene);
+	g_free(scene);
+}
+
+/* No engine has room: its caller is told that it did not run. */
+static void
+test_memory_is_refused(void **state)
+{
+	struct relay_scene *scene;
+	char *answer;
+
+	(void)state;
+	scene = g_new0(struct relay_scene, 1);
+	relay_scene_init(scene);
+	relay_scene_answer(scene, WHOLE("409 Conflict", "{}", "2"));
+	answer = relay_scene_ask(scene,
+	    HEAD("POST", "/stream/") "Token-Counts: 140000,100\r\n"
+				     "Content-Length: 5\r\n\r\nhello");
+	assert_non_null(strstr(answer, "HTTP/1.1 503"));
+	assert_non_null(strstr(answer, "Retry-After: "));
+	g_free(answer);
+	relay_scene_finish(scene);
+	g_free(scene);
+}
+
 /* A caller that leaves: the upstream's connection is closed at once. */
 static void
 test_caller_leaves(void **state)
@@ -244,6 +305,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_exchanges),
+	    cmocka_unit_test(test_reserved_memory),
+	    cmocka_unit_test(test_memory_is_refused),
 	    cmocka_unit_test(test_caller_leaves),
 	    cmocka_unit_test(test_planned_stop),
 	    cmocka_unit_test(test_metrics),
