--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -241,7 +241,7 @@
 static void
 put_object(const struct event_entry *entry, json_t *fields)
 {
-	char when[EVENT_TIME_SIZE], *text;
+	char when[EVENT_TIME_SIZE], *text, *whole;
 	json_t *line;
 	size_t size;
 
@@ -263,13 +263,15 @@
 	if (text == NULL)
 		return;
 	size = strlen(text);
-	text = realloc(text, size + 2);
-	if (text == NULL)
+	whole = realloc(text, size + 2);
+	if (whole == NULL) {
+		free(text);
 		return;
-	text[size] = '\n';
-	text[size + 1] = '\0';
+	}
+	whole[size] = '\n';
+	whole[size + 1] = '\0';
 	log_writer_put(&event_writer, (int)entry->number,
-	    entry->level <= EVENT_LEVEL_WARNING, text);
+	    entry->level <= EVENT_LEVEL_WARNING, whole);
 }
 
 static char *
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -64,6 +64,10 @@
     struct placement *placement, const struct placement_request *request);
 static uint64_t find_light_rank(struct gathering *gathering);
 static bool is_light_led(const struct gathering *gathering);
+static void judge_prompt(struct gathering *gathering);
+static enum error_code choose(const struct gathering *gathering,
+    const GArray *candidates, struct placement_waiter *waiter,
+    struct placement_choice *choice);
 static gint compare_ranks(gconstpointer left, gconstpointer right);
 static gint compare_candidates(gconstpointer left, gconstpointer right);
 static gint compare_numbers(gconstpointer left, gconstpointer right);
@@ -120,64 +124,21 @@
 	    .light_rank_max = UINT64_MAX,
 	    .is_waiting = waiter->service != 0,
 	};
-	const struct candidate *best;
 	enum error_code error;
 	GArray *candidates;
 
 	memset(choice, 0, sizeof(*choice));
 	placement_sum_others(placement, now_ms);
-	if (request->service->has_engine && request->prompt_tokens > 0) {
-		gathering.is_heavy = is_heavy_request(placement, request);
-		gathering.kv_tokens =
-		    (uint64_t)(request->prompt_tokens + request->answer_tokens);
-		/* No engine has the memory: others keep a part of it. */
-		gathering.is_too_large =
-		    gathering.kv_tokens > request->service->engine.kv_tokens;
-		gathering.light_rank_max = find_light_rank(&gathering);
-		gathering.is_light_led = is_light_led(&gathering);
-	}
+	if (request->service->has_engine && request->prompt_tokens > 0)
+		judge_prompt(&gathering);
 	candidates = gather(&gathering);
-	if (candidates->len == 0) {
-		g_array_unref(candidates);
-		return gathering.usable_count == 0 ? ERROR_NO_UPSTREAM
-						   : ERROR_NO_CAPACITY;
-	}
-	if (gathering.is_too_large && !is_idle_enough(&gathering, candidates)) {
-		g_array_unref(candidates);
-		return ERROR_NO_CAPACITY;
-	}
-	if (gathering.is_heavy && !gathering.is_too_large) {
-		error = take_turn(&gathering, candidates, waiter);
-		if (error != ERROR_NONE) {
-			g_array_unref(candidates);
-			return error;
-		}
-	}
-	best = &g_array_index(candidates, struct candidate, 0);
-	choice->upstream = best->upstream;
-	choice->is_heavy = gathering.is_heavy;
-	choice->is_light_led = gathering.is_light_led && best->is_light;
-	choice->kv_tokens = gathering.kv_tokens;
-	choice->wait_ms = backlog_of(best->upstream, now_ms);
-	choice->light_count = gathering.light_count;
-	choice->usable_count = gathering.usable_count;
-	choice->demand = gathering.demand;
-	if (gathering.kv_tokens > 0) {
-		choice->whole_read_ms = engine_read_ms(
-		    &request->service->engine, request->prompt_tokens);
-		if (gathering.is_heavy &&
-		    (!request->is_alone || gathering.is_too_large))
-			choose_helpers(&gathering, candidates, choice);
-		if (gathering.is_too_large &&
-		    !choose_holders(&gathering, choice)) {
-			g_array_unref(candidates);
-			return ERROR_NO_CAPACITY;
-		}
-		choice->read_ms =
-		    choice->whole_read_ms / (choice->helper_count + 1);
-	}
+	if (candidates->len > 0)
+		error = choose(&gathering, candidates, waiter, choice);
+	else
+		error = gathering.usable_count == 0 ? ERROR_NO_UPSTREAM
+						    : ERROR_NO_CAPACITY;
 	g_array_unref(candidates);
-	return ERROR_NONE;
+	return error;
 }
 
 int64_t
@@ -279,6 +240,62 @@
 	return rank_max;
 }
 
+static void
+judge_prompt(struct gathering *gathering)
+{
+	const struct placement_request *request = gathering->request;
+
+	gathering->is_heavy = is_heavy_request(gathering->placement, request);
+	gathering->kv_tokens =
+	    (uint64_t)(request->prompt_tokens + request->answer_tokens);
+	/* No engine has the memory: others keep a part of it. */
+	gathering->is_too_large =
+	    gathering->kv_tokens > request->service->engine.kv_tokens;
+	gathering->light_rank_max = find_light_rank(gathering);
+	gathering->is_light_led = is_light_led(gathering);
+}
+
+/* The best candidate, if the request may go now. */
+static enum error_code
+choose(const struct gathering *gathering, const GArray *candidates,
+    struct placement_waiter *waiter, struct placement_choice *choice)
+{
+	const struct candidate *best;
+	enum error_code error;
+
+	error = ERROR_NONE;
+	if (gathering->is_too_large)
+		error = is_idle_enough(gathering, candidates)
+			    ? ERROR_NONE
+			    : ERROR_NO_CAPACITY;
+	else if (gathering->is_heavy)
+		error = take_turn(gathering, candidates, waiter);
+	if (error != ERROR_NONE)
+		return error;
+	best = &g_array_index(candidates, struct candidate, 0);
+	choice->upstream = best->upstream;
+	choice->is_heavy = gathering->is_heavy;
+	choice->is_light_led = gathering->is_light_led && best->is_light;
+	choice->kv_tokens = gathering->kv_tokens;
+	choice->wait_ms = backlog_of(best->upstream, gathering->now_ms);
+	choice->light_count = gathering->light_count;
+	choice->usable_count = gathering->usable_count;
+	choice->demand = gathering->demand;
+	if (gathering->kv_tokens == 0)
+		return ERROR_NONE;
+	choice->whole_read_ms =
+	    engine_read_ms(&gathering->request->service->engine,
+		gathering->request->prompt_tokens);
+	/* What one can't keep, one can't read alone either. */
+	if (gathering->is_heavy &&
+	    (!gathering->request->is_alone || gathering->is_too_large))
+		choose_helpers(gathering, candidates, choice);
+	choice->read_ms = choice->whole_read_ms / (choice->helper_count + 1);
+	if (gathering->is_too_large && !choose_holders(gathering, choice))
+		return ERROR_NO_CAPACITY;
+	return ERROR_NONE;
+}
+
 /* Read in many parts, a prompt of middle size may be answered among the
  * short ones, where passes are short and its events come evenly. */
 static bool
