--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -65,6 +65,7 @@
 static uint64_t find_light_rank(struct gathering *gathering);
 static bool is_light_led(const struct gathering *gathering);
 static void judge_prompt(struct gathering *gathering);
+static enum error_code give_up_error(const struct gathering *gathering);
 static enum error_code choose(const struct gathering *gathering,
     const GArray *candidates, struct placement_waiter *waiter,
     struct placement_choice *choice);
@@ -264,11 +265,9 @@
 	enum error_code error;
 
 	error = ERROR_NONE;
-	if (gathering->is_too_large)
-		error = is_idle_enough(gathering, candidates)
-			    ? ERROR_NONE
-			    : ERROR_NO_CAPACITY;
-	else if (gathering->is_heavy)
+	if (gathering->is_too_large && !is_idle_enough(gathering, candidates))
+		error = give_up_error(gathering);
+	else if (gathering->is_heavy && !gathering->is_too_large)
 		error = take_turn(gathering, candidates, waiter);
 	if (error != ERROR_NONE)
 		return error;
@@ -292,10 +291,19 @@
 		choose_helpers(gathering, candidates, choice);
 	choice->read_ms = choice->whole_read_ms / (choice->helper_count + 1);
 	if (gathering->is_too_large && !choose_holders(gathering, choice))
-		return ERROR_NO_CAPACITY;
+		return give_up_error(gathering);
 	return ERROR_NONE;
 }
 
+/* For one that is too large: its caller isn't held for a turn that nobody can
+ * foresee, unless part of the answer is out. */
+static enum error_code
+give_up_error(const struct gathering *gathering)
+{
+	return gathering->request->is_begun ? ERROR_NO_CAPACITY
+					    : ERROR_DEADLINE_UNREACHABLE;
+}
+
 /* Read in many parts, a prompt of middle size may be answered among the
  * short ones, where passes are short and its events come evenly. */
 static bool
