--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -249,9 +249,7 @@
 	}
 	placement_note_good(&exchange->relay->placement, exchange->upstream_id);
 	relay_attempt_leave(exchange);
-	relay_answer_whole(exchange->caller, &exchange->answer,
-	    exchange->answer_body, relay_exchange_is_head(exchange));
-	relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
+	relay_exchange_deliver(exchange);
 }
 
 static void
@@ -342,9 +340,7 @@
 			relay_exchange_place(exchange);
 		return;
 	case ATTEMPT_DELIVER:
-		relay_answer_whole(exchange->caller, &exchange->answer,
-		    exchange->answer_body, relay_exchange_is_head(exchange));
-		relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
+		relay_exchange_deliver(exchange);
 		return;
 	case ATTEMPT_REFUSE:
 		relay_answer_own(exchange->caller, STATUS_UNAVAILABLE,
@@ -357,9 +353,7 @@
 		relay_exchange_finish(exchange, END_FAILED, error);
 		return;
 	case ATTEMPT_BREAK:
-		relay_caller_break(exchange->caller);
-		exchange->caller = NULL;
-		relay_exchange_finish(exchange, END_BROKEN, error);
+		relay_exchange_break(exchange, error);
 		return;
 	}
 }
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -143,6 +143,22 @@
 		wait_for_place(exchange, error);
 }
 
+void
+relay_exchange_deliver(struct relay_exchange *exchange)
+{
+	relay_answer_whole(exchange->caller, &exchange->answer,
+	    exchange->answer_body, relay_exchange_is_head(exchange));
+	relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
+}
+
+void
+relay_exchange_break(struct relay_exchange *exchange, enum error_code error)
+{
+	relay_caller_break(exchange->caller);
+	exchange->caller = NULL;
+	relay_exchange_finish(exchange, END_BROKEN, error);
+}
+
 void
 relay_exchange_finish(struct relay_exchange *exchange, enum exchange_end end,
     enum error_code error)
@@ -247,9 +263,7 @@
     enum error_code error)
 {
 	if (exchange->is_answering) {
-		relay_caller_break(exchange->caller);
-		exchange->caller = NULL;
-		relay_exchange_finish(exchange, END_BROKEN, error);
+		relay_exchange_break(exchange, error);
 		return;
 	}
 	/* Some attempt may have run under the older table. */
@@ -321,15 +335,11 @@
 		&exchange->wait_timer) == ERROR_NONE)
 		return;
 	if (exchange->is_answering) {
-		relay_caller_break(exchange->caller);
-		exchange->caller = NULL;
-		relay_exchange_finish(exchange, END_BROKEN, error);
+		relay_exchange_break(exchange, error);
 		return;
 	}
 	if (exchange->has_answer) {
-		relay_answer_whole(exchange->caller, &exchange->answer,
-		    exchange->answer_body, relay_exchange_is_head(exchange));
-		relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
+		relay_exchange_deliver(exchange);
 		return;
 	}
 	if (exchange->may_have_run) {
@@ -379,15 +389,11 @@
 	struct relay_exchange *exchange = context;
 
 	if (exchange->is_answering) {
-		relay_caller_break(exchange->caller);
-		exchange->caller = NULL;
-		relay_exchange_finish(exchange, END_BROKEN, ERROR_TIMEOUT);
+		relay_exchange_break(exchange, ERROR_TIMEOUT);
 		return;
 	}
 	if (exchange->has_answer) {
-		relay_answer_whole(exchange->caller, &exchange->answer,
-		    exchange->answer_body, relay_exchange_is_head(exchange));
-		relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
+		relay_exchange_deliver(exchange);
 		return;
 	}
 	if (exchange->may_have_run || exchange->is_sent) {
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -135,6 +135,11 @@
 bool relay_exchange_resolve(struct relay_exchange *exchange);
 /** Sends it to the best upstream, or waits a little for one. */
 void relay_exchange_place(struct relay_exchange *exchange);
+/** Passes the kept answer on; the exchange ends. */
+void relay_exchange_deliver(struct relay_exchange *exchange);
+/** Breaks the answer that has begun; the exchange ends. */
+void relay_exchange_break(
+    struct relay_exchange *exchange, enum error_code error);
 /** Counts and logs the end, and frees the exchange. */
 void relay_exchange_finish(struct relay_exchange *exchange,
     enum exchange_end end, enum error_code error);
--- a/tests/relay_scene.c
+++ b/tests/relay_scene.c
@@ -9,7 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "platform_orders.h"
+#include "platform_dialect.h"
 #include "platform_routes.h"
 #include "service/mailbox.h"
 #include "state/upstream.h"
@@ -241,25 +241,7 @@
 	settings.retry_slack = 10;
 	settings.retry_window_ms = 10000;
 	settings.stop_accept_ms = 60000;
-	settings.dialect = (struct relay_dialect){
-	    .attempt_id = "Attempt-Id",
-	    .deadline = "Deadline-Ms",
-	    .account_key = "X-Api-Key",
-	    .account = "Tenant",
-	    .target = "Target-Instance",
-	    .refusal = "Not-Executed",
-	    .receipt = "Response-Seal",
-	    .token_counts = "Token-Counts",
-	    .helpers = "Helpers",
-	    .priority = "Request-Priority",
-	    .resume_after = "Last-Event-Id",
-	    .fault_at = "At-Server",
-	    .order_path = "/v1/order",
-	    .reserve_text = platform_reserve_text,
-	    .release_text = platform_release_text,
-	    .ready_path = "/v1/ready",
-	    .metrics_path = "/metrics",
-	};
+	settings.dialect = platform_dialect;
 	if (relay_init(&scene->relay, &settings, scene->host, 1) !=
 		ERROR_NONE ||
 	    relay_start(&scene->relay) != ERROR_NONE)
