Reservations that aren't answered are given up after half a second

Cause: by reading: a holder that is cut off or frozen kept a request until its time limit, and the routes could change meanwhile. Change: RESERVE_MS; who doesn't answer is left alone by all hosts for a while. test_memory_is_slow failed before.

--- a/src/service/relay_hold.c
+++ b/src/service/relay_hold.c
@@ -8,6 +8,7 @@
 
 #define STATUS_OK	 200
 #define HOLD_MS		 3500 /* Runs out after that without renewal. */
+#define RESERVE_MS	 500 /* All must be there by then; routes may change. */
 #define RENEW_MS	 1000 /* Between renewals; two may be lost. */
 #define RELEASE_TRIES	 3
 #define RELEASE_PAUSE_MS 300 /* Between them. */
@@ -38,10 +39,12 @@
 static void note_done(void *context);
 static void note_failed(void *context, enum error_code error);
 static void note_result(struct hold *hold, enum error_code error);
+static void note_missing(struct hold *hold, enum error_code error);
 static void note_released(struct hold *hold, enum error_code error);
 static bool are_all_held(const struct relay_holds *holds);
 static void plan_renewal(struct relay_holds *holds, struct relay *relay);
 static void run_renewal(void *context);
+static void run_too_slow(void *context);
 static void run_release(void *context);
 static void run_no_connection(void *context);
 static void free_hold(struct hold *hold);
@@ -58,6 +61,9 @@
 	holds->context = context;
 	for (i = 0; i < choice->holder_count; i++)
 		g_ptr_array_add(holds->list, add_hold(holds, relay, choice, i));
+	/* Without a timer the attempt's own time limit ends it. */
+	(void)timer_subscribe_once(&relay->timers, RESERVE_MS,
+	    (struct timer_callback){run_too_slow, holds}, &holds->timer);
 	for (i = 0; i < holds->list->len; i++)
 		reserve(g_ptr_array_index(holds->list, i));
 }
@@ -253,18 +259,32 @@
 	}
 	hold->is_held = error == ERROR_NONE;
 	if (!hold->is_held) {
-		event_log_fields(EVENT_MEMORY_NOT_RESERVED, "{s:s,s:s,s:I,s:b}",
-		    "upstream", hold->upstream, "why", error_name(error),
-		    "status", (json_int_t)hold->status, "was_held", false);
+		note_missing(hold, error);
 		holds->done(holds->context, error);
 		return;
 	}
 	if (!are_all_held(holds))
 		return;
+	timer_cancel(&hold->relay->timers, &holds->timer);
 	plan_renewal(holds, hold->relay);
 	holds->done(holds->context, ERROR_NONE);
 }
 
+/* One without room is well; one that doesn't answer is left alone. */
+static void
+note_missing(struct hold *hold, enum error_code error)
+{
+	struct relay *relay = hold->relay;
+
+	event_log_fields(EVENT_MEMORY_NOT_RESERVED, "{s:s,s:s,s:I,s:b}",
+	    "upstream", hold->upstream, "why", error_name(error), "status",
+	    (json_int_t)hold->status, "was_held", false);
+	if (error == ERROR_NO_CAPACITY)
+		return;
+	placement_note_fault(&relay->placement, hold->place, host_now_ms());
+	relay_note_work(relay);
+}
+
 /* One that can't be released runs out by itself. */
 static void
 note_released(struct hold *hold, enum error_code error)
@@ -317,6 +337,22 @@
 	plan_renewal(holds, hold->relay);
 }
 
+static void
+run_too_slow(void *context)
+{
+	struct relay_holds *holds = context;
+	struct hold *hold;
+	guint i;
+
+	memset(&holds->timer, 0, sizeof(holds->timer));
+	for (i = 0; i < holds->list->len; i++) {
+		hold = g_ptr_array_index(holds->list, i);
+		if (!hold->is_held)
+			note_missing(hold, ERROR_TIMEOUT);
+	}
+	holds->done(holds->context, ERROR_TIMEOUT);
+}
+
 static void
 run_release(void *context)
 {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -221,6 +221,28 @@
 	g_free(scene);
 }
 
+/* An engine that doesn't answer the order: its caller is told before its own
+ * time limit, which would say that nobody could be reached in time. */
+static void
+test_memory_is_slow(void **state)
+{
+	struct relay_scene *scene;
+	char *answer;
+
+	(void)state;
+	scene = g_new0(struct relay_scene, 1);
+	relay_scene_init(scene);
+	relay_scene_answer(scene, "<hang>");
+	answer = relay_scene_ask(scene,
+	    HEAD("POST", "/stream/") "Token-Counts: 140000,100\r\n"
+				     "Content-Length: 5\r\n\r\nhello");
+	assert_non_null(strstr(answer, "HTTP/1.1 503"));
+	assert_non_null(strstr(answer, "no upstream can take it now"));
+	g_free(answer);
+	relay_scene_finish(scene);
+	g_free(scene);
+}
+
 /* A caller that leaves: the upstream's connection is closed at once. */
 static void
 test_caller_leaves(void **state)
@@ -307,6 +329,7 @@
 	    cmocka_unit_test(test_exchanges),
 	    cmocka_unit_test(test_reserved_memory),
 	    cmocka_unit_test(test_memory_is_refused),
+	    cmocka_unit_test(test_memory_is_slow),
 	    cmocka_unit_test(test_caller_leaves),
 	    cmocka_unit_test(test_planned_stop),
 	    cmocka_unit_test(test_metrics),
