--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -25,5 +25,12 @@
     --enable=warning,portability --suppress=missingIncludeSystem -I src -I platform \
     --library=tools/jansson.cfg src platform \
     standin bench
+# Only platform/ knows the users' platform's names on the wire.
+platform_names='Attempt-Id|Response-Seal|Not-Executed|Token-Counts|Prefix-Hash|Target-Instance|Request-Priority|At-Server'
+platform_names+='|X-Api-Key|Replicas\.|Evacuations\.|Config\.(Put|Get)|kvCapacityTokens|targetGapMs|holdMs|heartbeatMs|graceS'
+if grep -rnE "$platform_names" src; then
+	echo "lint: names of the platform outside platform/"
+	exit 1
+fi
 doxygen docs/Doxyfile >/dev/null
 echo "lint: clean"
