test_log_writer closes only the reader's end while the writer runs

Change: SIGPIPE ignored and the reader's end closed first, the writer's end after log_writer_finish(). What the test asserts is as before.

--- a/tests/test_log_writer.c
+++ b/tests/test_log_writer.c
@@ -61,10 +61,11 @@
 	pthread_mutex_lock(&writer.mutex);
 	assert_true(writer.count <= CAPACITY / 2 + 2);
 	pthread_mutex_unlock(&writer.mutex);
-	close(fds[1]);
-	close(fds[0]);
+	/* Only the reader's end: the writer's thread still uses the other. */
 	signal(SIGPIPE, SIG_IGN);
+	close(fds[0]);
 	log_writer_finish(&writer);
+	close(fds[1]);
 	/* The same with a reader: all that was taken is written. */
 	assert_int_equal(pipe(fds), 0);
 	assert_true(log_writer_init(&writer, fds[1], CAPACITY, 10, report));
