One check of a message's version, one read of its type

Cause: ten readers compared field 0 with their version in their own lines, three read the type after it, two opened a body only for that. DESIGN says that field 0 is the version and field 1 the type of every message, so the codec can. Change: message_check_version(), message_get_type(), message_peek_type(). A grant's wants_answer is no longer read when the field is missing (the message was refused all the same). Bytes and errors stay as they were. Tests: the 48 that need no processes, before and after.

--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -5,6 +5,8 @@
 #include "config.h"
 
 #define DEPTH_MAX	8    /* Maps and arrays inside one another. */
+#define KEY_VERSION	0    /* See message_check_version(). */
+#define KEY_TYPE	1    /* See message_get_type(). */
 #define ZONE_CHUNK_SIZE 4096 /* Bytes that a reader takes at a time. */
 
 /* Walks over bytes without taking memory, to check sizes and counts. */
@@ -177,6 +179,45 @@
 	return ERROR_NONE;
 }
 
+enum error_code
+message_check_version(const struct message_reader *reader, uint64_t version)
+{
+	enum error_code error;
+	uint64_t found;
+
+	error = message_get_uint(reader, KEY_VERSION, &found);
+	if (error == ERROR_NONE && found != version)
+		error = ERROR_UNSUPPORTED_VERSION;
+	return error;
+}
+
+enum error_code
+message_get_type(
+    const struct message_reader *reader, uint64_t version, uint32_t *type)
+{
+	enum error_code error;
+
+	error = message_check_version(reader, version);
+	if (error != ERROR_NONE)
+		return error;
+	return message_get_uint32(reader, KEY_TYPE, type);
+}
+
+enum error_code
+message_peek_type(
+    const void *data, size_t size, uint64_t version, uint32_t *type)
+{
+	struct message_reader reader;
+	enum error_code error;
+
+	error = message_reader_init(&reader, data, size);
+	if (error != ERROR_NONE)
+		return error;
+	error = message_get_type(&reader, version, type);
+	message_reader_finish(&reader);
+	return error;
+}
+
 enum error_code
 message_get_int(
     const struct message_reader *reader, uint32_t key, int64_t *value)
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -82,6 +82,16 @@
 /** Reads an unsigned number of at most 32 bits; larger: ERROR_TOO_LARGE. */
 enum error_code message_get_uint32(
     const struct message_reader *reader, uint32_t key, uint32_t *value);
+/** Checks the first field, which holds the version in every message that has
+ * one. Errors: ERROR_UNSUPPORTED_VERSION, and as message_get_uint(). */
+enum error_code message_check_version(
+    const struct message_reader *reader, uint64_t version);
+/** The same, and reads the second field, which holds the type. */
+enum error_code message_get_type(
+    const struct message_reader *reader, uint64_t version, uint32_t *type);
+/** The same from bytes. */
+enum error_code message_peek_type(
+    const void *data, size_t size, uint64_t version, uint32_t *type);
 /** Reads a signed number. */
 enum error_code message_get_int(
     const struct message_reader *reader, uint32_t key, int64_t *value);
--- a/src/protocol/command_message.c
+++ b/src/protocol/command_message.c
@@ -61,12 +61,10 @@
 decode_fields(struct command_message *message)
 {
 	const struct message_reader *reader = &message->reader;
-	uint64_t version, type, error_number;
+	uint64_t type, error_number;
 	enum error_code error;
 
-	error = message_get_uint(reader, FIELD_VERSION, &version);
-	if (error == ERROR_NONE && version != COMMAND_MESSAGE_VERSION)
-		error = ERROR_UNSUPPORTED_VERSION;
+	error = message_check_version(reader, COMMAND_MESSAGE_VERSION);
 	if (error == ERROR_NONE)
 		error = message_get_uint(reader, FIELD_TYPE, &type);
 	if (error == ERROR_NONE)
--- a/src/protocol/config_feed_message.c
+++ b/src/protocol/config_feed_message.c
@@ -99,14 +99,12 @@
 read_fields(const struct message_reader *reader, struct feed_message *message)
 {
 	enum error_code error;
-	uint64_t version, type;
+	uint64_t type;
 	size_t i;
 
-	error = message_get_uint(reader, FIELD_VERSION, &version);
+	error = message_check_version(reader, CONFIG_FEED_MESSAGE_VERSION);
 	if (error != ERROR_NONE)
 		return error;
-	if (version != CONFIG_FEED_MESSAGE_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
 	error = message_get_uint(reader, FIELD_TYPE, &type);
 	if (error != ERROR_NONE)
 		return error;
--- a/src/protocol/consensus_message.c
+++ b/src/protocol/consensus_message.c
@@ -244,13 +244,12 @@
 decode_head(struct consensus_message *message)
 {
 	enum error_code error;
-	uint64_t version, type;
+	uint64_t type;
 
-	error = message_get_uint(&message->reader, FIELD_VERSION, &version);
+	error =
+	    message_check_version(&message->reader, CONSENSUS_MESSAGE_VERSION);
 	if (error != ERROR_NONE)
 		return error;
-	if (version != CONSENSUS_MESSAGE_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
 	error = message_get_uint(&message->reader, FIELD_TYPE, &type);
 	if (error != ERROR_NONE)
 		return error;
--- a/src/protocol/gossip_message.c
+++ b/src/protocol/gossip_message.c
@@ -107,15 +107,7 @@
 enum error_code
 gossip_message_type(const struct message_reader *reader, uint32_t *type)
 {
-	enum error_code error;
-	uint64_t version;
-
-	error = message_get_uint(reader, FIELD_VERSION, &version);
-	if (error != ERROR_NONE)
-		return error;
-	if (version != GOSSIP_MESSAGE_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
-	return message_get_uint32(reader, FIELD_TYPE, type);
+	return message_get_type(reader, GOSSIP_MESSAGE_VERSION, type);
 }
 
 enum error_code
--- a/src/protocol/grant_message.c
+++ b/src/protocol/grant_message.c
@@ -275,14 +275,12 @@
 read_head(struct grant_reader *reader)
 {
 	struct grant_head *head = &reader->head;
-	uint64_t version, type, wants_answer;
+	uint64_t type, wants_answer;
 	enum error_code error;
 
-	error = message_get_uint(&reader->message, FIELD_VERSION, &version);
+	error = message_check_version(&reader->message, GRANT_MESSAGE_VERSION);
 	if (error != ERROR_NONE)
 		return error;
-	if (version != GRANT_MESSAGE_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
 	error = message_get_uint(&reader->message, FIELD_TYPE, &type);
 	if (error != ERROR_NONE)
 		return error;
@@ -302,8 +300,10 @@
 		return error;
 	error = message_get_uint(
 	    &reader->message, FIELD_WANTS_ANSWER, &wants_answer);
+	if (error != ERROR_NONE)
+		return error;
 	head->wants_answer = wants_answer != 0;
-	return error;
+	return ERROR_NONE;
 }
 
 static enum error_code
--- a/src/protocol/handshake_message.c
+++ b/src/protocol/handshake_message.c
@@ -82,14 +82,12 @@
 read_fields(
     const struct message_reader *reader, struct handshake_message *message)
 {
-	uint64_t version, type, code;
+	uint64_t type, code;
 	enum error_code error;
 
-	error = message_get_uint(reader, FIELD_VERSION, &version);
+	error = message_check_version(reader, HANDSHAKE_VERSION);
 	if (error != ERROR_NONE)
 		return error;
-	if (version != HANDSHAKE_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
 	error = message_get_uint(reader, FIELD_TYPE, &type);
 	if (error != ERROR_NONE)
 		return error;
--- a/src/protocol/membership_message.c
+++ b/src/protocol/membership_message.c
@@ -33,8 +33,6 @@
 
 static enum error_code read_message(
     const struct message_reader *reader, struct membership_message *message);
-static enum error_code read_type(
-    const struct message_reader *reader, uint32_t *type);
 static enum error_code read_record(
     const struct message_reader *reader, struct host_record *host);
 static enum error_code read_state(
@@ -78,15 +76,7 @@
 enum error_code
 membership_message_type(const void *body, size_t size, uint32_t *type)
 {
-	struct message_reader reader;
-	enum error_code error;
-
-	error = message_reader_init(&reader, body, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = read_type(&reader, type);
-	message_reader_finish(&reader);
-	return error;
+	return message_peek_type(body, size, MEMBERSHIP_MESSAGE_VERSION, type);
 }
 
 void
@@ -129,7 +119,7 @@
 	enum error_code error;
 	uint32_t type;
 
-	error = read_type(reader, &type);
+	error = message_get_type(reader, MEMBERSHIP_MESSAGE_VERSION, &type);
 	if (error != ERROR_NONE)
 		return error;
 	if (type < MEMBERSHIP_TYPE_PING || type > MEMBERSHIP_TYPE_ANSWER)
@@ -149,20 +139,6 @@
 	return read_state(reader, FIELD_KNOWN_STATE, &message->known_state);
 }
 
-static enum error_code
-read_type(const struct message_reader *reader, uint32_t *type)
-{
-	enum error_code error;
-	uint64_t version;
-
-	error = message_get_uint(reader, FIELD_VERSION, &version);
-	if (error != ERROR_NONE)
-		return error;
-	if (version != MEMBERSHIP_MESSAGE_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
-	return message_get_uint32(reader, FIELD_TYPE, type);
-}
-
 static enum error_code
 read_record(const struct message_reader *reader, struct host_record *host)
 {
--- a/src/protocol/upstream_message.c
+++ b/src/protocol/upstream_message.c
@@ -65,8 +65,6 @@
     const struct message_reader *reader, struct upstream_record *record);
 static enum error_code read_load(
     const struct message_reader *reader, struct upstream_load *load);
-static enum error_code read_type(
-    const struct message_reader *reader, uint32_t *type);
 
 void
 upstream_entry_write(
@@ -176,7 +174,8 @@
 	error = message_reader_init(&reader, body, size);
 	if (error != ERROR_NONE)
 		return error;
-	if ((error = read_type(&reader, &type)) == ERROR_NONE &&
+	if ((error = message_get_type(
+		 &reader, UPSTREAM_MESSAGE_VERSION, &type)) == ERROR_NONE &&
 	    (error = message_get_uint(&reader, FIELD_ID, id)) == ERROR_NONE)
 		error =
 		    message_get_uint(&reader, FIELD_INCARNATION, incarnation);
@@ -187,15 +186,7 @@
 enum error_code
 upstream_message_type(const void *body, size_t size, uint32_t *type)
 {
-	struct message_reader reader;
-	enum error_code error;
-
-	error = message_reader_init(&reader, body, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = read_type(&reader, type);
-	message_reader_finish(&reader);
-	return error;
+	return message_peek_type(body, size, UPSTREAM_MESSAGE_VERSION, type);
 }
 
 static void
@@ -347,7 +338,8 @@
 	enum error_code error;
 	uint32_t type;
 
-	if ((error = read_type(reader, &type)) != ERROR_NONE ||
+	if ((error = message_get_type(
+		 reader, UPSTREAM_MESSAGE_VERSION, &type)) != ERROR_NONE ||
 	    (error = message_get_uint(reader, FIELD_ID, &load->id)) !=
 		ERROR_NONE ||
 	    (error = message_get_uint(reader, FIELD_INCARNATION,
@@ -366,17 +358,3 @@
 	return message_get_uint(
 	    reader, FIELD_KV_TOKENS_USED, &load->kv_tokens_used);
 }
-
-static enum error_code
-read_type(const struct message_reader *reader, uint32_t *type)
-{
-	enum error_code error;
-	uint64_t version;
-
-	error = message_get_uint(reader, FIELD_VERSION, &version);
-	if (error != ERROR_NONE)
-		return error;
-	if (version != UPSTREAM_MESSAGE_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
-	return message_get_uint32(reader, FIELD_TYPE, type);
-}
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -67,15 +67,12 @@
 	struct message_array items, demands;
 	struct message_reader reader;
 	enum error_code error;
-	uint64_t version;
 
 	memset(report, 0, sizeof(*report));
 	error = message_reader_init(&reader, body, size);
 	if (error != ERROR_NONE)
 		return error;
-	error = message_get_uint(&reader, FIELD_VERSION, &version);
-	if (error == ERROR_NONE && version != REPORT_VERSION)
-		error = ERROR_UNSUPPORTED_VERSION;
+	error = message_check_version(&reader, REPORT_VERSION);
 	if (error == ERROR_NONE)
 		error = message_get_uint(
 		    &reader, FIELD_INCARNATION, &report->incarnation);
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -182,15 +182,13 @@
 {
 	struct message_reader reader;
 	enum error_code error;
-	uint64_t version, type;
+	uint64_t type;
 
 	memset(command, 0, sizeof(*command));
 	error = message_reader_init(&reader, data, size);
 	if (error != ERROR_NONE)
 		return error;
-	error = message_get_uint(&reader, FIELD_VERSION, &version);
-	if (error == ERROR_NONE && version != COMMAND_VERSION)
-		error = ERROR_UNSUPPORTED_VERSION;
+	error = message_check_version(&reader, COMMAND_VERSION);
 	if (error == ERROR_NONE)
 		error = message_get_uint(&reader, FIELD_TYPE, &type);
 	if (error == ERROR_NONE)
