--- a/src/coordination/capacity_math.c
+++ b/src/coordination/capacity_math.c
@@ -1,5 +1,13 @@
 #include "coordination/capacity_math.h"
 
+static struct capacity_amount combine(const struct capacity_amount *left,
+    const struct capacity_amount *right,
+    uint64_t (*operation)(uint64_t left, uint64_t right));
+static uint64_t add(uint64_t left, uint64_t right);
+static uint64_t subtract(uint64_t left, uint64_t right);
+static uint64_t larger(uint64_t left, uint64_t right);
+static uint64_t smaller(uint64_t left, uint64_t right);
+
 uint64_t
 capacity_get(const struct capacity_amount *amount, unsigned int at)
 {
@@ -34,65 +42,28 @@
 capacity_add(
     const struct capacity_amount *left, const struct capacity_amount *right)
 {
-	struct capacity_amount sum;
-	uint64_t first, second;
-	unsigned int at;
-
-	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
-		first = capacity_get(left, at);
-		second = capacity_get(right, at);
-		capacity_set(&sum, at,
-		    second > UINT64_MAX - first ? UINT64_MAX : first + second);
-	}
-	return sum;
+	return combine(left, right, add);
 }
 
 struct capacity_amount
 capacity_subtract(
     const struct capacity_amount *left, const struct capacity_amount *right)
 {
-	struct capacity_amount rest;
-	uint64_t first, second;
-	unsigned int at;
-
-	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
-		first = capacity_get(left, at);
-		second = capacity_get(right, at);
-		capacity_set(&rest, at, first > second ? first - second : 0);
-	}
-	return rest;
+	return combine(left, right, subtract);
 }
 
 struct capacity_amount
 capacity_max(
     const struct capacity_amount *left, const struct capacity_amount *right)
 {
-	struct capacity_amount most;
-	uint64_t first, second;
-	unsigned int at;
-
-	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
-		first = capacity_get(left, at);
-		second = capacity_get(right, at);
-		capacity_set(&most, at, first > second ? first : second);
-	}
-	return most;
+	return combine(left, right, larger);
 }
 
 struct capacity_amount
 capacity_min(
     const struct capacity_amount *left, const struct capacity_amount *right)
 {
-	struct capacity_amount least;
-	uint64_t first, second;
-	unsigned int at;
-
-	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
-		first = capacity_get(left, at);
-		second = capacity_get(right, at);
-		capacity_set(&least, at, first < second ? first : second);
-	}
-	return least;
+	return combine(left, right, smaller);
 }
 
 bool
@@ -117,3 +88,40 @@
 	return amount->requests == 0 && amount->prefill_tokens == 0 &&
 	       amount->kv_tokens == 0;
 }
+
+static struct capacity_amount
+combine(const struct capacity_amount *left, const struct capacity_amount *right,
+    uint64_t (*operation)(uint64_t left, uint64_t right))
+{
+	struct capacity_amount result;
+	unsigned int at;
+
+	for (at = 0; at < CAPACITY_DIMENSIONS; at++)
+		capacity_set(&result, at,
+		    operation(capacity_get(left, at), capacity_get(right, at)));
+	return result;
+}
+
+static uint64_t
+add(uint64_t left, uint64_t right)
+{
+	return right > UINT64_MAX - left ? UINT64_MAX : left + right;
+}
+
+static uint64_t
+subtract(uint64_t left, uint64_t right)
+{
+	return left > right ? left - right : 0;
+}
+
+static uint64_t
+larger(uint64_t left, uint64_t right)
+{
+	return left > right ? left : right;
+}
+
+static uint64_t
+smaller(uint64_t left, uint64_t right)
+{
+	return left < right ? left : right;
+}
