--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -156,10 +156,9 @@
 
 	work->holder_count = choice->holder_count;
 	for (i = 0; i < choice->holder_count; i++) {
-		work->holders[i] = choice->helpers[i];
 		work->held_tokens[i] = choice->held_tokens[i];
 		upstream = g_hash_table_lookup(
-		    placement->upstreams, &work->holders[i]);
+		    placement->upstreams, &work->helpers[i]);
 		if (upstream != NULL)
 			upstream->own.kv_tokens += work->held_tokens[i];
 	}
@@ -173,7 +172,7 @@
 
 	for (i = 0; i < work->holder_count; i++) {
 		upstream = g_hash_table_lookup(
-		    placement->upstreams, &work->holders[i]);
+		    placement->upstreams, &work->helpers[i]);
 		if (upstream != NULL)
 			upstream->own.kv_tokens -=
 			    MIN(upstream->own.kv_tokens, work->held_tokens[i]);
@@ -330,8 +329,7 @@
 	after_ms = EJECT_BASE_MS;
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
-		if (!upstream->is_usable ||
-		    strcmp(upstream->service, service->name) != 0)
+		if (!placement_serves(upstream, service))
 			continue;
 		after_ms = MIN(after_ms,
 		    MAX(upstream->ejected_until_ms - now_ms, AFTER_LEAST_MS));
@@ -339,6 +337,14 @@
 	return after_ms;
 }
 
+bool
+placement_serves(const struct placement_upstream *upstream,
+    const struct route_service *service)
+{
+	return upstream->is_usable &&
+	       strcmp(upstream->service, service->name) == 0;
+}
+
 uint64_t
 placement_service_hash(const char *name)
 {
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -139,8 +139,8 @@
 	double whole_read_ms; /**< All parts of a long prompt. */
 	uint64_t helpers[PLACEMENT_HELPERS_MAX]; /**< Ids of helpers. */
 	uint32_t helper_count;			 /**< Still reading, below. */
-	uint64_t holders[PLACEMENT_HOLDERS_MAX]; /**< Ids of holders. */
-	uint64_t held_tokens[PLACEMENT_HOLDERS_MAX]; /**< Memory there. */
+	uint64_t held_tokens[PLACEMENT_HOLDERS_MAX]; /**< Memory at the first
+			so many helpers, until the end. */
 	uint32_t holder_count;			     /**< In use above. */
 	bool is_heavy;	/**< Counted as one with a long prompt. */
 	bool is_unread; /**< ...and that is not read yet. */
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -25,6 +25,14 @@
 	double mean_tokens; /**< Fading average. */
 };
 
+/** What the other hosts ask of a service, by their last reports. */
+struct peer_demand {
+	double light;	   /**< Engines, for short prompts. */
+	double heavy;	   /**< Engines, for long prompts. */
+	double waiting_ms; /**< Work of the long prompts that wait. */
+	uint64_t best_key; /**< The lowest of theirs, UINT64_MAX for none. */
+};
+
 /** Hash of a service's name, as reports carry it. */
 uint64_t placement_service_hash(const char *name);
 /** The load of a service, made when it is new. */
@@ -39,6 +47,12 @@
 /** Work of all long prompts that wait, in milliseconds of one engine. */
 double placement_waiting_ms(
     struct placement *placement, uint64_t service, int64_t now_ms);
+/** Sums the demand of the other hosts up. */
+struct peer_demand placement_peer_demand(
+    struct placement *placement, uint64_t service, int64_t now_ms);
+/** Whether the upstream may get new requests of the service. */
+bool placement_serves(const struct placement_upstream *upstream,
+    const struct route_service *service);
 /** Sums the other hosts' work up, if a report came since. */
 void placement_sum_others(struct placement *placement, int64_t now_ms);
 /** What all hosts ask of a service. */
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -46,9 +46,11 @@
 	bool is_too_large;
 	bool is_waiting;
 	bool is_light_led;
+	double whole_read_ms; /* The prompt, by one engine. */
 	uint64_t kv_tokens;
 	uint64_t light_rank_max; /* Ranks up to it take short prompts. */
 	uint32_t usable_count;
+	uint32_t healthy_count; /* Of these, not ejected. */
 	uint32_t light_count;
 	struct split_demand demand;
 };
@@ -73,8 +75,6 @@
 static gint compare_candidates(gconstpointer left, gconstpointer right);
 static gint compare_numbers(gconstpointer left, gconstpointer right);
 static GArray *gather(struct gathering *gathering);
-static bool serves(const struct placement_upstream *upstream,
-    const struct placement_request *request);
 static bool is_tried(const struct placement_request *request, uint64_t id);
 static bool is_over_rate(const struct placement *placement,
     const struct placement_upstream *upstream,
@@ -90,8 +90,7 @@
 static bool is_hopeless(const struct gathering *gathering,
     const struct long_side *side, const struct placement_waiter *waiter);
 static void begin_wait(const struct gathering *gathering,
-    const struct long_side *side, double work_ms,
-    struct placement_waiter *waiter);
+    const struct long_side *side, struct placement_waiter *waiter);
 static struct long_side look_at_long_side(
     const struct gathering *gathering, const GArray *candidates);
 static uint32_t count_unread(const struct placement_load *load, int64_t now_ms);
@@ -156,8 +155,7 @@
 	engines = 0;
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
-		if (!upstream->is_usable ||
-		    strcmp(upstream->service, service->name) != 0)
+		if (!placement_serves(upstream, service))
 			continue;
 		work_ms += backlog_of(upstream, now_ms);
 		engines++;
@@ -215,7 +213,7 @@
 	ranks = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_hash_table_iter_init(&iter, gathering->placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
-		if (serves(upstream, gathering->request) &&
+		if (placement_serves(upstream, gathering->request->service) &&
 		    upstream->ejected_until_ms <= gathering->now_ms)
 			g_array_append_val(ranks, upstream->rank);
 	}
@@ -227,12 +225,10 @@
 		placement_service_hash(gathering->request->service->name),
 		gathering->now_ms));
 	if (gathering->is_heavy && !gathering->is_waiting)
-		split_demand_add(&gathering->demand,
-		    engine_read_ms(&gathering->request->service->engine,
-			gathering->request->prompt_tokens));
+		split_demand_add(&gathering->demand, gathering->whole_read_ms);
 	light = split_light_count(ranks->len, &gathering->demand);
 	gathering->light_count = light;
-	gathering->usable_count = ranks->len;
+	gathering->healthy_count = ranks->len;
 	g_array_sort(ranks, compare_ranks);
 	rank_max = light >= ranks->len || light == 0
 		       ? UINT64_MAX
@@ -247,6 +243,8 @@
 	const struct placement_request *request = gathering->request;
 
 	gathering->is_heavy = is_heavy_request(gathering->placement, request);
+	gathering->whole_read_ms =
+	    engine_read_ms(&request->service->engine, request->prompt_tokens);
 	gathering->kv_tokens =
 	    (uint64_t)(request->prompt_tokens + request->answer_tokens);
 	/* No engine has the memory: others keep a part of it. */
@@ -282,9 +280,7 @@
 	choice->demand = gathering->demand;
 	if (gathering->kv_tokens == 0)
 		return ERROR_NONE;
-	choice->whole_read_ms =
-	    engine_read_ms(&gathering->request->service->engine,
-		gathering->request->prompt_tokens);
+	choice->whole_read_ms = gathering->whole_read_ms;
 	/* What one can't keep, one can't read alone either. */
 	if (gathering->is_heavy &&
 	    (!gathering->request->is_alone || gathering->is_too_large))
@@ -309,19 +305,15 @@
 static bool
 is_light_led(const struct gathering *gathering)
 {
-	const struct placement_request *request = gathering->request;
 	uint32_t parts;
-	double read_ms;
 
 	if (!gathering->is_heavy || gathering->is_too_large ||
-	    gathering->usable_count <= gathering->light_count)
+	    gathering->healthy_count <= gathering->light_count)
 		return false;
-	parts = MIN(gathering->usable_count - gathering->light_count,
+	parts = MIN(gathering->healthy_count - gathering->light_count,
 		    PLACEMENT_HELPERS_MAX) +
 		1;
-	read_ms =
-	    engine_read_ms(&request->service->engine, request->prompt_tokens);
-	return read_ms / parts < LIGHT_PART_MS;
+	return gathering->whole_read_ms / parts < LIGHT_PART_MS;
 }
 
 static gint
@@ -361,12 +353,11 @@
 	GArray *good, *ejected;
 	GHashTableIter iter;
 
-	gathering->usable_count = 0;
 	good = g_array_new(FALSE, FALSE, sizeof(candidate));
 	ejected = g_array_new(FALSE, FALSE, sizeof(candidate));
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
-		if (!serves(upstream, gathering->request))
+		if (!placement_serves(upstream, gathering->request->service))
 			continue;
 		gathering->usable_count++;
 		if (is_tried(gathering->request, upstream->id) ||
@@ -394,14 +385,6 @@
 	return good;
 }
 
-static bool
-serves(const struct placement_upstream *upstream,
-    const struct placement_request *request)
-{
-	return upstream->is_usable &&
-	       strcmp(upstream->service, request->service->name) == 0;
-}
-
 static bool
 is_tried(const struct placement_request *request, uint64_t id)
 {
@@ -497,18 +480,15 @@
 	struct placement *placement = gathering->placement;
 	const struct placement_request *request = gathering->request;
 	struct long_side side;
-	double work_ms;
 
 	side = look_at_long_side(gathering, candidates);
 	if (side.engines == 0 || request->is_begun)
 		return ERROR_NONE;
-	work_ms =
-	    engine_read_ms(&request->service->engine, request->prompt_tokens);
-	if (work_ms < SMALL_WORK_MS &&
+	if (gathering->whole_read_ms < SMALL_WORK_MS &&
 	    side.backlog_ms < FULL_GOAL_PART * (double)request->route->goal_ms)
 		return ERROR_NONE;
 	if (waiter->service == 0)
-		begin_wait(gathering, &side, work_ms, waiter);
+		begin_wait(gathering, &side, waiter);
 	if (gathering->now_ms >= waiter->useless_ms ||
 	    is_hopeless(gathering, &side, waiter))
 		return ERROR_DEADLINE_UNREACHABLE;
@@ -551,9 +531,10 @@
 
 static void
 begin_wait(const struct gathering *gathering, const struct long_side *side,
-    double work_ms, struct placement_waiter *waiter)
+    struct placement_waiter *waiter)
 {
 	const struct placement_request *request = gathering->request;
+	double work_ms = gathering->whole_read_ms;
 
 	waiter->service = placement_service_hash(request->service->name);
 	waiter->work_ms = work_ms;
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -115,27 +115,40 @@
 {
 	const struct service_load *own;
 	struct split_demand demand;
+	struct peer_demand peers;
+
+	own = placement_service(placement, service);
+	peers = placement_peer_demand(placement, service, now_ms);
+	demand.light = own_light(own) + peers.light;
+	demand.heavy = own_heavy(own, now_ms) + peers.heavy;
+	return demand;
+}
+
+struct peer_demand
+placement_peer_demand(
+    struct placement *placement, uint64_t service, int64_t now_ms)
+{
+	struct peer_demand sum = {.best_key = UINT64_MAX};
+	const struct work_demand *demand;
 	const struct peer_work *peer;
 	GHashTableIter iter;
 	uint32_t i;
 
-	own = placement_service(placement, service);
-	demand.light = own_light(own);
-	demand.heavy = own_heavy(own, now_ms);
 	g_hash_table_iter_init(&iter, placement->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		if (now_ms - peer->taken_ms >= REPORT_LIFE_MS)
 			continue;
 		for (i = 0; i < peer->report.demand_count; i++) {
-			if (peer->report.demands[i].service != service)
+			demand = &peer->report.demands[i];
+			if (demand->service != service)
 				continue;
-			demand.light +=
-			    peer->report.demands[i].light / THOUSANDTHS;
-			demand.heavy +=
-			    peer->report.demands[i].heavy / THOUSANDTHS;
+			sum.light += demand->light / THOUSANDTHS;
+			sum.heavy += demand->heavy / THOUSANDTHS;
+			sum.waiting_ms += (double)demand->waiting_ms;
+			sum.best_key = MIN(sum.best_key, demand->best_key);
 		}
 	}
-	return demand;
+	return sum;
 }
 
 static void
--- a/src/coordination/placement_wait.c
+++ b/src/coordination/placement_wait.c
@@ -2,9 +2,8 @@
 
 #include "coordination/placement_parts.h"
 
-#define REPORT_LIFE_MS 3000 /* An older report says nothing more. */
-#define AGE_BONUS      0.7  /* Of its work, for one that waited for long. */
-#define LATE_KEY       UINT64_C(1000000000) /* Keys of those that are late. */
+#define AGE_BONUS 0.7 /* Of its work, for one that waited for long. */
+#define LATE_KEY  UINT64_C(1000000000) /* Keys of those that are late. */
 
 uint64_t
 placement_wait_key(const struct placement_waiter *waiter, int64_t now_ms)
@@ -25,27 +24,15 @@
     const struct placement_waiter *except, int64_t now_ms)
 {
 	const struct placement_waiter *waiter;
-	const struct peer_work *peer;
-	GHashTableIter iter;
 	uint64_t best;
 	guint i;
 
-	best = UINT64_MAX;
+	best = placement_peer_demand(placement, service, now_ms).best_key;
 	for (i = 0; i < placement->waiters->len; i++) {
 		waiter = g_ptr_array_index(placement->waiters, i);
 		if (waiter != except && waiter->service == service)
 			best = MIN(best, placement_wait_key(waiter, now_ms));
 	}
-	g_hash_table_iter_init(&iter, placement->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (now_ms - peer->taken_ms >= REPORT_LIFE_MS)
-			continue;
-		for (i = 0; i < peer->report.demand_count; i++) {
-			if (peer->report.demands[i].service == service)
-				best =
-				    MIN(best, peer->report.demands[i].best_key);
-		}
-	}
 	return best;
 }
 
@@ -54,27 +41,15 @@
     struct placement *placement, uint64_t service, int64_t now_ms)
 {
 	const struct placement_waiter *waiter;
-	const struct peer_work *peer;
-	GHashTableIter iter;
 	double total;
 	guint i;
 
-	total = 0;
+	total = placement_peer_demand(placement, service, now_ms).waiting_ms;
 	for (i = 0; i < placement->waiters->len; i++) {
 		waiter = g_ptr_array_index(placement->waiters, i);
 		if (waiter->service == service)
 			total += waiter->work_ms;
 	}
-	g_hash_table_iter_init(&iter, placement->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (now_ms - peer->taken_ms >= REPORT_LIFE_MS)
-			continue;
-		for (i = 0; i < peer->report.demand_count; i++) {
-			if (peer->report.demands[i].service == service)
-				total +=
-				    (double)peer->report.demands[i].waiting_ms;
-		}
-	}
 	return total;
 }
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -155,7 +155,7 @@
 	assert_true(held + choice.kv_tokens >= 630600);
 	placement_begin(&scene.placement, &request, &choice, START_MS, &work);
 	holder =
-	    g_hash_table_lookup(scene.placement.upstreams, &work.holders[0]);
+	    g_hash_table_lookup(scene.placement.upstreams, &work.helpers[0]);
 	assert_int_equal(holder->own.kv_tokens, choice.held_tokens[0]);
 	placement_end(&scene.placement, &work);
 	assert_int_equal(holder->own.kv_tokens, 0);
