--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -7,16 +7,15 @@
 #include "service/host_documents.h"
 #include "service/relay_parts.h"
 
-#define TIMERS_MAX	   65536 /* Timers of the loop. */
-#define BACKLOG		   1024	 /* Connections the kernel keeps. */
-#define SLACK_SHARE	   0.8	 /* Of the slack; hosts come and go. */
-#define RECORDS_MAX	   4096	 /* Upstreams looked at. */
-#define LINGER_ROUNDS_MS   2600	 /* The balancer has noticed by then. */
-#define REPORT_PERIOD_MS   10	 /* Least time between reports of work. */
-#define SERVICE_LABEL	   "service"
-#define STATUS_OK	   200
-#define STATUS_UNAVAILABLE 503
-#define STATUS_NOT_FOUND   404
+#define TIMERS_MAX	 65536 /* Timers of the loop. */
+#define BACKLOG		 1024  /* Connections the kernel keeps. */
+#define SLACK_SHARE	 0.8   /* Of the slack; hosts come and go. */
+#define RECORDS_MAX	 4096  /* Upstreams looked at. */
+#define LINGER_ROUNDS_MS 2600  /* The balancer has noticed by then. */
+#define IDLE_LOOK_MS	 50    /* Between looks for what may be closed. */
+#define REPORT_PERIOD_MS 10    /* Least time between reports of work. */
+#define STATUS_OK	 200
+#define STATUS_NOT_FOUND 404
 
 /* A report of another host, on its way between threads. */
 struct letter {
@@ -340,7 +339,7 @@
 	each_caller(relay, relay_caller_close_idle);
 	if (relay->running == 0 && g_hash_table_size(relay->callers) == 0)
 		atomic_store(&relay->is_idle, true);
-	(void)timer_subscribe_once(&relay->timers, 50,
+	(void)timer_subscribe_once(&relay->timers, IDLE_LOOK_MS,
 	    (struct timer_callback){close_idle_callers, relay}, NULL);
 }
 
@@ -475,7 +474,7 @@
 {
 	const struct upstream_record *upstream = &entry->upstream->record;
 
-	record->service = upstream_label(upstream, SERVICE_LABEL);
+	record->service = upstream_label(upstream, UPSTREAM_LABEL_SERVICE);
 	record->place = upstream_place(upstream->url);
 	if (record->service == NULL || record->place == 0)
 		return false;
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -14,8 +13,7 @@
 static void add_fields(GString *out, const struct http_head *head);
 static void add_connection(GString *out, const struct relay_caller *caller);
 static bool is_own_field(const struct relay_dialect *dialect, const char *name);
-static void add_helpers(GString *out, const struct relay_exchange *exchange,
-    const struct placement_choice *choice);
+static void add_helpers(GString *out, const struct relay_exchange *exchange);
 static const char *reason_of(uint32_t status);
 
 void
@@ -127,8 +125,7 @@
 }
 
 GBytes *
-relay_request_bytes(const struct relay_exchange *exchange,
-    const struct placement_choice *choice, int64_t now_ms)
+relay_request_bytes(const struct relay_exchange *exchange, int64_t now_ms)
 {
 	const struct relay_dialect *dialect =
 	    &exchange->relay->settings.dialect;
@@ -160,7 +157,7 @@
 	if (exchange->account != NULL)
 		g_string_append_printf(out, "%s: %s\r\n", dialect->account,
 		    exchange->account->name);
-	add_helpers(out, exchange, choice);
+	add_helpers(out, exchange);
 	if (exchange->body->len > 0 || head->has_length || head->is_chunked)
 		g_string_append_printf(
 		    out, "Content-Length: %u\r\n", exchange->body->len);
@@ -227,12 +224,11 @@
 }
 
 static void
-add_helpers(GString *out, const struct relay_exchange *exchange,
-    const struct placement_choice *choice)
+add_helpers(GString *out, const struct relay_exchange *exchange)
 {
+	const struct placement_choice *choice = &exchange->choice;
+	char text[UPSTREAM_PLACE_SIZE];
 	const char *hold_id;
-	struct in_addr address;
-	char text[INET_ADDRSTRLEN];
 	uint32_t i;
 
 	if (choice->helper_count == 0)
@@ -240,11 +236,8 @@
 	g_string_append_printf(
 	    out, "%s: ", exchange->relay->settings.dialect.helpers);
 	for (i = 0; i < choice->helper_count; i++) {
-		address.s_addr =
-		    htonl((uint32_t)(choice->helper_places[i] >> 16));
-		inet_ntop(AF_INET, &address, text, sizeof(text));
-		g_string_append_printf(out, "%s%s:%u", i == 0 ? "" : ",", text,
-		    (unsigned int)(choice->helper_places[i] & UINT16_MAX));
+		upstream_place_write(choice->helper_places[i], text);
+		g_string_append_printf(out, "%s%s", i == 0 ? "" : ",", text);
 		hold_id = relay_holds_id(&exchange->holds, i);
 		if (hold_id != NULL)
 			g_string_append_printf(out, "/%s", hold_id);
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -11,8 +11,7 @@
 #define ANY_IDLE_MS	   INT64_MAX
 
 static void note_reserved(void *context, enum error_code error);
-static void send_request(
-    struct relay_exchange *exchange, const struct placement_choice *choice);
+static void send_request(struct relay_exchange *exchange);
 static void note_sent(void *context);
 static void note_head(void *context, struct http_head *head);
 static void note_body(void *context, const char *data, size_t size);
@@ -30,9 +29,9 @@
 static void note_heard(struct relay_exchange *exchange);
 
 void
-relay_attempt_begin(
-    struct relay_exchange *exchange, struct placement_choice *choice)
+relay_attempt_begin(struct relay_exchange *exchange)
 {
+	const struct placement_choice *choice = &exchange->choice;
 	struct relay *relay = exchange->relay;
 	int64_t now_ms;
 
@@ -51,12 +50,11 @@
 	if (exchange->wants.tried_count < PLACEMENT_TRIED_MAX)
 		exchange->wants.tried[exchange->wants.tried_count++] =
 		    choice->upstream->id;
-	relay_trace_placed(exchange, choice);
+	relay_trace_placed(exchange);
 	if (choice->holder_count == 0) {
-		send_request(exchange, choice);
+		send_request(exchange);
 		return;
 	}
-	exchange->choice = *choice;
 	relay_holds_begin(
 	    &exchange->holds, relay, choice, note_reserved, exchange);
 }
@@ -70,12 +68,11 @@
 		relay_attempt_failed(exchange, error, false);
 		return;
 	}
-	send_request(exchange, &exchange->choice);
+	send_request(exchange);
 }
 
 static void
-send_request(
-    struct relay_exchange *exchange, const struct placement_choice *choice)
+send_request(struct relay_exchange *exchange)
 {
 	struct upstream_call_ops ops = {
 	    .sent = note_sent,
@@ -92,7 +89,7 @@
 	may_repeat = attempt_may_repeat(
 	    exchange->route->kind, exchange->route->is_resumable);
 	idle_max_ms = may_repeat ? ANY_IDLE_MS : FRESH_IDLE_MS;
-	bytes = relay_request_bytes(exchange, choice, host_now_ms());
+	bytes = relay_request_bytes(exchange, host_now_ms());
 	exchange->call =
 	    upstream_pool_call(&exchange->relay->pool, exchange->place, bytes,
 		relay_exchange_is_head(exchange), idle_max_ms, &ops);
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -15,6 +15,8 @@
 static void start(struct relay_exchange *exchange);
 static bool is_too_late(const struct relay_exchange *exchange);
 static bool hold_for_start(struct relay_exchange *exchange);
+static bool try_later(
+    struct relay_exchange *exchange, void (*run)(void *context));
 static void run_start(void *context);
 static void deny(struct relay_exchange *exchange, uint32_t status,
     const char *reason, enum error_code error);
@@ -115,7 +117,6 @@
 void
 relay_exchange_place(struct relay_exchange *exchange)
 {
-	struct placement_choice choice;
 	enum error_code error;
 	bool was_waiting;
 
@@ -124,7 +125,7 @@
 	exchange->wants.is_begun = exchange->is_answering;
 	was_waiting = exchange->waiter.service != 0;
 	error = placement_pick(&exchange->relay->placement, &exchange->wants,
-	    host_now_ms(), &exchange->waiter, &choice);
+	    host_now_ms(), &exchange->waiter, &exchange->choice);
 	if (exchange->waiter.service != 0)
 		relay_note_work(exchange->relay);
 	if (error == ERROR_CHANGE_PENDING) {
@@ -138,7 +139,7 @@
 		    (double)(host_now_ms() - exchange->arrived_ms));
 	placement_wait_end(&exchange->relay->placement, &exchange->waiter);
 	if (error == ERROR_NONE)
-		relay_attempt_begin(exchange, &choice);
+		relay_attempt_begin(exchange);
 	else
 		wait_for_place(exchange, error);
 }
@@ -247,8 +248,14 @@
 hold_for_start(struct relay_exchange *exchange)
 {
 	return host_now_ms() - exchange->arrived_ms < START_HOLD_MS &&
-	       timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
-		   (struct timer_callback){run_start, exchange},
+	       try_later(exchange, run_start);
+}
+
+static bool
+try_later(struct relay_exchange *exchange, void (*run)(void *context))
+{
+	return timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
+		   (struct timer_callback){run, exchange},
 		   &exchange->wait_timer) == ERROR_NONE;
 }
 
@@ -316,9 +323,7 @@
 static void
 wait_for_turn(struct relay_exchange *exchange)
 {
-	if (timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
-		(struct timer_callback){run_wait, exchange},
-		&exchange->wait_timer) != ERROR_NONE)
+	if (!try_later(exchange, run_wait))
 		wait_for_place(exchange, ERROR_TABLE_FULL);
 }
 
@@ -330,9 +335,7 @@
 	now_ms = host_now_ms();
 	if (now_ms < exchange->wait_until_ms &&
 	    error != ERROR_DEADLINE_UNREACHABLE &&
-	    timer_subscribe_once(&exchange->relay->timers, WAIT_STEP_MS,
-		(struct timer_callback){run_wait, exchange},
-		&exchange->wait_timer) == ERROR_NONE)
+	    try_later(exchange, run_wait))
 		return;
 	if (exchange->is_answering) {
 		relay_exchange_break(exchange, error);
--- a/src/service/relay_hold.c
+++ b/src/service/relay_hold.c
@@ -39,6 +39,7 @@
 static void note_done(void *context);
 static void note_failed(void *context, enum error_code error);
 static void note_result(struct hold *hold, enum error_code error);
+static void log_missing(const struct hold *hold, enum error_code error);
 static void note_missing(struct hold *hold, enum error_code error);
 static void note_released(struct hold *hold, enum error_code error);
 static bool are_all_held(const struct relay_holds *holds);
@@ -251,10 +252,7 @@
 	if (hold->is_held) {
 		/* The next renewal may get through. */
 		if (error != ERROR_NONE)
-			event_log_fields(EVENT_MEMORY_NOT_RESERVED,
-			    "{s:s,s:s,s:I,s:b}", "upstream", hold->upstream,
-			    "why", error_name(error), "status",
-			    (json_int_t)hold->status, "was_held", true);
+			log_missing(hold, error);
 		return;
 	}
 	hold->is_held = error == ERROR_NONE;
@@ -276,15 +274,21 @@
 {
 	struct relay *relay = hold->relay;
 
-	event_log_fields(EVENT_MEMORY_NOT_RESERVED, "{s:s,s:s,s:I,s:b}",
-	    "upstream", hold->upstream, "why", error_name(error), "status",
-	    (json_int_t)hold->status, "was_held", false);
+	log_missing(hold, error);
 	if (error == ERROR_NO_CAPACITY)
 		return;
 	placement_note_fault(&relay->placement, hold->place, host_now_ms());
 	relay_note_work(relay);
 }
 
+static void
+log_missing(const struct hold *hold, enum error_code error)
+{
+	event_log_fields(EVENT_MEMORY_NOT_RESERVED, "{s:s,s:s,s:I,s:b}",
+	    "upstream", hold->upstream, "why", error_name(error), "status",
+	    (json_int_t)hold->status, "was_held", hold->is_held);
+}
+
 /* One that can't be released runs out by itself. */
 static void
 note_released(struct hold *hold, enum error_code error)
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -71,35 +71,35 @@
 	char upstream_name[NAME_SIZE_MAX];   /**< For logs. */
 	struct placement_request wants;	     /**< With those tried. */
 	struct placement_work work;	     /**< Counted at the upstream. */
+	struct placement_choice choice; /**< The last; its upstream may be gone
+					     by now. */
 	struct placement_waiter waiter; /**< While it waits for its turn. */
-	double expected_ms;	    /**< Predicted time to the first byte. */
-	struct http_head coming;    /**< Head of an answer not whole yet. */
-	GByteArray *coming_body;    /**< Its body so far. */
-	struct http_head answer;    /**< Head of the last whole one. */
-	GByteArray *answer_body;    /**< Its body. */
-	struct relay_events events; /**< Of a stream. */
-	struct relay_holds holds;   /**< Memory at its helpers. */
-	struct placement_choice choice; /**< Meanwhile; its upstream may be
-					     gone. */
-	struct handle deadline_timer;	/**< Time limit. */
-	struct handle stall_timer;	/**< Looks at the upstream's silence. */
-	struct upstream_call *probe;	/**< Sees whether it can be reached. */
-	uint64_t place;			/**< Where the upstream listens. */
-	int64_t sent_ms;		/**< When the attempt was sent. */
-	int64_t heard_ms;		/**< Its last byte, or sent_ms. */
-	struct handle wait_timer;	/**< Until the next try to place it. */
-	int64_t wait_until_ms;		/**< Longest wait for a place. */
-	uint32_t weight_draw;		/**< Picks among targets. */
-	uint32_t sent;			/**< Attempts that were sent. */
-	uint32_t unsent;		/**< That found no connection. */
-	uint32_t excused;		/**< That failed by a helper's fault. */
-	enum answer_verdict verdict;	/**< Of the answer under way, or 0. */
-	bool is_sent;			/**< The one under way was sent. */
-	bool may_have_run;		/**< Some attempt may have run. */
-	bool was_good;			/**< The upstream showed progress. */
-	bool has_answer;		/**< answer counts. */
-	bool is_answering;		/**< The caller has a part of it. */
-	bool is_reachable;		/**< A probe got through since. */
+	double expected_ms;	      /**< Predicted time to the first byte. */
+	struct http_head coming;      /**< Head of an answer not whole yet. */
+	GByteArray *coming_body;      /**< Its body so far. */
+	struct http_head answer;      /**< Head of the last whole one. */
+	GByteArray *answer_body;      /**< Its body. */
+	struct relay_events events;   /**< Of a stream. */
+	struct relay_holds holds;     /**< Memory at its helpers. */
+	struct handle deadline_timer; /**< Time limit. */
+	struct handle stall_timer;    /**< Looks at the upstream's silence. */
+	struct upstream_call *probe;  /**< Sees whether it can be reached. */
+	uint64_t place;		      /**< Where the upstream listens. */
+	int64_t sent_ms;	      /**< When the attempt was sent. */
+	int64_t heard_ms;	      /**< Its last byte, or sent_ms. */
+	struct handle wait_timer;     /**< Until the next try to place it. */
+	int64_t wait_until_ms;	      /**< Longest wait for a place. */
+	uint32_t weight_draw;	      /**< Picks among targets. */
+	uint32_t sent;		      /**< Attempts that were sent. */
+	uint32_t unsent;	      /**< That found no connection. */
+	uint32_t excused;	      /**< That failed by a helper's fault. */
+	enum answer_verdict verdict;  /**< Of the answer under way, or 0. */
+	bool is_sent;		      /**< The one under way was sent. */
+	bool may_have_run;	      /**< Some attempt may have run. */
+	bool was_good;		      /**< The upstream showed progress. */
+	bool has_answer;	      /**< answer counts. */
+	bool is_answering;	      /**< The caller has a part of it. */
+	bool is_reachable;	      /**< A probe got through since. */
 };
 
 /* relay_caller.c */
@@ -150,9 +150,8 @@
 
 /* relay_attempt.c */
 
-/** Sends the request to an upstream. */
-void relay_attempt_begin(
-    struct relay_exchange *exchange, struct placement_choice *choice);
+/** Sends the request to where the choice says. */
+void relay_attempt_begin(struct relay_exchange *exchange);
 /** Nothing more is expected of the upstream. */
 void relay_attempt_leave(struct relay_exchange *exchange);
 /** Logs it and decides what comes next; is_fault: counts against the
@@ -174,8 +173,7 @@
 /** A long prompt waits for its turn. */
 void relay_trace_waits(const struct relay_exchange *exchange);
 /** What decided where a request goes. */
-void relay_trace_placed(const struct relay_exchange *exchange,
-    const struct placement_choice *choice);
+void relay_trace_placed(const struct relay_exchange *exchange);
 
 /* relay_answer.c */
 
@@ -197,8 +195,8 @@
 /** Writes the end of a stream. */
 void relay_answer_end(struct relay_caller *caller);
 /** The bytes of a request as an upstream gets it. */
-GBytes *relay_request_bytes(const struct relay_exchange *exchange,
-    const struct placement_choice *choice, int64_t now_ms);
+GBytes *relay_request_bytes(
+    const struct relay_exchange *exchange, int64_t now_ms);
 
 /* relay.c */
 
--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -44,9 +44,10 @@
 
 /* What decided where a request goes. */
 void
-relay_trace_placed(const struct relay_exchange *exchange,
-    const struct placement_choice *choice)
+relay_trace_placed(const struct relay_exchange *exchange)
 {
+	const struct placement_choice *choice = &exchange->choice;
+
 	event_log_fields(EVENT_REQUEST_PLACED,
 	    "{s:s,s:s,s:f,s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:f,s:f}", "request",
 	    exchange->attempt_id, "upstream", exchange->upstream_name,
--- a/src/state/upstream.h
+++ b/src/state/upstream.h
@@ -14,6 +14,9 @@
 
 #include "config.h"
 
+#define UPSTREAM_LABEL_SERVICE "service" /**< Label: service served. */
+#define UPSTREAM_LABEL_VERSION "version" /**< Label: software version. */
+
 /** What an upstream serves. */
 enum upstream_kind {
 	UPSTREAM_KIND_MODEL = 1,   /**< A model engine. */
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -42,6 +42,7 @@
 	struct handle timer; /* Connecting or idle. */
 };
 
+static struct sockaddr_in address_of(uint64_t place);
 static struct upstream_call *take_idle(
     struct upstream_pool *pool, uint64_t place, int64_t idle_max_ms);
 static struct upstream_call *open_call(
@@ -116,6 +117,17 @@
 	return place;
 }
 
+void
+upstream_place_write(uint64_t place, char text[UPSTREAM_PLACE_SIZE])
+{
+	struct sockaddr_in address = address_of(place);
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &address.sin_addr, ip, sizeof(ip));
+	g_snprintf(text, UPSTREAM_PLACE_SIZE, "%s:%u", ip,
+	    (unsigned int)ntohs(address.sin_port));
+}
+
 struct upstream_call *
 upstream_pool_call(struct upstream_pool *pool, uint64_t place, GBytes *request,
     bool is_head_method, int64_t idle_max_ms,
@@ -169,6 +181,16 @@
 		close_call(call);
 }
 
+static struct sockaddr_in
+address_of(uint64_t place)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+
+	address.sin_addr.s_addr = htonl((uint32_t)(place >> PORT_BITS));
+	address.sin_port = htons((uint16_t)place);
+	return address;
+}
+
 /* The one used last goes first: it is the least likely to be closed. */
 static struct upstream_call *
 take_idle(struct upstream_pool *pool, uint64_t place, int64_t idle_max_ms)
@@ -199,7 +221,7 @@
 	    .ended = note_ended,
 	    .closed = note_closed,
 	};
-	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct sockaddr_in address = address_of(place);
 	struct upstream_call *call;
 
 	call = g_new0(struct upstream_call, 1);
@@ -209,8 +231,6 @@
 	reader_ops.context = call;
 	link_ops.context = call;
 	http_reader_init(&call->reader, false, &reader_ops);
-	address.sin_addr.s_addr = htonl((uint32_t)(place >> PORT_BITS));
-	address.sin_port = htons((uint16_t)place);
 	g_hash_table_add(pool->all, call);
 	pool->opened++;
 	if (tcp_link_connect(&call->link, pool->loop, &address, &link_ops) !=
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -20,6 +20,8 @@
 #include "protocol/http_reader.h"
 #include "transport/timer.h"
 
+#define UPSTREAM_PLACE_SIZE 24 /**< Bytes of a place as text. */
+
 struct upstream_call;
 
 /** Calls of a call to its owner; after done() or failed() it is over. */
@@ -62,6 +64,8 @@
 
 /** A place from "IP:PORT", 0 if it is none. */
 uint64_t upstream_place(const char *text);
+/** The text of a place. */
+void upstream_place_write(uint64_t place, char text[UPSTREAM_PLACE_SIZE]);
 /** Starts a call of @p request, all its bytes; takes a reference. Kept
  * connections that were idle for longer than @p idle_max_ms are not used.
  * NULL if no connection can be had: nothing was sent. */
