--- a/src/service/operator_api.c
+++ b/src/service/operator_api.c
@@ -33,6 +33,9 @@
     enum error_code (*query)(
 	struct host *host, json_t *argument, json_t *reply),
     json_t *argument);
+static void reply_done(struct http_exchange *exchange, enum error_code error);
+static json_t *read_order(struct host *host, struct http_exchange *exchange,
+    enum operator_role least);
 static json_t *read_body(struct http_exchange *exchange);
 static bool read_change(struct http_exchange *exchange, const json_t *body,
     struct change_order *order);
@@ -94,9 +97,7 @@
 	struct host *host = context;
 	json_t *body;
 
-	if (!check_operator(host, exchange, OPERATOR_ROLE_OPERATOR))
-		return;
-	body = read_body(exchange);
+	body = read_order(host, exchange, OPERATOR_ROLE_OPERATOR);
 	if (body == NULL)
 		return;
 	order = g_new0(struct change_order, 1);
@@ -127,9 +128,7 @@
 	struct voter voter;
 	json_t *body, *add;
 
-	if (!check_operator(host, exchange, OPERATOR_ROLE_ADMIN))
-		return;
-	body = read_body(exchange);
+	body = read_order(host, exchange, OPERATOR_ROLE_ADMIN);
 	if (body == NULL)
 		return;
 	add = json_object_get(body, "add");
@@ -142,10 +141,7 @@
 	    NULL, 16);
 	json_decref(body);
 	error = host_change_voters(host, add != NULL, voter, TIMEOUT_MAX_MS);
-	if (error == ERROR_NONE)
-		http_reply_json(exchange, 200, json_pack("{s:b}", "ok", 1));
-	else
-		api_refuse(exchange, error, NULL);
+	reply_done(exchange, error);
 }
 
 void
@@ -167,9 +163,7 @@
 	const char *text;
 	json_t *body;
 
-	if (!check_operator(host, exchange, OPERATOR_ROLE_OPERATOR))
-		return;
-	body = read_body(exchange);
+	body = read_order(host, exchange, OPERATOR_ROLE_OPERATOR);
 	if (body == NULL)
 		return;
 	text = json_string_value(json_object_get(body, "release"));
@@ -184,10 +178,7 @@
 	error = host_submit(host, &command, TIMEOUT_DEFAULT_MS, &result);
 	if (error == ERROR_NONE)
 		error = result.error;
-	if (error == ERROR_NONE)
-		http_reply_json(exchange, 200, json_pack("{s:b}", "ok", 1));
-	else
-		api_refuse(exchange, error, NULL);
+	reply_done(exchange, error);
 }
 
 void
@@ -207,9 +198,7 @@
 	enum error_code error;
 	json_t *body;
 
-	if (!check_operator(host, exchange, OPERATOR_ROLE_OPERATOR))
-		return;
-	body = read_body(exchange);
+	body = read_order(host, exchange, OPERATOR_ROLE_OPERATOR);
 	if (body == NULL)
 		return;
 	upstream = json_string_value(json_object_get(body, "upstream"));
@@ -240,9 +229,7 @@
 	json_int_t seconds;
 	json_t *body;
 
-	if (!check_operator(host, exchange, OPERATOR_ROLE_ADMIN))
-		return;
-	body = read_body(exchange);
+	body = read_order(host, exchange, OPERATOR_ROLE_ADMIN);
 	if (body == NULL)
 		return;
 	seconds =
@@ -304,6 +291,24 @@
 	api_refuse(exchange, error, NULL);
 }
 
+static void
+reply_done(struct http_exchange *exchange, enum error_code error)
+{
+	if (error == ERROR_NONE)
+		http_reply_json(exchange, 200, json_pack("{s:b}", "ok", 1));
+	else
+		api_refuse(exchange, error, NULL);
+}
+
+/* The body of an order that this operator may give; NULL if it was refused. */
+static json_t *
+read_order(
+    struct host *host, struct http_exchange *exchange, enum operator_role least)
+{
+	return check_operator(host, exchange, least) ? read_body(exchange)
+						     : NULL;
+}
+
 static json_t *
 read_body(struct http_exchange *exchange)
 {
