Functions and fields that nothing reads are gone

Kept: intent_setting(), the only reader of a documented key. Found by it, and open: a group that waits for an engine is not protected from small requests there, links to hosts that left for good are never forgotten, and ranks of routes and accounts decide nothing yet.

--- a/src/coordination/grant_ledger.c
+++ b/src/coordination/grant_ledger.c
@@ -229,17 +229,6 @@
 	return sum;
 }
 
-struct capacity_amount
-grant_ledger_used(const struct grant_ledger *ledger)
-{
-	struct capacity_amount sum = {0};
-	uint32_t i;
-
-	for (i = 0; i < ledger->holders->len; i++)
-		sum = capacity_add(&sum, &grant_ledger_at(ledger, i)->used);
-	return sum;
-}
-
 static struct capacity_amount
 line_counted(const struct ledger_holder *holder)
 {
--- a/src/coordination/grant_ledger.h
+++ b/src/coordination/grant_ledger.h
@@ -99,7 +99,5 @@
 
 /** Upper bound of all that is running. */
 struct capacity_amount grant_ledger_counted(const struct grant_ledger *ledger);
-/** All that was said to be running. */
-struct capacity_amount grant_ledger_used(const struct grant_ledger *ledger);
 
 #endif
--- a/src/coordination/group_reservation.c
+++ b/src/coordination/group_reservation.c
@@ -202,22 +202,6 @@
 	return 0;
 }
 
-bool
-group_is_waiting(const struct group_table *table, uint64_t upstream_id)
-{
-	struct handle handle = {0};
-	struct member *member;
-	struct group *group;
-
-	while (handle_table_next(&table->groups, &handle)) {
-		group = handle_table_get(&table->groups, handle);
-		member = next_member(group);
-		if (member != NULL && member->upstream_id == upstream_id)
-			return true;
-	}
-	return false;
-}
-
 void
 group_note_granted(struct group_table *table)
 {
--- a/src/coordination/group_reservation.h
+++ b/src/coordination/group_reservation.h
@@ -120,9 +120,6 @@
 /** Reservation id of a segment, 0 before it is reserved. */
 uint64_t group_reservation_id(
     const struct group_table *table, struct handle handle, uint32_t segment);
-/** True if a group waits for an upstream: nothing else may start there from
- * this host, or a stream of small requests would starve it. */
-bool group_is_waiting(const struct group_table *table, uint64_t upstream_id);
 
 /* What it must be told */
 
--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -239,31 +239,6 @@
 	return ERROR_NONE;
 }
 
-enum error_code
-message_get_double(
-    const struct message_reader *reader, uint32_t key, double *value)
-{
-	const msgpack_object *field;
-
-	field = find_field(reader, key);
-	if (field == NULL)
-		return ERROR_MISSING_FIELD;
-	switch (field->type) {
-	case MSGPACK_OBJECT_FLOAT32:
-	case MSGPACK_OBJECT_FLOAT64:
-		*value = field->via.f64;
-		return ERROR_NONE;
-	case MSGPACK_OBJECT_POSITIVE_INTEGER:
-		*value = (double)field->via.u64;
-		return ERROR_NONE;
-	case MSGPACK_OBJECT_NEGATIVE_INTEGER:
-		*value = (double)field->via.i64;
-		return ERROR_NONE;
-	default:
-		return ERROR_WRONG_TYPE;
-	}
-}
-
 enum error_code
 message_get_text(const struct message_reader *reader, uint32_t key, char *value,
     size_t value_size)
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -95,9 +95,6 @@
 /** Reads a signed number. */
 enum error_code message_get_int(
     const struct message_reader *reader, uint32_t key, int64_t *value);
-/** Reads a floating point number; whole numbers are taken too. */
-enum error_code message_get_double(
-    const struct message_reader *reader, uint32_t key, double *value);
 /** Copies a string with its end mark. Errors: ERROR_TOO_LARGE also. */
 enum error_code message_get_text(const struct message_reader *reader,
     uint32_t key, char *value, size_t value_size);
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -172,7 +172,6 @@
 	struct route_service *service = item;
 
 	g_free(service->name);
-	g_free(service->health_path);
 	g_free(service);
 }
 
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -42,8 +42,6 @@
 /** A service: upstreams that can stand in for each other. */
 struct route_service {
 	char *name;		    /**< As upstreams announce it. */
-	char *health_path;	    /**< Path of its health check. */
-	uint32_t connections_max;   /**< An upstream accepts, of all hosts. */
 	double cold_requests_per_s; /**< A cold upstream bears; 0: no bound. */
 	bool has_engine;	    /**< engine counts. */
 	struct engine_speed engine; /**< Of a model service. */
@@ -64,7 +62,6 @@
 	int64_t timeout_ms;	      /**< Longest time for an answer. */
 	int64_t goal_ms;	      /**< Answer, or first event, wanted by. */
 	int64_t gap_goal_ms;	      /**< Longest pause wanted, 0: none. */
-	uint32_t priority;	      /**< 0 is the most urgent. */
 	uint32_t attempts_max;	      /**< Upstreams for one request. */
 	bool is_public;		      /**< Needs no key. */
 	bool is_resumable;	      /**< A stream may go on elsewhere. */
@@ -73,11 +70,9 @@
 	struct route_target *targets; /**< Services. */
 };
 
-/** A client account and its rank. */
+/** A client account. */
 struct route_account {
-	char *name;	   /**< As upstreams see it. */
-	bool has_priority; /**< priority goes before the route's. */
-	uint32_t priority; /**< 0 is the most urgent. */
+	char *name; /**< As upstreams see it. */
 };
 
 /** What a caller may send, and how long it may take. */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -164,20 +164,6 @@
 	return exchange->request->url_path;
 }
 
-void
-http_caller_address(
-    const struct http_exchange *exchange, char *address, size_t size)
-{
-	const struct sockaddr *caller;
-
-	address[0] = '\0';
-	caller = exchange->request->client_address;
-	if (caller != NULL && caller->sa_family == AF_INET)
-		inet_ntop(AF_INET,
-		    &((const struct sockaddr_in *)caller)->sin_addr, address,
-		    (socklen_t)size);
-}
-
 const char *
 http_body(const struct http_exchange *exchange, size_t *size)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -100,9 +100,6 @@
     const struct http_exchange *exchange, const char *name);
 /** Path of the URL without the query. */
 const char *http_path(const struct http_exchange *exchange);
-/** The caller's IP number. */
-void http_caller_address(
-    const struct http_exchange *exchange, char *address, size_t size);
 /** Body in place. */
 const char *http_body(const struct http_exchange *exchange, size_t *size);
 /** Body to be freed with free(); the exchange has none any more. */
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -212,24 +212,6 @@
 	return ERROR_NONE;
 }
 
-enum error_code
-peer_links_remove_host(struct peer_links *links, uint32_t host_id)
-{
-	struct peer *peer;
-
-	peer = find_peer(links, host_id);
-	if (peer == NULL)
-		return ERROR_NOT_FOUND;
-	if (peer->dial != NULL)
-		close_link(peer->dial);
-	if (peer->link != NULL)
-		close_link(peer->link);
-	peer_queue_clear(&peer->queue);
-	collect_drops(links, peer);
-	g_hash_table_remove(links->peers, GUINT_TO_POINTER(host_id));
-	return ERROR_NONE;
-}
-
 enum error_code
 peer_links_dial_seed(struct peer_links *links, const char *ip, uint16_t port)
 {
@@ -322,15 +304,6 @@
 	return links->port;
 }
 
-bool
-peer_links_is_connected(const struct peer_links *links, uint32_t host_id)
-{
-	const struct peer *peer;
-
-	peer = find_peer(links, host_id);
-	return peer != NULL && peer->link != NULL;
-}
-
 static void
 apply_defaults(struct peer_link_settings *settings)
 {
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -123,9 +123,6 @@
  * ERROR_INVALID_ARGUMENT. */
 enum error_code peer_links_add_host(
     struct peer_links *links, uint32_t host_id, const char *ip, uint16_t port);
-/** Forgets a host and closes its link. Errors: ERROR_NOT_FOUND. */
-enum error_code peer_links_remove_host(
-    struct peer_links *links, uint32_t host_id);
 /** Dials a seed whose host id is not known; connected() tells it. Errors:
  * ERROR_INVALID_ARGUMENT, ERROR_TABLE_FULL, ERROR_IO. */
 enum error_code peer_links_dial_seed(
@@ -147,7 +144,5 @@
 void peer_links_handle(struct peer_links *links);
 /** Port that it listens at. */
 uint16_t peer_links_port_number(const struct peer_links *links);
-/** True if the host has an authenticated link. */
-bool peer_links_is_connected(const struct peer_links *links, uint32_t host_id);
 
 #endif
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -170,17 +170,6 @@
 	close_call(call);
 }
 
-void
-upstream_pool_forget(struct upstream_pool *pool, uint64_t place)
-{
-	struct upstream_call *call;
-	GQueue *queue;
-
-	queue = g_hash_table_lookup(pool->idle, &place);
-	while (queue != NULL && (call = g_queue_pop_head(queue)) != NULL)
-		close_call(call);
-}
-
 static struct sockaddr_in
 address_of(uint64_t place)
 {
@@ -232,7 +221,6 @@
 	link_ops.context = call;
 	http_reader_init(&call->reader, false, &reader_ops);
 	g_hash_table_add(pool->all, call);
-	pool->opened++;
 	if (tcp_link_connect(&call->link, pool->loop, &address, &link_ops) !=
 	    ERROR_NONE) {
 		call->state = CALL_CLOSED;
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -46,7 +46,6 @@
 	struct timer_service *timers; /**< Of that thread. */
 	GHashTable *idle;	      /**< Place to GQueue of connections. */
 	GHashTable *all;	      /**< Set of every connection. */
-	uint64_t opened;	      /**< Connections opened so far. */
 };
 
 /* Life */
@@ -79,7 +78,5 @@
 struct upstream_call *upstream_pool_probe(struct upstream_pool *pool,
     uint64_t place, void (*done)(void *context, enum error_code error),
     void *context);
-/** Closes idle connections to a place that serves no more. */
-void upstream_pool_forget(struct upstream_pool *pool, uint64_t place);
 
 #endif
