--- a/tests/real_claims.sh
+++ b/tests/real_claims.sh
@@ -20,11 +20,7 @@
 }
 
 centres=([1]=dodoma-a [2]=arusha-b [3]=mbeya-c)
-for id in 1 2 3; do
-	write_settings "$id" "${centres[$id]}" 1,2,3
-	start_host "$id"
-done
-for id in 1 2 3; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+start_hosts 1,2,3
 operator 1 account add kilima-joto s3cret >/dev/null || fail account
 start_standin 1 ledger-1 dodoma-a 1,2,3 --service --model ledger --service-ms 1500 --run-log "$work/runs"
 for id in 1 2 3; do wait_until 30 has_upstreams "$id" 1 || fail upstreams; done
--- a/tests/real_faulty_upstreams.sh
+++ b/tests/real_faulty_upstreams.sh
@@ -11,11 +11,7 @@
 trap stop_all EXIT
 fail() { echo "FAILED: $*"; tail -n 8 "$work"/host-*.log; exit 1; }
 centres=([1]=regina [2]=saskatoon [3]=winnipeg)
-for id in 1 2 3; do
-	write_settings "$id" "${centres[$id]}" 1,2,3
-	start_host "$id"
-done
-for id in 1 2 3; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+start_hosts 1,2,3
 operator 1 account add spa-desk s3cret >/dev/null || fail account
 for n in 1 2 3 4; do
 	start_standin "$n" "engine-$n" "${centres[$((n % 3 + 1))]}" 1,2,3 --model small-7b --cold-requests 16 \
--- a/tests/real_freeze.sh
+++ b/tests/real_freeze.sh
@@ -16,11 +16,7 @@
 other_leader() { local now; now=$(leader "$1"); [ "$now" -gt 0 ] && [ "$now" != "$2" ]; }
 
 centres=([1]=regina [2]=saskatoon [3]=winnipeg [4]=regina)
-for id in 1 2 3 4; do
-	write_settings "$id" "${centres[$id]}" 1,2,3
-	start_host "$id"
-done
-for id in 1 2 3 4; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+start_hosts 1,2,3
 operator 4 account add spa-desk s3cret >/dev/null || fail account
 start_standin 1 engine-r regina 1,2,3,4 --model small-7b --run-log "$work/runs-regina"
 start_standin 2 engine-s saskatoon 1,2,3,4 --model small-7b --run-log "$work/runs-saskatoon"
--- a/tests/real_group.sh
+++ b/tests/real_group.sh
@@ -17,11 +17,7 @@
 send() { curl -s --max-time 60 "$(host_url "$1")/v1/completions" -H 'Authorization: Bearer s3cret' -d "@$work/$2.json"; }
 
 centres=([1]=regina [2]=saskatoon [3]=winnipeg)
-for id in 1 2 3; do
-	write_settings "$id" "${centres[$id]}" 1,2,3
-	start_host "$id"
-done
-for id in 1 2 3; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+start_hosts 1,2,3
 operator 1 account add spa-desk s3cret >/dev/null || fail account
 for n in 1 2 3; do
 	start_standin "$n" "small-$n" regina 1,2,3 --model small-7b --kv-tokens 60000 \
--- a/tests/real_majority.sh
+++ b/tests/real_majority.sh
@@ -15,11 +15,7 @@
 served() { ask "$1" s3cret small-7b "a prompt" -H 'X-Request-Deadline-Ms: 8000' | grep -q '"text"'; }
 
 centres=([1]=regina [2]=saskatoon [3]=winnipeg)
-for id in 1 2 3; do
-	write_settings "$id" "${centres[$id]}" 1,2,3
-	start_host "$id"
-done
-for id in 1 2 3; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+start_hosts 1,2,3
 operator 1 account add spa-desk s3cret >/dev/null || fail account
 start_standin 1 engine-1 regina 1,2,3 --model small-7b --run-log "$work/runs"
 for id in 1 2 3; do wait_until 30 has_upstreams "$id" 1 || fail upstreams; done
--- a/tests/real_takeout.sh
+++ b/tests/real_takeout.sh
@@ -18,11 +18,7 @@
 revision() { operator "$1" status --json | sed 's/.*"revision":\([0-9]*\).*/\1/'; }
 
 centres=([1]=regina [2]=saskatoon [3]=winnipeg [4]=regina [5]=saskatoon [6]=winnipeg [7]=regina [8]=saskatoon)
-for id in 1 2 3 4 5 6 7 8; do
-	write_settings "$id" "${centres[$id]}" 1,2,3,4,5
-	start_host "$id"
-done
-for id in 1 2 3 4 5 6 7 8; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+start_hosts 1,2,3,4,5
 operator 6 account add spa-desk s3cret >/dev/null || fail "account"
 number=0
 for id in 1 2 3; do
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -71,6 +71,17 @@
 
 is_ready() { curl -sf "$(host_url "$1")/readyz"; }
 
+# start_hosts VOTERS: one for each id in the array centres; waits until all are
+# ready, and calls the test's own fail if one is not.
+start_hosts() {
+	local id
+	for id in "${!centres[@]}"; do
+		write_settings "$id" "${centres[$id]}" "$1"
+		start_host "$id"
+	done
+	for id in "${!centres[@]}"; do wait_until 30 is_ready "$id" || fail "host $id not ready"; done
+}
+
 # operator HOST_ID VERB...: an operator's verb against that host.
 operator() {
 	local host=$1
