The line that ends a request tells its first event and its longest pause

Cause: a late answer could not be told from its line: the log had the whole time, but not what its caller waited for. Change: first_event_ms (since arrival, -1 for none) and longest_pause_ms, as the caller saw them, whichever upstream the events came from.

--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -25,6 +25,7 @@
     struct relay_exchange *exchange, struct http_head *head);
 static void pass_events(
     struct relay_exchange *exchange, const char *data, size_t size);
+static void note_events(struct relay_exchange *exchange);
 static void note_first_event(struct relay_exchange *exchange);
 static void note_heard(struct relay_exchange *exchange);
 
@@ -389,10 +390,25 @@
 		}
 		exchange->was_good = true;
 		note_heard(exchange);
+		note_events(exchange);
 	}
 	g_byte_array_unref(out);
 }
 
+/* What its caller saw, whichever upstream the events came from. */
+static void
+note_events(struct relay_exchange *exchange)
+{
+	int64_t now_ms = host_now_ms();
+
+	if (exchange->first_event_ms == 0)
+		exchange->first_event_ms = now_ms;
+	else
+		exchange->longest_pause_ms = MAX(exchange->longest_pause_ms,
+		    now_ms - exchange->last_event_ms);
+	exchange->last_event_ms = now_ms;
+}
+
 /* A stream that went on elsewhere had its first event long ago. */
 static void
 note_first_event(struct relay_exchange *exchange)
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -87,6 +87,9 @@
 	uint64_t place;		      /**< Where the upstream listens. */
 	int64_t sent_ms;	      /**< When the attempt was sent. */
 	int64_t heard_ms;	      /**< Its last byte, or sent_ms. */
+	int64_t first_event_ms;	      /**< When the caller got it, or 0. */
+	int64_t last_event_ms;	      /**< Likewise. */
+	int64_t longest_pause_ms;     /**< Between two events. */
 	struct handle wait_timer;     /**< Until the next try to place it. */
 	int64_t wait_until_ms;	      /**< Longest wait for a place. */
 	uint32_t weight_draw;	      /**< Picks among targets. */
--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -13,7 +13,7 @@
 {
 	event_log_fields(end == END_ANSWERED ? EVENT_REQUEST_ENDED
 					     : EVENT_REQUEST_ENDED_BADLY,
-	    "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:I,s:I}", "request",
+	    "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:I,s:I,s:I,s:I}", "request",
 	    exchange->attempt_id, "route",
 	    exchange->route == NULL ? "" : exchange->route->name, "outcome",
 	    end_names[end], "why", error_name(error), "upstream",
@@ -24,7 +24,12 @@
 			     : relay_exchange_left_ms(exchange)),
 	    "sent", (int)exchange->sent, "status",
 	    (json_int_t)(exchange->has_answer ? exchange->answer.status : 0),
-	    "events", (json_int_t)exchange->events.count, "routes_version",
+	    "events", (json_int_t)exchange->events.count, "first_event_ms",
+	    (json_int_t)(exchange->first_event_ms == 0
+			     ? -1
+			     : exchange->first_event_ms - exchange->arrived_ms),
+	    "longest_pause_ms", (json_int_t)exchange->longest_pause_ms,
+	    "routes_version",
 	    (json_int_t)(exchange->table == NULL ? 0
 						 : exchange->table->version));
 }
