--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -25,6 +25,7 @@
 #define ENGINES_ENOUGH	     6u	    /* For any long prompt. */
 #define PART_LONG_MS	     500.0  /* A part that fewer engines may read. */
 #define LIGHT_PART_MS	     60.0   /* A part that short prompts bear. */
+#define BORNE_PART	     0.85   /* Of a pause that its route allows. */
 #define HEAVY_GAP_PART	     0.4 /* Longer to read than so much of the pause. */
 #define PROFILE_WEIGHT	     0.05 /* Of the latest prompt in the average. */
 #define MS_PER_S	     1000.0
@@ -71,6 +72,13 @@
 static enum error_code choose(const struct gathering *gathering,
     const GArray *candidates, struct placement_waiter *waiter,
     struct placement_choice *choice);
+static void fill_choice(const struct gathering *gathering,
+    const GArray *candidates, struct placement_choice *choice);
+static bool is_too_long_a_pause(
+    const struct gathering *gathering, const struct placement_choice *choice);
+static enum error_code choose_idle(const struct gathering *gathering,
+    const GArray *candidates, struct placement_choice *choice);
+static bool has_writers(const struct placement_upstream *upstream);
 static gint compare_ranks(gconstpointer left, gconstpointer right);
 static gint compare_candidates(gconstpointer left, gconstpointer right);
 static gint compare_numbers(gconstpointer left, gconstpointer right);
@@ -89,7 +97,9 @@
     const struct long_side *side, const struct placement_waiter *waiter);
 static bool is_hopeless(const struct gathering *gathering,
     const struct long_side *side, const struct placement_waiter *waiter);
-static void begin_wait(const struct gathering *gathering,
+static void begin_wait(
+    const struct gathering *gathering, struct placement_waiter *waiter);
+static void judge_wait(const struct gathering *gathering,
     const struct long_side *side, struct placement_waiter *waiter);
 static struct long_side look_at_long_side(
     const struct gathering *gathering, const GArray *candidates);
@@ -138,6 +148,15 @@
 		error = gathering.usable_count == 0 ? ERROR_NO_UPSTREAM
 						    : ERROR_NO_CAPACITY;
 	g_array_unref(candidates);
+	if (error != ERROR_NONE || !choice->is_light_led ||
+	    choice->read_ms <= LIGHT_PART_MS)
+		return error;
+	/* Too few helpers: that part would stop the short answers beside. */
+	gathering.is_light_led = false;
+	gathering.usable_count = 0;
+	candidates = gather(&gathering);
+	error = choose(&gathering, candidates, waiter, choice);
+	g_array_unref(candidates);
 	return error;
 }
 
@@ -259,7 +278,6 @@
 choose(const struct gathering *gathering, const GArray *candidates,
     struct placement_waiter *waiter, struct placement_choice *choice)
 {
-	const struct candidate *best;
 	enum error_code error;
 
 	error = ERROR_NONE;
@@ -269,6 +287,22 @@
 		error = take_turn(gathering, candidates, waiter);
 	if (error != ERROR_NONE)
 		return error;
+	fill_choice(gathering, candidates, choice);
+	if (gathering->is_too_large && !choose_holders(gathering, choice))
+		return give_up_error(gathering);
+	if (is_too_long_a_pause(gathering, choice))
+		return choose_idle(gathering, candidates, choice);
+	return ERROR_NONE;
+}
+
+/* The cheapest one, and helpers among the others. */
+static void
+fill_choice(const struct gathering *gathering, const GArray *candidates,
+    struct placement_choice *choice)
+{
+	const struct candidate *best;
+
+	memset(choice, 0, sizeof(*choice));
 	best = &g_array_index(candidates, struct candidate, 0);
 	choice->upstream = best->upstream;
 	choice->is_heavy = gathering->is_heavy;
@@ -279,16 +313,86 @@
 	choice->usable_count = gathering->usable_count;
 	choice->demand = gathering->demand;
 	if (gathering->kv_tokens == 0)
-		return ERROR_NONE;
+		return;
 	choice->whole_read_ms = gathering->whole_read_ms;
 	/* What one can't keep, one can't read alone either. */
 	if (gathering->is_heavy &&
 	    (!gathering->request->is_alone || gathering->is_too_large))
 		choose_helpers(gathering, candidates, choice);
 	choice->read_ms = choice->whole_read_ms / (choice->helper_count + 1);
-	if (gathering->is_too_large && !choose_holders(gathering, choice))
-		return give_up_error(gathering);
-	return ERROR_NONE;
+}
+
+/* Load answered: one prompt of several hundred thousand tokens among many of
+ * a hundred thousand. Its parts would stop all that are being answered on the
+ * long prompts' side for longer than their callers bear. */
+static bool
+is_too_long_a_pause(
+    const struct gathering *gathering, const struct placement_choice *choice)
+{
+	const struct placement_request *request = gathering->request;
+	const struct placement_upstream *helper;
+	double pause_ms;
+	uint32_t i;
+
+	if (!gathering->is_heavy || gathering->is_too_large ||
+	    request->is_begun)
+		return false;
+	pause_ms = request->route->gap_goal_ms > 0
+		       ? (double)request->route->gap_goal_ms
+		       : (double)request->route->goal_ms;
+	if (choice->read_ms <= pause_ms * BORNE_PART)
+		return false;
+	if (has_writers(choice->upstream))
+		return true;
+	for (i = 0; i < choice->helper_count; i++) {
+		helper = g_hash_table_lookup(
+		    gathering->placement->upstreams, &choice->helpers[i]);
+		if (helper != NULL && has_writers(helper))
+			return true;
+	}
+	return false;
+}
+
+/* Read only by those that answer nobody; it waits for enough of them. */
+static enum error_code
+choose_idle(const struct gathering *gathering, const GArray *candidates,
+    struct placement_choice *choice)
+{
+	const struct placement_request *request = gathering->request;
+	const struct candidate *candidate;
+	enum error_code error;
+	int64_t read_ms;
+	GArray *idle;
+	guint i;
+
+	idle = g_array_new(FALSE, FALSE, sizeof(*candidate));
+	for (i = 0; i < candidates->len; i++) {
+		candidate = &g_array_index(candidates, struct candidate, i);
+		if (!candidate->is_light && !has_writers(candidate->upstream))
+			g_array_append_vals(idle, candidate, 1);
+	}
+	error = ERROR_CHANGE_PENDING;
+	if (idle->len > 0) {
+		fill_choice(gathering, idle, choice);
+		read_ms = (int64_t)choice->read_ms + gathering->now_ms;
+		/* Late already, or by less than it would be. */
+		if (read_ms <= request->arrived_ms + request->route->goal_ms ||
+		    (gathering->now_ms >=
+			    request->arrived_ms + request->route->goal_ms &&
+			read_ms <=
+			    request->deadline_ms - request->route->goal_ms))
+			error = ERROR_NONE;
+	}
+	g_array_unref(idle);
+	return error;
+}
+
+/* Requests whose prompt is read are answered there. */
+static bool
+has_writers(const struct placement_upstream *upstream)
+{
+	return upstream->own.running + upstream->others.running >
+	       upstream->own.leading + upstream->others.leading;
 }
 
 /* For one that is too large: its caller isn't held for a turn that nobody can
@@ -488,7 +592,8 @@
 	    side.backlog_ms < FULL_GOAL_PART * (double)request->route->goal_ms)
 		return ERROR_NONE;
 	if (waiter->service == 0)
-		begin_wait(gathering, &side, waiter);
+		begin_wait(gathering, waiter);
+	judge_wait(gathering, &side, waiter);
 	if (gathering->now_ms >= waiter->useless_ms ||
 	    is_hopeless(gathering, &side, waiter))
 		return ERROR_DEADLINE_UNREACHABLE;
@@ -530,24 +635,30 @@
 }
 
 static void
-begin_wait(const struct gathering *gathering, const struct long_side *side,
-    struct placement_waiter *waiter)
+begin_wait(const struct gathering *gathering, struct placement_waiter *waiter)
 {
 	const struct placement_request *request = gathering->request;
-	double work_ms = gathering->whole_read_ms;
 
 	waiter->service = placement_service_hash(request->service->name);
-	waiter->work_ms = work_ms;
+	waiter->work_ms = gathering->whole_read_ms;
 	waiter->since_ms = request->arrived_ms;
-	waiter->goal_ms =
-	    request->route->goal_ms - (int64_t)(work_ms / side->engines);
-	/* What is left then is too short to read it and to answer. */
-	waiter->useless_ms = request->deadline_ms -
-			     (int64_t)(work_ms / side->engines) -
-			     request->route->goal_ms;
 	g_ptr_array_add(gathering->placement->waiters, waiter);
 }
 
+/* By the engines that there are now: they change while it waits. */
+static void
+judge_wait(const struct gathering *gathering, const struct long_side *side,
+    struct placement_waiter *waiter)
+{
+	const struct placement_request *request = gathering->request;
+	int64_t read_ms = (int64_t)(waiter->work_ms / side->engines);
+
+	waiter->goal_ms = request->route->goal_ms - read_ms;
+	/* What is left then is too short to read it and to answer. */
+	waiter->useless_ms =
+	    request->deadline_ms - read_ms - request->route->goal_ms;
+}
+
 static struct long_side
 look_at_long_side(const struct gathering *gathering, const GArray *candidates)
 {
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -284,6 +284,97 @@
 	close_scene(&scene);
 }
 
+/* Load replayed (kjwr-hq scale-1, seconds 5 to 8): one prompt of 390,000 tokens
+ * among many of a hundred thousand that are being answered. Its parts would
+ * stop all of them for 2 s: it waits until enough engines answer nobody. */
+static void
+test_long_parts_spare_writers(void **state)
+{
+	struct placement_work works[ENGINES] = {0};
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_upstream *upstream;
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene(&scene, 12);
+	for (i = 0; i < ENGINES; i++) {
+		upstream = g_hash_table_lookup(
+		    scene.placement.upstreams, &scene.records[i].id);
+		choice = (struct placement_choice){
+		    .upstream = upstream, .is_heavy = true};
+		request = make_request(&scene, &scene.review, 100000, START_MS);
+		placement_begin(
+		    &scene.placement, &request, &choice, START_MS, &works[i]);
+		placement_note_read(&scene.placement, &works[i]);
+	}
+	request = make_request(&scene, &scene.review, 390000, START_MS + 10);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 10, &waiter, &choice),
+	    ERROR_CHANGE_PENDING);
+	/* Parts that are short enough stop nobody for too long. */
+	request = make_request(&scene, &scene.review, 150000, START_MS + 20);
+	placement_wait_end(&scene.placement, &waiter);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 20, &waiter, &choice),
+	    ERROR_NONE);
+	placement_wait_end(&scene.placement, &waiter);
+	for (i = 0; i < ENGINES; i++)
+		placement_end(&scene.placement, &works[i]);
+	request = make_request(&scene, &scene.review, 390000, START_MS + 10);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 30, &waiter, &choice),
+	    ERROR_NONE);
+	placement_wait_end(&scene.placement, &waiter);
+	close_scene(&scene);
+}
+
+/* Load replayed (kjwr-hq scale-1, seconds 7 to 11): a prompt of middle size
+ * comes while the long prompts' side is reading a large one. Without helpers
+ * it would stop the short answers beside it for as long as it takes. */
+static void
+test_short_side_leads_only_with_helpers(void **state)
+{
+	struct placement_work works[ENGINES] = {0};
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_upstream *upstream;
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene(&scene, 13);
+	for (i = 0; i < ENGINES; i++) {
+		request = make_request(&scene, &scene.review, 182000, START_MS);
+		placement_pick(
+		    &scene.placement, &request, START_MS, &waiter, &choice);
+		placement_wait_end(&scene.placement, &waiter);
+	}
+	for (i = 0; i < ENGINES; i++) {
+		upstream = g_hash_table_lookup(
+		    scene.placement.upstreams, &scene.records[i].id);
+		choice = (struct placement_choice){
+		    .upstream = upstream, .is_heavy = true, .read_ms = 900};
+		request = make_request(&scene, &scene.review, 250000, START_MS);
+		placement_begin(
+		    &scene.placement, &request, &choice, START_MS, &works[i]);
+	}
+	request = make_request(&scene, &scene.review, 36000, START_MS + 10);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 10, &waiter, &choice),
+	    ERROR_NONE);
+	assert_true(choice.is_heavy);
+	if (choice.is_light_led)
+		assert_true(choice.read_ms <= 60);
+	placement_wait_end(&scene.placement, &waiter);
+	for (i = 0; i < ENGINES; i++)
+		placement_end(&scene.placement, &works[i]);
+	close_scene(&scene);
+}
+
 /* Load replayed: 36 short and 2 long prompts a second for 10 s. Short ones
  * and the parts of long ones stay on different engines. */
 static void
@@ -563,6 +654,8 @@
 	    cmocka_unit_test(test_long_prompts_take_turns),
 	    cmocka_unit_test(test_hopeless_turn_is_refused),
 	    cmocka_unit_test(test_late_behind_many_is_refused),
+	    cmocka_unit_test(test_long_parts_spare_writers),
+	    cmocka_unit_test(test_short_side_leads_only_with_helpers),
 	    cmocka_unit_test(test_short_and_long_stay_apart),
 	    cmocka_unit_test(test_cold_bound_holds_in_every_second),
 	    cmocka_unit_test(test_ejection_is_bounded),
