A host that knows no other dials its seeds as often as it was told

Ruled out: dials that hang in silence (a handshake may take 350 ms, then the link is closed). Change: a timer of its own while no other host is known; a host that knows others dials once a period, as before. Test: red before (1 dial in 900 ms for 5).

--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -29,6 +29,7 @@
 static bool is_cut_off(const struct membership *membership);
 static int64_t suspicion_time(const struct membership *membership);
 static void ping_dead(struct membership *membership);
+static void dial_alone(void *context);
 static void dial_seeds(struct membership *membership);
 static bool is_known_address(
     const struct membership *membership, const struct membership_seed *seed);
@@ -94,6 +95,11 @@
 		    membership->settings.period_ms,
 		    (struct timer_callback){run_period, membership},
 		    &membership->period_timer);
+	if (error == ERROR_NONE)
+		error =
+		    timer_subscribe_every(timers, membership->settings.seed_ms,
+			(struct timer_callback){dial_alone, membership},
+			&membership->seed_timer);
 	if (error != ERROR_NONE) {
 		membership_finish(membership);
 		return error;
@@ -109,6 +115,7 @@
 	if (membership->hosts == NULL)
 		return;
 	timer_cancel(membership->timers, &membership->period_timer);
+	timer_cancel(membership->timers, &membership->seed_timer);
 	timer_cancel(membership->timers, &membership->answer_timer);
 	gossip_finish(&membership->gossip);
 	g_hash_table_destroy(membership->hosts);
@@ -430,6 +437,18 @@
 			.asker = membership->self.id});
 }
 
+/* A host that starts before its seeds would lose a whole period. */
+static void
+dial_alone(void *context)
+{
+	struct membership *membership = context;
+	uint32_t other;
+
+	if (!membership->is_leaving &&
+	    membership_list_live(membership, &other, 1) == 0)
+		dial_seeds(membership);
+}
+
 static void
 dial_seeds(struct membership *membership)
 {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -46,7 +46,8 @@
 	int64_t suspicion_ms; /**< Base, grows with log10 of the number of
 				   hosts; default 3,000. */
 	int64_t forget_ms;    /**< Dead ones are kept; default 600,000. */
-	int64_t seed_ms;      /**< Between dials of seeds; default 2,000. */
+	int64_t seed_ms;      /**< Between dials of seeds; default 2,000. One
+			 that knows other hosts dials once a period at most. */
 	struct gossip_settings gossip; /**< Type and bound are set here. */
 };
 
@@ -99,6 +100,7 @@
 	int64_t seeds_dialled_ms;   /**< Last time. */
 	bool is_leaving;	    /**< membership_leave() was called. */
 	struct handle period_timer; /**< Periods. */
+	struct handle seed_timer;   /**< Dials while no other is known. */
 	struct handle answer_timer; /**< Time to ask others. */
 };
 
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <cmocka.h>
@@ -162,6 +163,56 @@
 	}
 }
 
+static void
+count_dial(void *context, const char *ip, uint16_t port)
+{
+	(void)ip;
+	(void)port;
+	(*(uint32_t *)context)++;
+}
+
+static void
+add_no_host(void *context, uint32_t id, const char *ip, uint16_t port)
+{
+	(void)context;
+	(void)id;
+	(void)ip;
+	(void)port;
+}
+
+/* All hosts start after a loss of power, the seeds last: a host that found
+ * none dials again as often as it was told, not once a period. */
+static void
+test_a_host_alone_keeps_dialling(void **state)
+{
+	struct membership_settings settings = {.seed_count = 1, .seed_ms = 200};
+	struct fake_receiver receiver = {0};
+	struct membership membership;
+	struct fake_net net;
+	uint32_t dials;
+
+	(void)state;
+	dials = 0;
+	fake_net_init(&net, 1, 1, &group_good_link);
+	fake_net_start(&net, 1, 0, receiver);
+	settings.self.id = 1;
+	settings.self.port = 1;
+	snprintf(settings.self.ip, HOST_IP_SIZE_MAX, "10.0.0.1");
+	settings.seeds[0].port = 2;
+	snprintf(settings.seeds[0].ip, HOST_IP_SIZE_MAX, "10.0.0.1");
+	assert_int_equal(
+	    membership_init(&membership, &settings, fake_net_timers(&net, 1), 1,
+		fake_net_port(&net, 1),
+		(struct membership_ops){.dial_seed = count_dial,
+		    .add_host = add_no_host,
+		    .context = &dials}),
+	    ERROR_NONE);
+	fake_net_run(&net, 900);
+	assert_int_equal(dials, 5);
+	membership_finish(&membership);
+	fake_net_finish(&net);
+}
+
 int
 main(void)
 {
@@ -172,6 +223,7 @@
 	    cmocka_unit_test(test_one_of_two_wakes_and_does_no_harm),
 	    cmocka_unit_test(test_a_partition_without_seeds_heals),
 	    cmocka_unit_test(test_views_agree_after_any_faults),
+	    cmocka_unit_test(test_a_host_alone_keeps_dialling),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
