--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -15,6 +15,7 @@
 #define AWAY_COST_MS	     200.0	     /* Another host leaves it alone. */
 #define SHORT_ASTRAY_COST_MS 350.0  /* A short prompt beside long ones. */
 #define LONG_ASTRAY_COST_MS  1500.0 /* A long prompt beside short ones. */
+#define SHORT_BESIDE_COST_MS 15.0   /* Each short one that it would stop. */
 #define TOKENS_PER_PART	     2500.0 /* A part should be worth its hop. */
 #define SHORT_WRITERS_MAX    6u	    /* More would all pause for a part. */
 #define HELPING_SPARED	     2u	    /* News of other hosts comes late. */
@@ -554,6 +555,8 @@
 		cost_ms += LONG_ASTRAY_COST_MS;
 	if (!is_light && belongs_light)
 		cost_ms += SHORT_ASTRAY_COST_MS;
+	if (!belongs_light && !is_light)
+		cost_ms += count_short(upstream) * SHORT_BESIDE_COST_MS;
 	used = upstream->own.kv_tokens + upstream->others.kv_tokens;
 	if (gathering->is_too_large)
 		cost_ms +=
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -12,6 +12,7 @@
 
 #define ENGINES	 18
 #define OTHERS	 30
+#define SHORTS	 4 /* Short prompts that an engine answers. */
 #define START_MS 1000000
 #define PLACE(i) ((uint64_t)(0x0a000001 + (i)) << 16 | 8000)
 
@@ -375,6 +376,56 @@
 	close_scene(&scene);
 }
 
+/* Load replayed (kjwr-hq scale-1, second 10): the line has just moved, and an
+ * engines of the long prompts' side still answer short ones. They have no
+ * backlog, as they don't help to read, and yet are the wrong ones to lead. */
+static void
+test_long_prompt_is_led_away_from_short_ones(void **state)
+{
+	struct placement_work works[ENGINES][SHORTS] = {0};
+	struct placement_waiter waiter = {0};
+	struct placement_request request, chat;
+	struct placement_upstream *upstream, *spared;
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t at, i;
+
+	(void)state;
+	open_scene(&scene, 14);
+	spared = NULL;
+	for (at = 0; at < ENGINES; at++) {
+		upstream = g_hash_table_lookup(
+		    scene.placement.upstreams, &scene.records[at].id);
+		if (spared == NULL || upstream->rank > spared->rank)
+			spared = upstream;
+	}
+	/* The highest rank is the last that takes short prompts. */
+	spared->own.read_until_ms = START_MS + 40;
+	for (at = 0; at < ENGINES; at++) {
+		upstream = g_hash_table_lookup(
+		    scene.placement.upstreams, &scene.records[at].id);
+		for (i = 0; upstream != spared && i < SHORTS; i++) {
+			choice =
+			    (struct placement_choice){.upstream = upstream};
+			chat =
+			    make_request(&scene, &scene.chat, 5000, START_MS);
+			placement_begin(&scene.placement, &chat, &choice,
+			    START_MS, &works[at][i]);
+		}
+	}
+	request = make_request(&scene, &scene.review, 150000, START_MS);
+	request.is_begun = true;
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NONE);
+	assert_ptr_equal(choice.upstream, spared);
+	for (at = 0; at < ENGINES; at++) {
+		for (i = 0; i < SHORTS; i++)
+			placement_end(&scene.placement, &works[at][i]);
+	}
+	close_scene(&scene);
+}
+
 /* Load replayed: 36 short and 2 long prompts a second for 10 s. Short ones
  * and the parts of long ones stay on different engines. */
 static void
@@ -656,6 +707,7 @@
 	    cmocka_unit_test(test_late_behind_many_is_refused),
 	    cmocka_unit_test(test_long_parts_spare_writers),
 	    cmocka_unit_test(test_short_side_leads_only_with_helpers),
+	    cmocka_unit_test(test_long_prompt_is_led_away_from_short_ones),
 	    cmocka_unit_test(test_short_and_long_stay_apart),
 	    cmocka_unit_test(test_cold_bound_holds_in_every_second),
 	    cmocka_unit_test(test_ejection_is_bounded),
