--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -345,6 +345,26 @@
 	       strcmp(upstream->service, service->name) == 0;
 }
 
+double
+placement_backlog_ms(const struct placement_upstream *upstream, int64_t now_ms)
+{
+	double now = (double)now_ms;
+
+	return MAX(upstream->own.read_until_ms - now, 0) +
+	       MAX(upstream->others.read_until_ms - now, 0);
+}
+
+/* Requests with short prompts that are still answered there. */
+uint32_t
+placement_count_short(const struct placement_upstream *upstream)
+{
+	uint32_t running, heavy;
+
+	running = upstream->own.running + upstream->others.running;
+	heavy = upstream->own.heavy + upstream->others.heavy;
+	return running - MIN(heavy, running);
+}
+
 uint64_t
 placement_service_hash(const char *name)
 {
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -33,11 +33,69 @@
 	uint64_t best_key; /**< The lowest of theirs, UINT64_MAX for none. */
 };
 
+/** An upstream that may take a request, and what that would cost. */
+struct placement_candidate {
+	struct placement_upstream *upstream; /**< Until the next update. */
+	double cost_ms;			     /**< The cheapest is taken. */
+	bool is_light; /**< On the side of short prompts. */
+};
+
+/** What the candidates of one request are gathered by. */
+struct placement_gathering {
+	struct placement *placement;		 /**< Whose they are. */
+	const struct placement_request *request; /**< For which. */
+	int64_t now_ms;				 /**< Time of the decision. */
+	bool is_heavy;				 /**< It has a long prompt... */
+	bool is_too_large;	 /**< ...over the memory of any engine. */
+	bool is_waiting;	 /**< Counted among those that wait. */
+	bool is_light_led;	 /**< To be led on the short prompts' side. */
+	double whole_read_ms;	 /**< Its prompt, read by one engine. */
+	uint64_t kv_tokens;	 /**< Memory that it takes. */
+	uint64_t light_rank_max; /**< Ranks up to it take short prompts. */
+	uint32_t usable_count;	 /**< Upstreams of the service... */
+	uint32_t healthy_count;	 /**< ...of these, not ejected... */
+	uint32_t light_count;	 /**< ...of these, for short prompts. */
+	struct split_demand demand; /**< That led to it. */
+};
+
+/* placement.c */
+
 /** Hash of a service's name, as reports carry it. */
 uint64_t placement_service_hash(const char *name);
 /** The load of a service, made when it is new. */
 struct service_load *placement_service(
     struct placement *placement, uint64_t hash);
+/** Milliseconds that an upstream takes to read what it has. */
+double placement_backlog_ms(
+    const struct placement_upstream *upstream, int64_t now_ms);
+/** Requests with short prompts that are still answered there. */
+uint32_t placement_count_short(const struct placement_upstream *upstream);
+/** Whether the upstream may get new requests of the service. */
+bool placement_serves(const struct placement_upstream *upstream,
+    const struct route_service *service);
+
+/* placement_turn.c */
+
+/** Whether a long prompt may go now. Errors: those of placement_pick(). */
+enum error_code placement_take_turn(const struct placement_gathering *gathering,
+    const GArray *candidates, struct placement_waiter *waiter);
+/** Whether nothing else is read or waits: a prompt over one engine's memory
+ * may go. */
+bool placement_is_idle_enough(
+    const struct placement_gathering *gathering, const GArray *candidates);
+
+/* placement_helpers.c */
+
+/** Adds helpers that read parts of the prompt. */
+void placement_choose_helpers(const struct placement_gathering *gathering,
+    const GArray *candidates, struct placement_choice *choice);
+/** Lets helpers keep what the chosen upstream has no room for; false if they
+ * have none either. */
+bool placement_choose_holders(const struct placement_gathering *gathering,
+    struct placement_choice *choice);
+
+/* placement_wait.c */
+
 /** Rank of a long prompt among those that wait: the lowest goes first. */
 uint64_t placement_wait_key(
     const struct placement_waiter *waiter, int64_t now_ms);
@@ -47,12 +105,12 @@
 /** Work of all long prompts that wait, in milliseconds of one engine. */
 double placement_waiting_ms(
     struct placement *placement, uint64_t service, int64_t now_ms);
+
+/* placement_report.c */
+
 /** Sums the demand of the other hosts up. */
 struct peer_demand placement_peer_demand(
     struct placement *placement, uint64_t service, int64_t now_ms);
-/** Whether the upstream may get new requests of the service. */
-bool placement_serves(const struct placement_upstream *upstream,
-    const struct route_service *service);
 /** Sums the other hosts' work up, if a report came since. */
 void placement_sum_others(struct placement *placement, int64_t now_ms);
 /** What all hosts ask of a service. */
--- /dev/null
+++ b/src/coordination/placement_turn.c
@@ -0,0 +1,185 @@
+#include "coordination/placement_parts.h"
+
+#define FULL_GOAL_PART	0.85  /* Of the goal: work that may wait. */
+#define SMALL_WORK_MS	800.0 /* Less is never in the way. */
+#define NEXT_BACKLOG_MS 80.0  /* Unread work when the next is due. */
+#define UNREAD_MAX	1u    /* Long prompts being read then. */
+#define ENGINES_ENOUGH	6u    /* For any long prompt. */
+#define PART_LONG_MS	500.0 /* A part that fewer engines may read. */
+
+/* The engines that take long prompts, together. */
+struct long_side {
+	double backlog_ms; /* Unread work at the middle one of them. */
+	uint32_t unread;   /* Long prompts that are being read. */
+	uint32_t engines;
+};
+
+static bool is_hopeless(const struct placement_gathering *gathering,
+    const struct long_side *side, const struct placement_waiter *waiter);
+static bool is_worth_waiting(const struct placement_gathering *gathering,
+    const struct long_side *side, const struct placement_waiter *waiter);
+static void begin_wait(const struct placement_gathering *gathering,
+    struct placement_waiter *waiter);
+static void judge_wait(const struct placement_gathering *gathering,
+    const struct long_side *side, struct placement_waiter *waiter);
+static struct long_side look_at_long_side(
+    const struct placement_gathering *gathering, const GArray *candidates);
+static uint32_t count_unread(const struct placement_load *load, int64_t now_ms);
+static gint compare_numbers(gconstpointer left, gconstpointer right);
+
+/* Load answered: long prompts that bring more work than there are engines
+ * for. An engine reads the part that came last first, so parts of several
+ * prompts at once make all of them late: a long prompt waits here until those
+ * before it are almost read. Among those that wait the least work goes first,
+ * as it brings most for its work; waiting makes up for size. */
+enum error_code
+placement_take_turn(const struct placement_gathering *gathering,
+    const GArray *candidates, struct placement_waiter *waiter)
+{
+	struct placement *placement = gathering->placement;
+	const struct placement_request *request = gathering->request;
+	struct long_side side;
+
+	side = look_at_long_side(gathering, candidates);
+	if (side.engines == 0 || request->is_begun)
+		return ERROR_NONE;
+	if (gathering->whole_read_ms < SMALL_WORK_MS &&
+	    side.backlog_ms < FULL_GOAL_PART * (double)request->route->goal_ms)
+		return ERROR_NONE;
+	if (waiter->service == 0)
+		begin_wait(gathering, waiter);
+	judge_wait(gathering, &side, waiter);
+	if (gathering->now_ms >= waiter->useless_ms ||
+	    is_hopeless(gathering, &side, waiter))
+		return ERROR_DEADLINE_UNREACHABLE;
+	if (side.backlog_ms > NEXT_BACKLOG_MS || side.unread > UNREAD_MAX ||
+	    is_worth_waiting(gathering, &side, waiter) ||
+	    placement_best_key(
+		placement, waiter->service, waiter, gathering->now_ms) <
+		placement_wait_key(waiter, gathering->now_ms))
+		return ERROR_CHANGE_PENDING;
+	return ERROR_NONE;
+}
+
+/* Load answered: a prompt of half a million tokens takes as much reading as ten
+ * of the largest that one engine can hold, and all of these would be late: it
+ * goes when nothing else waits. */
+bool
+placement_is_idle_enough(
+    const struct placement_gathering *gathering, const GArray *candidates)
+{
+	struct long_side side;
+
+	side = look_at_long_side(gathering, candidates);
+	return side.engines > 0 && side.backlog_ms <= NEXT_BACKLOG_MS &&
+	       side.unread == 0 &&
+	       placement_waiting_ms(gathering->placement,
+		   placement_service_hash(gathering->request->service->name),
+		   gathering->now_ms) <= 0;
+}
+
+/* One that is late goes after all that are not, and after the smaller ones
+ * that are: if these take longer than it can wait, its caller is told now. */
+static bool
+is_hopeless(const struct placement_gathering *gathering,
+    const struct long_side *side, const struct placement_waiter *waiter)
+{
+	double before_ms;
+
+	if (gathering->now_ms - waiter->since_ms < waiter->goal_ms)
+		return false;
+	before_ms = placement_waiting_ms(gathering->placement, waiter->service,
+			gathering->now_ms) -
+		    waiter->work_ms;
+	return gathering->now_ms + (int64_t)(before_ms / side->engines) >
+	       waiter->useless_ms;
+}
+
+/* A large prompt read by few engines is late and keeps them for long; soon
+ * there are more of them. */
+static bool
+is_worth_waiting(const struct placement_gathering *gathering,
+    const struct long_side *side, const struct placement_waiter *waiter)
+{
+	return side->engines < ENGINES_ENOUGH &&
+	       waiter->work_ms / side->engines > PART_LONG_MS &&
+	       gathering->now_ms - waiter->since_ms < waiter->goal_ms;
+}
+
+static void
+begin_wait(const struct placement_gathering *gathering,
+    struct placement_waiter *waiter)
+{
+	const struct placement_request *request = gathering->request;
+
+	waiter->service = placement_service_hash(request->service->name);
+	waiter->work_ms = gathering->whole_read_ms;
+	waiter->since_ms = request->arrived_ms;
+	g_ptr_array_add(gathering->placement->waiters, waiter);
+}
+
+/* By the engines that there are now: they change while it waits. */
+static void
+judge_wait(const struct placement_gathering *gathering,
+    const struct long_side *side, struct placement_waiter *waiter)
+{
+	const struct placement_request *request = gathering->request;
+	int64_t read_ms = (int64_t)(waiter->work_ms / side->engines);
+
+	waiter->goal_ms = request->route->goal_ms - read_ms;
+	/* What is left then is too short to read it and to answer. */
+	waiter->useless_ms =
+	    request->deadline_ms - read_ms - request->route->goal_ms;
+}
+
+static struct long_side
+look_at_long_side(
+    const struct placement_gathering *gathering, const GArray *candidates)
+{
+	const struct placement_candidate *candidate;
+	const struct placement_upstream *upstream;
+	struct long_side side = {0};
+	double backlog_ms;
+	GArray *backlogs;
+	guint i;
+
+	backlogs = g_array_new(FALSE, FALSE, sizeof(double));
+	for (i = 0; i < candidates->len; i++) {
+		candidate =
+		    &g_array_index(candidates, struct placement_candidate, i);
+		upstream = candidate->upstream;
+		if (candidate->is_light)
+			continue;
+		backlog_ms = placement_backlog_ms(upstream, gathering->now_ms);
+		g_array_append_val(backlogs, backlog_ms);
+		side.unread +=
+		    count_unread(&upstream->own, gathering->now_ms) +
+		    count_unread(&upstream->others, gathering->now_ms);
+	}
+	side.engines = backlogs->len;
+	/* The median: one engine that is kept for long stops nobody. */
+	g_array_sort(backlogs, compare_numbers);
+	if (side.engines > 0)
+		side.backlog_ms =
+		    g_array_index(backlogs, double, side.engines / 2);
+	g_array_unref(backlogs);
+	return side;
+}
+
+/* One that takes longer than predicted counts double: the engines are slower
+ * or busier than they seem, and more work would only be late. */
+static uint32_t
+count_unread(const struct placement_load *load, int64_t now_ms)
+{
+	if (load->leading == 0 || now_ms <= load->due_ms)
+		return load->leading;
+	return load->leading * 2;
+}
+
+static gint
+compare_numbers(gconstpointer left, gconstpointer right)
+{
+	double first = *(const double *)left, second = *(const double *)right;
+
+	return first == second ? 0 : first < second ? -1 : 1;
+}
