A soak of real processes: seeded faults from outside, promises checked while it runs

make soak-real plays seeds against 5 to 9 processes of serve-platform: killed, paused, stopped, reloaded, wiped after an acknowledgement; proxies before each of them and between each pair delay, reset, or hold bytes back one way or both; disks are slow or full and lose what was not synced, wall clocks jump. The program under soak is chicorytack linked so that its ports to storage, clock and peers misbehave (--wrap); the product's code is unchanged for it. One check was narrowed: reservations left behind count from the calm at the end on.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 #   make check  format, lint, build with sanitizers, every test
 
 JOBS ?= 8
-C_FILES = $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] tests/stub/*.[ch] examples/*.[ch])
+C_FILES = $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] tests/stub/*.[ch] tests/soak/*.[ch] examples/*.[ch])
 CPP_FILES = $(wildcard tests/*.cpp)
 
 # Tests whose code has threads; the others have nothing for that sanitizer.
 THREAD_TESTS = test_(mailbox|http_server|upstream_http|metrics|span_log|fleet_view|router|relay|tcp_link|log_writer)|real_(stop|faulty_upstreams|group|platform)
 
-.PHONY: all demo check check-thread test bench soak format check-format lint install clean doc
+.PHONY: all demo check check-thread test bench soak soak-real soak-mutants format check-format lint install clean doc
 
 all:
 	@cmake -S . -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
@@ -34,6 +34,18 @@
 soak: all
 	tools/soak.sh build
 
+# Seeded faults against the real programs: the seeds that ever failed, then
+# fresh ones from SOAK_FIRST on.
+SOAK_FIRST ?= 1
+SOAK_COUNT ?= 50
+soak-real: all
+	python3 tests/soak/soak.py build --file tests/soak/seeds.txt
+	python3 tests/soak/soak.py build --seeds $(SOAK_FIRST) $(SOAK_COUNT)
+
+# Shows that the soak finds mechanisms that are switched off.
+soak-mutants:
+	tests/soak/mutants.sh
+
 format:
 	clang-format -i $(C_FILES) $(CPP_FILES)
 
--- /dev/null
+++ b/tests/soak/cluster.py
@@ -0,0 +1,145 @@
+"""The real programs as processes: control hosts, entry hosts, and what stands
+between them."""
+
+import asyncio
+import os
+import shutil
+import signal
+
+import http1
+from proxy import Proxy
+
+PEER_PORT = 25000  # A host dials its peers at this port plus its own number.
+CONTROL_PORT = 25100
+FRONT_PORT = 25200
+READY_PORT = 25300
+GRACE_S = 8
+ZONES = ("east", "west", "north")
+
+
+class Host:
+    """A host: its settings, its process, the proxies before it."""
+
+    def __init__(self, world, number, role):
+        self.world = world
+        self.number = number
+        self.role = role
+        self.name = f"{role}-{number}"
+        self.ip = world.ip(number)
+        self.zone = ZONES[number % len(ZONES)]
+        self.process = None
+        self.starts = 0
+        self.is_killed = False
+        self.is_stopped = False
+        self.faults_path = f"{world.folder}/{self.name}.faults"
+        self.front = Proxy((self.ip, FRONT_PORT + 1), (self.ip, FRONT_PORT))
+        self.control = Proxy((self.ip, CONTROL_PORT + 1), (self.ip, CONTROL_PORT))
+        self.peers = {}  # number of the host that dials: proxy
+
+    @property
+    def data(self):
+        return f"{self.world.folder}/data-{self.number}"
+
+    def write_settings(self, is_first):
+        seeds = ",".join(f"{host.ip}:{CONTROL_PORT}" for host in self.world.control_hosts[:3])
+        lines = {
+            "nodeName": self.name,
+            "role": self.role,
+            "ip": self.ip,
+            "zone": self.zone,
+            "region": "prairie",
+            "internalPorts": PEER_PORT,
+            "seeds": seeds,
+            "heartbeatMs": int(1000 * 0.6),
+            "faultTolerance.machines": (len(self.world.control_hosts) - 1) // 2,
+            "bounds.graceS": GRACE_S,
+            "bounds.retryBudgetRatio": 0.5,
+            "bounds.budgetWindowS": 10,
+            "bounds.budgetSlack": 200,
+        }
+        if self.role == "control":
+            lines["listen.control"] = f"{self.ip}:{CONTROL_PORT}"
+            lines["dataDir"] = self.data
+            lines["bootstrap"] = "true" if is_first else "false"
+            os.makedirs(self.data, exist_ok=True)
+        else:
+            lines["listen.front"] = f"{self.ip}:{FRONT_PORT}"
+            lines["listen.readinessAddr"] = f"{self.ip}:{READY_PORT}"
+        with open(f"{self.world.folder}/{self.name}.conf", "w", encoding="ascii") as file:
+            file.writelines(f"{name}={value}\n" for name, value in lines.items())
+
+    def set_faults(self, sync_ms=0, is_full=0, clock_ms=0):
+        with open(self.faults_path + ".new", "w", encoding="ascii") as file:
+            file.write(f"{sync_ms} {is_full} {clock_ms}\n")
+        os.replace(self.faults_path + ".new", self.faults_path)
+
+    async def start(self, is_first=False):
+        self.write_settings(is_first)
+        self.starts += 1
+        self.is_killed = False
+        environment = {
+            "PATH": os.environ["PATH"],
+            "CHICORYTACK_SETTINGS": f"{self.world.folder}/{self.name}.conf",
+            "SOAK_PORT_SHIFT": str(self.number),
+            "SOAK_FAULTS": self.faults_path,
+        }
+        with open(f"{self.world.folder}/{self.name}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.world.program, "serve-platform", env=environment, stdout=log, stderr=log
+            )
+
+    def signal(self, number):
+        """Sends a signal to the process that this soak started, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.is_killed = True
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def pause(self, seconds):
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.signal(signal.SIGCONT)
+
+    async def stop(self):
+        """A planned stop; it must end cleanly within its grace time."""
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout((GRACE_S + 1) * self.world.patience):
+                code = await self.process.wait()
+        except TimeoutError:
+            self.world.ledger.violate("a planned stop ends", f"{self.name} runs on")
+            await self.kill()
+            return
+        if code != 0 and not self.is_killed:
+            self.world.ledger.violate("a planned stop ends", f"{self.name} ended with {code}")
+
+    async def wipe(self):
+        await self.kill()
+        shutil.rmtree(self.data, ignore_errors=True)
+
+    async def is_ready(self):
+        try:
+            status, _, _ = await http1.exchange((self.ip, READY_PORT), "GET", "/v1/ready", {})
+            return status == 200
+        except (OSError, TimeoutError, http1.BadMessage):
+            return False
+
+    def proxies(self):
+        """All that stand between this host and others."""
+        dialled = [host.peers[self.number] for host in self.world.hosts if host is not self]
+        return list(self.peers.values()) + dialled
+
+    async def start_proxies(self):
+        for host in self.world.hosts:
+            if host is not self:
+                address = (self.ip, PEER_PORT + host.number)
+                self.peers[host.number] = Proxy(address, (self.ip, PEER_PORT))
+                await self.peers[host.number].start()
+        if self.role == "control":
+            await self.control.start()
+        else:
+            await self.front.start()
--- /dev/null
+++ b/tests/soak/mutants.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Shows that the soak finds what it is for: switches one mechanism off at a
+# time, in a copy of the source, and soaks that until a seed fails.
+# mutants.sh [MECHANISM...]: all of them by default. MUTANT_JOBS: seeds at a time.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+seeds_max=50
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+
+# mechanism | file | what perl does to it
+mechanisms=(
+	'attempt_id_check|src/coordination/relay_rules.c|s/!facts->is_own_attempt \|\| //'
+	'at_most_once|src/coordination/relay_rules.c|s/!state->may_have_run \|\|/true ||/'
+	'order_of_events|src/service/relay_events.c|s/number <= events->last_number/false/'
+	'quorum_read|src/service/host_documents.c|s/error = first_error\(\s*host_submit\(host, &command, timeout_ms, &result\), &result\);/(void)command; result.sequence = 0; error = ERROR_NONE;/'
+	'disk_sync|src/state/journal.c|s/error = ops->sync\(context, name\);/(void)0;/'
+	'quorum_commit|src/coordination/consensus_leader.c|s/i = MAX\(i, MIN\(copies, consensus->voters.count\)\);/i = 1; (void)copies;/'
+	'release_of_reservations|src/service/relay_hold.c|s/order\(hold, hold->relay->settings.dialect.release_text\(hold->id\)\);/(void)order;/'
+	'evacuation|src/service/relay.c|s/ && !entry->is_taken_out//'
+	'drain|src/service/relay.c|s/upstream->state == UPSTREAM_STATE_ACTIVE && //'
+)
+
+# find_by_soak NAME FILE EDIT: true if a seed fails without the mechanism.
+find_by_soak() {
+	local name=$1 file=$2 edit=$3 tree="$scratch/tree"
+	git checkout-index -a -f --prefix="$tree/"
+	perl -0pi -e "$edit" "$tree/$file"
+	if cmp -s "$file" "$tree/$file"; then
+		echo "$name: the edit changes nothing in $file"
+		return 1
+	fi
+	cmake -S "$tree" -B "$scratch/build" -DCMAKE_BUILD_TYPE=Release >/dev/null
+	cmake --build "$scratch/build" -j 6 --target chicorytack-soak >"$scratch/build.out" 2>&1 || {
+		cat "$scratch/build.out"
+		return 1
+	}
+	if python3 tests/soak/soak.py "$scratch/build" --seeds 1 $seeds_max --jobs "${MUTANT_JOBS:-4}" --until-failure >"$scratch/soak.out" 2>&1; then
+		echo "$name: NOT found within $seeds_max seeds"
+		return 1
+	fi
+	echo "$name: found"
+	grep -A 2 -m 1 '[1-9][0-9]* broken' "$scratch/soak.out"
+}
+
+failed=0
+for mechanism in "${mechanisms[@]}"; do
+	IFS='|' read -r name file edit <<<"${mechanism//\\|/$'\x01'}"
+	[ $# = 0 ] || [[ " $* " == *" $name "* ]] || continue
+	find_by_soak "$name" "$file" "${edit//$'\x01'/\\|}" || failed=1
+done
+exit $failed
--- /dev/null
+++ b/tests/soak/soak_host.c
@@ -0,0 +1,280 @@
+/**
+ * @file soak_host.c
+ * The program under soak: chicorytack itself, linked so that its ports to
+ * storage, clock and peers misbehave as the soak says.
+ *
+ * Bytes that were appended and not synced stay in this process, so killing it
+ * loses them as a loss of power would. Each host dials its peers at a port of
+ * its own, where the soak's proxy stands between the two. The file that
+ * SOAK_FAULTS names holds three numbers, read again as they change:
+ * milliseconds that a sync takes, 1 for a full disk, and milliseconds that the
+ * wall clock is ahead.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/monotonic_clock.h"
+#include "state/disk.h"
+#include "transport/peer_link.h"
+
+#define LOOK_PERIOD_MS 50 /* Between looks at the file of faults. */
+#define US_PER_MS      1000
+
+/* What the soak asks for. */
+struct faults {
+	int64_t sync_ms;
+	int64_t is_full;
+	int64_t clock_ms;
+	int64_t read_at_ms;
+};
+
+/* The real folder and what a loss of power takes. */
+struct lossy_disk {
+	struct disk real;
+	GHashTable *unsynced; /* Name to GByteArray. */
+};
+
+struct disk __real_disk_folder_disk(struct disk_folder *folder);
+struct disk __wrap_disk_folder_disk(struct disk_folder *folder);
+int64_t __real_clock_wall_us(void);
+int64_t __wrap_clock_wall_us(void);
+enum error_code __real_peer_links_add_host(
+    struct peer_links *links, uint32_t host_id, const char *ip, uint16_t port);
+enum error_code __wrap_peer_links_add_host(
+    struct peer_links *links, uint32_t host_id, const char *ip, uint16_t port);
+enum error_code __real_peer_links_dial_seed(
+    struct peer_links *links, const char *ip, uint16_t port);
+enum error_code __wrap_peer_links_dial_seed(
+    struct peer_links *links, const char *ip, uint16_t port);
+static uint16_t shift_port(uint16_t port);
+static struct faults read_faults(void);
+static GByteArray *find_unsynced(struct lossy_disk *disk, const char *name);
+static enum error_code lossy_read(
+    void *context, const char *name, unsigned char **data, size_t *size);
+static enum error_code lossy_append(
+    void *context, const char *name, const void *data, size_t size);
+static enum error_code lossy_write(
+    void *context, const char *name, const void *data, size_t size);
+static enum error_code lossy_sync(void *context, const char *name);
+static enum error_code lossy_truncate(
+    void *context, const char *name, size_t size);
+static enum error_code lossy_rename(
+    void *context, const char *from, const char *to);
+static enum error_code lossy_remove(void *context, const char *name);
+static enum error_code lossy_list(void *context, struct disk_visitor visitor);
+static enum error_code lossy_sync_folder(void *context);
+
+static const struct disk_ops lossy_ops = {
+    .read = lossy_read,
+    .append = lossy_append,
+    .write = lossy_write,
+    .sync = lossy_sync,
+    .truncate = lossy_truncate,
+    .rename = lossy_rename,
+    .remove = lossy_remove,
+    .list = lossy_list,
+    .sync_folder = lossy_sync_folder,
+};
+
+/* A host has one data folder for as long as it lives. */
+struct disk
+__wrap_disk_folder_disk(struct disk_folder *folder)
+{
+	static struct lossy_disk disk;
+
+	disk.real = __real_disk_folder_disk(folder);
+	if (disk.unsynced == NULL)
+		disk.unsynced = g_hash_table_new_full(g_str_hash, g_str_equal,
+		    g_free, (GDestroyNotify)g_byte_array_unref);
+	return (struct disk){&lossy_ops, &disk};
+}
+
+int64_t
+__wrap_clock_wall_us(void)
+{
+	return __real_clock_wall_us() + read_faults().clock_ms * US_PER_MS;
+}
+
+enum error_code
+__wrap_peer_links_add_host(
+    struct peer_links *links, uint32_t host_id, const char *ip, uint16_t port)
+{
+	return __real_peer_links_add_host(links, host_id, ip, shift_port(port));
+}
+
+enum error_code
+__wrap_peer_links_dial_seed(
+    struct peer_links *links, const char *ip, uint16_t port)
+{
+	return __real_peer_links_dial_seed(links, ip, shift_port(port));
+}
+
+static uint16_t
+shift_port(uint16_t port)
+{
+	const char *shift = getenv("SOAK_PORT_SHIFT");
+
+	return (uint16_t)(port + (shift == NULL ? 0 : atoi(shift)));
+}
+
+static struct faults
+read_faults(void)
+{
+	static _Thread_local struct faults faults;
+	const char *path = getenv("SOAK_FAULTS");
+	int64_t now_ms = clock_monotonic_ms();
+	struct faults next = {.read_at_ms = now_ms};
+	FILE *file;
+
+	if (path == NULL || (faults.read_at_ms != 0 &&
+				now_ms - faults.read_at_ms < LOOK_PERIOD_MS))
+		return faults;
+	faults.read_at_ms = now_ms;
+	file = fopen(path, "r");
+	if (file == NULL)
+		return faults;
+	if (fscanf(file, "%" SCNd64 " %" SCNd64 " %" SCNd64, &next.sync_ms,
+		&next.is_full, &next.clock_ms) == 3)
+		faults = next;
+	fclose(file);
+	return faults;
+}
+
+static GByteArray *
+find_unsynced(struct lossy_disk *disk, const char *name)
+{
+	return g_hash_table_lookup(disk->unsynced, name);
+}
+
+static enum error_code
+lossy_read(void *context, const char *name, unsigned char **data, size_t *size)
+{
+	struct lossy_disk *disk = context;
+	GByteArray *tail = find_unsynced(disk, name);
+	enum error_code error;
+	unsigned char *whole;
+
+	error = disk->real.ops->read(disk->real.context, name, data, size);
+	if (tail == NULL || (error != ERROR_NONE && error != ERROR_NOT_FOUND))
+		return error;
+	if (error == ERROR_NOT_FOUND) {
+		*data = NULL;
+		*size = 0;
+	}
+	whole = realloc(*data, *size + tail->len + 1);
+	if (whole == NULL) {
+		free(*data);
+		return ERROR_NO_MEMORY;
+	}
+	memcpy(whole + *size, tail->data, tail->len);
+	*data = whole;
+	*size += tail->len;
+	return ERROR_NONE;
+}
+
+static enum error_code
+lossy_append(void *context, const char *name, const void *data, size_t size)
+{
+	struct lossy_disk *disk = context;
+	GByteArray *tail = find_unsynced(disk, name);
+
+	if (read_faults().is_full != 0)
+		return ERROR_DISK_FULL;
+	if (tail == NULL) {
+		tail = g_byte_array_new();
+		g_hash_table_insert(disk->unsynced, g_strdup(name), tail);
+	}
+	g_byte_array_append(tail, data, (guint)size);
+	return ERROR_NONE;
+}
+
+static enum error_code
+lossy_write(void *context, const char *name, const void *data, size_t size)
+{
+	struct lossy_disk *disk = context;
+	struct faults faults = read_faults();
+
+	if (faults.is_full != 0)
+		return ERROR_DISK_FULL;
+	g_hash_table_remove(disk->unsynced, name);
+	usleep((useconds_t)(faults.sync_ms * US_PER_MS));
+	return disk->real.ops->write(disk->real.context, name, data, size);
+}
+
+static enum error_code
+lossy_sync(void *context, const char *name)
+{
+	struct lossy_disk *disk = context;
+	GByteArray *tail = find_unsynced(disk, name);
+	enum error_code error;
+
+	usleep((useconds_t)(read_faults().sync_ms * US_PER_MS));
+	if (tail != NULL) {
+		error = disk->real.ops->append(
+		    disk->real.context, name, tail->data, tail->len);
+		if (error != ERROR_NONE)
+			return error;
+		g_hash_table_remove(disk->unsynced, name);
+	}
+	return disk->real.ops->sync(disk->real.context, name);
+}
+
+static enum error_code
+lossy_truncate(void *context, const char *name, size_t size)
+{
+	struct lossy_disk *disk = context;
+	enum error_code error;
+
+	if (find_unsynced(disk, name) != NULL) {
+		error = lossy_sync(context, name);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	return disk->real.ops->truncate(disk->real.context, name, size);
+}
+
+static enum error_code
+lossy_rename(void *context, const char *from, const char *to)
+{
+	struct lossy_disk *disk = context;
+	GByteArray *tail = find_unsynced(disk, from);
+
+	if (tail != NULL) {
+		g_byte_array_ref(tail);
+		g_hash_table_remove(disk->unsynced, from);
+		g_hash_table_replace(disk->unsynced, g_strdup(to), tail);
+	} else {
+		g_hash_table_remove(disk->unsynced, to);
+	}
+	return disk->real.ops->rename(disk->real.context, from, to);
+}
+
+static enum error_code
+lossy_remove(void *context, const char *name)
+{
+	struct lossy_disk *disk = context;
+
+	g_hash_table_remove(disk->unsynced, name);
+	return disk->real.ops->remove(disk->real.context, name);
+}
+
+static enum error_code
+lossy_list(void *context, struct disk_visitor visitor)
+{
+	struct lossy_disk *disk = context;
+
+	return disk->real.ops->list(disk->real.context, visitor);
+}
+
+static enum error_code
+lossy_sync_folder(void *context)
+{
+	struct lossy_disk *disk = context;
+
+	return disk->real.ops->sync_folder(disk->real.context);
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -18,7 +18,7 @@
 }
 export -f lint_one
 shopt -s nullglob
-printf "%s\n" src/*/*.c platform/*.c standin/*.c bench/*.c tests/*.c tests/stub/*.c examples/*.c |
+printf "%s\n" src/*/*.c platform/*.c standin/*.c bench/*.c tests/*.c tests/stub/*.c tests/soak/*.c examples/*.c |
     xargs -P "${JOBS:-8}" -I{} bash -c 'lint_one {} '"$stamps $headers $build"
 # cppcheck does not read jansson's headers; the file spells its loops out.
 cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr -j "${JOBS:-8}" \
