--- a/src/service/cli_explain.c
+++ b/src/service/cli_explain.c
@@ -27,7 +27,11 @@
 	const char *why;
 	const char *meaning;
 } causes[] = {
-    {"answered", NULL, "The upstream's answer was passed on."},
+    {"answered", NULL,
+	"The upstream's answer was passed on. If it was late: first_event_ms "
+	"is made of its turn (E6011), wait_ms and read_ms (E6008); a "
+	"longest_pause_ms comes from prompts read beside it, see E6008 of "
+	"others at that upstream with a large read_ms."},
     {"refused", "no_upstream",
 	"No upstream of its service was known or usable: look for heartbeats "
 	"(E4004, E4005), takeouts (E1013) and the start of this host (E1001)."},
