--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -123,6 +123,19 @@
 	memset(membership, 0, sizeof(*membership));
 }
 
+void
+membership_set_seeds(struct membership *membership,
+    const struct membership_seed *seeds, uint32_t count)
+{
+	struct membership_settings *settings = &membership->settings;
+
+	settings->seed_count = MIN(count, SEEDS_MAX);
+	memcpy(settings->seeds, seeds, settings->seed_count * sizeof(*seeds));
+	membership->seeds_dialled_ms = INT64_MIN;
+	if (!membership->is_leaving)
+		dial_seeds(membership);
+}
+
 void
 membership_leave(struct membership *membership)
 {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -125,6 +125,10 @@
 void membership_connected(struct membership *membership, uint32_t host_id);
 /** The links were read; call it once in each pass of the owner's loop. */
 void membership_step(struct membership *membership);
+/** Other seeds from now on; they are dialled at once. Those over SEEDS_MAX
+ * are left out. */
+void membership_set_seeds(struct membership *membership,
+    const struct membership_seed *seeds, uint32_t count);
 /** Sets own role flags (HOST_FLAG_*) and spreads them. */
 void membership_set_flags(struct membership *membership, uint32_t flags);
 /** Sets the incarnation of the own data folder and spreads it. */
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -36,7 +36,10 @@
     const struct placement_choice *choice);
 static enum error_code choose_idle(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_choice *choice);
+static bool is_read_in_time(const struct placement_gathering *gathering,
+    const struct placement_choice *choice);
 static bool has_writers(const struct placement_upstream *upstream);
+static double borne_pause_ms(const struct route *route);
 static enum error_code give_up_error(
     const struct placement_gathering *gathering);
 static bool is_light_led(const struct placement_gathering *gathering);
@@ -119,7 +122,6 @@
 {
 	const struct route *route = request->route;
 	struct prompt_profile *profile;
-	double pause_ms;
 
 	profile = g_hash_table_lookup(placement->profiles, route->name);
 	if (profile == NULL) {
@@ -130,10 +132,8 @@
 	}
 	profile->mean_tokens +=
 	    PROFILE_WEIGHT * (request->prompt_tokens - profile->mean_tokens);
-	pause_ms = route->gap_goal_ms > 0 ? (double)route->gap_goal_ms
-					  : (double)route->goal_ms;
 	return engine_read_ms(&request->service->engine, profile->mean_tokens) >
-	       HEAVY_GAP_PART * pause_ms;
+	       HEAVY_GAP_PART * borne_pause_ms(route);
 }
 
 /* The upstreams of the lowest ranks take short prompts. */
@@ -267,16 +267,12 @@
 {
 	const struct placement_request *request = gathering->request;
 	const struct placement_upstream *helper;
-	double pause_ms;
 	uint32_t i;
 
 	if (!gathering->is_heavy || gathering->is_too_large ||
 	    request->is_begun)
 		return false;
-	pause_ms = request->route->gap_goal_ms > 0
-		       ? (double)request->route->gap_goal_ms
-		       : (double)request->route->goal_ms;
-	if (choice->read_ms <= pause_ms * BORNE_PART)
+	if (choice->read_ms <= BORNE_PART * borne_pause_ms(request->route))
 		return false;
 	if (has_writers(choice->upstream))
 		return true;
@@ -294,10 +290,8 @@
 choose_idle(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_choice *choice)
 {
-	const struct placement_request *request = gathering->request;
 	const struct placement_candidate *candidate;
 	enum error_code error;
-	int64_t read_ms;
 	GArray *idle;
 	guint i;
 
@@ -311,19 +305,28 @@
 	error = ERROR_CHANGE_PENDING;
 	if (idle->len > 0) {
 		fill_choice(gathering, idle, choice);
-		read_ms = (int64_t)choice->read_ms + gathering->now_ms;
-		/* Late already, or by less than it would be. */
-		if (read_ms <= request->arrived_ms + request->route->goal_ms ||
-		    (gathering->now_ms >=
-			    request->arrived_ms + request->route->goal_ms &&
-			read_ms <=
-			    request->deadline_ms - request->route->goal_ms))
+		if (is_read_in_time(gathering, choice))
 			error = ERROR_NONE;
 	}
 	g_array_unref(idle);
 	return error;
 }
 
+/* By its goal, or, once that has passed, with time left for the answer. */
+static bool
+is_read_in_time(const struct placement_gathering *gathering,
+    const struct placement_choice *choice)
+{
+	const struct placement_request *request = gathering->request;
+	int64_t goal_ms, read_at_ms;
+
+	goal_ms = request->arrived_ms + request->route->goal_ms;
+	read_at_ms = gathering->now_ms + (int64_t)choice->read_ms;
+	if (gathering->now_ms < goal_ms)
+		return read_at_ms <= goal_ms;
+	return read_at_ms <= request->deadline_ms - request->route->goal_ms;
+}
+
 /* Requests whose prompt is read are answered there. */
 static bool
 has_writers(const struct placement_upstream *upstream)
@@ -332,6 +335,14 @@
 	       upstream->own.leading + upstream->others.leading;
 }
 
+/* The longest pause between events that callers of the route bear. */
+static double
+borne_pause_ms(const struct route *route)
+{
+	return route->gap_goal_ms > 0 ? (double)route->gap_goal_ms
+				      : (double)route->goal_ms;
+}
+
 /* For one that is too large: its caller isn't held for a turn that nobody can
  * foresee, unless part of the answer is out. */
 static enum error_code
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
+#include "service/host_seeds.h"
 #include "service/host_voters.h"
 
 #define TIMERS_MAX	      65536  /* Timers of the coordination thread. */
@@ -238,7 +239,6 @@
 	    .receive_other = receive_other,
 	    .context = host,
 	};
-	uint32_t i;
 
 	self->id = settings->host_id;
 	self->incarnation = host->incarnation;
@@ -250,17 +250,8 @@
 	    self->http_ip, sizeof(self->http_ip), "%s", settings->http_address);
 	snprintf(self->data_centre, sizeof(self->data_centre), "%s",
 	    settings->data_centre);
-	for (i = 0; i < settings->seed_count; i++) {
-		snprintf(membership.seeds[i].ip, sizeof(membership.seeds[i].ip),
-		    "%s", settings->seeds[i].address);
-		membership.seeds[i].port = (uint16_t)settings->seeds[i].port;
-		/* Voters must find each other before gossip names them. */
-		if (settings->seeds[i].id != settings->host_id)
-			peer_links_add_host(&host->links, settings->seeds[i].id,
-			    settings->seeds[i].address,
-			    (uint16_t)settings->seeds[i].port);
-	}
-	membership.seed_count = settings->seed_count;
+	membership.seed_count = host_add_seeds(
+	    host, settings->seeds, settings->seed_count, membership.seeds);
 	membership.seed_ms = settings->seed_dial_ms;
 	return membership_init(&host->membership, &membership, &host->timers,
 	    random_word(&host->random), peer_links_port(&host->links), ops);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -209,6 +209,14 @@
 	    ERROR_NONE);
 	fake_net_run(&net, 900);
 	assert_int_equal(dials, 5);
+	/* Other seeds are dialled at once, and only these from then on. */
+	membership_set_seeds(&membership,
+	    (struct membership_seed[]){
+		{"10.0.0.2", 3}, {"10.0.0.3", 3}, {"10.0.0.1", 1}},
+	    3);
+	assert_int_equal(dials, 7);
+	fake_net_run(&net, 300);
+	assert_int_equal(dials, 9);
 	membership_finish(&membership);
 	fake_net_finish(&net);
 }
