A large fleet reads several long prompts at once, and its hosts don't all choose the same engine

With 68 and 87 entry hosts, 704 of 1,363 short prompts went to an engine within 30 ms of another one (chance: 16 in 100), as each host learns late what the others chose. Change: one more long prompt at a time for each twelve engines of the side; the backlog looked at is of the last engine that a prompt needs; the random part of an engine's cost grows with the number of entry hosts. Up to 23 engines and ten hosts nothing changes. Test: three long prompts on sixty engines, red before (the third waited).

--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -17,6 +17,8 @@
 #define LIGHT_PART_MS	     60.0   /* A part that short prompts bear. */
 #define BORNE_PART	     0.85   /* Of a pause that its route allows. */
 #define HEAVY_GAP_PART	     0.4 /* Longer to read than so much of the pause. */
+#define HERD_COST_MS	     0.1 /* Random part, for each entry host. */
+#define RANDOM_STEPS	     1000 /* Of the random part. */
 #define PROFILE_WEIGHT	     0.05 /* Of the latest prompt in the average. */
 #define MS_PER_S	     1000.0
 #define PER_MILLION	     1e6
@@ -412,10 +414,13 @@
 		candidate.upstream = upstream;
 		candidate.is_light =
 		    upstream->rank <= gathering->light_rank_max;
-		/* A random part keeps equal ones from all being the first. */
+		/* A random part keeps hosts from all choosing the same one:
+		 * each learns late what the others chose. */
 		candidate.cost_ms =
 		    cost_of(gathering, upstream, candidate.is_light) +
-		    random_below(&placement->random, 1000) / MS_PER_S;
+		    random_below(&placement->random, RANDOM_STEPS) *
+			MAX(placement->host_count * HERD_COST_MS, 1.0) /
+			RANDOM_STEPS;
 		if (upstream->ejected_until_ms > gathering->now_ms)
 			g_array_append_val(ejected, candidate);
 		else
--- a/src/coordination/placement_turn.c
+++ b/src/coordination/placement_turn.c
@@ -3,13 +3,14 @@
 #define FULL_GOAL_PART	0.85  /* Of the goal: work that may wait. */
 #define SMALL_WORK_MS	800.0 /* Less is never in the way. */
 #define NEXT_BACKLOG_MS 80.0  /* Unread work when the next is due. */
-#define UNREAD_MAX	1u    /* Long prompts being read then. */
+#define ENGINES_A_TURN	12u   /* About so many read one long prompt. */
 #define ENGINES_ENOUGH	6u    /* For any long prompt. */
 #define PART_LONG_MS	500.0 /* A part that fewer engines may read. */
 
 /* The engines that take long prompts, together. */
 struct long_side {
-	double backlog_ms; /* Unread work at the middle one of them. */
+	double backlog_ms; /* Unread work at the middle one of them, or at the
+			      last that a prompt needs. */
 	uint32_t unread;   /* Long prompts that are being read. */
 	uint32_t engines;
 };
@@ -24,6 +25,7 @@
     const struct long_side *side, struct placement_waiter *waiter);
 static struct long_side look_at_long_side(
     const struct placement_gathering *gathering, const GArray *candidates);
+static uint32_t count_unread_most(const struct long_side *side);
 static uint32_t count_unread(const struct placement_load *load, int64_t now_ms);
 static gint compare_numbers(gconstpointer left, gconstpointer right);
 
@@ -52,7 +54,8 @@
 	if (gathering->now_ms >= waiter->useless_ms ||
 	    is_hopeless(gathering, &side, waiter))
 		return ERROR_DEADLINE_UNREACHABLE;
-	if (side.backlog_ms > NEXT_BACKLOG_MS || side.unread > UNREAD_MAX ||
+	if (side.backlog_ms > NEXT_BACKLOG_MS ||
+	    side.unread > count_unread_most(&side) ||
 	    is_worth_waiting(gathering, &side, waiter) ||
 	    placement_best_key(
 		placement, waiter->service, waiter, gathering->now_ms) <
@@ -69,13 +72,18 @@
     const struct placement_gathering *gathering, const GArray *candidates)
 {
 	struct long_side side;
+	uint32_t spare;
+	double waiting_ms;
 
 	side = look_at_long_side(gathering, candidates);
+	/* Turns that a large fleet has beside this one's. */
+	spare = count_unread_most(&side) - 1;
+	waiting_ms = placement_waiting_ms(gathering->placement,
+	    placement_service_hash(gathering->request->service->name),
+	    gathering->now_ms);
 	return side.engines > 0 && side.backlog_ms <= NEXT_BACKLOG_MS &&
-	       side.unread == 0 &&
-	       placement_waiting_ms(gathering->placement,
-		   placement_service_hash(gathering->request->service->name),
-		   gathering->now_ms) <= 0;
+	       side.unread <= spare &&
+	       waiting_ms <= spare * ENGINES_A_TURN * NEXT_BACKLOG_MS;
 }
 
 /* One that is late goes after all that are not, and after the smaller ones
@@ -157,15 +165,23 @@
 		    count_unread(&upstream->others, gathering->now_ms);
 	}
 	side.engines = backlogs->len;
-	/* The median: one engine that is kept for long stops nobody. */
+	/* Not the most: one engine that is kept for long stops nobody, and a
+	 * large fleet has enough others. */
 	g_array_sort(backlogs, compare_numbers);
 	if (side.engines > 0)
-		side.backlog_ms =
-		    g_array_index(backlogs, double, side.engines / 2);
+		side.backlog_ms = g_array_index(backlogs, double,
+		    MIN(side.engines / 2, PLACEMENT_HELPERS_MAX));
 	g_array_unref(backlogs);
 	return side;
 }
 
+/* Load answered: sixty engines, of which one prompt needs a few. */
+static uint32_t
+count_unread_most(const struct long_side *side)
+{
+	return MAX(side->engines / ENGINES_A_TURN, 1u);
+}
+
 /* One that takes longer than predicted counts double: the engines are slower
  * or busier than they seem, and more work would only be late. */
 static uint32_t
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -10,11 +10,12 @@
 #include "coordination/placement.h"
 #include "state/upstream.h"
 
-#define ENGINES	 18
-#define OTHERS	 30
-#define SHORTS	 4 /* Short prompts that an engine answers. */
-#define START_MS 1000000
-#define PLACE(i) ((uint64_t)(0x0a000001 + (i)) << 16 | 8000)
+#define ENGINES	     18
+#define ENGINES_MANY 60 /* Of a grown installation. */
+#define OTHERS	     30
+#define SHORTS	     4 /* Short prompts that an engine answers. */
+#define START_MS     1000000
+#define PLACE(i)     ((uint64_t)(0x0a000001 + (i)) << 16 | 8000)
 
 /* One host and the engines that it places on. */
 struct scene {
@@ -22,12 +23,12 @@
 	struct route_service service;
 	struct route chat;
 	struct route review;
-	struct placement_record records[ENGINES];
-	char names[ENGINES][16];
+	struct placement_record records[ENGINES_MANY];
+	char names[ENGINES_MANY][16];
 };
 
 static void
-open_scene(struct scene *scene, uint64_t seed)
+open_scene_of(struct scene *scene, uint64_t seed, uint32_t engines)
 {
 	static const struct placement_settings settings = {
 	    .data_centre = "a", .cold_overshoot = 1.5, .cold_slack = 5};
@@ -50,7 +51,7 @@
 	    .goal_ms = 3000,
 	    .gap_goal_ms = 1000};
 	placement_init(&scene->placement, &settings, seed);
-	for (i = 0; i < ENGINES; i++) {
+	for (i = 0; i < engines; i++) {
 		snprintf(scene->names[i], sizeof(scene->names[i]), "e%u", i);
 		scene->records[i].id = upstream_id(scene->names[i]);
 		scene->records[i].incarnation = 1;
@@ -61,7 +62,13 @@
 		scene->records[i].slots = 16;
 		scene->records[i].is_usable = true;
 	}
-	placement_update(&scene->placement, scene->records, ENGINES);
+	placement_update(&scene->placement, scene->records, engines);
+}
+
+static void
+open_scene(struct scene *scene, uint64_t seed)
+{
+	open_scene_of(scene, seed, ENGINES);
 }
 
 static void
@@ -220,6 +227,36 @@
 	close_scene(&scene);
 }
 
+/* Load replayed (grown spa-desk trouble-2, seconds 13 to 22): three long prompts
+ * at once, sixty engines. Each needs seventeen: none of them waits. */
+static void
+test_a_large_fleet_reads_several(void **state)
+{
+	struct placement_work works[3] = {0};
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene_of(&scene, 16, ENGINES_MANY);
+	for (i = 0; i < 3; i++) {
+		request =
+		    make_request(&scene, &scene.review, 260000, START_MS + i);
+		assert_int_equal(placement_pick(&scene.placement, &request,
+				     START_MS + i, &waiter, &choice),
+		    ERROR_NONE);
+		assert_in_range(choice.helper_count, 12, 16);
+		placement_wait_end(&scene.placement, &waiter);
+		placement_begin(&scene.placement, &request, &choice,
+		    START_MS + i, &works[i]);
+	}
+	for (i = 0; i < 3; i++)
+		placement_end(&scene.placement, &works[i]);
+	close_scene(&scene);
+}
+
 /* What can't be answered in its time any more is refused at once. */
 static void
 test_hopeless_turn_is_refused(void **state)
@@ -743,6 +780,7 @@
 	    cmocka_unit_test(test_long_prompt_is_read_in_parts),
 	    cmocka_unit_test(test_memory_of_several),
 	    cmocka_unit_test(test_long_prompts_take_turns),
+	    cmocka_unit_test(test_a_large_fleet_reads_several),
 	    cmocka_unit_test(test_hopeless_turn_is_refused),
 	    cmocka_unit_test(test_late_behind_many_is_refused),
 	    cmocka_unit_test(test_long_parts_spare_writers),
