A long part waits for idle engines only while there are any, and while it is of use

Cause, found by reading the diff: a prompt whose part is too long for those who write waited for idle engines (1) also where the service has no engine on the long prompts' side, as with a single one, and (2) with too little work for the line of turns, whose end of usefulness was the only one: both were held until their deadline. Change: with nowhere else to wait for it goes; once reading it is of no use its caller is told at once.

--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -38,6 +38,8 @@
     const struct placement_choice *choice);
 static enum error_code choose_idle(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_choice *choice);
+static bool is_useless_now(
+    const struct placement_gathering *gathering, double read_ms);
 static bool is_read_in_time(const struct placement_gathering *gathering,
     const struct placement_choice *choice);
 static bool has_writers(const struct placement_upstream *upstream);
@@ -287,21 +289,27 @@
 	return false;
 }
 
-/* Read only by those that answer nobody; it waits for enough of them. */
+/* Read only by those that answer nobody; it waits for enough of them, as long
+ * as that is of use. */
 static enum error_code
 choose_idle(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_choice *choice)
 {
 	const struct placement_candidate *candidate;
 	enum error_code error;
+	uint32_t engines;
 	GArray *idle;
 	guint i;
 
+	engines = 0;
 	idle = g_array_new(FALSE, FALSE, sizeof(*candidate));
 	for (i = 0; i < candidates->len; i++) {
 		candidate =
 		    &g_array_index(candidates, struct placement_candidate, i);
-		if (!candidate->is_light && !has_writers(candidate->upstream))
+		if (candidate->is_light)
+			continue;
+		engines++;
+		if (!has_writers(candidate->upstream))
 			g_array_append_vals(idle, candidate, 1);
 	}
 	error = ERROR_CHANGE_PENDING;
@@ -310,10 +318,25 @@
 		if (is_read_in_time(gathering, choice))
 			error = ERROR_NONE;
 	}
+	if (engines == 0)
+		error = ERROR_NONE; /* There is nowhere else to wait for. */
+	else if (error != ERROR_NONE &&
+		 is_useless_now(gathering, gathering->whole_read_ms / engines))
+		error = ERROR_DEADLINE_UNREACHABLE;
 	g_array_unref(idle);
 	return error;
 }
 
+/* What is left is too short to read it and to answer. */
+static bool
+is_useless_now(const struct placement_gathering *gathering, double read_ms)
+{
+	const struct placement_request *request = gathering->request;
+
+	return gathering->now_ms + (int64_t)read_ms + request->route->goal_ms >=
+	       request->deadline_ms;
+}
+
 /* By its goal, or, once that has passed, with time left for the answer. */
 static bool
 is_read_in_time(const struct placement_gathering *gathering,
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -369,6 +369,72 @@
 	close_scene(&scene);
 }
 
+/* The only engine answers somebody: the largest prompt goes there all the same,
+ * as there is nothing to wait for. */
+static void
+test_long_part_goes_to_the_only_engine(void **state)
+{
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct placement_work work = {0};
+	struct scene scene;
+
+	(void)state;
+	open_scene_of(&scene, 17, 1);
+	request = make_request(&scene, &scene.review, 100000, START_MS);
+	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
+			     &waiter, &choice),
+	    ERROR_NONE);
+	placement_begin(&scene.placement, &request, &choice, START_MS, &work);
+	placement_note_read(&scene.placement, &work);
+	request = make_request(&scene, &scene.review, 150000, START_MS + 2000);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 2000, &waiter, &choice),
+	    ERROR_NONE);
+	placement_end(&scene.placement, &work);
+	close_scene(&scene);
+}
+
+/* A prompt whose part is too long for those who write, and too short for the
+ * line of turns, is told in time that it waits in vain. */
+static void
+test_no_long_part_waits_in_vain(void **state)
+{
+	struct placement_work works[2] = {0};
+	struct placement_waiter waiter = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct scene scene;
+	uint32_t i;
+
+	(void)state;
+	open_scene_of(&scene, 18, 2);
+	scene.review.gap_goal_ms = 400;
+	scene.review.goal_ms = 1500;
+	for (i = 0; i < 2; i++) {
+		request = make_request(&scene, &scene.review, 30000, START_MS);
+		choice = (struct placement_choice){.is_heavy = true,
+		    .upstream = g_hash_table_lookup(
+			scene.placement.upstreams, &scene.records[i].id)};
+		placement_begin(
+		    &scene.placement, &request, &choice, START_MS, &works[i]);
+		placement_note_read(&scene.placement, &works[i]);
+	}
+	request = make_request(&scene, &scene.review, 60000, START_MS + 10);
+	request.is_alone = true;
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 10, &waiter, &choice),
+	    ERROR_CHANGE_PENDING);
+	assert_int_equal(placement_pick(&scene.placement, &request,
+			     START_MS + 13500, &waiter, &choice),
+	    ERROR_DEADLINE_UNREACHABLE);
+	placement_wait_end(&scene.placement, &waiter);
+	for (i = 0; i < 2; i++)
+		placement_end(&scene.placement, &works[i]);
+	close_scene(&scene);
+}
+
 /* Load replayed (kjwr-hq scale-1, seconds 7 to 11): a prompt of middle size
  * comes while the long prompts' side is reading a large one. Without helpers
  * it would stop the short answers beside it for as long as it takes. */
@@ -784,6 +850,8 @@
 	    cmocka_unit_test(test_hopeless_turn_is_refused),
 	    cmocka_unit_test(test_late_behind_many_is_refused),
 	    cmocka_unit_test(test_long_parts_spare_writers),
+	    cmocka_unit_test(test_long_part_goes_to_the_only_engine),
+	    cmocka_unit_test(test_no_long_part_waits_in_vain),
 	    cmocka_unit_test(test_short_side_leads_only_with_helpers),
 	    cmocka_unit_test(test_long_prompt_is_led_away_from_short_ones),
 	    cmocka_unit_test(test_larger_short_prompts_are_read_in_parts),
