--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -31,6 +31,7 @@
         self.starts = 0
         self.is_killed = False
         self.is_stopped = False
+        self.is_starting = False
         self.faults_path = f"{world.folder}/{self.name}.faults"
         self.front = Proxy((self.ip, FRONT_PORT + 1), (self.ip, FRONT_PORT))
         self.control = Proxy((self.ip, CONTROL_PORT + 1), (self.ip, CONTROL_PORT))
@@ -74,6 +75,7 @@
         os.replace(self.faults_path + ".new", self.faults_path)
 
     async def start(self, is_first=False):
+        self.is_starting = True
         self.write_settings(is_first)
         self.starts += 1
         self.is_killed = False
@@ -87,6 +89,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 self.world.program, "serve-platform", env=environment, stdout=log, stderr=log
             )
+        self.is_starting = False
 
     def signal(self, number):
         """Sends a signal to the process that this soak started, if it runs."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -87,9 +87,11 @@
         return [host.control.listen for host in hosts]
 
     async def start_again(self, host):
-        """Starts a host that is down, unless another fault keeps it there."""
-        if not host.is_stopped and host.process.returncode is not None:
-            await host.start()
+        """Starts a host that is down, unless another fault keeps it there, or is
+        just starting it too."""
+        if host.is_stopped or host.is_starting or host.process.returncode is None:
+            return
+        await host.start()
 
 
 async def play_seed(program, seed, slot, folder, patience, prints):
