A pick looks at peers and backlogs once

The gathering now holds the peers' sum, the hash and the work of the others that wait; a candidate holds its backlog. When it is of no use to begin stood twice (turn and idle engines): placement_useless_ms().

--- a/src/coordination/placement_helpers.c
+++ b/src/coordination/placement_helpers.c
@@ -9,7 +9,7 @@
 
 static uint32_t list_helpers(const struct placement_gathering *gathering,
     const GArray *candidates, const struct placement_upstream *reader,
-    const struct placement_upstream **helpers);
+    const struct placement_candidate **helpers);
 static uint32_t count_helpers_most(const struct placement_gathering *gathering);
 static bool may_help(const struct placement_gathering *gathering,
     const struct placement_candidate *candidate);
@@ -28,7 +28,7 @@
 placement_choose_helpers(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_choice *choice)
 {
-	const struct placement_upstream *helpers[PLACEMENT_HELPERS_MAX] = {0};
+	const struct placement_candidate *helpers[PLACEMENT_HELPERS_MAX] = {0};
 	double wait_ms, best_ms, end_ms;
 	uint32_t count, most, i;
 
@@ -38,8 +38,7 @@
 	count = list_helpers(gathering, candidates, choice->upstream, helpers);
 	best_ms = choice->wait_ms + choice->whole_read_ms;
 	for (i = 0; i < count && i < most; i++) {
-		wait_ms = MAX(choice->wait_ms,
-		    placement_backlog_ms(helpers[i], gathering->now_ms));
+		wait_ms = MAX(choice->wait_ms, helpers[i]->backlog_ms);
 		end_ms = wait_ms + choice->whole_read_ms / (i + 2);
 		if (end_ms >= best_ms)
 			continue;
@@ -47,8 +46,8 @@
 		choice->helper_count = i + 1;
 	}
 	for (i = 0; i < choice->helper_count && helpers[i] != NULL; i++) {
-		choice->helpers[i] = helpers[i]->id;
-		choice->helper_places[i] = helpers[i]->place;
+		choice->helpers[i] = helpers[i]->upstream->id;
+		choice->helper_places[i] = helpers[i]->upstream->place;
 	}
 }
 
@@ -88,25 +87,24 @@
 static uint32_t
 count_helpers_most(const struct placement_gathering *gathering)
 {
-	uint32_t most;
-
-	most = (uint32_t)(gathering->request->prompt_tokens / TOKENS_PER_PART);
-	if (!gathering->is_heavy)
-		most =
-		    gathering->whole_read_ms < 2 * SHORT_PART_MS
-			? 0
-			: (uint32_t)(gathering->whole_read_ms / SHORT_PART_MS);
-	return MIN(most, PLACEMENT_HELPERS_MAX);
+	double most;
+
+	if (gathering->is_heavy)
+		most = gathering->request->prompt_tokens / TOKENS_PER_PART;
+	else if (gathering->whole_read_ms >= 2 * SHORT_PART_MS)
+		most = gathering->whole_read_ms / SHORT_PART_MS;
+	else
+		most = 0;
+	return MIN((uint32_t)most, PLACEMENT_HELPERS_MAX);
 }
 
 /* The least busy first. */
 static uint32_t
 list_helpers(const struct placement_gathering *gathering,
     const GArray *candidates, const struct placement_upstream *reader,
-    const struct placement_upstream **helpers)
+    const struct placement_candidate **helpers)
 {
 	const struct placement_candidate *candidate;
-	double backlog_ms;
 	uint32_t count, at;
 	guint i;
 
@@ -117,17 +115,15 @@
 		if (candidate->upstream == reader ||
 		    !may_help(gathering, candidate))
 			continue;
-		backlog_ms = placement_backlog_ms(
-		    candidate->upstream, gathering->now_ms);
 		for (at = count; at > 0; at--) {
-			if (placement_backlog_ms(helpers[at - 1],
-				gathering->now_ms) <= backlog_ms)
+			if (helpers[at - 1]->backlog_ms <=
+			    candidate->backlog_ms)
 				break;
 			if (at < PLACEMENT_HELPERS_MAX)
 				helpers[at] = helpers[at - 1];
 		}
 		if (at < PLACEMENT_HELPERS_MAX)
-			helpers[at] = candidate->upstream;
+			helpers[at] = candidate;
 		count = MIN(count + 1, PLACEMENT_HELPERS_MAX);
 	}
 	return count;
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -37,7 +37,8 @@
 struct placement_candidate {
 	struct placement_upstream *upstream; /**< Until the next update. */
 	double cost_ms;			     /**< The cheapest is taken. */
-	bool is_light; /**< On the side of short prompts. */
+	double backlog_ms; /**< placement_backlog_ms() of the upstream. */
+	bool is_light;	   /**< On the side of short prompts. */
 };
 
 /** What the candidates of one request are gathered by. */
@@ -45,16 +46,20 @@
 	struct placement *placement;		 /**< Whose they are. */
 	const struct placement_request *request; /**< For which. */
 	int64_t now_ms;				 /**< Time of the decision. */
-	bool is_heavy;				 /**< It has a long prompt... */
-	bool is_too_large;	 /**< ...over the memory of any engine. */
-	bool is_waiting;	 /**< Counted among those that wait. */
-	bool is_light_led;	 /**< To be led on the short prompts' side. */
-	double whole_read_ms;	 /**< Its prompt, read by one engine. */
-	uint64_t kv_tokens;	 /**< Memory that it takes. */
-	uint64_t light_rank_max; /**< Ranks up to it take short prompts. */
-	uint32_t usable_count;	 /**< Upstreams of the service... */
-	uint32_t healthy_count;	 /**< ...of these, not ejected... */
-	uint32_t light_count;	 /**< ...of these, for short prompts. */
+	uint64_t service;	  /**< placement_service_hash() of its. */
+	struct peer_demand peers; /**< What the other hosts ask of it. */
+	double others_waiting_ms; /**< Work of the long prompts that wait,
+					without this one's. */
+	bool is_heavy;		  /**< It has a long prompt... */
+	bool is_too_large;	  /**< ...over the memory of any engine. */
+	bool is_waiting;	  /**< Counted among those that wait. */
+	bool is_light_led;	  /**< To be led on the short prompts' side. */
+	double whole_read_ms;	  /**< Its prompt, read by one engine. */
+	uint64_t kv_tokens;	  /**< Memory that it takes. */
+	uint64_t light_rank_max;  /**< Ranks up to it take short prompts. */
+	uint32_t usable_count;	  /**< Upstreams of the service... */
+	uint32_t healthy_count;	  /**< ...of these, not ejected... */
+	uint32_t light_count;	  /**< ...of these, for short prompts. */
 	struct split_demand demand; /**< That led to it. */
 };
 
@@ -79,6 +84,10 @@
 /** Whether a long prompt may go now. Errors: those of placement_pick(). */
 enum error_code placement_take_turn(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_waiter *waiter);
+/** When it is of no use any more to begin a prompt that takes @p read_ms to
+ * read: what is left then is too short to read it and to answer. */
+int64_t placement_useless_ms(
+    const struct placement_request *request, double read_ms);
 /** Whether nothing else is read or waits: a prompt over one engine's memory
  * may go. */
 bool placement_is_idle_enough(
@@ -100,11 +109,11 @@
 uint64_t placement_wait_key(
     const struct placement_waiter *waiter, int64_t now_ms);
 /** The lowest key of all hosts but for @p except's; UINT64_MAX for none. */
-uint64_t placement_best_key(struct placement *placement, uint64_t service,
-    const struct placement_waiter *except, int64_t now_ms);
+uint64_t placement_best_key(const struct placement_gathering *gathering,
+    const struct placement_waiter *except);
 /** Work of all long prompts that wait, in milliseconds of one engine. */
-double placement_waiting_ms(
-    struct placement *placement, uint64_t service, int64_t now_ms);
+double placement_waiting_ms(struct placement *placement, uint64_t service,
+    const struct peer_demand *peers);
 
 /* placement_report.c */
 
@@ -113,8 +122,8 @@
     struct placement *placement, uint64_t service, int64_t now_ms);
 /** Sums the other hosts' work up, if a report came since. */
 void placement_sum_others(struct placement *placement, int64_t now_ms);
-/** What all hosts ask of a service. */
-struct split_demand placement_demand(
-    struct placement *placement, uint64_t service, int64_t now_ms);
+/** What all hosts ask of a service, the others as @p peers. */
+struct split_demand placement_demand(struct placement *placement,
+    uint64_t service, const struct peer_demand *peers, int64_t now_ms);
 
 #endif
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -26,7 +26,8 @@
 static bool is_heavy_request(
     struct placement *placement, const struct placement_request *request);
 static uint64_t find_light_rank(struct placement_gathering *gathering);
-static void judge_prompt(struct placement_gathering *gathering);
+static void judge_prompt(struct placement_gathering *gathering,
+    const struct placement_waiter *waiter);
 static enum error_code pick_among_all(struct placement_gathering *gathering,
     struct placement_waiter *waiter, struct placement_choice *choice);
 static enum error_code choose(const struct placement_gathering *gathering,
@@ -38,8 +39,6 @@
     const struct placement_choice *choice);
 static enum error_code choose_idle(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_choice *choice);
-static bool is_useless_now(
-    const struct placement_gathering *gathering, double read_ms);
 static bool is_read_in_time(const struct placement_gathering *gathering,
     const struct placement_choice *choice);
 static bool has_writers(const struct placement_upstream *upstream);
@@ -55,7 +54,7 @@
     const struct placement_upstream *upstream,
     const struct route_service *service, int64_t now_ms);
 static double cost_of(const struct placement_gathering *gathering,
-    const struct placement_upstream *upstream, bool is_light);
+    const struct placement_candidate *candidate);
 
 enum error_code
 placement_pick(struct placement *placement,
@@ -74,7 +73,7 @@
 	memset(choice, 0, sizeof(*choice));
 	placement_sum_others(placement, now_ms);
 	if (request->service->has_engine && request->prompt_tokens > 0)
-		judge_prompt(&gathering);
+		judge_prompt(&gathering, waiter);
 	error = pick_among_all(&gathering, waiter, choice);
 	if (error != ERROR_NONE || !choice->is_light_led ||
 	    choice->read_ms <= LIGHT_PART_MS)
@@ -89,12 +88,15 @@
     const struct route_service *service, int64_t now_ms)
 {
 	const struct placement_upstream *upstream;
+	struct peer_demand peers;
 	uint32_t engines;
 	GHashTableIter iter;
+	uint64_t hash;
 	double work_ms;
 
-	work_ms = placement_waiting_ms(
-	    placement, placement_service_hash(service->name), now_ms);
+	hash = placement_service_hash(service->name);
+	peers = placement_peer_demand(placement, hash, now_ms);
+	work_ms = placement_waiting_ms(placement, hash, &peers);
 	engines = 0;
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
@@ -158,13 +160,9 @@
 			g_array_append_val(ranks, upstream->rank);
 	}
 	gathering->demand = placement_demand(gathering->placement,
-	    placement_service_hash(gathering->request->service->name),
-	    gathering->now_ms);
-	split_demand_add(&gathering->demand,
-	    placement_waiting_ms(gathering->placement,
-		placement_service_hash(gathering->request->service->name),
-		gathering->now_ms));
-	if (gathering->is_heavy && !gathering->is_waiting)
+	    gathering->service, &gathering->peers, gathering->now_ms);
+	split_demand_add(&gathering->demand, gathering->others_waiting_ms);
+	if (gathering->is_heavy || gathering->is_waiting)
 		split_demand_add(&gathering->demand, gathering->whole_read_ms);
 	light = split_light_count(ranks->len, &gathering->demand);
 	gathering->light_count = light;
@@ -178,10 +176,18 @@
 }
 
 static void
-judge_prompt(struct placement_gathering *gathering)
+judge_prompt(struct placement_gathering *gathering,
+    const struct placement_waiter *waiter)
 {
 	const struct placement_request *request = gathering->request;
 
+	gathering->service = placement_service_hash(request->service->name);
+	gathering->peers = placement_peer_demand(
+	    gathering->placement, gathering->service, gathering->now_ms);
+	gathering->others_waiting_ms =
+	    placement_waiting_ms(
+		gathering->placement, gathering->service, &gathering->peers) -
+	    waiter->work_ms;
 	gathering->is_heavy = is_heavy_request(gathering->placement, request);
 	gathering->whole_read_ms =
 	    engine_read_ms(&request->service->engine, request->prompt_tokens);
@@ -248,8 +254,7 @@
 	choice->is_heavy = gathering->is_heavy;
 	choice->is_light_led = gathering->is_light_led && best->is_light;
 	choice->kv_tokens = gathering->kv_tokens;
-	choice->wait_ms =
-	    placement_backlog_ms(best->upstream, gathering->now_ms);
+	choice->wait_ms = best->backlog_ms;
 	choice->light_count = gathering->light_count;
 	choice->usable_count = gathering->usable_count;
 	choice->demand = gathering->demand;
@@ -321,22 +326,13 @@
 	if (engines == 0)
 		error = ERROR_NONE; /* There is nowhere else to wait for. */
 	else if (error != ERROR_NONE &&
-		 is_useless_now(gathering, gathering->whole_read_ms / engines))
+		 gathering->now_ms >= placement_useless_ms(gathering->request,
+					  gathering->whole_read_ms / engines))
 		error = ERROR_DEADLINE_UNREACHABLE;
 	g_array_unref(idle);
 	return error;
 }
 
-/* What is left is too short to read it and to answer. */
-static bool
-is_useless_now(const struct placement_gathering *gathering, double read_ms)
-{
-	const struct placement_request *request = gathering->request;
-
-	return gathering->now_ms + (int64_t)read_ms + request->route->goal_ms >=
-	       request->deadline_ms;
-}
-
 /* By its goal, or, once that has passed, with time left for the answer. */
 static bool
 is_read_in_time(const struct placement_gathering *gathering,
@@ -439,8 +435,10 @@
 		    upstream->rank <= gathering->light_rank_max;
 		/* A random part keeps hosts from all choosing the same one:
 		 * each learns late what the others chose. */
+		candidate.backlog_ms =
+		    placement_backlog_ms(upstream, gathering->now_ms);
 		candidate.cost_ms =
-		    cost_of(gathering, upstream, candidate.is_light) +
+		    cost_of(gathering, &candidate) +
 		    random_below(&placement->random, RANDOM_STEPS) *
 			MAX(placement->host_count * HERD_COST_MS, 1.0) /
 			RANDOM_STEPS;
@@ -497,8 +495,9 @@
 
 static double
 cost_of(const struct placement_gathering *gathering,
-    const struct placement_upstream *upstream, bool is_light)
+    const struct placement_candidate *candidate)
 {
+	const struct placement_upstream *upstream = candidate->upstream;
 	const struct engine_speed *engine =
 	    &gathering->request->service->engine;
 	bool belongs_light;
@@ -507,8 +506,7 @@
 	uint64_t used;
 
 	running = upstream->own.running + upstream->others.running;
-	cost_ms = placement_backlog_ms(upstream, gathering->now_ms) +
-		  running * RUNNING_COST_MS +
+	cost_ms = candidate->backlog_ms + running * RUNNING_COST_MS +
 		  upstream->failure_share * FAILURE_COST_MS;
 	if (running >= upstream->slots)
 		cost_ms += (running - upstream->slots + 1) * FULL_COST_MS;
@@ -519,11 +517,11 @@
 	if (gathering->kv_tokens == 0)
 		return cost_ms;
 	belongs_light = !gathering->is_heavy || gathering->is_light_led;
-	if (is_light && !belongs_light)
+	if (candidate->is_light && !belongs_light)
 		cost_ms += LONG_ASTRAY_COST_MS;
-	if (!is_light && belongs_light)
+	if (!candidate->is_light && belongs_light)
 		cost_ms += SHORT_ASTRAY_COST_MS;
-	if (!belongs_light && !is_light)
+	if (!candidate->is_light && !belongs_light)
 		cost_ms +=
 		    placement_count_short(upstream) * SHORT_BESIDE_COST_MS;
 	used = upstream->own.kv_tokens + upstream->others.kv_tokens;
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -111,16 +111,15 @@
 }
 
 struct split_demand
-placement_demand(struct placement *placement, uint64_t service, int64_t now_ms)
+placement_demand(struct placement *placement, uint64_t service,
+    const struct peer_demand *peers, int64_t now_ms)
 {
 	const struct service_load *own;
 	struct split_demand demand;
-	struct peer_demand peers;
 
 	own = placement_service(placement, service);
-	peers = placement_peer_demand(placement, service, now_ms);
-	demand.light = own_light(own) + peers.light;
-	demand.heavy = own_heavy(own, now_ms) + peers.heavy;
+	demand.light = own_light(own) + peers->light;
+	demand.heavy = own_heavy(own, now_ms) + peers->heavy;
 	return demand;
 }
 
--- a/src/coordination/placement_turn.c
+++ b/src/coordination/placement_turn.c
@@ -38,7 +38,6 @@
 placement_take_turn(const struct placement_gathering *gathering,
     const GArray *candidates, struct placement_waiter *waiter)
 {
-	struct placement *placement = gathering->placement;
 	const struct placement_request *request = gathering->request;
 	struct long_side side;
 
@@ -57,13 +56,19 @@
 	if (side.backlog_ms > NEXT_BACKLOG_MS ||
 	    side.unread > count_unread_most(&side) ||
 	    is_worth_waiting(gathering, &side, waiter) ||
-	    placement_best_key(
-		placement, waiter->service, waiter, gathering->now_ms) <
+	    placement_best_key(gathering, waiter) <
 		placement_wait_key(waiter, gathering->now_ms))
 		return ERROR_CHANGE_PENDING;
 	return ERROR_NONE;
 }
 
+int64_t
+placement_useless_ms(const struct placement_request *request, double read_ms)
+{
+	return request->deadline_ms - (int64_t)read_ms -
+	       request->route->goal_ms;
+}
+
 /* Load answered: a prompt of half a million tokens takes as much reading as ten
  * of the largest that one engine can hold, and all of these would be late: it
  * goes when nothing else waits. */
@@ -73,17 +78,14 @@
 {
 	struct long_side side;
 	uint32_t spare;
-	double waiting_ms;
 
 	side = look_at_long_side(gathering, candidates);
 	/* Turns that a large fleet has beside this one's. */
 	spare = count_unread_most(&side) - 1;
-	waiting_ms = placement_waiting_ms(gathering->placement,
-	    placement_service_hash(gathering->request->service->name),
-	    gathering->now_ms);
 	return side.engines > 0 && side.backlog_ms <= NEXT_BACKLOG_MS &&
 	       side.unread <= spare &&
-	       waiting_ms <= spare * ENGINES_A_TURN * NEXT_BACKLOG_MS;
+	       gathering->others_waiting_ms <=
+		   spare * ENGINES_A_TURN * NEXT_BACKLOG_MS;
 }
 
 /* One that is late goes after all that are not, and after the smaller ones
@@ -92,14 +94,10 @@
 is_hopeless(const struct placement_gathering *gathering,
     const struct long_side *side, const struct placement_waiter *waiter)
 {
-	double before_ms;
-
 	if (gathering->now_ms - waiter->since_ms < waiter->goal_ms)
 		return false;
-	before_ms = placement_waiting_ms(gathering->placement, waiter->service,
-			gathering->now_ms) -
-		    waiter->work_ms;
-	return gathering->now_ms + (int64_t)(before_ms / side->engines) >
+	return gathering->now_ms +
+		   (int64_t)(gathering->others_waiting_ms / side->engines) >
 	       waiter->useless_ms;
 }
 
@@ -118,11 +116,9 @@
 begin_wait(const struct placement_gathering *gathering,
     struct placement_waiter *waiter)
 {
-	const struct placement_request *request = gathering->request;
-
-	waiter->service = placement_service_hash(request->service->name);
+	waiter->service = gathering->service;
 	waiter->work_ms = gathering->whole_read_ms;
-	waiter->since_ms = request->arrived_ms;
+	waiter->since_ms = gathering->request->arrived_ms;
 	g_ptr_array_add(gathering->placement->waiters, waiter);
 }
 
@@ -132,12 +128,10 @@
     const struct long_side *side, struct placement_waiter *waiter)
 {
 	const struct placement_request *request = gathering->request;
-	int64_t read_ms = (int64_t)(waiter->work_ms / side->engines);
+	double read_ms = waiter->work_ms / side->engines;
 
-	waiter->goal_ms = request->route->goal_ms - read_ms;
-	/* What is left then is too short to read it and to answer. */
-	waiter->useless_ms =
-	    request->deadline_ms - read_ms - request->route->goal_ms;
+	waiter->goal_ms = request->route->goal_ms - (int64_t)read_ms;
+	waiter->useless_ms = placement_useless_ms(request, read_ms);
 }
 
 static struct long_side
@@ -147,7 +141,6 @@
 	const struct placement_candidate *candidate;
 	const struct placement_upstream *upstream;
 	struct long_side side = {0};
-	double backlog_ms;
 	GArray *backlogs;
 	guint i;
 
@@ -158,8 +151,7 @@
 		upstream = candidate->upstream;
 		if (candidate->is_light)
 			continue;
-		backlog_ms = placement_backlog_ms(upstream, gathering->now_ms);
-		g_array_append_val(backlogs, backlog_ms);
+		g_array_append_val(backlogs, candidate->backlog_ms);
 		side.unread +=
 		    count_unread(&upstream->own, gathering->now_ms) +
 		    count_unread(&upstream->others, gathering->now_ms);
--- a/src/coordination/placement_wait.c
+++ b/src/coordination/placement_wait.c
@@ -20,31 +20,33 @@
 }
 
 uint64_t
-placement_best_key(struct placement *placement, uint64_t service,
-    const struct placement_waiter *except, int64_t now_ms)
+placement_best_key(const struct placement_gathering *gathering,
+    const struct placement_waiter *except)
 {
+	const GPtrArray *waiters = gathering->placement->waiters;
 	const struct placement_waiter *waiter;
 	uint64_t best;
 	guint i;
 
-	best = placement_peer_demand(placement, service, now_ms).best_key;
-	for (i = 0; i < placement->waiters->len; i++) {
-		waiter = g_ptr_array_index(placement->waiters, i);
-		if (waiter != except && waiter->service == service)
-			best = MIN(best, placement_wait_key(waiter, now_ms));
+	best = gathering->peers.best_key;
+	for (i = 0; i < waiters->len; i++) {
+		waiter = g_ptr_array_index(waiters, i);
+		if (waiter != except && waiter->service == gathering->service)
+			best = MIN(best,
+			    placement_wait_key(waiter, gathering->now_ms));
 	}
 	return best;
 }
 
 double
-placement_waiting_ms(
-    struct placement *placement, uint64_t service, int64_t now_ms)
+placement_waiting_ms(struct placement *placement, uint64_t service,
+    const struct peer_demand *peers)
 {
 	const struct placement_waiter *waiter;
 	double total;
 	guint i;
 
-	total = placement_peer_demand(placement, service, now_ms).waiting_ms;
+	total = peers->waiting_ms;
 	for (i = 0; i < placement->waiters->len; i++) {
 		waiter = g_ptr_array_index(placement->waiters, i);
 		if (waiter->service == service)
