Tests of placement and relay say once how a prompt is sent to an engine

Four tests of placement built the same choice and request by hand, three of the relay wrote the same large prompt out. engine_at(), begin_at() and LARGE; the assertions are as they were.

--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -91,6 +91,29 @@
 	};
 }
 
+static struct placement_upstream *
+engine_at(struct scene *scene, uint32_t i)
+{
+	return g_hash_table_lookup(
+	    scene->placement.upstreams, &scene->records[i].id);
+}
+
+/* Sends a prompt to an engine, whatever would have been picked; it reads for
+ * so long. */
+static void
+begin_at(struct scene *scene, struct placement_upstream *engine,
+    const struct route *route, double tokens, double read_ms,
+    struct placement_work *work)
+{
+	struct placement_request request;
+	struct placement_choice choice = {.upstream = engine,
+	    .is_heavy = route == &scene->review,
+	    .read_ms = read_ms};
+
+	request = make_request(scene, route, tokens, START_MS);
+	placement_begin(&scene->placement, &request, &choice, START_MS, work);
+}
+
 /* Reading alone: 182,000 tokens take 1.2 s, their pairs 2.7 s. */
 static void
 test_reading_time(void **state)
@@ -175,8 +198,7 @@
 	placement_end(&scene.placement, &work);
 	/* Without room for it, it is not begun. */
 	for (i = 0; i < ENGINES; i++) {
-		holder = g_hash_table_lookup(
-		    scene.placement.upstreams, &scene.records[i].id);
+		holder = engine_at(&scene, i);
 		holder->own.kv_tokens = 340000;
 	}
 	assert_int_equal(placement_pick(&scene.placement, &request, START_MS,
@@ -331,7 +353,6 @@
 	struct placement_work works[ENGINES] = {0};
 	struct placement_waiter waiter = {0};
 	struct placement_request request;
-	struct placement_upstream *upstream;
 	struct placement_choice choice;
 	struct scene scene;
 	uint32_t i;
@@ -339,13 +360,8 @@
 	(void)state;
 	open_scene(&scene, 12);
 	for (i = 0; i < ENGINES; i++) {
-		upstream = g_hash_table_lookup(
-		    scene.placement.upstreams, &scene.records[i].id);
-		choice = (struct placement_choice){
-		    .upstream = upstream, .is_heavy = true};
-		request = make_request(&scene, &scene.review, 100000, START_MS);
-		placement_begin(
-		    &scene.placement, &request, &choice, START_MS, &works[i]);
+		begin_at(&scene, engine_at(&scene, i), &scene.review, 100000, 0,
+		    &works[i]);
 		placement_note_read(&scene.placement, &works[i]);
 	}
 	request = make_request(&scene, &scene.review, 390000, START_MS + 10);
@@ -413,12 +429,8 @@
 	scene.review.gap_goal_ms = 400;
 	scene.review.goal_ms = 1500;
 	for (i = 0; i < 2; i++) {
-		request = make_request(&scene, &scene.review, 30000, START_MS);
-		choice = (struct placement_choice){.is_heavy = true,
-		    .upstream = g_hash_table_lookup(
-			scene.placement.upstreams, &scene.records[i].id)};
-		placement_begin(
-		    &scene.placement, &request, &choice, START_MS, &works[i]);
+		begin_at(&scene, engine_at(&scene, i), &scene.review, 30000, 0,
+		    &works[i]);
 		placement_note_read(&scene.placement, &works[i]);
 	}
 	request = make_request(&scene, &scene.review, 60000, START_MS + 10);
@@ -444,7 +456,6 @@
 	struct placement_work works[ENGINES] = {0};
 	struct placement_waiter waiter = {0};
 	struct placement_request request;
-	struct placement_upstream *upstream;
 	struct placement_choice choice;
 	struct scene scene;
 	uint32_t i;
@@ -458,13 +469,8 @@
 		placement_wait_end(&scene.placement, &waiter);
 	}
 	for (i = 0; i < ENGINES; i++) {
-		upstream = g_hash_table_lookup(
-		    scene.placement.upstreams, &scene.records[i].id);
-		choice = (struct placement_choice){
-		    .upstream = upstream, .is_heavy = true, .read_ms = 900};
-		request = make_request(&scene, &scene.review, 250000, START_MS);
-		placement_begin(
-		    &scene.placement, &request, &choice, START_MS, &works[i]);
+		begin_at(&scene, engine_at(&scene, i), &scene.review, 250000,
+		    900, &works[i]);
 	}
 	request = make_request(&scene, &scene.review, 36000, START_MS + 10);
 	assert_int_equal(placement_pick(&scene.placement, &request,
@@ -487,8 +493,8 @@
 {
 	struct placement_work works[ENGINES][SHORTS] = {0};
 	struct placement_waiter waiter = {0};
-	struct placement_request request, chat;
-	struct placement_upstream *upstream, *spared;
+	struct placement_request request;
+	struct placement_upstream *engine, *spared;
 	struct placement_choice choice;
 	struct scene scene;
 	uint32_t at, i;
@@ -497,24 +503,17 @@
 	open_scene(&scene, 14);
 	spared = NULL;
 	for (at = 0; at < ENGINES; at++) {
-		upstream = g_hash_table_lookup(
-		    scene.placement.upstreams, &scene.records[at].id);
-		if (spared == NULL || upstream->rank > spared->rank)
-			spared = upstream;
+		engine = engine_at(&scene, at);
+		if (spared == NULL || engine->rank > spared->rank)
+			spared = engine;
 	}
 	/* The highest rank is the last that takes short prompts. */
 	spared->own.read_until_ms = START_MS + 40;
 	for (at = 0; at < ENGINES; at++) {
-		upstream = g_hash_table_lookup(
-		    scene.placement.upstreams, &scene.records[at].id);
-		for (i = 0; upstream != spared && i < SHORTS; i++) {
-			choice =
-			    (struct placement_choice){.upstream = upstream};
-			chat =
-			    make_request(&scene, &scene.chat, 5000, START_MS);
-			placement_begin(&scene.placement, &chat, &choice,
-			    START_MS, &works[at][i]);
-		}
+		engine = engine_at(&scene, at);
+		for (i = 0; engine != spared && i < SHORTS; i++)
+			begin_at(&scene, engine, &scene.chat, 5000, 0,
+			    &works[at][i]);
 	}
 	request = make_request(&scene, &scene.review, 150000, START_MS);
 	request.is_begun = true;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -15,7 +15,11 @@
 	method " " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"           \
 	       "X-Api-Key: key1\r\nDeadline-Ms: 1000\r\n"
 #define ASK(path) HEAD("POST", path) "Content-Length: 5\r\n\r\nhello"
-#define OWN	  "Attempt-Id: {ID}\r\nResponse-Seal: seal\r\n"
+/* A prompt that one engine of the scene has no memory for. */
+#define LARGE                                                                  \
+	HEAD("POST", "/stream/")                                               \
+	"Token-Counts: 140000,100\r\nContent-Length: 5\r\n\r\nhello"
+#define OWN "Attempt-Id: {ID}\r\nResponse-Seal: seal\r\n"
 #define WHOLE(status, body, length)                                            \
 	"HTTP/1.1 " status "\r\n" OWN "Content-Length: " length "\r\n\r"       \
 	"\n" body
@@ -174,9 +178,7 @@
 	relay_scene_answer(scene, WHOLE("200 OK", "{}", "2"));
 	relay_scene_answer(scene, EVENTS EVENT1 EVENT2 END);
 	relay_scene_answer(scene, WHOLE("200 OK", "{}", "2"));
-	answer = relay_scene_ask(scene,
-	    HEAD("POST", "/stream/") "Token-Counts: 140000,100\r\n"
-				     "Content-Length: 5\r\n\r\nhello");
+	answer = relay_scene_ask(scene, LARGE);
 	assert_non_null(strstr(answer, "id: 2\ndata: b\n\n\r\n0\r\n\r\n"));
 	g_free(answer);
 	for (i = 0; i < 300 && relay_scene_count(scene) < 3; i++)
@@ -211,9 +213,7 @@
 	scene = g_new0(struct relay_scene, 1);
 	relay_scene_init(scene);
 	relay_scene_answer(scene, WHOLE("409 Conflict", "{}", "2"));
-	answer = relay_scene_ask(scene,
-	    HEAD("POST", "/stream/") "Token-Counts: 140000,100\r\n"
-				     "Content-Length: 5\r\n\r\nhello");
+	answer = relay_scene_ask(scene, LARGE);
 	assert_non_null(strstr(answer, "HTTP/1.1 503"));
 	assert_non_null(strstr(answer, "Retry-After: "));
 	g_free(answer);
@@ -233,9 +233,7 @@
 	scene = g_new0(struct relay_scene, 1);
 	relay_scene_init(scene);
 	relay_scene_answer(scene, "<hang>");
-	answer = relay_scene_ask(scene,
-	    HEAD("POST", "/stream/") "Token-Counts: 140000,100\r\n"
-				     "Content-Length: 5\r\n\r\nhello");
+	answer = relay_scene_ask(scene, LARGE);
 	assert_non_null(strstr(answer, "HTTP/1.1 503"));
 	assert_non_null(strstr(answer, "no upstream can take it now"));
 	g_free(answer);
