The soak asks in one place

Heartbeats, readiness, orders and looks each caught the same exceptions around the same exchange; http1.ask() gives the status and the body, or 0 for no whole answer.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -125,11 +125,8 @@
         shutil.rmtree(self.data, ignore_errors=True)
 
     async def is_ready(self):
-        try:
-            status, _, _ = await http1.exchange((self.ip, READY_PORT), "GET", "/v1/ready", {})
-            return status == 200
-        except (OSError, TimeoutError, http1.BadMessage):
-            return False
+        status, _ = await http1.ask((self.ip, READY_PORT), "GET", "/v1/ready")
+        return status == 200
 
     def proxies(self):
         """All that stand between this host and others."""
--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+JSON_FIELDS = {"Content-Type": "application/json"}
+
 
 class BadMessage(Exception):
     """Bytes that are no message, or an end in the middle of one."""
@@ -52,17 +54,26 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
-async def exchange(address, method, path, fields, body=b"", timeout_s=3.0):
-    """One request on a connection of its own: status, fields, body."""
-    async with asyncio.timeout(timeout_s):
-        reader, writer = await asyncio.open_connection(*address)
-        try:
-            writer.write(
-                write_message(f"{method} {path} HTTP/1.1", {"Host": "h.example", **fields}, body)
-            )
-            head = await read_head(reader)
-            if head is None:
-                raise BadMessage("closed without an answer")
-            return int(head[0][1]), head[1], await read_body(reader, head[1])
-        finally:
-            writer.close()
+async def ask(address, method, path, fields=None, body=b"", timeout_s=3.0):
+    """One request on a connection of its own: status and body; 0 and nothing if
+    no whole answer comes in time."""
+    request = write_message(
+        f"{method} {path} HTTP/1.1", {"Host": "h.example", **(fields or {})}, body
+    )
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _exchange(address, request)
+    except (OSError, TimeoutError, BadMessage, ValueError):
+        return 0, b""
+
+
+async def _exchange(address, request):
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(request)
+        head = await read_head(reader)
+        if head is None:
+            raise BadMessage("closed without an answer")
+        return int(head[0][1]), await read_body(reader, head[1])
+    finally:
+        writer.close()
--- a/tests/soak/operator_calls.py
+++ b/tests/soak/operator_calls.py
@@ -7,7 +7,6 @@
 
 ACK_S = 3.0
 KEPT_VERSIONS = 3  # Versions whose own route a configuration still has.
-KEY_FIELDS = {"Content-Type": "application/json"}
 
 
 def make_config(version):
@@ -73,17 +72,11 @@
         self.random = world.random_of("operator")
         self.version = 0
 
-    async def call(self, method, path, body=b"", address=None, timeout_s=ACK_S):
+    async def call(self, method, path, body=b"", address=None):
         """Status and body; 0 for no clear answer."""
         if address is None:
-            address = next(iter(self.world.control_addresses(self.random)))
-        try:
-            status, _, text = await http1.exchange(
-                address, method, path, KEY_FIELDS, body, timeout_s
-            )
-            return status, text
-        except (OSError, TimeoutError, http1.BadMessage, ValueError):
-            return 0, b""
+            address = self.world.control_addresses(self.random)[0]
+        return await http1.ask(address, method, path, http1.JSON_FIELDS, body, ACK_S)
 
     async def order(self, path, body=b"", until=None):
         """Sends an order to one host after another until it is acknowledged."""
@@ -143,12 +136,7 @@
         """Asks for a route that only this version and the next ones have."""
         start = host.starts
         fields = {"Attempt-Id": f"look-{self.random.getrandbits(40):x}", "Deadline-Ms": 2000}
-        try:
-            status, _, _ = await http1.exchange(
-                host.front.listen, "GET", f"/v{version}/look", fields
-            )
-        except (OSError, TimeoutError, http1.BadMessage):
-            return False
+        status, _ = await http1.ask(host.front.listen, "GET", f"/v{version}/look", fields)
         is_kept = self.version - version < KEPT_VERSIONS
         if start != host.starts or not is_kept or status not in (200, 404):
             return False
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -10,6 +10,7 @@
 SLOTS = 16
 STREAM_EVENTS = 12
 BEAT_S = 0.6
+ANSWER_S = 1.0  # A heartbeat that is not answered by then goes elsewhere.
 LEASE_MARGIN_S = 0.2
 
 
@@ -95,17 +96,14 @@
             "seq": self.beats,
         }
         for address in self.world.control_addresses(self.random):
-            try:
-                status, _, _ = await http1.exchange(
-                    address,
-                    "POST",
-                    f"/v1/Replicas.Heartbeat/{self.id}",
-                    {"Content-Type": "application/json"},
-                    json.dumps(body).encode(),
-                    1.0,
-                )
-            except (OSError, TimeoutError, http1.BadMessage):
-                continue
+            status, _ = await http1.ask(
+                address,
+                "POST",
+                f"/v1/Replicas.Heartbeat/{self.id}",
+                http1.JSON_FIELDS,
+                json.dumps(body).encode(),
+                ANSWER_S,
+            )
             if 200 <= status < 300:
                 if was_draining and lifetime == self.lifetime and self.drain_acked_at is None:
                     self.drain_acked_at = self.world.now()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -143,7 +144,7 @@
     """All faults have ended: everything is well again in time, and stays so."""
     for host in world.hosts:
         host.set_faults()
-        host.signal(faults.signal.SIGCONT)
+        host.signal(signal.SIGCONT)
         await world.start_again(host)
         for proxy in host.proxies() + [host.front, host.control]:
             proxy.heal()
