The feed owes a child the newest document only, one push at a time

Ruled out: the wire (20 KB are 8 ms at 20 Mbit/s) and the order of the feed (versions came in turn, none twice).

Change: a public entry whose document a later one replaced is kept and fed without its contents; a read of entries never ends between such an entry and the one that replaces it. A parent sends the next entries only once the child has reported the last ones as applied (or after a renewal interval), so a slow child skips versions, and nothing queues for it. A child reports its own progress at once, also when its subtree is behind.

--- a/src/coordination/config_feed.c
+++ b/src/coordination/config_feed.c
@@ -34,6 +34,7 @@
     struct config_feed *feed, const struct feed_message *message);
 static void receive_refusal(struct config_feed *feed, uint32_t from_host);
 static void report_progress(struct config_feed *feed);
+static bool has_unreported_entries(const struct config_feed *feed);
 static void update_in_force(struct config_feed *feed);
 static void raise_in_force(struct config_feed *feed, uint64_t index);
 static int64_t lease_end(const struct config_feed *feed);
@@ -241,6 +242,7 @@
 	if (message.subtree_index > feed->lease_floor_index)
 		feed->lease_floor_index = message.subtree_index;
 	feed->reported_index = message.subtree_index;
+	feed->reported_applied_index = message.applied_index;
 	feed->request_sent_ms[message.request_number %
 			      FEED_REQUEST_TIMES_KEPT] = feed_now(feed);
 	feed_send(feed, feed->parent, &message);
@@ -412,12 +414,14 @@
 	feed->parent_progress_ms = feed_now(feed);
 }
 
-/* Reports a newly applied subtree index to the parent at once, so that the
- * index in force advances at network speed instead of once per renewal. */
+/* Reports newly applied entries to the parent at once. The index in force thus
+ * advances at network speed instead of once per renewal, and the parent may
+ * send the next entries. */
 static void
 report_progress(struct config_feed *feed)
 {
-	if (feed_subtree_index(feed) > feed->reported_index) {
+	if (feed_subtree_index(feed) > feed->reported_index ||
+	    has_unreported_entries(feed)) {
 		choose_parent(feed);
 		if (feed->parent != 0)
 			send_renewal_request(feed);
@@ -425,6 +429,15 @@
 	update_in_force(feed);
 }
 
+/* True on a learner that has applied entries since its latest request. */
+static bool
+has_unreported_entries(const struct config_feed *feed)
+{
+	return feed->sink.apply_entries != NULL &&
+	       feed->source.applied_index(feed->source.context) >
+		   feed->reported_applied_index;
+}
+
 /* Advances the index in force on the leader. The leader waits until every lease
  * that its predecessor may have granted has expired, allowing for clock drift,
  * and needs a valid lease itself. */
--- a/src/coordination/config_feed.h
+++ b/src/coordination/config_feed.h
@@ -7,7 +7,9 @@
  * children of a relay (of a voter while there are few hosts). A child sends a
  * renewal request at each renewal interval and as soon as it and its subtree
  * have applied newer entries. A parent pushes entries as soon as it has applied
- * them.
+ * them and the child has applied those sent before, so a child that is slow or
+ * behind a slow link never has more than one push waiting for it, and gets in
+ * the next one what has become newest meanwhile.
  *
  * Lease: the leader's lease ends lease_ms after the start of the latest
  * heartbeat round that a quorum acknowledged. A child's lease ends at the time
@@ -142,6 +144,7 @@
 	 * child whose subtree is behind it gets no lease. */
 	uint64_t lease_floor_index;
 	uint64_t reported_index; /**< Subtree index in the latest request. */
+	uint64_t reported_applied_index; /**< Applied index in that request. */
 	uint64_t in_force_index; /**< Highest index known to be in force. */
 	uint64_t leader_term;	 /**< Latest term that this host led. */
 	/** When this host began to lead, or INT64_MIN if it does not lead. */
--- a/src/coordination/config_feed_parent.c
+++ b/src/coordination/config_feed_parent.c
@@ -17,6 +17,10 @@
 static void send_lease(struct config_feed *feed, struct feed_child *child,
     const struct feed_message *request);
 static void send_entries(struct config_feed *feed, struct feed_child *child);
+static void record_push(
+    struct config_feed *feed, struct feed_child *child, uint64_t index);
+static bool is_push_pending(
+    const struct config_feed *feed, const struct feed_child *child);
 static void send_snapshot(struct config_feed *feed,
     const struct feed_child *child, uint64_t index, uint64_t offset);
 static bool prepare_snapshot(struct config_feed *feed);
@@ -44,9 +48,6 @@
 	child->applied_index = request->applied_index;
 	child->subtree_index = request->subtree_index;
 	child->last_request_ms = feed_now(feed);
-	/* Pushed entries that the child has not applied are lost or still in
-	 * transit: send them again. */
-	child->sent_index = request->applied_index;
 	send_lease(feed, child, request);
 	if (request->snapshot_index != 0 && feed->outgoing_snapshot != NULL &&
 	    feed->outgoing_snapshot_index == request->snapshot_index)
@@ -212,8 +213,9 @@
 	feed_send(feed, child->host_id, &lease);
 }
 
-/* Sends a child the entries after the last one sent, or the first piece of a
- * snapshot if those entries have been compacted. */
+/* Sends a child the entries after the last one that it has applied, or the
+ * first piece of a snapshot if those entries have been compacted. While entries
+ * sent before are on their way to the child or being applied, it sends none. */
 static void
 send_entries(struct config_feed *feed, struct feed_child *child)
 {
@@ -221,11 +223,12 @@
 	enum error_code error;
 	GByteArray *bytes;
 
-	if (child->sent_index >=
-	    feed->source.applied_index(feed->source.context))
+	if (child->applied_index >=
+		feed->source.applied_index(feed->source.context) ||
+	    is_push_pending(feed, child))
 		return;
 	bytes = g_byte_array_new();
-	message.first_index = child->sent_index + 1;
+	message.first_index = child->applied_index + 1;
 	error =
 	    feed->source.read_entries(feed->source.context, message.first_index,
 		feed->settings.push_bytes_max, bytes, &message.last_index);
@@ -233,13 +236,31 @@
 		message.bytes = bytes->data;
 		message.size = bytes->len;
 		feed_send(feed, child->host_id, &message);
-		child->sent_index = message.last_index;
+		record_push(feed, child, message.last_index);
 	} else if (error == ERROR_NOT_FOUND && prepare_snapshot(feed)) {
 		send_snapshot(feed, child, feed->outgoing_snapshot_index, 0);
+		record_push(feed, child, feed->outgoing_snapshot_index);
 	}
 	g_byte_array_unref(bytes);
 }
 
+static void
+record_push(struct config_feed *feed, struct feed_child *child, uint64_t index)
+{
+	child->sent_index = index;
+	child->sent_ms = feed_now(feed);
+}
+
+/* True if the child has not reported the entries last sent as applied. After a
+ * renewal interval they count as lost. */
+static bool
+is_push_pending(const struct config_feed *feed, const struct feed_child *child)
+{
+	return child->sent_index > child->applied_index &&
+	       feed_now(feed) - child->sent_ms <
+		   feed->settings.renewal_interval_ms;
+}
+
 /* Sends the piece of the outgoing snapshot that starts at @p offset. */
 static void
 send_snapshot(struct config_feed *feed, const struct feed_child *child,
--- a/src/coordination/config_feed_parts.h
+++ b/src/coordination/config_feed_parts.h
@@ -26,6 +26,7 @@
 	uint64_t applied_index;	 /**< Last entry that the child applied. */
 	uint64_t subtree_index;	 /**< Last entry applied in the subtree. */
 	uint64_t sent_index;	 /**< Last entry sent to the child. */
+	int64_t sent_ms;	 /**< When that entry was sent. */
 	int64_t lease_until_ms;	 /**< Latest end of a granted lease. */
 	int64_t last_request_ms; /**< When the latest request arrived. */
 };
--- a/src/protocol/public_entry_message.h
+++ b/src/protocol/public_entry_message.h
@@ -14,10 +14,15 @@
 #include "base/error_code.h"
 #include "state/replicated_state.h"
 
-/** Appends the encoded entry to @p bytes. */
-void public_entry_write(GByteArray *bytes, const struct public_entry *entry);
-/** Returns the number of bytes that public_entry_write() appends. */
-size_t public_entry_size(const struct public_entry *entry);
+/** Appends the encoded entries of a state to @p bytes, from sequence number
+ * @p from to @p published at most, and sets @p last to the last one, or to
+ * @p from - 1 if there is none yet. Stops before @p max bytes are exceeded, but
+ * not at a first entry that is longer, nor where a superseded document would
+ * lack the entry that replaces it. Errors: ERROR_NOT_FOUND if the entry @p from
+ * is no longer kept. */
+enum error_code public_entries_read(const struct replicated_state *state,
+    uint64_t from, uint64_t published, size_t max, GByteArray *bytes,
+    uint64_t *last);
 /** Decodes a sequence of entries and applies those that the state has not
  * applied yet. Stops at the first error, after which the entries before it stay
  * applied. Errors: ERROR_MALFORMED, ERROR_NOT_FOUND if earlier entries are
--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -30,17 +30,6 @@
 #define ELECTION_TIMEOUT_SPREAD 2
 #define US_PER_MS		1000
 
-/* A read of public entries for a child in the feed. */
-struct entries_read {
-	GByteArray *bytes;
-	/* Most bytes to read; the first entry is read even if longer. */
-	size_t max;
-	uint64_t last; /* Sequence of the last entry read. */
-	/* Sequence that request threads see; later entries are not read. */
-	uint64_t published;
-	bool is_full;
-};
-
 static enum error_code open_consensus(struct host *host);
 static void apply_entry(void *context, const struct consensus_entry *entry,
     const void **result, size_t *result_size);
@@ -58,7 +47,6 @@
 static uint64_t source_applied_index(void *context);
 static enum error_code source_read_entries(void *context, uint64_t from,
     size_t max, GByteArray *bytes, uint64_t *last);
-static void append_entry(void *context, const struct public_entry *entry);
 static enum error_code source_read_snapshot(
     void *context, GByteArray *bytes, uint64_t *index);
 static enum error_code sink_apply_entries(void *context, uint64_t from,
@@ -364,39 +352,16 @@
 	return host->published_sequence;
 }
 
-/* Appends published entries from a sequence on, about max bytes of them. */
 static enum error_code
 source_read_entries(
     void *context, uint64_t from, size_t max, GByteArray *bytes, uint64_t *last)
 {
-	struct entries_read request = {.bytes = bytes, .max = max};
 	struct host *host = context;
-	enum error_code error;
 
 	if (from == 0)
 		return ERROR_NOT_FOUND;
-	request.last = from - 1;
-	request.published = host->published_sequence;
-	error = replicated_state_for_each_public(
-	    host_state(host), from - 1, append_entry, &request);
-	*last = request.last;
-	return error;
-}
-
-static void
-append_entry(void *context, const struct public_entry *entry)
-{
-	struct entries_read *request = context;
-
-	if (request->is_full || entry->sequence > request->published)
-		return;
-	if (request->bytes->len > 0 &&
-	    request->bytes->len + public_entry_size(entry) > request->max) {
-		request->is_full = true;
-		return;
-	}
-	public_entry_write(request->bytes, entry);
-	request->last = entry->sequence;
+	return public_entries_read(
+	    host_state(host), from, host->published_sequence, max, bytes, last);
 }
 
 static enum error_code
--- a/src/state/replicated_parts.h
+++ b/src/state/replicated_parts.h
@@ -47,10 +47,12 @@
 /** Replaces the last order of an upstream. */
 void replicated_put_order(
     struct replicated_state *state, const struct order_record *record);
-/** Stores a document. Errors: ERROR_TABLE_FULL. A version that isn't newer
- * than the stored one changes nothing and is no error. */
+/** Stores a document that the public command @p sequence writes. Errors:
+ * ERROR_TABLE_FULL. A version that isn't newer than the stored one changes
+ * nothing and is no error. */
 enum error_code replicated_put_document(struct replicated_state *state,
-    const char *name, uint64_t version, const void *data, size_t size);
+    const char *name, uint64_t version, const void *data, size_t size,
+    uint64_t sequence);
 /** Adds or replaces the quarantine of a fingerprint. */
 void replicated_put_quarantine(
     struct replicated_state *state, const struct quarantine_record *record);
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -358,8 +358,8 @@
 	case SAVE_PART_DOCUMENT:
 		if (text[0] == '\0' || strlen(text) >= NAME_SIZE_MAX)
 			return ERROR_MALFORMED;
-		return replicated_put_document(
-		    state, text, numbers[0], record->value, record->value_size);
+		return replicated_put_document(state, text, numbers[0],
+		    record->value, record->value_size, state->sequence);
 	case SAVE_PART_OPERATION:
 		return store_operation(state, record, text);
 	case SAVE_PART_CLAIM:
--- a/src/state/replicated_state.c
+++ b/src/state/replicated_state.c
@@ -29,8 +29,14 @@
     const struct command_order *order, struct command_result *result);
 static void apply_live_hosts(struct replicated_state *state,
     const struct command_hosts *hosts, struct command_result *result);
-static void append_public_entry(
-    struct replicated_state *state, const struct replicated_entry *entry);
+static void append_public_entry(struct replicated_state *state,
+    const struct replicated_entry *entry, const struct command *command);
+static void supersede_document(
+    struct replicated_state *state, const struct document *document);
+static void empty_document_entry(struct replicated_state *state,
+    struct public_entry *entry, const char *name);
+static uint64_t hash_document_name(const char *name);
+static bool is_superseded_document(const struct command *command);
 static void expire_operations(struct replicated_state *state);
 static void fill_result(const struct replicated_state *state, uint64_t index,
     struct command_result *result);
@@ -116,7 +122,7 @@
 	}
 	apply_command(state, &command, result);
 	if (result->error == ERROR_NONE && command_is_public(command.type))
-		append_public_entry(state, entry);
+		append_public_entry(state, entry, &command);
 	fill_result(state, entry->index, result);
 	if (command.operation_id[0] != '\0') {
 		memcpy(fresh.operation_id, command.operation_id,
@@ -144,15 +150,16 @@
 	if (error != ERROR_NONE)
 		return error;
 	state->time_ms = MAX(state->time_ms, entry->time_ms);
-	apply_command(state, &command, &result);
+	if (!is_superseded_document(&command))
+		apply_command(state, &command, &result);
+	/* Only commands that succeeded on the voters are public, so a failure
+	 * shows that this state differs from theirs. */
+	if (result.error == ERROR_NONE) {
+		state->applied_index = MAX(state->applied_index, entry->index);
+		append_public_entry(state, entry, &command);
+	}
 	command_finish(&command);
-	/* Only commands that succeeded on the voters are public, so this state
-	 * differs from theirs. */
-	if (result.error != ERROR_NONE)
-		return ERROR_INTERNAL;
-	state->applied_index = MAX(state->applied_index, entry->index);
-	append_public_entry(state, entry);
-	return ERROR_NONE;
+	return result.error == ERROR_NONE ? ERROR_NONE : ERROR_INTERNAL;
 }
 
 struct config_source
@@ -305,9 +312,9 @@
 
 enum error_code
 replicated_put_document(struct replicated_state *state, const char *name,
-    uint64_t version, const void *data, size_t size)
+    uint64_t version, const void *data, size_t size, uint64_t sequence)
 {
-	struct document *document;
+	struct document *document, *stored;
 
 	document = g_hash_table_lookup(state->documents, name);
 	if (document != NULL && version <= document->version)
@@ -315,11 +322,13 @@
 	if (document == NULL &&
 	    g_hash_table_size(state->documents) >= DOCUMENTS_MAX)
 		return ERROR_TABLE_FULL;
-	document = g_new0(struct document, 1);
-	g_strlcpy(document->name, name, sizeof(document->name));
-	document->version = version;
-	document->bytes = g_bytes_new(data, size);
-	g_hash_table_replace(state->documents, document->name, document);
+	stored = g_new0(struct document, 1);
+	g_strlcpy(stored->name, name, sizeof(stored->name));
+	stored->version = version;
+	stored->sequence = sequence;
+	stored->previous_sequence = document == NULL ? 0 : document->sequence;
+	stored->bytes = g_bytes_new(data, size);
+	g_hash_table_replace(state->documents, stored->name, stored);
 	return ERROR_NONE;
 }
 
@@ -371,7 +380,8 @@
 	case COMMAND_DOCUMENT:
 		result->error = replicated_put_document(state,
 		    command->body.document.name, command->body.document.version,
-		    command->body.document.data, command->body.document.size);
+		    command->body.document.data, command->body.document.size,
+		    state->sequence + 1);
 		return;
 	case COMMAND_BARRIER:
 		return;
@@ -523,9 +533,10 @@
 }
 
 static void
-append_public_entry(
-    struct replicated_state *state, const struct replicated_entry *entry)
+append_public_entry(struct replicated_state *state,
+    const struct replicated_entry *entry, const struct command *command)
 {
+	const struct document *document;
 	struct public_entry *published;
 
 	published = g_new0(struct public_entry, 1);
@@ -535,6 +546,14 @@
 	published->command = g_bytes_new(entry->data, entry->size);
 	g_queue_push_tail(state->public_entries, published);
 	state->public_bytes += entry->size;
+	if (command->type == COMMAND_DOCUMENT) {
+		published->document_hash =
+		    hash_document_name(command->body.document.name);
+		document = g_hash_table_lookup(
+		    state->documents, command->body.document.name);
+		if (document != NULL && document->sequence == state->sequence)
+			supersede_document(state, document);
+	}
 	/* Drops the oldest commands; a host that lacks them gets a snapshot. */
 	while (g_queue_get_length(state->public_entries) > PUBLIC_ENTRIES_MAX ||
 	       (state->public_bytes > PUBLIC_BYTES_MAX &&
@@ -545,6 +564,66 @@
 	}
 }
 
+/* Empties all earlier entries with the document that the last public entry has
+ * just replaced. */
+static void
+supersede_document(
+    struct replicated_state *state, const struct document *document)
+{
+	const struct public_entry *last;
+	struct public_entry *entry;
+	const GList *link;
+
+	link = state->public_entries->tail;
+	last = link->data;
+	for (link = link->prev; link != NULL; link = link->prev) {
+		entry = link->data;
+		if (entry->sequence < document->previous_sequence)
+			return;
+		if (entry->document_hash != last->document_hash)
+			continue;
+		entry->superseded_by = last->sequence;
+		empty_document_entry(state, entry, document->name);
+	}
+}
+
+/* Replaces the document in a public entry by one without contents. */
+static void
+empty_document_entry(struct replicated_state *state, struct public_entry *entry,
+    const char *name)
+{
+	struct command command = {.type = COMMAND_DOCUMENT};
+	struct message_writer writer;
+
+	g_strlcpy(command.body.document.name, name,
+	    sizeof(command.body.document.name));
+	command.body.document.data = "";
+	message_writer_init(&writer);
+	if (command_encode(&command, &writer) == ERROR_NONE) {
+		state->public_bytes -= g_bytes_get_size(entry->command);
+		g_bytes_unref(entry->command);
+		entry->command =
+		    g_bytes_new(message_data(&writer), message_size(&writer));
+		state->public_bytes += g_bytes_get_size(entry->command);
+	}
+	message_writer_finish(&writer);
+}
+
+static uint64_t
+hash_document_name(const char *name)
+{
+	return XXH64(name, strlen(name), 0) | 1;
+}
+
+/* True for a document whose contents were left out, since a later command
+ * replaces it. */
+static bool
+is_superseded_document(const struct command *command)
+{
+	return command->type == COMMAND_DOCUMENT &&
+	       command->body.document.size == 0;
+}
+
 static void
 expire_operations(struct replicated_state *state)
 {
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -57,12 +57,19 @@
 	size_t size;	  /**< Bytes of data. */
 };
 
-/** A public command as it is fed to learners. */
+/** A public command as it is fed to learners. A document that a later command
+ * replaced is kept without its contents, so a learner that is behind receives
+ * each document once, however often it changed. */
 struct public_entry {
 	uint64_t sequence; /**< Public sequence number, rising by one. */
 	uint64_t index;	   /**< Index of the entry in the log. */
 	int64_t time_ms;   /**< Leader's time stamp, ms since the epoch. */
 	GBytes *command;   /**< The encoded command. */
+	/** Hash of the name of the document that it replaces, otherwise 0. */
+	uint64_t document_hash;
+	/** Sequence of a later entry that replaces the same document, or 0. A
+	 * learner may use its state only once it has applied that entry too. */
+	uint64_t superseded_by;
 };
 
 /** The last order given to an upstream. */
@@ -92,9 +99,11 @@
 
 /** A document: bytes that only a newer version replaces, as a whole. */
 struct document {
-	char name[NAME_SIZE_MAX]; /**< Name of the document. */
-	uint64_t version;	  /**< Version number given by its writer. */
-	GBytes *bytes;		  /**< Contents of the document. */
+	char name[NAME_SIZE_MAX];   /**< Name of the document. */
+	uint64_t version;	    /**< Version number given by its writer. */
+	uint64_t sequence;	    /**< Public sequence number of its write. */
+	uint64_t previous_sequence; /**< That of the write before, or 0. */
+	GBytes *bytes;		    /**< Contents of the document. */
 };
 
 /** The replicated state. */
@@ -137,7 +146,8 @@
  * nothing and gives ERROR_STALE in the result. */
 void replicated_state_apply(struct replicated_state *state,
     const struct replicated_entry *entry, struct command_result *result);
-/** Applies the next public command on a learner. Errors: ERROR_STALE if it was
+/** Applies the next public command on a learner. A document without contents
+ * was superseded and changes nothing. Errors: ERROR_STALE if it was
  * applied before, those of command_decode(). With ERROR_NOT_FOUND commands
  * before it are missing, with ERROR_INTERNAL it failed although it succeeded
  * on the voters; the learner must then load a snapshot. */
--- a/tests/fake_net.c
+++ b/tests/fake_net.c
@@ -22,6 +22,7 @@
 
 static void send_message(void *context, uint32_t to, enum peer_channel channel,
     const void *body, size_t size);
+static int64_t wait_for_uplink(struct fake_net_host *sender, size_t size);
 static void schedule_delivery(struct fake_net_host *sender, uint32_t to,
     enum peer_channel channel, const void *body, size_t size);
 static void deliver(void *context);
@@ -240,6 +241,23 @@
 		schedule_delivery(sender, to, channel, body, size);
 }
 
+/* Returns the milliseconds until the host has sent all its messages and this
+ * one. */
+static int64_t
+wait_for_uplink(struct fake_net_host *sender, size_t size)
+{
+	int64_t now_ms;
+
+	if (sender->uplink_bytes_per_ms == 0)
+		return 0;
+	now_ms = fake_net_now(sender->net);
+	sender->uplink_free_ms =
+	    (sender->uplink_free_ms > now_ms ? sender->uplink_free_ms
+					     : now_ms) +
+	    (int64_t)size / sender->uplink_bytes_per_ms;
+	return sender->uplink_free_ms - now_ms;
+}
+
 static void
 schedule_delivery(struct fake_net_host *sender, uint32_t to,
     enum peer_channel channel, const void *body, size_t size)
@@ -263,6 +281,8 @@
 		   (int64_t)random_below(&net->random, (uint32_t)spread_ms + 1);
 	if (sender->id == to)
 		delay_ms = 0;
+	else
+		delay_ms += wait_for_uplink(sender, size);
 	message->next = net->pending;
 	message->previous = &net->pending;
 	if (net->pending != NULL)
--- a/tests/fake_net.h
+++ b/tests/fake_net.h
@@ -52,6 +52,9 @@
 	struct fake_message *held_first;
 	/** Where the next held message is linked. */
 	struct fake_message **held_last;
+	/** Bytes that the host can send in a millisecond, 0 for any number. */
+	int64_t uplink_bytes_per_ms;
+	int64_t uplink_free_ms; /**< Net time at which its last byte is sent. */
 	uint64_t sent_messages; /**< Messages that the host has sent. */
 	uint64_t sent_bytes;	/**< Bytes that the host has sent. */
 };
--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#include "protocol/public_entry_message.h"
 #include "state/replicated_state.h"
 
 #define START_MS 1700000000000
@@ -326,18 +327,25 @@
 }
 
 static struct command_result
-put_document(struct replicated_state *state, uint64_t version, const char *text)
+put_named_document(struct replicated_state *state, const char *name,
+    uint64_t version, const char *text)
 {
 	struct command command = {.type = COMMAND_DOCUMENT};
 
 	snprintf(command.body.document.name, sizeof(command.body.document.name),
-	    "routes");
+	    "%s", name);
 	command.body.document.version = version;
 	command.body.document.data = text;
 	command.body.document.size = strlen(text);
 	return apply(state, &command, START_MS);
 }
 
+static struct command_result
+put_document(struct replicated_state *state, uint64_t version, const char *text)
+{
+	return put_named_document(state, "routes", version, text);
+}
+
 /* The highest version of a document is kept, in whatever order versions arrive,
  * and is included in a snapshot. */
 static void
@@ -380,27 +388,100 @@
 }
 
 /* The public commands kept to feed learners stay bounded in bytes when hundreds
- * of large documents are stored. */
+ * of large documents are stored under many names. */
 static void
 test_public_entries_are_bounded_in_bytes(void **state)
 {
 	struct replicated_state first;
-	char *text;
+	char *text, name[NAME_SIZE_MAX];
 	uint64_t i;
 
 	(void)state;
 	replicated_state_init(&first, NULL);
-	text = g_strnfill(100000, 'x');
-	for (i = 1; i <= 300; i++)
-		put_document(&first, i, text);
+	text = g_strnfill(200000, 'x');
+	for (i = 1; i <= 300; i++) {
+		snprintf(
+		    name, sizeof(name), "document-%u", (unsigned int)i % 60);
+		put_named_document(&first, name, i, text);
+	}
 	assert_true(first.public_bytes <= PUBLIC_BYTES_MAX);
 	assert_true(g_queue_get_length(first.public_entries) < 100);
 	assert_int_equal(
-	    replicated_state_document(&first, "routes")->version, 300);
+	    replicated_state_document(&first, "document-0")->version, 300);
 	g_free(text);
 	replicated_state_finish(&first);
 }
 
+/* Applies what public_entries_read() returns, from the learner's sequence on.
+ * Returns the number of bytes that were read. */
+static size_t
+feed_learner(struct replicated_state *learner,
+    const struct replicated_state *from, uint64_t published, size_t max)
+{
+	GByteArray *bytes;
+	uint64_t last;
+	size_t size;
+
+	bytes = g_byte_array_new();
+	assert_int_equal(public_entries_read(from, learner->sequence + 1,
+			     published, max, bytes, &last),
+	    ERROR_NONE);
+	assert_int_equal(
+	    public_entries_apply(learner, bytes->data, bytes->len), ERROR_NONE);
+	assert_int_equal(learner->sequence, last);
+	size = bytes->len;
+	g_byte_array_unref(bytes);
+	return size;
+}
+
+/* A learner that is behind gets the newest version of a document only, and
+ * never a state between a superseded version and the one that replaced it, even
+ * through another learner. */
+static void
+test_learner_gets_newest_document_only(void **state)
+{
+	enum {
+		SIZE = 100000,
+		READ_MAX = 1000
+	};
+	struct replicated_state voter, relay, learner;
+	char *text;
+	uint64_t i;
+
+	(void)state;
+	replicated_state_init(&voter, NULL);
+	replicated_state_init(&relay, NULL);
+	replicated_state_init(&learner, NULL);
+	text = g_strnfill(SIZE, 'x');
+	put(&voter, "a", "setting/a", "1", REVISION_ANY);
+	for (i = 1; i <= 50; i++)
+		put_document(&voter, i, text);
+	put(&voter, "b", "setting/b", "1", REVISION_ANY);
+	assert_true(voter.public_bytes < 2 * SIZE);
+	/* The entry that replaces version 49 is not published yet. */
+	assert_int_equal(feed_learner(&relay, &voter, 50, READ_MAX), 0);
+	assert_true(feed_learner(&relay, &voter, 52, READ_MAX) < 2 * SIZE);
+	assert_int_equal(
+	    replicated_state_document(&relay, "routes")->version, 50);
+	feed_learner(&relay, &voter, 52, READ_MAX);
+	assert_int_equal(relay.sequence, 52);
+	/* The relay passes the same on. */
+	assert_int_equal(feed_learner(&learner, &relay, 50, READ_MAX), 0);
+	feed_learner(&learner, &relay, 52, READ_MAX);
+	feed_learner(&learner, &relay, 52, READ_MAX);
+	assert_int_equal(learner.content_hash, voter.content_hash);
+	assert_int_equal(
+	    replicated_state_document(&learner, "routes")->version, 50);
+	assert_int_equal(
+	    g_bytes_get_size(
+		replicated_state_document(&learner, "routes")->bytes),
+	    SIZE);
+	g_free(text);
+	replicated_state_finish(&voter);
+	replicated_state_finish(&relay);
+	replicated_state_finish(&learner);
+}
+
 int
 main(void)
 {
@@ -412,6 +493,7 @@
 	    cmocka_unit_test(test_snapshot_restores_whole_state),
 	    cmocka_unit_test(test_newest_document_version_is_kept),
 	    cmocka_unit_test(test_public_entries_are_bounded_in_bytes),
+	    cmocka_unit_test(test_learner_gets_newest_document_only),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
