Work reports of a large fleet travel in batches by collectors of each data centre

Ruled out on paper: one host of each zone sending every report to the other 58 (42 Mbit/s on a link of 20); sums by upstream instead of reports (each host must take its own part out of a sum that is older than its own count); learning from echoes which host of another zone collects there (two frozen at once find each other only after failure detection).

Change: coordination/report_exchange: with 16 entry hosts and more a report goes to the collector of its data centre, whose batch of 25 ms goes down a tree of its data centre, drawn anew for each batch, and to one host of each other data centre, drawn anew too, which does the same there. A batch brings a host's own report back; without it in 300 ms the host uses the next collector. Reports carry their age. Fewer hosts send to each other as before.

--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -10,7 +10,7 @@
 /** Another host's last report. */
 struct peer_work {
 	struct work_report report; /**< Contents of the report. */
-	int64_t received_ms;	   /**< When this host received it. */
+	int64_t sent_ms; /**< When it was sent, on this host's clock. */
 };
 
 /** Load that this host puts on a service. */
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -72,7 +72,7 @@
 
 enum error_code
 placement_report_receive(struct placement *placement, uint32_t host_id,
-    const void *body, size_t size, int64_t now_ms)
+    const void *body, size_t size, int64_t sent_ms)
 {
 	struct work_report report;
 	struct peer_work *peer;
@@ -89,7 +89,7 @@
 	}
 	peer = g_new0(struct peer_work, 1);
 	peer->report = report;
-	peer->received_ms = now_ms;
+	peer->sent_ms = sent_ms;
 	g_hash_table_replace(placement->peers, GUINT_TO_POINTER(host_id), peer);
 	placement->is_peer_load_stale = true;
 	return ERROR_NONE;
@@ -110,7 +110,7 @@
 		memset(&upstream->others, 0, sizeof(upstream->others));
 	g_hash_table_iter_init(&iter, placement->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (now_ms - peer->received_ms < REPORT_AGE_MAX_MS)
+		if (now_ms - peer->sent_ms < REPORT_AGE_MAX_MS)
 			add_report(placement, peer, now_ms);
 		else
 			g_hash_table_iter_remove(&iter);
@@ -143,7 +143,7 @@
 
 	g_hash_table_iter_init(&iter, placement->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (now_ms - peer->received_ms >= REPORT_AGE_MAX_MS)
+		if (now_ms - peer->sent_ms >= REPORT_AGE_MAX_MS)
 			continue;
 		for (i = 0; i < peer->report.demand_count; i++) {
 			demand = &peer->report.demands[i];
@@ -184,14 +184,14 @@
 		others->leading += item->leading;
 		if (item->leading > 0)
 			others->prefill_due_ms = MAX(others->prefill_due_ms,
-			    peer->received_ms + (int64_t)item->prefill_due_ms);
+			    peer->sent_ms + (int64_t)item->prefill_due_ms);
 		others->kv_tokens += item->kv_tokens;
 		others->ejected_until_ms = MAX(others->ejected_until_ms,
-		    peer->received_ms + (int64_t)item->ejected_ms);
+		    peer->sent_ms + (int64_t)item->ejected_ms);
 		/* Prefill of all hosts shares the engine, so the remaining
 		 * times add up. */
 		remaining_ms =
-		    item->prefill_ms - (double)(now_ms - peer->received_ms);
+		    item->prefill_ms - (double)(now_ms - peer->sent_ms);
 		if (remaining_ms > 0)
 			others->prefill_until_ms =
 			    MAX(others->prefill_until_ms, (double)now_ms) +
--- /dev/null
+++ b/src/coordination/report_exchange.c
@@ -0,0 +1,442 @@
+#include "coordination/report_exchange.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/rendezvous.h"
+
+#define DIRECT_HOSTS_MAX_DEFAULT 16
+#define BATCH_PERIOD_DEFAULT_MS	 25
+#define FAN_OUT_DEFAULT		 8
+#define CONFIRM_DEFAULT_MS	 300
+#define AVOID_DEFAULT_MS	 3000
+
+/* A report that waits for the next batch. */
+struct collected_report {
+	uint32_t host_id;
+	uint64_t sequence;
+	int64_t sent_ms; /* When its host sent it, on this host's clock. */
+	GBytes *body;
+};
+
+/* Live entry hosts, those of this host's data centre first. */
+struct peer_list {
+	struct report_peer peers[HOSTS_MAX];
+	uint32_t count;	      /* All peers. */
+	uint32_t local_count; /* Peers in the same data centre. */
+};
+
+static void set_defaults(struct report_exchange_settings *settings);
+static void list_peers(
+    const struct report_exchange *exchange, struct peer_list *list);
+static int compare_peers(const void *left, const void *right);
+static void send_direct(
+    struct report_exchange *exchange, const struct peer_list *list);
+static void send_to_collector(
+    struct report_exchange *exchange, const struct peer_list *list);
+static uint32_t choose_collector(
+    struct report_exchange *exchange, const struct peer_list *list);
+static void expect_confirmation(struct report_exchange *exchange);
+static void confirm(struct report_exchange *exchange, uint64_t sequence);
+static void check_confirmation(void *context);
+static void collect(
+    struct report_exchange *exchange, const struct batched_report *report);
+static void send_batch(void *context);
+static void fill_batch(
+    struct report_exchange *exchange, struct report_batch *batch);
+static void send_to_data_centres(struct report_exchange *exchange,
+    const struct peer_list *list, struct report_batch *batch);
+static void spread(struct report_exchange *exchange,
+    const struct peer_list *list, struct report_batch *batch);
+static void forward(struct report_exchange *exchange,
+    struct report_batch *batch, const uint32_t *host_ids, uint32_t count);
+static void deliver(
+    struct report_exchange *exchange, const struct report_batch *batch);
+static void send_message(struct report_exchange *exchange, uint32_t to_host,
+    const struct report_batch *batch);
+static void free_collected(gpointer report);
+
+void
+report_exchange_init(struct report_exchange *exchange,
+    const struct report_exchange_settings *settings,
+    struct timer_service *timers, uint64_t seed, struct peer_port port,
+    struct report_exchange_ops ops)
+{
+	memset(exchange, 0, sizeof(*exchange));
+	exchange->settings = *settings;
+	set_defaults(&exchange->settings);
+	exchange->timers = timers;
+	exchange->port = port;
+	exchange->ops = ops;
+	random_init(&exchange->random, seed);
+	exchange->collected =
+	    g_hash_table_new_full(NULL, NULL, NULL, free_collected);
+	exchange->unconfirmed_since_ms = INT64_MIN;
+}
+
+void
+report_exchange_finish(struct report_exchange *exchange)
+{
+	if (exchange->timers == NULL)
+		return;
+	timer_cancel(exchange->timers, &exchange->batch_timer);
+	timer_cancel(exchange->timers, &exchange->confirm_timer);
+	g_hash_table_unref(exchange->collected);
+	g_clear_pointer(&exchange->own_report, g_bytes_unref);
+	memset(exchange, 0, sizeof(*exchange));
+}
+
+void
+report_exchange_send(
+    struct report_exchange *exchange, const void *body, size_t size)
+{
+	struct peer_list list;
+
+	g_clear_pointer(&exchange->own_report, g_bytes_unref);
+	exchange->own_report = g_bytes_new(body, size);
+	exchange->own_sequence++;
+	list_peers(exchange, &list);
+	if (list.count < exchange->settings.direct_hosts_max)
+		send_direct(exchange, &list);
+	else
+		send_to_collector(exchange, &list);
+}
+
+enum error_code
+report_exchange_receive(struct report_exchange *exchange, uint32_t from_host,
+    const void *body, size_t size)
+{
+	struct message_reader reader;
+	struct report_batch batch;
+	struct peer_list list;
+	enum error_code error;
+	uint32_t i;
+
+	error = report_batch_read(body, size, &reader, &batch);
+	if (error == ERROR_UNSUPPORTED_VERSION) {
+		exchange->ops.on_report(
+		    exchange->ops.context, from_host, body, size, 0);
+		return ERROR_NONE;
+	}
+	if (error != ERROR_NONE)
+		return error;
+	switch (batch.type) {
+	case REPORT_BATCH_COLLECT:
+		for (i = 0; i < batch.report_count; i++)
+			collect(exchange, &batch.reports[i]);
+		break;
+	case REPORT_BATCH_SPREAD:
+		deliver(exchange, &batch);
+		list_peers(exchange, &list);
+		spread(exchange, &list, &batch);
+		break;
+	case REPORT_BATCH_FORWARD:
+		deliver(exchange, &batch);
+		forward(exchange, &batch, batch.host_ids, batch.host_count);
+		break;
+	}
+	message_reader_finish(&reader);
+	return ERROR_NONE;
+}
+
+static void
+set_defaults(struct report_exchange_settings *settings)
+{
+	if (settings->direct_hosts_max == 0)
+		settings->direct_hosts_max = DIRECT_HOSTS_MAX_DEFAULT;
+	if (settings->batch_period_ms == 0)
+		settings->batch_period_ms = BATCH_PERIOD_DEFAULT_MS;
+	if (settings->fan_out == 0)
+		settings->fan_out = FAN_OUT_DEFAULT;
+	if (settings->confirm_ms == 0)
+		settings->confirm_ms = CONFIRM_DEFAULT_MS;
+	if (settings->avoid_ms == 0)
+		settings->avoid_ms = AVOID_DEFAULT_MS;
+}
+
+/* Lists the live entry hosts: those of this host's data centre first, then the
+ * others by data centre. */
+static void
+list_peers(const struct report_exchange *exchange, struct peer_list *list)
+{
+	uint64_t own = exchange->settings.data_centre;
+	struct report_peer *peers = list->peers;
+	struct report_peer peer;
+	uint32_t i;
+
+	list->count =
+	    exchange->ops.list_peers(exchange->ops.context, peers, HOSTS_MAX);
+	qsort(peers, list->count, sizeof(peers[0]), compare_peers);
+	list->local_count = 0;
+	for (i = 0; i < list->count; i++) {
+		if (peers[i].data_centre != own)
+			continue;
+		peer = peers[i];
+		memmove(&peers[list->local_count + 1],
+		    &peers[list->local_count],
+		    (i - list->local_count) * sizeof(peers[0]));
+		peers[list->local_count++] = peer;
+	}
+}
+
+static int
+compare_peers(const void *left, const void *right)
+{
+	const struct report_peer *first = left, *second = right;
+
+	if (first->data_centre != second->data_centre)
+		return first->data_centre < second->data_centre ? -1 : 1;
+	return first->host_id < second->host_id ? -1 : 1;
+}
+
+static void
+send_direct(struct report_exchange *exchange, const struct peer_list *list)
+{
+	gconstpointer body;
+	uint32_t i;
+	gsize size;
+
+	body = g_bytes_get_data(exchange->own_report, &size);
+	for (i = 0; i < list->count; i++)
+		exchange->port.send(exchange->port.context,
+		    list->peers[i].host_id, PEER_CHANNEL_WORK, body, size);
+}
+
+static void
+send_to_collector(
+    struct report_exchange *exchange, const struct peer_list *list)
+{
+	struct batched_report report = {
+	    .host_id = exchange->settings.host_id,
+	    .sequence = exchange->own_sequence,
+	};
+	struct report_batch batch = {.type = REPORT_BATCH_COLLECT};
+	uint32_t collector;
+
+	report.body = g_bytes_get_data(exchange->own_report, &report.size);
+	collector = choose_collector(exchange, list);
+	if (collector == exchange->settings.host_id) {
+		collect(exchange, &report);
+		return;
+	}
+	batch.reports[batch.report_count++] = report;
+	send_message(exchange, collector, &batch);
+	expect_confirmation(exchange);
+}
+
+/* Returns the collector of this host's data centre: the first in a ranking of
+ * its hosts, or a later one while the first does not bring reports back. */
+static uint32_t
+choose_collector(struct report_exchange *exchange, const struct peer_list *list)
+{
+	uint32_t ranking[HOSTS_MAX + 1], count;
+
+	for (count = 0; count < list->local_count; count++)
+		ranking[count] = list->peers[count].host_id;
+	ranking[count++] = exchange->settings.host_id;
+	rendezvous_sort(exchange->settings.data_centre, ranking, count);
+	if (timer_now(exchange->timers) >= exchange->rank_until_ms)
+		exchange->collector_rank = 0;
+	return ranking[exchange->collector_rank % count];
+}
+
+static void
+expect_confirmation(struct report_exchange *exchange)
+{
+	if (exchange->unconfirmed_since_ms != INT64_MIN)
+		return;
+	exchange->unconfirmed_since_ms = timer_now(exchange->timers);
+	timer_cancel(exchange->timers, &exchange->confirm_timer);
+	/* Without a free timer the next report is the next try. */
+	(void)timer_subscribe_once(exchange->timers,
+	    exchange->settings.confirm_ms,
+	    (struct timer_callback){check_confirmation, exchange},
+	    &exchange->confirm_timer);
+}
+
+/* Handles the return of an own report. If a later one is under way, the wait
+ * for that begins. */
+static void
+confirm(struct report_exchange *exchange, uint64_t sequence)
+{
+	/* A report of an earlier process of this host says nothing. */
+	if (sequence > exchange->own_sequence)
+		return;
+	exchange->unconfirmed_since_ms = INT64_MIN;
+	if (sequence < exchange->own_sequence)
+		expect_confirmation(exchange);
+}
+
+/* Goes on to the next collector if no batch has brought this host's report
+ * back, and sends the report again. */
+static void
+check_confirmation(void *context)
+{
+	struct report_exchange *exchange = context;
+	struct peer_list list;
+
+	if (exchange->unconfirmed_since_ms == INT64_MIN)
+		return;
+	exchange->unconfirmed_since_ms = INT64_MIN;
+	exchange->collector_rank++;
+	exchange->rank_until_ms =
+	    timer_now(exchange->timers) + exchange->settings.avoid_ms;
+	list_peers(exchange, &list);
+	send_to_collector(exchange, &list);
+}
+
+/* Adds a report to the next batch, in place of an older one of its host. */
+static void
+collect(struct report_exchange *exchange, const struct batched_report *report)
+{
+	struct collected_report *collected;
+
+	collected = g_new0(struct collected_report, 1);
+	collected->host_id = report->host_id;
+	collected->sequence = report->sequence;
+	collected->sent_ms = timer_now(exchange->timers) - report->age_ms;
+	collected->body = g_bytes_new(report->body, report->size);
+	g_hash_table_replace(
+	    exchange->collected, GUINT_TO_POINTER(report->host_id), collected);
+	if (!handle_equal(exchange->batch_timer, (struct handle){0}))
+		return;
+	/* Without a free timer the next report starts the batch. */
+	(void)timer_subscribe_once(exchange->timers,
+	    exchange->settings.batch_period_ms,
+	    (struct timer_callback){send_batch, exchange},
+	    &exchange->batch_timer);
+}
+
+/* Sends the collected reports to all entry hosts. */
+static void
+send_batch(void *context)
+{
+	struct report_exchange *exchange = context;
+	struct report_batch batch = {0};
+	struct peer_list list;
+
+	memset(&exchange->batch_timer, 0, sizeof(exchange->batch_timer));
+	fill_batch(exchange, &batch);
+	list_peers(exchange, &list);
+	deliver(exchange, &batch);
+	send_to_data_centres(exchange, &list, &batch);
+	spread(exchange, &list, &batch);
+	g_hash_table_remove_all(exchange->collected);
+}
+
+static void
+fill_batch(struct report_exchange *exchange, struct report_batch *batch)
+{
+	const struct collected_report *collected;
+	struct batched_report *report;
+	GHashTableIter iter;
+	int64_t age_ms;
+
+	g_hash_table_iter_init(&iter, exchange->collected);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&collected)) {
+		if (batch->report_count == HOSTS_MAX)
+			return;
+		report = &batch->reports[batch->report_count++];
+		age_ms = timer_now(exchange->timers) - collected->sent_ms;
+		report->host_id = collected->host_id;
+		report->sequence = collected->sequence;
+		report->age_ms = (uint32_t)age_ms;
+		report->body = g_bytes_get_data(collected->body, &report->size);
+	}
+}
+
+/* Sends the batch to one host of each other data centre. */
+static void
+send_to_data_centres(struct report_exchange *exchange,
+    const struct peer_list *list, struct report_batch *batch)
+{
+	const struct report_peer *peers = list->peers;
+	uint32_t first, next, chosen;
+
+	batch->type = REPORT_BATCH_SPREAD;
+	for (first = list->local_count; first < list->count; first = next) {
+		next = first + 1;
+		while (next < list->count &&
+		       peers[next].data_centre == peers[first].data_centre)
+			next++;
+		chosen = first + random_below(&exchange->random, next - first);
+		send_message(exchange, peers[chosen].host_id, batch);
+	}
+}
+
+/* Sends the batch to all hosts of this host's data centre, in an order that is
+ * drawn anew. */
+static void
+spread(struct report_exchange *exchange, const struct peer_list *list,
+    struct report_batch *batch)
+{
+	uint32_t host_ids[HOSTS_MAX], count, other;
+
+	for (count = 0; count < list->local_count; count++) {
+		other = random_below(&exchange->random, count + 1);
+		host_ids[count] = host_ids[other];
+		host_ids[other] = list->peers[count].host_id;
+	}
+	forward(exchange, batch, host_ids, count);
+}
+
+/* Sends the batch to the hosts: to each of them while there are few, else to
+ * the first of as many groups as the fan-out allows, which passes it on to the
+ * rest of its group. */
+static void
+forward(struct report_exchange *exchange, struct report_batch *batch,
+    const uint32_t *host_ids, uint32_t count)
+{
+	uint32_t remaining[HOSTS_MAX], groups, group, first, next;
+
+	memcpy(remaining, host_ids, count * sizeof(remaining[0]));
+	batch->type = REPORT_BATCH_FORWARD;
+	groups = MIN(count, exchange->settings.fan_out);
+	for (group = 0; group < groups; group++) {
+		first = count * group / groups;
+		next = count * (group + 1) / groups;
+		batch->host_count = next - first - 1;
+		memcpy(batch->host_ids, &remaining[first + 1],
+		    batch->host_count * sizeof(remaining[0]));
+		send_message(exchange, remaining[first], batch);
+	}
+}
+
+/* Passes the reports of other hosts to the owner. Its own report shows the host
+ * that its collector works. */
+static void
+deliver(struct report_exchange *exchange, const struct report_batch *batch)
+{
+	const struct batched_report *report;
+	uint32_t i;
+
+	for (i = 0; i < batch->report_count; i++) {
+		report = &batch->reports[i];
+		if (report->host_id != exchange->settings.host_id)
+			exchange->ops.on_report(exchange->ops.context,
+			    report->host_id, report->body, report->size,
+			    report->age_ms);
+		else
+			confirm(exchange, report->sequence);
+	}
+}
+
+static void
+send_message(struct report_exchange *exchange, uint32_t to_host,
+    const struct report_batch *batch)
+{
+	struct message_writer writer;
+
+	message_writer_init(&writer);
+	report_batch_write(&writer, batch);
+	exchange->port.send(exchange->port.context, to_host, PEER_CHANNEL_WORK,
+	    message_data(&writer), message_size(&writer));
+	message_writer_finish(&writer);
+}
+
+static void
+free_collected(gpointer report)
+{
+	g_bytes_unref(((struct collected_report *)report)->body);
+	g_free(report);
+}
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
+#include "service/host_reports.h"
 #include "service/host_seeds.h"
 #include "service/host_voters.h"
 
@@ -136,6 +137,7 @@
 	wait_line_finish(&host->wait_line);
 	host_orders_finish(host);
 	host_groups_finish(host);
+	host_reports_finish(host);
 	host_fleet_finish(host);
 	membership_finish(&host->membership);
 	peer_links_finish(&host->links);
@@ -199,7 +201,8 @@
 	if (error == ERROR_NONE)
 		error = host_agreement_init(host);
 	if (error == ERROR_NONE)
-		host_voters_init(host);
+		host_reports_init(host);
+	host_voters_init(host);
 	return error;
 }
 
@@ -355,9 +358,7 @@
 		    &host->directory, from_host, body, size);
 		break;
 	case PEER_CHANNEL_WORK:
-		if (host->work_watch.on_received != NULL)
-			host->work_watch.on_received(
-			    host->work_watch.context, from_host, body, size);
+		host_reports_receive(host, from_host, body, size);
 		break;
 	case PEER_CHANNEL_COUNT:
 		break;
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -38,6 +38,7 @@
 #include "coordination/membership.h"
 #include "coordination/prefix_index.h"
 #include "coordination/quarantine.h"
+#include "coordination/report_exchange.h"
 #include "coordination/retry.h"
 #include "coordination/router.h"
 #include "coordination/upstream_directory.h"
@@ -67,9 +68,10 @@
 
 /** Receiver of the work reports of other hosts; its callback may be NULL. */
 struct work_watch {
-	/** Called on the coordination thread for each report received. */
-	void (*on_received)(
-	    void *context, uint32_t from_host, const void *body, size_t size);
+	/** Called on the coordination thread for each report received, which
+	 * its host sent @p age_ms ago. */
+	void (*on_received)(void *context, uint32_t from_host, const void *body,
+	    size_t size, int64_t age_ms);
 	void *context; /**< First argument of the callback. */
 };
 
@@ -109,6 +111,7 @@
 	uint64_t plan_number; /**< Counts plans, for unique operation ids. */
 	struct document_watch document_watch; /**< Observer of a document. */
 	struct work_watch work_watch;	      /**< Receiver of work reports. */
+	struct report_exchange reports; /**< Work reports, on entry hosts. */
 	/** Until this time, an operator's override lets the host serve without
 	 * a confirmed configuration. */
 	_Atomic int64_t override_until_ms;
--- a/src/service/host_documents.c
+++ b/src/service/host_documents.c
@@ -26,12 +26,6 @@
 	bool is_behind; /* The state has not reached the sequence yet. */
 };
 
-/* A work report to be sent to the other entry hosts. */
-struct broadcast_body {
-	struct host *host;
-	GBytes *report;
-};
-
 struct remove_body {
 	char name[NAME_SIZE_MAX];
 	uint64_t incarnation;
@@ -41,9 +35,6 @@
 static void clear_read(void *body);
 static void run_heartbeat(void *coordinator, struct mailbox_call *call);
 static void run_remove(void *coordinator, struct mailbox_call *call);
-static void run_broadcast(void *coordinator, struct mailbox_call *call);
-static void clear_broadcast(void *body);
-static void send_work_report(void *visitor, const struct host_record *record);
 static bool is_unchanged(
     const struct upstream_record *known, const struct upstream_record *record);
 static enum error_code read_once(struct host *host, const char *name,
@@ -54,8 +45,6 @@
 static const struct mailbox_ops read_ops = {run_read, clear_read};
 static const struct mailbox_ops heartbeat_ops = {.run = run_heartbeat};
 static const struct mailbox_ops remove_ops = {.run = run_remove};
-static const struct mailbox_ops broadcast_ops = {
-    run_broadcast, clear_broadcast};
 
 enum error_code
 host_put_document(struct host *host, const char *name, uint64_t version,
@@ -164,20 +153,6 @@
 	return error;
 }
 
-void
-host_broadcast_work(struct host *host, const void *body, size_t size)
-{
-	struct mailbox_call *call;
-	struct broadcast_body *broadcast;
-
-	call = mailbox_call_new(&broadcast_ops, sizeof(*broadcast));
-	broadcast = mailbox_call_body(call);
-	broadcast->host = host;
-	broadcast->report = g_bytes_new(body, size);
-	/* A lost report does no harm, since the next one replaces it. */
-	(void)mailbox_post(&host->mailbox, call);
-}
-
 GBytes *
 document_pack(const void *text, size_t size)
 {
@@ -314,38 +289,6 @@
 	    &host->mailbox, call, error == ERROR_STALE ? ERROR_NONE : error);
 }
 
-static void
-run_broadcast(void *coordinator, struct mailbox_call *call)
-{
-	struct broadcast_body *body = mailbox_call_body(call);
-	struct host *host = coordinator;
-
-	membership_for_each(&host->membership, send_work_report, body);
-	mailbox_complete(&host->mailbox, call, ERROR_NONE);
-}
-
-static void
-clear_broadcast(void *body)
-{
-	g_bytes_unref(((struct broadcast_body *)body)->report);
-}
-
-/* Sends the report to a host if that is another live entry host. */
-static void
-send_work_report(void *visitor, const struct host_record *record)
-{
-	struct broadcast_body *body = visitor;
-
-	if ((record->flags & HOST_FLAG_ENTRY) == 0 ||
-	    record->id == body->host->settings.host_id ||
-	    record->state == HOST_STATE_DEAD ||
-	    record->state == HOST_STATE_LEFT)
-		return;
-	peer_links_send(&body->host->links, record->id, PEER_CHANNEL_WORK,
-	    g_bytes_get_data(body->report, NULL),
-	    g_bytes_get_size(body->report));
-}
-
 /* Returns true if the record equals the known one in every field that a
  * heartbeat can change. */
 static bool
--- a/src/service/host_documents.h
+++ b/src/service/host_documents.h
@@ -1,7 +1,7 @@
 /**
  * @file host_documents.h
- * Replicated documents, single configuration entries, heartbeats of upstreams
- * and work reports, for request threads.
+ * Replicated documents, single configuration entries and heartbeats of
+ * upstreams, for request threads.
  *
  * Documents are stored compressed. A read first commits a barrier command to
  * the replicated log and waits until this host has applied it, so it returns
@@ -46,9 +46,6 @@
 enum error_code host_remove_upstream(
     struct host *host, const char *name, uint64_t incarnation);
 
-/** Sends a work report to all other live entry hosts, without waiting. */
-void host_broadcast_work(struct host *host, const void *body, size_t size);
-
 /* Compression */
 
 /** Compresses a document. The caller unreferences the result, which is NULL if
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/event_log.h"
-#include "service/host_documents.h"
+#include "service/host_reports.h"
 #include "service/relay_parts.h"
 
 /* Largest number of timers of the loop's thread. */
@@ -29,6 +29,7 @@
 /* Work report of another host, queued for the loop's thread. */
 struct queued_report {
 	uint32_t from_host;
+	int64_t sent_ms; /* When it was sent, on this host's clock. */
 	size_t size;
 	char body[];
 };
@@ -139,13 +140,14 @@
 }
 
 void
-relay_receive_report(
-    struct relay *relay, uint32_t from_host, const void *body, size_t size)
+relay_receive_report(struct relay *relay, uint32_t from_host, const void *body,
+    size_t size, int64_t age_ms)
 {
 	struct queued_report *report;
 
 	report = g_malloc(sizeof(*report) + size);
 	report->from_host = from_host;
+	report->sent_ms = host_now_ms() - age_ms;
 	report->size = size;
 	memcpy(report->body, body, size);
 	pthread_mutex_lock(&relay->received_reports_mutex);
@@ -445,7 +447,7 @@
 	message_writer_init(&writer);
 	placement_report_write(&relay->placement, relay->host->incarnation,
 	    host_now_ms(), &writer);
-	host_broadcast_work(
+	host_reports_send(
 	    relay->host, message_data(&writer), message_size(&writer));
 	message_writer_finish(&writer);
 }
@@ -470,7 +472,7 @@
 		report = g_ptr_array_index(reports, i);
 		error = placement_report_receive(&relay->placement,
 		    report->from_host, report->body, report->size,
-		    host_now_ms());
+		    report->sent_ms);
 		if (error != ERROR_NONE && error != ERROR_STALE)
 			event_log_write(EVENT_PEER_REFUSED,
 			    "work report of host %u: %s", report->from_host,
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -188,9 +188,9 @@
 /** Passes a new route table to the relay, which takes ownership of the
  * reference. A table that is not newer than the one in force is ignored. */
 void relay_set_table(struct relay *relay, struct route_table *table);
-/** Queues a copy of another entry host's work report, to be applied by the
- * loop's thread. */
-void relay_receive_report(
-    struct relay *relay, uint32_t from_host, const void *body, size_t size);
+/** Queues a copy of another entry host's work report, sent @p age_ms ago, to
+ * be applied by the loop's thread. */
+void relay_receive_report(struct relay *relay, uint32_t from_host,
+    const void *body, size_t size, int64_t age_ms);
 
 #endif
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -260,7 +260,7 @@
 
 	relay_stop(&fixture->relay);
 	/* The host's thread may deliver a report after the relay stopped. */
-	relay_receive_report(&fixture->relay, 1, "", 0);
+	relay_receive_report(&fixture->relay, 1, "", 0, 0);
 	relay_set_table(&fixture->relay, NULL);
 	relay_finish(&fixture->relay);
 	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++) {
