Reports leave at once after a pause; batches every 5 ms for each data centre

Change: a host that has not reported for 10 ms reports at once; so does a collector after its pause. The pause is 5 ms for each data centre, so a host gets at most some 200 batches a second at any number of data centres.

--- a/src/coordination/report_exchange.c
+++ b/src/coordination/report_exchange.c
@@ -6,7 +6,7 @@
 #include "coordination/rendezvous.h"
 
 #define DIRECT_HOSTS_MAX_DEFAULT 16
-#define BATCH_PERIOD_DEFAULT_MS	 25
+#define BATCH_PERIOD_DEFAULT_MS	 5
 #define FAN_OUT_DEFAULT		 8
 #define CONFIRM_DEFAULT_MS	 300
 #define AVOID_DEFAULT_MS	 3000
@@ -72,6 +72,7 @@
 	exchange->collected =
 	    g_hash_table_new_full(NULL, NULL, NULL, free_collected);
 	exchange->unconfirmed_since_ms = INT64_MIN;
+	exchange->data_centre_count = 1;
 }
 
 void
@@ -290,6 +291,7 @@
 collect(struct report_exchange *exchange, const struct batched_report *report)
 {
 	struct collected_report *collected;
+	int64_t wait_ms;
 
 	collected = g_new0(struct collected_report, 1);
 	collected->host_id = report->host_id;
@@ -300,9 +302,12 @@
 	    exchange->collected, GUINT_TO_POINTER(report->host_id), collected);
 	if (!handle_equal(exchange->batch_timer, (struct handle){0}))
 		return;
+	wait_ms =
+	    exchange->batch_sent_ms +
+	    exchange->settings.batch_period_ms * exchange->data_centre_count -
+	    timer_now(exchange->timers);
 	/* Without a free timer the next report starts the batch. */
-	(void)timer_subscribe_once(exchange->timers,
-	    exchange->settings.batch_period_ms,
+	(void)timer_subscribe_once(exchange->timers, MAX(wait_ms, 0),
 	    (struct timer_callback){send_batch, exchange},
 	    &exchange->batch_timer);
 }
@@ -316,6 +321,7 @@
 	struct peer_list list;
 
 	memset(&exchange->batch_timer, 0, sizeof(exchange->batch_timer));
+	exchange->batch_sent_ms = timer_now(exchange->timers);
 	fill_batch(exchange, &batch);
 	list_peers(exchange, &list);
 	deliver(exchange, &batch);
@@ -354,11 +360,13 @@
 	uint32_t first, next, chosen;
 
 	batch->type = REPORT_BATCH_SPREAD;
+	exchange->data_centre_count = 1;
 	for (first = list->local_count; first < list->count; first = next) {
 		next = first + 1;
 		while (next < list->count &&
 		       peers[next].data_centre == peers[first].data_centre)
 			next++;
+		exchange->data_centre_count++;
 		chosen = first + random_below(&exchange->random, next - first);
 		send_message(exchange, peers[chosen].host_id, batch);
 	}
--- a/src/coordination/report_exchange.h
+++ b/src/coordination/report_exchange.h
@@ -4,12 +4,12 @@
  *
  * In a small fleet a host sends its report to every other one. In a large fleet
  * that would cost each host messages in proportion to the fleet's requests, so
- * reports travel in batches there: a host sends its report to the collector of
- * its data centre. Every BATCH_PERIOD the collector sends what came in to the
- * hosts of its data centre, and to one host of each other data centre, which
- * does the same there. Within a data centre a batch goes down a tree that is
- * drawn anew for each batch, so a host that is frozen or slow costs the others
- * few batches, and a lost report is replaced by the next one.
+ * reports travel in batches there. A host sends its report to the collector of
+ * its data centre. The collector sends what came in to the hosts of its data
+ * centre, and to one host of each other data centre, which passes it on there.
+ * Within a data centre a batch goes down a tree that is drawn anew for each
+ * batch, so a host that is frozen or slow costs the others few batches, and a
+ * lost report is replaced by the next one.
  *
  * No host is appointed as a collector: it is the one that the senders choose,
  * the first in a ranking that all hosts of the data centre compute alike. A
@@ -39,7 +39,9 @@
 	/** Most entry hosts, with this one, among which reports are sent without
 	 * a collector; default 16. */
 	uint32_t direct_hosts_max;
-	/** Time between two batches of a collector; default 25. */
+	/** Shortest mean time between the batches that a host receives; default
+	 * 5. A collector waits it once for each data centre between two
+	 * batches. */
 	int64_t batch_period_ms;
 	/** Hosts to which one host sends the same batch; default 8. */
 	uint32_t fan_out;
@@ -85,6 +87,8 @@
 	int64_t unconfirmed_since_ms;
 	uint32_t collector_rank;     /**< Position of the collector in use. */
 	int64_t rank_until_ms;	     /**< When to return to the first one. */
+	uint32_t data_centre_count;  /**< Data centres with entry hosts. */
+	int64_t batch_sent_ms;	     /**< When the last batch was sent. */
 	struct handle batch_timer;   /**< Sends the next batch. */
 	struct handle confirm_timer; /**< Checks that own reports return. */
 };
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -158,10 +158,13 @@
 void
 relay_schedule_report(struct relay *relay)
 {
+	int64_t wait_ms;
+
 	if (!handle_equal(relay->report_timer, (struct handle){0}))
 		return;
+	wait_ms = relay->reported_ms + REPORT_INTERVAL_MIN_MS - host_now_ms();
 	/* If no timer is free, the next change of work schedules the report. */
-	(void)timer_subscribe_once(&relay->timers, REPORT_INTERVAL_MIN_MS,
+	(void)timer_subscribe_once(&relay->timers, MAX(wait_ms, 0),
 	    (struct timer_callback){send_report, relay}, &relay->report_timer);
 }
 
@@ -444,6 +447,7 @@
 	struct relay *relay = context;
 
 	memset(&relay->report_timer, 0, sizeof(relay->report_timer));
+	relay->reported_ms = host_now_ms();
 	message_writer_init(&writer);
 	placement_report_write(&relay->placement, relay->host->incarnation,
 	    host_now_ms(), &writer);
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -136,10 +136,11 @@
 	GHashTable *callers;	      /**< Set of open struct relay_caller. */
 	GHashTable *pending_releases; /**< Set of struct hold whose memory is
 					   being released. */
-	GHashTable *retry_budgets;  /**< Service name to struct retry_window. */
-	struct route_table *table;  /**< Route table in force, or NULL. */
-	uint64_t view_version;	    /**< Version of the fleet view applied. */
-	uint32_t running_requests;  /**< Number of requests in progress. */
+	GHashTable *retry_budgets; /**< Service name to struct retry_window. */
+	struct route_table *table; /**< Route table in force, or NULL. */
+	uint64_t view_version;	   /**< Version of the fleet view applied. */
+	uint32_t running_requests; /**< Number of requests in progress. */
+	int64_t reported_ms; /**< When the last work report was written. */
 	struct handle report_timer; /**< Timer of the next work report, set if
 					 one is scheduled. */
 	pthread_mutex_t received_reports_mutex; /**< Protects
