--- a/src/coordination/warmup.c
+++ b/src/coordination/warmup.c
@@ -41,6 +41,10 @@
 {
 	struct capacity_amount cold, warm;
 
+	/* A late announcement of an earlier process says nothing about this
+	 * one. */
+	if (incarnation < warmup->incarnation)
+		return;
 	cold = warmup_cold_limit(limits);
 	warm = warmup_warm_limit(limits);
 	warmup->limits = *limits;
--- a/src/protocol/completions.c
+++ b/src/protocol/completions.c
@@ -160,13 +160,13 @@
     const struct caller_headers *headers, uint64_t fingerprint_key,
     int64_t now_ms, struct request_facts *facts)
 {
+	memcpy(facts->model, request->model, sizeof(facts->model));
+	facts->answer_tokens_max = request->answer_tokens_max;
 	fill_common_facts(
 	    headers, request->prompt, fingerprint_key, now_ms, facts);
-	memcpy(facts->model, request->model, sizeof(facts->model));
 	facts->is_service_call = false;
 	facts->is_idempotent = headers->idempotency_key[0] == '\0';
 	facts->prompt_tokens = prompt_tokens_estimate(request->prompt->size);
-	facts->answer_tokens_max = request->answer_tokens_max;
 	facts->prefix_count = prefix_hash_compute(
 	    request->prompt, facts->prefix_hashes, facts->prefix_tokens);
 }
@@ -176,13 +176,13 @@
     const struct caller_headers *headers, uint64_t fingerprint_key,
     int64_t now_ms, struct request_facts *facts)
 {
-	fill_common_facts(headers, body, fingerprint_key, now_ms, facts);
 	snprintf(facts->model, sizeof(facts->model), "%s", service);
+	facts->answer_tokens_max = 0;
+	fill_common_facts(headers, body, fingerprint_key, now_ms, facts);
 	facts->is_service_call = true;
 	facts->is_idempotent =
 	    headers->is_idempotent && headers->idempotency_key[0] == '\0';
 	facts->prompt_tokens = 0;
-	facts->answer_tokens_max = 0;
 	facts->prefix_count = 0;
 }
 
@@ -599,6 +599,8 @@
 	return code;
 }
 
+/* Fills the facts that all requests have. The account, the model and the limit
+ * of answer tokens must be filled in before. */
 static void
 fill_common_facts(const struct caller_headers *headers,
     const struct shared_text *body, uint64_t fingerprint_key, int64_t now_ms,
@@ -607,8 +609,8 @@
 	facts->priority = headers->priority;
 	facts->admitted_ms = now_ms;
 	facts->deadline_ms = now_ms + headers->deadline_ms;
-	facts->fingerprint =
-	    prompt_fingerprint(facts->client_account, body, fingerprint_key);
+	facts->fingerprint = request_fingerprint(facts->client_account,
+	    facts->model, facts->answer_tokens_max, body, fingerprint_key);
 }
 
 static json_t *
--- a/src/protocol/prefix_hash.c
+++ b/src/protocol/prefix_hash.c
@@ -5,6 +5,7 @@
 /* Defines XXH64_state_t as a complete type, so that the state of a hash can be
  * a local variable. */
 #define XXH_STATIC_LINKING_ONLY
+#include <glib.h>
 #include <xxhash.h>
 
 uint64_t
@@ -47,18 +48,21 @@
 }
 
 uint64_t
-prompt_fingerprint(
-    const char *client_account, const struct shared_text *text, uint64_t key)
+request_fingerprint(const char *client_account, const char *model,
+    uint32_t answer_tokens_max, const struct shared_text *text, uint64_t key)
 {
+	const uint32_t limit = GUINT32_TO_LE(answer_tokens_max);
 	struct text_cursor cursor;
 	XXH64_state_t state;
 	const char *data;
 	size_t size;
 
 	XXH64_reset(&state, key);
-	/* Include the terminating NUL, so that bytes moved between account and
-	 * text change the hash. */
+	/* Include the terminating NUL, so that bytes moved between account,
+	 * model and text change the hash. */
 	XXH64_update(&state, client_account, strlen(client_account) + 1);
+	XXH64_update(&state, model, strlen(model) + 1);
+	XXH64_update(&state, &limit, sizeof(limit));
 	text_cursor_init(&cursor, text, 0, text == NULL ? 0 : text->size);
 	while ((size = text_cursor_next(&cursor, SIZE_MAX, &data)) > 0)
 		XXH64_update(&state, data, size);
--- a/src/protocol/prefix_hash.h
+++ b/src/protocol/prefix_hash.h
@@ -24,9 +24,10 @@
  * longer than the text, and returns their number. A NULL text has none. */
 uint32_t prefix_hash_compute(const struct shared_text *text,
     uint64_t hashes[PREFIX_HASHES_MAX], uint64_t tokens[PREFIX_HASHES_MAX]);
-/** Returns a hash of the client account and the whole text, which may be NULL
- * if it is empty. @p key is the secret seed of the hash. */
-uint64_t prompt_fingerprint(
-    const char *client_account, const struct shared_text *text, uint64_t key);
+/** Returns a hash of all that makes a request another one: the client account,
+ * the model or service, the limit of answer tokens, and the whole text, which
+ * may be NULL if it is empty. @p key is the secret seed of the hash. */
+uint64_t request_fingerprint(const char *client_account, const char *model,
+    uint32_t answer_tokens_max, const struct shared_text *text, uint64_t key);
 
 #endif
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -20,11 +20,15 @@
  * row, in the order in which work_report_write() adds them. */
 #define NUMBERS_PER_ITEM   9
 #define NUMBERS_PER_DEMAND 5
+/* Columns of an item with numbers of 64 bits. */
+#define ITEM_UPSTREAM_ID 0
+#define ITEM_KV_TOKENS	 4
 
 static enum error_code read_row(const struct message_array *array,
     uint32_t from, uint32_t count, uint64_t *numbers);
 static enum error_code read_items(
     const struct message_array *array, struct work_report *report);
+static enum error_code check_item(const uint64_t *numbers);
 static enum error_code read_demands(
     const struct message_array *array, struct work_report *report);
 
@@ -133,6 +137,8 @@
 		return ERROR_NO_MEMORY;
 	for (i = 0; i < array->count; i += NUMBERS_PER_ITEM) {
 		error = read_row(array, i, NUMBERS_PER_ITEM, numbers);
+		if (error == ERROR_NONE)
+			error = check_item(numbers);
 		if (error != ERROR_NONE)
 			return error;
 		item = &report->items[report->item_count++];
@@ -149,6 +155,20 @@
 	return ERROR_NONE;
 }
 
+/* Refuses numbers over 32 bits in the columns that hold no more. */
+static enum error_code
+check_item(const uint64_t *numbers)
+{
+	uint32_t i;
+
+	for (i = 0; i < NUMBERS_PER_ITEM; i++) {
+		if (i != ITEM_UPSTREAM_ID && i != ITEM_KV_TOKENS &&
+		    numbers[i] > UINT32_MAX)
+			return ERROR_TOO_LARGE;
+	}
+	return ERROR_NONE;
+}
+
 static enum error_code
 read_demands(const struct message_array *array, struct work_report *report)
 {
@@ -166,6 +186,9 @@
 		return ERROR_NO_MEMORY;
 	for (i = 0; i < array->count; i += NUMBERS_PER_DEMAND) {
 		error = read_row(array, i, NUMBERS_PER_DEMAND, numbers);
+		if (error == ERROR_NONE &&
+		    (numbers[1] > UINT32_MAX || numbers[2] > UINT32_MAX))
+			error = ERROR_TOO_LARGE;
 		if (error != ERROR_NONE)
 			return error;
 		demand = &report->demands[report->demand_count++];
--- a/src/protocol/work_message.h
+++ b/src/protocol/work_message.h
@@ -68,7 +68,7 @@
     struct message_writer *writer, const struct work_report *report);
 /** Reads a report. On success, release it with work_report_finish(). Errors:
  * those of the codec, ERROR_MALFORMED for incomplete rows, ERROR_TOO_LARGE for
- * too many items or demands, ERROR_NO_MEMORY. */
+ * too many items or demands or a number over its size, ERROR_NO_MEMORY. */
 enum error_code work_report_read(
     const void *body, size_t size, struct work_report *report);
 /** Frees the items and demands of a report that was read. */
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -40,7 +40,7 @@
 	const char *text;    /* Text such as a name or key, NULL for none. */
 	const void *value;   /* Bytes such as a document's contents. */
 	size_t value_size;   /* Bytes of value, 0 for none. */
-	uint32_t count;	     /* Elements in use of numbers. */
+	uint32_t count;	     /* Elements of numbers that were read. */
 	uint64_t numbers[SAVE_NUMBERS_MAX]; /* Meaning depends on the kind. */
 };
 
@@ -66,6 +66,7 @@
     struct replicated_state *state, const unsigned char *data, size_t size);
 static enum error_code load_part(struct replicated_state *state,
     const unsigned char *data, size_t size, uint64_t *parts, bool *is_end);
+static uint32_t numbers_of_part(enum save_part part);
 static enum error_code store_part(struct replicated_state *state,
     const struct save_record *record, const char *text);
 static enum error_code store_operation(struct replicated_state *state,
@@ -79,9 +80,9 @@
 replicated_state_save(const struct replicated_state *state, bool is_public)
 {
 	struct save_writer writer = {g_byte_array_new(), 0};
-	struct save_record head = {.part = SAVE_PART_HEAD, .count = 6};
-	struct save_record end = {.part = SAVE_PART_END, .count = 1};
-	struct save_record item = {.part = SAVE_PART_HOST, .count = 2};
+	struct save_record head = {.part = SAVE_PART_HEAD};
+	struct save_record end = {.part = SAVE_PART_END};
+	struct save_record item = {.part = SAVE_PART_HOST};
 	const struct live_host *host;
 	guint i;
 
@@ -133,11 +134,12 @@
 put_part(struct save_writer *writer, const struct save_record *record)
 {
 	struct message_writer message;
-	uint32_t length, i;
+	uint32_t count, length, i;
 
+	count = numbers_of_part(record->part);
 	message_writer_init(&message);
-	message_begin_map(&message, 2 + record->count + (record->text != NULL) +
-					(record->value_size > 0));
+	message_begin_map(&message,
+	    2 + count + (record->text != NULL) + (record->value_size > 0));
 	message_put_uint(&message, FIELD_VERSION, SAVE_VERSION);
 	message_put_uint(&message, FIELD_PART, record->part);
 	if (record->text != NULL)
@@ -145,7 +147,7 @@
 	if (record->value_size > 0)
 		message_put_bytes(
 		    &message, FIELD_VALUE, record->value, record->value_size);
-	for (i = 0; i < record->count; i++)
+	for (i = 0; i < count; i++)
 		message_put_uint(
 		    &message, FIELD_NUMBERS + i, record->numbers[i]);
 	length = GUINT32_TO_LE((uint32_t)message_size(&message));
@@ -161,7 +163,7 @@
 save_config(gpointer key, gpointer value, gpointer context)
 {
 	const struct config_value *stored = value;
-	struct save_record record = {.part = SAVE_PART_CONFIG, .count = 1};
+	struct save_record record = {.part = SAVE_PART_CONFIG};
 
 	record.text = key;
 	record.value = stored->value;
@@ -175,7 +177,7 @@
 save_operations(
     struct save_writer *writer, const struct replicated_state *state)
 {
-	struct save_record record = {.part = SAVE_PART_OPERATION, .count = 1};
+	struct save_record record = {.part = SAVE_PART_OPERATION};
 	const struct operation_record *operation;
 	struct message_writer result;
 	const GList *link;
@@ -197,7 +199,7 @@
 static void
 save_claims(struct save_writer *writer, const struct replicated_state *state)
 {
-	struct save_record record = {.part = SAVE_PART_CLAIM, .count = 7};
+	struct save_record record = {.part = SAVE_PART_CLAIM};
 	const struct claim_record *claim;
 	GSequenceIter *iter;
 
@@ -219,7 +221,7 @@
 static void
 save_quarantine(void *context, const struct quarantine_record *quarantine)
 {
-	struct save_record record = {.part = SAVE_PART_QUARANTINE, .count = 5};
+	struct save_record record = {.part = SAVE_PART_QUARANTINE};
 
 	record.numbers[0] = quarantine->fingerprint;
 	record.numbers[1] = (uint64_t)quarantine->until_ms;
@@ -232,7 +234,7 @@
 static void
 save_order(void *context, const struct order_record *order)
 {
-	struct save_record record = {.part = SAVE_PART_ORDER, .count = 6};
+	struct save_record record = {.part = SAVE_PART_ORDER};
 
 	record.text = order->argument[0] == '\0' ? NULL : order->argument;
 	record.numbers[0] = order->upstream_id;
@@ -247,7 +249,7 @@
 static void
 save_documents(struct save_writer *writer, const struct replicated_state *state)
 {
-	struct save_record record = {.part = SAVE_PART_DOCUMENT, .count = 1};
+	struct save_record record = {.part = SAVE_PART_DOCUMENT};
 	const struct document *document;
 	GHashTableIter iter;
 
@@ -320,17 +322,43 @@
 		record.count++;
 	if (record.part == SAVE_PART_END) {
 		*is_end = true;
-		if (record.numbers[0] != *parts)
+		if (record.count == 0 || record.numbers[0] != *parts)
 			error = ERROR_MALFORMED;
 		goto out;
 	}
 	(*parts)++;
-	error = store_part(state, &record, text);
+	error = record.count < numbers_of_part(record.part)
+		    ? ERROR_MALFORMED
+		    : store_part(state, &record, text);
 out:
 	message_reader_finish(&reader);
 	return error;
 }
 
+/* Returns how many numbers a part must have. */
+static uint32_t
+numbers_of_part(enum save_part part)
+{
+	switch (part) {
+	case SAVE_PART_HEAD:
+	case SAVE_PART_ORDER:
+		return 6;
+	case SAVE_PART_CLAIM:
+		return 7;
+	case SAVE_PART_QUARANTINE:
+		return 5;
+	case SAVE_PART_HOST:
+		return 2;
+	case SAVE_PART_CONFIG:
+	case SAVE_PART_OPERATION:
+	case SAVE_PART_DOCUMENT:
+	case SAVE_PART_END:
+		return 1;
+	}
+	/* A newer version of the program added this kind. */
+	return 0;
+}
+
 static enum error_code
 store_part(struct replicated_state *state, const struct save_record *record,
     const char *text)
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -108,7 +108,7 @@
 {
 	struct in_addr ip_address;
 	const char *colon;
-	char *ip;
+	char *ip, *rest;
 	uint64_t address;
 	long port;
 
@@ -116,10 +116,10 @@
 	if (colon == NULL)
 		return 0;
 	ip = g_strndup(text, (gsize)(colon - text));
-	port = strtol(colon + 1, NULL, 10);
+	port = strtol(colon + 1, &rest, 10);
 	address = 0;
-	if (inet_pton(AF_INET, ip, &ip_address) == 1 && port > 0 &&
-	    port <= UINT16_MAX)
+	if (inet_pton(AF_INET, ip, &ip_address) == 1 && *rest == '\0' &&
+	    g_ascii_isdigit(colon[1]) && port > 0 && port <= UINT16_MAX)
 		address = (uint64_t)ntohl(ip_address.s_addr) << PORT_BITS |
 			  (uint64_t)port;
 	g_free(ip);
--- a/tests/test_completions.c
+++ b/tests/test_completions.c
@@ -228,6 +228,18 @@
 	assert_true(whole.is_idempotent);
 	assert_true(whole.fingerprint != other.fingerprint);
 	assert_int_equal(whole.prefix_hashes[2], other.prefix_hashes[2]);
+	/* Another model or answer length makes it another request, also under
+	 * the same idempotency key. */
+	other = split;
+	strcpy(request.model, "large");
+	completions_fill_facts(&request, &headers, 9, 1000, &other);
+	assert_true(whole.fingerprint != other.fingerprint);
+	other = split;
+	request.model[0] = '\0';
+	request.answer_tokens_max = 4;
+	completions_fill_facts(&request, &headers, 9, 1000, &other);
+	assert_true(whole.fingerprint != other.fingerprint);
+	request.answer_tokens_max = 3;
 	shared_text_unref(request.prompt);
 	parts[0].data = text;
 	parts[0].size = 1;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -873,6 +873,36 @@
 	fixture_finish(&fixture);
 }
 
+/* A number that doesn't fit into its field makes a report invalid. */
+static void
+test_reports_with_too_large_numbers_are_refused(void **state)
+{
+	enum {
+		FIELD_ITEMS = 3,
+		FIELD_DEMANDS = 4,
+		ROW = 9,
+		RUNNING = 2
+	};
+	struct work_report report;
+	struct message_writer writer;
+	uint32_t i;
+
+	(void)state;
+	message_writer_init(&writer);
+	message_begin_map(&writer, 5);
+	for (i = 0; i < FIELD_ITEMS; i++)
+		message_put_uint(&writer, i, 1);
+	message_put_array(&writer, FIELD_ITEMS, ROW);
+	for (i = 0; i < ROW; i++)
+		message_add_uint(
+		    &writer, i == RUNNING ? UINT64_C(1) << 32 | 1 : 1);
+	message_put_array(&writer, FIELD_DEMANDS, 0);
+	assert_int_equal(work_report_read(message_data(&writer),
+			     message_size(&writer), &report),
+	    ERROR_TOO_LARGE);
+	message_writer_finish(&writer);
+}
+
 /* A short prompt in the simulated overload below. */
 struct chat {
 	struct placement_queue_entry entry;
@@ -1064,6 +1094,7 @@
 	    cmocka_unit_test(test_refused_attempts_leave_no_backlog),
 	    cmocka_unit_test(test_reports_of_other_hosts_are_counted_once),
 	    cmocka_unit_test(test_silence_is_evaluated_by_other_progress),
+	    cmocka_unit_test(test_reports_with_too_large_numbers_are_refused),
 	    cmocka_unit_test(test_short_prompts_wait_for_a_slot),
 	    cmocka_unit_test(test_requests_wait_for_the_rate_limit),
 	};
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -13,6 +13,7 @@
 #include "platform_heartbeat.h"
 #include "platform_routes.h"
 #include "platform_settings.h"
+#include "transport/upstream_pool.h"
 
 #define SERVICES                                                               \
 	"\"services\":[{\"name\":\"s1\",\"healthPath\":\"/health\","           \
@@ -266,6 +267,23 @@
 	    ERROR_NONE);
 }
 
+/* An upstream's address is an IP address and a port, with nothing behind. */
+static void
+test_upstream_addresses_are_checked_whole(void **state)
+{
+	const char *const invalid[] = {"10.0.0.1", "10.0.0.1:", "10.0.0.1:0",
+	    "10.0.0.1:65536", "10.0.0.1:80x", "10.0.0.1:80/", "10.0.0.1: 80",
+	    "10.0.0.1:+80", "10.0.0:80"};
+	char text[UPSTREAM_ADDRESS_SIZE];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++)
+		assert_true(upstream_address_parse(invalid[i]) == 0);
+	upstream_address_write(upstream_address_parse("10.0.0.1:80"), text);
+	assert_string_equal(text, "10.0.0.1:80");
+}
+
 int
 main(void)
 {
@@ -278,6 +296,7 @@
 	    cmocka_unit_test(test_settings_of_control_host_are_parsed),
 	    cmocka_unit_test(test_settings_without_bootstrap_have_no_voters),
 	    cmocka_unit_test(test_invalid_settings_are_refused),
+	    cmocka_unit_test(test_upstream_addresses_are_checked_whole),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -326,6 +326,58 @@
 	replicated_state_finish(&other);
 }
 
+/* Appends a part of a snapshot with @p count numbers. */
+static void
+append_part(GByteArray *bytes, uint64_t part, uint32_t count)
+{
+	enum {
+		VERSION = 1,
+		FIELD_NUMBERS = 8
+	};
+	struct message_writer writer;
+	uint32_t length, i;
+
+	message_writer_init(&writer);
+	message_begin_map(&writer, 2 + count);
+	message_put_uint(&writer, 0, VERSION);
+	message_put_uint(&writer, 1, part);
+	for (i = 0; i < count; i++)
+		message_put_uint(&writer, FIELD_NUMBERS + i, 1);
+	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
+	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(
+	    bytes, message_data(&writer), (guint)message_size(&writer));
+	message_writer_finish(&writer);
+}
+
+/* A part of a snapshot that lacks numbers is refused, not filled up with
+ * zeros. */
+static void
+test_snapshot_parts_lack_no_numbers(void **state)
+{
+	enum {
+		PART_HEAD = 1,
+		PART_END = 8,
+		HEAD_NUMBERS = 6
+	};
+	struct replicated_state other;
+	GByteArray *bytes;
+	uint32_t count;
+
+	(void)state;
+	replicated_state_init(&other, NULL);
+	for (count = 0; count <= HEAD_NUMBERS; count++) {
+		bytes = g_byte_array_new();
+		append_part(bytes, PART_HEAD, count);
+		append_part(bytes, PART_END, 1);
+		assert_int_equal(
+		    replicated_state_load(&other, bytes->data, bytes->len),
+		    count == HEAD_NUMBERS ? ERROR_NONE : ERROR_MALFORMED);
+		g_byte_array_unref(bytes);
+	}
+	replicated_state_finish(&other);
+}
+
 static struct command_result
 put_named_document(struct replicated_state *state, const char *name,
     uint64_t version, const char *text)
@@ -491,6 +543,7 @@
 	    cmocka_unit_test(test_orders_are_fenced),
 	    cmocka_unit_test(test_learner_has_same_content_as_voter),
 	    cmocka_unit_test(test_snapshot_restores_whole_state),
+	    cmocka_unit_test(test_snapshot_parts_lack_no_numbers),
 	    cmocka_unit_test(test_newest_document_version_is_kept),
 	    cmocka_unit_test(test_public_entries_are_bounded_in_bytes),
 	    cmocka_unit_test(test_learner_gets_newest_document_only),
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -76,6 +76,10 @@
 		warmup_record_in_time(&warmup, &settings,
 		    settings.answers_per_step, &warmup.bound, 200);
 	assert_true(capacity_equal(&warmup.bound, &warm));
+	/* A late announcement of an earlier incarnation changes nothing. */
+	warmup_start(&warmup, &(struct upstream_limits){0}, 0, 250);
+	assert_true(capacity_equal(&warmup.bound, &warm));
+	assert_memory_equal(&warmup.limits, &limits, sizeof(limits));
 	/* The same incarnation announced again changes nothing. */
 	warmup_start(&warmup, &limits, 1, 300);
 	assert_true(capacity_equal(&warmup.bound, &warm));
