--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -332,7 +332,7 @@
 {
 	enum {
 		VERSION = 1,
-		FIELD_NUMBERS = 8
+		FIELD_NUMBERS = 4
 	};
 	struct message_writer writer;
 	uint32_t length, i;
