A learner pauses after a costly push of the configuration

Cause: with one push at a time a host of 0.12 cores still took versions of 1,950 routes into use back to back in a storm, so its requests had no processor.

Change: a learner to which a push took 20 ms and more to apply reports it only after twice that time, at most until a renewal interval after the push; the parent then sends the newest version. Meanwhile renewals tell the index reported last.

--- a/src/coordination/config_feed.c
+++ b/src/coordination/config_feed.c
@@ -17,11 +17,16 @@
 #define JITTER_DIVISOR 8
 /* Without a lease the renewal interval is divided by this. */
 #define NO_LEASE_RENEWAL_DIVISOR 4
+/* A push that took at least this long to apply is costly. */
+#define COSTLY_APPLY_MS 20
+/* Pause after a costly push, as a multiple of the time that it took. */
+#define REPORT_PAUSE_FACTOR 2
 /* Wait before another snapshot is accepted after one failed to install. */
 #define SNAPSHOT_RETRY_DELAY_MS 2000
 
 static void run_renewal(void *context);
 static void send_renewal_request(struct config_feed *feed);
+static uint64_t index_to_report(const struct config_feed *feed);
 static void schedule_renewal(struct config_feed *feed);
 static void schedule_lease_timer(struct config_feed *feed);
 static void check_lease(void *context);
@@ -32,6 +37,8 @@
     struct config_feed *feed, const struct feed_message *message);
 static enum error_code receive_snapshot(
     struct config_feed *feed, const struct feed_message *message);
+static void pause_reports(struct config_feed *feed, int64_t apply_ms);
+static void end_report_pause(void *context);
 static void receive_refusal(struct config_feed *feed, uint32_t from_host);
 static void report_progress(struct config_feed *feed);
 static bool has_unreported_entries(const struct config_feed *feed);
@@ -72,6 +79,7 @@
 	feed->request_number = random_uint64(&feed->random) >> 1;
 	feed->lease_until_ms = INT64_MIN;
 	feed->leader_since_ms = INT64_MIN;
+	feed->report_pause_until_ms = INT64_MIN;
 	feed->parent_progress_ms = timer_now(timers);
 	feed->children =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -86,6 +94,7 @@
 		return;
 	timer_cancel(feed->timers, &feed->renewal_timer);
 	timer_cancel(feed->timers, &feed->lease_timer);
+	timer_cancel(feed->timers, &feed->report_timer);
 	g_hash_table_destroy(feed->children);
 	if (feed->outgoing_snapshot != NULL)
 		g_byte_array_unref(feed->outgoing_snapshot);
@@ -230,11 +239,7 @@
 
 	message.request_number = ++feed->request_number;
 	message.incarnation = feed->settings.incarnation;
-	/* A voter gets entries by consensus: UINT64_MAX requests none. */
-	message.applied_index =
-	    feed->sink.apply_entries == NULL
-		? UINT64_MAX
-		: feed->source.applied_index(feed->source.context);
+	message.applied_index = index_to_report(feed);
 	message.subtree_index = feed_subtree_index(feed);
 	message.snapshot_index = feed->incoming_snapshot_index;
 	message.offset =
@@ -248,6 +253,18 @@
 	feed_send(feed, feed->parent, &message);
 }
 
+/* Returns the last entry that the parent is told to be applied. A voter gets
+ * entries by consensus and requests none with UINT64_MAX. */
+static uint64_t
+index_to_report(const struct config_feed *feed)
+{
+	if (feed->sink.apply_entries == NULL)
+		return UINT64_MAX;
+	if (feed_now(feed) < feed->report_pause_until_ms)
+		return feed->reported_applied_index;
+	return feed->source.applied_index(feed->source.context);
+}
+
 static void
 schedule_renewal(struct config_feed *feed)
 {
@@ -343,6 +360,7 @@
 receive_entries(struct config_feed *feed, const struct feed_message *message)
 {
 	enum error_code error;
+	int64_t began_ms;
 	uint64_t applied;
 
 	if (feed->sink.apply_entries == NULL)
@@ -354,13 +372,45 @@
 		send_renewal_request(feed);
 		return ERROR_STALE;
 	}
+	began_ms = feed_now(feed);
 	error =
 	    feed->sink.apply_entries(feed->sink.context, message->first_index,
 		message->last_index, message->bytes, message->size);
+	pause_reports(feed, feed_now(feed) - began_ms);
 	feed_push_entries(feed);
 	return error;
 }
 
+/* Delays the next report of progress after a push that took @p apply_ms. */
+static void
+pause_reports(struct config_feed *feed, int64_t apply_ms)
+{
+	int64_t pause_ms;
+
+	if (apply_ms < COSTLY_APPLY_MS)
+		return;
+	pause_ms = apply_ms * REPORT_PAUSE_FACTOR;
+	/* After a renewal interval the parent would send the push again. */
+	if (pause_ms > feed->settings.renewal_interval_ms - apply_ms)
+		pause_ms = feed->settings.renewal_interval_ms - apply_ms;
+	if (pause_ms <= 0)
+		return;
+	timer_cancel(feed->timers, &feed->report_timer);
+	if (timer_subscribe_once(feed->timers, apply_ms + pause_ms,
+		(struct timer_callback){end_report_pause, feed},
+		&feed->report_timer) == ERROR_NONE)
+		feed->report_pause_until_ms = feed_now(feed) + pause_ms;
+}
+
+static void
+end_report_pause(void *context)
+{
+	struct config_feed *feed = context;
+
+	feed->report_pause_until_ms = INT64_MIN;
+	report_progress(feed);
+}
+
 /* Collects a piece of a snapshot, requests the next one, and installs the
  * snapshot when it is complete. */
 static enum error_code
@@ -420,6 +470,8 @@
 static void
 report_progress(struct config_feed *feed)
 {
+	if (feed_now(feed) < feed->report_pause_until_ms)
+		return;
 	if (feed_subtree_index(feed) > feed->reported_index ||
 	    has_unreported_entries(feed)) {
 		choose_parent(feed);
--- a/src/coordination/config_feed.h
+++ b/src/coordination/config_feed.h
@@ -9,7 +9,9 @@
  * have applied newer entries. A parent pushes entries as soon as it has applied
  * them and the child has applied those sent before, so a child that is slow or
  * behind a slow link never has more than one push waiting for it, and gets in
- * the next one what has become newest meanwhile.
+ * the next one what has become newest meanwhile. A child to which a push was
+ * costly waits a while before it reports it, so that a storm of changes leaves
+ * its processor to its requests.
  *
  * Lease: the leader's lease ends lease_ms after the start of the latest
  * heartbeat round that a quorum acknowledged. A child's lease ends at the time
@@ -155,6 +157,9 @@
 	uint64_t incoming_snapshot_index; /**< Last entry in the snapshot. */
 	struct handle renewal_timer;	  /**< Sends the next request. */
 	struct handle lease_timer;	  /**< Expiry of the lease. */
+	/** No progress is reported before, so that the parent sends nothing. */
+	int64_t report_pause_until_ms;
+	struct handle report_timer; /**< Ends that pause. */
 };
 
 /* Setting up */
--- a/tests/test_feed_storm.c
+++ b/tests/test_feed_storm.c
@@ -38,6 +38,7 @@
 	struct replicated_state state;
 	uint64_t published; /* Sequence that its feed may pass on. */
 	uint64_t used;	    /* Version of the document in use. */
+	uint32_t uses;	    /* Documents that it took into use. */
 	int64_t busy_until_ms;
 	bool is_frozen;
 };
@@ -115,6 +116,15 @@
 	return ERROR_NONE;
 }
 
+/* The host's clock runs on while it is busy, though its timers don't. */
+static int64_t
+clock_now(void *context)
+{
+	struct node *node = context;
+
+	return MAX(fake_net_now(&node->storm->net), node->busy_until_ms);
+}
+
 /* Makes the host busy for as long as it takes the document into use. */
 static void
 begin_use(struct node *node)
@@ -122,6 +132,7 @@
 	int64_t now_ms = fake_net_now(&node->storm->net);
 
 	node->published = node->state.sequence;
+	node->uses++;
 	node->busy_until_ms = MAX(node->busy_until_ms, now_ms) + USE_MS;
 }
 
@@ -184,7 +195,7 @@
 	    confirmed_ms, applied_index, read_entries, read_snapshot, node};
 	struct config_feed_sink sink = {apply_entries, install_snapshot, node};
 	struct config_feed_ops ops = {
-	    .list_hosts = list_hosts, .context = node};
+	    .clock_now = clock_now, .list_hosts = list_hosts, .context = node};
 
 	node->storm = storm;
 	node->id = id;
@@ -282,7 +293,7 @@
 	struct storm storm = {0};
 	int64_t longest_ms = 0, lag_ms;
 	uint64_t version;
-	uint32_t id;
+	uint32_t id, uses_most = 0;
 
 	(void)state;
 	storm.nodes = calloc(HOSTS, sizeof(*storm.nodes));
@@ -301,8 +312,14 @@
 	longest_ms = MAX(longest_ms, lag_ms);
 	print_message("longest time to use: %d ms\n", (int)longest_ms);
 	assert_true(longest_ms <= IN_USE_MS);
-	for (id = VOTERS + 1; id <= HOSTS; id++)
+	for (id = VOTERS + 1; id <= HOSTS; id++) {
 		assert_int_equal(storm.nodes[id - 1].used, VERSIONS);
+		uses_most = MAX(uses_most, storm.nodes[id - 1].uses);
+	}
+	/* Most of the processor is left to the requests. */
+	print_message("busy with documents for %u of %d ms\n",
+	    uses_most * USE_MS, VERSIONS * WRITE_PERIOD_MS);
+	assert_true(uses_most * USE_MS <= VERSIONS * WRITE_PERIOD_MS * 2 / 5);
 	for (id = 1; id <= HOSTS; id++) {
 		config_feed_finish(&storm.nodes[id - 1].feed);
 		replicated_state_finish(&storm.nodes[id - 1].state);
