--- a/src/coordination/grant_holder.c
+++ b/src/coordination/grant_holder.c
@@ -4,70 +4,23 @@
 #include <string.h>
 
 #include "coordination/capacity_math.h"
+#include "coordination/grant_holder_parts.h"
 #include "protocol/grant_message.h"
 
-#define PERCENT		100
 #define TICKS_PER_RETRY 2 /* Ticks within settings.retry_ms. */
 
-/* A report sequence holds the milliseconds since the holder's start above this
- * many bits, which number the reports of one millisecond. */
-#define SEQUENCE_SHIFT 10
-
 /* A grant is renewed at the latest after this part of its duration. */
 #define RENEW_PERCENT 40
 
-/* Part of the recorded peak of demand that is kept from report to report. */
-#define PEAK_KEPT_PERCENT 75
-
-/* An upstream that this host may use, with its slot and its last grant. */
-struct held_upstream {
-	uint64_t id;
-	uint64_t incarnation;
-	struct capacity_slot *slot;
-	bool is_closed; /* Kept only until its running requests have ended. */
-	uint64_t term;	/* Owner's epoch when it made the last offer. */
-	uint64_t offer_number;		/* Number of the last offer applied. */
-	struct capacity_amount ceiling; /* Amount that the slot grants. */
-	int64_t expires_ms;		/* When the grant expires. */
-	int64_t duration_ms;		/* Duration of the last grant. */
-	uint32_t warmth;		/* Last warm-up bound, 0 to 1000. */
-	struct capacity_amount waiting; /* Demand of waiting requests. */
-	/* Demand of the largest single waiting request, zero if none waits. */
-	struct capacity_amount largest_waiting;
-	struct capacity_amount peak; /* Recent peak of demand, decaying. */
-	uint32_t in_time_answers;    /* Answers in time since last report. */
-	bool is_cold; /* Evidence of cold that the owner has not confirmed. */
-	struct capacity_amount reported_use; /* Use in the last report. */
-	uint64_t report_sequence;	     /* Sequence of the last report. */
-	uint64_t answered_sequence;    /* Last report that was answered. */
-	int64_t reported_ms;	       /* When the last report was sent. */
-	int64_t last_active_ms;	       /* Last time with use or demand. */
-	bool has_unconfirmed;	       /* Cold evidence or a returned grant
-					  that the owner has not confirmed. */
-	uint64_t unconfirmed_sequence; /* First report with that news, or 0. */
-	/* Time at which the evidence or the returned grant became known;
-	 * never read. */
-	int64_t unconfirmed_since_ms;
-	bool must_request_grant; /* Next flush reports and wants offers. */
-	bool must_report;	 /* Next flush reports and wants no answer. */
-};
-
 /* A replaced slot; request threads may still give back what they took. */
 struct retired_slot {
 	struct capacity_slot *slot;
 	int64_t retired_ms;
 };
 
-/* The entries that are reported to one owner in one message. */
-struct report_batch {
-	uint32_t owner;
-	GPtrArray *entries; /* Elements are struct held_upstream pointers. */
-};
-
 static void run_tick(void *context);
 static void run_flush(void *context);
 static void free_entry(gpointer entry);
-static void free_batch(gpointer batch);
 static struct held_upstream *find_entry(
     const struct grant_holder *holder, uint64_t upstream_id);
 static enum error_code add_entry(struct grant_holder *holder,
@@ -89,22 +42,12 @@
 static bool is_near_limit(const struct grant_holder *holder,
     const struct held_upstream *entry, const struct capacity_amount *used);
 static void schedule_flush(struct grant_holder *holder);
-static void flush_reports(struct grant_holder *holder, bool wants_answer);
-static GHashTable *collect_batches(
-    struct grant_holder *holder, bool wants_answer);
-static uint64_t next_sequence(struct grant_holder *holder);
-static void send_batch(struct grant_holder *holder,
-    const struct report_batch *batch, uint64_t sequence, bool wants_answer);
-static void fill_report_row(const struct grant_holder *holder,
-    struct held_upstream *entry, struct grant_report *row);
 static enum error_code receive_grant(struct grant_holder *holder,
     uint32_t from_host, const struct grant_reader *reader);
 static void apply_offer(struct grant_holder *holder,
     const struct grant_header *header, const struct grant_offer *row);
 static bool is_older_offer(
     const struct held_upstream *entry, const struct grant_offer *row);
-static enum error_code answer_query(struct grant_holder *holder,
-    uint32_t from_host, const struct grant_header *header);
 
 struct grant_holder_settings
 grant_holder_default_settings(uint32_t host_id, uint64_t instance)
@@ -314,7 +257,7 @@
 	case GRANT_MESSAGE_GRANT:
 		return receive_grant(holder, from_host, reader);
 	case GRANT_MESSAGE_USE_QUERY:
-		return answer_query(holder, from_host, &reader->header);
+		return grant_answer_query(holder, from_host, &reader->header);
 	default:
 		return ERROR_INVALID_ARGUMENT;
 	}
@@ -335,8 +278,8 @@
 			g_hash_table_iter_remove(&iter);
 	}
 	free_retired(holder, now_ms);
-	flush_reports(holder, false);
-	flush_reports(holder, true);
+	grant_flush_reports(holder, false);
+	grant_flush_reports(holder, true);
 }
 
 static void
@@ -345,8 +288,8 @@
 	struct grant_holder *holder = context;
 
 	memset(&holder->flush_timer, 0, sizeof(holder->flush_timer));
-	flush_reports(holder, false);
-	flush_reports(holder, true);
+	grant_flush_reports(holder, false);
+	grant_flush_reports(holder, true);
 }
 
 static void
@@ -358,15 +301,6 @@
 	g_free(freed);
 }
 
-static void
-free_batch(gpointer batch)
-{
-	struct report_batch *freed = batch;
-
-	g_ptr_array_free(freed->entries, TRUE);
-	g_free(freed);
-}
-
 static struct held_upstream *
 find_entry(const struct grant_holder *holder, uint64_t upstream_id)
 {
@@ -464,7 +398,6 @@
 {
 	entry->has_unconfirmed = true;
 	entry->unconfirmed_sequence = 0;
-	entry->unconfirmed_since_ms = timer_now(holder->timers);
 	entry->must_request_grant = true;
 	schedule_flush(holder);
 }
@@ -583,161 +516,6 @@
 	    flush, &holder->flush_timer);
 }
 
-static void
-flush_reports(struct grant_holder *holder, bool wants_answer)
-{
-	GHashTable *batches;
-	GHashTableIter iter;
-	gpointer value;
-	uint64_t sequence;
-
-	batches = collect_batches(holder, wants_answer);
-	if (g_hash_table_size(batches) > 0) {
-		sequence = next_sequence(holder);
-		g_hash_table_iter_init(&iter, batches);
-		while (g_hash_table_iter_next(&iter, NULL, &value))
-			send_batch(holder, value, sequence, wants_answer);
-	}
-	g_hash_table_destroy(batches);
-}
-
-/* Groups the entries that are due for a report by owner; returns a table of
- * struct report_batch by the owner's host id. */
-static GHashTable *
-collect_batches(struct grant_holder *holder, bool wants_answer)
-{
-	struct held_upstream *entry;
-	struct report_batch *batch;
-	GHashTable *batches;
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t owner;
-
-	batches = g_hash_table_new_full(
-	    g_direct_hash, g_direct_equal, NULL, free_batch);
-	g_hash_table_iter_init(&iter, holder->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		entry = value;
-		if (!(wants_answer ? entry->must_request_grant
-				   : entry->must_report))
-			continue;
-		entry->must_report = false;
-		owner = owner_map_owner(holder->map, entry->id);
-		if (owner == OWNER_NONE)
-			continue;
-		batch = g_hash_table_lookup(batches, GUINT_TO_POINTER(owner));
-		if (batch == NULL) {
-			batch = g_new0(struct report_batch, 1);
-			batch->owner = owner;
-			batch->entries = g_ptr_array_new();
-			g_hash_table_insert(
-			    batches, GUINT_TO_POINTER(owner), batch);
-		}
-		g_ptr_array_add(batch->entries, entry);
-	}
-	return batches;
-}
-
-/* Returns a sequence that contains the present time. Owners echo it in their
- * offers, which tells from when the duration of the grant counts. */
-static uint64_t
-next_sequence(struct grant_holder *holder)
-{
-	uint64_t sequence;
-
-	sequence = (uint64_t)(timer_now(holder->timers) - holder->start_ms)
-		   << SEQUENCE_SHIFT;
-	if (sequence <= holder->last_sequence)
-		sequence = holder->last_sequence + 1;
-	holder->last_sequence = sequence;
-	return sequence;
-}
-
-static void
-send_batch(struct grant_holder *holder, const struct report_batch *batch,
-    uint64_t sequence, bool wants_answer)
-{
-	struct grant_header header = {0};
-	struct held_upstream *entry;
-	struct message_writer writer;
-	struct grant_report row;
-	guint i;
-
-	header.type = GRANT_MESSAGE_REPORT;
-	header.epoch = holder->map->epoch;
-	header.instance = holder->settings.instance;
-	header.sequence = sequence;
-	header.wants_answer = wants_answer;
-	header.row_count = batch->entries->len;
-	message_writer_init(&writer);
-	grant_message_open(&writer, &header);
-	for (i = 0; i < batch->entries->len; i++) {
-		entry = g_ptr_array_index(batch->entries, i);
-		fill_report_row(holder, entry, &row);
-		grant_message_add_report(&writer, &row);
-		entry->in_time_answers = 0;
-		entry->report_sequence = sequence;
-		if (entry->has_unconfirmed && entry->unconfirmed_sequence == 0)
-			entry->unconfirmed_sequence = sequence;
-		entry->reported_ms = timer_now(holder->timers);
-		if (wants_answer)
-			entry->must_request_grant = false;
-	}
-	holder->counters.reports++;
-	holder->counters.reported_rows += batch->entries->len;
-	holder->port.send(holder->port.context, batch->owner,
-	    PEER_CHANNEL_GRANT, message_data(&writer), message_size(&writer));
-	message_writer_finish(&writer);
-}
-
-/* Fills a row of a demand report. It requests the recent peak of demand plus
- * headroom, and says which percentage of that is needed now. */
-static void
-fill_report_row(const struct grant_holder *holder, struct held_upstream *entry,
-    struct grant_report *row)
-{
-	struct capacity_amount needed;
-	uint64_t peak, wanted, percent;
-	unsigned int at;
-
-	memset(row, 0, sizeof(*row));
-	row->upstream_id = entry->id;
-	row->incarnation = entry->incarnation;
-	row->term = entry->term;
-	row->offer_number = entry->offer_number;
-	row->ceiling = entry->ceiling;
-	row->used = capacity_slot_used(entry->slot);
-	entry->reported_use = row->used;
-	row->largest_waiting = entry->largest_waiting;
-	row->warmth = entry->warmth;
-	row->in_time_answers = entry->in_time_answers;
-	row->is_cold = entry->is_cold;
-	row->needed_percent = PERCENT;
-	if (entry->is_closed) {
-		row->wanted = row->used;
-		return;
-	}
-	row->needed_percent = 0;
-	needed = capacity_add(&row->used, &entry->waiting);
-	for (at = 0; at < CAPACITY_DIMENSIONS; at++) {
-		peak = capacity_get(&entry->peak, at) / PERCENT *
-		       PEAK_KEPT_PERCENT;
-		if (peak < capacity_get(&needed, at))
-			peak = capacity_get(&needed, at);
-		capacity_set(&entry->peak, at, peak);
-		wanted =
-		    peak + peak * holder->settings.headroom_percent / PERCENT;
-		capacity_set(&row->wanted, at, wanted);
-		percent =
-		    wanted == 0
-			? 0
-			: (capacity_get(&needed, at) * PERCENT + wanted - 1) /
-			      wanted;
-		if (row->needed_percent < percent)
-			row->needed_percent = (uint32_t)percent;
-	}
-}
-
 static enum error_code
 receive_grant(struct grant_holder *holder, uint32_t from_host,
     const struct grant_reader *reader)
@@ -827,53 +605,3 @@
 		return row->term < entry->term;
 	return row->offer_number < entry->offer_number;
 }
-
-/* Answers a new owner's query with a USE_ANSWER: what this host runs on the
- * upstreams of that owner. */
-static enum error_code
-answer_query(struct grant_holder *holder, uint32_t from_host,
-    const struct grant_header *header)
-{
-	struct grant_header answer = {0};
-	struct held_upstream *entry;
-	struct message_writer writer;
-	struct capacity_amount used;
-	struct grant_report row;
-	GPtrArray *entries;
-	GHashTableIter iter;
-	gpointer value;
-	guint i;
-
-	if (header->epoch != holder->map->epoch)
-		return ERROR_STALE;
-	/* Requests of an earlier process of this host may still run on the
-	 * engines, so an answer now could report too little use. */
-	if (timer_now(holder->timers) - holder->start_ms <
-	    holder->settings.orphan_drain_ms)
-		return ERROR_NONE;
-	entries = g_ptr_array_new();
-	g_hash_table_iter_init(&iter, holder->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		entry = value;
-		used = capacity_slot_used(entry->slot);
-		if (owner_map_owner(holder->map, entry->id) == from_host &&
-		    (entry->term != 0 || !capacity_is_zero(&used)))
-			g_ptr_array_add(entries, entry);
-	}
-	answer.type = GRANT_MESSAGE_USE_ANSWER;
-	answer.epoch = header->epoch;
-	answer.instance = holder->settings.instance;
-	answer.sequence = header->sequence;
-	answer.row_count = entries->len;
-	message_writer_init(&writer);
-	grant_message_open(&writer, &answer);
-	for (i = 0; i < entries->len; i++) {
-		fill_report_row(holder, g_ptr_array_index(entries, i), &row);
-		grant_message_add_report(&writer, &row);
-	}
-	holder->port.send(holder->port.context, from_host, PEER_CHANNEL_GRANT,
-	    message_data(&writer), message_size(&writer));
-	message_writer_finish(&writer);
-	g_ptr_array_free(entries, TRUE);
-	return ERROR_NONE;
-}
