--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -492,10 +492,7 @@
 static void
 test_learner_gets_newest_document_only(void **state)
 {
-	enum {
-		SIZE = 100000,
-		READ_MAX = 1000
-	};
+	const size_t size = 100000, read_max = 1000;
 	struct replicated_state voter, relay, learner;
 	char *text;
 	uint64_t i;
@@ -504,30 +501,30 @@
 	replicated_state_init(&voter, NULL);
 	replicated_state_init(&relay, NULL);
 	replicated_state_init(&learner, NULL);
-	text = g_strnfill(SIZE, 'x');
+	text = g_strnfill(size, 'x');
 	put(&voter, "a", "setting/a", "1", REVISION_ANY);
 	for (i = 1; i <= 50; i++)
 		put_document(&voter, i, text);
 	put(&voter, "b", "setting/b", "1", REVISION_ANY);
-	assert_true(voter.public_bytes < 2 * SIZE);
+	assert_true(voter.public_bytes < 2 * size);
 	/* The entry that replaces version 49 is not published yet. */
-	assert_int_equal(feed_learner(&relay, &voter, 50, READ_MAX), 0);
-	assert_true(feed_learner(&relay, &voter, 52, READ_MAX) < 2 * SIZE);
+	assert_int_equal(feed_learner(&relay, &voter, 50, read_max), 0);
+	assert_true(feed_learner(&relay, &voter, 52, read_max) < 2 * size);
 	assert_int_equal(
 	    replicated_state_document(&relay, "routes")->version, 50);
-	feed_learner(&relay, &voter, 52, READ_MAX);
+	feed_learner(&relay, &voter, 52, read_max);
 	assert_int_equal(relay.sequence, 52);
 	/* The relay passes the same on. */
-	assert_int_equal(feed_learner(&learner, &relay, 50, READ_MAX), 0);
-	feed_learner(&learner, &relay, 52, READ_MAX);
-	feed_learner(&learner, &relay, 52, READ_MAX);
+	assert_int_equal(feed_learner(&learner, &relay, 50, read_max), 0);
+	feed_learner(&learner, &relay, 52, read_max);
+	feed_learner(&learner, &relay, 52, read_max);
 	assert_int_equal(learner.content_hash, voter.content_hash);
 	assert_int_equal(
 	    replicated_state_document(&learner, "routes")->version, 50);
 	assert_int_equal(
 	    g_bytes_get_size(
 		replicated_state_document(&learner, "routes")->bytes),
-	    SIZE);
+	    size);
 	g_free(text);
 	replicated_state_finish(&voter);
 	replicated_state_finish(&relay);
--- a/tests/test_report_exchange.c
+++ b/tests/test_report_exchange.c
@@ -207,7 +207,7 @@
 				stale++;
 		}
 	}
-	return (double)stale / pairs;
+	return pairs == 0 ? 0 : (double)stale / pairs;
 }
 
 /* Returns the collector that the hosts of a data centre choose. */
@@ -241,7 +241,7 @@
 		messages += fleet.net.hosts[i].sent_messages;
 		bytes_most = MAX(bytes_most, fleet.net.hosts[i].sent_bytes);
 	}
-	messages = messages * 1000 / RUN_MS / fleet.count;
+	messages = messages * 1000 / RUN_MS / HOSTS_LARGE;
 	bytes_most = bytes_most * 1000 / RUN_MS;
 	print_message("%u messages/s a host, %u KB/s the busiest host\n",
 	    (unsigned int)messages, (unsigned int)(bytes_most / 1024));
@@ -255,14 +255,15 @@
 static void
 test_small_fleet_sends_directly(void **state)
 {
+	const uint64_t reports =
+	    (uint64_t)(HOSTS_SMALL - 1) * RUN_MS / REPORT_PERIOD_MS;
 	struct fleet fleet = {0};
 
 	(void)state;
 	start_fleet(&fleet, HOSTS_SMALL);
 	run(&fleet, RUN_MS);
 	assert_true(stale_share(&fleet, 2 * STEP_MS) == 0);
-	assert_int_equal(fleet.net.hosts[0].sent_messages,
-	    (HOSTS_SMALL - 1) * RUN_MS / REPORT_PERIOD_MS);
+	assert_int_equal(fleet.net.hosts[0].sent_messages, reports);
 	stop_fleet(&fleet);
 }
 
@@ -324,7 +325,7 @@
 	/* Two of the 25 pairs of data centres. */
 	assert_true(stale > 0.07 && stale < 0.09);
 	fake_net_heal(&fleet.net);
-	run(&fleet, 2 * REPORT_PERIOD_MS);
+	run(&fleet, (int64_t)2 * REPORT_PERIOD_MS);
 	assert_true(stale_share(&fleet, KNOWN_MS) == 0);
 	stop_fleet(&fleet);
 }
