--- a/tests/test_report_exchange.c
+++ b/tests/test_report_exchange.c
@@ -262,7 +262,7 @@
 	(void)state;
 	start_fleet(&fleet, HOSTS_SMALL);
 	run(&fleet, RUN_MS);
-	assert_true(stale_share(&fleet, 2 * STEP_MS) == 0);
+	assert_true(stale_share(&fleet, (int64_t)2 * STEP_MS) == 0);
 	assert_int_equal(fleet.net.hosts[0].sent_messages, reports);
 	stop_fleet(&fleet);
 }
