--- a/src/coordination/report_exchange.c
+++ b/src/coordination/report_exchange.c
@@ -1,6 +1,5 @@
 #include "coordination/report_exchange.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "coordination/rendezvous.h"
@@ -29,7 +28,8 @@
 static void set_defaults(struct report_exchange_settings *settings);
 static void list_peers(
     const struct report_exchange *exchange, struct peer_list *list);
-static int compare_peers(const void *left, const void *right);
+static gint compare_peers(
+    gconstpointer left, gconstpointer right, gpointer own_centre);
 static void send_direct(
     struct report_exchange *exchange, const struct peer_list *list);
 static void send_to_collector(
@@ -161,33 +161,29 @@
 list_peers(const struct report_exchange *exchange, struct peer_list *list)
 {
 	uint64_t own = exchange->settings.data_centre;
-	struct report_peer *peers = list->peers;
-	struct report_peer peer;
-	uint32_t i;
 
-	list->count =
-	    exchange->ops.list_peers(exchange->ops.context, peers, HOSTS_MAX);
-	qsort(peers, list->count, sizeof(peers[0]), compare_peers);
+	list->count = exchange->ops.list_peers(
+	    exchange->ops.context, list->peers, HOSTS_MAX);
+	g_qsort_with_data(list->peers, (gint)list->count,
+	    sizeof(list->peers[0]), compare_peers, &own);
 	list->local_count = 0;
-	for (i = 0; i < list->count; i++) {
-		if (peers[i].data_centre != own)
-			continue;
-		peer = peers[i];
-		memmove(&peers[list->local_count + 1],
-		    &peers[list->local_count],
-		    (i - list->local_count) * sizeof(peers[0]));
-		peers[list->local_count++] = peer;
-	}
+	while (list->local_count < list->count &&
+	       list->peers[list->local_count].data_centre == own)
+		list->local_count++;
 }
 
-static int
-compare_peers(const void *left, const void *right)
+/* Orders by data centre, the one that @p own_centre points to first. */
+static gint
+compare_peers(gconstpointer left, gconstpointer right, gpointer own_centre)
 {
 	const struct report_peer *first = left, *second = right;
+	uint64_t own = *(const uint64_t *)own_centre;
 
-	if (first->data_centre != second->data_centre)
-		return first->data_centre < second->data_centre ? -1 : 1;
-	return first->host_id < second->host_id ? -1 : 1;
+	if (first->data_centre == second->data_centre)
+		return 0;
+	if (first->data_centre == own || second->data_centre == own)
+		return first->data_centre == own ? -1 : 1;
+	return first->data_centre < second->data_centre ? -1 : 1;
 }
 
 static void
