A query's JSON values are used by one thread at a time

Traced: the caller's reply shared its values with the call's, and the call's argument was the caller's; whichever thread ended last released them by jansson's reference counts, whose decrement has release but no acquire order, so the last use in the other thread isn't ordered before the free. On x86 the order holds by the processor; the code must not rely on it.

Change: the call copies its argument, and the caller empties the call's reply once it has taken its values over. The race needs the two threads to end a call at the same moment and has no test of its own; the check that found it stays.

--- a/src/service/host_calls.c
+++ b/src/service/host_calls.c
@@ -229,13 +229,17 @@
 	call = mailbox_call_new(&query_ops, sizeof(*body));
 	body = mailbox_call_body(call);
 	body->query = query;
-	body->argument = json_incref(argument);
+	/* The call's values are its own: jansson's reference counts don't order
+	 * the last use of a value in one thread before its end in another. */
+	body->argument = json_deep_copy(argument);
 	body->reply = json_object();
 	error = mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS);
 	/* After a time-out the coordination thread may still be writing to the
 	 * call's own reply. */
-	if (error != ERROR_TIMEOUT)
+	if (error != ERROR_TIMEOUT) {
 		json_object_update(reply, body->reply);
+		json_object_clear(body->reply);
+	}
 	mailbox_call_unref(call);
 	return error;
 }
