real_platform reads an answer whole before it searches it

Traced: the test piped curl into grep -q under pipefail; grep ends at the first match, and if the rest of the answer comes later, curl fails with 23 for the closed pipe. Shown by a server that sends its answer in two pieces 50 ms apart: "rc 23, curl 23, grep 0". The metrics were there. The test now stores the answer, fails if curl does, and searches it: stricter than before, since a failed status counts too. The same in get_config.

--- a/tests/real_platform.sh
+++ b/tests/real_platform.sh
@@ -70,7 +70,7 @@
  "tenants": [{"name": "spa-desk", "apiKeys": ["k1"], "priority": 1}]}
 JSON
 put_config() { curl -sf --max-time 4 "$(control_url 1)/v1/Config.Put" -H 'Content-Type: application/json' -d "@$work/config.json" >/dev/null; }
-get_config() { curl -sf --max-time 4 "$(control_url "$1")/v1/Config.Get" | grep -q '"version": *7'; }
+get_config() { curl -sf --max-time 4 "$(control_url "$1")/v1/Config.Get" >"$work/got-config" && grep -q '"version": *7' "$work/got-config"; }
 is_entry_ready() { curl -sf --max-time 2 "http://$(ip_of "$1"):$ready_port/v1/ready" >/dev/null; }
 # call ENTRY PATH ID: sends a request with attempt ID through an entry host and
 # prints the answer.
@@ -96,7 +96,9 @@
 done
 [ "$(call 4 /quick a1)" = done ] || fail "a plain call got no complete answer"
 curl -s --max-time 4 "$(entry_url 4)/quick" -H 'Host: h.example' -H 'X-Api-Key: no' -o /dev/null -w '%{http_code}' | grep -q 401 || fail "a request with an unknown API key was not answered with 401"
-curl -s "http://$(ip_of 4):$ready_port/metrics" | grep -q '^chicorytack_' || fail "no metrics"
+# Read whole before the search: curl fails if grep closes the pipe early.
+curl -sf --max-time 4 "http://$(ip_of 4):$ready_port/metrics" >"$work/metrics" || fail "no metrics served"
+grep -q '^chicorytack_' "$work/metrics" || fail "no metrics"
 
 # Entry host 4 is stopped as planned while requests run on it and while the
 # other entry host is under load and keeps sending it work reports.
