Placement's waits begin in one place, free slots are counted in one place, only when needed

On the usual path of a short prompt the slots of all engines are not counted. A batch is forwarded to the hosts listed in it, without a second list, and whether an own report came back is a flag, as its time was never used.

--- a/src/coordination/config_feed.c
+++ b/src/coordination/config_feed.c
@@ -396,6 +396,7 @@
 	if (pause_ms <= 0)
 		return;
 	timer_cancel(feed->timers, &feed->report_timer);
+	/* The timers still have the time from before the push. */
 	if (timer_subscribe_once(feed->timers, apply_ms + pause_ms,
 		(struct timer_callback){end_report_pause, feed},
 		&feed->report_timer) == ERROR_NONE)
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -279,8 +279,9 @@
 /** Writes a report of this host's work, for the other hosts. */
 void placement_report_write(struct placement *placement, uint64_t incarnation,
     int64_t now_ms, struct message_writer *writer);
-/** Stores another host's report, which was sent at @p sent_ms. Errors: those of work_report_read(), and
- * ERROR_STALE if a report as new as this one was stored already. */
+/** Stores another host's report, which was sent at @p sent_ms. Errors: those of
+ * work_report_read(), and ERROR_STALE if a report as new as this one was stored
+ * already. */
 enum error_code placement_report_receive(struct placement *placement,
     uint32_t host_id, const void *body, size_t size, int64_t sent_ms);
 
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -124,6 +124,10 @@
 
 /* placement_wait.c */
 
+/** Makes the request wait and returns ERROR_CHANGE_PENDING. It is to be picked
+ * again after @p retry_ms, 0 for any time soon. */
+enum error_code placement_wait_for(struct placement_queue_entry *entry,
+    enum placement_wait wait, int64_t retry_ms);
 /** Sort key of a queued long prompt: the lowest key starts first. */
 uint64_t placement_queue_key(
     const struct placement_queue_entry *entry, int64_t now_ms);
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -281,9 +281,7 @@
 	    context->now_ms >=
 		placement_latest_start_ms(request, context->prefill_ms))
 		return ERROR_NO_CAPACITY;
-	entry->wait = PLACEMENT_WAIT_RATE;
-	entry->retry_ms = RATE_RETRY_MS;
-	return ERROR_CHANGE_PENDING;
+	return placement_wait_for(entry, PLACEMENT_WAIT_RATE, RATE_RETRY_MS);
 }
 
 /* Chooses the cheapest candidate, if the request may start now. */
@@ -393,8 +391,7 @@
 		if (!is_decoding(candidate->upstream))
 			g_array_append_vals(idle, candidate, 1);
 	}
-	error = ERROR_CHANGE_PENDING;
-	entry->wait = PLACEMENT_WAIT_TURN;
+	error = placement_wait_for(entry, PLACEMENT_WAIT_TURN, 0);
 	if (idle->len > 0) {
 		fill_choice(context, idle, choice);
 		if (is_prefilled_in_time(context, choice))
--- a/src/coordination/placement_slot.c
+++ b/src/coordination/placement_slot.c
@@ -29,14 +29,14 @@
 static enum error_code check_late(const struct placement_context *context,
     const struct slot_count *slots, struct placement_queue_entry *entry);
 static struct slot_count count_slots(const GArray *candidates);
-static bool has_free_slot(const struct placement_upstream *upstream);
+static uint32_t free_slots(const struct placement_upstream *upstream);
 static enum error_code wait_for_slot(const struct placement_context *context,
     struct placement_queue_entry *entry, int64_t retry_ms);
 
 /*
  * For loads in which short answers need more slots than the engines have. A
- * queue at the engines would make every answer late by the same time. Therefore
- * a prompt goes to an engine only if a slot is free there. The others wait here,
+ * queue at the engines would make every answer late by the same time. So a
+ * prompt goes to an engine only if a slot is free there. The others wait here,
  * and once they are past their target they leave the slots to those that are
  * not: most answers are then in time, and the rest follow when the load falls,
  * or at the latest when their deadline requires it.
@@ -49,18 +49,22 @@
 	const struct placement_candidate *best;
 	struct slot_count slots;
 	int64_t last_on_time_ms;
+	bool is_late;
 
-	slots = count_slots(candidates);
-	if (slots.total == 0 || request->has_partial_answer)
+	if (request->has_partial_answer)
 		return ERROR_NONE;
 	best = &g_array_index(candidates, struct placement_candidate, 0);
 	last_on_time_ms = request->arrived_ms + request->route->target_ms -
 			  FIRST_EVENT_PASSES_MS -
 			  (int64_t)(context->prefill_ms + best->backlog_ms);
-	if (context->now_ms > last_on_time_ms)
-		return check_late(context, &slots, entry);
-	if (has_free_slot(best->upstream))
+	is_late = context->now_ms > last_on_time_ms;
+	if (!is_late && free_slots(best->upstream) > 0)
+		return ERROR_NONE;
+	slots = count_slots(candidates);
+	if (slots.total == 0)
 		return ERROR_NONE;
+	if (is_late)
+		return check_late(context, &slots, entry);
 	return wait_for_slot(context, entry, ON_TIME_RETRY_MS);
 }
 
@@ -126,7 +130,6 @@
 {
 	const struct placement_candidate *candidate;
 	struct slot_count slots = {0};
-	uint32_t running;
 	guint i;
 
 	for (i = 0; i < candidates->len; i++) {
@@ -134,20 +137,19 @@
 		    &g_array_index(candidates, struct placement_candidate, i);
 		if (!candidate->takes_short)
 			continue;
-		running = candidate->upstream->own.running +
-			  candidate->upstream->others.running;
 		slots.total += candidate->upstream->slots;
-		if (running < candidate->upstream->slots)
-			slots.free += candidate->upstream->slots - running;
+		slots.free += free_slots(candidate->upstream);
 	}
 	return slots;
 }
 
-static bool
-has_free_slot(const struct placement_upstream *upstream)
+static uint32_t
+free_slots(const struct placement_upstream *upstream)
 {
-	return upstream->own.running + upstream->others.running <
-	       upstream->slots;
+	uint32_t running;
+
+	running = upstream->own.running + upstream->others.running;
+	return running < upstream->slots ? upstream->slots - running : 0;
 }
 
 static enum error_code
@@ -156,13 +158,11 @@
 {
 	struct service_load *service;
 
-	entry->wait = PLACEMENT_WAIT_SLOT;
-	entry->retry_ms = retry_ms;
 	if (entry->slot_service == 0) {
 		entry->slot_service = context->service;
 		service =
 		    placement_get_service(context->placement, context->service);
 		service->waiting_for_slot++;
 	}
-	return ERROR_CHANGE_PENDING;
+	return placement_wait_for(entry, PLACEMENT_WAIT_SLOT, retry_ms);
 }
--- a/src/coordination/placement_turn.c
+++ b/src/coordination/placement_turn.c
@@ -72,11 +72,8 @@
 	    side.prefilling > prefilling_max(&side) ||
 	    is_worth_waiting(context, &side, entry) ||
 	    placement_min_queue_key(context, entry) <
-		placement_queue_key(entry, context->now_ms)) {
-		entry->wait = PLACEMENT_WAIT_TURN;
-		entry->retry_ms = 0;
-		return ERROR_CHANGE_PENDING;
-	}
+		placement_queue_key(entry, context->now_ms))
+		return placement_wait_for(entry, PLACEMENT_WAIT_TURN, 0);
 	return ERROR_NONE;
 }
 
--- a/src/coordination/placement_wait.c
+++ b/src/coordination/placement_wait.c
@@ -11,6 +11,15 @@
 /* Lowest key of prompts past their target, which start after the others. */
 #define LATE_KEY UINT64_C(1000000000)
 
+enum error_code
+placement_wait_for(struct placement_queue_entry *entry,
+    enum placement_wait wait, int64_t retry_ms)
+{
+	entry->wait = wait;
+	entry->retry_ms = retry_ms;
+	return ERROR_CHANGE_PENDING;
+}
+
 uint64_t
 placement_queue_key(const struct placement_queue_entry *entry, int64_t now_ms)
 {
--- a/src/coordination/report_exchange.c
+++ b/src/coordination/report_exchange.c
@@ -48,8 +48,8 @@
     const struct peer_list *list, struct report_batch *batch);
 static void spread(struct report_exchange *exchange,
     const struct peer_list *list, struct report_batch *batch);
-static void forward(struct report_exchange *exchange,
-    struct report_batch *batch, const uint32_t *host_ids, uint32_t count);
+static void forward(
+    struct report_exchange *exchange, struct report_batch *batch);
 static void deliver(
     struct report_exchange *exchange, const struct report_batch *batch);
 static void send_message(struct report_exchange *exchange, uint32_t to_host,
@@ -71,7 +71,6 @@
 	random_init(&exchange->random, seed);
 	exchange->collected =
 	    g_hash_table_new_full(NULL, NULL, NULL, free_collected);
-	exchange->unconfirmed_since_ms = INT64_MIN;
 	exchange->data_centre_count = 1;
 }
 
@@ -133,7 +132,7 @@
 		break;
 	case REPORT_BATCH_FORWARD:
 		deliver(exchange, &batch);
-		forward(exchange, &batch, batch.host_ids, batch.host_count);
+		forward(exchange, &batch);
 		break;
 	}
 	message_reader_finish(&reader);
@@ -240,9 +239,9 @@
 static void
 expect_confirmation(struct report_exchange *exchange)
 {
-	if (exchange->unconfirmed_since_ms != INT64_MIN)
+	if (exchange->is_unconfirmed)
 		return;
-	exchange->unconfirmed_since_ms = timer_now(exchange->timers);
+	exchange->is_unconfirmed = true;
 	timer_cancel(exchange->timers, &exchange->confirm_timer);
 	/* Without a free timer the next report is the next try. */
 	(void)timer_subscribe_once(exchange->timers,
@@ -259,7 +258,7 @@
 	/* A report of an earlier process of this host says nothing. */
 	if (sequence > exchange->own_sequence)
 		return;
-	exchange->unconfirmed_since_ms = INT64_MIN;
+	exchange->is_unconfirmed = false;
 	if (sequence < exchange->own_sequence)
 		expect_confirmation(exchange);
 }
@@ -272,9 +271,9 @@
 	struct report_exchange *exchange = context;
 	struct peer_list list;
 
-	if (exchange->unconfirmed_since_ms == INT64_MIN)
+	if (!exchange->is_unconfirmed)
 		return;
-	exchange->unconfirmed_since_ms = INT64_MIN;
+	exchange->is_unconfirmed = false;
 	exchange->collector_rank++;
 	exchange->rank_until_ms =
 	    timer_now(exchange->timers) + exchange->settings.avoid_ms;
@@ -374,26 +373,28 @@
 spread(struct report_exchange *exchange, const struct peer_list *list,
     struct report_batch *batch)
 {
-	uint32_t host_ids[HOSTS_MAX], count, other;
+	uint32_t *host_ids = batch->host_ids;
+	uint32_t i, other;
 
-	for (count = 0; count < list->local_count; count++) {
-		other = random_below(&exchange->random, count + 1);
-		host_ids[count] = host_ids[other];
-		host_ids[other] = list->peers[count].host_id;
+	for (i = 0; i < list->local_count; i++) {
+		other = random_below(&exchange->random, i + 1);
+		host_ids[i] = host_ids[other];
+		host_ids[other] = list->peers[i].host_id;
 	}
-	forward(exchange, batch, host_ids, count);
+	batch->host_count = list->local_count;
+	forward(exchange, batch);
 }
 
-/* Sends the batch to the hosts: to each of them while there are few, else to
- * the first of as many groups as the fan-out allows, which passes it on to the
- * rest of its group. */
+/* Sends the batch to the hosts listed in it: to each of them while there are
+ * few, else to the first of as many groups as the fan-out allows, which passes
+ * it on to the rest of its group. */
 static void
-forward(struct report_exchange *exchange, struct report_batch *batch,
-    const uint32_t *host_ids, uint32_t count)
+forward(struct report_exchange *exchange, struct report_batch *batch)
 {
-	uint32_t remaining[HOSTS_MAX], groups, group, first, next;
+	uint32_t remaining[HOSTS_MAX], count, groups, group, first, next;
 
-	memcpy(remaining, host_ids, count * sizeof(remaining[0]));
+	count = batch->host_count;
+	memcpy(remaining, batch->host_ids, count * sizeof(remaining[0]));
 	batch->type = REPORT_BATCH_FORWARD;
 	groups = MIN(count, exchange->settings.fan_out);
 	for (group = 0; group < groups; group++) {
--- a/src/coordination/report_exchange.h
+++ b/src/coordination/report_exchange.h
@@ -82,9 +82,7 @@
 	GHashTable *collected; /**< Host id to struct collected_report. */
 	GBytes *own_report;    /**< Report sent last, NULL for none. */
 	uint64_t own_sequence; /**< Its sequence number. */
-	/** Send time of the oldest own report that no batch brought back, or
-	 * INT64_MIN. */
-	int64_t unconfirmed_since_ms;
+	bool is_unconfirmed;   /**< No batch has brought an own report back. */
 	uint32_t collector_rank;     /**< Position of the collector in use. */
 	int64_t rank_until_ms;	     /**< When to return to the first one. */
 	uint32_t data_centre_count;  /**< Data centres with entry hosts. */
