--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -58,7 +58,6 @@
 static void invoke_callback(struct membership *membership,
     void (*callback)(void *context, const struct host_record *host),
     const struct host_record *host);
-static bool is_live_state(enum host_state state);
 static struct member *find_member(
     const struct membership *membership, uint32_t host_id);
 static uint32_t list_hosts(void *context, uint32_t *host_ids, uint32_t max);
@@ -232,7 +231,7 @@
 	const struct host_record *host;
 
 	host = membership_find(membership, host_id);
-	return host != NULL && is_live_state(host->state) &&
+	return host != NULL && host_state_is_live(host->state) &&
 	       (incarnation == 0 || incarnation == host->incarnation);
 }
 
@@ -249,12 +248,18 @@
 	g_hash_table_iter_init(&iterator, membership->hosts);
 	while (count < max && g_hash_table_iter_next(&iterator, NULL, &value)) {
 		member = value;
-		if (is_live_state(member->record.state))
+		if (host_state_is_live(member->record.state))
 			host_ids[count++] = member->record.id;
 	}
 	return count;
 }
 
+bool
+host_state_is_live(enum host_state state)
+{
+	return state == HOST_STATE_ALIVE || state == HOST_STATE_SUSPECTED;
+}
+
 void
 membership_for_each(const struct membership *membership,
     void (*visit)(void *visitor, const struct host_record *host), void *visitor)
@@ -406,7 +411,7 @@
 				    membership, member, HOST_STATE_DEAD);
 			continue;
 		}
-		if (is_live_state(member->record.state) ||
+		if (host_state_is_live(member->record.state) ||
 		    now_ms - member->since_ms <
 			membership->settings.dead_retention_ms)
 			continue;
@@ -513,8 +518,8 @@
 	g_hash_table_iter_init(&iterator, membership->hosts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		host = &((struct member *)value)->record;
-		if (is_live_state(host->state) && host->port == seed->port &&
-		    strcmp(host->ip, seed->ip) == 0)
+		if (host_state_is_live(host->state) &&
+		    host->port == seed->port && strcmp(host->ip, seed->ip) == 0)
 			return true;
 	}
 	return false;
@@ -619,7 +624,7 @@
 
 	if (membership->is_leaving || incarnation < self->incarnation)
 		return;
-	is_new_death = !is_live_state(state) &&
+	is_new_death = !host_state_is_live(state) &&
 		       refutation >= membership->death_reported_refutation;
 	if (incarnation > self->incarnation) {
 		/* Another process used this host id with a higher
@@ -700,7 +705,7 @@
 	}
 	/* A dead host that was forgotten here is not stored again. Otherwise
 	 * hosts that forget it at different times would pass it on forever. */
-	if (!is_live_state(record.state) &&
+	if (!host_state_is_live(record.state) &&
 	    find_member(membership, record.id) == NULL)
 		return ERROR_STALE;
 	store_record(membership, &record);
@@ -738,8 +743,8 @@
 	const struct membership_ops *ops = &membership->ops;
 	bool was_live;
 
-	was_live =
-	    is_live_state(old->state) && old->incarnation == host->incarnation;
+	was_live = host_state_is_live(old->state) &&
+		   old->incarnation == host->incarnation;
 	switch (host->state) {
 	case HOST_STATE_ALIVE:
 		invoke_callback(membership,
@@ -751,11 +756,11 @@
 		invoke_callback(membership, ops->on_suspected, host);
 		break;
 	case HOST_STATE_DEAD:
-		if (is_live_state(old->state))
+		if (host_state_is_live(old->state))
 			invoke_callback(membership, ops->on_dead, host);
 		break;
 	case HOST_STATE_LEFT:
-		if (is_live_state(old->state))
+		if (host_state_is_live(old->state))
 			invoke_callback(membership, ops->on_left, host);
 		break;
 	}
@@ -770,12 +775,6 @@
 		callback(membership->ops.context, host);
 }
 
-static bool
-is_live_state(enum host_state state)
-{
-	return state == HOST_STATE_ALIVE || state == HOST_STATE_SUSPECTED;
-}
-
 static struct member *
 find_member(const struct membership *membership, uint32_t host_id)
 {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -177,6 +177,8 @@
  * that incarnation. */
 bool membership_is_live(const struct membership *membership, uint32_t host_id,
     uint64_t incarnation);
+/** True for a host that is alive or suspected. */
+bool host_state_is_live(enum host_state state);
 /** Writes up to @p max ids of live hosts other than this one and returns how
  * many were written. */
 uint32_t membership_list_live(
--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -659,8 +659,7 @@
 
 	if ((record->flags & HOST_FLAG_VOTER) == 0 || list->count == list->max)
 		return;
-	if (record->state == HOST_STATE_DEAD ||
-	    record->state == HOST_STATE_LEFT)
+	if (!host_state_is_live(record->state))
 		return;
 	list->host_ids[list->count++] = record->id;
 }
--- a/src/service/host_reports.c
+++ b/src/service/host_reports.c
@@ -114,8 +114,7 @@
 
 	if ((record->flags & HOST_FLAG_ENTRY) == 0 ||
 	    record->id == search->self || search->count == search->max ||
-	    record->state == HOST_STATE_DEAD ||
-	    record->state == HOST_STATE_LEFT)
+	    !host_state_is_live(record->state))
 		return;
 	search->peers[search->count++] = (struct report_peer){
 	    .host_id = record->id,
--- a/src/service/host_voters.c
+++ b/src/service/host_voters.c
@@ -84,8 +84,7 @@
 	uint32_t *entries = visitor;
 
 	if ((record->flags & HOST_FLAG_ENTRY) != 0 &&
-	    record->state != HOST_STATE_DEAD &&
-	    record->state != HOST_STATE_LEFT)
+	    host_state_is_live(record->state))
 		(*entries)++;
 }
 
