Test fixture of the relay: ports that no outgoing connection can take

test_relay aborted once (E1005 cannot listen: 127.0.0.1:43263), beside other tests. The fixture chose a port from the kernel's range for outgoing connections, closed it, and the relay listened on it a moment later; a connection of its own could take it meanwhile. It chooses ports below that range now.

--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -16,6 +16,10 @@
 
 #define SILENCE_MAX_MS 3000 /* Longest wait for further bytes. */
 #define READ_SIZE      65536
+/* Ports on which the relays of tests listen. */
+#define PORT_FIRST	  20000
+#define PORT_COUNT	  12000
+#define PORTS_PER_PROCESS 97
 
 static const char document[] =
     "{\"version\":1,\"routes\":["
@@ -34,29 +38,51 @@
     "\"tenants\":[{\"name\":\"spa\",\"apiKeys\":[\"key1\"]}],"
     "\"limits\":{\"maxBodyBytes\":1000,\"maxHeaderBytes\":2000}}";
 
+/* Listens on a port of the loopback address, 0 for any. Returns the port, or 0
+ * if it is taken. */
 static uint16_t
-listen_anywhere(int *fd)
+listen_at(int *fd, uint16_t port)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
 
 	*fd = socket(AF_INET, SOCK_STREAM, 0);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(*fd, (struct sockaddr *)&address, size) != 0 ||
-	    listen(*fd, 64) != 0 ||
-	    getsockname(*fd, (struct sockaddr *)&address, &size) != 0)
+	address.sin_port = htons(port);
+	if (bind(*fd, (struct sockaddr *)&address, size) == 0 &&
+	    listen(*fd, 64) == 0 &&
+	    getsockname(*fd, (struct sockaddr *)&address, &size) == 0)
+		return ntohs(address.sin_port);
+	close(*fd);
+	return 0;
+}
+
+static uint16_t
+listen_anywhere(int *fd)
+{
+	uint16_t port;
+
+	port = listen_at(fd, 0);
+	if (port == 0)
 		abort();
-	return ntohs(address.sin_port);
+	return port;
 }
 
-/* Returns a port that was free at the time of the call. */
+/* Returns a port that was free at the time of the call. It is below the range
+ * from which the kernel takes ports for outgoing connections, so that none of
+ * these can take it before the relay listens on it. */
 static uint16_t
 find_free_port(void)
 {
+	static uint32_t next;
 	uint16_t port;
 	int fd;
 
-	port = listen_anywhere(&fd);
+	if (next == 0)
+		next = (uint32_t)getpid() * PORTS_PER_PROCESS;
+	do {
+		port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
+	} while (listen_at(&fd, port) == 0);
 	close(fd);
 	return port;
 }
