--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -43,6 +43,8 @@
     {EVENT_SETTINGS_RELOADED, EVENT_LEVEL_INFO, "settings reloaded"},
     {EVENT_ROUTES_IN_FORCE, EVENT_LEVEL_INFO, "route table in force"},
     {EVENT_READINESS_CHANGED, EVENT_LEVEL_INFO, "readiness changed"},
+    {EVENT_CONFIGURATION_PARENT_CHANGED, EVENT_LEVEL_INFO,
+	"configuration is received from another host"},
 
     {EVENT_PEER_CONNECTED, EVENT_LEVEL_INFO, "peer connected"},
     {EVENT_PEER_DISCONNECTED, EVENT_LEVEL_INFO, "peer disconnected"},
@@ -75,6 +77,8 @@
     {EVENT_ORDER_SENT, EVENT_LEVEL_INFO, "order sent to an upstream"},
     {EVENT_ORDER_DONE, EVENT_LEVEL_INFO, "order completed"},
     {EVENT_REQUEST_QUARANTINED, EVENT_LEVEL_WARNING, "request quarantined"},
+    {EVENT_UPSTREAM_CRASHED, EVENT_LEVEL_WARNING,
+	"upstream crashed under requests of this host"},
 
     {EVENT_REQUEST_REFUSED, EVENT_LEVEL_INFO, "request refused"},
     {EVENT_REQUEST_RETRIED, EVENT_LEVEL_INFO, "request retried"},
--- a/src/coordination/config_feed.c
+++ b/src/coordination/config_feed.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#include <jansson.h>
+
+#include "base/event_log.h"
 #include "config.h"
 #include "coordination/config_feed_parts.h"
 
@@ -31,6 +34,7 @@
 static void schedule_lease_timer(struct config_feed *feed);
 static void check_lease(void *context);
 static void choose_parent(struct config_feed *feed);
+static void set_parent(struct config_feed *feed, uint32_t parent);
 static enum error_code receive_lease(struct config_feed *feed,
     uint32_t from_host, const struct feed_message *message);
 static enum error_code receive_entries(
@@ -322,7 +326,21 @@
 		feed->parent_progress_ms = now_ms;
 	}
 	count = feed_rank_parents(feed, ranking);
-	feed->parent = count == 0 ? 0 : ranking[feed->parent_rank % count];
+	set_parent(feed, count == 0 ? 0 : ranking[feed->parent_rank % count]);
+}
+
+static void
+set_parent(struct config_feed *feed, uint32_t parent)
+{
+	if (parent == feed->parent)
+		return;
+	event_log_write_fields(EVENT_CONFIGURATION_PARENT_CHANGED,
+	    "{s:I,s:I,s:I,s:I}", "from_host", (json_int_t)feed->parent,
+	    "to_host", (json_int_t)parent, "lease_left_ms",
+	    (json_int_t)config_feed_lease_remaining(feed, feed_now(feed)),
+	    "applied",
+	    (json_int_t)feed->source.applied_index(feed->source.context));
+	feed->parent = parent;
 }
 
 /* Extends the lease by a parent's reply. The remaining time counts from the
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -166,6 +166,15 @@
 	return fleet_may_start_work(&host->fleet, host_now_ms());
 }
 
+int64_t
+host_confirmed_remaining(const struct host *host)
+{
+	int64_t remaining_ms;
+
+	remaining_ms = atomic_load(&host->confirmed_until_ms) - host_now_ms();
+	return MAX(remaining_ms, 0);
+}
+
 static enum error_code
 init_parts(struct host *host)
 {
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -151,6 +151,8 @@
 	_Atomic uint32_t running_requests; /**< Requests in progress. */
 	/** Live hosts that accept requests. */
 	_Atomic uint32_t entry_host_count;
+	/** End of the configuration lease; no override extends it. */
+	_Atomic int64_t confirmed_until_ms;
 	_Atomic bool is_stopping;    /**< Ends the main loop. */
 	_Atomic bool is_draining;    /**< New requests are not accepted. */
 	bool has_disk;		     /**< A data folder is configured. */
@@ -180,6 +182,9 @@
 /** Returns true while the configuration lease or an override lets this host
  * start new work. */
 bool host_may_start(struct host *host);
+/** Returns the time in milliseconds for which this host still knows that no
+ * newer configuration is in force, or 0 if it may be behind. */
+int64_t host_confirmed_remaining(const struct host *host);
 
 /* Consensus and configuration (host_agreement.c), on the coordination thread */
 
--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -155,6 +155,8 @@
 	}
 	complete_pending(host, config_feed_in_force_index(&host->feed));
 	now_ms = host_now_ms();
+	atomic_store(&host->confirmed_until_ms,
+	    now_ms + config_feed_lease_remaining(&host->feed, now_ms));
 	host_fleet_set_lease(host, now_ms + host_lease_remaining(host, now_ms));
 }
 
--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -12,8 +12,8 @@
 {
 	event_log_write_fields(end == END_ANSWERED ? EVENT_REQUEST_ANSWERED
 						   : EVENT_REQUEST_NOT_ANSWERED,
-	    "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:I,s:I,s:I,s:I}", "request",
-	    exchange->attempt_id, "route",
+	    "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
+	    "request", exchange->attempt_id, "route",
 	    exchange->route == NULL ? "" : exchange->route->name, "outcome",
 	    end_names[end], "why", error_name(error), "upstream",
 	    exchange->upstream_name, "ms",
@@ -30,7 +30,9 @@
 	    "longest_pause_ms", (json_int_t)exchange->longest_pause_ms,
 	    "routes_version",
 	    (json_int_t)(exchange->table == NULL ? 0
-						 : exchange->table->version));
+						 : exchange->table->version),
+	    "confirmed_ms",
+	    (json_int_t)host_confirmed_remaining(exchange->relay->host));
 }
 
 void
