Red tests: hosts behind a cut-off voter, and a host without lease that denies

The fixture of the feed takes the number of voters, the fan-out and the lease as arguments; a quorum is counted, so that the other tests see the same group as before.

--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -251,6 +251,7 @@
 	fixture->host = g_new0(struct host, 1);
 	mailbox_init(&fixture->host->mailbox, 16);
 	atomic_store(&fixture->host->entry_host_count, 1);
+	atomic_store(&fixture->host->confirmed_until_ms, INT64_MAX);
 	fleet_init(&fixture->host->fleet, &fleet, &no_slots);
 	pthread_mutex_init(&fixture->script.mutex, NULL);
 	fixture->script.requests = g_ptr_array_new_with_free_func(g_free);
--- a/tests/test_config_feed.c
+++ b/tests/test_config_feed.c
@@ -17,17 +17,27 @@
 
 #define HOSTS		  16
 #define VOTERS		  3
+#define VOTERS_MANY	  5   /* Voters of which two may be cut off. */
 #define FAN_OUT		  2   /* Children per host; small for a deep tree. */
+#define FAN_OUT_FLAT	  8   /* With it the parents of all are voters. */
 #define CHECK_INTERVAL_MS 10  /* Time between checks of the invariant. */
 #define HEARTBEAT_MS	  100 /* Interval of the simulated heartbeats. */
 #define ELECTION_ROUNDS	  8   /* Rounds without a quorum until an election. */
 #define ENTRIES_KEPT	  20  /* Older entries exist only in a snapshot. */
 #define LEASE_MS	  2000
+#define SHORT_LEASE_MS	  1500
+#define RENEWALS	  5    /* Renewals in a lease. */
 #define IN_FORCE_MS	  3000 /* Limit for a change while a host is cut. */
 #define RECOVER_MS	  15000
-#define SCHEDULES	  40
-#define STEPS		  120
-#define SNAPSHOT_SIZE	  (3 * FEED_CHUNK_SIZE / 2)
+/* Time after a cut from which no host may be behind, the time in which each
+ * change must be applied then, and the time between two changes. */
+#define CONTACT_MS	 3000
+#define IN_USE_MS	 2000
+#define CHANGE_PERIOD_MS 100
+#define CUT_MS		 6000 /* Duration of the cut. */
+#define SCHEDULES	 40
+#define STEPS		 120
+#define SNAPSHOT_SIZE	 (3 * FEED_CHUNK_SIZE / 2)
 
 struct group;
 
@@ -50,7 +60,8 @@
 	struct fake_net net;
 	struct node nodes[HOSTS];
 	uint64_t committed, term, max_in_force;
-	uint32_t leader;
+	uint32_t leader, voter_count, fan_out;
+	int64_t lease_ms;
 	unsigned int rounds_without_quorum;
 	size_t snapshot_size;
 	int64_t next_round_ms;
@@ -89,10 +100,10 @@
 static uint32_t
 voters(void *context, uint32_t *host_ids, uint32_t max)
 {
+	const struct node *node = context;
 	uint32_t i;
 
-	(void)context;
-	for (i = 0; i < VOTERS && i < max; i++)
+	for (i = 0; i < node->group->voter_count && i < max; i++)
 		host_ids[i] = i + 1;
 	return i;
 }
@@ -210,8 +221,9 @@
 {
 	struct config_feed_settings settings = {.host_id = node->id,
 	    .incarnation = ++node->incarnation,
-	    .lease_ms = LEASE_MS,
-	    .fan_out = FAN_OUT};
+	    .lease_ms = node->group->lease_ms,
+	    .renewal_interval_ms = node->group->lease_ms / RENEWALS,
+	    .fan_out = node->group->fan_out};
 	struct config_feed_source source = {is_leader, term, leader_id, voters,
 	    confirmed_ms, applied_index, read_entries, read_snapshot, node};
 	struct config_feed_sink sink = {apply_entries, install_snapshot, node};
@@ -221,7 +233,7 @@
 	    .on_lease_regained = on_lease_regained,
 	    .context = node};
 
-	if (node->id <= VOTERS)
+	if (node->id <= node->group->voter_count)
 		memset(&sink, 0, sizeof(sink));
 	else
 		node->applied = 0;
@@ -264,17 +276,18 @@
 	       !fake_net_link(&group->net, right, left)->is_cut;
 }
 
-/* Returns a voter that forms a quorum with voter @p id, or 0. */
-static uint32_t
-find_quorum_peer(struct group *group, uint32_t id)
+/* Whether voter @p id reaches so many voters that they are a quorum. */
+static bool
+has_quorum(struct group *group, uint32_t id)
 {
-	uint32_t other;
+	uint32_t other, reached;
 
-	for (other = 1; other <= VOTERS; other++) {
+	reached = 1;
+	for (other = 1; other <= group->voter_count; other++) {
 		if (other != id && is_connected(group, id, other))
-			return other;
+			reached++;
 	}
-	return 0;
+	return reached > group->voter_count / 2;
 }
 
 static void
@@ -283,9 +296,9 @@
 	struct node *node;
 	uint32_t id;
 
-	for (id = 1; id <= VOTERS; id++) {
+	for (id = 1; id <= group->voter_count; id++) {
 		node = &group->nodes[id - 1];
-		if (id == group->leader || find_quorum_peer(group, id) == 0)
+		if (id == group->leader || !has_quorum(group, id))
 			continue;
 		group->leader = id;
 		group->rounds_without_quorum = 0;
@@ -310,7 +323,7 @@
 	uint32_t id;
 
 	if (!is_awake(group, group->leader) || !leader->is_leading ||
-	    find_quorum_peer(group, group->leader) == 0) {
+	    !has_quorum(group, group->leader)) {
 		if (++group->rounds_without_quorum >= ELECTION_ROUNDS)
 			elect_leader(group);
 		return;
@@ -318,7 +331,7 @@
 	group->rounds_without_quorum = 0;
 	leader->confirmed_ms = leader->round_ms;
 	leader->round_ms = clock_now(leader);
-	for (id = 1; id <= VOTERS; id++) {
+	for (id = 1; id <= group->voter_count; id++) {
 		node = &group->nodes[id - 1];
 		if (id == group->leader ||
 		    !is_connected(group, id, group->leader))
@@ -336,7 +349,7 @@
 	struct node *leader = &group->nodes[group->leader - 1];
 
 	if (!is_awake(group, group->leader) || !leader->is_leading ||
-	    find_quorum_peer(group, group->leader) == 0)
+	    !has_quorum(group, group->leader))
 		return;
 	leader->applied = ++group->committed;
 	config_feed_on_applied(&leader->feed);
@@ -384,11 +397,15 @@
 }
 
 static void
-start_group(struct group *group, uint64_t seed, const struct fake_link *link)
+start_group_of(struct group *group, uint32_t voter_count, uint32_t fan_out,
+    int64_t lease_ms, uint64_t seed, const struct fake_link *link)
 {
 	uint32_t id;
 
 	memset(group, 0, sizeof(*group));
+	group->voter_count = voter_count;
+	group->fan_out = fan_out;
+	group->lease_ms = lease_ms;
 	fake_net_init(&group->net, HOSTS, seed, link);
 	group->snapshot_size = 10;
 	for (id = 1; id <= HOSTS; id++) {
@@ -399,6 +416,12 @@
 	elect_leader(group);
 }
 
+static void
+start_group(struct group *group, uint64_t seed, const struct fake_link *link)
+{
+	start_group_of(group, VOTERS, FAN_OUT, LEASE_MS, seed, link);
+}
+
 static void
 stop_group(struct group *group)
 {
@@ -528,6 +551,70 @@
 	stop_group(&group);
 }
 
+/* Cuts voters 2 and 3 off from the others; all other hosts still reach both. */
+static void
+cut_two_voters(struct group *group)
+{
+	uint32_t id;
+
+	for (id = 1; id <= group->voter_count; id++) {
+		if (id == 2 || id == 3)
+			continue;
+		fake_net_cut_pair(&group->net, 2, id, true);
+		fake_net_cut_pair(&group->net, 3, id, true);
+	}
+}
+
+static void
+check_applied(struct group *group, uint64_t index)
+{
+	uint32_t id;
+
+	for (id = group->voter_count + 1; id <= HOSTS; id++) {
+		if (group->nodes[id - 1].applied < index)
+			fail_msg("fan-out %u: host %u has %u of %u",
+			    group->fan_out, id,
+			    (unsigned int)group->nodes[id - 1].applied,
+			    (unsigned int)index);
+	}
+}
+
+/* Hosts whose parents are voters that were cut off find other parents: once the
+ * cut is CONTACT_MS old, each change is applied everywhere in IN_USE_MS. */
+static void
+run_cut_off_voters(uint32_t fan_out, uint64_t seed)
+{
+	uint64_t committed[CUT_MS / CHANGE_PERIOD_MS];
+	struct group group;
+	uint32_t period;
+
+	start_group_of(
+	    &group, VOTERS_MANY, fan_out, SHORT_LEASE_MS, seed, &good_link);
+	run(&group, 5000 + (int64_t)seed * 10);
+	cut_two_voters(&group);
+	for (period = 0; period < CUT_MS / CHANGE_PERIOD_MS; period++) {
+		committed[period] = group.committed;
+		if (period >= CONTACT_MS / CHANGE_PERIOD_MS)
+			check_applied(&group,
+			    committed[period - IN_USE_MS / CHANGE_PERIOD_MS]);
+		commit_change(&group);
+		run(&group, CHANGE_PERIOD_MS);
+	}
+	stop_group(&group);
+}
+
+static void
+test_no_host_stays_behind_a_cut_off_voter(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= SCHEDULES; seed++) {
+		run_cut_off_voters(FAN_OUT, seed);
+		run_cut_off_voters(FAN_OUT_FLAT, seed);
+	}
+}
+
 static void
 inject_fault(struct group *group, struct random_source *random)
 {
@@ -627,6 +714,7 @@
 	    cmocka_unit_test(test_snapshot_of_several_chunks_is_fetched),
 	    cmocka_unit_test(test_leases_expire_without_a_quorum),
 	    cmocka_unit_test(test_stale_leader_clock_grants_no_lease),
+	    cmocka_unit_test(test_no_host_stays_behind_a_cut_off_voter),
 	    cmocka_unit_test(test_lease_holders_have_all_changes_in_force),
 	};
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -335,6 +335,35 @@
 	relay_fixture_finish(&fixture);
 }
 
+/* A host whose configuration lease has run out may be behind: it still serves
+ * what it knows, but doesn't claim that a route or a key does not exist. */
+static void
+test_host_without_lease_denies_nothing(void **state)
+{
+	static const char *const unknown[] = {CALL("/none/"),
+	    "GET /idem/ HTTP/1.1\r\nHost: h\r\nX-Api-Key: no\r\n\r\n"};
+	struct relay_fixture *fixture;
+	char *answer;
+	size_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture, ANSWER("200 OK", "body!", "5"));
+	atomic_store(&fixture->host->confirmed_until_ms, 0);
+	for (i = 0; i < G_N_ELEMENTS(unknown); i++) {
+		answer = relay_fixture_send_request(fixture, unknown[i]);
+		assert_non_null(strstr(answer, "HTTP/1.1 503"));
+		assert_non_null(strstr(answer, "Retry-After: "));
+		g_free(answer);
+	}
+	answer = relay_fixture_send_request(fixture, CALL("/idem/"));
+	assert_non_null(strstr(answer, "200 OK"));
+	g_free(answer);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
@@ -348,6 +377,7 @@
 	    cmocka_unit_test(
 		test_drain_closes_connections_and_refuses_late_requests),
 	    cmocka_unit_test(test_monitor_port_serves_metrics),
+	    cmocka_unit_test(test_host_without_lease_denies_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
