A host finds another parent in time when voters are cut off

Callers saw: 404 for a route that was acknowledged over 2 s before. Cause: a child of a parent that is cut off from the leader waits for three renewals without a longer lease, and again for each further parent. And a parent without a new lease of its own still extended its children's leases by a few ms at each renewal, since the allowance for clock drift shrinks, which counted as success until its lease had run out. Change: an extension counts from a quarter of a renewal interval on; a parent that replaces another one gets one interval instead of three.

--- a/src/coordination/config_feed.c
+++ b/src/coordination/config_feed.c
@@ -14,8 +14,16 @@
 #define PUSH_DEFAULT_BYTES (64 * 1024)
 /* Children accepted by default, as a multiple of the fan-out. */
 #define CHILDREN_PER_FAN_OUT 2
-/* After so many renewals without a lease, the next parent is tried. */
+/* A parent that doesn't extend the lease for this many renewal intervals is
+ * replaced by the next one. */
 #define PARENT_FAILED_RENEWALS_MAX 3
+/* The same for a parent that replaced one: hosts that were cut off together may
+ * be next to each other in the ranking. */
+#define NEXT_PARENT_FAILED_RENEWALS_MAX 1
+/* An extension counts if it is at least a renewal interval divided by this. A
+ * parent without a new lease of its own extends leases by a little, since the
+ * allowance for clock drift shrinks. */
+#define EXTENSION_MIN_DIVISOR 4
 /* Random jitter shortens a renewal interval by at most this part of it. */
 #define JITTER_DIVISOR 8
 /* Without a lease the renewal interval is divided by this. */
@@ -35,6 +43,7 @@
 static void check_lease(void *context);
 static void choose_parent(struct config_feed *feed);
 static void set_parent(struct config_feed *feed, uint32_t parent);
+static void record_extension(struct config_feed *feed);
 static enum error_code receive_lease(struct config_feed *feed,
     uint32_t from_host, const struct feed_message *message);
 static enum error_code receive_entries(
@@ -82,6 +91,7 @@
 	 * so the numbers start at random. */
 	feed->request_number = random_uint64(&feed->random) >> 1;
 	feed->lease_until_ms = INT64_MIN;
+	feed->extended_until_ms = INT64_MIN;
 	feed->leader_since_ms = INT64_MIN;
 	feed->report_pause_until_ms = INT64_MIN;
 	feed->parent_progress_ms = timer_now(timers);
@@ -312,17 +322,22 @@
 }
 
 /* Chooses the parent by rank. After too long without a lease extension, the
- * next host in the ranking becomes the parent. */
+ * next host in the ranking becomes the parent. A parent may itself be cut off
+ * from the leader, and then its children get no changes either. */
 static void
 choose_parent(struct config_feed *feed)
 {
 	uint32_t ranking[HOSTS_MAX], count;
-	int64_t now_ms;
+	int64_t now_ms, renewals_max;
 
 	now_ms = feed_now(feed);
+	renewals_max = feed->failed_parents == 0
+			   ? PARENT_FAILED_RENEWALS_MAX
+			   : NEXT_PARENT_FAILED_RENEWALS_MAX;
 	if (now_ms - feed->parent_progress_ms >
-	    PARENT_FAILED_RENEWALS_MAX * feed->settings.renewal_interval_ms) {
+	    renewals_max * feed->settings.renewal_interval_ms) {
 		feed->parent_rank++;
+		feed->failed_parents++;
 		feed->parent_progress_ms = now_ms;
 	}
 	count = feed_rank_parents(feed, ranking);
@@ -367,11 +382,25 @@
 		return ERROR_NONE;
 	feed->lease_until_ms = until_ms;
 	if (from_host == feed->parent)
-		feed->parent_progress_ms = feed_now(feed);
+		record_extension(feed);
 	schedule_lease_timer(feed);
 	return ERROR_NONE;
 }
 
+/* Records that the parent extended the lease, if it did so by more than the
+ * allowance for clock drift. */
+static void
+record_extension(struct config_feed *feed)
+{
+	if (feed->lease_until_ms <
+	    feed->extended_until_ms +
+		feed->settings.renewal_interval_ms / EXTENSION_MIN_DIVISOR)
+		return;
+	feed->extended_until_ms = feed->lease_until_ms;
+	feed->parent_progress_ms = feed_now(feed);
+	feed->failed_parents = 0;
+}
+
 /* Applies pushed entries on a learner. After a gap, it requests the missing
  * entries. */
 static enum error_code
--- a/src/coordination/config_feed.h
+++ b/src/coordination/config_feed.h
@@ -134,6 +134,10 @@
 	uint32_t parent_rank;
 	/** When the lease was last extended or the parent last changed. */
 	int64_t parent_progress_ms;
+	/** End of the lease when it was last extended, INT64_MIN at first. */
+	int64_t extended_until_ms;
+	/** Parents that were replaced since the lease was last extended. */
+	uint32_t failed_parents;
 	uint64_t request_number; /**< Number of the latest renewal request. */
 	/** Send times of the latest requests, by number modulo the size. */
 	int64_t request_sent_ms[FEED_REQUEST_TIMES_KEPT];
