A host whose configuration lease has run out denies nothing

Callers saw: 404 from a host that was behind, for a route that was acknowledged. Cause: relay_exchange_resolve() answered 404 and 401 from whatever table the host held, and asked for no lease: it stated as certain what it could not know. Change: without a lease the answer is 503 (not run) with Retry-After; known routes are served on as before. E6010 tells it apart (refused, lease_expired).

--- a/src/service/cli_explain.c
+++ b/src/service/cli_explain.c
@@ -48,7 +48,9 @@
 	"engines in E6008)."},
     {"refused", "lease_expired",
 	"This host had not yet received the configuration, since it had just "
-	"started (E1001, E1015)."},
+	"started (E1001, E1015), or it knew no such route or key while it "
+	"could not confirm its configuration (confirmed_ms is 0, E1007; E1017 "
+	"says from whom it receives the configuration)."},
     {"refused", "upstream_refused",
 	"Every upstream that the request was sent to replied that it did not "
 	"run it (E6001 names the upstream at fault)."},
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -27,6 +27,8 @@
 static void on_start_timeout(void *context);
 static void deny(struct relay_exchange *exchange, uint32_t status,
     const char *reason, enum error_code error);
+static void refuse_unconfirmed(
+    struct relay_exchange *exchange, const char *reason);
 static void read_request(struct relay_exchange *exchange);
 static void parse_token_counts(
     struct placement_request *wants, const char *text);
@@ -85,11 +87,7 @@
 	if (relay->table == NULL && wait_for_first_table(exchange))
 		return false;
 	if (relay->table == NULL) {
-		relay_answer_json(exchange->caller, STATUS_UNAVAILABLE,
-		    "no configuration yet",
-		    retry_after_ms(exchange, ERROR_LEASE_EXPIRED));
-		relay_exchange_finish(
-		    exchange, END_REFUSED, ERROR_LEASE_EXPIRED);
+		refuse_unconfirmed(exchange, "no configuration yet");
 		return false;
 	}
 	if (exchange->table != relay->table) {
@@ -286,6 +284,12 @@
 		relay_exchange_abort(exchange, error);
 		return;
 	}
+	/* The configuration in force may have what this host doesn't know. */
+	if (!exchange->may_have_run &&
+	    host_confirmed_remaining(exchange->relay->host) == 0) {
+		refuse_unconfirmed(exchange, "configuration not confirmed");
+		return;
+	}
 	/* An attempt under an older route table may have run, so the answer
 	 * must not claim that the request was not executed. */
 	if (exchange->may_have_run)
@@ -294,6 +298,16 @@
 	relay_exchange_finish(exchange, END_DENIED, error);
 }
 
+/* Refuses a request that this host can't judge, because it has no configuration
+ * or doesn't know whether its own is the newest. */
+static void
+refuse_unconfirmed(struct relay_exchange *exchange, const char *reason)
+{
+	relay_answer_json(exchange->caller, STATUS_UNAVAILABLE, reason,
+	    retry_after_ms(exchange, ERROR_LEASE_EXPIRED));
+	relay_exchange_finish(exchange, END_REFUSED, ERROR_LEASE_EXPIRED);
+}
+
 static void
 read_request(struct relay_exchange *exchange)
 {
