The product's own interface denies no account without a lease either

It answers lease_expired (503, not run) now. real_majority asks with an unknown token while the majority is gone: red before (unauthenticated), green now.

--- a/src/service/request_api.c
+++ b/src/service/request_api.c
@@ -33,6 +33,8 @@
  * with the error and returns false if the request can't be admitted. */
 static bool check_caller(struct host *host, struct http_exchange *exchange,
     struct request_input *input);
+static void refuse_unknown_account(
+    struct host *host, struct http_exchange *exchange);
 static bool find_account(struct host *host, struct request_input *input);
 static void assign_request_id(struct host *host, struct request_input *input);
 /* Runs the request and replies with the whole answer or an error. */
@@ -169,8 +171,7 @@
 		return false;
 	}
 	if (!find_account(host, input)) {
-		api_refuse(exchange, ERROR_UNAUTHENTICATED,
-		    "no client account has this token");
+		refuse_unknown_account(host, exchange);
 		return false;
 	}
 	if (atomic_load(&host->running_requests) >=
@@ -182,6 +183,18 @@
 	return true;
 }
 
+/* Without a lease, this host can't know whether the account was just added. */
+static void
+refuse_unknown_account(struct host *host, struct http_exchange *exchange)
+{
+	if (host_confirmed_remaining(host) == 0)
+		api_refuse(exchange, ERROR_LEASE_EXPIRED,
+		    "this host can't confirm its configuration");
+	else
+		api_refuse(exchange, ERROR_UNAUTHENTICATED,
+		    "no client account has this token");
+}
+
 static bool
 find_account(struct host *host, struct request_input *input)
 {
--- a/tests/real_majority.sh
+++ b/tests/real_majority.sh
@@ -29,6 +29,9 @@
 send_prompt 3 s3cret small-7b "lost majority" >"$work/refused"
 grep -q '"outcome":"not_run"' "$work/refused" || fail "the answer was $(cat "$work/refused")"
 [ "$(runs)" = "$before" ] || fail "the refused request ran"
+# The token may belong to an account that was added since the lease ran out.
+send_prompt 3 unknown small-7b "unknown token" >"$work/unknown"
+grep -q lease_expired "$work/unknown" || fail "an unknown token got $(cat "$work/unknown")"
 operator 3 config put setting/x 1 --timeout-ms 3000 >/dev/null 2>&1 && fail "a change was accepted without a majority"
 
 operator 3 override serve-unconfirmed 600 >/dev/null || fail "cannot set the override"
