Red test: the relay sends a request on that crashes its upstreams

The fixture's host gets a coordination thread with the quarantine, and its upstreams can crash: reset, and listen again 100 ms later.

--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -45,8 +45,10 @@
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
+	int reuse = 1;
 
 	*fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(*fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	address.sin_port = htons(port);
 	if (bind(*fd, (struct sockaddr *)&address, size) == 0 &&
@@ -153,7 +155,8 @@
 		return false;
 	}
 	if (mark != NULL) {
-		if (strcmp(mark, "<reset>") == 0)
+		if (strcmp(mark, "<reset>") == 0 ||
+		    strcmp(mark, "<crash>") == 0)
 			setsockopt(
 			    fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 		*mark = '\0';
@@ -179,6 +182,9 @@
 	keep_open = true;
 	while (keep_open && read_request(fd, request)) {
 		answer = take_next_answer(upstream->script, request->str);
+		/* Ends accept() in the other thread. */
+		if (strcmp(answer, "<crash>") == 0)
+			shutdown(upstream->listen_fd, SHUT_RDWR);
 		keep_open = send_answer(fd, answer);
 		g_free(answer);
 	}
@@ -187,6 +193,19 @@
 	return NULL;
 }
 
+/* Listens again some time after a crash. False if the upstream is to end. */
+static bool
+listen_again(struct scripted_upstream *upstream)
+{
+	close(upstream->listen_fd);
+	if (atomic_load(&upstream->is_stopping))
+		return false;
+	g_usleep(RELAY_FIXTURE_DOWN_MS * 1000);
+	if (atomic_load(&upstream->is_stopping))
+		return false;
+	return listen_at(&upstream->listen_fd, upstream->port) != 0;
+}
+
 static void *
 accept_connections(void *argument)
 {
@@ -198,13 +217,16 @@
 	int fd;
 
 	threads = g_array_new(FALSE, FALSE, sizeof(pthread_t));
-	while ((fd = accept(upstream->listen_fd, NULL, NULL)) >= 0) {
+	do {
+		fd = accept(upstream->listen_fd, NULL, NULL);
+		if (fd < 0)
+			continue;
 		pair = g_new(void *, 2);
 		pair[0] = upstream;
 		pair[1] = GINT_TO_POINTER(fd);
 		pthread_create(&thread, NULL, serve_connection, pair);
 		g_array_append_val(threads, thread);
-	}
+	} while (fd >= 0 || listen_again(upstream));
 	for (i = 0; i < threads->len; i++)
 		pthread_join(g_array_index(threads, pthread_t, i), NULL);
 	g_array_unref(threads);
@@ -237,6 +259,63 @@
 	fleet_put_upstream(&fixture->host->fleet, &record);
 }
 
+static void
+commit_at_once(
+    void *context, const struct quarantine_entry *entries, uint32_t count)
+{
+	struct host *host = context;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		quarantine_apply(&host->quarantine, &entries[i]);
+}
+
+/* What the coordination thread of a host does for its relay. */
+static void *
+run_coordinator(void *argument)
+{
+	struct relay_fixture *fixture = argument;
+	struct host *host = fixture->host;
+
+	while (!atomic_load(&fixture->is_stopping)) {
+		mailbox_run(&host->mailbox, host);
+		timer_advance(&host->timers, host_now_ms());
+		g_usleep(2000);
+	}
+	return NULL;
+}
+
+static uint32_t
+list_no_peers(void *context, struct report_peer *peers, uint32_t max)
+{
+	(void)context;
+	(void)peers;
+	(void)max;
+	return 0;
+}
+
+static void
+start_coordinator(struct relay_fixture *fixture)
+{
+	static const struct report_exchange_settings reports = {.host_id = 1};
+	static const struct report_exchange_ops report_ops = {
+	    .list_peers = list_no_peers};
+	struct quarantine_settings settings = quarantine_default_settings();
+	struct host *host = fixture->host;
+	struct quarantine_ops ops = {.commit = commit_at_once, .context = host};
+
+	timer_init(&host->timers, 64, host_now_ms());
+	report_exchange_init(&host->reports, &reports, &host->timers, 1,
+	    (struct peer_port){0}, report_ops);
+	if (host_suspects_init(host) != ERROR_NONE)
+		abort();
+	quarantine_finish(&host->quarantine);
+	if (quarantine_init(&host->quarantine, &settings, &ops,
+		&host->timers) != ERROR_NONE)
+		abort();
+	pthread_create(&fixture->coordinator, NULL, run_coordinator, fixture);
+}
+
 void
 relay_fixture_init(struct relay_fixture *fixture)
 {
@@ -259,6 +338,7 @@
 	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++)
 		start_upstream(fixture, i);
 	fleet_publish(&fixture->host->fleet);
+	start_coordinator(fixture);
 	fixture->port = find_free_port();
 	fixture->ready_port = find_free_port();
 	g_strlcpy(settings.entry.ip, "127.0.0.1", sizeof(settings.entry.ip));
@@ -292,13 +372,18 @@
 	relay_finish(&fixture->relay);
 	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++) {
 		upstream = &fixture->upstreams[i];
+		atomic_store(&upstream->is_stopping, true);
 		shutdown(upstream->listen_fd, SHUT_RDWR);
-		close(upstream->listen_fd);
 		pthread_join(upstream->thread, NULL);
 	}
 	g_ptr_array_unref(fixture->script.requests);
 	g_ptr_array_unref(fixture->script.answers);
 	pthread_mutex_destroy(&fixture->script.mutex);
+	atomic_store(&fixture->is_stopping, true);
+	pthread_join(fixture->coordinator, NULL);
+	host_suspects_finish(fixture->host);
+	report_exchange_finish(&fixture->host->reports);
+	timer_finish(&fixture->host->timers);
 	mailbox_close(&fixture->host->mailbox);
 	mailbox_finish(&fixture->host->mailbox);
 	fleet_finish(&fixture->host->fleet);
@@ -313,6 +398,15 @@
 	pthread_mutex_unlock(&fixture->script.mutex);
 }
 
+void
+relay_fixture_replace_answers(struct relay_fixture *fixture, const char *answer)
+{
+	pthread_mutex_lock(&fixture->script.mutex);
+	g_ptr_array_set_size(fixture->script.answers, 0);
+	g_ptr_array_add(fixture->script.answers, g_strdup(answer));
+	pthread_mutex_unlock(&fixture->script.mutex);
+}
+
 static int
 connect_to(uint16_t port)
 {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -14,12 +14,16 @@
 #include "service/relay.h"
 
 #define RELAY_FIXTURE_UPSTREAMS 4
+/** Time for which a crashed upstream is down. */
+#define RELAY_FIXTURE_DOWN_MS 100
 
 /**
  * Answers of the upstreams, used in the order in which requests reach any of
  * them; the last answer is used again. An answer that ends with "<reset>"
  * resets the connection, one that ends with "<close>" closes it. The answer
- * "<hang>" sends nothing until the relay closes the connection.
+ * "<hang>" sends nothing until the relay closes the connection. After the answer
+ * "<crash>" the upstream resets the connection and accepts no other for
+ * RELAY_FIXTURE_DOWN_MS.
  */
 struct upstream_script {
 	pthread_mutex_t mutex; /**< Protects both arrays. */
@@ -34,11 +38,15 @@
 	uint16_t port;			/**< Port that it listens on. */
 	char name[NAME_SIZE_MAX];	/**< Name in its record. */
 	pthread_t thread;		/**< Accepts connections. */
+	_Atomic bool is_stopping;	/**< It must not listen again. */
 };
 
 /** The relay under test and what surrounds it. */
 struct relay_fixture {
-	struct host *host;	       /**< Has only fleet and mailbox. */
+	struct host *host;	       /**< Has only the parts that the relay
+					    uses. */
+	pthread_t coordinator;	       /**< The host's coordination thread. */
+	_Atomic bool is_stopping;      /**< Ends that thread. */
 	struct relay relay;	       /**< Relay under test. */
 	uint16_t port;		       /**< Port for callers. */
 	uint16_t ready_port;	       /**< Port for the load balancer. */
@@ -57,6 +65,9 @@
 /** Adds an answer to the script; "{ID}" in it becomes the attempt id. */
 void relay_fixture_add_answer(
     struct relay_fixture *fixture, const char *answer);
+/** Replaces all answers of the script by one. */
+void relay_fixture_replace_answers(
+    struct relay_fixture *fixture, const char *answer);
 /**
  * Sends a request to the relay and returns the answer, to be freed with
  * g_free(). Reads until the answer is complete, the relay closes the
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -14,6 +14,9 @@
 
 #include "relay_fixture.h"
 
+/* By then a crash has been evaluated, and the upstream is up again. */
+#define EVALUATION_US 400000
+
 #define HEAD(method, path)                                                     \
 	method " " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"           \
 	       "X-Api-Key: key1\r\nDeadline-Ms: 1000\r\n"
@@ -364,6 +367,67 @@
 	g_free(fixture);
 }
 
+/* A request that crashes each upstream that runs it is refused after two
+ * crashes, truthfully and at once; other requests are served meanwhile. */
+static void
+test_request_that_crashes_upstreams_is_refused(void **state)
+{
+	static const char poison[] =
+	    HEAD("POST", "/idem/") "Content-Length: 6\r\n\r\npoison";
+	struct relay_fixture *fixture;
+	char *answer;
+	uint32_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture, "<crash>");
+	answer = relay_fixture_send_request(fixture, poison);
+	assert_non_null(strstr(answer, "HTTP/1.1 502"));
+	g_free(answer);
+	for (i = 0; i < 4; i++) {
+		g_usleep(EVALUATION_US);
+		answer = relay_fixture_send_request(fixture, poison);
+		assert_non_null(strstr(answer, "HTTP/1.1 503"));
+		assert_non_null(strstr(answer, "Retry-After: "));
+		g_free(answer);
+	}
+	assert_int_equal(relay_fixture_request_count(fixture), 2);
+	relay_fixture_replace_answers(fixture, ANSWER("200 OK", "body!", "5"));
+	answer = relay_fixture_send_request(fixture, CALL("/idem/"));
+	assert_non_null(strstr(answer, "200 OK"));
+	g_free(answer);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
+/* Requests whose connections are reset are not suspected while their upstreams
+ * still accept connections. */
+static void
+test_reset_without_a_crash_quarantines_nothing(void **state)
+{
+	struct relay_fixture *fixture;
+	char *answer;
+	uint32_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture, "<reset>");
+	for (i = 0; i < 3; i++) {
+		answer = relay_fixture_send_request(fixture, CALL("/idem/"));
+		assert_non_null(strstr(answer, "HTTP/1.1 502"));
+		g_free(answer);
+		g_usleep(EVALUATION_US);
+	}
+	relay_fixture_replace_answers(fixture, ANSWER("200 OK", "body!", "5"));
+	answer = relay_fixture_send_request(fixture, CALL("/idem/"));
+	assert_non_null(strstr(answer, "200 OK"));
+	g_free(answer);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
@@ -378,6 +442,8 @@
 		test_drain_closes_connections_and_refuses_late_requests),
 	    cmocka_unit_test(test_monitor_port_serves_metrics),
 	    cmocka_unit_test(test_host_without_lease_denies_nothing),
+	    cmocka_unit_test(test_request_that_crashes_upstreams_is_refused),
+	    cmocka_unit_test(test_reset_without_a_crash_quarantines_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
