The relay asks the quarantine, and reports crashes to it

Callers saw: a request under which three upstreams had ended was sent on to others, by every host and in every later attempt. Cause: only the product's own request path asked quarantine_check() and reported crashes; the relay, which carries the platform's requests, did neither. Ruled out: the route's limit of attempts (it bounds one client attempt, not the next ones); the retry budget (each client attempt is a new request). Change: relay_crash.c. When the connection of a sent request breaks, the upstream is probed; if it accepts no connection, the request is a suspect unless its answer had been arriving for half a second. A request is known by account, host, path and body, whatever its attempt id. Before each placement the relay asks the verdict; a refusal is 503 with the time that is left, at once, if it did not run, else what a failed attempt gives. Both paths read one published copy (quarantine_view), in place of a call to the coordination thread that could take 2 s; a host without suspects computes no fingerprint, and asks again for nothing once the suspects are gone. E5007 names the crashed upstream. What is served meanwhile: all others; a reset without a crash suspects nobody.

--- a/src/coordination/fleet_view.c
+++ b/src/coordination/fleet_view.c
@@ -10,19 +10,9 @@
 #include <urcu-bp.h>
 #include <xxhash.h>
 
+#include "base/rcu_annotation.h"
 #include "coordination/rendezvous.h"
 
-/* The thread sanitizer does not know that an RCU grace period orders the
- * readers' last access before the free, so these macros annotate it. */
-#if defined(__SANITIZE_THREAD__)
-#include <sanitizer/tsan_interface.h>
-#define TSAN_RELEASE_VIEW(view) __tsan_release((void *)(uintptr_t)(view))
-#define TSAN_ACQUIRE_VIEW(view) __tsan_acquire((void *)(uintptr_t)(view))
-#else
-#define TSAN_RELEASE_VIEW(view) ((void)(view))
-#define TSAN_ACQUIRE_VIEW(view) ((void)(view))
-#endif
-
 #define GROUP_KEY_SEPARATOR '\n' /* Occurs in no name. */
 
 /** A compiled intent, shared by the fleet and its views. */
@@ -248,7 +238,7 @@
 void
 fleet_unlock(const struct fleet_view *view)
 {
-	TSAN_RELEASE_VIEW(view);
+	RCU_READER_RELEASE(view);
 	rcu_read_unlock();
 }
 
@@ -604,7 +594,7 @@
 	if (view == NULL)
 		return;
 	synchronize_rcu();
-	TSAN_ACQUIRE_VIEW(view);
+	RCU_WRITER_ACQUIRE(view);
 	for (i = 0; i < view->entry_count; i++)
 		release_upstream(view->entries[i].upstream);
 	for (i = 0; i < view->group_count; i++) {
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -125,6 +125,33 @@
 	return QUARANTINE_RUN;
 }
 
+uint32_t
+quarantine_count(const struct quarantine *quarantine)
+{
+	return g_hash_table_size(quarantine->suspects);
+}
+
+void
+quarantine_for_each(const struct quarantine *quarantine,
+    void (*visit)(void *context, const struct quarantine_verdict *verdict),
+    void *context)
+{
+	struct quarantine_verdict verdict;
+	const struct suspect *suspect;
+	const GList *at;
+
+	for (at = quarantine->by_age->head; at != NULL; at = at->next) {
+		suspect = at->data;
+		verdict.fingerprint = suspect->fingerprint;
+		verdict.action =
+		    quarantine_check(quarantine, suspect->fingerprint);
+		verdict.until_ms = verdict.action == QUARANTINE_REFUSE
+				       ? suspect->refuse_until_ms
+				       : suspect->suspect_until_ms;
+		visit(context, &verdict);
+	}
+}
+
 void
 quarantine_record_crash(
     struct quarantine *quarantine, const struct quarantine_crash *crash)
@@ -176,6 +203,7 @@
 			drop_suspect(quarantine, suspect);
 		return;
 	}
+	quarantine->change_count++;
 	suspect = find_or_add_suspect(quarantine, entry->fingerprint);
 	until_ms = timer_now(quarantine->timers) + entry->remaining_ms;
 	/* Crashes that this host recorded since the entry was committed are
@@ -258,6 +286,7 @@
 static void
 drop_suspect(struct quarantine *quarantine, struct suspect *suspect)
 {
+	quarantine->change_count++;
 	g_queue_delete_link(quarantine->by_age, suspect->link);
 	g_hash_table_remove(quarantine->suspects, &suspect->fingerprint);
 }
@@ -316,6 +345,7 @@
 	struct suspect *suspect;
 	bool was_alone;
 
+	quarantine->change_count++;
 	suspect = find_or_add_suspect(quarantine, fingerprint);
 	/* A suspect that ran alone, as required, caused the crash itself, so
 	 * this counts even if it belongs to the same event. */
@@ -355,6 +385,7 @@
 		if (suspect->event_number != event ||
 		    suspect->event_upstreams > 1)
 			continue;
+		quarantine->change_count++;
 		suspect->crashes--;
 		suspect->weight_permille -= suspect->event_weight;
 		suspect->event_number = 0;
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -31,6 +31,13 @@
 	QUARANTINE_REFUSE = 2,
 };
 
+/** What applies to a suspected or quarantined request. */
+struct quarantine_verdict {
+	uint64_t fingerprint;	       /**< Fingerprint of the request. */
+	enum quarantine_action action; /**< What applies until until_ms. */
+	int64_t until_ms; /**< Time on this host's clock at which it ends. */
+};
+
 /** Settings; see quarantine_default_settings(). */
 struct quarantine_settings {
 	int64_t suspect_ms;    /**< Time that a request remains a suspect. */
@@ -84,6 +91,7 @@
 	GHashTable *events;	    /**< Last crash event by data centre. */
 	GQueue *by_age;		    /**< All suspects, oldest first. */
 	uint64_t last_event_number; /**< Number of the last crash event. */
+	uint64_t change_count;	    /**< Changes of the suspects so far. */
 	struct handle tick_timer;   /**< Commits and expires suspects. */
 };
 
@@ -114,6 +122,15 @@
 void quarantine_record_completed(
     struct quarantine *quarantine, uint64_t fingerprint);
 
+/* Reading all suspects */
+
+/** Returns the number of suspects, quarantined ones included. */
+uint32_t quarantine_count(const struct quarantine *quarantine);
+/** Calls @p visit with what applies to each suspect. */
+void quarantine_for_each(const struct quarantine *quarantine,
+    void (*visit)(void *context, const struct quarantine_verdict *verdict),
+    void *context);
+
 /* Committed entries */
 
 /** Applies an entry that was committed by this host or another. */
--- a/src/service/cli_explain.c
+++ b/src/service/cli_explain.c
@@ -51,6 +51,10 @@
 	"started (E1001, E1015), or it knew no such route or key while it "
 	"could not confirm its configuration (confirmed_ms is 0, E1007; E1017 "
 	"says from whom it receives the configuration)."},
+    {"refused", "quarantined",
+	"Upstreams crashed each time that they began to run this request, so "
+	"it is refused everywhere for a time (E5006, E5007); operators "
+	"release it with \"quarantine release\"."},
     {"refused", "upstream_refused",
 	"Every upstream that the request was sent to replied that it did not "
 	"run it (E6001 names the upstream at fault)."},
--- a/src/service/host.c
+++ b/src/service/host.c
@@ -333,6 +333,7 @@
 	mailbox_run(&host->mailbox, host);
 	host_agreement_on_loop_pass(host);
 	host_orders_on_loop_pass(host);
+	host_suspects_on_loop_pass(host);
 	host_fleet_publish(host);
 }
 
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -37,7 +37,7 @@
 #include "coordination/live_hosts.h"
 #include "coordination/membership.h"
 #include "coordination/prefix_index.h"
-#include "coordination/quarantine.h"
+#include "coordination/quarantine_view.h"
 #include "coordination/report_exchange.h"
 #include "coordination/retry.h"
 #include "coordination/router.h"
@@ -143,11 +143,10 @@
 	_Atomic uint64_t next_request_id; /**< Id of the next request. */
 
 	/* Counters and flags */
-	/** Crash reports and quarantine entries so far. While it is 0, requests
-	 * skip the quarantine check. */
-	_Atomic uint32_t suspect_events;
 	_Atomic uint32_t group_threads; /**< Threads that run groups. */
 	struct quarantine quarantine;	/**< Suspected and refused requests. */
+	/** Copy of it for request threads. */
+	struct quarantine_view quarantine_view;
 	_Atomic uint32_t running_requests; /**< Requests in progress. */
 	/** Live hosts that accept requests. */
 	_Atomic uint32_t entry_host_count;
@@ -233,6 +232,9 @@
 enum error_code host_suspects_init(struct host *host);
 /** Frees the quarantine and the crashes not evaluated yet. */
 void host_suspects_finish(struct host *host);
+/** Called in every pass of the main loop: publishes changes of the quarantine
+ * to request threads. */
+void host_suspects_on_loop_pass(struct host *host);
 /** Applies the committed quarantine entries to the quarantine. */
 void host_suspects_apply(struct host *host);
 /** Records that an upstream crashed while it ran a request of this host. All
--- a/src/service/host_calls.c
+++ b/src/service/host_calls.c
@@ -12,11 +12,12 @@
 
 struct fingerprint_body {
 	uint64_t fingerprint;
-	enum quarantine_action action;
 };
 
 struct crash_body {
-	struct wait_assignment route;
+	uint64_t upstream_id;
+	uint64_t incarnation;
+	char data_centre[NAME_SIZE_MAX];
 	uint64_t fingerprint;
 };
 
@@ -51,7 +52,6 @@
 	json_t *reply;
 };
 
-static void run_check_quarantine(void *coordinator, struct mailbox_call *call);
 static void run_report_crash(void *coordinator, struct mailbox_call *call);
 static void run_report_completed(void *coordinator, struct mailbox_call *call);
 static void run_report_warmth(void *coordinator, struct mailbox_call *call);
@@ -74,8 +74,6 @@
 static enum error_code copy_command(
     struct command *copy, const struct command *command);
 
-static const struct mailbox_ops check_quarantine_ops = {
-    .run = run_check_quarantine};
 static const struct mailbox_ops crash_ops = {.run = run_report_crash};
 static const struct mailbox_ops completed_ops = {.run = run_report_completed};
 static const struct mailbox_ops warmth_ops = {.run = run_report_warmth};
@@ -87,39 +85,27 @@
 static const struct mailbox_ops query_ops = {run_query, clear_query};
 
 enum quarantine_action
-host_check_quarantine(struct host *host, uint64_t fingerprint)
+host_check_quarantine(
+    const struct host *host, uint64_t fingerprint, int64_t *remaining_ms)
 {
-	enum quarantine_action action;
-	struct fingerprint_body *body;
-	struct mailbox_call *call;
-
-	if (atomic_load(&host->suspect_events) == 0)
-		return QUARANTINE_RUN;
-	call = mailbox_call_new(&check_quarantine_ops, sizeof(*body));
-	body = mailbox_call_body(call);
-	body->fingerprint = fingerprint;
-	/* Without an answer the request is treated as a suspect, since running
-	 * it among others could crash them all. */
-	action = QUARANTINE_RUN_ALONE;
-	if (mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS) == ERROR_NONE)
-		action = body->action;
-	mailbox_call_unref(call);
-	return action;
+	return quarantine_view_check(
+	    &host->quarantine_view, fingerprint, host_now_ms(), remaining_ms);
 }
 
 void
-host_report_crash(struct host *host, const struct wait_assignment *route,
-    uint64_t fingerprint)
+host_report_crash(struct host *host, uint64_t upstream_id, uint64_t incarnation,
+    const char *data_centre, uint64_t fingerprint)
 {
 	struct mailbox_call *call;
 	struct crash_body *body;
 
-	atomic_fetch_add(&host->suspect_events, 1);
 	call = mailbox_call_new(&crash_ops, sizeof(*body));
 	body = mailbox_call_body(call);
-	body->route = *route;
+	body->upstream_id = upstream_id;
+	body->incarnation = incarnation;
+	g_strlcpy(body->data_centre, data_centre, sizeof(body->data_centre));
 	body->fingerprint = fingerprint;
-	mailbox_post(&host->mailbox, call);
+	(void)mailbox_post(&host->mailbox, call);
 }
 
 void
@@ -128,7 +114,7 @@
 	struct fingerprint_body *body;
 	struct mailbox_call *call;
 
-	if (atomic_load(&host->suspect_events) == 0)
+	if (host_check_quarantine(host, fingerprint, NULL) == QUARANTINE_RUN)
 		return;
 	call = mailbox_call_new(&completed_ops, sizeof(*body));
 	body = mailbox_call_body(call);
@@ -244,25 +230,14 @@
 	return error;
 }
 
-static void
-run_check_quarantine(void *coordinator, struct mailbox_call *call)
-{
-	struct fingerprint_body *body = mailbox_call_body(call);
-	struct host *host = coordinator;
-
-	body->action = quarantine_check(&host->quarantine, body->fingerprint);
-	mailbox_complete(&host->mailbox, call, ERROR_NONE);
-}
-
 static void
 run_report_crash(void *coordinator, struct mailbox_call *call)
 {
 	struct crash_body *body = mailbox_call_body(call);
 	struct host *host = coordinator;
 
-	host_suspects_record_crash(host, body->route.upstream_id,
-	    body->route.incarnation, body->route.data_centre,
-	    body->fingerprint);
+	host_suspects_record_crash(host, body->upstream_id, body->incarnation,
+	    body->data_centre, body->fingerprint);
 }
 
 static void
--- a/src/service/host_calls.h
+++ b/src/service/host_calls.h
@@ -24,13 +24,14 @@
 /* Requests */
 
 /** Returns whether the request with this fingerprint may run, and whether only
- * alone. A request whose check gets no answer in time may only run alone. */
+ * alone. Sets @p remaining_ms, unless it is NULL, to the time for which it is
+ * suspected or refused. */
 enum quarantine_action host_check_quarantine(
-    struct host *host, uint64_t fingerprint);
-/** Reports that the upstream in @p route crashed while it ran the request with
- * this fingerprint. */
-void host_report_crash(struct host *host, const struct wait_assignment *route,
-    uint64_t fingerprint);
+    const struct host *host, uint64_t fingerprint, int64_t *remaining_ms);
+/** Reports that an upstream crashed while it ran the request with this
+ * fingerprint. */
+void host_report_crash(struct host *host, uint64_t upstream_id,
+    uint64_t incarnation, const char *data_centre, uint64_t fingerprint);
 /** Reports that the request with this fingerprint ran to its end. */
 void host_report_completed(struct host *host, uint64_t fingerprint);
 /** Reports whether the upstream in @p route is warm, as its answer showed. */
--- a/src/service/host_suspects.c
+++ b/src/service/host_suspects.c
@@ -7,6 +7,9 @@
 
 #include <stdio.h>
 
+#include <jansson.h>
+
+#include "base/event_log.h"
 #include "base/monotonic_clock.h"
 
 /* Time from the first report of a crash until its evaluation. By then, all
@@ -32,6 +35,7 @@
 static void apply_quarantine(
     void *context, const struct quarantine_record *record);
 static void evaluate_crash(void *context);
+static void log_crash(struct host *host, const struct quarantine_crash *crash);
 static uint32_t count_other_hosts_requests(
     struct host *host, const struct pending_crash *pending);
 static void free_crash(gpointer memory);
@@ -54,9 +58,16 @@
 host_suspects_finish(struct host *host)
 {
 	quarantine_finish(&host->quarantine);
+	quarantine_view_finish(&host->quarantine_view);
 	g_hash_table_destroy(host->crashes);
 }
 
+void
+host_suspects_on_loop_pass(struct host *host)
+{
+	quarantine_view_publish(&host->quarantine_view, &host->quarantine);
+}
+
 void
 host_suspects_apply(struct host *host)
 {
@@ -138,7 +149,6 @@
 	if (entry.remaining_ms <= 0)
 		return;
 	quarantine_apply(&host->quarantine, &entry);
-	atomic_fetch_add(&host->suspect_events, 1);
 }
 
 /* Passes a crash and the requests collected for it to the quarantine. */
@@ -155,10 +165,26 @@
 	crash.fingerprints = (const uint64_t *)pending->fingerprints->data;
 	crash.count = pending->fingerprints->len;
 	crash.other_hosts_requests = count_other_hosts_requests(host, pending);
+	log_crash(host, &crash);
 	quarantine_record_crash(&host->quarantine, &crash);
 	g_hash_table_remove(host->crashes, &pending->upstream_id);
 }
 
+static void
+log_crash(struct host *host, const struct quarantine_crash *crash)
+{
+	const struct fleet_entry *entry;
+	const struct fleet_view *view;
+
+	view = fleet_lock(&host->fleet);
+	entry = fleet_view_find(view, crash->upstream_id);
+	event_log_write_fields(EVENT_UPSTREAM_CRASHED, "{s:s,s:s,s:i,s:i}",
+	    "upstream", entry == NULL ? "" : entry->upstream->record.name,
+	    "data_centre", crash->data_centre, "suspects", (int)crash->count,
+	    "other_hosts_requests", (int)crash->other_hosts_requests);
+	fleet_unlock(view);
+}
+
 /* Returns how many requests of other hosts ran on the upstream, according to
  * its last load report. */
 static uint32_t
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -11,6 +11,7 @@
  * - relay_exchange.c: one request from its arrival to the end of its answer
  * - relay_attempt.c: sending the request to one upstream, and retries
  * - relay_silence.c: detection of upstreams that make no progress
+ * - relay_crash.c: requests that crash upstreams
  * - relay_hold.c: memory reservations at helpers
  * - relay_answer.c: bytes written to callers and upstreams
  * - relay_events.c: parsing of event streams
@@ -136,6 +137,7 @@
 	GHashTable *callers;	      /**< Set of open struct relay_caller. */
 	GHashTable *pending_releases; /**< Set of struct hold whose memory is
 					   being released. */
+	GHashTable *crash_checks;     /**< Upstream id to struct crash_check. */
 	GHashTable *retry_budgets; /**< Service name to struct retry_window. */
 	struct route_table *table; /**< Route table in force, or NULL. */
 	uint64_t view_version;	   /**< Version of the fleet view applied. */
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -44,6 +44,7 @@
 
 	now_ms = host_now_ms();
 	exchange->upstream_id = choice->upstream->id;
+	exchange->upstream_incarnation = choice->upstream->incarnation;
 	g_strlcpy(exchange->upstream_name, choice->upstream->name,
 	    sizeof(exchange->upstream_name));
 	exchange->expected_ms = choice->wait_ms + choice->part_prefill_ms;
@@ -238,6 +239,7 @@
 			return;
 		}
 		record_answer(exchange);
+		relay_crash_clear(exchange);
 		relay_attempt_end(exchange);
 		relay_answer_end(exchange->caller);
 		relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
@@ -260,6 +262,7 @@
 	}
 	placement_record_success(
 	    &exchange->relay->placement, exchange->upstream_id);
+	relay_crash_clear(exchange);
 	relay_attempt_end(exchange);
 	relay_exchange_deliver(exchange);
 }
@@ -270,6 +273,8 @@
 	struct relay_exchange *exchange = context;
 
 	exchange->call = NULL;
+	if (error == ERROR_INCOMPLETE)
+		relay_crash_suspect(exchange);
 	relay_attempt_failed(exchange, error, true);
 }
 
@@ -398,6 +403,7 @@
 		placement_record_prefilled(
 		    &exchange->relay->placement, &exchange->work);
 		if (!exchange->has_progress) {
+			exchange->progress_began_ms = host_now_ms();
 			relay_schedule_report(exchange->relay);
 			record_first_event(exchange);
 			event_log_write_fields(EVENT_ANSWER_STARTED,
--- /dev/null
+++ b/src/service/relay_crash.c
@@ -0,0 +1,189 @@
+/*
+ * Finds upstreams that crashed under requests, and asks the quarantine before a
+ * request is sent. A broken connection alone does not show a crash: an upstream
+ * or a link may reset single connections. So the upstream is probed, and only
+ * if it accepts no connection any more its requests are reported as suspects.
+ */
+#include <jansson.h>
+
+#include "base/event_log.h"
+#include "protocol/prefix_hash.h"
+#include "service/host_calls.h"
+#include "service/relay_parts.h"
+
+/* A request whose answer has been arriving for this long is not the one that
+ * crashed its upstream: such requests crash it when they begin to run. */
+#define BEGINNING_MS 500
+
+/* An upstream that may have crashed. */
+struct crash_check {
+	struct relay *relay;
+	uint64_t upstream_id;
+	uint64_t incarnation;
+	char data_centre[NAME_SIZE_MAX];
+	GArray *fingerprints; /* Suspected requests of this host. */
+};
+
+static bool is_suspect(const struct relay_exchange *exchange);
+static struct crash_check *find_or_add_check(
+    const struct relay_exchange *exchange);
+static void on_probed(void *context, enum error_code error);
+static void report_crash(const struct crash_check *check);
+static bool find_data_centre(
+    const struct relay_exchange *exchange, char data_centre[NAME_SIZE_MAX]);
+static uint64_t fingerprint(struct relay_exchange *exchange);
+static void free_check(gpointer memory);
+
+void
+relay_crashes_init(struct relay *relay)
+{
+	relay->crash_checks = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_check);
+}
+
+void
+relay_crashes_finish(struct relay *relay)
+{
+	g_hash_table_unref(relay->crash_checks);
+}
+
+void
+relay_crash_suspect(struct relay_exchange *exchange)
+{
+	struct crash_check *check;
+	uint64_t suspect;
+
+	if (!is_suspect(exchange))
+		return;
+	check = find_or_add_check(exchange);
+	if (check == NULL)
+		return;
+	suspect = fingerprint(exchange);
+	g_array_append_val(check->fingerprints, suspect);
+}
+
+enum quarantine_action
+relay_crash_verdict(struct relay_exchange *exchange, int64_t *remaining_ms)
+{
+	const struct host *host = exchange->relay->host;
+
+	if (quarantine_view_is_empty(&host->quarantine_view))
+		return QUARANTINE_RUN;
+	return host_check_quarantine(host, fingerprint(exchange), remaining_ms);
+}
+
+void
+relay_crash_clear(struct relay_exchange *exchange)
+{
+	struct host *host = exchange->relay->host;
+
+	if (!quarantine_view_is_empty(&host->quarantine_view))
+		host_report_completed(host, fingerprint(exchange));
+}
+
+static bool
+is_suspect(const struct relay_exchange *exchange)
+{
+	return exchange->is_sent &&
+	       (!exchange->has_progress ||
+		   host_now_ms() - exchange->progress_began_ms < BEGINNING_MS);
+}
+
+/* Returns the check of the exchange's upstream. A new one begins to probe it;
+ * NULL if that is not possible. */
+static struct crash_check *
+find_or_add_check(const struct relay_exchange *exchange)
+{
+	struct relay *relay = exchange->relay;
+	struct crash_check *check;
+
+	check =
+	    g_hash_table_lookup(relay->crash_checks, &exchange->upstream_id);
+	if (check != NULL)
+		return check;
+	check = g_new0(struct crash_check, 1);
+	check->relay = relay;
+	check->upstream_id = exchange->upstream_id;
+	check->incarnation = exchange->upstream_incarnation;
+	check->fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	if (!find_data_centre(exchange, check->data_centre) ||
+	    upstream_pool_probe(&relay->pool, exchange->upstream_address,
+		on_probed, check) == NULL) {
+		free_check(check);
+		return NULL;
+	}
+	g_hash_table_insert(relay->crash_checks, &check->upstream_id, check);
+	return check;
+}
+
+static void
+on_probed(void *context, enum error_code error)
+{
+	struct crash_check *check = context;
+
+	if (error != ERROR_NONE)
+		report_crash(check);
+	g_hash_table_remove(check->relay->crash_checks, &check->upstream_id);
+}
+
+static void
+report_crash(const struct crash_check *check)
+{
+	guint i;
+
+	for (i = 0; i < check->fingerprints->len; i++)
+		host_report_crash(check->relay->host, check->upstream_id,
+		    check->incarnation, check->data_centre,
+		    g_array_index(check->fingerprints, uint64_t, i));
+}
+
+/* False if the upstream is not known any more. */
+static bool
+find_data_centre(
+    const struct relay_exchange *exchange, char data_centre[NAME_SIZE_MAX])
+{
+	const struct fleet_entry *entry;
+	const struct fleet_view *view;
+
+	view = fleet_lock(&exchange->relay->host->fleet);
+	entry = fleet_view_find(view, exchange->upstream_id);
+	if (entry != NULL)
+		g_strlcpy(data_centre, entry->upstream->record.data_centre,
+		    NAME_SIZE_MAX);
+	fleet_unlock(view);
+	return entry != NULL;
+}
+
+/* Returns a hash of what makes two requests the same: host, path, account and
+ * body. Attempts of one caller and requests sent again have the same one. */
+static uint64_t
+fingerprint(struct relay_exchange *exchange)
+{
+	const struct http_head *head = &exchange->head;
+	struct shared_text *body;
+	const char *host;
+	char *target;
+
+	if (exchange->fingerprint != 0)
+		return exchange->fingerprint;
+	host = http_head_get(head, "Host");
+	target =
+	    g_strconcat(host == NULL ? "" : host, " ", head->target->str, NULL);
+	body = shared_text_copy(
+	    (const char *)exchange->body->data, exchange->body->len);
+	exchange->fingerprint = request_fingerprint(
+	    exchange->account == NULL ? "" : exchange->account->name, target, 0,
+	    body, exchange->relay->host->fingerprint_key);
+	shared_text_unref(body);
+	g_free(target);
+	return exchange->fingerprint;
+}
+
+static void
+free_check(gpointer memory)
+{
+	struct crash_check *check = memory;
+
+	g_array_unref(check->fingerprints);
+	g_free(check);
+}
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -35,6 +35,8 @@
 static void wait_for_turn(struct relay_exchange *exchange);
 static void wait_for_placement(
     struct relay_exchange *exchange, enum error_code error);
+static void end_unplaced(
+    struct relay_exchange *exchange, enum error_code error, int64_t after_ms);
 static int64_t retry_after_ms(
     struct relay_exchange *exchange, enum error_code error);
 static void on_wait_timeout(void *context);
@@ -121,9 +123,15 @@
 void
 relay_exchange_place(struct relay_exchange *exchange)
 {
+	int64_t quarantined_ms;
 	enum error_code error;
 	bool was_waiting;
 
+	if (relay_crash_verdict(exchange, &quarantined_ms) ==
+	    QUARANTINE_REFUSE) {
+		end_unplaced(exchange, ERROR_QUARANTINED, quarantined_ms);
+		return;
+	}
 	exchange->request.arrived_ms = exchange->arrived_ms;
 	exchange->request.deadline_ms = exchange->deadline_ms;
 	exchange->request.has_partial_answer = exchange->is_answering;
@@ -366,6 +374,16 @@
 	    error != ERROR_DEADLINE_UNREACHABLE &&
 	    schedule_retry(exchange, on_wait_timeout))
 		return;
+	end_unplaced(exchange, error, retry_after_ms(exchange, error));
+}
+
+/* Ends a request that is sent to no further upstream. */
+static void
+end_unplaced(
+    struct relay_exchange *exchange, enum error_code error, int64_t after_ms)
+{
+	placement_queue_leave(
+	    &exchange->relay->placement, &exchange->queue_entry);
 	if (exchange->is_answering) {
 		relay_exchange_abort(exchange, error);
 		return;
@@ -381,7 +399,9 @@
 		return;
 	}
 	relay_answer_json(exchange->caller, STATUS_UNAVAILABLE,
-	    "no upstream can take it now", retry_after_ms(exchange, error));
+	    error == ERROR_QUARANTINED ? "the request crashes upstreams"
+				       : "no upstream can take it now",
+	    after_ms);
 	relay_exchange_finish(exchange, END_REFUSED, error);
 }
 
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -5,6 +5,7 @@
 #ifndef RELAY_PARTS_H
 #define RELAY_PARTS_H
 
+#include "coordination/quarantine.h"
 #include "coordination/relay_rules.h"
 #include "protocol/http_reader.h"
 #include "service/relay.h"
@@ -85,8 +86,11 @@
 					       for none. */
 	int64_t arrived_ms;  /**< Arrival of the request's first byte. */
 	int64_t deadline_ms; /**< Time by which the answer must be complete. */
-	struct pool_call *call; /**< Current attempt's call, or NULL. */
-	uint64_t upstream_id;	/**< Upstream of the current attempt. */
+	struct pool_call *call;	       /**< Current attempt's call, or NULL. */
+	uint64_t upstream_id;	       /**< Upstream of the current attempt. */
+	uint64_t upstream_incarnation; /**< Its incarnation. */
+	/** Hash of what makes two requests the same, 0 until it is needed. */
+	uint64_t fingerprint;
 	char upstream_name[NAME_SIZE_MAX]; /**< Name of this upstream. */
 	struct placement_request request;  /**< Input of placement, including
 						the upstreams tried. */
@@ -115,13 +119,15 @@
 	/** Last progress of the answer: its last whole event, or sent_ms
 	 * before the first. */
 	int64_t last_progress_ms;
-	int64_t first_event_ms;	  /**< When the caller got the first event, or
+	int64_t progress_began_ms; /**< When the current attempt brought its
+					first event. */
+	int64_t first_event_ms;	   /**< When the caller got the first event, or
 				     0. */
-	int64_t last_event_ms;	  /**< When the caller got the last event. */
-	int64_t longest_pause_ms; /**< Longest time between two events. */
-	struct handle wait_timer; /**< Next try to find an upstream for the
+	int64_t last_event_ms;	   /**< When the caller got the last event. */
+	int64_t longest_pause_ms;  /**< Longest time between two events. */
+	struct handle wait_timer;  /**< Next try to find an upstream for the
 				     request. */
-	int64_t wait_until_ms;	  /**< Time until which a request that can't be
+	int64_t wait_until_ms;	   /**< Time until which a request that can't be
 				    placed is retried. */
 	uint32_t target_random; /**< Random number for the weighted choice of a
 				     service; constant for one request. */
@@ -214,6 +220,23 @@
  * retried at another one. */
 void relay_silence_watch(struct relay_exchange *exchange);
 
+/* relay_crash.c */
+
+/** Prepares the table of upstreams that may have crashed. */
+void relay_crashes_init(struct relay *relay);
+/** Frees the table, after the loop has ended. */
+void relay_crashes_finish(struct relay *relay);
+/** Called when the connection of a sent attempt broke: the upstream is probed,
+ * and if it has crashed, the request becomes a suspect on all hosts. */
+void relay_crash_suspect(struct relay_exchange *exchange);
+/** Returns whether the request may run, given the crashes that all hosts have
+ * seen. Sets @p remaining_ms to the time for which it is refused. */
+enum quarantine_action relay_crash_verdict(
+    struct relay_exchange *exchange, int64_t *remaining_ms);
+/** Called when an upstream has answered the request completely: it is a suspect
+ * no more. */
+void relay_crash_clear(struct relay_exchange *exchange);
+
 /* relay_trace.c */
 
 /** Logs the end of a request, with all facts needed to explain it. */
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -112,7 +112,7 @@
 	    &run->span, "client_account", input->facts.client_account);
 	wait_ticket_init(&run->ticket, &run->input.facts);
 	atomic_fetch_add(&host->running_requests, 1);
-	action = host_check_quarantine(host, input->facts.fingerprint);
+	action = host_check_quarantine(host, input->facts.fingerprint, NULL);
 	if (action == QUARANTINE_REFUSE) {
 		end_run(run, ERROR_QUARANTINED, REQUEST_OUTCOME_NOT_RUN, 0);
 		return;
@@ -234,7 +234,8 @@
 {
 	enum quarantine_action action;
 
-	action = host_check_quarantine(run->host, run->input.facts.fingerprint);
+	action = host_check_quarantine(
+	    run->host, run->input.facts.fingerprint, NULL);
 	run->upstream_crashed = false;
 	run->ticket.must_run_alone = action == QUARANTINE_RUN_ALONE;
 	/* Crashes close together in one data centre count as one event, which
@@ -614,7 +615,9 @@
 	/* Only a broken connection may mean that the upstream crashed. */
 	run->upstream_crashed = piece->error == ERROR_CONNECTION;
 	if (run->upstream_crashed)
-		host_report_crash(host, &run->ticket.assignment,
+		host_report_crash(host, run->ticket.assignment.upstream_id,
+		    run->ticket.assignment.incarnation,
+		    run->ticket.assignment.data_centre,
 		    run->input.facts.fingerprint);
 	fail_attempt(run,
 	    piece->error == ERROR_UPSTREAM_FAILED ? ATTEMPT_ERROR
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -197,13 +197,18 @@
 static bool
 listen_again(struct scripted_upstream *upstream)
 {
+	int fd;
+
 	close(upstream->listen_fd);
 	if (atomic_load(&upstream->is_stopping))
 		return false;
 	g_usleep(RELAY_FIXTURE_DOWN_MS * 1000);
 	if (atomic_load(&upstream->is_stopping))
 		return false;
-	return listen_at(&upstream->listen_fd, upstream->port) != 0;
+	if (listen_at(&fd, upstream->port) == 0)
+		return false;
+	atomic_store(&upstream->listen_fd, fd);
+	return true;
 }
 
 static void *
@@ -238,8 +243,10 @@
 {
 	struct scripted_upstream *upstream = &fixture->upstreams[index];
 	struct upstream_record record = {0};
+	int fd;
 
-	upstream->port = listen_anywhere(&upstream->listen_fd);
+	upstream->port = listen_anywhere(&fd);
+	atomic_store(&upstream->listen_fd, fd);
 	snprintf(upstream->name, sizeof(upstream->name), "u%u", index);
 	upstream->script = &fixture->script;
 	pthread_create(&upstream->thread, NULL, accept_connections, upstream);
@@ -280,6 +287,7 @@
 	while (!atomic_load(&fixture->is_stopping)) {
 		mailbox_run(&host->mailbox, host);
 		timer_advance(&host->timers, host_now_ms());
+		host_suspects_on_loop_pass(host);
 		g_usleep(2000);
 	}
 	return NULL;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -34,7 +34,7 @@
 /** An upstream that answers by the script. */
 struct scripted_upstream {
 	struct upstream_script *script; /**< Shared by all upstreams. */
-	int listen_fd;			/**< Listening socket. */
+	_Atomic int listen_fd;		/**< Listening socket. */
 	uint16_t port;			/**< Port that it listens on. */
 	char name[NAME_SIZE_MAX];	/**< Name in its record. */
 	pthread_t thread;		/**< Accepts connections. */
