Crashes that different hosts see add up, and a suspicion is committed until it holds

Callers saw: as before, a request sent on after three upstreams had ended. Cause: each host committed its own count, which replaced the record of the others; of two equal counts one was taken for the other. A suspicion was committed 2 to 2.5 s after the crash, and dropped when the commit took 5 s. Ruled out: adding up deltas (a commit whose outcome is unknown would count twice or never). Change: the record keeps what each of up to four hosts has counted; a host replaces its own share, so that repeating a commit changes nothing, and finds its share again after a restart. A commit leaves 0.5 s after the last crash, and is repeated 1 s after a failure (E5008).

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -79,6 +79,8 @@
     {EVENT_REQUEST_QUARANTINED, EVENT_LEVEL_WARNING, "request quarantined"},
     {EVENT_UPSTREAM_CRASHED, EVENT_LEVEL_WARNING,
 	"upstream crashed under requests of this host"},
+    {EVENT_QUARANTINE_NOT_COMMITTED, EVENT_LEVEL_WARNING,
+	"suspected request not committed, tried again"},
 
     {EVENT_REQUEST_REFUSED, EVENT_LEVEL_INFO, "request refused"},
     {EVENT_REQUEST_RETRIED, EVENT_LEVEL_INFO, "request retried"},
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -8,24 +8,39 @@
 #define WEIGHT_SOLE_REQUEST 1000
 
 /* Interval at which suspects are committed and expired. */
-#define TICK_MS 500
+#define TICK_MS 250
+
+/* Wait after a commit that failed. */
+#define COMMIT_RETRY_MS 1000
 
 /* Events that must count against a request before it is quarantined. */
 #define CRASHES_TO_QUARANTINE 2
 
+/* Crashes that count against a request, and the sum of their weights. */
+struct tally {
+	uint32_t crashes;
+	uint32_t weight_permille;
+};
+
 /* A request that was running when an upstream crashed. */
 struct suspect {
 	uint64_t fingerprint;
-	GList *link;	  /* Element of this entry in quarantine.by_age. */
-	uint32_t crashes; /* Crashes that count against the request. */
-	uint32_t weight_permille; /* Sum of the weights of these events. */
-	uint64_t event_number;	  /* Number of the last event. */
+	GList *link;	       /* Element of this entry in quarantine.by_age. */
+	struct tally own;      /* What this host has counted. */
+	struct tally others;   /* What the other hosts have committed. */
+	uint64_t event_number; /* Number of the last event. */
 	uint32_t event_upstreams; /* Upstreams of that event it ran on. */
 	uint32_t event_weight;	  /* Weight of that event, in permille. */
 	int64_t last_crash_ms;	  /* When the last crash was recorded. */
 	int64_t suspect_until_ms;
 	int64_t refuse_until_ms; /* End of its quarantine, 0 for none. */
-	bool is_committed;	 /* The present state is already committed. */
+	bool is_committed;  /* The present state is committed or on its way. */
+	bool is_committing; /* A commit is on its way. */
+	int64_t commit_from_ms; /* No commit before, since one failed. */
+	bool is_cleared;	/* It ran to its end; the release is to be
+			       committed. */
+	bool is_listed;		/* The committed records contain it. */
+	uint64_t sync_number;	/* The last application that contained it. */
 };
 
 /* Crashes of one data centre within a short time. */
@@ -36,6 +51,7 @@
 };
 
 static void run_tick(void *context);
+static struct tally total(const struct suspect *suspect);
 static struct suspect *find_suspect(
     const struct quarantine *quarantine, uint64_t fingerprint);
 static struct suspect *find_or_add_suspect(
@@ -63,6 +79,7 @@
 	    .quarantine_ms = 3600000,
 	    .event_gap_ms = 2000,
 	    .event_upstreams_min = 3,
+	    .commit_delay_ms = 500,
 	    .suspects_max = 4096,
 	};
 
@@ -115,12 +132,12 @@
 	int64_t now_ms;
 
 	suspect = find_suspect(quarantine, fingerprint);
-	if (suspect == NULL)
+	if (suspect == NULL || suspect->is_cleared)
 		return QUARANTINE_RUN;
 	now_ms = timer_now(quarantine->timers);
 	if (now_ms < suspect->refuse_until_ms)
 		return QUARANTINE_REFUSE;
-	if (suspect->crashes > 0 && now_ms < suspect->suspect_until_ms)
+	if (total(suspect).crashes > 0 && now_ms < suspect->suspect_until_ms)
 		return QUARANTINE_RUN_ALONE;
 	return QUARANTINE_RUN;
 }
@@ -176,52 +193,83 @@
 void
 quarantine_record_completed(struct quarantine *quarantine, uint64_t fingerprint)
 {
-	struct quarantine_entry entry = {0};
 	struct suspect *suspect;
 
 	suspect = find_suspect(quarantine, fingerprint);
 	if (suspect == NULL ||
 	    timer_now(quarantine->timers) < suspect->refuse_until_ms)
 		return;
-	entry.fingerprint = fingerprint;
-	entry.action = QUARANTINE_RUN;
-	if (suspect->is_committed && quarantine->ops.commit != NULL)
-		quarantine->ops.commit(quarantine->ops.context, &entry, 1);
-	drop_suspect(quarantine, suspect);
+	if (!suspect->is_listed && !suspect->is_committing) {
+		drop_suspect(quarantine, suspect);
+		return;
+	}
+	quarantine->change_count++;
+	suspect->is_cleared = true;
+	suspect->is_committed = false;
 }
 
 void
-quarantine_apply(
-    struct quarantine *quarantine, const struct quarantine_entry *entry)
+quarantine_record_commit(
+    struct quarantine *quarantine, uint64_t fingerprint, bool is_committed)
 {
 	struct suspect *suspect;
-	int64_t until_ms;
 
-	if (entry->action == QUARANTINE_RUN) {
-		suspect = find_suspect(quarantine, entry->fingerprint);
-		if (suspect != NULL)
-			drop_suspect(quarantine, suspect);
+	suspect = find_suspect(quarantine, fingerprint);
+	if (suspect == NULL)
 		return;
+	suspect->is_committing = false;
+	if (!is_committed) {
+		suspect->is_committed = false;
+		suspect->commit_from_ms =
+		    timer_now(quarantine->timers) + COMMIT_RETRY_MS;
+	} else if (suspect->is_cleared && suspect->is_committed)
+		drop_suspect(quarantine, suspect);
+}
+
+void
+quarantine_sync_begin(struct quarantine *quarantine)
+{
+	quarantine->sync_number++;
+}
+
+void
+quarantine_sync_record(struct quarantine *quarantine,
+    const struct quarantine_record *record, int64_t remaining_ms)
+{
+	struct tally own = {0}, others = {0}, *sum;
+	struct suspect *suspect;
+	int64_t until_ms;
+	uint32_t i;
+
+	for (i = 0; i < record->share_count; i++) {
+		sum = record->shares[i].host_id == quarantine->settings.host_id
+			  ? &own
+			  : &others;
+		sum->crashes += record->shares[i].crashes;
+		sum->weight_permille += record->shares[i].weight_permille;
 	}
 	quarantine->change_count++;
-	suspect = find_or_add_suspect(quarantine, entry->fingerprint);
-	until_ms = timer_now(quarantine->timers) + entry->remaining_ms;
-	/* Crashes that this host recorded since the entry was committed are
-	 * not in it, so keep the greater local count then. */
-	if (suspect->is_committed || entry->crashes > suspect->crashes) {
-		suspect->crashes = entry->crashes;
-		suspect->weight_permille = entry->weight_permille;
-	}
+	suspect = find_or_add_suspect(quarantine, record->fingerprint);
+	suspect->is_listed = true;
+	suspect->sync_number = quarantine->sync_number;
+	if (suspect->is_cleared)
+		return;
+	suspect->others = others;
+	/* After a restart only the record knows what this host counted. */
+	if (own.crashes > suspect->own.crashes)
+		suspect->own = own;
+	until_ms = timer_now(quarantine->timers) + remaining_ms;
 	suspect->suspect_until_ms = MAX(suspect->suspect_until_ms, until_ms);
 	/* A withdrawn event may have reduced the count below the limit, which
 	 * ends the quarantine. */
-	if (entry->crashes < CRASHES_TO_QUARANTINE &&
-	    suspect->crashes < CRASHES_TO_QUARANTINE)
+	if (record->must_run_alone &&
+	    total(suspect).crashes < CRASHES_TO_QUARANTINE)
 		suspect->refuse_until_ms = 0;
-	if (entry->action == QUARANTINE_REFUSE)
+	if (!record->must_run_alone)
 		suspect->refuse_until_ms =
 		    MAX(suspect->refuse_until_ms, until_ms);
-	suspect->is_committed = suspect->crashes == entry->crashes;
+	else
+		evaluate_suspect(quarantine, suspect);
 }
 
 static void
@@ -249,6 +297,7 @@
 		entry = make_entry(quarantine, suspect);
 		g_array_append_val(entries, entry);
 		suspect->is_committed = true;
+		suspect->is_committing = quarantine->ops.commit != NULL;
 	}
 	if (entries->len > 0 && quarantine->ops.commit != NULL)
 		quarantine->ops.commit(quarantine->ops.context,
@@ -257,6 +306,17 @@
 	g_array_free(entries, TRUE);
 }
 
+/* What all hosts have counted. */
+static struct tally
+total(const struct suspect *suspect)
+{
+	struct tally sum = suspect->own;
+
+	sum.crashes += suspect->others.crashes;
+	sum.weight_permille += suspect->others.weight_permille;
+	return sum;
+}
+
 static struct suspect *
 find_suspect(const struct quarantine *quarantine, uint64_t fingerprint)
 {
@@ -347,13 +407,18 @@
 
 	quarantine->change_count++;
 	suspect = find_or_add_suspect(quarantine, fingerprint);
+	if (suspect->is_cleared) {
+		suspect->is_cleared = false;
+		suspect->own = suspect->others = (struct tally){0};
+		suspect->event_number = 0;
+	}
 	/* A suspect that ran alone, as required, caused the crash itself, so
 	 * this counts even if it belongs to the same event. */
 	was_alone =
-	    weight == WEIGHT_SOLE_REQUEST && suspect->crashes > 0 &&
+	    weight == WEIGHT_SOLE_REQUEST && total(suspect).crashes > 0 &&
 	    event->upstreams->len < quarantine->settings.event_upstreams_min;
 	if (suspect->event_number != event->number || was_alone) {
-		suspect->crashes++;
+		suspect->own.crashes++;
 		suspect->event_number = event->number;
 		suspect->event_upstreams = 0;
 		suspect->event_weight = 0;
@@ -361,7 +426,7 @@
 	if (is_new || suspect->event_upstreams == 0)
 		suspect->event_upstreams++;
 	if (weight > suspect->event_weight) {
-		suspect->weight_permille += weight - suspect->event_weight;
+		suspect->own.weight_permille += weight - suspect->event_weight;
 		suspect->event_weight = weight;
 	}
 	suspect->last_crash_ms = timer_now(quarantine->timers);
@@ -386,14 +451,15 @@
 		    suspect->event_upstreams > 1)
 			continue;
 		quarantine->change_count++;
-		suspect->crashes--;
-		suspect->weight_permille -= suspect->event_weight;
+		suspect->own.crashes--;
+		suspect->own.weight_permille -= suspect->event_weight;
 		suspect->event_number = 0;
 		suspect->event_weight = 0;
-		if (suspect->crashes < CRASHES_TO_QUARANTINE)
+		if (total(suspect).crashes < CRASHES_TO_QUARANTINE)
 			suspect->refuse_until_ms = 0;
 		suspect->is_committed = false;
-		if (suspect->crashes == 0)
+		if (total(suspect).crashes == 0 && !suspect->is_listed &&
+		    !suspect->is_committing)
 			drop_suspect(quarantine, suspect);
 	}
 }
@@ -405,15 +471,15 @@
 	int64_t now_ms;
 
 	now_ms = timer_now(quarantine->timers);
-	if (suspect->crashes < CRASHES_TO_QUARANTINE ||
-	    suspect->weight_permille < WEIGHT_SOLE_REQUEST ||
+	if (total(suspect).crashes < CRASHES_TO_QUARANTINE ||
+	    total(suspect).weight_permille < WEIGHT_SOLE_REQUEST ||
 	    now_ms < suspect->refuse_until_ms)
 		return;
 	suspect->refuse_until_ms = now_ms + quarantine->settings.quarantine_ms;
 	suspect->is_committed = false;
 	event_log_write(EVENT_REQUEST_QUARANTINED,
 	    "fingerprint=%016" G_GINT64_MODIFIER "x crashes=%u",
-	    (guint64)suspect->fingerprint, suspect->crashes);
+	    (guint64)suspect->fingerprint, total(suspect).crashes);
 }
 
 static struct quarantine_entry
@@ -424,8 +490,10 @@
 
 	now_ms = timer_now(quarantine->timers);
 	entry.fingerprint = suspect->fingerprint;
-	entry.crashes = suspect->crashes;
-	entry.weight_permille = suspect->weight_permille;
+	entry.crashes = suspect->own.crashes;
+	entry.weight_permille = suspect->own.weight_permille;
+	if (suspect->is_cleared)
+		return entry;
 	entry.action = QUARANTINE_RUN_ALONE;
 	entry.remaining_ms = suspect->suspect_until_ms - now_ms;
 	if (now_ms < suspect->refuse_until_ms) {
@@ -435,8 +503,8 @@
 	return entry;
 }
 
-/* A suspect is committed only when no further crash can join its event, or when
- * it is quarantined. Otherwise the loss of a data centre would commit an entry
+/* A suspect is committed only some time after its last crash, or when it is
+ * quarantined or released. Otherwise the loss of a data centre would commit an entry
  * for each request that was running there. */
 static bool
 is_ready_to_commit(
@@ -444,10 +512,12 @@
 {
 	int64_t now_ms;
 
-	if (suspect->is_committed)
+	if (suspect->is_committed || suspect->is_committing)
 		return false;
 	now_ms = timer_now(quarantine->timers);
-	return now_ms < suspect->refuse_until_ms ||
+	if (now_ms < suspect->commit_from_ms)
+		return false;
+	return suspect->is_cleared || now_ms < suspect->refuse_until_ms ||
 	       now_ms - suspect->last_crash_ms >
-		   quarantine->settings.event_gap_ms;
+		   quarantine->settings.commit_delay_ms;
 }
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -20,6 +20,7 @@
 #include <glib.h>
 
 #include "base/error_code.h"
+#include "state/replicated_state.h"
 #include "transport/timer.h"
 
 /** Whether a request may run. */
@@ -47,16 +48,21 @@
 	uint32_t event_upstreams_min; /**< Upstreams in an event from which it
 					   doesn't count against requests that
 					   ran on only one of them. */
+	/** Time after its last crash from which a suspect is committed. Crashes
+	 * of one event are mostly known by then. */
+	int64_t commit_delay_ms;
 	uint32_t suspects_max; /**< Largest number of suspects; a further one
 				    replaces the oldest. */
+	uint32_t host_id;      /**< Id of this host. */
 };
 
-/** State of a request that is committed, so that all hosts know it. */
+/** What a host has found out about a request, to be committed so that all hosts
+ * know it. */
 struct quarantine_entry {
 	uint64_t fingerprint;	       /**< Fingerprint of the request. */
-	enum quarantine_action action; /**< QUARANTINE_RUN withdraws an
-					      earlier entry. */
-	uint32_t crashes; /**< Crashes that count against the request. */
+	enum quarantine_action action; /**< QUARANTINE_RUN withdraws what all
+					      hosts have found out. */
+	uint32_t crashes;	  /**< Crashes that this host has counted. */
 	uint32_t weight_permille; /**< Sum of their weights; 1000 is a crash
 				       of an upstream that ran it alone. */
 	int64_t remaining_ms;	  /**< Time until the entry expires. */
@@ -64,7 +70,8 @@
 
 /** Callbacks of the table. */
 struct quarantine_ops {
-	/** Commits entries; the callee repeats this until it succeeds. */
+	/** Commits entries. The callee calls quarantine_record_commit() for each
+	 * of them, also if it fails. */
 	void (*commit)(void *context, const struct quarantine_entry *entries,
 	    uint32_t count);
 	void *context; /**< First argument of the callback. */
@@ -92,7 +99,9 @@
 	GQueue *by_age;		    /**< All suspects, oldest first. */
 	uint64_t last_event_number; /**< Number of the last crash event. */
 	uint64_t change_count;	    /**< Changes of the suspects so far. */
-	struct handle tick_timer;   /**< Commits and expires suspects. */
+	/** Number of the last application of all committed records. */
+	uint64_t sync_number;
+	struct handle tick_timer; /**< Commits and expires suspects. */
 };
 
 /* Setting up */
@@ -133,8 +142,14 @@
 
 /* Committed entries */
 
-/** Applies an entry that was committed by this host or another. */
-void quarantine_apply(
-    struct quarantine *quarantine, const struct quarantine_entry *entry);
+/** Records whether an entry of a request was committed. One that was not is
+ * committed again some time later. */
+void quarantine_record_commit(
+    struct quarantine *quarantine, uint64_t fingerprint, bool is_committed);
+/** Begins to apply all committed records. */
+void quarantine_sync_begin(struct quarantine *quarantine);
+/** Applies a committed record, which expires in @p remaining_ms. */
+void quarantine_sync_record(struct quarantine *quarantine,
+    const struct quarantine_record *record, int64_t remaining_ms);
 
 #endif
--- a/src/service/host_suspects.c
+++ b/src/service/host_suspects.c
@@ -28,10 +28,19 @@
 	GArray *fingerprints;
 };
 
+/* A quarantine entry that is being committed. */
+struct pending_commit {
+	struct host *host;
+	uint64_t fingerprint;
+};
+
 static void commit_quarantine(
     void *context, const struct quarantine_entry *entries, uint32_t count);
+static void commit_entry(
+    struct host *host, const struct quarantine_entry *entry);
 static void on_quarantine_committed(
     void *context, const struct command_result *result);
+static void end_commit(struct pending_commit *pending, bool is_committed);
 static void apply_quarantine(
     void *context, const struct quarantine_record *record);
 static void evaluate_crash(void *context);
@@ -50,6 +59,7 @@
 	host->crashes = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_crash);
 	settings = quarantine_default_settings();
+	settings.host_id = host->settings.host_id;
 	return quarantine_init(
 	    &host->quarantine, &settings, &ops, &host->timers);
 }
@@ -71,6 +81,7 @@
 void
 host_suspects_apply(struct host *host)
 {
+	quarantine_sync_begin(&host->quarantine);
 	replicated_state_for_each_quarantine(
 	    host_state(host), apply_quarantine, host);
 }
@@ -103,52 +114,69 @@
 commit_quarantine(
     void *context, const struct quarantine_entry *entries, uint32_t count)
 {
-	struct command command = {.type = COMMAND_QUARANTINE};
-	struct command_quarantine *body = &command.body.quarantine;
 	struct host *host = context;
 	uint32_t i;
 
-	for (i = 0; i < count; i++) {
-		body->fingerprint = entries[i].fingerprint;
-		body->must_run_alone =
-		    entries[i].action == QUARANTINE_RUN_ALONE;
-		body->crashes = entries[i].crashes;
-		body->weight_permille = entries[i].weight_permille;
+	for (i = 0; i < count; i++)
+		commit_entry(host, &entries[i]);
+}
+
+static void
+commit_entry(struct host *host, const struct quarantine_entry *entry)
+{
+	struct command command = {.type = COMMAND_QUARANTINE};
+	struct command_quarantine *body = &command.body.quarantine;
+	struct command_callback callback = {on_quarantine_committed, NULL};
+	struct pending_commit *pending;
+
+	body->host_id = host->settings.host_id;
+	body->fingerprint = entry->fingerprint;
+	body->must_run_alone = entry->action == QUARANTINE_RUN_ALONE;
+	body->crashes = entry->crashes;
+	body->weight_permille = entry->weight_permille;
+	if (entry->action != QUARANTINE_RUN)
 		body->until_ms =
-		    entries[i].action == QUARANTINE_RUN
-			? 0
-			: clock_wall_us() / US_PER_MS + entries[i].remaining_ms;
-		command_client_submit(&host->commands, &command,
-		    QUARANTINE_TIMEOUT_MS,
-		    (struct command_callback){on_quarantine_committed, host});
-	}
+		    clock_wall_us() / US_PER_MS + entry->remaining_ms;
+	pending = g_new(struct pending_commit, 1);
+	pending->host = host;
+	pending->fingerprint = entry->fingerprint;
+	callback.context = pending;
+	if (command_client_submit(&host->commands, &command,
+		QUARANTINE_TIMEOUT_MS, callback) != ERROR_NONE)
+		end_commit(pending, false);
 }
 
-/* Ignores the result of a commit: a committed entry is applied like those of
- * other hosts, by host_suspects_apply(). */
 static void
 on_quarantine_committed(void *context, const struct command_result *result)
 {
-	(void)context;
-	(void)result;
+	struct pending_commit *pending = context;
+
+	if (result->error != ERROR_NONE)
+		event_log_write(EVENT_QUARANTINE_NOT_COMMITTED,
+		    "fingerprint=%016" G_GINT64_MODIFIER "x: %s",
+		    (guint64)pending->fingerprint, error_name(result->error));
+	end_commit(pending, result->error == ERROR_NONE);
+}
+
+/* Tells the quarantine, which commits again what was not committed. A committed
+ * entry is applied like those of other hosts, by host_suspects_apply(). */
+static void
+end_commit(struct pending_commit *pending, bool is_committed)
+{
+	quarantine_record_commit(
+	    &pending->host->quarantine, pending->fingerprint, is_committed);
+	g_free(pending);
 }
 
 static void
 apply_quarantine(void *context, const struct quarantine_record *record)
 {
-	struct quarantine_entry entry = {
-	    .fingerprint = record->fingerprint,
-	    .crashes = record->crashes,
-	    .weight_permille = record->weight_permille,
-	};
 	struct host *host = context;
+	int64_t remaining_ms;
 
-	entry.action =
-	    record->must_run_alone ? QUARANTINE_RUN_ALONE : QUARANTINE_REFUSE;
-	entry.remaining_ms = record->until_ms - clock_wall_us() / US_PER_MS;
-	if (entry.remaining_ms <= 0)
-		return;
-	quarantine_apply(&host->quarantine, &entry);
+	remaining_ms = record->until_ms - clock_wall_us() / US_PER_MS;
+	if (remaining_ms > 0)
+		quarantine_sync_record(&host->quarantine, record, remaining_ms);
 }
 
 /* Passes a crash and the requests collected for it to the quarantine. */
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -42,6 +42,7 @@
 	QUARANTINE_FIELD_SUSPICION,
 	QUARANTINE_FIELD_CRASHES,
 	QUARANTINE_FIELD_WEIGHT,
+	QUARANTINE_FIELD_HOST,
 	QUARANTINE_FIELD_COUNT,
 };
 
@@ -154,6 +155,8 @@
 		    writer, QUARANTINE_FIELD_CRASHES, quarantine->crashes);
 		message_put_uint(writer, QUARANTINE_FIELD_WEIGHT,
 		    quarantine->weight_permille);
+		message_put_uint(
+		    writer, QUARANTINE_FIELD_HOST, quarantine->host_id);
 		return ERROR_NONE;
 	case COMMAND_ORDER_BEGIN:
 	case COMMAND_ORDER_FINISH:
@@ -538,6 +541,10 @@
 		error = message_get_uint32(reader, QUARANTINE_FIELD_WEIGHT,
 		    &quarantine->weight_permille);
 	quarantine->must_run_alone = error == ERROR_NONE && must_run_alone != 0;
+	/* Entries in older journals don't tell the host. */
+	if (message_get_uint32(reader, QUARANTINE_FIELD_HOST,
+		&quarantine->host_id) != ERROR_NONE)
+		quarantine->host_id = 0;
 	return error;
 }
 
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -91,10 +91,14 @@
 	int64_t until_ms;
 	/** True if the request may still run, but with no other beside it. */
 	bool must_run_alone;
-	uint32_t crashes; /**< Crash events in which the request had part. */
+	/** Crash events in which the request had part, as counted by the host
+	 * below. They replace what that host reported before, and add to what
+	 * other hosts did. */
+	uint32_t crashes;
 	/** Summed share of those crashes attributed to the request, in
 	 * thousandths; 1000 means that it certainly caused a crash. */
 	uint32_t weight_permille;
+	uint32_t host_id; /**< Host that counted, 0 if not told. */
 };
 
 /** Body of COMMAND_ORDER_BEGIN and COMMAND_ORDER_FINISH. */
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -9,7 +9,9 @@
 
 #define SAVE_VERSION	 1		  /* Format of a saved state. */
 #define PART_LENGTH_SIZE sizeof(uint32_t) /* Bytes of a part's length. */
-#define SAVE_NUMBERS_MAX 16 /* Largest count of numbers in a part. */
+/* Numbers of a quarantine, before what each host has counted. */
+#define QUARANTINE_NUMBERS 5
+#define SAVE_NUMBERS_MAX   16 /* Largest count of numbers in a part. */
 
 /* Kinds of parts. A saved state is a sequence of parts, each a message with
  * its length before it as a 32-bit little-endian number. */
@@ -59,6 +61,10 @@
     struct save_writer *writer, const struct replicated_state *state);
 static void save_quarantine(
     void *context, const struct quarantine_record *quarantine);
+static uint64_t pack_share(const struct quarantine_share *share);
+static struct quarantine_share unpack_share(uint64_t packed);
+static void load_shares(
+    struct quarantine_record *quarantine, const struct save_record *record);
 static void save_order(void *context, const struct order_record *order);
 static void save_documents(
     struct save_writer *writer, const struct replicated_state *state);
@@ -137,6 +143,8 @@
 	uint32_t count, length, i;
 
 	count = numbers_of_part(record->part);
+	if (record->part == SAVE_PART_QUARANTINE)
+		count += QUARANTINE_SHARES_MAX;
 	message_writer_init(&message);
 	message_begin_map(&message,
 	    2 + count + (record->text != NULL) + (record->value_size > 0));
@@ -222,15 +230,40 @@
 save_quarantine(void *context, const struct quarantine_record *quarantine)
 {
 	struct save_record record = {.part = SAVE_PART_QUARANTINE};
+	uint32_t i;
 
 	record.numbers[0] = quarantine->fingerprint;
 	record.numbers[1] = (uint64_t)quarantine->until_ms;
 	record.numbers[2] = quarantine->must_run_alone;
 	record.numbers[3] = quarantine->crashes;
 	record.numbers[4] = quarantine->weight_permille;
+	for (i = 0; i < quarantine->share_count; i++)
+		record.numbers[QUARANTINE_NUMBERS + i] =
+		    pack_share(&quarantine->shares[i]);
 	put_part(context, &record);
 }
 
+/* Host id in the upper half, crashes and weight in a quarter each. */
+static uint64_t
+pack_share(const struct quarantine_share *share)
+{
+	return (uint64_t)share->host_id << 32 |
+	       (uint64_t)MIN(share->crashes, UINT16_MAX) << 16 |
+	       MIN(share->weight_permille, UINT16_MAX);
+}
+
+static struct quarantine_share
+unpack_share(uint64_t packed)
+{
+	struct quarantine_share share = {
+	    .host_id = (uint32_t)(packed >> 32),
+	    .crashes = (uint16_t)(packed >> 16),
+	    .weight_permille = (uint16_t)packed,
+	};
+
+	return share;
+}
+
 static void
 save_order(void *context, const struct order_record *order)
 {
@@ -346,7 +379,7 @@
 	case SAVE_PART_CLAIM:
 		return 7;
 	case SAVE_PART_QUARANTINE:
-		return 5;
+		return QUARANTINE_NUMBERS;
 	case SAVE_PART_HOST:
 		return 2;
 	case SAVE_PART_CONFIG:
@@ -359,6 +392,30 @@
 	return 0;
 }
 
+/* Snapshots of older versions have only the sums, which then count as those of
+ * an unknown host. */
+static void
+load_shares(
+    struct quarantine_record *quarantine, const struct save_record *record)
+{
+	struct quarantine_share share;
+	uint32_t i;
+
+	for (i = QUARANTINE_NUMBERS;
+	     i < record->count &&
+	     quarantine->share_count < QUARANTINE_SHARES_MAX;
+	     i++) {
+		share = unpack_share(record->numbers[i]);
+		if (share.crashes > 0)
+			quarantine->shares[quarantine->share_count++] = share;
+	}
+	if (quarantine->share_count > 0)
+		return;
+	quarantine->shares[0].crashes = quarantine->crashes;
+	quarantine->shares[0].weight_permille = quarantine->weight_permille;
+	quarantine->share_count = 1;
+}
+
 static enum error_code
 store_part(struct replicated_state *state, const struct save_record *record,
     const char *text)
@@ -398,6 +455,7 @@
 		quarantine.must_run_alone = numbers[2] != 0;
 		quarantine.crashes = (uint32_t)numbers[3];
 		quarantine.weight_permille = (uint32_t)numbers[4];
+		load_shares(&quarantine, record);
 		replicated_put_quarantine(state, &quarantine);
 		return ERROR_NONE;
 	case SAVE_PART_ORDER:
--- a/src/state/replicated_state.c
+++ b/src/state/replicated_state.c
@@ -22,6 +22,8 @@
 static uint64_t hash_change(uint64_t hash, const struct config_change *change);
 static void apply_quarantine(struct replicated_state *state,
     const struct command_quarantine *quarantine, struct command_result *result);
+static void put_share(
+    struct quarantine_record *record, struct quarantine_share share);
 static void expire_quarantine(struct replicated_state *state);
 static void apply_order_begin(struct replicated_state *state,
     const struct command_order *order, struct command_result *result);
@@ -436,25 +438,54 @@
     const struct command_quarantine *quarantine, struct command_result *result)
 {
 	uint64_t fingerprint = quarantine->fingerprint;
-	struct quarantine_record record = {
-	    .fingerprint = fingerprint,
-	    .until_ms = quarantine->until_ms,
-	    .must_run_alone = quarantine->must_run_alone,
-	    .crashes = quarantine->crashes,
-	    .weight_permille = quarantine->weight_permille,
-	};
+	struct quarantine_record record = {.fingerprint = fingerprint};
+	const struct quarantine_record *stored;
 
 	expire_quarantine(state);
 	if (quarantine->until_ms <= 0) {
 		g_hash_table_remove(state->quarantine, &fingerprint);
 		return;
 	}
-	if (g_hash_table_size(state->quarantine) >= QUARANTINES_MAX &&
-	    !g_hash_table_contains(state->quarantine, &fingerprint)) {
+	stored = g_hash_table_lookup(state->quarantine, &fingerprint);
+	if (stored == NULL &&
+	    g_hash_table_size(state->quarantine) >= QUARANTINES_MAX) {
 		result->error = ERROR_TABLE_FULL;
 		return;
 	}
-	replicated_put_quarantine(state, &record);
+	if (stored != NULL)
+		record = *stored;
+	record.until_ms = MAX(record.until_ms, quarantine->until_ms);
+	record.must_run_alone = quarantine->must_run_alone;
+	put_share(
+	    &record, (struct quarantine_share){quarantine->host_id,
+			 quarantine->crashes, quarantine->weight_permille});
+	if (record.crashes == 0 && record.must_run_alone)
+		g_hash_table_remove(state->quarantine, &fingerprint);
+	else
+		replicated_put_quarantine(state, &record);
+}
+
+/* Replaces what a host has counted and sums up. If too many hosts have counted,
+ * a further one is left out: the request is quarantined long before. */
+static void
+put_share(struct quarantine_record *record, struct quarantine_share share)
+{
+	uint32_t i;
+
+	for (i = 0; i < record->share_count; i++) {
+		if (record->shares[i].host_id == share.host_id)
+			break;
+	}
+	if (i == QUARANTINE_SHARES_MAX)
+		return;
+	record->shares[i] = share;
+	if (i == record->share_count)
+		record->share_count++;
+	record->crashes = record->weight_permille = 0;
+	for (i = 0; i < record->share_count; i++) {
+		record->crashes += record->shares[i].crashes;
+		record->weight_permille += record->shares[i].weight_permille;
+	}
 }
 
 static void
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -85,16 +85,30 @@
 	char argument[ORDER_ARGUMENT_SIZE_MAX];
 };
 
+/** Hosts whose crashes are kept for a request. */
+#define QUARANTINE_SHARES_MAX 4u
+
+/** Crashes that one host has counted against a request. */
+struct quarantine_share {
+	uint32_t host_id;	  /**< Host that counted. */
+	uint32_t crashes;	  /**< Crash events. */
+	uint32_t weight_permille; /**< Sum of their weights. */
+};
+
 /** The quarantine of a request, or the suspicion that it crashes upstreams. */
 struct quarantine_record {
 	uint64_t fingerprint; /**< Fingerprint of the request. */
 	int64_t until_ms;     /**< End of the quarantine, ms since the epoch. */
 	/** True if the request may still run, but with no other beside it. */
 	bool must_run_alone;
-	uint32_t crashes; /**< Crash events in which the request had part. */
+	/** Crash events in which the request had part, over all hosts. */
+	uint32_t crashes;
 	/** Summed share of those crashes attributed to the request, in
 	 * thousandths; 1000 means that it certainly caused a crash. */
 	uint32_t weight_permille;
+	/** What each host has counted; crashes and weight are their sums. */
+	struct quarantine_share shares[QUARANTINE_SHARES_MAX];
+	uint32_t share_count; /**< Elements of shares in use. */
 };
 
 /** A document: bytes that only a newer version replaces, as a whole. */
