A request released from quarantine is released on every host

Operators saw: quarantine release takes the request off the list, but hosts go on refusing it for an hour. Cause: hosts apply the committed records that exist, and were never told of one that is gone: an operator's release, or a suspect that ran to its end elsewhere. Change: applying all records has a begin and an end; a suspect that had a record and has none any more is dropped. Evidence: real_quarantine releases the request and sends it again through another host: red before (host 3 still refuses it), green now.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -272,6 +272,21 @@
 		evaluate_suspect(quarantine, suspect);
 }
 
+void
+quarantine_sync_end(struct quarantine *quarantine)
+{
+	struct suspect *suspect;
+	GList *at, *next;
+
+	for (at = quarantine->by_age->head; at != NULL; at = next) {
+		next = at->next;
+		suspect = at->data;
+		if (suspect->is_listed &&
+		    suspect->sync_number != quarantine->sync_number)
+			drop_suspect(quarantine, suspect);
+	}
+}
+
 static void
 run_tick(void *context)
 {
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -151,5 +151,8 @@
 /** Applies a committed record, which expires in @p remaining_ms. */
 void quarantine_sync_record(struct quarantine *quarantine,
     const struct quarantine_record *record, int64_t remaining_ms);
+/** Ends it: a suspect whose record is gone was released, by an operator or
+ * since it ran to its end on some host. */
+void quarantine_sync_end(struct quarantine *quarantine);
 
 #endif
--- a/src/service/host_suspects.c
+++ b/src/service/host_suspects.c
@@ -84,6 +84,7 @@
 	quarantine_sync_begin(&host->quarantine);
 	replicated_state_for_each_quarantine(
 	    host_state(host), apply_quarantine, host);
+	quarantine_sync_end(&host->quarantine);
 }
 
 void
--- a/tests/real_quarantine.sh
+++ b/tests/real_quarantine.sh
@@ -36,4 +36,13 @@
 	send_prompt "$id" s3cret small-7b "good prompt $id" | grep -q '"text"' || fail "host $id does not serve other requests"
 done
 operator 2 quarantine list
-echo "$((6 - $(running_engines))) engines crashed, then every host refused the request"
+# A released request runs again, through any host, and crashes engines again.
+before=$(running_engines)
+fingerprint=$(operator 2 quarantine list | awk '/refused/ { print $1; exit }')
+operator 2 quarantine release "$fingerprint" >/dev/null || fail "cannot release $fingerprint"
+runs_again() {
+	send_prompt 3 s3cret small-7b 'bad #crash# prompt' -H 'X-Request-Deadline-Ms: 20000' >>"$work/bad" || true
+	[ "$(running_engines)" -lt "$before" ]
+}
+wait_until 10 runs_again || fail "host 3 still refuses the released request"
+echo "$((6 - $(running_engines))) engines crashed: every host refused the request until it was released"
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -190,6 +190,7 @@
 	quarantine_sync_begin(&fixture.quarantine);
 	if (record != NULL)
 		quarantine_sync_record(&fixture.quarantine, record, HOUR_MS);
+	quarantine_sync_end(&fixture.quarantine);
 }
 
 static void
@@ -211,6 +212,9 @@
 	record.must_run_alone = false;
 	apply_records(&record);
 	expect(CULPRIT, QUARANTINE_REFUSE);
+	/* An operator has released it. */
+	apply_records(NULL);
+	expect(CULPRIT, QUARANTINE_RUN);
 }
 
 /* A suspicion whose commit failed, as without a quorum, is committed again. */
--- a/tests/test_quarantine_hosts.c
+++ b/tests/test_quarantine_hosts.c
@@ -154,6 +154,7 @@
 			quarantine_sync_begin(&sync.member->quarantine);
 			replicated_state_for_each_quarantine(
 			    &cluster->state, sync_record, &sync);
+			quarantine_sync_end(&sync.member->quarantine);
 			timer_advance(&sync.member->timers, cluster->now_ms);
 		}
 	}
@@ -307,6 +308,25 @@
 	stop(&cluster);
 }
 
+/* A suspect that runs to its end on one host is a suspect on none. */
+static void
+test_completed_request_is_cleared_everywhere(void **state)
+{
+	struct cluster cluster;
+
+	(void)state;
+	start(&cluster);
+	crash(&cluster, 0, 1, "regina", 0, 0);
+	advance(&cluster, 2000);
+	assert_int_equal(check(&cluster, 3, CULPRIT), QUARANTINE_RUN_ALONE);
+	quarantine_record_completed(&cluster.members[3].quarantine, CULPRIT);
+	advance(&cluster, 1000);
+	assert_int_equal(check(&cluster, 0, CULPRIT), QUARANTINE_RUN);
+	assert_int_equal(check(&cluster, 3, CULPRIT), QUARANTINE_RUN);
+	assert_int_equal(quarantine_count(&cluster.members[0].quarantine), 0);
+	stop(&cluster);
+}
+
 int
 main(void)
 {
@@ -315,6 +335,7 @@
 	    cmocka_unit_test(test_crashes_seen_at_once_by_two_hosts_add_up),
 	    cmocka_unit_test(test_restarted_host_keeps_its_count),
 	    cmocka_unit_test(test_suspicion_outlasts_a_lost_quorum),
+	    cmocka_unit_test(test_completed_request_is_cleared_everywhere),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
