Crashes of one data centre that follow each other closely no longer count once

Cause: crashes of one data centre less than 2 s apart are one event, which counts once against a request; a request that comes again faster than that, beside others, keeps the event going, and is never quarantined. Change: from the third upstream of an event on, each counts again. A victim of a lost data centre would have to run on three of its upstreams in turn.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -412,13 +412,13 @@
 }
 
 /* Counts a crash against a request. An event counts once, with the greatest
- * weight of its crashes. */
+ * weight of its crashes, unless the request ran on many of its upstreams. */
 static void
 add_crash(struct quarantine *quarantine, uint64_t fingerprint,
     const struct crash_event *event, bool is_new, uint32_t weight)
 {
 	struct suspect *suspect;
-	bool was_alone;
+	bool is_other_event, was_alone, ran_on_many;
 
 	quarantine->change_count++;
 	suspect = find_or_add_suspect(quarantine, fingerprint);
@@ -432,10 +432,15 @@
 	was_alone =
 	    weight == WEIGHT_SOLE_REQUEST && total(suspect).crashes > 0 &&
 	    event->upstreams->len < quarantine->settings.event_upstreams_min;
-	if (suspect->event_number != event->number || was_alone) {
+	/* One that ran on so many upstreams of an event is no victim of it. */
+	is_other_event = suspect->event_number != event->number;
+	ran_on_many = is_new && suspect->event_upstreams + 1 >=
+				    quarantine->settings.event_upstreams_min;
+	if (is_other_event || was_alone || ran_on_many) {
 		suspect->own.crashes++;
 		suspect->event_number = event->number;
-		suspect->event_upstreams = 0;
+		if (!ran_on_many || is_other_event)
+			suspect->event_upstreams = 0;
 		suspect->event_weight = 0;
 	}
 	if (is_new || suspect->event_upstreams == 0)
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -9,7 +9,8 @@
  * number. So requests are not quarantined merely because they ran among many
  * others that crashed. If several upstreams of one data centre crash within a
  * short time, this is one event, and it does not count against requests that
- * ran on only one of them. Requests are identified by their fingerprint.
+ * ran on only one of them; each upstream of it from the third on counts against
+ * a request that ran on all of them. Requests are identified by their fingerprint.
  */
 #ifndef QUARANTINE_H
 #define QUARANTINE_H
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -139,9 +139,8 @@
 		crash(i, "regina", UINT64_C(100) * i, i == 0 ? 4 : 3);
 		advance_ms(100);
 	}
-	/* The culprit ran on all six upstreams, which is no coincidence, so it
-	 * stays a suspect. */
-	expect(CULPRIT, QUARANTINE_RUN_ALONE);
+	/* The culprit ran on all six upstreams, which is no coincidence. */
+	expect(CULPRIT, QUARANTINE_REFUSE);
 	for (i = 0; i < 6; i++)
 		expect(UINT64_C(100) * i + 1, QUARANTINE_RUN);
 	advance_ms(SETTLE_MS);
--- a/tests/test_quarantine_hosts.c
+++ b/tests/test_quarantine_hosts.c
@@ -244,6 +244,8 @@
 			     data_centres += 2) {
 				run_culprit(
 				    periods_ms[i], HOSTS, beside, data_centres);
+				run_culprit(
+				    periods_ms[i], 1, beside, data_centres);
 			}
 		}
 	}
