--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -14,6 +14,11 @@
 
 #include "relay_fixture.h"
 
+/* Callers and requests of the test of limits; at one request a second they take
+ * less than the four seconds of the bound. */
+#define SENDERS		    50
+#define REQUESTS_PER_SENDER 2
+#define LIMIT_BOUND	    11
 /* By then a crash has been evaluated, and the upstream is up again. */
 #define EVALUATION_US 400000
 
@@ -428,6 +433,53 @@
 	g_free(fixture);
 }
 
+struct sender {
+	struct relay_fixture *fixture;
+	pthread_t thread;
+};
+
+static void *
+send_requests(void *argument)
+{
+	struct sender *sender = argument;
+	uint32_t i;
+
+	for (i = 0; i < REQUESTS_PER_SENDER; i++)
+		g_free(relay_fixture_send_request(
+		    sender->fixture, CALL("/idem/")));
+	return NULL;
+}
+
+/* Upstreams that name a limit of one request a second get no more than the
+ * bound on what arrives within four seconds, however many requests come. */
+static void
+test_upstreams_get_no_more_than_the_limit_they_name(void **state)
+{
+	struct sender senders[SENDERS];
+	struct relay_fixture *fixture;
+	uint32_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture,
+	    "HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
+	    "Server-Limit: 1.0\r\nContent-Length: 5\r\n\r\nbody!");
+	for (i = 0; i < SENDERS; i++) {
+		senders[i].fixture = fixture;
+		pthread_create(
+		    &senders[i].thread, NULL, send_requests, &senders[i]);
+	}
+	for (i = 0; i < SENDERS; i++)
+		pthread_join(senders[i].thread, NULL);
+	assert_true(relay_fixture_request_count(fixture) <=
+		    LIMIT_BOUND * RELAY_FIXTURE_UPSTREAMS);
+	assert_true(
+	    relay_fixture_request_count(fixture) >= RELAY_FIXTURE_UPSTREAMS);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
@@ -444,6 +496,8 @@
 	    cmocka_unit_test(test_host_without_lease_denies_nothing),
 	    cmocka_unit_test(test_request_that_crashes_upstreams_is_refused),
 	    cmocka_unit_test(test_reset_without_a_crash_quarantines_nothing),
+	    cmocka_unit_test(
+		test_upstreams_get_no_more_than_the_limit_they_name),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
