Hosts together keep to the limit that an upstream names

Callers of the replica's other clients saw: an upstream that had named a limit of 1 a second got 12 requests in 4 s from hosts that knew it. Ruled out: the hosts' sum alone (one host sent 9 of the 12); retries. Change: upstream_notice, what an upstream says of itself. Each host keeps to its share of the limit, as for cold upstreams: requests evenly spaced, hosts in turn by their rank among the entry hosts. So the sum holds without messages, and while hosts are frozen or cut off. What a host hears travels in work reports, so that hosts whose turn is rare know that a limit began, changed or ended. A limit that nobody repeats for 15 s is asked for by single requests. A later incarnation starts without one. When no upstream may get the request in time, it is refused at once, with the time to the next turn as Retry-After. Malformed limits change nothing and are logged (E4008); E4007 tells of changes. Weighed: grants by the upstream's owner (a round trip, and its death), shares by demand from reports (wrong while reports are late). The price of equal shares: what a host doesn't use of its share is lost.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -67,6 +67,10 @@
     {EVENT_UPSTREAM_ANNOUNCED, EVENT_LEVEL_INFO, "upstream announced"},
     {EVENT_UPSTREAM_LEAVING, EVENT_LEVEL_INFO, "upstream leaving"},
     {EVENT_UPSTREAM_EXPIRED, EVENT_LEVEL_WARNING, "upstream expired"},
+    {EVENT_UPSTREAM_LIMITED, EVENT_LEVEL_INFO,
+	"upstream has begun, changed or ended a limit of its requests"},
+    {EVENT_UPSTREAM_NOTICE_REFUSED, EVENT_LEVEL_WARNING,
+	"what an upstream says of itself is not valid"},
 
     {EVENT_UPSTREAM_TURNED_COLD, EVENT_LEVEL_WARNING,
 	"upstream turned cold, cut to its cold limits"},
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -142,6 +142,8 @@
 	add_prefill(&upstream->own, choice->part_prefill_ms, (double)now_ms);
 	upstream->sent_ms[upstream->sent_next] = now_ms;
 	upstream->sent_next = (upstream->sent_next + 1) % PLACEMENT_RATE_SLOTS;
+	upstream_notice_record_send(&upstream->notice,
+	    placement_notice_share(placement, upstream), now_ms);
 	for (i = 0; i < choice->helper_count; i++) {
 		upstream = g_hash_table_lookup(
 		    placement->upstreams, &choice->helpers[i]);
@@ -351,18 +353,20 @@
 {
 	const struct placement_upstream *upstream;
 	GHashTableIter iter;
-	int64_t after_ms;
+	int64_t after_ms, wait_ms;
 
-	after_ms = EJECT_BASE_MS;
+	after_ms = INT64_MAX;
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
 		if (!placement_serves(upstream, service))
 			continue;
-		after_ms =
-		    MIN(after_ms, MAX(upstream->ejected_until_ms - now_ms,
-				      RETRY_AFTER_MIN_MS));
+		wait_ms =
+		    MIN(upstream->ejected_until_ms - now_ms, EJECT_BASE_MS);
+		wait_ms = MAX(wait_ms,
+		    upstream_notice_wait_ms(&upstream->notice, now_ms));
+		after_ms = MIN(after_ms, MAX(wait_ms, RETRY_AFTER_MIN_MS));
 	}
-	return after_ms;
+	return after_ms == INT64_MAX ? EJECT_BASE_MS : after_ms;
 }
 
 bool
@@ -425,6 +429,7 @@
 		upstream->failure_share = 0;
 		upstream->ejected_until_ms = 0;
 		upstream->own.prefill_until_ms = 0;
+		memset(&upstream->notice, 0, sizeof(upstream->notice));
 	}
 	upstream->incarnation = record->incarnation;
 	upstream->address = record->address;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -11,7 +11,8 @@
  * service without upstreams.
  * Each host limits its requests per second to an upstream to its share of what
  * a cold upstream can take, because an upstream may turn cold at any moment
- * without announcing it.
+ * without announcing it, and of a limit that the upstream names
+ * (upstream_notice.h).
  */
 #ifndef PLACEMENT_H
 #define PLACEMENT_H
@@ -25,6 +26,7 @@
 #include "base/random_source.h"
 #include "config.h"
 #include "coordination/placement_split.h"
+#include "coordination/upstream_notice.h"
 #include "protocol/work_message.h"
 #include "state/route_table.h"
 
@@ -86,6 +88,8 @@
 	int64_t last_progress_ms;
 	/** Latest send time among the requests that made progress. */
 	int64_t newest_progressed_sent_ms;
+	/** What it said of itself in its answers. */
+	struct upstream_notice notice;
 	uint32_t slots;	    /**< Requests that it runs concurrently. */
 	uint32_t failures;  /**< Consecutive failures. */
 	uint32_t sent_next; /**< Next index to write in sent_ms. */
@@ -205,6 +209,7 @@
 	GHashTable *profiles;  /**< Route name to struct prompt_profile. */
 	GPtrArray *queue;      /**< This host's struct placement_queue_entry. */
 	uint32_t host_count;   /**< Entry hosts that share the upstreams. */
+	uint32_t host_rank;    /**< Position of this host among them, from 0. */
 	uint64_t report_number;	 /**< Number of the last report written. */
 	bool is_peer_load_stale; /**< Peer loads must be summed again. */
 };
@@ -262,6 +267,11 @@
  * upstream named that address as the one at fault. */
 void placement_eject_address(
     struct placement *placement, uint64_t address, int64_t now_ms);
+/** Records what an answer of an upstream says of it. Returns true if something
+ * new follows from it. */
+bool placement_hear(struct placement *placement, uint64_t id,
+    uint64_t incarnation, const struct upstream_statement *statement,
+    int64_t now_ms);
 /** Records that bytes of the answer to a request arrived that was sent at
  * @p sent_ms. */
 void placement_record_progress(
@@ -269,8 +279,8 @@
 /** Decides what to do about an upstream that is silent on a request. */
 enum silence_action placement_evaluate_silence(struct placement *placement,
     uint64_t id, const struct silence *silence, int64_t now_ms);
-/** Milliseconds until some upstream of the service is no longer ejected, for
- * Retry-After. */
+/** Milliseconds until some upstream of the service is no longer ejected and may
+ * get another request, for Retry-After. */
 int64_t placement_retry_after(struct placement *placement,
     const struct route_service *service, int64_t now_ms);
 
@@ -279,11 +289,13 @@
 /** Writes a report of this host's work, for the other hosts. */
 void placement_report_write(struct placement *placement, uint64_t incarnation,
     int64_t now_ms, struct message_writer *writer);
-/** Stores another host's report, which was sent at @p sent_ms. Errors: those of
+/** Stores another host's report, which was sent at @p sent_ms and is received
+ * at @p now_ms. Errors: those of
  * work_report_read(), and ERROR_STALE if a report as new as this one was stored
  * already. */
 enum error_code placement_report_receive(struct placement *placement,
-    uint32_t host_id, const void *body, size_t size, int64_t sent_ms);
+    uint32_t host_id, const void *body, size_t size, int64_t sent_ms,
+    int64_t now_ms);
 
 /* Estimates */
 
--- /dev/null
+++ b/src/coordination/placement_notice.c
@@ -0,0 +1,103 @@
+/**
+ * @file placement_notice.c
+ * What upstreams say of themselves: heard by this host, told between hosts.
+ */
+#include "coordination/placement_parts.h"
+
+/* Time for which a host tells the others what it heard. */
+#define TELL_MS	    3000
+#define THOUSANDTHS 1000.0
+
+static bool hear(struct placement *placement,
+    struct placement_upstream *upstream,
+    const struct upstream_statement *statement, int64_t heard_ms,
+    int64_t now_ms);
+
+bool
+placement_hear(struct placement *placement, uint64_t id, uint64_t incarnation,
+    const struct upstream_statement *statement, int64_t now_ms)
+{
+	struct placement_upstream *upstream;
+
+	upstream = g_hash_table_lookup(placement->upstreams, &id);
+	if (upstream == NULL || upstream->incarnation != incarnation)
+		return false;
+	/* Most upstreams never say anything. */
+	if (!statement->has_limit && !upstream->notice.last.has_limit)
+		return false;
+	upstream->notice.own_heard_ms = now_ms;
+	return hear(placement, upstream, statement, now_ms, now_ms);
+}
+
+void
+placement_notices_fill(const struct placement *placement,
+    struct work_report *report, int64_t now_ms)
+{
+	const struct placement_upstream *upstream;
+	struct work_notice *notice;
+	GHashTableIter iter;
+
+	report->notices = g_new0(
+	    struct work_notice, g_hash_table_size(placement->upstreams) + 1);
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (upstream->notice.own_heard_ms == 0 ||
+		    upstream->notice.own_heard_ms !=
+			upstream->notice.heard_ms ||
+		    now_ms - upstream->notice.own_heard_ms >= TELL_MS)
+			continue;
+		notice = &report->notices[report->notice_count++];
+		notice->upstream_id = upstream->id;
+		notice->upstream_incarnation = upstream->incarnation;
+		notice->has_limit = upstream->notice.last.has_limit;
+		notice->limit_permille = (uint64_t)MIN(
+		    upstream->notice.last.limit_per_s * THOUSANDTHS,
+		    UINT32_MAX);
+		notice->age_ms =
+		    (uint32_t)(now_ms - upstream->notice.own_heard_ms);
+	}
+}
+
+void
+placement_notices_receive(struct placement *placement,
+    const struct work_report *report, int64_t sent_ms, int64_t now_ms)
+{
+	struct upstream_statement statement = {0};
+	struct placement_upstream *upstream;
+	const struct work_notice *notice;
+	uint32_t i;
+
+	for (i = 0; i < report->notice_count; i++) {
+		notice = &report->notices[i];
+		upstream = g_hash_table_lookup(
+		    placement->upstreams, &notice->upstream_id);
+		if (upstream == NULL ||
+		    upstream->incarnation != notice->upstream_incarnation)
+			continue;
+		statement.has_limit = notice->has_limit;
+		statement.limit_per_s =
+		    (double)notice->limit_permille / THOUSANDTHS;
+		(void)hear(placement, upstream, &statement,
+		    sent_ms - (int64_t)notice->age_ms, now_ms);
+	}
+}
+
+struct notice_share
+placement_notice_share(const struct placement *placement,
+    const struct placement_upstream *upstream)
+{
+	struct notice_share share = {.host_count = placement->host_count};
+
+	share.rank = (uint32_t)((placement->host_rank + upstream->id) %
+				share.host_count);
+	return share;
+}
+
+static bool
+hear(struct placement *placement, struct placement_upstream *upstream,
+    const struct upstream_statement *statement, int64_t heard_ms,
+    int64_t now_ms)
+{
+	return upstream_notice_hear(&upstream->notice, statement, heard_ms,
+	    placement_notice_share(placement, upstream), now_ms);
+}
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -64,8 +64,11 @@
 	uint64_t short_rank_max; /**< Highest rank that takes short prompts. */
 	uint32_t usable_count;	 /**< Usable upstreams of the service. */
 	uint32_t limited_count;	 /**< Untried ones at their rate limit. */
-	uint32_t healthy_count;	 /**< Usable upstreams that are not ejected. */
-	uint32_t short_count;	 /**< Healthy upstreams for short prompts. */
+	/** Least wait until this host may send one of these a request that has
+	 * named a limit; 0 if some wait for their cold limit only. */
+	int64_t limited_wait_ms;
+	uint32_t healthy_count; /**< Usable upstreams that are not ejected. */
+	uint32_t short_count;	/**< Healthy upstreams for short prompts. */
 	struct split_demand demand; /**< Demand that the split is based on. */
 };
 
@@ -140,6 +143,21 @@
 double placement_queued_prefill_ms(struct placement *placement,
     uint64_t service, const struct peer_demand *peers);
 
+/* placement_notice.c */
+
+/** Adds to a report what this host heard lately from upstreams; the caller
+ * frees report->notices with g_free(). */
+void placement_notices_fill(const struct placement *placement,
+    struct work_report *report, int64_t now_ms);
+/** Takes over what another host heard, from its report sent at @p sent_ms. */
+void placement_notices_receive(struct placement *placement,
+    const struct work_report *report, int64_t sent_ms, int64_t now_ms);
+
+/** Returns the hosts that share a limit of the upstream. Their order differs
+ * between upstreams, so that no host is always the last one. */
+struct notice_share placement_notice_share(const struct placement *placement,
+    const struct placement_upstream *upstream);
+
 /* placement_report.c */
 
 /** Sum of the other hosts' demand for a service. */
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -84,6 +84,8 @@
 static gint compare_ranks(gconstpointer left, gconstpointer right);
 static gint compare_candidates(gconstpointer left, gconstpointer right);
 static GArray *collect_candidates(struct placement_context *context);
+static bool is_limited(struct placement_context *context,
+    const struct placement_upstream *upstream);
 static bool is_tried(const struct placement_request *request, uint64_t id);
 static bool is_over_rate(const struct placement *placement,
     const struct placement_upstream *upstream,
@@ -268,19 +270,25 @@
 
 /* For the load after a restart of all hosts, when every caller comes back to
  * the first host that is ready: it may send each upstream a few requests a
- * second only, and the others are served soon after if they wait. */
+ * second only, and the others are served soon after if they wait. The same
+ * holds for upstreams that have named limits. */
 static enum error_code
 no_candidate_error(const struct placement_context *context,
     struct placement_queue_entry *entry)
 {
 	const struct placement_request *request = context->request;
+	int64_t latest_start_ms;
 
 	if (context->usable_count == 0)
 		return ERROR_NO_UPSTREAM;
-	if (context->limited_count == 0 ||
-	    context->now_ms >=
-		placement_latest_start_ms(request, context->prefill_ms))
+	if (context->limited_count == 0)
 		return ERROR_NO_CAPACITY;
+	latest_start_ms =
+	    placement_latest_start_ms(request, context->prefill_ms);
+	if (context->now_ms >= latest_start_ms)
+		return ERROR_NO_CAPACITY;
+	if (context->now_ms + context->limited_wait_ms >= latest_start_ms)
+		return ERROR_DEADLINE_UNREACHABLE;
 	return placement_wait_for(entry, PLACEMENT_WAIT_RATE, RATE_RETRY_MS);
 }
 
@@ -500,6 +508,7 @@
 	GHashTableIter iter;
 
 	context->usable_count = context->limited_count = 0;
+	context->limited_wait_ms = INT64_MAX;
 	healthy = g_array_new(FALSE, FALSE, sizeof(candidate));
 	ejected = g_array_new(FALSE, FALSE, sizeof(candidate));
 	g_hash_table_iter_init(&iter, placement->upstreams);
@@ -509,8 +518,7 @@
 		context->usable_count++;
 		if (is_tried(context->request, upstream->id))
 			continue;
-		if (is_over_rate(placement, upstream, context->request->service,
-			context->now_ms)) {
+		if (is_limited(context, upstream)) {
 			context->limited_count++;
 			continue;
 		}
@@ -542,6 +550,22 @@
 	return healthy;
 }
 
+/* Whether this host may not send the upstream a request now, because it may be
+ * cold or because of the limit that it named. */
+static bool
+is_limited(struct placement_context *context,
+    const struct placement_upstream *upstream)
+{
+	int64_t wait_ms;
+
+	wait_ms = upstream_notice_wait_ms(&upstream->notice, context->now_ms);
+	if (wait_ms == 0 && !is_over_rate(context->placement, upstream,
+				context->request->service, context->now_ms))
+		return false;
+	context->limited_wait_ms = MIN(context->limited_wait_ms, wait_ms);
+	return true;
+}
+
 static bool
 is_tried(const struct placement_request *request, uint64_t id)
 {
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -65,14 +65,16 @@
 		fill_queued(
 		    placement, &report.demands[report.demand_count++], now_ms);
 	}
+	placement_notices_fill(placement, &report, now_ms);
 	work_report_write(writer, &report);
+	g_free(report.notices);
 	g_free(report.items);
 	g_free(report.demands);
 }
 
 enum error_code
 placement_report_receive(struct placement *placement, uint32_t host_id,
-    const void *body, size_t size, int64_t sent_ms)
+    const void *body, size_t size, int64_t sent_ms, int64_t now_ms)
 {
 	struct work_report report;
 	struct peer_work *peer;
@@ -87,6 +89,7 @@
 		work_report_finish(&report);
 		return ERROR_STALE;
 	}
+	placement_notices_receive(placement, &report, sent_ms, now_ms);
 	peer = g_new0(struct peer_work, 1);
 	peer->report = report;
 	peer->sent_ms = sent_ms;
--- /dev/null
+++ b/src/coordination/upstream_notice.h
@@ -0,0 +1,66 @@
+/**
+ * @file upstream_notice.h
+ * What an upstream says of itself in its answers, and what follows for the next
+ * request to it.
+ *
+ * An upstream in need names a limit: the requests a second that it takes from
+ * all hosts together. Each host keeps to its share of the limit, as it does for
+ * an upstream that may be cold, so the sum is kept without messages between
+ * hosts, also while hosts are cut off from each other. The requests of a host
+ * are evenly spaced, and the hosts take turns: the first request of a host comes
+ * at the point of the first interval that its rank among the hosts gives. Hosts tell each other what they
+ * heard last, since at a low limit a host itself hears from the upstream
+ * rarely. A notice holds until a later one. If none has been heard for
+ * UPSTREAM_NOTICE_EXPIRY_MS, a host may send single requests to find out whether
+ * the limit still holds. It does not outlive the upstream's incarnation.
+ */
+#ifndef UPSTREAM_NOTICE_H
+#define UPSTREAM_NOTICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/error_code.h"
+
+/** Time after which a limit that was not repeated is in doubt. */
+#define UPSTREAM_NOTICE_EXPIRY_MS 15000
+
+/** The entry hosts that share a limit. */
+struct notice_share {
+	uint32_t host_count; /**< Number of hosts, this one included. */
+	uint32_t rank;	     /**< Position of this host among them, from 0. */
+};
+
+/** What one answer of an upstream says. */
+struct upstream_statement {
+	bool has_limit;	    /**< It names a limit. */
+	double limit_per_s; /**< Requests a second from all hosts together. */
+};
+
+/** What holds for an upstream; all zero while nothing was heard. */
+struct upstream_notice {
+	struct upstream_statement last; /**< Latest statement of any host. */
+	int64_t heard_ms;		/**< When it was heard, 0 for never. */
+	int64_t own_heard_ms;		/**< When this host heard one itself. */
+	/** Time from which this host may send the next request. */
+	double next_send_ms;
+	int64_t sent_ms; /**< When it sent the last one under the limit. */
+};
+
+/** Parses the requests a second of a limit. Errors: ERROR_BAD_VALUE for a text
+ * that is no number of 0 or more. */
+enum error_code upstream_limit_parse(const char *text, double *per_s);
+/** Records a statement that this or another host heard at @p heard_ms, unless a
+ * later one is known. Returns true if the limit began, changed or ended. */
+bool upstream_notice_hear(struct upstream_notice *notice,
+    const struct upstream_statement *statement, int64_t heard_ms,
+    struct notice_share share, int64_t now_ms);
+/** Records that this host sends the upstream a request. */
+void upstream_notice_record_send(
+    struct upstream_notice *notice, struct notice_share share, int64_t now_ms);
+/** Returns the milliseconds until this host may send the upstream a request, 0
+ * if it may do so now. */
+int64_t upstream_notice_wait_ms(
+    const struct upstream_notice *notice, int64_t now_ms);
+
+#endif
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -13,13 +13,15 @@
 	FIELD_NUMBER = 2,
 	FIELD_ITEMS = 3,
 	FIELD_DEMANDS = 4,
+	FIELD_NOTICES = 5,
 	FIELD_COUNT
 };
 
-/* Items and demands are two flat arrays of numbers. These are the numbers per
+/* Items, demands and notices are flat arrays of numbers. These are the numbers per
  * row, in the order in which work_report_write() adds them. */
 #define NUMBERS_PER_ITEM   9
 #define NUMBERS_PER_DEMAND 5
+#define NUMBERS_PER_NOTICE 5
 /* Columns of an item with numbers of 64 bits. */
 #define ITEM_UPSTREAM_ID 0
 #define ITEM_KV_TOKENS	 4
@@ -29,6 +31,8 @@
 static enum error_code read_items(
     const struct message_array *array, struct work_report *report);
 static enum error_code check_item(const uint64_t *numbers);
+static enum error_code read_notices(
+    const struct message_array *array, struct work_report *report);
 static enum error_code read_demands(
     const struct message_array *array, struct work_report *report);
 
@@ -64,12 +68,22 @@
 		message_add_uint(writer, report->demands[i].min_key);
 		message_add_uint(writer, report->demands[i].queued_prefill_ms);
 	}
+	message_put_array(
+	    writer, FIELD_NOTICES, report->notice_count * NUMBERS_PER_NOTICE);
+	for (i = 0; i < report->notice_count; i++) {
+		message_add_uint(writer, report->notices[i].upstream_id);
+		message_add_uint(
+		    writer, report->notices[i].upstream_incarnation);
+		message_add_uint(writer, report->notices[i].has_limit);
+		message_add_uint(writer, report->notices[i].limit_permille);
+		message_add_uint(writer, report->notices[i].age_ms);
+	}
 }
 
 enum error_code
 work_report_read(const void *body, size_t size, struct work_report *report)
 {
-	struct message_array items, demands;
+	struct message_array items, demands, notices;
 	struct message_reader reader;
 	enum error_code error;
 
@@ -92,6 +106,10 @@
 		error = read_items(&items, report);
 	if (error == ERROR_NONE)
 		error = read_demands(&demands, report);
+	/* Hosts of an earlier version send no notices. */
+	if (error == ERROR_NONE &&
+	    message_get_array(&reader, FIELD_NOTICES, &notices) == ERROR_NONE)
+		error = read_notices(&notices, report);
 	message_reader_finish(&reader);
 	if (error != ERROR_NONE)
 		work_report_finish(report);
@@ -103,6 +121,7 @@
 {
 	free(report->items);
 	free(report->demands);
+	free(report->notices);
 	memset(report, 0, sizeof(*report));
 }
 
@@ -200,3 +219,34 @@
 	}
 	return ERROR_NONE;
 }
+
+static enum error_code
+read_notices(const struct message_array *array, struct work_report *report)
+{
+	uint64_t numbers[NUMBERS_PER_NOTICE];
+	struct work_notice *notice;
+	enum error_code error;
+	uint32_t i;
+
+	if (array->count % NUMBERS_PER_NOTICE != 0)
+		return ERROR_MALFORMED;
+	if (array->count / NUMBERS_PER_NOTICE > UPSTREAMS_MAX)
+		return ERROR_TOO_LARGE;
+	report->notices = calloc(array->count + 1, sizeof(*report->notices));
+	if (report->notices == NULL)
+		return ERROR_NO_MEMORY;
+	for (i = 0; i < array->count; i += NUMBERS_PER_NOTICE) {
+		error = read_row(array, i, NUMBERS_PER_NOTICE, numbers);
+		if (error == ERROR_NONE && numbers[4] > UINT32_MAX)
+			error = ERROR_TOO_LARGE;
+		if (error != ERROR_NONE)
+			return error;
+		notice = &report->notices[report->notice_count++];
+		notice->upstream_id = numbers[0];
+		notice->upstream_incarnation = numbers[1];
+		notice->has_limit = numbers[2] != 0;
+		notice->limit_permille = numbers[3];
+		notice->age_ms = (uint32_t)numbers[4];
+	}
+	return ERROR_NONE;
+}
--- a/src/protocol/work_message.h
+++ b/src/protocol/work_message.h
@@ -51,6 +51,16 @@
 	uint64_t queued_prefill_ms;
 };
 
+/** What an upstream said of itself to the reporting host. */
+struct work_notice {
+	uint64_t upstream_id;	       /**< Id of the upstream. */
+	uint64_t upstream_incarnation; /**< Its incarnation. */
+	bool has_limit;		       /**< It named a limit. */
+	/** Requests that it takes from all hosts, in thousandths a second. */
+	uint64_t limit_permille;
+	uint32_t age_ms; /**< Time since the host heard it. */
+};
+
 /** A report. Receivers keep only the latest one of each host. */
 struct work_report {
 	uint64_t incarnation; /**< Incarnation of the host's process. */
@@ -61,6 +71,9 @@
 	uint32_t demand_count; /**< Number of demands. */
 	/** Demand by service; work_report_finish() frees it. */
 	struct work_demand *demands;
+	uint32_t notice_count; /**< Number of notices. */
+	/** Notices heard lately; work_report_finish() frees them. */
+	struct work_notice *notices;
 };
 
 /** Writes a report into an initialised writer. */
@@ -71,7 +84,7 @@
  * too many items or demands or a number over its size, ERROR_NO_MEMORY. */
 enum error_code work_report_read(
     const void *body, size_t size, struct work_report *report);
-/** Frees the items and demands of a report that was read. */
+/** Frees the items, demands and notices of a report that was read. */
 void work_report_finish(struct work_report *report);
 
 #endif
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -150,6 +150,8 @@
 	_Atomic uint32_t running_requests; /**< Requests in progress. */
 	/** Live hosts that accept requests. */
 	_Atomic uint32_t entry_host_count;
+	/** Number of those with a lower id than this host. */
+	_Atomic uint32_t entry_host_rank;
 	/** End of the configuration lease; no override extends it. */
 	_Atomic int64_t confirmed_until_ms;
 	_Atomic bool is_stopping;    /**< Ends the main loop. */
--- a/src/service/host_voters.c
+++ b/src/service/host_voters.c
@@ -12,6 +12,13 @@
 /* A dead voter is removed only after this time, since it may return. */
 #define DEAD_VOTER_WAIT_MS 2000
 
+/* Count of the live entry hosts. */
+struct entry_hosts {
+	uint32_t own_id;
+	uint32_t count;
+	uint32_t rank; /* Those with a lower id than this host. */
+};
+
 /* List of candidates that is being filled. */
 struct candidate_list {
 	struct host *host;
@@ -43,11 +50,12 @@
 	struct host *host = context;
 	const struct voter_set *voters;
 	struct voter_step step;
-	uint32_t i, entries;
+	struct entry_hosts entries = {.own_id = host->settings.host_id};
+	uint32_t i;
 
-	entries = 0;
 	membership_for_each(&host->membership, count_entry_host, &entries);
-	atomic_store(&host->entry_host_count, entries);
+	atomic_store(&host->entry_host_count, entries.count);
+	atomic_store(&host->entry_host_rank, entries.rank);
 	if (!host->has_disk)
 		return;
 	membership_set_voter_incarnation(
@@ -81,11 +89,14 @@
 static void
 count_entry_host(void *visitor, const struct host_record *record)
 {
-	uint32_t *entries = visitor;
+	struct entry_hosts *entries = visitor;
 
-	if ((record->flags & HOST_FLAG_ENTRY) != 0 &&
-	    host_state_is_live(record->state))
-		(*entries)++;
+	if ((record->flags & HOST_FLAG_ENTRY) == 0 ||
+	    !host_state_is_live(record->state))
+		return;
+	entries->count++;
+	if (record->id < entries->own_id)
+		entries->rank++;
 }
 
 static void
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -178,6 +178,7 @@
 	apply_fleet_view(relay);
 	relay->placement.host_count =
 	    MAX(atomic_load(&relay->host->entry_host_count), 1);
+	relay->placement.host_rank = atomic_load(&relay->host->entry_host_rank);
 }
 
 double
@@ -478,7 +479,7 @@
 		report = g_ptr_array_index(reports, i);
 		error = placement_report_receive(&relay->placement,
 		    report->from_host, report->body, report->size,
-		    report->sent_ms);
+		    report->sent_ms, host_now_ms());
 		if (error != ERROR_NONE && error != ERROR_STALE)
 			event_log_write(EVENT_PEER_REFUSED,
 			    "work report of host %u: %s", report->from_host,
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -59,7 +59,9 @@
 	const char *resume_after; /**< Header: id of the last event received. */
 	const char *faulty_engine; /**< Answer header: address of the engine
 					that caused a refusal. */
-	const char *order_path;	   /**< Path at an engine that takes orders. */
+	const char *rate_limit; /**< Answer header: requests a second that the
+					upstream takes from all hosts. */
+	const char *order_path; /**< Path at an engine that takes orders. */
 	/** Returns the body of an order to reserve memory for @p tokens during
 	 * @p hold_ms; free it with g_free(). */
 	char *(*reserve_order)(
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -18,6 +18,8 @@
 static void send_request(struct relay_exchange *exchange);
 static void on_sent(void *context);
 static void on_head(void *context, struct http_head *head);
+static void hear_upstream(
+    const struct relay_exchange *exchange, const struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
 static void on_done(void *context);
 static void on_failed(void *context, enum error_code error);
@@ -192,6 +194,8 @@
 				text != NULL &&
 				g_ascii_strncasecmp(text, "text/event-stream",
 				    strlen("text/event-stream")) == 0;
+	if (facts.is_own_attempt || facts.is_refusal)
+		hear_upstream(exchange, head);
 	exchange->answer_class = classify_answer(&facts);
 	if (exchange->answer_class == ANSWER_MISMATCHED) {
 		pool_call_cancel(exchange->call);
@@ -208,6 +212,35 @@
 	g_byte_array_set_size(exchange->partial_body, 0);
 }
 
+/* Records what the upstream says of itself in the headers of an answer. One that
+ * can't be parsed changes nothing. */
+static void
+hear_upstream(
+    const struct relay_exchange *exchange, const struct http_head *head)
+{
+	struct relay *relay = exchange->relay;
+	struct upstream_statement statement = {0};
+	const char *limit;
+
+	limit = http_head_get(head, relay->settings.dialect.rate_limit);
+	if (limit != NULL &&
+	    upstream_limit_parse(limit, &statement.limit_per_s) != ERROR_NONE) {
+		event_log_write_fields(EVENT_UPSTREAM_NOTICE_REFUSED,
+		    "{s:s,s:s}", "upstream", exchange->upstream_name, "limit",
+		    limit);
+		return;
+	}
+	statement.has_limit = limit != NULL;
+	if (!placement_hear(&relay->placement, exchange->upstream_id,
+		exchange->upstream_incarnation, &statement, host_now_ms()))
+		return;
+	event_log_write_fields(EVENT_UPSTREAM_LIMITED, "{s:s,s:b,s:f,s:i}",
+	    "upstream", exchange->upstream_name, "limited", statement.has_limit,
+	    "per_s", statement.limit_per_s, "hosts",
+	    (int)relay->placement.host_count);
+	relay_schedule_report(relay);
+}
+
 static void
 on_body(void *context, const char *data, size_t size)
 {
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -416,12 +416,13 @@
 
 	if (error == ERROR_LEASE_EXPIRED || error == ERROR_NO_UPSTREAM)
 		after_ms = START_RETRY_AFTER_MS;
-	else if (error == ERROR_DEADLINE_UNREACHABLE)
-		after_ms = placement_queue_estimate_ms(
-		    &relay->placement, exchange->service, host_now_ms());
 	else
 		after_ms = placement_retry_after(
 		    &relay->placement, exchange->service, host_now_ms());
+	if (error == ERROR_DEADLINE_UNREACHABLE)
+		after_ms =
+		    MAX(after_ms, placement_queue_estimate_ms(&relay->placement,
+				      exchange->service, host_now_ms()));
 	after_ms = MAX(after_ms, RETRY_AFTER_DEFAULT_MS);
 	return after_ms + (int64_t)random_below(
 			      &relay->random, (uint32_t)after_ms / 2 + 1);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -785,6 +785,56 @@
 	fixture_finish(&fixture);
 }
 
+/* A limit that one host hears binds the host that it tells, until an upstream
+ * of a later incarnation is there, and a request that it delays too long is
+ * refused at once with the time to come back. */
+static void
+test_limit_heard_by_one_host_binds_the_others(void **state)
+{
+	const struct upstream_statement limit = {true, 0.5};
+	struct placement_queue_entry entry = {0};
+	struct placement_request request;
+	struct placement_choice choice;
+	struct message_writer writer;
+	struct fixture here, there;
+
+	(void)state;
+	fixture_init_engines(&here, 9, 1);
+	fixture_init_engines(&there, 10, 1);
+	here.placement.host_count = there.placement.host_count = 8;
+	here.placement.host_rank = 0;
+	assert_false(placement_hear(
+	    &there.placement, there.records[0].id, 2, &limit, START_MS));
+	assert_true(placement_hear(
+	    &there.placement, there.records[0].id, 1, &limit, START_MS));
+	message_writer_init(&writer);
+	placement_report_write(&there.placement, 77, START_MS + 10, &writer);
+	assert_int_equal(
+	    placement_report_receive(&here.placement, 2, message_data(&writer),
+		message_size(&writer), START_MS + 10, START_MS + 20),
+	    ERROR_NONE);
+	message_writer_finish(&writer);
+	request = make_request(&here, &here.chat, 100, START_MS + 20);
+	request.deadline_ms = START_MS + 2000;
+	/* The first turn may be this host's; the second is far away. */
+	(void)placement_pick(
+	    &here.placement, &request, START_MS + 20, &entry, &choice);
+	upstream_notice_record_send(&engine_at(&here, 0)->notice,
+	    (struct notice_share){.host_count = 8}, START_MS + 20);
+	assert_int_equal(placement_pick(&here.placement, &request,
+			     START_MS + 30, &entry, &choice),
+	    ERROR_DEADLINE_UNREACHABLE);
+	assert_true(placement_retry_after(
+			&here.placement, &here.service, START_MS + 30) > 1000);
+	here.records[0].incarnation = 2;
+	placement_update(&here.placement, here.records, 1);
+	assert_int_equal(placement_pick(&here.placement, &request,
+			     START_MS + 40, &entry, &choice),
+	    ERROR_NONE);
+	fixture_finish(&here);
+	fixture_finish(&there);
+}
+
 /* Work that one host reports is seen by another host and counted once. */
 static void
 test_reports_of_other_hosts_are_counted_once(void **state)
@@ -807,14 +857,14 @@
 	placement_report_write(&there.placement, 77, START_MS, &writer);
 	assert_int_equal(
 	    placement_report_receive(&here.placement, 2, message_data(&writer),
-		message_size(&writer), START_MS + 1),
+		message_size(&writer), START_MS + 1, START_MS + 1),
 	    ERROR_NONE);
 	assert_int_equal(
 	    placement_report_receive(&here.placement, 2, message_data(&writer),
-		message_size(&writer), START_MS + 1),
+		message_size(&writer), START_MS + 1, START_MS + 1),
 	    ERROR_STALE);
-	assert_int_equal(
-	    placement_report_receive(&here.placement, 2, "x", 1, START_MS + 1),
+	assert_int_equal(placement_report_receive(&here.placement, 2, "x", 1,
+			     START_MS + 1, START_MS + 1),
 	    ERROR_MALFORMED);
 	message_writer_finish(&writer);
 	request = make_request(&here, &here.chat, 20000, START_MS);
@@ -1092,6 +1142,7 @@
 	    cmocka_unit_test(test_ejection_is_bounded),
 	    cmocka_unit_test(test_latest_incarnation_at_an_address_is_chosen),
 	    cmocka_unit_test(test_refused_attempts_leave_no_backlog),
+	    cmocka_unit_test(test_limit_heard_by_one_host_binds_the_others),
 	    cmocka_unit_test(test_reports_of_other_hosts_are_counted_once),
 	    cmocka_unit_test(test_silence_is_evaluated_by_other_progress),
 	    cmocka_unit_test(test_reports_with_too_large_numbers_are_refused),
