A host that is cut off from the others takes no larger share of what all may send

A host that is cut off sees itself alone, and took the whole, while the others divide the whole among themselves; the sum was twice what an upstream bears. Change: a host that is not live any more keeps its share for a minute. Price: after hosts died, the others use smaller shares for a minute. Evidence: test_cut_off_host_keeps_to_its_share, red without the minute.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -11,6 +11,9 @@
 
 #include "coordination/placement_parts.h"
 
+/* Time for which a host that is not live any more keeps its share of what all
+ * hosts together may send. */
+#define HOST_ABSENCE_MS	    60000
 #define EJECT_FAILURES_MIN  2	 /* Consecutive failures that eject. */
 #define EJECT_BASE_MS	    1000 /* First ejection; each further doubles. */
 #define EJECT_MAX_MS	    8000 /* Longest ejection. */
@@ -81,6 +84,19 @@
 	memset(placement, 0, sizeof(*placement));
 }
 
+void
+placement_set_hosts(struct placement *placement, uint32_t live_count,
+    uint32_t rank, int64_t now_ms)
+{
+	live_count = MAX(live_count, 1);
+	placement->host_rank = rank;
+	if (live_count < placement->host_count &&
+	    now_ms - placement->host_count_ms < HOST_ABSENCE_MS)
+		return;
+	placement->host_count = live_count;
+	placement->host_count_ms = now_ms;
+}
+
 void
 placement_update(struct placement *placement,
     const struct placement_record *records, uint32_t count)
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -209,6 +209,7 @@
 	GHashTable *profiles;  /**< Route name to struct prompt_profile. */
 	GPtrArray *queue;      /**< This host's struct placement_queue_entry. */
 	uint32_t host_count;   /**< Entry hosts that share the upstreams. */
+	int64_t host_count_ms; /**< When so many were last live. */
 	uint32_t host_rank;    /**< Position of this host among them, from 0. */
 	uint64_t report_number;	 /**< Number of the last report written. */
 	bool is_peer_load_stale; /**< Peer loads must be summed again. */
@@ -222,6 +223,11 @@
     const struct placement_settings *settings, uint64_t seed);
 /** Frees the memory; does nothing on a zeroed struct. */
 void placement_finish(struct placement *placement);
+/** Sets the number of live entry hosts, and the position of this host among
+ * them. A host that seems to be gone may only be cut off from this one, so for a
+ * time the shares of the hosts that remain don't grow. */
+void placement_set_hosts(struct placement *placement, uint32_t live_count,
+    uint32_t rank, int64_t now_ms);
 /** Replaces the list of upstreams. State of an upstream that is still listed is
  * kept, the others are dropped. */
 void placement_update(struct placement *placement,
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -176,9 +176,9 @@
 	apply_received_reports(relay);
 	apply_new_table(relay);
 	apply_fleet_view(relay);
-	relay->placement.host_count =
-	    MAX(atomic_load(&relay->host->entry_host_count), 1);
-	relay->placement.host_rank = atomic_load(&relay->host->entry_host_rank);
+	placement_set_hosts(&relay->placement,
+	    atomic_load(&relay->host->entry_host_count),
+	    atomic_load(&relay->host->entry_host_rank), host_now_ms());
 }
 
 double
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -785,6 +785,28 @@
 	fixture_finish(&fixture);
 }
 
+/* A host that is cut off from the others takes no larger share of what a cold
+ * upstream bears: the others may go on sending. */
+static void
+test_cut_off_host_keeps_to_its_share(void **state)
+{
+	struct fixture fixture;
+
+	(void)state;
+	fixture_init(&fixture, 11);
+	placement_set_hosts(&fixture.placement, 8, 3, START_MS);
+	placement_set_hosts(&fixture.placement, 1, 0, START_MS + 5000);
+	assert_int_equal(fixture.placement.host_count, 8);
+	placement_set_hosts(&fixture.placement, 9, 3, START_MS + 30000);
+	assert_int_equal(fixture.placement.host_count, 9);
+	/* Hosts that stay away have left. */
+	placement_set_hosts(&fixture.placement, 6, 3, START_MS + 89000);
+	assert_int_equal(fixture.placement.host_count, 9);
+	placement_set_hosts(&fixture.placement, 6, 3, START_MS + 90000);
+	assert_int_equal(fixture.placement.host_count, 6);
+	fixture_finish(&fixture);
+}
+
 /* A limit that one host hears binds the host that it tells, until an upstream
  * of a later incarnation is there, and a request that it delays too long is
  * refused at once with the time to come back. */
@@ -1142,6 +1164,7 @@
 	    cmocka_unit_test(test_ejection_is_bounded),
 	    cmocka_unit_test(test_latest_incarnation_at_an_address_is_chosen),
 	    cmocka_unit_test(test_refused_attempts_leave_no_backlog),
+	    cmocka_unit_test(test_cut_off_host_keeps_to_its_share),
 	    cmocka_unit_test(test_limit_heard_by_one_host_binds_the_others),
 	    cmocka_unit_test(test_reports_of_other_hosts_are_counted_once),
 	    cmocka_unit_test(test_silence_is_evaluated_by_other_progress),
