Upstreams that leave get no further request, those that want a pause get one

Leaving: from the answer on, no host that has heard of it sends a new request; hosts tell each other in work reports, so the word no longer waits for the directory. Running requests go on to their ends. A later incarnation starts afresh. Pause (503 with Retry-After): nothing until it is over, then one request at a time until one is answered; what was meant for the upstream goes elsewhere, or is refused at once with the time that is left. Bounded by an hour; malformed values change nothing (E4008).

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -67,8 +67,8 @@
     {EVENT_UPSTREAM_ANNOUNCED, EVENT_LEVEL_INFO, "upstream announced"},
     {EVENT_UPSTREAM_LEAVING, EVENT_LEVEL_INFO, "upstream leaving"},
     {EVENT_UPSTREAM_EXPIRED, EVENT_LEVEL_WARNING, "upstream expired"},
-    {EVENT_UPSTREAM_LIMITED, EVENT_LEVEL_INFO,
-	"upstream has begun, changed or ended a limit of its requests"},
+    {EVENT_UPSTREAM_NOTICED, EVENT_LEVEL_INFO,
+	"upstream says that it leaves, limits its requests or wants a pause"},
     {EVENT_UPSTREAM_NOTICE_REFUSED, EVENT_LEVEL_WARNING,
 	"what an upstream says of itself is not valid"},
 
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -389,7 +389,7 @@
 placement_serves(const struct placement_upstream *upstream,
     const struct route_service *service)
 {
-	return upstream->is_usable &&
+	return upstream->is_usable && !upstream->notice.last.is_leaving &&
 	       strcmp(upstream->service, service->name) == 0;
 }
 
--- a/src/coordination/placement_notice.c
+++ b/src/coordination/placement_notice.c
@@ -22,9 +22,12 @@
 	upstream = g_hash_table_lookup(placement->upstreams, &id);
 	if (upstream == NULL || upstream->incarnation != incarnation)
 		return false;
+	upstream_notice_record_answer(
+	    &upstream->notice, statement->pause_ms, now_ms);
 	/* Most upstreams never say anything. */
-	if (!statement->has_limit && !upstream->notice.last.has_limit)
-		return false;
+	if (!statement->has_limit && !upstream->notice.last.has_limit &&
+	    !statement->is_leaving)
+		return statement->pause_ms > 0;
 	upstream->notice.own_heard_ms = now_ms;
 	return hear(placement, upstream, statement, now_ms, now_ms);
 }
@@ -50,6 +53,7 @@
 		notice->upstream_id = upstream->id;
 		notice->upstream_incarnation = upstream->incarnation;
 		notice->has_limit = upstream->notice.last.has_limit;
+		notice->is_leaving = upstream->notice.last.is_leaving;
 		notice->limit_permille = (uint64_t)MIN(
 		    upstream->notice.last.limit_per_s * THOUSANDTHS,
 		    UINT32_MAX);
@@ -75,6 +79,7 @@
 		    upstream->incarnation != notice->upstream_incarnation)
 			continue;
 		statement.has_limit = notice->has_limit;
+		statement.is_leaving = notice->is_leaving;
 		statement.limit_per_s =
 		    (double)notice->limit_permille / THOUSANDTHS;
 		(void)hear(placement, upstream, &statement,
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -84,7 +84,7 @@
     const struct placement_upstream *upstream, int64_t now_ms);
 /** Number of requests with short prompts that run at the upstream. */
 uint32_t placement_count_short(const struct placement_upstream *upstream);
-/** Whether the upstream runs the service and is usable. */
+/** Whether the upstream runs the service, is usable and does not leave. */
 bool placement_serves(const struct placement_upstream *upstream,
     const struct route_service *service);
 
--- a/src/coordination/upstream_notice.c
+++ b/src/coordination/upstream_notice.c
@@ -10,29 +10,34 @@
 /* Least limit that is kept to, so that an upstream that names 0 is asked now
  * and then whether it still does. */
 #define LIMIT_PER_S_MIN 0.1
-/* Least time between requests that find out whether an old limit still
- * holds. */
+/* Least time between requests that find out whether an old limit still holds,
+ * or whether an upstream takes requests again after a pause. */
 #define ASK_PERIOD_MS 1000
 #define MS_PER_S      1000.0
 
+static enum error_code parse_number(const char *text, double *number);
+static int64_t limit_wait_ms(
+    const struct upstream_notice *notice, int64_t now_ms);
 static double interval_ms(
     const struct upstream_notice *notice, struct notice_share share);
 
 enum error_code
 upstream_limit_parse(const char *text, double *per_s)
 {
-	double value;
-	char *end;
+	return parse_number(text, per_s);
+}
 
-	value = g_ascii_strtod(text, &end);
-	if (end == text || !isfinite(value) || value < 0)
-		return ERROR_BAD_VALUE;
-	while (g_ascii_isspace(*end))
-		end++;
-	if (*end != '\0')
-		return ERROR_BAD_VALUE;
-	*per_s = value;
-	return ERROR_NONE;
+enum error_code
+upstream_pause_parse(const char *text, int64_t *pause_ms)
+{
+	enum error_code error;
+	double seconds;
+
+	error = parse_number(text, &seconds);
+	if (error == ERROR_NONE)
+		*pause_ms = (int64_t)MIN(
+		    seconds * MS_PER_S, (double)UPSTREAM_PAUSE_MAX_MS);
+	return error;
 }
 
 bool
@@ -42,14 +47,17 @@
 {
 	struct upstream_statement before = notice->last;
 	bool was_limited;
+	bool is_new;
 
 	if (heard_ms < notice->heard_ms)
 		return false;
 	was_limited = notice->last.has_limit;
 	notice->last = *statement;
+	notice->last.is_leaving |= before.is_leaving;
 	notice->heard_ms = heard_ms;
+	is_new = notice->last.is_leaving != before.is_leaving;
 	if (!statement->has_limit)
-		return was_limited;
+		return was_limited || is_new;
 	if (!was_limited) {
 		notice->next_send_ms =
 		    (double)now_ms +
@@ -57,7 +65,7 @@
 		return true;
 	}
 	if (statement->limit_per_s == before.limit_per_s)
-		return false;
+		return is_new;
 	/* What is left of the wait for the next request keeps its share of the
 	 * interval. */
 	if (notice->next_send_ms > (double)now_ms)
@@ -73,14 +81,57 @@
 upstream_notice_record_send(
     struct upstream_notice *notice, struct notice_share share, int64_t now_ms)
 {
-	if (!notice->last.has_limit)
+	if (!notice->last.has_limit && !notice->is_resuming)
 		return;
 	notice->sent_ms = now_ms;
-	notice->next_send_ms = (double)now_ms + interval_ms(notice, share);
+	if (notice->last.has_limit)
+		notice->next_send_ms =
+		    (double)now_ms + interval_ms(notice, share);
+}
+
+void
+upstream_notice_record_answer(
+    struct upstream_notice *notice, int64_t pause_ms, int64_t now_ms)
+{
+	if (pause_ms > 0)
+		notice->pause_until_ms =
+		    MAX(notice->pause_until_ms, now_ms + pause_ms);
+	/* Answers to requests from before the pause say nothing of it. */
+	if (pause_ms > 0 || now_ms >= notice->pause_until_ms)
+		notice->is_resuming = pause_ms > 0;
 }
 
 int64_t
 upstream_notice_wait_ms(const struct upstream_notice *notice, int64_t now_ms)
+{
+	int64_t wait_ms;
+
+	wait_ms = MAX(notice->pause_until_ms - now_ms, 0);
+	if (notice->is_resuming)
+		wait_ms =
+		    MAX(wait_ms, notice->sent_ms + ASK_PERIOD_MS - now_ms);
+	return MAX(wait_ms, limit_wait_ms(notice, now_ms));
+}
+
+static enum error_code
+parse_number(const char *text, double *number)
+{
+	double value;
+	char *end;
+
+	value = g_ascii_strtod(text, &end);
+	if (end == text || !isfinite(value) || value < 0)
+		return ERROR_BAD_VALUE;
+	while (g_ascii_isspace(*end))
+		end++;
+	if (*end != '\0')
+		return ERROR_BAD_VALUE;
+	*number = value;
+	return ERROR_NONE;
+}
+
+static int64_t
+limit_wait_ms(const struct upstream_notice *notice, int64_t now_ms)
 {
 	double until_ms;
 	int64_t ask_ms;
--- a/src/coordination/upstream_notice.h
+++ b/src/coordination/upstream_notice.h
@@ -13,6 +13,13 @@
  * rarely. A notice holds until a later one. If none has been heard for
  * UPSTREAM_NOTICE_EXPIRY_MS, a host may send single requests to find out whether
  * the limit still holds. It does not outlive the upstream's incarnation.
+ *
+ * An upstream that turns a request away may ask the host for a pause. It gets
+ * nothing from that host until the pause is over, and then one request at a time
+ * until it has answered one.
+ *
+ * An upstream that says that it leaves gets no new request any more, from any
+ * host that has heard of it.
  */
 #ifndef UPSTREAM_NOTICE_H
 #define UPSTREAM_NOTICE_H
@@ -24,6 +31,8 @@
 
 /** Time after which a limit that was not repeated is in doubt. */
 #define UPSTREAM_NOTICE_EXPIRY_MS 15000
+/** Longest pause that an upstream may ask for. */
+#define UPSTREAM_PAUSE_MAX_MS INT64_C(3600000)
 
 /** The entry hosts that share a limit. */
 struct notice_share {
@@ -34,7 +43,10 @@
 /** What one answer of an upstream says. */
 struct upstream_statement {
 	bool has_limit;	    /**< It names a limit. */
+	bool is_leaving;    /**< It stops soon and wants no new requests. */
 	double limit_per_s; /**< Requests a second from all hosts together. */
+	/** Time for which it wants nothing from this host, 0 for no pause. */
+	int64_t pause_ms;
 };
 
 /** What holds for an upstream; all zero while nothing was heard. */
@@ -44,22 +56,33 @@
 	int64_t own_heard_ms;		/**< When this host heard one itself. */
 	/** Time from which this host may send the next request. */
 	double next_send_ms;
-	int64_t sent_ms; /**< When it sent the last one under the limit. */
+	int64_t sent_ms; /**< When it sent the last one under a limit or after
+			      a pause. */
+	int64_t pause_until_ms; /**< End of the pause, 0 for none. */
+	/** A pause has ended, and no request was answered since. */
+	bool is_resuming;
 };
 
 /** Parses the requests a second of a limit. Errors: ERROR_BAD_VALUE for a text
  * that is no number of 0 or more. */
 enum error_code upstream_limit_parse(const char *text, double *per_s);
+/** Parses a pause in seconds, with fractions, of at most UPSTREAM_PAUSE_MAX_MS; a
+ * longer one is cut to that. Errors: ERROR_BAD_VALUE. */
+enum error_code upstream_pause_parse(const char *text, int64_t *pause_ms);
 /** Records a statement that this or another host heard at @p heard_ms, unless a
- * later one is known. Returns true if the limit began, changed or ended. */
+ * later one is known. Returns true if something new follows from it. */
 bool upstream_notice_hear(struct upstream_notice *notice,
     const struct upstream_statement *statement, int64_t heard_ms,
     struct notice_share share, int64_t now_ms);
 /** Records that this host sends the upstream a request. */
 void upstream_notice_record_send(
     struct upstream_notice *notice, struct notice_share share, int64_t now_ms);
+/** Records that the upstream has answered a request of this host at @p now_ms
+ * without asking for a pause, or with a pause. */
+void upstream_notice_record_answer(
+    struct upstream_notice *notice, int64_t pause_ms, int64_t now_ms);
 /** Returns the milliseconds until this host may send the upstream a request, 0
- * if it may do so now. */
+ * if it may do so now. Ignores that it leaves. */
 int64_t upstream_notice_wait_ms(
     const struct upstream_notice *notice, int64_t now_ms);
 
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -22,6 +22,9 @@
 #define NUMBERS_PER_ITEM   9
 #define NUMBERS_PER_DEMAND 5
 #define NUMBERS_PER_NOTICE 5
+/* Flags of a notice. */
+#define NOTICE_HAS_LIMIT  1u
+#define NOTICE_IS_LEAVING 2u
 /* Columns of an item with numbers of 64 bits. */
 #define ITEM_UPSTREAM_ID 0
 #define ITEM_KV_TOKENS	 4
@@ -74,7 +77,10 @@
 		message_add_uint(writer, report->notices[i].upstream_id);
 		message_add_uint(
 		    writer, report->notices[i].upstream_incarnation);
-		message_add_uint(writer, report->notices[i].has_limit);
+		message_add_uint(writer,
+		    (report->notices[i].has_limit ? NOTICE_HAS_LIMIT : 0u) |
+			(report->notices[i].is_leaving ? NOTICE_IS_LEAVING
+						       : 0u));
 		message_add_uint(writer, report->notices[i].limit_permille);
 		message_add_uint(writer, report->notices[i].age_ms);
 	}
@@ -244,7 +250,8 @@
 		notice = &report->notices[report->notice_count++];
 		notice->upstream_id = numbers[0];
 		notice->upstream_incarnation = numbers[1];
-		notice->has_limit = numbers[2] != 0;
+		notice->has_limit = (numbers[2] & NOTICE_HAS_LIMIT) != 0;
+		notice->is_leaving = (numbers[2] & NOTICE_IS_LEAVING) != 0;
 		notice->limit_permille = numbers[3];
 		notice->age_ms = (uint32_t)numbers[4];
 	}
--- a/src/protocol/work_message.h
+++ b/src/protocol/work_message.h
@@ -56,6 +56,7 @@
 	uint64_t upstream_id;	       /**< Id of the upstream. */
 	uint64_t upstream_incarnation; /**< Its incarnation. */
 	bool has_limit;		       /**< It named a limit. */
+	bool is_leaving;	       /**< It said that it leaves. */
 	/** Requests that it takes from all hosts, in thousandths a second. */
 	uint64_t limit_permille;
 	uint32_t age_ms; /**< Time since the host heard it. */
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -61,6 +61,7 @@
 					that caused a refusal. */
 	const char *rate_limit; /**< Answer header: requests a second that the
 					upstream takes from all hosts. */
+	const char *leaving;	/**< Answer header: the upstream stops soon. */
 	const char *order_path; /**< Path at an engine that takes orders. */
 	/** Returns the body of an order to reserve memory for @p tokens during
 	 * @p hold_ms; free it with g_free(). */
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -20,6 +20,8 @@
 static void on_head(void *context, struct http_head *head);
 static void hear_upstream(
     const struct relay_exchange *exchange, const struct http_head *head);
+static bool read_statement(const struct relay_exchange *exchange,
+    const struct http_head *head, struct upstream_statement *statement);
 static void on_body(void *context, const char *data, size_t size);
 static void on_done(void *context);
 static void on_failed(void *context, enum error_code error);
@@ -212,35 +214,56 @@
 	g_byte_array_set_size(exchange->partial_body, 0);
 }
 
-/* Records what the upstream says of itself in the headers of an answer. One that
- * can't be parsed changes nothing. */
+/* Records what the upstream says of itself in the headers of an answer. A header
+ * that can't be parsed changes nothing. */
 static void
 hear_upstream(
     const struct relay_exchange *exchange, const struct http_head *head)
 {
 	struct relay *relay = exchange->relay;
-	struct upstream_statement statement = {0};
-	const char *limit;
-
-	limit = http_head_get(head, relay->settings.dialect.rate_limit);
-	if (limit != NULL &&
-	    upstream_limit_parse(limit, &statement.limit_per_s) != ERROR_NONE) {
-		event_log_write_fields(EVENT_UPSTREAM_NOTICE_REFUSED,
-		    "{s:s,s:s}", "upstream", exchange->upstream_name, "limit",
-		    limit);
-		return;
-	}
-	statement.has_limit = limit != NULL;
-	if (!placement_hear(&relay->placement, exchange->upstream_id,
+	struct upstream_statement statement;
+
+	if (!read_statement(exchange, head, &statement) ||
+	    !placement_hear(&relay->placement, exchange->upstream_id,
 		exchange->upstream_incarnation, &statement, host_now_ms()))
 		return;
-	event_log_write_fields(EVENT_UPSTREAM_LIMITED, "{s:s,s:b,s:f,s:i}",
-	    "upstream", exchange->upstream_name, "limited", statement.has_limit,
-	    "per_s", statement.limit_per_s, "hosts",
+	event_log_write_fields(EVENT_UPSTREAM_NOTICED,
+	    "{s:s,s:b,s:f,s:b,s:I,s:i}", "upstream", exchange->upstream_name,
+	    "limited", statement.has_limit, "per_s", statement.limit_per_s,
+	    "leaving", statement.is_leaving, "pause_ms",
+	    (json_int_t)statement.pause_ms, "hosts",
 	    (int)relay->placement.host_count);
 	relay_schedule_report(relay);
 }
 
+/* False if a header is malformed. */
+static bool
+read_statement(const struct relay_exchange *exchange,
+    const struct http_head *head, struct upstream_statement *statement)
+{
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	const char *limit, *leaving, *pause;
+
+	memset(statement, 0, sizeof(*statement));
+	limit = http_head_get(head, dialect->rate_limit);
+	leaving = http_head_get(head, dialect->leaving);
+	pause = head->status == STATUS_UNAVAILABLE
+		    ? http_head_get(head, "Retry-After")
+		    : NULL;
+	statement->has_limit = limit != NULL;
+	statement->is_leaving = leaving != NULL && strcmp(leaving, "1") == 0;
+	if ((limit == NULL || upstream_limit_parse(limit,
+				  &statement->limit_per_s) == ERROR_NONE) &&
+	    (pause == NULL || upstream_pause_parse(
+				  pause, &statement->pause_ms) == ERROR_NONE))
+		return true;
+	event_log_write_fields(EVENT_UPSTREAM_NOTICE_REFUSED, "{s:s,s:s,s:s}",
+	    "upstream", exchange->upstream_name, "limit",
+	    limit == NULL ? "" : limit, "pause", pause == NULL ? "" : pause);
+	return false;
+}
+
 static void
 on_body(void *context, const char *data, size_t size)
 {
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -813,7 +813,8 @@
 static void
 test_limit_heard_by_one_host_binds_the_others(void **state)
 {
-	const struct upstream_statement limit = {true, 0.5};
+	const struct upstream_statement limit = {
+	    .has_limit = true, .limit_per_s = 0.5};
 	struct placement_queue_entry entry = {0};
 	struct placement_request request;
 	struct placement_choice choice;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -480,6 +480,67 @@
 	g_free(fixture);
 }
 
+/* Each upstream says in its first answer that it leaves, so each gets one
+ * request; then nobody is left to take one. */
+static void
+test_upstream_that_leaves_gets_no_further_request(void **state)
+{
+	struct relay_fixture *fixture;
+	char *answer;
+	uint32_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture,
+	    "HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
+	    "Server-Leaving: 1\r\nContent-Length: 5\r\n\r\nbody!");
+	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++) {
+		answer = relay_fixture_send_request(fixture, CALL("/idem/"));
+		assert_non_null(strstr(answer, "200 OK"));
+		g_free(answer);
+	}
+	answer = relay_fixture_send_request(fixture, CALL("/idem/"));
+	assert_non_null(strstr(answer, "HTTP/1.1 503"));
+	g_free(answer);
+	assert_int_equal(
+	    relay_fixture_request_count(fixture), RELAY_FIXTURE_UPSTREAMS);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
+/* Upstreams that turn a request away and ask for a pause get no other before it
+ * is over; callers are told at once when to come again. */
+static void
+test_upstream_that_wants_a_pause_gets_one(void **state)
+{
+	struct relay_fixture *fixture;
+	double retry_after_s;
+	char *answer, *field;
+	uint32_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture,
+	    "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 30\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	for (i = 0; i < 6; i++) {
+		answer = relay_fixture_send_request(fixture, CALL("/idem/"));
+		assert_non_null(strstr(answer, "HTTP/1.1 503"));
+		field = strstr(answer, "Retry-After: ");
+		assert_non_null(field);
+		retry_after_s = g_ascii_strtod(field + 13, NULL);
+		if (i > RELAY_FIXTURE_UPSTREAMS / 2)
+			assert_true(retry_after_s > 25);
+		g_free(answer);
+	}
+	assert_int_equal(
+	    relay_fixture_request_count(fixture), RELAY_FIXTURE_UPSTREAMS);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
@@ -498,6 +559,8 @@
 	    cmocka_unit_test(test_reset_without_a_crash_quarantines_nothing),
 	    cmocka_unit_test(
 		test_upstreams_get_no_more_than_the_limit_they_name),
+	    cmocka_unit_test(test_upstream_that_leaves_gets_no_further_request),
+	    cmocka_unit_test(test_upstream_that_wants_a_pause_gets_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_upstream_notice.c
+++ b/tests/test_upstream_notice.c
@@ -43,7 +43,8 @@
 static void
 run(struct fleet_run *fleet)
 {
-	struct upstream_statement statement = {true, fleet->limit_per_s};
+	struct upstream_statement statement = {
+	    .has_limit = true, .limit_per_s = fleet->limit_per_s};
 	struct notice_share share = {.host_count = fleet->host_count};
 	struct upstream_notice *notice;
 	int64_t now_ms, told_ms;
@@ -182,7 +183,8 @@
 test_limit_rises_falls_and_ends(void **state)
 {
 	const struct notice_share share = {.host_count = 2, .rank = 0};
-	struct upstream_statement statement = {true, 1};
+	struct upstream_statement statement = {
+	    .has_limit = true, .limit_per_s = 1};
 	const struct upstream_statement none = {0};
 	struct upstream_notice notice = {0};
 	int64_t at_1_per_s_ms, now_ms;
@@ -220,7 +222,7 @@
 test_limit_that_is_not_repeated_is_asked_for(void **state)
 {
 	const struct notice_share share = {.host_count = 100, .rank = 50};
-	const struct upstream_statement statement = {true, 0};
+	const struct upstream_statement statement = {.has_limit = true};
 	struct upstream_notice notice = {0};
 	int64_t now_ms;
 
@@ -237,6 +239,69 @@
 	    UPSTREAM_NOTICE_EXPIRY_MS);
 }
 
+/* After a pause one request at a time goes out until one is answered. */
+static void
+test_pause_ends_with_one_request_at_a_time(void **state)
+{
+	const struct notice_share share = {.host_count = 4, .rank = 0};
+	struct upstream_notice notice = {0};
+	int64_t now_ms;
+
+	(void)state;
+	now_ms = START_MS;
+	upstream_notice_record_answer(&notice, 5000, now_ms);
+	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms), 5000);
+	/* An answer to an earlier request, and a shorter pause. */
+	upstream_notice_record_answer(&notice, 0, now_ms + 10);
+	upstream_notice_record_answer(&notice, 100, now_ms + 20);
+	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms), 5000);
+	now_ms += 5000;
+	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms), 0);
+	upstream_notice_record_send(&notice, share, now_ms);
+	assert_true(upstream_notice_wait_ms(&notice, now_ms + 10) > 0);
+	upstream_notice_record_answer(&notice, 0, now_ms + 20);
+	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms + 20), 0);
+}
+
+static void
+test_leaving_upstream_stays_leaving(void **state)
+{
+	const struct notice_share share = {.host_count = 4, .rank = 0};
+	const struct upstream_statement leaving = {.is_leaving = true};
+	const struct upstream_statement limited = {
+	    .has_limit = true, .limit_per_s = 1};
+	struct upstream_notice notice = {0};
+
+	(void)state;
+	assert_true(
+	    upstream_notice_hear(&notice, &leaving, START_MS, share, START_MS));
+	assert_false(upstream_notice_hear(
+	    &notice, &leaving, START_MS + 1, share, START_MS));
+	/* An answer that was on its way longer does not say it yet. */
+	upstream_notice_hear(&notice, &limited, START_MS + 2, share, START_MS);
+	assert_true(notice.last.is_leaving);
+}
+
+static void
+test_pauses_are_parsed_and_bounded(void **state)
+{
+	int64_t pause_ms;
+
+	(void)state;
+	pause_ms = 7;
+	assert_int_equal(
+	    upstream_pause_parse("Wed, 21 Oct 2026 07:28:00 GMT", &pause_ms),
+	    ERROR_BAD_VALUE);
+	assert_int_equal(
+	    upstream_pause_parse("-3", &pause_ms), ERROR_BAD_VALUE);
+	assert_int_equal(pause_ms, 7);
+	assert_int_equal(upstream_pause_parse("0.25", &pause_ms), ERROR_NONE);
+	assert_int_equal(pause_ms, 250);
+	assert_int_equal(
+	    upstream_pause_parse("31536000", &pause_ms), ERROR_NONE);
+	assert_int_equal(pause_ms, UPSTREAM_PAUSE_MAX_MS);
+}
+
 static void
 test_malformed_limits_are_refused(void **state)
 {
@@ -273,6 +338,9 @@
 		test_limit_holds_while_hosts_freeze_and_are_cut_off),
 	    cmocka_unit_test(test_limit_rises_falls_and_ends),
 	    cmocka_unit_test(test_limit_that_is_not_repeated_is_asked_for),
+	    cmocka_unit_test(test_pause_ends_with_one_request_at_a_time),
+	    cmocka_unit_test(test_leaving_upstream_stays_leaving),
+	    cmocka_unit_test(test_pauses_are_parsed_and_bounded),
 	    cmocka_unit_test(test_malformed_limits_are_refused),
 	};
 
