The soak sends a request that crashes its replicas, and replicas that leave say so

After the recovery a request with the same path, caller and body goes to one entry host after the other for 6 s, beside other callers; each replica that runs it ends, its proxy too, and is back after a second. Checked from outside: at most three sends later than 3 s after the third crash, and 503 from every host at the end.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,7 @@
         self.kinds = {}  # Attempt id: kind of request.
         self.refused = {}  # Attempt id: (time, status, host) of the refusal.
         self.outcomes = collections.Counter()
+        self.crashes = []  # Times at which the crashing request ended a replica.
         self.acked_version = 0  # Newest configuration version that was acknowledged.
         # (entry host, number of its start): newest version that it served.
         self.served_versions = {}
--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -22,6 +22,7 @@
 	'quorum_commit|src/coordination/consensus_leader.c|s/i = MAX\(i, MIN\(copies, consensus->voters.count\)\);/i = 1; (void)copies;/'
 	'release_of_reservations|src/service/relay_hold.c|s/order\(hold, hold->relay->settings.dialect.release_order\(hold->id\)\);/(void)order;/'
 	'evacuation|src/service/relay.c|s/ && !entry->is_taken_out//'
+	'crashing_request|src/service/relay_crash.c|s/return host_check_quarantine\(host, fingerprint\(exchange\), remaining_ms\);/(void)remaining_ms; return QUARANTINE_RUN;/'
 	'drain|src/service/relay.c|s/upstream->state == UPSTREAM_STATE_ACTIVE && //'
 )
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -28,6 +28,12 @@
     async def start(self):
         self.server = await asyncio.start_server(self._accept, *self.listen)
 
+    async def go_down(self):
+        """Accepts no connections any more and resets all, like a process that ended."""
+        self.server.close()
+        self.reset()
+        await asyncio.sleep(0)
+
     def heal(self):
         """Ends all injected faults, so that bytes are forwarded at once."""
         self.delay_s = 0.0
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -16,6 +16,10 @@
 HEARTBEAT_S = 0.6
 # A heartbeat that isn't answered in this time is sent to another control host.
 HEARTBEAT_TIMEOUT_S = 1.0
+# Body of the request that crashes each replica that runs it, and the time after
+# which the replica is back.
+CRASH_BODY = b"crash"
+CRASH_S = 1.0
 # Time for which a reservation is kept beyond its expiry before it counts as expired.
 LEASE_MARGIN_S = 0.2
 
@@ -83,6 +87,14 @@
         self.is_draining = False
         self.drain_acked_at = None
 
+    async def _crash_for(self, seconds):
+        """Ends like a process that crashed, and starts again."""
+        self.crash()
+        await self.proxy.go_down()
+        await asyncio.sleep(seconds)
+        await self.proxy.start()
+        self.restart()
+
     async def _run_heartbeats(self):
         self.started_ms = self.fixture.wall_ms()
         while True:
@@ -150,8 +162,12 @@
             await self._run(writer, path, fields, body, stale_answers)
         await writer.drain()
 
+    def _statements(self):
+        """Returns the fields in which the replica says of itself that it leaves."""
+        return {"Server-Leaving": "1"} if self.is_draining else {}
+
     def _refuse(self, writer, status, fields):
-        answer = {"Attempt-Id": fields.get("attempt-id", ""), "Not-Executed": "1"}
+        answer = self._statements() | {"Attempt-Id": fields.get("attempt-id", ""), "Not-Executed": "1"}
         writer.write(http1.write_message(f"HTTP/1.1 {status} No", answer))
 
     def _order(self, writer, order):
@@ -176,6 +192,10 @@
         attempt = fields.get("attempt-id", "")
         self.arrivals.append(self.fixture.now())
         self.fixture.ledger.record_run(attempt, self.id)
+        if body == CRASH_BODY:
+            self.fixture.ledger.crashes.append(self.fixture.now())
+            self.crash_task = asyncio.create_task(self._crash_for(CRASH_S))
+            return
         self.running += 1
         try:
             if stale_answers:
@@ -192,7 +212,7 @@
     async def _plain(self, writer, path, attempt, body, stale_answers):
         answer = http1.write_message(
             "HTTP/1.1 200 OK",
-            {"Attempt-Id": attempt, "Response-Seal": self.id},
+            self._statements() | {"Attempt-Id": attempt, "Response-Seal": self.id},
             plain_body(path, body),
         )
         await asyncio.sleep(self.random.uniform(0.005, 0.08))
@@ -210,7 +230,7 @@
             writer.write(answer)
 
     async def _stream(self, writer, path, fields, attempt):
-        head = {
+        head = self._statements() | {
             "Attempt-Id": attempt,
             "Response-Seal": self.id,
             "Content-Type": "text/event-stream",
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,16 +22,19 @@
 import time
 
 import faults
+import http1
 from callers import Caller
 from cluster import ZONES, Host
 from ledger import Ledger
 from operator_calls import Operator
-from replicas import Replica
+from replicas import CRASH_BODY, Replica
 
 FAULT_PHASE_S = 10.0  # Length of the phase in which faults start.
 RECOVERY_MAX_S = 15.0  # From the end of the last fault until all hosts are healthy.
 ORDER_MAX_S = 5.0  # Until an evacuation or a drain is acknowledged.
 IN_FORCE_MAX_S = 2.0  # From the acknowledgement until no request arrives any more.
+CRASHING_S = 6.0  # For which a request that crashes replicas is sent.
+CRASHES_SEEN_MAX_S = 3.0  # From its third crash until it is sent on three times at most.
 OBSERVATION_S = 1.5  # How long arriving requests are watched for after that.
 # Numbers of control hosts and entry hosts, of which a seed draws one pair.
 HOST_COUNTS = ((3, 2), (3, 3), (5, 2), (5, 4))
@@ -172,6 +175,12 @@
             "all hosts serve again in time", describe_unhealthy(fixture)
         )
         return
+    await check_crashing_request(fixture)
+    if not await wait_until_healthy(fixture):
+        fixture.ledger.record_violation(
+            "all hosts serve after a request crashed replicas", describe_unhealthy(fixture)
+        )
+        return
     fixture.recovered_at = fixture.now()
     until = fixture.now() + (ORDER_MAX_S + IN_FORCE_MAX_S) * fixture.patience + OBSERVATION_S
     callers = [Caller(fixture, 100 + n) for n in range(6)]
@@ -185,6 +194,39 @@
     )
 
 
+async def check_crashing_request(fixture):
+    """Sends a request that crashes each replica that runs it to one entry host after
+    the other, beside other callers. Checks that it is soon refused everywhere."""
+    until = fixture.now() + CRASHING_S * fixture.patience
+    callers = [Caller(fixture, 200 + n) for n in range(4)]
+    tasks = [asyncio.create_task(caller.run(until)) for caller in callers]
+    statuses = {}
+    number = 0
+    while fixture.now() < until:
+        host = fixture.entry_hosts[number % len(fixture.entry_hosts)]
+        number += 1
+        fields = {
+            "Host": "h.example",
+            "X-Api-Key": "k1",
+            "Attempt-Id": f"crash-{number}",
+            "Deadline-Ms": 4000,
+        }
+        status, _ = await http1.send_request(
+            host.front.listen, "POST", "/i/crash?q=1", fields, CRASH_BODY, 5.0
+        )
+        statuses[host.name] = status
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+    crashes = fixture.ledger.crashes
+    bound = CRASHES_SEEN_MAX_S * fixture.patience + (crashes[2] if len(crashes) > 2 else 0)
+    late = [at for at in crashes[3:] if at > bound]
+    if len(late) > 3 or set(statuses.values()) != {503}:
+        fixture.ledger.record_violation(
+            "a request that crashes replicas is refused",
+            f"{len(crashes)} crashes, {len(late)} of them late, last answers {statuses}",
+        )
+
+
 async def drain(fixture, replica):
     """Checks that a replica that announces that it drains is acknowledged, and soon
     afterwards gets no more requests."""
