A request that waited for reserved memory is judged again before it is sent

Change: after the reservation the request is resolved again, and goes only if it still belongs to the upstream's service and the upstream may get requests. Evidence: test_route_dropped_during_a_reservation_is_not_used, red before (the request was sent), 404 now, and the reservation is released.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -269,6 +269,17 @@
 	memset(work, 0, sizeof(*work));
 }
 
+bool
+placement_is_usable(
+    const struct placement *placement, uint64_t id, uint64_t incarnation)
+{
+	const struct placement_upstream *upstream;
+
+	upstream = g_hash_table_lookup(placement->upstreams, &id);
+	return upstream != NULL && upstream->incarnation == incarnation &&
+	       upstream->is_usable && !upstream->notice.last.is_leaving;
+}
+
 void
 placement_record_success(struct placement *placement, uint64_t id)
 {
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -264,6 +264,12 @@
     const struct placement_work *work, double answer_ms);
 /** Removes the load of a request that ended; does nothing if there is none. */
 void placement_end(struct placement *placement, struct placement_work *work);
+/** Hash of a service's name, which identifies the service in reports. */
+uint64_t placement_service_hash(const char *name);
+/** Returns true if the upstream is known in this incarnation, is usable and does
+ * not leave. */
+bool placement_is_usable(
+    const struct placement *placement, uint64_t id, uint64_t incarnation);
 /** Records a success at an upstream: an answer or the first event of one. */
 void placement_record_success(struct placement *placement, uint64_t id);
 /** Records a failure caused by the upstream; two in a row eject it. */
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -74,8 +74,6 @@
 
 /* placement.c */
 
-/** Hash of a service's name, which identifies the service in reports. */
-uint64_t placement_service_hash(const char *name);
 /** The load of a service; an empty one is created for a new service. */
 struct service_load *placement_get_service(
     struct placement *placement, uint64_t hash);
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -15,6 +15,7 @@
 #define REPEATABLE_IDLE_MAX_MS INT64_MAX
 
 static void on_reserved(void *context, enum error_code error);
+static bool is_choice_valid(const struct relay_exchange *exchange);
 static void send_request(struct relay_exchange *exchange);
 static void on_sent(void *context);
 static void on_head(void *context, struct http_head *head);
@@ -80,7 +81,23 @@
 		relay_attempt_failed(exchange, error, false);
 		return;
 	}
-	send_request(exchange);
+	/* The configuration may have changed meanwhile. */
+	if (!relay_exchange_resolve(exchange))
+		return;
+	if (is_choice_valid(exchange))
+		send_request(exchange);
+	else
+		relay_attempt_failed(exchange, ERROR_NO_UPSTREAM, false);
+}
+
+/* Whether the chosen upstream may still get the request. */
+static bool
+is_choice_valid(const struct relay_exchange *exchange)
+{
+	return exchange->work.service ==
+		   placement_service_hash(exchange->service->name) &&
+	       placement_is_usable(&exchange->relay->placement,
+		   exchange->upstream_id, exchange->upstream_incarnation);
 }
 
 static void
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -16,6 +16,7 @@
 
 #define SILENCE_MAX_MS 3000 /* Longest wait for further bytes. */
 #define READ_SIZE      65536
+#define SLOW_MARK      "<slow>"
 /* Ports on which the relays of tests listen. */
 #define PORT_FIRST	  20000
 #define PORT_COUNT	  12000
@@ -147,6 +148,10 @@
 	char *mark, byte;
 	bool keep_open;
 
+	if (g_str_has_prefix(answer, SLOW_MARK)) {
+		g_usleep(RELAY_FIXTURE_SLOW_MS * 1000);
+		answer += strlen(SLOW_MARK);
+	}
 	mark = strchr(answer, '<');
 	keep_open = mark == NULL;
 	if (strcmp(answer, "<hang>") == 0) {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -12,6 +12,7 @@
 
 #include <cmocka.h>
 
+#include "platform_routes.h"
 #include "relay_fixture.h"
 
 /* Callers and requests of the test of limits; at one request a second they take
@@ -541,6 +542,55 @@
 	g_free(fixture);
 }
 
+static void *
+drop_routes_later(void *argument)
+{
+	static const char document[] =
+	    "{\"version\":2,\"routes\":[],\"services\":["
+	    "{\"name\":\"s\",\"healthPath\":\"/health\"}],"
+	    "\"tenants\":[{\"name\":\"spa\",\"apiKeys\":[\"key1\"]}],"
+	    "\"limits\":{\"maxBodyBytes\":1000,\"maxHeaderBytes\":2000}}";
+	struct relay_fixture *fixture = argument;
+	struct field_error error;
+
+	g_usleep(RELAY_FIXTURE_SLOW_MS * 500);
+	relay_set_table(&fixture->relay,
+	    platform_routes_parse(document, strlen(document), &error));
+	return NULL;
+}
+
+/* A request whose route is dropped while its helpers reserve memory is not sent
+ * by the earlier configuration. */
+static void
+test_route_dropped_during_a_reservation_is_not_used(void **state)
+{
+	struct relay_fixture *fixture;
+	pthread_t thread;
+	char *answer, *order;
+	uint32_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture, "<slow>" ANSWER("200 OK", "{}", "2"));
+	relay_fixture_add_answer(fixture, ANSWER("200 OK", "{}", "2"));
+	pthread_create(&thread, NULL, drop_routes_later, fixture);
+	answer = relay_fixture_send_request(fixture, LONG_PROMPT);
+	pthread_join(thread, NULL);
+	assert_non_null(strstr(answer, "HTTP/1.1 404"));
+	g_free(answer);
+	for (i = 0; i < 300 && relay_fixture_request_count(fixture) < 2; i++)
+		usleep(10000);
+	/* Reserved and released, nothing else. */
+	for (i = 0; i < relay_fixture_request_count(fixture); i++) {
+		order = relay_fixture_received_request(fixture, i);
+		assert_non_null(strstr(order, "POST /v1/order"));
+		g_free(order);
+	}
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
@@ -561,6 +611,8 @@
 		test_upstreams_get_no_more_than_the_limit_they_name),
 	    cmocka_unit_test(test_upstream_that_leaves_gets_no_further_request),
 	    cmocka_unit_test(test_upstream_that_wants_a_pause_gets_one),
+	    cmocka_unit_test(
+		test_route_dropped_during_a_reservation_is_not_used),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
