--- a/src/coordination/upstream_notice.c
+++ b/src/coordination/upstream_notice.c
@@ -46,19 +46,20 @@
     struct notice_share share, int64_t now_ms)
 {
 	struct upstream_statement before = notice->last;
-	bool was_limited;
 	bool is_new;
 
+	/* One that leaves does not change its mind, so this holds whatever was
+	 * heard later. */
+	notice->last.is_leaving |= statement->is_leaving;
+	is_new = notice->last.is_leaving != before.is_leaving;
 	if (heard_ms < notice->heard_ms)
-		return false;
-	was_limited = notice->last.has_limit;
-	notice->last = *statement;
-	notice->last.is_leaving |= before.is_leaving;
+		return is_new;
+	notice->last.has_limit = statement->has_limit;
+	notice->last.limit_per_s = statement->limit_per_s;
 	notice->heard_ms = heard_ms;
-	is_new = notice->last.is_leaving != before.is_leaving;
 	if (!statement->has_limit)
-		return was_limited || is_new;
-	if (!was_limited) {
+		return before.has_limit || is_new;
+	if (!before.has_limit) {
 		notice->next_send_ms =
 		    (double)now_ms +
 		    interval_ms(notice, share) * share.rank / share.host_count;
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -149,7 +149,7 @@
 	bool keep_open;
 
 	if (g_str_has_prefix(answer, SLOW_MARK)) {
-		g_usleep(RELAY_FIXTURE_SLOW_MS * 1000);
+		g_usleep(RELAY_FIXTURE_SLOW_US);
 		answer += strlen(SLOW_MARK);
 	}
 	mark = strchr(answer, '<');
@@ -207,7 +207,7 @@
 	close(upstream->listen_fd);
 	if (atomic_load(&upstream->is_stopping))
 		return false;
-	g_usleep(RELAY_FIXTURE_DOWN_MS * 1000);
+	g_usleep(RELAY_FIXTURE_DOWN_US);
 	if (atomic_load(&upstream->is_stopping))
 		return false;
 	if (listen_at(&fd, upstream->port) == 0)
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -14,10 +14,10 @@
 #include "service/relay.h"
 
 #define RELAY_FIXTURE_UPSTREAMS 4
-/** Delay of a slow answer. */
-#define RELAY_FIXTURE_SLOW_MS 200
-/** Time for which a crashed upstream is down. */
-#define RELAY_FIXTURE_DOWN_MS 100
+/** Delay of a slow answer, in microseconds. */
+#define RELAY_FIXTURE_SLOW_US 200000
+/** Time for which a crashed upstream is down, in microseconds. */
+#define RELAY_FIXTURE_DOWN_US 100000
 
 /**
  * Answers of the upstreams, used in the order in which requests reach any of
@@ -25,8 +25,8 @@
  * resets the connection, one that ends with "<close>" closes it. The answer
  * "<hang>" sends nothing until the relay closes the connection. After the answer
  * "<crash>" the upstream resets the connection and accepts no other for
- * RELAY_FIXTURE_DOWN_MS. An answer that begins with "<slow>" is sent after
- * RELAY_FIXTURE_SLOW_MS.
+ * RELAY_FIXTURE_DOWN_US. An answer that begins with "<slow>" is sent after
+ * RELAY_FIXTURE_SLOW_US.
  */
 struct upstream_script {
 	pthread_mutex_t mutex; /**< Protects both arrays. */
--- a/tests/test_upstream_notice.c
+++ b/tests/test_upstream_notice.c
@@ -52,7 +52,7 @@
 
 	told_ms = 0;
 	for (step = 0; step < RUN_MS / STEP_MS; step++) {
-		now_ms = START_MS + step * STEP_MS;
+		now_ms = START_MS + (int64_t)step * STEP_MS;
 		if (step >= NEWS_MS / STEP_MS &&
 		    fleet->sent[step - NEWS_MS / STEP_MS] > 0)
 			told_ms = now_ms - TELL_MS;
