The test of an upstream that leaves after a limit; a malformed pause hides nothing else

A Retry-After that is a date no longer hides that the upstream leaves or its limit; lines rewrapped.

--- a/src/coordination/upstream_notice.h
+++ b/src/coordination/upstream_notice.h
@@ -8,11 +8,12 @@
  * an upstream that may be cold, so the sum is kept without messages between
  * hosts, also while hosts are cut off from each other. The requests of a host
  * are evenly spaced, and the hosts take turns: the first request of a host comes
- * at the point of the first interval that its rank among the hosts gives. Hosts tell each other what they
- * heard last, since at a low limit a host itself hears from the upstream
- * rarely. A notice holds until a later one. If none has been heard for
- * UPSTREAM_NOTICE_EXPIRY_MS, a host may send single requests to find out whether
- * the limit still holds. It does not outlive the upstream's incarnation.
+ * at the point of the first interval that its rank among the hosts gives. Hosts
+ * tell each other what they heard last, since at a low limit a host itself
+ * rarely hears from the upstream. A notice holds until a later one. If none has
+ * been heard for UPSTREAM_NOTICE_EXPIRY_MS, a host may send single requests to
+ * find out whether the limit still holds. It does not outlive the upstream's
+ * incarnation.
  *
  * An upstream that turns a request away may ask the host for a pause. It gets
  * nothing from that host until the pause is over, and then one request at a time
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -17,8 +17,8 @@
 	FIELD_COUNT
 };
 
-/* Items, demands and notices are flat arrays of numbers. These are the numbers per
- * row, in the order in which work_report_write() adds them. */
+/* Items, demands and notices are flat arrays of numbers. These are the numbers
+ * per row, in the order in which work_report_write() adds them. */
 #define NUMBERS_PER_ITEM   9
 #define NUMBERS_PER_DEMAND 5
 #define NUMBERS_PER_NOTICE 5
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -23,6 +23,8 @@
     const struct relay_exchange *exchange, const struct http_head *head);
 static bool read_statement(const struct relay_exchange *exchange,
     const struct http_head *head, struct upstream_statement *statement);
+static void log_malformed(
+    const struct relay_exchange *exchange, const char *field, const char *text);
 static void on_body(void *context, const char *data, size_t size);
 static void on_done(void *context);
 static void on_failed(void *context, enum error_code error);
@@ -253,34 +255,39 @@
 	relay_schedule_report(relay);
 }
 
-/* False if a header is malformed. */
+/* False if the limit is malformed, so that nothing can be said of it. */
 static bool
 read_statement(const struct relay_exchange *exchange,
     const struct http_head *head, struct upstream_statement *statement)
 {
 	const struct relay_dialect *dialect =
 	    &exchange->relay->settings.dialect;
-	const char *limit, *leaving, *pause;
+	const char *text;
 
 	memset(statement, 0, sizeof(*statement));
-	limit = http_head_get(head, dialect->rate_limit);
-	leaving = http_head_get(head, dialect->leaving);
-	pause = head->status == STATUS_UNAVAILABLE
-		    ? http_head_get(head, "Retry-After")
-		    : NULL;
-	statement->has_limit = limit != NULL;
-	statement->is_leaving = leaving != NULL && strcmp(leaving, "1") == 0;
-	if ((limit == NULL || upstream_limit_parse(limit,
-				  &statement->limit_per_s) == ERROR_NONE) &&
-	    (pause == NULL || upstream_pause_parse(
-				  pause, &statement->pause_ms) == ERROR_NONE))
+	text = http_head_get(head, dialect->leaving);
+	statement->is_leaving = text != NULL && strcmp(text, "1") == 0;
+	text = http_head_get(head, "Retry-After");
+	if (head->status == STATUS_UNAVAILABLE && text != NULL &&
+	    upstream_pause_parse(text, &statement->pause_ms) != ERROR_NONE)
+		log_malformed(exchange, "pause", text);
+	text = http_head_get(head, dialect->rate_limit);
+	statement->has_limit = text != NULL;
+	if (text == NULL ||
+	    upstream_limit_parse(text, &statement->limit_per_s) == ERROR_NONE)
 		return true;
-	event_log_write_fields(EVENT_UPSTREAM_NOTICE_REFUSED, "{s:s,s:s,s:s}",
-	    "upstream", exchange->upstream_name, "limit",
-	    limit == NULL ? "" : limit, "pause", pause == NULL ? "" : pause);
+	log_malformed(exchange, "limit", text);
 	return false;
 }
 
+static void
+log_malformed(
+    const struct relay_exchange *exchange, const char *field, const char *text)
+{
+	event_log_write_fields(EVENT_UPSTREAM_NOTICE_REFUSED, "{s:s,s:s}",
+	    "upstream", exchange->upstream_name, field, text);
+}
+
 static void
 on_body(void *context, const char *data, size_t size)
 {
--- a/tests/test_upstream_notice.c
+++ b/tests/test_upstream_notice.c
@@ -273,10 +273,12 @@
 	struct upstream_notice notice = {0};
 
 	(void)state;
+	/* Another host heard it before this host heard of a limit. */
+	upstream_notice_hear(&notice, &limited, START_MS + 1, share, START_MS);
 	assert_true(
 	    upstream_notice_hear(&notice, &leaving, START_MS, share, START_MS));
-	assert_false(upstream_notice_hear(
-	    &notice, &leaving, START_MS + 1, share, START_MS));
+	assert_false(
+	    upstream_notice_hear(&notice, &leaving, START_MS, share, START_MS));
 	/* An answer that was on its way longer does not say it yet. */
 	upstream_notice_hear(&notice, &limited, START_MS + 2, share, START_MS);
 	assert_true(notice.last.is_leaving);
