What applies to a suspect, and whether an upstream is usable, are decided in one place

Copying all suspects looked each one up again by its fingerprint; two functions asked alike whether an upstream is usable and does not leave; the end of a request that is not placed left the queue, which the end of its attempt does anyway.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -38,6 +38,7 @@
  * upstream that is reachable but makes no progress. */
 #define PAUSE_LIMIT_SHARE 0.8
 
+static bool is_usable(const struct placement_upstream *upstream);
 static void add_reservations(struct placement *placement,
     const struct placement_choice *choice, struct placement_work *work);
 static void remove_reservations(
@@ -277,7 +278,7 @@
 
 	upstream = g_hash_table_lookup(placement->upstreams, &id);
 	return upstream != NULL && upstream->incarnation == incarnation &&
-	       upstream->is_usable && !upstream->notice.last.is_leaving;
+	       is_usable(upstream);
 }
 
 void
@@ -400,10 +401,16 @@
 placement_serves(const struct placement_upstream *upstream,
     const struct route_service *service)
 {
-	return upstream->is_usable && !upstream->notice.last.is_leaving &&
+	return is_usable(upstream) &&
 	       strcmp(upstream->service, service->name) == 0;
 }
 
+static bool
+is_usable(const struct placement_upstream *upstream)
+{
+	return upstream->is_usable && !upstream->notice.last.is_leaving;
+}
+
 double
 placement_backlog_ms(const struct placement_upstream *upstream, int64_t now_ms)
 {
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -51,6 +51,8 @@
 };
 
 static void run_tick(void *context);
+static enum quarantine_action action_for(
+    const struct quarantine *quarantine, const struct suspect *suspect);
 static struct tally total(const struct suspect *suspect);
 static struct suspect *find_suspect(
     const struct quarantine *quarantine, uint64_t fingerprint);
@@ -129,10 +131,18 @@
 quarantine_check(const struct quarantine *quarantine, uint64_t fingerprint)
 {
 	const struct suspect *suspect;
-	int64_t now_ms;
 
 	suspect = find_suspect(quarantine, fingerprint);
-	if (suspect == NULL || suspect->is_cleared)
+	return suspect == NULL ? QUARANTINE_RUN
+			       : action_for(quarantine, suspect);
+}
+
+static enum quarantine_action
+action_for(const struct quarantine *quarantine, const struct suspect *suspect)
+{
+	int64_t now_ms;
+
+	if (suspect->is_cleared)
 		return QUARANTINE_RUN;
 	now_ms = timer_now(quarantine->timers);
 	if (now_ms < suspect->refuse_until_ms)
@@ -160,8 +170,7 @@
 	for (at = quarantine->by_age->head; at != NULL; at = at->next) {
 		suspect = at->data;
 		verdict.fingerprint = suspect->fingerprint;
-		verdict.action =
-		    quarantine_check(quarantine, suspect->fingerprint);
+		verdict.action = action_for(quarantine, suspect);
 		verdict.until_ms = verdict.action == QUARANTINE_REFUSE
 				       ? suspect->refuse_until_ms
 				       : suspect->suspect_until_ms;
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -382,8 +382,6 @@
 end_unplaced(
     struct relay_exchange *exchange, enum error_code error, int64_t after_ms)
 {
-	placement_queue_leave(
-	    &exchange->relay->placement, &exchange->queue_entry);
 	if (exchange->is_answering) {
 		relay_exchange_abort(exchange, error);
 		return;
