E6008 says whether the chosen upstream was ejected, by this host or others

What the logs could not tell: whether a cut host's callers wait because nobody serves for it (first hypothesis) or because it forgets what it found out (second). E6008 now has both ejections.

--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -63,16 +63,20 @@
 relay_trace_placed(const struct relay_exchange *exchange)
 {
 	const struct placement_choice *choice = &exchange->choice;
+	const struct placement_upstream *upstream = choice->upstream;
+	int64_t now_ms = host_now_ms();
 
 	event_log_write_fields(EVENT_REQUEST_PLACED,
-	    "{s:s,s:s,s:f,s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:f,s:f}", "request",
-	    exchange->attempt_id, "upstream", exchange->upstream_name,
-	    "prompt_tokens", exchange->request.prompt_tokens, "wait_ms",
-	    choice->wait_ms, "read_ms", choice->part_prefill_ms, "helpers",
-	    (int)choice->helper_count, "running",
-	    (int)choice->upstream->own.running, "running_of_others",
-	    (int)choice->upstream->others.running, "light_engines",
+	    "{s:s,s:s,s:f,s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:b,s:b}",
+	    "request", exchange->attempt_id, "upstream",
+	    exchange->upstream_name, "prompt_tokens",
+	    exchange->request.prompt_tokens, "wait_ms", choice->wait_ms,
+	    "read_ms", choice->part_prefill_ms, "helpers",
+	    (int)choice->helper_count, "running", (int)upstream->own.running,
+	    "running_of_others", (int)upstream->others.running, "light_engines",
 	    (int)choice->short_count, "engines", (int)choice->usable_count,
 	    "light_demand", choice->demand.short_engines, "heavy_demand",
-	    choice->demand.long_engines);
+	    choice->demand.long_engines, "ejected",
+	    upstream->ejected_until_ms > now_ms, "ejected_by_others",
+	    upstream->others.ejected_until_ms > now_ms);
 }
