Failing test: callers of a host without a path to upstreams are not served

Two hosts that report their work to each other; the first one's connections to all upstreams are refused, or never established. Its callers get 503 although the second host could serve them.

--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -12,6 +12,7 @@
 #include "base/event_log.h"
 #include "platform_dialect.h"
 #include "platform_routes.h"
+#include "service/host_reports.h"
 #include "service/mailbox.h"
 #include "state/upstream.h"
 
@@ -282,8 +283,8 @@
 	record.kind = UPSTREAM_KIND_SERVICE;
 	record.state = UPSTREAM_STATE_ACTIVE;
 	record.limits.warm_requests = 8;
-	snprintf(
-	    record.url, sizeof(record.url), "127.0.0.1:%u", upstream->port);
+	snprintf(record.url, sizeof(record.url), "127.0.0.1:%u",
+	    upstream->announced_port);
 	snprintf(record.data_centre, sizeof(record.data_centre), "a");
 	record.label_count = 1;
 	g_strlcpy(record.labels[0].key, "service", NAME_SIZE_MAX);
@@ -291,14 +292,58 @@
 	fleet_put_upstream(&host->fleet, &record);
 }
 
+/* Listens on a port that establishes no connection, because the queue of those
+ * that wait to be accepted is full. */
+static uint16_t
+listen_silently(int *fds)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	uint16_t port;
+	uint32_t i;
+
+	port = listen_anywhere(&fds[0]);
+	if (listen(fds[0], 0) != 0)
+		abort();
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(port);
+	for (i = 1; i < RELAY_FIXTURE_SILENT_FDS; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		/* The later ones stay half open. */
+		(void)connect(
+		    fds[i], (struct sockaddr *)&address, sizeof(address));
+	}
+	return port;
+}
+
+static uint16_t
+choose_announced_port(
+    struct scripted_upstream *upstream, enum relay_fixture_path path)
+{
+	uint16_t port;
+	int fd;
+
+	switch (path) {
+	case RELAY_FIXTURE_REFUSED:
+		port = listen_anywhere(&fd);
+		close(fd);
+		return port;
+	case RELAY_FIXTURE_SILENT:
+		return listen_silently(upstream->silent_fds);
+	default:
+		return upstream->port;
+	}
+}
+
 static void
-start_upstream(struct relay_fixture *fixture, uint32_t index)
+start_upstream(
+    struct relay_fixture *fixture, uint32_t index, enum relay_fixture_path path)
 {
 	struct scripted_upstream *upstream = &fixture->upstreams[index];
 	int fd;
 
 	upstream->port = listen_anywhere(&fd);
 	atomic_store(&upstream->listen_fd, fd);
+	upstream->announced_port = choose_announced_port(upstream, path);
 	snprintf(upstream->name, sizeof(upstream->name), "u%u", index);
 	upstream->script = &fixture->script;
 	atomic_store(&upstream->incarnation, 1);
@@ -357,21 +402,84 @@
 	return NULL;
 }
 
+/* A message from another host. */
+struct received_message {
+	uint32_t from_host;
+	GBytes *bytes;
+};
+
+static void
+run_received(void *coordinator, struct mailbox_call *call)
+{
+	struct received_message *message = mailbox_call_body(call);
+	struct host *host = coordinator;
+	gconstpointer data;
+	gsize size;
+
+	data = g_bytes_get_data(message->bytes, &size);
+	host_reports_receive(host, message->from_host, data, size);
+	mailbox_complete(&host->mailbox, call, ERROR_NONE);
+}
+
+static void
+clear_received(void *body)
+{
+	g_bytes_unref(((struct received_message *)body)->bytes);
+}
+
+static void
+send_to_peer(void *context, uint32_t host_id, enum peer_channel channel,
+    const void *body, size_t size)
+{
+	static const struct mailbox_ops ops = {run_received, clear_received};
+	struct relay_fixture *fixture = context;
+	struct received_message *message;
+	struct relay_fixture *peer;
+	struct mailbox_call *call;
+
+	(void)host_id;
+	(void)channel;
+	peer = atomic_load(&fixture->peer);
+	if (peer == NULL)
+		return;
+	call = mailbox_call_new(&ops, sizeof(*message));
+	message = mailbox_call_body(call);
+	message->from_host = fixture->host_id;
+	message->bytes = g_bytes_new(body, size);
+	(void)mailbox_post(&peer->host->mailbox, call);
+}
+
 static uint32_t
-list_no_peers(void *context, struct report_peer *peers, uint32_t max)
+list_peer(void *context, struct report_peer *peers, uint32_t max)
 {
-	(void)context;
-	(void)peers;
-	(void)max;
-	return 0;
+	struct relay_fixture *fixture = context;
+	struct relay_fixture *peer;
+
+	peer = atomic_load(&fixture->peer);
+	if (peer == NULL || max == 0)
+		return 0;
+	peers[0] = (struct report_peer){.host_id = peer->host_id};
+	return 1;
+}
+
+static void
+on_work_report(void *context, uint32_t from_host, const void *body, size_t size,
+    int64_t age_ms)
+{
+	struct relay_fixture *fixture = context;
+
+	relay_receive_report(&fixture->relay, from_host, body, size, age_ms);
+	atomic_fetch_add(&fixture->reports_received, 1);
 }
 
 static void
 start_coordinator(struct relay_fixture *fixture)
 {
-	static const struct report_exchange_settings reports = {.host_id = 1};
-	static const struct report_exchange_ops report_ops = {
-	    .list_peers = list_no_peers};
+	struct report_exchange_settings reports = {.host_id = fixture->host_id};
+	struct report_exchange_ops report_ops = {.list_peers = list_peer,
+	    .on_report = on_work_report,
+	    .context = fixture};
+	struct peer_port port = {.send = send_to_peer, .context = fixture};
 	struct quarantine_settings settings = quarantine_default_settings();
 	struct host *host = fixture->host;
 	struct quarantine_ops ops = {.commit = commit_at_once, .context = host};
@@ -379,8 +487,10 @@
 	    commit_no_parts, is_never_trial_host, host};
 
 	timer_init(&host->timers, 64, host_now_ms());
-	report_exchange_init(&host->reports, &reports, &host->timers, 1,
-	    (struct peer_port){0}, report_ops);
+	host->work_watch.on_received = on_work_report;
+	host->work_watch.context = fixture;
+	report_exchange_init(
+	    &host->reports, &reports, &host->timers, 1, port, report_ops);
 	if (host_suspects_init(host) != ERROR_NONE)
 		abort();
 	part_suspects_finish(&host->part_suspects);
@@ -397,14 +507,21 @@
 void
 relay_fixture_init(struct relay_fixture *fixture)
 {
-	static const struct fleet_settings fleet = {
-	    .host_id = 1, .data_centre = "a"};
+	relay_fixture_init_host(fixture, 1, RELAY_FIXTURE_OPEN);
+}
+
+void
+relay_fixture_init_host(struct relay_fixture *fixture, uint32_t host_id,
+    enum relay_fixture_path path)
+{
+	struct fleet_settings fleet = {.host_id = host_id, .data_centre = "a"};
 	static const struct fleet_ops no_slots = {0};
 	struct relay_settings settings = {0};
 	struct field_error error;
 	uint32_t i;
 
 	memset(fixture, 0, sizeof(*fixture));
+	fixture->host_id = host_id;
 	/* Two threads log; GLib's own writer uses localtime, which the thread
 	 * sanitizer reports. */
 	event_log_setup(1, EVENT_LEVEL_INFO);
@@ -417,7 +534,7 @@
 	fixture->script.requests = g_ptr_array_new_with_free_func(g_free);
 	fixture->script.answers = g_ptr_array_new_with_free_func(g_free);
 	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++)
-		start_upstream(fixture, i);
+		start_upstream(fixture, i, path);
 	fleet_publish(&fixture->host->fleet);
 	start_coordinator(fixture);
 	fixture->port = find_free_port();
@@ -432,7 +549,7 @@
 	settings.retry_window_ms = 10000;
 	settings.stop_accept_ms = 60000;
 	settings.dialect = platform_dialect;
-	if (relay_init(&fixture->relay, &settings, fixture->host, 1) !=
+	if (relay_init(&fixture->relay, &settings, fixture->host, host_id) !=
 		ERROR_NONE ||
 	    relay_start(&fixture->relay) != ERROR_NONE)
 		abort();
@@ -444,7 +561,7 @@
 relay_fixture_finish(struct relay_fixture *fixture)
 {
 	struct scripted_upstream *upstream;
-	uint32_t i;
+	uint32_t i, j;
 
 	relay_stop(&fixture->relay);
 	/* The host's thread may deliver a report after the relay stopped. */
@@ -456,6 +573,10 @@
 		atomic_store(&upstream->is_stopping, true);
 		shutdown(upstream->listen_fd, SHUT_RDWR);
 		pthread_join(upstream->thread, NULL);
+		for (j = 0; j < RELAY_FIXTURE_SILENT_FDS; j++) {
+			if (upstream->silent_fds[j] > 0)
+				close(upstream->silent_fds[j]);
+		}
 	}
 	g_ptr_array_unref(fixture->script.requests);
 	g_ptr_array_unref(fixture->script.answers);
@@ -471,6 +592,23 @@
 	g_free(fixture->host);
 }
 
+void
+relay_fixture_link(struct relay_fixture *first, struct relay_fixture *second)
+{
+	atomic_store(&first->host->entry_host_count, 2);
+	atomic_store(&second->host->entry_host_count, 2);
+	atomic_store(&second->host->entry_host_rank, 1);
+	atomic_store(&first->peer, second);
+	atomic_store(&second->peer, first);
+}
+
+void
+relay_fixture_unlink(struct relay_fixture *first, struct relay_fixture *second)
+{
+	atomic_store(&first->peer, NULL);
+	atomic_store(&second->peer, NULL);
+}
+
 void
 relay_fixture_add_answer(struct relay_fixture *fixture, const char *answer)
 {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -14,6 +14,9 @@
 #include "service/relay.h"
 
 #define RELAY_FIXTURE_UPSTREAMS 4
+/** Sockets of a port that establishes no connection: one that listens and those
+ * that fill its queue. */
+#define RELAY_FIXTURE_SILENT_FDS 4
 /** Delay of a slow answer, in microseconds. */
 #define RELAY_FIXTURE_SLOW_US 200000
 /** Time for which a crashed upstream is down, in microseconds. */
@@ -38,28 +41,42 @@
 	_Atomic uint64_t endless_bytes; /**< Bytes of it that were sent. */
 };
 
+/** What becomes of the connections of a host to its upstreams. */
+enum relay_fixture_path {
+	RELAY_FIXTURE_OPEN = 0,	   /**< They are accepted. */
+	RELAY_FIXTURE_REFUSED = 1, /**< They are refused at once. */
+	RELAY_FIXTURE_SILENT = 2,  /**< They are never established. */
+};
+
 /** An upstream that answers by the script. */
 struct scripted_upstream {
 	struct upstream_script *script; /**< Shared by all upstreams. */
 	_Atomic int listen_fd;		/**< Listening socket. */
 	uint16_t port;			/**< Port that it listens on. */
-	char name[NAME_SIZE_MAX];	/**< Name in its record. */
-	pthread_t thread;		/**< Accepts connections. */
-	_Atomic bool is_stopping;	/**< It must not listen again. */
-	_Atomic uint64_t incarnation;	/**< Raised by each crash. */
-	uint64_t known_incarnation;	/**< The one that the host knows. */
+	uint16_t announced_port;	/**< Port to which the host connects. */
+	int silent_fds[RELAY_FIXTURE_SILENT_FDS]; /**< Sockets that keep the
+						       announced port silent. */
+	char name[NAME_SIZE_MAX];		  /**< Name in its record. */
+	pthread_t thread;			  /**< Accepts connections. */
+	_Atomic bool is_stopping;     /**< It must not listen again. */
+	_Atomic uint64_t incarnation; /**< Raised by each crash. */
+	uint64_t known_incarnation;   /**< The one that the host knows. */
 };
 
 /** The relay under test and what surrounds it. */
 struct relay_fixture {
-	struct host *host;	       /**< Has only the parts that the relay
+	struct host *host;	  /**< Has only the parts that the relay
 					    uses. */
-	pthread_t coordinator;	       /**< The host's coordination thread. */
-	_Atomic bool is_stopping;      /**< Ends that thread. */
-	struct relay relay;	       /**< Relay under test. */
-	uint16_t port;		       /**< Port for callers. */
-	uint16_t ready_port;	       /**< Port for the load balancer. */
-	struct upstream_script script; /**< Script of all upstreams. */
+	pthread_t coordinator;	  /**< The host's coordination thread. */
+	_Atomic bool is_stopping; /**< Ends that thread. */
+	struct relay relay;	  /**< Relay under test. */
+	uint16_t port;		  /**< Port for callers. */
+	uint16_t ready_port;	  /**< Port for the load balancer. */
+	/** The other host, to which reports go; NULL for none. */
+	_Atomic(struct relay_fixture *) peer;
+	_Atomic uint32_t reports_received; /**< Reports of the other host. */
+	uint32_t host_id;		   /**< Id of this host. */
+	struct upstream_script script;	   /**< Script of all upstreams. */
 	/** Upstreams of service "s". */
 	struct scripted_upstream upstreams[RELAY_FIXTURE_UPSTREAMS];
 };
@@ -69,6 +86,17 @@
  * once), /idem/ (idempotent) and /stream/ (resumable stream).
  */
 void relay_fixture_init(struct relay_fixture *fixture);
+/** Does the same for a host with an id and a path of its own. Hosts that are
+ * linked later have the same upstreams, each with a script of its own. */
+void relay_fixture_init_host(struct relay_fixture *fixture, uint32_t host_id,
+    enum relay_fixture_path path);
+/** Makes two hosts send each other their reports. Unlink them before one of them
+ * is finished. */
+void relay_fixture_link(
+    struct relay_fixture *first, struct relay_fixture *second);
+/** Ends that. */
+void relay_fixture_unlink(
+    struct relay_fixture *first, struct relay_fixture *second);
 /** Stops relay and upstreams and frees their memory. */
 void relay_fixture_finish(struct relay_fixture *fixture);
 /** Adds an answer to the script; "{ID}" in it becomes the attempt id. */
--- /dev/null
+++ b/tests/test_no_path.c
@@ -0,0 +1,180 @@
+/*
+ * Tests of a host that reaches no upstream: its callers are served through
+ * another host, under the same rules as any request.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "relay_fixture.h"
+
+#define WAIT_ROUNDS 500
+#define WAIT_US	    10000
+
+#define HEAD(path, deadline_ms)                                                \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"              \
+	"X-Api-Key: key1\r\nDeadline-Ms: " deadline_ms "\r\n"
+#define CALL(path)     HEAD(path, "1400") "Content-Length: 5\r\n\r\nhello"
+#define ATTEMPT_FIELDS "Attempt-Id: {ID}\r\nResponse-Seal: seal\r\n"
+#define ANSWER(status, body, length)                                           \
+	"HTTP/1.1 " status "\r\n" ATTEMPT_FIELDS "Content-Length: " length     \
+	"\r\n\r\n" body
+#define NOT_RUN                                                                \
+	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+#define EVENT_STREAM                                                           \
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS                                   \
+	"Content-Type: text/event-stream\r\nTransfer-Encoding: "               \
+	"chunked\r\n\r\n"
+#define EVENT1	   "f\r\nid: 1\ndata: a\n\n\r\n"
+#define EVENT2	   "f\r\nid: 2\ndata: b\n\n\r\n"
+#define STREAM_END "0\r\n\r\n"
+#define OK_ANSWER  ANSWER("200 OK", "body!", "5")
+
+/* A host without a path and one with a path that know each other. */
+struct two_hosts {
+	struct relay_fixture cut;
+	struct relay_fixture open;
+};
+
+/* What the upstreams answer to the host with a path, and what the caller of the
+ * host without one must get. */
+static const struct {
+	const char *name;
+	const char *request;
+	const char *first;	      /* First answer of an upstream. */
+	const char *second;	      /* Later answers; NULL repeats first. */
+	const char *answer_contains;  /* Text in the caller's answer. */
+	const char *answer_lacks;     /* Text not in the answer, or NULL. */
+	uint32_t received;	      /* Requests that reached upstreams. */
+	const char *request_contains; /* Text in the last request, or NULL. */
+} cases[] = {
+    {"at most once: served", CALL("/once/"), OK_ANSWER, NULL, "body!", NULL, 1,
+	"Tenant: spa\r\n"},
+    {"idempotent: served", CALL("/idem/x%2Fy?q=1&r"), OK_ANSWER, NULL,
+	"Response-Seal: seal", NULL, 1, "POST /idem/x%2Fy?q=1&r HTTP/1.1\r\n"},
+    {"stream: served", CALL("/stream/"), EVENT_STREAM EVENT1 EVENT2 STREAM_END,
+	NULL, "id: 2\ndata: b\n\n\r\n0\r\n\r\n", NULL, 1, "Target-Instance: u"},
+    {"at most once: a reset is not run again", CALL("/once/"), "<reset>", NULL,
+	"HTTP/1.1 502", NULL, 1, NULL},
+    {"at most once: a refusal is tried elsewhere", CALL("/once/"), NOT_RUN,
+	OK_ANSWER, "body!", NULL, 2, NULL},
+    {"at most once: no more upstreams than the route allows", CALL("/once/"),
+	NOT_RUN, NULL, "Retry-After: ", NULL, 2, NULL},
+    {"idempotent: a failure is tried elsewhere", CALL("/idem/"),
+	ANSWER("500 Oops", "oops!", "5"), OK_ANSWER, "body!", "oops", 2, NULL},
+    {"idempotent: no more upstreams than the route allows", CALL("/idem/"),
+	ANSWER("500 Oops", "oops!", "5"), NULL, "HTTP/1.1 500", NULL, 2, NULL},
+    {"stream: resumed after its last event", CALL("/stream/"),
+	EVENT_STREAM EVENT1 "8\r\nid: 2\nda\r\n<reset>",
+	EVENT_STREAM EVENT2 STREAM_END, "id: 2\ndata: b\n\n\r\n0\r\n\r\n", NULL,
+	2, "Last-Event-Id: 1\r\n"},
+    {"an unknown path", CALL("/none/"), OK_ANSWER, NULL, "HTTP/1.1 404", NULL,
+	0, NULL},
+};
+
+static const enum relay_fixture_path cut_paths[] = {
+    RELAY_FIXTURE_REFUSED, RELAY_FIXTURE_SILENT};
+
+/* Waits until a host has heard of the other one, which reports its work. */
+static void
+await_report(struct relay_fixture *hearing, struct relay_fixture *reporting)
+{
+	uint32_t before, i;
+	char *answer;
+
+	before = atomic_load(&hearing->reports_received);
+	answer = relay_fixture_send_request(reporting, CALL("/idem/"));
+	g_free(answer);
+	for (i = 0; i < WAIT_ROUNDS &&
+		    atomic_load(&hearing->reports_received) == before;
+	     i++)
+		usleep(WAIT_US);
+	assert_true(atomic_load(&hearing->reports_received) > before);
+}
+
+static struct two_hosts *
+start_hosts(enum relay_fixture_path path)
+{
+	struct two_hosts *hosts;
+
+	hosts = g_new0(struct two_hosts, 1);
+	relay_fixture_init_host(&hosts->cut, 1, path);
+	relay_fixture_init_host(&hosts->open, 2, RELAY_FIXTURE_OPEN);
+	relay_fixture_link(&hosts->cut, &hosts->open);
+	relay_fixture_add_answer(&hosts->open, OK_ANSWER);
+	await_report(&hosts->cut, &hosts->open);
+	return hosts;
+}
+
+static void
+stop_hosts(struct two_hosts *hosts)
+{
+	relay_fixture_unlink(&hosts->cut, &hosts->open);
+	relay_fixture_finish(&hosts->cut);
+	relay_fixture_finish(&hosts->open);
+	g_free(hosts);
+}
+
+static void
+run_case(size_t i, enum relay_fixture_path path)
+{
+	struct two_hosts *hosts;
+	uint32_t before, received;
+	char *answer, *last;
+
+	hosts = start_hosts(path);
+	before = relay_fixture_request_count(&hosts->open);
+	relay_fixture_replace_answers(&hosts->open, cases[i].first);
+	if (cases[i].second != NULL)
+		relay_fixture_add_answer(&hosts->open, cases[i].second);
+	answer = relay_fixture_send_request(&hosts->cut, cases[i].request);
+	if (strstr(answer, cases[i].answer_contains) == NULL)
+		fail_msg("%s, path %d: answer\n%s", cases[i].name, (int)path,
+		    answer);
+	if (cases[i].answer_lacks != NULL)
+		assert_null(strstr(answer, cases[i].answer_lacks));
+	assert_null(strstr(answer, "Forward"));
+	received = relay_fixture_request_count(&hosts->open) - before;
+	if (received != cases[i].received)
+		fail_msg("%s, path %d: %u requests", cases[i].name, (int)path,
+		    received);
+	if (received > 0) {
+		last = relay_fixture_received_request(
+		    &hosts->open, before + received - 1);
+		if (cases[i].request_contains != NULL &&
+		    strstr(last, cases[i].request_contains) == NULL)
+			fail_msg("%s: sent\n%s", cases[i].name, last);
+		assert_null(strstr(last, "key1"));
+		assert_null(strstr(last, "Forward"));
+		g_free(last);
+	}
+	g_free(answer);
+	stop_hosts(hosts);
+}
+
+static void
+test_callers_of_a_host_without_path_are_served(void **state)
+{
+	size_t i, path;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (path = 0; path < G_N_ELEMENTS(cut_paths); path++)
+			run_case(i, cut_paths[path]);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_callers_of_a_host_without_path_are_served),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
