--- a/src/base/error_code.c
+++ b/src/base/error_code.c
@@ -55,6 +55,7 @@
     [ERROR_OUTCOME_UNKNOWN] = {"outcome_unknown",
 	"It is unknown whether the operation took effect."},
     [ERROR_NO_UPSTREAM] = {"no_upstream", "No upstream can serve the request."},
+    [ERROR_NO_PATH] = {"no_path", "This host reaches no upstream."},
     [ERROR_NO_CAPACITY] = {"no_capacity", "All suitable upstreams are full."},
     [ERROR_DEADLINE_UNREACHABLE] = {"deadline_unreachable",
 	"The deadline can't be met."},
--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -59,6 +59,7 @@
 
 	/* Requests */
 	ERROR_NO_UPSTREAM,	    /**< No upstream can serve the request. */
+	ERROR_NO_PATH,		    /**< This host reaches no upstream. */
 	ERROR_NO_CAPACITY,	    /**< All suitable upstreams are full. */
 	ERROR_DEADLINE_UNREACHABLE, /**< The deadline can't be met. */
 	ERROR_OVER_LIMIT,	    /**< The account is over its limit. */
--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -73,6 +73,9 @@
 	"upstream says that it leaves, limits its requests or wants a pause"},
     {EVENT_UPSTREAM_NOTICE_REFUSED, EVENT_LEVEL_WARNING,
 	"what an upstream says of itself is not valid"},
+    {EVENT_PATH_LOST, EVENT_LEVEL_WARNING, "this host reaches no upstream"},
+    {EVENT_PATH_REGAINED, EVENT_LEVEL_INFO,
+	"this host reaches upstreams again"},
 
     {EVENT_UPSTREAM_TURNED_COLD, EVENT_LEVEL_WARNING,
 	"upstream turned cold, cut to its cold limits"},
@@ -106,6 +109,10 @@
     {EVENT_RESERVATION_FAILED, EVENT_LEVEL_INFO, "engine memory not reserved"},
     {EVENT_REQUEST_WAITING, EVENT_LEVEL_INFO,
 	"request waits for a slot or a rate limit"},
+    {EVENT_REQUEST_FORWARDED, EVENT_LEVEL_INFO,
+	"request forwarded to another host"},
+    {EVENT_FORWARD_REFUSED, EVENT_LEVEL_WARNING,
+	"forwarded request refused by the other host"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
     {EVENT_STANDIN_CRASHED, EVENT_LEVEL_WARNING, "stand-in crashed"},
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -76,6 +76,7 @@
 	placement->profiles =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	placement->queue = g_ptr_array_new();
+	forward_peers_init(&placement->forward_peers);
 }
 
 void
@@ -88,6 +89,7 @@
 	g_hash_table_unref(placement->services);
 	g_hash_table_unref(placement->profiles);
 	g_ptr_array_unref(placement->queue);
+	forward_peers_finish(&placement->forward_peers);
 	memset(placement, 0, sizeof(*placement));
 }
 
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -25,6 +25,7 @@
 #include "base/error_code.h"
 #include "base/random_source.h"
 #include "config.h"
+#include "coordination/forward_peers.h"
 #include "coordination/placement_split.h"
 #include "coordination/upstream_notice.h"
 #include "protocol/work_message.h"
@@ -215,6 +216,10 @@
 	int64_t host_count_ms; /**< When so many were last live. */
 	uint32_t host_rank;    /**< Position of this host among them, from 0. */
 	int64_t first_update_ms; /**< When it first knew of upstreams, or 0. */
+	struct work_forwarding forwarding; /**< This host's, for its reports. */
+	struct work_forwarding told_forwarding; /**< What it told last. */
+	int64_t forwarding_told_ms;		/**< When it told that. */
+	struct forward_peers forward_peers;	/**< That of the other hosts. */
 	uint64_t report_number;	 /**< Number of the last report written. */
 	bool is_peer_load_stale; /**< Peer loads must be summed again. */
 };
@@ -306,6 +311,11 @@
 int64_t placement_retry_after(struct placement *placement,
     const struct route_service *service, int64_t now_ms);
 
+/** Writes the addresses of up to @p max usable upstreams, those first that made
+ * progress last, and returns how many were written. */
+uint32_t placement_sample(
+    const struct placement *placement, uint64_t *addresses, uint32_t max);
+
 /* Reports between hosts */
 
 /** Writes a report of this host's work, for the other hosts. */
--- /dev/null
+++ b/src/coordination/placement_probe.c
@@ -0,0 +1,49 @@
+/**
+ * @file placement_probe.c
+ * The upstreams by which a host finds out whether it reaches any.
+ */
+#include "coordination/placement_parts.h"
+
+static gint compare_progress(gconstpointer left, gconstpointer right);
+
+uint32_t
+placement_sample(
+    const struct placement *placement, uint64_t *addresses, uint32_t max)
+{
+	struct placement_upstream *upstream;
+	GHashTableIter iter;
+	GPtrArray *usable;
+	uint32_t count;
+
+	usable = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (placement_is_usable(
+			placement, upstream->id, upstream->incarnation))
+			g_ptr_array_add(usable, upstream);
+	}
+	g_ptr_array_sort(usable, compare_progress);
+	for (count = 0; count < usable->len && count < max; count++) {
+		upstream = g_ptr_array_index(usable, count);
+		addresses[count] = upstream->address;
+	}
+	g_ptr_array_unref(usable);
+	return count;
+}
+
+/* Those that answered last come first: they are the least likely to have failed
+ * themselves. */
+static gint
+compare_progress(gconstpointer left, gconstpointer right)
+{
+	const struct placement_upstream *first, *second;
+
+	first = *(struct placement_upstream *const *)left;
+	second = *(struct placement_upstream *const *)right;
+	if (first->last_progress_ms != second->last_progress_ms)
+		return first->last_progress_ms > second->last_progress_ms ? -1
+									  : 1;
+	return first->ejected_until_ms < second->ejected_until_ms   ? -1
+	       : first->ejected_until_ms > second->ejected_until_ms ? 1
+								    : 0;
+}
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -10,9 +10,13 @@
 #define REPORT_AGE_MAX_MS 3000 /* Older reports are ignored. */
 #define SHORT_PER_ENGINE  8.0  /* Short answers an engine decodes well. */
 #define THOUSANDTHS	  1000.0
+/* Time after which a host tells again how it takes forwarded requests. */
+#define TELL_FORWARDING_MS (FORWARD_PEER_EXPIRY_MS / 6)
 
 static void add_report(
     struct placement *placement, const struct peer_work *peer, int64_t now_ms);
+static void tell_forwarding(
+    struct placement *placement, struct work_report *report, int64_t now_ms);
 static void fill_queued(const struct placement *placement,
     struct work_demand *demand, int64_t now_ms);
 static double own_short_engines(const struct service_load *service);
@@ -30,6 +34,7 @@
 	GHashTableIter iter;
 
 	report.number = ++placement->report_number;
+	tell_forwarding(placement, &report, now_ms);
 	report.items = g_new0(
 	    struct work_item, g_hash_table_size(placement->upstreams) + 1);
 	report.demands = g_new0(
@@ -90,6 +95,9 @@
 		return ERROR_STALE;
 	}
 	placement_notices_receive(placement, &report, sent_ms, now_ms);
+	if (report.forwarding.address != 0)
+		forward_peers_hear(&placement->forward_peers, host_id,
+		    &report.forwarding, sent_ms);
 	peer = g_new0(struct peer_work, 1);
 	peer->report = report;
 	peer->sent_ms = sent_ms;
@@ -202,6 +210,25 @@
 	}
 }
 
+/* Adds how this host takes forwarded requests. That seldom changes, so most
+ * reports do without it; the others keep what they heard for much longer. */
+static void
+tell_forwarding(
+    struct placement *placement, struct work_report *report, int64_t now_ms)
+{
+	const struct work_forwarding *forwarding = &placement->forwarding;
+	const struct work_forwarding *told = &placement->told_forwarding;
+
+	if (forwarding->address == told->address &&
+	    forwarding->is_without_path == told->is_without_path &&
+	    !forwarding->is_without_path &&
+	    now_ms - placement->forwarding_told_ms < TELL_FORWARDING_MS)
+		return;
+	report->forwarding = *forwarding;
+	placement->told_forwarding = *forwarding;
+	placement->forwarding_told_ms = now_ms;
+}
+
 /* Sets the queue fields of the demand from the long prompts that this host
  * has queued for its service. */
 static void
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -14,6 +14,7 @@
 	FIELD_ITEMS = 3,
 	FIELD_DEMANDS = 4,
 	FIELD_NOTICES = 5,
+	FIELD_FORWARDING = 6, /* The last one, since it may be absent. */
 	FIELD_COUNT
 };
 
@@ -22,6 +23,8 @@
 #define NUMBERS_PER_ITEM   9
 #define NUMBERS_PER_DEMAND 5
 #define NUMBERS_PER_NOTICE 5
+/* Numbers of how the host takes forwarded requests. */
+#define NUMBERS_OF_FORWARDING 3
 /* Flags of a notice. */
 #define NOTICE_HAS_LIMIT  1u
 #define NOTICE_IS_LEAVING 2u
@@ -36,6 +39,8 @@
 static enum error_code check_item(const uint64_t *numbers);
 static enum error_code read_notices(
     const struct message_array *array, struct work_report *report);
+static enum error_code read_forwarding(
+    const struct message_array *array, struct work_forwarding *forwarding);
 static enum error_code read_demands(
     const struct message_array *array, struct work_report *report);
 
@@ -45,7 +50,10 @@
 {
 	uint32_t i;
 
-	message_begin_map(writer, FIELD_COUNT);
+	bool tells_forwarding = report->forwarding.address != 0;
+
+	message_begin_map(
+	    writer, tells_forwarding ? FIELD_COUNT : FIELD_FORWARDING);
 	message_put_uint(writer, FIELD_VERSION, REPORT_VERSION);
 	message_put_uint(writer, FIELD_INCARNATION, report->incarnation);
 	message_put_uint(writer, FIELD_NUMBER, report->number);
@@ -84,12 +92,18 @@
 		message_add_uint(writer, report->notices[i].limit_permille);
 		message_add_uint(writer, report->notices[i].age_ms);
 	}
+	if (!tells_forwarding)
+		return;
+	message_put_array(writer, FIELD_FORWARDING, NUMBERS_OF_FORWARDING);
+	message_add_uint(writer, report->forwarding.address);
+	message_add_uint(writer, report->forwarding.token);
+	message_add_uint(writer, report->forwarding.is_without_path ? 1 : 0);
 }
 
 enum error_code
 work_report_read(const void *body, size_t size, struct work_report *report)
 {
-	struct message_array items, demands, notices;
+	struct message_array items, demands, notices, forwarding;
 	struct message_reader reader;
 	enum error_code error;
 
@@ -116,6 +130,10 @@
 	if (error == ERROR_NONE &&
 	    message_get_array(&reader, FIELD_NOTICES, &notices) == ERROR_NONE)
 		error = read_notices(&notices, report);
+	/* Most reports don't tell this. */
+	if (error == ERROR_NONE && message_get_array(&reader, FIELD_FORWARDING,
+				       &forwarding) == ERROR_NONE)
+		error = read_forwarding(&forwarding, &report->forwarding);
 	message_reader_finish(&reader);
 	if (error != ERROR_NONE)
 		work_report_finish(report);
@@ -257,3 +275,21 @@
 	}
 	return ERROR_NONE;
 }
+
+static enum error_code
+read_forwarding(
+    const struct message_array *array, struct work_forwarding *forwarding)
+{
+	uint64_t numbers[NUMBERS_OF_FORWARDING];
+	enum error_code error;
+
+	if (array->count < NUMBERS_OF_FORWARDING)
+		return ERROR_MALFORMED;
+	error = read_row(array, 0, NUMBERS_OF_FORWARDING, numbers);
+	if (error != ERROR_NONE)
+		return error;
+	forwarding->address = numbers[0];
+	forwarding->token = numbers[1];
+	forwarding->is_without_path = numbers[2] != 0;
+	return ERROR_NONE;
+}
--- a/src/protocol/work_message.h
+++ b/src/protocol/work_message.h
@@ -62,6 +62,15 @@
 	uint32_t age_ms; /**< Time since the host heard it. */
 };
 
+/** How the reporting host takes requests that others forward to it. */
+struct work_forwarding {
+	/** IP address and port as packed by upstream_address_parse(). */
+	uint64_t address;
+	uint64_t token; /**< What a forwarded request must name. */
+	/** The host reaches no upstream itself at present. */
+	bool is_without_path;
+};
+
 /** A report. Receivers keep only the latest one of each host. */
 struct work_report {
 	uint64_t incarnation; /**< Incarnation of the host's process. */
@@ -75,6 +84,8 @@
 	uint32_t notice_count; /**< Number of notices. */
 	/** Notices heard lately; work_report_finish() frees them. */
 	struct work_notice *notices;
+	/** All zero if the report doesn't tell it. */
+	struct work_forwarding forwarding;
 };
 
 /** Writes a report into an initialised writer. */
--- a/src/service/relay.c
+++ b/src/service/relay.c
@@ -3,6 +3,8 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include <sodium.h>
+
 #include "base/event_log.h"
 #include "service/host_reports.h"
 #include "service/relay_parts.h"
@@ -23,8 +25,11 @@
 #define IDLE_CHECK_PERIOD_MS 50
 /* Shortest time between two work reports to the other hosts. */
 #define REPORT_INTERVAL_MIN_MS 10
-#define STATUS_OK	       200
-#define STATUS_NOT_FOUND       404
+/* Period of the reports of a host without work, well below the time after which
+ * the others take it for gone. */
+#define FORWARDING_REPORT_MS (FORWARD_PEER_EXPIRY_MS / 3)
+#define STATUS_OK	     200
+#define STATUS_NOT_FOUND     404
 
 /* Work report of another host, queued for the loop's thread. */
 struct queued_report {
@@ -42,6 +47,9 @@
     const struct relay_address *address, uv_connection_cb accept);
 static void accept_caller(uv_stream_t *listener, int status);
 static void accept_monitor(uv_stream_t *listener, int status);
+static void accept_host(uv_stream_t *listener, int status);
+static void take_forwarded(struct relay *relay);
+static void report_forwarding(void *context);
 static void *run_loop(void *argument);
 static void on_wake(uv_async_t *wake);
 static void on_prepare(uv_prepare_t *prepare);
@@ -254,9 +262,38 @@
 	if (error == ERROR_NONE)
 		error = listen_at(relay, &relay->ready_listener,
 		    &relay->settings.readiness, accept_monitor);
+	if (error == ERROR_NONE && relay->settings.forwarded.port != 0)
+		error = listen_at(relay, &relay->forwarded_listener,
+		    &relay->settings.forwarded, accept_host);
+	if (error == ERROR_NONE && relay->settings.forwarded.port != 0)
+		take_forwarded(relay);
 	return error;
 }
 
+/* Tells the other hosts where this one takes the requests that they forward,
+ * also while it has no work to report. */
+static void
+take_forwarded(struct relay *relay)
+{
+	const struct relay_address *address = &relay->settings.forwarded;
+	char text[UPSTREAM_ADDRESS_SIZE];
+
+	g_snprintf(text, sizeof(text), "%s:%u", address->ip,
+	    (unsigned int)address->port);
+	relay->placement.forwarding.address = upstream_address_parse(text);
+	randombytes_buf(&relay->placement.forwarding.token,
+	    sizeof(relay->placement.forwarding.token));
+	/* If no timer is free, reports of work still tell it. */
+	(void)timer_subscribe_every(&relay->timers, FORWARDING_REPORT_MS,
+	    (struct timer_callback){report_forwarding, relay}, NULL);
+}
+
+static void
+report_forwarding(void *context)
+{
+	relay_schedule_report(context);
+}
+
 static enum error_code
 listen_at(struct relay *relay, uv_tcp_t *listener,
     const struct relay_address *address, uv_connection_cb accept)
@@ -279,14 +316,24 @@
 accept_caller(uv_stream_t *listener, int status)
 {
 	if (status == 0)
-		relay_caller_accept(listener->loop->data, listener, false);
+		relay_caller_accept(
+		    listener->loop->data, listener, CALLER_CLIENT);
 }
 
 static void
 accept_monitor(uv_stream_t *listener, int status)
 {
 	if (status == 0)
-		relay_caller_accept(listener->loop->data, listener, true);
+		relay_caller_accept(
+		    listener->loop->data, listener, CALLER_MONITOR);
+}
+
+static void
+accept_host(uv_stream_t *listener, int status)
+{
+	if (status == 0)
+		relay_caller_accept(
+		    listener->loop->data, listener, CALLER_HOST);
 }
 
 static void *
--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -10,6 +10,8 @@
  * - relay_caller.c: connections of callers
  * - relay_exchange.c: one request from its arrival to the end of its answer
  * - relay_attempt.c: sending the request to one upstream, and retries
+ * - relay_forward.c: requests that one host forwards to another
+ * - relay_path.c: tests whether this host reaches the upstreams
  * - relay_silence.c: detection of upstreams that make no progress
  * - relay_crash.c: requests that crash upstreams
  * - relay_hold.c: memory reservations at helpers
@@ -33,6 +35,7 @@
 #include "base/random_source.h"
 #include "coordination/placement.h"
 #include "coordination/retry_window.h"
+#include "coordination/upstream_path.h"
 #include "service/host.h"
 #include "state/route_table.h"
 #include "transport/timer.h"
@@ -84,7 +87,10 @@
 
 /** Settings of the relay. */
 struct relay_settings {
-	struct relay_address entry;	/**< Listening address for callers. */
+	struct relay_address entry; /**< Listening address for callers. */
+	/** Listening address for requests that other hosts forward; port 0 to
+	 * take none. */
+	struct relay_address forwarded;
 	struct relay_address readiness; /**< Listening address for the load
 					     balancer and monitoring. */
 	uint32_t connections_max;	/**< Largest number of connections. */
@@ -115,6 +121,10 @@
 	_Atomic uint64_t retries; /**< Attempts after a request's first one. */
 	_Atomic uint64_t resumes; /**< Attempts to continue a started event
 				       stream at another upstream. */
+	_Atomic uint64_t forwarded; /**< Attempts that were forwarded to another
+					 host. */
+	_Atomic uint64_t forwards_taken; /**< Requests that other hosts
+					      forwarded to this one. */
 	_Atomic uint64_t held_bytes; /**< Bytes of answers held until they are
 					  whole. */
 	struct metric_series *first_event_ms; /**< Time to the first event. */
@@ -131,6 +141,8 @@
 	pthread_t thread;	 /**< Thread that runs the loop. */
 	uv_loop_t loop;		 /**< Event loop of all connections. */
 	uv_tcp_t entry_listener; /**< Accepts connections of callers. */
+	/** Accepts connections of other hosts. */
+	uv_tcp_t forwarded_listener;
 	uv_tcp_t ready_listener; /**< Accepts connections of the load balancer
 				      and monitoring. */
 	uv_async_t wake;	 /**< Wakes the loop from other threads. */
@@ -139,6 +151,8 @@
 	struct timer_service timers;  /**< Timers of the loop's thread. */
 	struct upstream_pool pool;    /**< Connections to upstreams. */
 	struct placement placement;   /**< Chooses upstreams for requests. */
+	struct upstream_path path;    /**< Whether upstreams are reached. */
+	struct handle path_timer;     /**< Next test of the path. */
 	struct random_source random;  /**< Random numbers for weighted choices,
 					  Retry-After and reservation ids. */
 	GHashTable *callers;	      /**< Set of open struct relay_caller. */
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -13,8 +13,7 @@
 static void append_status(GString *out, uint32_t status);
 static void append_fields(GString *out, const struct http_head *head);
 static void append_connection(GString *out, const struct relay_caller *caller);
-static bool is_reserved_field(
-    const struct relay_dialect *dialect, const char *name);
+static void append_result(GString *out, const struct relay_caller *caller);
 static void append_helpers(GString *out, const struct relay_exchange *exchange);
 static const char *reason_phrase(uint32_t status);
 
@@ -32,6 +31,7 @@
 		g_string_append_printf(out, "%s: %s\r\n",
 		    caller->relay->settings.dialect.attempt_id,
 		    caller->exchange->attempt_id);
+	append_result(out, caller);
 	if (retry_after_ms > 0)
 		g_string_append_printf(out, "Retry-After: %.2f\r\n",
 		    (double)retry_after_ms / MS_PER_S);
@@ -74,6 +74,7 @@
 	out = g_string_new(NULL);
 	append_status(out, head->status);
 	append_fields(out, head);
+	append_result(out, caller);
 	length = http_head_get(head, "Content-Length");
 	if (is_head_method && length != NULL)
 		g_string_append_printf(out, "Content-Length: %s\r\n", length);
@@ -97,6 +98,7 @@
 	out = g_string_new(NULL);
 	append_status(out, head->status);
 	append_fields(out, head);
+	append_result(out, caller);
 	g_string_append(out, "Transfer-Encoding: chunked\r\n");
 	append_connection(out, caller);
 	tcp_link_write(&caller->link, out->str, out->len);
@@ -142,7 +144,7 @@
 	    out, "%s %s HTTP/1.1\r\n", head->method, head->target->str);
 	for (i = 0; i < head->fields->len; i++) {
 		name = http_head_name(head, i);
-		if (is_reserved_field(dialect, name) ||
+		if (relay_answer_is_reserved(dialect, name) ||
 		    (http_head_is_hop_by_hop(head, name) &&
 			g_ascii_strcasecmp(name, dialect->attempt_id) != 0))
 			continue;
@@ -186,6 +188,7 @@
 	for (i = 0; i < head->fields->len; i++) {
 		name = http_head_name(head, i);
 		if (http_head_is_hop_by_hop(head, name) ||
+		    g_ascii_strcasecmp(name, FORWARD_RESULT_FIELD) == 0 ||
 		    g_ascii_strcasecmp(name, "Content-Length") == 0)
 			continue;
 		g_string_append_printf(
@@ -193,6 +196,14 @@
 	}
 }
 
+/* Tells the host that forwarded the request how it ended here. */
+static void
+append_result(GString *out, const struct relay_caller *caller)
+{
+	if (caller->exchange != NULL && caller->exchange->forward.is_received)
+		relay_forward_append_result(out, caller->exchange);
+}
+
 /* Appends the Connection header, if the connection closes after this answer,
  * and the empty line that ends the head. */
 static void
@@ -202,10 +213,8 @@
 	    caller->closes_after_answer ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
-/* Returns true for a header that only the relay may set in requests to an
- * upstream; one sent by the caller is dropped. */
-static bool
-is_reserved_field(const struct relay_dialect *dialect, const char *name)
+bool
+relay_answer_is_reserved(const struct relay_dialect *dialect, const char *name)
 {
 	const char *const reserved[] = {
 	    dialect->deadline,
@@ -215,6 +224,7 @@
 	    dialect->helpers,
 	    dialect->priority,
 	    dialect->resume_after,
+	    FORWARD_REQUEST_FIELD,
 	    "Content-Length",
 	    "Expect",
 	};
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -26,6 +26,7 @@
     struct relay_exchange *exchange, enum error_code error);
 static void log_retried(
     const struct relay_exchange *exchange, enum error_code error);
+static void on_connected(void *context);
 static void on_sent(void *context);
 static void on_head(void *context, struct http_head *head);
 static void hear_upstream(
@@ -40,6 +41,9 @@
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
 static void on_done(void *context);
 static void on_failed(void *context, enum error_code error);
+static void note_broken_call(
+    struct relay_exchange *exchange, enum error_code error);
+static void clear_suspicion(struct relay_exchange *exchange);
 static void on_refusal(struct relay_exchange *exchange);
 static void excuse_upstream(struct relay_exchange *exchange, uint64_t fault);
 static void store_answer(struct relay_exchange *exchange);
@@ -88,6 +92,24 @@
 	    &exchange->holds, relay, choice, on_reserved, exchange);
 }
 
+void
+relay_attempt_begin_forwarded(struct relay_exchange *exchange, uint64_t address)
+{
+	/* A request that waits here waits at the other host from now on. */
+	placement_queue_leave(
+	    &exchange->relay->placement, &exchange->queue_entry);
+	exchange->upstream_id = 0;
+	exchange->upstream_incarnation = 0;
+	exchange->upstream_name[0] = '\0';
+	exchange->upstream_address = address;
+	exchange->expected_ms = (double)exchange->route->target_ms;
+	exchange->is_sent = false;
+	exchange->has_progress = false;
+	exchange->has_survived = false;
+	exchange->answer_class = 0;
+	send_request(exchange);
+}
+
 static void
 on_reserved(void *context, enum error_code error)
 {
@@ -119,7 +141,9 @@
 static void
 send_request(struct relay_exchange *exchange)
 {
+	bool is_forwarded = exchange->forward.to_host != 0;
 	struct pool_call_ops ops = {
+	    .on_connected = is_forwarded ? NULL : on_connected,
 	    .on_sent = on_sent,
 	    .on_head = on_head,
 	    .on_body = on_body,
@@ -135,7 +159,8 @@
 	    exchange->route->kind, exchange->route->is_resumable);
 	idle_max_ms =
 	    may_repeat ? REPEATABLE_IDLE_MAX_MS : NO_REPEAT_IDLE_MAX_MS;
-	bytes = relay_request_bytes(exchange, host_now_ms());
+	bytes = is_forwarded ? relay_forward_bytes(exchange, host_now_ms())
+			     : relay_request_bytes(exchange, host_now_ms());
 	exchange->call = upstream_pool_call(&exchange->relay->pool,
 	    exchange->upstream_address, bytes,
 	    relay_exchange_is_head_request(exchange), idle_max_ms, &ops);
@@ -160,6 +185,7 @@
 	placement_queue_leave(
 	    &exchange->relay->placement, &exchange->queue_entry);
 	placement_end(&exchange->relay->placement, &exchange->work);
+	relay_forward_end(exchange);
 	relay_holds_end(&exchange->holds, exchange->relay);
 }
 
@@ -167,11 +193,17 @@
 relay_attempt_failed(
     struct relay_exchange *exchange, enum error_code error, bool is_fault)
 {
+	bool is_forwarded = exchange->forward.to_host != 0;
+
+	if (is_forwarded && is_fault)
+		relay_forward_on_fault(exchange, error);
 	relay_attempt_end(exchange);
-	if (is_fault)
+	if (is_fault && !is_forwarded)
 		record_fault(exchange, error);
 	if (exchange->is_sent)
 		exchange->may_have_run = true;
+	else if (is_forwarded)
+		; /* No upstream has part in it. */
 	else if (error == ERROR_CONNECTION)
 		exchange->attempts_absent++;
 	else if (error == ERROR_TIMEOUT || error == ERROR_NO_CAPACITY)
@@ -230,6 +262,14 @@
 	g_string_free(parts, TRUE);
 }
 
+static void
+on_connected(void *context)
+{
+	struct relay_exchange *exchange = context;
+
+	relay_path_on_connected(exchange->relay);
+}
+
 static void
 on_sent(void *context)
 {
@@ -265,6 +305,14 @@
 	facts.has_receipt = http_head_get(head, dialect->receipt) != NULL;
 	facts.is_encoded = http_head_get(head, "Content-Encoding") != NULL;
 	facts.is_refusal = http_head_get(head, dialect->refusal) != NULL;
+	if (exchange->forward.to_host != 0) {
+		if (!relay_forward_read_result(exchange, head)) {
+			end_attempt(exchange, ERROR_MALFORMED, true);
+			return;
+		}
+		facts.is_refusal =
+		    exchange->forward.result.reason != ERROR_NONE;
+	}
 	text = http_head_get(head, "Content-Type");
 	facts.is_event_stream = exchange->route->kind == ROUTE_KIND_STREAM &&
 				text != NULL &&
@@ -395,14 +443,17 @@
 			return;
 		}
 		record_answer(exchange);
-		relay_crash_clear(exchange);
+		clear_suspicion(exchange);
 		relay_attempt_end(exchange);
 		relay_answer_end(exchange->caller);
 		relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
 		return;
 	}
 	if (exchange->answer_class == ANSWER_NOT_RUN) {
-		on_refusal(exchange);
+		if (exchange->forward.to_host != 0)
+			relay_forward_on_refusal(exchange);
+		else
+			on_refusal(exchange);
 		return;
 	}
 	if (exchange->is_answering) {
@@ -418,7 +469,7 @@
 	}
 	placement_record_success(
 	    &exchange->relay->placement, exchange->upstream_id);
-	relay_crash_clear(exchange);
+	clear_suspicion(exchange);
 	relay_attempt_end(exchange);
 	relay_exchange_deliver(exchange);
 }
@@ -429,9 +480,29 @@
 	struct relay_exchange *exchange = context;
 
 	exchange->call = NULL;
+	if (exchange->forward.to_host == 0)
+		note_broken_call(exchange, error);
+	relay_attempt_failed(exchange, error, true);
+}
+
+/* Records what the end of a call shows of the upstream and of the path to it. */
+static void
+note_broken_call(struct relay_exchange *exchange, enum error_code error)
+{
 	if (error == ERROR_INCOMPLETE)
 		relay_crash_suspect(exchange);
-	relay_attempt_failed(exchange, error, true);
+	if (exchange->is_sent)
+		return;
+	exchange->forward.unreached++;
+	relay_path_on_unreached(exchange->relay, exchange->upstream_id);
+}
+
+/* The host that sent the request to the upstream clears its suspicions. */
+static void
+clear_suspicion(struct relay_exchange *exchange)
+{
+	if (exchange->forward.to_host == 0)
+		relay_crash_clear(exchange);
 }
 
 /* Handles an upstream's answer that it did not run the request. The answer may
@@ -502,7 +573,7 @@
 	    .has_answer_begun = exchange->is_answering,
 	    .is_last_whole = exchange->has_answer,
 	    .sent = exchange->attempts_sent,
-	    .sent_max = exchange->route->attempts_max,
+	    .sent_max = relay_exchange_attempts_max(exchange),
 	    .unsent = exchange->attempts_unsent,
 	    .absent = exchange->attempts_absent,
 	    .remaining_ms = relay_exchange_remaining_ms(exchange),
@@ -522,9 +593,8 @@
 		relay_exchange_deliver(exchange);
 		return;
 	case ATTEMPT_REFUSE:
-		relay_answer_json(exchange->caller, STATUS_UNAVAILABLE,
-		    "it did not run; come again", RETRY_AFTER_DEFAULT_MS);
-		relay_exchange_finish(exchange, END_REFUSED, error);
+		relay_exchange_refuse(exchange, "it did not run; come again",
+		    RETRY_AFTER_DEFAULT_MS, error);
 		return;
 	case ATTEMPT_FAIL:
 		relay_answer_json(exchange->caller, STATUS_BAD_GATEWAY,
@@ -621,7 +691,7 @@
 record_answer(struct relay_exchange *exchange)
 {
 	if (exchange->request.has_partial_answer ||
-	    exchange->first_event_ms == 0)
+	    exchange->first_event_ms == 0 || exchange->forward.to_host != 0)
 		return;
 	placement_record_answer(&exchange->relay->placement, &exchange->work,
 	    (double)(host_now_ms() - exchange->first_event_ms));
--- a/src/service/relay_caller.c
+++ b/src/service/relay_caller.c
@@ -9,11 +9,14 @@
 /* Largest amount of answer data queued for a caller that does not read. */
 #define QUEUED_BYTES_MAX ((size_t)4 * 1024 * 1024)
 /* Time for a caller to read the last answer before the connection closes. */
-#define LINGER_MS	  1000
-#define STATUS_BAD	  400
-#define STATUS_TIMEOUT	  408
-#define STATUS_LARGE_BODY 413
-#define STATUS_LARGE_HEAD 431
+#define LINGER_MS 1000
+/* Largest header field that another host adds to a forwarded request, with those
+ * that it sets anew. */
+#define FORWARD_FIELD_BYTES_MAX 2048u
+#define STATUS_BAD		400
+#define STATUS_TIMEOUT		408
+#define STATUS_LARGE_BODY	413
+#define STATUS_LARGE_HEAD	431
 
 static const char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -33,6 +36,7 @@
 static void on_timeout(void *context);
 static const struct route_limits *caller_limits(
     const struct relay_caller *caller);
+static uint32_t head_bytes_max(const struct relay_caller *caller);
 static bool has_single_host(const struct http_head *head);
 
 /* Limits until a route table is known. Requests are refused without a table, so
@@ -45,7 +49,8 @@
 };
 
 void
-relay_caller_accept(struct relay *relay, uv_stream_t *listener, bool is_monitor)
+relay_caller_accept(
+    struct relay *relay, uv_stream_t *listener, enum caller_kind kind)
 {
 	struct http_reader_ops reader_ops = {
 	    .on_head = on_head, .on_body = on_body, .on_end = on_end};
@@ -58,20 +63,20 @@
 
 	caller = g_new0(struct relay_caller, 1);
 	caller->relay = relay;
-	caller->is_monitor = is_monitor;
+	caller->kind = kind;
 	caller->body = g_byte_array_new();
 	caller->pipelined = g_byte_array_new();
 	reader_ops.context = caller;
 	link_ops.context = caller;
 	http_reader_init(&caller->reader, true, &reader_ops);
-	caller->reader.head_bytes_max = caller_limits(caller)->head_bytes_max;
+	caller->reader.head_bytes_max = head_bytes_max(caller);
 	g_hash_table_add(relay->callers, caller);
 	if (tcp_link_accept(&caller->link, listener, &link_ops) != ERROR_NONE) {
 		caller->state = CALLER_CLOSED;
 		return;
 	}
 	set_timer(caller, caller_limits(caller)->idle_timeout_ms);
-	if (!is_monitor &&
+	if (kind != CALLER_MONITOR &&
 	    g_hash_table_size(relay->callers) > relay->settings.connections_max)
 		close_caller(caller);
 }
@@ -91,7 +96,7 @@
 	caller->state = CALLER_READING;
 	g_byte_array_set_size(caller->body, 0);
 	http_reader_next(&caller->reader);
-	caller->reader.head_bytes_max = caller_limits(caller)->head_bytes_max;
+	caller->reader.head_bytes_max = head_bytes_max(caller);
 	set_timer(caller, caller_limits(caller)->idle_timeout_ms);
 	if (caller->pipelined->len == 0)
 		return;
@@ -243,7 +248,7 @@
 	timer_cancel(&caller->relay->timers, &caller->timer);
 	caller->closes_after_answer = !caller->reader.head.keeps_connection ||
 				      atomic_load(&caller->relay->is_draining);
-	if (caller->is_monitor)
+	if (caller->kind == CALLER_MONITOR)
 		relay_answer_monitor(caller);
 	else
 		relay_exchange_begin(caller);
@@ -316,6 +321,16 @@
 					    : &caller->relay->table->limits;
 }
 
+/* Largest head of a request. Another host adds a field to the caller's head. */
+static uint32_t
+head_bytes_max(const struct relay_caller *caller)
+{
+	uint32_t limit = caller_limits(caller)->head_bytes_max;
+
+	return caller->kind == CALLER_HOST ? limit + FORWARD_FIELD_BYTES_MAX
+					   : limit;
+}
+
 static bool
 has_single_host(const struct http_head *head)
 {
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -36,8 +36,6 @@
 static void wait_for_turn(struct relay_exchange *exchange);
 static void wait_for_placement(
     struct relay_exchange *exchange, enum error_code error);
-static void end_unplaced(
-    struct relay_exchange *exchange, enum error_code error, int64_t after_ms);
 static int64_t retry_after_ms(
     struct relay_exchange *exchange, enum error_code error);
 static void on_wait_timeout(void *context);
@@ -68,7 +66,8 @@
 	}
 	exchange->target_random = (uint32_t)random_uint64(&relay->random);
 	read_request(exchange);
-	start(exchange);
+	if (relay_forward_receive(exchange))
+		start(exchange);
 }
 
 void
@@ -97,6 +96,14 @@
 		route_table_unref(exchange->table);
 		exchange->table = route_table_ref(relay->table);
 	}
+	/* The other host has judged the request by a newer table. */
+	if (exchange->forward.is_received &&
+	    exchange->table->version <
+		exchange->forward.received.routes_version) {
+		relay_exchange_refuse(exchange, "older configuration",
+		    RETRY_AFTER_DEFAULT_MS, ERROR_STALE);
+		return false;
+	}
 	host = http_head_get(&exchange->head, "Host");
 	exchange->route =
 	    route_table_find(exchange->table, host, exchange->head.target->str);
@@ -132,9 +139,12 @@
 
 	if (relay_crash_verdict(exchange, &quarantined_ms) ==
 	    QUARANTINE_REFUSE) {
-		end_unplaced(exchange, ERROR_QUARANTINED, quarantined_ms);
+		relay_exchange_end_unplaced(
+		    exchange, ERROR_QUARANTINED, quarantined_ms);
 		return;
 	}
+	if (relay_forward_try(exchange))
+		return;
 	exchange->request.arrived_ms = exchange->arrived_ms;
 	exchange->request.deadline_ms = exchange->deadline_ms;
 	exchange->request.has_partial_answer = exchange->is_answering;
@@ -176,6 +186,39 @@
 	relay_exchange_finish(exchange, END_BROKEN, error);
 }
 
+void
+relay_exchange_refuse(struct relay_exchange *exchange, const char *text,
+    int64_t after_ms, enum error_code error)
+{
+	exchange->refusal = error;
+	relay_answer_json(exchange->caller, STATUS_UNAVAILABLE, text, after_ms);
+	relay_exchange_finish(exchange, END_REFUSED, error);
+}
+
+void
+relay_exchange_end_unplaced(
+    struct relay_exchange *exchange, enum error_code error, int64_t after_ms)
+{
+	if (exchange->is_answering) {
+		relay_exchange_abort(exchange, error);
+		return;
+	}
+	if (exchange->has_answer) {
+		relay_exchange_deliver(exchange);
+		return;
+	}
+	if (exchange->may_have_run) {
+		relay_answer_json(exchange->caller, STATUS_BAD_GATEWAY,
+		    "the upstream failed", 0);
+		relay_exchange_finish(exchange, END_FAILED, error);
+		return;
+	}
+	relay_exchange_refuse(exchange,
+	    error == ERROR_QUARANTINED ? "the request crashes upstreams"
+				       : "no upstream can take it now",
+	    after_ms, error);
+}
+
 void
 relay_exchange_finish(struct relay_exchange *exchange, enum exchange_end end,
     enum error_code error)
@@ -210,6 +253,13 @@
 	return strcmp(exchange->head.method, "HEAD") == 0;
 }
 
+uint32_t
+relay_exchange_attempts_max(const struct relay_exchange *exchange)
+{
+	return exchange->forward.is_received ? 1
+					     : exchange->route->attempts_max;
+}
+
 int64_t
 relay_exchange_remaining_ms(const struct relay_exchange *exchange)
 {
@@ -222,10 +272,8 @@
 	struct relay *relay = exchange->relay;
 
 	if (arrived_after_drain(exchange)) {
-		relay_answer_json(exchange->caller, STATUS_UNAVAILABLE,
-		    "this host is stopping", STOPPING_RETRY_AFTER_MS);
-		relay_exchange_finish(
-		    exchange, END_REFUSED, ERROR_SHUTTING_DOWN);
+		relay_exchange_refuse(exchange, "this host is stopping",
+		    STOPPING_RETRY_AFTER_MS, ERROR_SHUTTING_DOWN);
 		return;
 	}
 	if (!relay_exchange_resolve(exchange))
@@ -237,8 +285,11 @@
 	if (exchange->relay->placement.upstreams != NULL &&
 	    g_hash_table_size(exchange->relay->placement.upstreams) == 0)
 		exchange->wait_until_ms = host_now_ms() + START_WAIT_MAX_MS;
-	retry_window_record_request(
-	    relay_retry_budget(relay, exchange->service), host_now_ms());
+	/* The host that forwarded a request has counted it. */
+	if (!exchange->forward.is_received)
+		retry_window_record_request(
+		    relay_retry_budget(relay, exchange->service),
+		    host_now_ms());
 	/* If no timer is free, the caller's own timeout ends the request. */
 	(void)timer_subscribe_once(&relay->timers,
 	    relay_exchange_remaining_ms(exchange),
@@ -314,9 +365,8 @@
 static void
 refuse_unconfirmed(struct relay_exchange *exchange, const char *reason)
 {
-	relay_answer_json(exchange->caller, STATUS_UNAVAILABLE, reason,
-	    retry_after_ms(exchange, ERROR_LEASE_EXPIRED));
-	relay_exchange_finish(exchange, END_REFUSED, ERROR_LEASE_EXPIRED);
+	relay_exchange_refuse(exchange, reason,
+	    retry_after_ms(exchange, ERROR_LEASE_EXPIRED), ERROR_LEASE_EXPIRED);
 }
 
 static void
@@ -377,33 +427,8 @@
 	    error != ERROR_DEADLINE_UNREACHABLE &&
 	    schedule_retry(exchange, on_wait_timeout))
 		return;
-	end_unplaced(exchange, error, retry_after_ms(exchange, error));
-}
-
-/* Ends a request that is sent to no further upstream. */
-static void
-end_unplaced(
-    struct relay_exchange *exchange, enum error_code error, int64_t after_ms)
-{
-	if (exchange->is_answering) {
-		relay_exchange_abort(exchange, error);
-		return;
-	}
-	if (exchange->has_answer) {
-		relay_exchange_deliver(exchange);
-		return;
-	}
-	if (exchange->may_have_run) {
-		relay_answer_json(exchange->caller, STATUS_BAD_GATEWAY,
-		    "the upstream failed", 0);
-		relay_exchange_finish(exchange, END_FAILED, error);
-		return;
-	}
-	relay_answer_json(exchange->caller, STATUS_UNAVAILABLE,
-	    error == ERROR_QUARANTINED ? "the request crashes upstreams"
-				       : "no upstream can take it now",
-	    after_ms);
-	relay_exchange_finish(exchange, END_REFUSED, error);
+	relay_exchange_end_unplaced(
+	    exchange, error, retry_after_ms(exchange, error));
 }
 
 /* Returns the Retry-After for a refusal: the estimated time until an upstream
@@ -457,9 +482,8 @@
 		relay_exchange_finish(exchange, END_FAILED, ERROR_TIMEOUT);
 		return;
 	}
-	relay_answer_json(exchange->caller, STATUS_UNAVAILABLE,
-	    "no upstream could be reached in time", RETRY_AFTER_DEFAULT_MS);
-	relay_exchange_finish(exchange, END_REFUSED, ERROR_TIMEOUT);
+	relay_exchange_refuse(exchange, "no upstream could be reached in time",
+	    RETRY_AFTER_DEFAULT_MS, ERROR_TIMEOUT);
 }
 
 static void
--- a/src/service/relay_metrics.c
+++ b/src/service/relay_metrics.c
@@ -53,6 +53,10 @@
 	    {"left", "Callers that left before the end.",
 		&counters->callers_left},
 	    {"retries", "Attempts after the first.", &counters->retries},
+	    {"forwarded", "Attempts forwarded to another host.",
+		&counters->forwarded},
+	    {"forwards_taken", "Requests taken from other hosts.",
+		&counters->forwards_taken},
 	    {"resumes", "Streams that went on elsewhere.", &counters->resumes},
 	};
 	size_t i;
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -7,6 +7,7 @@
 
 #include "coordination/quarantine.h"
 #include "coordination/relay_rules.h"
+#include "protocol/forward_message.h"
 #include "protocol/http_reader.h"
 #include "service/relay.h"
 #include "service/relay_events.h"
@@ -47,21 +48,27 @@
 
 struct relay_exchange;
 
+/** Who opened a connection to the relay. */
+enum caller_kind {
+	CALLER_CLIENT = 0,  /**< A caller. */
+	CALLER_MONITOR = 1, /**< The load balancer or monitoring. */
+	CALLER_HOST = 2,    /**< Another host, with forwarded requests. */
+};
+
 /** A caller's connection. */
 struct relay_caller {
 	struct relay *relay;	   /**< Relay that accepted the connection. */
 	struct tcp_link link;	   /**< TCP connection to the caller. */
 	struct http_reader reader; /**< Parser of the incoming requests. */
 	enum caller_state state;   /**< State of the connection. */
-	bool is_monitor; /**< True for the load balancer and monitoring, which
-			      use the readiness listener. */
-	bool closes_after_answer; /**< True if the connection ends after the
+	enum caller_kind kind;	   /**< By the listener that accepted it. */
+	bool closes_after_answer;  /**< True if the connection ends after the
 				       current answer. */
-	uint32_t refusal_status;  /**< HTTP status for a malformed or too large
+	uint32_t refusal_status;   /**< HTTP status for a malformed or too large
 				       request, 0 while it is valid. */
-	int64_t first_byte_ms;	  /**< Arrival of the request's first byte. */
-	GByteArray *body;	  /**< Body of the current request so far. */
-	GByteArray *pipelined;	  /**< Bytes of further requests that arrived
+	int64_t first_byte_ms;	   /**< Arrival of the request's first byte. */
+	GByteArray *body;	   /**< Body of the current request so far. */
+	GByteArray *pipelined;	   /**< Bytes of further requests that arrived
 				    before the current one was answered. */
 	struct relay_exchange *exchange; /**< Request being processed, or
 					      NULL. */
@@ -69,6 +76,20 @@
 				  request head or lingering. */
 };
 
+/** How a request is forwarded between hosts. */
+struct relay_forward {
+	/** The request came from another host, so it is not forwarded. */
+	bool is_received;
+	struct forward_request received; /**< What that host said of it. */
+	uint32_t to_host; /**< Host of the current attempt, 0 for none. */
+	uint32_t tried[FORWARD_HOSTS_MAX]; /**< Hosts that didn't take it. */
+	uint32_t tried_count;		   /**< Ids in tried. */
+	/** Upstreams that this host could not reach for the request. */
+	uint32_t unreached;
+	bool has_result;	      /**< The result is set. */
+	struct forward_result result; /**< Of the current attempt's host. */
+};
+
 /** One request, from its last byte to the end of its answer. */
 struct relay_exchange {
 	struct relay *relay;	     /**< Relay that processes the request. */
@@ -109,7 +130,10 @@
 	struct http_head answer;    /**< Head of the last complete answer. */
 	GByteArray *answer_body;    /**< Body of the last complete answer. */
 	struct relay_events events; /**< State of the event stream. */
-	struct relay_holds holds;   /**< Memory reservations at helpers. */
+	struct relay_forward forward; /**< Other hosts that have part in it. */
+	/** Why the request is refused, for the host that forwarded it. */
+	enum error_code refusal;
+	struct relay_holds holds;     /**< Memory reservations at helpers. */
 	struct handle deadline_timer; /**< Fires at deadline_ms. */
 	struct handle stall_timer;    /**< Next check for a stalled upstream. */
 	struct pool_call *probe;      /**< Connection test of a silent upstream,
@@ -157,10 +181,9 @@
 
 /* relay_caller.c */
 
-/** Accepts a connection of @p listener; @p is_monitor is true for the listener
- * of the load balancer and monitoring. */
+/** Accepts a connection of a listener for callers of one kind. */
 void relay_caller_accept(
-    struct relay *relay, uv_stream_t *listener, bool is_monitor);
+    struct relay *relay, uv_stream_t *listener, enum caller_kind kind);
 /** Ends the current request after its answer was written: continues with the
  * next request, or ends the connection. */
 void relay_caller_done(struct relay_caller *caller);
@@ -200,12 +223,22 @@
  * exchange; @p error is logged as the reason. */
 void relay_exchange_abort(
     struct relay_exchange *exchange, enum error_code error);
+/** Answers that the request did not run, with a Retry-After, and frees the
+ * exchange. */
+void relay_exchange_refuse(struct relay_exchange *exchange, const char *text,
+    int64_t after_ms, enum error_code error);
+/** Ends a request that is sent to no further upstream, and frees the exchange.
+ * @p after_ms is the Retry-After if it did not run. */
+void relay_exchange_end_unplaced(
+    struct relay_exchange *exchange, enum error_code error, int64_t after_ms);
 /** Counts and logs the end of the request, cancels a running attempt, and
  * frees the exchange. */
 void relay_exchange_finish(struct relay_exchange *exchange,
     enum exchange_end end, enum error_code error);
 /** Returns true for a HEAD request, whose answer has no body. */
 bool relay_exchange_is_head_request(const struct relay_exchange *exchange);
+/** Returns how many upstreams this host may send the request to. */
+uint32_t relay_exchange_attempts_max(const struct relay_exchange *exchange);
 /** Returns the milliseconds until the deadline of the request. */
 int64_t relay_exchange_remaining_ms(const struct relay_exchange *exchange);
 
@@ -222,6 +255,46 @@
 void relay_attempt_failed(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
 
+/** Starts an attempt at another host, at its packed address. */
+void relay_attempt_begin_forwarded(
+    struct relay_exchange *exchange, uint64_t address);
+
+/* relay_forward.c */
+
+/** Forwards the request to another host if this one doesn't reach the upstreams
+ * and a host is there that may. Returns false otherwise. */
+bool relay_forward_try(struct relay_exchange *exchange);
+/** Returns the forwarded request as it is sent to the other host. */
+GBytes *relay_forward_bytes(
+    const struct relay_exchange *exchange, int64_t now_ms);
+/** Reads what the other host says of its answer. Returns false if it says
+ * nothing that can be read. */
+bool relay_forward_read_result(
+    struct relay_exchange *exchange, const struct http_head *head);
+/** Handles the answer of the other host that the request did not run. */
+void relay_forward_on_refusal(struct relay_exchange *exchange);
+/** Records that the attempt at another host failed. */
+void relay_forward_on_fault(
+    struct relay_exchange *exchange, enum error_code error);
+/** Ends the bookkeeping of an attempt at another host; does nothing for one at an
+ * upstream. */
+void relay_forward_end(struct relay_exchange *exchange);
+/** Reads what the host says that forwarded this request. Returns false if it was
+ * refused, in which case the exchange is freed. */
+bool relay_forward_receive(struct relay_exchange *exchange);
+/** Appends the header field with the result for that host. */
+void relay_forward_append_result(
+    GString *out, const struct relay_exchange *exchange);
+
+/* relay_path.c */
+
+/** Called when a connection to an upstream was established. */
+void relay_path_on_connected(struct relay *relay);
+/** Called when an upstream accepted no connection. */
+void relay_path_on_unreached(struct relay *relay, uint64_t upstream_id);
+/** Returns true while this host reaches no upstream. */
+bool relay_path_is_lost(const struct relay *relay);
+
 /* relay_silence.c */
 
 /** Schedules the next check for a stalled upstream, if the request may be
@@ -279,6 +352,10 @@
     struct relay_caller *caller, const void *data, size_t size);
 /** Writes the last chunk of a chunked answer. */
 void relay_answer_end(struct relay_caller *caller);
+/** Returns true for a header field that only the relay may set in requests to an
+ * upstream. */
+bool relay_answer_is_reserved(
+    const struct relay_dialect *dialect, const char *name);
 /** Returns the request as it is sent to the upstream, with the time left at
  * @p now_ms as its deadline header. */
 GBytes *relay_request_bytes(
--- a/src/service/relay_silence.c
+++ b/src/service/relay_silence.c
@@ -20,6 +20,7 @@
 static int64_t pause_limit_ms(const struct route *route);
 static void on_probed(void *context, enum error_code error);
 static void abandon_attempt(struct relay_exchange *exchange);
+static bool may_go_on(const struct relay_exchange *exchange);
 
 void
 relay_silence_watch(struct relay_exchange *exchange)
@@ -27,7 +28,7 @@
 	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
 	if (!may_repeat_request(
 		exchange->route->kind, exchange->route->is_resumable) ||
-	    exchange->attempts_sent >= exchange->route->attempts_max)
+	    !may_go_on(exchange))
 		return;
 	/* If no timer is free, the request's deadline ends a stalled
 	 * attempt. */
@@ -96,8 +97,13 @@
 
 	exchange->probe = NULL;
 	exchange->is_reachable = error == ERROR_NONE;
-	if (error != ERROR_NONE)
-		abandon_attempt(exchange);
+	if (error == ERROR_NONE)
+		return;
+	if (exchange->forward.to_host == 0) {
+		exchange->forward.unreached++;
+		relay_path_on_unreached(exchange->relay, exchange->upstream_id);
+	}
+	abandon_attempt(exchange);
 }
 
 static void
@@ -114,3 +120,12 @@
 	exchange->call = NULL;
 	relay_attempt_failed(exchange, ERROR_STALLED, true);
 }
+
+/* Whether another attempt may follow, here or at the host that forwarded the
+ * request. */
+static bool
+may_go_on(const struct relay_exchange *exchange)
+{
+	return exchange->forward.received.may_go_on ||
+	       exchange->attempts_sent < relay_exchange_attempts_max(exchange);
+}
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -364,6 +364,8 @@
 		return;
 	}
 	call->state = CALL_BUSY;
+	if (call->ops.on_connected != NULL)
+		call->ops.on_connected(call->ops.context);
 	send_request(call);
 }
 
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -27,6 +27,8 @@
 /** Callbacks of a call to its owner. on_done() or on_failed() is the last one;
  * the call must not be used afterwards. */
 struct pool_call_ops {
+	/** A new connection was established for the call; may be NULL. */
+	void (*on_connected)(void *context);
 	/** The request is about to be sent; from now on the upstream may run
 	 * it. */
 	void (*on_sent)(void *context);
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -543,6 +543,8 @@
 	settings.entry.port = fixture->port;
 	settings.readiness = settings.entry;
 	settings.readiness.port = fixture->ready_port;
+	settings.forwarded = settings.entry;
+	settings.forwarded.port = find_free_port();
 	settings.connections_max = 100;
 	settings.retry_ratio = 1;
 	settings.retry_slack = 10;
@@ -567,6 +569,8 @@
 	/* The host's thread may deliver a report after the relay stopped. */
 	relay_receive_report(&fixture->relay, 1, "", 0, 0);
 	relay_set_table(&fixture->relay, NULL);
+	atomic_store(&fixture->is_stopping, true);
+	pthread_join(fixture->coordinator, NULL);
 	relay_finish(&fixture->relay);
 	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++) {
 		upstream = &fixture->upstreams[i];
@@ -581,8 +585,6 @@
 	g_ptr_array_unref(fixture->script.requests);
 	g_ptr_array_unref(fixture->script.answers);
 	pthread_mutex_destroy(&fixture->script.mutex);
-	atomic_store(&fixture->is_stopping, true);
-	pthread_join(fixture->coordinator, NULL);
 	host_suspects_finish(fixture->host);
 	report_exchange_finish(&fixture->host->reports);
 	timer_finish(&fixture->host->timers);
@@ -690,6 +692,12 @@
 	return exchange(fixture->port, request);
 }
 
+char *
+relay_fixture_send_forwarded(struct relay_fixture *fixture, const char *request)
+{
+	return exchange(fixture->relay.settings.forwarded.port, request);
+}
+
 char *
 relay_fixture_get_monitor(struct relay_fixture *fixture, const char *path)
 {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -112,6 +112,9 @@
  */
 char *relay_fixture_send_request(
     struct relay_fixture *fixture, const char *request);
+/** Sends a request to the port for other hosts; free with g_free(). */
+char *relay_fixture_send_forwarded(
+    struct relay_fixture *fixture, const char *request);
 /** Gets a path at the load balancer's port; free with g_free(). */
 char *relay_fixture_get_monitor(
     struct relay_fixture *fixture, const char *path);
--- a/tests/test_no_path.c
+++ b/tests/test_no_path.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <sys/socket.h>
+
 #include <cmocka.h>
 
 #include "relay_fixture.h"
@@ -169,11 +171,129 @@
 	}
 }
 
+/* Neither host has a path: the caller is told that the request did not run. */
+static void
+test_no_host_with_a_path_is_told_at_once(void **state)
+{
+	struct relay_fixture *first, *second;
+	char *answer;
+
+	(void)state;
+	first = g_new0(struct relay_fixture, 2);
+	second = first + 1;
+	relay_fixture_init_host(first, 1, RELAY_FIXTURE_REFUSED);
+	relay_fixture_init_host(second, 2, RELAY_FIXTURE_REFUSED);
+	relay_fixture_link(first, second);
+	await_report(first, second);
+	answer = relay_fixture_send_request(first, CALL("/once/"));
+	assert_non_null(strstr(answer, "HTTP/1.1 503"));
+	assert_non_null(strstr(answer, "Retry-After: "));
+	g_free(answer);
+	relay_fixture_unlink(first, second);
+	relay_fixture_finish(first);
+	relay_fixture_finish(second);
+	g_free(first);
+}
+
+/* The upstream's connection is closed by the host that has it. */
+static void
+test_caller_that_leaves_ends_the_forwarded_request(void **state)
+{
+	struct two_hosts *hosts;
+	uint32_t before, i;
+	int fd;
+
+	(void)state;
+	hosts = start_hosts(RELAY_FIXTURE_REFUSED);
+	before = relay_fixture_request_count(&hosts->open);
+	relay_fixture_replace_answers(&hosts->open, "<hang>");
+	fd = relay_fixture_connect(&hosts->cut);
+	assert_true(send(fd, CALL("/idem/"), strlen(CALL("/idem/")), 0) > 0);
+	for (i = 0; i < WAIT_ROUNDS &&
+		    relay_fixture_request_count(&hosts->open) == before;
+	     i++)
+		usleep(WAIT_US);
+	close(fd);
+	for (i = 0; i < WAIT_ROUNDS &&
+		    atomic_load(&hosts->open.relay.counters.callers_left) == 0;
+	     i++)
+		usleep(WAIT_US);
+	assert_int_equal(
+	    atomic_load(&hosts->open.relay.counters.callers_left), 1);
+	stop_hosts(hosts);
+}
+
+/* A host that stops takes no forwarded request, so its callers' host can look
+ * for another one. */
+static void
+test_stopping_host_takes_no_forwarded_request(void **state)
+{
+	struct two_hosts *hosts;
+	uint32_t before, i;
+	char *answer;
+
+	(void)state;
+	hosts = start_hosts(RELAY_FIXTURE_REFUSED);
+	before = relay_fixture_request_count(&hosts->open);
+	relay_drain(&hosts->open.relay);
+	answer = relay_fixture_get_monitor(&hosts->open, "/v1/ready");
+	for (i = 0; i < WAIT_ROUNDS && strstr(answer, "HTTP/1.1 503") == NULL;
+	     i++) {
+		g_free(answer);
+		usleep(WAIT_US);
+		answer = relay_fixture_get_monitor(&hosts->open, "/v1/ready");
+	}
+	g_free(answer);
+	answer = relay_fixture_send_request(&hosts->cut, CALL("/once/"));
+	assert_non_null(strstr(answer, "HTTP/1.1 503"));
+	g_free(answer);
+	assert_int_equal(relay_fixture_request_count(&hosts->open), before);
+	stop_hosts(hosts);
+}
+
+/* Who doesn't know the token of a host can't use the port for other hosts, and a
+ * caller can't pretend at the other port that its request was forwarded. */
+static void
+test_forwarded_request_without_token_is_refused(void **state)
+{
+	static const char request[] =
+	    HEAD("/idem/", "1400") "Chicorytack-Forward: {\"token\":"
+				   "\"0000000000000000\",\"age_ms\":0,"
+				   "\"routes_version\":1,\"may_go_on\":true,"
+				   "\"tried\":[]}\r\n\r\n";
+	struct relay_fixture *fixture;
+	char *answer;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture, OK_ANSWER);
+	answer = relay_fixture_send_forwarded(fixture, request);
+	assert_non_null(strstr(answer, "HTTP/1.1 503"));
+	assert_non_null(strstr(answer, "unauthenticated"));
+	g_free(answer);
+	assert_int_equal(relay_fixture_request_count(fixture), 0);
+	answer = relay_fixture_send_request(fixture, request);
+	assert_non_null(strstr(answer, "body!"));
+	assert_null(strstr(answer, "Forward"));
+	g_free(answer);
+	answer = relay_fixture_received_request(fixture, 0);
+	assert_null(strstr(answer, "Forward"));
+	g_free(answer);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_callers_of_a_host_without_path_are_served),
+	    cmocka_unit_test(test_no_host_with_a_path_is_told_at_once),
+	    cmocka_unit_test(
+		test_caller_that_leaves_ends_the_forwarded_request),
+	    cmocka_unit_test(test_stopping_host_takes_no_forwarded_request),
+	    cmocka_unit_test(test_forwarded_request_without_token_is_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
