A host with a lost path takes no upstream for crashed

Cause: a connection that broke, and a probe that found nobody, counted as an upstream's end. A lost path shows the same at every upstream.

Change: after the probe the host waits 100 ms, and while the path is under test, and reports the crash only if the path is open.

test_no_path, test_lost_path_makes_no_request_a_suspect, failed before: three connections that broke together made their request a suspect, and it was refused.

--- a/src/service/relay_crash.c
+++ b/src/service/relay_crash.c
@@ -2,7 +2,9 @@
  * Finds upstreams that crashed under requests, and asks the quarantine before a
  * request is sent. A broken connection alone does not show a crash: an upstream
  * or a link may reset single connections. So the upstream is probed, and only
- * if it accepts no connection any more its requests are reported as suspects.
+ * if it accepts no connection any more its requests are reported as suspects. A
+ * host that has lost its own path to the upstreams sees the same, so it waits
+ * until it knows which of both it is.
  */
 #include <jansson.h>
 
@@ -14,6 +16,9 @@
 /* A request whose answer has been arriving for this long is not the one that
  * crashed its upstream: such requests crash it when they begin to run. */
 #define BEGINNING_MS 500
+/* Time for the connections to other upstreams to fail as well, if the path is
+ * lost. They break at about the same time. */
+#define PATH_DOUBT_MS 100
 
 /* An upstream that may have crashed. */
 struct crash_check {
@@ -21,13 +26,17 @@
 	uint64_t upstream_id;
 	uint64_t incarnation;
 	char data_centre[NAME_SIZE_MAX];
-	GArray *keys; /* struct request_key of this host's suspects. */
+	GArray *keys;	     /* struct request_key of this host's suspects. */
+	struct handle timer; /* Fires when the path may have been judged. */
 };
 
 static bool is_suspect(const struct relay_exchange *exchange);
 static struct crash_check *find_or_add_check(
     const struct relay_exchange *exchange);
 static void on_probed(void *context, enum error_code error);
+static void await_path_state(struct crash_check *check);
+static void on_path_judged(void *context);
+static void end_check(struct crash_check *check);
 static void report_crash(const struct crash_check *check);
 static bool find_data_centre(
     const struct relay_exchange *exchange, char data_centre[NAME_SIZE_MAX]);
@@ -138,8 +147,46 @@
 {
 	struct crash_check *check = context;
 
-	if (error != ERROR_NONE)
+	if (error == ERROR_NONE) {
+		end_check(check);
+		return;
+	}
+	relay_path_on_unreached(check->relay, check->upstream_id);
+	await_path_state(check);
+}
+
+static void
+await_path_state(struct crash_check *check)
+{
+	/* Without a free timer the doubt counts for the requests. */
+	if (timer_subscribe_once(&check->relay->timers, PATH_DOUBT_MS,
+		(struct timer_callback){on_path_judged, check},
+		&check->timer) != ERROR_NONE)
+		end_check(check);
+}
+
+static void
+on_path_judged(void *context)
+{
+	struct crash_check *check = context;
+
+	check->timer = (struct handle){0};
+	switch (check->relay->path.state) {
+	case UPSTREAM_PATH_SUSPECTED:
+		await_path_state(check);
+		return;
+	case UPSTREAM_PATH_OPEN:
 		report_crash(check);
+		break;
+	case UPSTREAM_PATH_LOST:
+		break;
+	}
+	end_check(check);
+}
+
+static void
+end_check(struct crash_check *check)
+{
 	g_hash_table_remove(check->relay->crash_checks, &check->upstream_id);
 }
 
@@ -202,6 +249,7 @@
 {
 	struct crash_check *check = memory;
 
+	timer_cancel(&check->relay->timers, &check->timer);
 	g_array_unref(check->keys);
 	g_free(check);
 }
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -572,10 +572,9 @@
 	atomic_store(&fixture->is_stopping, true);
 	pthread_join(fixture->coordinator, NULL);
 	relay_finish(&fixture->relay);
+	relay_fixture_cut(fixture);
 	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++) {
 		upstream = &fixture->upstreams[i];
-		atomic_store(&upstream->is_stopping, true);
-		shutdown(upstream->listen_fd, SHUT_RDWR);
 		pthread_join(upstream->thread, NULL);
 		for (j = 0; j < RELAY_FIXTURE_SILENT_FDS; j++) {
 			if (upstream->silent_fds[j] > 0)
@@ -611,6 +610,17 @@
 	atomic_store(&second->peer, NULL);
 }
 
+void
+relay_fixture_cut(struct relay_fixture *fixture)
+{
+	uint32_t i;
+
+	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++) {
+		atomic_store(&fixture->upstreams[i].is_stopping, true);
+		shutdown(fixture->upstreams[i].listen_fd, SHUT_RDWR);
+	}
+}
+
 void
 relay_fixture_add_answer(struct relay_fixture *fixture, const char *answer)
 {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -99,6 +99,9 @@
     struct relay_fixture *first, struct relay_fixture *second);
 /** Stops relay and upstreams and frees their memory. */
 void relay_fixture_finish(struct relay_fixture *fixture);
+/** Cuts a host's path: its upstreams accept no more connections. Those that they
+ * have accepted live on. */
+void relay_fixture_cut(struct relay_fixture *fixture);
 /** Adds an answer to the script; "{ID}" in it becomes the attempt id. */
 void relay_fixture_add_answer(
     struct relay_fixture *fixture, const char *answer);
--- a/tests/test_no_path.c
+++ b/tests/test_no_path.c
@@ -17,6 +17,10 @@
 
 #define WAIT_ROUNDS 500
 #define WAIT_US	    10000
+/* Requests whose connections break as the path is lost. */
+#define BROKEN_TOGETHER 3
+/* By then it is decided whether an upstream has ended. */
+#define EVALUATION_US 700000
 
 #define HEAD(path, deadline_ms)                                                \
 	"POST " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"              \
@@ -171,6 +175,46 @@
 	}
 }
 
+/* Sends a request to a host and returns the answer. */
+static void *
+send_call(void *fixture)
+{
+	return relay_fixture_send_request(fixture, CALL("/idem/"));
+}
+
+/* Several connections break together as the path is lost. No upstream has ended,
+ * so nobody may take their requests for ones that end upstreams. */
+static void
+test_lost_path_makes_no_request_a_suspect(void **state)
+{
+	pthread_t senders[BROKEN_TOGETHER];
+	struct two_hosts *hosts;
+	void *answer;
+	uint32_t i;
+
+	(void)state;
+	hosts = start_hosts(RELAY_FIXTURE_OPEN);
+	relay_fixture_add_answer(&hosts->cut, "<slow><reset>");
+	for (i = 0; i < BROKEN_TOGETHER; i++)
+		pthread_create(&senders[i], NULL, send_call, &hosts->cut);
+	for (i = 0; i < WAIT_ROUNDS &&
+		    relay_fixture_request_count(&hosts->cut) < BROKEN_TOGETHER;
+	     i++)
+		usleep(WAIT_US);
+	relay_fixture_cut(&hosts->cut);
+	for (i = 0; i < BROKEN_TOGETHER; i++) {
+		pthread_join(senders[i], &answer);
+		assert_non_null(strstr(answer, "body!"));
+		g_free(answer);
+	}
+	usleep(EVALUATION_US);
+	answer = send_call(&hosts->cut);
+	if (strstr(answer, "body!") == NULL)
+		fail_msg("%s", (char *)answer);
+	g_free(answer);
+	stop_hosts(hosts);
+}
+
 /* Neither host has a path: the caller is told that the request did not run. */
 static void
 test_no_host_with_a_path_is_told_at_once(void **state)
@@ -289,6 +333,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_callers_of_a_host_without_path_are_served),
+	    cmocka_unit_test(test_lost_path_makes_no_request_a_suspect),
 	    cmocka_unit_test(test_no_host_with_a_path_is_told_at_once),
 	    cmocka_unit_test(
 		test_caller_that_leaves_ends_the_forwarded_request),
