What an upstream said of itself outlives its record

What it would look like from outside: an upstream asks a host for rest, its record expires while it can't reach the control hosts, it is back as the same incarnation, and the host sends it requests at once (BUDGET).

Cause: the notice lived in placement's entry of the upstream, which went with its record. Class: state about a peer kept under the lifetime of another fact.

Change: an unlisted upstream's entry stays, unused, while its pause lasts, and for 60 s if it named a limit or leaves.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -132,7 +132,11 @@
 	}
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
-		if (!upstream->is_listed)
+		if (upstream->is_listed)
+			continue;
+		/* It may be back, and what it said of itself still holds. */
+		upstream->is_usable = false;
+		if (!upstream_notice_is_binding(&upstream->notice, now_ms))
 			g_hash_table_iter_remove(&iter);
 	}
 	drop_replaced(placement);
@@ -530,6 +534,8 @@
 	newest_by_address = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (!upstream->is_listed)
+			continue;
 		newest =
 		    g_hash_table_lookup(newest_by_address, &upstream->address);
 		if (newest == NULL ||
--- a/src/coordination/upstream_notice.c
+++ b/src/coordination/upstream_notice.c
@@ -14,6 +14,9 @@
  * or whether an upstream takes requests again after a pause. */
 #define ASK_PERIOD_MS 1000
 #define MS_PER_S      1000.0
+/* Time for which a limit, or that it leaves, is remembered of an upstream that is
+ * not listed any more. */
+#define REMEMBER_MS 60000
 
 static enum error_code parse_number(const char *text, double *number);
 static int64_t limit_wait_ms(
@@ -102,6 +105,15 @@
 		notice->is_resuming = pause_ms > 0;
 }
 
+bool
+upstream_notice_is_binding(const struct upstream_notice *notice, int64_t now_ms)
+{
+	if (notice->pause_until_ms > now_ms)
+		return true;
+	return (notice->last.is_leaving || notice->last.has_limit) &&
+	       now_ms - notice->heard_ms < REMEMBER_MS;
+}
+
 int64_t
 upstream_notice_wait_ms(const struct upstream_notice *notice, int64_t now_ms)
 {
--- a/src/coordination/upstream_notice.h
+++ b/src/coordination/upstream_notice.h
@@ -84,6 +84,10 @@
  * without asking for a pause, or with a pause. */
 void upstream_notice_record_answer(
     struct upstream_notice *notice, int64_t pause_ms, int64_t now_ms);
+/** Returns true if something that the upstream said may still bind this host, so
+ * that it must be remembered even if the upstream isn't listed any more. */
+bool upstream_notice_is_binding(
+    const struct upstream_notice *notice, int64_t now_ms);
 /** Returns the milliseconds until this host may send the upstream a request, 0
  * if it may do so now. Ignores that it leaves. */
 int64_t upstream_notice_wait_ms(
