A limit that can't be read no longer hides what else an upstream says

What it would look like from outside: an upstream that names a limit in a form we can't read and asks for a pause, or says that it leaves, goes on getting requests (BUDGET, DRAIN).

Cause: the whole statement of an answer was dropped if its limit was malformed. Class: one bad field discards its neighbours.

Change: each header is read for itself; a limit that can't be read leaves an earlier one in force. test_relay, test_pause_holds_beside_a_limit_that_is_not_valid, failed before.

--- a/src/coordination/placement_notice.c
+++ b/src/coordination/placement_notice.c
@@ -17,6 +17,7 @@
 placement_hear(struct placement *placement, uint64_t id, uint64_t incarnation,
     const struct upstream_statement *statement, int64_t now_ms)
 {
+	struct upstream_statement readable = *statement;
 	struct placement_upstream *upstream;
 
 	upstream = g_hash_table_lookup(placement->upstreams, &id);
@@ -24,12 +25,16 @@
 		return false;
 	upstream_notice_record_answer(
 	    &upstream->notice, statement->pause_ms, now_ms);
+	if (statement->has_unreadable_limit) {
+		readable.has_limit = upstream->notice.last.has_limit;
+		readable.limit_per_s = upstream->notice.last.limit_per_s;
+	}
 	/* Most upstreams never say anything. */
-	if (!statement->has_limit && !upstream->notice.last.has_limit &&
-	    !statement->is_leaving)
-		return statement->pause_ms > 0;
+	if (!readable.has_limit && !upstream->notice.last.has_limit &&
+	    !readable.is_leaving)
+		return readable.pause_ms > 0;
 	upstream->notice.own_heard_ms = now_ms;
-	return hear(placement, upstream, statement, now_ms, now_ms);
+	return hear(placement, upstream, &readable, now_ms, now_ms);
 }
 
 void
--- a/src/coordination/upstream_notice.h
+++ b/src/coordination/upstream_notice.h
@@ -43,7 +43,10 @@
 
 /** What one answer of an upstream says. */
 struct upstream_statement {
-	bool has_limit;	    /**< It names a limit. */
+	bool has_limit; /**< It names a limit. */
+	/** It names a limit that can't be read, so an earlier one still holds.
+	 */
+	bool has_unreadable_limit;
 	bool is_leaving;    /**< It stops soon and wants no new requests. */
 	double limit_per_s; /**< Requests a second from all hosts together. */
 	/** Time for which it wants nothing from this host, 0 for no pause. */
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -31,7 +31,7 @@
 static void on_head(void *context, struct http_head *head);
 static void hear_upstream(
     const struct relay_exchange *exchange, const struct http_head *head);
-static bool read_statement(const struct relay_exchange *exchange,
+static void read_statement(const struct relay_exchange *exchange,
     const struct http_head *head, struct upstream_statement *statement);
 static void log_malformed(
     const struct relay_exchange *exchange, const char *field, const char *text);
@@ -343,8 +343,8 @@
 	struct relay *relay = exchange->relay;
 	struct upstream_statement statement;
 
-	if (!read_statement(exchange, head, &statement) ||
-	    !placement_hear(&relay->placement, exchange->upstream_id,
+	read_statement(exchange, head, &statement);
+	if (!placement_hear(&relay->placement, exchange->upstream_id,
 		exchange->upstream_incarnation, &statement, host_now_ms()))
 		return;
 	event_log_write_fields(EVENT_UPSTREAM_NOTICED,
@@ -356,8 +356,9 @@
 	relay_schedule_report(relay);
 }
 
-/* False if the limit is malformed, so that nothing can be said of it. */
-static bool
+/* Reads each of the headers for itself: one that can't be read leaves the others
+ * as they are. */
+static void
 read_statement(const struct relay_exchange *exchange,
     const struct http_head *head, struct upstream_statement *statement)
 {
@@ -373,12 +374,13 @@
 	    upstream_pause_parse(text, &statement->pause_ms) != ERROR_NONE)
 		log_malformed(exchange, "pause", text);
 	text = http_head_get(head, dialect->rate_limit);
-	statement->has_limit = text != NULL;
-	if (text == NULL ||
-	    upstream_limit_parse(text, &statement->limit_per_s) == ERROR_NONE)
-		return true;
-	log_malformed(exchange, "limit", text);
-	return false;
+	if (text == NULL)
+		return;
+	statement->has_limit =
+	    upstream_limit_parse(text, &statement->limit_per_s) == ERROR_NONE;
+	statement->has_unreadable_limit = !statement->has_limit;
+	if (statement->has_unreadable_limit)
+		log_malformed(exchange, "limit", text);
 }
 
 static void
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -553,19 +553,16 @@
 /* Upstreams that turn a request away and ask for a pause get no other before it
  * is over; callers are told at once when to come again. */
 static void
-test_upstream_that_wants_a_pause_gets_one(void **state)
+expect_pause_after(const char *refusal)
 {
 	struct relay_fixture *fixture;
 	double retry_after_s;
 	char *answer, *field;
 	uint32_t i;
 
-	(void)state;
 	fixture = g_new0(struct relay_fixture, 1);
 	relay_fixture_init(fixture);
-	relay_fixture_add_answer(fixture,
-	    "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 30\r\n"
-	    "Content-Length: 0\r\n\r\n");
+	relay_fixture_add_answer(fixture, refusal);
 	for (i = 0; i < 6; i++) {
 		answer = relay_fixture_send_request(fixture, CALL("/idem/"));
 		assert_non_null(strstr(answer, "HTTP/1.1 503"));
@@ -582,6 +579,24 @@
 	g_free(fixture);
 }
 
+static void
+test_upstream_that_wants_a_pause_gets_one(void **state)
+{
+	(void)state;
+	expect_pause_after("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+			   "Retry-After: 30\r\nContent-Length: 0\r\n\r\n");
+}
+
+/* What else an upstream says may not be valid. */
+static void
+test_pause_holds_beside_a_limit_that_is_not_valid(void **state)
+{
+	(void)state;
+	expect_pause_after("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+			   "Server-Limit: some\r\nRetry-After: 30\r\n"
+			   "Content-Length: 0\r\n\r\n");
+}
+
 static void *
 drop_routes_later(void *argument)
 {
@@ -651,6 +666,7 @@
 		test_upstreams_get_no_more_than_the_limit_they_name),
 	    cmocka_unit_test(test_upstream_that_leaves_gets_no_further_request),
 	    cmocka_unit_test(test_upstream_that_wants_a_pause_gets_one),
+	    cmocka_unit_test(test_pause_holds_beside_a_limit_that_is_not_valid),
 	    cmocka_unit_test(
 		test_route_dropped_during_a_reservation_is_not_used),
 	};
