A probe that fails after its upstream went on gives up nothing

What callers saw: with a sound upstream that was silent for a second, their prompts were read once more elsewhere, and a retry was spent.

Cause: a probe begins after 0.7 s of silence and takes 0.4 s to give up. If the upstream had gone on meanwhile, its request was abandoned all the same. Class: a verdict on evidence that newer evidence has overtaken.

Change: the verdict asks for progress since the probe began. test_placement, test_upstream_that_is_silent_for_a_second_keeps_its_requests, silences of 0.1 to 1.1 s; without the change red from 0.8 s on.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -406,6 +406,14 @@
 	return SILENCE_WAIT;
 }
 
+/* A sound upstream may be silent for about a second, and a probe takes as long to
+ * give up as the rest of that. */
+enum silence_action
+placement_evaluate_unreached(const struct silence *silence, int64_t probed_ms)
+{
+	return silence->since_ms > probed_ms ? SILENCE_WAIT : SILENCE_ABANDON;
+}
+
 int64_t
 placement_retry_after(struct placement *placement,
     const struct route_service *service, int64_t now_ms)
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -307,6 +307,10 @@
 /** Decides what to do about an upstream that is silent on a request. */
 enum silence_action placement_evaluate_silence(struct placement *placement,
     uint64_t id, const struct silence *silence, int64_t now_ms);
+/** Decides what follows from a probe that was begun at @p probed_ms and reached
+ * nobody. */
+enum silence_action placement_evaluate_unreached(
+    const struct silence *silence, int64_t probed_ms);
 /** Milliseconds until some upstream of the service is no longer ejected and may
  * get another request, for Retry-After. */
 int64_t placement_retry_after(struct placement *placement,
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -138,6 +138,7 @@
 	struct handle stall_timer;    /**< Next check for a stalled upstream. */
 	struct pool_call *probe;      /**< Connection test of a silent upstream,
 					   or NULL. */
+	int64_t probed_ms; /**< When the last such test began. */
 	uint64_t upstream_address;    /**< Packed IP address and port of the
 					upstream. */
 	int64_t sent_ms;	      /**< When the attempt was sent. */
--- a/src/service/relay_silence.c
+++ b/src/service/relay_silence.c
@@ -17,6 +17,7 @@
 #define PAUSE_LIMIT_GAPS 8
 
 static void silence_tick(void *context);
+static struct silence describe_silence(const struct relay_exchange *exchange);
 static int64_t pause_limit_ms(const struct route *route);
 static void on_probed(void *context, enum error_code error);
 static void abandon_attempt(struct relay_exchange *exchange);
@@ -43,13 +44,7 @@
 {
 	struct relay_exchange *exchange = context;
 	struct relay *relay = exchange->relay;
-	struct silence silence = {
-	    .sent_ms = exchange->sent_ms,
-	    .since_ms = exchange->last_progress_ms,
-	    .expected_ms = exchange->expected_ms,
-	    .pause_limit_ms = pause_limit_ms(exchange->route),
-	    .is_reachable = exchange->is_reachable,
-	};
+	struct silence silence = describe_silence(exchange);
 	enum silence_action action;
 	int64_t now_ms;
 
@@ -73,12 +68,25 @@
 	relay_silence_watch(exchange);
 	if (action != SILENCE_PROBE || exchange->probe != NULL)
 		return;
+	exchange->probed_ms = now_ms;
 	exchange->probe = upstream_pool_probe(
 	    &relay->pool, exchange->upstream_address, on_probed, exchange);
 	if (exchange->probe == NULL)
 		abandon_attempt(exchange);
 }
 
+static struct silence
+describe_silence(const struct relay_exchange *exchange)
+{
+	return (struct silence){
+	    .sent_ms = exchange->sent_ms,
+	    .since_ms = exchange->last_progress_ms,
+	    .expected_ms = exchange->expected_ms,
+	    .pause_limit_ms = pause_limit_ms(exchange->route),
+	    .is_reachable = exchange->is_reachable,
+	};
+}
+
 /* Returns the largest pause between two events that callers accept. */
 static int64_t
 pause_limit_ms(const struct route *route)
@@ -94,10 +102,12 @@
 on_probed(void *context, enum error_code error)
 {
 	struct relay_exchange *exchange = context;
+	struct silence silence = describe_silence(exchange);
 
 	exchange->probe = NULL;
 	exchange->is_reachable = error == ERROR_NONE;
-	if (error == ERROR_NONE)
+	if (error == ERROR_NONE || placement_evaluate_unreached(&silence,
+				       exchange->probed_ms) == SILENCE_WAIT)
 		return;
 	if (exchange->forward.to_host == 0) {
 		exchange->forward.unreached++;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -991,6 +991,64 @@
 
 /* Whether a silent attempt is abandoned depends on the progress that the
  * upstream makes on other requests. */
+/* Whether a request is given up whose upstream is silent for @p silent_ms, as are
+ * its answers to the probe, and then goes on. */
+static bool
+is_given_up(struct fixture *fixture, uint64_t id, int64_t silent_ms)
+{
+	enum {
+		TICK_MS = 150,
+		PROBE_MS = 400
+	};
+	struct silence silence = {.sent_ms = START_MS,
+	    .since_ms = START_MS,
+	    .expected_ms = 100,
+	    .pause_limit_ms = 2000};
+	int64_t now_ms, probed_ms;
+
+	probed_ms = 0;
+	for (now_ms = START_MS; now_ms < START_MS + 2000; now_ms += 10) {
+		if (now_ms >= START_MS + silent_ms) {
+			silence.since_ms = now_ms;
+			placement_record_progress(
+			    &fixture->placement, id, START_MS, now_ms);
+		}
+		if (probed_ms != 0 && now_ms == probed_ms + PROBE_MS) {
+			if (placement_evaluate_unreached(&silence, probed_ms) ==
+			    SILENCE_ABANDON)
+				return true;
+			probed_ms = 0;
+		}
+		if ((now_ms - START_MS) % TICK_MS == 0 && probed_ms == 0 &&
+		    placement_evaluate_silence(&fixture->placement, id,
+			&silence, now_ms) == SILENCE_PROBE)
+			probed_ms = now_ms;
+	}
+	return false;
+}
+
+/* A sound upstream may fall silent for about a second and go on. Giving up its
+ * requests would cost their prompts a second prefill. */
+static void
+test_upstream_that_is_silent_for_a_second_keeps_its_requests(void **state)
+{
+	struct fixture fixture;
+	int64_t silent_ms;
+	uint64_t id;
+
+	(void)state;
+	for (silent_ms = 100; silent_ms <= 1100; silent_ms += 50) {
+		fixture_init(&fixture, 11);
+		id = fixture.records[0].id;
+		if (is_given_up(&fixture, id, silent_ms))
+			fail_msg("given up after %d ms", (int)silent_ms);
+		fixture_finish(&fixture);
+	}
+	fixture_init(&fixture, 11);
+	assert_true(is_given_up(&fixture, fixture.records[0].id, 1900));
+	fixture_finish(&fixture);
+}
+
 static void
 test_silence_is_evaluated_by_other_progress(void **state)
 {
@@ -1259,6 +1317,8 @@
 	    cmocka_unit_test(test_cut_off_host_keeps_to_its_share),
 	    cmocka_unit_test(test_limit_heard_by_one_host_binds_the_others),
 	    cmocka_unit_test(test_reports_of_other_hosts_are_counted_once),
+	    cmocka_unit_test(
+		test_upstream_that_is_silent_for_a_second_keeps_its_requests),
 	    cmocka_unit_test(test_silence_is_evaluated_by_other_progress),
 	    cmocka_unit_test(test_reports_with_too_large_numbers_are_refused),
 	    cmocka_unit_test(test_short_prompts_wait_for_a_slot),
