An upstream without connections gets requests again only after a probe

As soon as an ejection ended, the idle engine looked like the best choice to every request of the next 0.4 s; and with more than half of the engines ejected they were all used again.

Change: an upstream to which no connection could be made is tried with a connection alone once its ejection ends, and gets requests when that was made, or if no other upstream is left, those at their limits included.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -304,6 +304,7 @@
 	if (upstream == NULL)
 		return;
 	upstream->failures = 0;
+	upstream->is_unreached = false;
 	upstream->failure_share *= 1 - FAILURE_WEIGHT;
 }
 
@@ -318,6 +319,7 @@
 	if (upstream == NULL)
 		return;
 	upstream->failures++;
+	upstream->is_unreached = false;
 	upstream->failure_share +=
 	    FAILURE_WEIGHT * (1 - upstream->failure_share);
 	if (upstream->failures < EJECT_FAILURES_MIN)
@@ -329,14 +331,41 @@
 }
 
 void
-placement_record_absence(
+placement_record_unreached(
     struct placement *placement, uint64_t id, int64_t now_ms)
 {
 	struct placement_upstream *upstream;
 
+	placement_record_failure(placement, id, now_ms);
 	upstream = g_hash_table_lookup(placement->upstreams, &id);
 	if (upstream != NULL)
-		eject_at_once(placement, upstream, now_ms);
+		upstream->is_unreached = true;
+}
+
+void
+placement_record_reached(struct placement *placement, uint64_t id)
+{
+	struct placement_upstream *upstream;
+
+	upstream = g_hash_table_lookup(placement->upstreams, &id);
+	if (upstream == NULL || !upstream->is_unreached)
+		return;
+	upstream->is_unreached = false;
+	upstream->failures = 0;
+	upstream->ejected_until_ms = 0;
+}
+
+void
+placement_record_absence(
+    struct placement *placement, uint64_t id, int64_t now_ms)
+{
+	struct placement_upstream *upstream;
+
+	upstream = g_hash_table_lookup(placement->upstreams, &id);
+	if (upstream == NULL)
+		return;
+	eject_at_once(placement, upstream, now_ms);
+	upstream->is_unreached = true;
 }
 
 void
@@ -513,6 +542,7 @@
 		upstream->failures = 0;
 		upstream->failure_share = 0;
 		upstream->ejected_until_ms = 0;
+		upstream->is_unreached = false;
 		upstream->own.prefill_until_ms = 0;
 		memset(&upstream->notice, 0, sizeof(upstream->notice));
 	}
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -8,7 +8,9 @@
  * several engines prefill parts of a long prompt in parallel. An upstream that
  * fails is ejected for a while. If more than half of a service's upstreams are
  * ejected they are used all the same, so a false detection can't leave a
- * service without upstreams.
+ * service without upstreams. One to which no connection could be made gets
+ * requests again only after a connection was made, or if no other is left: idle as
+ * it is, it would else look like the best choice to all of them.
  * Each host limits its requests per second to an upstream to its share of what
  * a cold upstream can take, because an upstream may turn cold at any moment
  * without announcing it, and of a limit that the upstream names
@@ -100,6 +102,9 @@
 	bool is_usable;	    /**< Active and not taken out of service. */
 	bool is_local;	    /**< The upstream is in this host's data centre. */
 	bool is_listed;	    /**< Present in the latest update. */
+	/** No connection could be made when it failed last, and none since. */
+	bool is_unreached;
+	bool is_probe_due; /**< The owner is to try a connection. */
 };
 
 /** What placement needs to know of a request. */
@@ -222,6 +227,7 @@
 	struct forward_peers forward_peers;	/**< That of the other hosts. */
 	uint64_t report_number;	 /**< Number of the last report written. */
 	bool is_peer_load_stale; /**< Peer loads must be summed again. */
+	bool has_probes_due;	 /**< Some upstream has is_probe_due set. */
 };
 
 /* Setting up */
@@ -287,6 +293,17 @@
 /** Records a failure caused by the upstream; two in a row eject it. */
 void placement_record_failure(
     struct placement *placement, uint64_t id, int64_t now_ms);
+/** Records that no connection to the upstream could be made in time. Two such
+ * failures in a row eject it. */
+void placement_record_unreached(
+    struct placement *placement, uint64_t id, int64_t now_ms);
+/** Records that a connection to the upstream was made. */
+void placement_record_reached(struct placement *placement, uint64_t id);
+/** Takes an upstream whose ejection has ended and that gets requests only once a
+ * connection to it was made. Returns false if there is none; else the owner tries
+ * a connection and records the outcome. */
+bool placement_take_probe(struct placement *placement, int64_t now_ms,
+    uint64_t *id, uint64_t *address);
 /** Records that nothing accepts connections at the upstream, which ejects it at
  * once. */
 void placement_record_absence(
--- a/src/coordination/placement_pick.c
+++ b/src/coordination/placement_pick.c
@@ -85,6 +85,8 @@
 static gint compare_ranks(gconstpointer left, gconstpointer right);
 static gint compare_candidates(gconstpointer left, gconstpointer right);
 static GArray *collect_candidates(struct placement_context *context);
+static void request_probe(const struct placement_context *context,
+    struct placement_upstream *upstream);
 static bool is_limited(struct placement_context *context,
     const struct placement_upstream *upstream);
 static int64_t wait_for_cold_turn(const struct placement_context *context,
@@ -509,13 +511,16 @@
 	struct placement *placement = context->placement;
 	struct placement_upstream *upstream;
 	struct placement_candidate candidate;
-	GArray *healthy, *ejected;
+	GArray *healthy, *ejected, *unreached;
+	uint32_t limited_reached;
 	GHashTableIter iter;
 
 	context->usable_count = context->limited_count = 0;
+	limited_reached = 0;
 	context->limited_wait_ms = INT64_MAX;
 	healthy = g_array_new(FALSE, FALSE, sizeof(candidate));
 	ejected = g_array_new(FALSE, FALSE, sizeof(candidate));
+	unreached = g_array_new(FALSE, FALSE, sizeof(candidate));
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
 		if (!placement_serves(upstream, context->request->service))
@@ -525,6 +530,7 @@
 			continue;
 		if (is_limited(context, upstream)) {
 			context->limited_count++;
+			limited_reached += !upstream->is_unreached;
 			continue;
 		}
 		candidate.upstream = upstream;
@@ -541,20 +547,37 @@
 			MAX(placement->host_count * RANDOM_COST_PER_HOST_MS,
 			    1.0) /
 			RANDOM_STEPS;
-		if (upstream->ejected_until_ms > context->now_ms)
-			g_array_append_val(ejected, candidate);
-		else
+		if (upstream->is_unreached) {
+			request_probe(context, upstream);
+			g_array_append_val(unreached, candidate);
+		} else if (upstream->ejected_until_ms <= context->now_ms)
 			g_array_append_val(healthy, candidate);
+		else
+			g_array_append_val(ejected, candidate);
 	}
 	if (ejected->len > 0 &&
 	    (healthy->len == 0 ||
 		ejected->len > EJECTED_SHARE_MAX * context->usable_count))
 		g_array_append_vals(healthy, ejected->data, ejected->len);
+	if (healthy->len == 0 && limited_reached == 0 && unreached->len > 0)
+		g_array_append_vals(healthy, unreached->data, unreached->len);
 	g_array_unref(ejected);
+	g_array_unref(unreached);
 	g_array_sort(healthy, compare_candidates);
 	return healthy;
 }
 
+/* Has a connection tried to an upstream whose ejection has ended. */
+static void
+request_probe(const struct placement_context *context,
+    struct placement_upstream *upstream)
+{
+	if (upstream->ejected_until_ms > context->now_ms)
+		return;
+	upstream->is_probe_due = true;
+	context->placement->has_probes_due = true;
+}
+
 /* Whether this host may not send the upstream a request now, because it may be
  * cold or because of the limit that it named. */
 static bool
--- a/src/coordination/placement_probe.c
+++ b/src/coordination/placement_probe.c
@@ -1,9 +1,13 @@
 /**
  * @file placement_probe.c
- * The upstreams by which a host finds out whether it reaches any.
+ * The upstreams to which a host tries connections without a request: to find out
+ * whether it reaches any, and whether a failed one is there again.
  */
 #include "coordination/placement_parts.h"
 
+/* Longest time until the outcome of a probe is known. */
+#define PROBE_TIME_MAX_MS 1000
+
 static gint compare_progress(gconstpointer left, gconstpointer right);
 
 uint32_t
@@ -31,6 +35,30 @@
 	return count;
 }
 
+bool
+placement_take_probe(struct placement *placement, int64_t now_ms, uint64_t *id,
+    uint64_t *address)
+{
+	struct placement_upstream *upstream;
+	GHashTableIter iter;
+
+	if (!placement->has_probes_due)
+		return false;
+	g_hash_table_iter_init(&iter, placement->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
+		if (!upstream->is_probe_due)
+			continue;
+		upstream->is_probe_due = false;
+		/* Until the outcome is known. */
+		upstream->ejected_until_ms = now_ms + PROBE_TIME_MAX_MS;
+		*id = upstream->id;
+		*address = upstream->address;
+		return true;
+	}
+	placement->has_probes_due = false;
+	return false;
+}
+
 /* Those that answered last come first: they are the least likely to have failed
  * themselves. */
 static gint
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -221,6 +221,11 @@
 {
 	struct placement *placement = &exchange->relay->placement;
 
+	if (!exchange->is_sent && error == ERROR_TIMEOUT) {
+		placement_record_unreached(
+		    placement, exchange->upstream_id, host_now_ms());
+		return;
+	}
 	if (exchange->is_sent || error != ERROR_CONNECTION) {
 		placement_record_failure(
 		    placement, exchange->upstream_id, host_now_ms());
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -151,6 +151,7 @@
 	was_waiting = exchange->queue_entry.wait != PLACEMENT_WAIT_NONE;
 	error = placement_pick(&exchange->relay->placement, &exchange->request,
 	    host_now_ms(), &exchange->queue_entry, &exchange->choice);
+	relay_path_run_probes(exchange->relay);
 	if (exchange->queue_entry.service != 0)
 		relay_schedule_report(exchange->relay);
 	if (error == ERROR_CHANGE_PENDING) {
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -138,7 +138,7 @@
 	struct handle stall_timer;    /**< Next check for a stalled upstream. */
 	struct pool_call *probe;      /**< Connection test of a silent upstream,
 					   or NULL. */
-	int64_t probed_ms; /**< When the last such test began. */
+	int64_t probed_ms;	      /**< When the last such test began. */
 	uint64_t upstream_address;    /**< Packed IP address and port of the
 					upstream. */
 	int64_t sent_ms;	      /**< When the attempt was sent. */
@@ -289,10 +289,17 @@
 
 /* relay_path.c */
 
+/** Prepares the set of probes. */
+void relay_path_init(struct relay *relay);
+/** Frees it, after the loop has ended. */
+void relay_path_finish(struct relay *relay);
+
 /** Called when a connection to an upstream was established. */
 void relay_path_on_connected(struct relay *relay);
 /** Called when an upstream accepted no connection. */
 void relay_path_on_unreached(struct relay *relay, uint64_t upstream_id);
+/** Tries connections to the upstreams that placement wants to know of. */
+void relay_path_run_probes(struct relay *relay);
 /** Returns true while this host reaches no upstream. */
 bool relay_path_is_lost(const struct relay *relay);
 
--- a/src/service/relay_path.c
+++ b/src/service/relay_path.c
@@ -1,6 +1,7 @@
 /*
- * Tests whether this host reaches the upstreams: connections to a sample of them
- * while upstream_path.h suspects that it doesn't, or has found so.
+ * Tries connections without a request: to a sample of the upstreams while
+ * upstream_path.h suspects that this host reaches none, or has found so, and to
+ * upstreams that could not be reached before.
  */
 #include <jansson.h>
 
@@ -10,12 +11,32 @@
 /* Period at which a test that is due begins. */
 #define TEST_CHECK_MS 50
 
+/* A connection to an upstream that could not be reached before. */
+struct upstream_probe {
+	struct relay *relay;
+	uint64_t upstream_id;
+};
+
+static void on_probed(void *context, enum error_code error);
 static void begin_test(struct relay *relay);
 static void schedule_check(struct relay *relay);
 static void on_check(void *context);
 static void on_tested(void *context, enum error_code error);
 static void set_without_path(struct relay *relay, bool is_without_path);
 
+void
+relay_path_init(struct relay *relay)
+{
+	relay->upstream_probes =
+	    g_hash_table_new_full(NULL, NULL, g_free, NULL);
+}
+
+void
+relay_path_finish(struct relay *relay)
+{
+	g_hash_table_unref(relay->upstream_probes);
+}
+
 void
 relay_path_on_connected(struct relay *relay)
 {
@@ -36,12 +57,47 @@
 	begin_test(relay);
 }
 
+void
+relay_path_run_probes(struct relay *relay)
+{
+	struct upstream_probe *probe;
+	uint64_t id, address;
+
+	while (placement_take_probe(
+	    &relay->placement, host_now_ms(), &id, &address)) {
+		probe = g_new0(struct upstream_probe, 1);
+		probe->relay = relay;
+		probe->upstream_id = id;
+		g_hash_table_add(relay->upstream_probes, probe);
+		if (upstream_pool_probe(
+			&relay->pool, address, on_probed, probe) == NULL)
+			g_hash_table_remove(relay->upstream_probes, probe);
+	}
+}
+
 bool
 relay_path_is_lost(const struct relay *relay)
 {
 	return relay->path.state == UPSTREAM_PATH_LOST;
 }
 
+static void
+on_probed(void *context, enum error_code error)
+{
+	struct upstream_probe *probe = context;
+	struct relay *relay = probe->relay;
+	uint64_t upstream_id = probe->upstream_id;
+
+	g_hash_table_remove(relay->upstream_probes, probe);
+	if (error != ERROR_NONE) {
+		placement_record_unreached(
+		    &relay->placement, upstream_id, host_now_ms());
+		return;
+	}
+	placement_record_reached(&relay->placement, upstream_id);
+	relay_path_on_connected(relay);
+}
+
 /* Begins a test if one is due, and checks again later while the path is not
  * open. */
 static void
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -1049,6 +1049,80 @@
 	fixture_finish(&fixture);
 }
 
+/* Sends a prompt each millisecond for a tenth of a second and returns how many of
+ * them go to one of the first @p count engines. */
+static uint32_t
+count_placed_on_first(struct fixture *fixture, uint32_t count, int64_t from_ms)
+{
+	struct placement_queue_entry entry;
+	struct placement_request request;
+	struct placement_choice choice;
+	struct placement_work work;
+	uint32_t i, j, placed;
+	int64_t now_ms;
+
+	placed = 0;
+	for (i = 0; i < 100; i++) {
+		now_ms = from_ms + i;
+		request = make_request(fixture, &fixture->chat, 5000, now_ms);
+		memset(&entry, 0, sizeof(entry));
+		if (placement_pick(&fixture->placement, &request, now_ms,
+			&entry, &choice) != ERROR_NONE)
+			continue;
+		for (j = 0; j < count; j++)
+			placed += choice.upstream == engine_at(fixture, j);
+		placement_begin(
+		    &fixture->placement, &request, &choice, now_ms, &work);
+	}
+	return placed;
+}
+
+/* For a crash of most engines at once that don't even refuse connections. Each
+ * request that tries one of them loses 400 ms, and an engine that is idle looks
+ * like the best choice as soon as its ejection ends. */
+static void
+test_engine_without_connections_gets_requests_only_after_a_probe(void **state)
+{
+	struct fixture fixture;
+	uint64_t id, address;
+	uint32_t dead, i;
+
+	(void)state;
+	dead = ENGINES * 3 / 4;
+	fixture_init(&fixture, 5);
+	for (i = 0; i < dead; i++)
+		placement_record_absence(
+		    &fixture.placement, fixture.records[i].id, START_MS);
+	assert_int_equal(
+	    count_placed_on_first(&fixture, dead, START_MS + 1500), 0);
+	/* Each is to be probed once. */
+	for (i = 0; i < dead; i++)
+		assert_true(placement_take_probe(
+		    &fixture.placement, START_MS + 1600, &id, &address));
+	assert_false(placement_take_probe(
+	    &fixture.placement, START_MS + 1600, &id, &address));
+	placement_record_reached(&fixture.placement, fixture.records[0].id);
+	assert_true(count_placed_on_first(&fixture, 1, START_MS + 1600) > 0);
+	fixture_finish(&fixture);
+}
+
+/* They are tried all the same if no other is left. */
+static void
+test_engines_without_connections_are_used_if_no_other_is_left(void **state)
+{
+	struct fixture fixture;
+	uint32_t i;
+
+	(void)state;
+	fixture_init(&fixture, 5);
+	for (i = 0; i < ENGINES; i++)
+		placement_record_absence(
+		    &fixture.placement, fixture.records[i].id, START_MS);
+	assert_true(
+	    count_placed_on_first(&fixture, ENGINES, START_MS + 10) > 0);
+	fixture_finish(&fixture);
+}
+
 static void
 test_silence_is_evaluated_by_other_progress(void **state)
 {
@@ -1319,6 +1393,10 @@
 	    cmocka_unit_test(test_reports_of_other_hosts_are_counted_once),
 	    cmocka_unit_test(
 		test_upstream_that_is_silent_for_a_second_keeps_its_requests),
+	    cmocka_unit_test(
+		test_engine_without_connections_gets_requests_only_after_a_probe),
+	    cmocka_unit_test(
+		test_engines_without_connections_are_used_if_no_other_is_left),
 	    cmocka_unit_test(test_silence_is_evaluated_by_other_progress),
 	    cmocka_unit_test(test_reports_with_too_large_numbers_are_refused),
 	    cmocka_unit_test(test_short_prompts_wait_for_a_slot),
