Short prompts that can't start before their callers leave are refused early

Cause: a prompt past its target waited until its deadline of ten seconds, however many waited, though callers of a stream leave after two seconds, four targets or eight pauses without an event. Class: a wait bounded by the wrong time.

Change: route_patience_ms, in place of the relay's own copy, bounds what may wait for a slot, a turn or a rate limit; of the prompts past their target only as many wait as may get a slot in that time (half of the slots that become free); the others are refused at once, with a Retry-After of 1.5 s or more while others wait.

--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -139,6 +139,7 @@
 	uint64_t slot_service;	/**< Hash of the service of whose slots a short
 				    prompt waits for one, otherwise 0. */
 	int64_t retry_ms;	/**< When to try again, 0 for any time soon. */
+	bool is_late_waiting;	/**< It waits for a slot past its target. */
 	uint64_t service;	/**< Hash of a queued long prompt's service,
 				     otherwise 0. */
 	double prefill_ms;	/**< Prefill time on a single engine. */
@@ -328,6 +329,10 @@
  * nobody. */
 enum silence_action placement_evaluate_unreached(
     const struct silence *silence, int64_t probed_ms);
+/** Returns true if short prompts of the service are refused as others wait for
+ * slots past their target. */
+bool placement_is_crowded(
+    struct placement *placement, const struct route_service *service);
 /** Milliseconds until some upstream of the service is no longer ejected and may
  * get another request, for Retry-After. */
 int64_t placement_retry_after(struct placement *placement,
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -21,6 +21,7 @@
 	/** Mean time for which a short answer takes a slot, 0 if unknown. */
 	double answer_ms;
 	uint32_t waiting_for_slot; /**< Short prompts that wait for a slot. */
+	uint32_t late_waiting;	   /**< Those of them past their target. */
 };
 
 /** Typical prompt of a route. */
@@ -95,7 +96,7 @@
     const GArray *candidates, struct placement_queue_entry *entry);
 /** Time from which it is too late to start a prompt that needs @p prefill_ms of
  * prefill: the time left until its deadline wouldn't suffice for the prefill
- * and the answer. */
+ * and the answer, or its caller would have left before the first event. */
 int64_t placement_latest_start_ms(
     const struct placement_request *request, double prefill_ms);
 /** Whether so little is in prefill or queued that a prompt that exceeds one
--- a/src/coordination/placement_slot.c
+++ b/src/coordination/placement_slot.c
@@ -12,10 +12,13 @@
 #define LATE_RESERVE_SHARE 0.05
 /* Time kept for a late answer, in mean times of an answer. */
 #define LATE_ANSWERS 1.5
+/* Share of the slots that become free which late prompts may count on. */
+#define LATE_SHARE 0.5
 /* Interval at which a prompt that can still meet its target tries again. */
 #define ON_TIME_RETRY_MS 15
 /* Interval at which one past its target tries again, up to half longer. */
-#define LATE_RETRY_MS 80
+#define LATE_RETRY_MS	  80
+#define LATE_RETRY_MAX_MS (LATE_RETRY_MS * 3 / 2)
 /* Tries of a waiting prompt past its target until the other hosts know of a
  * slot that was taken. */
 #define LATE_TRIES_UNSEEN 0.25
@@ -28,6 +31,9 @@
 
 static enum error_code check_late(const struct placement_context *context,
     const struct slot_count *slots, struct placement_queue_entry *entry);
+static bool is_crowded(const struct placement_context *context,
+    const struct service_load *service, const struct slot_count *slots,
+    struct placement_queue_entry *entry);
 static struct slot_count count_slots(const GArray *candidates);
 static uint32_t free_slots(const struct placement_upstream *upstream);
 static enum error_code wait_for_slot(const struct placement_context *context,
@@ -78,9 +84,21 @@
 		return;
 	service = placement_get_service(placement, entry->slot_service);
 	service->waiting_for_slot--;
+	if (entry->is_late_waiting)
+		service->late_waiting--;
+	entry->is_late_waiting = false;
 	entry->slot_service = 0;
 }
 
+bool
+placement_is_crowded(
+    struct placement *placement, const struct route_service *service)
+{
+	return placement_get_service(
+		   placement, placement_service_hash(service->name))
+		   ->late_waiting > 0;
+}
+
 void
 placement_record_answer(struct placement *placement,
     const struct placement_work *work, double answer_ms)
@@ -103,9 +121,9 @@
     const struct slot_count *slots, struct placement_queue_entry *entry)
 {
 	struct placement *placement = context->placement;
-	const struct service_load *service;
+	struct service_load *service;
+	int64_t latest_start_ms, retry_ms;
 	double spare, competing;
-	int64_t retry_ms;
 
 	service = placement_get_service(placement, context->service);
 	if (context->now_ms >= context->request->deadline_ms -
@@ -113,6 +131,12 @@
 					     context->prefill_ms) -
 				   context->request->route->target_ms)
 		return ERROR_NONE;
+	latest_start_ms =
+	    placement_latest_start_ms(context->request, context->prefill_ms);
+	/* The next try would come too late. */
+	if (context->now_ms + LATE_RETRY_MAX_MS >= latest_start_ms ||
+	    is_crowded(context, service, slots, entry))
+		return ERROR_DEADLINE_UNREACHABLE;
 	spare = slots->free - slots->total * LATE_RESERVE_SHARE;
 	competing = MAX(service->waiting_for_slot, 1u) *
 		    MAX(placement->host_count, 1u) * LATE_TRIES_UNSEEN;
@@ -121,9 +145,34 @@
 		return ERROR_NONE;
 	retry_ms =
 	    LATE_RETRY_MS + random_below(&placement->random, LATE_RETRY_MS / 2);
+	if (!entry->is_late_waiting) {
+		entry->is_late_waiting = true;
+		service->late_waiting++;
+	}
 	return wait_for_slot(context, entry, retry_ms);
 }
 
+/* Whether so many late prompts wait already that this one would hardly get a slot
+ * before its caller leaves. Only those count that came before it. */
+static bool
+is_crowded(const struct placement_context *context,
+    const struct service_load *service, const struct slot_count *slots,
+    struct placement_queue_entry *entry)
+{
+	double slots_in_time;
+	int64_t remaining_ms;
+
+	if (entry->is_late_waiting || service->answer_ms <= 0)
+		return false;
+	remaining_ms =
+	    placement_latest_start_ms(context->request, context->prefill_ms) -
+	    context->now_ms;
+	slots_in_time = slots->total * LATE_SHARE /
+			MAX(context->placement->host_count, 1u) *
+			(double)remaining_ms / service->answer_ms;
+	return service->late_waiting >= slots_in_time;
+}
+
 /* Counts the slots of the candidates that take short prompts. */
 static struct slot_count
 count_slots(const GArray *candidates)
--- a/src/coordination/placement_turn.c
+++ b/src/coordination/placement_turn.c
@@ -15,6 +15,8 @@
 #define ENGINES_PER_TURN 12u
 /* This many engines for long prompts suffice for a prompt of any size. */
 #define ENGINES_ENOUGH 6u
+/* Passes of the engine between the start of a prompt and its first event. */
+#define FIRST_EVENT_PASSES_MS 50
 /* With fewer engines, a prompt whose parts take longer than this waits. */
 #define LONG_PART_MS 500.0
 
@@ -81,8 +83,14 @@
 placement_latest_start_ms(
     const struct placement_request *request, double prefill_ms)
 {
-	return request->deadline_ms - (int64_t)prefill_ms -
-	       request->route->target_ms;
+	int64_t latest_ms, patience_ms;
+
+	latest_ms = request->deadline_ms - request->route->target_ms;
+	patience_ms = route_patience_ms(request->route);
+	if (patience_ms != INT64_MAX && !request->has_partial_answer)
+		latest_ms = MIN(latest_ms,
+		    request->arrived_ms + patience_ms - FIRST_EVENT_PASSES_MS);
+	return latest_ms - (int64_t)prefill_ms;
 }
 
 /* A prompt of half a million tokens takes as much prefill as ten of the largest
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -17,6 +17,9 @@
 #define START_WAIT_MAX_MS 1000
 /* Retry-After of a stopping host: another host can take the request at once. */
 #define STOPPING_RETRY_AFTER_MS 100
+/* Least Retry-After while short prompts wait past their target. What crowds the
+ * engines mostly lasts for seconds. */
+#define CROWDED_RETRY_AFTER_MS 1500
 /* Least Retry-After while a host or the upstreams of a service are starting. */
 #define START_RETRY_AFTER_MS 1500
 
@@ -450,6 +453,9 @@
 		after_ms =
 		    MAX(after_ms, placement_queue_estimate_ms(&relay->placement,
 				      exchange->service, host_now_ms()));
+	if (error == ERROR_DEADLINE_UNREACHABLE &&
+	    placement_is_crowded(&relay->placement, exchange->service))
+		after_ms = MAX(after_ms, CROWDED_RETRY_AFTER_MS);
 	after_ms = MAX(after_ms, RETRY_AFTER_DEFAULT_MS);
 	return after_ms + (int64_t)random_below(
 			      &relay->random, (uint32_t)after_ms / 2 + 1);
--- a/src/service/relay_silence.c
+++ b/src/service/relay_silence.c
@@ -8,17 +8,9 @@
 /* An upstream of a route without event streams counts as stalled after this
  * many target times of the route. */
 #define PLAIN_SILENCE_TARGETS 3
-/* Least pause limit of any route. */
-#define PAUSE_LIMIT_MIN_MS 2000
-/* A route's pause limit is at least this many of its target times. */
-#define PAUSE_LIMIT_TARGETS 4
-/* A route's pause limit is at least this many times the longest pause between
- * events that the route wants. */
-#define PAUSE_LIMIT_GAPS 8
 
 static void silence_tick(void *context);
 static struct silence describe_silence(const struct relay_exchange *exchange);
-static int64_t pause_limit_ms(const struct route *route);
 static void on_probed(void *context, enum error_code error);
 static void abandon_attempt(struct relay_exchange *exchange);
 static bool may_go_on(const struct relay_exchange *exchange);
@@ -82,22 +74,11 @@
 	    .sent_ms = exchange->sent_ms,
 	    .since_ms = exchange->last_progress_ms,
 	    .expected_ms = exchange->expected_ms,
-	    .pause_limit_ms = pause_limit_ms(exchange->route),
+	    .pause_limit_ms = route_patience_ms(exchange->route),
 	    .is_reachable = exchange->is_reachable,
 	};
 }
 
-/* Returns the largest pause between two events that callers accept. */
-static int64_t
-pause_limit_ms(const struct route *route)
-{
-	int64_t limit_ms;
-
-	limit_ms = MAX(route->target_ms * PAUSE_LIMIT_TARGETS,
-	    route->pause_limit_ms * PAUSE_LIMIT_GAPS);
-	return MAX(limit_ms, PAUSE_LIMIT_MIN_MS);
-}
-
 static void
 on_probed(void *context, enum error_code error)
 {
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -3,6 +3,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Least time that callers of a stream wait for its next event. */
+#define PATIENCE_MIN_MS 2000
+/* They wait for at least this many target times of the route. */
+#define PATIENCE_TARGETS 4
+/* They wait for at least this many times the longest pause between events that the
+ * route wants. */
+#define PATIENCE_GAPS 8
+
 /* Limits on callers until the document sets others: bytes of a request's head
  * and body, time to receive a head, time between two requests. */
 #define HEAD_BYTES_MAX_DEFAULT	16384u
@@ -216,3 +224,15 @@
 	route_key[host_size + 1 + path_size] = '\0';
 	return route_key;
 }
+
+int64_t
+route_patience_ms(const struct route *route)
+{
+	int64_t patience_ms;
+
+	if (route->kind != ROUTE_KIND_STREAM)
+		return INT64_MAX;
+	patience_ms = MAX(route->target_ms * PATIENCE_TARGETS,
+	    route->pause_limit_ms * PATIENCE_GAPS);
+	return MAX(patience_ms, PATIENCE_MIN_MS);
+}
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -87,6 +87,11 @@
 	struct route_target *targets; /**< Services with their weights. */
 };
 
+/** Longest wait for the first event of a stream, and between two events, that
+ * callers of the route accept, in milliseconds; INT64_MAX for a route without
+ * streams. Callers that have waited for longer leave. */
+int64_t route_patience_ms(const struct route *route);
+
 /** A client account. */
 struct route_account {
 	char *name; /**< Name of the account, as sent to upstreams. */
