--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -13,6 +13,8 @@
 static void append_status(GString *out, uint32_t status);
 static void append_fields(GString *out, const struct http_head *head);
 static void append_connection(GString *out, const struct relay_caller *caller);
+static bool is_reserved_field(
+    const struct relay_dialect *dialect, const char *name);
 static void append_result(GString *out, const struct relay_caller *caller);
 static void append_helpers(GString *out, const struct relay_exchange *exchange);
 static const char *reason_phrase(uint32_t status);
@@ -130,13 +132,29 @@
 
 GBytes *
 relay_request_bytes(const struct relay_exchange *exchange, int64_t now_ms)
+{
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	GString *out;
+
+	out = relay_request_begin(exchange, exchange->deadline_ms - now_ms);
+	g_string_append_printf(
+	    out, "%s: %s\r\n", dialect->target, exchange->upstream_name);
+	if (exchange->account != NULL)
+		g_string_append_printf(out, "%s: %s\r\n", dialect->account,
+		    exchange->account->name);
+	append_helpers(out, exchange);
+	return relay_request_end(exchange, out);
+}
+
+GString *
+relay_request_begin(const struct relay_exchange *exchange, int64_t remaining_ms)
 {
 	const struct relay_dialect *dialect =
 	    &exchange->relay->settings.dialect;
 	const struct http_head *head = &exchange->head;
 	const char *name;
 	GString *out;
-	gsize size;
 	guint i;
 
 	out = g_string_new(NULL);
@@ -144,7 +162,7 @@
 	    out, "%s %s HTTP/1.1\r\n", head->method, head->target->str);
 	for (i = 0; i < head->fields->len; i++) {
 		name = http_head_name(head, i);
-		if (relay_answer_is_reserved(dialect, name) ||
+		if (is_reserved_field(dialect, name) ||
 		    (http_head_is_hop_by_hop(head, name) &&
 			g_ascii_strcasecmp(name, dialect->attempt_id) != 0))
 			continue;
@@ -155,13 +173,16 @@
 		g_string_append_printf(out, "%s: %s\r\n", dialect->resume_after,
 		    exchange->events.last_id);
 	g_string_append_printf(out, "%s: %" PRId64 "\r\n", dialect->deadline,
-	    MAX(exchange->deadline_ms - now_ms, 1));
-	g_string_append_printf(
-	    out, "%s: %s\r\n", dialect->target, exchange->upstream_name);
-	if (exchange->account != NULL)
-		g_string_append_printf(out, "%s: %s\r\n", dialect->account,
-		    exchange->account->name);
-	append_helpers(out, exchange);
+	    MAX(remaining_ms, 1));
+	return out;
+}
+
+GBytes *
+relay_request_end(const struct relay_exchange *exchange, GString *out)
+{
+	const struct http_head *head = &exchange->head;
+	gsize size;
+
 	if (exchange->body->len > 0 || head->has_length || head->is_chunked)
 		g_string_append_printf(
 		    out, "Content-Length: %u\r\n", exchange->body->len);
@@ -213,8 +234,10 @@
 	    caller->closes_after_answer ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
-bool
-relay_answer_is_reserved(const struct relay_dialect *dialect, const char *name)
+/* Returns true for a header that only the relay may set in requests to an
+ * upstream; one sent by the caller is dropped. */
+static bool
+is_reserved_field(const struct relay_dialect *dialect, const char *name)
 {
 	const char *const reserved[] = {
 	    dialect->deadline,
--- a/src/service/relay_forward.c
+++ b/src/service/relay_forward.c
@@ -8,7 +8,6 @@
  * requests, and sends it under its own share of what upstreams bear. A forwarded
  * request is not forwarded again.
  */
-#include <inttypes.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -59,36 +58,17 @@
 GBytes *
 relay_forward_bytes(const struct relay_exchange *exchange, int64_t now_ms)
 {
-	const struct relay_dialect *dialect =
-	    &exchange->relay->settings.dialect;
-	const struct http_head *head = &exchange->head;
-	const char *name;
+	const char *key_field = exchange->relay->settings.dialect.account_key;
+	const char *key = http_head_get(&exchange->head, key_field);
 	GString *out;
-	gsize size;
-	guint i;
 
-	out = g_string_new(NULL);
-	g_string_append_printf(
-	    out, "%s %s HTTP/1.1\r\n", head->method, head->target->str);
-	for (i = 0; i < head->fields->len; i++) {
-		name = http_head_name(head, i);
-		/* The other host finds out the account by the key. */
-		if (g_ascii_strcasecmp(name, dialect->account_key) != 0 &&
-		    (relay_answer_is_reserved(dialect, name) ||
-			(http_head_is_hop_by_hop(head, name) &&
-			    g_ascii_strcasecmp(name, dialect->attempt_id) !=
-				0)))
-			continue;
-		g_string_append_printf(
-		    out, "%s: %s\r\n", name, http_head_value(head, i));
-	}
+	out = relay_request_begin(
+	    exchange, exchange->deadline_ms - now_ms - DEADLINE_MARGIN_MS);
+	/* The other host finds out the account by the key. */
+	if (key != NULL)
+		g_string_append_printf(out, "%s: %s\r\n", key_field, key);
 	append_request_field(out, exchange, now_ms);
-	g_string_append_printf(
-	    out, "Content-Length: %u\r\n\r\n", exchange->body->len);
-	g_string_append_len(out, (const char *)exchange->body->data,
-	    (gssize)exchange->body->len);
-	size = out->len;
-	return g_bytes_new_take(g_string_free(out, FALSE), size);
+	return relay_request_end(exchange, out);
 }
 
 bool
@@ -242,8 +222,6 @@
 append_request_field(
     GString *out, const struct relay_exchange *exchange, int64_t now_ms)
 {
-	const struct relay_dialect *dialect =
-	    &exchange->relay->settings.dialect;
 	const struct placement_request *request = &exchange->request;
 	struct forward_request forward = {
 	    .age_ms = MAX(now_ms - exchange->arrived_ms, 0),
@@ -252,11 +230,6 @@
 	const struct forward_peer *peer;
 	char *text;
 
-	if (exchange->events.last_id[0] != '\0')
-		g_string_append_printf(out, "%s: %s\r\n", dialect->resume_after,
-		    exchange->events.last_id);
-	g_string_append_printf(out, "%s: %" PRId64 "\r\n", dialect->deadline,
-	    MAX(exchange->deadline_ms - now_ms - DEADLINE_MARGIN_MS, 1));
 	peer = forward_peers_find(&exchange->relay->placement.forward_peers,
 	    exchange->forward.to_host);
 	if (peer != NULL)
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -360,10 +360,12 @@
     struct relay_caller *caller, const void *data, size_t size);
 /** Writes the last chunk of a chunked answer. */
 void relay_answer_end(struct relay_caller *caller);
-/** Returns true for a header field that only the relay may set in requests to an
- * upstream. */
-bool relay_answer_is_reserved(
-    const struct relay_dialect *dialect, const char *name);
+/** Returns the beginning of a request as it is sent on: the caller's request line
+ * and fields, without those that only the relay may set, and the time left. */
+GString *relay_request_begin(
+    const struct relay_exchange *exchange, int64_t remaining_ms);
+/** Ends that request with the caller's body and frees @p out. */
+GBytes *relay_request_end(const struct relay_exchange *exchange, GString *out);
 /** Returns the request as it is sent to the upstream, with the time left at
  * @p now_ms as its deadline header. */
 GBytes *relay_request_bytes(
--- a/tests/test_no_path.c
+++ b/tests/test_no_path.c
@@ -13,6 +13,7 @@
 
 #include <cmocka.h>
 
+#include "relay_answers.h"
 #include "relay_fixture.h"
 
 #define WAIT_ROUNDS 500
@@ -25,20 +26,7 @@
 #define HEAD(path, deadline_ms)                                                \
 	"POST " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"              \
 	"X-Api-Key: key1\r\nDeadline-Ms: " deadline_ms "\r\n"
-#define CALL(path)     HEAD(path, "1400") "Content-Length: 5\r\n\r\nhello"
-#define ATTEMPT_FIELDS "Attempt-Id: {ID}\r\nResponse-Seal: seal\r\n"
-#define ANSWER(status, body, length)                                           \
-	"HTTP/1.1 " status "\r\n" ATTEMPT_FIELDS "Content-Length: " length     \
-	"\r\n\r\n" body
-#define NOT_RUN                                                                \
-	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-#define EVENT_STREAM                                                           \
-	"HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS                                   \
-	"Content-Type: text/event-stream\r\nTransfer-Encoding: "               \
-	"chunked\r\n\r\n"
-#define EVENT1	   "f\r\nid: 1\ndata: a\n\n\r\n"
-#define EVENT2	   "f\r\nid: 2\ndata: b\n\n\r\n"
-#define STREAM_END "0\r\n\r\n"
+#define CALL(path) HEAD(path, "1400") "Content-Length: 5\r\n\r\nhello"
 #define OK_ANSWER  ANSWER("200 OK", "body!", "5")
 
 /* A host without a path and one with a path that know each other. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "platform_routes.h"
+#include "relay_answers.h"
 #include "relay_fixture.h"
 
 /* Callers and requests of the test of limits; at one request a second they take
@@ -31,20 +32,6 @@
 #define LONG_PROMPT                                                            \
 	HEAD("POST", "/stream/")                                               \
 	"Token-Counts: 140000,100\r\nContent-Length: 5\r\n\r\nhello"
-#define ATTEMPT_FIELDS "Attempt-Id: {ID}\r\nResponse-Seal: seal\r\n"
-#define ANSWER(status, body, length)                                           \
-	"HTTP/1.1 " status "\r\n" ATTEMPT_FIELDS "Content-Length: " length     \
-	"\r\n\r"                                                               \
-	"\n" body
-#define NOT_RUN                                                                \
-	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-#define EVENT_STREAM                                                           \
-	"HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS                                   \
-	"Content-Type: text/event-stream\r\nTransfer-Encoding: "               \
-	"chunked\r\n\r\n"
-#define EVENT1	   "f\r\nid: 1\ndata: a\n\n\r\n"
-#define EVENT2	   "f\r\nid: 2\ndata: b\n\n\r\n"
-#define STREAM_END "0\r\n\r\n"
 
 /* Exchanges between caller, relay and upstreams: what the upstreams answer, and
  * what caller and upstreams must receive. */
