A resumed stream is not taken by the other host for one that waited in vain

Cause: the host to which the rest is forwarded did not know that the caller has part of the answer, and refused a prompt of that age since callers leave after two seconds without an event. Class: a word that a rule depends on left behind at a hop.

Change: forwarded requests say so. test_no_path, test_resumed_stream_is_not_taken_for_one_that_waited_in_vain, failed before.

--- a/src/protocol/forward_message.c
+++ b/src/protocol/forward_message.c
@@ -26,10 +26,11 @@
 	tried = json_array();
 	for (i = 0; i < request->tried_count; i++)
 		json_array_append_new(tried, pack_id(request->tried[i]));
-	return dump(json_pack("{s:o,s:I,s:I,s:b,s:o}", "token",
+	return dump(json_pack("{s:o,s:I,s:I,s:b,s:b,s:o}", "token",
 	    pack_id(request->token), "age_ms", (json_int_t)request->age_ms,
 	    "routes_version", (json_int_t)request->routes_version, "may_go_on",
-	    request->may_go_on, "tried", tried));
+	    request->may_go_on, "has_partial_answer",
+	    request->has_partial_answer, "tried", tried));
 }
 
 enum error_code
@@ -38,22 +39,24 @@
 	json_t *object, *token, *tried;
 	json_int_t age_ms, version;
 	enum error_code error;
-	int may_go_on;
+	int may_go_on, has_partial_answer;
 
 	memset(request, 0, sizeof(*request));
 	object = json_loads(text, 0, NULL);
 	if (object == NULL)
 		return ERROR_MALFORMED;
 	error = ERROR_MALFORMED;
-	if (json_unpack(object, "{s:o,s:I,s:I,s:b,s:o}", "token", &token,
+	if (json_unpack(object, "{s:o,s:I,s:I,s:b,s:b,s:o}", "token", &token,
 		"age_ms", &age_ms, "routes_version", &version, "may_go_on",
-		&may_go_on, "tried", &tried) == 0 &&
+		&may_go_on, "has_partial_answer", &has_partial_answer, "tried",
+		&tried) == 0 &&
 	    age_ms >= 0 && version >= 0)
 		error = parse_id(token, &request->token);
 	if (error == ERROR_NONE) {
 		request->age_ms = age_ms;
 		request->routes_version = (uint64_t)version;
 		request->may_go_on = may_go_on != 0;
+		request->has_partial_answer = has_partial_answer != 0;
 		error = parse_tried(tried, request);
 	}
 	json_decref(object);
--- a/src/protocol/forward_message.h
+++ b/src/protocol/forward_message.h
@@ -31,6 +31,8 @@
 	uint64_t routes_version;
 	/** The request may be tried elsewhere if this attempt fails. */
 	bool may_go_on;
+	/** The caller has part of the answer already. */
+	bool has_partial_answer;
 	uint64_t tried[FORWARD_TRIED_MAX]; /**< Upstreams to avoid, by id. */
 	uint32_t tried_count;		   /**< Ids in tried. */
 };
--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -150,7 +150,9 @@
 		return;
 	exchange->request.arrived_ms = exchange->arrived_ms;
 	exchange->request.deadline_ms = exchange->deadline_ms;
-	exchange->request.has_partial_answer = exchange->is_answering;
+	exchange->request.has_partial_answer =
+	    exchange->is_answering ||
+	    exchange->forward.received.has_partial_answer;
 	was_waiting = exchange->queue_entry.wait != PLACEMENT_WAIT_NONE;
 	error = placement_pick(&exchange->relay->placement, &exchange->request,
 	    host_now_ms(), &exchange->queue_entry, &exchange->choice);
--- a/src/service/relay_forward.c
+++ b/src/service/relay_forward.c
@@ -226,6 +226,7 @@
 	struct forward_request forward = {
 	    .age_ms = MAX(now_ms - exchange->arrived_ms, 0),
 	    .routes_version = exchange->table->version,
+	    .has_partial_answer = exchange->is_answering,
 	};
 	const struct forward_peer *peer;
 	char *text;
--- a/tests/test_no_path.c
+++ b/tests/test_no_path.c
@@ -13,6 +13,7 @@
 
 #include <cmocka.h>
 
+#include "protocol/forward_message.h"
 #include "relay_answers.h"
 #include "relay_fixture.h"
 
@@ -283,16 +284,62 @@
 	stop_hosts(hosts);
 }
 
+/* Sends a stream that its caller has waited for since five seconds to the port for
+ * other hosts. */
+static char *
+send_old_stream(struct relay_fixture *fixture, bool has_partial_answer)
+{
+	struct forward_request forward = {.age_ms = 5000,
+	    .routes_version = 1,
+	    .has_partial_answer = has_partial_answer};
+	char *field, *request, *answer;
+
+	forward.token = fixture->relay.placement.forwarding.token;
+	field = forward_request_format(&forward);
+	request = g_strdup_printf(
+	    HEAD("/stream/",
+		"1400") "Token-Counts: 100,10\r\nLast-Event-Id: 1\r\n"
+			"Chicorytack-Forward: %s\r\n\r\n",
+	    field);
+	answer = relay_fixture_send_forwarded(fixture, request);
+	g_free(request);
+	g_free(field);
+	return answer;
+}
+
+/* A caller that has part of the answer is still there, however long ago its
+ * request arrived; one that has waited in vain for so long has left. */
+static void
+test_resumed_stream_is_not_taken_for_one_that_waited_in_vain(void **state)
+{
+	struct relay_fixture *fixture;
+	char *answer;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture, EVENT_STREAM EVENT2 STREAM_END);
+	answer = send_old_stream(fixture, true);
+	if (strstr(answer, "id: 2") == NULL)
+		fail_msg("%s", answer);
+	g_free(answer);
+	answer = send_old_stream(fixture, false);
+	assert_non_null(strstr(answer, "deadline_unreachable"));
+	g_free(answer);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 /* Who doesn't know the token of a host can't use the port for other hosts, and a
  * caller can't pretend at the other port that its request was forwarded. */
 static void
 test_forwarded_request_without_token_is_refused(void **state)
 {
-	static const char request[] =
-	    HEAD("/idem/", "1400") "Chicorytack-Forward: {\"token\":"
-				   "\"0000000000000000\",\"age_ms\":0,"
-				   "\"routes_version\":1,\"may_go_on\":true,"
-				   "\"tried\":[]}\r\n\r\n";
+	static const char request[] = HEAD("/idem/",
+	    "1400") "Chicorytack-Forward: {\"token\":"
+		    "\"0000000000000000\",\"age_ms\":0,"
+		    "\"routes_version\":1,\"may_go_on\":true,"
+		    "\"has_partial_answer\":false,\"tried\":[]}\r\n\r\n";
 	struct relay_fixture *fixture;
 	char *answer;
 
@@ -326,6 +373,8 @@
 	    cmocka_unit_test(
 		test_caller_that_leaves_ends_the_forwarded_request),
 	    cmocka_unit_test(test_stopping_host_takes_no_forwarded_request),
+	    cmocka_unit_test(
+		test_resumed_stream_is_not_taken_for_one_that_waited_in_vain),
 	    cmocka_unit_test(test_forwarded_request_without_token_is_refused),
 	};
 
--- a/tests/test_upstream_path.c
+++ b/tests/test_upstream_path.c
@@ -237,6 +237,7 @@
 	    .age_ms = 1234,
 	    .routes_version = 77,
 	    .may_go_on = true,
+	    .has_partial_answer = true,
 	    .tried = {1, UINT64_MAX - 1},
 	    .tried_count = 2};
 	struct forward_result result = {
@@ -253,6 +254,7 @@
 	assert_int_equal(read_request.age_ms, request.age_ms);
 	assert_int_equal(read_request.routes_version, request.routes_version);
 	assert_true(read_request.may_go_on);
+	assert_true(read_request.has_partial_answer);
 	assert_int_equal(read_request.tried_count, 2);
 	assert_true(read_request.tried[1] == request.tried[1]);
 	g_free(text);
@@ -272,15 +274,15 @@
 	    "[]",
 	    "{}",
 	    "{\"token\":\"1\",\"age_ms\":1,\"routes_version\":1,\"may_go_on\":"
-	    "true,\"tried\":[]}",
+	    "true,\"has_partial_answer\":false,\"tried\":[]}",
 	    "{\"token\":\"00000000000000aG\",\"age_ms\":1,\"routes_version\":1,"
-	    "\"may_go_on\":true,\"tried\":[]}",
+	    "\"may_go_on\":true,\"has_partial_answer\":false,\"tried\":[]}",
 	    "{\"token\":\"00000000000000aa\",\"age_ms\":-1,\"routes_version\":"
-	    "1,\"may_go_on\":true,\"tried\":[]}",
+	    "1,\"may_go_on\":true,\"has_partial_answer\":false,\"tried\":[]}",
 	    "{\"token\":\"00000000000000aa\",\"age_ms\":1,\"routes_version\":1,"
-	    "\"may_go_on\":true,\"tried\":[7]}",
+	    "\"may_go_on\":true,\"has_partial_answer\":false,\"tried\":[7]}",
 	    "{\"token\":\"00000000000000aa\",\"age_ms\":1,\"routes_version\":1,"
-	    "\"may_go_on\":true,\"tried\":{}}",
+	    "\"may_go_on\":true,\"has_partial_answer\":false,\"tried\":{}}",
 	    "{\"reason\":\"none\",\"sent\":-1,\"upstream\":"
 	    "\"00000000000000aa\"}",
 	    "{\"reason\":\"none\",\"sent\":1,\"upstream\":1}",
