--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -136,10 +136,10 @@
 /** A request that waits to be placed; all zero while it doesn't. */
 struct placement_queue_entry {
 	enum placement_wait wait; /**< What it waits for. */
+	bool is_late_waiting;	  /**< It waits for a slot past its target. */
 	uint64_t slot_service;	/**< Hash of the service of whose slots a short
 				    prompt waits for one, otherwise 0. */
 	int64_t retry_ms;	/**< When to try again, 0 for any time soon. */
-	bool is_late_waiting;	/**< It waits for a slot past its target. */
 	uint64_t service;	/**< Hash of a queued long prompt's service,
 				     otherwise 0. */
 	double prefill_ms;	/**< Prefill time on a single engine. */
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -33,7 +33,7 @@
     "\"idempotent\",\"timeoutMs\":1500,\"sloMs\":300,\"service\":\"s\","
     "\"maxAttempts\":2},"
     "{\"name\":\"stream\",\"host\":\"h\",\"pathPrefix\":\"/stream/\","
-    "\"kind\":\"streaming\",\"timeoutMs\":1500,\"sloMs\":300,\"service\":"
+    "\"kind\":\"streaming\",\"timeoutMs\":10000,\"sloMs\":300,\"service\":"
     "\"s\",\"maxAttempts\":2,\"resumable\":true,\"targetGapMs\":250}],"
     "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\","
     "\"engine\":{\"slots\":16,\"kvCapacityTokens\":100000,\"read_per_s\":"
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -254,11 +254,13 @@
 		period_ms = now_ms / 10000 % 3 == 0 ? 10 : 40;
 		for (host = 0; host < HOSTS; host++) {
 			receive_answers(run, host, now_ms);
-			if ((now_ms + host * STEP_MS) % LIST_PERIOD_MS == 0)
+			if ((now_ms + (int64_t)host * STEP_MS) %
+				LIST_PERIOD_MS ==
+			    0)
 				send_list(run, host, now_ms);
 			if (now_ms % 50 == 0)
 				send_report(run, host, now_ms);
-			if ((now_ms + host * STEP_MS) % period_ms == 0)
+			if ((now_ms + (int64_t)host * STEP_MS) % period_ms == 0)
 				send_request(run, host, now_ms);
 		}
 	}
