--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -39,6 +39,7 @@
 static void wait_for_turn(struct relay_exchange *exchange);
 static void wait_for_placement(
     struct relay_exchange *exchange, enum error_code error);
+static const char *refusal_text(enum error_code error);
 static int64_t retry_after_ms(
     struct relay_exchange *exchange, enum error_code error);
 static void on_wait_timeout(void *context);
@@ -148,6 +149,13 @@
 	}
 	if (relay_forward_try(exchange))
 		return;
+	/* The test of the path goes on, so this host need not try upstreams by
+	 * its callers' requests. */
+	if (relay_path_is_lost(exchange->relay)) {
+		relay_exchange_end_unplaced(exchange, ERROR_NO_PATH,
+		    retry_after_ms(exchange, ERROR_NO_PATH));
+		return;
+	}
 	exchange->request.arrived_ms = exchange->arrived_ms;
 	exchange->request.deadline_ms = exchange->deadline_ms;
 	exchange->request.has_partial_answer =
@@ -219,10 +227,7 @@
 		relay_exchange_finish(exchange, END_FAILED, error);
 		return;
 	}
-	relay_exchange_refuse(exchange,
-	    error == ERROR_QUARANTINED ? "the request crashes upstreams"
-				       : "no upstream can take it now",
-	    after_ms, error);
+	relay_exchange_refuse(exchange, refusal_text(error), after_ms, error);
 }
 
 void
@@ -437,6 +442,19 @@
 	    exchange, error, retry_after_ms(exchange, error));
 }
 
+static const char *
+refusal_text(enum error_code error)
+{
+	switch (error) {
+	case ERROR_QUARANTINED:
+		return "the request crashes upstreams";
+	case ERROR_NO_PATH:
+		return "no host reaches an upstream";
+	default:
+		return "no upstream can take it now";
+	}
+}
+
 /* Returns the Retry-After for a refusal: the estimated time until an upstream
  * has room, plus a random part of up to a half, so that callers refused at the
  * same time don't all retry at the same time. */
@@ -446,7 +464,8 @@
 	struct relay *relay = exchange->relay;
 	int64_t after_ms;
 
-	if (error == ERROR_LEASE_EXPIRED || error == ERROR_NO_UPSTREAM)
+	if (error == ERROR_LEASE_EXPIRED || error == ERROR_NO_UPSTREAM ||
+	    error == ERROR_NO_PATH)
 		after_ms = START_RETRY_AFTER_MS;
 	else
 		after_ms = placement_retry_after(
--- a/tests/test_no_path.c
+++ b/tests/test_no_path.c
@@ -214,14 +214,20 @@
 	(void)state;
 	first = g_new0(struct relay_fixture, 2);
 	second = first + 1;
-	relay_fixture_init_host(first, 1, RELAY_FIXTURE_REFUSED);
-	relay_fixture_init_host(second, 2, RELAY_FIXTURE_REFUSED);
+	relay_fixture_init_host(first, 1, RELAY_FIXTURE_SILENT);
+	relay_fixture_init_host(second, 2, RELAY_FIXTURE_SILENT);
 	relay_fixture_link(first, second);
 	await_report(first, second);
 	answer = relay_fixture_send_request(first, CALL("/once/"));
 	assert_non_null(strstr(answer, "HTTP/1.1 503"));
 	assert_non_null(strstr(answer, "Retry-After: "));
 	g_free(answer);
+	/* By now both know it, and try no upstream in vain. */
+	usleep(EVALUATION_US);
+	answer = relay_fixture_send_request(first, CALL("/once/"));
+	assert_non_null(strstr(answer, "no host reaches an upstream"));
+	assert_non_null(strstr(answer, "Retry-After: "));
+	g_free(answer);
 	relay_fixture_unlink(first, second);
 	relay_fixture_finish(first);
 	relay_fixture_finish(second);
