--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -246,9 +246,9 @@
     uint32_t rank, int64_t now_ms);
 /** Replaces the list of upstreams. State of an upstream that is still listed is
  * kept. The others are not used any more, and are dropped once nothing binds this
- * host that they have said of themselves. The upstreams of the first list are taken for
- * older than this host, and so are those that follow within a second, as the list
- * arrives in parts. */
+ * host that they have said of themselves. The upstreams of the first list are
+ * taken for older than this host, and so are those that follow within a second,
+ * as the list arrives in parts. */
 void placement_update(struct placement *placement,
     const struct placement_record *records, uint32_t count, int64_t now_ms);
 
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -7,6 +7,9 @@
 
 #include "coordination/placement.h"
 
+/** Passes of the engine between the start of a prompt and its first event. */
+#define FIRST_EVENT_PASSES_MS 50
+
 /** Another host's last report. */
 struct peer_work {
 	struct work_report report; /**< Contents of the report. */
--- a/src/coordination/placement_slot.c
+++ b/src/coordination/placement_slot.c
@@ -6,8 +6,6 @@
 
 /* Weight of the newest answer in the mean time for which a slot is taken. */
 #define ANSWER_WEIGHT 0.1
-/* Passes of the engine between the start of a prompt and its first event. */
-#define FIRST_EVENT_PASSES_MS 50
 /* Share of the slots that prompts past their target leave to the others. */
 #define LATE_RESERVE_SHARE 0.05
 /* Time kept for a late answer, in mean times of an answer. */
@@ -33,7 +31,7 @@
     const struct slot_count *slots, struct placement_queue_entry *entry);
 static bool is_crowded(const struct placement_context *context,
     const struct service_load *service, const struct slot_count *slots,
-    struct placement_queue_entry *entry);
+    int64_t remaining_ms);
 static struct slot_count count_slots(const GArray *candidates);
 static uint32_t free_slots(const struct placement_upstream *upstream);
 static enum error_code wait_for_slot(const struct placement_context *context,
@@ -135,7 +133,8 @@
 	    placement_latest_start_ms(context->request, context->prefill_ms);
 	/* The next try would come too late. */
 	if (context->now_ms + LATE_RETRY_MAX_MS >= latest_start_ms ||
-	    is_crowded(context, service, slots, entry))
+	    (!entry->is_late_waiting && is_crowded(context, service, slots,
+					    latest_start_ms - context->now_ms)))
 		return ERROR_DEADLINE_UNREACHABLE;
 	spare = slots->free - slots->total * LATE_RESERVE_SHARE;
 	competing = MAX(service->waiting_for_slot, 1u) *
@@ -152,21 +151,17 @@
 	return wait_for_slot(context, entry, retry_ms);
 }
 
-/* Whether so many late prompts wait already that this one would hardly get a slot
- * before its caller leaves. Only those count that came before it. */
+/* Whether so many late prompts wait already that one more would hardly get a slot
+ * before its caller leaves. */
 static bool
 is_crowded(const struct placement_context *context,
     const struct service_load *service, const struct slot_count *slots,
-    struct placement_queue_entry *entry)
+    int64_t remaining_ms)
 {
 	double slots_in_time;
-	int64_t remaining_ms;
 
-	if (entry->is_late_waiting || service->answer_ms <= 0)
+	if (service->answer_ms <= 0)
 		return false;
-	remaining_ms =
-	    placement_latest_start_ms(context->request, context->prefill_ms) -
-	    context->now_ms;
 	slots_in_time = slots->total * LATE_SHARE /
 			MAX(context->placement->host_count, 1u) *
 			(double)remaining_ms / service->answer_ms;
--- a/src/coordination/placement_turn.c
+++ b/src/coordination/placement_turn.c
@@ -15,8 +15,6 @@
 #define ENGINES_PER_TURN 12u
 /* This many engines for long prompts suffice for a prompt of any size. */
 #define ENGINES_ENOUGH 6u
-/* Passes of the engine between the start of a prompt and its first event. */
-#define FIRST_EVENT_PASSES_MS 50
 /* With fewer engines, a prompt whose parts take longer than this waits. */
 #define LONG_PART_MS 500.0
 
--- a/src/service/cli_explain.c
+++ b/src/service/cli_explain.c
@@ -39,8 +39,8 @@
 	"that announced themselves or left (E4004, E4005), takeouts (E1013) "
 	"and the start of this host (E1001)."},
     {"refused", "no_path",
-	"The host that should have served the forwarded request reached no "
-	"upstream either (E4009 there)."},
+	"This host reached no upstream (E4009), and no other host could take "
+	"the request: E6014 and E6015 say which were asked."},
     {"refused", "no_capacity",
 	"No upstream could be given another request at that time: look for "
 	"E6004 and E6002 of other requests, or for a burst beyond the limits "
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -22,6 +22,8 @@
 static void on_reserved(void *context, enum error_code error);
 static bool is_choice_valid(const struct relay_exchange *exchange);
 static void send_request(struct relay_exchange *exchange);
+static void count_unsent(
+    struct relay_exchange *exchange, enum error_code error);
 static void record_fault(
     struct relay_exchange *exchange, enum error_code error);
 static void log_retried(
@@ -195,25 +197,31 @@
 {
 	bool is_forwarded = exchange->forward.to_host != 0;
 
-	if (is_forwarded && is_fault)
-		relay_forward_on_fault(exchange, error);
+	if (is_forwarded)
+		relay_forward_on_failed(exchange, error);
 	relay_attempt_end(exchange);
 	if (is_fault && !is_forwarded)
 		record_fault(exchange, error);
 	if (exchange->is_sent)
 		exchange->may_have_run = true;
-	else if (is_forwarded)
-		; /* No upstream has part in it. */
-	else if (error == ERROR_CONNECTION)
-		exchange->attempts_absent++;
-	else if (error == ERROR_TIMEOUT || error == ERROR_NO_CAPACITY)
-		exchange->attempts_unsent++;
+	else if (!is_forwarded)
+		count_unsent(exchange, error);
 	exchange->is_sent = false;
 	relay_events_drop_partial(&exchange->events);
 	log_retried(exchange, error);
 	take_next_step(exchange, error);
 }
 
+/* Counts an attempt that reached no upstream. */
+static void
+count_unsent(struct relay_exchange *exchange, enum error_code error)
+{
+	if (error == ERROR_CONNECTION)
+		exchange->attempts_absent++;
+	else if (error == ERROR_TIMEOUT || error == ERROR_NO_CAPACITY)
+		exchange->attempts_unsent++;
+}
+
 /* Records that the upstream is to blame. If it has ended, the other hosts are
  * told at once, since they send there, too. */
 static void
--- a/src/service/relay_forward.c
+++ b/src/service/relay_forward.c
@@ -18,6 +18,8 @@
 /* Upstreams that this host tries in vain before it forwards a request while the
  * path is not known to be lost. */
 #define UNREACHED_MAX 2
+/* Attempts of one request at other hosts, whatever these answer. */
+#define ATTEMPTS_MAX 8
 /* The other host answers this long before the deadline here, so that its answer
  * says whether the request has run. */
 #define DEADLINE_MARGIN_MS 20
@@ -35,6 +37,7 @@
 	const struct forward_peer *peer;
 
 	if (forward->is_received || forward->tried_count >= FORWARD_HOSTS_MAX ||
+	    forward->attempts >= ATTEMPTS_MAX ||
 	    (!relay_path_is_lost(relay) && forward->unreached < UNREACHED_MAX))
 		return false;
 	peer =
@@ -44,6 +47,7 @@
 		return false;
 	forward->to_host = peer->host_id;
 	forward->has_result = false;
+	forward->attempts++;
 	forward_peers_begin(&relay->placement.forward_peers, peer->host_id);
 	atomic_fetch_add(&relay->counters.forwarded, 1);
 	event_log_write_fields(EVENT_REQUEST_FORWARDED, "{s:s,s:I,s:b,s:i,s:i}",
@@ -119,7 +123,7 @@
 }
 
 void
-relay_forward_on_fault(struct relay_exchange *exchange, enum error_code error)
+relay_forward_on_failed(struct relay_exchange *exchange, enum error_code error)
 {
 	struct relay_forward *forward = &exchange->forward;
 
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -84,6 +84,7 @@
 	uint32_t to_host; /**< Host of the current attempt, 0 for none. */
 	uint32_t tried[FORWARD_HOSTS_MAX]; /**< Hosts that didn't take it. */
 	uint32_t tried_count;		   /**< Ids in tried. */
+	uint32_t attempts; /**< Attempts at other hosts so far. */
 	/** Upstreams that this host could not reach for the request. */
 	uint32_t unreached;
 	bool has_result;	      /**< The result is set. */
@@ -274,8 +275,8 @@
     struct relay_exchange *exchange, const struct http_head *head);
 /** Handles the answer of the other host that the request did not run. */
 void relay_forward_on_refusal(struct relay_exchange *exchange);
-/** Records that the attempt at another host failed. */
-void relay_forward_on_fault(
+/** Called when the attempt at another host failed, before it is ended. */
+void relay_forward_on_failed(
     struct relay_exchange *exchange, enum error_code error);
 /** Ends the bookkeeping of an attempt at another host; does nothing for one at an
  * upstream. */
