Test fixture: no report is sent to a host that is being finished

The thread sanitizer, under which test_no_path now runs, found it: the other host's thread posted to the mailbox of a host whose end had begun. A mutex is held while a report is sent.

--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -439,27 +439,33 @@
 
 	(void)host_id;
 	(void)channel;
-	peer = atomic_load(&fixture->peer);
-	if (peer == NULL)
+	pthread_mutex_lock(&fixture->peer_mutex);
+	peer = fixture->peer;
+	if (peer == NULL) {
+		pthread_mutex_unlock(&fixture->peer_mutex);
 		return;
+	}
 	call = mailbox_call_new(&ops, sizeof(*message));
 	message = mailbox_call_body(call);
 	message->from_host = fixture->host_id;
 	message->bytes = g_bytes_new(body, size);
 	(void)mailbox_post(&peer->host->mailbox, call);
+	pthread_mutex_unlock(&fixture->peer_mutex);
 }
 
 static uint32_t
 list_peer(void *context, struct report_peer *peers, uint32_t max)
 {
 	struct relay_fixture *fixture = context;
-	struct relay_fixture *peer;
+	uint32_t count;
 
-	peer = atomic_load(&fixture->peer);
-	if (peer == NULL || max == 0)
-		return 0;
-	peers[0] = (struct report_peer){.host_id = peer->host_id};
-	return 1;
+	count = 0;
+	pthread_mutex_lock(&fixture->peer_mutex);
+	if (fixture->peer != NULL && max > 0)
+		peers[count++] =
+		    (struct report_peer){.host_id = fixture->peer->host_id};
+	pthread_mutex_unlock(&fixture->peer_mutex);
+	return count;
 }
 
 static void
@@ -522,6 +528,7 @@
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->host_id = host_id;
+	pthread_mutex_init(&fixture->peer_mutex, NULL);
 	/* Two threads log; GLib's own writer uses localtime, which the thread
 	 * sanitizer reports. */
 	event_log_setup(1, EVENT_LEVEL_INFO);
@@ -584,6 +591,7 @@
 	g_ptr_array_unref(fixture->script.requests);
 	g_ptr_array_unref(fixture->script.answers);
 	pthread_mutex_destroy(&fixture->script.mutex);
+	pthread_mutex_destroy(&fixture->peer_mutex);
 	host_suspects_finish(fixture->host);
 	report_exchange_finish(&fixture->host->reports);
 	timer_finish(&fixture->host->timers);
@@ -593,21 +601,29 @@
 	g_free(fixture->host);
 }
 
+static void
+set_peer(struct relay_fixture *fixture, struct relay_fixture *peer)
+{
+	pthread_mutex_lock(&fixture->peer_mutex);
+	fixture->peer = peer;
+	pthread_mutex_unlock(&fixture->peer_mutex);
+}
+
 void
 relay_fixture_link(struct relay_fixture *first, struct relay_fixture *second)
 {
 	atomic_store(&first->host->entry_host_count, 2);
 	atomic_store(&second->host->entry_host_count, 2);
 	atomic_store(&second->host->entry_host_rank, 1);
-	atomic_store(&first->peer, second);
-	atomic_store(&second->peer, first);
+	set_peer(first, second);
+	set_peer(second, first);
 }
 
 void
 relay_fixture_unlink(struct relay_fixture *first, struct relay_fixture *second)
 {
-	atomic_store(&first->peer, NULL);
-	atomic_store(&second->peer, NULL);
+	set_peer(first, NULL);
+	set_peer(second, NULL);
 }
 
 void
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -65,15 +65,16 @@
 
 /** The relay under test and what surrounds it. */
 struct relay_fixture {
-	struct host *host;	  /**< Has only the parts that the relay
+	struct host *host;	    /**< Has only the parts that the relay
 					    uses. */
-	pthread_t coordinator;	  /**< The host's coordination thread. */
-	_Atomic bool is_stopping; /**< Ends that thread. */
-	struct relay relay;	  /**< Relay under test. */
-	uint16_t port;		  /**< Port for callers. */
-	uint16_t ready_port;	  /**< Port for the load balancer. */
+	pthread_t coordinator;	    /**< The host's coordination thread. */
+	_Atomic bool is_stopping;   /**< Ends that thread. */
+	struct relay relay;	    /**< Relay under test. */
+	uint16_t port;		    /**< Port for callers. */
+	uint16_t ready_port;	    /**< Port for the load balancer. */
+	pthread_mutex_t peer_mutex; /**< Held while a report is sent. */
 	/** The other host, to which reports go; NULL for none. */
-	_Atomic(struct relay_fixture *) peer;
+	struct relay_fixture *peer;
 	_Atomic uint32_t reports_received; /**< Reports of the other host. */
 	uint32_t host_id;		   /**< Id of this host. */
 	struct upstream_script script;	   /**< Script of all upstreams. */
