An upstream that a host could not reach does not count as tried for another host

What callers saw: in the first second of a cut, a request whose host had tried two upstreams in vain went to another host, which left these two out although the request had never reached them: of a service of three upstreams one was left, and if that one refused, none (503).

--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -290,6 +290,8 @@
 	struct relay *relay = exchange->relay;
 
 	exchange->is_sent = true;
+	if (exchange->forward.to_host == 0)
+		relay_forward_record_sent(exchange, exchange->upstream_id);
 	exchange->sent_ms = host_now_ms();
 	exchange->last_progress_ms = exchange->sent_ms;
 	exchange->is_reachable = false;
--- a/src/service/relay_forward.c
+++ b/src/service/relay_forward.c
@@ -75,6 +75,15 @@
 	return relay_request_end(exchange, out);
 }
 
+void
+relay_forward_record_sent(struct relay_exchange *exchange, uint64_t upstream_id)
+{
+	struct relay_forward *forward = &exchange->forward;
+
+	if (forward->sent_to_count < FORWARD_TRIED_MAX)
+		forward->sent_to[forward->sent_to_count++] = upstream_id;
+}
+
 bool
 relay_forward_read_result(
     struct relay_exchange *exchange, const struct http_head *head)
@@ -226,7 +235,7 @@
 append_request_field(
     GString *out, const struct relay_exchange *exchange, int64_t now_ms)
 {
-	const struct placement_request *request = &exchange->request;
+	const struct relay_forward *state = &exchange->forward;
 	struct forward_request forward = {
 	    .age_ms = MAX(now_ms - exchange->arrived_ms, 0),
 	    .routes_version = exchange->table->version,
@@ -235,15 +244,14 @@
 	const struct forward_peer *peer;
 	char *text;
 
-	peer = forward_peers_find(&exchange->relay->placement.forward_peers,
-	    exchange->forward.to_host);
+	peer = forward_peers_find(
+	    &exchange->relay->placement.forward_peers, state->to_host);
 	if (peer != NULL)
 		forward.token = peer->says.token;
 	forward.may_go_on =
 	    exchange->attempts_sent + 1 < relay_exchange_attempts_max(exchange);
-	forward.tried_count = MIN(request->tried_count, FORWARD_TRIED_MAX);
-	memcpy(forward.tried, request->tried,
-	    forward.tried_count * sizeof(forward.tried[0]));
+	forward.tried_count = state->sent_to_count;
+	memcpy(forward.tried, state->sent_to, sizeof(forward.tried));
 	text = forward_request_format(&forward);
 	g_string_append_printf(out, FORWARD_REQUEST_FIELD ": %s\r\n", text);
 	g_free(text);
@@ -256,7 +264,9 @@
 	const struct forward_result *result = &exchange->forward.result;
 	struct placement_request *request = &exchange->request;
 
-	if (result->sent > 0 && result->upstream_id != 0 &&
-	    request->tried_count < PLACEMENT_TRIED_MAX)
+	if (result->sent == 0 || result->upstream_id == 0)
+		return;
+	relay_forward_record_sent(exchange, result->upstream_id);
+	if (request->tried_count < PLACEMENT_TRIED_MAX)
 		request->tried[request->tried_count++] = result->upstream_id;
 }
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -85,6 +85,10 @@
 	uint32_t tried[FORWARD_HOSTS_MAX]; /**< Hosts that didn't take it. */
 	uint32_t tried_count;		   /**< Ids in tried. */
 	uint32_t attempts; /**< Attempts at other hosts so far. */
+	/** Upstreams that got the request, by id: this host's and those of the
+	 * other hosts' attempts. */
+	uint64_t sent_to[FORWARD_TRIED_MAX];
+	uint32_t sent_to_count; /**< Ids in sent_to. */
 	/** Upstreams that this host could not reach for the request. */
 	uint32_t unreached;
 	bool has_result;	      /**< The result is set. */
@@ -269,6 +273,9 @@
 /** Returns the forwarded request as it is sent to the other host. */
 GBytes *relay_forward_bytes(
     const struct relay_exchange *exchange, int64_t now_ms);
+/** Records that an upstream gets the request. */
+void relay_forward_record_sent(
+    struct relay_exchange *exchange, uint64_t upstream_id);
 /** Reads what the other host says of its answer. Returns false if it says
  * nothing that can be read. */
 bool relay_forward_read_result(
--- a/tests/test_no_path.c
+++ b/tests/test_no_path.c
@@ -19,6 +19,8 @@
 
 #define WAIT_ROUNDS 500
 #define WAIT_US	    10000
+/* Times that a case with a random choice of upstreams is run. */
+#define ROUNDS 8
 /* Requests whose connections break as the path is lost. */
 #define BROKEN_TOGETHER 3
 /* By then it is decided whether an upstream has ended. */
@@ -28,7 +30,10 @@
 	"POST " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"              \
 	"X-Api-Key: key1\r\nDeadline-Ms: " deadline_ms "\r\n"
 #define CALL(path) HEAD(path, "1400") "Content-Length: 5\r\n\r\nhello"
-#define OK_ANSWER  ANSWER("200 OK", "body!", "5")
+#define PAUSE                                                                  \
+	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 30\r\n"          \
+	"Content-Length: 0\r\n\r\n"
+#define OK_ANSWER ANSWER("200 OK", "body!", "5")
 
 /* A host without a path and one with a path that know each other. */
 struct two_hosts {
@@ -164,6 +169,38 @@
 	}
 }
 
+/* Upstreams that the cut host could not reach have not had the request, so the
+ * other host may well use them: here only one of its upstreams takes any. */
+static void
+test_upstreams_that_were_not_reached_do_not_count_as_tried(void **state)
+{
+	struct two_hosts *hosts;
+	uint32_t round, i;
+	char *answer;
+
+	(void)state;
+	for (round = 0; round < ROUNDS; round++) {
+		hosts = start_hosts(RELAY_FIXTURE_REFUSED);
+		/* Each round leaves another upstream. */
+		for (i = 0; i < round; i++)
+			g_free(relay_fixture_send_request(
+			    &hosts->open, CALL("/idem/")));
+		relay_fixture_replace_answers(&hosts->open, PAUSE);
+		for (i = 1; i + 1 < RELAY_FIXTURE_UPSTREAMS; i++)
+			relay_fixture_add_answer(&hosts->open, PAUSE);
+		relay_fixture_add_answer(&hosts->open, OK_ANSWER);
+		for (i = 1; i < RELAY_FIXTURE_UPSTREAMS; i++)
+			g_free(relay_fixture_send_request(
+			    &hosts->open, CALL("/idem/")));
+		answer =
+		    relay_fixture_send_request(&hosts->cut, CALL("/once/"));
+		if (strstr(answer, "body!") == NULL)
+			fail_msg("round %u: %s", round, answer);
+		g_free(answer);
+		stop_hosts(hosts);
+	}
+}
+
 /* Sends a request to a host and returns the answer. */
 static void *
 send_call(void *fixture)
@@ -374,6 +411,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_callers_of_a_host_without_path_are_served),
+	    cmocka_unit_test(
+		test_upstreams_that_were_not_reached_do_not_count_as_tried),
 	    cmocka_unit_test(test_lost_path_makes_no_request_a_suspect),
 	    cmocka_unit_test(test_no_host_with_a_path_is_told_at_once),
 	    cmocka_unit_test(
