--- a/src/service/relay.h
+++ b/src/service/relay.h
@@ -10,6 +10,7 @@
  * - relay_caller.c: connections of callers
  * - relay_exchange.c: one request from its arrival to the end of its answer
  * - relay_attempt.c: sending the request to one upstream, and retries
+ * - relay_head.c: what the head of an upstream's answer says
  * - relay_forward.c: requests that one host forwards to another
  * - relay_path.c: tests whether this host reaches the upstreams
  * - relay_silence.c: detection of upstreams that make no progress
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -31,12 +31,6 @@
 static void on_connected(void *context);
 static void on_sent(void *context);
 static void on_head(void *context, struct http_head *head);
-static void hear_upstream(
-    const struct relay_exchange *exchange, const struct http_head *head);
-static void read_statement(const struct relay_exchange *exchange,
-    const struct http_head *head, struct upstream_statement *statement);
-static void log_malformed(
-    const struct relay_exchange *exchange, const char *field, const char *text);
 static void on_body(void *context, const char *data, size_t size);
 static void drop_partial_body(struct relay_exchange *exchange);
 static void end_attempt(
@@ -308,34 +302,20 @@
 on_head(void *context, struct http_head *head)
 {
 	struct relay_exchange *exchange = context;
-	const struct relay_dialect *dialect =
-	    &exchange->relay->settings.dialect;
-	struct answer_facts facts = {.status = head->status};
-	const char *text;
-
-	text = http_head_get(head, dialect->attempt_id);
-	facts.is_own_attempt = text == NULL
-				   ? exchange->attempt_id[0] == '\0'
-				   : strcmp(text, exchange->attempt_id) == 0;
-	facts.has_receipt = http_head_get(head, dialect->receipt) != NULL;
-	facts.is_encoded = http_head_get(head, "Content-Encoding") != NULL;
-	facts.is_refusal = http_head_get(head, dialect->refusal) != NULL;
+	struct answer_facts *facts = &exchange->facts;
+
+	relay_head_read(exchange, head, facts);
 	if (exchange->forward.to_host != 0) {
 		if (!relay_forward_read_result(exchange, head)) {
 			end_attempt(exchange, ERROR_MALFORMED, true);
 			return;
 		}
-		facts.is_refusal =
+		facts->is_refusal =
 		    exchange->forward.result.reason != ERROR_NONE;
 	}
-	text = http_head_get(head, "Content-Type");
-	facts.is_event_stream = exchange->route->kind == ROUTE_KIND_STREAM &&
-				text != NULL &&
-				g_ascii_strncasecmp(text, "text/event-stream",
-				    strlen("text/event-stream")) == 0;
-	if (facts.is_own_attempt || facts.is_refusal)
-		hear_upstream(exchange, head);
-	exchange->answer_class = classify_answer(&facts);
+	if (facts->is_own_attempt || facts->is_refusal)
+		relay_head_hear(exchange, head);
+	exchange->answer_class = classify_answer(facts);
 	if (exchange->answer_class == ANSWER_MISMATCHED) {
 		end_attempt(exchange, ERROR_MALFORMED, true);
 		return;
@@ -349,63 +329,6 @@
 	drop_partial_body(exchange);
 }
 
-/* Records what the upstream says of itself in the headers of an answer. A header
- * that can't be parsed changes nothing. */
-static void
-hear_upstream(
-    const struct relay_exchange *exchange, const struct http_head *head)
-{
-	struct relay *relay = exchange->relay;
-	struct upstream_statement statement;
-
-	read_statement(exchange, head, &statement);
-	if (!placement_hear(&relay->placement, exchange->upstream_id,
-		exchange->upstream_incarnation, &statement, host_now_ms()))
-		return;
-	event_log_write_fields(EVENT_UPSTREAM_NOTICED,
-	    "{s:s,s:b,s:f,s:b,s:I,s:i}", "upstream", exchange->upstream_name,
-	    "limited", statement.has_limit, "per_s", statement.limit_per_s,
-	    "leaving", statement.is_leaving, "pause_ms",
-	    (json_int_t)statement.pause_ms, "hosts",
-	    (int)relay->placement.host_count);
-	relay_schedule_report(relay);
-}
-
-/* Reads each of the headers for itself: one that can't be read leaves the others
- * as they are. */
-static void
-read_statement(const struct relay_exchange *exchange,
-    const struct http_head *head, struct upstream_statement *statement)
-{
-	const struct relay_dialect *dialect =
-	    &exchange->relay->settings.dialect;
-	const char *text;
-
-	memset(statement, 0, sizeof(*statement));
-	text = http_head_get(head, dialect->leaving);
-	statement->is_leaving = text != NULL && strcmp(text, "1") == 0;
-	text = http_head_get(head, "Retry-After");
-	if (head->status == STATUS_UNAVAILABLE && text != NULL &&
-	    upstream_pause_parse(text, &statement->pause_ms) != ERROR_NONE)
-		log_malformed(exchange, "pause", text);
-	text = http_head_get(head, dialect->rate_limit);
-	if (text == NULL)
-		return;
-	statement->has_limit =
-	    upstream_limit_parse(text, &statement->limit_per_s) == ERROR_NONE;
-	statement->has_unreadable_limit = !statement->has_limit;
-	if (statement->has_unreadable_limit)
-		log_malformed(exchange, "limit", text);
-}
-
-static void
-log_malformed(
-    const struct relay_exchange *exchange, const char *field, const char *text)
-{
-	event_log_write_fields(EVENT_UPSTREAM_NOTICE_REFUSED, "{s:s,s:s}",
-	    "upstream", exchange->upstream_name, field, text);
-}
-
 static void
 on_body(void *context, const char *data, size_t size)
 {
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -169,6 +169,7 @@
 	uint32_t attempts_absent; /**< Attempts at upstreams that had ended. */
 	/** Attempts that don't count as sent because a helper was at fault. */
 	uint32_t excused_attempts;
+	struct answer_facts facts; /**< What the current answer's head shows. */
 	/** Kind of the current answer, 0 before its head. */
 	enum answer_class answer_class;
 	bool is_sent;	   /**< True if the current attempt was sent. */
@@ -265,6 +266,15 @@
 void relay_attempt_begin_forwarded(
     struct relay_exchange *exchange, uint64_t address);
 
+/* relay_head.c */
+
+/** Reads from the head of an answer what its classification needs. */
+void relay_head_read(const struct relay_exchange *exchange,
+    const struct http_head *head, struct answer_facts *facts);
+/** Records what the upstream says of itself in the head of an answer. */
+void relay_head_hear(
+    const struct relay_exchange *exchange, const struct http_head *head);
+
 /* relay_forward.c */
 
 /** Forwards the request to another host if this one doesn't reach the upstreams
