The log says whose answer a refusal is, and on which connection it came

E6001 now has answer_id, requests_before (of the connection), says_not_run, receipt, forwarded and ms (since the request was sent). E6016 has the same for an answer that is not accepted, E6017 for an own answer with a status that promises what its fields do not say.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -113,6 +113,10 @@
 	"request forwarded to another host"},
     {EVENT_FORWARD_REFUSED, EVENT_LEVEL_WARNING,
 	"forwarded request refused by the other host"},
+    {EVENT_ANSWER_REJECTED, EVENT_LEVEL_WARNING,
+	"answer of an upstream not accepted"},
+    {EVENT_PROMISE_UNFOUNDED, EVENT_LEVEL_WARNING,
+	"status says not run, the answer does not"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
     {EVENT_STANDIN_CRASHED, EVENT_LEVEL_WARNING, "stand-in crashed"},
--- a/src/coordination/relay_rules.c
+++ b/src/coordination/relay_rules.c
@@ -5,7 +5,10 @@
 #define STATUS_SUCCESS	    200
 #define STATUS_SUCCESS_END  300
 #define STATUS_SERVER_ERROR 500
+#define STATUS_LATE	    408
 #define STATUS_MISDIRECTED  421
+#define STATUS_TOO_MANY	    429
+#define STATUS_UNAVAILABLE  503
 
 /* Attempts that waited in vain for a connection or memory before giving up. */
 #define UNSENT_MAX 4
@@ -16,6 +19,13 @@
 #define EXCUSED_REFUSALS_MAX 3
 #define REMAINING_MIN_MS     20 /* With less time an attempt is pointless. */
 
+bool
+status_promises_not_run(uint32_t status)
+{
+	return status == STATUS_LATE || status == STATUS_MISDIRECTED ||
+	       status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
 enum answer_class
 classify_answer(const struct answer_facts *facts)
 {
--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -24,6 +24,8 @@
 	bool is_encoded;      /**< The body has a content encoding. */
 	bool is_refusal;      /**< The upstream says that it did not run it. */
 	bool is_event_stream; /**< The body is a stream of events. */
+	/** Requests that the connection had carried before. */
+	uint32_t requests_before;
 };
 
 /** Classification of an answer. */
@@ -36,6 +38,9 @@
 	ANSWER_MISMATCHED = 4,
 };
 
+/** True for a status by which the relay promises its callers that the request
+ * did not run and never will. */
+bool status_promises_not_run(uint32_t status);
 /** Classifies an answer by its status line and headers. */
 enum answer_class classify_answer(const struct answer_facts *facts);
 /** True if a complete answer with this status reports a failure that another
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -316,6 +316,7 @@
 	if (facts->is_own_attempt || facts->is_refusal)
 		relay_head_hear(exchange, head);
 	exchange->answer_class = classify_answer(facts);
+	relay_trace_head(exchange, head);
 	if (exchange->answer_class == ANSWER_MISMATCHED) {
 		end_attempt(exchange, ERROR_MALFORMED, true);
 		return;
@@ -454,12 +455,7 @@
 
 	fault = http_head_get(&exchange->partial_head,
 	    exchange->relay->settings.dialect.faulty_engine);
-	event_log_write_fields(EVENT_REQUEST_REFUSED, "{s:s,s:s,s:i,s:s,s:f}",
-	    "request", exchange->attempt_id, "upstream",
-	    exchange->upstream_name, "status",
-	    (int)exchange->partial_head.status, "at_fault",
-	    fault == NULL ? "" : fault, "prompt_tokens",
-	    exchange->request.prompt_tokens);
+	relay_trace_refused(exchange);
 	exchange->is_sent = false;
 	if (fault != NULL && upstream_address_parse(fault) != 0 &&
 	    upstream_address_parse(fault) != exchange->upstream_address)
--- a/src/service/relay_head.c
+++ b/src/service/relay_head.c
@@ -28,10 +28,11 @@
 	facts->is_encoded = http_head_get(head, "Content-Encoding") != NULL;
 	facts->is_refusal = http_head_get(head, dialect->refusal) != NULL;
 	text = http_head_get(head, "Content-Type");
-	facts->is_event_stream =
-	    exchange->route->kind == ROUTE_KIND_STREAM && text != NULL &&
-	    g_ascii_strncasecmp(text, "text/event-stream",
-		strlen("text/event-stream")) == 0;
+	facts->is_event_stream = exchange->route->kind == ROUTE_KIND_STREAM &&
+				 text != NULL &&
+				 g_ascii_strncasecmp(text, "text/event-stream",
+				     strlen("text/event-stream")) == 0;
+	facts->requests_before = pool_call_requests_before(exchange->call);
 }
 
 /* Records what the upstream says of itself in the headers of an answer. A header
@@ -90,4 +91,3 @@
 	event_log_write_fields(EVENT_UPSTREAM_NOTICE_REFUSED, "{s:s,s:s}",
 	    "upstream", exchange->upstream_name, field, text);
 }
-
--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -6,6 +6,9 @@
 static const char *const end_names[] = {
     "answered", "refused", "denied", "failed", "broken", "left"};
 
+static void log_answer(enum event_number event,
+    const struct relay_exchange *exchange, const struct http_head *head);
+
 void
 relay_trace_end(const struct relay_exchange *exchange, enum exchange_end end,
     enum error_code error)
@@ -59,6 +62,46 @@
 			 host_now_ms()));
 }
 
+/* Logs an event with all that tells whose answer a head belongs to. */
+static void
+log_answer(enum event_number event, const struct relay_exchange *exchange,
+    const struct http_head *head)
+{
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	const struct answer_facts *facts = &exchange->facts;
+	const char *id = http_head_get(head, dialect->attempt_id);
+	const char *fault = http_head_get(head, dialect->faulty_engine);
+
+	event_log_write_fields(event,
+	    "{s:s,s:s,s:i,s:s,s:f,s:s,s:i,s:b,s:b,s:b,s:I}", "request",
+	    exchange->attempt_id, "upstream", exchange->upstream_name, "status",
+	    (int)facts->status, "at_fault", fault == NULL ? "" : fault,
+	    "prompt_tokens", exchange->request.prompt_tokens, "answer_id",
+	    id == NULL ? "" : id, "requests_before",
+	    (int)facts->requests_before, "says_not_run", facts->is_refusal,
+	    "receipt", facts->has_receipt, "forwarded",
+	    exchange->forward.to_host != 0, "ms",
+	    (json_int_t)(host_now_ms() - exchange->sent_ms));
+}
+
+void
+relay_trace_refused(const struct relay_exchange *exchange)
+{
+	log_answer(EVENT_REQUEST_REFUSED, exchange, &exchange->partial_head);
+}
+
+void
+relay_trace_head(
+    const struct relay_exchange *exchange, const struct http_head *head)
+{
+	if (exchange->answer_class == ANSWER_MISMATCHED)
+		log_answer(EVENT_ANSWER_REJECTED, exchange, head);
+	else if (exchange->answer_class == ANSWER_WHOLE &&
+		 status_promises_not_run(head->status))
+		log_answer(EVENT_PROMISE_UNFOUNDED, exchange, head);
+}
+
 void
 relay_trace_placed(const struct relay_exchange *exchange)
 {
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -46,6 +46,7 @@
 	/* Reports the result of a probe; NULL for a call. */
 	void (*on_probe_done)(void *context, enum error_code error);
 	void *probe_context;
+	uint32_t requests_before; /* Requests sent before the current one. */
 	bool is_head_method;
 	bool is_interim;	/* The answer being read is a 1xx one. */
 	uint32_t interim_count; /* Such answers to the current request. */
@@ -178,6 +179,12 @@
 	return call;
 }
 
+uint32_t
+pool_call_requests_before(const struct pool_call *call)
+{
+	return call->requests_before;
+}
+
 void
 pool_call_cancel(struct pool_call *call)
 {
@@ -407,6 +414,7 @@
 			call->is_reusable = false;
 		g_bytes_unref(call->request);
 		call->request = NULL;
+		call->requests_before++;
 		keep_idle(call);
 		call->ops.on_done(call->ops.context);
 		return;
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -82,6 +82,8 @@
 struct pool_call *upstream_pool_call(struct upstream_pool *pool,
     uint64_t address, GBytes *request, bool is_head_method, int64_t idle_max_ms,
     const struct pool_call_ops *ops);
+/** Returns how many requests the call's connection had carried before. */
+uint32_t pool_call_requests_before(const struct pool_call *call);
 /** Cancels a call: closes its connection and makes no more callbacks. */
 void pool_call_cancel(struct pool_call *call);
 /** Tests whether the upstream accepts a connection, without a request. @p done
