Failing test: requests run that callers were told would not run

Upstreams of the fixture write their last refusal once more before the answer to the next request on the connection, answer with the id of another request, with no id, or with 503, 429, 408 that do not say that the request was not run; direct and over another host, on new and on kept connections, and with one id sent twice over a connection.

--- a/tests/relay_answers.h
+++ b/tests/relay_answers.h
@@ -11,9 +11,12 @@
 #define ANSWER(status, body, length)                                           \
 	"HTTP/1.1 " status "\r\n" ATTEMPT_FIELDS "Content-Length: " length     \
 	"\r\n\r\n" body
-/** A refusal: the request did not run. */
-#define NOT_RUN                                                                \
-	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+/** A refusal with the given status and attempt id: the request did not run. */
+#define REFUSAL(status, id)                                                    \
+	"HTTP/1.1 " status "\r\nAttempt-Id: " id                               \
+	"\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+/** A refusal of the request that is answered. */
+#define NOT_RUN REFUSAL("503 Busy", "{ID}")
 /** Head of a stream; events and STREAM_END follow. */
 #define EVENT_STREAM                                                           \
 	"HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS                                   \
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -19,6 +19,12 @@
 #define SILENCE_MAX_MS 3000 /* Longest wait for further bytes. */
 #define READ_SIZE      65536
 #define SLOW_MARK      "<slow>"
+#define AGAIN_MARK     "<again>"
+/* Time between a repeated answer and the one that the request is owed. */
+#define AGAIN_GAP_US 20000
+/* What the answer of an upstream that did not run the request contains. */
+#define REFUSAL_FIELD  "Not-Executed:"
+#define REFUSAL_STATUS "HTTP/1.1 421 "
 /* Ports on which the relays of tests listen. */
 #define PORT_FIRST	  20000
 #define PORT_COUNT	  12000
@@ -128,6 +134,7 @@
 	pthread_mutex_lock(&script->mutex);
 	g_ptr_array_add(script->requests, g_strdup(request));
 	answer = g_strdup(g_ptr_array_index(script->answers, 0));
+	g_ptr_array_add(script->given, g_strdup(answer));
 	if (script->answers->len > 1)
 		g_ptr_array_remove_index(script->answers, 0);
 	pthread_mutex_unlock(&script->mutex);
@@ -196,27 +203,51 @@
 	return keep_open;
 }
 
+/* Writes the last answer of the connection once more, if the next one asks for
+ * it. Returns what follows the mark. */
+static char *
+repeat_answer(
+    struct upstream_script *script, int fd, const char *last, char *answer)
+{
+	if (!g_str_has_prefix(answer, AGAIN_MARK))
+		return answer;
+	answer += strlen(AGAIN_MARK);
+	if (last[0] == '\0')
+		return answer;
+	if (send(fd, last, strlen(last), MSG_NOSIGNAL) < 0)
+		return answer;
+	pthread_mutex_lock(&script->mutex);
+	script->repeated++;
+	pthread_mutex_unlock(&script->mutex);
+	g_usleep(AGAIN_GAP_US);
+	return answer;
+}
+
 static void *
 serve_connection(void *argument)
 {
 	struct scripted_upstream *upstream = ((void **)argument)[0];
 	int fd = GPOINTER_TO_INT(((void **)argument)[1]);
-	GString *request;
+	GString *request, *last;
+	char *answer, *next;
 	bool keep_open;
-	char *answer;
 
 	g_free(argument);
 	request = g_string_new(NULL);
+	last = g_string_new(NULL);
 	keep_open = true;
 	while (keep_open && read_request(fd, request)) {
 		answer = take_next_answer(upstream->script, request->str);
 		/* Ends accept() in the other thread. */
 		if (strcmp(answer, "<crash>") == 0)
 			shutdown(upstream->listen_fd, SHUT_RDWR);
-		keep_open = send_answer(upstream->script, fd, answer);
+		next = repeat_answer(upstream->script, fd, last->str, answer);
+		g_string_assign(last, next);
+		keep_open = send_answer(upstream->script, fd, next);
 		g_free(answer);
 	}
 	g_string_free(request, TRUE);
+	g_string_free(last, TRUE);
 	close(fd);
 	return NULL;
 }
@@ -540,6 +571,7 @@
 	pthread_mutex_init(&fixture->script.mutex, NULL);
 	fixture->script.requests = g_ptr_array_new_with_free_func(g_free);
 	fixture->script.answers = g_ptr_array_new_with_free_func(g_free);
+	fixture->script.given = g_ptr_array_new_with_free_func(g_free);
 	for (i = 0; i < RELAY_FIXTURE_UPSTREAMS; i++)
 		start_upstream(fixture, i, path);
 	fleet_publish(&fixture->host->fleet);
@@ -590,6 +622,7 @@
 	}
 	g_ptr_array_unref(fixture->script.requests);
 	g_ptr_array_unref(fixture->script.answers);
+	g_ptr_array_unref(fixture->script.given);
 	pthread_mutex_destroy(&fixture->script.mutex);
 	pthread_mutex_destroy(&fixture->peer_mutex);
 	host_suspects_finish(fixture->host);
@@ -759,3 +792,39 @@
 	pthread_mutex_unlock(&fixture->script.mutex);
 	return found;
 }
+
+uint32_t
+relay_fixture_runs(struct relay_fixture *fixture, const char *id)
+{
+	struct upstream_script *script = &fixture->script;
+	const char *given;
+	char *field;
+	uint32_t runs;
+	guint i;
+
+	runs = 0;
+	field = g_strdup_printf("\r\nAttempt-Id: %s\r\n", id);
+	pthread_mutex_lock(&script->mutex);
+	for (i = 0; i < script->requests->len; i++) {
+		given = g_ptr_array_index(script->given, i);
+		if (strstr(g_ptr_array_index(script->requests, i), field) !=
+			NULL &&
+		    strstr(given, REFUSAL_FIELD) == NULL &&
+		    strstr(given, REFUSAL_STATUS) == NULL)
+			runs++;
+	}
+	pthread_mutex_unlock(&script->mutex);
+	g_free(field);
+	return runs;
+}
+
+uint32_t
+relay_fixture_repeated(struct relay_fixture *fixture)
+{
+	uint32_t repeated;
+
+	pthread_mutex_lock(&fixture->script.mutex);
+	repeated = fixture->script.repeated;
+	pthread_mutex_unlock(&fixture->script.mutex);
+	return repeated;
+}
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -31,12 +31,16 @@
  * RELAY_FIXTURE_DOWN_US. After an answer that ends with "<endless>" the text in
  * "endless" follows again and again, until the relay closes the connection. An
  * answer that begins with "<slow>" is sent after
- * RELAY_FIXTURE_SLOW_US.
+ * RELAY_FIXTURE_SLOW_US. Before one that begins with "<again>" the upstream
+ * writes the last answer that it gave on the same connection once more, if there
+ * is one.
  */
 struct upstream_script {
-	pthread_mutex_t mutex; /**< Protects both arrays. */
+	pthread_mutex_t mutex; /**< Protects what follows. */
 	GPtrArray *answers;    /**< Answers not sent yet, as text. */
 	GPtrArray *requests;   /**< Requests received, as text. */
+	GPtrArray *given;      /**< The answers to them, with marks. */
+	uint32_t repeated;     /**< Answers that were written once more. */
 	const char *endless;   /**< Text that is repeated without end. */
 	_Atomic uint64_t endless_bytes; /**< Bytes of it that were sent. */
 };
@@ -132,5 +136,10 @@
  */
 char *relay_fixture_received_request(
     struct relay_fixture *fixture, uint32_t index);
+/** Returns how many requests with this attempt id upstreams ran, that is, got and
+ * did not refuse by their own answer. */
+uint32_t relay_fixture_runs(struct relay_fixture *fixture, const char *id);
+/** Returns how many answers upstreams have written once more. */
+uint32_t relay_fixture_repeated(struct relay_fixture *fixture);
 
 #endif
--- /dev/null
+++ b/tests/test_refused.c
@@ -0,0 +1,319 @@
+/*
+ * Tests that a promise to a caller is true: a request that may run at most once
+ * and is answered 503, 429, 408 or 421 has not run and does not run later.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "coordination/relay_rules.h"
+#include "relay_answers.h"
+#include "relay_fixture.h"
+
+#define ID_SIZE 16
+/* Requests after the one that was refused; by then each of the upstreams has got
+ * one on the connection that it refused on. */
+#define LATER_REQUESTS 12
+#define WARM_REQUESTS  8
+#define WAIT_ROUNDS    500
+#define WAIT_US	       10000
+
+#define OK_ANSWER ANSWER("200 OK", "body!", "5")
+#define FAILURE(status, id)                                                    \
+	"HTTP/1.1 " status "\r\nAttempt-Id: " id                               \
+	"\r\nResponse-Seal: seal\r\nContent-Length: 5\r\n\r\nbusy!"
+#define REFUSAL_WITHOUT_ID                                                     \
+	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+/* The hosts of a test. The caller's host is the only one, or one that reaches no
+ * upstream and forwards what it gets to the other one. */
+struct hosts {
+	struct relay_fixture serving;
+	struct relay_fixture forwarding;
+	struct relay_fixture *asked; /* The caller's host. */
+	uint32_t requests;	     /* Requests sent so far. */
+	bool repeats_id;	     /* All requests have the same id. */
+};
+
+/* Refusals that are written once more before the answer to another request. */
+static const struct {
+	const char *name;
+	const char *refusal;
+} repeated[] = {
+    {"503", NOT_RUN},
+    {"429", REFUSAL("429 Many", "{ID}")},
+    {"408", REFUSAL("408 Late", "{ID}")},
+    {"421", "HTTP/1.1 421 Misdirected\r\nAttempt-Id: {ID}\r\n"
+	    "Content-Length: 0\r\n\r\n"},
+    {"503 in chunks",
+	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nNot-Executed: 1\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n3\r\nno!\r\n0\r\n\r\n"},
+    {"503 without an id", REFUSAL_WITHOUT_ID},
+};
+
+/* Answers that do not say that the request they answer was not run. */
+static const struct {
+	const char *name;
+	const char *answer;
+	uint32_t warm; /* Sound answers before it, on kept connections. */
+} unfounded[] = {
+    {"503 of another request", REFUSAL("503 Busy", "zz"), 0},
+    {"429 of another request", REFUSAL("429 Many", "zz"), 0},
+    {"421 of another request",
+	"HTTP/1.1 421 No\r\nAttempt-Id: zz\r\nContent-Length: 0\r\n\r\n", 0},
+    {"503 that does not say so", FAILURE("503 Busy", "{ID}"), 0},
+    {"429 that does not say so", FAILURE("429 Many", "{ID}"), 0},
+    {"408 that does not say so", FAILURE("408 Late", "{ID}"), 0},
+    {"503 of another request, kept connection", REFUSAL("503 Busy", "zz"),
+	WARM_REQUESTS},
+    {"429 of another request, kept connection", REFUSAL("429 Many", "zz"),
+	WARM_REQUESTS},
+    {"421 of another request, kept connection",
+	"HTTP/1.1 421 No\r\nAttempt-Id: zz\r\nContent-Length: 0\r\n\r\n",
+	WARM_REQUESTS},
+    {"503 that does not say so, kept connection", FAILURE("503 Busy", "{ID}"),
+	WARM_REQUESTS},
+    {"429 that does not say so, kept connection", FAILURE("429 Many", "{ID}"),
+	WARM_REQUESTS},
+    {"408 that does not say so, kept connection", FAILURE("408 Late", "{ID}"),
+	WARM_REQUESTS},
+    {"503 without an id, kept connection", REFUSAL_WITHOUT_ID, WARM_REQUESTS},
+    {"a success that says that it did not run",
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
+	"Not-Executed: 1\r\nContent-Length: 5\r\n\r\nbody!",
+	0},
+};
+
+static uint32_t
+read_status(const char *answer)
+{
+	uint32_t status;
+
+	return sscanf(answer, "HTTP/1.1 %u", &status) == 1 ? status : 0;
+}
+
+/* Sends a request and checks that it ran at most once, and not at all if the
+ * caller is told so. Returns the status of the answer. */
+static uint32_t
+send_and_check(struct hosts *hosts, const char *path, const char *name)
+{
+	char id[ID_SIZE], *request, *answer;
+	uint32_t status, runs, runs_before;
+
+	if (!hosts->repeats_id || hosts->requests == 0)
+		hosts->requests++;
+	snprintf(id, sizeof(id), "r%u", hosts->requests);
+	runs_before = relay_fixture_runs(&hosts->serving, id);
+	request = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h\r\n"
+				  "Attempt-Id: %s\r\nX-Api-Key: key1\r\n"
+				  "Deadline-Ms: 1400\r\n"
+				  "Content-Length: 5\r\n\r\nhello",
+	    path, id);
+	answer = relay_fixture_send_request(hosts->asked, request);
+	status = read_status(answer);
+	runs = relay_fixture_runs(&hosts->serving, id) - runs_before;
+	if (runs > 1 && strcmp(path, "/once/") == 0)
+		fail_msg(
+		    "%s: %s ran %u times, then\n%s", name, id, runs, answer);
+	if (runs > 0 && status_promises_not_run(status))
+		fail_msg("%s: %s ran, its caller got\n%s", name, id, answer);
+	if (strstr(answer, "busy!") != NULL && status == 502)
+		fail_msg("%s: body of another status\n%s", name, answer);
+	g_free(request);
+	g_free(answer);
+	return status;
+}
+
+static void
+await_report(struct hosts *hosts)
+{
+	uint32_t before, i;
+
+	before = atomic_load(&hosts->forwarding.reports_received);
+	hosts->asked = &hosts->serving;
+	(void)send_and_check(hosts, "/idem/", "first report");
+	for (i = 0; i < WAIT_ROUNDS &&
+		    atomic_load(&hosts->forwarding.reports_received) == before;
+	     i++)
+		usleep(WAIT_US);
+	assert_true(atomic_load(&hosts->forwarding.reports_received) > before);
+	hosts->asked = &hosts->forwarding;
+}
+
+static struct hosts *
+start_hosts(bool is_forwarded)
+{
+	struct hosts *hosts;
+
+	hosts = g_new0(struct hosts, 1);
+	relay_fixture_init_host(&hosts->serving, 2, RELAY_FIXTURE_OPEN);
+	hosts->asked = &hosts->serving;
+	if (!is_forwarded)
+		return hosts;
+	relay_fixture_init_host(&hosts->forwarding, 1, RELAY_FIXTURE_REFUSED);
+	relay_fixture_link(&hosts->forwarding, &hosts->serving);
+	relay_fixture_add_answer(&hosts->serving, OK_ANSWER);
+	await_report(hosts);
+	return hosts;
+}
+
+static void
+stop_hosts(struct hosts *hosts)
+{
+	if (hosts->forwarding.host != NULL) {
+		relay_fixture_unlink(&hosts->forwarding, &hosts->serving);
+		relay_fixture_finish(&hosts->forwarding);
+	}
+	relay_fixture_finish(&hosts->serving);
+	g_free(hosts);
+}
+
+/* Every second upstream refuses, and writes the refusal once more before its
+ * answer to the next request on the same connection. Callers of these requests
+ * are served, but for a refusal that nobody can attribute. */
+static void
+check_repeated(size_t i, bool is_forwarded, const char *path)
+{
+	bool has_id = strstr(repeated[i].refusal, "{ID}") != NULL;
+	char *again = g_strconcat("<again>", OK_ANSWER, NULL);
+	struct hosts *hosts;
+	uint32_t j, status;
+
+	hosts = start_hosts(is_forwarded);
+	relay_fixture_replace_answers(&hosts->serving, repeated[i].refusal);
+	(void)send_and_check(hosts, path, repeated[i].name);
+	relay_fixture_replace_answers(&hosts->serving, again);
+	for (j = 0; j < LATER_REQUESTS; j++) {
+		status = send_and_check(hosts, path, repeated[i].name);
+		if (has_id && status != 200)
+			fail_msg("%s, %s: status %u", repeated[i].name, path,
+			    status);
+	}
+	if (relay_fixture_repeated(&hosts->serving) == 0)
+		fail_msg("%s: nothing was repeated", repeated[i].name);
+	stop_hosts(hosts);
+	g_free(again);
+}
+
+static void
+test_repeated_refusal_is_no_answer_to_a_later_request(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(repeated); i++) {
+		check_repeated(i, false, "/once/");
+		check_repeated(i, false, "/idem/");
+	}
+}
+
+static void
+test_repeated_refusal_over_another_host(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(repeated); i++)
+		check_repeated(i, true, "/once/");
+}
+
+/* An upstream refuses, gets a request with the same id again over the same
+ * connection, and writes the first refusal once more. */
+static void
+test_repeated_refusal_with_the_same_id(void **state)
+{
+	char *again = g_strconcat("<again>", OK_ANSWER, NULL);
+	struct hosts *hosts;
+	uint32_t i;
+
+	(void)state;
+	hosts = start_hosts(false);
+	hosts->repeats_id = true;
+	relay_fixture_replace_answers(&hosts->serving, NOT_RUN);
+	(void)send_and_check(hosts, "/once/", "same id");
+	relay_fixture_replace_answers(&hosts->serving, again);
+	for (i = 0; i < LATER_REQUESTS; i++)
+		assert_int_equal(
+		    send_and_check(hosts, "/once/", "same id"), 200);
+	stop_hosts(hosts);
+	g_free(again);
+}
+
+static void
+check_unfounded(size_t i, bool is_forwarded)
+{
+	struct hosts *hosts;
+	uint32_t j;
+
+	hosts = start_hosts(is_forwarded);
+	relay_fixture_replace_answers(&hosts->serving, OK_ANSWER);
+	for (j = 0; j < unfounded[i].warm; j++)
+		(void)send_and_check(hosts, "/once/", unfounded[i].name);
+	relay_fixture_replace_answers(&hosts->serving, unfounded[i].answer);
+	/* What the upstream ran shows by its answer to the second one. */
+	relay_fixture_add_answer(&hosts->serving, OK_ANSWER);
+	j = send_and_check(hosts, "/once/", unfounded[i].name);
+	if (status_promises_not_run(j) || j == 200)
+		fail_msg("%s: status %u", unfounded[i].name, j);
+	stop_hosts(hosts);
+}
+
+static void
+test_answer_that_does_not_refuse_this_request_is_no_promise(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(unfounded); i++)
+		check_unfounded(i, false);
+}
+
+static void
+test_unfounded_promise_over_another_host(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(unfounded); i++)
+		check_unfounded(i, true);
+}
+
+/* On a new connection nothing earlier can come, so a refusal without an id is
+ * that of the request. */
+static void
+test_refusal_without_id_on_a_new_connection_is_believed(void **state)
+{
+	struct hosts *hosts;
+
+	(void)state;
+	hosts = start_hosts(false);
+	relay_fixture_replace_answers(&hosts->serving, REFUSAL_WITHOUT_ID);
+	relay_fixture_add_answer(&hosts->serving, OK_ANSWER);
+	assert_int_equal(send_and_check(hosts, "/once/", "without id"), 200);
+	assert_int_equal(relay_fixture_request_count(&hosts->serving), 2);
+	stop_hosts(hosts);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		test_repeated_refusal_is_no_answer_to_a_later_request),
+	    cmocka_unit_test(test_repeated_refusal_over_another_host),
+	    cmocka_unit_test(test_repeated_refusal_with_the_same_id),
+	    cmocka_unit_test(
+		test_answer_that_does_not_refuse_this_request_is_no_promise),
+	    cmocka_unit_test(test_unfounded_promise_over_another_host),
+	    cmocka_unit_test(
+		test_refusal_without_id_on_a_new_connection_is_believed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
