An answer is attributed to a request of its connection before it is believed

Cause: classify_answer() took any answer with the field "not executed", or with status 421, for the refusal of the request at hand, and looked at the id that it bears only afterwards. An upstream that wrote an earlier refusal once more on a kept connection thus had the next request sent to a second upstream (and refused there, or run twice). What upstreams say of themselves was taken from it too. Class: an answer without identity on a channel that is used again.

Ruled out: unread bytes on idle connections (they closed them already), our own refusals after a send (each way there was read).

Change: the connection knows the requests that it has carried (protocol/request_history). An answer is that of the last one only if it echoes its id, or has none on the connection's first request. One of an earlier request is passed over, and the call waits for its own; any other is no answer, and the request may have run. An id goes over a connection once, so that its own earlier refusal can't be meant; a request or an order without an id gets a new connection. Bytes that came since the loop last read close an idle connection before use.

Why this works: each answer now says which request it is of, or it is not believed, whatever it promises.

test_relay_rules had this fault as its expectation in two rows (a refusal and a 421 of another attempt are "not run"); they now expect the opposite.

--- a/src/coordination/relay_rules.c
+++ b/src/coordination/relay_rules.c
@@ -33,11 +33,13 @@
 
 	is_success = facts->status >= STATUS_SUCCESS &&
 		     facts->status < STATUS_SUCCESS_END;
-	if (facts->is_refusal || facts->status == STATUS_MISDIRECTED)
-		return ANSWER_NOT_RUN;
-	if (!facts->is_own_attempt || facts->is_encoded)
+	if (facts->owner == ANSWER_OF_EARLIER)
+		return ANSWER_REPEATED;
+	if (facts->owner != ANSWER_OF_REQUEST)
 		return ANSWER_MISMATCHED;
-	if (is_success && !facts->has_receipt)
+	if (facts->is_refusal || facts->status == STATUS_MISDIRECTED)
+		return is_success ? ANSWER_MISMATCHED : ANSWER_NOT_RUN;
+	if (facts->is_encoded || (is_success && !facts->has_receipt))
 		return ANSWER_MISMATCHED;
 	if (is_success && facts->is_event_stream)
 		return ANSWER_EVENTS;
--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -4,8 +4,8 @@
  * follows when an attempt failed.
  *
  * The functions only decide and have no side effects. An answer is accepted
- * only with the id of the attempt and, if it reports success, the upstream's
- * receipt. A request that may have run is sent again only if its route allows
+ * only if it belongs to the request and, if it reports success, bears the
+ * upstream's receipt. A refusal, too, says nothing of any other request. A request that may have run is sent again only if its route allows
  * that, and the caller is told "not run" only if that is certain.
  */
 #ifndef RELAY_RULES_H
@@ -14,12 +14,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "protocol/request_history.h"
 #include "state/route_table.h"
 
 /** What the status line and headers of an answer show. */
 struct answer_facts {
-	uint32_t status;      /**< HTTP status code. */
-	bool is_own_attempt;  /**< The answer carries this attempt's id. */
+	uint32_t status;	 /**< HTTP status code. */
+	enum answer_owner owner; /**< Request to which the answer belongs. */
 	bool has_receipt;     /**< The answer carries the upstream's receipt. */
 	bool is_encoded;      /**< The body has a content encoding. */
 	bool is_refusal;      /**< The upstream says that it did not run it. */
@@ -33,9 +34,12 @@
 	ANSWER_WHOLE = 1,   /**< Forward the answer once it is complete. */
 	ANSWER_EVENTS = 2,  /**< Forward each event as it arrives. */
 	ANSWER_NOT_RUN = 3, /**< The upstream did not run the request. */
-	/** The answer lacks this attempt's id or the receipt, or has a content
-	 * encoding, so it may not come from this attempt. */
+	/** The answer does not bear what an answer to this request must, or
+	 * contradicts itself; the request may have run. */
 	ANSWER_MISMATCHED = 4,
+	/** The answer belongs to an earlier request of the connection; that to
+	 * this request may follow. */
+	ANSWER_REPEATED = 5,
 };
 
 /** True for a status by which the relay promises its callers that the request
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -30,7 +30,7 @@
     const struct relay_exchange *exchange, enum error_code error);
 static void on_connected(void *context);
 static void on_sent(void *context);
-static void on_head(void *context, struct http_head *head);
+static enum pool_answer on_head(void *context, struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
 static void drop_partial_body(struct relay_exchange *exchange);
 static void end_attempt(
@@ -147,20 +147,22 @@
 	    .on_failed = on_failed,
 	    .context = exchange,
 	};
-	int64_t idle_max_ms;
+	struct pool_request request = {
+	    .id = exchange->attempt_id[0] == '\0' ? NULL : exchange->attempt_id,
+	    .is_head_method = relay_exchange_is_head_request(exchange),
+	};
 	bool may_repeat;
-	GBytes *bytes;
 
 	may_repeat = may_repeat_request(
 	    exchange->route->kind, exchange->route->is_resumable);
-	idle_max_ms =
+	request.idle_max_ms =
 	    may_repeat ? REPEATABLE_IDLE_MAX_MS : NO_REPEAT_IDLE_MAX_MS;
-	bytes = is_forwarded ? relay_forward_bytes(exchange, host_now_ms())
-			     : relay_request_bytes(exchange, host_now_ms());
-	exchange->call = upstream_pool_call(&exchange->relay->pool,
-	    exchange->upstream_address, bytes,
-	    relay_exchange_is_head_request(exchange), idle_max_ms, &ops);
-	g_bytes_unref(bytes);
+	request.bytes = is_forwarded
+			    ? relay_forward_bytes(exchange, host_now_ms())
+			    : relay_request_bytes(exchange, host_now_ms());
+	exchange->call = upstream_pool_call(
+	    &exchange->relay->pool, exchange->upstream_address, &request, &ops);
+	g_bytes_unref(request.bytes);
 	/* Without a socket this host lacks something, not the upstream. */
 	if (exchange->call == NULL)
 		relay_attempt_failed(exchange, ERROR_NO_CAPACITY, false);
@@ -298,36 +300,39 @@
 	exchange->attempts_sent++;
 }
 
-static void
+static enum pool_answer
 on_head(void *context, struct http_head *head)
 {
 	struct relay_exchange *exchange = context;
 	struct answer_facts *facts = &exchange->facts;
 
 	relay_head_read(exchange, head, facts);
-	if (exchange->forward.to_host != 0) {
+	if (facts->owner == ANSWER_OF_REQUEST &&
+	    exchange->forward.to_host != 0) {
 		if (!relay_forward_read_result(exchange, head)) {
 			end_attempt(exchange, ERROR_MALFORMED, true);
-			return;
+			return POOL_ANSWER_TAKE;
 		}
 		facts->is_refusal =
 		    exchange->forward.result.reason != ERROR_NONE;
 	}
-	if (facts->is_own_attempt || facts->is_refusal)
-		relay_head_hear(exchange, head);
 	exchange->answer_class = classify_answer(facts);
 	relay_trace_head(exchange, head);
+	if (exchange->answer_class == ANSWER_REPEATED)
+		return POOL_ANSWER_DISCARD;
 	if (exchange->answer_class == ANSWER_MISMATCHED) {
 		end_attempt(exchange, ERROR_MALFORMED, true);
-		return;
+		return POOL_ANSWER_TAKE;
 	}
+	relay_head_hear(exchange, head);
 	if (exchange->answer_class == ANSWER_EVENTS) {
 		begin_event_stream(exchange, head);
-		return;
+		return POOL_ANSWER_TAKE;
 	}
 	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
 	http_head_move(&exchange->partial_head, head);
 	drop_partial_body(exchange);
+	return POOL_ANSWER_TAKE;
 }
 
 static void
--- a/src/service/relay_head.c
+++ b/src/service/relay_head.c
@@ -20,10 +20,8 @@
 
 	memset(facts, 0, sizeof(*facts));
 	facts->status = head->status;
-	text = http_head_get(head, dialect->attempt_id);
-	facts->is_own_attempt = text == NULL
-				    ? exchange->attempt_id[0] == '\0'
-				    : strcmp(text, exchange->attempt_id) == 0;
+	facts->owner = pool_call_attribute(
+	    exchange->call, http_head_get(head, dialect->attempt_id));
 	facts->has_receipt = http_head_get(head, dialect->receipt) != NULL;
 	facts->is_encoded = http_head_get(head, "Content-Encoding") != NULL;
 	facts->is_refusal = http_head_get(head, dialect->refusal) != NULL;
--- a/src/service/relay_hold.c
+++ b/src/service/relay_hold.c
@@ -45,7 +45,7 @@
 static void release(struct hold *hold);
 static void order(struct hold *hold, char *text);
 static void on_sent(void *context);
-static void on_head(void *context, struct http_head *head);
+static enum pool_answer on_head(void *context, struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
 static void on_done(void *context);
 static void on_failed(void *context, enum error_code error);
@@ -186,20 +186,20 @@
 	    .body_bytes_max = ORDER_ANSWER_BYTES_MAX,
 	};
 	const struct relay_dialect *dialect = &hold->relay->settings.dialect;
-	GBytes *bytes;
-	char *request;
+	struct pool_request request = {0};
+	char *bytes;
 
-	request = g_strdup_printf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
-				  "Content-Type: application/json\r\n"
-				  "Content-Length: %zu\r\n\r\n%s",
+	bytes = g_strdup_printf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
+				"Content-Type: application/json\r\n"
+				"Content-Length: %zu\r\n\r\n%s",
 	    dialect->order_path, hold->upstream, dialect->target,
 	    hold->upstream, strlen(text), text);
 	g_free(text);
-	bytes = g_bytes_new_take(request, strlen(request));
+	request.bytes = g_bytes_new_take(bytes, strlen(bytes));
 	hold->status = 0;
-	hold->call = upstream_pool_call(&hold->relay->pool,
-	    hold->upstream_address, bytes, false, INT64_MAX, &ops);
-	g_bytes_unref(bytes);
+	hold->call = upstream_pool_call(
+	    &hold->relay->pool, hold->upstream_address, &request, &ops);
+	g_bytes_unref(request.bytes);
 	/* Report a failed connection later, so that done() is never called
 	 * while its caller is still sending orders. If no timer is free, the
 	 * order stays unanswered until the request's own deadline. */
@@ -221,12 +221,13 @@
 	(void)context;
 }
 
-static void
+static enum pool_answer
 on_head(void *context, struct http_head *head)
 {
 	struct hold *hold = context;
 
 	hold->status = head->status;
+	return POOL_ANSWER_TAKE;
 }
 
 static void
--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -6,6 +6,9 @@
 static const char *const end_names[] = {
     "answered", "refused", "denied", "failed", "broken", "left"};
 
+static const char *const owner_names[] = {
+    "unknown", "request", "earlier", "foreign"};
+
 static void log_answer(enum event_number event,
     const struct relay_exchange *exchange, const struct http_head *head);
 
@@ -74,13 +77,13 @@
 	const char *fault = http_head_get(head, dialect->faulty_engine);
 
 	event_log_write_fields(event,
-	    "{s:s,s:s,s:i,s:s,s:f,s:s,s:i,s:b,s:b,s:b,s:I}", "request",
+	    "{s:s,s:s,s:i,s:s,s:f,s:s,s:s,s:i,s:b,s:b,s:b,s:I}", "request",
 	    exchange->attempt_id, "upstream", exchange->upstream_name, "status",
 	    (int)facts->status, "at_fault", fault == NULL ? "" : fault,
 	    "prompt_tokens", exchange->request.prompt_tokens, "answer_id",
-	    id == NULL ? "" : id, "requests_before",
-	    (int)facts->requests_before, "says_not_run", facts->is_refusal,
-	    "receipt", facts->has_receipt, "forwarded",
+	    id == NULL ? "" : id, "answer_of", owner_names[facts->owner],
+	    "requests_before", (int)facts->requests_before, "says_not_run",
+	    facts->is_refusal, "receipt", facts->has_receipt, "forwarded",
 	    exchange->forward.to_host != 0, "ms",
 	    (json_int_t)(host_now_ms() - exchange->sent_ms));
 }
@@ -95,7 +98,8 @@
 relay_trace_head(
     const struct relay_exchange *exchange, const struct http_head *head)
 {
-	if (exchange->answer_class == ANSWER_MISMATCHED)
+	if (exchange->answer_class == ANSWER_MISMATCHED ||
+	    exchange->answer_class == ANSWER_REPEATED)
 		log_answer(EVENT_ANSWER_REJECTED, exchange, head);
 	else if (exchange->answer_class == ANSWER_WHOLE &&
 		 status_promises_not_run(head->status))
--- a/src/transport/tcp_link.c
+++ b/src/transport/tcp_link.c
@@ -1,5 +1,6 @@
 #include "transport/tcp_link.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -101,6 +102,18 @@
 	return link->tcp.write_queue_size;
 }
 
+bool
+tcp_link_has_input(const struct tcp_link *link)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd) != 0)
+		return true;
+	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void
 tcp_link_end(struct tcp_link *link)
 {
--- a/src/transport/tcp_link.h
+++ b/src/transport/tcp_link.h
@@ -62,6 +62,8 @@
 void tcp_link_write(struct tcp_link *link, const void *data, size_t size);
 /** Returns the number of bytes queued for writing. */
 size_t tcp_link_queued(const struct tcp_link *link);
+/** True if bytes or the peer's end of the connection wait in the socket. */
+bool tcp_link_has_input(const struct tcp_link *link);
 /** Shuts down the sending side once all queued bytes are sent; bytes are still
  * received. */
 void tcp_link_end(struct tcp_link *link);
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -21,10 +21,12 @@
 /* Limits of what may come before the body of an answer. */
 #define HEAD_BYTES_MAX	    65536
 #define INTERIM_ANSWERS_MAX 16
-#define PORT_BITS	    16
-#define MS_PER_S	    1000
-#define STATUS_CONTINUE	    100
-#define STATUS_OK	    200
+/* Answers to earlier requests that a call passes over. */
+#define DISCARDED_ANSWERS_MAX 4
+#define PORT_BITS	      16
+#define MS_PER_S	      1000
+#define STATUS_CONTINUE	      100
+#define STATUS_OK	      200
 
 /* State of a connection. */
 enum call_state {
@@ -46,11 +48,14 @@
 	/* Reports the result of a probe; NULL for a call. */
 	void (*on_probe_done)(void *context, enum error_code error);
 	void *probe_context;
-	uint32_t requests_before; /* Requests sent before the current one. */
+	struct request_history history; /* What the connection has carried. */
+	char *request_id; /* Id of the current request, or NULL. */
 	bool is_head_method;
-	bool is_interim;	/* The answer being read is a 1xx one. */
-	uint32_t interim_count; /* Such answers to the current request. */
-	size_t body_bytes;	/* Bytes of the answer's body so far. */
+	bool is_interim;	  /* The answer being read is a 1xx one. */
+	uint32_t interim_count;	  /* Such answers to the current request. */
+	bool is_discarded;	  /* The answer being read is passed over. */
+	uint32_t discarded_count; /* Such answers to the current request. */
+	size_t body_bytes;	  /* Bytes of the answer's body so far. */
 	bool is_reusable; /* May be kept for another call after this one. */
 	int64_t idle_limit_ms; /* Longest time to stay idle. */
 	int64_t idle_since_ms;
@@ -58,8 +63,10 @@
 };
 
 static struct sockaddr_in to_socket_address(uint64_t address);
-static struct pool_call *pop_idle(
-    struct upstream_pool *pool, uint64_t address, int64_t idle_max_ms);
+static struct pool_call *pop_idle(struct upstream_pool *pool, uint64_t address,
+    const struct pool_request *request);
+static bool is_usable(
+    const struct pool_call *call, const struct pool_request *request);
 static struct pool_call *open_call(
     struct upstream_pool *pool, uint64_t address);
 static void send_request(struct pool_call *call);
@@ -73,7 +80,10 @@
 static void on_received(void *context, const char *data, size_t size);
 static void on_ended(void *context, bool is_clean);
 static void on_closed(void *context);
+static void end_request(struct pool_call *call);
 static bool on_head(void *context, struct http_head *head);
+static void discard_answer(
+    struct pool_call *call, const struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
 static void on_end(void *context);
 static int64_t read_keep_alive(const struct http_head *head);
@@ -145,19 +155,19 @@
 
 struct pool_call *
 upstream_pool_call(struct upstream_pool *pool, uint64_t address,
-    GBytes *request, bool is_head_method, int64_t idle_max_ms,
-    const struct pool_call_ops *ops)
+    const struct pool_request *request, const struct pool_call_ops *ops)
 {
 	struct pool_call *call;
 
-	call = pop_idle(pool, address, idle_max_ms);
+	call = pop_idle(pool, address, request);
 	if (call == NULL)
 		call = open_call(pool, address);
 	if (call == NULL)
 		return NULL;
 	call->ops = *ops;
-	call->request = g_bytes_ref(request);
-	call->is_head_method = is_head_method;
+	call->request = g_bytes_ref(request->bytes);
+	call->request_id = g_strdup(request->id);
+	call->is_head_method = request->is_head_method;
 	if (call->state == CALL_IDLE) {
 		call->state = CALL_BUSY;
 		send_request(call);
@@ -179,10 +189,16 @@
 	return call;
 }
 
+enum answer_owner
+pool_call_attribute(const struct pool_call *call, const char *id)
+{
+	return request_history_attribute(&call->history, id);
+}
+
 uint32_t
 pool_call_requests_before(const struct pool_call *call)
 {
-	return call->requests_before;
+	return call->history.count - 1;
 }
 
 void
@@ -201,25 +217,44 @@
 	return result;
 }
 
-/* Takes the most recently used idle connection, which the upstream is least
- * likely to close soon. Returns NULL if there is none or if it has been idle
- * for longer than idle_max_ms. */
+/* Takes the most recently used idle connection that can carry the request, since
+ * the upstream is least likely to close it soon. Returns NULL if there is none.
+ * Connections that turn out to be unusable for any request are closed. */
 static struct pool_call *
-pop_idle(struct upstream_pool *pool, uint64_t address, int64_t idle_max_ms)
+pop_idle(struct upstream_pool *pool, uint64_t address,
+    const struct pool_request *request)
 {
 	struct pool_call *call;
 	GQueue *queue;
+	GList *link, *next;
 
 	queue = g_hash_table_lookup(pool->idle, &address);
 	if (queue == NULL)
 		return NULL;
-	call = g_queue_peek_head(queue);
-	if (call == NULL ||
-	    timer_now(pool->timers) - call->idle_since_ms > idle_max_ms)
-		return NULL;
-	g_queue_pop_head(queue);
-	timer_cancel(pool->timers, &call->timer);
-	return call;
+	for (link = queue->head; link != NULL; link = next) {
+		next = link->next;
+		call = link->data;
+		if (timer_now(pool->timers) - call->idle_since_ms >
+		    request->idle_max_ms)
+			return NULL;
+		if (!is_usable(call, request))
+			continue;
+		/* What arrived since the loop last read belongs to no call. */
+		if (tcp_link_has_input(&call->link)) {
+			close_call(call);
+			continue;
+		}
+		g_queue_delete_link(queue, link);
+		timer_cancel(pool->timers, &call->timer);
+		return call;
+	}
+	return NULL;
+}
+
+static bool
+is_usable(const struct pool_call *call, const struct pool_request *request)
+{
+	return request_history_accepts(&call->history, request->id);
 }
 
 static struct pool_call *
@@ -262,10 +297,15 @@
 	gsize size;
 	const void *data;
 
-	call->is_reusable = true;
+	/* The body that follows the head of an answer to a HEAD request, if any,
+	 * can't be told by the head of a later answer to it. */
+	call->is_reusable = !call->is_head_method;
 	call->is_interim = false;
 	call->interim_count = 0;
+	call->is_discarded = false;
+	call->discarded_count = 0;
 	call->body_bytes = 0;
+	request_history_add(&call->history, call->request_id);
 	http_reader_next(&call->reader);
 	data = g_bytes_get_data(call->request, &size);
 	/* Reported before the write, because the upstream may run the request
@@ -317,6 +357,7 @@
 		g_hash_table_insert(call->pool->idle, key, queue);
 	}
 	if (!call->is_reusable || call->idle_limit_ms <= 0 ||
+	    call->history.count >= REQUEST_HISTORY_MAX ||
 	    g_queue_get_length(queue) >= IDLE_PER_UPSTREAM_MAX ||
 	    tcp_link_queued(&call->link) > 0 ||
 	    timer_subscribe_once(call->pool->timers, call->idle_limit_ms,
@@ -401,20 +442,20 @@
 		size -= used;
 		if (!call->reader.has_ended)
 			continue;
-		if (call->is_interim) {
-			if (++call->interim_count > INTERIM_ANSWERS_MAX) {
+		if (call->is_interim || call->is_discarded) {
+			if (call->interim_count > INTERIM_ANSWERS_MAX ||
+			    call->discarded_count > DISCARDED_ANSWERS_MAX) {
 				fail_call(call, ERROR_TOO_LARGE);
 				return;
 			}
 			http_reader_next(&call->reader);
 			call->is_interim = false;
+			call->is_discarded = false;
 			continue;
 		}
 		if (size > 0)
 			call->is_reusable = false;
-		g_bytes_unref(call->request);
-		call->request = NULL;
-		call->requests_before++;
+		end_request(call);
 		keep_idle(call);
 		call->ops.on_done(call->ops.context);
 		return;
@@ -431,7 +472,7 @@
 		return;
 	}
 	call->is_reusable = false;
-	if (is_clean && call->reader.has_head &&
+	if (is_clean && call->reader.has_head && !call->is_discarded &&
 	    http_reader_close(&call->reader) == ERROR_NONE) {
 		struct pool_call_ops ops = call->ops;
 
@@ -449,9 +490,20 @@
 
 	g_hash_table_remove(call->pool->all, call);
 	http_reader_finish(&call->reader);
+	end_request(call);
+	request_history_finish(&call->history);
+	g_free(call);
+}
+
+/* Frees what the call holds of its request. */
+static void
+end_request(struct pool_call *call)
+{
 	if (call->request != NULL)
 		g_bytes_unref(call->request);
-	g_free(call);
+	call->request = NULL;
+	g_free(call->request_id);
+	call->request_id = NULL;
 }
 
 static bool
@@ -461,16 +513,33 @@
 
 	call->is_interim =
 	    head->status >= STATUS_CONTINUE && head->status < STATUS_OK;
-	if (call->is_interim)
+	if (call->is_interim) {
+		call->interim_count++;
 		return true;
+	}
 	/* If the answer comes before the request is sent completely, the
 	 * connection can't be reused: the upstream would read the rest of this
 	 * request as part of the next one. */
 	if (!head->keeps_connection || tcp_link_queued(&call->link) > 0)
 		call->is_reusable = false;
 	call->idle_limit_ms = read_keep_alive(head);
-	call->ops.on_head(call->ops.context, head);
-	return call->is_head_method;
+	if (call->ops.on_head(call->ops.context, head) == POOL_ANSWER_TAKE ||
+	    call->state == CALL_CLOSED)
+		return call->is_head_method;
+	discard_answer(call, head);
+	return false;
+}
+
+/* Passes over an answer to an earlier request. Without a length it would end only
+ * with the connection, and hide the answer that the call waits for. */
+static void
+discard_answer(struct pool_call *call, const struct http_head *head)
+{
+	call->is_reusable = false;
+	call->is_discarded = true;
+	call->discarded_count++;
+	if (!head->has_length && !head->is_chunked)
+		fail_call(call, ERROR_MALFORMED);
 }
 
 static void
@@ -478,7 +547,7 @@
 {
 	struct pool_call *call = context;
 
-	if (call->state != CALL_BUSY)
+	if (call->state != CALL_BUSY || call->is_discarded)
 		return;
 	call->body_bytes += size;
 	if (call->ops.body_bytes_max > 0 &&
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -4,7 +4,9 @@
  *
  * A connection carries one call at a time. It is reused only after a complete
  * answer with no bytes after it. Bytes that arrive while no call is waiting
- * close the connection, so that no call gets bytes of another one.
+ * close the connection, so that no call gets bytes of another one. An upstream
+ * may write an answer twice, so each answer is attributed to a request by the id
+ * that it echoes, see protocol/request_history.h.
  */
 #ifndef UPSTREAM_POOL_H
 #define UPSTREAM_POOL_H
@@ -18,12 +20,30 @@
 
 #include "base/error_code.h"
 #include "protocol/http_reader.h"
+#include "protocol/request_history.h"
 #include "transport/timer.h"
 
 #define UPSTREAM_ADDRESS_SIZE 24 /**< Bytes of "IP:PORT" with NUL. */
 
 struct pool_call;
 
+/** What a call does with the answer whose head it has received. */
+enum pool_answer {
+	POOL_ANSWER_TAKE = 0, /**< It is the answer of the call. */
+	/** It belongs to an earlier request; the call waits for the next one. */
+	POOL_ANSWER_DISCARD = 1,
+};
+
+/** A request to an upstream. */
+struct pool_request {
+	GBytes *bytes; /**< The HTTP request; the call keeps a reference. */
+	/** Id that its answer echoes, NULL if it bears none. */
+	const char *id;
+	bool is_head_method; /**< HEAD request, whose answer has no body. */
+	/** Connections idle for longer are not used. */
+	int64_t idle_max_ms;
+};
+
 /** Callbacks of a call to its owner. on_done() or on_failed() is the last one;
  * the call must not be used afterwards. */
 struct pool_call_ops {
@@ -32,8 +52,8 @@
 	/** The request is about to be sent; from now on the upstream may run
 	 * it. */
 	void (*on_sent)(void *context);
-	/** The status line and headers of the answer were received. */
-	void (*on_head)(void *context, struct http_head *head);
+	/** The status line and headers of an answer were received. */
+	enum pool_answer (*on_head)(void *context, struct http_head *head);
 	/** Bytes of the answer's body were received. */
 	void (*on_body)(void *context, const char *data, size_t size);
 	/** The answer is complete. */
@@ -75,13 +95,16 @@
 /** Formats a packed address as "IP:PORT". */
 void upstream_address_write(uint64_t address, char text[UPSTREAM_ADDRESS_SIZE]);
 /** Starts a call to the upstream at a packed address, on an idle connection or
- * a new one. @p request holds all bytes of the HTTP request; the call keeps a
- * reference. @p is_head_method tells that it is a HEAD request, whose answer
- * has no body. Connections idle for longer than @p idle_max_ms are not used.
- * Returns NULL if connecting can't even start; nothing was sent then. */
+ * a new one. A request without an id gets a new one, and so does a request whose
+ * id the idle ones have carried before. Returns NULL if connecting can't even
+ * start; nothing was sent then. */
 struct pool_call *upstream_pool_call(struct upstream_pool *pool,
-    uint64_t address, GBytes *request, bool is_head_method, int64_t idle_max_ms,
+    uint64_t address, const struct pool_request *request,
     const struct pool_call_ops *ops);
+/** Attributes an answer on the call's connection by the id that it echoes, NULL
+ * for none. */
+enum answer_owner pool_call_attribute(
+    const struct pool_call *call, const char *id);
 /** Returns how many requests the call's connection had carried before. */
 uint32_t pool_call_requests_before(const struct pool_call *call);
 /** Cancels a call: closes its connection and makes no more callbacks. */
--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -14,7 +14,7 @@
 # Each entry: name of the mechanism | source file | Perl substitution that
 # disables the mechanism in the file.
 mechanisms=(
-	'attempt_id_check|src/coordination/relay_rules.c|s/!facts->is_own_attempt \|\| //'
+	'answer_attribution|src/service/relay_head.c|s/facts->owner = pool_call_attribute\(.*?\);/facts->owner = ANSWER_OF_REQUEST;/s'
 	'at_most_once|src/coordination/relay_rules.c|s/!state->may_have_run \|\|/true ||/'
 	'order_of_events|src/service/relay_events.c|s/number <= events->last_number/false/'
 	'quorum_read|src/service/host_documents.c|s/error = first_error\(\s*host_submit\(host, &command, timeout_ms, &result\), &result\);/(void)command; result.sequence = 0; error = ERROR_NONE;/'
--- a/tests/test_relay_rules.c
+++ b/tests/test_relay_rules.c
@@ -16,19 +16,28 @@
 	struct answer_facts facts;
 	enum answer_class expected;
 } heads[] = {
-    /* status, own attempt, receipt, encoded, refusal, event stream */
-    {{200, true, true, false, false, false}, ANSWER_WHOLE},
-    {{200, true, true, false, false, true}, ANSWER_EVENTS},
-    {{200, true, false, false, false, false}, ANSWER_MISMATCHED},
-    {{200, false, true, false, false, false}, ANSWER_MISMATCHED},
-    {{200, true, true, true, false, false}, ANSWER_MISMATCHED},
-    {{500, true, true, false, false, false}, ANSWER_WHOLE},
-    {{500, false, true, false, false, false}, ANSWER_MISMATCHED},
-    {{503, true, false, false, true, false}, ANSWER_NOT_RUN},
-    {{503, false, false, false, true, false}, ANSWER_NOT_RUN},
-    {{503, true, true, false, false, false}, ANSWER_WHOLE},
-    {{421, false, false, false, false, false}, ANSWER_NOT_RUN},
-    {{429, true, true, false, false, false}, ANSWER_WHOLE},
+    /* status, owner, receipt, encoded, refusal, event stream, requests before */
+    {{200, ANSWER_OF_REQUEST, true, false, false, false, 0}, ANSWER_WHOLE},
+    {{200, ANSWER_OF_REQUEST, true, false, false, true, 0}, ANSWER_EVENTS},
+    {{200, ANSWER_OF_REQUEST, false, false, false, false, 0},
+	ANSWER_MISMATCHED},
+    {{200, ANSWER_OF_FOREIGN, true, false, false, false, 0}, ANSWER_MISMATCHED},
+    {{200, ANSWER_OF_UNKNOWN, true, false, false, false, 1}, ANSWER_MISMATCHED},
+    {{200, ANSWER_OF_EARLIER, true, false, false, false, 1}, ANSWER_REPEATED},
+    {{200, ANSWER_OF_REQUEST, true, true, false, false, 0}, ANSWER_MISMATCHED},
+    {{200, ANSWER_OF_REQUEST, true, false, true, false, 0}, ANSWER_MISMATCHED},
+    {{500, ANSWER_OF_REQUEST, true, false, false, false, 0}, ANSWER_WHOLE},
+    {{500, ANSWER_OF_FOREIGN, true, false, false, false, 0}, ANSWER_MISMATCHED},
+    {{503, ANSWER_OF_REQUEST, false, false, true, false, 0}, ANSWER_NOT_RUN},
+    {{503, ANSWER_OF_FOREIGN, false, false, true, false, 0}, ANSWER_MISMATCHED},
+    {{503, ANSWER_OF_UNKNOWN, false, false, true, false, 1}, ANSWER_MISMATCHED},
+    {{503, ANSWER_OF_EARLIER, false, false, true, false, 1}, ANSWER_REPEATED},
+    {{503, ANSWER_OF_REQUEST, true, false, false, false, 0}, ANSWER_WHOLE},
+    {{421, ANSWER_OF_REQUEST, false, false, false, false, 0}, ANSWER_NOT_RUN},
+    {{421, ANSWER_OF_FOREIGN, false, false, false, false, 0},
+	ANSWER_MISMATCHED},
+    {{421, ANSWER_OF_EARLIER, false, false, false, false, 1}, ANSWER_REPEATED},
+    {{429, ANSWER_OF_REQUEST, true, false, false, false, 0}, ANSWER_WHOLE},
 };
 
 /* State of a request after a failed attempt, and the expected next step. */
