A promise that no upstream made is not passed on

Cause: an upstream that ran a request and failed answered 503, 429 or 408 without the field "not executed". The relay passed the answer on as it came. To the caller these statuses promise that the request did not run and never will; the upstream had said no such thing. Class: a status that means less on one side than on the other.

The record fits: the requests of the report have no line of ours, as one whose answer is passed on has none.

Change: such an answer is a failed attempt (E6017). A request that may be repeated goes elsewhere; any other is answered 502, without the upstream's receipt, which may stand only beside the upstream's status. What the upstream says of itself (pause, limit, leaving) is heard as before.

--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -40,6 +40,9 @@
 	/** The answer belongs to an earlier request of the connection; that to
 	 * this request may follow. */
 	ANSWER_REPEATED = 5,
+	/** A failure whose status would promise the caller that the request did
+	 * not run, which the upstream has not said. It is not forwarded. */
+	ANSWER_UNFOUNDED = 6,
 };
 
 /** True for a status by which the relay promises its callers that the request
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -402,6 +402,10 @@
 			on_refusal(exchange);
 		return;
 	}
+	if (exchange->answer_class == ANSWER_UNFOUNDED) {
+		relay_attempt_failed(exchange, ERROR_UPSTREAM_FAILED, true);
+		return;
+	}
 	if (exchange->is_answering) {
 		/* The caller has part of an event stream, and the upstream
 		 * that should continue it sent an answer of another type. */
--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -101,8 +101,7 @@
 	if (exchange->answer_class == ANSWER_MISMATCHED ||
 	    exchange->answer_class == ANSWER_REPEATED)
 		log_answer(EVENT_ANSWER_REJECTED, exchange, head);
-	else if (exchange->answer_class == ANSWER_WHOLE &&
-		 status_promises_not_run(head->status))
+	else if (exchange->answer_class == ANSWER_UNFOUNDED)
 		log_answer(EVENT_PROMISE_UNFOUNDED, exchange, head);
 }
 
