A request that may have run is not sent under a route that allows one run

What callers saw: a request that an upstream had run or was running went to a second one (TWICE), if the configuration changed under way.

Cause: take_next_step() decides by the route under which the request was sent, then looks the route up anew, and sends by what it finds. A new route with a longer prefix, of another kind, was not asked whether it allows a second run, nor a second attempt; neither was one that came while the request waited for an upstream.

Change: each look-up of the route checks what was sent so far against it.

--- a/src/service/relay_exchange.c
+++ b/src/service/relay_exchange.c
@@ -23,6 +23,7 @@
 /* Least Retry-After while a host or the upstreams of a service are starting. */
 #define START_RETRY_AFTER_MS 1500
 
+static bool may_send(struct relay_exchange *exchange);
 static void start(struct relay_exchange *exchange);
 static bool arrived_after_drain(const struct relay_exchange *exchange);
 static bool wait_for_first_table(struct relay_exchange *exchange);
@@ -131,7 +132,26 @@
 	exchange->request.service = exchange->service;
 	prompt_parts_read(http_head_get(&exchange->head, dialect->prompt_parts),
 	    exchange->service->name, &exchange->key);
-	return true;
+	return may_send(exchange);
+}
+
+/* Checks what was sent so far against the route, which may have changed since.
+ * Returns false if the request must be answered now. */
+static bool
+may_send(struct relay_exchange *exchange)
+{
+	const struct route *route = exchange->route;
+	bool is_allowed;
+
+	is_allowed = !exchange->may_have_run ||
+		     may_repeat_request(route->kind, route->is_resumable);
+	if (is_allowed && (exchange->attempts_sent == 0 ||
+			      exchange->attempts_sent <
+				  relay_exchange_attempts_max(exchange)))
+		return true;
+	relay_exchange_end_unplaced(
+	    exchange, ERROR_OUTCOME_UNKNOWN, RETRY_AFTER_DEFAULT_MS);
+	return false;
 }
 
 void
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "coordination/relay_rules.h"
+#include "platform_routes.h"
 #include "relay_answers.h"
 #include "relay_fixture.h"
 
@@ -284,6 +285,53 @@
 		check_unfounded(i, true);
 }
 
+/* Sets a table in which the route /idem/x/ runs a request at most once. */
+static void *
+forbid_repeats_later(void *argument)
+{
+	static const char document[] =
+	    "{\"version\":2,\"routes\":["
+	    "{\"name\":\"idem\",\"host\":\"h\",\"pathPrefix\":\"/idem/\","
+	    "\"kind\":\"idempotent\",\"timeoutMs\":1500,\"sloMs\":300,"
+	    "\"service\":\"s\",\"maxAttempts\":2},"
+	    "{\"name\":\"new\",\"host\":\"h\",\"pathPrefix\":\"/idem/x/\","
+	    "\"kind\":\"non_idempotent\",\"timeoutMs\":1500,\"sloMs\":300,"
+	    "\"service\":\"s\",\"maxAttempts\":2}],"
+	    "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\"}],"
+	    "\"tenants\":[{\"name\":\"spa\",\"apiKeys\":[\"key1\"]}]}";
+	struct relay_fixture *fixture = argument;
+	struct field_error error;
+	uint32_t i;
+
+	for (i = 0;
+	     i < WAIT_ROUNDS && relay_fixture_request_count(fixture) == 0; i++)
+		usleep(WAIT_US / 10);
+	relay_set_table(&fixture->relay,
+	    platform_routes_parse(document, strlen(document), &error));
+	return NULL;
+}
+
+/* While an upstream runs the request, the configuration changes, so that it may
+ * not be run again when the upstream has failed. */
+static void
+test_request_that_ran_is_not_sent_under_a_new_route(void **state)
+{
+	struct hosts *hosts;
+	pthread_t thread;
+	char *failure;
+
+	(void)state;
+	hosts = start_hosts(false);
+	failure = g_strconcat("<slow>", FAILURE("500 Oops", "{ID}"), NULL);
+	relay_fixture_replace_answers(&hosts->serving, failure);
+	pthread_create(&thread, NULL, forbid_repeats_later, &hosts->serving);
+	assert_int_equal(send_and_check(hosts, "/idem/x/", "new route"), 500);
+	pthread_join(thread, NULL);
+	assert_int_equal(relay_fixture_request_count(&hosts->serving), 1);
+	stop_hosts(hosts);
+	g_free(failure);
+}
+
 /* On a new connection nothing earlier can come, so a refusal without an id is
  * that of the request. */
 static void
@@ -313,6 +361,8 @@
 	    cmocka_unit_test(test_unfounded_promise_over_another_host),
 	    cmocka_unit_test(
 		test_refusal_without_id_on_a_new_connection_is_believed),
+	    cmocka_unit_test(
+		test_request_that_ran_is_not_sent_under_a_new_route),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
