Attempt ids are compared and echoed whole

What callers saw: 502 for each request with an empty attempt id (since an answer is attributed by it), or with one of 128 characters or more (for long), though upstreams answered; such requests also counted as faults of the upstreams.

Cause: an empty id was taken for none, while the upstream's echo of it was not, and a long one was cut at the size that the log prints, so that no echo could match. Change: the id is compared and echoed as it stands in the caller's head; the cut copy is for the log only. test_unusual_ids_are_compared_whole, direct and over another host: red before, green now.

--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -11,6 +11,7 @@
 #define CHUNK_HEAD_SIZE 24
 
 static void append_status(GString *out, uint32_t status);
+static void append_attempt_id(GString *out, const struct relay_caller *caller);
 static void append_fields(GString *out, const struct http_head *head);
 static void append_connection(GString *out, const struct relay_caller *caller);
 static bool is_reserved_field(
@@ -29,10 +30,7 @@
 	g_string_append_printf(body, "{\"error\":\"%s\"}", reason);
 	out = g_string_new(NULL);
 	append_status(out, status);
-	if (caller->exchange != NULL && caller->exchange->attempt_id[0] != '\0')
-		g_string_append_printf(out, "%s: %s\r\n",
-		    caller->relay->settings.dialect.attempt_id,
-		    caller->exchange->attempt_id);
+	append_attempt_id(out, caller);
 	append_result(out, caller);
 	if (retry_after_ms > 0)
 		g_string_append_printf(out, "Retry-After: %.2f\r\n",
@@ -200,6 +198,20 @@
 	    out, "HTTP/1.1 %u %s\r\n", status, reason_phrase(status));
 }
 
+/* Echoes the attempt id as the caller sent it. */
+static void
+append_attempt_id(GString *out, const struct relay_caller *caller)
+{
+	const char *field = caller->relay->settings.dialect.attempt_id;
+	const char *id;
+
+	if (caller->exchange == NULL)
+		return;
+	id = http_head_get(&caller->exchange->head, field);
+	if (id != NULL)
+		g_string_append_printf(out, "%s: %s\r\n", field, id);
+}
+
 static void
 append_fields(GString *out, const struct http_head *head)
 {
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -148,7 +148,8 @@
 	    .context = exchange,
 	};
 	struct pool_request request = {
-	    .id = exchange->attempt_id[0] == '\0' ? NULL : exchange->attempt_id,
+	    .id = http_head_get(
+		&exchange->head, exchange->relay->settings.dialect.attempt_id),
 	    .is_head_method = relay_exchange_is_head_request(exchange),
 	};
 	bool may_repeat;
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -19,7 +19,7 @@
 #define STATUS_UNAVAILABLE 503
 /** Retry-After when no better estimate is known; lower bound of estimates. */
 #define RETRY_AFTER_DEFAULT_MS 400
-/** Size of an attempt id as text, in bytes with the final NUL. */
+/** Bytes of an attempt id that the log shows, with the final NUL. */
 #define ATTEMPT_ID_SIZE 128
 
 /** State of a caller's connection. */
@@ -109,8 +109,9 @@
 						  table, or NULL. */
 	const struct route_service *service; /**< Service that the route chose,
 						  within table. */
-	char attempt_id[ATTEMPT_ID_SIZE]; /**< Attempt id sent by the caller, ""
-					       for none. */
+	char attempt_id[ATTEMPT_ID_SIZE]; /**< Attempt id sent by the caller, as
+					       far as the log shows it; "" for
+					       none. */
 	int64_t arrived_ms;  /**< Arrival of the request's first byte. */
 	int64_t deadline_ms; /**< Time by which the answer must be complete. */
 	struct pool_call *call;	       /**< Current attempt's call, or NULL. */
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -332,6 +332,39 @@
 	g_free(failure);
 }
 
+/* A caller's id that is empty, or longer than the log prints it, comes back as it
+ * was sent, and the answer belongs to the request. */
+static void
+test_unusual_ids_are_compared_whole(void **state)
+{
+	char *long_id = g_strnfill(300, 'x'), *request, *answer;
+	const char *ids[] = {"", long_id};
+	struct hosts *hosts;
+	uint32_t i, j;
+
+	(void)state;
+	for (i = 0; i < 2 * G_N_ELEMENTS(ids); i++) {
+		hosts = start_hosts(i >= G_N_ELEMENTS(ids));
+		relay_fixture_replace_answers(&hosts->serving, NOT_RUN);
+		relay_fixture_add_answer(&hosts->serving, OK_ANSWER);
+		request = g_strdup_printf("POST /once/ HTTP/1.1\r\nHost: h\r\n"
+					  "X-Api-Key: key1\r\nAttempt-Id: "
+					  "%s\r\nDeadline-Ms: 1000\r\n\r\n",
+		    ids[i % G_N_ELEMENTS(ids)]);
+		for (j = 0; j < WARM_REQUESTS; j++) {
+			answer =
+			    relay_fixture_send_request(hosts->asked, request);
+			if (read_status(answer) != 200)
+				fail_msg(
+				    "id %u, request %u:\n%s", i, j, answer);
+			g_free(answer);
+		}
+		g_free(request);
+		stop_hosts(hosts);
+	}
+	g_free(long_id);
+}
+
 /* On a new connection nothing earlier can come, so a refusal without an id is
  * that of the request. */
 static void
@@ -363,6 +396,7 @@
 		test_refusal_without_id_on_a_new_connection_is_believed),
 	    cmocka_unit_test(
 		test_request_that_ran_is_not_sent_under_a_new_route),
+	    cmocka_unit_test(test_unusual_ids_are_compared_whole),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
