An upstream's own 429 or 408 is no fault of the upstream

What callers saw: on routes that may be repeated, 502 after two attempts in place of the upstream's 429 with its Retry-After; and upstreams ejected for all callers because one of these was limited.

Cause: each status that would be an unfounded promise was treated as a failed attempt and a fault. For a request that may run again the status misleads nobody, and a status under 500 says nothing bad of the upstream.

--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -404,7 +404,8 @@
 		return;
 	}
 	if (exchange->answer_class == ANSWER_UNFOUNDED) {
-		relay_attempt_failed(exchange, ERROR_UPSTREAM_FAILED, true);
+		relay_attempt_failed(exchange, ERROR_UPSTREAM_FAILED,
+		    answer_is_failure(exchange->facts.status));
 		return;
 	}
 	if (exchange->is_answering) {
