--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -297,9 +297,9 @@
 	gsize size;
 	const void *data;
 
-	/* The body that follows the head of an answer to a HEAD request, if any,
-	 * can't be told by the head of a later answer to it. */
-	call->is_reusable = !call->is_head_method;
+	/* A later answer to a request without an id could not be attributed, nor
+	 * could the length of one to a HEAD request be told. */
+	call->is_reusable = call->request_id != NULL && !call->is_head_method;
 	call->is_interim = false;
 	call->interim_count = 0;
 	call->is_discarded = false;
@@ -538,7 +538,9 @@
 	call->is_reusable = false;
 	call->is_discarded = true;
 	call->discarded_count++;
-	if (!head->has_length && !head->is_chunked)
+	if (!head->has_length && !head->is_chunked &&
+	    head->status != HTTP_STATUS_NO_CONTENT &&
+	    head->status != HTTP_STATUS_NOT_MODIFIED)
 		fail_call(call, ERROR_MALFORMED);
 }
 
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -95,8 +95,8 @@
 /** Formats a packed address as "IP:PORT". */
 void upstream_address_write(uint64_t address, char text[UPSTREAM_ADDRESS_SIZE]);
 /** Starts a call to the upstream at a packed address, on an idle connection or
- * a new one. A request without an id gets a new one, and so does a request whose
- * id the idle ones have carried before. Returns NULL if connecting can't even
+ * a new one. A request without an id gets a new one, which is closed after it, and
+ * a request whose id the idle ones have carried before gets a new one, too. Returns NULL if connecting can't even
  * start; nothing was sent then. */
 struct pool_call *upstream_pool_call(struct upstream_pool *pool,
     uint64_t address, const struct pool_request *request,
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -223,6 +223,14 @@
 	return answer;
 }
 
+static void
+count_connection(struct upstream_script *script, uint32_t *counter)
+{
+	pthread_mutex_lock(&script->mutex);
+	(*counter)++;
+	pthread_mutex_unlock(&script->mutex);
+}
+
 static void *
 serve_connection(void *argument)
 {
@@ -233,6 +241,7 @@
 	bool keep_open;
 
 	g_free(argument);
+	count_connection(upstream->script, &upstream->script->opened);
 	request = g_string_new(NULL);
 	last = g_string_new(NULL);
 	keep_open = true;
@@ -248,6 +257,7 @@
 	}
 	g_string_free(request, TRUE);
 	g_string_free(last, TRUE);
+	count_connection(upstream->script, &upstream->script->closed);
 	close(fd);
 	return NULL;
 }
@@ -828,3 +838,25 @@
 	pthread_mutex_unlock(&fixture->script.mutex);
 	return repeated;
 }
+
+uint32_t
+relay_fixture_opened(struct relay_fixture *fixture)
+{
+	uint32_t opened;
+
+	pthread_mutex_lock(&fixture->script.mutex);
+	opened = fixture->script.opened;
+	pthread_mutex_unlock(&fixture->script.mutex);
+	return opened;
+}
+
+uint32_t
+relay_fixture_open(struct relay_fixture *fixture)
+{
+	uint32_t open;
+
+	pthread_mutex_lock(&fixture->script.mutex);
+	open = fixture->script.opened - fixture->script.closed;
+	pthread_mutex_unlock(&fixture->script.mutex);
+	return open;
+}
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -41,6 +41,8 @@
 	GPtrArray *requests;   /**< Requests received, as text. */
 	GPtrArray *given;      /**< The answers to them, with marks. */
 	uint32_t repeated;     /**< Answers that were written once more. */
+	uint32_t opened;       /**< Connections that were accepted. */
+	uint32_t closed;       /**< Of these, those that have ended. */
 	const char *endless;   /**< Text that is repeated without end. */
 	_Atomic uint64_t endless_bytes; /**< Bytes of it that were sent. */
 };
@@ -139,6 +141,10 @@
 /** Returns how many requests with this attempt id upstreams ran, that is, got and
  * did not refuse by their own answer. */
 uint32_t relay_fixture_runs(struct relay_fixture *fixture, const char *id);
+/** Returns how many connections upstreams have accepted. */
+uint32_t relay_fixture_opened(struct relay_fixture *fixture);
+/** Returns how many of these are open. */
+uint32_t relay_fixture_open(struct relay_fixture *fixture);
 /** Returns how many answers upstreams have written once more. */
 uint32_t relay_fixture_repeated(struct relay_fixture *fixture);
 
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -333,6 +333,46 @@
 	g_free(failure);
 }
 
+/* An answer without an id on a connection that has carried others can't be
+ * attributed, so a request or an order without an id has one of its own, which is
+ * closed after it. */
+static void
+test_requests_without_id_share_no_connection(void **state)
+{
+	static const char *const requests[] = {
+	    "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Api-Key: key1\r\n\r\n",
+	    /* More memory than one engine has: reserved by orders. */
+	    "POST /stream/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: long\r\n"
+	    "X-Api-Key: key1\r\nToken-Counts: 140000,100\r\n\r\n",
+	};
+	struct hosts *hosts;
+	uint32_t i, j, received;
+	char *answer;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(requests); i++) {
+		hosts = start_hosts(false);
+		relay_fixture_replace_answers(&hosts->serving,
+		    "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+		    "Content-Length: 2\r\n\r\n{}");
+		for (j = 0; j < WARM_REQUESTS; j++) {
+			answer = relay_fixture_send_request(
+			    hosts->asked, requests[i]);
+			g_free(answer);
+		}
+		for (j = 0;
+		     j < WAIT_ROUNDS && relay_fixture_open(&hosts->serving) > 1;
+		     j++)
+			usleep(WAIT_US);
+		received = relay_fixture_request_count(&hosts->serving);
+		assert_true(received >= WARM_REQUESTS);
+		assert_int_equal(
+		    relay_fixture_opened(&hosts->serving), received);
+		assert_true(relay_fixture_open(&hosts->serving) <= 1);
+		stop_hosts(hosts);
+	}
+}
+
 /* An upstream that limits a caller gets each of its requests once. Where a request
  * may be repeated, the caller gets the upstream's own answer. */
 static void
@@ -423,6 +463,7 @@
 	    cmocka_unit_test(
 		test_request_that_ran_is_not_sent_under_a_new_route),
 	    cmocka_unit_test(test_unusual_ids_are_compared_whole),
+	    cmocka_unit_test(test_requests_without_id_share_no_connection),
 	    cmocka_unit_test(test_answer_that_limits_a_caller_is_not_retried),
 	};
 
