A field whose name contains a space is not passed on

Callers could send "Transfer-Encoding : chunked" or "Tenant : other" and it reached upstreams as it was: none of the checks by name (framing, fields that only the relay may set, hop-by-hop fields) knows the name with its space, while readers that drop the space take it for the field. Answers with "Content-Length : 5" reached callers with that and a second length.

Cause: the parser library is Debian's build without its strict mode, which accepts spaces in names and reads the framing of such fields itself.

The reader refuses a head with a name that is no token (RFC 9110, 5.6.2), for requests (400) and for answers, so all checks by name are complete.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -16,6 +16,11 @@
     "upgrade",
 };
 
+/* Characters of the name of a header field. */
+#define TOKEN_CHARACTERS                                                       \
+	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"                  \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 /* Bytes of a header line that its stored text lacks: the line has four bytes
  * beside name and value (": " and CR LF), the text two terminating NULs. */
 #define FIELD_OVERHEAD_BYTES 2
@@ -27,6 +32,7 @@
 static int on_head_complete(http_parser *parser);
 static int on_body_data(http_parser *parser, const char *data, size_t size);
 static int on_message_complete(http_parser *parser);
+static bool are_names_valid(const struct http_head *head);
 static void trim_values(struct http_head *head);
 static void init_head(struct http_head *head);
 static bool has_token(const char *list, const char *token);
@@ -70,6 +76,7 @@
 	reader->has_head = false;
 	reader->has_ended = false;
 	reader->last_was_value = false;
+	reader->is_malformed = false;
 }
 
 enum error_code
@@ -82,6 +89,8 @@
 	    http_parser_execute(&reader->parser, &parser_settings, data, size);
 	if (!had_head)
 		reader->head_bytes += *used;
+	if (reader->is_malformed)
+		return ERROR_MALFORMED;
 	if (!reader->has_head && reader->head_bytes_max > 0 &&
 	    reader->head_bytes > reader->head_bytes_max)
 		return ERROR_TOO_LARGE;
@@ -253,6 +262,9 @@
 
 	g_string_append_c(head->text, '\0');
 	trim_values(head);
+	reader->is_malformed = !are_names_valid(head);
+	if (reader->is_malformed)
+		return -1;
 	reader->has_head = true;
 	if (reader->head_bytes_max > 0 &&
 	    head->target->len + head->text->len +
@@ -290,6 +302,22 @@
 	return 0;
 }
 
+/* The parser library accepts spaces in the name of a field. Other readers take
+ * "Content-Length : 5" for a length, so it can't be passed on. */
+static bool
+are_names_valid(const struct http_head *head)
+{
+	const char *name;
+	guint i;
+
+	for (i = 0; i < head->fields->len; i++) {
+		name = http_head_name(head, i);
+		if (name[strspn(name, TOKEN_CHARACTERS)] != '\0')
+			return false;
+	}
+	return true;
+}
+
 /* Removes spaces and tabs after each value, which HTTP doesn't count as part of
  * the value. */
 static void
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -69,6 +69,9 @@
 	bool has_ended;	 /**< The current message is complete. */
 	/** The last bytes read of the head belong to a value, not a name. */
 	bool last_was_value;
+	/** The current message breaks the protocol in a way that the library
+	 * accepts. */
+	bool is_malformed;
 };
 
 /* Reading */
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -133,6 +133,11 @@
 	    "Transfer-Encoding: chunked\r\n\r\n",
 	    "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
 	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	    "POST / HTTP/1.1\r\nContent-Length : 1\r\n\r\n",
+	    "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n",
+	    "GET / HTTP/1.1\r\nTenant : a\r\n\r\n",
+	    "GET / HTTP/1.1\r\n Tenant: a\r\n\r\n",
+	    "GET / HTTP/1.1\r\nTwo words: a\r\n\r\n",
 	    "GET / HTTP/9\r\n\r\n",
 	    "\x16\x03\x01",
 	};
