A lone CR and bytes after a chunk are no line ends

An upstream that stopped in the last line end of a head and went on with another head gave its caller a 200 with "TTP/1" as the body; streams whose chunks did not end where their size says went on and looked complete; a caller could end its head by CR and any byte and smuggle a request behind it.

Cause: Debian's build of the parser library, without its strict mode, takes any byte after a CR for the LF and skips two bytes after a chunk unseen.

The reader checks all bytes outside of the body before what follows them is handed on: a CR is followed by LF, a chunk's data by CR. Lines that end with LF alone are still read.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -32,6 +32,7 @@
 static int on_head_complete(http_parser *parser);
 static int on_body_data(http_parser *parser, const char *data, size_t size);
 static int on_message_complete(http_parser *parser);
+static bool are_line_ends_valid(struct http_reader *reader, const char *end);
 static bool are_names_valid(const struct http_head *head);
 static void trim_values(struct http_head *head);
 static void init_head(struct http_head *head);
@@ -77,6 +78,8 @@
 	reader->has_ended = false;
 	reader->last_was_value = false;
 	reader->is_malformed = false;
+	reader->is_after_cr = false;
+	reader->is_after_chunk_data = false;
 }
 
 enum error_code
@@ -85,11 +88,12 @@
 {
 	bool had_head = reader->has_head;
 
+	reader->unchecked = data;
 	*used =
 	    http_parser_execute(&reader->parser, &parser_settings, data, size);
 	if (!had_head)
 		reader->head_bytes += *used;
-	if (reader->is_malformed)
+	if (reader->is_malformed || !are_line_ends_valid(reader, data + *used))
 		return ERROR_MALFORMED;
 	if (!reader->has_head && reader->head_bytes_max > 0 &&
 	    reader->head_bytes > reader->head_bytes_max)
@@ -287,6 +291,11 @@
 {
 	struct http_reader *reader = parser->data;
 
+	reader->is_malformed = !are_line_ends_valid(reader, data);
+	if (reader->is_malformed)
+		return -1;
+	reader->unchecked = data + size;
+	reader->is_after_chunk_data = (parser->flags & F_CHUNKED) != 0;
 	reader->ops.on_body(reader->ops.context, data, size);
 	return 0;
 }
@@ -302,6 +311,24 @@
 	return 0;
 }
 
+/* Checks the bytes outside of the body up to @p end. The parser library takes any
+ * byte after a CR for the LF, and any two bytes for the end of a chunk. */
+static bool
+are_line_ends_valid(struct http_reader *reader, const char *end)
+{
+	const char *at;
+
+	for (at = reader->unchecked; at < end; at++) {
+		if ((reader->is_after_cr && *at != '\n') ||
+		    (reader->is_after_chunk_data && *at != '\r'))
+			return false;
+		reader->is_after_chunk_data = false;
+		reader->is_after_cr = *at == '\r';
+	}
+	reader->unchecked = end;
+	return true;
+}
+
 /* The parser library accepts spaces in the name of a field. Other readers take
  * "Content-Length : 5" for a length, so it can't be passed on. */
 static bool
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -72,6 +72,12 @@
 	/** The current message breaks the protocol in a way that the library
 	 * accepts. */
 	bool is_malformed;
+	/** The last byte outside of the body was a CR. */
+	bool is_after_cr;
+	/** The last byte belongs to the data of a chunk. */
+	bool is_after_chunk_data;
+	/** While bytes are read: those from here on are not checked yet. */
+	const char *unchecked;
 };
 
 /* Reading */
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -138,6 +138,12 @@
 	    "GET / HTTP/1.1\r\nTenant : a\r\n\r\n",
 	    "GET / HTTP/1.1\r\n Tenant: a\r\n\r\n",
 	    "GET / HTTP/1.1\r\nTwo words: a\r\n\r\n",
+	    "POST / HTTP/1.1\r\nContent-Length: 2\r\n\rXab",
+	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabXX"
+	    "0\r\n\r\n",
+	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\rXab\r\n"
+	    "0\r\n\r\n",
+	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\rX",
 	    "GET / HTTP/9\r\n\r\n",
 	    "\x16\x03\x01",
 	};
@@ -155,6 +161,48 @@
 	}
 }
 
+/* Line ends are checked whatever the cut, and a chunk's data may hold any bytes. */
+static void
+test_chunks_are_read_whatever_the_split(void **state)
+{
+	static const char head[] = "POST / HTTP/1.1\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	static const struct {
+		const char *chunks;
+		const char *body; /* NULL if they are malformed. */
+	} cases[] = {
+	    {"3\r\na\rb\r\n2;x=1\r\n\r\n\r\n0\r\nX: y\r\n\r\n", "a\rb\r\n"},
+	    {"3\r\na\rb\rX0\r\n\r\n", NULL},
+	    {"3\r\na\rbX\n0\r\n\r\n", NULL},
+	    {"3\r\na\rb\r\n0\r\nX: y\r\n\rX", NULL},
+	};
+	struct http_reader reader;
+	struct received received;
+	enum error_code error;
+	size_t i, cut, used;
+	char *text;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		text = g_strconcat(head, cases[i].chunks, NULL);
+		for (cut = 1; cut < strlen(text); cut++) {
+			open_reader(&reader, &received, true);
+			error = http_reader_feed(&reader, text, cut, &used);
+			if (error == ERROR_NONE)
+				error = http_reader_feed(&reader, text + cut,
+				    strlen(text + cut), &used);
+			assert_int_equal(error, cases[i].body == NULL
+						    ? ERROR_MALFORMED
+						    : ERROR_NONE);
+			if (cases[i].body != NULL)
+				assert_string_equal(
+				    received.body->str, cases[i].body);
+			close_reader(&reader, &received);
+		}
+		g_free(text);
+	}
+}
+
 /* A head over head_bytes_max is refused, though its lines are valid. */
 static void
 test_head_size_is_bounded(void **state)
@@ -301,6 +349,7 @@
 	    cmocka_unit_test(test_request_is_read_whatever_the_split),
 	    cmocka_unit_test(test_reader_stops_at_end_of_message),
 	    cmocka_unit_test(test_malformed_messages_are_refused),
+	    cmocka_unit_test(test_chunks_are_read_whatever_the_split),
 	    cmocka_unit_test(test_head_size_is_bounded),
 	    cmocka_unit_test(test_answer_without_length_ends_at_close),
 	    cmocka_unit_test(test_events_are_passed_whole_and_once),
