A body with another transfer coding than chunked is refused

Cause: the relay frames each message anew and drops Transfer-Encoding as a field of one connection; the reader looked only whether the last coding is chunked.

The reader refuses a message with any coding but one "chunked". Callers get 400, an upstream's answer counts as a failed attempt.

Red before: test_http_reader ("accepted: Transfer-Encoding: gzip, chunked"), and in test_broken_answers four heads, a continued stream and two requests; green now. test_ambiguous_request_is_refused is green as a whole.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -34,6 +34,7 @@
 static int on_message_complete(http_parser *parser);
 static bool are_line_ends_valid(struct http_reader *reader, const char *end);
 static bool are_names_valid(const struct http_head *head);
+static bool is_coding_known(const struct http_head *head);
 static void trim_values(struct http_head *head);
 static void init_head(struct http_head *head);
 static bool has_token(const char *list, const char *token);
@@ -266,7 +267,7 @@
 
 	g_string_append_c(head->text, '\0');
 	trim_values(head);
-	reader->is_malformed = !are_names_valid(head);
+	reader->is_malformed = !are_names_valid(head) || !is_coding_known(head);
 	if (reader->is_malformed)
 		return -1;
 	reader->has_head = true;
@@ -345,6 +346,27 @@
 	return true;
 }
 
+/* True if the body has no transfer coding but "chunked", once at most. What is
+ * left after another one was ignored would not be the body. */
+static bool
+is_coding_known(const struct http_head *head)
+{
+	uint32_t count;
+	guint i;
+
+	count = 0;
+	for (i = 0; i < head->fields->len; i++) {
+		if (g_ascii_strcasecmp(
+			http_head_name(head, i), "transfer-encoding") != 0)
+			continue;
+		count++;
+		if (g_ascii_strcasecmp(http_head_value(head, i), "chunked") !=
+		    0)
+			return false;
+	}
+	return count <= 1;
+}
+
 /* Removes spaces and tabs after each value, which HTTP doesn't count as part of
  * the value. */
 static void
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -144,6 +144,9 @@
 	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\rXab\r\n"
 	    "0\r\n\r\n",
 	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\rX",
+	    "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+	    "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n",
 	    "GET / HTTP/9\r\n\r\n",
 	    "\x16\x03\x01",
 	};
