An answer's status has three digits

An upstream's "HTTP/1.1 20 OK" or "099" was neither a success nor a failure by the relay's rules and reached its caller as "HTTP/1.1 20 Unknown", bytes that are no answer in the protocol (MIXED).

The reader refuses a status below 100; the attempt then counts as failed.

Red before: two heads of test_broken_answers, direct and over another host; green now.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -16,6 +16,9 @@
     "upgrade",
 };
 
+/* A status has three digits. */
+#define STATUS_MIN 100
+
 /* Characters of the name of a header field. */
 #define TOKEN_CHARACTERS                                                       \
 	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"                  \
@@ -267,7 +270,9 @@
 
 	g_string_append_c(head->text, '\0');
 	trim_values(head);
-	reader->is_malformed = !are_names_valid(head) || !is_coding_known(head);
+	reader->is_malformed =
+	    !are_names_valid(head) || !is_coding_known(head) ||
+	    (!reader->is_request && parser->status_code < STATUS_MIN);
 	if (reader->is_malformed)
 		return -1;
 	reader->has_head = true;
