An answer with status 204 or 304 ends with its head

An upstream's 204 or 304 with a body reached its caller with that body behind a head that announces none: bytes that are no answer, in front of the next answer on the connection (MIXED). A 204 with a stream's content type began a chunked answer. A 304 that states the length of what has not changed, as it may, was not answered until the deadline (504 after 1 s in the test), because the relay waited for a body of that length.

Cause: the parser library reads a body for any answer that announces one.

The reader ends such an answer with its head (RFC 9112, 6.3). The connection of one that announces a body is not used again, since bytes may follow that belong to no request.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -17,7 +17,9 @@
 };
 
 /* A status has three digits. */
-#define STATUS_MIN 100
+#define STATUS_MIN	   100
+#define STATUS_NO_CONTENT  204
+#define STATUS_NOT_CHANGED 304
 
 /* Characters of the name of a header field. */
 #define TOKEN_CHARACTERS                                                       \
@@ -125,6 +127,12 @@
 	return reader->has_ended ? ERROR_NONE : ERROR_INCOMPLETE;
 }
 
+bool
+http_status_has_no_body(uint32_t status)
+{
+	return status == STATUS_NO_CONTENT || status == STATUS_NOT_CHANGED;
+}
+
 const char *
 http_head_get(const struct http_head *head, const char *name)
 {
@@ -267,6 +275,7 @@
 {
 	struct http_reader *reader = parser->data;
 	struct http_head *head = &reader->head;
+	bool is_without_body;
 
 	g_string_append_c(head->text, '\0');
 	trim_values(head);
@@ -289,7 +298,10 @@
 	head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
 	head->expects_continue =
 	    http_head_has_token(head, "expect", "100-continue");
-	return reader->ops.on_head(reader->ops.context, head) ? 1 : 0;
+	is_without_body = http_status_has_no_body(head->status);
+	if (reader->ops.on_head(reader->ops.context, head))
+		is_without_body = true;
+	return is_without_body ? 1 : 0;
 }
 
 static int
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -102,6 +102,9 @@
 
 /* Heads */
 
+/** True for a status whose answers end with their heads, whatever length these
+ * announce. */
+bool http_status_has_no_body(uint32_t status);
 /** Returns the value of the first field called @p name, matched without regard
  * to case, or NULL if there is none. */
 const char *http_head_get(const struct http_head *head, const char *name);
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -4,9 +4,7 @@
 
 #include "service/relay_parts.h"
 
-#define MS_PER_S	   1000.0
-#define STATUS_NO_CONTENT  204
-#define STATUS_NOT_CHANGED 304
+#define MS_PER_S 1000.0
 /* Bytes reserved for a chunk's size line and line end. */
 #define CHUNK_HEAD_SIZE 24
 
@@ -80,8 +78,7 @@
 	length = http_head_get(head, "Content-Length");
 	if (is_head_method && length != NULL)
 		g_string_append_printf(out, "Content-Length: %s\r\n", length);
-	else if (head->status != STATUS_NO_CONTENT &&
-		 head->status != STATUS_NOT_CHANGED)
+	else if (!http_status_has_no_body(head->status))
 		g_string_append_printf(
 		    out, "Content-Length: %u\r\n", body->len);
 	append_connection(out, caller);
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -522,6 +522,10 @@
 	 * request as part of the next one. */
 	if (!head->keeps_connection || tcp_link_queued(&call->link) > 0)
 		call->is_reusable = false;
+	/* A body that follows nevertheless belongs to no request. */
+	if (http_status_has_no_body(head->status) &&
+	    (head->has_length || head->is_chunked))
+		call->is_reusable = false;
 	call->idle_limit_ms = read_keep_alive(head);
 	if (call->ops.on_head(call->ops.context, head) == POOL_ANSWER_TAKE ||
 	    call->state == CALL_CLOSED)
