An answer to a HEAD request has no body

Callers that sent HEAD got the relay's own errors (404, 502, 503, 504) with their bodies, and to HEAD on a stream's route the last chunk of a stream: bytes that are no answer, in front of the next answer on the connection (MIXED). So did the port of the load balancer.

Cause: relay_answer_json() and relay_answer_text() did not know of the method, and an answer to HEAD with a stream's content type counted as a stream.

Both leave out the body for HEAD, and an answer to HEAD is no stream.

Red before: three heads of test_broken_answers, two of them over another host, too, and test_monitor_gets_no_body_for_head (new); green now.

--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -15,6 +15,7 @@
     const struct relay_dialect *dialect, const char *name);
 static void append_result(GString *out, const struct relay_caller *caller);
 static void append_helpers(GString *out, const struct relay_exchange *exchange);
+static bool is_head_request(const struct relay_caller *caller);
 static const char *reason_phrase(uint32_t status);
 
 void
@@ -40,7 +41,8 @@
 	    "Content-Length: %zu\r\n",
 	    (size_t)body->len);
 	append_connection(out, caller);
-	g_string_append_len(out, body->str, (gssize)body->len);
+	if (!is_head_request(caller))
+		g_string_append_len(out, body->str, (gssize)body->len);
 	tcp_link_write(&caller->link, out->str, out->len);
 	g_string_free(out, TRUE);
 	g_string_free(body, TRUE);
@@ -59,7 +61,8 @@
 	    "Content-Length: %zu\r\n",
 	    (size_t)text->len);
 	append_connection(out, caller);
-	g_string_append_len(out, text->str, (gssize)text->len);
+	if (!is_head_request(caller))
+		g_string_append_len(out, text->str, (gssize)text->len);
 	tcp_link_write(&caller->link, out->str, out->len);
 	g_string_free(out, TRUE);
 }
@@ -279,6 +282,18 @@
 	g_string_append(out, "\r\n");
 }
 
+/* True if the answer that is written is one to a HEAD request, which has no body.
+ * The head of a request that has become an exchange has moved there. */
+static bool
+is_head_request(const struct relay_caller *caller)
+{
+	const char *method = caller->reader.head.method;
+
+	if (caller->exchange != NULL)
+		return relay_exchange_is_head_request(caller->exchange);
+	return method != NULL && strcmp(method, "HEAD") == 0;
+}
+
 static const char *
 reason_phrase(uint32_t status)
 {
--- a/src/service/relay_head.c
+++ b/src/service/relay_head.c
@@ -27,6 +27,7 @@
 	facts->is_refusal = http_head_get(head, dialect->refusal) != NULL;
 	text = http_head_get(head, "Content-Type");
 	facts->is_event_stream = exchange->route->kind == ROUTE_KIND_STREAM &&
+				 !relay_exchange_is_head_request(exchange) &&
 				 !http_status_has_no_body(head->status) &&
 				 text != NULL &&
 				 g_ascii_strncasecmp(text, "text/event-stream",
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -5,7 +5,8 @@
  * nothing on its connection that is no answer. No upstream gets a request inside
  * another one.
  */
-#include <errno.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -409,17 +410,31 @@
 	g_free(hosts);
 }
 
+static int
+connect_to(uint16_t port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	int fd;
+
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(port);
+	assert_int_equal(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
 /* Sends bytes on a connection of its own and returns all that comes back until
  * it ends. Fails if it does not end. */
 static char *
-exchange_bytes(struct relay_fixture *fixture, const char *bytes)
+exchange_bytes(uint16_t port, const char *bytes)
 {
 	struct pollfd connection = {.events = POLLIN};
 	char buffer[READ_SIZE];
 	GString *received;
 	ssize_t size;
 
-	connection.fd = relay_fixture_connect(fixture);
+	connection.fd = connect_to(port);
 	received = g_string_new(NULL);
 	assert_true(
 	    send(connection.fd, bytes, strlen(bytes), MSG_NOSIGNAL) > 0);
@@ -627,7 +642,7 @@
 	    "GET /none/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: a2\r\n"
 	    "X-Api-Key: key1\r\nConnection: close\r\n\r\n",
 	    c->request);
-	bytes = exchange_bytes(hosts->asked, request);
+	bytes = exchange_bytes(hosts->asked->port, request);
 	check_bytes(
 	    c, bytes, relay_fixture_runs(&hosts->serving, "a1"), findings);
 	g_free(bytes);
@@ -709,7 +724,7 @@
 		    "GET /idem/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: inner\r\n"
 		    "X-Api-Key: key1\r\nConnection: close\r\n\r\n",
 		    i, ambiguous[i]);
-		bytes = exchange_bytes(fixture, request);
+		bytes = exchange_bytes(fixture->port, request);
 		read_first(bytes, false, &first);
 		if (first.status != 400 || !first.is_complete ||
 		    first.rest[0] != '\0')
@@ -724,6 +739,35 @@
 	g_free(fixture);
 }
 
+/* The port of the load balancer follows the same rule. */
+static void
+test_monitor_gets_no_body_for_head(void **state)
+{
+	static const char *const paths[] = {"/v1/ready", "/metrics", "/none"};
+	struct relay_fixture *fixture;
+	struct first_answer first;
+	char *request, *bytes;
+	size_t i;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		request = g_strdup_printf("HEAD %s HTTP/1.1\r\nHost: h\r\n"
+					  "Connection: close\r\n\r\n",
+		    paths[i]);
+		bytes = exchange_bytes(fixture->ready_port, request);
+		read_first(bytes, true, &first);
+		if (!first.is_complete || first.rest[0] != '\0')
+			fail_msg("%s: %s", paths[i], bytes);
+		free_first(&first);
+		g_free(bytes);
+		g_free(request);
+	}
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
@@ -736,6 +780,7 @@
 	    cmocka_unit_test(test_broken_head_is_no_success),
 	    cmocka_unit_test(test_broken_head_over_another_host),
 	    cmocka_unit_test(test_ambiguous_request_is_refused),
+	    cmocka_unit_test(test_monitor_gets_no_body_for_head),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
