An answer to HEAD states no length that its upstream did not

HEAD on a resource that its upstream sends in chunks was answered with "Content-Length: 0", the length of the body that an answer to HEAD does not have. The relay states the upstream's length or none.

Red before: "HEAD of chunks" and "HEAD of a stream" of test_broken_answers, which now look for that length; green now.

--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -81,7 +81,7 @@
 	length = http_head_get(head, "Content-Length");
 	if (is_head_method && length != NULL)
 		g_string_append_printf(out, "Content-Length: %s\r\n", length);
-	else if (!http_status_has_no_body(head->status))
+	else if (!is_head_method && !http_status_has_no_body(head->status))
 		g_string_append_printf(
 		    out, "Content-Length: %u\r\n", body->len);
 	append_connection(out, caller);
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -614,6 +614,10 @@
 	if (runs > 1 && (strstr(c->request, "/once/") != NULL ||
 			    strstr(c->request, "/live/") != NULL))
 		add_finding(findings, "ran twice", "");
+	/* No upstream states this length. */
+	if (is_head_method &&
+	    strstr(first.head->str, "Content-Length: 0") != NULL)
+		add_finding(findings, "another length", first.head->str);
 	if (first.is_complete && (second.status != 404 || !second.is_complete ||
 				     second.rest[0] != '\0'))
 		add_finding(findings, "then came", first.rest);
