The events in a chunk are passed on when the chunk has ended

An upstream breaks off within a chunk and goes on with another answer: its caller got that answer's head as part of an event ("daHTTP/1.1 500 Oops", "Content-Length: 5", ...), since the empty line after a head ends an event as well (ORDER, MIXED). A stream that another upstream could have continued was spoilt likewise.

Cause: each event was passed on as soon as its empty line was there. That the bytes within the chunk are not the upstream's stream shows only behind them: the chunk is not filled, or does not end where its size says.

The reader reports each chunk whose end it has seen; events wait for it. An upstream that writes whole chunks is passed on as fast as before. In a chunk larger than an event may be, events don't wait, so memory is bounded as before.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -37,7 +37,7 @@
 static int on_head_complete(http_parser *parser);
 static int on_body_data(http_parser *parser, const char *data, size_t size);
 static int on_message_complete(http_parser *parser);
-static bool are_line_ends_valid(struct http_reader *reader, const char *end);
+static bool check_line_ends(struct http_reader *reader, const char *end);
 static bool are_names_valid(const struct http_head *head);
 static bool is_coding_known(const struct http_head *head);
 static void trim_values(struct http_head *head);
@@ -86,6 +86,7 @@
 	reader->is_malformed = false;
 	reader->is_after_cr = false;
 	reader->is_after_chunk_data = false;
+	reader->is_in_chunk_end = false;
 }
 
 enum error_code
@@ -99,7 +100,7 @@
 	    http_parser_execute(&reader->parser, &parser_settings, data, size);
 	if (!had_head)
 		reader->head_bytes += *used;
-	if (reader->is_malformed || !are_line_ends_valid(reader, data + *used))
+	if (reader->is_malformed || !check_line_ends(reader, data + *used))
 		return ERROR_MALFORMED;
 	if (!reader->has_head && reader->head_bytes_max > 0 &&
 	    reader->head_bytes > reader->head_bytes_max)
@@ -309,7 +310,7 @@
 {
 	struct http_reader *reader = parser->data;
 
-	reader->is_malformed = !are_line_ends_valid(reader, data);
+	reader->is_malformed = !check_line_ends(reader, data);
 	if (reader->is_malformed)
 		return -1;
 	reader->unchecked = data + size;
@@ -329,10 +330,11 @@
 	return 0;
 }
 
-/* Checks the bytes outside of the body up to @p end. The parser library takes any
- * byte after a CR for the LF, and any two bytes for the end of a chunk. */
+/* Checks the bytes outside of the body up to @p end, and reports the ends of
+ * chunks. The parser library takes any byte after a CR for the LF, and any two
+ * bytes for the end of a chunk. */
 static bool
-are_line_ends_valid(struct http_reader *reader, const char *end)
+check_line_ends(struct http_reader *reader, const char *end)
 {
 	const char *at;
 
@@ -340,6 +342,9 @@
 		if ((reader->is_after_cr && *at != '\n') ||
 		    (reader->is_after_chunk_data && *at != '\r'))
 			return false;
+		if (reader->is_in_chunk_end && reader->ops.on_chunk_end != NULL)
+			reader->ops.on_chunk_end(reader->ops.context);
+		reader->is_in_chunk_end = reader->is_after_chunk_data;
 		reader->is_after_chunk_data = false;
 		reader->is_after_cr = *at == '\r';
 	}
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -49,6 +49,9 @@
 	bool (*on_head)(void *context, struct http_head *head);
 	/** Bytes of the body were read, with any chunk framing removed. */
 	void (*on_body)(void *context, const char *data, size_t size);
+	/** A chunk of the body was read, and what follows its data shows that
+	 * it ends where its size says; may be NULL. */
+	void (*on_chunk_end)(void *context);
 	/** The message is complete. */
 	void (*on_end)(void *context);
 	void *context; /**< First argument of the callbacks. */
@@ -74,6 +77,8 @@
 	bool is_malformed;
 	/** The last byte outside of the body was a CR. */
 	bool is_after_cr;
+	/** That CR followed the data of a chunk. */
+	bool is_in_chunk_end;
 	/** The last byte belongs to the data of a chunk. */
 	bool is_after_chunk_data;
 	/** While bytes are read: those from here on are not checked yet. */
--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -32,6 +32,7 @@
 static void on_sent(void *context);
 static enum pool_answer on_head(void *context, struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
+static void on_chunk_end(void *context);
 static void drop_partial_body(struct relay_exchange *exchange);
 static void end_attempt(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
@@ -47,8 +48,9 @@
     struct relay_exchange *exchange, enum error_code error);
 static void begin_event_stream(
     struct relay_exchange *exchange, struct http_head *head);
-static void forward_events(
+static void add_event_bytes(
     struct relay_exchange *exchange, const char *data, size_t size);
+static void forward_events(struct relay_exchange *exchange);
 static void note_events(struct relay_exchange *exchange);
 static void record_event_times(struct relay_exchange *exchange);
 static void record_first_event(struct relay_exchange *exchange);
@@ -143,6 +145,7 @@
 	    .on_sent = on_sent,
 	    .on_head = on_head,
 	    .on_body = on_body,
+	    .on_chunk_end = on_chunk_end,
 	    .on_done = on_done,
 	    .on_failed = on_failed,
 	    .context = exchange,
@@ -343,7 +346,7 @@
 	bool is_fault;
 
 	if (exchange->answer_class == ANSWER_EVENTS) {
-		forward_events(exchange, data, size);
+		add_event_bytes(exchange, data, size);
 		return;
 	}
 	is_fault = exchange->partial_body->len + size > ANSWER_BYTES_MAX;
@@ -357,6 +360,15 @@
 	    exchange->partial_body, (const guint8 *)data, (guint)size);
 }
 
+static void
+on_chunk_end(void *context)
+{
+	struct relay_exchange *exchange = context;
+
+	if (exchange->answer_class == ANSWER_EVENTS)
+		forward_events(exchange);
+}
+
 /* Frees what was received of an answer that is held until it is whole. */
 static void
 drop_partial_body(struct relay_exchange *exchange)
@@ -555,21 +567,34 @@
 static void
 begin_event_stream(struct relay_exchange *exchange, struct http_head *head)
 {
+	exchange->is_chunked = head->is_chunked;
 	if (exchange->is_answering)
 		return;
 	relay_answer_begin(exchange->caller, head);
 	exchange->is_answering = true;
 }
 
+/* The events in a chunk wait for its end: an upstream that breaks off in a chunk
+ * and goes on with another answer shows it only there. They don't wait in a chunk
+ * that is larger than an event may be. */
+static void
+add_event_bytes(struct relay_exchange *exchange, const char *data, size_t size)
+{
+	relay_events_add(&exchange->events, data, size);
+	if (!exchange->is_chunked ||
+	    relay_events_pending(&exchange->events) > EVENT_BYTES_MAX)
+		forward_events(exchange);
+}
+
 static void
-forward_events(struct relay_exchange *exchange, const char *data, size_t size)
+forward_events(struct relay_exchange *exchange)
 {
 	enum error_code error;
 	GByteArray *out;
 	uint32_t count;
 
 	out = g_byte_array_new();
-	error = relay_events_feed(&exchange->events, data, size, out, &count);
+	error = relay_events_take(&exchange->events, out, &count);
 	if (count > 0) {
 		relay_answer_chunk(exchange->caller, out->data, out->len);
 		note_events(exchange);
--- a/src/service/relay_events.c
+++ b/src/service/relay_events.c
@@ -11,18 +11,29 @@
     struct relay_events *events, const char *data, size_t size);
 static bool read_id(const char *data, size_t size, char id[EVENT_ID_SIZE]);
 
+void
+relay_events_add(struct relay_events *events, const char *data, size_t size)
+{
+	if (events->pending == NULL)
+		events->pending = g_byte_array_new();
+	g_byte_array_append(events->pending, (const guint8 *)data, (guint)size);
+}
+
+size_t
+relay_events_pending(const struct relay_events *events)
+{
+	return events->pending == NULL ? 0 : events->pending->len;
+}
+
 enum error_code
-relay_events_feed(struct relay_events *events, const char *data, size_t size,
-    GByteArray *out, uint32_t *count)
+relay_events_take(struct relay_events *events, GByteArray *out, uint32_t *count)
 {
-	GByteArray *pending;
+	GByteArray *pending = events->pending;
 	size_t at, end;
 
-	if (events->pending == NULL)
-		events->pending = g_byte_array_new();
-	pending = events->pending;
-	g_byte_array_append(pending, (const guint8 *)data, (guint)size);
 	*count = 0;
+	if (pending == NULL)
+		return ERROR_NONE;
 	at = 0;
 	while ((end = find_event_end(pending->data + at, pending->len - at,
 		    events->searched)) > 0) {
@@ -45,7 +56,7 @@
 bool
 relay_events_is_partial(const struct relay_events *events)
 {
-	return events->pending != NULL && events->pending->len > 0;
+	return relay_events_pending(events) > 0;
 }
 
 void
--- a/src/service/relay_events.h
+++ b/src/service/relay_events.h
@@ -24,7 +24,7 @@
 
 /** State of an event stream. All zero is a stream before its first byte. */
 struct relay_events {
-	GByteArray *pending; /**< Bytes of an incomplete event, or NULL. */
+	GByteArray *pending; /**< Bytes that were not taken yet, or NULL. */
 	size_t searched;     /**< Of those, bytes in which no end was found. */
 	char last_id[EVENT_ID_SIZE]; /**< Id of the last event relayed, or
 					  "". */
@@ -33,11 +33,16 @@
 	uint64_t count;	      /**< Number of events relayed. */
 };
 
-/** Consumes @p size bytes and appends the events that are complete and new to
- * @p out. Sets @p count to their number. Errors: ERROR_TOO_LARGE if the last
- * event has more than EVENT_BYTES_MAX bytes without an end. */
-enum error_code relay_events_feed(struct relay_events *events, const char *data,
-    size_t size, GByteArray *out, uint32_t *count);
+/** Adds @p size bytes of the stream. */
+void relay_events_add(
+    struct relay_events *events, const char *data, size_t size);
+/** Returns how many bytes were added and not taken yet. */
+size_t relay_events_pending(const struct relay_events *events);
+/** Appends the events that are complete and new to @p out. Sets @p count to their
+ * number. Errors: ERROR_TOO_LARGE if the last event has more than EVENT_BYTES_MAX
+ * bytes without an end. */
+enum error_code relay_events_take(
+    struct relay_events *events, GByteArray *out, uint32_t *count);
 /** Returns true if the bytes so far end within an event. */
 bool relay_events_is_partial(const struct relay_events *events);
 /** Discards an incomplete event after its upstream has failed. */
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -179,6 +179,8 @@
 			    prompt, in its first attempt. */
 	bool has_survived; /**< True if it was reported that the current attempt
 				runs on after its beginning. */
+	/** The body of the current answer comes in chunks. */
+	bool is_chunked;
 	bool has_answer;   /**< True if answer and answer_body are set. */
 	bool is_answering; /**< True if the caller got the head of an event
 				stream. */
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -85,6 +85,7 @@
 static void discard_answer(
     struct pool_call *call, const struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
+static void on_chunk_end(void *context);
 static void on_end(void *context);
 static int64_t read_keep_alive(const struct http_head *head);
 static void free_queue(gpointer queue);
@@ -261,7 +262,11 @@
 open_call(struct upstream_pool *pool, uint64_t address)
 {
 	struct http_reader_ops reader_ops = {
-	    .on_head = on_head, .on_body = on_body, .on_end = on_end};
+	    .on_head = on_head,
+	    .on_body = on_body,
+	    .on_chunk_end = on_chunk_end,
+	    .on_end = on_end,
+	};
 	struct tcp_link_ops link_ops = {
 	    .on_opened = on_opened,
 	    .on_received = on_received,
@@ -561,6 +566,16 @@
 		call->ops.on_body(call->ops.context, data, size);
 }
 
+static void
+on_chunk_end(void *context)
+{
+	struct pool_call *call = context;
+
+	if (call->state == CALL_BUSY && !call->is_discarded &&
+	    call->ops.on_chunk_end != NULL)
+		call->ops.on_chunk_end(call->ops.context);
+}
+
 /* Does nothing: on_received() checks has_ended of the reader instead. */
 static void
 on_end(void *context)
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -56,6 +56,8 @@
 	enum pool_answer (*on_head)(void *context, struct http_head *head);
 	/** Bytes of the answer's body were received. */
 	void (*on_body)(void *context, const char *data, size_t size);
+	/** A chunk of the body has ended where its size says; may be NULL. */
+	void (*on_chunk_end)(void *context);
 	/** The answer is complete. */
 	void (*on_done)(void *context);
 	/** The call failed. ERROR_CONNECTION or ERROR_TIMEOUT, both before
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -707,6 +707,35 @@
 	run_cases(heads, G_N_ELEMENTS(heads), true);
 }
 
+/* An upstream may write many events as one chunk, even more than are held. */
+static void
+test_events_in_one_chunk_are_all_passed_on(void **state)
+{
+	static const uint32_t counts[] = {3, 1000, 20000};
+	struct findings findings = {.name = "events in one chunk"};
+	struct broken_case c = {.request = "POST /live/", .expected = IS_WHOLE};
+	GString *events, *answer;
+	uint32_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(counts); i++) {
+		events = g_string_new(NULL);
+		for (j = 1; j <= counts[i]; j++)
+			g_string_append_printf(
+			    events, "id: %u\ndata: an event\n\n", j);
+		answer = g_string_new(EVENT_STREAM);
+		g_string_append_printf(answer, "%zx\r\n%s\r\n" STREAM_END,
+		    events->len, events->str);
+		c.name = "events in one chunk";
+		c.first = answer->str;
+		c.body = events->str;
+		run_case(&c, &findings);
+		g_string_free(answer, TRUE);
+		g_string_free(events, TRUE);
+	}
+	assert_int_equal(findings.count, 0);
+}
+
 /* No upstream gets any part of such a request, nor what follows it. */
 static void
 test_ambiguous_request_is_refused(void **state)
@@ -783,6 +812,7 @@
 	    cmocka_unit_test(test_stream_with_other_bytes_over_another_host),
 	    cmocka_unit_test(test_broken_head_is_no_success),
 	    cmocka_unit_test(test_broken_head_over_another_host),
+	    cmocka_unit_test(test_events_in_one_chunk_are_all_passed_on),
 	    cmocka_unit_test(test_ambiguous_request_is_refused),
 	    cmocka_unit_test(test_monitor_gets_no_body_for_head),
 	};
--- a/tests/test_endless_answers.c
+++ b/tests/test_endless_answers.c
@@ -69,6 +69,10 @@
 	SMALL_BYTES_MAX},
     {"event", "/stream/", STREAM "\r\nid: 1\ndata: <endless>", "x",
 	SMALL_BYTES_MAX},
+    {"event in a chunk", "/stream/",
+	STREAM "Transfer-Encoding: chunked\r\n\r\nffffffff\r\n"
+	       "id: 1\ndata: <endless>",
+	"x", SMALL_BYTES_MAX},
     {"lines of an event", "/stream/", STREAM "\r\nid: 1\n<endless>",
 	"data: x\n", SMALL_BYTES_MAX},
 };
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -15,9 +15,10 @@
 
 /* Counts the callbacks of a reader and collects the body. */
 struct received {
-	GString *body;	/* Body bytes of all on_body() calls. */
-	uint32_t heads; /* Number of on_head() calls. */
-	uint32_t ends;	/* Number of on_end() calls. */
+	GString *body;	 /* Body bytes of all on_body() calls. */
+	uint32_t heads;	 /* Number of on_head() calls. */
+	uint32_t chunks; /* Number of on_chunk_end() calls. */
+	uint32_t ends;	 /* Number of on_end() calls. */
 };
 
 static bool
@@ -38,6 +39,14 @@
 	g_string_append_len(received->body, data, (gssize)size);
 }
 
+static void
+on_chunk_end(void *context)
+{
+	struct received *received = context;
+
+	received->chunks++;
+}
+
 static void
 on_end(void *context)
 {
@@ -50,10 +59,12 @@
 open_reader(
     struct http_reader *reader, struct received *received, bool is_request)
 {
-	struct http_reader_ops ops = {on_head, on_body, on_end, received};
+	struct http_reader_ops ops = {
+	    on_head, on_body, on_chunk_end, on_end, received};
 
 	received->body = g_string_new(NULL);
 	received->heads = 0;
+	received->chunks = 0;
 	received->ends = 0;
 	http_reader_init(reader, is_request, &ops);
 }
@@ -172,12 +183,13 @@
 				   "Transfer-Encoding: chunked\r\n\r\n";
 	static const struct {
 		const char *chunks;
-		const char *body; /* NULL if they are malformed. */
+		const char *body;     /* NULL if they are malformed. */
+		uint32_t chunk_count; /* Chunks with data whose end was seen. */
 	} cases[] = {
-	    {"3\r\na\rb\r\n2;x=1\r\n\r\n\r\n0\r\nX: y\r\n\r\n", "a\rb\r\n"},
-	    {"3\r\na\rb\rX0\r\n\r\n", NULL},
-	    {"3\r\na\rbX\n0\r\n\r\n", NULL},
-	    {"3\r\na\rb\r\n0\r\nX: y\r\n\rX", NULL},
+	    {"3\r\na\rb\r\n2;x=1\r\n\r\n\r\n0\r\nX: y\r\n\r\n", "a\rb\r\n", 2},
+	    {"3\r\na\rb\rX0\r\n\r\n", NULL, 0},
+	    {"3\r\na\rbX\n0\r\n\r\n", NULL, 0},
+	    {"3\r\na\rb\r\n0\r\nX: y\r\n\rX", NULL, 1},
 	};
 	struct http_reader reader;
 	struct received received;
@@ -200,6 +212,7 @@
 			if (cases[i].body != NULL)
 				assert_string_equal(
 				    received.body->str, cases[i].body);
+			assert_int_equal(received.chunks, cases[i].chunk_count);
 			close_reader(&reader, &received);
 		}
 		g_free(text);
@@ -256,8 +269,8 @@
 {
 	uint32_t count;
 
-	assert_int_equal(
-	    relay_events_feed(events, data, size, out, &count), ERROR_NONE);
+	relay_events_add(events, data, size);
+	assert_int_equal(relay_events_take(events, out, &count), ERROR_NONE);
 	return count;
 }
 
@@ -336,8 +349,8 @@
 	error = ERROR_NONE;
 	for (fed = 0; error == ERROR_NONE; fed += sizeof(line)) {
 		assert_in_range(fed, 0, EVENT_BYTES_MAX);
-		error =
-		    relay_events_feed(&events, line, sizeof(line), out, &count);
+		relay_events_add(&events, line, sizeof(line));
+		error = relay_events_take(&events, out, &count);
 		assert_int_equal(count, 0);
 	}
 	assert_int_equal(error, ERROR_TOO_LARGE);
