Bytes that are no event are not passed on within a stream

Where a stream has no framing but the end of its connection, or a length, an upstream's error behind an event, or in one, reached the caller as an event ("HTTP/1.1 500 Oops" and its header fields); an event begun twice ("id: 2", "id: 2", ...) reached it as one (ORDER).

Cause: whatever an empty line ends was taken for an event.

An event has fields, whose names are in lower case, comments, and one id at most. With any other line the attempt ends as malformed: the stream is continued elsewhere, if it may be, or broken off; the events before it are passed on.

What can't be told by its form remains: an error within an event's data line whose header fields are all in lower case, in a stream without framing.

Red before: test_lines_that_no_event_has_are_an_error (new) and three streams of test_broken_answers, direct and over another host; green now.

--- a/src/service/relay_events.c
+++ b/src/service/relay_events.c
@@ -3,10 +3,14 @@
 #include <string.h>
 
 #define ID_FIELD "id:"
+/* Characters of the name of a field. Names of headers have upper-case letters. */
+#define NAME_CHARACTERS "abcdefghijklmnopqrstuvwxyz0123456789-_."
 /* Bytes of the longest end of an event: two line ends. */
 #define EVENT_END_MAX 3
 
 static size_t find_event_end(const guint8 *data, size_t size, size_t searched);
+static bool is_event(const char *data, size_t size);
+static bool is_field(const char *line, size_t size);
 static bool accept_event(
     struct relay_events *events, const char *data, size_t size);
 static bool read_id(const char *data, size_t size, char id[EVENT_ID_SIZE]);
@@ -29,14 +33,20 @@
 relay_events_take(struct relay_events *events, GByteArray *out, uint32_t *count)
 {
 	GByteArray *pending = events->pending;
+	enum error_code error;
 	size_t at, end;
 
 	*count = 0;
 	if (pending == NULL)
 		return ERROR_NONE;
+	error = ERROR_NONE;
 	at = 0;
 	while ((end = find_event_end(pending->data + at, pending->len - at,
 		    events->searched)) > 0) {
+		if (!is_event((const char *)pending->data + at, end)) {
+			error = ERROR_MALFORMED;
+			break;
+		}
 		if (accept_event(
 			events, (const char *)pending->data + at, end)) {
 			g_byte_array_append(
@@ -50,6 +60,8 @@
 		g_byte_array_remove_range(pending, 0, (guint)at);
 	events->searched = pending->len;
 	events->count += *count;
+	if (error != ERROR_NONE)
+		return error;
 	return pending->len > EVENT_BYTES_MAX ? ERROR_TOO_LARGE : ERROR_NONE;
 }
 
@@ -105,6 +117,41 @@
 	return 0;
 }
 
+/* True if all lines are those of one event. Other bytes that an upstream writes
+ * into a stream without framing show only by their form. */
+static bool
+is_event(const char *data, size_t size)
+{
+	const char *line, *next, *end = data + size;
+	uint32_t id_count;
+
+	id_count = 0;
+	for (line = data; line < end; line = next + 1) {
+		next = memchr(line, '\n', (size_t)(end - line));
+		if (next == NULL || !is_field(line, (size_t)(next - line)))
+			return false;
+		if ((size_t)(next - line) >= strlen(ID_FIELD) &&
+		    memcmp(line, ID_FIELD, strlen(ID_FIELD)) == 0)
+			id_count++;
+	}
+	return id_count <= 1;
+}
+
+/* True for a field with or without a value, a comment or an empty line. */
+static bool
+is_field(const char *line, size_t size)
+{
+	size_t i;
+
+	if (size > 0 && line[size - 1] == '\r')
+		size--;
+	for (i = 0; i < size && line[i] != ':'; i++) {
+		if (line[i] == '\0' || strchr(NAME_CHARACTERS, line[i]) == NULL)
+			return false;
+	}
+	return true;
+}
+
 /* Records the id of a complete event. Returns false if its number shows that
  * the caller has received the event already. */
 static bool
--- a/src/service/relay_events.h
+++ b/src/service/relay_events.h
@@ -40,7 +40,8 @@
 size_t relay_events_pending(const struct relay_events *events);
 /** Appends the events that are complete and new to @p out. Sets @p count to their
  * number. Errors: ERROR_TOO_LARGE if the last event has more than EVENT_BYTES_MAX
- * bytes without an end. */
+ * bytes without an end; ERROR_MALFORMED if an event contains a line that is none of
+ * an event, or two ids. The events before it are taken. */
 enum error_code relay_events_take(
     struct relay_events *events, GByteArray *out, uint32_t *count);
 /** Returns true if the bytes so far end within an event. */
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -331,6 +331,44 @@
 	}
 }
 
+/* Bytes that are no event are not passed on, nor is what follows them. */
+static void
+test_lines_that_no_event_has_are_an_error(void **state)
+{
+	static const char *const malformed[] = {
+	    "HTTP/1.1 500 Oops\r\nserver: x\r\n\r\n",
+	    "id: 2\nda"
+	    "HTTP/1.1 500 Oops\r\n\r\n",
+	    "id: 2\ndata: b"
+	    "HTTP/1.1 500 Oops\r\nContent-Length: 5\r\n\r\n",
+	    "id: 2\nid: 2\ndata: b\n\n",
+	    "id: 2\nda id: 3\ndata: b\n\n",
+	    "{\"error\":\"oops\"}\n\n",
+	};
+	static const char sound[] =
+	    ": comment\n\nid: 1\r\nweight-versions: 3\r\ndata\r\n\r\n"
+	    "event: x_y.z\ndata:HTTP/1.1 500 Oops\ndata: id: 2\n\n";
+	struct relay_events events;
+	enum error_code error;
+	GByteArray *out;
+	uint32_t count;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(malformed); i++) {
+		memset(&events, 0, sizeof(events));
+		out = g_byte_array_new();
+		assert_int_equal(feed(&events, sound, strlen(sound), out), 3);
+		relay_events_add(&events, malformed[i], strlen(malformed[i]));
+		error = relay_events_take(&events, out, &count);
+		if (error != ERROR_MALFORMED || count != 0)
+			fail_msg("accepted: %s", malformed[i]);
+		assert_int_equal(out->len, strlen(sound));
+		relay_events_finish(&events);
+		g_byte_array_unref(out);
+	}
+}
+
 /* An event that does not end is an error before it takes much memory. */
 static void
 test_event_without_end_is_an_error(void **state)
@@ -370,6 +408,7 @@
 	    cmocka_unit_test(test_answer_without_length_ends_at_close),
 	    cmocka_unit_test(test_events_are_passed_whole_and_once),
 	    cmocka_unit_test(test_events_arrive_in_any_pieces),
+	    cmocka_unit_test(test_lines_that_no_event_has_are_an_error),
 	    cmocka_unit_test(test_event_without_end_is_an_error),
 	};
 
