A stream without framing that brought no event is not complete

Cause: a clean close ends such an answer by HTTP/1.1 (and by the users' rules), and nothing was asked of what had come until then.

Such a stream must have brought an event in the attempt; else the attempt counts as broken off, and the stream is continued elsewhere, if it may be. Closed behind a whole event it is complete as before.

Red before: one continuation and one stream of test_broken_answers, direct and over another host.

--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -40,6 +40,7 @@
 static void on_failed(void *context, enum error_code error);
 static void note_broken_call(
     struct relay_exchange *exchange, enum error_code error);
+static bool is_stream_whole(const struct relay_exchange *exchange);
 static void clear_suspicion(struct relay_exchange *exchange);
 static void on_refusal(struct relay_exchange *exchange);
 static void excuse_upstream(struct relay_exchange *exchange, uint64_t fault);
@@ -396,7 +397,7 @@
 
 	exchange->call = NULL;
 	if (exchange->answer_class == ANSWER_EVENTS) {
-		if (relay_events_is_partial(&exchange->events)) {
+		if (!is_stream_whole(exchange)) {
 			relay_attempt_failed(exchange, ERROR_INCOMPLETE, true);
 			return;
 		}
@@ -459,6 +460,15 @@
 	relay_path_on_unreached(exchange->relay, exchange->upstream_id);
 }
 
+/* True if a stream that has ended is complete. A connection that ends after the
+ * head, before any event, is no more than an upstream that stopped there. */
+static bool
+is_stream_whole(const struct relay_exchange *exchange)
+{
+	return !relay_events_is_partial(&exchange->events) &&
+	       (exchange->has_progress || !exchange->is_unframed);
+}
+
 /* The host that sent the request to the upstream clears its suspicions. */
 static void
 clear_suspicion(struct relay_exchange *exchange)
@@ -568,6 +578,7 @@
 begin_event_stream(struct relay_exchange *exchange, struct http_head *head)
 {
 	exchange->is_chunked = head->is_chunked;
+	exchange->is_unframed = !head->is_chunked && !head->has_length;
 	if (exchange->is_answering)
 		return;
 	relay_answer_begin(exchange->caller, head);
--- a/src/service/relay_parts.h
+++ b/src/service/relay_parts.h
@@ -181,6 +181,8 @@
 				runs on after its beginning. */
 	/** The body of the current answer comes in chunks. */
 	bool is_chunked;
+	/** The current answer ends with its connection. */
+	bool is_unframed;
 	bool has_answer;   /**< True if answer and answer_body are set. */
 	bool is_answering; /**< True if the caller got the head of an event
 				stream. */
