--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -16,6 +16,16 @@
     "upgrade",
 };
 
+/* A status has three digits. */
+#define STATUS_MIN	   100
+#define STATUS_NO_CONTENT  204
+#define STATUS_NOT_CHANGED 304
+
+/* Characters of the name of a header field. */
+#define TOKEN_CHARACTERS                                                       \
+	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"                  \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 /* Bytes of a header line that its stored text lacks: the line has four bytes
  * beside name and value (": " and CR LF), the text two terminating NULs. */
 #define FIELD_OVERHEAD_BYTES 2
@@ -27,6 +37,9 @@
 static int on_head_complete(http_parser *parser);
 static int on_body_data(http_parser *parser, const char *data, size_t size);
 static int on_message_complete(http_parser *parser);
+static bool check_line_ends(struct http_reader *reader, const char *end);
+static bool are_names_valid(const struct http_head *head);
+static bool is_coding_known(const struct http_head *head);
 static void trim_values(struct http_head *head);
 static void init_head(struct http_head *head);
 static bool has_token(const char *list, const char *token);
@@ -70,6 +83,10 @@
 	reader->has_head = false;
 	reader->has_ended = false;
 	reader->last_was_value = false;
+	reader->is_malformed = false;
+	reader->is_after_cr = false;
+	reader->is_after_chunk_data = false;
+	reader->is_in_chunk_end = false;
 }
 
 enum error_code
@@ -78,10 +95,13 @@
 {
 	bool had_head = reader->has_head;
 
+	reader->unchecked = data;
 	*used =
 	    http_parser_execute(&reader->parser, &parser_settings, data, size);
 	if (!had_head)
 		reader->head_bytes += *used;
+	if (reader->is_malformed || !check_line_ends(reader, data + *used))
+		return ERROR_MALFORMED;
 	if (!reader->has_head && reader->head_bytes_max > 0 &&
 	    reader->head_bytes > reader->head_bytes_max)
 		return ERROR_TOO_LARGE;
@@ -108,6 +128,12 @@
 	return reader->has_ended ? ERROR_NONE : ERROR_INCOMPLETE;
 }
 
+bool
+http_status_has_no_body(uint32_t status)
+{
+	return status == STATUS_NO_CONTENT || status == STATUS_NOT_CHANGED;
+}
+
 const char *
 http_head_get(const struct http_head *head, const char *name)
 {
@@ -250,9 +276,15 @@
 {
 	struct http_reader *reader = parser->data;
 	struct http_head *head = &reader->head;
+	bool is_without_body;
 
 	g_string_append_c(head->text, '\0');
 	trim_values(head);
+	reader->is_malformed =
+	    !are_names_valid(head) || !is_coding_known(head) ||
+	    (!reader->is_request && parser->status_code < STATUS_MIN);
+	if (reader->is_malformed)
+		return -1;
 	reader->has_head = true;
 	if (reader->head_bytes_max > 0 &&
 	    head->target->len + head->text->len +
@@ -267,7 +299,10 @@
 	head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
 	head->expects_continue =
 	    http_head_has_token(head, "expect", "100-continue");
-	return reader->ops.on_head(reader->ops.context, head) ? 1 : 0;
+	is_without_body = http_status_has_no_body(head->status);
+	if (reader->ops.on_head(reader->ops.context, head))
+		is_without_body = true;
+	return is_without_body ? 1 : 0;
 }
 
 static int
@@ -275,6 +310,11 @@
 {
 	struct http_reader *reader = parser->data;
 
+	reader->is_malformed = !check_line_ends(reader, data);
+	if (reader->is_malformed)
+		return -1;
+	reader->unchecked = data + size;
+	reader->is_after_chunk_data = (parser->flags & F_CHUNKED) != 0;
 	reader->ops.on_body(reader->ops.context, data, size);
 	return 0;
 }
@@ -290,6 +330,65 @@
 	return 0;
 }
 
+/* Checks the bytes outside of the body up to @p end, and reports the ends of
+ * chunks. The parser library takes any byte after a CR for the LF, and any two
+ * bytes for the end of a chunk. */
+static bool
+check_line_ends(struct http_reader *reader, const char *end)
+{
+	const char *at;
+
+	for (at = reader->unchecked; at < end; at++) {
+		if ((reader->is_after_cr && *at != '\n') ||
+		    (reader->is_after_chunk_data && *at != '\r'))
+			return false;
+		if (reader->is_in_chunk_end && reader->ops.on_chunk_end != NULL)
+			reader->ops.on_chunk_end(reader->ops.context);
+		reader->is_in_chunk_end = reader->is_after_chunk_data;
+		reader->is_after_chunk_data = false;
+		reader->is_after_cr = *at == '\r';
+	}
+	reader->unchecked = end;
+	return true;
+}
+
+/* The parser library accepts spaces in the name of a field. Other readers take
+ * "Content-Length : 5" for a length, so it can't be passed on. */
+static bool
+are_names_valid(const struct http_head *head)
+{
+	const char *name;
+	guint i;
+
+	for (i = 0; i < head->fields->len; i++) {
+		name = http_head_name(head, i);
+		if (name[strspn(name, TOKEN_CHARACTERS)] != '\0')
+			return false;
+	}
+	return true;
+}
+
+/* True if the body has no transfer coding but "chunked", once at most. What is
+ * left after another one was ignored would not be the body. */
+static bool
+is_coding_known(const struct http_head *head)
+{
+	uint32_t count;
+	guint i;
+
+	count = 0;
+	for (i = 0; i < head->fields->len; i++) {
+		if (g_ascii_strcasecmp(
+			http_head_name(head, i), "transfer-encoding") != 0)
+			continue;
+		count++;
+		if (g_ascii_strcasecmp(http_head_value(head, i), "chunked") !=
+		    0)
+			return false;
+	}
+	return count <= 1;
+}
+
 /* Removes spaces and tabs after each value, which HTTP doesn't count as part of
  * the value. */
 static void
--- a/src/service/relay_answer.c
+++ b/src/service/relay_answer.c
@@ -4,9 +4,7 @@
 
 #include "service/relay_parts.h"
 
-#define MS_PER_S	   1000.0
-#define STATUS_NO_CONTENT  204
-#define STATUS_NOT_CHANGED 304
+#define MS_PER_S 1000.0
 /* Bytes reserved for a chunk's size line and line end. */
 #define CHUNK_HEAD_SIZE 24
 
@@ -18,6 +16,7 @@
     const struct relay_dialect *dialect, const char *name);
 static void append_result(GString *out, const struct relay_caller *caller);
 static void append_helpers(GString *out, const struct relay_exchange *exchange);
+static bool is_head_request(const struct relay_caller *caller);
 static const char *reason_phrase(uint32_t status);
 
 void
@@ -40,7 +39,8 @@
 	    "Content-Length: %zu\r\n",
 	    (size_t)body->len);
 	append_connection(out, caller);
-	g_string_append_len(out, body->str, (gssize)body->len);
+	if (!is_head_request(caller))
+		g_string_append_len(out, body->str, (gssize)body->len);
 	tcp_link_write(&caller->link, out->str, out->len);
 	g_string_free(out, TRUE);
 	g_string_free(body, TRUE);
@@ -59,7 +59,8 @@
 	    "Content-Length: %zu\r\n",
 	    (size_t)text->len);
 	append_connection(out, caller);
-	g_string_append_len(out, text->str, (gssize)text->len);
+	if (!is_head_request(caller))
+		g_string_append_len(out, text->str, (gssize)text->len);
 	tcp_link_write(&caller->link, out->str, out->len);
 	g_string_free(out, TRUE);
 }
@@ -78,8 +79,7 @@
 	length = http_head_get(head, "Content-Length");
 	if (is_head_method && length != NULL)
 		g_string_append_printf(out, "Content-Length: %s\r\n", length);
-	else if (head->status != STATUS_NO_CONTENT &&
-		 head->status != STATUS_NOT_CHANGED)
+	else if (!is_head_method && !http_status_has_no_body(head->status))
 		g_string_append_printf(
 		    out, "Content-Length: %u\r\n", body->len);
 	append_connection(out, caller);
@@ -294,6 +294,18 @@
 	g_string_append(out, "\r\n");
 }
 
+/* True if the answer that is written is one to a HEAD request, which has no body.
+ * The head of a request that has become an exchange has moved there. */
+static bool
+is_head_request(const struct relay_caller *caller)
+{
+	const char *method = caller->reader.head.method;
+
+	if (caller->exchange != NULL)
+		return relay_exchange_is_head_request(caller->exchange);
+	return method != NULL && strcmp(method, "HEAD") == 0;
+}
+
 static const char *
 reason_phrase(uint32_t status)
 {
--- a/src/service/relay_events.c
+++ b/src/service/relay_events.c
@@ -3,29 +3,50 @@
 #include <string.h>
 
 #define ID_FIELD "id:"
+/* Characters of the name of a field. Names of headers have upper-case letters. */
+#define NAME_CHARACTERS "abcdefghijklmnopqrstuvwxyz0123456789-_."
 /* Bytes of the longest end of an event: two line ends. */
 #define EVENT_END_MAX 3
 
 static size_t find_event_end(const guint8 *data, size_t size, size_t searched);
+static bool is_event(const char *data, size_t size);
+static bool is_field(const char *line, size_t size);
 static bool accept_event(
     struct relay_events *events, const char *data, size_t size);
 static bool read_id(const char *data, size_t size, char id[EVENT_ID_SIZE]);
 
+void
+relay_events_add(struct relay_events *events, const char *data, size_t size)
+{
+	if (events->pending == NULL)
+		events->pending = g_byte_array_new();
+	g_byte_array_append(events->pending, (const guint8 *)data, (guint)size);
+}
+
+size_t
+relay_events_pending(const struct relay_events *events)
+{
+	return events->pending == NULL ? 0 : events->pending->len;
+}
+
 enum error_code
-relay_events_feed(struct relay_events *events, const char *data, size_t size,
-    GByteArray *out, uint32_t *count)
+relay_events_take(struct relay_events *events, GByteArray *out, uint32_t *count)
 {
-	GByteArray *pending;
+	GByteArray *pending = events->pending;
+	enum error_code error;
 	size_t at, end;
 
-	if (events->pending == NULL)
-		events->pending = g_byte_array_new();
-	pending = events->pending;
-	g_byte_array_append(pending, (const guint8 *)data, (guint)size);
 	*count = 0;
+	if (pending == NULL)
+		return ERROR_NONE;
+	error = ERROR_NONE;
 	at = 0;
 	while ((end = find_event_end(pending->data + at, pending->len - at,
 		    events->searched)) > 0) {
+		if (!is_event((const char *)pending->data + at, end)) {
+			error = ERROR_MALFORMED;
+			break;
+		}
 		if (accept_event(
 			events, (const char *)pending->data + at, end)) {
 			g_byte_array_append(
@@ -39,13 +60,15 @@
 		g_byte_array_remove_range(pending, 0, (guint)at);
 	events->searched = pending->len;
 	events->count += *count;
+	if (error != ERROR_NONE)
+		return error;
 	return pending->len > EVENT_BYTES_MAX ? ERROR_TOO_LARGE : ERROR_NONE;
 }
 
 bool
 relay_events_is_partial(const struct relay_events *events)
 {
-	return events->pending != NULL && events->pending->len > 0;
+	return relay_events_pending(events) > 0;
 }
 
 void
@@ -94,6 +117,41 @@
 	return 0;
 }
 
+/* True if all lines are those of one event. Other bytes that an upstream writes
+ * into a stream without framing show only by their form. */
+static bool
+is_event(const char *data, size_t size)
+{
+	const char *line, *next, *end = data + size;
+	uint32_t id_count;
+
+	id_count = 0;
+	for (line = data; line < end; line = next + 1) {
+		next = memchr(line, '\n', (size_t)(end - line));
+		if (next == NULL || !is_field(line, (size_t)(next - line)))
+			return false;
+		if ((size_t)(next - line) >= strlen(ID_FIELD) &&
+		    memcmp(line, ID_FIELD, strlen(ID_FIELD)) == 0)
+			id_count++;
+	}
+	return id_count <= 1;
+}
+
+/* True for a field with or without a value, a comment or an empty line. */
+static bool
+is_field(const char *line, size_t size)
+{
+	size_t i;
+
+	if (size > 0 && line[size - 1] == '\r')
+		size--;
+	for (i = 0; i < size && line[i] != ':'; i++) {
+		if (line[i] == '\0' || strchr(NAME_CHARACTERS, line[i]) == NULL)
+			return false;
+	}
+	return true;
+}
+
 /* Records the id of a complete event. Returns false if its number shows that
  * the caller has received the event already. */
 static bool
