Codecs read fields one after the other and check once

The readers of six messages stood as chains that checked an error after each field, in two forms. They now read their fields by message_fields_X() of the codec, which keeps the first error, in the order in which they read them before. The version of an item and of its summary is written by one function.

--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -322,6 +322,67 @@
 	return ERROR_NONE;
 }
 
+uint64_t
+message_fields_uint(struct message_fields *fields, uint32_t key)
+{
+	uint64_t value = 0;
+
+	if (fields->error == ERROR_NONE)
+		fields->error = message_get_uint(fields->reader, key, &value);
+	return value;
+}
+
+uint32_t
+message_fields_uint32(struct message_fields *fields, uint32_t key)
+{
+	uint32_t value = 0;
+
+	if (fields->error == ERROR_NONE)
+		fields->error = message_get_uint32(fields->reader, key, &value);
+	return value;
+}
+
+int64_t
+message_fields_int(struct message_fields *fields, uint32_t key)
+{
+	int64_t value = 0;
+
+	if (fields->error == ERROR_NONE)
+		fields->error = message_get_int(fields->reader, key, &value);
+	return value;
+}
+
+void
+message_fields_text(
+    struct message_fields *fields, uint32_t key, char *value, size_t value_size)
+{
+	if (fields->error == ERROR_NONE)
+		fields->error =
+		    message_get_text(fields->reader, key, value, value_size);
+}
+
+const void *
+message_fields_bytes(struct message_fields *fields, uint32_t key, size_t *size)
+{
+	const void *value = NULL;
+
+	*size = 0;
+	if (fields->error == ERROR_NONE)
+		fields->error =
+		    message_get_bytes(fields->reader, key, &value, size);
+	return value;
+}
+
+struct message_array
+message_fields_array(struct message_fields *fields, uint32_t key)
+{
+	struct message_array array = {0};
+
+	if (fields->error == ERROR_NONE)
+		fields->error = message_get_array(fields->reader, key, &array);
+	return array;
+}
+
 /*
  * Checks one value with all that is nested in it. msgpack allocates memory for
  * as many elements as a header declares, so each declared count is first
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -40,6 +40,15 @@
 	uint32_t count;		     /**< Number of elements. */
 };
 
+/** Reads fields of a message one after the other and keeps the first error.
+ * Initialise it with the reader alone, {.reader = reader}. After an error all
+ * further fields read as zero, so that one check after the last field is
+ * enough. */
+struct message_fields {
+	const struct message_reader *reader; /**< Message that is read. */
+	enum error_code error;		     /**< First error. */
+};
+
 /* Writing */
 
 /** Initialises a writer with an empty message. */
@@ -132,4 +141,24 @@
 enum error_code message_array_get_uint(
     const struct message_array *array, uint32_t index, uint64_t *value);
 
+/* Reading fields one after the other. The errors that are kept are those of the
+ * function message_get_X() of the same type. */
+
+/** Returns an unsigned integer field, 0 after an error. */
+uint64_t message_fields_uint(struct message_fields *fields, uint32_t key);
+/** Returns an unsigned integer field of 32 bits, 0 after an error. */
+uint32_t message_fields_uint32(struct message_fields *fields, uint32_t key);
+/** Returns a signed integer field, 0 after an error. */
+int64_t message_fields_int(struct message_fields *fields, uint32_t key);
+/** Copies a string field; leaves @p value as it is after an error. */
+void message_fields_text(struct message_fields *fields, uint32_t key,
+    char *value, size_t value_size);
+/** Returns a field of raw bytes without copying them, NULL and a size of 0 after
+ * an error. */
+const void *message_fields_bytes(
+    struct message_fields *fields, uint32_t key, size_t *size);
+/** Returns an array field without copying it, an empty one after an error. */
+struct message_array message_fields_array(
+    struct message_fields *fields, uint32_t key);
+
 #endif
--- a/src/protocol/command_message.c
+++ b/src/protocol/command_message.c
@@ -60,32 +60,21 @@
 static enum error_code
 decode_fields(struct command_message *message)
 {
-	const struct message_reader *reader = &message->reader;
+	struct message_fields fields = {.reader = &message->reader};
 	uint64_t type, error_number;
-	enum error_code error;
 
-	error = message_check_version(reader, COMMAND_MESSAGE_VERSION);
-	if (error == ERROR_NONE)
-		error = message_get_uint(reader, FIELD_TYPE, &type);
-	if (error == ERROR_NONE)
-		error =
-		    message_get_uint(reader, FIELD_SESSION, &message->session);
-	if (error == ERROR_NONE)
-		error =
-		    message_get_uint(reader, FIELD_NUMBER, &message->number);
-	if (error == ERROR_NONE)
-		error = message_get_uint32(
-		    reader, FIELD_ATTEMPT, &message->attempt);
-	if (error == ERROR_NONE)
-		error = message_get_uint(reader, FIELD_ERROR, &error_number);
-	if (error == ERROR_NONE)
-		error = message_get_uint32(
-		    reader, FIELD_LEADER, &message->leader_id);
-	if (error == ERROR_NONE)
-		error = message_get_bytes(
-		    reader, FIELD_DATA, &message->data, &message->data_size);
-	if (error != ERROR_NONE)
-		return error;
+	fields.error =
+	    message_check_version(&message->reader, COMMAND_MESSAGE_VERSION);
+	type = message_fields_uint(&fields, FIELD_TYPE);
+	message->session = message_fields_uint(&fields, FIELD_SESSION);
+	message->number = message_fields_uint(&fields, FIELD_NUMBER);
+	message->attempt = message_fields_uint32(&fields, FIELD_ATTEMPT);
+	error_number = message_fields_uint(&fields, FIELD_ERROR);
+	message->leader_id = message_fields_uint32(&fields, FIELD_LEADER);
+	message->data =
+	    message_fields_bytes(&fields, FIELD_DATA, &message->data_size);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (type != COMMAND_MESSAGE_REQUEST && type != COMMAND_MESSAGE_REPLY)
 		return ERROR_NOT_SUPPORTED;
 	message->type = (enum command_message_type)type;
--- a/src/protocol/gossip_message.c
+++ b/src/protocol/gossip_message.c
@@ -28,6 +28,8 @@
 
 static void put_header(
     struct message_writer *writer, uint32_t fields, uint32_t type);
+static void put_version(struct message_writer *writer, uint64_t key,
+    const struct gossip_version *version);
 static int compare_numbers(uint64_t left, uint64_t right);
 
 int
@@ -59,11 +61,7 @@
     const struct gossip_version *version, const void *body, size_t size)
 {
 	message_begin_map(writer, 6);
-	message_put_uint(writer, ELEMENT_KEY, key);
-	message_put_uint(writer, ELEMENT_MAJOR, version->major);
-	message_put_uint(writer, ELEMENT_MINOR, version->minor);
-	message_put_uint(writer, ELEMENT_RANK, version->rank);
-	message_put_uint(writer, ELEMENT_TIE_BREAK, version->tie_break);
+	put_version(writer, key, version);
 	message_put_bytes(writer, ELEMENT_BODY, body, size);
 }
 
@@ -108,11 +106,7 @@
     const struct gossip_version *version)
 {
 	message_begin_map(writer, 5);
-	message_put_uint(writer, ELEMENT_KEY, key);
-	message_put_uint(writer, ELEMENT_MAJOR, version->major);
-	message_put_uint(writer, ELEMENT_MINOR, version->minor);
-	message_put_uint(writer, ELEMENT_RANK, version->rank);
-	message_put_uint(writer, ELEMENT_TIE_BREAK, version->tie_break);
+	put_version(writer, key, version);
 }
 
 enum error_code
@@ -140,22 +134,19 @@
     size_t *size)
 {
 	struct message_reader element;
+	struct message_fields fields = {.reader = &element};
 	enum error_code error;
 
 	error = message_array_get_map(elements, index, &element);
 	if (error != ERROR_NONE)
 		return error;
-	if ((error = message_get_uint(&element, ELEMENT_KEY, key)) !=
-		ERROR_NONE ||
-	    (error = message_get_uint(
-		 &element, ELEMENT_MAJOR, &version->major)) != ERROR_NONE ||
-	    (error = message_get_uint(
-		 &element, ELEMENT_MINOR, &version->minor)) != ERROR_NONE ||
-	    (error = message_get_uint(
-		 &element, ELEMENT_RANK, &version->rank)) != ERROR_NONE ||
-	    (error = message_get_uint(&element, ELEMENT_TIE_BREAK,
-		 &version->tie_break)) != ERROR_NONE)
-		return error;
+	*key = message_fields_uint(&fields, ELEMENT_KEY);
+	version->major = message_fields_uint(&fields, ELEMENT_MAJOR);
+	version->minor = message_fields_uint(&fields, ELEMENT_MINOR);
+	version->rank = message_fields_uint(&fields, ELEMENT_RANK);
+	version->tie_break = message_fields_uint(&fields, ELEMENT_TIE_BREAK);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	error = message_get_bytes(&element, ELEMENT_BODY, body, size);
 	if (error == ERROR_MISSING_FIELD) {
 		*body = NULL;
@@ -220,6 +211,18 @@
 	message_put_uint(writer, FIELD_TYPE, type);
 }
 
+/* Writes the fields that an item and its version in a summary share. */
+static void
+put_version(struct message_writer *writer, uint64_t key,
+    const struct gossip_version *version)
+{
+	message_put_uint(writer, ELEMENT_KEY, key);
+	message_put_uint(writer, ELEMENT_MAJOR, version->major);
+	message_put_uint(writer, ELEMENT_MINOR, version->minor);
+	message_put_uint(writer, ELEMENT_RANK, version->rank);
+	message_put_uint(writer, ELEMENT_TIE_BREAK, version->tie_break);
+}
+
 static int
 compare_numbers(uint64_t left, uint64_t right)
 {
--- a/src/protocol/handshake_message.c
+++ b/src/protocol/handshake_message.c
@@ -17,8 +17,8 @@
 	FIELD_COUNT
 };
 
-static enum error_code read_bytes(const struct message_reader *reader,
-    uint32_t key, unsigned char *value, size_t size);
+static void read_bytes(struct message_fields *fields, uint32_t key,
+    unsigned char *value, size_t size);
 static enum error_code read_fields(
     const struct message_reader *reader, struct handshake_message *message);
 static void append_bytes(unsigned char **end, const void *data, size_t size);
@@ -84,58 +84,50 @@
 read_fields(
     const struct message_reader *reader, struct handshake_message *message)
 {
+	struct message_fields fields = {.reader = reader};
 	uint64_t type, code;
-	enum error_code error;
 
-	error = message_check_version(reader, HANDSHAKE_VERSION);
-	if (error != ERROR_NONE)
-		return error;
-	error = message_get_uint(reader, FIELD_TYPE, &type);
-	if (error != ERROR_NONE)
-		return error;
+	fields.error = message_check_version(reader, HANDSHAKE_VERSION);
+	type = message_fields_uint(&fields, FIELD_TYPE);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (type < HANDSHAKE_TYPE_HELLO || type > HANDSHAKE_TYPE_REFUSAL)
 		return ERROR_NOT_SUPPORTED;
 	message->type = (enum handshake_type)type;
-	if ((error = message_get_text(reader, FIELD_CLUSTER_ID,
-		 message->cluster_id, sizeof(message->cluster_id))) !=
-		ERROR_NONE ||
-	    (error = message_get_uint32(
-		 reader, FIELD_KEY_ID, &message->key_id)) != ERROR_NONE ||
-	    (error = message_get_uint32(
-		 reader, FIELD_HOST_ID, &message->host_id)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, FIELD_INCARNATION,
-		 &message->incarnation)) != ERROR_NONE ||
-	    (error = read_bytes(reader, FIELD_NONCE, message->nonce,
-		 sizeof(message->nonce))) != ERROR_NONE ||
-	    (error = read_bytes(reader, FIELD_PROOF, message->proof,
-		 sizeof(message->proof))) != ERROR_NONE ||
-	    (error = message_get_uint(reader, FIELD_ERROR, &code)) !=
-		ERROR_NONE)
-		return error;
+	message_fields_text(&fields, FIELD_CLUSTER_ID, message->cluster_id,
+	    sizeof(message->cluster_id));
+	message->key_id = message_fields_uint32(&fields, FIELD_KEY_ID);
+	message->host_id = message_fields_uint32(&fields, FIELD_HOST_ID);
+	message->incarnation = message_fields_uint(&fields, FIELD_INCARNATION);
+	read_bytes(
+	    &fields, FIELD_NONCE, message->nonce, sizeof(message->nonce));
+	read_bytes(
+	    &fields, FIELD_PROOF, message->proof, sizeof(message->proof));
+	code = message_fields_uint(&fields, FIELD_ERROR);
 	message->error =
 	    code < ERROR_CODE_COUNT ? (enum error_code)code : ERROR_INTERNAL;
+	/* Hosts of earlier releases do not send this field. */
 	if (message_get_uint(reader, FIELD_GENERATION, &message->generation) !=
 	    ERROR_NONE)
 		message->generation = 0;
-	return ERROR_NONE;
+	return fields.error;
 }
 
 /* Copies a field of raw bytes that must have exactly @p size bytes. */
-static enum error_code
-read_bytes(const struct message_reader *reader, uint32_t key,
-    unsigned char *value, size_t size)
+static void
+read_bytes(struct message_fields *fields, uint32_t key, unsigned char *value,
+    size_t size)
 {
-	enum error_code error;
 	const void *bytes;
 	size_t found;
 
-	error = message_get_bytes(reader, key, &bytes, &found);
-	if (error != ERROR_NONE)
-		return error;
-	if (found != size)
-		return ERROR_MALFORMED;
-	memcpy(value, bytes, size);
-	return ERROR_NONE;
+	bytes = message_fields_bytes(fields, key, &found);
+	if (fields->error != ERROR_NONE)
+		return;
+	if (found == size)
+		memcpy(value, bytes, size);
+	else
+		fields->error = ERROR_MALFORMED;
 }
 
 /* Copies bytes to @p end and moves it past them. */
--- a/src/protocol/membership_message.c
+++ b/src/protocol/membership_message.c
@@ -35,10 +35,8 @@
     const struct message_reader *reader, struct membership_message *message);
 static enum error_code read_record(
     const struct message_reader *reader, struct host_record *host);
-static enum error_code read_state(
-    const struct message_reader *reader, uint32_t key, enum host_state *state);
-static enum error_code read_port(
-    const struct message_reader *reader, uint32_t key, uint16_t *port);
+static enum host_state read_state(struct message_fields *fields, uint32_t key);
+static uint16_t read_port(struct message_fields *fields, uint32_t key);
 
 void
 membership_message_write(
@@ -116,88 +114,76 @@
 read_message(
     const struct message_reader *reader, struct membership_message *message)
 {
-	enum error_code error;
+	struct message_fields fields = {.reader = reader};
 	uint32_t type;
 
-	error = message_get_type(reader, MEMBERSHIP_MESSAGE_VERSION, &type);
-	if (error != ERROR_NONE)
-		return error;
+	fields.error =
+	    message_get_type(reader, MEMBERSHIP_MESSAGE_VERSION, &type);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (type < MEMBERSHIP_TYPE_PING || type > MEMBERSHIP_TYPE_ANSWER)
 		return ERROR_NOT_SUPPORTED;
 	message->type = (enum membership_type)type;
-	if ((error = message_get_uint(reader, FIELD_PING_NUMBER,
-		 &message->ping_number)) != ERROR_NONE ||
-	    (error = message_get_uint32(
-		 reader, FIELD_TARGET, &message->target)) != ERROR_NONE ||
-	    (error = message_get_uint32(
-		 reader, FIELD_ORIGIN, &message->origin)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, FIELD_KNOWN_INCARNATION,
-		 &message->known_incarnation)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, FIELD_KNOWN_REFUTATION,
-		 &message->known_refutation)) != ERROR_NONE)
-		return error;
-	return read_state(reader, FIELD_KNOWN_STATE, &message->known_state);
+	message->ping_number = message_fields_uint(&fields, FIELD_PING_NUMBER);
+	message->target = message_fields_uint32(&fields, FIELD_TARGET);
+	message->origin = message_fields_uint32(&fields, FIELD_ORIGIN);
+	message->known_incarnation =
+	    message_fields_uint(&fields, FIELD_KNOWN_INCARNATION);
+	message->known_refutation =
+	    message_fields_uint(&fields, FIELD_KNOWN_REFUTATION);
+	message->known_state = read_state(&fields, FIELD_KNOWN_STATE);
+	return fields.error;
 }
 
 static enum error_code
 read_record(const struct message_reader *reader, struct host_record *host)
 {
-	enum error_code error;
-
-	if ((error = message_get_uint32(reader, HOST_ID, &host->id)) !=
-		ERROR_NONE ||
-	    (error = message_get_text(
-		 reader, HOST_IP, host->ip, sizeof(host->ip))) != ERROR_NONE ||
-	    (error = read_port(reader, HOST_PORT, &host->port)) != ERROR_NONE ||
-	    (error = message_get_text(reader, HOST_HTTP_IP, host->http_ip,
-		 sizeof(host->http_ip))) != ERROR_NONE ||
-	    (error = read_port(reader, HOST_HTTP_PORT, &host->http_port)) !=
-		ERROR_NONE ||
-	    (error = message_get_text(reader, HOST_DATA_CENTRE,
-		 host->data_centre, sizeof(host->data_centre))) != ERROR_NONE ||
-	    (error = message_get_uint(
-		 reader, HOST_INCARNATION, &host->incarnation)) != ERROR_NONE ||
-	    (error = message_get_uint(
-		 reader, HOST_REFUTATION, &host->refutation)) != ERROR_NONE ||
-	    (error = message_get_uint32(reader, HOST_FLAGS, &host->flags)) !=
-		ERROR_NONE)
-		return error;
+	struct message_fields fields = {.reader = reader};
+
+	host->id = message_fields_uint32(&fields, HOST_ID);
+	message_fields_text(&fields, HOST_IP, host->ip, sizeof(host->ip));
+	host->port = read_port(&fields, HOST_PORT);
+	message_fields_text(
+	    &fields, HOST_HTTP_IP, host->http_ip, sizeof(host->http_ip));
+	host->http_port = read_port(&fields, HOST_HTTP_PORT);
+	message_fields_text(&fields, HOST_DATA_CENTRE, host->data_centre,
+	    sizeof(host->data_centre));
+	host->incarnation = message_fields_uint(&fields, HOST_INCARNATION);
+	host->refutation = message_fields_uint(&fields, HOST_REFUTATION);
+	host->flags = message_fields_uint32(&fields, HOST_FLAGS);
+	if (fields.error == ERROR_NONE && host->id == 0)
+		fields.error = ERROR_MALFORMED;
+	host->state = read_state(&fields, HOST_STATE);
 	/* Hosts of earlier releases do not send this field. */
 	if (message_get_uint(reader, HOST_VOTER_INCARNATION,
 		&host->voter_incarnation) != ERROR_NONE)
 		host->voter_incarnation = 0;
-	if (host->id == 0)
-		return ERROR_MALFORMED;
-	return read_state(reader, HOST_STATE, &host->state);
+	return fields.error;
 }
 
-static enum error_code
-read_state(
-    const struct message_reader *reader, uint32_t key, enum host_state *state)
+/* Returns HOST_STATE_ALIVE after an error. */
+static enum host_state
+read_state(struct message_fields *fields, uint32_t key)
 {
-	enum error_code error;
 	uint64_t number;
 
-	error = message_get_uint(reader, key, &number);
-	if (error != ERROR_NONE)
-		return error;
-	if (number < HOST_STATE_ALIVE || number > HOST_STATE_LEFT)
-		return ERROR_MALFORMED;
-	*state = (enum host_state)number;
-	return ERROR_NONE;
+	number = message_fields_uint(fields, key);
+	if (fields->error != ERROR_NONE)
+		return HOST_STATE_ALIVE;
+	if (number >= HOST_STATE_ALIVE && number <= HOST_STATE_LEFT)
+		return (enum host_state)number;
+	fields->error = ERROR_MALFORMED;
+	return HOST_STATE_ALIVE;
 }
 
-static enum error_code
-read_port(const struct message_reader *reader, uint32_t key, uint16_t *port)
+static uint16_t
+read_port(struct message_fields *fields, uint32_t key)
 {
-	enum error_code error;
 	uint64_t number;
 
-	error = message_get_uint(reader, key, &number);
-	if (error != ERROR_NONE)
-		return error;
-	if (number > UINT16_MAX)
-		return ERROR_MALFORMED;
-	*port = (uint16_t)number;
-	return ERROR_NONE;
+	number = message_fields_uint(fields, key);
+	if (number <= UINT16_MAX)
+		return (uint16_t)number;
+	fields->error = ERROR_MALFORMED;
+	return 0;
 }
--- a/src/protocol/upstream_message.c
+++ b/src/protocol/upstream_message.c
@@ -62,14 +62,15 @@
     struct message_writer *writer, const struct upstream_record *record);
 static enum error_code read_entry(
     const struct message_reader *reader, struct upstream_entry_body *entry);
-static enum error_code read_names(
-    const struct message_reader *reader, struct upstream_record *record);
-static enum error_code read_limits(
-    const struct message_reader *reader, struct upstream_limits *limits);
-static enum error_code read_models(
-    const struct message_reader *reader, struct upstream_record *record);
-static enum error_code read_labels(
-    const struct message_reader *reader, struct upstream_record *record);
+static void read_limits(
+    struct message_fields *fields, struct upstream_limits *limits);
+static void read_models(
+    struct message_fields *fields, struct upstream_record *record);
+static void read_labels(
+    struct message_fields *fields, struct upstream_record *record);
+static void read_element_name(struct message_fields *fields,
+    const struct message_array *array, uint32_t index, uint32_t key,
+    char name[NAME_SIZE_MAX]);
 static enum error_code read_load(
     const struct message_reader *reader, struct upstream_load *load);
 
@@ -175,19 +176,19 @@
     const void *body, size_t size, uint64_t *id, uint64_t *incarnation)
 {
 	struct message_reader reader;
+	struct message_fields fields = {.reader = &reader};
 	enum error_code error;
 	uint32_t type;
 
 	error = message_reader_init(&reader, body, size);
 	if (error != ERROR_NONE)
 		return error;
-	if ((error = message_get_type(
-		 &reader, UPSTREAM_MESSAGE_VERSION, &type)) == ERROR_NONE &&
-	    (error = message_get_uint(&reader, FIELD_ID, id)) == ERROR_NONE)
-		error =
-		    message_get_uint(&reader, FIELD_INCARNATION, incarnation);
+	fields.error =
+	    message_get_type(&reader, UPSTREAM_MESSAGE_VERSION, &type);
+	*id = message_fields_uint(&fields, FIELD_ID);
+	*incarnation = message_fields_uint(&fields, FIELD_INCARNATION);
 	message_reader_finish(&reader);
-	return error;
+	return fields.error;
 }
 
 enum error_code
@@ -220,149 +221,126 @@
     const struct message_reader *reader, struct upstream_entry_body *entry)
 {
 	struct upstream_record *record = &entry->record;
-	uint64_t kind, state, fencing, expired;
-	enum error_code error;
-
-	if ((error = read_names(reader, record)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, ENTRY_INCARNATION,
-		 &record->incarnation)) != ERROR_NONE ||
-	    (error = message_get_uint(
-		 reader, ENTRY_SEQUENCE, &record->sequence)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, ENTRY_KIND, &kind)) !=
-		ERROR_NONE ||
-	    (error = message_get_uint(reader, ENTRY_STATE, &state)) !=
-		ERROR_NONE ||
-	    (error = message_get_uint(
-		 reader, ENTRY_HONOURS_FENCING, &fencing)) != ERROR_NONE ||
-	    (error = read_models(reader, record)) != ERROR_NONE ||
-	    (error = read_labels(reader, record)) != ERROR_NONE ||
-	    (error = read_limits(reader, &record->limits)) != ERROR_NONE ||
-	    (error = message_get_uint32(reader, ENTRY_HOME, &entry->home)) !=
-		ERROR_NONE ||
-	    (error = message_get_uint(reader, ENTRY_HOME_INCARNATION,
-		 &entry->home_incarnation)) != ERROR_NONE ||
-	    (error = message_get_uint32(reader, ENTRY_EPOCH, &entry->epoch)) !=
-		ERROR_NONE ||
-	    (error = message_get_uint(reader, ENTRY_IS_EXPIRED, &expired)) !=
-		ERROR_NONE)
-		return error;
+	struct message_fields fields = {.reader = reader};
+	uint64_t kind, state;
+
+	message_fields_text(
+	    &fields, ENTRY_NAME, record->name, sizeof(record->name));
+	message_fields_text(
+	    &fields, ENTRY_URL, record->url, sizeof(record->url));
+	message_fields_text(&fields, ENTRY_DATA_CENTRE, record->data_centre,
+	    sizeof(record->data_centre));
+	record->id = upstream_id(record->name);
+	record->incarnation = message_fields_uint(&fields, ENTRY_INCARNATION);
+	record->sequence = message_fields_uint(&fields, ENTRY_SEQUENCE);
+	kind = message_fields_uint(&fields, ENTRY_KIND);
+	state = message_fields_uint(&fields, ENTRY_STATE);
+	record->honours_fencing =
+	    message_fields_uint(&fields, ENTRY_HONOURS_FENCING) != 0;
+	read_models(&fields, record);
+	read_labels(&fields, record);
+	read_limits(&fields, &record->limits);
+	entry->home = message_fields_uint32(&fields, ENTRY_HOME);
+	entry->home_incarnation =
+	    message_fields_uint(&fields, ENTRY_HOME_INCARNATION);
+	entry->epoch = message_fields_uint32(&fields, ENTRY_EPOCH);
+	entry->is_expired = message_fields_uint(&fields, ENTRY_IS_EXPIRED) != 0;
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (kind < UPSTREAM_KIND_MODEL || kind > UPSTREAM_KIND_SERVICE ||
 	    state < UPSTREAM_STATE_ACTIVE || state > UPSTREAM_STATE_GONE)
 		return ERROR_MALFORMED;
 	record->kind = (enum upstream_kind)kind;
 	record->state = (enum upstream_state)state;
-	record->honours_fencing = fencing != 0;
-	entry->is_expired = expired != 0;
 	return ERROR_NONE;
 }
 
-static enum error_code
-read_names(const struct message_reader *reader, struct upstream_record *record)
-{
-	enum error_code error;
-
-	error = message_get_text(
-	    reader, ENTRY_NAME, record->name, sizeof(record->name));
-	if (error == ERROR_NONE)
-		error = message_get_text(
-		    reader, ENTRY_URL, record->url, sizeof(record->url));
-	if (error == ERROR_NONE)
-		error = message_get_text(reader, ENTRY_DATA_CENTRE,
-		    record->data_centre, sizeof(record->data_centre));
-	record->id = upstream_id(record->name);
-	return error;
-}
-
-static enum error_code
-read_limits(const struct message_reader *reader, struct upstream_limits *limits)
+static void
+read_limits(struct message_fields *fields, struct upstream_limits *limits)
 {
-	enum error_code error;
-
-	if ((error = message_get_uint32(reader, ENTRY_COLD_REQUESTS,
-		 &limits->cold_requests)) != ERROR_NONE ||
-	    (error = message_get_uint32(reader, ENTRY_WARM_REQUESTS,
-		 &limits->warm_requests)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, ENTRY_COLD_PREFILL_TOKENS,
-		 &limits->cold_prefill_tokens)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, ENTRY_WARM_PREFILL_TOKENS,
-		 &limits->warm_prefill_tokens)) != ERROR_NONE ||
-	    (error = message_get_uint(
-		 reader, ENTRY_KV_TOKENS, &limits->kv_tokens)) != ERROR_NONE ||
-	    (error = message_get_uint32(reader, ENTRY_PREFILL_SPEED,
-		 &limits->prefill_tokens_per_s)) != ERROR_NONE)
-		return error;
-	return message_get_uint32(
-	    reader, ENTRY_DECODE_TIME, &limits->decode_us_per_token);
+	limits->cold_requests =
+	    message_fields_uint32(fields, ENTRY_COLD_REQUESTS);
+	limits->warm_requests =
+	    message_fields_uint32(fields, ENTRY_WARM_REQUESTS);
+	limits->cold_prefill_tokens =
+	    message_fields_uint(fields, ENTRY_COLD_PREFILL_TOKENS);
+	limits->warm_prefill_tokens =
+	    message_fields_uint(fields, ENTRY_WARM_PREFILL_TOKENS);
+	limits->kv_tokens = message_fields_uint(fields, ENTRY_KV_TOKENS);
+	limits->prefill_tokens_per_s =
+	    message_fields_uint32(fields, ENTRY_PREFILL_SPEED);
+	limits->decode_us_per_token =
+	    message_fields_uint32(fields, ENTRY_DECODE_TIME);
 }
 
-static enum error_code
-read_models(const struct message_reader *reader, struct upstream_record *record)
+static void
+read_models(struct message_fields *fields, struct upstream_record *record)
 {
-	struct message_reader element;
 	struct message_array models;
-	enum error_code error;
 	uint32_t i;
 
-	error = message_get_array(reader, ENTRY_MODELS, &models);
-	if (error == ERROR_NONE && models.count > MODELS_MAX)
-		error = ERROR_TOO_LARGE;
-	for (i = 0; error == ERROR_NONE && i < models.count; i++) {
-		error = message_array_get_map(&models, i, &element);
-		if (error == ERROR_NONE)
-			error = message_get_text(&element, MODEL_NAME,
-			    record->models[i], NAME_SIZE_MAX);
+	models = message_fields_array(fields, ENTRY_MODELS);
+	if (models.count > MODELS_MAX)
+		fields->error = ERROR_TOO_LARGE;
+	for (i = 0; fields->error == ERROR_NONE && i < models.count; i++) {
+		read_element_name(
+		    fields, &models, i, MODEL_NAME, record->models[i]);
 		record->model_count = i + 1;
 	}
-	return error;
 }
 
-static enum error_code
-read_labels(const struct message_reader *reader, struct upstream_record *record)
+static void
+read_labels(struct message_fields *fields, struct upstream_record *record)
 {
-	struct message_reader element;
 	struct message_array labels;
-	enum error_code error;
 	uint32_t i;
 
-	error = message_get_array(reader, ENTRY_LABELS, &labels);
-	if (error == ERROR_NONE && labels.count > LABELS_MAX)
-		error = ERROR_TOO_LARGE;
-	for (i = 0; error == ERROR_NONE && i < labels.count; i++) {
-		error = message_array_get_map(&labels, i, &element);
-		if (error == ERROR_NONE)
-			error = message_get_text(&element, LABEL_KEY,
-			    record->labels[i].key, NAME_SIZE_MAX);
-		if (error == ERROR_NONE)
-			error = message_get_text(&element, LABEL_VALUE,
-			    record->labels[i].value, NAME_SIZE_MAX);
+	labels = message_fields_array(fields, ENTRY_LABELS);
+	if (labels.count > LABELS_MAX)
+		fields->error = ERROR_TOO_LARGE;
+	for (i = 0; fields->error == ERROR_NONE && i < labels.count; i++) {
+		read_element_name(
+		    fields, &labels, i, LABEL_KEY, record->labels[i].key);
+		read_element_name(
+		    fields, &labels, i, LABEL_VALUE, record->labels[i].value);
 		record->label_count = i + 1;
 	}
-	return error;
+}
+
+/* Reads a text of an array's element. */
+static void
+read_element_name(struct message_fields *fields,
+    const struct message_array *array, uint32_t index, uint32_t key,
+    char name[NAME_SIZE_MAX])
+{
+	struct message_reader element;
+
+	if (fields->error == ERROR_NONE)
+		fields->error = message_array_get_map(array, index, &element);
+	if (fields->error == ERROR_NONE)
+		fields->error =
+		    message_get_text(&element, key, name, NAME_SIZE_MAX);
 }
 
 static enum error_code
 read_load(const struct message_reader *reader, struct upstream_load *load)
 {
-	enum error_code error;
+	struct message_fields fields = {.reader = reader};
 	uint32_t type;
 
-	if ((error = message_get_type(
-		 reader, UPSTREAM_MESSAGE_VERSION, &type)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, FIELD_ID, &load->id)) !=
-		ERROR_NONE ||
-	    (error = message_get_uint(reader, FIELD_INCARNATION,
-		 &load->incarnation)) != ERROR_NONE ||
-	    (error = message_get_uint(
-		 reader, FIELD_SEQUENCE, &load->sequence)) != ERROR_NONE ||
-	    (error = message_get_int(reader, FIELD_AGE, &load->age_ms)) !=
-		ERROR_NONE ||
-	    (error = message_get_uint32(reader, FIELD_RUNNING_REQUESTS,
-		 &load->running_requests)) != ERROR_NONE ||
-	    (error = message_get_uint32(reader, FIELD_QUEUED_REQUESTS,
-		 &load->queued_requests)) != ERROR_NONE ||
-	    (error = message_get_uint(reader, FIELD_QUEUED_PREFILL_TOKENS,
-		 &load->queued_prefill_tokens)) != ERROR_NONE)
-		return error;
-	return message_get_uint(
-	    reader, FIELD_KV_TOKENS_USED, &load->kv_tokens_used);
+	fields.error =
+	    message_get_type(reader, UPSTREAM_MESSAGE_VERSION, &type);
+	load->id = message_fields_uint(&fields, FIELD_ID);
+	load->incarnation = message_fields_uint(&fields, FIELD_INCARNATION);
+	load->sequence = message_fields_uint(&fields, FIELD_SEQUENCE);
+	load->age_ms = message_fields_int(&fields, FIELD_AGE);
+	load->running_requests =
+	    message_fields_uint32(&fields, FIELD_RUNNING_REQUESTS);
+	load->queued_requests =
+	    message_fields_uint32(&fields, FIELD_QUEUED_REQUESTS);
+	load->queued_prefill_tokens =
+	    message_fields_uint(&fields, FIELD_QUEUED_PREFILL_TOKENS);
+	load->kv_tokens_used =
+	    message_fields_uint(&fields, FIELD_KV_TOKENS_USED);
+	return fields.error;
 }
