Rows of grant messages: one table of columns for writing and reading

The columns of each type of row stood three times: in the function that writes a row, in the one that reads it, and in a count of its numbers. One table each now lists the members in their order on the wire, with the type that each has in its struct. The count follows from the table. Rows are written and read by one function each. Reading stops at the first error of a row instead of going on; the error is the same, and callers use no row that was read with an error.

--- a/src/protocol/grant_message.c
+++ b/src/protocol/grant_message.c
@@ -17,32 +17,115 @@
 	FIELD_COUNT = 8,
 };
 
-/* Numbers in a row, by type of row. A capacity amount is three numbers. */
-enum {
-	WIDTH_REPORT = 20,
-	WIDTH_GRANT = 9,
-	WIDTH_LEDGER = 10,
-	WIDTH_ID = 1,
-	WIDTH_KV = 4,
+/* How a row's member is stored in memory. On the wire each is a number. */
+enum column_type {
+	COLUMN_UINT64,
+	COLUMN_UINT32,
+	COLUMN_BOOL,
+};
+
+/* One number of a row. */
+struct column {
+	size_t offset; /* Of the member in the struct of the row. */
+	enum column_type type;
+};
+
+/* The numbers of one type of row, in their order on the wire. */
+struct row_layout {
+	const struct column *columns;
+	uint32_t count;
+};
+
+/* The column of a member, with the type that the member has in the struct. */
+#define COLUMN(row, member)                                                    \
+	{                                                                      \
+		offsetof(struct row, member),                                  \
+		    _Generic(((struct row){0}).member, uint64_t                \
+			     : COLUMN_UINT64, uint32_t                         \
+			     : COLUMN_UINT32, bool                             \
+			     : COLUMN_BOOL)                                    \
+	}
+
+/* The layout with these columns. */
+#define LAYOUT(columns)                                                        \
+	{                                                                      \
+		(columns), sizeof(columns) / sizeof((columns)[0])              \
+	}
+
+static const struct column report_columns[] = {
+    COLUMN(grant_report, upstream_id),
+    COLUMN(grant_report, incarnation),
+    COLUMN(grant_report, term),
+    COLUMN(grant_report, offer_number),
+    COLUMN(grant_report, ceiling.requests),
+    COLUMN(grant_report, ceiling.prefill_tokens),
+    COLUMN(grant_report, ceiling.kv_tokens),
+    COLUMN(grant_report, used.requests),
+    COLUMN(grant_report, used.prefill_tokens),
+    COLUMN(grant_report, used.kv_tokens),
+    COLUMN(grant_report, wanted.requests),
+    COLUMN(grant_report, wanted.prefill_tokens),
+    COLUMN(grant_report, wanted.kv_tokens),
+    COLUMN(grant_report, largest_waiting.requests),
+    COLUMN(grant_report, largest_waiting.prefill_tokens),
+    COLUMN(grant_report, largest_waiting.kv_tokens),
+    COLUMN(grant_report, needed_percent),
+    COLUMN(grant_report, warmth),
+    COLUMN(grant_report, in_time_answers),
+    COLUMN(grant_report, is_cold),
 };
 
-/* Reads the numbers of a row one after the other. */
-struct row_cursor {
-	const struct message_array *numbers; /* The numbers of all rows. */
-	uint32_t at;			     /* Index of the next number. */
-	enum error_code error;		     /* First error, or ERROR_NONE. */
+static const struct column offer_columns[] = {
+    COLUMN(grant_offer, upstream_id),
+    COLUMN(grant_offer, incarnation),
+    COLUMN(grant_offer, term),
+    COLUMN(grant_offer, offer_number),
+    COLUMN(grant_offer, amount.requests),
+    COLUMN(grant_offer, amount.prefill_tokens),
+    COLUMN(grant_offer, amount.kv_tokens),
+    COLUMN(grant_offer, warmth),
+    COLUMN(grant_offer, duration_ms),
 };
 
+static const struct column ledger_columns[] = {
+    COLUMN(grant_ledger_row, upstream_id),
+    COLUMN(grant_ledger_row, incarnation),
+    COLUMN(grant_ledger_row, host_id),
+    COLUMN(grant_ledger_row, instance),
+    COLUMN(grant_ledger_row, amount.requests),
+    COLUMN(grant_ledger_row, amount.prefill_tokens),
+    COLUMN(grant_ledger_row, amount.kv_tokens),
+    COLUMN(grant_ledger_row, remaining_ms),
+    COLUMN(grant_ledger_row, warmth),
+    COLUMN(grant_ledger_row, is_draining),
+};
+
+static const struct column kv_columns[] = {
+    COLUMN(grant_kv_row, upstream_id),
+    COLUMN(grant_kv_row, incarnation),
+    COLUMN(grant_kv_row, reservation_id),
+    COLUMN(grant_kv_row, is_live),
+};
+
+/* A row that is no more than an upstream id. */
+static const struct column id_columns[] = {{0, COLUMN_UINT64}};
+
+static const struct row_layout report_layout = LAYOUT(report_columns);
+static const struct row_layout offer_layout = LAYOUT(offer_columns);
+static const struct row_layout ledger_layout = LAYOUT(ledger_columns);
+static const struct row_layout kv_layout = LAYOUT(kv_columns);
+static const struct row_layout id_layout = LAYOUT(id_columns);
+
 static uint32_t row_width(enum grant_message_type type);
-static void add_amount(
-    struct message_writer *writer, const struct capacity_amount *amount);
+static void add_row(struct message_writer *writer,
+    const struct row_layout *layout, const void *row);
+static uint64_t member_value(const struct column *column, const void *member);
 static enum error_code read_header(struct grant_reader *reader);
 static enum error_code read_rows(struct grant_reader *reader);
-static enum error_code open_row(const struct grant_reader *reader,
-    uint32_t index, struct row_cursor *cursor);
-static uint64_t next_uint(struct row_cursor *cursor);
-static uint32_t next_uint32(struct row_cursor *cursor);
-static struct capacity_amount next_amount(struct row_cursor *cursor);
+static enum error_code read_row(const struct grant_reader *reader,
+    uint32_t index, const struct row_layout *layout, void *row);
+static enum error_code set_member(
+    const struct column *column, void *member, uint64_t value);
 
 void
 grant_message_open(
@@ -66,61 +149,34 @@
 grant_message_add_report(
     struct message_writer *writer, const struct grant_report *row)
 {
-	message_add_uint(writer, row->upstream_id);
-	message_add_uint(writer, row->incarnation);
-	message_add_uint(writer, row->term);
-	message_add_uint(writer, row->offer_number);
-	add_amount(writer, &row->ceiling);
-	add_amount(writer, &row->used);
-	add_amount(writer, &row->wanted);
-	add_amount(writer, &row->largest_waiting);
-	message_add_uint(writer, row->needed_percent);
-	message_add_uint(writer, row->warmth);
-	message_add_uint(writer, row->in_time_answers);
-	message_add_uint(writer, row->is_cold);
+	add_row(writer, &report_layout, row);
 }
 
 void
 grant_message_add_offer(
     struct message_writer *writer, const struct grant_offer *row)
 {
-	message_add_uint(writer, row->upstream_id);
-	message_add_uint(writer, row->incarnation);
-	message_add_uint(writer, row->term);
-	message_add_uint(writer, row->offer_number);
-	add_amount(writer, &row->amount);
-	message_add_uint(writer, row->warmth);
-	message_add_uint(writer, row->duration_ms);
+	add_row(writer, &offer_layout, row);
 }
 
 void
 grant_message_add_ledger_row(
     struct message_writer *writer, const struct grant_ledger_row *row)
 {
-	message_add_uint(writer, row->upstream_id);
-	message_add_uint(writer, row->incarnation);
-	message_add_uint(writer, row->host_id);
-	message_add_uint(writer, row->instance);
-	add_amount(writer, &row->amount);
-	message_add_uint(writer, row->remaining_ms);
-	message_add_uint(writer, row->warmth);
-	message_add_uint(writer, row->is_draining);
+	add_row(writer, &ledger_layout, row);
 }
 
 void
 grant_message_add_id(struct message_writer *writer, uint64_t upstream_id)
 {
-	message_add_uint(writer, upstream_id);
+	add_row(writer, &id_layout, &upstream_id);
 }
 
 void
 grant_message_add_kv_row(
     struct message_writer *writer, const struct grant_kv_row *row)
 {
-	message_add_uint(writer, row->upstream_id);
-	message_add_uint(writer, row->incarnation);
-	message_add_uint(writer, row->reservation_id);
-	message_add_uint(writer, row->is_live);
+	add_row(writer, &kv_layout, row);
 }
 
 enum error_code
@@ -150,97 +206,35 @@
 grant_reader_read_report(
     const struct grant_reader *reader, uint32_t index, struct grant_report *row)
 {
-	struct row_cursor cursor;
-	enum error_code error;
-
-	error = open_row(reader, index, &cursor);
-	if (error != ERROR_NONE)
-		return error;
-	row->upstream_id = next_uint(&cursor);
-	row->incarnation = next_uint(&cursor);
-	row->term = next_uint(&cursor);
-	row->offer_number = next_uint(&cursor);
-	row->ceiling = next_amount(&cursor);
-	row->used = next_amount(&cursor);
-	row->wanted = next_amount(&cursor);
-	row->largest_waiting = next_amount(&cursor);
-	row->needed_percent = next_uint32(&cursor);
-	row->warmth = next_uint32(&cursor);
-	row->in_time_answers = next_uint32(&cursor);
-	row->is_cold = next_uint(&cursor) != 0;
-	return cursor.error;
+	return read_row(reader, index, &report_layout, row);
 }
 
 enum error_code
 grant_reader_read_offer(
     const struct grant_reader *reader, uint32_t index, struct grant_offer *row)
 {
-	struct row_cursor cursor;
-	enum error_code error;
-
-	error = open_row(reader, index, &cursor);
-	if (error != ERROR_NONE)
-		return error;
-	row->upstream_id = next_uint(&cursor);
-	row->incarnation = next_uint(&cursor);
-	row->term = next_uint(&cursor);
-	row->offer_number = next_uint(&cursor);
-	row->amount = next_amount(&cursor);
-	row->warmth = next_uint32(&cursor);
-	row->duration_ms = next_uint32(&cursor);
-	return cursor.error;
+	return read_row(reader, index, &offer_layout, row);
 }
 
 enum error_code
 grant_reader_read_ledger_row(const struct grant_reader *reader, uint32_t index,
     struct grant_ledger_row *row)
 {
-	struct row_cursor cursor;
-	enum error_code error;
-
-	error = open_row(reader, index, &cursor);
-	if (error != ERROR_NONE)
-		return error;
-	row->upstream_id = next_uint(&cursor);
-	row->incarnation = next_uint(&cursor);
-	row->host_id = next_uint32(&cursor);
-	row->instance = next_uint(&cursor);
-	row->amount = next_amount(&cursor);
-	row->remaining_ms = next_uint(&cursor);
-	row->warmth = next_uint32(&cursor);
-	row->is_draining = next_uint(&cursor) != 0;
-	return cursor.error;
+	return read_row(reader, index, &ledger_layout, row);
 }
 
 enum error_code
 grant_reader_read_kv_row(
     const struct grant_reader *reader, uint32_t index, struct grant_kv_row *row)
 {
-	struct row_cursor cursor;
-	enum error_code error;
-
-	error = open_row(reader, index, &cursor);
-	if (error != ERROR_NONE)
-		return error;
-	row->upstream_id = next_uint(&cursor);
-	row->incarnation = next_uint(&cursor);
-	row->reservation_id = next_uint(&cursor);
-	row->is_live = next_uint(&cursor) != 0;
-	return cursor.error;
+	return read_row(reader, index, &kv_layout, row);
 }
 
 enum error_code
 grant_reader_read_id(
     const struct grant_reader *reader, uint32_t index, uint64_t *upstream_id)
 {
-	struct row_cursor cursor;
-	enum error_code error;
-
-	error = open_row(reader, index, &cursor);
-	if (error != ERROR_NONE)
-		return error;
-	*upstream_id = next_uint(&cursor);
-	return cursor.error;
+	return read_row(reader, index, &id_layout, upstream_id);
 }
 
 /* Returns the number of columns that this version knows, 0 for an unknown
@@ -251,62 +245,70 @@
 	switch (type) {
 	case GRANT_MESSAGE_REPORT:
 	case GRANT_MESSAGE_USE_ANSWER:
-		return WIDTH_REPORT;
+		return report_layout.count;
 	case GRANT_MESSAGE_GRANT:
-		return WIDTH_GRANT;
+		return offer_layout.count;
 	case GRANT_MESSAGE_LEDGER:
-		return WIDTH_LEDGER;
+		return ledger_layout.count;
 	case GRANT_MESSAGE_USE_QUERY:
 	case GRANT_MESSAGE_LEDGER_TAKEN:
-		return WIDTH_ID;
+		return id_layout.count;
 	case GRANT_MESSAGE_KV_QUERY:
 	case GRANT_MESSAGE_KV_ANSWER:
-		return WIDTH_KV;
+		return kv_layout.count;
 	}
 	return 0;
 }
 
 static void
-add_amount(struct message_writer *writer, const struct capacity_amount *amount)
+add_row(struct message_writer *writer, const struct row_layout *layout,
+    const void *row)
 {
-	message_add_uint(writer, amount->requests);
-	message_add_uint(writer, amount->prefill_tokens);
-	message_add_uint(writer, amount->kv_tokens);
+	const struct column *column;
+	uint32_t i;
+
+	for (i = 0; i < layout->count; i++) {
+		column = &layout->columns[i];
+		message_add_uint(writer,
+		    member_value(column, (const char *)row + column->offset));
+	}
+}
+
+static uint64_t
+member_value(const struct column *column, const void *member)
+{
+	switch (column->type) {
+	case COLUMN_UINT64:
+		return *(const uint64_t *)member;
+	case COLUMN_UINT32:
+		return *(const uint32_t *)member;
+	case COLUMN_BOOL:
+		return *(const bool *)member;
+	}
+	return 0;
 }
 
 static enum error_code
 read_header(struct grant_reader *reader)
 {
+	struct message_fields fields = {.reader = &reader->message};
 	struct grant_header *header = &reader->header;
-	uint64_t type, wants_answer;
-	enum error_code error;
+	uint64_t type;
 
-	error = message_check_version(&reader->message, GRANT_MESSAGE_VERSION);
-	if (error != ERROR_NONE)
-		return error;
-	error = message_get_uint(&reader->message, FIELD_TYPE, &type);
-	if (error != ERROR_NONE)
-		return error;
+	fields.error =
+	    message_check_version(&reader->message, GRANT_MESSAGE_VERSION);
+	type = message_fields_uint(&fields, FIELD_TYPE);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (type < GRANT_MESSAGE_REPORT || type > GRANT_MESSAGE_KV_ANSWER)
 		return ERROR_MALFORMED;
 	header->type = (enum grant_message_type)type;
-	error = message_get_uint(&reader->message, FIELD_EPOCH, &header->epoch);
-	if (error != ERROR_NONE)
-		return error;
-	error = message_get_uint(
-	    &reader->message, FIELD_INSTANCE, &header->instance);
-	if (error != ERROR_NONE)
-		return error;
-	error = message_get_uint(
-	    &reader->message, FIELD_SEQUENCE, &header->sequence);
-	if (error != ERROR_NONE)
-		return error;
-	error = message_get_uint(
-	    &reader->message, FIELD_WANTS_ANSWER, &wants_answer);
-	if (error != ERROR_NONE)
-		return error;
-	header->wants_answer = wants_answer != 0;
-	return ERROR_NONE;
+	header->epoch = message_fields_uint(&fields, FIELD_EPOCH);
+	header->instance = message_fields_uint(&fields, FIELD_INSTANCE);
+	header->sequence = message_fields_uint(&fields, FIELD_SEQUENCE);
+	header->wants_answer =
+	    message_fields_uint(&fields, FIELD_WANTS_ANSWER) != 0;
+	return fields.error;
 }
 
 /* Finds the rows. A row may be wider than this version knows, but not
@@ -332,51 +334,46 @@
 	return ERROR_NONE;
 }
 
+/* Reads the numbers of a row that this version knows. */
 static enum error_code
-open_row(const struct grant_reader *reader, uint32_t index,
-    struct row_cursor *cursor)
-{
-	if (index >= reader->header.row_count)
-		return ERROR_NOT_FOUND;
-	cursor->numbers = &reader->rows;
-	cursor->at = index * reader->row_width;
-	cursor->error = ERROR_NONE;
-	return ERROR_NONE;
-}
-
-/* Returns the next number of the row, or 0 after an error, which it keeps in
- * the cursor. */
-static uint64_t
-next_uint(struct row_cursor *cursor)
+read_row(const struct grant_reader *reader, uint32_t index,
+    const struct row_layout *layout, void *row)
 {
+	const struct column *column;
 	enum error_code error;
 	uint64_t value;
+	uint32_t i;
 
-	value = 0;
-	error = message_array_get_uint(cursor->numbers, cursor->at++, &value);
-	if (cursor->error == ERROR_NONE)
-		cursor->error = error;
-	return value;
-}
-
-static uint32_t
-next_uint32(struct row_cursor *cursor)
-{
-	uint64_t value;
-
-	value = next_uint(cursor);
-	if (value > UINT32_MAX && cursor->error == ERROR_NONE)
-		cursor->error = ERROR_TOO_LARGE;
-	return (uint32_t)value;
+	if (index >= reader->header.row_count)
+		return ERROR_NOT_FOUND;
+	for (i = 0; i < layout->count; i++) {
+		column = &layout->columns[i];
+		error = message_array_get_uint(
+		    &reader->rows, index * reader->row_width + i, &value);
+		if (error == ERROR_NONE)
+			error = set_member(
+			    column, (char *)row + column->offset, value);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	return ERROR_NONE;
 }
 
-static struct capacity_amount
-next_amount(struct row_cursor *cursor)
+static enum error_code
+set_member(const struct column *column, void *member, uint64_t value)
 {
-	struct capacity_amount amount;
-
-	amount.requests = next_uint32(cursor);
-	amount.prefill_tokens = next_uint(cursor);
-	amount.kv_tokens = next_uint(cursor);
-	return amount;
+	if (column->type == COLUMN_UINT32 && value > UINT32_MAX)
+		return ERROR_TOO_LARGE;
+	switch (column->type) {
+	case COLUMN_UINT64:
+		*(uint64_t *)member = value;
+		break;
+	case COLUMN_UINT32:
+		*(uint32_t *)member = (uint32_t)value;
+		break;
+	case COLUMN_BOOL:
+		*(bool *)member = value != 0;
+		break;
+	}
+	return ERROR_NONE;
 }
