Codecs: messages that are read whole are unpacked and freed by one function

Six functions unpacked a message, called the function that reads its fields and freed it. message_read() of the codec now does so for them. No change of behaviour; test_wire_bytes passes.

--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -149,6 +149,22 @@
 	memset(reader, 0, sizeof(*reader));
 }
 
+enum error_code
+message_read(const void *data, size_t size,
+    enum error_code (*read)(const struct message_reader *reader, void *context),
+    void *context)
+{
+	struct message_reader reader;
+	enum error_code error;
+
+	error = message_reader_init(&reader, data, size);
+	if (error != ERROR_NONE)
+		return error;
+	error = read(&reader, context);
+	message_reader_finish(&reader);
+	return error;
+}
+
 enum error_code
 message_get_uint(
     const struct message_reader *reader, uint32_t key, uint64_t *value)
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -94,6 +94,11 @@
 /** Frees the unpacked message; bytes and arrays got from it must not be used
  * afterwards. */
 void message_reader_finish(struct message_reader *reader);
+/** Unpacks a message, has @p read read its fields into @p context, and frees the
+ * message. Errors: those of message_reader_init() and of @p read. */
+enum error_code message_read(const void *data, size_t size,
+    enum error_code (*read)(const struct message_reader *reader, void *context),
+    void *context);
 /** Reads an unsigned integer field. Errors: ERROR_MISSING_FIELD,
  * ERROR_WRONG_TYPE. */
 enum error_code message_get_uint(
--- a/src/protocol/consensus_message.c
+++ b/src/protocol/consensus_message.c
@@ -75,7 +75,7 @@
 static void put_voters(
     struct message_writer *writer, const struct voter_set *voters);
 static enum error_code get_voters(
-    const struct message_reader *reader, struct voter_set *voters);
+    const struct message_reader *reader, void *context);
 static void put_entries(
     struct message_writer *writer, const struct consensus_message *message);
 static enum error_code decode_fields(struct consensus_message *message);
@@ -172,15 +172,7 @@
 enum error_code
 voter_set_decode(struct voter_set *voters, const void *data, size_t size)
 {
-	struct message_reader reader;
-	enum error_code error;
-
-	error = message_reader_init(&reader, data, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = get_voters(&reader, voters);
-	message_reader_finish(&reader);
-	return error;
+	return message_read(data, size, get_voters, voters);
 }
 
 /* Returns the value of the member that @p field describes. */
@@ -210,8 +202,9 @@
 }
 
 static enum error_code
-get_voters(const struct message_reader *reader, struct voter_set *voters)
+get_voters(const struct message_reader *reader, void *context)
 {
+	struct voter_set *voters = context;
 	struct message_reader element;
 	struct message_array array;
 	enum error_code error;
--- a/src/protocol/handshake_message.c
+++ b/src/protocol/handshake_message.c
@@ -20,7 +20,7 @@
 static void read_bytes(struct message_fields *fields, uint32_t key,
     unsigned char *value, size_t size);
 static enum error_code read_fields(
-    const struct message_reader *reader, struct handshake_message *message);
+    const struct message_reader *reader, void *context);
 static void append_bytes(unsigned char **end, const void *data, size_t size);
 
 void
@@ -46,16 +46,8 @@
 handshake_message_read(
     const void *body, size_t size, struct handshake_message *message)
 {
-	struct message_reader reader;
-	enum error_code error;
-
 	memset(message, 0, sizeof(*message));
-	error = message_reader_init(&reader, body, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = read_fields(&reader, message);
-	message_reader_finish(&reader);
-	return error;
+	return message_read(body, size, read_fields, message);
 }
 
 void
@@ -81,9 +73,9 @@
 }
 
 static enum error_code
-read_fields(
-    const struct message_reader *reader, struct handshake_message *message)
+read_fields(const struct message_reader *reader, void *context)
 {
+	struct handshake_message *message = context;
 	struct message_fields fields = {.reader = reader};
 	uint64_t type, code;
 
--- a/src/protocol/membership_message.c
+++ b/src/protocol/membership_message.c
@@ -32,9 +32,9 @@
 };
 
 static enum error_code read_message(
-    const struct message_reader *reader, struct membership_message *message);
+    const struct message_reader *reader, void *context);
 static enum error_code read_record(
-    const struct message_reader *reader, struct host_record *host);
+    const struct message_reader *reader, void *context);
 static enum host_state read_state(struct message_fields *fields, uint32_t key);
 static uint16_t read_port(struct message_fields *fields, uint32_t key);
 
@@ -59,16 +59,8 @@
 membership_message_read(
     const void *body, size_t size, struct membership_message *message)
 {
-	struct message_reader reader;
-	enum error_code error;
-
 	memset(message, 0, sizeof(*message));
-	error = message_reader_init(&reader, body, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = read_message(&reader, message);
-	message_reader_finish(&reader);
-	return error;
+	return message_read(body, size, read_message, message);
 }
 
 enum error_code
@@ -98,22 +90,14 @@
 enum error_code
 host_record_read(const void *body, size_t size, struct host_record *host)
 {
-	struct message_reader reader;
-	enum error_code error;
-
 	memset(host, 0, sizeof(*host));
-	error = message_reader_init(&reader, body, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = read_record(&reader, host);
-	message_reader_finish(&reader);
-	return error;
+	return message_read(body, size, read_record, host);
 }
 
 static enum error_code
-read_message(
-    const struct message_reader *reader, struct membership_message *message)
+read_message(const struct message_reader *reader, void *context)
 {
+	struct membership_message *message = context;
 	struct message_fields fields = {.reader = reader};
 	uint32_t type;
 
@@ -136,8 +120,9 @@
 }
 
 static enum error_code
-read_record(const struct message_reader *reader, struct host_record *host)
+read_record(const struct message_reader *reader, void *context)
 {
+	struct host_record *host = context;
 	struct message_fields fields = {.reader = reader};
 
 	host->id = message_fields_uint32(&fields, HOST_ID);
--- a/src/protocol/upstream_message.c
+++ b/src/protocol/upstream_message.c
@@ -61,7 +61,7 @@
 static void write_lists(
     struct message_writer *writer, const struct upstream_record *record);
 static enum error_code read_entry(
-    const struct message_reader *reader, struct upstream_entry_body *entry);
+    const struct message_reader *reader, void *context);
 static void read_limits(
     struct message_fields *fields, struct upstream_limits *limits);
 static void read_models(
@@ -72,7 +72,7 @@
     const struct message_array *array, uint32_t index, uint32_t key,
     char name[NAME_SIZE_MAX]);
 static enum error_code read_load(
-    const struct message_reader *reader, struct upstream_load *load);
+    const struct message_reader *reader, void *context);
 
 void
 upstream_entry_write(
@@ -114,16 +114,8 @@
 upstream_entry_read(
     const void *body, size_t size, struct upstream_entry_body *entry)
 {
-	struct message_reader reader;
-	enum error_code error;
-
 	memset(entry, 0, sizeof(*entry));
-	error = message_reader_init(&reader, body, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = read_entry(&reader, entry);
-	message_reader_finish(&reader);
-	return error;
+	return message_read(body, size, read_entry, entry);
 }
 
 void
@@ -148,16 +140,8 @@
 enum error_code
 upstream_load_read(const void *body, size_t size, struct upstream_load *load)
 {
-	struct message_reader reader;
-	enum error_code error;
-
 	memset(load, 0, sizeof(*load));
-	error = message_reader_init(&reader, body, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = read_load(&reader, load);
-	message_reader_finish(&reader);
-	return error;
+	return message_read(body, size, read_load, load);
 }
 
 void
@@ -217,9 +201,9 @@
 }
 
 static enum error_code
-read_entry(
-    const struct message_reader *reader, struct upstream_entry_body *entry)
+read_entry(const struct message_reader *reader, void *context)
 {
+	struct upstream_entry_body *entry = context;
 	struct upstream_record *record = &entry->record;
 	struct message_fields fields = {.reader = reader};
 	uint64_t kind, state;
@@ -323,8 +307,9 @@
 }
 
 static enum error_code
-read_load(const struct message_reader *reader, struct upstream_load *load)
+read_load(const struct message_reader *reader, void *context)
 {
+	struct upstream_load *load = context;
 	struct message_fields fields = {.reader = reader};
 	uint32_t type;
 
