Codecs: one table form for optional numbers

Messages between voters and those of the configuration feed had the same table of optional numbers, each with its own functions to count, write and read them. The table and its functions are now in the codec. No change of behaviour; test_wire_bytes, test_consensus, test_agreement, test_config_feed and test_feed_storm pass.

--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -18,6 +18,8 @@
 	uint32_t elements; /* Elements seen so far, nested ones included. */
 };
 
+static uint64_t load_number(
+    const struct message_number *number, const void *members);
 static enum error_code scan_value(struct scan *scan);
 static enum error_code scan_header(
     struct scan *scan, uint64_t *skip, uint64_t *children);
@@ -100,6 +102,33 @@
 	msgpack_pack_uint64(&writer->packer, value);
 }
 
+uint32_t
+message_count_numbers(
+    const struct message_number *numbers, size_t count, const void *members)
+{
+	uint32_t found;
+	size_t i;
+
+	found = 0;
+	for (i = 0; i < count; i++)
+		found += load_number(&numbers[i], members) != 0;
+	return found;
+}
+
+void
+message_put_numbers(struct message_writer *writer,
+    const struct message_number *numbers, size_t count, const void *members)
+{
+	uint64_t value;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		value = load_number(&numbers[i], members);
+		if (value != 0)
+			message_put_uint(writer, numbers[i].key, value);
+	}
+}
+
 const void *
 message_data(const struct message_writer *writer)
 {
@@ -368,6 +397,23 @@
 	return value;
 }
 
+void
+message_fields_numbers(struct message_fields *fields,
+    const struct message_number *numbers, size_t count, void *members)
+{
+	uint64_t value;
+	size_t i;
+
+	for (i = 0; fields->error == ERROR_NONE && i < count; i++) {
+		value = message_fields_uint(fields, numbers[i].key);
+		if (fields->error == ERROR_MISSING_FIELD)
+			fields->error = ERROR_NONE;
+		if (fields->error == ERROR_NONE)
+			memcpy((char *)members + numbers[i].offset, &value,
+			    sizeof(value));
+	}
+}
+
 void
 message_fields_text(
     struct message_fields *fields, uint32_t key, char *value, size_t value_size)
@@ -399,6 +445,16 @@
 	return array;
 }
 
+/* Returns the value of the member that @p number describes. */
+static uint64_t
+load_number(const struct message_number *number, const void *members)
+{
+	uint64_t value;
+
+	memcpy(&value, (const char *)members + number->offset, sizeof(value));
+	return value;
+}
+
 /*
  * Checks one value with all that is nested in it. msgpack allocates memory for
  * as many elements as a header declares, so each declared count is first
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -49,6 +49,13 @@
 	enum error_code error;		     /**< First error. */
 };
 
+/** Maps an optional field to a member of type uint64_t or int64_t of a struct.
+ * A member that is 0 is not written, and an absent field reads as 0. */
+struct message_number {
+	uint32_t key;  /**< Key of the field. */
+	size_t offset; /**< Offset of the member in the struct. */
+};
+
 /* Writing */
 
 /** Initialises a writer with an empty message. */
@@ -79,6 +86,13 @@
     struct message_writer *writer, uint32_t key, uint32_t count);
 /** Writes an unsigned integer as the next element of an array. */
 void message_add_uint(struct message_writer *writer, uint64_t value);
+/** Returns how many of these members of @p members are not 0, which is the number
+ * of fields that message_put_numbers() writes. */
+uint32_t message_count_numbers(
+    const struct message_number *numbers, size_t count, const void *members);
+/** Writes a field for each of these members of @p members that is not 0. */
+void message_put_numbers(struct message_writer *writer,
+    const struct message_number *numbers, size_t count, const void *members);
 /** Returns the bytes written so far; valid until the next write. */
 const void *message_data(const struct message_writer *writer);
 /** Returns the number of bytes written so far. */
@@ -155,6 +169,10 @@
 uint32_t message_fields_uint32(struct message_fields *fields, uint32_t key);
 /** Returns a signed integer field, 0 after an error. */
 int64_t message_fields_int(struct message_fields *fields, uint32_t key);
+/** Reads the optional fields that message_put_numbers() writes; leaves the rest of
+ * the members as they are after an error. */
+void message_fields_numbers(struct message_fields *fields,
+    const struct message_number *numbers, size_t count, void *members);
 /** Copies a string field; leaves @p value as it is after an error. */
 void message_fields_text(struct message_fields *fields, uint32_t key,
     char *value, size_t value_size);
--- a/src/protocol/config_feed_message.c
+++ b/src/protocol/config_feed_message.c
@@ -22,14 +22,8 @@
 	FIELD_BYTES = 13,
 };
 
-/* Maps a numeric field on the wire to its member of struct feed_message. A
- * member that is 0 is not written. */
-struct number_field {
-	enum field key;
-	size_t offset;
-};
-
-static const struct number_field number_fields[] = {
+/* The optional fields that are numbers. */
+static const struct message_number number_fields[] = {
     {FIELD_NUMBER, offsetof(struct feed_message, request_number)},
     {FIELD_INCARNATION, offsetof(struct feed_message, incarnation)},
     {FIELD_APPLIED, offsetof(struct feed_message, applied_index)},
@@ -45,8 +39,6 @@
 
 #define NUMBER_FIELD_COUNT (sizeof(number_fields) / sizeof(number_fields[0]))
 
-static uint64_t *field_pointer(
-    struct feed_message *message, const struct number_field *field);
 static enum error_code read_fields(
     const struct message_reader *reader, struct feed_message *message);
 
@@ -54,21 +46,15 @@
 feed_message_write(
     struct message_writer *writer, const struct feed_message *message)
 {
-	struct feed_message copy = *message;
 	uint32_t count;
-	size_t i;
 
 	count = message->size > 0 ? 3 : 2;
-	for (i = 0; i < NUMBER_FIELD_COUNT; i++)
-		count += *field_pointer(&copy, &number_fields[i]) != 0;
+	count +=
+	    message_count_numbers(number_fields, NUMBER_FIELD_COUNT, message);
 	message_begin_map(writer, count);
 	message_put_uint(writer, FIELD_VERSION, CONFIG_FEED_MESSAGE_VERSION);
 	message_put_uint(writer, FIELD_TYPE, message->type);
-	for (i = 0; i < NUMBER_FIELD_COUNT; i++) {
-		if (*field_pointer(&copy, &number_fields[i]) != 0)
-			message_put_uint(writer, number_fields[i].key,
-			    *field_pointer(&copy, &number_fields[i]));
-	}
+	message_put_numbers(writer, number_fields, NUMBER_FIELD_COUNT, message);
 	if (message->size > 0)
 		message_put_bytes(
 		    writer, FIELD_BYTES, message->bytes, message->size);
@@ -90,35 +76,25 @@
 	return error;
 }
 
-/* Returns a pointer to the member that @p field describes. */
-static uint64_t *
-field_pointer(struct feed_message *message, const struct number_field *field)
-{
-	return (uint64_t *)(void *)((char *)message + field->offset);
-}
-
 static enum error_code
 read_fields(const struct message_reader *reader, struct feed_message *message)
 {
+	struct message_fields fields = {.reader = reader};
 	enum error_code error;
 	uint64_t type;
-	size_t i;
 
-	error = message_check_version(reader, CONFIG_FEED_MESSAGE_VERSION);
-	if (error != ERROR_NONE)
-		return error;
-	error = message_get_uint(reader, FIELD_TYPE, &type);
-	if (error != ERROR_NONE)
-		return error;
+	fields.error =
+	    message_check_version(reader, CONFIG_FEED_MESSAGE_VERSION);
+	type = message_fields_uint(&fields, FIELD_TYPE);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (type < FEED_TYPE_RENEWAL_REQUEST || type > FEED_TYPE_REFUSAL)
 		return ERROR_NOT_SUPPORTED;
 	message->type = (enum feed_type)type;
-	for (i = 0; i < NUMBER_FIELD_COUNT; i++) {
-		error = message_get_uint(reader, number_fields[i].key,
-		    field_pointer(message, &number_fields[i]));
-		if (error != ERROR_NONE && error != ERROR_MISSING_FIELD)
-			return error;
-	}
+	message_fields_numbers(
+	    &fields, number_fields, NUMBER_FIELD_COUNT, message);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	error = message_get_bytes(
 	    reader, FIELD_BYTES, &message->bytes, &message->size);
 	return error == ERROR_MISSING_FIELD ? ERROR_NONE : error;
--- a/src/protocol/consensus_message.c
+++ b/src/protocol/consensus_message.c
@@ -46,14 +46,8 @@
 #define FLAG_TRANSFER	    4u
 #define FLAG_TIME_REFERENCE 8u
 
-/* Maps a numeric field on the wire to its member of struct consensus_message. A
- * member that is 0 is not written. */
-struct number_field {
-	uint32_t key;
-	size_t offset;
-};
-
-static const struct number_field number_fields[] = {
+/* The optional fields that are numbers. */
+static const struct message_number number_fields[] = {
     {FIELD_CLUSTER, offsetof(struct consensus_message, cluster_id)},
     {FIELD_FROM_INCARNATION,
 	offsetof(struct consensus_message, from_incarnation)},
@@ -70,8 +64,6 @@
 
 #define NUMBER_FIELD_COUNT (sizeof(number_fields) / sizeof(number_fields[0]))
 
-static uint64_t read_number(
-    const struct consensus_message *message, const struct number_field *field);
 static void put_voters(
     struct message_writer *writer, const struct voter_set *voters);
 static enum error_code get_voters(
@@ -87,7 +79,6 @@
     const struct consensus_message *message, struct message_writer *writer)
 {
 	uint32_t fields, flags;
-	size_t i;
 
 	flags = (message->is_granted ? FLAG_GRANTED : 0) |
 		(message->is_pre_vote ? FLAG_PRE_VOTE : 0) |
@@ -96,18 +87,13 @@
 	fields = 3 + (message->data_size > 0 ? 1 : 0) +
 		 (message->voters.count > 0 ? 1 : 0) +
 		 (message->entry_count > 0 ? 1 : 0);
-	for (i = 0; i < NUMBER_FIELD_COUNT; i++)
-		fields += read_number(message, &number_fields[i]) != 0;
+	fields +=
+	    message_count_numbers(number_fields, NUMBER_FIELD_COUNT, message);
 	message_begin_map(writer, fields);
 	message_put_uint(writer, FIELD_VERSION, CONSENSUS_MESSAGE_VERSION);
 	message_put_uint(writer, FIELD_TYPE, message->type);
 	message_put_uint(writer, FIELD_FLAGS, flags);
-	for (i = 0; i < NUMBER_FIELD_COUNT; i++) {
-		uint64_t value = read_number(message, &number_fields[i]);
-
-		if (value != 0)
-			message_put_uint(writer, number_fields[i].key, value);
-	}
+	message_put_numbers(writer, number_fields, NUMBER_FIELD_COUNT, message);
 	if (message->data_size > 0)
 		message_put_bytes(
 		    writer, FIELD_DATA, message->data, message->data_size);
@@ -175,17 +161,6 @@
 	return message_read(data, size, get_voters, voters);
 }
 
-/* Returns the value of the member that @p field describes. */
-static uint64_t
-read_number(
-    const struct consensus_message *message, const struct number_field *field)
-{
-	uint64_t value;
-
-	memcpy(&value, (const char *)message + field->offset, sizeof(value));
-	return value;
-}
-
 static void
 put_voters(struct message_writer *writer, const struct voter_set *voters)
 {
@@ -267,26 +242,20 @@
 static enum error_code
 decode_fields(struct consensus_message *message)
 {
+	struct message_fields fields = {.reader = &message->reader};
 	struct journal_entry entry;
 	enum error_code error;
-	uint64_t value;
+	uint64_t flags;
 	uint32_t i;
 
-	for (i = 0; i < NUMBER_FIELD_COUNT; i++) {
-		value = 0;
-		error = ignore_missing(message_get_uint(
-		    &message->reader, number_fields[i].key, &value));
-		if (error != ERROR_NONE)
-			return error;
-		memcpy((char *)message + number_fields[i].offset, &value,
-		    sizeof(value));
-	}
-	value = 0;
-	error = message_get_uint(&message->reader, FIELD_FLAGS, &value);
-	message->is_granted = (value & FLAG_GRANTED) != 0;
-	message->is_pre_vote = (value & FLAG_PRE_VOTE) != 0;
-	message->is_transfer = (value & FLAG_TRANSFER) != 0;
-	message->has_time_reference = (value & FLAG_TIME_REFERENCE) != 0;
+	message_fields_numbers(
+	    &fields, number_fields, NUMBER_FIELD_COUNT, message);
+	flags = message_fields_uint(&fields, FIELD_FLAGS);
+	message->is_granted = (flags & FLAG_GRANTED) != 0;
+	message->is_pre_vote = (flags & FLAG_PRE_VOTE) != 0;
+	message->is_transfer = (flags & FLAG_TRANSFER) != 0;
+	message->has_time_reference = (flags & FLAG_TIME_REFERENCE) != 0;
+	error = fields.error;
 	if (error == ERROR_NONE)
 		error = ignore_missing(message_get_bytes(&message->reader,
 		    FIELD_DATA, &message->data, &message->data_size));
