Commands are read field by field, with one check at the end

The readers of command bodies repeated a check of the error after each field. They now use message_fields_X() of the codec, as the messages do. The order of reading and the errors are the same; a result that can't be read stays empty as before. test_wire_bytes, test_agreement, test_replicated_state, test_order_runner, test_quarantine_hosts, test_crashing_part and test_journal pass.

--- a/src/state/command.c
+++ b/src/state/command.c
@@ -104,44 +104,49 @@
 	RESULT_FIELD_COUNT,
 };
 
+static enum error_code read_command(
+    const struct message_reader *reader, void *context);
+static enum error_code read_result(
+    const struct message_reader *reader, void *context);
 static void put_text(
     struct message_writer *writer, uint32_t key, const char *text);
-static enum error_code get_text(const struct message_reader *reader,
-    uint32_t key, char *text, size_t text_size);
+static void get_text(
+    struct message_fields *fields, uint32_t key, char *text, size_t text_size);
 static void put_header(struct message_writer *writer,
     const struct command *command, uint32_t fields);
+static void get_body(struct message_fields *fields, struct command *command);
 static void put_config(
     struct message_writer *writer, const struct command_config *config);
+static void get_config(
+    struct message_fields *fields, struct command_config *config);
+static enum error_code get_change(const struct message_array *array,
+    uint32_t index, struct config_change *change);
 static void put_claim(
     struct message_writer *writer, const struct command_claim *claim);
+static void get_claim(
+    struct message_fields *fields, struct command_claim *claim);
+static void get_quarantine(
+    struct message_fields *fields, struct command_quarantine *quarantine);
 static void put_order(
     struct message_writer *writer, const struct command_order *order);
+static void get_order(
+    struct message_fields *fields, struct command_order *order);
 static void put_hosts(
     struct message_writer *writer, const struct command_hosts *hosts);
+static void get_hosts(
+    struct message_fields *fields, struct command_hosts *hosts);
+static enum error_code get_host(
+    const struct message_array *array, uint32_t index, struct live_host *host);
 static void put_document(
     struct message_writer *writer, const struct command_document *document);
+static void get_document(
+    struct message_fields *fields, struct command_document *document);
 static void put_parts(
     struct message_writer *writer, const struct command_parts *parts);
-static enum error_code get_parts(
-    const struct message_reader *reader, struct command_parts *parts);
+static void get_parts(
+    struct message_fields *fields, struct command_parts *parts);
 static enum error_code get_evidence(const struct message_array *array,
     uint32_t index, struct part_evidence *evidence);
-static enum error_code get_body(
-    const struct message_reader *reader, struct command *command);
-static enum error_code get_config(
-    const struct message_reader *reader, struct command_config *config);
-static enum error_code get_change(const struct message_array *array,
-    uint32_t index, struct config_change *change);
-static enum error_code get_claim(
-    const struct message_reader *reader, struct command_claim *claim);
-static enum error_code get_quarantine(
-    const struct message_reader *reader, struct command_quarantine *quarantine);
-static enum error_code get_order(
-    const struct message_reader *reader, struct command_order *order);
-static enum error_code get_hosts(
-    const struct message_reader *reader, struct command_hosts *hosts);
-static enum error_code get_document(
-    const struct message_reader *reader, struct command_document *document);
 
 enum error_code
 command_encode(const struct command *command, struct message_writer *writer)
@@ -210,25 +215,10 @@
 enum error_code
 command_decode(struct command *command, const void *data, size_t size)
 {
-	struct message_reader reader;
 	enum error_code error;
-	uint64_t type;
 
 	memset(command, 0, sizeof(*command));
-	error = message_reader_init(&reader, data, size);
-	if (error != ERROR_NONE)
-		return error;
-	error = message_check_version(&reader, COMMAND_VERSION);
-	if (error == ERROR_NONE)
-		error = message_get_uint(&reader, FIELD_TYPE, &type);
-	if (error == ERROR_NONE)
-		error = get_text(&reader, FIELD_OPERATION,
-		    command->operation_id, sizeof(command->operation_id));
-	if (error == ERROR_NONE) {
-		command->type = (enum command_type)type;
-		error = get_body(&reader, command);
-	}
-	message_reader_finish(&reader);
+	error = message_read(data, size, read_command, command);
 	if (error != ERROR_NONE)
 		command_finish(command);
 	return error;
@@ -275,34 +265,59 @@
 command_result_decode(
     struct command_result *result, const void *data, size_t size)
 {
-	uint64_t values[RESULT_FIELD_COUNT] = {0};
-	struct message_reader reader;
 	enum error_code error;
-	uint32_t i;
 
 	memset(result, 0, sizeof(*result));
-	error = message_reader_init(&reader, data, size);
-	for (i = 0; error == ERROR_NONE && i < RESULT_FIELD_COUNT; i++)
-		error = message_get_uint(&reader, i, &values[i]);
-	message_reader_finish(&reader);
+	error = message_read(data, size, read_result, result);
 	if (error != ERROR_NONE)
-		return error;
-	if (values[RESULT_FIELD_VERSION] != COMMAND_VERSION)
+		memset(result, 0, sizeof(*result));
+	return error;
+}
+
+static enum error_code
+read_command(const struct message_reader *reader, void *context)
+{
+	struct command *command = context;
+	struct message_fields fields = {.reader = reader};
+	uint64_t type;
+
+	fields.error = message_check_version(reader, COMMAND_VERSION);
+	type = message_fields_uint(&fields, FIELD_TYPE);
+	get_text(&fields, FIELD_OPERATION, command->operation_id,
+	    sizeof(command->operation_id));
+	if (fields.error != ERROR_NONE)
+		return fields.error;
+	command->type = (enum command_type)type;
+	get_body(&fields, command);
+	return fields.error;
+}
+
+static enum error_code
+read_result(const struct message_reader *reader, void *context)
+{
+	struct message_fields fields = {.reader = reader};
+	struct command_result *result = context;
+	uint64_t version, code;
+
+	version = message_fields_uint(&fields, RESULT_FIELD_VERSION);
+	code = message_fields_uint(&fields, RESULT_FIELD_ERROR);
+	result->error =
+	    code < ERROR_CODE_COUNT ? (enum error_code)code : ERROR_INTERNAL;
+	result->index = message_fields_uint(&fields, RESULT_FIELD_INDEX);
+	result->sequence = message_fields_uint(&fields, RESULT_FIELD_SEQUENCE);
+	result->revision = message_fields_uint(&fields, RESULT_FIELD_REVISION);
+	result->claim_state = (enum claim_state)message_fields_uint(
+	    &fields, RESULT_FIELD_CLAIM_STATE);
+	result->claim_outcome = (enum request_outcome)message_fields_uint(
+	    &fields, RESULT_FIELD_CLAIM_OUTCOME);
+	result->claim_host =
+	    (uint32_t)message_fields_uint(&fields, RESULT_FIELD_CLAIM_HOST);
+	result->fencing_number =
+	    message_fields_uint(&fields, RESULT_FIELD_FENCING);
+	result->epoch = message_fields_uint(&fields, RESULT_FIELD_EPOCH);
+	if (fields.error == ERROR_NONE && version != COMMAND_VERSION)
 		return ERROR_UNSUPPORTED_VERSION;
-	result->error = values[RESULT_FIELD_ERROR] < ERROR_CODE_COUNT
-			    ? (enum error_code)values[RESULT_FIELD_ERROR]
-			    : ERROR_INTERNAL;
-	result->index = values[RESULT_FIELD_INDEX];
-	result->sequence = values[RESULT_FIELD_SEQUENCE];
-	result->revision = values[RESULT_FIELD_REVISION];
-	result->claim_state =
-	    (enum claim_state)values[RESULT_FIELD_CLAIM_STATE];
-	result->claim_outcome =
-	    (enum request_outcome)values[RESULT_FIELD_CLAIM_OUTCOME];
-	result->claim_host = (uint32_t)values[RESULT_FIELD_CLAIM_HOST];
-	result->fencing_number = values[RESULT_FIELD_FENCING];
-	result->epoch = values[RESULT_FIELD_EPOCH];
-	return ERROR_NONE;
+	return fields.error;
 }
 
 /* Encodes a text, which may be empty, as a field of raw bytes. */
@@ -312,25 +327,27 @@
 	message_put_bytes(writer, key, text, strlen(text));
 }
 
-static enum error_code
-get_text(const struct message_reader *reader, uint32_t key, char *text,
-    size_t text_size)
+static void
+get_text(
+    struct message_fields *fields, uint32_t key, char *text, size_t text_size)
 {
-	enum error_code error;
 	const void *bytes;
 	size_t size;
 
-	error = message_get_bytes(reader, key, &bytes, &size);
-	if (error != ERROR_NONE)
-		return error;
-	if (size >= text_size)
-		return ERROR_TOO_LARGE;
-	if (size > 0 && memchr(bytes, '\0', size) != NULL)
-		return ERROR_MALFORMED;
+	bytes = message_fields_bytes(fields, key, &size);
+	if (fields->error != ERROR_NONE)
+		return;
+	if (size >= text_size) {
+		fields->error = ERROR_TOO_LARGE;
+		return;
+	}
+	if (size > 0 && memchr(bytes, '\0', size) != NULL) {
+		fields->error = ERROR_MALFORMED;
+		return;
+	}
 	if (size > 0)
 		memcpy(text, bytes, size);
 	text[size] = '\0';
-	return ERROR_NONE;
 }
 
 static void
@@ -413,29 +430,25 @@
 	    writer, DOCUMENT_FIELD_DATA, document->data, document->size);
 }
 
-static enum error_code
-get_document(
-    const struct message_reader *reader, struct command_document *document)
+static void
+get_document(struct message_fields *fields, struct command_document *document)
 {
-	enum error_code error;
 	const void *data;
 
-	error = get_text(reader, DOCUMENT_FIELD_NAME, document->name,
+	get_text(fields, DOCUMENT_FIELD_NAME, document->name,
 	    sizeof(document->name));
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    reader, DOCUMENT_FIELD_VERSION, &document->version);
-	if (error == ERROR_NONE)
-		error = message_get_bytes(
-		    reader, DOCUMENT_FIELD_DATA, &data, &document->size);
-	if (error != ERROR_NONE)
-		return error;
+	document->version = message_fields_uint(fields, DOCUMENT_FIELD_VERSION);
+	data =
+	    message_fields_bytes(fields, DOCUMENT_FIELD_DATA, &document->size);
+	if (fields->error != ERROR_NONE)
+		return;
 	document->owned_copy = malloc(document->size + 1);
-	if (document->owned_copy == NULL)
-		return ERROR_NO_MEMORY;
+	if (document->owned_copy == NULL) {
+		fields->error = ERROR_NO_MEMORY;
+		return;
+	}
 	memcpy(document->owned_copy, data, document->size);
 	document->data = document->owned_copy;
-	return ERROR_NONE;
 }
 
 static void
@@ -460,26 +473,21 @@
 	}
 }
 
-static enum error_code
-get_parts(const struct message_reader *reader, struct command_parts *parts)
+static void
+get_parts(struct message_fields *fields, struct command_parts *parts)
 {
-	struct message_array array = {0};
-	enum error_code error;
+	struct message_array array;
 	uint32_t i;
 
-	error = message_get_uint(reader, PARTS_FIELD_CRASH, &parts->crash_id);
-	if (error == ERROR_NONE)
-		error =
-		    message_get_uint32(reader, PARTS_FIELD_AGE, &parts->age_ms);
-	if (error == ERROR_NONE)
-		error = message_get_array(reader, PARTS_FIELD_PARTS, &array);
-	if (error == ERROR_NONE && array.count > COMMAND_PARTS_MAX)
-		error = ERROR_TOO_LARGE;
-	for (i = 0; error == ERROR_NONE && i < array.count; i++)
-		error = get_evidence(&array, i, &parts->evidence[i]);
-	if (error == ERROR_NONE)
+	parts->crash_id = message_fields_uint(fields, PARTS_FIELD_CRASH);
+	parts->age_ms = message_fields_uint32(fields, PARTS_FIELD_AGE);
+	array = message_fields_array(fields, PARTS_FIELD_PARTS);
+	if (array.count > COMMAND_PARTS_MAX)
+		fields->error = ERROR_TOO_LARGE;
+	for (i = 0; fields->error == ERROR_NONE && i < array.count; i++)
+		fields->error = get_evidence(&array, i, &parts->evidence[i]);
+	if (fields->error == ERROR_NONE)
 		parts->count = array.count;
-	return error;
 }
 
 static enum error_code
@@ -487,23 +495,18 @@
     struct part_evidence *evidence)
 {
 	struct message_reader element;
-	enum error_code error;
+	struct message_fields fields = {.reader = &element};
 	const void *companions;
 	uint32_t i;
 	size_t size;
 
-	error = message_array_get_map(array, index, &element);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    &element, PART_FIELD_PART, &evidence->part);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    &element, PART_FIELD_REQUEST, &evidence->request);
-	if (error == ERROR_NONE)
-		error = message_get_bytes(
-		    &element, PART_FIELD_COMPANIONS, &companions, &size);
-	if (error != ERROR_NONE)
-		return error;
+	fields.error = message_array_get_map(array, index, &element);
+	evidence->part = message_fields_uint(&fields, PART_FIELD_PART);
+	evidence->request = message_fields_uint(&fields, PART_FIELD_REQUEST);
+	companions =
+	    message_fields_bytes(&fields, PART_FIELD_COMPANIONS, &size);
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (size > sizeof(evidence->companions) ||
 	    size % sizeof(evidence->companions[0]) != 0)
 		return ERROR_MALFORMED;
@@ -516,57 +519,64 @@
 	return ERROR_NONE;
 }
 
-static enum error_code
-get_body(const struct message_reader *reader, struct command *command)
+/* Reads the body of a command of this type. */
+static void
+get_body(struct message_fields *fields, struct command *command)
 {
 	switch (command->type) {
 	case COMMAND_CONFIG:
-		return get_config(reader, &command->body.config);
+		get_config(fields, &command->body.config);
+		return;
 	case COMMAND_CLAIM_BEGIN:
 	case COMMAND_CLAIM_FINISH:
-		return get_claim(reader, &command->body.claim);
+		get_claim(fields, &command->body.claim);
+		return;
 	case COMMAND_QUARANTINE:
-		return get_quarantine(reader, &command->body.quarantine);
+		get_quarantine(fields, &command->body.quarantine);
+		return;
 	case COMMAND_ORDER_BEGIN:
 	case COMMAND_ORDER_FINISH:
-		return get_order(reader, &command->body.order);
+		get_order(fields, &command->body.order);
+		return;
 	case COMMAND_SET_LIVE_HOSTS:
-		return get_hosts(reader, &command->body.hosts);
+		get_hosts(fields, &command->body.hosts);
+		return;
 	case COMMAND_DOCUMENT:
-		return get_document(reader, &command->body.document);
+		get_document(fields, &command->body.document);
+		return;
 	case COMMAND_BARRIER:
-		return ERROR_NONE;
+		return;
 	case COMMAND_PARTS_CRASHED:
 	case COMMAND_PARTS_CLEARED:
-		return get_parts(reader, &command->body.parts);
+		get_parts(fields, &command->body.parts);
+		return;
 	}
-	return ERROR_NOT_SUPPORTED;
+	fields->error = ERROR_NOT_SUPPORTED;
 }
 
-static enum error_code
-get_config(const struct message_reader *reader, struct command_config *config)
+static void
+get_config(struct message_fields *fields, struct command_config *config)
 {
 	struct message_array array;
-	enum error_code error;
 	uint32_t i;
 
-	error = message_get_uint(
-	    reader, CONFIG_FIELD_EXPECTED, &config->expected_revision);
-	if (error == ERROR_NONE)
-		error = message_get_array(reader, CONFIG_FIELD_CHANGES, &array);
-	if (error != ERROR_NONE)
-		return error;
-	if (array.count == 0)
-		return ERROR_INVALID_ARGUMENT;
+	config->expected_revision =
+	    message_fields_uint(fields, CONFIG_FIELD_EXPECTED);
+	array = message_fields_array(fields, CONFIG_FIELD_CHANGES);
+	if (fields->error == ERROR_NONE && array.count == 0)
+		fields->error = ERROR_INVALID_ARGUMENT;
 	if (array.count > CONFIG_CHANGES_MAX)
-		return ERROR_TOO_LARGE;
+		fields->error = ERROR_TOO_LARGE;
+	if (fields->error != ERROR_NONE)
+		return;
 	config->changes = calloc(array.count, sizeof(*config->changes));
-	if (config->changes == NULL)
-		return ERROR_NO_MEMORY;
+	if (config->changes == NULL) {
+		fields->error = ERROR_NO_MEMORY;
+		return;
+	}
 	config->change_count = array.count;
-	for (i = 0; error == ERROR_NONE && i < array.count; i++)
-		error = get_change(&array, i, &config->changes[i]);
-	return error;
+	for (i = 0; fields->error == ERROR_NONE && i < array.count; i++)
+		fields->error = get_change(&array, i, &config->changes[i]);
 }
 
 static enum error_code
@@ -574,145 +584,109 @@
     struct config_change *change)
 {
 	struct message_reader element;
-	enum error_code error;
+	struct message_fields fields = {.reader = &element};
 
-	error = message_array_get_map(array, index, &element);
-	if (error == ERROR_NONE)
-		error = get_text(&element, CHANGE_FIELD_KEY, change->key,
-		    sizeof(change->key));
-	if (error != ERROR_NONE)
-		return error;
+	fields.error = message_array_get_map(array, index, &element);
+	get_text(&fields, CHANGE_FIELD_KEY, change->key, sizeof(change->key));
+	if (fields.error != ERROR_NONE)
+		return fields.error;
 	if (change->key[0] == '\0')
 		return ERROR_INVALID_ARGUMENT;
-	error = get_text(
-	    &element, CHANGE_FIELD_VALUE, change->value, sizeof(change->value));
-	change->is_delete = error == ERROR_MISSING_FIELD;
-	return change->is_delete ? ERROR_NONE : error;
+	get_text(
+	    &fields, CHANGE_FIELD_VALUE, change->value, sizeof(change->value));
+	change->is_delete = fields.error == ERROR_MISSING_FIELD;
+	return change->is_delete ? ERROR_NONE : fields.error;
 }
 
-static enum error_code
-get_claim(const struct message_reader *reader, struct command_claim *claim)
+static void
+get_claim(struct message_fields *fields, struct command_claim *claim)
 {
-	enum error_code error;
 	uint32_t outcome;
 
-	error = get_text(reader, CLAIM_FIELD_ACCOUNT, claim->client_account,
+	get_text(fields, CLAIM_FIELD_ACCOUNT, claim->client_account,
 	    sizeof(claim->client_account));
-	if (error == ERROR_NONE)
-		error = get_text(reader, CLAIM_FIELD_KEY,
-		    claim->idempotency_key, sizeof(claim->idempotency_key));
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    reader, CLAIM_FIELD_FINGERPRINT, &claim->fingerprint);
-	if (error == ERROR_NONE)
-		error = message_get_uint32(
-		    reader, CLAIM_FIELD_HOST, &claim->host_id);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    reader, CLAIM_FIELD_INCARNATION, &claim->host_incarnation);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    reader, CLAIM_FIELD_REQUEST, &claim->request_id);
-	if (error == ERROR_NONE)
-		error = message_get_int(
-		    reader, CLAIM_FIELD_CREATED, &claim->created_ms);
-	if (error == ERROR_NONE)
-		error =
-		    message_get_uint32(reader, CLAIM_FIELD_OUTCOME, &outcome);
-	if (error != ERROR_NONE)
-		return error;
+	get_text(fields, CLAIM_FIELD_KEY, claim->idempotency_key,
+	    sizeof(claim->idempotency_key));
+	claim->fingerprint =
+	    message_fields_uint(fields, CLAIM_FIELD_FINGERPRINT);
+	claim->host_id = message_fields_uint32(fields, CLAIM_FIELD_HOST);
+	claim->host_incarnation =
+	    message_fields_uint(fields, CLAIM_FIELD_INCARNATION);
+	claim->request_id = message_fields_uint(fields, CLAIM_FIELD_REQUEST);
+	claim->created_ms = message_fields_int(fields, CLAIM_FIELD_CREATED);
+	outcome = message_fields_uint32(fields, CLAIM_FIELD_OUTCOME);
 	if (outcome > REQUEST_OUTCOME_UNKNOWN)
-		return ERROR_INVALID_ARGUMENT;
-	claim->outcome = (enum request_outcome)outcome;
-	return ERROR_NONE;
+		fields->error = ERROR_INVALID_ARGUMENT;
+	else
+		claim->outcome = (enum request_outcome)outcome;
 }
 
-static enum error_code
+static void
 get_quarantine(
-    const struct message_reader *reader, struct command_quarantine *quarantine)
+    struct message_fields *fields, struct command_quarantine *quarantine)
 {
-	enum error_code error;
-	uint64_t must_run_alone = 0;
-
-	error = message_get_uint(
-	    reader, QUARANTINE_FIELD_FINGERPRINT, &quarantine->fingerprint);
-	if (error == ERROR_NONE)
-		error = message_get_int(
-		    reader, QUARANTINE_FIELD_UNTIL, &quarantine->until_ms);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    reader, QUARANTINE_FIELD_SUSPICION, &must_run_alone);
-	if (error == ERROR_NONE)
-		error = message_get_uint32(
-		    reader, QUARANTINE_FIELD_CRASHES, &quarantine->crashes);
-	if (error == ERROR_NONE)
-		error = message_get_uint32(reader, QUARANTINE_FIELD_WEIGHT,
-		    &quarantine->weight_permille);
-	quarantine->must_run_alone = error == ERROR_NONE && must_run_alone != 0;
+	quarantine->fingerprint =
+	    message_fields_uint(fields, QUARANTINE_FIELD_FINGERPRINT);
+	quarantine->until_ms =
+	    message_fields_int(fields, QUARANTINE_FIELD_UNTIL);
+	quarantine->must_run_alone =
+	    message_fields_uint(fields, QUARANTINE_FIELD_SUSPICION) != 0;
+	quarantine->crashes =
+	    message_fields_uint32(fields, QUARANTINE_FIELD_CRASHES);
+	quarantine->weight_permille =
+	    message_fields_uint32(fields, QUARANTINE_FIELD_WEIGHT);
 	/* Entries in older journals don't tell the host. */
-	if (message_get_uint32(reader, QUARANTINE_FIELD_HOST,
+	if (message_get_uint32(fields->reader, QUARANTINE_FIELD_HOST,
 		&quarantine->host_id) != ERROR_NONE)
 		quarantine->host_id = 0;
-	return error;
 }
 
-static enum error_code
-get_order(const struct message_reader *reader, struct command_order *order)
+static void
+get_order(struct message_fields *fields, struct command_order *order)
 {
-	enum error_code error;
-
-	error =
-	    message_get_uint(reader, ORDER_FIELD_UPSTREAM, &order->upstream_id);
-	if (error == ERROR_NONE)
-		error =
-		    message_get_uint32(reader, ORDER_FIELD_KIND, &order->kind);
-	if (error == ERROR_NONE)
-		error = get_text(reader, ORDER_FIELD_ARGUMENT, order->argument,
-		    sizeof(order->argument));
-	if (error == ERROR_NONE)
-		error = message_get_uint32(
-		    reader, ORDER_FIELD_HOST, &order->host_id);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    reader, ORDER_FIELD_SUPERSEDES, &order->supersedes);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    reader, ORDER_FIELD_FENCING, &order->fencing_number);
-	if (error == ERROR_NONE)
-		error = message_get_uint32(
-		    reader, ORDER_FIELD_OUTCOME, &order->outcome);
-	return error;
+	order->upstream_id = message_fields_uint(fields, ORDER_FIELD_UPSTREAM);
+	order->kind = message_fields_uint32(fields, ORDER_FIELD_KIND);
+	get_text(fields, ORDER_FIELD_ARGUMENT, order->argument,
+	    sizeof(order->argument));
+	order->host_id = message_fields_uint32(fields, ORDER_FIELD_HOST);
+	order->supersedes = message_fields_uint(fields, ORDER_FIELD_SUPERSEDES);
+	order->fencing_number =
+	    message_fields_uint(fields, ORDER_FIELD_FENCING);
+	order->outcome = message_fields_uint32(fields, ORDER_FIELD_OUTCOME);
 }
 
-static enum error_code
-get_hosts(const struct message_reader *reader, struct command_hosts *hosts)
+static void
+get_hosts(struct message_fields *fields, struct command_hosts *hosts)
 {
-	struct message_reader element;
 	struct message_array array;
-	enum error_code error;
 	uint32_t i;
 
-	error =
-	    message_get_uint(reader, HOSTS_FIELD_EPOCH, &hosts->expected_epoch);
-	if (error == ERROR_NONE)
-		error = message_get_array(reader, HOSTS_FIELD_HOSTS, &array);
-	if (error != ERROR_NONE)
-		return error;
+	hosts->expected_epoch = message_fields_uint(fields, HOSTS_FIELD_EPOCH);
+	array = message_fields_array(fields, HOSTS_FIELD_HOSTS);
 	if (array.count > HOSTS_MAX)
-		return ERROR_TOO_LARGE;
+		fields->error = ERROR_TOO_LARGE;
+	if (fields->error != ERROR_NONE)
+		return;
 	hosts->hosts = calloc(array.count + 1, sizeof(*hosts->hosts));
-	if (hosts->hosts == NULL)
-		return ERROR_NO_MEMORY;
-	hosts->count = array.count;
-	for (i = 0; error == ERROR_NONE && i < array.count; i++) {
-		error = message_array_get_map(&array, i, &element);
-		if (error == ERROR_NONE)
-			error = message_get_uint32(
-			    &element, HOST_FIELD_ID, &hosts->hosts[i].host_id);
-		if (error == ERROR_NONE)
-			error =
-			    message_get_uint(&element, HOST_FIELD_INCARNATION,
-				&hosts->hosts[i].incarnation);
+	if (hosts->hosts == NULL) {
+		fields->error = ERROR_NO_MEMORY;
+		return;
 	}
-	return error;
+	hosts->count = array.count;
+	for (i = 0; fields->error == ERROR_NONE && i < array.count; i++)
+		fields->error = get_host(&array, i, &hosts->hosts[i]);
+}
+
+static enum error_code
+get_host(
+    const struct message_array *array, uint32_t index, struct live_host *host)
+{
+	struct message_reader element;
+	struct message_fields fields = {.reader = &element};
+
+	fields.error = message_array_get_map(array, index, &element);
+	host->host_id = message_fields_uint32(&fields, HOST_FIELD_ID);
+	host->incarnation =
+	    message_fields_uint(&fields, HOST_FIELD_INCARNATION);
+	return fields.error;
 }
