Results of commands are encoded in a file of their own

The encoding of results moves to state/command_result.c; nothing else changes. test_wire_bytes, test_agreement, test_replicated_state and test_order_runner pass.

--- a/src/state/command.c
+++ b/src/state/command.c
@@ -5,7 +5,7 @@
 
 #include <glib.h>
 
-#define COMMAND_VERSION 1 /* Format of encoded commands and results. */
+#define COMMAND_VERSION 1 /* Format of encoded commands. */
 
 /* Message fields of every command; those of a body start at FIELD_BODY. */
 enum command_field {
@@ -89,25 +89,8 @@
 	PART_FIELD_COMPANIONS = 1, /* Hashes, least significant byte first. */
 };
 
-/* Message fields of a command's result. */
-enum result_field {
-	RESULT_FIELD_VERSION = 0,
-	RESULT_FIELD_ERROR,
-	RESULT_FIELD_INDEX,
-	RESULT_FIELD_SEQUENCE,
-	RESULT_FIELD_REVISION,
-	RESULT_FIELD_CLAIM_STATE,
-	RESULT_FIELD_CLAIM_OUTCOME,
-	RESULT_FIELD_CLAIM_HOST,
-	RESULT_FIELD_FENCING,
-	RESULT_FIELD_EPOCH,
-	RESULT_FIELD_COUNT,
-};
-
 static enum error_code read_command(
     const struct message_reader *reader, void *context);
-static enum error_code read_result(
-    const struct message_reader *reader, void *context);
 static void put_text(
     struct message_writer *writer, uint32_t key, const char *text);
 static void get_text(
@@ -243,37 +226,6 @@
 	       type != COMMAND_BARRIER;
 }
 
-void
-command_result_encode(
-    const struct command_result *result, struct message_writer *writer)
-{
-	message_begin_map(writer, RESULT_FIELD_COUNT);
-	message_put_uint(writer, RESULT_FIELD_VERSION, COMMAND_VERSION);
-	message_put_uint(writer, RESULT_FIELD_ERROR, result->error);
-	message_put_uint(writer, RESULT_FIELD_INDEX, result->index);
-	message_put_uint(writer, RESULT_FIELD_SEQUENCE, result->sequence);
-	message_put_uint(writer, RESULT_FIELD_REVISION, result->revision);
-	message_put_uint(writer, RESULT_FIELD_CLAIM_STATE, result->claim_state);
-	message_put_uint(
-	    writer, RESULT_FIELD_CLAIM_OUTCOME, result->claim_outcome);
-	message_put_uint(writer, RESULT_FIELD_CLAIM_HOST, result->claim_host);
-	message_put_uint(writer, RESULT_FIELD_FENCING, result->fencing_number);
-	message_put_uint(writer, RESULT_FIELD_EPOCH, result->epoch);
-}
-
-enum error_code
-command_result_decode(
-    struct command_result *result, const void *data, size_t size)
-{
-	enum error_code error;
-
-	memset(result, 0, sizeof(*result));
-	error = message_read(data, size, read_result, result);
-	if (error != ERROR_NONE)
-		memset(result, 0, sizeof(*result));
-	return error;
-}
-
 static enum error_code
 read_command(const struct message_reader *reader, void *context)
 {
@@ -292,34 +244,6 @@
 	return fields.error;
 }
 
-static enum error_code
-read_result(const struct message_reader *reader, void *context)
-{
-	struct message_fields fields = {.reader = reader};
-	struct command_result *result = context;
-	uint64_t version, code;
-
-	version = message_fields_uint(&fields, RESULT_FIELD_VERSION);
-	code = message_fields_uint(&fields, RESULT_FIELD_ERROR);
-	result->error =
-	    code < ERROR_CODE_COUNT ? (enum error_code)code : ERROR_INTERNAL;
-	result->index = message_fields_uint(&fields, RESULT_FIELD_INDEX);
-	result->sequence = message_fields_uint(&fields, RESULT_FIELD_SEQUENCE);
-	result->revision = message_fields_uint(&fields, RESULT_FIELD_REVISION);
-	result->claim_state = (enum claim_state)message_fields_uint(
-	    &fields, RESULT_FIELD_CLAIM_STATE);
-	result->claim_outcome = (enum request_outcome)message_fields_uint(
-	    &fields, RESULT_FIELD_CLAIM_OUTCOME);
-	result->claim_host =
-	    (uint32_t)message_fields_uint(&fields, RESULT_FIELD_CLAIM_HOST);
-	result->fencing_number =
-	    message_fields_uint(&fields, RESULT_FIELD_FENCING);
-	result->epoch = message_fields_uint(&fields, RESULT_FIELD_EPOCH);
-	if (fields.error == ERROR_NONE && version != COMMAND_VERSION)
-		return ERROR_UNSUPPORTED_VERSION;
-	return fields.error;
-}
-
 /* Encodes a text, which may be empty, as a field of raw bytes. */
 static void
 put_text(struct message_writer *writer, uint32_t key, const char *text)
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -224,7 +224,7 @@
  * the voters only, and a barrier changes nothing. */
 bool command_is_public(enum command_type type);
 
-/* Results */
+/* Results (command_result.c) */
 
 /** Encodes a result. */
 void command_result_encode(
