Command line: the usage of a verb stands once, and calls print their reply in one place

Each verb repeated its own arguments from the table of verbs to print its usage; it now prints those of the table (cli_usage()). GET and POST share the function that prints the reply or the failure, takeout and bring-back the one that changes the takeout.

--- a/src/service/cli.c
+++ b/src/service/cli.c
@@ -114,6 +114,7 @@
 		    argv[1]);
 		return CLI_EXIT_USAGE;
 	}
+	cli.verb = verb;
 	wants_help = false;
 	read_environment(&cli);
 	status = CLI_EXIT_USAGE;
@@ -125,8 +126,7 @@
 	}
 	if (cli.argument_count < verb->arguments_min ||
 	    cli.argument_count > verb->arguments_max) {
-		fprintf(stderr, "chicorytack: usage: chicorytack %s %s\n",
-		    verb->name, verb->arguments);
+		status = cli_usage(&cli);
 		goto done;
 	}
 	status = verb->run(&cli);
@@ -135,6 +135,14 @@
 	return status;
 }
 
+int
+cli_usage(const struct cli *cli)
+{
+	fprintf(stderr, "chicorytack: usage: chicorytack %s %s\n",
+	    cli->verb->name, cli->verb->arguments);
+	return CLI_EXIT_USAGE;
+}
+
 int
 cli_fail(const struct cli *cli, enum error_code code, const char *message)
 {
--- a/src/service/cli.h
+++ b/src/service/cli.h
@@ -41,8 +41,11 @@
 	CLI_WAIT_ACCEPTED, /**< The change is committed. */
 };
 
+struct cli_verb;
+
 /** The options and arguments of one run of the program. */
 struct cli {
+	const struct cli_verb *verb;	  /**< Verb that runs. */
 	const char *hosts[CLI_HOSTS_MAX]; /**< Host URLs to try in turn. */
 	uint32_t host_count;		  /**< Number of URLs in hosts. */
 	char *host_list;	 /**< Text that the URLs in hosts point into. */
@@ -82,6 +85,8 @@
 
 /** All verbs; the entry after the last one has no name. */
 const struct cli_verb *cli_verbs(void);
+/** Prints which arguments the verb takes and returns CLI_EXIT_USAGE. */
+int cli_usage(const struct cli *cli);
 /** Prints a failure and returns its exit code. A NULL @p message stands for the
  * usual text of @p code. */
 int cli_fail(const struct cli *cli, enum error_code code, const char *message);
--- a/src/service/cli_verbs.c
+++ b/src/service/cli_verbs.c
@@ -40,13 +40,15 @@
 static int get_and_print(
     struct cli *cli, const char *path, void (*print)(const json_t *reply));
 static int post_and_print(struct cli *cli, const char *path, json_t *body);
+static int call_and_print(struct cli *cli, const char *method, const char *path,
+    json_t *body, void (*print)(const json_t *reply));
 static int add_voter(struct cli *cli, int host_id);
 static int remove_voter(struct cli *cli, int host_id);
 static int call_leader(struct cli *cli, const char *path, json_t *body);
 static int find_host(
     struct cli *cli, json_int_t host_id, char *url, size_t url_size);
+static int change_takeout(struct cli *cli, const char *selector);
 static int watch_config(struct cli *cli);
-static int print_usage(const char *synopsis);
 static json_t *make_change(const char *key, const char *value);
 static void write_line(void *context, const char *line);
 
@@ -143,7 +145,7 @@
 	struct settings settings;
 
 	if (cli->config_path == NULL)
-		return print_usage("serve --config FILE");
+		return cli_usage(cli);
 	if (settings_load(&settings, cli->config_path, &problem) !=
 	    ERROR_NONE) {
 		event_log_write(EVENT_SETTINGS_REFUSED,
@@ -166,7 +168,7 @@
 		return CLI_EXIT_OK;
 	}
 	if (cli->config_path == NULL)
-		return print_usage("check-config --config FILE | --describe");
+		return cli_usage(cli);
 	if (settings_load(&settings, cli->config_path, &problem) ==
 	    ERROR_NONE) {
 		puts(cli->is_json ? "{\"ok\":true}" : "settings are valid");
@@ -214,7 +216,7 @@
 	equals = strchr(word, '=');
 	length = strlen(word);
 	if (equals == NULL && (length < 2 || word[length - 1] != '-'))
-		return print_usage("label KIND NAME KEY=VALUE|KEY-");
+		return cli_usage(cli);
 	if (equals != NULL)
 		*equals = '\0';
 	else
@@ -228,19 +230,13 @@
 static int
 run_takeout(struct cli *cli)
 {
-	char key[CONFIG_KEY_SIZE_MAX];
-
-	snprintf(key, sizeof(key), "takeout/%s", cli->arguments[0]);
-	return cli_change(cli, make_change(key, cli->arguments[1]));
+	return change_takeout(cli, cli->arguments[1]);
 }
 
 static int
 run_bring_back(struct cli *cli)
 {
-	char key[CONFIG_KEY_SIZE_MAX];
-
-	snprintf(key, sizeof(key), "takeout/%s", cli->arguments[0]);
-	return cli_change(cli, make_change(key, NULL));
+	return change_takeout(cli, NULL);
 }
 
 static int
@@ -262,7 +258,7 @@
 	if (strcmp(what, "list") == 0 ||
 	    (strcmp(what, "get") == 0 && cli->argument_count == 2))
 		return get_and_print(cli, path, cli_print_config);
-	return print_usage("config get|list|put|delete|watch [KEY] [VALUE]");
+	return cli_usage(cli);
 }
 
 static int
@@ -275,7 +271,7 @@
 	if (strcmp(cli->arguments[0], "remove") == 0)
 		return cli_change(cli, make_change(key, NULL));
 	if (strcmp(cli->arguments[0], "add") != 0 || cli->argument_count != 3)
-		return print_usage("account add|remove NAME [TOKEN]");
+		return cli_usage(cli);
 	/* Only the hash is stored, so that nobody who reads the configuration
 	 * learns a token. */
 	intent_hash_token(cli->arguments[2], hash);
@@ -289,7 +285,7 @@
 		return get_and_print(
 		    cli, "/operator/v1/orders", cli_print_orders);
 	if (strcmp(cli->arguments[0], "give") != 0 || cli->argument_count != 4)
-		return print_usage("order give UPSTREAM KIND ARGUMENT | list");
+		return cli_usage(cli);
 	return call_leader(cli, "/operator/v1/orders",
 	    json_pack("{s:s,s:s,s:s,s:s}", "operation_id", cli->operation_id,
 		"upstream", cli->arguments[1], "kind", cli->arguments[2],
@@ -316,8 +312,7 @@
 			return status;
 		return remove_voter(cli, atoi(cli->arguments[1]));
 	}
-	return print_usage("hosts list|add-voter|remove-voter|replace-voter "
-			   "[ID] [NEW-ID]");
+	return cli_usage(cli);
 }
 
 static int
@@ -328,7 +323,7 @@
 		    cli, "/operator/v1/quarantine", cli_print_quarantine);
 	if (strcmp(cli->arguments[0], "release") != 0 ||
 	    cli->argument_count != 2)
-		return print_usage("quarantine list|release [FINGERPRINT]");
+		return cli_usage(cli);
 	return post_and_print(cli, "/operator/v1/quarantine",
 	    json_pack("{s:s}", "release", cli->arguments[1]));
 }
@@ -344,8 +339,7 @@
 		 cli->argument_count == 2 && atoi(cli->arguments[1]) > 0)
 		seconds = atoi(cli->arguments[1]);
 	else
-		return print_usage(
-		    "override serve-unconfirmed SECONDS | clear");
+		return cli_usage(cli);
 	return post_and_print(cli, "/operator/v1/override",
 	    json_pack("{s:i}", "serve_unconfirmed_s", seconds));
 }
@@ -369,7 +363,7 @@
 	const struct cli_verb *verb;
 
 	if (strcmp(cli->arguments[0], "bash") != 0)
-		return print_usage("completion bash");
+		return cli_usage(cli);
 	printf("complete -W '");
 	for (verb = verbs; verb->name != NULL; verb++)
 		printf("%s ", verb->name);
@@ -391,41 +385,33 @@
 get_and_print(
     struct cli *cli, const char *path, void (*print)(const json_t *reply))
 {
-	enum error_code error;
-	json_t *reply;
-	int status;
-
-	error = cli_call(cli, "GET", path, NULL, &reply);
-	if (error != ERROR_NONE) {
-		status = cli_fail(cli, error,
-		    cli_text_of(json_object_get(reply, "error"), "message"));
-	} else {
-		status = CLI_EXIT_OK;
-		if (cli->is_json) {
-			json_dumpf(reply, stdout, JSON_COMPACT);
-			fputc('\n', stdout);
-		} else {
-			print(reply);
-		}
-	}
-	json_decref(reply);
-	return status;
+	return call_and_print(
+	    cli, "GET", path, NULL, cli->is_json ? cli_print_json : print);
 }
 
+/* Takes over @p body. */
 static int
 post_and_print(struct cli *cli, const char *path, json_t *body)
+{
+	return call_and_print(cli, "POST", path, body, cli_print_json);
+}
+
+/* Prints the reply or the failure of a call. Takes over @p body. */
+static int
+call_and_print(struct cli *cli, const char *method, const char *path,
+    json_t *body, void (*print)(const json_t *reply))
 {
 	enum error_code error;
 	json_t *reply;
 	int status;
 
-	error = cli_call(cli, "POST", path, body, &reply);
+	error = cli_call(cli, method, path, body, &reply);
 	if (error != ERROR_NONE) {
 		status = cli_fail(cli, error,
 		    cli_text_of(json_object_get(reply, "error"), "message"));
 	} else {
 		status = CLI_EXIT_OK;
-		cli_print_json(reply);
+		print(reply);
 	}
 	json_decref(body);
 	json_decref(reply);
@@ -524,6 +510,17 @@
 	return CLI_EXIT_OK;
 }
 
+/* Sets the selector of the takeout that the first argument names, or ends the
+ * takeout if @p selector is NULL. */
+static int
+change_takeout(struct cli *cli, const char *selector)
+{
+	char key[CONFIG_KEY_SIZE_MAX];
+
+	snprintf(key, sizeof(key), "takeout/%s", cli->arguments[0]);
+	return cli_change(cli, make_change(key, selector));
+}
+
 static int
 watch_config(struct cli *cli)
 {
@@ -549,13 +546,6 @@
 	}
 }
 
-static int
-print_usage(const char *synopsis)
-{
-	fprintf(stderr, "chicorytack: usage: chicorytack %s\n", synopsis);
-	return CLI_EXIT_USAGE;
-}
-
 static json_t *
 make_change(const char *key, const char *value)
 {
