Gossip: the comparison of two maps is in a file of its own

gossip.c (734 lines) keeps the items and the pushes; gossip_exchange.c has the messages and the comparison with another host's map; gossip_parts.h names what the two share.

--- /dev/null
+++ b/src/coordination/gossip_parts.h
@@ -0,0 +1,40 @@
+/**
+ * @file gossip_parts.h
+ * Declarations shared by the source files of the gossip map only.
+ */
+#ifndef GOSSIP_PARTS_H
+#define GOSSIP_PARTS_H
+
+#include "coordination/gossip.h"
+
+/** Estimated encoded size of an item without its body. */
+#define GOSSIP_ITEM_OVERHEAD_BYTES 40
+
+/** An item of the map. */
+struct gossip_item {
+	uint64_t key;		       /**< Key of the item. */
+	struct gossip_version version; /**< Version of the body. */
+	uint32_t push_count;	       /**< How often the item was pushed. */
+	/** Link in the push queue, NULL if not queued. */
+	GList *push_link;
+	size_t size;	      /**< Bytes of the body. */
+	unsigned char body[]; /**< Body in its encoded form. */
+};
+
+/* gossip.c: the items of this host, and which of them are pushed */
+
+/** Returns an item, or NULL if the map does not have it. */
+struct gossip_item *gossip_find_item(const struct gossip *gossip, uint64_t key);
+/** Returns the bucket of a key. */
+uint32_t gossip_bucket_of(uint64_t key);
+/** Records that another host sent a version which is not newer. */
+void gossip_record_duplicate(struct gossip *gossip, struct gossip_item *item,
+    const struct gossip_version *version);
+
+/* gossip_exchange.c: messages, and the comparison with another host's map */
+
+/** Sends items to a host in one message. */
+void gossip_send_items(
+    struct gossip *gossip, uint32_t host_id, const GPtrArray *items);
+
+#endif
