--- a/src/coordination/consensus_parts.h
+++ b/src/coordination/consensus_parts.h
@@ -50,13 +50,22 @@
 void consensus_fail(struct consensus *consensus, enum error_code error);
 /** Applies the entries that are committed and synced on this host. */
 void consensus_apply_committed(struct consensus *consensus);
-/** Searches the log for the latest voter set, after entries or a snapshot were
- * added or removed. */
-void consensus_reload_voters(struct consensus *consensus);
 /** Fills in the message's header and sends the message. */
 void consensus_send(struct consensus *consensus, struct voter to,
     struct consensus_message *message);
 
+/* consensus_storage.c: what is on disk when this host starts, and snapshots */
+
+/** Reads the snapshot, the journal and the identity of this voter, and loads the
+ * state. Errors: ERROR_CORRUPT, ERROR_IDENTITY_LOST, and those of the disk. */
+enum error_code consensus_open_storage(struct consensus *consensus);
+/** Writes a snapshot and drops the entries before it, if the journal has grown
+ * enough since the last one. */
+void consensus_compact(struct consensus *consensus);
+/** Searches the log for the latest voter set, after entries or a snapshot were
+ * added or removed. */
+void consensus_reload_voters(struct consensus *consensus);
+
 /* consensus_election.c: votes, and the forming of a new cluster */
 
 /** Restarts the election timeout at a random length, after a message of the
