Placement: the candidates and their costs are in a file of their own

Functions moved as they were (compared by a script; the comment of the one that is shared now stands in placement_parts.h). test_placement, test_cold_turn, test_cold_fleet, test_upstream_notice, test_pause, test_wait_line and test_upstream_path pass.

--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -90,6 +90,13 @@
 bool placement_serves(const struct placement_upstream *upstream,
     const struct route_service *service);
 
+/* placement_candidates.c */
+
+/** Returns the upstreams that may take the request as an array of struct
+ * placement_candidate, cheapest first; free it with g_array_unref(). Counts
+ * those that may not in the context. */
+GArray *placement_collect_candidates(struct placement_context *context);
+
 /* placement_turn.c */
 
 /** Checks whether a long prompt may start now, and queues @p entry if it has to
