Work reports: rows are checked and allocated by one function

Items, demands and notices repeated the same check of the array's length and the same allocation, which had room for as many rows as the array has numbers (nine times too many for items). allocate_rows() does both for all three and allocates what is used.

--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -32,6 +32,8 @@
 #define ITEM_UPSTREAM_ID 0
 #define ITEM_KV_TOKENS	 4
 
+static void *allocate_rows(const struct message_array *array, uint32_t width,
+    uint32_t rows_max, size_t row_size, enum error_code *error);
 static enum error_code read_row(const struct message_array *array,
     uint32_t from, uint32_t count, uint64_t *numbers);
 static enum error_code read_items(
@@ -48,9 +50,8 @@
 work_report_write(
     struct message_writer *writer, const struct work_report *report)
 {
-	uint32_t i;
-
 	bool tells_forwarding = report->forwarding.address != 0;
+	uint32_t i;
 
 	message_begin_map(
 	    writer, tells_forwarding ? FIELD_COUNT : FIELD_FORWARDING);
@@ -105,23 +106,19 @@
 {
 	struct message_array items, demands, notices, forwarding;
 	struct message_reader reader;
+	struct message_fields fields = {.reader = &reader};
 	enum error_code error;
 
 	memset(report, 0, sizeof(*report));
 	error = message_reader_init(&reader, body, size);
 	if (error != ERROR_NONE)
 		return error;
-	error = message_check_version(&reader, REPORT_VERSION);
-	if (error == ERROR_NONE)
-		error = message_get_uint(
-		    &reader, FIELD_INCARNATION, &report->incarnation);
-	if (error == ERROR_NONE)
-		error =
-		    message_get_uint(&reader, FIELD_NUMBER, &report->number);
-	if (error == ERROR_NONE)
-		error = message_get_array(&reader, FIELD_ITEMS, &items);
-	if (error == ERROR_NONE)
-		error = message_get_array(&reader, FIELD_DEMANDS, &demands);
+	fields.error = message_check_version(&reader, REPORT_VERSION);
+	report->incarnation = message_fields_uint(&fields, FIELD_INCARNATION);
+	report->number = message_fields_uint(&fields, FIELD_NUMBER);
+	items = message_fields_array(&fields, FIELD_ITEMS);
+	demands = message_fields_array(&fields, FIELD_DEMANDS);
+	error = fields.error;
 	if (error == ERROR_NONE)
 		error = read_items(&items, report);
 	if (error == ERROR_NONE)
@@ -149,6 +146,29 @@
 	memset(report, 0, sizeof(*report));
 }
 
+/* Allocates zeroed memory for the rows of a flat array with @p width numbers
+ * each. Returns NULL and sets @p error if the array holds no whole rows, more
+ * than @p rows_max, or if there is no memory. */
+static void *
+allocate_rows(const struct message_array *array, uint32_t width,
+    uint32_t rows_max, size_t row_size, enum error_code *error)
+{
+	void *rows;
+
+	*error = ERROR_MALFORMED;
+	if (array->count % width != 0)
+		return NULL;
+	*error = ERROR_TOO_LARGE;
+	if (array->count / width > rows_max)
+		return NULL;
+	*error = ERROR_NO_MEMORY;
+	/* One more, so that no rows are not a size of zero. */
+	rows = calloc(array->count / width + 1, row_size);
+	if (rows != NULL)
+		*error = ERROR_NONE;
+	return rows;
+}
+
 /* Reads @p count numbers, starting at index @p from of the array. */
 static enum error_code
 read_row(const struct message_array *array, uint32_t from, uint32_t count,
@@ -171,13 +191,10 @@
 	enum error_code error;
 	uint32_t i;
 
-	if (array->count % NUMBERS_PER_ITEM != 0)
-		return ERROR_MALFORMED;
-	if (array->count / NUMBERS_PER_ITEM > UPSTREAMS_MAX)
-		return ERROR_TOO_LARGE;
-	report->items = calloc(array->count + 1, sizeof(*report->items));
+	report->items = allocate_rows(array, NUMBERS_PER_ITEM, UPSTREAMS_MAX,
+	    sizeof(*report->items), &error);
 	if (report->items == NULL)
-		return ERROR_NO_MEMORY;
+		return error;
 	for (i = 0; i < array->count; i += NUMBERS_PER_ITEM) {
 		error = read_row(array, i, NUMBERS_PER_ITEM, numbers);
 		if (error == ERROR_NONE)
@@ -220,13 +237,10 @@
 	enum error_code error;
 	uint32_t i;
 
-	if (array->count % NUMBERS_PER_DEMAND != 0)
-		return ERROR_MALFORMED;
-	if (array->count / NUMBERS_PER_DEMAND > DEMANDS_MAX)
-		return ERROR_TOO_LARGE;
-	report->demands = calloc(array->count + 1, sizeof(*report->demands));
+	report->demands = allocate_rows(array, NUMBERS_PER_DEMAND, DEMANDS_MAX,
+	    sizeof(*report->demands), &error);
 	if (report->demands == NULL)
-		return ERROR_NO_MEMORY;
+		return error;
 	for (i = 0; i < array->count; i += NUMBERS_PER_DEMAND) {
 		error = read_row(array, i, NUMBERS_PER_DEMAND, numbers);
 		if (error == ERROR_NONE &&
@@ -252,13 +266,10 @@
 	enum error_code error;
 	uint32_t i;
 
-	if (array->count % NUMBERS_PER_NOTICE != 0)
-		return ERROR_MALFORMED;
-	if (array->count / NUMBERS_PER_NOTICE > UPSTREAMS_MAX)
-		return ERROR_TOO_LARGE;
-	report->notices = calloc(array->count + 1, sizeof(*report->notices));
+	report->notices = allocate_rows(array, NUMBERS_PER_NOTICE,
+	    UPSTREAMS_MAX, sizeof(*report->notices), &error);
 	if (report->notices == NULL)
-		return ERROR_NO_MEMORY;
+		return error;
 	for (i = 0; i < array->count; i += NUMBERS_PER_NOTICE) {
 		error = read_row(array, i, NUMBERS_PER_NOTICE, numbers);
 		if (error == ERROR_NONE && numbers[4] > UINT32_MAX)
