JSON fields: presence and type are checked by one function

The readers of a text, a number and a hexadecimal id repeated these two checks. The errors and their texts are the same. test_announcement, test_completions, test_platform, test_upstream_directory and test_settings pass.

--- a/src/protocol/field_error.c
+++ b/src/protocol/field_error.c
@@ -8,6 +8,9 @@
 
 #define HEX_DIGIT_COUNT 16 /* Hexadecimal digits that a field must have. */
 
+static enum error_code get_typed(const json_t *object, const char *field,
+    json_type type, const char *expected, const json_t **item,
+    struct field_error *error);
 static void format_value(const json_t *value, char *text, size_t size);
 static bool has_control_byte(const char *text);
 
@@ -39,18 +42,15 @@
 {
 	const json_t *item;
 	char expected[FIELD_TEXT_SIZE];
+	enum error_code code;
 	size_t length;
 
 	snprintf(expected, sizeof(expected),
 	    "a string of 1 to %zu bytes without control characters",
 	    value_size - 1);
-	item = json_object_get(object, field);
-	if (item == NULL)
-		return field_error_set(
-		    error, ERROR_MISSING_FIELD, field, NULL, expected);
-	if (!json_is_string(item))
-		return field_error_set(
-		    error, ERROR_WRONG_TYPE, field, item, expected);
+	code = get_typed(object, field, JSON_STRING, expected, &item, error);
+	if (code != ERROR_NONE)
+		return code;
 	length = json_string_length(item);
 	if (length == 0 || length >= value_size ||
 	    has_control_byte(json_string_value(item)))
@@ -66,17 +66,14 @@
 {
 	const json_t *item;
 	char expected[FIELD_TEXT_SIZE];
+	enum error_code code;
 	json_int_t number;
 
 	snprintf(expected, sizeof(expected),
 	    "a whole number from %" PRIu64 " to %" PRIu64, min, max);
-	item = json_object_get(object, field);
-	if (item == NULL)
-		return field_error_set(
-		    error, ERROR_MISSING_FIELD, field, NULL, expected);
-	if (!json_is_integer(item))
-		return field_error_set(
-		    error, ERROR_WRONG_TYPE, field, item, expected);
+	code = get_typed(object, field, JSON_INTEGER, expected, &item, error);
+	if (code != ERROR_NONE)
+		return code;
 	number = json_integer_value(item);
 	if (number < 0 || (uint64_t)number < min || (uint64_t)number > max)
 		return field_error_set(
@@ -90,17 +87,14 @@
     struct field_error *error)
 {
 	static const char expected[] = "16 hexadecimal digits";
+	enum error_code code;
 	const json_t *item;
 	const char *text;
 	char *end;
 
-	item = json_object_get(object, field);
-	if (item == NULL)
-		return field_error_set(
-		    error, ERROR_MISSING_FIELD, field, NULL, expected);
-	if (!json_is_string(item))
-		return field_error_set(
-		    error, ERROR_WRONG_TYPE, field, item, expected);
+	code = get_typed(object, field, JSON_STRING, expected, &item, error);
+	if (code != ERROR_NONE)
+		return code;
 	text = json_string_value(item);
 	if (strspn(text, "0123456789abcdefABCDEF") != HEX_DIGIT_COUNT)
 		return field_error_set(
@@ -112,6 +106,21 @@
 	return ERROR_NONE;
 }
 
+/* Gets a field that must be there and have this type. */
+static enum error_code
+get_typed(const json_t *object, const char *field, json_type type,
+    const char *expected, const json_t **item, struct field_error *error)
+{
+	*item = json_object_get(object, field);
+	if (*item == NULL)
+		return field_error_set(
+		    error, ERROR_MISSING_FIELD, field, NULL, expected);
+	if (json_typeof(*item) != type)
+		return field_error_set(
+		    error, ERROR_WRONG_TYPE, field, *item, expected);
+	return ERROR_NONE;
+}
+
 static void
 format_value(const json_t *value, char *text, size_t size)
 {
