Tests of peer links share their host

test_peer_link.c and test_peer_silence.c had the same host on loopback, with the same callbacks and settings; it is now peer_node.[ch]. Each program keeps its own range of ports. The tests are the same but for names and that argument (compared). The host of test_peer_silence now counts new and refused links too, which it does not use.

--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -14,113 +14,14 @@
 #include <cmocka.h>
 #include <sodium.h>
 
-#include "transport/peer_link.h"
+#include "peer_node.h"
 #include "transport/peer_queue.h"
 
 #define PORT_FIRST 21100
-#define PORT_LAST  21199
 #define PASSES_MAX 4000 /* Main loop passes of 1 ms virtual time. */
 
-/* A host on loopback and the events that its links reported. */
-struct node {
-	struct timer_service timers;
-	struct peer_links links;
-	uint32_t id;
-	unsigned int received, connects, reconnects, disconnects;
-	uint32_t last_number;	   /* Number in the last message. */
-	unsigned int out_of_order; /* Messages whose number didn't rise. */
-	enum error_code refusal;   /* Reason of the last refused link. */
-};
-
-static void
-on_received(void *context, uint32_t from_host, enum peer_channel channel,
-    const void *body, size_t size)
-{
-	struct node *node = context;
-	uint32_t number;
-
-	(void)from_host;
-	(void)channel;
-	assert_true(size >= sizeof(number));
-	memcpy(&number, body, sizeof(number));
-	if (number <= node->last_number)
-		node->out_of_order++;
-	node->last_number = number;
-	node->received++;
-}
-
-static void
-on_connected(void *context, uint32_t host_id, uint64_t incarnation)
-{
-	(void)host_id;
-	(void)incarnation;
-	((struct node *)context)->connects++;
-}
-
-static void
-on_reconnected(void *context, uint32_t host_id)
-{
-	(void)host_id;
-	((struct node *)context)->reconnects++;
-}
-
-static void
-on_disconnected(void *context, uint32_t host_id)
-{
-	(void)host_id;
-	((struct node *)context)->disconnects++;
-}
-
-static void
-on_refused(void *context, uint32_t host_id, enum error_code error)
-{
-	(void)host_id;
-	((struct node *)context)->refusal = error;
-}
-
-static void
-fill_settings(struct peer_link_settings *settings, uint32_t id)
-{
-	memset(settings, 0, sizeof(*settings));
-	settings->host_id = id;
-	settings->incarnation = 1000 + id;
-	snprintf(settings->cluster_id, NAME_SIZE_MAX, "test");
-	snprintf(settings->listen_ip, PEER_IP_SIZE_MAX, "127.0.0.1");
-	settings->key_count = 1;
-	settings->keys[0].id = 1;
-	memset(settings->keys[0].key, 7, FRAME_KEY_SIZE);
-}
-
-static void
-start_node(struct node *node, struct peer_link_settings *settings)
-{
-	enum error_code error;
-	uint16_t port;
-
-	memset(node, 0, sizeof(*node));
-	node->id = settings->host_id;
-	timer_init(&node->timers, 64, 0);
-	error = ERROR_IO;
-	for (port = PORT_FIRST; port <= PORT_LAST && error != ERROR_NONE;
-	     port++) {
-		settings->listen_port = port;
-		error = peer_links_init(&node->links, settings, &node->timers,
-		    node->id,
-		    (struct peer_link_ops){on_received, on_connected,
-			on_reconnected, on_disconnected, on_refused, node});
-	}
-	assert_int_equal(error, ERROR_NONE);
-}
-
-static void
-stop_node(struct node *node)
-{
-	peer_links_finish(&node->links);
-	timer_finish(&node->timers);
-}
-
 static void
-add_peer(struct node *node, const struct node *other)
+add_peer(struct peer_node *node, const struct peer_node *other)
 {
 	assert_int_equal(
 	    peer_links_add_host(&node->links, other->id, "127.0.0.1",
@@ -129,7 +30,7 @@
 }
 
 static void
-send_number(struct node *node, uint32_t to, uint32_t number)
+send_number(struct peer_node *node, uint32_t to, uint32_t number)
 {
 	peer_links_send(
 	    &node->links, to, PEER_CHANNEL_CONSENSUS, &number, sizeof(number));
@@ -138,8 +39,8 @@
 /* Runs both nodes until @p counter reaches @p wanted; false if it does not
  * within PASSES_MAX passes. */
 static bool
-run_until(struct node *left, struct node *right, const unsigned int *counter,
-    unsigned int wanted)
+run_until(struct peer_node *left, struct peer_node *right,
+    const unsigned int *counter, unsigned int wanted)
 {
 	int pass;
 
@@ -158,14 +59,14 @@
 test_messages_arrive_in_order_when_both_dial(void **state)
 {
 	struct peer_link_settings settings;
-	struct node left, right;
+	struct peer_node left, right;
 	uint32_t number;
 
 	(void)state;
-	fill_settings(&settings, 1);
-	start_node(&left, &settings);
-	fill_settings(&settings, 2);
-	start_node(&right, &settings);
+	peer_node_fill_settings(&settings, 1);
+	peer_node_start(&left, &settings, PORT_FIRST);
+	peer_node_fill_settings(&settings, 2);
+	peer_node_start(&right, &settings, PORT_FIRST);
 	add_peer(&left, &right);
 	add_peer(&right, &left);
 	send_number(&left, 2, 1);
@@ -184,8 +85,8 @@
 	assert_int_equal(left.disconnects + right.disconnects, 0);
 	assert_int_equal(left.links.links.item_count, 1);
 	assert_int_equal(right.links.links.item_count, 1);
-	stop_node(&left);
-	stop_node(&right);
+	peer_node_stop(&left);
+	peer_node_stop(&right);
 }
 
 /* When both hosts dial each other at once, they must agree which link stays,
@@ -194,17 +95,17 @@
 test_simultaneous_dials_settle_on_one_link(void **state)
 {
 	struct peer_link_settings settings;
-	struct node left, right;
+	struct peer_node left, right;
 	struct random_source random;
 	int round, pass;
 
 	(void)state;
 	random_init(&random, 11);
 	for (round = 0; round < 60; round++) {
-		fill_settings(&settings, 1);
-		start_node(&left, &settings);
-		fill_settings(&settings, 2);
-		start_node(&right, &settings);
+		peer_node_fill_settings(&settings, 1);
+		peer_node_start(&left, &settings, PORT_FIRST);
+		peer_node_fill_settings(&settings, 2);
+		peer_node_start(&right, &settings, PORT_FIRST);
 		add_peer(&left, &right);
 		add_peer(&right, &left);
 		send_number(&left, 2, 1);
@@ -223,8 +124,8 @@
 			peer_links_handle(&left.links);
 			peer_links_handle(&right.links);
 		}
-		stop_node(&left);
-		stop_node(&right);
+		peer_node_stop(&left);
+		peer_node_stop(&right);
 	}
 }
 
@@ -232,19 +133,19 @@
 test_a_restarted_host_is_dialled_again(void **state)
 {
 	struct peer_link_settings settings, right_settings;
-	struct node left, right;
+	struct peer_node left, right;
 
 	(void)state;
-	fill_settings(&settings, 1);
-	start_node(&left, &settings);
-	fill_settings(&right_settings, 2);
-	start_node(&right, &right_settings);
+	peer_node_fill_settings(&settings, 1);
+	peer_node_start(&left, &settings, PORT_FIRST);
+	peer_node_fill_settings(&right_settings, 2);
+	peer_node_start(&right, &right_settings, PORT_FIRST);
 	add_peer(&left, &right);
 	send_number(&left, 2, 1);
 	assert_true(run_until(&left, &right, &right.received, 1));
-	stop_node(&right);
+	peer_node_stop(&right);
 	right_settings.incarnation++;
-	start_node(&right, &right_settings);
+	peer_node_start(&right, &right_settings, PORT_FIRST);
 	add_peer(&left, &right);
 	assert_true(run_until(&left, &right, &left.disconnects, 1));
 	/* This message is dropped, as the link waits for its next dial. */
@@ -259,8 +160,8 @@
 	assert_int_equal(left.reconnects + right.reconnects, 0);
 	assert_true(
 	    left.links.counters.channels[PEER_CHANNEL_CONSENSUS].dropped >= 1);
-	stop_node(&left);
-	stop_node(&right);
+	peer_node_stop(&left);
+	peer_node_stop(&right);
 }
 
 /* Hosts connect if they share a key and the cluster id, also while keys are
@@ -282,20 +183,20 @@
 	    {"other", {1, 0}, {1, 0}, ERROR_WRONG_CLUSTER, 7},
 	};
 	struct peer_link_settings settings;
-	struct node left, right;
+	struct peer_node left, right;
 	size_t i;
 	int k;
 
 	(void)state;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		fill_settings(&settings, 1);
+		peer_node_fill_settings(&settings, 1);
 		settings.key_count = cases[i].left_keys[1] != 0 ? 2 : 1;
 		for (k = 0; k < 2; k++) {
 			settings.keys[k].id = cases[i].left_keys[k];
 			memset(settings.keys[k].key, 7, FRAME_KEY_SIZE);
 		}
-		start_node(&left, &settings);
-		fill_settings(&settings, 2);
+		peer_node_start(&left, &settings, PORT_FIRST);
+		peer_node_fill_settings(&settings, 2);
 		settings.key_count = cases[i].right_keys[1] != 0 ? 2 : 1;
 		for (k = 0; k < 2; k++) {
 			settings.keys[k].id = cases[i].right_keys[k];
@@ -304,7 +205,7 @@
 		}
 		snprintf(settings.cluster_id, NAME_SIZE_MAX, "%s",
 		    cases[i].right_cluster);
-		start_node(&right, &settings);
+		peer_node_start(&right, &settings, PORT_FIRST);
 		add_peer(&left, &right);
 		send_number(&left, 2, 1);
 		if (cases[i].refusal == ERROR_NONE)
@@ -315,8 +216,8 @@
 		assert_int_equal(left.refusal, cases[i].refusal);
 		if (cases[i].refusal != ERROR_NONE)
 			assert_int_equal(right.received, 0);
-		stop_node(&left);
-		stop_node(&right);
+		peer_node_stop(&left);
+		peer_node_stop(&right);
 	}
 }
 
@@ -340,16 +241,16 @@
 	};
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	struct peer_link_settings settings;
-	struct node node, other;
+	struct peer_node node, other;
 	size_t i;
 	int fd;
 
 	(void)state;
-	fill_settings(&settings, 2);
-	start_node(&other, &settings);
+	peer_node_fill_settings(&settings, 2);
+	peer_node_start(&other, &settings, PORT_FIRST);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		fill_settings(&settings, 1);
-		start_node(&node, &settings);
+		peer_node_fill_settings(&settings, 1);
+		peer_node_start(&node, &settings, PORT_FIRST);
 		address.sin_port = htons(peer_links_listen_port(&node.links));
 		inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
 		fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -364,9 +265,9 @@
 		assert_int_equal(node.received + node.connects, 0);
 		assert_int_equal(node.links.links.item_count, 0);
 		close(fd);
-		stop_node(&node);
+		peer_node_stop(&node);
 	}
-	stop_node(&other);
+	peer_node_stop(&other);
 }
 
 /* Hosts are replaced under new ids: beyond hosts_max, unlinked hosts are
@@ -375,15 +276,15 @@
 test_unlinked_hosts_are_evicted_for_new_ones(void **state)
 {
 	struct peer_link_settings settings;
-	struct node left, right;
+	struct peer_node left, right;
 	uint32_t id;
 
 	(void)state;
-	fill_settings(&settings, 1);
+	peer_node_fill_settings(&settings, 1);
 	settings.hosts_max = 3;
-	start_node(&left, &settings);
-	fill_settings(&settings, 2);
-	start_node(&right, &settings);
+	peer_node_start(&left, &settings, PORT_FIRST);
+	peer_node_fill_settings(&settings, 2);
+	peer_node_start(&right, &settings, PORT_FIRST);
 	add_peer(&left, &right);
 	send_number(&left, 2, 1);
 	assert_true(run_until(&left, &right, &right.received, 1));
@@ -395,8 +296,8 @@
 	send_number(&left, 2, 2);
 	assert_true(run_until(&left, &right, &right.received, 2));
 	assert_int_equal(left.disconnects, 0);
-	stop_node(&left);
-	stop_node(&right);
+	peer_node_stop(&left);
+	peer_node_stop(&right);
 }
 
 /* A full queue drops the oldest message of the least important channel first.
--- a/tests/test_peer_silence.c
+++ b/tests/test_peer_silence.c
@@ -17,10 +17,9 @@
 #include <cmocka.h>
 #include <sodium.h>
 
-#include "transport/peer_link.h"
+#include "peer_node.h"
 
 #define PORT_FIRST    21600
-#define PORT_LAST     21699
 #define PAIRS_MAX     16
 #define BUFFER_SIZE   65536
 #define RECEIVE_SIZE  2048 /* Small, so that a silent proxy soon stops ACKs. */
@@ -47,85 +46,8 @@
 	unsigned int pair_count;
 };
 
-struct node {
-	struct timer_service timers;
-	struct peer_links links;
-	uint32_t id;
-	unsigned int received, reconnects, disconnects, out_of_order;
-	uint32_t last_number;
-};
-
-static void
-on_received(void *context, uint32_t from_host, enum peer_channel channel,
-    const void *body, size_t size)
-{
-	struct node *node = context;
-	uint32_t number;
-
-	(void)from_host;
-	(void)channel;
-	assert_true(size >= sizeof(number));
-	memcpy(&number, body, sizeof(number));
-	if (number <= node->last_number)
-		node->out_of_order++;
-	node->last_number = number;
-	node->received++;
-}
-
-static void
-on_reconnected(void *context, uint32_t host_id)
-{
-	(void)host_id;
-	((struct node *)context)->reconnects++;
-}
-
-static void
-on_disconnected(void *context, uint32_t host_id)
-{
-	(void)host_id;
-	((struct node *)context)->disconnects++;
-}
-
-static void
-start_node(struct node *node, uint32_t id)
-{
-	struct peer_link_settings settings = {0};
-	enum error_code error;
-	uint16_t port;
-
-	memset(node, 0, sizeof(*node));
-	node->id = id;
-	timer_init(&node->timers, 64, 0);
-	settings.host_id = id;
-	settings.incarnation = 1000 + id;
-	snprintf(settings.cluster_id, NAME_SIZE_MAX, "test");
-	snprintf(settings.listen_ip, PEER_IP_SIZE_MAX, "127.0.0.1");
-	settings.key_count = 1;
-	settings.keys[0].id = 1;
-	memset(settings.keys[0].key, 7, FRAME_KEY_SIZE);
-	error = ERROR_IO;
-	for (port = PORT_FIRST; port <= PORT_LAST && error != ERROR_NONE;
-	     port++) {
-		settings.listen_port = port;
-		error =
-		    peer_links_init(&node->links, &settings, &node->timers, id,
-			(struct peer_link_ops){.on_frame = on_received,
-			    .on_reconnected = on_reconnected,
-			    .on_disconnected = on_disconnected,
-			    .context = node});
-	}
-	assert_int_equal(error, ERROR_NONE);
-}
-
-static void
-stop_node(struct node *node)
-{
-	peer_links_finish(&node->links);
-	timer_finish(&node->timers);
-}
-
 static void
-start_proxy(struct proxy *proxy, const struct node *target)
+start_proxy(struct proxy *proxy, const struct peer_node *target)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
@@ -211,7 +133,7 @@
 
 /* Two hosts, each reached through a proxy. */
 struct scene {
-	struct node nodes[2];
+	struct peer_node nodes[2];
 	struct proxy proxies[2]; /* In front of the node of the same index. */
 	uint32_t last_number;
 	bool is_sending[2], is_frozen[2];
@@ -220,11 +142,13 @@
 static void
 start_scene(struct scene *scene)
 {
+	struct peer_link_settings settings;
 	int i;
 
 	memset(scene, 0, sizeof(*scene));
 	for (i = 0; i < 2; i++) {
-		start_node(&scene->nodes[i], (uint32_t)i + 1);
+		peer_node_fill_settings(&settings, (uint32_t)i + 1);
+		peer_node_start(&scene->nodes[i], &settings, PORT_FIRST);
 		start_proxy(&scene->proxies[i], &scene->nodes[i]);
 	}
 	for (i = 0; i < 2; i++)
@@ -240,7 +164,7 @@
 	int i;
 
 	for (i = 0; i < 2; i++) {
-		stop_node(&scene->nodes[i]);
+		peer_node_stop(&scene->nodes[i]);
 		stop_proxy(&scene->proxies[i]);
 	}
 }
@@ -259,7 +183,7 @@
 static void
 run(struct scene *scene, int64_t duration_ms)
 {
-	struct node *node;
+	struct peer_node *node;
 	int64_t ms;
 	int i;
 
