--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -40,6 +40,22 @@
 	uint32_t count;		     /**< Number of elements. */
 };
 
+/** Reads fields of a message one after the other and keeps the first error.
+ * Initialise it with the reader alone, {.reader = reader}. After an error all
+ * further fields read as zero, so that one check after the last field is
+ * enough. */
+struct message_fields {
+	const struct message_reader *reader; /**< Message that is read. */
+	enum error_code error;		     /**< First error. */
+};
+
+/** Maps an optional field to a member of type uint64_t or int64_t of a struct.
+ * A member that is 0 is not written, and an absent field reads as 0. */
+struct message_number {
+	uint32_t key;  /**< Key of the field. */
+	size_t offset; /**< Offset of the member in the struct. */
+};
+
 /* Writing */
 
 /** Initialises a writer with an empty message. */
@@ -70,6 +86,13 @@
     struct message_writer *writer, uint32_t key, uint32_t count);
 /** Writes an unsigned integer as the next element of an array. */
 void message_add_uint(struct message_writer *writer, uint64_t value);
+/** Returns how many of these members of @p members are not 0, which is the number
+ * of fields that message_put_numbers() writes. */
+uint32_t message_count_numbers(
+    const struct message_number *numbers, size_t count, const void *members);
+/** Writes a field for each of these members of @p members that is not 0. */
+void message_put_numbers(struct message_writer *writer,
+    const struct message_number *numbers, size_t count, const void *members);
 /** Returns the bytes written so far; valid until the next write. */
 const void *message_data(const struct message_writer *writer);
 /** Returns the number of bytes written so far. */
@@ -85,6 +108,11 @@
 /** Frees the unpacked message; bytes and arrays got from it must not be used
  * afterwards. */
 void message_reader_finish(struct message_reader *reader);
+/** Unpacks a message, has @p read read its fields into @p context, and frees the
+ * message. Errors: those of message_reader_init() and of @p read. */
+enum error_code message_read(const void *data, size_t size,
+    enum error_code (*read)(const struct message_reader *reader, void *context),
+    void *context);
 /** Reads an unsigned integer field. Errors: ERROR_MISSING_FIELD,
  * ERROR_WRONG_TYPE. */
 enum error_code message_get_uint(
@@ -132,4 +160,28 @@
 enum error_code message_array_get_uint(
     const struct message_array *array, uint32_t index, uint64_t *value);
 
+/* Reading fields one after the other. The errors that are kept are those of the
+ * function message_get_X() of the same type. */
+
+/** Returns an unsigned integer field, 0 after an error. */
+uint64_t message_fields_uint(struct message_fields *fields, uint32_t key);
+/** Returns an unsigned integer field of 32 bits, 0 after an error. */
+uint32_t message_fields_uint32(struct message_fields *fields, uint32_t key);
+/** Returns a signed integer field, 0 after an error. */
+int64_t message_fields_int(struct message_fields *fields, uint32_t key);
+/** Reads the optional fields that message_put_numbers() writes; leaves the rest of
+ * the members as they are after an error. */
+void message_fields_numbers(struct message_fields *fields,
+    const struct message_number *numbers, size_t count, void *members);
+/** Copies a string field; leaves @p value as it is after an error. */
+void message_fields_text(struct message_fields *fields, uint32_t key,
+    char *value, size_t value_size);
+/** Returns a field of raw bytes without copying them, NULL and a size of 0 after
+ * an error. */
+const void *message_fields_bytes(
+    struct message_fields *fields, uint32_t key, size_t *size);
+/** Returns an array field without copying it, an empty one after an error. */
+struct message_array message_fields_array(
+    struct message_fields *fields, uint32_t key);
+
 #endif
