A stream is not continued after an event without an id

Cause: that the route allows a resumed stream was taken to mean that any point of it can be named.

Once an event without an id was passed on, the stream can't be continued elsewhere until an event with one follows; it is broken off if its upstream fails, and its upstream's silence is no reason to leave it. Comments may be repeated.

Red before: two continuations of test_broken_answers, direct and over another host, and, without the change in relay_silence.c, "silent after an event without id"; green now. Also new, green before: a stream that begins after a 500 was kept for delivery and breaks off or stops.

--- a/src/service/relay_attempt.c
+++ b/src/service/relay_attempt.c
@@ -537,7 +537,8 @@
 	struct relay *relay = exchange->relay;
 	struct attempt_state state = {
 	    .kind = exchange->route->kind,
-	    .is_resumable = exchange->route->is_resumable,
+	    .is_resumable = exchange->route->is_resumable &&
+			    relay_events_can_resume(&exchange->events),
 	    .may_have_run = exchange->may_have_run,
 	    .has_answer_begun = exchange->is_answering,
 	    .is_last_whole = exchange->has_answer,
--- a/src/service/relay_events.c
+++ b/src/service/relay_events.c
@@ -11,6 +11,7 @@
 static size_t find_event_end(const guint8 *data, size_t size, size_t searched);
 static bool is_event(const char *data, size_t size);
 static bool is_field(const char *line, size_t size);
+static bool is_comment(const char *data, size_t size);
 static bool accept_event(
     struct relay_events *events, const char *data, size_t size);
 static bool read_id(const char *data, size_t size, char id[EVENT_ID_SIZE]);
@@ -71,6 +72,12 @@
 	return relay_events_pending(events) > 0;
 }
 
+bool
+relay_events_can_resume(const struct relay_events *events)
+{
+	return !events->has_unnamed;
+}
+
 void
 relay_events_drop_partial(struct relay_events *events)
 {
@@ -87,6 +94,7 @@
 	g_strlcpy(events->last_id, id, sizeof(events->last_id));
 	events->last_number = g_ascii_strtoull(id, &end, 10);
 	events->has_number = id[0] != '\0' && *end == '\0';
+	events->has_unnamed = false;
 }
 
 void
@@ -152,6 +160,22 @@
 	return true;
 }
 
+/* True if an event has comments and empty lines only. */
+static bool
+is_comment(const char *data, size_t size)
+{
+	const char *line, *end = data + size;
+
+	for (line = data; line < end; line++) {
+		if (*line != ':' && *line != '\r' && *line != '\n')
+			return false;
+		line = memchr(line, '\n', (size_t)(end - line));
+		if (line == NULL)
+			return false;
+	}
+	return true;
+}
+
 /* Records the id of a complete event. Returns false if its number shows that
  * the caller has received the event already. */
 static bool
@@ -161,8 +185,10 @@
 	uint64_t number;
 	char *end;
 
-	if (!read_id(data, size, id))
+	if (!read_id(data, size, id)) {
+		events->has_unnamed |= !is_comment(data, size);
 		return true;
+	}
 	number = g_ascii_strtoull(id, &end, 10);
 	if (events->has_number && *end == '\0' && number <= events->last_number)
 		return false;
--- a/src/service/relay_events.h
+++ b/src/service/relay_events.h
@@ -31,6 +31,8 @@
 	bool has_number;      /**< True if last_id is a decimal number. */
 	uint64_t last_number; /**< Value of last_id, if has_number is true. */
 	uint64_t count;	      /**< Number of events relayed. */
+	/** Events without an id were relayed after the one of last_id. */
+	bool has_unnamed;
 };
 
 /** Adds @p size bytes of the stream. */
@@ -46,6 +48,9 @@
     struct relay_events *events, GByteArray *out, uint32_t *count);
 /** Returns true if the bytes so far end within an event. */
 bool relay_events_is_partial(const struct relay_events *events);
+/** Returns false if another upstream would repeat events that were relayed,
+ * because they have no id after which it could resume. Comments don't count. */
+bool relay_events_can_resume(const struct relay_events *events);
 /** Discards an incomplete event after its upstream has failed. */
 void relay_events_drop_partial(struct relay_events *events);
 /** Sets the id of the last event relayed, for example the one after which the
--- a/src/service/relay_silence.c
+++ b/src/service/relay_silence.c
@@ -45,6 +45,8 @@
 	if (!exchange->is_sent) {
 		/* The attempt is still connecting, with a timeout of its
 		 * own. */
+	} else if (!relay_events_can_resume(&exchange->events)) {
+		/* Nobody else can continue the stream. */
 	} else if (exchange->route->kind != ROUTE_KIND_STREAM) {
 		if (now_ms - exchange->last_progress_ms >
 		    exchange->route->target_ms * PLAIN_SILENCE_TARGETS)
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -19,6 +19,7 @@
 #define SILENCE_MAX_MS 3000 /* Longest wait for further bytes. */
 #define READ_SIZE      65536
 #define SLOW_MARK      "<slow>"
+#define PAUSE_MARK     "<pause>"
 #define AGAIN_MARK     "<again>"
 /* Time between a repeated answer and the one that the request is owed. */
 #define AGAIN_GAP_US 20000
@@ -166,6 +167,19 @@
 	g_string_free(text, TRUE);
 }
 
+/* Sends what comes before the mark of a pause, and waits. Returns the rest. */
+static char *
+send_until_pause(int fd, char *answer)
+{
+	char *mark = strstr(answer, PAUSE_MARK);
+
+	if (mark == NULL)
+		return answer;
+	(void)send(fd, answer, (size_t)(mark - answer), MSG_NOSIGNAL);
+	g_usleep(RELAY_FIXTURE_PAUSE_US);
+	return mark + strlen(PAUSE_MARK);
+}
+
 /* Sends an answer and follows its "<...>" mark. False if the connection is to
  * be closed. */
 static bool
@@ -179,6 +193,7 @@
 		g_usleep(RELAY_FIXTURE_SLOW_US);
 		answer += strlen(SLOW_MARK);
 	}
+	answer = send_until_pause(fd, answer);
 	mark = strchr(answer, '<');
 	keep_open = mark == NULL;
 	if (strcmp(answer, "<hang>") == 0) {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -19,6 +19,8 @@
 #define RELAY_FIXTURE_SILENT_FDS 4
 /** Delay of a slow answer, in microseconds. */
 #define RELAY_FIXTURE_SLOW_US 200000
+/** Time for which an upstream pauses within an answer, in microseconds. */
+#define RELAY_FIXTURE_PAUSE_US 2500000
 /** Time for which a crashed upstream is down, in microseconds. */
 #define RELAY_FIXTURE_DOWN_US 100000
 
@@ -33,7 +35,8 @@
  * answer that begins with "<slow>" is sent after
  * RELAY_FIXTURE_SLOW_US. Before one that begins with "<again>", once or
  * several times, the upstream writes the last answer that it gave on the same
- * connection as often, if there is one.
+ * connection as often, if there is one. At the mark "<pause>" within an answer it
+ * is silent for RELAY_FIXTURE_PAUSE_US.
  */
 struct upstream_script {
 	pthread_mutex_t mutex; /**< Protects what follows. */
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -148,6 +148,28 @@
     {"continued by no HTTP", "POST /stream/", BROKEN, E2 "<close>", IS_CUT, E1},
     {"continued by a head that stops", "POST /stream/", BROKEN,
 	"HTTP/1.1 200 OK\r\nAttempt-Id: {ID}\r\n<close>", IS_CUT, E1},
+    {"begun after 500, which is kept", "POST /stream/", OOPS, BROKEN, IS_CUT,
+	E1},
+    {"begun after 500, stops", "POST /stream/", OOPS, EVENT_STREAM EVENT1,
+	IS_CUT, E1},
+    {"broken after an event without id", "POST /stream/",
+	EVENT_STREAM "9\r\ndata: a\n\n\r\n<reset>",
+	EVENT_STREAM "12\r\ndata: a\n\ndata: b\n\n\r\n" STREAM_END, IS_CUT,
+	"data: a\n\n"},
+    {"broken after an event without id that follows another one",
+	"POST /stream/", EVENT_STREAM EVENT1 "9\r\ndata: b\n\n\r\n<reset>",
+	EVENT_STREAM "12\r\ndata: b\n\ndata: c\n\n\r\n" STREAM_END, IS_CUT,
+	E1 "data: b\n\n"},
+    {"silent after an event without id", "POST /stream/",
+	EVENT_STREAM
+	"9\r\ndata: a\n\n\r\n<pause>9\r\ndata: b\n\n\r\n" STREAM_END,
+	NULL, IS_WHOLE, "data: a\n\ndata: b\n\n"},
+    {"broken after an event without id, then one with it", "POST /stream/",
+	EVENT_STREAM "9\r\ndata: 0\n\n\r\n" EVENT1 "<reset>",
+	EVENT_STREAM EVENT2 STREAM_END, IS_WHOLE, "data: 0\n\n" E1 E2},
+    {"broken after a comment", "POST /stream/",
+	EVENT_STREAM EVENT1 "8\r\n: here\n\n\r\n<reset>",
+	EVENT_STREAM EVENT2 STREAM_END, IS_WHOLE, E1 ": here\n\n" E2},
     {"a stream that may not be resumed", "POST /live/", BROKEN,
 	EVENT_STREAM EVENT2 STREAM_END, IS_CUT, E1},
     {"a stream that may not be resumed, broken in an event", "POST /live/",
@@ -642,10 +664,10 @@
 		relay_fixture_add_answer(&hosts->serving, c->second);
 	request = g_strdup_printf(
 	    "%s HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nX-Api-Key: key1\r\n"
-	    "Deadline-Ms: 1000\r\nContent-Length: 5\r\n\r\nhello"
+	    "Deadline-Ms: %s\r\nContent-Length: 5\r\n\r\nhello"
 	    "GET /none/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: a2\r\n"
 	    "X-Api-Key: key1\r\nConnection: close\r\n\r\n",
-	    c->request);
+	    c->request, strstr(c->first, "<pause>") == NULL ? "1000" : "6000");
 	bytes = exchange_bytes(hosts->asked->port, request);
 	check_bytes(
 	    c, bytes, relay_fixture_runs(&hosts->serving, "a1"), findings);
