A refusal or an end of another request is no word about this one (engine events)

A host told its caller "not run" (or sent the request to a second engine) because the stream bore a refusal of another request or attempt. An end of another request was taken for the last event: the answer behind it was not read, and the request hung until it counted as stalled.

Cause: on_event() passed every event on, and the request's run looked at the request only in texts and ends, never in errors.

Evidence: test_stray_answers, five streams, all five wrong before (an error event of request cd or of attempt 1 gave outcome not_run to request ab, attempt 2; an end of cd ended ab with no text).

Change: the client passes over events that name another request or attempt. Why it works: each event names both (docs/INTERFACES.md), and the answer is whole only when its own pieces and its own end came.

--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -91,6 +91,8 @@
 static enum error_code push_chunk(
     struct attempt *attempt, const char *bytes, size_t size);
 static enum error_code on_event(void *context, const struct sse_event *event);
+static bool names_attempt(
+    const struct attempt *attempt, const struct piece *piece);
 static enum error_code push_piece(
     struct attempt *attempt, const struct piece *piece);
 static int check_progress(void *context, curl_off_t download_total,
@@ -578,11 +580,25 @@
 	error = upstream_reply_parse_event(event, &piece);
 	if (error != ERROR_NONE)
 		return error;
+	if (!names_attempt(attempt, &piece)) {
+		piece_finish(&piece);
+		return ERROR_NONE;
+	}
 	attempt->final_pushed =
 	    piece.kind == PIECE_KIND_END || piece.kind == PIECE_KIND_FAILED;
 	return piece_queue_push(attempt->queue, &piece);
 }
 
+/* Returns true if a piece is of this request and attempt. An upstream may mix
+ * its answers up; what belongs to another request neither ends this one nor
+ * promises anything about it. */
+static bool
+names_attempt(const struct attempt *attempt, const struct piece *piece)
+{
+	return piece->request_id == attempt->input.request_id &&
+	       piece->attempt == attempt->input.attempt;
+}
+
 static enum error_code
 push_piece(struct attempt *attempt, const struct piece *piece)
 {
--- /dev/null
+++ b/tests/test_stray_answers.c
@@ -0,0 +1,200 @@
+/*
+ * Tests of the HTTP client for upstreams against answers that belong to another
+ * request, contradict themselves or stop in the middle. A promise that a
+ * request did not run is believed only if it is this request's.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <signal.h>
+#include <stdio.h>
+
+#include <curl/curl.h>
+
+#include "base/monotonic_clock.h"
+#include "fake_upstream.h"
+#include "transport/upstream_control.h"
+#include "transport/upstream_http.h"
+
+/* Limit for events that must happen; long, so that slow machines pass. */
+#define WAIT_MAX_MS 20000
+#define PORT	    21440
+
+#define STREAM                                                                 \
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"               \
+	"Connection: close\r\n\r\n"
+#define OWN	  "\"request\":\"00000000000000ab\",\"attempt\":2"
+#define OTHER	  "\"request\":\"00000000000000cd\",\"attempt\":2"
+#define OTHER_TRY "\"request\":\"00000000000000ab\",\"attempt\":1"
+#define TEXT(owner)                                                            \
+	"data: {" owner ",\"sequence\":0,\"text\":\"a\",\"tokens\":1}\n\n"
+#define END(owner)                                                             \
+	"event: end\ndata: {" owner                                            \
+	",\"pieces\":1,\"prompt_tokens\":3,\"answer_tokens\":1,"               \
+	"\"finish\":\"stop\"}\n\n"
+#define ERROR_EVENT(owner, outcome)                                            \
+	"event: error\ndata: {" owner ",\"error\":{\"type\":\"no_capacity\","  \
+	"\"outcome\":\"" outcome "\"}}\n\n"
+
+/* A call to an upstream that sends given bytes, and what came of it. */
+struct exchange {
+	struct upstream_http http;
+	struct fake_upstream upstream;
+	struct piece_queue *queue;
+	struct attempt_input call;
+	uint32_t texts;	   /* Number of text pieces. */
+	char joined[256];  /* Texts of these pieces, joined. */
+	uint32_t status;   /* Status of a plain call's answer, or 0. */
+	struct piece last; /* Last piece: the end or the failure. */
+};
+
+/* An answer, and the last piece that it must lead to. */
+struct answer_case {
+	const char *name;
+	const char *reply;
+	enum fake_upstream_end end;
+	uint32_t texts; /* Text pieces that must come before the last piece. */
+	enum piece_kind kind;
+	enum request_outcome outcome;
+};
+
+static void
+open_exchange(
+    struct exchange *exchange, const char *reply, enum fake_upstream_end end)
+{
+	struct upstream_http_settings settings;
+
+	memset(exchange, 0, sizeof(*exchange));
+	memset(&settings, 0, sizeof(settings));
+	upstream_http_init(&exchange->http, &settings);
+	fake_upstream_init(&exchange->upstream, PORT, reply, end);
+	exchange->queue = piece_queue_create(64);
+	snprintf(exchange->call.target.url, sizeof(exchange->call.target.url),
+	    "http://127.0.0.1:%d", PORT);
+	exchange->call.request_id = 0xab;
+	exchange->call.attempt = 2;
+	exchange->call.answer_tokens_max = 2;
+	strcpy(exchange->call.model, "small-7b");
+	strcpy(exchange->call.path, "book");
+	exchange->call.deadline_ms = clock_monotonic_ms() + WAIT_MAX_MS;
+	trace_context_start(&exchange->call.trace);
+	exchange->call.body = shared_text_copy("prompt", 6);
+	exchange->call.body_size = 6;
+}
+
+static void
+close_exchange(struct exchange *exchange)
+{
+	shared_text_unref(exchange->call.body);
+	piece_queue_release(exchange->queue);
+	upstream_http_finish(&exchange->http);
+	fake_upstream_finish(&exchange->upstream);
+}
+
+static void
+collect(struct exchange *exchange)
+{
+	struct piece piece;
+
+	do {
+		assert_int_equal(
+		    piece_queue_pop(exchange->queue,
+			clock_monotonic_ms() + WAIT_MAX_MS, &piece),
+		    ERROR_NONE);
+		if (piece.kind == PIECE_KIND_HEAD)
+			exchange->status = piece.status;
+		if (piece.kind == PIECE_KIND_TEXT) {
+			exchange->texts++;
+			strncat(exchange->joined, piece.text, 32);
+		}
+		piece_finish(&piece);
+	} while (
+	    piece.kind != PIECE_KIND_END && piece.kind != PIECE_KIND_FAILED);
+	exchange->last = piece;
+}
+
+/* Runs one attempt against each answer and checks how it ends. */
+static void
+check_cases(const struct answer_case *cases, size_t count, bool is_plain)
+{
+	struct exchange exchange;
+	size_t i, wrong;
+
+	wrong = 0;
+	for (i = 0; i < count; i++) {
+		open_exchange(&exchange, cases[i].reply, cases[i].end);
+		if (is_plain)
+			upstream_http_adapter.call(
+			    &exchange.http, &exchange.call, exchange.queue);
+		else
+			upstream_http_adapter.generate(
+			    &exchange.http, &exchange.call, exchange.queue);
+		collect(&exchange);
+		if (exchange.texts != cases[i].texts ||
+		    exchange.last.kind != cases[i].kind ||
+		    exchange.last.outcome != cases[i].outcome) {
+			print_error(
+			    "%s: texts %u kind %d error %s outcome %d\n",
+			    cases[i].name, exchange.texts, exchange.last.kind,
+			    error_name(exchange.last.error),
+			    exchange.last.outcome);
+			wrong++;
+		}
+		close_exchange(&exchange);
+	}
+	assert_int_equal(wrong, 0);
+}
+
+#define CHECK(cases, is_plain)                                                 \
+	check_cases(cases, sizeof(cases) / sizeof((cases)[0]), is_plain)
+
+/* Events of another request or attempt neither end the answer nor promise
+ * anything. */
+static void
+test_events_of_another_request_are_passed_over(void **state)
+{
+	static const struct answer_case cases[] = {
+	    {"refusal of another request, then the answer",
+		STREAM ERROR_EVENT(OTHER, "not_run") TEXT(OWN) END(OWN),
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END, 0},
+	    {"refusal of another attempt, then the answer",
+		STREAM ERROR_EVENT(OTHER_TRY, "not_run") TEXT(OWN) END(OWN),
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END, 0},
+	    {"end of another request, then the answer",
+		STREAM END(OTHER) TEXT(OWN) END(OWN), FAKE_UPSTREAM_CLOSES, 1,
+		PIECE_KIND_END, 0},
+	    {"only the refusal of another request",
+		STREAM ERROR_EVENT(OTHER, "not_run"), FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	    {"only the end of another attempt", STREAM TEXT(OWN) END(OTHER_TRY),
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	};
+
+	(void)state;
+	CHECK(cases, false);
+}
+
+static int
+set_up(void **state)
+{
+	(void)state;
+	signal(SIGPIPE, SIG_IGN);
+	return curl_global_init(CURL_GLOBAL_DEFAULT) == CURLE_OK ? 0 : -1;
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_events_of_another_request_are_passed_over),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, NULL);
+}
