A refusal after the first pieces is no promise

An engine that sent pieces and then an error event with outcome not_run made the host say "not run" to a caller who had text, and send a request without a stream that may run at most once to a second engine.

Cause: the outcome of the error event was believed whatever had come before, and retry_classify() looked at the stage, not at the pieces that the caller has. Class: a promise that contradicts what the other side has shown.

Evidence: test_stray_answers, "refusal after a piece" gave not_run; test_retry, "refused after text" gave not_run and another attempt. Both red before.

Change: after an event of the answer the client makes "failed" of "not run", and retry_classify() never says "not run" once text was delivered. A refusal as the first event is believed as before.

--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -96,8 +96,9 @@
 enum request_outcome
 retry_classify(const struct attempt_report *report)
 {
-	/* "Not run" may be reported only if no attempt can have run. */
-	if (!report->may_have_run &&
+	/* "Not run" may be reported only if no attempt can have run; text that
+	 * the caller has shows that one did. */
+	if (!report->may_have_run && report->delivered == 0 &&
 	    (report->stage == ATTEMPT_NOT_SENT ||
 		(report->stage == ATTEMPT_SENT &&
 		    report->failure == ATTEMPT_REFUSED)))
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -50,6 +50,7 @@
 	GString *error_body;	     /* Body of an error reply. */
 	size_t head_size;	     /* Bytes of heads so far. */
 	size_t error_size;	     /* Bytes of an error reply so far. */
+	bool has_begun;		     /* An event of the answer came. */
 	bool refused_not_run;	     /* The reply says that nothing ran. */
 	bool head_pushed;	     /* Plain calls: HEAD piece was pushed. */
 	bool final_pushed;	     /* END or FAILED piece was pushed. */
@@ -584,6 +585,10 @@
 		piece_finish(&piece);
 		return ERROR_NONE;
 	}
+	/* Pieces of the answer have come, so it has begun. */
+	if (attempt->has_begun && piece.outcome == REQUEST_OUTCOME_NOT_RUN)
+		piece.outcome = REQUEST_OUTCOME_FAILED;
+	attempt->has_begun = true;
 	attempt->final_pushed =
 	    piece.kind == PIECE_KIND_END || piece.kind == PIECE_KIND_FAILED;
 	return piece_queue_push(attempt->queue, &piece);
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -67,6 +67,8 @@
 	RETRY_GIVE_UP, UNKNOWN},
     {"deadline", {1, SENT, ATTEMPT_DEADLINE, 0, false, false, 100}, true,
 	RETRY_GIVE_UP, UNKNOWN},
+    {"refused after text", {1, NOT_SENT, ATTEMPT_REFUSED, 3, false, true, 100},
+	false, RETRY_GIVE_UP, FAILED},
     {"error answered", {1, SENT, ATTEMPT_ERROR, 0, false, false, 100}, true,
 	RETRY_RERUN, FAILED},
 };
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -181,6 +181,24 @@
 	CHECK(cases, false);
 }
 
+/* An engine whose first pieces have come has begun, whatever it says then. */
+static void
+test_refusal_after_pieces_is_no_promise(void **state)
+{
+	static const struct answer_case cases[] = {
+	    {"refusal before any piece", STREAM ERROR_EVENT(OWN, "not_run"),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_NOT_RUN},
+	    {"refusal after a piece",
+		STREAM TEXT(OWN) ERROR_EVENT(OWN, "not_run"),
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_FAILED},
+	};
+
+	(void)state;
+	CHECK(cases, false);
+}
+
 static int
 set_up(void **state)
 {
@@ -194,6 +212,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_events_of_another_request_are_passed_over),
+	    cmocka_unit_test(test_refusal_after_pieces_is_no_promise),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
