A reply whose head stops in the middle is no answer

An upstream that stopped in the head of its answer and closed gave callers of plain calls a 200 with an empty body, framed as whole; a cut 429 with X-Request-Outcome was believed as "not run", and the call went to a second upstream; a cut 200 to kv/reserve, kv/import or kv/release counted as done.

Cause: libcurl 7.88 returns CURLE_OK when the connection closes after the first line of a head, and nothing looked whether the head had ended. Class: success is taken from the absence of an error.

Evidence: test_stray_answers, 13 cut heads, as a plain call, as a prompt and as a release of KV memory.

Change: transport/reply_head reads the head line by line; a reply counts only when the empty line behind its final head came. Otherwise the connection broke off: the outcome is "unknown" (or "failed" where the work may be repeated).

--- /dev/null
+++ b/src/transport/reply_head.c
@@ -0,0 +1,51 @@
+#include "transport/reply_head.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HEADS_SIZE_MAX	 65536	 /* Largest heads with interim ones. */
+#define STATUS_SIZE	 3	 /* Digits of a status. */
+#define FINAL_STATUS_MIN 200	 /* Lower ones belong to interim replies. */
+#define VERSION_PREFIX	 "HTTP/" /* Start of a status line. */
+#define VERSION_SIZE	 (sizeof(VERSION_PREFIX) - 1)
+
+static void read_status(struct reply_head *head, const char *line, size_t size);
+static bool is_empty_line(const char *line, size_t size);
+
+enum error_code
+reply_head_add_line(struct reply_head *head, const char *line, size_t size)
+{
+	head->size += size;
+	if (head->size > HEADS_SIZE_MAX)
+		return ERROR_TOO_LARGE;
+	/* Behind the head come the fields of the trailer. */
+	if (head->is_complete)
+		return ERROR_NONE;
+	if (size >= VERSION_SIZE &&
+	    memcmp(line, VERSION_PREFIX, VERSION_SIZE) == 0)
+		read_status(head, line, size);
+	else if (is_empty_line(line, size))
+		head->is_complete = head->status >= FINAL_STATUS_MIN;
+	return ERROR_NONE;
+}
+
+static void
+read_status(struct reply_head *head, const char *line, size_t size)
+{
+	char digits[STATUS_SIZE + 1] = {0};
+	const char *blank;
+
+	head->status = 0;
+	blank = memchr(line, ' ', size);
+	if (blank == NULL || (size_t)(blank - line) + 1 + STATUS_SIZE > size)
+		return;
+	memcpy(digits, blank + 1, STATUS_SIZE);
+	head->status = (uint32_t)strtoul(digits, NULL, 10);
+}
+
+static bool
+is_empty_line(const char *line, size_t size)
+{
+	return (size == 2 && line[0] == '\r' && line[1] == '\n') ||
+	       (size == 1 && line[0] == '\n');
+}
--- /dev/null
+++ b/src/transport/reply_head.h
@@ -0,0 +1,29 @@
+/**
+ * @file reply_head.h
+ * The head of an upstream's reply, read line by line as libcurl hands it out.
+ *
+ * libcurl reports success if the connection closes in the middle of a head. A
+ * reply counts only if the empty line behind its head came.
+ */
+#ifndef REPLY_HEAD_H
+#define REPLY_HEAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error_code.h"
+
+/** The head of a reply. All zero is a reply of which nothing has come. */
+struct reply_head {
+	size_t size;	  /**< Bytes so far, with those of interim replies. */
+	uint32_t status;  /**< Status of the last status line, or 0. */
+	bool is_complete; /**< The head of the final reply has ended. */
+};
+
+/** Reads the next line, with its line end, of a head or of the trailer behind
+ * the body. Errors: ERROR_TOO_LARGE if the heads have become too large. */
+enum error_code reply_head_add_line(
+    struct reply_head *head, const char *line, size_t size);
+
+#endif
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -11,6 +11,7 @@
 
 #include "base/monotonic_clock.h"
 #include "protocol/field_error.h"
+#include "transport/reply_head.h"
 #include "transport/upstream_reply.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
@@ -26,8 +27,9 @@
     const char *path, json_t *body, int64_t deadline_ms, json_t **reply);
 static enum error_code perform(CURL *curl, const char *url, const char *text,
     int64_t left_ms, GString *answer);
-static enum error_code classify_reply(
-    CURL *curl, CURLcode result, const GString *answer);
+static enum error_code classify_reply(CURL *curl, CURLcode result,
+    const struct reply_head *head, const GString *answer);
+static size_t read_header(char *line, size_t size, size_t count, void *context);
 static size_t append_reply(
     char *bytes, size_t size, size_t count, void *context);
 static json_t *reservation_body(
@@ -209,6 +211,7 @@
 perform(CURL *curl, const char *url, const char *text, int64_t left_ms,
     GString *answer)
 {
+	struct reply_head head = {0};
 	struct curl_slist *headers;
 	CURLcode result;
 
@@ -219,29 +222,29 @@
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	if (text != NULL)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, read_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_reply);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
 	result = curl_easy_perform(curl);
 	curl_slist_free_all(headers);
-	return classify_reply(curl, result, answer);
+	return classify_reply(curl, result, &head, answer);
 }
 
 static enum error_code
-classify_reply(CURL *curl, CURLcode result, const GString *answer)
+classify_reply(CURL *curl, CURLcode result, const struct reply_head *head,
+    const GString *answer)
 {
 	struct piece piece;
 	long sent;
-	long status;
 
 	sent = 0;
-	status = 0;
 	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-	if (result != CURLE_OK)
+	if (result != CURLE_OK || !head->is_complete)
 		return sent == 0 ? ERROR_CONNECTION : ERROR_OUTCOME_UNKNOWN;
-	if (status == 200)
+	if (head->status == 200)
 		return ERROR_NONE;
 	memset(&piece, 0, sizeof(piece));
 	piece.error = ERROR_OUTCOME_UNKNOWN;
@@ -249,6 +252,14 @@
 	return piece.error;
 }
 
+static size_t
+read_header(char *line, size_t size, size_t count, void *context)
+{
+	if (reply_head_add_line(context, line, size * count) != ERROR_NONE)
+		return 0;
+	return size * count;
+}
+
 static size_t
 append_reply(char *bytes, size_t size, size_t count, void *context)
 {
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -12,6 +12,7 @@
 #include "base/monotonic_clock.h"
 #include "protocol/request_priority.h"
 #include "protocol/sse.h"
+#include "transport/reply_head.h"
 #include "transport/upstream_control.h"
 #include "transport/upstream_reply.h"
 
@@ -21,10 +22,8 @@
 #define PIECE_SIZE_MAX_DEFAULT	   65536
 #define DEADLINE_GRACE_MS	   1000 /* Transfer time past the deadline. */
 #define ERROR_BODY_SIZE_MAX	   4096 /* Bytes kept of an error reply. */
-/* Largest error reply, of which the rest is read and dropped, and largest heads
- * of a reply with those of interim ones. */
+/* Largest error reply, of which the rest is read and dropped. */
 #define ERROR_REPLY_SIZE_MAX ((size_t)1024 * 1024)
-#define HEADS_SIZE_MAX	     65536
 #define QUERY_SIZE	     1024 /* Bytes of a path with its query. */
 #define HEADER_SIZE	     512  /* Bytes of one header line. */
 #define UPLOAD_BUFFER_SIZE   (512L * 1024)
@@ -48,7 +47,7 @@
 	struct text_cursor body;     /* Part of the body not sent yet. */
 	struct sse_reader events;    /* Parser of the answer's events. */
 	GString *error_body;	     /* Body of an error reply. */
-	size_t head_size;	     /* Bytes of heads so far. */
+	struct reply_head head;	     /* Head of the reply. */
 	size_t error_size;	     /* Bytes of an error reply so far. */
 	bool has_begun;		     /* An event of the answer came. */
 	bool refused_not_run;	     /* The reply says that nothing ran. */
@@ -485,11 +484,9 @@
 	if (size * count >= sizeof(refusal) - 1 &&
 	    g_ascii_strncasecmp(line, refusal, sizeof(refusal) - 1) == 0)
 		attempt->refused_not_run = true;
-	attempt->head_size += size * count;
-	if (attempt->head_size <= HEADS_SIZE_MAX)
-		return size * count;
-	attempt->local_error = ERROR_TOO_LARGE;
-	return 0;
+	attempt->local_error =
+	    reply_head_add_line(&attempt->head, line, size * count);
+	return attempt->local_error == ERROR_NONE ? size * count : 0;
 }
 
 static size_t
@@ -644,7 +641,7 @@
 		    attempt->curl, CURLINFO_RESPONSE_CODE, &status);
 	memset(&piece, 0, sizeof(piece));
 	if (attempt->kind == ATTEMPT_CALL && result == CURLE_OK &&
-	    !attempt->refused_not_run) {
+	    attempt->head.is_complete && !attempt->refused_not_run) {
 		if (push_head(attempt, status) != ERROR_NONE)
 			return;
 		piece.kind = PIECE_KIND_END;
@@ -681,6 +678,10 @@
 		piece->error = attempt->local_error;
 		return;
 	}
+	if (result == CURLE_OK && !attempt->head.is_complete) {
+		piece->error = ERROR_CONNECTION;
+		return;
+	}
 	if (attempt->refused_not_run || (status != 0 && status != 200)) {
 		piece->error = ERROR_UPSTREAM_FAILED;
 		if (attempt->refused_not_run && result == CURLE_OK) {
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -199,6 +199,61 @@
 	CHECK(cases, false);
 }
 
+/* Heads that stop in the middle: what came is no answer. */
+static const char *const cut_heads[] = {
+    "HTTP/1.1 200 O",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Ty",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
+    "HTTP/1.1 204 No\r\n",
+    "HTTP/1.1 429 Busy\r\nX-Request-Outcome: not_run\r\n",
+    "HTTP/1.1 429 Busy\r\nX-Request-Outcome: not_run\r\nContent-Le",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 103 Early\r\nX-Request-Outcome: not_run\r\n\r\n",
+};
+
+#define CUT_HEAD_COUNT (sizeof(cut_heads) / sizeof(cut_heads[0]))
+
+static void
+test_cut_head_is_no_answer_to_an_attempt(void **state)
+{
+	struct answer_case item;
+	size_t i;
+
+	(void)state;
+	memset(&item, 0, sizeof(item));
+	item.kind = PIECE_KIND_FAILED;
+	item.outcome = REQUEST_OUTCOME_UNKNOWN;
+	for (i = 0; i < CUT_HEAD_COUNT; i++) {
+		item.name = cut_heads[i];
+		item.reply = cut_heads[i];
+		check_cases(&item, 1, true);
+		check_cases(&item, 1, false);
+	}
+}
+
+static void
+test_cut_head_is_no_answer_to_an_order(void **state)
+{
+	struct exchange exchange;
+	enum error_code error;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < CUT_HEAD_COUNT; i++) {
+		open_exchange(&exchange, cut_heads[i], FAKE_UPSTREAM_CLOSES);
+		error = upstream_http_adapter.kv_release(
+		    NULL, &exchange.call.target, 1, exchange.call.deadline_ms);
+		if (error != ERROR_OUTCOME_UNKNOWN)
+			fail_msg("%s: %s", cut_heads[i], error_name(error));
+		close_exchange(&exchange);
+	}
+}
+
 static int
 set_up(void **state)
 {
@@ -213,6 +268,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_events_of_another_request_are_passed_over),
 	    cmocka_unit_test(test_refusal_after_pieces_is_no_promise),
+	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_attempt),
+	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_order),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
