An answer that names another request or attempt is not believed

An upstream that mixes its answers up could have a request that it runs refused to the caller as "not run", or sent to a second upstream, and could give a caller of a plain call the answer to another caller's request.

Cause: error answers to prompts and all answers of plain services carried no word of whose they are, and a word was not read where there was one. What spared this interface the reported fault itself is that each call has its own connection.

Evidence: test_stray_answers, two tests. Before: refusals that name another request, another attempt or a value of another type gave not_run (5 of 15 answers), one gave another request's "failed", three gave the caller another request's answer.

Change: error bodies may name request and attempt, as events do; plain services may send X-Request-Id and X-Request-Attempt back. What names another one is no promise and no answer (outcome_unknown).

--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -5,15 +5,18 @@
 
 #include <glib.h>
 
-#define HEADS_SIZE_MAX	 65536	 /* Largest heads with interim ones. */
-#define FIELD_SIZE	 256	 /* Bytes of a field's line with NUL. */
-#define STATUS_SIZE	 3	 /* Digits of a status. */
-#define FINAL_STATUS_MIN 200	 /* Lower ones belong to interim replies. */
-#define VERSION_PREFIX	 "HTTP/" /* Start of a status line. */
-#define VERSION_SIZE	 (sizeof(VERSION_PREFIX) - 1)
+#define HEADS_SIZE_MAX	  65536 /* Largest heads with interim ones. */
+#define FIELD_SIZE	  256	/* Bytes of a field's line with NUL. */
+#define HEX_DIGITS	  "0123456789abcdefABCDEF"
+#define REQUEST_ID_DIGITS 16
+#define STATUS_SIZE	  3	  /* Digits of a status. */
+#define FINAL_STATUS_MIN  200	  /* Lower ones belong to interim replies. */
+#define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
+#define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
 
 static void read_status(struct reply_head *head, const char *line, size_t size);
 static void read_field(struct reply_head *head, const char *line, size_t size);
+static void read_request_id(struct reply_head *head, const char *value);
 static bool is_empty_line(const char *line, size_t size);
 
 enum error_code
@@ -35,6 +38,14 @@
 	return ERROR_NONE;
 }
 
+bool
+reply_head_names_other(
+    const struct reply_head *head, uint64_t request_id, uint32_t attempt)
+{
+	return (head->names_request && head->request_id != request_id) ||
+	       (head->attempt != 0 && head->attempt != attempt);
+}
+
 static void
 read_status(struct reply_head *head, const char *line, size_t size)
 {
@@ -43,6 +54,8 @@
 
 	head->status = 0;
 	head->says_not_run = false;
+	head->names_request = false;
+	head->attempt = 0;
 	blank = memchr(line, ' ', size);
 	if (blank == NULL || (size_t)(blank - line) + 1 + STATUS_SIZE > size)
 		return;
@@ -68,6 +81,21 @@
 	g_strstrip(value);
 	if (g_ascii_strcasecmp(field, "x-request-outcome") == 0)
 		head->says_not_run = strcmp(value, "not_run") == 0;
+	else if (g_ascii_strcasecmp(field, "x-request-id") == 0)
+		read_request_id(head, value);
+	else if (g_ascii_strcasecmp(field, "x-request-attempt") == 0)
+		head->attempt = (uint32_t)strtoul(value, NULL, 10);
+}
+
+/* Reads an id of 16 hexadecimal digits. Another value is a number that the
+ * upstream has given itself and names no request of a host. */
+static void
+read_request_id(struct reply_head *head, const char *value)
+{
+	head->names_request = strlen(value) == REQUEST_ID_DIGITS &&
+			      strspn(value, HEX_DIGITS) == REQUEST_ID_DIGITS;
+	if (head->names_request)
+		head->request_id = strtoull(value, NULL, 16);
 }
 
 static bool
--- a/src/transport/reply_head.h
+++ b/src/transport/reply_head.h
@@ -22,11 +22,17 @@
 	/** The last head states "X-Request-Outcome: not_run"; valid once
 	 * is_complete is set. */
 	bool says_not_run;
+	bool names_request;  /**< It has an X-Request-Id of a host's form. */
+	uint64_t request_id; /**< That id. */
+	uint32_t attempt;    /**< Its X-Request-Attempt, 0 for none. */
 };
 
 /** Reads the next line, with its line end, of a head or of the trailer behind
  * the body. Errors: ERROR_TOO_LARGE if the heads have become too large. */
 enum error_code reply_head_add_line(
     struct reply_head *head, const char *line, size_t size);
+/** Returns true if the head names another request or another attempt. */
+bool reply_head_names_other(
+    const struct reply_head *head, uint64_t request_id, uint32_t attempt);
 
 #endif
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -248,7 +248,8 @@
 		return ERROR_NONE;
 	memset(&piece, 0, sizeof(piece));
 	piece.error = ERROR_OUTCOME_UNKNOWN;
-	upstream_reply_parse_error(answer->str, answer->len, &piece);
+	if (!upstream_reply_parse_error(answer->str, answer->len, &piece))
+		return ERROR_OUTCOME_UNKNOWN;
 	return piece.error;
 }
 
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -86,6 +86,7 @@
     char *bytes, size_t size, size_t count, void *context);
 static enum error_code handle_answer_bytes(
     struct attempt *attempt, const char *bytes, size_t size);
+static bool is_foreign(const struct attempt *attempt);
 static enum error_code push_head(struct attempt *attempt, long status);
 static enum error_code push_chunk(
     struct attempt *attempt, const char *bytes, size_t size);
@@ -99,6 +100,8 @@
 static void push_outcome(struct attempt *attempt, CURLcode result);
 static void classify_failure(const struct attempt *attempt, CURLcode result,
     long status, struct piece *piece);
+static void read_error_reply(
+    const struct attempt *attempt, struct piece *piece);
 
 const struct upstream_adapter upstream_http_adapter = {
     .generate = start_generate,
@@ -516,12 +519,22 @@
 	}
 	if (attempt->kind != ATTEMPT_CALL)
 		return sse_reader_feed(&attempt->events, bytes, size);
+	if (is_foreign(attempt))
+		return ERROR_OUTCOME_UNKNOWN;
 	error = push_head(attempt, status);
 	if (error != ERROR_NONE)
 		return error;
 	return push_chunk(attempt, bytes, size);
 }
 
+/* Returns true if the head of the reply names another request or attempt. */
+static bool
+is_foreign(const struct attempt *attempt)
+{
+	return reply_head_names_other(
+	    &attempt->head, attempt->input.request_id, attempt->input.attempt);
+}
+
 static enum error_code
 push_head(struct attempt *attempt, long status)
 {
@@ -636,7 +649,8 @@
 		    attempt->curl, CURLINFO_RESPONSE_CODE, &status);
 	memset(&piece, 0, sizeof(piece));
 	if (attempt->kind == ATTEMPT_CALL && result == CURLE_OK &&
-	    attempt->head.is_complete && !attempt->head.says_not_run) {
+	    attempt->head.is_complete && !attempt->head.says_not_run &&
+	    !is_foreign(attempt)) {
 		if (push_head(attempt, status) != ERROR_NONE)
 			return;
 		piece.kind = PIECE_KIND_END;
@@ -677,15 +691,14 @@
 		piece->error = ERROR_CONNECTION;
 		return;
 	}
+	if (attempt->kind == ATTEMPT_CALL && is_foreign(attempt)) {
+		piece->error = ERROR_OUTCOME_UNKNOWN;
+		return;
+	}
 	if (attempt->head.says_not_run || (status != 0 && status != 200)) {
 		piece->error = ERROR_UPSTREAM_FAILED;
-		if (attempt->head.says_not_run && result == CURLE_OK) {
-			piece->error = ERROR_UPSTREAM_REFUSED;
-			piece->outcome = REQUEST_OUTCOME_NOT_RUN;
-		}
 		if (result == CURLE_OK)
-			upstream_reply_parse_error(attempt->error_body->str,
-			    attempt->error_body->len, piece);
+			read_error_reply(attempt, piece);
 		return;
 	}
 	if (result == CURLE_OPERATION_TIMEDOUT)
@@ -698,3 +711,25 @@
 	else
 		piece->error = ERROR_CONNECTION;
 }
+
+/* Sets the error and outcome that a whole error reply states. One that names
+ * another request or attempt says nothing about this one. */
+static void
+read_error_reply(const struct attempt *attempt, struct piece *piece)
+{
+	struct piece stated;
+
+	stated = *piece;
+	stated.request_id = attempt->input.request_id;
+	stated.attempt = attempt->input.attempt;
+	if (attempt->head.says_not_run) {
+		stated.error = ERROR_UPSTREAM_REFUSED;
+		stated.outcome = REQUEST_OUTCOME_NOT_RUN;
+	}
+	if (!is_foreign(attempt) &&
+	    upstream_reply_parse_error(
+		attempt->error_body->str, attempt->error_body->len, &stated))
+		*piece = stated;
+	else
+		piece->error = ERROR_OUTCOME_UNKNOWN;
+}
--- a/src/transport/upstream_reply.c
+++ b/src/transport/upstream_reply.c
@@ -12,6 +12,7 @@
 #define SEQUENCE_MAX	    (1ull << 32) /* Most pieces in an answer. */
 #define RETRY_AFTER_MS_MAX  86400000	 /* Longest wait accepted: a day. */
 
+static bool names_other(const json_t *root, const struct piece *piece);
 static enum error_code parse_piece(const json_t *root, struct piece *piece);
 static enum error_code parse_end(const json_t *root, struct piece *piece);
 static void parse_error(const json_t *root, struct piece *piece);
@@ -50,15 +51,18 @@
 	return code;
 }
 
-void
+bool
 upstream_reply_parse_error(const char *body, size_t size, struct piece *piece)
 {
+	bool is_own;
 	json_t *root;
 
 	root = json_loadb(body, size, 0, NULL);
-	if (json_is_object(json_object_get(root, "error")))
+	is_own = !names_other(root, piece);
+	if (is_own && json_is_object(json_object_get(root, "error")))
 		parse_error(root, piece);
 	json_decref(root);
+	return is_own;
 }
 
 const char *
@@ -79,6 +83,25 @@
 	return NULL;
 }
 
+/* Returns true if an error reply names a request or attempt, and not those of
+ * the piece. */
+static bool
+names_other(const json_t *root, const struct piece *piece)
+{
+	struct field_error error;
+	uint64_t request_id, attempt;
+
+	if (json_object_get(root, "request") != NULL &&
+	    (field_read_hex(root, "request", &request_id, &error) !=
+		    ERROR_NONE ||
+		request_id != piece->request_id))
+		return true;
+	return json_object_get(root, "attempt") != NULL &&
+	       (field_read_uint(root, "attempt", 0, UINT32_MAX, &attempt,
+		    &error) != ERROR_NONE ||
+		   attempt != piece->attempt);
+}
+
 static enum error_code
 parse_piece(const json_t *root, struct piece *piece)
 {
--- a/src/transport/upstream_reply.h
+++ b/src/transport/upstream_reply.h
@@ -5,6 +5,7 @@
 #ifndef UPSTREAM_REPLY_H
 #define UPSTREAM_REPLY_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "base/error_code.h"
@@ -19,8 +20,10 @@
 enum error_code upstream_reply_parse_event(
     const struct sse_event *event, struct piece *piece);
 /** Sets kind, error, outcome and retry_after_ms of @p piece from the JSON body
- * of an error reply. Changes nothing if the body is not such an error. */
-void upstream_reply_parse_error(
+ * of an error reply. Changes nothing if the body is not such an error. Returns
+ * false, with the piece unchanged, if the body names another request or attempt
+ * than the piece. */
+bool upstream_reply_parse_error(
     const char *body, size_t size, struct piece *piece);
 
 /** Returns the name of an order's verb as sent to engines, NULL if unknown. */
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -42,6 +42,20 @@
 	"event: error\ndata: {" owner ",\"error\":{\"type\":\"no_capacity\","  \
 	"\"outcome\":\"" outcome "\"}}\n\n"
 
+/* Refusal of a prompt whose body begins with the given names. */
+#define REFUSAL(names, outcome)                                                \
+	"HTTP/1.1 429 Busy\r\nConnection: close\r\n\r\n{" names                \
+	"\"error\":{\"type\":\"no_capacity\",\"outcome\":\"" outcome "\"}}"
+/* Answer of a plain service with the given fields. */
+#define PLAIN(status, fields)                                                  \
+	"HTTP/1.1 " status "\r\nContent-Length: 2\r\n" fields "\r\nok"
+#define NOT_RUN	  "X-Request-Outcome: not_run\r\n"
+#define OWN_ID	  "X-Request-Id: 00000000000000ab\r\n"
+#define OTHER_ID  "X-Request-Id: 00000000000000cd\r\n"
+#define OWN_NAMES OWN_ID "X-Request-Attempt: 2\r\n"
+#define OLD_NAMES OWN_ID "X-Request-Attempt: 1\r\n"
+#define UUID	  "X-Request-Id: 8a6e0804-2bd0-4672-b79d-d97027f9071a\r\n"
+
 /* A call to an upstream that sends given bytes, and what came of it. */
 struct exchange {
 	struct upstream_http http;
@@ -288,6 +302,69 @@
 	CHECK(cases, true);
 }
 
+/* A refusal that names another request or attempt promises nothing. One
+ * without names is this request's, since each attempt has its own connection. */
+static void
+test_refusal_of_another_request_is_no_promise(void **state)
+{
+	static const struct answer_case cases[] = {
+	    {"own names", REFUSAL(OWN ",", "not_run"), FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_NOT_RUN},
+	    {"no names", REFUSAL("", "not_run"), FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_NOT_RUN},
+	    {"another request", REFUSAL(OTHER ",", "not_run"),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"another attempt", REFUSAL(OTHER_TRY ",", "not_run"),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"a name of another type", REFUSAL("\"request\":7,", "not_run"),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"failure of another request", REFUSAL(OTHER ",", "failed"),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	};
+
+	(void)state;
+	CHECK(cases, false);
+}
+
+static void
+test_answer_of_another_request_reaches_no_caller(void **state)
+{
+	static const struct answer_case cases[] = {
+	    {"refusal with own names", PLAIN("429 Busy", NOT_RUN OWN_NAMES),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_NOT_RUN},
+	    {"refusal without names", PLAIN("429 Busy", NOT_RUN),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_NOT_RUN},
+	    {"refusal of another request", PLAIN("429 Busy", NOT_RUN OTHER_ID),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"refusal of another attempt", PLAIN("429 Busy", OLD_NAMES NOT_RUN),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"answer with own names", PLAIN("200 OK", OWN_NAMES),
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END, 0},
+	    {"answer with a number of the service's own", PLAIN("200 OK", UUID),
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END, 0},
+	    {"answer to another request", PLAIN("200 OK", OTHER_ID),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"answer to another attempt", PLAIN("200 OK", OLD_NAMES),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"empty answer to another request",
+		"HTTP/1.1 204 No\r\n" OTHER_ID "\r\n", FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	};
+
+	(void)state;
+	CHECK(cases, true);
+}
+
 static int
 set_up(void **state)
 {
@@ -305,6 +382,8 @@
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_attempt),
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_order),
 	    cmocka_unit_test(test_refusal_stands_in_the_final_head_only),
+	    cmocka_unit_test(test_refusal_of_another_request_is_no_promise),
+	    cmocka_unit_test(test_answer_of_another_request_reaches_no_caller),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
