An answer about another reservation or order is not believed

An engine that mixes its answers up could have a KV cache of another prompt imported (its token count and digest), a reservation counted as released that it still holds, and an order recorded as done or refused that was another one.

Cause: control calls read the fields that they want from whatever came, although an answer that repeats the id was at hand.

Evidence: test_stray_answers, two tests, ten answers; four red before (export 200 and 404 of another reservation, order 200 and 409 of another order).

Change: an answer, error or not, that names another reservation or order than the call gives outcome_unknown. Answers without an id work as before: each call has a handle, and with it a connection, of its own.

--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -1,6 +1,7 @@
 #include "transport/upstream_control.h"
 
 #include <inttypes.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +26,7 @@
 
 static enum error_code exchange_json(const struct upstream_target *target,
     const char *path, json_t *body, int64_t deadline_ms, json_t **reply);
+static bool names_other_call(const json_t *reply, const json_t *call);
 static enum error_code perform(CURL *curl, const char *url, const char *text,
     int64_t left_ms, GString *answer);
 static enum error_code classify_reply(CURL *curl, CURLcode result,
@@ -173,16 +175,17 @@
     json_t *body, int64_t deadline_ms, json_t **reply)
 {
 	char url[URL_SIZE_MAX + PATH_SIZE];
-	char *text;
-	CURL *curl;
-	GString *answer;
 	enum error_code error;
+	GString *answer;
 	int64_t left_ms;
+	json_t *root;
+	char *text;
+	CURL *curl;
 
 	text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
-	json_decref(body);
 	curl = curl_easy_init();
 	answer = g_string_new(NULL);
+	root = NULL;
 	left_ms = deadline_ms - clock_monotonic_ms();
 	error = ERROR_TIMEOUT;
 	if (curl == NULL)
@@ -191,22 +194,43 @@
 		goto done;
 	snprintf(url, sizeof(url), "%s%s", target->url, path);
 	error = perform(curl, url, text, left_ms, answer);
+	root = json_loadb(answer->str, answer->len, 0, NULL);
+	if (error != ERROR_CONNECTION && names_other_call(root, body))
+		error = ERROR_OUTCOME_UNKNOWN;
 	if (error != ERROR_NONE || reply == NULL)
 		goto done;
-	*reply = json_loadb(answer->str, answer->len, 0, NULL);
-	if (!json_is_object(*reply)) {
-		json_decref(*reply);
-		*reply = NULL;
+	if (json_is_object(root))
+		*reply = json_incref(root);
+	else
 		error = ERROR_MALFORMED;
-	}
 
 done:
+	json_decref(root);
+	json_decref(body);
 	g_string_free(answer, TRUE);
 	curl_easy_cleanup(curl);
 	free(text);
 	return error;
 }
 
+/* Returns true if a reply names a reservation or an order, and not the one of
+ * the call. */
+static bool
+names_other_call(const json_t *reply, const json_t *call)
+{
+	static const char *const names[] = {"reservation", "order"};
+	const json_t *stated, *own;
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		stated = json_object_get(reply, names[i]);
+		own = json_object_get(call, names[i]);
+		if (stated != NULL && own != NULL && !json_equal(stated, own))
+			return true;
+	}
+	return false;
+}
+
 static enum error_code
 perform(CURL *curl, const char *url, const char *text, int64_t left_ms,
     GString *answer)
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -56,6 +56,17 @@
 #define OLD_NAMES OWN_ID "X-Request-Attempt: 1\r\n"
 #define UUID	  "X-Request-Id: 8a6e0804-2bd0-4672-b79d-d97027f9071a\r\n"
 
+/* Answers to control calls about reservation 55. */
+#define CONTROL(status, body)                                                  \
+	"HTTP/1.1 " status "\r\nConnection: close\r\n\r\n" body
+#define HELD_OWN   "\"reservation\":\"0000000000000055\","
+#define HELD_OTHER "\"reservation\":\"0000000000000056\","
+#define EXPORT(names)                                                          \
+	"{" names "\"tokens\":9,\"content_digest\":\"00000000000000ff\"}"
+#define MISSING(names)                                                         \
+	"{" names "\"error\":{\"type\":\"not_found\",\"outcome\":\"not_run\"}" \
+	"}"
+
 /* A call to an upstream that sends given bytes, and what came of it. */
 struct exchange {
 	struct upstream_http http;
@@ -365,6 +376,86 @@
 	CHECK(cases, true);
 }
 
+/* Answers to control calls that are another call's, or that promise more than
+ * the engine may know. */
+static void
+test_control_answer_of_another_call_is_not_believed(void **state)
+{
+	static const struct {
+		const char *reply;
+		enum error_code error;
+	} cases[] = {
+	    {CONTROL("200 OK", EXPORT("")), ERROR_NONE},
+	    {CONTROL("200 OK", EXPORT(HELD_OWN)), ERROR_NONE},
+	    {CONTROL("200 OK", EXPORT(HELD_OTHER)), ERROR_OUTCOME_UNKNOWN},
+	    {CONTROL("404 No", MISSING("")), ERROR_NOT_FOUND},
+	    {CONTROL("404 No", MISSING(HELD_OWN)), ERROR_NOT_FOUND},
+	    {CONTROL("404 No", MISSING(HELD_OTHER)), ERROR_OUTCOME_UNKNOWN},
+	};
+	struct exchange exchange;
+	struct kv_export export;
+	enum error_code error;
+	size_t i, wrong;
+
+	(void)state;
+	wrong = 0;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		open_exchange(&exchange, cases[i].reply, FAKE_UPSTREAM_CLOSES);
+		error =
+		    upstream_http_adapter.kv_export(NULL, &exchange.call.target,
+			0x55, exchange.call.deadline_ms, &export);
+		if (error != cases[i].error) {
+			print_error(
+			    "%s: %s\n", cases[i].reply, error_name(error));
+			wrong++;
+		}
+		close_exchange(&exchange);
+	}
+	assert_int_equal(wrong, 0);
+}
+
+static void
+test_answer_to_another_order_is_not_believed(void **state)
+{
+	static const struct {
+		const char *reply;
+		enum error_code error;
+	} cases[] = {
+	    {CONTROL("200 OK", "{\"state\":\"done\"}"), ERROR_NONE},
+	    {CONTROL("200 OK", "{\"order\":\"o-7\",\"state\":\"done\"}"),
+		ERROR_NONE},
+	    {CONTROL("200 OK", "{\"order\":\"o-6\",\"state\":\"done\"}"),
+		ERROR_OUTCOME_UNKNOWN},
+	    {CONTROL("409 Old",
+		 "{\"order\":\"o-6\",\"error\":{\"type\":\"stale\","
+		 "\"outcome\":\"not_run\"}}"),
+		ERROR_OUTCOME_UNKNOWN},
+	};
+	struct upstream_order order;
+	struct exchange exchange;
+	enum upstream_order_state progress;
+	enum error_code error;
+	size_t i, wrong;
+
+	(void)state;
+	wrong = 0;
+	memset(&order, 0, sizeof(order));
+	strcpy(order.id, "o-7");
+	order.verb = UPSTREAM_ORDER_LOAD_MODEL;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		open_exchange(&exchange, cases[i].reply, FAKE_UPSTREAM_CLOSES);
+		error = upstream_http_adapter.order(NULL, &exchange.call.target,
+		    &order, exchange.call.deadline_ms, &progress);
+		if (error != cases[i].error) {
+			print_error(
+			    "%s: %s\n", cases[i].reply, error_name(error));
+			wrong++;
+		}
+		close_exchange(&exchange);
+	}
+	assert_int_equal(wrong, 0);
+}
+
 static int
 set_up(void **state)
 {
@@ -384,6 +475,9 @@
 	    cmocka_unit_test(test_refusal_stands_in_the_final_head_only),
 	    cmocka_unit_test(test_refusal_of_another_request_is_no_promise),
 	    cmocka_unit_test(test_answer_of_another_request_reaches_no_caller),
+	    cmocka_unit_test(
+		test_control_answer_of_another_call_is_not_believed),
+	    cmocka_unit_test(test_answer_to_another_order_is_not_believed),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
