A plain service's answer that shows no cut is not taken for whole

A service that closed its connection early, in an answer with neither Content-Length nor chunks, gave the caller a 200 with an empty or short body, framed as whole.

Cause: without a length the end of the connection ends the body, and the client took that for the end mark. docs/INTERFACES.md asks services for one of the two "so that a cut shows", and nothing asked for it. Two different lengths were accepted too.

Evidence: test_stray_answers, eleven answers; four red before (200 with a body and without one, 500, two lengths).

Change: an answer without length, chunks or HTTP/2 frames, other than 204 and 304, is incomplete: the outcome is unknown, or failed where the call may be repeated.

--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -5,18 +5,21 @@
 
 #include <glib.h>
 
-#define HEADS_SIZE_MAX	  65536 /* Largest heads with interim ones. */
-#define FIELD_SIZE	  256	/* Bytes of a field's line with NUL. */
-#define HEX_DIGITS	  "0123456789abcdefABCDEF"
-#define REQUEST_ID_DIGITS 16
-#define STATUS_SIZE	  3	  /* Digits of a status. */
-#define FINAL_STATUS_MIN  200	  /* Lower ones belong to interim replies. */
-#define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
-#define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
+#define HEADS_SIZE_MAX	    65536 /* Largest heads with interim ones. */
+#define FIELD_SIZE	    256	  /* Bytes of a field's line with NUL. */
+#define HEX_DIGITS	    "0123456789abcdefABCDEF"
+#define REQUEST_ID_DIGITS   16
+#define STATUS_SIZE	    3	/* Digits of a status. */
+#define FINAL_STATUS_MIN    200 /* Lower ones belong to interim replies. */
+#define STATUS_NO_CONTENT   204
+#define STATUS_NOT_MODIFIED 304
+#define VERSION_PREFIX	    "HTTP/" /* Start of a status line. */
+#define VERSION_SIZE	    (sizeof(VERSION_PREFIX) - 1)
 
 static void read_status(struct reply_head *head, const char *line, size_t size);
 static void read_field(struct reply_head *head, const char *line, size_t size);
 static void read_request_id(struct reply_head *head, const char *value);
+static void read_length(struct reply_head *head, const char *value);
 static bool is_empty_line(const char *line, size_t size);
 
 enum error_code
@@ -46,16 +49,28 @@
 	       (head->attempt != 0 && head->attempt != attempt);
 }
 
+bool
+reply_head_shows_cut(const struct reply_head *head)
+{
+	if (head->has_two_lengths)
+		return false;
+	return head->has_frames || head->is_chunked || head->has_length ||
+	       head->status == STATUS_NO_CONTENT ||
+	       head->status == STATUS_NOT_MODIFIED;
+}
+
 static void
 read_status(struct reply_head *head, const char *line, size_t size)
 {
 	char digits[STATUS_SIZE + 1] = {0};
 	const char *blank;
+	size_t read;
 
-	head->status = 0;
-	head->says_not_run = false;
-	head->names_request = false;
-	head->attempt = 0;
+	/* The fields of an interim reply say nothing about the next one. */
+	read = head->size;
+	memset(head, 0, sizeof(*head));
+	head->size = read;
+	head->has_frames = size > VERSION_SIZE && line[VERSION_SIZE] > '1';
 	blank = memchr(line, ' ', size);
 	if (blank == NULL || (size_t)(blank - line) + 1 + STATUS_SIZE > size)
 		return;
@@ -85,6 +100,10 @@
 		read_request_id(head, value);
 	else if (g_ascii_strcasecmp(field, "x-request-attempt") == 0)
 		head->attempt = (uint32_t)strtoul(value, NULL, 10);
+	else if (g_ascii_strcasecmp(field, "content-length") == 0)
+		read_length(head, value);
+	else if (g_ascii_strcasecmp(field, "transfer-encoding") == 0)
+		head->is_chunked = g_ascii_strcasecmp(value, "chunked") == 0;
 }
 
 /* Reads an id of 16 hexadecimal digits. Another value is a number that the
@@ -98,6 +117,18 @@
 		head->request_id = strtoull(value, NULL, 16);
 }
 
+static void
+read_length(struct reply_head *head, const char *value)
+{
+	uint64_t length;
+
+	length = strtoull(value, NULL, 10);
+	if (head->has_length && head->length != length)
+		head->has_two_lengths = true;
+	head->has_length = true;
+	head->length = length;
+}
+
 static bool
 is_empty_line(const char *line, size_t size)
 {
--- a/src/transport/reply_head.h
+++ b/src/transport/reply_head.h
@@ -22,9 +22,14 @@
 	/** The last head states "X-Request-Outcome: not_run"; valid once
 	 * is_complete is set. */
 	bool says_not_run;
-	bool names_request;  /**< It has an X-Request-Id of a host's form. */
-	uint64_t request_id; /**< That id. */
-	uint32_t attempt;    /**< Its X-Request-Attempt, 0 for none. */
+	bool names_request;   /**< It has an X-Request-Id of a host's form. */
+	uint64_t request_id;  /**< That id. */
+	uint32_t attempt;     /**< Its X-Request-Attempt, 0 for none. */
+	bool has_frames;      /**< HTTP/2 or later, which marks the end. */
+	bool is_chunked;      /**< The body comes in chunks. */
+	bool has_length;      /**< It has a Content-Length. */
+	uint64_t length;      /**< That length. */
+	bool has_two_lengths; /**< It has different ones. */
 };
 
 /** Reads the next line, with its line end, of a head or of the trailer behind
@@ -34,5 +39,8 @@
 /** Returns true if the head names another request or another attempt. */
 bool reply_head_names_other(
     const struct reply_head *head, uint64_t request_id, uint32_t attempt);
+/** Returns true if a body that is cut off can be told from a whole one: by its
+ * length, by its chunks, or because the status has no body. */
+bool reply_head_shows_cut(const struct reply_head *head);
 
 #endif
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -521,6 +521,8 @@
 		return sse_reader_feed(&attempt->events, bytes, size);
 	if (is_foreign(attempt))
 		return ERROR_OUTCOME_UNKNOWN;
+	if (!reply_head_shows_cut(&attempt->head))
+		return ERROR_INCOMPLETE;
 	error = push_head(attempt, status);
 	if (error != ERROR_NONE)
 		return error;
@@ -650,7 +652,7 @@
 	memset(&piece, 0, sizeof(piece));
 	if (attempt->kind == ATTEMPT_CALL && result == CURLE_OK &&
 	    attempt->head.is_complete && !attempt->head.says_not_run &&
-	    !is_foreign(attempt)) {
+	    !is_foreign(attempt) && reply_head_shows_cut(&attempt->head)) {
 		if (push_head(attempt, status) != ERROR_NONE)
 			return;
 		piece.kind = PIECE_KIND_END;
@@ -695,7 +697,8 @@
 		piece->error = ERROR_OUTCOME_UNKNOWN;
 		return;
 	}
-	if (attempt->head.says_not_run || (status != 0 && status != 200)) {
+	if (attempt->head.says_not_run ||
+	    (attempt->kind != ATTEMPT_CALL && status != 0 && status != 200)) {
 		piece->error = ERROR_UPSTREAM_FAILED;
 		if (result == CURLE_OK)
 			read_error_reply(attempt, piece);
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -49,6 +49,9 @@
 /* Answer of a plain service with the given fields. */
 #define PLAIN(status, fields)                                                  \
 	"HTTP/1.1 " status "\r\nContent-Length: 2\r\n" fields "\r\nok"
+#define PLAIN_CHUNKS                                                           \
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"                \
+	"2\r\nok\r\n0\r\n\r\n"
 #define NOT_RUN	  "X-Request-Outcome: not_run\r\n"
 #define OWN_ID	  "X-Request-Id: 00000000000000ab\r\n"
 #define OTHER_ID  "X-Request-Id: 00000000000000cd\r\n"
@@ -456,6 +459,55 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* Only a length or chunks show whether the answer of a plain service is whole.
+ * A prompt's answer has an end event instead. */
+static void
+test_answer_that_shows_no_cut_is_not_whole(void **state)
+{
+	static const struct answer_case cases[] = {
+	    {"neither length nor chunks",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"nothing behind the head", "HTTP/1.1 200 OK\r\n\r\n",
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"an error with nothing behind its head", "HTTP/1.1 500 No\r\n\r\n",
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"two lengths",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+		"Content-Length: 2\r\n\r\nokok",
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"short of its length",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"chunks without the last one",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2\r\nok\r\n",
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"a head among the chunks",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2\r\nok\r\nHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"chunks", PLAIN_CHUNKS, FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END,
+		0},
+	    {"a length", PLAIN("200 OK", ""), FAKE_UPSTREAM_CLOSES, 1,
+		PIECE_KIND_END, 0},
+	    {"the same length twice", PLAIN("200 OK", "Content-Length: 2\r\n"),
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END, 0},
+	    {"204 has no body", "HTTP/1.1 204 No\r\n\r\n", FAKE_UPSTREAM_CLOSES,
+		0, PIECE_KIND_END, 0},
+	};
+
+	(void)state;
+	CHECK(cases, true);
+}
+
 static int
 set_up(void **state)
 {
@@ -478,6 +530,7 @@
 	    cmocka_unit_test(
 		test_control_answer_of_another_call_is_not_believed),
 	    cmocka_unit_test(test_answer_to_another_order_is_not_believed),
+	    cmocka_unit_test(test_answer_that_shows_no_cut_is_not_whole),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
