429 and 503 are not said of a request that may have run

What callers saw: a status that HTTP clients take for "did not run" beside the outcome failed or unknown: a request that may be repeated, whose first attempt broke and which then found no room (429, with Retry-After), no upstream or a stopping host (503); one that an engine failed with the type no_capacity or shutting_down; a group of engines one of which refused its segment.

Cause: the status followed from the type alone.

Evidence: test_completions, each type with failed and with unknown: red before, first at table_full (503).

--- a/src/protocol/completions.c
+++ b/src/protocol/completions.c
@@ -16,6 +16,10 @@
 #define PARTS_GROWTH_MIN   5
 #define MILLISECONDS_PER_S 1000
 #define STATUS_DEFAULT	   500 /* HTTP status of errors not in the table. */
+#define STATUS_TIMEOUT	   408
+#define STATUS_TOO_MANY	   429
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_UNAVAILABLE 503
 /* Start of an Authorization header, before the token. */
 #define BEARER_PREFIX "Bearer "
 /* Bytes of a field's path, such as "messages[2].role". */
@@ -28,6 +32,7 @@
 	uint32_t capacity;
 };
 
+static uint32_t status_of_code(enum error_code code);
 static enum error_code read_body(const json_t *root,
     struct completions_request *request, struct part_list *list,
     struct field_error *error);
@@ -278,7 +283,32 @@
 }
 
 uint32_t
-caller_error_status(enum error_code code)
+caller_error_status(const struct caller_error *error)
+{
+	uint32_t status;
+
+	status = status_of_code(error->code);
+	/* To HTTP clients these mean that the request did not run; many send it
+	 * again by themselves. */
+	if ((error->outcome == REQUEST_OUTCOME_FAILED ||
+		error->outcome == REQUEST_OUTCOME_UNKNOWN) &&
+	    (status == STATUS_TIMEOUT || status == STATUS_TOO_MANY ||
+		status == STATUS_UNAVAILABLE))
+		return STATUS_BAD_GATEWAY;
+	return status;
+}
+
+uint32_t
+caller_error_retry_after_s(const struct caller_error *error)
+{
+	if (error->retry_after_ms <= 0)
+		return 0;
+	return (uint32_t)((error->retry_after_ms + MILLISECONDS_PER_S - 1) /
+			  MILLISECONDS_PER_S);
+}
+
+static uint32_t
+status_of_code(enum error_code code)
 {
 	static const uint16_t statuses[ERROR_CODE_COUNT] = {
 	    [ERROR_INVALID_ARGUMENT] = 400,
@@ -324,15 +354,6 @@
 	return statuses[code];
 }
 
-uint32_t
-caller_error_retry_after_s(const struct caller_error *error)
-{
-	if (error->retry_after_ms <= 0)
-		return 0;
-	return (uint32_t)((error->retry_after_ms + MILLISECONDS_PER_S - 1) /
-			  MILLISECONDS_PER_S);
-}
-
 static enum error_code
 read_body(const json_t *root, struct completions_request *request,
     struct part_list *list, struct field_error *error)
--- a/src/protocol/completions.h
+++ b/src/protocol/completions.h
@@ -149,7 +149,7 @@
  * the last event. */
 void caller_error_write_event(GString *out, const struct caller_error *error);
 /** Returns the HTTP status of a response that reports the error. */
-uint32_t caller_error_status(enum error_code code);
+uint32_t caller_error_status(const struct caller_error *error);
 /** Returns the value of Retry-After, in seconds rounded up; 0 if the header is
  * not sent. */
 uint32_t caller_error_retry_after_s(const struct caller_error *error);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -256,8 +256,8 @@
 	}
 	body = g_string_new(NULL);
 	caller_error_write(body, error);
-	http_reply(exchange, caller_error_status(error->code),
-	    "application/json", body->str, body->len);
+	http_reply(exchange, caller_error_status(error), "application/json",
+	    body->str, body->len);
 	g_string_free(body, TRUE);
 }
 
--- a/tests/test_completions.c
+++ b/tests/test_completions.c
@@ -312,6 +312,35 @@
 	g_string_free(out, TRUE);
 }
 
+/* 408, 429 and 503 tell HTTP clients that the request did not run, and many
+ * send it again by themselves. */
+static void
+test_status_of_work_that_may_have_run_promises_nothing(void **state)
+{
+	static const enum request_outcome outcomes[] = {
+	    REQUEST_OUTCOME_FAILED, REQUEST_OUTCOME_UNKNOWN};
+	struct caller_error error;
+	uint32_t status;
+	size_t i;
+	int code;
+
+	(void)state;
+	memset(&error, 0, sizeof(error));
+	for (code = ERROR_NONE + 1; code < ERROR_CODE_COUNT; code++) {
+		for (i = 0; i < 2; i++) {
+			error.code = code;
+			error.outcome = outcomes[i];
+			status = caller_error_status(&error);
+			if (status == 408 || status == 429 || status == 503)
+				fail_msg("%s, %s: status %u", error_name(code),
+				    request_outcome_name(outcomes[i]), status);
+		}
+	}
+	error.code = ERROR_NO_CAPACITY;
+	error.outcome = REQUEST_OUTCOME_NOT_RUN;
+	assert_int_equal(caller_error_status(&error), 429);
+}
+
 static void
 test_errors_give_outcome_and_retry_time(void **state)
 {
@@ -331,10 +360,11 @@
 	    "over its limit.\",\"outcome\":\"not_run\","
 	    "\"retry_after_ms\":1}}");
 	assert_int_equal(caller_error_retry_after_s(&error), 1);
-	assert_int_equal(caller_error_status(error.code), 429);
+	assert_int_equal(caller_error_status(&error), 429);
 	for (code = ERROR_NONE + 1; code < ERROR_CODE_COUNT; code++) {
-		assert_true(caller_error_status(code) >= 400);
-		assert_true(caller_error_status(code) < 600);
+		error.code = code;
+		assert_true(caller_error_status(&error) >= 400);
+		assert_true(caller_error_status(&error) < 600);
 	}
 	g_string_truncate(out, 0);
 	caller_error_write_event(out, &error);
@@ -352,6 +382,8 @@
 	    cmocka_unit_test(test_request_facts_are_derived_from_prompt),
 	    cmocka_unit_test(test_plain_call_is_idempotent_only_if_declared),
 	    cmocka_unit_test(test_answers_follow_completions_format),
+	    cmocka_unit_test(
+		test_status_of_work_that_may_have_run_promises_nothing),
 	    cmocka_unit_test(test_errors_give_outcome_and_retry_time),
 	};
 
