A stream is resumed by the attempt that began it

What callers saw: a stream that broke off and whose first continuation was answered with an error ended in an error, although the engine still had it and would have gone on at the next try.

Cause: resume named the attempt before it as from_attempt. After a continuation that failed, that is one that the engine never ran: it answers 404. docs/INTERFACES.md left open which one is meant; the stand-in knows a stream by the attempt that began it.

--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -37,6 +37,7 @@
 static void advance_running(struct request_run *run, int64_t until_ms);
 /* Sends the next attempt to the upstream that the ticket was assigned. */
 static void dispatch(struct request_run *run);
+static void begin_answer(struct request_run *run);
 static void dispatch_group(struct request_run *run);
 /* Whether this host may start requests and the assigned upstream is still
  * active, in the same incarnation and not taken out. */
@@ -301,7 +302,6 @@
 		run->state = REQUEST_STATE_PAUSED;
 		return;
 	}
-	run->resumed_attempt = run->attempt;
 	run->attempt++;
 	run->stage = ATTEMPT_NOT_SENT;
 	run->state = REQUEST_STATE_RUNNING;
@@ -309,7 +309,7 @@
 	if (stream_assembler_position(&run->assembler) > 0)
 		stream_assembler_resume(&run->assembler, run->attempt);
 	else
-		stream_assembler_start(&run->assembler, run->attempt);
+		begin_answer(run);
 	span_start(&run->attempt_span, "attempt", &run->span.context);
 	span_set_attribute(&run->attempt_span, "upstream",
 	    run->ticket.assignment.upstream_name);
@@ -325,6 +325,14 @@
 	run->stage = ATTEMPT_SENT;
 }
 
+/* Prepares for an answer that begins with this attempt. */
+static void
+begin_answer(struct request_run *run)
+{
+	run->answer_attempt = run->attempt;
+	stream_assembler_start(&run->assembler, run->attempt);
+}
+
 /* Starts the request on a group of engines. Such a run is not retried, since it
  * reserves much memory on several engines. */
 static void
@@ -397,7 +405,7 @@
 	    run->input.body == NULL ? 0 : run->input.body->size;
 	snprintf(attempt_input->content_type,
 	    sizeof(attempt_input->content_type), "%s", run->input.content_type);
-	attempt_input->from_attempt = run->resumed_attempt;
+	attempt_input->from_attempt = run->answer_attempt;
 	attempt_input->position = stream_assembler_position(&run->assembler);
 	snprintf(attempt_input->path, sizeof(attempt_input->path), "%s",
 	    run->input.path);
--- a/src/service/request_run.h
+++ b/src/service/request_run.h
@@ -58,8 +58,8 @@
 	struct stream_assembler assembler; /**< Puts the pieces in order. */
 	struct piece_queue *queue; /**< Pieces of the attempt; NULL if none. */
 	uint32_t attempt;	   /**< Number of the attempt, from 1. */
-	uint32_t resumed_attempt;  /**< Number of the attempt before, which a
-				resumed stream continues. */
+	uint32_t answer_attempt;   /**< Attempt that began the answer, by which
+				its upstream knows the stream. */
 	enum attempt_stage stage;  /**< How far the attempt has come. */
 	bool upstream_crashed; /**< The last attempt's connection broke, so its
 				    upstream may have crashed. */
--- a/src/transport/upstream_adapter.h
+++ b/src/transport/upstream_adapter.h
@@ -63,7 +63,7 @@
 	uint64_t reservation; /**< KV memory to use, 0 for none. */
 
 	/* Used only by resume() */
-	uint32_t from_attempt; /**< Attempt whose answer is continued. */
+	uint32_t from_attempt; /**< Attempt that began the answer. */
 	uint64_t position;     /**< Index of the first piece to send. */
 
 	/* Used only by call() */
