Test: no call uses the connection of an earlier one

So a test holds it: eight calls to an upstream that keeps its connections open and would answer again come over eight connections.

Seen red with the mechanism off: with a connection pool shared by the attempts' handles in place of FRESH_CONNECT and FORBID_REUSE (kept requests counted), and with one handle kept for control calls (the next call finds the upstream occupied).

--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -15,6 +15,7 @@
 static void serve(struct fake_upstream *upstream, int connection);
 static void repeat_last_line(
     const struct fake_upstream *upstream, int connection);
+static bool await_bytes(const struct fake_upstream *upstream, int connection);
 static bool read_head(
     struct fake_upstream *upstream, int connection, size_t *body_read);
 static void read_body(
@@ -91,6 +92,14 @@
 	size = strlen(upstream->reply);
 	if (write(connection, upstream->reply, size) != (ssize_t)size)
 		return;
+	while (upstream->end == FAKE_UPSTREAM_KEEPS &&
+	       await_bytes(upstream, connection) &&
+	       read_head(upstream, connection, &body_read)) {
+		read_body(upstream, connection, body_read);
+		upstream->kept_requests++;
+		if (write(connection, upstream->reply, size) != (ssize_t)size)
+			return;
+	}
 	if (upstream->end == FAKE_UPSTREAM_REPEATS)
 		repeat_last_line(upstream, connection);
 	if (upstream->end != FAKE_UPSTREAM_STALLS)
@@ -119,6 +128,20 @@
 		continue;
 }
 
+/* Waits for bytes or the end of a kept connection; returns false if the upstream
+ * is stopped before. */
+static bool
+await_bytes(const struct fake_upstream *upstream, int connection)
+{
+	struct pollfd connection_poll = {connection, POLLIN, 0};
+
+	while (!upstream->stopping) {
+		if (poll(&connection_poll, 1, POLL_MS) > 0)
+			return true;
+	}
+	return false;
+}
+
 static bool
 read_head(struct fake_upstream *upstream, int connection, size_t *body_read)
 {
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -20,6 +20,8 @@
 	FAKE_UPSTREAM_RESETS_UNREAD, /**< Resets it; reads no request. */
 	/** Sends the last line of the reply again and again. */
 	FAKE_UPSTREAM_REPEATS,
+	/** Keeps it open and sends the reply again to each further request. */
+	FAKE_UPSTREAM_KEEPS,
 };
 
 /** A scripted HTTP upstream that serves one connection at a time. */
@@ -31,6 +33,7 @@
 	enum fake_upstream_end end;   /**< How a connection ends. */
 	atomic_bool stopping;	      /**< Set to end the thread. */
 	_Atomic int connections;      /**< Connections accepted so far. */
+	_Atomic int kept_requests;    /**< Further ones on a connection. */
 	_Atomic int closed_by_caller; /**< Stalled ones closed by callers. */
 	_Atomic size_t body_size;     /**< Bytes of the last request body. */
 	_Atomic uint64_t body_sum;    /**< Sum of that request body's bytes. */
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -508,6 +508,44 @@
 	CHECK(cases, true);
 }
 
+/* An upstream that writes an earlier refusal once more on a kept connection is
+ * believed where nothing says whose it is. So no call may find a connection that
+ * carried another one. */
+static void
+test_no_call_uses_the_connection_of_an_earlier_one(void **state)
+{
+	static const char reply[] =
+	    "HTTP/1.1 429 Busy\r\nX-Request-Outcome: not_run\r\n"
+	    "Content-Length: 0\r\n\r\n";
+	struct held_reservation_list *held;
+	struct exchange exchange;
+	int i;
+
+	(void)state;
+	held = calloc(1, sizeof(*held));
+	open_exchange(&exchange, reply, FAKE_UPSTREAM_KEEPS);
+	for (i = 0; i < 2; i++) {
+		upstream_http_adapter.generate(
+		    &exchange.http, &exchange.call, exchange.queue);
+		collect(&exchange);
+		assert_int_equal(
+		    exchange.last.outcome, REQUEST_OUTCOME_NOT_RUN);
+		upstream_http_adapter.call(
+		    &exchange.http, &exchange.call, exchange.queue);
+		collect(&exchange);
+		assert_int_equal(
+		    exchange.last.outcome, REQUEST_OUTCOME_NOT_RUN);
+		upstream_http_adapter.kv_release(
+		    NULL, &exchange.call.target, 1, exchange.call.deadline_ms);
+		upstream_http_adapter.kv_held(NULL, &exchange.call.target,
+		    exchange.call.deadline_ms, held);
+	}
+	close_exchange(&exchange);
+	free(held);
+	assert_int_equal(exchange.upstream.kept_requests, 0);
+	assert_int_equal(exchange.upstream.connections, 8);
+}
+
 static int
 set_up(void **state)
 {
@@ -531,6 +569,8 @@
 		test_control_answer_of_another_call_is_not_believed),
 	    cmocka_unit_test(test_answer_to_another_order_is_not_believed),
 	    cmocka_unit_test(test_answer_that_shows_no_cut_is_not_whole),
+	    cmocka_unit_test(
+		test_no_call_uses_the_connection_of_an_earlier_one),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
