A refusal whose body says "unknown" is no promise

An upstream whose head says X-Request-Outcome: not_run and whose body says unknown, or a word of no meaning, was believed to have refused.

Cause: parse_error() kept the outcome that was set before whenever the stated one was neither not_run nor failed.

Evidence: test_stray_answers, four contradictions as prompt and as plain call; unknown and "done" gave not_run before.

Change: any other stated outcome gives unknown; an outcome that is missing leaves what was set, as before.

--- a/src/transport/upstream_reply.c
+++ b/src/transport/upstream_reply.c
@@ -156,8 +156,8 @@
 
 /* Reads the error of a reply. Only the engine knows whether a request that it
  * refused has run, so its outcome "not_run" is trusted. If the reply states no
- * valid outcome, the one that the caller has set stays; without one the
- * request may have run. */
+ * outcome, the one that the caller has set stays; without one, and with an
+ * outcome of another name, the request may have run. */
 static void
 parse_error(const json_t *root, struct piece *piece)
 {
@@ -178,7 +178,7 @@
 		piece->outcome = REQUEST_OUTCOME_NOT_RUN;
 	else if (outcome != NULL && strcmp(outcome, "failed") == 0)
 		piece->outcome = REQUEST_OUTCOME_FAILED;
-	else if (piece->outcome == 0)
+	else if (outcome != NULL || piece->outcome == 0)
 		piece->outcome = REQUEST_OUTCOME_UNKNOWN;
 }
 
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -70,6 +70,13 @@
 	"{" names "\"error\":{\"type\":\"not_found\",\"outcome\":\"not_run\"}" \
 	"}"
 
+/* A refusal by its head with another outcome in its body. */
+#define CONTRADICTION(outcome)                                                 \
+	"HTTP/1.1 429 Busy\r\n" NOT_RUN                                        \
+	"Connection: close\r\n\r\n" STATED("no_capacity", outcome)
+#define STATED(type, outcome)                                                  \
+	"{\"error\":{\"type\":\"" type "\",\"outcome\":\"" outcome "\"}}"
+
 /* A call to an upstream that sends given bytes, and what came of it. */
 struct exchange {
 	struct upstream_http http;
@@ -546,6 +553,27 @@
 	assert_int_equal(exchange.upstream.connections, 8);
 }
 
+/* Of two words in one answer, the one that promises less counts. */
+static void
+test_contradicting_refusal_is_no_promise(void **state)
+{
+	static const struct answer_case cases[] = {
+	    {"not run, unknown", CONTRADICTION("unknown"), FAKE_UPSTREAM_CLOSES,
+		0, PIECE_KIND_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	    {"not run, failed", CONTRADICTION("failed"), FAKE_UPSTREAM_CLOSES,
+		0, PIECE_KIND_FAILED, REQUEST_OUTCOME_FAILED},
+	    {"not run, another word", CONTRADICTION("done"),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"not run twice", CONTRADICTION("not_run"), FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_NOT_RUN},
+	};
+
+	(void)state;
+	CHECK(cases, false);
+	CHECK(cases, true);
+}
+
 static int
 set_up(void **state)
 {
@@ -571,6 +599,7 @@
 	    cmocka_unit_test(test_answer_that_shows_no_cut_is_not_whole),
 	    cmocka_unit_test(
 		test_no_call_uses_the_connection_of_an_earlier_one),
+	    cmocka_unit_test(test_contradicting_refusal_is_no_promise),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
