An upstream doesn't state errors that only the host can know

A control call that an engine answered with the type connection counted as one that had not reached it, one with timeout as not sent (an order then went out again, three times in all), and one with no_capacity and outcome unknown as refused. A prompt that an engine failed with the type connection counted as a crash of that engine, and weighed on the request's quarantine.

Cause: the type of an error body became the host's own error code, whatever it says of the connection, and control calls did not look at the outcome.

Evidence: test_stray_answers, four answers to kv/reserve and generate; five of their eight ends red before.

Change: connection and timeout from an upstream are upstream_failed; a control answer whose outcome is unknown gives outcome_unknown.

--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -272,7 +272,9 @@
 		return ERROR_NONE;
 	memset(&piece, 0, sizeof(piece));
 	piece.error = ERROR_OUTCOME_UNKNOWN;
-	if (!upstream_reply_parse_error(answer->str, answer->len, &piece))
+	piece.outcome = REQUEST_OUTCOME_FAILED;
+	if (!upstream_reply_parse_error(answer->str, answer->len, &piece) ||
+	    piece.outcome == REQUEST_OUTCOME_UNKNOWN)
 		return ERROR_OUTCOME_UNKNOWN;
 	return piece.error;
 }
--- a/src/transport/upstream_reply.c
+++ b/src/transport/upstream_reply.c
@@ -189,7 +189,11 @@
 
 	for (code = ERROR_NONE + 1; code < ERROR_CODE_COUNT; code++) {
 		if (strcmp(name, error_name(code)) == 0)
-			return code;
+			break;
 	}
-	return ERROR_UPSTREAM_FAILED;
+	/* Only this host knows that its connection or its time ended. */
+	if (code == ERROR_CODE_COUNT || code == ERROR_CONNECTION ||
+	    code == ERROR_TIMEOUT)
+		return ERROR_UPSTREAM_FAILED;
+	return code;
 }
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -574,6 +574,53 @@
 	CHECK(cases, true);
 }
 
+/* What an upstream can't know is not taken from it: that its connection to the
+ * host broke, or what it says that it doesn't know. */
+static void
+test_upstream_states_no_error_of_the_hosts(void **state)
+{
+	static const struct {
+		const char *reply;
+		enum error_code error;
+	} cases[] = {
+	    {CONTROL("429 Busy", STATED("no_capacity", "not_run")),
+		ERROR_NO_CAPACITY},
+	    {CONTROL("429 Busy", STATED("no_capacity", "unknown")),
+		ERROR_OUTCOME_UNKNOWN},
+	    {CONTROL("502 No", STATED("connection", "not_run")),
+		ERROR_UPSTREAM_FAILED},
+	    {CONTROL("504 No", STATED("timeout", "failed")),
+		ERROR_UPSTREAM_FAILED},
+	};
+	struct exchange exchange;
+	enum error_code error;
+	size_t i, wrong;
+
+	(void)state;
+	wrong = 0;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		open_exchange(&exchange, cases[i].reply, FAKE_UPSTREAM_CLOSES);
+		error = upstream_http_adapter.kv_reserve(NULL,
+		    &exchange.call.target, 1, 9, exchange.call.deadline_ms);
+		if (error != cases[i].error) {
+			print_error(
+			    "%s: %s\n", cases[i].reply, error_name(error));
+			wrong++;
+		}
+		upstream_http_adapter.generate(
+		    &exchange.http, &exchange.call, exchange.queue);
+		collect(&exchange);
+		if (exchange.last.error == ERROR_CONNECTION ||
+		    exchange.last.error == ERROR_TIMEOUT) {
+			print_error("%s: prompt %s\n", cases[i].reply,
+			    error_name(exchange.last.error));
+			wrong++;
+		}
+		close_exchange(&exchange);
+	}
+	assert_int_equal(wrong, 0);
+}
+
 static int
 set_up(void **state)
 {
@@ -600,6 +647,7 @@
 	    cmocka_unit_test(
 		test_no_call_uses_the_connection_of_an_earlier_one),
 	    cmocka_unit_test(test_contradicting_refusal_is_no_promise),
+	    cmocka_unit_test(test_upstream_states_no_error_of_the_hosts),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
