--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -20,6 +20,7 @@
 #define IDLE_TIMEOUT_DEFAULT_S	120
 #define STREAM_BLOCK_SIZE	32768u /* Bytes read from a stream at a time. */
 #define DRAIN_POLL_US		5000   /* Pause between checks in a drain. */
+#define STATUS_CUT		500    /* Status of a reply that was cut. */
 #define LISTEN_BACKLOG		1024   /* Length of the accept queue. */
 
 struct http_exchange {
@@ -276,6 +277,23 @@
 	http_reply_error(exchange, &caller_error);
 }
 
+void
+http_reply_cut(struct http_exchange *exchange, const char *bytes)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = NULL;
+	if (exchange->connection != NULL)
+		info = MHD_get_connection_info(
+		    exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (info != NULL) {
+		send(info->connect_fd, bytes, strlen(bytes), MSG_NOSIGNAL);
+		shutdown(info->connect_fd, SHUT_RDWR);
+	}
+	/* libmicrohttpd can't send this any more. */
+	http_reply(exchange, STATUS_CUT, NULL, NULL, 0);
+}
+
 void
 http_reply_stream(
     struct http_exchange *exchange, const struct http_stream *stream)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -142,6 +142,9 @@
  */
 void http_reply_field_error(
     struct http_exchange *exchange, const struct field_error *error);
+/** Writes bytes to the connection as they are and closes it, for stand-ins of
+ * faulty upstreams. */
+void http_reply_cut(struct http_exchange *exchange, const char *bytes);
 /** Replies with server-sent events, which the server reads from @p stream once
  * the handler has returned. */
 void http_reply_stream(
--- a/standin/main.c
+++ b/standin/main.c
@@ -79,6 +79,7 @@
 	plain_service_init(&standin->service, settings, &standin->run_log);
 	order_book_init(&standin->orders, settings->record.honours_fencing,
 	    settings->order_ms);
+	stray_answers_init(&standin->stray, settings);
 	memset(&listen, 0, sizeof(listen));
 	memcpy(listen.address, settings->address, sizeof(listen.address));
 	listen.port = settings->port;
@@ -122,6 +123,7 @@
 	announcer_leave(announcer, true);
 	announcer_finish(announcer);
 	http_server_finish(server);
+	stray_answers_finish(&standin->stray);
 	order_book_finish(&standin->orders);
 	plain_service_finish(&standin->service);
 	engine_finish(&standin->engine);
--- a/standin/settings.c
+++ b/standin/settings.c
@@ -118,6 +118,14 @@
 	"send each n-th piece after the next one, 0: none"),
     UINT32("break-every", break_every, 0, 1000000,
 	"break off the stream of each n-th run, 0: none"),
+    UINT32("refuse-earlier-every", refuse_earlier_every, 0, 1000000,
+	"run each n-th request, but repeat an earlier refusal, 0: none"),
+    UINT32("refuse-other-every", refuse_other_every, 0, 1000000,
+	"refuse another request in the stream of each n-th run, 0: none"),
+    UINT32("error-every", error_every, 0, 1000000,
+	"refuse each n-th run after its first pieces, 0: none"),
+    UINT32("cut-head-every", cut_head_every, 0, 1000000,
+	"stop in the head of the answer to each n-th run, 0: none"),
     UINT64("seed", seed, 0, INT64_MAX, "seed of all random choices"),
 };
 
--- a/standin/settings.h
+++ b/standin/settings.h
@@ -62,6 +62,17 @@
 	uint32_t reorder_every;
 	/** Breaks off the stream of each n-th run; 0: none. */
 	uint32_t break_every;
+	/** Runs each n-th request, but answers with the refusal of the one
+	 * before it; 0: none. */
+	uint32_t refuse_earlier_every;
+	/** Begins the answer of each n-th run with the refusal of the request
+	 * before it, as an event; 0: none. */
+	uint32_t refuse_other_every;
+	/** Ends the stream of each n-th run with a refusal after its first
+	 * pieces; 0: none. */
+	uint32_t error_every;
+	/** Stops in the head of the answer to each n-th run; 0: none. */
+	uint32_t cut_head_every;
 };
 
 /** Parses the command line. Returns false after an invalid option, whose error
--- a/standin/standin_http.c
+++ b/standin/standin_http.c
@@ -23,6 +23,8 @@
 	uint32_t attempt;
 	uint64_t next_piece; /* Index of the next piece to send. */
 	bool is_resumed;     /* Continues the answer of an earlier attempt. */
+	bool has_begun;	     /* Something was written. */
+	struct attempt_name other; /* The request before this one. */
 };
 
 static void handle_generate(void *context, struct http_exchange *exchange);
@@ -40,16 +42,25 @@
 static void handle_health(void *context, struct http_exchange *exchange);
 static uint64_t parse_number_parameter(
     struct http_exchange *exchange, const char *name, int base);
+static struct attempt_name parse_name(struct http_exchange *exchange);
 static bool serves_model(const struct standin *standin, const char *model);
 static void refuse(struct http_exchange *exchange, enum error_code code);
 static bool check_incarnation(struct standin *standin,
     struct http_exchange *exchange, uint64_t incarnation);
+static void answer_job(struct standin *standin, struct http_exchange *exchange,
+    struct engine_job *job, const struct attempt_name *name);
 static void stream_job(struct standin *standin, struct http_exchange *exchange,
-    struct engine_job *job, uint32_t attempt, uint64_t position);
+    struct engine_job *job, const struct attempt_name *name,
+    const struct attempt_name *other, uint64_t position);
 static enum http_stream_state stream_next_pieces(
     void *context, GString *out, int64_t deadline_ms);
 static bool must_break_stream(const struct piece_stream *stream,
     const struct engine_job_progress *progress);
+static bool must_refuse_other(const struct piece_stream *stream,
+    const struct engine_job_progress *progress);
+static bool must_refuse_late(const struct piece_stream *stream,
+    const struct engine_job_progress *progress);
+static void write_late_refusal(const struct piece_stream *stream, GString *out);
 static void write_pieces(struct piece_stream *stream,
     const struct engine_job_progress *progress, GString *out);
 static void write_piece(const struct piece_stream *stream,
@@ -86,6 +97,7 @@
 {
 	struct standin *standin = context;
 	struct engine_request request;
+	struct attempt_name name;
 	struct engine_job *job;
 	enum error_code error;
 	const char *text;
@@ -128,13 +140,17 @@
 	}
 	/* The engine keeps no copy of the prompt; free it before streaming. */
 	free(http_take_body(exchange, &size));
-	stream_job(standin, exchange, job, request.attempt, 0);
+	name.request_id = request.request_id;
+	name.attempt = request.attempt;
+	answer_job(standin, exchange, job, &name);
 }
 
 static void
 handle_resume(void *context, struct http_exchange *exchange)
 {
+	struct attempt_name other = {0, 0};
 	struct standin *standin = context;
+	struct attempt_name name;
 	struct engine_job *job;
 	enum error_code error;
 
@@ -149,8 +165,8 @@
 		refuse(exchange, error);
 		return;
 	}
-	stream_job(standin, exchange, job,
-	    (uint32_t)parse_number_parameter(exchange, "attempt", 10),
+	name = parse_name(exchange);
+	stream_job(standin, exchange, job, &name, &other,
 	    parse_number_parameter(exchange, "position", 10));
 }
 
@@ -294,8 +310,9 @@
 	if (error != ERROR_NONE)
 		refuse(exchange, error);
 	else
-		http_reply_json(
-		    exchange, 200, json_pack("{s:s}", "state", states[state]));
+		http_reply_json(exchange, 200,
+		    json_pack("{s:s, s:s}", "order", order.id, "state",
+			states[state]));
 
 done:
 	json_decref(body);
@@ -307,6 +324,7 @@
 	struct standin *standin = context;
 	const char *marker = standin->settings.crash_marker;
 	const char *key;
+	const char *attempt;
 	const char *body;
 	const char *id;
 	char digest[17];
@@ -319,6 +337,11 @@
 		  g_strstr_len(body, (gssize)size, marker) != NULL;
 	key = http_header(exchange, "Idempotency-Key");
 	id = http_header(exchange, "X-Request-Id");
+	if (id != NULL)
+		http_set_header(exchange, "X-Request-Id", id);
+	attempt = http_header(exchange, "X-Request-Attempt");
+	if (attempt != NULL)
+		http_set_header(exchange, "X-Request-Attempt", attempt);
 	run = plain_service_run(&standin->service, key,
 	    id == NULL ? 0 : strtoull(id, NULL, 16), 1, crashes);
 	if (run == 0) {
@@ -383,6 +406,18 @@
 	return value == NULL ? 0 : strtoull(value, NULL, base);
 }
 
+/* Returns the request and the attempt that the query names. */
+static struct attempt_name
+parse_name(struct http_exchange *exchange)
+{
+	struct attempt_name name;
+
+	name.request_id = parse_number_parameter(exchange, "request", 16);
+	name.attempt =
+	    (uint32_t)parse_number_parameter(exchange, "attempt", 10);
+	return name;
+}
+
 static bool
 serves_model(const struct standin *standin, const char *model)
 {
@@ -396,13 +431,18 @@
 refuse(struct http_exchange *exchange, enum error_code code)
 {
 	struct caller_error error;
+	struct attempt_name name;
 
 	memset(&error, 0, sizeof(error));
 	error.code = code;
 	error.outcome = REQUEST_OUTCOME_NOT_RUN;
 	if (code == ERROR_NO_CAPACITY || code == ERROR_SHUTTING_DOWN)
 		error.retry_after_ms = RETRY_AFTER_MS;
-	http_reply_error(exchange, &error);
+	name = parse_name(exchange);
+	if (name.attempt != 0)
+		stray_answers_refuse(exchange, &name, &error);
+	else
+		http_reply_error(exchange, &error);
 }
 
 /* Refuses a request to another incarnation of the stand-in and returns false;
@@ -418,9 +458,27 @@
 	return false;
 }
 
+/* Answers an accepted request, wrongly if the settings ask for it. */
+static void
+answer_job(struct standin *standin, struct http_exchange *exchange,
+    struct engine_job *job, const struct attempt_name *name)
+{
+	struct engine_job_progress progress;
+	struct attempt_name other;
+
+	other = stray_answers_exchange(&standin->stray, name);
+	engine_wait(&standin->engine, job, 0, 0, &progress);
+	if (stray_answers_reply(
+		&standin->stray, exchange, progress.run, &other))
+		engine_release_job(&standin->engine, job);
+	else
+		stream_job(standin, exchange, job, name, &other, 0);
+}
+
 static void
 stream_job(struct standin *standin, struct http_exchange *exchange,
-    struct engine_job *job, uint32_t attempt, uint64_t position)
+    struct engine_job *job, const struct attempt_name *name,
+    const struct attempt_name *other, uint64_t position)
 {
 	struct http_stream stream;
 	struct piece_stream *pieces;
@@ -428,8 +486,9 @@
 	pieces = g_new0(struct piece_stream, 1);
 	pieces->standin = standin;
 	pieces->job = job;
-	pieces->request_id = parse_number_parameter(exchange, "request", 16);
-	pieces->attempt = attempt;
+	pieces->request_id = name->request_id;
+	pieces->attempt = name->attempt;
+	pieces->other = *other;
 	pieces->next_piece = position;
 	pieces->is_resumed = http_parameter(exchange, "from_attempt") != NULL;
 	stream.next = stream_next_pieces;
@@ -446,8 +505,15 @@
 
 	engine_wait(&stream->standin->engine, stream->job, stream->next_piece,
 	    deadline_ms, &progress);
+	if (must_refuse_other(stream, &progress))
+		stray_answers_write_refusal(out, &stream->other);
+	stream->has_begun = true;
 	if (must_break_stream(stream, &progress))
 		return HTTP_STREAM_END;
+	if (must_refuse_late(stream, &progress)) {
+		write_late_refusal(stream, out);
+		return HTTP_STREAM_END;
+	}
 	if (progress.state == JOB_STATE_CANCELLED) {
 		write_cancelled(stream, out);
 		return HTTP_STREAM_END;
@@ -471,6 +537,40 @@
 	       progress->produced_pieces >= BREAK_AFTER_PIECES;
 }
 
+/* True if the refusal of another request must come first as a simulated fault.
+ */
+static bool
+must_refuse_other(const struct piece_stream *stream,
+    const struct engine_job_progress *progress)
+{
+	const uint32_t every = stream->standin->settings.refuse_other_every;
+
+	return every > 0 && !stream->is_resumed && !stream->has_begun &&
+	       progress->run % every == 0;
+}
+
+/* True if the stream must end here with a refusal as a simulated fault; not if
+ * it is a resumed one. */
+static bool
+must_refuse_late(const struct piece_stream *stream,
+    const struct engine_job_progress *progress)
+{
+	const uint32_t every = stream->standin->settings.error_every;
+
+	return every > 0 && !stream->is_resumed && progress->run % every == 0 &&
+	       stream->next_piece >= BREAK_AFTER_PIECES;
+}
+
+static void
+write_late_refusal(const struct piece_stream *stream, GString *out)
+{
+	struct attempt_name name;
+
+	name.request_id = stream->request_id;
+	name.attempt = stream->attempt;
+	stray_answers_write_refusal(out, &name);
+}
+
 /* Writes the pieces produced since the last call, some of them twice or in the
  * wrong order if the settings ask for such faults. */
 static void
--- a/standin/standin_http.h
+++ b/standin/standin_http.h
@@ -12,6 +12,7 @@
 #include "order_book.h"
 #include "plain_service.h"
 #include "settings.h"
+#include "stray_answer.h"
 #include "transport/http_server.h"
 
 /** All state of the stand-in, the context of its HTTP handlers. */
@@ -21,6 +22,7 @@
 	struct engine engine; /**< Answers prompts if it serves models. */
 	struct plain_service service; /**< Answers plain calls. */
 	struct order_book orders;     /**< Orders given by hosts. */
+	struct stray_answers stray;   /**< Answers of other requests. */
 };
 
 /** Routes of the stand-in; their context is a struct standin. */
