"failed" is said of single work only if the upstream said it

What callers saw: a request that may run once, which an engine answered with 500 or 503 and no outcome, ended as "failed": it began and ended. The engine had said neither. docs/INTERFACES.md promises "unknown" for it.

Cause: the client gave "unknown", and the request's run made of each upstream_failed an attempt that the upstream had ended.

Evidence: real_stray_answers.sh, a keyed prompt answered by a bare 500, whole and streamed, and test_retry, "error answered that does not say that it ended": red before.

Change: the report of an attempt says whether the upstream said "failed"; retry_classify() believes only that. The other rows of test_retry are the same, with the new field written out.

--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -105,7 +105,8 @@
 		return REQUEST_OUTCOME_NOT_RUN;
 	if (report->stage == ATTEMPT_STREAMING || report->delivered > 0)
 		return REQUEST_OUTCOME_FAILED;
-	if (report->stage == ATTEMPT_SENT && report->failure == ATTEMPT_ERROR)
+	if (report->stage == ATTEMPT_SENT && report->failure == ATTEMPT_ERROR &&
+	    report->says_failed)
 		return REQUEST_OUTCOME_FAILED;
 	return REQUEST_OUTCOME_UNKNOWN;
 }
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -72,6 +72,7 @@
 	bool may_have_run;	      /**< An earlier attempt may have run. */
 	bool can_resume;	      /**< An answer can be resumed. */
 	double expected_ms; /**< Predicted duration of another attempt. */
+	bool says_failed;   /**< The upstream said that the attempt failed. */
 };
 
 /** Result of retry_decide(). */
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -56,6 +56,8 @@
  * the cause if no retry is allowed. */
 static void fail_attempt(struct request_run *run, enum attempt_failure failure,
     enum error_code cause, int64_t retry_after_ms);
+static struct attempt_report describe_attempt(
+    const struct request_run *run, enum attempt_failure failure);
 /* Drops the text received so far, so that the next attempt starts from the
  * beginning. */
 static void restart_answer(struct request_run *run);
@@ -303,6 +305,7 @@
 		return;
 	}
 	run->attempt++;
+	run->upstream_says_failed = false;
 	run->stage = ATTEMPT_NOT_SENT;
 	run->state = REQUEST_STATE_RUNNING;
 	run->dispatched_at_ms = host_now_ms();
@@ -564,6 +567,7 @@
 		    piece->error, piece->retry_after_ms);
 		return;
 	}
+	run->upstream_says_failed = piece->outcome == REQUEST_OUTCOME_FAILED;
 	/* Only a broken connection may mean that the upstream crashed. */
 	run->upstream_crashed = piece->error == ERROR_CONNECTION;
 	if (run->upstream_crashed)
@@ -580,8 +584,8 @@
 fail_attempt(struct request_run *run, enum attempt_failure failure,
     enum error_code cause, int64_t retry_after_ms)
 {
-	struct attempt_report report = {0};
 	struct retry_decision decision;
+	struct attempt_report report;
 	struct host *host = run->host;
 
 	if (run->ticket.needs_group) {
@@ -590,16 +594,7 @@
 		    run, cause, REQUEST_OUTCOME_FAILED, retry_after_ms);
 		return;
 	}
-	report.attempt = run->attempt;
-	report.stage = run->stage;
-	report.failure = failure;
-	/* Without a stream, the caller has no text yet: a rerun is allowed. */
-	report.delivered = run->input.is_stream
-			       ? stream_assembler_position(&run->assembler)
-			       : 0;
-	report.may_have_run = run->may_have_run;
-	report.can_resume = !run->input.facts.is_service_call;
-	report.expected_ms = run->ticket.assignment.end_ms;
+	report = describe_attempt(run, failure);
 	decision = retry_decide(&host->retry, &host->retry_budget,
 	    &run->input.facts, &report, g_random_double(), host_now_ms());
 	if (run->stage != ATTEMPT_NOT_SENT)
@@ -639,6 +634,25 @@
 	run->state = REQUEST_STATE_PAUSED;
 }
 
+static struct attempt_report
+describe_attempt(const struct request_run *run, enum attempt_failure failure)
+{
+	struct attempt_report report = {0};
+
+	report.attempt = run->attempt;
+	report.stage = run->stage;
+	report.failure = failure;
+	/* Without a stream, the caller has no text yet: a rerun is allowed. */
+	report.delivered = run->input.is_stream
+			       ? stream_assembler_position(&run->assembler)
+			       : 0;
+	report.may_have_run = run->may_have_run;
+	report.can_resume = !run->input.facts.is_service_call;
+	report.expected_ms = run->ticket.assignment.end_ms;
+	report.says_failed = run->upstream_says_failed;
+	return report;
+}
+
 static void
 restart_answer(struct request_run *run)
 {
--- a/src/service/request_run.h
+++ b/src/service/request_run.h
@@ -63,10 +63,11 @@
 	enum attempt_stage stage;  /**< How far the attempt has come. */
 	bool upstream_crashed; /**< The last attempt's connection broke, so its
 				    upstream may have crashed. */
-	bool resumes;	       /**< The next attempt resumes the stream on the
+	bool upstream_says_failed; /**< The attempt ended with "failed". */
+	bool resumes;	   /**< The next attempt resumes the stream on the
 				    same upstream. */
-	bool may_have_run;     /**< An earlier attempt may have run. */
-	bool has_claim;	       /**< The idempotency key is claimed. */
+	bool may_have_run; /**< An earlier attempt may have run. */
+	bool has_claim;	   /**< The idempotency key is claimed. */
 	int64_t dispatched_at_ms;  /**< When the attempt was sent. */
 	int64_t stall_deadline_ms; /**< Without a piece until then, the attempt
 					counts as stalled. */
--- a/tests/stub/stray_answers.py
+++ b/tests/stub/stray_answers.py
@@ -69,6 +69,7 @@
     "cut-head": lambda a: "HTTP/1.1 200 OK\r\nContent-Ty",
     "cut-refusal": lambda a: "HTTP/1.1 429 Busy\r\nX-Request-Outcome: not_run\r\n",
     "busy-without-a-word": lambda a: reply("503 Busy", json.dumps(error_body("unknown", "shutting_down"))),
+    "failed-without-a-word": lambda a: reply("500 No", "no"),
     "closed": lambda a: "",
 }
 
@@ -225,6 +226,8 @@
         if key:
             self.expect(marker, runs == 1, f"{runs} runs, {status} {text}")
             self.expect(marker, "w3" not in text, f"{status} {text}")
+            word = "failed" if "after-a-piece" in name else "unknown"
+            self.expect(marker, f'"outcome":"{word}"' in text, f"{status} {text}")
             self.expect(marker, "[DONE]" not in text and (is_stream or status != 200), f"{status} {text}")
         elif not is_stream or "after-a-piece" not in name:
             self.expect(marker, status == 200 and "w3" in text, f"{status} {text}")
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -30,47 +30,54 @@
 
 /* The fields of a report are: attempt, stage, failure, pieces delivered,
  * whether an earlier attempt may have run, whether the answer can be resumed,
- * and the predicted duration of another attempt. */
+ * the predicted duration of another attempt, and whether the upstream said that
+ * the attempt failed. */
 static const struct retry_case retry_cases[] = {
-    {"not sent", {1, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 100}, false,
-	RETRY_RERUN, NOT_RUN},
-    {"refused", {1, SENT, ATTEMPT_REFUSED, 0, false, false, 100}, false,
+    {"not sent", {1, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 100, false},
+	false, RETRY_RERUN, NOT_RUN},
+    {"refused", {1, SENT, ATTEMPT_REFUSED, 0, false, false, 100, false}, false,
 	RETRY_RERUN, NOT_RUN},
     {"non-idempotent after dispatch",
-	{1, SENT, ATTEMPT_CONNECTION, 0, false, true, 100}, false,
+	{1, SENT, ATTEMPT_CONNECTION, 0, false, true, 100, false}, false,
+	RETRY_GIVE_UP, UNKNOWN},
+    {"non-idempotent stalled",
+	{1, SENT, ATTEMPT_STALLED, 0, false, true, 100, false}, false,
 	RETRY_GIVE_UP, UNKNOWN},
-    {"non-idempotent stalled", {1, SENT, ATTEMPT_STALLED, 0, false, true, 100},
-	false, RETRY_GIVE_UP, UNKNOWN},
     {"non-idempotent streaming",
-	{1, STREAM, ATTEMPT_CONNECTION, 3, false, true, 100}, false,
+	{1, STREAM, ATTEMPT_CONNECTION, 3, false, true, 100, false}, false,
 	RETRY_GIVE_UP, FAILED},
     {"non-idempotent not sent after one that may have run",
-	{2, NOT_SENT, ATTEMPT_CONNECTION, 0, true, true, 100}, false,
+	{2, NOT_SENT, ATTEMPT_CONNECTION, 0, true, true, 100, false}, false,
 	RETRY_GIVE_UP, UNKNOWN},
     {"idempotent after dispatch",
-	{1, SENT, ATTEMPT_CONNECTION, 0, false, false, 100}, true, RETRY_RERUN,
-	UNKNOWN},
-    {"resume", {1, STREAM, ATTEMPT_STALLED, 3, false, true, 100}, true,
+	{1, SENT, ATTEMPT_CONNECTION, 0, false, false, 100, false}, true,
+	RETRY_RERUN, UNKNOWN},
+    {"resume", {1, STREAM, ATTEMPT_STALLED, 3, false, true, 100, false}, true,
 	RETRY_RESUME, FAILED},
     {"never a re-run after text",
-	{1, STREAM, ATTEMPT_STALLED, 3, false, false, 100}, true, RETRY_GIVE_UP,
-	FAILED},
+	{1, STREAM, ATTEMPT_STALLED, 3, false, false, 100, false}, true,
+	RETRY_GIVE_UP, FAILED},
     {"refused after one that ran",
-	{2, SENT, ATTEMPT_REFUSED, 0, true, false, 100}, true, RETRY_RERUN,
-	UNKNOWN},
+	{2, SENT, ATTEMPT_REFUSED, 0, true, false, 100, false}, true,
+	RETRY_RERUN, UNKNOWN},
     {"attempts are bounded",
-	{4, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 100}, true,
+	{4, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 100, false}, true,
 	RETRY_GIVE_UP, NOT_RUN},
-    {"no time left", {1, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 9995},
-	true, RETRY_GIVE_UP, NOT_RUN},
-    {"caller left", {1, SENT, ATTEMPT_CANCELLED, 0, false, false, 100}, true,
+    {"no time left",
+	{1, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 9995, false}, true,
+	RETRY_GIVE_UP, NOT_RUN},
+    {"caller left", {1, SENT, ATTEMPT_CANCELLED, 0, false, false, 100, false},
+	true, RETRY_GIVE_UP, UNKNOWN},
+    {"deadline", {1, SENT, ATTEMPT_DEADLINE, 0, false, false, 100, false}, true,
 	RETRY_GIVE_UP, UNKNOWN},
-    {"deadline", {1, SENT, ATTEMPT_DEADLINE, 0, false, false, 100}, true,
+    {"refused after text",
+	{1, NOT_SENT, ATTEMPT_REFUSED, 3, false, true, 100, false}, false,
+	RETRY_GIVE_UP, FAILED},
+    {"error answered", {1, SENT, ATTEMPT_ERROR, 0, false, false, 100, true},
+	true, RETRY_RERUN, FAILED},
+    {"error answered that does not say that it ended",
+	{1, SENT, ATTEMPT_ERROR, 0, false, false, 100, false}, false,
 	RETRY_GIVE_UP, UNKNOWN},
-    {"refused after text", {1, NOT_SENT, ATTEMPT_REFUSED, 3, false, true, 100},
-	false, RETRY_GIVE_UP, FAILED},
-    {"error answered", {1, SENT, ATTEMPT_ERROR, 0, false, false, 100}, true,
-	RETRY_RERUN, FAILED},
 };
 
 static void
@@ -108,7 +115,7 @@
 	struct request_facts facts = {
 	    .deadline_ms = DEADLINE_MS, .is_idempotent = true};
 	struct attempt_report report = {
-	    1, ATTEMPT_SENT, ATTEMPT_CONNECTION, 0, false, false, 10};
+	    1, ATTEMPT_SENT, ATTEMPT_CONNECTION, 0, false, false, 10, false};
 	struct retry_decision decision;
 	unsigned int i, retries;
 
