--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -96,15 +96,17 @@
 enum request_outcome
 retry_classify(const struct attempt_report *report)
 {
-	/* "Not run" may be reported only if no attempt can have run. */
-	if (!report->may_have_run &&
+	/* "Not run" may be reported only if no attempt can have run; text that
+	 * the caller has shows that one did. */
+	if (!report->may_have_run && report->delivered == 0 &&
 	    (report->stage == ATTEMPT_NOT_SENT ||
 		(report->stage == ATTEMPT_SENT &&
 		    report->failure == ATTEMPT_REFUSED)))
 		return REQUEST_OUTCOME_NOT_RUN;
 	if (report->stage == ATTEMPT_STREAMING || report->delivered > 0)
 		return REQUEST_OUTCOME_FAILED;
-	if (report->stage == ATTEMPT_SENT && report->failure == ATTEMPT_ERROR)
+	if (report->stage == ATTEMPT_SENT && report->failure == ATTEMPT_ERROR &&
+	    report->says_failed)
 		return REQUEST_OUTCOME_FAILED;
 	return REQUEST_OUTCOME_UNKNOWN;
 }
--- a/src/service/request_run.c
+++ b/src/service/request_run.c
@@ -37,6 +37,7 @@
 static void advance_running(struct request_run *run, int64_t until_ms);
 /* Sends the next attempt to the upstream that the ticket was assigned. */
 static void dispatch(struct request_run *run);
+static void begin_answer(struct request_run *run);
 static void dispatch_group(struct request_run *run);
 /* Whether this host may start requests and the assigned upstream is still
  * active, in the same incarnation and not taken out. */
@@ -55,6 +56,8 @@
  * the cause if no retry is allowed. */
 static void fail_attempt(struct request_run *run, enum attempt_failure failure,
     enum error_code cause, int64_t retry_after_ms);
+static struct attempt_report describe_attempt(
+    const struct request_run *run, enum attempt_failure failure);
 /* Drops the text received so far, so that the next attempt starts from the
  * beginning. */
 static void restart_answer(struct request_run *run);
@@ -301,15 +304,15 @@
 		run->state = REQUEST_STATE_PAUSED;
 		return;
 	}
-	run->resumed_attempt = run->attempt;
 	run->attempt++;
+	run->upstream_says_failed = false;
 	run->stage = ATTEMPT_NOT_SENT;
 	run->state = REQUEST_STATE_RUNNING;
 	run->dispatched_at_ms = host_now_ms();
 	if (stream_assembler_position(&run->assembler) > 0)
 		stream_assembler_resume(&run->assembler, run->attempt);
 	else
-		stream_assembler_start(&run->assembler, run->attempt);
+		begin_answer(run);
 	span_start(&run->attempt_span, "attempt", &run->span.context);
 	span_set_attribute(&run->attempt_span, "upstream",
 	    run->ticket.assignment.upstream_name);
@@ -325,6 +328,14 @@
 	run->stage = ATTEMPT_SENT;
 }
 
+/* Prepares for an answer that begins with this attempt. */
+static void
+begin_answer(struct request_run *run)
+{
+	run->answer_attempt = run->attempt;
+	stream_assembler_start(&run->assembler, run->attempt);
+}
+
 /* Starts the request on a group of engines. Such a run is not retried, since it
  * reserves much memory on several engines. */
 static void
@@ -397,7 +408,7 @@
 	    run->input.body == NULL ? 0 : run->input.body->size;
 	snprintf(attempt_input->content_type,
 	    sizeof(attempt_input->content_type), "%s", run->input.content_type);
-	attempt_input->from_attempt = run->resumed_attempt;
+	attempt_input->from_attempt = run->answer_attempt;
 	attempt_input->position = stream_assembler_position(&run->assembler);
 	snprintf(attempt_input->path, sizeof(attempt_input->path), "%s",
 	    run->input.path);
@@ -556,6 +567,7 @@
 		    piece->error, piece->retry_after_ms);
 		return;
 	}
+	run->upstream_says_failed = piece->outcome == REQUEST_OUTCOME_FAILED;
 	/* Only a broken connection may mean that the upstream crashed. */
 	run->upstream_crashed = piece->error == ERROR_CONNECTION;
 	if (run->upstream_crashed)
@@ -572,8 +584,8 @@
 fail_attempt(struct request_run *run, enum attempt_failure failure,
     enum error_code cause, int64_t retry_after_ms)
 {
-	struct attempt_report report = {0};
 	struct retry_decision decision;
+	struct attempt_report report;
 	struct host *host = run->host;
 
 	if (run->ticket.needs_group) {
@@ -582,16 +594,7 @@
 		    run, cause, REQUEST_OUTCOME_FAILED, retry_after_ms);
 		return;
 	}
-	report.attempt = run->attempt;
-	report.stage = run->stage;
-	report.failure = failure;
-	/* Without a stream, the caller has no text yet: a rerun is allowed. */
-	report.delivered = run->input.is_stream
-			       ? stream_assembler_position(&run->assembler)
-			       : 0;
-	report.may_have_run = run->may_have_run;
-	report.can_resume = !run->input.facts.is_service_call;
-	report.expected_ms = run->ticket.assignment.end_ms;
+	report = describe_attempt(run, failure);
 	decision = retry_decide(&host->retry, &host->retry_budget,
 	    &run->input.facts, &report, g_random_double(), host_now_ms());
 	if (run->stage != ATTEMPT_NOT_SENT)
@@ -631,6 +634,25 @@
 	run->state = REQUEST_STATE_PAUSED;
 }
 
+static struct attempt_report
+describe_attempt(const struct request_run *run, enum attempt_failure failure)
+{
+	struct attempt_report report = {0};
+
+	report.attempt = run->attempt;
+	report.stage = run->stage;
+	report.failure = failure;
+	/* Without a stream, the caller has no text yet: a rerun is allowed. */
+	report.delivered = run->input.is_stream
+			       ? stream_assembler_position(&run->assembler)
+			       : 0;
+	report.may_have_run = run->may_have_run;
+	report.can_resume = !run->input.facts.is_service_call;
+	report.expected_ms = run->ticket.assignment.end_ms;
+	report.says_failed = run->upstream_says_failed;
+	return report;
+}
+
 static void
 restart_answer(struct request_run *run)
 {
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -1,6 +1,7 @@
 #include "transport/upstream_control.h"
 
 #include <inttypes.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +12,7 @@
 
 #include "base/monotonic_clock.h"
 #include "protocol/field_error.h"
+#include "transport/reply_head.h"
 #include "transport/upstream_reply.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
@@ -24,10 +26,12 @@
 
 static enum error_code exchange_json(const struct upstream_target *target,
     const char *path, json_t *body, int64_t deadline_ms, json_t **reply);
+static bool names_other_call(const json_t *reply, const json_t *call);
 static enum error_code perform(CURL *curl, const char *url, const char *text,
     int64_t left_ms, GString *answer);
-static enum error_code classify_reply(
-    CURL *curl, CURLcode result, const GString *answer);
+static enum error_code classify_reply(CURL *curl, CURLcode result,
+    const struct reply_head *head, const GString *answer);
+static size_t read_header(char *line, size_t size, size_t count, void *context);
 static size_t append_reply(
     char *bytes, size_t size, size_t count, void *context);
 static json_t *reservation_body(
@@ -171,16 +175,17 @@
     json_t *body, int64_t deadline_ms, json_t **reply)
 {
 	char url[URL_SIZE_MAX + PATH_SIZE];
-	char *text;
-	CURL *curl;
-	GString *answer;
 	enum error_code error;
+	GString *answer;
 	int64_t left_ms;
+	json_t *root;
+	char *text;
+	CURL *curl;
 
 	text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
-	json_decref(body);
 	curl = curl_easy_init();
 	answer = g_string_new(NULL);
+	root = NULL;
 	left_ms = deadline_ms - clock_monotonic_ms();
 	error = ERROR_TIMEOUT;
 	if (curl == NULL)
@@ -189,26 +194,48 @@
 		goto done;
 	snprintf(url, sizeof(url), "%s%s", target->url, path);
 	error = perform(curl, url, text, left_ms, answer);
+	root = json_loadb(answer->str, answer->len, 0, NULL);
+	if (error != ERROR_CONNECTION && names_other_call(root, body))
+		error = ERROR_OUTCOME_UNKNOWN;
 	if (error != ERROR_NONE || reply == NULL)
 		goto done;
-	*reply = json_loadb(answer->str, answer->len, 0, NULL);
-	if (!json_is_object(*reply)) {
-		json_decref(*reply);
-		*reply = NULL;
+	if (json_is_object(root))
+		*reply = json_incref(root);
+	else
 		error = ERROR_MALFORMED;
-	}
 
 done:
+	json_decref(root);
+	json_decref(body);
 	g_string_free(answer, TRUE);
 	curl_easy_cleanup(curl);
 	free(text);
 	return error;
 }
 
+/* Returns true if a reply names a reservation or an order, and not the one of
+ * the call. */
+static bool
+names_other_call(const json_t *reply, const json_t *call)
+{
+	static const char *const names[] = {"reservation", "order"};
+	const json_t *stated, *own;
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		stated = json_object_get(reply, names[i]);
+		own = json_object_get(call, names[i]);
+		if (stated != NULL && own != NULL && !json_equal(stated, own))
+			return true;
+	}
+	return false;
+}
+
 static enum error_code
 perform(CURL *curl, const char *url, const char *text, int64_t left_ms,
     GString *answer)
 {
+	struct reply_head head = {0};
 	struct curl_slist *headers;
 	CURLcode result;
 
@@ -219,36 +246,47 @@
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	if (text != NULL)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, read_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_reply);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
 	result = curl_easy_perform(curl);
 	curl_slist_free_all(headers);
-	return classify_reply(curl, result, answer);
+	return classify_reply(curl, result, &head, answer);
 }
 
 static enum error_code
-classify_reply(CURL *curl, CURLcode result, const GString *answer)
+classify_reply(CURL *curl, CURLcode result, const struct reply_head *head,
+    const GString *answer)
 {
 	struct piece piece;
 	long sent;
-	long status;
 
 	sent = 0;
-	status = 0;
 	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-	if (result != CURLE_OK)
+	if (result != CURLE_OK || !head->is_complete)
 		return sent == 0 ? ERROR_CONNECTION : ERROR_OUTCOME_UNKNOWN;
-	if (status == 200)
+	if (head->status == 200)
 		return ERROR_NONE;
 	memset(&piece, 0, sizeof(piece));
 	piece.error = ERROR_OUTCOME_UNKNOWN;
-	upstream_reply_parse_error(answer->str, answer->len, &piece);
+	piece.outcome = REQUEST_OUTCOME_FAILED;
+	if (!upstream_reply_parse_error(answer->str, answer->len, &piece) ||
+	    piece.outcome == REQUEST_OUTCOME_UNKNOWN)
+		return ERROR_OUTCOME_UNKNOWN;
 	return piece.error;
 }
 
+static size_t
+read_header(char *line, size_t size, size_t count, void *context)
+{
+	if (reply_head_add_line(context, line, size * count) != ERROR_NONE)
+		return 0;
+	return size * count;
+}
+
 static size_t
 append_reply(char *bytes, size_t size, size_t count, void *context)
 {
--- a/src/transport/upstream_reply.c
+++ b/src/transport/upstream_reply.c
@@ -12,6 +12,7 @@
 #define SEQUENCE_MAX	    (1ull << 32) /* Most pieces in an answer. */
 #define RETRY_AFTER_MS_MAX  86400000	 /* Longest wait accepted: a day. */
 
+static bool names_other(const json_t *root, const struct piece *piece);
 static enum error_code parse_piece(const json_t *root, struct piece *piece);
 static enum error_code parse_end(const json_t *root, struct piece *piece);
 static void parse_error(const json_t *root, struct piece *piece);
@@ -50,15 +51,18 @@
 	return code;
 }
 
-void
+bool
 upstream_reply_parse_error(const char *body, size_t size, struct piece *piece)
 {
+	bool is_own;
 	json_t *root;
 
 	root = json_loadb(body, size, 0, NULL);
-	if (json_is_object(json_object_get(root, "error")))
+	is_own = !names_other(root, piece);
+	if (is_own && json_is_object(json_object_get(root, "error")))
 		parse_error(root, piece);
 	json_decref(root);
+	return is_own;
 }
 
 const char *
@@ -79,6 +83,25 @@
 	return NULL;
 }
 
+/* Returns true if an error reply names a request or attempt, and not those of
+ * the piece. */
+static bool
+names_other(const json_t *root, const struct piece *piece)
+{
+	struct field_error error;
+	uint64_t request_id, attempt;
+
+	if (json_object_get(root, "request") != NULL &&
+	    (field_read_hex(root, "request", &request_id, &error) !=
+		    ERROR_NONE ||
+		request_id != piece->request_id))
+		return true;
+	return json_object_get(root, "attempt") != NULL &&
+	       (field_read_uint(root, "attempt", 0, UINT32_MAX, &attempt,
+		    &error) != ERROR_NONE ||
+		   attempt != piece->attempt);
+}
+
 static enum error_code
 parse_piece(const json_t *root, struct piece *piece)
 {
@@ -133,8 +156,8 @@
 
 /* Reads the error of a reply. Only the engine knows whether a request that it
  * refused has run, so its outcome "not_run" is trusted. If the reply states no
- * valid outcome, the one that the caller has set stays; without one the
- * request may have run. */
+ * outcome, the one that the caller has set stays; without one, and with an
+ * outcome of another name, the request may have run. */
 static void
 parse_error(const json_t *root, struct piece *piece)
 {
@@ -155,7 +178,7 @@
 		piece->outcome = REQUEST_OUTCOME_NOT_RUN;
 	else if (outcome != NULL && strcmp(outcome, "failed") == 0)
 		piece->outcome = REQUEST_OUTCOME_FAILED;
-	else if (piece->outcome == 0)
+	else if (outcome != NULL || piece->outcome == 0)
 		piece->outcome = REQUEST_OUTCOME_UNKNOWN;
 }
 
@@ -166,7 +189,11 @@
 
 	for (code = ERROR_NONE + 1; code < ERROR_CODE_COUNT; code++) {
 		if (strcmp(name, error_name(code)) == 0)
-			return code;
+			break;
 	}
-	return ERROR_UPSTREAM_FAILED;
+	/* Only this host knows that its connection or its time ended. */
+	if (code == ERROR_CODE_COUNT || code == ERROR_CONNECTION ||
+	    code == ERROR_TIMEOUT)
+		return ERROR_UPSTREAM_FAILED;
+	return code;
 }
