--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -51,6 +51,46 @@
 	message_writer_finish(&writer);
 }
 
+/* A message with several faults is refused for the first one that its reader
+ * comes to, and no later field takes part of the message over. */
+static void
+test_fields_in_turn_keep_the_first_error(void **state)
+{
+	struct message_writer writer;
+	struct message_reader reader;
+	struct message_fields fields = {.reader = &reader};
+	char text[8] = "before";
+	size_t size;
+
+	(void)state;
+	message_writer_init(&writer);
+	message_begin_map(&writer, 4);
+	message_put_uint(&writer, 1, 77);
+	message_put_uint(&writer, 2, UINT64_C(1) << 32);
+	message_put_text(&writer, 3, "regina");
+	message_put_array(&writer, 4, 1);
+	message_add_uint(&writer, 5);
+	assert_int_equal(message_reader_init(&reader, message_data(&writer),
+			     message_size(&writer)),
+	    ERROR_NONE);
+	assert_int_equal(message_fields_uint(&fields, 1), 77);
+	assert_int_equal(fields.error, ERROR_NONE);
+	assert_int_equal(message_fields_uint32(&fields, 2), 0);
+	assert_int_equal(fields.error, ERROR_TOO_LARGE);
+	assert_int_equal(message_fields_uint(&fields, 99), 0);
+	assert_int_equal(message_fields_uint(&fields, 1), 0);
+	assert_int_equal(message_fields_uint32(&fields, 1), 0);
+	assert_int_equal(message_fields_int(&fields, 1), 0);
+	message_fields_text(&fields, 3, text, sizeof(text));
+	assert_string_equal(text, "before");
+	assert_null(message_fields_bytes(&fields, 3, &size));
+	assert_int_equal(size, 0);
+	assert_int_equal(message_fields_array(&fields, 4).count, 0);
+	assert_int_equal(fields.error, ERROR_TOO_LARGE);
+	message_reader_finish(&reader);
+	message_writer_finish(&writer);
+}
+
 /* Malformed messages are refused, among them headers that declare far more
  * elements or bytes than follow, which must not make the reader allocate
  * memory for them. */
@@ -87,6 +127,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_fields_are_decoded_and_unknown_ones_skipped),
+	    cmocka_unit_test(test_fields_in_turn_keep_the_first_error),
 	    cmocka_unit_test(test_malformed_messages_are_refused),
 	};
 
