Tests of broken answers see bytes that are no chunk behind an event

The check of test_broken_answers took a body that goes on with something else than a chunk for one that was cut. The code under test is unchanged and green under the stricter check. The two branches of silence_tick() that wait are one (lint).

--- a/src/service/relay_silence.c
+++ b/src/service/relay_silence.c
@@ -42,11 +42,9 @@
 
 	now_ms = host_now_ms();
 	action = SILENCE_WAIT;
-	if (!exchange->is_sent) {
-		/* The attempt is still connecting, with a timeout of its
-		 * own. */
-	} else if (!relay_events_can_resume(&exchange->events)) {
-		/* Nobody else can continue the stream. */
+	if (!exchange->is_sent || !relay_events_can_resume(&exchange->events)) {
+		/* The attempt is still connecting, with a timeout of its own,
+		 * or nobody else can continue its stream. */
 	} else if (exchange->route->kind != ROUTE_KIND_STREAM) {
 		if (now_ms - exchange->last_progress_ms >
 		    exchange->route->target_ms * PLAIN_SILENCE_TARGETS)
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -471,27 +471,45 @@
 	return g_string_free(received, FALSE);
 }
 
-/* Reads a chunked body; returns what follows it, or NULL if it is cut. */
-static const char *
-read_chunks(const char *at, GString *body)
+/* Reads CR LF. Returns false if the bytes end before that, which are all read
+ * then, or if they are others. */
+static bool
+read_line_end(const char **at)
+{
+	if (g_str_has_prefix(*at, "\r\n")) {
+		*at += 2;
+		return true;
+	}
+	if (strcmp(*at, "\r") == 0)
+		*at += 1;
+	return false;
+}
+
+/* Reads a chunked body. Returns true if it is complete; @p rest is what follows
+ * it, or what is no chunk. */
+static bool
+read_chunks(const char *at, GString *body, const char **rest)
 {
 	unsigned long size;
-	char *end;
+	size_t digits;
 
 	for (;;) {
-		size = strtoul(at, &end, 16);
-		if (end == at || !g_str_has_prefix(end, "\r\n"))
-			return NULL;
-		at = end + 2;
-		if (strlen(at) < size)
-			return NULL;
-		g_string_append_len(body, at, (gssize)size);
-		at += size;
-		if (!g_str_has_prefix(at, "\r\n"))
-			return NULL;
-		at += 2;
+		*rest = at;
+		digits = strspn(at, "0123456789abcdef");
+		size = strtoul(at, NULL, 16);
+		if (digits == 0)
+			return false;
+		*rest += digits;
+		if (!read_line_end(rest))
+			return false;
+		at = *rest;
+		*rest += MIN(size, strlen(at));
+		g_string_append_len(body, at, *rest - at);
+		if (!read_line_end(rest))
+			return false;
+		at = *rest;
 		if (size == 0)
-			return at;
+			return true;
 	}
 }
 
@@ -547,9 +565,9 @@
 		answer->is_complete = true;
 		answer->rest = end;
 	} else if (find_field(answer, "Transfer-Encoding") != NULL) {
-		end = read_chunks(end, answer->body);
-		answer->is_complete = end != NULL && length == NULL;
-		answer->rest = end == NULL ? "" : end;
+		answer->is_complete =
+		    read_chunks(end, answer->body, &answer->rest) &&
+		    length == NULL;
 	} else if (length != NULL) {
 		size = strtoul(length, NULL, 10);
 		answer->is_complete = strlen(end) >= size;
