--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 #   make check  checks the format, lints, builds with sanitizers, runs all tests
 
 JOBS ?= 8
-C_FILES = $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] tests/stub/*.[ch] tests/soak/*.[ch] examples/*.[ch])
+C_FILES = $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] tests/stub/*.[ch] tests/corpus/*.[ch] tests/soak/*.[ch] examples/*.[ch])
 CPP_FILES = $(wildcard tests/*.cpp)
 
 # Regular expression for the tests that start threads. Only these run under the
--- /dev/null
+++ b/tests/corpus/names_before_wording.h
@@ -0,0 +1,54 @@
+/**
+ * @file names_before_wording.h
+ * Names as they were before commits 80a275e to 6036cc1 gave them their present
+ * wording. The samples are compiled with it for builds older than that.
+ */
+#define GOSSIP_BUCKET_COUNT		 GOSSIP_BUCKETS
+#define message_begin_map		 message_open
+#define gossip_message_elements		 gossip_elements
+#define tie_break			 tie
+#define handshake_derive_session	 handshake_derive
+#define ping_number			 number
+#define target				 subject
+#define origin				 asker
+#define request_number			 number
+#define applied_index			 applied
+#define header				 head
+#define subtree_index			 subtree
+#define in_force_index			 in_force
+#define first_index			 first
+#define last_index			 last
+#define total_size			 total
+#define prefill_ms			 read_ms
+#define long_running			 heavy
+#define ejected_ms			 away_ms
+#define prefill_due_ms			 due_ms
+#define service_hash			 service
+#define short_engines			 light
+#define long_engines			 heavy
+#define min_key				 best_key
+#define queued_prefill_ms		 waiting_ms
+#define GRANT_MESSAGE_REPORT		 GRANT_MESSAGE_ASK
+#define GRANT_MESSAGE_USE_QUERY		 GRANT_MESSAGE_QUERY
+#define GRANT_MESSAGE_USE_ANSWER	 GRANT_MESSAGE_USE
+#define grant_header			 grant_head
+#define grant_report			 grant_ask
+#define offer_number			 number
+#define largest_waiting			 largest
+#define in_time_answers			 in_time
+#define grant_message_add_report	 grant_message_add_ask
+#define grant_message_add_ledger_row	 grant_message_add_ledger
+#define grant_message_add_kv_row	 grant_message_add_kv
+#define grant_reader_read_report	 grant_reader_ask
+#define grant_reader_read_offer		 grant_reader_offer
+#define grant_reader_read_ledger_row	 grant_reader_ledger
+#define grant_reader_read_kv_row	 grant_reader_kv
+#define grant_reader_read_id		 grant_reader_id
+#define must_run_alone			 is_suspicion
+#define fencing_number			 fencing
+#define COMMAND_SET_LIVE_HOSTS		 COMMAND_HOSTS_LIVE
+#define is_pre_vote			 is_pre
+#define has_time_reference		 has_reference
+#define commit_index			 commit
+#define consensus_message_read_entry	 consensus_message_entry
+#define replicated_state_for_each_public replicated_state_each_public
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -22,7 +22,7 @@
 }
 export -f lint_one
 shopt -s nullglob
-printf "%s\n" src/*/*.c platform/*.c standin/*.c bench/*.c tests/*.c tests/stub/*.c tests/soak/*.c examples/*.c |
+printf "%s\n" src/*/*.c platform/*.c standin/*.c bench/*.c tests/*.c tests/stub/*.c tests/corpus/*.c tests/soak/*.c examples/*.c |
     xargs -P "${JOBS:-8}" -I{} bash -c 'lint_one {} '"$stamps $headers $build"
 # cppcheck doesn't read jansson's headers; tools/jansson.cfg defines the macros
 # for jansson's loops.
