A host of an earlier build goes on after an entry that it can't read

Callers and operators saw nothing yet: it takes hosts of two builds side by side.

Cause: public_entries_apply() stops at an entry that it can't decode.

--- a/src/coordination/config_feed_parent.c
+++ b/src/coordination/config_feed_parent.c
@@ -9,21 +9,29 @@
 
 /* A silent child without a lease is kept for this many lease durations. */
 #define CHILD_RETENTION_LEASES 2
+/* Requests without progress after which a child gets a snapshot. A child of an
+ * earlier build can't read an entry of a kind that was added later, but skips
+ * what it doesn't know of a snapshot. */
+#define IDLE_REQUESTS_MAX 3
 /* Key by which all hosts rank the relays alike: "relay" in ASCII. */
 #define RELAY_RANKING_KEY UINT64_C(0x72656c6179)
 
 static struct feed_child *find_or_add_child(struct config_feed *feed,
     uint32_t from_host, const struct feed_message *request);
+static void record_request(struct config_feed *feed, struct feed_child *child,
+    const struct feed_message *request);
 static void send_lease(struct config_feed *feed, struct feed_child *child,
     const struct feed_message *request);
 static void send_entries(struct config_feed *feed, struct feed_child *child);
+static void send_new_snapshot(
+    struct config_feed *feed, struct feed_child *child);
 static void record_push(
     struct config_feed *feed, struct feed_child *child, uint64_t index);
 static bool is_push_pending(
     const struct config_feed *feed, const struct feed_child *child);
 static void send_snapshot(struct config_feed *feed,
     const struct feed_child *child, uint64_t index, uint64_t offset);
-static bool prepare_snapshot(struct config_feed *feed);
+static bool prepare_snapshot(struct config_feed *feed, uint64_t after);
 static uint32_t list_relays(struct config_feed *feed, const uint32_t *voters,
     uint32_t voter_count, uint32_t *hosts, uint32_t host_count);
 static bool has_host(const uint32_t *hosts, uint32_t count, uint32_t host_id);
@@ -44,10 +52,7 @@
 	}
 	if (request->request_number <= child->request_number)
 		return ERROR_STALE;
-	child->request_number = request->request_number;
-	child->applied_index = request->applied_index;
-	child->subtree_index = request->subtree_index;
-	child->last_request_ms = feed_now(feed);
+	record_request(feed, child, request);
 	send_lease(feed, child, request);
 	if (request->snapshot_index != 0 && feed->outgoing_snapshot != NULL &&
 	    feed->outgoing_snapshot_index == request->snapshot_index)
@@ -189,6 +194,21 @@
 	return child;
 }
 
+static void
+record_request(struct config_feed *feed, struct feed_child *child,
+    const struct feed_message *request)
+{
+	if (request->applied_index != child->applied_index)
+		child->idle_requests = 0;
+	else if (child->sent_index > child->applied_index &&
+		 !is_push_pending(feed, child))
+		child->idle_requests++;
+	child->request_number = request->request_number;
+	child->applied_index = request->applied_index;
+	child->subtree_index = request->subtree_index;
+	child->last_request_ms = feed_now(feed);
+}
+
 /* Replies with a lease. A child whose subtree has not applied an index that may
  * already be in force gets none: the reply then has zero remaining time. */
 static void
@@ -214,8 +234,9 @@
 }
 
 /* Sends a child the entries after the last one that it has applied, or the
- * first piece of a snapshot if those entries have been compacted. While entries
- * sent before are on their way to the child or being applied, it sends none. */
+ * first piece of a snapshot if those entries have been compacted or the child
+ * can't apply them. While entries sent before are on their way to the child or
+ * being applied, it sends none. */
 static void
 send_entries(struct config_feed *feed, struct feed_child *child)
 {
@@ -227,6 +248,10 @@
 		feed->source.applied_index(feed->source.context) ||
 	    is_push_pending(feed, child))
 		return;
+	if (child->idle_requests >= IDLE_REQUESTS_MAX) {
+		send_new_snapshot(feed, child);
+		return;
+	}
 	bytes = g_byte_array_new();
 	message.first_index = child->applied_index + 1;
 	error =
@@ -237,13 +262,23 @@
 		message.size = bytes->len;
 		feed_send(feed, child->host_id, &message);
 		record_push(feed, child, message.last_index);
-	} else if (error == ERROR_NOT_FOUND && prepare_snapshot(feed)) {
-		send_snapshot(feed, child, feed->outgoing_snapshot_index, 0);
-		record_push(feed, child, feed->outgoing_snapshot_index);
+	} else if (error == ERROR_NOT_FOUND) {
+		send_new_snapshot(feed, child);
 	}
 	g_byte_array_unref(bytes);
 }
 
+/* Sends the first piece of a snapshot that is newer than what the child has
+ * applied. */
+static void
+send_new_snapshot(struct config_feed *feed, struct feed_child *child)
+{
+	if (!prepare_snapshot(feed, child->applied_index))
+		return;
+	send_snapshot(feed, child, feed->outgoing_snapshot_index, 0);
+	record_push(feed, child, feed->outgoing_snapshot_index);
+}
+
 void
 feed_repeat_push(struct config_feed *feed, uint32_t host_id)
 {
@@ -295,11 +330,11 @@
 	feed_send(feed, child->host_id, &message);
 }
 
-/* Makes a snapshot available for the children. An existing snapshot is reused
- * for all of them while the log still holds the entry after it. Returns false
- * if no snapshot could be read. */
+/* Makes a snapshot available for the children that goes beyond entry @p after.
+ * An existing snapshot is reused for all of them while the log still holds the
+ * entry after it. Returns false if no snapshot could be read. */
 static bool
-prepare_snapshot(struct config_feed *feed)
+prepare_snapshot(struct config_feed *feed, uint64_t after)
 {
 	GByteArray *bytes;
 	uint64_t last;
@@ -307,7 +342,8 @@
 
 	if (feed->outgoing_snapshot != NULL) {
 		bytes = g_byte_array_new();
-		is_usable = feed->source.read_entries(feed->source.context,
+		is_usable = feed->outgoing_snapshot_index > after &&
+			    feed->source.read_entries(feed->source.context,
 				feed->outgoing_snapshot_index + 1, 1, bytes,
 				&last) == ERROR_NONE;
 		g_byte_array_unref(bytes);
--- a/src/coordination/config_feed_parts.h
+++ b/src/coordination/config_feed_parts.h
@@ -27,6 +27,8 @@
 	uint64_t subtree_index;	 /**< Last entry applied in the subtree. */
 	uint64_t sent_index;	 /**< Last entry sent to the child. */
 	int64_t sent_ms;	 /**< When that entry was sent. */
+	/** Requests in a row without progress although entries were sent. */
+	uint32_t idle_requests;
 	int64_t lease_until_ms;	 /**< Latest end of a granted lease. */
 	int64_t last_request_ms; /**< When the latest request arrived. */
 };
