Refusals of a claim by builds before keep their meaning

Of a build before it, "the key is used" (duplicate_request) was read as "quarantined", and "the key is too old" (key_expired) as duplicate_request; the outcome beside it was right. Claims belong to the product's own interface; none was seen outside of the corpus.

A claim gives only these two of the codes that moved, and the state of the claim tells them apart, so the present build reads both numberings. What can't be mended here: builds before read duplicate_request of a later one as key_expired, and key_expired as upstream_failed, and read those of earlier ones wrong.

--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -72,6 +72,8 @@
 	ERROR_INCOMPLETE,	/**< The answer ended without its end mark. */
 	ERROR_RETRY_BUDGET,	/**< The retry budget is used up. */
 
+	/* The numbers are on the wire and on disk: add new codes here. */
+
 	ERROR_CODE_COUNT /**< Number of codes. */
 };
 
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -142,6 +142,8 @@
     const struct message_reader *reader, struct command_hosts *hosts);
 static enum error_code get_document(
     const struct message_reader *reader, struct command_document *document);
+static enum error_code read_result_error(
+    uint64_t number, enum claim_state claim_state);
 
 enum error_code
 command_encode(const struct command *command, struct message_writer *writer)
@@ -289,14 +291,13 @@
 		return error;
 	if (values[RESULT_FIELD_VERSION] != COMMAND_VERSION)
 		return ERROR_UNSUPPORTED_VERSION;
-	result->error = values[RESULT_FIELD_ERROR] < ERROR_CODE_COUNT
-			    ? (enum error_code)values[RESULT_FIELD_ERROR]
-			    : ERROR_INTERNAL;
 	result->index = values[RESULT_FIELD_INDEX];
 	result->sequence = values[RESULT_FIELD_SEQUENCE];
 	result->revision = values[RESULT_FIELD_REVISION];
 	result->claim_state =
 	    (enum claim_state)values[RESULT_FIELD_CLAIM_STATE];
+	result->error =
+	    read_result_error(values[RESULT_FIELD_ERROR], result->claim_state);
 	result->claim_outcome =
 	    (enum request_outcome)values[RESULT_FIELD_CLAIM_OUTCOME];
 	result->claim_host = (uint32_t)values[RESULT_FIELD_CLAIM_HOST];
@@ -305,6 +306,22 @@
 	return ERROR_NONE;
 }
 
+/* Builds before 4b2aa68 lack ERROR_NO_PATH, so their numbers of all later codes
+ * are lower by one. Of these, only claims give two: a duplicate request, which
+ * always has a claim, and an expired key, which never has one. */
+static enum error_code
+read_result_error(uint64_t number, enum claim_state claim_state)
+{
+	if (number >= ERROR_CODE_COUNT)
+		return ERROR_INTERNAL;
+	if (number + 1 == ERROR_DUPLICATE_REQUEST)
+		return ERROR_DUPLICATE_REQUEST;
+	if (number == ERROR_DUPLICATE_REQUEST &&
+	    claim_state == CLAIM_STATE_NONE)
+		return ERROR_KEY_EXPIRED;
+	return (enum error_code)number;
+}
+
 /* Encodes a text, which may be empty, as a field of raw bytes. */
 static void
 put_text(struct message_writer *writer, uint32_t key, const char *text)
