--- a/tests/corpus/corpus_disk.c
+++ b/tests/corpus/corpus_disk.c
@@ -156,7 +156,7 @@
 	const struct consensus_callback callback = {ignore_result, NULL};
 	struct sole_voter voter;
 	enum error_code error;
-	char command[16];
+	char command[32];
 	int i;
 
 	error = start_voter(&voter, folder);
