Crashes that the leader's build can't record are committed once, not for a minute

A request through host 5 crashed two stand-in engines. The leader answers COMMAND_PARTS_CRASHED with not_supported, and host 5 committed it again each second for a minute. Each repetition is an entry of the log that voter 3 applies and counts: it went to sequence 103, the others stayed at 5, 98 lines of E "parts of prompts: not_supported". Whoever follows voter 3 takes the next 98 orders of the others for ones that it has.

A commit that ends with ERROR_NOT_SUPPORTED is no longer repeated; it counts on the host that saw the crash until it is a minute old, as before. part_suspects_record_commit() gets the error in place of a truth value.

Seen red with the condition switched off: test_part_suspects, 0x3c != 0x1 (60 commits in place of one).

--- a/src/coordination/part_suspects.c
+++ b/src/coordination/part_suspects.c
@@ -206,7 +206,7 @@
 
 void
 part_suspects_record_commit(
-    struct part_suspects *suspects, uint64_t id, bool is_committed)
+    struct part_suspects *suspects, uint64_t id, enum error_code error)
 {
 	struct part_commit *pending;
 	GList *at;
@@ -215,14 +215,16 @@
 		pending = at->data;
 		if (pending->id != id)
 			continue;
-		if (is_committed) {
+		if (error == ERROR_NONE) {
 			g_free(pending);
 			g_queue_delete_link(suspects->commits, at);
 			return;
 		}
 		pending->is_committing = false;
 		pending->commit_from_ms =
-		    timer_now(suspects->timers) + COMMIT_RETRY_MS;
+		    error == ERROR_NOT_SUPPORTED
+			? pending->found_ms + COMMIT_KEEP_MS
+			: timer_now(suspects->timers) + COMMIT_RETRY_MS;
 		return;
 	}
 }
--- a/src/coordination/part_suspects.h
+++ b/src/coordination/part_suspects.h
@@ -103,9 +103,12 @@
 
 /* Committed records */
 
-/** Records whether a commit succeeded. One that did not is repeated. */
+/** Records how a commit ended. One that failed is repeated, but not if the
+ * leader doesn't know the command (ERROR_NOT_SUPPORTED): each repetition would
+ * still reach the voters that know it. Until it is too old it counts on this
+ * host alone. */
 void part_suspects_record_commit(
-    struct part_suspects *suspects, uint64_t id, bool is_committed);
+    struct part_suspects *suspects, uint64_t id, enum error_code error);
 /** Begins to apply all committed records. */
 void part_suspects_sync_begin(struct part_suspects *suspects);
 /** Applies a committed record; @p epoch_ms is the present time since the
--- a/src/service/host_suspects.c
+++ b/src/service/host_suspects.c
@@ -56,7 +56,7 @@
     const struct command_parts *parts);
 static void on_parts_committed(
     void *context, const struct command_result *result);
-static void end_parts(struct pending_parts *pending, bool is_committed);
+static void end_parts(struct pending_parts *pending, enum error_code error);
 static void apply_quarantine(
     void *context, const struct quarantine_record *record);
 static void apply_part(void *context, const struct part_record *record);
@@ -211,15 +211,17 @@
 	struct command_callback callback = {on_parts_committed, NULL};
 	struct pending_parts *pending;
 	struct host *host = context;
+	enum error_code error;
 
 	command.body.parts = *parts;
 	pending = g_new(struct pending_parts, 1);
 	pending->host = host;
 	pending->id = id;
 	callback.context = pending;
-	if (command_client_submit(&host->commands, &command,
-		QUARANTINE_TIMEOUT_MS, callback) != ERROR_NONE)
-		end_parts(pending, false);
+	error = command_client_submit(
+	    &host->commands, &command, QUARANTINE_TIMEOUT_MS, callback);
+	if (error != ERROR_NONE)
+		end_parts(pending, error);
 }
 
 static void
@@ -228,14 +230,14 @@
 	if (result->error != ERROR_NONE)
 		event_log_write(EVENT_QUARANTINE_NOT_COMMITTED,
 		    "parts of prompts: %s", error_name(result->error));
-	end_parts(context, result->error == ERROR_NONE);
+	end_parts(context, result->error);
 }
 
 static void
-end_parts(struct pending_parts *pending, bool is_committed)
+end_parts(struct pending_parts *pending, enum error_code error)
 {
 	part_suspects_record_commit(
-	    &pending->host->part_suspects, pending->id, is_committed);
+	    &pending->host->part_suspects, pending->id, error);
 	g_free(pending);
 }
 
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -414,7 +414,7 @@
 
 	(void)type;
 	(void)parts;
-	part_suspects_record_commit(&host->part_suspects, id, false);
+	part_suspects_record_commit(&host->part_suspects, id, ERROR_NO_QUORUM);
 }
 
 static bool
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -223,7 +223,7 @@
 		}
 		part_suspects_record_commit(
 		    &fleet->members[logged->host].suspects, logged->id,
-		    fleet->scene.has_quorum);
+		    fleet->scene.has_quorum ? ERROR_NONE : ERROR_NO_QUORUM);
 		g_free(logged);
 	}
 	if (has_changed)
@@ -538,6 +538,73 @@
 	stop(fleet);
 }
 
+/* Counts the commits of one host, and answers each with the same error. */
+struct commit_counter {
+	unsigned int count;
+	uint64_t pending_id; /* Not answered yet, 0 for none. */
+};
+
+static void
+count_commit(void *context, uint64_t id, enum command_type type,
+    const struct command_parts *parts)
+{
+	struct commit_counter *counter = context;
+
+	(void)type;
+	(void)parts;
+	counter->count++;
+	counter->pending_id = id;
+}
+
+static bool
+is_no_trial_host(void *context, uint64_t part)
+{
+	(void)context;
+	(void)part;
+	return false;
+}
+
+/* Returns how often a host commits a crash if all commits end with @p error. */
+static unsigned int
+count_commits(enum error_code error)
+{
+	const struct request_key key = {
+	    .fingerprint = 1, .parts = {2, 3}, .part_count = 2};
+	struct commit_counter counter = {0};
+	struct part_suspects_ops ops = {
+	    count_commit, is_no_trial_host, &counter};
+	struct part_suspects suspects;
+	struct timer_service timers;
+	int64_t now_ms;
+
+	timer_init(&timers, 16, START_MS);
+	assert_int_equal(
+	    part_suspects_init(&suspects, &ops, &timers), ERROR_NONE);
+	assert_true(part_suspects_record_crash(&suspects, 7, &key, 1));
+	for (now_ms = START_MS; now_ms < START_MS + RUN_MS; now_ms += STEP_MS) {
+		timer_advance(&timers, now_ms);
+		if (counter.pending_id == 0)
+			continue;
+		part_suspects_record_commit(
+		    &suspects, counter.pending_id, error);
+		counter.pending_id = 0;
+	}
+	part_suspects_finish(&suspects);
+	timer_finish(&timers);
+	return counter.count;
+}
+
+/* A leader of an earlier build doesn't know the command, but voters of this one
+ * apply each repetition and number later entries higher than the others. */
+static void
+test_a_commit_that_the_leader_does_not_know_is_not_repeated(void **state)
+{
+	(void)state;
+	assert_int_equal(count_commits(ERROR_NONE), 1);
+	assert_true(count_commits(ERROR_NO_QUORUM) > 10);
+	assert_int_equal(count_commits(ERROR_NOT_SUPPORTED), 1);
+}
+
 int
 main(void)
 {
@@ -548,6 +615,8 @@
 	    cmocka_unit_test(
 		test_a_host_without_quorum_refuses_what_it_has_found),
 	    cmocka_unit_test(test_trial_clears_a_part_that_crashes_nothing),
+	    cmocka_unit_test(
+		test_a_commit_that_the_leader_does_not_know_is_not_repeated),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
