--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -9,9 +9,11 @@
 import http1
 from proxy import Proxy
 
-# A host listens for its peers at PEER_PORT. It connects to a peer at PEER_PORT
-# plus its own number (SOAK_PORT_SHIFT), where a proxy of this pair of hosts listens.
+# A host listens for its peers at PEER_PORT, and for the requests that they forward
+# at the port after it. It connects to a peer at PAIR_PORT plus its own number
+# (SOAK_PORT_SHIFT), where a proxy of this pair of hosts listens.
 PEER_PORT = 25000
+PAIR_PORT = 25010
 # The programs listen at these ports; the proxies of the first two listen at the
 # next higher port.
 CONTROL_PORT = 25100
@@ -55,7 +57,7 @@
             "ip": self.ip,
             "zone": self.zone,
             "region": "prairie",
-            "internalPorts": PEER_PORT,
+            "internalPorts": f"{PEER_PORT},{PEER_PORT + 1}",
             "seeds": seeds,
             "heartbeatMs": int(1000 * 0.6),
             "faultTolerance.machines": (len(self.fixture.control_hosts) - 1) // 2,
@@ -75,12 +77,13 @@
         with open(f"{self.fixture.folder}/{self.name}.conf", "w", encoding="ascii") as file:
             file.writelines(f"{name}={value}\n" for name, value in lines.items())
 
-    def set_faults(self, sync_ms=0, is_full=0, clock_ms=0):
-        """Sets the faults inside the process: the delay of each disk sync in ms, a
-        full disk, and a shift of the wall clock in ms; without arguments none.
+    def set_faults(self, sync_ms=0, is_full=0, clock_ms=0, no_path=0):
+        """Sets the faults inside the process: the delay of each disk sync in ms, a full
+        disk, a shift of the wall clock in ms, and that no new connection to a replica
+        is made; without arguments none.
         The file is replaced as a whole so that the process never reads half of it."""
         with open(self.faults_path + ".new", "w", encoding="ascii") as file:
-            file.write(f"{sync_ms} {is_full} {clock_ms}\n")
+            file.write(f"{sync_ms} {is_full} {clock_ms} {no_path}\n")
         os.replace(self.faults_path + ".new", self.faults_path)
 
     async def start(self, is_first=False):
@@ -91,7 +94,7 @@
         environment = {
             "PATH": os.environ["PATH"],
             "CHICORYTACK_SETTINGS": f"{self.fixture.folder}/{self.name}.conf",
-            "SOAK_PORT_SHIFT": str(self.number),
+            "SOAK_PORT_SHIFT": str(PAIR_PORT - PEER_PORT + self.number),
             "SOAK_FAULTS": self.faults_path,
         }
         with open(f"{self.fixture.folder}/{self.name}.log", "ab") as log:
@@ -151,7 +154,7 @@
     async def start_proxies(self):
         for host in self.fixture.hosts:
             if host is not self:
-                address = (self.ip, PEER_PORT + host.number)
+                address = (self.ip, PAIR_PORT + host.number)
                 self.peers[host.number] = Proxy(address, (self.ip, PEER_PORT))
                 await self.peers[host.number].start()
         if self.role == "control":
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -59,6 +59,11 @@
         }[kind]
         item = (time, random.choice(names), random.choice(target), random.uniform(0.2, 2.0))
         schedule.append(item)
+    # Drawn apart, so that the faults of the recorded seeds stay what they are.
+    path = fixture.random_of("path")
+    for _ in range(path.randrange(3)):
+        item = (path.uniform(0.5, length_s), "no_path", path.choice(entries), path.uniform(0.5, 2))
+        schedule.append(item)
     return sorted(schedule)
 
 
@@ -152,6 +157,10 @@
     await with_faults(fixture, target, seconds, clock_ms=int((seconds - 1) * 60000))
 
 
+async def no_path(fixture, target, seconds):
+    await with_faults(fixture, target, seconds, no_path=1)
+
+
 async def with_proxies(proxies, seconds, **settings):
     """Sets attributes of proxies for some seconds, then ends all their faults."""
     for proxy in proxies:
@@ -236,6 +245,7 @@
         disk_slow,
         disk_full,
         clock,
+        no_path,
         peer_reset,
         peer_delay,
         peer_cut,
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -3,6 +3,9 @@
 
 import collections
 
+# Kinds of requests that may run at most once.
+ONCE_KINDS = ("once", "stream_once")
+
 
 class Ledger:
     """Observations of one seed and the violations found in them.
@@ -17,6 +20,7 @@
         self.kinds = {}  # Attempt id: kind of request.
         self.refused = {}  # Attempt id: (time, status, host) of the refusal.
         self.outcomes = collections.Counter()
+        self.faults = collections.Counter()  # Wrong answers of replicas, by class.
         self.crashes = []  # Times at which the crashing request ended a replica.
         self.acked_version = 0  # Newest configuration version that was acknowledged.
         # (entry host, number of its start): newest version that it served.
@@ -36,7 +40,7 @@
         at most once and that refused requests didn't run."""
         for attempt, runs in self.runs.items():
             where = ", ".join(f"{replica} at {time:.3f}" for time, replica in runs)
-            if self.kinds.get(attempt) == "once" and len(runs) > 1:
+            if self.kinds.get(attempt) in ONCE_KINDS and len(runs) > 1:
                 self.record_violation("runs at most once", f"{attempt} ran at {where}")
             if attempt in self.refused:
                 time, status, host = self.refused[attempt]
--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -4,7 +4,7 @@
 # time in a copy of the sources and runs the soak on it until a seed fails.
 # Exits with status 1 if no seed fails for one of them. Without arguments all
 # mechanisms are tried. MUTANT_JOBS sets the number of seeds run at a time (4 by
-# default).
+# default) and of compilers, MUTANT_SLOT the first slot of the soak (0).
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 seeds_max=50
@@ -15,6 +15,7 @@
 # disables the mechanism in the file.
 mechanisms=(
 	'answer_attribution|src/service/relay_head.c|s/facts->owner = pool_call_attribute\(.*?\);/facts->owner = ANSWER_OF_REQUEST;/s'
+	'unfounded_promises|src/coordination/relay_rules.c|s/if \(status_promises_not_run\(facts->status\)\)\s*return ANSWER_UNFOUNDED;//'
 	'at_most_once|src/coordination/relay_rules.c|s/!state->may_have_run \|\|/true ||/'
 	'order_of_events|src/service/relay_events.c|s/number <= events->last_number/false/'
 	'quorum_read|src/service/host_documents.c|s/error = first_error\(\s*host_submit\(host, &command, timeout_ms, &result\), &result\);/(void)command; result.sequence = 0; error = ERROR_NONE;/'
@@ -38,11 +39,11 @@
 		return 1
 	fi
 	cmake -S "$tree" -B "$scratch/build" -DCMAKE_BUILD_TYPE=Release >/dev/null
-	cmake --build "$scratch/build" -j 6 --target chicorytack-soak >"$scratch/build.out" 2>&1 || {
+	cmake --build "$scratch/build" -j "${MUTANT_JOBS:-4}" --target chicorytack-soak >"$scratch/build.out" 2>&1 || {
 		cat "$scratch/build.out"
 		return 1
 	}
-	if python3 tests/soak/soak.py "$scratch/build" --seeds 1 $seeds_max --jobs "${MUTANT_JOBS:-4}" --until-failure >"$scratch/soak.out" 2>&1; then
+	if python3 tests/soak/soak.py "$scratch/build" --seeds 1 $seeds_max --jobs "${MUTANT_JOBS:-4}" --slot "${MUTANT_SLOT:-0}" --until-failure >"$scratch/soak.out" 2>&1; then
 		echo "$name: NOT found within $seeds_max seeds"
 		return 1
 	fi
--- a/tests/soak/operator_calls.py
+++ b/tests/soak/operator_calls.py
@@ -41,6 +41,7 @@
         route("once", "/p/", "non_idempotent", "plain"),
         route("again", "/i/", "idempotent", "plain"),
         route("stream", "/s/", "streaming", "plain", **streams),
+        route("stream_once", "/t/", "streaming", "plain", **streams | {"resumable": False}),
         route("large", "/m/", "streaming", "model", affinity=True, **streams),
     ]
     for kept in range(max(1, version - KEPT_VERSIONS + 1), version + 1):
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -9,9 +9,16 @@
 import json
 
 import http1
+import wrong_answers
 from proxy import Proxy, reset_connection
+from wrong_answers import Connection
 
 SLOTS = 16
+# Share of events at which a stream breaks off, and of those with which one is resumed.
+BREAK = 0.02
+BREAK_RESUMED = 0.15
+# Path prefixes of requests whose answer is a stream.
+STREAM_PATHS = ("/s/", "/t/", "/m/")
 STREAM_EVENTS = 12
 HEARTBEAT_S = 0.6
 # A heartbeat that isn't answered in this time is sent to another control host.
@@ -133,42 +140,52 @@
 
     async def _serve(self, reader, writer):
         self.open.add(writer)
-        stale_answers = []
+        connection = Connection(self, writer)
         try:
             while head := await http1.read_head(reader):
-                (method, path, _), fields = head
+                (_, path, _), fields = head
                 body = await http1.read_body(reader, fields)
-                if self.is_down:
+                if self.is_down or writer.is_closing():
                     break
-                await self._answer(reader, writer, method, path, fields, body, stale_answers)
+                connection.requests += 1
+                await self._answer(connection, path, fields, body)
         except (OSError, http1.BadMessage, asyncio.CancelledError):
             pass
         finally:
             self.open.discard(writer)
             writer.close()
 
-    async def _answer(self, reader, writer, method, path, fields, body, stale_answers):
+    async def _answer(self, connection, path, fields, body):
+        writer = connection.writer
         if path == "/health":
             writer.write(http1.write_message("HTTP/1.1 200 OK", {"Replica-Id": self.id}))
         elif path == "/v1/report":
             writer.write(http1.write_message("HTTP/1.1 200 OK", {}, b'{"stage":"both"}'))
         elif path == "/v1/order":
             self._order(writer, json.loads(body))
-        elif fields.get("target-instance", self.id) != self.id:
-            self._refuse(writer, 421, fields)
-        elif self.running >= SLOTS:
-            self._refuse(writer, 503, fields)
         else:
-            await self._run(writer, path, fields, body, stale_answers)
+            await connection.write_ahead()
+            await self._run_or_refuse(connection, path, fields, body)
         await writer.drain()
 
+    async def _run_or_refuse(self, connection, path, fields, body):
+        own_id = {"Attempt-Id": fields.get("attempt-id", "")}
+        if fields.get("target-instance", self.id) != self.id:
+            self._refuse(connection, 421, own_id)
+        elif self.running >= SLOTS:
+            self._refuse(connection, 503, own_id)
+        elif refusal := wrong_answers.draw_refusal(connection, path, fields):
+            self._refuse(connection, *refusal)
+        else:
+            await self._run(connection, path, fields, body)
+
     def _statements(self):
         """Returns the fields in which the replica says of itself that it leaves."""
         return {"Server-Leaving": "1"} if self.is_draining else {}
 
-    def _refuse(self, writer, status, fields):
-        answer = self._statements() | {"Attempt-Id": fields.get("attempt-id", ""), "Not-Executed": "1"}
-        writer.write(http1.write_message(f"HTTP/1.1 {status} No", answer))
+    def _refuse(self, connection, status, fields):
+        answer = self._statements() | fields | {"Not-Executed": "1"}
+        connection.write(http1.write_message(f"HTTP/1.1 {status} No", answer), again=0.4)
 
     def _order(self, writer, order):
         now = self.fixture.now()
@@ -188,7 +205,7 @@
                 self.expired_reservations.append(made)
                 del self.reserved[key]
 
-    async def _run(self, writer, path, fields, body, stale_answers):
+    async def _run(self, connection, path, fields, body):
         attempt = fields.get("attempt-id", "")
         self.arrivals.append(self.fixture.now())
         self.fixture.ledger.record_run(attempt, self.id)
@@ -198,57 +215,67 @@
             return
         self.running += 1
         try:
-            if stale_answers:
-                # Sends the second copy of an earlier answer on this connection first;
-                # the host must not pass it on as the answer to this request.
-                writer.write(stale_answers.pop())
-            if path.startswith("/s/") or path.startswith("/m/"):
-                await self._stream(writer, path, fields, attempt)
+            if refusal := wrong_answers.draw_foreign_refusal(connection, attempt):
+                connection.write(refusal)
+            if path.startswith(STREAM_PATHS):
+                await self._stream(connection, path, fields, attempt)
             else:
-                await self._plain(writer, path, attempt, body, stale_answers)
+                await self._plain(connection, path, attempt, body)
         finally:
             self.running -= 1
 
-    async def _plain(self, writer, path, attempt, body, stale_answers):
+    def _success(self, attempt):
+        return self._statements() | {
+            "Attempt-Id": attempt,
+            "Response-Seal": wrong_answers.receipt(self.id, attempt, 200),
+        }
+
+    async def _plain(self, connection, path, attempt, body):
         answer = http1.write_message(
-            "HTTP/1.1 200 OK",
-            self._statements() | {"Attempt-Id": attempt, "Response-Seal": self.id},
-            plain_body(path, body),
+            "HTTP/1.1 200 OK", self._success(attempt), plain_body(path, body)
         )
         await asyncio.sleep(self.random.uniform(0.005, 0.08))
-        fault_draw = self.random.random() if self.is_faulty else 1
-        if fault_draw < 0.02:
-            writer.write(answer[: self.random.randrange(len(answer))])
-            await writer.drain()
-            reset_connection(writer)
-        elif fault_draw < 0.04:
-            reset_connection(writer)
-        elif fault_draw < 0.07:
-            writer.write(answer)
-            stale_answers.append(answer)
+        if connection.draws(0.02, "cut answer"):
+            await connection.break_off(answer[: self.random.randrange(len(answer))])
+        elif connection.draws(0.02, "cut head"):
+            await connection.break_off(wrong_answers.cut_head(connection, answer))
+        elif connection.draws(0.02, "no answer"):
+            await connection.break_off(b"")
         else:
-            writer.write(answer)
+            failure = wrong_answers.draw_failure(connection, attempt)
+            connection.write(failure or answer, again=0.04)
 
-    async def _stream(self, writer, path, fields, attempt):
-        head = self._statements() | {
-            "Attempt-Id": attempt,
-            "Response-Seal": self.id,
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
-        }
-        writer.write(http1.write_message("HTTP/1.1 200 OK", head))
-        first = int(fields.get("last-event-id", "0")) + 1
-        for number in range(first, STREAM_EVENTS + 1):
+    async def _stream(self, connection, path, fields, attempt):
+        head = http1.write_message(
+            "HTTP/1.1 200 OK",
+            self._success(attempt)
+            | {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"},
+        )
+        resumed_after = int(fields.get("last-event-id", "0"))
+        failure = wrong_answers.draw_failure(connection, attempt)
+        if resumed_after > 0:
+            failure = wrong_answers.draw_resumed_failure(connection, attempt)
+        if failure is not None:
+            connection.write(failure, again=0.1)
+            return
+        if connection.draws(0.01, "cut head"):
+            await connection.break_off(wrong_answers.cut_head(connection, head))
+            return
+        connection.writer.write(head)
+        written = head
+        for number in range(resumed_after + 1, STREAM_EVENTS + 1):
             await asyncio.sleep(self.random.uniform(0.02, 0.08))
             text = event_text(path, number)
-            fault_draw = self.random.random() if self.is_faulty else 1
-            if self.is_down or fault_draw < 0.01:
-                writer.write(b"%x\r\n" % len(text) + text[: len(text) // 2])
-                await writer.drain()
-                reset_connection(writer)
+            is_first_resumed = number == resumed_after + 1 > 1
+            share = BREAK_RESUMED if is_first_resumed else BREAK
+            if self.is_down or connection.draws(share, "broken stream"):
+                await connection.break_off(wrong_answers.break_stream(connection, text))
                 return
-            if fault_draw < 0.02:
+            if connection.draws(0.01, "event again"):
                 text = event_text(path, max(number - 1, 1)) + text
-            writer.write(b"%x\r\n" % len(text) + text + b"\r\n")
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
+            chunk = b"%x\r\n" % len(text) + text + b"\r\n"
+            connection.writer.write(chunk)
+            written += chunk
+            await connection.writer.drain()
+        connection.writer.write(b"0\r\n\r\n")
+        connection.write_again(written + b"0\r\n\r\n", 0.03)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -335,7 +335,8 @@
     With `prints` the schedule and the outcomes of requests are printed as well."""
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     ledger = asyncio.run(run_scenario(program, seed, slot, folder, arguments.patience, prints))
-    outcomes = json.dumps(dict(sorted(ledger.outcomes.items()))) if prints else ""
+    counts = ledger.outcomes + ledger.faults
+    outcomes = json.dumps(dict(sorted(counts.items()))) if prints else ""
     print(f"seed {seed}: {len(ledger.runs)} runs, {len(ledger.violations)} broken {outcomes}")
     for violation in ledger.violations[:12]:
         print(f"    {violation}")
@@ -353,7 +354,7 @@
     failed = []
     running = {}
     queue = list(seeds)
-    slots = list(range(arguments.jobs))
+    slots = [arguments.slot + job for job in range(arguments.jobs)]
     while running or (queue and not (failed and arguments.until_failure)):
         while queue and slots and not (failed and arguments.until_failure):
             slot, seed = slots.pop(), queue.pop(0)
@@ -384,6 +385,9 @@
     parser.add_argument("--seeds", type=int, nargs=2, metavar=("FIRST", "COUNT"))
     parser.add_argument("--file")
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument(
+        "--slot", type=int, default=0, help="first slot; soaks side by side need others"
+    )
     parser.add_argument(
         "--patience",
         type=float,
@@ -397,7 +401,7 @@
     arguments = parser.parse_args()
     program = os.path.abspath(f"{arguments.build}/chicorytack-soak")
     if arguments.seed is not None:
-        return run_seed(program, arguments.seed, 0, arguments, True)
+        return run_seed(program, arguments.seed, arguments.slot, arguments, True)
     if arguments.file is not None:
         return run_all(arguments, program, read_seeds(arguments.file))
     first, count = arguments.seeds or (1, 4)
--- a/tests/soak/soak_host.c
+++ b/tests/soak/soak_host.c
@@ -1,14 +1,13 @@
 /**
  * @file soak_host.c
  * The program that the soak test runs: chicorytack itself, linked with wrappers
- * that inject faults into its disk, its wall clock and its peer connections.
+ * that inject faults into its disk, its wall clock and its connections.
  *
  * Bytes that were appended but not synced are kept in this process, so killing
  * it loses them as a power failure would. SOAK_PORT_SHIFT is added to the port
  * of every peer, so that the connection goes through the proxy of the soak
  * test. The file that SOAK_FAULTS names is read again periodically and holds
- * three numbers: the duration of a sync in milliseconds, 1 for a full disk, and
- * by how many milliseconds the wall clock is ahead.
+ * the first members of struct faults in their order.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -21,15 +20,18 @@
 #include "base/monotonic_clock.h"
 #include "state/disk.h"
 #include "transport/peer_link.h"
+#include "transport/tcp_link.h"
 
 #define FAULTS_READ_PERIOD_MS 50 /* Time between reads of the faults file. */
 #define US_PER_MS	      1000
+#define UPSTREAM_PORTS	      260 /* Ports of all upstreams, in hundreds. */
 
 /* Faults that the soak test sets in the faults file. */
 struct faults {
 	int64_t sync_delay_ms;	/* Delay added to each sync and write. */
 	int64_t is_disk_full;	/* 1 if appends and writes fail. */
 	int64_t clock_ahead_ms; /* Wall clock minus real time. */
+	int64_t has_no_path;	/* 1 if upstreams accept no connection. */
 	int64_t read_at_ms;	/* Monotonic time of the last read. */
 };
 
@@ -51,6 +53,10 @@
     struct peer_links *links, const char *ip, uint16_t port);
 enum error_code __wrap_peer_links_dial_seed(
     struct peer_links *links, const char *ip, uint16_t port);
+enum error_code __real_tcp_link_connect(struct tcp_link *link, uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct tcp_link_ops *ops);
+enum error_code __wrap_tcp_link_connect(struct tcp_link *link, uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct tcp_link_ops *ops);
 static uint16_t shift_port(uint16_t port);
 static struct faults read_faults(void);
 static GByteArray *find_unsynced(struct lossy_disk *disk, const char *name);
@@ -115,6 +121,19 @@
 	return __real_peer_links_dial_seed(links, ip, shift_port(port));
 }
 
+enum error_code
+__wrap_tcp_link_connect(struct tcp_link *link, uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct tcp_link_ops *ops)
+{
+	struct sockaddr_in target = *address;
+
+	/* Nobody listens at port 0. */
+	if (ntohs(address->sin_port) / 100 == UPSTREAM_PORTS &&
+	    read_faults().has_no_path != 0)
+		target.sin_port = 0;
+	return __real_tcp_link_connect(link, loop, &target, ops);
+}
+
 static uint16_t
 shift_port(uint16_t port)
 {
@@ -140,9 +159,9 @@
 	file = fopen(path, "r");
 	if (file == NULL)
 		return faults;
-	if (fscanf(file, "%" SCNd64 " %" SCNd64 " %" SCNd64,
-		&next.sync_delay_ms, &next.is_disk_full,
-		&next.clock_ahead_ms) == 3)
+	if (fscanf(file, "%" SCNd64 " %" SCNd64 " %" SCNd64 " %" SCNd64,
+		&next.sync_delay_ms, &next.is_disk_full, &next.clock_ahead_ms,
+		&next.has_no_path) == 4)
 		faults = next;
 	fclose(file);
 	return faults;
