A voter that meets a command that it doesn't know stops

What callers saw: nothing at first.

Cause: replicated_state_apply() treated a command that this build does not know like one that no build can read.

Change: an unknown type or version (any number outside the known types, the whole 64 bits) is told apart from a malformed command. A leader proposes no command that it doesn't know itself. A malformed command keeps its meaning: all builds pass over it alike. A newer build that needs a new meaning takes a new type or version; an unknown field of a known type is ignored, so no field may be required.

Seen red: without the check in replicated_state_apply() test_unknown_command_is_not_passed_over, test_voter_stops_at_unknown_command (revision 6 in place of 3) and test_elected_voter_stops_at_unknown_command fail; without the check in consensus_propose() test_leader_refuses_unknown_command fails; without check_entries() the second fails at the restart on the same build.

An acknowledgement given before the entry committed stays true: the entry is on disk, and a newer build on that disk applies it.

--- a/bench/bench_agreement.c
+++ b/bench/bench_agreement.c
@@ -142,7 +142,7 @@
 		free(message);
 }
 
-static void
+static enum error_code
 apply_entry(void *context, const struct consensus_entry *entry,
     const void **result, size_t *result_size)
 {
@@ -151,8 +151,11 @@
 	struct bench_host *host = context;
 	struct command_result outcome;
 	struct message_writer writer;
+	enum error_code error;
 
-	replicated_state_apply(&host->state, &applied, &outcome);
+	error = replicated_state_apply(&host->state, &applied, &outcome);
+	if (error != ERROR_NONE)
+		return error;
 	message_writer_init(&writer);
 	command_result_encode(&outcome, &writer);
 	g_byte_array_set_size(host->result, 0);
@@ -161,6 +164,14 @@
 	message_writer_finish(&writer);
 	*result = host->result->data;
 	*result_size = host->result->len;
+	return ERROR_NONE;
+}
+
+static enum error_code
+read_kind(void *context, const void *command, size_t size, uint64_t *kind)
+{
+	(void)context;
+	return command_read_type(command, size, kind);
 }
 
 static GByteArray *
@@ -204,8 +215,8 @@
 	    .compact_entries = bench->compact_entries,
 	    .seed = bench->seed};
 	struct command_client_settings client = {.host_id = id};
-	const struct consensus_ops ops = {apply_entry, save_state, load_state,
-	    on_role_changed, read_wall_clock_ms, host};
+	const struct consensus_ops ops = {apply_entry, read_kind, save_state,
+	    load_state, on_role_changed, read_wall_clock_ms, host};
 	struct peer_port port = {send_message, host};
 	char path[PATH_MAX_BYTES + 16];
 	enum error_code error;
--- a/src/base/error_code.c
+++ b/src/base/error_code.c
@@ -94,6 +94,12 @@
 	return ERROR_INTERNAL;
 }
 
+bool
+error_is_unknown_kind(enum error_code code)
+{
+	return code == ERROR_NOT_SUPPORTED || code == ERROR_UNSUPPORTED_VERSION;
+}
+
 const char *
 error_text(enum error_code code)
 {
--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -7,6 +7,8 @@
 #ifndef ERROR_CODE_H
 #define ERROR_CODE_H
 
+#include <stdbool.h>
+
 /** Kind of failure. error_text() describes it in a sentence. */
 enum error_code {
 	ERROR_NONE = 0,
@@ -81,6 +83,9 @@
 const char *error_name(enum error_code code);
 /** Returns the code that has a name, ERROR_INTERNAL for an unknown name. */
 enum error_code error_from_name(const char *name);
+/** True if a reader returns this code for data of a kind or version that this
+ * build does not know, such as data that a newer build wrote. */
+bool error_is_unknown_kind(enum error_code code);
 /** Returns a sentence that describes a code to people. */
 const char *error_text(enum error_code code);
 
--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -30,8 +30,11 @@
 static void on_persist_timeout(void *context);
 static void recover_from_full_disk(struct consensus *consensus);
 static int64_t current_timestamp(const struct consensus *consensus);
-static void apply_entry(
+static void stop(struct consensus *consensus, enum error_code error);
+static enum error_code apply_entry(
     struct consensus *consensus, const struct journal_entry *entry);
+static enum error_code read_kind(const struct consensus *consensus,
+    const struct consensus_record *record, uint64_t *kind);
 static void complete_proposal(struct consensus *consensus, uint64_t index,
     const void *result, size_t result_size);
 
@@ -141,6 +144,7 @@
 {
 	struct proposal *proposal;
 	enum error_code error;
+	uint64_t kind;
 
 	if (consensus->role != CONSENSUS_ROLE_LEADER ||
 	    consensus->transfer_target_id != 0)
@@ -149,6 +153,12 @@
 		return ERROR_TOO_LARGE;
 	if (g_queue_get_length(consensus->proposals) >= CONSENSUS_PROPOSALS_MAX)
 		return ERROR_TABLE_FULL;
+	/* A host of a newer build may have sent it; once in the log, it would
+	 * stop this voter and all others of this build. */
+	error = consensus->ops.read_kind(
+	    consensus->ops.context, command, size, &kind);
+	if (error_is_unknown_kind(error))
+		return error;
 	error =
 	    consensus_append(consensus, CONSENSUS_ENTRY_COMMAND, command, size);
 	if (error != ERROR_NONE)
@@ -181,7 +191,8 @@
 	if (consensus->role == CONSENSUS_ROLE_LEADER)
 		consensus_advance_commit(consensus);
 	consensus_apply_committed(consensus);
-	consensus_compact(consensus);
+	if (!consensus->is_failed)
+		consensus_compact(consensus);
 }
 
 struct voter
@@ -335,20 +346,41 @@
 {
 	if (consensus->is_failed)
 		return;
-	consensus->is_failed = true;
-	consensus->failure = error;
-	g_array_set_size(consensus->acks, 0);
 	event_log_write(EVENT_JOURNAL_FAILED, "%s", error_name(error));
-	consensus_step_down(consensus, 0);
+	stop(consensus, error);
+}
+
+enum error_code
+consensus_check_entry(
+    const struct consensus *consensus, const struct journal_entry *entry)
+{
+	struct consensus_record record;
+	enum error_code error;
+	uint64_t kind;
+
+	if (!consensus_read_record(entry, &record))
+		return ERROR_NONE;
+	error = read_kind(consensus, &record, &kind);
+	if (!error_is_unknown_kind(error))
+		return ERROR_NONE;
+	event_log_write(EVENT_KIND_UNKNOWN,
+	    "log entry %llu, %s %llu: %s; start a newer build on this data "
+	    "folder",
+	    (unsigned long long)entry->index,
+	    record.kind == CONSENSUS_ENTRY_COMMAND ? "command of type"
+						   : "entry of kind",
+	    (unsigned long long)kind, error_name(error));
+	return error;
 }
 
 void
 consensus_apply_committed(struct consensus *consensus)
 {
 	const struct journal_entry *entry;
+	enum error_code error;
 	uint64_t end;
 
-	if (consensus->is_applying)
+	if (consensus->is_applying || consensus->is_failed)
 		return;
 	consensus->is_applying = true;
 	end = MIN(consensus->commit_index, consensus->journal.synced_index);
@@ -357,8 +389,11 @@
 		    &consensus->journal, consensus->applied_index + 1);
 		if (entry == NULL)
 			break;
-		consensus->applied_index++;
-		apply_entry(consensus, entry);
+		error = apply_entry(consensus, entry);
+		if (error != ERROR_NONE) {
+			stop(consensus, error);
+			break;
+		}
 	}
 	consensus->is_applying = false;
 }
@@ -460,11 +495,23 @@
 	return MAX(wall_ms, consensus->last_timestamp_ms);
 }
 
+/* Applies nothing and sends nothing from now on. */
 static void
+stop(struct consensus *consensus, enum error_code error)
+{
+	consensus->is_failed = true;
+	consensus->failure = error;
+	g_array_set_size(consensus->acks, 0);
+	consensus_step_down(consensus, 0);
+}
+
+/* Applies the next entry, unless this build does not know its kind. */
+static enum error_code
 apply_entry(struct consensus *consensus, const struct journal_entry *entry)
 {
 	struct consensus_record record = {0};
 	struct consensus_entry applied = {0};
+	enum error_code error;
 	const void *result;
 	uint64_t index;
 	size_t size;
@@ -472,25 +519,55 @@
 	result = NULL;
 	size = 0;
 	index = entry->index;
-	if (!consensus_read_record(entry, &record))
-		return;
-	consensus->last_timestamp_ms =
-	    MAX(consensus->last_timestamp_ms, record.time_ms);
+	if (!consensus_read_record(entry, &record)) {
+		consensus->applied_index = index;
+		return ERROR_NONE;
+	}
 	if (record.kind == CONSENSUS_ENTRY_COMMAND) {
 		applied.index = index;
 		applied.term = entry->term;
 		applied.time_ms = record.time_ms;
 		applied.data = record.data;
 		applied.size = record.size;
-		consensus->ops.apply(
+		error = consensus->ops.apply(
 		    consensus->ops.context, &applied, &result, &size);
+		if (error != ERROR_NONE)
+			(void)consensus_check_entry(consensus, entry);
+	} else {
+		error = consensus_check_entry(consensus, entry);
 	}
+	if (error != ERROR_NONE)
+		return error;
+	consensus->applied_index = index;
+	consensus->last_timestamp_ms =
+	    MAX(consensus->last_timestamp_ms, record.time_ms);
 	if (record.kind == CONSENSUS_ENTRY_VOTERS)
 		event_log_write(EVENT_VOTER_CHANGED, "entry %llu",
 		    (unsigned long long)index);
 	complete_proposal(consensus, index, result, size);
 	if (consensus->role == CONSENSUS_ROLE_LEADER)
 		consensus_continue_change(consensus);
+	return ERROR_NONE;
+}
+
+/* Reads the type of a command, or the kind of any other entry. */
+static enum error_code
+read_kind(const struct consensus *consensus,
+    const struct consensus_record *record, uint64_t *kind)
+{
+	struct voter_set voters;
+
+	*kind = record->kind;
+	switch (record->kind) {
+	case CONSENSUS_ENTRY_NOOP:
+		return ERROR_NONE;
+	case CONSENSUS_ENTRY_COMMAND:
+		return consensus->ops.read_kind(
+		    consensus->ops.context, record->data, record->size, kind);
+	case CONSENSUS_ENTRY_VOTERS:
+		return voter_set_decode(&voters, record->data, record->size);
+	}
+	return ERROR_NOT_SUPPORTED;
 }
 
 static void
--- a/src/coordination/consensus.h
+++ b/src/coordination/consensus.h
@@ -86,9 +86,16 @@
 
 /** Functions of the replicated state machine and of the owner. */
 struct consensus_ops {
-	/** Applies a command. @p result stays valid until the next call. */
-	void (*apply)(void *context, const struct consensus_entry *entry,
-	    const void **result, size_t *result_size);
+	/** Applies a command. @p result stays valid until the next call. An
+	 * error means that this build does not know the kind of the command,
+	 * which has then changed nothing; the voter stops. */
+	enum error_code (*apply)(void *context,
+	    const struct consensus_entry *entry, const void **result,
+	    size_t *result_size);
+	/** Reads the kind of a command. error_is_unknown_kind() is true for the
+	 * result if this build could not apply the command. */
+	enum error_code (*read_kind)(
+	    void *context, const void *command, size_t size, uint64_t *kind);
 	/** Serialises the whole state; the caller releases the array. */
 	GByteArray *(*save)(void *context);
 	/** Replaces the whole state by one that save() returned. */
@@ -170,8 +177,10 @@
 	struct voter_set voters;    /**< Latest voter set in the log. */
 	/** Index of the log entry that holds the voter set. */
 	uint64_t voters_index;
-	bool is_failed;		 /**< The disk failed: sends nothing. */
-	enum error_code failure; /**< Error of the disk. */
+	/** The disk failed, or the log holds a kind of entry that this build
+	 * does not know: applies nothing and sends nothing. */
+	bool is_failed;
+	enum error_code failure; /**< Why it failed. */
 
 	/* Any role */
 	enum consensus_role role;
@@ -219,7 +228,9 @@
 
 /** Opens the data folder and starts as a follower. ERROR_CORRUPT and
  * ERROR_IDENTITY_LOST mean that this folder must never vote again: clear the
- * folder and add the host as a new voter. */
+ * folder and add the host as a new voter. With ERROR_NOT_SUPPORTED and
+ * ERROR_UNSUPPORTED_VERSION the folder is sound, but only a newer build can use
+ * it; it is left as it is. */
 enum error_code consensus_init(struct consensus *consensus,
     const struct consensus_settings *settings, const struct disk *disk,
     struct timer_service *timers, struct peer_port port,
@@ -242,8 +253,9 @@
 /* Proposing, on the leader */
 
 /** Proposes a command. @p callback is called later, unless this returns an
- * error: ERROR_NOT_LEADER, ERROR_TABLE_FULL, ERROR_TOO_LARGE or an error of the
- * journal. */
+ * error: ERROR_NOT_LEADER, ERROR_TABLE_FULL, ERROR_TOO_LARGE, an error of the
+ * journal, or ERROR_NOT_SUPPORTED or ERROR_UNSUPPORTED_VERSION for a kind of
+ * command that this build does not know. */
 enum error_code consensus_propose(struct consensus *consensus,
     const void *command, size_t size, struct consensus_callback callback);
 /** Syncs the entries appended in this turn of the event loop and sends them and
--- a/src/coordination/consensus_parts.h
+++ b/src/coordination/consensus_parts.h
@@ -48,6 +48,11 @@
     struct consensus *consensus, enum consensus_role role, uint32_t leader_id);
 /** Stops voting and replying after a failure of the disk. */
 void consensus_fail(struct consensus *consensus, enum error_code error);
+/** Returns ERROR_NONE if this build can apply an entry, or if no build can
+ * because it is malformed. Otherwise logs what it does not know and returns
+ * ERROR_NOT_SUPPORTED or ERROR_UNSUPPORTED_VERSION. */
+enum error_code consensus_check_entry(
+    const struct consensus *consensus, const struct journal_entry *entry);
 /** Applies the entries that are committed and synced on this host. */
 void consensus_apply_committed(struct consensus *consensus);
 /** Fills in the message's header and sends the message. */
--- a/src/coordination/consensus_storage.c
+++ b/src/coordination/consensus_storage.c
@@ -11,6 +11,7 @@
 
 static enum error_code open_identity(
     struct consensus *consensus, bool has_snapshot);
+static enum error_code check_entries(const struct consensus *consensus);
 static uint64_t find_compaction_index(const struct consensus *consensus);
 static uint64_t find_voters(const struct consensus *consensus,
     uint64_t last_index, struct voter_set *voters);
@@ -64,6 +65,9 @@
 		consensus->snapshot.state,
 		consensus->snapshot.state_size) != ERROR_NONE)
 		return ERROR_CORRUPT;
+	error = check_entries(consensus);
+	if (error != ERROR_NONE)
+		return error;
 	consensus->commit_index = consensus->snapshot.index;
 	consensus->applied_index = consensus->snapshot.index;
 	consensus->last_timestamp_ms = consensus->snapshot.time_ms;
@@ -154,6 +158,27 @@
 	return voter_file_write(&consensus->disk, identity);
 }
 
+/* Finds an entry of a kind that this build does not know before this host votes
+ * again, committed or not: as a leader it would commit the entry. */
+static enum error_code
+check_entries(const struct consensus *consensus)
+{
+	const struct journal_entry *entry;
+	enum error_code error;
+	uint64_t index, last;
+
+	last = journal_last_index(&consensus->journal);
+	for (index = consensus->snapshot.index + 1; index <= last; index++) {
+		entry = journal_get(&consensus->journal, index);
+		if (entry == NULL)
+			continue;
+		error = consensus_check_entry(consensus, entry);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	return ERROR_NONE;
+}
+
 /* Returns the last entry that the journal may drop. Some entries before the
  * snapshot stay, so that followers slightly behind need no snapshot. */
 static uint64_t
--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -31,8 +31,11 @@
 #define US_PER_MS		1000
 
 static enum error_code open_consensus(struct host *host);
-static void apply_entry(void *context, const struct consensus_entry *entry,
-    const void **result, size_t *result_size);
+static enum error_code apply_entry(void *context,
+    const struct consensus_entry *entry, const void **result,
+    size_t *result_size);
+static enum error_code read_kind(
+    void *context, const void *command, size_t size, uint64_t *kind);
 static GByteArray *save_state(void *context);
 static enum error_code load_state(void *context, const void *data, size_t size);
 static void on_role_changed(
@@ -186,6 +189,7 @@
 	struct consensus_settings consensus = {0};
 	struct consensus_ops ops = {
 	    .apply = apply_entry,
+	    .read_kind = read_kind,
 	    .save = save_state,
 	    .load = load_state,
 	    .on_role_changed = on_role_changed,
@@ -213,16 +217,18 @@
 	consensus.seed = random_uint64(&host->random);
 	error = consensus_init(&host->consensus, &consensus, &disk,
 	    &host->timers, peer_links_port(&host->links), &ops);
-	if (error != ERROR_NONE) {
+	if (error == ERROR_NONE)
+		return ERROR_NONE;
+	/* A folder that a newer build wrote is sound and was reported. */
+	if (!error_is_unknown_kind(error))
 		event_log_write(EVENT_JOURNAL_FAILED, "%s: %s",
 		    settings->data_dir, error_name(error));
-		disk_folder_close(&host->folder);
-	}
+	disk_folder_close(&host->folder);
 	return error;
 }
 
 /* Applies a committed entry. The result remains valid until the next call. */
-static void
+static enum error_code
 apply_entry(void *context, const struct consensus_entry *entry,
     const void **result, size_t *result_size)
 {
@@ -233,8 +239,12 @@
 	struct command_result outcome;
 	struct message_writer writer;
 	struct host *host = context;
+	enum error_code error;
 
-	replicated_state_apply(&host->voter_state, &replicated, &outcome);
+	error =
+	    replicated_state_apply(&host->voter_state, &replicated, &outcome);
+	if (error != ERROR_NONE)
+		return error;
 	message_writer_init(&writer);
 	command_result_encode(&outcome, &writer);
 	g_byte_array_set_size(host->apply_result, 0);
@@ -243,6 +253,14 @@
 	message_writer_finish(&writer);
 	*result = host->apply_result->data;
 	*result_size = host->apply_result->len;
+	return ERROR_NONE;
+}
+
+static enum error_code
+read_kind(void *context, const void *command, size_t size, uint64_t *kind)
+{
+	(void)context;
+	return command_read_type(command, size, kind);
 }
 
 static GByteArray *
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -91,6 +91,8 @@
 
 static enum error_code read_command(
     const struct message_reader *reader, void *context);
+static enum error_code read_type(
+    const struct message_reader *reader, void *context);
 static void put_text(
     struct message_writer *writer, uint32_t key, const char *text);
 static void get_text(
@@ -207,6 +209,13 @@
 	return error;
 }
 
+enum error_code
+command_read_type(const void *data, size_t size, uint64_t *type)
+{
+	*type = 0;
+	return message_read(data, size, read_type, type);
+}
+
 void
 command_finish(struct command *command)
 {
@@ -226,6 +235,22 @@
 	       type != COMMAND_BARRIER;
 }
 
+static enum error_code
+read_type(const struct message_reader *reader, void *context)
+{
+	uint64_t *type = context;
+	enum error_code error;
+
+	*type = 0;
+	error = message_check_version(reader, COMMAND_VERSION);
+	if (error == ERROR_NONE)
+		error = message_get_uint(reader, FIELD_TYPE, type);
+	if (error == ERROR_NONE &&
+	    (*type < COMMAND_CONFIG || *type > COMMAND_TYPE_LAST))
+		error = ERROR_NOT_SUPPORTED;
+	return error;
+}
+
 static enum error_code
 read_command(const struct message_reader *reader, void *context)
 {
@@ -233,8 +258,7 @@
 	struct message_fields fields = {.reader = reader};
 	uint64_t type;
 
-	fields.error = message_check_version(reader, COMMAND_VERSION);
-	type = message_fields_uint(&fields, FIELD_TYPE);
+	fields.error = read_type(reader, &type);
 	get_text(&fields, FIELD_OPERATION, command->operation_id,
 	    sizeof(command->operation_id));
 	if (fields.error != ERROR_NONE)
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -61,6 +61,9 @@
 	COMMAND_PARTS_CLEARED = 11,
 };
 
+/** Last type of a command that this build knows. */
+#define COMMAND_TYPE_LAST COMMAND_PARTS_CLEARED
+
 /** A change of one configuration entry. */
 struct config_change {
 	bool is_delete; /**< True to delete the entry, false to set it. */
@@ -213,11 +216,18 @@
 /** Encodes a command. Errors: ERROR_INVALID_ARGUMENT, ERROR_TOO_LARGE. */
 enum error_code command_encode(
     const struct command *command, struct message_writer *writer);
-/** Decodes a command; free it with command_finish(). Errors: those of the
+/** Decodes a command; free it with command_finish(). A command of another
+ * version or an unknown type is of an unknown kind, whatever else it holds; any
+ * other error means that it is invalid for every build. Errors: those of the
  * codec, ERROR_UNSUPPORTED_VERSION, ERROR_NOT_SUPPORTED for an unknown type,
  * ERROR_INVALID_ARGUMENT, ERROR_TOO_LARGE, ERROR_NO_MEMORY. */
 enum error_code command_decode(
     struct command *command, const void *data, size_t size);
+/** Reads the type of an encoded command without its body. Errors: those of the
+ * codec, ERROR_UNSUPPORTED_VERSION, ERROR_NOT_SUPPORTED for an unknown type,
+ * which is stored as well. */
+enum error_code command_read_type(
+    const void *data, size_t size, uint64_t *type);
 /** Frees the memory that command_decode() allocated. */
 void command_finish(struct command *command);
 /** True if learners need commands of this type as well. Claims are known to
--- a/src/state/replicated_state.c
+++ b/src/state/replicated_state.c
@@ -92,25 +92,29 @@
 	memset(state, 0, sizeof(*state));
 }
 
-void
+enum error_code
 replicated_state_apply(struct replicated_state *state,
     const struct replicated_entry *entry, struct command_result *result)
 {
 	struct operation_record *record, fresh = {0};
 	struct command command;
+	enum error_code error;
 
 	memset(result, 0, sizeof(*result));
 	if (entry->index <= state->applied_index) {
 		result->error = ERROR_STALE;
-		return;
+		return ERROR_NONE;
 	}
+	error = command_decode(&command, entry->data, entry->size);
+	result->error = error;
+	if (error_is_unknown_kind(error))
+		return error;
 	state->applied_index = entry->index;
 	state->time_ms = MAX(state->time_ms, entry->time_ms);
 	replicated_expire_claims(state);
 	expire_operations(state);
-	result->error = command_decode(&command, entry->data, entry->size);
-	if (result->error != ERROR_NONE)
-		return;
+	if (error != ERROR_NONE)
+		return ERROR_NONE;
 	record =
 	    command.operation_id[0] == '\0'
 		? NULL
@@ -118,7 +122,7 @@
 	if (record != NULL) {
 		*result = record->result;
 		command_finish(&command);
-		return;
+		return ERROR_NONE;
 	}
 	apply_command(state, &command, result);
 	if (result->error == ERROR_NONE && command_is_public(command.type))
@@ -132,6 +136,7 @@
 		replicated_put_operation(state, &fresh);
 	}
 	command_finish(&command);
+	return ERROR_NONE;
 }
 
 enum error_code
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -160,8 +160,12 @@
 /* Applying */
 
 /** Applies the next entry of the log. An entry that was applied before changes
- * nothing and gives ERROR_STALE in the result. */
-void replicated_state_apply(struct replicated_state *state,
+ * nothing and gives ERROR_STALE in the result. An invalid command moves
+ * applied_index and the time, on every voter alike, and gives its error in the
+ * result. Errors: ERROR_NOT_SUPPORTED or ERROR_UNSUPPORTED_VERSION if this build
+ * does not know the kind of the command; the state is unchanged, and no later
+ * entry may be applied. */
+enum error_code replicated_state_apply(struct replicated_state *state,
     const struct replicated_entry *entry, struct command_result *result);
 /** Applies the next public command on a learner. A document without contents
  * was superseded and changes nothing. Errors: ERROR_STALE if it was
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -465,6 +465,144 @@
 	voter_group_finish(&group);
 }
 
+/* Proposes a command that only the made-up newer build knows. */
+static enum error_code
+propose_newer(struct group_host *host, struct answer *answer)
+{
+	struct message_writer writer;
+	enum error_code error;
+
+	message_writer_init(&writer);
+	voter_group_encode_newer(&writer);
+	error = consensus_propose(&host->consensus, message_data(&writer),
+	    message_size(&writer),
+	    (struct consensus_callback){on_change_result, answer});
+	message_writer_finish(&writer);
+	return error;
+}
+
+/* Makes all hosts but one follower run the newer build; returns that one. */
+static struct group_host *
+mix_builds(struct voter_group *group)
+{
+	struct group_host *leader, *old;
+	uint32_t id;
+
+	leader = voter_group_leader(group);
+	old = &group->hosts[leader->id % GROUP_VOTERS];
+	for (id = 1; id < GROUP_HOSTS; id++)
+		group->hosts[id - 1].is_newer = id != old->id;
+	return old;
+}
+
+/* A voter that does not know a command stops before it, neither votes nor
+ * leads, and starts again only on a build that knows it. */
+static void
+test_voter_stops_at_unknown_command(void **state)
+{
+	struct answer answer = {.error = ERROR_INTERNAL};
+	struct group_host *leader, *old, *other;
+	struct voter_group group;
+	uint64_t before;
+
+	(void)state;
+	setup(&group, 14);
+	put_many(&group, "a", 3);
+	leader = voter_group_leader(&group);
+	old = mix_builds(&group);
+	other = &group.hosts[old->id % GROUP_VOTERS];
+	fake_net_run(&group.net, 500);
+	before = old->state.applied_index;
+	assert_int_equal(propose_newer(leader, &answer), ERROR_NONE);
+	put_many(&group, "b", 3);
+	assert_int_equal(answer.error, ERROR_NONE);
+	fake_net_run(&group.net, 500);
+	assert_int_equal(leader->state.revision, 6);
+	assert_int_equal(old->state.revision, 3);
+	assert_int_equal(old->state.applied_index, before);
+	assert_int_equal(old->consensus.failure, ERROR_NOT_SUPPORTED);
+	voter_group_stop(&group, other->id);
+	fake_net_run(&group.net, 10000);
+	assert_null(voter_group_leader(&group));
+	voter_group_stop(&group, old->id);
+	assert_int_equal(
+	    voter_group_try_start(&group, old->id), ERROR_NOT_SUPPORTED);
+	fake_net_run(&group.net, 10000);
+	assert_null(voter_group_leader(&group));
+	old->is_newer = true;
+	assert_false(voter_group_start(&group, old->id));
+	voter_group_start(&group, other->id);
+	fake_net_run(&group.net, 10000);
+	assert_true(voter_group_agrees(&group));
+	assert_int_equal(old->newer_count, 1);
+	assert_int_equal(old->state.revision, 6);
+	voter_group_finish(&group);
+}
+
+/* A voter that holds an unknown command as its last entry, not yet committed,
+ * stops when it leads and commits it: it never applies what follows. */
+static void
+test_elected_voter_stops_at_unknown_command(void **state)
+{
+	struct answer answer = {0};
+	struct group_host *leader, *old, *other;
+	struct voter_group group;
+	uint64_t before;
+
+	(void)state;
+	setup(&group, 15);
+	put_many(&group, "a", 3);
+	leader = voter_group_leader(&group);
+	old = mix_builds(&group);
+	other = &group.hosts[old->id % GROUP_VOTERS];
+	fake_net_run(&group.net, 500);
+	before = old->state.applied_index;
+	fake_net_cut_host(&group.net, other->id, true, true);
+	assert_int_equal(propose_newer(leader, &answer), ERROR_NONE);
+	while (journal_last_index(&old->consensus.journal) == before)
+		fake_net_run(&group.net, 1);
+	voter_group_stop(&group, leader->id);
+	fake_net_heal(&group.net);
+	other->is_newer = false;
+	fake_net_run(&group.net, 20000);
+	assert_null(voter_group_leader(&group));
+	assert_int_equal(old->state.applied_index, before);
+	assert_int_equal(other->state.applied_index, before);
+	old->is_newer = other->is_newer = true;
+	for (uint32_t id = 1; id <= GROUP_VOTERS; id++) {
+		voter_group_stop(&group, id);
+		assert_false(voter_group_start(&group, id));
+	}
+	fake_net_run(&group.net, 10000);
+	assert_true(voter_group_agrees(&group));
+	assert_int_equal(old->newer_count, 1);
+	assert_int_equal(leader->newer_count, 1);
+	voter_group_finish(&group);
+}
+
+/* A leader does not put a command into the log that it can't apply itself. */
+static void
+test_leader_refuses_unknown_command(void **state)
+{
+	struct answer answer = {0};
+	struct group_host *leader;
+	struct voter_group group;
+	uint64_t last;
+
+	(void)state;
+	setup(&group, 16);
+	put_many(&group, "a", 1);
+	leader = voter_group_leader(&group);
+	last = journal_last_index(&leader->consensus.journal);
+	assert_int_equal(propose_newer(leader, &answer), ERROR_NOT_SUPPORTED);
+	assert_int_equal(journal_last_index(&leader->consensus.journal), last);
+	put_many(&group, "b", 1);
+	fake_net_run(&group.net, 500);
+	assert_true(voter_group_agrees(&group));
+	assert_int_equal(answer.count, 0);
+	voter_group_finish(&group);
+}
+
 /* A step of the leader's wall clock must not make claims expire early. */
 static void
 test_clock_step_does_not_move_state_time(void **state)
@@ -558,6 +696,9 @@
 	    cmocka_unit_test(test_voter_recovers_from_full_disk),
 	    cmocka_unit_test(
 		test_full_follower_acknowledges_only_stored_entries),
+	    cmocka_unit_test(test_voter_stops_at_unknown_command),
+	    cmocka_unit_test(test_elected_voter_stops_at_unknown_command),
+	    cmocka_unit_test(test_leader_refuses_unknown_command),
 	    cmocka_unit_test(test_clock_step_does_not_move_state_time),
 	    cmocka_unit_test(test_invalid_messages_change_nothing),
 	};
--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -326,6 +326,65 @@
 	replicated_state_finish(&other);
 }
 
+/* A command of an unknown type or version changes nothing and is not passed
+ * over; one that no build can read is passed over by all voters alike. */
+static void
+test_unknown_command_is_not_passed_over(void **state)
+{
+	static const struct {
+		uint64_t version;
+		uint64_t type;
+		bool has_operation;
+		enum error_code error;
+	} cases[] = {
+	    {1, COMMAND_TYPE_LAST + 1, true, ERROR_NOT_SUPPORTED},
+	    {1, COMMAND_TYPE_LAST + 1, false, ERROR_NOT_SUPPORTED},
+	    {1, ((uint64_t)1 << 32) + COMMAND_BARRIER, true,
+		ERROR_NOT_SUPPORTED},
+	    {1, 0, true, ERROR_NOT_SUPPORTED},
+	    {2, COMMAND_BARRIER, true, ERROR_UNSUPPORTED_VERSION},
+	    {2, COMMAND_CONFIG, false, ERROR_UNSUPPORTED_VERSION},
+	    {1, COMMAND_CONFIG, true, ERROR_NONE},
+	    {1, COMMAND_BARRIER, false, ERROR_NONE},
+	};
+	struct replicated_state voter;
+	struct command_result result;
+	struct message_writer writer;
+	uint64_t applied, type;
+	size_t i;
+
+	(void)state;
+	replicated_state_init(&voter, NULL);
+	put(&voter, "a", "setting/a", "1", REVISION_ANY);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		applied = voter.applied_index;
+		message_writer_init(&writer);
+		message_begin_map(&writer, cases[i].has_operation ? 3 : 2);
+		message_put_uint(&writer, 0, cases[i].version);
+		message_put_uint(&writer, 1, cases[i].type);
+		if (cases[i].has_operation)
+			message_put_text(&writer, 2, "");
+		assert_int_equal(command_read_type(message_data(&writer),
+				     message_size(&writer), &type),
+		    cases[i].error);
+		assert_int_equal(
+		    replicated_state_apply(&voter,
+			&(struct replicated_entry){applied + 1,
+			    START_MS + HOUR_MS, message_data(&writer),
+			    message_size(&writer)},
+			&result),
+		    cases[i].error);
+		message_writer_finish(&writer);
+		assert_int_equal(voter.applied_index,
+		    applied + (cases[i].error == ERROR_NONE));
+		assert_int_equal(voter.time_ms, cases[i].error == ERROR_NONE
+						    ? START_MS + HOUR_MS
+						    : START_MS);
+		assert_int_not_equal(result.error, ERROR_NONE);
+	}
+	replicated_state_finish(&voter);
+}
+
 /* Appends a part of a snapshot with @p count numbers. */
 static void
 append_part(GByteArray *bytes, uint64_t part, uint32_t count)
@@ -606,6 +665,7 @@
 	    cmocka_unit_test(test_orders_are_fenced),
 	    cmocka_unit_test(test_learner_has_same_content_as_voter),
 	    cmocka_unit_test(test_snapshot_restores_whole_state),
+	    cmocka_unit_test(test_unknown_command_is_not_passed_over),
 	    cmocka_unit_test(test_snapshot_parts_lack_no_numbers),
 	    cmocka_unit_test(test_crashing_parts_are_kept_until_cleared),
 	    cmocka_unit_test(test_newest_document_version_is_kept),
--- a/tests/voter_group.c
+++ b/tests/voter_group.c
@@ -28,7 +28,20 @@
 		consensus_receive(&host->consensus, from_host, body, size);
 }
 
-static void
+static enum error_code
+read_kind(void *context, const void *command, size_t size, uint64_t *kind)
+{
+	struct group_host *host = context;
+	enum error_code error;
+
+	error = command_read_type(command, size, kind);
+	if (error == ERROR_NOT_SUPPORTED && host->is_newer &&
+	    *kind == GROUP_NEWER_TYPE)
+		return ERROR_NONE;
+	return error;
+}
+
+static enum error_code
 apply(void *context, const struct consensus_entry *entry, const void **result,
     size_t *result_size)
 {
@@ -37,10 +50,20 @@
 	struct group_host *host = context;
 	struct command_result outcome;
 	struct message_writer writer;
+	enum error_code error;
+	uint64_t kind;
 
 	/* The time of log entries never decreases. */
 	assert_true(entry->time_ms >= host->state.time_ms);
-	replicated_state_apply(&host->state, &applied, &outcome);
+	error = replicated_state_apply(&host->state, &applied, &outcome);
+	if (error != ERROR_NONE) {
+		if (read_kind(host, entry->data, entry->size, &kind) !=
+		    ERROR_NONE)
+			return error;
+		memset(&outcome, 0, sizeof(outcome));
+		host->state.applied_index = entry->index;
+		host->newer_count++;
+	}
 	check_same(host->group->entry_hashes, entry->index,
 	    XXH64(entry->data, entry->size, (uint64_t)entry->time_ms));
 	check_same(host->group->content_hashes, host->state.revision,
@@ -53,6 +76,7 @@
 	message_writer_finish(&writer);
 	*result = host->result->data;
 	*result_size = host->result->len;
+	return ERROR_NONE;
 }
 
 static GByteArray *
@@ -139,6 +163,24 @@
 
 bool
 voter_group_start(struct voter_group *group, uint32_t id)
+{
+	struct disk disk = fake_disk_disk(&group->hosts[id - 1].disk);
+	enum error_code error;
+	bool is_cleared;
+
+	is_cleared = false;
+	error = voter_group_try_start(group, id);
+	if (error == ERROR_CORRUPT || error == ERROR_IDENTITY_LOST) {
+		is_cleared = true;
+		assert_int_equal(consensus_clear_folder(&disk), ERROR_NONE);
+		error = voter_group_try_start(group, id);
+	}
+	assert_int_equal(error, ERROR_NONE);
+	return is_cleared;
+}
+
+enum error_code
+voter_group_try_start(struct voter_group *group, uint32_t id)
 {
 	struct group_host *host = &group->hosts[id - 1];
 	struct command_client_settings client = {.host_id = id};
@@ -147,15 +189,14 @@
 	    .initial_count = GROUP_VOTERS,
 	    .initial_voters = {1, 2, 3},
 	    .compact_entries = group->compact_entries};
-	const struct consensus_ops ops = {
-	    apply, save, load, on_role_changed, read_wall_clock, host};
+	const struct consensus_ops ops = {apply, read_kind, save, load,
+	    on_role_changed, read_wall_clock, host};
 	struct disk disk = fake_disk_disk(&host->disk);
 	struct timer_service *timers = fake_net_timers(&group->net, id);
 	struct peer_port port = fake_net_port(&group->net, id);
 	enum error_code error;
-	bool is_cleared;
 
-	is_cleared = false;
+	host->newer_count = 0;
 	fake_net_start(&group->net, id,
 	    random_below(&group->random, CLOCK_START_MAX_MS),
 	    (struct fake_receiver){receive, host});
@@ -168,19 +209,27 @@
 	if (id != GROUP_LEARNER)
 		error = consensus_init(
 		    &host->consensus, &settings, &disk, timers, port, &ops);
-	if (error == ERROR_CORRUPT || error == ERROR_IDENTITY_LOST) {
-		is_cleared = true;
-		assert_int_equal(consensus_clear_folder(&disk), ERROR_NONE);
-		error = consensus_init(
-		    &host->consensus, &settings, &disk, timers, port, &ops);
+	if (error != ERROR_NONE) {
+		fake_net_kill(&group->net, id);
+		replicated_state_finish(&host->state);
+		g_byte_array_unref(host->result);
+		return error;
 	}
-	assert_int_equal(error, ERROR_NONE);
 	command_client_init(&host->client, &client, timers, port,
 	    id == GROUP_LEARNER ? NULL : &host->consensus);
 	command_client_set_voters(
 	    &host->client, (const uint32_t[]){1, 2, 3, 4}, GROUP_HOSTS - 1);
 	host->is_up = true;
-	return is_cleared;
+	return ERROR_NONE;
+}
+
+void
+voter_group_encode_newer(struct message_writer *writer)
+{
+	message_begin_map(writer, 3);
+	message_put_uint(writer, 0, 1);
+	message_put_uint(writer, 1, GROUP_NEWER_TYPE);
+	message_put_text(writer, 2, "");
 }
 
 void
--- a/tests/voter_group.h
+++ b/tests/voter_group.h
@@ -23,6 +23,10 @@
 #define GROUP_LEARNER 5 /* Id of the host without vote and disk. */
 #define GROUP_VOTERS  3 /* Hosts 1 to 3 are the voters at the start. */
 
+/** Type of a command, and kind of a record in snapshots, that only a made-up
+ * newer build knows. */
+#define GROUP_NEWER_TYPE 99
+
 struct voter_group;
 
 /** A host of the group. */
@@ -36,6 +40,9 @@
 	struct command_client client;  /**< Sends commands to the leader. */
 	GByteArray *result;	       /**< Encoded result of the last entry. */
 	int64_t wall_offset_ms;	       /**< Wall clock minus true time. */
+	/** Runs a made-up newer build that knows GROUP_NEWER_TYPE. */
+	bool is_newer;
+	uint64_t newer_count; /**< Commands of GROUP_NEWER_TYPE applied. */
 };
 
 /** The hosts, and the observations that are compared. */
@@ -74,6 +81,11 @@
  * another host had become leader of a later term.
  */
 void voter_group_check_leases(struct voter_group *group);
+/** Starts a host on whatever is in its data folder, and returns the error of
+ * consensus_init(); the host is down after an error. */
+enum error_code voter_group_try_start(struct voter_group *group, uint32_t id);
+/** Encodes a command of GROUP_NEWER_TYPE. */
+void voter_group_encode_newer(struct message_writer *writer);
 /** Returns the current voter identity of a host. */
 struct voter voter_group_identity(struct voter_group *group, uint32_t id);
 
