--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -30,7 +30,6 @@
 static void on_persist_timeout(void *context);
 static void recover_from_full_disk(struct consensus *consensus);
 static int64_t current_timestamp(const struct consensus *consensus);
-static void stop(struct consensus *consensus, enum error_code error);
 static enum error_code apply_entry(
     struct consensus *consensus, const struct journal_entry *entry);
 static enum error_code read_kind(const struct consensus *consensus,
@@ -347,7 +346,16 @@
 	if (consensus->is_failed)
 		return;
 	event_log_write(EVENT_JOURNAL_FAILED, "%s", error_name(error));
-	stop(consensus, error);
+	consensus_stop(consensus, error);
+}
+
+void
+consensus_stop(struct consensus *consensus, enum error_code error)
+{
+	consensus->is_failed = true;
+	consensus->failure = error;
+	g_array_set_size(consensus->acks, 0);
+	consensus_step_down(consensus, 0);
 }
 
 enum error_code
@@ -391,7 +399,7 @@
 			break;
 		error = apply_entry(consensus, entry);
 		if (error != ERROR_NONE) {
-			stop(consensus, error);
+			consensus_stop(consensus, error);
 			break;
 		}
 	}
@@ -495,16 +503,6 @@
 	return MAX(wall_ms, consensus->last_timestamp_ms);
 }
 
-/* Applies nothing and sends nothing from now on. */
-static void
-stop(struct consensus *consensus, enum error_code error)
-{
-	consensus->is_failed = true;
-	consensus->failure = error;
-	g_array_set_size(consensus->acks, 0);
-	consensus_step_down(consensus, 0);
-}
-
 /* Applies the next entry, unless this build does not know its kind. */
 static enum error_code
 apply_entry(struct consensus *consensus, const struct journal_entry *entry)
--- a/src/coordination/consensus_follower.c
+++ b/src/coordination/consensus_follower.c
@@ -269,12 +269,12 @@
 	enum error_code error;
 	uint64_t term;
 
-	if (bytes->len > 0) {
-		error = consensus->ops.load(
-		    consensus->ops.context, bytes->data, bytes->len);
-		if (error != ERROR_NONE)
-			return error;
-	}
+	error = consensus_load_state(
+	    consensus, snapshot.index, bytes->data, bytes->len);
+	if (error_is_unknown_kind(error))
+		consensus_stop(consensus, error);
+	if (error != ERROR_NONE)
+		return error;
 	snapshot.state = malloc(bytes->len + 1);
 	if (snapshot.state == NULL)
 		return ERROR_NO_MEMORY;
--- a/src/coordination/consensus_parts.h
+++ b/src/coordination/consensus_parts.h
@@ -48,6 +48,8 @@
     struct consensus *consensus, enum consensus_role role, uint32_t leader_id);
 /** Stops voting and replying after a failure of the disk. */
 void consensus_fail(struct consensus *consensus, enum error_code error);
+/** Applies nothing and sends nothing from now on. */
+void consensus_stop(struct consensus *consensus, enum error_code error);
 /** Returns ERROR_NONE if this build can apply an entry, or if no build can
  * because it is malformed. Otherwise logs what it does not know and returns
  * ERROR_NOT_SUPPORTED or ERROR_UNSUPPORTED_VERSION. */
@@ -62,8 +64,14 @@
 /* consensus_storage.c: what is on disk when this host starts, and snapshots */
 
 /** Reads the snapshot, the journal and the identity of this voter, and loads the
- * state. Errors: ERROR_CORRUPT, ERROR_IDENTITY_LOST, and those of the disk. */
+ * state. Errors: ERROR_CORRUPT, ERROR_IDENTITY_LOST, those of the disk, and
+ * ERROR_NOT_SUPPORTED and ERROR_UNSUPPORTED_VERSION if a newer build wrote
+ * something that this one does not know, which is logged. */
 enum error_code consensus_open_storage(struct consensus *consensus);
+/** Loads the state of a snapshot into the state machine, and logs it if this
+ * build does not know something in it. Errors: those of load(). */
+enum error_code consensus_load_state(const struct consensus *consensus,
+    uint64_t index, const void *state, size_t size);
 /** Writes a snapshot and drops the entries before it, if the journal has grown
  * enough since the last one. */
 void consensus_compact(struct consensus *consensus);
--- a/src/coordination/consensus_storage.c
+++ b/src/coordination/consensus_storage.c
@@ -60,11 +60,10 @@
 	 * journal means that the voter file is outdated. */
 	if (journal_last_term(&consensus->journal) > consensus->identity.term)
 		return ERROR_CORRUPT;
-	if (consensus->snapshot.state_size > 0 &&
-	    consensus->ops.load(consensus->ops.context,
-		consensus->snapshot.state,
-		consensus->snapshot.state_size) != ERROR_NONE)
-		return ERROR_CORRUPT;
+	error = consensus_load_state(consensus, consensus->snapshot.index,
+	    consensus->snapshot.state, consensus->snapshot.state_size);
+	if (error != ERROR_NONE)
+		return error_is_unknown_kind(error) ? error : ERROR_CORRUPT;
 	error = check_entries(consensus);
 	if (error != ERROR_NONE)
 		return error;
@@ -80,6 +79,23 @@
 	return ERROR_NONE;
 }
 
+enum error_code
+consensus_load_state(const struct consensus *consensus, uint64_t index,
+    const void *state, size_t size)
+{
+	enum error_code error;
+
+	if (size == 0)
+		return ERROR_NONE;
+	error = consensus->ops.load(consensus->ops.context, state, size);
+	if (error_is_unknown_kind(error))
+		event_log_write(EVENT_KIND_UNKNOWN,
+		    "snapshot at log entry %llu: %s; start a newer build on "
+		    "this data folder",
+		    (unsigned long long)index, error_name(error));
+	return error;
+}
+
 void
 consensus_compact(struct consensus *consensus)
 {
--- a/src/service/host.h
+++ b/src/service/host.h
@@ -106,6 +106,8 @@
 	struct command_client commands; /**< Sends commands to the leader. */
 	struct config_feed feed;	/**< Configuration and its lease. */
 	uint64_t published_sequence; /**< Sequence that request threads see. */
+	/** Sequence that this build could not apply, logged last. */
+	uint64_t unknown_sequence;
 	GArray *pending_commands; /**< Elements: struct host_pending_command. */
 	struct live_hosts live_hosts; /**< Planned live hosts, if leader. */
 	uint64_t plan_number; /**< Counts plans, for unique operation ids. */
--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -57,6 +57,8 @@
 static enum error_code sink_install_snapshot(
     void *context, uint64_t index, const void *bytes, size_t size);
 
+static void report_unknown(
+    struct host *host, uint64_t sequence, enum error_code error);
 static int64_t feed_clock_now(void *context);
 static uint32_t feed_list_hosts(
     void *context, uint32_t *host_ids, uint32_t max);
@@ -411,6 +413,7 @@
 	if (host_state(host) != &host->learner_state)
 		return ERROR_NONE;
 	error = public_entries_apply(&host->learner_state, bytes, size);
+	report_unknown(host, host->learner_state.sequence + 1, error);
 	publish_state(host);
 	return error;
 }
@@ -422,10 +425,10 @@
 	struct host *host = context;
 	enum error_code error;
 
-	(void)index;
 	if (host_state(host) != &host->learner_state)
 		return ERROR_NONE;
 	error = replicated_state_load(&host->learner_state, bytes, size);
+	report_unknown(host, index, error);
 	if (error == ERROR_NONE) {
 		event_log_write(EVENT_SNAPSHOT_INSTALLED, "sequence %" PRIu64,
 		    host->learner_state.sequence);
@@ -434,6 +437,18 @@
 	return error;
 }
 
+/* Logs once for each sequence that only a newer build can apply. */
+static void
+report_unknown(struct host *host, uint64_t sequence, enum error_code error)
+{
+	if (!error_is_unknown_kind(error) || sequence == host->unknown_sequence)
+		return;
+	host->unknown_sequence = sequence;
+	event_log_write(EVENT_KIND_UNKNOWN,
+	    "sequence %" PRIu64 ": %s; start a newer build", sequence,
+	    error_name(error));
+}
+
 static int64_t
 feed_clock_now(void *context)
 {
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -13,7 +13,10 @@
 #define QUARANTINE_NUMBERS 5
 /* Numbers of a part of prompts, before its crashes and companions. */
 #define PROMPT_PART_NUMBERS 10
-#define SAVE_NUMBERS_MAX    28 /* Largest count of numbers in a part. */
+/* Numbers read from a part: one more than any part of this build holds, so that
+ * a part with more is noticed. */
+#define SAVE_NUMBERS_MAX                                                       \
+	(PROMPT_PART_NUMBERS + PART_CRASHES_MAX + PART_COMPANIONS_MAX + 1)
 
 /* Kinds of parts. A saved state is a sequence of parts, each a message with
  * its length before it as a 32-bit little-endian number. */
@@ -39,6 +42,9 @@
 	FIELD_NUMBERS = 4,
 };
 
+/* Last kind that this build knows. */
+#define SAVE_PART_LAST SAVE_PART_PROMPT_PART
+
 /* The fields of a part, of any kind. */
 struct save_record {
 	enum save_part part; /* Kind of the part. */
@@ -79,7 +85,9 @@
     struct replicated_state *state, const unsigned char *data, size_t size);
 static enum error_code load_part(struct replicated_state *state,
     const unsigned char *data, size_t size, uint64_t *parts, bool *is_end);
+static bool is_known_part(uint64_t part);
 static uint32_t numbers_of_part(enum save_part part);
+static uint32_t numbers_max_of_part(enum save_part part);
 static enum error_code store_part(struct replicated_state *state,
     const struct save_record *record, const char *text);
 static enum error_code store_operation(struct replicated_state *state,
@@ -150,9 +158,7 @@
 	struct message_writer message;
 	uint32_t count, length, i;
 
-	count = numbers_of_part(record->part);
-	if (record->part == SAVE_PART_QUARANTINE)
-		count += QUARANTINE_SHARES_MAX;
+	count = numbers_max_of_part(record->part);
 	message_writer_init(&message);
 	message_begin_map(&message,
 	    2 + count + (record->text != NULL) + (record->value_size > 0));
@@ -397,6 +403,9 @@
 		error = ERROR_UNSUPPORTED_VERSION;
 	if (error == ERROR_NONE)
 		error = message_get_uint(&reader, FIELD_PART, &part);
+	/* Without it, this state would differ from that of other hosts. */
+	if (error == ERROR_NONE && !is_known_part(part))
+		error = ERROR_NOT_SUPPORTED;
 	if (error != ERROR_NONE)
 		goto out;
 	record.part = (enum save_part)part;
@@ -409,6 +418,10 @@
 	       message_get_uint(&reader, FIELD_NUMBERS + record.count,
 		   &record.numbers[record.count]) == ERROR_NONE)
 		record.count++;
+	if (record.count > numbers_max_of_part(record.part)) {
+		error = ERROR_NOT_SUPPORTED;
+		goto out;
+	}
 	if (record.part == SAVE_PART_END) {
 		*is_end = true;
 		if (record.count == 0 || record.numbers[0] != *parts)
@@ -424,6 +437,12 @@
 	return error;
 }
 
+static bool
+is_known_part(uint64_t part)
+{
+	return part >= SAVE_PART_HEAD && part <= SAVE_PART_LAST;
+}
+
 /* Returns how many numbers a part must have. */
 static uint32_t
 numbers_of_part(enum save_part part)
@@ -447,10 +466,19 @@
 	case SAVE_PART_END:
 		return 1;
 	}
-	/* A newer version of the program added this kind. */
 	return 0;
 }
 
+/* Returns how many numbers a part may have. A newer build adds what it needs as
+ * further numbers or further kinds of parts. */
+static uint32_t
+numbers_max_of_part(enum save_part part)
+{
+	if (part == SAVE_PART_QUARANTINE)
+		return QUARANTINE_NUMBERS + QUARANTINE_SHARES_MAX;
+	return numbers_of_part(part);
+}
+
 /* Snapshots of older versions have only the sums, which then count as those of
  * an unknown host. */
 static void
@@ -530,10 +558,10 @@
 		host.incarnation = numbers[1];
 		g_array_append_val(state->live_hosts, host);
 		return ERROR_NONE;
-	default:
-		/* Skips kinds that a newer version of the program added. */
-		return ERROR_NONE;
+	case SAVE_PART_END:
+		break;
 	}
+	return ERROR_NOT_SUPPORTED;
 }
 
 static enum error_code
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -181,8 +181,11 @@
  * result with g_byte_array_unref(). */
 GByteArray *replicated_state_save(
     const struct replicated_state *state, bool is_public);
-/** Replaces the state by a saved one. Invalid data changes nothing. Errors:
- * ERROR_MALFORMED, ERROR_UNSUPPORTED_VERSION, others of the codec. */
+/** Replaces the state by a saved one. Invalid data changes nothing, and neither
+ * does data with a kind of record that this build does not know, or with more
+ * numbers in a record than it knows: both would be lost when this state is
+ * saved again. Errors: ERROR_MALFORMED, ERROR_NOT_SUPPORTED and
+ * ERROR_UNSUPPORTED_VERSION for unknown kinds, others of the codec. */
 enum error_code replicated_state_load(
     struct replicated_state *state, const void *data, size_t size);
 
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -580,6 +580,52 @@
 	voter_group_finish(&group);
 }
 
+/* A voter that gets a snapshot with a kind of record that it does not know
+ * stops before it, and so does one that finds such a snapshot on its disk. */
+static void
+test_voter_stops_at_unknown_record(void **state)
+{
+	struct answer answer = {.error = ERROR_INTERNAL};
+	struct group_host *leader, *old;
+	struct voter_group group;
+	uint64_t before;
+
+	(void)state;
+	setup(&group, 17);
+	put_many(&group, "a", 3);
+	leader = voter_group_leader(&group);
+	old = mix_builds(&group);
+	fake_net_run(&group.net, 500);
+	before = old->state.applied_index;
+	fake_net_cut_host(&group.net, old->id, true, true);
+	assert_int_equal(propose_newer(leader, &answer), ERROR_NONE);
+	put_many(&group, "b", 60);
+	assert_int_equal(answer.error, ERROR_NONE);
+	assert_true(leader->consensus.journal.base_index > before);
+	fake_net_heal(&group.net);
+	fake_net_run(&group.net, 5000);
+	assert_int_equal(old->state.applied_index, before);
+	assert_int_equal(old->state.revision, 3);
+	assert_int_equal(old->consensus.failure, ERROR_NOT_SUPPORTED);
+	assert_int_equal(old->consensus.snapshot.index, 1);
+	voter_group_stop(&group, old->id);
+	old->is_newer = true;
+	assert_false(voter_group_start(&group, old->id));
+	fake_net_run(&group.net, 10000);
+	assert_true(voter_group_agrees(&group));
+	assert_int_equal(old->newer_count, 1);
+	voter_group_stop(&group, old->id);
+	old->is_newer = false;
+	assert_int_equal(
+	    voter_group_try_start(&group, old->id), ERROR_NOT_SUPPORTED);
+	old->is_newer = true;
+	assert_false(voter_group_start(&group, old->id));
+	fake_net_run(&group.net, 10000);
+	assert_true(voter_group_agrees(&group));
+	assert_int_equal(old->newer_count, 1);
+	voter_group_finish(&group);
+}
+
 /* A leader does not put a command into the log that it can't apply itself. */
 static void
 test_leader_refuses_unknown_command(void **state)
@@ -698,6 +744,7 @@
 		test_full_follower_acknowledges_only_stored_entries),
 	    cmocka_unit_test(test_voter_stops_at_unknown_command),
 	    cmocka_unit_test(test_elected_voter_stops_at_unknown_command),
+	    cmocka_unit_test(test_voter_stops_at_unknown_record),
 	    cmocka_unit_test(test_leader_refuses_unknown_command),
 	    cmocka_unit_test(test_clock_step_does_not_move_state_time),
 	    cmocka_unit_test(test_invalid_messages_change_nothing),
--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -409,6 +409,25 @@
 	message_writer_finish(&writer);
 }
 
+/* Appends the end of a snapshot of @p parts parts. */
+static void
+append_end(GByteArray *bytes, uint64_t parts)
+{
+	struct message_writer writer;
+	uint32_t length;
+
+	message_writer_init(&writer);
+	message_begin_map(&writer, 3);
+	message_put_uint(&writer, 0, 1);
+	message_put_uint(&writer, 1, 8);
+	message_put_uint(&writer, 4, parts);
+	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
+	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(
+	    bytes, message_data(&writer), (guint)message_size(&writer));
+	message_writer_finish(&writer);
+}
+
 /* A part of a snapshot that lacks numbers is refused, not filled up with
  * zeros. */
 static void
@@ -437,6 +456,80 @@
 	replicated_state_finish(&other);
 }
 
+/* A snapshot with a kind of part, or with numbers, that this build does not
+ * know is refused as such; the state would lose them when saved again. */
+static void
+test_snapshot_of_newer_build_is_refused(void **state)
+{
+	static const struct {
+		uint64_t part;
+		uint32_t numbers; /* As many as this build knows, or more. */
+		enum error_code error;
+	} cases[] = {
+	    {2, 2, ERROR_NOT_SUPPORTED},
+	    {3, 2, ERROR_NOT_SUPPORTED},
+	    {4, 8, ERROR_NOT_SUPPORTED},
+	    {5, 5, ERROR_NONE}, /* Builds before the shares wrote these. */
+	    {5, 9, ERROR_NONE},
+	    {5, 10, ERROR_NOT_SUPPORTED},
+	    {6, 6, ERROR_NONE},
+	    {6, 7, ERROR_NOT_SUPPORTED},
+	    {7, 2, ERROR_NONE},
+	    {7, 3, ERROR_NOT_SUPPORTED},
+	    {9, 2, ERROR_NOT_SUPPORTED},
+	    {10, 10 + PART_CRASHES_MAX + PART_COMPANIONS_MAX, ERROR_NONE},
+	    {10, 11 + PART_CRASHES_MAX + PART_COMPANIONS_MAX,
+		ERROR_NOT_SUPPORTED},
+	    {11, 1, ERROR_NOT_SUPPORTED},
+	    {0, 1, ERROR_NOT_SUPPORTED},
+	    {((uint64_t)1 << 32) + 7, 2, ERROR_NOT_SUPPORTED},
+	};
+	struct replicated_state other;
+	GByteArray *bytes;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		replicated_state_init(&other, NULL);
+		put(&other, "a", "setting/a", "1", REVISION_ANY);
+		put(&other, "b", "setting/b", "1", REVISION_ANY);
+		bytes = g_byte_array_new();
+		append_part(bytes, 1, 6);
+		append_part(bytes, cases[i].part, cases[i].numbers);
+		append_end(bytes, 2);
+		assert_int_equal(
+		    replicated_state_load(&other, bytes->data, bytes->len),
+		    cases[i].error);
+		assert_int_equal(
+		    other.revision, cases[i].error == ERROR_NONE ? 1 : 2);
+		g_byte_array_unref(bytes);
+		replicated_state_finish(&other);
+	}
+}
+
+/* A learner does not pass over a public command that it does not know. */
+static void
+test_learner_waits_at_unknown_command(void **state)
+{
+	struct replicated_state learner;
+	struct message_writer writer;
+
+	(void)state;
+	replicated_state_init(&learner, NULL);
+	message_writer_init(&writer);
+	message_begin_map(&writer, 3);
+	message_put_uint(&writer, 0, 1);
+	message_put_uint(&writer, 1, COMMAND_TYPE_LAST + 1);
+	message_put_text(&writer, 2, "");
+	assert_int_equal(replicated_state_apply_public(&learner, 1,
+			     &(struct replicated_entry){1, START_MS,
+				 message_data(&writer), message_size(&writer)}),
+	    ERROR_NOT_SUPPORTED);
+	assert_int_equal(learner.sequence, 0);
+	message_writer_finish(&writer);
+	replicated_state_finish(&learner);
+}
+
 static struct command_result
 put_named_document(struct replicated_state *state, const char *name,
     uint64_t version, const char *text)
@@ -667,6 +760,8 @@
 	    cmocka_unit_test(test_snapshot_restores_whole_state),
 	    cmocka_unit_test(test_unknown_command_is_not_passed_over),
 	    cmocka_unit_test(test_snapshot_parts_lack_no_numbers),
+	    cmocka_unit_test(test_snapshot_of_newer_build_is_refused),
+	    cmocka_unit_test(test_learner_waits_at_unknown_command),
 	    cmocka_unit_test(test_crashing_parts_are_kept_until_cleared),
 	    cmocka_unit_test(test_newest_document_version_is_kept),
 	    cmocka_unit_test(test_public_entries_are_bounded_in_bytes),
--- a/tests/voter_group.c
+++ b/tests/voter_group.c
@@ -10,6 +10,7 @@
 
 #define CLUSTER_ID	    77
 #define WALL_CLOCK_START_MS 1700000000000
+#define SNAPSHOT_END	    8	     /* Kind of the last part of a snapshot. */
 #define CLOCK_START_MAX_MS  1000000u /* Largest start value of a clock. */
 
 static void check_same(GHashTable *table, uint64_t key, uint64_t value);
@@ -79,18 +80,94 @@
 	return ERROR_NONE;
 }
 
+/* Appends a part of a snapshot that holds one number. */
+static void
+append_part(GByteArray *bytes, uint64_t kind, uint64_t number)
+{
+	struct message_writer writer;
+	uint32_t length;
+
+	message_writer_init(&writer);
+	message_begin_map(&writer, 3);
+	message_put_uint(&writer, 0, 1);
+	message_put_uint(&writer, 1, kind);
+	message_put_uint(&writer, 4, number);
+	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
+	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(
+	    bytes, message_data(&writer), (guint)message_size(&writer));
+	message_writer_finish(&writer);
+}
+
+/* Copies a snapshot without parts of GROUP_NEWER_TYPE, whose number goes to
+ * found. Before its end comes one with the number added, unless that is 0. */
+static GByteArray *
+copy_snapshot(
+    const unsigned char *data, size_t size, uint64_t added, uint64_t *found)
+{
+	GByteArray *copy = g_byte_array_new();
+	struct message_reader reader;
+	uint64_t kind, parts;
+	uint32_t length;
+	size_t at;
+
+	parts = 0;
+	*found = 0;
+	for (at = 0; at < size; at += sizeof(length) + length) {
+		memcpy(&length, data + at, sizeof(length));
+		length = GUINT32_FROM_LE(length);
+		assert_int_equal(message_reader_init(&reader,
+				     data + at + sizeof(length), length),
+		    ERROR_NONE);
+		assert_int_equal(
+		    message_get_uint(&reader, 1, &kind), ERROR_NONE);
+		if (kind == GROUP_NEWER_TYPE)
+			assert_int_equal(
+			    message_get_uint(&reader, 4, found), ERROR_NONE);
+		message_reader_finish(&reader);
+		if (kind == GROUP_NEWER_TYPE || kind == SNAPSHOT_END)
+			continue;
+		g_byte_array_append(copy, data + at, sizeof(length) + length);
+		parts++;
+	}
+	if (added > 0)
+		append_part(copy, GROUP_NEWER_TYPE, added);
+	append_part(copy, SNAPSHOT_END, parts + (added > 0));
+	return copy;
+}
+
 static GByteArray *
 save(void *context)
 {
-	return replicated_state_save(
-	    &((struct group_host *)context)->state, false);
+	struct group_host *host = context;
+	GByteArray *bytes, *newer;
+	uint64_t found;
+
+	bytes = replicated_state_save(&host->state, false);
+	if (!host->is_newer)
+		return bytes;
+	newer =
+	    copy_snapshot(bytes->data, bytes->len, host->newer_count, &found);
+	g_byte_array_unref(bytes);
+	return newer;
 }
 
 static enum error_code
 load(void *context, const void *data, size_t size)
 {
-	return replicated_state_load(
-	    &((struct group_host *)context)->state, data, size);
+	struct group_host *host = context;
+	enum error_code error;
+	GByteArray *bytes;
+	uint64_t found;
+
+	if (!host->is_newer)
+		return replicated_state_load(&host->state, data, size);
+	bytes = copy_snapshot(data, size, 0, &found);
+	error = replicated_state_load(&host->state, bytes->data, bytes->len);
+	if (error == ERROR_NONE)
+		host->newer_count = found;
+	g_byte_array_unref(bytes);
+	return error;
 }
 
 static void
