A voter acknowledges no command that it doesn't know

What callers saw: voters (three of a newer build) added a host of this build as the fourth, which stopped right after it; one more failure and they had no majority.

Cause: the host stopped where a command is to be applied. Its acknowledgement of the stored entry had gone out before, and counted as having caught up, and towards the commit.

Change: the check runs as an entry is stored. The entry is synced, the voter stops (E3008) and sends nothing; a restart finds the entry and refuses. So a command commits only once a quorum knows it.

Weighed: not storing the entry. Then a restart of the same build would vote again until it met the entry again.

--- a/src/coordination/consensus_follower.c
+++ b/src/coordination/consensus_follower.c
@@ -186,6 +186,15 @@
 	    &consensus->journal, entry->term, entry->data, entry->size);
 	if (error != ERROR_NONE)
 		return error;
+	/* An acknowledgement would count towards a commit, or make this host a
+	 * voter, although it can't apply the entry. The entry is stored so that
+	 * a restart finds it before this host votes again. */
+	error = consensus_check_entry(consensus, entry);
+	if (error != ERROR_NONE) {
+		(void)journal_sync(&consensus->journal);
+		consensus_stop(consensus, error);
+		return error;
+	}
 	if (!consensus_read_record(entry, &record))
 		return ERROR_NONE;
 	consensus->last_timestamp_ms =
