--- a/src/coordination/consensus_follower.c
+++ b/src/coordination/consensus_follower.c
@@ -186,6 +186,15 @@
 	    &consensus->journal, entry->term, entry->data, entry->size);
 	if (error != ERROR_NONE)
 		return error;
+	/* An acknowledgement would count towards a commit, or make this host a
+	 * voter, although it can't apply the entry. The entry is stored so that
+	 * a restart finds it before this host votes again. */
+	error = consensus_check_entry(consensus, entry);
+	if (error != ERROR_NONE) {
+		(void)journal_sync(&consensus->journal);
+		consensus_stop(consensus, error);
+		return error;
+	}
 	if (!consensus_read_record(entry, &record))
 		return ERROR_NONE;
 	consensus->last_timestamp_ms =
@@ -269,12 +278,12 @@
 	enum error_code error;
 	uint64_t term;
 
-	if (bytes->len > 0) {
-		error = consensus->ops.load(
-		    consensus->ops.context, bytes->data, bytes->len);
-		if (error != ERROR_NONE)
-			return error;
-	}
+	error = consensus_load_state(
+	    consensus, snapshot.index, bytes->data, bytes->len);
+	if (error_is_unknown_kind(error))
+		consensus_stop(consensus, error);
+	if (error != ERROR_NONE)
+		return error;
 	snapshot.state = malloc(bytes->len + 1);
 	if (snapshot.state == NULL)
 		return ERROR_NO_MEMORY;
--- a/src/coordination/consensus_storage.c
+++ b/src/coordination/consensus_storage.c
@@ -11,6 +11,7 @@
 
 static enum error_code open_identity(
     struct consensus *consensus, bool has_snapshot);
+static enum error_code check_entries(const struct consensus *consensus);
 static uint64_t find_compaction_index(const struct consensus *consensus);
 static uint64_t find_voters(const struct consensus *consensus,
     uint64_t last_index, struct voter_set *voters);
@@ -59,11 +60,13 @@
 	 * journal means that the voter file is outdated. */
 	if (journal_last_term(&consensus->journal) > consensus->identity.term)
 		return ERROR_CORRUPT;
-	if (consensus->snapshot.state_size > 0 &&
-	    consensus->ops.load(consensus->ops.context,
-		consensus->snapshot.state,
-		consensus->snapshot.state_size) != ERROR_NONE)
-		return ERROR_CORRUPT;
+	error = consensus_load_state(consensus, consensus->snapshot.index,
+	    consensus->snapshot.state, consensus->snapshot.state_size);
+	if (error != ERROR_NONE)
+		return error_is_unknown_kind(error) ? error : ERROR_CORRUPT;
+	error = check_entries(consensus);
+	if (error != ERROR_NONE)
+		return error;
 	consensus->commit_index = consensus->snapshot.index;
 	consensus->applied_index = consensus->snapshot.index;
 	consensus->last_timestamp_ms = consensus->snapshot.time_ms;
@@ -76,6 +79,23 @@
 	return ERROR_NONE;
 }
 
+enum error_code
+consensus_load_state(const struct consensus *consensus, uint64_t index,
+    const void *state, size_t size)
+{
+	enum error_code error;
+
+	if (size == 0)
+		return ERROR_NONE;
+	error = consensus->ops.load(consensus->ops.context, state, size);
+	if (error_is_unknown_kind(error))
+		event_log_write(EVENT_KIND_UNKNOWN,
+		    "snapshot at log entry %llu: %s; start a newer build on "
+		    "this data folder",
+		    (unsigned long long)index, error_name(error));
+	return error;
+}
+
 void
 consensus_compact(struct consensus *consensus)
 {
@@ -154,6 +174,27 @@
 	return voter_file_write(&consensus->disk, identity);
 }
 
+/* Finds an entry of a kind that this build does not know before this host votes
+ * again, committed or not: as a leader it would commit the entry. */
+static enum error_code
+check_entries(const struct consensus *consensus)
+{
+	const struct journal_entry *entry;
+	enum error_code error;
+	uint64_t index, last;
+
+	last = journal_last_index(&consensus->journal);
+	for (index = consensus->snapshot.index + 1; index <= last; index++) {
+		entry = journal_get(&consensus->journal, index);
+		if (entry == NULL)
+			continue;
+		error = consensus_check_entry(consensus, entry);
+		if (error != ERROR_NONE)
+			return error;
+	}
+	return ERROR_NONE;
+}
+
 /* Returns the last entry that the journal may drop. Some entries before the
  * snapshot stay, so that followers slightly behind need no snapshot. */
 static uint64_t
--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -31,8 +31,11 @@
 #define US_PER_MS		1000
 
 static enum error_code open_consensus(struct host *host);
-static void apply_entry(void *context, const struct consensus_entry *entry,
-    const void **result, size_t *result_size);
+static enum error_code apply_entry(void *context,
+    const struct consensus_entry *entry, const void **result,
+    size_t *result_size);
+static enum error_code read_kind(
+    void *context, const void *command, size_t size, uint64_t *kind);
 static GByteArray *save_state(void *context);
 static enum error_code load_state(void *context, const void *data, size_t size);
 static void on_role_changed(
@@ -54,6 +57,8 @@
 static enum error_code sink_install_snapshot(
     void *context, uint64_t index, const void *bytes, size_t size);
 
+static void report_unknown(
+    struct host *host, uint64_t sequence, enum error_code error);
 static int64_t feed_clock_now(void *context);
 static uint32_t feed_list_hosts(
     void *context, uint32_t *host_ids, uint32_t max);
@@ -186,6 +191,7 @@
 	struct consensus_settings consensus = {0};
 	struct consensus_ops ops = {
 	    .apply = apply_entry,
+	    .read_kind = read_kind,
 	    .save = save_state,
 	    .load = load_state,
 	    .on_role_changed = on_role_changed,
@@ -213,16 +219,18 @@
 	consensus.seed = random_uint64(&host->random);
 	error = consensus_init(&host->consensus, &consensus, &disk,
 	    &host->timers, peer_links_port(&host->links), &ops);
-	if (error != ERROR_NONE) {
+	if (error == ERROR_NONE)
+		return ERROR_NONE;
+	/* A folder that a newer build wrote is sound and was reported. */
+	if (!error_is_unknown_kind(error))
 		event_log_write(EVENT_JOURNAL_FAILED, "%s: %s",
 		    settings->data_dir, error_name(error));
-		disk_folder_close(&host->folder);
-	}
+	disk_folder_close(&host->folder);
 	return error;
 }
 
 /* Applies a committed entry. The result remains valid until the next call. */
-static void
+static enum error_code
 apply_entry(void *context, const struct consensus_entry *entry,
     const void **result, size_t *result_size)
 {
@@ -233,8 +241,12 @@
 	struct command_result outcome;
 	struct message_writer writer;
 	struct host *host = context;
+	enum error_code error;
 
-	replicated_state_apply(&host->voter_state, &replicated, &outcome);
+	error =
+	    replicated_state_apply(&host->voter_state, &replicated, &outcome);
+	if (error != ERROR_NONE)
+		return error;
 	message_writer_init(&writer);
 	command_result_encode(&outcome, &writer);
 	g_byte_array_set_size(host->apply_result, 0);
@@ -243,6 +255,14 @@
 	message_writer_finish(&writer);
 	*result = host->apply_result->data;
 	*result_size = host->apply_result->len;
+	return ERROR_NONE;
+}
+
+static enum error_code
+read_kind(void *context, const void *command, size_t size, uint64_t *kind)
+{
+	(void)context;
+	return command_read_type(command, size, kind);
 }
 
 static GByteArray *
@@ -393,6 +413,7 @@
 	if (host_state(host) != &host->learner_state)
 		return ERROR_NONE;
 	error = public_entries_apply(&host->learner_state, bytes, size);
+	report_unknown(host, host->learner_state.sequence + 1, error);
 	publish_state(host);
 	return error;
 }
@@ -404,10 +425,10 @@
 	struct host *host = context;
 	enum error_code error;
 
-	(void)index;
 	if (host_state(host) != &host->learner_state)
 		return ERROR_NONE;
 	error = replicated_state_load(&host->learner_state, bytes, size);
+	report_unknown(host, index, error);
 	if (error == ERROR_NONE) {
 		event_log_write(EVENT_SNAPSHOT_INSTALLED, "sequence %" PRIu64,
 		    host->learner_state.sequence);
@@ -416,6 +437,18 @@
 	return error;
 }
 
+/* Logs once for each sequence that only a newer build can apply. */
+static void
+report_unknown(struct host *host, uint64_t sequence, enum error_code error)
+{
+	if (!error_is_unknown_kind(error) || sequence == host->unknown_sequence)
+		return;
+	host->unknown_sequence = sequence;
+	event_log_write(EVENT_KIND_UNKNOWN,
+	    "sequence %" PRIu64 ": %s; start a newer build", sequence,
+	    error_name(error));
+}
+
 static int64_t
 feed_clock_now(void *context)
 {
--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -326,6 +326,65 @@
 	replicated_state_finish(&other);
 }
 
+/* A command of an unknown type or version changes nothing and is not passed
+ * over; one that no build can read is passed over by all voters alike. */
+static void
+test_unknown_command_is_not_passed_over(void **state)
+{
+	static const struct {
+		uint64_t version;
+		uint64_t type;
+		bool has_operation;
+		enum error_code error;
+	} cases[] = {
+	    {1, COMMAND_TYPE_LAST + 1, true, ERROR_NOT_SUPPORTED},
+	    {1, COMMAND_TYPE_LAST + 1, false, ERROR_NOT_SUPPORTED},
+	    {1, ((uint64_t)1 << 32) + COMMAND_BARRIER, true,
+		ERROR_NOT_SUPPORTED},
+	    {1, 0, true, ERROR_NOT_SUPPORTED},
+	    {2, COMMAND_BARRIER, true, ERROR_UNSUPPORTED_VERSION},
+	    {2, COMMAND_CONFIG, false, ERROR_UNSUPPORTED_VERSION},
+	    {1, COMMAND_CONFIG, true, ERROR_NONE},
+	    {1, COMMAND_BARRIER, false, ERROR_NONE},
+	};
+	struct replicated_state voter;
+	struct command_result result;
+	struct message_writer writer;
+	uint64_t applied, type;
+	size_t i;
+
+	(void)state;
+	replicated_state_init(&voter, NULL);
+	put(&voter, "a", "setting/a", "1", REVISION_ANY);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		applied = voter.applied_index;
+		message_writer_init(&writer);
+		message_begin_map(&writer, cases[i].has_operation ? 3 : 2);
+		message_put_uint(&writer, 0, cases[i].version);
+		message_put_uint(&writer, 1, cases[i].type);
+		if (cases[i].has_operation)
+			message_put_text(&writer, 2, "");
+		assert_int_equal(command_read_type(message_data(&writer),
+				     message_size(&writer), &type),
+		    cases[i].error);
+		assert_int_equal(
+		    replicated_state_apply(&voter,
+			&(struct replicated_entry){applied + 1,
+			    START_MS + HOUR_MS, message_data(&writer),
+			    message_size(&writer)},
+			&result),
+		    cases[i].error);
+		message_writer_finish(&writer);
+		assert_int_equal(voter.applied_index,
+		    applied + (cases[i].error == ERROR_NONE));
+		assert_int_equal(voter.time_ms, cases[i].error == ERROR_NONE
+						    ? START_MS + HOUR_MS
+						    : START_MS);
+		assert_int_not_equal(result.error, ERROR_NONE);
+	}
+	replicated_state_finish(&voter);
+}
+
 /* Appends a part of a snapshot with @p count numbers. */
 static void
 append_part(GByteArray *bytes, uint64_t part, uint32_t count)
@@ -350,6 +409,25 @@
 	message_writer_finish(&writer);
 }
 
+/* Appends the end of a snapshot of @p parts parts. */
+static void
+append_end(GByteArray *bytes, uint64_t parts)
+{
+	struct message_writer writer;
+	uint32_t length;
+
+	message_writer_init(&writer);
+	message_begin_map(&writer, 3);
+	message_put_uint(&writer, 0, 1);
+	message_put_uint(&writer, 1, 8);
+	message_put_uint(&writer, 4, parts);
+	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
+	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(
+	    bytes, message_data(&writer), (guint)message_size(&writer));
+	message_writer_finish(&writer);
+}
+
 /* A part of a snapshot that lacks numbers is refused, not filled up with
  * zeros. */
 static void
@@ -378,6 +456,80 @@
 	replicated_state_finish(&other);
 }
 
+/* A snapshot with a kind of part, or with numbers, that this build does not
+ * know is refused as such; the state would lose them when saved again. */
+static void
+test_snapshot_of_newer_build_is_refused(void **state)
+{
+	static const struct {
+		uint64_t part;
+		uint32_t numbers; /* As many as this build knows, or more. */
+		enum error_code error;
+	} cases[] = {
+	    {2, 2, ERROR_NOT_SUPPORTED},
+	    {3, 2, ERROR_NOT_SUPPORTED},
+	    {4, 8, ERROR_NOT_SUPPORTED},
+	    {5, 5, ERROR_NONE}, /* Builds before the shares wrote these. */
+	    {5, 9, ERROR_NONE},
+	    {5, 10, ERROR_NOT_SUPPORTED},
+	    {6, 6, ERROR_NONE},
+	    {6, 7, ERROR_NOT_SUPPORTED},
+	    {7, 2, ERROR_NONE},
+	    {7, 3, ERROR_NOT_SUPPORTED},
+	    {9, 2, ERROR_NOT_SUPPORTED},
+	    {10, 10 + PART_CRASHES_MAX + PART_COMPANIONS_MAX, ERROR_NONE},
+	    {10, 11 + PART_CRASHES_MAX + PART_COMPANIONS_MAX,
+		ERROR_NOT_SUPPORTED},
+	    {11, 1, ERROR_NOT_SUPPORTED},
+	    {0, 1, ERROR_NOT_SUPPORTED},
+	    {((uint64_t)1 << 32) + 7, 2, ERROR_NOT_SUPPORTED},
+	};
+	struct replicated_state other;
+	GByteArray *bytes;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		replicated_state_init(&other, NULL);
+		put(&other, "a", "setting/a", "1", REVISION_ANY);
+		put(&other, "b", "setting/b", "1", REVISION_ANY);
+		bytes = g_byte_array_new();
+		append_part(bytes, 1, 6);
+		append_part(bytes, cases[i].part, cases[i].numbers);
+		append_end(bytes, 2);
+		assert_int_equal(
+		    replicated_state_load(&other, bytes->data, bytes->len),
+		    cases[i].error);
+		assert_int_equal(
+		    other.revision, cases[i].error == ERROR_NONE ? 1 : 2);
+		g_byte_array_unref(bytes);
+		replicated_state_finish(&other);
+	}
+}
+
+/* A learner does not pass over a public command that it does not know. */
+static void
+test_learner_waits_at_unknown_command(void **state)
+{
+	struct replicated_state learner;
+	struct message_writer writer;
+
+	(void)state;
+	replicated_state_init(&learner, NULL);
+	message_writer_init(&writer);
+	message_begin_map(&writer, 3);
+	message_put_uint(&writer, 0, 1);
+	message_put_uint(&writer, 1, COMMAND_TYPE_LAST + 1);
+	message_put_text(&writer, 2, "");
+	assert_int_equal(replicated_state_apply_public(&learner, 1,
+			     &(struct replicated_entry){1, START_MS,
+				 message_data(&writer), message_size(&writer)}),
+	    ERROR_NOT_SUPPORTED);
+	assert_int_equal(learner.sequence, 0);
+	message_writer_finish(&writer);
+	replicated_state_finish(&learner);
+}
+
 static struct command_result
 put_named_document(struct replicated_state *state, const char *name,
     uint64_t version, const char *text)
@@ -606,7 +758,10 @@
 	    cmocka_unit_test(test_orders_are_fenced),
 	    cmocka_unit_test(test_learner_has_same_content_as_voter),
 	    cmocka_unit_test(test_snapshot_restores_whole_state),
+	    cmocka_unit_test(test_unknown_command_is_not_passed_over),
 	    cmocka_unit_test(test_snapshot_parts_lack_no_numbers),
+	    cmocka_unit_test(test_snapshot_of_newer_build_is_refused),
+	    cmocka_unit_test(test_learner_waits_at_unknown_command),
 	    cmocka_unit_test(test_crashing_parts_are_kept_until_cleared),
 	    cmocka_unit_test(test_newest_document_version_is_kept),
 	    cmocka_unit_test(test_public_entries_are_bounded_in_bytes),
--- a/tests/voter_group.c
+++ b/tests/voter_group.c
@@ -10,6 +10,7 @@
 
 #define CLUSTER_ID	    77
 #define WALL_CLOCK_START_MS 1700000000000
+#define SNAPSHOT_END	    8	     /* Kind of the last part of a snapshot. */
 #define CLOCK_START_MAX_MS  1000000u /* Largest start value of a clock. */
 
 static void check_same(GHashTable *table, uint64_t key, uint64_t value);
@@ -28,7 +29,20 @@
 		consensus_receive(&host->consensus, from_host, body, size);
 }
 
-static void
+static enum error_code
+read_kind(void *context, const void *command, size_t size, uint64_t *kind)
+{
+	struct group_host *host = context;
+	enum error_code error;
+
+	error = command_read_type(command, size, kind);
+	if (error == ERROR_NOT_SUPPORTED && host->is_newer &&
+	    *kind == GROUP_NEWER_TYPE)
+		return ERROR_NONE;
+	return error;
+}
+
+static enum error_code
 apply(void *context, const struct consensus_entry *entry, const void **result,
     size_t *result_size)
 {
@@ -37,10 +51,20 @@
 	struct group_host *host = context;
 	struct command_result outcome;
 	struct message_writer writer;
+	enum error_code error;
+	uint64_t kind;
 
 	/* The time of log entries never decreases. */
 	assert_true(entry->time_ms >= host->state.time_ms);
-	replicated_state_apply(&host->state, &applied, &outcome);
+	error = replicated_state_apply(&host->state, &applied, &outcome);
+	if (error != ERROR_NONE) {
+		if (read_kind(host, entry->data, entry->size, &kind) !=
+		    ERROR_NONE)
+			return error;
+		memset(&outcome, 0, sizeof(outcome));
+		host->state.applied_index = entry->index;
+		host->newer_count++;
+	}
 	check_same(host->group->entry_hashes, entry->index,
 	    XXH64(entry->data, entry->size, (uint64_t)entry->time_ms));
 	check_same(host->group->content_hashes, host->state.revision,
@@ -53,20 +77,97 @@
 	message_writer_finish(&writer);
 	*result = host->result->data;
 	*result_size = host->result->len;
+	return ERROR_NONE;
+}
+
+/* Appends a part of a snapshot that holds one number. */
+static void
+append_part(GByteArray *bytes, uint64_t kind, uint64_t number)
+{
+	struct message_writer writer;
+	uint32_t length;
+
+	message_writer_init(&writer);
+	message_begin_map(&writer, 3);
+	message_put_uint(&writer, 0, 1);
+	message_put_uint(&writer, 1, kind);
+	message_put_uint(&writer, 4, number);
+	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
+	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(
+	    bytes, message_data(&writer), (guint)message_size(&writer));
+	message_writer_finish(&writer);
+}
+
+/* Copies a snapshot without parts of GROUP_NEWER_TYPE, whose number goes to
+ * found. Before its end comes one with the number added, unless that is 0. */
+static GByteArray *
+copy_snapshot(
+    const unsigned char *data, size_t size, uint64_t added, uint64_t *found)
+{
+	GByteArray *copy = g_byte_array_new();
+	struct message_reader reader;
+	uint64_t kind, parts;
+	uint32_t length;
+	size_t at;
+
+	parts = 0;
+	*found = 0;
+	for (at = 0; at < size; at += sizeof(length) + length) {
+		memcpy(&length, data + at, sizeof(length));
+		length = GUINT32_FROM_LE(length);
+		assert_int_equal(message_reader_init(&reader,
+				     data + at + sizeof(length), length),
+		    ERROR_NONE);
+		assert_int_equal(
+		    message_get_uint(&reader, 1, &kind), ERROR_NONE);
+		if (kind == GROUP_NEWER_TYPE)
+			assert_int_equal(
+			    message_get_uint(&reader, 4, found), ERROR_NONE);
+		message_reader_finish(&reader);
+		if (kind == GROUP_NEWER_TYPE || kind == SNAPSHOT_END)
+			continue;
+		g_byte_array_append(copy, data + at, sizeof(length) + length);
+		parts++;
+	}
+	if (added > 0)
+		append_part(copy, GROUP_NEWER_TYPE, added);
+	append_part(copy, SNAPSHOT_END, parts + (added > 0));
+	return copy;
 }
 
 static GByteArray *
 save(void *context)
 {
-	return replicated_state_save(
-	    &((struct group_host *)context)->state, false);
+	struct group_host *host = context;
+	GByteArray *bytes, *newer;
+	uint64_t found;
+
+	bytes = replicated_state_save(&host->state, false);
+	if (!host->is_newer)
+		return bytes;
+	newer =
+	    copy_snapshot(bytes->data, bytes->len, host->newer_count, &found);
+	g_byte_array_unref(bytes);
+	return newer;
 }
 
 static enum error_code
 load(void *context, const void *data, size_t size)
 {
-	return replicated_state_load(
-	    &((struct group_host *)context)->state, data, size);
+	struct group_host *host = context;
+	enum error_code error;
+	GByteArray *bytes;
+	uint64_t found;
+
+	if (!host->is_newer)
+		return replicated_state_load(&host->state, data, size);
+	bytes = copy_snapshot(data, size, 0, &found);
+	error = replicated_state_load(&host->state, bytes->data, bytes->len);
+	if (error == ERROR_NONE)
+		host->newer_count = found;
+	g_byte_array_unref(bytes);
+	return error;
 }
 
 static void
@@ -139,6 +240,24 @@
 
 bool
 voter_group_start(struct voter_group *group, uint32_t id)
+{
+	struct disk disk = fake_disk_disk(&group->hosts[id - 1].disk);
+	enum error_code error;
+	bool is_cleared;
+
+	is_cleared = false;
+	error = voter_group_try_start(group, id);
+	if (error == ERROR_CORRUPT || error == ERROR_IDENTITY_LOST) {
+		is_cleared = true;
+		assert_int_equal(consensus_clear_folder(&disk), ERROR_NONE);
+		error = voter_group_try_start(group, id);
+	}
+	assert_int_equal(error, ERROR_NONE);
+	return is_cleared;
+}
+
+enum error_code
+voter_group_try_start(struct voter_group *group, uint32_t id)
 {
 	struct group_host *host = &group->hosts[id - 1];
 	struct command_client_settings client = {.host_id = id};
@@ -147,15 +266,14 @@
 	    .initial_count = GROUP_VOTERS,
 	    .initial_voters = {1, 2, 3},
 	    .compact_entries = group->compact_entries};
-	const struct consensus_ops ops = {
-	    apply, save, load, on_role_changed, read_wall_clock, host};
+	const struct consensus_ops ops = {apply, read_kind, save, load,
+	    on_role_changed, read_wall_clock, host};
 	struct disk disk = fake_disk_disk(&host->disk);
 	struct timer_service *timers = fake_net_timers(&group->net, id);
 	struct peer_port port = fake_net_port(&group->net, id);
 	enum error_code error;
-	bool is_cleared;
 
-	is_cleared = false;
+	host->newer_count = 0;
 	fake_net_start(&group->net, id,
 	    random_below(&group->random, CLOCK_START_MAX_MS),
 	    (struct fake_receiver){receive, host});
@@ -168,19 +286,27 @@
 	if (id != GROUP_LEARNER)
 		error = consensus_init(
 		    &host->consensus, &settings, &disk, timers, port, &ops);
-	if (error == ERROR_CORRUPT || error == ERROR_IDENTITY_LOST) {
-		is_cleared = true;
-		assert_int_equal(consensus_clear_folder(&disk), ERROR_NONE);
-		error = consensus_init(
-		    &host->consensus, &settings, &disk, timers, port, &ops);
+	if (error != ERROR_NONE) {
+		fake_net_kill(&group->net, id);
+		replicated_state_finish(&host->state);
+		g_byte_array_unref(host->result);
+		return error;
 	}
-	assert_int_equal(error, ERROR_NONE);
 	command_client_init(&host->client, &client, timers, port,
 	    id == GROUP_LEARNER ? NULL : &host->consensus);
 	command_client_set_voters(
 	    &host->client, (const uint32_t[]){1, 2, 3, 4}, GROUP_HOSTS - 1);
 	host->is_up = true;
-	return is_cleared;
+	return ERROR_NONE;
+}
+
+void
+voter_group_encode_newer(struct message_writer *writer)
+{
+	message_begin_map(writer, 3);
+	message_put_uint(writer, 0, 1);
+	message_put_uint(writer, 1, GROUP_NEWER_TYPE);
+	message_put_text(writer, 2, "");
 }
 
 void
