--- a/src/service/host_agreement.c
+++ b/src/service/host_agreement.c
@@ -424,11 +424,14 @@
 {
 	struct host *host = context;
 	enum error_code error;
+	uint32_t skipped;
 
 	if (host_state(host) != &host->learner_state)
 		return ERROR_NONE;
-	error = replicated_state_load(&host->learner_state, bytes, size);
-	report_unknown(host, index, error);
+	error = replicated_state_load_known(
+	    &host->learner_state, bytes, size, &skipped);
+	report_unknown(host, index,
+	    error == ERROR_NONE && skipped > 0 ? ERROR_NOT_SUPPORTED : error);
 	if (error == ERROR_NONE) {
 		event_log_write(EVENT_SNAPSHOT_INSTALLED, "sequence %" PRIu64,
 		    host->learner_state.sequence);
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -61,6 +61,16 @@
 	uint64_t parts;	   /* Number of those parts. */
 };
 
+/* A saved state while it is read. */
+struct save_reader {
+	struct replicated_state *state; /* State that gets the parts. */
+	uint64_t parts;			/* Parts so far. */
+	bool is_end;			/* The last part was read. */
+	/* Counts what is skipped since this build does not know it; NULL if
+	 * that is an error. */
+	uint32_t *skipped;
+};
+
 static void put_part(
     struct save_writer *writer, const struct save_record *record);
 static gboolean save_config(gpointer key, gpointer value, gpointer context);
@@ -81,10 +91,14 @@
 static void save_order(void *context, const struct order_record *order);
 static void save_documents(
     struct save_writer *writer, const struct replicated_state *state);
+static enum error_code load_state(struct replicated_state *state,
+    const void *data, size_t size, uint32_t *skipped);
 static enum error_code load_parts(
-    struct replicated_state *state, const unsigned char *data, size_t size);
-static enum error_code load_part(struct replicated_state *state,
-    const unsigned char *data, size_t size, uint64_t *parts, bool *is_end);
+    struct save_reader *reader, const unsigned char *data, size_t size);
+static enum error_code load_part(
+    struct save_reader *reader, const unsigned char *data, size_t size);
+static enum error_code read_part(const struct message_reader *message,
+    struct save_record *record, char *text, size_t text_size);
 static bool is_known_part(uint64_t part);
 static uint32_t numbers_of_part(enum save_part part);
 static uint32_t numbers_max_of_part(enum save_part part);
@@ -137,12 +151,28 @@
 enum error_code
 replicated_state_load(
     struct replicated_state *state, const void *data, size_t size)
+{
+	return load_state(state, data, size, NULL);
+}
+
+enum error_code
+replicated_state_load_known(struct replicated_state *state, const void *data,
+    size_t size, uint32_t *skipped)
+{
+	*skipped = 0;
+	return load_state(state, data, size, skipped);
+}
+
+static enum error_code
+load_state(struct replicated_state *state, const void *data, size_t size,
+    uint32_t *skipped)
 {
 	struct replicated_state fresh;
+	struct save_reader reader = {.state = &fresh, .skipped = skipped};
 	enum error_code error;
 
 	replicated_state_init(&fresh, &state->settings);
-	error = load_parts(&fresh, data, size);
+	error = load_parts(&reader, data, size);
 	if (error != ERROR_NONE) {
 		replicated_state_finish(&fresh);
 		return error;
@@ -359,84 +389,99 @@
 }
 
 static enum error_code
-load_parts(
-    struct replicated_state *state, const unsigned char *data, size_t size)
+load_parts(struct save_reader *reader, const unsigned char *data, size_t size)
 {
 	enum error_code error;
-	uint64_t parts;
 	uint32_t length;
-	bool is_end;
 	size_t at;
 
-	parts = 0;
-	is_end = false;
 	for (at = 0; at < size; at += length) {
-		if (is_end || size - at < PART_LENGTH_SIZE)
+		if (reader->is_end || size - at < PART_LENGTH_SIZE)
 			return ERROR_MALFORMED;
 		memcpy(&length, data + at, sizeof(length));
 		length = GUINT32_FROM_LE(length);
 		at += PART_LENGTH_SIZE;
 		if (length > size - at)
 			return ERROR_MALFORMED;
-		error = load_part(state, data + at, length, &parts, &is_end);
+		error = load_part(reader, data + at, length);
 		if (error != ERROR_NONE)
 			return error;
 	}
-	return is_end ? ERROR_NONE : ERROR_MALFORMED;
+	return reader->is_end ? ERROR_NONE : ERROR_MALFORMED;
 }
 
 static enum error_code
-load_part(struct replicated_state *state, const unsigned char *data,
-    size_t size, uint64_t *parts, bool *is_end)
+load_part(struct save_reader *reader, const unsigned char *data, size_t size)
 {
 	char text[CONFIG_VALUE_SIZE_MAX];
 	struct save_record record = {0};
-	struct message_reader reader;
+	struct message_reader message;
 	enum error_code error;
-	uint64_t version, part;
 
-	error = message_reader_init(&reader, data, size);
+	error = message_reader_init(&message, data, size);
 	if (error != ERROR_NONE)
 		return error;
-	error = message_get_uint(&reader, FIELD_VERSION, &version);
-	if (error == ERROR_NONE && version != SAVE_VERSION)
-		error = ERROR_UNSUPPORTED_VERSION;
-	if (error == ERROR_NONE)
-		error = message_get_uint(&reader, FIELD_PART, &part);
-	/* Without it, this state would differ from that of other hosts. */
-	if (error == ERROR_NONE && !is_known_part(part))
-		error = ERROR_NOT_SUPPORTED;
+	error = read_part(&message, &record, text, sizeof(text));
+	if (error == ERROR_NOT_SUPPORTED && reader->skipped != NULL) {
+		(*reader->skipped)++;
+		error = ERROR_NONE;
+		if (!is_known_part(record.part)) {
+			reader->parts++;
+			goto out;
+		}
+	}
 	if (error != ERROR_NONE)
 		goto out;
-	record.part = (enum save_part)part;
-	if (message_get_text(&reader, FIELD_TEXT, text, sizeof(text)) !=
-	    ERROR_NONE)
-		text[0] = '\0';
-	(void)message_get_bytes(
-	    &reader, FIELD_VALUE, &record.value, &record.value_size);
-	while (record.count < SAVE_NUMBERS_MAX &&
-	       message_get_uint(&reader, FIELD_NUMBERS + record.count,
-		   &record.numbers[record.count]) == ERROR_NONE)
-		record.count++;
-	if (record.count > numbers_max_of_part(record.part)) {
-		error = ERROR_NOT_SUPPORTED;
-		goto out;
-	}
 	if (record.part == SAVE_PART_END) {
-		*is_end = true;
-		if (record.count == 0 || record.numbers[0] != *parts)
+		reader->is_end = true;
+		if (record.count == 0 || record.numbers[0] != reader->parts)
 			error = ERROR_MALFORMED;
 		goto out;
 	}
-	(*parts)++;
+	reader->parts++;
 	error = record.count < numbers_of_part(record.part)
 		    ? ERROR_MALFORMED
-		    : store_part(state, &record, text);
+		    : store_part(reader->state, &record, text);
 out:
-	message_reader_finish(&reader);
+	message_reader_finish(&message);
 	return error;
 }
 
+/* Reads the fields of a part. Returns ERROR_NOT_SUPPORTED for a part of an
+ * unknown kind, and for one with more numbers than this build knows, of which it
+ * has read the known ones: without these, the state would differ from that of
+ * other hosts. */
+static enum error_code
+read_part(const struct message_reader *message, struct save_record *record,
+    char *text, size_t text_size)
+{
+	enum error_code error;
+	uint64_t version, part;
+
+	error = message_get_uint(message, FIELD_VERSION, &version);
+	if (error == ERROR_NONE && version != SAVE_VERSION)
+		error = ERROR_UNSUPPORTED_VERSION;
+	if (error == ERROR_NONE)
+		error = message_get_uint(message, FIELD_PART, &part);
+	if (error != ERROR_NONE)
+		return error;
+	if (!is_known_part(part))
+		return ERROR_NOT_SUPPORTED;
+	record->part = (enum save_part)part;
+	if (message_get_text(message, FIELD_TEXT, text, text_size) !=
+	    ERROR_NONE)
+		text[0] = '\0';
+	(void)message_get_bytes(
+	    message, FIELD_VALUE, &record->value, &record->value_size);
+	while (record->count < SAVE_NUMBERS_MAX &&
+	       message_get_uint(message, FIELD_NUMBERS + record->count,
+		   &record->numbers[record->count]) == ERROR_NONE)
+		record->count++;
+	return record->count > numbers_max_of_part(record->part)
+		   ? ERROR_NOT_SUPPORTED
+		   : ERROR_NONE;
+}
+
 static bool
 is_known_part(uint64_t part)
 {
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -188,6 +188,11 @@
  * ERROR_UNSUPPORTED_VERSION for unknown kinds, others of the codec. */
 enum error_code replicated_state_load(
     struct replicated_state *state, const void *data, size_t size);
+/** Does the same for a host that holds the state only to follow the voters: what
+ * this build does not know is skipped, and counted in @p skipped. Otherwise this
+ * host would get no route, takeout or revoked key any more. */
+enum error_code replicated_state_load_known(struct replicated_state *state,
+    const void *data, size_t size, uint32_t *skipped);
 
 /* Reading */
 
