Test fixture: nothing else listens on a port that must refuse

Three runs of test_broken_answers beside each other failed in 4 of 15 runs, on code that ten runs after one another had passed: a request reached no upstream of its own test but one of another process ("ran twice" for the same attempt id, the body of another script), and two runs ended with status 255 and no message. A fixture whose upstreams refuse connections had closed the port that it announced, and another process's upstream could get it. That the two silent ends have this cause, too (an upstream without a script gets a request and reads an empty list), is suspected, not shown.

The fixture keeps the port, bound and not listening. No check is changed.

--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -372,18 +372,29 @@
 	return port;
 }
 
+/* Holds a port on which nothing listens, so that no other process listens there
+ * while the test connects to it. */
+static uint16_t
+hold_port(int *fd)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+
+	*fd = socket(AF_INET, SOCK_STREAM, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(*fd, (struct sockaddr *)&address, size) != 0 ||
+	    getsockname(*fd, (struct sockaddr *)&address, &size) != 0)
+		abort();
+	return ntohs(address.sin_port);
+}
+
 static uint16_t
 choose_announced_port(
     struct scripted_upstream *upstream, enum relay_fixture_path path)
 {
-	uint16_t port;
-	int fd;
-
 	switch (path) {
 	case RELAY_FIXTURE_REFUSED:
-		port = listen_anywhere(&fd);
-		close(fd);
-		return port;
+		return hold_port(&upstream->silent_fds[0]);
 	case RELAY_FIXTURE_SILENT:
 		return listen_silently(upstream->silent_fds);
 	default:
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -65,7 +65,8 @@
 	uint16_t port;			/**< Port that it listens on. */
 	uint16_t announced_port;	/**< Port to which the host connects. */
 	int silent_fds[RELAY_FIXTURE_SILENT_FDS]; /**< Sockets that keep the
-						       announced port silent. */
+						       announced port silent or
+						       free. */
 	char name[NAME_SIZE_MAX];		  /**< Name in its record. */
 	pthread_t thread;			  /**< Accepts connections. */
 	_Atomic bool is_stopping;     /**< It must not listen again. */
