--- a/tests/corpus/corpus_messages.h
+++ b/tests/corpus/corpus_messages.h
@@ -25,7 +25,8 @@
 #define CORPUS_PARTS		16u  /**< Parts of prompts that crash. */
 #define CORPUS_GENERATIONS	32u  /**< Generations of peer links. */
 #define CORPUS_FORWARDING	64u  /**< Forwarded requests. */
-#define CORPUS_ALL		127u /**< All of them. */
+#define CORPUS_ENTRY_KINDS	128u /**< Voters that stop at unknown entries. */
+#define CORPUS_ALL		255u /**< All of them. */
 
 /** What the library knows that this is compiled with. */
 #ifndef CORPUS_KNOWN
--- a/tools/corpus.sh
+++ b/tools/corpus.sh
@@ -44,6 +44,7 @@
 	has 16 COMMAND_PARTS_CRASHED state/command.h
 	has 32 'uint64_t generation' protocol/handshake_message.h
 	has 64 forward_request_format protocol/forward_message.h
+	has 128 read_kind coordination/consensus.h
 	names=()
 	if ! grep -qs message_begin_map "$tree/src/protocol/codec.h"; then
 		names=(-include "$root/tests/corpus/names_before_wording.h")
