--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -507,6 +507,36 @@
 	}
 }
 
+/* A host that follows the voters must go on with their later changes, so it skips
+ * what it does not know of their snapshot. */
+static void
+test_learner_skips_what_it_does_not_know_of_a_snapshot(void **state)
+{
+	static const uint64_t parts[] = {7, 11};
+	struct replicated_state learner;
+	GByteArray *bytes;
+	uint32_t skipped;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(parts); i++) {
+		replicated_state_init(&learner, NULL);
+		bytes = g_byte_array_new();
+		append_part(bytes, 1, 6);
+		append_part(bytes, parts[i], 3);
+		append_end(bytes, 2);
+		assert_int_equal(replicated_state_load_known(&learner,
+				     bytes->data, bytes->len, &skipped),
+		    ERROR_NONE);
+		assert_int_equal(skipped, 1);
+		assert_int_equal(learner.revision, 1);
+		assert_int_equal(
+		    learner.live_hosts->len, parts[i] == 7 ? 1 : 0);
+		g_byte_array_unref(bytes);
+		replicated_state_finish(&learner);
+	}
+}
+
 /* A learner does not pass over a public command that it does not know. */
 static void
 test_learner_waits_at_unknown_command(void **state)
@@ -761,6 +791,8 @@
 	    cmocka_unit_test(test_unknown_command_is_not_passed_over),
 	    cmocka_unit_test(test_snapshot_parts_lack_no_numbers),
 	    cmocka_unit_test(test_snapshot_of_newer_build_is_refused),
+	    cmocka_unit_test(
+		test_learner_skips_what_it_does_not_know_of_a_snapshot),
 	    cmocka_unit_test(test_learner_waits_at_unknown_command),
 	    cmocka_unit_test(test_crashing_parts_are_kept_until_cleared),
 	    cmocka_unit_test(test_newest_document_version_is_kept),
