--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -63,7 +63,7 @@
     {EVENT_JOURNAL_FAILED, EVENT_LEVEL_ERROR, "journal failed"},
     {EVENT_VOTER_CHANGED, EVENT_LEVEL_INFO, "voter change"},
     {EVENT_KIND_UNKNOWN, EVENT_LEVEL_ERROR,
-	"state of a newer build: this host stops using it"},
+	"state of a newer build: this host does not know all of it"},
 
     {EVENT_HOST_JOINED, EVENT_LEVEL_INFO, "host joined"},
     {EVENT_HOST_SUSPECTED, EVENT_LEVEL_WARNING, "host suspected"},
