The log shows the printable beginning of an id that an upstream wrote

An id as long as a head may be, or with bytes that are no UTF-8, would have made the line of E6001, E6016 and E6017 as long, or cost it all its fields.

--- a/src/service/relay_trace.c
+++ b/src/service/relay_trace.c
@@ -11,6 +11,7 @@
 
 static void log_answer(enum event_number event,
     const struct relay_exchange *exchange, const struct http_head *head);
+static void copy_printable(char to[ATTEMPT_ID_SIZE], const char *from);
 
 void
 relay_trace_end(const struct relay_exchange *exchange, enum exchange_end end,
@@ -74,20 +75,36 @@
 	    &exchange->relay->settings.dialect;
 	const struct answer_facts *facts = &exchange->facts;
 	const char *id = http_head_get(head, dialect->attempt_id);
+	char answer_id[ATTEMPT_ID_SIZE];
 	const char *fault = http_head_get(head, dialect->faulty_engine);
 
+	copy_printable(answer_id, id == NULL ? "" : id);
 	event_log_write_fields(event,
 	    "{s:s,s:s,s:i,s:s,s:f,s:s,s:s,s:i,s:b,s:b,s:b,s:I}", "request",
 	    exchange->attempt_id, "upstream", exchange->upstream_name, "status",
 	    (int)facts->status, "at_fault", fault == NULL ? "" : fault,
 	    "prompt_tokens", exchange->request.prompt_tokens, "answer_id",
-	    id == NULL ? "" : id, "answer_of", owner_names[facts->owner],
+	    answer_id, "answer_of", owner_names[facts->owner],
 	    "requests_before", (int)facts->requests_before, "says_not_run",
 	    facts->is_refusal, "receipt", facts->has_receipt, "forwarded",
 	    exchange->forward.to_host != 0, "ms",
 	    (json_int_t)(host_now_ms() - exchange->sent_ms));
 }
 
+/* Copies the beginning of an id that an upstream wrote. A log line holds valid
+ * UTF-8 only. */
+static void
+copy_printable(char to[ATTEMPT_ID_SIZE], const char *from)
+{
+	char *at;
+
+	g_strlcpy(to, from, ATTEMPT_ID_SIZE);
+	for (at = to; *at != '\0'; at++) {
+		if (!g_ascii_isprint(*at))
+			*at = '?';
+	}
+}
+
 void
 relay_trace_refused(const struct relay_exchange *exchange)
 {
