No status of a run is passed on as a promise, whatever the route allows

Cause: the rule REFUSED binds routes that may not be repeated, so forwarded such answers elsewhere. But the users' pages say of these statuses to all callers that the request has not run and never will. Change: as in they are failed attempts on all routes (502, or another upstream); what mended otherwise stays: below 500 they count nothing against the upstream.

test_answer_that_limits_a_caller_is_not_retried expected the 429 on /idem/; it is replaced by test_status_after_a_run_is_no_promise_on_any_route, which plays 429, 408 and 503 on three kinds of routes and bounds the attempts by the route; the check of a promise in test_refused holds for all routes again.

--- a/src/coordination/relay_rules.c
+++ b/src/coordination/relay_rules.c
@@ -41,7 +41,7 @@
 		return is_success ? ANSWER_MISMATCHED : ANSWER_NOT_RUN;
 	if (facts->is_encoded || (is_success && !facts->has_receipt))
 		return ANSWER_MISMATCHED;
-	if (status_promises_not_run(facts->status) && !facts->may_repeat)
+	if (status_promises_not_run(facts->status))
 		return ANSWER_UNFOUNDED;
 	if (is_success && facts->is_event_stream)
 		return ANSWER_EVENTS;
--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -25,7 +25,6 @@
 	bool is_encoded;      /**< The body has a content encoding. */
 	bool is_refusal;      /**< The upstream says that it did not run it. */
 	bool is_event_stream; /**< The body is a stream of events. */
-	bool may_repeat;      /**< The request may run more than once. */
 	/** Requests that the connection had carried before. */
 	uint32_t requests_before;
 };
@@ -41,9 +40,8 @@
 	/** The answer belongs to an earlier request of the connection; that to
 	 * this request may follow. */
 	ANSWER_REPEATED = 5,
-	/** A failure whose status would promise the caller of a request that may
-	 * run once that it did not run, which the upstream has not said. It is
-	 * not forwarded. */
+	/** A failure whose status would promise the caller that the request did
+	 * not run, which the upstream has not said. It is not forwarded. */
 	ANSWER_UNFOUNDED = 6,
 };
 
--- a/src/service/relay_head.c
+++ b/src/service/relay_head.c
@@ -32,8 +32,6 @@
 				 text != NULL &&
 				 g_ascii_strncasecmp(text, "text/event-stream",
 				     strlen("text/event-stream")) == 0;
-	facts->may_repeat = may_repeat_request(
-	    exchange->route->kind, exchange->route->is_resumable);
 	facts->requests_before = pool_call_requests_before(exchange->call);
 }
 
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -125,8 +125,7 @@
 	if (runs > 1 && strcmp(path, "/once/") == 0)
 		fail_msg(
 		    "%s: %s ran %u times, then\n%s", name, id, runs, answer);
-	if (runs > 0 && status_promises_not_run(status) &&
-	    strcmp(path, "/once/") == 0)
+	if (runs > 0 && status_promises_not_run(status))
 		fail_msg("%s: %s ran, its caller got\n%s", name, id, answer);
 	if (strstr(answer, "busy!") != NULL && status == 502)
 		fail_msg("%s: body of another status\n%s", name, answer);
@@ -455,27 +454,34 @@
 	}
 }
 
-/* An upstream that limits a caller gets each of its requests once. Where a request
- * may be repeated, the caller gets the upstream's own answer. */
+/* The status of an upstream that has run the request promises nothing on any kind
+ * of route. No upstream gets more requests for it than the route allows. */
 static void
-test_answer_that_limits_a_caller_is_not_retried(void **state)
+test_status_after_a_run_is_no_promise_on_any_route(void **state)
 {
-	static const char *const paths[] = {"/once/", "/idem/"};
-	static const uint32_t expected[] = {502, 429};
+	static const struct {
+		const char *path;
+		uint32_t attempts; /* That the route allows. */
+	} routes[] = {{"/once/", 1}, {"/idem/", 2}, {"/stream/", 2}};
+	static const char *const answers[] = {FAILURE("429 Many", "{ID}"),
+	    FAILURE("408 Late", "{ID}"), FAILURE("503 Busy", "{ID}")};
 	struct hosts *hosts;
-	uint32_t i, j;
+	size_t i, j;
 
 	(void)state;
-	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+	for (i = 0; i < G_N_ELEMENTS(routes) * G_N_ELEMENTS(answers); i++) {
 		hosts = start_hosts(false);
 		relay_fixture_replace_answers(
-		    &hosts->serving, FAILURE("429 Many", "{ID}"));
-		for (j = 0; j < LATER_REQUESTS; j++)
+		    &hosts->serving, answers[i % G_N_ELEMENTS(answers)]);
+		for (j = 0; j < LATER_REQUESTS / 4; j++)
 			assert_int_equal(
-			    send_and_check(hosts, paths[i], "limited"),
-			    expected[i]);
-		assert_int_equal(relay_fixture_request_count(&hosts->serving),
-		    LATER_REQUESTS);
+			    send_and_check(hosts,
+				routes[i / G_N_ELEMENTS(answers)].path,
+				"after a run"),
+			    502);
+		assert_true(relay_fixture_request_count(&hosts->serving) <=
+			    LATER_REQUESTS / 4 *
+				routes[i / G_N_ELEMENTS(answers)].attempts);
 		stop_hosts(hosts);
 	}
 }
@@ -547,7 +553,8 @@
 		test_request_that_ran_is_not_sent_under_a_new_route),
 	    cmocka_unit_test(test_unusual_ids_are_compared_whole),
 	    cmocka_unit_test(test_requests_without_id_share_no_connection),
-	    cmocka_unit_test(test_answer_that_limits_a_caller_is_not_retried),
+	    cmocka_unit_test(
+		test_status_after_a_run_is_no_promise_on_any_route),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
