--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -49,6 +49,9 @@
 	bool (*on_head)(void *context, struct http_head *head);
 	/** Bytes of the body were read, with any chunk framing removed. */
 	void (*on_body)(void *context, const char *data, size_t size);
+	/** A chunk of the body was read, and what follows its data shows that
+	 * it ends where its size says; may be NULL. */
+	void (*on_chunk_end)(void *context);
 	/** The message is complete. */
 	void (*on_end)(void *context);
 	void *context; /**< First argument of the callbacks. */
@@ -69,6 +72,17 @@
 	bool has_ended;	 /**< The current message is complete. */
 	/** The last bytes read of the head belong to a value, not a name. */
 	bool last_was_value;
+	/** The current message breaks the protocol in a way that the library
+	 * accepts. */
+	bool is_malformed;
+	/** The last byte outside of the body was a CR. */
+	bool is_after_cr;
+	/** That CR followed the data of a chunk. */
+	bool is_in_chunk_end;
+	/** The last byte belongs to the data of a chunk. */
+	bool is_after_chunk_data;
+	/** While bytes are read: those from here on are not checked yet. */
+	const char *unchecked;
 };
 
 /* Reading */
@@ -93,6 +107,9 @@
 
 /* Heads */
 
+/** True for a status whose answers end with their heads, whatever length these
+ * announce. */
+bool http_status_has_no_body(uint32_t status);
 /** Returns the value of the first field called @p name, matched without regard
  * to case, or NULL if there is none. */
 const char *http_head_get(const struct http_head *head, const char *name);
--- a/src/service/request_run.h
+++ b/src/service/request_run.h
@@ -58,15 +58,16 @@
 	struct stream_assembler assembler; /**< Puts the pieces in order. */
 	struct piece_queue *queue; /**< Pieces of the attempt; NULL if none. */
 	uint32_t attempt;	   /**< Number of the attempt, from 1. */
-	uint32_t resumed_attempt;  /**< Number of the attempt before, which a
-				resumed stream continues. */
+	uint32_t answer_attempt;   /**< Attempt that began the answer, by which
+				its upstream knows the stream. */
 	enum attempt_stage stage;  /**< How far the attempt has come. */
 	bool upstream_crashed; /**< The last attempt's connection broke, so its
 				    upstream may have crashed. */
-	bool resumes;	       /**< The next attempt resumes the stream on the
+	bool upstream_says_failed; /**< The attempt ended with "failed". */
+	bool resumes;	   /**< The next attempt resumes the stream on the
 				    same upstream. */
-	bool may_have_run;     /**< An earlier attempt may have run. */
-	bool has_claim;	       /**< The idempotency key is claimed. */
+	bool may_have_run; /**< An earlier attempt may have run. */
+	bool has_claim;	   /**< The idempotency key is claimed. */
 	int64_t dispatched_at_ms;  /**< When the attempt was sent. */
 	int64_t stall_deadline_ms; /**< Without a piece until then, the attempt
 					counts as stalled. */
--- /dev/null
+++ b/src/transport/reply_head.c
@@ -0,0 +1,137 @@
+#include "transport/reply_head.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#define HEADS_SIZE_MAX	    65536 /* Largest heads with interim ones. */
+#define FIELD_SIZE	    256	  /* Bytes of a field's line with NUL. */
+#define HEX_DIGITS	    "0123456789abcdefABCDEF"
+#define REQUEST_ID_DIGITS   16
+#define STATUS_SIZE	    3	/* Digits of a status. */
+#define FINAL_STATUS_MIN    200 /* Lower ones belong to interim replies. */
+#define STATUS_NO_CONTENT   204
+#define STATUS_NOT_MODIFIED 304
+#define VERSION_PREFIX	    "HTTP/" /* Start of a status line. */
+#define VERSION_SIZE	    (sizeof(VERSION_PREFIX) - 1)
+
+static void read_status(struct reply_head *head, const char *line, size_t size);
+static void read_field(struct reply_head *head, const char *line, size_t size);
+static void read_request_id(struct reply_head *head, const char *value);
+static void read_length(struct reply_head *head, const char *value);
+static bool is_empty_line(const char *line, size_t size);
+
+enum error_code
+reply_head_add_line(struct reply_head *head, const char *line, size_t size)
+{
+	head->size += size;
+	if (head->size > HEADS_SIZE_MAX)
+		return ERROR_TOO_LARGE;
+	/* Behind the head come the fields of the trailer. */
+	if (head->is_complete)
+		return ERROR_NONE;
+	if (size >= VERSION_SIZE &&
+	    memcmp(line, VERSION_PREFIX, VERSION_SIZE) == 0)
+		read_status(head, line, size);
+	else if (is_empty_line(line, size))
+		head->is_complete = head->status >= FINAL_STATUS_MIN;
+	else
+		read_field(head, line, size);
+	return ERROR_NONE;
+}
+
+bool
+reply_head_names_other(
+    const struct reply_head *head, uint64_t request_id, uint32_t attempt)
+{
+	return (head->names_request && head->request_id != request_id) ||
+	       (head->attempt != 0 && head->attempt != attempt);
+}
+
+bool
+reply_head_shows_cut(const struct reply_head *head)
+{
+	if (head->has_two_lengths)
+		return false;
+	return head->has_frames || head->is_chunked || head->has_length ||
+	       head->status == STATUS_NO_CONTENT ||
+	       head->status == STATUS_NOT_MODIFIED;
+}
+
+static void
+read_status(struct reply_head *head, const char *line, size_t size)
+{
+	char digits[STATUS_SIZE + 1] = {0};
+	const char *blank;
+	size_t read;
+
+	/* The fields of an interim reply say nothing about the next one. */
+	read = head->size;
+	memset(head, 0, sizeof(*head));
+	head->size = read;
+	head->has_frames = size > VERSION_SIZE && line[VERSION_SIZE] > '1';
+	blank = memchr(line, ' ', size);
+	if (blank == NULL || (size_t)(blank - line) + 1 + STATUS_SIZE > size)
+		return;
+	memcpy(digits, blank + 1, STATUS_SIZE);
+	head->status = (uint32_t)strtoul(digits, NULL, 10);
+}
+
+static void
+read_field(struct reply_head *head, const char *line, size_t size)
+{
+	char field[FIELD_SIZE];
+	char *value;
+
+	/* The fields that matter are shorter. */
+	if (size >= sizeof(field))
+		return;
+	memcpy(field, line, size);
+	field[size] = '\0';
+	value = strchr(field, ':');
+	if (value == NULL)
+		return;
+	*value++ = '\0';
+	g_strstrip(value);
+	if (g_ascii_strcasecmp(field, "x-request-outcome") == 0)
+		head->says_not_run = strcmp(value, "not_run") == 0;
+	else if (g_ascii_strcasecmp(field, "x-request-id") == 0)
+		read_request_id(head, value);
+	else if (g_ascii_strcasecmp(field, "x-request-attempt") == 0)
+		head->attempt = (uint32_t)strtoul(value, NULL, 10);
+	else if (g_ascii_strcasecmp(field, "content-length") == 0)
+		read_length(head, value);
+	else if (g_ascii_strcasecmp(field, "transfer-encoding") == 0)
+		head->is_chunked = g_ascii_strcasecmp(value, "chunked") == 0;
+}
+
+/* Reads an id of 16 hexadecimal digits. Another value is a number that the
+ * upstream has given itself and names no request of a host. */
+static void
+read_request_id(struct reply_head *head, const char *value)
+{
+	head->names_request = strlen(value) == REQUEST_ID_DIGITS &&
+			      strspn(value, HEX_DIGITS) == REQUEST_ID_DIGITS;
+	if (head->names_request)
+		head->request_id = strtoull(value, NULL, 16);
+}
+
+static void
+read_length(struct reply_head *head, const char *value)
+{
+	uint64_t length;
+
+	length = strtoull(value, NULL, 10);
+	if (head->has_length && head->length != length)
+		head->has_two_lengths = true;
+	head->has_length = true;
+	head->length = length;
+}
+
+static bool
+is_empty_line(const char *line, size_t size)
+{
+	return (size == 2 && line[0] == '\r' && line[1] == '\n') ||
+	       (size == 1 && line[0] == '\n');
+}
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -12,6 +12,7 @@
 #include "base/monotonic_clock.h"
 #include "protocol/request_priority.h"
 #include "protocol/sse.h"
+#include "transport/reply_head.h"
 #include "transport/upstream_control.h"
 #include "transport/upstream_reply.h"
 
@@ -21,10 +22,8 @@
 #define PIECE_SIZE_MAX_DEFAULT	   65536
 #define DEADLINE_GRACE_MS	   1000 /* Transfer time past the deadline. */
 #define ERROR_BODY_SIZE_MAX	   4096 /* Bytes kept of an error reply. */
-/* Largest error reply, of which the rest is read and dropped, and largest heads
- * of a reply with those of interim ones. */
+/* Largest error reply, of which the rest is read and dropped. */
 #define ERROR_REPLY_SIZE_MAX ((size_t)1024 * 1024)
-#define HEADS_SIZE_MAX	     65536
 #define QUERY_SIZE	     1024 /* Bytes of a path with its query. */
 #define HEADER_SIZE	     512  /* Bytes of one header line. */
 #define UPLOAD_BUFFER_SIZE   (512L * 1024)
@@ -48,9 +47,9 @@
 	struct text_cursor body;     /* Part of the body not sent yet. */
 	struct sse_reader events;    /* Parser of the answer's events. */
 	GString *error_body;	     /* Body of an error reply. */
-	size_t head_size;	     /* Bytes of heads so far. */
+	struct reply_head head;	     /* Head of the reply. */
 	size_t error_size;	     /* Bytes of an error reply so far. */
-	bool refused_not_run;	     /* The reply says that nothing ran. */
+	bool has_begun;		     /* An event of the answer came. */
 	bool head_pushed;	     /* Plain calls: HEAD piece was pushed. */
 	bool final_pushed;	     /* END or FAILED piece was pushed. */
 	uint64_t next_sequence;	     /* Plain calls: index of the next piece. */
@@ -87,10 +86,13 @@
     char *bytes, size_t size, size_t count, void *context);
 static enum error_code handle_answer_bytes(
     struct attempt *attempt, const char *bytes, size_t size);
+static bool is_foreign(const struct attempt *attempt);
 static enum error_code push_head(struct attempt *attempt, long status);
 static enum error_code push_chunk(
     struct attempt *attempt, const char *bytes, size_t size);
 static enum error_code on_event(void *context, const struct sse_event *event);
+static bool names_attempt(
+    const struct attempt *attempt, const struct piece *piece);
 static enum error_code push_piece(
     struct attempt *attempt, const struct piece *piece);
 static int check_progress(void *context, curl_off_t download_total,
@@ -98,6 +100,8 @@
 static void push_outcome(struct attempt *attempt, CURLcode result);
 static void classify_failure(const struct attempt *attempt, CURLcode result,
     long status, struct piece *piece);
+static void read_error_reply(
+    const struct attempt *attempt, struct piece *piece);
 
 const struct upstream_adapter upstream_http_adapter = {
     .generate = start_generate,
@@ -476,17 +480,11 @@
 static size_t
 read_header(char *line, size_t size, size_t count, void *context)
 {
-	static const char refusal[] = "x-request-outcome: not_run";
 	struct attempt *attempt = context;
 
-	if (size * count >= sizeof(refusal) - 1 &&
-	    g_ascii_strncasecmp(line, refusal, sizeof(refusal) - 1) == 0)
-		attempt->refused_not_run = true;
-	attempt->head_size += size * count;
-	if (attempt->head_size <= HEADS_SIZE_MAX)
-		return size * count;
-	attempt->local_error = ERROR_TOO_LARGE;
-	return 0;
+	attempt->local_error =
+	    reply_head_add_line(&attempt->head, line, size * count);
+	return attempt->local_error == ERROR_NONE ? size * count : 0;
 }
 
 static size_t
@@ -509,7 +507,7 @@
 	curl_easy_getinfo(attempt->curl, CURLINFO_RESPONSE_CODE, &status);
 	if (attempt->kind == ATTEMPT_CANCEL)
 		return ERROR_NONE;
-	if (attempt->refused_not_run ||
+	if (attempt->head.says_not_run ||
 	    (attempt->kind != ATTEMPT_CALL && status != 200)) {
 		if (attempt->error_body->len + size <= ERROR_BODY_SIZE_MAX)
 			g_string_append_len(
@@ -521,12 +519,24 @@
 	}
 	if (attempt->kind != ATTEMPT_CALL)
 		return sse_reader_feed(&attempt->events, bytes, size);
+	if (is_foreign(attempt))
+		return ERROR_OUTCOME_UNKNOWN;
+	if (!reply_head_shows_cut(&attempt->head))
+		return ERROR_INCOMPLETE;
 	error = push_head(attempt, status);
 	if (error != ERROR_NONE)
 		return error;
 	return push_chunk(attempt, bytes, size);
 }
 
+/* Returns true if the head of the reply names another request or attempt. */
+static bool
+is_foreign(const struct attempt *attempt)
+{
+	return reply_head_names_other(
+	    &attempt->head, attempt->input.request_id, attempt->input.attempt);
+}
+
 static enum error_code
 push_head(struct attempt *attempt, long status)
 {
@@ -578,11 +588,29 @@
 	error = upstream_reply_parse_event(event, &piece);
 	if (error != ERROR_NONE)
 		return error;
+	if (!names_attempt(attempt, &piece)) {
+		piece_finish(&piece);
+		return ERROR_NONE;
+	}
+	/* Pieces of the answer have come, so it has begun. */
+	if (attempt->has_begun && piece.outcome == REQUEST_OUTCOME_NOT_RUN)
+		piece.outcome = REQUEST_OUTCOME_FAILED;
+	attempt->has_begun = true;
 	attempt->final_pushed =
 	    piece.kind == PIECE_KIND_END || piece.kind == PIECE_KIND_FAILED;
 	return piece_queue_push(attempt->queue, &piece);
 }
 
+/* Returns true if a piece is of this request and attempt. An upstream may mix
+ * its answers up; what belongs to another request neither ends this one nor
+ * promises anything about it. */
+static bool
+names_attempt(const struct attempt *attempt, const struct piece *piece)
+{
+	return piece->request_id == attempt->input.request_id &&
+	       piece->attempt == attempt->input.attempt;
+}
+
 static enum error_code
 push_piece(struct attempt *attempt, const struct piece *piece)
 {
@@ -623,7 +651,8 @@
 		    attempt->curl, CURLINFO_RESPONSE_CODE, &status);
 	memset(&piece, 0, sizeof(piece));
 	if (attempt->kind == ATTEMPT_CALL && result == CURLE_OK &&
-	    !attempt->refused_not_run) {
+	    attempt->head.is_complete && !attempt->head.says_not_run &&
+	    !is_foreign(attempt) && reply_head_shows_cut(&attempt->head)) {
 		if (push_head(attempt, status) != ERROR_NONE)
 			return;
 		piece.kind = PIECE_KIND_END;
@@ -660,15 +689,19 @@
 		piece->error = attempt->local_error;
 		return;
 	}
-	if (attempt->refused_not_run || (status != 0 && status != 200)) {
+	if (result == CURLE_OK && !attempt->head.is_complete) {
+		piece->error = ERROR_CONNECTION;
+		return;
+	}
+	if (attempt->kind == ATTEMPT_CALL && is_foreign(attempt)) {
+		piece->error = ERROR_OUTCOME_UNKNOWN;
+		return;
+	}
+	if (attempt->head.says_not_run ||
+	    (attempt->kind != ATTEMPT_CALL && status != 0 && status != 200)) {
 		piece->error = ERROR_UPSTREAM_FAILED;
-		if (attempt->refused_not_run && result == CURLE_OK) {
-			piece->error = ERROR_UPSTREAM_REFUSED;
-			piece->outcome = REQUEST_OUTCOME_NOT_RUN;
-		}
 		if (result == CURLE_OK)
-			upstream_reply_parse_error(attempt->error_body->str,
-			    attempt->error_body->len, piece);
+			read_error_reply(attempt, piece);
 		return;
 	}
 	if (result == CURLE_OPERATION_TIMEDOUT)
@@ -681,3 +714,25 @@
 	else
 		piece->error = ERROR_CONNECTION;
 }
+
+/* Sets the error and outcome that a whole error reply states. One that names
+ * another request or attempt says nothing about this one. */
+static void
+read_error_reply(const struct attempt *attempt, struct piece *piece)
+{
+	struct piece stated;
+
+	stated = *piece;
+	stated.request_id = attempt->input.request_id;
+	stated.attempt = attempt->input.attempt;
+	if (attempt->head.says_not_run) {
+		stated.error = ERROR_UPSTREAM_REFUSED;
+		stated.outcome = REQUEST_OUTCOME_NOT_RUN;
+	}
+	if (!is_foreign(attempt) &&
+	    upstream_reply_parse_error(
+		attempt->error_body->str, attempt->error_body->len, &stated))
+		*piece = stated;
+	else
+		piece->error = ERROR_OUTCOME_UNKNOWN;
+}
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -85,6 +85,7 @@
 static void discard_answer(
     struct pool_call *call, const struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
+static void on_chunk_end(void *context);
 static void on_end(void *context);
 static int64_t read_keep_alive(const struct http_head *head);
 static void free_queue(gpointer queue);
@@ -261,7 +262,11 @@
 open_call(struct upstream_pool *pool, uint64_t address)
 {
 	struct http_reader_ops reader_ops = {
-	    .on_head = on_head, .on_body = on_body, .on_end = on_end};
+	    .on_head = on_head,
+	    .on_body = on_body,
+	    .on_chunk_end = on_chunk_end,
+	    .on_end = on_end,
+	};
 	struct tcp_link_ops link_ops = {
 	    .on_opened = on_opened,
 	    .on_received = on_received,
@@ -297,9 +302,9 @@
 	gsize size;
 	const void *data;
 
-	/* The body that follows the head of an answer to a HEAD request, if any,
-	 * can't be told by the head of a later answer to it. */
-	call->is_reusable = !call->is_head_method;
+	/* A later answer to a request without an id could not be attributed, nor
+	 * could the length of one to a HEAD request be told. */
+	call->is_reusable = call->request_id != NULL && !call->is_head_method;
 	call->is_interim = false;
 	call->interim_count = 0;
 	call->is_discarded = false;
@@ -522,6 +527,10 @@
 	 * request as part of the next one. */
 	if (!head->keeps_connection || tcp_link_queued(&call->link) > 0)
 		call->is_reusable = false;
+	/* A body that follows nevertheless belongs to no request. */
+	if (http_status_has_no_body(head->status) &&
+	    (head->has_length || head->is_chunked))
+		call->is_reusable = false;
 	call->idle_limit_ms = read_keep_alive(head);
 	if (call->ops.on_head(call->ops.context, head) == POOL_ANSWER_TAKE ||
 	    call->state == CALL_CLOSED)
@@ -538,7 +547,9 @@
 	call->is_reusable = false;
 	call->is_discarded = true;
 	call->discarded_count++;
-	if (!head->has_length && !head->is_chunked)
+	if (!head->has_length && !head->is_chunked &&
+	    head->status != HTTP_STATUS_NO_CONTENT &&
+	    head->status != HTTP_STATUS_NOT_MODIFIED)
 		fail_call(call, ERROR_MALFORMED);
 }
 
@@ -557,6 +568,16 @@
 		call->ops.on_body(call->ops.context, data, size);
 }
 
+static void
+on_chunk_end(void *context)
+{
+	struct pool_call *call = context;
+
+	if (call->state == CALL_BUSY && !call->is_discarded &&
+	    call->ops.on_chunk_end != NULL)
+		call->ops.on_chunk_end(call->ops.context);
+}
+
 /* Does nothing: on_received() checks has_ended of the reader instead. */
 static void
 on_end(void *context)
