Soak: hosts of two builds side by side, upwards, downwards and back

Nobody had compared the states of voters of two builds, and no run changed builds while faults went on.

The comparison of configurations was not seen red.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -89,6 +89,7 @@
     async def start(self, is_first=False):
         self.is_starting = True
         self.write_settings(is_first)
+        program = self.fixture.builds.start(self)
         self.starts += 1
         self.is_killed = False
         environment = {
@@ -99,7 +100,7 @@
         }
         with open(f"{self.fixture.folder}/{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                self.fixture.program, "serve-platform", env=environment, stdout=log, stderr=log
+                program, "serve-platform", env=environment, stdout=log, stderr=log
             )
         self.is_starting = False
 
@@ -140,6 +141,7 @@
     async def wipe(self):
         """Kills the process and deletes its data folder."""
         await self.kill()
+        self.fixture.builds.wiped ^= {self.number}
         shutil.rmtree(self.data, ignore_errors=True)
 
     async def is_ready(self):
--- a/tests/soak/operator_calls.py
+++ b/tests/soak/operator_calls.py
@@ -70,7 +70,7 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
-        "tenants": [{"name": "t", "apiKeys": ["k1"], "priority": 1}],
+        "tenants": [{"name": "t", "apiKeys": ["k1", f"r{version}"], "priority": 1}],
     }
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,6 +4,8 @@
     soak.py BUILD_DIR --seeds FIRST COUNT [--jobs N] [--keep]
     soak.py BUILD_DIR --seed N            runs one seed and prints its schedule
     soak.py BUILD_DIR --file FILE         runs the seeds of a file, one per line
+    soak.py BUILD_DIR --old DIR --upgrade MODE --seeds FIRST COUNT
+                                          hosts of two builds, see builds.py
 
 A seed determines the number of hosts, the requests of callers and the operator,
 and the faults with their times. The exit status is 0 if no guarantee was
@@ -21,6 +23,7 @@
 import tempfile
 import time
 
+import builds
 import faults
 import http1
 from callers import Caller
@@ -47,8 +50,8 @@
     `slot` distinguishes seeds that run at the same time by their IP addresses.
     """
 
-    def __init__(self, program, seed, slot, folder, patience):
-        self.program = program
+    def __init__(self, programs, seed, slot, folder, patience):
+        self.builds = builds.Builds(*programs)
         self.patience = patience  # Factor by which time limits are multiplied.
         self.seed = seed
         self.slot = slot
@@ -107,11 +110,12 @@
         await host.start()
 
 
-async def run_scenario(program, seed, slot, folder, patience, prints):
+async def run_scenario(programs, seed, slot, folder, patience, prints):
     """Runs the phases of one seed: start, faults, recovery, planned stops. Returns
     the ledger; all processes have ended by then."""
-    fixture = Fixture(program, seed, slot, folder, patience)
-    schedule = faults.draw_schedule(fixture.random_of("faults"), fixture, FAULT_PHASE_S)
+    fixture = Fixture(programs, seed, slot, folder, patience)
+    length_s = builds.FAULT_PHASE_S if fixture.builds.is_mixed else FAULT_PHASE_S
+    schedule = faults.draw_schedule(fixture.random_of("faults"), fixture, length_s)
     if prints:
         print(f"{len(fixture.control_hosts)} control hosts, {len(fixture.entry_hosts)} entry hosts")
         for at, name, target, seconds in schedule:
@@ -119,7 +123,7 @@
     try:
         await start_all(fixture)
         if not fixture.ledger.violations:
-            await run_with_faults(fixture, schedule)
+            await run_with_faults(fixture, schedule, length_s)
             await run_after_faults(fixture)
             await check_end(fixture)
     finally:
@@ -141,14 +145,14 @@
         fixture.ledger.record_violation("all hosts serve at the start", describe_unhealthy(fixture))
 
 
-async def run_with_faults(fixture, schedule):
+async def run_with_faults(fixture, schedule, until):
     """Injects the scheduled faults while callers send requests and the operator
     changes configurations and checks which ones are in force."""
     fixture.started = time.monotonic()
-    until = FAULT_PHASE_S
     callers = [Caller(fixture, n) for n in range(12)]
     await asyncio.gather(
         faults.run_schedule(fixture, schedule),
+        builds.change_hosts(fixture, schedule),
         fixture.operator.change_configuration(until),
         fixture.operator.check_reads(until + 2),
         fixture.operator.check_entry_hosts(until + 2),
@@ -175,12 +179,19 @@
             "all hosts serve again in time", describe_unhealthy(fixture)
         )
         return
+    if not await builds.finish(fixture, wait_until_healthy):
+        fixture.ledger.record_violation(
+            "all hosts serve after their replacement", describe_unhealthy(fixture)
+        )
+        return
+    await builds.check(fixture)
     await check_crashing_request(fixture)
     if not await wait_until_healthy(fixture):
         fixture.ledger.record_violation(
             "all hosts serve after a request crashed replicas", describe_unhealthy(fixture)
         )
         return
+    await builds.check_state_after_crashes(fixture, wait_until_healthy)
     fixture.recovered_at = fixture.now()
     until = fixture.now() + (ORDER_MAX_S + IN_FORCE_MAX_S) * fixture.patience + OBSERVATION_S
     callers = [Caller(fixture, 100 + n) for n in range(6)]
@@ -330,11 +341,11 @@
                     break
 
 
-def run_seed(program, seed, slot, arguments, prints):
+def run_seed(programs, seed, slot, arguments, prints):
     """Runs one seed and prints the violations; returns True if there were none.
     With `prints` the schedule and the outcomes of requests are printed as well."""
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-    ledger = asyncio.run(run_scenario(program, seed, slot, folder, arguments.patience, prints))
+    ledger = asyncio.run(run_scenario(programs, seed, slot, folder, arguments.patience, prints))
     counts = ledger.outcomes + ledger.faults
     outcomes = json.dumps(dict(sorted(counts.items()))) if prints else ""
     print(f"seed {seed}: {len(ledger.runs)} runs, {len(ledger.violations)} broken {outcomes}")
@@ -348,7 +359,7 @@
     return not ledger.violations
 
 
-def run_all(arguments, program, seeds):
+def run_all(arguments, programs, seeds):
     """Runs each seed in a process of its own, at most `arguments.jobs` at a time.
     Returns True if no seed failed."""
     failed = []
@@ -360,7 +371,7 @@
             slot, seed = slots.pop(), queue.pop(0)
             child = os.fork()
             if child == 0:
-                os._exit(0 if run_seed(program, seed, slot, arguments, False) else 1)
+                os._exit(0 if run_seed(programs, seed, slot, arguments, False) else 1)
             running[child] = (slot, seed)
         child, status = os.wait()
         slot, seed = running.pop(child)
@@ -382,6 +393,8 @@
     )
     parser.add_argument("build")
     parser.add_argument("--seed", type=int)
+    parser.add_argument("--old", metavar="DIR", help="build folder of an earlier commit")
+    parser.add_argument("--upgrade", choices=builds.MODES, default="mix")
     parser.add_argument("--seeds", type=int, nargs=2, metavar=("FIRST", "COUNT"))
     parser.add_argument("--file")
     parser.add_argument("--jobs", type=int, default=4)
@@ -399,13 +412,15 @@
         "--until-failure", action="store_true", help="start no more seeds after a failed one"
     )
     arguments = parser.parse_args()
-    program = os.path.abspath(f"{arguments.build}/chicorytack-soak")
+    present = os.path.abspath(f"{arguments.build}/chicorytack-soak")
+    earlier = arguments.old and builds.find_program(arguments.old)
+    programs = (present, earlier, arguments.upgrade)
     if arguments.seed is not None:
-        return run_seed(program, arguments.seed, arguments.slot, arguments, True)
+        return run_seed(programs, arguments.seed, arguments.slot, arguments, True)
     if arguments.file is not None:
-        return run_all(arguments, program, read_seeds(arguments.file))
+        return run_all(arguments, programs, read_seeds(arguments.file))
     first, count = arguments.seeds or (1, 4)
-    return run_all(arguments, program, range(first, first + count))
+    return run_all(arguments, programs, range(first, first + count))
 
 
 if __name__ == "__main__":
--- a/tests/soak/wrong_answers.py
+++ b/tests/soak/wrong_answers.py
@@ -47,6 +47,8 @@
         """Returns whether the replica does a fault that has this share; counts it."""
         if not self.replica.is_faulty or self.random.random() >= share:
             return False
+        if not self.replica.fixture.builds.allows(fault):
+            return False
         self.replica.fixture.ledger.faults[fault] += 1
         return True
 
@@ -166,6 +168,8 @@
 def break_stream(connection, text):
     """Returns what a stream carries in place of its next event, before it breaks
     off: part of the event, a failure's text, a second head, or nothing."""
+    if connection.replica.fixture.builds.is_mixed:
+        return b"%x\r\n" % len(text) + text[: len(text) // 2]
     second_head = b"HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\nfailed"
     part, error = text[: len(text) // 2], b"error: failed"
     return connection.random.choice(
