One place says which statuses have no body

Found on reading the change once more: 204 and 304 were compared anew in the pool, as an answer is passed over, and in the reader of heads of the product's own interface, beside http_status_has_no_body(), which both call now.

--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -5,16 +5,16 @@
 
 #include <glib.h>
 
-#define HEADS_SIZE_MAX	    65536 /* Largest heads with interim ones. */
-#define FIELD_SIZE	    256	  /* Bytes of a field's line with NUL. */
-#define HEX_DIGITS	    "0123456789abcdefABCDEF"
-#define REQUEST_ID_DIGITS   16
-#define STATUS_SIZE	    3	/* Digits of a status. */
-#define FINAL_STATUS_MIN    200 /* Lower ones belong to interim replies. */
-#define STATUS_NO_CONTENT   204
-#define STATUS_NOT_MODIFIED 304
-#define VERSION_PREFIX	    "HTTP/" /* Start of a status line. */
-#define VERSION_SIZE	    (sizeof(VERSION_PREFIX) - 1)
+#include "protocol/http_reader.h"
+
+#define HEADS_SIZE_MAX	  65536 /* Largest heads with interim ones. */
+#define FIELD_SIZE	  256	/* Bytes of a field's line with NUL. */
+#define HEX_DIGITS	  "0123456789abcdefABCDEF"
+#define REQUEST_ID_DIGITS 16
+#define STATUS_SIZE	  3	  /* Digits of a status. */
+#define FINAL_STATUS_MIN  200	  /* Lower ones belong to interim replies. */
+#define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
+#define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
 
 static void read_status(struct reply_head *head, const char *line, size_t size);
 static void read_field(struct reply_head *head, const char *line, size_t size);
@@ -55,8 +55,7 @@
 	if (head->has_two_lengths)
 		return false;
 	return head->has_frames || head->is_chunked || head->has_length ||
-	       head->status == STATUS_NO_CONTENT ||
-	       head->status == STATUS_NOT_MODIFIED;
+	       http_status_has_no_body((uint32_t)head->status);
 }
 
 static void
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -548,8 +548,7 @@
 	call->is_discarded = true;
 	call->discarded_count++;
 	if (!head->has_length && !head->is_chunked &&
-	    head->status != HTTP_STATUS_NO_CONTENT &&
-	    head->status != HTTP_STATUS_NOT_MODIFIED)
+	    !http_status_has_no_body(head->status))
 		fail_call(call, ERROR_MALFORMED);
 }
 
