Part src/service into folders by job

Moves only: host, request, relay, api, cli; settings, serve and main stay. No code changed.

Ruled out: fewer, larger folders (host and request use each other: request takes the host's tables, the host owns the queue; joined they would be 40 files again).

Seen: the whole tree builds, the format is clean.

--- a/src/service/api.h
+++ b/src/api/api.h
@@ -14,7 +14,7 @@
 #include <jansson.h>
 
 #include "base/error_code.h"
-#include "service/host.h"
+#include "host/host.h"
 #include "transport/http_server.h"
 
 /* Callers (request_api.c) */
--- a/src/service/monitor_api.c
+++ b/src/api/monitor_api.c
@@ -1,4 +1,4 @@
-#include "service/api.h"
+#include "api/api.h"
 
 /* Sets the gauges that are computed at each scrape of /metrics. */
 static void set_gauges(struct host *host);
--- a/src/service/operator_api.c
+++ b/src/api/operator_api.c
@@ -2,7 +2,7 @@
  * HTTP handlers of the operator API: checks the operator's token and role,
  * parses and validates the request, and replies with JSON.
  */
-#include "service/api.h"
+#include "api/api.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -11,9 +11,9 @@
 
 #include <sodium.h>
 
+#include "api/operator_views.h"
 #include "base/event_log.h"
-#include "service/host_calls.h"
-#include "service/operator_views.h"
+#include "host/host_calls.h"
 
 #define BEARER "Bearer "
 /* Longest wait for a change if the request sets no timeout. */
--- a/src/service/operator_views.c
+++ b/src/api/operator_views.c
@@ -1,4 +1,4 @@
-#include "service/operator_views.h"
+#include "api/operator_views.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/service/operator_views.h
+++ b/src/api/operator_views.h
@@ -9,7 +9,7 @@
 #include <jansson.h>
 
 #include "base/error_code.h"
-#include "service/host.h"
+#include "host/host.h"
 
 /** Summary of the host: its state, revision, lease, upstreams by warmth,
  * requests, voters and times to the first token. @p argument is ignored. */
--- a/src/service/request_api.c
+++ b/src/api/request_api.c
@@ -1,11 +1,11 @@
-#include "service/api.h"
+#include "api/api.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/monotonic_clock.h"
-#include "service/request_run.h"
+#include "request/request_run.h"
 
 /* A stream's headers are held back this long for the first text or an error, so
  * that an early error still gets its own HTTP status. */
--- a/src/service/upstream_api.c
+++ b/src/api/upstream_api.c
@@ -1,11 +1,11 @@
-#include "service/api.h"
+#include "api/api.h"
 
 #include <string.h>
 
 #include <sodium.h>
 
+#include "host/host_calls.h"
 #include "protocol/announcement.h"
-#include "service/host_calls.h"
 
 #define BEARER_PREFIX "Bearer "
 
--- a/src/service/cli.c
+++ b/src/cli/cli.c
@@ -1,4 +1,4 @@
-#include "service/cli.h"
+#include "cli/cli.h"
 
 #include <getopt.h>
 #include <stdio.h>
--- a/src/service/cli_client.c
+++ b/src/cli/cli_client.c
@@ -1,4 +1,4 @@
-#include "service/cli.h"
+#include "cli/cli.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/service/cli_explain.c
+++ b/src/cli/cli_explain.c
@@ -1,4 +1,4 @@
-#include "service/cli_explain.h"
+#include "cli/cli_explain.h"
 
 #include <stdbool.h>
 #include <stdlib.h>
--- a/src/service/cli_print.c
+++ b/src/cli/cli_print.c
@@ -1,4 +1,4 @@
-#include "service/cli_print.h"
+#include "cli/cli_print.h"
 
 #include <stdio.h>
 
--- a/src/service/cli_verbs.c
+++ b/src/cli/cli_verbs.c
@@ -1,4 +1,4 @@
-#include "service/cli.h"
+#include "cli/cli.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -6,9 +6,9 @@
 #include <unistd.h>
 
 #include "base/event_log.h"
+#include "cli/cli_explain.h"
+#include "cli/cli_print.h"
 #include "platform_serve.h"
-#include "service/cli_explain.h"
-#include "service/cli_print.h"
 #include "service/serve.h"
 #include "service/settings.h"
 #include "state/config_entry.h"
--- a/src/service/control_worker.c
+++ b/src/host/control_worker.c
@@ -1,4 +1,4 @@
-#include "service/control_worker.h"
+#include "host/control_worker.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/service/host.c
+++ b/src/host/host.c
@@ -1,4 +1,4 @@
-#include "service/host.h"
+#include "host/host.h"
 
 #include <errno.h>
 #include <poll.h>
@@ -10,9 +10,9 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
-#include "service/host_reports.h"
-#include "service/host_seeds.h"
-#include "service/host_voters.h"
+#include "host/host_reports.h"
+#include "host/host_seeds.h"
+#include "host/host_voters.h"
 
 /* Largest number of timers on the coordination thread. */
 #define TIMERS_MAX 65536
--- a/src/service/host_agreement.c
+++ b/src/host/host_agreement.c
@@ -4,7 +4,7 @@
  * applies them to learner_state. This file also publishes new state to request
  * threads, and plans the set of live hosts while this host is the leader.
  */
-#include "service/host.h"
+#include "host/host.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/service/host_calls.c
+++ b/src/host/host_calls.c
@@ -1,4 +1,4 @@
-#include "service/host_calls.h"
+#include "host/host_calls.h"
 
 #include <string.h>
 
--- a/src/service/host_calls.h
+++ b/src/host/host_calls.h
@@ -17,8 +17,8 @@
 #include "base/error_code.h"
 #include "coordination/quarantine.h"
 #include "coordination/warmup.h"
+#include "host/host.h"
 #include "protocol/announcement.h"
-#include "service/host.h"
 #include "state/command.h"
 
 /* Requests */
--- a/src/service/host_demand.c
+++ b/src/host/host_demand.c
@@ -3,7 +3,7 @@
  * demand of all queued requests and waiting groups is summed up per upstream
  * and handed to the grant holder, which sends it to the owners.
  */
-#include "service/host.h"
+#include "host/host.h"
 
 #include <string.h>
 
--- a/src/service/host_documents.c
+++ b/src/host/host_documents.c
@@ -1,4 +1,4 @@
-#include "service/host_documents.h"
+#include "host/host_documents.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -6,7 +6,7 @@
 
 #include <zlib.h>
 
-#include "service/host_calls.h"
+#include "host/host_calls.h"
 
 /* Longest wait for a call that the coordination thread completes at once. */
 #define CALL_TIMEOUT_MS 2000
--- a/src/service/host_documents.h
+++ b/src/host/host_documents.h
@@ -16,7 +16,7 @@
 #include <glib.h>
 
 #include "base/error_code.h"
-#include "service/host.h"
+#include "host/host.h"
 
 /** Largest size of an uncompressed document in bytes. */
 #define DOCUMENT_SIZE_MAX ((size_t)16 * 1024 * 1024)
--- a/src/service/host_fleet.c
+++ b/src/host/host_fleet.c
@@ -3,7 +3,7 @@
  * which request threads read. All functions here run on the coordination
  * thread.
  */
-#include "service/host.h"
+#include "host/host.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/service/host_groups.c
+++ b/src/host/host_groups.c
@@ -1,9 +1,9 @@
-#include "service/host_groups.h"
+#include "host/host_groups.h"
 
 #include <stdio.h>
 #include <string.h>
 
-#include "service/host.h"
+#include "host/host.h"
 
 /* Longest wait for an upstream's answer. */
 #define CONTROL_TIMEOUT_MS 5000
--- a/src/service/host_orders.c
+++ b/src/host/host_orders.c
@@ -1,10 +1,10 @@
-#include "service/host_orders.h"
+#include "host/host_orders.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "service/host.h"
+#include "host/host.h"
 
 /* Longest time for which a commit is tried. */
 #define COMMIT_TIMEOUT_MS 3000
--- a/src/service/host_reports.c
+++ b/src/host/host_reports.c
@@ -1,4 +1,4 @@
-#include "service/host_reports.h"
+#include "host/host_reports.h"
 
 #include <string.h>
 
--- a/src/service/host_reports.h
+++ b/src/host/host_reports.h
@@ -9,7 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "service/host.h"
+#include "host/host.h"
 
 /* On the coordination thread */
 
--- a/src/service/host_seeds.c
+++ b/src/host/host_seeds.c
@@ -1,10 +1,10 @@
-#include "service/host_seeds.h"
+#include "host/host_seeds.h"
 
 #include <stdio.h>
 #include <string.h>
 
 #include "base/event_log.h"
-#include "service/mailbox.h"
+#include "host/mailbox.h"
 
 /* Body of the call that passes new seeds to the coordination thread. */
 struct seeds_body {
--- a/src/service/host_seeds.h
+++ b/src/host/host_seeds.h
@@ -9,7 +9,7 @@
 #include <stdint.h>
 
 #include "coordination/membership.h"
-#include "service/host.h"
+#include "host/host.h"
 #include "service/settings.h"
 
 /** Adds the seeds to the peer links, and fills @p list with them for
--- a/src/service/host_suspects.c
+++ b/src/host/host_suspects.c
@@ -3,7 +3,7 @@
  * were running on a crashed upstream, passes them to the quarantine, commits
  * its decisions to the replicated state and applies those of all hosts.
  */
-#include "service/host.h"
+#include "host/host.h"
 
 #include <stdio.h>
 
--- a/src/service/host_voters.c
+++ b/src/host/host_voters.c
@@ -1,4 +1,4 @@
-#include "service/host_voters.h"
+#include "host/host_voters.h"
 
 #include <string.h>
 
--- a/src/service/host_voters.h
+++ b/src/host/host_voters.h
@@ -8,7 +8,7 @@
 #ifndef HOST_VOTERS_H
 #define HOST_VOTERS_H
 
-#include "service/host.h"
+#include "host/host.h"
 
 /** Starts the periodic check of the voter set; to be called before the
  * coordination thread starts or on it. */
--- a/src/service/mailbox.c
+++ b/src/host/mailbox.c
@@ -1,4 +1,4 @@
-#include "service/mailbox.h"
+#include "host/mailbox.h"
 
 #include <stdatomic.h>
 #include <string.h>
--- a/src/service/relay.c
+++ b/src/relay/relay.c
@@ -1,4 +1,4 @@
-#include "service/relay.h"
+#include "relay/relay.h"
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -6,8 +6,8 @@
 #include <sodium.h>
 
 #include "base/event_log.h"
-#include "service/host_reports.h"
-#include "service/relay_parts.h"
+#include "host/host_reports.h"
+#include "relay/relay_parts.h"
 
 /* Largest number of timers of the loop's thread. */
 #define TIMERS_MAX 65536
--- a/src/service/relay.h
+++ b/src/relay/relay.h
@@ -37,7 +37,7 @@
 #include "coordination/placement.h"
 #include "coordination/retry_window.h"
 #include "coordination/upstream_path.h"
-#include "service/host.h"
+#include "host/host.h"
 #include "state/route_table.h"
 #include "transport/timer.h"
 #include "transport/upstream_pool.h"
--- a/src/service/relay_answer.c
+++ b/src/relay/relay_answer.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 #define MS_PER_S 1000.0
 /* Bytes reserved for a chunk's size line and line end. */
--- a/src/service/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -3,7 +3,7 @@
 #include <jansson.h>
 
 #include "base/event_log.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 #define STATUS_MISDIRECTED 421
 /* A hash as 16 hexadecimal digits, and its bytes with NUL. */
--- a/src/service/relay_caller.c
+++ b/src/relay/relay_caller.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 /* Largest amount of data that a caller may send before the current request is
  * answered. */
--- a/src/service/relay_crash.c
+++ b/src/relay/relay_crash.c
@@ -9,9 +9,9 @@
 #include <jansson.h>
 
 #include "base/event_log.h"
+#include "host/host_calls.h"
 #include "protocol/prefix_hash.h"
-#include "service/host_calls.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 /* A request whose answer has been arriving for this long is not the one that
  * crashed its upstream: such requests crash it when they begin to run. */
--- a/src/service/relay_events.c
+++ b/src/relay/relay_events.c
@@ -1,4 +1,4 @@
-#include "service/relay_events.h"
+#include "relay/relay_events.h"
 
 #include <string.h>
 
--- a/src/service/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "protocol/prompt_parts.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND    404
--- a/src/service/relay_forward.c
+++ b/src/relay/relay_forward.c
@@ -13,7 +13,7 @@
 #include <jansson.h>
 
 #include "base/event_log.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 /* Upstreams that this host tries in vain before it forwards a request while the
  * path is not known to be lost. */
--- a/src/service/relay_head.c
+++ b/src/relay/relay_head.c
@@ -3,7 +3,7 @@
 #include <jansson.h>
 
 #include "base/event_log.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 static void read_statement(const struct relay_exchange *exchange,
     const struct http_head *head, struct upstream_statement *statement);
--- a/src/service/relay_hold.c
+++ b/src/relay/relay_hold.c
@@ -1,10 +1,10 @@
-#include "service/relay_hold.h"
+#include "relay/relay_hold.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 #include "base/event_log.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 #define STATUS_OK 200
 /* Time after which a reservation expires without renewal. */
--- a/src/service/relay_metrics.c
+++ b/src/relay/relay_metrics.c
@@ -1,6 +1,6 @@
 #include <inttypes.h>
 
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 #define NAME_PREFIX "chicorytack_relay_"
 
--- a/src/service/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -9,9 +9,9 @@
 #include "coordination/relay_rules.h"
 #include "protocol/forward_message.h"
 #include "protocol/http_reader.h"
-#include "service/relay.h"
-#include "service/relay_events.h"
-#include "service/relay_hold.h"
+#include "relay/relay.h"
+#include "relay/relay_events.h"
+#include "relay/relay_hold.h"
 #include "state/request_key.h"
 #include "transport/tcp_link.h"
 
--- a/src/service/relay_path.c
+++ b/src/relay/relay_path.c
@@ -6,7 +6,7 @@
 #include <jansson.h>
 
 #include "base/event_log.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 /* Period at which a test that is due begins. */
 #define TEST_CHECK_MS 50
--- a/src/service/relay_silence.c
+++ b/src/relay/relay_silence.c
@@ -1,7 +1,7 @@
 #include <jansson.h>
 
 #include "base/event_log.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 /* Period of the check for a stalled upstream. */
 #define SILENCE_CHECK_PERIOD_MS 150
--- a/src/service/relay_trace.c
+++ b/src/relay/relay_trace.c
@@ -1,7 +1,7 @@
 #include <jansson.h>
 
 #include "base/event_log.h"
-#include "service/relay_parts.h"
+#include "relay/relay_parts.h"
 
 static const char *const end_names[] = {
     "answered", "refused", "denied", "failed", "broken", "left"};
--- a/src/service/group_run.c
+++ b/src/request/group_run.c
@@ -1,9 +1,9 @@
-#include "service/group_run.h"
+#include "request/group_run.h"
 
 #include <string.h>
 
+#include "host/host_groups.h"
 #include "protocol/prefix_hash.h"
-#include "service/host_groups.h"
 
 #define SEGMENT_QUEUED_PIECES_MAX 256 /* Most unread pieces of a segment. */
 
--- a/src/service/group_run.h
+++ b/src/request/group_run.h
@@ -14,7 +14,7 @@
 #define GROUP_RUN_H
 
 #include "base/error_code.h"
-#include "service/host.h"
+#include "host/host.h"
 #include "transport/piece_queue.h"
 #include "transport/upstream_adapter.h"
 
--- a/src/service/request_claim.c
+++ b/src/request/request_claim.c
@@ -4,8 +4,8 @@
  */
 #include <stdio.h>
 
-#include "service/host_calls.h"
-#include "service/request_run_parts.h"
+#include "host/host_calls.h"
+#include "request/request_run_parts.h"
 
 #define CLAIM_TIMEOUT_MS 3000 /* Longest wait for a claim's result. */
 
--- a/src/service/request_metrics.c
+++ b/src/request/request_metrics.c
@@ -1,4 +1,4 @@
-#include "service/request_metrics.h"
+#include "request/request_metrics.h"
 
 #include <string.h>
 
--- a/src/service/request_run.c
+++ b/src/request/request_run.c
@@ -3,9 +3,9 @@
 
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
-#include "service/group_run.h"
-#include "service/host_calls.h"
-#include "service/request_run_parts.h"
+#include "host/host_calls.h"
+#include "request/group_run.h"
+#include "request/request_run_parts.h"
 
 /* Pieces of an attempt that the upstream's thread has received and the
  * request's thread has not yet read. */
--- a/src/service/request_run_parts.h
+++ b/src/request/request_run_parts.h
@@ -5,7 +5,7 @@
 #ifndef REQUEST_RUN_PARTS_H
 #define REQUEST_RUN_PARTS_H
 
-#include "service/request_run.h"
+#include "request/request_run.h"
 
 /** Retry-After of an error whose cause may soon be over. */
 #define RETRY_AFTER_MS 1000
--- a/src/service/wait_line.c
+++ b/src/request/wait_line.c
@@ -1,4 +1,4 @@
-#include "service/wait_line.h"
+#include "request/wait_line.h"
 
 #include <stdatomic.h>
 #include <stdio.h>
--- a/src/service/main.c
+++ b/src/service/main.c
@@ -1,4 +1,4 @@
-#include "service/cli.h"
+#include "cli/cli.h"
 
 int
 main(int argc, char **argv)
--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -8,9 +8,9 @@
 
 #include <curl/curl.h>
 
+#include "api/api.h"
 #include "base/event_log.h"
-#include "service/api.h"
-#include "service/host.h"
+#include "host/host.h"
 
 /* Most log lines a second about successes; failures are always logged. */
 #define SUCCESS_LOG_LINES_PER_S_MAX 400
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -10,10 +10,10 @@
 #include <unistd.h>
 
 #include "base/event_log.h"
+#include "host/host_reports.h"
+#include "host/mailbox.h"
 #include "platform_dialect.h"
 #include "platform_routes.h"
-#include "service/host_reports.h"
-#include "service/mailbox.h"
 #include "state/upstream.h"
 
 #define SILENCE_MAX_MS 3000 /* Longest wait for further bytes. */
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -11,7 +11,7 @@
 
 #include <glib.h>
 
-#include "service/relay.h"
+#include "relay/relay.h"
 
 #define RELAY_FIXTURE_UPSTREAMS 4
 /** Sockets of a port that establishes no connection: one that listens and those
--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -14,18 +14,18 @@
 # Each entry: name of the mechanism | source file | Perl substitution that
 # disables the mechanism in the file.
 mechanisms=(
-	'answer_attribution|src/service/relay_head.c|s/facts->owner = pool_call_attribute\(.*?\);/facts->owner = ANSWER_OF_REQUEST;/s'
+	'answer_attribution|src/relay/relay_head.c|s/facts->owner = pool_call_attribute\(.*?\);/facts->owner = ANSWER_OF_REQUEST;/s'
 	'unfounded_promises|src/coordination/relay_rules.c|s/if \(status_promises_not_run\(facts->status\)\)\s*return ANSWER_UNFOUNDED;//'
-	'resumed_by_other_type|src/service/relay_attempt.c|s/if \(exchange->is_answering\) \{\s*\/\* The caller has/if (false) { \/* The caller has/'
+	'resumed_by_other_type|src/relay/relay_attempt.c|s/if \(exchange->is_answering\) \{\s*\/\* The caller has/if (false) { \/* The caller has/'
 	'at_most_once|src/coordination/relay_rules.c|s/!state->may_have_run \|\|/true ||/'
-	'order_of_events|src/service/relay_events.c|s/number <= events->last_number/false/'
-	'quorum_read|src/service/host_documents.c|s/error = first_error\(\s*host_submit\(host, &command, timeout_ms, &result\), &result\);/(void)command; result.sequence = 0; error = ERROR_NONE;/'
+	'order_of_events|src/relay/relay_events.c|s/number <= events->last_number/false/'
+	'quorum_read|src/host/host_documents.c|s/error = first_error\(\s*host_submit\(host, &command, timeout_ms, &result\), &result\);/(void)command; result.sequence = 0; error = ERROR_NONE;/'
 	'disk_sync|src/state/journal.c|s/error = ops->sync\(context, name\);/(void)0;/'
 	'quorum_commit|src/coordination/consensus_leader.c|s/i = MAX\(i, MIN\(copies, consensus->voters.count\)\);/i = 1; (void)copies;/'
-	'release_of_reservations|src/service/relay_hold.c|s/order\(hold, hold->relay->settings.dialect.release_order\(hold->id\)\);/(void)order;/'
-	'evacuation|src/service/relay.c|s/ && !entry->is_taken_out//'
-	'crashing_request|src/service/relay_crash.c|s/return host_check_quarantine\(host, fingerprint\(exchange\), remaining_ms\);/(void)remaining_ms; return QUARANTINE_RUN;/'
-	'drain|src/service/relay.c|s/upstream->state == UPSTREAM_STATE_ACTIVE && //'
+	'release_of_reservations|src/relay/relay_hold.c|s/order\(hold, hold->relay->settings.dialect.release_order\(hold->id\)\);/(void)order;/'
+	'evacuation|src/relay/relay.c|s/ && !entry->is_taken_out//'
+	'crashing_request|src/relay/relay_crash.c|s/return host_check_quarantine\(host, fingerprint\(exchange\), remaining_ms\);/(void)remaining_ms; return QUARANTINE_RUN;/'
+	'drain|src/relay/relay.c|s/upstream->state == UPSTREAM_STATE_ACTIVE && //'
 )
 
 # find_by_soak NAME FILE EDIT: succeeds if a seed fails while the mechanism is
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -12,7 +12,7 @@
 
 #include <cmocka.h>
 
-#include "service/cli_explain.h"
+#include "cli/cli_explain.h"
 
 #define LINE(time, event, fields)                                              \
 	"  1.5 front-1 {\"time\":\"2026-01-01T00:00:" time                     \
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -11,7 +11,7 @@
 #include <cmocka.h>
 
 #include "protocol/http_reader.h"
-#include "service/relay_events.h"
+#include "relay/relay_events.h"
 
 /* Counts the callbacks of a reader and collects the body. */
 struct received {
--- a/tests/test_mailbox.c
+++ b/tests/test_mailbox.c
@@ -10,7 +10,7 @@
 
 #include <cmocka.h>
 
-#include "service/mailbox.h"
+#include "host/mailbox.h"
 
 #define CALLERS		 8 /* Threads that make calls. */
 #define CALLS_PER_CALLER 200
--- a/tests/test_wait_line.c
+++ b/tests/test_wait_line.c
@@ -12,7 +12,7 @@
 
 #include "fake_config_source.h"
 #include "fake_slots.h"
-#include "service/wait_line.h"
+#include "request/wait_line.h"
 
 #define START_MS	   1000000
 #define CLOCK_FAR_AHEAD_MS (INT64_C(1) << 50) /* Beyond any real clock. */
