An answer that breaks off is resumed for callers who wait for the whole, too

Callers without a stream got 502 for a prompt that four living engines had each begun to answer.

Cause: request_run resumed a broken answer only if its caller had part of it. For other callers it ran the prompt anew elsewhere, a whole prefill each time, and four runs in a row may be broken off (each engine of the test breaks every seventh). Engines keep a broken answer; only a run from the beginning is broken off again.

Ruled out: a crash (no E5007, the connections ended cleanly); the resume path (streams never failed); load (the test shows it alone, every time, if each run is broken off).

Change: the report of a failed attempt says how much of the answer the host has and whether the upstream runs on. retry_decide() resumes if the attempt brought pieces and the upstream runs on; a resume that brings nothing, a refused one, a stall or a crash lead to a run elsewhere as before.

--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -20,6 +20,7 @@
 static enum error_code error_for_failure(const struct attempt_report *report);
 static bool may_retry(
     const struct request_facts *facts, const struct attempt_report *report);
+static bool may_bring_rest(const struct attempt_report *report);
 
 void
 retry_settings_fill(struct retry_settings *settings)
@@ -89,7 +90,9 @@
 		decision.error = ERROR_RETRY_BUDGET;
 		return decision;
 	}
-	decision.action = report->delivered > 0 ? RETRY_RESUME : RETRY_RERUN;
+	decision.action = report->delivered > 0 || may_bring_rest(report)
+			      ? RETRY_RESUME
+			      : RETRY_RERUN;
 	return decision;
 }
 
@@ -146,6 +149,16 @@
 	return retry_classify(report) == REQUEST_OUTCOME_NOT_RUN;
 }
 
+/* Whether the upstream of the failed attempt may still have the rest of an
+ * answer that it broke off. */
+static bool
+may_bring_rest(const struct attempt_report *report)
+{
+	return report->can_resume && report->received > 0 &&
+	       report->stage == ATTEMPT_STREAMING &&
+	       report->failure == ATTEMPT_CONNECTION && report->upstream_runs;
+}
+
 /* Subtracts one retry from the budget; returns false if less than one is
  * left. */
 static bool
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -5,7 +5,9 @@
  *
  * A non-idempotent request is never sent again once a byte of it may have been
  * sent. If the caller has part of the answer, the answer is resumed at that
- * position, never from its beginning. Retries are paid from a budget that grows
+ * position, never from its beginning. An answer that only the host has in part
+ * is resumed as well, as long as that brings it on: it costs the upstream less
+ * than a run from the beginning. Retries are paid from a budget that grows
  * with admitted requests, so losing a data centre causes no retry storm.
  */
 #ifndef RETRY_H
@@ -73,6 +75,10 @@
 	bool can_resume;	      /**< An answer can be resumed. */
 	double expected_ms; /**< Predicted duration of another attempt. */
 	bool says_failed;   /**< The upstream said that the attempt failed. */
+	uint64_t received;  /**< Pieces of the answer that the host has. */
+	/** The upstream runs on, so it may still have the rest of the answer
+	 * after its connection ended. */
+	bool upstream_runs;
 };
 
 /** Result of retry_decide(). */
--- a/src/request/request_run.c
+++ b/src/request/request_run.c
@@ -646,6 +646,8 @@
 	report.delivered = run->input.is_stream
 			       ? stream_assembler_position(&run->assembler)
 			       : 0;
+	report.received = stream_assembler_position(&run->assembler);
+	report.upstream_runs = !run->upstream_crashed;
 	report.may_have_run = run->may_have_run;
 	report.can_resume = !run->input.facts.is_service_call;
 	report.expected_ms = run->ticket.assignment.end_ms;
