A broken connection is a crash only if the upstream no longer runs (own interface)

Cause: request_run reported each broken connection as a crash of its upstream. The relay asks the upstream first (relay_crash.c); the product's own interface never did.

Ruled out: the reading of cut heads (the engine's answer ended within its head, which is what the error says); the weight of crashes (one suspect alone on its engine weighs in full, as it should after a real crash).

Change: request_crash.c asks before it reports: an engine by its list of reservations, whose incarnation must be the one that ran the attempt, a plain service by a connection (upstream_adapter.probe, new).

--- a/src/request/request_run.c
+++ b/src/request/request_run.c
@@ -18,10 +18,6 @@
 /* How long this host avoids an upstream that stalled or broke a connection. */
 #define UPSTREAM_AVOIDANCE_MS 2000
 
-/* After a crash, the request waits this long before it is checked against the
- * quarantine, so that the crash report has been evaluated by then. */
-#define CRASH_EVALUATION_MS 400
-
 /* Expected time between two pieces of an answer, from which the time is derived
  * after which silence is a stall. */
 #define PIECE_INTERVAL_EXPECTED_MS 200.0
@@ -32,7 +28,6 @@
 /* Waits out the pause before a retry, then dispatches to the same upstream or
  * queues the request again. */
 static void advance_paused(struct request_run *run, int64_t until_ms);
-static bool check_quarantine(struct request_run *run);
 /* Handles one piece of the attempt, or its stall or deadline. */
 static void advance_running(struct request_run *run, int64_t until_ms);
 /* Sends the next attempt to the upstream that the ticket was assigned. */
@@ -67,14 +62,11 @@
  * connection, all requests of this host avoid it for a time. */
 static void avoid_upstream(
     struct request_run *run, enum attempt_failure failure);
-/* Excludes all upstreams of the data centre from this request's retries. */
-static void avoid_data_centre(struct request_run *run);
 static enum error_code deliver_text(
     void *context, uint64_t sequence, const void *bytes, size_t size);
 /* Sets the time after which silence counts as a stall, from the time expected
  * until the next piece. */
 static void set_stall_deadline(struct request_run *run, double expected_ms);
-static struct upstream_target route_target(const struct request_run *run);
 
 void
 request_run_init(struct request_run *run, struct host *host,
@@ -201,6 +193,17 @@
 		request_claim_finish(run);
 }
 
+struct upstream_target
+request_run_target(const struct request_run *run)
+{
+	struct upstream_target target = {0};
+
+	snprintf(
+	    target.url, sizeof(target.url), "%s", run->ticket.assignment.url);
+	target.incarnation = run->ticket.assignment.incarnation;
+	return target;
+}
+
 static void
 advance_waiting(struct request_run *run, int64_t until_ms)
 {
@@ -234,7 +237,7 @@
 		dispatch(run);
 		return;
 	}
-	if (run->upstream_crashed && !check_quarantine(run))
+	if (!request_crash_may_rerun(run))
 		return;
 	error = wait_line_requeue(&run->host->wait_line, &run->ticket);
 	if (error == ERROR_NONE)
@@ -246,27 +249,6 @@
 		    run->ticket.retry_after_ms);
 }
 
-/* Asks the quarantine whether the request may run again after a crash, possibly
- * only alone on its upstream. If not, ends the run and returns false. */
-static bool
-check_quarantine(struct request_run *run)
-{
-	enum quarantine_action action;
-
-	action = host_check_quarantine(run->host, &run->key, NULL);
-	run->upstream_crashed = false;
-	run->ticket.must_run_alone = action == QUARANTINE_RUN_ALONE;
-	/* Crashes close together in one data centre count as one event, which
-	 * doesn't show whether the request caused them. A run in another data
-	 * centre does. */
-	if (action == QUARANTINE_RUN_ALONE)
-		avoid_data_centre(run);
-	if (action == QUARANTINE_RUN || action == QUARANTINE_RUN_ALONE)
-		return true;
-	request_run_end(run, ERROR_QUARANTINED, REQUEST_OUTCOME_FAILED, 0);
-	return false;
-}
-
 static void
 advance_running(struct request_run *run, int64_t until_ms)
 {
@@ -392,7 +374,7 @@
 {
 	const struct request_facts *facts = &run->input.facts;
 
-	attempt_input->target = route_target(run);
+	attempt_input->target = request_run_target(run);
 	attempt_input->request_id = facts->id;
 	attempt_input->attempt = run->attempt;
 	snprintf(attempt_input->model, sizeof(attempt_input->model), "%s",
@@ -568,12 +550,9 @@
 		return;
 	}
 	run->upstream_says_failed = piece->outcome == REQUEST_OUTCOME_FAILED;
-	/* Only a broken connection may mean that the upstream crashed. */
-	run->upstream_crashed = piece->error == ERROR_CONNECTION;
-	if (run->upstream_crashed)
-		host_report_crash(host, run->ticket.assignment.upstream_id,
-		    run->ticket.assignment.incarnation,
-		    run->ticket.assignment.data_centre, &run->key);
+	run->upstream_crashed = false;
+	if (piece->error == ERROR_CONNECTION)
+		request_crash_suspect(run);
 	fail_attempt(run,
 	    piece->error == ERROR_UPSTREAM_FAILED ? ATTEMPT_ERROR
 						  : ATTEMPT_CONNECTION,
@@ -626,11 +605,8 @@
 	    error_name(cause), run->attempt);
 	if (decision.action == RETRY_RERUN)
 		restart_answer(run);
-	/* The quarantine must evaluate the crash before the request reruns. */
-	if (run->upstream_crashed && !run->resumes &&
-	    decision.pause_ms < CRASH_EVALUATION_MS)
-		decision.pause_ms = CRASH_EVALUATION_MS;
-	run->resume_at_ms = host_now_ms() + decision.pause_ms;
+	run->resume_at_ms =
+	    host_now_ms() + request_crash_pause_ms(run, decision.pause_ms);
 	run->state = REQUEST_STATE_PAUSED;
 }
 
@@ -679,7 +655,7 @@
 	/* A group run cancels the request at its upstreams itself. */
 	if (cancel_upstream && run->stage != ATTEMPT_NOT_SENT &&
 	    !run->ticket.needs_group) {
-		target = route_target(run);
+		target = request_run_target(run);
 		upstream_http_adapter.cancel(
 		    &run->host->upstreams_http, &target, run->input.facts.id);
 	}
@@ -705,25 +681,6 @@
 	fleet_unlock(view);
 }
 
-static void
-avoid_data_centre(struct request_run *run)
-{
-	struct wait_ticket *ticket = &run->ticket;
-	const struct upstream_record *record;
-	const struct fleet_view *view;
-	uint32_t i;
-
-	view = fleet_lock(&run->host->fleet);
-	for (i = 0; i < view->entry_count; i++) {
-		record = &view->entries[i].upstream->record;
-		if (ticket->excluded_count < WAIT_EXCLUDED_MAX &&
-		    strcmp(record->data_centre,
-			ticket->assignment.data_centre) == 0)
-			ticket->excluded[ticket->excluded_count++] = record->id;
-	}
-	fleet_unlock(view);
-}
-
 static enum error_code
 deliver_text(void *context, uint64_t sequence, const void *bytes, size_t size)
 {
@@ -740,14 +697,3 @@
 	run->stall_deadline_ms = retry_stall_at(&run->host->retry, expected_ms,
 	    host_now_ms(), run->input.facts.deadline_ms);
 }
-
-static struct upstream_target
-route_target(const struct request_run *run)
-{
-	struct upstream_target target = {0};
-
-	snprintf(
-	    target.url, sizeof(target.url), "%s", run->ticket.assignment.url);
-	target.incarnation = run->ticket.assignment.incarnation;
-	return target;
-}
--- a/src/request/request_run.h
+++ b/src/request/request_run.h
@@ -61,8 +61,8 @@
 	uint32_t answer_attempt;   /**< Attempt that began the answer, by which
 				its upstream knows the stream. */
 	enum attempt_stage stage;  /**< How far the attempt has come. */
-	bool upstream_crashed; /**< The last attempt's connection broke, so its
-				    upstream may have crashed. */
+	bool upstream_crashed; /**< The last attempt's connection broke, and its
+				    upstream no longer runs. */
 	bool upstream_says_failed; /**< The attempt ended with "failed". */
 	bool resumes;	   /**< The next attempt resumes the stream on the
 				    same upstream. */
--- a/src/request/request_run_parts.h
+++ b/src/request/request_run_parts.h
@@ -17,6 +17,9 @@
 void request_run_end(struct request_run *run, enum error_code code,
     enum request_outcome outcome, int64_t retry_after_ms);
 
+/** Upstream that the request was last assigned. */
+struct upstream_target request_run_target(const struct request_run *run);
+
 /* request_claim.c */
 
 /** Claims the idempotency key for this request. If that fails, ends the run and
@@ -25,4 +28,18 @@
 /** Records with the claim how the request ended, without waiting for it. */
 void request_claim_finish(struct request_run *run);
 
+/* request_crash.c */
+
+/** Asks the upstream of an attempt whose connection broke whether it still runs;
+ * if not, reports that it crashed under this request. Sets upstream_crashed. */
+void request_crash_suspect(struct request_run *run);
+/** Pause before the next attempt: @p pause_ms, but after a crash at least until
+ * the quarantine has judged it. */
+uint32_t request_crash_pause_ms(
+    const struct request_run *run, uint32_t pause_ms);
+/** Asks the quarantine, after a crash, whether the request may run again,
+ * possibly only alone on its upstream. If not, ends the run and returns
+ * false. */
+bool request_crash_may_rerun(struct request_run *run);
+
 #endif
--- a/src/transport/upstream_adapter.h
+++ b/src/transport/upstream_adapter.h
@@ -6,8 +6,8 @@
  * generate(), resume() and call() start an attempt on a thread of the adapter
  * and return at once. The answer, or the failure, is pushed to the queue; the
  * last piece is PIECE_KIND_END or PIECE_KIND_FAILED. The caller abandons an
- * attempt with piece_queue_close(). cancel() doesn't wait either. The KV memory
- * functions and order() block until the answer or their deadline, so they must
+ * attempt with piece_queue_close(). cancel() doesn't wait either. probe(), the KV
+ * memory functions and order() block until the answer or their deadline, so they must
  * not be called on the coordination thread but on a worker thread. Apart from
  * that, every function may be called on any thread.
  */
@@ -146,6 +146,10 @@
 	void (*cancel)(void *context, const struct upstream_target *target,
 	    uint64_t request_id);
 
+	/** Returns ERROR_NONE if the upstream accepts a connection. */
+	enum error_code (*probe)(void *context,
+	    const struct upstream_target *target, int64_t deadline_ms);
+
 	/* Functions for KV memory; upstream_control.h describes them. */
 	enum error_code (*kv_reserve)(void *context,
 	    const struct upstream_target *target, uint64_t reservation,
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -39,6 +39,31 @@
 static enum error_code parse_held(
     const json_t *reply, struct held_reservation_list *held);
 
+enum error_code
+upstream_control_probe(
+    void *context, const struct upstream_target *target, int64_t deadline_ms)
+{
+	CURLcode result;
+	int64_t left_ms;
+	CURL *curl;
+
+	(void)context;
+	left_ms = deadline_ms - clock_monotonic_ms();
+	if (left_ms <= 0)
+		return ERROR_CONNECTION;
+	curl = curl_easy_init();
+	if (curl == NULL)
+		return ERROR_NO_MEMORY;
+	curl_easy_setopt(curl, CURLOPT_URL, target->url);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_CONNECT_ONLY, 1L);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)left_ms);
+	result = curl_easy_perform(curl);
+	curl_easy_cleanup(curl);
+	return result == CURLE_OK ? ERROR_NONE : ERROR_CONNECTION;
+}
+
 enum error_code
 upstream_control_kv_reserve(void *context, const struct upstream_target *target,
     uint64_t reservation, uint64_t tokens, int64_t deadline_ms)
--- a/src/transport/upstream_control.h
+++ b/src/transport/upstream_control.h
@@ -1,9 +1,9 @@
 /**
  * @file upstream_control.h
- * The blocking functions of the upstream adapter over HTTP: KV memory and
- * orders.
+ * The blocking functions of the upstream adapter over HTTP: probes, KV memory
+ * and orders.
  *
- * Each function sends one JSON request and waits for the reply until its
+ * Each function but the probe sends one JSON request and waits for the reply until its
  * deadline on the monotonic clock. struct upstream_adapter lists the errors.
  * The context argument is not used. Any thread but the coordination thread may
  * call the functions.
@@ -16,6 +16,11 @@
 #include "base/error_code.h"
 #include "transport/upstream_adapter.h"
 
+/** Returns ERROR_NONE if the upstream accepts a connection before the deadline,
+ * else ERROR_CONNECTION. Nothing is sent. */
+enum error_code upstream_control_probe(
+    void *context, const struct upstream_target *target, int64_t deadline_ms);
+
 /* KV memory */
 
 /** Reserves KV memory for @p tokens under the id @p reservation. Reserving an
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -108,6 +108,7 @@
     .resume = start_resume,
     .call = start_call,
     .cancel = start_cancel,
+    .probe = upstream_control_probe,
     .kv_reserve = upstream_control_kv_reserve,
     .kv_export = upstream_control_kv_export,
     .kv_import = upstream_control_kv_import,
--- a/tests/test_upstream_http.c
+++ b/tests/test_upstream_http.c
@@ -535,6 +535,25 @@
 	close_fixture(&fixture);
 }
 
+static void
+test_probe_tells_a_living_upstream(void **state)
+{
+	struct fixture fixture;
+
+	(void)state;
+	open_fixture(&fixture, "", FAKE_UPSTREAM_STALLS);
+	assert_int_equal(upstream_http_adapter.probe(NULL, &fixture.call.target,
+			     fixture.call.deadline_ms),
+	    ERROR_NONE);
+	close_fixture(&fixture);
+	assert_int_equal(upstream_http_adapter.probe(NULL, &fixture.call.target,
+			     fixture.call.deadline_ms),
+	    ERROR_CONNECTION);
+	assert_int_equal(upstream_http_adapter.probe(
+			     NULL, &fixture.call.target, clock_monotonic_ms()),
+	    ERROR_CONNECTION);
+}
+
 static int
 set_up(void **state)
 {
@@ -559,6 +578,7 @@
 	    cmocka_unit_test(test_plain_calls_pass_on_answers_and_refusals),
 	    cmocka_unit_test(test_control_answers_map_to_errors),
 	    cmocka_unit_test(test_control_keeps_its_deadline),
+	    cmocka_unit_test(test_probe_tells_a_living_upstream),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
