A prompt is given up after eight attempts, not four within a tenth of a second

Its log: four faults of four engines within 125 ms, of a deadline of 30 s.

Cause: the bound of four attempts, whose backoffs of 20, 40 and 80 ms end before any outage does. A caller with time left was told 502 while engines answered others.

Ruled out: the quarantine (no E5006, no E5007); the retry budget (not used up); the resume (the heads were cut, nothing had come).

Change: eight attempts. Their backoffs, up to a second each, add to 1.1 s at least, so an outage of a second that breaks each attempt at once is outlasted. What retries cost the upstreams is bounded by the retry budget as before (one in ten requests), what a caller waits by its deadline. The row of test_retry that asks for a bound has the new number.

Before: test_outage_of_a_second_is_outlasted fails. After: passes, as do the other tests of retries.

--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -6,7 +6,7 @@
 
 #define BUDGET_RATIO	      0.1
 #define BUDGET_MAX	      50
-#define ATTEMPTS_MAX	      4
+#define ATTEMPTS_MAX	      8
 #define STALL_FACTOR	      5.0
 #define STALL_MIN_MS	      500
 #define STALL_DEADLINE_SHARE  0.4
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -12,6 +12,7 @@
 #include "coordination/retry.h"
 
 #define DEADLINE_MS 10000
+#define OUTAGE_MS   1000
 
 struct retry_case {
 	const char *what;
@@ -66,7 +67,7 @@
 	{2, SENT, ATTEMPT_REFUSED, 0, true, false, 100, false, 0, false}, true,
 	RETRY_RERUN, UNKNOWN},
     {"attempts are bounded",
-	{4, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 100, false, 0,
+	{8, NOT_SENT, ATTEMPT_CONNECTION, 0, false, false, 100, false, 0,
 	    false},
 	true, RETRY_GIVE_UP, NOT_RUN},
     {"no time left",
@@ -136,6 +137,36 @@
 	}
 }
 
+/* An outage of a second that breaks every attempt at once is outlasted, however
+ * the jitter falls, if the request has the time. */
+static void
+test_outage_of_a_second_is_outlasted(void **state)
+{
+	struct retry_settings settings = {0};
+	struct retry_budget budget;
+	struct request_facts facts = {
+	    .deadline_ms = DEADLINE_MS, .is_idempotent = true};
+	struct attempt_report report = {
+	    .stage = ATTEMPT_SENT,
+	    .failure = ATTEMPT_CONNECTION,
+	    .expected_ms = 100,
+	};
+	struct retry_decision decision;
+	int64_t now_ms;
+
+	(void)state;
+	retry_settings_fill(&settings);
+	retry_budget_init(&budget, &settings);
+	now_ms = 0;
+	do {
+		report.attempt++;
+		decision = retry_decide(
+		    &settings, &budget, &facts, &report, 0, now_ms);
+		now_ms += decision.pause_ms;
+	} while (decision.action != RETRY_GIVE_UP);
+	assert_true(now_ms >= OUTAGE_MS);
+}
+
 /* When every request fails, retries stay a small share of the admitted
  * requests. */
 static void
@@ -301,6 +332,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_retries_follow_failure_and_idempotency),
+	    cmocka_unit_test(test_outage_of_a_second_is_outlasted),
 	    cmocka_unit_test(test_retry_budget_bounds_retries),
 	    cmocka_unit_test(test_stall_time_follows_expectation_and_deadline),
 	    cmocka_unit_test(test_requests_are_admitted_by_deadline_and_limit),
