A planned stop answers the requests that it leaves no more time for

Cause: at the end of the time for running requests relay_stop() reset all connections, also those of requests that only waited for their turn.

Change: once a host stops, placement gets the end of its time as the deadline, so what can't be served by then is refused as soon as that is known, with a short Retry-After since another host can take it. Begun answers go on to the end of the process as before.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -55,6 +55,7 @@
 static void on_prepare(uv_prepare_t *prepare);
 static void on_tick(uv_timer_t *tick);
 static void close_idle_callers(void *context);
+static void end_unanswered(void *context);
 static void for_each_caller(
     struct relay *relay, void (*visit)(struct relay_caller *caller));
 static void close_all(struct relay *relay);
@@ -369,6 +370,10 @@
 			(struct timer_callback){close_idle_callers, relay},
 			NULL) != ERROR_NONE)
 			close_idle_callers(relay);
+		/* If no timer is free, these requests are reset in the end. */
+		(void)timer_subscribe_once(&relay->timers,
+		    relay->settings.stop_finish_ms,
+		    (struct timer_callback){end_unanswered, relay}, NULL);
 	}
 }
 
@@ -415,6 +420,13 @@
 	    (struct timer_callback){close_idle_callers, relay}, NULL);
 }
 
+/* Answers the requests that a planned stop leaves no more time for. */
+static void
+end_unanswered(void *context)
+{
+	for_each_caller(context, relay_caller_end_unanswered);
+}
+
 static void
 for_each_caller(struct relay *relay, void (*visit)(struct relay_caller *caller))
 {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -101,6 +101,8 @@
 	int64_t retry_window_ms; /**< Window over which both are counted. */
 	int64_t stop_accept_ms;	 /**< Time after the start of a planned stop
 				      from which new requests are refused. */
+	int64_t stop_finish_ms;	 /**< Time after the start of a planned stop at
+				      which requests without an answer end. */
 	struct placement_settings placement; /**< Settings of placement. */
 	struct relay_dialect dialect;	     /**< Names used on the wire. */
 };
--- a/src/relay/relay_caller.c
+++ b/src/relay/relay_caller.c
@@ -117,6 +117,13 @@
 	tcp_link_reset(&caller->link);
 }
 
+void
+relay_caller_end_unanswered(struct relay_caller *caller)
+{
+	if (caller->exchange != NULL)
+		relay_exchange_end_at_stop(caller->exchange);
+}
+
 bool
 relay_caller_is_overloaded(const struct relay_caller *caller)
 {
--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -23,6 +23,14 @@
 /* Least Retry-After while a host or the upstreams of a service are starting. */
 #define START_RETRY_AFTER_MS 1500
 
+/* What a caller is told of a request that ends without an answer. */
+struct late_end {
+	uint32_t status;	/* If it may have run. */
+	const char *failed;	/* Text of that answer. */
+	const char *refused;	/* Text if it has not run. */
+	int64_t retry_after_ms; /* Retry-After if it has not run. */
+};
+
 static bool may_send(struct relay_exchange *exchange);
 static void start(struct relay_exchange *exchange);
 static bool arrived_after_drain(const struct relay_exchange *exchange);
@@ -43,8 +51,11 @@
 static const char *refusal_text(enum error_code error);
 static int64_t retry_after_ms(
     struct relay_exchange *exchange, enum error_code error);
+static int64_t stop_deadline_ms(const struct relay *relay);
 static void on_wait_timeout(void *context);
 static void on_deadline_timeout(void *context);
+static void end_without_answer(struct relay_exchange *exchange,
+    const struct late_end *end, enum error_code error);
 static void free_exchange(struct relay_exchange *exchange);
 
 void
@@ -177,7 +188,8 @@
 		return;
 	}
 	exchange->request.arrived_ms = exchange->arrived_ms;
-	exchange->request.deadline_ms = exchange->deadline_ms;
+	exchange->request.deadline_ms =
+	    MIN(exchange->deadline_ms, stop_deadline_ms(exchange->relay));
 	exchange->request.has_partial_answer =
 	    exchange->is_answering ||
 	    exchange->forward.received.has_partial_answer;
@@ -220,6 +232,17 @@
 	relay_exchange_finish(exchange, END_BROKEN, error);
 }
 
+void
+relay_exchange_end_at_stop(struct relay_exchange *exchange)
+{
+	static const struct late_end end = {STATUS_BAD_GATEWAY,
+	    "this host is stopping", "this host is stopping",
+	    STOPPING_RETRY_AFTER_MS};
+
+	if (!exchange->is_answering)
+		end_without_answer(exchange, &end, ERROR_SHUTTING_DOWN);
+}
+
 void
 relay_exchange_refuse(struct relay_exchange *exchange, const char *text,
     int64_t after_ms, enum error_code error)
@@ -484,6 +507,10 @@
 	struct relay *relay = exchange->relay;
 	int64_t after_ms;
 
+	/* Another host can serve it after the stop of this one. */
+	if (error == ERROR_DEADLINE_UNREACHABLE &&
+	    stop_deadline_ms(relay) < exchange->deadline_ms)
+		return STOPPING_RETRY_AFTER_MS;
 	if (error == ERROR_LEASE_EXPIRED || error == ERROR_NO_UPSTREAM ||
 	    error == ERROR_NO_PATH)
 		after_ms = START_RETRY_AFTER_MS;
@@ -502,6 +529,15 @@
 			      &relay->random, (uint32_t)after_ms / 2 + 1);
 }
 
+/* Time by which requests must have ended because this host stops. */
+static int64_t
+stop_deadline_ms(const struct relay *relay)
+{
+	return relay->drain_started_ms == 0
+		   ? INT64_MAX
+		   : relay->drain_started_ms + relay->settings.stop_finish_ms;
+}
+
 static void
 on_wait_timeout(void *context)
 {
@@ -514,24 +550,35 @@
 static void
 on_deadline_timeout(void *context)
 {
+	static const struct late_end end = {STATUS_LATE,
+	    "the time limit has passed", "no upstream could be reached in time",
+	    RETRY_AFTER_DEFAULT_MS};
 	struct relay_exchange *exchange = context;
 
 	if (exchange->is_answering) {
 		relay_exchange_abort(exchange, ERROR_TIMEOUT);
 		return;
 	}
+	end_without_answer(exchange, &end, ERROR_TIMEOUT);
+}
+
+/* Ends a request whose answer has not begun. */
+static void
+end_without_answer(struct relay_exchange *exchange, const struct late_end *end,
+    enum error_code error)
+{
 	if (exchange->has_answer) {
 		relay_exchange_deliver(exchange);
 		return;
 	}
 	if (exchange->may_have_run || exchange->is_sent) {
-		relay_answer_json(exchange->caller, STATUS_LATE,
-		    "the time limit has passed", 0);
-		relay_exchange_finish(exchange, END_FAILED, ERROR_TIMEOUT);
+		relay_answer_json(
+		    exchange->caller, end->status, end->failed, 0);
+		relay_exchange_finish(exchange, END_FAILED, error);
 		return;
 	}
-	relay_exchange_refuse(exchange, "no upstream could be reached in time",
-	    RETRY_AFTER_DEFAULT_MS, ERROR_TIMEOUT);
+	relay_exchange_refuse(
+	    exchange, end->refused, end->retry_after_ms, error);
 }
 
 static void
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -201,6 +201,9 @@
 void relay_caller_done(struct relay_caller *caller);
 /** Resets the connection, so that the caller sees an incomplete answer. */
 void relay_caller_reset(struct relay_caller *caller);
+/** Ends the caller's request at the end of a planned stop, unless its answer has
+ * begun. */
+void relay_caller_end_unanswered(struct relay_caller *caller);
 /** Returns true if so much is queued for the caller that it seems not to read. */
 bool relay_caller_is_overloaded(const struct relay_caller *caller);
 /** Ends the connection if no request has begun, for a planned stop. */
@@ -235,6 +238,9 @@
  * exchange; @p error is logged as the reason. */
 void relay_exchange_abort(
     struct relay_exchange *exchange, enum error_code error);
+/** Answers, because this host stops, that the request did not run or that it
+ * failed, and frees the exchange. An answer that has begun goes on. */
+void relay_exchange_end_at_stop(struct relay_exchange *exchange);
 /** Answers that the request did not run, with a Retry-After, and frees the
  * exchange. */
 void relay_exchange_refuse(struct relay_exchange *exchange, const char *text,
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -626,6 +626,7 @@
 	settings.retry_slack = 10;
 	settings.retry_window_ms = 10000;
 	settings.stop_accept_ms = 60000;
+	settings.stop_finish_ms = 60000;
 	settings.dialect = platform_dialect;
 	if (relay_init(&fixture->relay, &settings, fixture->host, host_id) !=
 		ERROR_NONE ||
