Own interface: the end of a planned stop answers what waits and what runs

Cause: stop_host() ended the HTTP server once the grace time was over; the runs were not told.

Change: struct host has the time at which a stop ends runs. A run that finds it past ends with shutting_down: not_run, with a Retry-After, if nothing was sent, else unknown; 1.5 s remain for runs to notice and for the answers. A run to which that gives room does not begin any more (found on the way: the waiting ones were sent to the engine in the last millisecond and told unknown).

--- a/src/host/host.h
+++ b/src/host/host.h
@@ -160,7 +160,10 @@
 	_Atomic uint32_t entry_host_rank;
 	/** End of the configuration lease; no override extends it. */
 	_Atomic int64_t confirmed_until_ms;
-	_Atomic bool is_stopping;    /**< Ends the main loop. */
+	_Atomic bool is_stopping; /**< Ends the main loop. */
+	/** When requests without a whole answer end because the host stops, on
+	 * the monotonic clock; 0 while it does not. */
+	_Atomic int64_t requests_end_ms;
 	_Atomic bool is_draining;    /**< New requests are not accepted. */
 	bool has_disk;		     /**< A data folder is configured. */
 	bool is_agreement_ready;     /**< The feed may be called. */
--- a/src/request/request_run.c
+++ b/src/request/request_run.c
@@ -23,6 +23,9 @@
 #define PIECE_INTERVAL_EXPECTED_MS 200.0
 #define US_PER_MS		   1000
 
+static bool must_end_for_stop(const struct request_run *run);
+/* Ends the run before its answer is whole, and cancels its attempt. */
+static void end_early(struct request_run *run, enum error_code code);
 /* Waits in the queue for an upstream, then dispatches the request. */
 static void advance_waiting(struct request_run *run, int64_t until_ms);
 /* Waits out the pause before a retry, then dispatches to the same upstream or
@@ -120,6 +123,8 @@
 request_run_advance(struct request_run *run, int64_t until_ms)
 {
 	do {
+		if (must_end_for_stop(run))
+			end_early(run, ERROR_SHUTTING_DOWN);
 		switch (run->state) {
 		case REQUEST_STATE_WAITING:
 			advance_waiting(run, until_ms);
@@ -140,15 +145,8 @@
 void
 request_run_cancel(struct request_run *run)
 {
-	bool may_have_run;
-
-	if (run->state == REQUEST_STATE_ENDED)
-		return;
-	may_have_run = run->may_have_run || run->stage != ATTEMPT_NOT_SENT;
-	release_attempt(run, true);
-	request_run_end(run, ERROR_CANCELLED,
-	    may_have_run ? REQUEST_OUTCOME_UNKNOWN : REQUEST_OUTCOME_NOT_RUN,
-	    0);
+	if (run->state != REQUEST_STATE_ENDED)
+		end_early(run, ERROR_CANCELLED);
 }
 
 void
@@ -204,13 +202,40 @@
 	return target;
 }
 
+/* Whether the host stops and has no time left for this run. */
+static bool
+must_end_for_stop(const struct request_run *run)
+{
+	int64_t end_ms = atomic_load(&run->host->requests_end_ms);
+
+	return run->state != REQUEST_STATE_ENDED && end_ms != 0 &&
+	       host_now_ms() >= end_ms;
+}
+
+static void
+end_early(struct request_run *run, enum error_code code)
+{
+	bool may_have_run;
+
+	may_have_run = run->may_have_run || run->stage != ATTEMPT_NOT_SENT;
+	release_attempt(run, true);
+	if (may_have_run)
+		request_run_end(run, code, REQUEST_OUTCOME_UNKNOWN, 0);
+	else
+		request_run_end(run, code, REQUEST_OUTCOME_NOT_RUN,
+		    code == ERROR_SHUTTING_DOWN ? RETRY_AFTER_MS : 0);
+}
+
 static void
 advance_waiting(struct request_run *run, int64_t until_ms)
 {
 	enum error_code error;
 
 	error = wait_line_await(&run->host->wait_line, &run->ticket, until_ms);
-	if (error == ERROR_NONE)
+	/* A run that the stop has just ended may have made room for this one. */
+	if (must_end_for_stop(run))
+		end_early(run, ERROR_SHUTTING_DOWN);
+	else if (error == ERROR_NONE)
 		dispatch(run);
 	else if (error != ERROR_TIMEOUT)
 		request_run_end(run, error,
--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -18,6 +18,9 @@
 /* The HTTP port stays open this long after /readyz has turned to 503, so that
  * the load balancer stops sending requests before the port closes. */
 #define READINESS_NOTICE_US 1500000ul
+/* Time for the requests that the end of the grace time ends to notice it, and
+ * for their answers to be sent. */
+#define LAST_ANSWERS_MS 1500
 
 static const struct http_route routes[] = {
     {"POST", "/v1/completions", api_completions},
@@ -132,16 +135,20 @@
 }
 
 /* Stops in order: /readyz reports 503 and new requests are refused, then new
- * connections, and running requests may end within the grace time. */
+ * connections, and running requests may end within the grace time. At its end
+ * the others get their errors. */
 static void
 stop_host(struct host *host, struct http_server *server)
 {
+	int64_t end_ms;
+
 	event_log_write(EVENT_HOST_STOPPING, "%u requests running",
 	    atomic_load(&host->running_requests));
 	host_drain(host);
 	g_usleep(READINESS_NOTICE_US);
-	if (http_server_drain(server,
-		host_now_ms() + host->settings.stop_grace_ms) != ERROR_NONE)
+	end_ms = host_now_ms() + host->settings.stop_grace_ms;
+	atomic_store(&host->requests_end_ms, end_ms);
+	if (http_server_drain(server, end_ms + LAST_ANSWERS_MS) != ERROR_NONE)
 		event_log_write(EVENT_HOST_STOPPING,
 		    "requests aborted at the end of the grace time: %u",
 		    atomic_load(&host->running_requests));
