A peer that floods a connection leaves the loop its turns

Cause: one pass of the event loop read up to 32 times 64 KiB of one connection, two MiB, before timers and other connections had their turn. Any upstream that sends without end delays all other requests of its host so.

Change: a read takes 16 KiB, so a pass takes at most 512 KiB of one connection. Events and most answers fit in one read.

Before: test_flood_is_read_in_turns fails.

--- a/src/transport/tcp_link.c
+++ b/src/transport/tcp_link.c
@@ -9,7 +9,9 @@
 
 #include <glib.h>
 
-#define READ_SIZE 65536 /* Bytes requested by one read. */
+/* Bytes requested by one read. A pass of the loop makes up to 32 reads of a link
+ * before it serves others. */
+#define READ_SIZE 16384
 /* Longest wait for a TCP ACK. It also decides when keepalive probes give up,
  * however many were sent. */
 #define USER_TIMEOUT_MS	     2500
--- a/tests/test_tcp_link.c
+++ b/tests/test_tcp_link.c
@@ -16,6 +16,9 @@
 
 #include "transport/tcp_link.h"
 
+#define FLOOD_BYTES    (8 * 1024 * 1024)
+#define PASS_BYTES_MAX (512 * 1024)
+
 /* A link, the other end of its connection and the events it reported. */
 struct fixture {
 	uv_loop_t loop;
@@ -134,12 +137,39 @@
 	check_end(true);
 }
 
+/* A peer that sends without end leaves the loop time for its other links and
+ * timers: one pass of the loop reads a bounded part of it. */
+static void
+test_flood_is_read_in_turns(void **state)
+{
+	static const char flood[FLOOD_BYTES];
+	struct fixture fixture;
+	size_t before, left;
+	ssize_t sent;
+
+	(void)state;
+	open_fixture(&fixture);
+	for (left = sizeof(flood);
+	     left > 0 || fixture.received < FLOOD_BYTES;) {
+		sent = left == 0 ? 0
+				 : send(fixture.peer_fd, flood, left,
+				       MSG_DONTWAIT | MSG_NOSIGNAL);
+		left -= sent > 0 ? (size_t)sent : 0;
+		before = fixture.received;
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+		assert_true(fixture.received - before <= PASS_BYTES_MAX);
+	}
+	close(fixture.peer_fd);
+	close_fixture(&fixture);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_close_is_a_clean_end),
 	    cmocka_unit_test(test_reset_after_data_is_not_a_clean_end),
+	    cmocka_unit_test(test_flood_is_read_in_turns),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
