An answer whose head runs into another one is no answer

"HTTP/1.1 200 O" before a complete 500 reached the caller as 200 with the receipt and the body of the 500; so did a 500 that began in a value. A refusal that stopped within its field hid the answer behind it: "not run" was believed, and the request ran at a second upstream.

Cause: the line in which the first head stops takes up the status line of the second one, and a reason and a value may hold any text. Only a head that stops at a line's end or in a name was refused (a status line is no field, a name has no slash).

Change: a head with a status line in its reason or in a value is malformed, so the attempt may have run. A version alone ("Via: HTTP/1.1 proxy") is none.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -26,12 +26,17 @@
 	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"                  \
 	"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
+/* Beginning of a status line; a number, a dot, a number and the status follow. */
+#define VERSION_PREFIX "HTTP/"
+#define STATUS_DIGITS  3
+
 /* Bytes of a header line that its stored text lacks: the line has four bytes
  * beside name and value (": " and CR LF), the text two terminating NULs. */
 #define FIELD_OVERHEAD_BYTES 2
 
 static int on_message_begin(http_parser *parser);
 static int on_target(http_parser *parser, const char *data, size_t size);
+static int on_reason(http_parser *parser, const char *data, size_t size);
 static int on_field_name(http_parser *parser, const char *data, size_t size);
 static int on_field_value(http_parser *parser, const char *data, size_t size);
 static int on_head_complete(http_parser *parser);
@@ -40,6 +45,7 @@
 static bool check_line_ends(struct http_reader *reader, const char *end);
 static bool are_names_valid(const struct http_head *head);
 static bool is_coding_known(const struct http_head *head);
+static bool runs_into_another(const struct http_head *head);
 static void trim_values(struct http_head *head);
 static void init_head(struct http_head *head);
 static bool has_token(const char *list, const char *token);
@@ -47,6 +53,7 @@
 static const http_parser_settings parser_settings = {
     .on_message_begin = on_message_begin,
     .on_url = on_target,
+    .on_status = on_reason,
     .on_header_field = on_field_name,
     .on_header_value = on_field_value,
     .on_headers_complete = on_head_complete,
@@ -134,6 +141,23 @@
 	return status == STATUS_NO_CONTENT || status == STATUS_NOT_CHANGED;
 }
 
+bool
+http_has_status_line(const char *text)
+{
+	const char *at;
+
+	for (at = strstr(text, VERSION_PREFIX); at != NULL;
+	     at = strstr(at, VERSION_PREFIX)) {
+		at += strlen(VERSION_PREFIX);
+		if (g_ascii_isdigit(at[0]) && at[1] == '.' &&
+		    g_ascii_isdigit(at[2]) && at[3] == ' ' &&
+		    strspn(at + 4, "0123456789") == STATUS_DIGITS &&
+		    !g_ascii_isalpha(at[4 + STATUS_DIGITS]))
+			return true;
+	}
+	return false;
+}
+
 const char *
 http_head_get(const struct http_head *head, const char *name)
 {
@@ -226,6 +250,13 @@
 	return 0;
 }
 
+/* The text behind the status is kept only to be checked. */
+static int
+on_reason(http_parser *parser, const char *data, size_t size)
+{
+	return on_target(parser, data, size);
+}
+
 static int
 on_field_name(http_parser *parser, const char *data, size_t size)
 {
@@ -282,7 +313,8 @@
 	trim_values(head);
 	reader->is_malformed =
 	    !are_names_valid(head) || !is_coding_known(head) ||
-	    (!reader->is_request && parser->status_code < STATUS_MIN);
+	    (!reader->is_request &&
+		(parser->status_code < STATUS_MIN || runs_into_another(head)));
 	if (reader->is_malformed)
 		return -1;
 	reader->has_head = true;
@@ -389,6 +421,22 @@
 	return count <= 1;
 }
 
+/* True if the head stops within a line, and another one follows, whose fields would
+ * be taken for those of this one. */
+static bool
+runs_into_another(const struct http_head *head)
+{
+	guint i;
+
+	if (http_has_status_line(head->target->str))
+		return true;
+	for (i = 0; i < head->fields->len; i++) {
+		if (http_has_status_line(http_head_value(head, i)))
+			return true;
+	}
+	return false;
+}
+
 /* Removes spaces and tabs after each value, which HTTP doesn't count as part of
  * the value. */
 static void
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -37,9 +37,11 @@
 	/** The client waits for status 100 (Continue) before it sends the
 	 * body. */
 	bool expects_continue;
-	GString *target; /**< Path and query of a request. */
-	GString *text;	 /**< Field names and values, each NUL-terminated. */
-	GArray *fields;	 /**< Elements of struct http_field, in order. */
+	GString
+	    *target;	/**< Path and query of a request, or the text behind the
+			      status of a response. */
+	GString *text;	/**< Field names and values, each NUL-terminated. */
+	GArray *fields; /**< Elements of struct http_field, in order. */
 };
 
 /** Functions that the reader calls while it reads a message. */
@@ -110,6 +112,9 @@
 /** True for a status whose answers end with their heads, whatever length these
  * announce. */
 bool http_status_has_no_body(uint32_t status);
+/** True if a text contains the status line of a response. In the line of another
+ * response it shows that this one stopped there. */
+bool http_has_status_line(const char *text);
 /** Returns the value of the first field called @p name, matched without regard
  * to case, or NULL if there is none. */
 const char *http_head_get(const struct http_head *head, const char *name);
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -88,6 +88,10 @@
     {"408 that does not say so, kept connection", FAILURE("408 Late", "{ID}"),
 	WARM_REQUESTS},
     {"503 without an id, kept connection", REFUSAL_WITHOUT_ID, WARM_REQUESTS},
+    {"a refusal that stops in its field, and an answer behind it",
+	"HTTP/1.1 503 Busy\r\nNot-Executed: 1HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
+	"Content-Length: 5\r\n\r\nbody!",
+	0},
     {"a success that says that it did not run",
 	"HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
 	"Not-Executed: 1\r\nContent-Length: 5\r\n\r\nbody!",
