An answer that names two requests is attributed to none

Callers of routes that run a request once had it run at two upstreams after a 503 or 421 that bore their id and, in a second field, that of another request; a 200 of this kind reached them as theirs. Two heads that were mixed up look so.

Cause: the id was read from the first field of its name, whatever the others said.

Ruled out: a list in one field ("a, b" equals no id and is foreign already); an id twice (the same one; it stays accepted).

Change: if the fields differ, the owner is unknown, as without an id on a kept connection: the attempt may have run, and nothing of the head is believed.

Before (trial that goes on after a finding): four new rows of test_refused red, each here and over another host: 503, 421, 503 on a kept connection (200 from a second upstream), 200. After: test_refused 11 of 11, test_relay 15, test_no_path 8, test_broken_answers 9 (build without sanitizers).

--- a/src/relay/relay_head.c
+++ b/src/relay/relay_head.c
@@ -5,6 +5,8 @@
 #include "base/event_log.h"
 #include "relay/relay_parts.h"
 
+static enum answer_owner find_owner(
+    const struct relay_exchange *exchange, const struct http_head *head);
 static void read_statement(const struct relay_exchange *exchange,
     const struct http_head *head, struct upstream_statement *statement);
 static void log_malformed(
@@ -20,8 +22,7 @@
 
 	memset(facts, 0, sizeof(*facts));
 	facts->status = head->status;
-	facts->owner = pool_call_attribute(
-	    exchange->call, http_head_get(head, dialect->attempt_id));
+	facts->owner = find_owner(exchange, head);
 	facts->has_receipt = http_head_get(head, dialect->receipt) != NULL;
 	facts->is_encoded = http_head_get(head, "Content-Encoding") != NULL;
 	facts->is_refusal = http_head_get(head, dialect->refusal) != NULL;
@@ -57,6 +58,22 @@
 	relay_schedule_report(relay);
 }
 
+/* An answer that names two requests may be that of either. */
+static enum answer_owner
+find_owner(const struct relay_exchange *exchange, const struct http_head *head)
+{
+	const char *field = exchange->relay->settings.dialect.attempt_id;
+	const char *id = http_head_get(head, field);
+	guint i;
+
+	for (i = 0; i < head->fields->len; i++) {
+		if (g_ascii_strcasecmp(http_head_name(head, i), field) == 0 &&
+		    strcmp(http_head_value(head, i), id) != 0)
+			return ANSWER_OF_UNKNOWN;
+	}
+	return pool_call_attribute(exchange->call, id);
+}
+
 /* Reads each of the headers for itself: one that can't be read leaves the others
  * as they are. */
 static void
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -88,6 +88,22 @@
     {"408 that does not say so, kept connection", FAILURE("408 Late", "{ID}"),
 	WARM_REQUESTS},
     {"503 without an id, kept connection", REFUSAL_WITHOUT_ID, WARM_REQUESTS},
+    {"503 that names two requests",
+	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nAttempt-Id: zz\r\n"
+	"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	0},
+    {"421 that names two requests",
+	"HTTP/1.1 421 No\r\nAttempt-Id: {ID}\r\nattempt-id: zz\r\n"
+	"Content-Length: 0\r\n\r\n",
+	0},
+    {"200 that names two requests",
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
+	"Attempt-Id: zz\r\nContent-Length: 5\r\n\r\nbody!",
+	0},
+    {"503 that names two requests, kept connection",
+	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nAttempt-Id: r1\r\n"
+	"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	WARM_REQUESTS},
     {"a refusal that stops in its field, and an answer behind it",
 	"HTTP/1.1 503 Busy\r\nNot-Executed: 1HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
 	"Content-Length: 5\r\n\r\nbody!",
