Test fixture: a relay's write to a closed connection doesn't end the test

serve and the platform's main() ignore SIGPIPE; the fixture of the relay's tests did not. The checks stay as they are.

--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -595,6 +596,8 @@
 	uint32_t i;
 
 	memset(fixture, 0, sizeof(*fixture));
+	/* As in the program. */
+	signal(SIGPIPE, SIG_IGN);
 	fixture->host_id = host_id;
 	pthread_mutex_init(&fixture->peer_mutex, NULL);
 	/* Two threads log; GLib's own writer uses localtime, which the thread
