A stream that another upstream goes on with is checked from its first event

Cause: events of the continuation are dropped by their ids if the caller has them; one without an id was always passed on, wherever it stood. Only the attempt that broke off was asked whether its events have ids.

Ruled out: events without ids in an answer by one upstream, also behind a new event of the continuation (they follow what the same upstream wrote); comments.

Change: until the continuation has brought a new event with an id, one without an id makes it malformed; the stream is continued elsewhere or breaks off. A caller's own Last-Event-Id changes nothing: the caller goes on by itself.

--- a/src/relay/relay_events.c
+++ b/src/relay/relay_events.c
@@ -11,6 +11,8 @@
 static size_t find_event_end(const guint8 *data, size_t size, size_t searched);
 static bool is_event(const char *data, size_t size);
 static bool is_field(const char *line, size_t size);
+static bool has_place(
+    const struct relay_events *events, const char *data, size_t size);
 static bool is_comment(const char *data, size_t size);
 static bool accept_event(
     struct relay_events *events, const char *data, size_t size);
@@ -44,7 +46,8 @@
 	at = 0;
 	while ((end = find_event_end(pending->data + at, pending->len - at,
 		    events->searched)) > 0) {
-		if (!is_event((const char *)pending->data + at, end)) {
+		if (!is_event((const char *)pending->data + at, end) ||
+		    !has_place(events, (const char *)pending->data + at, end)) {
 			error = ERROR_MALFORMED;
 			break;
 		}
@@ -84,6 +87,7 @@
 	if (events->pending != NULL)
 		g_byte_array_set_size(events->pending, 0);
 	events->searched = 0;
+	events->is_unplaced = events->count > 0;
 }
 
 void
@@ -95,6 +99,7 @@
 	events->last_number = g_ascii_strtoull(id, &end, 10);
 	events->has_number = id[0] != '\0' && *end == '\0';
 	events->has_unnamed = false;
+	events->is_unplaced = false;
 }
 
 void
@@ -160,6 +165,16 @@
 	return true;
 }
 
+/* True unless the event may stand before the last one that was relayed. */
+static bool
+has_place(const struct relay_events *events, const char *data, size_t size)
+{
+	char id[EVENT_ID_SIZE];
+
+	return !events->is_unplaced || read_id(data, size, id) ||
+	       is_comment(data, size);
+}
+
 /* True if an event has comments and empty lines only. */
 static bool
 is_comment(const char *data, size_t size)
--- a/src/relay/relay_events.h
+++ b/src/relay/relay_events.h
@@ -33,6 +33,9 @@
 	uint64_t count;	      /**< Number of events relayed. */
 	/** Events without an id were relayed after the one of last_id. */
 	bool has_unnamed;
+	/** The upstream that goes on after another one has brought no new event
+	 * with an id yet, so one without an id may be a repeated one. */
+	bool is_unplaced;
 };
 
 /** Adds @p size bytes of the stream. */
@@ -43,7 +46,8 @@
 /** Appends the events that are complete and new to @p out. Sets @p count to their
  * number. Errors: ERROR_TOO_LARGE if the last event has more than EVENT_BYTES_MAX
  * bytes without an end; ERROR_MALFORMED if an event contains a line that is none of
- * an event, or two ids. The events before it are taken. */
+ * an event, or two ids, or if it has no id and begins the continuation by another
+ * upstream. The events before it are taken. */
 enum error_code relay_events_take(
     struct relay_events *events, GByteArray *out, uint32_t *count);
 /** Returns true if the bytes so far end within an event. */
@@ -51,7 +55,8 @@
 /** Returns false if another upstream would repeat events that were relayed,
  * because they have no id after which it could resume. Comments don't count. */
 bool relay_events_can_resume(const struct relay_events *events);
-/** Discards an incomplete event after its upstream has failed. */
+/** Discards an incomplete event after its upstream has failed; another one may go
+ * on behind the last event. */
 void relay_events_drop_partial(struct relay_events *events);
 /** Sets the id of the last event relayed, for example the one after which the
  * caller asks to resume. */
