Tests of the pool: unread bytes on an idle connection, unframed repeated answers

The test plays the upstream itself and runs the pool's loop step by step, so that bytes arrive after the loop last read and before the next call begins.

Seen red in a scratch copy: with the look into the socket switched off, the request goes out on the connection with unread bytes (first test); without the failure of an unframed answer to an earlier request the call never ends (second test).

--- /dev/null
+++ b/tests/test_upstream_pool.c
@@ -0,0 +1,319 @@
+/*
+ * Tests of the pool of connections to upstreams: bytes that belong to no call, and
+ * answers to earlier requests, reach no later call on the same connection.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <cmocka.h>
+
+#include "transport/upstream_pool.h"
+
+#define ID_FIELD	"Attempt-Id"
+#define CONNECTIONS_MAX 3
+#define TIMERS_MAX	64
+#define READ_SIZE	4096
+/* Longest wait for what must happen. */
+#define ROUNDS_MAX 3000
+#define ROUND_US   1000
+
+#define ANSWER(status, id, fields)                                             \
+	"HTTP/1.1 " status "\r\n" ID_FIELD ": " id "\r\n" fields "\r\n"
+#define OK_ANSWER(id) ANSWER("200 OK", id, "Content-Length: 2\r\n") "ok"
+
+/* A pool, and an upstream that the test plays itself. */
+struct fixture {
+	uv_loop_t loop;
+	struct timer_service timers;
+	struct upstream_pool pool;
+	int listen_fd;
+	int peers[CONNECTIONS_MAX]; /* Other ends, in order of arrival. */
+	uint32_t peer_count;
+	uint64_t address;
+};
+
+/* What came of a call. */
+struct result {
+	struct pool_call *call;
+	uint32_t status; /* Of the answer that was taken. */
+	GString *body;
+	uint32_t discarded; /* Answers that were passed over. */
+	bool has_ended;
+	enum error_code error; /* ERROR_NONE if it was answered. */
+};
+
+static void
+on_sent(void *context)
+{
+	(void)context;
+}
+
+static enum pool_answer
+on_head(void *context, struct http_head *head)
+{
+	struct result *result = context;
+
+	if (pool_call_attribute(result->call, http_head_get(head, ID_FIELD)) ==
+	    ANSWER_OF_EARLIER) {
+		result->discarded++;
+		return POOL_ANSWER_DISCARD;
+	}
+	result->status = head->status;
+	return POOL_ANSWER_TAKE;
+}
+
+static void
+on_body(void *context, const char *data, size_t size)
+{
+	struct result *result = context;
+
+	g_string_append_len(result->body, data, (gssize)size);
+}
+
+static void
+on_done(void *context)
+{
+	struct result *result = context;
+
+	result->has_ended = true;
+}
+
+static void
+on_failed(void *context, enum error_code error)
+{
+	struct result *result = context;
+
+	result->has_ended = true;
+	result->error = error;
+}
+
+static void
+open_fixture(struct fixture *fixture)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+	char text[UPSTREAM_ADDRESS_SIZE];
+
+	memset(fixture, 0, sizeof(*fixture));
+	uv_loop_init(&fixture->loop);
+	timer_init(&fixture->timers, TIMERS_MAX, 0);
+	upstream_pool_init(&fixture->pool, &fixture->loop, &fixture->timers);
+	fixture->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(
+	    bind(fixture->listen_fd, (struct sockaddr *)&address, size), 0);
+	assert_int_equal(listen(fixture->listen_fd, CONNECTIONS_MAX), 0);
+	assert_int_equal(
+	    getsockname(fixture->listen_fd, (struct sockaddr *)&address, &size),
+	    0);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
+	fixture->address = upstream_address_parse(text);
+}
+
+static void
+close_fixture(struct fixture *fixture)
+{
+	uint32_t i;
+
+	upstream_pool_close(&fixture->pool);
+	uv_run(&fixture->loop, UV_RUN_DEFAULT);
+	upstream_pool_finish(&fixture->pool);
+	timer_finish(&fixture->timers);
+	uv_loop_close(&fixture->loop);
+	for (i = 0; i < fixture->peer_count; i++)
+		close(fixture->peers[i]);
+	close(fixture->listen_fd);
+}
+
+/* Starts a call; nothing is read or written by the loop yet. */
+static void
+begin_call(struct fixture *fixture, const char *id, struct result *result)
+{
+	struct pool_call_ops ops = {
+	    .on_sent = on_sent,
+	    .on_head = on_head,
+	    .on_body = on_body,
+	    .on_done = on_done,
+	    .on_failed = on_failed,
+	    .context = result,
+	};
+	struct pool_request request = {.id = id, .idle_max_ms = INT64_MAX};
+	char *text;
+
+	memset(result, 0, sizeof(*result));
+	result->body = g_string_new(NULL);
+	text = g_strdup_printf(
+	    "GET / HTTP/1.1\r\nHost: h\r\n" ID_FIELD ": %s\r\n\r\n", id);
+	request.bytes = g_bytes_new_take(text, strlen(text));
+	result->call = upstream_pool_call(
+	    &fixture->pool, fixture->address, &request, &ops);
+	g_bytes_unref(request.bytes);
+	assert_non_null(result->call);
+}
+
+static void
+run_once(struct fixture *fixture)
+{
+	int fd;
+
+	uv_run(&fixture->loop, UV_RUN_NOWAIT);
+	if (fixture->peer_count < CONNECTIONS_MAX) {
+		fd = accept(fixture->listen_fd, NULL, NULL);
+		if (fd >= 0)
+			fixture->peers[fixture->peer_count++] = fd;
+	}
+	usleep(ROUND_US);
+}
+
+/* Runs until a request has come on a connection. */
+static void
+await_request(struct fixture *fixture, uint32_t index)
+{
+	char bytes[READ_SIZE];
+	ssize_t size;
+	uint32_t i;
+
+	size = -1;
+	for (i = 0; i < ROUNDS_MAX && size <= 0; i++) {
+		run_once(fixture);
+		if (index < fixture->peer_count)
+			size = recv(fixture->peers[index], bytes, sizeof(bytes),
+			    MSG_DONTWAIT);
+	}
+	assert_true(size > 0);
+}
+
+/* Returns false if the call does not end. */
+static bool
+await_end(struct fixture *fixture, const struct result *result)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROUNDS_MAX && !result->has_ended; i++)
+		run_once(fixture);
+	return result->has_ended;
+}
+
+/* Writes bytes on a connection and waits until they have reached its other end,
+ * where nobody has read them. */
+static void
+write_unread(struct fixture *fixture, uint32_t index, const char *bytes)
+{
+	int fd = fixture->peers[index], left;
+
+	assert_true(send(fd, bytes, strlen(bytes), MSG_NOSIGNAL) > 0);
+	do {
+		assert_int_equal(ioctl(fd, SIOCOUTQ, &left), 0);
+	} while (left > 0);
+}
+
+/* Carries a call over the first connection, which is kept then. */
+static void
+complete_first_call(struct fixture *fixture)
+{
+	struct result first;
+
+	begin_call(fixture, "a", &first);
+	await_request(fixture, 0);
+	write_unread(fixture, 0,
+	    ANSWER(
+		"503 Busy", "a", "Not-Executed: 1\r\nContent-Length: 0\r\n"));
+	assert_true(await_end(fixture, &first));
+	assert_int_equal(first.status, 503);
+	g_string_free(first.body, TRUE);
+}
+
+/* Bytes come on an idle connection after the loop last read from it, and a call
+ * begins before it reads again: the call gets another connection. */
+static void
+test_connection_with_unread_bytes_gets_no_request(void **state)
+{
+	static const char *const strays[] = {
+	    ANSWER("503 Busy", "a", "Not-Executed: 1\r\nContent-Length: 0\r\n"),
+	    OK_ANSWER("a"),
+	    "?",
+	};
+	struct fixture fixture;
+	struct result second;
+	char byte;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(strays); i++) {
+		open_fixture(&fixture);
+		complete_first_call(&fixture);
+		write_unread(&fixture, 0, strays[i]);
+		begin_call(&fixture, "b", &second);
+		await_request(&fixture, 1);
+		assert_true(recv(fixture.peers[0], &byte, 1, 0) <= 0);
+		write_unread(&fixture, 1, OK_ANSWER("b"));
+		assert_true(await_end(&fixture, &second));
+		assert_int_equal(second.error, ERROR_NONE);
+		assert_int_equal(second.status, 200);
+		assert_string_equal(second.body->str, "ok");
+		g_string_free(second.body, TRUE);
+		close_fixture(&fixture);
+	}
+}
+
+/* An answer to an earlier request that would end only with the connection would
+ * hide the one that the call waits for: the call fails at once. One without a body
+ * is passed over. */
+static void
+test_unframed_answer_to_an_earlier_request_ends_the_call(void **state)
+{
+	static const struct {
+		const char *repeated;
+		uint32_t status; /* 0 if the call fails. */
+	} cases[] = {
+	    {ANSWER("503 Busy", "a", "Not-Executed: 1\r\n"), 0},
+	    {"HTTP/1.0 503 Busy\r\n" ID_FIELD ": a\r\n\r\n", 0},
+	    {ANSWER("200 OK", "a", "Connection: close\r\n") "body", 0},
+	    {ANSWER("204 No", "a", ""), 200},
+	    {ANSWER("304 Same", "a", "Content-Length: 9\r\n"), 200},
+	};
+	struct fixture fixture;
+	struct result second;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		open_fixture(&fixture);
+		complete_first_call(&fixture);
+		begin_call(&fixture, "b", &second);
+		await_request(&fixture, 0);
+		write_unread(&fixture, 0, cases[i].repeated);
+		write_unread(&fixture, 0, OK_ANSWER("b"));
+		assert_true(await_end(&fixture, &second));
+		assert_int_equal(second.discarded, 1);
+		assert_int_equal(second.status, cases[i].status);
+		assert_int_equal(second.error,
+		    cases[i].status == 0 ? ERROR_MALFORMED : ERROR_NONE);
+		assert_string_equal(
+		    second.body->str, cases[i].status == 0 ? "" : "ok");
+		g_string_free(second.body, TRUE);
+		close_fixture(&fixture);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_connection_with_unread_bytes_gets_no_request),
+	    cmocka_unit_test(
+		test_unframed_answer_to_an_earlier_request_ends_the_call),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
