Part the relay fixture: loopback sockets, scripted upstreams, the host around it

What readers saw: tests/relay_fixture.c had 889 lines: sockets, the scripted upstreams, the host's coordination thread and the calls that tests make, so a mark of the script was hard to find.

Change: a move. tests/loopback.[ch] opens sockets on the loopback address, tests/scripted_upstream.[ch] has the script with its marks and the upstreams' threads, tests/relay_fixture_host.[ch] the coordination thread, links and announcements; relay_fixture.[ch] keeps set-up, requests and counts. RELAY_FIXTURE_SLOW_US, _PAUSE_US, _DOWN_US and _SILENT_FDS begin with SCRIPTED_UPSTREAM_ now; the names that other tests use stay. No test changed but for that name.

--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -12,44 +12,9 @@
 #include <glib.h>
 
 #include "relay/relay.h"
+#include "scripted_upstream.h"
 
 #define RELAY_FIXTURE_UPSTREAMS 4
-/** Sockets of a port that establishes no connection: one that listens and those
- * that fill its queue. */
-#define RELAY_FIXTURE_SILENT_FDS 4
-/** Delay of a slow answer, in microseconds. */
-#define RELAY_FIXTURE_SLOW_US 200000
-/** Time for which an upstream pauses within an answer, in microseconds. */
-#define RELAY_FIXTURE_PAUSE_US 2500000
-/** Time for which a crashed upstream is down, in microseconds. */
-#define RELAY_FIXTURE_DOWN_US 100000
-
-/**
- * Answers of the upstreams, used in the order in which requests reach any of
- * them; the last answer is used again. An answer that ends with "<reset>"
- * resets the connection, one that ends with "<close>" closes it. The answer
- * "<hang>" sends nothing until the relay closes the connection. After the answer
- * "<crash>" the upstream resets the connection and accepts no other for
- * RELAY_FIXTURE_DOWN_US. After an answer that ends with "<endless>" the text in
- * "endless" follows again and again, until the relay closes the connection. An
- * answer that begins with "<slow>" is sent after
- * RELAY_FIXTURE_SLOW_US. Before one that begins with "<again>", once or
- * several times, the upstream writes the last answer that it gave on the same
- * connection as often, if there is one. At the mark "<pause>" within an answer it
- * is silent for RELAY_FIXTURE_PAUSE_US.
- */
-struct upstream_script {
-	pthread_mutex_t mutex; /**< Protects what follows. */
-	GPtrArray *answers;    /**< Answers not sent yet, as text. */
-	GPtrArray *requests;   /**< Requests received, as text. */
-	GPtrArray *given;      /**< The answers to them, with marks. */
-	uint32_t repeated; /**< Requests before whose answer an earlier one was
-				    written once more. */
-	uint32_t opened;   /**< Connections that were accepted. */
-	uint32_t closed;   /**< Of these, those that have ended. */
-	const char *endless; /**< Text that is repeated without end. */
-	_Atomic uint64_t endless_bytes; /**< Bytes of it that were sent. */
-};
 
 /** What becomes of the connections of a host to its upstreams. */
 enum relay_fixture_path {
@@ -58,22 +23,6 @@
 	RELAY_FIXTURE_SILENT = 2,  /**< They are never established. */
 };
 
-/** An upstream that answers by the script. */
-struct scripted_upstream {
-	struct upstream_script *script; /**< Shared by all upstreams. */
-	_Atomic int listen_fd;		/**< Listening socket. */
-	uint16_t port;			/**< Port that it listens on. */
-	uint16_t announced_port;	/**< Port to which the host connects. */
-	int silent_fds[RELAY_FIXTURE_SILENT_FDS]; /**< Sockets that keep the
-						       announced port silent or
-						       free. */
-	char name[NAME_SIZE_MAX];		  /**< Name in its record. */
-	pthread_t thread;			  /**< Accepts connections. */
-	_Atomic bool is_stopping;     /**< It must not listen again. */
-	_Atomic uint64_t incarnation; /**< Raised by each crash. */
-	uint64_t known_incarnation;   /**< The one that the host knows. */
-};
-
 /** The relay under test and what surrounds it. */
 struct relay_fixture {
 	struct host *host;	    /**< Has only the parts that the relay
@@ -102,6 +51,8 @@
  * linked later have the same upstreams, each with a script of its own. */
 void relay_fixture_init_host(struct relay_fixture *fixture, uint32_t host_id,
     enum relay_fixture_path path);
+/* relay_fixture_host.c */
+
 /** Makes two hosts send each other their reports. Unlink them before one of them
  * is finished. */
 void relay_fixture_link(
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -595,7 +595,7 @@
 	struct relay_fixture *fixture = argument;
 	struct field_error error;
 
-	g_usleep(RELAY_FIXTURE_SLOW_US / 2);
+	g_usleep(SCRIPTED_UPSTREAM_SLOW_US / 2);
 	relay_set_table(&fixture->relay,
 	    platform_routes_parse(document, strlen(document), &error));
 	return NULL;
