Part test_consensus.c: voters of two builds in a file of their own

Change: a move. tests/test_mixed_voters.c has these six, tests/voter_commands.[ch] the commands that both send (put, put_many, setup and on_change_result there begin with group_). No assertion changed.

--- a/tests/test_unknown_command.c
+++ b/tests/test_unknown_command.c
@@ -38,7 +38,7 @@
 	return result.error;
 }
 
-/* A voter: it stops at a command that it can't apply, see test_consensus.c. */
+/* A voter: it stops at a command that it can't apply, see test_mixed_voters.c. */
 struct voter_state {
 	struct replicated_state state;
 	bool is_stopped;
