--- a/tests/test_mixed_voters.c
+++ b/tests/test_mixed_voters.c
@@ -29,18 +29,31 @@
 	return error;
 }
 
-/* Makes all hosts but one follower run the newer build; returns that one. */
-static struct group_host *
-mix_builds(struct voter_group *group)
+/* Voters that agree, of which one follower runs the old build. */
+struct mixed_voters {
+	struct voter_group group;
+	struct group_host *leader; /* Runs the newer build. */
+	struct group_host *old;	   /* Runs the old one. */
+	struct group_host *other;  /* The other follower, of the newer one. */
+	uint64_t before;	   /* What the old one has applied. */
+};
+
+/* Starts the group, sets three keys and changes the builds. */
+static void
+init_mixed(struct mixed_voters *voters, uint64_t seed)
 {
-	struct group_host *leader, *old;
+	struct voter_group *group = &voters->group;
 	uint32_t id;
 
-	leader = voter_group_leader(group);
-	old = &group->hosts[leader->id % GROUP_VOTERS];
+	group_init_with_leader(group, seed);
+	group_put_many(group, "a", 3);
+	voters->leader = voter_group_leader(group);
+	voters->old = &group->hosts[voters->leader->id % GROUP_VOTERS];
+	voters->other = &group->hosts[voters->old->id % GROUP_VOTERS];
 	for (id = 1; id < GROUP_HOSTS; id++)
-		group->hosts[id - 1].is_newer = id != old->id;
-	return old;
+		group->hosts[id - 1].is_newer = id != voters->old->id;
+	fake_net_run(&group->net, 500);
+	voters->before = voters->old->state.applied_index;
 }
 
 /* A voter that does not know a command stops before it, neither votes nor
@@ -49,42 +62,34 @@
 test_voter_stops_at_unknown_command(void **state)
 {
 	struct group_answer answer = {.error = ERROR_INTERNAL};
-	struct group_host *leader, *old, *other;
-	struct voter_group group;
-	uint64_t before;
+	struct mixed_voters voters;
 
 	(void)state;
-	group_init_with_leader(&group, 14);
-	group_put_many(&group, "a", 3);
-	leader = voter_group_leader(&group);
-	old = mix_builds(&group);
-	other = &group.hosts[old->id % GROUP_VOTERS];
-	fake_net_run(&group.net, 500);
-	before = old->state.applied_index;
-	assert_int_equal(propose_newer(leader, &answer), ERROR_NONE);
-	group_put_many(&group, "b", 3);
+	init_mixed(&voters, 14);
+	assert_int_equal(propose_newer(voters.leader, &answer), ERROR_NONE);
+	group_put_many(&voters.group, "b", 3);
 	assert_int_equal(answer.error, ERROR_NONE);
-	fake_net_run(&group.net, 500);
-	assert_int_equal(leader->state.revision, 6);
-	assert_int_equal(old->state.revision, 3);
-	assert_int_equal(old->state.applied_index, before);
-	assert_int_equal(old->consensus.failure, ERROR_NOT_SUPPORTED);
-	voter_group_stop(&group, other->id);
-	fake_net_run(&group.net, 10000);
-	assert_null(voter_group_leader(&group));
-	voter_group_stop(&group, old->id);
-	assert_int_equal(
-	    voter_group_try_start(&group, old->id), ERROR_NOT_SUPPORTED);
-	fake_net_run(&group.net, 10000);
-	assert_null(voter_group_leader(&group));
-	old->is_newer = true;
-	assert_false(voter_group_start(&group, old->id));
-	voter_group_start(&group, other->id);
-	fake_net_run(&group.net, 10000);
-	assert_true(voter_group_agrees(&group));
-	assert_int_equal(old->newer_count, 1);
-	assert_int_equal(old->state.revision, 6);
-	voter_group_finish(&group);
+	fake_net_run(&voters.group.net, 500);
+	assert_int_equal(voters.leader->state.revision, 6);
+	assert_int_equal(voters.old->state.revision, 3);
+	assert_int_equal(voters.old->state.applied_index, voters.before);
+	assert_int_equal(voters.old->consensus.failure, ERROR_NOT_SUPPORTED);
+	voter_group_stop(&voters.group, voters.other->id);
+	fake_net_run(&voters.group.net, 10000);
+	assert_null(voter_group_leader(&voters.group));
+	voter_group_stop(&voters.group, voters.old->id);
+	assert_int_equal(voter_group_try_start(&voters.group, voters.old->id),
+	    ERROR_NOT_SUPPORTED);
+	fake_net_run(&voters.group.net, 10000);
+	assert_null(voter_group_leader(&voters.group));
+	voters.old->is_newer = true;
+	assert_false(voter_group_start(&voters.group, voters.old->id));
+	voter_group_start(&voters.group, voters.other->id);
+	fake_net_run(&voters.group.net, 10000);
+	assert_true(voter_group_agrees(&voters.group));
+	assert_int_equal(voters.old->newer_count, 1);
+	assert_int_equal(voters.old->state.revision, 6);
+	voter_group_finish(&voters.group);
 }
 
 /* A voter that holds an unknown command as its last entry, not yet committed,
@@ -93,40 +98,33 @@
 test_elected_voter_stops_at_unknown_command(void **state)
 {
 	struct group_answer answer = {0};
-	struct group_host *leader, *old, *other;
-	struct voter_group group;
-	uint64_t before;
+	struct mixed_voters voters;
 
 	(void)state;
-	group_init_with_leader(&group, 15);
-	group_put_many(&group, "a", 3);
-	leader = voter_group_leader(&group);
-	old = mix_builds(&group);
-	other = &group.hosts[old->id % GROUP_VOTERS];
-	fake_net_run(&group.net, 500);
-	before = old->state.applied_index;
-	fake_net_cut_host(&group.net, other->id, true, true);
-	assert_int_equal(propose_newer(leader, &answer), ERROR_NONE);
-	old->is_newer = true;
-	while (journal_last_index(&old->consensus.journal) == before)
-		fake_net_run(&group.net, 1);
-	voter_group_stop(&group, leader->id);
-	fake_net_heal(&group.net);
-	old->is_newer = other->is_newer = false;
-	fake_net_run(&group.net, 20000);
-	assert_null(voter_group_leader(&group));
-	assert_int_equal(old->state.applied_index, before);
-	assert_int_equal(other->state.applied_index, before);
-	old->is_newer = other->is_newer = true;
+	init_mixed(&voters, 15);
+	fake_net_cut_host(&voters.group.net, voters.other->id, true, true);
+	assert_int_equal(propose_newer(voters.leader, &answer), ERROR_NONE);
+	voters.old->is_newer = true;
+	while (
+	    journal_last_index(&voters.old->consensus.journal) == voters.before)
+		fake_net_run(&voters.group.net, 1);
+	voter_group_stop(&voters.group, voters.leader->id);
+	fake_net_heal(&voters.group.net);
+	voters.old->is_newer = voters.other->is_newer = false;
+	fake_net_run(&voters.group.net, 20000);
+	assert_null(voter_group_leader(&voters.group));
+	assert_int_equal(voters.old->state.applied_index, voters.before);
+	assert_int_equal(voters.other->state.applied_index, voters.before);
+	voters.old->is_newer = voters.other->is_newer = true;
 	for (uint32_t id = 1; id <= GROUP_VOTERS; id++) {
-		voter_group_stop(&group, id);
-		assert_false(voter_group_start(&group, id));
+		voter_group_stop(&voters.group, id);
+		assert_false(voter_group_start(&voters.group, id));
 	}
-	fake_net_run(&group.net, 10000);
-	assert_true(voter_group_agrees(&group));
-	assert_int_equal(old->newer_count, 1);
-	assert_int_equal(leader->newer_count, 1);
-	voter_group_finish(&group);
+	fake_net_run(&voters.group.net, 10000);
+	assert_true(voter_group_agrees(&voters.group));
+	assert_int_equal(voters.old->newer_count, 1);
+	assert_int_equal(voters.leader->newer_count, 1);
+	voter_group_finish(&voters.group);
 }
 
 /* A voter does not acknowledge a command that it does not know, so the command
@@ -135,31 +133,23 @@
 test_unknown_command_is_not_acknowledged(void **state)
 {
 	struct group_answer answer = {0};
-	struct group_host *leader, *old, *other;
-	struct voter_group group;
-	uint64_t before;
+	struct mixed_voters voters;
 
 	(void)state;
-	group_init_with_leader(&group, 20);
-	group_put_many(&group, "a", 3);
-	leader = voter_group_leader(&group);
-	old = mix_builds(&group);
-	other = &group.hosts[old->id % GROUP_VOTERS];
-	fake_net_run(&group.net, 500);
-	before = old->state.applied_index;
-	fake_net_cut_host(&group.net, other->id, true, true);
-	assert_int_equal(propose_newer(leader, &answer), ERROR_NONE);
-	fake_net_run(&group.net, 5000);
-	assert_int_equal(old->consensus.failure, ERROR_NOT_SUPPORTED);
-	assert_int_equal(leader->newer_count, 0);
-	assert_int_equal(leader->consensus.commit_index, before);
-	fake_net_heal(&group.net);
-	assert_true(voter_group_wait_leader(&group, 10000));
-	fake_net_run(&group.net, 2000);
-	assert_int_equal(leader->newer_count, 1);
-	assert_int_equal(other->newer_count, 1);
-	assert_int_equal(old->state.applied_index, before);
-	voter_group_finish(&group);
+	init_mixed(&voters, 20);
+	fake_net_cut_host(&voters.group.net, voters.other->id, true, true);
+	assert_int_equal(propose_newer(voters.leader, &answer), ERROR_NONE);
+	fake_net_run(&voters.group.net, 5000);
+	assert_int_equal(voters.old->consensus.failure, ERROR_NOT_SUPPORTED);
+	assert_int_equal(voters.leader->newer_count, 0);
+	assert_int_equal(voters.leader->consensus.commit_index, voters.before);
+	fake_net_heal(&voters.group.net);
+	assert_true(voter_group_wait_leader(&voters.group, 10000));
+	fake_net_run(&voters.group.net, 2000);
+	assert_int_equal(voters.leader->newer_count, 1);
+	assert_int_equal(voters.other->newer_count, 1);
+	assert_int_equal(voters.old->state.applied_index, voters.before);
+	voter_group_finish(&voters.group);
 }
 
 /* A voter that gets a snapshot with a kind of record that it does not know
@@ -168,44 +158,38 @@
 test_voter_stops_at_unknown_record(void **state)
 {
 	struct group_answer answer = {.error = ERROR_INTERNAL};
-	struct group_host *leader, *old;
-	struct voter_group group;
-	uint64_t before;
+	struct mixed_voters voters;
 
 	(void)state;
-	group_init_with_leader(&group, 17);
-	group_put_many(&group, "a", 3);
-	leader = voter_group_leader(&group);
-	old = mix_builds(&group);
-	fake_net_run(&group.net, 500);
-	before = old->state.applied_index;
-	fake_net_cut_host(&group.net, old->id, true, true);
-	assert_int_equal(propose_newer(leader, &answer), ERROR_NONE);
-	group_put_many(&group, "b", 60);
+	init_mixed(&voters, 17);
+	fake_net_cut_host(&voters.group.net, voters.old->id, true, true);
+	assert_int_equal(propose_newer(voters.leader, &answer), ERROR_NONE);
+	group_put_many(&voters.group, "b", 60);
 	assert_int_equal(answer.error, ERROR_NONE);
-	assert_true(leader->consensus.journal.base_index > before);
-	fake_net_heal(&group.net);
-	fake_net_run(&group.net, 5000);
-	assert_int_equal(old->state.applied_index, before);
-	assert_int_equal(old->state.revision, 3);
-	assert_int_equal(old->consensus.failure, ERROR_NOT_SUPPORTED);
-	assert_int_equal(old->consensus.snapshot.index, 1);
-	voter_group_stop(&group, old->id);
-	old->is_newer = true;
-	assert_false(voter_group_start(&group, old->id));
-	fake_net_run(&group.net, 10000);
-	assert_true(voter_group_agrees(&group));
-	assert_int_equal(old->newer_count, 1);
-	voter_group_stop(&group, old->id);
-	old->is_newer = false;
-	assert_int_equal(
-	    voter_group_try_start(&group, old->id), ERROR_NOT_SUPPORTED);
-	old->is_newer = true;
-	assert_false(voter_group_start(&group, old->id));
-	fake_net_run(&group.net, 10000);
-	assert_true(voter_group_agrees(&group));
-	assert_int_equal(old->newer_count, 1);
-	voter_group_finish(&group);
+	assert_true(
+	    voters.leader->consensus.journal.base_index > voters.before);
+	fake_net_heal(&voters.group.net);
+	fake_net_run(&voters.group.net, 5000);
+	assert_int_equal(voters.old->state.applied_index, voters.before);
+	assert_int_equal(voters.old->state.revision, 3);
+	assert_int_equal(voters.old->consensus.failure, ERROR_NOT_SUPPORTED);
+	assert_int_equal(voters.old->consensus.snapshot.index, 1);
+	voter_group_stop(&voters.group, voters.old->id);
+	voters.old->is_newer = true;
+	assert_false(voter_group_start(&voters.group, voters.old->id));
+	fake_net_run(&voters.group.net, 10000);
+	assert_true(voter_group_agrees(&voters.group));
+	assert_int_equal(voters.old->newer_count, 1);
+	voter_group_stop(&voters.group, voters.old->id);
+	voters.old->is_newer = false;
+	assert_int_equal(voter_group_try_start(&voters.group, voters.old->id),
+	    ERROR_NOT_SUPPORTED);
+	voters.old->is_newer = true;
+	assert_false(voter_group_start(&voters.group, voters.old->id));
+	fake_net_run(&voters.group.net, 10000);
+	assert_true(voter_group_agrees(&voters.group));
+	assert_int_equal(voters.old->newer_count, 1);
+	voter_group_finish(&voters.group);
 }
 
 /* An old host that shall join voters whose log or snapshot holds what it does
