--- a/tests/test_replicated_state.c
+++ b/tests/test_replicated_state.c
@@ -1,6 +1,6 @@
 /*
- * Tests of the replicated state machine: claims, live hosts, orders, feeds,
- * snapshots and documents.
+ * Tests of the replicated state machine: claims, live hosts, orders, feeds and
+ * documents.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -11,48 +11,7 @@
 
 #include <cmocka.h>
 
-#include "protocol/public_entry_message.h"
-#include "state/replicated_state.h"
-
-#define START_MS 1700000000000
-#define HOUR_MS	 ((int64_t)3600000)
-
-/* Applies a command as the next entry of the log and returns its result. */
-static struct command_result
-apply(struct replicated_state *state, const struct command *command,
-    int64_t time_ms)
-{
-	struct command_result result;
-	struct message_writer writer;
-
-	message_writer_init(&writer);
-	assert_int_equal(command_encode(command, &writer), ERROR_NONE);
-	replicated_state_apply(state,
-	    &(struct replicated_entry){state->applied_index + 1, time_ms,
-		message_data(&writer), message_size(&writer)},
-	    &result);
-	message_writer_finish(&writer);
-	return result;
-}
-
-/* Sets a configuration entry, or deletes it if the value is NULL. */
-static struct command_result
-put(struct replicated_state *state, const char *operation_id, const char *key,
-    const char *value, uint64_t expected)
-{
-	struct config_change change = {.is_delete = value == NULL};
-	struct command command = {.type = COMMAND_CONFIG};
-
-	snprintf(change.key, sizeof(change.key), "%s", key);
-	if (value != NULL)
-		snprintf(change.value, sizeof(change.value), "%s", value);
-	snprintf(command.operation_id, sizeof(command.operation_id), "%s",
-	    operation_id);
-	command.body.config.expected_revision = expected;
-	command.body.config.change_count = 1;
-	command.body.config.changes = &change;
-	return apply(state, &command, START_MS);
-}
+#include "state_commands.h"
 
 /* A command on one idempotency key and its expected result. */
 struct claim_case {
@@ -130,7 +89,8 @@
 		command.body.claim.created_ms =
 		    step->created_ms == 0 ? 0 : START_MS + step->created_ms;
 		command.body.claim.outcome = step->outcome;
-		result = apply(&machine, &command, START_MS + step->at_ms);
+		result =
+		    state_apply(&machine, &command, START_MS + step->at_ms);
 		if (result.error != step->error)
 			fail_msg("case %zu: %s", i, error_name(result.error));
 		assert_int_equal(result.claim_state, step->state);
@@ -153,7 +113,7 @@
 	replicated_state_init(&machine, NULL);
 	live.body.hosts.hosts = hosts;
 	live.body.hosts.count = 2;
-	assert_int_equal(apply(&machine, &live, START_MS).epoch, 1);
+	assert_int_equal(state_apply(&machine, &live, START_MS).epoch, 1);
 	snprintf(claim.body.claim.client_account,
 	    sizeof(claim.body.claim.client_account), "%s", "a");
 	snprintf(claim.body.claim.idempotency_key,
@@ -161,19 +121,21 @@
 	claim.body.claim.host_id = 1;
 	claim.body.claim.host_incarnation = 100;
 	claim.body.claim.request_id = 5;
-	assert_int_equal(apply(&machine, &claim, START_MS).error, ERROR_NONE);
-	/* A delayed copy of the command with the previous epoch is refused. */
 	assert_int_equal(
-	    apply(&machine, &live, START_MS).error, ERROR_REVISION_CONFLICT);
+	    state_apply(&machine, &claim, START_MS).error, ERROR_NONE);
+	/* A delayed copy of the command with the previous epoch is refused. */
+	assert_int_equal(state_apply(&machine, &live, START_MS).error,
+	    ERROR_REVISION_CONFLICT);
 	hosts[0].incarnation = 101;
 	live.body.hosts.expected_epoch = 1;
-	assert_int_equal(apply(&machine, &live, START_MS).error, ERROR_NONE);
+	assert_int_equal(
+	    state_apply(&machine, &live, START_MS).error, ERROR_NONE);
 	assert_int_equal(
 	    replicated_state_live_host(&machine, 1)->incarnation, 101);
 	assert_null(replicated_state_live_host(&machine, 3));
 	claim.body.claim.host_id = 2;
 	claim.body.claim.host_incarnation = 200;
-	result = apply(&machine, &claim, START_MS);
+	result = state_apply(&machine, &claim, START_MS);
 	assert_int_equal(result.error, ERROR_DUPLICATE_REQUEST);
 	assert_int_equal(result.claim_outcome, REQUEST_OUTCOME_UNKNOWN);
 	replicated_state_finish(&machine);
@@ -193,41 +155,35 @@
 	    begin.operation_id, sizeof(begin.operation_id), "%s", "load-1");
 	begin.body.order.upstream_id = 7;
 	begin.body.order.host_id = 1;
-	assert_int_equal(apply(&machine, &begin, START_MS).fencing_number, 1);
-	assert_int_equal(apply(&machine, &begin, START_MS).fencing_number, 1);
+	assert_int_equal(
+	    state_apply(&machine, &begin, START_MS).fencing_number, 1);
+	assert_int_equal(
+	    state_apply(&machine, &begin, START_MS).fencing_number, 1);
 	snprintf(
 	    begin.operation_id, sizeof(begin.operation_id), "%s", "load-2");
-	result = apply(&machine, &begin, START_MS);
+	result = state_apply(&machine, &begin, START_MS);
 	assert_int_equal(result.error, ERROR_CHANGE_PENDING);
 	assert_int_equal(result.fencing_number, 1);
 	snprintf(
 	    begin.operation_id, sizeof(begin.operation_id), "%s", "load-3");
 	begin.body.order.supersedes = 1;
-	assert_int_equal(apply(&machine, &begin, START_MS).fencing_number, 2);
+	assert_int_equal(
+	    state_apply(&machine, &begin, START_MS).fencing_number, 2);
 	finish.body.order.upstream_id = 7;
 	finish.body.order.fencing_number = 1;
 	finish.body.order.outcome = 1;
-	assert_int_equal(apply(&machine, &finish, START_MS).error, ERROR_STALE);
+	assert_int_equal(
+	    state_apply(&machine, &finish, START_MS).error, ERROR_STALE);
 	finish.body.order.fencing_number = 2;
-	assert_int_equal(apply(&machine, &finish, START_MS).error, ERROR_NONE);
+	assert_int_equal(
+	    state_apply(&machine, &finish, START_MS).error, ERROR_NONE);
 	assert_int_equal(replicated_state_order(&machine, 7)->outcome, 1);
 	snprintf(
 	    begin.operation_id, sizeof(begin.operation_id), "%s", "load-4");
 	begin.body.order.supersedes = 0;
-	assert_int_equal(apply(&machine, &begin, START_MS).fencing_number, 3);
-	replicated_state_finish(&machine);
-}
-
-static void
-apply_public_entry(void *context, const struct public_entry *entry)
-{
-	struct replicated_entry fed = {
-	    .index = entry->index, .time_ms = entry->time_ms};
-
-	fed.data = g_bytes_get_data(entry->command, &fed.size);
 	assert_int_equal(
-	    replicated_state_apply_public(context, entry->sequence, &fed),
-	    ERROR_NONE);
+	    state_apply(&machine, &begin, START_MS).fencing_number, 3);
+	replicated_state_finish(&machine);
 }
 
 static void
@@ -237,25 +193,6 @@
 	(*(unsigned int *)visitor)++;
 }
 
-/* Initialises a voter with configuration entries and a quarantine. */
-static void
-init_with_entries(struct replicated_state *voter)
-{
-	struct command quarantine = {.type = COMMAND_QUARANTINE};
-
-	replicated_state_init(voter, NULL);
-	put(voter, "1", "takeout/a", "zone=x", REVISION_ANY);
-	put(voter, "2", "takeout/b", "", REVISION_ANY);
-	put(voter, "3", "setting/c", "1", 0);
-	put(voter, "4", "setting/c", "2", REVISION_ANY);
-	put(voter, "5", "takeout/b", NULL, REVISION_ANY);
-	quarantine.body.quarantine.fingerprint = 3;
-	quarantine.body.quarantine.until_ms = START_MS + HOUR_MS;
-	apply(voter, &quarantine, START_MS);
-	assert_int_equal(voter->revision, 4);
-	assert_int_equal(voter->sequence, 5);
-}
-
 /* A learner that applies the fed public commands has the same content as the
  * voter. */
 static void
@@ -266,10 +203,10 @@
 	unsigned int count;
 
 	(void)state;
-	init_with_entries(&voter);
+	state_init_with_entries(&voter);
 	replicated_state_init(&learner, NULL);
 	assert_int_equal(replicated_state_for_each_public(
-			     &voter, 0, apply_public_entry, &learner),
+			     &voter, 0, state_apply_public_entry, &learner),
 	    ERROR_NONE);
 	assert_int_equal(learner.content_hash, voter.content_hash);
 	assert_true(replicated_state_is_quarantined(&learner, 3, START_MS));
@@ -283,49 +220,6 @@
 	replicated_state_finish(&learner);
 }
 
-/* Loading a snapshot restores the whole state. Loading a truncated one fails
- * and changes nothing. */
-static void
-test_snapshot_restores_whole_state(void **state)
-{
-	struct replicated_state voter, other;
-	GByteArray *saved, *again;
-	guint size;
-
-	(void)state;
-	init_with_entries(&voter);
-	replicated_state_init(&other, NULL);
-	saved = replicated_state_save(&voter, false);
-	for (size = 0; size < saved->len; size++)
-		assert_int_not_equal(
-		    replicated_state_load(&other, saved->data, size),
-		    ERROR_NONE);
-	assert_int_equal(other.revision, 0);
-	assert_int_equal(
-	    replicated_state_load(&other, saved->data, saved->len), ERROR_NONE);
-	again = replicated_state_save(&other, false);
-	assert_int_equal(again->len, saved->len);
-	assert_memory_equal(again->data, saved->data, saved->len);
-	/* The snapshot includes operation ids, so an operation sent again gets
-	 * the result of the first time. */
-	assert_int_equal(
-	    put(&other, "4", "setting/c", "2", REVISION_ANY).index, 4);
-	assert_int_equal(other.revision, 4);
-	/* A learner that misses commands no longer kept needs a snapshot. */
-	put(&other, "6", "setting/d", "1", REVISION_ANY);
-	assert_int_equal(replicated_state_for_each_public(
-			     &other, 4, apply_public_entry, &voter),
-	    ERROR_NOT_FOUND);
-	assert_int_equal(replicated_state_for_each_public(
-			     &other, 5, apply_public_entry, &voter),
-	    ERROR_NONE);
-	assert_int_equal(voter.content_hash, other.content_hash);
-	g_byte_array_unref(saved);
-	g_byte_array_unref(again);
-	replicated_state_finish(&voter);
-	replicated_state_finish(&other);
-}
-
 /* A command of an unknown type or version changes nothing and is not passed
  * over; one that no build can read is passed over by all voters alike. */
 static void
@@ -355,7 +249,7 @@
 
 	(void)state;
 	replicated_state_init(&voter, NULL);
-	put(&voter, "a", "setting/a", "1", REVISION_ANY);
+	state_put(&voter, "a", "setting/a", "1", REVISION_ANY);
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		applied = voter.applied_index;
 		message_writer_init(&writer);
@@ -385,158 +279,6 @@
 	replicated_state_finish(&voter);
 }
 
-/* Appends a part of a snapshot with @p count numbers. */
-static void
-append_part(GByteArray *bytes, uint64_t part, uint32_t count)
-{
-	enum {
-		VERSION = 1,
-		FIELD_NUMBERS = 4
-	};
-	struct message_writer writer;
-	uint32_t length, i;
-
-	message_writer_init(&writer);
-	message_begin_map(&writer, 2 + count);
-	message_put_uint(&writer, 0, VERSION);
-	message_put_uint(&writer, 1, part);
-	for (i = 0; i < count; i++)
-		message_put_uint(&writer, FIELD_NUMBERS + i, 1);
-	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
-	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
-	g_byte_array_append(
-	    bytes, message_data(&writer), (guint)message_size(&writer));
-	message_writer_finish(&writer);
-}
-
-/* Appends the end of a snapshot of @p parts parts. */
-static void
-append_end(GByteArray *bytes, uint64_t parts)
-{
-	struct message_writer writer;
-	uint32_t length;
-
-	message_writer_init(&writer);
-	message_begin_map(&writer, 3);
-	message_put_uint(&writer, 0, 1);
-	message_put_uint(&writer, 1, 8);
-	message_put_uint(&writer, 4, parts);
-	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
-	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
-	g_byte_array_append(
-	    bytes, message_data(&writer), (guint)message_size(&writer));
-	message_writer_finish(&writer);
-}
-
-/* A part of a snapshot that lacks numbers is refused, not filled up with
- * zeros. */
-static void
-test_snapshot_parts_lack_no_numbers(void **state)
-{
-	enum {
-		PART_HEAD = 1,
-		PART_END = 8,
-		HEAD_NUMBERS = 6
-	};
-	struct replicated_state other;
-	GByteArray *bytes;
-	uint32_t count;
-
-	(void)state;
-	replicated_state_init(&other, NULL);
-	for (count = 0; count <= HEAD_NUMBERS; count++) {
-		bytes = g_byte_array_new();
-		append_part(bytes, PART_HEAD, count);
-		append_part(bytes, PART_END, 1);
-		assert_int_equal(
-		    replicated_state_load(&other, bytes->data, bytes->len),
-		    count == HEAD_NUMBERS ? ERROR_NONE : ERROR_MALFORMED);
-		g_byte_array_unref(bytes);
-	}
-	replicated_state_finish(&other);
-}
-
-/* A snapshot with a kind of part, or with numbers, that this build does not
- * know is refused as such; the state would lose them when saved again. */
-static void
-test_snapshot_of_newer_build_is_refused(void **state)
-{
-	static const struct {
-		uint64_t part;
-		uint32_t numbers; /* As many as this build knows, or more. */
-		enum error_code error;
-	} cases[] = {
-	    {2, 2, ERROR_NOT_SUPPORTED},
-	    {3, 2, ERROR_NOT_SUPPORTED},
-	    {4, 8, ERROR_NOT_SUPPORTED},
-	    {5, 5, ERROR_NONE}, /* Builds before the shares wrote these. */
-	    {5, 9, ERROR_NONE},
-	    {5, 10, ERROR_NOT_SUPPORTED},
-	    {6, 6, ERROR_NONE},
-	    {6, 7, ERROR_NOT_SUPPORTED},
-	    {7, 2, ERROR_NONE},
-	    {7, 3, ERROR_NOT_SUPPORTED},
-	    {9, 2, ERROR_NOT_SUPPORTED},
-	    {10, 10 + PART_CRASHES_MAX + PART_COMPANIONS_MAX, ERROR_NONE},
-	    {10, 11 + PART_CRASHES_MAX + PART_COMPANIONS_MAX,
-		ERROR_NOT_SUPPORTED},
-	    {11, 1, ERROR_NOT_SUPPORTED},
-	    {0, 1, ERROR_NOT_SUPPORTED},
-	    {((uint64_t)1 << 32) + 7, 2, ERROR_NOT_SUPPORTED},
-	};
-	struct replicated_state other;
-	GByteArray *bytes;
-	size_t i;
-
-	(void)state;
-	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		replicated_state_init(&other, NULL);
-		put(&other, "a", "setting/a", "1", REVISION_ANY);
-		put(&other, "b", "setting/b", "1", REVISION_ANY);
-		bytes = g_byte_array_new();
-		append_part(bytes, 1, 6);
-		append_part(bytes, cases[i].part, cases[i].numbers);
-		append_end(bytes, 2);
-		assert_int_equal(
-		    replicated_state_load(&other, bytes->data, bytes->len),
-		    cases[i].error);
-		assert_int_equal(
-		    other.revision, cases[i].error == ERROR_NONE ? 1 : 2);
-		g_byte_array_unref(bytes);
-		replicated_state_finish(&other);
-	}
-}
-
-/* A host that follows the voters must go on with their later changes, so it skips
- * what it does not know of their snapshot. */
-static void
-test_learner_skips_what_it_does_not_know_of_a_snapshot(void **state)
-{
-	static const uint64_t parts[] = {7, 11};
-	struct replicated_state learner;
-	GByteArray *bytes;
-	uint32_t skipped;
-	size_t i;
-
-	(void)state;
-	for (i = 0; i < G_N_ELEMENTS(parts); i++) {
-		replicated_state_init(&learner, NULL);
-		bytes = g_byte_array_new();
-		append_part(bytes, 1, 6);
-		append_part(bytes, parts[i], 3);
-		append_end(bytes, 2);
-		assert_int_equal(replicated_state_load_known(&learner,
-				     bytes->data, bytes->len, &skipped),
-		    ERROR_NONE);
-		assert_int_equal(skipped, 1);
-		assert_int_equal(learner.revision, 1);
-		assert_int_equal(
-		    learner.live_hosts->len, parts[i] == 7 ? 1 : 0);
-		g_byte_array_unref(bytes);
-		replicated_state_finish(&learner);
-	}
-}
-
 /* A learner does not pass over a public command that it does not know. */
 static void
 test_learner_waits_at_unknown_command(void **state)
@@ -571,7 +313,7 @@
 	command.body.document.version = version;
 	command.body.document.data = text;
 	command.body.document.size = strlen(text);
-	return apply(state, &command, START_MS);
+	return state_apply(state, &command, START_MS);
 }
 
 static struct command_result
@@ -622,11 +364,12 @@
 	for (i = 1; i <= PART_EVENTS_TO_QUARANTINE; i++) {
 		parts->crash_id = parts->evidence[0].request = i;
 		assert_int_equal(
-		    apply(&voter, &crashed, START_MS + (int64_t)i * 1000).error,
+		    state_apply(&voter, &crashed, START_MS + (int64_t)i * 1000)
+			.error,
 		    ERROR_NONE);
 	}
 	assert_int_equal(replicated_state_for_each_public(
-			     &voter, 0, apply_public_entry, &learner),
+			     &voter, 0, state_apply_public_entry, &learner),
 	    ERROR_NONE);
 	saved = replicated_state_save(&voter, true);
 	assert_int_equal(
@@ -638,7 +381,7 @@
 	cleared.body.parts.count = 1;
 	cleared.body.parts.evidence[0].part = 7;
 	assert_int_equal(
-	    apply(&voter, &cleared, START_MS + 10000).error, ERROR_NONE);
+	    state_apply(&voter, &cleared, START_MS + 10000).error, ERROR_NONE);
 	assert_int_equal(count_parts(&voter), 0);
 	g_byte_array_unref(saved);
 	replicated_state_finish(&voter);
@@ -670,7 +413,7 @@
 	/* A barrier only orders a read. It isn't fed to learners, so the public
 	 * sequence number stays. */
 	sequence = first.sequence;
-	result = apply(&first, &barrier, START_MS);
+	result = state_apply(&first, &barrier, START_MS);
 	assert_int_equal(result.error, ERROR_NONE);
 	assert_int_equal(result.sequence, sequence);
 	assert_int_equal(first.sequence, sequence);
@@ -750,10 +493,10 @@
 	replicated_state_init(&relay, NULL);
 	replicated_state_init(&learner, NULL);
 	text = g_strnfill(size, 'x');
-	put(&voter, "a", "setting/a", "1", REVISION_ANY);
+	state_put(&voter, "a", "setting/a", "1", REVISION_ANY);
 	for (i = 1; i <= 50; i++)
 		put_document(&voter, i, text);
-	put(&voter, "b", "setting/b", "1", REVISION_ANY);
+	state_put(&voter, "b", "setting/b", "1", REVISION_ANY);
 	assert_true(voter.public_bytes < 2 * size);
 	/* The entry that replaces version 49 is not published yet. */
 	assert_int_equal(feed_learner(&relay, &voter, 50, read_max), 0);
@@ -787,12 +530,7 @@
 	    cmocka_unit_test(test_claims_of_dead_host_get_unknown_outcome),
 	    cmocka_unit_test(test_orders_are_fenced),
 	    cmocka_unit_test(test_learner_has_same_content_as_voter),
-	    cmocka_unit_test(test_snapshot_restores_whole_state),
 	    cmocka_unit_test(test_unknown_command_is_not_passed_over),
-	    cmocka_unit_test(test_snapshot_parts_lack_no_numbers),
-	    cmocka_unit_test(test_snapshot_of_newer_build_is_refused),
-	    cmocka_unit_test(
-		test_learner_skips_what_it_does_not_know_of_a_snapshot),
 	    cmocka_unit_test(test_learner_waits_at_unknown_command),
 	    cmocka_unit_test(test_crashing_parts_are_kept_until_cleared),
 	    cmocka_unit_test(test_newest_document_version_is_kept),
