--- a/tests/test_replicated_snapshot.c
+++ b/tests/test_replicated_snapshot.c
@@ -10,9 +10,13 @@
 
 #include "state_commands.h"
 
-/* Appends a part of a snapshot with @p count numbers. */
+/* Kind of the last part of a snapshot. */
+#define PART_END 8
+
+/* Appends a part of a snapshot with @p count numbers, each of them @p number. */
 static void
-append_part(GByteArray *bytes, uint64_t part, uint32_t count)
+append_numbers(
+    GByteArray *bytes, uint64_t part, uint64_t number, uint32_t count)
 {
 	enum {
 		VERSION = 1,
@@ -26,7 +30,7 @@
 	message_put_uint(&writer, 0, VERSION);
 	message_put_uint(&writer, 1, part);
 	for (i = 0; i < count; i++)
-		message_put_uint(&writer, FIELD_NUMBERS + i, 1);
+		message_put_uint(&writer, FIELD_NUMBERS + i, number);
 	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
 	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
 	g_byte_array_append(
@@ -34,23 +38,18 @@
 	message_writer_finish(&writer);
 }
 
+/* Appends a part of a snapshot with @p count numbers. */
+static void
+append_part(GByteArray *bytes, uint64_t part, uint32_t count)
+{
+	append_numbers(bytes, part, 1, count);
+}
+
 /* Appends the end of a snapshot of @p parts parts. */
 static void
 append_end(GByteArray *bytes, uint64_t parts)
 {
-	struct message_writer writer;
-	uint32_t length;
-
-	message_writer_init(&writer);
-	message_begin_map(&writer, 3);
-	message_put_uint(&writer, 0, 1);
-	message_put_uint(&writer, 1, 8);
-	message_put_uint(&writer, 4, parts);
-	length = GUINT32_TO_LE((uint32_t)message_size(&writer));
-	g_byte_array_append(bytes, (const guint8 *)&length, sizeof(length));
-	g_byte_array_append(
-	    bytes, message_data(&writer), (guint)message_size(&writer));
-	message_writer_finish(&writer);
+	append_numbers(bytes, PART_END, parts, 1);
 }
 
 /* Loading a snapshot restores the whole state. Loading a truncated one fails
@@ -103,7 +102,6 @@
 {
 	enum {
 		PART_HEAD = 1,
-		PART_END = 8,
 		HEAD_NUMBERS = 6
 	};
 	struct replicated_state other;
@@ -115,7 +113,7 @@
 	for (count = 0; count <= HEAD_NUMBERS; count++) {
 		bytes = g_byte_array_new();
 		append_part(bytes, PART_HEAD, count);
-		append_part(bytes, PART_END, 1);
+		append_end(bytes, 1);
 		assert_int_equal(
 		    replicated_state_load(&other, bytes->data, bytes->len),
 		    count == HEAD_NUMBERS ? ERROR_NONE : ERROR_MALFORMED);
