--- a/tests/test_tcp_link.c
+++ b/tests/test_tcp_link.c
@@ -16,8 +16,8 @@
 
 #include "transport/tcp_link.h"
 
-#define FLOOD_BYTES    (8 * 1024 * 1024)
-#define PASS_BYTES_MAX (512 * 1024)
+#define FLOOD_BYTES    ((size_t)8 * 1024 * 1024)
+#define PASS_BYTES_MAX ((size_t)512 * 1024)
 
 /* A link, the other end of its connection and the events it reported. */
 struct fixture {
