Tests: a promise holds for all attempts, and only the final whole head makes it

A review that had not seen the work tried what else could lead from a run to 503, 429, 408 or 421: a refusal before or after an attempt that may have run (hang, reset, crash, 500), at this host and over another one; the field in an interim head or a trailer; a refusal that breaks off or contradicts itself; HTTP/1.0.

Seen red in a scratch copy in which a request that failed is always refused and a refusal that breaks off is believed: each of the six new kinds of answers, and six of the fourteen rows of attempts at least (the run counts them before the first failure of a row ends a test).

--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -104,6 +104,29 @@
 	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nAttempt-Id: r1\r\n"
 	"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	WARM_REQUESTS},
+    {"an interim answer says that it did not run",
+	"HTTP/1.1 103 Hints\r\nAttempt-Id: {ID}\r\nNot-Executed: 1\r\n"
+	"\r\n" FAILURE("503 Busy", "{ID}"),
+	0},
+    {"a trailer says that it did not run",
+	"HTTP/1.1 503 Busy\r\n" ATTEMPT_FIELDS
+	"Transfer-Encoding: chunked\r\n\r\n5\r\nbusy!\r\n0\r\n"
+	"Not-Executed: 1\r\n\r\n",
+	0},
+    {"a refusal whose body breaks off",
+	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nNot-Executed: 1\r\n"
+	"Content-Length: 9\r\n\r\nno<close>",
+	0},
+    {"a refusal without length whose connection is reset",
+	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nNot-Executed: 1\r\n\r\n"
+	"no<reset>",
+	0},
+    {"503 of HTTP/1.0 that does not say so",
+	"HTTP/1.0 503 Busy\r\n" ATTEMPT_FIELDS "\r\nbusy!<close>", 0},
+    {"a refusal with two lengths",
+	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nNot-Executed: 1\r\n"
+	"Content-Length: 2\r\nContent-Length: 0\r\n\r\nno",
+	0},
     {"a refusal that stops in its field, and an answer behind it",
 	"HTTP/1.1 503 Busy\r\nNot-Executed: 1HTTP/1.1 200 OK\r\n" ATTEMPT_FIELDS
 	"Content-Length: 5\r\n\r\nbody!",
@@ -474,6 +497,62 @@
 	}
 }
 
+/* What a caller is told after one or two attempts, of which upstreams ran some. */
+static const struct {
+	const char *path;
+	const char *first;
+	const char *second; /* Each later answer, too. */
+	uint32_t status;
+} attempts[] = {
+    {"/once/", NOT_RUN, NOT_RUN, 503},
+    {"/once/", NOT_RUN, REFUSAL("429 Many", "{ID}"), 503},
+    {"/once/", NOT_RUN, "<hang>", 504},
+    {"/once/", NOT_RUN, "<reset>", 502},
+    {"/once/", NOT_RUN, "<crash>", 502},
+    {"/once/", "<hang>", OK_ANSWER, 504},
+    {"/once/", "<reset>", OK_ANSWER, 502},
+    {"/once/", "<crash>", OK_ANSWER, 502},
+    {"/idem/", "<reset>", NOT_RUN, 502},
+    {"/idem/", "<crash>", NOT_RUN, 502},
+    {"/idem/", FAILURE("500 Oops", "{ID}"), NOT_RUN, 500},
+    {"/idem/", "<reset>", "<hang>", 504},
+    {"/idem/", "<hang>", NOT_RUN, 502},
+    {"/stream/", "<reset>", NOT_RUN, 502},
+};
+
+static void
+check_attempts(size_t i, bool is_forwarded)
+{
+	struct hosts *hosts;
+	uint32_t status;
+
+	hosts = start_hosts(is_forwarded);
+	relay_fixture_replace_answers(&hosts->serving, attempts[i].first);
+	relay_fixture_add_answer(&hosts->serving, attempts[i].second);
+	status = send_and_check(hosts, attempts[i].path, attempts[i].first);
+	if (status_promises_not_run(status) !=
+	    status_promises_not_run(attempts[i].status))
+		fail_msg("%s, %s, then %s: status %u", attempts[i].path,
+		    attempts[i].first, attempts[i].second, status);
+	if (!is_forwarded)
+		assert_int_equal(status, attempts[i].status);
+	stop_hosts(hosts);
+}
+
+/* A refusal by one upstream says nothing of an attempt at another one, before or
+ * after it. */
+static void
+test_promise_holds_for_all_attempts(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(attempts); i++) {
+		check_attempts(i, false);
+		check_attempts(i, true);
+	}
+}
+
 /* The status of an upstream that has run the request promises nothing on any kind
  * of route. No upstream gets more requests for it than the route allows. */
 static void
@@ -575,6 +654,7 @@
 	    cmocka_unit_test(test_requests_without_id_share_no_connection),
 	    cmocka_unit_test(
 		test_status_after_a_run_is_no_promise_on_any_route),
+	    cmocka_unit_test(test_promise_holds_for_all_attempts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
