Own interface: a reply whose head runs into another one is no answer

A caller of a plain service got 200 with the body of the 500 behind it; a refusal cut in a value was believed although an answer stood behind it, so that the call or prompt went to a second upstream.

Cause: reply_head reads line by line and took what follows the cut for the end of the line.

Change: a line of the head that contains the status line of another reply makes the reply malformed: unknown, or failed for work that may be repeated.

Before (trial that goes on after a finding): test_stray_answers, three of six new heads red for plain calls, the refusal for plain calls and prompts. The two that stop in a name or at a line's end were green. After: test_stray_answers 14 of 14, test_upstream_http 13 of 13 (build without sanitizers).

--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -16,6 +16,7 @@
 #define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
 #define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
 
+static bool runs_into_another(const char *line, size_t size, bool is_status);
 static void read_status(struct reply_head *head, const char *line, size_t size);
 static void read_field(struct reply_head *head, const char *line, size_t size);
 static void read_request_id(struct reply_head *head, const char *value);
@@ -25,14 +26,19 @@
 enum error_code
 reply_head_add_line(struct reply_head *head, const char *line, size_t size)
 {
+	bool is_status;
+
 	head->size += size;
 	if (head->size > HEADS_SIZE_MAX)
 		return ERROR_TOO_LARGE;
 	/* Behind the head come the fields of the trailer. */
 	if (head->is_complete)
 		return ERROR_NONE;
-	if (size >= VERSION_SIZE &&
-	    memcmp(line, VERSION_PREFIX, VERSION_SIZE) == 0)
+	is_status = size >= VERSION_SIZE &&
+		    memcmp(line, VERSION_PREFIX, VERSION_SIZE) == 0;
+	if (runs_into_another(line, size, is_status))
+		return ERROR_MALFORMED;
+	if (is_status)
 		read_status(head, line, size);
 	else if (is_empty_line(line, size))
 		head->is_complete = head->status >= FINAL_STATUS_MIN;
@@ -58,6 +64,22 @@
 	       http_status_has_no_body((uint32_t)head->status);
 }
 
+/* True if a line contains the status line of another reply, behind its own start if
+ * it is one itself. */
+static bool
+runs_into_another(const char *line, size_t size, bool is_status)
+{
+	char *text;
+	bool is_joined;
+
+	if (size < VERSION_SIZE)
+		return false;
+	text = g_strndup(line, size);
+	is_joined = http_has_status_line(text + (is_status ? 1 : 0));
+	g_free(text);
+	return is_joined;
+}
+
 static void
 read_status(struct reply_head *head, const char *line, size_t size)
 {
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -323,6 +323,35 @@
 	CHECK(cases, true);
 }
 
+/* Heads that stop within a line, with another answer behind them. */
+static const char *const joined_heads[] = {
+    "HTTP/1.1 200 O" PLAIN("500 Oops", ""),
+    "HTTP/1.1 200 OK\r\nServer: x" PLAIN("500 Oops", ""),
+    "HTTP/1.1 200 OK\r\nServer: " PLAIN("500 Oops", ""),
+    "HTTP/1.1 429 Busy\r\nX-Request-Outcome: not_run\r\nServer: x" PLAIN(
+	"200 OK", ""),
+    "HTTP/1.1 200 OK\r\nSer" PLAIN("500 Oops", ""),
+    "HTTP/1.1 200 OK\r\n" PLAIN("500 Oops", ""),
+};
+
+static void
+test_head_that_runs_into_another_is_no_answer(void **state)
+{
+	struct answer_case item;
+	size_t i;
+
+	(void)state;
+	memset(&item, 0, sizeof(item));
+	item.kind = PIECE_KIND_FAILED;
+	item.outcome = REQUEST_OUTCOME_UNKNOWN;
+	for (i = 0; i < sizeof(joined_heads) / sizeof(joined_heads[0]); i++) {
+		item.name = joined_heads[i];
+		item.reply = joined_heads[i];
+		check_cases(&item, 1, true);
+		check_cases(&item, 1, false);
+	}
+}
+
 /* A refusal that names another request or attempt promises nothing. One
  * without names is this request's, since each attempt has its own connection. */
 static void
@@ -638,6 +667,7 @@
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_attempt),
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_order),
 	    cmocka_unit_test(test_refusal_stands_in_the_final_head_only),
+	    cmocka_unit_test(test_head_that_runs_into_another_is_no_answer),
 	    cmocka_unit_test(test_refusal_of_another_request_is_no_promise),
 	    cmocka_unit_test(test_answer_of_another_request_reaches_no_caller),
 	    cmocka_unit_test(
