Own interface: a success that says that it did not run is no refusal

An engine or plain service that answered 2xx with X-Request-Outcome: not_run was believed: the body, which may be the whole answer, was dropped, and a keyed call or prompt went to a second upstream. The relay takes such an answer for none (refused.md); the own interface did not.

Cause: the field alone decided, whatever the status said.

Ruled out: refusals as events in a stream with status 200 (they name request and attempt and come before any piece).

Change: such a head is malformed: unknown, or failed for work that may be repeated.

--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -13,11 +13,13 @@
 #define REQUEST_ID_DIGITS 16
 #define STATUS_SIZE	  3	  /* Digits of a status. */
 #define FINAL_STATUS_MIN  200	  /* Lower ones belong to interim replies. */
+#define SUCCESS_END	  300	  /* Lower final statuses report success. */
 #define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
 #define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
 
 static bool runs_into_another(const char *line, size_t size, bool is_status);
 static void read_status(struct reply_head *head, const char *line, size_t size);
+static enum error_code end_head(struct reply_head *head);
 static void read_field(struct reply_head *head, const char *line, size_t size);
 static void read_request_id(struct reply_head *head, const char *value);
 static void read_length(struct reply_head *head, const char *value);
@@ -41,7 +43,7 @@
 	if (is_status)
 		read_status(head, line, size);
 	else if (is_empty_line(line, size))
-		head->is_complete = head->status >= FINAL_STATUS_MIN;
+		return end_head(head);
 	else
 		read_field(head, line, size);
 	return ERROR_NONE;
@@ -99,6 +101,17 @@
 	head->status = (uint32_t)strtoul(digits, NULL, 10);
 }
 
+/* A success that says that nothing ran contradicts itself. */
+static enum error_code
+end_head(struct reply_head *head)
+{
+	head->is_complete = head->status >= FINAL_STATUS_MIN;
+	return head->is_complete && head->says_not_run &&
+		       head->status < SUCCESS_END
+		   ? ERROR_MALFORMED
+		   : ERROR_NONE;
+}
+
 static void
 read_field(struct reply_head *head, const char *line, size_t size)
 {
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -323,6 +323,37 @@
 	CHECK(cases, true);
 }
 
+#define SAYS_NOT_RUN                                                           \
+	"HTTP/1.1 200 OK\r\n" NOT_RUN "Content-Type: text/event-stream\r\n"    \
+	"Connection: close\r\n\r\n"
+
+/* A success does not say that nothing ran. */
+static void
+test_success_is_no_refusal(void **state)
+{
+	static const struct answer_case prompts[] = {
+	    {"whole answer", SAYS_NOT_RUN TEXT(OWN) END(OWN),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"no event", SAYS_NOT_RUN, FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	    {"refusal in an event", STREAM ERROR_EVENT(OWN, "not_run"),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_NOT_RUN},
+	};
+	static const struct answer_case calls[] = {
+	    {"whole answer", PLAIN("200 OK", NOT_RUN), FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_UNKNOWN},
+	    {"own names", PLAIN("201 Made", NOT_RUN OWN_NAMES),
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	};
+
+	(void)state;
+	CHECK(prompts, false);
+	CHECK(calls, true);
+}
+
 /* Heads that stop within a line, with another answer behind them. */
 static const char *const joined_heads[] = {
     "HTTP/1.1 200 O" PLAIN("500 Oops", ""),
@@ -667,6 +698,7 @@
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_attempt),
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_order),
 	    cmocka_unit_test(test_refusal_stands_in_the_final_head_only),
+	    cmocka_unit_test(test_success_is_no_refusal),
 	    cmocka_unit_test(test_head_that_runs_into_another_is_no_answer),
 	    cmocka_unit_test(test_refusal_of_another_request_is_no_promise),
 	    cmocka_unit_test(test_answer_of_another_request_reaches_no_caller),
