Requests that a caller sends ahead don't deepen the stack

A caller that sends thousands of requests ahead, each answered at once (no route), made the relay's thread answer them one within the other. At 9000 requests, which are fewer than the 262,144 bytes that a caller may send ahead, the thread needs between 2 and 4 MB of stack; the default of 8 MB held, with a limit of 2 MB (ulimit -s) the process ended by a segmentation fault, in the build with sanitizers at 4 MB, too.

Cause: the end of an answer read the next request, whose end read the next one.

Change: the first call reads them in a loop.

Before: test_pipelining (stack of 1 MB for new threads) ended by signal 11. After: 3 of 3 runs pass; test_relay, test_refused, test_broken_answers, test_no_path and test_endless_answers pass (build without sanitizers).

--- a/src/relay/relay_caller.c
+++ b/src/relay/relay_caller.c
@@ -28,6 +28,7 @@
 static void on_end(void *context);
 static void feed_reader(
     struct relay_caller *caller, const char *data, size_t size);
+static void read_pipelined(struct relay_caller *caller);
 static void begin_answer(struct relay_caller *caller);
 static void refuse(struct relay_caller *caller, uint32_t status);
 static void end_connection(struct relay_caller *caller);
@@ -84,8 +85,6 @@
 void
 relay_caller_done(struct relay_caller *caller)
 {
-	GByteArray *pipelined;
-
 	caller->exchange = NULL;
 	if (caller->state != CALLER_ANSWERING)
 		return;
@@ -98,12 +97,7 @@
 	http_reader_next(&caller->reader);
 	caller->reader.head_bytes_max = head_bytes_max(caller);
 	set_timer(caller, caller_limits(caller)->idle_timeout_ms);
-	if (caller->pipelined->len == 0)
-		return;
-	pipelined = caller->pipelined;
-	caller->pipelined = g_byte_array_new();
-	feed_reader(caller, (const char *)pipelined->data, pipelined->len);
-	g_byte_array_unref(pipelined);
+	read_pipelined(caller);
 }
 
 void
@@ -241,6 +235,26 @@
 	begin_answer(caller);
 }
 
+/* Reads the requests that have come meanwhile. One that is answered at once gets
+ * here again and leaves the next one to the first call, so that the stack doesn't
+ * grow with their number. */
+static void
+read_pipelined(struct relay_caller *caller)
+{
+	GByteArray *bytes;
+
+	if (caller->is_reading_pipelined)
+		return;
+	caller->is_reading_pipelined = true;
+	while (caller->state == CALLER_READING && caller->pipelined->len > 0) {
+		bytes = caller->pipelined;
+		caller->pipelined = g_byte_array_new();
+		feed_reader(caller, (const char *)bytes->data, bytes->len);
+		g_byte_array_unref(bytes);
+	}
+	caller->is_reading_pipelined = false;
+}
+
 static void
 begin_answer(struct relay_caller *caller)
 {
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -70,6 +70,8 @@
 	GByteArray *body;	   /**< Body of the current request so far. */
 	GByteArray *pipelined;	   /**< Bytes of further requests that arrived
 				    before the current one was answered. */
+	/** They are being read. */
+	bool is_reading_pipelined;
 	struct relay_exchange *exchange; /**< Request being processed, or
 					      NULL. */
 	struct handle timer; /**< Timeout of the current state: idle connection,
