Part relay_attempt.c: the event stream in a file of its own

Change: a move. relay_stream.c begins an event stream, adds bytes, sends events on and records their times; end_attempt() is relay_attempt_abort() and declared, since the stream calls it.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -34,29 +34,17 @@
 static void on_body(void *context, const char *data, size_t size);
 static void on_chunk_end(void *context);
 static void drop_partial_body(struct relay_exchange *exchange);
-static void end_attempt(
-    struct relay_exchange *exchange, enum error_code error, bool is_fault);
 static void on_done(void *context);
 static void on_failed(void *context, enum error_code error);
 static void note_broken_call(
     struct relay_exchange *exchange, enum error_code error);
-static bool is_stream_whole(const struct relay_exchange *exchange);
 static void clear_suspicion(struct relay_exchange *exchange);
 static void on_refusal(struct relay_exchange *exchange);
 static void excuse_upstream(struct relay_exchange *exchange, uint64_t fault);
 static void store_answer(struct relay_exchange *exchange);
 static void take_next_step(
     struct relay_exchange *exchange, enum error_code error);
-static void begin_event_stream(
-    struct relay_exchange *exchange, struct http_head *head);
-static void add_event_bytes(
-    struct relay_exchange *exchange, const char *data, size_t size);
-static void forward_events(struct relay_exchange *exchange);
-static void note_events(struct relay_exchange *exchange);
-static void record_event_times(struct relay_exchange *exchange);
-static void record_first_event(struct relay_exchange *exchange);
 static void record_answer(struct relay_exchange *exchange);
-static void record_progress(struct relay_exchange *exchange);
 
 void
 relay_attempt_begin(struct relay_exchange *exchange)
@@ -213,6 +201,15 @@
 	take_next_step(exchange, error);
 }
 
+void
+relay_attempt_abort(
+    struct relay_exchange *exchange, enum error_code error, bool is_fault)
+{
+	pool_call_cancel(exchange->call);
+	exchange->call = NULL;
+	relay_attempt_failed(exchange, error, is_fault);
+}
+
 /* Counts an attempt that reached no upstream. */
 static void
 count_unsent(struct relay_exchange *exchange, enum error_code error)
@@ -315,7 +312,7 @@
 	if (facts->owner == ANSWER_OF_REQUEST &&
 	    exchange->forward.to_host != 0) {
 		if (!relay_forward_read_result(exchange, head)) {
-			end_attempt(exchange, ERROR_MALFORMED, true);
+			relay_attempt_abort(exchange, ERROR_MALFORMED, true);
 			return POOL_ANSWER_TAKE;
 		}
 		facts->is_refusal =
@@ -326,12 +323,12 @@
 	if (exchange->answer_class == ANSWER_REPEATED)
 		return POOL_ANSWER_DISCARD;
 	if (exchange->answer_class == ANSWER_MISMATCHED) {
-		end_attempt(exchange, ERROR_MALFORMED, true);
+		relay_attempt_abort(exchange, ERROR_MALFORMED, true);
 		return POOL_ANSWER_TAKE;
 	}
 	relay_head_hear(exchange, head);
 	if (exchange->answer_class == ANSWER_EVENTS) {
-		begin_event_stream(exchange, head);
+		relay_stream_begin(exchange, head);
 		return POOL_ANSWER_TAKE;
 	}
 	timer_cancel(&exchange->relay->timers, &exchange->stall_timer);
@@ -348,13 +345,13 @@
 	bool is_fault;
 
 	if (exchange->answer_class == ANSWER_EVENTS) {
-		add_event_bytes(exchange, data, size);
+		relay_stream_add(exchange, data, size);
 		return;
 	}
 	is_fault = exchange->partial_body->len + size > ANSWER_BYTES_MAX;
 	if (is_fault || atomic_load(held_bytes) + size > HELD_BYTES_MAX) {
 		drop_partial_body(exchange);
-		end_attempt(exchange, ERROR_TOO_LARGE, is_fault);
+		relay_attempt_abort(exchange, ERROR_TOO_LARGE, is_fault);
 		return;
 	}
 	atomic_fetch_add(held_bytes, size);
@@ -368,7 +365,7 @@
 	struct relay_exchange *exchange = context;
 
 	if (exchange->answer_class == ANSWER_EVENTS)
-		forward_events(exchange);
+		relay_stream_forward(exchange);
 }
 
 /* Frees what was received of an answer that is held until it is whole. */
@@ -381,16 +378,6 @@
 	exchange->partial_body = g_byte_array_new();
 }
 
-/* Closes the connection of an attempt that has failed while it was answered. */
-static void
-end_attempt(
-    struct relay_exchange *exchange, enum error_code error, bool is_fault)
-{
-	pool_call_cancel(exchange->call);
-	exchange->call = NULL;
-	relay_attempt_failed(exchange, error, is_fault);
-}
-
 static void
 on_done(void *context)
 {
@@ -398,7 +385,7 @@
 
 	exchange->call = NULL;
 	if (exchange->answer_class == ANSWER_EVENTS) {
-		if (!is_stream_whole(exchange)) {
+		if (!relay_stream_is_whole(exchange)) {
 			relay_attempt_failed(exchange, ERROR_INCOMPLETE, true);
 			return;
 		}
@@ -462,15 +449,6 @@
 	relay_path_on_unreached(exchange->relay, exchange->upstream_id);
 }
 
-/* True if a stream that has ended is complete. A connection that ends after the
- * head, before any event, is no more than an upstream that stopped there. */
-static bool
-is_stream_whole(const struct relay_exchange *exchange)
-{
-	return !relay_events_is_partial(&exchange->events) &&
-	       (exchange->has_progress || !exchange->is_unframed);
-}
-
 /* The host that sent the request to the upstream clears its suspicions. */
 static void
 clear_suspicion(struct relay_exchange *exchange)
@@ -577,98 +555,6 @@
 	}
 }
 
-static void
-begin_event_stream(struct relay_exchange *exchange, struct http_head *head)
-{
-	exchange->is_chunked = head->is_chunked;
-	exchange->is_unframed = !head->is_chunked && !head->has_length;
-	if (exchange->is_answering)
-		return;
-	relay_answer_begin(exchange->caller, head);
-	exchange->is_answering = true;
-}
-
-/* The events in a chunk wait for its end: an upstream that breaks off in a chunk
- * and goes on with another answer shows it only there. They don't wait in a chunk
- * that is larger than an event may be. */
-static void
-add_event_bytes(struct relay_exchange *exchange, const char *data, size_t size)
-{
-	relay_events_add(&exchange->events, data, size);
-	if (!exchange->is_chunked ||
-	    relay_events_pending(&exchange->events) > EVENT_BYTES_MAX)
-		forward_events(exchange);
-}
-
-static void
-forward_events(struct relay_exchange *exchange)
-{
-	enum error_code error;
-	GByteArray *out;
-	uint32_t count;
-
-	out = g_byte_array_new();
-	error = relay_events_take(&exchange->events, out, &count);
-	if (count > 0) {
-		relay_answer_chunk(exchange->caller, out->data, out->len);
-		note_events(exchange);
-	}
-	g_byte_array_unref(out);
-	if (error != ERROR_NONE)
-		end_attempt(exchange, error, true);
-	else if (relay_caller_is_overloaded(exchange->caller))
-		relay_exchange_abort(exchange, ERROR_TOO_LARGE);
-}
-
-static void
-note_events(struct relay_exchange *exchange)
-{
-	struct placement *placement = &exchange->relay->placement;
-
-	if (!exchange->has_progress)
-		placement_record_success(placement, exchange->upstream_id);
-	placement_record_prefilled(placement, &exchange->work);
-	if (!exchange->has_progress) {
-		exchange->progress_began_ms = host_now_ms();
-		relay_schedule_report(exchange->relay);
-		record_first_event(exchange);
-		event_log_write_fields(EVENT_ANSWER_STARTED,
-		    "{s:s,s:s,s:I,s:f}", "request", exchange->attempt_id,
-		    "upstream", exchange->upstream_name, "ms",
-		    (json_int_t)(host_now_ms() - exchange->sent_ms),
-		    "expected_ms", exchange->expected_ms);
-	}
-	exchange->has_progress = true;
-	relay_crash_note_progress(exchange);
-	record_progress(exchange);
-	record_event_times(exchange);
-}
-
-/* Records the times of events as the caller sees them, over all attempts. */
-static void
-record_event_times(struct relay_exchange *exchange)
-{
-	int64_t now_ms = host_now_ms();
-
-	if (exchange->first_event_ms == 0)
-		exchange->first_event_ms = now_ms;
-	else
-		exchange->longest_pause_ms = MAX(exchange->longest_pause_ms,
-		    now_ms - exchange->last_event_ms);
-	exchange->last_event_ms = now_ms;
-}
-
-/* Counts the time to the first event, unless the stream was resumed: the caller
- * got its first event from an earlier upstream then. */
-static void
-record_first_event(struct relay_exchange *exchange)
-{
-	if (exchange->request.has_partial_answer)
-		return;
-	metrics_observe(exchange->relay->counters.first_event_ms,
-	    (double)(host_now_ms() - exchange->arrived_ms));
-}
-
 /* Records the time for which a complete answer took a slot, unless the stream
  * was resumed: another upstream began it then. */
 static void
@@ -680,13 +566,3 @@
 	placement_record_answer(&exchange->relay->placement, &exchange->work,
 	    (double)(host_now_ms() - exchange->first_event_ms));
 }
-
-static void
-record_progress(struct relay_exchange *exchange)
-{
-	exchange->last_progress_ms = host_now_ms();
-	exchange->is_reachable = false;
-	placement_record_progress(&exchange->relay->placement,
-	    exchange->upstream_id, exchange->sent_ms,
-	    exchange->last_progress_ms);
-}
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -266,11 +266,32 @@
  * @p is_fault is true if the failure counts against the upstream. */
 void relay_attempt_failed(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
-
+/** Closes the connection of an attempt that has failed while it was answered, and
+ * ends it as relay_attempt_failed() does. */
+void relay_attempt_abort(
+    struct relay_exchange *exchange, enum error_code error, bool is_fault);
 /** Starts an attempt at another host, at its packed address. */
 void relay_attempt_begin_forwarded(
     struct relay_exchange *exchange, uint64_t address);
 
+/* relay_stream.c */
+
+/** Begins the event stream of an answer, unless the caller has part of one. */
+void relay_stream_begin(
+    struct relay_exchange *exchange, struct http_head *head);
+/** Adds received bytes. The events in a chunk wait for its end: an upstream that
+ * breaks off in a chunk and goes on with another answer shows it only there. They
+ * don't wait in a chunk that is larger than an event may be. */
+void relay_stream_add(
+    struct relay_exchange *exchange, const char *data, size_t size);
+/** Sends the whole events on to the caller. Ends the attempt if one is not valid,
+ * and the request if the caller does not read. */
+void relay_stream_forward(struct relay_exchange *exchange);
+/** Returns true if a stream that has ended is complete. A connection that ends
+ * after the head, before any event, is no more than an upstream that stopped
+ * there. */
+bool relay_stream_is_whole(const struct relay_exchange *exchange);
+
 /* relay_head.c */
 
 /** Reads from the head of an answer what its classification needs. */
