Attempts at an upstream and at another host: a table of functions

What readers saw: relay_attempt.c asked at seven places whether an attempt went to another host (forward.to_host), and relay_silence.c at an eighth; relay_attempt.c (note_broken_call) and relay_silence.c (on_probed) each counted an upstream that was not reached and told relay_path.

Order: what a failure counts at placement is counted before the attempt's work is taken off, not after; these touch different fields (failures and ejection; running requests, prefill and memory), and the report that both schedule is sent by a timer.

Ruled out: functions left out of a table, to be tested for NULL at each place.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -5,7 +5,6 @@
 #include "base/event_log.h"
 #include "relay/relay_parts.h"
 
-#define STATUS_MISDIRECTED 421
 /* A hash as 16 hexadecimal digits, and its bytes with NUL. */
 #define HASH_FORMAT    "%016" G_GINT64_MODIFIER "x"
 #define HASH_TEXT_SIZE 17
@@ -19,13 +18,6 @@
 #define NO_REPEAT_IDLE_MAX_MS  700
 #define REPEATABLE_IDLE_MAX_MS INT64_MAX
 
-static void on_reserved(void *context, enum error_code error);
-static bool is_choice_valid(const struct relay_exchange *exchange);
-static void send_request(struct relay_exchange *exchange);
-static void count_unsent(
-    struct relay_exchange *exchange, enum error_code error);
-static void record_fault(
-    struct relay_exchange *exchange, enum error_code error);
 static void log_retried(
     const struct relay_exchange *exchange, enum error_code error);
 static void on_connected(void *context);
@@ -36,101 +28,31 @@
 static void drop_partial_body(struct relay_exchange *exchange);
 static void on_done(void *context);
 static void on_failed(void *context, enum error_code error);
-static void note_broken_call(
-    struct relay_exchange *exchange, enum error_code error);
-static void clear_suspicion(struct relay_exchange *exchange);
-static void on_refusal(struct relay_exchange *exchange);
-static void excuse_upstream(struct relay_exchange *exchange, uint64_t fault);
 static void store_answer(struct relay_exchange *exchange);
 static void take_next_step(
     struct relay_exchange *exchange, enum error_code error);
-static void record_answer(struct relay_exchange *exchange);
-
-void
-relay_attempt_begin(struct relay_exchange *exchange)
-{
-	const struct placement_choice *choice = &exchange->choice;
-	struct relay *relay = exchange->relay;
-	int64_t now_ms;
-
-	now_ms = host_now_ms();
-	exchange->upstream_id = choice->upstream->id;
-	exchange->upstream_incarnation = choice->upstream->incarnation;
-	g_strlcpy(exchange->upstream_name, choice->upstream->name,
-	    sizeof(exchange->upstream_name));
-	exchange->expected_ms = choice->wait_ms + choice->part_prefill_ms;
-	exchange->upstream_address = choice->upstream->address;
-	exchange->is_sent = false;
-	exchange->has_progress = false;
-	exchange->has_survived = false;
-	exchange->answer_class = 0;
-	placement_begin(&relay->placement, &exchange->request, choice, now_ms,
-	    &exchange->work);
-	relay_schedule_report(relay);
-	if (exchange->request.tried_count < PLACEMENT_TRIED_MAX)
-		exchange->request.tried[exchange->request.tried_count++] =
-		    choice->upstream->id;
-	relay_trace_placed(exchange);
-	if (choice->reservation_count == 0) {
-		send_request(exchange);
-		return;
-	}
-	relay_holds_begin(
-	    &exchange->holds, relay, choice, on_reserved, exchange);
-}
 
 void
-relay_attempt_begin_forwarded(struct relay_exchange *exchange, uint64_t address)
+relay_attempt_prepare(struct relay_exchange *exchange,
+    const struct attempt_ops *ops, uint64_t address, double expected_ms)
 {
-	/* A request that waits here waits at the other host from now on. */
-	placement_queue_leave(
-	    &exchange->relay->placement, &exchange->queue_entry);
+	exchange->attempt = ops;
 	exchange->upstream_id = 0;
 	exchange->upstream_incarnation = 0;
 	exchange->upstream_name[0] = '\0';
 	exchange->upstream_address = address;
-	exchange->expected_ms = (double)exchange->route->target_ms;
+	exchange->expected_ms = expected_ms;
 	exchange->is_sent = false;
 	exchange->has_progress = false;
 	exchange->has_survived = false;
 	exchange->answer_class = 0;
-	send_request(exchange);
 }
 
-static void
-on_reserved(void *context, enum error_code error)
-{
-	struct relay_exchange *exchange = context;
-
-	if (error != ERROR_NONE) {
-		relay_attempt_failed(exchange, error, false);
-		return;
-	}
-	/* The configuration may have changed meanwhile. */
-	if (!relay_exchange_resolve(exchange))
-		return;
-	if (is_choice_valid(exchange))
-		send_request(exchange);
-	else
-		relay_attempt_failed(exchange, ERROR_NO_UPSTREAM, false);
-}
-
-/* Whether the chosen upstream may still get the request. */
-static bool
-is_choice_valid(const struct relay_exchange *exchange)
-{
-	return exchange->work.service ==
-		   placement_service_hash(exchange->service->name) &&
-	       placement_is_usable(&exchange->relay->placement,
-		   exchange->upstream_id, exchange->upstream_incarnation);
-}
-
-static void
-send_request(struct relay_exchange *exchange)
+void
+relay_attempt_send(struct relay_exchange *exchange)
 {
-	bool is_forwarded = exchange->forward.to_host != 0;
 	struct pool_call_ops ops = {
-	    .on_connected = is_forwarded ? NULL : on_connected,
+	    .on_connected = on_connected,
 	    .on_sent = on_sent,
 	    .on_head = on_head,
 	    .on_body = on_body,
@@ -150,9 +72,7 @@
 	    exchange->route->kind, exchange->route->is_resumable);
 	request.idle_max_ms =
 	    may_repeat ? REPEATABLE_IDLE_MAX_MS : NO_REPEAT_IDLE_MAX_MS;
-	request.bytes = is_forwarded
-			    ? relay_forward_bytes(exchange, host_now_ms())
-			    : relay_request_bytes(exchange, host_now_ms());
+	request.bytes = exchange->attempt->bytes(exchange, host_now_ms());
 	exchange->call = upstream_pool_call(
 	    &exchange->relay->pool, exchange->upstream_address, &request, &ops);
 	g_bytes_unref(request.bytes);
@@ -175,26 +95,19 @@
 		relay_schedule_report(exchange->relay);
 	placement_queue_leave(
 	    &exchange->relay->placement, &exchange->queue_entry);
-	placement_end(&exchange->relay->placement, &exchange->work);
-	relay_forward_end(exchange);
-	relay_holds_end(&exchange->holds, exchange->relay);
+	if (exchange->attempt != NULL)
+		exchange->attempt->on_end(exchange);
+	exchange->attempt = NULL;
 }
 
 void
 relay_attempt_failed(
     struct relay_exchange *exchange, enum error_code error, bool is_fault)
 {
-	bool is_forwarded = exchange->forward.to_host != 0;
-
-	if (is_forwarded)
-		relay_forward_on_failed(exchange, error);
+	exchange->attempt->on_failed(exchange, error, is_fault);
 	relay_attempt_end(exchange);
-	if (is_fault && !is_forwarded)
-		record_fault(exchange, error);
 	if (exchange->is_sent)
 		exchange->may_have_run = true;
-	else if (!is_forwarded)
-		count_unsent(exchange, error);
 	exchange->is_sent = false;
 	relay_events_drop_partial(&exchange->events);
 	log_retried(exchange, error);
@@ -210,38 +123,6 @@
 	relay_attempt_failed(exchange, error, is_fault);
 }
 
-/* Counts an attempt that reached no upstream. */
-static void
-count_unsent(struct relay_exchange *exchange, enum error_code error)
-{
-	if (error == ERROR_CONNECTION)
-		exchange->attempts_absent++;
-	else if (error == ERROR_TIMEOUT || error == ERROR_NO_CAPACITY)
-		exchange->attempts_unsent++;
-}
-
-/* Records that the upstream is to blame. If it has ended, the other hosts are
- * told at once, since they send there, too. */
-static void
-record_fault(struct relay_exchange *exchange, enum error_code error)
-{
-	struct placement *placement = &exchange->relay->placement;
-
-	if (!exchange->is_sent && error == ERROR_TIMEOUT) {
-		placement_record_unreached(
-		    placement, exchange->upstream_id, host_now_ms());
-		return;
-	}
-	if (exchange->is_sent || error != ERROR_CONNECTION) {
-		placement_record_failure(
-		    placement, exchange->upstream_id, host_now_ms());
-		return;
-	}
-	placement_record_absence(
-	    placement, exchange->upstream_id, host_now_ms());
-	relay_schedule_report(exchange->relay);
-}
-
 /* The fingerprint is logged once it is known: when the request was suspected of
  * a crash, or while any request is. */
 static void
@@ -278,7 +159,7 @@
 {
 	struct relay_exchange *exchange = context;
 
-	relay_path_on_connected(exchange->relay);
+	exchange->attempt->on_connected(exchange);
 }
 
 static void
@@ -288,8 +169,7 @@
 	struct relay *relay = exchange->relay;
 
 	exchange->is_sent = true;
-	if (exchange->forward.to_host == 0)
-		relay_forward_record_sent(exchange, exchange->upstream_id);
+	exchange->attempt->on_sent(exchange);
 	exchange->sent_ms = host_now_ms();
 	exchange->last_progress_ms = exchange->sent_ms;
 	exchange->is_reachable = false;
@@ -310,13 +190,9 @@
 
 	relay_head_read(exchange, head, facts);
 	if (facts->owner == ANSWER_OF_REQUEST &&
-	    exchange->forward.to_host != 0) {
-		if (!relay_forward_read_result(exchange, head)) {
-			relay_attempt_abort(exchange, ERROR_MALFORMED, true);
-			return POOL_ANSWER_TAKE;
-		}
-		facts->is_refusal =
-		    exchange->forward.result.reason != ERROR_NONE;
+	    !exchange->attempt->read_head(exchange, head)) {
+		relay_attempt_abort(exchange, ERROR_MALFORMED, true);
+		return POOL_ANSWER_TAKE;
 	}
 	exchange->answer_class = classify_answer(facts);
 	relay_trace_head(exchange, head);
@@ -389,18 +265,14 @@
 			relay_attempt_failed(exchange, ERROR_INCOMPLETE, true);
 			return;
 		}
-		record_answer(exchange);
-		clear_suspicion(exchange);
+		exchange->attempt->on_answered(exchange);
 		relay_attempt_end(exchange);
 		relay_answer_end(exchange->caller);
 		relay_exchange_finish(exchange, END_ANSWERED, ERROR_NONE);
 		return;
 	}
 	if (exchange->answer_class == ANSWER_NOT_RUN) {
-		if (exchange->forward.to_host != 0)
-			relay_forward_on_refusal(exchange);
-		else
-			on_refusal(exchange);
+		exchange->attempt->on_refusal(exchange);
 		return;
 	}
 	if (exchange->answer_class == ANSWER_UNFOUNDED) {
@@ -421,7 +293,7 @@
 	}
 	placement_record_success(
 	    &exchange->relay->placement, exchange->upstream_id);
-	clear_suspicion(exchange);
+	exchange->attempt->on_answered(exchange);
 	relay_attempt_end(exchange);
 	relay_exchange_deliver(exchange);
 }
@@ -432,68 +304,11 @@
 	struct relay_exchange *exchange = context;
 
 	exchange->call = NULL;
-	if (exchange->forward.to_host == 0)
-		note_broken_call(exchange, error);
-	relay_attempt_failed(exchange, error, true);
-}
-
-/* Records what the end of a call shows of the upstream and of the path to it. */
-static void
-note_broken_call(struct relay_exchange *exchange, enum error_code error)
-{
 	if (error == ERROR_INCOMPLETE)
-		relay_crash_suspect(exchange);
-	if (exchange->is_sent)
-		return;
-	exchange->forward.unreached++;
-	relay_path_on_unreached(exchange->relay, exchange->upstream_id);
-}
-
-/* The host that sent the request to the upstream clears its suspicions. */
-static void
-clear_suspicion(struct relay_exchange *exchange)
-{
-	if (exchange->forward.to_host == 0)
-		relay_crash_clear(exchange);
-}
-
-/* Handles an upstream's answer that it did not run the request. The answer may
- * name a helper that was at fault. */
-static void
-on_refusal(struct relay_exchange *exchange)
-{
-	const char *fault;
-
-	fault = http_head_get(&exchange->partial_head,
-	    exchange->relay->settings.dialect.faulty_engine);
-	relay_trace_refused(exchange);
-	exchange->is_sent = false;
-	if (fault != NULL && upstream_address_parse(fault) != 0 &&
-	    upstream_address_parse(fault) != exchange->upstream_address)
-		excuse_upstream(exchange, upstream_address_parse(fault));
-	relay_attempt_failed(exchange, ERROR_UPSTREAM_REFUSED,
-	    exchange->partial_head.status == STATUS_MISDIRECTED);
-}
-
-/* Records that the helper at address @p fault failed, not the upstream. The
- * upstream may then get the request again without that helper, and the refused
- * attempt does not count towards the route's limit of attempts. */
-static void
-excuse_upstream(struct relay_exchange *exchange, uint64_t fault)
-{
-	enum fault_class step;
-
-	placement_eject_address(
-	    &exchange->relay->placement, fault, host_now_ms());
-	relay_schedule_report(exchange->relay);
-	step = classify_helper_fault(exchange->excused_attempts);
-	if (step == FAULT_COUNTS || exchange->attempts_sent == 0 ||
-	    exchange->request.tried_count == 0)
-		return;
-	exchange->request.is_without_helpers = step == FAULT_EXCUSED_NO_HELPERS;
-	exchange->excused_attempts++;
-	exchange->attempts_sent--;
-	exchange->request.tried_count--;
+		exchange->attempt->on_broken(exchange);
+	if (!exchange->is_sent)
+		exchange->attempt->on_unreached(exchange);
+	relay_attempt_failed(exchange, error, true);
 }
 
 /* Stores the answer as the last complete one. It is delivered if no further
@@ -554,15 +369,3 @@
 		return;
 	}
 }
-
-/* Records the time for which a complete answer took a slot, unless the stream
- * was resumed: another upstream began it then. */
-static void
-record_answer(struct relay_exchange *exchange)
-{
-	if (exchange->request.has_partial_answer ||
-	    exchange->first_event_ms == 0 || exchange->forward.to_host != 0)
-		return;
-	placement_record_answer(&exchange->relay->placement, &exchange->work,
-	    (double)(host_now_ms() - exchange->first_event_ms));
-}
--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -199,7 +199,7 @@
 	placement_queue_leave(
 	    &exchange->relay->placement, &exchange->queue_entry);
 	if (error == ERROR_NONE)
-		relay_attempt_begin(exchange);
+		relay_upstream_begin(exchange);
 	else
 		wait_for_placement(exchange, error);
 }
--- a/src/relay/relay_forward.c
+++ b/src/relay/relay_forward.c
@@ -24,11 +24,33 @@
  * says whether the request has run. */
 #define DEADLINE_MARGIN_MS 20
 
+static GBytes *request_bytes(
+    const struct relay_exchange *exchange, int64_t now_ms);
+static void ignore(struct relay_exchange *exchange);
+static bool read_result(
+    struct relay_exchange *exchange, const struct http_head *head);
+static void on_refusal(struct relay_exchange *exchange);
+static void on_failed(
+    struct relay_exchange *exchange, enum error_code error, bool is_fault);
+static void on_end(struct relay_exchange *exchange);
 static bool is_refused_by_host(enum error_code reason);
 static void append_request_field(
     GString *out, const struct relay_exchange *exchange, int64_t now_ms);
 static void adopt_tried(struct relay_exchange *exchange);
 
+static const struct attempt_ops forwarded_attempt = {
+    .bytes = request_bytes,
+    .on_connected = ignore,
+    .on_unreached = ignore,
+    .on_sent = ignore,
+    .read_head = read_result,
+    .on_refusal = on_refusal,
+    .on_answered = ignore,
+    .on_broken = ignore,
+    .on_failed = on_failed,
+    .on_end = on_end,
+};
+
 bool
 relay_forward_try(struct relay_exchange *exchange)
 {
@@ -55,12 +77,75 @@
 	    (json_int_t)peer->host_id, "path_lost", relay_path_is_lost(relay),
 	    "unreached", (int)forward->unreached, "sent",
 	    (int)exchange->attempts_sent);
-	relay_attempt_begin_forwarded(exchange, peer->says.address);
+	/* A request that waits here waits at the other host from now on. */
+	placement_queue_leave(&relay->placement, &exchange->queue_entry);
+	relay_attempt_prepare(exchange, &forwarded_attempt, peer->says.address,
+	    (double)exchange->route->target_ms);
+	relay_attempt_send(exchange);
 	return true;
 }
 
-GBytes *
-relay_forward_bytes(const struct relay_exchange *exchange, int64_t now_ms)
+void
+relay_forward_record_sent(struct relay_exchange *exchange, uint64_t upstream_id)
+{
+	struct relay_forward *forward = &exchange->forward;
+
+	if (forward->sent_to_count < FORWARD_TRIED_MAX)
+		forward->sent_to[forward->sent_to_count++] = upstream_id;
+}
+
+bool
+relay_forward_receive(struct relay_exchange *exchange)
+{
+	struct relay_forward *forward = &exchange->forward;
+	struct relay *relay = exchange->relay;
+	enum error_code error;
+	const char *text;
+	uint32_t i;
+
+	if (exchange->caller->kind != CALLER_HOST)
+		return true;
+	forward->is_received = true;
+	atomic_fetch_add(&relay->counters.forwards_taken, 1);
+	text = http_head_get(&exchange->head, FORWARD_REQUEST_FIELD);
+	error = text == NULL ? ERROR_MISSING_FIELD
+			     : forward_request_parse(text, &forward->received);
+	if (error == ERROR_NONE &&
+	    forward->received.token != relay->placement.forwarding.token)
+		error = ERROR_UNAUTHENTICATED;
+	if (error == ERROR_NONE && atomic_load(&relay->is_draining))
+		error = ERROR_SHUTTING_DOWN;
+	if (error == ERROR_NONE && relay_path_is_lost(relay))
+		error = ERROR_NO_PATH;
+	if (error != ERROR_NONE) {
+		relay_exchange_refuse(exchange, "this host can't forward it",
+		    RETRY_AFTER_DEFAULT_MS, error);
+		return false;
+	}
+	exchange->arrived_ms -= forward->received.age_ms;
+	for (i = 0; i < forward->received.tried_count; i++)
+		exchange->request.tried[exchange->request.tried_count++] =
+		    forward->received.tried[i];
+	return true;
+}
+
+void
+relay_forward_append_result(GString *out, const struct relay_exchange *exchange)
+{
+	struct forward_result result = {
+	    .reason = exchange->refusal,
+	    .sent = exchange->attempts_sent,
+	    .upstream_id = exchange->upstream_id,
+	};
+	char *text;
+
+	text = forward_result_format(&result);
+	g_string_append_printf(out, FORWARD_RESULT_FIELD ": %s\r\n", text);
+	g_free(text);
+}
+
+static GBytes *
+request_bytes(const struct relay_exchange *exchange, int64_t now_ms)
 {
 	const char *key_field = exchange->relay->settings.dialect.account_key;
 	const char *key = http_head_get(&exchange->head, key_field);
@@ -75,18 +160,16 @@
 	return relay_request_end(exchange, out);
 }
 
-void
-relay_forward_record_sent(struct relay_exchange *exchange, uint64_t upstream_id)
+/* What happens at an upstream behind another host, or on the way to that host,
+ * is no sign of this host's own path or of crashes that it has seen. */
+static void
+ignore(struct relay_exchange *exchange)
 {
-	struct relay_forward *forward = &exchange->forward;
-
-	if (forward->sent_to_count < FORWARD_TRIED_MAX)
-		forward->sent_to[forward->sent_to_count++] = upstream_id;
+	(void)exchange;
 }
 
-bool
-relay_forward_read_result(
-    struct relay_exchange *exchange, const struct http_head *head)
+static bool
+read_result(struct relay_exchange *exchange, const struct http_head *head)
 {
 	struct relay_forward *forward = &exchange->forward;
 	const char *text;
@@ -100,11 +183,12 @@
 	exchange->attempts_sent += forward->result.sent;
 	exchange->attempts_sent -= MIN(exchange->attempts_sent, 1);
 	adopt_tried(exchange);
+	exchange->facts.is_refusal = forward->result.reason != ERROR_NONE;
 	return true;
 }
 
-void
-relay_forward_on_refusal(struct relay_exchange *exchange)
+static void
+on_refusal(struct relay_exchange *exchange)
 {
 	enum error_code reason = exchange->forward.result.reason;
 	const char *text;
@@ -131,11 +215,12 @@
 	relay_exchange_end_unplaced(exchange, reason, after_ms);
 }
 
-void
-relay_forward_on_failed(struct relay_exchange *exchange, enum error_code error)
+static void
+on_failed(struct relay_exchange *exchange, enum error_code error, bool is_fault)
 {
 	struct relay_forward *forward = &exchange->forward;
 
+	(void)is_fault;
 	/* Once the host has answered, what fails is mostly its upstream. */
 	if (forward->has_result && error != ERROR_STALLED &&
 	    !is_refused_by_host(forward->result.reason))
@@ -146,68 +231,16 @@
 		forward->tried[forward->tried_count++] = forward->to_host;
 }
 
-void
-relay_forward_end(struct relay_exchange *exchange)
+static void
+on_end(struct relay_exchange *exchange)
 {
 	struct relay_forward *forward = &exchange->forward;
 
-	if (forward->to_host == 0)
-		return;
 	forward_peers_end(
 	    &exchange->relay->placement.forward_peers, forward->to_host);
 	forward->to_host = 0;
 }
 
-bool
-relay_forward_receive(struct relay_exchange *exchange)
-{
-	struct relay_forward *forward = &exchange->forward;
-	struct relay *relay = exchange->relay;
-	enum error_code error;
-	const char *text;
-	uint32_t i;
-
-	if (exchange->caller->kind != CALLER_HOST)
-		return true;
-	forward->is_received = true;
-	atomic_fetch_add(&relay->counters.forwards_taken, 1);
-	text = http_head_get(&exchange->head, FORWARD_REQUEST_FIELD);
-	error = text == NULL ? ERROR_MISSING_FIELD
-			     : forward_request_parse(text, &forward->received);
-	if (error == ERROR_NONE &&
-	    forward->received.token != relay->placement.forwarding.token)
-		error = ERROR_UNAUTHENTICATED;
-	if (error == ERROR_NONE && atomic_load(&relay->is_draining))
-		error = ERROR_SHUTTING_DOWN;
-	if (error == ERROR_NONE && relay_path_is_lost(relay))
-		error = ERROR_NO_PATH;
-	if (error != ERROR_NONE) {
-		relay_exchange_refuse(exchange, "this host can't forward it",
-		    RETRY_AFTER_DEFAULT_MS, error);
-		return false;
-	}
-	exchange->arrived_ms -= forward->received.age_ms;
-	for (i = 0; i < forward->received.tried_count; i++)
-		exchange->request.tried[exchange->request.tried_count++] =
-		    forward->received.tried[i];
-	return true;
-}
-
-void
-relay_forward_append_result(GString *out, const struct relay_exchange *exchange)
-{
-	struct forward_result result = {
-	    .reason = exchange->refusal,
-	    .sent = exchange->attempts_sent,
-	    .upstream_id = exchange->upstream_id,
-	};
-	char *text;
-
-	text = forward_result_format(&result);
-	g_string_append_printf(out, FORWARD_RESULT_FIELD ": %s\r\n", text);
-	g_free(text);
-}
-
 /* Whether another host may serve the request that this one refused. */
 static bool
 is_refused_by_host(enum error_code reason)
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -76,6 +76,36 @@
 				  request head or lingering. */
 };
 
+/** What differs between an attempt at an upstream (relay_upstream.c) and one at
+ * another host, which forwards the request (relay_forward.c). */
+struct attempt_ops {
+	/** Returns the request as it is sent at @p now_ms. */
+	GBytes *(*bytes)(const struct relay_exchange *exchange, int64_t now_ms);
+	/** A connection was established. */
+	void (*on_connected)(struct relay_exchange *exchange);
+	/** No connection could be made. */
+	void (*on_unreached)(struct relay_exchange *exchange);
+	/** The request was sent. */
+	void (*on_sent)(struct relay_exchange *exchange);
+	/** Reads what the head of an answer to this request says besides
+	 * facts; may change these. Returns false if it lacks what it must
+	 * have. */
+	bool (*read_head)(
+	    struct relay_exchange *exchange, const struct http_head *head);
+	/** A complete answer says that the request did not run. Ends the
+	 * attempt. */
+	void (*on_refusal)(struct relay_exchange *exchange);
+	/** A complete answer was accepted. */
+	void (*on_answered)(struct relay_exchange *exchange);
+	/** The connection broke. */
+	void (*on_broken)(struct relay_exchange *exchange);
+	/** The attempt failed; is_fault as for relay_attempt_failed(). */
+	void (*on_failed)(struct relay_exchange *exchange,
+	    enum error_code error, bool is_fault);
+	/** The attempt ends: gives back what was counted or reserved for it. */
+	void (*on_end)(struct relay_exchange *exchange);
+};
+
 /** How a request is forwarded between hosts. */
 struct relay_forward {
 	/** The request came from another host, so it is not forwarded. */
@@ -114,6 +144,7 @@
 					       none. */
 	int64_t arrived_ms;  /**< Arrival of the request's first byte. */
 	int64_t deadline_ms; /**< Time by which the answer must be complete. */
+	const struct attempt_ops *attempt; /**< Current attempt, or NULL. */
 	struct pool_call *call;	       /**< Current attempt's call, or NULL. */
 	uint64_t upstream_id;	       /**< Upstream of the current attempt. */
 	uint64_t upstream_incarnation; /**< Its incarnation. */
@@ -256,9 +287,11 @@
 
 /* relay_attempt.c */
 
-/** Starts an attempt at the upstream that placement chose. Reserves memory at
- * its helpers first, if needed. */
-void relay_attempt_begin(struct relay_exchange *exchange);
+/** Prepares an attempt at an address, which relay_attempt_send() sends. */
+void relay_attempt_prepare(struct relay_exchange *exchange,
+    const struct attempt_ops *ops, uint64_t address, double expected_ms);
+/** Sends the request of the attempt. The exchange may be freed then. */
+void relay_attempt_send(struct relay_exchange *exchange);
 /** Ends the bookkeeping of an attempt: stops its timers and probe, and releases
  * the work and memory counted for it. */
 void relay_attempt_end(struct relay_exchange *exchange);
@@ -270,9 +303,11 @@
  * ends it as relay_attempt_failed() does. */
 void relay_attempt_abort(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
-/** Starts an attempt at another host, at its packed address. */
-void relay_attempt_begin_forwarded(
-    struct relay_exchange *exchange, uint64_t address);
+/* relay_upstream.c */
+
+/** Starts an attempt at the upstream that placement chose. Reserves memory at
+ * its helpers first, if needed. */
+void relay_upstream_begin(struct relay_exchange *exchange);
 
 /* relay_stream.c */
 
@@ -306,24 +341,9 @@
 /** Forwards the request to another host if this one doesn't reach the upstreams
  * and a host is there that may. Returns false otherwise. */
 bool relay_forward_try(struct relay_exchange *exchange);
-/** Returns the forwarded request as it is sent to the other host. */
-GBytes *relay_forward_bytes(
-    const struct relay_exchange *exchange, int64_t now_ms);
 /** Records that an upstream gets the request. */
 void relay_forward_record_sent(
     struct relay_exchange *exchange, uint64_t upstream_id);
-/** Reads what the other host says of its answer. Returns false if it says
- * nothing that can be read. */
-bool relay_forward_read_result(
-    struct relay_exchange *exchange, const struct http_head *head);
-/** Handles the answer of the other host that the request did not run. */
-void relay_forward_on_refusal(struct relay_exchange *exchange);
-/** Called when the attempt at another host failed, before it is ended. */
-void relay_forward_on_failed(
-    struct relay_exchange *exchange, enum error_code error);
-/** Ends the bookkeeping of an attempt at another host; does nothing for one at an
- * upstream. */
-void relay_forward_end(struct relay_exchange *exchange);
 /** Reads what the host says that forwarded this request. Returns false if it was
  * refused, in which case the exchange is freed. */
 bool relay_forward_receive(struct relay_exchange *exchange);
--- a/src/relay/relay_silence.c
+++ b/src/relay/relay_silence.c
@@ -90,10 +90,7 @@
 	if (error == ERROR_NONE || placement_evaluate_unreached(&silence,
 				       exchange->probed_ms) == SILENCE_WAIT)
 		return;
-	if (exchange->forward.to_host == 0) {
-		exchange->forward.unreached++;
-		relay_path_on_unreached(exchange->relay, exchange->upstream_id);
-	}
+	exchange->attempt->on_unreached(exchange);
 	abandon_attempt(exchange);
 }
 
