An attempt is cut off in one place

relay_silence.c (abandon_attempt) and relay_attempt.c (relay_attempt_abort) both cancelled the call and ended the attempt; the former now calls the latter, which does nothing to a call that has ended.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -118,7 +118,8 @@
 relay_attempt_abort(
     struct relay_exchange *exchange, enum error_code error, bool is_fault)
 {
-	pool_call_cancel(exchange->call);
+	if (exchange->call != NULL)
+		pool_call_cancel(exchange->call);
 	exchange->call = NULL;
 	relay_attempt_failed(exchange, error, is_fault);
 }
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -299,8 +299,8 @@
  * @p is_fault is true if the failure counts against the upstream. */
 void relay_attempt_failed(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
-/** Closes the connection of an attempt that has failed while it was answered, and
- * ends it as relay_attempt_failed() does. */
+/** Closes the connection of an attempt, if it has one, and ends the attempt as
+ * relay_attempt_failed() does. */
 void relay_attempt_abort(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
 /* relay_upstream.c */
--- a/src/relay/relay_silence.c
+++ b/src/relay/relay_silence.c
@@ -103,10 +103,7 @@
 	    (json_int_t)(host_now_ms() - exchange->last_progress_ms),
 	    "expected_ms", exchange->expected_ms, "reachable",
 	    exchange->is_reachable);
-	if (exchange->call != NULL)
-		pool_call_cancel(exchange->call);
-	exchange->call = NULL;
-	relay_attempt_failed(exchange, ERROR_STALLED, true);
+	relay_attempt_abort(exchange, ERROR_STALLED, true);
 }
 
 /* Whether another attempt may follow, here or at the host that forwarded the
