Connections that the relay tries without a request: one module

What readers saw: relay_path.c kept probes in a set of its own, relay_crash.c in its table of checks, and each had a callback that found its record from a pointer.

Change: relay_probe.c keeps the running probes; relay_probe_begin() tries an address and gives the outcome with the upstream's id. relay_path.c (upstreams that were not reached, and the sample) and relay_crash.c use it. relay_silence.c keeps its own call, since it cancels it. What is tried and when is the same.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -83,7 +83,7 @@
 	relay->retry_budgets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	relay_crashes_init(relay);
-	relay_path_init(relay);
+	relay_probes_init(relay);
 	if (uv_loop_init(&relay->loop) != 0)
 		return ERROR_NO_MEMORY;
 	relay->loop.data = relay;
@@ -137,7 +137,7 @@
 	g_hash_table_unref(relay->callers);
 	g_hash_table_unref(relay->pending_releases);
 	relay_crashes_finish(relay);
-	relay_path_finish(relay);
+	relay_probes_finish(relay);
 	g_hash_table_unref(relay->retry_budgets);
 	timer_finish(&relay->timers);
 	relay_metrics_finish(relay);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -154,7 +154,7 @@
 	struct placement placement;   /**< Chooses upstreams for requests. */
 	struct upstream_path path;    /**< Whether upstreams are reached. */
 	struct handle path_timer;     /**< Next test of the path. */
-	GHashTable *upstream_probes;  /**< Set of struct upstream_probe. */
+	GHashTable *probes;	      /**< Set of struct relay_probe. */
 	struct random_source random;  /**< Random numbers for weighted choices,
 					  Retry-After and reservation ids. */
 	GHashTable *callers;	      /**< Set of open struct relay_caller. */
--- a/src/relay/relay_crash.c
+++ b/src/relay/relay_crash.c
@@ -33,7 +33,8 @@
 static bool is_suspect(const struct relay_exchange *exchange);
 static struct crash_check *find_or_add_check(
     const struct relay_exchange *exchange);
-static void on_probed(void *context, enum error_code error);
+static void on_probed(
+    struct relay *relay, uint64_t upstream_id, enum error_code error);
 static void await_path_state(struct crash_check *check);
 static void on_path_judged(void *context);
 static void end_check(struct crash_check *check);
@@ -133,8 +134,8 @@
 	check->incarnation = exchange->upstream_incarnation;
 	check->keys = g_array_new(FALSE, FALSE, sizeof(struct request_key));
 	if (!find_data_centre(exchange, check->data_centre) ||
-	    upstream_pool_probe(&relay->pool, exchange->upstream_address,
-		on_probed, check) == NULL) {
+	    !relay_probe_begin(relay, check->upstream_id,
+		exchange->upstream_address, on_probed)) {
 		free_check(check);
 		return NULL;
 	}
@@ -143,15 +144,16 @@
 }
 
 static void
-on_probed(void *context, enum error_code error)
+on_probed(struct relay *relay, uint64_t upstream_id, enum error_code error)
 {
-	struct crash_check *check = context;
+	struct crash_check *check;
 
+	check = g_hash_table_lookup(relay->crash_checks, &upstream_id);
 	if (error == ERROR_NONE) {
 		end_check(check);
 		return;
 	}
-	relay_path_on_unreached(check->relay, check->upstream_id);
+	relay_path_on_unreached(relay, upstream_id);
 	await_path_state(check);
 }
 
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -351,12 +351,21 @@
 void relay_forward_append_result(
     GString *out, const struct relay_exchange *exchange);
 
-/* relay_path.c */
+/* relay_probe.c */
 
 /** Prepares the set of probes. */
-void relay_path_init(struct relay *relay);
+void relay_probes_init(struct relay *relay);
 /** Frees it, after the loop has ended. */
-void relay_path_finish(struct relay *relay);
+void relay_probes_finish(struct relay *relay);
+/** Tries a connection to an address. @p on_done gets @p upstream_id again, and
+ * ERROR_NONE, ERROR_CONNECTION or ERROR_TIMEOUT. Returns false if the connection
+ * can't even start. */
+bool relay_probe_begin(struct relay *relay, uint64_t upstream_id,
+    uint64_t address,
+    void (*on_done)(
+	struct relay *relay, uint64_t upstream_id, enum error_code error));
+
+/* relay_path.c */
 
 /** Called when a connection to an upstream was established. */
 void relay_path_on_connected(struct relay *relay);
--- a/src/relay/relay_path.c
+++ b/src/relay/relay_path.c
@@ -11,32 +11,15 @@
 /* Period at which a test that is due begins. */
 #define TEST_CHECK_MS 50
 
-/* A connection to an upstream that could not be reached before. */
-struct upstream_probe {
-	struct relay *relay;
-	uint64_t upstream_id;
-};
-
-static void on_probed(void *context, enum error_code error);
+static void on_probed(
+    struct relay *relay, uint64_t upstream_id, enum error_code error);
 static void begin_test(struct relay *relay);
 static void schedule_check(struct relay *relay);
 static void on_check(void *context);
-static void on_tested(void *context, enum error_code error);
+static void on_tested(
+    struct relay *relay, uint64_t upstream_id, enum error_code error);
 static void set_without_path(struct relay *relay, bool is_without_path);
 
-void
-relay_path_init(struct relay *relay)
-{
-	relay->upstream_probes =
-	    g_hash_table_new_full(NULL, NULL, g_free, NULL);
-}
-
-void
-relay_path_finish(struct relay *relay)
-{
-	g_hash_table_unref(relay->upstream_probes);
-}
-
 void
 relay_path_on_connected(struct relay *relay)
 {
@@ -60,19 +43,12 @@
 void
 relay_path_run_probes(struct relay *relay)
 {
-	struct upstream_probe *probe;
 	uint64_t id, address;
 
+	/* An upstream whose probe can't even start stays ejected for a while. */
 	while (placement_take_probe(
-	    &relay->placement, host_now_ms(), &id, &address)) {
-		probe = g_new0(struct upstream_probe, 1);
-		probe->relay = relay;
-		probe->upstream_id = id;
-		g_hash_table_add(relay->upstream_probes, probe);
-		if (upstream_pool_probe(
-			&relay->pool, address, on_probed, probe) == NULL)
-			g_hash_table_remove(relay->upstream_probes, probe);
-	}
+	    &relay->placement, host_now_ms(), &id, &address))
+		(void)relay_probe_begin(relay, id, address, on_probed);
 }
 
 bool
@@ -82,13 +58,8 @@
 }
 
 static void
-on_probed(void *context, enum error_code error)
+on_probed(struct relay *relay, uint64_t upstream_id, enum error_code error)
 {
-	struct upstream_probe *probe = context;
-	struct relay *relay = probe->relay;
-	uint64_t upstream_id = probe->upstream_id;
-
-	g_hash_table_remove(relay->upstream_probes, probe);
 	if (error != ERROR_NONE) {
 		placement_record_unreached(
 		    &relay->placement, upstream_id, host_now_ms());
@@ -114,8 +85,7 @@
 	    &relay->placement, addresses, UPSTREAM_PATH_SAMPLE_MAX);
 	started = 0;
 	for (i = 0; i < count; i++) {
-		if (upstream_pool_probe(
-			&relay->pool, addresses[i], on_tested, relay) != NULL)
+		if (relay_probe_begin(relay, 0, addresses[i], on_tested))
 			started++;
 	}
 	upstream_path_begin_test(&relay->path, started, host_now_ms());
@@ -146,10 +116,9 @@
 }
 
 static void
-on_tested(void *context, enum error_code error)
+on_tested(struct relay *relay, uint64_t upstream_id, enum error_code error)
 {
-	struct relay *relay = context;
-
+	(void)upstream_id;
 	if (error == ERROR_NONE)
 		relay_path_on_connected(relay);
 	if (!upstream_path_end_test(&relay->path, host_now_ms()))
