--- a/src/relay/relay_silence.c
+++ b/src/relay/relay_silence.c
@@ -90,10 +90,7 @@
 	if (error == ERROR_NONE || placement_evaluate_unreached(&silence,
 				       exchange->probed_ms) == SILENCE_WAIT)
 		return;
-	if (exchange->forward.to_host == 0) {
-		exchange->forward.unreached++;
-		relay_path_on_unreached(exchange->relay, exchange->upstream_id);
-	}
+	exchange->attempt->on_unreached(exchange);
 	abandon_attempt(exchange);
 }
 
@@ -106,10 +103,7 @@
 	    (json_int_t)(host_now_ms() - exchange->last_progress_ms),
 	    "expected_ms", exchange->expected_ms, "reachable",
 	    exchange->is_reachable);
-	if (exchange->call != NULL)
-		pool_call_cancel(exchange->call);
-	exchange->call = NULL;
-	relay_attempt_failed(exchange, ERROR_STALLED, true);
+	relay_attempt_abort(exchange, ERROR_STALLED, true);
 }
 
 /* Whether another attempt may follow, here or at the host that forwarded the
