A host states the level of replicated state that its build knows, and its build

The host record of membership gets two fields: the highest level of the replicated state that the build knows (state/state_level.h) and the build's name, which is the version and, in a working tree of git, the commit. Getters: membership_stated_level(), membership_stated_build(). Weighed: a field of the handshake (only hosts with a link learn it; a leader needs it of all hosts that may vote) against the record (chosen). Earlier builds skip the fields and pass records on as bytes, but one that suspects a host writes that host's record anew without them; so what a process has stated is kept for its incarnation.

Seen red: test_hosts_know_the_level_and_build_that_each_states without the getters (does not link), and with the keeping switched off. test_wire_bytes: the recorded bytes of a host record gain the two fields, all before them are as they were.

--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -21,6 +21,8 @@
     const struct gossip_version *version, const void *body, size_t size);
 static void store_record(
     struct membership *membership, const struct host_record *record);
+static void keep_statement(
+    struct host_record *host, const struct host_record *old);
 static void notify_change(struct membership *membership,
     const struct host_record *old, const struct host_record *host);
 static void invoke_callback(struct membership *membership,
@@ -200,6 +202,24 @@
 	return member == NULL ? NULL : &member->record;
 }
 
+uint32_t
+membership_stated_level(const struct membership *membership, uint32_t host_id)
+{
+	const struct host_record *host;
+
+	host = membership_find(membership, host_id);
+	return host == NULL ? 0 : host->level;
+}
+
+const char *
+membership_stated_build(const struct membership *membership, uint32_t host_id)
+{
+	const struct host_record *host;
+
+	host = membership_find(membership, host_id);
+	return host == NULL ? "" : host->build;
+}
+
 bool
 membership_is_live(
     const struct membership *membership, uint32_t host_id, uint64_t incarnation)
@@ -442,6 +462,8 @@
 	}
 	old = member->record;
 	member->record = *record;
+	if (record->level == 0 && old.incarnation == record->incarnation)
+		keep_statement(&member->record, &old);
 	if (old.state != record->state || old.refutation != record->refutation)
 		member->since_ms = timer_now(membership->timers);
 	if (old.port != record->port || strcmp(old.ip, record->ip) != 0)
@@ -450,6 +472,15 @@
 	notify_change(membership, &old, record);
 }
 
+/* A host of an earlier build that suspects another one writes its record anew,
+ * without what it does not know. A process states the same all its life. */
+static void
+keep_statement(struct host_record *host, const struct host_record *old)
+{
+	host->level = old->level;
+	memcpy(host->build, old->build, sizeof(host->build));
+}
+
 static void
 notify_change(struct membership *membership, const struct host_record *old,
     const struct host_record *host)
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -176,6 +176,14 @@
  * not known. */
 const struct host_record *membership_find(
     const struct membership *membership, uint32_t host_id);
+/** Returns the highest level of the replicated state that a host has stated, a
+ * number of state_level.h; 0 if the host is not known or states none. */
+uint32_t membership_stated_level(
+    const struct membership *membership, uint32_t host_id);
+/** Returns the name of a host's build, "" if the host is not known or states
+ * none. */
+const char *membership_stated_build(
+    const struct membership *membership, uint32_t host_id);
 /** True if a host is alive or suspected and, unless @p incarnation is 0, has
  * that incarnation. */
 bool membership_is_live(const struct membership *membership, uint32_t host_id,
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -8,11 +8,13 @@
 #include <sodium.h>
 #include <xxhash.h>
 
+#include "base/build_name.h"
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
 #include "host/host_reports.h"
 #include "host/host_seeds.h"
 #include "host/host_voters.h"
+#include "state/state_level.h"
 
 /* Largest number of timers on the coordination thread. */
 #define TIMERS_MAX 65536
@@ -270,6 +272,8 @@
 	self->incarnation = host->incarnation;
 	self->port = (uint16_t)settings->peer_port;
 	self->flags = settings->is_entry ? HOST_FLAG_ENTRY : 0;
+	self->level = STATE_LEVEL_LATEST;
+	snprintf(self->build, sizeof(self->build), "%s", build_name());
 	self->http_port = (uint16_t)settings->http_port;
 	snprintf(self->ip, sizeof(self->ip), "%s", settings->peer_address);
 	snprintf(
--- a/src/protocol/membership_message.c
+++ b/src/protocol/membership_message.c
@@ -28,6 +28,8 @@
 	HOST_STATE = 8,
 	HOST_FLAGS = 9,
 	HOST_VOTER_INCARNATION = 10,
+	HOST_LEVEL = 11,
+	HOST_BUILD = 12,
 	HOST_FIELD_COUNT
 };
 
@@ -35,6 +37,8 @@
     const struct message_reader *reader, void *context);
 static enum error_code read_record(
     const struct message_reader *reader, void *context);
+static void read_later_fields(
+    const struct message_reader *reader, struct host_record *host);
 static enum host_state read_state(struct message_fields *fields, uint32_t key);
 static uint16_t read_port(struct message_fields *fields, uint32_t key);
 
@@ -85,6 +89,8 @@
 	message_put_uint(writer, HOST_FLAGS, host->flags);
 	message_put_uint(
 	    writer, HOST_VOTER_INCARNATION, host->voter_incarnation);
+	message_put_uint(writer, HOST_LEVEL, host->level);
+	message_put_text(writer, HOST_BUILD, host->build);
 }
 
 enum error_code
@@ -139,11 +145,25 @@
 	if (fields.error == ERROR_NONE && host->id == 0)
 		fields.error = ERROR_MALFORMED;
 	host->state = read_state(&fields, HOST_STATE);
-	/* Hosts of earlier releases do not send this field. */
+	read_later_fields(reader, host);
+	return fields.error;
+}
+
+/* Hosts of earlier releases do not send these fields. */
+static void
+read_later_fields(const struct message_reader *reader, struct host_record *host)
+{
+	uint64_t level;
+
 	if (message_get_uint(reader, HOST_VOTER_INCARNATION,
 		&host->voter_incarnation) != ERROR_NONE)
 		host->voter_incarnation = 0;
-	return fields.error;
+	if (message_get_uint(reader, HOST_LEVEL, &level) == ERROR_NONE)
+		host->level =
+		    level <= UINT32_MAX ? (uint32_t)level : UINT32_MAX;
+	if (message_get_text(reader, HOST_BUILD, host->build,
+		sizeof(host->build)) != ERROR_NONE)
+		host->build[0] = '\0';
 }
 
 /* Returns HOST_STATE_ALIVE after an error. */
--- a/src/protocol/membership_message.h
+++ b/src/protocol/membership_message.h
@@ -7,6 +7,7 @@
 
 #include <stdint.h>
 
+#include "base/build_name.h"
 #include "base/error_code.h"
 #include "config.h"
 #include "protocol/codec.h"
@@ -48,6 +49,11 @@
 	/** Incarnation of the host's data folder, 0 without a disk. It changes
 	 * when the data folder is lost. */
 	uint64_t voter_incarnation;
+	/** Highest level of the replicated state that the host's build knows, a
+	 * number of state_level.h; 0 from builds that state none. */
+	uint32_t level;
+	/** Name of the host's build; "" if it states none. */
+	char build[BUILD_NAME_SIZE_MAX];
 };
 
 /** Type of a message, with its number on the wire. */
--- a/tests/corpus/corpus_links.c
+++ b/tests/corpus/corpus_links.c
@@ -156,7 +156,7 @@
 corpus_write_host_record(
     struct message_writer *writer, uint32_t variant, uint32_t known)
 {
-	const struct host_record host = {
+	struct host_record host = {
 	    .id = 4711,
 	    .ip = "10.1.2.3",
 	    .port = 7001,
@@ -172,6 +172,12 @@
 
 	(void)variant;
 	(void)known;
+#if CORPUS_KNOWN & CORPUS_LEVELS
+	if (known & CORPUS_LEVELS) {
+		host.level = 2;
+		memcpy(host.build, "0.1.0", sizeof("0.1.0"));
+	}
+#endif
 	host_record_write(writer, &host);
 }
 
--- a/tests/corpus/corpus_messages.h
+++ b/tests/corpus/corpus_messages.h
@@ -26,7 +26,8 @@
 #define CORPUS_GENERATIONS	32u  /**< Generations of peer links. */
 #define CORPUS_FORWARDING	64u  /**< Forwarded requests. */
 #define CORPUS_ENTRY_KINDS	128u /**< Voters that stop at unknown entries. */
-#define CORPUS_ALL		255u /**< All of them. */
+#define CORPUS_LEVELS		256u /**< Level and build of a host. */
+#define CORPUS_ALL		511u /**< All of them. */
 
 /** What the library knows that this is compiled with. */
 #ifndef CORPUS_KNOWN
--- a/tests/corpus_check.c
+++ b/tests/corpus_check.c
@@ -25,7 +25,7 @@
 	    {"1c8057f", CORPUS_BATCHES | CORPUS_QUARANTINE_HOSTS |
 			    CORPUS_NOTICES | CORPUS_CHECKSUMS | CORPUS_PARTS |
 			    CORPUS_GENERATIONS},
-	    {"5e30e15", CORPUS_ALL},
+	    {"5e30e15", CORPUS_ALL & ~CORPUS_LEVELS},
 	};
 
 	*count = sizeof(commits) / sizeof(commits[0]);
--- a/tests/host_group.c
+++ b/tests/host_group.c
@@ -155,6 +155,9 @@
 	settings.self.id = host->id;
 	settings.self.port = (uint16_t)(SEED_PORT_BASE + host->id);
 	settings.self.incarnation = host->incarnation;
+	settings.self.level = host->id;
+	snprintf(settings.self.build, sizeof(settings.self.build), "build-%u",
+	    host->id);
 	snprintf(settings.self.ip, HOST_IP_SIZE_MAX, "10.0.0.1");
 	settings.seed_count = 2;
 	for (i = 0; i < 2; i++) {
--- a/tests/host_group.h
+++ b/tests/host_group.h
@@ -44,7 +44,8 @@
 extern const struct fake_link
     group_bad_link; /**< Delays up to 200 ms, loses and repeats messages. */
 
-/** Starts all hosts; random faults follow from @p seed. */
+/** Starts all hosts, of which each states its id as the level of its build;
+ * random faults follow from @p seed. */
 void host_group_start(
     struct host_group *group, uint64_t seed, const struct fake_link *link);
 /** Stops all hosts and frees their memory. */
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 
 #include "host_group.h"
+#include "protocol/gossip_message.h"
 
 #define AGREE_MS  25000 /* Time after the last fault until views agree. */
 #define SCHEDULES 40
@@ -231,6 +232,66 @@
 	fake_net_finish(&net);
 }
 
+/* Passes a host the record of another one as an earlier build writes it, which
+ * states nothing. */
+static void
+receive_record_of_earlier_build(
+    struct membership *membership, struct host_record record)
+{
+	const struct gossip_version version = {
+	    record.incarnation, record.refutation, record.state, 0};
+	struct message_writer body, message;
+
+	record.level = 0;
+	record.build[0] = '\0';
+	message_writer_init(&body);
+	message_writer_init(&message);
+	host_record_write(&body, &record);
+	gossip_items_open(&message, MEMBERSHIP_TYPE_GOSSIP, 1);
+	gossip_items_add(&message, record.id, &version, message_data(&body),
+	    message_size(&body));
+	assert_int_equal(membership_receive(membership, 2,
+			     message_data(&message), message_size(&message)),
+	    ERROR_NONE);
+	message_writer_finish(&body);
+	message_writer_finish(&message);
+}
+
+static void
+test_hosts_know_the_level_and_build_that_each_states(void **state)
+{
+	struct membership *membership;
+	struct host_record suspected;
+	struct host_group group;
+	char build[BUILD_NAME_SIZE_MAX];
+	uint32_t id;
+
+	(void)state;
+	host_group_start(&group, 4, &group_good_link);
+	membership = &group.hosts[0].membership;
+	assert_int_equal(membership_stated_level(membership, 3), 0);
+	assert_string_equal(membership_stated_build(membership, 3), "");
+	host_group_run(&group, 3000);
+	for (id = 1; id <= GROUP_HOSTS; id++) {
+		snprintf(build, sizeof(build), "build-%u", id);
+		assert_int_equal(membership_stated_level(membership, id), id);
+		assert_string_equal(
+		    membership_stated_build(membership, id), build);
+	}
+	suspected = *membership_find(membership, 3);
+	suspected.state = HOST_STATE_SUSPECTED;
+	receive_record_of_earlier_build(membership, suspected);
+	assert_int_equal(
+	    membership_find(membership, 3)->state, HOST_STATE_SUSPECTED);
+	assert_int_equal(membership_stated_level(membership, 3), 3);
+	/* Another process on the same host may be of another build. */
+	suspected.state = HOST_STATE_ALIVE;
+	suspected.incarnation++;
+	receive_record_of_earlier_build(membership, suspected);
+	assert_int_equal(membership_stated_level(membership, 3), 0);
+	host_group_stop(&group);
+}
+
 int
 main(void)
 {
@@ -242,6 +303,8 @@
 	    cmocka_unit_test(test_partition_heals_without_seeds),
 	    cmocka_unit_test(test_views_agree_after_random_faults),
 	    cmocka_unit_test(test_host_without_peers_keeps_dialling),
+	    cmocka_unit_test(
+		test_hosts_know_the_level_and_build_that_each_states),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_wire_bytes.c
+++ b/tests/test_wire_bytes.c
@@ -65,10 +65,11 @@
 	"880001010202cff0e1d2c3b4a5960103cef1e2d30204cef1e2d30305cff0e1d2"
 	"c3b4a5960406cff0e1d2c3b4a596050703"},
     {"host record", write_host_record, rewrite_host_record,
-	HOST_STATE_SUSPECTED, UINT64_C(0x04c1028a0b031db0),
-	"8b00cef1e2d30101a831302e312e322e3302cdfffe03a831302e312e322e3404"
+	HOST_STATE_SUSPECTED, UINT64_C(0x359cdeab09ad16a3),
+	"8d00cef1e2d30101a831302e312e322e3302cdfffe03a831302e312e322e3404"
 	"cd1f9005a6726567696e6106cff0e1d2c3b4a5960207cff0e1d2c3b4a5960308"
-	"0209cef1e2d3040acff0e1d2c3b4a59605"},
+	"0209cef1e2d3040acff0e1d2c3b4a596050bcef1e2d3060cad302e312e302b61"
+	"353231363766"},
     {"upstream entry", write_upstream_entry, rewrite_upstream_entry,
 	UPSTREAM_KIND_SERVICE, UINT64_C(0x68ddd6037ee842f6),
 	"de001500a8656e67696e652d3301cff0e1d2c3b4a5960102cff0e1d2c3b4a596"
--- a/tests/wire_messages.c
+++ b/tests/wire_messages.c
@@ -96,7 +96,9 @@
 	    .refutation = WIDE(3),
 	    .state = (enum host_state)type,
 	    .flags = NARROW(4),
-	    .voter_incarnation = WIDE(5)};
+	    .voter_incarnation = WIDE(5),
+	    .level = NARROW(6),
+	    .build = "0.1.0+a52167f"};
 
 	host_record_write(writer, &host);
 }
--- a/tools/corpus.sh
+++ b/tools/corpus.sh
@@ -45,6 +45,7 @@
 	has 32 'uint64_t generation' protocol/handshake_message.h
 	has 64 forward_request_format protocol/forward_message.h
 	has 128 read_kind coordination/consensus.h
+	has 256 'char build' protocol/membership_message.h
 	names=()
 	if ! grep -qs message_begin_map "$tree/src/protocol/codec.h"; then
 		names=(-include "$root/tests/corpus/names_before_wording.h")
