A host knows of the others whether their builds number links

Builds that state no level run in production, most often the newest landings before this one, which know commands 10 and 11. So a host whose handshake has it knows the commands; one without it may not.

The handshake says whether it had the field, and peer_links_is_numbering() of a host and its incarnation. Nothing uses it yet.

--- a/src/protocol/handshake_message.c
+++ b/src/protocol/handshake_message.c
@@ -99,8 +99,9 @@
 	message->error =
 	    code < ERROR_CODE_COUNT ? (enum error_code)code : ERROR_INTERNAL;
 	/* Hosts of earlier releases do not send this field. */
-	if (message_get_uint(reader, FIELD_GENERATION, &message->generation) !=
-	    ERROR_NONE)
+	message->has_generation = message_get_uint(reader, FIELD_GENERATION,
+				      &message->generation) == ERROR_NONE;
+	if (!message->has_generation)
 		message->generation = 0;
 	return fields.error;
 }
--- a/src/protocol/handshake_message.h
+++ b/src/protocol/handshake_message.h
@@ -10,6 +10,7 @@
 #ifndef HANDSHAKE_MESSAGE_H
 #define HANDSHAKE_MESSAGE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/error_code.h"
@@ -39,6 +40,9 @@
 	/** HELLO: number of this link among those of the two hosts, as far as
 	 * the dialer knows them; 0 from earlier versions. */
 	uint64_t generation;
+	/** Set when a message is read: the sender's build numbers its links,
+	 * whatever the type of the message. */
+	bool has_generation;
 	/** Random bytes, new in each message. */
 	unsigned char nonce[FRAME_NONCE_SIZE];
 	/** WELCOME: proof that the acceptor knows the shared key. */
--- a/src/transport/peer_connect.c
+++ b/src/transport/peer_connect.c
@@ -135,6 +135,8 @@
 	if (peer->dial == link)
 		peer->dial = NULL;
 	peer->backoff_ms = 0;
+	if (link->is_numbered)
+		peer->numbering_incarnation = link->incarnation;
 	older = peer->link;
 	if (older != NULL && !is_preferred(link, older)) {
 		peer_link_flush(link);
--- a/src/transport/peer_handshake.c
+++ b/src/transport/peer_handshake.c
@@ -84,6 +84,7 @@
 	link->peer_id = hello->host_id;
 	link->incarnation = hello->incarnation;
 	link->generation = hello->generation;
+	link->is_numbered = hello->has_generation;
 	answer.key_id = hello->key_id;
 	handshake_derive_session(&session, key, hello, &answer);
 	memcpy(answer.proof, session.acceptor_proof, sizeof(answer.proof));
@@ -114,6 +115,7 @@
 	if (error == ERROR_NONE) {
 		link->peer_id = welcome->host_id;
 		link->incarnation = welcome->incarnation;
+		link->is_numbered = welcome->has_generation;
 		memcpy(link->send_key, session.dialer_key, FRAME_KEY_SIZE);
 		link->has_send_key = true;
 		frame_decoder_set_key(&link->decoder, session.acceptor_key);
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -127,6 +127,17 @@
 	return peer_links_dial_address(links, &address, &link);
 }
 
+bool
+peer_links_is_numbering(
+    const struct peer_links *links, uint32_t host_id, uint64_t incarnation)
+{
+	const struct peer *peer;
+
+	peer = peer_links_find(links, host_id);
+	return peer != NULL && incarnation != 0 &&
+	       peer->numbering_incarnation == incarnation;
+}
+
 void
 peer_links_send(struct peer_links *links, uint32_t host_id,
     enum peer_channel channel, const void *body, size_t size)
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -24,6 +24,7 @@
 #ifndef PEER_LINK_H
 #define PEER_LINK_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -160,6 +161,11 @@
 enum error_code peer_links_dial_seed(
     struct peer_links *links, const char *ip, uint16_t port);
 
+/** True if a host with this incarnation was linked to this host and numbers
+ * its links. Builds that state no level in membership differ by this. */
+bool peer_links_is_numbering(
+    const struct peer_links *links, uint32_t host_id, uint64_t incarnation);
+
 /* Sending */
 
 /** Queues a message for a host and dials the host if there is no link. The
--- a/src/transport/peer_link_parts.h
+++ b/src/transport/peer_link_parts.h
@@ -39,6 +39,7 @@
 	uint32_t peer_id;	  /**< Id of the other host, 0 until known. */
 	uint64_t incarnation;	  /**< Incarnation of the other host. */
 	uint64_t generation;	  /**< Number of the link to the other host. */
+	bool is_numbered;	  /**< The other host numbers links, too. */
 	/** Hello that was sent, if dialled. */
 	struct handshake_message hello;
 	struct frame_decoder decoder; /**< Splits received bytes in frames. */
@@ -71,6 +72,8 @@
 	uint64_t generation;  /**< Highest number of a link so far. */
 	/** Incarnation of the host when a link to it was last lost, or 0. */
 	uint64_t lost_incarnation;
+	/** Incarnation of the host that was seen to number links, or 0. */
+	uint64_t numbering_incarnation;
 };
 
 /* peer_link.c */
--- a/tests/test_corpus.c
+++ b/tests/test_corpus.c
@@ -12,6 +12,7 @@
 
 #include "corpus/corpus_disk.h"
 #include "corpus_check.h"
+#include "protocol/handshake_message.h"
 
 static void
 test_every_message_of_earlier_builds_is_read(void **state)
@@ -114,6 +115,36 @@
 	g_byte_array_unref(expected);
 }
 
+/* Of builds that state no level, those whose handshake has a generation know
+ * commands 10 and 11; each type of handshake shows it. */
+static void
+test_handshakes_show_which_builds_know_parts_of_prompts(void **state)
+{
+	static const char *const files[] = {
+	    "handshake-hello", "handshake-welcome", "handshake-refusal"};
+	const struct corpus_commit *commits;
+	struct handshake_message message;
+	uint32_t count, i, file;
+	char *path, *data;
+	gsize size;
+
+	(void)state;
+	commits = corpus_commits(&count);
+	for (i = 0; i < count * G_N_ELEMENTS(files); i++) {
+		file = i % G_N_ELEMENTS(files);
+		path =
+		    corpus_path(&commits[i / G_N_ELEMENTS(files)], files[file]);
+		assert_true(g_file_get_contents(path, &data, &size, NULL));
+		assert_int_equal(
+		    handshake_message_read(data, size, &message), ERROR_NONE);
+		assert_int_equal(message.has_generation,
+		    (commits[i / G_N_ELEMENTS(files)].known & CORPUS_PARTS) !=
+			0);
+		g_free(data);
+		g_free(path);
+	}
+}
+
 int
 main(void)
 {
@@ -121,6 +152,8 @@
 	    cmocka_unit_test(test_every_message_of_earlier_builds_is_read),
 	    cmocka_unit_test(
 		test_a_voter_restores_the_data_folder_of_earlier_builds),
+	    cmocka_unit_test(
+		test_handshakes_show_which_builds_know_parts_of_prompts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -81,6 +81,13 @@
 	}
 	assert_true(run_until(&left, &right, &right.received, 400));
 	assert_int_equal(left.out_of_order + right.out_of_order, 0);
+	assert_true(peer_links_is_numbering(
+	    &left.links, 2, right.links.settings.incarnation));
+	assert_true(peer_links_is_numbering(
+	    &right.links, 1, left.links.settings.incarnation));
+	assert_false(peer_links_is_numbering(
+	    &left.links, 2, right.links.settings.incarnation + 1));
+	assert_false(peer_links_is_numbering(&left.links, 3, 1));
 	/* Both hosts dialled; one link remains, without any disconnect. */
 	assert_int_equal(left.disconnects + right.disconnects, 0);
 	assert_int_equal(left.links.links.item_count, 1);
