A voter does not store or start on a level of the state that it does not know

Nothing in the replicated state said which kinds of commands may be in it, so a build that was taken back could only find out by the unknown kind itself, and nothing named what to do.

Nothing raises the level yet.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -64,6 +64,8 @@
     {EVENT_VOTER_CHANGED, EVENT_LEVEL_INFO, "voter change"},
     {EVENT_KIND_UNKNOWN, EVENT_LEVEL_ERROR,
 	"state of a newer build: this host does not know all of it"},
+    {EVENT_LEVEL_UNKNOWN, EVENT_LEVEL_ERROR,
+	"this build does not know the level of the replicated state"},
 
     {EVENT_HOST_JOINED, EVENT_LEVEL_INFO, "host joined"},
     {EVENT_HOST_SUSPECTED, EVENT_LEVEL_WARNING, "host suspected"},
--- a/src/state/command.c
+++ b/src/state/command.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "state/state_level.h"
+
 #define COMMAND_VERSION 1 /* Format of encoded commands. */
 
 /* Message fields of every command; those of a body start at FIELD_BODY. */
@@ -93,6 +95,8 @@
     const struct message_reader *reader, void *context);
 static enum error_code read_type(
     const struct message_reader *reader, void *context);
+static enum error_code read_kind(
+    const struct message_reader *reader, void *context);
 static void put_text(
     struct message_writer *writer, uint32_t key, const char *text);
 static void get_text(
@@ -213,7 +217,7 @@
 command_read_type(const void *data, size_t size, uint64_t *type)
 {
 	*type = 0;
-	return message_read(data, size, read_type, type);
+	return message_read(data, size, read_kind, type);
 }
 
 void
@@ -251,6 +255,25 @@
 	return error;
 }
 
+/* A voter must not store a level that this build does not know. */
+static enum error_code
+read_kind(const struct message_reader *reader, void *context)
+{
+	struct message_fields fields = {.reader = reader};
+	char name[NAME_SIZE_MAX] = "";
+	const uint64_t *type = context;
+	enum error_code error;
+	uint64_t version;
+
+	error = read_type(reader, context);
+	if (error != ERROR_NONE || *type != COMMAND_DOCUMENT)
+		return error;
+	get_text(&fields, DOCUMENT_FIELD_NAME, name, sizeof(name));
+	version = message_fields_uint(&fields, DOCUMENT_FIELD_VERSION);
+	return fields.error == ERROR_NONE ? state_level_check(name, version)
+					  : ERROR_NONE;
+}
+
 static enum error_code
 read_command(const struct message_reader *reader, void *context)
 {
--- a/src/state/command.h
+++ b/src/state/command.h
@@ -225,7 +225,8 @@
     struct command *command, const void *data, size_t size);
 /** Reads the type of an encoded command without its body. Errors: those of the
  * codec, ERROR_UNSUPPORTED_VERSION, ERROR_NOT_SUPPORTED for an unknown type,
- * which is stored as well. */
+ * which is stored as well, and for a document that raises the level of the
+ * state above what this build knows (state_level.h). */
 enum error_code command_read_type(
     const void *data, size_t size, uint64_t *type);
 /** Frees the memory that command_decode() allocated. */
--- a/src/state/replicated_save.c
+++ b/src/state/replicated_save.c
@@ -6,6 +6,7 @@
 
 #include "protocol/codec.h"
 #include "state/replicated_parts.h"
+#include "state/state_level.h"
 
 #define SAVE_VERSION	 1		  /* Format of a saved state. */
 #define PART_LENGTH_SIZE sizeof(uint32_t) /* Bytes of a part's length. */
@@ -439,9 +440,13 @@
 		goto out;
 	}
 	reader->parts++;
-	error = record.count < numbers_of_part(record.part)
-		    ? ERROR_MALFORMED
-		    : store_part(reader->state, &record, text);
+	error = ERROR_NONE;
+	if (record.count < numbers_of_part(record.part))
+		error = ERROR_MALFORMED;
+	else if (record.part == SAVE_PART_DOCUMENT && reader->skipped == NULL)
+		error = state_level_check(text, record.numbers[0]);
+	if (error == ERROR_NONE)
+		error = store_part(reader->state, &record, text);
 out:
 	message_reader_finish(&message);
 	return error;
--- a/src/state/replicated_state.c
+++ b/src/state/replicated_state.c
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include "state/replicated_parts.h"
+#include "state/state_level.h"
 
 /* Largest number of upstreams whose last order is remembered. Orders of
  * upstreams that are gone stay, so there may be more than UPSTREAMS_MAX. */
@@ -291,6 +292,17 @@
 	return g_hash_table_lookup(state->documents, name);
 }
 
+uint32_t
+replicated_state_level(const struct replicated_state *state)
+{
+	const struct document *document;
+
+	document = replicated_state_document(state, STATE_LEVEL_DOCUMENT);
+	if (document == NULL)
+		return STATE_LEVEL_BASE;
+	return (uint32_t)CLAMP(document->version, STATE_LEVEL_BASE, UINT32_MAX);
+}
+
 enum error_code
 replicated_put_document(struct replicated_state *state, const char *name,
     uint64_t version, const void *data, size_t size, uint64_t sequence)
--- a/src/state/replicated_state.h
+++ b/src/state/replicated_state.h
@@ -184,7 +184,7 @@
 /** Replaces the state by a saved one. Invalid data changes nothing, and neither
  * does data with a kind of record that this build does not know, or with more
  * numbers in a record than it knows: both would be lost when this state is
- * saved again. Errors: ERROR_MALFORMED, ERROR_NOT_SUPPORTED and
+ * saved again; and data in which a level is in force that it does not know. Errors: ERROR_MALFORMED, ERROR_NOT_SUPPORTED and
  * ERROR_UNSUPPORTED_VERSION for unknown kinds, others of the codec. */
 enum error_code replicated_state_load(
     struct replicated_state *state, const void *data, size_t size);
@@ -225,6 +225,8 @@
  * valid until the state changes. */
 const struct document *replicated_state_document(
     const struct replicated_state *state, const char *name);
+/** Returns the level in force, see state_level.h. */
+uint32_t replicated_state_level(const struct replicated_state *state);
 /** Returns a host that may own capacity, or NULL if it may not. */
 const struct live_host *replicated_state_live_host(
     const struct replicated_state *state, uint32_t host_id);
--- a/tests/voter_group.c
+++ b/tests/voter_group.c
@@ -37,7 +37,7 @@
 
 	error = command_read_type(command, size, kind);
 	if (error == ERROR_NOT_SUPPORTED && host->is_newer &&
-	    *kind == GROUP_NEWER_TYPE)
+	    (*kind == GROUP_NEWER_TYPE || *kind == COMMAND_DOCUMENT))
 		return ERROR_NONE;
 	return error;
 }
--- a/tests/voter_group.h
+++ b/tests/voter_group.h
@@ -40,7 +40,8 @@
 	struct command_client client;  /**< Sends commands to the leader. */
 	GByteArray *result;	       /**< Encoded result of the last entry. */
 	int64_t wall_offset_ms;	       /**< Wall clock minus true time. */
-	/** Runs a made-up newer build that knows GROUP_NEWER_TYPE. */
+	/** Runs a made-up newer build that knows GROUP_NEWER_TYPE and each
+	 * level of the state in its log. */
 	bool is_newer;
 	uint64_t newer_count; /**< Commands of GROUP_NEWER_TYPE applied. */
 };
