Commands can be held back: by the leader, and by the host that would send them

Commands 10 and 11 must not get into the log while a host of a build before votes or follows (docs/UPGRADES.md, fault 1). Nothing could prevent it: a host commits each crash at once and drops it after a minute without success, and a leader proposes every command that it knows.

- consensus_ops.check_proposal(): the leader's owner may refuse a command, whichever host sent it.
So hosts of builds that send these commands at any time are bound, too, while a build that has this leads.
- part_suspects_ops.may_commit(): while it says no, a finding counts on its host for as long as a part is suspected (10 minutes), and is committed with its age as soon as it says yes.
A commit is kept for a minute from then on.

Both are optional and the host uses neither yet.

Seen red with each switched off: test_leader_refuses_what_its_owner_does_not_ allow (entry 9 in the log); test_findings_count_on_this_host_until_they_may_be_ committed (commits at once), and with findings dropped after a minute as before (not refused after 5 minutes).

--- a/bench/bench_agreement.c
+++ b/bench/bench_agreement.c
@@ -215,8 +215,8 @@
 	    .compact_entries = bench->compact_entries,
 	    .seed = bench->seed};
 	struct command_client_settings client = {.host_id = id};
-	const struct consensus_ops ops = {apply_entry, read_kind, save_state,
-	    load_state, on_role_changed, read_wall_clock_ms, host};
+	const struct consensus_ops ops = {apply_entry, read_kind, NULL,
+	    save_state, load_state, on_role_changed, read_wall_clock_ms, host};
 	struct peer_port port = {send_message, host};
 	char path[PATH_MAX_BYTES + 16];
 	enum error_code error;
--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -158,6 +158,12 @@
 	    consensus->ops.context, command, size, &kind);
 	if (error_is_unknown_kind(error))
 		return error;
+	error =
+	    consensus->ops.check_proposal == NULL
+		? ERROR_NONE
+		: consensus->ops.check_proposal(consensus->ops.context, kind);
+	if (error != ERROR_NONE)
+		return error;
 	error =
 	    consensus_append(consensus, CONSENSUS_ENTRY_COMMAND, command, size);
 	if (error != ERROR_NONE)
--- a/src/coordination/consensus.h
+++ b/src/coordination/consensus.h
@@ -96,6 +96,10 @@
 	 * result if this build could not apply the command. */
 	enum error_code (*read_kind)(
 	    void *context, const void *command, size_t size, uint64_t *kind);
+	/** Returns an error if a command must not be proposed at present. The
+	 * leader calls it for each command that it is to propose; may be
+	 * NULL. */
+	enum error_code (*check_proposal)(void *context, uint64_t kind);
 	/** Serialises the whole state; the caller releases the array. */
 	GByteArray *(*save)(void *context);
 	/** Replaces the whole state by one that save() returned. */
@@ -254,7 +258,7 @@
 
 /** Proposes a command. @p callback is called later, unless this returns an
  * error: ERROR_NOT_LEADER, ERROR_TABLE_FULL, ERROR_TOO_LARGE, an error of the
- * journal, or ERROR_NOT_SUPPORTED or ERROR_UNSUPPORTED_VERSION for a kind of
+ * journal or of check_proposal(), or ERROR_NOT_SUPPORTED or ERROR_UNSUPPORTED_VERSION for a kind of
  * command that this build does not know. */
 enum error_code consensus_propose(struct consensus *consensus,
     const void *command, size_t size, struct consensus_callback callback);
--- a/src/coordination/part_suspects.c
+++ b/src/coordination/part_suspects.c
@@ -32,10 +32,12 @@
 	struct command_parts parts;
 	bool is_committing;
 	int64_t found_ms;
+	int64_t allowed_ms; /* When its commit was allowed, 0 for not yet. */
 	int64_t commit_from_ms; /* No commit before, since one failed. */
 };
 
 static void run_tick(void *context);
+static bool is_too_old(const struct part_commit *pending, int64_t now_ms);
 static gboolean is_outdated(gpointer part, gpointer value, gpointer context);
 static bool is_survivor(const struct part_suspects *suspects, uint64_t part);
 static void collect_evidence(const struct part_suspects *suspects,
@@ -223,7 +225,7 @@
 		pending->is_committing = false;
 		pending->commit_from_ms =
 		    error == ERROR_NOT_SUPPORTED
-			? pending->found_ms + COMMIT_KEEP_MS
+			? pending->allowed_ms + COMMIT_KEEP_MS
 			: timer_now(suspects->timers) + COMMIT_RETRY_MS;
 		return;
 	}
@@ -273,7 +275,7 @@
 		pending = at->data;
 		if (pending->is_committing || now_ms < pending->commit_from_ms)
 			continue;
-		if (now_ms - pending->found_ms >= COMMIT_KEEP_MS) {
+		if (is_too_old(pending, now_ms)) {
 			g_free(pending);
 			g_queue_delete_link(suspects->commits, at);
 		} else {
@@ -285,6 +287,16 @@
 	choose_trial_hosts(suspects);
 }
 
+/* A finding is kept for as long as its parts are suspected while it may not be
+ * committed, and otherwise for a shorter time after it first might. */
+static bool
+is_too_old(const struct part_commit *pending, int64_t now_ms)
+{
+	if (pending->allowed_ms == 0)
+		return now_ms - pending->found_ms >= PART_SUSPECT_MS;
+	return now_ms - pending->allowed_ms >= COMMIT_KEEP_MS;
+}
+
 static gboolean
 is_outdated(gpointer part, gpointer value, gpointer context)
 {
@@ -392,14 +404,20 @@
 	commit(suspects, pending);
 }
 
+/* Commits a finding, unless that is not allowed yet. */
 static void
 commit(struct part_suspects *suspects, struct part_commit *pending)
 {
+	const struct part_suspects_ops *ops = &suspects->ops;
+
+	if (ops->may_commit != NULL && !ops->may_commit(ops->context))
+		return;
+	if (pending->allowed_ms == 0)
+		pending->allowed_ms = timer_now(suspects->timers);
 	pending->is_committing = true;
 	pending->parts.age_ms =
 	    (uint32_t)(timer_now(suspects->timers) - pending->found_ms);
-	suspects->ops.commit(
-	    suspects->ops.context, pending->id, pending->type, &pending->parts);
+	ops->commit(ops->context, pending->id, pending->type, &pending->parts);
 }
 
 static void
--- a/src/coordination/part_suspects.h
+++ b/src/coordination/part_suspects.h
@@ -7,7 +7,9 @@
  * these in enough crashes is quarantined on all hosts; later one host sends a
  * single request for a trial. A request that runs on for a time clears its
  * parts. What this host has found out counts here at once, and its commit is
- * repeated until it succeeds.
+ * repeated until it succeeds. While commits are not allowed, since a host of an
+ * earlier build would not know them, it counts here for as long as a part is
+ * suspected, and is committed as soon as they are.
  */
 #ifndef PART_SUSPECTS_H
 #define PART_SUSPECTS_H
@@ -44,6 +46,9 @@
 	 * fails. */
 	void (*commit)(void *context, uint64_t id, enum command_type type,
 	    const struct command_parts *parts);
+	/** True if commits are allowed at present; NULL if they always are.
+	 * Until they are, what was found out counts on this host alone. */
+	bool (*may_commit)(void *context);
 	/** True if this host is one of the few to try the part at present. */
 	bool (*is_trial_host)(void *context, uint64_t part);
 	void *context; /**< First argument of the callback. */
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -557,8 +557,9 @@
 	struct quarantine_settings settings = quarantine_default_settings();
 	struct host *host = fixture->host;
 	struct quarantine_ops ops = {.commit = commit_at_once, .context = host};
-	struct part_suspects_ops part_ops = {
-	    commit_no_parts, is_never_trial_host, host};
+	struct part_suspects_ops part_ops = {.commit = commit_no_parts,
+	    .is_trial_host = is_never_trial_host,
+	    .context = host};
 
 	timer_init(&host->timers, 64, host_now_ms());
 	host->work_watch.on_received = on_work_report;
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -741,6 +741,38 @@
 	voter_group_finish(&group);
 }
 
+/* A leader proposes no command that its owner does not allow, whichever host
+ * sent it; other commands go on. */
+static void
+test_leader_refuses_what_its_owner_does_not_allow(void **state)
+{
+	struct command command = {.type = COMMAND_PARTS_CLEARED};
+	struct answer answer = {0};
+	struct group_host *leader;
+	struct voter_group group;
+	uint64_t last;
+
+	(void)state;
+	setup(&group, 20);
+	put_many(&group, "a", 1);
+	leader = voter_group_leader(&group);
+	leader->refused_kind = COMMAND_PARTS_CLEARED;
+	last = journal_last_index(&leader->consensus.journal);
+	command.body.parts.count = 1;
+	command.body.parts.evidence[0].part = 7;
+	assert_int_equal(
+	    command_client_submit(&group.hosts[GROUP_LEARNER - 1].client,
+		&command, ANSWER_MS,
+		(struct command_callback){on_command_result, &answer}),
+	    ERROR_NONE);
+	fake_net_run(&group.net, 1000);
+	assert_int_equal(answer.count, 1);
+	assert_int_equal(answer.result.error, ERROR_NOT_SUPPORTED);
+	assert_int_equal(journal_last_index(&leader->consensus.journal), last);
+	put_many(&group, "b", 1);
+	voter_group_finish(&group);
+}
+
 /* A step of the leader's wall clock must not make claims expire early. */
 static void
 test_clock_step_does_not_move_state_time(void **state)
@@ -840,6 +872,7 @@
 	    cmocka_unit_test(test_voter_stops_at_unknown_record),
 	    cmocka_unit_test(test_old_host_does_not_join_newer_voters),
 	    cmocka_unit_test(test_leader_refuses_unknown_command),
+	    cmocka_unit_test(test_leader_refuses_what_its_owner_does_not_allow),
 	    cmocka_unit_test(test_clock_step_does_not_move_state_time),
 	    cmocka_unit_test(test_invalid_messages_change_nothing),
 	};
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -147,7 +147,9 @@
 		member = &fleet->members[i];
 		member->fleet = fleet;
 		member->id = i;
-		ops = (struct part_suspects_ops){commit, is_trial_host, member};
+		ops = (struct part_suspects_ops){.commit = commit,
+		    .is_trial_host = is_trial_host,
+		    .context = member};
 		timer_init(&member->timers, 16, fleet->now_ms);
 		assert_int_equal(part_suspects_init(
 				     &member->suspects, &ops, &member->timers),
@@ -542,6 +544,8 @@
 struct commit_counter {
 	unsigned int count;
 	uint64_t pending_id; /* Not answered yet, 0 for none. */
+	bool is_allowed;
+	uint32_t age_ms; /* Greatest age of a crash that was committed. */
 };
 
 static void
@@ -551,7 +555,7 @@
 	struct commit_counter *counter = context;
 
 	(void)type;
-	(void)parts;
+	counter->age_ms = MAX(counter->age_ms, parts->age_ms);
 	counter->count++;
 	counter->pending_id = id;
 }
@@ -571,8 +575,9 @@
 	const struct request_key key = {
 	    .fingerprint = 1, .parts = {2, 3}, .part_count = 2};
 	struct commit_counter counter = {0};
-	struct part_suspects_ops ops = {
-	    count_commit, is_no_trial_host, &counter};
+	struct part_suspects_ops ops = {.commit = count_commit,
+	    .is_trial_host = is_no_trial_host,
+	    .context = &counter};
 	struct part_suspects suspects;
 	struct timer_service timers;
 	int64_t now_ms;
@@ -605,6 +610,66 @@
 	assert_int_equal(count_commits(ERROR_NOT_SUPPORTED), 1);
 }
 
+static bool
+is_allowed(void *context)
+{
+	return ((const struct commit_counter *)context)->is_allowed;
+}
+
+/* Lets one host find out a bad part while commits are not allowed, and runs it
+ * without a word of the others for so long. Returns whether it refuses the
+ * part then; the counter has what it commits once that is allowed. */
+static bool
+hold_findings(struct commit_counter *counter, int64_t held_ms)
+{
+	struct request_key key = {.parts = {BAD_PART}, .part_count = 1};
+	struct part_suspects_ops ops = {.commit = count_commit,
+	    .may_commit = is_allowed,
+	    .is_trial_host = is_no_trial_host,
+	    .context = counter};
+	struct part_suspects suspects;
+	struct timer_service timers;
+	bool is_refused;
+
+	timer_init(&timers, 16, START_MS);
+	assert_int_equal(
+	    part_suspects_init(&suspects, &ops, &timers), ERROR_NONE);
+	for (key.fingerprint = 1; key.fingerprint <= PART_EVENTS_TO_QUARANTINE;
+	     key.fingerprint++) {
+		assert_true(part_suspects_record_crash(
+		    &suspects, key.fingerprint, &key, 1));
+		timer_advance(&timers, timer_now(&timers) + 1000);
+	}
+	assert_int_equal(counter->count, 0);
+	timer_advance(&timers, START_MS + held_ms);
+	/* Another host's committed change is applied meanwhile. */
+	part_suspects_sync_begin(&suspects);
+	part_suspects_sync_end(&suspects);
+	is_refused = part_suspects_check(&suspects, &key) != PART_RUN;
+	assert_int_equal(counter->count, 0);
+	counter->is_allowed = true;
+	timer_advance(&timers, START_MS + held_ms + COMMIT_MS * 10);
+	part_suspects_finish(&suspects);
+	timer_finish(&timers);
+	return is_refused;
+}
+
+/* An earlier build would not know the command, so nothing is committed; this
+ * host refuses the part all the same, and tells the others as soon as it may. */
+static void
+test_findings_count_on_this_host_until_they_may_be_committed(void **state)
+{
+	struct commit_counter counter = {0};
+
+	(void)state;
+	assert_true(hold_findings(&counter, 300000));
+	assert_int_equal(counter.count, PART_EVENTS_TO_QUARANTINE);
+	assert_in_range(counter.age_ms, 299000, 301000);
+	memset(&counter, 0, sizeof(counter));
+	assert_false(hold_findings(&counter, PART_SUSPECT_MS * 2));
+	assert_int_equal(counter.count, 0);
+}
+
 int
 main(void)
 {
@@ -617,6 +682,8 @@
 	    cmocka_unit_test(test_trial_clears_a_part_that_crashes_nothing),
 	    cmocka_unit_test(
 		test_a_commit_that_the_leader_does_not_know_is_not_repeated),
+	    cmocka_unit_test(
+		test_findings_count_on_this_host_until_they_may_be_committed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/voter_group.c
+++ b/tests/voter_group.c
@@ -42,6 +42,15 @@
 	return error;
 }
 
+static enum error_code
+check_proposal(void *context, uint64_t kind)
+{
+	const struct group_host *host = context;
+
+	return kind != 0 && kind == host->refused_kind ? ERROR_NOT_SUPPORTED
+						       : ERROR_NONE;
+}
+
 static enum error_code
 apply(void *context, const struct consensus_entry *entry, const void **result,
     size_t *result_size)
@@ -266,8 +275,8 @@
 	    .initial_count = GROUP_VOTERS,
 	    .initial_voters = {1, 2, 3},
 	    .compact_entries = group->compact_entries};
-	const struct consensus_ops ops = {apply, read_kind, save, load,
-	    on_role_changed, read_wall_clock, host};
+	const struct consensus_ops ops = {apply, read_kind, check_proposal,
+	    save, load, on_role_changed, read_wall_clock, host};
 	struct disk disk = fake_disk_disk(&host->disk);
 	struct timer_service *timers = fake_net_timers(&group->net, id);
 	struct peer_port port = fake_net_port(&group->net, id);
--- a/tests/voter_group.h
+++ b/tests/voter_group.h
@@ -43,6 +43,8 @@
 	/** Runs a made-up newer build that knows GROUP_NEWER_TYPE and each
 	 * level of the state in its log. */
 	bool is_newer;
+	/** Type of command that this host must not propose, 0 for none. */
+	uint64_t refused_kind;
 	uint64_t newer_count; /**< Commands of GROUP_NEWER_TYPE applied. */
 };
 
