Commands 10 and 11 wait until all hosts know them

Cause: any host commits commands 10 and 11 whatever the others know, and a leader of an earlier build puts them into the log unread.

The level in force now rises (coordination/level_plan.h, host/host_level.h): once all members but those that left as planned, all committed voters and all committed live hosts have known it for 2 s. The leader proposes it; other voters do after 4 s and other hosts after 6 s, in case the leader's build knows nothing of levels.

Until then a host keeps its findings and quarantines by them alone (E3011, once for each level, names the host that prevents it), a leader of this build refuses the commands of others, `quarantine release` clears the part on the asked host, and builds below the level in force are not made voters. E3010 is the rise.

Ruled out: counting voters and hosts with a disk only. Learners of the earlier builds stop at these commands, too.

--- a/src/api/operator_api.c
+++ b/src/api/operator_api.c
@@ -167,6 +167,7 @@
 {
 	struct command command = {.type = COMMAND_QUARANTINE};
 	struct command parts = {.type = COMMAND_PARTS_CLEARED};
+	struct request_key part = {.part_count = 1};
 	struct command_result result;
 	struct host *host = context;
 	enum error_code error;
@@ -188,9 +189,16 @@
 	/* The number may be that of a request or of a part of prompts. */
 	parts.body.parts.count = 1;
 	parts.body.parts.evidence[0].part = command.body.quarantine.fingerprint;
+	part.parts[0] = command.body.quarantine.fingerprint;
 	error = host_submit(host, &parts, TIMEOUT_DEFAULT_MS, &result);
 	if (error == ERROR_NONE)
 		error = result.error;
+	/* While the level in force does not allow this command, each host keeps
+	 * what it found out, and gives that up alone. */
+	if (error == ERROR_NOT_SUPPORTED) {
+		host_report_survived(host, &part);
+		error = ERROR_NONE;
+	}
 	if (error == ERROR_NONE)
 		error =
 		    host_submit(host, &command, TIMEOUT_DEFAULT_MS, &result);
--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -66,6 +66,11 @@
 	"state of a newer build: this host does not know all of it"},
     {EVENT_LEVEL_UNKNOWN, EVENT_LEVEL_ERROR,
 	"this build does not know the level of the replicated state"},
+    {EVENT_LEVEL_RISEN, EVENT_LEVEL_INFO,
+	"level of the replicated state has risen"},
+    {EVENT_LEVEL_HOLDS_BACK, EVENT_LEVEL_WARNING,
+	"what was found out is kept on this host, since another host's build "
+	"does not know the command"},
 
     {EVENT_HOST_JOINED, EVENT_LEVEL_INFO, "host joined"},
     {EVENT_HOST_SUSPECTED, EVENT_LEVEL_WARNING, "host suspected"},
--- a/src/coordination/level_plan.c
+++ b/src/coordination/level_plan.c
@@ -47,7 +47,7 @@
 
 uint32_t
 level_plan_next(struct level_plan *plan, uint32_t in_force,
-    const struct level_hosts *hosts, int64_t now_ms)
+    const struct level_hosts *hosts, int64_t stable_ms, int64_t now_ms)
 {
 	const struct level_host *lowest;
 	uint32_t level;
@@ -64,5 +64,5 @@
 		plan->level = level;
 		plan->since_ms = now_ms;
 	}
-	return now_ms - plan->since_ms >= LEVEL_STABLE_MS ? level : 0;
+	return now_ms - plan->since_ms >= stable_ms ? level : 0;
 }
--- a/src/coordination/level_plan.h
+++ b/src/coordination/level_plan.h
@@ -49,8 +49,9 @@
     struct level_hosts *hosts, uint32_t host_id, uint32_t level);
 /** Returns the host that knows the lowest level, NULL if there is none. */
 const struct level_host *level_hosts_lowest(const struct level_hosts *hosts);
-/** Returns the level to propose at @p now_ms, or 0 for none. */
+/** Returns the level to propose at @p now_ms, or 0 for none. All hosts must
+ * have known it for @p stable_ms, LEVEL_STABLE_MS or longer. */
 uint32_t level_plan_next(struct level_plan *plan, uint32_t in_force,
-    const struct level_hosts *hosts, int64_t now_ms);
+    const struct level_hosts *hosts, int64_t stable_ms, int64_t now_ms);
 
 #endif
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -215,6 +215,7 @@
 	if (error == ERROR_NONE)
 		host_reports_init(host);
 	host_voters_init(host);
+	host_level_init(host);
 	return error;
 }
 
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -45,6 +45,7 @@
 #include "host/control_worker.h"
 #include "host/host_groups.h"
 #include "host/host_orders.h"
+#include "host/host_level.h"
 #include "host/mailbox.h"
 #include "request/request_metrics.h"
 #include "request/wait_line.h"
@@ -109,6 +110,7 @@
 	/** Sequence that this build could not apply, logged last. */
 	uint64_t unknown_sequence;
 	GArray *pending_commands; /**< Elements: struct host_pending_command. */
+	struct host_level level;  /**< Level of the replicated state. */
 	struct live_hosts live_hosts; /**< Planned live hosts, if leader. */
 	uint64_t plan_number; /**< Counts plans, for unique operation ids. */
 	struct document_watch document_watch; /**< Observer of a document. */
--- a/src/host/host_agreement.c
+++ b/src/host/host_agreement.c
@@ -192,6 +192,7 @@
 	struct consensus_ops ops = {
 	    .apply = apply_entry,
 	    .read_kind = read_kind,
+	    .check_proposal = host_level_check_proposal,
 	    .save = save_state,
 	    .load = load_state,
 	    .on_role_changed = on_role_changed,
--- a/src/host/host_calls.c
+++ b/src/host/host_calls.c
@@ -307,9 +307,12 @@
 
 	body->host = host;
 	body->call = mailbox_call_ref(call);
-	error = command_client_submit(&host->commands, &body->command,
-	    body->timeout_ms,
-	    (struct command_callback){on_command_result, body});
+	/* A leader of an earlier build would put it into the log unread. */
+	error = ERROR_NOT_SUPPORTED;
+	if (host_level_allows(host, body->command.type))
+		error = command_client_submit(&host->commands, &body->command,
+		    body->timeout_ms,
+		    (struct command_callback){on_command_result, body});
 	if (error == ERROR_NONE)
 		return;
 	mailbox_complete(&host->mailbox, call, error);
@@ -382,13 +385,18 @@
 {
 	struct voter_body *body = mailbox_call_body(call);
 	struct consensus_callback callback = {on_voters_changed, body};
+	const struct host_record *record;
 	struct host *host = coordinator;
 	enum error_code error;
 
 	body->host = host;
 	body->call = mailbox_call_ref(call);
+	record = membership_find(&host->membership, body->voter.host_id);
 	if (!host->has_disk)
 		error = ERROR_NOT_LEADER;
+	else if (body->is_add && record != NULL &&
+		 !host_level_may_vote(host, record))
+		error = ERROR_NOT_SUPPORTED;
 	else if (body->is_add)
 		error = consensus_add_voter(
 		    &host->consensus, body->voter, callback);
--- a/src/host/host_calls.h
+++ b/src/host/host_calls.h
@@ -47,7 +47,8 @@
 /* Commands to the replicated state */
 
 /** Submits a command and waits for its result, at most @p timeout_ms and some
- * slack. Errors: those of command_client_submit(), and ERROR_OUTCOME_UNKNOWN
+ * slack. Errors: those of command_client_submit(), ERROR_NOT_SUPPORTED if the
+ * level in force does not allow the command, and ERROR_OUTCOME_UNKNOWN
  * after a time-out. Whether the command itself succeeded is in @p result. */
 enum error_code host_submit(struct host *host, const struct command *command,
     int64_t timeout_ms, struct command_result *result);
@@ -80,7 +81,8 @@
 /* Operators */
 
 /** Adds or removes a voter and waits until the change is committed. Errors:
- * ERROR_NOT_LEADER, and those of consensus_add_voter() and
+ * ERROR_NOT_LEADER, ERROR_NOT_SUPPORTED for a new voter whose build does not
+ * know the level in force, and those of consensus_add_voter() and
  * consensus_remove_voter(). */
 enum error_code host_change_voters(
     struct host *host, bool is_add, struct voter voter, int64_t timeout_ms);
--- a/src/host/host_suspects.c
+++ b/src/host/host_suspects.c
@@ -54,6 +54,7 @@
 static void end_commit(struct pending_commit *pending, bool is_committed);
 static void commit_parts(void *context, uint64_t id, enum command_type type,
     const struct command_parts *parts);
+static bool may_commit_parts(void *context);
 static void on_parts_committed(
     void *context, const struct command_result *result);
 static void end_parts(struct pending_parts *pending, enum error_code error);
@@ -75,6 +76,7 @@
 	    .commit = commit_quarantine, .context = host};
 	struct part_suspects_ops part_ops = {
 	    .commit = commit_parts,
+	    .may_commit = may_commit_parts,
 	    .is_trial_host = is_trial_host,
 	    .context = host,
 	};
@@ -224,6 +226,12 @@
 		end_parts(pending, error);
 }
 
+static bool
+may_commit_parts(void *context)
+{
+	return host_level_allows(context, COMMAND_PARTS_CRASHED);
+}
+
 static void
 on_parts_committed(void *context, const struct command_result *result)
 {
--- a/src/host/host_voters.c
+++ b/src/host/host_voters.c
@@ -29,6 +29,8 @@
 static void check_voters(void *context);
 static void count_entry_host(void *visitor, const struct host_record *record);
 static void add_candidate(void *visitor, const struct host_record *record);
+static bool is_current_voter(
+    struct host *host, const struct host_record *record);
 static void start_change(struct host *host, const struct voter_step *step);
 static void on_change_done(void *context, enum error_code error, uint64_t index,
     const void *result, size_t result_size);
@@ -107,6 +109,11 @@
 
 	if (record->voter_incarnation == 0 || list->count == CANDIDATES_MAX)
 		return;
+	/* A build that does not know the level in force would not stay in
+	 * agreement with the others. */
+	if (!host_level_may_vote(list->host, record) &&
+	    !is_current_voter(list->host, record))
+		return;
 	candidate = &list->items[list->count++];
 	candidate->host_id = record->id;
 	candidate->voter_incarnation = record->voter_incarnation;
@@ -115,6 +122,20 @@
 	candidate->has_left = record->state == HOST_STATE_LEFT;
 }
 
+static bool
+is_current_voter(struct host *host, const struct host_record *record)
+{
+	const struct voter_set *voters = consensus_voters(&host->consensus);
+	uint32_t i;
+
+	for (i = 0; i < voters->count; i++) {
+		if (voters->voters[i].host_id == record->id &&
+		    voters->voters[i].incarnation == record->voter_incarnation)
+			return true;
+	}
+	return false;
+}
+
 static void
 start_change(struct host *host, const struct voter_step *step)
 {
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -34,7 +34,8 @@
 #define HOSTS_PER_TRIAL 8
 #define RUN_MS		90000
 #define BAD_PART	UINT64_C(7)
-#define FIRST_PARTS	60 /* Parts with which prompts begin. */
+#define HELD_SLACK_MS	500 /* Until findings are committed once allowed. */
+#define FIRST_PARTS	60  /* Parts with which prompts begin. */
 /* Crashes after which the bound begins, its delay, and what is allowed then. */
 #define CRASHES_FREE 5
 #define CONTACT_MS   3000
@@ -648,7 +649,7 @@
 	is_refused = part_suspects_check(&suspects, &key) != PART_RUN;
 	assert_int_equal(counter->count, 0);
 	counter->is_allowed = true;
-	timer_advance(&timers, START_MS + held_ms + COMMIT_MS * 10);
+	timer_advance(&timers, START_MS + held_ms + HELD_SLACK_MS);
 	part_suspects_finish(&suspects);
 	timer_finish(&timers);
 	return is_refused;
@@ -666,7 +667,7 @@
 	assert_int_equal(counter.count, PART_EVENTS_TO_QUARANTINE);
 	assert_in_range(counter.age_ms, 299000, 301000);
 	memset(&counter, 0, sizeof(counter));
-	assert_false(hold_findings(&counter, PART_SUSPECT_MS * 2));
+	assert_false(hold_findings(&counter, INT64_C(2) * PART_SUSPECT_MS));
 	assert_int_equal(counter.count, 0);
 }
 
