Of two links dialled at once with an earlier build, both hosts keep the same one

And a host that dialled anew, because it had lost its link, was refused until the old link timed out here, since that had the higher number.

A host whose handshake has no number is judged by the rule that it follows itself: the link of the lower id stays, and a link that seems silent gives way. Numbers count as before among hosts that have them.

Both new tests of test_peer_link seen red with the old rule. test_peer_link and test_peer_silence pass.

--- a/src/transport/peer_connect.c
+++ b/src/transport/peer_connect.c
@@ -33,7 +33,6 @@
 static void report_established(struct link *link, bool is_first, bool has_lost);
 static void replace_link(struct link *older);
 static void enable_keepalive(int fd);
-static bool is_preferred(const struct link *link, const struct link *other);
 
 enum error_code
 peer_address_parse(const char *ip, uint16_t port, struct peer_address *address)
@@ -138,7 +137,7 @@
 	if (link->is_numbered)
 		peer->numbering_incarnation = link->incarnation;
 	older = peer->link;
-	if (older != NULL && !is_preferred(link, older)) {
+	if (older != NULL && !peer_link_is_preferred(link, older)) {
 		peer_link_flush(link);
 		peer_link_close(link);
 		return;
@@ -147,7 +146,8 @@
 	/* Of links that both hosts dialled at once, none has lost anything. */
 	has_lost = is_first ? peer->lost_incarnation == link->incarnation
 			    : older->is_suspected ||
-				  link->generation > older->generation;
+				  (link->is_numbered &&
+				      link->generation > older->generation);
 	peer->link = link;
 	peer->generation = MAX(peer->generation, link->generation);
 	if (older != NULL)
@@ -158,6 +158,23 @@
 	report_established(link, is_first, has_lost);
 }
 
+bool
+peer_link_is_preferred(const struct link *link, const struct link *other)
+{
+	uint32_t dialer, other_dialer, own;
+
+	if (link->incarnation != other->incarnation)
+		return link->incarnation > other->incarnation;
+	if (link->is_numbered && link->generation != other->generation)
+		return link->generation > other->generation;
+	if (!link->is_numbered && other->is_suspected)
+		return true;
+	own = link->links->settings.host_id;
+	dialer = link->is_dialled ? own : link->peer_id;
+	other_dialer = other->is_dialled ? own : other->peer_id;
+	return dialer <= other_dialer;
+}
+
 void
 peer_link_refuse(struct link *link, enum error_code error)
 {
@@ -347,20 +364,3 @@
 		setsockopt(fd, options[i].level, options[i].name,
 		    &options[i].value, sizeof(options[i].value));
 }
-
-/* Returns true if link is to replace other. The rule gives the same result on
- * both hosts, so that they keep the same one of two links. */
-static bool
-is_preferred(const struct link *link, const struct link *other)
-{
-	uint32_t dialer, other_dialer, own;
-
-	if (link->incarnation != other->incarnation)
-		return link->incarnation > other->incarnation;
-	if (link->generation != other->generation)
-		return link->generation > other->generation;
-	own = link->links->settings.host_id;
-	dialer = link->is_dialled ? own : link->peer_id;
-	other_dialer = other->is_dialled ? own : other->peer_id;
-	return dialer <= other_dialer;
-}
--- a/src/transport/peer_link_parts.h
+++ b/src/transport/peer_link_parts.h
@@ -101,6 +101,11 @@
 void peer_links_accept(struct peer_links *links);
 /** Makes a link whose handshake is complete the one to its peer. */
 void peer_link_establish(struct link *link);
+/** Returns true if @p link is to replace @p other. The rule gives the same
+ * result on both hosts, so that they keep the same one of two links. A host
+ * that does not number its links knows only who dialled; its numbers count for
+ * nothing. */
+bool peer_link_is_preferred(const struct link *link, const struct link *other);
 /** Closes a link and reports why it was refused. */
 void peer_link_refuse(struct link *link, enum error_code error);
 /** Closes a link; peer_links_free_closed() frees it. */
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -15,6 +15,7 @@
 #include <sodium.h>
 
 #include "peer_node.h"
+#include "transport/peer_link_parts.h"
 #include "transport/peer_queue.h"
 
 #define PORT_FIRST 21100
@@ -354,6 +355,64 @@
 	assert_int_equal(queue.bytes, 0);
 }
 
+/* Returns whether a host keeps the link that it dialled, of two that both hosts
+ * dialled at once. @p is_own_second tells which of them is complete first. */
+static bool
+keeps_own_link(
+    uint32_t own_id, uint32_t other_id, bool is_numbered, bool is_own_second)
+{
+	struct peer_links links = {.settings = {.host_id = own_id}};
+	struct link own = {.links = &links,
+	    .peer_id = other_id,
+	    .is_dialled = true,
+	    .is_numbered = is_numbered,
+	    .generation = 1};
+	struct link accepted = {
+	    .links = &links, .peer_id = other_id, .is_numbered = is_numbered};
+
+	/* Only a host that numbers its links gives one to that it dials. */
+	accepted.generation = is_numbered ? 1 : 0;
+	if (is_own_second)
+		return peer_link_is_preferred(&own, &accepted);
+	return !peer_link_is_preferred(&accepted, &own);
+}
+
+/* A host that does not number its links keeps the one that the lower id has
+ * dialled. The other must do so as well, or both would be closed. */
+static void
+test_links_to_a_host_without_numbers_settle_on_the_same_one(void **state)
+{
+	bool is_numbered, is_own_second;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 4; i++) {
+		is_numbered = i % 2 == 1;
+		is_own_second = i / 2 == 1;
+		assert_true(keeps_own_link(1, 2, is_numbered, is_own_second));
+		assert_false(keeps_own_link(2, 1, is_numbered, is_own_second));
+	}
+}
+
+/* Such a host dials again if it has lost its link, perhaps while this one still
+ * waits for an answer on it. */
+static void
+test_a_silent_link_gives_way_to_one_without_a_number(void **state)
+{
+	struct peer_links links = {.settings = {.host_id = 1}};
+	struct link silent = {.links = &links,
+	    .peer_id = 2,
+	    .is_dialled = true,
+	    .generation = 3,
+	    .is_suspected = true};
+	struct link accepted = {.links = &links, .peer_id = 2};
+
+	(void)state;
+	assert_true(peer_link_is_preferred(&accepted, &silent));
+	silent.is_suspected = false;
+	assert_false(peer_link_is_preferred(&accepted, &silent));
+}
+
 int
 main(void)
 {
@@ -365,6 +424,10 @@
 	    cmocka_unit_test(test_unauthenticated_connections_are_refused),
 	    cmocka_unit_test(test_unlinked_hosts_are_evicted_for_new_ones),
 	    cmocka_unit_test(test_a_full_queue_drops_by_class),
+	    cmocka_unit_test(
+		test_links_to_a_host_without_numbers_settle_on_the_same_one),
+	    cmocka_unit_test(
+		test_a_silent_link_gives_way_to_one_without_a_number),
 	};
 
 	if (sodium_init() < 0)
