Voters dial hosts that state no level, so a large fleet is known soon

A host that states no level is known only once it has had a link to the host that looks. Nothing makes links but messages, and in a fleet of 300 hosts a host meets the others by a ping each second and by gossip with random partners (a few minutes; reckoned, not measured). For that long the first hosts of an upgrade would keep their findings to themselves.

test_a_link_is_made_without_a_message is new (does not compile without it). Not run: a fleet of 300.

--- a/src/host/host_level.c
+++ b/src/host/host_level.c
@@ -16,9 +16,13 @@
  * that knows of levels while the leader does not; then all other hosts. */
 #define VOTER_WAIT_MS 2000
 #define OTHER_WAIT_MS 4000
+/* Links to unknown hosts that a voter dials at each look. */
+#define MEETINGS_MAX 4
 
 static void run_look(void *context);
 static void note_level(struct host *host, uint32_t in_force);
+static void meet_hosts(struct host *host);
+static void meet_member(void *visitor, const struct host_record *record);
 static int64_t turn_wait_ms(struct host *host);
 static void collect_hosts(struct host *host, struct level_hosts *hosts);
 static void add_member(void *visitor, const struct host_record *record);
@@ -31,6 +35,7 @@
 struct host_collector {
 	struct host *host;
 	struct level_hosts *hosts;
+	uint32_t meetings_left; /* Links that may still be dialled. */
 };
 
 void
@@ -123,6 +128,7 @@
 		return;
 	}
 	collect_hosts(host, &hosts);
+	meet_hosts(host);
 	level = level_plan_next(&host->level.plan, in_force, &hosts,
 	    LEVEL_STABLE_MS + turn_wait_ms(host), now_ms);
 	if (level != 0)
@@ -143,6 +149,33 @@
 	    STATE_LEVEL_LATEST);
 }
 
+/* Dials some of the hosts that state no level and had no link to this one, so
+ * that a large fleet of an earlier build is known soon. The voters do so, which
+ * are few. */
+static void
+meet_hosts(struct host *host)
+{
+	struct host_collector collector = {
+	    .host = host, .meetings_left = MEETINGS_MAX};
+
+	if (host->has_disk && consensus_is_voter(&host->consensus))
+		membership_for_each(&host->membership, meet_member, &collector);
+}
+
+static void
+meet_member(void *visitor, const struct host_record *record)
+{
+	struct host_collector *collector = visitor;
+	struct peer_links *links = &collector->host->links;
+
+	if (collector->meetings_left > 0 &&
+	    record->level == STATE_LEVEL_NOT_STATED &&
+	    host_state_is_live(record->state) &&
+	    !peer_links_was_linked(links, record->id, record->incarnation) &&
+	    peer_links_meet(links, record->id))
+		collector->meetings_left--;
+}
+
 static int64_t
 turn_wait_ms(struct host *host)
 {
@@ -156,7 +189,7 @@
 static void
 collect_hosts(struct host *host, struct level_hosts *hosts)
 {
-	struct host_collector collector = {host, hosts};
+	struct host_collector collector = {.host = host, .hosts = hosts};
 	const struct voter_set *voters;
 	const GArray *live;
 	uint32_t i;
--- a/src/transport/peer_connect.c
+++ b/src/transport/peer_connect.c
@@ -134,8 +134,8 @@
 	if (peer->dial == link)
 		peer->dial = NULL;
 	peer->backoff_ms = 0;
-	if (link->is_numbered)
-		peer->numbering_incarnation = link->incarnation;
+	peer->linked_incarnation = link->incarnation;
+	peer->is_numbering = link->is_numbered;
 	older = peer->link;
 	if (older != NULL && !peer_link_is_preferred(link, older)) {
 		peer_link_flush(link);
--- a/src/transport/peer_link.c
+++ b/src/transport/peer_link.c
@@ -130,12 +130,32 @@
 bool
 peer_links_is_numbering(
     const struct peer_links *links, uint32_t host_id, uint64_t incarnation)
+{
+	return peer_links_was_linked(links, host_id, incarnation) &&
+	       peer_links_find(links, host_id)->is_numbering;
+}
+
+bool
+peer_links_was_linked(
+    const struct peer_links *links, uint32_t host_id, uint64_t incarnation)
 {
 	const struct peer *peer;
 
 	peer = peer_links_find(links, host_id);
 	return peer != NULL && incarnation != 0 &&
-	       peer->numbering_incarnation == incarnation;
+	       peer->linked_incarnation == incarnation;
+}
+
+bool
+peer_links_meet(struct peer_links *links, uint32_t host_id)
+{
+	struct peer *peer;
+
+	peer = peer_links_find(links, host_id);
+	if (peer == NULL || peer->link != NULL || peer->dial != NULL)
+		return false;
+	peer_links_dial(links, peer);
+	return peer->dial != NULL;
 }
 
 void
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -166,6 +166,13 @@
 bool peer_links_is_numbering(
     const struct peer_links *links, uint32_t host_id, uint64_t incarnation);
 
+/** True if a host with this incarnation was linked to this host. */
+bool peer_links_was_linked(
+    const struct peer_links *links, uint32_t host_id, uint64_t incarnation);
+/** Dials a host that has no link, as a message to it would. Returns whether it
+ * did: the address must be known, and no backoff may run. */
+bool peer_links_meet(struct peer_links *links, uint32_t host_id);
+
 /* Sending */
 
 /** Queues a message for a host and dials the host if there is no link. The
--- a/src/transport/peer_link_parts.h
+++ b/src/transport/peer_link_parts.h
@@ -72,8 +72,9 @@
 	uint64_t generation;  /**< Highest number of a link so far. */
 	/** Incarnation of the host when a link to it was last lost, or 0. */
 	uint64_t lost_incarnation;
-	/** Incarnation of the host that was seen to number links, or 0. */
-	uint64_t numbering_incarnation;
+	/** Incarnation of the host in its last handshake, or 0. */
+	uint64_t linked_incarnation;
+	bool is_numbering; /**< It numbers links, by that handshake. */
 };
 
 /* peer_link.c */
--- a/tests/test_host_level.c
+++ b/tests/test_host_level.c
@@ -121,7 +121,8 @@
 
 	peer = g_new0(struct peer, 1);
 	peer->id = host_id;
-	peer->numbering_incarnation = OTHER_INC;
+	peer->linked_incarnation = OTHER_INC;
+	peer->is_numbering = true;
 	g_hash_table_insert(host->links.peers, GUINT_TO_POINTER(host_id), peer);
 }
 
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -97,6 +97,35 @@
 	peer_node_stop(&right);
 }
 
+/* A host finds out what another one's handshake has without sending it anything
+ * else. */
+static void
+test_a_link_is_made_without_a_message(void **state)
+{
+	struct peer_link_settings settings;
+	struct peer_node left, right;
+	uint64_t incarnation;
+
+	(void)state;
+	peer_node_fill_settings(&settings, 1);
+	peer_node_start(&left, &settings, PORT_FIRST);
+	peer_node_fill_settings(&settings, 2);
+	peer_node_start(&right, &settings, PORT_FIRST);
+	incarnation = right.links.settings.incarnation;
+	assert_false(peer_links_meet(&left.links, 2));
+	add_peer(&left, &right);
+	assert_false(peer_links_was_linked(&left.links, 2, incarnation));
+	assert_true(peer_links_meet(&left.links, 2));
+	assert_false(peer_links_meet(&left.links, 2));
+	assert_true(run_until(&left, &right, &left.connects, 1));
+	assert_true(peer_links_was_linked(&left.links, 2, incarnation));
+	assert_false(peer_links_was_linked(&left.links, 2, incarnation + 1));
+	assert_false(peer_links_meet(&left.links, 2));
+	assert_int_equal(left.received + right.received, 0);
+	peer_node_stop(&left);
+	peer_node_stop(&right);
+}
+
 /* When both hosts dial each other at once, they must agree which link stays,
  * whatever the order in which each side handles the two connections. */
 static void
@@ -418,6 +447,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_messages_arrive_in_order_when_both_dial),
+	    cmocka_unit_test(test_a_link_is_made_without_a_message),
 	    cmocka_unit_test(test_simultaneous_dials_settle_on_one_link),
 	    cmocka_unit_test(test_a_restarted_host_is_dialled_again),
 	    cmocka_unit_test(test_keys_and_cluster_are_checked),
