--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -4,9 +4,9 @@
 #include "protocol/prompt_parts.h"
 #include "relay/relay_parts.h"
 
-#define STATUS_UNAUTHORIZED 401
-#define STATUS_NOT_FOUND    404
-#define STATUS_LATE	    504
+#define STATUS_UNAUTHORIZED    401
+#define STATUS_NOT_FOUND       404
+#define STATUS_GATEWAY_TIMEOUT 504
 /* Interval between tries to place a request. */
 #define RETRY_PLACE_MS 15
 /* A request waits for a free upstream for at most its route's target time
@@ -525,7 +525,7 @@
 		return;
 	}
 	if (exchange->may_have_run || exchange->is_sent) {
-		relay_answer_json(exchange->caller, STATUS_LATE,
+		relay_answer_json(exchange->caller, STATUS_GATEWAY_TIMEOUT,
 		    "the time limit has passed", 0);
 		relay_exchange_finish(exchange, END_FAILED, ERROR_TIMEOUT);
 		return;
