--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -4,9 +4,9 @@
 #include "protocol/prompt_parts.h"
 #include "relay/relay_parts.h"
 
-#define STATUS_UNAUTHORIZED 401
-#define STATUS_NOT_FOUND    404
-#define STATUS_LATE	    504
+#define STATUS_UNAUTHORIZED    401
+#define STATUS_NOT_FOUND       404
+#define STATUS_GATEWAY_TIMEOUT 504
 /* Interval between tries to place a request. */
 #define RETRY_PLACE_MS 15
 /* A request waits for a free upstream for at most its route's target time
@@ -550,7 +550,7 @@
 static void
 on_deadline_timeout(void *context)
 {
-	static const struct late_end end = {STATUS_LATE,
+	static const struct late_end end = {STATUS_GATEWAY_TIMEOUT,
 	    "the time limit has passed", "no upstream could be reached in time",
 	    RETRY_AFTER_DEFAULT_MS};
 	struct relay_exchange *exchange = context;
