Names of notices, of the check for a crash and of event 6017 in the field's terms

Renamed: X_hear() to X_record() or X_record_notice(), heard_ms to received_ms, PATH_DOUBT_MS to PATH_DECISION_MS, on_path_judged() to on_path_timeout(), EVENT_PROMISE_UNFOUNDED to EVENT_STATUS_UNCONFIRMED. The event's number, level and text are the same: docs/EVENTS.md is the catalogue that the program prints.

Compared by function: the 896 functions of src/coordination are the same before and after. Passed: test_upstream_notice 8, test_upstream_path 7, test_placement 14, test_placement_upstreams 14, test_placement_slots 3, test_relay_rules 5, test_pause 2.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -117,7 +117,7 @@
 	"forwarded request refused by the other host"},
     {EVENT_ANSWER_REJECTED, EVENT_LEVEL_WARNING,
 	"answer of an upstream not accepted"},
-    {EVENT_PROMISE_UNFOUNDED, EVENT_LEVEL_WARNING,
+    {EVENT_STATUS_UNCONFIRMED, EVENT_LEVEL_WARNING,
 	"status says not run, the answer does not"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
--- a/src/coordination/forward_peers.c
+++ b/src/coordination/forward_peers.c
@@ -25,8 +25,8 @@
 }
 
 void
-forward_peers_hear(struct forward_peers *peers, uint32_t host_id,
-    const struct work_forwarding *says, int64_t heard_ms)
+forward_peers_record(struct forward_peers *peers, uint32_t host_id,
+    const struct work_forwarding *says, int64_t received_ms)
 {
 	struct forward_peer *peer;
 
@@ -42,7 +42,7 @@
 	if (peer->says.token != says->token)
 		peer->avoid_until_ms = 0;
 	peer->says = *says;
-	peer->heard_ms = heard_ms;
+	peer->received_ms = received_ms;
 }
 
 const struct forward_peer *
@@ -58,7 +58,7 @@
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		if (peer->running == 0 &&
-		    now_ms - peer->heard_ms >= FORWARD_PEER_EXPIRY_MS) {
+		    now_ms - peer->received_ms >= FORWARD_PEER_EXPIRY_MS) {
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
@@ -121,10 +121,10 @@
 	uint32_t i;
 
 	if (peer->says.address == 0 || peer->avoid_until_ms > now_ms ||
-	    now_ms - peer->heard_ms >= FORWARD_PEER_EXPIRY_MS)
+	    now_ms - peer->received_ms >= FORWARD_PEER_EXPIRY_MS)
 		return false;
 	if (peer->says.is_without_path &&
-	    now_ms - peer->heard_ms < WITHOUT_PATH_EXPIRY_MS)
+	    now_ms - peer->received_ms < WITHOUT_PATH_EXPIRY_MS)
 		return false;
 	for (i = 0; i < tried_count; i++) {
 		if (tried[i] == peer->host_id)
--- a/src/coordination/forward_peers.h
+++ b/src/coordination/forward_peers.h
@@ -28,7 +28,7 @@
 	uint32_t host_id; /**< Id of the host. */
 	uint32_t running; /**< Requests forwarded to it that have not ended. */
 	struct work_forwarding says; /**< What it said last. */
-	int64_t heard_ms;	     /**< When it said that. */
+	int64_t received_ms;	     /**< When it said that. */
 	int64_t avoid_until_ms; /**< Not picked until then after a failure. */
 };
 
@@ -41,9 +41,9 @@
 void forward_peers_init(struct forward_peers *peers);
 /** Frees the memory; does nothing on a zeroed struct. */
 void forward_peers_finish(struct forward_peers *peers);
-/** Stores what another host said at @p heard_ms, by this host's clock. */
-void forward_peers_hear(struct forward_peers *peers, uint32_t host_id,
-    const struct work_forwarding *says, int64_t heard_ms);
+/** Stores what another host said at @p received_ms, by this host's clock. */
+void forward_peers_record(struct forward_peers *peers, uint32_t host_id,
+    const struct work_forwarding *says, int64_t received_ms);
 /** Picks a host that is not among the @p tried_count ids in @p tried. Returns
  * NULL if there is none; the result is valid until the next hear or pick. */
 const struct forward_peer *forward_peers_pick(struct forward_peers *peers,
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -315,7 +315,7 @@
     struct placement *placement, uint64_t address, int64_t now_ms);
 /** Records what an answer of an upstream says of it. Returns true if something
  * new follows from it. */
-bool placement_hear(struct placement *placement, uint64_t id,
+bool placement_record_notice(struct placement *placement, uint64_t id,
     uint64_t incarnation, const struct upstream_statement *statement,
     int64_t now_ms);
 /** Records that bytes of the answer to a request arrived that was sent at
--- a/src/coordination/placement_notice.c
+++ b/src/coordination/placement_notice.c
@@ -5,17 +5,18 @@
 #include "coordination/placement_parts.h"
 
 /* Time for which a host tells the others what it heard. */
-#define TELL_MS	    3000
+#define REPORT_MS   3000
 #define THOUSANDTHS 1000.0
 
-static bool hear(struct placement *placement,
+static bool record_notice(struct placement *placement,
     struct placement_upstream *upstream,
-    const struct upstream_statement *statement, int64_t heard_ms,
+    const struct upstream_statement *statement, int64_t received_ms,
     int64_t now_ms);
 
 bool
-placement_hear(struct placement *placement, uint64_t id, uint64_t incarnation,
-    const struct upstream_statement *statement, int64_t now_ms)
+placement_record_notice(struct placement *placement, uint64_t id,
+    uint64_t incarnation, const struct upstream_statement *statement,
+    int64_t now_ms)
 {
 	struct upstream_statement readable = *statement;
 	struct placement_upstream *upstream;
@@ -33,8 +34,8 @@
 	if (!readable.has_limit && !upstream->notice.last.has_limit &&
 	    !readable.is_leaving)
 		return readable.pause_ms > 0;
-	upstream->notice.own_heard_ms = now_ms;
-	return hear(placement, upstream, &readable, now_ms, now_ms);
+	upstream->notice.own_received_ms = now_ms;
+	return record_notice(placement, upstream, &readable, now_ms, now_ms);
 }
 
 void
@@ -49,10 +50,10 @@
 	    struct work_notice, g_hash_table_size(placement->upstreams) + 1);
 	g_hash_table_iter_init(&iter, placement->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&upstream)) {
-		if (upstream->notice.own_heard_ms == 0 ||
-		    upstream->notice.own_heard_ms !=
-			upstream->notice.heard_ms ||
-		    now_ms - upstream->notice.own_heard_ms >= TELL_MS)
+		if (upstream->notice.own_received_ms == 0 ||
+		    upstream->notice.own_received_ms !=
+			upstream->notice.received_ms ||
+		    now_ms - upstream->notice.own_received_ms >= REPORT_MS)
 			continue;
 		notice = &report->notices[report->notice_count++];
 		notice->upstream_id = upstream->id;
@@ -63,7 +64,7 @@
 		    upstream->notice.last.limit_per_s * THOUSANDTHS,
 		    UINT32_MAX);
 		notice->age_ms =
-		    (uint32_t)(now_ms - upstream->notice.own_heard_ms);
+		    (uint32_t)(now_ms - upstream->notice.own_received_ms);
 	}
 }
 
@@ -87,7 +88,7 @@
 		statement.is_leaving = notice->is_leaving;
 		statement.limit_per_s =
 		    (double)notice->limit_permille / THOUSANDTHS;
-		(void)hear(placement, upstream, &statement,
+		(void)record_notice(placement, upstream, &statement,
 		    sent_ms - (int64_t)notice->age_ms, now_ms);
 	}
 }
@@ -104,10 +105,10 @@
 }
 
 static bool
-hear(struct placement *placement, struct placement_upstream *upstream,
-    const struct upstream_statement *statement, int64_t heard_ms,
+record_notice(struct placement *placement, struct placement_upstream *upstream,
+    const struct upstream_statement *statement, int64_t received_ms,
     int64_t now_ms)
 {
-	return upstream_notice_hear(&upstream->notice, statement, heard_ms,
+	return upstream_notice_record(&upstream->notice, statement, received_ms,
 	    placement_notice_share(placement, upstream), now_ms);
 }
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -96,7 +96,7 @@
 	}
 	placement_notices_receive(placement, &report, sent_ms, now_ms);
 	if (report.forwarding.address != 0)
-		forward_peers_hear(&placement->forward_peers, host_id,
+		forward_peers_record(&placement->forward_peers, host_id,
 		    &report.forwarding, sent_ms);
 	peer = g_new0(struct peer_work, 1);
 	peer->report = report;
--- a/src/coordination/upstream_notice.c
+++ b/src/coordination/upstream_notice.c
@@ -44,8 +44,8 @@
 }
 
 bool
-upstream_notice_hear(struct upstream_notice *notice,
-    const struct upstream_statement *statement, int64_t heard_ms,
+upstream_notice_record(struct upstream_notice *notice,
+    const struct upstream_statement *statement, int64_t received_ms,
     struct notice_share share, int64_t now_ms)
 {
 	struct upstream_statement before = notice->last;
@@ -55,11 +55,11 @@
 	 * heard later. */
 	notice->last.is_leaving |= statement->is_leaving;
 	is_new = notice->last.is_leaving != before.is_leaving;
-	if (heard_ms < notice->heard_ms)
+	if (received_ms < notice->received_ms)
 		return is_new;
 	notice->last.has_limit = statement->has_limit;
 	notice->last.limit_per_s = statement->limit_per_s;
-	notice->heard_ms = heard_ms;
+	notice->received_ms = received_ms;
 	if (!statement->has_limit)
 		return before.has_limit || is_new;
 	if (!before.has_limit) {
@@ -111,7 +111,7 @@
 	if (notice->pause_until_ms > now_ms)
 		return true;
 	return (notice->last.is_leaving || notice->last.has_limit) &&
-	       now_ms - notice->heard_ms < REMEMBER_MS;
+	       now_ms - notice->received_ms < REMEMBER_MS;
 }
 
 int64_t
@@ -151,7 +151,7 @@
 
 	if (!notice->last.has_limit)
 		return 0;
-	ask_ms = MAX(notice->heard_ms + UPSTREAM_NOTICE_EXPIRY_MS,
+	ask_ms = MAX(notice->received_ms + UPSTREAM_NOTICE_EXPIRY_MS,
 	    notice->sent_ms + ASK_PERIOD_MS);
 	until_ms = MIN(notice->next_send_ms, (double)ask_ms);
 	return (int64_t)ceil(MAX(until_ms - (double)now_ms, 0));
--- a/src/coordination/upstream_notice.h
+++ b/src/coordination/upstream_notice.h
@@ -57,8 +57,8 @@
 struct upstream_notice {
 	/** What the upstream said to any host; its pause is below. */
 	struct upstream_statement last;
-	int64_t heard_ms;     /**< When it was heard, 0 for never. */
-	int64_t own_heard_ms; /**< When this host heard one itself. */
+	int64_t received_ms;	 /**< When it was heard, 0 for never. */
+	int64_t own_received_ms; /**< When this host heard one itself. */
 	/** Time from which this host may send the next request. */
 	double next_send_ms;
 	int64_t sent_ms; /**< When it sent the last one under a limit or after
@@ -74,11 +74,11 @@
 /** Parses a pause in seconds, with fractions, of at most UPSTREAM_PAUSE_MAX_MS; a
  * longer one is cut to that. Errors: ERROR_BAD_VALUE. */
 enum error_code upstream_pause_parse(const char *text, int64_t *pause_ms);
-/** Records a statement that this or another host heard at @p heard_ms, unless a
+/** Records a statement that this or another host heard at @p received_ms, unless a
  * later one is known; that the upstream leaves is recorded in any case. Its
  * pause is not. Returns true if something new follows from it. */
-bool upstream_notice_hear(struct upstream_notice *notice,
-    const struct upstream_statement *statement, int64_t heard_ms,
+bool upstream_notice_record(struct upstream_notice *notice,
+    const struct upstream_statement *statement, int64_t received_ms,
     struct notice_share share, int64_t now_ms);
 /** Records that this host sends the upstream a request. */
 void upstream_notice_record_send(
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -203,7 +203,7 @@
 		relay_attempt_abort(exchange, ERROR_MALFORMED, true);
 		return POOL_ANSWER_TAKE;
 	}
-	relay_head_hear(exchange, head);
+	relay_head_record_notice(exchange, head);
 	if (exchange->answer_class == ANSWER_EVENTS) {
 		relay_stream_begin(exchange, head);
 		return POOL_ANSWER_TAKE;
--- a/src/relay/relay_crash.c
+++ b/src/relay/relay_crash.c
@@ -18,7 +18,7 @@
 #define BEGINNING_MS 500
 /* Time for the connections to other upstreams to fail as well, if the path is
  * lost. They break at about the same time. */
-#define PATH_DOUBT_MS 100
+#define PATH_DECISION_MS 100
 
 /* An upstream that may have crashed. */
 struct crash_check {
@@ -36,7 +36,7 @@
 static void on_probed(
     struct relay *relay, uint64_t upstream_id, enum error_code error);
 static void await_path_state(struct crash_check *check);
-static void on_path_judged(void *context);
+static void on_path_timeout(void *context);
 static void end_check(struct crash_check *check);
 static void report_crash(const struct crash_check *check);
 static bool find_data_centre(
@@ -161,14 +161,14 @@
 await_path_state(struct crash_check *check)
 {
 	/* Without a free timer the doubt counts for the requests. */
-	if (timer_subscribe_once(&check->relay->timers, PATH_DOUBT_MS,
-		(struct timer_callback){on_path_judged, check},
+	if (timer_subscribe_once(&check->relay->timers, PATH_DECISION_MS,
+		(struct timer_callback){on_path_timeout, check},
 		&check->timer) != ERROR_NONE)
 		end_check(check);
 }
 
 static void
-on_path_judged(void *context)
+on_path_timeout(void *context)
 {
 	struct crash_check *check = context;
 
--- a/src/relay/relay_head.c
+++ b/src/relay/relay_head.c
@@ -38,14 +38,14 @@
 /* Records what the upstream says of itself in the headers of an answer. A header
  * that can't be parsed changes nothing. */
 void
-relay_head_hear(
+relay_head_record_notice(
     const struct relay_exchange *exchange, const struct http_head *head)
 {
 	struct relay *relay = exchange->relay;
 	struct upstream_statement statement;
 
 	read_statement(exchange, head, &statement);
-	if (!placement_hear(&relay->placement, exchange->upstream_id,
+	if (!placement_record_notice(&relay->placement, exchange->upstream_id,
 		exchange->upstream_incarnation, &statement, host_now_ms()))
 		return;
 	event_log_write_fields(EVENT_UPSTREAM_NOTICED,
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -333,7 +333,7 @@
 void relay_head_read(const struct relay_exchange *exchange,
     const struct http_head *head, struct answer_facts *facts);
 /** Records what the upstream says of itself in the head of an answer. */
-void relay_head_hear(
+void relay_head_record_notice(
     const struct relay_exchange *exchange, const struct http_head *head);
 
 /* relay_forward.c */
--- a/src/relay/relay_trace.c
+++ b/src/relay/relay_trace.c
@@ -119,7 +119,7 @@
 	    exchange->answer_class == ANSWER_REPEATED)
 		log_answer(EVENT_ANSWER_REJECTED, exchange, head);
 	else if (exchange->answer_class == ANSWER_UNFOUNDED)
-		log_answer(EVENT_PROMISE_UNFOUNDED, exchange, head);
+		log_answer(EVENT_STATUS_UNCONFIRMED, exchange, head);
 }
 
 void
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -160,7 +160,7 @@
 		placement_record_success(
 		    &run->hosts[host], flight->upstream_id);
 	}
-	(void)placement_hear(
+	(void)placement_record_notice(
 	    &run->hosts[host], flight->upstream_id, 1, &statement, now_ms);
 	placement_end(&run->hosts[host], &flight->work);
 }
--- a/tests/test_placement_upstreams.c
+++ b/tests/test_placement_upstreams.c
@@ -290,9 +290,9 @@
 	placement_fixture_init_engines(&there, 10, 1);
 	here.placement.host_count = there.placement.host_count = 8;
 	here.placement.host_rank = 0;
-	assert_false(placement_hear(
+	assert_false(placement_record_notice(
 	    &there.placement, there.records[0].id, 2, &limit, START_MS));
-	assert_true(placement_hear(
+	assert_true(placement_record_notice(
 	    &there.placement, there.records[0].id, 1, &limit, START_MS));
 	message_writer_init(&writer);
 	placement_report_write(&there.placement, 77, START_MS + 10, &writer);
--- a/tests/test_upstream_notice.c
+++ b/tests/test_upstream_notice.c
@@ -33,7 +33,7 @@
 	uint32_t host_count;
 	double limit_per_s;
 	struct upstream_notice notices[HOSTS_MOST];
-	int64_t heard_ms[HOSTS_MOST]; /* When each host hears first. */
+	int64_t received_ms[HOSTS_MOST]; /* When each host hears first. */
 	int64_t frozen_until_ms[HOSTS_MOST];
 	bool is_cut[HOSTS_MOST];       /* Hears only its own answers. */
 	int64_t answer_ms[HOSTS_MOST]; /* When its last answer arrives. */
@@ -59,17 +59,17 @@
 		for (i = 0; i < fleet->host_count; i++) {
 			notice = &fleet->notices[i];
 			share.rank = i;
-			if (now_ms < START_MS + fleet->heard_ms[i] ||
+			if (now_ms < START_MS + fleet->received_ms[i] ||
 			    now_ms < fleet->frozen_until_ms[i])
 				continue;
-			if (notice->heard_ms == 0)
-				upstream_notice_hear(
+			if (notice->received_ms == 0)
+				upstream_notice_record(
 				    notice, &statement, now_ms, share, now_ms);
-			if (told_ms > notice->heard_ms && !fleet->is_cut[i])
-				upstream_notice_hear(
+			if (told_ms > notice->received_ms && !fleet->is_cut[i])
+				upstream_notice_record(
 				    notice, &statement, told_ms, share, now_ms);
 			if (fleet->answer_ms[i] == now_ms)
-				upstream_notice_hear(
+				upstream_notice_record(
 				    notice, &statement, now_ms, share, now_ms);
 			if (upstream_notice_wait_ms(notice, now_ms) > 0)
 				continue;
@@ -141,7 +141,7 @@
 			fleet->host_count = host_counts[i];
 			fleet->limit_per_s = limits[j];
 			for (host = 0; host < host_counts[i]; host++)
-				fleet->heard_ms[host] =
+				fleet->received_ms[host] =
 				    NAMED_MS + random_below(&random, TELL_MS);
 			run(fleet);
 			check_bound(fleet);
@@ -166,7 +166,7 @@
 	fleet->host_count = 60;
 	fleet->limit_per_s = 2;
 	for (host = 0; host < fleet->host_count; host++) {
-		fleet->heard_ms[host] = NAMED_MS;
+		fleet->received_ms[host] = NAMED_MS;
 		if (host % 10 == 0)
 			fleet->frozen_until_ms[host] =
 			    START_MS + 20000 +
@@ -193,27 +193,27 @@
 	now_ms = START_MS;
 	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms), 0);
 	assert_true(
-	    upstream_notice_hear(&notice, &statement, now_ms, share, now_ms));
+	    upstream_notice_record(&notice, &statement, now_ms, share, now_ms));
 	upstream_notice_record_send(&notice, share, now_ms);
 	at_1_per_s_ms = upstream_notice_wait_ms(&notice, now_ms);
 	assert_in_range(at_1_per_s_ms, 2000, 2500);
 	assert_false(
-	    upstream_notice_hear(&notice, &statement, now_ms, share, now_ms));
+	    upstream_notice_record(&notice, &statement, now_ms, share, now_ms));
 	statement.limit_per_s = 10;
-	assert_true(upstream_notice_hear(
+	assert_true(upstream_notice_record(
 	    &notice, &statement, now_ms + 1, share, now_ms));
 	assert_in_range(upstream_notice_wait_ms(&notice, now_ms),
 	    at_1_per_s_ms / 10 - 1, at_1_per_s_ms / 10 + 1);
 	statement.limit_per_s = 1;
-	assert_true(upstream_notice_hear(
+	assert_true(upstream_notice_record(
 	    &notice, &statement, now_ms + 2, share, now_ms));
 	assert_in_range(upstream_notice_wait_ms(&notice, now_ms),
 	    at_1_per_s_ms - 1, at_1_per_s_ms + 1);
 	/* News that another host heard earlier changes nothing. */
 	assert_false(
-	    upstream_notice_hear(&notice, &none, now_ms + 1, share, now_ms));
+	    upstream_notice_record(&notice, &none, now_ms + 1, share, now_ms));
 	assert_true(
-	    upstream_notice_hear(&notice, &none, now_ms + 3, share, now_ms));
+	    upstream_notice_record(&notice, &none, now_ms + 3, share, now_ms));
 	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms), 0);
 }
 
@@ -227,14 +227,14 @@
 	int64_t now_ms;
 
 	(void)state;
-	upstream_notice_hear(&notice, &statement, START_MS, share, START_MS);
+	upstream_notice_record(&notice, &statement, START_MS, share, START_MS);
 	assert_int_equal(upstream_notice_wait_ms(&notice, START_MS),
 	    UPSTREAM_NOTICE_EXPIRY_MS);
 	now_ms = START_MS + UPSTREAM_NOTICE_EXPIRY_MS;
 	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms), 0);
 	upstream_notice_record_send(&notice, share, now_ms);
 	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms), 1000);
-	upstream_notice_hear(&notice, &statement, now_ms, share, now_ms);
+	upstream_notice_record(&notice, &statement, now_ms, share, now_ms);
 	assert_int_equal(upstream_notice_wait_ms(&notice, now_ms),
 	    UPSTREAM_NOTICE_EXPIRY_MS);
 }
@@ -274,13 +274,15 @@
 
 	(void)state;
 	/* Another host heard it before this host heard of a limit. */
-	upstream_notice_hear(&notice, &limited, START_MS + 1, share, START_MS);
-	assert_true(
-	    upstream_notice_hear(&notice, &leaving, START_MS, share, START_MS));
-	assert_false(
-	    upstream_notice_hear(&notice, &leaving, START_MS, share, START_MS));
+	upstream_notice_record(
+	    &notice, &limited, START_MS + 1, share, START_MS);
+	assert_true(upstream_notice_record(
+	    &notice, &leaving, START_MS, share, START_MS));
+	assert_false(upstream_notice_record(
+	    &notice, &leaving, START_MS, share, START_MS));
 	/* An answer that was on its way longer does not say it yet. */
-	upstream_notice_hear(&notice, &limited, START_MS + 2, share, START_MS);
+	upstream_notice_record(
+	    &notice, &limited, START_MS + 2, share, START_MS);
 	assert_true(notice.last.is_leaving);
 }
 
--- a/tests/test_upstream_path.c
+++ b/tests/test_upstream_path.c
@@ -186,18 +186,18 @@
 	(void)state;
 	forward_peers_init(&peers);
 	assert_int_equal(pick(&peers, NULL, 0, DAY_MS), 0);
-	forward_peers_hear(&peers, 2, &cut, DAY_MS);
-	forward_peers_hear(&peers, 3, &cut, DAY_MS);
-	forward_peers_hear(&peers, 5, &takes_none, DAY_MS);
+	forward_peers_record(&peers, 2, &cut, DAY_MS);
+	forward_peers_record(&peers, 3, &cut, DAY_MS);
+	forward_peers_record(&peers, 5, &takes_none, DAY_MS);
 	assert_int_equal(pick(&peers, NULL, 0, DAY_MS), 0);
-	forward_peers_hear(&peers, 4, &open, DAY_MS);
+	forward_peers_record(&peers, 4, &open, DAY_MS);
 	assert_int_equal(pick(&peers, NULL, 0, DAY_MS), 4);
 	assert_int_equal(pick(&peers, tried, 1, DAY_MS), 0);
 	forward_peers_avoid(&peers, 4, DAY_MS);
 	assert_int_equal(pick(&peers, NULL, 0, DAY_MS), 0);
 	/* A new process of that host may take what the last one could not. */
 	open.token++;
-	forward_peers_hear(&peers, 4, &open, DAY_MS);
+	forward_peers_record(&peers, 4, &open, DAY_MS);
 	assert_int_equal(pick(&peers, NULL, 0, DAY_MS), 4);
 	/* What is known of the cut ones is outdated by now. */
 	assert_int_not_equal(pick(&peers, tried, 1, DAY_MS + 4000), 0);
@@ -217,7 +217,7 @@
 	(void)state;
 	forward_peers_init(&peers);
 	for (i = 1; i < G_N_ELEMENTS(counts); i++)
-		forward_peers_hear(&peers, i, &open, DAY_MS);
+		forward_peers_record(&peers, i, &open, DAY_MS);
 	for (i = 0; i < 90; i++) {
 		host = pick(&peers, NULL, 0, DAY_MS + i);
 		forward_peers_begin(&peers, host);
