Comments of the relay and of notices say what happens without their neighbours

Reworded where a reader needed the code around to understand ('the doubt counts for the requests', 'judged by a newer table', 'heard', 'promises').

--- a/src/coordination/forward_peers.h
+++ b/src/coordination/forward_peers.h
@@ -45,7 +45,7 @@
 void forward_peers_record(struct forward_peers *peers, uint32_t host_id,
     const struct work_forwarding *says, int64_t received_ms);
 /** Picks a host that is not among the @p tried_count ids in @p tried. Returns
- * NULL if there is none; the result is valid until the next hear or pick. */
+ * NULL if there is none; the result is valid until the next record or pick. */
 const struct forward_peer *forward_peers_pick(struct forward_peers *peers,
     const uint32_t *tried, uint32_t tried_count, struct random_source *random,
     int64_t now_ms);
--- a/src/coordination/placement_notice.c
+++ b/src/coordination/placement_notice.c
@@ -1,10 +1,11 @@
 /**
  * @file placement_notice.c
- * What upstreams say of themselves: heard by this host, told between hosts.
+ * Notices of upstreams about themselves: those that this host received, and those
+ * that hosts send each other in work reports.
  */
 #include "coordination/placement_parts.h"
 
-/* Time for which a host tells the others what it heard. */
+/* Time for which a host reports a notice that it received to the others. */
 #define REPORT_MS   3000
 #define THOUSANDTHS 1000.0
 
--- a/src/coordination/placement_parts.h
+++ b/src/coordination/placement_parts.h
@@ -154,11 +154,11 @@
 
 /* placement_notice.c */
 
-/** Adds to a report what this host heard lately from upstreams; the caller
+/** Adds to a report the notices that this host received lately; the caller
  * frees report->notices with g_free(). */
 void placement_notices_fill(const struct placement *placement,
     struct work_report *report, int64_t now_ms);
-/** Takes over what another host heard, from its report sent at @p sent_ms. */
+/** Records the notices in another host's report, sent at @p sent_ms. */
 void placement_notices_receive(struct placement *placement,
     const struct work_report *report, int64_t sent_ms, int64_t now_ms);
 
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -211,7 +211,7 @@
 }
 
 /* Adds how this host takes forwarded requests. That seldom changes, so most
- * reports do without it; the others keep what they heard for much longer. */
+ * reports leave it out; the others keep the last one for much longer. */
 static void
 tell_forwarding(
     struct placement *placement, struct work_report *report, int64_t now_ms)
--- a/src/coordination/relay_rules.c
+++ b/src/coordination/relay_rules.c
@@ -10,7 +10,7 @@
 #define STATUS_TOO_MANY	    429
 #define STATUS_UNAVAILABLE  503
 
-/* Attempts that waited in vain for a connection or memory before giving up. */
+/* Attempts that got no connection or memory in time, before giving up. */
 #define UNSENT_MAX 4
 /* Attempts at upstreams that had ended, before giving up. Each takes no longer
  * than a round trip, and many upstreams may end together. */
--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -40,13 +40,14 @@
 	/** The answer belongs to an earlier request of the connection; that to
 	 * this request may follow. */
 	ANSWER_REPEATED = 5,
-	/** A failure whose status would promise the caller that the request did
-	 * not run, which the upstream has not said. It is not forwarded. */
+	/** A failure whose status means to callers that the request did not run,
+	 * which the upstream's other header fields do not confirm. It is not
+	 * forwarded. */
 	ANSWER_UNFOUNDED = 6,
 };
 
-/** True for a status by which the relay promises its callers that the request
- * did not run and never will. */
+/** True for a status that the relay sends to callers only if the request did not
+ * run and never will. */
 bool status_promises_not_run(uint32_t status);
 /** Classifies an answer by its status line and headers. */
 enum answer_class classify_answer(const struct answer_facts *facts);
--- a/src/coordination/upstream_notice.c
+++ b/src/coordination/upstream_notice.c
@@ -51,8 +51,8 @@
 	struct upstream_statement before = notice->last;
 	bool is_new;
 
-	/* One that leaves does not change its mind, so this holds whatever was
-	 * heard later. */
+	/* An upstream that leaves never takes this back, so it holds whatever
+	 * later notices say. */
 	notice->last.is_leaving |= statement->is_leaving;
 	is_new = notice->last.is_leaving != before.is_leaving;
 	if (received_ms < notice->received_ms)
--- a/src/coordination/upstream_notice.h
+++ b/src/coordination/upstream_notice.h
@@ -9,9 +9,9 @@
  * hosts, also while hosts are cut off from each other. The requests of a host
  * are evenly spaced, and the hosts take turns: the first request of a host comes
  * at the point of the first interval that its rank among the hosts gives. Hosts
- * tell each other what they heard last, since at a low limit a host itself
- * rarely hears from the upstream. A notice holds until a later one. If none has
- * been heard for UPSTREAM_NOTICE_EXPIRY_MS, a host may send single requests to
+ * send each other the last notice that they received, since at a low limit a host
+ * rarely gets an answer itself. A notice holds until a later one. If none has
+ * been received for UPSTREAM_NOTICE_EXPIRY_MS, a host may send single requests to
  * find out whether the limit still holds. It does not outlive the upstream's
  * incarnation.
  *
@@ -20,7 +20,7 @@
  * until it has answered one.
  *
  * An upstream that says that it leaves gets no new request any more, from any
- * host that has heard of it.
+ * host that knows it.
  */
 #ifndef UPSTREAM_NOTICE_H
 #define UPSTREAM_NOTICE_H
@@ -30,7 +30,7 @@
 
 #include "base/error_code.h"
 
-/** Time after which a limit that was not repeated is in doubt. */
+/** Time after which single requests test a limit that was not repeated. */
 #define UPSTREAM_NOTICE_EXPIRY_MS 15000
 /** Longest pause that an upstream may ask for. */
 #define UPSTREAM_PAUSE_MAX_MS INT64_C(3600000)
@@ -53,12 +53,12 @@
 	int64_t pause_ms;
 };
 
-/** What holds for an upstream; all zero while nothing was heard. */
+/** What holds for an upstream; all zero while there is no notice. */
 struct upstream_notice {
 	/** What the upstream said to any host; its pause is below. */
 	struct upstream_statement last;
-	int64_t received_ms;	 /**< When it was heard, 0 for never. */
-	int64_t own_received_ms; /**< When this host heard one itself. */
+	int64_t received_ms;	 /**< When it was received, 0 for never. */
+	int64_t own_received_ms; /**< When this host itself got one. */
 	/** Time from which this host may send the next request. */
 	double next_send_ms;
 	int64_t sent_ms; /**< When it sent the last one under a limit or after
@@ -74,7 +74,7 @@
 /** Parses a pause in seconds, with fractions, of at most UPSTREAM_PAUSE_MAX_MS; a
  * longer one is cut to that. Errors: ERROR_BAD_VALUE. */
 enum error_code upstream_pause_parse(const char *text, int64_t *pause_ms);
-/** Records a statement that this or another host heard at @p received_ms, unless a
+/** Records a statement that this or another host got at @p received_ms, unless a
  * later one is known; that the upstream leaves is recorded in any case. Its
  * pause is not. Returns true if something new follows from it. */
 bool upstream_notice_record(struct upstream_notice *notice,
--- a/src/protocol/forward_message.h
+++ b/src/protocol/forward_message.h
@@ -27,7 +27,7 @@
 	/** Token of the receiving host, from its work report. */
 	uint64_t token;
 	int64_t age_ms; /**< Time since the caller's request arrived. */
-	/** Version of the route table by which the request was judged. */
+	/** Version of the route table that the forwarding host has. */
 	uint64_t routes_version;
 	/** The request may be tried elsewhere if this attempt fails. */
 	bool may_go_on;
--- a/src/relay/relay_answer.c
+++ b/src/relay/relay_answer.c
@@ -295,7 +295,8 @@
 }
 
 /* True if the answer that is written is one to a HEAD request, which has no body.
- * The head of a request that has become an exchange has moved there. */
+ * Once a request has an exchange, its head is there and no longer in the
+ * reader. */
 static bool
 is_head_request(const struct relay_caller *caller)
 {
--- a/src/relay/relay_crash.c
+++ b/src/relay/relay_crash.c
@@ -13,11 +13,11 @@
 #include "protocol/prefix_hash.h"
 #include "relay/relay_parts.h"
 
-/* A request whose answer has been arriving for this long is not the one that
- * crashed its upstream: such requests crash it when they begin to run. */
+/* A request crashes its upstream when it begins to run. So one whose answer has
+ * been arriving for this long is not a suspect. */
 #define BEGINNING_MS 500
-/* Time for the connections to other upstreams to fail as well, if the path is
- * lost. They break at about the same time. */
+/* Time after which a crash is reported unless the path is lost. If it is, the
+ * connections to other upstreams fail within this time, too. */
 #define PATH_DECISION_MS 100
 
 /* An upstream that may have crashed. */
@@ -27,7 +27,7 @@
 	uint64_t incarnation;
 	char data_centre[NAME_SIZE_MAX];
 	GArray *keys;	     /* struct request_key of this host's suspects. */
-	struct handle timer; /* Fires when the path may have been judged. */
+	struct handle timer; /* Next look at the state of the path. */
 };
 
 static bool is_suspect(const struct relay_exchange *exchange);
@@ -160,7 +160,8 @@
 static void
 await_path_state(struct crash_check *check)
 {
-	/* Without a free timer the doubt counts for the requests. */
+	/* Without a free timer it stays unknown whether the upstream crashed or
+	 * the path was lost, so no request is reported. */
 	if (timer_subscribe_once(&check->relay->timers, PATH_DECISION_MS,
 		(struct timer_callback){on_path_timeout, check},
 		&check->timer) != ERROR_NONE)
--- a/src/relay/relay_events.c
+++ b/src/relay/relay_events.c
@@ -125,8 +125,8 @@
 	return 0;
 }
 
-/* True if all lines are those of one event. Other bytes that an upstream writes
- * into a stream without framing show only by their form. */
+/* True if all lines are those of one event. In a stream without framing, bytes
+ * that do not belong to it can be told only by their form. */
 static bool
 is_event(const char *data, size_t size)
 {
--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -101,7 +101,8 @@
 		route_table_unref(exchange->table);
 		exchange->table = route_table_ref(relay->table);
 	}
-	/* The other host has judged the request by a newer table. */
+	/* The host that forwarded the request knows a newer configuration, in
+	 * which this route may be changed or gone. */
 	if (exchange->forward.is_received &&
 	    exchange->table->version <
 		exchange->forward.received.routes_version) {
@@ -391,8 +392,8 @@
 	relay_exchange_finish(exchange, END_DENIED, error);
 }
 
-/* Refuses a request that this host can't judge, because it has no configuration
- * or doesn't know whether its own is the newest. */
+/* Refuses a request because this host has no configuration, or doesn't know
+ * whether its configuration is the newest. */
 static void
 refuse_unconfirmed(struct relay_exchange *exchange, const char *reason)
 {
--- a/src/relay/relay_forward.c
+++ b/src/relay/relay_forward.c
@@ -4,8 +4,8 @@
  *
  * The forwarding host keeps the request: its deadline, its number of attempts,
  * the retry budget, and how a stream goes on. The other host makes one attempt
- * for it: it judges the request by its own route table, places it with its own
- * requests, and sends it under its own share of what upstreams bear. A forwarded
+ * for it: it finds the route in its own route table, places the request
+ * among its own, and sends it under its own share of what upstreams bear. A forwarded
  * request is not forwarded again.
  */
 #include <string.h>
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -413,8 +413,8 @@
 void relay_trace_placed(const struct relay_exchange *exchange);
 /** Logs that an upstream refused the request, by the answer in partial_head. */
 void relay_trace_refused(const struct relay_exchange *exchange);
-/** Logs the head of an answer that is not accepted, or whose status promises
- * what its other fields do not say. */
+/** Logs the head of an answer that is not accepted, or whose status means
+ * that the request did not run although its other fields do not say so. */
 void relay_trace_head(
     const struct relay_exchange *exchange, const struct http_head *head);
 
--- a/src/relay/relay_path.c
+++ b/src/relay/relay_path.c
@@ -89,8 +89,8 @@
 			started++;
 	}
 	upstream_path_begin_test(&relay->path, started, host_now_ms());
-	/* The other hosts hear again and again that the path is lost, since what
-	 * they heard of it soon counts as outdated. */
+	/* The other hosts are told repeatedly that the path is lost, since their
+	 * last report of it is soon outdated. */
 	if (relay_path_is_lost(relay))
 		relay_schedule_report(relay);
 }
--- a/src/relay/relay_upstream.c
+++ b/src/relay/relay_upstream.c
@@ -180,7 +180,7 @@
 		exchange->attempts_unsent++;
 }
 
-/* Records that the upstream is to blame. If it has ended, the other hosts are
+/* Counts the failure against the upstream. If it has ended, the other hosts are
  * told at once, since they send there, too. */
 static void
 record_fault(struct relay_exchange *exchange, enum error_code error)
