Tests of links between hosts share their set-up

No assertion changed. run_until() handles the left host before the right host's timers advance now, as test_peer_silence.c did.

--- a/tests/peer_node.c
+++ b/tests/peer_node.c
@@ -51,6 +51,30 @@
 	assert_int_equal(error, ERROR_NONE);
 }
 
+void
+peer_node_start_id(struct peer_node *node, uint32_t id, uint16_t port_first)
+{
+	struct peer_link_settings settings;
+
+	peer_node_fill_settings(&settings, id);
+	peer_node_start(node, &settings, port_first);
+}
+
+void
+peer_node_add_peer(struct peer_node *node, uint32_t id, uint16_t port)
+{
+	assert_int_equal(
+	    peer_links_add_host(&node->links, id, "127.0.0.1", port),
+	    ERROR_NONE);
+}
+
+void
+peer_node_step(struct peer_node *node)
+{
+	timer_advance(&node->timers, timer_now(&node->timers) + 1);
+	peer_links_handle(&node->links);
+}
+
 void
 peer_node_stop(struct peer_node *node)
 {
--- a/tests/peer_node.h
+++ b/tests/peer_node.h
@@ -30,6 +30,13 @@
  * other ports. */
 void peer_node_start(struct peer_node *node,
     struct peer_link_settings *settings, uint16_t port_first);
+/** Starts a host with the settings of peer_node_fill_settings(). */
+void peer_node_start_id(
+    struct peer_node *node, uint32_t id, uint16_t port_first);
+/** Makes a host know another one that listens, or is reached, at a port. */
+void peer_node_add_peer(struct peer_node *node, uint32_t id, uint16_t port);
+/** Advances a host's time by 1 ms and handles its connections. */
+void peer_node_step(struct peer_node *node);
 /** Stops a host. */
 void peer_node_stop(struct peer_node *node);
 
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -23,10 +23,18 @@
 static void
 add_peer(struct peer_node *node, const struct peer_node *other)
 {
-	assert_int_equal(
-	    peer_links_add_host(&node->links, other->id, "127.0.0.1",
-		peer_links_listen_port(&other->links)),
-	    ERROR_NONE);
+	peer_node_add_peer(
+	    node, other->id, peer_links_listen_port(&other->links));
+}
+
+/* Starts two hosts that dial each other. */
+static void
+start_pair(struct peer_node *left, struct peer_node *right)
+{
+	peer_node_start_id(left, 1, PORT_FIRST);
+	peer_node_start_id(right, 2, PORT_FIRST);
+	add_peer(left, right);
+	add_peer(right, left);
 }
 
 static void
@@ -45,10 +53,8 @@
 	int pass;
 
 	for (pass = 0; pass < PASSES_MAX && *counter < wanted; pass++) {
-		timer_advance(&left->timers, timer_now(&left->timers) + 1);
-		timer_advance(&right->timers, timer_now(&right->timers) + 1);
-		peer_links_handle(&left->links);
-		peer_links_handle(&right->links);
+		peer_node_step(left);
+		peer_node_step(right);
 		if (pass % 16 == 15)
 			usleep(1000);
 	}
@@ -58,17 +64,11 @@
 static void
 test_messages_arrive_in_order_when_both_dial(void **state)
 {
-	struct peer_link_settings settings;
 	struct peer_node left, right;
 	uint32_t number;
 
 	(void)state;
-	peer_node_fill_settings(&settings, 1);
-	peer_node_start(&left, &settings, PORT_FIRST);
-	peer_node_fill_settings(&settings, 2);
-	peer_node_start(&right, &settings, PORT_FIRST);
-	add_peer(&left, &right);
-	add_peer(&right, &left);
+	start_pair(&left, &right);
 	send_number(&left, 2, 1);
 	send_number(&right, 1, 1);
 	assert_true(run_until(&left, &right, &left.connects, 1));
@@ -94,7 +94,6 @@
 static void
 test_simultaneous_dials_settle_on_one_link(void **state)
 {
-	struct peer_link_settings settings;
 	struct peer_node left, right;
 	struct random_source random;
 	int round, pass;
@@ -102,12 +101,7 @@
 	(void)state;
 	random_init(&random, 11);
 	for (round = 0; round < 60; round++) {
-		peer_node_fill_settings(&settings, 1);
-		peer_node_start(&left, &settings, PORT_FIRST);
-		peer_node_fill_settings(&settings, 2);
-		peer_node_start(&right, &settings, PORT_FIRST);
-		add_peer(&left, &right);
-		add_peer(&right, &left);
+		start_pair(&left, &right);
 		send_number(&left, 2, 1);
 		send_number(&right, 1, 1);
 		for (pass = 0; pass < 60; pass++)
@@ -132,12 +126,11 @@
 static void
 test_a_restarted_host_is_dialled_again(void **state)
 {
-	struct peer_link_settings settings, right_settings;
+	struct peer_link_settings right_settings;
 	struct peer_node left, right;
 
 	(void)state;
-	peer_node_fill_settings(&settings, 1);
-	peer_node_start(&left, &settings, PORT_FIRST);
+	peer_node_start_id(&left, 1, PORT_FIRST);
 	peer_node_fill_settings(&right_settings, 2);
 	peer_node_start(&right, &right_settings, PORT_FIRST);
 	add_peer(&left, &right);
@@ -240,17 +233,14 @@
 	    {{0}, 3, ERROR_TIMEOUT},
 	};
 	struct sockaddr_in address = {.sin_family = AF_INET};
-	struct peer_link_settings settings;
 	struct peer_node node, other;
 	size_t i;
 	int fd;
 
 	(void)state;
-	peer_node_fill_settings(&settings, 2);
-	peer_node_start(&other, &settings, PORT_FIRST);
+	peer_node_start_id(&other, 2, PORT_FIRST);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		peer_node_fill_settings(&settings, 1);
-		peer_node_start(&node, &settings, PORT_FIRST);
+		peer_node_start_id(&node, 1, PORT_FIRST);
 		address.sin_port = htons(peer_links_listen_port(&node.links));
 		inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
 		fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -283,8 +273,7 @@
 	peer_node_fill_settings(&settings, 1);
 	settings.hosts_max = 3;
 	peer_node_start(&left, &settings, PORT_FIRST);
-	peer_node_fill_settings(&settings, 2);
-	peer_node_start(&right, &settings, PORT_FIRST);
+	peer_node_start_id(&right, 2, PORT_FIRST);
 	add_peer(&left, &right);
 	send_number(&left, 2, 1);
 	assert_true(run_until(&left, &right, &right.received, 1));
--- a/tests/test_peer_silence.c
+++ b/tests/test_peer_silence.c
@@ -142,20 +142,17 @@
 static void
 start_scene(struct scene *scene)
 {
-	struct peer_link_settings settings;
 	int i;
 
 	memset(scene, 0, sizeof(*scene));
 	for (i = 0; i < 2; i++) {
-		peer_node_fill_settings(&settings, (uint32_t)i + 1);
-		peer_node_start(&scene->nodes[i], &settings, PORT_FIRST);
+		peer_node_start_id(
+		    &scene->nodes[i], (uint32_t)i + 1, PORT_FIRST);
 		start_proxy(&scene->proxies[i], &scene->nodes[i]);
 	}
 	for (i = 0; i < 2; i++)
-		assert_int_equal(
-		    peer_links_add_host(&scene->nodes[i].links, 2 - (uint32_t)i,
-			"127.0.0.1", scene->proxies[1 - i].port),
-		    ERROR_NONE);
+		peer_node_add_peer(&scene->nodes[i], 2 - (uint32_t)i,
+		    scene->proxies[1 - i].port);
 }
 
 static void
@@ -194,11 +191,8 @@
 			    !scene->is_frozen[i])
 				send_message(scene, i);
 			run_proxy(&scene->proxies[i]);
-			if (scene->is_frozen[i])
-				continue;
-			timer_advance(
-			    &node->timers, timer_now(&node->timers) + 1);
-			peer_links_handle(&node->links);
+			if (!scene->is_frozen[i])
+				peer_node_step(node);
 		}
 		/* The kernel's own timers run in real time. */
 		usleep(1000);
