--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -341,7 +341,7 @@
 void relay_head_read(const struct relay_exchange *exchange,
     const struct http_head *head, struct answer_facts *facts);
 /** Records what the upstream says of itself in the head of an answer. */
-void relay_head_hear(
+void relay_head_record_notice(
     const struct relay_exchange *exchange, const struct http_head *head);
 
 /* relay_forward.c */
@@ -421,8 +421,8 @@
 void relay_trace_placed(const struct relay_exchange *exchange);
 /** Logs that an upstream refused the request, by the answer in partial_head. */
 void relay_trace_refused(const struct relay_exchange *exchange);
-/** Logs the head of an answer that is not accepted, or whose status promises
- * what its other fields do not say. */
+/** Logs the head of an answer that is not accepted, or whose status means
+ * that the request did not run although its other fields do not say so. */
 void relay_trace_head(
     const struct relay_exchange *exchange, const struct http_head *head);
 
