Digests of builds before are compared by the hash that they use

Not seen in a real run: found by reading and in virtual time (docs/UPGRADES.md said that digests are unchanged). Cause: changed the hash of an item from 32 bits of XXH32 to the lower 32 bits of XXH64. Digests are the same bytes on the wire, but all buckets that hold items differ between the two, so that each digest costs a summary of 128 items, and in a larger map the bucket that does differ is among these by chance. Ruled out: that the pause between comparisons, which grows after each one that brings nothing, holds later hosts up: counting only digests of the host that was compared with changed nothing that was measured (trial, not kept). Digests that this build sends to an earlier host, when that has just joined, still differ there.

--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -138,6 +138,15 @@
 	return (uint32_t)(XXH64(&key, sizeof(key), 0) % GOSSIP_BUCKET_COUNT);
 }
 
+uint32_t
+gossip_earlier_hash(const struct gossip_item *item)
+{
+	const uint64_t words[] = {item->key, item->version.major,
+	    item->version.minor, item->version.rank, item->version.tie_break};
+
+	return XXH32(words, sizeof(words), 0);
+}
+
 /* In a burst, a duplicate counts as one push, because it shows that the item is
  * spreading by itself. Otherwise all pushes are made, so that hardly any host
  * depends on the checks. */
--- a/src/coordination/gossip_exchange.c
+++ b/src/coordination/gossip_exchange.c
@@ -13,6 +13,12 @@
     uint32_t from_host, const struct message_reader *reader);
 static enum error_code receive_digest(struct gossip *gossip, uint32_t from_host,
     const struct message_reader *reader);
+static uint32_t find_differing(const struct gossip *gossip,
+    const uint32_t hashes[GOSSIP_BUCKET_COUNT],
+    bool differs[GOSSIP_BUCKET_COUNT]);
+static uint32_t compare_hashes(const uint32_t left[GOSSIP_BUCKET_COUNT],
+    const uint32_t right[GOSSIP_BUCKET_COUNT],
+    bool differs[GOSSIP_BUCKET_COUNT]);
 static enum error_code receive_summary(struct gossip *gossip,
     uint32_t from_host, const struct message_reader *reader);
 static GHashTable *find_newer(const struct gossip *gossip,
@@ -167,39 +173,83 @@
 {
 	uint32_t hashes[GOSSIP_BUCKET_COUNT], counts[GOSSIP_BUCKET_COUNT] = {0};
 	unsigned char buckets[GOSSIP_BUCKET_COUNT / 8] = {0};
+	bool differs[GOSSIP_BUCKET_COUNT];
 	const struct gossip_item *item;
 	uint32_t first, bucket, i, items;
 	enum error_code error;
 	GHashTableIter iterator;
 	gpointer value;
-	bool differs;
 
 	error = gossip_digest_read(reader, hashes);
 	if (error != ERROR_NONE)
 		return error;
+	if (find_differing(gossip, hashes, differs) == 0)
+		return ERROR_NONE;
 	g_hash_table_iter_init(&iterator, gossip->items);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		item = value;
 		counts[gossip_bucket_of(item->key)]++;
 	}
 	first = random_below(&gossip->random, GOSSIP_BUCKET_COUNT);
-	differs = false;
 	items = 0;
 	for (i = 0; i < GOSSIP_BUCKET_COUNT && items < SUMMARY_ITEMS_MAX; i++) {
 		bucket = (first + i) % GOSSIP_BUCKET_COUNT;
-		if (hashes[bucket] == gossip->bucket_hashes[bucket])
+		if (!differs[bucket])
 			continue;
 		buckets[bucket / 8] |= (unsigned char)(1u << bucket % 8);
 		items += counts[bucket];
-		differs = true;
 	}
-	if (!differs)
-		return ERROR_NONE;
 	gossip->has_differed = true;
 	send_summary(gossip, from_host, buckets, false);
 	return ERROR_NONE;
 }
 
+/* Finds the buckets that differ from those of another host, and returns their
+ * number. Builds before the checksums hash an item by another function, so that
+ * all their hashes differ from those of this build; the function by which fewer
+ * buckets differ is the one that the other host used. */
+static uint32_t
+find_differing(const struct gossip *gossip,
+    const uint32_t hashes[GOSSIP_BUCKET_COUNT],
+    bool differs[GOSSIP_BUCKET_COUNT])
+{
+	uint32_t earlier[GOSSIP_BUCKET_COUNT] = {0};
+	bool differs_earlier[GOSSIP_BUCKET_COUNT];
+	const struct gossip_item *item;
+	uint32_t count, count_earlier;
+	GHashTableIter iterator;
+	gpointer value;
+
+	count = compare_hashes(hashes, gossip->bucket_hashes, differs);
+	if (count == 0)
+		return 0;
+	g_hash_table_iter_init(&iterator, gossip->items);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		item = value;
+		earlier[gossip_bucket_of(item->key)] ^=
+		    gossip_earlier_hash(item);
+	}
+	count_earlier = compare_hashes(hashes, earlier, differs_earlier);
+	if (count_earlier >= count)
+		return count;
+	memcpy(differs, differs_earlier, sizeof(differs_earlier));
+	return count_earlier;
+}
+
+static uint32_t
+compare_hashes(const uint32_t left[GOSSIP_BUCKET_COUNT],
+    const uint32_t right[GOSSIP_BUCKET_COUNT],
+    bool differs[GOSSIP_BUCKET_COUNT])
+{
+	uint32_t bucket, count = 0;
+
+	for (bucket = 0; bucket < GOSSIP_BUCKET_COUNT; bucket++) {
+		differs[bucket] = left[bucket] != right[bucket];
+		count += differs[bucket];
+	}
+	return count;
+}
+
 /* Sends the items that are newer on this host. If the other host has newer
  * ones, requests them by answering with a summary. */
 static enum error_code
--- a/src/coordination/gossip_parts.h
+++ b/src/coordination/gossip_parts.h
@@ -27,6 +27,8 @@
 struct gossip_item *gossip_find_item(const struct gossip *gossip, uint64_t key);
 /** Returns the bucket of a key. */
 uint32_t gossip_bucket_of(uint64_t key);
+/** Returns the hash of an item by which builds without checksums compare. */
+uint32_t gossip_earlier_hash(const struct gossip_item *item);
 /** Records that another host sent a version which is not newer. */
 void gossip_record_duplicate(struct gossip *gossip, struct gossip_item *item,
     const struct gossip_version *version);
