Hosts without batches of work reports get single ones, and no batch depends on them

What callers would see beside hosts of builds before in a fleet of more than 16 entry hosts: prompts placed without the work of part of the fleet. Cause: such a host refuses batches. A batch sent to it, to spread or to forward, is lost for all hosts behind it, and it never hears of the later hosts' work. Change: in such a fleet only earlier builds send single reports, so a host that did in the last 2 s gets single reports and is not chosen for batches. Two later hosts could then hold each other for earlier ones for good, after a replacement or when a fleet grows beyond 16: each eighth single report goes as a batch, too, and who sent a batch in the last 8 s is not taken for an earlier host. An earlier host drops that batch as it drops all.

--- a/src/coordination/report_exchange.c
+++ b/src/coordination/report_exchange.c
@@ -9,6 +9,12 @@
 #define FAN_OUT_DEFAULT		 8
 #define CONFIRM_DEFAULT_MS	 300
 #define AVOID_DEFAULT_MS	 3000
+#define SINGLE_DEFAULT_MS	 2000
+/* Single reports to a host of which one goes as a batch, too. */
+#define REPORTS_TO_A_PROBE 8
+/* Time for which a host that sent a batch is known to read them, in multiples of
+ * that for which a single report counts. It spans several of these probes. */
+#define BATCH_FACTOR 4
 
 /* A report that waits for the next batch. */
 struct collected_report {
@@ -18,20 +24,42 @@
 	GBytes *body;
 };
 
+/* A host that sent single reports. */
+struct single_sender {
+	int64_t single_ms; /* When it sent the last one. */
+	int64_t batch_ms;  /* When it last sent a batch. */
+	uint32_t sent;	   /* Single reports sent to it. */
+};
+
 /* Live entry hosts, those of this host's data centre first. */
 struct peer_list {
 	struct report_peer peers[HOSTS_MAX];
 	uint32_t count;	      /* All peers. */
 	uint32_t local_count; /* Peers in the same data centre. */
+	/* Peers that read single reports only; not among the others. */
+	struct report_peer singles[HOSTS_MAX];
+	uint32_t single_count;
 };
 
 static void set_defaults(struct report_exchange_settings *settings);
 static void list_peers(
     const struct report_exchange *exchange, struct peer_list *list);
+static void move_singles(
+    const struct report_exchange *exchange, struct peer_list *list);
+static void record_single(struct report_exchange *exchange, uint32_t from_host);
+static void record_batch(struct report_exchange *exchange, uint32_t from_host);
+static bool reads_single_only(
+    const struct report_exchange *exchange, uint32_t host_id);
+static gboolean is_single_over(
+    gpointer key, gpointer sender, gpointer limit_ms);
+static void probe_singles(
+    struct report_exchange *exchange, const struct peer_list *list);
+static bool is_small(
+    const struct report_exchange *exchange, const struct peer_list *list);
 static gint compare_peers(
     gconstpointer left, gconstpointer right, gpointer own_centre);
-static void send_direct(
-    struct report_exchange *exchange, const struct peer_list *list);
+static void send_direct(struct report_exchange *exchange,
+    const struct report_peer *peers, uint32_t count);
 static void send_to_collector(
     struct report_exchange *exchange, const struct peer_list *list);
 static uint32_t choose_collector(
@@ -71,6 +99,7 @@
 	random_init(&exchange->random, seed);
 	exchange->collected =
 	    g_hash_table_new_full(NULL, NULL, NULL, free_collected);
+	exchange->singles = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	exchange->data_centre_count = 1;
 }
 
@@ -82,6 +111,7 @@
 	timer_cancel(exchange->timers, &exchange->batch_timer);
 	timer_cancel(exchange->timers, &exchange->confirm_timer);
 	g_hash_table_unref(exchange->collected);
+	g_hash_table_unref(exchange->singles);
 	g_clear_pointer(&exchange->own_report, g_bytes_unref);
 	memset(exchange, 0, sizeof(*exchange));
 }
@@ -96,8 +126,10 @@
 	exchange->own_report = g_bytes_new(body, size);
 	exchange->own_sequence++;
 	list_peers(exchange, &list);
-	if (list.count < exchange->settings.direct_hosts_max)
-		send_direct(exchange, &list);
+	send_direct(exchange, list.singles, list.single_count);
+	probe_singles(exchange, &list);
+	if (is_small(exchange, &list))
+		send_direct(exchange, list.peers, list.count);
 	else
 		send_to_collector(exchange, &list);
 }
@@ -114,12 +146,14 @@
 
 	error = report_batch_read(body, size, &reader, &batch);
 	if (error == ERROR_UNSUPPORTED_VERSION) {
+		record_single(exchange, from_host);
 		exchange->ops.on_report(
 		    exchange->ops.context, from_host, body, size, 0);
 		return ERROR_NONE;
 	}
 	if (error != ERROR_NONE)
 		return error;
+	record_batch(exchange, from_host);
 	switch (batch.type) {
 	case REPORT_BATCH_COLLECT:
 		for (i = 0; i < batch.report_count; i++)
@@ -152,6 +186,8 @@
 		settings->confirm_ms = CONFIRM_DEFAULT_MS;
 	if (settings->avoid_ms == 0)
 		settings->avoid_ms = AVOID_DEFAULT_MS;
+	if (settings->single_ms == 0)
+		settings->single_ms = SINGLE_DEFAULT_MS;
 }
 
 /* Lists the live entry hosts: those of this host's data centre first, then the
@@ -163,6 +199,9 @@
 
 	list->count = exchange->ops.list_peers(
 	    exchange->ops.context, list->peers, HOSTS_MAX);
+	list->single_count = 0;
+	if (!is_small(exchange, list))
+		move_singles(exchange, list);
 	g_qsort_with_data(list->peers, (gint)list->count,
 	    sizeof(list->peers[0]), compare_peers, &own);
 	list->local_count = 0;
@@ -171,6 +210,89 @@
 		list->local_count++;
 }
 
+/* Returns whether all hosts send single reports to each other. */
+static bool
+is_small(const struct report_exchange *exchange, const struct peer_list *list)
+{
+	return list->count + list->single_count <
+	       exchange->settings.direct_hosts_max;
+}
+
+/* Takes the peers that read single reports only from among the others. */
+static void
+move_singles(const struct report_exchange *exchange, struct peer_list *list)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < list->count; i++) {
+		if (reads_single_only(exchange, list->peers[i].host_id))
+			list->singles[list->single_count++] = list->peers[i];
+		else
+			list->peers[count++] = list->peers[i];
+	}
+	list->count = count;
+}
+
+/* Hosts that read batches send single reports while they take another host for
+ * one that doesn't; the batch among these reports shows that they do. */
+static bool
+reads_single_only(const struct report_exchange *exchange, uint32_t host_id)
+{
+	const int64_t single_ms = exchange->settings.single_ms;
+	const struct single_sender *sender;
+	int64_t now_ms;
+
+	sender =
+	    g_hash_table_lookup(exchange->singles, GUINT_TO_POINTER(host_id));
+	if (sender == NULL)
+		return false;
+	now_ms = timer_now(exchange->timers);
+	return now_ms - sender->single_ms < single_ms &&
+	       now_ms - sender->batch_ms >= BATCH_FACTOR * single_ms;
+}
+
+/* Notes that a host has sent a single report, and forgets the hosts that have
+ * not for long. */
+static void
+record_single(struct report_exchange *exchange, uint32_t from_host)
+{
+	struct single_sender *sender;
+	int64_t limit_ms;
+
+	limit_ms = timer_now(exchange->timers) -
+		   BATCH_FACTOR * exchange->settings.single_ms;
+	g_hash_table_foreach_remove(
+	    exchange->singles, is_single_over, &limit_ms);
+	sender =
+	    g_hash_table_lookup(exchange->singles, GUINT_TO_POINTER(from_host));
+	if (sender == NULL) {
+		sender = g_new0(struct single_sender, 1);
+		sender->batch_ms = limit_ms;
+		g_hash_table_insert(
+		    exchange->singles, GUINT_TO_POINTER(from_host), sender);
+	}
+	sender->single_ms = timer_now(exchange->timers);
+}
+
+static void
+record_batch(struct report_exchange *exchange, uint32_t from_host)
+{
+	struct single_sender *sender;
+
+	sender =
+	    g_hash_table_lookup(exchange->singles, GUINT_TO_POINTER(from_host));
+	if (sender != NULL)
+		sender->batch_ms = timer_now(exchange->timers);
+}
+
+static gboolean
+is_single_over(gpointer key, gpointer sender, gpointer limit_ms)
+{
+	(void)key;
+	return ((const struct single_sender *)sender)->single_ms <
+	       *(const int64_t *)limit_ms;
+}
+
 /* Orders by data centre, the one that @p own_centre points to first. */
 static gint
 compare_peers(gconstpointer left, gconstpointer right, gpointer own_centre)
@@ -186,16 +308,42 @@
 }
 
 static void
-send_direct(struct report_exchange *exchange, const struct peer_list *list)
+send_direct(struct report_exchange *exchange, const struct report_peer *peers,
+    uint32_t count)
 {
 	gconstpointer body;
 	uint32_t i;
 	gsize size;
 
 	body = g_bytes_get_data(exchange->own_report, &size);
-	for (i = 0; i < list->count; i++)
-		exchange->port.send(exchange->port.context,
-		    list->peers[i].host_id, PEER_CHANNEL_WORK, body, size);
+	for (i = 0; i < count; i++)
+		exchange->port.send(exchange->port.context, peers[i].host_id,
+		    PEER_CHANNEL_WORK, body, size);
+}
+
+/* Sends this host's report as a batch, too, to those hosts that have got several
+ * single ones, so that they know that it reads batches. */
+static void
+probe_singles(struct report_exchange *exchange, const struct peer_list *list)
+{
+	struct batched_report report = {
+	    .host_id = exchange->settings.host_id,
+	    .sequence = exchange->own_sequence,
+	};
+	struct report_batch batch = {
+	    .type = REPORT_BATCH_FORWARD, .report_count = 1};
+	struct single_sender *sender;
+	uint32_t i;
+
+	report.body = g_bytes_get_data(exchange->own_report, &report.size);
+	batch.reports[0] = report;
+	for (i = 0; i < list->single_count; i++) {
+		sender = g_hash_table_lookup(exchange->singles,
+		    GUINT_TO_POINTER(list->singles[i].host_id));
+		if (sender->sent++ % REPORTS_TO_A_PROBE == 0)
+			send_message(
+			    exchange, list->singles[i].host_id, &batch);
+	}
 }
 
 static void
--- a/src/coordination/report_exchange.h
+++ b/src/coordination/report_exchange.h
@@ -15,6 +15,11 @@
  * the first in a ranking that all hosts of the data centre compute alike. A
  * batch brings a host's own report back to it. If it doesn't in time, the host
  * goes on to the next collector in the ranking for a while.
+ *
+ * A host whose build has no batches sends its report to every other one, and
+ * refuses batches. It gets single reports, and has no part in the batches of the
+ * others. A host that gets single reports though it knows batches is told so by
+ * a batch now and then.
  */
 #ifndef REPORT_EXCHANGE_H
 #define REPORT_EXCHANGE_H
@@ -51,6 +56,9 @@
 	/** Time until a host returns to the first collector in its ranking;
 	 * default 3,000. */
 	int64_t avoid_ms;
+	/** Time for which a host that sent a single report in a large fleet is
+	 * taken for one of a build without batches; default 2,000. */
+	int64_t single_ms;
 };
 
 /** A live entry host, as the owner knows it. */
@@ -80,6 +88,9 @@
 	struct peer_port port;			  /**< Sends to other hosts. */
 	struct random_source random;		  /**< Draws the trees. */
 	GHashTable *collected; /**< Host id to struct collected_report. */
+	/** Id of a host that sent single reports, in a large fleet, to struct
+	 * single_sender. */
+	GHashTable *singles;
 	GBytes *own_report;    /**< Report sent last, NULL for none. */
 	uint64_t own_sequence; /**< Its sequence number. */
 	bool is_unconfirmed;   /**< No batch has brought an own report back. */
--- a/tests/test_report_exchange.c
+++ b/tests/test_report_exchange.c
@@ -36,10 +36,13 @@
 
 struct fleet;
 
-/* A host, with the time stamps in the newest reports that it knows. */
+/* A host, with the time stamps in the newest reports that it knows. An earlier
+ * one has a build without batches: it sends single reports to all hosts, and
+ * refuses batches. */
 struct node {
 	struct fleet *fleet;
 	uint32_t id;
+	bool is_earlier;
 	struct report_exchange exchange;
 	int64_t known_ms[HOSTS_LARGE + 1];
 	int64_t next_report_ms;
@@ -50,6 +53,7 @@
 	struct fake_net net;
 	struct node *nodes;
 	uint32_t count;
+	uint32_t earlier_twelfths; /* Share of the earlier hosts. */
 };
 
 static uint64_t
@@ -88,6 +92,22 @@
 	node->known_ms[from_host] = MAX(node->known_ms[from_host], written_ms);
 }
 
+/* Reads a single report, which has version 1. */
+static void
+receive_earlier(
+    struct node *node, uint32_t from_host, const void *body, size_t size)
+{
+	struct message_reader reader;
+	uint64_t version;
+
+	assert_int_equal(message_reader_init(&reader, body, size), ERROR_NONE);
+	assert_int_equal(
+	    message_get_uint(&reader, FIELD_VERSION, &version), ERROR_NONE);
+	message_reader_finish(&reader);
+	if (version == 1)
+		on_report(node, from_host, body, size, 0);
+}
+
 static void
 receive(void *context, uint32_t from_host, enum peer_channel channel,
     const void *body, size_t size)
@@ -95,18 +115,34 @@
 	struct node *node = context;
 
 	assert_int_equal(channel, PEER_CHANNEL_WORK);
+	if (node->is_earlier) {
+		receive_earlier(node, from_host, body, size);
+		return;
+	}
 	assert_int_equal(
 	    report_exchange_receive(&node->exchange, from_host, body, size),
 	    ERROR_NONE);
 }
 
+/* Starts the exchange of a host of the present build. */
+static void
+start_exchange(struct node *node)
+{
+	const struct report_exchange_settings settings = {
+	    .host_id = node->id, .data_centre = data_centre(node->id)};
+	const struct report_exchange_ops ops = {
+	    .list_peers = list_peers, .on_report = on_report, .context = node};
+	struct fake_net *net = &node->fleet->net;
+
+	report_exchange_init(&node->exchange, &settings,
+	    fake_net_timers(net, node->id), node->id,
+	    fake_net_port(net, node->id), ops);
+}
+
 static void
 start_fleet(struct fleet *fleet, uint32_t count)
 {
 	const struct fake_link link = {1, 2, 0, 0, false};
-	struct report_exchange_settings settings = {0};
-	struct report_exchange_ops ops = {
-	    .list_peers = list_peers, .on_report = on_report};
 	struct node *node;
 	uint32_t id;
 
@@ -118,18 +154,27 @@
 		node = &fleet->nodes[id - 1];
 		node->fleet = fleet;
 		node->id = id;
+		node->is_earlier =
+		    id / DATA_CENTRES % 12 < fleet->earlier_twelfths;
 		node->next_report_ms = id * REPORT_PERIOD_MS / count;
-		ops.context = node;
-		settings.host_id = id;
-		settings.data_centre = data_centre(id);
 		fake_net_start(
 		    &fleet->net, id, 0, (struct fake_receiver){receive, node});
-		report_exchange_init(&node->exchange, &settings,
-		    fake_net_timers(&fleet->net, id), id,
-		    fake_net_port(&fleet->net, id), ops);
+		if (!node->is_earlier)
+			start_exchange(node);
 	}
 }
 
+/* Replaces an earlier host by one of the present build. */
+static void
+replace(struct fleet *fleet, struct node *node)
+{
+	fake_net_kill(&fleet->net, node->id);
+	fake_net_start(
+	    &fleet->net, node->id, 0, (struct fake_receiver){receive, node});
+	node->is_earlier = false;
+	start_exchange(node);
+}
+
 static void
 stop_fleet(struct fleet *fleet)
 {
@@ -141,6 +186,19 @@
 	free(fleet->nodes);
 }
 
+static void
+send_to_all(struct node *node, const struct message_writer *writer)
+{
+	struct peer_port port = fake_net_port(&node->fleet->net, node->id);
+	uint32_t id;
+
+	for (id = 1; id <= node->fleet->count; id++) {
+		if (id != node->id)
+			port.send(port.context, id, PEER_CHANNEL_WORK,
+			    message_data(writer), message_size(writer));
+	}
+}
+
 static void
 send_report(struct node *node, int64_t now_ms)
 {
@@ -154,8 +212,11 @@
 	message_put_uint(&writer, FIELD_VERSION, 1);
 	message_put_int(&writer, FIELD_WRITTEN, now_ms);
 	message_put_bytes(&writer, FIELD_PADDING, padding, sizeof(padding));
-	report_exchange_send(
-	    &node->exchange, message_data(&writer), message_size(&writer));
+	if (node->is_earlier)
+		send_to_all(node, &writer);
+	else
+		report_exchange_send(&node->exchange, message_data(&writer),
+		    message_size(&writer));
 	message_writer_finish(&writer);
 }
 
@@ -330,6 +391,54 @@
 	stop_fleet(&fleet);
 }
 
+/* Neither are batches sent to hosts that refuse them, nor does a batch depend on
+ * one of them, and these know all work as if they were alone. */
+static void
+test_hosts_without_batches_know_all_and_are_known(void **state)
+{
+	const uint32_t mixes[][2] = {
+	    {60, 4}, {60, 6}, {HOSTS_LARGE, 4}, {HOSTS_LARGE, 6}};
+	struct fleet fleet;
+	guint i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(mixes); i++) {
+		memset(&fleet, 0, sizeof(fleet));
+		fleet.earlier_twelfths = mixes[i][1];
+		start_fleet(&fleet, mixes[i][0]);
+		run(&fleet, RUN_MS);
+		assert_true(stale_share(&fleet, KNOWN_MS) == 0);
+		stop_fleet(&fleet);
+	}
+}
+
+/* A host that was replaced by one of the present build is a host as any other
+ * soon after. */
+static void
+test_replaced_host_gets_batches(void **state)
+{
+	struct fleet fleet = {.earlier_twelfths = 6};
+	uint64_t messages = 0;
+	uint32_t i;
+
+	(void)state;
+	start_fleet(&fleet, HOSTS_LARGE);
+	run(&fleet, RUN_MS);
+	for (i = 0; i < fleet.count; i++) {
+		if (fleet.nodes[i].is_earlier)
+			replace(&fleet, &fleet.nodes[i]);
+	}
+	run(&fleet, RUN_MS);
+	for (i = 0; i < fleet.count; i++)
+		messages -= fleet.net.hosts[i].sent_messages;
+	run(&fleet, RUN_MS);
+	for (i = 0; i < fleet.count; i++)
+		messages += fleet.net.hosts[i].sent_messages;
+	assert_true(stale_share(&fleet, KNOWN_MS) == 0);
+	assert_true(messages * 1000 / RUN_MS / HOSTS_LARGE <= 250);
+	stop_fleet(&fleet);
+}
+
 static void
 test_malformed_batches_are_refused(void **state)
 {
@@ -369,6 +478,8 @@
 	    cmocka_unit_test(test_frozen_hosts_are_bypassed),
 	    cmocka_unit_test(
 		test_cut_between_two_data_centres_stays_between_them),
+	    cmocka_unit_test(test_hosts_without_batches_know_all_and_are_known),
+	    cmocka_unit_test(test_replaced_host_gets_batches),
 	    cmocka_unit_test(test_malformed_batches_are_refused),
 	};
 
