The soak's mutant crashing_request switches its mechanism off again

Its substitution matched nothing since, which changed the call in relay_crash.c, so "make soak-mutants" failed for it with "the edit changes nothing". It now replaces the verdict of the quarantine by "run", as before. The other eleven substitutions were checked against the sources: each changes its file, in the place that it names. The other eleven mutants were not run again.

--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -24,7 +24,7 @@
 	'quorum_commit|src/coordination/consensus_leader.c|s/i = MAX\(i, MIN\(copies, consensus->voters.count\)\);/i = 1; (void)copies;/'
 	'release_of_reservations|src/relay/relay_hold.c|s/order\(hold, hold->relay->settings.dialect.release_order\(hold->id\)\);/(void)order;/'
 	'evacuation|src/relay/relay.c|s/ && !entry->is_taken_out//'
-	'crashing_request|src/relay/relay_crash.c|s/return host_check_quarantine\(host, fingerprint\(exchange\), remaining_ms\);/(void)remaining_ms; return QUARANTINE_RUN;/'
+	'crashing_request|src/relay/relay_crash.c|s/action = host_check_quarantine\(host, full_key\(exchange\), remaining_ms\);/(void)remaining_ms; action = QUARANTINE_RUN;/'
 	'drain|src/relay/relay.c|s/upstream->state == UPSTREAM_STATE_ACTIVE && //'
 )
 
