Operators see which build a host is

The name of the build (base/build_name.h: version and commit) and the highest level of replicated state that it knows now stand in the start event E1001 of both kinds of hosts, in E4001 (host joined: the build of the other host), in /operator/v1/status and, for each host, in /operator/v1/hosts, in `status`, `hosts list` (two further columns at the end, so scripts that read by number go on) and `--version`, and in the gauge chicorytack_build_info of hosts and relays. A host of an earlier build, which states nothing, is "unknown".

Not tested in a test file: the gauge of the relay, E1001 and E4001 of a platform's host.

--- a/src/api/operator_views.c
+++ b/src/api/operator_views.c
@@ -4,7 +4,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/build_name.h"
 #include "base/monotonic_clock.h"
+#include "state/state_level.h"
 
 /* Size of the text of a hexadecimal number in bytes. */
 #define ID_TEXT_SIZE 32
@@ -13,6 +15,8 @@
 #define US_PER_MS	  1000
 /* Start of the configuration keys of takeouts. */
 #define TAKEOUT_PREFIX "takeout/"
+/* Build of a host that states none. */
+#define BUILD_UNKNOWN "unknown"
 
 /* Numbers of upstreams by warmth and state. Each upstream counts as one of
  * cold, warming, warm or leaving; it may also be ejected or taken out. Those
@@ -62,6 +66,7 @@
 static void add_part(void *context, const struct part_record *record);
 static void add_order(void *context, const struct order_record *order);
 static const char *service_state_name(struct host *host);
+static void add_build(struct host *host, json_t *reply);
 
 enum error_code
 view_status(struct host *host, json_t *argument, json_t *reply)
@@ -104,6 +109,7 @@
 		       (json_int_t)atomic_load(&host->running_requests),
 		       "requests_waiting",
 		       (json_int_t)atomic_load(&host->wait_line.waiting)));
+	add_build(host, reply);
 	add_voters(host, reply);
 	add_bands(host, reply);
 	return ERROR_NONE;
@@ -384,11 +390,14 @@
 	snprintf(address, sizeof(address), "http://%s:%u", record->http_ip,
 	    record->http_port);
 	json_array_append_new(visitor,
-	    json_pack("{s:I,s:s,s:s,s:b,s:b,s:s}", "id", (json_int_t)record->id,
-		"data_centre", record->data_centre, "state",
-		host_state_name(record->state), "voter",
+	    json_pack("{s:I,s:s,s:s,s:b,s:b,s:s,s:s,s:I}", "id",
+		(json_int_t)record->id, "data_centre", record->data_centre,
+		"state", host_state_name(record->state), "voter",
 		(record->flags & HOST_FLAG_VOTER) != 0, "draining",
-		(record->flags & HOST_FLAG_DRAINING) != 0, "address", address));
+		(record->flags & HOST_FLAG_DRAINING) != 0, "address", address,
+		"build",
+		record->build[0] == '\0' ? BUILD_UNKNOWN : record->build,
+		"level", (json_int_t)record->level));
 }
 
 static const char *
@@ -473,3 +482,14 @@
 		return "stopping";
 	return host_may_start(host) ? "serving" : "unconfirmed";
 }
+
+/* Adds what this host's program is, and which levels of the replicated state it
+ * knows and uses. */
+static void
+add_build(struct host *host, json_t *reply)
+{
+	(void)host;
+	json_object_update_new(
+	    reply, json_pack("{s:s,s:i}", "build", build_name(), "level",
+		       (int)STATE_LEVEL_LATEST));
+}
--- a/src/cli/cli_print.c
+++ b/src/cli/cli_print.c
@@ -2,18 +2,26 @@
 
 #include <stdio.h>
 
+#define UNKNOWN		 "unknown" /* Of hosts that state nothing. */
+#define NUMBER_TEXT_SIZE 32
+
 static void print_bands(const json_t *bands);
+static const char *build_of(const json_t *object);
+static const char *level_of(const json_t *object, char *text);
 
 void
 cli_print_status(const json_t *reply)
 {
 	const json_t *voters, *upstreams, *item;
+	char text[NUMBER_TEXT_SIZE];
 	const char *key;
 	size_t i;
 
 	printf("host        %s (%" JSON_INTEGER_FORMAT ") in %s: %s\n",
 	    cli_text_of(reply, "host_name"), cli_number_of(reply, "host_id"),
 	    cli_text_of(reply, "data_centre"), cli_text_of(reply, "state"));
+	printf("build       %s, level %s\n", build_of(reply),
+	    level_of(reply, text));
 	printf("leader      %" JSON_INTEGER_FORMAT
 	       " in term %" JSON_INTEGER_FORMAT ", voters",
 	    cli_number_of(reply, "leader"), cli_number_of(reply, "term"));
@@ -76,17 +84,18 @@
 void
 cli_print_hosts(const json_t *reply)
 {
+	char text[NUMBER_TEXT_SIZE];
 	const json_t *item;
 	size_t i;
 
-	printf("%-6s %-12s %-9s %-7s %s\n", "ID", "DATA CENTRE", "STATE",
-	    "VOTER", "ADDRESS");
-	json_array_foreach(json_object_get(reply, "hosts"), i, item)
-	    printf("%-6" JSON_INTEGER_FORMAT " %-12s %-9s %-7s %s\n",
-		cli_number_of(item, "id"), cli_text_of(item, "data_centre"),
-		cli_text_of(item, "state"),
-		json_is_true(json_object_get(item, "voter")) ? "yes" : "no",
-		cli_text_of(item, "address"));
+	printf("%-6s %-12s %-9s %-7s %-28s %-5s %s\n", "ID", "DATA CENTRE",
+	    "STATE", "VOTER", "ADDRESS", "LEVEL", "BUILD");
+	json_array_foreach(json_object_get(reply, "hosts"), i, item) printf(
+	    "%-6" JSON_INTEGER_FORMAT " %-12s %-9s %-7s %-28s %-5s %s\n",
+	    cli_number_of(item, "id"), cli_text_of(item, "data_centre"),
+	    cli_text_of(item, "state"),
+	    json_is_true(json_object_get(item, "voter")) ? "yes" : "no",
+	    cli_text_of(item, "address"), level_of(item, text), build_of(item));
 }
 
 void
@@ -149,3 +158,23 @@
 		cli_text_of(band, "band"), cli_number_of(band, "count"),
 		cli_number_of(band, "mean_ms"));
 }
+
+static const char *
+build_of(const json_t *object)
+{
+	const char *build;
+
+	build = json_string_value(json_object_get(object, "build"));
+	return build == NULL || build[0] == '\0' ? UNKNOWN : build;
+}
+
+/* Returns the highest level that a host states, for which @p text has room. */
+static const char *
+level_of(const json_t *object, char *text)
+{
+	if (cli_number_of(object, "level") == 0)
+		return "-";
+	snprintf(text, NUMBER_TEXT_SIZE, "%" JSON_INTEGER_FORMAT,
+	    cli_number_of(object, "level"));
+	return text;
+}
--- a/src/cli/cli_verbs.c
+++ b/src/cli/cli_verbs.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/build_name.h"
 #include "base/event_log.h"
 #include "cli/cli_explain.h"
 #include "cli/cli_print.h"
@@ -377,7 +378,7 @@
 run_version(struct cli *cli)
 {
 	(void)cli;
-	puts("chicorytack " CHICORY_VERSION);
+	printf("chicorytack %s\n", build_name());
 	return CLI_EXIT_OK;
 }
 
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -421,8 +421,9 @@
 {
 	struct host *host = context;
 
-	event_log_write(EVENT_HOST_JOINED, "host %u in %s", record->id,
-	    record->data_centre);
+	event_log_write(EVENT_HOST_JOINED, "host %u in %s, build %s",
+	    record->id, record->data_centre,
+	    record->build[0] == '\0' ? "unknown" : record->build);
 	upstream_directory_sync_with(&host->directory, record->id);
 }
 
--- a/src/relay/relay_metrics.c
+++ b/src/relay/relay_metrics.c
@@ -1,6 +1,8 @@
 #include <inttypes.h>
 
+#include "base/build_metric.h"
 #include "relay/relay_parts.h"
+#include "state/state_level.h"
 
 #define NAME_PREFIX "chicorytack_relay_"
 
@@ -25,6 +27,8 @@
 	    "Milliseconds from a request to the end of its answer.");
 	counters->turn_ms = add_histogram(relay, NAME_PREFIX "turn_ms",
 	    "Milliseconds that a long prompt waited for its turn.");
+	/* Without memory the metric is missing, as any other here. */
+	(void)build_metric_add(&relay->registry, STATE_LEVEL_LATEST);
 }
 
 void
--- a/src/request/request_metrics.c
+++ b/src/request/request_metrics.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#include "base/build_metric.h"
+#include "state/state_level.h"
+
 /* Most label combinations per family, which bounds memory and scrape size. */
 /* Largest number of series of a family with a client_account label. */
 #define ACCOUNT_SERIES_MAX 512
@@ -63,7 +66,8 @@
 	    "chicorytack_host", "State of the host, by name", "name");
 	if (metrics->requests == NULL || metrics->first_token == NULL ||
 	    metrics->duration == NULL || metrics->retries == NULL ||
-	    metrics->refusals == NULL || metrics->gauges == NULL) {
+	    metrics->refusals == NULL || metrics->gauges == NULL ||
+	    build_metric_add(registry, STATE_LEVEL_LATEST) != ERROR_NONE) {
 		metrics_finish(registry);
 		return ERROR_NO_MEMORY;
 	}
--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -9,8 +9,10 @@
 #include <curl/curl.h>
 
 #include "api/api.h"
+#include "base/build_name.h"
 #include "base/event_log.h"
 #include "host/host.h"
+#include "state/state_level.h"
 
 /* Most log lines a second about successes; failures are always logged. */
 #define SUCCESS_LOG_LINES_PER_S_MAX 400
@@ -83,9 +85,11 @@
 		host_finish(host);
 		goto free_memory;
 	}
-	event_log_write(EVENT_HOST_STARTED, "%s http %s:%u peers %s:%u",
+	event_log_write(EVENT_HOST_STARTED,
+	    "%s http %s:%u peers %s:%u, build %s, level %u",
 	    settings->host_name, settings->http_address, settings->http_port,
-	    settings->peer_address, settings->peer_port);
+	    settings->peer_address, settings->peer_port, build_name(),
+	    (unsigned)STATE_LEVEL_LATEST);
 	sigwait(&signals, &signal_number);
 	stop_host(host, server);
 free_memory:
