--- a/src/transport/peer_link_parts.h
+++ b/src/transport/peer_link_parts.h
@@ -39,6 +39,7 @@
 	uint32_t peer_id;	  /**< Id of the other host, 0 until known. */
 	uint64_t incarnation;	  /**< Incarnation of the other host. */
 	uint64_t generation;	  /**< Number of the link to the other host. */
+	bool is_numbered;	  /**< The other host numbers links, too. */
 	/** Hello that was sent, if dialled. */
 	struct handshake_message hello;
 	struct frame_decoder decoder; /**< Splits received bytes in frames. */
@@ -71,6 +72,9 @@
 	uint64_t generation;  /**< Highest number of a link so far. */
 	/** Incarnation of the host when a link to it was last lost, or 0. */
 	uint64_t lost_incarnation;
+	/** Incarnation of the host in its last handshake, or 0. */
+	uint64_t linked_incarnation;
+	bool is_numbering; /**< It numbers links, by that handshake. */
 };
 
 /* peer_link.c */
@@ -98,6 +102,11 @@
 void peer_links_accept(struct peer_links *links);
 /** Makes a link whose handshake is complete the one to its peer. */
 void peer_link_establish(struct link *link);
+/** Returns true if @p link is to replace @p other. The rule gives the same
+ * result on both hosts, so that they keep the same one of two links. A host
+ * that does not number its links knows only who dialled; its numbers count for
+ * nothing. */
+bool peer_link_is_preferred(const struct link *link, const struct link *other);
 /** Closes a link and reports why it was refused. */
 void peer_link_refuse(struct link *link, enum error_code error);
 /** Closes a link; peer_links_free_closed() frees it. */
