--- a/src/coordination/placement_candidates.c
+++ b/src/coordination/placement_candidates.c
@@ -40,6 +40,9 @@
 /* Number of different random costs. */
 #define RANDOM_STEPS 1000
 
+static struct placement_candidate make_candidate(
+    const struct placement_context *context,
+    struct placement_upstream *upstream);
 static gint compare_candidates(gconstpointer left, gconstpointer right);
 static void request_probe(const struct placement_context *context,
     struct placement_upstream *upstream);
@@ -84,20 +87,7 @@
 			limited_reached += !upstream->is_unreached;
 			continue;
 		}
-		candidate.upstream = upstream;
-		candidate.takes_short =
-		    upstream->short_rank <= context->short_rank_max;
-		/* The random part of the cost keeps hosts from all choosing
-		 * the same upstream, as each learns late what the others
-		 * chose. */
-		candidate.backlog_ms =
-		    placement_backlog_ms(upstream, context->now_ms);
-		candidate.cost_ms =
-		    estimate_cost_ms(context, &candidate) +
-		    random_below(&placement->random, RANDOM_STEPS) *
-			MAX(placement->host_count * RANDOM_COST_PER_HOST_MS,
-			    1.0) /
-			RANDOM_STEPS;
+		candidate = make_candidate(context, upstream);
 		if (upstream->is_unreached) {
 			request_probe(context, upstream);
 			g_array_append_val(unreached, candidate);
@@ -118,6 +108,26 @@
 	return healthy;
 }
 
+static struct placement_candidate
+make_candidate(const struct placement_context *context,
+    struct placement_upstream *upstream)
+{
+	struct placement *placement = context->placement;
+	struct placement_candidate candidate;
+
+	candidate.upstream = upstream;
+	candidate.takes_short = upstream->short_rank <= context->short_rank_max;
+	candidate.backlog_ms = placement_backlog_ms(upstream, context->now_ms);
+	/* The random part of the cost keeps hosts from all choosing the same
+	 * upstream, as each learns late what the others chose. */
+	candidate.cost_ms =
+	    estimate_cost_ms(context, &candidate) +
+	    random_below(&placement->random, RANDOM_STEPS) *
+		MAX(placement->host_count * RANDOM_COST_PER_HOST_MS, 1.0) /
+		RANDOM_STEPS;
+	return candidate;
+}
+
 static gint
 compare_candidates(gconstpointer left, gconstpointer right)
 {
