--- a/src/api/api.h
+++ b/src/api/api.h
@@ -50,6 +50,9 @@
 void api_config_change(void *context, struct http_exchange *exchange);
 /** GET /operator/v1/hosts: the known hosts, the leader and the voters. */
 void api_hosts(void *context, struct http_exchange *exchange);
+/** GET /operator/v1/upgrade: this host's build, levels, state and log, for the
+ * check before an upgrade. */
+void api_upgrade(void *context, struct http_exchange *exchange);
 /** POST /operator/v1/voters: adds or removes a voter. */
 void api_voters(void *context, struct http_exchange *exchange);
 /** GET /operator/v1/quarantine: requests suspected of crashing upstreams. */
--- a/src/api/operator_api.c
+++ b/src/api/operator_api.c
@@ -129,6 +129,15 @@
 		reply_query(host, exchange, view_hosts, NULL);
 }
 
+void
+api_upgrade(void *context, struct http_exchange *exchange)
+{
+	struct host *host = context;
+
+	if (check_operator(host, exchange, OPERATOR_ROLE_READER))
+		reply_query(host, exchange, view_upgrade, NULL);
+}
+
 void
 api_voters(void *context, struct http_exchange *exchange)
 {
--- a/src/api/operator_views.c
+++ b/src/api/operator_views.c
@@ -37,6 +37,11 @@
 	json_t *items;
 };
 
+struct host_list {
+	struct host *host;
+	json_t *items;
+};
+
 struct order_list {
 	struct host *host;
 	json_t *items;
@@ -67,6 +72,7 @@
 static void add_order(void *context, const struct order_record *order);
 static const char *service_state_name(struct host *host);
 static void add_build(struct host *host, json_t *reply);
+static void add_peers(const struct consensus *consensus, json_t *reply);
 
 enum error_code
 view_status(struct host *host, json_t *argument, json_t *reply)
@@ -173,12 +179,12 @@
 enum error_code
 view_hosts(struct host *host, json_t *argument, json_t *reply)
 {
-	json_t *hosts;
+	struct host_list list = {.host = host};
 
 	(void)argument;
-	hosts = json_array();
-	membership_for_each(&host->membership, add_host, hosts);
-	json_object_set_new(reply, "hosts", hosts);
+	list.items = json_array();
+	membership_for_each(&host->membership, add_host, &list);
+	json_object_set_new(reply, "hosts", list.items);
 	add_voters(host, reply);
 	return ERROR_NONE;
 }
@@ -209,6 +215,28 @@
 	return ERROR_NONE;
 }
 
+enum error_code
+view_upgrade(struct host *host, json_t *argument, json_t *reply)
+{
+	const struct consensus *consensus = &host->consensus;
+
+	(void)argument;
+	json_object_update_new(reply,
+	    json_pack("{s:I,s:s,s:I,s:b,s:s}", "host_id",
+		(json_int_t)host->settings.host_id, "state",
+		service_state_name(host), "sequence",
+		(json_int_t)host->published_sequence, "voter",
+		host->has_disk && consensus_is_voter(consensus), "failure",
+		host->has_disk && consensus->is_failed
+		    ? error_name(consensus->failure)
+		    : ""));
+	add_build(host, reply);
+	add_voters(host, reply);
+	if (host->has_disk && consensus_is_leader(consensus))
+		add_peers(consensus, reply);
+	return ERROR_NONE;
+}
+
 /* Adds the voters, the leader and the term. A host without a disk knows them
  * only from its command client, without the term. */
 static void
@@ -385,11 +413,12 @@
 static void
 add_host(void *visitor, const struct host_record *record)
 {
+	struct host_list *list = visitor;
 	char address[ADDRESS_TEXT_SIZE];
 
 	snprintf(address, sizeof(address), "http://%s:%u", record->http_ip,
 	    record->http_port);
-	json_array_append_new(visitor,
+	json_array_append_new(list->items,
 	    json_pack("{s:I,s:s,s:s,s:b,s:b,s:s,s:s,s:I}", "id",
 		(json_int_t)record->id, "data_centre", record->data_centre,
 		"state", host_state_name(record->state), "voter",
@@ -397,7 +426,7 @@
 		(record->flags & HOST_FLAG_DRAINING) != 0, "address", address,
 		"build",
 		record->build[0] == '\0' ? BUILD_UNKNOWN : record->build,
-		"level", (json_int_t)record->level));
+		"level", (json_int_t)host_level_of(list->host, record)));
 }
 
 static const char *
@@ -488,8 +517,34 @@
 static void
 add_build(struct host *host, json_t *reply)
 {
-	(void)host;
 	json_object_update_new(
-	    reply, json_pack("{s:s,s:i}", "build", build_name(), "level",
-		       (int)STATE_LEVEL_LATEST));
+	    reply, json_pack("{s:s,s:i,s:I}", "build", build_name(), "level",
+		       (int)STATE_LEVEL_LATEST, "level_in_force",
+		       (json_int_t)host_level_in_force(host)));
+}
+
+/* Adds what the leader knows of the log of each other voter: committed entries
+ * that it has not confirmed, and the time since its last answer. */
+static void
+add_peers(const struct consensus *consensus, json_t *reply)
+{
+	const struct consensus_peer *peer;
+	uint64_t missing;
+	json_t *peers;
+	uint32_t i;
+
+	peers = json_array();
+	for (i = 0; i < consensus->peer_count; i++) {
+		peer = &consensus->peers[i];
+		missing = consensus->commit_index > peer->match_index
+			      ? consensus->commit_index - peer->match_index
+			      : 0;
+		json_array_append_new(peers,
+		    json_pack("{s:I,s:I,s:I}", "id",
+			(json_int_t)peer->voter.host_id, "missing_entries",
+			(json_int_t)missing, "silent_ms",
+			(json_int_t)(timer_now(consensus->timers) -
+				     peer->last_reply_ms)));
+	}
+	json_object_set_new(reply, "peers", peers);
 }
--- a/src/api/operator_views.h
+++ b/src/api/operator_views.h
@@ -25,6 +25,11 @@
     struct host *host, json_t *argument, json_t *reply);
 /** All hosts known to membership, and the voters. @p argument is ignored. */
 enum error_code view_hosts(struct host *host, json_t *argument, json_t *reply);
+/** What the check before an upgrade asks of a host: its build, its levels, its
+ * state and its log, and on the leader those of the other voters. @p argument
+ * is ignored. */
+enum error_code view_upgrade(
+    struct host *host, json_t *argument, json_t *reply);
 /** Fingerprints of suspected and quarantined requests. @p argument is
  * ignored. */
 enum error_code view_quarantine(
--- a/src/cli/cli_print.c
+++ b/src/cli/cli_print.c
@@ -20,8 +20,12 @@
 	printf("host        %s (%" JSON_INTEGER_FORMAT ") in %s: %s\n",
 	    cli_text_of(reply, "host_name"), cli_number_of(reply, "host_id"),
 	    cli_text_of(reply, "data_centre"), cli_text_of(reply, "state"));
-	printf("build       %s, level %s\n", build_of(reply),
-	    level_of(reply, text));
+	printf(
+	    "build       %s, level %s", build_of(reply), level_of(reply, text));
+	if (cli_number_of(reply, "level_in_force") != 0)
+		printf(", level %" JSON_INTEGER_FORMAT " in force",
+		    cli_number_of(reply, "level_in_force"));
+	putchar('\n');
 	printf("leader      %" JSON_INTEGER_FORMAT
 	       " in term %" JSON_INTEGER_FORMAT ", voters",
 	    cli_number_of(reply, "leader"), cli_number_of(reply, "term"));
--- a/src/cli/cli_verbs.c
+++ b/src/cli/cli_verbs.c
@@ -9,6 +9,7 @@
 #include "base/event_log.h"
 #include "cli/cli_explain.h"
 #include "cli/cli_print.h"
+#include "cli/cli_upgrade.h"
 #include "platform_serve.h"
 #include "service/serve.h"
 #include "service/settings.h"
@@ -97,6 +98,9 @@
     {"hosts", "list|add-voter|remove-voter|replace-voter [ID] [NEW-ID]", 1, 3,
 	"list hosts, change voters", "chicorytack hosts replace-voter 3 9",
 	run_hosts},
+    {"upgrade", "check", 1, 1,
+	"check whether the next host may be upgraded: builds, voters, level",
+	"chicorytack upgrade check --host http://10.0.0.1:8080", cli_upgrade},
     {"quarantine", "list|release [FINGERPRINT]", 1, 2,
 	"list or release requests refused because they crash upstreams",
 	"chicorytack quarantine list", run_quarantine},
--- a/src/service/serve.c
+++ b/src/service/serve.c
@@ -34,6 +34,7 @@
     {"GET", "/operator/v1/config", api_config_get},
     {"POST", "/operator/v1/config", api_config_change},
     {"GET", "/operator/v1/hosts", api_hosts},
+    {"GET", "/operator/v1/upgrade", api_upgrade},
     {"POST", "/operator/v1/voters", api_voters},
     {"GET", "/operator/v1/quarantine", api_quarantine},
     {"POST", "/operator/v1/quarantine", api_quarantine_release},
--- a/tests/test_build_shown.c
+++ b/tests/test_build_shown.c
@@ -136,6 +136,12 @@
 	line = find_line("build ");
 	assert_string_equal(line, "build       0.1.0+aaa, level 2");
 	g_free(line);
+	json_object_set_new(reply, "level_in_force", json_integer(1));
+	capture(print_status, reply);
+	line = find_line("build ");
+	assert_string_equal(
+	    line, "build       0.1.0+aaa, level 2, level 1 in force");
+	g_free(line);
 	json_object_clear(reply);
 	capture(print_status, reply);
 	line = find_line("build ");
