upgrade check asks again while a voter that answers is not sound

Seen in the first of two runs of real_upgrade under sanitizers on a machine with a load of 20 (the second passed): right after a restart the check ended with 7, hosts 2 and 3 "at sequence 4, another voter at 5". The voters had taken up the change of the live hosts, one after the other, within a second.

Cause: the voters are asked once, one after the other, and any difference of sequences counted. Ruled out: a voter left behind (hosts 2 and 3 log sequence 5 at 04:59:23.83, the last lines before the test ended). Now the hosts are asked again up to 6 times, each 0.5 s, while a voter that answers is not sound; one that does not answer is not waited for. Weighed: a tolerance for the difference (would hide the voter of fault 1 in docs/UPGRADES.md that stays one behind). The test is as it was.

test_only_a_voter_that_answers_may_settle did not link before.

--- a/src/cli/cli_upgrade.c
+++ b/src/cli/cli_upgrade.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/build_name.h"
 #include "cli/cli_print.h"
@@ -12,7 +13,12 @@
 #define VIEW_PATH    "/operator/v1/upgrade"
 #define STATUS_PATH  "/operator/v1/status"
 #define ID_TEXT_SIZE 32
+/* How often the hosts are asked again, and the pause before it, while a voter
+ * that answers is not sound. */
+#define TRIES_MAX    7
+#define TRY_PAUSE_US 500000
 
+static enum error_code make_report(struct cli *cli, json_t **report);
 static json_t *ask_voters(struct cli *cli, const json_t *hosts);
 static json_t *ask_host(const struct cli *cli, const char *url);
 static const json_t *find_host(const json_t *hosts, json_int_t id);
@@ -25,23 +31,22 @@
 int
 cli_upgrade(struct cli *cli)
 {
-	struct upgrade_facts facts = {
-	    .build = build_name(), .level = STATE_LEVEL_LATEST};
 	enum error_code error;
-	json_t *hosts, *answers, *report;
+	json_t *report;
+	int tries;
 
 	if (strcmp(cli->arguments[0], "check") != 0)
 		return cli_usage(cli);
-	error = cli_call(cli, "GET", HOSTS_PATH, NULL, &hosts);
-	if (error != ERROR_NONE) {
-		json_decref(hosts);
-		return cli_fail(cli, error, NULL);
+	error = make_report(cli, &report);
+	for (tries = 1; error == ERROR_NONE && tries < TRIES_MAX &&
+			upgrade_report_may_settle(report);
+	     tries++) {
+		json_decref(report);
+		usleep(TRY_PAUSE_US);
+		error = make_report(cli, &report);
 	}
-	answers = ask_voters(cli, hosts);
-	hosts = prefer_stated_builds(cli, hosts, answers);
-	facts.hosts = hosts;
-	facts.answers = answers;
-	report = upgrade_report_make(&facts);
+	if (error != ERROR_NONE)
+		return cli_fail(cli, error, NULL);
 	if (cli->is_json)
 		cli_print_json(report);
 	else
@@ -51,9 +56,32 @@
 		fprintf(stderr, "chicorytack: %s: %s\n", error_name(error),
 		    error_text(error));
 	json_decref(report);
+	return cli_exit_code(error);
+}
+
+/* Asks the hosts once. Sets @p report, which the caller releases, unless no
+ * host gives the list of hosts. */
+static enum error_code
+make_report(struct cli *cli, json_t **report)
+{
+	struct upgrade_facts facts = {
+	    .build = build_name(), .level = STATE_LEVEL_LATEST};
+	enum error_code error;
+	json_t *hosts, *answers;
+
+	error = cli_call(cli, "GET", HOSTS_PATH, NULL, &hosts);
+	if (error != ERROR_NONE) {
+		json_decref(hosts);
+		return error;
+	}
+	answers = ask_voters(cli, hosts);
+	hosts = prefer_stated_builds(cli, hosts, answers);
+	facts.hosts = hosts;
+	facts.answers = answers;
+	*report = upgrade_report_make(&facts);
 	json_decref(answers);
 	json_decref(hosts);
-	return cli_exit_code(error);
+	return ERROR_NONE;
 }
 
 /* Asks each voter, which alone can tell the state of its log. The builds of
--- a/src/cli/upgrade_report.c
+++ b/src/cli/upgrade_report.c
@@ -1,6 +1,5 @@
 #include "cli/upgrade_report.h"
 
-#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -105,6 +104,22 @@
 	return error_from_name(text_of(report, "result"));
 }
 
+bool
+upgrade_report_may_settle(const json_t *report)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(
+	    json_object_get(json_object_get(report, "voters"), "unsound"), i,
+	    item)
+	{
+		if (json_is_true(json_object_get(item, "answered")))
+			return true;
+	}
+	return false;
+}
+
 void
 upgrade_report_print(const json_t *report, FILE *out)
 {
@@ -241,7 +256,10 @@
 			sound++;
 		else
 			json_array_append_new(unsound,
-			    json_pack("{s:O,s:s}", "host", voter, "why", why));
+			    json_pack("{s:O,s:s,s:b}", "host", voter, "why",
+				why, "answered",
+				reply_in(answer_of(fleet,
+				    json_integer_value(voter))) != NULL));
 	}
 	count = (json_int_t)json_array_size(
 	    json_object_get(fleet->facts->hosts, "voters"));
--- a/src/cli/upgrade_report.h
+++ b/src/cli/upgrade_report.h
@@ -9,6 +9,7 @@
 #ifndef UPGRADE_REPORT_H
 #define UPGRADE_REPORT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 
@@ -52,6 +53,9 @@
  * host that did not answer. ERROR_NOT_SUPPORTED: nothing speaks against it, but
  * builds that lack the view could not tell all. */
 enum error_code upgrade_report_result(const json_t *report);
+/** True if a voter that answered is not sound, which may pass by itself within
+ * seconds: the voters take up a change one after the other. */
+bool upgrade_report_may_settle(const json_t *report);
 /** Prints the report for people. */
 void upgrade_report_print(const json_t *report, FILE *out);
 
--- a/tests/test_upgrade_report.c
+++ b/tests/test_upgrade_report.c
@@ -154,6 +154,34 @@
 	}
 }
 
+/* A voter that is behind may have caught up when it is asked again; one that
+ * does not answer is not waited for. */
+static void
+test_only_a_voter_that_answers_may_settle(void **state)
+{
+	static const struct {
+		const char *answers;
+		bool may_settle;
+	} cases[] = {
+	    {"{" LEADER "," SECOND "," THIRD "}", false},
+	    {"{" LEADER "," SECOND "," VIEW("3", "serving", "6", "") "}", true},
+	    {"{" LEADER "," SECOND ",\"3\":{\"error\":\"connection\"}}", false},
+	    {"{" LEADER "," VIEW(
+		 "2", "serving", "6", "") ",\"3\":{\"error\":\"connection\"}}",
+		true},
+	};
+	json_t *report;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		report = make_report(THREE_NEW, cases[i].answers);
+		assert_int_equal(
+		    upgrade_report_may_settle(report), cases[i].may_settle);
+		json_decref(report);
+	}
+}
+
 static void
 test_small_backlog_of_a_busy_log_counts_as_caught_up(void **state)
 {
@@ -358,6 +386,7 @@
 	    cmocka_unit_test(test_upgrade_waits_while_a_voter_is_not_sound),
 	    cmocka_unit_test(
 		test_small_backlog_of_a_busy_log_counts_as_caught_up),
+	    cmocka_unit_test(test_only_a_voter_that_answers_may_settle),
 	    cmocka_unit_test(test_one_of_five_voters_may_be_missing),
 	    cmocka_unit_test(test_host_without_answer_is_a_typed_error),
 	    cmocka_unit_test(test_earlier_builds_are_unknown_and_listed),
