--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -41,6 +41,8 @@
 static uint16_t choose_announced_port(
     struct scripted_upstream *upstream, enum relay_fixture_path path);
 static void start_relay(struct relay_fixture *fixture);
+static uint32_t read_count(
+    struct relay_fixture *fixture, const uint32_t *count);
 static bool is_whole(const GString *answer);
 static char *exchange(uint16_t port, const char *request);
 
@@ -214,23 +216,13 @@
 uint32_t
 relay_fixture_repeated(struct relay_fixture *fixture)
 {
-	uint32_t repeated;
-
-	pthread_mutex_lock(&fixture->script.mutex);
-	repeated = fixture->script.repeated;
-	pthread_mutex_unlock(&fixture->script.mutex);
-	return repeated;
+	return read_count(fixture, &fixture->script.repeated);
 }
 
 uint32_t
 relay_fixture_opened(struct relay_fixture *fixture)
 {
-	uint32_t opened;
-
-	pthread_mutex_lock(&fixture->script.mutex);
-	opened = fixture->script.opened;
-	pthread_mutex_unlock(&fixture->script.mutex);
-	return opened;
+	return read_count(fixture, &fixture->script.opened);
 }
 
 uint32_t
@@ -298,6 +290,17 @@
 	    platform_routes_parse(document, strlen(document), &error));
 }
 
+static uint32_t
+read_count(struct relay_fixture *fixture, const uint32_t *count)
+{
+	uint32_t value;
+
+	pthread_mutex_lock(&fixture->script.mutex);
+	value = *count;
+	pthread_mutex_unlock(&fixture->script.mutex);
+	return value;
+}
+
 static bool
 is_whole(const GString *answer)
 {
