Late attempts of a request leave the retry budget to others

Prompts that fail everywhere used up the budget of 50 retries, and the stream's resume, which needed one, found none.

Change: from the fifth attempt on a request gets a retry only while three quarters of the budget are left.

--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -4,9 +4,12 @@
  */
 #include "coordination/retry.h"
 
-#define BUDGET_RATIO	      0.1
-#define BUDGET_MAX	      50
-#define ATTEMPTS_MAX	      8
+#define BUDGET_RATIO 0.1
+#define BUDGET_MAX   50
+#define ATTEMPTS_MAX 8
+/* Attempts after which a request may only use what others hardly need. */
+#define ATTEMPTS_EARLY	      4
+#define LATE_RESERVE_SHARE    0.75
 #define STALL_FACTOR	      5.0
 #define STALL_MIN_MS	      500
 #define STALL_DEADLINE_SHARE  0.4
@@ -14,7 +17,9 @@
 #define BACKOFF_MAX_MS	      1000
 #define THOUSANDTHS_PER_RETRY 1000
 
-static bool spend_budget(struct retry_budget *budget);
+static bool spend_budget(struct retry_budget *budget, int64_t reserve);
+static int64_t reserve_for_others(
+    const struct retry_settings *settings, const struct attempt_report *report);
 static uint32_t compute_backoff_ms(
     const struct retry_settings *settings, uint32_t attempt, double jitter);
 static enum error_code error_for_failure(const struct attempt_report *report);
@@ -86,7 +91,7 @@
 	remaining_ms = (double)(facts->deadline_ms - now_ms);
 	if (report->expected_ms + decision.pause_ms > remaining_ms)
 		return decision;
-	if (!spend_budget(budget)) {
+	if (!spend_budget(budget, reserve_for_others(settings, report))) {
 		decision.error = ERROR_RETRY_BUDGET;
 		return decision;
 	}
@@ -159,16 +164,29 @@
 	       report->failure == ATTEMPT_CONNECTION && report->upstream_runs;
 }
 
-/* Subtracts one retry from the budget; returns false if less than one is
- * left. */
+/* Part of the budget that is kept for the first retries of other requests. One
+ * that fails everywhere must not use up the budget of those that a single retry
+ * would save. */
+static int64_t
+reserve_for_others(
+    const struct retry_settings *settings, const struct attempt_report *report)
+{
+	if (report->attempt < ATTEMPTS_EARLY)
+		return 0;
+	return (int64_t)(LATE_RESERVE_SHARE * settings->budget_max *
+			 THOUSANDTHS_PER_RETRY);
+}
+
+/* Subtracts one retry from the budget; returns false if that would leave less
+ * than the reserve. */
 static bool
-spend_budget(struct retry_budget *budget)
+spend_budget(struct retry_budget *budget, int64_t reserve)
 {
 	int64_t saved;
 
 	saved = atomic_load(&budget->thousandths);
 	do {
-		if (saved < THOUSANDTHS_PER_RETRY)
+		if (saved < THOUSANDTHS_PER_RETRY + reserve)
 			return false;
 	} while (!atomic_compare_exchange_weak(
 	    &budget->thousandths, &saved, saved - THOUSANDTHS_PER_RETRY));
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -167,6 +167,42 @@
 	assert_true(now_ms >= OUTAGE_MS);
 }
 
+/* Requests that fail everywhere leave retries to a request that fails once. */
+static void
+test_late_attempts_leave_retries_to_others(void **state)
+{
+	struct retry_settings settings = {0};
+	struct retry_budget budget;
+	struct request_facts facts = {
+	    .deadline_ms = DEADLINE_MS, .is_idempotent = true};
+	struct attempt_report report = {
+	    .stage = ATTEMPT_SENT,
+	    .failure = ATTEMPT_CONNECTION,
+	    .expected_ms = 10,
+	};
+	uint32_t attempt, i, late;
+
+	(void)state;
+	retry_settings_fill(&settings);
+	retry_budget_init(&budget, &settings);
+	late = 0;
+	for (i = 0; i < settings.budget_max; i++) {
+		for (attempt = 4; attempt < settings.attempts_max; attempt++) {
+			report.attempt = attempt;
+			if (retry_decide(
+				&settings, &budget, &facts, &report, 0, 0)
+				.action != RETRY_GIVE_UP)
+				late++;
+		}
+	}
+	assert_true(late > 0);
+	assert_true(late <= settings.budget_max / 4);
+	report.attempt = 1;
+	assert_int_equal(
+	    retry_decide(&settings, &budget, &facts, &report, 0, 0).action,
+	    RETRY_RERUN);
+}
+
 /* When every request fails, retries stay a small share of the admitted
  * requests. */
 static void
@@ -333,6 +369,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_retries_follow_failure_and_idempotency),
 	    cmocka_unit_test(test_outage_of_a_second_is_outlasted),
+	    cmocka_unit_test(test_late_attempts_leave_retries_to_others),
 	    cmocka_unit_test(test_retry_budget_bounds_retries),
 	    cmocka_unit_test(test_stall_time_follows_expectation_and_deadline),
 	    cmocka_unit_test(test_requests_are_admitted_by_deadline_and_limit),
