Under a key, not_run is said only if no call with the key has run

A caller that believes it books again under another key.

Cause: not_run was said of the sending. Earlier ones are known to the claim alone, which is asked for only before the first dispatch.

Weighed: asking for the claim before each refusal (two commits a refusal, when there is least room for them) against saying what is known (chosen). The claim itself still ends as not run, so the key stays usable.

--- a/src/request/request_claim.c
+++ b/src/request/request_claim.c
@@ -33,15 +33,16 @@
 	error = host_submit(run->host, &command, left_ms, &result);
 	if (error == ERROR_NONE && result.error == ERROR_NONE) {
 		run->has_claim = true;
+		run->key_is_unused = true;
 		return true;
 	}
 	if (error == ERROR_NONE) {
 		end_with_claim_result(run, &result);
 		return false;
 	}
-	/* The request has not been dispatched and never will be, so "not run"
-	 * is true whether or not the claim was made. A claim that may have been
-	 * made is finished with that outcome. */
+	/* This request has not been dispatched and never will be. A claim that
+	 * may have been made is finished with that outcome; what the key was
+	 * used for before is not known. */
 	run->has_claim = error == ERROR_OUTCOME_UNKNOWN;
 	request_run_end(run,
 	    error == ERROR_OUTCOME_UNKNOWN ? ERROR_NO_QUORUM : error,
@@ -50,12 +51,12 @@
 }
 
 void
-request_claim_finish(struct request_run *run)
+request_claim_finish(struct request_run *run, enum request_outcome outcome)
 {
 	struct command command = {.type = COMMAND_CLAIM_FINISH};
 
 	fill_claim(run, &command);
-	command.body.claim.outcome = run->result.outcome;
+	command.body.claim.outcome = outcome;
 	host_post(run->host, &command, CLAIM_FINISH_TIMEOUT_MS);
 	run->has_claim = false;
 }
@@ -79,6 +80,8 @@
 		run->has_claim = true;
 		error = ERROR_NO_QUORUM;
 	}
+	/* The leader has looked, and found no request with the key. */
+	run->key_is_unused = error == ERROR_TABLE_FULL;
 	request_run_end(run, error, outcome,
 	    outcome == REQUEST_OUTCOME_UNKNOWN || error == ERROR_NO_QUORUM
 		? RETRY_AFTER_MS
--- a/src/request/request_run.c
+++ b/src/request/request_run.c
@@ -23,6 +23,8 @@
 #define PIECE_INTERVAL_EXPECTED_MS 200.0
 #define US_PER_MS		   1000
 
+static enum request_outcome outcome_for_caller(
+    const struct request_run *run, enum request_outcome outcome);
 static bool must_end_for_stop(const struct request_run *run);
 /* Ends the run before its answer is whole, and cancels its attempt. */
 static void end_early(struct request_run *run, enum error_code code);
@@ -169,7 +171,7 @@
 
 	run->state = REQUEST_STATE_ENDED;
 	run->result.code = code;
-	run->result.outcome = outcome;
+	run->result.outcome = outcome_for_caller(run, outcome);
 	run->result.retry_after_ms = retry_after_ms;
 	wait_line_leave(&host->wait_line, &run->ticket);
 	if (run->attempt_span.name[0] != '\0')
@@ -188,7 +190,19 @@
 	span_end(&host->spans, &run->span,
 	    code == ERROR_NONE ? "done" : error_name(code));
 	if (run->has_claim)
-		request_claim_finish(run);
+		request_claim_finish(run, outcome);
+}
+
+/* Outcome that the caller is told. Under a key, "not run" is about all requests
+ * with it, of which the claim alone knows. */
+static enum request_outcome
+outcome_for_caller(const struct request_run *run, enum request_outcome outcome)
+{
+	if (outcome == REQUEST_OUTCOME_NOT_RUN &&
+	    run->input.headers.idempotency_key[0] != '\0' &&
+	    !run->key_is_unused)
+		return REQUEST_OUTCOME_UNKNOWN;
+	return outcome;
 }
 
 struct upstream_target
--- a/src/request/request_run.h
+++ b/src/request/request_run.h
@@ -68,6 +68,9 @@
 				    same upstream. */
 	bool may_have_run; /**< An earlier attempt may have run. */
 	bool has_claim;	   /**< The idempotency key is claimed. */
+	/** No request was sent under the idempotency key before, or none has
+	 * run; so the claim has told. */
+	bool key_is_unused;
 	int64_t dispatched_at_ms;  /**< When the attempt was sent. */
 	int64_t stall_deadline_ms; /**< Without a piece until then, the attempt
 					counts as stalled. */
--- a/src/request/request_run_parts.h
+++ b/src/request/request_run_parts.h
@@ -25,8 +25,9 @@
 /** Claims the idempotency key for this request. If that fails, ends the run and
  * returns false. */
 bool request_claim_begin(struct request_run *run);
-/** Records with the claim how the request ended, without waiting for it. */
-void request_claim_finish(struct request_run *run);
+/** Records with the claim how this request ended, without waiting for it. */
+void request_claim_finish(
+    struct request_run *run, enum request_outcome outcome);
 
 /* request_crash.c */
 
