The platform's hosts are tested for the build that they name

In real_upgrade (and here) `grep -q` after a pipe, which under pipefail may fail a check that holds when it ends before the writer has written all, reads its whole input; what is looked for is the same.

--- a/tests/real_platform.sh
+++ b/tests/real_platform.sh
@@ -105,6 +105,14 @@
 # Read whole before the search: curl fails if grep closes the pipe early.
 curl -sf --max-time 4 "http://$(ip_of 4):$ready_port/metrics" >"$work/metrics" || fail "no metrics served"
 grep -q '^chicorytack_' "$work/metrics" || fail "no metrics"
+# Operators see which build each host is.
+name=$("$build/chicorytack" --version | sed 's/^chicorytack //')
+grep -F "chicorytack_build_info{build=\"$name\"" "$work/metrics" >/dev/null || fail "metrics lack the build"
+curl -sf --max-time 4 "http://$(ip_of 1):$control_port/metrics" | grep -F "chicorytack_build_info{build=\"$name\"" >/dev/null || fail "metrics of the control host lack the build"
+for n in 1 4; do
+	grep -F '"event":1001' "$work/node-$n.log" | grep -F "build $name, level " >/dev/null || fail "the start event of node $n lacks the build"
+	grep -F '"event":4001' "$work/node-$n.log" | grep -F "build $name" >/dev/null || fail "node $n does not log the build of a host that joined"
+done
 
 # Entry host 4 is stopped as planned while requests run on it and while the
 # other entry host is under load and keeps sending it work reports.
--- a/tests/real_upgrade.sh
+++ b/tests/real_upgrade.sh
@@ -67,15 +67,15 @@
 grep -qF ": 3 hosts: 1 2 3" "$work/check" || fail "not three hosts of one build: $(cat "$work/check")"
 grep -qF "3 of 3 sound" "$work/check" || fail "not all voters are sound: $(cat "$work/check")"
 [ "$(operator 2 hosts list | grep -cF " $name")" = 3 ] || fail "hosts list lacks builds: $(operator 2 hosts list)"
-operator 3 status | grep -qF "build       $name, level" || fail "status lacks the build"
-curl -s "$(host_url 1)/metrics" | grep -qF "chicorytack_build_info{build=\"$name\"" || fail "metrics lack the build"
-grep -F '"event":1001' "$work/host-1.log" | grep -qF "build $name" || fail "the start event lacks the build"
+operator 3 status | grep -F "build       $name, level" >/dev/null || fail "status lacks the build"
+curl -s "$(host_url 1)/metrics" | grep -F "chicorytack_build_info{build=\"$name\"" >/dev/null || fail "metrics lack the build"
+grep -F '"event":1001' "$work/host-1.log" | grep -F "build $name" >/dev/null || fail "the start event lacks the build"
 # The level in force is that of the build, once all hosts have stated theirs.
 level=$(sed -n 's/.*, level \([0-9]*\): 3 hosts.*/\1/p' "$work/check")
 has_level() { check 2 && grep -qF "in force: $level; with all hosts as $name it stays" "$work/check"; }
 wait_until 30 has_level || fail "level $level is not in force: $(cat "$work/check")"
 grep -qF "open now, open once all hosts are upgraded" "$work/check" || fail "no way back: $(cat "$work/check")"
-operator 1 upgrade check --json | grep -qF '"result":"none"' || fail "JSON: $(operator 1 upgrade check --json)"
+operator 1 upgrade check --json | grep -F '"result":"none"' >/dev/null || fail "JSON: $(operator 1 upgrade check --json)"
 
 # The view needs an operator's token, and an unknown host is a typed error.
 [ "$(status_of "$build/chicorytack" upgrade check --host "$(host_url 1)" --token wrong 2>"$work/check")" = 6 ] || fail "wrong token: $(cat "$work/check")"
