--- a/tests/real_keyed_refusals.sh
+++ b/tests/real_keyed_refusals.sh
@@ -6,7 +6,7 @@
 cd "$CHICORY_SOURCE_DIR"
 build=$1
 work=$(mktemp -d)
-base_port=28000
+base_port=28400
 . tools/cluster.sh
 trap stop_all EXIT
 fail() { echo "FAILED: $*"; tail -n 8 "$work"/host-*.log; exit 1; }
