--- a/src/coordination/relay_rules.c
+++ b/src/coordination/relay_rules.c
@@ -20,7 +20,7 @@
 #define REMAINING_MIN_MS     20 /* With less time an attempt is pointless. */
 
 bool
-status_promises_not_run(uint32_t status)
+status_means_not_run(uint32_t status)
 {
 	return status == STATUS_LATE || status == STATUS_MISDIRECTED ||
 	       status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
@@ -41,8 +41,8 @@
 		return is_success ? ANSWER_MISMATCHED : ANSWER_NOT_RUN;
 	if (facts->is_encoded || (is_success && !facts->has_receipt))
 		return ANSWER_MISMATCHED;
-	if (status_promises_not_run(facts->status))
-		return ANSWER_UNFOUNDED;
+	if (status_means_not_run(facts->status))
+		return ANSWER_UNCONFIRMED;
 	if (is_success && facts->is_event_stream)
 		return ANSWER_EVENTS;
 	return ANSWER_WHOLE;
--- a/src/coordination/relay_rules.h
+++ b/src/coordination/relay_rules.h
@@ -43,12 +43,12 @@
 	/** A failure whose status means to callers that the request did not run,
 	 * which the upstream's other header fields do not confirm. It is not
 	 * forwarded. */
-	ANSWER_UNFOUNDED = 6,
+	ANSWER_UNCONFIRMED = 6,
 };
 
 /** True for a status that the relay sends to callers only if the request did not
  * run and never will. */
-bool status_promises_not_run(uint32_t status);
+bool status_means_not_run(uint32_t status);
 /** Classifies an answer by its status line and headers. */
 enum answer_class classify_answer(const struct answer_facts *facts);
 /** True if a complete answer with this status reports a failure that another
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -276,7 +276,7 @@
 		exchange->attempt->on_refusal(exchange);
 		return;
 	}
-	if (exchange->answer_class == ANSWER_UNFOUNDED) {
+	if (exchange->answer_class == ANSWER_UNCONFIRMED) {
 		relay_attempt_failed(exchange, ERROR_UPSTREAM_FAILED,
 		    answer_is_failure(exchange->facts.status));
 		return;
--- a/src/relay/relay_trace.c
+++ b/src/relay/relay_trace.c
@@ -118,7 +118,7 @@
 	if (exchange->answer_class == ANSWER_MISMATCHED ||
 	    exchange->answer_class == ANSWER_REPEATED)
 		log_answer(EVENT_ANSWER_REJECTED, exchange, head);
-	else if (exchange->answer_class == ANSWER_UNFOUNDED)
+	else if (exchange->answer_class == ANSWER_UNCONFIRMED)
 		log_answer(EVENT_STATUS_UNCONFIRMED, exchange, head);
 }
 
--- a/tests/soak/mutants.sh
+++ b/tests/soak/mutants.sh
@@ -15,7 +15,7 @@
 # disables the mechanism in the file.
 mechanisms=(
 	'answer_attribution|src/relay/relay_head.c|s/facts->owner = pool_call_attribute\(.*?\);/facts->owner = ANSWER_OF_REQUEST;/s'
-	'unfounded_promises|src/coordination/relay_rules.c|s/if \(status_promises_not_run\(facts->status\)\)\s*return ANSWER_UNFOUNDED;//'
+	'unfounded_promises|src/coordination/relay_rules.c|s/if \(status_means_not_run\(facts->status\)\)\s*return ANSWER_UNCONFIRMED;//'
 	'resumed_by_other_type|src/relay/relay_attempt.c|s/if \(exchange->is_answering\) \{\s*\/\* The caller has/if (false) { \/* The caller has/'
 	'at_most_once|src/coordination/relay_rules.c|s/!state->may_have_run \|\|/true ||/'
 	'order_of_events|src/relay/relay_events.c|s/number <= events->last_number/false/'
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -668,7 +668,7 @@
 		add_finding(findings, "no answer", answer->head->str);
 	if (c->expected == IS_NOT_CHANGED && answer->status != 304)
 		add_finding(findings, "another status", answer->head->str);
-	if (runs > 0 && status_promises_not_run(answer->status))
+	if (runs > 0 && status_means_not_run(answer->status))
 		add_finding(findings, "it ran", answer->head->str);
 	if (answer->status != 500 && strstr(answer->body->str, "oops!") != NULL)
 		add_finding(
--- a/tests/test_refused.c
+++ b/tests/test_refused.c
@@ -168,7 +168,7 @@
 	if (runs > 1 && strcmp(path, "/once/") == 0)
 		fail_msg(
 		    "%s: %s ran %u times, then\n%s", name, id, runs, answer);
-	if (runs > 0 && status_promises_not_run(status))
+	if (runs > 0 && status_means_not_run(status))
 		fail_msg("%s: %s ran, its caller got\n%s", name, id, answer);
 	if (strstr(answer, "busy!") != NULL && status == 502)
 		fail_msg("%s: body of another status\n%s", name, answer);
@@ -385,7 +385,7 @@
 	/* What the upstream ran shows by its answer to the second one. */
 	relay_fixture_add_answer(&hosts->serving, OK_ANSWER);
 	j = send_and_check(hosts, "/once/", unfounded[i].name);
-	if (status_promises_not_run(j) || j == 200)
+	if (status_means_not_run(j) || j == 200)
 		fail_msg("%s: status %u", unfounded[i].name, j);
 	stop_hosts(hosts);
 }
@@ -530,8 +530,8 @@
 	relay_fixture_replace_answers(&hosts->serving, attempts[i].first);
 	relay_fixture_add_answer(&hosts->serving, attempts[i].second);
 	status = send_and_check(hosts, attempts[i].path, attempts[i].first);
-	if (status_promises_not_run(status) !=
-	    status_promises_not_run(attempts[i].status))
+	if (status_means_not_run(status) !=
+	    status_means_not_run(attempts[i].status))
 		fail_msg("%s, %s, then %s: status %u", attempts[i].path,
 		    attempts[i].first, attempts[i].second, status);
 	if (!is_forwarded)
--- a/tests/test_relay_rules.c
+++ b/tests/test_relay_rules.c
@@ -32,13 +32,16 @@
     {{503, ANSWER_OF_FOREIGN, false, false, true, false, 0}, ANSWER_MISMATCHED},
     {{503, ANSWER_OF_UNKNOWN, false, false, true, false, 1}, ANSWER_MISMATCHED},
     {{503, ANSWER_OF_EARLIER, false, false, true, false, 1}, ANSWER_REPEATED},
-    {{503, ANSWER_OF_REQUEST, true, false, false, false, 0}, ANSWER_UNFOUNDED},
-    {{408, ANSWER_OF_REQUEST, true, false, false, false, 0}, ANSWER_UNFOUNDED},
+    {{503, ANSWER_OF_REQUEST, true, false, false, false, 0},
+	ANSWER_UNCONFIRMED},
+    {{408, ANSWER_OF_REQUEST, true, false, false, false, 0},
+	ANSWER_UNCONFIRMED},
     {{421, ANSWER_OF_REQUEST, false, false, false, false, 0}, ANSWER_NOT_RUN},
     {{421, ANSWER_OF_FOREIGN, false, false, false, false, 0},
 	ANSWER_MISMATCHED},
     {{421, ANSWER_OF_EARLIER, false, false, false, false, 1}, ANSWER_REPEATED},
-    {{429, ANSWER_OF_REQUEST, true, false, false, false, 0}, ANSWER_UNFOUNDED},
+    {{429, ANSWER_OF_REQUEST, true, false, false, false, 0},
+	ANSWER_UNCONFIRMED},
 };
 
 /* State of a request after a failed attempt, and the expected next step. */
