--- a/src/cli/upgrade_report.c
+++ b/src/cli/upgrade_report.c
@@ -25,6 +25,7 @@
 	STATE_LEVEL_PARTS, false, DIRECT_REPORT_HOSTS_MAX + 1},
     {"Two links dialled at once, and builds before 8a9d5f1", STATE_LEVEL_PARTS,
 	false, 0},
+    {"Digests before and since 23aba6a", STATE_LEVEL_PARTS, false, 0},
     {NULL, 0, false, 0},
 };
 
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -311,6 +311,7 @@
  * relay_attempt_failed() does. */
 void relay_attempt_abort(
     struct relay_exchange *exchange, enum error_code error, bool is_fault);
+
 /* relay_upstream.c */
 
 /** Starts an attempt at the upstream that placement chose. Reserves memory at
