--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -64,6 +64,13 @@
     {EVENT_VOTER_CHANGED, EVENT_LEVEL_INFO, "voter change"},
     {EVENT_KIND_UNKNOWN, EVENT_LEVEL_ERROR,
 	"state of a newer build: this host does not know all of it"},
+    {EVENT_LEVEL_UNKNOWN, EVENT_LEVEL_ERROR,
+	"this build does not know the level of the replicated state"},
+    {EVENT_LEVEL_RISEN, EVENT_LEVEL_INFO,
+	"level of the replicated state has risen"},
+    {EVENT_LEVEL_HOLDS_BACK, EVENT_LEVEL_WARNING,
+	"what was found out is kept on this host, since another host's build "
+	"does not know the command"},
 
     {EVENT_HOST_JOINED, EVENT_LEVEL_INFO, "host joined"},
     {EVENT_HOST_SUSPECTED, EVENT_LEVEL_WARNING, "host suspected"},
@@ -117,7 +124,7 @@
 	"forwarded request refused by the other host"},
     {EVENT_ANSWER_REJECTED, EVENT_LEVEL_WARNING,
 	"answer of an upstream not accepted"},
-    {EVENT_PROMISE_UNFOUNDED, EVENT_LEVEL_WARNING,
+    {EVENT_STATUS_UNCONFIRMED, EVENT_LEVEL_WARNING,
 	"status says not run, the answer does not"},
 
     {EVENT_STANDIN_STARTED, EVENT_LEVEL_INFO, "stand-in started"},
--- a/src/coordination/placement_report.c
+++ b/src/coordination/placement_report.c
@@ -96,7 +96,7 @@
 	}
 	placement_notices_receive(placement, &report, sent_ms, now_ms);
 	if (report.forwarding.address != 0)
-		forward_peers_hear(&placement->forward_peers, host_id,
+		forward_peers_record(&placement->forward_peers, host_id,
 		    &report.forwarding, sent_ms);
 	peer = g_new0(struct peer_work, 1);
 	peer->report = report;
@@ -211,7 +211,7 @@
 }
 
 /* Adds how this host takes forwarded requests. That seldom changes, so most
- * reports do without it; the others keep what they heard for much longer. */
+ * reports leave it out; the others keep the last one for much longer. */
 static void
 tell_forwarding(
     struct placement *placement, struct work_report *report, int64_t now_ms)
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -8,11 +8,13 @@
 #include <sodium.h>
 #include <xxhash.h>
 
+#include "base/build_name.h"
 #include "base/event_log.h"
 #include "base/monotonic_clock.h"
 #include "host/host_reports.h"
 #include "host/host_seeds.h"
 #include "host/host_voters.h"
+#include "state/state_level.h"
 
 /* Largest number of timers on the coordination thread. */
 #define TIMERS_MAX 65536
@@ -213,6 +215,7 @@
 	if (error == ERROR_NONE)
 		host_reports_init(host);
 	host_voters_init(host);
+	host_level_init(host);
 	return error;
 }
 
@@ -270,6 +273,8 @@
 	self->incarnation = host->incarnation;
 	self->port = (uint16_t)settings->peer_port;
 	self->flags = settings->is_entry ? HOST_FLAG_ENTRY : 0;
+	self->level = STATE_LEVEL_LATEST;
+	snprintf(self->build, sizeof(self->build), "%s", build_name());
 	self->http_port = (uint16_t)settings->http_port;
 	snprintf(self->ip, sizeof(self->ip), "%s", settings->peer_address);
 	snprintf(
@@ -417,8 +422,9 @@
 {
 	struct host *host = context;
 
-	event_log_write(EVENT_HOST_JOINED, "host %u in %s", record->id,
-	    record->data_centre);
+	event_log_write(EVENT_HOST_JOINED, "host %u in %s, build %s",
+	    record->id, record->data_centre,
+	    record->build[0] == '\0' ? "unknown" : record->build);
 	upstream_directory_sync_with(&host->directory, record->id);
 }
 
--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -4,9 +4,9 @@
 #include "protocol/prompt_parts.h"
 #include "relay/relay_parts.h"
 
-#define STATUS_UNAUTHORIZED 401
-#define STATUS_NOT_FOUND    404
-#define STATUS_LATE	    504
+#define STATUS_UNAUTHORIZED    401
+#define STATUS_NOT_FOUND       404
+#define STATUS_GATEWAY_TIMEOUT 504
 /* Interval between tries to place a request. */
 #define RETRY_PLACE_MS 15
 /* A request waits for a free upstream for at most its route's target time
@@ -112,7 +112,8 @@
 		route_table_unref(exchange->table);
 		exchange->table = route_table_ref(relay->table);
 	}
-	/* The other host has judged the request by a newer table. */
+	/* The host that forwarded the request knows a newer configuration, in
+	 * which this route may be changed or gone. */
 	if (exchange->forward.is_received &&
 	    exchange->table->version <
 		exchange->forward.received.routes_version) {
@@ -414,8 +415,8 @@
 	relay_exchange_finish(exchange, END_DENIED, error);
 }
 
-/* Refuses a request that this host can't judge, because it has no configuration
- * or doesn't know whether its own is the newest. */
+/* Refuses a request because this host has no configuration, or doesn't know
+ * whether its configuration is the newest. */
 static void
 refuse_unconfirmed(struct relay_exchange *exchange, const char *reason)
 {
@@ -550,7 +551,7 @@
 static void
 on_deadline_timeout(void *context)
 {
-	static const struct late_end end = {STATUS_LATE,
+	static const struct late_end end = {STATUS_GATEWAY_TIMEOUT,
 	    "the time limit has passed", "no upstream could be reached in time",
 	    RETRY_AFTER_DEFAULT_MS};
 	struct relay_exchange *exchange = context;
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -24,6 +24,7 @@
 #ifndef PEER_LINK_H
 #define PEER_LINK_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -160,6 +161,18 @@
 enum error_code peer_links_dial_seed(
     struct peer_links *links, const char *ip, uint16_t port);
 
+/** True if a host with this incarnation was linked to this host and numbers
+ * its links. Builds that state no level in membership differ by this. */
+bool peer_links_is_numbering(
+    const struct peer_links *links, uint32_t host_id, uint64_t incarnation);
+
+/** True if a host with this incarnation was linked to this host. */
+bool peer_links_was_linked(
+    const struct peer_links *links, uint32_t host_id, uint64_t incarnation);
+/** Dials a host that has no link, as a message to it would. Returns whether it
+ * did: the address must be known, and no backoff may run. */
+bool peer_links_meet(struct peer_links *links, uint32_t host_id);
+
 /* Sending */
 
 /** Queues a message for a host and dials the host if there is no link. The
--- a/tests/test_mixed_voters.c
+++ b/tests/test_mixed_voters.c
@@ -273,6 +273,32 @@
 	voter_group_finish(&group);
 }
 
+/* A leader proposes no command that its owner does not allow, whichever host
+ * sent it; other commands go on. */
+static void
+test_leader_refuses_what_its_owner_does_not_allow(void **state)
+{
+	struct command command = {.type = COMMAND_PARTS_CLEARED};
+	struct group_host *leader;
+	struct voter_group group;
+	uint64_t last;
+
+	(void)state;
+	group_init_with_leader(&group, 20);
+	group_put_many(&group, "a", 1);
+	leader = voter_group_leader(&group);
+	leader->refused_kind = COMMAND_PARTS_CLEARED;
+	last = journal_last_index(&leader->consensus.journal);
+	command.body.parts.count = 1;
+	command.body.parts.evidence[0].part = 7;
+	assert_int_equal(
+	    group_submit(&group, GROUP_LEARNER, &command, ANSWER_MS).error,
+	    ERROR_NOT_SUPPORTED);
+	assert_int_equal(journal_last_index(&leader->consensus.journal), last);
+	group_put_many(&group, "b", 1);
+	voter_group_finish(&group);
+}
+
 int
 main(void)
 {
@@ -283,6 +309,7 @@
 	    cmocka_unit_test(test_voter_stops_at_unknown_record),
 	    cmocka_unit_test(test_old_host_does_not_join_newer_voters),
 	    cmocka_unit_test(test_leader_refuses_unknown_command),
+	    cmocka_unit_test(test_leader_refuses_what_its_owner_does_not_allow),
 	};
 
 	voter_group_discard_logs();
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -15,6 +15,7 @@
 #include <sodium.h>
 
 #include "peer_node.h"
+#include "transport/peer_link_parts.h"
 #include "transport/peer_queue.h"
 
 #define PORT_FIRST 21100
@@ -23,10 +24,18 @@
 static void
 add_peer(struct peer_node *node, const struct peer_node *other)
 {
-	assert_int_equal(
-	    peer_links_add_host(&node->links, other->id, "127.0.0.1",
-		peer_links_listen_port(&other->links)),
-	    ERROR_NONE);
+	peer_node_add_peer(
+	    node, other->id, peer_links_listen_port(&other->links));
+}
+
+/* Starts two hosts that dial each other. */
+static void
+start_pair(struct peer_node *left, struct peer_node *right)
+{
+	peer_node_start_id(left, 1, PORT_FIRST);
+	peer_node_start_id(right, 2, PORT_FIRST);
+	add_peer(left, right);
+	add_peer(right, left);
 }
 
 static void
@@ -45,10 +54,8 @@
 	int pass;
 
 	for (pass = 0; pass < PASSES_MAX && *counter < wanted; pass++) {
-		timer_advance(&left->timers, timer_now(&left->timers) + 1);
-		timer_advance(&right->timers, timer_now(&right->timers) + 1);
-		peer_links_handle(&left->links);
-		peer_links_handle(&right->links);
+		peer_node_step(left);
+		peer_node_step(right);
 		if (pass % 16 == 15)
 			usleep(1000);
 	}
@@ -58,17 +65,11 @@
 static void
 test_messages_arrive_in_order_when_both_dial(void **state)
 {
-	struct peer_link_settings settings;
 	struct peer_node left, right;
 	uint32_t number;
 
 	(void)state;
-	peer_node_fill_settings(&settings, 1);
-	peer_node_start(&left, &settings, PORT_FIRST);
-	peer_node_fill_settings(&settings, 2);
-	peer_node_start(&right, &settings, PORT_FIRST);
-	add_peer(&left, &right);
-	add_peer(&right, &left);
+	start_pair(&left, &right);
 	send_number(&left, 2, 1);
 	send_number(&right, 1, 1);
 	assert_true(run_until(&left, &right, &left.connects, 1));
@@ -81,6 +82,13 @@
 	}
 	assert_true(run_until(&left, &right, &right.received, 400));
 	assert_int_equal(left.out_of_order + right.out_of_order, 0);
+	assert_true(peer_links_is_numbering(
+	    &left.links, 2, right.links.settings.incarnation));
+	assert_true(peer_links_is_numbering(
+	    &right.links, 1, left.links.settings.incarnation));
+	assert_false(peer_links_is_numbering(
+	    &left.links, 2, right.links.settings.incarnation + 1));
+	assert_false(peer_links_is_numbering(&left.links, 3, 1));
 	/* Both hosts dialled; one link remains, without any disconnect. */
 	assert_int_equal(left.disconnects + right.disconnects, 0);
 	assert_int_equal(left.links.links.item_count, 1);
@@ -89,12 +97,40 @@
 	peer_node_stop(&right);
 }
 
+/* A host finds out what another one's handshake has without sending it anything
+ * else. */
+static void
+test_a_link_is_made_without_a_message(void **state)
+{
+	struct peer_link_settings settings;
+	struct peer_node left, right;
+	uint64_t incarnation;
+
+	(void)state;
+	peer_node_fill_settings(&settings, 1);
+	peer_node_start(&left, &settings, PORT_FIRST);
+	peer_node_fill_settings(&settings, 2);
+	peer_node_start(&right, &settings, PORT_FIRST);
+	incarnation = right.links.settings.incarnation;
+	assert_false(peer_links_meet(&left.links, 2));
+	add_peer(&left, &right);
+	assert_false(peer_links_was_linked(&left.links, 2, incarnation));
+	assert_true(peer_links_meet(&left.links, 2));
+	assert_false(peer_links_meet(&left.links, 2));
+	assert_true(run_until(&left, &right, &left.connects, 1));
+	assert_true(peer_links_was_linked(&left.links, 2, incarnation));
+	assert_false(peer_links_was_linked(&left.links, 2, incarnation + 1));
+	assert_false(peer_links_meet(&left.links, 2));
+	assert_int_equal(left.received + right.received, 0);
+	peer_node_stop(&left);
+	peer_node_stop(&right);
+}
+
 /* When both hosts dial each other at once, they must agree which link stays,
  * whatever the order in which each side handles the two connections. */
 static void
 test_simultaneous_dials_settle_on_one_link(void **state)
 {
-	struct peer_link_settings settings;
 	struct peer_node left, right;
 	struct random_source random;
 	int round, pass;
@@ -102,12 +138,7 @@
 	(void)state;
 	random_init(&random, 11);
 	for (round = 0; round < 60; round++) {
-		peer_node_fill_settings(&settings, 1);
-		peer_node_start(&left, &settings, PORT_FIRST);
-		peer_node_fill_settings(&settings, 2);
-		peer_node_start(&right, &settings, PORT_FIRST);
-		add_peer(&left, &right);
-		add_peer(&right, &left);
+		start_pair(&left, &right);
 		send_number(&left, 2, 1);
 		send_number(&right, 1, 1);
 		for (pass = 0; pass < 60; pass++)
@@ -132,12 +163,11 @@
 static void
 test_a_restarted_host_is_dialled_again(void **state)
 {
-	struct peer_link_settings settings, right_settings;
+	struct peer_link_settings right_settings;
 	struct peer_node left, right;
 
 	(void)state;
-	peer_node_fill_settings(&settings, 1);
-	peer_node_start(&left, &settings, PORT_FIRST);
+	peer_node_start_id(&left, 1, PORT_FIRST);
 	peer_node_fill_settings(&right_settings, 2);
 	peer_node_start(&right, &right_settings, PORT_FIRST);
 	add_peer(&left, &right);
@@ -240,17 +270,14 @@
 	    {{0}, 3, ERROR_TIMEOUT},
 	};
 	struct sockaddr_in address = {.sin_family = AF_INET};
-	struct peer_link_settings settings;
 	struct peer_node node, other;
 	size_t i;
 	int fd;
 
 	(void)state;
-	peer_node_fill_settings(&settings, 2);
-	peer_node_start(&other, &settings, PORT_FIRST);
+	peer_node_start_id(&other, 2, PORT_FIRST);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		peer_node_fill_settings(&settings, 1);
-		peer_node_start(&node, &settings, PORT_FIRST);
+		peer_node_start_id(&node, 1, PORT_FIRST);
 		address.sin_port = htons(peer_links_listen_port(&node.links));
 		inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
 		fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -283,8 +310,7 @@
 	peer_node_fill_settings(&settings, 1);
 	settings.hosts_max = 3;
 	peer_node_start(&left, &settings, PORT_FIRST);
-	peer_node_fill_settings(&settings, 2);
-	peer_node_start(&right, &settings, PORT_FIRST);
+	peer_node_start_id(&right, 2, PORT_FIRST);
 	add_peer(&left, &right);
 	send_number(&left, 2, 1);
 	assert_true(run_until(&left, &right, &right.received, 1));
@@ -347,17 +373,80 @@
 	assert_int_equal(queue.bytes, 0);
 }
 
+/* Returns whether a host keeps the link that it dialled, of two that both hosts
+ * dialled at once. @p is_own_second tells which of them is complete first. */
+static bool
+keeps_own_link(
+    uint32_t own_id, uint32_t other_id, bool is_numbered, bool is_own_second)
+{
+	struct peer_links links = {.settings = {.host_id = own_id}};
+	struct link own = {.links = &links,
+	    .peer_id = other_id,
+	    .is_dialled = true,
+	    .is_numbered = is_numbered,
+	    .generation = 1};
+	struct link accepted = {
+	    .links = &links, .peer_id = other_id, .is_numbered = is_numbered};
+
+	/* Only a host that numbers its links gives one to that it dials. */
+	accepted.generation = is_numbered ? 1 : 0;
+	if (is_own_second)
+		return peer_link_is_preferred(&own, &accepted);
+	return !peer_link_is_preferred(&accepted, &own);
+}
+
+/* A host that does not number its links keeps the one that the lower id has
+ * dialled. The other must do so as well, or both would be closed. */
+static void
+test_links_to_a_host_without_numbers_settle_on_the_same_one(void **state)
+{
+	bool is_numbered, is_own_second;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 4; i++) {
+		is_numbered = i % 2 == 1;
+		is_own_second = i / 2 == 1;
+		assert_true(keeps_own_link(1, 2, is_numbered, is_own_second));
+		assert_false(keeps_own_link(2, 1, is_numbered, is_own_second));
+	}
+}
+
+/* Such a host dials again if it has lost its link, perhaps while this one still
+ * waits for an answer on it. */
+static void
+test_a_silent_link_gives_way_to_one_without_a_number(void **state)
+{
+	struct peer_links links = {.settings = {.host_id = 1}};
+	struct link silent = {.links = &links,
+	    .peer_id = 2,
+	    .is_dialled = true,
+	    .generation = 3,
+	    .is_suspected = true};
+	struct link accepted = {.links = &links, .peer_id = 2};
+
+	(void)state;
+	assert_true(peer_link_is_preferred(&accepted, &silent));
+	silent.is_suspected = false;
+	assert_false(peer_link_is_preferred(&accepted, &silent));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_messages_arrive_in_order_when_both_dial),
+	    cmocka_unit_test(test_a_link_is_made_without_a_message),
 	    cmocka_unit_test(test_simultaneous_dials_settle_on_one_link),
 	    cmocka_unit_test(test_a_restarted_host_is_dialled_again),
 	    cmocka_unit_test(test_keys_and_cluster_are_checked),
 	    cmocka_unit_test(test_unauthenticated_connections_are_refused),
 	    cmocka_unit_test(test_unlinked_hosts_are_evicted_for_new_ones),
 	    cmocka_unit_test(test_a_full_queue_drops_by_class),
+	    cmocka_unit_test(
+		test_links_to_a_host_without_numbers_settle_on_the_same_one),
+	    cmocka_unit_test(
+		test_a_silent_link_gives_way_to_one_without_a_number),
 	};
 
 	if (sodium_init() < 0)
--- a/tests/voter_commands.c
+++ b/tests/voter_commands.c
@@ -16,7 +16,6 @@
 {
 	struct config_change change = {.value = "1"};
 	struct command command = {.type = COMMAND_CONFIG};
-	struct group_answer answer = {0};
 
 	snprintf(change.key, sizeof(change.key), "setting/%s", operation_id);
 	snprintf(command.operation_id, sizeof(command.operation_id), "%s",
@@ -24,8 +23,17 @@
 	command.body.config.expected_revision = expected;
 	command.body.config.change_count = 1;
 	command.body.config.changes = &change;
+	return group_submit(group, id, &command, timeout_ms);
+}
+
+struct command_result
+group_submit(struct voter_group *group, uint32_t id,
+    const struct command *command, int64_t timeout_ms)
+{
+	struct group_answer answer = {0};
+
 	assert_int_equal(
-	    command_client_submit(&group->hosts[id - 1].client, &command,
+	    command_client_submit(&group->hosts[id - 1].client, command,
 		timeout_ms,
 		(struct command_callback){on_command_result, &answer}),
 	    ERROR_NONE);
--- a/tests/voter_commands.h
+++ b/tests/voter_commands.h
@@ -21,6 +21,9 @@
 /** Sets a configuration key through a host and waits for the answer. */
 struct command_result group_put(struct voter_group *group, uint32_t id,
     const char *operation_id, uint64_t expected, int64_t timeout_ms);
+/** Sends a command through a host and waits for the answer. */
+struct command_result group_submit(struct voter_group *group, uint32_t id,
+    const struct command *command, int64_t timeout_ms);
 /** Sets @p count keys through the learner; each must be accepted. */
 void group_put_many(
     struct voter_group *group, const char *prefix, unsigned int count);
