A hand-over that never ends is freed with its host

A host that is the only voter stays leader, so its hand-over does not end; what it had allocated was only freed at the hand-over's end. Older than the test, the first one that stops a single voter.

Change: the hand-over lives in the body of the call that waits for it, which the host releases after its thread has ended.

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -128,11 +128,12 @@
 
 	while (atomic_load(&host->group_threads) > 0)
 		g_usleep(GROUP_CHECK_US);
-	call = mailbox_call_new(&hand_over_ops, 0);
+	call = mailbox_call_new(&hand_over_ops, sizeof(struct hand_over));
 	mailbox_await(&host->mailbox, call, HAND_OVER_TIMEOUT_MS * 2);
-	mailbox_call_unref(call);
 	atomic_store(&host->is_stopping, true);
 	pthread_join(host->thread, NULL);
+	/* A hand-over that did not end in time uses the call until then. */
+	mailbox_call_unref(call);
 	control_worker_finish(&host->control);
 	mailbox_close(&host->mailbox);
 	upstream_http_finish(&host->upstreams_http);
@@ -479,16 +480,15 @@
 static void
 run_hand_over(void *coordinator, struct mailbox_call *call)
 {
+	struct hand_over *hand_over = mailbox_call_body(call);
 	struct host *host = coordinator;
-	struct hand_over *hand_over;
 
 	grant_owner_stop_granting(&host->capacity.owner);
 	if (host->has_disk && consensus_is_leader(&host->consensus))
 		consensus_transfer(&host->consensus);
 	membership_leave(&host->membership);
-	hand_over = g_new0(struct hand_over, 1);
 	hand_over->host = host;
-	hand_over->call = mailbox_call_ref(call);
+	hand_over->call = call;
 	timer_subscribe_every(&host->timers, HAND_OVER_CHECK_MS,
 	    (struct timer_callback){check_hand_over, hand_over},
 	    &hand_over->timer);
@@ -505,8 +505,6 @@
 		return;
 	timer_cancel(&host->timers, &hand_over->timer);
 	mailbox_complete(&host->mailbox, hand_over->call, ERROR_NONE);
-	mailbox_call_unref(hand_over->call);
-	g_free(hand_over);
 }
 
 /* Returns true when this host no longer leads and all its grants have
