A joining voter that is lost no longer blocks changes of the voters

Cause: the leader waited up to 60 s (CATCH_UP_TIMEOUT_MS) for a host that had lost its disk while it caught up. Every other change of the voters got ERROR_CHANGE_PENDING meanwhile, so neither this host's next incarnation nor any other lost voter got its vote back, and two more lost disks ended the quorum.

Ruled out: a lost quorum during the pending change, and a vote of the empty disk under its old identity.

Change: the voter plan (pure) gives up a joining host that is not alive with the data folder under which it was to vote; the leader gives up one that has not replied for three election timeouts, which membership may not show; suspected hosts are not added, and the one that failed last comes last. The log names the end of each change.

test_silent_joining_host_blocks_no_other_change and test_join_is_cancelled_for_a_new_incarnation were red before (without the change in consensus_leader.c).

--- a/src/coordination/consensus.h
+++ b/src/coordination/consensus.h
@@ -268,9 +268,16 @@
 /** Adds a voter once it has caught up. A new incarnation of a host replaces its
  * old one. Errors: ERROR_NOT_LEADER, ERROR_CHANGE_PENDING, ERROR_TABLE_FULL,
  * ERROR_ALREADY_EXISTS, ERROR_INVALID_ARGUMENT. The callback gets ERROR_TIMEOUT
- * if the voter does not catch up in time. */
+ * if the voter falls silent or does not catch up in time, and ERROR_CANCELLED
+ * after consensus_cancel_join(). */
 enum error_code consensus_add_voter(struct consensus *consensus,
     struct voter voter, struct consensus_callback callback);
+/** Returns the host that is catching up to become a voter; its host id is 0 if
+ * there is none. */
+struct voter consensus_joining_voter(const struct consensus *consensus);
+/** Gives up the host that is catching up, so that another voter change can
+ * start. Does nothing if no host is catching up. */
+void consensus_cancel_join(struct consensus *consensus);
 /** Removes a voter. Errors: ERROR_NOT_LEADER, ERROR_CHANGE_PENDING,
  * ERROR_NOT_FOUND, ERROR_INVALID_ARGUMENT for the last voter. */
 enum error_code consensus_remove_voter(struct consensus *consensus,
--- a/src/coordination/consensus_leader.c
+++ b/src/coordination/consensus_leader.c
@@ -9,6 +9,9 @@
 #define SNAPSHOT_PIECE_SIZE ((size_t)64 * 1024)
 /* A new voter that has not caught up by then is not added. */
 #define CATCH_UP_TIMEOUT_MS 60000
+/* A new voter that does not reply for this many times the shortest election
+ * timeout is not added. */
+#define CATCH_UP_SILENCE_TIMEOUTS 3
 /* Heartbeat intervals after which entries without a reply are sent again. */
 #define RESEND_HEARTBEATS 2
 
@@ -59,6 +62,21 @@
 	    consensus, CONSENSUS_CHANGE_CATCH_UP, voter, callback);
 }
 
+struct voter
+consensus_joining_voter(const struct consensus *consensus)
+{
+	if (consensus->change.phase != CONSENSUS_CHANGE_CATCH_UP)
+		return (struct voter){0};
+	return consensus->change.voter;
+}
+
+void
+consensus_cancel_join(struct consensus *consensus)
+{
+	if (consensus->change.phase == CONSENSUS_CHANGE_CATCH_UP)
+		consensus_end_change(consensus, ERROR_CANCELLED);
+}
+
 enum error_code
 consensus_remove_voter(struct consensus *consensus, uint32_t host_id,
     struct consensus_callback callback)
@@ -458,17 +476,22 @@
 	struct consensus_change *change = &consensus->change;
 	const struct consensus_peer *peer;
 	enum consensus_change_phase next;
+	int64_t silence_ms;
 
 	if (change->phase != CONSENSUS_CHANGE_CATCH_UP)
 		return;
-	if (consensus_now(consensus) >= change->deadline_ms) {
+	peer = find_peer(consensus, change->voter);
+	if (peer == NULL)
+		return;
+	silence_ms = consensus_now(consensus) - peer->last_reply_ms;
+	if (consensus_now(consensus) >= change->deadline_ms ||
+	    silence_ms >= CATCH_UP_SILENCE_TIMEOUTS *
+			      consensus->settings.election_min_ms) {
 		consensus_end_change(consensus, ERROR_TIMEOUT);
 		return;
 	}
-	peer = find_peer(consensus, change->voter);
-	if (peer == NULL || peer->match_index < consensus->commit_index ||
-	    consensus_now(consensus) - peer->last_reply_ms >=
-		consensus->settings.election_min_ms)
+	if (peer->match_index < consensus->commit_index ||
+	    silence_ms >= consensus->settings.election_min_ms)
 		return;
 	next = CONSENSUS_CHANGE_ADD;
 	if (voter_set_find(&consensus->voters, change->voter.host_id) != NULL)
--- a/src/coordination/voter_plan.h
+++ b/src/coordination/voter_plan.h
@@ -9,6 +9,9 @@
  * is removed as soon as another host can replace it, so replacing a machine for
  * good needs no operator. Without a replacement the dead voter stays, since a
  * smaller voter set tolerates fewer failures.
+ *
+ * A host that fails while it is being added is given up, because no other
+ * voter can be added or removed until that change has ended.
  */
 #ifndef VOTER_PLAN_H
 #define VOTER_PLAN_H
@@ -22,34 +25,46 @@
 struct voter_candidate {
 	uint32_t host_id;	    /**< Id of the host. */
 	uint64_t voter_incarnation; /**< Incarnation of its data folder. */
-	bool is_live;		    /**< Membership considers it alive. */
-	bool has_left;		    /**< The host announced a planned stop. */
+	bool is_live;		    /**< Alive or suspected. */
+	bool may_join;		    /**< Alive, and nobody suspects it. */
 };
 
-/** A member of the current voter set. */
+/** A member of the current voter set, or a host that is joining it. */
 struct current_voter {
 	uint32_t host_id;	    /**< Id of the host. */
 	uint64_t voter_incarnation; /**< Incarnation that may vote. */
 };
 
+/** What the decision depends on. */
+struct voter_plan {
+	const struct current_voter *voters; /**< The current voter set. */
+	uint32_t voter_count;		    /**< Number of voters. */
+	/** Hosts with a disk; of several that could be added, the first is. */
+	const struct voter_candidate *candidates;
+	uint32_t candidate_count; /**< Number of candidates. */
+	uint32_t wanted;	  /**< Number of voters to reach. */
+	/** Host that is catching up to be added; host id 0 for none. */
+	struct current_voter joining;
+};
+
 /** Kind of the next change to the voter set. */
 enum voter_step_kind {
 	VOTER_STEP_NONE = 0,   /**< No change is needed or possible. */
 	VOTER_STEP_ADD = 1,    /**< Add a host or its new incarnation. */
 	VOTER_STEP_REMOVE = 2, /**< Remove a dead voter. */
+	VOTER_STEP_CANCEL = 3, /**< Give up the host that is joining. */
 };
 
 /** The next change to the voter set. */
 struct voter_step {
 	enum voter_step_kind kind;  /**< Kind of change. */
-	uint32_t host_id;	    /**< Host to add or remove. */
+	uint32_t host_id;	    /**< Host to add, remove or give up. */
 	uint64_t voter_incarnation; /**< Incarnation to add. */
 };
 
-/** Returns the next change to the voter set, so that it approaches @p wanted
- * live voters. The kind is VOTER_STEP_NONE if there is nothing to do. */
-struct voter_step voter_plan_next(const struct current_voter *voters,
-    uint32_t voter_count, const struct voter_candidate *candidates,
-    uint32_t candidate_count, uint32_t wanted);
+/** Returns the next change to the voter set, so that it approaches the wanted
+ * number of live voters. The kind is VOTER_STEP_NONE if there is nothing to
+ * do, or if the change in progress must end first. */
+struct voter_step voter_plan_next(const struct voter_plan *plan);
 
 #endif
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -42,6 +42,7 @@
 #include "coordination/retry.h"
 #include "coordination/router.h"
 #include "coordination/upstream_directory.h"
+#include "coordination/voter_plan.h"
 #include "host/control_worker.h"
 #include "host/host_groups.h"
 #include "host/host_orders.h"
@@ -166,12 +167,15 @@
 	/** When requests without a whole answer end because the host stops, on
 	 * the monotonic clock; 0 while it does not. */
 	_Atomic int64_t requests_end_ms;
-	_Atomic bool is_draining;    /**< New requests are not accepted. */
-	bool has_disk;		     /**< A data folder is configured. */
-	bool is_agreement_ready;     /**< The feed may be called. */
-	bool is_plan_pending;	     /**< A plan waits for its commit. */
-	uint32_t dead_voter_id;	     /**< Voter to remove, or 0. */
-	int64_t dead_voter_since_ms; /**< Time it was first seen dead. */
+	_Atomic bool is_draining;     /**< New requests are not accepted. */
+	bool has_disk;		      /**< A data folder is configured. */
+	bool is_agreement_ready;      /**< The feed may be called. */
+	bool is_plan_pending;	      /**< A plan waits for its commit. */
+	uint32_t dead_voter_id;	      /**< Voter to remove, or 0. */
+	int64_t dead_voter_since_ms;  /**< Time it was first seen dead. */
+	struct voter_step voter_step; /**< Voter change started last. */
+	/** Host that could not be added as a voter last, or 0. */
+	uint32_t failed_joiner_id;
 };
 
 /* Start and stop (host.c) */
--- a/src/host/host_voters.c
+++ b/src/host/host_voters.c
@@ -27,11 +27,14 @@
 };
 
 static void check_voters(void *context);
+static struct voter_step plan_next_step(struct host *host);
+static void move_to_end(struct candidate_list *list, uint32_t host_id);
 static void count_entry_host(void *visitor, const struct host_record *record);
 static void add_candidate(void *visitor, const struct host_record *record);
 static bool is_current_voter(
     struct host *host, const struct host_record *record);
 static void start_change(struct host *host, const struct voter_step *step);
+static const char *step_name(const struct voter_step *step);
 static void on_change_done(void *context, enum error_code error, uint64_t index,
     const void *result, size_t result_size);
 
@@ -47,13 +50,9 @@
 static void
 check_voters(void *context)
 {
-	struct candidate_list list = {.host = context};
-	struct current_voter current[VOTERS_MAX];
 	struct host *host = context;
-	const struct voter_set *voters;
 	struct voter_step step;
 	struct entry_hosts entries = {.own_id = host->settings.host_id};
-	uint32_t i;
 
 	membership_for_each(&host->membership, count_entry_host, &entries);
 	atomic_store(&host->entry_host_count, entries.count);
@@ -65,14 +64,7 @@
 	if (host->settings.voters_target == 0 ||
 	    !consensus_is_leader(&host->consensus))
 		return;
-	voters = consensus_voters(&host->consensus);
-	for (i = 0; i < voters->count; i++) {
-		current[i].host_id = voters->voters[i].host_id;
-		current[i].voter_incarnation = voters->voters[i].incarnation;
-	}
-	membership_for_each(&host->membership, add_candidate, &list);
-	step = voter_plan_next(current, voters->count, list.items, list.count,
-	    host->settings.voters_target);
+	step = plan_next_step(host);
 	if (step.kind == VOTER_STEP_REMOVE) {
 		if (host->dead_voter_id != step.host_id) {
 			host->dead_voter_id = step.host_id;
@@ -84,10 +76,56 @@
 	} else {
 		host->dead_voter_id = 0;
 	}
-	if (step.kind != VOTER_STEP_NONE)
+	if (step.kind == VOTER_STEP_CANCEL)
+		consensus_cancel_join(&host->consensus);
+	else if (step.kind != VOTER_STEP_NONE)
 		start_change(host, &step);
 }
 
+/* Plans the next step from the voter set and the hosts that membership knows. */
+static struct voter_step
+plan_next_step(struct host *host)
+{
+	struct candidate_list list = {.host = host};
+	struct current_voter current[VOTERS_MAX];
+	struct voter_plan plan = {.voters = current, .candidates = list.items};
+	const struct voter_set *voters;
+	struct voter joining;
+	uint32_t i;
+
+	voters = consensus_voters(&host->consensus);
+	for (i = 0; i < voters->count; i++) {
+		current[i].host_id = voters->voters[i].host_id;
+		current[i].voter_incarnation = voters->voters[i].incarnation;
+	}
+	membership_for_each(&host->membership, add_candidate, &list);
+	move_to_end(&list, host->failed_joiner_id);
+	joining = consensus_joining_voter(&host->consensus);
+	plan.voter_count = voters->count;
+	plan.candidate_count = list.count;
+	plan.wanted = host->settings.voters_target;
+	plan.joining.host_id = joining.host_id;
+	plan.joining.voter_incarnation = joining.incarnation;
+	return voter_plan_next(&plan);
+}
+
+/* Moves a host to the end of the list, so that others are added before it. */
+static void
+move_to_end(struct candidate_list *list, uint32_t host_id)
+{
+	struct voter_candidate moved;
+	uint32_t i;
+
+	for (i = 0; i < list->count; i++) {
+		if (list->items[i].host_id == host_id) {
+			moved = list->items[i];
+			list->items[i] = list->items[list->count - 1];
+			list->items[list->count - 1] = moved;
+			return;
+		}
+	}
+}
+
 static void
 count_entry_host(void *visitor, const struct host_record *record)
 {
@@ -117,9 +155,8 @@
 	candidate = &list->items[list->count++];
 	candidate->host_id = record->id;
 	candidate->voter_incarnation = record->voter_incarnation;
-	candidate->is_live = record->state == HOST_STATE_ALIVE ||
-			     record->state == HOST_STATE_SUSPECTED;
-	candidate->has_left = record->state == HOST_STATE_LEFT;
+	candidate->is_live = host_state_is_live(record->state);
+	candidate->may_join = record->state == HOST_STATE_ALIVE;
 }
 
 static bool
@@ -149,22 +186,33 @@
 	else
 		error = consensus_remove_voter(
 		    &host->consensus, step->host_id, callback);
-	if (error == ERROR_NONE)
-		event_log_write(EVENT_VOTER_CHANGED, "%s host %u: started",
-		    step->kind == VOTER_STEP_ADD ? "add" : "remove",
-		    step->host_id);
+	if (error != ERROR_NONE)
+		return;
+	host->voter_step = *step;
+	event_log_write(EVENT_VOTER_CHANGED, "%s host %u: started",
+	    step_name(step), step->host_id);
+}
+
+static const char *
+step_name(const struct voter_step *step)
+{
+	return step->kind == VOTER_STEP_ADD ? "add" : "remove";
 }
 
 static void
 on_change_done(void *context, enum error_code error, uint64_t index,
     const void *result, size_t result_size)
 {
-	(void)context;
+	struct host *host = context;
+	const struct voter_step *step = &host->voter_step;
+
 	(void)index;
 	(void)result;
 	(void)result_size;
 	/* No retry here: the next check decides by the state it finds. */
-	if (error != ERROR_NONE)
-		event_log_write(EVENT_VOTER_CHANGED, "change failed: %s",
-		    error_name(error));
+	event_log_write(EVENT_VOTER_CHANGED, "%s host %u: %s", step_name(step),
+	    step->host_id, error == ERROR_NONE ? "done" : error_name(error));
+	if (step->kind == VOTER_STEP_ADD)
+		host->failed_joiner_id =
+		    error == ERROR_NONE ? 0 : step->host_id;
 }
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -292,6 +292,79 @@
 	voter_group_finish(&group);
 }
 
+/* Guards against a joining host that falls silent and keeps all other changes of
+ * the voters waiting. */
+static void
+test_silent_joining_host_blocks_no_other_change(void **state)
+{
+	struct group_answer joined = {0}, removed = {0};
+	struct voter_group group;
+	struct group_host *leader;
+	struct voter spare;
+	uint32_t other;
+
+	(void)state;
+	group_init_with_leader(&group, 16);
+	leader = voter_group_leader(&group);
+	other = leader->id % GROUP_VOTERS + 1;
+	spare = voter_group_identity(&group, GROUP_VOTERS + 1);
+	voter_group_stop(&group, spare.host_id);
+	assert_int_equal(
+	    consensus_add_voter(&leader->consensus, spare,
+		(struct consensus_callback){group_on_change_result, &joined}),
+	    ERROR_NONE);
+	fake_net_run(&group.net, 4000);
+	assert_int_equal(joined.count, 1);
+	assert_int_equal(joined.error, ERROR_TIMEOUT);
+	assert_int_equal(
+	    consensus_remove_voter(&leader->consensus, other,
+		(struct consensus_callback){group_on_change_result, &removed}),
+	    ERROR_NONE);
+	fake_net_run(&group.net, 1000);
+	assert_int_equal(removed.count, 1);
+	assert_int_equal(removed.error, ERROR_NONE);
+	voter_group_finish(&group);
+}
+
+/* A host that is catching up can be given up at once, and then joins under a new
+ * incarnation. */
+static void
+test_join_is_cancelled_for_a_new_incarnation(void **state)
+{
+	struct group_answer first = {0}, second = {0};
+	struct voter_group group;
+	struct group_host *leader;
+	uint32_t lost;
+
+	(void)state;
+	group_init_with_leader(&group, 17);
+	leader = voter_group_leader(&group);
+	lost = leader->id % GROUP_VOTERS + 1;
+	voter_group_stop(&group, lost);
+	assert_int_equal(
+	    consensus_add_voter(&leader->consensus, (struct voter){lost, 4711},
+		(struct consensus_callback){group_on_change_result, &first}),
+	    ERROR_NONE);
+	assert_int_equal(
+	    consensus_joining_voter(&leader->consensus).host_id, lost);
+	consensus_cancel_join(&leader->consensus);
+	assert_int_equal(first.count, 1);
+	assert_int_equal(first.error, ERROR_CANCELLED);
+	assert_int_equal(
+	    consensus_joining_voter(&leader->consensus).host_id, 0);
+	fake_disk_erase(&group.hosts[lost - 1].disk);
+	voter_group_start(&group, lost);
+	assert_int_equal(
+	    consensus_add_voter(&leader->consensus,
+		voter_group_identity(&group, lost),
+		(struct consensus_callback){group_on_change_result, &second}),
+	    ERROR_NONE);
+	fake_net_run(&group.net, 2000);
+	assert_int_equal(second.count, 1);
+	assert_int_equal(second.error, ERROR_NONE);
+	voter_group_finish(&group);
+}
+
 static void
 test_host_with_damaged_journal_does_not_vote(void **state)
 {
@@ -475,6 +548,8 @@
 	    cmocka_unit_test(
 		test_restart_after_many_changes_and_catch_up_by_snapshot),
 	    cmocka_unit_test(test_lost_disk_is_replaced_before_second_loss),
+	    cmocka_unit_test(test_silent_joining_host_blocks_no_other_change),
+	    cmocka_unit_test(test_join_is_cancelled_for_a_new_incarnation),
 	    cmocka_unit_test(test_host_with_damaged_journal_does_not_vote),
 	    cmocka_unit_test(test_transfer_needs_no_election_timeout),
 	    cmocka_unit_test(test_voter_recovers_from_full_disk),
