A stopping entry host accepts nothing more once it has found itself idle

Cause: the relay's thread set is_idle when it found no caller left, and never cleared it; the main thread polls the flag and then resets all callers. The listening sockets stayed open in between, so a request could come in and be passed on.

Ruled out: the end of the grace time (6.7 s), a kill (E1003 comes in order).

Change: the relay closes its listening sockets in the same step in which it finds itself idle, and at the end of the time for running requests. Related paths: the ports for forwarded requests and for the load balancer; the product's own interface refuses new requests from the start of a stop on.

Why it works: without a listening socket and without a caller no caller can appear, so the flag stays true whenever the main thread reads it. A later caller is refused by the kernel, nothing of its request has been read.

test_idle_host_at_stop_accepts_nothing_more was red before (a connection was accepted after relay_is_idle()).

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -55,6 +55,7 @@
 static void on_prepare(uv_prepare_t *prepare);
 static void on_tick(uv_timer_t *tick);
 static void close_idle_callers(void *context);
+static void stop_accepting(struct relay *relay);
 static void end_unanswered(void *context);
 static void for_each_caller(
     struct relay *relay, void (*visit)(struct relay_caller *caller));
@@ -405,8 +406,9 @@
 }
 
 /* Closes idle connections of callers, and repeats periodically. Once no request
- * and no connection is left, the relay counts as idle and the process may
- * end. */
+ * and no connection is left, the relay counts as idle and the process may end.
+ * Nothing is accepted from then on: another thread ends the process some time
+ * later, and would cut off a request that has come in meanwhile. */
 static void
 close_idle_callers(void *context)
 {
@@ -414,16 +416,31 @@
 
 	for_each_caller(relay, relay_caller_close_idle);
 	if (relay->running_requests == 0 &&
-	    g_hash_table_size(relay->callers) == 0)
+	    g_hash_table_size(relay->callers) == 0) {
+		stop_accepting(relay);
 		atomic_store(&relay->is_idle, true);
+		return;
+	}
 	(void)timer_subscribe_once(&relay->timers, IDLE_CHECK_PERIOD_MS,
 	    (struct timer_callback){close_idle_callers, relay}, NULL);
 }
 
+/* Closes the listening sockets, so that a new caller sees at once that it has to
+ * go to another host. */
+static void
+stop_accepting(struct relay *relay)
+{
+	close_handle((uv_handle_t *)&relay->entry_listener, NULL);
+	close_handle((uv_handle_t *)&relay->ready_listener, NULL);
+	if (relay->settings.forwarded.port != 0)
+		close_handle((uv_handle_t *)&relay->forwarded_listener, NULL);
+}
+
 /* Answers the requests that a planned stop leaves no more time for. */
 static void
 end_unanswered(void *context)
 {
+	stop_accepting(context);
 	for_each_caller(context, relay_caller_end_unanswered);
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -181,8 +181,8 @@
 						       yet; or NULL. */
 	_Atomic bool is_draining; /**< True once a planned stop has begun. */
 	_Atomic bool is_stopping; /**< True once all connections must close. */
-	_Atomic bool is_idle;	  /**< True if draining and no connection of a
-				    caller is left. */
+	_Atomic bool is_idle;	  /**< True if draining, no connection of a
+				    caller is left and none is accepted. */
 	_Atomic bool is_ready;	  /**< Readiness shown to the load balancer. */
 	int64_t drain_started_ms; /**< Start of the planned stop, or 0. */
 	bool has_closed; /**< True once the connections of all callers were
@@ -202,8 +202,8 @@
 /** Begins a planned stop: the host reports that it is not ready, and each
  * connection is closed after its current answer. */
 void relay_drain(struct relay *relay);
-/** Returns true once no request or connection is left after
- * relay_drain(). */
+/** Returns true once no request or connection is left after relay_drain(), and
+ * none is accepted any more. */
 bool relay_is_idle(const struct relay *relay);
 /** Closes all connections and ends the loop's thread. The host may still pass
  * tables and reports to the relay until relay_finish(). */
--- a/tests/test_unanswered_at_stop.c
+++ b/tests/test_unanswered_at_stop.c
@@ -9,6 +9,9 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -21,6 +24,7 @@
 #define STOP_FINISH_MS 300
 #define TRIES	       200
 #define TRY_US	       10000
+#define IDLE_TRIES     1000
 #define ANSWER_S       2
 #define SILENT_US      600000
 #define ANSWER_SIZE    4096
@@ -166,10 +170,51 @@
 	g_free(fixture);
 }
 
+/* Returns true if a port of the fixture accepts a connection. */
+static bool
+accepts_connection(uint16_t port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	bool is_accepted;
+	int fd;
+
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_true(fd >= 0);
+	is_accepted =
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+	close(fd);
+	return is_accepted;
+}
+
+/* Guards against a request that a stopping host accepts after it has found
+ * itself idle, and that the end of the process then cuts off. */
+static void
+test_idle_host_at_stop_accepts_nothing_more(void **state)
+{
+	struct relay_fixture *fixture = begin();
+	uint32_t i;
+
+	(void)state;
+	relay_drain(&fixture->relay);
+	assert_true(accepts_connection(fixture->port));
+	for (i = 0; i < IDLE_TRIES && !relay_is_idle(&fixture->relay); i++)
+		usleep(TRY_US);
+	assert_true(relay_is_idle(&fixture->relay));
+	assert_false(accepts_connection(fixture->port));
+	assert_false(accepts_connection(fixture->ready_port));
+	assert_false(
+	    accepts_connection(fixture->relay.settings.forwarded.port));
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_idle_host_at_stop_accepts_nothing_more),
 	    cmocka_unit_test(test_request_that_waits_at_stop_is_refused),
 	    cmocka_unit_test(test_request_without_answer_at_stop_fails),
 	    cmocka_unit_test(test_begun_answer_at_stop_is_left_alone),
