A voter is replaced while it can still vote, not when it counts as dead

Cause: the voter plan added no host while there were as many voters as wanted and removed one only when membership had declared it dead, and 2 s later; a voter that stopped told nobody that its vote was free. For 8 s after the stop the set was four hosts and a gone one.

Ruled out: catching up, a slow election, a lost entry (it was on four disks).

Change: a voter that is suspected, dead, stopping or no longer known is replaced as soon as a sound host without a vote is there; the successor is added first. A voter that stops as planned stays until it knows that it has been removed, for 3 s at most and only if a successor is there.

Why it works: the set changes from five sound voters to six to five; each of these tolerates two lost disks. In the unplanned case it is done about 2.5 s after the loss, within the time after which the successor counts (4 s).

Related path: a voter that was gone for longer than membership remembers hosts was never replaced.

--- a/src/coordination/consensus.c
+++ b/src/coordination/consensus.c
@@ -225,6 +225,12 @@
 	return voter_set_contains(&consensus->voters, consensus->identity.self);
 }
 
+bool
+consensus_is_voter_set_committed(const struct consensus *consensus)
+{
+	return consensus->voters_index <= consensus->commit_index;
+}
+
 const struct voter_set *
 consensus_voters(const struct consensus *consensus)
 {
--- a/src/coordination/consensus.h
+++ b/src/coordination/consensus.h
@@ -39,7 +39,8 @@
 #include "state/voter_file.h"
 #include "transport/timer.h"
 
-/** Peers of a leader: all voters, and one host that is joining. */
+/** Peers of a leader: all voters, and one host that is joining or that is being
+ * removed. */
 #define CONSENSUS_PEERS_MAX (VOTERS_MAX + 1)
 /** Proposals that may wait for their commit at a time. */
 #define CONSENSUS_PROPOSALS_MAX 8192u
@@ -278,8 +279,9 @@
 /** Gives up the host that is catching up, so that another voter change can
  * start. Does nothing if no host is catching up. */
 void consensus_cancel_join(struct consensus *consensus);
-/** Removes a voter. Errors: ERROR_NOT_LEADER, ERROR_CHANGE_PENDING,
- * ERROR_NOT_FOUND, ERROR_INVALID_ARGUMENT for the last voter. */
+/** Removes a voter, and tells it so if it can be reached. Errors:
+ * ERROR_NOT_LEADER, ERROR_CHANGE_PENDING, ERROR_NOT_FOUND,
+ * ERROR_INVALID_ARGUMENT for the last voter. */
 enum error_code consensus_remove_voter(struct consensus *consensus,
     uint32_t host_id, struct consensus_callback callback);
 /** Transfers leadership to the most up-to-date voter before a planned stop.
@@ -297,6 +299,9 @@
 uint32_t consensus_leader(const struct consensus *consensus);
 /** Returns true if this host's current incarnation is a voter. */
 bool consensus_is_voter(const struct consensus *consensus);
+/** Returns true if the latest voter set in this host's log is known to be
+ * committed. */
+bool consensus_is_voter_set_committed(const struct consensus *consensus);
 /** Returns the latest voter set in this host's log. */
 const struct voter_set *consensus_voters(const struct consensus *consensus);
 /** Returns the cluster's time in milliseconds since epoch, as far as this host
--- a/src/coordination/consensus_leader.c
+++ b/src/coordination/consensus_leader.c
@@ -15,6 +15,8 @@
 /* Heartbeat intervals after which entries without a reply are sent again. */
 #define RESEND_HEARTBEATS 2
 
+static bool is_peer_of_change(const struct consensus_change *change);
+static void tell_removed_voter(struct consensus *consensus);
 static void init_peer(struct consensus *consensus, struct consensus_peer *peer,
     struct voter voter);
 static struct consensus_peer *find_peer(
@@ -215,8 +217,7 @@
 	for (i = 0; i <= consensus->voters.count; i++) {
 		if (i < consensus->voters.count)
 			wanted = consensus->voters.voters[i];
-		else if (consensus->change.phase == CONSENSUS_CHANGE_CATCH_UP ||
-			 consensus->change.phase == CONSENSUS_CHANGE_REMOVE_OLD)
+		else if (is_peer_of_change(&consensus->change))
 			wanted = consensus->change.voter;
 		else
 			break;
@@ -252,6 +253,8 @@
 	    consensus->applied_index < change->index)
 		return;
 	if (change->phase != CONSENSUS_CHANGE_REMOVE_OLD) {
+		if (change->phase == CONSENSUS_CHANGE_REMOVE)
+			tell_removed_voter(consensus);
 		consensus_end_change(consensus, ERROR_NONE);
 		return;
 	}
@@ -301,6 +304,28 @@
 		consensus_replicate(consensus);
 }
 
+/* Returns true if the host of the change gets the log although it is not in the
+ * voter set: it is about to join, or learns that it is being removed. */
+static bool
+is_peer_of_change(const struct consensus_change *change)
+{
+	return change->phase == CONSENSUS_CHANGE_CATCH_UP ||
+	       change->phase == CONSENSUS_CHANGE_REMOVE_OLD ||
+	       change->phase == CONSENSUS_CHANGE_REMOVE;
+}
+
+/* Sends a removed voter the entry that removes it once more, as committed: a host
+ * that is stopping ends when it knows this. */
+static void
+tell_removed_voter(struct consensus *consensus)
+{
+	struct consensus_peer *peer;
+
+	peer = find_peer(consensus, consensus->change.voter);
+	if (peer != NULL)
+		send_append(consensus, peer, true);
+}
+
 static void
 init_peer(struct consensus *consensus, struct consensus_peer *peer,
     struct voter voter)
--- a/src/coordination/voter_plan.c
+++ b/src/coordination/voter_plan.c
@@ -9,16 +9,17 @@
 static const struct voter_candidate *find_new_incarnation(
     const struct voter_plan *plan);
 static const struct voter_candidate *find_spare(const struct voter_plan *plan);
-static const struct current_voter *find_dead_voter(
+static const struct current_voter *find_outgoing_voter(
     const struct voter_plan *plan);
 static bool has_join_failed(const struct voter_plan *plan);
 static struct voter_step make_add_step(const struct voter_candidate *candidate);
+static struct voter_step make_remove_step(const struct current_voter *voter);
 
 struct voter_step
 voter_plan_next(const struct voter_plan *plan)
 {
 	const struct voter_candidate *candidate;
-	const struct current_voter *dead;
+	const struct current_voter *outgoing;
 	struct voter_step none = {0};
 
 	if (plan->joining.host_id != 0) {
@@ -30,15 +31,27 @@
 	candidate = find_new_incarnation(plan);
 	if (candidate != NULL)
 		return make_add_step(candidate);
+	outgoing = find_outgoing_voter(plan);
+	if (outgoing != NULL && plan->voter_count > plan->wanted)
+		return make_remove_step(outgoing);
 	candidate = find_spare(plan);
 	if (candidate == NULL)
 		return none;
 	if (plan->voter_count < plan->wanted)
 		return make_add_step(candidate);
-	dead = find_dead_voter(plan);
-	if (dead == NULL)
+	if (outgoing == NULL)
 		return none;
-	return (struct voter_step){VOTER_STEP_REMOVE, dead->host_id, 0};
+	/* Without room for one more voter, the successor is added after the
+	 * other has been removed. */
+	if (plan->voter_count == VOTERS_MAX)
+		return make_remove_step(outgoing);
+	return make_add_step(candidate);
+}
+
+bool
+voter_plan_has_successor(const struct voter_plan *plan)
+{
+	return plan->voter_count > plan->wanted || find_spare(plan) != NULL;
 }
 
 /* Returns the candidate with this host id, or NULL if there is none. */
@@ -79,7 +92,7 @@
 	for (i = 0; i < plan->candidate_count; i++) {
 		candidate = &plan->candidates[i];
 		voter = find_voter(plan, candidate->host_id);
-		if (voter != NULL && candidate->may_join &&
+		if (voter != NULL && candidate->is_sound &&
 		    candidate->voter_incarnation != 0 &&
 		    candidate->voter_incarnation != voter->voter_incarnation)
 			return candidate;
@@ -96,23 +109,25 @@
 
 	for (i = 0; i < plan->candidate_count; i++) {
 		candidate = &plan->candidates[i];
-		if (candidate->may_join && candidate->voter_incarnation != 0 &&
+		if (candidate->is_sound && candidate->voter_incarnation != 0 &&
 		    find_voter(plan, candidate->host_id) == NULL)
 			return candidate;
 	}
 	return NULL;
 }
 
-/* Returns a voter whose host is dead, or NULL if there is none. */
+/* Returns a voter that should be replaced, because its host is suspected, dead,
+ * stopping or forgotten; NULL if there is none. */
 static const struct current_voter *
-find_dead_voter(const struct voter_plan *plan)
+find_outgoing_voter(const struct voter_plan *plan)
 {
 	const struct voter_candidate *candidate;
 	uint32_t i;
 
 	for (i = 0; i < plan->voter_count; i++) {
 		candidate = find_candidate(plan, plan->voters[i].host_id);
-		if (candidate != NULL && !candidate->is_live)
+		if (candidate == NULL ? plan->knows_all_hosts
+				      : !candidate->is_sound)
 			return &plan->voters[i];
 	}
 	return NULL;
@@ -126,7 +141,7 @@
 	const struct voter_candidate *candidate;
 
 	candidate = find_candidate(plan, plan->joining.host_id);
-	return candidate == NULL || !candidate->may_join ||
+	return candidate == NULL || !candidate->is_sound ||
 	       candidate->voter_incarnation != plan->joining.voter_incarnation;
 }
 
@@ -136,3 +151,9 @@
 	return (struct voter_step){
 	    VOTER_STEP_ADD, candidate->host_id, candidate->voter_incarnation};
 }
+
+static struct voter_step
+make_remove_step(const struct current_voter *voter)
+{
+	return (struct voter_step){VOTER_STEP_REMOVE, voter->host_id, 0};
+}
--- a/src/coordination/voter_plan.h
+++ b/src/coordination/voter_plan.h
@@ -4,11 +4,14 @@
  * number of voters.
  *
  * The decision depends only on the arguments, which come from membership. A
- * live host with a disk is added while there are too few voters. A voter that
- * lost its data folder is added again under its new incarnation. A dead voter
- * is removed as soon as another host can replace it, so replacing a machine for
- * good needs no operator. Without a replacement the dead voter stays, since a
- * smaller voter set tolerates fewer failures.
+ * sound host with a disk is added while there are too few voters. A voter that
+ * lost its data folder is added again under its new incarnation.
+ *
+ * A voter that is suspected, dead or stopping is replaced as soon as a sound
+ * host without a vote is there, so replacing a machine for good needs no
+ * operator. The successor is added before the other is removed: meanwhile the
+ * voter set tolerates as many lost disks as before. Without a successor the
+ * voter stays, since a smaller voter set tolerates fewer failures.
  *
  * A host that fails while it is being added is given up, because no other
  * voter can be added or removed until that change has ended.
@@ -25,8 +28,7 @@
 struct voter_candidate {
 	uint32_t host_id;	    /**< Id of the host. */
 	uint64_t voter_incarnation; /**< Incarnation of its data folder. */
-	bool is_live;		    /**< Alive or suspected. */
-	bool may_join;		    /**< Alive, and nobody suspects it. */
+	bool is_sound; /**< Alive, not suspected and not stopping. */
 };
 
 /** A member of the current voter set, or a host that is joining it. */
@@ -45,13 +47,16 @@
 	uint32_t wanted;	  /**< Number of voters to reach. */
 	/** Host that is catching up to be added; host id 0 for none. */
 	struct current_voter joining;
+	/** Every live host has had time to become known, so that a voter which
+	 * is not among the candidates is gone. */
+	bool knows_all_hosts;
 };
 
 /** Kind of the next change to the voter set. */
 enum voter_step_kind {
 	VOTER_STEP_NONE = 0,   /**< No change is needed or possible. */
 	VOTER_STEP_ADD = 1,    /**< Add a host or its new incarnation. */
-	VOTER_STEP_REMOVE = 2, /**< Remove a dead voter. */
+	VOTER_STEP_REMOVE = 2, /**< Remove a voter that is not sound. */
 	VOTER_STEP_CANCEL = 3, /**< Give up the host that is joining. */
 };
 
@@ -66,5 +71,8 @@
  * number of live voters. The kind is VOTER_STEP_NONE if there is nothing to
  * do, or if the change in progress must end first. */
 struct voter_step voter_plan_next(const struct voter_plan *plan);
+/** Returns true if a voter that stops should wait until it has been removed from
+ * the voters, because a successor is there or has been added already. */
+bool voter_plan_has_successor(const struct voter_plan *plan);
 
 #endif
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -30,8 +30,11 @@
 #define SPANS_PENDING_MAX 8192
 /* A request id has the host id above this bit and a counter below it. */
 #define REQUEST_ID_HOST_SHIFT 48
-/* Longest wait for the drain; a hand-over may take twice as long. */
+/* Longest wait for the drain; a hand-over may take twice as long, after that of
+ * the vote. */
 #define HAND_OVER_TIMEOUT_MS INT64_C(1500)
+/* Longest wait until another host has taken this host's vote. */
+#define VOTE_TIMEOUT_MS INT64_C(3000)
 /* Interval at which the progress of a hand-over is checked. */
 #define HAND_OVER_CHECK_MS 20
 /* Threads for calls to upstreams, which block until the answer arrives. */
@@ -74,6 +77,8 @@
 	struct host *host;
 	struct mailbox_call *call;
 	struct handle timer;
+	int64_t vote_until_ms; /* When to leave although still a voter. */
+	bool has_left;	       /* Membership has been told. */
 };
 
 enum error_code
@@ -129,7 +134,8 @@
 	while (atomic_load(&host->group_threads) > 0)
 		g_usleep(GROUP_CHECK_US);
 	call = mailbox_call_new(&hand_over_ops, sizeof(struct hand_over));
-	mailbox_await(&host->mailbox, call, HAND_OVER_TIMEOUT_MS * 2);
+	mailbox_await(
+	    &host->mailbox, call, VOTE_TIMEOUT_MS + HAND_OVER_TIMEOUT_MS * 2);
 	atomic_store(&host->is_stopping, true);
 	pthread_join(host->thread, NULL);
 	/* A hand-over that did not end in time uses the call until then. */
@@ -474,9 +480,10 @@
 	mailbox_complete(&host->mailbox, call, ERROR_NONE);
 }
 
-/* Starts to hand over grants and leadership. Leadership is transferred before
- * membership announces that this host leaves, so that one of the remaining
- * hosts makes all decisions about its departure. */
+/* Starts to hand over grants, leadership and, if another host can take it, the
+ * vote. Leadership is transferred before membership announces that this host
+ * leaves, so that one of the remaining hosts makes all decisions about its
+ * departure. */
 static void
 run_hand_over(void *coordinator, struct mailbox_call *call)
 {
@@ -486,9 +493,9 @@
 	grant_owner_stop_granting(&host->capacity.owner);
 	if (host->has_disk && consensus_is_leader(&host->consensus))
 		consensus_transfer(&host->consensus);
-	membership_leave(&host->membership);
 	hand_over->host = host;
 	hand_over->call = call;
+	hand_over->vote_until_ms = host_now_ms() + VOTE_TIMEOUT_MS;
 	timer_subscribe_every(&host->timers, HAND_OVER_CHECK_MS,
 	    (struct timer_callback){check_hand_over, hand_over},
 	    &hand_over->timer);
@@ -501,6 +508,13 @@
 	struct hand_over *hand_over = context;
 	struct host *host = hand_over->host;
 
+	if (!hand_over->has_left) {
+		if (host_voters_keeps_vote(host) &&
+		    host_now_ms() < hand_over->vote_until_ms)
+			return;
+		hand_over->has_left = true;
+		membership_leave(&host->membership);
+	}
 	if (!is_handed_over(host))
 		return;
 	timer_cancel(&host->timers, &hand_over->timer);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -167,12 +167,11 @@
 	/** When requests without a whole answer end because the host stops, on
 	 * the monotonic clock; 0 while it does not. */
 	_Atomic int64_t requests_end_ms;
-	_Atomic bool is_draining;     /**< New requests are not accepted. */
-	bool has_disk;		      /**< A data folder is configured. */
-	bool is_agreement_ready;      /**< The feed may be called. */
-	bool is_plan_pending;	      /**< A plan waits for its commit. */
-	uint32_t dead_voter_id;	      /**< Voter to remove, or 0. */
-	int64_t dead_voter_since_ms;  /**< Time it was first seen dead. */
+	_Atomic bool is_draining; /**< New requests are not accepted. */
+	bool has_disk;		  /**< A data folder is configured. */
+	bool is_agreement_ready;  /**< The feed may be called. */
+	bool is_plan_pending;	  /**< A plan waits for its commit. */
+	uint32_t led_checks; /**< Checks of the voters in a row as leader. */
 	struct voter_step voter_step; /**< Voter change started last. */
 	/** Host that could not be added as a voter last, or 0. */
 	uint32_t failed_joiner_id;
--- a/src/host/host_voters.c
+++ b/src/host/host_voters.c
@@ -9,8 +9,9 @@
 #define CHECK_PERIOD_MS 300
 /* Largest number of hosts with a disk that are considered as voters. */
 #define CANDIDATES_MAX 64u
-/* A dead voter is removed only after this time, since it may return. */
-#define DEAD_VOTER_WAIT_MS 2000
+/* Checks that a host leads before a voter that membership does not know counts
+ * as gone: by then every live host has become known. */
+#define LED_CHECKS_MIN 34u
 
 /* Count of the live entry hosts. */
 struct entry_hosts {
@@ -26,8 +27,16 @@
 	struct voter_candidate items[CANDIDATES_MAX];
 };
 
+/* A plan and what it refers to. */
+struct voter_inputs {
+	struct voter_plan plan;
+	struct current_voter voters[VOTERS_MAX];
+	struct candidate_list candidates;
+};
+
 static void check_voters(void *context);
-static struct voter_step plan_next_step(struct host *host);
+static void change_voters(void *context);
+static void collect_inputs(struct host *host, struct voter_inputs *inputs);
 static void move_to_end(struct candidate_list *list, uint32_t host_id);
 static void count_entry_host(void *visitor, const struct host_record *record);
 static void add_candidate(void *visitor, const struct host_record *record);
@@ -45,13 +54,25 @@
 	    (struct timer_callback){check_voters, host}, NULL);
 }
 
-/* Counts the live entry hosts and, on the leader, makes the next change to the
- * voter set if one is needed. */
+bool
+host_voters_keeps_vote(struct host *host)
+{
+	struct voter_inputs inputs;
+
+	if (!host->has_disk || host->settings.voters_target == 0)
+		return false;
+	if (!consensus_is_voter(&host->consensus))
+		return !consensus_is_voter_set_committed(&host->consensus);
+	collect_inputs(host, &inputs);
+	return voter_plan_has_successor(&inputs.plan);
+}
+
+/* Counts the live entry hosts and, on a host with a disk, looks after the voter
+ * set. */
 static void
 check_voters(void *context)
 {
 	struct host *host = context;
-	struct voter_step step;
 	struct entry_hosts entries = {.own_id = host->settings.host_id};
 
 	membership_for_each(&host->membership, count_entry_host, &entries);
@@ -61,52 +82,60 @@
 		return;
 	membership_set_voter_incarnation(
 	    &host->membership, consensus_self(&host->consensus).incarnation);
+	change_voters(host);
+}
+
+/* Makes the next change to the voter set if this host leads and one is needed. */
+static void
+change_voters(void *context)
+{
+	struct host *host = context;
+	struct voter_inputs inputs;
+	struct voter_step step;
+
 	if (host->settings.voters_target == 0 ||
-	    !consensus_is_leader(&host->consensus))
+	    !consensus_is_leader(&host->consensus)) {
+		host->led_checks = 0;
 		return;
-	step = plan_next_step(host);
-	if (step.kind == VOTER_STEP_REMOVE) {
-		if (host->dead_voter_id != step.host_id) {
-			host->dead_voter_id = step.host_id;
-			host->dead_voter_since_ms = host_now_ms();
-		}
-		if (host_now_ms() - host->dead_voter_since_ms <
-		    DEAD_VOTER_WAIT_MS)
-			return;
-	} else {
-		host->dead_voter_id = 0;
 	}
+	host->led_checks++;
+	collect_inputs(host, &inputs);
+	step = voter_plan_next(&inputs.plan);
 	if (step.kind == VOTER_STEP_CANCEL)
 		consensus_cancel_join(&host->consensus);
 	else if (step.kind != VOTER_STEP_NONE)
 		start_change(host, &step);
 }
 
-/* Plans the next step from the voter set and the hosts that membership knows. */
-static struct voter_step
-plan_next_step(struct host *host)
+/* Collects the voter set and the hosts that membership knows. */
+static void
+collect_inputs(struct host *host, struct voter_inputs *inputs)
 {
-	struct candidate_list list = {.host = host};
-	struct current_voter current[VOTERS_MAX];
-	struct voter_plan plan = {.voters = current, .candidates = list.items};
 	const struct voter_set *voters;
 	struct voter joining;
 	uint32_t i;
 
+	memset(inputs, 0, sizeof(*inputs));
+	inputs->candidates.host = host;
 	voters = consensus_voters(&host->consensus);
 	for (i = 0; i < voters->count; i++) {
-		current[i].host_id = voters->voters[i].host_id;
-		current[i].voter_incarnation = voters->voters[i].incarnation;
+		inputs->voters[i].host_id = voters->voters[i].host_id;
+		inputs->voters[i].voter_incarnation =
+		    voters->voters[i].incarnation;
 	}
-	membership_for_each(&host->membership, add_candidate, &list);
-	move_to_end(&list, host->failed_joiner_id);
+	membership_for_each(
+	    &host->membership, add_candidate, &inputs->candidates);
+	move_to_end(&inputs->candidates, host->failed_joiner_id);
 	joining = consensus_joining_voter(&host->consensus);
-	plan.voter_count = voters->count;
-	plan.candidate_count = list.count;
-	plan.wanted = host->settings.voters_target;
-	plan.joining.host_id = joining.host_id;
-	plan.joining.voter_incarnation = joining.incarnation;
-	return voter_plan_next(&plan);
+	inputs->plan = (struct voter_plan){
+	    .voters = inputs->voters,
+	    .voter_count = voters->count,
+	    .candidates = inputs->candidates.items,
+	    .candidate_count = inputs->candidates.count,
+	    .wanted = host->settings.voters_target,
+	    .joining = {joining.host_id, joining.incarnation},
+	    .knows_all_hosts = host->led_checks >= LED_CHECKS_MIN,
+	};
 }
 
 /* Moves a host to the end of the list, so that others are added before it. */
@@ -155,8 +184,8 @@
 	candidate = &list->items[list->count++];
 	candidate->host_id = record->id;
 	candidate->voter_incarnation = record->voter_incarnation;
-	candidate->is_live = host_state_is_live(record->state);
-	candidate->may_join = record->state == HOST_STATE_ALIVE;
+	candidate->is_sound = record->state == HOST_STATE_ALIVE &&
+			      (record->flags & HOST_FLAG_DRAINING) == 0;
 }
 
 static bool
@@ -209,10 +238,14 @@
 	(void)index;
 	(void)result;
 	(void)result_size;
-	/* No retry here: the next check decides by the state it finds. */
+	/* No retry here: the next check decides by the state it finds. It comes
+	 * at once, since a replacement takes two changes. */
 	event_log_write(EVENT_VOTER_CHANGED, "%s host %u: %s", step_name(step),
 	    step->host_id, error == ERROR_NONE ? "done" : error_name(error));
 	if (step->kind == VOTER_STEP_ADD)
 		host->failed_joiner_id =
 		    error == ERROR_NONE ? 0 : step->host_id;
+	if (error == ERROR_NONE)
+		(void)timer_subscribe_once(&host->timers, 0,
+		    (struct timer_callback){change_voters, host}, NULL);
 }
--- a/src/host/host_voters.h
+++ b/src/host/host_voters.h
@@ -13,5 +13,8 @@
 /** Starts the periodic check of the voter set; to be called before the
  * coordination thread starts or on it. */
 void host_voters_init(struct host *host);
+/** Returns true while a host that is stopping should go on as a voter, because
+ * the leader is about to replace it by another host. */
+bool host_voters_keeps_vote(struct host *host);
 
 #endif
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -326,6 +326,32 @@
 	voter_group_finish(&group);
 }
 
+/* Guards against a host that stops before the others have replaced it: a removed
+ * voter learns that it has been removed for good. */
+static void
+test_removed_voter_learns_of_its_removal(void **state)
+{
+	struct group_answer answer = {0};
+	struct voter_group group;
+	struct group_host *leader, *removed;
+
+	(void)state;
+	group_init_with_leader(&group, 18);
+	leader = voter_group_leader(&group);
+	removed = &group.hosts[leader->id % GROUP_VOTERS];
+	assert_true(consensus_is_voter(&removed->consensus));
+	assert_int_equal(
+	    consensus_remove_voter(&leader->consensus, removed->id,
+		(struct consensus_callback){group_on_change_result, &answer}),
+	    ERROR_NONE);
+	fake_net_run(&group.net, 1000);
+	assert_int_equal(answer.error, ERROR_NONE);
+	assert_int_equal(answer.count, 1);
+	assert_false(consensus_is_voter(&removed->consensus));
+	assert_true(consensus_is_voter_set_committed(&removed->consensus));
+	voter_group_finish(&group);
+}
+
 /* A host that is catching up can be given up at once, and then joins under a new
  * incarnation. */
 static void
@@ -550,6 +576,7 @@
 	    cmocka_unit_test(test_lost_disk_is_replaced_before_second_loss),
 	    cmocka_unit_test(test_silent_joining_host_blocks_no_other_change),
 	    cmocka_unit_test(test_join_is_cancelled_for_a_new_incarnation),
+	    cmocka_unit_test(test_removed_voter_learns_of_its_removal),
 	    cmocka_unit_test(test_host_with_damaged_journal_does_not_vote),
 	    cmocka_unit_test(test_transfer_needs_no_election_timeout),
 	    cmocka_unit_test(test_voter_recovers_from_full_disk),
