A leaving upstream is acknowledged when other hosts know it, too

Cause: the acknowledgement was given as soon as the entry stood in the host's own directory; the next round of gossip, up to 200 ms later, never came.

Ruled out: a late heartbeat, a host that took the entry back, the expiry of the record.

Change: gossip_confirm() pushes an item to a few hosts at once, asks each for it and calls back when enough have sent it back (tolerated losses: copies_min - 1). Deregistrations, heartbeats with `draining` and leaving over the product's own interface wait for it, 800 ms at most, then the answer is 503. A repeated deregistration is acknowledged again.

Why it works: an acknowledged state is in two more processes, which push it on, so no loss that the deployment tolerates makes it unknown. The question is a summary that leaves the item out, which every build answers.

--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -68,6 +68,7 @@
 	gossip->items =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	g_queue_init(&gossip->push_queue);
+	g_queue_init(&gossip->confirmations);
 	error = timer_subscribe_every(timers, gossip->settings.push_interval_ms,
 	    (struct timer_callback){run_round, gossip}, &gossip->round_timer);
 	if (error == ERROR_NONE)
@@ -87,6 +88,7 @@
 		return;
 	timer_cancel(gossip->timers, &gossip->round_timer);
 	timer_cancel(gossip->timers, &gossip->check_timer);
+	gossip_confirm_finish(gossip);
 	g_queue_clear(&gossip->push_queue);
 	g_hash_table_destroy(gossip->items);
 	free(gossip->push_cycle.hosts);
@@ -163,12 +165,28 @@
 	item->push_link = NULL;
 }
 
+uint32_t
+gossip_next_push_host(struct gossip *gossip)
+{
+	return next_host(gossip, &gossip->push_cycle);
+}
+
+uint32_t
+gossip_count_hosts(const struct gossip *gossip)
+{
+	uint32_t hosts[GOSSIP_COPIES_MAX];
+
+	return gossip->ops.list_hosts(
+	    gossip->ops.context, hosts, GOSSIP_COPIES_MAX);
+}
+
 static void
 run_round(void *context)
 {
 	struct gossip *gossip = context;
 
 	push_changes(gossip);
+	gossip_confirm_round(gossip);
 	if (gossip->sync_host == 0)
 		return;
 	if (gossip->sync_received_items)
@@ -234,7 +252,7 @@
 		/* With fewer hosts than the fan-out, each gets one push. */
 		if (sent > 0 && sent >= gossip->push_cycle.count)
 			break;
-		host_id = next_host(gossip, &gossip->push_cycle);
+		host_id = gossip_next_push_host(gossip);
 		if (host_id == 0)
 			break;
 		gossip_send_items(gossip, host_id, items);
--- a/src/coordination/gossip.h
+++ b/src/coordination/gossip.h
@@ -10,6 +10,9 @@
  * differ, the two compare hashes of buckets, then the versions in the buckets
  * that differ, and send each other only the items that are older on the other
  * side.
+ *
+ * A change that must survive the loss of this host is confirmed before anybody
+ * relies on it: gossip_confirm() waits until other hosts hold it.
  */
 #ifndef GOSSIP_H
 #define GOSSIP_H
@@ -56,6 +59,15 @@
 	void *context; /**< First argument of the callbacks. */
 };
 
+/** Largest number of other hosts that gossip_confirm() waits for. */
+#define GOSSIP_COPIES_MAX 8u
+
+/** Receives the outcome of gossip_confirm(), exactly once. */
+struct gossip_callback {
+	void (*run)(void *context, enum error_code error); /**< The function. */
+	void *context; /**< First argument of run(). */
+};
+
 /** The hosts to gossip with in a random order. */
 struct gossip_cycle {
 	uint32_t *hosts; /**< Host ids, drawn anew at the end of the cycle. */
@@ -91,6 +103,8 @@
 	uint32_t sync_rounds_left;
 	/** True if sync_host has sent a newer item since the last digest. */
 	bool sync_received_items;
+	/** Pending struct gossip_confirmation (gossip_confirm.c). */
+	GQueue confirmations;
 	struct handle round_timer; /**< Periodic timer for pushes. */
 	struct handle check_timer; /**< Periodic timer for checks. */
 };
@@ -118,6 +132,14 @@
 const struct gossip_version *gossip_version_of(
     const struct gossip *gossip, uint64_t key);
 
+/** Pushes an item at once, and calls @p callback when @p copies other hosts hold
+ * this version or a later one; if there are fewer hosts, when all do. It may be
+ * called before this returns. It gets ERROR_TIMEOUT if they don't within
+ * @p timeout_ms, and ERROR_SHUTTING_DOWN from gossip_finish(). Errors, without a
+ * call: ERROR_NOT_FOUND, ERROR_TABLE_FULL. */
+enum error_code gossip_confirm(struct gossip *gossip, uint64_t key,
+    uint32_t copies, int64_t timeout_ms, struct gossip_callback callback);
+
 /* Messages from other hosts */
 
 /** Handles a message of one of the map's types. Errors: those of the
--- a/src/coordination/gossip_exchange.c
+++ b/src/coordination/gossip_exchange.c
@@ -30,6 +30,11 @@
 static void send_digest(struct gossip *gossip, uint32_t host_id);
 static void send_summary(struct gossip *gossip, uint32_t host_id,
     const unsigned char buckets[GOSSIP_BUCKET_COUNT / 8], bool is_answer);
+static GPtrArray *find_items(const struct gossip *gossip,
+    const unsigned char buckets[GOSSIP_BUCKET_COUNT / 8]);
+static void send_summary_of(struct gossip *gossip, uint32_t host_id,
+    const unsigned char buckets[GOSSIP_BUCKET_COUNT / 8], bool is_answer,
+    const GPtrArray *items);
 static void send_message(struct gossip *gossip, uint32_t host_id,
     const struct message_writer *writer);
 static bool has_bucket(
@@ -111,6 +116,26 @@
 	message_writer_finish(&writer);
 }
 
+/* A summary of the item's bucket that leaves the item out makes the other host
+ * send it. It goes as an answer, so that nothing is asked for in turn. */
+void
+gossip_ask_for_item(struct gossip *gossip, uint32_t host_id, uint64_t key)
+{
+	unsigned char buckets[GOSSIP_BUCKET_COUNT / 8] = {0};
+	struct gossip_item *item;
+	GPtrArray *items;
+	uint32_t bucket;
+
+	item = gossip_find_item(gossip, key);
+	bucket = gossip_bucket_of(key);
+	buckets[bucket / 8] |= (unsigned char)(1u << bucket % 8);
+	items = find_items(gossip, buckets);
+	if (item != NULL)
+		g_ptr_array_remove_fast(items, item);
+	send_summary_of(gossip, host_id, buckets, true, items);
+	g_ptr_array_unref(items);
+}
+
 static enum error_code
 receive_items(struct gossip *gossip, uint32_t from_host,
     const struct message_reader *reader)
@@ -132,6 +157,7 @@
 	for (i = 0; i < elements.count; i++) {
 		(void)gossip_element_read(
 		    &elements, i, &key, &version, &body, &size);
+		gossip_confirm_holder(gossip, from_host, key, &version);
 		item = gossip_find_item(gossip, key);
 		if (item != NULL &&
 		    gossip_version_compare(&item->version, &version) >= 0) {
@@ -384,13 +410,23 @@
 static void
 send_summary(struct gossip *gossip, uint32_t host_id,
     const unsigned char buckets[GOSSIP_BUCKET_COUNT / 8], bool is_answer)
+{
+	GPtrArray *items;
+
+	items = find_items(gossip, buckets);
+	send_summary_of(gossip, host_id, buckets, is_answer, items);
+	g_ptr_array_unref(items);
+}
+
+/* Returns the items of some buckets. */
+static GPtrArray *
+find_items(const struct gossip *gossip,
+    const unsigned char buckets[GOSSIP_BUCKET_COUNT / 8])
 {
 	const struct gossip_item *item;
-	struct message_writer writer;
 	GHashTableIter iterator;
 	GPtrArray *items;
 	gpointer value;
-	guint i;
 
 	items = g_ptr_array_new();
 	g_hash_table_iter_init(&iterator, gossip->items);
@@ -399,6 +435,19 @@
 		if (has_bucket(buckets, gossip_bucket_of(item->key)))
 			g_ptr_array_add(items, value);
 	}
+	return items;
+}
+
+/* Sends a summary of some buckets that lists these items. */
+static void
+send_summary_of(struct gossip *gossip, uint32_t host_id,
+    const unsigned char buckets[GOSSIP_BUCKET_COUNT / 8], bool is_answer,
+    const GPtrArray *items)
+{
+	const struct gossip_item *item;
+	struct message_writer writer;
+	guint i;
+
 	message_writer_init(&writer);
 	gossip_summary_open(&writer, gossip->settings.first_type, buckets,
 	    is_answer, items->len);
@@ -408,7 +457,6 @@
 	}
 	send_message(gossip, host_id, &writer);
 	message_writer_finish(&writer);
-	g_ptr_array_unref(items);
 }
 
 static void
--- a/src/coordination/gossip_parts.h
+++ b/src/coordination/gossip_parts.h
@@ -33,10 +33,28 @@
 void gossip_record_duplicate(struct gossip *gossip, struct gossip_item *item,
     const struct gossip_version *version);
 
+/** Returns the next host to push to, 0 for none. */
+uint32_t gossip_next_push_host(struct gossip *gossip);
+/** Returns how many other hosts the map is replicated to at present, or
+ * GOSSIP_COPIES_MAX if there are more. */
+uint32_t gossip_count_hosts(const struct gossip *gossip);
+
+/* gossip_confirm.c: whether other hosts hold an item */
+
+/** Asks further hosts, and ends the confirmations whose time is over. */
+void gossip_confirm_round(struct gossip *gossip);
+/** Records that a host has sent a version of an item, so that it holds it. */
+void gossip_confirm_holder(struct gossip *gossip, uint32_t host_id,
+    uint64_t key, const struct gossip_version *version);
+/** Ends all confirmations with ERROR_SHUTTING_DOWN. */
+void gossip_confirm_finish(struct gossip *gossip);
+
 /* gossip_exchange.c: messages, and the comparison with another host's map */
 
 /** Sends items to a host in one message. */
 void gossip_send_items(
     struct gossip *gossip, uint32_t host_id, const GPtrArray *items);
+/** Asks a host for an item: if it holds it, it sends it. */
+void gossip_ask_for_item(struct gossip *gossip, uint32_t host_id, uint64_t key);
 
 #endif
--- a/src/coordination/upstream_directory.c
+++ b/src/coordination/upstream_directory.c
@@ -189,6 +189,14 @@
 	return set_state(directory, id, incarnation, UPSTREAM_STATE_GONE);
 }
 
+enum error_code
+upstream_directory_confirm(struct upstream_directory *directory, uint64_t id,
+    uint32_t copies, int64_t timeout_ms, struct gossip_callback callback)
+{
+	return gossip_confirm(
+	    &directory->gossip, id, copies, timeout_ms, callback);
+}
+
 enum error_code
 upstream_directory_receive(struct upstream_directory *directory,
     uint32_t from_host, const void *body, size_t size)
@@ -283,6 +291,16 @@
 	return &entry->body.record;
 }
 
+bool
+upstream_directory_has_left(
+    const struct upstream_directory *directory, uint64_t id)
+{
+	const struct upstream_entry *entry;
+
+	entry = upstream_directory_entry(directory, id);
+	return entry != NULL && entry->body.record.state == UPSTREAM_STATE_GONE;
+}
+
 void
 upstream_directory_for_each(const struct upstream_directory *directory,
     void (*visit)(void *visitor, const struct upstream_record *record),
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -123,6 +123,12 @@
 /** Marks an upstream as gone. Errors: those of upstream_directory_renew(). */
 enum error_code upstream_directory_remove(
     struct upstream_directory *directory, uint64_t id, uint64_t incarnation);
+/** Calls @p callback when @p copies other hosts know the present state of an
+ * upstream, or another end of gossip_confirm() has come. An upstream that is
+ * gone is included. Errors, without a call: ERROR_NOT_FOUND, ERROR_TABLE_FULL. */
+enum error_code upstream_directory_confirm(struct upstream_directory *directory,
+    uint64_t id, uint32_t copies, int64_t timeout_ms,
+    struct gossip_callback callback);
 /** Stores a load report of an upstream and sends it on. Errors:
  * ERROR_NOT_FOUND, ERROR_STALE. */
 enum error_code upstream_directory_report(
@@ -163,6 +169,10 @@
 /** Returns the record of an upstream, NULL if it is unknown or gone. */
 const struct upstream_record *upstream_directory_find(
     const struct upstream_directory *directory, uint64_t id);
+/** Returns true if an upstream has left for good, rather than being unknown or
+ * expired. */
+bool upstream_directory_has_left(
+    const struct upstream_directory *directory, uint64_t id);
 /** Copies the latest load report received here, with age_ms as of now. Returns
  * false if there is none. */
 bool upstream_directory_load(const struct upstream_directory *directory,
--- a/src/host/host_calls.c
+++ b/src/host/host_calls.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "host/host_confirm.h"
+
 /* Longest wait for a call that the coordination thread completes at once. */
 #define CALL_TIMEOUT_MS 2000
 /* Added to a command's timeout, so that the command client reports first. */
@@ -370,14 +372,18 @@
 {
 	struct upstream_leave *leave = mailbox_call_body(call);
 	struct host *host = coordinator;
+	enum error_code error;
 	uint64_t id;
 
 	id = upstream_id(leave->name);
-	mailbox_complete(&host->mailbox, call,
-	    leave->gone ? upstream_directory_remove(
-			      &host->directory, id, leave->incarnation)
-			: upstream_directory_leave(
-			      &host->directory, id, leave->incarnation));
+	error = leave->gone ? upstream_directory_remove(
+				  &host->directory, id, leave->incarnation)
+			    : upstream_directory_leave(
+				  &host->directory, id, leave->incarnation);
+	if (error == ERROR_NONE)
+		host_confirm_upstream(host, id, call);
+	else
+		mailbox_complete(&host->mailbox, call, error);
 }
 
 static void
--- a/src/host/host_documents.c
+++ b/src/host/host_documents.c
@@ -7,6 +7,7 @@
 #include <zlib.h>
 
 #include "host/host_calls.h"
+#include "host/host_confirm.h"
 
 /* Longest wait for a call that the coordination thread completes at once. */
 #define CALL_TIMEOUT_MS 2000
@@ -263,30 +264,36 @@
 	/* An outdated heartbeat contains nothing new, but it isn't an error. */
 	if (error == ERROR_STALE)
 		error = ERROR_NONE;
-	mailbox_complete(&host->mailbox, call, error);
+	if (error == ERROR_NONE && record->state == UPSTREAM_STATE_LEAVING)
+		host_confirm_upstream(host, record->id, call);
+	else
+		mailbox_complete(&host->mailbox, call, error);
 }
 
-/* Removes the upstream unless a later incarnation is known. */
+/* Removes the upstream unless a later incarnation is known. An upstream that has
+ * been removed already is confirmed again, since its caller may have missed the
+ * first answer. */
 static void
 run_remove(void *coordinator, struct mailbox_call *call)
 {
 	struct remove_body *body = mailbox_call_body(call);
 	const struct upstream_record *known;
 	struct host *host = coordinator;
-	enum error_code error;
-
-	known =
-	    upstream_directory_find(&host->directory, upstream_id(body->name));
-	if (known == NULL) {
-		mailbox_complete(&host->mailbox, call, ERROR_NOT_FOUND);
-		return;
-	}
-	error = ERROR_NONE;
-	if (body->incarnation == 0 || body->incarnation >= known->incarnation)
+	enum error_code error = ERROR_NONE;
+	uint64_t id;
+
+	id = upstream_id(body->name);
+	known = upstream_directory_find(&host->directory, id);
+	if (known == NULL && !upstream_directory_has_left(&host->directory, id))
+		error = ERROR_NOT_FOUND;
+	if (known != NULL &&
+	    (body->incarnation == 0 || body->incarnation >= known->incarnation))
 		error = upstream_directory_remove(
-		    &host->directory, known->id, known->incarnation);
-	mailbox_complete(
-	    &host->mailbox, call, error == ERROR_STALE ? ERROR_NONE : error);
+		    &host->directory, id, known->incarnation);
+	if (error == ERROR_NONE || error == ERROR_STALE)
+		host_confirm_upstream(host, id, call);
+	else
+		mailbox_complete(&host->mailbox, call, error);
 }
 
 /* Returns true if the record equals the known one in every field that a
