The log tells when an order was read, committed, and whether its caller still waited

E1013 now says at which revision an order was committed, how long its last byte had lain in the socket before it was read, how long it took, and whether its caller still waited; E6008 says at which revision a request was placed.

--- a/src/host/host.h
+++ b/src/host/host.h
@@ -108,6 +108,8 @@
 	struct command_client commands; /**< Sends commands to the leader. */
 	struct config_feed feed;	/**< Configuration and its lease. */
 	uint64_t published_sequence; /**< Sequence that request threads see. */
+	/** Configuration revision that request threads see. */
+	_Atomic uint64_t published_revision;
 	/** Sequence that this build could not apply, logged last. */
 	uint64_t unknown_sequence;
 	GArray *pending_commands; /**< Elements: struct host_pending_command. */
--- a/src/host/host_agreement.c
+++ b/src/host/host_agreement.c
@@ -144,6 +144,7 @@
 	host_fleet_on_intent_changed(host);
 	notify_document_watch(host);
 	host->published_sequence = state->sequence;
+	atomic_store(&host->published_revision, state->revision);
 	event_log_write(EVENT_CONFIGURATION_APPLIED,
 	    "revision %" PRIu64 " sequence %" PRIu64, state->revision,
 	    state->sequence);
--- a/src/host/host_documents.c
+++ b/src/host/host_documents.c
@@ -105,12 +105,13 @@
 }
 
 enum error_code
-host_set_entry(
-    struct host *host, const char *key, const char *value, int64_t timeout_ms)
+host_set_entry(struct host *host, const char *key, const char *value,
+    int64_t timeout_ms, uint64_t *revision)
 {
 	struct command command = {.type = COMMAND_CONFIG};
 	struct config_change change = {.is_delete = value == NULL};
 	struct command_result result;
+	enum error_code error;
 
 	g_strlcpy(change.key, key, sizeof(change.key));
 	if (value != NULL)
@@ -121,8 +122,10 @@
 	command.body.config.expected_revision = REVISION_ANY;
 	command.body.config.change_count = 1;
 	command.body.config.changes = &change;
-	return first_error(
-	    host_submit(host, &command, timeout_ms, &result), &result);
+	error = host_submit(host, &command, timeout_ms, &result);
+	if (error == ERROR_NONE)
+		*revision = result.revision;
+	return first_error(error, &result);
 }
 
 enum error_code
--- a/src/host/host_documents.h
+++ b/src/host/host_documents.h
@@ -31,10 +31,11 @@
 enum error_code host_read_document(struct host *host, const char *name,
     int64_t timeout_ms, uint64_t *version, GBytes **text);
 /** Sets one entry of the configuration at any revision, or deletes it if
- * @p value is NULL. Setting the same value again is no error. Errors: those of
- * host_submit() and of the command. */
-enum error_code host_set_entry(
-    struct host *host, const char *key, const char *value, int64_t timeout_ms);
+ * @p value is NULL. Setting the same value again is no error. Stores the
+ * configuration's revision after it. Errors: those of host_submit() and of the
+ * command. */
+enum error_code host_set_entry(struct host *host, const char *key,
+    const char *value, int64_t timeout_ms, uint64_t *revision);
 /** Handles an upstream's heartbeat, which carries its whole record: announces
  * the upstream if the record has changed, otherwise renews it. An outdated
  * record is ignored without an error. Errors: those of
--- a/src/relay/relay_trace.c
+++ b/src/relay/relay_trace.c
@@ -130,7 +130,7 @@
 	int64_t now_ms = host_now_ms();
 
 	event_log_write_fields(EVENT_REQUEST_PLACED,
-	    "{s:s,s:s,s:f,s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:b,s:b}",
+	    "{s:s,s:s,s:f,s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:b,s:b,s:I}",
 	    "request", exchange->attempt_id, "upstream",
 	    exchange->upstream_name, "prompt_tokens",
 	    exchange->request.prompt_tokens, "wait_ms", choice->wait_ms,
@@ -141,5 +141,7 @@
 	    "light_demand", choice->demand.short_engines, "heavy_demand",
 	    choice->demand.long_engines, "ejected",
 	    upstream->ejected_until_ms > now_ms, "ejected_by_others",
-	    upstream->others.ejected_until_ms > now_ms);
+	    upstream->others.ejected_until_ms > now_ms, "revision",
+	    (json_int_t)atomic_load(
+		&exchange->relay->host->published_revision));
 }
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -58,6 +59,7 @@
 static void on_connection_change(void *context,
     struct MHD_Connection *connection, void **socket_context,
     enum MHD_ConnectionNotificationCode code);
+static int connection_fd(const struct http_exchange *exchange);
 static struct MHD_Connection *find_connection(
     struct http_server *server, const struct sockaddr *address);
 static uint64_t address_key(const struct sockaddr *address);
@@ -193,23 +195,33 @@
 bool
 http_caller_disconnected(const struct http_exchange *exchange)
 {
-	const union MHD_ConnectionInfo *info;
 	ssize_t size;
 	char byte;
+	int fd;
 
-	if (exchange->connection == NULL)
-		return false;
-	info = MHD_get_connection_info(
-	    exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	if (info == NULL)
+	fd = connection_fd(exchange);
+	if (fd < 0)
 		return false;
-	size = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	size = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	if (size == 0)
 		return true;
 	return size < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
 	       errno != EINTR;
 }
 
+int64_t
+http_request_age_ms(const struct http_exchange *exchange)
+{
+	struct tcp_info info = {0};
+	socklen_t size = sizeof(info);
+	int fd;
+
+	fd = connection_fd(exchange);
+	if (fd < 0 || getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+		return 0;
+	return info.tcpi_last_data_recv;
+}
+
 void
 http_set_header(
     struct http_exchange *exchange, const char *name, const char *value)
@@ -473,6 +485,19 @@
 	g_free(key);
 }
 
+/* Returns the socket of the exchange's connection, -1 if it is not known. */
+static int
+connection_fd(const struct http_exchange *exchange)
+{
+	const union MHD_ConnectionInfo *info;
+
+	if (exchange->connection == NULL)
+		return -1;
+	info = MHD_get_connection_info(
+	    exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	return info == NULL ? -1 : info->connect_fd;
+}
+
 static struct MHD_Connection *
 find_connection(struct http_server *server, const struct sockaddr *address)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -122,6 +122,11 @@
  * that block call it now and then. */
 bool http_caller_disconnected(const struct http_exchange *exchange);
 
+/** Returns how long ago in milliseconds the last byte from the client reached
+ * this machine, 0 if that is unknown. This includes time in which the process
+ * did not run. */
+int64_t http_request_age_ms(const struct http_exchange *exchange);
+
 /* Writing the response */
 
 /** Sets a header of the response. */
