An order does not take effect once its caller has gone to another host

Cause: a call was turned into a change at any revision whenever it was handled. Nobody asked how long it had lain in the socket or whether its caller was still there, and the change was then tried for 3 s, though callers leave after 1 s.

Ruled out: late entry hosts (E1006 and E6008 follow the order), a lost leader that loses an order (the revision stays).

Why it works: each newer order of a caller that was seen to wait has a later revision than the one read before, so a stale order conflicts wherever it was held up.

--- a/src/host/host_documents.c
+++ b/src/host/host_documents.c
@@ -33,6 +33,7 @@
 };
 
 static void run_read(void *coordinator, struct mailbox_call *call);
+static void run_read_revision(void *coordinator, struct mailbox_call *call);
 static void clear_read(void *body);
 static void run_heartbeat(void *coordinator, struct mailbox_call *call);
 static void run_remove(void *coordinator, struct mailbox_call *call);
@@ -44,6 +45,7 @@
     enum error_code error, const struct command_result *result);
 
 static const struct mailbox_ops read_ops = {run_read, clear_read};
+static const struct mailbox_ops revision_ops = {.run = run_read_revision};
 static const struct mailbox_ops heartbeat_ops = {.run = run_heartbeat};
 static const struct mailbox_ops remove_ops = {.run = run_remove};
 
@@ -104,6 +106,20 @@
 	return *text == NULL ? ERROR_CORRUPT : ERROR_NONE;
 }
 
+enum error_code
+host_read_revision(struct host *host, uint64_t *revision)
+{
+	struct mailbox_call *call;
+	enum error_code error;
+
+	call = mailbox_call_new(&revision_ops, sizeof(*revision));
+	error = mailbox_await(&host->mailbox, call, CALL_TIMEOUT_MS);
+	if (error == ERROR_NONE)
+		*revision = *(uint64_t *)mailbox_call_body(call);
+	mailbox_call_unref(call);
+	return error;
+}
+
 enum error_code
 host_set_entry(struct host *host, const char *key, const char *value,
     int64_t timeout_ms, uint64_t *revision)
@@ -119,7 +135,7 @@
 	snprintf(command.operation_id, sizeof(command.operation_id),
 	    OPERATION_FORMAT, host->settings.host_id,
 	    host_new_request_id(host));
-	command.body.config.expected_revision = REVISION_ANY;
+	command.body.config.expected_revision = *revision;
 	command.body.config.change_count = 1;
 	command.body.config.changes = &change;
 	error = host_submit(host, &command, timeout_ms, &result);
@@ -241,6 +257,16 @@
 	mailbox_complete(&host->mailbox, call, ERROR_NONE);
 }
 
+static void
+run_read_revision(void *coordinator, struct mailbox_call *call)
+{
+	uint64_t *revision = mailbox_call_body(call);
+	struct host *host = coordinator;
+
+	*revision = host_state(host)->revision;
+	mailbox_complete(&host->mailbox, call, ERROR_NONE);
+}
+
 static void
 clear_read(void *body)
 {
--- a/src/host/host_documents.h
+++ b/src/host/host_documents.h
@@ -30,10 +30,13 @@
  * host_submit(), ERROR_TIMEOUT if this host's state is too far behind. */
 enum error_code host_read_document(struct host *host, const char *name,
     int64_t timeout_ms, uint64_t *version, GBytes **text);
-/** Sets one entry of the configuration at any revision, or deletes it if
- * @p value is NULL. Setting the same value again is no error. Stores the
- * configuration's revision after it. Errors: those of host_submit() and of the
- * command. */
+/** Reads the revision of the configuration as far as this host knows it. Errors:
+ * those of mailbox_await(). */
+enum error_code host_read_revision(struct host *host, uint64_t *revision);
+/** Sets one entry of the configuration, or deletes it if @p value is NULL, unless
+ * the configuration is no longer at @p *revision. Setting the same value again
+ * is no error. Stores the revision after it. Errors: ERROR_REVISION_CONFLICT,
+ * those of host_submit() and of the command. */
 enum error_code host_set_entry(struct host *host, const char *key,
     const char *value, int64_t timeout_ms, uint64_t *revision);
 /** Handles an upstream's heartbeat, which carries its whole record: announces
--- a/tests/real_platform.sh
+++ b/tests/real_platform.sh
@@ -9,91 +9,25 @@
 build=$1
 work=$(mktemp -d)
 base_port=23700
+net=7
 . tools/cluster.sh
+. tests/platform.sh
 trap stop_all EXIT
 fail() { echo "FAILED: $*"; tail -n 5 "$work"/*.log; exit 1; }
 
-control_port=$((base_port + 1))
-entry_port=$((base_port + 2))
-ready_port=$((base_port + 3))
-upstream_port=$((base_port + 4))
-zones=([1]=regina [2]=saskatoon [3]=winnipeg [4]=regina [5]=saskatoon)
-ip_of() { echo "127.0.7.$1"; }
-control_url() { echo "http://$(ip_of "$1"):$control_port"; }
-entry_url() { echo "http://$(ip_of "$1"):$entry_port"; }
-
-# write_platform_settings ID ROLE LINES: writes the settings file of a host;
-# ROLE is control or entry, LINES are the settings that only this role has.
-write_platform_settings() {
-	cat >"$work/node-$1.conf" <<-CONF
-	nodeName=$2-$1
-	role=$2
-	ip=$(ip_of "$1")
-	zone=${zones[$1]}
-	region=prairie
-	internalPorts=$((base_port + 10))
-	seeds=$(ip_of 1):$control_port,$(ip_of 2):$control_port,$(ip_of 3):$control_port
-	heartbeatMs=1000
-	faultTolerance.machines=1
-	bounds.graceS=8
-	$3
-	CONF
-}
-
-start_platform() {
-	CHICORYTACK_SETTINGS="$work/node-$1.conf" "$build/chicorytack" serve-platform >>"$work/node-$1.log" 2>&1 &
-	pids[node-$1]=$!
-}
-
-for id in 1 2 3; do
-	mkdir "$work/data-$id"
-	write_platform_settings "$id" control "listen.control=$(ip_of "$id"):$control_port
-dataDir=$work/data-$id
-bootstrap=true"
-	start_platform "$id"
-done
-for id in 4 5; do
-	write_platform_settings "$id" entry "listen.front=$(ip_of "$id"):$entry_port
-listen.readinessAddr=$(ip_of "$id"):$ready_port"
-	start_platform "$id"
-done
-for n in 1 2; do
-	"$build/platform-upstream" "$(ip_of "$((10 + n))")" "$upstream_port" >>"$work/upstream-$n.log" 2>&1 &
-	pids[upstream-$n]=$!
-done
-
-cat >"$work/config.json" <<-JSON
-{"version": 7, "routes": [{"name": "r", "host": "h.example", "pathPrefix": "/", "kind": "non_idempotent",
-  "timeoutMs": 5000, "sloMs": 300, "maxAttempts": 2, "public": false, "service": "s"}],
- "services": [{"name": "s", "maxConns": 64, "coldStartS": 0.0, "coldPerS": 0.0}],
- "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
- "tenants": [{"name": "spa-desk", "apiKeys": ["k1"], "priority": 1}]}
-JSON
-put_config() { curl -sf --max-time 4 "$(control_url 1)/v1/Config.Put" -H 'Content-Type: application/json' -d "@$work/config.json" >/dev/null; }
+for id in 1 2 3; do start_control "$id"; done
+for id in 4 5; do start_entry "$id"; done
+for n in 1 2; do start_upstream "$n"; done
+write_config
 get_config() { curl -sf --max-time 4 "$(control_url "$1")/v1/Config.Get" >"$work/got-config" && grep -q '"version": *7' "$work/got-config"; }
-is_entry_ready() { curl -sf --max-time 2 "http://$(ip_of "$1"):$ready_port/v1/ready" >/dev/null; }
-# call ENTRY PATH ID: sends a request with attempt ID through an entry host and
-# prints the answer.
-call() { curl -s --max-time 8 "$(entry_url "$1")$2" -H 'Host: h.example' -H 'X-Api-Key: k1' -H "Attempt-Id: $3" -d work; }
 # is_denied ends the wait at any answer but 503: a host that has the routes but
 # no configuration lease yet denies nothing and asks the caller to come back.
 is_denied() {
 	curl -s --max-time 4 "$(entry_url 4)/quick" -H 'Host: h.example' -H 'X-Api-Key: no' -o /dev/null -w '%{http_code}' >"$work/denied" && [ "$(cat "$work/denied")" != 503 ]
 }
-is_served() { call "$1" /quick "try-$1" | grep -q '^done$'; }
-send_heartbeats() {
-	local n sequence=0
-	while :; do
-		sequence=$((sequence + 1))
-		for n in 1 2; do
-			curl -s --max-time 1 "$(control_url 2)/v1/Replicas.Heartbeat/u-$n" -d "{\"service\":\"s\",\"address\":\"$(ip_of "$((10 + n))"):$upstream_port\",\"zone\":\"regina\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":$sequence}" >/dev/null || true
-		done
-		sleep 0.3
-	done
-}
 
 wait_until 30 put_config || fail "the first configuration was not accepted"
-send_heartbeats &
+send_heartbeats 2 regina 2 &
 pids[heartbeats]=$!
 for id in 4 5; do
 	wait_until 30 is_entry_ready "$id" || fail "entry host $id is not ready"
