Streams without end don't use up a host's memory for callers that read slowly

Callers would see: the end of the whole process, and of all their requests, when faulty upstreams send events without end to callers that read slowly.

Cause: up to 4 MiB were queued for each caller and nothing bounded the sum.

Ruled out by reading: answers to orders, the own interface's queue.

Change: from 32 MiB for all callers on, one with more than 256 KiB queued counts as not reading. The metric queued_bytes shows the sum.

Why it works: what is queued beyond the share of 256 KiB a caller can't exceed the bound by more than comes in within 10 ms, the time for which a count is used.

--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -128,8 +128,11 @@
 					 host. */
 	_Atomic uint64_t forwards_taken; /**< Requests that other hosts
 					      forwarded to this one. */
-	_Atomic uint64_t held_bytes; /**< Bytes of answers held until they are
+	_Atomic uint64_t held_bytes;   /**< Bytes of answers held until they are
 					  whole. */
+	_Atomic uint64_t queued_bytes; /**< Bytes of answers queued for callers
+					    that read slowly, counted while
+					    one of them has many. */
 	struct metric_series *first_event_ms; /**< Time to the first event. */
 	struct metric_series *answer_ms; /**< Time to the end of an answer. */
 	struct metric_series *turn_ms;	 /**< Time that a long prompt was
@@ -167,7 +170,9 @@
 	struct route_table *table; /**< Route table in force, or NULL. */
 	uint64_t view_version;	   /**< Version of the fleet view applied. */
 	uint32_t running_requests; /**< Number of requests in progress. */
-	size_t held_bytes;   /**< Bytes of answers held until they are whole. */
+	size_t held_bytes; /**< Bytes of answers held until they are whole. */
+	int64_t queued_counted_ms; /**< When the bytes queued for callers were
+					counted last. */
 	int64_t reported_ms; /**< When the last work report was written. */
 	struct handle report_timer; /**< Timer of the next work report, set if
 					 one is scheduled. */
--- a/src/relay/relay_caller.c
+++ b/src/relay/relay_caller.c
@@ -8,6 +8,12 @@
 #define PIPELINED_BYTES_MAX 262144
 /* Largest amount of answer data queued for a caller that does not read. */
 #define QUEUED_BYTES_MAX ((size_t)4 * 1024 * 1024)
+/* Largest amount queued for all callers together, from which those with more than
+ * QUEUED_BYTES_SHARE each count as not reading. */
+#define QUEUED_BYTES_TOTAL_MAX ((size_t)32 * 1024 * 1024)
+#define QUEUED_BYTES_SHARE     ((size_t)256 * 1024)
+/* How long a count of what is queued for all callers is used. */
+#define QUEUED_COUNT_MS 10
 /* Time for a caller to read the last answer before the connection closes. */
 #define LINGER_MS 1000
 /* Largest header field that another host adds to a forwarded request, with those
@@ -20,6 +26,7 @@
 
 static const char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
+static size_t count_queued(struct relay *relay);
 static void on_received(void *context, const char *data, size_t size);
 static void on_ended(void *context, bool is_clean);
 static void on_closed(void *context);
@@ -121,7 +128,11 @@
 bool
 relay_caller_is_overloaded(const struct relay_caller *caller)
 {
-	return tcp_link_queued(&caller->link) > QUEUED_BYTES_MAX;
+	size_t queued = tcp_link_queued(&caller->link);
+
+	return queued > QUEUED_BYTES_MAX ||
+	       (queued > QUEUED_BYTES_SHARE &&
+		   count_queued(caller->relay) > QUEUED_BYTES_TOTAL_MAX);
 }
 
 void
@@ -131,6 +142,28 @@
 		end_connection(caller);
 }
 
+/* Returns the amount of answer data queued for all callers. */
+static size_t
+count_queued(struct relay *relay)
+{
+	struct relay_caller *caller;
+	GHashTableIter iterator;
+	int64_t now_ms = host_now_ms();
+	size_t total = 0;
+	gpointer key;
+
+	if (now_ms - relay->queued_counted_ms < QUEUED_COUNT_MS)
+		return (size_t)atomic_load(&relay->counters.queued_bytes);
+	g_hash_table_iter_init(&iterator, relay->callers);
+	while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+		caller = key;
+		total += tcp_link_queued(&caller->link);
+	}
+	relay->queued_counted_ms = now_ms;
+	atomic_store(&relay->counters.queued_bytes, total);
+	return total;
+}
+
 static void
 on_received(void *context, const char *data, size_t size)
 {
--- a/src/relay/relay_metrics.c
+++ b/src/relay/relay_metrics.c
@@ -11,6 +11,8 @@
 static const double buckets_ms[] = {25, 50, 100, 150, 200, 300, 500, 750, 1000,
     1500, 2000, 3000, 4000, 6000, 10000, 15000};
 
+static void write_gauge(
+    GString *out, const char *name, const char *help, uint64_t value);
 static struct metric_series *add_histogram(
     struct relay *relay, const char *name, const char *help);
 
@@ -72,14 +74,25 @@
 		    "%s_total %" PRIu64 "\n",
 		    rows[i].name, rows[i].help, rows[i].name, rows[i].name,
 		    (uint64_t)atomic_load(rows[i].value));
-	g_string_append_printf(out,
-	    "# HELP " NAME_PREFIX "held_bytes Bytes of answers held until they "
-	    "are whole.\n# TYPE " NAME_PREFIX "held_bytes gauge\n" NAME_PREFIX
-	    "held_bytes %" PRIu64 "\n",
-	    (uint64_t)atomic_load(&counters->held_bytes));
+	write_gauge(out, "held_bytes",
+	    "Bytes of answers held until they are whole.",
+	    atomic_load(&counters->held_bytes));
+	write_gauge(out, "queued_bytes",
+	    "Bytes of answers queued for callers that read slowly, when one of "
+	    "them had many.",
+	    atomic_load(&counters->queued_bytes));
 	metrics_write(&relay->registry, out);
 }
 
+static void
+write_gauge(GString *out, const char *name, const char *help, uint64_t value)
+{
+	g_string_append_printf(out,
+	    "# HELP " NAME_PREFIX "%s %s\n# TYPE " NAME_PREFIX
+	    "%s gauge\n" NAME_PREFIX "%s %" PRIu64 "\n",
+	    name, help, name, name, value);
+}
+
 static struct metric_series *
 add_histogram(struct relay *relay, const char *name, const char *help)
 {
--- a/tests/test_endless_answers.c
+++ b/tests/test_endless_answers.c
@@ -9,6 +9,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <cmocka.h>
 
 #include "relay_fixture.h"
@@ -20,10 +23,14 @@
 #define BODY_BYTES_MAX	(24 * MIB)
 /* Most bytes held of many answers at a time: less than half the memory of the
  * smallest host, which has 160 MiB. */
-#define CALLERS	       40
+#define CALLERS 40
+/* Callers that read nothing of streams without end. */
+#define SLOW_CALLERS   90
 #define HELD_BYTES_MAX (64 * MIB)
-#define CHUNK_BYTES    4096
-#define SAMPLE_US      1000
+/* The same of what is queued for callers that don't read. */
+#define QUEUED_BYTES_MAX (64 * MIB)
+#define CHUNK_BYTES	 4096
+#define SAMPLE_US	 1000
 
 #define REQUEST(path)                                                          \
 	"POST " path " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"              \
@@ -167,12 +174,69 @@
 	g_free(fixture);
 }
 
+/* Connects, asks for a stream and reads nothing. */
+static int
+ask_without_reading(struct relay_fixture *fixture)
+{
+	static const char request[] =
+	    "POST /stream/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"
+	    "X-Api-Key: key1\r\nDeadline-Ms: 9000\r\n"
+	    "Content-Length: 2\r\n\r\nhi";
+	int fd;
+
+	fd = relay_fixture_connect(fixture);
+	assert_int_equal(
+	    send(fd, request, strlen(request), 0), (ssize_t)strlen(request));
+	return fd;
+}
+
+/* Guards against faulty upstreams whose streams of sound events never end, and
+ * callers that read nothing: what is queued for all of them together would use
+ * up the memory of the host. */
+static void
+test_endless_events_queue_little_for_all_callers(void **state)
+{
+	struct relay_fixture *fixture;
+	uint64_t ended, most;
+	int fds[SLOW_CALLERS], i;
+	GString *event;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	event = g_string_new("data: ");
+	for (i = 0; i < CHUNK_BYTES; i++)
+		g_string_append_c(event, 'x');
+	g_string_append(event, "\n\n");
+	fixture->script.endless = event->str;
+	relay_fixture_add_answer(
+	    fixture, STREAM "\r\nid: 1\ndata: a\n\n<endless>");
+	for (i = 0; i < SLOW_CALLERS; i++)
+		fds[i] = ask_without_reading(fixture);
+	most = 0;
+	do {
+		most = MAX(
+		    most, atomic_load(&fixture->relay.counters.queued_bytes));
+		ended = atomic_load(&fixture->relay.counters.broken) +
+			atomic_load(&fixture->relay.counters.refused);
+		g_usleep(SAMPLE_US);
+	} while (ended < SLOW_CALLERS);
+	if (most > QUEUED_BYTES_MAX)
+		fail_msg("%u MiB were queued", (unsigned int)(most / MIB));
+	for (i = 0; i < SLOW_CALLERS; i++)
+		close(fds[i]);
+	relay_fixture_finish(fixture);
+	g_string_free(event, TRUE);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_endless_answer_is_closed_in_time),
 	    cmocka_unit_test(test_many_endless_bodies_hold_little_together),
+	    cmocka_unit_test(test_endless_events_queue_little_for_all_callers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
