Soak: the operator evacuates a zone and ends that while faults happen

Orders about a zone go to another control host after a second, in series, while hosts freeze, die and are cut off; after the recovery the last acknowledged one must be in force.

--- a/tests/soak/operator_calls.py
+++ b/tests/soak/operator_calls.py
@@ -10,6 +10,8 @@
 import http1
 
 REQUEST_TIMEOUT_S = 3.0
+# Time after which an order about an evacuation goes to another control host.
+EVACUATION_TIMEOUT_S = 1.0
 # Number of latest versions whose own routes a configuration contains.
 KEPT_VERSIONS = 3
 
@@ -77,15 +79,18 @@
 class Operator:
     """Sends orders until they are acknowledged, and checks what is in force.
 
-    `version` is that of the newest configuration sent.
+    `version` is that of the newest configuration sent. `evacuated` is the zone whose
+    evacuation was acknowledged last and not ended since, at `evacuated_at`.
     """
 
     def __init__(self, fixture):
         self.fixture = fixture
         self.random = fixture.random_of("operator")
         self.version = 0
+        self.evacuated = None
+        self.evacuated_at = None
 
-    async def call(self, method, path, body=b"", address=None):
+    async def call(self, method, path, body=b"", address=None, timeout_s=REQUEST_TIMEOUT_S):
         """Sends a request to a control host, by default a random one.
 
         Returns the status and the body of the answer; the status is 0 if no
@@ -94,17 +99,17 @@
         if address is None:
             address = self.fixture.control_addresses(self.random)[0]
         return await http1.send_request(
-            address, method, path, http1.JSON_FIELDS, body, REQUEST_TIMEOUT_S
+            address, method, path, http1.JSON_FIELDS, body, timeout_s
         )
 
-    async def order(self, path, body=b"", until=None):
+    async def order(self, path, body=b"", until=None, timeout_s=REQUEST_TIMEOUT_S):
         """Sends an order to random control hosts until it is acknowledged.
 
         Returns False if it wasn't acknowledged by the time `until`. A refusal
         as invalid is a violation because the soak sends only valid orders.
         """
         while until is None or self.fixture.now() < until:
-            status, text = await self.call("POST", path, body)
+            status, text = await self.call("POST", path, body, timeout_s=timeout_s)
             if 200 <= status < 300:
                 return True
             if status in (400, 409, 412, 413, 422):
@@ -133,6 +138,19 @@
             await self.put_next_config(until)
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
 
+    async def change_evacuation(self, zone, until, latest):
+        """Starts and ends the evacuation of a zone in turn until the time `until`, and
+        gives up at the time `latest`. The last order is a start."""
+        source = self.fixture.random_of("evacuations")
+        while self.fixture.now() < until or self.evacuated is None:
+            word = "End" if self.evacuated else "Start"
+            path = f"/v1/Evacuations.{word}/{zone}"
+            if not await self.order(path, until=latest, timeout_s=EVACUATION_TIMEOUT_S):
+                return
+            self.evacuated = None if self.evacuated else zone
+            self.evacuated_at = self.fixture.now()
+            await asyncio.sleep(source.uniform(0.05, 1.0))
+
     async def check_reads(self, until):
         """Checks continually that no control host returns a configuration older than
         the newest one that was acknowledged before the read."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -154,12 +154,40 @@
         faults.run_schedule(fixture, schedule),
         builds.change_hosts(fixture, schedule),
         fixture.operator.change_configuration(until),
+        change_evacuation(fixture, until),
         fixture.operator.check_reads(until + 2),
         fixture.operator.check_entry_hosts(until + 2),
         *(caller.run(until + 2) for caller in callers),
     )
 
 
+async def change_evacuation(fixture, until):
+    """Lets the operator evacuate a zone and end that while faults happen. Hosts of
+    earlier builds carry out orders that their callers have given up."""
+    if fixture.builds.is_mixed:
+        return
+    zone = fixture.random_of("evacuations").choice(ZONES)
+    latest = until + RECOVERY_MAX_S * fixture.patience
+    await fixture.operator.change_evacuation(zone, until, latest)
+
+
+async def check_stays_evacuated(fixture):
+    """Checks, with all hosts healthy, that the last order about an evacuation during
+    the faults is in force, and ends that evacuation."""
+    zone = fixture.operator.evacuated
+    if zone is None:
+        return
+    began = max(fixture.now(), fixture.operator.evacuated_at)
+    until = began + IN_FORCE_MAX_S * fixture.patience + OBSERVATION_S
+    await asyncio.gather(
+        check_zone_gets_nothing(fixture, "an evacuation is not undone", zone, began),
+        *(Caller(fixture, 300 + n).run(until) for n in range(6)),
+    )
+    until = fixture.now() + ORDER_MAX_S * fixture.patience
+    if not await fixture.operator.order(f"/v1/Evacuations.End/{zone}", until=until):
+        fixture.ledger.record_violation("an evacuation's end is acknowledged", zone)
+
+
 async def run_after_faults(fixture):
     """Ends all faults and checks that all hosts become healthy in time, then that an
     evacuation and a drain take effect while callers send requests."""
@@ -179,6 +207,7 @@
             "all hosts serve again in time", describe_unhealthy(fixture)
         )
         return
+    await check_stays_evacuated(fixture)
     if not await builds.finish(fixture, wait_until_healthy):
         fixture.ledger.record_violation(
             "all hosts serve after their replacement", describe_unhealthy(fixture)
@@ -260,10 +289,15 @@
     if not await fixture.operator.order(f"/v1/Evacuations.Start/{zone}", until=until):
         fixture.ledger.record_violation("an evacuation is acknowledged", f"{zone} was not")
         return
-    acked = fixture.now()
+    await check_zone_gets_nothing(
+        fixture, "an evacuated zone gets nothing", zone, fixture.now()
+    )
+
+
+async def check_zone_gets_nothing(fixture, promise, zone, acked):
     await asyncio.gather(
         *(
-            check_gets_nothing(fixture, "an evacuated zone gets nothing", replica, acked)
+            check_gets_nothing(fixture, promise, replica, acked)
             for replica in fixture.replicas
             if replica.zone == zone
         )
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -284,10 +284,66 @@
 	assert_string_equal(text, "10.0.0.1:80");
 }
 
+/* Odd values of one field; %s in ODD_HEARTBEAT takes them. */
+#define ODD_HEARTBEAT                                                          \
+	"{\"service\":\"s\",\"address\":%s,\"zone\":\"z\",\"version\":\"v\","  \
+	"\"slots\":%s,\"state\":\"ready\",\"seq\":%s,\"born\":%s}"
+#define ODD_DEPTH 1000000 /* Nested arrays. */
+
+static const struct {
+	const char *address, *slots, *sequence, *born;
+} odd_heartbeats[] = {
+    {"\"10.1.2.3:0\"", "4", "1", "1"},
+    {"\"10.1.2.3:-1\"", "4", "1", "1"},
+    {"\"10.1.2.3:70000\"", "4", "1", "1"},
+    {"\"10.1.2.3:99999999999999999999\"", "4", "1", "1"},
+    {"\"10.1.2.3\"", "4", "1", "1"},
+    {"\"10.1.2.3:80\"", "-1", "1", "1"},
+    {"\"10.1.2.3:80\"", "1e999", "1", "1"},
+    {"\"10.1.2.3:80\"", "4", "99999999999999999999", "1"},
+    {"\"10.1.2.3:80\"", "4", "1", "1e30"},
+    {"\"10.1.2.3:80\"", "4", "1", "-7"},
+};
+
+/* Guards against an odd entry of one upstream that ends the process which reads
+ * it, or that is taken. */
+static void
+test_odd_entries_are_refused(void **state)
+{
+	struct upstream_record record;
+	struct field_error problem = {0};
+	uint64_t incarnation;
+	GString *nested;
+	char *text;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(odd_heartbeats); i++) {
+		text = g_strdup_printf(ODD_HEARTBEAT, odd_heartbeats[i].address,
+		    odd_heartbeats[i].slots, odd_heartbeats[i].sequence,
+		    odd_heartbeats[i].born);
+		if (platform_heartbeat_parse("i-1", text, strlen(text), &record,
+			&problem) == ERROR_NONE)
+			fail_msg("taken: %s", text);
+		g_free(text);
+	}
+	nested = g_string_new("{\"born\":");
+	for (i = 0; i < ODD_DEPTH; i++)
+		g_string_append_c(nested, '[');
+	assert_int_not_equal(platform_heartbeat_parse("i-1", nested->str,
+				 nested->len, &record, &problem),
+	    ERROR_NONE);
+	assert_int_not_equal(platform_deregister_parse(nested->str, nested->len,
+				 &incarnation, &problem),
+	    ERROR_NONE);
+	g_string_free(nested, TRUE);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_odd_entries_are_refused),
 	    cmocka_unit_test(test_invalid_route_documents_are_refused),
 	    cmocka_unit_test(test_route_document_is_parsed),
 	    cmocka_unit_test(test_longest_matching_prefix_is_found),
