--- a/src/coordination/consensus_leader.c
+++ b/src/coordination/consensus_leader.c
@@ -7,20 +7,11 @@
 #define APPEND_ENTRIES_MAX 2048u
 /* Bytes of a snapshot in one message. */
 #define SNAPSHOT_PIECE_SIZE ((size_t)64 * 1024)
-/* A new voter that has not caught up by then is not added. */
-#define CATCH_UP_TIMEOUT_MS 60000
-/* A new voter that does not reply for this many times the shortest election
- * timeout is not added. */
-#define CATCH_UP_SILENCE_TIMEOUTS 3
 /* Heartbeat intervals after which entries without a reply are sent again. */
 #define RESEND_HEARTBEATS 2
 
-static bool is_peer_of_change(const struct consensus_change *change);
-static void tell_removed_voter(struct consensus *consensus);
 static void init_peer(struct consensus *consensus, struct consensus_peer *peer,
     struct voter voter);
-static struct consensus_peer *find_peer(
-    struct consensus *consensus, struct voter voter);
 static void send_append(struct consensus *consensus,
     struct consensus_peer *peer, bool with_entries);
 static uint32_t count_entries_to_send(
@@ -30,7 +21,6 @@
 static void peer_tick(struct consensus *consensus, struct consensus_peer *peer);
 static bool has_quorum_contact(const struct consensus *consensus);
 static void transfer_tick(struct consensus *consensus);
-static void change_tick(struct consensus *consensus);
 static void receive_append_reply(struct consensus *consensus,
     struct consensus_peer *peer, const struct consensus_message *message);
 static void receive_snapshot_reply(struct consensus *consensus,
@@ -40,66 +30,6 @@
     uint32_t copies);
 static uint64_t get_match_index(const struct consensus_peer *peer);
 static uint64_t get_confirmed_ms(const struct consensus_peer *peer);
-static enum error_code start_change(struct consensus *consensus,
-    enum consensus_change_phase phase, struct voter voter,
-    struct consensus_callback callback);
-static enum error_code append_voters(
-    struct consensus *consensus, enum consensus_change_phase phase);
-static void remove_from_set(struct voter_set *voters, uint32_t host_id);
-
-enum error_code
-consensus_add_voter(struct consensus *consensus, struct voter voter,
-    struct consensus_callback callback)
-{
-	const struct voter *present;
-
-	present = voter_set_find(&consensus->voters, voter.host_id);
-	if (present != NULL && present->incarnation == voter.incarnation)
-		return ERROR_ALREADY_EXISTS;
-	if (present == NULL && consensus->voters.count >= VOTERS_MAX)
-		return ERROR_TABLE_FULL;
-	if (voter.host_id == 0 || voter.incarnation == 0)
-		return ERROR_INVALID_ARGUMENT;
-	return start_change(
-	    consensus, CONSENSUS_CHANGE_CATCH_UP, voter, callback);
-}
-
-struct voter
-consensus_joining_voter(const struct consensus *consensus)
-{
-	if (consensus->change.phase != CONSENSUS_CHANGE_CATCH_UP)
-		return (struct voter){0};
-	return consensus->change.voter;
-}
-
-void
-consensus_cancel_join(struct consensus *consensus)
-{
-	if (consensus->change.phase == CONSENSUS_CHANGE_CATCH_UP)
-		consensus_end_change(consensus, ERROR_CANCELLED);
-}
-
-enum error_code
-consensus_remove_voter(struct consensus *consensus, uint32_t host_id,
-    struct consensus_callback callback)
-{
-	const struct voter *present;
-	enum error_code error;
-
-	present = voter_set_find(&consensus->voters, host_id);
-	if (present == NULL)
-		return ERROR_NOT_FOUND;
-	if (consensus->voters.count == 1)
-		return ERROR_INVALID_ARGUMENT;
-	error = start_change(
-	    consensus, CONSENSUS_CHANGE_REMOVE, *present, callback);
-	if (error != ERROR_NONE)
-		return error;
-	error = append_voters(consensus, CONSENSUS_CHANGE_REMOVE);
-	if (error != ERROR_NONE)
-		consensus->change.phase = CONSENSUS_CHANGE_NONE;
-	return error;
-}
 
 enum error_code
 consensus_transfer(struct consensus *consensus)
@@ -170,7 +100,7 @@
 	}
 	for (i = 0; i < consensus->peer_count; i++)
 		peer_tick(consensus, &consensus->peers[i]);
-	change_tick(consensus);
+	consensus_change_tick(consensus);
 	transfer_tick(consensus);
 }
 
@@ -217,14 +147,14 @@
 	for (i = 0; i <= consensus->voters.count; i++) {
 		if (i < consensus->voters.count)
 			wanted = consensus->voters.voters[i];
-		else if (is_peer_of_change(&consensus->change))
+		else if (consensus_is_change_peer(consensus))
 			wanted = consensus->change.voter;
 		else
 			break;
 		if (wanted.host_id == consensus->identity.self.host_id &&
 		    wanted.incarnation == consensus->identity.self.incarnation)
 			continue;
-		known = find_peer(consensus, wanted);
+		known = consensus_find_peer(consensus, wanted);
 		if (known != NULL)
 			peers[count] = *known;
 		else
@@ -235,46 +165,23 @@
 	consensus->peer_count = count;
 }
 
-void
-consensus_continue_change(struct consensus *consensus)
+struct consensus_peer *
+consensus_find_peer(struct consensus *consensus, struct voter voter)
 {
-	struct consensus_change *change = &consensus->change;
-
-	if (consensus->applied_index >= consensus->voters_index &&
-	    consensus->voters_index >= consensus->term_start_index &&
-	    !consensus_is_voter(consensus)) {
-		/* This leader has removed itself from the voters. The other
-		 * voters still learn that the entry is committed. */
-		consensus_end_change(consensus, ERROR_NONE);
-		consensus_step_down(consensus, 0);
-		return;
-	}
-	if (change->phase < CONSENSUS_CHANGE_REMOVE_OLD ||
-	    consensus->applied_index < change->index)
-		return;
-	if (change->phase != CONSENSUS_CHANGE_REMOVE_OLD) {
-		if (change->phase == CONSENSUS_CHANGE_REMOVE)
-			tell_removed_voter(consensus);
-		consensus_end_change(consensus, ERROR_NONE);
-		return;
+	uint32_t i;
+
+	for (i = 0; i < consensus->peer_count; i++) {
+		if (consensus->peers[i].voter.host_id == voter.host_id &&
+		    consensus->peers[i].voter.incarnation == voter.incarnation)
+			return &consensus->peers[i];
 	}
-	change->phase = CONSENSUS_CHANGE_ADD;
-	if (append_voters(consensus, CONSENSUS_CHANGE_ADD) != ERROR_NONE)
-		consensus_end_change(consensus, ERROR_OUTCOME_UNKNOWN);
+	return NULL;
 }
 
 void
-consensus_end_change(struct consensus *consensus, enum error_code error)
+consensus_send_entries(struct consensus *consensus, struct consensus_peer *peer)
 {
-	struct consensus_change change = consensus->change;
-
-	if (change.phase == CONSENSUS_CHANGE_NONE)
-		return;
-	consensus->change.phase = CONSENSUS_CHANGE_NONE;
-	if (consensus->role == CONSENSUS_ROLE_LEADER)
-		consensus_update_peers(consensus);
-	change.callback.run(
-	    change.callback.context, error, change.index, NULL, 0);
+	send_append(consensus, peer, true);
 }
 
 void
@@ -288,7 +195,7 @@
 			consensus_step_down(consensus, 0);
 		return;
 	}
-	peer = find_peer(consensus, from);
+	peer = consensus_find_peer(consensus, from);
 	if (consensus->role != CONSENSUS_ROLE_LEADER || peer == NULL ||
 	    message->term != consensus->identity.term)
 		return;
@@ -304,28 +211,6 @@
 		consensus_replicate(consensus);
 }
 
-/* Returns true if the host of the change gets the log although it is not in the
- * voter set: it is about to join, or learns that it is being removed. */
-static bool
-is_peer_of_change(const struct consensus_change *change)
-{
-	return change->phase == CONSENSUS_CHANGE_CATCH_UP ||
-	       change->phase == CONSENSUS_CHANGE_REMOVE_OLD ||
-	       change->phase == CONSENSUS_CHANGE_REMOVE;
-}
-
-/* Sends a removed voter the entry that removes it once more, as committed: a host
- * that is stopping ends when it knows this. */
-static void
-tell_removed_voter(struct consensus *consensus)
-{
-	struct consensus_peer *peer;
-
-	peer = find_peer(consensus, consensus->change.voter);
-	if (peer != NULL)
-		send_append(consensus, peer, true);
-}
-
 static void
 init_peer(struct consensus *consensus, struct consensus_peer *peer,
     struct voter voter)
@@ -339,19 +224,6 @@
 	send_append(consensus, peer, false);
 }
 
-static struct consensus_peer *
-find_peer(struct consensus *consensus, struct voter voter)
-{
-	uint32_t i;
-
-	for (i = 0; i < consensus->peer_count; i++) {
-		if (consensus->peers[i].voter.host_id == voter.host_id &&
-		    consensus->peers[i].voter.incarnation == voter.incarnation)
-			return &consensus->peers[i];
-	}
-	return NULL;
-}
-
 /* Sends a heartbeat, or the entries from next_index on if @p with_entries is
  * true. If the journal no longer holds the entry before next_index, a piece of
  * the snapshot is sent instead. */
@@ -493,39 +365,6 @@
 	}
 }
 
-/* Appends the voter set that adds the new voter, once that voter has caught up.
- * If an old incarnation of the host is still a voter, it is removed first. */
-static void
-change_tick(struct consensus *consensus)
-{
-	struct consensus_change *change = &consensus->change;
-	const struct consensus_peer *peer;
-	enum consensus_change_phase next;
-	int64_t silence_ms;
-
-	if (change->phase != CONSENSUS_CHANGE_CATCH_UP)
-		return;
-	peer = find_peer(consensus, change->voter);
-	if (peer == NULL)
-		return;
-	silence_ms = consensus_now(consensus) - peer->last_reply_ms;
-	if (consensus_now(consensus) >= change->deadline_ms ||
-	    silence_ms >= CATCH_UP_SILENCE_TIMEOUTS *
-			      consensus->settings.election_min_ms) {
-		consensus_end_change(consensus, ERROR_TIMEOUT);
-		return;
-	}
-	if (peer->match_index < consensus->commit_index ||
-	    silence_ms >= consensus->settings.election_min_ms)
-		return;
-	next = CONSENSUS_CHANGE_ADD;
-	if (voter_set_find(&consensus->voters, change->voter.host_id) != NULL)
-		next = CONSENSUS_CHANGE_REMOVE_OLD;
-	change->phase = next;
-	if (append_voters(consensus, next) != ERROR_NONE)
-		consensus_end_change(consensus, ERROR_TABLE_FULL);
-}
-
 /* Handles a reply to entries. A rejection carries the index from which the
  * follower's log may match. */
 static void
@@ -616,66 +455,3 @@
 {
 	return (uint64_t)peer->confirmed_ms;
 }
-
-/* Records a voter change, unless another one is pending. */
-static enum error_code
-start_change(struct consensus *consensus, enum consensus_change_phase phase,
-    struct voter voter, struct consensus_callback callback)
-{
-	struct consensus_change *change = &consensus->change;
-
-	if (!consensus_is_leader(consensus) ||
-	    consensus->transfer_target_id != 0)
-		return ERROR_NOT_LEADER;
-	if (change->phase != CONSENSUS_CHANGE_NONE ||
-	    consensus->voters_index > consensus->commit_index)
-		return ERROR_CHANGE_PENDING;
-	change->phase = phase;
-	change->voter = voter;
-	change->index = 0;
-	change->deadline_ms = consensus_now(consensus) + CATCH_UP_TIMEOUT_MS;
-	change->callback = callback;
-	consensus_update_peers(consensus);
-	return ERROR_NONE;
-}
-
-/* Appends the voter set of this phase: with the new voter, or without the host
- * that is removed. */
-static enum error_code
-append_voters(struct consensus *consensus, enum consensus_change_phase phase)
-{
-	struct voter_set voters = consensus->voters;
-	struct message_writer writer;
-	enum error_code error;
-
-	if (phase == CONSENSUS_CHANGE_ADD)
-		voters.voters[voters.count++] = consensus->change.voter;
-	else
-		remove_from_set(&voters, consensus->change.voter.host_id);
-	message_writer_init(&writer);
-	voter_set_encode(&voters, &writer);
-	error = consensus_append(consensus, CONSENSUS_ENTRY_VOTERS,
-	    message_data(&writer), message_size(&writer));
-	message_writer_finish(&writer);
-	if (error != ERROR_NONE)
-		return error;
-	consensus->change.index = journal_last_index(&consensus->journal);
-	/* A voter set takes effect as soon as it is in the log, before it
-	 * has committed. */
-	consensus_reload_voters(consensus);
-	consensus_update_peers(consensus);
-	return ERROR_NONE;
-}
-
-static void
-remove_from_set(struct voter_set *voters, uint32_t host_id)
-{
-	uint32_t from, kept;
-
-	kept = 0;
-	for (from = 0; from < voters->count; from++) {
-		if (voters->voters[from].host_id != host_id)
-			voters->voters[kept++] = voters->voters[from];
-	}
-	voters->count = kept;
-}
--- a/src/coordination/consensus_parts.h
+++ b/src/coordination/consensus_parts.h
@@ -91,7 +91,7 @@
 void consensus_receive_election(struct consensus *consensus, struct voter from,
     const struct consensus_message *message);
 
-/* consensus_leader.c: replication from the leader, voter changes */
+/* consensus_leader.c: replication from the leader, transfer of leadership */
 
 /** Becomes the leader: sets up the peers and appends the entry that begins the
  * term. */
@@ -105,13 +105,28 @@
 void consensus_advance_commit(struct consensus *consensus);
 /** Updates the peers to the current voters and the joining one. */
 void consensus_update_peers(struct consensus *consensus);
+/** Returns a peer, NULL if the voter is none. */
+struct consensus_peer *consensus_find_peer(
+    struct consensus *consensus, struct voter voter);
+/** Sends a peer the entries that it may lack, and which are committed. */
+void consensus_send_entries(
+    struct consensus *consensus, struct consensus_peer *peer);
+/** Handles CONSENSUS_APPEND_REPLY and CONSENSUS_SNAPSHOT_REPLY. */
+void consensus_receive_as_leader(struct consensus *consensus, struct voter from,
+    const struct consensus_message *message);
+
+/* consensus_change.c: voter changes */
+
+/** Continues a voter change whose new voter has caught up, and ends one whose
+ * new voter is silent or too slow. */
+void consensus_change_tick(struct consensus *consensus);
 /** Continues a voter change after an entry was applied. */
 void consensus_continue_change(struct consensus *consensus);
 /** Ends a voter change and passes @p error to its callback. */
 void consensus_end_change(struct consensus *consensus, enum error_code error);
-/** Handles CONSENSUS_APPEND_REPLY and CONSENSUS_SNAPSHOT_REPLY. */
-void consensus_receive_as_leader(struct consensus *consensus, struct voter from,
-    const struct consensus_message *message);
+/** Returns true if the host of the change gets the log although it is not in the
+ * voter set: it is about to join, or learns that it is being removed. */
+bool consensus_is_change_peer(const struct consensus *consensus);
 
 /* consensus_follower.c: entries and snapshots from the leader */
 
