--- a/src/coordination/voter_plan.h
+++ b/src/coordination/voter_plan.h
@@ -26,9 +26,9 @@
 
 /** A host with a disk, which may become a voter. */
 struct voter_candidate {
-	uint32_t host_id;	    /**< Id of the host. */
+	uint32_t host_id; /**< Id of the host. */
+	bool is_sound;	  /**< Alive, not suspected and not stopping. */
 	uint64_t voter_incarnation; /**< Incarnation of its data folder. */
-	bool is_sound; /**< Alive, not suspected and not stopping. */
 };
 
 /** A member of the current voter set, or a host that is joining it. */
--- a/tests/test_leave_confirmed.c
+++ b/tests/test_leave_confirmed.c
@@ -13,9 +13,9 @@
 
 #include "host_group.h"
 
-#define FORMING_MS     8000 /* Time until all hosts know each other. */
-#define PROPAGATION_MS 2000 /* Time until all hosts know a change. */
-#define CONFIRM_MS     800  /* Time limit of a confirmation. */
+#define FORMING_MS     8000	    /* Time until all hosts know each other. */
+#define PROPAGATION_MS 2000	    /* Time until all hosts know a change. */
+#define CONFIRM_MS     INT64_C(800) /* Time limit of a confirmation. */
 #define STEP_MS	       10
 #define COPIES	       2 /* Other hosts that must know. */
 #define SEEDS	       20
--- a/tests/test_voter_plan.c
+++ b/tests/test_voter_plan.c
@@ -27,51 +27,51 @@
 	uint64_t incarnation;
 } cases[] = {
     {"three seeds, two more hosts", 3, 5,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}},
 	VOTER_STEP_ADD, 4, 14},
     {"all is as wanted", 5, 5,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}},
 	VOTER_STEP_NONE, 0, 0},
     {"one lost its disk", 5, 5,
-	{{1, 11, true}, {2, 92, true}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}},
+	{{1, true, 11}, {2, true, 92}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}},
 	VOTER_STEP_ADD, 2, 92},
     {"one is dead and nobody can take its place", 5, 5,
-	{{1, 11, true}, {2, 12, false}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}},
+	{{1, true, 11}, {2, false, 12}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}},
 	VOTER_STEP_NONE, 0, 0},
     {"one is suspected, dead or stopping and a successor is there", 5, 6,
-	{{1, 11, true}, {2, 12, false}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}, {6, 16, true}},
+	{{1, true, 11}, {2, false, 12}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}, {6, true, 16}},
 	VOTER_STEP_ADD, 6, 16},
     {"after it the other is removed", 6, 6,
-	{{1, 11, true}, {2, 12, false}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}, {6, 16, true}},
+	{{1, true, 11}, {2, false, 12}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}, {6, true, 16}},
 	VOTER_STEP_REMOVE, 2, 0},
     {"it has become sound again", 6, 6,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}, {6, 16, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}, {6, true, 16}},
 	VOTER_STEP_NONE, 0, 0},
     {"one too few and a successor is there", 4, 5,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 14, true},
-	    {6, 16, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 14},
+	    {6, true, 16}},
 	VOTER_STEP_ADD, 6, 16},
     {"a voter is not known yet", 5, 5,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 14, true},
-	    {6, 16, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 14},
+	    {6, true, 16}},
 	VOTER_STEP_NONE, 0, 0},
     {"a spare host changes nothing while all live", 5, 6,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 14, true},
-	    {5, 15, true}, {6, 16, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 14},
+	    {5, true, 15}, {6, true, 16}},
 	VOTER_STEP_NONE, 0, 0},
     {"a host without a data folder never votes", 3, 4,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 0, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 0}},
 	VOTER_STEP_NONE, 0, 0},
     {"a suspected host is not added", 4, 6,
-	{{1, 11, true}, {2, 12, true}, {3, 13, true}, {4, 14, true},
-	    {5, 15, false}, {6, 16, true}},
+	{{1, true, 11}, {2, true, 12}, {3, true, 13}, {4, true, 14},
+	    {5, false, 15}, {6, true, 16}},
 	VOTER_STEP_ADD, 6, 16},
 };
 
@@ -81,10 +81,10 @@
 	struct voter_candidate joining_host;
 	enum voter_step_kind kind;
 } join_cases[] = {
-    {"it catches up", {5, 95, true}, VOTER_STEP_NONE},
-    {"it has lost its disk again", {5, 96, true}, VOTER_STEP_CANCEL},
-    {"it is suspected", {5, 95, false}, VOTER_STEP_CANCEL},
-    {"it is dead", {5, 95, false}, VOTER_STEP_CANCEL},
+    {"it catches up", {5, true, 95}, VOTER_STEP_NONE},
+    {"it has lost its disk again", {5, true, 96}, VOTER_STEP_CANCEL},
+    {"it is suspected", {5, false, 95}, VOTER_STEP_CANCEL},
+    {"it is dead", {5, false, 95}, VOTER_STEP_CANCEL},
     {"it is unknown", {0}, VOTER_STEP_CANCEL},
 };
 
@@ -137,9 +137,9 @@
 static void
 test_plan_without_room_removes_first(void **state)
 {
-	const struct voter_candidate candidates[] = {{1, 11, true},
-	    {2, 12, false}, {3, 13, true}, {4, 14, true}, {5, 15, true},
-	    {6, 16, true}, {7, 17, true}, {8, 18, true}};
+	const struct voter_candidate candidates[] = {{1, true, 11},
+	    {2, false, 12}, {3, true, 13}, {4, true, 14}, {5, true, 15},
+	    {6, true, 16}, {7, true, 17}, {8, true, 18}};
 	struct voter_plan plan = {.voters = current_voters,
 	    .voter_count = VOTERS_MAX,
 	    .candidates = candidates,
@@ -158,8 +158,8 @@
 static void
 test_plan_replaces_forgotten_voter(void **state)
 {
-	const struct voter_candidate candidates[] = {{1, 11, true},
-	    {2, 12, true}, {3, 13, true}, {4, 14, true}, {6, 16, true}};
+	const struct voter_candidate candidates[] = {{1, true, 11},
+	    {2, true, 12}, {3, true, 13}, {4, true, 14}, {6, true, 16}};
 	struct voter_plan plan = {.voters = current_voters,
 	    .voter_count = WANTED,
 	    .candidates = candidates,
@@ -178,9 +178,9 @@
 static void
 test_stopping_voter_waits_for_its_successor(void **state)
 {
-	const struct voter_candidate candidates[] = {{1, 11, true},
-	    {2, 12, true}, {3, 13, true}, {4, 14, true}, {5, 15, false},
-	    {6, 16, true}};
+	const struct voter_candidate candidates[] = {{1, true, 11},
+	    {2, true, 12}, {3, true, 13}, {4, true, 14}, {5, false, 15},
+	    {6, true, 16}};
 	struct voter_plan plan = {.voters = current_voters,
 	    .voter_count = WANTED,
 	    .candidates = candidates,
