--- a/tests/real_soak.sh
+++ b/tests/real_soak.sh
@@ -4,4 +4,4 @@
 # Time limits are four times the usual because builds with sanitizers are slow.
 set -euo pipefail
 cd "$CHICORY_SOURCE_DIR"
-python3 tests/soak/soak.py "$1" --file tests/soak/seeds.txt --jobs 3 --patience 4
+python3 tests/soak/soak.py "$1" --file tests/soak/seeds.txt --jobs 4 --patience 4
