A removal that can't be logged leaves no voter twice among the peers

Found on reading the change once more.

Now the host of a change is an extra peer whenever it is not in the voter set, which is what the function says it returns, in place of a list of phases.

test_failed_removal_counts_no_voter_twice was red before (3 peers in place of 2).

--- a/src/coordination/consensus_change.c
+++ b/src/coordination/consensus_change.c
@@ -153,9 +153,8 @@
 {
 	const struct consensus_change *change = &consensus->change;
 
-	return change->phase == CONSENSUS_CHANGE_CATCH_UP ||
-	       change->phase == CONSENSUS_CHANGE_REMOVE_OLD ||
-	       change->phase == CONSENSUS_CHANGE_REMOVE;
+	return change->phase != CONSENSUS_CHANGE_NONE &&
+	       !voter_set_contains(&consensus->voters, change->voter);
 }
 
 /* Sends a removed voter the entry that removes it once more, as committed: a host
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -352,6 +352,31 @@
 	voter_group_finish(&group);
 }
 
+/* Guards against a voter that counts twice for the quorum: a removal that can't be
+ * written to the log leaves the peers as they were. */
+static void
+test_failed_removal_counts_no_voter_twice(void **state)
+{
+	struct group_answer answer = {0};
+	struct voter_group group;
+	struct group_host *leader;
+
+	(void)state;
+	group_init_with_leader(&group, 19);
+	leader = voter_group_leader(&group);
+	assert_int_equal(leader->consensus.peer_count, GROUP_VOTERS - 1);
+	/* The journal refuses an entry of a term before its last one. */
+	leader->consensus.identity.term--;
+	assert_int_not_equal(
+	    consensus_remove_voter(&leader->consensus,
+		leader->id % GROUP_VOTERS + 1,
+		(struct consensus_callback){group_on_change_result, &answer}),
+	    ERROR_NONE);
+	assert_int_equal(leader->consensus.peer_count, GROUP_VOTERS - 1);
+	leader->consensus.identity.term++;
+	voter_group_finish(&group);
+}
+
 /* A host that is catching up can be given up at once, and then joins under a new
  * incarnation. */
 static void
@@ -577,6 +602,7 @@
 	    cmocka_unit_test(test_silent_joining_host_blocks_no_other_change),
 	    cmocka_unit_test(test_join_is_cancelled_for_a_new_incarnation),
 	    cmocka_unit_test(test_removed_voter_learns_of_its_removal),
+	    cmocka_unit_test(test_failed_removal_counts_no_voter_twice),
 	    cmocka_unit_test(test_host_with_damaged_journal_does_not_vote),
 	    cmocka_unit_test(test_transfer_needs_no_election_timeout),
 	    cmocka_unit_test(test_voter_recovers_from_full_disk),
