The voter plan reads the voter set itself, by the set's own look-ups

The plan had a type of its own for a voter and a search of its own, and its caller copied the set for it and searched it once more: voter_set_find() and voter_set_contains() serve all of it. No step differs; the tests keep their cases and assertions and share one way to prepare a plan.

--- a/src/coordination/gossip_confirm.c
+++ b/src/coordination/gossip_confirm.c
@@ -119,6 +119,8 @@
 	g_ptr_array_unref(items);
 }
 
+/* Counts a host once. There is room, since the confirmation ends when as many
+ * hosts as it asks for have been counted. */
 static void
 add_holder(struct gossip_confirmation *confirmation, uint32_t host_id)
 {
@@ -128,8 +130,7 @@
 		if (confirmation->holders[i] == host_id)
 			return;
 	}
-	if (confirmation->holder_count < GOSSIP_COPIES_MAX)
-		confirmation->holders[confirmation->holder_count++] = host_id;
+	confirmation->holders[confirmation->holder_count++] = host_id;
 }
 
 /* Removes a confirmation and tells its caller the outcome. */
--- a/src/coordination/voter_plan.c
+++ b/src/coordination/voter_plan.c
@@ -4,22 +4,19 @@
 
 static const struct voter_candidate *find_candidate(
     const struct voter_plan *plan, uint32_t host_id);
-static const struct current_voter *find_voter(
-    const struct voter_plan *plan, uint32_t host_id);
 static const struct voter_candidate *find_new_incarnation(
     const struct voter_plan *plan);
 static const struct voter_candidate *find_spare(const struct voter_plan *plan);
-static const struct current_voter *find_outgoing_voter(
-    const struct voter_plan *plan);
+static const struct voter *find_outgoing_voter(const struct voter_plan *plan);
 static bool has_join_failed(const struct voter_plan *plan);
 static struct voter_step make_add_step(const struct voter_candidate *candidate);
-static struct voter_step make_remove_step(const struct current_voter *voter);
+static struct voter_step make_remove_step(const struct voter *voter);
 
 struct voter_step
 voter_plan_next(const struct voter_plan *plan)
 {
 	const struct voter_candidate *candidate;
-	const struct current_voter *outgoing;
+	const struct voter *outgoing;
 	struct voter_step none = {0};
 
 	if (plan->joining.host_id != 0) {
@@ -32,18 +29,18 @@
 	if (candidate != NULL)
 		return make_add_step(candidate);
 	outgoing = find_outgoing_voter(plan);
-	if (outgoing != NULL && plan->voter_count > plan->wanted)
+	if (outgoing != NULL && plan->voters->count > plan->wanted)
 		return make_remove_step(outgoing);
 	candidate = find_spare(plan);
 	if (candidate == NULL)
 		return none;
-	if (plan->voter_count < plan->wanted)
+	if (plan->voters->count < plan->wanted)
 		return make_add_step(candidate);
 	if (outgoing == NULL)
 		return none;
 	/* Without room for one more voter, the successor is added after the
 	 * other has been removed. */
-	if (plan->voter_count == VOTERS_MAX)
+	if (plan->voters->count == VOTERS_MAX)
 		return make_remove_step(outgoing);
 	return make_add_step(candidate);
 }
@@ -51,7 +48,7 @@
 bool
 voter_plan_has_successor(const struct voter_plan *plan)
 {
-	return plan->voter_count > plan->wanted || find_spare(plan) != NULL;
+	return plan->voters->count > plan->wanted || find_spare(plan) != NULL;
 }
 
 /* Returns the candidate with this host id, or NULL if there is none. */
@@ -67,34 +64,21 @@
 	return NULL;
 }
 
-/* Returns the voter with this host id, or NULL if there is none. */
-static const struct current_voter *
-find_voter(const struct voter_plan *plan, uint32_t host_id)
-{
-	uint32_t i;
-
-	for (i = 0; i < plan->voter_count; i++) {
-		if (plan->voters[i].host_id == host_id)
-			return &plan->voters[i];
-	}
-	return NULL;
-}
-
 /* Returns the first host that can be added again, because it has lost the data
  * folder under which it is a voter; NULL if there is none. */
 static const struct voter_candidate *
 find_new_incarnation(const struct voter_plan *plan)
 {
 	const struct voter_candidate *candidate;
-	const struct current_voter *voter;
+	const struct voter *voter;
 	uint32_t i;
 
 	for (i = 0; i < plan->candidate_count; i++) {
 		candidate = &plan->candidates[i];
-		voter = find_voter(plan, candidate->host_id);
+		voter = voter_set_find(plan->voters, candidate->host_id);
 		if (voter != NULL && candidate->is_sound &&
 		    candidate->voter_incarnation != 0 &&
-		    candidate->voter_incarnation != voter->voter_incarnation)
+		    candidate->voter_incarnation != voter->incarnation)
 			return candidate;
 	}
 	return NULL;
@@ -110,7 +94,7 @@
 	for (i = 0; i < plan->candidate_count; i++) {
 		candidate = &plan->candidates[i];
 		if (candidate->is_sound && candidate->voter_incarnation != 0 &&
-		    find_voter(plan, candidate->host_id) == NULL)
+		    voter_set_find(plan->voters, candidate->host_id) == NULL)
 			return candidate;
 	}
 	return NULL;
@@ -118,17 +102,18 @@
 
 /* Returns a voter that should be replaced, because its host is suspected, dead,
  * stopping or forgotten; NULL if there is none. */
-static const struct current_voter *
+static const struct voter *
 find_outgoing_voter(const struct voter_plan *plan)
 {
 	const struct voter_candidate *candidate;
 	uint32_t i;
 
-	for (i = 0; i < plan->voter_count; i++) {
-		candidate = find_candidate(plan, plan->voters[i].host_id);
+	for (i = 0; i < plan->voters->count; i++) {
+		candidate =
+		    find_candidate(plan, plan->voters->voters[i].host_id);
 		if (candidate == NULL ? plan->knows_all_hosts
 				      : !candidate->is_sound)
-			return &plan->voters[i];
+			return &plan->voters->voters[i];
 	}
 	return NULL;
 }
@@ -142,7 +127,7 @@
 
 	candidate = find_candidate(plan, plan->joining.host_id);
 	return candidate == NULL || !candidate->is_sound ||
-	       candidate->voter_incarnation != plan->joining.voter_incarnation;
+	       candidate->voter_incarnation != plan->joining.incarnation;
 }
 
 static struct voter_step
@@ -153,7 +138,7 @@
 }
 
 static struct voter_step
-make_remove_step(const struct current_voter *voter)
+make_remove_step(const struct voter *voter)
 {
 	return (struct voter_step){VOTER_STEP_REMOVE, voter->host_id, 0};
 }
--- a/src/coordination/voter_plan.h
+++ b/src/coordination/voter_plan.h
@@ -22,7 +22,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "config.h"
+#include "state/voter_file.h"
 
 /** A host with a disk, which may become a voter. */
 struct voter_candidate {
@@ -31,22 +31,15 @@
 	uint64_t voter_incarnation; /**< Incarnation of its data folder. */
 };
 
-/** A member of the current voter set, or a host that is joining it. */
-struct current_voter {
-	uint32_t host_id;	    /**< Id of the host. */
-	uint64_t voter_incarnation; /**< Incarnation that may vote. */
-};
-
 /** What the decision depends on. */
 struct voter_plan {
-	const struct current_voter *voters; /**< The current voter set. */
-	uint32_t voter_count;		    /**< Number of voters. */
+	const struct voter_set *voters; /**< The current voter set. */
 	/** Hosts with a disk; of several that could be added, the first is. */
 	const struct voter_candidate *candidates;
 	uint32_t candidate_count; /**< Number of candidates. */
 	uint32_t wanted;	  /**< Number of voters to reach. */
 	/** Host that is catching up to be added; host id 0 for none. */
-	struct current_voter joining;
+	struct voter joining;
 	/** Every live host has had time to become known, so that a voter which
 	 * is not among the candidates is gone. */
 	bool knows_all_hosts;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -78,7 +78,7 @@
 	struct mailbox_call *call;
 	struct handle timer;
 	int64_t vote_until_ms; /* When to leave although still a voter. */
-	bool has_left;	       /* Membership has been told. */
+	bool has_left;	       /* membership_leave() was called. */
 };
 
 enum error_code
--- a/src/host/host_voters.c
+++ b/src/host/host_voters.c
@@ -27,10 +27,9 @@
 	struct voter_candidate items[CANDIDATES_MAX];
 };
 
-/* A plan and what it refers to. */
+/* A plan, and the list of candidates that it points to. */
 struct voter_inputs {
 	struct voter_plan plan;
-	struct current_voter voters[VOTERS_MAX];
 	struct candidate_list candidates;
 };
 
@@ -40,8 +39,6 @@
 static void move_to_end(struct candidate_list *list, uint32_t host_id);
 static void count_entry_host(void *visitor, const struct host_record *record);
 static void add_candidate(void *visitor, const struct host_record *record);
-static bool is_current_voter(
-    struct host *host, const struct host_record *record);
 static void start_change(struct host *host, const struct voter_step *step);
 static const char *step_name(const struct voter_step *step);
 static void on_change_done(void *context, enum error_code error, uint64_t index,
@@ -111,29 +108,17 @@
 static void
 collect_inputs(struct host *host, struct voter_inputs *inputs)
 {
-	const struct voter_set *voters;
-	struct voter joining;
-	uint32_t i;
-
 	memset(inputs, 0, sizeof(*inputs));
 	inputs->candidates.host = host;
-	voters = consensus_voters(&host->consensus);
-	for (i = 0; i < voters->count; i++) {
-		inputs->voters[i].host_id = voters->voters[i].host_id;
-		inputs->voters[i].voter_incarnation =
-		    voters->voters[i].incarnation;
-	}
 	membership_for_each(
 	    &host->membership, add_candidate, &inputs->candidates);
 	move_to_end(&inputs->candidates, host->failed_joiner_id);
-	joining = consensus_joining_voter(&host->consensus);
 	inputs->plan = (struct voter_plan){
-	    .voters = inputs->voters,
-	    .voter_count = voters->count,
+	    .voters = consensus_voters(&host->consensus),
 	    .candidates = inputs->candidates.items,
 	    .candidate_count = inputs->candidates.count,
 	    .wanted = host->settings.voters_target,
-	    .joining = {joining.host_id, joining.incarnation},
+	    .joining = consensus_joining_voter(&host->consensus),
 	    .knows_all_hosts = host->led_checks >= LED_CHECKS_MIN,
 	};
 }
@@ -171,6 +156,7 @@
 static void
 add_candidate(void *visitor, const struct host_record *record)
 {
+	const struct voter voter = {record->id, record->voter_incarnation};
 	struct candidate_list *list = visitor;
 	struct voter_candidate *candidate;
 
@@ -179,7 +165,8 @@
 	/* A build that does not know the level in force would not stay in
 	 * agreement with the others. */
 	if (!host_level_may_vote(list->host, record) &&
-	    !is_current_voter(list->host, record))
+	    !voter_set_contains(
+		consensus_voters(&list->host->consensus), voter))
 		return;
 	candidate = &list->items[list->count++];
 	candidate->host_id = record->id;
@@ -188,20 +175,6 @@
 			      (record->flags & HOST_FLAG_DRAINING) == 0;
 }
 
-static bool
-is_current_voter(struct host *host, const struct host_record *record)
-{
-	const struct voter_set *voters = consensus_voters(&host->consensus);
-	uint32_t i;
-
-	for (i = 0; i < voters->count; i++) {
-		if (voters->voters[i].host_id == record->id &&
-		    voters->voters[i].incarnation == record->voter_incarnation)
-			return true;
-	}
-	return false;
-}
-
 static void
 start_change(struct host *host, const struct voter_step *step)
 {
--- a/tests/test_endless_answers.c
+++ b/tests/test_endless_answers.c
@@ -27,7 +27,7 @@
 /* Callers that read nothing of streams without end. */
 #define SLOW_CALLERS   90
 #define HELD_BYTES_MAX (64 * MIB)
-/* The same of what is queued for callers that don't read. */
+/* Most bytes queued for callers that read nothing, for the same reason. */
 #define QUEUED_BYTES_MAX (64 * MIB)
 #define CHUNK_BYTES	 4096
 #define SAMPLE_US	 1000
--- a/tests/test_leave_confirmed.c
+++ b/tests/test_leave_confirmed.c
@@ -17,7 +17,7 @@
 #define PROPAGATION_MS 2000	    /* Time until all hosts know a change. */
 #define CONFIRM_MS     INT64_C(800) /* Time limit of a confirmation. */
 #define STEP_MS	       10
-#define COPIES	       2 /* Other hosts that must know. */
+#define COPIES	       2 /* Other hosts that must have the state. */
 #define SEEDS	       20
 #define HOST	       4 /* Host that the upstream reports to. */
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -288,7 +288,7 @@
 #define ODD_HEARTBEAT                                                          \
 	"{\"service\":\"s\",\"address\":%s,\"zone\":\"z\",\"version\":\"v\","  \
 	"\"slots\":%s,\"state\":\"ready\",\"seq\":%s,\"born\":%s}"
-#define ODD_DEPTH 1000000 /* Nested arrays. */
+#define ODD_DEPTH 1000000 /* Arrays nested in an odd body. */
 
 static const struct {
 	const char *address, *slots, *sequence, *born;
--- a/tests/test_voter_plan.c
+++ b/tests/test_voter_plan.c
@@ -12,11 +12,12 @@
 
 #define WANTED 5 /* Number of voters that the plan aims at. */
 
-static const struct current_voter current_voters[] = {
-    {1, 11}, {2, 12}, {3, 13}, {4, 14}, {5, 15}, {6, 16}, {7, 17}};
+/* A set that the tests cut to its first voters. */
+static const struct voter_set all_voters = {VOTERS_MAX,
+    {{1, 11}, {2, 12}, {3, 13}, {4, 14}, {5, 15}, {6, 16}, {7, 17}}};
 
 /* Candidates that the leader sees, and the step expected from the plan. The
- * current voters are the first current_voter_count of current_voters. */
+ * current voters are the first current_voter_count of all_voters. */
 static const struct {
 	const char *name;
 	uint32_t current_voter_count;
@@ -88,16 +89,27 @@
     {"it is unknown", {0}, VOTER_STEP_CANCEL},
 };
 
+/* Prepares a plan for the first @p count voters, which are as many as wanted. */
+static void
+init_plan(struct voter_plan *plan, struct voter_set *voters, uint32_t count)
+{
+	*voters = all_voters;
+	voters->count = count;
+	*plan = (struct voter_plan){.voters = voters, .wanted = count};
+}
+
 static void
 test_plan_proposes_next_voter_step(void **state)
 {
-	struct voter_plan plan = {.voters = current_voters, .wanted = WANTED};
+	struct voter_set voters;
+	struct voter_plan plan;
 	struct voter_step step;
 	size_t i;
 
 	(void)state;
+	init_plan(&plan, &voters, WANTED);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		plan.voter_count = cases[i].current_voter_count;
+		voters.count = cases[i].current_voter_count;
 		plan.candidates = cases[i].candidates;
 		plan.candidate_count = cases[i].candidate_count;
 		step = voter_plan_next(&plan);
@@ -114,15 +126,15 @@
 static void
 test_plan_gives_up_joining_host_that_failed(void **state)
 {
-	struct voter_plan plan = {.voters = current_voters,
-	    .voter_count = WANTED,
-	    .candidate_count = 1,
-	    .wanted = WANTED,
-	    .joining = {5, 95}};
+	struct voter_set voters;
+	struct voter_plan plan;
 	struct voter_step step;
 	size_t i;
 
 	(void)state;
+	init_plan(&plan, &voters, WANTED);
+	plan.candidate_count = 1;
+	plan.joining = (struct voter){5, 95};
 	for (i = 0; i < sizeof(join_cases) / sizeof(join_cases[0]); i++) {
 		plan.candidates = &join_cases[i].joining_host;
 		step = voter_plan_next(&plan);
@@ -140,14 +152,14 @@
 	const struct voter_candidate candidates[] = {{1, true, 11},
 	    {2, false, 12}, {3, true, 13}, {4, true, 14}, {5, true, 15},
 	    {6, true, 16}, {7, true, 17}, {8, true, 18}};
-	struct voter_plan plan = {.voters = current_voters,
-	    .voter_count = VOTERS_MAX,
-	    .candidates = candidates,
-	    .candidate_count = 8,
-	    .wanted = VOTERS_MAX};
+	struct voter_set voters;
+	struct voter_plan plan;
 	struct voter_step step;
 
 	(void)state;
+	init_plan(&plan, &voters, VOTERS_MAX);
+	plan.candidates = candidates;
+	plan.candidate_count = 8;
 	step = voter_plan_next(&plan);
 	assert_int_equal(step.kind, VOTER_STEP_REMOVE);
 	assert_int_equal(step.host_id, 2);
@@ -160,13 +172,13 @@
 {
 	const struct voter_candidate candidates[] = {{1, true, 11},
 	    {2, true, 12}, {3, true, 13}, {4, true, 14}, {6, true, 16}};
-	struct voter_plan plan = {.voters = current_voters,
-	    .voter_count = WANTED,
-	    .candidates = candidates,
-	    .candidate_count = 5,
-	    .wanted = WANTED};
+	struct voter_set voters;
+	struct voter_plan plan;
 
 	(void)state;
+	init_plan(&plan, &voters, WANTED);
+	plan.candidates = candidates;
+	plan.candidate_count = 5;
 	assert_int_equal(voter_plan_next(&plan).kind, VOTER_STEP_NONE);
 	plan.knows_all_hosts = true;
 	assert_int_equal(voter_plan_next(&plan).kind, VOTER_STEP_ADD);
@@ -181,17 +193,17 @@
 	const struct voter_candidate candidates[] = {{1, true, 11},
 	    {2, true, 12}, {3, true, 13}, {4, true, 14}, {5, false, 15},
 	    {6, true, 16}};
-	struct voter_plan plan = {.voters = current_voters,
-	    .voter_count = WANTED,
-	    .candidates = candidates,
-	    .candidate_count = 5,
-	    .wanted = WANTED};
+	struct voter_set voters;
+	struct voter_plan plan;
 
 	(void)state;
+	init_plan(&plan, &voters, WANTED);
+	plan.candidates = candidates;
+	plan.candidate_count = 5;
 	assert_false(voter_plan_has_successor(&plan));
 	plan.candidate_count = 6;
 	assert_true(voter_plan_has_successor(&plan));
-	plan.voter_count = 6;
+	voters.count = 6;
 	assert_true(voter_plan_has_successor(&plan));
 }
 
