An answer that has begun outlives its caller's key and route

Cause: relay_exchange_resolve() asked the newest route table also for a request whose answer had begun. Ruled out: holding every request to the table of its arrival: one that has not been sent yet must follow the newest table (test of a dropped route). Change: a request whose answer has begun keeps the table that admitted it if the newest one denies it. The look-up is a function of its own. Test: tests/test_relay.c, stream resumed after its key was revoked, and after its route was dropped; red before, green after.

--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -31,6 +31,15 @@
 	int64_t retry_after_ms; /* Retry-After if it has not run. */
 };
 
+/* What a route table allows the caller of a request. */
+struct caller_access {
+	const struct route *route;	     /* NULL if there is none. */
+	const struct route_account *account; /* NULL if none is known. */
+	enum error_code error;		     /* Why it is denied. */
+};
+
+static struct caller_access find_access(
+    const struct relay_exchange *exchange, const struct route_table *table);
 static bool may_send(struct relay_exchange *exchange);
 static void start(struct relay_exchange *exchange);
 static bool arrived_after_drain(const struct relay_exchange *exchange);
@@ -96,10 +105,8 @@
 bool
 relay_exchange_resolve(struct relay_exchange *exchange)
 {
-	const struct relay_dialect *dialect =
-	    &exchange->relay->settings.dialect;
 	struct relay *relay = exchange->relay;
-	const char *host, *key;
+	struct caller_access access;
 
 	relay_refresh(relay);
 	if (relay->table == NULL && wait_for_first_table(exchange))
@@ -108,6 +115,11 @@
 		refuse_unconfirmed(exchange, "no configuration yet");
 		return false;
 	}
+	access = find_access(exchange, relay->table);
+	/* The caller was admitted by the table that the exchange holds. That
+	 * stays so until its answer ends, also if it goes on elsewhere. */
+	if (access.error != ERROR_NONE && exchange->is_answering)
+		return may_send(exchange);
 	if (exchange->table != relay->table) {
 		route_table_unref(exchange->table);
 		exchange->table = route_table_ref(relay->table);
@@ -121,32 +133,51 @@
 		    RETRY_AFTER_DEFAULT_MS, ERROR_STALE);
 		return false;
 	}
-	host = http_head_get(&exchange->head, "Host");
-	exchange->route =
-	    route_table_find(exchange->table, host, exchange->head.target->str);
-	if (exchange->route == NULL) {
-		deny(exchange, STATUS_NOT_FOUND, "no such route",
-		    ERROR_NOT_FOUND);
+	exchange->route = access.route;
+	exchange->account = access.account;
+	if (access.error == ERROR_NOT_FOUND) {
+		deny(exchange, STATUS_NOT_FOUND, "no such route", access.error);
 		return false;
 	}
-	key = http_head_get(&exchange->head, dialect->account_key);
-	exchange->account =
-	    key == NULL ? NULL : route_table_account(exchange->table, key);
-	if (exchange->account == NULL && !exchange->route->is_public &&
-	    exchange->table->accounts_by_key != NULL) {
-		deny(exchange, STATUS_UNAUTHORIZED, "unknown key",
-		    ERROR_UNAUTHENTICATED);
+	if (access.error != ERROR_NONE) {
+		deny(
+		    exchange, STATUS_UNAUTHORIZED, "unknown key", access.error);
 		return false;
 	}
 	exchange->service =
 	    route_pick_service(exchange->route, exchange->target_random);
 	exchange->request.route = exchange->route;
 	exchange->request.service = exchange->service;
-	prompt_parts_read(http_head_get(&exchange->head, dialect->prompt_parts),
+	prompt_parts_read(http_head_get(&exchange->head,
+			      relay->settings.dialect.prompt_parts),
 	    exchange->service->name, &exchange->key);
 	return may_send(exchange);
 }
 
+/* Looks up what a route table allows the caller. */
+static struct caller_access
+find_access(
+    const struct relay_exchange *exchange, const struct route_table *table)
+{
+	const struct relay_dialect *dialect =
+	    &exchange->relay->settings.dialect;
+	struct caller_access access = {0};
+	const char *key;
+
+	access.route = route_table_find(table,
+	    http_head_get(&exchange->head, "Host"), exchange->head.target->str);
+	if (access.route == NULL) {
+		access.error = ERROR_NOT_FOUND;
+		return access;
+	}
+	key = http_head_get(&exchange->head, dialect->account_key);
+	access.account = key == NULL ? NULL : route_table_account(table, key);
+	if (access.account == NULL && !access.route->is_public &&
+	    table->accounts_by_key != NULL)
+		access.error = ERROR_UNAUTHENTICATED;
+	return access;
+}
+
 /* Checks what was sent so far against the route, which may have changed since.
  * Returns false if the request must be answered now. */
 static bool
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -260,7 +260,8 @@
 
 /** Looks up route, account and service in the newest route table. If the
  * request is not allowed, or no table is known yet, answers or delays it and
- * returns false; the exchange may be freed then. */
+ * returns false; the exchange may be freed then. A request whose answer has
+ * begun keeps what it had if the newest table no longer allows it. */
 bool relay_exchange_resolve(struct relay_exchange *exchange);
 /** Sends the request to the best upstream. If none can take it, retries for a
  * limited time and then answers with an error. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -633,6 +633,77 @@
 	g_free(fixture);
 }
 
+/* What an operator takes from a caller whose answer has begun. */
+static const char *const taken_away[] = {
+    /* Its key. */
+    "{\"version\":2,\"routes\":[{\"name\":\"stream\",\"host\":\"h\","
+    "\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":"
+    "10000,\"sloMs\":300,\"service\":\"s\",\"maxAttempts\":2,"
+    "\"resumable\":true,\"targetGapMs\":250}],\"services\":[{\"name\":"
+    "\"s\",\"healthPath\":\"/health\"}],\"tenants\":[{\"name\":\"spa\","
+    "\"apiKeys\":[\"key2\"]}],\"limits\":{\"maxBodyBytes\":1000,"
+    "\"maxHeaderBytes\":2000}}",
+    /* Its route. */
+    "{\"version\":2,\"routes\":[],\"services\":[{\"name\":\"s\","
+    "\"healthPath\":\"/health\"}],\"tenants\":[{\"name\":\"spa\","
+    "\"apiKeys\":[\"key1\"]}],\"limits\":{\"maxBodyBytes\":1000,"
+    "\"maxHeaderBytes\":2000}}",
+};
+
+/* A stream whose upstream fails after the caller's key was revoked, or its
+ * route dropped, is resumed; a new request is denied. The upstream is silent
+ * after its first event until the table has changed, then resets. */
+static void
+test_answer_that_has_begun_outlives_its_key_and_route(void **state)
+{
+	static const char request[] =
+	    "POST /stream/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"
+	    "X-Api-Key: key1\r\nDeadline-Ms: 9000\r\n"
+	    "Content-Length: 5\r\n\r\nhello";
+	struct relay_fixture *fixture;
+	struct field_error error;
+	char buffer[4096];
+	GString *answer;
+	ssize_t size;
+	char *denied;
+	size_t i;
+	int fd;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(taken_away); i++) {
+		fixture = g_new0(struct relay_fixture, 1);
+		relay_fixture_init(fixture);
+		relay_fixture_add_answer(
+		    fixture, EVENT_STREAM EVENT1 "<pause><reset>");
+		relay_fixture_add_answer(
+		    fixture, EVENT_STREAM EVENT2 STREAM_END);
+		fd = relay_fixture_connect(fixture);
+		assert_true(send(fd, request, strlen(request), 0) > 0);
+		answer = g_string_new(NULL);
+		while (strstr(answer->str, "id: 1") == NULL) {
+			size = recv(fd, buffer, sizeof(buffer), 0);
+			assert_true(size > 0);
+			g_string_append_len(answer, buffer, size);
+		}
+		relay_set_table(
+		    &fixture->relay, platform_routes_parse(taken_away[i],
+					 strlen(taken_away[i]), &error));
+		denied = relay_fixture_send_request(fixture, request);
+		assert_non_null(strstr(denied, "HTTP/1.1 40"));
+		g_free(denied);
+		while (!g_str_has_suffix(answer->str, "\r\n0\r\n\r\n") &&
+		       (size = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+			g_string_append_len(answer, buffer, size);
+		assert_non_null(
+		    strstr(answer->str, "id: 2\ndata: b\n\n\r\n0\r\n\r\n"));
+		assert_int_equal(relay_fixture_request_count(fixture), 2);
+		g_string_free(answer, TRUE);
+		close(fd);
+		relay_fixture_finish(fixture);
+		g_free(fixture);
+	}
+}
+
 int
 main(void)
 {
@@ -656,6 +727,8 @@
 	    cmocka_unit_test(test_pause_holds_beside_a_limit_that_is_not_valid),
 	    cmocka_unit_test(
 		test_route_dropped_during_a_reservation_is_not_used),
+	    cmocka_unit_test(
+		test_answer_that_has_begun_outlives_its_key_and_route),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
