Placement has a folder of its own

The files that decide where a request runs stood among 109 files of src/coordination/. They move to src/placement/ with the cold turns and the notices of upstreams that only they use.

--- a/src/coordination/cold_turn.c
+++ b/src/placement/cold_turn.c
@@ -1,4 +1,4 @@
-#include "coordination/cold_turn.h"
+#include "placement/cold_turn.h"
 
 #include <math.h>
 
--- a/src/coordination/cold_turn.h
+++ b/src/placement/cold_turn.h
@@ -16,7 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "coordination/upstream_notice.h"
+#include "placement/upstream_notice.h"
 
 /** What the turn of a host depends on. */
 struct cold_turn {
--- a/src/coordination/placement.c
+++ b/src/placement/placement.c
@@ -3,13 +3,13 @@
  * State of placement: the upstreams, the load counted for requests, ejection of
  * failing upstreams and silence of upstreams.
  */
-#include "coordination/placement.h"
+#include "placement/placement.h"
 
 #include <string.h>
 
 #include <xxhash.h>
 
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Time for which a host that is not live any more keeps its share of what all
  * hosts together may send. */
--- a/src/coordination/placement.h
+++ b/src/placement/placement.h
@@ -28,8 +28,8 @@
 #include "base/random_source.h"
 #include "config.h"
 #include "coordination/forward_peers.h"
-#include "coordination/placement_split.h"
-#include "coordination/upstream_notice.h"
+#include "placement/placement_split.h"
+#include "placement/upstream_notice.h"
 #include "protocol/work_message.h"
 #include "state/route_table.h"
 
--- a/src/coordination/placement_candidates.c
+++ b/src/placement/placement_candidates.c
@@ -3,8 +3,8 @@
  * The candidates of a placement decision: which upstreams may take a request
  * now, and what placing it on each of them would cost.
  */
-#include "coordination/cold_turn.h"
-#include "coordination/placement_parts.h"
+#include "placement/cold_turn.h"
+#include "placement/placement_parts.h"
 
 /* Period over which requests sent to an upstream are limited. */
 #define RATE_WINDOW_MS 1000
--- a/src/coordination/placement_helpers.c
+++ b/src/placement/placement_helpers.c
@@ -3,7 +3,7 @@
  * Choice of the helpers that prefill parts of a prompt, and of those that store
  * a part of its KV.
  */
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Share of an engine's KV memory that a prompt spread over engines may use. */
 #define KV_USABLE_SHARE 0.85
--- a/src/coordination/placement_notice.c
+++ b/src/placement/placement_notice.c
@@ -3,7 +3,7 @@
  * Notices of upstreams about themselves: those that this host received, and those
  * that hosts send each other in work reports.
  */
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Time for which a host reports a notice that it received to the others. */
 #define REPORT_MS   3000
--- a/src/coordination/placement_parts.h
+++ b/src/placement/placement_parts.h
@@ -5,7 +5,7 @@
 #ifndef PLACEMENT_PARTS_H
 #define PLACEMENT_PARTS_H
 
-#include "coordination/placement.h"
+#include "placement/placement.h"
 
 /** Passes of the engine between the start of a prompt and its first event. */
 #define FIRST_EVENT_PASSES_MS 50
--- a/src/coordination/placement_pick.c
+++ b/src/placement/placement_pick.c
@@ -5,7 +5,7 @@
  */
 #include <string.h>
 
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Interval at which a request that no upstream may get yet tries again. */
 #define RATE_RETRY_MS 20
--- a/src/coordination/placement_probe.c
+++ b/src/placement/placement_probe.c
@@ -3,7 +3,7 @@
  * The upstreams to which a host tries connections without a request: to find out
  * whether it reaches any, and whether a failed one is there again.
  */
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Longest time until the outcome of a probe is known. */
 #define PROBE_TIME_MAX_MS 1000
--- a/src/coordination/placement_report.c
+++ b/src/placement/placement_report.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 #define REPORT_AGE_MAX_MS 3000 /* Older reports are ignored. */
 #define SHORT_PER_ENGINE  8.0  /* Short answers an engine decodes well. */
--- a/src/coordination/placement_slot.c
+++ b/src/placement/placement_slot.c
@@ -2,7 +2,7 @@
  * @file placement_slot.c
  * Decides whether a short prompt may take a slot of an engine now.
  */
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Weight of the newest answer in the mean time for which a slot is taken. */
 #define ANSWER_WEIGHT 0.1
--- a/src/coordination/placement_split.c
+++ b/src/placement/placement_split.c
@@ -2,7 +2,7 @@
  * @file placement_split.c
  * Division of engines between short and long prompts by demand.
  */
-#include "coordination/placement_split.h"
+#include "placement/placement_split.h"
 
 #include <math.h>
 
--- a/src/coordination/placement_turn.c
+++ b/src/placement/placement_turn.c
@@ -2,7 +2,7 @@
  * @file placement_turn.c
  * Decides when a queued long prompt may start.
  */
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Small long prompts skip the queue while the backlog is below this share of
  * the target for their first token. */
--- a/src/coordination/placement_wait.c
+++ b/src/placement/placement_wait.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "coordination/placement_parts.h"
+#include "placement/placement_parts.h"
 
 /* Share by which the queue key falls while a prompt waits for its target. */
 #define AGE_BONUS 0.7
--- a/src/coordination/upstream_notice.c
+++ b/src/placement/upstream_notice.c
@@ -1,4 +1,4 @@
-#include "coordination/upstream_notice.h"
+#include "placement/upstream_notice.h"
 
 #include <math.h>
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -34,7 +34,7 @@
 #include "base/error_code.h"
 #include "base/metrics.h"
 #include "base/random_source.h"
-#include "coordination/placement.h"
+#include "placement/placement.h"
 #include "coordination/retry_window.h"
 #include "coordination/upstream_path.h"
 #include "host/host.h"
--- a/src/relay/relay_hold.h
+++ b/src/relay/relay_hold.h
@@ -14,7 +14,7 @@
 #include <glib.h>
 
 #include "base/error_code.h"
-#include "coordination/placement.h"
+#include "placement/placement.h"
 #include "transport/timer.h"
 
 /** Size of a reservation id as text, in bytes with the final NUL. */
--- a/tests/placement_fixture.h
+++ b/tests/placement_fixture.h
@@ -8,7 +8,7 @@
 
 #include <stdint.h>
 
-#include "coordination/placement.h"
+#include "placement/placement.h"
 
 #define ENGINES	     18	     /**< Engines of placement_fixture_init(). */
 #define ENGINES_MANY 60	     /**< Engines of a large installation. */
--- a/tests/test_cold_fleet.c
+++ b/tests/test_cold_fleet.c
@@ -10,7 +10,7 @@
 
 #include <cmocka.h>
 
-#include "coordination/placement.h"
+#include "placement/placement.h"
 
 #define HOSTS		  300
 #define COLD_PER_S	  14
--- a/tests/test_cold_turn.c
+++ b/tests/test_cold_turn.c
@@ -11,7 +11,7 @@
 
 #include <cmocka.h>
 
-#include "coordination/cold_turn.h"
+#include "placement/cold_turn.h"
 
 #define HOSTS_MAX_TESTED 1000
 #define REQUESTS_PER_S	 26.0
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -13,7 +13,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
-#include "coordination/placement.h"
+#include "placement/placement.h"
 
 #define HOSTS	       6
 #define UPSTREAMS      8
--- a/tests/test_upstream_notice.c
+++ b/tests/test_upstream_notice.c
@@ -12,7 +12,7 @@
 #include <glib.h>
 
 #include "base/random_source.h"
-#include "coordination/upstream_notice.h"
+#include "placement/upstream_notice.h"
 
 #define HOSTS_MOST 300
 #define RUN_MS	   60000
