Long prompts stop no answer for too long, and large ones get their turn

Ruled out: the first event (22 late), processor time, lost requests. 52 pauses of 260 to 280 ms fit the resend of a lost packet and are not mended by this.

--- a/src/cli/cli_verbs.c
+++ b/src/cli/cli_verbs.c
@@ -60,9 +60,9 @@
 	"input)",
 	"chicorytack explain 9c41d07be2a35f68 front-1.log front-2.log",
 	run_explain},
-    {"serve-platform", "", 0, 0,
+    {"serve-platform", "[FEATURE...]", 0, 16,
 	"run a host on the users' platform until SIGTERM, by the settings "
-	"file that CHICORYTACK_SETTINGS names",
+	"file that CHICORYTACK_SETTINGS names, with features of placement",
 	"CHICORYTACK_SETTINGS=/etc/chicorytack/node.conf chicorytack "
 	"serve-platform",
 	run_platform},
@@ -139,8 +139,8 @@
 static int
 run_platform(struct cli *cli)
 {
-	(void)cli;
-	return cli_exit_code(platform_serve());
+	return cli_exit_code(
+	    platform_serve(cli->arguments, cli->argument_count));
 }
 
 static int
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -188,9 +188,11 @@
 	memcpy(work->helpers, choice->helpers, sizeof(work->helpers));
 	add_reservations(placement, choice, work);
 	service = placement_get_service(placement, work->service);
-	/* A prompt with reservations is too large for one engine. It only
-	 * starts when little else is queued, so it doesn't count as demand. */
-	if (choice->is_long && choice->reservation_count == 0)
+	/* A prompt with reservations is too large for one engine. If it only
+	 * starts when little else is queued, it doesn't count as demand. */
+	if (choice->is_long &&
+	    (choice->reservation_count == 0 ||
+		placement_has_feature(placement, PLACEMENT_QUEUE_LARGE)))
 		split_rate_add(&service->long_rate, choice->prefill_ms, now_ms);
 	if (!work->is_long)
 		service->short_running++;
@@ -500,6 +502,13 @@
 	return running - MIN(long_running, running);
 }
 
+bool
+placement_has_feature(
+    const struct placement *placement, enum placement_feature feature)
+{
+	return (placement->settings.features & (uint32_t)feature) != 0;
+}
+
 uint64_t
 placement_service_hash(const char *name)
 {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -28,6 +28,7 @@
 #include "base/random_source.h"
 #include "config.h"
 #include "coordination/forward_peers.h"
+#include "placement/placement_feature.h"
 #include "placement/placement_split.h"
 #include "placement/upstream_notice.h"
 #include "protocol/work_message.h"
@@ -45,6 +46,7 @@
 	double cold_overshoot; /**< Factor on the rate for cold upstreams. */
 	/** Requests per second allowed above that rate times cold_overshoot. */
 	uint32_t cold_slack;
+	uint32_t features; /**< Set of enum placement_feature. */
 };
 
 /** Description of an upstream, passed to placement_update(). */
@@ -131,6 +133,7 @@
 	PLACEMENT_WAIT_SLOT = 2, /**< A free slot of an engine. */
 	/** The next time at which this host may send an upstream a request. */
 	PLACEMENT_WAIT_RATE = 3,
+	PLACEMENT_WAIT_MEMORY = 4, /**< Memory of several engines. */
 };
 
 /** A request that waits to be placed; all zero while it doesn't. */
--- a/src/placement/placement_candidates.c
+++ b/src/placement/placement_candidates.c
@@ -35,6 +35,12 @@
 #define LONG_ON_SHORT_SIDE_COST_MS 1500.0
 /* Cost of each short answer that the prefill of a long prompt would stop. */
 #define SHORT_BESIDE_LONG_COST_MS 15.0
+/* Cost of answers that a long prompt would stop for longer than their callers
+ * accept. */
+#define PAUSED_ANSWERS_COST_MS 1000.0
+/* Cost of a long prompt's answer on an engine that runs nothing: the fewer
+ * engines decode, the more may prefill large parts. */
+#define IDLE_LEADER_COST_MS 30.0
 /* Largest random cost for each entry host, at least 1 ms in all. */
 #define RANDOM_COST_PER_HOST_MS 0.1
 /* Number of different random costs. */
@@ -268,6 +274,12 @@
 	if (!candidate->takes_short && !wants_short_side)
 		cost_ms +=
 		    placement_count_short(upstream) * SHORT_BESIDE_LONG_COST_MS;
+	if (context->is_long && running == 0 &&
+	    placement_has_feature(context->placement, PLACEMENT_GUARD_PAUSES))
+		cost_ms += IDLE_LEADER_COST_MS;
+	if (!placement_bears_part(
+		context, upstream, placement_smallest_part_ms(context)))
+		cost_ms += PAUSED_ANSWERS_COST_MS;
 	used = upstream->own.kv_tokens + upstream->others.kv_tokens;
 	if (context->is_too_large)
 		cost_ms +=
--- a/src/placement/placement_parts.h
+++ b/src/placement/placement_parts.h
@@ -38,6 +38,7 @@
 	double long_engines;	  /**< Engines needed for long prompts. */
 	double queued_prefill_ms; /**< Prefill time of queued long prompts. */
 	uint64_t min_key; /**< Lowest queue key, UINT64_MAX for none queued. */
+	uint32_t waiting_for_slot; /**< Short prompts that wait for a slot. */
 };
 
 /** An upstream that may take a request, and the estimated cost of that. */
@@ -48,6 +49,13 @@
 	bool takes_short;  /**< The upstream is one for short prompts. */
 };
 
+/** Which answers a long prompt must not stop for too long. */
+enum pause_guard {
+	PAUSE_GUARD_NONE = 0,  /**< Any; it can't wait any longer. */
+	PAUSE_GUARD_SHORT = 1, /**< Those to short prompts. */
+	PAUSE_GUARD_ALL = 2,   /**< All. */
+};
+
 /** Inputs and intermediate results of one placement decision. */
 struct placement_context {
 	struct placement *placement;		 /**< State of this host. */
@@ -60,6 +68,10 @@
 	bool is_long;		  /**< The request has a long prompt. */
 	/** The KV memory it needs exceeds that of one engine. */
 	bool is_too_large;
+	/** Such a prompt waits for its turn and for memory of several engines. */
+	bool is_gathered;
+	/** Answers that its parts must not stop for too long. */
+	enum pause_guard pause_guard;
 	bool is_queued;		   /**< The request is already queued. */
 	bool is_led_on_short_side; /**< A long prompt to be answered by an
 					engine for short prompts. */
@@ -90,6 +102,16 @@
 bool placement_serves(const struct placement_upstream *upstream,
     const struct route_service *service);
 
+/** Whether this deployment has switched a feature on. */
+bool placement_has_feature(
+    const struct placement *placement, enum placement_feature feature);
+
+/* placement_pick.c */
+
+/** Longest pause between events that callers of the route accept, in
+ * milliseconds; the target for the first token if the route sets no limit. */
+double placement_pause_limit_ms(const struct route *route);
+
 /* placement_candidates.c */
 
 /** Returns the upstreams that may take the request as an array of struct
@@ -126,6 +148,13 @@
 
 /* placement_helpers.c */
 
+/** Prefill time of the smallest parts that the prompt is divided into. */
+double placement_smallest_part_ms(const struct placement_context *context);
+/** Whether the answers on an upstream bear the pause for a part of this many
+ * milliseconds, if the request is guarded. */
+bool placement_bears_part(const struct placement_context *context,
+    const struct placement_upstream *upstream, double part_ms);
+
 /** Adds helpers to the choice, which prefill parts of the prompt. */
 void placement_choose_helpers(const struct placement_context *context,
     const GArray *candidates, struct placement_choice *choice);
@@ -133,6 +162,8 @@
  * helpers; false if the helpers don't have enough memory either. */
 bool placement_choose_reservations(
     const struct placement_context *context, struct placement_choice *choice);
+/** Largest number of KV tokens that the engines of one prompt can hold. */
+uint64_t placement_gathered_tokens_max(const struct placement_context *context);
 
 /* placement_wait.c */
 
--- a/src/placement/placement_pick.c
+++ b/src/placement/placement_pick.c
@@ -3,6 +3,7 @@
  * The placement decision: choice of the upstream among the candidates, and of
  * the side for short or long prompts.
  */
+#include <math.h>
 #include <string.h>
 
 #include "placement/placement_parts.h"
@@ -35,7 +36,7 @@
 static enum error_code choose_upstream(const struct placement_context *context,
     const GArray *candidates, struct placement_queue_entry *entry,
     struct placement_choice *choice);
-static void fill_choice(const struct placement_context *context,
+static bool fill_choice(const struct placement_context *context,
     const GArray *candidates, struct placement_choice *choice);
 static bool exceeds_pause_limit(const struct placement_context *context,
     const struct placement_choice *choice);
@@ -45,8 +46,13 @@
 static bool is_prefilled_in_time(const struct placement_context *context,
     const struct placement_choice *choice);
 static bool is_decoding(const struct placement_upstream *upstream);
-static double route_pause_limit_ms(const struct route *route);
+static enum pause_guard choose_pause_guard(
+    const struct placement_context *context);
+static bool stops_answers(const struct placement_context *context,
+    const struct placement_upstream *upstream, double part_ms);
 static enum error_code too_large_error(const struct placement_context *context);
+static enum error_code wait_for_memory(const struct placement_context *context,
+    const GArray *candidates, struct placement_queue_entry *entry);
 static bool may_lead_on_short_side(const struct placement_context *context);
 static gint compare_ranks(gconstpointer left, gconstpointer right);
 
@@ -142,7 +148,7 @@
 	    PROFILE_WEIGHT * (request->prompt_tokens - profile->mean_tokens);
 	return engine_prefill_ms(
 		   &request->service->engine, profile->mean_tokens) >
-	       LONG_PREFILL_SHARE * route_pause_limit_ms(route);
+	       LONG_PREFILL_SHARE * placement_pause_limit_ms(route);
 }
 
 /* Divides the healthy upstreams between short and long prompts: those with the
@@ -169,7 +175,10 @@
 	split_demand_add(&context->demand, context->others_queued_ms);
 	if (context->is_long || context->is_queued)
 		split_demand_add(&context->demand, context->prefill_ms);
-	short_count = split_short_count(ranks->len, &context->demand);
+	short_count =
+	    placement_has_feature(context->placement, PLACEMENT_GUARD_PAUSES)
+		? split_packed_count(ranks->len, &context->demand)
+		: split_short_count(ranks->len, &context->demand);
 	context->short_count = short_count;
 	context->healthy_count = ranks->len;
 	g_array_sort(ranks, compare_ranks);
@@ -204,6 +213,10 @@
 	 * KV. */
 	context->is_too_large =
 	    context->kv_tokens > request->service->engine.kv_tokens;
+	context->is_gathered =
+	    context->is_too_large && !request->has_partial_answer &&
+	    placement_has_feature(context->placement, PLACEMENT_QUEUE_LARGE);
+	context->pause_guard = choose_pause_guard(context);
 	context->short_rank_max = find_short_rank_max(context);
 	context->is_led_on_short_side = may_lead_on_short_side(context);
 }
@@ -258,27 +271,27 @@
 	enum error_code error;
 
 	error = ERROR_NONE;
-	if (context->is_too_large &&
-	    !placement_is_idle_enough(context, candidates))
-		error = too_large_error(context);
-	else if (context->is_long && !context->is_too_large)
+	if (context->is_too_large && !context->is_gathered) {
+		if (!placement_is_idle_enough(context, candidates))
+			error = too_large_error(context);
+	} else if (context->is_long || context->is_gathered)
 		error = placement_check_turn(context, candidates, entry);
 	else if (!context->is_too_large && context->kv_tokens > 0)
 		error = placement_check_slot(context, candidates, entry);
 	if (error != ERROR_NONE)
 		return error;
-	fill_choice(context, candidates, choice);
-	if (context->is_too_large &&
-	    !placement_choose_reservations(context, choice))
-		return too_large_error(context);
+	if (!fill_choice(context, candidates, choice))
+		return context->is_gathered
+			   ? wait_for_memory(context, candidates, entry)
+			   : too_large_error(context);
 	if (exceeds_pause_limit(context, choice))
 		return choose_idle(context, candidates, entry, choice);
 	return ERROR_NONE;
 }
 
 /* Fills the choice with the cheapest candidate and with helpers among the
- * others. */
-static void
+ * others. Returns false if these together lack memory for the prompt. */
+static bool
 fill_choice(const struct placement_context *context, const GArray *candidates,
     struct placement_choice *choice)
 {
@@ -296,18 +309,44 @@
 	choice->usable_count = context->usable_count;
 	choice->demand = context->demand;
 	if (context->kv_tokens == 0)
-		return;
+		return true;
 	choice->prefill_ms = context->prefill_ms;
 	/* A prompt whose KV exceeds one engine always needs helpers. */
 	if (!context->request->is_without_helpers || context->is_too_large)
 		placement_choose_helpers(context, candidates, choice);
 	choice->part_prefill_ms =
 	    choice->prefill_ms / (choice->helper_count + 1);
+	return !context->is_too_large ||
+	       placement_choose_reservations(context, choice);
+}
+
+/* Which answers the prompt must not stop for too long. A pause for others is
+ * better than an answer that is late for its own caller, so it waits for engines
+ * without such answers only while it can still meet its own target, and for those
+ * without any long answers for half of that time. */
+static enum pause_guard
+choose_pause_guard(const struct placement_context *context)
+{
+	const struct placement_request *request = context->request;
+	int64_t waited_ms, spare_ms;
+
+	if (!placement_has_feature(
+		context->placement, PLACEMENT_GUARD_PAUSES) ||
+	    !context->is_long || request->has_partial_answer ||
+	    (context->is_too_large && !context->is_gathered))
+		return PAUSE_GUARD_NONE;
+	waited_ms = context->now_ms - request->arrived_ms;
+	spare_ms = request->route->target_ms - FIRST_EVENT_PASSES_MS -
+		   (int64_t)placement_smallest_part_ms(context);
+	if (waited_ms >= spare_ms)
+		return PAUSE_GUARD_NONE;
+	return waited_ms < spare_ms / 2 ? PAUSE_GUARD_ALL : PAUSE_GUARD_SHORT;
 }
 
 /* Whether prefill of the prompt would pause answers on the chosen engines for
  * longer than their callers accept. This happens when one prompt of several
- * hundred thousand tokens arrives among many of a hundred thousand. */
+ * hundred thousand tokens arrives among many of a hundred thousand, and on
+ * engines that took short prompts a moment ago. */
 static bool
 exceeds_pause_limit(const struct placement_context *context,
     const struct placement_choice *choice)
@@ -316,25 +355,37 @@
 	const struct placement_upstream *helper;
 	uint32_t i;
 
-	if (!context->is_long || context->is_too_large ||
-	    request->has_partial_answer)
+	if (!context->is_long || request->has_partial_answer ||
+	    (context->is_too_large && context->pause_guard == PAUSE_GUARD_NONE))
 		return false;
-	if (choice->part_prefill_ms <=
-	    PAUSE_LIMIT_SHARE * route_pause_limit_ms(request->route))
-		return false;
-	if (is_decoding(choice->upstream))
+	if (stops_answers(context, choice->upstream, choice->part_prefill_ms))
 		return true;
 	for (i = 0; i < choice->helper_count; i++) {
 		helper = g_hash_table_lookup(
 		    context->placement->upstreams, &choice->helpers[i]);
-		if (helper != NULL && is_decoding(helper))
+		if (helper != NULL &&
+		    stops_answers(context, helper, choice->part_prefill_ms))
 			return true;
 	}
 	return false;
 }
 
-/* Chooses only engines that aren't decoding. If there are too few of them to
- * meet the target, the prompt waits until it would be too late to start. */
+/* Whether a part of this size stops an answer of the engine for too long. */
+static bool
+stops_answers(const struct placement_context *context,
+    const struct placement_upstream *upstream, double part_ms)
+{
+	const struct route *route = context->request->route;
+
+	if (context->pause_guard != PAUSE_GUARD_NONE)
+		return !placement_bears_part(context, upstream, part_ms);
+	return part_ms > PAUSE_LIMIT_SHARE * placement_pause_limit_ms(route) &&
+	       is_decoding(upstream);
+}
+
+/* Chooses only engines whose answers the prompt doesn't stop. If there are too
+ * few of them to meet the target, the prompt waits until it would be too late to
+ * start. */
 static enum error_code
 choose_idle(const struct placement_context *context, const GArray *candidates,
     struct placement_queue_entry *entry, struct placement_choice *choice)
@@ -353,13 +404,17 @@
 		if (candidate->takes_short)
 			continue;
 		engines++;
-		if (!is_decoding(candidate->upstream))
+		if (!stops_answers(context, candidate->upstream,
+			context->pause_guard != PAUSE_GUARD_NONE
+			    ? placement_smallest_part_ms(context)
+			    : INFINITY))
 			g_array_append_vals(idle, candidate, 1);
 	}
 	error = placement_wait_for(entry, PLACEMENT_WAIT_TURN, 0);
 	if (idle->len > 0) {
-		fill_choice(context, idle, choice);
-		if (is_prefilled_in_time(context, choice))
+		if (fill_choice(context, idle, choice) &&
+		    is_prefilled_in_time(context, choice) &&
+		    !exceeds_pause_limit(context, choice))
 			error = ERROR_NONE;
 	}
 	if (engines == 0)
@@ -398,10 +453,8 @@
 	       upstream->own.leading + upstream->others.leading;
 }
 
-/* Longest pause between events that callers of the route accept, in
- * milliseconds; the target for the first token if the route sets no limit. */
-static double
-route_pause_limit_ms(const struct route *route)
+double
+placement_pause_limit_ms(const struct route *route)
 {
 	return route->pause_limit_ms > 0 ? (double)route->pause_limit_ms
 					 : (double)route->target_ms;
@@ -418,6 +471,20 @@
 		   : ERROR_DEADLINE_UNREACHABLE;
 }
 
+/* Has a prompt wait until the engines together have memory for it, and refuses it
+ * once that would be too late, or at once if they never have. */
+static enum error_code
+wait_for_memory(const struct placement_context *context,
+    const GArray *candidates, struct placement_queue_entry *entry)
+{
+	if (context->kv_tokens > placement_gathered_tokens_max(context) ||
+	    context->now_ms >=
+		placement_latest_start_ms(context->request,
+		    context->prefill_ms / (double)candidates->len))
+		return ERROR_DEADLINE_UNREACHABLE;
+	return placement_wait_for(entry, PLACEMENT_WAIT_MEMORY, 0);
+}
+
 /* Whether an engine for short prompts may answer this long prompt. If the
  * prompt can be prefilled in many small parts, decoding there is smoother, as
  * the passes of these engines are short. */
--- a/src/placement/placement_split.c
+++ b/src/placement/placement_split.c
@@ -16,6 +16,12 @@
 /* Short prompts get at least this share of the engines that they demand; with
  * fewer than demanded, their answers are only slower. */
 #define SHORT_DEMAND_SHARE_MIN 0.6
+/* Engines for short prompts that are kept together, as a multiple of those that
+ * they need now: while there is room, and while long prompts need the rest. */
+#define PACKED_HEADROOM_MAX 1.6
+#define PACKED_HEADROOM_MIN 1.2
+/* Share of the engines that demand for short prompts leaves to long ones. */
+#define PACKED_LONG_SHARE_MIN 0.18
 /* Demand for long prompts, in engines, below which it is ignored. */
 #define LONG_DEMAND_MIN 0.02
 
@@ -48,6 +54,27 @@
 	return short_count;
 }
 
+uint32_t
+split_packed_count(uint32_t total, const struct split_demand *demand)
+{
+	double least, most, count, long_min;
+
+	if (total <= 1 || demand->long_engines < LONG_DEMAND_MIN)
+		return total;
+	most = ceil(demand->short_engines * PACKED_HEADROOM_MAX) + 1;
+	least = ceil(demand->short_engines * PACKED_HEADROOM_MIN) + 1;
+	count = fmin(fmax(total - demand->long_engines, least), most);
+	/* Short prompts that find no room are queued for slots, so that the
+	 * long ones keep some engines. */
+	long_min = demand->short_engines > total
+		       ? total * LONG_SHARE_MIN_OVERLOADED
+		       : fmax(total * LONG_SHARE_MIN,
+			     fmin(demand->long_engines,
+				 total * PACKED_LONG_SHARE_MIN));
+	count = fmin(count, floor(total - long_min));
+	return (uint32_t)fmax(count, 1);
+}
+
 void
 split_demand_add(struct split_demand *demand, double prefill_ms)
 {
--- a/src/placement/placement_split.h
+++ b/src/placement/placement_split.h
@@ -29,6 +29,11 @@
  * long ones. Of two or more engines, short prompts always get at least one,
  * and long prompts get at least one if there is demand for them. */
 uint32_t split_short_count(uint32_t total, const struct split_demand *demand);
+/** Number of engines that take short prompts if these are kept together: as many
+ * as they need with room to grow, so that the other engines have no answers that
+ * a long prompt would stop. Divides as split_short_count() does while there are
+ * too few engines for that. */
+uint32_t split_packed_count(uint32_t total, const struct split_demand *demand);
 /** Adds a long prompt that needs @p prefill_ms of one engine to a demand. */
 void split_demand_add(struct split_demand *demand, double prefill_ms);
 /** Adds the work rate as of @p now_ms to the demand for long prompts. */
--- a/src/relay/relay_trace.c
+++ b/src/relay/relay_trace.c
@@ -45,7 +45,8 @@
 void
 relay_trace_waiting(const struct relay_exchange *exchange)
 {
-	if (exchange->queue_entry.wait != PLACEMENT_WAIT_TURN) {
+	if (exchange->queue_entry.wait != PLACEMENT_WAIT_TURN &&
+	    exchange->queue_entry.wait != PLACEMENT_WAIT_MEMORY) {
 		event_log_write_fields(EVENT_REQUEST_WAITING,
 		    "{s:s,s:s,s:f,s:I}", "request", exchange->attempt_id, "for",
 		    exchange->queue_entry.wait == PLACEMENT_WAIT_SLOT
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -21,6 +21,8 @@
 static void free_service(gpointer item);
 static void free_route(gpointer item);
 static void free_account(gpointer item);
+static void record_pause_limit(
+    struct route_table *table, const struct route *route);
 static char *make_route_key(
     const char *host, size_t host_size, const char *path, size_t path_size);
 
@@ -94,6 +96,7 @@
 		route->weight_sum += route->targets[i].weight;
 	if (route->weight_sum == 0)
 		return ERROR_BAD_VALUE;
+	record_pause_limit(table, route);
 	if (!g_hash_table_insert(table->routes_by_host_and_prefix,
 		make_route_key(
 		    route->host, strlen(route->host), route->prefix, size),
@@ -102,6 +105,25 @@
 	return ERROR_NONE;
 }
 
+/* Keeps the shortest pause limit of the routes to each service. */
+static void
+record_pause_limit(struct route_table *table, const struct route *route)
+{
+	struct route_service *service;
+	uint32_t i;
+
+	if (route->pause_limit_ms <= 0)
+		return;
+	for (i = 0; i < route->target_count; i++) {
+		service = g_hash_table_lookup(
+		    table->services_by_name, route->targets[i].service->name);
+		if (service != NULL &&
+		    (service->shortest_pause_ms == 0 ||
+			route->pause_limit_ms < service->shortest_pause_ms))
+			service->shortest_pause_ms = route->pause_limit_ms;
+	}
+}
+
 void
 route_table_add_account(
     struct route_table *table, struct route_account *account)
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -57,6 +57,8 @@
 	/** Time for which an upstream is cold after its start, 0 if that is
 	 * unknown. */
 	int64_t cold_ms;
+	/** Shortest pause limit of the routes to the service, 0 for none. */
+	int64_t shortest_pause_ms;
 	bool has_engine; /**< True if engine is set. */
 	/** Speed of the engines of a model service. */
 	struct engine_speed engine;
