Hosts share out the free slots of full engines

Change (share-slots): a prompt takes a free slot with the probability that leaves the slots to all that want them until hosts have heard which were taken. Hosts report how many prompts wait for a slot (a new, optional field).

--- a/src/placement/placement_report.c
+++ b/src/placement/placement_report.c
@@ -67,6 +67,8 @@
 		    (uint32_t)(own_short_engines(service) * THOUSANDTHS);
 		report.demands[report.demand_count].long_engines =
 		    (uint32_t)(own_long_engines(service, now_ms) * THOUSANDTHS);
+		report.demands[report.demand_count].waiting_for_slot =
+		    service->waiting_for_slot;
 		fill_queued(
 		    placement, &report.demands[report.demand_count++], now_ms);
 	}
@@ -166,6 +168,7 @@
 			sum.queued_prefill_ms +=
 			    (double)demand->queued_prefill_ms;
 			sum.min_key = MIN(sum.min_key, demand->min_key);
+			sum.waiting_for_slot += demand->waiting_for_slot;
 		}
 	}
 	return sum;
--- a/src/placement/placement_slot.c
+++ b/src/placement/placement_slot.c
@@ -17,6 +17,8 @@
 /* Interval at which one past its target tries again, up to half longer. */
 #define LATE_RETRY_MS	  80
 #define LATE_RETRY_MAX_MS (LATE_RETRY_MS * 3 / 2)
+/* Time until the other hosts know of a slot that was taken. */
+#define UNSEEN_MS 45
 /* Tries of a waiting prompt past its target until the other hosts know of a
  * slot that was taken. */
 #define LATE_TRIES_UNSEEN 0.25
@@ -27,6 +29,8 @@
 	double free;  /* Slots that are not taken. */
 };
 
+static bool takes_free_slot(
+    const struct placement_context *context, const struct slot_count *slots);
 static enum error_code check_late(const struct placement_context *context,
     const struct slot_count *slots, struct placement_queue_entry *entry);
 static bool is_crowded(const struct placement_context *context,
@@ -62,16 +66,47 @@
 			  FIRST_EVENT_PASSES_MS -
 			  (int64_t)(context->prefill_ms + best->backlog_ms);
 	is_late = context->now_ms > last_on_time_ms;
-	if (!is_late && free_slots(best->upstream) > 0)
+	if (!is_late && free_slots(best->upstream) > 0 &&
+	    !placement_has_feature(context->placement, PLACEMENT_SHARE_SLOTS))
 		return ERROR_NONE;
 	slots = count_slots(candidates);
 	if (slots.total == 0)
 		return ERROR_NONE;
+	if (!is_late && free_slots(best->upstream) > 0 &&
+	    takes_free_slot(context, &slots))
+		return ERROR_NONE;
 	if (is_late)
 		return check_late(context, &slots, entry);
 	return wait_for_slot(context, entry, ON_TIME_RETRY_MS);
 }
 
+/*
+ * For loads in which the prompts that wait at many hosts outnumber the free slots.
+ * Each host sees the same slots become free, and if all of them took these, an
+ * engine with one free slot would get dozens of prompts at a time. So a prompt
+ * takes a slot with the probability that leaves the slots to all that want them
+ * until the hosts have heard which were taken.
+ */
+static bool
+takes_free_slot(
+    const struct placement_context *context, const struct slot_count *slots)
+{
+	struct placement *placement = context->placement;
+	const struct service_load *service;
+	double running, arriving, waiting;
+
+	service = placement_get_service(placement, context->service);
+	running = slots->total - slots->free;
+	arriving = service->answer_ms > 0
+		       ? running * UNSEEN_MS / service->answer_ms
+		       : 0;
+	waiting = ((double)service->waiting_for_slot +
+		      (double)context->peers.waiting_for_slot) *
+		  UNSEEN_MS / ON_TIME_RETRY_MS;
+	return random_unit(&placement->random) * (arriving + waiting) <
+	       slots->free;
+}
+
 void
 placement_slot_leave(
     struct placement *placement, struct placement_queue_entry *entry)
--- a/src/protocol/work_message.c
+++ b/src/protocol/work_message.c
@@ -14,15 +14,20 @@
 	FIELD_ITEMS = 3,
 	FIELD_DEMANDS = 4,
 	FIELD_NOTICES = 5,
-	FIELD_FORWARDING = 6, /* The last one, since it may be absent. */
-	FIELD_COUNT
+	FIELD_FORWARDING = 6, /* May be absent. */
+	FIELD_WAITING = 7,    /* May be absent. */
 };
 
+/* Fields that are never absent. */
+#define FIELDS_ALWAYS 6u
+
 /* Items, demands and notices are flat arrays of numbers. These are the numbers
  * per row, in the order in which work_report_write() adds them. */
 #define NUMBERS_PER_ITEM   9
 #define NUMBERS_PER_DEMAND 5
 #define NUMBERS_PER_NOTICE 5
+/* Rows of services with prompts that wait for slots. */
+#define NUMBERS_PER_WAITING 2
 /* Numbers of how the host takes forwarded requests. */
 #define NUMBERS_OF_FORWARDING 3
 /* Flags of a notice. */
@@ -41,6 +46,11 @@
 static enum error_code check_item(const uint64_t *numbers);
 static enum error_code read_notices(
     const struct message_array *array, struct work_report *report);
+static uint32_t count_waiting(const struct work_report *report);
+static void write_waiting(struct message_writer *writer,
+    const struct work_report *report, uint32_t count);
+static enum error_code read_waiting(
+    const struct message_array *array, struct work_report *report);
 static enum error_code read_forwarding(
     const struct message_array *array, struct work_forwarding *forwarding);
 static enum error_code read_demands(
@@ -51,10 +61,11 @@
     struct message_writer *writer, const struct work_report *report)
 {
 	bool tells_forwarding = report->forwarding.address != 0;
-	uint32_t i;
+	uint32_t waiting, i;
 
-	message_begin_map(
-	    writer, tells_forwarding ? FIELD_COUNT : FIELD_FORWARDING);
+	waiting = count_waiting(report);
+	message_begin_map(writer, FIELDS_ALWAYS + (tells_forwarding ? 1u : 0u) +
+				      (waiting > 0 ? 1u : 0u));
 	message_put_uint(writer, FIELD_VERSION, REPORT_VERSION);
 	message_put_uint(writer, FIELD_INCARNATION, report->incarnation);
 	message_put_uint(writer, FIELD_NUMBER, report->number);
@@ -93,18 +104,49 @@
 		message_add_uint(writer, report->notices[i].limit_permille);
 		message_add_uint(writer, report->notices[i].age_ms);
 	}
-	if (!tells_forwarding)
-		return;
-	message_put_array(writer, FIELD_FORWARDING, NUMBERS_OF_FORWARDING);
-	message_add_uint(writer, report->forwarding.address);
-	message_add_uint(writer, report->forwarding.token);
-	message_add_uint(writer, report->forwarding.is_without_path ? 1 : 0);
+	if (tells_forwarding) {
+		message_put_array(
+		    writer, FIELD_FORWARDING, NUMBERS_OF_FORWARDING);
+		message_add_uint(writer, report->forwarding.address);
+		message_add_uint(writer, report->forwarding.token);
+		message_add_uint(
+		    writer, report->forwarding.is_without_path ? 1 : 0);
+	}
+	if (waiting > 0)
+		write_waiting(writer, report, waiting);
+}
+
+/* Number of services with prompts that wait for slots. */
+static uint32_t
+count_waiting(const struct work_report *report)
+{
+	uint32_t count, i;
+
+	count = 0;
+	for (i = 0; i < report->demand_count; i++)
+		count += report->demands[i].waiting_for_slot > 0;
+	return count;
+}
+
+static void
+write_waiting(struct message_writer *writer, const struct work_report *report,
+    uint32_t count)
+{
+	uint32_t i;
+
+	message_put_array(writer, FIELD_WAITING, count * NUMBERS_PER_WAITING);
+	for (i = 0; i < report->demand_count; i++) {
+		if (report->demands[i].waiting_for_slot == 0)
+			continue;
+		message_add_uint(writer, report->demands[i].service_hash);
+		message_add_uint(writer, report->demands[i].waiting_for_slot);
+	}
 }
 
 enum error_code
 work_report_read(const void *body, size_t size, struct work_report *report)
 {
-	struct message_array items, demands, notices, forwarding;
+	struct message_array items, demands, notices, forwarding, waiting;
 	struct message_reader reader;
 	struct message_fields fields = {.reader = &reader};
 	enum error_code error;
@@ -131,6 +173,10 @@
 	if (error == ERROR_NONE && message_get_array(&reader, FIELD_FORWARDING,
 				       &forwarding) == ERROR_NONE)
 		error = read_forwarding(&forwarding, &report->forwarding);
+	/* Only hosts with waiting prompts tell this. */
+	if (error == ERROR_NONE &&
+	    message_get_array(&reader, FIELD_WAITING, &waiting) == ERROR_NONE)
+		error = read_waiting(&waiting, report);
 	message_reader_finish(&reader);
 	if (error != ERROR_NONE)
 		work_report_finish(report);
@@ -304,3 +350,28 @@
 	forwarding->is_without_path = numbers[2] != 0;
 	return ERROR_NONE;
 }
+
+/* Adds the waiting prompts to the demands, which were read before. */
+static enum error_code
+read_waiting(const struct message_array *array, struct work_report *report)
+{
+	uint64_t numbers[NUMBERS_PER_WAITING];
+	enum error_code error;
+	uint32_t i, at;
+
+	if (array->count % NUMBERS_PER_WAITING != 0)
+		return ERROR_MALFORMED;
+	for (i = 0; i < array->count; i += NUMBERS_PER_WAITING) {
+		error = read_row(array, i, NUMBERS_PER_WAITING, numbers);
+		if (error == ERROR_NONE && numbers[1] > UINT32_MAX)
+			error = ERROR_TOO_LARGE;
+		if (error != ERROR_NONE)
+			return error;
+		for (at = 0; at < report->demand_count; at++) {
+			if (report->demands[at].service_hash == numbers[0])
+				report->demands[at].waiting_for_slot =
+				    (uint32_t)numbers[1];
+		}
+	}
+	return ERROR_NONE;
+}
--- a/src/protocol/work_message.h
+++ b/src/protocol/work_message.h
@@ -49,6 +49,9 @@
 	uint64_t min_key;
 	/** Total prefill time of the host's queued long prompts. */
 	uint64_t queued_prefill_ms;
+	/** Short prompts that wait at the host for a free slot. Hosts of an
+	 * earlier version don't tell this. */
+	uint32_t waiting_for_slot;
 };
 
 /** What an upstream said of itself to the reporting host. */
--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -229,7 +229,8 @@
 	error = placement_pick(&exchange->relay->placement, &exchange->request,
 	    host_now_ms(), &exchange->queue_entry, &exchange->choice);
 	relay_path_run_probes(exchange->relay);
-	if (exchange->queue_entry.service != 0)
+	if (exchange->queue_entry.service != 0 ||
+	    was_waiting != (error == ERROR_CHANGE_PENDING))
 		relay_schedule_report(exchange->relay);
 	if (error == ERROR_CHANGE_PENDING) {
 		if (!was_waiting)
--- a/tests/wire_messages.c
+++ b/tests/wire_messages.c
@@ -504,7 +504,7 @@
 		WIDE(7), NARROW(8), NARROW(9)},
 	    {.upstream_id = 1}};
 	struct work_demand demands[1] = {
-	    {WIDE(1), NARROW(2), NARROW(3), WIDE(4), WIDE(5)}};
+	    {WIDE(1), NARROW(2), NARROW(3), WIDE(4), WIDE(5), NARROW(6)}};
 	struct work_notice notices[1] = {
 	    {WIDE(1), WIDE(2), true, true, WIDE(3), NARROW(4)}};
 	struct work_report report = {.incarnation = WIDE(1),
