--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -45,7 +45,6 @@
     const struct placement_choice *choice, struct placement_work *work);
 static void remove_reservations(
     struct placement *placement, const struct placement_work *work);
-static bool is_first_list(const struct placement *placement, int64_t now_ms);
 static void update_upstream(struct placement *placement,
     struct placement_upstream *upstream, const struct placement_record *record,
     int64_t now_ms);
@@ -529,10 +528,8 @@
 	return service;
 }
 
-/* Whether the upstreams that this host learns of now are among those that were
- * there when it started. */
-static bool
-is_first_list(const struct placement *placement, int64_t now_ms)
+bool
+placement_is_starting(const struct placement *placement, int64_t now_ms)
 {
 	return now_ms - placement->first_update_ms < FIRST_LIST_MS;
 }
@@ -546,7 +543,7 @@
 {
 	if (upstream->incarnation != record->incarnation) {
 		if (upstream->incarnation != 0 ||
-		    !is_first_list(placement, now_ms))
+		    !placement_is_starting(placement, now_ms))
 			upstream->known_ms = now_ms;
 		upstream->failures = 0;
 		upstream->failure_share = 0;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -140,12 +140,13 @@
 struct placement_queue_entry {
 	enum placement_wait wait; /**< What it waits for. */
 	bool is_late_waiting;	  /**< It waits for a slot past its target. */
-	uint64_t slot_service;	/**< Hash of the service of whose slots a short
+	uint64_t slot_service; /**< Hash of the service of whose slots a short
 				    prompt waits for one, otherwise 0. */
-	int64_t retry_ms;	/**< When to try again, 0 for any time soon. */
-	uint64_t service;	/**< Hash of a queued long prompt's service,
+	int64_t retry_ms;      /**< When to try again, 0 for any time soon. */
+	uint64_t service;      /**< Hash of a queued long prompt's service,
 				     otherwise 0. */
-	double prefill_ms;	/**< Prefill time on a single engine. */
+	double prefill_ms;     /**< Prefill time on a single engine. */
+
 	int64_t arrived_ms;	/**< When the caller's request arrived. */
 	int64_t target_wait_ms; /**< Longest wait since its arrival that still
 				      meets the target for its first token. */
--- a/src/placement/placement_helpers.c
+++ b/src/placement/placement_helpers.c
@@ -80,13 +80,12 @@
 		(double)(upstream->own.kv_tokens + upstream->others.kv_tokens),
 	};
 
-	if (context->pause_guard == PAUSE_GUARD_NONE)
+	if (!context->is_pause_guarded)
 		return true;
 	long_running =
 	    upstream->own.long_running + upstream->others.long_running;
 	leading = upstream->own.leading + upstream->others.leading;
-	if (context->pause_guard == PAUSE_GUARD_ALL)
-		answers.long_count = long_running - MIN(leading, long_running);
+	answers.long_count = long_running - MIN(leading, long_running);
 	return part_ms <= pause_part_max_ms(&service->engine, &answers);
 }
 
--- a/src/placement/placement_parts.h
+++ b/src/placement/placement_parts.h
@@ -49,13 +49,6 @@
 	bool takes_short;  /**< The upstream is one for short prompts. */
 };
 
-/** Which answers a long prompt must not stop for too long. */
-enum pause_guard {
-	PAUSE_GUARD_NONE = 0,  /**< Any; it can't wait any longer. */
-	PAUSE_GUARD_SHORT = 1, /**< Those to short prompts. */
-	PAUSE_GUARD_ALL = 2,   /**< All. */
-};
-
 /** Inputs and intermediate results of one placement decision. */
 struct placement_context {
 	struct placement *placement;		 /**< State of this host. */
@@ -70,8 +63,8 @@
 	bool is_too_large;
 	/** Such a prompt waits for its turn and for memory of several engines. */
 	bool is_gathered;
-	/** Answers that its parts must not stop for too long. */
-	enum pause_guard pause_guard;
+	/** Its parts must not stop other answers for too long. */
+	bool is_pause_guarded;
 	bool is_queued;		   /**< The request is already queued. */
 	bool is_led_on_short_side; /**< A long prompt to be answered by an
 					engine for short prompts. */
@@ -102,6 +95,9 @@
 bool placement_serves(const struct placement_upstream *upstream,
     const struct route_service *service);
 
+/** Whether this host has known of upstreams for so short a time that it hasn't
+ * heard yet what the other hosts have sent them. */
+bool placement_is_starting(const struct placement *placement, int64_t now_ms);
 /** Whether this deployment has switched a feature on. */
 bool placement_has_feature(
     const struct placement *placement, enum placement_feature feature);
@@ -126,11 +122,17 @@
  * described at placement_pick(). */
 enum error_code placement_check_turn(const struct placement_context *context,
     const GArray *candidates, struct placement_queue_entry *entry);
+/** Puts the entry into the queue of long prompts, unless it is there, and sets its
+ * time limits for so many engines that prefill it. */
+void placement_queue_enter(const struct placement_context *context,
+    struct placement_queue_entry *entry, uint32_t engines);
 /** Time from which it is too late to start a prompt that needs @p prefill_ms of
  * prefill: the time left until its deadline wouldn't suffice for the prefill
  * and the answer, or its caller would have left before the first event. */
 int64_t placement_latest_start_ms(
-    const struct placement_request *request, double prefill_ms);
+    const struct placement_context *context, double prefill_ms);
+/** Time by which the answer must begin to be complete at the deadline. */
+int64_t placement_latest_answer_ms(const struct placement_context *context);
 /** Whether so little is in prefill or queued that a prompt that exceeds one
  * engine's memory may start. */
 bool placement_is_idle_enough(
@@ -142,6 +144,10 @@
  * it has to wait for a slot. */
 enum error_code placement_check_slot(const struct placement_context *context,
     const GArray *candidates, struct placement_queue_entry *entry);
+/** Moves a random candidate with a free slot to the front while slots are scarce,
+ * or while this host doesn't know yet what the others have sent. */
+void placement_spread_over_slots(
+    const struct placement_context *context, GArray *candidates);
 /** Ends the wait for a slot; does nothing if there is none. */
 void placement_slot_leave(
     struct placement *placement, struct placement_queue_entry *entry);
--- a/src/placement/placement_pick.c
+++ b/src/placement/placement_pick.c
@@ -18,6 +18,11 @@
 /* A route's prompts are long if the average one needs more prefill than this
  * share of the route's pause limit. */
 #define LONG_PREFILL_SHARE 0.4
+/* A prompt that waits for engines without answers takes any others this long before
+ * it would be too late, as the engines it needs are not all free at once. */
+#define GUARD_MARGIN_MS 1000
+/* Share of the engines that short prompts are assumed to need after a start. */
+#define STARTING_SHORT_SHARE 0.6
 /* Weight of the newest prompt in a route's average. */
 #define PROFILE_WEIGHT 0.05
 #define MS_PER_S       1000.0
@@ -34,7 +39,7 @@
     const struct placement_context *context,
     struct placement_queue_entry *entry);
 static enum error_code choose_upstream(const struct placement_context *context,
-    const GArray *candidates, struct placement_queue_entry *entry,
+    GArray *candidates, struct placement_queue_entry *entry,
     struct placement_choice *choice);
 static bool fill_choice(const struct placement_context *context,
     const GArray *candidates, struct placement_choice *choice);
@@ -46,8 +51,7 @@
 static bool is_prefilled_in_time(const struct placement_context *context,
     const struct placement_choice *choice);
 static bool is_decoding(const struct placement_upstream *upstream);
-static enum pause_guard choose_pause_guard(
-    const struct placement_context *context);
+static bool is_pause_guarded(const struct placement_context *context);
 static bool stops_answers(const struct placement_context *context,
     const struct placement_upstream *upstream, double part_ms);
 static enum error_code too_large_error(const struct placement_context *context);
@@ -175,6 +179,12 @@
 	split_demand_add(&context->demand, context->others_queued_ms);
 	if (context->is_long || context->is_queued)
 		split_demand_add(&context->demand, context->prefill_ms);
+	/* What the callers of the other hosts want isn't known yet. */
+	if (placement_has_feature(context->placement, PLACEMENT_SHARE_SLOTS) &&
+	    placement_is_starting(context->placement, context->now_ms))
+		context->demand.short_engines =
+		    MAX(context->demand.short_engines,
+			ranks->len * STARTING_SHORT_SHARE);
 	short_count =
 	    placement_has_feature(context->placement, PLACEMENT_GUARD_PAUSES)
 		? split_packed_count(ranks->len, &context->demand)
@@ -216,7 +226,7 @@
 	context->is_gathered =
 	    context->is_too_large && !request->has_partial_answer &&
 	    placement_has_feature(context->placement, PLACEMENT_QUEUE_LARGE);
-	context->pause_guard = choose_pause_guard(context);
+	context->is_pause_guarded = is_pause_guarded(context);
 	context->short_rank_max = find_short_rank_max(context);
 	context->is_led_on_short_side = may_lead_on_short_side(context);
 }
@@ -246,7 +256,6 @@
 no_candidate_error(const struct placement_context *context,
     struct placement_queue_entry *entry)
 {
-	const struct placement_request *request = context->request;
 	int64_t latest_start_ms;
 
 	if (context->usable_count == 0)
@@ -254,7 +263,7 @@
 	if (context->limited_count == 0)
 		return ERROR_NO_CAPACITY;
 	latest_start_ms =
-	    placement_latest_start_ms(request, context->prefill_ms);
+	    placement_latest_start_ms(context, context->prefill_ms);
 	if (context->now_ms >= latest_start_ms)
 		return ERROR_NO_CAPACITY;
 	if (context->now_ms + context->limited_wait_ms >= latest_start_ms)
@@ -264,9 +273,8 @@
 
 /* Chooses the cheapest candidate, if the request may start now. */
 static enum error_code
-choose_upstream(const struct placement_context *context,
-    const GArray *candidates, struct placement_queue_entry *entry,
-    struct placement_choice *choice)
+choose_upstream(const struct placement_context *context, GArray *candidates,
+    struct placement_queue_entry *entry, struct placement_choice *choice)
 {
 	enum error_code error;
 
@@ -280,6 +288,10 @@
 		error = placement_check_slot(context, candidates, entry);
 	if (error != ERROR_NONE)
 		return error;
+	if (!context->is_long && !context->is_too_large &&
+	    context->kv_tokens > 0 &&
+	    placement_has_feature(context->placement, PLACEMENT_SHARE_SLOTS))
+		placement_spread_over_slots(context, candidates);
 	if (!fill_choice(context, candidates, choice))
 		return context->is_gathered
 			   ? wait_for_memory(context, candidates, entry)
@@ -320,27 +332,24 @@
 	       placement_choose_reservations(context, choice);
 }
 
-/* Which answers the prompt must not stop for too long. A pause for others is
- * better than an answer that is late for its own caller, so it waits for engines
- * without such answers only while it can still meet its own target, and for those
- * without any long answers for half of that time. */
-static enum pause_guard
-choose_pause_guard(const struct placement_context *context)
+/* Whether the prompt waits for engines on which it stops no answer for too long.
+ * A large prompt stops those of a dozen engines, so its own answer is rather late
+ * than all of these; it does without such engines only when it could not start
+ * later. */
+static bool
+is_pause_guarded(const struct placement_context *context)
 {
 	const struct placement_request *request = context->request;
-	int64_t waited_ms, spare_ms;
+	int64_t latest_ms;
 
 	if (!placement_has_feature(
 		context->placement, PLACEMENT_GUARD_PAUSES) ||
 	    !context->is_long || request->has_partial_answer ||
 	    (context->is_too_large && !context->is_gathered))
-		return PAUSE_GUARD_NONE;
-	waited_ms = context->now_ms - request->arrived_ms;
-	spare_ms = request->route->target_ms - FIRST_EVENT_PASSES_MS -
-		   (int64_t)placement_smallest_part_ms(context);
-	if (waited_ms >= spare_ms)
-		return PAUSE_GUARD_NONE;
-	return waited_ms < spare_ms / 2 ? PAUSE_GUARD_ALL : PAUSE_GUARD_SHORT;
+		return false;
+	latest_ms = placement_latest_start_ms(
+	    context, placement_smallest_part_ms(context));
+	return context->now_ms < latest_ms - GUARD_MARGIN_MS;
 }
 
 /* Whether prefill of the prompt would pause answers on the chosen engines for
@@ -356,7 +365,7 @@
 	uint32_t i;
 
 	if (!context->is_long || request->has_partial_answer ||
-	    (context->is_too_large && context->pause_guard == PAUSE_GUARD_NONE))
+	    (context->is_too_large && !context->is_pause_guarded))
 		return false;
 	if (stops_answers(context, choice->upstream, choice->part_prefill_ms))
 		return true;
@@ -377,7 +386,7 @@
 {
 	const struct route *route = context->request->route;
 
-	if (context->pause_guard != PAUSE_GUARD_NONE)
+	if (context->is_pause_guarded)
 		return !placement_bears_part(context, upstream, part_ms);
 	return part_ms > PAUSE_LIMIT_SHARE * placement_pause_limit_ms(route) &&
 	       is_decoding(upstream);
@@ -405,7 +414,7 @@
 			continue;
 		engines++;
 		if (!stops_answers(context, candidate->upstream,
-			context->pause_guard != PAUSE_GUARD_NONE
+			context->is_pause_guarded
 			    ? placement_smallest_part_ms(context)
 			    : INFINITY))
 			g_array_append_vals(idle, candidate, 1);
@@ -421,8 +430,8 @@
 		error =
 		    ERROR_NONE; /* No engine for long prompts to wait for. */
 	else if (error != ERROR_NONE &&
-		 context->now_ms >= placement_latest_start_ms(context->request,
-					context->prefill_ms / engines))
+		 context->now_ms >= placement_latest_start_ms(
+					context, context->prefill_ms / engines))
 		error = ERROR_DEADLINE_UNREACHABLE;
 	g_array_unref(idle);
 	return error;
@@ -441,7 +450,7 @@
 	prefilled_ms = context->now_ms + (int64_t)choice->part_prefill_ms;
 	if (context->now_ms < target_ms)
 		return prefilled_ms <= target_ms;
-	return prefilled_ms <= request->deadline_ms - request->route->target_ms;
+	return prefilled_ms <= placement_latest_answer_ms(context);
 }
 
 /* Whether the upstream decodes an answer: some request there is past its
@@ -477,10 +486,10 @@
 wait_for_memory(const struct placement_context *context,
     const GArray *candidates, struct placement_queue_entry *entry)
 {
-	if (context->kv_tokens > placement_gathered_tokens_max(context) ||
-	    context->now_ms >=
-		placement_latest_start_ms(context->request,
-		    context->prefill_ms / (double)candidates->len))
+	if (context->kv_tokens > placement_gathered_tokens_max(context))
+		return ERROR_DEADLINE_UNREACHABLE;
+	placement_queue_enter(context, entry, candidates->len);
+	if (context->now_ms >= entry->latest_start_ms)
 		return ERROR_DEADLINE_UNREACHABLE;
 	return placement_wait_for(entry, PLACEMENT_WAIT_MEMORY, 0);
 }
--- a/src/placement/placement_report.c
+++ b/src/placement/placement_report.c
@@ -19,7 +19,8 @@
     struct placement *placement, struct work_report *report, int64_t now_ms);
 static void fill_queued(const struct placement *placement,
     struct work_demand *demand, int64_t now_ms);
-static double own_short_engines(const struct service_load *service);
+static double own_short_engines(
+    const struct placement *placement, const struct service_load *service);
 static double own_long_engines(
     const struct service_load *service, int64_t now_ms);
 
@@ -64,7 +65,8 @@
 		report.demands[report.demand_count].service_hash =
 		    service->hash;
 		report.demands[report.demand_count].short_engines =
-		    (uint32_t)(own_short_engines(service) * THOUSANDTHS);
+		    (uint32_t)(own_short_engines(placement, service) *
+			       THOUSANDTHS);
 		report.demands[report.demand_count].long_engines =
 		    (uint32_t)(own_long_engines(service, now_ms) * THOUSANDTHS);
 		report.demands[report.demand_count].waiting_for_slot =
@@ -138,7 +140,8 @@
 	struct split_demand demand;
 
 	own = placement_get_service(placement, service);
-	demand.short_engines = own_short_engines(own) + peers->short_engines;
+	demand.short_engines =
+	    own_short_engines(placement, own) + peers->short_engines;
 	demand.long_engines =
 	    own_long_engines(own, now_ms) + peers->long_engines;
 	return demand;
@@ -252,11 +255,17 @@
 	}
 }
 
-/* Engines that this host's short prompts need. */
+/* Engines that this host's short prompts need, running or waiting. */
 static double
-own_short_engines(const struct service_load *service)
+own_short_engines(
+    const struct placement *placement, const struct service_load *service)
 {
-	return service->short_running / SHORT_PER_ENGINE;
+	uint32_t count = service->short_running;
+
+	/* After a restart of all hosts the prompts wait, and none runs yet. */
+	if (placement_has_feature(placement, PLACEMENT_SHARE_SLOTS))
+		count += service->waiting_for_slot;
+	return count / SHORT_PER_ENGINE;
 }
 
 /* Engines that this host's long prompts need. */
--- a/src/placement/placement_slot.c
+++ b/src/placement/placement_slot.c
@@ -3,6 +3,7 @@
  * Decides whether a short prompt may take a slot of an engine now.
  */
 #include "placement/placement_parts.h"
+#include "placement/placement_pause.h"
 
 /* Weight of the newest answer in the mean time for which a slot is taken. */
 #define ANSWER_WEIGHT 0.1
@@ -17,6 +18,14 @@
 /* Interval at which one past its target tries again, up to half longer. */
 #define LATE_RETRY_MS	  80
 #define LATE_RETRY_MAX_MS (LATE_RETRY_MS * 3 / 2)
+/* Passes of an engine until the first event of a prompt that it is given. */
+#define FIRST_EVENT_PASSES 1.5
+/* Share of the free slots that are taken until the hosts have heard of it: two
+ * prompts that take the same slot cost more than a slot that is free for longer. */
+#define CLAIMED_SHARE 0.6
+/* Below this share of free slots, prompts are spread evenly over these, as all
+ * hosts see the same engine as the cheapest one. */
+#define SCARCE_SHARE 0.25
 /* Time until the other hosts know of a slot that was taken. */
 #define UNSEEN_MS 45
 /* Tries of a waiting prompt past its target until the other hosts know of a
@@ -29,6 +38,8 @@
 	double free;  /* Slots that are not taken. */
 };
 
+static double first_event_ms(const struct placement_context *context,
+    const struct placement_upstream *upstream);
 static bool takes_free_slot(
     const struct placement_context *context, const struct slot_count *slots);
 static enum error_code check_late(const struct placement_context *context,
@@ -63,8 +74,8 @@
 		return ERROR_NONE;
 	best = &g_array_index(candidates, struct placement_candidate, 0);
 	last_on_time_ms = request->arrived_ms + request->route->target_ms -
-			  FIRST_EVENT_PASSES_MS -
-			  (int64_t)(context->prefill_ms + best->backlog_ms);
+			  (int64_t)(first_event_ms(context, best->upstream) +
+				    best->backlog_ms);
 	is_late = context->now_ms > last_on_time_ms;
 	if (!is_late && free_slots(best->upstream) > 0 &&
 	    !placement_has_feature(context->placement, PLACEMENT_SHARE_SLOTS))
@@ -104,7 +115,59 @@
 		      (double)context->peers.waiting_for_slot) *
 		  UNSEEN_MS / ON_TIME_RETRY_MS;
 	return random_unit(&placement->random) * (arriving + waiting) <
-	       slots->free;
+	       slots->free * CLAIMED_SHARE;
+}
+
+void
+placement_spread_over_slots(
+    const struct placement_context *context, GArray *candidates)
+{
+	struct placement_candidate *candidate, first;
+	struct slot_count slots;
+	double at;
+	guint i;
+
+	slots = count_slots(candidates);
+	if (slots.free > slots.total * SCARCE_SHARE &&
+	    !placement_is_starting(context->placement, context->now_ms))
+		return;
+	at = random_unit(&context->placement->random) * slots.free;
+	for (i = 0; i < candidates->len; i++) {
+		candidate =
+		    &g_array_index(candidates, struct placement_candidate, i);
+		if (!candidate->takes_short)
+			continue;
+		at -= free_slots(candidate->upstream);
+		if (at >= 0)
+			continue;
+		first =
+		    g_array_index(candidates, struct placement_candidate, 0);
+		g_array_index(candidates, struct placement_candidate, 0) =
+		    *candidate;
+		*candidate = first;
+		return;
+	}
+}
+
+/* Time that a prompt needs on an engine for its first event. It waits for the end of
+ * a pass, half of one on average, and is prefilled in the next one. */
+static double
+first_event_ms(const struct placement_context *context,
+    const struct placement_upstream *upstream)
+{
+	const struct engine_speed *engine = &context->request->service->engine;
+	struct pause_answers answers = {
+	    .short_count = upstream->own.running + upstream->others.running,
+	    .kv_tokens =
+		(double)(upstream->own.kv_tokens + upstream->others.kv_tokens),
+	};
+	double passes_ms;
+
+	passes_ms = FIRST_EVENT_PASSES_MS;
+	if (placement_has_feature(context->placement, PLACEMENT_SHARE_SLOTS))
+		passes_ms = MAX(passes_ms,
+		    FIRST_EVENT_PASSES * pause_pass_ms(engine, &answers));
+	return context->prefill_ms + passes_ms;
 }
 
 void
@@ -165,7 +228,7 @@
 				   context->request->route->target_ms)
 		return ERROR_NONE;
 	latest_start_ms =
-	    placement_latest_start_ms(context->request, context->prefill_ms);
+	    placement_latest_start_ms(context, context->prefill_ms);
 	/* The next try would come too late. */
 	if (context->now_ms + LATE_RETRY_MAX_MS >= latest_start_ms ||
 	    (!entry->is_late_waiting && is_crowded(context, service, slots,
--- a/src/placement/placement_turn.c
+++ b/src/placement/placement_turn.c
@@ -15,6 +15,9 @@
 #define ENGINES_PER_TURN 12u
 /* This many engines for long prompts suffice for a prompt of any size. */
 #define ENGINES_ENOUGH 6u
+/* Share of its longest answer that a prompt's answer is expected to have. */
+#define ANSWER_SHARE 0.6
+#define TOKENS_PER_K 1000.0
 /* With fewer engines, a prompt whose parts take longer than this waits. */
 #define LONG_PART_MS 500.0
 
@@ -31,10 +34,6 @@
     const struct long_side *side, const struct placement_queue_entry *entry);
 static bool is_worth_waiting(const struct placement_context *context,
     const struct long_side *side, const struct placement_queue_entry *entry);
-static void enter_queue(const struct placement_context *context,
-    struct placement_queue_entry *entry);
-static void update_time_limits(const struct placement_context *context,
-    const struct long_side *side, struct placement_queue_entry *entry);
 static struct long_side measure_long_side(
     const struct placement_context *context, const GArray *candidates);
 static uint32_t prefilling_max(const struct long_side *side);
@@ -62,9 +61,7 @@
 	    side.backlog_ms <
 		BACKLOG_TARGET_SHARE * (double)request->route->target_ms)
 		return ERROR_NONE;
-	if (entry->service == 0)
-		enter_queue(context, entry);
-	update_time_limits(context, &side, entry);
+	placement_queue_enter(context, entry, side.engines);
 	if (context->now_ms >= entry->latest_start_ms ||
 	    cannot_start_in_time(context, &side, entry))
 		return ERROR_DEADLINE_UNREACHABLE;
@@ -77,13 +74,34 @@
 	return ERROR_NONE;
 }
 
+/* The time limits change with the number of engines while it is queued. */
+void
+placement_queue_enter(const struct placement_context *context,
+    struct placement_queue_entry *entry, uint32_t engines)
+{
+	const struct placement_request *request = context->request;
+	double prefill_ms;
+
+	if (entry->service == 0) {
+		entry->service = context->service;
+		entry->prefill_ms = context->prefill_ms;
+		entry->arrived_ms = request->arrived_ms;
+
+		g_ptr_array_add(context->placement->queue, entry);
+	}
+	prefill_ms = entry->prefill_ms / engines;
+	entry->target_wait_ms = request->route->target_ms - (int64_t)prefill_ms;
+	entry->latest_start_ms = placement_latest_start_ms(context, prefill_ms);
+}
+
 int64_t
 placement_latest_start_ms(
-    const struct placement_request *request, double prefill_ms)
+    const struct placement_context *context, double prefill_ms)
 {
+	const struct placement_request *request = context->request;
 	int64_t latest_ms, patience_ms;
 
-	latest_ms = request->deadline_ms - request->route->target_ms;
+	latest_ms = placement_latest_answer_ms(context);
 	patience_ms = route_patience_ms(request->route);
 	if (patience_ms != INT64_MAX && !request->has_partial_answer)
 		latest_ms = MIN(latest_ms,
@@ -91,6 +109,27 @@
 	return latest_ms - (int64_t)prefill_ms;
 }
 
+/* Each token of the answer takes a step of the engine, which is the longer the
+ * longer the prompt. Where that is unknown, the route's target is kept free. */
+int64_t
+placement_latest_answer_ms(const struct placement_context *context)
+{
+	const struct placement_request *request = context->request;
+	const struct engine_speed *engine = &request->service->engine;
+	double step_ms, answer_ms;
+
+	answer_ms = (double)request->route->target_ms;
+	if (placement_has_feature(context->placement, PLACEMENT_QUEUE_LARGE) &&
+	    engine->step_ms > 0 && request->answer_tokens > 0) {
+		step_ms =
+		    engine->step_ms + request->prompt_tokens / TOKENS_PER_K *
+					  engine->ms_per_1k_context_tokens;
+		answer_ms = MIN(
+		    answer_ms, request->answer_tokens * step_ms * ANSWER_SHARE);
+	}
+	return request->deadline_ms - (int64_t)answer_ms;
+}
+
 /* A prompt of half a million tokens takes as much prefill as ten of the largest
  * that fit in one engine, and would make all of those late. It therefore starts
  * only when little else is in prefill or queued. */
@@ -137,30 +176,6 @@
 	       context->now_ms - entry->arrived_ms < entry->target_wait_ms;
 }
 
-/* Queues the prompt of the request. */
-static void
-enter_queue(const struct placement_context *context,
-    struct placement_queue_entry *entry)
-{
-	entry->service = context->service;
-	entry->prefill_ms = context->prefill_ms;
-	entry->arrived_ms = context->request->arrived_ms;
-	g_ptr_array_add(context->placement->queue, entry);
-}
-
-/* Recomputes the time limits, because the number of engines for long prompts
- * changes while the prompt is queued. */
-static void
-update_time_limits(const struct placement_context *context,
-    const struct long_side *side, struct placement_queue_entry *entry)
-{
-	const struct placement_request *request = context->request;
-	double prefill_ms = entry->prefill_ms / side->engines;
-
-	entry->target_wait_ms = request->route->target_ms - (int64_t)prefill_ms;
-	entry->latest_start_ms = placement_latest_start_ms(request, prefill_ms);
-}
-
 /* Measures the load of the engines for long prompts among the candidates. */
 static struct long_side
 measure_long_side(
--- a/src/placement/placement_wait.c
+++ b/src/placement/placement_wait.c
@@ -8,6 +8,7 @@
 
 /* Share by which the queue key falls while a prompt waits for its target. */
 #define AGE_BONUS 0.7
+
 /* Lowest key of prompts past their target, which start after the others. */
 #define LATE_KEY UINT64_C(1000000000)
 
