Requests leave their data centre only as it pays; refusals tell what they rest on

The share of requests that leaves follows from what their callers gain over the delay and the bytes across, so all hosts of a data centre together send that share, equally full data centres send each other nothing, and old facts keep requests home. Parts of long prompts are priced by the bytes of their cache. Also: E6010, E6011 and E6013 tell the prompt's size, the predicted wait and the age of the facts; a denied request keeps no pointer into a table that was let go; the soak starts the present build with all features.

--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -41,6 +41,9 @@
 #define PAUSE_LIMIT_SHARE 0.8
 
 static bool is_usable(const struct placement_upstream *upstream);
+static void count_border(struct placement *placement,
+    const struct placement_request *request,
+    const struct placement_choice *choice);
 static void add_reservations(struct placement *placement,
     const struct placement_choice *choice, struct placement_work *work);
 static void remove_reservations(
@@ -152,6 +155,7 @@
 	struct service_load *service;
 	uint32_t i;
 
+	count_border(placement, request, choice);
 	work->upstream_id = upstream->id;
 	work->kv_tokens = choice->kv_tokens;
 	work->is_long = choice->is_long && !choice->is_led_on_short_side;
@@ -197,6 +201,24 @@
 		service->short_running++;
 }
 
+/* Counts whether the request leaves the data centre, and why. */
+static void
+count_border(struct placement *placement,
+    const struct placement_request *request,
+    const struct placement_choice *choice)
+{
+	struct border_counters *counters = &placement->border;
+
+	if (choice->upstream->is_local) {
+		atomic_fetch_add(&counters->stayed, 1);
+		return;
+	}
+	atomic_fetch_add(choice->has_home ? &counters->left_for_gain
+					  : &counters->left_for_want,
+	    1);
+	atomic_fetch_add(&counters->bytes, (uint64_t)request->body_bytes);
+}
+
 /* Counts the KV memory that helpers reserve for a prompt that is too large for
  * one engine. */
 static void
@@ -505,7 +527,7 @@
 placement_has_feature(
     const struct placement *placement, enum placement_feature feature)
 {
-	return (placement->settings.features & (uint32_t)feature) != 0;
+	return (placement->settings.features.set & (uint32_t)feature) != 0;
 }
 
 uint64_t
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -28,6 +28,7 @@
 #include "base/random_source.h"
 #include "config.h"
 #include "coordination/forward_peers.h"
+#include "placement/placement_border.h"
 #include "placement/placement_feature.h"
 #include "placement/placement_split.h"
 #include "placement/upstream_notice.h"
@@ -46,7 +47,7 @@
 	double cold_overshoot; /**< Factor on the rate for cold upstreams. */
 	/** Requests per second allowed above that rate times cold_overshoot. */
 	uint32_t cold_slack;
-	uint32_t features; /**< Set of enum placement_feature. */
+	struct placement_features features; /**< What is switched on. */
 };
 
 /** Description of an upstream, passed to placement_update(). */
@@ -116,6 +117,7 @@
 	/** Prompt length in tokens, 0 for a request that is no prompt. */
 	double prompt_tokens;
 	double answer_tokens; /**< Longest answer, in tokens. */
+	double body_bytes;    /**< Length of the request's body. */
 	int64_t arrived_ms;   /**< When the request arrived. */
 	int64_t deadline_ms;  /**< Time by which the answer must be complete. */
 	uint64_t tried[PLACEMENT_TRIED_MAX]; /**< Upstreams to avoid, by id. */
@@ -174,7 +176,8 @@
 	uint32_t usable_count;	    /**< Usable upstreams of the service. */
 	uint32_t helper_count;	    /**< Helpers in use. */
 	bool is_long;		    /**< The prompt is long. */
-	bool is_led_on_short_side;  /**< A long prompt that is answered by an
+	bool has_home; /**< Some upstream of this data centre could take it. */
+	bool is_led_on_short_side; /**< A long prompt that is answered by an
 					engine for short prompts. */
 };
 
@@ -230,6 +233,9 @@
 	struct work_forwarding told_forwarding; /**< What it told last. */
 	int64_t forwarding_told_ms;		/**< When it told that. */
 	struct forward_peers forward_peers;	/**< That of the other hosts. */
+	int64_t
+	    last_report_ms; /**< When another host sent its newest report. */
+	struct border_counters border; /**< What left the data centre. */
 	uint64_t report_number;	 /**< Number of the last report written. */
 	bool is_peer_load_stale; /**< Peer loads must be summed again. */
 	bool has_probes_due;	 /**< Some upstream has is_probe_due set. */
--- a/src/placement/placement_candidates.c
+++ b/src/placement/placement_candidates.c
@@ -3,6 +3,8 @@
  * The candidates of a placement decision: which upstreams may take a request
  * now, and what placing it on each of them would cost.
  */
+#include <string.h>
+
 #include "placement/cold_turn.h"
 #include "placement/placement_parts.h"
 
@@ -15,6 +17,9 @@
  * ejected. */
 #define EJECTED_SHARE_MAX 0.5
 
+/* Bytes of an answer that a token takes on the wire. */
+#define ANSWER_TOKEN_BYTES 4.0
+
 /* Costs of a candidate, in milliseconds of prefill backlog */
 
 /* Cost of an upstream on which every request fails. */
@@ -260,7 +265,8 @@
 		  upstream->failure_share * FAILURE_COST_MS;
 	if (running >= upstream->slots)
 		cost_ms += (running - upstream->slots + 1) * FULL_COST_MS;
-	if (!upstream->is_local)
+	if (!upstream->is_local &&
+	    !placement_has_feature(context->placement, PLACEMENT_WEIGH_BORDERS))
 		cost_ms += OTHER_DATA_CENTRE_COST_MS;
 	if (upstream->others.ejected_until_ms > context->now_ms)
 		cost_ms += PEER_EJECTED_COST_MS;
@@ -288,3 +294,76 @@
 		cost_ms += MEMORY_COST_MS;
 	return cost_ms;
 }
+
+void
+placement_weigh_border(
+    const struct placement_context *context, GArray *candidates)
+{
+	const struct placement_request *request = context->request;
+	const struct placement *placement = context->placement;
+	const struct placement_candidate *candidate;
+	struct border_offer offer = {
+	    .delay_ms = request->service->engine.border_delay_ms,
+	    .bytes = request->body_bytes +
+		     request->answer_tokens * ANSWER_TOKEN_BYTES,
+	    .ms_per_mb = placement->settings.features.border_ms_per_mb,
+	    .facts_age_ms = placement->host_count > 1
+				? context->now_ms - placement->last_report_ms
+				: 0,
+	};
+	guint home, away, i;
+
+	home = away = 0;
+	for (i = candidates->len; i > 0; i--) {
+		candidate = &g_array_index(
+		    candidates, struct placement_candidate, i - 1);
+		if (candidate->upstream->is_local) {
+			offer.has_home = true;
+			offer.home_cost_ms = candidate->cost_ms;
+			home = i - 1;
+		} else {
+			offer.has_away = true;
+			offer.away_cost_ms = candidate->cost_ms;
+			away = i - 1;
+		}
+	}
+	i = random_unit(&context->placement->random) < border_away_share(&offer)
+		? away
+		: home;
+	if (!offer.has_home)
+		i = away;
+	placement_candidate_to_front(candidates, i);
+}
+
+double
+placement_helper_border_ms(const struct placement_context *context,
+    const struct placement_upstream *helper, double part_ms)
+{
+	const struct engine_speed *engine = &context->request->service->engine;
+	const struct placement *placement = context->placement;
+	struct border_offer offer = {
+	    .delay_ms = engine->border_delay_ms,
+	    .ms_per_mb = placement->settings.features.border_ms_per_mb,
+	};
+
+	if (helper->is_local || context->prefill_ms <= 0 ||
+	    !placement_has_feature(placement, PLACEMENT_WEIGH_BORDERS))
+		return 0;
+	offer.bytes = context->request->prompt_tokens * part_ms /
+		      context->prefill_ms * engine->kv_token_bytes;
+	return border_cost_ms(&offer);
+}
+
+void
+placement_candidate_to_front(GArray *candidates, guint index)
+{
+	struct placement_candidate *all =
+	    (struct placement_candidate *)(void *)candidates->data;
+	struct placement_candidate chosen;
+
+	if (index >= candidates->len)
+		return;
+	chosen = all[index];
+	memmove(all + 1, all, index * sizeof(*all));
+	all[0] = chosen;
+}
--- a/src/placement/placement_feature.h
+++ b/src/placement/placement_feature.h
@@ -23,11 +23,24 @@
 	/** Hosts share out the free slots of full engines among the short
 	 * prompts that wait anywhere (placement_slot.c). */
 	PLACEMENT_SHARE_SLOTS = 1u << 2,
+	/** Requests leave the data centre only if that pays
+	 * (placement_border.h). */
+	PLACEMENT_WEIGH_BORDERS = 1u << 3,
 };
 
-/** Adds the feature with this name to a set. Errors: ERROR_BAD_VALUE for an
- * unknown name. */
-enum error_code placement_feature_add(uint32_t *features, const char *name);
+/** The features that are on. All zero is none. */
+struct placement_features {
+	uint32_t set; /**< Set of enum placement_feature. */
+	/** What a megabyte sent to another data centre is worth, in milliseconds
+	 * of a caller's time. */
+	double border_ms_per_mb;
+};
+
+/** Switches on the feature that a text names: "weigh-borders=MS", where MS may be
+ * left out and is border_ms_per_mb, or another name. Errors: ERROR_BAD_VALUE for
+ * an unknown name or a value that is no number from 0 on. */
+enum error_code placement_feature_add(
+    struct placement_features *features, const char *text);
 /** Names of all features, separated by blanks. */
 const char *placement_feature_names(void);
 
--- a/src/placement/placement_helpers.c
+++ b/src/placement/placement_helpers.c
@@ -28,6 +28,8 @@
     const GArray *candidates, const struct placement_upstream *leader,
     double part_ms, const struct placement_candidate **helpers);
 static uint32_t helpers_max(const struct placement_context *context);
+static double helper_cost_ms(const struct placement_context *context,
+    const struct placement_candidate *candidate, double part_ms);
 static bool may_help(const struct placement_context *context,
     const struct placement_candidate *candidate);
 static uint64_t free_kv_tokens(const struct placement_context *context,
@@ -107,7 +109,8 @@
 	choice->helper_count = 0;
 	best_ms = choice->wait_ms + choice->prefill_ms;
 	for (i = 0; i < count && i < count_max; i++) {
-		wait_ms = MAX(choice->wait_ms, helpers[i]->backlog_ms);
+		wait_ms = MAX(choice->wait_ms,
+		    helper_cost_ms(context, helpers[i], part_ms));
 		end_ms = wait_ms + choice->prefill_ms / (i + 2);
 		if (end_ms >= best_ms)
 			continue;
@@ -242,8 +245,8 @@
 			context, candidate->upstream, part_ms))
 			continue;
 		for (at = count; at > 0; at--) {
-			if (helpers[at - 1]->backlog_ms <=
-			    candidate->backlog_ms)
+			if (helper_cost_ms(context, helpers[at - 1], part_ms) <=
+			    helper_cost_ms(context, candidate, part_ms))
 				break;
 			if (at < PLACEMENT_HELPERS_MAX)
 				helpers[at] = helpers[at - 1];
@@ -255,6 +258,16 @@
 	return count;
 }
 
+/* Time that a helper costs beyond its part: its backlog, and the way to another
+ * data centre. */
+static double
+helper_cost_ms(const struct placement_context *context,
+    const struct placement_candidate *candidate, double part_ms)
+{
+	return candidate->backlog_ms + placement_helper_border_ms(context,
+					   candidate->upstream, part_ms);
+}
+
 /* Any engine may help with a short prompt, as its parts are small. Parts of a
  * long prompt would stop short answers, so engines for short prompts and those
  * with many short answers don't help with it. */
--- a/src/placement/placement_parts.h
+++ b/src/placement/placement_parts.h
@@ -115,6 +115,17 @@
  * those that may not in the context. */
 GArray *placement_collect_candidates(struct placement_context *context);
 
+/** Moves the candidate at home or the one in another data centre to the front, the
+ * latter with the share in which leaving pays. */
+void placement_weigh_border(
+    const struct placement_context *context, GArray *candidates);
+/** Time that a part of the prompt costs on a helper in another data centre for
+ * crossing the border, 0 for one at home. */
+double placement_helper_border_ms(const struct placement_context *context,
+    const struct placement_upstream *helper, double part_ms);
+/** Moves a candidate to the front. */
+void placement_candidate_to_front(GArray *candidates, guint index);
+
 /* placement_turn.c */
 
 /** Checks whether a long prompt may start now, and queues @p entry if it has to
--- a/src/placement/placement_pick.c
+++ b/src/placement/placement_pick.c
@@ -41,6 +41,7 @@
 static enum error_code choose_upstream(const struct placement_context *context,
     GArray *candidates, struct placement_queue_entry *entry,
     struct placement_choice *choice);
+static bool has_home(const GArray *candidates);
 static bool fill_choice(const struct placement_context *context,
     const GArray *candidates, struct placement_choice *choice);
 static bool exceeds_pause_limit(const struct placement_context *context,
@@ -288,6 +289,8 @@
 		error = placement_check_slot(context, candidates, entry);
 	if (error != ERROR_NONE)
 		return error;
+	if (placement_has_feature(context->placement, PLACEMENT_WEIGH_BORDERS))
+		placement_weigh_border(context, candidates);
 	if (!context->is_long && !context->is_too_large &&
 	    context->kv_tokens > 0 &&
 	    placement_has_feature(context->placement, PLACEMENT_SHARE_SLOTS))
@@ -313,6 +316,7 @@
 	best = &g_array_index(candidates, struct placement_candidate, 0);
 	choice->upstream = best->upstream;
 	choice->is_long = context->is_long;
+	choice->has_home = has_home(candidates);
 	choice->is_led_on_short_side =
 	    context->is_led_on_short_side && best->takes_short;
 	choice->kv_tokens = context->kv_tokens;
@@ -352,6 +356,19 @@
 	return context->now_ms < latest_ms - GUARD_MARGIN_MS;
 }
 
+static bool
+has_home(const GArray *candidates)
+{
+	guint i;
+
+	for (i = 0; i < candidates->len; i++) {
+		if (g_array_index(candidates, struct placement_candidate, i)
+			.upstream->is_local)
+			return true;
+	}
+	return false;
+}
+
 /* Whether prefill of the prompt would pause answers on the chosen engines for
  * longer than their callers accept. This happens when one prompt of several
  * hundred thousand tokens arrives among many of a hundred thousand, and on
--- a/src/placement/placement_report.c
+++ b/src/placement/placement_report.c
@@ -107,6 +107,7 @@
 	peer->sent_ms = sent_ms;
 	g_hash_table_replace(placement->peers, GUINT_TO_POINTER(host_id), peer);
 	placement->is_peer_load_stale = true;
+	placement->last_report_ms = MAX(placement->last_report_ms, sent_ms);
 	return ERROR_NONE;
 }
 
--- a/src/placement/placement_slot.c
+++ b/src/placement/placement_slot.c
@@ -122,7 +122,7 @@
 placement_spread_over_slots(
     const struct placement_context *context, GArray *candidates)
 {
-	struct placement_candidate *candidate, first;
+	const struct placement_candidate *candidate;
 	struct slot_count slots;
 	double at;
 	guint i;
@@ -140,11 +140,7 @@
 		at -= free_slots(candidate->upstream);
 		if (at >= 0)
 			continue;
-		first =
-		    g_array_index(candidates, struct placement_candidate, 0);
-		g_array_index(candidates, struct placement_candidate, 0) =
-		    *candidate;
-		*candidate = first;
+		placement_candidate_to_front(candidates, i);
 		return;
 	}
 }
--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -123,6 +123,7 @@
 	if (exchange->table != relay->table) {
 		route_table_unref(exchange->table);
 		exchange->table = route_table_ref(relay->table);
+		exchange->service = NULL;
 	}
 	/* The host that forwarded the request knows a newer configuration, in
 	 * which this route may be changed or gone. */
@@ -219,6 +220,7 @@
 		    retry_after_ms(exchange, ERROR_NO_PATH));
 		return;
 	}
+	exchange->request.body_bytes = exchange->body->len;
 	exchange->request.arrived_ms = exchange->arrived_ms;
 	exchange->request.deadline_ms =
 	    MIN(exchange->deadline_ms, stop_deadline_ms(exchange->relay));
--- a/src/relay/relay_metrics.c
+++ b/src/relay/relay_metrics.c
@@ -42,6 +42,7 @@
 void
 relay_metrics_write(struct relay *relay, GString *out)
 {
+	struct border_counters *border = &relay->placement.border;
 	struct relay_counters *counters = &relay->counters;
 	const struct {
 		const char *name;
@@ -64,6 +65,17 @@
 	    {"forwards_taken", "Requests taken from other hosts.",
 		&counters->forwards_taken},
 	    {"resumes", "Streams that went on elsewhere.", &counters->resumes},
+	    {"stayed", "Attempts at upstreams of this data centre.",
+		&border->stayed},
+	    {"left_for_gain",
+		"Attempts that left the data centre as that paid.",
+		&border->left_for_gain},
+	    {"left_for_want",
+		"Attempts that left the data centre as none here could take "
+		"them.",
+		&border->left_for_want},
+	    {"left_bytes", "Bytes of requests that left the data centre.",
+		&border->bytes},
 	};
 	size_t i;
 
--- a/src/relay/relay_trace.c
+++ b/src/relay/relay_trace.c
@@ -9,6 +9,8 @@
 static const char *const owner_names[] = {
     "unknown", "request", "earlier", "foreign"};
 
+static int64_t predicted_wait_ms(const struct relay_exchange *exchange);
+static int64_t facts_age_ms(const struct relay *relay);
 static void log_answer(enum event_number event,
     const struct relay_exchange *exchange, const struct http_head *head);
 static void copy_printable(char to[ATTEMPT_ID_SIZE], const char *from);
@@ -19,7 +21,8 @@
 {
 	event_log_write_fields(end == END_ANSWERED ? EVENT_REQUEST_ANSWERED
 						   : EVENT_REQUEST_NOT_ANSWERED,
-	    "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
+	    "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:I,"
+	    "s:I}",
 	    "request", exchange->attempt_id, "route",
 	    exchange->route == NULL ? "" : exchange->route->name, "outcome",
 	    end_names[end], "why", error_name(error), "upstream",
@@ -39,32 +42,57 @@
 	    (json_int_t)(exchange->table == NULL ? 0
 						 : exchange->table->version),
 	    "confirmed_ms",
-	    (json_int_t)host_confirmed_remaining(exchange->relay->host));
+	    (json_int_t)host_confirmed_remaining(exchange->relay->host),
+	    "prompt_tokens", exchange->request.prompt_tokens,
+	    "predicted_wait_ms", (json_int_t)predicted_wait_ms(exchange),
+	    "facts_age_ms", (json_int_t)facts_age_ms(exchange->relay));
+}
+
+/* How long the long prompts that are queued now are expected to take, 0 for a
+ * request that is no prompt. */
+static int64_t
+predicted_wait_ms(const struct relay_exchange *exchange)
+{
+	if (exchange->service == NULL || exchange->request.prompt_tokens <= 0)
+		return 0;
+	return placement_queue_estimate_ms(
+	    &exchange->relay->placement, exchange->service, host_now_ms());
+}
+
+/* Age of what this host last heard of the work of others, -1 if it never has. */
+static int64_t
+facts_age_ms(const struct relay *relay)
+{
+	int64_t last_ms = relay->placement.last_report_ms;
+
+	return last_ms == 0 ? -1 : host_now_ms() - last_ms;
 }
 
 void
 relay_trace_waiting(const struct relay_exchange *exchange)
 {
-	if (exchange->queue_entry.wait != PLACEMENT_WAIT_TURN &&
-	    exchange->queue_entry.wait != PLACEMENT_WAIT_MEMORY) {
+	const struct placement_queue_entry *entry = &exchange->queue_entry;
+	int64_t now_ms = host_now_ms();
+
+	if (entry->wait != PLACEMENT_WAIT_TURN &&
+	    entry->wait != PLACEMENT_WAIT_MEMORY) {
 		event_log_write_fields(EVENT_REQUEST_WAITING,
-		    "{s:s,s:s,s:f,s:I}", "request", exchange->attempt_id, "for",
-		    exchange->queue_entry.wait == PLACEMENT_WAIT_SLOT
-			? "slot"
-			: "rate_limit",
+		    "{s:s,s:s,s:f,s:I,s:I}", "request", exchange->attempt_id,
+		    "for",
+		    entry->wait == PLACEMENT_WAIT_SLOT ? "slot" : "rate_limit",
 		    "prompt_tokens", exchange->request.prompt_tokens, "left_ms",
-		    (json_int_t)(exchange->deadline_ms - host_now_ms()));
+		    (json_int_t)(exchange->deadline_ms - now_ms),
+		    "facts_age_ms", (json_int_t)facts_age_ms(exchange->relay));
 		return;
 	}
-	event_log_write_fields(EVENT_PROMPT_QUEUED, "{s:s,s:f,s:f,s:I,s:I}",
-	    "request", exchange->attempt_id, "prompt_tokens",
-	    exchange->request.prompt_tokens, "work_ms",
-	    exchange->queue_entry.prefill_ms, "all_wait_ms",
-	    (json_int_t)placement_queue_estimate_ms(
-		&exchange->relay->placement, exchange->service, host_now_ms()),
-	    "useless_in_ms",
-	    (json_int_t)(exchange->queue_entry.latest_start_ms -
-			 host_now_ms()));
+	event_log_write_fields(EVENT_PROMPT_QUEUED,
+	    "{s:s,s:s,s:f,s:f,s:I,s:I,s:I}", "request", exchange->attempt_id,
+	    "for", entry->wait == PLACEMENT_WAIT_TURN ? "turn" : "memory",
+	    "prompt_tokens", exchange->request.prompt_tokens, "work_ms",
+	    entry->prefill_ms, "all_wait_ms",
+	    (json_int_t)predicted_wait_ms(exchange), "useless_in_ms",
+	    (json_int_t)(entry->latest_start_ms - now_ms), "facts_age_ms",
+	    (json_int_t)facts_age_ms(exchange->relay));
 }
 
 /* Logs an event with all that tells whose answer a head belongs to. */
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -46,6 +46,10 @@
 	double ms_per_1m_token_pairs;
 	/** Milliseconds for a step that spans several engines. */
 	double multi_engine_step_ms;
+	/** Bytes of KV cache for a token of a prompt. */
+	double kv_token_bytes;
+	/** Longest way between two data centres, in milliseconds. */
+	double border_delay_ms;
 };
 
 /** A service: a group of upstreams that can replace each other. */
--- a/tests/soak/builds.py
+++ b/tests/soak/builds.py
@@ -33,6 +33,10 @@
     return next(path for path in paths if os.path.exists(path))
 
 
+# Features of placement, which builds before them refuse.
+FEATURES = ("guard-pauses", "queue-large", "share-slots", "weigh-borders")
+
+
 class Builds:
     """The present build, the earlier one or None, and how the hosts change between them."""
 
@@ -75,6 +79,10 @@
             host.fixture.ledger.faults[f"start of {name} {host.role}"] += 1
         return program
 
+    def features(self, program):
+        """Returns the features of placement that the program is started with."""
+        return FEATURES if program == self.present else ()
+
     def is_replaced(self, host):
         """Returns whether a restart of the host would change nothing."""
         return self.started[host.number] == self.next_program(host)
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -100,7 +100,12 @@
         }
         with open(f"{self.fixture.folder}/{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                program, "serve-platform", env=environment, stdout=log, stderr=log
+                program,
+                "serve-platform",
+                *self.fixture.builds.features(program),
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
         self.is_starting = False
 
--- a/tests/test_large_prompts.c
+++ b/tests/test_large_prompts.c
@@ -71,7 +71,7 @@
 	begin(&fixture, &choice, TOO_LARGE, 0, &work);
 	assert_int_equal(pick(&fixture, TOO_LARGE, 10, &entry, &choice),
 	    ERROR_DEADLINE_UNREACHABLE);
-	fixture.placement.settings.features = PLACEMENT_QUEUE_LARGE;
+	fixture.placement.settings.features.set = PLACEMENT_QUEUE_LARGE;
 	assert_int_equal(pick(&fixture, TOO_LARGE, 10, &entry, &choice),
 	    ERROR_CHANGE_PENDING);
 	assert_int_equal(entry.wait, PLACEMENT_WAIT_TURN);
@@ -96,7 +96,7 @@
 
 	(void)state;
 	placement_fixture_init(&fixture, 2);
-	fixture.placement.settings.features = PLACEMENT_QUEUE_LARGE;
+	fixture.placement.settings.features.set = PLACEMENT_QUEUE_LARGE;
 	fill_memory(&fixture, 90000);
 	assert_int_equal(pick(&fixture, TOO_LARGE, 0, &entry, &choice),
 	    ERROR_CHANGE_PENDING);
@@ -125,7 +125,7 @@
 
 	(void)state;
 	placement_fixture_init(&fixture, 2);
-	fixture.placement.settings.features = PLACEMENT_QUEUE_LARGE;
+	fixture.placement.settings.features.set = PLACEMENT_QUEUE_LARGE;
 	assert_int_equal(pick(&fixture, FOR_NO_SCHEDULE, 0, &entry, &choice),
 	    ERROR_DEADLINE_UNREACHABLE);
 	placement_queue_leave(&fixture.placement, &entry);
@@ -144,7 +144,7 @@
 
 	(void)state;
 	placement_fixture_init(&fixture, 2);
-	fixture.placement.settings.features = PLACEMENT_QUEUE_LARGE;
+	fixture.placement.settings.features.set = PLACEMENT_QUEUE_LARGE;
 	fill_memory(&fixture, 90000);
 	for (i = 0; i < 3; i++)
 		placement_fixture_engine(&fixture, i)->own.kv_tokens = 0;
--- a/tests/test_pause_guard.c
+++ b/tests/test_pause_guard.c
@@ -24,7 +24,7 @@
 init(struct placement_fixture *fixture, uint32_t features)
 {
 	placement_fixture_init(fixture, 3);
-	fixture->placement.settings.features = features;
+	fixture->placement.settings.features.set = features;
 	fixture->service.shortest_pause_ms = SHORT_PAUSE_MS;
 	fixture->service.engine.stride = 48;
 	fixture->service.engine.step_ms = 1.0;
@@ -115,7 +115,7 @@
 	begin_answers(&fixture, BUSY_ENGINES);
 	assert_int_equal(pick_large(&fixture, 0, &entry, &choice), ERROR_NONE);
 	assert_true(stops_short_answers(&fixture, &choice));
-	fixture.placement.settings.features = PLACEMENT_GUARD_PAUSES;
+	fixture.placement.settings.features.set = PLACEMENT_GUARD_PAUSES;
 	assert_int_equal(pick_large(&fixture, 0, &entry, &choice), ERROR_NONE);
 	assert_false(stops_short_answers(&fixture, &choice));
 	assert_true(choice.helper_count > 0);
--- a/tests/test_shared_slots.c
+++ b/tests/test_shared_slots.c
@@ -58,7 +58,7 @@
 	assert_non_null(fleet.prompts);
 	for (i = 0; i < HOSTS; i++) {
 		placement_fixture_init(&fleet.hosts[i], i + 1);
-		fleet.hosts[i].placement.settings.features = features;
+		fleet.hosts[i].placement.settings.features.set = features;
 		/* No limit for cold engines: it isn't what is tested. */
 		fleet.hosts[i].service.cold_requests_per_s = 0;
 		placement_set_hosts(
