Large prompts wait and have engines kept free only where there are enough

A prompt is prefilled by up to 17 engines; of 18 none are left to keep free, and one large prompt takes the fleet's prefill for a second.

--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -14,6 +14,9 @@
 /* Time for which a host that is not live any more keeps its share of what all
  * hosts together may send. */
 #define HOST_ABSENCE_MS 60000
+/* Engines from which some are kept free for large prompts: half as many again as
+ * one prompt is prefilled by. */
+#define ENGINES_MANY_MIN ((PLACEMENT_HELPERS_MAX + 1) * 3 / 2)
 /* Time within which a host that starts learns of all upstreams there are. */
 #define FIRST_LIST_MS	    1000
 #define EJECT_FAILURES_MIN  2	 /* Consecutive failures that eject. */
@@ -530,6 +533,14 @@
 	return (placement->settings.features.set & (uint32_t)feature) != 0;
 }
 
+bool
+placement_has_room_for(
+    const struct placement_context *context, enum placement_feature feature)
+{
+	return placement_has_feature(context->placement, feature) &&
+	       context->healthy_count >= ENGINES_MANY_MIN;
+}
+
 uint64_t
 placement_service_hash(const char *name)
 {
--- a/src/placement/placement_candidates.c
+++ b/src/placement/placement_candidates.c
@@ -280,8 +280,7 @@
 	if (!candidate->takes_short && !wants_short_side)
 		cost_ms +=
 		    placement_count_short(upstream) * SHORT_BESIDE_LONG_COST_MS;
-	if (context->is_long && running == 0 &&
-	    placement_has_feature(context->placement, PLACEMENT_GUARD_PAUSES))
+	if (context->is_pause_guarded && running == 0)
 		cost_ms += IDLE_LEADER_COST_MS;
 	if (!placement_bears_part(
 		context, upstream, placement_smallest_part_ms(context)))
--- a/src/placement/placement_parts.h
+++ b/src/placement/placement_parts.h
@@ -102,6 +102,12 @@
 bool placement_has_feature(
     const struct placement *placement, enum placement_feature feature);
 
+/** Whether a feature for large prompts is on and the service has engines enough
+ * for it. With few of them, a large prompt that waits or has engines kept free for
+ * it takes more from the others than it gains. */
+bool placement_has_room_for(
+    const struct placement_context *context, enum placement_feature feature);
+
 /* placement_pick.c */
 
 /** Longest pause between events that callers of the route accept, in
--- a/src/placement/placement_pick.c
+++ b/src/placement/placement_pick.c
@@ -175,6 +175,7 @@
 		    upstream->ejected_until_ms <= context->now_ms)
 			g_array_append_val(ranks, upstream->short_rank);
 	}
+	context->healthy_count = ranks->len;
 	context->demand = placement_demand(context->placement, context->service,
 	    &context->peers, context->now_ms);
 	split_demand_add(&context->demand, context->others_queued_ms);
@@ -186,12 +187,10 @@
 		context->demand.short_engines =
 		    MAX(context->demand.short_engines,
 			ranks->len * STARTING_SHORT_SHARE);
-	short_count =
-	    placement_has_feature(context->placement, PLACEMENT_GUARD_PAUSES)
-		? split_packed_count(ranks->len, &context->demand)
-		: split_short_count(ranks->len, &context->demand);
+	short_count = placement_has_room_for(context, PLACEMENT_GUARD_PAUSES)
+			  ? split_packed_count(ranks->len, &context->demand)
+			  : split_short_count(ranks->len, &context->demand);
 	context->short_count = short_count;
-	context->healthy_count = ranks->len;
 	g_array_sort(ranks, compare_ranks);
 	rank_max = short_count >= ranks->len || short_count == 0
 		       ? UINT64_MAX
@@ -224,11 +223,11 @@
 	 * KV. */
 	context->is_too_large =
 	    context->kv_tokens > request->service->engine.kv_tokens;
+	context->short_rank_max = find_short_rank_max(context);
 	context->is_gathered =
 	    context->is_too_large && !request->has_partial_answer &&
-	    placement_has_feature(context->placement, PLACEMENT_QUEUE_LARGE);
+	    placement_has_room_for(context, PLACEMENT_QUEUE_LARGE);
 	context->is_pause_guarded = is_pause_guarded(context);
-	context->short_rank_max = find_short_rank_max(context);
 	context->is_led_on_short_side = may_lead_on_short_side(context);
 }
 
@@ -346,8 +345,7 @@
 	const struct placement_request *request = context->request;
 	int64_t latest_ms;
 
-	if (!placement_has_feature(
-		context->placement, PLACEMENT_GUARD_PAUSES) ||
+	if (!placement_has_room_for(context, PLACEMENT_GUARD_PAUSES) ||
 	    !context->is_long || request->has_partial_answer ||
 	    (context->is_too_large && !context->is_gathered))
 		return false;
--- a/src/placement/placement_turn.c
+++ b/src/placement/placement_turn.c
@@ -119,7 +119,7 @@
 	double step_ms, answer_ms;
 
 	answer_ms = (double)request->route->target_ms;
-	if (placement_has_feature(context->placement, PLACEMENT_QUEUE_LARGE) &&
+	if (placement_has_room_for(context, PLACEMENT_QUEUE_LARGE) &&
 	    engine->step_ms > 0 && request->answer_tokens > 0) {
 		step_ms =
 		    engine->step_ms + request->prompt_tokens / TOKENS_PER_K *
