--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -233,8 +233,8 @@
 	struct work_forwarding told_forwarding; /**< What it told last. */
 	int64_t forwarding_told_ms;		/**< When it told that. */
 	struct forward_peers forward_peers;	/**< That of the other hosts. */
-	int64_t
-	    last_report_ms; /**< When another host sent its newest report. */
+	/** When another host sent the newest report that was received. */
+	int64_t last_report_ms;
 	struct border_counters border; /**< What left the data centre. */
 	uint64_t report_number;	 /**< Number of the last report written. */
 	bool is_peer_load_stale; /**< Peer loads must be summed again. */
--- a/src/placement/placement_candidates.c
+++ b/src/placement/placement_candidates.c
@@ -329,8 +329,6 @@
 	i = random_unit(&context->placement->random) < border_away_share(&offer)
 		? away
 		: home;
-	if (!offer.has_home)
-		i = away;
 	placement_candidate_to_front(candidates, i);
 }
 
--- a/src/placement/placement_feature.h
+++ b/src/placement/placement_feature.h
@@ -18,7 +18,7 @@
 	 * pause (placement_pause.h). */
 	PLACEMENT_GUARD_PAUSES = 1u << 0,
 	/** A prompt over one engine's memory waits for its turn and for memory
-	 * (placement_gather.h). */
+	 * (placement_helpers.c). */
 	PLACEMENT_QUEUE_LARGE = 1u << 1,
 	/** Hosts share out the free slots of full engines among the short
 	 * prompts that wait anywhere (placement_slot.c). */
--- a/tests/test_shared_slots.c
+++ b/tests/test_shared_slots.c
@@ -18,7 +18,7 @@
 #define HOSTS		 40
 #define PROMPTS_PER_S	 200
 #define SECONDS		 4
-#define PROMPTS		 (PROMPTS_PER_S * SECONDS)
+#define PROMPTS		 800 /* PROMPTS_PER_S for SECONDS. */
 #define ANSWER_MS	 1600
 #define REPORT_PERIOD_MS 20
 #define REPORT_DELAY_MS	 20
