Work reports with waiting prompts have bytes of their own in the wire test

The recorded messages stay as they are, with and without forwarding; the new optional field is a third case, recorded from the code that added it.

--- a/tests/test_wire_bytes.c
+++ b/tests/test_wire_bytes.c
@@ -207,6 +207,15 @@
 	"b4a59601cef1e2d302cef1e2d303cff0e1d2c3b4a59604cff0e1d2c3b4a59605"
 	"0595cff0e1d2c3b4a59601cff0e1d2c3b4a5960203cff0e1d2c3b4a59603cef1"
 	"e2d3040693cff0e1d2c3b4a59603cff0e1d2c3b4a5960401"},
+    /* Recorded from the code that added the field. */
+    {"work report with waiting prompts", write_work, rewrite_work,
+	WIRE_WORK_WAITING, UINT64_C(0xff22b619154e2fdf),
+	"87000101cff0e1d2c3b4a5960102cff0e1d2c3b4a5960203dc0012cff0e1d2c3"
+	"b4a59601cef1e2d302cef1e2d303cef1e2d304cff0e1d2c3b4a59607cef1e2d3"
+	"05cef1e2d306cef1e2d308cef1e2d3090100000000000000000495cff0e1d2c3"
+	"b4a59601cef1e2d302cef1e2d303cff0e1d2c3b4a59604cff0e1d2c3b4a59605"
+	"0595cff0e1d2c3b4a59601cff0e1d2c3b4a5960203cff0e1d2c3b4a59603cef1"
+	"e2d3040792cff0e1d2c3b4a59601cef1e2d306"},
 };
 
 /* Returns the message as hexadecimal text; free it with g_free(). */
--- a/tests/wire_messages.c
+++ b/tests/wire_messages.c
@@ -499,12 +499,13 @@
 void
 write_work(struct message_writer *writer, uint32_t type)
 {
+	uint32_t tells = type == WIRE_WORK_FORWARDING;
 	struct work_item items[2] = {
 	    {WIDE(1), NARROW(2), NARROW(3), NARROW(4), NARROW(5), NARROW(6),
 		WIDE(7), NARROW(8), NARROW(9)},
 	    {.upstream_id = 1}};
-	struct work_demand demands[1] = {
-	    {WIDE(1), NARROW(2), NARROW(3), WIDE(4), WIDE(5), NARROW(6)}};
+	struct work_demand demands[1] = {{WIDE(1), NARROW(2), NARROW(3),
+	    WIDE(4), WIDE(5), type == WIRE_WORK_WAITING ? NARROW(6) : 0}};
 	struct work_notice notices[1] = {
 	    {WIDE(1), WIDE(2), true, true, WIDE(3), NARROW(4)}};
 	struct work_report report = {.incarnation = WIDE(1),
@@ -515,7 +516,7 @@
 	    .demands = demands,
 	    .notice_count = G_N_ELEMENTS(notices),
 	    .notices = notices,
-	    .forwarding = {type * WIDE(3), type * WIDE(4), type != 0}};
+	    .forwarding = {tells * WIDE(3), tells * WIDE(4), tells != 0}};
 
 	work_report_write(writer, &report);
 }
--- a/tests/wire_messages.h
+++ b/tests/wire_messages.h
@@ -85,7 +85,13 @@
 /** Reads a message about grants. */
 enum error_code rewrite_grant(
     const void *data, size_t size, struct message_writer *writer);
-/** Writes a work report; with type 1 it tells of forwarding. */
+/** What a work report tells beyond what all tell. */
+enum wire_work {
+	WIRE_WORK_FORWARDING = 1, /**< How the host takes forwarded requests. */
+	WIRE_WORK_WAITING = 2,	  /**< Prompts that wait for a slot. */
+};
+
+/** Writes a work report; the type is 0 or an enum wire_work. */
 void write_work(struct message_writer *writer, uint32_t type);
 /** Reads a work report. */
 enum error_code rewrite_work(
