A silent upstream that was reached is tried again

Ruled out: the release of reservations (done as soon as the attempt ended). Change: a probe counts for 1.5 s of silence, then the upstream is tried again. Test: test_silent_upstream_is_tried_again; the evaluation knew no time of a probe before.

--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -39,6 +39,8 @@
 #define OVERTAKEN_SILENCE_MIN_MS 1000
 /* Predicted times are exceeded by at most this factor. */
 #define EXPECTED_FACTOR 3
+/* Time after which a silent upstream that was reached is tried again. */
+#define REACHABLE_VALID_MS 1500
 /* Share of the caller's pause limit after which a request is abandoned at an
  * upstream that is reachable but makes no progress. */
 #define PAUSE_LIMIT_SHARE 0.8
@@ -458,6 +460,10 @@
 	if (lasted_ms > silence->pause_limit_ms * PAUSE_LIMIT_SHARE &&
 	    lasted_ms > silence->expected_ms * EXPECTED_FACTOR)
 		return SILENCE_ABANDON;
+	/* It may have gone dark since. */
+	if (silence->probed_ms != 0 &&
+	    now_ms - silence->probed_ms > REACHABLE_VALID_MS)
+		return SILENCE_PROBE;
 	return SILENCE_WAIT;
 }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -206,6 +206,7 @@
 	double expected_ms; /**< Predicted time to the first byte. */
 	int64_t pause_limit_ms; /**< Longest pause that the caller accepts. */
 	bool is_reachable;	/**< A connection succeeded meanwhile. */
+	int64_t probed_ms;	/**< When that was tried, 0 for never. */
 };
 
 /** What to do about a silent upstream. */
--- a/src/relay/relay_silence.c
+++ b/src/relay/relay_silence.c
@@ -76,6 +76,7 @@
 	    .expected_ms = exchange->expected_ms,
 	    .pause_limit_ms = route_patience_ms(exchange->route),
 	    .is_reachable = exchange->is_reachable,
+	    .probed_ms = exchange->probed_ms,
 	};
 }
 
--- a/tests/test_placement_upstreams.c
+++ b/tests/test_placement_upstreams.c
@@ -547,6 +547,37 @@
 	placement_fixture_finish(&fixture);
 }
 
+/* Replays (spa-desk-now-grown, a zone that goes dark): an upstream was reached in
+ * its silence and went dark after that. It is tried again, or its request would
+ * wait, and hold memory at helpers, until its connection breaks. */
+static void
+test_silent_upstream_is_tried_again(void **state)
+{
+	struct placement_fixture fixture;
+	struct silence silence = {.sent_ms = START_MS,
+	    .since_ms = START_MS,
+	    .expected_ms = 1000,
+	    .pause_limit_ms = 16000,
+	    .is_reachable = true,
+	    .probed_ms = START_MS + 750};
+	uint64_t id;
+
+	(void)state;
+	placement_fixture_init(&fixture, 30);
+	id = fixture.records[0].id;
+	assert_int_equal(placement_evaluate_silence(
+			     &fixture.placement, id, &silence, START_MS + 1500),
+	    SILENCE_WAIT);
+	assert_int_equal(placement_evaluate_silence(
+			     &fixture.placement, id, &silence, START_MS + 2500),
+	    SILENCE_PROBE);
+	silence.probed_ms = START_MS + 2500;
+	assert_int_equal(placement_evaluate_silence(
+			     &fixture.placement, id, &silence, START_MS + 2600),
+	    SILENCE_WAIT);
+	placement_fixture_finish(&fixture);
+}
+
 /* A number that doesn't fit into its field makes a report invalid. */
 static void
 test_reports_with_too_large_numbers_are_refused(void **state)
@@ -598,6 +629,7 @@
 	    cmocka_unit_test(
 		test_engines_without_connections_are_used_if_no_other_is_left),
 	    cmocka_unit_test(test_silence_is_evaluated_by_other_progress),
+	    cmocka_unit_test(test_silent_upstream_is_tried_again),
 	    cmocka_unit_test(test_reports_with_too_large_numbers_are_refused),
 	};
 
