--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -500,8 +500,7 @@
         record.write("held")
         print("held")
         return 0
-    except (CannotRun, asyncio.TimeoutError, OSError,
-            KeyboardInterrupt) as error:
+    except (Exception, KeyboardInterrupt) as error:  # also a fault of ours
         record.write("could not run: %r" % error)
         print("could not run: %r" % error)
         return 2
