A reset that a write of the upload meets no longer makes a part of an answer whole

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: a socket reports the error of its connection once. A write of the upload took it and dropped it; the read behind it then saw a normal end, and asking the socket again found no error left. An answer without a length ends with its connection, so the part was whole.

Change: tcp_link remembers the error of a write, in each of the three ways in which libuv meets it, and the end of such a connection is no normal one. It goes on to read, so an answer that has come whole by its length or last chunk stays whole. EPIPE is left out, because it stands for an end that the peer had sent before, or for an error that was told already: an answer without a length whose upstream sends its end and then resets is whole as before.

--- a/src/transport/tcp_link.c
+++ b/src/transport/tcp_link.c
@@ -21,6 +21,7 @@
 /* A queued write with the bytes that the socket did not accept at once. */
 struct pending_write {
 	uv_write_t request;
+	struct tcp_link *link;
 	char data[];
 };
 
@@ -34,6 +35,7 @@
 static void provide_buffer(
     uv_handle_t *handle, size_t wanted, uv_buf_t *buffer);
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
+static void note_write_error(struct tcp_link *link, int status);
 static bool was_reset(struct tcp_link *link);
 static void on_written(uv_write_t *request, int status);
 static void on_shutdown(uv_shutdown_t *request, int status);
@@ -83,19 +85,25 @@
 		return;
 	buffer = uv_buf_init((char *)data, (unsigned int)size);
 	written = uv_try_write((uv_stream_t *)&link->tcp, &buffer, 1);
-	if (written < 0)
+	if (written == UV_EAGAIN)
 		written = 0;
-	if ((size_t)written == size)
+	/* After an error, the next read reports that the connection has ended. */
+	note_write_error(link, written);
+	if (written < 0 || (size_t)written == size)
 		return;
 	size -= (size_t)written;
 	pending = g_malloc(sizeof(*pending) + size);
+	pending->link = link;
 	memcpy(pending->data, (const char *)data + written, size);
 	buffer = uv_buf_init(pending->data, (unsigned int)size);
-	/* A write error needs no handling here: the next read reports that the
-	 * connection has ended. */
 	if (uv_write(&pending->request, (uv_stream_t *)&link->tcp, &buffer, 1,
-		on_written) != 0)
+		on_written) != 0) {
 		g_free(pending);
+		return;
+	}
+	/* libuv has tried once more. It calls on_written() in a later step,
+	 * before which the end may be read, so its field is looked at now. */
+	note_write_error(link, pending->request.error);
 }
 
 size_t
@@ -215,23 +223,38 @@
 	    link->ops.context, size == UV_EOF && !was_reset(link));
 }
 
-/* Returns true if the peer reset the connection. libuv reports any hang-up
- * after a short read as a normal end, so this asks the socket itself. */
+/* Remembers that a write met the error of a broken connection, which the socket
+ * reports only once: reads find a normal end behind it. EPIPE is no such error. It
+ * means that the peer had sent its end before, that this side had, or that
+ * an earlier operation was told the error. */
+static void
+note_write_error(struct tcp_link *link, int status)
+{
+	if (status < 0 && status != UV_EPIPE && status != UV_ECANCELED)
+		link->is_broken = true;
+}
+
+/* Returns true if the connection broke before the peer sent its end. libuv reports
+ * any hang-up after a short read as a normal end, so this asks the socket itself,
+ * unless a write was told already. */
 static bool
 was_reset(struct tcp_link *link)
 {
 	uv_os_fd_t fd;
 	char byte;
 
-	return uv_fileno((uv_handle_t *)&link->tcp, &fd) == 0 &&
-	       recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
+	return link->is_broken ||
+	       (uv_fileno((uv_handle_t *)&link->tcp, &fd) == 0 &&
+		   recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0);
 }
 
 static void
 on_written(uv_write_t *request, int status)
 {
-	(void)status;
-	g_free(request);
+	struct pending_write *pending = (struct pending_write *)request;
+
+	note_write_error(pending->link, status);
+	g_free(pending);
 }
 
 static void
--- a/tests/test_tcp_link.c
+++ b/tests/test_tcp_link.c
@@ -1,7 +1,10 @@
 /*
  * Tests of how a TCP link reports the end of its connection.
  */
+#define _GNU_SOURCE /* POLLRDHUP */
+
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -10,6 +13,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cmocka.h>
@@ -18,12 +22,38 @@
 
 #define FLOOD_BYTES    ((size_t)8 * 1024 * 1024)
 #define PASS_BYTES_MAX ((size_t)512 * 1024)
+#define READ_SIZE      65536
+/* Longest wait for what must happen. */
+#define WAIT_MS 20000
+
+/* How a peer ends its connection. */
+enum peer_end {
+	PEER_SENDS_END = 1,
+	PEER_RESETS = 2,
+	PEER_SENDS_END_AND_RESETS = 3,
+};
+
+/* Where a write of the link comes between the end of the connection and the read
+ * that finds it. */
+enum link_write {
+	NO_WRITE = 1,
+	/* The socket refuses the first bytes. */
+	WRITE_FAILS_AT_ONCE = 2,
+	/* The socket has taken a part, and the connection ends before the link
+	 * hands it the rest. */
+	REST_FAILS_AT_ONCE = 3,
+	/* The rest is queued, and the connection ends before the socket can take
+	 * more. */
+	QUEUED_REST_FAILS = 4,
+};
 
 /* A link, the other end of its connection and the events it reported. */
 struct fixture {
 	uv_loop_t loop;
 	struct tcp_link link;
-	int peer_fd; /* Other end of the connection. */
+	int peer_fd;		    /* Other end of the connection. */
+	enum peer_end end_on_input; /* Done in on_received(), 0 for nothing. */
+	enum peer_end end_on_queue; /* Done before a rest is queued. */
 	bool is_open;
 	size_t received;
 	bool has_ended;
@@ -31,6 +61,57 @@
 	bool is_closed;
 };
 
+/* The fixture whose peer ends the connection before a rest is queued. */
+static struct fixture *queue_fixture;
+
+/* Waits until the link's socket has seen some events, without taking them. */
+static void
+await_events(struct fixture *fixture, short events)
+{
+	struct pollfd polled = {.events = events};
+	uv_os_fd_t fd;
+
+	assert_int_equal(uv_fileno((uv_handle_t *)&fixture->link.tcp, &fd), 0);
+	polled.fd = fd;
+	while ((polled.revents & events) != events)
+		assert_int_equal(poll(&polled, 1, WAIT_MS), 1);
+}
+
+/* Ends the connection; the link's socket knows it when this returns. */
+static void
+end_peer(struct fixture *fixture, enum peer_end end)
+{
+	struct linger linger = {1, 0};
+
+	if (end != PEER_RESETS) {
+		assert_int_equal(shutdown(fixture->peer_fd, SHUT_WR), 0);
+		await_events(fixture, POLLRDHUP);
+	}
+	if (end == PEER_SENDS_END)
+		return;
+	setsockopt(
+	    fixture->peer_fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fixture->peer_fd);
+	fixture->peer_fd = -1;
+	await_events(fixture, POLLHUP);
+}
+
+/* Takes the place of uv_write() for the code under test. */
+int __real_uv_write(uv_write_t *request, uv_stream_t *stream,
+    const uv_buf_t buffers[], unsigned int count, uv_write_cb done);
+int __wrap_uv_write(uv_write_t *request, uv_stream_t *stream,
+    const uv_buf_t buffers[], unsigned int count, uv_write_cb done);
+
+int
+__wrap_uv_write(uv_write_t *request, uv_stream_t *stream,
+    const uv_buf_t buffers[], unsigned int count, uv_write_cb done)
+{
+	if (queue_fixture != NULL)
+		end_peer(queue_fixture, queue_fixture->end_on_queue);
+	queue_fixture = NULL;
+	return __real_uv_write(request, stream, buffers, count, done);
+}
+
 static void
 on_opened(void *context, enum error_code error)
 {
@@ -46,6 +127,9 @@
 
 	(void)data;
 	fixture->received += size;
+	if (fixture->end_on_input != 0)
+		end_peer(fixture, fixture->end_on_input);
+	fixture->end_on_input = 0;
 }
 
 static void
@@ -137,6 +221,101 @@
 	check_end(true);
 }
 
+/* Writes more than the socket takes. */
+static void
+write_flood(struct fixture *fixture)
+{
+	static const char flood[FLOOD_BYTES];
+
+	tcp_link_write(&fixture->link, flood, sizeof(flood));
+}
+
+/* Writes on the link between two passes of reading, and stops itself. */
+static void
+on_prepare(uv_prepare_t *prepare)
+{
+	write_flood(prepare->data);
+	uv_close((uv_handle_t *)prepare, NULL);
+}
+
+/* Reads what the link has sent until its socket takes more. */
+static void
+drain_peer(struct fixture *fixture)
+{
+	char bytes[READ_SIZE];
+	uv_os_fd_t fd;
+	struct pollfd polled = {.events = POLLOUT};
+
+	assert_int_equal(uv_fileno((uv_handle_t *)&fixture->link.tcp, &fd), 0);
+	polled.fd = fd;
+	while (poll(&polled, 1, 0) == 0)
+		(void)recv(
+		    fixture->peer_fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+}
+
+/* Brings about the end of the connection behind "half", and the write that meets
+ * it, if any, before the link reads the end. */
+static void
+end_around_write(struct fixture *fixture, enum peer_end end,
+    enum link_write write, uv_prepare_t *prepare)
+{
+	if (write == QUEUED_REST_FAILS) {
+		write_flood(fixture);
+		assert_true(tcp_link_queued(&fixture->link) > 0);
+		drain_peer(fixture);
+		fixture->end_on_input = end;
+	}
+	assert_int_equal(send(fixture->peer_fd, "half", 4, 0), 4);
+	await_events(fixture, POLLIN);
+	if (write == NO_WRITE || write == WRITE_FAILS_AT_ONCE)
+		end_peer(fixture, end);
+	if (write == WRITE_FAILS_AT_ONCE)
+		tcp_link_write(&fixture->link, "x", 1);
+	if (write == REST_FAILS_AT_ONCE) {
+		fixture->end_on_queue = end;
+		queue_fixture = fixture;
+		uv_prepare_init(&fixture->loop, prepare);
+		prepare->data = fixture;
+		uv_prepare_start(prepare, on_prepare);
+	}
+}
+
+/* The socket tells once that its connection broke. If a write of the link takes
+ * that error, what was received must still not pass for all that was sent. A peer
+ * that has sent its end has sent everything, whatever a write meets then. */
+static void
+test_write_hides_no_reset(void **state)
+{
+	struct fixture fixture;
+	uv_prepare_t prepare;
+	enum link_write write;
+	enum peer_end end;
+	uint32_t wrong;
+
+	(void)state;
+	wrong = 0;
+	for (write = NO_WRITE; write <= QUEUED_REST_FAILS; write++) {
+		for (end = PEER_SENDS_END; end <= PEER_SENDS_END_AND_RESETS;
+		     end++) {
+			open_fixture(&fixture);
+			end_around_write(&fixture, end, write, &prepare);
+			while (!fixture.has_ended)
+				uv_run(&fixture.loop, UV_RUN_ONCE);
+			assert_null(queue_fixture);
+			assert_int_equal(fixture.received, 4);
+			if (fixture.was_clean != (end != PEER_RESETS)) {
+				print_error("write %d, end %d: clean %d\n",
+				    write, end, fixture.was_clean);
+				wrong++;
+			}
+			if (fixture.peer_fd >= 0)
+				close(fixture.peer_fd);
+			close_fixture(&fixture);
+		}
+	}
+	assert_int_equal(wrong, 0);
+}
+
 /* A peer that sends without end leaves the loop time for its other links and
  * timers: one pass of the loop reads a bounded part of it. */
 static void
@@ -169,8 +348,11 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_close_is_a_clean_end),
 	    cmocka_unit_test(test_reset_after_data_is_not_a_clean_end),
+	    cmocka_unit_test(test_write_hides_no_reset),
 	    cmocka_unit_test(test_flood_is_read_in_turns),
 	};
 
+	/* A write on a connection that has ended reports an error instead. */
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_upstream_pool.c
+++ b/tests/test_upstream_pool.c
@@ -2,7 +2,10 @@
  * Tests of the pool of connections to upstreams: bytes that belong to no call, and
  * answers to earlier requests, reach no later call on the same connection.
  */
+#define _GNU_SOURCE /* POLLRDHUP */
+
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -12,6 +15,7 @@
 #include <arpa/inet.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -28,11 +32,28 @@
 /* Longest wait for what must happen. */
 #define ROUNDS_MAX 3000
 #define ROUND_US   1000
+#define WAIT_MS	   20000
 
 #define ANSWER(status, id, fields)                                             \
 	"HTTP/1.1 " status "\r\n" ID_FIELD ": " id "\r\n" fields "\r\n"
 #define OK_ANSWER(id) ANSWER("200 OK", id, "Content-Length: 2\r\n") "ok"
 
+/* How an upstream ends a connection. */
+enum upstream_end {
+	UPSTREAM_SENDS_END = 1,
+	UPSTREAM_RESETS = 2,
+	UPSTREAM_SENDS_END_AND_RESETS = 3,
+};
+
+/* An answer that comes before the upstream reads the request, and how its
+ * connection ends. */
+struct early_answer {
+	const char *text;
+	enum upstream_end end;
+	const char *body;      /* What is received of its body. */
+	enum error_code error; /* ERROR_NONE if it is whole. */
+};
+
 /* A pool, and an upstream that the test plays itself. */
 struct fixture {
 	uv_loop_t loop;
@@ -52,12 +73,21 @@
 	uint32_t discarded; /* Answers that were passed over. */
 	bool has_ended;
 	enum error_code error; /* ERROR_NONE if it was answered. */
+	/* Given before the request is written, or NULL. */
+	const struct early_answer *early;
+	struct fixture *fixture;
 };
 
+static void give_early_answer(
+    struct fixture *fixture, const struct early_answer *answer);
+
 static void
 on_sent(void *context)
 {
-	(void)context;
+	struct result *result = context;
+
+	if (result->early != NULL)
+		give_early_answer(result->fixture, result->early);
 }
 
 static enum pool_answer
@@ -223,6 +253,40 @@
 	} while (left > 0);
 }
 
+/* Finds the socket of the pool's only connection. */
+static void
+find_socket(uv_handle_t *handle, void *context)
+{
+	if (handle->type == UV_TCP)
+		assert_int_equal(uv_fileno(handle, context), 0);
+}
+
+/* Answers on a new connection and ends it; the pool's socket knows it when this
+ * returns. */
+static void
+give_early_answer(struct fixture *fixture, const struct early_answer *answer)
+{
+	struct pollfd polled = {.events = POLLRDHUP};
+	struct linger linger = {1, 0};
+	int fd;
+
+	fd = accept(fixture->listen_fd, NULL, NULL);
+	assert_true(fd >= 0);
+	fixture->peers[fixture->peer_count++] = fd;
+	write_unread(fixture, 0, answer->text);
+	if (answer->end != UPSTREAM_RESETS)
+		assert_int_equal(shutdown(fd, SHUT_WR), 0);
+	if (answer->end != UPSTREAM_SENDS_END) {
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+		/* Closes the connection, and keeps the number in use. */
+		assert_int_equal(dup2(fixture->listen_fd, fd), fd);
+		polled.events = POLLHUP;
+	}
+	uv_walk(&fixture->loop, find_socket, &polled.fd);
+	while ((polled.revents & polled.events) == 0)
+		assert_int_equal(poll(&polled, 1, WAIT_MS), 1);
+}
+
 /* Carries a call over the first connection, which is kept then. */
 static void
 complete_first_call(struct fixture *fixture)
@@ -340,6 +404,58 @@
 	close_fixture(&fixture);
 }
 
+/* An upstream answers before it has read the request, and its connection ends: a
+ * part of the answer is not taken for the whole, although the request's write is
+ * the first to meet the reset, and a whole one is not taken for a part. */
+static void
+test_early_answer_is_whole_or_incomplete(void **state)
+{
+	static const struct early_answer answers[] = {
+	    {ANSWER("200 OK", "a", "") "bo", UPSTREAM_RESETS, "bo",
+		ERROR_INCOMPLETE},
+	    {"HTTP/1.0 200 OK\r\n" ID_FIELD ": a\r\n\r\nbo", UPSTREAM_RESETS,
+		"bo", ERROR_INCOMPLETE},
+	    {ANSWER("200 OK", "a",
+		 "Content-Type: text/event-stream\r\n") "data: a\n\n",
+		UPSTREAM_RESETS, "data: a\n\n", ERROR_INCOMPLETE},
+	    {ANSWER("200 OK", "a", "Content-Length: 4\r\n") "bo",
+		UPSTREAM_RESETS, "bo", ERROR_INCOMPLETE},
+	    {ANSWER(
+		 "200 OK", "a", "Transfer-Encoding: chunked\r\n") "2\r\nbo\r\n",
+		UPSTREAM_RESETS, "bo", ERROR_INCOMPLETE},
+	    {ANSWER("200 OK", "a", "Content-Length: 4\r\n") "body",
+		UPSTREAM_RESETS, "body", ERROR_NONE},
+	    {ANSWER("200 OK", "a",
+		 "Transfer-Encoding: chunked\r\n") "4\r\nbody\r\n0\r\n\r\n",
+		UPSTREAM_RESETS, "body", ERROR_NONE},
+	    {ANSWER("204 No", "a", ""), UPSTREAM_RESETS, "", ERROR_NONE},
+	    {ANSWER("200 OK", "a", "") "body", UPSTREAM_SENDS_END, "body",
+		ERROR_NONE},
+	    {ANSWER("200 OK", "a", "") "body", UPSTREAM_SENDS_END_AND_RESETS,
+		"body", ERROR_NONE},
+	    {ANSWER("200 OK", "a", "Content-Length: 4\r\n") "bo",
+		UPSTREAM_SENDS_END_AND_RESETS, "bo", ERROR_INCOMPLETE},
+	};
+	struct fixture fixture;
+	struct result result;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		open_fixture(&fixture);
+		begin_call(&fixture, "a", BODY_SIZE, &result);
+		result.fixture = &fixture;
+		result.early = &answers[i];
+		assert_true(await_end(&fixture, &result));
+		assert_string_equal(result.body->str, answers[i].body);
+		if (result.error != answers[i].error)
+			fail_msg("%s end %d: %s", answers[i].text,
+			    answers[i].end, error_name(result.error));
+		g_string_free(result.body, TRUE);
+		close_fixture(&fixture);
+	}
+}
+
 int
 main(void)
 {
@@ -348,7 +464,10 @@
 	    cmocka_unit_test(
 		test_unframed_answer_to_an_earlier_request_ends_the_call),
 	    cmocka_unit_test(test_request_follows_no_body_that_was_not_sent),
+	    cmocka_unit_test(test_early_answer_is_whole_or_incomplete),
 	};
 
+	/* A write on a connection that has ended reports an error instead. */
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
