Tests: an answer with status 000 reaches no caller

The reader of heads refuses a status below 100, libcurl one that begins with 0, and a reply whose first line shows no status counts as broken.

--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -175,6 +175,62 @@
 	}
 }
 
+/* An answer whose first line is not that of HTTP/1 with a status is none, whatever
+ * follows it. */
+static void
+test_status_line_without_status_is_refused(void **state)
+{
+	static const struct {
+		const char *line;
+		uint32_t status; /* 0 if it is refused. */
+	} cases[] = {
+	    {"HTTP/1.1 200 OK", 200},
+	    {"HTTP/1.1 200 ", 200},
+	    {"HTTP/1.1 200", 200},
+	    {"HTTP/1.0 599 Own", 599},
+	    {"HTTP/1.1 000 Oops", 0},
+	    {"HTTP/1.1 000 ", 0},
+	    {"HTTP/1.1 000", 0},
+	    {"HTTP/1.1 0 Oops", 0},
+	    {"HTTP/1.1 00 Oops", 0},
+	    {"HTTP/1.1 099 Oops", 0},
+	    {"HTTP/1.1 99 Oops", 0},
+	    {"HTTP/1.1 20 OK", 0},
+	    {"HTTP/1.1 1000 Oops", 0},
+	    {"HTTP/1.1 2000 OK", 0},
+	    {"HTTP/1.1 -200 OK", 0},
+	    {"HTTP/1.1 +200 OK", 0},
+	    {"HTTP/1.1 2OO OK", 0},
+	    {"HTTP/1.1 200OK", 0},
+	    {"HTTP/1.1 OK", 0},
+	    {"HTTP/1.1 ", 0},
+	    {"HTTP/1.1", 0},
+	    {"HTTP/2 200", 0},
+	    {"http/1.1 200 OK", 0},
+	    {"200 OK", 0},
+	};
+	struct http_reader reader;
+	struct received received;
+	enum error_code error;
+	size_t used, i;
+	char *text;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		text = g_strconcat(
+		    cases[i].line, "\r\nContent-Length: 2\r\n\r\nok", NULL);
+		open_reader(&reader, &received, false);
+		error = http_reader_feed(&reader, text, strlen(text), &used);
+		if ((error == ERROR_NONE) != (cases[i].status != 0) ||
+		    reader.head.status != cases[i].status ||
+		    received.heads != (cases[i].status != 0))
+			fail_msg("%s: %s, status %u", cases[i].line,
+			    error_name(error), reader.head.status);
+		close_reader(&reader, &received);
+		g_free(text);
+	}
+}
+
 /* Line ends are checked whatever the cut, and a chunk's data may hold any bytes. */
 static void
 test_chunks_are_read_whatever_the_split(void **state)
@@ -403,6 +459,7 @@
 	    cmocka_unit_test(test_request_is_read_whatever_the_split),
 	    cmocka_unit_test(test_reader_stops_at_end_of_message),
 	    cmocka_unit_test(test_malformed_messages_are_refused),
+	    cmocka_unit_test(test_status_line_without_status_is_refused),
 	    cmocka_unit_test(test_chunks_are_read_whatever_the_split),
 	    cmocka_unit_test(test_head_size_is_bounded),
 	    cmocka_unit_test(test_answer_without_length_ends_at_close),
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -16,6 +16,7 @@
 #include <stdio.h>
 
 #include <curl/curl.h>
+#include <glib.h>
 
 #include "base/monotonic_clock.h"
 #include "fake_upstream.h"
@@ -251,7 +252,8 @@
     "HTTP/1.1 103 Early\r\nX-Request-Outcome: not_run\r\n\r\n",
 };
 
-#define CUT_HEAD_COUNT (sizeof(cut_heads) / sizeof(cut_heads[0]))
+#define COUNT(list)    (sizeof(list) / sizeof((list)[0]))
+#define CUT_HEAD_COUNT COUNT(cut_heads)
 
 static void
 test_cut_head_is_no_answer_to_an_attempt(void **state)
@@ -271,21 +273,76 @@
 	}
 }
 
+/* Checks that an order whose reply is broken has an unknown outcome. */
 static void
-test_cut_head_is_no_answer_to_an_order(void **state)
+check_order(const char *reply)
 {
 	struct exchange exchange;
 	enum error_code error;
+
+	open_exchange(&exchange, reply, FAKE_UPSTREAM_CLOSES);
+	error = upstream_http_adapter.kv_release(
+	    NULL, &exchange.call.target, 1, exchange.call.deadline_ms);
+	if (error != ERROR_OUTCOME_UNKNOWN)
+		fail_msg("%s: %s", reply, error_name(error));
+	close_exchange(&exchange);
+}
+
+static void
+test_cut_head_is_no_answer_to_an_order(void **state)
+{
 	size_t i;
 
 	(void)state;
-	for (i = 0; i < CUT_HEAD_COUNT; i++) {
-		open_exchange(&exchange, cut_heads[i], FAKE_UPSTREAM_CLOSES);
-		error = upstream_http_adapter.kv_release(
-		    NULL, &exchange.call.target, 1, exchange.call.deadline_ms);
-		if (error != ERROR_OUTCOME_UNKNOWN)
-			fail_msg("%s: %s", cut_heads[i], error_name(error));
-		close_exchange(&exchange);
+	for (i = 0; i < CUT_HEAD_COUNT; i++)
+		check_order(cut_heads[i]);
+}
+
+/* First lines that are not those of HTTP/1 with a status. */
+static const char *const no_status_lines[] = {
+    "HTTP/1.1 000 Oops",
+    "HTTP/1.1 000",
+    "HTTP/1.1 0 Oops",
+    "HTTP/1.1 099 Oops",
+    "HTTP/1.1 99 Oops",
+    "HTTP/1.1 1000 Oops",
+    "HTTP/1.1 -200 OK",
+    "HTTP/1.1 +200 OK",
+    "HTTP/1.1 2OO OK",
+    "HTTP/1.1 0200 OK",
+    "HTTP/1.1",
+    "HTTP/3 200",
+    "200 OK",
+};
+
+/* What may follow such a line: an answer, and a refusal. */
+static const char *const no_status_rests[] = {
+    "\r\nContent-Length: 2\r\n\r\nok",
+    "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" TEXT(OWN)
+	END(OWN),
+    "\r\nX-Request-Outcome: not_run\r\nContent-Length: 0\r\n\r\n",
+};
+
+static void
+test_status_line_without_status_is_no_answer(void **state)
+{
+	struct answer_case item = {
+	    .kind = PIECE_KIND_FAILED, .outcome = REQUEST_OUTCOME_UNKNOWN};
+	char *reply;
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < COUNT(no_status_lines); i++) {
+		for (j = 0; j < COUNT(no_status_rests); j++) {
+			reply = g_strconcat(
+			    no_status_lines[i], no_status_rests[j], NULL);
+			item.name = reply;
+			item.reply = reply;
+			check_cases(&item, 1, true);
+			check_cases(&item, 1, false);
+			check_order(reply);
+			g_free(reply);
+		}
 	}
 }
 
@@ -697,6 +754,7 @@
 	    cmocka_unit_test(test_refusal_after_pieces_is_no_promise),
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_attempt),
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_order),
+	    cmocka_unit_test(test_status_line_without_status_is_no_answer),
 	    cmocka_unit_test(test_refusal_stands_in_the_final_head_only),
 	    cmocka_unit_test(test_success_is_no_refusal),
 	    cmocka_unit_test(test_head_that_runs_into_another_is_no_answer),
