Own interface: a head with a line that is no field is no answer

Callers saw (here, with a stand-in of ours): a plain call or a stream whose upstream sent a name with a blank or a control byte ("XA : 1", "X\x01A: 1", "Content-Length\x7f: 9") as an answer, the line ignored. A 503 with such a line beside "X-Request-Outcome: not_run" counted as not run, and an order whose reply held one as carried out.

Cause: reply_head looks for the names that it knows and passed over other lines, as libcurl does, which cuts the body. Two more of the class, found with the same test: control bytes in values (a bare CR; 0x01 in Content-Type, which went on to the caller), and lines that go on in the next one, whose second part was ignored ("Transfer-Encoding: chunked" with " , gzip"; "not_run" with " _twice").

Change: each line of a head must be a field, or the reply is malformed. The rule stands beside the one for names in http_reader.

Evidence: test_stray_answers, 46 lines in nine replies: 321 of 414 wrong before, none after; 39 lines in two replies to an order: red before, green after. Sound but odd lines (tabs, bytes over 0x7f, no blank, empty value) are still taken. test_http_reader has the line check with NUL bytes, which the stand-in can't send.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -21,6 +21,10 @@
 #define STATUS_NO_CONTENT  204
 #define STATUS_NOT_CHANGED 304
 
+/* Highest control byte below the blank, and the one above the letters. */
+#define CONTROL_MAX    0x1f
+#define CONTROL_DELETE 0x7f
+
 /* Characters of the name of a header field. */
 #define TOKEN_CHARACTERS                                                       \
 	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"                  \
@@ -43,6 +47,8 @@
 static int on_body_data(http_parser *parser, const char *data, size_t size);
 static int on_message_complete(http_parser *parser);
 static bool check_line_ends(struct http_reader *reader, const char *end);
+static bool is_token_byte(char byte);
+static bool is_control_byte(char byte);
 static bool are_names_valid(const struct http_head *head);
 static bool is_coding_known(const struct http_head *head);
 static bool runs_into_another(const struct http_head *head);
@@ -135,6 +141,26 @@
 	return reader->has_ended ? ERROR_NONE : ERROR_INCOMPLETE;
 }
 
+bool
+http_is_field_line(const char *line, size_t size)
+{
+	size_t i;
+
+	if (size > 0 && line[size - 1] == '\n')
+		size--;
+	if (size > 0 && line[size - 1] == '\r')
+		size--;
+	for (i = 0; i < size && is_token_byte(line[i]); i++)
+		continue;
+	if (i == 0 || i == size || line[i] != ':')
+		return false;
+	for (; i < size; i++) {
+		if (is_control_byte(line[i]) && line[i] != '\t')
+			return false;
+	}
+	return true;
+}
+
 bool
 http_status_has_no_body(uint32_t status)
 {
@@ -384,6 +410,18 @@
 	return true;
 }
 
+static bool
+is_token_byte(char byte)
+{
+	return byte != '\0' && strchr(TOKEN_CHARACTERS, byte) != NULL;
+}
+
+static bool
+is_control_byte(char byte)
+{
+	return (unsigned char)byte <= CONTROL_MAX || byte == CONTROL_DELETE;
+}
+
 /* The parser library accepts spaces in the name of a field. Other readers take
  * "Content-Length : 5" for a length, so it can't be passed on. */
 static bool
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -109,6 +109,10 @@
 
 /* Heads */
 
+/** True if a line of a head, with or without its line end, is a field: a name that is
+ * a token, a colon, and a value without control bytes other than tabs. */
+bool http_is_field_line(const char *line, size_t size);
+
 /** True for a status whose answers end with their heads, whatever length these
  * announce. */
 bool http_status_has_no_body(uint32_t status);
--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -40,12 +40,15 @@
 		    memcmp(line, VERSION_PREFIX, VERSION_SIZE) == 0;
 	if (runs_into_another(line, size, is_status))
 		return ERROR_MALFORMED;
-	if (is_status)
+	if (is_status) {
 		read_status(head, line, size);
-	else if (is_empty_line(line, size))
+		return ERROR_NONE;
+	}
+	if (is_empty_line(line, size))
 		return end_head(head);
-	else
-		read_field(head, line, size);
+	if (!http_is_field_line(line, size))
+		return ERROR_MALFORMED;
+	read_field(head, line, size);
 	return ERROR_NONE;
 }
 
--- a/src/transport/reply_head.h
+++ b/src/transport/reply_head.h
@@ -3,7 +3,10 @@
  * The head of an upstream's reply, read line by line as libcurl hands it out.
  *
  * libcurl reports success if the connection closes in the middle of a head. A
- * reply counts only if the empty line behind its head came.
+ * reply counts only if the empty line behind its head came. libcurl also passes
+ * over lines that are no fields, or reads the beginning of a line that goes on in the
+ * next one. Other readers could take them for a length or a refusal, so a head
+ * with such a line is malformed.
  */
 #ifndef REPLY_HEAD_H
 #define REPLY_HEAD_H
@@ -34,8 +37,8 @@
 
 /** Reads the next line, with its line end, of a head or of the trailer behind
  * the body. Errors: ERROR_TOO_LARGE if the heads have become too large,
- * ERROR_MALFORMED if another reply begins within the line, or if a success says that
- * the request did not run. */
+ * ERROR_MALFORMED if a line of the head is no field, if another reply begins within
+ * it, or if a success says that the request did not run. */
 enum error_code reply_head_add_line(
     struct reply_head *head, const char *line, size_t size);
 /** Returns true if the head names another request or another attempt. */
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -231,6 +231,41 @@
 	}
 }
 
+static void
+test_field_line_has_a_name_and_a_sound_value(void **state)
+{
+	static const struct {
+		const char *line;
+		size_t size;
+		bool is_field;
+	} cases[] = {
+	    {"A: 1\r\n", 6, true},
+	    {"A: 1\n", 5, true},
+	    {"A:", 2, true},
+	    {"A: a\tb \200\r\n", 10, true},
+	    {"", 0, false},
+	    {"\r\n", 2, false},
+	    {"A\r\n", 3, false},
+	    {": 1", 3, false},
+	    {"A : 1", 5, false},
+	    {" A: 1", 5, false},
+	    {"A\0: 1", 5, false},
+	    {"A: a\0b", 6, false},
+	    {"A: a\rb", 6, false},
+	    {"A: a\r\r\n", 7, false},
+	    {"A: a\nb", 6, false},
+	    {"A: a\177", 5, false},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		if (http_is_field_line(cases[i].line, cases[i].size) !=
+		    cases[i].is_field)
+			fail_msg("case %zu: %s", i, cases[i].line);
+	}
+}
+
 /* Line ends are checked whatever the cut, and a chunk's data may hold any bytes. */
 static void
 test_chunks_are_read_whatever_the_split(void **state)
@@ -460,6 +495,7 @@
 	    cmocka_unit_test(test_reader_stops_at_end_of_message),
 	    cmocka_unit_test(test_malformed_messages_are_refused),
 	    cmocka_unit_test(test_status_line_without_status_is_refused),
+	    cmocka_unit_test(test_field_line_has_a_name_and_a_sound_value),
 	    cmocka_unit_test(test_chunks_are_read_whatever_the_split),
 	    cmocka_unit_test(test_head_size_is_bounded),
 	    cmocka_unit_test(test_answer_without_length_ends_at_close),
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -155,35 +155,43 @@
 	exchange->last = piece;
 }
 
+/* Runs one attempt against an answer. Returns 1 if it ends otherwise than it must,
+ * else 0. */
+static uint32_t
+find_wrong(const struct answer_case *item, bool is_plain)
+{
+	struct exchange exchange;
+	bool is_wrong;
+
+	open_exchange(&exchange, item->reply, item->end);
+	if (is_plain)
+		upstream_http_adapter.call(
+		    &exchange.http, &exchange.call, exchange.queue);
+	else
+		upstream_http_adapter.generate(
+		    &exchange.http, &exchange.call, exchange.queue);
+	collect(&exchange);
+	is_wrong = exchange.texts != item->texts ||
+		   exchange.last.kind != item->kind ||
+		   exchange.last.outcome != item->outcome;
+	if (is_wrong)
+		print_error("%s: texts %u kind %d error %s outcome %d\n",
+		    item->name, exchange.texts, exchange.last.kind,
+		    error_name(exchange.last.error), exchange.last.outcome);
+	close_exchange(&exchange);
+	return is_wrong ? 1 : 0;
+}
+
 /* Runs one attempt against each answer and checks how it ends. */
 static void
 check_cases(const struct answer_case *cases, size_t count, bool is_plain)
 {
-	struct exchange exchange;
-	size_t i, wrong;
+	uint32_t wrong;
+	size_t i;
 
 	wrong = 0;
-	for (i = 0; i < count; i++) {
-		open_exchange(&exchange, cases[i].reply, cases[i].end);
-		if (is_plain)
-			upstream_http_adapter.call(
-			    &exchange.http, &exchange.call, exchange.queue);
-		else
-			upstream_http_adapter.generate(
-			    &exchange.http, &exchange.call, exchange.queue);
-		collect(&exchange);
-		if (exchange.texts != cases[i].texts ||
-		    exchange.last.kind != cases[i].kind ||
-		    exchange.last.outcome != cases[i].outcome) {
-			print_error(
-			    "%s: texts %u kind %d error %s outcome %d\n",
-			    cases[i].name, exchange.texts, exchange.last.kind,
-			    error_name(exchange.last.error),
-			    exchange.last.outcome);
-			wrong++;
-		}
-		close_exchange(&exchange);
-	}
+	for (i = 0; i < count; i++)
+		wrong += find_wrong(&cases[i], is_plain);
 	assert_int_equal(wrong, 0);
 }
 
@@ -283,9 +291,9 @@
 	open_exchange(&exchange, reply, FAKE_UPSTREAM_CLOSES);
 	error = upstream_http_adapter.kv_release(
 	    NULL, &exchange.call.target, 1, exchange.call.deadline_ms);
+	close_exchange(&exchange);
 	if (error != ERROR_OUTCOME_UNKNOWN)
 		fail_msg("%s: %s", reply, error_name(error));
-	close_exchange(&exchange);
 }
 
 static void
@@ -346,6 +354,159 @@
 	}
 }
 
+/* Lines of a head that are no fields. */
+static const char *const no_fields[] = {
+    "X A: 1",
+    "XA : 1",
+    " XA: 1",
+    "X\tA: 1",
+    "XA\t: 1",
+    "X\001A: 1",
+    "XA\001: 1",
+    "\001XA: 1",
+    "X\bA: 1",
+    "X\vA: 1",
+    "X\fA: 1",
+    "X\037A: 1",
+    "X\177A: 1",
+    "XA\177: 1",
+    "X\200A: 1",
+    "XA\200: 1",
+    "\200XA: 1",
+    "X(A): 1",
+    "X/A: 1",
+    "X\rA: 1",
+    ": 1",
+    "XA",
+    "X-A: a\rb",
+    "X-A: a\001b",
+    "X-A: a\037b",
+    "X-A: a\177b",
+    "Content-Type: text/\001plain",
+    "Content-Length : 9",
+    "Content-Length\t: 9",
+    "Content-Length\001: 9",
+    "Transfer-Encoding : chunked",
+    "Transfer-Encoding\001: chunked",
+    "Transfer-Encoding\177: chunked",
+    "X-Request-Outcome : not_run",
+    "X-Request-Id : 00000000000000cd",
+    /* Lines that go on in the next one, which may be read or not. */
+    "X-A: 1\r\n 2",
+    "X-A: 1\r\n\tContent-Length: 9",
+    "X-Request-Outcome: not_run\r\n _twice",
+    "X-Request-Outcome:\r\n not_run",
+};
+
+/* Lines that are fields. */
+static const char *const odd_fields[] = {
+    "X-A:",
+    "X-A:1",
+    "X-A: \t 1 \t ",
+    "X-A: a\tb",
+    "X-A: a\200\377b",
+    "!#$%&'*+-.^_`|~09azAZ: 1",
+    "X-A: : ,;=\"\\",
+};
+
+/* Replies; the line stands at the mark "%s". */
+#define EMPTY "Connection: close\r\nContent-Length: 0\r\n\r\n"
+static const struct line_reply {
+	const char *text;
+	bool is_plain;
+	/* Of the reply with a sound line; nothing ran if it is a failure. */
+	enum piece_kind kind;
+} line_replies[] = {
+    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s\r\n\r\nok", true,
+	PIECE_KIND_END},
+    {"HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 2\r\n\r\nok", true,
+	PIECE_KIND_END},
+    {"HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nok\r\n0\r\n\r\n",
+	true, PIECE_KIND_END},
+    {"HTTP/1.1 204 No\r\n%s\r\n\r\n", true, PIECE_KIND_END},
+    {"HTTP/1.1 103 Early\r\n%s\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	true, PIECE_KIND_END},
+    {"HTTP/1.1 503 Busy\r\n" NOT_RUN "%s\r\n" EMPTY, true, PIECE_KIND_FAILED},
+    {"HTTP/1.1 200 OK\r\n%s\r\nConnection: close\r\n\r\n" TEXT(OWN) END(OWN),
+	false, PIECE_KIND_END},
+    {"HTTP/1.1 503 Busy\r\n" NOT_RUN "%s\r\n" EMPTY, false, PIECE_KIND_FAILED},
+    {"HTTP/1.1 429 Busy\r\n%s\r\nConnection: close\r\n\r\n" STATED(
+	 "no_capacity", "not_run"),
+	false, PIECE_KIND_FAILED},
+};
+
+/* Checks what becomes of each reply with a line in its head. */
+static uint32_t
+check_line(const char *line, bool is_field)
+{
+	struct answer_case item;
+	uint32_t wrong;
+	GString *text;
+	size_t i;
+
+	wrong = 0;
+	for (i = 0; i < COUNT(line_replies); i++) {
+		text = g_string_new(line_replies[i].text);
+		g_string_replace(text, "%s", line, 1);
+		memset(&item, 0, sizeof(item));
+		item.name = text->str;
+		item.reply = text->str;
+		item.kind = PIECE_KIND_FAILED;
+		item.outcome = REQUEST_OUTCOME_UNKNOWN;
+		if (is_field) {
+			item.kind = line_replies[i].kind;
+			item.outcome = item.kind == PIECE_KIND_END
+					   ? 0
+					   : REQUEST_OUTCOME_NOT_RUN;
+			item.texts = strstr(text->str, "200 OK") != NULL;
+		}
+		wrong += find_wrong(&item, line_replies[i].is_plain);
+		g_string_free(text, TRUE);
+	}
+	return wrong;
+}
+
+/* A head with a line that is no field: other readers could take the line for
+ * another one, so neither the answer nor a refusal counts. */
+static void
+test_head_with_a_line_that_is_no_field_is_no_answer(void **state)
+{
+	uint32_t wrong;
+	size_t i;
+
+	(void)state;
+	wrong = 0;
+	for (i = 0; i < COUNT(no_fields); i++)
+		wrong += check_line(no_fields[i], false);
+	for (i = 0; i < COUNT(odd_fields); i++)
+		wrong += check_line(odd_fields[i], true);
+	assert_int_equal(wrong, 0);
+}
+
+/* The same of an order: it may have been carried out. */
+static void
+test_order_with_a_line_that_is_no_field_is_unknown(void **state)
+{
+	static const char *const replies[] = {
+	    "HTTP/1.1 200 OK\r\n%s\r\nConnection: close\r\n\r\n{}",
+	    "HTTP/1.1 404 No\r\n%s\r\nConnection: close\r\n\r\n" MISSING(""),
+	};
+	GString *text;
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < COUNT(no_fields); i++) {
+		for (j = 0; j < COUNT(replies); j++) {
+			text = g_string_new(replies[j]);
+			g_string_replace(text, "%s", no_fields[i], 1);
+			check_order(text->str);
+			g_string_free(text, TRUE);
+		}
+	}
+}
+
 /* The word "not run" is one of the final head alone. */
 static void
 test_refusal_stands_in_the_final_head_only(void **state)
@@ -755,6 +916,10 @@
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_attempt),
 	    cmocka_unit_test(test_cut_head_is_no_answer_to_an_order),
 	    cmocka_unit_test(test_status_line_without_status_is_no_answer),
+	    cmocka_unit_test(
+		test_head_with_a_line_that_is_no_field_is_no_answer),
+	    cmocka_unit_test(
+		test_order_with_a_line_that_is_no_field_is_unknown),
 	    cmocka_unit_test(test_refusal_stands_in_the_final_head_only),
 	    cmocka_unit_test(test_success_is_no_refusal),
 	    cmocka_unit_test(test_head_that_runs_into_another_is_no_answer),
