An answer has a status of three digits, from 100 to 599

Callers saw (here, with stand-ins of ours): an answer with status 600 or 999 came through as it was, on the platform's path and on the product's own interface, and "HTTP/1.1 0200 OK" as 200 on the platform's path. On the own interface "HTTP/1.1 200OK" was an answer, too.

Cause: the readers asked only whether the number is at least 100 (platform) or 200 (own interface). The parser library takes numbers up to 999 with any zeros before them; reply_head copied three digits without a look at what follows.

Ruled out: the relay's writer, which passes on the number that it is given.

Change: http_is_status() is the rule for both; http_reader counts the digits, reply_head checks what follows them. Another status is a malformed answer, as 000 was: repeated elsewhere where the request may be, 502 otherwise.

Evidence: red before, green after: test_http_reader (29 first lines, each cut at each place), test_broken_answers (600 and 0200, each also over another host), test_stray_answers (600, 999, 200OK with three rests each).

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -16,8 +16,8 @@
     "upgrade",
 };
 
-/* A status has three digits. */
 #define STATUS_MIN	   100
+#define STATUS_MAX	   599
 #define STATUS_NO_CONTENT  204
 #define STATUS_NOT_CHANGED 304
 
@@ -38,6 +38,8 @@
  * beside name and value (": " and CR LF), the text two terminating NULs. */
 #define FIELD_OVERHEAD_BYTES 2
 
+static void count_status_digits(
+    struct http_reader *reader, const char *data, size_t size);
 static int on_message_begin(http_parser *parser);
 static int on_target(http_parser *parser, const char *data, size_t size);
 static int on_reason(http_parser *parser, const char *data, size_t size);
@@ -49,6 +51,7 @@
 static bool check_line_ends(struct http_reader *reader, const char *end);
 static bool is_token_byte(char byte);
 static bool is_control_byte(char byte);
+static bool is_status_line_valid(const struct http_reader *reader);
 static bool are_names_valid(const struct http_head *head);
 static bool is_coding_known(const struct http_head *head);
 static bool runs_into_another(const struct http_head *head);
@@ -93,6 +96,9 @@
 	init_head(&reader->head);
 	reader->head_bytes = 0;
 	reader->has_begun = false;
+	reader->is_after_version = false;
+	reader->has_status = false;
+	reader->status_digits = 0;
 	reader->has_head = false;
 	reader->has_ended = false;
 	reader->last_was_value = false;
@@ -109,6 +115,8 @@
 	bool had_head = reader->has_head;
 
 	reader->unchecked = data;
+	if (!reader->is_request)
+		count_status_digits(reader, data, size);
 	*used =
 	    http_parser_execute(&reader->parser, &parser_settings, data, size);
 	if (!had_head)
@@ -161,6 +169,12 @@
 	return true;
 }
 
+bool
+http_is_status(uint32_t status)
+{
+	return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 bool
 http_status_has_no_body(uint32_t status)
 {
@@ -258,6 +272,23 @@
 	memset(head, 0, sizeof(*head));
 }
 
+/* Counts the digits of the status, which stands behind the first blanks. The parser
+ * library takes any number of zeros before it. */
+static void
+count_status_digits(struct http_reader *reader, const char *data, size_t size)
+{
+	size_t i;
+
+	for (i = 0; i < size && !reader->has_status; i++) {
+		if (data[i] == ' ' && reader->status_digits == 0)
+			reader->is_after_version = true;
+		else if (reader->is_after_version && g_ascii_isdigit(data[i]))
+			reader->status_digits++;
+		else if (reader->is_after_version)
+			reader->has_status = true;
+	}
+}
+
 static int
 on_message_begin(http_parser *parser)
 {
@@ -340,7 +371,7 @@
 	reader->is_malformed =
 	    !are_names_valid(head) || !is_coding_known(head) ||
 	    (!reader->is_request &&
-		(parser->status_code < STATUS_MIN || runs_into_another(head)));
+		(!is_status_line_valid(reader) || runs_into_another(head)));
 	if (reader->is_malformed)
 		return -1;
 	reader->has_head = true;
@@ -422,6 +453,13 @@
 	return (unsigned char)byte <= CONTROL_MAX || byte == CONTROL_DELETE;
 }
 
+static bool
+is_status_line_valid(const struct http_reader *reader)
+{
+	return http_is_status(reader->parser.status_code) &&
+	       reader->status_digits == STATUS_DIGITS;
+}
+
 /* The parser library accepts spaces in the name of a field. Other readers take
  * "Content-Length : 5" for a length, so it can't be passed on. */
 static bool
--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -12,13 +12,15 @@
 #define HEX_DIGITS	  "0123456789abcdefABCDEF"
 #define REQUEST_ID_DIGITS 16
 #define STATUS_SIZE	  3	  /* Digits of a status. */
+#define STATUS_ENDS	  3	  /* Bytes that may follow it. */
 #define FINAL_STATUS_MIN  200	  /* Lower ones belong to interim replies. */
 #define SUCCESS_END	  300	  /* Lower final statuses report success. */
 #define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
 #define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
 
 static bool runs_into_another(const char *line, size_t size, bool is_status);
-static void read_status(struct reply_head *head, const char *line, size_t size);
+static enum error_code read_status_line(
+    struct reply_head *head, const char *line, size_t size);
 static enum error_code end_head(struct reply_head *head);
 static void read_field(struct reply_head *head, const char *line, size_t size);
 static void read_request_id(struct reply_head *head, const char *value);
@@ -40,10 +42,8 @@
 		    memcmp(line, VERSION_PREFIX, VERSION_SIZE) == 0;
 	if (runs_into_another(line, size, is_status))
 		return ERROR_MALFORMED;
-	if (is_status) {
-		read_status(head, line, size);
-		return ERROR_NONE;
-	}
+	if (is_status)
+		return read_status_line(head, line, size);
 	if (is_empty_line(line, size))
 		return end_head(head);
 	if (!http_is_field_line(line, size))
@@ -85,12 +85,12 @@
 	return is_joined;
 }
 
-static void
-read_status(struct reply_head *head, const char *line, size_t size)
+static enum error_code
+read_status_line(struct reply_head *head, const char *line, size_t size)
 {
 	char digits[STATUS_SIZE + 1] = {0};
 	const char *blank;
-	size_t read;
+	size_t read, offset;
 
 	/* The fields of an interim reply say nothing about the next one. */
 	read = head->size;
@@ -98,10 +98,14 @@
 	head->size = read;
 	head->has_frames = size > VERSION_SIZE && line[VERSION_SIZE] > '1';
 	blank = memchr(line, ' ', size);
-	if (blank == NULL || (size_t)(blank - line) + 1 + STATUS_SIZE > size)
-		return;
-	memcpy(digits, blank + 1, STATUS_SIZE);
-	head->status = (uint32_t)strtoul(digits, NULL, 10);
+	offset = blank == NULL ? size : (size_t)(blank - line) + 1;
+	if (offset + STATUS_SIZE >= size ||
+	    memchr(" \r\n", line[offset + STATUS_SIZE], STATUS_ENDS) == NULL)
+		return ERROR_MALFORMED;
+	memcpy(digits, line + offset, STATUS_SIZE);
+	if (strspn(digits, "0123456789") == STATUS_SIZE)
+		head->status = (uint32_t)strtoul(digits, NULL, 10);
+	return http_is_status(head->status) ? ERROR_NONE : ERROR_MALFORMED;
 }
 
 /* A success that says that nothing ran contradicts itself. */
--- a/src/transport/reply_head.h
+++ b/src/transport/reply_head.h
@@ -37,7 +37,8 @@
 
 /** Reads the next line, with its line end, of a head or of the trailer behind
  * the body. Errors: ERROR_TOO_LARGE if the heads have become too large,
- * ERROR_MALFORMED if a line of the head is no field, if another reply begins within
+ * ERROR_MALFORMED if a line of the head is no field, or a
+ * status line without a status, if another reply begins within
  * it, or if a success says that the request did not run. */
 enum error_code reply_head_add_line(
     struct reply_head *head, const char *line, size_t size);
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -30,6 +30,7 @@
 #define WAIT_US	    10000
 #define SILENCE_MS  4000
 #define READ_SIZE   4096
+#define STATUS_MAX  599 /* Highest one of HTTP. */
 
 /* The body of an answer and of each event; no other text of an answer may be in
  * a success. */
@@ -377,6 +378,15 @@
 	"HTTP/1.1 000 Oops\r\n" ATTEMPT_FIELDS EVENTS CHUNKED
 	"\r\n" EVENT1 STREAM_END,
 	NULL, IS_FAILED, NULL},
+    {"status 600", "POST /once/",
+	"HTTP/1.1 600 Oops\r\n" ATTEMPT_FIELDS "Content-Length: 5\r\n\r\nbody!",
+	NULL, IS_FAILED, NULL},
+    {"status 999, repeated elsewhere", "POST /idem/",
+	"HTTP/1.1 999 Oops\r\n" ATTEMPT_FIELDS "Content-Length: 5\r\n\r\nbody!",
+	OK_ANSWER, IS_WHOLE, "body!"},
+    {"status 0200", "POST /once/",
+	"HTTP/1.1 0200 OK\r\n" ATTEMPT_FIELDS "Content-Length: 5\r\n\r\nbody!",
+	NULL, IS_FAILED, NULL},
     {"status 000 before the answer", "POST /once/",
 	"HTTP/1.1 000 Oops\r\n\r\n" OK_ANSWER, NULL, IS_FAILED, NULL},
     {"204", "POST /once/", "HTTP/1.1 204 No\r\n" ATTEMPT_FIELDS "\r\n", NULL,
@@ -685,6 +695,8 @@
 		add_finding(findings, "no success", answer->head->str);
 	if (c->expected == IS_FAILED && !answer->is_complete)
 		add_finding(findings, "no answer", answer->head->str);
+	if (answer->status > STATUS_MAX)
+		add_finding(findings, "no status", answer->head->str);
 	if (c->expected == IS_NOT_CHANGED && answer->status != 304)
 		add_finding(findings, "another status", answer->head->str);
 	if (runs > 0 && status_means_not_run(answer->status))
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -175,6 +175,32 @@
 	}
 }
 
+/* Reads an answer in two parts. Returns 1 if its status is another one than it must
+ * be, else 0; status 0 means that the answer must be refused. */
+static uint32_t
+find_wrong_status(const char *text, size_t cut, uint32_t status)
+{
+	struct http_reader reader;
+	struct received received;
+	enum error_code error;
+	bool is_right;
+	size_t used;
+
+	open_reader(&reader, &received, false);
+	error = http_reader_feed(&reader, text, cut, &used);
+	if (error == ERROR_NONE)
+		error = http_reader_feed(
+		    &reader, text + cut, strlen(text + cut), &used);
+	is_right = (error == ERROR_NONE) == (status != 0) &&
+		   reader.head.status == status &&
+		   received.heads == (status != 0);
+	if (!is_right)
+		print_error("cut at %zu: %s: %s, status %u\n", cut, text,
+		    error_name(error), reader.head.status);
+	close_reader(&reader, &received);
+	return is_right ? 0 : 1;
+}
+
 /* An answer whose first line is not that of HTTP/1 with a status is none, whatever
  * follows it. */
 static void
@@ -196,7 +222,12 @@
 	    {"HTTP/1.1 099 Oops", 0},
 	    {"HTTP/1.1 99 Oops", 0},
 	    {"HTTP/1.1 20 OK", 0},
+	    {"HTTP/1.1 600 Oops", 0},
+	    {"HTTP/1.1 999 Oops", 0},
 	    {"HTTP/1.1 1000 Oops", 0},
+	    {"HTTP/1.1 0200 OK", 0},
+	    {"HTTP/1.1 00200 OK", 0},
+	    {"HTTP/1.1 0000000000000000200", 0},
 	    {"HTTP/1.1 2000 OK", 0},
 	    {"HTTP/1.1 -200 OK", 0},
 	    {"HTTP/1.1 +200 OK", 0},
@@ -209,26 +240,20 @@
 	    {"http/1.1 200 OK", 0},
 	    {"200 OK", 0},
 	};
-	struct http_reader reader;
-	struct received received;
-	enum error_code error;
-	size_t used, i;
+	size_t i, cut;
+	uint32_t wrong;
 	char *text;
 
 	(void)state;
+	wrong = 0;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		text = g_strconcat(
 		    cases[i].line, "\r\nContent-Length: 2\r\n\r\nok", NULL);
-		open_reader(&reader, &received, false);
-		error = http_reader_feed(&reader, text, strlen(text), &used);
-		if ((error == ERROR_NONE) != (cases[i].status != 0) ||
-		    reader.head.status != cases[i].status ||
-		    received.heads != (cases[i].status != 0))
-			fail_msg("%s: %s, status %u", cases[i].line,
-			    error_name(error), reader.head.status);
-		close_reader(&reader, &received);
+		for (cut = 1; cut <= strlen(cases[i].line); cut++)
+			wrong += find_wrong_status(text, cut, cases[i].status);
 		g_free(text);
 	}
+	assert_int_equal(wrong, 0);
 }
 
 static void
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -313,11 +313,15 @@
     "HTTP/1.1 0 Oops",
     "HTTP/1.1 099 Oops",
     "HTTP/1.1 99 Oops",
+    "HTTP/1.1 600 Oops",
+    "HTTP/1.1 999 Oops",
     "HTTP/1.1 1000 Oops",
     "HTTP/1.1 -200 OK",
     "HTTP/1.1 +200 OK",
     "HTTP/1.1 2OO OK",
     "HTTP/1.1 0200 OK",
+    "HTTP/1.1 200OK",
+    "HTTP/1.1  200 OK",
     "HTTP/1.1",
     "HTTP/3 200",
     "200 OK",
@@ -336,22 +340,25 @@
 {
 	struct answer_case item = {
 	    .kind = PIECE_KIND_FAILED, .outcome = REQUEST_OUTCOME_UNKNOWN};
+	uint32_t wrong;
 	char *reply;
 	size_t i, j;
 
 	(void)state;
+	wrong = 0;
 	for (i = 0; i < COUNT(no_status_lines); i++) {
 		for (j = 0; j < COUNT(no_status_rests); j++) {
 			reply = g_strconcat(
 			    no_status_lines[i], no_status_rests[j], NULL);
 			item.name = reply;
 			item.reply = reply;
-			check_cases(&item, 1, true);
-			check_cases(&item, 1, false);
+			wrong += find_wrong(&item, true);
+			wrong += find_wrong(&item, false);
 			check_order(reply);
 			g_free(reply);
 		}
 	}
+	assert_int_equal(wrong, 0);
 }
 
 /* Lines of a head that are no fields. */
