Own interface: "HTTP/2" in a status line makes no part of an answer whole

Callers saw (here, with a stand-in of ours): a plain service's reply "HTTP/2 200" without a length or chunks, on a connection of HTTP/1, as a whole answer wherever the connection ended.

Cause: a reply must show a cut by a length or chunks, and one of HTTP/2 was let off because its frames do. The version came from the text of the status line, which libcurl accepts on a connection of HTTP/1, too.

Ruled out: the platform's path, whose unframed answers end with a normal end of the connection whatever the version; the version is checked there for one rule.

Change: the interface is HTTP/1.1 by docs/INTERFACES.md. Calls to upstreams ask for that version, and a status line of another one is malformed on both paths.

Evidence: test_stray_answers (the reply above; first lines of six other versions, three rests each, also to an order) and test_http_reader (three of four taken) red before, green after.

--- a/src/protocol/http_reader.c
+++ b/src/protocol/http_reader.c
@@ -456,7 +456,8 @@
 static bool
 is_status_line_valid(const struct http_reader *reader)
 {
-	return http_is_status(reader->parser.status_code) &&
+	return reader->parser.http_major == 1 &&
+	       http_is_status(reader->parser.status_code) &&
 	       reader->status_digits == STATUS_DIGITS;
 }
 
--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -11,16 +11,20 @@
 #define FIELD_SIZE	  256	/* Bytes of a field's line with NUL. */
 #define HEX_DIGITS	  "0123456789abcdefABCDEF"
 #define REQUEST_ID_DIGITS 16
-#define STATUS_SIZE	  3	  /* Digits of a status. */
-#define STATUS_ENDS	  3	  /* Bytes that may follow it. */
-#define FINAL_STATUS_MIN  200	  /* Lower ones belong to interim replies. */
-#define SUCCESS_END	  300	  /* Lower final statuses report success. */
-#define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
-#define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
+#define VERSION_1_PREFIX  "HTTP/1." /* That of the version spoken here. */
+/* Bytes of the version: that prefix, a digit and a blank. */
+#define VERSION_1_SIZE	 (sizeof(VERSION_1_PREFIX) - 1 + 2)
+#define STATUS_SIZE	 3	 /* Digits of a status. */
+#define STATUS_ENDS	 3	 /* Bytes that may follow it. */
+#define FINAL_STATUS_MIN 200	 /* Lower ones belong to interim replies. */
+#define SUCCESS_END	 300	 /* Lower final statuses report success. */
+#define VERSION_PREFIX	 "HTTP/" /* Start of a status line. */
+#define VERSION_SIZE	 (sizeof(VERSION_PREFIX) - 1)
 
 static bool runs_into_another(const char *line, size_t size, bool is_status);
 static enum error_code read_status_line(
     struct reply_head *head, const char *line, size_t size);
+static uint32_t parse_status(const char *line, size_t size);
 static enum error_code end_head(struct reply_head *head);
 static void read_field(struct reply_head *head, const char *line, size_t size);
 static void read_request_id(struct reply_head *head, const char *value);
@@ -65,7 +69,7 @@
 {
 	if (head->has_two_lengths)
 		return false;
-	return head->has_frames || head->is_chunked || head->has_length ||
+	return head->is_chunked || head->has_length ||
 	       http_status_has_no_body((uint32_t)head->status);
 }
 
@@ -88,26 +92,38 @@
 static enum error_code
 read_status_line(struct reply_head *head, const char *line, size_t size)
 {
-	char digits[STATUS_SIZE + 1] = {0};
-	const char *blank;
-	size_t read, offset;
+	size_t read;
 
 	/* The fields of an interim reply say nothing about the next one. */
 	read = head->size;
 	memset(head, 0, sizeof(*head));
 	head->size = read;
-	head->has_frames = size > VERSION_SIZE && line[VERSION_SIZE] > '1';
-	blank = memchr(line, ' ', size);
-	offset = blank == NULL ? size : (size_t)(blank - line) + 1;
-	if (offset + STATUS_SIZE >= size ||
-	    memchr(" \r\n", line[offset + STATUS_SIZE], STATUS_ENDS) == NULL)
-		return ERROR_MALFORMED;
-	memcpy(digits, line + offset, STATUS_SIZE);
-	if (strspn(digits, "0123456789") == STATUS_SIZE)
-		head->status = (uint32_t)strtoul(digits, NULL, 10);
+	head->status = parse_status(line, size);
 	return http_is_status(head->status) ? ERROR_NONE : ERROR_MALFORMED;
 }
 
+/* Returns the three digits behind "HTTP/1.x " as a number, or 0 if a line begins
+ * otherwise or something else than a blank or the line's end follows them. */
+static uint32_t
+parse_status(const char *line, size_t size)
+{
+	const char *status = line + VERSION_1_SIZE;
+	uint32_t i, number;
+
+	if (size <= VERSION_1_SIZE + STATUS_SIZE ||
+	    memcmp(line, VERSION_1_PREFIX, sizeof(VERSION_1_PREFIX) - 1) != 0 ||
+	    !g_ascii_isdigit(status[-2]) || status[-1] != ' ' ||
+	    memchr(" \r\n", status[STATUS_SIZE], STATUS_ENDS) == NULL)
+		return 0;
+	number = 0;
+	for (i = 0; i < STATUS_SIZE; i++) {
+		if (!g_ascii_isdigit(status[i]))
+			return 0;
+		number = number * 10 + (uint32_t)(status[i] - '0');
+	}
+	return number;
+}
+
 /* A success that says that nothing ran contradicts itself. */
 static enum error_code
 end_head(struct reply_head *head)
--- a/src/transport/reply_head.h
+++ b/src/transport/reply_head.h
@@ -1,6 +1,7 @@
 /**
  * @file reply_head.h
- * The head of an upstream's reply, read line by line as libcurl hands it out.
+ * The head of an upstream's reply over HTTP/1, read line by line as libcurl hands
+ * it out.
  *
  * libcurl reports success if the connection closes in the middle of a head. A
  * reply counts only if the empty line behind its head came. libcurl also passes
@@ -28,7 +29,6 @@
 	bool names_request;   /**< It has an X-Request-Id of a host's form. */
 	uint64_t request_id;  /**< That id. */
 	uint32_t attempt;     /**< Its X-Request-Attempt, 0 for none. */
-	bool has_frames;      /**< HTTP/2 or later, which marks the end. */
 	bool is_chunked;      /**< The body comes in chunks. */
 	bool has_length;      /**< It has a Content-Length. */
 	uint64_t length;      /**< That length. */
@@ -38,7 +38,7 @@
 /** Reads the next line, with its line end, of a head or of the trailer behind
  * the body. Errors: ERROR_TOO_LARGE if the heads have become too large,
  * ERROR_MALFORMED if a line of the head is no field, or a
- * status line without a status, if another reply begins within
+ * status line not one of HTTP/1 with a status, if another reply begins within
  * it, or if a success says that the request did not run. */
 enum error_code reply_head_add_line(
     struct reply_head *head, const char *line, size_t size);
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -268,6 +268,8 @@
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(
+	    curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	if (text != NULL)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text);
--- a/src/transport/upstream_http.c
+++ b/src/transport/upstream_http.c
@@ -379,6 +379,8 @@
 	curl_easy_setopt(attempt->curl, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(attempt->curl, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(attempt->curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(
+	    attempt->curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	return true;
 }
 
--- a/tests/test_http_reader.c
+++ b/tests/test_http_reader.c
@@ -236,7 +236,11 @@
 	    {"HTTP/1.1 OK", 0},
 	    {"HTTP/1.1 ", 0},
 	    {"HTTP/1.1", 0},
+	    {"HTTP/1.2 200 OK", 200},
 	    {"HTTP/2 200", 0},
+	    {"HTTP/2.0 200 OK", 0},
+	    {"HTTP/9.9 200 OK", 0},
+	    {"HTTP/0.9 200 OK", 0},
 	    {"http/1.1 200 OK", 0},
 	    {"200 OK", 0},
 	};
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -323,7 +323,12 @@
     "HTTP/1.1 200OK",
     "HTTP/1.1  200 OK",
     "HTTP/1.1",
+    "HTTP/2 200",
+    "HTTP/2.0 200 OK",
     "HTTP/3 200",
+    "HTTP/9.9 200 OK",
+    "HTTP/0.9 200 OK",
+    "HTTP/1 200 OK",
     "200 OK",
 };
 
@@ -761,6 +766,9 @@
 		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
 		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
 		REQUEST_OUTCOME_UNKNOWN},
+	    {"neither, and a version that has frames on other connections",
+		"HTTP/2 200\r\n\r\nok", FAKE_UPSTREAM_CLOSES, 0,
+		PIECE_KIND_FAILED, REQUEST_OUTCOME_UNKNOWN},
 	    {"nothing behind the head", "HTTP/1.1 200 OK\r\n\r\n",
 		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
 		REQUEST_OUTCOME_UNKNOWN},
