Own interface: a length that is no number shows no cut

Callers saw (here, with a stand-in of ours): a plain service's reply with "Content-Length: 2abc", "2, 4" or "0x2" as a whole answer with the beginning of its body or without one; with a length over all numbers, whatever had come when the connection ended.

Cause: libcurl takes the digits that a length begins with and passes over one that is too large; reply_head asked only whether the field is there, and passed over lines of 256 bytes and more, so that a second length could go unseen.

Ruled out: the platform's path, whose parser refuses such lengths.

Change: a length is digits up to 2^63 - 1, or the reply is malformed; lines are read whatever their size.

--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -8,7 +8,7 @@
 #include "protocol/http_reader.h"
 
 #define HEADS_SIZE_MAX	  65536 /* Largest heads with interim ones. */
-#define FIELD_SIZE	  256	/* Bytes of a field's line with NUL. */
+#define DECIMAL		  10	/* Base of numbers. */
 #define HEX_DIGITS	  "0123456789abcdefABCDEF"
 #define REQUEST_ID_DIGITS 16
 #define VERSION_1_PREFIX  "HTTP/1." /* That of the version spoken here. */
@@ -26,9 +26,10 @@
     struct reply_head *head, const char *line, size_t size);
 static uint32_t parse_status(const char *line, size_t size);
 static enum error_code end_head(struct reply_head *head);
-static void read_field(struct reply_head *head, const char *line, size_t size);
+static enum error_code read_field(
+    struct reply_head *head, const char *line, size_t size);
 static void read_request_id(struct reply_head *head, const char *value);
-static void read_length(struct reply_head *head, const char *value);
+static enum error_code read_length(struct reply_head *head, const char *value);
 static bool is_empty_line(const char *line, size_t size);
 
 enum error_code
@@ -52,8 +53,7 @@
 		return end_head(head);
 	if (!http_is_field_line(line, size))
 		return ERROR_MALFORMED;
-	read_field(head, line, size);
-	return ERROR_NONE;
+	return read_field(head, line, size);
 }
 
 bool
@@ -119,7 +119,7 @@
 	for (i = 0; i < STATUS_SIZE; i++) {
 		if (!g_ascii_isdigit(status[i]))
 			return 0;
-		number = number * 10 + (uint32_t)(status[i] - '0');
+		number = number * DECIMAL + (uint32_t)(status[i] - '0');
 	}
 	return number;
 }
@@ -135,32 +135,29 @@
 		   : ERROR_NONE;
 }
 
-static void
+static enum error_code
 read_field(struct reply_head *head, const char *line, size_t size)
 {
-	char field[FIELD_SIZE];
-	char *value;
-
-	/* The fields that matter are shorter. */
-	if (size >= sizeof(field))
-		return;
-	memcpy(field, line, size);
-	field[size] = '\0';
+	enum error_code error;
+	char *field, *value;
+
+	field = g_strndup(line, size);
 	value = strchr(field, ':');
-	if (value == NULL)
-		return;
 	*value++ = '\0';
 	g_strstrip(value);
+	error = ERROR_NONE;
 	if (g_ascii_strcasecmp(field, "x-request-outcome") == 0)
 		head->says_not_run = strcmp(value, "not_run") == 0;
 	else if (g_ascii_strcasecmp(field, "x-request-id") == 0)
 		read_request_id(head, value);
 	else if (g_ascii_strcasecmp(field, "x-request-attempt") == 0)
-		head->attempt = (uint32_t)strtoul(value, NULL, 10);
+		head->attempt = (uint32_t)strtoul(value, NULL, DECIMAL);
 	else if (g_ascii_strcasecmp(field, "content-length") == 0)
-		read_length(head, value);
+		error = read_length(head, value);
 	else if (g_ascii_strcasecmp(field, "transfer-encoding") == 0)
 		head->is_chunked = g_ascii_strcasecmp(value, "chunked") == 0;
+	g_free(field);
+	return error;
 }
 
 /* Reads an id of 16 hexadecimal digits. Another value is a number that the
@@ -174,16 +171,21 @@
 		head->request_id = strtoull(value, NULL, 16);
 }
 
-static void
+/* libcurl takes the digits that a length begins with, and passes over one that is
+ * too large, so that the body ends anywhere. */
+static enum error_code
 read_length(struct reply_head *head, const char *value)
 {
-	uint64_t length;
+	guint64 length;
 
-	length = strtoull(value, NULL, 10);
+	if (!g_ascii_string_to_unsigned(
+		value, DECIMAL, 0, INT64_MAX, &length, NULL))
+		return ERROR_MALFORMED;
 	if (head->has_length && head->length != length)
 		head->has_two_lengths = true;
 	head->has_length = true;
 	head->length = length;
+	return ERROR_NONE;
 }
 
 static bool
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -808,6 +808,82 @@
 	CHECK(cases, true);
 }
 
+/* A length that is none, for a body of which "ok" may be a part. */
+static const char *const no_lengths[] = {
+    "",
+    "abc",
+    "-2",
+    "+2",
+    "0x2",
+    "2abc",
+    "2 4",
+    "2, 4",
+    "2,2",
+    "2;x",
+    "2.0",
+    "18446744073709551618",
+    "9223372036854775808",
+    "99999999999999999999999",
+};
+
+#define ZEROS_32 "00000000000000000000000000000000"
+#define ZEROS_256                                                              \
+	ZEROS_32 ZEROS_32 ZEROS_32 ZEROS_32 ZEROS_32 ZEROS_32 ZEROS_32 ZEROS_32
+
+/* A field counts however long its line is. */
+static void
+test_long_field_is_read(void **state)
+{
+	static const struct answer_case cases[] = {
+	    {"a long length",
+		"HTTP/1.1 200 OK\r\nContent-Length: " ZEROS_256 "2\r\n\r\nok",
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END, 0},
+	    {"another length, a long one",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+		"Content-Length: " ZEROS_256 "2\r\n\r\nokok",
+		FAKE_UPSTREAM_CLOSES, 0, PIECE_KIND_FAILED,
+		REQUEST_OUTCOME_UNKNOWN},
+	    {"a word that is too long",
+		"HTTP/1.1 429 Busy\r\n" NOT_RUN "X-Request-Outcome: " ZEROS_256
+		"\r\nContent-Length: 2\r\n\r\nok",
+		FAKE_UPSTREAM_CLOSES, 1, PIECE_KIND_END, 0},
+	};
+
+	(void)state;
+	CHECK(cases, true);
+}
+
+/* Whatever is read of it, the answer can't be told from a part of it. */
+static void
+test_length_that_is_none_shows_no_cut(void **state)
+{
+	static const char *const heads[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\nok",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: %s\r\n\r\n"
+	    "ok",
+	    "HTTP/1.1 429 Busy\r\n" NOT_RUN "Content-Length: %s\r\n\r\n",
+	};
+	struct answer_case item = {
+	    .kind = PIECE_KIND_FAILED, .outcome = REQUEST_OUTCOME_UNKNOWN};
+	uint32_t wrong;
+	GString *text;
+	size_t i, j;
+
+	(void)state;
+	wrong = 0;
+	for (i = 0; i < COUNT(no_lengths); i++) {
+		for (j = 0; j < COUNT(heads); j++) {
+			text = g_string_new(heads[j]);
+			g_string_replace(text, "%s", no_lengths[i], 1);
+			item.name = text->str;
+			item.reply = text->str;
+			wrong += find_wrong(&item, true);
+			g_string_free(text, TRUE);
+		}
+	}
+	assert_int_equal(wrong, 0);
+}
+
 /* An upstream that writes an earlier refusal once more on a kept connection is
  * believed where nothing says whose it is. So no call may find a connection that
  * carried another one. */
@@ -944,6 +1020,8 @@
 		test_control_answer_of_another_call_is_not_believed),
 	    cmocka_unit_test(test_answer_to_another_order_is_not_believed),
 	    cmocka_unit_test(test_answer_that_shows_no_cut_is_not_whole),
+	    cmocka_unit_test(test_length_that_is_none_shows_no_cut),
+	    cmocka_unit_test(test_long_field_is_read),
 	    cmocka_unit_test(
 		test_no_call_uses_the_connection_of_an_earlier_one),
 	    cmocka_unit_test(test_contradicting_refusal_is_no_promise),
