Tests: on the own interface no part of an early reply is an answer

Plain calls need a length or chunks, streams their end event, refusals a whole head and body, so a part is failed with an unknown outcome however the reset is met.

--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -88,7 +88,8 @@
 	upstream->body_sum = 0;
 	if (!read_head(upstream, connection, &body_read))
 		return;
-	read_body(upstream, connection, body_read);
+	if (upstream->end != FAKE_UPSTREAM_RESETS_EARLY)
+		read_body(upstream, connection, body_read);
 	size = strlen(upstream->reply);
 	if (write(connection, upstream->reply, size) != (ssize_t)size)
 		return;
@@ -208,6 +209,7 @@
 	struct linger reset_on_close = {1, 0};
 
 	if (upstream->end == FAKE_UPSTREAM_RESETS ||
+	    upstream->end == FAKE_UPSTREAM_RESETS_EARLY ||
 	    upstream->end == FAKE_UPSTREAM_RESETS_UNREAD)
 		setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset_on_close,
 		    sizeof(reset_on_close));
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -18,6 +18,9 @@
 	FAKE_UPSTREAM_RESETS,	     /**< Resets the connection. */
 	FAKE_UPSTREAM_STALLS,	     /**< Keeps it open and sends no more. */
 	FAKE_UPSTREAM_RESETS_UNREAD, /**< Resets it; reads no request. */
+	/** Replies once the head of a request is read, and resets it; reads no
+	 * body. */
+	FAKE_UPSTREAM_RESETS_EARLY,
 	/** Sends the last line of the reply again and again. */
 	FAKE_UPSTREAM_REPEATS,
 	/** Keeps it open and sends the reply again to each further request. */
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -26,6 +26,8 @@
 /* Limit for events that must happen; long, so that slow machines pass. */
 #define WAIT_MAX_MS 20000
 #define PORT	    21440
+/* More than the buffers of a connection hold. */
+#define PROMPT_SIZE ((size_t)32 * 1024 * 1024)
 
 #define STREAM                                                                 \
 	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"               \
@@ -884,6 +886,55 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* An upstream replies before it has read the prompt and resets the connection,
+ * while the prompt is being written: a part of an answer or of a refusal is
+ * neither, in whatever order the steps come. */
+static void
+test_part_of_an_early_reply_is_no_answer(void **state)
+{
+	static const struct {
+		const char *reply;
+		bool is_plain;
+	} cases[] = {
+	    {"HTTP/1.1 200 OK\r\n\r\nok", true},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		true},
+	    {"HTTP/1.1 503 Busy\r\n" NOT_RUN, true},
+	    {STREAM TEXT(OWN), false},
+	    {STREAM TEXT(OWN) "event: end\ndata: {" OWN, false},
+	    {"HTTP/1.1 429 Busy\r\nContent-Length: 500\r\n\r\n" STATED(
+		 "no_capacity", "not_run"),
+		false},
+	};
+	struct exchange exchange;
+	char *prompt;
+	size_t i;
+
+	(void)state;
+	prompt = g_strnfill(PROMPT_SIZE, 'x');
+	for (i = 0; i < COUNT(cases); i++) {
+		open_exchange(
+		    &exchange, cases[i].reply, FAKE_UPSTREAM_RESETS_EARLY);
+		shared_text_unref(exchange.call.body);
+		exchange.call.body = shared_text_copy(prompt, PROMPT_SIZE);
+		exchange.call.body_size = PROMPT_SIZE;
+		if (cases[i].is_plain)
+			upstream_http_adapter.call(
+			    &exchange.http, &exchange.call, exchange.queue);
+		else
+			upstream_http_adapter.generate(
+			    &exchange.http, &exchange.call, exchange.queue);
+		collect(&exchange);
+		close_exchange(&exchange);
+		if (exchange.last.kind != PIECE_KIND_FAILED ||
+		    exchange.last.outcome != REQUEST_OUTCOME_UNKNOWN)
+			fail_msg("%s: kind %d outcome %d", cases[i].reply,
+			    exchange.last.kind, exchange.last.outcome);
+	}
+	g_free(prompt);
+}
+
 /* An upstream that writes an earlier refusal once more on a kept connection is
  * believed where nothing says whose it is. So no call may find a connection that
  * carried another one. */
@@ -1022,6 +1073,7 @@
 	    cmocka_unit_test(test_answer_that_shows_no_cut_is_not_whole),
 	    cmocka_unit_test(test_length_that_is_none_shows_no_cut),
 	    cmocka_unit_test(test_long_field_is_read),
+	    cmocka_unit_test(test_part_of_an_early_reply_is_no_answer),
 	    cmocka_unit_test(
 		test_no_call_uses_the_connection_of_an_earlier_one),
 	    cmocka_unit_test(test_contradicting_refusal_is_no_promise),
