Command line: a change whose answer can't be read is unknown, not refused

Operators saw (here, with a stand-in for a host): "config put" exited with 3 (refused) when the answer of its host was cut or no JSON, although the change may have been made. Exit code 8 stands for that, and lets the operator resend the same id.

Cause: an unreadable answer was given the error of a refused request, "malformed". Ruled out: a host's own "malformed", which stays a refusal; transfers that libcurl fails (unknown before, too).

Change: a call with a body whose answer says neither done nor why not is unknown, and goes to the next host with the same id, as after a lost answer; a read stays malformed.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -98,7 +98,8 @@
 /** Calls the hosts in turn until one gives a final answer. The caller releases
  * @p reply, which is NULL without an answer; an error that a host reported has
  * its message there. Errors: the host's own, ERROR_CONNECTION if no host was
- * reached, ERROR_OUTCOME_UNKNOWN if a host may have done it. */
+ * reached, ERROR_OUTCOME_UNKNOWN if a host may have done it, ERROR_MALFORMED if the
+ * answer to a call without a body can't be read. */
 enum error_code cli_call(const struct cli *cli, const char *method,
     const char *path, const json_t *body, json_t **reply);
 /** Sends a batch of changes, {key: value, or null to delete}, and prints the
--- a/src/cli/cli_client.c
+++ b/src/cli/cli_client.c
@@ -16,8 +16,8 @@
 static enum error_code call_host(const struct cli *cli, const char *host,
     const char *method, const char *path, const json_t *body, json_t **reply);
 static bool is_reachable(const struct cli *cli, const char *host);
-static enum error_code read_reply(
-    const struct _u_response *response, json_t **reply);
+static enum error_code read_reply(const struct _u_response *response,
+    enum error_code unreadable, json_t **reply);
 static bool should_try_next_host(enum error_code code);
 static json_t *make_batch(const struct cli *cli, json_t *changes);
 static int print_change(const struct cli *cli, const json_t *reply);
@@ -113,7 +113,9 @@
 		ulfius_set_json_body_request(&request, (json_t *)body);
 	result = ulfius_send_http_request(&request, &response);
 	if (result == U_OK)
-		error = read_reply(&response, reply);
+		error = read_reply(&response,
+		    body == NULL ? ERROR_MALFORMED : ERROR_OUTCOME_UNKNOWN,
+		    reply);
 	else if (result == U_ERROR_LIBCURL && body != NULL)
 		error = ERROR_OUTCOME_UNKNOWN;
 	else
@@ -123,8 +125,11 @@
 	return error;
 }
 
+/* Returns the error that a host states, or @p unreadable if the reply says neither
+ * that the call was done nor why it was not. */
 static enum error_code
-read_reply(const struct _u_response *response, json_t **reply)
+read_reply(const struct _u_response *response, enum error_code unreadable,
+    json_t **reply)
 {
 	const char *type;
 
@@ -132,12 +137,10 @@
 	    ulfius_get_json_body_response((struct _u_response *)response, NULL);
 	if (response->status >= HTTP_STATUS_OK_MIN &&
 	    response->status <= HTTP_STATUS_OK_MAX)
-		return *reply == NULL ? ERROR_MALFORMED : ERROR_NONE;
+		return *reply == NULL ? unreadable : ERROR_NONE;
 	type = json_string_value(
 	    json_object_get(json_object_get(*reply, "error"), "type"));
-	if (type == NULL)
-		return ERROR_MALFORMED;
-	return error_from_name(type);
+	return type == NULL ? unreadable : error_from_name(type);
 }
 
 static bool
