Command line: an answer with a broken head is none; one module calls with JSON

Operators saw (here, with a stand-in for a host): "config put" said "in_force" after an answer with "X A: 1", "Content-Length : 5" or "HTTP/2 200" in its head; status 999 with a refusal in the body was that refusal.

Cause: ulfius's client hands out what libcurl read of a head, which passes over such lines. The rule of reply_head stood only on the hosts' side.

Change: the calls of upstream_control, which had it, move to a module of their own, json_call, and the command line uses it in place of ulfius's client. It tells whether anything was sent; the environment's proxy counts for the command line only, as before.

--- a/src/cli/cli_client.c
+++ b/src/cli/cli_client.c
@@ -4,20 +4,21 @@
 #include <stdio.h>
 #include <string.h>
 
-#include <ulfius.h>
+#include "transport/json_call.h"
 
-#define MS_PER_S 1000
 /* The client waits this much longer than the host, so that the host's own
  * timeout error arrives. */
-#define CLIENT_TIMEOUT_EXTRA_S 2
-#define HTTP_STATUS_OK_MIN     200
-#define HTTP_STATUS_OK_MAX     299
+#define CLIENT_TIMEOUT_EXTRA_MS 2000
+/* Bytes of a reply; a list of 4,700 upstreams has some megabytes. */
+#define REPLY_SIZE_MAX	   ((size_t)256 * 1024 * 1024)
+#define HTTP_STATUS_OK_MIN 200
+#define HTTP_STATUS_OK_MAX 299
 
 static enum error_code call_host(const struct cli *cli, const char *host,
     const char *method, const char *path, const json_t *body, json_t **reply);
 static bool is_reachable(const struct cli *cli, const char *host);
-static enum error_code read_reply(const struct _u_response *response,
-    enum error_code unreadable, json_t **reply);
+static enum error_code read_reply(
+    const struct json_reply *reply, enum error_code unreadable);
 static bool should_try_next_host(enum error_code code);
 static json_t *make_batch(const struct cli *cli, json_t *changes);
 static int print_change(const struct cli *cli, const json_t *reply);
@@ -89,57 +90,47 @@
 call_host(const struct cli *cli, const char *host, const char *method,
     const char *path, const json_t *body, json_t **reply)
 {
-	struct _u_request request;
-	struct _u_response response;
-	char authorization[512], url[512];
+	int64_t timeout_ms = cli->timeout_ms + CLIENT_TIMEOUT_EXTRA_MS;
+	struct json_reply received;
+	struct json_call call = {
+	    .method = method,
+	    .token = cli->token == NULL ? "" : cli->token,
+	    .body = body,
+	    .connect_timeout_ms = timeout_ms,
+	    .timeout_ms = timeout_ms,
+	    .reply_size_max = REPLY_SIZE_MAX,
+	    .uses_proxy = true,
+	};
 	enum error_code error;
-	int result;
-
-	snprintf(url, sizeof(url), "%s%s", host, path);
-	snprintf(authorization, sizeof(authorization), "Bearer %s",
-	    cli->token == NULL ? "" : cli->token);
-	if (ulfius_init_request(&request) != U_OK)
-		return ERROR_NO_MEMORY;
-	if (ulfius_init_response(&response) != U_OK) {
-		ulfius_clean_request(&request);
-		return ERROR_NO_MEMORY;
-	}
-	ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, method,
-	    U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
-	    (unsigned long)(cli->timeout_ms / MS_PER_S +
-			    CLIENT_TIMEOUT_EXTRA_S),
-	    U_OPT_HEADER_PARAMETER, "Authorization", authorization, U_OPT_NONE);
-	if (body != NULL)
-		ulfius_set_json_body_request(&request, (json_t *)body);
-	result = ulfius_send_http_request(&request, &response);
-	if (result == U_OK)
-		error = read_reply(&response,
-		    body == NULL ? ERROR_MALFORMED : ERROR_OUTCOME_UNKNOWN,
-		    reply);
-	else if (result == U_ERROR_LIBCURL && body != NULL)
-		error = ERROR_OUTCOME_UNKNOWN;
-	else
+	char *url;
+
+	url = g_strconcat(host, path, NULL);
+	call.url = url;
+	error = json_call_perform(&call, &received);
+	if (error == ERROR_NONE)
+		error = read_reply(&received,
+		    body == NULL ? ERROR_MALFORMED : ERROR_OUTCOME_UNKNOWN);
+	/* A read without an answer has changed nothing. */
+	else if (error == ERROR_OUTCOME_UNKNOWN && body == NULL)
 		error = ERROR_CONNECTION;
-	ulfius_clean_request(&request);
-	ulfius_clean_response(&response);
+	*reply = json_incref(received.root);
+	json_reply_finish(&received);
+	g_free(url);
 	return error;
 }
 
 /* Returns the error that a host states, or @p unreadable if the reply says neither
  * that the call was done nor why it was not. */
 static enum error_code
-read_reply(const struct _u_response *response, enum error_code unreadable,
-    json_t **reply)
+read_reply(const struct json_reply *reply, enum error_code unreadable)
 {
 	const char *type;
 
-	*reply =
-	    ulfius_get_json_body_response((struct _u_response *)response, NULL);
-	if (response->status >= HTTP_STATUS_OK_MIN &&
-	    response->status <= HTTP_STATUS_OK_MAX)
-		return *reply == NULL ? unreadable : ERROR_NONE;
+	if (reply->status >= HTTP_STATUS_OK_MIN &&
+	    reply->status <= HTTP_STATUS_OK_MAX)
+		return reply->root == NULL ? unreadable : ERROR_NONE;
 	type = json_string_value(
-	    json_object_get(json_object_get(*reply, "error"), "type"));
+	    json_object_get(json_object_get(reply->root, "error"), "type"));
 	return type == NULL ? unreadable : error_from_name(type);
 }
 
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -12,28 +12,23 @@
 
 #include "base/monotonic_clock.h"
 #include "protocol/field_error.h"
-#include "transport/reply_head.h"
+#include "transport/json_call.h"
 #include "transport/upstream_reply.h"
 
-#define CONNECT_TIMEOUT_MS 1000L
+#define CONNECT_TIMEOUT_MS 1000
 #define REPLY_SIZE_MAX	   ((size_t)256 * 1024) /* Bytes of a reply body. */
 #define PATH_SIZE	   64			/* Bytes of a URL path. */
 /* Largest valid number of tokens. */
 #define TOKENS_MAX ((uint64_t)INT64_MAX)
 /* Largest valid age of a reservation. */
 #define AGE_MS_MAX ((uint64_t)INT64_MAX)
+#define STATUS_OK  200
 #define HEX_SIZE   17 /* 64-bit number in hex digits with NUL. */
 
 static enum error_code exchange_json(const struct upstream_target *target,
     const char *path, json_t *body, int64_t deadline_ms, json_t **reply);
 static bool names_other_call(const json_t *reply, const json_t *call);
-static enum error_code perform(CURL *curl, const char *url, const char *text,
-    int64_t left_ms, GString *answer);
-static enum error_code classify_reply(CURL *curl, CURLcode result,
-    const struct reply_head *head, const GString *answer);
-static size_t read_header(char *line, size_t size, size_t count, void *context);
-static size_t append_reply(
-    char *bytes, size_t size, size_t count, void *context);
+static enum error_code read_error(const struct json_reply *reply);
 static json_t *reservation_body(
     const struct upstream_target *target, uint64_t reservation);
 static enum error_code parse_held(
@@ -192,49 +187,43 @@
 	return error;
 }
 
-/* Sends a POST with body, or a GET if body is NULL, and parses the reply into
+/* Sends a POST with body, or a GET if body is NULL, and gives the reply's JSON to
  * *reply unless reply is NULL. Takes over the reference to body; the caller
  * releases *reply. */
 static enum error_code
 exchange_json(const struct upstream_target *target, const char *path,
     json_t *body, int64_t deadline_ms, json_t **reply)
 {
+	struct json_reply received = {0};
+	struct json_call call = {
+	    .body = body,
+	    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+	    .timeout_ms = deadline_ms - clock_monotonic_ms(),
+	    .reply_size_max = REPLY_SIZE_MAX,
+	};
 	char url[URL_SIZE_MAX + PATH_SIZE];
 	enum error_code error;
-	GString *answer;
-	int64_t left_ms;
-	json_t *root;
-	char *text;
-	CURL *curl;
 
-	text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
-	curl = curl_easy_init();
-	answer = g_string_new(NULL);
-	root = NULL;
-	left_ms = deadline_ms - clock_monotonic_ms();
+	snprintf(url, sizeof(url), "%s%s", target->url, path);
+	call.url = url;
 	error = ERROR_TIMEOUT;
-	if (curl == NULL)
-		error = ERROR_NO_MEMORY;
-	if (curl == NULL || left_ms <= 0)
+	if (call.timeout_ms <= 0)
 		goto done;
-	snprintf(url, sizeof(url), "%s%s", target->url, path);
-	error = perform(curl, url, text, left_ms, answer);
-	root = json_loadb(answer->str, answer->len, 0, NULL);
-	if (error != ERROR_CONNECTION && names_other_call(root, body))
+	error = json_call_perform(&call, &received);
+	if (error == ERROR_NONE && received.status != STATUS_OK)
+		error = read_error(&received);
+	if (error != ERROR_CONNECTION && names_other_call(received.root, body))
 		error = ERROR_OUTCOME_UNKNOWN;
 	if (error != ERROR_NONE || reply == NULL)
 		goto done;
-	if (json_is_object(root))
-		*reply = json_incref(root);
+	if (json_is_object(received.root))
+		*reply = json_incref(received.root);
 	else
 		error = ERROR_MALFORMED;
 
 done:
-	json_decref(root);
+	json_reply_finish(&received);
 	json_decref(body);
-	g_string_free(answer, TRUE);
-	curl_easy_cleanup(curl);
-	free(text);
 	return error;
 }
 
@@ -257,74 +246,18 @@
 }
 
 static enum error_code
-perform(CURL *curl, const char *url, const char *text, int64_t left_ms,
-    GString *answer)
-{
-	struct reply_head head = {0};
-	struct curl_slist *headers;
-	CURLcode result;
-
-	headers = curl_slist_append(NULL, "Content-Type: application/json");
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(
-	    curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-	if (text != NULL)
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, read_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_reply);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
-	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
-	result = curl_easy_perform(curl);
-	curl_slist_free_all(headers);
-	return classify_reply(curl, result, &head, answer);
-}
-
-static enum error_code
-classify_reply(CURL *curl, CURLcode result, const struct reply_head *head,
-    const GString *answer)
+read_error(const struct json_reply *reply)
 {
-	struct piece piece;
-	long sent;
+	struct piece piece = {
+	    .error = ERROR_OUTCOME_UNKNOWN, .outcome = REQUEST_OUTCOME_FAILED};
 
-	sent = 0;
-	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
-	if (result != CURLE_OK || !head->is_complete)
-		return sent == 0 ? ERROR_CONNECTION : ERROR_OUTCOME_UNKNOWN;
-	if (head->status == 200)
-		return ERROR_NONE;
-	memset(&piece, 0, sizeof(piece));
-	piece.error = ERROR_OUTCOME_UNKNOWN;
-	piece.outcome = REQUEST_OUTCOME_FAILED;
-	if (!upstream_reply_parse_error(answer->str, answer->len, &piece) ||
+	if (!upstream_reply_parse_error(
+		reply->text->str, reply->text->len, &piece) ||
 	    piece.outcome == REQUEST_OUTCOME_UNKNOWN)
 		return ERROR_OUTCOME_UNKNOWN;
 	return piece.error;
 }
 
-static size_t
-read_header(char *line, size_t size, size_t count, void *context)
-{
-	if (reply_head_add_line(context, line, size * count) != ERROR_NONE)
-		return 0;
-	return size * count;
-}
-
-static size_t
-append_reply(char *bytes, size_t size, size_t count, void *context)
-{
-	GString *answer = context;
-
-	if (answer->len + size * count > REPLY_SIZE_MAX)
-		return 0;
-	g_string_append_len(answer, bytes, (gssize)(size * count));
-	return size * count;
-}
-
 static json_t *
 reservation_body(const struct upstream_target *target, uint64_t reservation)
 {
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -29,10 +29,13 @@
 
 /** A scripted HTTP upstream that serves one connection at a time. */
 struct fake_upstream {
-	uint16_t port;		      /**< Port that it listens on. */
-	int listener;		      /**< Listening socket. */
-	pthread_t thread;	      /**< Serves the connections. */
-	const char *reply;	      /**< Bytes sent for each request. */
+	uint16_t port;	   /**< Port that it listens on. */
+	int listener;	   /**< Listening socket. */
+	pthread_t thread;  /**< Serves the connections. */
+	const char *reply; /**< Bytes sent for each request. */
+	/** Sent in its place on the first connection; NULL for none. To be set
+	 * before anything is sent to the upstream. */
+	const char *first_reply;
 	enum fake_upstream_end end;   /**< How a connection ends. */
 	atomic_bool stopping;	      /**< Set to end the thread. */
 	_Atomic int connections;      /**< Connections accepted so far. */
