Tests: on the platform's path a head with a line that is no field reaches no caller

The parser refuses control bytes in names and values and lines without a name, the reader blanks in names; the answer is broken, repeated elsewhere if the request may be, 502 otherwise, and a refusal with such a line is not believed.

--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -199,6 +199,53 @@
 	EVENT_STREAM EVENT2 STREAM_END, IS_WHOLE, E1 E2},
 };
 
+/* Lines of a head whose name holds a blank or a control byte, or that have none, and
+ * values with control bytes. */
+static const char *const no_fields[] = {
+    "X A: 1",
+    "X\tA: 1",
+    "XA\t: 1",
+    "X\001A: 1",
+    "XA\001: 1",
+    "\001XA: 1",
+    "X\bA: 1",
+    "X\vA: 1",
+    "X\037A: 1",
+    "X\177A: 1",
+    "X\200A: 1",
+    ": 1",
+    "XA",
+    "X-A: a\001b",
+    "X-A: a\177b",
+    "X-A: a\rb",
+    "Content-Length : 3",
+    "Content-Length\001: 3",
+    "Transfer-Encoding : chunked",
+    "Transfer-Encoding\177: chunked",
+    "Attempt-Id : a9",
+    "Response-Seal\001: other",
+};
+
+/* Answers with such a line at the mark "%s". */
+static const struct broken_case line_cases[] = {
+    {"in an answer", "POST /once/",
+	HEAD_200 "%s\r\nContent-Length: 5\r\n\r\nbody!", NULL, IS_FAILED, NULL},
+    {"in an answer without a length", "POST /once/",
+	HEAD_200 "%s\r\n\r\nbody!<close>", NULL, IS_FAILED, NULL},
+    {"in an answer, repeated elsewhere", "POST /idem/",
+	HEAD_200 "%s\r\nContent-Length: 5\r\n\r\nbody!", OK_ANSWER, IS_WHOLE,
+	"body!"},
+    {"in a refusal, which is not believed", "POST /once/",
+	"HTTP/1.1 503 Busy\r\nAttempt-Id: {ID}\r\nNot-Executed: 1\r\n%s\r\n"
+	"Content-Length: 0\r\n\r\n",
+	OK_ANSWER, IS_FAILED, NULL},
+    {"in an interim answer", "POST /once/",
+	"HTTP/1.1 103 Hints\r\n%s\r\n\r\n" OK_ANSWER, NULL, IS_FAILED, NULL},
+    {"in a stream", "POST /live/",
+	HEAD_200 EVENTS CHUNKED "%s\r\n\r\n" EVENT1 STREAM_END, NULL, IS_FAILED,
+	NULL},
+};
+
 /* What an upstream writes within a stream. */
 static const struct broken_case streams[] = {
     {"a head in a chunk, connection closed", "POST /live/",
@@ -817,6 +864,41 @@
 	run_cases(heads, G_N_ELEMENTS(heads), true);
 }
 
+static void
+check_no_fields(bool is_forwarded)
+{
+	struct findings findings = {.is_forwarded = is_forwarded};
+	struct broken_case c;
+	GString *answer;
+	size_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(no_fields); i++) {
+		for (j = 0; j < G_N_ELEMENTS(line_cases); j++) {
+			c = line_cases[j];
+			answer = g_string_new(c.first);
+			g_string_replace(answer, "%s", no_fields[i], 1);
+			c.first = answer->str;
+			run_case(&c, &findings);
+			g_string_free(answer, TRUE);
+		}
+	}
+	assert_int_equal(findings.count, 0);
+}
+
+static void
+test_head_with_a_line_that_is_no_field_is_no_success(void **state)
+{
+	(void)state;
+	check_no_fields(false);
+}
+
+static void
+test_line_that_is_no_field_over_another_host(void **state)
+{
+	(void)state;
+	check_no_fields(true);
+}
+
 /* An upstream may write many events as one chunk, even more than are held. */
 static void
 test_events_in_one_chunk_are_all_passed_on(void **state)
@@ -922,6 +1004,9 @@
 	    cmocka_unit_test(test_stream_with_other_bytes_over_another_host),
 	    cmocka_unit_test(test_broken_head_is_no_success),
 	    cmocka_unit_test(test_broken_head_over_another_host),
+	    cmocka_unit_test(
+		test_head_with_a_line_that_is_no_field_is_no_success),
+	    cmocka_unit_test(test_line_that_is_no_field_over_another_host),
 	    cmocka_unit_test(test_events_in_one_chunk_are_all_passed_on),
 	    cmocka_unit_test(test_ambiguous_request_is_refused),
 	    cmocka_unit_test(test_monitor_gets_no_body_for_head),
