--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -75,8 +75,8 @@
 	bool is_after_version;
 	bool has_status;
 	uint32_t status_digits;
-	bool has_head;	 /**< The head of the current message is complete. */
-	bool has_ended;	 /**< The current message is complete. */
+	bool has_head;	/**< The head of the current message is complete. */
+	bool has_ended; /**< The current message is complete. */
 	/** The last bytes read of the head belong to a value, not a name. */
 	bool last_was_value;
 	/** The current message breaks the protocol in a way that the library
