--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -68,13 +68,11 @@
 	size_t head_bytes_max;
 	/** Bytes read of the current message until its head is complete. */
 	size_t head_bytes;
-	bool is_request; /**< Messages are requests, not responses. */
-	bool has_begun;	 /**< The current message has begun. */
-	/** While the first line of a response is read: the version was read, the
-	 * status was read, and how many digits it has so far. */
-	bool is_after_version;
-	bool has_status;
-	uint32_t status_digits;
+	bool is_request;	/**< Messages are requests, not responses. */
+	bool has_begun;		/**< The current message has begun. */
+	bool is_after_version;	/**< Responses: the version was read. */
+	bool has_status;	/**< Responses: the status was read. */
+	uint32_t status_digits; /**< Digits of the status so far. */
 	bool has_head;	/**< The head of the current message is complete. */
 	bool has_ended; /**< The current message is complete. */
 	/** The last bytes read of the head belong to a value, not a name. */
@@ -117,7 +115,6 @@
 /** True if a line of a head, with or without its line end, is a field: a name that is
  * a token, a colon, and a value without control bytes other than tabs. */
 bool http_is_field_line(const char *line, size_t size);
-
 /** True for a number that is a status of HTTP (RFC 9110, section 15). */
 bool http_is_status(uint32_t status);
 /** True for a status whose answers end with their heads, whatever length these
--- a/src/transport/reply_head.h
+++ b/src/transport/reply_head.h
@@ -36,10 +36,10 @@
 };
 
 /** Reads the next line, with its line end, of a head or of the trailer behind
- * the body. Errors: ERROR_TOO_LARGE if the heads have become too large,
- * ERROR_MALFORMED if a line of the head is no field, or a
- * status line not one of HTTP/1 with a status, if a length is no number, if another reply begins within
- * it, or if a success says that the request did not run. */
+ * the body. Errors: ERROR_TOO_LARGE if the heads have become too large;
+ * ERROR_MALFORMED if a line of the head is neither a field nor a status line of
+ * HTTP/1, if another reply begins within it, if a length is no number, or if a success
+ * says that the request did not run. */
 enum error_code reply_head_add_line(
     struct reply_head *head, const char *line, size_t size);
 /** Returns true if the head names another request or another attempt. */
--- a/src/transport/tcp_link.h
+++ b/src/transport/tcp_link.h
@@ -41,7 +41,7 @@
 	struct tcp_link_ops ops; /**< Callbacks to the owner. */
 	bool is_connecting;	 /**< True until on_opened() is called. */
 	bool is_closing;	 /**< tcp_link_close() was called. */
-	/** A write was told that the connection broke; no read is. */
+	/** A write was told that the connection broke, so that no read is. */
 	bool is_broken;
 };
 
