--- a/tests/test_tcp_link.c
+++ b/tests/test_tcp_link.c
@@ -23,6 +23,8 @@
 #define FLOOD_BYTES    ((size_t)8 * 1024 * 1024)
 #define PASS_BYTES_MAX ((size_t)512 * 1024)
 #define READ_SIZE      65536
+/* Set for both ends, so that a flood fills them on any machine. */
+#define SOCKET_BUFFER_SIZE 65536
 /* Longest wait for what must happen. */
 #define WAIT_MS 20000
 
@@ -156,11 +158,14 @@
 	struct tcp_link_ops ops = {
 	    on_opened, on_received, on_ended, on_closed, fixture};
 	socklen_t size = sizeof(address);
+	int buffer_size = SOCKET_BUFFER_SIZE;
 	int listen_fd;
 
 	memset(fixture, 0, sizeof(*fixture));
 	uv_loop_init(&fixture->loop);
 	listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(listen_fd, SOL_SOCKET, SO_RCVBUF, &buffer_size,
+	    sizeof(buffer_size));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	assert_int_equal(bind(listen_fd, (struct sockaddr *)&address, size), 0);
 	assert_int_equal(listen(listen_fd, 1), 0);
@@ -173,6 +178,7 @@
 	close(listen_fd);
 	while (!fixture->is_open)
 		uv_run(&fixture->loop, UV_RUN_ONCE);
+	uv_send_buffer_size((uv_handle_t *)&fixture->link.tcp, &buffer_size);
 }
 
 static void
