reply_head copies a line once

runs_into_another() and read_field() each made a copy of it, and the status was read by hand because the line had no end. Now the line is text from the start. The same lines are taken and refused: test_stray_answers, test_cli_client and test_upstream_http green, unchanged.

--- a/src/transport/reply_head.c
+++ b/src/transport/reply_head.c
@@ -9,37 +9,33 @@
 
 #define HEADS_SIZE_MAX	  65536 /* Largest heads with interim ones. */
 #define DECIMAL		  10	/* Base of numbers. */
+#define DIGITS		  "0123456789"
 #define HEX_DIGITS	  "0123456789abcdefABCDEF"
 #define REQUEST_ID_DIGITS 16
-#define VERSION_PREFIX	  "HTTP/" /* Start of a status line. */
-#define VERSION_SIZE	  (sizeof(VERSION_PREFIX) - 1)
-/* Start of one of the version that is spoken here; a digit, a blank and the status
- * follow. */
-#define VERSION_1_PREFIX "HTTP/1."
-#define VERSION_1_SIZE	 (sizeof(VERSION_1_PREFIX) - 1)
-#define STATUS_OFFSET	 (VERSION_1_SIZE + 2)
-#define STATUS_SIZE	 3   /* Digits of a status. */
+#define VERSION_PREFIX	  "HTTP/"   /* Start of a status line. */
+#define VERSION_1_PREFIX  "HTTP/1." /* That of the version spoken here. */
+/* Bytes before the status: that prefix, a digit and a blank. */
+#define STATUS_OFFSET	 (sizeof(VERSION_1_PREFIX) - 1 + 2)
+#define STATUS_DIGITS	 3   /* Digits of a status. */
 #define FINAL_STATUS_MIN 200 /* Lower ones belong to interim replies. */
 #define SUCCESS_END	 300 /* Lower final statuses report success. */
 
-/* Bytes that may follow the status. */
-static const char status_ends[] = {' ', '\r', '\n'};
-
-static bool runs_into_another(const char *line, size_t size, bool is_status);
+static enum error_code read_line(
+    struct reply_head *head, char *line, size_t size);
 static enum error_code read_status_line(
-    struct reply_head *head, const char *line, size_t size);
-static uint32_t parse_status(const char *line, size_t size);
+    struct reply_head *head, const char *line);
+static uint32_t parse_status(const char *line);
 static enum error_code end_head(struct reply_head *head);
-static enum error_code read_field(
-    struct reply_head *head, const char *line, size_t size);
+static enum error_code read_field(struct reply_head *head, char *line);
 static void read_request_id(struct reply_head *head, const char *value);
 static enum error_code read_length(struct reply_head *head, const char *value);
-static bool is_empty_line(const char *line, size_t size);
+static bool is_empty_line(const char *line);
 
 enum error_code
 reply_head_add_line(struct reply_head *head, const char *line, size_t size)
 {
-	bool is_status;
+	enum error_code error;
+	char *text;
 
 	head->size += size;
 	if (head->size > HEADS_SIZE_MAX)
@@ -47,17 +43,10 @@
 	/* Behind the head come the fields of the trailer. */
 	if (head->is_complete)
 		return ERROR_NONE;
-	is_status = size >= VERSION_SIZE &&
-		    memcmp(line, VERSION_PREFIX, VERSION_SIZE) == 0;
-	if (runs_into_another(line, size, is_status))
-		return ERROR_MALFORMED;
-	if (is_status)
-		return read_status_line(head, line, size);
-	if (is_empty_line(line, size))
-		return end_head(head);
-	if (!http_is_field_line(line, size))
-		return ERROR_MALFORMED;
-	return read_field(head, line, size);
+	text = g_strndup(line, size);
+	error = read_line(head, text, size);
+	g_free(text);
+	return error;
 }
 
 bool
@@ -77,24 +66,27 @@
 	       http_status_has_no_body((uint32_t)head->status);
 }
 
-/* True if a line contains the status line of another reply, behind its own start if
- * it is one itself. */
-static bool
-runs_into_another(const char *line, size_t size, bool is_status)
+/* Reads a line as text, which it may change. */
+static enum error_code
+read_line(struct reply_head *head, char *line, size_t size)
 {
-	char *text;
-	bool is_joined;
+	bool is_status = g_str_has_prefix(line, VERSION_PREFIX);
 
-	if (size < VERSION_SIZE)
-		return false;
-	text = g_strndup(line, size);
-	is_joined = http_has_status_line(text + (is_status ? 1 : 0));
-	g_free(text);
-	return is_joined;
+	/* Another reply begins in the line, behind its own start if it is a
+	 * status line itself. */
+	if (http_has_status_line(line + (is_status ? 1 : 0)))
+		return ERROR_MALFORMED;
+	if (is_status)
+		return read_status_line(head, line);
+	if (is_empty_line(line))
+		return end_head(head);
+	if (!http_is_field_line(line, size))
+		return ERROR_MALFORMED;
+	return read_field(head, line);
 }
 
 static enum error_code
-read_status_line(struct reply_head *head, const char *line, size_t size)
+read_status_line(struct reply_head *head, const char *line)
 {
 	size_t read;
 
@@ -102,31 +94,29 @@
 	read = head->size;
 	memset(head, 0, sizeof(*head));
 	head->size = read;
-	head->status = parse_status(line, size);
+	head->status = parse_status(line);
 	return http_is_status(head->status) ? ERROR_NONE : ERROR_MALFORMED;
 }
 
 /* Returns the three digits behind "HTTP/1.x " as a number, or 0 if a line begins
  * otherwise or something else than a blank or the line's end follows them. */
 static uint32_t
-parse_status(const char *line, size_t size)
+parse_status(const char *line)
 {
-	const char *status = line + STATUS_OFFSET;
-	uint32_t i, number;
-
-	if (size <= STATUS_OFFSET + STATUS_SIZE ||
-	    memcmp(line, VERSION_1_PREFIX, VERSION_1_SIZE) != 0 ||
-	    !g_ascii_isdigit(status[-2]) || status[-1] != ' ' ||
-	    memchr(status_ends, status[STATUS_SIZE], sizeof(status_ends)) ==
-		NULL)
+	const char *status;
+	char next;
+
+	if (!g_str_has_prefix(line, VERSION_1_PREFIX) ||
+	    !g_ascii_isdigit(line[STATUS_OFFSET - 2]) ||
+	    line[STATUS_OFFSET - 1] != ' ')
+		return 0;
+	status = line + STATUS_OFFSET;
+	if (strspn(status, DIGITS) != STATUS_DIGITS)
+		return 0;
+	next = status[STATUS_DIGITS];
+	if (next != ' ' && next != '\r' && next != '\n')
 		return 0;
-	number = 0;
-	for (i = 0; i < STATUS_SIZE; i++) {
-		if (!g_ascii_isdigit(status[i]))
-			return 0;
-		number = number * DECIMAL + (uint32_t)(status[i] - '0');
-	}
-	return number;
+	return (uint32_t)strtoul(status, NULL, DECIMAL);
 }
 
 /* A success that says that nothing ran contradicts itself. */
@@ -140,29 +130,26 @@
 		   : ERROR_NONE;
 }
 
+/* Reads a line that http_is_field_line() accepts. */
 static enum error_code
-read_field(struct reply_head *head, const char *line, size_t size)
+read_field(struct reply_head *head, char *line)
 {
-	enum error_code error;
-	char *field, *value;
+	char *value;
 
-	field = g_strndup(line, size);
-	value = strchr(field, ':');
+	value = strchr(line, ':');
 	*value++ = '\0';
 	g_strstrip(value);
-	error = ERROR_NONE;
-	if (g_ascii_strcasecmp(field, "x-request-outcome") == 0)
+	if (g_ascii_strcasecmp(line, "x-request-outcome") == 0)
 		head->says_not_run = strcmp(value, "not_run") == 0;
-	else if (g_ascii_strcasecmp(field, "x-request-id") == 0)
+	else if (g_ascii_strcasecmp(line, "x-request-id") == 0)
 		read_request_id(head, value);
-	else if (g_ascii_strcasecmp(field, "x-request-attempt") == 0)
+	else if (g_ascii_strcasecmp(line, "x-request-attempt") == 0)
 		head->attempt = (uint32_t)strtoul(value, NULL, DECIMAL);
-	else if (g_ascii_strcasecmp(field, "content-length") == 0)
-		error = read_length(head, value);
-	else if (g_ascii_strcasecmp(field, "transfer-encoding") == 0)
+	else if (g_ascii_strcasecmp(line, "content-length") == 0)
+		return read_length(head, value);
+	else if (g_ascii_strcasecmp(line, "transfer-encoding") == 0)
 		head->is_chunked = g_ascii_strcasecmp(value, "chunked") == 0;
-	g_free(field);
-	return error;
+	return ERROR_NONE;
 }
 
 /* Reads an id of 16 hexadecimal digits. Another value is a number that the
@@ -194,8 +181,7 @@
 }
 
 static bool
-is_empty_line(const char *line, size_t size)
+is_empty_line(const char *line)
 {
-	return (size == 2 && line[0] == '\r' && line[1] == '\n') ||
-	       (size == 1 && line[0] == '\n');
+	return strcmp(line, "\r\n") == 0 || strcmp(line, "\n") == 0;
 }
