--- a/src/transport/tcp_link.c
+++ b/src/transport/tcp_link.c
@@ -230,7 +230,7 @@
 static void
 note_write_error(struct tcp_link *link, int status)
 {
-	if (status < 0 && status != UV_EPIPE && status != UV_ECANCELED)
+	if (status < 0 && status != UV_EPIPE)
 		link->is_broken = true;
 }
 
