json_call parses a reply once and gives out its JSON only

The body of an error was parsed by json_call and again by upstream_reply, which now reads what was parsed.

--- a/src/cli/cli_client.c
+++ b/src/cli/cli_client.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "transport/json_call.h"
 
 /* The client waits this much longer than the host, so that the host's own
@@ -113,8 +115,7 @@
 	/* A read without an answer has changed nothing. */
 	else if (error == ERROR_OUTCOME_UNKNOWN && body == NULL)
 		error = ERROR_CONNECTION;
-	*reply = json_incref(received.root);
-	json_reply_finish(&received);
+	*reply = received.root;
 	g_free(url);
 	return error;
 }
--- a/src/transport/json_call.c
+++ b/src/transport/json_call.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <curl/curl.h>
+#include <glib.h>
 
 #include "transport/reply_head.h"
 
@@ -14,12 +15,13 @@
 	struct curl_slist *headers;
 	char *body_text; /* Body of the request, or NULL. */
 	struct reply_head head;
-	struct json_reply *reply;
+	GString *reply_text; /* Body of the reply so far. */
 };
 
 static enum error_code prepare(struct transfer *transfer);
 static void add_header(struct transfer *transfer, const char *line);
-static enum error_code perform(struct transfer *transfer);
+static enum error_code perform(
+    struct transfer *transfer, struct json_reply *reply);
 static size_t read_header(char *line, size_t size, size_t count, void *context);
 static size_t append_reply(
     char *bytes, size_t size, size_t count, void *context);
@@ -27,28 +29,21 @@
 enum error_code
 json_call_perform(const struct json_call *call, struct json_reply *reply)
 {
-	struct transfer transfer = {.call = call, .reply = reply};
+	struct transfer transfer = {.call = call};
 	enum error_code error;
 
 	memset(reply, 0, sizeof(*reply));
+	transfer.reply_text = g_string_new(NULL);
 	error = prepare(&transfer);
 	if (error == ERROR_NONE)
-		error = perform(&transfer);
+		error = perform(&transfer, reply);
 	curl_easy_cleanup(transfer.curl);
 	curl_slist_free_all(transfer.headers);
 	free(transfer.body_text);
+	g_string_free(transfer.reply_text, TRUE);
 	return error;
 }
 
-void
-json_reply_finish(struct json_reply *reply)
-{
-	if (reply->text != NULL)
-		g_string_free(reply->text, TRUE);
-	json_decref(reply->root);
-	memset(reply, 0, sizeof(*reply));
-}
-
 static enum error_code
 prepare(struct transfer *transfer)
 {
@@ -60,7 +55,6 @@
 	if (curl == NULL)
 		return ERROR_NO_MEMORY;
 	transfer->curl = curl;
-	transfer->reply->text = g_string_new(NULL);
 	add_header(transfer, "Content-Type: application/json");
 	if (call->token != NULL) {
 		authorization =
@@ -105,9 +99,8 @@
 }
 
 static enum error_code
-perform(struct transfer *transfer)
+perform(struct transfer *transfer, struct json_reply *reply)
 {
-	struct json_reply *reply = transfer->reply;
 	CURLcode result;
 	long sent;
 
@@ -117,7 +110,8 @@
 	if (result != CURLE_OK || !transfer->head.is_complete)
 		return sent == 0 ? ERROR_CONNECTION : ERROR_OUTCOME_UNKNOWN;
 	reply->status = transfer->head.status;
-	reply->root = json_loadb(reply->text->str, reply->text->len, 0, NULL);
+	reply->root = json_loadb(
+	    transfer->reply_text->str, transfer->reply_text->len, 0, NULL);
 	return ERROR_NONE;
 }
 
@@ -136,7 +130,7 @@
 append_reply(char *bytes, size_t size, size_t count, void *context)
 {
 	struct transfer *transfer = context;
-	GString *text = transfer->reply->text;
+	GString *text = transfer->reply_text;
 
 	if (text->len + size * count > transfer->call->reply_size_max)
 		return 0;
--- a/src/transport/json_call.h
+++ b/src/transport/json_call.h
@@ -14,7 +14,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include <glib.h>
 #include <jansson.h>
 
 #include "base/error_code.h"
@@ -31,19 +30,16 @@
 	bool uses_proxy; /**< Follows the proxy settings of the environment. */
 };
 
-/** A whole reply; the status and the JSON of another one are 0 and NULL. */
+/** A whole reply; all zero if none came. */
 struct json_reply {
 	uint32_t status; /**< HTTP status. */
-	GString *text;	 /**< Body as it came, or NULL. */
 	json_t *root;	 /**< The body as JSON, NULL if it is none. */
 };
 
-/** Makes a call. The caller finishes @p reply whatever is returned. Errors:
- * ERROR_CONNECTION if nothing was sent, ERROR_OUTCOME_UNKNOWN if no whole reply came
- * afterwards, ERROR_NO_MEMORY. */
+/** Makes a call. The caller releases the JSON in @p reply whatever is returned.
+ * Errors: ERROR_CONNECTION if nothing was sent, ERROR_OUTCOME_UNKNOWN if no whole
+ * reply came afterwards, ERROR_NO_MEMORY. */
 enum error_code json_call_perform(
     const struct json_call *call, struct json_reply *reply);
-/** Frees what a reply holds. */
-void json_reply_finish(struct json_reply *reply);
 
 #endif
--- a/src/transport/upstream_control.c
+++ b/src/transport/upstream_control.c
@@ -222,7 +222,7 @@
 		error = ERROR_MALFORMED;
 
 done:
-	json_reply_finish(&received);
+	json_decref(received.root);
 	json_decref(body);
 	return error;
 }
@@ -251,8 +251,7 @@
 	struct piece piece = {
 	    .error = ERROR_OUTCOME_UNKNOWN, .outcome = REQUEST_OUTCOME_FAILED};
 
-	if (!upstream_reply_parse_error(
-		reply->text->str, reply->text->len, &piece) ||
+	if (!upstream_reply_read_error(reply->root, &piece) ||
 	    piece.outcome == REQUEST_OUTCOME_UNKNOWN)
 		return ERROR_OUTCOME_UNKNOWN;
 	return piece.error;
--- a/src/transport/upstream_reply.c
+++ b/src/transport/upstream_reply.c
@@ -58,13 +58,21 @@
 	json_t *root;
 
 	root = json_loadb(body, size, 0, NULL);
-	is_own = !names_other(root, piece);
-	if (is_own && json_is_object(json_object_get(root, "error")))
-		parse_error(root, piece);
+	is_own = upstream_reply_read_error(root, piece);
 	json_decref(root);
 	return is_own;
 }
 
+bool
+upstream_reply_read_error(const json_t *root, struct piece *piece)
+{
+	if (names_other(root, piece))
+		return false;
+	if (json_is_object(json_object_get(root, "error")))
+		parse_error(root, piece);
+	return true;
+}
+
 const char *
 upstream_order_verb_name(enum upstream_order_verb verb)
 {
--- a/src/transport/upstream_reply.h
+++ b/src/transport/upstream_reply.h
@@ -8,6 +8,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include <jansson.h>
+
 #include "base/error_code.h"
 #include "protocol/sse.h"
 #include "state/request.h"
@@ -25,6 +27,8 @@
  * than the piece. */
 bool upstream_reply_parse_error(
     const char *body, size_t size, struct piece *piece);
+/** The same of a body that was parsed already, NULL if it is no JSON. */
+bool upstream_reply_read_error(const json_t *root, struct piece *piece);
 
 /** Returns the name of an order's verb as sent to engines, NULL if unknown. */
 const char *upstream_order_verb_name(enum upstream_order_verb verb);
