Tests: one way to end a connection, to run an attempt, and to fill in a line

test_tcp_link and test_upstream_pool each ended connections in their own way (now loopback_end()), test_stray_answers started attempts in two places, and two tests put lines into answers alike (head_line_fill()).

--- a/tests/head_lines.h
+++ b/tests/head_lines.h
@@ -20,4 +20,7 @@
 	    "Transfer-Encoding : chunked", "Transfer-Encoding\001: chunked",   \
 	    "Transfer-Encoding\177: chunked"
 
+/** Returns an answer with a line in place of its mark "%s". The caller frees it. */
+char *head_line_fill(const char *answer, const char *line);
+
 #endif
--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -1,7 +1,10 @@
+#define _GNU_SOURCE /* For POLLRDHUP. */
+
 #include "loopback.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,6 +13,8 @@
 #define PORT_FIRST	  20000
 #define PORT_COUNT	  12000
 #define PORTS_PER_PROCESS 97
+/* Longest wait for what a socket is to see. */
+#define AWAIT_MS 20000
 
 uint16_t
 loopback_listen_at(int *fd, uint16_t port)
@@ -105,3 +110,32 @@
 		abort();
 	return fd;
 }
+
+void
+loopback_end(int *fd, enum loopback_end end, int other_fd)
+{
+	struct linger linger = {1, 0};
+
+	if (end != LOOPBACK_RESETS) {
+		if (shutdown(*fd, SHUT_WR) != 0)
+			abort();
+		loopback_await(other_fd, POLLRDHUP);
+	}
+	if (end == LOOPBACK_SENDS_END)
+		return;
+	setsockopt(*fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(*fd);
+	*fd = -1;
+	loopback_await(other_fd, POLLHUP);
+}
+
+void
+loopback_await(int fd, short events)
+{
+	struct pollfd polled = {.fd = fd, .events = events};
+
+	while ((polled.revents & events) != events) {
+		if (poll(&polled, 1, AWAIT_MS) != 1)
+			abort();
+	}
+}
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -8,6 +8,13 @@
 
 #include <stdint.h>
 
+/** How one end of a connection ends it. */
+enum loopback_end {
+	LOOPBACK_SENDS_END = 1, /**< Shuts its sending side down; stays open. */
+	LOOPBACK_RESETS = 2,	/**< Resets it and closes its socket. */
+	LOOPBACK_SENDS_END_AND_RESETS = 3,
+};
+
 /** Listens on a port that the kernel chooses, and returns it. */
 uint16_t loopback_listen(int *fd);
 /** Listens on this port. Returns it, or 0 if it is taken. */
@@ -29,5 +36,12 @@
 uint16_t loopback_hold_port(int *fd);
 /** Connects to a port and returns the socket. */
 int loopback_connect(uint16_t port);
+/** Ends a connection of which @p fd is one end, and sets it to -1 if that closes it.
+ * The other end, @p other_fd, knows it when this returns, and has been told
+ * nothing yet: its next read or write is the first to meet the end. */
+void loopback_end(int *fd, enum loopback_end end, int other_fd);
+/** Waits until a socket has seen all of some events (poll(2)), without taking
+ * them. */
+void loopback_await(int fd, short events);
 
 #endif
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -31,7 +31,7 @@
 #define WAIT_US	    10000
 #define SILENCE_MS  4000
 #define READ_SIZE   4096
-#define STATUS_MAX  599 /* Highest one of HTTP. */
+#define STATUS_MAX  599 /* Highest status of HTTP. */
 
 /* The body of an answer and of each event; no other text of an answer may be in
  * a success. */
@@ -850,17 +850,16 @@
 {
 	struct findings findings = {.is_forwarded = is_forwarded};
 	struct broken_case c;
-	GString *answer;
+	char *answer;
 	size_t i, j;
 
 	for (i = 0; i < G_N_ELEMENTS(no_fields); i++) {
 		for (j = 0; j < G_N_ELEMENTS(line_cases); j++) {
 			c = line_cases[j];
-			answer = g_string_new(c.first);
-			g_string_replace(answer, "%s", no_fields[i], 1);
-			c.first = answer->str;
+			answer = head_line_fill(c.first, no_fields[i]);
+			c.first = answer;
 			run_case(&c, &findings);
-			g_string_free(answer, TRUE);
+			g_free(answer);
 		}
 	}
 	assert_int_equal(findings.count, 0);
--- a/tests/test_stray_answers.c
+++ b/tests/test_stray_answers.c
@@ -158,6 +158,19 @@
 	exchange->last = piece;
 }
 
+/* Runs a plain call or a prompt, and collects what comes of it. */
+static void
+run_attempt(struct exchange *exchange, bool is_plain)
+{
+	if (is_plain)
+		upstream_http_adapter.call(
+		    &exchange->http, &exchange->call, exchange->queue);
+	else
+		upstream_http_adapter.generate(
+		    &exchange->http, &exchange->call, exchange->queue);
+	collect(exchange);
+}
+
 /* Runs one attempt against an answer. Returns 1 if it ends otherwise than it must,
  * else 0. */
 static uint32_t
@@ -167,13 +180,7 @@
 	bool is_wrong;
 
 	open_exchange(&exchange, item->reply, item->end);
-	if (is_plain)
-		upstream_http_adapter.call(
-		    &exchange.http, &exchange.call, exchange.queue);
-	else
-		upstream_http_adapter.generate(
-		    &exchange.http, &exchange.call, exchange.queue);
-	collect(&exchange);
+	run_attempt(&exchange, is_plain);
 	is_wrong = exchange.texts != item->texts ||
 		   exchange.last.kind != item->kind ||
 		   exchange.last.outcome != item->outcome;
@@ -315,17 +322,6 @@
 	assert_int_equal(wrong, 0);
 }
 
-/* Returns a reply with a text at its mark "%s". The caller frees it. */
-static char *
-fill_mark(const char *reply, const char *text)
-{
-	GString *filled;
-
-	filled = g_string_new(reply);
-	g_string_replace(filled, "%s", text, 1);
-	return g_string_free(filled, FALSE);
-}
-
 /* Return 1 if a reply to a plain call or to a prompt is taken for an answer or for a
  * promise, else 0. */
 static uint32_t
@@ -363,7 +359,7 @@
 	believed = 0;
 	for (i = 0; i < text_count; i++) {
 		for (j = 0; j < reply_count; j++) {
-			reply = fill_mark(replies[j], texts[i]);
+			reply = head_line_fill(replies[j], texts[i]);
 			believed += find(reply);
 			g_free(reply);
 		}
@@ -371,7 +367,7 @@
 	return believed;
 }
 
-/* The same of two lists. */
+/* count_believed() over two lists. */
 #define COUNT_BELIEVED(find, replies, texts)                                   \
 	count_believed(find, replies, COUNT(replies), texts, COUNT(texts))
 
@@ -448,12 +444,13 @@
     "X-A: : ,;=\"\\",
 };
 
-/* Replies; the line stands at the mark "%s". */
 #define EMPTY "Connection: close\r\nContent-Length: 0\r\n\r\n"
+/* Replies with the line at the mark "%s". */
 static const struct line_reply {
 	const char *text;
 	bool is_plain;
-	/* Of the reply with a sound line; nothing ran if it is a failure. */
+	/* How an attempt ends if the line is a field. A failure then says that
+	 * nothing ran. */
 	enum piece_kind kind;
 } line_replies[] = {
     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s\r\n\r\nok", true,
@@ -487,7 +484,7 @@
 
 	wrong = 0;
 	for (i = 0; i < COUNT(line_replies); i++) {
-		reply = fill_mark(line_replies[i].text, line);
+		reply = head_line_fill(line_replies[i].text, line);
 		memset(&item, 0, sizeof(item));
 		item.name = reply;
 		item.reply = reply;
@@ -919,13 +916,7 @@
 		shared_text_unref(exchange.call.body);
 		exchange.call.body = shared_text_copy(prompt, PROMPT_SIZE);
 		exchange.call.body_size = PROMPT_SIZE;
-		if (cases[i].is_plain)
-			upstream_http_adapter.call(
-			    &exchange.http, &exchange.call, exchange.queue);
-		else
-			upstream_http_adapter.generate(
-			    &exchange.http, &exchange.call, exchange.queue);
-		collect(&exchange);
+		run_attempt(&exchange, cases[i].is_plain);
 		close_exchange(&exchange);
 		if (exchange.last.kind != PIECE_KIND_FAILED ||
 		    exchange.last.outcome != REQUEST_OUTCOME_UNKNOWN)
--- a/tests/test_tcp_link.c
+++ b/tests/test_tcp_link.c
@@ -1,8 +1,6 @@
 /*
  * Tests of how a TCP link reports the end of its connection.
  */
-#define _GNU_SOURCE /* POLLRDHUP */
-
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -18,22 +16,15 @@
 
 #include <cmocka.h>
 
+#include "loopback.h"
 #include "transport/tcp_link.h"
 
 #define FLOOD_BYTES    ((size_t)8 * 1024 * 1024)
 #define PASS_BYTES_MAX ((size_t)512 * 1024)
 #define READ_SIZE      65536
-/* Set for both ends, so that a flood fills them on any machine. */
+/* Bytes of the socket buffers of both ends, so that a flood fills them on any
+ * machine. */
 #define SOCKET_BUFFER_SIZE 65536
-/* Longest wait for what must happen. */
-#define WAIT_MS 20000
-
-/* How a peer ends its connection. */
-enum peer_end {
-	PEER_SENDS_END = 1,
-	PEER_RESETS = 2,
-	PEER_SENDS_END_AND_RESETS = 3,
-};
 
 /* Where a write of the link comes between the end of the connection and the read
  * that finds it. */
@@ -53,9 +44,11 @@
 struct fixture {
 	uv_loop_t loop;
 	struct tcp_link link;
-	int peer_fd;		    /* Other end of the connection. */
-	enum peer_end end_on_input; /* Done in on_received(), 0 for nothing. */
-	enum peer_end end_on_queue; /* Done before a rest is queued. */
+	int peer_fd; /* Other end of the connection. */
+	/* How the peer ends the connection within on_received(), 0 if it does
+	 * not, and before a rest is queued. */
+	enum loopback_end end_on_input;
+	enum loopback_end end_on_queue;
 	bool is_open;
 	size_t received;
 	bool has_ended;
@@ -66,36 +59,20 @@
 /* The fixture whose peer ends the connection before a rest is queued. */
 static struct fixture *queue_fixture;
 
-/* Waits until the link's socket has seen some events, without taking them. */
-static void
-await_events(struct fixture *fixture, short events)
+static int
+link_socket(const struct fixture *fixture)
 {
-	struct pollfd polled = {.events = events};
 	uv_os_fd_t fd;
 
-	assert_int_equal(uv_fileno((uv_handle_t *)&fixture->link.tcp, &fd), 0);
-	polled.fd = fd;
-	while ((polled.revents & events) != events)
-		assert_int_equal(poll(&polled, 1, WAIT_MS), 1);
+	assert_int_equal(
+	    uv_fileno((const uv_handle_t *)&fixture->link.tcp, &fd), 0);
+	return fd;
 }
 
-/* Ends the connection; the link's socket knows it when this returns. */
 static void
-end_peer(struct fixture *fixture, enum peer_end end)
+end_peer(struct fixture *fixture, enum loopback_end end)
 {
-	struct linger linger = {1, 0};
-
-	if (end != PEER_RESETS) {
-		assert_int_equal(shutdown(fixture->peer_fd, SHUT_WR), 0);
-		await_events(fixture, POLLRDHUP);
-	}
-	if (end == PEER_SENDS_END)
-		return;
-	setsockopt(
-	    fixture->peer_fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-	close(fixture->peer_fd);
-	fixture->peer_fd = -1;
-	await_events(fixture, POLLHUP);
+	loopback_end(&fixture->peer_fd, end, link_socket(fixture));
 }
 
 /* Takes the place of uv_write() for the code under test. */
@@ -249,11 +226,8 @@
 drain_peer(struct fixture *fixture)
 {
 	char bytes[READ_SIZE];
-	uv_os_fd_t fd;
-	struct pollfd polled = {.events = POLLOUT};
+	struct pollfd polled = {.fd = link_socket(fixture), .events = POLLOUT};
 
-	assert_int_equal(uv_fileno((uv_handle_t *)&fixture->link.tcp, &fd), 0);
-	polled.fd = fd;
 	while (poll(&polled, 1, 0) == 0)
 		(void)recv(
 		    fixture->peer_fd, bytes, sizeof(bytes), MSG_DONTWAIT);
@@ -262,7 +236,7 @@
 /* Brings about the end of the connection behind "half", and the write that meets
  * it, if any, before the link reads the end. */
 static void
-end_around_write(struct fixture *fixture, enum peer_end end,
+end_around_write(struct fixture *fixture, enum loopback_end end,
     enum link_write write, uv_prepare_t *prepare)
 {
 	if (write == QUEUED_REST_FAILS) {
@@ -272,7 +246,7 @@
 		fixture->end_on_input = end;
 	}
 	assert_int_equal(send(fixture->peer_fd, "half", 4, 0), 4);
-	await_events(fixture, POLLIN);
+	loopback_await(link_socket(fixture), POLLIN);
 	if (write == NO_WRITE || write == WRITE_FAILS_AT_ONCE)
 		end_peer(fixture, end);
 	if (write == WRITE_FAILS_AT_ONCE)
@@ -295,21 +269,21 @@
 	struct fixture fixture;
 	uv_prepare_t prepare;
 	enum link_write write;
-	enum peer_end end;
+	enum loopback_end end;
 	uint32_t wrong;
 
 	(void)state;
 	wrong = 0;
 	for (write = NO_WRITE; write <= QUEUED_REST_FAILS; write++) {
-		for (end = PEER_SENDS_END; end <= PEER_SENDS_END_AND_RESETS;
-		     end++) {
+		for (end = LOOPBACK_SENDS_END;
+		     end <= LOOPBACK_SENDS_END_AND_RESETS; end++) {
 			open_fixture(&fixture);
 			end_around_write(&fixture, end, write, &prepare);
 			while (!fixture.has_ended)
 				uv_run(&fixture.loop, UV_RUN_ONCE);
 			assert_null(queue_fixture);
 			assert_int_equal(fixture.received, 4);
-			if (fixture.was_clean != (end != PEER_RESETS)) {
+			if (fixture.was_clean != (end != LOOPBACK_RESETS)) {
 				print_error("write %d, end %d: clean %d\n",
 				    write, end, fixture.was_clean);
 				wrong++;
--- a/tests/test_upstream_pool.c
+++ b/tests/test_upstream_pool.c
@@ -2,8 +2,6 @@
  * Tests of the pool of connections to upstreams: bytes that belong to no call, and
  * answers to earlier requests, reach no later call on the same connection.
  */
-#define _GNU_SOURCE /* POLLRDHUP */
-
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -15,12 +13,12 @@
 #include <arpa/inet.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cmocka.h>
 
+#include "loopback.h"
 #include "transport/upstream_pool.h"
 
 #define ID_FIELD	"Attempt-Id"
@@ -32,26 +30,19 @@
 /* Longest wait for what must happen. */
 #define ROUNDS_MAX 3000
 #define ROUND_US   1000
-#define WAIT_MS	   20000
 
 #define ANSWER(status, id, fields)                                             \
 	"HTTP/1.1 " status "\r\n" ID_FIELD ": " id "\r\n" fields "\r\n"
 #define OK_ANSWER(id) ANSWER("200 OK", id, "Content-Length: 2\r\n") "ok"
 
-/* How an upstream ends a connection. */
-enum upstream_end {
-	UPSTREAM_SENDS_END = 1,
-	UPSTREAM_RESETS = 2,
-	UPSTREAM_SENDS_END_AND_RESETS = 3,
-};
-
 /* An answer that comes before the upstream reads the request, and how its
  * connection ends. */
 struct early_answer {
 	const char *text;
 	const char *body; /* What is received of its body. */
-	enum upstream_end end;
-	enum error_code error; /* ERROR_NONE if it is whole. */
+	enum loopback_end end;
+	/* How the call fails; ERROR_NONE if the answer is whole. */
+	enum error_code error;
 };
 
 /* A pool, and an upstream that the test plays itself. */
@@ -162,8 +153,10 @@
 	upstream_pool_finish(&fixture->pool);
 	timer_finish(&fixture->timers);
 	uv_loop_close(&fixture->loop);
-	for (i = 0; i < fixture->peer_count; i++)
-		close(fixture->peers[i]);
+	for (i = 0; i < fixture->peer_count; i++) {
+		if (fixture->peers[i] >= 0)
+			close(fixture->peers[i]);
+	}
 	close(fixture->listen_fd);
 }
 
@@ -266,25 +259,15 @@
 static void
 give_early_answer(struct fixture *fixture, const struct early_answer *answer)
 {
-	struct pollfd polled = {.events = POLLRDHUP};
-	struct linger linger = {1, 0};
-	int fd;
+	int *peer = &fixture->peers[0];
+	int pool_fd;
 
-	fd = accept(fixture->listen_fd, NULL, NULL);
-	assert_true(fd >= 0);
-	fixture->peers[fixture->peer_count++] = fd;
+	*peer = accept(fixture->listen_fd, NULL, NULL);
+	assert_true(*peer >= 0);
+	fixture->peer_count = 1;
 	write_unread(fixture, 0, answer->text);
-	if (answer->end != UPSTREAM_RESETS)
-		assert_int_equal(shutdown(fd, SHUT_WR), 0);
-	if (answer->end != UPSTREAM_SENDS_END) {
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-		/* Closes the connection, and keeps the number in use. */
-		assert_int_equal(dup2(fixture->listen_fd, fd), fd);
-		polled.events = POLLHUP;
-	}
-	uv_walk(&fixture->loop, find_socket, &polled.fd);
-	while ((polled.revents & polled.events) == 0)
-		assert_int_equal(poll(&polled, 1, WAIT_MS), 1);
+	uv_walk(&fixture->loop, find_socket, &pool_fd);
+	loopback_end(peer, answer->end, pool_fd);
 }
 
 /* Carries a call over the first connection, which is kept then. */
@@ -411,30 +394,30 @@
 test_early_answer_is_whole_or_incomplete(void **state)
 {
 	static const struct early_answer answers[] = {
-	    {ANSWER("200 OK", "a", "") "bo", "bo", UPSTREAM_RESETS,
+	    {ANSWER("200 OK", "a", "") "bo", "bo", LOOPBACK_RESETS,
 		ERROR_INCOMPLETE},
 	    {"HTTP/1.0 200 OK\r\n" ID_FIELD ": a\r\n\r\nbo", "bo",
-		UPSTREAM_RESETS, ERROR_INCOMPLETE},
+		LOOPBACK_RESETS, ERROR_INCOMPLETE},
 	    {ANSWER("200 OK", "a",
 		 "Content-Type: text/event-stream\r\n") "data: a\n\n",
-		"data: a\n\n", UPSTREAM_RESETS, ERROR_INCOMPLETE},
+		"data: a\n\n", LOOPBACK_RESETS, ERROR_INCOMPLETE},
 	    {ANSWER("200 OK", "a", "Content-Length: 4\r\n") "bo", "bo",
-		UPSTREAM_RESETS, ERROR_INCOMPLETE},
+		LOOPBACK_RESETS, ERROR_INCOMPLETE},
 	    {ANSWER(
 		 "200 OK", "a", "Transfer-Encoding: chunked\r\n") "2\r\nbo\r\n",
-		"bo", UPSTREAM_RESETS, ERROR_INCOMPLETE},
+		"bo", LOOPBACK_RESETS, ERROR_INCOMPLETE},
 	    {ANSWER("200 OK", "a", "Content-Length: 4\r\n") "body", "body",
-		UPSTREAM_RESETS, ERROR_NONE},
+		LOOPBACK_RESETS, ERROR_NONE},
 	    {ANSWER("200 OK", "a",
 		 "Transfer-Encoding: chunked\r\n") "4\r\nbody\r\n0\r\n\r\n",
-		"body", UPSTREAM_RESETS, ERROR_NONE},
-	    {ANSWER("204 No", "a", ""), "", UPSTREAM_RESETS, ERROR_NONE},
-	    {ANSWER("200 OK", "a", "") "body", "body", UPSTREAM_SENDS_END,
+		"body", LOOPBACK_RESETS, ERROR_NONE},
+	    {ANSWER("204 No", "a", ""), "", LOOPBACK_RESETS, ERROR_NONE},
+	    {ANSWER("200 OK", "a", "") "body", "body", LOOPBACK_SENDS_END,
 		ERROR_NONE},
 	    {ANSWER("200 OK", "a", "") "body", "body",
-		UPSTREAM_SENDS_END_AND_RESETS, ERROR_NONE},
+		LOOPBACK_SENDS_END_AND_RESETS, ERROR_NONE},
 	    {ANSWER("200 OK", "a", "Content-Length: 4\r\n") "bo", "bo",
-		UPSTREAM_SENDS_END_AND_RESETS, ERROR_INCOMPLETE},
+		LOOPBACK_SENDS_END_AND_RESETS, ERROR_INCOMPLETE},
 	};
 	struct fixture fixture;
 	struct result result;
