--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -98,6 +98,9 @@
             "SOAK_PORT_SHIFT": str(PAIR_PORT - PEER_PORT + self.number),
             "SOAK_FAULTS": self.faults_path,
         }
+        # Tells GLib to use malloc, which sanitizers can follow.
+        if "G_SLICE" in os.environ:
+            environment["G_SLICE"] = os.environ["G_SLICE"]
         with open(f"{self.fixture.folder}/{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 program,
