--- a/review/common-3/cluster.py
+++ b/review/common-3/cluster.py
@@ -192,10 +192,11 @@
 
 
 class Cluster:
-    """Three control hosts and some entry hosts as processes, their replicas,
-    and the operator."""
+    """Control hosts, of which the first three are the seeds, and entry hosts as
+    processes, their replicas, and the operator."""
 
-    def __init__(self, folder, entries=2, memory_mb=260):
+    def __init__(self, folder, entries=2, memory_mb=260, controls=3,
+                 tolerated=1):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.work = tempfile.mkdtemp(prefix="review-3-")
         self.net = random.randint(20, 250)
@@ -208,14 +209,17 @@
         self.ports = {name: free_port(first)
                       for name in ("front", "ready", "control")}
         self.internal = free_port(first)
-        self.controls = ["127.%d.1.%d" % (self.net, 2 + i) for i in range(3)]
+        self.controls = ["127.%d.1.%d" % (self.net, 2 + i)
+                         for i in range(controls)]
+        self.seeds = self.controls[:3]
+        self.tolerated = tolerated
         self.entries = ["127.%d.2.%d" % (self.net, 2 + i)
                         for i in range(entries)]
         self.attempts = itertools.count(1)
 
     # Processes of the project
 
-    def settings(self, ip, index, is_entry):
+    def settings(self, ip, index, is_entry, is_first=True):
         lines = {
             "nodeName": "%s-%d" % ("front" if is_entry else "core", index),
             "role": "entry" if is_entry else "control",
@@ -224,15 +228,16 @@
             "ip": ip, "zone": ZONES[index % 3], "region": "prairie",
             "internalPorts": "%d,%d" % (self.internal, self.internal + 15),
             "seeds": ",".join("%s:%d" % (seed, self.ports["control"])
-                              for seed in self.controls),
-            "bootstrap": "true", "lossCounts": str(not is_entry).lower(),
+                              for seed in self.seeds),
+            "bootstrap": str(is_first).lower(), "lossCounts": str(not is_entry).lower(),
             "limits.cpuShare": "0.25", "limits.cores": "1",
             "limits.memoryMb": str(self.memory_mb), "limits.maxFds": "4100",
             "limits.linkMbps": "1000.0", "limits.diskMb": "128",
             "discovery": "registry", "entry": "vip", "heartbeatMs": "1000",
             "contracts": "base,drain,config,cost,retry,recover,engine,"
                          "stream,tenants,places,spans",
-            "faultTolerance.machines": "1", "faultTolerance.zones": "1",
+            "faultTolerance.machines": str(self.tolerated),
+            "faultTolerance.zones": "1",
             "bounds.contactMs": "3000", "bounds.drainMs": "2000",
             "bounds.graceS": "8", "bounds.configMs": "2000",
             "bounds.retryBudgetRatio": "0.2", "bounds.budgetWindowS": "10",
@@ -251,12 +256,14 @@
             file.writelines("%s=%s\n" % item for item in lines.items())
         return path
 
-    def start_host(self, ip):
+    def start_host(self, ip, is_first=True):
+        """Starts a host; is_first says whether the whole system starts for the
+        first time."""
         is_entry = ip in self.entries
         hosts = self.entries if is_entry else self.controls
         path = os.path.join(self.work, ip + ".conf")
         if not os.path.exists(path):
-            path = self.settings(ip, hosts.index(ip), is_entry)
+            path = self.settings(ip, hosts.index(ip), is_entry, is_first)
             if not is_entry:
                 os.mkdir(os.path.join(self.work, "data-" + ip))
         command = self.commands["front" if is_entry else "control"]
