--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,67 +1,77 @@
-"""Clients read large answers slowly while their entry host is stopped as planned.
-See claim.txt.
+"""The operator takes away the keys of two tenants, one tenant after the other.
+Then requests with these keys, with a key that no config held, and without a key
+are sent. See claim.txt.
 """
 
 import asyncio
 import os
-import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "common-3"))
-from cluster import (BROKEN, HELD, ZONES, Client, Cluster, Replica, plain_answer,
-                     route, run)
+from cluster import (BROKEN, HELD, KEY, TENANT, ZONES, CannotRun, Client,
+                     Cluster, Replica, route, run)
 
-ANSWER_BYTES = 5_000_000
-READ_BYTES_PER_S = 750_000      # So a client reads its answer in 6.7 s.
-DEADLINE_MS = 9000
-CLIENTS = 4
-STOP_AFTER_S = 0.5              # From the sending of the requests to SIGTERM.
+KEYS = {TENANT: KEY, "spa-north": "r8fzq0w2mcv5xk1ty7ud"}
+NEVER_HELD = "anfqasnmgkcuyj8pjbvk"
+CONFIG_MS = 2000        # bounds.configMs
+MARGIN_MS = 1000
+REQUESTS = 5            # Requests with each key at each entry host.
 
 
-async def serve(replica, writer, headers, line, body):
-    if "/large" not in line:
-        await plain_answer(replica, writer, headers, line, body)
-        return
-    await asyncio.sleep(0.02)
-    replica.reply(writer, 200, {"Response-Seal": "seal-" + replica.name},
-                  b"x" * ANSWER_BYTES, headers)
+def tenants(names):
+    return [{"name": name, "apiKeys": [KEYS[name]], "priority": 1}
+            for name in names]
 
 
-async def read_large(cluster, ip):
-    client = Client(cluster, ip, slow=True)
-    attempt = await client.send("POST", "/book/large", b"a season of bookings",
-                                deadline_ms=DEADLINE_MS)
-    answer = await client.receive(attempt, DEADLINE_MS / 1000,
-                                  READ_BYTES_PER_S)
-    client.close()
-    return answer
+async def count_runs(cluster, replicas, keys):
+    """Sends requests with each of the keys to each entry host. Returns how many
+    ran at a replica, by key."""
+    runs = {}
+    for key in keys:
+        attempts = set()
+        for ip in cluster.entries:
+            client = Client(cluster, ip)
+            for _ in range(REQUESTS):
+                answer = await client.request("GET", "/lohu930/x", key=key)
+                attempts.add(getattr(answer, "attempt", None))
+            client.close()
+        runs[key] = sum(1 for replica in replicas for ran in replica.ran
+                        if ran[0] in attempts)
+    return runs
 
 
 async def case(folder, has_trouble):
     cluster = Cluster(folder)
     try:
-        replicas = [Replica(cluster, "i-%d" % i, "booking", ZONES[i], serve)
+        replicas = [Replica(cluster, "i-%d" % i, "chat", ZONES[i])
                     for i in range(2)]
-        await cluster.start(cluster.config(1, [
-            route("/lohu930/", "idempotent", "booking"),
-            route("/book/", "non_idempotent", "booking")]), replicas)
-        ip = cluster.entries[0]
-        reads = [asyncio.create_task(read_large(cluster, ip))
-                 for _ in range(CLIENTS)]
-        await asyncio.sleep(STOP_AFTER_S)
+        routes = [route("/lohu930/", "idempotent", "chat")]
+        everyone = list(KEYS)
+        await cluster.start(
+            cluster.config(1, routes, tenants=tenants(everyone)), replicas)
+        held = {1: everyone, 2: everyone, 3: everyone}
         if has_trouble:
-            cluster.signal(ip, signal.SIGTERM)
-        answers = await asyncio.gather(*reads)
-        lost = 0
-        for answer in answers:
-            has_run = any(answer.attempt == ran[0] for replica in replicas
-                          for ran in replica.ran)
-            print("%s: status %d, %d of %d bytes, %s, %s" % (
-                answer.attempt, answer.status, len(answer.body), ANSWER_BYTES,
-                "whole" if answer.is_whole else answer.problem,
-                "has run" if has_run else "has not run"))
-            lost += has_run and not answer.is_whole
-        return BROKEN if lost > 0 else HELD
+            held = {1: everyone, 2: everyone[1:], 3: []}
+        is_broken = False
+        for version in (1, 2, 3):
+            if version > 1:
+                answer = await cluster.order(
+                    "POST", "/v1/Config.Put", cluster.config(
+                        version, routes, tenants=tenants(held[version])))
+                if answer.status != 200:
+                    raise CannotRun("version %d was refused" % version)
+            await asyncio.sleep((CONFIG_MS + MARGIN_MS) / 1000)
+            runs = await count_runs(
+                cluster, replicas, list(KEYS.values()) + [NEVER_HELD, None])
+            allowed = [KEYS[name] for name in held[version]]
+            for key, count in runs.items():
+                is_allowed = key in allowed
+                print("version %d, tenants %s: key %s %s: %d of %d ran" % (
+                    version, held[version], key,
+                    "held" if is_allowed else "not held", count,
+                    REQUESTS * len(cluster.entries)))
+                is_broken = is_broken or (count > 0 and not is_allowed)
+        return BROKEN if is_broken else HELD
     finally:
         cluster.finish()
 
