--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,7 +8,7 @@
 	echo "target/chicorytack is missing: run the build of deploy/system.toml" >&2
 	exit 1
 }
-for file in review/common-3/cluster.py review/1[1-4]/run.py; do
+for file in review/common-3/cluster.py review/1[1-5]/run.py; do
 	python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
 python3 -c 'import asyncio, sys, tomllib; sys.exit(not hasattr(asyncio, "timeout"))'
