--- a/review/common-3/cluster.py
+++ b/review/common-3/cluster.py
@@ -279,17 +279,6 @@
         self.record.add("signal", signal.Signals(number).name, "to", ip)
         self.processes[ip].send_signal(number)
 
-    def resident_mb(self, ip):
-        """Returns the resident memory of a host's process, 0 if it ended."""
-        try:
-            with open("/proc/%d/status" % self.processes[ip].pid) as file:
-                for line in file:
-                    if line.startswith("VmRSS:"):
-                        return int(line.split()[1]) / 1024
-        except OSError:
-            pass
-        return 0
-
     # The operator, and calls to control
 
     async def call(self, ip, method, path, body=None, limit_s=1.0):
@@ -444,10 +433,8 @@
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         return attempt
 
-    async def receive(self, attempt, limit_s=6.0, bytes_per_s=None,
-                      pause=None):
-        """Receives an answer. A slow client takes bytes_per_s of its body;
-        `pause` is (bytes, seconds): it stops reading there for that long."""
+    async def receive(self, attempt, limit_s=6.0, bytes_per_s=None):
+        """Receives an answer. A slow client takes bytes_per_s of its body."""
         answer = Answer()
         answer.attempt = attempt
         try:
@@ -458,11 +445,11 @@
                 else:
                     answer.headers = head[1]
                     answer.status = int(head[0].split()[1])
-                    if bytes_per_s is None and pause is None:
+                    if bytes_per_s is None:
                         answer.body = await read_body(self.reader, head[1])
                         answer.is_whole = True
                     else:
-                        await self.read_slowly(answer, bytes_per_s, pause)
+                        await self.read_slowly(answer, bytes_per_s)
         except asyncio.IncompleteReadError as error:
             answer.problem = "channel ended within the answer"
             answer.body = answer.body or error.partial
@@ -474,11 +461,10 @@
             "whole" if answer.is_whole else "not whole: " + answer.problem)
         return answer
 
-    async def read_slowly(self, answer, bytes_per_s, pause):
+    async def read_slowly(self, answer, bytes_per_s):
         size = int(answer.headers.get("content-length", 0))
         pieces, count = [], 0
-        piece_size = 4096 if bytes_per_s is None else max(
-            1024, bytes_per_s // 50)
+        piece_size = max(1024, bytes_per_s // 50)
         try:
             while count < size:
                 piece = await self.reader.read(min(piece_size, size - count))
@@ -487,11 +473,7 @@
                     return
                 pieces.append(piece)
                 count += len(piece)
-                if pause is not None and count >= pause[0]:
-                    await asyncio.sleep(pause[1])
-                    pause = None
-                if bytes_per_s is not None:
-                    await asyncio.sleep(len(piece) / bytes_per_s)
+                await asyncio.sleep(len(piece) / bytes_per_s)
             answer.is_whole = True
         finally:
             answer.body = b"".join(pieces)
@@ -524,7 +506,7 @@
 
 
 def run(folder, case):
-    """Runs `case(cluster options...)`, a coroutine that returns HELD or BROKEN,
+    """Runs `case(folder, has_trouble)`, a coroutine that returns HELD or BROKEN,
     and exits with its result. TROUBLE=0 in the environment asks for the same
     without the disruption."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
