An empty list of accounts admits nobody

Cause: the route table created its map from key to account with the first account, and took a map that isn't there for a document without accounts, in which nobody needs a key. An empty list adds no account.

The new test failed before: test_empty_list_of_accounts_admits_nobody, "HTTP/1.1 200" != "HTTP/1.1 401".

--- a/src/relay/relay_exchange.c
+++ b/src/relay/relay_exchange.c
@@ -174,7 +174,7 @@
 	key = http_head_get(&exchange->head, dialect->account_key);
 	access.account = key == NULL ? NULL : route_table_account(table, key);
 	if (access.account == NULL && !access.route->is_public &&
-	    table->accounts_by_key != NULL)
+	    table->needs_key)
 		access.error = ERROR_UNAUTHENTICATED;
 	return access;
 }
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -44,6 +44,8 @@
 	table->services_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	table->routes_by_host_and_prefix =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	table->accounts_by_key =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	atomic_init(&table->reference_count, 1);
 	return table;
 }
@@ -62,8 +64,7 @@
 		return;
 	g_hash_table_unref(table->services_by_name);
 	g_hash_table_unref(table->routes_by_host_and_prefix);
-	if (table->accounts_by_key != NULL)
-		g_hash_table_unref(table->accounts_by_key);
+	g_hash_table_unref(table->accounts_by_key);
 	g_ptr_array_unref(table->routes);
 	g_ptr_array_unref(table->services);
 	g_ptr_array_unref(table->accounts);
@@ -136,14 +137,17 @@
 	}
 }
 
+void
+route_table_require_key(struct route_table *table)
+{
+	table->needs_key = true;
+}
+
 void
 route_table_add_account(
     struct route_table *table, struct route_account *account)
 {
 	g_ptr_array_add(table->accounts, account);
-	if (table->accounts_by_key == NULL)
-		table->accounts_by_key = g_hash_table_new_full(
-		    g_str_hash, g_str_equal, g_free, NULL);
 }
 
 enum error_code
@@ -192,8 +196,6 @@
 const struct route_account *
 route_table_account(const struct route_table *table, const char *key)
 {
-	if (table->accounts_by_key == NULL)
-		return NULL;
 	return g_hash_table_lookup(table->accounts_by_key, key);
 }
 
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -121,9 +121,10 @@
 	GHashTable *services_by_name; /**< Name to struct route_service. */
 	/** Host name and path prefix to struct route. */
 	GHashTable *routes_by_host_and_prefix;
-	/** Key to struct route_account; NULL if the document has no
-	 * accounts. */
-	GHashTable *accounts_by_key;
+	GHashTable *accounts_by_key; /**< Key to struct route_account. */
+	/** True if the document has a list of accounts, even an empty one:
+	 * callers need a key, except on public routes. */
+	bool needs_key;
 	_Atomic uint32_t reference_count; /**< The table is freed at 0. */
 };
 
@@ -145,6 +146,8 @@
  * 0. */
 enum error_code route_table_add_route(
     struct route_table *table, struct route *route);
+/** Makes callers need a key of an account, also while there is no account. */
+void route_table_require_key(struct route_table *table);
 /** Adds an account. */
 void route_table_add_account(
     struct route_table *table, struct route_account *account);
--- a/tests/test_intent.c
+++ b/tests/test_intent.c
@@ -108,6 +108,22 @@
 	}
 }
 
+/* Guards against callers that are admitted while there is no account, as after the
+ * last one was removed. */
+static void
+test_no_accounts_admit_no_token(void **state)
+{
+	struct fake_config_source table = {0};
+	struct config_source source = fake_config_source(&table);
+	struct intent intent;
+
+	(void)state;
+	assert_int_equal(intent_compile(&intent, &source), ERROR_NONE);
+	assert_null(intent_account_by_token(&intent, "secret"));
+	assert_null(intent_account_by_token(&intent, ""));
+	intent_finish(&intent);
+}
+
 static void
 test_accounts_are_found_by_token(void **state)
 {
@@ -196,6 +212,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_takeouts_and_policies_per_upstream),
+	    cmocka_unit_test(test_no_accounts_admit_no_token),
 	    cmocka_unit_test(test_accounts_are_found_by_token),
 	    cmocka_unit_test(test_check_entry_gives_error_and_position),
 	};
--- a/tests/test_odd_config.c
+++ b/tests/test_odd_config.c
@@ -336,6 +336,70 @@
 	g_free(fixture);
 }
 
+/* Sends a request with this key header, "" for none, under a table with an empty
+ * list of accounts, and returns the start of the answer's status line. */
+static char *
+answer_without_accounts(
+    struct relay_fixture *fixture, const char *path, const char *key_header)
+{
+	char *request, *answer;
+
+	request =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n"
+			    "Attempt-Id: a1\r\n%sDeadline-Ms: 1000\r\n\r\n",
+		path, key_header);
+	answer = relay_fixture_send_request(fixture, request);
+	g_free(request);
+	answer[MIN(strlen(answer), strlen("HTTP/1.1 200"))] = '\0';
+	return answer;
+}
+
+/* Guards against callers that are admitted once the operator has taken away the
+ * last account: an empty list of accounts says that no key is valid, an absent
+ * one that no key is needed. */
+static void
+test_empty_list_of_accounts_admits_nobody(void **state)
+{
+	static const char text[] =
+	    "{\"version\":7,\"services\":[{\"name\":\"s\"}],\"routes\":["
+	    "{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/keyed/\","
+	    "\"kind\":\"idempotent\",\"timeoutMs\":1000,\"service\":\"s\"},"
+	    "{\"name\":\"p\",\"host\":\"h\",\"pathPrefix\":\"/open/\","
+	    "\"kind\":\"idempotent\",\"timeoutMs\":1000,\"service\":\"s\","
+	    "\"public\":true}],\"tenants\":[]}";
+	static const char *const key_headers[] = {
+	    "", "X-Api-Key: \r\n", "X-Api-Key: key1\r\n"};
+	struct route_table *(*const readers[])(
+	    const char *text, size_t size, struct field_error *error) = {
+	    platform_routes_parse, platform_routes_load};
+	struct relay_fixture *fixture;
+	struct field_error error;
+	char *answer;
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(readers); i++) {
+		fixture = g_new0(struct relay_fixture, 1);
+		relay_fixture_init(fixture);
+		relay_fixture_add_answer(
+		    fixture, ANSWER("200 OK", "hello", "5"));
+		relay_set_table(
+		    &fixture->relay, readers[i](text, strlen(text), &error));
+		for (j = 0; j < G_N_ELEMENTS(key_headers); j++) {
+			answer = answer_without_accounts(
+			    fixture, "/keyed/x", key_headers[j]);
+			assert_string_equal(answer, "HTTP/1.1 401");
+			g_free(answer);
+		}
+		assert_int_equal(relay_fixture_request_count(fixture), 0);
+		answer = answer_without_accounts(fixture, "/open/x", "");
+		assert_string_equal(answer, "HTTP/1.1 200");
+		g_free(answer);
+		relay_fixture_finish(fixture);
+		g_free(fixture);
+	}
+}
+
 /* The table itself refuses what its users can't do without. */
 static void
 test_table_takes_no_entry_without_its_names(void **state)
@@ -364,6 +428,7 @@
 	    cmocka_unit_test(test_acknowledged_documents_are_loaded),
 	    cmocka_unit_test(test_nameless_routes_have_names_of_their_own),
 	    cmocka_unit_test(test_request_on_a_nameless_route_is_served),
+	    cmocka_unit_test(test_empty_list_of_accounts_admits_nobody),
 	    cmocka_unit_test(test_table_takes_no_entry_without_its_names),
 	};
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -55,6 +55,12 @@
     {"{" HOST_TEXT "," LISTEN_TEXT ",\"cluster\":\"c\",\"voters\":[2,2,3],"
      "\"peer_keys\":[{\"id\":1,\"key\":\"" KEY_TEXT "\"}]}",
 	ERROR_BAD_VALUE, "voters"},
+    {"{" HOST_TEXT "," LISTEN_TEXT ",\"cluster\":\"c\",\"voters\":[],"
+     "\"peer_keys\":[{\"id\":1,\"key\":\"" KEY_TEXT "\"}]}",
+	ERROR_BAD_VALUE, "voters"},
+    {"{" HOST_TEXT "," LISTEN_TEXT ",\"cluster\":\"c\",\"voters\":[2],"
+     "\"peer_keys\":[]}",
+	ERROR_MISSING_KEY, "peer_keys"},
     {"{" HOST_TEXT "," LISTEN_TEXT ",\"cluster\":\"c\",\"voters\":[2],"
      "\"peer_keys\":[{\"id\":1,\"key\":\"00\"}]}",
 	ERROR_BAD_VALUE, "peer_keys"},
