--- a/tests/test_odd_config.c
+++ b/tests/test_odd_config.c
@@ -400,6 +400,29 @@
 	}
 }
 
+/* Guards against a route that is served by the service of its field "service"
+ * although its list of weighted services is there and empty, so that its weights
+ * add up to 0. What an earlier build acknowledged is served as before. */
+static void
+test_empty_list_of_targets_is_refused(void **state)
+{
+	static const char text[] =
+	    "{\"version\":7,\"services\":[{\"name\":\"s\"}],\"routes\":["
+	    "{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/a/\","
+	    "\"kind\":\"idempotent\",\"timeoutMs\":1000,\"service\":\"s\","
+	    "\"backends\":[]}]}";
+	struct route_table *table;
+	struct field_error error;
+
+	(void)state;
+	assert_null(platform_routes_parse(text, strlen(text), &error));
+	assert_string_equal(error.field, "routes.backends");
+	table = platform_routes_load(text, strlen(text), &error);
+	assert_non_null(table);
+	assert_int_equal(route_table_find(table, "h", "/a/x")->target_count, 1);
+	route_table_unref(table);
+}
+
 /* The table itself refuses what its users can't do without. */
 static void
 test_table_takes_no_entry_without_its_names(void **state)
@@ -429,6 +452,7 @@
 	    cmocka_unit_test(test_nameless_routes_have_names_of_their_own),
 	    cmocka_unit_test(test_request_on_a_nameless_route_is_served),
 	    cmocka_unit_test(test_empty_list_of_accounts_admits_nobody),
+	    cmocka_unit_test(test_empty_list_of_targets_is_refused),
 	    cmocka_unit_test(test_table_takes_no_entry_without_its_names),
 	};
 
