Timers count from the present, not from the last pass of their loop

Cause: a timer service kept the time of its last timer_advance(), and timer_now() and the delays of new timers counted from that. libuv hands over the bytes that end a wait before the relay looks at its timers again, so what began with them was timed from before the wait.

Change: a timer service of the program has its owner's clock; the present is what timer_now() returns, and what delays count from, also in late callbacks. Periodic timers leave out the runs that they missed. Membership and the upstream directory tell from a late period that their host did not run, in place of counting passes of the loop; a connection past its idle time carries no request, also if its timer is late. The configuration feed's own reader of the clock goes. The simulated network gives its hosts a clock that runs on while they are frozen, so that all its tests run as the program does.

Why it works: no decision reads a time that a wait has made old, whoever began it and after whichever wait (poll, freeze, a slow write).

The new tests failed before: test_idle_relay on ("answer 0, idle for 2400 ms: HTTP/1.1 503"), test_thawed_home_waits_for_renewals on (an upstream expired at a home that had been frozen); three of test_timer and two of test_upstream_pool with the old way of counting put back; test_thawed_host_reads_refutations_first with the clock but without the check for a late period.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 # Regular expression for the tests that start threads. Only these run under the
 # thread sanitizer, which has nothing to find in single-threaded tests.
-THREAD_TESTS = test_(mailbox|http_server|upstream_http|metrics|span_log|fleet_view|router|relay|odd_config|no_path|refused|broken_answers|endless_answers|crashing_part|tcp_link|log_writer|stray_answers|unanswered_at_stop)|real_(stop|faulty_upstreams|group|platform)
+THREAD_TESTS = test_(mailbox|http_server|upstream_http|metrics|span_log|fleet_view|router|relay|odd_config|no_path|refused|broken_answers|endless_answers|crashing_part|tcp_link|log_writer|stray_answers|unanswered_at_stop|idle_relay)|real_(stop|faulty_upstreams|group|platform)
 
 .PHONY: all demo check check-thread test bench soak soak-real soak-mutants format check-format lint install clean doc
 
--- a/bench/host_cluster.c
+++ b/bench/host_cluster.c
@@ -127,7 +127,6 @@
 host_cluster_step(struct host_cluster *cluster)
 {
 	int64_t now_ms;
-	uint32_t i;
 
 	now_ms = timer_now(&cluster->timers) + LOOP_PASS_INTERVAL_MS;
 	timer_advance(&cluster->timers, now_ms);
@@ -136,10 +135,6 @@
 		    cluster->next_heartbeat_ms - CLUSTER_HEARTBEAT_MS;
 		cluster->next_heartbeat_ms += CLUSTER_HEARTBEAT_MS;
 	}
-	for (i = 0; i < cluster->host_count; i++) {
-		membership_on_loop_pass(&cluster->nodes[i].membership);
-		upstream_directory_on_loop_pass(&cluster->nodes[i].directory);
-	}
 	host_cluster_visit_due(
 	    cluster, now_ms, RENEW_INTERVAL_MS, renew_upstream);
 	host_cluster_visit_due(
--- a/src/coordination/config_feed.c
+++ b/src/coordination/config_feed.c
@@ -196,8 +196,6 @@
 int64_t
 feed_now(const struct config_feed *feed)
 {
-	if (feed->ops.clock_now != NULL)
-		return feed->ops.clock_now(feed->ops.context);
 	return timer_now(feed->timers);
 }
 
--- a/src/coordination/config_feed.h
+++ b/src/coordination/config_feed.h
@@ -103,9 +103,6 @@
 /** Functions that the feed calls in its owner. All but list_hosts may be
  * NULL. */
 struct config_feed_ops {
-	/** Reads the clock behind the timer service. If NULL, the feed uses
-	 * timer_now(), which is exact enough in virtual time only. */
-	int64_t (*clock_now)(void *context);
 	/** Writes the ids of up to @p max live hosts, without this host, and
 	 * returns their number. */
 	uint32_t (*list_hosts)(void *context, uint32_t *host_ids, uint32_t max);
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -51,6 +51,7 @@
 	membership->self = settings->self;
 	membership->self.state = HOST_STATE_ALIVE;
 	membership->last_received_ms = timer_now(timers);
+	membership->period_ms = timer_now(timers);
 	membership->seeds_dialled_ms = INT64_MIN;
 	random_init(&membership->random, seed);
 	membership->ping_order =
@@ -160,12 +161,6 @@
 		gossip_check_with(&membership->gossip, host_id);
 }
 
-void
-membership_on_loop_pass(struct membership *membership)
-{
-	membership->loop_passes++;
-}
-
 void
 membership_set_flags(struct membership *membership, uint32_t flags)
 {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -8,11 +8,10 @@
  * not refute the suspicion in time is declared dead. Records spread by gossip
  * (gossip.h).
  *
- * A host that was frozen ignores the time that it missed: the owner calls
- * membership_on_loop_pass() each time it has read its links, and a period
- * without such a call is not counted against other hosts. A host that knows at
- * least two live hosts and receives nothing from any host considers itself cut
- * off and declares nobody dead.
+ * A host that was frozen ignores the time that it missed: a period that comes late
+ * by half of its length or more is not counted against other hosts. A host that
+ * knows at least two live hosts and receives nothing from any host considers itself
+ * cut off and declares nobody dead.
  *
  * A refutation increases the refutation number of the record, not the
  * incarnation, because the incarnation identifies the process.
@@ -119,9 +118,7 @@
 	/** Lowest refutation number of a reported death that is still new; the
 	 * owner was notified of earlier ones. */
 	uint64_t death_reported_refutation;
-	uint64_t loop_passes; /**< Calls of membership_on_loop_pass(). */
-	/** Value of loop_passes at the last period that was counted. */
-	uint64_t period_loop_passes;
+	int64_t period_ms; /**< When the last period began. */
 	/** Time of the last dial of the seeds, INT64_MIN for none yet. */
 	int64_t seeds_dialled_ms;
 	bool is_leaving;	    /**< True after membership_leave(). */
@@ -156,8 +153,6 @@
 /** The link to a host was lost and made again, or replaced: messages may have
  * been lost. Compares the list with that host's. */
 void membership_on_reconnected(struct membership *membership, uint32_t host_id);
-/** The owner has read its links; to be called in each pass of its loop. */
-void membership_on_loop_pass(struct membership *membership);
 /** Replaces the seeds and, unless this host is leaving, dials them at once.
  * Seeds beyond SEEDS_MAX are ignored. */
 void membership_set_seeds(struct membership *membership,
--- a/src/coordination/membership_probe.c
+++ b/src/coordination/membership_probe.c
@@ -14,8 +14,12 @@
 /* Live hosts needed to conclude from silence that this host is cut off; with
  * fewer, all of them may have died at once. */
 #define ISOLATION_HOSTS_MIN 2
+/* A period that comes late by more than its length divided by this shows that
+ * this host did not run, as when it was frozen. */
+#define LATE_PERIOD_DIVISOR 2
 
 static void on_ping_timeout(void *context);
+static bool is_period_late(struct membership *membership);
 static void restart_timeouts(struct membership *membership);
 static void end_probe(struct membership *membership);
 static void start_probe(struct membership *membership);
@@ -34,11 +38,10 @@
 
 	if (membership->is_leaving)
 		return;
-	if (membership->loop_passes == membership->period_loop_passes) {
+	if (is_period_late(membership)) {
 		restart_timeouts(membership);
 		return;
 	}
-	membership->period_loop_passes = membership->loop_passes;
 	end_probe(membership);
 	check_members(membership);
 	start_probe(membership);
@@ -79,6 +82,20 @@
 	}
 }
 
+/* Returns true if this period comes so late that this host can't have run all the
+ * while. */
+static bool
+is_period_late(struct membership *membership)
+{
+	int64_t period_ms = membership->settings.ping_period_ms;
+	int64_t now_ms, late_ms;
+
+	now_ms = timer_now(membership->timers);
+	late_ms = now_ms - membership->period_ms - period_ms;
+	membership->period_ms = now_ms;
+	return late_ms > period_ms / LATE_PERIOD_DIVISOR;
+}
+
 /* Restarts the timeouts after a freeze: this host could not receive messages
  * in that time, so silence proves nothing about other hosts. */
 static void
--- a/src/coordination/upstream_directory.c
+++ b/src/coordination/upstream_directory.c
@@ -9,13 +9,17 @@
 #define GONE_RETENTION_DEFAULT_MS 600000
 #define SUBSCRIPTION_DEFAULT_MS	  10000
 #define SWEEP_MS		  1000 /* Time between checks for expiry. */
-#define UNKNOWN_HOMES_MAX	  64   /* Largest size of unknown_homes. */
+/* A sweep that comes later than this shows that this host did not run, as when
+ * it was frozen. */
+#define SWEEP_LATE_MS	  500
+#define UNKNOWN_HOMES_MAX 64 /* Largest size of unknown_homes. */
 
 /* In the rank of the gossip version, the epoch stands above the home. */
 #define EPOCH_SHIFT 32
 
 static void apply_defaults(struct upstream_directory_settings *settings);
 static void run_sweep(void *context);
+static bool is_sweep_late(struct upstream_directory *directory);
 static void restart_timeouts(struct upstream_directory *directory);
 static bool sweep_entry(
     struct upstream_directory *directory, struct upstream_entry *entry);
@@ -55,6 +59,7 @@
 	apply_defaults(&directory->settings);
 	directory->ops = ops;
 	directory->timers = timers;
+	directory->sweep_ms = timer_now(timers);
 	directory->port = port;
 	gossip = directory->settings.gossip;
 	gossip.first_type = UPSTREAM_TYPE_GOSSIP;
@@ -172,12 +177,6 @@
 	gossip_check_with(&directory->gossip, host_id);
 }
 
-void
-upstream_directory_on_loop_pass(struct upstream_directory *directory)
-{
-	directory->loop_passes++;
-}
-
 const struct upstream_record *
 upstream_directory_find(const struct upstream_directory *directory, uint64_t id)
 {
@@ -311,14 +310,10 @@
 	GHashTableIter iterator;
 	gpointer value;
 
-	/* The check for a freeze needs an owner that reports its loop passes;
-	 * without any pass so far it is skipped. */
-	if (directory->loop_passes > 0 &&
-	    directory->loop_passes == directory->sweep_loop_passes) {
+	if (is_sweep_late(directory)) {
 		restart_timeouts(directory);
 		return;
 	}
-	directory->sweep_loop_passes = directory->loop_passes;
 	g_hash_table_iter_init(&iterator, directory->entries);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		entry = value;
@@ -329,6 +324,19 @@
 	}
 }
 
+/* Returns true if this sweep comes so late that this host can't have run all the
+ * while. */
+static bool
+is_sweep_late(struct upstream_directory *directory)
+{
+	int64_t now_ms, late_ms;
+
+	now_ms = timer_now(directory->timers);
+	late_ms = now_ms - directory->sweep_ms - SWEEP_MS;
+	directory->sweep_ms = now_ms;
+	return late_ms > SWEEP_LATE_MS;
+}
+
 /* Restarts the timeouts after a freeze: this host could not receive renewals in
  * that time, so silence proves nothing. */
 static void
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -10,6 +10,7 @@
  * counts as gone until the home is live again or another host becomes the home.
  * A renewal at another host is passed on to the home. A second renewal there
  * within renewal_ms, or one while the home is dead, makes that host the home.
+ * A host that was frozen lets nothing expire for the time that it missed.
  * Leaving is final for an incarnation. Load reports are sent only to the host
  * that owns the upstream's capacity and to subscribers.
  */
@@ -86,10 +87,7 @@
 	GHashTable *unknown_homes;
 	/** True once an entry has been accepted from another host. */
 	bool has_received_entry;
-	/** Calls of upstream_directory_on_loop_pass(). */
-	uint64_t loop_passes;
-	/** Value of loop_passes at the last sweep that was counted. */
-	uint64_t sweep_loop_passes;
+	int64_t sweep_ms;	   /**< When the last sweep ran. */
 	struct handle sweep_timer; /**< Periodic timer for expiry. */
 };
 
@@ -161,9 +159,6 @@
  * Compares the list with that host's. */
 void upstream_directory_on_reconnected(
     struct upstream_directory *directory, uint32_t host_id);
-/** The owner has read its links and HTTP requests; to be called in each pass of
- * its loop. Time without a pass, as on a frozen host, makes nothing expire. */
-void upstream_directory_on_loop_pass(struct upstream_directory *directory);
 /** Subscribes to load reports of an upstream; the subscription must be repeated
  * within subscription_ms. */
 void upstream_directory_subscribe_load(
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -49,6 +49,7 @@
 static enum error_code init_links(struct host *host);
 static enum error_code init_membership(struct host *host);
 static enum error_code init_wait_line(struct host *host);
+static int64_t read_clock(void *context);
 static void *run_loop(void *argument);
 static void run_loop_pass(struct host *host);
 static void receive_frame(void *context, uint32_t from_host,
@@ -105,7 +106,7 @@
 	error = mailbox_init(&host->mailbox, MAILBOX_MAX);
 	if (error != ERROR_NONE)
 		return error;
-	timer_init(&host->timers, TIMERS_MAX, host_now_ms());
+	timer_init_clock(&host->timers, TIMERS_MAX, host_clock());
 	error = init_parts(host);
 	if (error != ERROR_NONE)
 		return error;
@@ -164,6 +165,12 @@
 	return clock_monotonic_ms();
 }
 
+struct timer_clock
+host_clock(void)
+{
+	return (struct timer_clock){.now_ms = read_clock};
+}
+
 uint64_t
 host_new_request_id(struct host *host)
 {
@@ -185,6 +192,13 @@
 	return MAX(remaining_ms, 0);
 }
 
+static int64_t
+read_clock(void *context)
+{
+	(void)context;
+	return host_now_ms();
+}
+
 static enum error_code
 init_parts(struct host *host)
 {
@@ -342,8 +356,6 @@
 		    EVENT_LISTEN_FAILED, "poll failed: errno %d", errno);
 	timer_advance(&host->timers, host_now_ms());
 	peer_links_handle(&host->links);
-	membership_on_loop_pass(&host->membership);
-	upstream_directory_on_loop_pass(&host->directory);
 	mailbox_run(&host->mailbox, host);
 	host_agreement_on_loop_pass(host);
 	host_orders_on_loop_pass(host);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -194,6 +194,8 @@
 void host_finish(struct host *host);
 /** Returns the monotonic time in milliseconds that all modules use. */
 int64_t host_now_ms(void);
+/** Returns the clock of host_now_ms(), for timer services. */
+struct timer_clock host_clock(void);
 /** Returns a request id that is unique across all hosts. */
 uint64_t host_new_request_id(struct host *host);
 /** Returns true while the configuration lease or an override lets this host
--- a/src/host/host_feed.c
+++ b/src/host/host_feed.c
@@ -34,7 +34,6 @@
     void *context, uint64_t index, const void *bytes, size_t size);
 static void report_unknown(
     struct host *host, uint64_t sequence, enum error_code error);
-static int64_t feed_clock_now(void *context);
 static uint32_t feed_list_hosts(
     void *context, uint32_t *host_ids, uint32_t max);
 static void on_lease_lost(void *context);
@@ -67,7 +66,6 @@
 	    .context = host,
 	};
 	struct config_feed_ops ops = {
-	    .clock_now = feed_clock_now,
 	    .list_hosts = feed_list_hosts,
 	    .on_lease_lost = on_lease_lost,
 	    .on_lease_regained = on_lease_regained,
@@ -242,13 +240,6 @@
 	    error_name(error));
 }
 
-static int64_t
-feed_clock_now(void *context)
-{
-	(void)context;
-	return host_now_ms();
-}
-
 static uint32_t
 feed_list_hosts(void *context, uint32_t *host_ids, uint32_t max)
 {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -74,7 +74,7 @@
 	memset(relay, 0, sizeof(*relay));
 	relay->settings = *settings;
 	relay->host = host;
-	timer_init(&relay->timers, TIMERS_MAX, host_now_ms());
+	timer_init_clock(&relay->timers, TIMERS_MAX, host_clock());
 	random_init(&relay->random, seed);
 	relay_metrics_init(relay);
 	placement_init(&relay->placement, &settings->placement, seed + 1);
@@ -356,7 +356,6 @@
 {
 	struct relay *relay = wake->loop->data;
 
-	timer_advance(&relay->timers, host_now_ms());
 	if (atomic_load(&relay->is_stopping)) {
 		close_all(relay);
 		return;
@@ -383,17 +382,16 @@
 on_prepare(uv_prepare_t *prepare)
 {
 	struct relay *relay = prepare->loop->data;
-	int64_t now_ms, next_ms, wait_ms;
+	int64_t next_ms, wait_ms;
 
-	now_ms = host_now_ms();
-	timer_advance(&relay->timers, now_ms);
+	timer_advance(&relay->timers, host_now_ms());
 	next_ms = timer_next_due_ms(&relay->timers);
 	if (next_ms == TIMER_NEVER) {
 		uv_timer_stop(&relay->tick);
 		return;
 	}
 	uv_update_time(&relay->loop);
-	wait_ms = MAX(next_ms - now_ms, 0);
+	wait_ms = MAX(next_ms - host_now_ms(), 0);
 	uv_timer_start(&relay->tick, on_tick, (uint64_t)wait_ms, 0);
 }
 
--- a/src/transport/timer.c
+++ b/src/transport/timer.c
@@ -25,6 +25,8 @@
 static bool is_earlier(
     const struct timer_due *left, const struct timer_due *right);
 static void run_earliest(struct timer_service *service);
+static int64_t next_period_ms(
+    const struct timer_service *service, int64_t due_ms, int64_t period_ms);
 
 void
 timer_init(struct timer_service *service, uint32_t capacity, int64_t now_ms)
@@ -35,6 +37,14 @@
 	service->now_ms = now_ms;
 }
 
+void
+timer_init_clock(
+    struct timer_service *service, uint32_t capacity, struct timer_clock clock)
+{
+	timer_init(service, capacity, clock.now_ms(clock.context));
+	service->clock = clock;
+}
+
 void
 timer_finish(struct timer_service *service)
 {
@@ -70,7 +80,9 @@
 int64_t
 timer_now(const struct timer_service *service)
 {
-	return service->now_ms;
+	if (service->clock.now_ms == NULL)
+		return service->now_ms;
+	return service->clock.now_ms(service->clock.context);
 }
 
 int64_t
@@ -108,7 +120,7 @@
 	entry->callback = callback;
 	if (delay_ms < 0)
 		delay_ms = 0;
-	error = push_heap(service, service->now_ms + delay_ms, handle);
+	error = push_heap(service, timer_now(service) + delay_ms, handle);
 	if (error != ERROR_NONE) {
 		handle_table_remove(&service->timers, handle);
 		return error;
@@ -243,11 +255,27 @@
 		service->now_ms = due.due_ms;
 	if (entry->period_ms > 0) {
 		/* Can't fail: pop_heap() has just freed an entry. */
-		(void)push_heap(
-		    service, service->now_ms + entry->period_ms, due.timer);
+		(void)push_heap(service,
+		    next_period_ms(service, due.due_ms, entry->period_ms),
+		    due.timer);
 	} else {
 		handle_table_remove(&service->timers, due.timer);
 	}
 	callback.run(callback.context);
 	drop_stale(service);
 }
+
+/* Returns when a periodic timer that was due at @p due_ms runs again. A burst of
+ * the runs that were missed would tell its callbacks of time in which the owner
+ * took in nothing. */
+static int64_t
+next_period_ms(
+    const struct timer_service *service, int64_t due_ms, int64_t period_ms)
+{
+	int64_t now_ms;
+
+	now_ms = timer_now(service);
+	if (now_ms - due_ms >= period_ms)
+		return now_ms + period_ms;
+	return due_ms + period_ms;
+}
--- a/src/transport/timer.h
+++ b/src/transport/timer.h
@@ -2,8 +2,12 @@
  * @file timer.h
  * Timer service for one-off and periodic callbacks.
  *
- * The service reads no clock: its owner advances the time. The same modules
- * can thus run on the monotonic clock in a host and on virtual time in a test.
+ * The owner runs the timers that are due with timer_advance(). What the time is
+ * between two such calls, its clock tells: a loop that has waited for a message
+ * handles it before it looks at its timers, and delays that counted from before
+ * the wait would be short by the wait. A service without a clock has virtual time
+ * for tests: the time that the owner advanced it to.
+ *
  * All times are milliseconds on the owner's monotonic clock. A service must be
  * used by one thread only.
  */
@@ -23,6 +27,13 @@
 	void *context;		    /**< First argument of run(). */
 };
 
+/** Clock of a service's owner. */
+struct timer_clock {
+	/** Returns the present time, which never goes back. */
+	int64_t (*now_ms)(void *context);
+	void *context; /**< First argument of now_ms(). */
+};
+
 /** A heap entry. It stays in the heap as a stale entry when its timer is
  * cancelled. */
 struct timer_due {
@@ -38,26 +49,33 @@
 	uint32_t heap_count;	    /**< Entries in use. */
 	uint32_t heap_capacity;	    /**< Entries allocated. */
 	uint64_t next_order;	    /**< Order of the next heap entry. */
-	int64_t now_ms;		    /**< Current time, see timer_now(). */
+	struct timer_clock clock;   /**< Without now_ms(): virtual time. */
+	int64_t now_ms;		    /**< Virtual time, see timer_now(). */
 };
 
 /* Setting up */
 
-/** Prepares a service for at most @p capacity timers, starting at @p now_ms. */
+/** Prepares a service with virtual time for at most @p capacity timers, starting
+ * at @p now_ms. */
 void timer_init(
     struct timer_service *service, uint32_t capacity, int64_t now_ms);
+/** Prepares a service with a clock for at most @p capacity timers. */
+void timer_init_clock(
+    struct timer_service *service, uint32_t capacity, struct timer_clock clock);
 /** Cancels all timers and frees the memory. */
 void timer_finish(struct timer_service *service);
 
 /* Subscribing */
 
-/** Runs @p callback once after @p delay_ms (negative counts as 0). @p timer
- * receives the handle for timer_cancel() and may be NULL. Errors:
+/** Runs @p callback once, @p delay_ms from timer_now() on (negative counts as
+ * 0). @p timer receives the handle for timer_cancel() and may be NULL. Errors:
  * ERROR_TABLE_FULL, ERROR_NO_MEMORY, ERROR_INVALID_ARGUMENT. */
 enum error_code timer_subscribe_once(struct timer_service *service,
     int64_t delay_ms, struct timer_callback callback, struct handle *timer);
 /** Runs @p callback every @p period_ms (at least 1), the first time after one
- * period. @p timer and errors as for timer_subscribe_once(). */
+ * period. If the owner of a clock comes a whole period late or more, the runs that
+ * it has missed are left out: the callback runs once, and again one period from
+ * then on. @p timer and errors as for timer_subscribe_once(). */
 enum error_code timer_subscribe_every(struct timer_service *service,
     int64_t period_ms, struct timer_callback callback, struct handle *timer);
 /** Cancels a timer and zeroes the handle. A handle of a timer that has run or
@@ -66,13 +84,14 @@
 
 /* Time */
 
-/** Returns the current time: the due time of the timer that is running, else
+/** Returns the present time by the clock, also in the callback of a timer that
+ * runs late. In virtual time it is the due time of the timer that is running, else
  * the time of the last timer_advance(). */
 int64_t timer_now(const struct timer_service *service);
 /** Returns when the next timer is due, TIMER_NEVER if there is none. */
 int64_t timer_next_due_ms(const struct timer_service *service);
-/** Advances the time to @p now_ms and runs all timers due by then, in order of
- * their due times. */
+/** Runs all timers due by @p now_ms in order of their due times, and advances
+ * virtual time to @p now_ms. */
 void timer_advance(struct timer_service *service, int64_t now_ms);
 
 #endif
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -228,6 +228,7 @@
 	struct pool_call *call;
 	GQueue *queue;
 	GList *link, *next;
+	int64_t idle_ms;
 
 	queue = g_hash_table_lookup(pool->idle, &address);
 	if (queue == NULL)
@@ -235,13 +236,16 @@
 	for (link = queue->head; link != NULL; link = next) {
 		next = link->next;
 		call = link->data;
-		if (timer_now(pool->timers) - call->idle_since_ms >
-		    request->idle_max_ms)
+		idle_ms = timer_now(pool->timers) - call->idle_since_ms;
+		if (idle_ms > request->idle_max_ms)
 			return NULL;
 		if (!is_usable(call, request))
 			continue;
-		/* What arrived since the loop last read belongs to no call. */
-		if (tcp_link_has_input(&call->link)) {
+		/* What arrived since the loop last read belongs to no call. A
+		 * loop that comes late reads before it runs its timers, so the
+		 * connection may be past its idle time, too. */
+		if (tcp_link_has_input(&call->link) ||
+		    idle_ms >= call->idle_limit_ms) {
 			close_call(call);
 			continue;
 		}
--- a/tests/fake_net.c
+++ b/tests/fake_net.c
@@ -20,6 +20,7 @@
 	unsigned char body[];
 };
 
+static int64_t host_now(void *context);
 static void send_message(void *context, uint32_t to, enum peer_channel channel,
     const void *body, size_t size);
 static int64_t wait_for_uplink(struct fake_net_host *sender, size_t size);
@@ -48,7 +49,8 @@
 		net->hosts[i].net = net;
 		net->hosts[i].id = i + 1;
 		net->hosts[i].held_last = &net->hosts[i].held_first;
-		timer_init(&net->hosts[i].timers, TIMERS_MAX, 0);
+		timer_init_clock(&net->hosts[i].timers, TIMERS_MAX,
+		    (struct timer_clock){host_now, &net->hosts[i]});
 	}
 	fake_net_set_links(net, link);
 }
@@ -130,8 +132,8 @@
 	host->is_up = true;
 	host->clock_offset_ms = clock_offset_ms;
 	host->receiver = receiver;
-	timer_init(
-	    &host->timers, TIMERS_MAX, fake_net_now(net) + clock_offset_ms);
+	timer_init_clock(
+	    &host->timers, TIMERS_MAX, (struct timer_clock){host_now, host});
 }
 
 void
@@ -165,8 +167,6 @@
 		deliver_held(host);
 		return;
 	}
-	/* The clock is advanced even if messages are delivered first. */
-	host->timers.now_ms = now_ms;
 	deliver_held(host);
 	timer_advance(&host->timers, now_ms);
 }
@@ -218,6 +218,15 @@
 		net->links[i].is_cut = false;
 }
 
+/* The clock of a host runs on while it is frozen. */
+static int64_t
+host_now(void *context)
+{
+	const struct fake_net_host *host = context;
+
+	return fake_net_now(host->net) + host->clock_offset_ms;
+}
+
 static void
 send_message(void *context, uint32_t to, enum peer_channel channel,
     const void *body, size_t size)
--- a/tests/feed_group.c
+++ b/tests/feed_group.c
@@ -89,8 +89,7 @@
 	struct config_feed_source source = {is_leader, term, leader_id, voters,
 	    confirmed_ms, applied_index, read_entries, read_snapshot, node};
 	struct config_feed_sink sink = {apply_entries, install_snapshot, node};
-	struct config_feed_ops ops = {.clock_now = clock_now,
-	    .list_hosts = list_hosts,
+	struct config_feed_ops ops = {.list_hosts = list_hosts,
 	    .on_lease_lost = on_lease_lost,
 	    .on_lease_regained = on_lease_regained,
 	    .context = node};
--- a/tests/host_group.c
+++ b/tests/host_group.c
@@ -8,7 +8,6 @@
 
 #include <cmocka.h>
 
-#define LOOP_PERIOD_MS 50 /* Time between main loop passes. */
 #define SEED_PORT_BASE 7000
 
 const struct fake_link group_good_link = {1, 5, 0, 0, false};
@@ -216,19 +215,7 @@
 void
 host_group_run(struct host_group *group, int64_t duration_ms)
 {
-	uint32_t id;
-
-	for (; duration_ms > 0; duration_ms -= LOOP_PERIOD_MS) {
-		fake_net_run(&group->net, LOOP_PERIOD_MS);
-		for (id = 1; id <= GROUP_HOSTS; id++) {
-			if (!host_group_is_running(group, id))
-				continue;
-			membership_on_loop_pass(
-			    &group->hosts[id - 1].membership);
-			upstream_directory_on_loop_pass(
-			    &group->hosts[id - 1].directory);
-		}
-	}
+	fake_net_run(&group->net, duration_ms);
 }
 
 void
--- a/tests/relay_fixture_host.c
+++ b/tests/relay_fixture_host.c
@@ -49,7 +49,7 @@
 	    .is_trial_host = is_never_trial_host,
 	    .context = host};
 
-	timer_init(&host->timers, 64, host_now_ms());
+	timer_init_clock(&host->timers, 64, host_clock());
 	host->work_watch.on_received = on_work_report;
 	host->work_watch.context = fixture;
 	report_exchange_init(
--- a/tests/test_feed_storm.c
+++ b/tests/test_feed_storm.c
@@ -195,7 +195,7 @@
 	    confirmed_ms, applied_index, read_entries, read_snapshot, node};
 	struct config_feed_sink sink = {apply_entries, install_snapshot, node};
 	struct config_feed_ops ops = {
-	    .clock_now = clock_now, .list_hosts = list_hosts, .context = node};
+	    .list_hosts = list_hosts, .context = node};
 
 	node->storm = storm;
 	node->id = id;
@@ -206,6 +206,8 @@
 	    &storm->net, id, 0, (struct fake_receiver){receive, node});
 	fake_net_host(&storm->net, id)->uplink_bytes_per_ms =
 	    UPLINK_BYTES_PER_MS;
+	fake_net_timers(&storm->net, id)->clock =
+	    (struct timer_clock){clock_now, node};
 	assert_int_equal(config_feed_init(&node->feed, &settings,
 			     fake_net_timers(&storm->net, id), id,
 			     fake_net_port(&storm->net, id), source, sink, ops),
--- /dev/null
+++ b/tests/test_idle_relay.c
@@ -0,0 +1,104 @@
+/*
+ * Tests of a relay that has waited without work: what it times from then on counts
+ * from the present, not from before the wait. The clock is set ahead while the
+ * relay waits, so that it seems to have waited for longer than the test runs.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/monotonic_clock.h"
+#include "relay_answers.h"
+#include "relay_fixture.h"
+
+/* Time for the relay's thread to go back to waiting. */
+#define REST_US	    50000
+#define ANSWER_S    10
+#define ANSWER_SIZE 4096
+
+#define CALL                                                                   \
+	"POST /idem/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"                \
+	"X-Api-Key: key1\r\nDeadline-Ms: 1400\r\nContent-Length: 5\r\n\r\n"    \
+	"hello"
+#define KEPT   ANSWER("200 OK", "body!", "5")
+#define CLOSED ANSWER("200 OK", "body!", "5\r\nConnection: close")
+
+/* What the clock is set ahead by. */
+static _Atomic int64_t ahead_ms;
+
+int64_t __real_clock_monotonic_ms(void);
+int64_t __wrap_clock_monotonic_ms(void);
+
+int64_t
+__wrap_clock_monotonic_ms(void)
+{
+	return __real_clock_monotonic_ms() + atomic_load(&ahead_ms);
+}
+
+/* Sends a request on a caller's connection and returns the status of the answer,
+ * "" if none comes. */
+static void
+call(int fd, char status[sizeof("HTTP/1.1 200")])
+{
+	struct timeval timeout = {.tv_sec = ANSWER_S};
+	char answer[ANSWER_SIZE] = "";
+
+	assert_int_equal(
+	    send(fd, CALL, strlen(CALL), MSG_NOSIGNAL), strlen(CALL));
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	(void)recv(fd, answer, sizeof(answer) - 1, 0);
+	g_strlcpy(status, answer, sizeof("HTTP/1.1 200"));
+}
+
+/* Guards against a quiet host that times a request, or a new connection to an
+ * upstream, from before it slept: it refused or broke off what came on a kept
+ * connection of a caller. */
+static void
+test_quiet_host_gives_a_request_its_whole_time(void **state)
+{
+	static const char *const first_answers[] = {KEPT, CLOSED};
+	static const int64_t idle_ms[] = {10, 400, 1000, 2400, 10000, 60000};
+	char status[sizeof("HTTP/1.1 200")];
+	struct relay_fixture *fixture;
+	size_t i, j;
+	int fd;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(first_answers); i++) {
+		for (j = 0; j < G_N_ELEMENTS(idle_ms); j++) {
+			fixture = g_new0(struct relay_fixture, 1);
+			relay_fixture_init(fixture);
+			relay_fixture_add_answer(fixture, first_answers[i]);
+			fd = relay_fixture_connect(fixture);
+			call(fd, status);
+			assert_string_equal(status, "HTTP/1.1 200");
+			relay_fixture_replace_answers(fixture, KEPT);
+			g_usleep(REST_US);
+			atomic_fetch_add(&ahead_ms, idle_ms[j]);
+			call(fd, status);
+			if (strcmp(status, "HTTP/1.1 200") != 0)
+				fail_msg("answer %zu, idle for %lld ms: %s", i,
+				    (long long)idle_ms[j], status);
+			close(fd);
+			relay_fixture_finish(fixture);
+			g_free(fixture);
+		}
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_quiet_host_gives_a_request_its_whole_time),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -88,6 +88,21 @@
 	host_group_stop(&group);
 }
 
+/* Starts a group of which only hosts 1 and 2 stay. */
+static void
+start_pair(struct host_group *group, uint64_t seed)
+{
+	uint32_t id;
+
+	host_group_start(group, seed, &group_good_link);
+	host_group_run(group, 3000);
+	for (id = 3; id <= GROUP_HOSTS; id++) {
+		membership_leave(&group->hosts[id - 1].membership);
+		host_group_run(group, 1000);
+		host_group_kill_host(group, id);
+	}
+}
+
 /* In a group of only two hosts, one that was frozen must not declare the other
  * one dead. */
 static void
@@ -95,19 +110,12 @@
 {
 	struct host_group group;
 	uint64_t seed;
-	uint32_t id;
 
 	(void)state;
 	/* The seed decides whether late timers or late messages come first
 	 * after the freeze. */
 	for (seed = 1; seed <= 8; seed++) {
-		host_group_start(&group, seed, &group_good_link);
-		host_group_run(&group, 3000);
-		for (id = 3; id <= GROUP_HOSTS; id++) {
-			membership_leave(&group.hosts[id - 1].membership);
-			host_group_run(&group, 1000);
-			host_group_kill_host(&group, id);
-		}
+		start_pair(&group, seed);
 		fake_net_freeze(&group.net, 2);
 		host_group_run(&group, 180000);
 		fake_net_thaw(&group.net, 2);
@@ -119,6 +127,32 @@
 	}
 }
 
+/* Guards against a host that suspects another one, is frozen itself, and declares
+ * the other one dead when it goes on: the refutation waits in its links, which it
+ * reads after its timers. */
+static void
+test_thawed_host_reads_refutations_first(void **state)
+{
+	struct host_group group;
+	uint64_t seed;
+
+	(void)state;
+	/* The seed decides whether late timers or late messages come first. */
+	for (seed = 1; seed <= 40; seed++) {
+		start_pair(&group, seed);
+		fake_net_freeze(&group.net, 2);
+		while (group.hosts[0].suspicions == 0)
+			host_group_run(&group, 100);
+		fake_net_freeze(&group.net, 1);
+		fake_net_thaw(&group.net, 2);
+		host_group_run(&group, 500 * (int64_t)seed);
+		fake_net_thaw(&group.net, 1);
+		host_group_run(&group, 10000);
+		assert_int_equal(group.hosts[0].deaths, 0);
+		host_group_stop(&group);
+	}
+}
+
 /* After a partition in which each side declared the other dead, the hosts find
  * each other again although both seeds are dead. */
 static void
@@ -300,6 +334,7 @@
 	    cmocka_unit_test(test_cut_between_two_hosts_causes_no_suspicion),
 	    cmocka_unit_test(test_thawed_host_declares_nobody_dead),
 	    cmocka_unit_test(test_thawed_host_of_two_declares_nobody_dead),
+	    cmocka_unit_test(test_thawed_host_reads_refutations_first),
 	    cmocka_unit_test(test_partition_heals_without_seeds),
 	    cmocka_unit_test(test_views_agree_after_random_faults),
 	    cmocka_unit_test(test_host_without_peers_keeps_dialling),
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -99,12 +99,123 @@
 	timer_finish(&service);
 }
 
+/* Times of a wait in which the owner of a clock does not advance its timers. */
+static const int64_t idle_ms[] = {10, 100, 1000, 10000, 60000};
+
+static int64_t
+read_clock(void *context)
+{
+	return *(const int64_t *)context;
+}
+
+/* Guards against delays that count from the owner's last look at its timers, and
+ * are short by the time that it has waited since. */
+static void
+test_delays_count_from_the_present(void **state)
+{
+	struct timer_service service;
+	struct record once = {0}, every = {0};
+	int64_t now_ms, last_ms;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(idle_ms) / sizeof(idle_ms[0]); i++) {
+		now_ms = 5000;
+		last_ms = 0;
+		timer_init_clock(
+		    &service, 4, (struct timer_clock){read_clock, &now_ms});
+		once =
+		    (struct record){.service = &service, .last_ms = &last_ms};
+		every = once;
+		now_ms += idle_ms[i];
+		assert_int_equal(timer_now(&service), now_ms);
+		timer_subscribe_once(&service, 400,
+		    (struct timer_callback){on_timer, &once}, NULL);
+		timer_subscribe_every(&service, 300,
+		    (struct timer_callback){on_timer, &every}, NULL);
+		timer_advance(&service, now_ms += 299);
+		assert_int_equal(once.runs + every.runs, 0);
+		timer_advance(&service, now_ms += 1);
+		assert_int_equal(every.runs, 1);
+		timer_advance(&service, now_ms += 99);
+		assert_int_equal(once.runs, 0);
+		timer_advance(&service, now_ms += 1);
+		assert_int_equal(once.runs, 1);
+		timer_finish(&service);
+	}
+}
+
+/* A timer that subscribes another one when it runs. */
+struct chain {
+	struct timer_service *service;
+	int64_t ran_at_ms;
+};
+
+static void
+on_chain(void *context)
+{
+	struct chain *chain = context;
+
+	chain->ran_at_ms = timer_now(chain->service);
+	timer_subscribe_once(chain->service, 300,
+	    (struct timer_callback){on_chain, chain}, NULL);
+}
+
+/* Guards against a timer that runs late and starts another one that is over at
+ * once, as when its owner was frozen. */
+static void
+test_late_timer_sees_the_present(void **state)
+{
+	struct timer_service service;
+	struct chain chain = {&service, 0};
+	int64_t now_ms = 0;
+
+	(void)state;
+	timer_init_clock(
+	    &service, 4, (struct timer_clock){read_clock, &now_ms});
+	timer_subscribe_once(
+	    &service, 100, (struct timer_callback){on_chain, &chain}, NULL);
+	now_ms = 5000;
+	timer_advance(&service, now_ms);
+	assert_int_equal(chain.ran_at_ms, 5000);
+	assert_int_equal(timer_next_due_ms(&service), 5300);
+	timer_finish(&service);
+}
+
+/* Guards against a burst of the runs that a periodic timer has missed. One that is
+ * late by less than a period keeps its beat. */
+static void
+test_missed_periods_are_left_out(void **state)
+{
+	struct timer_service service;
+	struct record record = {.service = &service};
+	int64_t now_ms = 0, last_ms = 0;
+
+	(void)state;
+	record.last_ms = &last_ms;
+	timer_init_clock(
+	    &service, 4, (struct timer_clock){read_clock, &now_ms});
+	timer_subscribe_every(
+	    &service, 100, (struct timer_callback){on_timer, &record}, NULL);
+	timer_advance(&service, now_ms = 160);
+	assert_int_equal(record.runs, 1);
+	assert_int_equal(timer_next_due_ms(&service), 200);
+	timer_advance(&service, now_ms = 5030);
+	assert_int_equal(record.runs, 2);
+	assert_int_equal(record.ran_at_ms, 5030);
+	assert_int_equal(timer_next_due_ms(&service), 5130);
+	timer_finish(&service);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_cancelling_keeps_order_of_other_timers),
 	    cmocka_unit_test(test_periodic_timer_runs_until_cancelled),
+	    cmocka_unit_test(test_delays_count_from_the_present),
+	    cmocka_unit_test(test_late_timer_sees_the_present),
+	    cmocka_unit_test(test_missed_periods_are_left_out),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_upstream_directory.c
+++ b/tests/test_upstream_directory.c
@@ -280,6 +280,33 @@
 	host_group_stop(&group);
 }
 
+/* Guards against a home that was frozen at any moment between two sweeps and lets
+ * an upstream expire whose renewals it could not take. */
+static void
+test_thawed_home_waits_for_renewals(void **state)
+{
+	struct upstream upstream;
+	struct host_group group;
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 20; seed++) {
+		host_group_start(&group, seed, &group_good_link);
+		host_group_run(&group, 3000);
+		init_upstream(&upstream, 1);
+		upstream.is_running = true;
+		upstream.home = 4;
+		run_with(&group, &upstream, 1, 5000);
+		host_group_run(&group, 50 * (int64_t)seed);
+		fake_net_freeze(&group.net, 4);
+		host_group_run(&group, 15000);
+		fake_net_thaw(&group.net, 4);
+		run_with(&group, &upstream, 1, 10000);
+		assert_int_equal(group.hosts[3].gone, 0);
+		host_group_stop(&group);
+	}
+}
+
 /* A host that was cut off for long removes no upstream of the other hosts when
  * it is connected again. */
 static void
@@ -445,6 +472,7 @@
 	    cmocka_unit_test(test_only_newer_announcements_take_effect),
 	    cmocka_unit_test(test_vanished_upstream_expires_everywhere),
 	    cmocka_unit_test(test_failed_home_removes_no_running_upstream),
+	    cmocka_unit_test(test_thawed_home_waits_for_renewals),
 	    cmocka_unit_test(test_host_cut_off_for_long_removes_no_upstream),
 	    cmocka_unit_test(test_load_reaches_owner_and_subscribers_only),
 	    cmocka_unit_test(test_lists_agree_after_random_faults),
--- a/tests/test_upstream_pool.c
+++ b/tests/test_upstream_pool.c
@@ -48,7 +48,9 @@
 /* A pool, and an upstream that the test plays itself. */
 struct fixture {
 	uv_loop_t loop;
+	int64_t now_ms; /* Stands still unless the test sets it. */
 	struct timer_service timers;
+	int64_t idle_max_ms; /* Of calls that begin. */
 	struct upstream_pool pool;
 	int listen_fd;
 	int peers[CONNECTIONS_MAX]; /* Other ends, in order of arrival. */
@@ -120,6 +122,14 @@
 	result->error = error;
 }
 
+static int64_t
+read_clock(void *context)
+{
+	const struct fixture *fixture = context;
+
+	return fixture->now_ms;
+}
+
 static void
 open_fixture(struct fixture *fixture)
 {
@@ -129,7 +139,9 @@
 
 	memset(fixture, 0, sizeof(*fixture));
 	uv_loop_init(&fixture->loop);
-	timer_init(&fixture->timers, TIMERS_MAX, 0);
+	timer_init_clock(&fixture->timers, TIMERS_MAX,
+	    (struct timer_clock){read_clock, fixture});
+	fixture->idle_max_ms = INT64_MAX;
 	upstream_pool_init(&fixture->pool, &fixture->loop, &fixture->timers);
 	fixture->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -173,7 +185,8 @@
 	    .on_failed = on_failed,
 	    .context = result,
 	};
-	struct pool_request request = {.id = id, .idle_max_ms = INT64_MAX};
+	struct pool_request request = {
+	    .id = id, .idle_max_ms = fixture->idle_max_ms};
 	char *text, *body;
 
 	memset(result, 0, sizeof(*result));
@@ -319,6 +332,63 @@
 	}
 }
 
+/* Guards against a connection that times out early, by as long as the loop had
+ * waited before it was begun. */
+static void
+test_new_connection_gets_its_whole_time(void **state)
+{
+	static const int64_t idle_ms[] = {10, 400, 1000, 60000};
+	struct fixture fixture;
+	struct result result;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(idle_ms); i++) {
+		open_fixture(&fixture);
+		fixture.now_ms += idle_ms[i];
+		begin_call(&fixture, "a", 0, &result);
+		timer_advance(&fixture.timers, fixture.now_ms += 399);
+		assert_false(result.has_ended);
+		timer_advance(&fixture.timers, fixture.now_ms += 1);
+		assert_true(result.has_ended);
+		assert_int_equal(result.error, ERROR_TIMEOUT);
+		g_string_free(result.body, TRUE);
+		close_fixture(&fixture);
+	}
+}
+
+/* Guards against a request on a connection that has been idle for longer than it
+ * may be, which the loop has not noticed yet because it waited. */
+static void
+test_idle_time_is_that_of_the_present(void **state)
+{
+	static const struct {
+		int64_t idle_ms, idle_max_ms;
+		uint32_t connection; /* The one that gets the request. */
+	} cases[] = {
+	    {2499, INT64_MAX,
+		0}, /* Without Keep-Alive it may idle for 2.5 s. */
+	    {2500, INT64_MAX, 1},
+	    {1000, 1000, 0},
+	    {1001, 1000, 1},
+	};
+	struct fixture fixture;
+	struct result result;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		open_fixture(&fixture);
+		complete_first_call(&fixture);
+		fixture.now_ms += cases[i].idle_ms;
+		fixture.idle_max_ms = cases[i].idle_max_ms;
+		begin_call(&fixture, "b", 0, &result);
+		await_request(&fixture, cases[i].connection);
+		g_string_free(result.body, TRUE);
+		close_fixture(&fixture);
+	}
+}
+
 /* An answer to an earlier request that would end only with the connection would
  * hide the one that the call waits for: the call fails at once. One without a body
  * is passed over. */
@@ -444,6 +514,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_connection_with_unread_bytes_gets_no_request),
+	    cmocka_unit_test(test_new_connection_gets_its_whole_time),
+	    cmocka_unit_test(test_idle_time_is_that_of_the_present),
 	    cmocka_unit_test(
 		test_unframed_answer_to_an_earlier_request_ends_the_call),
 	    cmocka_unit_test(test_request_follows_no_body_that_was_not_sent),
