A request on a new connection tells the time that is left when it is sent

Upstreams: what is left of a caller's time was read before a connection was made, which may take 400 ms; the upstream was told that much more than was left, and worked for a caller who was gone.

Change: the request is written anew when its new connection is established. Requests on kept connections are sent at once, as before.

The new test failed before: test_time_left_is_that_at_sending, Deadline-Ms over 1200 of 1400 after a connection that took 200 ms.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -161,6 +161,9 @@
 	struct relay_exchange *exchange = context;
 
 	exchange->attempt->on_connected(exchange);
+	/* The request tells the time that is left, and connecting took some. */
+	pool_call_set_request(
+	    exchange->call, exchange->attempt->bytes(exchange, host_now_ms()));
 }
 
 static void
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -190,6 +190,13 @@
 	return call;
 }
 
+void
+pool_call_set_request(struct pool_call *call, GBytes *bytes)
+{
+	g_bytes_unref(call->request);
+	call->request = bytes;
+}
+
 enum answer_owner
 pool_call_attribute(const struct pool_call *call, const char *id)
 {
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -103,6 +103,9 @@
 struct pool_call *upstream_pool_call(struct upstream_pool *pool,
     uint64_t address, const struct pool_request *request,
     const struct pool_call_ops *ops);
+/** Replaces the request of a call that has not been sent, as from on_connected(),
+ * and takes the reference to @p bytes. */
+void pool_call_set_request(struct pool_call *call, GBytes *bytes);
 /** Attributes an answer on the call's connection by the id that it echoes, NULL
  * for none. */
 enum answer_owner pool_call_attribute(
--- a/tests/test_idle_relay.c
+++ b/tests/test_idle_relay.c
@@ -8,6 +8,7 @@
 #include <stdatomic.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,7 @@
 #include "base/monotonic_clock.h"
 #include "relay_answers.h"
 #include "relay_fixture.h"
+#include "transport/tcp_link.h"
 
 /* Time for the relay's thread to go back to waiting. */
 #define REST_US	    50000
@@ -33,8 +35,15 @@
 /* What the clock is set ahead by. */
 static _Atomic int64_t ahead_ms;
 
+/* How long a connection takes to be established. */
+static _Atomic int64_t connect_ms;
+
 int64_t __real_clock_monotonic_ms(void);
 int64_t __wrap_clock_monotonic_ms(void);
+enum error_code __real_tcp_link_connect(struct tcp_link *link, uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct tcp_link_ops *ops);
+enum error_code __wrap_tcp_link_connect(struct tcp_link *link, uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct tcp_link_ops *ops);
 
 int64_t
 __wrap_clock_monotonic_ms(void)
@@ -42,6 +51,14 @@
 	return __real_clock_monotonic_ms() + atomic_load(&ahead_ms);
 }
 
+enum error_code
+__wrap_tcp_link_connect(struct tcp_link *link, uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct tcp_link_ops *ops)
+{
+	atomic_fetch_add(&ahead_ms, atomic_load(&connect_ms));
+	return __real_tcp_link_connect(link, loop, address, ops);
+}
+
 /* Sends a request on a caller's connection and returns the status of the answer,
  * "" if none comes. */
 static void
@@ -93,11 +110,42 @@
 	}
 }
 
+/* Guards against an upstream that is told more time than is left, by as long as
+ * its connection took to be established. */
+static void
+test_time_left_is_that_at_sending(void **state)
+{
+	char status[sizeof("HTTP/1.1 200")];
+	struct relay_fixture *fixture;
+	char *request, *field;
+	int fd;
+
+	(void)state;
+	fixture = g_new0(struct relay_fixture, 1);
+	relay_fixture_init(fixture);
+	relay_fixture_add_answer(fixture, KEPT);
+	fd = relay_fixture_connect(fixture);
+	atomic_store(&connect_ms, 200);
+	call(fd, status);
+	atomic_store(&connect_ms, 0);
+	assert_string_equal(status, "HTTP/1.1 200");
+	request = relay_fixture_received_request(fixture, 0);
+	field = strstr(request, "\r\nDeadline-Ms: ");
+	assert_non_null(field);
+	assert_true(
+	    strtol(field + strlen("\r\nDeadline-Ms: "), NULL, 10) <= 1200);
+	g_free(request);
+	close(fd);
+	relay_fixture_finish(fixture);
+	g_free(fixture);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_quiet_host_gives_a_request_its_whole_time),
+	    cmocka_unit_test(test_time_left_is_that_at_sending),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
