A request to an upstream is written once, when it is sent

The pool now asks its caller for the request when it sends it, so pool_request has no bytes, the call holds none while it connects, and pool_call_set_request() is gone. What goes over the wire is the same; the tests of the pool and the relay keep their assertions.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -21,6 +21,7 @@
 static void log_retried(
     const struct relay_exchange *exchange, enum error_code error);
 static void on_connected(void *context);
+static GBytes *make_request(void *context);
 static void on_sent(void *context);
 static enum pool_answer on_head(void *context, struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
@@ -53,6 +54,7 @@
 {
 	struct pool_call_ops ops = {
 	    .on_connected = on_connected,
+	    .make_request = make_request,
 	    .on_sent = on_sent,
 	    .on_head = on_head,
 	    .on_body = on_body,
@@ -72,10 +74,8 @@
 	    exchange->route->kind, exchange->route->is_resumable);
 	request.idle_max_ms =
 	    may_repeat ? REPEATABLE_IDLE_MAX_MS : NO_REPEAT_IDLE_MAX_MS;
-	request.bytes = exchange->attempt->bytes(exchange, host_now_ms());
 	exchange->call = upstream_pool_call(
 	    &exchange->relay->pool, exchange->upstream_address, &request, &ops);
-	g_bytes_unref(request.bytes);
 	/* Without a socket this host lacks something, not the upstream. */
 	if (exchange->call == NULL)
 		relay_attempt_failed(exchange, ERROR_NO_CAPACITY, false);
@@ -161,9 +161,14 @@
 	struct relay_exchange *exchange = context;
 
 	exchange->attempt->on_connected(exchange);
-	/* The request tells the time that is left, and connecting took some. */
-	pool_call_set_request(
-	    exchange->call, exchange->attempt->bytes(exchange, host_now_ms()));
+}
+
+static GBytes *
+make_request(void *context)
+{
+	struct relay_exchange *exchange = context;
+
+	return exchange->attempt->bytes(exchange, host_now_ms());
 }
 
 static void
--- a/src/relay/relay_hold.c
+++ b/src/relay/relay_hold.c
@@ -41,9 +41,9 @@
 
 static struct hold *add_hold(struct relay_holds *holds, struct relay *relay,
     const struct placement_choice *choice, uint32_t index);
-static void reserve(struct hold *hold);
 static void release(struct hold *hold);
-static void order(struct hold *hold, char *text);
+static void order(struct hold *hold);
+static GBytes *make_order(void *context);
 static void on_sent(void *context);
 static enum pool_answer on_head(void *context, struct http_head *head);
 static void on_body(void *context, const char *data, size_t size);
@@ -77,7 +77,7 @@
 	(void)timer_subscribe_once(&relay->timers, RESERVE_TIMEOUT_MS,
 	    (struct timer_callback){on_reserve_timeout, holds}, &holds->timer);
 	for (i = 0; i < holds->list->len; i++)
-		reserve(g_ptr_array_index(holds->list, i));
+		order(g_ptr_array_index(holds->list, i));
 }
 
 void
@@ -158,25 +158,19 @@
 	return hold;
 }
 
-static void
-reserve(struct hold *hold)
-{
-	order(hold, hold->relay->settings.dialect.reserve_order(
-			hold->id, hold->tokens, RESERVATION_EXPIRY_MS));
-}
-
 static void
 release(struct hold *hold)
 {
 	hold->release_attempts++;
-	order(hold, hold->relay->settings.dialect.release_order(hold->id));
+	order(hold);
 }
 
-/* Sends an order with the body @p text to the helper, and frees @p text. */
+/* Orders the reservation from the helper, or its release once that has begun. */
 static void
-order(struct hold *hold, char *text)
+order(struct hold *hold)
 {
 	struct pool_call_ops ops = {
+	    .make_request = make_order,
 	    .on_sent = on_sent,
 	    .on_head = on_head,
 	    .on_body = on_body,
@@ -185,21 +179,11 @@
 	    .context = hold,
 	    .body_bytes_max = ORDER_ANSWER_BYTES_MAX,
 	};
-	const struct relay_dialect *dialect = &hold->relay->settings.dialect;
 	struct pool_request request = {0};
-	char *bytes;
 
-	bytes = g_strdup_printf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
-				"Content-Type: application/json\r\n"
-				"Content-Length: %zu\r\n\r\n%s",
-	    dialect->order_path, hold->upstream, dialect->target,
-	    hold->upstream, strlen(text), text);
-	g_free(text);
-	request.bytes = g_bytes_new_take(bytes, strlen(bytes));
 	hold->status = 0;
 	hold->call = upstream_pool_call(
 	    &hold->relay->pool, hold->upstream_address, &request, &ops);
-	g_bytes_unref(request.bytes);
 	/* Report a failed connection later, so that done() is never called
 	 * while its caller is still sending orders. If no timer is free, the
 	 * order stays unanswered until the request's own deadline. */
@@ -209,6 +193,27 @@
 		    &hold->timer);
 }
 
+static GBytes *
+make_order(void *context)
+{
+	const struct hold *hold = context;
+	const struct relay_dialect *dialect = &hold->relay->settings.dialect;
+	char *text, *bytes;
+
+	if (hold->holds == NULL)
+		text = dialect->release_order(hold->id);
+	else
+		text = dialect->reserve_order(
+		    hold->id, hold->tokens, RESERVATION_EXPIRY_MS);
+	bytes = g_strdup_printf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n"
+				"Content-Type: application/json\r\n"
+				"Content-Length: %zu\r\n\r\n%s",
+	    dialect->order_path, hold->upstream, dialect->target,
+	    hold->upstream, strlen(text), text);
+	g_free(text);
+	return g_bytes_new_take(bytes, strlen(bytes));
+}
+
 static void
 on_no_connection_timeout(void *context)
 {
@@ -353,7 +358,7 @@
 	for (i = 0; i < holds->list->len; i++) {
 		hold = g_ptr_array_index(holds->list, i);
 		if (hold->call == NULL)
-			reserve(hold);
+			order(hold);
 	}
 	hold = g_ptr_array_index(holds->list, 0);
 	schedule_renewal(holds, hold->relay);
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -44,7 +44,6 @@
 	struct pool_call_ops ops;
 	enum call_state state;
 	uint64_t address; /* Packed IP address and port of the upstream. */
-	GBytes *request;  /* Request of the current call, or NULL. */
 	/* Reports the result of a probe; NULL for a call. */
 	void (*on_probe_done)(void *context, enum error_code error);
 	void *probe_context;
@@ -80,7 +79,6 @@
 static void on_received(void *context, const char *data, size_t size);
 static void on_ended(void *context, bool is_clean);
 static void on_closed(void *context);
-static void end_request(struct pool_call *call);
 static bool on_head(void *context, struct http_head *head);
 static void discard_answer(
     struct pool_call *call, const struct http_head *head);
@@ -166,7 +164,6 @@
 	if (call == NULL)
 		return NULL;
 	call->ops = *ops;
-	call->request = g_bytes_ref(request->bytes);
 	call->request_id = g_strdup(request->id);
 	call->is_head_method = request->is_head_method;
 	if (call->state == CALL_IDLE) {
@@ -190,13 +187,6 @@
 	return call;
 }
 
-void
-pool_call_set_request(struct pool_call *call, GBytes *bytes)
-{
-	g_bytes_unref(call->request);
-	call->request = bytes;
-}
-
 enum answer_owner
 pool_call_attribute(const struct pool_call *call, const char *id)
 {
@@ -310,8 +300,9 @@
 static void
 send_request(struct pool_call *call)
 {
-	gsize size;
 	const void *data;
+	GBytes *request;
+	gsize size;
 
 	/* A later answer to a request without an id could not be attributed, nor
 	 * could the length of one to a HEAD request be told. */
@@ -323,11 +314,13 @@
 	call->body_bytes = 0;
 	request_history_add(&call->history, call->request_id);
 	http_reader_next(&call->reader);
-	data = g_bytes_get_data(call->request, &size);
+	request = call->ops.make_request(call->ops.context);
+	data = g_bytes_get_data(request, &size);
 	/* Reported before the write, because the upstream may run the request
 	 * as soon as its first bytes leave. */
 	call->ops.on_sent(call->ops.context);
 	tcp_link_write(&call->link, data, size);
+	g_bytes_unref(request);
 }
 
 static void
@@ -471,7 +464,7 @@
 		}
 		if (size > 0)
 			call->is_reusable = false;
-		end_request(call);
+		g_clear_pointer(&call->request_id, g_free);
 		keep_idle(call);
 		call->ops.on_done(call->ops.context);
 		return;
@@ -506,22 +499,11 @@
 
 	g_hash_table_remove(call->pool->all, call);
 	http_reader_finish(&call->reader);
-	end_request(call);
+	g_free(call->request_id);
 	request_history_finish(&call->history);
 	g_free(call);
 }
 
-/* Frees what the call holds of its request. */
-static void
-end_request(struct pool_call *call)
-{
-	if (call->request != NULL)
-		g_bytes_unref(call->request);
-	call->request = NULL;
-	g_free(call->request_id);
-	call->request_id = NULL;
-}
-
 static bool
 on_head(void *context, struct http_head *head)
 {
--- a/src/transport/upstream_pool.h
+++ b/src/transport/upstream_pool.h
@@ -36,7 +36,6 @@
 
 /** A request to an upstream. */
 struct pool_request {
-	GBytes *bytes; /**< The HTTP request; the call keeps a reference. */
 	/** Id that its answer echoes, NULL if it bears none. */
 	const char *id;
 	bool is_head_method; /**< HEAD request, whose answer has no body. */
@@ -49,6 +48,10 @@
 struct pool_call_ops {
 	/** A new connection was established for the call; may be NULL. */
 	void (*on_connected)(void *context);
+	/** Returns the HTTP request as it is at this moment, in which it is
+	 * sent; called once, before on_sent(). The pool drops the
+	 * reference. */
+	GBytes *(*make_request)(void *context);
 	/** The request is about to be sent; from now on the upstream may run
 	 * it. */
 	void (*on_sent)(void *context);
@@ -103,9 +106,6 @@
 struct pool_call *upstream_pool_call(struct upstream_pool *pool,
     uint64_t address, const struct pool_request *request,
     const struct pool_call_ops *ops);
-/** Replaces the request of a call that has not been sent, as from on_connected(),
- * and takes the reference to @p bytes. */
-void pool_call_set_request(struct pool_call *call, GBytes *bytes);
 /** Attributes an answer on the call's connection by the id that it echoes, NULL
  * for none. */
 enum answer_owner pool_call_attribute(
--- a/tests/test_upstream_pool.c
+++ b/tests/test_upstream_pool.c
@@ -60,6 +60,8 @@
 
 /* What came of a call. */
 struct result {
+	const char *id;	  /* Of the request. */
+	size_t body_size; /* Of the request. */
 	struct pool_call *call;
 	uint32_t status; /* Of the answer that was taken. */
 	GString *body;
@@ -74,6 +76,20 @@
 static void give_early_answer(
     struct fixture *fixture, const struct early_answer *answer);
 
+static GBytes *
+make_request(void *context)
+{
+	const struct result *result = context;
+	char *text, *body;
+
+	body = g_strnfill(result->body_size, 'x');
+	text = g_strdup_printf("POST / HTTP/1.1\r\nHost: h\r\n" ID_FIELD
+			       ": %s\r\nContent-Length: %zu\r\n\r\n%s",
+	    result->id, result->body_size, body);
+	g_free(body);
+	return g_bytes_new_take(text, strlen(text));
+}
+
 static void
 on_sent(void *context)
 {
@@ -178,6 +194,7 @@
     struct result *result)
 {
 	struct pool_call_ops ops = {
+	    .make_request = make_request,
 	    .on_sent = on_sent,
 	    .on_head = on_head,
 	    .on_body = on_body,
@@ -187,19 +204,13 @@
 	};
 	struct pool_request request = {
 	    .id = id, .idle_max_ms = fixture->idle_max_ms};
-	char *text, *body;
 
 	memset(result, 0, sizeof(*result));
+	result->id = id;
+	result->body_size = body_size;
 	result->body = g_string_new(NULL);
-	body = g_strnfill(body_size, 'x');
-	text = g_strdup_printf("POST / HTTP/1.1\r\nHost: h\r\n" ID_FIELD
-			       ": %s\r\nContent-Length: %zu\r\n\r\n%s",
-	    id, body_size, body);
-	g_free(body);
-	request.bytes = g_bytes_new_take(text, strlen(text));
 	result->call = upstream_pool_call(
 	    &fixture->pool, fixture->address, &request, &ops);
-	g_bytes_unref(request.bytes);
 	assert_non_null(result->call);
 }
 
