One measure of a late periodic callback, and two pieces less

Membership and the upstream directory had each got a check whether their host had run all the while, beside the one of the links between hosts, which had it already: three times the same arithmetic on a time kept for it. struct timer_lag measures it for all three, with the limits that each had.

The route table's setter for one flag goes: the reader of the document sets it as it sets the limits. The feed's tests have no clock of their own beside that of the simulated network, which gives the same time.

No behaviour changes.

--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -51,7 +51,7 @@
 	membership->self = settings->self;
 	membership->self.state = HOST_STATE_ALIVE;
 	membership->last_received_ms = timer_now(timers);
-	membership->period_ms = timer_now(timers);
+	timer_lag_start(&membership->period_lag, timers);
 	membership->seeds_dialled_ms = INT64_MIN;
 	random_init(&membership->random, seed);
 	membership->ping_order =
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -118,7 +118,7 @@
 	/** Lowest refutation number of a reported death that is still new; the
 	 * owner was notified of earlier ones. */
 	uint64_t death_reported_refutation;
-	int64_t period_ms; /**< When the last period began. */
+	struct timer_lag period_lag; /**< How late periods come. */
 	/** Time of the last dial of the seeds, INT64_MIN for none yet. */
 	int64_t seeds_dialled_ms;
 	bool is_leaving;	    /**< True after membership_leave(). */
--- a/src/coordination/membership_probe.c
+++ b/src/coordination/membership_probe.c
@@ -19,7 +19,6 @@
 #define LATE_PERIOD_DIVISOR 2
 
 static void on_ping_timeout(void *context);
-static bool is_period_late(struct membership *membership);
 static void restart_timeouts(struct membership *membership);
 static void end_probe(struct membership *membership);
 static void start_probe(struct membership *membership);
@@ -35,10 +34,12 @@
 membership_run_period(void *context)
 {
 	struct membership *membership = context;
+	int64_t period_ms = membership->settings.ping_period_ms;
 
 	if (membership->is_leaving)
 		return;
-	if (is_period_late(membership)) {
+	if (timer_lag_measure(&membership->period_lag, membership->timers,
+		period_ms) > period_ms / LATE_PERIOD_DIVISOR) {
 		restart_timeouts(membership);
 		return;
 	}
@@ -82,20 +83,6 @@
 	}
 }
 
-/* Returns true if this period comes so late that this host can't have run all the
- * while. */
-static bool
-is_period_late(struct membership *membership)
-{
-	int64_t period_ms = membership->settings.ping_period_ms;
-	int64_t now_ms, late_ms;
-
-	now_ms = timer_now(membership->timers);
-	late_ms = now_ms - membership->period_ms - period_ms;
-	membership->period_ms = now_ms;
-	return late_ms > period_ms / LATE_PERIOD_DIVISOR;
-}
-
 /* Restarts the timeouts after a freeze: this host could not receive messages
  * in that time, so silence proves nothing about other hosts. */
 static void
--- a/src/coordination/upstream_directory.c
+++ b/src/coordination/upstream_directory.c
@@ -19,7 +19,6 @@
 
 static void apply_defaults(struct upstream_directory_settings *settings);
 static void run_sweep(void *context);
-static bool is_sweep_late(struct upstream_directory *directory);
 static void restart_timeouts(struct upstream_directory *directory);
 static bool sweep_entry(
     struct upstream_directory *directory, struct upstream_entry *entry);
@@ -59,7 +58,7 @@
 	apply_defaults(&directory->settings);
 	directory->ops = ops;
 	directory->timers = timers;
-	directory->sweep_ms = timer_now(timers);
+	timer_lag_start(&directory->sweep_lag, timers);
 	directory->port = port;
 	gossip = directory->settings.gossip;
 	gossip.first_type = UPSTREAM_TYPE_GOSSIP;
@@ -310,7 +309,8 @@
 	GHashTableIter iterator;
 	gpointer value;
 
-	if (is_sweep_late(directory)) {
+	if (timer_lag_measure(&directory->sweep_lag, directory->timers,
+		SWEEP_MS) > SWEEP_LATE_MS) {
 		restart_timeouts(directory);
 		return;
 	}
@@ -324,19 +324,6 @@
 	}
 }
 
-/* Returns true if this sweep comes so late that this host can't have run all the
- * while. */
-static bool
-is_sweep_late(struct upstream_directory *directory)
-{
-	int64_t now_ms, late_ms;
-
-	now_ms = timer_now(directory->timers);
-	late_ms = now_ms - directory->sweep_ms - SWEEP_MS;
-	directory->sweep_ms = now_ms;
-	return late_ms > SWEEP_LATE_MS;
-}
-
 /* Restarts the timeouts after a freeze: this host could not receive renewals in
  * that time, so silence proves nothing. */
 static void
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -87,8 +87,8 @@
 	GHashTable *unknown_homes;
 	/** True once an entry has been accepted from another host. */
 	bool has_received_entry;
-	int64_t sweep_ms;	   /**< When the last sweep ran. */
-	struct handle sweep_timer; /**< Periodic timer for expiry. */
+	struct timer_lag sweep_lag; /**< How late sweeps come. */
+	struct handle sweep_timer;  /**< Periodic timer for expiry. */
 };
 
 /* Setup */
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -137,12 +137,6 @@
 	}
 }
 
-void
-route_table_require_key(struct route_table *table)
-{
-	table->needs_key = true;
-}
-
 void
 route_table_add_account(
     struct route_table *table, struct route_account *account)
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -146,8 +146,6 @@
  * 0. */
 enum error_code route_table_add_route(
     struct route_table *table, struct route *route);
-/** Makes callers need a key of an account, also while there is no account. */
-void route_table_require_key(struct route_table *table);
 /** Adds an account. */
 void route_table_add_account(
     struct route_table *table, struct route_account *account);
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -127,8 +127,8 @@
 	struct peer_link_counters counters; /**< Traffic and errors so far. */
 	struct handle_table links; /**< Open links; items are struct link *. */
 	GHashTable *peers;	   /**< Host id to struct peer. */
-	struct handle liveness_timer;	/**< Looks for links that are silent. */
-	int64_t liveness_ms;		/**< Time of the last look. */
+	struct handle liveness_timer;  /**< Looks for links that are silent. */
+	struct timer_lag liveness_lag; /**< How late the looks at links come. */
 	uint32_t unauthenticated_count; /**< Links in the handshake. */
 	int listen_fd;			/**< Listening socket. */
 	int epoll_fd;	      /**< Descriptor that peer_links_fd() gives. */
--- a/src/transport/peer_liveness.c
+++ b/src/transport/peer_liveness.c
@@ -26,7 +26,7 @@
 enum error_code
 peer_liveness_init(struct peer_links *links)
 {
-	links->liveness_ms = timer_now(links->timers);
+	timer_lag_start(&links->liveness_lag, links->timers);
 	return timer_subscribe_every(links->timers, TICK_MS,
 	    (struct timer_callback){run_tick, links}, &links->liveness_timer);
 }
@@ -66,18 +66,17 @@
 	struct peer_links *links = context;
 	struct handle handle = {0};
 	struct link *link;
-	int64_t now_ms, asleep_ms;
+	int64_t late_ms;
 
-	now_ms = timer_now(links->timers);
-	asleep_ms = now_ms - links->liveness_ms - TICK_MS;
-	links->liveness_ms = now_ms;
+	late_ms =
+	    timer_lag_measure(&links->liveness_lag, links->timers, TICK_MS);
 	while (handle_table_next(&links->links, &handle)) {
 		link = *(struct link **)handle_table_get(&links->links, handle);
 		if (!link->is_waiting || link->state != LINK_ESTABLISHED)
 			continue;
 		/* While this host did not run, it read no answers. */
-		if (asleep_ms > TICK_LATE_MS)
-			link->waiting_ms = now_ms;
+		if (late_ms > TICK_LATE_MS)
+			link->waiting_ms = timer_now(links->timers);
 		else
 			look_at(link);
 	}
--- a/src/transport/timer.c
+++ b/src/transport/timer.c
@@ -102,6 +102,23 @@
 		service->now_ms = now_ms;
 }
 
+void
+timer_lag_start(struct timer_lag *lag, const struct timer_service *service)
+{
+	lag->last_ms = timer_now(service);
+}
+
+int64_t
+timer_lag_measure(struct timer_lag *lag, const struct timer_service *service,
+    int64_t period_ms)
+{
+	int64_t passed_ms;
+
+	passed_ms = timer_now(service) - lag->last_ms;
+	lag->last_ms += passed_ms;
+	return passed_ms - period_ms;
+}
+
 static enum error_code
 subscribe(struct timer_service *service, int64_t delay_ms, int64_t period_ms,
     struct timer_callback callback, struct handle *timer)
--- a/src/transport/timer.h
+++ b/src/transport/timer.h
@@ -53,6 +53,12 @@
 	int64_t now_ms;		    /**< Virtual time, see timer_now(). */
 };
 
+/** Tells how late a periodic callback runs, and so whether its owner has run all
+ * the while. */
+struct timer_lag {
+	int64_t last_ms; /**< When it was started or last measured. */
+};
+
 /* Setting up */
 
 /** Prepares a service with virtual time for at most @p capacity timers, starting
@@ -94,4 +100,15 @@
  * virtual time to @p now_ms. */
 void timer_advance(struct timer_service *service, int64_t now_ms);
 
+/* Lateness */
+
+/** Begins to measure, when the periodic timer is subscribed. */
+void timer_lag_start(
+    struct timer_lag *lag, const struct timer_service *service);
+/** Returns by how many milliseconds the time since the start or the last call
+ * exceeds @p period_ms; negative if it is shorter. To be called by each run of the
+ * callback. */
+int64_t timer_lag_measure(struct timer_lag *lag,
+    const struct timer_service *service, int64_t period_ms);
+
 #endif
--- a/tests/feed_group.c
+++ b/tests/feed_group.c
@@ -12,7 +12,6 @@
 #define ENTRIES_KEPT	  20  /* Older entries exist only in a snapshot. */
 #define RENEWALS	  5   /* Renewals in a lease. */
 
-static int64_t clock_now(void *context);
 static bool is_leader(void *context);
 static uint64_t term(void *context);
 static uint32_t leader_id(void *context);
@@ -160,15 +159,6 @@
 	return count;
 }
 
-static int64_t
-clock_now(void *context)
-{
-	struct feed_node *node = context;
-
-	return fake_net_now(&node->group->net) +
-	       fake_net_host(&node->group->net, node->id)->clock_offset_ms;
-}
-
 static bool
 is_leader(void *context)
 {
@@ -358,7 +348,7 @@
 		node->applied = ++group->committed;
 		node->is_leading = true;
 		node->confirmed_ms = INT64_MIN;
-		node->round_ms = clock_now(node);
+		node->round_ms = timer_now(node->feed.timers);
 		config_feed_on_leader_changed(&node->feed);
 		config_feed_on_applied(&node->feed);
 		return;
@@ -381,7 +371,7 @@
 	}
 	group->rounds_without_quorum = 0;
 	leader->confirmed_ms = leader->round_ms;
-	leader->round_ms = clock_now(leader);
+	leader->round_ms = timer_now(leader->feed.timers);
 	for (id = 1; id <= group->voter_count; id++) {
 		node = &group->nodes[id - 1];
 		if (id == group->leader ||
@@ -414,8 +404,8 @@
 	for (id = 1; id <= HOSTS; id++) {
 		node = &group->nodes[id - 1];
 		if (node->is_running && node->applied < group->max_in_force &&
-		    config_feed_lease_remaining(&node->feed, clock_now(node)) >
-			0)
+		    config_feed_lease_remaining(
+			&node->feed, timer_now(node->feed.timers)) > 0)
 			fail_msg("host %u holds a lease at %llu of %llu", id,
 			    (unsigned long long)node->applied,
 			    (unsigned long long)group->max_in_force);
