--- a/src/coordination/report_exchange.c
+++ b/src/coordination/report_exchange.c
@@ -479,17 +479,17 @@
 	const struct collected_report *collected;
 	struct batched_report *report;
 	GHashTableIter iter;
-	int64_t age_ms;
+	int64_t now_ms;
 
+	now_ms = timer_now(exchange->timers);
 	g_hash_table_iter_init(&iter, exchange->collected);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&collected)) {
 		if (batch->report_count == HOSTS_MAX)
 			return;
 		report = &batch->reports[batch->report_count++];
-		age_ms = timer_now(exchange->timers) - collected->sent_ms;
 		report->host_id = collected->host_id;
 		report->sequence = collected->sequence;
-		report->age_ms = (uint32_t)age_ms;
+		report->age_ms = (uint32_t)(now_ms - collected->sent_ms);
 		report->body = g_bytes_get_data(collected->body, &report->size);
 	}
 }
--- a/src/coordination/upstream_directory.c
+++ b/src/coordination/upstream_directory.c
@@ -20,8 +20,8 @@
 static void apply_defaults(struct upstream_directory_settings *settings);
 static void run_sweep(void *context);
 static void restart_timeouts(struct upstream_directory *directory);
-static bool sweep_entry(
-    struct upstream_directory *directory, struct upstream_entry *entry);
+static bool sweep_entry(struct upstream_directory *directory,
+    struct upstream_entry *entry, int64_t now_ms);
 static enum upstream_state current_state(
     const struct upstream_directory *directory,
     const struct upstream_entry *entry);
@@ -308,16 +308,18 @@
 	struct upstream_entry *entry;
 	GHashTableIter iterator;
 	gpointer value;
+	int64_t now_ms;
 
 	if (timer_lag_measure(&directory->sweep_lag, directory->timers,
 		SWEEP_MS) > SWEEP_LATE_MS) {
 		restart_timeouts(directory);
 		return;
 	}
+	now_ms = timer_now(directory->timers);
 	g_hash_table_iter_init(&iterator, directory->entries);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		entry = value;
-		if (!sweep_entry(directory, entry))
+		if (!sweep_entry(directory, entry, now_ms))
 			continue;
 		gossip_drop(&directory->gossip, entry->body.record.id);
 		g_hash_table_iter_remove(&iterator);
@@ -347,12 +349,11 @@
 /* Updates the state of an entry as time passes. Returns true if the entry can
  * be removed. */
 static bool
-sweep_entry(struct upstream_directory *directory, struct upstream_entry *entry)
+sweep_entry(struct upstream_directory *directory, struct upstream_entry *entry,
+    int64_t now_ms)
 {
 	struct upstream_entry_body body;
-	int64_t now_ms;
 
-	now_ms = timer_now(directory->timers);
 	if (upstream_directory_is_home(directory, entry) &&
 	    current_state(directory, entry) != UPSTREAM_STATE_GONE &&
 	    now_ms - entry->renewed_ms > directory->settings.renewal_ms) {
--- a/src/transport/timer.h
+++ b/src/transport/timer.h
@@ -49,7 +49,7 @@
 	uint32_t heap_count;	    /**< Entries in use. */
 	uint32_t heap_capacity;	    /**< Entries allocated. */
 	uint64_t next_order;	    /**< Order of the next heap entry. */
-	struct timer_clock clock;   /**< Without now_ms(): virtual time. */
+	struct timer_clock clock;   /**< All zero for virtual time. */
 	int64_t now_ms;		    /**< Virtual time, see timer_now(). */
 };
 
--- a/src/transport/upstream_pool.c
+++ b/src/transport/upstream_pool.c
@@ -225,15 +225,16 @@
 	struct pool_call *call;
 	GQueue *queue;
 	GList *link, *next;
-	int64_t idle_ms;
+	int64_t now_ms, idle_ms;
 
 	queue = g_hash_table_lookup(pool->idle, &address);
 	if (queue == NULL)
 		return NULL;
+	now_ms = timer_now(pool->timers);
 	for (link = queue->head; link != NULL; link = next) {
 		next = link->next;
 		call = link->data;
-		idle_ms = timer_now(pool->timers) - call->idle_since_ms;
+		idle_ms = now_ms - call->idle_since_ms;
 		if (idle_ms > request->idle_max_ms)
 			return NULL;
 		if (!is_usable(call, request))
--- a/tests/fake_net.c
+++ b/tests/fake_net.c
@@ -218,7 +218,7 @@
 		net->links[i].is_cut = false;
 }
 
-/* The clock of a host runs on while it is frozen. */
+/* Reads the clock of a host, which runs on while the host is frozen. */
 static int64_t
 host_now(void *context)
 {
--- a/tests/test_idle_relay.c
+++ b/tests/test_idle_relay.c
@@ -20,7 +20,7 @@
 #include "relay_fixture.h"
 #include "transport/tcp_link.h"
 
-/* Time for the relay's thread to go back to waiting. */
+/* Time after an answer in which the relay goes back to waiting for I/O. */
 #define REST_US	    50000
 #define ANSWER_S    10
 #define ANSWER_SIZE 4096
@@ -32,10 +32,10 @@
 #define KEPT   ANSWER("200 OK", "body!", "5")
 #define CLOSED ANSWER("200 OK", "body!", "5\r\nConnection: close")
 
-/* What the clock is set ahead by. */
+/* Milliseconds by which the tested clock is ahead of the real one. */
 static _Atomic int64_t ahead_ms;
 
-/* How long a connection takes to be established. */
+/* Milliseconds by which the clock goes ahead while a connection is made. */
 static _Atomic int64_t connect_ms;
 
 int64_t __real_clock_monotonic_ms(void);
@@ -59,8 +59,8 @@
 	return __real_tcp_link_connect(link, loop, address, ops);
 }
 
-/* Sends a request on a caller's connection and returns the status of the answer,
- * "" if none comes. */
+/* Sends a request on a caller's connection and copies the start of the answer's
+ * status line to @p status, "" if no answer comes. */
 static void
 call(int fd, char status[sizeof("HTTP/1.1 200")])
 {
@@ -81,7 +81,7 @@
 test_quiet_host_gives_a_request_its_whole_time(void **state)
 {
 	static const char *const first_answers[] = {KEPT, CLOSED};
-	/* A caller's connection may be idle for 15 s. */
+	/* The relay closes a caller's connection after 15 s without use. */
 	static const int64_t idle_ms[] = {10, 400, 1000, 2400, 6000, 14000};
 	char status[sizeof("HTTP/1.1 200")];
 	struct relay_fixture *fixture;
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -99,7 +99,7 @@
 	timer_finish(&service);
 }
 
-/* Times of a wait in which the owner of a clock does not advance its timers. */
+/* Times between two calls of timer_advance(), as while a loop waits for work. */
 static const int64_t idle_ms[] = {10, 100, 1000, 10000, 60000};
 
 static int64_t
@@ -145,7 +145,7 @@
 	}
 }
 
-/* A timer that subscribes another one when it runs. */
+/* A timer whose callback subscribes the next timer. */
 struct chain {
 	struct timer_service *service;
 	int64_t ran_at_ms;
--- a/tests/test_upstream_pool.c
+++ b/tests/test_upstream_pool.c
@@ -48,9 +48,9 @@
 /* A pool, and an upstream that the test plays itself. */
 struct fixture {
 	uv_loop_t loop;
-	int64_t now_ms; /* Stands still unless the test sets it. */
+	int64_t now_ms; /* Time of the clock, which only the test changes. */
 	struct timer_service timers;
-	int64_t idle_max_ms; /* Of calls that begin. */
+	int64_t idle_max_ms; /* Idle limit that calls set for connections. */
 	struct upstream_pool pool;
 	int listen_fd;
 	int peers[CONNECTIONS_MAX]; /* Other ends, in order of arrival. */
@@ -375,10 +375,9 @@
 {
 	static const struct {
 		int64_t idle_ms, idle_max_ms;
-		uint32_t connection; /* The one that gets the request. */
+		uint32_t connection; /* Index of the connection that is used. */
 	} cases[] = {
-	    {2499, INT64_MAX,
-		0}, /* Without Keep-Alive it may idle for 2.5 s. */
+	    {2499, INT64_MAX, 0}, /* 2.5 s is the limit without Keep-Alive. */
 	    {2500, INT64_MAX, 1},
 	    {1000, 1000, 0},
 	    {1001, 1000, 1},
